Lay out the package, its interfaces and the checks

Cause: nothing stands yet, and several parts have to grow side by side. Conclusion: parts can now be written against the protocols in components/keys.py, state/protocols.py and platform/protocols.py.

--- /dev/null
+++ b/mustardward/__main__.py
@@ -0,0 +1,8 @@
+"""Run the command line with ``python -m mustardward``."""
+
+from __future__ import annotations
+
+from .cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mustardward/components/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one folder for each capability of the product."""
--- /dev/null
+++ b/mustardward/components/api/routes.py
@@ -0,0 +1,71 @@
+"""Collect the routes of the operators' interface.
+
+A component files its routes in a module ``api`` of its own; ``components/api`` serves
+them and describes them in OpenAPI.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from pydantic import BaseModel
+
+from ...core import Core
+
+
+@dataclass(frozen=True, slots=True)
+class ApiRequest:
+    """Hold an operator's call; ``model`` is the validated body, if one was asked."""
+
+    core: Core
+    actor: str
+    path: dict[str, str]
+    query: dict[str, str]
+    model: Any = None
+
+
+@dataclass(frozen=True, slots=True)
+class ApiAnswer:
+    """Hold the answer; ``body`` is anything that JSON can hold."""
+
+    body: Any
+    status: int = 200
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+RouteHandler = Callable[[ApiRequest], Awaitable[ApiAnswer]]
+
+
+@dataclass(frozen=True, slots=True)
+class ApiRoute:
+    """Describe one route; ``path`` has parameters in braces."""
+
+    method: str
+    path: str
+    summary: str
+    handler: RouteHandler
+    body_model: type[BaseModel] | None = None
+
+
+API_ROUTES: Final[list[ApiRoute]] = []
+
+
+def api_route(
+    method: str,
+    path: str,
+    summary: str,
+    body_model: type[BaseModel] | None = None,
+) -> Callable[[RouteHandler], RouteHandler]:
+    """Return a decorator that files a handler under a method and path.
+
+    A handler raises a :class:`MustardwardError` to refuse; the server turns it into
+    ``application/problem+json``.
+    """
+
+    def decorate(handler: RouteHandler) -> RouteHandler:
+        API_ROUTES.append(ApiRoute(method, path, summary, handler, body_model))
+        return handler
+
+    return decorate
--- /dev/null
+++ b/mustardward/components/jobs/__init__.py
@@ -0,0 +1,17 @@
+"""Accept long work and run it under leases."""
+
+from __future__ import annotations
+
+from ...core import COMPONENTS, ComponentDescription, Core, Unload
+
+
+async def async_setup(core: Core) -> Unload:
+    """Set the component up and return what undoes it."""
+
+    async def async_unload() -> None:
+        return None
+
+    return async_unload
+
+
+COMPONENTS.register("jobs")(ComponentDescription("jobs", async_setup))
--- /dev/null
+++ b/mustardward/components/keys.py
@@ -0,0 +1,47 @@
+"""Name the public object of each component, with its type.
+
+A component publishes its object with ``core.put(KEY, object)`` in ``async_setup`` and
+withdraws it in its unload.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from ..core import ComponentKey
+
+if TYPE_CHECKING:
+    from ..platform.protocols import (
+        ListingService,
+        LogService,
+        PowerService,
+        WorkerService,
+    )
+    from ..state.protocols import FleetLog, WorkLog
+    from .entry.protocols import (
+        IntentGate,
+        Limiter,
+        RetryPolicy,
+        Router,
+        WorkerDispatcher,
+    )
+    from .membership.protocols import Membership
+    from .peers.protocols import Peers
+    from .templates.protocols import Directory
+
+LOG_SERVICE: Final[ComponentKey[LogService]] = ComponentKey("platform.log")
+LISTING_SERVICE: Final[ComponentKey[ListingService]] = ComponentKey("platform.listing")
+POWER_SERVICE: Final[ComponentKey[PowerService]] = ComponentKey("platform.power")
+WORKER_SERVICE: Final[ComponentKey[WorkerService]] = ComponentKey("platform.worker")
+
+FLEET_LOG: Final[ComponentKey[FleetLog]] = ComponentKey("state.fleet")
+WORK_LOG: Final[ComponentKey[WorkLog]] = ComponentKey("state.work")
+
+MEMBERSHIP: Final[ComponentKey[Membership]] = ComponentKey("membership")
+PEERS: Final[ComponentKey[Peers]] = ComponentKey("peers")
+DIRECTORY: Final[ComponentKey[Directory]] = ComponentKey("templates")
+LIMITER: Final[ComponentKey[Limiter]] = ComponentKey("limits")
+ROUTER: Final[ComponentKey[Router]] = ComponentKey("routing")
+RETRY_POLICY: Final[ComponentKey[RetryPolicy]] = ComponentKey("retries")
+INTENT_GATE: Final[ComponentKey[IntentGate]] = ComponentKey("retries.intents")
+DISPATCHER: Final[ComponentKey[WorkerDispatcher]] = ComponentKey("entry.dispatcher")
--- /dev/null
+++ b/mustardward/components/log/__init__.py
@@ -0,0 +1,17 @@
+"""Set up the folded logs of the fleet and of the data centre's work."""
+
+from __future__ import annotations
+
+from ...core import COMPONENTS, ComponentDescription, Core, Unload
+
+
+async def async_setup(core: Core) -> Unload:
+    """Set the component up and return what undoes it."""
+
+    async def async_unload() -> None:
+        return None
+
+    return async_unload
+
+
+COMPONENTS.register("log")(ComponentDescription("log", async_setup))
--- /dev/null
+++ b/mustardward/components/membership/__init__.py
@@ -0,0 +1,17 @@
+"""Know which entries are live, suspect or leaving."""
+
+from __future__ import annotations
+
+from ...core import COMPONENTS, ComponentDescription, Core, Unload
+
+
+async def async_setup(core: Core) -> Unload:
+    """Set the component up and return what undoes it."""
+
+    async def async_unload() -> None:
+        return None
+
+    return async_unload
+
+
+COMPONENTS.register("membership")(ComponentDescription("membership", async_setup))
--- /dev/null
+++ b/mustardward/components/membership/models.py
@@ -0,0 +1,49 @@
+"""Model the entries as their peers know them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class MemberStatus(StrEnum):
+    """Name the states of ``charts/member.yaml``."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Hold one entry process.
+
+    ``incarnation`` is drawn anew at each start and grows; leaving is final for it.
+    ``fleet_offset`` is the next offset its fold wants.
+    """
+
+    name: str
+    data_centre: str
+    address: str
+    incarnation: int
+    status: MemberStatus
+    fleet_offset: int = 0
+    fleet_digest: str = ""
+    in_flight: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipChanged:
+    """Announce on the event bus that a member's status changed."""
+
+    member: Member
+    previous: MemberStatus | None
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceLeaving:
+    """Announce that a worker instance is leaving and gets no new work."""
+
+    instance_id: str
+    source: str
--- /dev/null
+++ b/mustardward/components/membership/protocols.py
@@ -0,0 +1,43 @@
+"""Define what other components ask of membership."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from .models import Member
+
+
+class Membership(Protocol):
+    """Know the live entries and the instances that are leaving."""
+
+    @property
+    def own(self) -> Member:
+        """Return this process as a member."""
+        ...
+
+    def members(self, data_centre: str | None = None) -> tuple[Member, ...]:
+        """Return all members known, this process included."""
+        ...
+
+    def live(self, data_centre: str | None = None) -> tuple[Member, ...]:
+        """Return the members that are alive, this process included."""
+        ...
+
+    def owns_duty(self, duty: str, holders: int = 1) -> bool:
+        """Tell whether this process is among the holders of a duty now.
+
+        A division of labour only: two holders at once must do no harm.
+        """
+        ...
+
+    def instance_may_get_work(self, instance_id: str) -> bool:
+        """Tell whether a worker is neither leaving, suspect nor known as down."""
+        ...
+
+    def report_instance(self, instance_id: str, healthy: bool, cause: str) -> None:
+        """Take the evidence of an attempt or a probe into account."""
+        ...
+
+    async def async_announce_leaving(self) -> None:
+        """Tell all peers at once that this process is leaving."""
+        ...
--- /dev/null
+++ b/mustardward/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Collect small helpers without knowledge of any component."""
--- /dev/null
+++ b/mustardward/platform/protocols.py
@@ -0,0 +1,118 @@
+"""Define the interfaces to the platform, which small fakes stand in for in tests.
+
+Every method raises :class:`PlatformUnavailableError` if the call had no effect and
+:class:`PlatformOutcomeUnknownError` if it may have had one.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from .models import (
+    InstancePower,
+    ListedInstance,
+    LogPage,
+    TaskOrder,
+    TaskReport,
+    WorkerUsage,
+)
+
+
+class LogService(Protocol):
+    """Append to and read from streams of the platform's log."""
+
+    async def async_append(self, stream: str, payload: bytes) -> int:
+        """Append one entry and return its offset.
+
+        :raises AppendRateError: if the rate limit was reached; nothing was appended.
+        """
+        ...
+
+    async def async_read(
+        self, stream: str, offset: int, limit: int, wait_seconds: float
+    ) -> LogPage:
+        """Return entries from ``offset`` on, waiting for a first one if at the tail.
+
+        :raises OffsetExpiredError: if ``offset`` is older than retention.
+        """
+        ...
+
+
+class ListingService(Protocol):
+    """Read the platform's list of live and leaving instances; it lags."""
+
+    async def async_list(self) -> tuple[ListedInstance, ...]:
+        """Return the whole list."""
+        ...
+
+
+class PowerService(Protocol):
+    """Drain, reboot and return instances; idempotent by ``operation_id``.
+
+    :raises StaleGenerationError: if a call carries a generation older than one seen.
+    """
+
+    async def async_get(self, instance_id: str) -> InstancePower:
+        """Return the state of one instance."""
+        ...
+
+    async def async_drain(
+        self, instance_id: str, operation_id: str, generation: int
+    ) -> InstancePower:
+        """Give the instance no new tasks from the platform's side."""
+        ...
+
+    async def async_reboot(
+        self, instance_id: str, operation_id: str, generation: int
+    ) -> InstancePower:
+        """Reboot the instance; refused unless it is drained."""
+        ...
+
+    async def async_return(
+        self, instance_id: str, operation_id: str, generation: int
+    ) -> InstancePower:
+        """Let the instance serve again without a reboot."""
+        ...
+
+
+class WorkerService(Protocol):
+    """Run leased tasks on one worker.
+
+    :raises PlatformRefusedError: if the worker says that it did not run the task.
+    """
+
+    async def async_start(self, address: str, order: TaskOrder) -> TaskReport:
+        """Start a task, or return the report of the same generation's task."""
+        ...
+
+    async def async_report(self, address: str, task_id: str) -> TaskReport:
+        """Return the state of a task."""
+        ...
+
+    async def async_renew(
+        self, address: str, task_id: str, generation: int, lease_seconds: float
+    ) -> TaskReport:
+        """Prolong the lease of a task."""
+        ...
+
+    async def async_checkpoint(
+        self, address: str, task_id: str, generation: int
+    ) -> TaskReport:
+        """Write a checkpoint and stop there."""
+        ...
+
+    async def async_throttle(
+        self, address: str, task_id: str, generation: int
+    ) -> TaskReport:
+        """Let a task run slowly and free its slot."""
+        ...
+
+    async def async_stop(
+        self, address: str, task_id: str, generation: int
+    ) -> TaskReport:
+        """Stop a task without a checkpoint."""
+        ...
+
+    async def async_usage(self, address: str) -> WorkerUsage:
+        """Return the worker's lagging report of its usage."""
+        ...
--- /dev/null
+++ b/mustardward/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Read and validate the YAML settings of a process."""
--- /dev/null
+++ b/mustardward/settings/models.py
@@ -0,0 +1,103 @@
+"""Model the settings file of one entry process.
+
+Source: every value comes from the YAML file named on the command line; unknown keys
+are errors.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, Field
+
+
+class SettingsModel(BaseModel):
+    """Refuse unknown keys and later changes."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Listener(SettingsModel):
+    """Name an address to listen on."""
+
+    host: str = Field(default="127.0.0.1", description="IP number")
+    port: int = Field(ge=0, le=65535, description="TCP port; 0 takes a free one")
+
+
+class EntryIdentity(SettingsModel):
+    """Say who and where the process is."""
+
+    name: str = Field(min_length=1, max_length=64, pattern=r"^[a-z0-9][a-z0-9.-]*$")
+    data_centre: str = Field(
+        min_length=1, max_length=64, pattern=r"^[a-z0-9][a-z0-9-]*$"
+    )
+    region: str = Field(default="default", min_length=1, max_length=64)
+
+
+class PeerAddress(SettingsModel):
+    """Name another entry process to begin with; others are learnt from it."""
+
+    name: str
+    data_centre: str
+    host: str
+    port: int = Field(ge=1, le=65535)
+
+
+class PlatformSettings(SettingsModel):
+    """Say where the platform's services are."""
+
+    url: str = Field(pattern=r"^https?://")
+    timeout_seconds: float = Field(default=2.0, gt=0, le=60)
+    poll_seconds: float = Field(default=1.0, gt=0, le=30, description="long-poll wait")
+    append_interval_seconds: float = Field(
+        default=0.02, ge=0, le=5, description="group-commit window"
+    )
+
+
+class RequestLimits(SettingsModel):
+    """Bound what one caller's request may cost."""
+
+    header_bytes: int = Field(default=32_768, ge=1024)
+    body_bytes: int = Field(default=16_777_216, ge=0)
+    default_deadline_seconds: float = Field(default=30.0, gt=0, le=3600)
+    maximum_deadline_seconds: float = Field(default=300.0, gt=0, le=3600)
+    queue_length: int = Field(default=512, ge=0)
+
+
+class TlsSettings(SettingsModel):
+    """Name the files of a key pair and the authority that peers must show."""
+
+    certificate: Path
+    key: Path
+    authority: Path
+
+
+class OperatorSettings(SettingsModel):
+    """Say how operators reach the process."""
+
+    listen: Listener = Listener(port=0)
+    token_file: Path | None = None
+    tls: TlsSettings | None = None
+
+
+class MetricsSettings(SettingsModel):
+    """Say where statsd metrics go."""
+
+    host: str = "127.0.0.1"
+    port: int = Field(default=8125, ge=1, le=65535)
+    prefix: str = "mustardward"
+    enabled: bool = False
+
+
+class Settings(SettingsModel):
+    """Hold all settings of one entry process."""
+
+    entry: EntryIdentity
+    callers: Listener
+    operators: OperatorSettings = OperatorSettings()
+    peer_listen: Listener = Listener(port=0)
+    peers: tuple[PeerAddress, ...] = ()
+    peer_tls: TlsSettings | None = None
+    platform: PlatformSettings
+    limits: RequestLimits = RequestLimits()
+    metrics: MetricsSettings = MetricsSettings()
--- /dev/null
+++ b/mustardward/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform in tests, demos and drills."""
--- /dev/null
+++ b/mustardward/state/fleet.py
@@ -0,0 +1,31 @@
+"""Hold the folded state of the ``fleet`` stream."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .models.maintenance import Absence, Claim, Wave
+from .models.pools import Instance, Move, Pool
+from .models.templates import Organisation, TemplateRevision
+
+
+@dataclass(slots=True)
+class FleetState:
+    """Hold everything that the fleet's records decide.
+
+    Only handlers change it, in offset order; everyone else reads.
+    """
+
+    templates: dict[str, list[TemplateRevision]] = field(default_factory=dict)
+    organisations: dict[str, Organisation] = field(default_factory=dict)
+    pools: dict[str, Pool] = field(default_factory=dict)
+    instances: dict[str, Instance] = field(default_factory=dict)
+    moves: dict[str, Move] = field(default_factory=dict)
+    """Moves in progress by instance id."""
+    waves: dict[str, Wave] = field(default_factory=dict)
+    claims: dict[str, Claim] = field(default_factory=dict)
+    """Claims by instance id."""
+    absences: dict[str, Absence] = field(default_factory=dict)
+    """Failed or quarantined instances by instance id."""
+    silent: set[str] = field(default_factory=set)
+    """Data centres that report nothing."""
--- /dev/null
+++ b/mustardward/state/fold.py
@@ -0,0 +1,191 @@
+"""Fold log entries into a state: the machinery that all kinds of record share.
+
+Pure: no clock, no I/O. Every node that folds the same entries holds the same state and
+the same digest, and gives each record the same outcome.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final, Generic, TypeVar
+
+import xxhash
+from returns.result import Failure, Result, Success
+
+from ..exceptions import (
+    CorruptRecordError,
+    LogGapError,
+    MustardwardError,
+    UnknownRecordError,
+)
+from ..helpers.registry import Registry
+from .records import Envelope, decode_batch, decode_body
+
+S = TypeVar("S")
+
+DEDUPE_WINDOW: Final = 65_536
+
+
+class RecordRefusedError(MustardwardError):
+    """Serve as the root of refusals that the fold gives a well-formed record."""
+
+    code = "record-refused"
+
+
+class RevisionConflictError(RecordRefusedError):
+    """Report that another change was accepted first."""
+
+    code = "revision-conflict"
+
+
+@dataclass(frozen=True, slots=True)
+class FoldContext:
+    """Tell a handler where its record stands.
+
+    ``sequence`` numbers accepted records from 1; handlers use it as revision or
+    generation, since it grows along the log and is the same everywhere.
+    """
+
+    offset: int
+    sequence: int
+    record_id: str
+    actor: str
+    base_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Acceptance:
+    """Say what an accepted record changed; ``revision`` is for its author."""
+
+    subjects: tuple[str, ...]
+    revision: int
+    note: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class RecordOutcome:
+    """Say what became of one record, the same on every node."""
+
+    offset: int
+    envelope: Envelope
+    body: Any
+    result: Result[Acceptance, MustardwardError]
+    duplicate: bool = False
+
+
+Handler = Callable[[S, FoldContext, Any], Result[Acceptance, MustardwardError]]
+
+
+class Fold(Generic[S]):
+    """Apply entries in offset order to one state.
+
+    :param state: the state to change.
+    :param handlers: the function for each kind.
+    """
+
+    def __init__(self, state: S, handlers: Registry[str, Handler[S]]) -> None:
+        self._state = state
+        self._handlers = handlers
+        self._next_offset = 0
+        self._sequence = 0
+        self._digest = ""
+        self._outcomes: OrderedDict[str, str] = OrderedDict()
+        self._blocked: UnknownRecordError | None = None
+
+    @property
+    def state(self) -> S:
+        """Return the state after the last entry."""
+        return self._state
+
+    @property
+    def next_offset(self) -> int:
+        """Return the offset of the entry wanted next."""
+        return self._next_offset
+
+    @property
+    def sequence(self) -> int:
+        """Return the number of records accepted so far."""
+        return self._sequence
+
+    @property
+    def digest(self) -> str:
+        """Return the chained digest of all entries and outcomes so far."""
+        return self._digest
+
+    @property
+    def blocked(self) -> UnknownRecordError | None:
+        """Return why this node must not decide any more, if so."""
+        return self._blocked
+
+    def apply(self, offset: int, payload: bytes) -> list[RecordOutcome]:
+        """Fold one entry and return the outcome of each of its records.
+
+        :raises LogGapError: if ``offset`` is not the next one.
+        """
+        if offset != self._next_offset:
+            raise LogGapError(f"wanted={self._next_offset} got={offset}")
+        outcomes = [self._apply_one(offset, item) for item in _envelopes(payload)]
+        self._next_offset = offset + 1
+        self._digest = xxhash.xxh3_128_hexdigest(
+            self._digest.encode()
+            + payload
+            + b"".join(_outcome_code(item).encode() for item in outcomes)
+        )
+        return outcomes
+
+    def _apply_one(self, offset: int, envelope: Envelope) -> RecordOutcome:
+        # A lost answer makes the appender send the record again, and the first copy
+        # may be delayed past the second. Whichever comes first counts.
+        if envelope.record_id in self._outcomes:
+            refusal = RecordRefusedError(self._outcomes[envelope.record_id])
+            return RecordOutcome(offset, envelope, None, Failure(refusal), True)
+        outcome = self._decide(offset, envelope)
+        self._remember(envelope.record_id, _outcome_code(outcome))
+        return outcome
+
+    def _decide(self, offset: int, envelope: Envelope) -> RecordOutcome:
+        try:
+            body = decode_body(envelope)
+        except UnknownRecordError as error:
+            # Guessing at a newer kind would make this node's state differ from the
+            # others' without a sign; so it stops deciding, and goes on serving.
+            self._blocked = self._blocked or error
+            return RecordOutcome(offset, envelope, None, Failure(error))
+        except CorruptRecordError as error:
+            return RecordOutcome(offset, envelope, None, Failure(error))
+        context = FoldContext(
+            offset,
+            self._sequence + 1,
+            envelope.record_id,
+            envelope.actor,
+            envelope.base_revision,
+        )
+        handler = self._handlers.get(envelope.kind)
+        if handler is None:
+            refusal = RecordRefusedError(f"kind={envelope.kind} not for this stream")
+            return RecordOutcome(offset, envelope, body, Failure(refusal))
+        result = handler(self._state, context, body)
+        if isinstance(result, Success):
+            self._sequence += 1
+        return RecordOutcome(offset, envelope, body, result)
+
+    def _remember(self, record_id: str, code: str) -> None:
+        self._outcomes[record_id] = code
+        while len(self._outcomes) > DEDUPE_WINDOW:
+            self._outcomes.popitem(last=False)
+
+
+def _envelopes(payload: bytes) -> list[Envelope]:
+    # Garbage in the log must not stop every node for ever at one offset.
+    try:
+        return decode_batch(payload)
+    except CorruptRecordError:
+        return []
+
+
+def _outcome_code(outcome: RecordOutcome) -> str:
+    if isinstance(outcome.result, Success):
+        return "accepted"
+    return outcome.result.failure().code
--- /dev/null
+++ b/mustardward/state/models/__init__.py
@@ -0,0 +1,1 @@
+"""Model the folded state and the records that change it."""
--- /dev/null
+++ b/mustardward/state/models/jobs.py
@@ -0,0 +1,156 @@
+"""Model long jobs of one data centre and the intents of idempotency keys."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..records import record_kind
+
+
+@dataclass(slots=True)
+class Job:
+    """Hold one accepted job.
+
+    ``status`` is a state of ``charts/job.yaml``; ``generation`` fences the attempt
+    that holds the lease now, 0 if none does.
+    """
+
+    job_id: str
+    organisation: str
+    service: str
+    pool: str
+    group: str
+    payload: bytes
+    idempotent: bool
+    cores: int
+    memory_gigabytes: int
+    accelerators: int
+    declared_seconds: float
+    accepted_sequence: int
+    status: str = "waiting"
+    generation: int = 0
+    holder: str = ""
+    worker: str = ""
+    attempts: int = 0
+    checkpoint: str = ""
+    failed_workers: tuple[str, ...] = ()
+    reason: str = ""
+    result: bytes = b""
+
+
+@dataclass(slots=True)
+class Intent:
+    """Hold the durable intent to run a request once under an idempotency key.
+
+    ``closed`` tells whether an outcome is known; ``ran`` is ``yes``, ``no`` or
+    ``unknown``.
+    """
+
+    organisation: str
+    key: str
+    request_digest: str
+    home: str
+    sequence: int
+    closed: bool = False
+    ran: str = "unknown"
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+
+
+@record_kind("job.accept")
+@dataclass(frozen=True, slots=True)
+class AcceptJob:
+    """Propose a job; ``group`` lets many be cancelled by one record."""
+
+    job_id: str
+    organisation: str
+    service: str
+    pool: str
+    group: str = ""
+    payload: bytes = b""
+    idempotent: bool = True
+    cores: int = 1
+    memory_gigabytes: int = 1
+    accelerators: int = 0
+    declared_seconds: float = 60.0
+
+
+@record_kind("job.lease")
+@dataclass(frozen=True, slots=True)
+class LeaseJob:
+    """Propose an attempt; the acceptance's sequence is its fencing generation.
+
+    ``previous_generation`` has to be the job's present one.
+    """
+
+    job_id: str
+    previous_generation: int
+    holder: str
+    worker: str
+
+
+@record_kind("job.progress")
+@dataclass(frozen=True, slots=True)
+class ProgressJob:
+    """State a checkpoint of the attempt that ``generation`` names."""
+
+    job_id: str
+    generation: int
+    checkpoint: str
+
+
+@record_kind("job.end")
+@dataclass(frozen=True, slots=True)
+class EndAttempt:
+    """End an attempt: ``done``, ``failed``, ``preempted``, ``lost`` or ``unknown``."""
+
+    job_id: str
+    generation: int
+    outcome: str
+    checkpoint: str = ""
+    reason: str = ""
+    result: bytes = b""
+
+
+@record_kind("job.cancel")
+@dataclass(frozen=True, slots=True)
+class CancelJobs:
+    """Cancel one job, or every job accepted so far in a group of an organisation."""
+
+    organisation: str
+    job_id: str = ""
+    group: str = ""
+
+
+@record_kind("job.retry")
+@dataclass(frozen=True, slots=True)
+class RetryJob:
+    """Let a parked or held job wait for an attempt again, on an operator's word."""
+
+    job_id: str
+
+
+@record_kind("intent.open")
+@dataclass(frozen=True, slots=True)
+class OpenIntent:
+    """Propose to run a request under a key; the first one in the log wins."""
+
+    organisation: str
+    key: str
+    request_digest: str
+    home: str
+
+
+@record_kind("intent.close")
+@dataclass(frozen=True, slots=True)
+class CloseIntent:
+    """State the outcome under a key, with the answer if it is small enough."""
+
+    organisation: str
+    key: str
+    home: str
+    ran: str
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
