Fold waves and claims against every availability budget

Cause: two executors or operators must never both take the last instance that an organisation can spare, and failures have to shrink what a wave may take. Change: derived counters beside the state, kept a record at a time; claims admitted in log order with canary, growth, fencing generations and a second admission before the reboot; absence and silence reports; charts of wave, claim and instance. A wave keeps its last finished instances and forgiven failures; a claim keeps its first generation. Conclusion: an accepted claim leaves every floor and reserve whole at its offset.

--- a/mustardward/state/fleet.py
+++ b/mustardward/state/fleet.py
@@ -9,7 +9,7 @@
 from .models.templates import Organisation, TemplateRevision
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, weakref_slot=True)
 class FleetState:
     """Hold everything that the fleet's records decide.
 
--- /dev/null
+++ b/mustardward/state/handlers/absences.py
@@ -0,0 +1,92 @@
+"""Fold reports of failed and returned instances, and of silent data centres."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..budgets import touch_instance
+from ..fleet import FleetState
+from ..fold import FoldContext
+from ..models.maintenance import (
+    Absence,
+    AbsenceChange,
+    ReportAbsences,
+    ReportSilence,
+    WaveStatus,
+)
+from .fleet_registry import FLEET_HANDLERS
+from .waves import Decision, accept, stop_if_failing
+
+CAUSE_REBOOT: Final = "reboot-failed"
+"""Cause of an absence that only a newer boot ends."""
+
+
+@FLEET_HANDLERS.register("absence.report")
+def report_absences(
+    state: FleetState, context: FoldContext, body: ReportAbsences
+) -> Decision:
+    """Take failures, quarantines and returns of one data centre into account."""
+    changed = [
+        change.instance_id
+        for change in body.changes
+        if _change_absence(state, context, body.data_centre, change)
+    ]
+    for instance_id in changed:
+        touch_instance(state, instance_id)
+    return accept(context, *(f"instance:{name}" for name in changed))
+
+
+def _change_absence(
+    state: FleetState, context: FoldContext, data_centre: str, change: AbsenceChange
+) -> bool:
+    instance = state.instances.get(change.instance_id)
+    if instance is None or instance.data_centre != data_centre:
+        return False
+    absence = state.absences.get(change.instance_id)
+    if change.up:
+        return _end_absence(state, absence, change)
+    # Evidence of an earlier boot is about an instance that is no more.
+    if absence is not None and absence.boot >= change.boot:
+        return False
+    state.absences[change.instance_id] = Absence(
+        change.instance_id, change.cause, context.actor, change.boot
+    )
+    _hold_against_waves(state, context, change)
+    return True
+
+
+def _end_absence(
+    state: FleetState, absence: Absence | None, change: AbsenceChange
+) -> bool:
+    if absence is None or change.boot < absence.boot:
+        return False
+    # A probe that answers says nothing about why an instance is in quarantine.
+    if change.boot == absence.boot and absence.cause not in (
+        change.cause,
+        CAUSE_REBOOT,
+    ):
+        return False
+    del state.absences[change.instance_id]
+    return True
+
+
+def _hold_against_waves(
+    state: FleetState, context: FoldContext, change: AbsenceChange
+) -> None:
+    for wave in state.waves.values():
+        if wave.status == WaveStatus.RUNNING and change.instance_id in wave.recent:
+            wave.recent.remove(change.instance_id)
+            wave.failed.add(change.instance_id)
+            stop_if_failing(context, wave)
+
+
+@FLEET_HANDLERS.register("silence.report")
+def report_silence(
+    state: FleetState, context: FoldContext, body: ReportSilence
+) -> Decision:
+    """Count a whole data centre as unavailable over the fleet, or no more."""
+    if body.silent:
+        state.silent.add(body.data_centre)
+    else:
+        state.silent.discard(body.data_centre)
+    return accept(context, f"data-centre:{body.data_centre}")
--- /dev/null
+++ b/mustardward/state/handlers/maintenance.py
@@ -0,0 +1,234 @@
+"""Fold claims on instances; importing this module files all maintenance handlers.
+
+The order of the log is the only judge between executors: each claim is admitted
+against the budgets as they stand at its own offset.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+from returns.result import Failure, Result, Success
+
+from ...exceptions import MustardwardError, TransitionError
+from ...helpers.chart import load_chart
+from ..budgets import check_budgets, check_budgets_without, index_of, touch_instance
+from ..fleet import FleetState
+from ..fold import FoldContext, RecordRefusedError
+from ..models.maintenance import (
+    Absence,
+    AdoptClaim,
+    AdvanceClaim,
+    Claim,
+    ClaimStage,
+    ReleaseClaim,
+    TakeClaim,
+    Wave,
+    WaveStatus,
+)
+from ..models.pools import Instance
+from .absences import CAUSE_REBOOT
+from .fleet_registry import FLEET_HANDLERS
+from .maintenance_refusals import (
+    ClaimFencedError,
+    InstanceBusyError,
+    StageRefusedError,
+    UnknownSubjectError,
+    WaveGrowthError,
+    WaveNotRunningError,
+)
+from .waves import Decision, accept, stop_if_failing, wave_limit
+
+RECENT_FINISHED: Final = 16
+"""Finished instances of a wave whose later failure is held against the wave."""
+
+
+@FLEET_HANDLERS.register("claim.take")
+def take_claim(state: FleetState, context: FoldContext, body: TakeClaim) -> Decision:
+    """Admit a claim if the wave, the instance and every budget allow it."""
+    wave = state.waves.get(body.wave_id)
+    instance = state.instances.get(body.instance_id)
+    if wave is None or instance is None or instance.removed:
+        detail = f"wave={body.wave_id} instance={body.instance_id}"
+        return Failure(UnknownSubjectError(detail))
+    refusal = _wave_refusal(state, wave, body.instance_id) or _instance_refusal(
+        state, instance
+    )
+    if refusal is not None:
+        return Failure(refusal)
+    wave.pending.discard(body.instance_id)
+    state.claims[body.instance_id] = Claim(
+        instance_id=body.instance_id,
+        wave_id=body.wave_id,
+        executor=body.executor,
+        generation=context.sequence,
+        stage=ClaimStage.CLAIMED,
+        boot=body.boot,
+        taken=context.sequence,
+    )
+    touch_instance(state, body.instance_id)
+    return accept(context, f"instance:{body.instance_id}", f"wave:{body.wave_id}")
+
+
+def _wave_refusal(
+    state: FleetState, wave: Wave, instance_id: str
+) -> RecordRefusedError | None:
+    if wave.status != WaveStatus.RUNNING:
+        return WaveNotRunningError(f"wave={wave.wave_id} status={wave.status}")
+    if instance_id not in wave.pending:
+        return UnknownSubjectError(f"wave={wave.wave_id} not pending={instance_id}")
+    held = index_of(state).claims_of(wave.wave_id)
+    if held >= wave_limit(wave):
+        return WaveGrowthError(f"wave={wave.wave_id} held={held} done={len(wave.done)}")
+    return None
+
+
+def _instance_refusal(
+    state: FleetState, instance: Instance
+) -> RecordRefusedError | None:
+    name = instance.instance_id
+    if name in state.claims:
+        return InstanceBusyError(f"instance={name} wave={state.claims[name].wave_id}")
+    if name in state.moves:
+        return InstanceBusyError(f"instance={name} move={state.moves[name].move_id}")
+    if name in state.absences:
+        return InstanceBusyError(f"instance={name} absent={state.absences[name].cause}")
+    return check_budgets(state, instance)
+
+
+def _fenced(
+    state: FleetState, instance_id: str, generation: int
+) -> Result[Claim, MustardwardError]:
+    claim = state.claims.get(instance_id)
+    if claim is None:
+        return Failure(UnknownSubjectError(f"claim={instance_id}"))
+    if claim.generation != generation:
+        # The old executor was paused while another adopted its claim. Were its record
+        # taken, two would steer one instance, and a reboot could follow a give-back.
+        detail = f"claim={instance_id} generation={generation} is={claim.generation}"
+        return Failure(ClaimFencedError(detail))
+    return Success(claim)
+
+
+@dataclass(frozen=True, slots=True)
+class _Step:
+    """Hold a claim and the stage that an event takes it to."""
+
+    claim: Claim
+    stage: str
+
+
+def _step(
+    state: FleetState, instance_id: str, generation: int, event: str
+) -> Result[_Step, MustardwardError]:
+    claim = _fenced(state, instance_id, generation)
+    if isinstance(claim, Failure):
+        return claim
+    held = claim.unwrap()
+    try:
+        return Success(_Step(held, load_chart("claim").next_state(held.stage, event)))
+    except TransitionError as error:
+        return Failure(StageRefusedError(error.detail))
+
+
+@FLEET_HANDLERS.register("claim.advance")
+def advance_claim(
+    state: FleetState, context: FoldContext, body: AdvanceClaim
+) -> Decision:
+    """Note a claim's next stage; the step to the reboot is admitted anew."""
+    step = _step(state, body.instance_id, body.generation, body.stage)
+    if isinstance(step, Failure):
+        return step
+    held = step.unwrap().claim
+    if step.unwrap().stage == ClaimStage.REBOOTING:
+        # Failures since the claim may have eaten the margin. Up to here the instance
+        # can go back at once; after the reboot began it can only be waited for.
+        instance = state.instances[body.instance_id]
+        refusal = check_budgets_without(state, instance)
+        if refusal is not None:
+            return Failure(refusal)
+    held.stage = step.unwrap().stage
+    return accept(context, f"instance:{body.instance_id}", f"wave:{held.wave_id}")
+
+
+@FLEET_HANDLERS.register("claim.adopt")
+def adopt_claim(state: FleetState, context: FoldContext, body: AdoptClaim) -> Decision:
+    """Give a claim another executor and a new generation, which fences the old one."""
+    claim = _fenced(state, body.instance_id, body.generation)
+    if isinstance(claim, Failure):
+        return claim
+    held = claim.unwrap()
+    held.executor = body.executor
+    held.generation = context.sequence
+    return accept(context, f"instance:{body.instance_id}", f"wave:{held.wave_id}")
+
+
+@FLEET_HANDLERS.register("claim.release")
+def release_claim(
+    state: FleetState, context: FoldContext, body: ReleaseClaim
+) -> Decision:
+    """End a claim; ``done`` needs a newer boot that was positively seen up."""
+    step = _step(state, body.instance_id, body.generation, body.outcome)
+    if isinstance(step, Failure):
+        return step
+    held = step.unwrap().claim
+    if body.outcome == "done" and body.boot <= held.boot:
+        detail = f"claim={body.instance_id} boot={body.boot} needs>{held.boot}"
+        return Failure(StageRefusedError(detail))
+    del state.claims[body.instance_id]
+    note = f"outcome={body.outcome} {body.reason}".rstrip()
+    wave = state.waves.get(held.wave_id)
+    if wave is not None:
+        _RELEASES[body.outcome](state, context, wave, held, body)
+        if wave.status == WaveStatus.PAUSED and body.outcome == "failed":
+            note = f"{note} wave={wave.wave_id} paused"
+    touch_instance(state, body.instance_id)
+    return accept(
+        context, f"instance:{body.instance_id}", f"wave:{held.wave_id}", note=note
+    )
+
+
+def _release_done(
+    state: FleetState,
+    context: FoldContext,
+    wave: Wave,
+    claim: Claim,
+    body: ReleaseClaim,
+) -> None:
+    wave.done.add(claim.instance_id)
+    wave.recent = [*wave.recent, claim.instance_id][-RECENT_FINISHED:]
+    absence = state.absences.get(claim.instance_id)
+    if absence is not None and absence.boot < body.boot:
+        del state.absences[claim.instance_id]
+
+
+def _release_given_back(
+    state: FleetState,
+    context: FoldContext,
+    wave: Wave,
+    claim: Claim,
+    body: ReleaseClaim,
+) -> None:
+    wave.pending.add(claim.instance_id)
+
+
+def _release_failed(
+    state: FleetState,
+    context: FoldContext,
+    wave: Wave,
+    claim: Claim,
+    body: ReleaseClaim,
+) -> None:
+    state.absences[claim.instance_id] = Absence(
+        claim.instance_id, CAUSE_REBOOT, context.actor, claim.boot + 1
+    )
+    wave.failed.add(claim.instance_id)
+    stop_if_failing(context, wave)
+
+
+_RELEASES: Final = {
+    "done": _release_done,
+    "given-back": _release_given_back,
+    "failed": _release_failed,
+}
--- a/mustardward/state/models/maintenance.py
+++ b/mustardward/state/models/maintenance.py
@@ -29,7 +29,11 @@
 
 @dataclass(slots=True)
 class Wave:
-    """Hold one wave: the instances still to do, and those done or failed."""
+    """Hold one wave: the instances still to do, and those done or failed.
+
+    ``recent`` names the last few finished, whose failure counts as the wave's;
+    ``forgiven`` is the number of failures that operators resumed after.
+    """
 
     wave_id: str
     pools: tuple[str, ...]
@@ -42,6 +46,8 @@
     maximum_failures: int = 2
     not_before: float = 0.0
     reason: str = ""
+    recent: list[str] = field(default_factory=list)
+    forgiven: int = 0
 
 
 @dataclass(slots=True)
@@ -49,7 +55,9 @@
     """Hold an instance for a wave; it never lapses by time alone.
 
     ``boot`` is the platform's boot generation seen when the claim was made; the
-    instance counts as back only when a newer one was positively seen up.
+    instance counts as back only when a newer one was positively seen up. ``taken`` is
+    the first generation: it stays over adoptions, so that platform operations named
+    after it are not repeated by an adopter.
     """
 
     instance_id: str
@@ -58,6 +66,7 @@
     generation: int
     stage: str
     boot: int
+    taken: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/state/test_budgets.py
@@ -0,0 +1,119 @@
+"""Count availability budgets."""
+
+from __future__ import annotations
+
+import pytest
+
+from mustardward.state.budget_counters import FLEET_SCOPE, PoolCounter, share_of
+from mustardward.state.budgets import (
+    BudgetIndex,
+    all_budgets,
+    check_budgets,
+    check_budgets_without,
+    index_of,
+    touch_instance,
+)
+from mustardward.state.models.maintenance import Absence
+from mustardward.state.models.pools import Move
+from tests.fakes.fleet import build_fleet, build_organisation
+
+
+@pytest.mark.parametrize(
+    ("share", "total", "wanted"), [(0.1, 30, 3), (0.5, 5, 3), (0.0, 9, 0), (1.0, 4, 4)]
+)
+def test_shares_round_up_without_rounding_errors(
+    share: float, total: int, wanted: int
+) -> None:
+    assert share_of(share, total) == wanted
+
+
+def test_the_largest_rack_shrinks_as_its_instances_go() -> None:
+    counter = PoolCounter()
+    for rack, size in (("a", 4), ("b", 2)):
+        for _ in range(size):
+            counter.add(rack, True, 1)
+    assert counter.largest == 4
+    for _ in range(3):
+        counter.add("a", True, -1)
+        counter.add("a", False, 1)
+    assert (counter.total, counter.unavailable, counter.largest) == (6, 3, 2)
+
+
+def test_the_reserve_is_the_larger_of_headroom_and_largest_rack() -> None:
+    user = build_organisation("dairy", ("etching",), headroom=0.25)
+    state = build_fleet(user, size=8, rack_size=3)
+    assert [item.reserve for item in all_budgets(state, user)] == [3, 3]
+    plain = build_organisation(
+        "club", ("etching",), headroom=0.25, reserve_largest_rack=False
+    )
+    assert [item.reserve for item in all_budgets(state, plain)] == [2, 2]
+
+
+def test_what_counts_as_unavailable_counts_once() -> None:
+    user = build_organisation("dairy", ("etching",))
+    state = build_fleet(user, size=8)
+    first, second = "dc1-etching-000", "dc1-etching-001"
+    state.absences[first] = Absence(first, "failed", "entry-1", 1)
+    state.moves[first] = Move("m1", first, "etching", "casting", 1)
+    state.moves[second] = Move("m2", second, "etching", "casting", 1)
+    assert index_of(state).count(state, "etching", "dc1").unavailable == 2
+    del state.absences[first]
+    touch_instance(state, first)
+    touch_instance(state, first)
+    assert index_of(state).count(state, "etching", "dc1").unavailable == 2
+
+
+def test_a_silent_data_centre_counts_over_the_fleet_alone() -> None:
+    """Keep the fleet's floor while a data centre cannot report its failures.
+
+    Symptom: after a partition healed, a service had no instance left anywhere.
+    Sequence: a data centre is cut off; a wave elsewhere counts it as whole and takes
+    instances down to the fleet's floor; the data centre's own had failed unseen.
+    Cause: no report was taken for no failure.
+    """
+    user = build_organisation("dairy", ("etching",), reserve_largest_rack=False)
+    state = build_fleet(user, data_centres=("dc1", "dc2"), size=4)
+    instance = state.instances["dc1-etching-000"]
+    assert check_budgets(state, instance) is None
+    state.silent.add("dc2")
+    refusal = check_budgets(state, instance)
+    assert refusal is not None
+    assert refusal.binding.scope == FLEET_SCOPE
+    assert index_of(state).count(state, "etching", "dc2").unavailable == 0
+
+
+def test_a_refusal_names_organisation_scope_and_numbers() -> None:
+    loose = build_organisation("club", ("etching",), minimum_available=0.1)
+    strict = build_organisation("dairy", ("etching",), minimum_available=1.0)
+    state = build_fleet(loose, strict, size=4)
+    refusal = check_budgets(state, state.instances["dc1-etching-000"])
+    assert refusal is not None
+    assert refusal.code == "budget-exceeded"
+    binding = refusal.binding
+    assert (binding.organisation, binding.scope) == ("dairy", "dc1")
+    assert (binding.total, binding.floor, binding.margin) == (4, 4, -1)
+
+
+def test_local_evidence_eats_the_margin_of_an_instance_already_taken() -> None:
+    user = build_organisation("dairy", ("etching",), reserve_largest_rack=False)
+    state = build_fleet(user, size=4)
+    taken = state.instances["dc1-etching-000"]
+    state.absences[taken.instance_id] = Absence(taken.instance_id, "failed", "e", 1)
+    assert check_budgets_without(state, taken) is None
+    assert check_budgets_without(state, taken, more_unavailable=1) is None
+    assert check_budgets_without(state, taken, more_unavailable=2) is not None
+
+
+def test_a_state_restored_anew_is_counted_anew() -> None:
+    """Count a restored state as the one it was written from.
+
+    Symptom: a node that started from a snapshot admits a claim that others refuse.
+    Sequence: claims and absences stand in the snapshot; the new node folds on.
+    Cause: its counters began at zero.
+    """
+    state = build_fleet(build_organisation("dairy", ("etching",)), size=8)
+    index = index_of(state)
+    failed = "dc1-etching-003"
+    state.absences[failed] = Absence(failed, "failed", "entry-1", 1)
+    touch_instance(state, failed)
+    assert BudgetIndex(state).snapshot() == index.snapshot()
