Carry out waves by claims that any executor may adopt

Cause: a wave has to drain, reboot and see instances up again while executors die or pause, platform answers get lost, and failures eat the margin in the middle. Ruled out: cut-off timers for drains, claims that lapse by time, and operation ids by generation (an adopter would reboot a second time). Change: an executor that steps each claim; confirmed tail, generation, margin without the claim and local evidence right before the reboot; give-back with drained instances first; adoption; windows; refused claims wait for the fold; each decision is an event. The wave's recent instances keep their boots, so that the lagging list's word about an earlier boot does not stop a wave.

--- /dev/null
+++ b/mustardward/components/maintenance/const.py
@@ -0,0 +1,35 @@
+"""Hold the constants of maintenance waves."""
+
+from __future__ import annotations
+
+from typing import Final
+
+STEP_SECONDS: Final = 0.5
+"""Time between two looks at waves and claims."""
+
+REPORT_SECONDS: Final = 1.0
+"""Time between two looks for failed and returned instances."""
+
+TAIL_FRESH_SECONDS: Final = 5.0
+"""Age of the confirmed tail up to which a drain may begin."""
+
+TAIL_LOST_SECONDS: Final = 15.0
+"""Age of the confirmed tail from which drained instances go back to serve."""
+
+CONFIRM_TIMEOUT_SECONDS: Final = 2.0
+"""Longest wait for the tail right before a reboot."""
+
+REBOOT_PATIENCE_SECONDS: Final = 900.0
+"""Time after which an instance that did not come back counts as failed."""
+
+DOWN_AFTER_SECONDS: Final = 3.0
+"""Time for which an instance has to look down before it is reported."""
+
+UP_AFTER_SECONDS: Final = 3.0
+"""Time for which an absent instance has to look up before it is reported."""
+
+CLAIM_PRIORITY: Final = 0
+"""Claims go into the log before all else: the margin they saw does not last."""
+
+MAXIMUM_CLAIMS_AT_ONCE: Final = 64
+"""Claims proposed in one step by one data centre."""
--- /dev/null
+++ b/mustardward/components/maintenance/evidence.py
@@ -0,0 +1,27 @@
+"""Weigh what this process sees and the log does not say yet."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from ...state.budgets import index_of
+from ...state.fleet import FleetState
+from ..membership.protocols import Membership
+
+
+def unreported_down(
+    state: FleetState, membership: Membership, data_centre: str
+) -> Counter[str]:
+    """Count, by pool, instances that look down here and count as available.
+
+    Failures reach the log seconds after they are seen. A reboot that did not weigh
+    them in would take the instance that the failed one's work went to.
+    """
+    index = index_of(state)
+    return Counter(
+        instance.pool
+        for instance in state.instances.values()
+        if instance.data_centre == data_centre
+        and index.is_available(instance.instance_id)
+        and not membership.instance_may_get_work(instance.instance_id)
+    )
--- /dev/null
+++ b/mustardward/components/maintenance/models.py
@@ -0,0 +1,45 @@
+"""Model what a maintenance executor works with."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from ...core import EventBus
+from ...helpers.timer import TimerService
+from ...platform.protocols import PowerService
+from ...state.protocols import FleetLog
+from ..membership.protocols import Membership
+
+
+class Outcome(StrEnum):
+    """Say how a claim ends."""
+
+    DONE = "done"
+    GIVEN_BACK = "given-back"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutorParts:
+    """Hold the parts that an executor calls.
+
+    ``executor`` names this process and its incarnation: a process that was replaced
+    under the same name has to adopt the claims of the one before. ``vacate`` moves
+    long work away and tells whether none is left.
+    """
+
+    executor: str
+    data_centre: str
+    log: FleetLog
+    power: PowerService
+    membership: Membership
+    timers: TimerService
+    events: EventBus
+    vacate: Callable[[str], Awaitable[bool]]
+
+
+def executor_name(name: str, incarnation: int) -> str:
+    """Return the name under which a process holds claims."""
+    return f"{name}#{incarnation}"
--- /dev/null
+++ b/mustardward/components/maintenance/selection.py
@@ -0,0 +1,114 @@
+"""Choose which instances a wave takes next; pure."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from ...state.budget_counters import Budget
+from ...state.budgets import index_of
+from ...state.fleet import FleetState
+from ...state.handlers.waves import wave_limit
+from ...state.models.maintenance import Wave
+from ...state.models.pools import Instance
+from .windows import windows_allow
+
+
+@dataclass(frozen=True, slots=True)
+class Selection:
+    """Hold what to claim now, and what holds each pool back.
+
+    ``binding`` is the tightest budget of a pool that allows no more, ``closed`` names
+    pools outside their maintenance windows.
+    """
+
+    chosen: tuple[str, ...]
+    binding: dict[str, Budget]
+    closed: frozenset[str]
+    growth_reached: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SelectionFacts:
+    """Hold what a choice is made from besides the folded state.
+
+    :param evidence: instances by pool that look down and are not folded as such.
+    :param concurrency: most instances of a pool that may be out in the data centre.
+    :param burden: cost of taking an instance now; the least burdened go first.
+    """
+
+    data_centre: str
+    wall: float
+    evidence: Counter[str]
+    concurrency: Callable[[str], int]
+    burden: Callable[[Instance], float]
+    most: int
+
+
+def select_claims(state: FleetState, wave: Wave, facts: SelectionFacts) -> Selection:
+    """Return the instances of one data centre that a wave should claim now."""
+    left = min(facts.most, wave_limit(wave) - index_of(state).claims_of(wave.wave_id))
+    if left <= 0:
+        return Selection((), {}, frozenset(), growth_reached=True)
+    chosen: list[str] = []
+    binding: dict[str, Budget] = {}
+    closed: set[str] = set()
+    candidates = _candidates(state, wave, facts.data_centre)
+    for pool in sorted(candidates, key=lambda name: (-len(candidates[name]), name)):
+        if not windows_allow(index_of(state).users(pool).values(), facts.wall):
+            closed.add(pool)
+            continue
+        allowed, budget = _allowed(state, pool, facts)
+        if allowed <= 0 and budget is not None:
+            binding[pool] = budget
+        ordered = sorted(
+            candidates[pool], key=lambda item: (facts.burden(item), item.instance_id)
+        )
+        taken = ordered[: max(0, min(allowed, left - len(chosen)))]
+        chosen.extend(item.instance_id for item in taken)
+    return Selection(tuple(chosen), binding, frozenset(closed))
+
+
+def _candidates(
+    state: FleetState, wave: Wave, data_centre: str
+) -> dict[str, list[Instance]]:
+    index = index_of(state)
+    found: dict[str, list[Instance]] = defaultdict(list)
+    for instance_id in wave.pending:
+        instance = state.instances.get(instance_id)
+        if instance is None or instance.data_centre != data_centre:
+            continue
+        if index.is_available(instance_id):
+            found[instance.pool].append(instance)
+    return found
+
+
+def _allowed(
+    state: FleetState, pool: str, facts: SelectionFacts
+) -> tuple[int, Budget | None]:
+    index = index_of(state)
+    out = sum(1 for _ in claimed_in(state, pool, facts.data_centre))
+    planned = facts.concurrency(pool) - out
+    tightest = index.tightest(state, pool, facts.data_centre)
+    if tightest is None:
+        return planned, None
+    margin = tightest.margin - facts.evidence[pool]
+    return min(planned, margin), tightest if margin <= 0 else None
+
+
+def claimed_in(state: FleetState, pool: str, data_centre: str) -> Iterator[Instance]:
+    """Yield the claimed instances of a pool in a data centre."""
+    for instance_id in state.claims:
+        instance = state.instances[instance_id]
+        if instance.pool == pool and instance.data_centre == data_centre:
+            yield instance
+
+
+def give_back_order(stage: str) -> int:
+    """Return the rank in which claims go back when failures eat the margin.
+
+    A drained instance serves again at once and nothing of its work is disturbed; one
+    that still drains goes next.
+    """
+    return {"drained": 0, "draining": 1, "claimed": 2}.get(stage, 3)
--- a/mustardward/state/handlers/absences.py
+++ b/mustardward/state/handlers/absences.py
@@ -17,6 +17,9 @@
 from .fleet_registry import FLEET_HANDLERS
 from .waves import Decision, accept, stop_if_failing
 
+CAUSE_FAILED: Final = "failed"
+"""Cause of an absence that counts against the wave which finished the instance."""
+
 CAUSE_REBOOT: Final = "reboot-failed"
 """Cause of an absence that only a newer boot ends."""
 
@@ -73,11 +76,17 @@
 def _hold_against_waves(
     state: FleetState, context: FoldContext, change: AbsenceChange
 ) -> None:
+    if change.cause != CAUSE_FAILED:
+        return
     for wave in state.waves.values():
-        if wave.status == WaveStatus.RUNNING and change.instance_id in wave.recent:
-            wave.recent.remove(change.instance_id)
-            wave.failed.add(change.instance_id)
-            stop_if_failing(context, wave)
+        boot = wave.recent.get(change.instance_id)
+        # The platform's list lags: what it says of an earlier boot is not about the
+        # instance that came back.
+        if boot is None or change.boot < boot or wave.status != WaveStatus.RUNNING:
+            continue
+        del wave.recent[change.instance_id]
+        wave.failed.add(change.instance_id)
+        stop_if_failing(context, wave)
 
 
 @FLEET_HANDLERS.register("silence.report")
--- a/mustardward/state/handlers/maintenance.py
+++ b/mustardward/state/handlers/maintenance.py
@@ -197,7 +197,10 @@
     body: ReleaseClaim,
 ) -> None:
     wave.done.add(claim.instance_id)
-    wave.recent = [*wave.recent, claim.instance_id][-RECENT_FINISHED:]
+    wave.recent.pop(claim.instance_id, None)
+    wave.recent[claim.instance_id] = body.boot
+    while len(wave.recent) > RECENT_FINISHED:
+        del wave.recent[next(iter(wave.recent))]
     absence = state.absences.get(claim.instance_id)
     if absence is not None and absence.boot < body.boot:
         del state.absences[claim.instance_id]
--- a/mustardward/state/models/maintenance.py
+++ b/mustardward/state/models/maintenance.py
@@ -31,8 +31,9 @@
 class Wave:
     """Hold one wave: the instances still to do, and those done or failed.
 
-    ``recent`` names the last few finished, whose failure counts as the wave's;
-    ``forgiven`` is the number of failures that operators resumed after.
+    ``recent`` holds the last few finished with their new boots, since a failure of one
+    of these counts as the wave's; ``forgiven`` is the number of failures that operators
+    resumed after.
     """
 
     wave_id: str
@@ -46,7 +47,7 @@
     maximum_failures: int = 2
     not_before: float = 0.0
     reason: str = ""
-    recent: list[str] = field(default_factory=list)
+    recent: dict[str, int] = field(default_factory=dict)
     forgiven: int = 0
 
 
