--- a/mustardward/state/fold.py
+++ b/mustardward/state/fold.py
@@ -6,10 +6,9 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Final, Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 import xxhash
 from returns.result import Failure, Result, Success
@@ -18,16 +17,16 @@
     CorruptRecordError,
     LogGapError,
     MustardwardError,
+    SnapshotUnusableError,
     StateError,
     UnknownRecordError,
 )
 from ..helpers.registry import Registry
 from .records import Envelope, decode_batch, decode_body
+from .window import DedupeWindow, Verdict
 
 S = TypeVar("S")
 
-DEDUPE_WINDOW: Final = 65_536
-
 
 class RecordRefusedError(MustardwardError):
     """Serve as the root of refusals that the fold gives a well-formed record."""
@@ -97,6 +96,21 @@
 Handler = Callable[[S, FoldContext, Any], Result[Acceptance, MustardwardError]]
 
 
+@dataclass(frozen=True, slots=True)
+class FoldImage(Generic[S]):
+    """Hold all that a fold needs to go on from an offset.
+
+    ``window_keys`` and ``window_verdicts`` are the dedupe window, oldest first.
+    """
+
+    state: S
+    next_offset: int
+    sequence: int
+    digest: str
+    window_keys: bytes
+    window_verdicts: list[Verdict]
+
+
 class Fold(Generic[S]):
     """Apply entries in offset order to one state.
 
@@ -110,7 +124,7 @@
         self._next_offset = 0
         self._sequence = 0
         self._digest = ""
-        self._outcomes: OrderedDict[str, str] = OrderedDict()
+        self._window = DedupeWindow()
         self._blocked: MustardwardError | None = None
 
     @property
@@ -154,14 +168,45 @@
         )
         return outcomes
 
+    def remembered(self, record_id: str) -> Verdict | None:
+        """Return what became of a record, if it is in the dedupe window."""
+        return self._window.get(record_id)
+
+    def export(self) -> FoldImage[S]:
+        """Return what another fold needs to go on from here.
+
+        The state is the live one: encode it before the next entry is folded.
+        """
+        keys, verdicts = self._window.export()
+        return FoldImage(
+            self._state, self._next_offset, self._sequence, self._digest, keys, verdicts
+        )
+
+    def restore(self, image: FoldImage[S]) -> None:
+        """Go on from an image that is not behind this fold, with its state object.
+
+        :raises SnapshotUnusableError: if the image is behind this fold.
+        """
+        # A stale image would put an older configuration back in force.
+        if image.next_offset < self._next_offset:
+            raise SnapshotUnusableError(
+                f"image={image.next_offset} held={self._next_offset}"
+            )
+        self._state = image.state
+        self._next_offset = image.next_offset
+        self._sequence = image.sequence
+        self._digest = image.digest
+        self._window.restore(image.window_keys, image.window_verdicts)
+
     def _apply_one(self, offset: int, envelope: Envelope) -> RecordOutcome:
         # A lost answer makes the appender send the record again, and the first copy
         # may be delayed past the second. Whichever comes first counts.
-        if envelope.record_id in self._outcomes:
-            refusal = RecordRefusedError(self._outcomes[envelope.record_id])
+        verdict = self._window.get(envelope.record_id)
+        if verdict is not None:
+            refusal = RecordRefusedError(str(verdict))
             return RecordOutcome(offset, envelope, None, Failure(refusal), True)
         outcome = self._decide(offset, envelope)
-        self._remember(envelope.record_id, _outcome_code(outcome))
+        self._window.add(envelope.record_id, _verdict(outcome))
         return outcome
 
     def _decide(self, offset: int, envelope: Envelope) -> RecordOutcome:
@@ -203,11 +248,6 @@
             self._blocked = self._blocked or failure
             return Failure(failure)
 
-    def _remember(self, record_id: str, code: str) -> None:
-        self._outcomes[record_id] = code
-        while len(self._outcomes) > DEDUPE_WINDOW:
-            self._outcomes.popitem(last=False)
-
 
 def _envelopes(payload: bytes) -> list[Envelope]:
     # Garbage in the log must not stop every node for ever at one offset.
@@ -221,3 +261,10 @@
     if isinstance(outcome.result, Success):
         return "accepted"
     return outcome.result.failure().code
+
+
+def _verdict(outcome: RecordOutcome) -> Verdict:
+    if isinstance(outcome.result, Success):
+        accepted: Acceptance = outcome.result.unwrap()
+        return accepted.revision
+    return outcome.result.failure().code
--- a/mustardward/state/handlers/templates.py
+++ b/mustardward/state/handlers/templates.py
@@ -105,17 +105,23 @@
     return overrides.apply_to(parameters)
 
 
+def share_parameters(
+    organisation: Organisation, template: TemplateRevision
+) -> Organisation:
+    """Return the organisation with a template revision in force for it."""
+    return replace(
+        organisation,
+        template_revision=template.revision,
+        parameters=resolve_parameters(template.parameters, organisation.overrides),
+    )
+
+
 def _put_in_force(state: FleetState, accepted: TemplateRevision) -> list[str]:
     affected = []
     for name, organisation in state.organisations.items():
-        if organisation.template != accepted.name:
-            continue
-        state.organisations[name] = replace(
-            organisation,
-            template_revision=accepted.revision,
-            parameters=resolve_parameters(accepted.parameters, organisation.overrides),
-        )
-        affected.append(f"organisation:{name}")
+        if organisation.template == accepted.name:
+            state.organisations[name] = share_parameters(organisation, accepted)
+            affected.append(f"organisation:{name}")
     return affected
 
 
--- /dev/null
+++ b/mustardward/state/log.py
@@ -0,0 +1,226 @@
+"""Offer one stream of the log as folded state and a way to propose records."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+from random import Random
+from typing import Any, Generic, TypeVar
+
+import anyio
+from returns.result import Failure, Result
+
+from ..exceptions import MustardwardError, NotReadyError
+from ..helpers.timer import TimerService
+from ..platform.protocols import LogService
+from .appender import Appender, remembered_outcome
+from .fold import Acceptance, RecordOutcome
+from .follower import Follower
+from .images import Image
+from .options import LogOptions
+from .records import NO_BASE, make_record
+from .relay import RelayAnswer, RelayQuestion, RelaySource, RelayStatus
+from .replica import Replica
+from .snapshots import SnapshotStore
+from .streams import StreamSpec
+from .tail import TailTracker
+
+S = TypeVar("S")
+
+
+class FoldedLog(Generic[S]):
+    """Follow one stream and append to it; implements ``StateLog``.
+
+    :param spec: the stream.
+    :param service: the platform's log.
+    :param timers: the clock.
+    :param options: waits and sizes.
+    :param random: source of jitter; seeded in tests.
+    """
+
+    def __init__(
+        self,
+        spec: StreamSpec[S],
+        service: LogService,
+        timers: TimerService,
+        options: LogOptions | None = None,
+        random: Random | None = None,
+    ) -> None:
+        self._spec = spec
+        self._timers = timers
+        self._options = options or LogOptions()
+        random = random or Random()
+        self._tail = TailTracker(timers)
+        self._replica = Replica(spec, self._tail)
+        self._store = SnapshotStore(service, spec, timers, random)
+        self._appender = Appender(service, spec.name, timers, self._options, random)
+        self._follower = Follower(
+            self._replica,
+            self._tail,
+            service,
+            self._store,
+            spec,
+            timers,
+            self._options,
+            random,
+        )
+        self._scope = anyio.CancelScope()
+        self._replica.listen(self._appender.note_outcome)
+        self._replica.listen_restored(self._answer_remembered)
+
+    @property
+    def spec(self) -> StreamSpec[S]:
+        """Return the stream's description."""
+        return self._spec
+
+    @property
+    def options(self) -> LogOptions:
+        """Return the waits and sizes."""
+        return self._options
+
+    @property
+    def store(self) -> SnapshotStore[S]:
+        """Return the stream's snapshots."""
+        return self._store
+
+    @property
+    def state(self) -> S:
+        """Return the state as folded so far; read only."""
+        return self._replica.fold.state
+
+    @property
+    def next_offset(self) -> int:
+        """Return the offset of the entry wanted next."""
+        return self._replica.fold.next_offset
+
+    @property
+    def sequence(self) -> int:
+        """Return the number of accepted records."""
+        return self._replica.fold.sequence
+
+    @property
+    def digest(self) -> str:
+        """Return the chained digest up to ``next_offset``."""
+        return self._replica.fold.digest
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether there is state to serve from."""
+        return self._follower.ready
+
+    @property
+    def log_reachable(self) -> bool:
+        """Tell whether the last read of the log succeeded."""
+        return not self._follower.log_failed
+
+    @property
+    def oldest_offset(self) -> int:
+        """Return the oldest offset that the log kept at the last read."""
+        return self._follower.oldest
+
+    @property
+    def may_decide(self) -> bool:
+        """Tell whether this process may propose and act."""
+        return (
+            self._follower.ready
+            and not self._follower.lost
+            and self._replica.stopped is None
+            and self._tail.sufficient
+        )
+
+    def tail_age_seconds(self) -> float:
+        """Return how long ago the read began that last confirmed the tail."""
+        return self._tail.age_seconds
+
+    async def async_confirm_tail(self, timeout_seconds: float) -> bool:
+        """Read up to a tail asked for after this call; tell whether that worked."""
+        return await self._tail.async_confirm(timeout_seconds)
+
+    async def async_propose(
+        self,
+        body: Any,
+        *,
+        actor: str,
+        base_revision: int = NO_BASE,
+        record_id: str | None = None,
+        timeout_seconds: float = 5.0,
+        priority: int = 1,
+    ) -> Result[Acceptance, MustardwardError]:
+        """Append a record in a group commit and wait for what the fold says."""
+        if not self.may_decide:
+            return Failure(NotReadyError(self._why_not()))
+        record_id = record_id or uuid.uuid4().hex
+        verdict = self._replica.fold.remembered(record_id)
+        if verdict is not None:
+            return remembered_outcome(verdict)
+        envelope = make_record(
+            body,
+            record_id=record_id,
+            actor=actor,
+            stamp=self._timers.wall(),
+            base_revision=base_revision,
+        )
+        return await self._appender.async_propose(envelope, priority, timeout_seconds)
+
+    def listen(self, listener: Callable[[RecordOutcome], None]) -> Callable[[], None]:
+        """Call ``listener`` for each folded record until unsubscribed."""
+        return self._replica.listen(listener)
+
+    def listen_restored(self, listener: Callable[[], None]) -> Callable[[], None]:
+        """Call ``listener`` when the state jumped past records nobody heard of."""
+        return self._replica.listen_restored(listener)
+
+    def use_relay(self, relay: RelaySource | None) -> None:
+        """Ask peers through ``relay`` while the log is silent."""
+        self._follower.use_relay(relay)
+
+    def answer(self, question: RelayQuestion) -> RelayAnswer:
+        """Return what this node can tell a peer."""
+        if not self.ready:
+            return RelayAnswer(RelayStatus.UNAVAILABLE)
+        return self._replica.answer(question)
+
+    def image(self) -> Image:
+        """Return the image of the present state.
+
+        :raises MustardwardError: if this node must not decide from it.
+        """
+        if not self.may_decide:
+            raise NotReadyError(self._why_not())
+        return self._replica.image()
+
+    async def async_run(self) -> None:
+        """Follow and append until stopped."""
+        unsubscribe = self._timers.subscribe_pause(self._handle_pause)
+        try:
+            with self._scope:
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._follower.async_follow)
+                    group.start_soon(self._follower.async_answer_questions)
+                    group.start_soon(self._follower.async_relay)
+                    group.start_soon(self._appender.async_run)
+        finally:
+            unsubscribe()
+
+    def stop(self) -> None:
+        """End the tasks of ``async_run``."""
+        self._scope.cancel()
+
+    def _handle_pause(self, lost_seconds: float) -> None:
+        # What was read before the pause may be long out of date, and nothing in the
+        # process shows it: no decision until a read sent after the pause was reached.
+        self._tail.require_confirmation()
+
+    def _answer_remembered(self) -> None:
+        for record_id in self._appender.waiting():
+            verdict = self._replica.fold.remembered(record_id)
+            if verdict is not None:
+                self._appender.note_remembered(record_id, verdict)
+
+    def _why_not(self) -> str:
+        stopped = self._replica.stopped
+        if stopped is not None:
+            return stopped.detail
+        if not self.ready:
+            return "no state yet"
+        return "tail not confirmed" if not self._follower.lost else "entries missing"
--- a/mustardward/state/protocols.py
+++ b/mustardward/state/protocols.py
@@ -21,7 +21,10 @@
 
     @property
     def state(self) -> S_co:
-        """Return the state as folded so far; read only."""
+        """Return the state as folded so far; read only.
+
+        Another object after a jump to a snapshot: ask each time, never keep it.
+        """
         ...
 
     @property
@@ -84,6 +87,10 @@
         """Call ``listener`` for each folded record until unsubscribed."""
         ...
 
+    def listen_restored(self, listener: Callable[[], None]) -> Callable[[], None]:
+        """Call ``listener`` when the state jumped past records nobody heard of."""
+        ...
+
 
 FleetLog = StateLog[FleetState]
 WorkLog = StateLog[WorkState]
--- /dev/null
+++ b/mustardward/state/snapshot_writer.py
@@ -0,0 +1,113 @@
+"""Rewrite the snapshots of a stream well before the log forgets what they spare."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from ..exceptions import MustardwardError
+from ..helpers.logging import get_logger
+from ..helpers.timer import TimerService
+from .log import FoldedLog
+from .options import LogOptions
+from .snapshots import Manifest, furthest_readable
+
+_LOGGER = get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotSituation:
+    """Hold what decides whether a snapshot is due.
+
+    ``written_offset`` and ``written_at`` are of the furthest snapshot, if any;
+    ``oldest`` is the first offset that the log still keeps.
+    """
+
+    next_offset: int
+    oldest: int
+    now: float
+    written_offset: int | None = None
+    written_at: float = 0.0
+
+
+def due_cause(situation: SnapshotSituation, options: LogOptions) -> str:
+    """Return why a snapshot is due, or nothing."""
+    if situation.next_offset == 0:
+        return ""
+    if situation.written_offset is None:
+        return "missing"
+    ahead = situation.next_offset - situation.written_offset
+    if ahead >= options.snapshot_entries:
+        return "entries"
+    # With what follows the snapshot making up more than half of what the log keeps,
+    # a slow writer could lose the race against retention.
+    if ahead > 0 and ahead * 2 > situation.next_offset - situation.oldest:
+        return "retention"
+    # The snapshot's own stream forgets too, also when nothing changes.
+    if situation.now - situation.written_at >= options.snapshot_seconds:
+        return "age"
+    return ""
+
+
+class SnapshotWriter:
+    """Write snapshots of one log while this process holds the duty.
+
+    :param log: the folded log.
+    :param owns_duty: tells whether to write; two writers do no harm.
+    """
+
+    def __init__(
+        self, log: FoldedLog[Any], timers: TimerService, owns_duty: Callable[[], bool]
+    ) -> None:
+        self._log = log
+        self._timers = timers
+        self._owns_duty = owns_duty
+        self._busy = False
+
+    def subscribe(self) -> Callable[[], None]:
+        """Check at intervals until unsubscribed."""
+        name = f"snapshot.{self._log.spec.name}"
+        seconds = self._log.options.snapshot_check_seconds
+        return self._timers.subscribe(name, seconds, self.async_check)
+
+    async def async_check(self) -> None:
+        """Write a snapshot if this process holds the duty and one is due."""
+        if self._busy or not self._owns_duty() or not self._log.may_decide:
+            return
+        self._busy = True
+        try:
+            await self._async_check()
+        except MustardwardError as error:
+            _LOGGER.warning(
+                "snapshot_not_written",
+                stream=self._log.spec.name,
+                error=error.code,
+                detail=error.detail,
+            )
+        finally:
+            self._busy = False
+
+    async def _async_check(self) -> None:
+        manifests = await self._log.store.async_manifests()
+        latest = furthest_readable(manifests, self._log.spec)
+        cause = due_cause(self._situation(latest), self._log.options)
+        if not cause:
+            return
+        manifest = await self._log.store.async_write(self._log.image())
+        _LOGGER.info(
+            "snapshot_written",
+            stream=self._log.spec.name,
+            cause=cause,
+            offset=manifest.header.next_offset,
+            chunks=len(manifest.chunks),
+        )
+
+    def _situation(self, latest: Manifest | None) -> SnapshotSituation:
+        return SnapshotSituation(
+            next_offset=self._log.next_offset,
+            oldest=self._log.oldest_offset,
+            now=self._timers.wall(),
+            written_offset=latest.header.next_offset if latest else None,
+            written_at=latest.written_at if latest else 0.0,
+        )
--- /dev/null
+++ b/mustardward/state/snapshots.py
@@ -0,0 +1,219 @@
+"""Keep snapshots of a fold in streams of the log itself.
+
+The body goes in chunks to one stream; then a manifest that names their offsets goes to
+another. A snapshot without a manifest does not exist, so a writer that dies half way
+leaves nothing that could be mistaken for one, and two writers never mix.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Final, Generic, TypeVar
+
+import msgspec
+import xxhash
+
+from ..const import SNAPSHOT_STREAM_SUFFIX
+from ..exceptions import (
+    OffsetExpiredError,
+    PlatformError,
+    PlatformRefusedError,
+    SnapshotUnusableError,
+)
+from ..helpers.backoff import Backoff
+from ..helpers.logging import get_logger
+from ..helpers.timer import TimerService
+from ..platform.models import LogPage
+from ..platform.protocols import LogService
+from .images import Image, ImageHeader, check_header
+from .streams import StreamSpec
+
+_LOGGER = get_logger(__name__)
+
+CHUNK_BYTES: Final = 131_072
+CHUNK_STREAM_SUFFIX: Final = ".chunks"
+MANIFESTS_READ: Final = 16
+"""Manifests looked at from the tail back; two writers leave them out of order."""
+_APPEND_TRIES: Final = 8
+_CHUNK_PAUSE_SECONDS: Final = 0.1
+"""Wait between chunks, which leaves the log's budget to claims and intents."""
+
+S = TypeVar("S")
+
+
+@dataclass(frozen=True, slots=True)
+class Chunk:
+    """Name one chunk by its offset and the digest of its bytes."""
+
+    offset: int
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class Manifest:
+    """Complete a snapshot: what it holds, and where its chunks are, in order.
+
+    ``written_at`` (seconds since the epoch) only says when the next one is due.
+    """
+
+    header: ImageHeader
+    chunks: tuple[Chunk, ...]
+    written_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class _SealedManifest:
+    """Carry a manifest's bytes with their digest."""
+
+    body: bytes
+    digest: str
+
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+_MANIFEST_DECODER: Final = msgspec.msgpack.Decoder(Manifest)
+_SEALED_DECODER: Final = msgspec.msgpack.Decoder(_SealedManifest)
+
+
+class SnapshotStore(Generic[S]):
+    """Write and read the snapshots of one stream.
+
+    :param service: the platform's log.
+    :param spec: the stream that the snapshots are of.
+    :param timers: the clock, for waits between tries.
+    :param random: source of jitter.
+    """
+
+    def __init__(
+        self,
+        service: LogService,
+        spec: StreamSpec[S],
+        timers: TimerService,
+        random: Random,
+    ) -> None:
+        self._service = service
+        self._spec = spec
+        self._timers = timers
+        self._random = random
+        self._manifests = spec.name + SNAPSHOT_STREAM_SUFFIX
+        self._chunks = self._manifests + CHUNK_STREAM_SUFFIX
+
+    async def async_write(self, image: Image) -> Manifest:
+        """Append an image, chunks first.
+
+        :raises PlatformError: if the log did not take it; nothing half is left over.
+        """
+        chunks = []
+        for start in range(0, len(image.body), CHUNK_BYTES):
+            part = image.body[start : start + CHUNK_BYTES]
+            offset = await self._async_append(self._chunks, part)
+            await self._timers.async_sleep(_CHUNK_PAUSE_SECONDS)
+            chunks.append(Chunk(offset, xxhash.xxh3_128_hexdigest(part)))
+        manifest = Manifest(image.header, tuple(chunks), self._timers.wall())
+        await self._async_append(self._manifests, _seal(manifest))
+        return manifest
+
+    async def async_manifests(self) -> list[Manifest]:
+        """Return the latest readable manifests, the furthest state first.
+
+        :raises PlatformError: if the log can't be read.
+        """
+        end = await self._async_bounds(self._manifests)
+        start = max(end.oldest, end.tail - MANIFESTS_READ)
+        if start >= end.tail:
+            return []
+        page = await self._service.async_read(
+            self._manifests, start, MANIFESTS_READ, 0.0
+        )
+        found = []
+        for entry in page.entries:
+            try:
+                found.append(_unseal(entry.payload))
+            except SnapshotUnusableError as error:
+                self._refuse(f"manifest:{entry.offset}", error)
+        return sorted(found, key=lambda item: -item.header.next_offset)
+
+    async def async_load(self, least_offset: int) -> Image:
+        """Return the furthest whole image that is not behind ``least_offset``.
+
+        :raises SnapshotUnusableError: if there is none.
+        :raises PlatformError: if the log can't be read.
+        """
+        for manifest in await self.async_manifests():
+            try:
+                check_header(self._spec, manifest.header, least_offset)
+                return Image(manifest.header, await self._async_body(manifest))
+            except SnapshotUnusableError as error:
+                self._refuse(f"offset:{manifest.header.next_offset}", error)
+        raise SnapshotUnusableError(f"stream={self._spec.name} none usable")
+
+    async def _async_body(self, manifest: Manifest) -> bytes:
+        parts = [await self._async_chunk(chunk) for chunk in manifest.chunks]
+        return b"".join(parts)
+
+    async def _async_chunk(self, chunk: Chunk) -> bytes:
+        try:
+            page = await self._service.async_read(self._chunks, chunk.offset, 1, 0.0)
+        except OffsetExpiredError as error:
+            raise SnapshotUnusableError(f"chunk expired {error.detail}") from error
+        if not page.entries or page.entries[0].offset != chunk.offset:
+            raise SnapshotUnusableError(f"chunk={chunk.offset} missing")
+        payload = page.entries[0].payload
+        if xxhash.xxh3_128_hexdigest(payload) != chunk.digest:
+            raise SnapshotUnusableError(f"chunk={chunk.offset} digest differs")
+        return payload
+
+    async def _async_bounds(self, stream: str) -> LogPage:
+        try:
+            return await self._service.async_read(stream, 0, 1, 0.0)
+        except OffsetExpiredError as error:
+            return await self._service.async_read(stream, error.oldest, 1, 0.0)
+
+    async def _async_append(self, stream: str, payload: bytes) -> int:
+        # A copy whose answer was lost only lies there unnamed; the manifest names the
+        # one whose offset is known. A manifest appended twice says the same twice.
+        backoff = Backoff(0.2, 5.0, self._random)
+        for _ in range(_APPEND_TRIES - 1):
+            try:
+                return await self._service.async_append(stream, payload)
+            except PlatformRefusedError:
+                raise
+            except PlatformError:
+                await self._timers.async_sleep(backoff.next_seconds())
+        return await self._service.async_append(stream, payload)
+
+    def _refuse(self, subject: str, error: SnapshotUnusableError) -> None:
+        _LOGGER.warning(
+            "snapshot_refused",
+            stream=self._spec.name,
+            subject=subject,
+            detail=error.detail,
+        )
+
+
+def furthest_readable(
+    manifests: list[Manifest], spec: StreamSpec[Any]
+) -> Manifest | None:
+    """Return the manifest of the furthest state that this build can read."""
+    for manifest in manifests:
+        try:
+            check_header(spec, manifest.header, 0)
+        except SnapshotUnusableError:
+            continue
+        return manifest
+    return None
+
+
+def _seal(manifest: Manifest) -> bytes:
+    body = _ENCODER.encode(manifest)
+    return _ENCODER.encode(_SealedManifest(body, xxhash.xxh3_128_hexdigest(body)))
+
+
+def _unseal(payload: bytes) -> Manifest:
+    try:
+        sealed = _SEALED_DECODER.decode(payload)
+        if xxhash.xxh3_128_hexdigest(sealed.body) != sealed.digest:
+            raise SnapshotUnusableError("manifest does not match its digest")
+        return _MANIFEST_DECODER.decode(sealed.body)
+    except msgspec.MsgspecError as error:
+        raise SnapshotUnusableError(str(error)) from error
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform and for other parts."""
