--- a/mustardward/state/follower.py
+++ b/mustardward/state/follower.py
@@ -92,7 +92,7 @@
         backoff = self._new_backoff()
         while True:
             try:
-                await self._async_read(self._options.poll_seconds)
+                await self._async_read(self._wait_seconds())
             except OffsetExpiredError as error:
                 await self._async_recover(f"expired {error.detail}")
                 await self._async_pause(backoff)
@@ -138,6 +138,12 @@
             if silent > self._options.relay_after_seconds or self._log_failed:
                 await self._async_ask_peers()
 
+    def _wait_seconds(self) -> float:
+        # At the start and after a pause the tail is wanted at once; a long poll at an
+        # idle log would hold it back.
+        fresh = self._tail.confirmed_once and self._tail.sufficient
+        return self._options.poll_seconds if fresh else 0.0
+
     async def _async_read(self, wait_seconds: float) -> None:
         if not self._started:
             await self._async_start()
--- a/tests/fakes/log.py
+++ b/tests/fakes/log.py
@@ -130,7 +130,7 @@
         await anyio.lowlevel.checkpoint()
         self._check_reading(stream, offset)
         held = self._stream(stream)
-        if offset >= held.tail and wait_seconds > 0:
+        if offset == held.tail and wait_seconds > 0:
             with anyio.move_on_after(wait_seconds if self._real_waits else None):
                 await held.appended.wait()
             self._check_reading(stream, offset)
@@ -168,7 +168,7 @@
     """
 
     def __init__(self, log: FakeLog) -> None:
-        self._log = log
+        self.log = log
         self._cut_off = False
         self.delay_seconds = 0.0
 
@@ -180,19 +180,19 @@
     @cut_off.setter
     def cut_off(self, cut_off: bool) -> None:
         self._cut_off = cut_off
-        self._log.wake()
+        self.log.wake()
 
     async def async_append(self, stream: str, payload: bytes) -> int:
         """Append through the cut and the delay."""
         await self._async_pass()
-        return await self._log.async_append(stream, payload)
+        return await self.log.async_append(stream, payload)
 
     async def async_read(
         self, stream: str, offset: int, limit: int, wait_seconds: float
     ) -> LogPage:
         """Read through the cut and the delay."""
         await self._async_pass()
-        page = await self._log.async_read(stream, offset, limit, wait_seconds)
+        page = await self.log.async_read(stream, offset, limit, wait_seconds)
         if self.cut_off:
             raise PlatformUnavailableError("cut off")
         return page
