--- a/mustardward/state/handlers/all.py
+++ b/mustardward/state/handlers/all.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from . import pools, templates  # noqa: F401
+from . import maintenance, pools, templates  # noqa: F401
 from .fleet_registry import FLEET_HANDLERS
 from .work_registry import WORK_HANDLERS
 
--- a/mustardward/state/handlers/maintenance.py
+++ b/mustardward/state/handlers/maintenance.py
@@ -34,10 +34,10 @@
     ClaimFencedError,
     InstanceBusyError,
     StageRefusedError,
-    UnknownSubjectError,
     WaveGrowthError,
     WaveNotRunningError,
 )
+from .refusals import UnknownSubjectError
 from .waves import Decision, accept, stop_if_failing, wave_limit
 
 RECENT_FINISHED: Final = 16
--- a/mustardward/state/handlers/maintenance_refusals.py
+++ b/mustardward/state/handlers/maintenance_refusals.py
@@ -5,12 +5,6 @@
 from ..fold import RecordRefusedError
 
 
-class UnknownSubjectError(RecordRefusedError):
-    """Report that a record names a wave, pool, instance or claim that is not there."""
-
-    code = "unknown-subject"
-
-
 class WaveExistsError(RecordRefusedError):
     """Report that a wave of this name was scheduled before."""
 
--- a/mustardward/state/handlers/pools.py
+++ b/mustardward/state/handlers/pools.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from ...exceptions import MustardwardError
+from ..budgets import check_budgets, touch_instance
 from ..fleet import FleetState
 from ..fold import Acceptance, FoldContext, RecordRefusedError
 from ..models.pools import (
@@ -82,6 +83,7 @@
         slots=body.slots,
         connections=body.connections,
     )
+    touch_instance(state, body.instance_id)
     return Success(Acceptance((f"instance:{body.instance_id}",), context.sequence))
 
 
@@ -102,6 +104,7 @@
     del state.instances[body.instance_id]
     state.moves.pop(body.instance_id, None)
     state.absences.pop(body.instance_id, None)
+    touch_instance(state, body.instance_id)
     return Success(Acceptance((f"instance:{body.instance_id}",), context.sequence))
 
 
@@ -113,9 +116,9 @@
         return Failure(UnknownSubjectError(f"instance={body.instance_id}"))
     if body.target not in state.pools:
         return Failure(UnknownPoolError(f"pools={body.target}"))
-    held = state.moves.get(body.instance_id)
-    if held is not None:
-        return Failure(MoveInProgressError(f"move={held.move_id}"))
+    refusal = _hindrance(state, instance)
+    if refusal is not None:
+        return Failure(refusal)
     conflict = conflict_with(context, instance.generation)
     if conflict is not None:
         return Failure(conflict)
@@ -129,7 +132,9 @@
         target=intern(body.target),
         generation=instance.generation,
         expected=frozenset(body.expected),
+        requested=context.sequence,
     )
+    touch_instance(state, body.instance_id)
     return _accepted(context, body.move_id, body.instance_id)
 
 
@@ -161,6 +166,7 @@
     instance.pool = move.target
     instance.generation = context.sequence
     del state.moves[move.instance_id]
+    touch_instance(state, move.instance_id)
     return _accepted(context, body.move_id, move.instance_id)
 
 
@@ -171,9 +177,24 @@
     if move is None:
         return Failure(UnknownSubjectError(f"move={body.move_id}"))
     del state.moves[move.instance_id]
+    touch_instance(state, move.instance_id)
     return _accepted(context, body.move_id, move.instance_id)
 
 
+def _hindrance(state: FleetState, instance: Instance) -> RecordRefusedError | None:
+    """Return why an instance may not leave its pool now, or nothing."""
+    name = instance.instance_id
+    held = state.moves.get(name)
+    if held is not None:
+        return MoveInProgressError(f"move={held.move_id}")
+    claim = state.claims.get(name)
+    if claim is not None:
+        return SubjectInUseError(f"instance={name} wave={claim.wave_id}")
+    if name in state.absences:
+        return None
+    return check_budgets(state, instance)
+
+
 def find_move(state: FleetState, move_id: str) -> Move | None:
     """Return a move in progress by its own id."""
     return next(
--- a/mustardward/state/handlers/waves.py
+++ b/mustardward/state/handlers/waves.py
@@ -10,15 +10,15 @@
 from ...helpers.chart import load_chart
 from ..budgets import index_of
 from ..fleet import FleetState
-from ..fold import Acceptance, FoldContext, RevisionConflictError
+from ..fold import Acceptance, FoldContext
 from ..models.maintenance import ScheduleWave, SignalWave, Wave, WaveStatus
 from .fleet_registry import FLEET_HANDLERS
 from .maintenance_refusals import (
     SignalRefusedError,
-    UnknownSubjectError,
     WaveExistsError,
     WaveUnfinishedError,
 )
+from .refusals import UnknownSubjectError, conflict_with
 
 GROWTH: Final = 8
 """Instances a wave may hold for each one that came back."""
@@ -81,9 +81,9 @@
     wave = state.waves.get(body.wave_id)
     if wave is None:
         return Failure(UnknownSubjectError(f"wave={body.wave_id}"))
-    if context.base_revision != wave.revision:
-        detail = f"wave={wave.wave_id} base={context.base_revision} is={wave.revision}"
-        return Failure(RevisionConflictError(detail))
+    conflict = conflict_with(context, wave.revision)
+    if conflict is not None:
+        return Failure(conflict)
     if body.signal == "finish" and not is_finished(state, wave):
         return Failure(WaveUnfinishedError(f"wave={wave.wave_id}"))
     return signal_chart(context, wave, body.signal, body.reason)
--- a/mustardward/state/models/pools.py
+++ b/mustardward/state/models/pools.py
@@ -42,6 +42,7 @@
     """Hold a move in progress: the instance drains and still belongs to its source.
 
     ``acknowledged`` names entries of its data centre that send it no more work.
+    ``requested`` is the sequence of the request; platform calls carry it.
     """
 
     move_id: str
@@ -51,6 +52,7 @@
     generation: int
     expected: frozenset[str] = frozenset()
     acknowledged: set[str] = field(default_factory=set)
+    requested: int = 0
 
 
 @record_kind("pool.put")
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -9,8 +9,7 @@
 from mustardward.exceptions import MustardwardError
 from mustardward.state.fleet import FleetState
 from mustardward.state.fold import Fold, RecordOutcome
-from mustardward.state.handlers import maintenance as _maintenance
-from mustardward.state.handlers.fleet_registry import FLEET_HANDLERS
+from mustardward.state.handlers.all import FLEET_HANDLERS
 from mustardward.state.models.maintenance import (
     AbsenceChange,
     ReportAbsences,
@@ -27,8 +26,6 @@
 )
 from mustardward.state.records import NO_BASE, encode_batch, make_record
 
-__all__ = ["FoldDriver", "_maintenance", "build_fleet", "build_organisation"]
-
 
 def build_organisation(
     name: str, pools: tuple[str, ...], **parameters: Any
--- a/tests/state/test_pools.py
+++ b/tests/state/test_pools.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mustardward.state.budgets import BudgetExceededError
 from mustardward.state.fold import RevisionConflictError
 from mustardward.state.handlers.pools import (
     MoveInProgressError,
@@ -24,6 +25,12 @@
     RequestMove,
     TransferInstance,
 )
+from mustardward.state.models.templates import (
+    Parameters,
+    PublishTemplate,
+    PutOrganisation,
+    ServiceBinding,
+)
 from tests.builders import FoldBuilder, build_fleet_fold, build_instance
 
 
@@ -95,13 +102,18 @@
     assert isinstance(nowhere, UnknownPoolError)
 
 
-def test_a_claimed_instance_is_not_removed(builder: FoldBuilder) -> None:
+def test_a_claimed_instance_is_neither_removed_nor_moved(builder: FoldBuilder) -> None:
     claim = Claim("one", "wave-1", "entry-a", 1, "claimed", 1)
     builder.fold.state.claims["one"] = claim
     held = builder.apply(RemoveInstance("one")).result.failure()
     assert isinstance(held, SubjectInUseError)
-    _request(builder, "move-1")
+    generation = builder.fold.state.instances["one"].generation
+    request = RequestMove("move-0", "one", "casting", ("entry-a",))
+    claimed = builder.apply(request, generation).result.failure()
+    assert isinstance(claimed, SubjectInUseError)
+    assert builder.fold.state.moves == {}
     del builder.fold.state.claims["one"]
+    _request(builder, "move-1")
     builder.accept(RemoveInstance("one"))
     assert "one" not in builder.fold.state.instances
     assert builder.fold.state.moves == {}
@@ -110,3 +122,16 @@
 def test_a_pool_proposed_again_keeps_its_revision(builder: FoldBuilder) -> None:
     before = builder.fold.state.pools["etching"].revision
     assert builder.accept(PutPool("etching")) == before
+
+
+def test_a_move_that_would_break_a_budget_is_refused(builder: FoldBuilder) -> None:
+    parameters = Parameters(
+        services=(ServiceBinding("print", "etching"),), minimum_available=1.0
+    )
+    builder.accept(PublishTemplate("base", parameters), 0)
+    builder.accept(PutOrganisation("club", "base"), 0)
+    generation = builder.fold.state.instances["one"].generation
+    request = RequestMove("move-1", "one", "casting", ("entry-a",))
+    refused = builder.apply(request, generation).result.failure()
+    assert isinstance(refused, BudgetExceededError)
+    assert refused.binding.organisation == "club"
