Fold long jobs and the intents of idempotency keys

Cause: jobs, their leases and the intents of keys had record kinds but no handlers, so no node could decide on them. Ruled out: a scan over a group's jobs at its cancellation (every node would stand still for it); a lease without comparison with the generation before it (two schedulers would both start a job); closing an intent by key alone (a delayed close would end a newer one and a turning order would run twice). Change: pure handlers with charts/job.yaml; a group is cancelled by one mark, later records bring eight jobs each up to date; finished jobs, intents and stored answers are kept by count. Added to the models: digest, failures and losses of a job, opened of a close, worker_suspect and the outcome `refused` of an attempt; indexes in WorkState.

--- a/mustardward/state/handlers/all.py
+++ b/mustardward/state/handlers/all.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from . import intents, jobs  # noqa: F401
 from .fleet_registry import FLEET_HANDLERS
 from .work_registry import WORK_HANDLERS
 
--- /dev/null
+++ b/mustardward/state/handlers/job_index.py
@@ -0,0 +1,103 @@
+"""Keep the counts, groups and retention of jobs, at constant cost for each record."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ...helpers.chart import load_chart
+from ..models.jobs import CancelledBatch, Job
+from ..work import WorkState, group_name
+
+KEEP_FINISHED: Final = 10_000
+"""Done and cancelled jobs whose result can still be asked for."""
+
+REAP_EACH_RECORD: Final = 8
+"""Jobs of cancelled groups whose status is brought up to date by one record."""
+
+CANCELLABLE: Final = ("waiting", "running", "parked", "held")
+
+
+def job_status(state: WorkState, job: Job) -> str:
+    """Return a job's state, also when its group's cancellation has yet to reach it."""
+    if job.status not in CANCELLABLE:
+        return job.status
+    mark = state.cancelled_groups.get(group_name(job.organisation, job.group), 0)
+    if not job.group or mark <= job.accepted_sequence:
+        return job.status
+    return load_chart("job").next_state(job.status, "cancel")
+
+
+def add_open(state: WorkState, job: Job) -> None:
+    """Count a job among the unfinished ones of its organisation and group."""
+    name = group_name(job.organisation, job.group)
+    state.open_groups.setdefault(name, {})[job.job_id] = job.accepted_sequence
+    count = state.open_jobs.get(job.organisation, 0)
+    state.open_jobs[job.organisation] = count + 1
+
+
+def leave_open(state: WorkState, job: Job) -> None:
+    """Take a job out of the unfinished ones, if its group's cancellation did not."""
+    name = group_name(job.organisation, job.group)
+    members = state.open_groups.get(name, {})
+    if members.pop(job.job_id, None) is None:
+        return
+    if not members:
+        del state.open_groups[name]
+    _subtract(state, job.organisation, 1)
+
+
+def note_finished(state: WorkState, job: Job, sequence: int) -> None:
+    """Keep a finished job for a while, and forget the oldest one beyond that."""
+    job.payload = b""
+    state.finished[job.job_id] = sequence
+    while len(state.finished) > KEEP_FINISHED:
+        oldest = next(iter(state.finished))
+        del state.finished[oldest]
+        state.jobs.pop(oldest, None)
+
+
+def cancel_group(state: WorkState, name: str, organisation: str, sequence: int) -> int:
+    """Cancel all unfinished jobs of a group without looking at any of them."""
+    jobs = state.open_groups.pop(name, None)
+    if jobs is None:
+        return 0
+    # The mark decides at once; the batch lets later records bring each job's own
+    # status up to date, so that neither this record nor any other is slow.
+    state.cancelled_groups[name] = sequence
+    state.cancelled_batches.append(CancelledBatch(name, sequence, jobs))
+    _subtract(state, organisation, len(jobs))
+    return len(jobs)
+
+
+def reap_cancelled(state: WorkState, sequence: int) -> None:
+    """Bring a few jobs of cancelled groups up to date."""
+    for _ in range(REAP_EACH_RECORD):
+        if not state.cancelled_batches:
+            return
+        _reap_one(state, state.cancelled_batches[0], sequence)
+
+
+def _reap_one(state: WorkState, batch: CancelledBatch, sequence: int) -> None:
+    if not batch.jobs:
+        state.cancelled_batches.pop(0)
+        if state.cancelled_groups.get(batch.group) == batch.sequence:
+            del state.cancelled_groups[batch.group]
+        return
+    job_id, accepted = batch.jobs.popitem()
+    job = state.jobs.get(job_id)
+    if job is None or job.accepted_sequence != accepted:
+        return
+    if job.status not in CANCELLABLE:
+        return
+    job.status = load_chart("job").next_state(job.status, "cancel")
+    state.stuck.pop(job_id, None)
+    if load_chart("job").is_final(job.status):
+        note_finished(state, job, sequence)
+
+
+def _subtract(state: WorkState, organisation: str, count: int) -> None:
+    left = state.open_jobs.get(organisation, 0) - count
+    if left > 0:
+        state.open_jobs[organisation] = left
+    else:
+        state.open_jobs.pop(organisation, None)
--- a/mustardward/state/models/jobs.py
+++ b/mustardward/state/models/jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from ..records import record_kind
 
@@ -36,6 +37,9 @@
     failed_workers: tuple[str, ...] = ()
     reason: str = ""
     result: bytes = b""
+    digest: str = ""
+    failures: int = 0
+    losses: int = 0
 
 
 @dataclass(slots=True)
@@ -58,6 +62,30 @@
     body: bytes = b""
 
 
+@dataclass(slots=True)
+class CancelledBatch:
+    """Hold the jobs of a group that were unfinished when it was cancelled."""
+
+    group: str
+    sequence: int
+    jobs: dict[str, int]
+
+
+class AttemptEnd(StrEnum):
+    """Name how an attempt on a job ended.
+
+    ``refused`` is sure not to have run; ``preempted`` was stopped on purpose, ``lost``
+    is gone without an outcome though it may have run; ``unknown`` may still run.
+    """
+
+    DONE = "done"
+    FAILED = "failed"
+    REFUSED = "refused"
+    PREEMPTED = "preempted"
+    LOST = "lost"
+    UNKNOWN = "unknown"
+
+
 @record_kind("job.accept")
 @dataclass(frozen=True, slots=True)
 class AcceptJob:
@@ -103,7 +131,10 @@
 @record_kind("job.end")
 @dataclass(frozen=True, slots=True)
 class EndAttempt:
-    """End an attempt: ``done``, ``failed``, ``preempted``, ``lost`` or ``unknown``."""
+    """End an attempt; ``outcome`` is one of :class:`AttemptEnd`.
+
+    A failure on a suspect worker says nothing about the job.
+    """
 
     job_id: str
     generation: int
@@ -111,6 +142,7 @@
     checkpoint: str = ""
     reason: str = ""
     result: bytes = b""
+    worker_suspect: bool = False
 
 
 @record_kind("job.cancel")
@@ -145,7 +177,10 @@
 @record_kind("intent.close")
 @dataclass(frozen=True, slots=True)
 class CloseIntent:
-    """State the outcome under a key, with the answer if it is small enough."""
+    """State the outcome under a key, with the answer if it is small enough.
+
+    ``opened`` is the sequence of the intent that this closes.
+    """
 
     organisation: str
     key: str
@@ -154,3 +189,4 @@
     status: int = 0
     content_type: str = ""
     body: bytes = b""
+    opened: int = 0
--- a/mustardward/state/work.py
+++ b/mustardward/state/work.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from .models.jobs import Intent, Job
+from .models.jobs import CancelledBatch, Intent, Job
 
 
 @dataclass(slots=True)
@@ -16,8 +16,27 @@
     """Intents by ``intent_name(organisation, key)``."""
     cancelled_groups: dict[str, int] = field(default_factory=dict)
     """Sequence at which a group was cancelled, by ``organisation/group``."""
+    open_jobs: dict[str, int] = field(default_factory=dict)
+    """Number of unfinished jobs by organisation."""
+    open_groups: dict[str, dict[str, int]] = field(default_factory=dict)
+    """Accepted sequence of each unfinished job, by ``organisation/group``."""
+    cancelled_batches: list[CancelledBatch] = field(default_factory=list)
+    """Jobs of cancelled groups whose own status has yet to follow, oldest first."""
+    stuck: dict[str, int] = field(default_factory=dict)
+    """Parked and held jobs with the sequence at which they stopped."""
+    finished: dict[str, int] = field(default_factory=dict)
+    """Done and cancelled jobs with the sequence of their end, oldest first."""
+    intent_order: dict[str, int] = field(default_factory=dict)
+    """Intents with the sequence of their last change, oldest first."""
+    answer_order: dict[str, int] = field(default_factory=dict)
+    """Intents that still hold an answer, oldest first."""
 
 
 def intent_name(organisation: str, key: str) -> str:
     """Return the name of a key within its organisation's own space."""
     return f"{organisation}\x00{key}"
+
+
+def group_name(organisation: str, group: str) -> str:
+    """Return the name of a group within its organisation's own space."""
+    return f"{organisation}/{group}"
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from mustardward.state.models.jobs import AcceptJob
 from mustardward.state.records import NO_BASE, Envelope, make_record
 
 
@@ -18,3 +19,14 @@
         stamp=0.0,
         base_revision=base_revision,
     )
+
+
+def build_accept_job(job_id: str = "job-1", **fields: Any) -> AcceptJob:
+    """Return the proposal of a small idempotent job."""
+    values: dict[str, Any] = {
+        "organisation": "derwent",
+        "service": "castings",
+        "pool": "casting",
+        "payload": b"plan",
+    }
+    return AcceptJob(job_id=job_id, **(values | fields))
--- /dev/null
+++ b/tests/components/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Test long work and idempotency keys."""
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for other parts in tests."""
--- /dev/null
+++ b/tests/fakes/worklog.py
@@ -0,0 +1,124 @@
+"""Fold a shared in-memory log, as several processes would."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio.lowlevel
+from returns.result import Failure, Result
+
+from mustardward.exceptions import (
+    MustardwardError,
+    PlatformOutcomeUnknownError,
+    PlatformUnavailableError,
+)
+from mustardward.state.fold import Acceptance, Fold, RecordOutcome
+from mustardward.state.handlers.all import WORK_HANDLERS
+from mustardward.state.records import NO_BASE, Envelope, encode_batch, make_record
+from mustardward.state.work import WorkState
+
+
+@dataclass(slots=True, eq=False)
+class SharedLog:
+    """Hold the entries of one stream and whether the service answers."""
+
+    entries: list[bytes] = field(default_factory=list)
+    readers: list[FakeWorkLog] = field(default_factory=list)
+    out: bool = False
+    lose_answers: int = 0
+    appends: int = 0
+
+    def append(self, envelope: Envelope) -> int:
+        """Append one record and let every connected reader fold it."""
+        self.appends += 1
+        self.entries.append(encode_batch([envelope]))
+        for reader in self.readers:
+            if not reader.cut_off:
+                reader.catch_up()
+        return len(self.entries) - 1
+
+
+class FakeWorkLog:
+    """Follow a shared log as one process's work log."""
+
+    def __init__(self, shared: SharedLog, name: str = "entry-1") -> None:
+        self._shared = shared
+        self._fold: Fold[WorkState] = Fold(WorkState(), WORK_HANDLERS)
+        self._listeners: list[Callable[[RecordOutcome], None]] = []
+        self._outcomes: dict[str, RecordOutcome] = {}
+        self._name = name
+        self._proposed = 0
+        self.may_decide = True
+        self.ready = True
+        self.cut_off = False
+        shared.readers.append(self)
+        self.catch_up()
+
+    @property
+    def state(self) -> WorkState:
+        return self._fold.state
+
+    @property
+    def next_offset(self) -> int:
+        return self._fold.next_offset
+
+    @property
+    def sequence(self) -> int:
+        return self._fold.sequence
+
+    @property
+    def digest(self) -> str:
+        return self._fold.digest
+
+    def tail_age_seconds(self) -> float:
+        return 0.0
+
+    def listen(self, listener: Callable[[RecordOutcome], None]) -> Callable[[], None]:
+        self._listeners.append(listener)
+        return lambda: self._listeners.remove(listener)
+
+    def catch_up(self) -> None:
+        while self._fold.next_offset < len(self._shared.entries):
+            offset = self._fold.next_offset
+            for outcome in self._fold.apply(offset, self._shared.entries[offset]):
+                self._outcomes.setdefault(outcome.envelope.record_id, outcome)
+                for listener in list(self._listeners):
+                    listener(outcome)
+
+    async def async_confirm_tail(self, timeout_seconds: float) -> bool:
+        await anyio.lowlevel.checkpoint()
+        if self._shared.out or self.cut_off:
+            return False
+        self.catch_up()
+        self.may_decide = True
+        return True
+
+    async def async_propose(
+        self,
+        body: Any,
+        *,
+        actor: str,
+        base_revision: int = NO_BASE,
+        record_id: str | None = None,
+        timeout_seconds: float = 5.0,
+        priority: int = 1,
+    ) -> Result[Acceptance, MustardwardError]:
+        self._proposed += 1
+        identity = record_id or f"{self._name}/{self._proposed}"
+        await anyio.lowlevel.checkpoint()
+        if self._shared.out or self.cut_off:
+            return Failure(PlatformUnavailableError("log out"))
+        envelope = make_record(
+            body,
+            record_id=identity,
+            actor=actor,
+            stamp=0.0,
+            base_revision=base_revision,
+        )
+        self._shared.append(envelope)
+        if self._shared.lose_answers:
+            self._shared.lose_answers -= 1
+            return Failure(PlatformOutcomeUnknownError("answer lost"))
+        return self._outcomes[identity].result
