Open and close intents of idempotency keys through the work log

Cause: a keyed request must run at most once although its tries reach several entries, entries are replaced, membership moves the key's home and the log has outages. Ruled out: deciding by the home alone (two entries that cannot see each other both think they are home); a lease on an intent (a holder paused past it would still dispatch); saying `not run` for a key while the tail is not at hand (an earlier try may be unread). The gate's protocol gains `home` (where to forward) and `truthful` (what an early refusal may say).

--- a/mustardward/components/entry/protocols.py
+++ b/mustardward/components/entry/protocols.py
@@ -13,7 +13,8 @@
 from returns.result import Result
 
 from ...state.models.pools import Instance
-from .models import Attempt, AttemptOutcome, RequestFacts, RequestRefusal
+from ..membership.models import Member
+from .models import Attempt, AttemptOutcome, Ran, RequestFacts, RequestRefusal
 
 
 class Permit(Protocol):
@@ -90,6 +91,17 @@
 class IntentGate(Protocol):
     """Make sure that a request under an idempotency key runs at most once."""
 
+    def home(self, facts: RequestFacts) -> Member | None:
+        """Return the entry to forward a keyed request to, or nothing for this one."""
+        ...
+
+    def truthful(self, facts: RequestFacts, ran: Ran) -> Ran:
+        """Return what a refusal may say, with earlier attempts under the key in mind.
+
+        A keyed request that is refused before ``async_open`` may have run before.
+        """
+        ...
+
     async def async_open(
         self, facts: RequestFacts
     ) -> Result[StoredAnswer | None, RequestRefusal]:
--- a/mustardward/components/jobs/__init__.py
+++ b/mustardward/components/jobs/__init__.py
@@ -1,4 +1,4 @@
-"""Accept long work and run it under leases."""
+"""Accept long work and run it under leases; keep keyed requests from running twice."""
 
 from __future__ import annotations
 
@@ -7,11 +7,20 @@
 
 async def async_setup(core: Core) -> Unload:
     """Set the component up and return what undoes it."""
+    from ..keys import WORK_LOG
+    from ..retries.intents_setup import async_setup_intents
+
+    unloads: list[Unload] = []
+    if core.find(WORK_LOG) is not None:
+        unloads.insert(0, await async_setup_intents(core))
 
     async def async_unload() -> None:
-        return None
+        for unload in unloads:
+            await unload()
 
     return async_unload
 
 
-COMPONENTS.register("jobs")(ComponentDescription("jobs", async_setup))
+COMPONENTS.register("jobs")(
+    ComponentDescription("jobs", async_setup, ("platform", "log", "membership"))
+)
--- a/tests/fakes/worklog.py
+++ b/tests/fakes/worklog.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -27,7 +28,6 @@
     entries: list[bytes] = field(default_factory=list)
     readers: list[FakeWorkLog] = field(default_factory=list)
     out: bool = False
-    lose_answers: int = 0
     appends: int = 0
 
     def append(self, envelope: Envelope) -> int:
@@ -53,6 +53,7 @@
         self.may_decide = True
         self.ready = True
         self.cut_off = False
+        self.lose_next = False
         shared.readers.append(self)
         self.catch_up()
 
@@ -73,7 +74,7 @@
         return self._fold.digest
 
     def tail_age_seconds(self) -> float:
-        return 0.0
+        return math.inf if self._shared.out or self.cut_off else 0.0
 
     def listen(self, listener: Callable[[RecordOutcome], None]) -> Callable[[], None]:
         self._listeners.append(listener)
@@ -108,7 +109,7 @@
         self._proposed += 1
         identity = record_id or f"{self._name}/{self._proposed}"
         await anyio.lowlevel.checkpoint()
-        if self._shared.out or self.cut_off:
+        if self._shared.out or (self.cut_off and not self.lose_next):
             return Failure(PlatformUnavailableError("log out"))
         envelope = make_record(
             body,
@@ -118,7 +119,7 @@
             base_revision=base_revision,
         )
         self._shared.append(envelope)
-        if self._shared.lose_answers:
-            self._shared.lose_answers -= 1
+        if self.lose_next:
+            self.lose_next = False
             return Failure(PlatformOutcomeUnknownError("answer lost"))
         return self._outcomes[identity].result
