--- a/mustardward/components/jobs/__init__.py
+++ b/mustardward/components/jobs/__init__.py
@@ -7,12 +7,16 @@
 
 async def async_setup(core: Core) -> Unload:
     """Set the component up and return what undoes it."""
-    from ..keys import WORK_LOG
+    from ..keys import WORK_LOG, WORKER_SERVICE
     from ..retries.intents_setup import async_setup_intents
+    from . import api  # noqa: F401
+    from .setup import async_setup_jobs
 
     unloads: list[Unload] = []
     if core.find(WORK_LOG) is not None:
         unloads.insert(0, await async_setup_intents(core))
+        if core.find(WORKER_SERVICE) is not None:
+            unloads.insert(0, await async_setup_jobs(core))
 
     async def async_unload() -> None:
         for unload in unloads:
--- /dev/null
+++ b/mustardward/components/jobs/api.py
@@ -0,0 +1,153 @@
+"""Let operators submit, watch, cancel and retry long work."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from dataclasses import fields
+from typing import Any, Final, TypeVar
+
+from pydantic import BaseModel, ConfigDict, Field
+from returns.result import Failure, Result
+
+from ...exceptions import MustardwardError
+from ..api.routes import ApiAnswer, ApiRequest, api_route
+from ..keys import JOBS, WORK_LOG
+from .errors import JobPayloadError
+from .models import JobView, Submission
+
+T = TypeVar("T")
+
+NAME_PATTERN: Final = r"^[a-zA-Z0-9][a-zA-Z0-9._-]*$"
+
+
+class SubmitModel(BaseModel):
+    """Validate a submission; ``payload`` is text, or base64 if ``base64`` says so."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    organisation: str = Field(min_length=1, max_length=64)
+    service: str = Field(min_length=1, max_length=64)
+    payload: str = ""
+    base64: bool = False
+    job_id: str = Field(default="", max_length=64, pattern=r"^[a-zA-Z0-9._-]*$")
+    group: str = Field(default="", max_length=64, pattern=r"^[a-zA-Z0-9._-]*$")
+    idempotent: bool = True
+    cores: int = Field(default=1, ge=1, le=65_536)
+    memory_gigabytes: int = Field(default=1, ge=0, le=1_048_576)
+    accelerators: int = Field(default=0, ge=0, le=65_536)
+    declared_seconds: float = Field(default=60.0, gt=0, le=31_536_000)
+
+
+class CancelGroupModel(BaseModel):
+    """Validate the name of a group whose jobs are cancelled."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    organisation: str = Field(min_length=1, max_length=64)
+    group: str = Field(min_length=1, max_length=64, pattern=NAME_PATTERN)
+
+
+@api_route("POST", "/jobs", "Submit a long job", SubmitModel)
+async def async_submit(request: ApiRequest) -> ApiAnswer:
+    """Accept a job once it is durable."""
+    model: SubmitModel = request.model
+    submission = Submission(
+        organisation=model.organisation,
+        service=model.service,
+        payload=_payload(model),
+        job_id=model.job_id,
+        group=model.group,
+        idempotent=model.idempotent,
+        cores=model.cores,
+        memory_gigabytes=model.memory_gigabytes,
+        accelerators=model.accelerators,
+        declared_seconds=model.declared_seconds,
+    )
+    service = request.core.get(JOBS)
+    view = _or_raise(await service.async_submit(submission, request.actor))
+    return ApiAnswer(plain_view(view), status=202)
+
+
+@api_route("GET", "/jobs", "List the jobs that wait for an operator, with counts")
+async def async_list(request: ApiRequest) -> ApiAnswer:
+    """Return parked and held jobs, and unfinished ones by organisation."""
+    views = request.core.get(JOBS).stuck()
+    counts = request.core.get(WORK_LOG).state.open_jobs
+    body = {
+        "stuck": [plain_view(view) for view in views],
+        "unfinished": dict(sorted(counts.items())),
+    }
+    return ApiAnswer(body)
+
+
+@api_route("GET", "/jobs/{job_id}", "Show a job")
+async def async_show(request: ApiRequest) -> ApiAnswer:
+    """Return a job's status."""
+    return ApiAnswer(plain_view(_view(request)))
+
+
+@api_route("GET", "/jobs/{job_id}/result", "Return a finished job's result")
+async def async_result(request: ApiRequest) -> ApiAnswer:
+    """Return the whole result, or the status of a job that has none yet."""
+    view = _view(request)
+    body = plain_view(view)
+    body["result_base64"] = base64.b64encode(view.result).decode()
+    return ApiAnswer(body, status=200 if view.status == "done" else 202)
+
+
+@api_route("POST", "/jobs/{job_id}/cancel", "Cancel a job")
+async def async_cancel(request: ApiRequest) -> ApiAnswer:
+    """Cancel one job; a running one stops soon."""
+    view = _view(request)
+    service = request.core.get(JOBS)
+    _or_raise(
+        await service.async_cancel(view.organisation, view.job_id, "", request.actor)
+    )
+    return ApiAnswer(plain_view(_view(request)))
+
+
+@api_route("POST", "/job-groups/cancel", "Cancel a group of jobs", CancelGroupModel)
+async def async_cancel_group(request: ApiRequest) -> ApiAnswer:
+    """Cancel all jobs of a group that are unfinished now, by one record."""
+    model: CancelGroupModel = request.model
+    service = request.core.get(JOBS)
+    note = _or_raise(
+        await service.async_cancel(model.organisation, "", model.group, request.actor)
+    )
+    return ApiAnswer({"group": model.group, "note": note})
+
+
+@api_route("POST", "/jobs/{job_id}/retry", "Let a parked or held job run again")
+async def async_retry(request: ApiRequest) -> ApiAnswer:
+    """Take an operator's word that the job may run again."""
+    service = request.core.get(JOBS)
+    view = _or_raise(await service.async_retry(request.path["job_id"], request.actor))
+    return ApiAnswer(plain_view(view))
+
+
+def plain_view(view: JobView) -> dict[str, Any]:
+    """Return a view without its result as JSON can hold it."""
+    body = {item.name: getattr(view, item.name) for item in fields(view)}
+    del body["result"]
+    body["failed_workers"] = list(view.failed_workers)
+    return body
+
+
+def _view(request: ApiRequest) -> JobView:
+    return _or_raise(request.core.get(JOBS).status(request.path["job_id"]))
+
+
+def _or_raise(result: Result[T, MustardwardError]) -> T:
+    if isinstance(result, Failure):
+        raise result.failure()
+    return result.unwrap()
+
+
+def _payload(model: SubmitModel) -> bytes:
+    if not model.base64:
+        return model.payload.encode()
+    try:
+        return base64.b64decode(model.payload, validate=True)
+    except binascii.Error as error:
+        raise JobPayloadError(str(error)) from error
--- /dev/null
+++ b/mustardward/components/jobs/attempt.py
@@ -0,0 +1,105 @@
+"""Decide what the state of an attempt's task means: pure."""
+
+from __future__ import annotations
+
+from ...platform.models import TaskReport, TaskState
+from ...state.models.jobs import AttemptEnd, EndAttempt, Job
+from .const import (
+    HOLD_AFTER_SECONDS,
+    LEASE_MARGIN_SECONDS,
+    MAXIMUM_RESULT_BYTES,
+)
+from .models import HeldAttempt
+
+
+def end_by_report(
+    attempt: HeldAttempt, job: Job, report: TaskReport, suspect: bool
+) -> EndAttempt | None:
+    """Return the end that a worker's report means, or nothing while it runs."""
+    if report.generation != attempt.task_generation:
+        return _end(attempt, _gone(job), "another attempt is on the worker", suspect)
+    outcome = _outcome(attempt, report, job)
+    if outcome is None:
+        return None
+    reason = report.reason or str(report.state)
+    result = report.result
+    if len(result) > MAXIMUM_RESULT_BYTES:
+        reason = f"result too large to keep bytes={len(result)}"
+        result = b""
+    return _end(attempt, outcome, reason, suspect, report.checkpoint, result)
+
+
+def end_by_ignorance(attempt: HeldAttempt, job: Job) -> EndAttempt:
+    """Return the end when the worker knows no such task.
+
+    It rebooted, or the start never reached it; nobody can tell which.
+    """
+    return _end(attempt, _gone(job), "worker knows no such task", False)
+
+
+def end_by_silence(attempt: HeldAttempt, job: Job, now: float) -> EndAttempt | None:
+    """Return the end when a worker has not answered until its lease surely lapsed.
+
+    A job that may not run twice waits longer, since a report would settle it.
+    """
+    limit = attempt.lapses_by + LEASE_MARGIN_SECONDS
+    if not job.idempotent:
+        limit += HOLD_AFTER_SECONDS
+    if now < limit:
+        return None
+    return _end(attempt, _gone(job), "worker unreachable", False)
+
+
+def end_not_run(attempt: HeldAttempt, reason: str) -> EndAttempt:
+    """Return the end of an attempt that surely never began."""
+    return _end(attempt, AttemptEnd.REFUSED, reason, False)
+
+
+def end_stalled(
+    attempt: HeldAttempt, job: Job, report: TaskReport, suspect: bool
+) -> EndAttempt:
+    """Return the end of a task that was stopped for making no progress."""
+    if not job.idempotent:
+        return _end(
+            attempt, AttemptEnd.PREEMPTED, "stalled", suspect, report.checkpoint
+        )
+    return _end(attempt, AttemptEnd.FAILED, "stalled", suspect, report.checkpoint)
+
+
+def _outcome(attempt: HeldAttempt, report: TaskReport, job: Job) -> AttemptEnd | None:
+    if report.state is TaskState.DONE:
+        return AttemptEnd.DONE
+    if report.state is TaskState.FAILED:
+        return AttemptEnd.FAILED
+    if report.state is TaskState.LAPSED:
+        return _gone(job)
+    if report.state is not TaskState.STOPPED:
+        return None
+    # A task that was stopped without a checkpoint still reports the one it began
+    # from. To resume a job there that may not run twice would repeat its effects, so
+    # only a stop that this process asked for with a checkpoint is clean.
+    clean = job.idempotent or attempt.checkpoint_asked
+    return AttemptEnd.PREEMPTED if clean else AttemptEnd.UNKNOWN
+
+
+def _gone(job: Job) -> AttemptEnd:
+    return AttemptEnd.LOST if job.idempotent else AttemptEnd.UNKNOWN
+
+
+def _end(
+    attempt: HeldAttempt,
+    outcome: AttemptEnd,
+    reason: str,
+    suspect: bool,
+    checkpoint: str = "",
+    result: bytes = b"",
+) -> EndAttempt:
+    return EndAttempt(
+        job_id=attempt.job_id,
+        generation=attempt.generation,
+        outcome=outcome.value,
+        checkpoint=checkpoint,
+        reason=reason[:200],
+        result=result,
+        worker_suspect=suspect,
+    )
--- /dev/null
+++ b/mustardward/components/jobs/board.py
@@ -0,0 +1,169 @@
+"""Index the folded jobs for the scheduler, at constant cost for each record."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from ...state.fold import RecordOutcome
+from ...state.handlers.job_index import job_status
+from ...state.models.jobs import Job
+from ...state.work import WorkState
+from .const import SKIP_EACH_LOOK
+
+RUNNING = ("running", "cancelling")
+
+
+@dataclass(slots=True, eq=False)
+class WaitingQueue:
+    """Hold the waiting jobs of one organisation in one pool, oldest first.
+
+    Entries that stopped waiting elsewhere, such as 10,000 cancelled at once, are only
+    dropped when they come to the front, and so many at each look.
+    """
+
+    heap: list[tuple[int, str]] = field(default_factory=list)
+    since: dict[str, float] = field(default_factory=dict)
+
+    def push(self, job: Job, now: float) -> None:
+        """Queue a job by the order of its acceptance."""
+        if job.job_id not in self.since:
+            self.since[job.job_id] = now
+            heapq.heappush(self.heap, (job.accepted_sequence, job.job_id))
+
+    def look(self, count: int, is_waiting: Callable[[str], bool]) -> list[str]:
+        """Return up to ``count`` waiting jobs from the front."""
+        found: list[tuple[int, str]] = []
+        skipped = 0
+        while self.heap and len(found) < count and skipped < SKIP_EACH_LOOK:
+            entry = heapq.heappop(self.heap)
+            if is_waiting(entry[1]):
+                found.append(entry)
+                continue
+            del self.since[entry[1]]
+            skipped += 1
+        for entry in found:
+            heapq.heappush(self.heap, entry)
+        return [job_id for _, job_id in found]
+
+
+class JobBoard:
+    """Know which jobs wait, which run where, and since when this process knows.
+
+    :param state: the folded state to begin with, which is walked over once.
+    """
+
+    def __init__(self, state: WorkState, now: float) -> None:
+        self._state = state
+        self._queues: dict[str, dict[str, WaitingQueue]] = {}
+        self._by_worker: dict[str, set[str]] = {}
+        self._worker_of: dict[str, str] = {}
+        self._by_holder: dict[str, set[str]] = {}
+        self._holder_of: dict[str, str] = {}
+        self._running: dict[tuple[str, str], int] = {}
+        for job in state.jobs.values():
+            self.refresh(job.job_id, now)
+
+    @property
+    def state(self) -> WorkState:
+        """Return the state that is indexed."""
+        return self._state
+
+    def on_record(self, outcome: RecordOutcome, now: float) -> None:
+        """Follow the job that a record changed."""
+        job_id = getattr(outcome.body, "job_id", "")
+        if job_id:
+            self.refresh(job_id, now)
+
+    def refresh(self, job_id: str, now: float) -> None:
+        """File a job where its present state belongs."""
+        job = self._state.jobs.get(job_id)
+        running = job is not None and job.status in RUNNING
+        self._file_running(job_id, job if running else None)
+        self._file_holder(job_id, job.holder if job is not None and running else "")
+        if job is not None and self.is_waiting(job_id):
+            queues = self._queues.setdefault(job.pool, {})
+            queues.setdefault(job.organisation, WaitingQueue()).push(job, now)
+
+    def is_waiting(self, job_id: str) -> bool:
+        """Tell whether a job waits for an attempt."""
+        job = self._state.jobs.get(job_id)
+        return job is not None and job_status(self._state, job) == "waiting"
+
+    def pools(self) -> tuple[str, ...]:
+        """Return the pools that jobs may wait for."""
+        return tuple(self._queues)
+
+    def fronts(self, pool: str, count: int) -> Iterator[tuple[str, list[str]]]:
+        """Iterate over organisations with the front of their waiting jobs."""
+        queues = self._queues.get(pool, {})
+        for organisation, queue in list(queues.items()):
+            jobs = queue.look(count, self.is_waiting)
+            if jobs:
+                yield organisation, jobs
+            elif not queue.heap:
+                del queues[organisation]
+        if not queues:
+            self._queues.pop(pool, None)
+
+    def waited(self, pool: str, organisation: str, job_id: str, now: float) -> float:
+        """Return for how many seconds this process has known a job to wait."""
+        queue = self._queues.get(pool, {}).get(organisation)
+        return now - queue.since.get(job_id, now) if queue is not None else 0.0
+
+    def running_on(self, instance_id: str) -> frozenset[str]:
+        """Return the jobs under a lease on a worker, whoever holds it."""
+        return frozenset(self._by_worker.get(instance_id, ()))
+
+    def holders(self) -> tuple[str, ...]:
+        """Return the entries that hold leases."""
+        return tuple(self._by_holder)
+
+    def held_by(self, holder: str) -> frozenset[str]:
+        """Return the jobs whose lease an entry holds."""
+        return frozenset(self._by_holder.get(holder, ()))
+
+    def running_count(self, pool: str, organisation: str) -> int:
+        """Return how many jobs of an organisation run in a pool."""
+        return self._running.get((pool, organisation), 0)
+
+    def _file_running(self, job_id: str, job: Job | None) -> None:
+        worker = job.worker if job is not None else ""
+        before = self._worker_of.get(job_id, "")
+        if worker == before:
+            return
+        if before:
+            self._unfile(job_id, before)
+        if job is not None:
+            self._worker_of[job_id] = worker
+            self._by_worker.setdefault(worker, set()).add(job_id)
+            self._add_running(job, 1)
+
+    def _file_holder(self, job_id: str, holder: str) -> None:
+        before = self._holder_of.pop(job_id, "")
+        if before:
+            self._by_holder[before].discard(job_id)
+            if not self._by_holder[before]:
+                del self._by_holder[before]
+        if holder:
+            self._holder_of[job_id] = holder
+            self._by_holder.setdefault(holder, set()).add(job_id)
+
+    def _unfile(self, job_id: str, worker: str) -> None:
+        del self._worker_of[job_id]
+        jobs = self._by_worker[worker]
+        jobs.discard(job_id)
+        if not jobs:
+            del self._by_worker[worker]
+        job = self._state.jobs.get(job_id)
+        if job is not None:
+            self._add_running(job, -1)
+
+    def _add_running(self, job: Job, change: int) -> None:
+        key = (job.pool, job.organisation)
+        count = self._running.get(key, 0) + change
+        if count > 0:
+            self._running[key] = count
+        else:
+            self._running.pop(key, None)
--- /dev/null
+++ b/mustardward/components/jobs/giveback.py
@@ -0,0 +1,128 @@
+"""Take a task off its worker: by checkpoint, then throttle, then stop."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from returns.result import Success
+
+from ...helpers.timer import TimerService
+from ...platform.models import TaskReport, TaskState
+from ...platform.protocols import WorkerService
+from ...state.models.jobs import EndAttempt, Job
+from .attempt import end_by_ignorance, end_by_report, end_by_silence, end_stalled
+from .calls import CallFailure, CallOutcome, async_outcome_within
+from .const import GIVE_BACK_SECONDS
+from .models import HeldAttempt
+
+TaskCall = Callable[[str, str, int], Awaitable[TaskReport]]
+
+
+class Keeper(Protocol):
+    """Define what giving a task back needs of who holds its lease."""
+
+    @property
+    def workers(self) -> WorkerService:
+        """Return the client of the workers."""
+        ...
+
+    @property
+    def timers(self) -> TimerService:
+        """Return the timer service."""
+        ...
+
+    async def async_end(self, attempt: HeldAttempt, end: EndAttempt) -> None:
+        """State an attempt's end."""
+        ...
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class GiveBack:
+    """Take one attempt's task off its worker."""
+
+    keeper: Keeper
+    attempt: HeldAttempt
+    job: Job
+
+    async def async_for_urgent(self) -> bool:
+        """Free the task's slot; tell whether that worked."""
+        if await self._async_checkpoint():
+            return True
+        if await self._async_throttle():
+            return True
+        return self.job.idempotent and await self._async_stop()
+
+    async def async_vacate(self) -> bool:
+        """Take the task off for good; a job that may not run twice may finish first."""
+        if await self._async_checkpoint():
+            return True
+        return self.job.idempotent and await self._async_stop()
+
+    async def async_cancel(self) -> None:
+        """Stop a cancelled job's task; if it was done already, that is its outcome."""
+        outcome = await self._async_call(self.keeper.workers.async_stop)
+        if isinstance(outcome, Success):
+            await self._async_settle(outcome.unwrap())
+        elif outcome.failure() is CallFailure.REFUSED:
+            await self._async_end(end_by_ignorance(self.attempt, self.job))
+        else:
+            now = self.keeper.timers.monotonic()
+            end = end_by_silence(self.attempt, self.job, now)
+            if end is not None:
+                await self._async_end(end)
+
+    async def async_after_stall(self, suspect: bool) -> None:
+        """Take a task off that makes no progress, and hold that against the worker."""
+        self.attempt.checkpoint_asked = True
+        outcome = await self._async_call(self.keeper.workers.async_checkpoint)
+        if not isinstance(outcome, Success) and self.job.idempotent:
+            outcome = await self._async_call(self.keeper.workers.async_stop)
+        if not isinstance(outcome, Success):
+            return
+        report = outcome.unwrap()
+        if report.state is TaskState.STOPPED:
+            end = end_stalled(self.attempt, self.job, report, suspect)
+            await self._async_end(end)
+            return
+        await self._async_settle(report)
+
+    async def _async_checkpoint(self) -> bool:
+        self.attempt.checkpoint_asked = True
+        return await self._async_try(self.keeper.workers.async_checkpoint)
+
+    async def _async_throttle(self) -> bool:
+        return await self._async_try(self.keeper.workers.async_throttle)
+
+    async def _async_stop(self) -> bool:
+        return await self._async_try(self.keeper.workers.async_stop)
+
+    async def _async_try(self, call: TaskCall) -> bool:
+        outcome = await self._async_call(call)
+        if not isinstance(outcome, Success):
+            return False
+        report = outcome.unwrap()
+        if report.state is TaskState.RUNNING:
+            return False
+        await self._async_settle(report)
+        return True
+
+    async def _async_settle(self, report: TaskReport) -> None:
+        self.attempt.throttled = report.state is TaskState.THROTTLED
+        end = end_by_report(self.attempt, self.job, report, False)
+        if end is not None:
+            await self._async_end(end)
+
+    async def _async_end(self, end: EndAttempt) -> None:
+        await self.keeper.async_end(self.attempt, end)
+
+    async def _async_call(self, call: TaskCall) -> CallOutcome:
+        attempt = self.attempt
+
+        async def async_call() -> TaskReport:
+            return await call(attempt.address, attempt.job_id, attempt.task_generation)
+
+        return await async_outcome_within(
+            self.keeper.timers, GIVE_BACK_SECONDS, async_call
+        )
--- /dev/null
+++ b/mustardward/components/jobs/judge.py
@@ -0,0 +1,67 @@
+"""Judge workers by whether the long work that they start ever finishes."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from typing import Final
+
+SUSPECT_AFTER: Final = 3
+"""Distinct jobs that have to go wrong on a worker, with none finished since."""
+
+SUSPECT_SHARE: Final = 0.25
+"""Largest share of a pool's workers that may be kept from work at once."""
+
+PROBATION_SECONDS: Final = 120.0
+
+
+@dataclass(slots=True)
+class _Record:
+    """Hold what happened on one worker since its last finished job."""
+
+    gone_wrong: set[str] = field(default_factory=set)
+    suspect_since: float | None = None
+
+
+class WorkerJudge:
+    """Keep new tasks from workers that start everything and finish nothing."""
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+
+    def note_finished(self, instance_id: str) -> None:
+        """Clear a worker: it finished a job."""
+        self._records.pop(instance_id, None)
+
+    def note_wrong(self, instance_id: str, job_id: str, now: float) -> None:
+        """Count a job that failed, stalled or was lost on a worker.
+
+        One bad job that is tried over and over is no sign against a worker, so only
+        distinct jobs count.
+        """
+        record = self._records.setdefault(instance_id, _Record())
+        record.gone_wrong.add(job_id)
+        if len(record.gone_wrong) >= SUSPECT_AFTER:
+            record.suspect_since = now
+
+    def is_suspect(self, instance_id: str) -> bool:
+        """Tell whether a worker's failures say nothing about its jobs."""
+        record = self._records.get(instance_id)
+        return record is not None and record.suspect_since is not None
+
+    def kept_out(self, instance_ids: Collection[str], now: float) -> frozenset[str]:
+        """Return the workers of a pool that get no new task now.
+
+        The longest suspect come back on probation; and never more than a share is
+        kept out, since failures that all workers share are not theirs.
+        """
+        suspects = [
+            (record.suspect_since, instance_id)
+            for instance_id in instance_ids
+            if (record := self._records.get(instance_id)) is not None
+            and record.suspect_since is not None
+            and now - record.suspect_since < PROBATION_SECONDS
+        ]
+        allowed = int(SUSPECT_SHARE * len(instance_ids))
+        suspects.sort(key=lambda item: (-item[0], item[1]))
+        return frozenset(instance_id for _, instance_id in suspects[:allowed])
--- /dev/null
+++ b/mustardward/components/jobs/lessons.py
@@ -0,0 +1,59 @@
+"""Remember what ended attempts teach about workers and run times."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ...helpers.timer import TimerService
+from ...state.models.jobs import AttemptEnd, EndAttempt, Job
+from .const import BUSY_SECONDS, STALL_SECONDS
+from .judge import WorkerJudge
+from .models import HeldAttempt
+from .quantiles import RunTimes
+
+STALL_FACTOR = 2.0
+
+
+@dataclass(slots=True, eq=False)
+class Lessons:
+    """Hold what this process has learnt; it is lost with it, and only advice.
+
+    :param run_key: returns the key by which a job's run time is learnt.
+    """
+
+    timers: TimerService
+    run_key: Callable[[Job], str]
+    judge: WorkerJudge = field(default_factory=WorkerJudge)
+    run_times: RunTimes = field(default_factory=RunTimes)
+    _busy_until: dict[str, float] = field(default_factory=dict)
+
+    def busy_workers(self, now: float) -> frozenset[str]:
+        """Return the workers that refused a task a moment ago."""
+        self._busy_until = {k: v for k, v in self._busy_until.items() if v > now}
+        return frozenset(self._busy_until)
+
+    def expected_seconds(self, job: Job, quantile: float) -> float:
+        """Return a quantile of the job's run time."""
+        return self.run_times.estimate(
+            self.run_key(job), job.declared_seconds, quantile
+        )
+
+    def is_stalled(self, attempt: HeldAttempt, job: Job) -> bool:
+        """Tell whether a task has made no progress for longer than it should run."""
+        quiet = self.timers.monotonic() - attempt.progressed
+        if quiet <= STALL_SECONDS:
+            return False
+        return quiet > STALL_FACTOR * self.expected_seconds(job, 0.99)
+
+    def learn(self, attempt: HeldAttempt, end: EndAttempt, job: Job | None) -> None:
+        """Learn from an attempt whose end the log accepted."""
+        now = self.timers.monotonic()
+        if end.outcome == AttemptEnd.DONE:
+            self.judge.note_finished(attempt.instance_id)
+            if job is not None and not attempt.from_checkpoint:
+                self.run_times.note(self.run_key(job), now - attempt.began)
+        if end.outcome == AttemptEnd.REFUSED:
+            self._busy_until[attempt.instance_id] = now + BUSY_SECONDS
+        if end.outcome in (AttemptEnd.FAILED, AttemptEnd.LOST):
+            self.judge.note_wrong(attempt.instance_id, attempt.job_id, now)
--- /dev/null
+++ b/mustardward/components/jobs/pool_view.py
@@ -0,0 +1,120 @@
+"""See a pool of one data centre as the scheduler needs it."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ...state.fleet import FleetState
+from ...state.models.jobs import Job
+from ...state.models.pools import Instance
+from ...state.models.templates import Organisation, Urgency
+from ...state.protocols import FleetLog
+from .board import JobBoard
+from .models import Need, WorkerRoom, could_ever_fit, empty_room, need_of
+from .placement import PoolView
+
+
+@dataclass(slots=True, eq=False)
+class PoolIndex:
+    """Know a data centre's instances by pool, and who may use each pool.
+
+    The walk over all instances is made once for each change of the fleet's state that
+    a look falls behind, never for each job.
+
+    :param may_get_work: tells whether membership knows nothing against a worker.
+    """
+
+    fleet: FleetLog
+    data_centre: str
+    may_get_work: Callable[[str], bool]
+    _sequence: int = -1
+    _by_pool: dict[str, list[Instance]] = field(default_factory=dict)
+    _reserve: dict[str, float] = field(default_factory=dict)
+
+    def instances(self, pool: str) -> list[Instance]:
+        """Return the instances of a pool here, usable or not."""
+        self._refresh()
+        return self._by_pool.get(pool, [])
+
+    def urgent_reserve(self, pool: str) -> float:
+        """Return the share of a pool's slots that long work has to leave free."""
+        self._refresh()
+        return self._reserve.get(pool, 0.0)
+
+    def can_ever_run(self, pool: str, need: Need) -> bool:
+        """Tell whether some worker of the pool is large enough when empty."""
+        return any(could_ever_fit(item, need) for item in self.instances(pool))
+
+    def is_usable(self, instance_id: str) -> bool:
+        """Tell whether a worker may be given a new task."""
+        state = self.fleet.state
+        instance = state.instances.get(instance_id)
+        if instance is None or instance.removed:
+            return False
+        return not self.must_vacate(instance_id) and self.may_get_work(instance_id)
+
+    def must_vacate(self, instance_id: str) -> bool:
+        """Tell whether the fleet's state takes a worker out of use."""
+        state = self.fleet.state
+        instance = state.instances.get(instance_id)
+        taken = instance_id in state.claims or instance_id in state.moves
+        return taken or instance is None or instance.removed
+
+    def view(self, pool: str, board: JobBoard, now_out: frozenset[str]) -> PoolView:
+        """Return what the pool offers now; ``now_out`` workers get nothing."""
+        rooms = []
+        total = 0
+        busy = 0
+        for instance in self.instances(pool):
+            if not self.is_usable(instance.instance_id):
+                continue
+            room, count = _room(instance, board)
+            total += instance.slots
+            busy += count
+            if instance.instance_id not in now_out:
+                rooms.append(room)
+        allowed = math.floor(total * (1.0 - self.urgent_reserve(pool)))
+        weights = {
+            name: organisation.parameters.quota.weight
+            for name, organisation in self.fleet.state.organisations.items()
+        }
+        return PoolView(rooms, allowed - busy, {}, weights)
+
+    def _refresh(self) -> None:
+        if self._sequence == self.fleet.sequence:
+            return
+        state = self.fleet.state
+        by_pool: dict[str, list[Instance]] = {}
+        for instance in state.instances.values():
+            if instance.data_centre == self.data_centre and not instance.removed:
+                by_pool.setdefault(instance.pool, []).append(instance)
+        self._by_pool = by_pool
+        self._reserve = _reserves(state)
+        self._sequence = self.fleet.sequence
+
+
+def _room(instance: Instance, board: JobBoard) -> tuple[WorkerRoom, int]:
+    room = empty_room(instance)
+    jobs: list[Job] = []
+    for job_id in board.running_on(instance.instance_id):
+        job = board.state.jobs.get(job_id)
+        if job is not None:
+            jobs.append(job)
+            room.take(need_of(job))
+    return room, len(jobs)
+
+
+def _reserves(state: FleetState) -> dict[str, float]:
+    reserves: dict[str, float] = {}
+    for organisation in state.organisations.values():
+        share = organisation.parameters.urgent_reserve
+        for pool in _urgent_pools(organisation):
+            reserves[pool] = max(share, reserves.get(pool, 0.0))
+    return reserves
+
+
+def _urgent_pools(organisation: Organisation) -> set[str]:
+    services = organisation.parameters.services
+    return {item.pool for item in services if item.urgency is Urgency.URGENT}
--- /dev/null
+++ b/mustardward/components/jobs/preemption.py
@@ -0,0 +1,36 @@
+"""Choose which tasks give their slots back: pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from .const import NEARLY_DONE, PROTECT_AFTER_PREEMPTIONS
+
+
+@dataclass(frozen=True, slots=True)
+class Victim:
+    """Hold what the choice needs to know of a running task."""
+
+    job_id: str
+    began: float
+    progress: float
+    preemptions: int
+    idempotent: bool
+    throttled: bool
+
+
+def choose_victims(tasks: Iterable[Victim], count: int) -> list[Victim]:
+    """Return the tasks to checkpoint, those that lose least first.
+
+    Tasks nearly done, and jobs that gave way often already, come last: else the same
+    long job would be the victim each time and never end.
+    """
+    candidates = [task for task in tasks if not task.throttled]
+    return sorted(candidates, key=_loss)[:count]
+
+
+def _loss(task: Victim) -> tuple[bool, bool, int, float, str]:
+    protected = task.preemptions >= PROTECT_AFTER_PREEMPTIONS
+    nearly_done = task.progress >= NEARLY_DONE
+    return protected, nearly_done, task.preemptions, -task.began, task.job_id
--- /dev/null
+++ b/mustardward/components/jobs/setup.py
@@ -0,0 +1,115 @@
+"""Put the parts of long work together in one process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from uuid import uuid4
+
+from ...core import Core, Unload
+from ...state.models.jobs import Job
+from ..keys import FLEET_LOG, JOBS, MEMBERSHIP, WORK_LOG, WORKER_SERVICE
+from ..membership.models import InstanceLeaving, MemberStatus
+from ..membership.protocols import Membership
+from ..retries.intents_home import home_name
+from .const import TICK_SECONDS
+from .keeper import AttemptKeeper
+from .lessons import Lessons
+from .models import SlotsWanted
+from .pool_view import PoolIndex
+from .scheduler import JobScheduler
+from .services import LogJobService
+
+_PRESENT = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+
+
+async def async_setup_jobs(core: Core) -> Unload:
+    """Publish the job service, start its ticks, and return what undoes that."""
+    scheduler = _make_scheduler(core)
+    service = LogJobService(
+        log=core.get(WORK_LOG),
+        fleet=core.get(FLEET_LOG),
+        pools=scheduler.pools,
+        scheduler=scheduler,
+        draw_id=lambda: uuid4().hex,
+    )
+    core.put(JOBS, service)
+    undo = _subscribe(core, scheduler)
+
+    async def async_unload() -> None:
+        core.remove(JOBS)
+        for unsubscribe in reversed(undo):
+            unsubscribe()
+
+    return async_unload
+
+
+def _make_scheduler(core: Core) -> JobScheduler:
+    entry = core.settings.entry
+    fleet = core.get(FLEET_LOG)
+    membership = core.find(MEMBERSHIP)
+    incarnation = membership.own.incarnation if membership else 0
+    identity = home_name(entry.name, incarnation)
+    may_get_work = membership.instance_may_get_work if membership else _always
+    pools = PoolIndex(fleet, entry.data_centre, may_get_work)
+    keeper = AttemptKeeper(
+        log=core.get(WORK_LOG),
+        workers=core.get(WORKER_SERVICE),
+        timers=core.timers,
+        identity=identity,
+        usable=pools.is_usable,
+        lessons=Lessons(core.timers, lambda job: _run_key(core, job)),
+    )
+    return JobScheduler(
+        log=core.get(WORK_LOG),
+        keeper=keeper,
+        pools=pools,
+        timers=core.timers,
+        owns_duty=membership.owns_duty if membership else _always,
+        holder_present=_presence(membership, entry.data_centre, identity),
+        random=Random(identity),
+    )
+
+
+def _subscribe(core: Core, scheduler: JobScheduler) -> list[Callable[[], None]]:
+    def on_slots_wanted(event: SlotsWanted) -> None:
+        core.tasks.start_soon(scheduler.async_free_slots, event.pool, event.slots)
+
+    def on_leaving(event: InstanceLeaving) -> None:
+        core.tasks.start_soon(scheduler.async_vacate, event.instance_id)
+
+    timers = core.timers
+    return [
+        core.get(WORK_LOG).listen(scheduler.on_record),
+        timers.subscribe("jobs.tick", TICK_SECONDS, scheduler.async_tick),
+        timers.subscribe_pause(scheduler.keeper.on_pause),
+        core.events.listen(SlotsWanted, on_slots_wanted),
+        core.events.listen(InstanceLeaving, on_leaving),
+    ]
+
+
+def _presence(
+    membership: Membership | None, data_centre: str, identity: str
+) -> Callable[[str], bool]:
+    def is_present(holder: str) -> bool:
+        if membership is None:
+            return holder == identity
+        return any(
+            home_name(item.name, item.incarnation) == holder
+            for item in membership.members(data_centre)
+            if item.status in _PRESENT
+        )
+
+    return is_present
+
+
+def _run_key(core: Core, job: Job) -> str:
+    # Organisations made from one template run the same services, so what one teaches
+    # holds for the next.
+    organisation = core.get(FLEET_LOG).state.organisations.get(job.organisation)
+    template = organisation.template if organisation else job.organisation
+    return f"{template}/{job.service}"
+
+
+def _always(name: str) -> bool:
+    return True
--- a/mustardward/state/handlers/jobs.py
+++ b/mustardward/state/handlers/jobs.py
@@ -107,6 +107,7 @@
         return Failure(JobStateError(f"job_id={job.job_id} worker={job.worker}"))
     if job.status == "waiting":
         job.attempts += 1
+        job.task_generation = context.sequence
     job.status = status
     job.generation = context.sequence
     job.holder = body.holder
@@ -206,6 +207,8 @@
 def _count(job: Job, body: EndAttempt) -> None:
     if body.outcome == AttemptEnd.LOST:
         job.losses += 1
+    if body.outcome == AttemptEnd.PREEMPTED:
+        job.preemptions += 1
     if body.outcome != AttemptEnd.FAILED:
         return
     job.failures += 1
--- a/mustardward/state/models/jobs.py
+++ b/mustardward/state/models/jobs.py
@@ -13,7 +13,8 @@
     """Hold one accepted job.
 
     ``status`` is a state of ``charts/job.yaml``; ``generation`` fences the attempt
-    that holds the lease now, 0 if none does.
+    that holds the lease now, 0 if none does. ``task_generation`` is the one that the
+    worker knows the task by; it stays when another holder takes the attempt over.
     """
 
     job_id: str
@@ -40,6 +41,8 @@
     digest: str = ""
     failures: int = 0
     losses: int = 0
+    task_generation: int = 0
+    preemptions: int = 0
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/components/jobs/test_scheduling.py
@@ -0,0 +1,399 @@
+"""Run long work on fake workers and let everything fail."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from mustardward.components.jobs.const import LEASE_SECONDS
+from mustardward.components.jobs.errors import JobQuotaError, JobUnplaceableError
+from mustardward.components.jobs.models import Submission
+from mustardward.platform.models import TaskReport, TaskState
+from mustardward.state.models.maintenance import Claim
+from tests.fakes.jobs_world import Entry, JobsWorld
+
+pytestmark = pytest.mark.anyio
+
+
+def status(entry: Entry, job_id: str) -> str:
+    return entry.service.status(job_id).unwrap().status
+
+
+def worker_of(entry: Entry, job_id: str) -> str:
+    return entry.service.status(job_id).unwrap().worker
+
+
+async def test_a_job_runs_to_its_result() -> None:
+    world = JobsWorld()
+    entry = world.add_entry("a")
+    job_id = await world.async_submit(entry, "plan-1")
+    await world.async_run(3)
+    assert status(entry, job_id) == "running"
+    await world.async_run(40)
+    view = entry.service.status(job_id).unwrap()
+    assert (view.status, view.result, view.attempts) == ("done", b"done", 1)
+    assert entry.keeper.held == {}
+
+
+async def test_a_submission_repeated_after_a_lost_answer_is_accepted_once() -> None:
+    world = JobsWorld()
+    entry = world.add_entry("a")
+    entry.log.lose_next = True
+    submission = Submission("derwent", "plans", job_id="plan-1")
+    first = await entry.service.async_submit(submission, "tests")
+    assert first.failure().code == "platform-outcome-unknown"
+    assert (await entry.service.async_submit(submission, "tests")).unwrap()
+    await world.async_run(60)
+    assert world.workers.runs("derwent.plan-1") == 1
+
+
+async def test_work_that_no_worker_can_take_is_refused_at_the_border() -> None:
+    world = JobsWorld(quota=1)
+    entry = world.add_entry("a")
+    large = Submission("derwent", "plans", cores=33)
+    refused = await entry.service.async_submit(large, "tests")
+    assert isinstance(refused.failure(), JobUnplaceableError)
+    await world.async_submit(entry, "plan-1")
+    second = await entry.service.async_submit(Submission("derwent", "plans"), "t")
+    assert isinstance(second.failure(), JobQuotaError)
+
+
+async def test_a_holder_paused_past_its_lease_starts_nothing_when_it_wakes() -> None:
+    """Recheck a lease after a pause.
+
+    Symptom: a job that may not run twice runs on two workers. Sequence: entry a has
+    its lease accepted and is stopped before the start; b takes the job over, finds no
+    task and holds it; a wakes. Cause: a believed in a lease that had passed on.
+    """
+    world = JobsWorld()
+    a = world.add_entry("a")
+    job_id = await world.async_submit(a, "plan-1", idempotent=False)
+    a.keeper._paused = True
+    world.shared.out = True
+    await world.async_run(1)
+    world.shared.out = False
+    job = a.log.state.jobs[job_id]
+    attempt = await a.scheduler._async_lease(job, "worker-0")
+    assert attempt is not None
+    a.frozen = True
+    b = world.add_entry("b")
+    del world.entries["a"]
+    await world.async_run(15)
+    assert status(b, job_id) == "held"
+    world.timers.pause(LEASE_SECONDS)
+    await a.keeper.async_tick()
+    assert world.workers.runs(job_id) == 0
+    assert a.keeper.held == {}
+
+
+async def test_a_paused_holder_with_the_log_out_starts_nothing() -> None:
+    world = JobsWorld()
+    a = world.add_entry("a")
+    job_id = await world.async_submit(a, "plan-1")
+    attempt = await a.scheduler._async_lease(a.log.state.jobs[job_id], "worker-0")
+    world.timers.pause(60.0)
+    world.shared.out = True
+    await a.keeper.async_tick()
+    assert world.workers.runs(job_id) == 0
+    assert attempt is not None and not attempt.started
+    world.shared.out = False
+    await a.keeper.async_tick()
+    assert world.workers.runs(job_id) == 1
+
+
+async def test_a_lost_start_acknowledgement_is_met_by_a_report() -> None:
+    """Ask for the task by its id.
+
+    Symptom: a casting run is made twice. Sequence: the worker starts the task, its
+    answer is lost, and the holder starts the task again elsewhere. Cause: no answer
+    was taken for no start.
+    """
+    world = JobsWorld()
+    entry = world.add_entry("a")
+    job_id = await world.async_submit(entry, "plan-1", idempotent=False)
+    for worker in world.workers.at.values():
+        worker.lose_answers = 1
+    await world.async_run(60)
+    assert status(entry, job_id) == "done"
+    assert world.workers.runs(job_id) == 1
+
+
+async def test_a_lost_start_and_a_reboot_hold_what_may_not_run_twice() -> None:
+    world = JobsWorld(workers_count=1)
+    entry = world.add_entry("a")
+    job_id = await world.async_submit(entry, "plan-1", idempotent=False)
+    world.workers.at["worker-0"].lose_answers = 1
+    await world.async_run(1)
+    world.workers.reboot("worker-0")
+    await world.async_run(20)
+    assert status(entry, job_id) == "held"
+    assert [view.job_id for view in entry.service.stuck()] == [job_id]
+    (await entry.service.async_retry(job_id, "operator")).unwrap()
+    await world.async_run(60)
+    assert status(entry, job_id) == "done"
+
+
+async def test_jobs_of_a_replaced_entry_go_on_where_they_run() -> None:
+    """Take jobs over without running them again.
+
+    Symptom: a plan is lost when its entry is replaced, or runs twice. Sequence: an
+    entry with running and waiting jobs goes without a word. Cause: what runs was known
+    to the entry alone.
+    """
+    world = JobsWorld(workers_count=1)
+    a = world.add_entry("a")
+    jobs = [
+        await world.async_submit(a, f"plan-{number}", idempotent=False)
+        for number in range(12)
+    ]
+    await world.async_run(3)
+    b = world.add_entry("b")
+    world.remove_entry("a")
+    await world.async_run(120)
+    assert [status(b, job_id) for job_id in jobs] == ["done"] * 12
+    assert [world.workers.runs(job_id) for job_id in jobs] == [1] * 12
+
+
+async def test_a_worker_that_finishes_nothing_loses_its_tasks_and_gets_no_more() -> (
+    None
+):
+    """Judge a worker by what it finishes.
+
+    Symptom: jobs hang for hours on one worker while its peers are idle. Sequence: a
+    worker accepts each start and renews each lease, and no task ever moves. Cause: a
+    live lease was taken for a working worker.
+    """
+    world = JobsWorld(workers_count=4)
+    entry = world.add_entry("a")
+    world.workers.at["worker-1"].stuck = True
+    jobs = [
+        await world.async_submit(entry, f"plan-{number}", declared_seconds=5.0)
+        for number in range(40)
+    ]
+    await world.async_run(600)
+    assert {status(entry, job_id) for job_id in jobs} == {"done"}
+    assert entry.keeper.lessons.judge.is_suspect("worker-1")
+    await world.async_submit(entry, "late")
+    await world.async_run(2)
+    assert worker_of(entry, "derwent.late") != "worker-1"
+
+
+async def test_a_job_that_fails_everywhere_is_parked_with_its_workers() -> None:
+    world = JobsWorld(workers_count=4)
+    entry = world.add_entry("a")
+    for worker in world.workers.at.values():
+        worker.fails = True
+    job_id = await world.async_submit(entry, "plan-1")
+    await world.async_run(120)
+    view = entry.service.status(job_id).unwrap()
+    assert view.status == "parked"
+    assert len(view.failed_workers) == 3
+
+
+async def test_a_cancellation_that_races_a_start_leaves_nothing_running() -> None:
+    """Stop what a cancellation met on its way to the worker.
+
+    Symptom: a cancelled order is etched. Sequence: the lease is accepted, the
+    cancellation is, and only then the worker gets its start. Cause: the start did not
+    look at the log again, or the running task was never stopped.
+    """
+    world = JobsWorld()
+    entry = world.add_entry("a")
+    job_id = await world.async_submit(entry, "plan-1")
+    job = entry.log.state.jobs[job_id]
+    await entry.scheduler._async_lease(job, "worker-0")
+    await entry.service.async_cancel("derwent", job_id, "", "operator")
+    await world.async_run(1)
+    assert (status(entry, job_id), world.workers.runs(job_id)) == ("cancelled", 0)
+    second = await world.async_submit(entry, "plan-2")
+    await world.async_run(2)
+    await entry.service.async_cancel("derwent", second, "", "operator")
+    await world.async_run(2)
+    assert status(entry, second) == "cancelled"
+    states = [
+        t.report.state for w in world.workers.at.values() for t in w.tasks.values()
+    ]
+    assert TaskState.RUNNING not in states
+
+
+async def test_ten_thousand_cancelled_at_once_cost_one_append_and_no_call() -> None:
+    """Cancel in a wave at constant cost.
+
+    Symptom: urgent starts stand still while a user cancels. Sequence: 10,000 jobs of a
+    group wait and eight run when the group is cancelled. Cause: each job cost an
+    append, a call or a visit of its own.
+    """
+    world = JobsWorld(workers_count=1)
+    entry = world.add_entry("a")
+    for number in range(10_000):
+        await world.async_submit(entry, f"plan-{number}", group="spring")
+    await world.async_run(2)
+    appends = world.shared.appends
+    calls = world.workers.calls
+    await entry.service.async_cancel("derwent", "", "spring", "operator")
+    assert world.shared.appends == appends + 1
+    assert world.workers.calls == calls
+    other = await world.async_submit(entry, "urgent-plan")
+    await world.async_run(45)
+    assert world.workers.calls <= calls + 100
+    assert status(entry, other) in ("running", "done")
+    assert status(entry, "derwent.plan-9999") == "cancelled"
+
+
+async def test_urgent_work_gets_slots_by_checkpoint_then_throttle_then_stop() -> None:
+    world = JobsWorld(workers_count=3, slots=1)
+    entry = world.add_entry("a")
+    jobs = [await world.async_submit(entry, f"plan-{number}") for number in range(3)]
+    await world.async_run(10)
+    at = world.workers.at
+    at["worker-1"].no_checkpoint = True
+    at["worker-2"].no_checkpoint = True
+    at["worker-2"].no_throttle = True
+    by_worker = {worker_of(entry, job_id): job_id for job_id in jobs}
+    assert await entry.service.async_free_slots("casting", 3) == 3
+    states = {name: worker.tasks for name, worker in at.items()}
+    found = [
+        states[name][by_worker[name]].report.state
+        for name in ("worker-0", "worker-1", "worker-2")
+    ]
+    assert found == [TaskState.STOPPED, TaskState.THROTTLED, TaskState.STOPPED]
+    checkpointed = entry.service.status(by_worker["worker-0"]).unwrap()
+    assert (checkpointed.status, checkpointed.checkpoint != "") == ("waiting", True)
+    await world.async_run(400)
+    assert {status(entry, job_id) for job_id in jobs} == {"done"}
+
+
+async def test_a_job_that_may_not_run_twice_is_never_stopped_for_urgent_work() -> None:
+    world = JobsWorld(workers_count=1, slots=1)
+    entry = world.add_entry("a")
+    job_id = await world.async_submit(entry, "plan-1", idempotent=False)
+    await world.async_run(5)
+    worker = world.workers.at["worker-0"]
+    worker.no_checkpoint = worker.no_throttle = True
+    assert await entry.service.async_free_slots("casting", 1) == 0
+    await world.async_run(60)
+    assert (status(entry, job_id), world.workers.runs(job_id)) == ("done", 1)
+
+
+async def test_long_work_leaves_the_urgent_reserve_free() -> None:
+    world = JobsWorld(workers_count=4, slots=8, reserve=0.25)
+    entry = world.add_entry("a")
+    for number in range(64):
+        await world.async_submit(entry, f"plan-{number}")
+    await world.async_run(5)
+    running = sum(len(worker.tasks) for worker in world.workers.at.values())
+    assert running == 24
+
+
+async def test_a_claimed_worker_is_vacated_and_its_jobs_resume_elsewhere() -> None:
+    world = JobsWorld(workers_count=2)
+    a = world.add_entry("a")
+    b = world.add_entry("b")
+    job_id = await world.async_submit(a, "plan-1")
+    await world.async_run(10)
+    before = worker_of(a, job_id)
+    claim = Claim(before, "wave-1", "b/1", 1, "claimed", 1)
+    world.fleet.state.claims[before] = claim
+    assert not await b.service.async_vacate(before)
+    await world.async_run(2)
+    assert await b.service.async_vacate(before)
+    assert worker_of(a, job_id) not in ("", before)
+    await world.async_run(60)
+    view = a.service.status(job_id).unwrap()
+    assert (view.status, view.attempts) == ("done", 2)
+    assert float(view.checkpoint) > 0.0
+
+
+async def test_a_lease_whose_append_lost_its_answer_still_starts_its_job() -> None:
+    """Adopt what the log gave without a word.
+
+    Symptom: a job shows as running for ever and no worker has it. Sequence: the lease
+    is appended, the answer is lost. Cause: the holder by the log held nothing.
+    """
+    world = JobsWorld()
+    entry = world.add_entry("a")
+    job_id = await world.async_submit(entry, "plan-1", idempotent=False)
+    entry.log.lose_next = True
+    await world.async_run(60)
+    assert (status(entry, job_id), world.workers.runs(job_id)) == ("done", 1)
+
+
+async def test_an_unreachable_worker_gives_its_job_up_only_after_its_lease() -> None:
+    world = JobsWorld(workers_count=2)
+    entry = world.add_entry("a")
+    job_id = await world.async_submit(entry, "plan-1")
+    world.workers.seconds[job_id] = 300.0
+    await world.async_run(3)
+    first = worker_of(entry, job_id)
+    world.workers.at[first].down = True
+    await world.async_run(LEASE_SECONDS)
+    assert worker_of(entry, job_id) == first
+    await world.async_run(60)
+    assert worker_of(entry, job_id) not in ("", first)
+    task = world.workers.at[first].tasks[job_id]
+    assert task.report.state is TaskState.LAPSED
+
+
+async def test_a_large_organisations_flood_does_not_starve_a_small_one() -> None:
+    world = JobsWorld(workers_count=1, slots=4)
+    entry = world.add_entry("a")
+    for number in range(200):
+        await world.async_submit(entry, f"plan-{number}")
+    await world.async_run(10)
+    small = await world.async_submit(entry, "rind", organisation="hvelvlogikk")
+    await world.async_run(32)
+    assert status(entry, small) in ("running", "done")
+
+
+async def test_a_job_that_needs_a_whole_worker_is_not_starved_by_small_ones() -> None:
+    """Reserve a worker for who has waited long.
+
+    Symptom: a plan that needs 32 cores waits for ever in a busy pool. Sequence: small
+    jobs keep coming and take each core that falls free. Cause: whoever fits goes first.
+    """
+    world = JobsWorld(workers_count=2, slots=8)
+    entry = world.add_entry("a")
+    number = 0
+    for number in range(40):
+        await world.async_submit(entry, f"small-{number}", cores=4)
+    large = await world.async_submit(entry, "large", cores=32)
+    started = 0
+    for round_number in range(120):
+        for _ in range(4):
+            number += 1
+            await world.async_submit(
+                entry, f"small-{number}", cores=4, organisation="hvelvlogikk"
+            )
+        await world.async_run(10)
+        if status(entry, large) in ("running", "done"):
+            started = round_number
+            break
+    assert status(entry, large) in ("running", "done")
+    assert started < 60
+
+
+async def test_log_out_keeps_running_tasks_alive_and_states_ends_later() -> None:
+    world = JobsWorld()
+    entry = world.add_entry("a")
+    job_id = await world.async_submit(entry, "plan-1", idempotent=False)
+    await world.async_run(5)
+    world.shared.out = True
+    await world.async_run(120)
+    assert status(entry, job_id) == "running"
+    world.shared.out = False
+    await world.async_run(3)
+    assert (status(entry, job_id), world.workers.runs(job_id)) == ("done", 1)
+
+
+async def test_a_delayed_old_start_on_another_worker_is_not_taken_for_the_job() -> None:
+    world = JobsWorld(workers_count=2)
+    entry = world.add_entry("a")
+    job_id = await world.async_submit(entry, "plan-1")
+    await world.async_run(2)
+    worker = world.workers.at[worker_of(entry, job_id)]
+    task = worker.tasks[job_id]
+    stray: Any = TaskReport(job_id, 1, TaskState.DONE, 1.0, "", b"stray")
+    task.report = stray
+    await world.async_run(90)
+    assert entry.service.status(job_id).unwrap().result == b"done"
--- /dev/null
+++ b/tests/fakes/jobs_world.py
@@ -0,0 +1,145 @@
+"""Run the long work of several entries on one shared log and fake workers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+from mustardward.components.jobs.keeper import AttemptKeeper
+from mustardward.components.jobs.lessons import Lessons
+from mustardward.components.jobs.models import Submission
+from mustardward.components.jobs.pool_view import PoolIndex
+from mustardward.components.jobs.scheduler import JobScheduler
+from mustardward.components.jobs.services import LogJobService
+from mustardward.helpers.timer import DrivenTimerService
+from mustardward.state.fleet import FleetState
+from mustardward.state.models.pools import Instance
+from mustardward.state.models.templates import (
+    Organisation,
+    Overrides,
+    Parameters,
+    Quota,
+    ServiceBinding,
+    Urgency,
+)
+from tests.fakes.workers import FakeWorker, FakeWorkers
+from tests.fakes.worklog import FakeWorkLog, SharedLog
+
+POOL = "casting"
+TICK = 1.0
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """Hold one entry's parts of long work."""
+
+    name: str
+    log: FakeWorkLog
+    keeper: AttemptKeeper
+    scheduler: JobScheduler
+    service: LogJobService
+    frozen: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class JobsWorld:
+    """Drive entries and workers second by second."""
+
+    workers_count: int = 4
+    slots: int = 8
+    reserve: float = 0.0
+    quota: int = 100_000
+    timers: DrivenTimerService = field(default_factory=DrivenTimerService)
+    shared: SharedLog = field(default_factory=SharedLog)
+    entries: dict[str, Entry] = field(default_factory=dict)
+    fleet: Any = None
+    workers: Any = None
+
+    def __post_init__(self) -> None:
+        state = FleetState()
+        self.fleet = SimpleNamespace(state=state, sequence=1, ready=True)
+        self.workers = FakeWorkers(self.timers)
+        for number in range(self.workers_count):
+            self.add_worker(f"worker-{number}")
+        for name in ("derwent", "hvelvlogikk"):
+            self.add_organisation(name)
+
+    def add_worker(self, name: str, **fields: Any) -> None:
+        instance = Instance(
+            name, "dc-1", "rack-1", name, POOL, 1, slots=self.slots, **fields
+        )
+        self.fleet.state.instances[name] = instance
+        self.fleet.sequence += 1
+        self.workers.at[name] = FakeWorker(slots=self.slots)
+
+    def add_organisation(self, name: str) -> None:
+        parameters = Parameters(
+            services=(
+                ServiceBinding("plans", POOL, Urgency.LONG),
+                ServiceBinding("quotes", POOL, Urgency.URGENT),
+            ),
+            urgent_reserve=self.reserve,
+            quota=Quota(long_jobs=self.quota),
+        )
+        self.fleet.state.organisations[name] = Organisation(
+            name, "template", 1, 1, Overrides(), parameters
+        )
+        self.fleet.sequence += 1
+
+    def add_entry(self, name: str) -> Entry:
+        log = FakeWorkLog(self.shared, name)
+        pools = PoolIndex(self.fleet, "dc-1", lambda instance_id: True)
+        keeper = AttemptKeeper(
+            log=log,
+            workers=self.workers,
+            timers=self.timers,
+            identity=f"{name}/1",
+            usable=pools.is_usable,
+            lessons=Lessons(
+                self.timers, lambda job: f"{job.organisation}/{job.service}"
+            ),
+        )
+        scheduler = JobScheduler(
+            log=log,
+            keeper=keeper,
+            pools=pools,
+            timers=self.timers,
+            owns_duty=lambda duty: self._first_alive() == name,
+            holder_present=lambda holder: holder.split("/")[0] in self.entries,
+            random=Random(7),
+        )
+        log.listen(scheduler.on_record)
+        self.timers.subscribe_pause(keeper.on_pause)
+        ids = iter(range(1_000_000))
+        service = LogJobService(
+            log, self.fleet, pools, scheduler, lambda: f"{name}-{next(ids)}"
+        )
+        self.entries[name] = Entry(name, log, keeper, scheduler, service)
+        return self.entries[name]
+
+    def remove_entry(self, name: str) -> Entry:
+        """Take an entry away without a word, as a replaced instance goes."""
+        entry = self.entries.pop(name)
+        self.shared.readers.remove(entry.log)
+        return entry
+
+    async def async_run(self, seconds: float) -> None:
+        """Let time pass, with a tick of every entry that is not frozen."""
+        for _ in range(int(seconds / TICK)):
+            await self.timers.async_advance(TICK)
+            self.workers.advance()
+            for entry in list(self.entries.values()):
+                if not entry.frozen:
+                    await entry.scheduler.async_tick()
+
+    async def async_submit(self, entry: Entry, job_id: str, **fields: Any) -> str:
+        """Submit a job and return its full id."""
+        values = {"organisation": "derwent", "service": "plans"} | fields
+        submission = Submission(job_id=job_id, **values)
+        return (await entry.service.async_submit(submission, "tests")).unwrap().job_id
+
+    def _first_alive(self) -> str:
+        alive = [item.name for item in self.entries.values() if not item.frozen]
+        return min(alive, default="")
