--- a/mustardward/state/follower.py
+++ b/mustardward/state/follower.py
@@ -139,10 +139,11 @@
                 await self._async_ask_peers()
 
     def _wait_seconds(self) -> float:
-        # At the start and after a pause the tail is wanted at once; a long poll at an
-        # idle log would hold it back.
+        # At the start, after a pause and after an outage the tail is wanted at once; a
+        # long poll at an idle log would hold it back.
         fresh = self._tail.confirmed_once and self._tail.sufficient
-        return self._options.poll_seconds if fresh else 0.0
+        whole = not self._lost and not self._log_failed
+        return self._options.poll_seconds if fresh and whole else 0.0
 
     async def _async_read(self, wait_seconds: float) -> None:
         if not self._started:
--- a/tests/fakes/log.py
+++ b/tests/fakes/log.py
@@ -171,6 +171,8 @@
         self.log = log
         self._cut_off = False
         self.delay_seconds = 0.0
+        self.hang = False
+        """Let every call wait for ever, as behind a link that drops all packets."""
 
     @property
     def cut_off(self) -> bool:
@@ -198,6 +200,8 @@
         return page
 
     async def _async_pass(self) -> None:
+        if self.hang:
+            await anyio.sleep_forever()
         if self.delay_seconds > 0:
             await anyio.sleep(self.delay_seconds)
         if self.cut_off:
--- a/tests/state/test_log.py
+++ b/tests/state/test_log.py
@@ -2,13 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-from random import Random
 from typing import Any
 
-import anyio
-import anyio.lowlevel
 import pytest
 from returns.result import Failure
 
@@ -17,87 +12,19 @@
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
 )
-from mustardward.helpers.timer import DrivenTimerService
 from mustardward.state.fleet import FleetState
 from mustardward.state.fold import RevisionConflictError
 from mustardward.state.log import FoldedLog
 from mustardward.state.models.pools import PutPool
 from mustardward.state.models.templates import PublishTemplate
-from mustardward.state.options import LogOptions
 from mustardward.state.records import encode_batch
-from mustardward.state.streams import FLEET_SPEC
 from tests.builders import build_parameters, build_record
 from tests.fakes.log import FakeLog, LogClient
+from tests.fakes.log_bench import running_bench
 
 pytestmark = pytest.mark.anyio
 
 
-class LogBench:
-    """Drive folded logs on one fake log and one driven clock."""
-
-    def __init__(self, group: anyio.abc.TaskGroup) -> None:
-        self.group = group
-        self.service = FakeLog()
-        self.timers = DrivenTimerService()
-        self.logs: list[FoldedLog[FleetState]] = []
-
-    def start(self, client: LogClient | None = None) -> FoldedLog[FleetState]:
-        """Start a node."""
-        log = FoldedLog(
-            FLEET_SPEC,
-            client or self.service,
-            self.timers,
-            LogOptions(),
-            Random(len(self.logs)),
-        )
-        self.logs.append(log)
-        self.group.start_soon(log.async_run)
-        return log
-
-    async def async_settle(self, seconds: float = 0.0, step: float = 0.05) -> None:
-        """Let everything run that can, and drive the clock on."""
-        await _async_idle()
-        elapsed = 0.0
-        while elapsed < seconds:
-            await self.timers.async_advance(step)
-            await _async_idle()
-            elapsed += step
-
-    async def async_propose(
-        self, log: FoldedLog[FleetState], body: Any, seconds: float = 10.0, **more: Any
-    ) -> Any:
-        """Propose a record and drive the clock until there is an outcome."""
-        results: list[Any] = []
-
-        async def propose() -> None:
-            results.append(await log.async_propose(body, actor="operator", **more))
-
-        self.group.start_soon(propose)
-        await self.async_until(lambda: bool(results), seconds)
-        return results[0]
-
-    async def async_until(self, condition: Callable[[], bool], seconds: float) -> None:
-        """Drive the clock until a condition holds."""
-        for _ in range(int(seconds / 0.05) + 1):
-            await _async_idle()
-            if condition():
-                return
-            await self.timers.async_advance(0.05)
-        raise AssertionError("condition did not come to hold")
-
-
-async def _async_idle() -> None:
-    for _ in range(20):
-        await anyio.lowlevel.checkpoint()
-
-
-@asynccontextmanager
-async def running_bench() -> AsyncIterator[LogBench]:
-    async with anyio.create_task_group() as group:
-        yield LogBench(group)
-        group.cancel_scope.cancel()
-
-
 async def test_a_proposal_is_folded_everywhere() -> None:
     async with running_bench() as bench:
         first, second = bench.start(), bench.start()
--- /dev/null
+++ b/tests/state/test_snapshots.py
@@ -0,0 +1,299 @@
+"""Start and recover from snapshots, and refuse the unusable ones."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import msgspec
+import pytest
+from returns.result import Success
+
+from mustardward.exceptions import SnapshotUnusableError
+from mustardward.state.images import make_image, restore_image
+from mustardward.state.models.pools import PutPool
+from mustardward.state.models.templates import (
+    Overrides,
+    PublishTemplate,
+    PutOrganisation,
+)
+from mustardward.state.options import LogOptions
+from mustardward.state.snapshot_writer import (
+    SnapshotSituation,
+    SnapshotWriter,
+    due_cause,
+)
+from mustardward.state.streams import FLEET_SPEC
+from tests.builders import build_fleet_fold, build_instance, build_parameters
+from tests.fakes.log import LogClient
+from tests.fakes.log_bench import running_bench
+
+pytestmark = pytest.mark.anyio
+
+MANIFESTS = "fleet.snapshots"
+CHUNKS = "fleet.snapshots.chunks"
+
+
+def test_a_restored_fold_goes_on_like_the_one_it_came_from() -> None:
+    original = build_fleet_fold("cellar", "brine")
+    original.accept(PublishTemplate("dairy", build_parameters("cellar")), 0)
+    original.accept(PutOrganisation("undredal", "dairy"), 0)
+    original.accept(PutOrganisation("aurland", "dairy", Overrides(headroom=0.5)), 0)
+    for number in range(50):
+        original.accept(build_instance(f"instance-{number}", "cellar"))
+    restored = build_fleet_fold()
+    image = make_image(FLEET_SPEC, original.fold)
+    restore_image(FLEET_SPEC, restored.fold, image)
+    body = PublishTemplate("dairy", build_parameters("brine"))
+    for builder in (original, restored):
+        builder._count = 1000
+        builder.apply(body, builder.fold.state.templates["dairy"][-1].revision)
+    assert restored.fold.digest == original.fold.digest
+    assert msgspec.msgpack.encode(restored.fold.state) == msgspec.msgpack.encode(
+        original.fold.state
+    )
+    assert restored.fold.remembered("built-3") == original.fold.remembered("built-3")
+    organisations = restored.fold.state.organisations
+    template = restored.fold.state.templates["dairy"][-1].parameters
+    assert organisations["undredal"].parameters is template
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"schema": 99},
+        {"kinds": {"pool.put": 2}},
+        {"kinds": {"pool.split": 1}},
+        {"stream": "work.bergen"},
+        {"body_digest": "00"},
+    ],
+)
+def test_an_image_that_is_not_surely_understood_is_refused(
+    change: dict[str, object],
+) -> None:
+    image = make_image(FLEET_SPEC, build_fleet_fold("cellar").fold)
+    header = replace(image.header, **change)  # type: ignore[arg-type]
+    target = build_fleet_fold()
+    with pytest.raises(SnapshotUnusableError):
+        restore_image(FLEET_SPEC, target.fold, replace(image, header=header))
+    assert target.fold.next_offset == 0
+
+
+def test_an_older_image_is_refused() -> None:
+    """Never step back to a snapshot.
+
+    Symptom: an accepted configuration is gone. Sequence: a node at offset 5 is offered
+    a snapshot of offset 1. Cause: any whole snapshot is taken.
+    """
+    image = make_image(FLEET_SPEC, build_fleet_fold("cellar").fold)
+    ahead = build_fleet_fold("a", "b", "c", "d", "e")
+    with pytest.raises(SnapshotUnusableError):
+        restore_image(FLEET_SPEC, ahead.fold, image)
+    assert set(ahead.fold.state.pools) == {"a", "b", "c", "d", "e"}
+
+
+async def test_a_new_node_starts_from_a_snapshot_when_the_log_forgot() -> None:
+    async with running_bench() as bench:
+        log = bench.start()
+        await bench.async_settle()
+        await bench.async_fill(log, 5)
+        await bench.async_snapshot(log)
+        await bench.async_fill(log, 2)
+        bench.service.expire("fleet", 5)
+        late = bench.start()
+        await bench.async_settle(1.0)
+        assert late.may_decide
+        assert late.digest == log.digest
+
+
+async def test_without_a_snapshot_a_node_never_starts_from_the_latest() -> None:
+    """Refuse to begin in the middle.
+
+    Symptom: a node serves a configuration that lacks most of it, as if it were whole.
+    Sequence: the log forgot its first entries, no snapshot exists, a node starts.
+    Cause: it begins at the oldest entry kept.
+    """
+    async with running_bench() as bench:
+        log = bench.start()
+        await bench.async_settle()
+        await bench.async_fill(log, 5)
+        bench.service.expire("fleet", 3)
+        late = bench.start()
+        await bench.async_settle(10.0)
+        assert not late.ready and not late.may_decide
+        assert late.next_offset == 0
+        await bench.async_snapshot(log)
+        await bench.async_settle(5.0)
+        assert late.ready and late.digest == log.digest
+
+
+async def test_a_node_whose_offset_expired_recovers_from_a_snapshot() -> None:
+    async with running_bench() as bench:
+        client = LogClient(bench.service)
+        log, cut = bench.start(), bench.start(client)
+        await bench.async_settle()
+        await bench.async_fill(log, 2)
+        client.cut_off = True
+        await bench.async_fill(log, 4)
+        await bench.async_snapshot(log)
+        bench.service.expire("fleet", 5)
+        client.cut_off = False
+        restored: list[int] = []
+        cut.listen_restored(lambda: restored.append(cut.next_offset))
+        await bench.async_settle(5.0)
+        assert cut.may_decide
+        assert cut.digest == log.digest
+        assert restored == [6]
+
+
+async def test_an_append_whose_entry_expired_is_answered_from_the_window() -> None:
+    """Answer an author whose own record was folded out of sight.
+
+    Symptom: an accepted change is reported as unknown, or made again. Sequence: the
+    append takes effect, its answer is lost, the node is cut off, the entry expires,
+    and the node recovers from a snapshot. Cause: the node only looks at entries.
+    """
+    async with running_bench() as bench:
+        client = LogClient(bench.service)
+        log, cut = bench.start(), bench.start(client)
+        await bench.async_settle()
+        await bench.async_fill(log, 1)
+        results: list[object] = []
+
+        async def propose() -> None:
+            results.append(
+                await cut.async_propose(
+                    PutPool("late"), actor="operator", timeout_seconds=120.0
+                )
+            )
+
+        bench.service.delay_appends = 1
+        bench.group.start_soon(propose)
+        await bench.async_until(lambda: bool(bench.service.delayed), 1.0)
+        client.cut_off = True
+        bench.service.deliver_delayed()
+        await bench.async_settle()
+        await bench.async_fill(log, 3)
+        await bench.async_snapshot(log)
+        bench.service.expire("fleet", 4)
+        client.cut_off = False
+        await bench.async_until(lambda: bool(results), 20.0)
+        assert isinstance(results[0], Success)
+        assert results[0].unwrap().revision == 2
+        await bench.async_settle(3.0)
+        assert cut.digest == log.digest and cut.sequence == 5
+
+
+async def test_a_gap_in_the_log_is_not_jumped_over() -> None:
+    """Notice a missing entry.
+
+    Symptom: a node misses one change for ever. Sequence: the log loses an entry in the
+    middle; the node reads the following one. Cause: offsets are not compared.
+    """
+    async with running_bench() as bench:
+        log = bench.start()
+        await bench.async_settle()
+        await bench.async_fill(log, 4)
+        del bench.service._streams["fleet"].payloads[2]
+        late = bench.start()
+        await bench.async_settle(3.0)
+        assert late.next_offset == 2
+        assert not late.ready and not late.may_decide
+        await bench.async_snapshot(log)
+        await bench.async_settle(5.0)
+        assert late.digest == log.digest and late.may_decide
+
+
+@pytest.mark.parametrize("stream", [MANIFESTS, CHUNKS])
+async def test_a_corrupt_snapshot_gives_way_to_the_one_before(stream: str) -> None:
+    async with running_bench() as bench:
+        log = bench.start()
+        await bench.async_settle()
+        await bench.async_fill(log, 3)
+        await bench.async_snapshot(log)
+        await bench.async_fill(log, 3)
+        await bench.async_snapshot(log)
+        bench.service.corrupt(stream, bench.service.tail(stream) - 1)
+        bench.service.expire("fleet", 3)
+        image = await log.store.async_load(0)
+        assert image.header.next_offset == 3
+        late = bench.start()
+        await bench.async_settle(1.0)
+        assert late.digest == log.digest
+
+
+async def test_a_writer_that_died_half_way_leaves_nothing_to_load() -> None:
+    async with running_bench() as bench:
+        log = bench.start()
+        await bench.async_settle()
+        await bench.async_fill(log, 3)
+        bench.service.put(CHUNKS, log.image().body)
+        with pytest.raises(SnapshotUnusableError):
+            await log.store.async_load(0)
+
+
+async def test_of_two_writers_at_once_the_further_state_is_loaded() -> None:
+    """Order snapshots by their state.
+
+    Symptom: a node starts from an older state than the log holds a snapshot of.
+    Sequence: a slow writer's manifest comes after a quick one's of a later state.
+    Cause: the last manifest is taken.
+    """
+    async with running_bench() as bench:
+        log = bench.start()
+        await bench.async_settle()
+        await bench.async_fill(log, 2)
+        slow = log.image()
+        await bench.async_fill(log, 3)
+        await bench.async_snapshot(log)
+
+        async def write() -> None:
+            await log.store.async_write(slow)
+
+        bench.group.start_soon(write)
+        await bench.async_until(lambda: bench.service.tail(MANIFESTS) == 2, 5.0)
+        image = await log.store.async_load(0)
+        assert image.header.next_offset == 5
+
+
+async def test_a_snapshot_gets_through_refusals_and_lost_answers() -> None:
+    async with running_bench() as bench:
+        log = bench.start()
+        await bench.async_settle()
+        await bench.async_fill(log, 2)
+        bench.service.refuse_appends = 2
+        bench.service.lose_answers = 2
+        await bench.async_snapshot(log)
+        image = await log.store.async_load(0)
+        assert image.header.fold_digest == log.digest
+
+
+@pytest.mark.parametrize(
+    ("situation", "cause"),
+    [
+        (SnapshotSituation(0, 0, 0.0), ""),
+        (SnapshotSituation(5, 0, 0.0), "missing"),
+        (SnapshotSituation(30_000, 0, 0.0, 20_000, 0.0), "entries"),
+        (SnapshotSituation(1_000, 900, 0.0, 940, 0.0), "retention"),
+        (SnapshotSituation(1_000, 900, 0.0, 960, 0.0), ""),
+        (SnapshotSituation(1_000, 900, 1e6, 1_000, 0.0), "age"),
+    ],
+)
+def test_a_snapshot_is_due_well_before_retention(
+    situation: SnapshotSituation, cause: str
+) -> None:
+    assert due_cause(situation, LogOptions()) == cause
+
+
+async def test_only_the_holder_of_the_duty_writes_and_only_when_due() -> None:
+    async with running_bench() as bench:
+        log = bench.start()
+        await bench.async_settle()
+        await bench.async_fill(log, 3)
+        idle = SnapshotWriter(log, bench.timers, lambda: False)
+        idle.subscribe()
+        await bench.async_settle(65.0, 1.0)
+        assert bench.service.tail(MANIFESTS) == 0
+        writer = SnapshotWriter(log, bench.timers, lambda: True)
+        await bench.async_run(writer.async_check)
+        await bench.async_run(writer.async_check)
+        assert bench.service.tail(MANIFESTS) == 1
