Add routing, limits and retries

Cause: the request path needs a limiter, a router and a retry policy behind the protocols of the entry. Ruled out: one shared queue and a scan of all workers for each choice, since a neighbour's flood and the size of the fleet would then show in every answer. The router's protocol gains choose_remote and slots, the retry policy's gains hedge_after and take_hedge.

--- a/mustardward/components/entry/protocols.py
+++ b/mustardward/components/entry/protocols.py
@@ -13,6 +13,7 @@
 from returns.result import Result
 
 from ...state.models.pools import Instance
+from ..routing.models import RemoteChoice
 from .models import Attempt, AttemptOutcome, RequestFacts, RequestRefusal
 
 
@@ -54,6 +55,20 @@
         """End the in-flight count and judge the worker by the outcome."""
         ...
 
+    def choose_remote(
+        self, facts: RequestFacts, exclude: frozenset[str] = frozenset()
+    ) -> RemoteChoice | None:
+        """Choose an entry of another data centre, if that helps before the deadline.
+
+        Asked after the limiter or :meth:`choose` refused with a code of
+        ``routing.models.REMOTE_HELPS``; ``exclude`` names entries that were tried.
+        """
+        ...
+
+    def slots(self, pool: str) -> int:
+        """Return the slots of a pool's usable workers in this data centre."""
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class RetryDecision:
@@ -77,6 +92,17 @@
         """Note that a request made its first attempt."""
         ...
 
+    def hedge_after(self, facts: RequestFacts) -> float | None:
+        """Return the seconds after which a second attempt may run beside the first.
+
+        Nothing unless the request is urgent and idempotent.
+        """
+        ...
+
+    def take_hedge(self, facts: RequestFacts, now: float) -> bool:
+        """Take a hedged attempt out of the budget; tell whether it may be made."""
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class StoredAnswer:
--- /dev/null
+++ b/mustardward/components/limits/capacity.py
@@ -0,0 +1,68 @@
+"""Read each pool's capacity from what is known now."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ...state.fleet import FleetState
+from ...state.protocols import FleetLog
+from ..membership.protocols import Membership
+from .const import CAPACITY_SECONDS
+from .models import PoolCapacity
+
+
+class CapacityView:
+    """Tell capacities, each at most ``CAPACITY_SECONDS`` old.
+
+    :param slots: returns the slots of a pool's usable workers in this data centre.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: FleetLog,
+        membership: Membership,
+        slots: Callable[[str], int],
+        data_centre: str,
+    ) -> None:
+        self._log = log
+        self._membership = membership
+        self._slots = slots
+        self._data_centre = data_centre
+        self._read: dict[str, tuple[float, PoolCapacity]] = {}
+        self._reserves: dict[str, float] = {}
+        self._reserves_of: tuple[FleetState, int] | None = None
+
+    def of(self, pool: str, now: float) -> PoolCapacity:
+        """Return a pool's capacity."""
+        known = self._read.get(pool)
+        if known is not None and now - known[0] < CAPACITY_SECONDS:
+            return known[1]
+        capacity = PoolCapacity(
+            slots=self._slots(pool),
+            entries=max(1, len(self._membership.live(self._data_centre))),
+            reserve=self._reserve(pool),
+        )
+        self._read[pool] = (now, capacity)
+        return capacity
+
+    def _reserve(self, pool: str) -> float:
+        state = self._log.state
+        version = (state, self._log.sequence)
+        if self._reserves_of is None or not _same(self._reserves_of, version):
+            self._reserves = _largest_reserves(state)
+            self._reserves_of = version
+        return self._reserves.get(pool, 0.0)
+
+
+def _same(first: tuple[FleetState, int], second: tuple[FleetState, int]) -> bool:
+    return first[0] is second[0] and first[1] == second[1]
+
+
+def _largest_reserves(state: FleetState) -> dict[str, float]:
+    reserves: dict[str, float] = {}
+    for organisation in state.organisations.values():
+        share = organisation.parameters.urgent_reserve
+        for binding in organisation.parameters.services:
+            reserves[binding.pool] = max(share, reserves.get(binding.pool, 0.0))
+    return reserves
--- /dev/null
+++ b/mustardward/components/limits/const.py
@@ -0,0 +1,67 @@
+"""Hold the constants of admission."""
+
+from __future__ import annotations
+
+from typing import Final
+
+SWEEP_SECONDS: Final = 0.05
+"""Interval at which waiting requests are checked for their deadlines."""
+
+CAPACITY_SECONDS: Final = 0.1
+"""Longest age of the view of workers, entries and parameters."""
+
+WINDOW_SECONDS: Final = 0.25
+"""Shortest time between two changes of a limit."""
+
+WINDOW_SAMPLES: Final = 5
+"""Fewest answers between two changes of a limit."""
+
+LATENCY_TOLERANCE: Final = 2.0
+"""Ratio of recent to usual latency at which a limit shrinks."""
+
+LATENCY_BACKOFF: Final = 0.9
+"""Factor by which a limit shrinks on latency."""
+
+BUSY_BACKOFF: Final = 0.95
+"""Factor by which a limit shrinks when workers say that they are busy."""
+
+BUSY_QUIET_SECONDS: Final = 1.0
+"""Time without a busy refusal before a limit grows past the fair share."""
+
+MINIMUM_SHARE: Final = 0.25
+"""Share of the fair share below which no limit shrinks."""
+
+USUAL_SMOOTHING: Final = 0.005
+"""Weight of one answer in the usual latency."""
+
+RECENT_SMOOTHING: Final = 0.1
+"""Weight of one answer in the expected latency."""
+
+FIRST_LATENCY_SECONDS: Final = 0.1
+"""Latency expected of a service that has not answered yet."""
+
+MAXIMUM_ESTIMATES: Final = 4096
+"""Services whose latency is remembered."""
+
+WAIT_SHARE: Final = 0.5
+"""Share of the time left that a request may be expected to spend in a queue."""
+
+SERVICE_SHARE: Final = 0.5
+"""Share of the expected latency that has to be left when a request is started."""
+
+LONG_AGING_SECONDS: Final = 30.0
+"""Wait after which long work competes like normal work."""
+
+LIGHT_SHARE: Final = 0.5
+"""Share of its fair share up to which an organisation may use the reserve."""
+
+RESERVE_SCAN: Final = 16
+"""Organisations looked at for one place in the reserve."""
+
+RETRY_BASE_SECONDS: Final = 1.0
+RETRY_MAXIMUM_SECONDS: Final = 30.0
+RETRY_RATE_SHARE: Final = 0.5
+"""Share of the pool's rate at which refused callers are asked back."""
+
+PRUNE_SECONDS: Final = 60.0
+"""Interval at which idle organisations are forgotten."""
--- /dev/null
+++ b/mustardward/components/limits/gate.py
@@ -0,0 +1,278 @@
+"""Admit, queue and refuse the requests of one pool; pure.
+
+Each method takes an event with its time and returns the waiting tickets that it
+decided; a ticket's ``state`` says how.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections import deque
+
+from ...state.models.templates import Urgency
+from .adaptive import AdaptiveLimit
+from .const import LONG_AGING_SECONDS, SERVICE_SHARE, WAIT_SHARE
+from .fairness import OrganisationQueue
+from .models import GateFigures, PoolCapacity, RefusalCause, Ticket, TicketState
+from .selection import Selection
+from .shares import OrganisationTable
+
+
+class PoolGate:
+    """Hold one pool's places as this entry may use them.
+
+    :param capacity: the pool's capacity in this data centre.
+    :param queue_length: most requests that wait at once.
+    """
+
+    def __init__(self, capacity: PoolCapacity, queue_length: int) -> None:
+        self._queue_length = queue_length
+        self._limit = AdaptiveLimit()
+        self._capacity = capacity
+        self._table = OrganisationTable()
+        self._selection = Selection(self._table)
+        self._aging: deque[Ticket] = deque()
+        self._deadlines: list[tuple[float, int, Ticket]] = []
+        self._count = 0
+        self._virtual_time = 0.0
+        self._in_flight = 0
+        self._waiting = 0
+        self._urgent_waiting = 0
+        self._follow_capacity()
+
+    @property
+    def places(self) -> int:
+        """Return the number of requests that may be in flight now."""
+        return int(self._limit.limit) if self._capacity.slots else 0
+
+    @property
+    def reserve(self) -> int:
+        """Return the places kept for urgent work and light organisations."""
+        wanted = math.ceil(self._capacity.reserve * self.places)
+        return max(0, min(wanted, self.places - 1))
+
+    @property
+    def urgent_waiting(self) -> int:
+        """Return the number of urgent requests that wait."""
+        return self._urgent_waiting
+
+    def figures(self) -> GateFigures:
+        """Return what reports show."""
+        held = {queue.name: queue.in_flight for queue in self._table.queues()}
+        return GateFigures(self._limit.limit, self._in_flight, self._waiting, held)
+
+    def rate_for(self, ticket: Ticket) -> float:
+        """Return the requests a second that its organisation may count on."""
+        queue = self._table.find(ticket.organisation)
+        share = 1.0 if queue is None else self._table.backlog_share(queue, self.places)
+        return max(1.0, share) / max(ticket.estimate.recent, 1e-3)
+
+    def resize(self, capacity: PoolCapacity, now: float) -> list[Ticket]:
+        """Follow a change of workers, entries or parameters, losing nothing."""
+        if capacity == self._capacity:
+            return []
+        self._capacity = capacity
+        self._follow_capacity()
+        self._selection.unpark_all()
+        return self._pump(now)
+
+    def offer(self, ticket: Ticket, now: float) -> list[Ticket]:
+        """Admit a request, let it wait, or refuse it before any work is done."""
+        cause = self._border_cause(ticket, now)
+        if cause is not None:
+            return [_refuse(ticket, cause)]
+        queue = self._table.open(ticket.organisation, ticket.quota)
+        evicted = self._make_room(queue)
+        if self._waiting >= self._queue_length or self._table.is_queue_full(queue):
+            at_quota = self._table.is_at_quota(queue)
+            cause = RefusalCause.QUOTA if at_quota else RefusalCause.QUEUE_FULL
+            return [*evicted, _refuse(ticket, cause)]
+        self._enqueue(queue, ticket)
+        decided = [*evicted, *self._pump(now)]
+        if ticket.state is not TicketState.WAITING:
+            return decided
+        if self._would_miss(queue, ticket, now):
+            self._drop(queue, ticket, RefusalCause.WOULD_MISS_DEADLINE)
+            return [*decided, ticket]
+        self._watch(ticket)
+        return decided
+
+    def release(
+        self, ticket: Ticket, latency: float, succeeded: bool, now: float
+    ) -> list[Ticket]:
+        """Give a place back and admit who is next."""
+        if ticket.state is not TicketState.ADMITTED:
+            return []
+        ticket.state = TicketState.ENDED
+        saturated = self._waiting > 0 or self.places - self._in_flight <= self.reserve
+        queue = self._table[ticket.organisation]
+        self._in_flight -= 1
+        queue.in_flight -= 1
+        queue.urgent_in_flight -= ticket.urgency is Urgency.URGENT
+        queue.finish += (max(0.0, now - ticket.started) - ticket.cost) / queue.weight
+        estimate = ticket.estimate
+        estimate.in_flight -= 1
+        ratio = estimate.add(latency) if succeeded else estimate.ratio(latency)
+        self._limit.add(ratio, saturated, now)
+        self._table.weigh(queue)
+        self._selection.unpark(queue)
+        return self._pump(now)
+
+    def withdraw(self, ticket: Ticket, now: float) -> list[Ticket]:
+        """Forget a waiting request whose caller gave up."""
+        if ticket.state is not TicketState.WAITING:
+            return []
+        queue = self._table[ticket.organisation]
+        self._drop(queue, ticket, RefusalCause.DEADLINE)
+        return self._pump(now)
+
+    def note_busy(self, now: float) -> None:
+        """Take into account that a worker had no slot for us."""
+        self._limit.note_busy(now)
+
+    def sweep(self, now: float) -> list[Ticket]:
+        """Refuse waiting requests whose deadline has passed."""
+        decided = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, _, ticket = heapq.heappop(self._deadlines)
+            if ticket.state is TicketState.WAITING:
+                queue = self._table[ticket.organisation]
+                self._drop(queue, ticket, RefusalCause.DEADLINE)
+                decided.append(ticket)
+        return decided + self._pump(now)
+
+    def prune(self) -> None:
+        """Forget organisations that are idle and owe nothing."""
+        self._table.prune(self._virtual_time)
+
+    def _border_cause(self, ticket: Ticket, now: float) -> RefusalCause | None:
+        if now >= ticket.deadline:
+            return RefusalCause.DEADLINE
+        if not self._capacity.slots:
+            return RefusalCause.NO_WORKER
+        return None
+
+    def _make_room(self, queue: OrganisationQueue) -> list[Ticket]:
+        # One organisation's flood fills the common queue. If the newcomer were
+        # refused, a small organisation would see errors that it did nothing for; so
+        # the longest queue gives up its newest request instead.
+        if self._waiting < self._queue_length:
+            return []
+        longest = max(self._table.queues(), key=lambda other: other.total_waiting)
+        newest = longest.newest()
+        if newest is None or longest.total_waiting <= queue.total_waiting + 1:
+            return []
+        self._drop(longest, newest, RefusalCause.QUEUE_FULL)
+        return [newest]
+
+    def _would_miss(self, queue: OrganisationQueue, ticket: Ticket, now: float) -> bool:
+        if not queue.in_flight and queue.total_waiting == 1:
+            return False
+        share = self._table.backlog_share(queue, self.places)
+        wait = queue.cost_ahead(ticket.urgency) / max(1e-6, share)
+        return wait > WAIT_SHARE * (ticket.deadline - now)
+
+    def _enqueue(self, queue: OrganisationQueue, ticket: Ticket) -> None:
+        ticket.is_long = ticket.urgency is Urgency.LONG
+        ticket.cost = ticket.estimate.recent
+        if not queue.total_waiting:
+            queue.tag = max(self._virtual_time, queue.finish)
+        queue.push(ticket)
+        self._count_waiting(ticket, 1)
+        self._table.weigh(queue)
+        self._selection.file(queue)
+
+    def _watch(self, ticket: Ticket) -> None:
+        self._count += 1
+        heapq.heappush(self._deadlines, (ticket.deadline, self._count, ticket))
+        if ticket.is_long:
+            self._aging.append(ticket)
+
+    def _drop(
+        self, queue: OrganisationQueue, ticket: Ticket, cause: RefusalCause
+    ) -> None:
+        queue.forget(ticket)
+        self._count_waiting(ticket, -1)
+        _refuse(ticket, cause)
+        self._table.weigh(queue)
+
+    def _pump(self, now: float) -> list[Ticket]:
+        decided: list[Ticket] = []
+        self._age(now)
+        while (ticket := self._next()) is not None:
+            queue = self._table[ticket.organisation]
+            if self._is_too_late(ticket, now):
+                self._drop(queue, ticket, RefusalCause.DEADLINE)
+            else:
+                self._start(queue, ticket, now)
+            self._selection.file(queue)
+            decided.append(ticket)
+        return decided
+
+    def _next(self) -> Ticket | None:
+        places = self.places
+        free = places - self._in_flight
+        if free <= 0 or not self._waiting:
+            return None
+        if free > self.reserve:
+            return self._selection.next_open()
+        return self._selection.next_reserved(places)
+
+    def _start(self, queue: OrganisationQueue, ticket: Ticket, now: float) -> None:
+        queue.forget(ticket)
+        self._count_waiting(ticket, -1)
+        ticket.state = TicketState.ADMITTED
+        ticket.started = now
+        ticket.estimate.in_flight += 1
+        queue.in_flight += 1
+        queue.urgent_in_flight += ticket.urgency is Urgency.URGENT
+        self._in_flight += 1
+        self._virtual_time = max(self._virtual_time, queue.tag)
+        queue.finish = max(queue.finish, queue.tag) + ticket.cost / queue.weight
+        queue.tag = queue.finish
+        self._table.weigh(queue)
+
+    def _is_too_late(self, ticket: Ticket, now: float) -> bool:
+        # Work that can't end in time takes a slot from work that still can; under a
+        # lasting overload all answers then come late and goodput falls to nothing.
+        # The first of a service always goes, or a wrong estimate would hold for ever.
+        if now >= ticket.deadline:
+            return True
+        if not ticket.estimate.in_flight:
+            return False
+        needed = SERVICE_SHARE * ticket.estimate.recent
+        return ticket.deadline - now < needed
+
+    def _age(self, now: float) -> None:
+        while self._aging:
+            ticket = self._aging[0]
+            if ticket.state is TicketState.WAITING:
+                if now - ticket.arrived < LONG_AGING_SECONDS:
+                    return
+                self._promote(ticket)
+            self._aging.popleft()
+
+    def _promote(self, ticket: Ticket) -> None:
+        queue = self._table[ticket.organisation]
+        queue.forget(ticket)
+        queue.queues[Urgency.LONG].remove(ticket)
+        ticket.urgency = Urgency.NORMAL
+        queue.push(ticket)
+        self._selection.file(queue)
+
+    def _count_waiting(self, ticket: Ticket, change: int) -> None:
+        self._waiting += change
+        if ticket.urgency is Urgency.URGENT:
+            self._urgent_waiting += change
+
+    def _follow_capacity(self) -> None:
+        entries = max(1, self._capacity.entries)
+        self._limit.resize(self._capacity.slots / entries, self._capacity.slots)
+        self._table.set_entries(entries)
+
+
+def _refuse(ticket: Ticket, cause: RefusalCause) -> Ticket:
+    ticket.state = TicketState.REFUSED
+    ticket.cause = cause
+    return ticket
--- /dev/null
+++ b/mustardward/components/limits/shares.py
@@ -0,0 +1,93 @@
+"""Work out what each organisation is due of one pool's places; pure."""
+
+from __future__ import annotations
+
+import math
+
+from ...state.models.templates import Quota
+from .const import LIGHT_SHARE
+from .fairness import OrganisationQueue
+
+
+class OrganisationTable:
+    """Hold the organisations of one pool and the sums of their weights."""
+
+    def __init__(self) -> None:
+        self._queues: dict[str, OrganisationQueue] = {}
+        self._active_weight = 0.0
+        self._backlog_weight = 0.0
+        self._entries = 1
+
+    def __getitem__(self, name: str) -> OrganisationQueue:
+        """Return an organisation's queue."""
+        return self._queues[name]
+
+    def queues(self) -> list[OrganisationQueue]:
+        """Return the queues of all organisations."""
+        return list(self._queues.values())
+
+    def find(self, name: str) -> OrganisationQueue | None:
+        """Return an organisation's queue, if it has one."""
+        return self._queues.get(name)
+
+    def open(self, name: str, quota: Quota) -> OrganisationQueue:
+        """Return an organisation's queue with the quota now in force."""
+        queue = self._queues.get(name)
+        if queue is None:
+            queue = self._queues[name] = OrganisationQueue(name, quota)
+        queue.quota = quota
+        return queue
+
+    def set_entries(self, entries: int) -> None:
+        """Follow the number of entries that share the data centre."""
+        self._entries = max(1, entries)
+
+    def prune(self, virtual_time: float) -> None:
+        """Forget organisations that are idle and owe nothing."""
+        for name, queue in list(self._queues.items()):
+            if queue.is_idle and queue.finish <= virtual_time:
+                del self._queues[name]
+
+    def weigh(self, queue: OrganisationQueue) -> None:
+        """Bring the sums in line with one organisation."""
+        active = 0.0 if queue.is_idle else queue.weight
+        backlog = queue.weight if queue.total_waiting else 0.0
+        self._active_weight += active - queue.active_weight
+        self._backlog_weight += backlog - queue.backlog_weight
+        queue.active_weight = active
+        queue.backlog_weight = backlog
+
+    def backlog_share(self, queue: OrganisationQueue, places: int) -> float:
+        """Return the places an organisation gets while others wait too."""
+        total = max(self._backlog_weight, queue.weight)
+        return min(places * queue.weight / total, float(self.quota(queue)))
+
+    def fair_share(self, queue: OrganisationQueue, places: int) -> float:
+        """Return the places an organisation is due among all active ones."""
+        return places * queue.weight / max(self._active_weight, queue.weight)
+
+    def is_light(self, queue: OrganisationQueue, places: int) -> bool:
+        """Tell whether one more request keeps it far below what it is due."""
+        return queue.in_flight + 1 <= LIGHT_SHARE * self.fair_share(queue, places)
+
+    def quota(self, queue: OrganisationQueue) -> int:
+        """Return the places an organisation's quota gives it at this entry.
+
+        The quota holds for the data centre, and the balancer spreads requests evenly
+        only on average; so an entry lends all of it while nobody else waits.
+        """
+        others = self._backlog_weight - queue.backlog_weight
+        if others <= 0.0:
+            return queue.quota.concurrency
+        return self._per_entry(queue.quota.concurrency)
+
+    def is_at_quota(self, queue: OrganisationQueue) -> bool:
+        """Tell whether an organisation's quota is used up at this entry."""
+        return queue.in_flight >= self.quota(queue)
+
+    def is_queue_full(self, queue: OrganisationQueue) -> bool:
+        """Tell whether an organisation may have no more requests waiting."""
+        return queue.total_waiting >= self._per_entry(queue.quota.queue)
+
+    def _per_entry(self, number: int) -> int:
+        return max(1, math.ceil(number / self._entries))
--- a/mustardward/components/retries/__init__.py
+++ b/mustardward/components/retries/__init__.py
@@ -1,4 +1,4 @@
-"""Decide on retries, hedging and idempotency keys."""
+"""Decide on further attempts, and keep intents of idempotency keys."""
 
 from __future__ import annotations
 
@@ -7,9 +7,17 @@
 
 async def async_setup(core: Core) -> Unload:
     """Set the component up and return what undoes it."""
+    from ..entry.models import RequestFinished
+    from ..keys import RETRY_POLICY
+    from .services import RetryPolicyService
+
+    policy = RetryPolicyService()
+    core.put(RETRY_POLICY, policy)
+    unsubscribe = core.events.listen(RequestFinished, policy.on_finished)
 
     async def async_unload() -> None:
-        return None
+        core.remove(RETRY_POLICY)
+        unsubscribe()
 
     return async_unload
 
--- /dev/null
+++ b/mustardward/components/retries/policy.py
@@ -0,0 +1,57 @@
+"""Decide whether a request may be tried again; pure."""
+
+from __future__ import annotations
+
+from ..entry.models import Attempt, AttemptOutcome, RequestFacts
+from .const import (
+    BACKOFF_BASE_SECONDS,
+    BACKOFF_MAXIMUM_SECONDS,
+    BUSY_BASE_SECONDS,
+    BUSY_COST,
+    LEAST_ATTEMPT_SECONDS,
+    MAXIMUM_ATTEMPTS,
+    RETRIED_STATUSES,
+    RETRY_COST,
+)
+
+
+def forbidden_cause(
+    facts: RequestFacts, attempts: tuple[Attempt, ...], now: float
+) -> str:
+    """Return why no further attempt may be made, or nothing.
+
+    Neither budget nor delay is considered here.
+    """
+    last = attempts[-1]
+    if last.outcome is AttemptOutcome.ANSWERED and last.status not in RETRIED_STATUSES:
+        return "answered"
+    if not facts.idempotent and not _surely_not_run(attempts):
+        return "may-have-run"
+    if len(attempts) >= MAXIMUM_ATTEMPTS:
+        return "attempts-used"
+    if now + LEAST_ATTEMPT_SECONDS >= facts.deadline:
+        return "deadline"
+    return ""
+
+
+def backoff_ceiling(attempts: tuple[Attempt, ...]) -> float:
+    """Return the longest pause before the next attempt, in seconds.
+
+    The pause is drawn from all of it (full jitter): callers that failed together then
+    do not come back together.
+    """
+    refused = attempts[-1].outcome is AttemptOutcome.REFUSED
+    base = BUSY_BASE_SECONDS if refused else BACKOFF_BASE_SECONDS
+    doubled = base * 2.0 ** (len(attempts) - 1)
+    return min(BACKOFF_MAXIMUM_SECONDS, doubled)
+
+
+def retry_cost(last: Attempt) -> float:
+    """Return what another attempt costs the budget."""
+    return BUSY_COST if last.outcome is AttemptOutcome.REFUSED else RETRY_COST
+
+
+def _surely_not_run(attempts: tuple[Attempt, ...]) -> bool:
+    # Every attempt counts, not the last one alone: a refusal after an unknown outcome
+    # would otherwise let an order be made twice.
+    return all(attempt.outcome.surely_not_run for attempt in attempts)
--- /dev/null
+++ b/mustardward/components/routing/remote.py
@@ -0,0 +1,52 @@
+"""Choose an entry of another data centre; pure but for the dice."""
+
+from __future__ import annotations
+
+from random import Random
+
+from ..entry.models import RequestFacts
+from ..membership.models import Member
+from ..membership.protocols import Membership
+from .const import CANDIDATES, MAXIMUM_HOPS, REMOTE_MINIMUM_SECONDS
+from .index import FleetIndex
+
+
+def choose_remote(
+    facts: RequestFacts,
+    index: FleetIndex,
+    membership: Membership,
+    data_centre: str,
+    now: float,
+    random: Random,
+    exclude: frozenset[str],
+) -> Member | None:
+    """Return the less loaded of two random entries whose data centre has room.
+
+    A request that was forwarded is never forwarded again: with every data centre full
+    it would go round between them until its deadline, and load each on its way.
+    """
+    if facts.hops >= MAXIMUM_HOPS or facts.deadline - now < REMOTE_MINIMUM_SECONDS:
+        return None
+    candidates = [
+        member
+        for other in index.data_centres(facts.pool)
+        if other != data_centre and other not in index.state.silent
+        for member in _members_with_room(facts.pool, other, index, membership)
+        if member.name not in exclude
+    ]
+    if not candidates:
+        return None
+    candidates.sort(key=lambda member: member.name)
+    drawn = random.sample(candidates, min(CANDIDATES, len(candidates)))
+    return min(drawn, key=lambda member: member.in_flight)
+
+
+def _members_with_room(
+    pool: str, data_centre: str, index: FleetIndex, membership: Membership
+) -> tuple[Member, ...]:
+    group = index.group(data_centre, pool)
+    members = membership.live(data_centre)
+    if group is None or not members:
+        return ()
+    share = group.slots / len(members)
+    return tuple(member for member in members if member.in_flight < share)
