Call other entries over grpclib with msgspec messages

Cause: membership, the relay, idempotency homes and forwarded requests all need entries to call each other, with a truthful word on whether a call had an effect. Ruled out: protobuf (a generator for messages that are data classes already) and datagrams of our own (a transport of our own, no flow control for bodies). Change: components/peers with a MessagePack codec, bounded messages, unary calls by filed message type, streamed forwarding with outcomes, mutual TLS, and connections that close on unload (grpclib leaves accepted ones answered).

--- a/mustardward/components/peers/__init__.py
+++ b/mustardward/components/peers/__init__.py
@@ -2,14 +2,45 @@
 
 from __future__ import annotations
 
-from ...core import COMPONENTS, ComponentDescription, Core, Unload
+from ...core import COMPONENTS, ComponentDescription, ComponentKey, Core, Unload
+from ..keys import DIRECTORY, PEERS
+from .const import SWEEP_SECONDS
 
 
 async def async_setup(core: Core) -> Unload:
     """Set the component up and return what undoes it."""
+    from .receiver import ForwardedRequestServer, ForwardReceiver
+    from .services import GrpcPeers
+    from .tls import client_context, server_context
+
+    entry: ComponentKey[ForwardedRequestServer] = ComponentKey("entry")
+    settings = core.settings
+    tls = settings.peer_tls
+    receiver = ForwardReceiver(
+        lambda: core.find(entry),
+        lambda: core.find(DIRECTORY),
+        core.timers.monotonic,
+        settings.limits.maximum_deadline_seconds,
+    )
+    peers = GrpcPeers(
+        settings.entry.name,
+        receiver,
+        core.timers.monotonic,
+        client_context(tls) if tls else None,
+    )
+    listen = settings.peer_listen
+    await peers.async_start(
+        listen.host, listen.port, server_context(tls) if tls else None
+    )
+    stop_sweep = core.timers.subscribe(
+        "peers.idle", SWEEP_SECONDS, peers.async_close_idle
+    )
+    core.put(PEERS, peers)
 
     async def async_unload() -> None:
-        return None
+        core.remove(PEERS)
+        stop_sweep()
+        await peers.async_stop()
 
     return async_unload
 
--- /dev/null
+++ b/mustardward/components/peers/forward.py
@@ -0,0 +1,267 @@
+"""Forward a caller's request to another entry and stream the answer back."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack
+from typing import Any
+
+import anyio
+import msgspec
+from grpclib.const import Cardinality
+from grpclib.exceptions import GRPCError
+from returns.result import Failure, Result, Success
+
+from ...exceptions import PeerError
+from ..entry.models import AttemptOutcome, Ran, RequestFacts
+from ..entry.protocols import FailedAttempt, OutgoingRequest, WorkerAnswer
+from ..membership.models import Member
+from .channels import ChannelPool, Purpose
+from .client import TRANSPORT_ERRORS, translate_status
+from .codec import MsgpackCodec
+from .const import CHUNK_BYTES, FORWARD_PATH, MAXIMUM_HOPS, METADATA_SENDER
+from .exceptions import PeerAnswerTruncatedError, PeerMessageError, PeerRefusedError
+from .framing import async_receive_bytes
+from .models import AnswerFrame, ForwardHead, ForwardRefusal, RequestFrame
+
+_FAILURES = (*TRANSPORT_ERRORS, GRPCError, msgspec.MsgspecError)
+
+
+class Forwarder:
+    """Open forwarded requests.
+
+    :param clock: returns monotonic seconds.
+    """
+
+    def __init__(
+        self, sender: str, channels: ChannelPool, clock: Callable[[], float]
+    ) -> None:
+        self._sender = sender
+        self._channels = channels
+        self._clock = clock
+
+    async def async_forward(
+        self, member: Member, facts: RequestFacts, request: OutgoingRequest
+    ) -> Result[WorkerAnswer, FailedAttempt]:
+        """Let another entry serve a request; return when the answer's head is there."""
+        if facts.hops >= MAXIMUM_HOPS:
+            return _failed(AttemptOutcome.NOT_SENT, "too-many-hops")
+        remaining = facts.deadline - self._clock()
+        if remaining <= 0:
+            return _failed(AttemptOutcome.NOT_SENT, "deadline-exceeded")
+        stack = AsyncExitStack()
+        try:
+            stream = await self._async_open(member, facts.deadline, stack)
+        except PeerError as error:
+            await _async_close(None, stack)
+            return _failed(AttemptOutcome.NOT_SENT, error.code)
+        except _FAILURES as error:
+            await _async_close(None, stack)
+            return _failed(AttemptOutcome.NOT_SENT, type(error).__name__)
+        chunks = AnswerChunks(stream, stack, facts.deadline, self._clock)
+        try:
+            answer = await self._async_exchange(member, chunks, facts, request)
+        except BaseException:
+            await chunks.aclose()
+            raise
+        if isinstance(answer, Failure):
+            await chunks.aclose()
+        return answer
+
+    async def _async_open(
+        self, member: Member, deadline: float, stack: AsyncExitStack
+    ) -> Any:
+        channel = await self._channels.async_take(member.address, Purpose.FORWARD)
+        stack.callback(self._channels.release, member.address, Purpose.FORWARD)
+        stream = await stack.enter_async_context(
+            channel.request(
+                FORWARD_PATH,
+                Cardinality.STREAM_STREAM,
+                RequestFrame,
+                msgspec.Raw,
+                metadata={METADATA_SENDER: self._sender},
+            )
+        )
+        with anyio.fail_after(deadline - self._clock()):
+            await stream.send_request()
+        return stream
+
+    async def _async_exchange(
+        self,
+        member: Member,
+        chunks: AnswerChunks,
+        facts: RequestFacts,
+        request: OutgoingRequest,
+    ) -> Result[WorkerAnswer, FailedAttempt]:
+        # From the first byte of the head on, the peer may have dispatched the request,
+        # whatever becomes of the stream: only the peer's own word makes it "not run".
+        try:
+            remaining = facts.deadline - self._clock()
+            with anyio.fail_after(remaining):
+                await _async_send(
+                    chunks.stream, _head(facts, request, remaining), request.body
+                )
+                frame = await chunks.async_receive()
+        except GRPCError as error:
+            return _failed(*_judge(error, member))
+        except _FAILURES as error:
+            return _failed(AttemptOutcome.UNKNOWN, type(error).__name__)
+        if frame.refusal is not None:
+            return _refused(frame.refusal)
+        if frame.head is None:
+            return _failed(AttemptOutcome.UNKNOWN, PeerMessageError.code)
+        chunks.put_back(frame)
+        return Success(WorkerAnswer(frame.head.status, frame.head.headers, chunks))
+
+
+class AnswerChunks:
+    """Iterate over a forwarded answer's body and close the stream after it.
+
+    :param stack: what to leave when the answer ends.
+    :raises PeerAnswerTruncatedError: from iteration, if the answer was cut off.
+    """
+
+    def __init__(
+        self,
+        stream: Any,
+        stack: AsyncExitStack,
+        deadline: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self._stream = stream
+        self._stack = stack
+        self._deadline = deadline
+        self._clock = clock
+        self._codec = MsgpackCodec()
+        self._pending: AnswerFrame | None = None
+        self._finished = False
+
+    @property
+    def stream(self) -> Any:
+        """Return grpclib's stream."""
+        return self._stream
+
+    def put_back(self, frame: AnswerFrame) -> None:
+        """Let iteration begin with a frame that was received already."""
+        self._pending = frame
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Return the iterator itself."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Return the next piece that is not empty."""
+        while not self._finished:
+            frame = self._pending or await self._async_next()
+            self._pending = None
+            if frame.last:
+                await self.aclose()
+            if frame.chunk:
+                return frame.chunk
+        raise StopAsyncIteration
+
+    async def aclose(self) -> None:
+        """Close the stream; the peer stops answering if it was not at the end."""
+        if not self._finished:
+            self._finished = True
+            with anyio.CancelScope(shield=True):
+                await _async_close(self._stream, self._stack)
+
+    async def async_receive(self) -> AnswerFrame:
+        """Return the next frame.
+
+        :raises PeerMessageError: if the stream ended instead.
+        """
+        if not self._stream._recv_initial_metadata_done:
+            await self._stream.recv_initial_metadata()
+        with self._stream._wrapper:
+            data = await async_receive_bytes(self._stream._stream)
+        if data is None:
+            # A status of the peer says more than the mere end.
+            await self._stream.recv_trailing_metadata()
+            raise PeerMessageError("stream ended without its last frame")
+        frame: AnswerFrame = self._codec.decode(data, AnswerFrame)
+        return frame
+
+    async def _async_next(self) -> AnswerFrame:
+        try:
+            with anyio.fail_after(max(0.0, self._deadline - self._clock())):
+                return await self.async_receive()
+        except _FAILURES as error:
+            await self.aclose()
+            raise PeerAnswerTruncatedError(type(error).__name__) from error
+        except BaseException:
+            await self.aclose()
+            raise
+
+
+async def _async_close(stream: Any, stack: AsyncExitStack) -> None:
+    # Leaving grpclib's stream waits for trailers, which never come from a peer that
+    # was cut off: the request would hang past its deadline. So the stream is reset,
+    # and marked as such, first.
+    try:
+        if stream is not None:
+            if stream._stream.closable:
+                stream._stream.reset_nowait()
+            stream._cancel_done = True
+        await stack.aclose()
+    except _FAILURES:
+        return
+
+
+async def _async_send(
+    stream: Any, head: ForwardHead, body: bytes | AsyncIterator[bytes]
+) -> None:
+    if isinstance(body, bytes) and len(body) <= CHUNK_BYTES:
+        frame = RequestFrame(head=head, chunk=body, last=True)
+        await stream.send_message(frame, end=True)
+        return
+    await stream.send_message(RequestFrame(head=head))
+    async for chunk in _pieces(body):
+        await stream.send_message(RequestFrame(chunk=chunk))
+    await stream.send_message(RequestFrame(last=True), end=True)
+
+
+async def _pieces(body: bytes | AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    if isinstance(body, bytes):
+        for start in range(0, len(body), CHUNK_BYTES):
+            yield body[start : start + CHUNK_BYTES]
+        return
+    async for chunk in body:
+        for start in range(0, len(chunk), CHUNK_BYTES):
+            yield chunk[start : start + CHUNK_BYTES]
+
+
+def _head(
+    facts: RequestFacts, request: OutgoingRequest, remaining: float
+) -> ForwardHead:
+    return ForwardHead(
+        request_id=facts.request_id,
+        organisation=facts.organisation,
+        service=facts.service,
+        method=request.method,
+        target=request.target,
+        headers=request.headers,
+        remaining_seconds=remaining,
+        hops=facts.hops + 1,
+        idempotent=facts.idempotent,
+        idempotency_key=facts.idempotency_key,
+        request_digest=facts.request_digest,
+    )
+
+
+def _judge(error: GRPCError, member: Member) -> tuple[AttemptOutcome, str]:
+    failure = translate_status(error, member)
+    if isinstance(failure, PeerRefusedError):
+        return AttemptOutcome.REFUSED, error.message or failure.code
+    return AttemptOutcome.UNKNOWN, failure.code
+
+
+def _refused(refusal: ForwardRefusal) -> Failure[FailedAttempt]:
+    if refusal.ran == Ran.NO:
+        return _failed(AttemptOutcome.REFUSED, refusal.code)
+    return _failed(AttemptOutcome.UNKNOWN, refusal.code)
+
+
+def _failed(outcome: AttemptOutcome, cause: str) -> Failure[FailedAttempt]:
+    return Failure(FailedAttempt(outcome, cause))
--- a/mustardward/components/peers/protocols.py
+++ b/mustardward/components/peers/protocols.py
@@ -58,6 +58,11 @@
 class Peers(Protocol):
     """Call other entries and answer them."""
 
+    @property
+    def address(self) -> str:
+        """Return where this entry listens, as ``host:port``."""
+        ...
+
     async def async_call(
         self, member: Member, message: Any, timeout_seconds: float = 1.0
     ) -> Any:
--- /dev/null
+++ b/mustardward/components/peers/services.py
@@ -0,0 +1,94 @@
+"""Tie server, client and forwarding together as the public object."""
+
+from __future__ import annotations
+
+import ssl
+from collections.abc import Callable
+from typing import Any
+
+from returns.result import Result
+
+from ...helpers.registry import RegistryError
+from ..entry.models import RequestFacts
+from ..entry.protocols import FailedAttempt, OutgoingRequest, WorkerAnswer
+from ..membership.models import Member
+from .channels import ChannelPool
+from .client import PeerClient
+from .forward import Forwarder
+from .protocols import PeerHandler
+from .receiver import ForwardReceiver
+from .server import PeerServer
+
+
+class GrpcPeers:
+    """Call other entries and answer them over grpclib.
+
+    :param name: the name of this entry.
+    :param client_context: what peers have to show, if TLS is used.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        receiver: ForwardReceiver,
+        clock: Callable[[], float],
+        client_context: ssl.SSLContext | None = None,
+    ) -> None:
+        self._handlers: dict[type, PeerHandler] = {}
+        self._channels = ChannelPool(clock, client_context)
+        self._client = PeerClient(name, self._channels)
+        self._forwarder = Forwarder(name, self._channels, clock)
+        self._server = PeerServer(self._handlers, receiver.async_answer)
+        self._host = ""
+
+    @property
+    def address(self) -> str:
+        """Return where this entry listens, as ``host:port``."""
+        host = f"[{self._host}]" if ":" in self._host else self._host
+        return f"{host}:{self._server.port}"
+
+    async def async_start(
+        self, host: str, port: int, context: ssl.SSLContext | None
+    ) -> None:
+        """Listen for peers."""
+        self._host = host
+        await self._server.async_start(host, port, context)
+
+    async def async_stop(self) -> None:
+        """Close all connections."""
+        self._channels.close()
+        await self._server.async_stop()
+
+    async def async_close_idle(self) -> None:
+        """Close connections that were not used for a while."""
+        self._channels.close_idle()
+
+    async def async_call(
+        self, member: Member, message: Any, timeout_seconds: float = 1.0
+    ) -> Any:
+        """Return the reply.
+
+        :raises PeerError: if the call certainly had no effect.
+        :raises PeerOutcomeUnknownError: if it may have had one.
+        """
+        return await self._client.async_call(member, message, timeout_seconds)
+
+    def handle(self, message_type: type, handler: PeerHandler) -> Callable[[], None]:
+        """Answer a kind of call until unsubscribed.
+
+        :raises RegistryError: if the kind is answered already.
+        """
+        if message_type in self._handlers:
+            raise RegistryError(f"peer handlers: {message_type.__name__}")
+        self._handlers[message_type] = handler
+
+        def unsubscribe() -> None:
+            self._handlers.pop(message_type, None)
+
+        return unsubscribe
+
+    async def async_forward(
+        self, member: Member, facts: RequestFacts, request: OutgoingRequest
+    ) -> Result[WorkerAnswer, FailedAttempt]:
+        """Let another entry serve a caller's request, and stream its answer back."""
+        return await self._forwarder.async_forward(member, facts, request)
--- /dev/null
+++ b/tests/components/peers/builders.py
@@ -0,0 +1,140 @@
+"""Build peers that talk over loopback."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result, Success
+
+from mustardward.components.entry.models import (
+    Ran,
+    RequestFacts,
+    RequestRefusal,
+)
+from mustardward.components.entry.protocols import OutgoingRequest, WorkerAnswer
+from mustardward.components.membership.models import Member, MemberStatus
+from mustardward.components.peers.protocols import peer_message
+from mustardward.components.peers.receiver import ForwardReceiver
+from mustardward.components.peers.services import GrpcPeers
+from mustardward.components.peers.tls import client_context, server_context
+from mustardward.components.templates.protocols import Resolved
+from mustardward.settings.models import TlsSettings
+from mustardward.state.models.templates import (
+    Organisation,
+    Overrides,
+    Parameters,
+    ServiceBinding,
+    Urgency,
+)
+
+PARAMETERS = Parameters(
+    services=(ServiceBinding("orders", "brass", Urgency.URGENT),),
+    urgency=Urgency.URGENT,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class EchoReply:
+    """Answer an echo."""
+
+    sender: str
+    text: str
+
+
+@peer_message("test.echo", EchoReply)
+@dataclass(frozen=True, slots=True)
+class Echo:
+    """Ask for the same text back."""
+
+    text: str
+    size: int = 0
+
+
+def build_member(
+    name: str, address: str = "127.0.0.1:1", data_centre: str = "tas-1"
+) -> Member:
+    return Member(name, data_centre, address, 1, MemberStatus.ALIVE)
+
+
+def build_facts(
+    hops: int = 0, remaining: float = 5.0, idempotent: bool = False
+) -> RequestFacts:
+    now = time.monotonic()
+    return RequestFacts(
+        request_id="request-1",
+        organisation="derwent",
+        service="orders",
+        pool="stale-pool",
+        parameters=Parameters(),
+        urgency=Urgency.LONG,
+        idempotent=idempotent,
+        arrived=now,
+        deadline=now + remaining,
+        idempotency_key="key-1",
+        request_digest="digest-1",
+        hops=hops,
+    )
+
+
+def build_request(body: bytes | AsyncIterator[bytes] = b"") -> OutgoingRequest:
+    headers = ((b"content-type", b"text/plain"),)
+    return OutgoingRequest("POST", "/orders?x=1", headers, body)
+
+
+class FixedDirectory:
+    """Know one organisation with one service."""
+
+    def resolve(
+        self, organisation: str, service: str
+    ) -> Result[Resolved, RequestRefusal]:
+        if (organisation, service) != ("derwent", "orders"):
+            return Failure(RequestRefusal("unknown-service", 404, Ran.NO, ""))
+        found = Organisation("derwent", "t", 1, 1, Overrides(), PARAMETERS)
+        return Success(Resolved(found, PARAMETERS.services[0]))
+
+
+@dataclass(eq=False)
+class RecordingEntry:
+    """Serve forwarded requests as told, and note what came."""
+
+    refusal: RequestRefusal | None = None
+    chunks: tuple[bytes, ...] = (b"one", b"two")
+    broken_after: int | None = None
+    served: list[tuple[RequestFacts, OutgoingRequest, bytes]] = field(
+        default_factory=list
+    )
+
+    async def async_serve(
+        self, facts: RequestFacts, request: OutgoingRequest
+    ) -> Result[WorkerAnswer, RequestRefusal]:
+        body = request.body
+        whole = body if isinstance(body, bytes) else b"".join([c async for c in body])
+        self.served.append((facts, request, whole))
+        if self.refusal is not None:
+            return Failure(self.refusal)
+        return Success(WorkerAnswer(201, ((b"x-a", b"b"),), self._chunks()))
+
+    async def _chunks(self) -> AsyncIterator[bytes]:
+        for index, chunk in enumerate(self.chunks):
+            if index == self.broken_after:
+                raise ConnectionResetError
+            yield chunk
+
+
+@asynccontextmanager
+async def running_peers(
+    name: str, entry: RecordingEntry | None = None, tls: TlsSettings | None = None
+) -> AsyncIterator[GrpcPeers]:
+    receiver = ForwardReceiver(
+        lambda: entry, lambda: FixedDirectory(), time.monotonic, 300.0
+    )
+    context = client_context(tls) if tls else None
+    peers = GrpcPeers(name, receiver, time.monotonic, context)
+    await peers.async_start("127.0.0.1", 0, server_context(tls) if tls else None)
+    try:
+        yield peers
+    finally:
+        await peers.async_stop()
--- /dev/null
+++ b/tests/components/peers/test_calls.py
@@ -0,0 +1,138 @@
+"""Check unary calls between entries over real loopback connections."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import pytest
+
+from mustardward.components.peers.const import MAXIMUM_MESSAGE_BYTES
+from mustardward.components.peers.exceptions import (
+    PeerRefusedError,
+    PeerUnreachableError,
+)
+from mustardward.exceptions import NotReadyError, PeerOutcomeUnknownError
+from mustardward.helpers.registry import RegistryError
+
+from .builders import Echo, EchoReply, build_member, running_peers
+
+pytestmark = pytest.mark.anyio
+
+
+async def _async_echo(sender: str, message: Any) -> EchoReply:
+    return EchoReply(sender, message.text)
+
+
+async def test_call_answers_with_the_senders_name() -> None:
+    async with running_peers("a") as a, running_peers("b") as b:
+        b.handle(Echo, _async_echo)
+        reply = await a.async_call(build_member("b", b.address), Echo("hello"))
+        assert reply == EchoReply("a", "hello")
+
+
+async def test_each_caller_gets_its_own_reply() -> None:
+    async def async_slow(sender: str, message: Any) -> EchoReply:
+        await anyio.sleep(0.002 * (7 - int(message.text)))
+        return EchoReply(sender, message.text)
+
+    async with running_peers("a") as a, running_peers("b") as b:
+        b.handle(Echo, async_slow)
+        replies: dict[str, str] = {}
+
+        async def async_one(text: str) -> None:
+            reply = await a.async_call(build_member("b", b.address), Echo(text))
+            replies[text] = reply.text
+
+        async with anyio.create_task_group() as group:
+            for number in range(8):
+                group.start_soon(async_one, str(number))
+        assert replies == {str(n): str(n) for n in range(8)}
+
+
+async def test_nobody_listens_means_not_sent() -> None:
+    async with running_peers("a") as a:
+        with pytest.raises(PeerUnreachableError):
+            await a.async_call(build_member("b", "127.0.0.1:1"), Echo("hello"))
+        with pytest.raises(PeerUnreachableError):
+            await a.async_call(build_member("b", "nonsense"), Echo("hello"))
+
+
+async def test_call_without_handler_had_no_effect() -> None:
+    async with running_peers("a") as a, running_peers("b") as b:
+        with pytest.raises(PeerRefusedError):
+            await a.async_call(build_member("b", b.address), Echo("hello"))
+
+
+async def test_handler_is_withdrawn_and_never_taken_over() -> None:
+    async with running_peers("b") as b:
+        withdraw = b.handle(Echo, _async_echo)
+        with pytest.raises(RegistryError):
+            b.handle(Echo, _async_echo)
+        withdraw()
+        b.handle(Echo, _async_echo)
+
+
+@pytest.mark.parametrize("error", [NotReadyError(), ValueError("bug")])
+async def test_failing_handler_leaves_the_outcome_unknown(error: Exception) -> None:
+    async def async_fail(sender: str, message: Any) -> EchoReply:
+        raise error
+
+    async with running_peers("a") as a, running_peers("b") as b:
+        b.handle(Echo, async_fail)
+        with pytest.raises(PeerOutcomeUnknownError):
+            await a.async_call(build_member("b", b.address), Echo("hello"))
+
+
+async def test_refusing_handler_had_no_effect() -> None:
+    async def async_refuse(sender: str, message: Any) -> EchoReply:
+        raise PeerRefusedError("busy")
+
+    async with running_peers("a") as a, running_peers("b") as b:
+        b.handle(Echo, async_refuse)
+        with pytest.raises(PeerRefusedError):
+            await a.async_call(build_member("b", b.address), Echo("hello"))
+
+
+async def test_timeout_after_sending_leaves_the_outcome_unknown() -> None:
+    """Tell a call that timed out from one that was never sent.
+
+    Symptom: an effect happens twice. Sequence: the peer takes the message and is slow;
+    the caller's timeout ends first and it tries elsewhere. Cause: a timeout taken for
+    proof that nothing was done.
+    """
+    started = anyio.Event()
+
+    async def async_hang(sender: str, message: Any) -> EchoReply:
+        started.set()
+        await anyio.sleep(30)
+        return EchoReply(sender, message.text)
+
+    async with running_peers("a") as a, running_peers("b") as b:
+        b.handle(Echo, async_hang)
+        with pytest.raises(PeerOutcomeUnknownError):
+            await a.async_call(build_member("b", b.address), Echo("hello"), 0.2)
+        assert started.is_set()
+
+
+async def test_too_large_message_is_refused_before_it_is_read() -> None:
+    async with running_peers("a") as a, running_peers("b") as b:
+        b.handle(Echo, _async_echo)
+        member = build_member("b", b.address)
+        with pytest.raises(PeerRefusedError):
+            await a.async_call(member, Echo("x" * MAXIMUM_MESSAGE_BYTES))
+        assert (await a.async_call(member, Echo("after"))).text == "after"
+
+
+async def test_peer_that_restarts_is_called_again() -> None:
+    async with running_peers("a") as a:
+        async with running_peers("b") as b:
+            b.handle(Echo, _async_echo)
+            address = b.address
+            await a.async_call(build_member("b", address), Echo("first"))
+        with pytest.raises(PeerUnreachableError):
+            await a.async_call(build_member("b", address), Echo("gone"))
+        async with running_peers("c") as c:
+            c.handle(Echo, _async_echo)
+            reply = await a.async_call(build_member("c", c.address), Echo("new"))
+            assert reply.text == "new"
