--- a/mustardward/components/membership/protocols.py
+++ b/mustardward/components/membership/protocols.py
@@ -34,8 +34,23 @@
         """Tell whether a worker is neither leaving, suspect nor known as down."""
         ...
 
-    def report_instance(self, instance_id: str, healthy: bool, cause: str) -> None:
-        """Take the evidence of an attempt or a probe into account."""
+    def report_instance(
+        self,
+        instance_id: str,
+        healthy: bool,
+        cause: str,
+        began: float | None = None,
+    ) -> None:
+        """Take the evidence of an attempt or a probe into account.
+
+        :param cause: the worker's refusal or the failure; ``draining`` means leaving.
+        :param began: when the attempt was sent, in monotonic seconds. A success clears
+            a leaving instance only if it was sent after the last sign of leaving.
+        """
+        ...
+
+    def is_silent(self, data_centre: str) -> bool:
+        """Tell whether a data centre has given no sign for a while."""
         ...
 
     async def async_announce_leaving(self) -> None:
