--- a/mustardward/components/jobs/models.py
+++ b/mustardward/components/jobs/models.py
@@ -96,14 +96,6 @@
     ending: EndAttempt | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class SlotsWanted:
-    """Ask on the event bus that long work gives slots of a pool back to urgent work."""
-
-    pool: str
-    slots: int
-
-
 @dataclass(frozen=True, slots=True)
 class Submission:
     """Hold a job as submitted; an empty id draws a new one."""
--- a/mustardward/components/jobs/setup.py
+++ b/mustardward/components/jobs/setup.py
@@ -9,13 +9,13 @@
 from ...core import Core, Unload
 from ...state.models.jobs import Job
 from ..keys import FLEET_LOG, JOBS, MEMBERSHIP, WORK_LOG, WORKER_SERVICE
+from ..limits.models import SlotsWanted
 from ..membership.models import InstanceLeaving, MemberStatus
 from ..membership.protocols import Membership
 from ..retries.intents_home import home_name
 from .const import TICK_SECONDS
 from .keeper import AttemptKeeper
 from .lessons import Lessons
-from .models import SlotsWanted
 from .pool_view import PoolIndex
 from .scheduler import JobScheduler
 from .services import LogJobService
--- a/mustardward/components/retries/intents.py
+++ b/mustardward/components/retries/intents.py
@@ -235,7 +235,7 @@
         event = anyio.Event()
         self._waiters.setdefault(name, []).append(event)
         left = facts.deadline - self.timers.monotonic()
-        closed = await async_wait_for(self.timers, event, min(left, WAIT_SECONDS))
+        closed = await async_wait_for(event, self.timers, min(left, WAIT_SECONDS))
         if closed:
             return None
         self._forget_waiter(name, event)
--- a/mustardward/helpers/waiting.py
+++ b/mustardward/helpers/waiting.py
@@ -1,4 +1,4 @@
-"""Wait for at most some seconds of the timer service."""
+"""Wait no longer than the timer service says."""
 
 from __future__ import annotations
 
@@ -13,18 +13,18 @@
 
 
 async def async_wait_for(
-    timers: TimerService, event: anyio.Event, seconds: float
+    event: anyio.Event, timers: TimerService, seconds: float
 ) -> bool:
-    """Wait until the event is set; tell whether it was in time."""
-    if seconds <= 0 or event.is_set():
-        return event.is_set()
+    """Wait for an event up to ``seconds``; tell whether it happened."""
+    if event.is_set():
+        return True
+    async with anyio.create_task_group() as group:
 
-    async def async_give_up() -> None:
-        await timers.async_sleep(seconds)
-        group.cancel_scope.cancel()
+        async def expire() -> None:
+            await timers.async_sleep(seconds)
+            group.cancel_scope.cancel()
 
-    async with anyio.create_task_group() as group:
-        group.start_soon(async_give_up)
+        group.start_soon(expire)
         await event.wait()
         group.cancel_scope.cancel()
     return event.is_set()
@@ -35,13 +35,13 @@
 ) -> T | None:
     """Return what a call gives, or nothing if it takes longer than ``seconds``."""
     answers: list[T] = []
+    async with anyio.create_task_group() as group:
 
-    async def async_give_up() -> None:
-        await timers.async_sleep(seconds)
-        group.cancel_scope.cancel()
+        async def expire() -> None:
+            await timers.async_sleep(seconds)
+            group.cancel_scope.cancel()
 
-    async with anyio.create_task_group() as group:
-        group.start_soon(async_give_up)
+        group.start_soon(expire)
         answers.append(await call())
         group.cancel_scope.cancel()
     return answers[0] if answers else None
--- a/tests/fakes/__init__.py
+++ b/tests/fakes/__init__.py
@@ -1,1 +1,1 @@
-"""Stand in for other parts in tests."""
+"""Stand in for the platform and for other parts."""
--- a/tests/state/test_jobs.py
+++ b/tests/state/test_jobs.py
@@ -23,25 +23,22 @@
     LeaseJob,
     RetryJob,
 )
-from mustardward.state.records import encode_batch
 from mustardward.state.work import WorkState
-from tests.builders import build_accept_job, build_record
+from tests.builders import FoldBuilder, build_accept_job
 
 
-class Stream:
-    """Fold bodies one by one."""
+class Stream(FoldBuilder):
+    """Fold the records of one work stream."""
 
     def __init__(self) -> None:
-        self.fold: Fold[WorkState] = Fold(WorkState(), WORK_HANDLERS)
+        super().__init__(Fold(WorkState(), WORK_HANDLERS))
 
     @property
     def state(self) -> WorkState:
         return self.fold.state
 
     def put(self, body: Any) -> Result[Acceptance, MustardwardError]:
-        offset = self.fold.next_offset
-        record = build_record(body, f"record-{offset}")
-        return self.fold.apply(offset, encode_batch([record]))[0].result
+        return self.apply(body).result
 
     def lease(self, worker: str = "worker-1", job_id: str = "job-1") -> int:
         generation = self.state.jobs[job_id].generation
