Ask the holders of long work for slots, and hold freed ones back

Cause: a slot given back to urgent work was filled again by the scheduler's next tick, and an entry could take slots back from its own tasks alone. Ruled out: asking every entry (the folded leases name the few that hold tasks of the pool); answering each repeated wish (each would cost one more task its slot). Change: SlotReturns shares a wish out over the holders through the peers, one at a time for a pool; a preempted job's slot stays free of long work for ten seconds.

--- a/mustardward/components/jobs/__init__.py
+++ b/mustardward/components/jobs/__init__.py
@@ -26,5 +26,7 @@
 
 
 COMPONENTS.register("jobs")(
-    ComponentDescription("jobs", async_setup, ("platform", "log", "membership"))
+    ComponentDescription(
+        "jobs", async_setup, ("platform", "log", "peers", "membership")
+    )
 )
--- a/mustardward/components/jobs/board.py
+++ b/mustardward/components/jobs/board.py
@@ -112,6 +112,10 @@
         queue = self._queues.get(pool, {}).get(organisation)
         return now - queue.since.get(job_id, now) if queue is not None else 0.0
 
+    def worker_of(self, job_id: str) -> str:
+        """Return where a job runs, or nothing."""
+        return self._worker_of.get(job_id, "")
+
     def running_on(self, instance_id: str) -> frozenset[str]:
         """Return the jobs under a lease on a worker, whoever holds it."""
         return frozenset(self._by_worker.get(instance_id, ()))
--- a/mustardward/components/jobs/const.py
+++ b/mustardward/components/jobs/const.py
@@ -45,6 +45,9 @@
 VACATE_SECONDS: Final = 60.0
 """How long a worker gets no task after it was last asked to be vacated."""
 
+HOLD_BACK_SECONDS: Final = 10.0
+"""How long a slot that was given back stays free of long work."""
+
 MANY_BACK_OFFS: Final = 10_000
 RETRY_BASE_SECONDS: Final = 2.0
 RETRY_MAXIMUM_SECONDS: Final = 300.0
--- a/mustardward/components/jobs/scheduler.py
+++ b/mustardward/components/jobs/scheduler.py
@@ -19,6 +19,7 @@
 from .const import (
     BACKFILL_DEPTH,
     CONFIRM_SECONDS,
+    HOLD_BACK_SECONDS,
     MANY_BACK_OFFS,
     PLACE_EACH_TICK,
     POOL_DUTY_PREFIX,
@@ -27,6 +28,7 @@
     VACATE_SECONDS,
 )
 from .giveback import GiveBack
+from .held_back import HeldBackSlots
 from .keeper import AttemptKeeper
 from .models import HeldAttempt, WorkerRoom, need_of
 from .placement import Candidate, PoolView, plan_placements
@@ -58,6 +60,9 @@
     _vacating: dict[str, float] = field(default_factory=dict)
     _leasing: set[str] = field(default_factory=set)
     _lost_leases: set[str] = field(default_factory=set)
+    _held_back: HeldBackSlots = field(
+        default_factory=lambda: HeldBackSlots(HOLD_BACK_SECONDS)
+    )
 
     def __post_init__(self) -> None:
         self.board = JobBoard(self.log.state, self.timers.monotonic())
@@ -65,10 +70,12 @@
     def on_record(self, outcome: RecordOutcome) -> None:
         """Follow the work log."""
         now = self.timers.monotonic()
+        body = outcome.body
+        ended = isinstance(body, EndAttempt) and isinstance(outcome.result, Success)
+        worker = self.board.worker_of(body.job_id) if ended else ""
         self.board.on_record(outcome, now)
-        accepted = isinstance(outcome.result, Success) and not outcome.duplicate
-        if accepted and isinstance(outcome.body, EndAttempt):
-            self._back_off(outcome.body, now)
+        if ended:
+            self._back_off(body, worker, now)
 
     async def async_tick(self) -> None:
         """Do all that is due."""
@@ -101,6 +108,16 @@
         _LOGGER.info("job_slots_freed", pool=pool, wanted=count, freed=len(freed))
         return len(freed)
 
+    def tasks_by_holder(self, pool: str) -> dict[str, int]:
+        """Return how many jobs of a pool each entry holds a lease on."""
+        counts: dict[str, int] = {}
+        for holder in self.board.holders():
+            for job_id in self.board.held_by(holder):
+                job = self.log.state.jobs.get(job_id)
+                if job is not None and job.pool == pool:
+                    counts[holder] = counts.get(holder, 0) + 1
+        return counts
+
     async def async_vacate(self, instance_id: str) -> bool:
         """Take this process's tasks off a worker; true once no job is there at all."""
         until = self.timers.monotonic() + VACATE_SECONDS
@@ -183,6 +200,7 @@
         out = self.keeper.lessons.judge.kept_out(names, now)
         out |= self.keeper.lessons.busy_workers(now) | self._vacating.keys()
         view = self.pools.view(pool, self.board, out)
+        view.slots_left -= self._held_back.count(pool, now)
         view.running = {
             name: self.board.running_count(pool, name)
             for name, _ in self.board.fronts(pool, 1)
@@ -267,13 +285,14 @@
             throttled=attempt.throttled,
         )
 
-    def _back_off(self, end: EndAttempt, now: float) -> None:
+    def _back_off(self, end: EndAttempt, worker: str, now: float) -> None:
         job = self.log.state.jobs.get(end.job_id)
         if job is None or job.status != "waiting":
             self._not_before.pop(end.job_id, None)
-            return
-        if end.outcome == AttemptEnd.PREEMPTED:
-            return
-        tries = job.failures + job.losses
-        delay = min(RETRY_BASE_SECONDS * 2.0**tries, RETRY_MAXIMUM_SECONDS)
-        self._not_before[end.job_id] = now + delay
+        elif end.outcome != AttemptEnd.PREEMPTED:
+            tries = job.failures + job.losses
+            delay = min(RETRY_BASE_SECONDS * 2.0**tries, RETRY_MAXIMUM_SECONDS)
+            self._not_before[end.job_id] = now + delay
+        elif self.pools.is_usable(worker):
+            # Nothing is wrong with its worker, so the slot was given to urgent work.
+            self._held_back.note(job.pool, now)
--- a/mustardward/components/jobs/services.py
+++ b/mustardward/components/jobs/services.py
@@ -24,6 +24,7 @@
 from .models import JobView, Need, Submission
 from .pool_view import PoolIndex
 from .scheduler import JobScheduler
+from .slots import SlotReturns
 
 SUBMIT_TIMEOUT_SECONDS: Final = 10.0
 CANCEL_PRIORITY: Final = 0
@@ -40,6 +41,7 @@
     fleet: FleetLog
     pools: PoolIndex
     scheduler: JobScheduler
+    slots: SlotReturns
     draw_id: Callable[[], str]
 
     async def async_submit(
@@ -101,7 +103,7 @@
 
     async def async_free_slots(self, pool: str, count: int) -> int:
         """Take slots back for urgent work; return how many are free now."""
-        return await self.scheduler.async_free_slots(pool, count)
+        return await self.slots.async_free(pool, count)
 
     def _check(self, submission: Submission) -> str | MustardwardError:
         if not (self.log.ready and self.fleet.ready):
--- a/mustardward/components/jobs/setup.py
+++ b/mustardward/components/jobs/setup.py
@@ -8,7 +8,7 @@
 
 from ...core import Core, Unload
 from ...state.models.jobs import Job
-from ..keys import FLEET_LOG, JOBS, MEMBERSHIP, WORK_LOG, WORKER_SERVICE
+from ..keys import FLEET_LOG, JOBS, MEMBERSHIP, PEERS, WORK_LOG, WORKER_SERVICE
 from ..limits.models import SlotsWanted
 from ..membership.models import InstanceLeaving, MemberStatus
 from ..membership.protocols import Membership
@@ -19,6 +19,7 @@
 from .pool_view import PoolIndex
 from .scheduler import JobScheduler
 from .services import LogJobService
+from .slots import SlotReturns
 
 _PRESENT = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
 
@@ -26,15 +27,17 @@
 async def async_setup_jobs(core: Core) -> Unload:
     """Publish the job service, start its ticks, and return what undoes that."""
     scheduler = _make_scheduler(core)
+    slots = SlotReturns(scheduler, core.timers, core.find(MEMBERSHIP), core.find(PEERS))
     service = LogJobService(
         log=core.get(WORK_LOG),
         fleet=core.get(FLEET_LOG),
         pools=scheduler.pools,
         scheduler=scheduler,
+        slots=slots,
         draw_id=lambda: uuid4().hex,
     )
     core.put(JOBS, service)
-    undo = _subscribe(core, scheduler)
+    undo = _subscribe(core, scheduler, slots)
 
     async def async_unload() -> None:
         core.remove(JOBS)
@@ -71,15 +74,18 @@
     )
 
 
-def _subscribe(core: Core, scheduler: JobScheduler) -> list[Callable[[], None]]:
+def _subscribe(
+    core: Core, scheduler: JobScheduler, slots: SlotReturns
+) -> list[Callable[[], None]]:
     def on_slots_wanted(event: SlotsWanted) -> None:
-        core.tasks.start_soon(scheduler.async_free_slots, event.pool, event.slots)
+        core.tasks.start_soon(slots.async_free, event.pool, event.slots)
 
     def on_leaving(event: InstanceLeaving) -> None:
         core.tasks.start_soon(scheduler.async_vacate, event.instance_id)
 
     timers = core.timers
     return [
+        slots.start(),
         core.get(WORK_LOG).listen(scheduler.on_record),
         timers.subscribe("jobs.tick", TICK_SECONDS, scheduler.async_tick),
         timers.subscribe_pause(scheduler.keeper.on_pause),
--- /dev/null
+++ b/mustardward/components/jobs/slots.py
@@ -0,0 +1,116 @@
+"""Give slots of a pool back to urgent work, whichever entry holds the tasks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+import anyio
+
+from ...exceptions import PeerError
+from ...helpers.logging import get_logger
+from ...helpers.timer import TimerService
+from ..membership.models import Member
+from ..membership.protocols import Membership
+from ..peers.protocols import Peers, peer_message
+from ..retries.intents_home import home_name
+from .scheduler import JobScheduler
+
+_LOGGER = get_logger(__name__)
+
+SETTLE_SECONDS: Final = 0.5
+"""Time in which urgent work takes freed slots, before more are asked for."""
+
+PEER_SECONDS: Final = 2.5
+
+
+@dataclass(frozen=True, slots=True)
+class FreedSlots:
+    """Answer how many slots an entry freed."""
+
+    slots: int
+
+
+@peer_message("jobs.free-slots", FreedSlots)
+@dataclass(frozen=True, slots=True)
+class FreeSlots:
+    """Ask an entry to take slots back from the tasks whose leases it holds."""
+
+    pool: str
+    slots: int
+
+
+@dataclass(slots=True, eq=False)
+class SlotReturns:
+    """Share a wish for slots out among the entries that hold tasks of the pool."""
+
+    scheduler: JobScheduler
+    timers: TimerService
+    membership: Membership | None = None
+    peers: Peers | None = None
+    _settled_at: dict[str, float] = field(default_factory=dict)
+
+    def start(self) -> Callable[[], None]:
+        """Begin to answer other entries; return what ends that."""
+        if self.peers is None:
+            return lambda: None
+        return self.peers.handle(FreeSlots, self._async_answer)
+
+    async def async_free(self, pool: str, wanted: int) -> int:
+        """Take slots back; return how many are free now.
+
+        The wish is repeated as long as urgent work waits; each repetition before the
+        freed slots could be used would cost one more task its slot.
+        """
+        now = self.timers.monotonic()
+        if now < self._settled_at.get(pool, 0.0):
+            return 0
+        self._settled_at[pool] = now + PEER_SECONDS
+        freed: list[int] = []
+        async with anyio.create_task_group() as group:
+            for holder, slots in self._shares(pool, wanted).items():
+                group.start_soon(self._async_ask, holder, FreeSlots(pool, slots), freed)
+        self._settled_at[pool] = self.timers.monotonic() + SETTLE_SECONDS
+        return sum(freed)
+
+    def _shares(self, pool: str, wanted: int) -> dict[str, int]:
+        counts = self.scheduler.tasks_by_holder(pool)
+        own = self.scheduler.keeper.identity
+        shares = {}
+        for holder in sorted(counts, key=lambda name: (name != own, name)):
+            slots = min(wanted, counts[holder])
+            if slots > 0:
+                shares[holder] = slots
+                wanted -= slots
+        return shares
+
+    async def _async_ask(
+        self, holder: str, message: FreeSlots, freed: list[int]
+    ) -> None:
+        if holder == self.scheduler.keeper.identity:
+            freed.append(
+                await self.scheduler.async_free_slots(message.pool, message.slots)
+            )
+            return
+        member = self._member(holder)
+        if member is None or self.peers is None:
+            return
+        try:
+            answer = await self.peers.async_call(member, message, PEER_SECONDS)
+        except PeerError as error:
+            _LOGGER.info("job_slots_peer_silent", peer=member.name, code=error.code)
+            return
+        freed.append(answer.slots)
+
+    def _member(self, holder: str) -> Member | None:
+        if self.membership is None:
+            return None
+        for item in self.membership.live():
+            if home_name(item.name, item.incarnation) == holder:
+                return item
+        return None
+
+    async def _async_answer(self, caller: str, message: FreeSlots) -> FreedSlots:
+        freed = await self.scheduler.async_free_slots(message.pool, message.slots)
+        return FreedSlots(freed)
--- a/tests/components/jobs/test_scheduling.py
+++ b/tests/components/jobs/test_scheduling.py
@@ -264,6 +264,26 @@
     assert {status(entry, job_id) for job_id in jobs} == {"done"}
 
 
+async def test_freed_slots_stay_free_until_urgent_work_had_its_chance() -> None:
+    """Hold back what was given back.
+
+    Symptom: urgent work waits although long work gives its slots back. Sequence: a
+    task is checkpointed, its job waits again, and the next tick starts it in the very
+    slot. Cause: nothing told the free slot from any other.
+    """
+    world = JobsWorld(workers_count=1, slots=2)
+    entry = world.add_entry("a")
+    for number in range(3):
+        await world.async_submit(entry, f"plan-{number}")
+    await world.async_run(3)
+    assert await entry.service.async_free_slots("casting", 1) == 1
+    assert await entry.service.async_free_slots("casting", 1) == 0
+    await world.async_run(5)
+    assert len(entry.keeper.held) == 1
+    await world.async_run(6)
+    assert len(entry.keeper.held) == 2
+
+
 async def test_a_job_that_may_not_run_twice_is_never_stopped_for_urgent_work() -> None:
     world = JobsWorld(workers_count=1, slots=1)
     entry = world.add_entry("a")
--- a/tests/fakes/jobs_world.py
+++ b/tests/fakes/jobs_world.py
@@ -13,6 +13,7 @@
 from mustardward.components.jobs.pool_view import PoolIndex
 from mustardward.components.jobs.scheduler import JobScheduler
 from mustardward.components.jobs.services import LogJobService
+from mustardward.components.jobs.slots import SlotReturns
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.state.fleet import FleetState
 from mustardward.state.models.pools import Instance
@@ -114,7 +115,12 @@
         self.timers.subscribe_pause(keeper.on_pause)
         ids = iter(range(1_000_000))
         service = LogJobService(
-            log, self.fleet, pools, scheduler, lambda: f"{name}-{next(ids)}"
+            log,
+            self.fleet,
+            pools,
+            scheduler,
+            SlotReturns(scheduler, self.timers),
+            lambda: f"{name}-{next(ids)}",
         )
         self.entries[name] = Entry(name, log, keeper, scheduler, service)
         return self.entries[name]
