Let what is final for a start hold against each of its incarnations

Cause: a permutation test of news showed two tables at odds: one heard "leaving" before an older refutation, the other after it, and kept the entry alive. Ruled out: comparing arrival times, which differ between entries by nature. Change: within one start, leaving and gone outrank every incarnation; the digest of a final state leaves the incarnation out. A worker that refuses again after its return was told by a peer is believed less too, not only where the refusal was met.

--- a/mustardward/components/membership/instances.py
+++ b/mustardward/components/membership/instances.py
@@ -94,7 +94,7 @@
             return []
         # It was taken for returned and still refuses: the power state told of it, or
         # the drain was repeated. Each time this happens, more quiet is asked for.
-        note.quiet = min(note.quiet * 2, MAXIMUM_QUIET_SECONDS)
+        note.quiet = _longer(note.quiet)
         note.boot = max(note.boot, boot)
         note.leaving = True
         note.count += 1
@@ -135,6 +135,8 @@
                 continue
             was_leaving = note is not None and note.leaving
             quiet = note.quiet if note is not None else RETURN_QUIET_SECONDS
+            if note is not None and leaving and not was_leaving:
+                quiet = _longer(quiet)
             self._put(instance_id, _Note(boot, count, leaving, 0, now, quiet))
             if leaving and not was_leaving:
                 events.append(InstanceLeaving(instance_id, source))
@@ -195,6 +197,10 @@
         self._notes[instance_id] = note
 
 
+def _longer(quiet: float) -> float:
+    return min(quiet * 2, MAXIMUM_QUIET_SECONDS)
+
+
 def _supersedes(note: _Note, boot: int, count: int, leaving: bool) -> bool:
     if (boot, count) != (note.boot, note.count):
         return (boot, count) > (note.boot, note.count)
--- a/mustardward/components/membership/table.py
+++ b/mustardward/components/membership/table.py
@@ -201,12 +201,11 @@
         known = self.get(told.name)
         if known is None or told.start > known.start:
             return self._replace(known, told, now)
-        if told.incarnation < known.incarnation or not self._advances(known, told):
+        if told.start < known.start or not self._advances(known, told):
             return []
         after = self._chart.next_state(known.status, _EVENTS[told.status])
-        merged = replace(
-            known, incarnation=told.incarnation, status=MemberStatus(after)
-        )
+        incarnation = max(known.incarnation, told.incarnation)
+        merged = replace(known, incarnation=incarnation, status=MemberStatus(after))
         self._put(merged, now)
         if merged.status is known.status:
             return []
@@ -215,9 +214,13 @@
     def _advances(self, known: Member, told: Member) -> bool:
         if not self._chart.accepts(known.status, _EVENTS[told.status]):
             return False
-        if told.incarnation > known.incarnation:
-            return True
-        return _RANKS[told.status] > _RANKS[known.status]
+        # A suspicion and its refutation compare by incarnation. What is final for a
+        # start holds against each of its incarnations; otherwise two entries that hear
+        # of a leaving and of an older refutation in different order stay at odds.
+        same = told.incarnation == known.incarnation
+        if same or told.status in _FINAL_FOR_START:
+            return _RANKS[told.status] > _RANKS[known.status]
+        return told.incarnation > known.incarnation
 
     def _replace(
         self, known: Member | None, told: Member, now: float
@@ -271,5 +274,7 @@
 
 
 def _member_digest(member: Member) -> int:
-    text = f"{member.name}\x00{member.incarnation}\x00{member.status}"
+    final = member.status in _FINAL_FOR_START
+    number = member.start if final else member.incarnation
+    text = f"{member.name}\x00{number}\x00{member.status}"
     return xxhash.xxh3_64_intdigest(text.encode()) >> 32
