--- /dev/null
+++ b/tests/components/membership/test_processes.py
@@ -0,0 +1,51 @@
+"""Check membership once over real connections: set-up, leaving and unload."""
+
+from __future__ import annotations
+
+from contextlib import AsyncExitStack
+
+import anyio
+import pytest
+
+from mustardward.components.keys import MEMBERSHIP, PEERS
+from mustardward.components.membership.models import MemberStatus
+from mustardward.core import Core, async_setup_components
+from mustardward.helpers.timer import LoopTimerService
+from mustardward.settings.models import (
+    EntryIdentity,
+    Listener,
+    PeerAddress,
+    PlatformSettings,
+    Settings,
+)
+
+pytestmark = pytest.mark.anyio
+
+
+def _settings(name: str, seeds: tuple[PeerAddress, ...]) -> Settings:
+    return Settings(
+        entry=EntryIdentity(name=name, data_centre="tas-1"),
+        callers=Listener(port=0),
+        peers=seeds,
+        platform=PlatformSettings(url="http://127.0.0.1:1"),
+    )
+
+
+async def test_two_entries_meet_and_one_leaves_over_loopback() -> None:
+    async with AsyncExitStack() as stack:
+        group = await stack.enter_async_context(anyio.create_task_group())
+        stack.callback(group.cancel_scope.cancel)
+        first = Core(_settings("a", ()), LoopTimerService(group), group)
+        unload_first = await async_setup_components(first, ("membership",))
+        host, _, port = first.get(PEERS).address.rpartition(":")
+        seed = PeerAddress(name="a", data_centre="tas-1", host=host, port=int(port))
+        second = Core(_settings("b", (seed,)), LoopTimerService(group), group)
+        unload_second = await async_setup_components(second, ("membership",))
+        for core in (first, second):
+            assert {m.name for m in core.get(MEMBERSHIP).live()} == {"a", "b"}
+        await second.get(MEMBERSHIP).async_announce_leaving()
+        statuses = {m.name: m.status for m in first.get(MEMBERSHIP).members()}
+        assert statuses["b"] is MemberStatus.LEAVING
+        for unload in unload_second + unload_first:
+            await unload()
+        assert first.find(MEMBERSHIP) is None and first.find(PEERS) is None
