--- a/tests/fakes/log.py
+++ b/tests/fakes/log.py
@@ -24,6 +24,7 @@
     """Hold one stream; ``oldest`` moves on as entries expire."""
 
     payloads: dict[int, bytes] = field(default_factory=dict)
+    history: list[bytes] = field(default_factory=list)
     oldest: int = 0
     tail: int = 0
     appended: anyio.Event = field(default_factory=anyio.Event)
@@ -76,10 +77,19 @@
         """Return one entry."""
         return self._stream(stream).payloads[offset]
 
+    def history(self, stream: str) -> list[bytes]:
+        """Return every entry ever appended, also the expired ones."""
+        return self._stream(stream).history
+
+    def lose(self, stream: str, offset: int) -> None:
+        """Lose one entry in the middle of a stream."""
+        del self._stream(stream).payloads[offset]
+
     def put(self, stream: str, payload: bytes) -> int:
         """Append without any fault."""
         held = self._stream(stream)
         held.payloads[held.tail] = payload
+        held.history.append(payload)
         held.tail += 1
         held.appended.set()
         held.appended = anyio.Event()
--- a/tests/fakes/log_bench.py
+++ b/tests/fakes/log_bench.py
@@ -29,6 +29,7 @@
         self.service = FakeLog()
         self.timers = DrivenTimerService()
         self.logs: list[FoldedLog[FleetState]] = []
+        self.relays: dict[FoldedLog[FleetState], DirectRelay] = {}
 
     def start(
         self,
@@ -44,7 +45,8 @@
             Random(len(self.logs)),
         )
         if peers is not None:
-            log.use_relay(DirectRelay(peers))
+            self.relays[log] = DirectRelay(peers)
+            log.use_relay(self.relays[log])
         self.logs.append(log)
         self.group.start_soon(log.async_run)
         return log
--- a/tests/state/test_snapshots.py
+++ b/tests/state/test_snapshots.py
@@ -193,7 +193,7 @@
         log = bench.start()
         await bench.async_settle()
         await bench.async_fill(log, 4)
-        del bench.service._streams["fleet"].payloads[2]
+        bench.service.lose("fleet", 2)
         late = bench.start()
         await bench.async_settle(3.0)
         assert late.next_offset == 2
