Serve callers' requests through a listening entry

Cause: nothing took a caller's request to a worker yet. Change: a raw ASGI application on hypercorn's asyncio worker resolves, admits, opens intents, tries workers and streams the answer back; refusals are problem+json whose "ran" covers every attempt and the key. Ruled out: one httpx client for all workers (its cookie jar would carry a worker's cookie from one caller to the next); transports are used instead.

--- /dev/null
+++ b/mustardward/cli/serve.py
@@ -0,0 +1,70 @@
+"""Run one entry process."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from functools import partial
+from pathlib import Path
+
+import anyio
+import click
+
+from ..app import async_setup_entry
+from ..core import Core
+from ..exceptions import SettingsError
+from ..helpers.log_output import set_up_logging
+from ..helpers.logging import get_logger
+from ..helpers.timer import LoopTimerService
+from ..settings.loader import load_settings
+from ..settings.models import Settings
+
+_LOGGER = get_logger(__name__)
+
+
+@click.command("serve")
+@click.argument("settings_file", type=click.Path(path_type=Path))
+@click.option("--verbose", is_flag=True, help="Log detail for fault finding, too.")
+def command(settings_file: Path, verbose: bool) -> None:
+    """Run an entry with the settings in SETTINGS_FILE until SIGTERM or SIGINT.
+
+    Exit codes: 0 after a graceful stop, 1 if the settings have faults.
+    """
+    set_up_logging(verbose)
+    try:
+        settings = load_settings(settings_file)
+    except SettingsError as error:
+        click.echo(error.detail, err=True)
+        sys.exit(1)
+    anyio.run(partial(async_serve, settings), backend="asyncio")
+
+
+async def async_serve(settings: Settings) -> None:
+    """Run an entry until a signal asks it to leave."""
+    async with anyio.create_task_group() as tasks:
+        timers = LoopTimerService(tasks)
+        timers.start()
+        core = Core(settings, timers, tasks)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            unloads = await async_setup_entry(core)
+            _LOGGER.info(
+                "entry_started",
+                entry=settings.entry.name,
+                data_centre=settings.entry.data_centre,
+            )
+            received = await anext(aiter(signals))
+            _LOGGER.info("entry_leaving", signal=received.name)
+            await async_leave(core)
+            for unload in unloads:
+                await unload()
+        tasks.cancel_scope.cancel()
+    _LOGGER.info("entry_stopped", entry=settings.entry.name)
+
+
+async def async_leave(core: Core) -> None:
+    """Drain the entry while operators can still watch it."""
+    from ..components.keys import DRAIN
+
+    drain = core.find(DRAIN)
+    if drain is not None:
+        await drain.async_run()
--- a/mustardward/components/entry/__init__.py
+++ b/mustardward/components/entry/__init__.py
@@ -7,11 +7,22 @@
 
 async def async_setup(core: Core) -> Unload:
     """Set the component up and return what undoes it."""
-
-    async def async_unload() -> None:
-        return None
-
-    return async_unload
-
-
-COMPONENTS.register("entry")(ComponentDescription("entry", async_setup))
+    from .setup import async_setup_entry
+
+    return await async_setup_entry(core)
+
+
+COMPONENTS.register("entry")(
+    ComponentDescription(
+        "entry",
+        async_setup,
+        dependencies=(
+            "membership",
+            "templates",
+            "limits",
+            "routing",
+            "retries",
+            "jobs",
+        ),
+    )
+)
--- /dev/null
+++ b/mustardward/components/entry/answer.py
@@ -0,0 +1,137 @@
+"""Hold a worker's answer while it streams, and end it exactly once."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import httpx
+
+from ...exceptions import TruncatedAnswerError
+from .protocols import WorkerAnswer
+
+EndCallback = Callable[[bool, bytes | None], None]
+
+
+class WorkerBody:
+    """Read the body of a worker's answer from its connection.
+
+    :param response: the answer whose head was read.
+    """
+
+    def __init__(self, response: httpx.Response) -> None:
+        self._response = response
+        self._stream = response.stream
+        assert isinstance(self._stream, httpx.AsyncByteStream)
+        self._parts = self._stream.__aiter__()
+
+    def __aiter__(self) -> WorkerBody:
+        """Return itself."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Return the next piece.
+
+        :raises TruncatedAnswerError: if the worker ended too early.
+        """
+        try:
+            return await self._parts.__anext__()
+        except StopAsyncIteration:
+            await self.aclose()
+            raise
+        except httpx.TransportError as error:
+            await self.aclose()
+            raise TruncatedAnswerError(type(error).__name__) from error
+
+    async def aclose(self) -> None:
+        """Return the connection to its pool if the body was whole, else close it.
+
+        A connection that was left in the middle of an answer would give the rest of
+        it to the next caller.
+        """
+        await self._response.aclose()
+
+
+class WatchedBody:
+    """Pass a body on and tell once how it ended.
+
+    :param keep_bytes: longest body to keep a copy of; negative to keep none.
+    """
+
+    def __init__(
+        self, parts: AsyncIterator[bytes], keep_bytes: int, on_end: EndCallback
+    ) -> None:
+        self._parts = parts
+        self._on_end = on_end
+        self._room = keep_bytes
+        self._kept: list[bytes] = []
+        self._over = False
+
+    def __aiter__(self) -> WatchedBody:
+        """Return itself."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Return the next piece.
+
+        :raises TruncatedAnswerError: if the worker ended too early.
+        """
+        try:
+            chunk = await self._parts.__anext__()
+        except StopAsyncIteration:
+            self._end(True)
+            raise
+        except TruncatedAnswerError:
+            self._end(False)
+            raise
+        if self._room >= 0:
+            self._keep(chunk)
+        return chunk
+
+    async def aclose(self) -> None:
+        """Close the source; an end that was not reached counts as a failure."""
+        self._end(False)
+        await async_close_parts(self._parts)
+
+    def _keep(self, chunk: bytes) -> None:
+        self._room -= len(chunk)
+        if self._room >= 0:
+            self._kept.append(chunk)
+        else:
+            self._kept.clear()
+
+    def _end(self, whole: bool) -> None:
+        if self._over:
+            return
+        self._over = True
+        kept = b"".join(self._kept) if whole and self._room >= 0 else None
+        self._on_end(whole, kept)
+
+
+class StoredBody:
+    """Give a body that is already whole."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+
+    def __aiter__(self) -> StoredBody:
+        """Return itself."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Return the body, then end."""
+        if not self._body:
+            raise StopAsyncIteration
+        body, self._body = self._body, b""
+        return body
+
+
+async def async_close_parts(parts: AsyncIterator[bytes]) -> None:
+    """Close a source of pieces if it can be closed."""
+    close: Callable[[], Awaitable[None]] | None = getattr(parts, "aclose", None)
+    if close is not None:
+        await close()
+
+
+async def async_close_answer(answer: WorkerAnswer) -> None:
+    """Give up an answer, whether its body was read or not."""
+    await async_close_parts(answer.chunks)
--- /dev/null
+++ b/mustardward/components/entry/dispatcher.py
@@ -0,0 +1,198 @@
+"""Send attempts to workers over HTTP."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import httpx
+from returns.result import Failure, Result, Success
+
+from ...const import (
+    HEADER_ATTEMPT_ID,
+    HEADER_CLASS,
+    HEADER_DEADLINE,
+    HEADER_GENERATION,
+    HEADER_ORGANISATION,
+    HEADER_RAN,
+    HEADER_REQUEST_ID,
+)
+from ...exceptions import BodyTooLargeError, CallerGoneError, TruncatedAnswerError
+from ...helpers.logging import get_logger
+from ...helpers.timer import TimerService
+from .answer import WorkerBody
+from .const import (
+    BODILESS_STATUSES,
+    CONNECT_SECONDS,
+    REFUSED_BODY_BYTES,
+    WORKER_KEEPALIVE_SECONDS,
+)
+from .headers import Headers, answer_headers, find_header, has_injection
+from .models import AttemptOutcome, RequestFacts
+from .protocols import Choice, FailedAttempt, OutgoingRequest, WorkerAnswer
+
+_LOGGER = get_logger(__name__)
+
+_ATTEMPT_ID: Final = HEADER_ATTEMPT_ID.encode()
+_RAN: Final = HEADER_RAN.encode()
+_BODY_METHODS: Final = frozenset({"POST", "PUT", "PATCH"})
+_UNANSWERED: Final = (httpx.TransportError, BodyTooLargeError, CallerGoneError)
+_NOT_CONNECTED: Final = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+class HttpDispatcher:
+    """Send one attempt to one worker, and accept only that attempt's own answer."""
+
+    def __init__(self, timers: TimerService) -> None:
+        self._timers = timers
+        self._transports: dict[str, httpx.AsyncHTTPTransport] = {}
+
+    async def async_send(
+        self, choice: Choice, facts: RequestFacts, request: OutgoingRequest
+    ) -> Result[WorkerAnswer, FailedAttempt]:
+        """Send and return when the answer's head is there."""
+        remaining = facts.deadline - self._timers.monotonic()
+        if remaining <= 0:
+            return _failed(AttemptOutcome.NOT_SENT, "deadline-exceeded")
+        outgoing = _build_request(choice, facts, request, remaining)
+        transport = self._transport(choice)
+        try:
+            response = await transport.handle_async_request(outgoing)
+        except _NOT_CONNECTED as error:
+            return _failed(AttemptOutcome.NOT_SENT, type(error).__name__)
+        except _UNANSWERED as error:
+            return _failed(AttemptOutcome.UNKNOWN, _cause(error))
+        return await _async_accept(response, choice, request.method)
+
+    async def async_close(self) -> None:
+        """Close all connections."""
+        transports = list(self._transports.values())
+        self._transports.clear()
+        for transport in transports:
+            await transport.aclose()
+
+    def _transport(self, choice: Choice) -> httpx.AsyncHTTPTransport:
+        # One pool for all workers would be searched, and each idle connection in it
+        # polled, for every request.
+        address = choice.instance.address
+        transport = self._transports.get(address)
+        if transport is None:
+            limits = httpx.Limits(
+                max_connections=choice.instance.connections,
+                max_keepalive_connections=choice.instance.connections,
+                keepalive_expiry=WORKER_KEEPALIVE_SECONDS,
+            )
+            transport = httpx.AsyncHTTPTransport(limits=limits, trust_env=False)
+            self._transports[address] = transport
+        return transport
+
+
+def _build_request(
+    choice: Choice, facts: RequestFacts, request: OutgoingRequest, remaining: float
+) -> httpx.Request:
+    address = choice.instance.address
+    headers = [
+        (b"host", address.encode()),
+        (_ATTEMPT_ID, choice.attempt_id.encode()),
+        (HEADER_REQUEST_ID.encode(), facts.request_id.encode()),
+        (HEADER_ORGANISATION.encode(), facts.organisation.encode()),
+        (HEADER_CLASS.encode(), facts.urgency.value.encode()),
+        (HEADER_GENERATION.encode(), b"%d" % choice.instance.generation),
+        (HEADER_DEADLINE.encode(), b"%.3f" % remaining),
+        *request.headers,
+        *_framing(request),
+    ]
+    timeout = {
+        "connect": min(CONNECT_SECONDS, remaining),
+        "pool": remaining,
+        "write": remaining,
+        "read": remaining,
+    }
+    return httpx.Request(
+        request.method,
+        f"http://{address}/",
+        headers=headers,
+        content=request.body,
+        extensions={"target": request.target.encode("latin-1"), "timeout": timeout},
+    )
+
+
+def _framing(request: OutgoingRequest) -> Headers:
+    if isinstance(request.body, bytes):
+        if request.body or request.method in _BODY_METHODS:
+            return ((b"content-length", b"%d" % len(request.body)),)
+        return ()
+    if find_header(request.headers, b"content-length") is not None:
+        return ()
+    return ((b"transfer-encoding", b"chunked"),)
+
+
+async def _async_accept(
+    response: httpx.Response, choice: Choice, method: str
+) -> Result[WorkerAnswer, FailedAttempt]:
+    """Take an answer only if it is whole in form and belongs to this attempt."""
+    headers = [(name.lower(), value) for name, value in response.headers.raw]
+    answered = find_header(headers, _ATTEMPT_ID)
+    if answered != choice.attempt_id.encode():
+        # A connection that carried a stray answer gives every later caller the
+        # answer before. It shows as an answer with another attempt's id, or none.
+        await response.aclose()
+        _LOGGER.warning(
+            "stray_answer_dropped",
+            instance=choice.instance.instance_id,
+            attempt_id=choice.attempt_id,
+            answered=None if answered is None else answered.decode("latin-1"),
+        )
+        return _failed(AttemptOutcome.UNKNOWN, "stray-answer")
+    if response.status_code == 503 and find_header(headers, _RAN) == b"no":
+        cause = find_header(headers, b"mw-refusal") or b"busy"
+        await _async_drain(response)
+        return _failed(AttemptOutcome.REFUSED, cause.decode("latin-1"))
+    fault = _fault_in_form(response.status_code, headers, method)
+    if fault:
+        await response.aclose()
+        return _failed(AttemptOutcome.UNKNOWN, fault)
+    answer = WorkerAnswer(
+        response.status_code, answer_headers(headers), WorkerBody(response)
+    )
+    return Success(answer)
+
+
+def _fault_in_form(
+    status: int, headers: list[tuple[bytes, bytes]], method: str
+) -> str | None:
+    if status < 200:
+        return "protocol-switched"
+    if has_injection(headers):
+        return "answer-header-invalid"
+    if method == "HEAD" or status in BODILESS_STATUSES:
+        return None
+    for name, _ in headers:
+        if name in (b"content-length", b"transfer-encoding"):
+            return None
+    # The end of the connection would be the end of the body, so an answer that was
+    # cut off would look like a whole, shorter one.
+    return "answer-unframed"
+
+
+async def _async_drain(response: httpx.Response) -> None:
+    """Read a small refusal to its end, so that its connection can be used again."""
+    body = WorkerBody(response)
+    left = REFUSED_BODY_BYTES
+    try:
+        async for chunk in body:
+            left -= len(chunk)
+            if left < 0:
+                break
+    except TruncatedAnswerError:
+        return
+    finally:
+        await body.aclose()
+
+
+def _cause(error: Exception) -> str:
+    code = getattr(error, "code", None)
+    return code if isinstance(code, str) else type(error).__name__
+
+
+def _failed(outcome: AttemptOutcome, cause: str) -> Failure[FailedAttempt]:
+    return Failure(FailedAttempt(outcome, cause))
--- a/mustardward/components/keys.py
+++ b/mustardward/components/keys.py
@@ -18,6 +18,7 @@
         WorkerService,
     )
     from ..state.protocols import FleetLog, WorkLog
+    from .entry.drain import Drain
     from .entry.protocols import (
         IntentGate,
         Limiter,
@@ -25,6 +26,7 @@
         Router,
         WorkerDispatcher,
     )
+    from .entry.service import EntryService
     from .membership.protocols import Membership
     from .peers.protocols import Peers
     from .templates.protocols import Directory
@@ -45,3 +47,5 @@
 RETRY_POLICY: Final[ComponentKey[RetryPolicy]] = ComponentKey("retries")
 INTENT_GATE: Final[ComponentKey[IntentGate]] = ComponentKey("retries.intents")
 DISPATCHER: Final[ComponentKey[WorkerDispatcher]] = ComponentKey("entry.dispatcher")
+ENTRY: Final[ComponentKey[EntryService]] = ComponentKey("entry")
+DRAIN: Final[ComponentKey[Drain]] = ComponentKey("entry.drain")
--- a/mustardward/exceptions.py
+++ b/mustardward/exceptions.py
@@ -160,3 +160,30 @@
     """Report an event that the present state of a chart does not accept."""
 
     code = "transition-refused"
+
+
+# Entry --------------------------------------------------------------------
+
+
+class EntryError(MustardwardError):
+    """Serve as the root of failures on a caller's request path."""
+
+    code = "entry-error"
+
+
+class TruncatedAnswerError(EntryError):
+    """Report that a worker ended its answer before it was whole."""
+
+    code = "answer-truncated"
+
+
+class BodyTooLargeError(EntryError):
+    """Report that a caller sent more of a body than the limit allows."""
+
+    code = "body-too-large"
+
+
+class CallerGoneError(EntryError):
+    """Report that the caller went away before its request was whole."""
+
+    code = "caller-gone"
--- /dev/null
+++ b/mustardward/helpers/listener.py
@@ -0,0 +1,149 @@
+"""Listen for HTTP with hypercorn's asyncio worker."""
+
+from __future__ import annotations
+
+import socket
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from ssl import CERT_REQUIRED
+from typing import Any, Final
+
+import anyio
+from anyio.abc import TaskGroup
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+from hypercorn.logging import Logger
+
+from ..settings.models import Listener, TlsSettings
+from .logging import get_logger
+
+_LOGGER = get_logger(__name__)
+
+BACKLOG: Final = 1024
+
+AsgiApp = Callable[..., Awaitable[None]]
+
+
+class EventLog(Logger):
+    """Write hypercorn's messages as events; its access lines are not needed."""
+
+    def __init__(self, config: Config) -> None:
+        self.access_logger = None
+        self.error_logger = None
+
+    async def access(self, request: Any, response: Any, request_time: float) -> None:
+        """Write nothing: the entry writes one line for each request."""
+
+    async def info(self, message: str, *args: Any, **kwargs: Any) -> None:
+        """Log an ordinary message."""
+        _LOGGER.debug("http_server", message=message)
+
+    async def warning(self, message: str, *args: Any, **kwargs: Any) -> None:
+        """Log a warning."""
+        _LOGGER.warning("http_server", message=message)
+
+    async def error(self, message: str, *args: Any, **kwargs: Any) -> None:
+        """Log an error."""
+        _LOGGER.error("http_server", message=message)
+
+    async def exception(self, message: str, *args: Any, **kwargs: Any) -> None:
+        """Log the exception being handled."""
+        error = sys.exc_info()[1]
+        _LOGGER.error(
+            "http_application_failed",
+            error=type(error).__name__,
+            detail=str(error),
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ListenerOptions:
+    """Hold what differs between listeners.
+
+    ``graceful_seconds`` bounds how long requests in progress may go on after a stop.
+    """
+
+    header_bytes: int = 65_536
+    keepalive_seconds: float = 75.0
+    graceful_seconds: float = 30.0
+    tls: TlsSettings | None = None
+
+
+class HttpListener:
+    """Serve one ASGI application on one address.
+
+    :param app: the application.
+    :param address: where to listen; port 0 takes a free one.
+    """
+
+    def __init__(
+        self, app: AsgiApp, address: Listener, options: ListenerOptions
+    ) -> None:
+        self._app = app
+        self._options = options
+        self._stop = anyio.Event()
+        self._stopped = anyio.Event()
+        self._socket = _bind(address)
+        self._host, self._port = self._socket.getsockname()[:2]
+
+    @property
+    def host(self) -> str:
+        """Return the IP number listened on."""
+        return str(self._host)
+
+    @property
+    def port(self) -> int:
+        """Return the port listened on."""
+        return int(self._port)
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Begin to take connections."""
+        tasks.start_soon(self._async_serve)
+
+    async def async_stop(self) -> None:
+        """Take no new connections, and wait until requests in progress are done."""
+        self._stop.set()
+        await self._stopped.wait()
+
+    async def _async_serve(self) -> None:
+        try:
+            await serve(
+                self._app,
+                self._config(),
+                shutdown_trigger=self._stop.wait,
+            )
+        finally:
+            self._stopped.set()
+
+    def _config(self) -> Config:
+        options = self._options
+        config = Config()
+        config.bind = [f"fd://{self._socket.detach()}"]
+        config.backlog = BACKLOG
+        config.logger_class = EventLog
+        config.include_server_header = False
+        config.include_date_header = False
+        config.keep_alive_timeout = options.keepalive_seconds
+        config.keep_alive_max_requests = 1_000_000
+        config.graceful_timeout = options.graceful_seconds
+        # Twice the limit: the application refuses what is over it with a clear
+        # problem, and the server cuts off only what is far beyond.
+        config.h11_max_incomplete_size = 2 * options.header_bytes
+        config.h2_max_header_list_size = 2 * options.header_bytes
+        if options.tls is not None:
+            config.certfile = str(options.tls.certificate)
+            config.keyfile = str(options.tls.key)
+            config.ca_certs = str(options.tls.authority)
+            config.verify_mode = CERT_REQUIRED
+        return config
+
+
+def _bind(address: Listener) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    bound.bind((address.host, address.port))
+    bound.listen(BACKLOG)
+    return bound
--- /dev/null
+++ b/mustardward/helpers/log_output.py
@@ -0,0 +1,33 @@
+"""Send the product's log lines to standard error, a line of pairs for each."""
+
+from __future__ import annotations
+
+import logging
+from typing import Final
+
+from absl import flags
+from absl import logging as absl_logging
+
+_LEVELS: Final = {"DEBUG": "debug", "INFO": "info", "WARNING": "warning"}
+
+
+class PairFormatter(logging.Formatter):
+    """Put time and level before the pairs of an event."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return one line."""
+        level = _LEVELS.get(record.levelname, "error")
+        message = record.getMessage()
+        if record.exc_info:
+            message += f" exception={record.exc_info[0]}"
+        return f"time={record.created:.3f} level={level} {message}"
+
+
+def set_up_logging(verbose: bool = False) -> None:
+    """Begin to write events; ``verbose`` adds those for fault finding."""
+    # click parses the command line; absl would first warn that nobody had.
+    flags.FLAGS.mark_as_parsed()
+    absl_logging.use_absl_handler()
+    absl_logging.get_absl_handler().setFormatter(PairFormatter())
+    absl_logging.set_verbosity(absl_logging.DEBUG if verbose else absl_logging.INFO)
+    absl_logging.set_stderrthreshold("info")
--- a/mustardward/settings/models.py
+++ b/mustardward/settings/models.py
@@ -32,6 +32,12 @@
         min_length=1, max_length=64, pattern=r"^[a-z0-9][a-z0-9-]*$"
     )
     region: str = Field(default="default", min_length=1, max_length=64)
+    leaving_seconds: float = Field(
+        default=2.0,
+        ge=0,
+        le=60,
+        description="time a balancer gets to notice, before the listener closes",
+    )
 
 
 class PeerAddress(SettingsModel):
--- /dev/null
+++ b/tests/fakes/entry.py
@@ -0,0 +1,362 @@
+"""Stand in for the parts that an entry's request path uses."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import cast
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from returns.result import Failure, Result, Success
+
+from mustardward.components.entry.const import CALLER_KEEPALIVE_SECONDS
+from mustardward.components.entry.dispatcher import HttpDispatcher
+from mustardward.components.entry.front import CallerFront
+from mustardward.components.entry.health import Health
+from mustardward.components.entry.models import (
+    Attempt,
+    Ran,
+    RequestFacts,
+    RequestFinished,
+    RequestRefusal,
+)
+from mustardward.components.entry.parts import EntryParts
+from mustardward.components.entry.protocols import (
+    Choice,
+    IntentGate,
+    Permit,
+    RetryDecision,
+    StoredAnswer,
+)
+from mustardward.components.entry.service import EntryService
+from mustardward.components.keys import FLEET_LOG
+from mustardward.components.templates.protocols import Resolved
+from mustardward.core import Core
+from mustardward.helpers.listener import HttpListener, ListenerOptions
+from mustardward.helpers.timer import DrivenTimerService
+from mustardward.settings.models import (
+    EntryIdentity,
+    Listener,
+    PlatformSettings,
+    RequestLimits,
+    Settings,
+)
+from mustardward.state.models.pools import Instance
+from mustardward.state.models.templates import (
+    Organisation,
+    Overrides,
+    Parameters,
+    ServiceBinding,
+)
+from mustardward.state.protocols import FleetLog
+
+
+def build_settings(limits: RequestLimits | None = None) -> Settings:
+    """Return the settings of one entry on loopback."""
+    return Settings(
+        entry=EntryIdentity(name="entry-1", data_centre="dc-a", leaving_seconds=0.0),
+        callers=Listener(port=0),
+        platform=PlatformSettings(url="http://127.0.0.1:1"),
+        limits=limits or RequestLimits(),
+    )
+
+
+@dataclass(slots=True)
+class ReadyLog:
+    """Be a log whose state is there."""
+
+    ready: bool = True
+
+
+@dataclass(slots=True)
+class FakeDirectory:
+    """Know one organisation with one service."""
+
+    parameters: Parameters = field(
+        default_factory=lambda: Parameters(services=(ServiceBinding("turn", "rack"),))
+    )
+
+    def resolve(
+        self, organisation: str, service: str
+    ) -> Result[Resolved, RequestRefusal]:
+        if organisation != "hvelv":
+            return Failure(
+                RequestRefusal("organisation-unknown", 404, Ran.NO, organisation)
+            )
+        for binding in self.parameters.services:
+            if binding.service == service:
+                return Success(Resolved(self._organisation(), binding))
+        return Failure(RequestRefusal("service-unknown", 404, Ran.NO, service))
+
+    def _organisation(self) -> Organisation:
+        return Organisation("hvelv", "small", 1, 1, Overrides(), self.parameters)
+
+
+@dataclass(slots=True)
+class FakePermit:
+    """Count releases."""
+
+    released: list[bool]
+    over: bool = False
+
+    def release(self, latency_seconds: float, succeeded: bool) -> None:
+        if not self.over:
+            self.released.append(succeeded)
+        self.over = True
+
+
+@dataclass(slots=True)
+class FakeLimiter:
+    """Admit all, or refuse all."""
+
+    refusal: RequestRefusal | None = None
+    admitted: int = 0
+    released: list[bool] = field(default_factory=list)
+
+    async def async_admit(self, facts: RequestFacts) -> Result[Permit, RequestRefusal]:
+        if self.refusal is not None:
+            return Failure(self.refusal)
+        self.admitted += 1
+        return Success(FakePermit(self.released))
+
+
+@dataclass(slots=True)
+class FakeRouter:
+    """Offer workers in order and remember how their attempts ended."""
+
+    addresses: list[str]
+    attempts: list[Attempt] = field(default_factory=list)
+    chosen: int = 0
+
+    def choose(
+        self, facts: RequestFacts, exclude: frozenset[str]
+    ) -> Result[Choice, RequestRefusal]:
+        for address in self.addresses:
+            if address not in exclude:
+                self.chosen += 1
+                instance = Instance(address, "dc-a", "rack-1", address, facts.pool, 7)
+                return Success(Choice(instance, f"attempt-{self.chosen}"))
+        return Failure(RequestRefusal("no-worker", 503, Ran.NO, "none left", 1.0))
+
+    def finish(self, choice: Choice, facts: RequestFacts, attempt: Attempt) -> None:
+        self.attempts.append(attempt)
+
+    @property
+    def outcomes(self) -> list[str]:
+        """Return the outcomes and causes in order."""
+        return [f"{item.outcome.value}:{item.cause}" for item in self.attempts]
+
+
+@dataclass(slots=True)
+class FakeRetries:
+    """Allow retries that are safe, up to a number of attempts."""
+
+    maximum: int = 3
+
+    def decide(
+        self, facts: RequestFacts, attempts: tuple[Attempt, ...], now: float
+    ) -> RetryDecision:
+        safe = facts.idempotent or attempts[-1].outcome.surely_not_run
+        return RetryDecision(safe and len(attempts) < self.maximum)
+
+    def record_first(self, facts: RequestFacts) -> None:
+        return None
+
+
+@dataclass(slots=True)
+class FakeIntents:
+    """Hold intents in memory."""
+
+    stored: StoredAnswer | None = None
+    refusal: RequestRefusal | None = None
+    opened: list[str] = field(default_factory=list)
+    closed: list[tuple[str, StoredAnswer | None]] = field(default_factory=list)
+
+    async def async_open(
+        self, facts: RequestFacts
+    ) -> Result[StoredAnswer | None, RequestRefusal]:
+        self.opened.append(facts.request_digest)
+        if self.refusal is not None:
+            return Failure(self.refusal)
+        return Success(self.stored)
+
+    async def async_close(
+        self, facts: RequestFacts, ran: str, answer: StoredAnswer | None
+    ) -> None:
+        self.closed.append((ran, answer))
+
+
+@dataclass(slots=True)
+class SeenRequest:
+    """Hold a request as a worker got it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def attempt_id(self) -> str:
+        """Return the id that the answer has to repeat."""
+        return self.headers["mw-attempt-id"]
+
+
+Script = Callable[["SocketStream", SeenRequest], Awaitable[bool]]
+"""Answer a request on its connection; false closes the connection."""
+
+
+def plain_answer(
+    seen: SeenRequest, body: bytes = b"done", status: int = 200, extra: str = ""
+) -> bytes:
+    """Return a whole answer as bytes."""
+    return (
+        f"HTTP/1.1 {status} X\r\nmw-attempt-id: {seen.attempt_id}\r\n{extra}"
+        f"content-length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+async def answer_plainly(stream: SocketStream, seen: SeenRequest) -> bool:
+    """Answer 200 and keep the connection."""
+    await stream.send(plain_answer(seen))
+    return True
+
+
+@dataclass(slots=True)
+class RawWorker:
+    """Read requests and answer them by a script, down to the byte."""
+
+    script: Script = answer_plainly
+    address: str = ""
+    seen: list[SeenRequest] = field(default_factory=list)
+    connections: int = 0
+
+    async def async_serve(self, stream: SocketStream) -> None:
+        self.connections += 1
+        async with stream:
+            try:
+                while await self._async_one(stream):
+                    pass
+            except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+                return
+            except h11.RemoteProtocolError:
+                return
+
+    async def _async_one(self, stream: SocketStream) -> bool:
+        seen = await async_read_request(stream)
+        if seen is None:
+            return False
+        self.seen.append(seen)
+        return await self.script(stream, seen)
+
+
+async def async_read_request(stream: SocketStream) -> SeenRequest | None:
+    """Return the next request on a connection, or nothing at its end."""
+    connection = h11.Connection(h11.SERVER)
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            try:
+                connection.receive_data(await stream.receive())
+            except anyio.EndOfStream:
+                connection.receive_data(b"")
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            assert head is not None
+            headers = {k.decode(): v.decode("latin-1") for k, v in head.headers}
+            return SeenRequest(
+                head.method.decode(), head.target.decode(), headers, body
+            )
+        else:
+            return None
+
+
+async def async_start_worker(tasks: TaskGroup, script: Script) -> RawWorker:
+    """Start a scripted worker on a free port."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+    worker = RawWorker(script)
+    port = listener.extra(SocketAttribute.local_port)
+    worker.address = f"127.0.0.1:{port}"
+
+    async def run() -> None:
+        async with listener:
+            await listener.serve(worker.async_serve)
+
+    tasks.start_soon(run)
+    return worker
+
+
+@dataclass(slots=True)
+class RunningEntry:
+    """Hold an entry that listens, with its fakes."""
+
+    core: Core
+    timers: DrivenTimerService
+    listener: HttpListener
+    health: Health
+    service: EntryService
+    limiter: FakeLimiter
+    router: FakeRouter
+    retries: FakeRetries
+    finished: list[RequestFinished]
+
+    @property
+    def url(self) -> str:
+        """Return where callers reach it."""
+        return f"http://127.0.0.1:{self.listener.port}"
+
+
+@asynccontextmanager
+async def running_entry(
+    *scripts: Script,
+    limits: RequestLimits | None = None,
+    intents: IntentGate | None = None,
+    parameters: Parameters | None = None,
+) -> AsyncIterator[tuple[RunningEntry, list[RawWorker]]]:
+    """Run an entry in front of one scripted worker for each script."""
+    async with anyio.create_task_group() as tasks:
+        workers = [await async_start_worker(tasks, script) for script in scripts]
+        timers = DrivenTimerService()
+        core = Core(build_settings(limits), timers, tasks)
+        core.put(FLEET_LOG, cast(FleetLog, ReadyLog()))
+        finished: list[RequestFinished] = []
+        core.events.listen(RequestFinished, finished.append)
+        router = FakeRouter([worker.address for worker in workers])
+        limiter, retries = FakeLimiter(), FakeRetries()
+        dispatcher = HttpDispatcher(timers)
+        service = EntryService(
+            EntryParts(limiter, router, retries, dispatcher, intents), timers, tasks
+        )
+        directory = FakeDirectory()
+        if parameters is not None:
+            directory.parameters = parameters
+        health = Health(core)
+        front = CallerFront(
+            service, directory, health, core.settings.limits, timers, core.events
+        )
+        listener = HttpListener(
+            front,
+            core.settings.callers,
+            ListenerOptions(
+                header_bytes=core.settings.limits.header_bytes,
+                keepalive_seconds=CALLER_KEEPALIVE_SECONDS,
+            ),
+        )
+        listener.start(tasks)
+        entry = RunningEntry(
+            core, timers, listener, health, service, limiter, router, retries, finished
+        )
+        try:
+            yield entry, workers
+        finally:
+            with anyio.CancelScope(shield=True):
+                await listener.async_stop()
+                await dispatcher.async_close()
+            tasks.cancel_scope.cancel()
