Prove the request path's failures and the graceful stop

Cause: the path stood, but nothing had brought about what it is meant for. A call's own timeouts now end after the deadline, so that the deadline always gives the verdict; workers' connections share one TLS context (loading the authorities for each worker held the loop up by tens of milliseconds). Ruled out: reading the refused body after the answer's end (the server's queue is bounded and its end would wait for ever).

--- a/mustardward/cli/serve.py
+++ b/mustardward/cli/serve.py
@@ -4,6 +4,7 @@
 
 import signal
 import sys
+from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
 
@@ -11,7 +12,7 @@
 import click
 
 from ..app import async_setup_entry
-from ..core import Core
+from ..core import Core, Unload
 from ..exceptions import SettingsError
 from ..helpers.log_output import set_up_logging
 from ..helpers.logging import get_logger
@@ -21,6 +22,8 @@
 
 _LOGGER = get_logger(__name__)
 
+Setup = Callable[[Core], Awaitable[list[Unload]]]
+
 
 @click.command("serve")
 @click.argument("settings_file", type=click.Path(path_type=Path))
@@ -39,14 +42,19 @@
     anyio.run(partial(async_serve, settings), backend="asyncio")
 
 
-async def async_serve(settings: Settings) -> None:
-    """Run an entry until a signal asks it to leave."""
+async def async_serve(
+    settings: Settings, async_setup: Setup = async_setup_entry
+) -> None:
+    """Run an entry until a signal asks it to leave.
+
+    :param async_setup: sets the components up and returns their unloads in order.
+    """
     async with anyio.create_task_group() as tasks:
         timers = LoopTimerService(tasks)
         timers.start()
         core = Core(settings, timers, tasks)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            unloads = await async_setup_entry(core)
+            unloads = await async_setup(core)
             _LOGGER.info(
                 "entry_started",
                 entry=settings.entry.name,
--- a/mustardward/components/entry/const.py
+++ b/mustardward/components/entry/const.py
@@ -42,6 +42,9 @@
 CONNECT_SECONDS: Final = 1.0
 """Longest time a connection to a worker may take."""
 
+TIMEOUT_GRACE_SECONDS: Final = 1.0
+"""How long after its deadline a call's own timeouts end it at the latest."""
+
 WORKER_KEEPALIVE_SECONDS: Final = 4.0
 """Idle time after which a worker's connection is closed from this side.
 
--- a/mustardward/components/entry/dispatcher.py
+++ b/mustardward/components/entry/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from typing import Final
 
 import httpx
@@ -24,6 +25,7 @@
     BODILESS_STATUSES,
     CONNECT_SECONDS,
     REFUSED_BODY_BYTES,
+    TIMEOUT_GRACE_SECONDS,
     WORKER_KEEPALIVE_SECONDS,
 )
 from .headers import Headers, answer_headers, find_header, has_injection
@@ -32,6 +34,9 @@
 
 _LOGGER = get_logger(__name__)
 
+_NO_TLS: Final = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+"""Shared, since loading authorities for each worker would hold the loop up."""
+
 _ATTEMPT_ID: Final = HEADER_ATTEMPT_ID.encode()
 _RAN: Final = HEADER_RAN.encode()
 _BODY_METHODS: Final = frozenset({"POST", "PUT", "PATCH"})
@@ -81,7 +86,9 @@
                 max_keepalive_connections=choice.instance.connections,
                 keepalive_expiry=WORKER_KEEPALIVE_SECONDS,
             )
-            transport = httpx.AsyncHTTPTransport(limits=limits, trust_env=False)
+            transport = httpx.AsyncHTTPTransport(
+                verify=_NO_TLS, limits=limits, trust_env=False
+            )
             self._transports[address] = transport
         return transport
 
@@ -101,12 +108,11 @@
         *request.headers,
         *_framing(request),
     ]
-    timeout = {
-        "connect": min(CONNECT_SECONDS, remaining),
-        "pool": remaining,
-        "write": remaining,
-        "read": remaining,
-    }
+    # The deadline itself ends the request from outside; these only make sure that
+    # nothing waits for ever should that be missing.
+    late = remaining + TIMEOUT_GRACE_SECONDS
+    connect = min(CONNECT_SECONDS, late)
+    timeout = {"connect": connect, "pool": late, "write": late, "read": late}
     return httpx.Request(
         request.method,
         f"http://{address}/",
--- a/mustardward/components/entry/headers.py
+++ b/mustardward/components/entry/headers.py
@@ -13,7 +13,6 @@
 _FORBIDDEN: Final = re.compile(rb"[\r\n\x00]")
 _FRAMING: Final = frozenset({b"content-length", b"transfer-encoding"})
 _REQUEST_DROPPED: Final = HOP_BY_HOP | {b"host", b"expect", b"content-length"}
-_ANSWER_DROPPED: Final = HOP_BY_HOP
 
 
 def find_header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
@@ -41,26 +40,24 @@
 
 def request_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return the caller's headers that go on to a worker, without framing."""
-    nominated = _nominated(headers)
-    return tuple(
-        [
-            (name, value)
-            for name, value in headers
-            if name not in _REQUEST_DROPPED
-            and name not in nominated
-            and not name.startswith(OWN_PREFIX)
-        ]
-    )
+    return _passing(headers, _REQUEST_DROPPED, _nominated(headers))
 
 
 def answer_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return a worker's headers that go on to the caller."""
-    nominated = _nominated(headers) - _FRAMING
+    return _passing(headers, HOP_BY_HOP, _nominated(headers) - _FRAMING)
+
+
+def _passing(
+    headers: Iterable[tuple[bytes, bytes]],
+    dropped: frozenset[bytes],
+    nominated: frozenset[bytes],
+) -> Headers:
     return tuple(
         [
             (name, value)
             for name, value in headers
-            if name not in _ANSWER_DROPPED
+            if name not in dropped
             and name not in nominated
             and not name.startswith(OWN_PREFIX)
         ]
--- /dev/null
+++ b/tests/cli/test_serve.py
@@ -0,0 +1,208 @@
+"""Stop real entry processes while callers use them."""
+
+from __future__ import annotations
+
+import re
+import signal
+import subprocess
+import sys
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
+
+import anyio
+import httpx
+import pytest
+from anyio.abc import Process, SocketStream
+
+from tests.fakes.entry import RawWorker, SeenRequest, async_start_worker, plain_answer
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+
+CALLERS = 8
+STREAM_PIECES = 25
+PIECE_SECONDS = 0.06
+
+
+@dataclass(slots=True)
+class Entry:
+    """Hold a running entry process."""
+
+    process: Process
+    port: int
+    ready: bool = True
+
+    @property
+    def url(self) -> str:
+        """Return where its callers reach it."""
+        return f"http://127.0.0.1:{self.port}"
+
+
+@dataclass(slots=True)
+class History:
+    """Hold what callers saw."""
+
+    answered: list[str] = field(default_factory=list)
+    cut: list[str] = field(default_factory=list)
+    refused: list[str] = field(default_factory=list)
+    waiting: dict[int, anyio.Event] = field(default_factory=dict)
+
+    def answer(self, name: str) -> None:
+        """Take an answer in."""
+        self.answered.append(name)
+        if (event := self.waiting.get(len(self.answered))) is not None:
+            event.set()
+
+    async def async_more(self, count: int) -> None:
+        """Wait for as many more answers."""
+        event = self.waiting[len(self.answered) + count] = anyio.Event()
+        await event.wait()
+
+
+async def echo(stream: SocketStream, seen: SeenRequest) -> bool:
+    if seen.target.endswith("/slow"):
+        return await stream_slowly(stream, seen)
+    await stream.send(plain_answer(seen, seen.body))
+    return True
+
+
+async def stream_slowly(stream: SocketStream, seen: SeenRequest) -> bool:
+    head = f"HTTP/1.1 200 X\r\nmw-attempt-id: {seen.attempt_id}\r\n"
+    await stream.send(head.encode() + b"transfer-encoding: chunked\r\n\r\n")
+    for _ in range(STREAM_PIECES):
+        await anyio.sleep(PIECE_SECONDS)
+        await stream.send(b"4\r\nturn\r\n")
+    await stream.send(b"0\r\n\r\n")
+    return True
+
+
+@asynccontextmanager
+async def running_entries(count: int) -> AsyncIterator[tuple[list[Entry], RawWorker]]:
+    async with anyio.create_task_group() as tasks:
+        worker = await async_start_worker(tasks, echo)
+        entries: list[Entry] = []
+        try:
+            for number in range(count):
+                entries.append(await async_start_entry(number, worker.address))
+                tasks.start_soon(async_drop_log, entries[-1].process)
+            yield entries, worker
+        finally:
+            for entry in entries:
+                if entry.process.returncode is None:
+                    entry.process.kill()
+                with anyio.CancelScope(shield=True):
+                    await entry.process.aclose()
+            tasks.cancel_scope.cancel()
+
+
+async def async_start_entry(number: int, worker: str) -> Entry:
+    command = [sys.executable, "-m", "tests.fakes.entry_process", f"entry-{number}"]
+    process = await anyio.open_process(
+        [*command, worker], stdout=subprocess.DEVNULL, stderr=subprocess.PIPE
+    )
+    assert process.stderr is not None
+    seen = b""
+    while (found := re.search(rb"callers_listening.* port=(\d+)\n", seen)) is None:
+        seen += await process.stderr.receive()
+    return Entry(process, int(found[1]))
+
+
+async def async_drop_log(process: Process) -> None:
+    # A full pipe would stop the process at its next log line.
+    assert process.stderr is not None
+    with suppress(anyio.ClosedResourceError):
+        async for _ in process.stderr:
+            pass
+
+
+async def async_probe(entries: list[Entry], done: anyio.Event) -> None:
+    """Look at the entries' readiness as a balancer does."""
+    async with httpx.AsyncClient() as client:
+        while not done.is_set():
+            for entry in entries:
+                try:
+                    answer = await client.get(f"{entry.url}/-/ready")
+                    entry.ready = answer.status_code == 200
+                except httpx.TransportError:
+                    entry.ready = False
+            await anyio.sleep(0.05)
+
+
+async def async_call_in_turn(
+    entries: list[Entry], caller: int, history: History, done: anyio.Event
+) -> None:
+    """Place orders through the entries in turn, each order once."""
+    turn = caller
+    limits = httpx.Limits(max_connections=1, max_keepalive_connections=1)
+    clients = [httpx.AsyncClient(limits=limits, verify=False) for _ in entries]
+    number = 0
+    while not done.is_set():
+        name = f"order-{caller}-{number}"
+        number += 1
+        while True:
+            turn = (turn + 1) % len(entries)
+            if not entries[turn].ready:
+                await anyio.sleep(0.001)
+                continue
+            url = f"{entries[turn].url}/hvelv/turn/orders"
+            if await async_order(clients[turn], url, name, history):
+                break
+    for client in clients:
+        await client.aclose()
+
+
+async def async_order(
+    client: httpx.AsyncClient, url: str, name: str, history: History
+) -> bool:
+    """Place one order; return false if another entry may be tried."""
+    try:
+        answer = await client.post(url, content=name.encode())
+    except httpx.ConnectError:
+        return False
+    except httpx.TransportError as error:
+        history.cut.append(f"{name}:{type(error).__name__}")
+        return True
+    if answer.status_code == 503 and answer.headers.get("mw-ran") == "no":
+        return False
+    if answer.content == name.encode():
+        history.answer(name)
+    else:
+        history.refused.append(f"{name}:{answer.text}")
+    return True
+
+
+async def async_read_stream(url: str, pieces: list[bytes]) -> None:
+    async with httpx.AsyncClient() as client:
+        async with client.stream("GET", f"{url}/hvelv/turn/slow") as answer:
+            async for piece in answer.aiter_raw():
+                pieces.append(piece)
+
+
+async def test_a_stop_under_load_cuts_no_request() -> None:
+    """Stop one of three entries while orders and a stream go through it.
+
+    Symptom: orders are cut or placed twice at every roll-out. Sequence: SIGTERM comes
+    in the middle of requests. Cause: the listener or its connections end before the
+    callers have gone elsewhere, or before their answers are whole.
+    """
+    history, pieces, done = History(), list[bytes](), anyio.Event()
+    with anyio.fail_after(30):
+        async with running_entries(3) as (entries, worker):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(async_probe, entries, done)
+                for caller in range(CALLERS):
+                    tasks.start_soon(async_call_in_turn, entries, caller, history, done)
+                tasks.start_soon(async_read_stream, entries[0].url, pieces)
+                await history.async_more(100)
+                entries[0].process.send_signal(signal.SIGTERM)
+                code = await entries[0].process.wait()
+                await history.async_more(100)
+                done.set()
+    assert code == 0
+    assert (history.cut, history.refused) == ([], [])
+    assert b"".join(pieces) == b"turn" * STREAM_PIECES
+    runs = Counter(item.body for item in worker.seen if item.body)
+    assert set(runs.values()) == {1}
+    assert len(runs) == len(history.answered)
+    assert len(history.answered) >= 200
