Serve the operators' interface behind a token or mutual TLS

Cause: components file routes, and nothing served them. Change: starlette serves API_ROUTES on a listener of its own, checks the token in constant time, validates bodies, maps failures to statuses through a registry and describes the routes at /openapi.json and as a page. Settings files give every fault with file, line and key; a key given twice is one as well.

--- a/mustardward/components/api/__init__.py
+++ b/mustardward/components/api/__init__.py
@@ -7,11 +7,11 @@
 
 async def async_setup(core: Core) -> Unload:
     """Set the component up and return what undoes it."""
+    from .setup import async_setup_api
 
-    async def async_unload() -> None:
-        return None
+    return await async_setup_api(core)
 
-    return async_unload
 
-
-COMPONENTS.register("api")(ComponentDescription("api", async_setup))
+COMPONENTS.register("api")(
+    ComponentDescription("api", async_setup, dependencies=("entry",))
+)
--- a/mustardward/components/keys.py
+++ b/mustardward/components/keys.py
@@ -11,6 +11,7 @@
 from ..core import ComponentKey
 
 if TYPE_CHECKING:
+    from ..helpers.listener import HttpListener
     from ..platform.protocols import (
         ListingService,
         LogService,
@@ -49,3 +50,4 @@
 DISPATCHER: Final[ComponentKey[WorkerDispatcher]] = ComponentKey("entry.dispatcher")
 ENTRY: Final[ComponentKey[EntryService]] = ComponentKey("entry")
 DRAIN: Final[ComponentKey[Drain]] = ComponentKey("entry.drain")
+API: Final[ComponentKey[HttpListener]] = ComponentKey("api")
--- a/mustardward/settings/loader.py
+++ b/mustardward/settings/loader.py
@@ -12,7 +12,7 @@
 from ..exceptions import SettingsError
 from .models import Settings
 
-Path_ = tuple[str | int, ...]
+KeyPath = tuple[str | int, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,11 +91,11 @@
     """Know the line of each key."""
 
     def __init__(self, root: Node) -> None:
-        self._lines: dict[Path_, int] = {(): 1}
-        self._duplicates: list[tuple[Path_, int]] = []
+        self._lines: dict[KeyPath, int] = {(): 1}
+        self._duplicates: list[tuple[KeyPath, int]] = []
         self._visit((), root)
 
-    def line(self, path: Path_) -> int:
+    def line(self, path: KeyPath) -> int:
         """Return the line of a key, or of the nearest one that holds it."""
         while path not in self._lines:
             path = path[:-1]
@@ -108,7 +108,7 @@
             for path, line in self._duplicates
         ]
 
-    def _visit(self, path: Path_, node: Node) -> None:
+    def _visit(self, path: KeyPath, node: Node) -> None:
         if isinstance(node, MappingNode):
             for key, value in node.value:
                 self._enter((*path, str(key.value)), key, value)
@@ -116,17 +116,18 @@
             for index, value in enumerate(node.value):
                 self._enter((*path, index), value, value)
 
-    def _enter(self, path: Path_, marked: Node, value: Node) -> None:
+    def _enter(self, path: KeyPath, marked: Node, value: Node) -> None:
         line = marked.start_mark.line + 1
         if path in self._lines:
             self._duplicates.append((path, line))
+            return
         self._lines[path] = line
         self._visit(path, value)
 
 
 def _fault(item: object, lines: _Lines, name: str) -> SettingsFault:
     assert isinstance(item, dict)
-    path: Path_ = tuple(item["loc"])
+    path: KeyPath = tuple(item["loc"])
     expected = str(item["msg"])
     if item["type"] == "extra_forbidden":
         expected = "no such key; see the settings reference"
@@ -145,5 +146,5 @@
     return tuple(sorted(faults, key=lambda fault: (fault.line, fault.key)))
 
 
-def _dotted(path: Path_) -> str:
+def _dotted(path: KeyPath) -> str:
     return ".".join(str(part) for part in path)
--- /dev/null
+++ b/tests/components/api/test_tls.py
@@ -0,0 +1,94 @@
+"""Reach the operators' listener over mutual TLS."""
+
+from __future__ import annotations
+
+import ssl
+from datetime import UTC, datetime, timedelta
+from ipaddress import ip_address
+from pathlib import Path
+
+import anyio
+import httpx
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+from mustardward.components.api.setup import async_setup_api
+from mustardward.components.keys import API
+from mustardward.core import Core
+from mustardward.helpers.timer import DrivenTimerService
+from mustardward.settings.models import OperatorSettings, TlsSettings
+from tests.fakes.entry import build_settings
+
+pytestmark = pytest.mark.anyio
+
+Key = ec.EllipticCurvePrivateKey
+
+
+def make_certificate(
+    folder: Path, name: str, issuer: tuple[x509.Certificate, Key] | None
+) -> tuple[x509.Certificate, Key]:
+    """Write NAME.crt and NAME.key; without an issuer they are the authority's."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
+    now = datetime.now(UTC)
+    builder = (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(subject if issuer is None else issuer[0].subject)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - timedelta(days=1))
+        .not_valid_after(now + timedelta(days=1))
+        .add_extension(x509.BasicConstraints(issuer is None, None), True)
+        .add_extension(
+            x509.SubjectAlternativeName([x509.IPAddress(ip_address("127.0.0.1"))]),
+            False,
+        )
+    )
+    certificate = builder.sign(key if issuer is None else issuer[1], hashes.SHA256())
+    encoding = serialization.Encoding.PEM
+    (folder / f"{name}.crt").write_bytes(certificate.public_bytes(encoding))
+    (folder / f"{name}.key").write_bytes(
+        key.private_bytes(
+            encoding,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return certificate, key
+
+
+async def test_a_caller_without_a_certificate_is_not_let_in(tmp_path: Path) -> None:
+    """Ask for a certificate of the operators' authority.
+
+    Symptom: anybody on the network reads the fleet. Sequence: a client connects
+    without a certificate. Cause: the listener only shows its own.
+    """
+    authority = make_certificate(tmp_path, "authority", None)
+    for name in ("server", "client"):
+        make_certificate(tmp_path, name, authority)
+    tls = TlsSettings(
+        certificate=tmp_path / "server.crt",
+        key=tmp_path / "server.key",
+        authority=tmp_path / "authority.crt",
+    )
+    settings = build_settings().model_copy(
+        update={"operators": OperatorSettings(tls=tls)}
+    )
+    with anyio.fail_after(20):
+        async with anyio.create_task_group() as tasks:
+            core = Core(settings, DrivenTimerService(), tasks)
+            unload = await async_setup_api(core)
+            url = f"https://127.0.0.1:{core.get(API).port}/openapi.json"
+            trust = ssl.create_default_context(cafile=str(tls.authority))
+            async with httpx.AsyncClient(verify=trust) as client:
+                with pytest.raises(httpx.TransportError):
+                    await client.get(url)
+            trust.load_cert_chain(tmp_path / "client.crt", tmp_path / "client.key")
+            async with httpx.AsyncClient(verify=trust) as client:
+                answer = await client.get(url)
+            await unload()
+    assert answer.status_code == 200
