--- /dev/null
+++ b/bench/path_targets.py
@@ -0,0 +1,205 @@
+"""Run the processes that ``bench.path`` measures: worker, pass-through, entry."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import sys
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any, cast
+
+import anyio
+import httpx
+from returns.result import Result, Success
+
+from mustardward.cli.serve import async_serve
+from mustardward.components.entry.models import Attempt, RequestFacts, RequestRefusal
+from mustardward.components.entry.protocols import Choice
+from mustardward.components.entry.setup import async_setup_entry as async_setup_path
+from mustardward.components.keys import DIRECTORY, FLEET_LOG, ROUTER
+from mustardward.components.templates.protocols import Resolved
+from mustardward.core import Core, Unload
+from mustardward.helpers.listener import HttpListener, ListenerOptions
+from mustardward.helpers.log_output import set_up_logging
+from mustardward.settings.models import (
+    EntryIdentity,
+    Listener,
+    PlatformSettings,
+    Settings,
+)
+from mustardward.state.models.pools import Instance
+from mustardward.state.models.templates import (
+    Organisation,
+    Overrides,
+    Parameters,
+    ServiceBinding,
+)
+from mustardward.state.protocols import FleetLog
+
+BODY = b"x" * 512
+_HOP_BY_HOP = (b"connection", b"keep-alive", b"transfer-encoding")
+
+
+class WorkerProtocol(asyncio.Protocol):
+    """Answer requests without a body as fast as Python can."""
+
+    def __init__(self) -> None:
+        self._buffer = b""
+        self._transport: Any = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the connection."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Answer each whole head."""
+        self._buffer += data
+        while (end := self._buffer.find(b"\r\n\r\n")) >= 0:
+            head, self._buffer = self._buffer[:end], self._buffer[end + 4 :]
+            start = head.find(b"mw-attempt-id: ")
+            line = head[start : head.find(b"\r\n", start)] if start >= 0 else b"x: y"
+            self._transport.write(
+                b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n%s\r\n"
+                b"content-length: %d\r\n\r\n%s" % (line, len(BODY), BODY)
+            )
+
+
+async def async_worker() -> None:
+    """Run the worker."""
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(WorkerProtocol, "127.0.0.1", 0)
+    print(server.sockets[0].getsockname()[1], flush=True)
+    await server.serve_forever()
+
+
+class PassThrough:
+    """Pass requests on with hypercorn and httpx, and do nothing else."""
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}"
+        limits = httpx.Limits(max_connections=64, max_keepalive_connections=64)
+        self._client = httpx.AsyncClient(limits=limits, trust_env=False)
+
+    async def __call__(
+        self,
+        scope: dict[str, Any],
+        receive: Callable[[], Awaitable[dict[str, Any]]],
+        send: Callable[[dict[str, Any]], Awaitable[None]],
+    ) -> None:
+        """Pass one request on."""
+        if scope["type"] != "http":
+            raise NotImplementedError
+        request = httpx.Request(
+            scope["method"],
+            self._base + scope["raw_path"].decode(),
+            headers=[item for item in scope["headers"] if item[0] != b"connection"],
+            content=await _async_body(receive),
+        )
+        answer = await self._client.send(request, stream=True)
+        headers = [
+            (name.lower(), value)
+            for name, value in answer.headers.raw
+            if name.lower() not in _HOP_BY_HOP
+        ]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": answer.status_code,
+                "headers": headers,
+            }
+        )
+        async for chunk in answer.aiter_raw():
+            await send({"type": "http.response.body", "body": chunk, "more_body": True})
+        await answer.aclose()
+        await send({"type": "http.response.body", "body": b""})
+
+
+async def _async_body(receive: Callable[[], Awaitable[dict[str, Any]]]) -> bytes:
+    body = b""
+    more = True
+    while more:
+        message = await receive()
+        body += message.get("body", b"")
+        more = message.get("more_body", False)
+    return body
+
+
+async def async_pass_through(address: str) -> None:
+    """Run the pass-through."""
+    async with anyio.create_task_group() as tasks:
+        listener = HttpListener(PassThrough(address), Listener(port=0), _OPTIONS)
+        listener.start(tasks)
+        print(listener.port, flush=True)
+
+
+_OPTIONS = ListenerOptions()
+
+
+class OneWorker:
+    """Know one organisation and route all of it to one worker."""
+
+    ready = True
+
+    def __init__(self, address: str) -> None:
+        parameters = Parameters(services=(ServiceBinding("quotes", "pool-1"),))
+        organisation = Organisation("derwent", "small", 1, 1, Overrides(), parameters)
+        self._resolved = Resolved(organisation, parameters.services[0])
+        self._instance = Instance("worker-1", "dc-a", "rack-1", address, "pool-1", 1)
+
+    def resolve(
+        self, organisation: str, service: str
+    ) -> Result[Resolved, RequestRefusal]:
+        """Return the one organisation."""
+        return Success(self._resolved)
+
+    def choose(
+        self, facts: RequestFacts, exclude: frozenset[str]
+    ) -> Result[Choice, RequestRefusal]:
+        """Return the one worker."""
+        return Success(Choice(self._instance, secrets.token_hex(8)))
+
+    def finish(self, choice: Choice, facts: RequestFacts, attempt: Attempt) -> None:
+        """Do nothing."""
+
+
+async def _async_setup_path(address: str, core: Core) -> list[Unload]:
+    worker = OneWorker(address)
+    core.put(FLEET_LOG, cast(FleetLog, worker))
+    core.put(DIRECTORY, worker)
+    core.put(ROUTER, worker)
+    unloads = [await async_setup_path(core)]
+    _print_port(core)
+    return unloads
+
+
+def _print_port(core: Core) -> None:
+    from mustardward.components.keys import DRAIN
+
+    print(core.get(DRAIN).listener.port, flush=True)
+
+
+async def async_entry(address: str) -> None:
+    """Run an entry whose one worker is given."""
+    settings = Settings(
+        entry=EntryIdentity(name="entry-1", data_centre="dc-a", leaving_seconds=0.0),
+        callers=Listener(port=0),
+        platform=PlatformSettings(url="http://127.0.0.1:1"),
+    )
+    set_up_logging()
+    await async_serve(settings, partial(_async_setup_path, address))
+
+
+def main() -> None:
+    """Run the role named on the command line."""
+    role, *rest = sys.argv[1:]
+    roles: dict[str, Callable[..., Awaitable[None]]] = {
+        "worker": async_worker,
+        "pass": async_pass_through,
+        "entry": async_entry,
+    }
+    anyio.run(roles[role], *rest)
+
+
+if __name__ == "__main__":
+    main()
