Tell the story of an instance, wave, job or organisation

Cause: nobody could say afterwards why an instance was taken or a record refused. Ruled out: sorting by time alone, since clocks of entries differ; a record would be told before its cause.

--- a/mustardward/components/explain/models.py
+++ b/mustardward/components/explain/models.py
@@ -33,3 +33,32 @@
     cause: str
     inputs: tuple[str, ...] = ()
     offset: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class StoryLine:
+    """Hold one line of a subject's story.
+
+    ``at`` is in wall-clock seconds of the entry that noted it. ``record_id`` is empty
+    for a decision that wrote no record.
+    """
+
+    at: float
+    entry: str
+    happening: str
+    cause: str
+    inputs: tuple[str, ...] = ()
+    stream: str = ""
+    offset: int = -1
+    record_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Story:
+    """Hold what is known of a subject, and which entries could not be asked."""
+
+    subject_kind: str
+    subject_id: str
+    lines: tuple[StoryLine, ...]
+    missing_entries: tuple[str, ...] = ()
+    missing_data_centres: tuple[str, ...] = ()
--- /dev/null
+++ b/mustardward/components/explain/subjects.py
@@ -0,0 +1,69 @@
+"""Find out which subjects a record tells about, also when it was refused."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import fields, is_dataclass
+from typing import Any, Final
+
+from ...state.models.pools import RequestMove
+from ...state.models.templates import PutOrganisation, RemoveOrganisation
+from .models import SubjectKind
+
+Subject = tuple[SubjectKind, str]
+
+_KIND_BY_FIELD: Final = {
+    "instance_id": SubjectKind.INSTANCE,
+    "wave_id": SubjectKind.WAVE,
+    "job_id": SubjectKind.JOB,
+    "organisation": SubjectKind.ORGANISATION,
+}
+_INPUT_LENGTH: Final = 80
+
+
+def subjects_of(body: Any, instance_of_move: dict[str, str]) -> list[Subject]:
+    """Return the subjects of a record's body.
+
+    :param instance_of_move: instance id by move id; a later record of the move names
+        the move alone, so the request for it is noted here.
+    """
+    if isinstance(body, RequestMove):
+        instance_of_move[body.move_id] = body.instance_id
+    return list(dict.fromkeys(_subjects(body, instance_of_move)))
+
+
+def _subjects(body: Any, instance_of_move: dict[str, str]) -> Iterator[Subject]:
+    if isinstance(body, PutOrganisation | RemoveOrganisation):
+        yield SubjectKind.ORGANISATION, body.name
+    for name, kind in _KIND_BY_FIELD.items():
+        value = getattr(body, name, "")
+        if value:
+            yield kind, value
+    moved = instance_of_move.get(getattr(body, "move_id", ""))
+    if moved:
+        yield SubjectKind.INSTANCE, moved
+    for instance_id in getattr(body, "instances", ()):
+        yield SubjectKind.INSTANCE, instance_id
+    for change in getattr(body, "changes", ()):
+        yield SubjectKind.INSTANCE, change.instance_id
+
+
+def describe_body(body: Any, subject_id: str) -> tuple[str, ...]:
+    """Return the fields of a body as ``key=value`` texts.
+
+    Payloads are left out, and of a coalesced report only the subject's own change.
+    """
+    if not is_dataclass(body):
+        return ()
+    return tuple(_describe(body, subject_id))
+
+
+def _describe(body: Any, subject_id: str) -> Iterator[str]:
+    for item in fields(body):
+        value = getattr(body, item.name)
+        if item.name == "changes":
+            for change in value:
+                if change.instance_id == subject_id:
+                    yield from _describe(change, subject_id)
+        elif isinstance(value, str | int | float) and value != subject_id:
+            yield f"{item.name}={value}"[:_INPUT_LENGTH]
--- a/mustardward/components/keys.py
+++ b/mustardward/components/keys.py
@@ -25,6 +25,7 @@
         Router,
         WorkerDispatcher,
     )
+    from .explain.service import Explainer
     from .membership.protocols import Membership
     from .peers.protocols import Peers
     from .templates.protocols import Directory
@@ -45,3 +46,4 @@
 RETRY_POLICY: Final[ComponentKey[RetryPolicy]] = ComponentKey("retries")
 INTENT_GATE: Final[ComponentKey[IntentGate]] = ComponentKey("retries.intents")
 DISPATCHER: Final[ComponentKey[WorkerDispatcher]] = ComponentKey("entry.dispatcher")
+EXPLAINER: Final[ComponentKey[Explainer]] = ComponentKey("explain")
--- /dev/null
+++ b/tests/components/__init__.py
@@ -0,0 +1,1 @@
+"""Test the components."""
--- /dev/null
+++ b/tests/components/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Test the stories of decisions."""
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for parts in tests."""
