--- a/mustardward/components/explain/service.py
+++ b/mustardward/components/explain/service.py
@@ -10,7 +10,7 @@
 from ...exceptions import PeerError
 from ...state.fold import RecordOutcome
 from ..keys import FLEET_LOG, MEMBERSHIP, PEERS
-from ..membership.models import Member
+from ..membership.models import Member, MemberStatus
 from ..peers.protocols import Peers, peer_message
 from .const import PART_TIMEOUT_SECONDS
 from .merge import merge_lines
@@ -85,7 +85,11 @@
         if membership is None:
             return []
         own = membership.own.name
-        return [item for item in membership.members() if item.name != own]
+        return [
+            item
+            for item in membership.members()
+            if item.name != own and item.status is not MemberStatus.GONE
+        ]
 
     def _silent_data_centres(self, gathered: _Gathered) -> tuple[str, ...]:
         fleet = self._core.find(FLEET_LOG)
--- a/mustardward/components/keys.py
+++ b/mustardward/components/keys.py
@@ -28,6 +28,7 @@
     from .explain.service import Explainer
     from .membership.protocols import Membership
     from .peers.protocols import Peers
+    from .reports.service import BurnReporter
     from .templates.protocols import Directory
 
 LOG_SERVICE: Final[ComponentKey[LogService]] = ComponentKey("platform.log")
@@ -47,3 +48,4 @@
 INTENT_GATE: Final[ComponentKey[IntentGate]] = ComponentKey("retries.intents")
 DISPATCHER: Final[ComponentKey[WorkerDispatcher]] = ComponentKey("entry.dispatcher")
 EXPLAINER: Final[ComponentKey[Explainer]] = ComponentKey("explain")
+BURN_REPORTER: Final[ComponentKey[BurnReporter]] = ComponentKey("reports")
--- a/mustardward/components/reports/__init__.py
+++ b/mustardward/components/reports/__init__.py
@@ -6,12 +6,27 @@
 
 
 async def async_setup(core: Core) -> Unload:
-    """Set the component up and return what undoes it."""
+    """Count finished requests from now on; return what undoes it."""
+    from ..entry.models import RequestFinished
+    from ..keys import BURN_REPORTER, PEERS
+    from . import api  # noqa: F401 - files the route
+    from .service import AskBurn, BurnReporter
+
+    reporter = BurnReporter(core)
+    undo = [core.events.listen(RequestFinished, reporter.record)]
+    peers = core.find(PEERS)
+    if peers is not None:
+        undo.append(peers.handle(AskBurn, reporter.async_answer))
+    core.put(BURN_REPORTER, reporter)
 
     async def async_unload() -> None:
-        return None
+        core.remove(BURN_REPORTER)
+        for unsubscribe in reversed(undo):
+            unsubscribe()
 
     return async_unload
 
 
-COMPONENTS.register("reports")(ComponentDescription("reports", async_setup))
+COMPONENTS.register("reports")(
+    ComponentDescription("reports", async_setup, ("log", "peers", "membership"))
+)
--- /dev/null
+++ b/tests/components/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Test the accounts of service levels."""
