Add the commands report burn and explain

Cause: stories and burn could be asked for over HTTP only. Ruled out: a plotting library for the page; it is large and the page has to open from a file on a phone.

--- /dev/null
+++ b/mustardward/cli/explain.py
@@ -0,0 +1,58 @@
+"""Tell the story of an instance, wave, job or organisation."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any
+
+import click
+
+from .client import make_client, operator_options
+
+
+@click.command()
+@click.argument("kind", type=click.Choice(["instance", "wave", "job", "organisation"]))
+@click.argument("subject_id", metavar="ID")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@operator_options
+def command(
+    kind: str,
+    subject_id: str,
+    as_json: bool,
+    server: str,
+    token_file: Path | None,
+    authority: str,
+) -> None:
+    """Tell what happened to a subject, in order, and why."""
+    client = make_client(server, token_file, authority)
+    story = client.call("GET", f"/explain/{kind}/{subject_id}")
+    if as_json:
+        click.echo(json.dumps(story, indent=2))
+        return
+    for line in format_story(story):
+        click.echo(line)
+
+
+def format_story(story: dict[str, Any]) -> Iterator[str]:
+    """Yield one line for each happening, then what is missing."""
+    if not story["lines"]:
+        yield f"nothing known of {story['subject_kind']} {story['subject_id']}"
+    for line in story["lines"]:
+        yield _format_line(line)
+    for name in story["missing_entries"]:
+        yield f"missing entry={name}"
+    for name in story["missing_data_centres"]:
+        yield f"missing data_centre={name}"
+
+
+def _format_line(line: dict[str, Any]) -> str:
+    at = datetime.fromtimestamp(line["at"], UTC).strftime("%Y-%m-%d %H:%M:%S")
+    parts = [at, f"{line['happening']:<28}", f"by={line['entry']}"]
+    if line["cause"]:
+        parts.append(f"cause={line['cause']}")
+    if line["offset"] >= 0:
+        parts.append(f"offset={line['offset']}")
+    return " ".join([*parts, *line["inputs"]])
--- /dev/null
+++ b/mustardward/cli/report.py
@@ -0,0 +1,92 @@
+"""Report on the fleet."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import click
+
+from .client import make_client, operator_options
+
+
+@click.group()
+def command() -> None:
+    """Report on the fleet."""
+
+
+@command.command()
+@click.option("--organisation", default="", help="Report on this one only.")
+@click.option(
+    "--format",
+    "output_format",
+    type=click.Choice(["table", "json", "html"]),
+    default="table",
+    show_default=True,
+)
+@click.option("--output", type=click.Path(path_type=Path), help="File to write.")
+@operator_options
+def burn(
+    organisation: str,
+    output_format: str,
+    output: Path | None,
+    server: str,
+    token_file: Path | None,
+    authority: str,
+) -> None:
+    """Show error budgets left, burn rates, and what burnt them."""
+    client = make_client(server, token_file, authority)
+    query = {"organisation": organisation} if organisation else None
+    report = client.call("GET", "/reports/burn", query=query)
+    text = render(report, output_format)
+    if output is None:
+        click.echo(text)
+    else:
+        output.write_text(text, encoding="utf-8")
+
+
+def render(report: dict[str, Any], output_format: str) -> str:
+    """Return the report as JSON, as a page, or as a table."""
+    if output_format == "json":
+        return json.dumps(report, indent=2)
+    if output_format == "html":
+        from ..components.reports.page import render_page
+
+        return render_page(report)
+    return "\n".join(format_table(report))
+
+
+def format_table(report: dict[str, Any]) -> Iterator[str]:
+    """Yield a table with one line for each organisation and window."""
+    yield (
+        f"{'organisation':<20} {'window':>6} {'covered':>8} {'requests':>9} "
+        f"{'failed':>7} {'slow':>6} {'burn':>8} {'slow burn':>9} causes"
+    )
+    for item in report["organisations"]:
+        for window in item["windows"]:
+            yield _format_window(item["organisation"], window)
+        yield (
+            f"{'':<20} error_budget_left={item['error_budget_left']:.1%} "
+            f"latency_budget_left={item['latency_budget_left']:.1%} "
+            f"p50={item['median_seconds'] * 1000:.1f}ms "
+            f"p99={item['tail_seconds'] * 1000:.1f}ms"
+        )
+    yield f"entries={report['entries']} complete={str(report['complete']).lower()}"
+    for name in report["missing_entries"]:
+        yield f"missing entry={name}"
+    for name in report["missing_data_centres"]:
+        yield f"missing data_centre={name}"
+
+
+def _format_window(organisation: str, window: dict[str, Any]) -> str:
+    causes = " ".join(
+        f"{cause}={count}" for cause, count in window["causes"].items() if count
+    )
+    return (
+        f"{organisation:<20} {window['window']:>6} {window['covered']:>8.0%} "
+        f"{window['total']:>9} {window['failed']:>7} {window['slow']:>6} "
+        f"{window['error_burn_rate']:>8.2f} {window['latency_burn_rate']:>9.2f} "
+        f"{causes or '-'}"
+    )
