--- a/bench/binary.py
+++ b/bench/binary.py
@@ -6,7 +6,8 @@
 from __future__ import annotations
 
 import argparse
-import importlib._bootstrap_external as bootstrap
+import importlib.util
+import marshal
 import re
 import stat
 import zipfile
@@ -20,6 +21,8 @@
 PROJECT: Final = "mustardward"
 DEFAULT_TARGET: Final = ROOT / "dist" / PROJECT
 _SHEBANG: Final = b"#!/usr/bin/env python3.11\n"
+_UNCHECKED_HASH: Final = (1).to_bytes(4, "little")
+"""Flags of byte code (PEP 552) that is bound to a hash and trusted unread."""
 _TIMESTAMP: Final = (2026, 1, 1, 0, 0, 0)
 _REQUIREMENT: Final = re.compile(r"^([A-Za-z0-9._-]+)\s*(?:\[([^\]]*)\])?")
 
@@ -67,7 +70,7 @@
             name = entry.as_posix()
             if name.startswith("..") or "__pycache__" in entry.parts:
                 continue
-            yield name, entry.locate().read_bytes()
+            yield name, Path(str(entry.locate())).read_bytes()
 
 
 def build(target: Path) -> Path:
@@ -105,8 +108,8 @@
 
 def _byte_code(name: str, source: bytes) -> bytes:
     code = compile(source, name, "exec", dont_inherit=True)
-    packed: bytearray = bootstrap._code_to_hash_pyc(code, source_hash(source), False)
-    return bytes(packed)
+    header = importlib.util.MAGIC_NUMBER + _UNCHECKED_HASH + source_hash(source)
+    return header + marshal.dumps(code)
 
 
 def main() -> None:
--- /dev/null
+++ b/bench/history/__init__.py
@@ -0,0 +1,1 @@
+"""Run the product under faults, record what happened, and check the record."""
