--- a/tests/fakes/__init__.py
+++ b/tests/fakes/__init__.py
@@ -1,1 +1,1 @@
-"""Stand in for parts in tests."""
+"""Stand in for the platform and for other parts."""
