Tell an organisation's story of its template's revisions

Cause: a template's revision changes organisations that its body does not name, so their stories lacked it. Change: the subjects that a handler names in its acceptance are told, too. Conclusion: shown by a test.

--- a/mustardward/components/explain/store.py
+++ b/mustardward/components/explain/store.py
@@ -9,7 +9,7 @@
 from ...state.fold import Acceptance, RecordOutcome
 from .const import MAXIMUM_LINES, MAXIMUM_SUBJECTS
 from .models import DecisionMade, StoryLine
-from .subjects import describe_body, subjects_of
+from .subjects import describe_body, subjects_of, subjects_of_acceptance
 
 
 class StoryStore:
@@ -51,7 +51,11 @@
         if outcome.duplicate or outcome.body is None:
             return
         envelope = outcome.envelope
-        for kind, subject_id in subjects_of(outcome.body, self._instance_of_move):
+        subjects = subjects_of(outcome.body, self._instance_of_move)
+        if isinstance(outcome.result, Success):
+            acceptance: Acceptance = outcome.result.unwrap()
+            subjects += subjects_of_acceptance(acceptance.subjects)
+        for kind, subject_id in dict.fromkeys(subjects):
             line = StoryLine(
                 at=at,
                 entry=envelope.actor,
--- a/mustardward/components/explain/subjects.py
+++ b/mustardward/components/explain/subjects.py
@@ -48,6 +48,16 @@
         yield SubjectKind.INSTANCE, change.instance_id
 
 
+def subjects_of_acceptance(names: tuple[str, ...]) -> list[Subject]:
+    """Return the subjects that a handler named, as ``kind:id``."""
+    pairs = [name.partition(":") for name in names]
+    return [
+        (SubjectKind(kind), subject_id)
+        for kind, _, subject_id in pairs
+        if kind in set(SubjectKind)
+    ]
+
+
 def describe_body(body: Any, subject_id: str) -> tuple[str, ...]:
     """Return the fields of a body as ``key=value`` texts.
 
--- a/tests/components/explain/test_explain.py
+++ b/tests/components/explain/test_explain.py
@@ -21,6 +21,7 @@
 )
 from mustardward.state.models.pools import AddInstance, Instance, RequestMove
 from mustardward.state.models.pools import TransferInstance as Transfer
+from mustardward.state.models.templates import Parameters, PublishTemplate
 from tests.builders import build_record
 from tests.fakes.proof import (
     FakeFleetLog,
@@ -76,6 +77,16 @@
     assert told == ["move.request accepted", "move.transfer accepted"]
 
 
+def test_organisations_that_a_template_changes_are_told() -> None:
+    store = StoryStore("entry-1")
+    template = PublishTemplate("standard", Parameters())
+    accepted = Success(Acceptance(("template:standard", "organisation:dairy"), 3))
+    record = RecordOutcome(3, build_record(template), template, accepted)
+    store.add_outcome("fleet", record, 1.0)
+    (line,) = store.lines("organisation", "dairy")
+    assert line.happening == "template.publish accepted"
+
+
 def test_the_store_is_bounded_in_subjects_and_lines() -> None:
     store = StoryStore("entry-1", maximum_subjects=2, maximum_lines=3)
     for number in range(5):
