--- a/mustardward/components/keys.py
+++ b/mustardward/components/keys.py
@@ -26,6 +26,7 @@
         WorkerDispatcher,
     )
     from .explain.service import Explainer
+    from .jobs.protocols import JobService
     from .membership.protocols import Membership
     from .peers.protocols import Peers
     from .reports.service import BurnReporter
@@ -49,3 +50,4 @@
 DISPATCHER: Final[ComponentKey[WorkerDispatcher]] = ComponentKey("entry.dispatcher")
 EXPLAINER: Final[ComponentKey[Explainer]] = ComponentKey("explain")
 BURN_REPORTER: Final[ComponentKey[BurnReporter]] = ComponentKey("reports")
+JOBS: Final[ComponentKey[JobService]] = ComponentKey("jobs")
