--- a/mustardward/components/keys.py
+++ b/mustardward/components/keys.py
@@ -28,9 +28,11 @@
         WorkerDispatcher,
     )
     from .entry.service import EntryService
+    from .explain.service import Explainer
     from .jobs.protocols import JobService
     from .membership.protocols import Membership
     from .peers.protocols import Peers
+    from .reports.service import BurnReporter
     from .templates.protocols import Directory
 
 LOG_SERVICE: Final[ComponentKey[LogService]] = ComponentKey("platform.log")
@@ -49,6 +51,8 @@
 RETRY_POLICY: Final[ComponentKey[RetryPolicy]] = ComponentKey("retries")
 INTENT_GATE: Final[ComponentKey[IntentGate]] = ComponentKey("retries.intents")
 DISPATCHER: Final[ComponentKey[WorkerDispatcher]] = ComponentKey("entry.dispatcher")
+EXPLAINER: Final[ComponentKey[Explainer]] = ComponentKey("explain")
+BURN_REPORTER: Final[ComponentKey[BurnReporter]] = ComponentKey("reports")
 JOBS: Final[ComponentKey[JobService]] = ComponentKey("jobs")
 ENTRY: Final[ComponentKey[EntryService]] = ComponentKey("entry")
 DRAIN: Final[ComponentKey[Drain]] = ComponentKey("entry.drain")
