--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the product and build its one file."""
--- a/mustardward/components/limits/adaptive.py
+++ b/mustardward/components/limits/adaptive.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass
 
 from .const import (
-    BUSY_BACKOFF,
-    BUSY_QUIET_SECONDS,
-    LATENCY_BACKOFF,
+    BACKOFF,
+    BUSY_FEW,
+    BUSY_MUCH,
+    BUSY_SOME,
     LATENCY_TOLERANCE,
     MINIMUM_SHARE,
     WINDOW_SAMPLES,
@@ -29,10 +30,9 @@
     limit: float = 1.0
     window_start: float = 0.0
     samples: int = 0
+    busy: int = 0
     ratio_sum: float = 0.0
     saturated: bool = False
-    busy_at: float = float("-inf")
-    busy_seen: bool = False
 
     def resize(self, share: float, slots: int) -> None:
         """Follow a change of workers or entries, keeping what was learnt."""
@@ -49,36 +49,38 @@
         self.samples += 1
         self.ratio_sum += ratio
         self.saturated = self.saturated or saturated
-        if now - self.window_start < WINDOW_SECONDS or self.samples < WINDOW_SAMPLES:
+        self._end_window(now)
+
+    def note_busy(self, now: float) -> None:
+        """Take a worker's busy refusal into account."""
+        self.busy += 1
+        self._end_window(now)
+
+    def _end_window(self, now: float) -> None:
+        seen = self.samples + self.busy
+        if now - self.window_start < WINDOW_SECONDS or seen < WINDOW_SAMPLES:
             return
-        self._change(self.ratio_sum / self.samples, now)
+        ratio = self.ratio_sum / self.samples if self.samples else 1.0
+        self._change(ratio, self.busy / seen)
         self.window_start = now
         self.samples = 0
+        self.busy = 0
         self.ratio_sum = 0.0
         self.saturated = False
-        self.busy_seen = False
-
-    def note_busy(self, now: float) -> None:
-        """Take a worker's busy refusal into account, once in a window."""
-        self.busy_at = now
-        if self.busy_seen:
-            return
-        self.busy_seen = True
-        self.limit *= BUSY_BACKOFF
-        self._clamp()
 
-    def _change(self, ratio: float, now: float) -> None:
-        if ratio > LATENCY_TOLERANCE:
-            self.limit *= LATENCY_BACKOFF
-        elif self.saturated and self._may_grow(now):
+    def _change(self, ratio: float, busy_share: float) -> None:
+        # Entries that can't see each other meet at some full worker now and then even
+        # if the pool has room. Only many such refusals speak against the fair share;
+        # giving way at each would leave a good part of the pool idle.
+        borrowed = self.limit > self.share
+        if ratio > LATENCY_TOLERANCE or busy_share > BUSY_MUCH:
+            self.limit *= BACKOFF
+        elif borrowed and busy_share > BUSY_SOME:
+            self.limit = max(self.share, self.limit * BACKOFF)
+        elif self.saturated and busy_share <= (BUSY_FEW if borrowed else BUSY_SOME):
             self.limit += 1.0
         self._clamp()
 
-    def _may_grow(self, now: float) -> bool:
-        if self.limit < self.share:
-            return not self.busy_seen
-        return now - self.busy_at >= BUSY_QUIET_SECONDS
-
     def _clamp(self) -> None:
         least = max(1.0, self.share * MINIMUM_SHARE)
         self.limit = min(max(self.limit, least), float(self.slots))
--- a/mustardward/components/limits/const.py
+++ b/mustardward/components/limits/const.py
@@ -19,14 +19,17 @@
 LATENCY_TOLERANCE: Final = 2.0
 """Ratio of recent to usual latency at which a limit shrinks."""
 
-LATENCY_BACKOFF: Final = 0.9
-"""Factor by which a limit shrinks on latency."""
+BACKOFF: Final = 0.9
+"""Factor by which a limit shrinks."""
 
-BUSY_BACKOFF: Final = 0.95
-"""Factor by which a limit shrinks when workers say that they are busy."""
+BUSY_MUCH: Final = 0.3
+"""Share of busy refusals above which a limit shrinks even below the fair share."""
 
-BUSY_QUIET_SECONDS: Final = 1.0
-"""Time without a busy refusal before a limit grows past the fair share."""
+BUSY_SOME: Final = 0.1
+"""Share of busy refusals above which what was borrowed is given back."""
+
+BUSY_FEW: Final = 0.02
+"""Share of busy refusals up to which more is borrowed."""
 
 MINIMUM_SHARE: Final = 0.25
 """Share of the fair share below which no limit shrinks."""
@@ -55,6 +58,9 @@
 LIGHT_SHARE: Final = 0.5
 """Share of its fair share up to which an organisation may use the reserve."""
 
+RESERVE_PARTS: Final = 2.0
+"""How many times its equal part of the pool's reserve one entry may use."""
+
 RESERVE_SCAN: Final = 16
 """Organisations looked at for one place in the reserve."""
 
--- a/mustardward/components/limits/gate.py
+++ b/mustardward/components/limits/gate.py
@@ -12,7 +12,7 @@
 
 from ...state.models.templates import Urgency
 from .adaptive import AdaptiveLimit
-from .const import LONG_AGING_SECONDS, SERVICE_SHARE, WAIT_SHARE
+from .const import LONG_AGING_SECONDS, RESERVE_PARTS, SERVICE_SHARE, WAIT_SHARE
 from .fairness import OrganisationQueue
 from .models import GateFigures, PoolCapacity, RefusalCause, Ticket, TicketState
 from .selection import Selection
@@ -42,15 +42,28 @@
         self._follow_capacity()
 
     @property
-    def places(self) -> int:
-        """Return the number of requests that may be in flight now."""
-        return int(self._limit.limit) if self._capacity.slots else 0
+    def open_places(self) -> int:
+        """Return the places that any request may use."""
+        if not self._capacity.slots:
+            return 0
+        return max(1, round(self._limit.limit * (1.0 - self._capacity.reserve)))
 
     @property
-    def reserve(self) -> int:
-        """Return the places kept for urgent work and light organisations."""
-        wanted = math.ceil(self._capacity.reserve * self.places)
-        return max(0, min(wanted, self.places - 1))
+    def reserved_places(self) -> int:
+        """Return the places kept for urgent work and light organisations.
+
+        The reserve is the pool's, not split among entries: a place or less for each
+        would be rounded up to far more than the template asks. Each entry may use up
+        to twice its part, and where they meet the worker says that it is busy.
+        """
+        capacity = self._capacity
+        part = min(1.0, RESERVE_PARTS / capacity.entries)
+        return math.ceil(capacity.reserve * capacity.slots * part)
+
+    @property
+    def places(self) -> int:
+        """Return the number of requests that may be in flight now."""
+        return min(self._capacity.slots, self.open_places + self.reserved_places)
 
     @property
     def urgent_waiting(self) -> int:
@@ -105,7 +118,7 @@
         if ticket.state is not TicketState.ADMITTED:
             return []
         ticket.state = TicketState.ENDED
-        saturated = self._waiting > 0 or self.places - self._in_flight <= self.reserve
+        saturated = self._waiting > 0 or self._in_flight >= self.open_places
         queue = self._table[ticket.organisation]
         self._in_flight -= 1
         queue.in_flight -= 1
@@ -211,13 +224,13 @@
         return decided
 
     def _next(self) -> Ticket | None:
-        places = self.places
-        free = places - self._in_flight
-        if free <= 0 or not self._waiting:
+        if not self._waiting:
             return None
-        if free > self.reserve:
+        if self._in_flight < self.open_places:
             return self._selection.next_open()
-        return self._selection.next_reserved(places)
+        if self._in_flight < self.places:
+            return self._selection.next_reserved(self.places)
+        return None
 
     def _start(self, queue: OrganisationQueue, ticket: Ticket, now: float) -> None:
         queue.forget(ticket)
--- a/mustardward/components/retries/const.py
+++ b/mustardward/components/retries/const.py
@@ -5,7 +5,10 @@
 from typing import Final
 
 MAXIMUM_ATTEMPTS: Final = 4
-"""Attempts of one request, whatever the budget holds."""
+"""Attempts of one request that may cost a worker something."""
+
+MAXIMUM_BUSY: Final = 8
+"""Busy refusals of one request; each costs next to nothing."""
 
 FIRST_TOKENS: Final = 3.0
 """Retries that an organisation may make before it had a success."""
@@ -19,6 +22,7 @@
 
 BACKOFF_BASE_SECONDS: Final = 0.025
 BACKOFF_MAXIMUM_SECONDS: Final = 1.0
+BUSY_MAXIMUM_SECONDS: Final = 0.1
 BUSY_BASE_SECONDS: Final = 0.005
 
 LEAST_ATTEMPT_SECONDS: Final = 0.005
--- a/mustardward/components/retries/policy.py
+++ b/mustardward/components/retries/policy.py
@@ -8,8 +8,10 @@
     BACKOFF_MAXIMUM_SECONDS,
     BUSY_BASE_SECONDS,
     BUSY_COST,
+    BUSY_MAXIMUM_SECONDS,
     LEAST_ATTEMPT_SECONDS,
     MAXIMUM_ATTEMPTS,
+    MAXIMUM_BUSY,
     RETRIED_STATUSES,
     RETRY_COST,
 )
@@ -27,7 +29,8 @@
         return "answered"
     if not facts.idempotent and not _surely_not_run(attempts):
         return "may-have-run"
-    if len(attempts) >= MAXIMUM_ATTEMPTS:
+    busy = _busy_refusals(attempts)
+    if busy >= MAXIMUM_BUSY or len(attempts) - busy >= MAXIMUM_ATTEMPTS:
         return "attempts-used"
     if now + LEAST_ATTEMPT_SECONDS >= facts.deadline:
         return "deadline"
@@ -40,10 +43,11 @@
     The pause is drawn from all of it (full jitter): callers that failed together then
     do not come back together.
     """
-    refused = attempts[-1].outcome is AttemptOutcome.REFUSED
-    base = BUSY_BASE_SECONDS if refused else BACKOFF_BASE_SECONDS
-    doubled = base * 2.0 ** (len(attempts) - 1)
-    return min(BACKOFF_MAXIMUM_SECONDS, doubled)
+    busy = _busy_refusals(attempts)
+    if attempts[-1].outcome is AttemptOutcome.REFUSED:
+        return min(BUSY_MAXIMUM_SECONDS, BUSY_BASE_SECONDS * 2.0 ** (busy - 1))
+    failed = len(attempts) - busy
+    return min(BACKOFF_MAXIMUM_SECONDS, BACKOFF_BASE_SECONDS * 2.0 ** (failed - 1))
 
 
 def retry_cost(last: Attempt) -> float:
@@ -51,6 +55,10 @@
     return BUSY_COST if last.outcome is AttemptOutcome.REFUSED else RETRY_COST
 
 
+def _busy_refusals(attempts: tuple[Attempt, ...]) -> int:
+    return sum(attempt.outcome is AttemptOutcome.REFUSED for attempt in attempts)
+
+
 def _surely_not_run(attempts: tuple[Attempt, ...]) -> bool:
     # Every attempt counts, not the last one alone: a refusal after an unknown outcome
     # would otherwise let an order be made twice.
--- a/mustardward/components/routing/const.py
+++ b/mustardward/components/routing/const.py
@@ -43,12 +43,18 @@
 QUARANTINED_SHARE: Final = 1 / 3
 """Largest share of a data centre's part of a pool that may be in quarantine."""
 
+CAPPED_LOG_SECONDS: Final = 30.0
+"""Shortest time between two log lines that the cap was reached."""
+
 QUARANTINE_SECONDS: Final = 5.0
 """First term of quarantine; each further one doubles."""
 
 QUARANTINE_MAXIMUM_SECONDS: Final = 300.0
 """Longest term of quarantine."""
 
+PROBE_SECONDS: Final = 0.05
+"""Shortest time between two probes of one worker."""
+
 PROBATION_SUCCESSES: Final = 3
 """Answers in a row that end a probation."""
 
--- a/mustardward/components/routing/services.py
+++ b/mustardward/components/routing/services.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import Final
 
 from returns.result import Failure, Result, Success
 
@@ -34,7 +35,8 @@
 
 _LOGGER = get_logger(__name__)
 
-_BUSY = "busy"
+NOBODY: Final[frozenset[str]] = frozenset()
+_BUSY: Final = "busy"
 
 
 class RouterService:
@@ -121,14 +123,7 @@
             return Failure(self._refuse("no-worker", 503, f"pool={facts.pool}"))
         load = self._probe_for(group, facts, exclude, now)
         probation = load is not None
-        if load is None:
-            load = choose_worker(
-                group,
-                self._random,
-                now,
-                exclude,
-                self._membership.instance_may_get_work,
-            )
+        load = load or self._choose_open(group, exclude, now)
         if load is None:
             return Failure(self._refuse("no-capacity", 503, f"pool={facts.pool}"))
         load.in_flight += 1
@@ -168,6 +163,17 @@
                 load.instance.instance_id, False, attempt.cause
             )
 
+    def _choose_open(
+        self, group: WorkerGroup, exclude: frozenset[str], now: float
+    ) -> WorkerLoad | None:
+        may_get_work = self._membership.instance_may_get_work
+        load = choose_worker(group, self._random, now, exclude, may_get_work)
+        if load is None and exclude:
+            # All others are full or gone; one that was busy a moment ago may not be
+            # any more, and a small pool has no more workers to offer.
+            load = choose_worker(group, self._random, now, NOBODY, may_get_work)
+        return load
+
     def _probe_for(
         self,
         group: WorkerGroup,
