--- a/mustardward/components/keys.py
+++ b/mustardward/components/keys.py
@@ -11,6 +11,7 @@
 from ..core import ComponentKey
 
 if TYPE_CHECKING:
+    from ..helpers.listener import HttpListener
     from ..platform.protocols import (
         ListingService,
         LogService,
@@ -18,6 +19,7 @@
         WorkerService,
     )
     from ..state.protocols import FleetLog, WorkLog
+    from .entry.drain import Drain
     from .entry.protocols import (
         IntentGate,
         Limiter,
@@ -25,8 +27,12 @@
         Router,
         WorkerDispatcher,
     )
+    from .entry.service import EntryService
+    from .explain.service import Explainer
+    from .jobs.protocols import JobService
     from .membership.protocols import Membership
     from .peers.protocols import Peers
+    from .reports.service import BurnReporter
     from .templates.protocols import Directory
 
 LOG_SERVICE: Final[ComponentKey[LogService]] = ComponentKey("platform.log")
@@ -45,3 +51,9 @@
 RETRY_POLICY: Final[ComponentKey[RetryPolicy]] = ComponentKey("retries")
 INTENT_GATE: Final[ComponentKey[IntentGate]] = ComponentKey("retries.intents")
 DISPATCHER: Final[ComponentKey[WorkerDispatcher]] = ComponentKey("entry.dispatcher")
+EXPLAINER: Final[ComponentKey[Explainer]] = ComponentKey("explain")
+BURN_REPORTER: Final[ComponentKey[BurnReporter]] = ComponentKey("reports")
+JOBS: Final[ComponentKey[JobService]] = ComponentKey("jobs")
+ENTRY: Final[ComponentKey[EntryService]] = ComponentKey("entry")
+DRAIN: Final[ComponentKey[Drain]] = ComponentKey("entry.drain")
+API: Final[ComponentKey[HttpListener]] = ComponentKey("api")
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -7,6 +7,7 @@
 from mustardward.state.fleet import FleetState
 from mustardward.state.fold import Fold, RecordOutcome
 from mustardward.state.handlers.all import FLEET_HANDLERS
+from mustardward.state.models.jobs import AcceptJob
 from mustardward.state.models.pools import AddInstance, PutPool
 from mustardward.state.models.templates import Parameters, ServiceBinding
 from mustardward.state.records import (
@@ -71,3 +72,14 @@
 ) -> AddInstance:
     """Return the record that adds an instance."""
     return AddInstance(instance_id, data_centre, rack, "127.0.0.1:0", pool)
+
+
+def build_accept_job(job_id: str = "job-1", **fields: Any) -> AcceptJob:
+    """Return the proposal of a small idempotent job."""
+    values: dict[str, Any] = {
+        "organisation": "derwent",
+        "service": "castings",
+        "pool": "casting",
+        "payload": b"plan",
+    }
+    return AcceptJob(job_id=job_id, **(values | fields))
