Resolve organisations, and let operators publish templates

Cause: an entry has to turn organisation and service into parameters, and operators need typed answers about every change. Ruled out: status from membership digests alone, since they lag by seconds; counting only a majority as 'in force'. Change: the directory over the fold, border models with bounds, routes for templates, organisations, pools and instances, a peer message that says what an entry has folded; publishing with a wait returns only when every live entry is past the change.

--- a/mustardward/components/templates/__init__.py
+++ b/mustardward/components/templates/__init__.py
@@ -7,11 +7,11 @@
 
 async def async_setup(core: Core) -> Unload:
     """Set the component up and return what undoes it."""
+    from .services import async_start_directory
 
-    async def async_unload() -> None:
-        return None
+    return await async_start_directory(core)
 
-    return async_unload
 
-
-COMPONENTS.register("templates")(ComponentDescription("templates", async_setup))
+COMPONENTS.register("templates")(
+    ComponentDescription("templates", async_setup, ("log", "peers", "membership"))
+)
--- /dev/null
+++ b/mustardward/components/templates/border.py
@@ -0,0 +1,149 @@
+"""Validate what operators send about templates, organisations, pools, instances."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Final
+
+import msgspec
+from pydantic import BaseModel, ConfigDict, Field
+
+from ...state.models.pools import AddInstance
+from ...state.models.templates import Overrides, Parameters, Urgency
+
+NAME_PATTERN: Final = r"^[a-z0-9][a-z0-9-]*$"
+MOST_INSTANCES: Final = 5000
+"""Instances that one call may register."""
+
+Name = Annotated[str, Field(min_length=1, max_length=64, pattern=NAME_PATTERN)]
+Share = Annotated[float, Field(ge=0, le=1)]
+Weight = Annotated[float, Field(ge=0, le=1000)]
+Identifier = Annotated[str, Field(min_length=1, max_length=128)]
+
+
+class BorderModel(BaseModel):
+    """Refuse unknown keys and later changes."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class ServiceModel(BorderModel):
+    """Hold the binding of a service to a pool."""
+
+    service: Name
+    pool: Name
+    urgency: Urgency = Urgency.NORMAL
+
+
+class WindowModel(BorderModel):
+    """Hold a maintenance window (UTC)."""
+
+    start_second: int = Field(ge=0, lt=86_400)
+    length_seconds: int = Field(gt=0, le=86_400)
+    weekdays: tuple[Annotated[int, Field(ge=0, le=6)], ...] = (0, 1, 2, 3, 4, 5, 6)
+
+
+class QuotaModel(BorderModel):
+    """Hold what an organisation may use in one data centre."""
+
+    concurrency: int = Field(default=64, ge=1, le=100_000)
+    queue: int = Field(default=256, ge=0, le=100_000)
+    weight: float = Field(default=1.0, gt=0, le=1000)
+    long_jobs: int = Field(default=1000, ge=0, le=1_000_000)
+
+
+class WeightsModel(BorderModel):
+    """Hold the weights of a maintenance plan."""
+
+    buffer: Weight = 1.0
+    rollout: Weight = 1.0
+    moves: Weight = 1.0
+
+
+class ObjectivesModel(BorderModel):
+    """Hold the promised service level."""
+
+    success_share: float = Field(default=0.999, gt=0, lt=1)
+    latency_seconds: float = Field(default=0.5, gt=0, le=3600)
+    latency_share: float = Field(default=0.99, gt=0, lt=1)
+
+
+class ParametersModel(BorderModel):
+    """Hold parameters as an operator writes them; what is left out stays as it was.
+
+    For a template that is the default, for an organisation the template's value.
+    """
+
+    services: tuple[ServiceModel, ...] | None = None
+    minimum_available: Share | None = None
+    headroom: Share | None = None
+    reserve_largest_rack: bool | None = None
+    urgency: Urgency | None = None
+    urgent_reserve: Share | None = None
+    windows: tuple[WindowModel, ...] | None = None
+    quota: QuotaModel | None = None
+    weights: WeightsModel | None = None
+    objectives: ObjectivesModel | None = None
+    deadline_seconds: float | None = Field(default=None, gt=0, le=3600)
+    retry_share: Share | None = None
+
+    def overrides(self) -> Overrides:
+        """Return the fields that were given."""
+        given = self.model_dump(mode="json", exclude_none=True)
+        return msgspec.convert(given, Overrides)
+
+    def parameters(self) -> Parameters:
+        """Return the defaults with the fields that were given."""
+        return self.overrides().apply_to(Parameters())
+
+
+class PublishModel(BorderModel):
+    """Propose a template's revision.
+
+    ``base_revision`` is the one its author saw, 0 for a new template. ``record_id``
+    stays the same over the repetitions of one wish.
+    """
+
+    parameters: ParametersModel
+    base_revision: int = Field(default=0, ge=0)
+    record_id: Identifier | None = None
+    wait_seconds: float = Field(default=0.0, ge=0, le=60)
+
+
+class OrganisationModel(BorderModel):
+    """Propose an organisation or its new overrides."""
+
+    template: Name
+    overrides: ParametersModel = ParametersModel()
+    base_revision: int = Field(default=0, ge=0)
+    record_id: Identifier | None = None
+    wait_seconds: float = Field(default=0.0, ge=0, le=60)
+
+
+class InstanceModel(BorderModel):
+    """Hold one instance that a pool is to own."""
+
+    instance_id: Identifier
+    data_centre: Name
+    rack: Identifier
+    address: str = Field(pattern=r"^[0-9a-f.:\[\]]+:[0-9]{1,5}$", max_length=64)
+    pool: Name
+    cores: int = Field(default=32, ge=1, le=4096)
+    memory_gigabytes: int = Field(default=128, ge=1, le=65_536)
+    accelerators: int = Field(default=0, ge=0, le=1024)
+    slots: int = Field(default=8, ge=1, le=10_000)
+    connections: int = Field(default=64, ge=1, le=100_000)
+
+    def record(self) -> AddInstance:
+        """Return the record that proposes it."""
+        return AddInstance(**self.model_dump())
+
+
+class InstancesModel(BorderModel):
+    """Hold instances to register."""
+
+    instances: tuple[InstanceModel, ...] = Field(max_length=MOST_INSTANCES)
+
+
+def plain(value: object) -> Any:
+    """Return a state model as what JSON can hold."""
+    return msgspec.to_builtins(value)
--- /dev/null
+++ b/mustardward/components/templates/organisations_api.py
@@ -0,0 +1,66 @@
+"""Let operators create, show, list and remove organisations."""
+
+from __future__ import annotations
+
+from ...state.models.templates import Organisation, PutOrganisation, RemoveOrganisation
+from ..api.routes import ApiAnswer, ApiRequest, api_route
+from ..keys import FLEET_LOG
+from .border import OrganisationModel, plain
+from .exceptions import OrganisationUnknownError
+from .proposing import async_accepted, async_propose, whole_number
+
+
+@api_route("GET", "/organisations", "List the organisations")
+async def async_list(request: ApiRequest) -> ApiAnswer:
+    """Return each organisation with its template and services."""
+    organisations = request.core.get(FLEET_LOG).state.organisations
+    return ApiAnswer(
+        [
+            {
+                "name": name,
+                "template": found.template,
+                "template_revision": found.template_revision,
+                "revision": found.revision,
+                "services": [item.service for item in found.parameters.services],
+            }
+            for name, found in sorted(organisations.items())
+        ]
+    )
+
+
+@api_route("GET", "/organisations/{name}", "Show an organisation")
+async def async_show(request: ApiRequest) -> ApiAnswer:
+    """Return an organisation with its overrides and the parameters in force."""
+    return ApiAnswer(plain(_find(request, request.path["name"])))
+
+
+@api_route("PUT", "/organisations/{name}", "Put an organisation", OrganisationModel)
+async def async_put(request: ApiRequest) -> ApiAnswer:
+    """Propose an organisation, or new overrides over the base revision."""
+    model: OrganisationModel = request.model
+    record = PutOrganisation(
+        request.path["name"], model.template, model.overrides.overrides()
+    )
+    acceptance = await async_propose(
+        request, record, model.base_revision, model.record_id
+    )
+    return await async_accepted(
+        request.core, acceptance, model.template, model.wait_seconds
+    )
+
+
+@api_route("DELETE", "/organisations/{name}", "Remove an organisation")
+async def async_remove(request: ApiRequest) -> ApiAnswer:
+    """Propose the end of an organisation; ``base_revision`` is the one seen."""
+    name = request.path["name"]
+    found = _find(request, name)
+    base = whole_number(request, "base_revision", found.revision)
+    acceptance = await async_propose(request, RemoveOrganisation(name), base)
+    return await async_accepted(request.core, acceptance, found.template, 0.0)
+
+
+def _find(request: ApiRequest, name: str) -> Organisation:
+    found = request.core.get(FLEET_LOG).state.organisations.get(name)
+    if found is None:
+        raise OrganisationUnknownError(name)
+    return found
--- /dev/null
+++ b/tests/components/templates/test_directory.py
@@ -0,0 +1,267 @@
+"""Resolve organisations and publish templates over fakes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import pytest
+from pydantic import ValidationError
+from returns.result import Failure
+
+from mustardward.components.api.routes import ApiAnswer, ApiRequest
+from mustardward.components.entry.models import Ran
+from mustardward.components.membership.models import MemberStatus
+from mustardward.components.templates import api, fleet_api, organisations_api
+from mustardward.components.templates.border import (
+    InstancesModel,
+    OrganisationModel,
+    ParametersModel,
+    PublishModel,
+)
+from mustardward.components.templates.directory import FoldedDirectory
+from mustardward.components.templates.exceptions import TemplateUnknownError
+from mustardward.core import Core
+from mustardward.exceptions import MustardwardError
+from mustardward.state.fold import RevisionConflictError
+from mustardward.state.models.pools import AddInstance
+from mustardward.state.models.templates import (
+    Organisation,
+    Overrides,
+    Parameters,
+    PublishTemplate,
+    PutOrganisation,
+    Quota,
+    ServiceBinding,
+    TemplateRevision,
+    Urgency,
+)
+
+from ...fakes.templates import (
+    FakeFleetLog,
+    FakePeers,
+    async_directory_core,
+    build_member,
+)
+
+pytestmark = pytest.mark.anyio
+
+BINDING = ServiceBinding("climate", "cellar", Urgency.URGENT)
+
+
+def build_log() -> FakeFleetLog:
+    log = FakeFleetLog()
+    parameters = Parameters(services=(BINDING,))
+    log.state.templates["cellar"] = [
+        TemplateRevision("cellar", revision, offset, parameters)
+        for revision, offset in ((2, 3), (4, 8))
+    ]
+    log.state.organisations["dairy"] = Organisation(
+        "dairy", "cellar", 4, 5, Overrides(), parameters
+    )
+    return log
+
+
+def build_request(core: Core, model: Any = None, **path: str) -> ApiRequest:
+    return ApiRequest(core, "operator", path, {}, model)
+
+
+async def async_in_core(
+    log: FakeFleetLog, peers: FakePeers, handler: Any, model: Any = None, **path: str
+) -> ApiAnswer:
+    """Call a handler beside entries ``entry-1``, ``entry-2`` and a suspect one."""
+    members = [
+        build_member("entry-1"),
+        build_member("entry-2"),
+        build_member("entry-3", MemberStatus.SUSPECT),
+    ]
+    # A task group would wrap what the handler raises; so it is raised outside.
+    outcome: ApiAnswer | MustardwardError
+    async with async_directory_core(log, members, peers) as core:
+        try:
+            outcome = await handler(build_request(core, model, **path))
+        except MustardwardError as error:
+            outcome = error
+    if isinstance(outcome, MustardwardError):
+        raise outcome
+    return outcome
+
+
+async def async_start_publishing(core: Core, wait_seconds: float) -> list[ApiAnswer]:
+    """Start to publish, and return the list that will hold the answer."""
+    model = PublishModel(parameters=ParametersModel(), wait_seconds=wait_seconds)
+    answers: list[ApiAnswer] = []
+
+    async def publish() -> None:
+        request = build_request(core, model, name="cellar")
+        answers.append(await api.async_publish(request))
+
+    core.tasks.start_soon(publish)
+    await anyio.wait_all_tasks_blocked()
+    return answers
+
+
+def test_a_service_is_found_with_its_binding() -> None:
+    found = FoldedDirectory(build_log()).resolve("dairy", "climate").unwrap()
+    assert found.binding == BINDING
+    assert found.organisation.name == "dairy"
+
+
+@pytest.mark.parametrize(
+    ("organisation", "service", "code"),
+    [
+        ("nobody", "climate", "organisation-unknown"),
+        ("dairy", "etching", "service-unknown"),
+    ],
+)
+def test_what_is_not_there_is_refused_as_not_run(
+    organisation: str, service: str, code: str
+) -> None:
+    refusal = FoldedDirectory(build_log()).resolve(organisation, service).failure()
+    assert (refusal.code, refusal.status, refusal.ran) == (code, 404, Ran.NO)
+
+
+def test_an_entry_without_state_does_not_say_not_found() -> None:
+    """Send the caller on, not away.
+
+    Symptom: a caller is told that its organisation does not exist. Sequence: a fresh
+    entry takes requests before it has folded anything. Cause: empty state read as
+    "there is none".
+    """
+    log = build_log()
+    log.ready = False
+    refusal = FoldedDirectory(log).resolve("dairy", "climate").failure()
+    assert (refusal.code, refusal.status, refusal.ran) == ("not-ready", 503, Ran.NO)
+    assert refusal.retry_after_seconds
+
+
+async def test_publishing_proposes_the_parameters_over_the_base_seen() -> None:
+    log = build_log()
+    model = PublishModel.model_validate(
+        {
+            "parameters": {
+                "services": [{"service": "climate", "pool": "cellar"}],
+                "quota": {"concurrency": 7},
+            },
+            "base_revision": 4,
+            "record_id": "wish-1",
+        }
+    )
+    answer = await async_in_core(
+        log, FakePeers({}), api.async_publish, model, name="cellar"
+    )
+    [proposal] = log.proposals
+    expected = Parameters(
+        services=(ServiceBinding("climate", "cellar"),), quota=Quota(concurrency=7)
+    )
+    assert proposal.body == PublishTemplate("cellar", expected)
+    assert (proposal.base_revision, proposal.record_id) == (4, "wish-1")
+    assert answer.body["revision"] == 6
+
+
+async def test_the_later_of_two_operators_gets_the_conflict() -> None:
+    """Never drop a change in silence.
+
+    Symptom: an operator's change is gone. Sequence: two operators revise the same
+    base, both are told that it worked. Cause: the second one overwrites the first.
+    """
+    log = build_log()
+    log.result = Failure(RevisionConflictError("base=2 current=4"))
+    model = PublishModel(parameters=ParametersModel(), base_revision=2)
+    with pytest.raises(RevisionConflictError):
+        await async_in_core(log, FakePeers({}), api.async_publish, model, name="cellar")
+
+
+async def test_publishing_waits_for_every_live_entry() -> None:
+    """Return only when the change is in force.
+
+    Symptom: a caller meets the old template after "in force". Sequence: one entry is
+    behind, and the answer counts the others. Cause: waiting for most, not for all.
+    """
+    peers = FakePeers({"entry-2": 9, "entry-3": -1})
+    members = [build_member("entry-1"), build_member("entry-2")]
+    async with async_directory_core(build_log(), members, peers) as core:
+        answers = await async_start_publishing(core, 5.0)
+        await core.timers.async_advance(1.0)  # type: ignore[attr-defined]
+        before = list(answers)
+        peers.offsets["entry-2"] = 10
+        await core.timers.async_advance(0.1)  # type: ignore[attr-defined]
+        await anyio.wait_all_tasks_blocked()
+    assert before == []
+    assert answers[0].body["in_force"] is True
+    assert answers[0].body["behind"] == []
+
+
+async def test_an_entry_that_stays_behind_is_named() -> None:
+    peers = FakePeers({"entry-2": 9, "entry-3": -1})
+    members = [build_member("entry-1"), build_member("entry-2")]
+    async with async_directory_core(build_log(), members, peers) as core:
+        answers = await async_start_publishing(core, 0.01)
+        await core.timers.async_advance(1.0)  # type: ignore[attr-defined]
+        await anyio.wait_all_tasks_blocked()
+    assert answers[0].body["in_force"] is False
+    assert answers[0].body["behind"] == ["entry-2"]
+
+
+async def test_status_names_the_revision_of_each_entry() -> None:
+    peers = FakePeers({"entry-2": 9, "entry-3": -1}, {"entry-2": 2})
+    answer = await async_in_core(build_log(), peers, api.async_status, name="cellar")
+    entries = {item["entry"]: item for item in answer.body["entries"]}
+    assert answer.body["in_force_everywhere"] is False
+    assert (entries["entry-1"]["revision"], entries["entry-1"]["in_force"]) == (4, True)
+    assert entries["entry-2"]["in_force"] is False
+    assert entries["entry-3"]["answered"] is False
+
+
+async def test_history_is_newest_first_and_unknown_names_are_refused() -> None:
+    log = build_log()
+    history = await async_in_core(log, FakePeers({}), api.async_history, name="cellar")
+    with pytest.raises(TemplateUnknownError):
+        await async_in_core(log, FakePeers({}), api.async_show, name="attic")
+    assert [item["revision"] for item in history.body] == [4, 2]
+
+
+async def test_an_organisation_keeps_only_what_it_overrides() -> None:
+    log = build_log()
+    model = OrganisationModel.model_validate(
+        {"template": "cellar", "overrides": {"headroom": 0.25}}
+    )
+    await async_in_core(
+        log, FakePeers({}), organisations_api.async_put, model, name="dairy"
+    )
+    assert log.proposals[0].body == PutOrganisation(
+        "dairy", "cellar", Overrides(headroom=0.25)
+    )
+
+
+async def test_each_instance_gets_its_own_outcome() -> None:
+    log = build_log()
+    log.result = Failure(RevisionConflictError("taken"))
+    instance = {
+        "instance_id": "worker-1",
+        "data_centre": "dc-1",
+        "rack": "rack-1",
+        "address": "10.0.0.1:80",
+        "pool": "cellar",
+    }
+    model = InstancesModel.model_validate({"instances": [instance]})
+    answer = await async_in_core(
+        log, FakePeers({}), fleet_api.async_add_instances, model
+    )
+    assert answer.status == 207
+    assert answer.body["outcomes"][0]["error"] == "revision-conflict"
+    assert log.proposals[0].body == AddInstance(**instance)
+
+
+@pytest.mark.parametrize(
+    "parameters",
+    [
+        {"minimum_available": 1.5},
+        {"headrom": 0.1},
+        {"services": [{"service": "Climate!", "pool": "cellar"}]},
+        {"windows": [{"start_second": 90_000, "length_seconds": 1}]},
+    ],
+)
+def test_wrong_parameters_are_refused_at_the_border(parameters: Any) -> None:
+    with pytest.raises(ValidationError):
+        ParametersModel.model_validate(parameters)
