--- a/mustardward/components/templates/border.py
+++ b/mustardward/components/templates/border.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from ipaddress import ip_address
 from typing import Annotated, Any, Final
 
 import msgspec
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
 from ...state.models.pools import AddInstance
 from ...state.models.templates import Overrides, Parameters, Urgency
@@ -20,6 +21,23 @@
 Identifier = Annotated[str, Field(min_length=1, max_length=128)]
 
 
+def check_address(text: str) -> str:
+    """Return an address that has an IP number and a port.
+
+    :raises ValueError: for anything else.
+    """
+    # A name would need a resolver on the way of every request, and could answer
+    # otherwise at another entry, seen as one worker under two addresses.
+    host, _, port = text.rpartition(":")
+    ip_address(host.removeprefix("[").removesuffix("]"))
+    if not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text} has no port from 1 to 65535")
+    return text
+
+
+Address = Annotated[str, AfterValidator(check_address)]
+
+
 class BorderModel(BaseModel):
     """Refuse unknown keys and later changes."""
 
@@ -125,7 +143,7 @@
     instance_id: Identifier
     data_centre: Name
     rack: Identifier
-    address: str = Field(pattern=r"^[0-9a-f.:\[\]]+:[0-9]{1,5}$", max_length=64)
+    address: Address
     pool: Name
     cores: int = Field(default=32, ge=1, le=4096)
     memory_gigabytes: int = Field(default=128, ge=1, le=65_536)
--- /dev/null
+++ b/mustardward/load/__init__.py
@@ -0,0 +1,1 @@
+"""Put bounded load on entries and measure their answers."""
--- a/tests/components/templates/test_directory.py
+++ b/tests/components/templates/test_directory.py
@@ -265,3 +265,16 @@
 def test_wrong_parameters_are_refused_at_the_border(parameters: Any) -> None:
     with pytest.raises(ValidationError):
         ParametersModel.model_validate(parameters)
+
+
+@pytest.mark.parametrize("address", ["worker:80", "10.0.0.1", "10.0.0.256:80", "::1:0"])
+def test_an_address_is_an_ip_number_with_a_port(address: str) -> None:
+    instance = {
+        "instance_id": "worker-1",
+        "data_centre": "dc-1",
+        "rack": "rack-1",
+        "address": address,
+        "pool": "cellar",
+    }
+    with pytest.raises(ValidationError):
+        InstancesModel.model_validate({"instances": [instance]})
--- /dev/null
+++ b/tests/load/__init__.py
@@ -0,0 +1,1 @@
+"""Hold tests and their helpers."""
