--- a/tests/components/templates/__init__.py
+++ b/tests/components/templates/__init__.py
@@ -1,1 +0,0 @@
-"""Hold tests and their helpers."""
