Publish templates through real logs, peers and the stand-in platform

Cause: the directory and the routes were shown over fakes only. Ruled out: real time in the tests; two entries run on one driven clock.

--- a/mustardward/standin/log.py
+++ b/mustardward/standin/log.py
@@ -14,8 +14,9 @@
 
 from ..exceptions import OffsetExpiredError
 from ..helpers.timer import TimerService
+from ..helpers.waiting import async_wait_for
 from ..platform.models import LogPage
-from .common import NoAnswer, async_wait, async_with_faults, refusal
+from .common import NoAnswer, async_with_faults, refusal
 from .faults import FaultSwitch, LogFaults
 from .store import LogStore, Retention, TokenBucket
 
@@ -111,7 +112,7 @@
             page = self._store.read(stream, offset, limit)
             if not page.entries and wait_seconds > 0:
                 grown = self._grown.setdefault(stream, anyio.Event())
-                await async_wait(grown, self._timers, wait_seconds)
+                await async_wait_for(grown, self._timers, wait_seconds)
                 page = self._store.read(stream, offset, limit)
         except OffsetExpiredError as error:
             return refusal(410, error.code, oldest=error.oldest)
--- /dev/null
+++ b/tests/components/templates/test_joined.py
@@ -0,0 +1,186 @@
+"""Publish templates through real logs, peers and the stand-in platform."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from importlib import import_module
+from typing import Any
+
+import anyio
+import pytest
+
+from mustardward.components.api.routes import ApiAnswer, ApiRequest
+from mustardward.components.keys import DIRECTORY, FLEET_LOG, MEMBERSHIP
+from mustardward.components.templates import api, fleet_api, organisations_api
+from mustardward.components.templates.border import OrganisationModel, PublishModel
+from mustardward.core import Core, async_setup_components
+from mustardward.exceptions import MustardwardError
+from mustardward.settings.models import (
+    EntryIdentity,
+    Listener,
+    PeerAddress,
+    PlatformSettings,
+    Settings,
+)
+from mustardward.state.fold import RevisionConflictError
+
+from ...fakes.platform import PlatformBench, async_platform_bench
+
+pytestmark = pytest.mark.anyio
+
+DOMAINS = ("platform", "peers", "membership", "log", "templates")
+PARAMETERS = {"services": [{"service": "climate", "pool": "cellar"}]}
+
+
+def build_settings(
+    name: str, data_centre: str, url: str, seeds: tuple[PeerAddress, ...]
+) -> Settings:
+    return Settings(
+        entry=EntryIdentity(name=name, data_centre=data_centre),
+        callers=Listener(port=0),
+        peers=seeds,
+        platform=PlatformSettings(url=url),
+    )
+
+
+@asynccontextmanager
+async def async_entry(bench: PlatformBench, settings: Settings) -> AsyncIterator[Core]:
+    """Set up the parts of an entry that publishing needs."""
+    async with anyio.create_task_group() as tasks:
+        core = Core(settings, bench.timers, tasks)
+        for domain in DOMAINS:
+            import_module(f"mustardward.components.{domain}")
+        unloads = await async_setup_components(core, DOMAINS)
+        yield core
+        for unload in unloads:
+            await unload()
+        tasks.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def async_two_entries(bench: PlatformBench) -> AsyncIterator[tuple[Core, Core]]:
+    """Set two entries up in two data centres, the second one knowing the first."""
+    first_settings = build_settings("entry-1", "dc-1", bench.url, ())
+    async with async_entry(bench, first_settings) as first:
+        host, _, port = first.get(MEMBERSHIP).own.address.rpartition(":")
+        seed = PeerAddress(name="entry-1", data_centre="dc-1", host=host, port=port)
+        second_settings = build_settings("entry-2", "dc-2", bench.url, (seed,))
+        async with async_entry(bench, second_settings) as second:
+            both = (first, second)
+            await async_drive(
+                bench,
+                lambda: all(
+                    core.get(FLEET_LOG).ready and len(core.get(MEMBERSHIP).live()) == 2
+                    for core in both
+                ),
+            )
+            yield both
+
+
+async def async_drive(bench: PlatformBench, condition: Callable[[], bool]) -> None:
+    """Move the clock on beside the loopback traffic until a condition holds."""
+    for _ in range(3000):
+        if condition():
+            return
+        await bench.timers.async_advance(0.01)
+        await anyio.sleep(0.001)
+    raise AssertionError("the condition never held")
+
+
+async def async_call(
+    bench: PlatformBench,
+    handler: Callable[[ApiRequest], Awaitable[ApiAnswer]],
+    core: Core,
+    model: Any = None,
+    **path: str,
+) -> ApiAnswer:
+    """Return a handler's answer while the clock moves on."""
+    outcomes: list[ApiAnswer | MustardwardError] = []
+
+    async def call() -> None:
+        try:
+            outcomes.append(
+                await handler(ApiRequest(core, "operator", path, {}, model))
+            )
+        except MustardwardError as error:
+            outcomes.append(error)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(call)
+        await async_drive(bench, lambda: bool(outcomes))
+    if isinstance(outcomes[0], MustardwardError):
+        raise outcomes[0]
+    return outcomes[0]
+
+
+async def test_a_template_is_in_force_at_both_entries_when_publishing_returns() -> None:
+    model = PublishModel.model_validate({"parameters": PARAMETERS, "wait_seconds": 5})
+    organisation = OrganisationModel(template="dairy", wait_seconds=5)
+    async with (
+        async_platform_bench() as bench,
+        async_two_entries(bench) as (first, second),
+    ):
+        await async_call(bench, fleet_api.async_put_pool, first, name="cellar")
+        published = await async_call(
+            bench, api.async_publish, first, model, name="dairy"
+        )
+        created = await async_call(
+            bench, organisations_api.async_put, second, organisation, name="vik"
+        )
+        found = first.get(DIRECTORY).resolve("vik", "climate").unwrap()
+        status = await async_call(bench, api.async_status, second, name="dairy")
+    assert published.body["in_force"] and created.body["in_force"]
+    assert found.organisation.template_revision == published.body["revision"]
+    assert status.body["in_force_everywhere"] is True
+    assert [item["entry"] for item in status.body["entries"]] == ["entry-1", "entry-2"]
+
+
+async def test_of_two_racing_operators_one_gets_the_conflict() -> None:
+    """Accept one of two changes over the same base.
+
+    Symptom: an operator's revision vanishes. Sequence: two operators publish at two
+    entries, both saw revision 0. Cause: an append taken for an acceptance.
+    """
+    model = PublishModel.model_validate({"parameters": PARAMETERS})
+    outcomes: list[ApiAnswer | MustardwardError] = []
+    async with (
+        async_platform_bench() as bench,
+        async_two_entries(bench) as (first, second),
+    ):
+        await async_call(bench, fleet_api.async_put_pool, first, name="cellar")
+
+        async def publish(core: Core) -> None:
+            request = ApiRequest(core, "operator", {"name": "dairy"}, {}, model)
+            try:
+                outcomes.append(await api.async_publish(request))
+            except MustardwardError as error:
+                outcomes.append(error)
+
+        first.tasks.start_soon(publish, first)
+        second.tasks.start_soon(publish, second)
+        await async_drive(bench, lambda: len(outcomes) == 2)
+    conflicts = [item for item in outcomes if isinstance(item, RevisionConflictError)]
+    assert len(conflicts) == 1
+    assert sum(isinstance(item, ApiAnswer) for item in outcomes) == 1
+
+
+async def test_a_lost_answer_does_not_publish_twice() -> None:
+    """Publish once for one wish.
+
+    Symptom: history shows a revision twice, or a conflict with oneself. Sequence: the
+    append takes effect, its answer is lost, it is appended again. Cause: no record id
+    that stays the same.
+    """
+    model = PublishModel.model_validate({"parameters": PARAMETERS})
+    async with (
+        async_platform_bench() as bench,
+        async_two_entries(bench) as (first, _),
+    ):
+        await async_call(bench, fleet_api.async_put_pool, first, name="cellar")
+        bench.platform.log.faults.change(lose_answers=1)
+        published = await async_call(
+            bench, api.async_publish, first, model, name="dairy"
+        )
+        history = await async_call(bench, api.async_history, first, name="dairy")
+    assert [item["revision"] for item in history.body] == [published.body["revision"]]
