--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measure the product; each module prints its figures on its last line."""
+"""Measure the product and build its one file."""
--- a/mustardward/components/keys.py
+++ b/mustardward/components/keys.py
@@ -28,8 +28,10 @@
         WorkerDispatcher,
     )
     from .entry.service import EntryService
+    from .explain.service import Explainer
     from .membership.protocols import Membership
     from .peers.protocols import Peers
+    from .reports.service import BurnReporter
     from .templates.protocols import Directory
 
 LOG_SERVICE: Final[ComponentKey[LogService]] = ComponentKey("platform.log")
@@ -51,3 +53,5 @@
 ENTRY: Final[ComponentKey[EntryService]] = ComponentKey("entry")
 DRAIN: Final[ComponentKey[Drain]] = ComponentKey("entry.drain")
 API: Final[ComponentKey[HttpListener]] = ComponentKey("api")
+EXPLAINER: Final[ComponentKey[Explainer]] = ComponentKey("explain")
+BURN_REPORTER: Final[ComponentKey[BurnReporter]] = ComponentKey("reports")
