--- a/mustardward/components/entry/protocols.py
+++ b/mustardward/components/entry/protocols.py
@@ -13,8 +13,9 @@
 from returns.result import Result
 
 from ...state.models.pools import Instance
+from ..membership.models import Member
 from ..routing.models import RemoteChoice
-from .models import Attempt, AttemptOutcome, RequestFacts, RequestRefusal
+from .models import Attempt, AttemptOutcome, Ran, RequestFacts, RequestRefusal
 
 
 class Permit(Protocol):
@@ -116,6 +117,17 @@
 class IntentGate(Protocol):
     """Make sure that a request under an idempotency key runs at most once."""
 
+    def home(self, facts: RequestFacts) -> Member | None:
+        """Return the entry to forward a keyed request to, or nothing for this one."""
+        ...
+
+    def truthful(self, facts: RequestFacts, ran: Ran) -> Ran:
+        """Return what a refusal may say, with earlier attempts under the key in mind.
+
+        A keyed request that is refused before ``async_open`` may have run before.
+        """
+        ...
+
     async def async_open(
         self, facts: RequestFacts
     ) -> Result[StoredAnswer | None, RequestRefusal]:
--- a/mustardward/components/keys.py
+++ b/mustardward/components/keys.py
@@ -29,6 +29,7 @@
     )
     from .entry.service import EntryService
     from .explain.service import Explainer
+    from .jobs.protocols import JobService
     from .membership.protocols import Membership
     from .peers.protocols import Peers
     from .reports.service import BurnReporter
@@ -55,3 +56,4 @@
 API: Final[ComponentKey[HttpListener]] = ComponentKey("api")
 EXPLAINER: Final[ComponentKey[Explainer]] = ComponentKey("explain")
 BURN_REPORTER: Final[ComponentKey[BurnReporter]] = ComponentKey("reports")
+JOBS: Final[ComponentKey[JobService]] = ComponentKey("jobs")
