Let operators publish templates and register fleets from the command line

Cause: the routes had no commands; commands ended with 1 for everything, so a script could not tell a refusal from an entry that nobody reached. Ruled out: a record id drawn for each try, which makes a repetition conflict with itself. The fallback router and retry policy get the methods that their protocols gained.

--- a/mustardward/cli/client.py
+++ b/mustardward/cli/client.py
@@ -9,9 +9,12 @@
 
 import click
 
+from .exit_codes import OutcomeUnknownError, RefusedError, UnreachableError
+
 FunctionT = TypeVar("FunctionT", bound=Callable[..., Any])
 
-_TIMEOUT_SECONDS = 10.0
+_TIMEOUT_SECONDS = 75.0
+"""Longer than the longest wait that a call can ask for."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,8 +40,9 @@
     ) -> Any:
         """Return the answer's JSON.
 
-        :raises click.ClickException: with the problem's code and text, or because the
-            entry could not be reached.
+        :raises RefusedError: with the problem's code and text.
+        :raises UnreachableError: if nobody could take the call.
+        :raises OutcomeUnknownError: if the call may have had an effect all the same.
         """
         import httpx
 
@@ -48,16 +52,26 @@
                 base_url=self.url,
                 timeout=_TIMEOUT_SECONDS,
                 verify=self._verification(),
+                trust_env=False,
             ) as client:
                 answer = client.request(
                     method, path, params=query, json=body, headers=headers
                 )
         except httpx.HTTPError as error:
-            raise click.ClickException(f"unreachable {self.url}: {error}") from error
+            raise self._unanswered(method, error) from error
         if answer.is_error:
-            raise click.ClickException(_problem_text(answer.status_code, answer.text))
+            raise _problem(answer.status_code, answer.text)
         return answer.json()
 
+    def _unanswered(self, method: str, error: Exception) -> click.ClickException:
+        import httpx
+
+        text = f"{self.url}: {type(error).__name__} {error}"
+        never_sent = isinstance(error, (httpx.ConnectError, httpx.ConnectTimeout))
+        if never_sent or method == "GET":
+            return UnreachableError(f"unreachable {text}")
+        return OutcomeUnknownError(f"no answer from {text}")
+
     def _verification(self) -> Any:
         if not self.url.startswith("https"):
             return False
@@ -66,15 +80,22 @@
         return ssl.create_default_context(cafile=self.authority or None)
 
 
-def _problem_text(status: int, text: str) -> str:
+def _problem(status: int, text: str) -> click.ClickException:
     import json
 
     try:
         problem = json.loads(text)
     except ValueError:
-        return f"status={status}"
+        return RefusedError(f"status={status}")
     code = str(problem.get("type", "")).rsplit("/", 1)[-1].rsplit(":", 1)[-1]
-    return f"{code or status}: {problem.get('detail', '')}"
+    faults = [
+        f"{item['key']}: {item['expected']}" for item in problem.get("faults", [])
+    ]
+    lines = [f"{code or status}: {problem.get('detail', '')}", *faults]
+    message = "\n  ".join(lines)
+    if problem.get("ran") == "unknown":
+        return OutcomeUnknownError(message)
+    return UnreachableError(message) if status == 503 else RefusedError(message)
 
 
 def operator_options(function: FunctionT) -> FunctionT:
--- /dev/null
+++ b/mustardward/cli/files.py
@@ -0,0 +1,97 @@
+"""Read the YAML files that operators write."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, TypeVar
+
+import click
+from pydantic import BaseModel, Field
+
+from ..components.templates.border import (
+    Address,
+    BorderModel,
+    Identifier,
+    InstanceModel,
+    Name,
+    ParametersModel,
+)
+from ..settings.loader import SettingsFaultsError, load_model
+
+M = TypeVar("M", bound=BaseModel)
+
+
+class TemplateFile(BorderModel):
+    """Hold a template; ``base_revision`` is the one its author saw."""
+
+    name: Name
+    parameters: ParametersModel
+    base_revision: int | None = Field(default=None, ge=0)
+
+
+class OrganisationEntry(BorderModel):
+    """Hold one organisation of a file."""
+
+    name: Name
+    template: Name
+    overrides: ParametersModel = ParametersModel()
+
+
+class OrganisationsFile(BorderModel):
+    """Hold organisations to create."""
+
+    organisations: tuple[OrganisationEntry, ...]
+
+
+class WorkerSize(BorderModel):
+    """Hold what all workers of a file have alike."""
+
+    cores: int = 32
+    memory_gigabytes: int = 128
+    accelerators: int = 0
+    slots: int = 8
+    connections: int = 64
+
+
+class RackEntry(BorderModel):
+    """Hold the workers of one rack; they are named after the rack and counted."""
+
+    data_centre: Name
+    rack: Identifier
+    pool: Name
+    addresses: Annotated[tuple[Address, ...], Field(min_length=1)]
+
+
+class PoolsFile(BorderModel):
+    """Hold pools and the workers they own at first."""
+
+    pools: tuple[Name, ...]
+    worker: WorkerSize = WorkerSize()
+    racks: tuple[RackEntry, ...] = ()
+
+    def instances(self) -> list[InstanceModel]:
+        """Return every worker as an instance."""
+        size = self.worker.model_dump()
+        return [
+            InstanceModel(
+                instance_id=f"{rack.rack}-{number}",
+                data_centre=rack.data_centre,
+                rack=rack.rack,
+                address=address,
+                pool=rack.pool,
+                **size,
+            )
+            for rack in self.racks
+            for number, address in enumerate(rack.addresses, start=1)
+        ]
+
+
+def read_file(path: Path, model: type[M]) -> M:
+    """Return a file's content.
+
+    :raises click.UsageError: with a line for each fault.
+    """
+    try:
+        return load_model(path, model)
+    except SettingsFaultsError as error:
+        raise click.UsageError(error.detail) from error
--- /dev/null
+++ b/mustardward/cli/registration.py
@@ -0,0 +1,45 @@
+"""Register pools and the workers that they own at first."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import click
+
+from .client import OperatorClient, make_client, operator_options
+from .exit_codes import RefusedError
+from .files import PoolsFile, read_file
+from .output import output_option, print_data
+from .records import FILE_TYPE
+
+INSTANCES_A_CALL = 1000
+
+
+@click.command()
+@click.argument("file", type=FILE_TYPE)
+@output_option
+@operator_options
+def register(
+    file: Path, output: str, server: str, token_file: Path | None, authority: str
+) -> None:
+    """Register the pools and workers in FILE; a second run changes nothing."""
+    content = read_file(file, PoolsFile)
+    client = make_client(server, token_file, authority)
+    outcomes = register_pools(client, content)
+    print_data(outcomes, output)
+    refused = [item for item in outcomes if "error" in item]
+    if refused:
+        raise RefusedError(f"refused: {len(refused)} of {len(outcomes)} instances")
+
+
+def register_pools(client: OperatorClient, content: PoolsFile) -> list[dict[str, Any]]:
+    """Return the outcome of each instance."""
+    for pool in content.pools:
+        client.call("PUT", f"/pools/{pool}")
+    instances = [item.model_dump() for item in content.instances()]
+    outcomes: list[dict[str, Any]] = []
+    for start in range(0, len(instances), INSTANCES_A_CALL):
+        body = {"instances": instances[start : start + INSTANCES_A_CALL]}
+        outcomes += client.call("POST", "/instances", body=body)["outcomes"]
+    return outcomes
--- /dev/null
+++ b/mustardward/cli/template.py
@@ -0,0 +1,144 @@
+"""Publish, revise and look at templates."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import click
+
+from .client import OperatorClient, make_client, operator_options
+from .files import TemplateFile, read_file
+from .output import output_option, print_data
+from .records import FILE_TYPE, change_options, check_in_force, send_change
+
+
+@click.group()
+def command() -> None:
+    """Publish, revise and look at templates."""
+
+
+@command.command()
+@click.argument("file", type=FILE_TYPE)
+@change_options
+@output_option
+@operator_options
+def publish(
+    file: Path,
+    wait: float,
+    record_id: str | None,
+    output: str,
+    server: str,
+    token_file: Path | None,
+    authority: str,
+) -> None:
+    """Publish the new template in FILE."""
+    content = read_file(file, TemplateFile)
+    client = make_client(server, token_file, authority)
+    _publish(client, content, content.base_revision or 0, wait, record_id, output)
+
+
+@command.command()
+@click.argument("file", type=FILE_TYPE)
+@click.option("--base", type=int, help="Revision that FILE was made from.")
+@change_options
+@output_option
+@operator_options
+def revise(
+    file: Path,
+    base: int | None,
+    wait: float,
+    record_id: str | None,
+    output: str,
+    server: str,
+    token_file: Path | None,
+    authority: str,
+) -> None:
+    """Publish FILE as the revision that follows its base.
+
+    The base is --base or the file's own base_revision. If another revision was
+    accepted since, the command is refused with revision-conflict.
+    """
+    content = read_file(file, TemplateFile)
+    seen = content.base_revision if base is None else base
+    if seen is None:
+        raise click.UsageError("give --base or a base_revision in FILE")
+    client = make_client(server, token_file, authority)
+    _publish(client, content, seen, wait, record_id, output)
+
+
+@command.command()
+@click.argument("name")
+@click.option("--revision", type=int, help="One that is kept; else the one in force.")
+@output_option
+@operator_options
+def show(
+    name: str,
+    revision: int | None,
+    output: str,
+    server: str,
+    token_file: Path | None,
+    authority: str,
+) -> None:
+    """Show a revision of the template NAME."""
+    client = make_client(server, token_file, authority)
+    query = {} if revision is None else {"revision": str(revision)}
+    found = client.call("GET", f"/templates/{name}", query=query)
+    rows = _rows({key: found[key] for key in ("name", "revision", "offset")})
+    print_data(found, output, [*rows, *_rows(found["parameters"])])
+
+
+@command.command()
+@click.argument("name")
+@output_option
+@operator_options
+def history(
+    name: str, output: str, server: str, token_file: Path | None, authority: str
+) -> None:
+    """List the kept revisions of the template NAME, newest first."""
+    client = make_client(server, token_file, authority)
+    found = client.call("GET", f"/templates/{name}/history")
+    rows = [
+        {
+            "revision": item["revision"],
+            "offset": item["offset"],
+            "services": [one["service"] for one in item["parameters"]["services"]],
+        }
+        for item in found
+    ]
+    print_data(found, output, rows)
+
+
+@command.command()
+@click.argument("name")
+@output_option
+@operator_options
+def status(
+    name: str, output: str, server: str, token_file: Path | None, authority: str
+) -> None:
+    """Show at which entries the template NAME is in force."""
+    client = make_client(server, token_file, authority)
+    found = client.call("GET", f"/templates/{name}/status")
+    print_data(found, output, found["entries"])
+
+
+def _publish(
+    client: OperatorClient,
+    content: TemplateFile,
+    base: int,
+    wait: float,
+    record_id: str | None,
+    output: str,
+) -> None:
+    body = {
+        "parameters": content.parameters.model_dump(mode="json", exclude_none=True),
+        "base_revision": base,
+    }
+    path = f"/templates/{content.name}"
+    answer = send_change(client, "POST", path, body, wait, record_id)
+    print_data(answer, output)
+    check_in_force(answer, wait)
+
+
+def _rows(values: dict[str, Any]) -> list[dict[str, Any]]:
+    return [{"key": key, "value": value} for key, value in values.items()]
--- a/mustardward/components/entry/defaults.py
+++ b/mustardward/components/entry/defaults.py
@@ -9,6 +9,7 @@
 from ...core import Core
 from ...state.models.pools import Instance
 from ..keys import FLEET_LOG
+from ..routing.models import RemoteChoice
 from ..templates.protocols import Resolved
 from .models import Attempt, Ran, RequestFacts, RequestRefusal
 from .protocols import Choice, Permit, RetryDecision
@@ -42,6 +43,14 @@
     def record_first(self, facts: RequestFacts) -> None:
         """Do nothing."""
 
+    def hedge_after(self, facts: RequestFacts) -> float | None:
+        """Never hedge."""
+        return None
+
+    def take_hedge(self, facts: RequestFacts, now: float) -> bool:
+        """Never hedge."""
+        return False
+
 
 class LeastBusyRouter:
     """Choose the worker of the pool that this process sent the least."""
@@ -71,6 +80,16 @@
         """End the in-flight count."""
         self._in_flight[choice.instance.instance_id] -= 1
 
+    def choose_remote(
+        self, facts: RequestFacts, exclude: frozenset[str] = frozenset()
+    ) -> RemoteChoice | None:
+        """Stay in this data centre."""
+        return None
+
+    def slots(self, pool: str) -> int:
+        """Return the slots of a pool's workers in this data centre."""
+        return sum(item.slots for item in self._instances() if item.pool == pool)
+
     def _instances(self) -> list[Instance]:
         log = self._core.find(FLEET_LOG)
         if log is None:
--- /dev/null
+++ b/mustardward/embedded/__init__.py
@@ -0,0 +1,1 @@
+"""Run a small fleet in one process, for the demo and for tests."""
--- a/mustardward/settings/loader.py
+++ b/mustardward/settings/loader.py
@@ -4,9 +4,10 @@
 
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TypeVar
 
 import yaml
-from pydantic import ValidationError
+from pydantic import BaseModel, ValidationError
 from yaml.nodes import MappingNode, Node, SequenceNode
 
 from ..exceptions import SettingsError
@@ -15,6 +16,9 @@
 KeyPath = tuple[str | int, ...]
 
 
+M = TypeVar("M", bound=BaseModel)
+
+
 @dataclass(frozen=True, slots=True)
 class SettingsFault:
     """Hold one fault: where it stands and what was expected there."""
@@ -48,6 +52,14 @@
 def load_settings(path: Path) -> Settings:
     """Return the settings in a file.
 
+    :raises SettingsFaultsError: if the file can't be read or has faults.
+    """
+    return load_model(path, Settings)
+
+
+def load_model(path: Path, model: type[M]) -> M:
+    """Return what a YAML file holds, as a model.
+
     :raises SettingsFaultsError: if the file can't be read or has faults.
     """
     name = str(path)
@@ -56,12 +68,21 @@
     except (OSError, UnicodeDecodeError) as error:
         fault = SettingsFault(name, 0, "", f"a readable UTF-8 file ({error})")
         raise SettingsFaultsError((fault,)) from error
-    return parse_settings(text, name)
+    return parse_model(text, name, model)
 
 
 def parse_settings(text: str, name: str) -> Settings:
     """Return the settings that a YAML text holds.
 
+    :param name: what the text is called in faults.
+    :raises SettingsFaultsError: if the text has faults.
+    """
+    return parse_model(text, name, Settings)
+
+
+def parse_model(text: str, name: str, model: type[M]) -> M:
+    """Return what a YAML text holds, as a model.
+
     :param name: what the text is called in faults.
     :raises SettingsFaultsError: if the text has faults.
     """
@@ -78,13 +99,13 @@
     lines = _Lines(root)
     faults = lines.duplicates(name)
     try:
-        settings = Settings.model_validate(data)
+        value = model.model_validate(data)
     except ValidationError as error:
         faults += [_fault(item, lines, name) for item in error.errors()]
         raise SettingsFaultsError(_sorted(faults)) from error
     if faults:
         raise SettingsFaultsError(_sorted(faults))
-    return settings
+    return value
 
 
 class _Lines:
