--- a/mustardward/components/entry/setup.py
+++ b/mustardward/components/entry/setup.py
@@ -16,7 +16,7 @@
     ROUTER,
 )
 from .const import CALLER_KEEPALIVE_SECONDS
-from .defaults import LeastBusyRouter, OneMoreTry, OpenLimiter, StateDirectory
+from .defaults import StateDirectory
 from .dispatcher import HttpDispatcher
 from .drain import Drain
 from .front import CallerFront
@@ -60,9 +60,9 @@
 
 def _parts(core: Core, dispatcher: HttpDispatcher) -> EntryParts:
     return EntryParts(
-        limiter=core.find(LIMITER) or OpenLimiter(),
-        router=core.find(ROUTER) or LeastBusyRouter(core),
-        retries=core.find(RETRY_POLICY) or OneMoreTry(),
+        limiter=core.get(LIMITER),
+        router=core.get(ROUTER),
+        retries=core.get(RETRY_POLICY),
         dispatcher=dispatcher,
         intents=core.find(INTENT_GATE),
     )
--- a/tests/fakes/entry_process.py
+++ b/tests/fakes/entry_process.py
@@ -10,7 +10,13 @@
 
 from mustardward.cli.serve import async_serve
 from mustardward.components.entry.setup import async_setup_entry
-from mustardward.components.keys import DIRECTORY, FLEET_LOG, RETRY_POLICY, ROUTER
+from mustardward.components.keys import (
+    DIRECTORY,
+    FLEET_LOG,
+    LIMITER,
+    RETRY_POLICY,
+    ROUTER,
+)
 from mustardward.core import Core, Unload
 from mustardward.helpers.log_output import set_up_logging
 from mustardward.settings.models import (
@@ -21,7 +27,7 @@
 )
 from mustardward.state.protocols import FleetLog
 
-from .entry import FakeDirectory, FakeRetries, FakeRouter, ReadyLog
+from .entry import FakeDirectory, FakeLimiter, FakeRetries, FakeRouter, ReadyLog
 
 LEAVING_SECONDS = 0.6
 
@@ -29,6 +35,7 @@
 async def async_setup(addresses: list[str], core: Core) -> list[Unload]:
     core.put(FLEET_LOG, cast(FleetLog, ReadyLog()))
     core.put(DIRECTORY, FakeDirectory())
+    core.put(LIMITER, FakeLimiter())
     core.put(ROUTER, FakeRouter(addresses))
     core.put(RETRY_POLICY, FakeRetries())
     return [await async_setup_entry(core)]
