Keep libraries' sentences out of the event log

Cause: an entry run as a process logged several httpx sentences a second, one for each poll, each with a whole URL; they are no key=value pairs and could carry a secret. Ruled out: a filter on the handler, which would also drop libraries' warnings.

--- a/mustardward/helpers/log_output.py
+++ b/mustardward/helpers/log_output.py
@@ -10,6 +10,8 @@
 
 _LEVELS: Final = {"DEBUG": "debug", "INFO": "info", "WARNING": "warning"}
 
+_LIBRARIES: Final = ("httpx", "httpcore", "hypercorn.error", "hypercorn.access")
+
 
 class PairFormatter(logging.Formatter):
     """Put time and level before the pairs of an event."""
@@ -31,3 +33,8 @@
     absl_logging.get_absl_handler().setFormatter(PairFormatter())
     absl_logging.set_verbosity(absl_logging.DEBUG if verbose else absl_logging.INFO)
     absl_logging.set_stderrthreshold("info")
+    # Libraries write sentences, a line for each call, with whole URLs in them: an
+    # operator would look for events in vain between them, and a secret in a query
+    # would stand in the log.
+    for name in _LIBRARIES:
+        logging.getLogger(name).setLevel(logging.WARNING)
