--- a/mustardward/components/jobs/pool_view.py
+++ b/mustardward/components/jobs/pool_view.py
@@ -5,9 +5,11 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Final
 
 from ...state.fleet import FleetState
 from ...state.models.jobs import Job
+from ...state.models.maintenance import ClaimStage
 from ...state.models.pools import Instance
 from ...state.models.templates import Organisation, Urgency
 from ...state.protocols import FleetLog
@@ -15,6 +17,8 @@
 from .models import Need, WorkerRoom, could_ever_fit, empty_room, need_of
 from .placement import PoolView
 
+_WORK_MAY_END: Final = (ClaimStage.CLAIMED, ClaimStage.DRAINING)
+
 
 @dataclass(slots=True, eq=False)
 class PoolIndex:
@@ -51,7 +55,7 @@
         """Tell whether a worker may be given a new task."""
         state = self.fleet.state
         instance = state.instances.get(instance_id)
-        if instance is None or instance.removed:
+        if instance is None or instance.removed or instance_id in state.claims:
             return False
         return not self.must_vacate(instance_id) and self.may_get_work(instance_id)
 
@@ -59,7 +63,10 @@
         """Tell whether the fleet's state takes a worker out of use."""
         state = self.fleet.state
         instance = state.instances.get(instance_id)
-        taken = instance_id in state.claims or instance_id in state.moves
+        claim = state.claims.get(instance_id)
+        # A claim that only begins gives running work the time to end by itself.
+        claimed = claim is not None and claim.stage not in _WORK_MAY_END
+        taken = claimed or instance_id in state.moves
         return taken or instance is None or instance.removed
 
     def view(self, pool: str, board: JobBoard, now_out: frozenset[str]) -> PoolView:
--- /dev/null
+++ b/mustardward/components/maintenance/absence_reporter.py
@@ -0,0 +1,198 @@
+"""Report failed and returned instances of the own data centre, coalesced."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import anyio
+
+from ...exceptions import PlatformError, PlatformRefusedError
+from ...helpers.logging import get_logger
+from ...platform.models import InstancePower, PowerState
+from ...platform.protocols import ListingService
+from ...state.budgets import index_of
+from ...state.handlers.absences import CAUSE_FAILED
+from ...state.models.maintenance import AbsenceChange, ReportAbsences
+from .const import (
+    DOWN_AFTER_SECONDS,
+    DUTY_ABSENCES,
+    LIST_INTERVAL_SECONDS,
+    LIST_SECONDS_PER_INSTANCE,
+    LOOKS_PER_STEP,
+    RETURN_BACKOFF_MAXIMUM_SECONDS,
+    RETURN_BACKOFF_SECONDS,
+    UNREACHABLE_AFTER_SECONDS,
+)
+from .models import ExecutorParts
+
+_LOGGER = get_logger(__name__)
+
+CAUSE_LEAVING = "leaving"
+_QUARANTINE_PREFIX = "quarantine"
+
+
+@dataclass(slots=True, eq=False)
+class _Backoff:
+    """Hold when an absent instance may next be called up, and how long it waits."""
+
+    due: float
+    seconds: float = RETURN_BACKOFF_SECONDS
+
+
+class AbsenceReporter:
+    """Fold what membership, the list and the pool service show of failures.
+
+    Only one entry of a data centre reports at a time; two would cost a second record
+    and change nothing.
+    """
+
+    def __init__(self, parts: ExecutorParts, listing: ListingService | None) -> None:
+        self._parts = parts
+        self._listing = listing
+        self._since: dict[str, float] = {}
+        self._missing: set[str] = set()
+        self._next_list = float("-inf")
+        self._backoffs: dict[str, _Backoff] = {}
+
+    async def async_step(self) -> None:
+        """Look for changes and report all that there are in one record."""
+        log = self._parts.log
+        if not log.ready or not self._parts.membership.owns_duty(DUTY_ABSENCES):
+            self._since.clear()
+            return
+        await self._async_read_list()
+        changes: list[AbsenceChange] = []
+        async with anyio.create_task_group() as group:
+            for name in self._overdue_suspects()[:LOOKS_PER_STEP]:
+                group.start_soon(self._async_look_at_suspect, name, changes)
+            for name in self._due_absences()[:LOOKS_PER_STEP]:
+                group.start_soon(self._async_look_at_absent, name, changes)
+        if changes and log.may_decide:
+            changes.sort(key=lambda change: change.instance_id)
+            body = ReportAbsences(self._parts.data_centre, tuple(changes))
+            await log.async_propose(body, actor=self._parts.executor)
+
+    def _overdue_suspects(self) -> list[str]:
+        now = self._parts.timers.monotonic()
+        suspects = self._suspects()
+        self._since = {name: self._since.get(name, now) for name in suspects}
+        return sorted(
+            name
+            for name, since in self._since.items()
+            if now - since >= DOWN_AFTER_SECONDS
+        )
+
+    def _suspects(self) -> set[str]:
+        parts = self._parts
+        state = parts.log.state
+        index = index_of(state)
+        return {
+            name
+            for name, instance in state.instances.items()
+            if instance.data_centre == parts.data_centre
+            and index.is_available(name)
+            and (
+                name in self._missing
+                or not parts.membership.instance_may_get_work(name)
+            )
+        }
+
+    def _due_absences(self) -> list[str]:
+        state = self._parts.log.state
+        now = self._parts.timers.monotonic()
+        absent = {
+            name
+            for name, absence in state.absences.items()
+            if state.instances[name].data_centre == self._parts.data_centre
+            and not absence.cause.startswith(_QUARANTINE_PREFIX)
+            and name not in state.claims
+        }
+        for name in absent - self._backoffs.keys():
+            self._backoffs[name] = _Backoff(now + RETURN_BACKOFF_SECONDS)
+        return sorted(name for name in absent if self._backoffs[name].due <= now)
+
+    async def _async_read_list(self) -> None:
+        now = self._parts.timers.monotonic()
+        if self._listing is None or now < self._next_list:
+            return
+        try:
+            listed = await self._listing.async_list()
+        except PlatformError:
+            return
+        wait = max(LIST_INTERVAL_SECONDS, LIST_SECONDS_PER_INSTANCE * len(listed))
+        self._next_list = now + wait
+        present = {item.instance_id for item in listed}
+        self._missing = self._parts.log.state.instances.keys() - present
+
+    async def _async_look_at_suspect(
+        self, name: str, changes: list[AbsenceChange]
+    ) -> None:
+        now = self._parts.timers.monotonic()
+        suspected = now - self._since[name]
+        try:
+            power = await self._parts.power.async_get(name)
+        except PlatformRefusedError:
+            # The platform knows no such instance, so it will not come back by itself.
+            changes.append(AbsenceChange(name, False, 0, CAUSE_FAILED))
+            return
+        except PlatformError:
+            if suspected >= UNREACHABLE_AFTER_SECONDS and name not in self._missing:
+                changes.append(AbsenceChange(name, False, 0, CAUSE_FAILED))
+            return
+        if power.state in (PowerState.DRAINING, PowerState.DRAINED):
+            await self._async_return_forgotten(power)
+        cause = _cause(power.state, suspected)
+        if cause and not (power.state is PowerState.SERVING and name in self._missing):
+            changes.append(AbsenceChange(name, False, power.boot, cause))
+
+    async def _async_look_at_absent(
+        self, name: str, changes: list[AbsenceChange]
+    ) -> None:
+        now = self._parts.timers.monotonic()
+        backoff = self._backoffs[name]
+        try:
+            power = await self._parts.power.async_get(name)
+        except PlatformError:
+            backoff.due = now + RETURN_BACKOFF_SECONDS
+            return
+        absence = self._parts.log.state.absences.get(name)
+        if power.state in (PowerState.DRAINING, PowerState.DRAINED):
+            await self._async_return_forgotten(power)
+        if absence is None or power.state is not PowerState.SERVING:
+            backoff.due = now + RETURN_BACKOFF_SECONDS
+            return
+        # The platform may call an instance serving that no entry reaches. It would go
+        # in and out of the log for ever; so each return makes the next one later.
+        backoff.seconds = min(backoff.seconds * 2, RETURN_BACKOFF_MAXIMUM_SECONDS)
+        backoff.due = now + backoff.seconds
+        changes.append(AbsenceChange(name, True, power.boot, absence.cause))
+
+    async def _async_return_forgotten(self, power: InstancePower) -> None:
+        """Return an instance that a claim or move of ours drained and nobody holds.
+
+        Its executor died between the record that ended it and the call, or a cancelled
+        move left it drained; without this it would stay out of use for ever.
+        """
+        log = self._parts.log
+        held = {*log.state.claims, *log.state.moves}
+        ours = 0 < power.generation <= log.sequence
+        if power.instance_id in held or not ours or not log.may_decide:
+            return
+        operation = f"forgotten.{power.instance_id}.{power.generation}"
+        try:
+            await self._parts.power.async_return(
+                power.instance_id, operation, power.generation
+            )
+        except PlatformError as error:
+            _LOGGER.warning(
+                "return_postponed", instance=power.instance_id, cause=error.code
+            )
+
+
+def _cause(state: PowerState, suspected_seconds: float) -> str:
+    if state is PowerState.DOWN:
+        return CAUSE_FAILED
+    if state is PowerState.SERVING:
+        overdue = suspected_seconds >= UNREACHABLE_AFTER_SECONDS
+        return CAUSE_FAILED if overdue else ""
+    return CAUSE_LEAVING
--- a/mustardward/components/maintenance/claim_steps.py
+++ b/mustardward/components/maintenance/claim_steps.py
@@ -152,17 +152,32 @@
         await self._async_advance(claim, ClaimStage.DRAINING)
 
     @STAGES.register(ClaimStage.DRAINING)
-    async def _async_wait_until_empty(self, claim: Claim) -> None:
+    async def _async_let_work_end(self, claim: Claim) -> None:
         power = await self._parts.power.async_get(claim.instance_id)
         if await self._async_met_trouble(claim, power):
             return
+        # Work that ends by itself is not moved; a move puts an answer at risk.
         if power.running > 0 and self.waited(claim) < self._patience_for(claim):
             return
+        if not await self._async_empty(claim, power):
+            await self._async_advance(claim, ClaimStage.VACATING)
+
+    @STAGES.register(ClaimStage.VACATING)
+    async def _async_move_work_away(self, claim: Claim) -> None:
+        power = await self._parts.power.async_get(claim.instance_id)
+        if not await self._async_met_trouble(claim, power):
+            await self._async_empty(claim, power)
+
+    async def _async_empty(self, claim: Claim, power: InstancePower) -> bool:
+        """Note the claim as drained if nothing runs there any more.
+
+        There is no cut-off: each request has a bounded life and long work is
+        checkpointed, so this comes true without any work being lost.
+        """
         vacated = await self._parts.vacate(claim.instance_id)
-        # There is no cut-off: each request has a bounded life, and long work is
-        # checkpointed, so this ends without any work being lost.
         if vacated and power.running == 0 and power.state is PowerState.DRAINED:
-            await self._async_advance(claim, ClaimStage.DRAINED)
+            return await self._async_advance(claim, ClaimStage.DRAINED)
+        return False
 
     @STAGES.register(ClaimStage.DRAINED)
     async def _async_reboot_if_allowed(self, claim: Claim) -> None:
--- a/mustardward/components/maintenance/const.py
+++ b/mustardward/components/maintenance/const.py
@@ -33,3 +33,24 @@
 
 MAXIMUM_CLAIMS_AT_ONCE: Final = 64
 """Claims proposed in one step by one data centre."""
+
+UNREACHABLE_AFTER_SECONDS: Final = 10.0
+"""Time after which an instance that the platform calls serving counts as failed."""
+
+LIST_INTERVAL_SECONDS: Final = 10.0
+"""Least time between two readings of the platform's list."""
+
+LIST_SECONDS_PER_INSTANCE: Final = 0.02
+"""What each listed instance adds to that time, so that the list stays cheap."""
+
+LOOKS_PER_STEP: Final = 16
+"""Instances whose power state is asked for in one step."""
+
+RETURN_BACKOFF_SECONDS: Final = 10.0
+RETURN_BACKOFF_MAXIMUM_SECONDS: Final = 600.0
+
+CONTRADICTION_SECONDS: Final = 600.0
+"""Time for which a data centre that said it speaks is not called silent again."""
+
+DUTY_ABSENCES: Final = "absences"
+DUTY_SILENCE: Final = "silence"
--- a/mustardward/components/maintenance/models.py
+++ b/mustardward/components/maintenance/models.py
@@ -10,6 +10,7 @@
 from ...helpers.timer import TimerService
 from ...platform.protocols import PowerService
 from ...state.protocols import FleetLog
+from ..membership.models import Member
 from ..membership.protocols import Membership
 
 
@@ -25,8 +26,8 @@
 class ExecutorParts:
     """Hold the parts that an executor calls.
 
-    ``executor`` names this process and its incarnation: a process that was replaced
-    under the same name has to adopt the claims of the one before. ``vacate`` moves
+    ``executor`` names this process and its start: a process that was replaced under the
+    same name has to adopt the claims of the one before. ``vacate`` moves
     long work away and tells whether none is left.
     """
 
@@ -40,6 +41,6 @@
     vacate: Callable[[str], Awaitable[bool]]
 
 
-def executor_name(name: str, incarnation: int) -> str:
-    """Return the name under which a process holds claims."""
-    return f"{name}#{incarnation}"
+def executor_name(member: Member) -> str:
+    """Return the name under which a process holds claims and acknowledges moves."""
+    return f"{member.name}#{member.start}"
--- /dev/null
+++ b/mustardward/components/maintenance/plan_bounds.py
@@ -0,0 +1,64 @@
+"""Work out from the budgets what no plan can beat; pure."""
+
+from __future__ import annotations
+
+import math
+
+from .plan_models import PlanInput, Unit
+from .plan_units import PlanBudgets, group_by_unit
+
+
+def rounds(instances: int, concurrency: int) -> int:
+    """Return how many turns a slot takes at least."""
+    return math.ceil(instances / concurrency) if concurrency else 0
+
+
+def unit_bounds(facts: PlanInput) -> dict[Unit, float]:
+    """Return for each unit the least seconds that its budgets allow.
+
+    At most so many instances are out at once, each for a cycle at least, so one of
+    the places that they take turns in serves that many cycles one after another.
+    """
+    budgets = PlanBudgets(facts)
+    return {
+        unit: rounds(len(items), budgets.most_at_once(unit)) * facts.cycle_seconds
+        for unit, items in group_by_unit(facts).items()
+    }
+
+
+def rollout_bound(facts: PlanInput) -> float:
+    """Return the least seconds that the budgets allow for the whole wave."""
+    return max(unit_bounds(facts).values(), default=0.0)
+
+
+def canary_bound(facts: PlanInput) -> float:
+    """Return the least seconds if the canary has to come back first.
+
+    Until then nothing else is out, and the canary shortens its own unit alone.
+    """
+    budgets = PlanBudgets(facts)
+    sizes = {
+        unit: (len(items), budgets.most_at_once(unit))
+        for unit, items in group_by_unit(facts).items()
+    }
+    if sum(size for size, _ in sizes.values()) <= facts.canary:
+        return rollout_bound(facts)
+    best = math.inf
+    for first in sizes:
+        after = max(
+            rounds(size - (facts.canary if unit == first else 0), most)
+            for unit, (size, most) in sizes.items()
+        )
+        best = min(best, (1 + after) * facts.cycle_seconds)
+    return best
+
+
+def moves_bound(facts: PlanInput, rollout_seconds: float) -> int:
+    """Return how many tasks outlive a wave of so many seconds, and have to move."""
+    return sum(
+        1
+        for item in facts.instances
+        if item.instance_id in facts.due
+        for remaining in item.tasks
+        if remaining > rollout_seconds
+    )
--- /dev/null
+++ b/mustardward/components/maintenance/plan_models.py
@@ -0,0 +1,99 @@
+"""Model what a maintenance plan is made from and what it promises."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from ...state.budget_counters import Budget
+from ...state.models.templates import Parameters
+
+
+class Unit(NamedTuple):
+    """Name the instances that a pool has in one data centre."""
+
+    pool: str
+    data_centre: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlanInstance:
+    """Hold one instance; ``tasks`` are the seconds that its long tasks still run."""
+
+    instance_id: str
+    unit: Unit
+    rack: str
+    tasks: tuple[float, ...] = ()
+    slots: int = 8
+    available: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class PlanInput:
+    """Hold a wave as the planner sees it.
+
+    ``due`` names the instances to maintain; all others only serve. ``users`` holds the
+    parameters of the organisations on each pool. Times are in seconds.
+    """
+
+    instances: tuple[PlanInstance, ...]
+    due: frozenset[str]
+    users: dict[str, dict[str, Parameters]]
+    canary: int = 1
+    reboot_seconds: float = 180.0
+    drain_seconds: float = 5.0
+    silent: frozenset[str] = frozenset()
+
+    @property
+    def cycle_seconds(self) -> float:
+        """Return the least time for which an instance is out."""
+        return self.reboot_seconds + self.drain_seconds
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """Say how a unit is taken: how many at once, and how long work may end by itself.
+
+    ``patience`` is in seconds.
+    """
+
+    concurrency: int
+    patience: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlanStep:
+    """Hold one instance's turn, in seconds from the start of the wave."""
+
+    instance_id: str
+    unit: Unit
+    begins: float
+    ends: float
+    moves: int
+
+
+@dataclass(frozen=True, slots=True)
+class Measures:
+    """Hold the three measures of a plan.
+
+    ``buffer`` is the sum over all units of the most instances out at once, which is
+    the spare capacity that has to be held; ``moves`` counts relocated tasks.
+    """
+
+    buffer: int
+    rollout_seconds: float
+    moves: int
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Hold the turns in order, their measures, and what binds.
+
+    ``binding`` is the tightest budget of each unit before the wave; ``never`` names
+    the instances that no budget lets go.
+    """
+
+    steps: tuple[PlanStep, ...]
+    measures: Measures
+    binding: dict[Unit, Budget] = field(default_factory=dict)
+    never: tuple[str, ...] = ()
--- /dev/null
+++ b/mustardward/components/maintenance/plan_units.py
@@ -0,0 +1,136 @@
+"""Count budgets for a plan, apart from the folded state; pure."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from ...state.budget_counters import (
+    FLEET_SCOPE,
+    Budget,
+    PoolCounter,
+    ScopeCount,
+    budget_of,
+)
+from ...state.models.templates import Parameters, PlanWeights
+from .plan_models import PlanInput, PlanInstance, Unit
+
+
+class PlanBudgets:
+    """Keep the counters of all units while a plan takes and returns instances."""
+
+    def __init__(self, facts: PlanInput) -> None:
+        self._users = facts.users
+        self._silent = facts.silent
+        self._counters: dict[str, dict[str, PoolCounter]] = defaultdict(dict)
+        for item in facts.instances:
+            self._counter(item.unit).add(item.rack, item.available, 1)
+
+    def take(self, item: PlanInstance) -> None:
+        """Count an instance out."""
+        counter = self._counter(item.unit)
+        counter.add(item.rack, True, -1)
+        counter.add(item.rack, False, 1)
+
+    def give(self, item: PlanInstance) -> None:
+        """Count an instance in again."""
+        counter = self._counter(item.unit)
+        counter.add(item.rack, False, -1)
+        counter.add(item.rack, True, 1)
+
+    def tightest(self, unit: Unit) -> Budget | None:
+        """Return the budget with the least margin, or nothing if nobody uses it."""
+        users = self._users.get(unit.pool, {})
+        counts = {
+            unit.data_centre: self._count(unit),
+            FLEET_SCOPE: self._fleet_count(unit.pool),
+        }
+        return min(
+            (
+                budget_of(name, parameters, unit.pool, scope, count)
+                for scope, count in counts.items()
+                for name, parameters in users.items()
+            ),
+            key=lambda item: item.margin,
+            default=None,
+        )
+
+    def margin(self, unit: Unit) -> int:
+        """Return how many more instances of a unit may be taken out."""
+        tightest = self.tightest(unit)
+        return self._count(unit).total if tightest is None else tightest.margin
+
+    def rack_available(self, item: PlanInstance) -> int:
+        """Return how many instances of the unit are available in an item's rack."""
+        return self._counter(item.unit).racks.get(item.rack, 0)
+
+    def most_at_once(self, unit: Unit) -> int:
+        """Return how many instances could at most be out at once.
+
+        Instances go from the largest rack first, since that lowers the reserve.
+        """
+        racks = sorted(self._counter(unit).racks.values())
+        taken = 0
+        count = self._count(unit)
+        users = self._users.get(unit.pool, {})
+        while racks:
+            largest = racks[-1]
+            reduced = ScopeCount(count.total, count.unavailable + taken, largest)
+            margins = (
+                budget_of(name, parameters, unit.pool, "", reduced).margin
+                for name, parameters in users.items()
+            )
+            if min(margins, default=1) < 1:
+                break
+            racks[-1] -= 1
+            if racks[-1] == 0:
+                racks.pop()
+            racks.sort()
+            taken += 1
+        return taken
+
+    def _counter(self, unit: Unit) -> PoolCounter:
+        return self._counters[unit.pool].setdefault(unit.data_centre, PoolCounter())
+
+    def _count(self, unit: Unit) -> ScopeCount:
+        counter = self._counter(unit)
+        return ScopeCount(counter.total, counter.unavailable, counter.largest)
+
+    def _fleet_count(self, pool: str) -> ScopeCount:
+        total = unavailable = largest = 0
+        for data_centre, counter in self._counters[pool].items():
+            total += counter.total
+            if data_centre in self._silent:
+                unavailable += counter.total
+                continue
+            unavailable += counter.unavailable
+            largest = max(largest, counter.largest)
+        return ScopeCount(total, unavailable, largest)
+
+
+def group_by_unit(facts: PlanInput) -> dict[Unit, list[PlanInstance]]:
+    """Return the instances to maintain, by unit, in order of their ids."""
+    units: dict[Unit, list[PlanInstance]] = defaultdict(list)
+    for item in sorted(facts.instances, key=lambda one: one.instance_id):
+        if item.instance_id in facts.due:
+            units[item.unit].append(item)
+    return dict(units)
+
+
+def weights_of(users: dict[str, Parameters]) -> PlanWeights:
+    """Return the weights of a pool: the mean over its organisations' shares.
+
+    Each organisation counts with its quota's weight, whatever the size of its numbers.
+    """
+    buffer = rollout = moves = 0.0
+    for parameters in users.values():
+        weights = parameters.weights
+        whole = weights.buffer + weights.rollout + weights.moves
+        if whole > 0:
+            share = parameters.quota.weight / whole
+            buffer += weights.buffer * share
+            rollout += weights.rollout * share
+            moves += weights.moves * share
+    whole = buffer + rollout + moves
+    if whole == 0:
+        return PlanWeights(1 / 3, 1 / 3, 1 / 3)
+    return PlanWeights(buffer / whole, rollout / whole, moves / whole)
--- a/mustardward/components/maintenance/selection.py
+++ b/mustardward/components/maintenance/selection.py
@@ -111,4 +111,4 @@
     A drained instance serves again at once and nothing of its work is disturbed; one
     that still drains goes next.
     """
-    return {"drained": 0, "draining": 1, "claimed": 2}.get(stage, 3)
+    return {"drained": 0, "vacating": 1, "draining": 2, "claimed": 3}.get(stage, 4)
--- a/mustardward/components/maintenance/services.py
+++ b/mustardward/components/maintenance/services.py
@@ -31,7 +31,7 @@
 from .const import CLAIM_PRIORITY, MAXIMUM_CLAIMS_AT_ONCE, TAIL_FRESH_SECONDS
 from .decisions import DecisionJournal
 from .evidence import unreported_down
-from .models import ExecutorParts
+from .models import ExecutorParts, executor_name
 from .pacing import Pacing
 from .selection import (
     Selection,
@@ -129,8 +129,7 @@
     async def _async_adopt_orphans(self) -> None:
         membership = self._parts.membership
         live = {
-            f"{member.name}#{member.incarnation}"
-            for member in membership.live(self._parts.data_centre)
+            executor_name(member) for member in membership.live(self._parts.data_centre)
         }
         for claim in self._local_claims():
             # The holder may only be paused: its claim stays, and gets a generation
--- a/mustardward/state/handlers/waves.py
+++ b/mustardward/state/handlers/waves.py
@@ -31,18 +31,22 @@
     return Success(Acceptance(subjects, context.sequence, note))
 
 
-def wave_limit(wave: Wave) -> int:
-    """Return how many instances a wave may hold at once.
+def growth_limit(finished: int, canary: int) -> int:
+    """Return how many instances may be out at once after so many came back.
 
     The canary has to come back first; from then on the wave may hold some for each
     that came back, so that a bad image is noticed while few instances carry it.
     """
-    finished = len(wave.done)
-    if finished < wave.canary:
-        return wave.canary - finished
+    if finished < canary:
+        return canary - finished
     return max(1, GROWTH * finished)
 
 
+def wave_limit(wave: Wave) -> int:
+    """Return how many instances a wave may hold at once."""
+    return growth_limit(len(wave.done), wave.canary)
+
+
 @FLEET_HANDLERS.register("wave.schedule")
 def schedule_wave(
     state: FleetState, context: FoldContext, body: ScheduleWave
--- a/mustardward/state/models/maintenance.py
+++ b/mustardward/state/models/maintenance.py
@@ -19,10 +19,15 @@
 
 
 class ClaimStage(StrEnum):
-    """Name the states of ``charts/claim.yaml``."""
+    """Name the states of ``charts/claim.yaml``.
+
+    While draining, running work may end by itself; from vacating on, long work is
+    checkpointed and moved away.
+    """
 
     CLAIMED = "claimed"
     DRAINING = "draining"
+    VACATING = "vacating"
     DRAINED = "drained"
     REBOOTING = "rebooting"
 
--- /dev/null
+++ b/tests/components/maintenance/site.py
@@ -0,0 +1,87 @@
+"""Hold one fleet with everything that a data centre's executors call."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from mustardward.components.explain.models import DecisionMade
+from mustardward.components.maintenance.models import ExecutorParts, executor_name
+from mustardward.components.maintenance.services import WaveExecutor
+from mustardward.core import EventBus
+from mustardward.helpers.timer import DrivenTimerService
+from mustardward.state.models.maintenance import ScheduleWave, SignalWave
+from mustardward.state.models.pools import Instance
+from tests.fakes.fleet import FoldDriver, build_fleet, build_organisation
+from tests.fakes.waves import FakeFleetLog, FakeMembership, FakePower, build_member
+
+FIRST, SECOND = "dc1-etching-000", "dc1-etching-001"
+
+
+class FixedPacing:
+    """Take as many as the budgets allow, and wait a minute for running work."""
+
+    def concurrency(self, pool: str) -> int:
+        return 100
+
+    def patience(self, pool: str) -> float:
+        return 60.0
+
+    def burden(self, instance: Instance) -> float:
+        return 0.0
+
+
+class Site:
+    """Hold one fleet with the executors of one data centre."""
+
+    def __init__(self, size: int = 8, **parameters: Any) -> None:
+        user = build_organisation("dairy", ("etching",), **parameters)
+        self.driver = FoldDriver(build_fleet(user, size=size))
+        self.log = FakeFleetLog(self.driver)
+        self.power = FakePower()
+        self.timers = DrivenTimerService()
+        self.events = EventBus()
+        self.decisions: list[DecisionMade] = []
+        self.events.listen(DecisionMade, self.decisions.append)
+        self.busy: set[str] = set()
+        self.membership = FakeMembership()
+
+    def parts(self, name: str = "entry-1") -> ExecutorParts:
+        """Return the parts of one process on the shared log."""
+        return ExecutorParts(
+            executor=executor_name(build_member(name)),
+            data_centre="dc1",
+            log=self.log,
+            power=self.power,
+            membership=self.membership,
+            timers=self.timers,
+            events=self.events,
+            vacate=self._async_vacate,
+        )
+
+    def executor(self, name: str = "entry-1") -> WaveExecutor:
+        """Return an executor on the shared log."""
+        executor = WaveExecutor(self.parts(name), FixedPacing())
+        self.log.listen(executor.note_outcome)
+        return executor
+
+    def schedule(self, wave_id: str = "w1", **more: Any) -> None:
+        """Schedule a wave over the pool."""
+        self.driver.accept(ScheduleWave(wave_id, ("etching",), **more))
+
+    def stage(self, instance: str) -> str:
+        """Return the stage of an instance's claim, or nothing."""
+        claim = self.driver.state.claims.get(instance)
+        return claim.stage if claim else ""
+
+    def status(self, wave_id: str = "w1") -> str:
+        return self.driver.state.waves[wave_id].status
+
+    def signal(self, signal: str) -> None:
+        wave = self.driver.state.waves["w1"]
+        self.driver.accept(SignalWave("w1", signal), wave.revision)
+
+    def causes(self, decision: str) -> list[str]:
+        return [item.cause for item in self.decisions if item.decision == decision]
+
+    async def _async_vacate(self, instance_id: str) -> bool:
+        return instance_id not in self.busy
