Plan waves by the weights and set maintenance up in an entry

Cause: operators need to see what a wave would take when and which budget binds, and executors a pace that follows what the organisations weigh. Ruled out: paces from what is left of a wave (they would drift), and tasks that are never followed by others (a slow wave would look free of moves).

--- a/mustardward/components/maintenance/__init__.py
+++ b/mustardward/components/maintenance/__init__.py
@@ -7,11 +7,13 @@
 
 async def async_setup(core: Core) -> Unload:
     """Set the component up and return what undoes it."""
+    from .setup import async_setup_maintenance
 
-    async def async_unload() -> None:
-        return None
+    return await async_setup_maintenance(core)
 
-    return async_unload
 
-
-COMPONENTS.register("maintenance")(ComponentDescription("maintenance", async_setup))
+COMPONENTS.register("maintenance")(
+    ComponentDescription(
+        "maintenance", async_setup, ("platform", "log", "membership", "jobs")
+    )
+)
--- a/mustardward/components/maintenance/const.py
+++ b/mustardward/components/maintenance/const.py
@@ -54,3 +54,14 @@
 
 DUTY_ABSENCES: Final = "absences"
 DUTY_SILENCE: Final = "silence"
+
+REBOOT_SECONDS: Final = 180.0
+"""What a plan takes a reboot to last."""
+
+DRAIN_SECONDS: Final = 5.0
+"""What a plan takes the quick requests of an instance to need."""
+
+PACE_SECONDS: Final = 30.0
+"""Time for which the chosen paces hold."""
+
+DEFAULT_PATIENCE_SECONDS: Final = 0.0
--- a/mustardward/components/maintenance/plan_bounds.py
+++ b/mustardward/components/maintenance/plan_bounds.py
@@ -51,14 +51,3 @@
         )
         best = min(best, (1 + after) * facts.cycle_seconds)
     return best
-
-
-def moves_bound(facts: PlanInput, rollout_seconds: float) -> int:
-    """Return how many tasks outlive a wave of so many seconds, and have to move."""
-    return sum(
-        1
-        for item in facts.instances
-        if item.instance_id in facts.due
-        for remaining in item.tasks
-        if remaining > rollout_seconds
-    )
--- a/mustardward/components/maintenance/plan_models.py
+++ b/mustardward/components/maintenance/plan_models.py
@@ -16,14 +16,30 @@
     data_centre: str
 
 
+class PlanTask(NamedTuple):
+    """Hold one long task: what it still runs, and how long such work runs, in seconds.
+
+    Long work waits its turn, so that another like it follows on the same instance.
+    """
+
+    remaining: float
+    length: float
+
+    def left_at(self, now: float) -> float:
+        """Return how long the task that runs then still has to go."""
+        if now < self.remaining:
+            return self.remaining - now
+        return self.length - (now - self.remaining) % self.length
+
+
 @dataclass(frozen=True, slots=True)
 class PlanInstance:
-    """Hold one instance; ``tasks`` are the seconds that its long tasks still run."""
+    """Hold one instance with the long tasks that it runs as the wave begins."""
 
     instance_id: str
     unit: Unit
     rack: str
-    tasks: tuple[float, ...] = ()
+    tasks: tuple[PlanTask, ...] = ()
     slots: int = 8
     available: bool = True
 
--- a/mustardward/components/maintenance/plan_paces.py
+++ b/mustardward/components/maintenance/plan_paces.py
@@ -74,11 +74,22 @@
 
 def _cost(facts: _Facts, pace: Pace) -> float:
     turns = rounds(len(facts.items), pace.concurrency)
-    tasks = [remaining for item in facts.items for remaining in item.tasks]
-    moved = sum(1 for remaining in tasks if remaining > pace.patience)
     seconds = turns * (facts.cycle + pace.patience)
     return (
         facts.weights.buffer * pace.concurrency / facts.most
-        + facts.weights.moves * (moved / len(tasks) if tasks else 0.0)
+        + facts.weights.moves * _moved_share(facts, pace)
         + facts.weights.rollout * seconds / facts.target
     )
+
+
+def _moved_share(facts: _Facts, pace: Pace) -> float:
+    """Return the share of tasks that are still running when patience is over.
+
+    A task is met at any point of its run, so one twice as long as the patience moves
+    in half of the cases.
+    """
+    lengths = [task.length for item in facts.items for task in item.tasks]
+    if not lengths:
+        return 0.0
+    moved = sum(max(0.0, 1.0 - pace.patience / length) for length in lengths)
+    return moved / len(lengths)
--- a/mustardward/components/maintenance/plan_tasks.py
+++ b/mustardward/components/maintenance/plan_tasks.py
@@ -4,11 +4,11 @@
 
 from collections import defaultdict
 
-from .plan_models import PlanInput, PlanInstance, Unit
+from .plan_models import PlanInput, PlanInstance, PlanTask, Unit
 
 
 class TaskTable:
-    """Hold when each instance's tasks end, and where moved ones go.
+    """Hold each instance's own tasks, and when those moved to it end.
 
     :param prefer_finished: whether a moved task goes to an instance that the wave will
         not take any more, so that it moves once.
@@ -17,36 +17,34 @@
     def __init__(self, facts: PlanInput, prefer_finished: bool = True) -> None:
         self._prefer_finished = prefer_finished
         self._drain_seconds = facts.drain_seconds
-        self._ends = {item.instance_id: list(item.tasks) for item in facts.instances}
-        self._settled = {
-            item.instance_id
-            for item in facts.instances
-            if item.instance_id not in facts.due
-        }
-        self._out: set[str] = {
-            item.instance_id for item in facts.instances if not item.available
+        self._own: dict[str, tuple[PlanTask, ...]] = {
+            item.instance_id: item.tasks for item in facts.instances
         }
+        self._guests: dict[str, list[float]] = defaultdict(list)
+        self._settled = {item.instance_id for item in facts.instances} - facts.due
+        self._out = {item.instance_id for item in facts.instances if not item.available}
         self._peers: dict[Unit, list[PlanInstance]] = defaultdict(list)
         for item in facts.instances:
             self._peers[item.unit].append(item)
 
     def outlasting(self, item: PlanInstance, now: float, patience: float) -> int:
         """Return how many tasks would have to move if the instance were taken now."""
-        return sum(1 for end in self._ends[item.instance_id] if end - now > patience)
+        return sum(1 for left in self._running(item, now) if left > patience)
 
     def drain(
         self, item: PlanInstance, now: float, patience: float
     ) -> tuple[float, int]:
         """Empty an instance; return how long that takes and how many tasks move."""
+        running = self._running(item, now)
         self._out.add(item.instance_id)
-        running = [end - now for end in self._ends[item.instance_id] if end > now]
-        self._ends[item.instance_id] = []
+        self._own[item.instance_id] = ()
+        self._guests.pop(item.instance_id, None)
         leaving = [left for left in running if left > patience]
         staying = [left for left in running if left <= patience]
-        for left in leaving:
-            self._place(item.unit, now, now + left)
         # Tasks that have to move go when patience is over, not before.
         waited = patience if leaving else max(staying, default=0.0)
+        for left in leaving:
+            self._place(item.unit, now + waited, now + left)
         return max(self._drain_seconds, waited), len(leaving)
 
     def finish(self, item: PlanInstance) -> None:
@@ -54,6 +52,13 @@
         self._out.discard(item.instance_id)
         self._settled.add(item.instance_id)
 
+    def _running(self, item: PlanInstance, now: float) -> list[float]:
+        guests = self._guests.get(item.instance_id, ())
+        return [
+            *(task.left_at(now) for task in self._own[item.instance_id]),
+            *(end - now for end in guests if end > now),
+        ]
+
     def _place(self, unit: Unit, now: float, end: float) -> None:
         candidates = [
             peer for peer in self._peers[unit] if peer.instance_id not in self._out
@@ -62,8 +67,8 @@
             return
 
         def rank(peer: PlanInstance) -> tuple[bool, bool, int, str]:
-            running = sum(1 for one in self._ends[peer.instance_id] if one > now)
+            running = len(self._running(peer, now))
             due = self._prefer_finished and peer.instance_id not in self._settled
             return running >= peer.slots, due, running, peer.instance_id
 
-        self._ends[min(candidates, key=rank).instance_id].append(end)
+        self._guests[min(candidates, key=rank).instance_id].append(end)
