Measure long work and intents under seeded faults

Cause: single failure tests do not show that pauses, replaced entries, log outages, lost answers, reboots, cancellations and preemptions keep their promises together. Ruled out: real processes and real time (the verdict would not repeat); counting starts alone (a resumed job starts again rightly, so the work done is compared for overlap).

--- /dev/null
+++ b/tests/components/jobs/test_faulty_runs.py
@@ -0,0 +1,46 @@
+"""Run long work through seeded faults, and show that broken rules are seen."""
+
+from __future__ import annotations
+
+import pytest
+
+from bench import jobs_mutants
+from bench.jobs_world import FaultyRun
+from mustardward.components.jobs import keeper
+from mustardward.state.handlers import jobs as handlers
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.mark.parametrize("seed", range(1000, 1005))
+async def test_no_job_is_lost_or_doubled_under_faults(seed: int) -> None:
+    figures = await FaultyRun(seed).async_run()
+    assert figures.jobs > 0 and figures.faults > 20
+    assert (figures.lost, figures.doubled, figures.stray) == (0, 0, 0)
+
+
+async def test_the_same_seed_gives_the_same_run() -> None:
+    first = await FaultyRun(7).async_run()
+    assert await FaultyRun(7).async_run() == first
+
+
+@pytest.mark.parametrize(
+    ("mutant", "seed"),
+    [
+        ("requeue-unknown", 0),
+        ("lost-answer-is-no-start", 28),
+        ("trust-lease-after-pause", 4),
+    ],
+)
+async def test_a_broken_rule_is_seen(
+    mutant: str, seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for owner, name in (
+        (handlers, "_event_when_not_idempotent"),
+        (keeper, "async_outcome"),
+        (keeper.AttemptKeeper, "_async_sure"),
+    ):
+        monkeypatch.setattr(owner, name, getattr(owner, name))
+    jobs_mutants.MUTANTS[mutant]()
+    figures = await FaultyRun(seed).async_run()
+    assert figures.doubled + figures.stray > 0
--- a/tests/fakes/jobs_world.py
+++ b/tests/fakes/jobs_world.py
@@ -43,6 +43,11 @@
     service: LogJobService
     frozen: bool = False
 
+    @property
+    def stopped(self) -> bool:
+        """Tell whether the process stands still, as its peers would notice."""
+        return self.frozen or (self.log.wake_up is not None and self.log.cut_off)
+
 
 @dataclass(slots=True, eq=False)
 class JobsWorld:
@@ -108,7 +113,7 @@
             pools=pools,
             timers=self.timers,
             owns_duty=lambda duty: self._first_alive() == name,
-            holder_present=lambda holder: holder.split("/")[0] in self.entries,
+            holder_present=self._is_present,
             random=Random(7),
         )
         log.listen(scheduler.on_record)
@@ -146,6 +151,10 @@
         submission = Submission(job_id=job_id, **values)
         return (await entry.service.async_submit(submission, "tests")).unwrap().job_id
 
+    def _is_present(self, holder: str) -> bool:
+        entry = self.entries.get(holder.split("/")[0])
+        return entry is not None and not entry.stopped
+
     def _first_alive(self) -> str:
-        alive = [item.name for item in self.entries.values() if not item.frozen]
+        alive = [item.name for item in self.entries.values() if not item.stopped]
         return min(alive, default="")
--- a/tests/fakes/workers.py
+++ b/tests/fakes/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -19,6 +20,17 @@
 ACTIVE = (TaskState.RUNNING, TaskState.THROTTLED)
 
 
+@dataclass(slots=True)
+class Span:
+    """Record which part of a task's work one run did; both from 0 to 1."""
+
+    task_id: str
+    generation: int
+    began: float
+    start: float
+    end: float
+
+
 @dataclass(slots=True)
 class Task:
     """Hold one task of a fake worker."""
@@ -28,6 +40,7 @@
     lease_end: float
     seconds: float
     advanced: float
+    span: Span
 
 
 @dataclass(slots=True, eq=False)
@@ -53,7 +66,9 @@
         self._timers = timers
         self.at: dict[str, FakeWorker] = {}
         self.seconds: dict[str, float] = {}
+        self.spans: list[Span] = []
         self.calls = 0
+        self.on_start: Callable[[TaskOrder], None] = lambda order: None
 
     def runs(self, task_id: str) -> int:
         """Return how often a task was started anywhere."""
@@ -119,6 +134,7 @@
 
     def reboot(self, address: str) -> None:
         """Forget every task."""
+        self.advance()
         self.at[address].tasks.clear()
 
     def advance(self) -> None:
@@ -157,9 +173,12 @@
         )
         seconds = self.seconds.get(order.task_id, 30.0)
         lease_end = now + order.lease_seconds
+        self.on_start(order)
         worker.seen[order.task_id] = order.generation
         worker.starts.append((order.task_id, order.generation))
-        worker.tasks[order.task_id] = Task(order, report, lease_end, seconds, now)
+        span = Span(order.task_id, order.generation, now, progress, progress)
+        self.spans.append(span)
+        worker.tasks[order.task_id] = Task(order, report, lease_end, seconds, now, span)
 
     def _busy(self, worker: FakeWorker) -> int:
         tasks = worker.tasks.values()
@@ -186,6 +205,7 @@
         gained = 0.0 if worker.stuck else speed * (until - task.advanced)
         progress = min(1.0, task.report.progress + gained / task.seconds)
         task.advanced = until
+        task.span.end = progress
         self._set(task, progress=progress)
         if progress >= 1.0 - 1e-9:
             self._set(task, state=TaskState.DONE, result=b"done")
--- a/tests/fakes/worklog.py
+++ b/tests/fakes/worklog.py
@@ -7,11 +7,13 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import anyio
 import anyio.lowlevel
 from returns.result import Failure, Result
 
 from mustardward.exceptions import (
     MustardwardError,
+    NotReadyError,
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
 )
@@ -54,6 +56,8 @@
         self.ready = True
         self.cut_off = False
         self.lose_next = False
+        self.stale = False
+        self.wake_up: anyio.Event | None = None
         shared.readers.append(self)
         self.catch_up()
 
@@ -74,7 +78,7 @@
         return self._fold.digest
 
     def tail_age_seconds(self) -> float:
-        return math.inf if self._shared.out or self.cut_off else 0.0
+        return math.inf if self._shared.out or self.cut_off or self.stale else 0.0
 
     def listen(self, listener: Callable[[RecordOutcome], None]) -> Callable[[], None]:
         self._listeners.append(listener)
@@ -94,6 +98,7 @@
             return False
         self.catch_up()
         self.may_decide = True
+        self.stale = False
         return True
 
     async def async_propose(
@@ -109,6 +114,8 @@
         self._proposed += 1
         identity = record_id or f"{self._name}/{self._proposed}"
         await anyio.lowlevel.checkpoint()
+        if not self.may_decide:
+            return Failure(NotReadyError("tail not confirmed"))
         if self._shared.out or (self.cut_off and not self.lose_next):
             return Failure(PlatformUnavailableError("log out"))
         envelope = make_record(
@@ -122,4 +129,10 @@
         if self.lose_next:
             self.lose_next = False
             return Failure(PlatformOutcomeUnknownError("answer lost"))
-        return self._outcomes[identity].result
+        self.catch_up()
+        result = self._outcomes[identity].result
+        if self.wake_up is not None:
+            # The process is stopped between the log's answer and what follows on it.
+            self.cut_off = True
+            await self.wake_up.wait()
+        return result
