--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measure the product and build its one file."""
+"""Measure the product; each module prints its figures on its last line."""
