--- /dev/null
+++ b/bench/history/collect.py
@@ -0,0 +1,46 @@
+"""Gather into the history what the stand-ins recorded."""
+
+from __future__ import annotations
+
+from math import inf
+
+from mustardward.standin.executions import Execution as Recorded
+
+from .models import Execution, TaskExecution
+from .world import World
+
+
+def collect(world: World) -> None:
+    """Add every worker's executions and task runs."""
+    now = world.now()
+    for name, worker in world.workers.items():
+        for item in worker.executions.all():
+            world.history.executions.append(_execution(name, item))
+        for run in worker.tasks.runs(now):
+            world.history.tasks.append(
+                TaskExecution(
+                    job_id=run.task_id,
+                    instance=name,
+                    generation=run.generation,
+                    idempotent=not run.task_id.startswith("once-"),
+                    start=run.start,
+                    end=run.end or inf,
+                    outcome=run.outcome,
+                )
+            )
+
+
+def _execution(instance: str, item: Recorded) -> Execution:
+    service = item.path.split("/", 3)[2]
+    return Execution(
+        operation_id=item.request_id,
+        attempt_id=item.attempt_id,
+        instance=instance,
+        organisation=item.organisation,
+        service=service,
+        key=item.idempotency_key,
+        pool_generation=item.pool_generation,
+        start=item.start,
+        end=item.end or inf,
+        cut=item.cut,
+    )
