Lend each attempt one connection, instead of searching a pool

Cause: the profile showed httpcore's pool looking through all connections, and asking the system about each idle one, two times in every request: 1.2 million calls for 2000 requests. Ruled out: a smaller pool (fewer connections than a worker takes), and reading HTTP ourselves (a further parser). Change: each worker's connections are httpx transports of one connection, lent to one attempt and given back only after an answer read to its end; any other end closes it. Idle ones are closed by the timer service.

--- a/mustardward/components/entry/answer.py
+++ b/mustardward/components/entry/answer.py
@@ -7,22 +7,27 @@
 import httpx
 
 from ...exceptions import TruncatedAnswerError
+from .lanes import Lane, WorkerLanes
 from .protocols import WorkerAnswer
 
 EndCallback = Callable[[bool, bytes | None], None]
 
 
 class WorkerBody:
-    """Read the body of a worker's answer from its connection.
+    """Read the body of a worker's answer from its lane.
 
     :param response: the answer whose head was read.
     """
 
-    def __init__(self, response: httpx.Response) -> None:
-        self._response = response
-        self._stream = response.stream
-        assert isinstance(self._stream, httpx.AsyncByteStream)
-        self._parts = self._stream.__aiter__()
+    def __init__(
+        self, response: httpx.Response, lanes: WorkerLanes, lane: Lane
+    ) -> None:
+        stream = response.stream
+        assert isinstance(stream, httpx.AsyncByteStream)
+        self._stream = stream
+        self._parts = stream.__aiter__()
+        self._lanes = lanes
+        self._lane: Lane | None = lane
 
     def __aiter__(self) -> WorkerBody:
         """Return itself."""
@@ -36,19 +41,28 @@
         try:
             return await self._parts.__anext__()
         except StopAsyncIteration:
-            await self.aclose()
+            await self._async_end()
             raise
         except httpx.TransportError as error:
             await self.aclose()
             raise TruncatedAnswerError(type(error).__name__) from error
 
     async def aclose(self) -> None:
-        """Return the connection to its pool if the body was whole, else close it.
+        """Close the connection, unless the body was read to its end.
 
         A connection that was left in the middle of an answer would give the rest of
         it to the next caller.
         """
-        await self._response.aclose()
+        lane, self._lane = self._lane, None
+        if lane is not None:
+            await self._stream.aclose()
+            await self._lanes.async_discard(lane)
+
+    async def _async_end(self) -> None:
+        lane, self._lane = self._lane, None
+        if lane is not None:
+            await self._stream.aclose()
+            self._lanes.give_back(lane)
 
 
 class WatchedBody:
--- a/mustardward/components/entry/const.py
+++ b/mustardward/components/entry/const.py
@@ -52,6 +52,9 @@
 connection that the worker is closing would end as unknown though it never ran.
 """
 
+PRUNE_SECONDS: Final = 5.0
+"""How often connections that nothing used are closed."""
+
 CALLER_KEEPALIVE_SECONDS: Final = 75.0
 """Idle time after which a caller's connection is closed; longer than usual pools'."""
 
--- a/mustardward/components/entry/dispatcher.py
+++ b/mustardward/components/entry/dispatcher.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import ssl
 from typing import Final
 
+import anyio
 import httpx
 from returns.result import Failure, Result, Success
 
@@ -26,17 +26,14 @@
     CONNECT_SECONDS,
     REFUSED_BODY_BYTES,
     TIMEOUT_GRACE_SECONDS,
-    WORKER_KEEPALIVE_SECONDS,
 )
 from .headers import Headers, answer_headers, find_header, has_injection
+from .lanes import WorkerLanes
 from .models import AttemptOutcome, RequestFacts
 from .protocols import Choice, FailedAttempt, OutgoingRequest, WorkerAnswer
 
 _LOGGER = get_logger(__name__)
 
-_NO_TLS: Final = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-"""Shared, since loading authorities for each worker would hold the loop up."""
-
 _ATTEMPT_ID: Final = HEADER_ATTEMPT_ID.encode()
 _RAN: Final = HEADER_RAN.encode()
 _BODY_METHODS: Final = frozenset({"POST", "PUT", "PATCH"})
@@ -49,7 +46,7 @@
 
     def __init__(self, timers: TimerService) -> None:
         self._timers = timers
-        self._transports: dict[str, httpx.AsyncHTTPTransport] = {}
+        self._lanes: dict[str, WorkerLanes] = {}
 
     async def async_send(
         self, choice: Choice, facts: RequestFacts, request: OutgoingRequest
@@ -58,39 +55,46 @@
         remaining = facts.deadline - self._timers.monotonic()
         if remaining <= 0:
             return _failed(AttemptOutcome.NOT_SENT, "deadline-exceeded")
+        lanes = self._lanes_to(choice)
+        lane = lanes.take()
+        if lane is None:
+            return _failed(AttemptOutcome.NOT_SENT, "connections-used-up")
         outgoing = _build_request(choice, facts, request, remaining)
-        transport = self._transport(choice)
         try:
-            response = await transport.handle_async_request(outgoing)
+            response = await lane.transport.handle_async_request(outgoing)
         except _NOT_CONNECTED as error:
+            await lanes.async_discard(lane)
             return _failed(AttemptOutcome.NOT_SENT, type(error).__name__)
         except _UNANSWERED as error:
+            await lanes.async_discard(lane)
             return _failed(AttemptOutcome.UNKNOWN, _cause(error))
-        return await _async_accept(response, choice, request.method)
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await lanes.async_discard(lane)
+            raise
+        body = WorkerBody(response, lanes, lane)
+        return await _async_accept(response, body, choice, request.method)
+
+    async def async_prune(self) -> None:
+        """Close connections that nothing used for a while."""
+        for address, lanes in list(self._lanes.items()):
+            await lanes.async_prune()
+            if lanes.unused:
+                self._lanes.pop(address, None)
 
     async def async_close(self) -> None:
         """Close all connections."""
-        transports = list(self._transports.values())
-        self._transports.clear()
-        for transport in transports:
-            await transport.aclose()
-
-    def _transport(self, choice: Choice) -> httpx.AsyncHTTPTransport:
-        # One pool for all workers would be searched, and each idle connection in it
-        # polled, for every request.
+        for lanes in self._lanes.values():
+            await lanes.async_close()
+        self._lanes.clear()
+
+    def _lanes_to(self, choice: Choice) -> WorkerLanes:
         address = choice.instance.address
-        transport = self._transports.get(address)
-        if transport is None:
-            limits = httpx.Limits(
-                max_connections=choice.instance.connections,
-                max_keepalive_connections=choice.instance.connections,
-                keepalive_expiry=WORKER_KEEPALIVE_SECONDS,
-            )
-            transport = httpx.AsyncHTTPTransport(
-                verify=_NO_TLS, limits=limits, trust_env=False
-            )
-            self._transports[address] = transport
-        return transport
+        lanes = self._lanes.get(address)
+        if lanes is None:
+            lanes = WorkerLanes(choice.instance.connections, self._timers)
+            self._lanes[address] = lanes
+        return lanes
 
 
 def _build_request(
@@ -133,7 +137,7 @@
 
 
 async def _async_accept(
-    response: httpx.Response, choice: Choice, method: str
+    response: httpx.Response, body: WorkerBody, choice: Choice, method: str
 ) -> Result[WorkerAnswer, FailedAttempt]:
     """Take an answer only if it is whole in form and belongs to this attempt."""
     headers = [(name.lower(), value) for name, value in response.headers.raw]
@@ -141,7 +145,7 @@
     if answered != choice.attempt_id.encode():
         # A connection that carried a stray answer gives every later caller the
         # answer before. It shows as an answer with another attempt's id, or none.
-        await response.aclose()
+        await body.aclose()
         _LOGGER.warning(
             "stray_answer_dropped",
             instance=choice.instance.instance_id,
@@ -151,16 +155,13 @@
         return _failed(AttemptOutcome.UNKNOWN, "stray-answer")
     if response.status_code == 503 and find_header(headers, _RAN) == b"no":
         cause = find_header(headers, b"mw-refusal") or b"busy"
-        await _async_drain(response)
+        await _async_drain(body)
         return _failed(AttemptOutcome.REFUSED, cause.decode("latin-1"))
     fault = _fault_in_form(response.status_code, headers, method)
     if fault:
-        await response.aclose()
+        await body.aclose()
         return _failed(AttemptOutcome.UNKNOWN, fault)
-    answer = WorkerAnswer(
-        response.status_code, answer_headers(headers), WorkerBody(response)
-    )
-    return Success(answer)
+    return Success(WorkerAnswer(response.status_code, answer_headers(headers), body))
 
 
 def _fault_in_form(
@@ -180,9 +181,8 @@
     return "answer-unframed"
 
 
-async def _async_drain(response: httpx.Response) -> None:
+async def _async_drain(body: WorkerBody) -> None:
     """Read a small refusal to its end, so that its connection can be used again."""
-    body = WorkerBody(response)
     left = REFUSED_BODY_BYTES
     try:
         async for chunk in body:
--- a/mustardward/components/entry/setup.py
+++ b/mustardward/components/entry/setup.py
@@ -15,7 +15,7 @@
     RETRY_POLICY,
     ROUTER,
 )
-from .const import CALLER_KEEPALIVE_SECONDS
+from .const import CALLER_KEEPALIVE_SECONDS, PRUNE_SECONDS
 from .defaults import StateDirectory
 from .dispatcher import HttpDispatcher
 from .drain import Drain
@@ -48,7 +48,12 @@
     core.put(DRAIN, drain)
     _LOGGER.info("callers_listening", host=listener.host, port=listener.port)
 
+    unsubscribe = core.timers.subscribe(
+        "entry.connections", PRUNE_SECONDS, dispatcher.async_prune
+    )
+
     async def async_unload() -> None:
+        unsubscribe()
         await drain.async_run()
         core.remove(DRAIN)
         core.remove(ENTRY)
