Measure the entry with its real limits, routing and retries

Cause: bench.path measured stand-ins that were about to go. Change: the bench sets up routing, limits, retries and entry as an entry does, on a folded state that does not change. Ruled out: a whole stand-in platform in the bench, whose own load would show in the figures of a shared machine.

--- a/bench/path_targets.py
+++ b/bench/path_targets.py
@@ -3,22 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import secrets
 import sys
 from collections.abc import Awaitable, Callable
 from functools import partial
+from importlib import import_module
 from typing import Any, cast
 
 import anyio
 import httpx
-from returns.result import Result, Success
 
 from mustardward.cli.serve import async_serve
-from mustardward.components.entry.models import Attempt, RequestFacts, RequestRefusal
-from mustardward.components.entry.protocols import Choice
-from mustardward.components.entry.setup import async_setup_entry as async_setup_path
-from mustardward.components.keys import DIRECTORY, FLEET_LOG, ROUTER
-from mustardward.components.templates.protocols import Resolved
+from mustardward.components.entry.defaults import StateDirectory
+from mustardward.components.keys import DIRECTORY, DRAIN, FLEET_LOG, MEMBERSHIP
+from mustardward.components.membership.models import Member, MemberStatus
+from mustardward.components.membership.protocols import Membership
 from mustardward.core import Core, Unload
 from mustardward.helpers.listener import HttpListener, ListenerOptions
 from mustardward.helpers.log_output import set_up_logging
@@ -28,6 +26,7 @@
     PlatformSettings,
     Settings,
 )
+from mustardward.state.fleet import FleetState
 from mustardward.state.models.pools import Instance
 from mustardward.state.models.templates import (
     Organisation,
@@ -38,6 +37,8 @@
 from mustardward.state.protocols import FleetLog
 
 BODY = b"x" * 512
+WORKERS = 4
+PATH_DOMAINS = ("routing", "limits", "retries", "entry")
 _HOP_BY_HOP = (b"connection", b"keep-alive", b"transfer-encoding")
 
 
@@ -136,46 +137,63 @@
 _OPTIONS = ListenerOptions()
 
 
-class OneWorker:
-    """Know one organisation and route all of it to one worker."""
+class StaticFleet:
+    """Hold a folded state that never changes."""
 
     ready = True
+    sequence = 1
 
     def __init__(self, address: str) -> None:
+        self.state = FleetState()
         parameters = Parameters(services=(ServiceBinding("quotes", "pool-1"),))
-        organisation = Organisation("derwent", "small", 1, 1, Overrides(), parameters)
-        self._resolved = Resolved(organisation, parameters.services[0])
-        self._instance = Instance("worker-1", "dc-a", "rack-1", address, "pool-1", 1)
-
-    def resolve(
-        self, organisation: str, service: str
-    ) -> Result[Resolved, RequestRefusal]:
-        """Return the one organisation."""
-        return Success(self._resolved)
-
-    def choose(
-        self, facts: RequestFacts, exclude: frozenset[str]
-    ) -> Result[Choice, RequestRefusal]:
-        """Return the one worker."""
-        return Success(Choice(self._instance, secrets.token_hex(8)))
-
-    def finish(self, choice: Choice, facts: RequestFacts, attempt: Attempt) -> None:
+        self.state.organisations["derwent"] = Organisation(
+            "derwent", "small", 1, 1, Overrides(), parameters
+        )
+        for number in range(WORKERS):
+            instance_id = f"worker-{number}"
+            self.state.instances[instance_id] = Instance(
+                instance_id, "dc-a", f"rack-{number}", address, "pool-1", 1
+            )
+
+    def listen(self, listener: Callable[[Any], None]) -> Callable[[], None]:
+        """Tell of nothing."""
+        return lambda: None
+
+
+class LoneMembership:
+    """Know one entry, and every worker as well."""
+
+    own = Member("entry-1", "dc-a", "127.0.0.1:1", 1, MemberStatus.ALIVE)
+
+    def live(self, data_centre: str | None = None) -> tuple[Member, ...]:
+        """Return the one entry."""
+        return (self.own,)
+
+    def instance_may_get_work(self, instance_id: str) -> bool:
+        """Let every worker get work."""
+        return True
+
+    def report_instance(self, instance_id: str, healthy: bool, cause: str) -> None:
+        """Do nothing."""
+
+    async def async_announce_leaving(self) -> None:
         """Do nothing."""
 
 
 async def _async_setup_path(address: str, core: Core) -> list[Unload]:
-    worker = OneWorker(address)
-    core.put(FLEET_LOG, cast(FleetLog, worker))
-    core.put(DIRECTORY, worker)
-    core.put(ROUTER, worker)
-    unloads = [await async_setup_path(core)]
+    """Set up the parts of the request path as an entry does, on a given state."""
+    core.put(FLEET_LOG, cast(FleetLog, StaticFleet(address)))
+    core.put(MEMBERSHIP, cast(Membership, LoneMembership()))
+    core.put(DIRECTORY, StateDirectory(core))
+    unloads = [
+        await import_module(f"mustardward.components.{domain}").async_setup(core)
+        for domain in PATH_DOMAINS
+    ]
     _print_port(core)
-    return unloads
+    return unloads[::-1]
 
 
 def _print_port(core: Core) -> None:
-    from mustardward.components.keys import DRAIN
-
     print(core.get(DRAIN).listener.port, flush=True)
 
 
