Allot each worker's slots to entries before they borrow

Cause: entries that can't see each other met at full workers: at four fifths of the slots in use a quarter of all attempts was refused as busy, the limits took that for overload, and a quarter of the pool stayed idle. Change: rendezvous hashing gives each entry its part of each worker's slots, which it uses first; a limit borrows only while no worker says busy, and then by 3 % a window; urgent work has the whole reserve, light organisations half of it.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -16,6 +16,7 @@
     Callers,
     Faults,
     Fleet,
+    ModelMembership,
     Request,
     Traffic,
     build_fleet,
@@ -205,10 +206,14 @@
 
 
 class _Empty:
-    """Stand in for clock, log and membership."""
+    """Stand in for clock, log and membership with a dozen entries."""
 
     def __init__(self, workers: int) -> None:
         self.state = build_fleet(workers, 8)
+        names = [f"entry-{number}" for number in range(12)]
+        membership = ModelMembership("entry-0", names)
+        self.own = membership.own
+        self.live = membership.live
 
     def monotonic(self) -> float:
         return 0.0
--- a/bench/policy_entries.py
+++ b/bench/policy_entries.py
@@ -339,5 +339,4 @@
     if kind == "fifo":
         return [FifoEntry(fleet, number, count) for number in range(count)]
     names = [f"entry-{number}" for number in range(count)]
-    membership = ModelMembership(names)
-    return [ProductEntry(fleet, name, membership) for name in names]
+    return [ProductEntry(fleet, name, ModelMembership(name, names)) for name in names]
--- a/bench/policy_model.py
+++ b/bench/policy_model.py
@@ -204,13 +204,14 @@
 
 
 class ModelMembership:
-    """Hold the entries, all alive."""
+    """Hold the entries, all alive, as one of them sees them."""
 
-    def __init__(self, names: list[str]) -> None:
+    def __init__(self, name: str, names: list[str]) -> None:
         self._members = tuple(
             Member(name, DATA_CENTRE, "127.0.0.1:1", 1, MemberStatus.ALIVE)
             for name in names
         )
+        self.own = self._members[names.index(name)]
 
     def live(self, data_centre: str | None = None) -> tuple[Member, ...]:
         """Return the live members."""
--- a/mustardward/components/limits/adaptive.py
+++ b/mustardward/components/limits/adaptive.py
@@ -6,11 +6,13 @@
 
 from .const import (
     BACKOFF,
+    BORROWING,
     BUSY_FEW,
     BUSY_MUCH,
     BUSY_SOME,
     LATENCY_TOLERANCE,
     MINIMUM_SHARE,
+    RECOVERY,
     WINDOW_SAMPLES,
     WINDOW_SECONDS,
 )
@@ -72,15 +74,21 @@
         # Entries that can't see each other meet at some full worker now and then even
         # if the pool has room. Only many such refusals speak against the fair share;
         # giving way at each would leave a good part of the pool idle.
-        borrowed = self.limit > self.share
         if ratio > LATENCY_TOLERANCE or busy_share > BUSY_MUCH:
             self.limit *= BACKOFF
-        elif borrowed and busy_share > BUSY_SOME:
+        elif self.limit < self.share:
+            self._recover(busy_share)
+        elif busy_share > BUSY_FEW:
             self.limit = max(self.share, self.limit * BACKOFF)
-        elif self.saturated and busy_share <= (BUSY_FEW if borrowed else BUSY_SOME):
-            self.limit += 1.0
+        elif self.saturated and not busy_share:
+            self.limit *= BORROWING
         self._clamp()
 
+    def _recover(self, busy_share: float) -> None:
+        if self.saturated and busy_share <= BUSY_SOME:
+            wanted = max(self.limit + 1.0, self.limit * RECOVERY)
+            self.limit = min(self.share, wanted)
+
     def _clamp(self) -> None:
         least = max(1.0, self.share * MINIMUM_SHARE)
         self.limit = min(max(self.limit, least), float(self.slots))
--- a/mustardward/components/limits/const.py
+++ b/mustardward/components/limits/const.py
@@ -22,14 +22,20 @@
 BACKOFF: Final = 0.9
 """Factor by which a limit shrinks."""
 
+RECOVERY: Final = 1.1
+"""Factor by which a limit below the fair share grows, by one place at least."""
+
+BORROWING: Final = 1.03
+"""Factor by which a limit grows past the fair share."""
+
 BUSY_MUCH: Final = 0.3
 """Share of busy refusals above which a limit shrinks even below the fair share."""
 
 BUSY_SOME: Final = 0.1
-"""Share of busy refusals above which what was borrowed is given back."""
+"""Share of busy refusals up to which a limit grows back to the fair share."""
 
 BUSY_FEW: Final = 0.02
-"""Share of busy refusals up to which more is borrowed."""
+"""Share of busy refusals above which what was borrowed is given back."""
 
 MINIMUM_SHARE: Final = 0.25
 """Share of the fair share below which no limit shrinks."""
--- a/mustardward/components/limits/gate.py
+++ b/mustardward/components/limits/gate.py
@@ -65,6 +65,10 @@
         """Return the number of requests that may be in flight now."""
         return min(self._capacity.slots, self.open_places + self.reserved_places)
 
+    @property
+    def _light_places(self) -> int:
+        return min(self.places, self.open_places + (self.reserved_places + 1) // 2)
+
     @property
     def urgent_waiting(self) -> int:
         """Return the number of urgent requests that wait."""
@@ -228,9 +232,12 @@
             return None
         if self._in_flight < self.open_places:
             return self._selection.next_open()
-        if self._in_flight < self.places:
-            return self._selection.next_reserved(self.places)
-        return None
+        if self._in_flight >= self.places:
+            return None
+        urgent = self._selection.next_urgent(self.places)
+        if urgent is not None or self._in_flight >= self._light_places:
+            return urgent
+        return self._selection.next_light(self.places)
 
     def _start(self, queue: OrganisationQueue, ticket: Ticket, now: float) -> None:
         queue.forget(ticket)
--- a/mustardward/components/limits/selection.py
+++ b/mustardward/components/limits/selection.py
@@ -19,7 +19,7 @@
 
     Open places go to the organisation furthest behind, its urgent requests first, and
     to long work only if nothing else waits. Places of the reserve go to urgent
-    requests and to organisations far below their share.
+    requests, and half of them to organisations far below their share.
     """
 
     def __init__(self, table: OrganisationTable) -> None:
@@ -55,21 +55,25 @@
         ticket = self._take(self._prompt, _prompt_head, _anyone)
         return ticket or self._take(self._long, _long_head, _anyone)
 
-    def next_reserved(self, places: int) -> Ticket | None:
-        """Return the request for a place of the reserve."""
+    def next_urgent(self, places: int) -> Ticket | None:
+        """Return the urgent request for a place of the reserve."""
 
         def may_be_urgent(queue: OrganisationQueue) -> bool:
             share = self._table.fair_share(queue, places)
             return queue.urgent_in_flight < max(1.0, share)
 
+        return self._take(self._urgent, _urgent_head, may_be_urgent)
+
+    def next_light(self, places: int) -> Ticket | None:
+        """Return the request of a light organisation for a place of the reserve."""
+
         def is_light(queue: OrganisationQueue) -> bool:
             head = _prompt_head(queue)
             if head is None or head.is_long:
                 return False
             return self._table.is_light(queue, places)
 
-        ticket = self._take(self._urgent, _urgent_head, may_be_urgent)
-        return ticket or self._take(self._prompt, _prompt_head, is_light)
+        return self._take(self._prompt, _prompt_head, is_light)
 
     def _take(
         self, order: FairOrder, head: _Head, eligible: _Eligible
--- a/mustardward/components/retries/const.py
+++ b/mustardward/components/retries/const.py
@@ -7,7 +7,7 @@
 MAXIMUM_ATTEMPTS: Final = 4
 """Attempts of one request that may cost a worker something."""
 
-MAXIMUM_BUSY: Final = 8
+MAXIMUM_BUSY: Final = 16
 """Busy refusals of one request; each costs next to nothing."""
 
 FIRST_TOKENS: Final = 3.0
--- a/mustardward/components/routing/choice.py
+++ b/mustardward/components/routing/choice.py
@@ -7,7 +7,8 @@
 
 from .const import CANDIDATES, RANDOM_PROBES, SCAN_PROBES
 from .health import penalty
-from .index import WorkerGroup, WorkerLoad
+from .index import WorkerLoad
+from .picklist import PickList
 
 
 def others_in_flight(load: WorkerLoad, now: float) -> float:
@@ -30,7 +31,7 @@
 
 
 def choose_worker(
-    group: WorkerGroup,
+    places: PickList[WorkerLoad],
     random: Random,
     now: float,
     exclude: frozenset[str],
@@ -40,7 +41,7 @@
     best: WorkerLoad | None = None
     best_score = 0.0
     found = 0
-    for load in _probe(group, random):
+    for load in _probe(places, random):
         instance_id = load.instance.instance_id
         if instance_id in exclude or now < load.avoid_until:
             continue
@@ -55,8 +56,7 @@
     return best
 
 
-def _probe(group: WorkerGroup, random: Random) -> Iterator[WorkerLoad]:
-    places = group.open
+def _probe(places: PickList[WorkerLoad], random: Random) -> Iterator[WorkerLoad]:
     count = len(places)
     if not count:
         return
--- a/mustardward/components/routing/const.py
+++ b/mustardward/components/routing/const.py
@@ -13,6 +13,9 @@
 SCAN_PROBES: Final = 64
 """Most workers scanned, so that the cost of a choice does not grow with a pool."""
 
+ENTRIES_SECONDS: Final = 0.25
+"""Longest age of the view of the entries that share the workers."""
+
 AVOID_SECONDS: Final = 1.0
 """How long a worker that said it is draining, or not ours, is left alone."""
 
--- a/mustardward/components/routing/index.py
+++ b/mustardward/components/routing/index.py
@@ -6,14 +6,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ...state.fleet import FleetState
 from ...state.models.pools import Instance
 from .const import QUARANTINE_CAUSE
 from .health import TRUSTED, Health
+from .picklist import PickList
 
 GroupKey = tuple[str, str]
+Allot = Callable[[Instance], int]
 
 
 @dataclass(slots=True, eq=False)
@@ -21,7 +24,8 @@
     """Hold what this entry knows of one worker.
 
     ``others`` is the number of slots that were in use beside ours at ``others_at``
-    and counts less and less until ``others_memory`` seconds later.
+    and counts less and less until ``others_memory`` seconds later. ``allotment`` is
+    the number of its slots that no other entry uses first.
     """
 
     instance: Instance
@@ -29,7 +33,7 @@
     in_flight: int = 0
     usable: bool = False
     counted_slots: int = 0
-    place: int = -1
+    allotment: int = 0
     others: float = 0.0
     others_at: float = 0.0
     others_memory: float = 1.0
@@ -46,13 +50,14 @@
 class WorkerGroup:
     """Hold the workers of one pool in one data centre.
 
-    ``open`` lists those that may get work now, in no order. ``failure_sum`` is over
-    the trusted ones.
+    ``open`` lists those that may get work now, ``allotted`` those of them that have
+    a free slot of our own allotment. ``failure_sum`` is over the trusted ones.
     """
 
     key: GroupKey
     members: dict[str, WorkerLoad] = field(default_factory=dict)
-    open: list[WorkerLoad] = field(default_factory=list)
+    open: PickList[WorkerLoad] = field(default_factory=PickList)
+    allotted: PickList[WorkerLoad] = field(default_factory=PickList)
     usable: int = 0
     slots: int = 0
     failure_sum: float = 0.0
@@ -70,10 +75,12 @@
     """Follow the folded state.
 
     :param state: the state to read.
+    :param allot: returns the slots of a worker that are ours first.
     """
 
-    def __init__(self, state: FleetState) -> None:
+    def __init__(self, state: FleetState, allot: Allot) -> None:
         self._state = state
+        self._allot = allot
         self._loads: dict[str, WorkerLoad] = {}
         self._groups: dict[GroupKey, WorkerGroup] = {}
         self._data_centres: dict[str, set[str]] = {}
@@ -111,6 +118,12 @@
                 load.group.quarantined.add(instance_id)
             self.place(load)
 
+    def allot_again(self) -> None:
+        """Work out all allotments again, after entries came or went."""
+        for load in self._loads.values():
+            load.allotment = self._allot(load.instance)
+            self.place(load)
+
     def refresh(self, instance_id: str) -> WorkerLoad | None:
         """Bring one worker in line with the state."""
         instance = self._state.instances.get(instance_id)
@@ -123,23 +136,17 @@
         if load is None or load.group.key != key:
             load = self._move(load, instance, key)
         load.instance = instance
+        load.allotment = self._allot(instance)
         self._set_usable(load, self._may_get_work(instance_id))
         self.place(load)
         return load
 
     def place(self, load: WorkerLoad) -> None:
         """Put a worker on or off the list of those that may get work now."""
-        wanted = load.usable and load.health.standing == TRUSTED and not load.is_full
-        places = load.group.open
-        if wanted and load.place < 0:
-            load.place = len(places)
-            places.append(load)
-        elif not wanted and load.place >= 0:
-            last = places.pop()
-            if last is not load:
-                places[load.place] = last
-                last.place = load.place
-            load.place = -1
+        trusted = load.health.standing == TRUSTED
+        wanted = load.usable and trusted and not load.is_full
+        load.group.open.keep(load, wanted)
+        load.group.allotted.keep(load, wanted and load.in_flight < load.allotment)
 
     def _may_get_work(self, instance_id: str) -> bool:
         state = self._state
--- a/mustardward/components/routing/services.py
+++ b/mustardward/components/routing/services.py
@@ -13,16 +13,19 @@
 from ...platform.models import WorkerUsage
 from ...state.fold import RecordOutcome
 from ...state.models.maintenance import AbsenceChange, ReportAbsences
+from ...state.models.pools import Instance
 from ...state.models.templates import Urgency
 from ...state.protocols import FleetLog
 from ..entry.models import Attempt, AttemptOutcome, Ran, RequestFacts, RequestRefusal
 from ..entry.protocols import Choice
 from ..membership.protocols import Membership
+from .allotment import allotted_slots
 from .changes import ChangedInstances
 from .choice import choose_worker, others_in_flight
 from .const import (
     AVOID_SECONDS,
     BUSY_MEMORY_SECONDS,
+    ENTRIES_SECONDS,
     QUARANTINE_CAUSE,
     REFUSAL_BASE_SECONDS,
     REFUSAL_SPREAD_SECONDS,
@@ -64,7 +67,9 @@
         self._random = random or Random()
         self._standing = StandingKeeper(publish)
         self._changes = ChangedInstances(log.state)
-        self._index = FleetIndex(log.state)
+        self._entries = self._live_entries()
+        self._entries_read = timers.monotonic()
+        self._index = FleetIndex(log.state, self._allot)
         self._adopt_absences()
 
     @property
@@ -73,7 +78,7 @@
         # A snapshot replaces the state as a whole, and no record tells of it.
         if self._index.state is not self._log.state:
             previous = self._index
-            self._index = FleetIndex(self._log.state)
+            self._index = FleetIndex(self._log.state, self._allot)
             self._index.adopt(previous)
             self._changes = ChangedInstances(self._log.state)
             self._adopt_absences()
@@ -118,6 +123,7 @@
         now = self._timers.monotonic()
         if now >= facts.deadline:
             return Failure(self._refuse("deadline-exceeded", 504, "deadline is past"))
+        self._follow_entries(now)
         group = self.group(facts.pool)
         if group is None or not group.usable:
             return Failure(self._refuse("no-worker", 503, f"pool={facts.pool}"))
@@ -166,13 +172,42 @@
     def _choose_open(
         self, group: WorkerGroup, exclude: frozenset[str], now: float
     ) -> WorkerLoad | None:
-        may_get_work = self._membership.instance_may_get_work
-        load = choose_worker(group, self._random, now, exclude, may_get_work)
-        if load is None and exclude:
-            # All others are full or gone; one that was busy a moment ago may not be
-            # any more, and a small pool has no more workers to offer.
-            load = choose_worker(group, self._random, now, NOBODY, may_get_work)
-        return load
+        # The last one repeats without exclusions: all others are full or gone, and one
+        # that was busy a moment ago may not be any more.
+        for places, excluded in (
+            (group.allotted, exclude),
+            (group.open, exclude),
+            (group.open, NOBODY),
+        ):
+            load = choose_worker(
+                places,
+                self._random,
+                now,
+                excluded,
+                self._membership.instance_may_get_work,
+            )
+            if load is not None:
+                return load
+        return None
+
+    def _allot(self, instance: Instance) -> int:
+        if instance.data_centre != self._data_centre:
+            return 0
+        name = self._membership.own.name
+        return allotted_slots(instance.instance_id, instance.slots, name, self._entries)
+
+    def _live_entries(self) -> tuple[str, ...]:
+        live = self._membership.live(self._data_centre)
+        return tuple(sorted(member.name for member in live))
+
+    def _follow_entries(self, now: float) -> None:
+        if now - self._entries_read < ENTRIES_SECONDS:
+            return
+        self._entries_read = now
+        entries = self._live_entries()
+        if entries != self._entries:
+            self._entries = entries
+            self.index.allot_again()
 
     def _probe_for(
         self,
--- a/tests/components/limits/test_limiter.py
+++ b/tests/components/limits/test_limiter.py
@@ -181,8 +181,14 @@
         limit.add(1.0, True, now)
     borrowed = limit.limit
     assert borrowed > 20.0
+    for step in range(1000):
+        now += 0.02
+        limit.add(1.0, True, now)
+        if step % 20 == 0:
+            limit.note_busy(now)
+    assert limit.limit == 10.0
     for _ in range(400):
         now += 0.02
         limit.note_busy(now)
         limit.add(1.0, True, now)
-    assert limit.limit < borrowed / 2
+    assert limit.limit == 2.5
--- a/tests/fakes/policy.py
+++ b/tests/fakes/policy.py
@@ -49,6 +49,10 @@
         self.barred: set[str] = set()
         self.reports: list[tuple[str, bool, str]] = []
 
+    @property
+    def own(self) -> Member:
+        return self._members[0]
+
     def live(self, data_centre: str | None = None) -> tuple[Member, ...]:
         return tuple(
             member
