Count long work's slots and fold quarantines

Cause: the limits took slots that long tasks hold for free ones; a quarantine was known to one entry only and no budget counted it; the latency of a request held the wait in the limits' own queue. Change: the router follows the work log's leases; a reporter proposes quarantines and releases as absences under the worker's boot; latency counts from admission; urgent work that waited a second is tried beyond the known slots, since a throttled task frees a slot without a record; callers of the model may send again.

--- a/bench/policy_entries.py
+++ b/bench/policy_entries.py
@@ -55,6 +55,8 @@
     request.status = status
     request.claimed_ran = ran.value
     request.code = code
+    if request.on_answer is not None:
+        request.on_answer(request)
 
 
 def what_ran(request: Request) -> Ran:
--- a/bench/policy_model.py
+++ b/bench/policy_model.py
@@ -9,6 +9,7 @@
 import heapq
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
 from typing import Any, Protocol
 
@@ -84,6 +85,7 @@
     claimed_ran: str = ""
     code: str = ""
     retry_after: float | None = None
+    on_answer: Callable[[Request], None] | None = None
 
     @property
     def good(self) -> bool:
@@ -221,7 +223,13 @@
         """Leave all judgement to the router."""
         return True
 
-    def report_instance(self, instance_id: str, healthy: bool, cause: str) -> None:
+    def report_instance(
+        self,
+        instance_id: str,
+        healthy: bool,
+        cause: str,
+        began: float | None = None,
+    ) -> None:
         """Take no evidence."""
 
 
@@ -271,7 +279,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Traffic:
-    """Describe what one organisation sends: ``rate`` requests a second, at random."""
+    """Describe what one organisation sends: ``rate`` requests a second, at random.
+
+    A caller sends again up to ``retries`` times what was not answered well: when the
+    refusal asks for it if ``obedient``, else at once.
+    """
 
     organisation: str
     rate: float
@@ -282,6 +294,8 @@
     parameters: Parameters = field(default_factory=Parameters)
     start: float = 0.0
     end: float = float("inf")
+    retries: int = 0
+    obedient: bool = True
 
 
 class Callers:
@@ -311,20 +325,34 @@
         clock = self._fleet.clock
         if self._stopped or clock.now >= traffic.end:
             return
+        self._make(traffic, random, traffic.retries)
+        clock.after(random.expovariate(traffic.rate), self._send, traffic, random)
+
+    def _make(self, traffic: Traffic, random: Random, retries: int) -> None:
+        now = self._fleet.clock.now
+        length = random.lognormvariate(-0.125, 0.5)
         request = Request(
             request_id=f"{traffic.organisation}-{len(self.requests)}",
             organisation=traffic.organisation,
             urgency=traffic.urgency,
             idempotent=random.random() < traffic.idempotent_share,
-            arrived=clock.now,
-            deadline=clock.now + traffic.deadline_seconds,
-            service_seconds=traffic.service_seconds
-            * random.lognormvariate(-0.125, 0.5),
+            arrived=now,
+            deadline=now + traffic.deadline_seconds,
+            service_seconds=traffic.service_seconds * length,
             parameters=traffic.parameters,
         )
+        if retries:
+            request.on_answer = partial(self._answered, traffic, random, retries)
         self.requests.append(request)
         random.choice(self._entries).arrive(request)
-        clock.after(random.expovariate(traffic.rate), self._send, traffic, random)
+
+    def _answered(
+        self, traffic: Traffic, random: Random, retries: int, request: Request
+    ) -> None:
+        if request.good or self._stopped:
+            return
+        wait = request.retry_after if traffic.obedient else None
+        self._fleet.clock.after(wait or 0.01, self._make, traffic, random, retries - 1)
 
 
 def quantile(values: list[float], share: float) -> float:
--- a/mustardward/components/entry/protocols.py
+++ b/mustardward/components/entry/protocols.py
@@ -67,7 +67,7 @@
         ...
 
     def slots(self, pool: str) -> int:
-        """Return the slots of a pool's usable workers in this data centre."""
+        """Return the slots for requests of a pool's workers in this data centre."""
         ...
 
 
--- a/mustardward/components/limits/const.py
+++ b/mustardward/components/limits/const.py
@@ -58,6 +58,12 @@
 SERVICE_SHARE: Final = 0.5
 """Share of the expected latency that has to be left when a request is started."""
 
+URGENT_OVERDUE_SECONDS: Final = 1.0
+"""Wait after which urgent work is sent although no slot is known to be free."""
+
+URGENT_TRIALS: Final = 2
+"""Urgent requests that may be sent so at once beyond the known slots."""
+
 LONG_AGING_SECONDS: Final = 30.0
 """Wait after which long work competes like normal work."""
 
--- a/mustardward/components/limits/gate.py
+++ b/mustardward/components/limits/gate.py
@@ -12,7 +12,14 @@
 
 from ...state.models.templates import Urgency
 from .adaptive import AdaptiveLimit
-from .const import LONG_AGING_SECONDS, RESERVE_PARTS, SERVICE_SHARE, WAIT_SHARE
+from .const import (
+    LONG_AGING_SECONDS,
+    RESERVE_PARTS,
+    SERVICE_SHARE,
+    URGENT_OVERDUE_SECONDS,
+    URGENT_TRIALS,
+    WAIT_SHARE,
+)
 from .fairness import OrganisationQueue
 from .models import GateFigures, PoolCapacity, RefusalCause, Ticket, TicketState
 from .selection import Selection
@@ -65,6 +72,11 @@
         """Return the number of requests that may be in flight now."""
         return min(self._capacity.slots, self.open_places + self.reserved_places)
 
+    @property
+    def in_flight(self) -> int:
+        """Return the requests in flight."""
+        return self._in_flight
+
     @property
     def _light_places(self) -> int:
         return min(self.places, self.open_places + (self.reserved_places + 1) // 2)
@@ -157,7 +169,7 @@
                 queue = self._table[ticket.organisation]
                 self._drop(queue, ticket, RefusalCause.DEADLINE)
                 decided.append(ticket)
-        return decided + self._pump(now)
+        return decided + self._pump(now) + self._start_overdue(now)
 
     def prune(self) -> None:
         """Forget organisations that are idle and owe nothing."""
@@ -190,6 +202,19 @@
         wait = queue.cost_ahead(ticket.urgency) / max(1e-6, share)
         return wait > WAIT_SHARE * (ticket.deadline - now)
 
+    def _start_overdue(self, now: float) -> list[Ticket]:
+        # Long work that was throttled freed a slot, and no record says so; nor does one
+        # while the log is out. Only trying shows it: the worker says if it is busy.
+        ticket = self._selection.next_urgent(self.places)
+        if ticket is None or now - ticket.arrived < URGENT_OVERDUE_SECONDS:
+            return []
+        if self._in_flight >= self._capacity.slots + URGENT_TRIALS:
+            return []
+        queue = self._table[ticket.organisation]
+        self._start(queue, ticket, now)
+        self._selection.file(queue)
+        return [ticket]
+
     def _enqueue(self, queue: OrganisationQueue, ticket: Ticket) -> None:
         ticket.is_long = ticket.urgency is Urgency.LONG
         ticket.cost = ticket.estimate.recent
--- a/mustardward/components/limits/services.py
+++ b/mustardward/components/limits/services.py
@@ -68,6 +68,11 @@
         self._estimates = Estimates()
         self._events: dict[Ticket, anyio.Event] = {}
 
+    @property
+    def in_flight(self) -> int:
+        """Return the requests in flight, which peers are told."""
+        return sum(gate.in_flight for gate in self._gates.values())
+
     async def async_admit(self, facts: RequestFacts) -> Result[Permit, RequestRefusal]:
         """Wait in the organisation's queue for a place, or say why there is none."""
         now = self._timers.monotonic()
@@ -85,6 +90,9 @@
     ) -> None:
         """Give a place back and wake who is next."""
         now = self._timers.monotonic()
+        # What callers feel includes the wait for the place. Taken for the service's
+        # own latency it would shrink the limit, which makes the wait longer still.
+        latency = min(latency, now - ticket.started)
         self._wake(self._gates[pool].release(ticket, latency, succeeded, now))
 
     def note_busy(self, pool: str) -> None:
--- a/mustardward/components/routing/choice.py
+++ b/mustardward/components/routing/choice.py
@@ -26,7 +26,7 @@
     itself, which shows as errors at the pool's full rate while its peers are idle.
     Its failure share therefore weighs like load.
     """
-    busy = load.in_flight + others_in_flight(load, now)
+    busy = load.in_flight + load.long_tasks + others_in_flight(load, now)
     return busy / max(1, load.instance.slots) + penalty(load.health, now)
 
 
--- a/mustardward/components/routing/const.py
+++ b/mustardward/components/routing/const.py
@@ -67,6 +67,9 @@
 QUARANTINE_CAUSE: Final = "quarantined"
 """Cause of the absence that a quarantine is folded as."""
 
+REPORT_SECONDS: Final = 0.5
+"""Interval at which quarantines are reported to the log."""
+
 REMOTE_MINIMUM_SECONDS: Final = 0.05
 """Time that must be left before a request is sent to another data centre."""
 
--- a/mustardward/components/routing/index.py
+++ b/mustardward/components/routing/index.py
@@ -16,7 +16,8 @@
 from .picklist import PickList
 
 GroupKey = tuple[str, str]
-Allot = Callable[[Instance], int]
+Allot = Callable[[Instance, int], int]
+CountLong = Callable[[str], int]
 
 
 @dataclass(slots=True, eq=False)
@@ -33,11 +34,14 @@
     in_flight: int = 0
     usable: bool = False
     counted_slots: int = 0
+    counted: bool = False
     allotment: int = 0
+    long_tasks: int = 0
     others: float = 0.0
     others_at: float = 0.0
     others_memory: float = 1.0
     avoid_until: float = 0.0
+    suspect: bool = False
     health: Health = field(default_factory=Health)
 
     @property
@@ -45,13 +49,19 @@
         """Tell whether our own requests fill every slot or connection."""
         return self.in_flight >= min(self.instance.slots, self.instance.connections)
 
+    @property
+    def request_slots(self) -> int:
+        """Return the slots that long work leaves to requests."""
+        return max(0, self.instance.slots - self.long_tasks)
+
 
 @dataclass(slots=True, eq=False)
 class WorkerGroup:
     """Hold the workers of one pool in one data centre.
 
     ``open`` lists those that may get work now, ``allotted`` those of them that have
-    a free slot of our own allotment. ``failure_sum`` is over the trusted ones.
+    a free slot of our own allotment. ``slots`` are those for requests and
+    ``failure_sum`` the failure shares of the trusted ones.
     """
 
     key: GroupKey
@@ -59,6 +69,7 @@
     open: PickList[WorkerLoad] = field(default_factory=PickList)
     allotted: PickList[WorkerLoad] = field(default_factory=PickList)
     usable: int = 0
+    trusted: int = 0
     slots: int = 0
     failure_sum: float = 0.0
     quarantined: set[str] = field(default_factory=set)
@@ -75,12 +86,14 @@
     """Follow the folded state.
 
     :param state: the state to read.
-    :param allot: returns the slots of a worker that are ours first.
+    :param allot: returns how many of a worker's slots for requests are ours first.
+    :param count_long: returns the slots of a worker that long work holds.
     """
 
-    def __init__(self, state: FleetState, allot: Allot) -> None:
+    def __init__(self, state: FleetState, allot: Allot, count_long: CountLong) -> None:
         self._state = state
         self._allot = allot
+        self._count_long = count_long
         self._loads: dict[str, WorkerLoad] = {}
         self._groups: dict[GroupKey, WorkerGroup] = {}
         self._data_centres: dict[str, set[str]] = {}
@@ -121,7 +134,7 @@
     def allot_again(self) -> None:
         """Work out all allotments again, after entries came or went."""
         for load in self._loads.values():
-            load.allotment = self._allot(load.instance)
+            load.allotment = self._allot(load.instance, load.request_slots)
             self.place(load)
 
     def refresh(self, instance_id: str) -> WorkerLoad | None:
@@ -136,15 +149,21 @@
         if load is None or load.group.key != key:
             load = self._move(load, instance, key)
         load.instance = instance
-        load.allotment = self._allot(instance)
+        load.long_tasks = self._count_long(instance_id)
+        load.allotment = self._allot(instance, load.request_slots)
         self._set_usable(load, self._may_get_work(instance_id))
         self.place(load)
         return load
 
     def place(self, load: WorkerLoad) -> None:
         """Put a worker on or off the list of those that may get work now."""
-        trusted = load.health.standing == TRUSTED
-        wanted = load.usable and trusted and not load.is_full
+        trusted = load.usable and load.health.standing == TRUSTED
+        slots = load.request_slots if trusted else 0
+        load.group.slots += slots - load.counted_slots
+        load.counted_slots = slots
+        load.group.trusted += trusted - load.counted
+        load.counted = trusted
+        wanted = trusted and not load.is_full
         load.group.open.keep(load, wanted)
         load.group.allotted.keep(load, wanted and load.in_flight < load.allotment)
 
@@ -160,9 +179,6 @@
             return
         load.usable = usable
         load.group.usable += 1 if usable else -1
-        slots = load.instance.slots if usable else 0
-        load.group.slots += slots - load.counted_slots
-        load.counted_slots = slots
 
     def _move(
         self, old: WorkerLoad | None, instance: Instance, key: GroupKey
--- a/mustardward/components/routing/services.py
+++ b/mustardward/components/routing/services.py
@@ -47,6 +47,7 @@
 
     :param data_centre: this process's own data centre.
     :param publish: takes the events of ``models``.
+    :param count_long: returns the slots of a worker that long work holds.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         timers: TimerService,
         data_centre: str,
         publish: Callable[[object], None],
+        count_long: Callable[[str], int] = lambda instance_id: 0,
         random: Random | None = None,
     ) -> None:
         self._log = log
@@ -69,7 +71,8 @@
         self._changes = ChangedInstances(log.state)
         self._entries = self._live_entries()
         self._entries_read = timers.monotonic()
-        self._index = FleetIndex(log.state, self._allot)
+        self._count_long = count_long
+        self._index = FleetIndex(log.state, self._allot, count_long)
         self._adopt_absences()
 
     @property
@@ -78,7 +81,7 @@
         # A snapshot replaces the state as a whole, and no record tells of it.
         if self._index.state is not self._log.state:
             previous = self._index
-            self._index = FleetIndex(self._log.state, self._allot)
+            self._index = FleetIndex(self._log.state, self._allot, self._count_long)
             self._index.adopt(previous)
             self._changes = ChangedInstances(self._log.state)
             self._adopt_absences()
@@ -89,13 +92,17 @@
         return self.index.group(self._data_centre, pool)
 
     def slots(self, pool: str) -> int:
-        """Return the slots of a pool's usable workers in this data centre."""
+        """Return the slots for requests of a pool's workers in this data centre."""
         group = self.group(pool)
-        if group is None:
+        if group is None or not group.trusted:
             return 0
-        members = (group.members.get(name) for name in group.quarantined)
-        lost = sum(load.counted_slots for load in members if load is not None)
-        return group.slots - lost
+        # Long work may hold every slot; urgent work then still has to be let in, or
+        # nobody would ask long work to give way.
+        return max(1, group.slots)
+
+    def on_long_work(self, instance_id: str) -> None:
+        """Follow a change of the slots that long work holds on a worker."""
+        self.index.refresh(instance_id)
 
     def on_record(self, outcome: RecordOutcome) -> None:
         """Follow one folded record."""
@@ -164,10 +171,7 @@
         self._note_refusal(load, attempt, now)
         self._standing.judge(self._index, load, facts.request_id, attempt, now)
         self._index.place(load)
-        if attempt.outcome is AttemptOutcome.NOT_SENT:
-            self._membership.report_instance(
-                load.instance.instance_id, False, attempt.cause
-            )
+        self._report(load, attempt, now)
 
     def _choose_open(
         self, group: WorkerGroup, exclude: frozenset[str], now: float
@@ -190,11 +194,11 @@
                 return load
         return None
 
-    def _allot(self, instance: Instance) -> int:
+    def _allot(self, instance: Instance, slots: int) -> int:
         if instance.data_centre != self._data_centre:
             return 0
         name = self._membership.own.name
-        return allotted_slots(instance.instance_id, instance.slots, name, self._entries)
+        return allotted_slots(instance.instance_id, slots, name, self._entries)
 
     def _live_entries(self) -> tuple[str, ...]:
         live = self._membership.live(self._data_centre)
@@ -226,6 +230,17 @@
         instance_id = load.instance.instance_id
         return load if self._membership.instance_may_get_work(instance_id) else None
 
+    def _report(self, load: WorkerLoad, attempt: Attempt, now: float) -> None:
+        instance_id = load.instance.instance_id
+        if attempt.outcome is AttemptOutcome.ANSWERED:
+            if load.suspect:
+                load.suspect = False
+                began = now - attempt.latency_seconds
+                self._membership.report_instance(instance_id, True, "answered", began)
+        elif attempt.outcome is not AttemptOutcome.UNKNOWN and attempt.cause != _BUSY:
+            load.suspect = True
+            self._membership.report_instance(instance_id, False, attempt.cause)
+
     def _note_refusal(self, load: WorkerLoad, attempt: Attempt, now: float) -> None:
         if attempt.outcome is not AttemptOutcome.REFUSED:
             return
--- a/tests/fakes/policy.py
+++ b/tests/fakes/policy.py
@@ -63,7 +63,13 @@
     def instance_may_get_work(self, instance_id: str) -> bool:
         return instance_id not in self.barred
 
-    def report_instance(self, instance_id: str, healthy: bool, cause: str) -> None:
+    def report_instance(
+        self,
+        instance_id: str,
+        healthy: bool,
+        cause: str,
+        began: float | None = None,
+    ) -> None:
         self.reports.append((instance_id, healthy, cause))
 
 
