--- a/tests/state/test_log.py
+++ b/tests/state/test_log.py
@@ -63,11 +63,13 @@
     async with running_bench() as bench:
         log = bench.start()
         await bench.async_settle()
-        bench.service.lose_requests = 1
+        bench.service.delay_appends = 1
         bench.service.lose_answers = 1
         result = await bench.async_propose(log, PutPool("cellar"))
         assert result.unwrap().revision == 1
+        bench.service.deliver_delayed()
         await bench.async_settle(3.0)
+        assert log.next_offset == 2
         assert log.sequence == 1
 
 
