Count moves against the budgets and file all handlers

cause: the handlers of waves, claims and absences were not imported by the fold of an entry; a move took an instance from its pool without any budget being asked; and the budgets' counters were not told of changes of owner. change: state/handlers/all.py imports every handler; pools and templates touch the counters; a move of an available instance is admitted as a claim is, one of a claimed instance is refused, and an absent one is transferred only when it is up again. One type for a subject that is unknown.

--- a/mustardward/state/handlers/all.py
+++ b/mustardward/state/handlers/all.py
@@ -6,7 +6,15 @@
 
 from __future__ import annotations
 
-from . import intents, jobs, pools, templates  # noqa: F401
+from . import (  # noqa: F401
+    absences,
+    intents,
+    jobs,
+    maintenance,
+    pools,
+    templates,
+    waves,
+)
 from .fleet_registry import FLEET_HANDLERS
 from .work_registry import WORK_HANDLERS
 
--- a/mustardward/state/handlers/pools.py
+++ b/mustardward/state/handlers/pools.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from ...exceptions import MustardwardError
+from ..budgets import check_budgets, index_of, touch_instance
 from ..fleet import FleetState
 from ..fold import Acceptance, FoldContext, RecordRefusedError
 from ..models.pools import (
@@ -27,11 +28,11 @@
 )
 from ..records import NO_BASE
 from .fleet_registry import FLEET_HANDLERS
+from .maintenance_refusals import UnknownSubjectError
 from .refusals import (
     SubjectExistsError,
     SubjectInUseError,
     UnknownPoolError,
-    UnknownSubjectError,
     conflict_with,
 )
 
@@ -82,6 +83,7 @@
         slots=body.slots,
         connections=body.connections,
     )
+    touch_instance(state, body.instance_id)
     return Success(Acceptance((f"instance:{body.instance_id}",), context.sequence))
 
 
@@ -102,6 +104,7 @@
     del state.instances[body.instance_id]
     state.moves.pop(body.instance_id, None)
     state.absences.pop(body.instance_id, None)
+    touch_instance(state, body.instance_id)
     return Success(Acceptance((f"instance:{body.instance_id}",), context.sequence))
 
 
@@ -119,9 +122,9 @@
     conflict = conflict_with(context, instance.generation)
     if conflict is not None:
         return Failure(conflict)
-    if instance.pool == body.target:
-        detail = f"instance={body.instance_id} pool={body.target}"
-        return Failure(SubjectExistsError(detail))
+    refusal = _move_refusal(state, instance, body.target)
+    if refusal is not None:
+        return Failure(refusal)
     state.moves[body.instance_id] = Move(
         move_id=body.move_id,
         instance_id=body.instance_id,
@@ -130,9 +133,25 @@
         generation=instance.generation,
         expected=frozenset(body.expected),
     )
+    touch_instance(state, body.instance_id)
     return _accepted(context, body.move_id, body.instance_id)
 
 
+def _move_refusal(
+    state: FleetState, instance: Instance, target: str
+) -> MustardwardError | None:
+    name = instance.instance_id
+    if instance.pool == target:
+        return SubjectExistsError(f"instance={name} pool={target}")
+    if name in state.claims:
+        return SubjectInUseError(f"instance={name} wave={state.claims[name].wave_id}")
+    # The instance drains from now on, and its pool loses it for good: a move takes
+    # from the budgets what a wave's claim takes.
+    if index_of(state).is_available(name):
+        return check_budgets(state, instance)
+    return None
+
+
 @FLEET_HANDLERS.register("move.acknowledge")
 def acknowledge_move(
     state: FleetState, context: FoldContext, body: AcknowledgeMove
@@ -157,10 +176,14 @@
     waiting = move.expected - move.acknowledged
     if waiting:
         return Failure(MoveUnacknowledgedError(f"waiting={','.join(sorted(waiting))}"))
+    if move.instance_id in state.absences:
+        # In its target it would count as one more instance that is not available.
+        return Failure(SubjectInUseError(f"instance={move.instance_id} absent"))
     instance = state.instances[move.instance_id]
     instance.pool = move.target
     instance.generation = context.sequence
     del state.moves[move.instance_id]
+    touch_instance(state, move.instance_id)
     return _accepted(context, body.move_id, move.instance_id)
 
 
@@ -171,6 +194,7 @@
     if move is None:
         return Failure(UnknownSubjectError(f"move={body.move_id}"))
     del state.moves[move.instance_id]
+    touch_instance(state, move.instance_id)
     return _accepted(context, body.move_id, move.instance_id)
 
 
--- a/mustardward/state/handlers/refusals.py
+++ b/mustardward/state/handlers/refusals.py
@@ -4,12 +4,7 @@
 
 from ..fold import FoldContext, RecordRefusedError, RevisionConflictError
 from ..records import NO_BASE
-
-
-class UnknownSubjectError(RecordRefusedError):
-    """Report a record about something that does not exist."""
-
-    code = "subject-unknown"
+from .maintenance_refusals import UnknownSubjectError
 
 
 class UnknownPoolError(UnknownSubjectError):
--- a/mustardward/state/handlers/templates.py
+++ b/mustardward/state/handlers/templates.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from ...exceptions import MustardwardError
+from ..budgets import touch_organisation
 from ..fleet import FleetState
 from ..fold import Acceptance, FoldContext
 from ..models.templates import (
@@ -21,7 +22,8 @@
     TemplateRevision,
 )
 from .fleet_registry import FLEET_HANDLERS
-from .refusals import UnknownPoolError, UnknownSubjectError, conflict_with
+from .maintenance_refusals import UnknownSubjectError
+from .refusals import UnknownPoolError, conflict_with
 
 KEPT_REVISIONS: Final = 8
 """Revisions of a template that stay in memory; thousands are published a day."""
@@ -80,6 +82,7 @@
         overrides=body.overrides,
         parameters=parameters,
     )
+    touch_organisation(state, body.name)
     return Success(Acceptance((f"organisation:{body.name}",), context.sequence))
 
 
@@ -95,6 +98,7 @@
     if conflict is not None:
         return Failure(conflict)
     del state.organisations[body.name]
+    touch_organisation(state, body.name)
     return Success(Acceptance((f"organisation:{body.name}",), context.sequence))
 
 
@@ -121,6 +125,7 @@
     for name, organisation in state.organisations.items():
         if organisation.template == accepted.name:
             state.organisations[name] = share_parameters(organisation, accepted)
+            touch_organisation(state, name)
             affected.append(f"organisation:{name}")
     return affected
 
--- a/tests/state/test_pools.py
+++ b/tests/state/test_pools.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from mustardward.state.budgets import BudgetExceededError, BudgetIndex, index_of
 from mustardward.state.fold import RevisionConflictError
+from mustardward.state.handlers.maintenance_refusals import UnknownSubjectError
 from mustardward.state.handlers.pools import (
     MoveInProgressError,
     MoveUnacknowledgedError,
@@ -13,9 +15,12 @@
     SubjectExistsError,
     SubjectInUseError,
     UnknownPoolError,
-    UnknownSubjectError,
 )
-from mustardward.state.models.maintenance import Claim
+from mustardward.state.models.maintenance import (
+    AbsenceChange,
+    Claim,
+    ReportAbsences,
+)
 from mustardward.state.models.pools import (
     AcknowledgeMove,
     CancelMove,
@@ -24,7 +29,13 @@
     RequestMove,
     TransferInstance,
 )
-from tests.builders import FoldBuilder, build_fleet_fold, build_instance
+from mustardward.state.models.templates import PublishTemplate, PutOrganisation
+from tests.builders import (
+    FoldBuilder,
+    build_fleet_fold,
+    build_instance,
+    build_parameters,
+)
 
 
 @pytest.fixture
@@ -95,13 +106,16 @@
     assert isinstance(nowhere, UnknownPoolError)
 
 
-def test_a_claimed_instance_is_not_removed(builder: FoldBuilder) -> None:
+def test_a_claimed_instance_is_neither_moved_nor_removed(builder: FoldBuilder) -> None:
     claim = Claim("one", "wave-1", "entry-a", 1, "claimed", 1)
     builder.fold.state.claims["one"] = claim
     held = builder.apply(RemoveInstance("one")).result.failure()
     assert isinstance(held, SubjectInUseError)
-    _request(builder, "move-1")
+    move = RequestMove("move-1", "one", "casting")
+    busy = builder.apply(move, _generation(builder, "one")).result.failure()
+    assert isinstance(busy, SubjectInUseError)
     del builder.fold.state.claims["one"]
+    _request(builder, "move-1")
     builder.accept(RemoveInstance("one"))
     assert "one" not in builder.fold.state.instances
     assert builder.fold.state.moves == {}
@@ -110,3 +124,48 @@
 def test_a_pool_proposed_again_keeps_its_revision(builder: FoldBuilder) -> None:
     before = builder.fold.state.pools["etching"].revision
     assert builder.accept(PutPool("etching")) == before
+
+
+def test_a_move_takes_from_the_budget_of_its_source(builder: FoldBuilder) -> None:
+    """Admit a move only within every budget.
+
+    Symptom: an organisation is below its floor although no wave took anything.
+    Sequence: a wave holds one of two instances, an operator moves the other. Cause:
+    only claims are counted.
+    """
+    parameters = build_parameters(
+        "etching", minimum_available=0.5, reserve_largest_rack=False
+    )
+    builder.accept(PublishTemplate("works", parameters), 0)
+    builder.accept(PutOrganisation("derwent", "works"), 0)
+    builder.accept(ReportAbsences("bergen", (AbsenceChange("two", up=False, boot=1),)))
+    generation = _generation(builder, "one")
+    refused = builder.apply(RequestMove("move-1", "one", "casting"), generation)
+    assert isinstance(refused.result.failure(), BudgetExceededError)
+    builder.accept(ReportAbsences("bergen", (AbsenceChange("two", up=True, boot=1),)))
+    builder.accept(RequestMove("move-1", "one", "casting"), generation)
+
+
+def test_an_instance_that_failed_while_draining_is_not_transferred(
+    builder: FoldBuilder,
+) -> None:
+    _request(builder, "move-1")
+    builder.accept(AcknowledgeMove("move-1", ("entry-a", "entry-b")))
+    builder.accept(ReportAbsences("bergen", (AbsenceChange("one", up=False, boot=1),)))
+    held = builder.apply(TransferInstance("move-1")).result.failure()
+    assert isinstance(held, SubjectInUseError)
+    builder.accept(ReportAbsences("bergen", (AbsenceChange("one", up=True, boot=1),)))
+    builder.accept(TransferInstance("move-1"))
+
+
+def test_counters_of_budgets_follow_every_change_of_owner(
+    builder: FoldBuilder,
+) -> None:
+    _request(builder, "move-1")
+    builder.accept(AcknowledgeMove("move-1", ("entry-a", "entry-b")))
+    builder.accept(TransferInstance("move-1"))
+    builder.accept(build_instance("three", "casting"))
+    builder.accept(RemoveInstance("two"))
+    state = builder.fold.state
+    assert index_of(state).snapshot() == BudgetIndex(state).snapshot()
+    assert index_of(state).count(state, "casting", "bergen").total == 2
