--- a/mustardward/state/handlers/all.py
+++ b/mustardward/state/handlers/all.py
@@ -6,15 +6,7 @@
 
 from __future__ import annotations
 
-from . import (  # noqa: F401
-    absences,
-    intents,
-    jobs,
-    maintenance,
-    pools,
-    templates,
-    waves,
-)
+from . import intents, jobs, maintenance, pools, templates  # noqa: F401
 from .fleet_registry import FLEET_HANDLERS
 from .work_registry import WORK_HANDLERS
 
--- a/mustardward/state/handlers/pools.py
+++ b/mustardward/state/handlers/pools.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from ...exceptions import MustardwardError
-from ..budgets import check_budgets, index_of, touch_instance
+from ..budgets import check_budgets, touch_instance
 from ..fleet import FleetState
 from ..fold import Acceptance, FoldContext, RecordRefusedError
 from ..models.pools import (
@@ -28,11 +28,11 @@
 )
 from ..records import NO_BASE
 from .fleet_registry import FLEET_HANDLERS
-from .maintenance_refusals import UnknownSubjectError
 from .refusals import (
     SubjectExistsError,
     SubjectInUseError,
     UnknownPoolError,
+    UnknownSubjectError,
     conflict_with,
 )
 
@@ -116,15 +116,15 @@
         return Failure(UnknownSubjectError(f"instance={body.instance_id}"))
     if body.target not in state.pools:
         return Failure(UnknownPoolError(f"pools={body.target}"))
-    held = state.moves.get(body.instance_id)
-    if held is not None:
-        return Failure(MoveInProgressError(f"move={held.move_id}"))
+    refusal = _hindrance(state, instance)
+    if refusal is not None:
+        return Failure(refusal)
     conflict = conflict_with(context, instance.generation)
     if conflict is not None:
         return Failure(conflict)
-    refusal = _move_refusal(state, instance, body.target)
-    if refusal is not None:
-        return Failure(refusal)
+    if instance.pool == body.target:
+        detail = f"instance={body.instance_id} pool={body.target}"
+        return Failure(SubjectExistsError(detail))
     state.moves[body.instance_id] = Move(
         move_id=body.move_id,
         instance_id=body.instance_id,
@@ -132,26 +132,12 @@
         target=intern(body.target),
         generation=instance.generation,
         expected=frozenset(body.expected),
+        requested=context.sequence,
     )
     touch_instance(state, body.instance_id)
     return _accepted(context, body.move_id, body.instance_id)
 
 
-def _move_refusal(
-    state: FleetState, instance: Instance, target: str
-) -> MustardwardError | None:
-    name = instance.instance_id
-    if instance.pool == target:
-        return SubjectExistsError(f"instance={name} pool={target}")
-    if name in state.claims:
-        return SubjectInUseError(f"instance={name} wave={state.claims[name].wave_id}")
-    # The instance drains from now on, and its pool loses it for good: a move takes
-    # from the budgets what a wave's claim takes.
-    if index_of(state).is_available(name):
-        return check_budgets(state, instance)
-    return None
-
-
 @FLEET_HANDLERS.register("move.acknowledge")
 def acknowledge_move(
     state: FleetState, context: FoldContext, body: AcknowledgeMove
@@ -198,6 +184,20 @@
     return _accepted(context, body.move_id, move.instance_id)
 
 
+def _hindrance(state: FleetState, instance: Instance) -> RecordRefusedError | None:
+    """Return why an instance may not leave its pool now, or nothing."""
+    name = instance.instance_id
+    held = state.moves.get(name)
+    if held is not None:
+        return MoveInProgressError(f"move={held.move_id}")
+    claim = state.claims.get(name)
+    if claim is not None:
+        return SubjectInUseError(f"instance={name} wave={claim.wave_id}")
+    if name in state.absences:
+        return None
+    return check_budgets(state, instance)
+
+
 def find_move(state: FleetState, move_id: str) -> Move | None:
     """Return a move in progress by its own id."""
     return next(
--- a/mustardward/state/handlers/refusals.py
+++ b/mustardward/state/handlers/refusals.py
@@ -4,7 +4,12 @@
 
 from ..fold import FoldContext, RecordRefusedError, RevisionConflictError
 from ..records import NO_BASE
-from .maintenance_refusals import UnknownSubjectError
+
+
+class UnknownSubjectError(RecordRefusedError):
+    """Report a record about something that does not exist."""
+
+    code = "subject-unknown"
 
 
 class UnknownPoolError(UnknownSubjectError):
--- a/mustardward/state/handlers/templates.py
+++ b/mustardward/state/handlers/templates.py
@@ -22,8 +22,7 @@
     TemplateRevision,
 )
 from .fleet_registry import FLEET_HANDLERS
-from .maintenance_refusals import UnknownSubjectError
-from .refusals import UnknownPoolError, conflict_with
+from .refusals import UnknownPoolError, UnknownSubjectError, conflict_with
 
 KEPT_REVISIONS: Final = 8
 """Revisions of a template that stay in memory; thousands are published a day."""
