--- a/mustardward/embedded/fleet.py
+++ b/mustardward/embedded/fleet.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 import anyio
+from anyio.abc import TaskGroup
 
 from ..app import async_setup_entry
 from ..components.keys import API, DRAIN, FLEET_LOG, MEMBERSHIP
@@ -25,17 +26,20 @@
 from ..standin.worker_app import async_run_worker
 from .models import FleetPlan, RunningFleet, plan_workers
 
+MakeTimers = Callable[[TaskGroup], TimerService]
+
 READY_SECONDS: Final = 20.0
 _STEP_SECONDS: Final = 0.05
 
 
 @asynccontextmanager
 async def async_run_fleet(
-    plan: FleetPlan, timers: TimerService
+    plan: FleetPlan, timers: TimerService, make_timers: MakeTimers | None = None
 ) -> AsyncIterator[RunningFleet]:
     """Run a fleet inside the block; every entry is ready when it begins.
 
-    :param timers: clock of the stand-ins; each entry has one of its own.
+    :param timers: clock of the stand-ins.
+    :param make_timers: gives each entry its clock; real time if left out.
     :raises NotReadyError: if the entries do not get ready.
     """
     async with AsyncExitStack() as stack:
@@ -56,19 +60,19 @@
                 name = f"{data_centre}-{number + 1}"
                 settings = _settings(fleet, name, data_centre)
                 fleet.entries[name] = await stack.enter_async_context(
-                    async_run_entry(settings)
+                    async_run_entry(settings, make_timers or loop_timers)
                 )
         await async_until(timers, lambda: _ready(fleet), READY_SECONDS)
         yield fleet
 
 
 @asynccontextmanager
-async def async_run_entry(settings: Settings) -> AsyncIterator[Core]:
+async def async_run_entry(
+    settings: Settings, make_timers: MakeTimers
+) -> AsyncIterator[Core]:
     """Run one entry inside the block; it leaves gracefully at its end."""
     async with anyio.create_task_group() as tasks:
-        timers = LoopTimerService(tasks)
-        timers.start()
-        core = Core(settings, timers, tasks)
+        core = Core(settings, make_timers(tasks), tasks)
         unloads = await async_setup_entry(core)
         try:
             yield core
@@ -79,6 +83,13 @@
             tasks.cancel_scope.cancel()
 
 
+def loop_timers(tasks: TaskGroup) -> TimerService:
+    """Return a clock that keeps real time."""
+    timers = LoopTimerService(tasks)
+    timers.start()
+    return timers
+
+
 async def async_until(
     timers: TimerService, condition: Callable[[], bool], seconds: float
 ) -> None:
--- /dev/null
+++ b/tests/embedded/test_examples.py
@@ -0,0 +1,137 @@
+"""Load the example deployments and start each of them, small, in one process."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import anyio
+import httpx
+import pytest
+
+import mustardward
+from mustardward.cli.files import OrganisationsFile, PoolsFile, TemplateFile
+from mustardward.embedded.fleet import async_run_fleet, caller_url
+from mustardward.embedded.models import FleetPlan, RunningFleet
+from mustardward.embedded.operator import FleetOperator
+from mustardward.helpers.timer import DrivenTimerService
+from mustardward.settings.loader import load_model, load_settings
+from mustardward.standin.log import LogOptions
+from mustardward.standin.platform import PlatformOptions
+
+pytestmark = pytest.mark.anyio
+
+EXAMPLES = Path(mustardward.__file__).parent / "settings" / "examples"
+DEPLOYMENTS = {"hvelvlogikk": (4, 8, 64, 256), "derwent": (3, 6, 32, 128)}
+
+
+@pytest.fixture(params=sorted(DEPLOYMENTS))
+def deployment(request: pytest.FixtureRequest) -> str:
+    """Return the name of each example in turn."""
+    name: str = request.param
+    return name
+
+
+def load_pools(deployment: str) -> PoolsFile:
+    return load_model(EXAMPLES / f"{deployment}-pools.yaml", PoolsFile)
+
+
+@asynccontextmanager
+async def async_small_fleet(pools: PoolsFile) -> AsyncIterator[RunningFleet]:
+    """Run one entry and one worker of each pool in each data centre."""
+    timers = DrivenTimerService()
+    data_centres = tuple(dict.fromkeys(rack.data_centre for rack in pools.racks))
+    plan = FleetPlan(
+        data_centres=data_centres,
+        entries=1,
+        pools=pools.pools,
+        workers=1,
+        rack_size=1,
+        platform=PlatformOptions(log=LogOptions(appends_per_second=10_000.0)),
+    )
+
+    async def drive() -> None:
+        while True:
+            await timers.async_advance(0.02)
+            await anyio.sleep(0.001)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(drive)
+        async with async_run_fleet(plan, timers, lambda _: timers) as fleet:
+            yield fleet
+        tasks.cancel_scope.cancel()
+
+
+def test_an_example_describes_its_deployment(deployment: str) -> None:
+    count, workers, cores, memory = DEPLOYMENTS[deployment]
+    settings = load_settings(EXAMPLES / f"{deployment}-entry.yaml")
+    pools = load_pools(deployment)
+    template = load_model(EXAMPLES / f"{deployment}-template.yaml", TemplateFile)
+    instances = pools.instances()
+    sizes = Counter((item.data_centre, item.pool) for item in instances)
+    racks = Counter(item.rack for item in instances)
+    data_centres = {item.data_centre for item in instances}
+    assert len(data_centres) == count
+    assert {peer.data_centre for peer in settings.peers} == data_centres
+    assert len(pools.pools) == 5
+    assert set(sizes.values()) == {workers}
+    assert max(racks.values()) == 4
+    assert len({item.address for item in instances}) == len(instances)
+    assert {(item.cores, item.memory_gigabytes) for item in instances} == {
+        (cores, memory)
+    }
+    assert {item.pool for item in template.parameters.services or ()} == set(
+        pools.pools
+    )
+
+
+async def test_an_example_starts_and_serves_every_service(deployment: str) -> None:
+    pools = load_pools(deployment)
+    template = load_model(EXAMPLES / f"{deployment}-template.yaml", TemplateFile)
+    organisations = load_model(
+        EXAMPLES / f"{deployment}-organisations.yaml", OrganisationsFile
+    )
+    services = [item.service for item in template.parameters.services or ()]
+    async with (
+        async_small_fleet(pools) as fleet,
+        httpx.AsyncClient(trust_env=False, timeout=20.0) as client,
+    ):
+        operator = FleetOperator(fleet, client)
+        await operator.async_register()
+        await operator.async_call(
+            "POST",
+            f"/templates/{template.name}",
+            {
+                "parameters": template.parameters.model_dump(
+                    mode="json", exclude_none=True
+                ),
+                "wait_seconds": 30,
+            },
+        )
+        for entry in organisations.organisations:
+            overrides = entry.overrides.model_dump(mode="json", exclude_none=True)
+            body = {"template": entry.template, "overrides": overrides}
+            path = f"/organisations/{entry.name}"
+            await operator.async_call("PUT", path, {**body, "wait_seconds": 30})
+        urls = [caller_url(core) for core in fleet.entries.values()]
+        names = [entry.name for entry in organisations.organisations]
+        statuses = await async_statuses(client, urls, names, services)
+    assert statuses == Counter({200: len(urls) * len(names) * len(services)})
+
+
+async def async_statuses(
+    client: httpx.AsyncClient,
+    urls: Iterable[str],
+    organisations: list[str],
+    services: list[str],
+) -> Counter[int]:
+    """Ask every service of every organisation at every entry once."""
+    statuses: Counter[int] = Counter()
+    for url in urls:
+        for organisation in organisations:
+            for service in services:
+                answer = await client.get(f"{url}/{organisation}/{service}/now")
+                statuses[answer.status_code] += 1
+    return statuses
