--- a/mustardward/components/jobs/api.py
+++ b/mustardward/components/jobs/api.py
@@ -11,9 +11,21 @@
 from returns.result import Failure, Result
 
 from ...exceptions import MustardwardError
+from ...state.handlers.work_errors import (
+    JobIdTakenError,
+    JobStateError,
+    JobUnknownError,
+)
+from ..api.problems import answered_with
 from ..api.routes import ApiAnswer, ApiRequest, api_route
 from ..keys import JOBS, WORK_LOG
-from .errors import JobPayloadError
+from .errors import (
+    JobBindingError,
+    JobPayloadError,
+    JobQuotaError,
+    JobTooLargeError,
+    JobUnplaceableError,
+)
 from .models import JobView, Submission
 
 T = TypeVar("T")
@@ -21,6 +33,19 @@
 NAME_PATTERN: Final = r"^[a-zA-Z0-9][a-zA-Z0-9._-]*$"
 
 
+for _error, _status in (
+    (JobUnknownError, 404),
+    (JobBindingError, 404),
+    (JobIdTakenError, 409),
+    (JobStateError, 409),
+    (JobPayloadError, 400),
+    (JobTooLargeError, 413),
+    (JobUnplaceableError, 422),
+    (JobQuotaError, 429),
+):
+    answered_with(_status)(_error)
+
+
 class SubmitModel(BaseModel):
     """Validate a submission; ``payload`` is text, or base64 if ``base64`` says so."""
 
--- a/mustardward/components/jobs/services.py
+++ b/mustardward/components/jobs/services.py
@@ -26,7 +26,7 @@
 from .scheduler import JobScheduler
 from .slots import SlotReturns
 
-SUBMIT_TIMEOUT_SECONDS: Final = 10.0
+SUBMIT_TIMEOUT_SECONDS: Final = 5.0
 CANCEL_PRIORITY: Final = 0
 
 
--- /dev/null
+++ b/tests/cli/test_job.py
@@ -0,0 +1,95 @@
+"""Drive long jobs from the command line through the operators' routes."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import anyio
+import pytest
+from click.testing import CliRunner, Result
+
+from mustardward.cli.client import OperatorClient
+from mustardward.cli.main import main
+from mustardward.components.api.problems import problem_status
+from mustardward.components.api.routes import API_ROUTES, ApiRequest
+from mustardward.components.jobs import api  # noqa: F401
+from mustardward.components.jobs.errors import JobQuotaError
+from mustardward.components.keys import JOBS, WORK_LOG
+from mustardward.exceptions import MustardwardError
+from mustardward.state.handlers.work_errors import JobUnknownError
+from tests.fakes.jobs_world import JobsWorld
+
+
+@pytest.fixture
+def world(monkeypatch: pytest.MonkeyPatch) -> JobsWorld:
+    """Return a world that the commands reach without a network."""
+    world = JobsWorld()
+    entry = world.add_entry("a")
+    found = {JOBS: entry.service, WORK_LOG: entry.log}
+    core: Any = SimpleNamespace(get=found.__getitem__)
+
+    def call(self: OperatorClient, method: str, path: str, **more: Any) -> Any:
+        return anyio.run(_async_route, core, method, path, more.get("body"))
+
+    monkeypatch.setattr(OperatorClient, "call", call)
+    return world
+
+
+async def _async_route(core: Any, method: str, path: str, body: Any) -> Any:
+    for route in API_ROUTES:
+        pattern = re.sub(r"{(\w+)}", r"(?P<\1>[^/]+)", route.path)
+        match = re.fullmatch(pattern, path)
+        if route.method != method or match is None:
+            continue
+        model = route.body_model(**body) if route.body_model else None
+        request = ApiRequest(core, "operator", match.groupdict(), {}, model)
+        return (await route.handler(request)).body
+    raise AssertionError(f"no route {method} {path}")
+
+
+def run(*arguments: str) -> Result:
+    return CliRunner().invoke(main, ["job", *arguments])
+
+
+def test_a_job_goes_from_submission_to_its_result(
+    world: JobsWorld, tmp_path: Path
+) -> None:
+    payload = tmp_path / "plan.bin"
+    payload.write_bytes(b"\x00plan")
+    submitted = run(
+        "submit", "derwent", "plans", "--id", "plan-1", "--payload", str(payload)
+    )
+    assert submitted.output == "job=derwent.plan-1 status=waiting\n"
+    state = world.entries["a"].log.state
+    assert state.jobs["derwent.plan-1"].payload == b"\x00plan"
+    assert run("result", "derwent.plan-1").exit_code == 1
+    anyio.run(world.async_run, 60)
+    assert "done" in run("status", "derwent.plan-1").output
+    assert run("result", "derwent.plan-1").output == "done"
+
+
+def test_parked_jobs_are_listed_and_retried(world: JobsWorld) -> None:
+    for worker in world.workers.at.values():
+        worker.fails = True
+    run("submit", "derwent", "plans", "--id", "plan-1")
+    anyio.run(world.async_run, 120)
+    listed = run("list").output
+    assert "derwent.plan-1" in listed and "parked" in listed
+    assert run("retry", "derwent.plan-1").output.endswith("status=waiting\n")
+
+
+def test_a_job_and_a_group_are_cancelled(world: JobsWorld) -> None:
+    for number in range(3):
+        run("submit", "derwent", "plans", "--id", f"p{number}", "--group", "spring")
+    assert run("cancel", "derwent.p0").output == "job=derwent.p0 status=cancelled\n"
+    cancelled = run("cancel", "--organisation", "derwent", "--group", "spring")
+    assert cancelled.output == "group=spring jobs=2\n"
+    assert run("cancel").exit_code == 2
+
+
+def test_refusals_have_statuses_of_their_own() -> None:
+    errors: tuple[MustardwardError, ...] = (JobUnknownError(), JobQuotaError())
+    assert [problem_status(error) for error in errors] == [404, 429]
