--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Hold measurements; each is run as ``python -m bench.NAME``."""
--- a/mustardward/components/membership/const.py
+++ b/mustardward/components/membership/const.py
@@ -30,11 +30,17 @@
 FIRST_CONTACTS: Final = 3
 """Members near and far that a process tries at once until one lets it join."""
 
+DIGEST_MEMBERS: Final = 8
+"""Most members in one digest, the last changed; others are fetched as a view."""
+
+DIGEST_NOTES: Final = 64
+"""Most notes on instances in one digest; the rest waits for the next one."""
+
 VIEW_MISMATCHES: Final = 3
 """Exchanges in a row with a differing view before the difference is fetched."""
 
 FORGET_SECONDS: Final = 60.0
-VIEW_INTERVAL_SECONDS: Final = 10.0
+VIEW_INTERVAL_SECONDS: Final = 5.0
 TOMBSTONE_SECONDS: Final = 86_400.0
 """Time for which a gone member is remembered, so that no stale peer revives it."""
 
--- a/mustardward/components/membership/digests.py
+++ b/mustardward/components/membership/digests.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
-from .const import VIEW_MISMATCHES
-from .counter import ChangeCounter
+from .const import DIGEST_MEMBERS, DIGEST_NOTES, VIEW_MISMATCHES
+from .counter import ChangeCounter, Changes
 from .instances import InstanceTable
 from .messages import InstanceNote, MemberState, News, Vitals
 from .models import Member, MemberStatus
@@ -49,12 +49,15 @@
         self._silence = silence
         self._dialogues: dict[str, _Dialogue] = {}
         self._spoken: dict[str, int] = {}
-        self._mismatches = 0
+        self._mismatches = {True: 0, False: 0}
 
-    @property
-    def wants_view(self) -> bool:
-        """Tell whether this process and its peers have differed for a while."""
-        return self._mismatches >= VIEW_MISMATCHES
+    def wants_view(self, peer: str) -> bool:
+        """Tell whether this process and peers near or far have differed for a while.
+
+        The two are counted apart: a data centre whose entries agree with each other
+        would else never notice that it differs from all others.
+        """
+        return self._mismatches[self._is_near(peer)] >= VIEW_MISMATCHES
 
     def heard(self, name: str) -> float:
         """Return when a peer last spoke."""
@@ -67,15 +70,17 @@
         dialogue = self._dialogues.get(peer)
         seen = dialogue.seen_by_peer if dialogue else 0
         centres, heard = self._silence.tell(now)
+        members = self._member_news(peer, seen)
+        instances = self._instance_news(peer, seen)
         return news_type(
             vitals=Vitals(
                 own.incarnation, own.fleet_offset, own.fleet_digest, own.in_flight
             ),
-            version=self._counter.value,
+            version=instances.until,
             seen=dialogue.received if dialogue else 0,
             view=self._members.view(),
-            members=self._member_news(peer, seen),
-            instances=self._instance_news(peer, seen),
+            members=tuple(MemberState.of(member) for member in members),
+            instances=instances.items,
             centres=centres,
             heard=heard,
         )
@@ -83,7 +88,7 @@
     def take(self, peer: str, news: News, now: float) -> list[Event]:
         """Take in a peer's news and return what changed."""
         told = [state.to_member() for state in news.members]
-        events: list[Event] = list(self._members.apply(told, now))
+        events: list[Event] = list(self._members.apply(told, now, peer))
         self._spoken[peer] = news.vitals.incarnation
         member = self._members.get(peer)
         if member is None or member.incarnation == UNMET:
@@ -99,19 +104,17 @@
         )
         self._silence.hear(member.data_centre, now)
         self._silence.hear_of(news.centres, news.heard, now)
-        if member.data_centre == self._members.own.data_centre:
-            notes = [
-                (n.instance_id, n.boot, n.count, n.leaving) for n in news.instances
-            ]
-            events.extend(self._instances.merge(notes, f"peer:{peer}", now))
+        near = self._is_near(peer)
+        if near:
+            events.extend(self._instances.merge(news.instances, peer, now))
         differs = news.view != self._members.view()
-        self._mismatches = self._mismatches + 1 if differs else 0
+        self._mismatches[near] = self._mismatches[near] + 1 if differs else 0
         return events
 
-    def take_view(self, told: list[Member], now: float) -> list[Event]:
+    def take_view(self, peer: str, told: list[Member], now: float) -> list[Event]:
         """Take in the members of whole data centres."""
-        self._mismatches = 0
-        return list(self._members.apply(told, now))
+        self._mismatches[self._is_near(peer)] = 0
+        return list(self._members.apply(told, now, peer))
 
     def forget(self) -> None:
         """Drop dialogues with peers that are no longer known."""
@@ -131,14 +134,19 @@
         dialogue.received = news.version
         dialogue.heard = now
 
-    def _member_news(self, peer: str, seen: int) -> tuple[MemberState, ...]:
+    def _member_news(self, peer: str, seen: int) -> list[Member]:
         # A peer met for the first time needs to know who speaks; the rest it fetches
-        # as a whole, once, if its view differs.
-        news = self._members.changes_since(seen) if seen else [self._members.own]
+        # as a whole, once, if its view differs. So it does when more changed than a
+        # digest holds: where many change at once, most of the news would reach each
+        # entry many times over.
+        if seen:
+            news = self._members.changes_since(seen, DIGEST_MEMBERS, peer)
+        else:
+            news = [self._members.own]
         told = self._members.get(peer)
         if told is not None and told not in news and self._is_contested(told):
             news.append(told)
-        return tuple(MemberState.of(member) for member in news)
+        return news
 
     def _is_contested(self, told: Member) -> bool:
         # A peer that is suspected, or whose name has a later start, hears it in every
@@ -148,9 +156,14 @@
             return False
         return told.status in _CONTESTED or told.incarnation != spoken
 
-    def _instance_news(self, peer: str, seen: int) -> tuple[InstanceNote, ...]:
+    def _instance_news(self, peer: str, seen: int) -> Changes[InstanceNote]:
+        if not self._is_near(peer):
+            return Changes((), self._counter.value)
+        # A peer met for the first time may have told of some in an earlier life.
+        receiver = peer if seen else ""
+        return self._instances.notes_since(seen, DIGEST_NOTES, receiver)
+
+    def _is_near(self, peer: str) -> bool:
         member = self._members.get(peer)
         centre = self._members.own.data_centre
-        if member is None or member.data_centre != centre:
-            return ()
-        return tuple(InstanceNote(*note) for note in self._instances.notes_since(seen))
+        return member is not None and member.data_centre == centre
--- a/mustardward/components/membership/gossip.py
+++ b/mustardward/components/membership/gossip.py
@@ -219,7 +219,7 @@
     async def _async_learn_view(self, member: Member) -> None:
         now = self._timers.monotonic()
         rested = now - self._view_fetched >= VIEW_INTERVAL_SECONDS
-        if self._joined and not (self._digests.wants_view and rested):
+        if self._joined and not (self._digests.wants_view(member.name) and rested):
             return
         self._view_fetched = now
         known = self._table.digests() if self._joined else {}
@@ -228,7 +228,7 @@
         except PeerError:
             return
         told = [state.to_member() for state in view.members]
-        events = self._digests.take_view(told, self._timers.monotonic())
+        events = self._digests.take_view(member.name, told, self._timers.monotonic())
         self._reporter.report(events, pass_on=False)
         self._joined = True
         self._table.mark_joined()
--- a/mustardward/components/membership/instances.py
+++ b/mustardward/components/membership/instances.py
@@ -17,7 +17,8 @@
     RETURN_QUIET_SECONDS,
     SUSPECT_HOLD_SECONDS,
 )
-from .counter import ChangeCounter
+from .counter import ChangeCounter, Changes
+from .messages import InstanceNote
 from .models import InstanceLeaving, InstanceReturned
 
 InstanceEvent = InstanceLeaving | InstanceReturned
@@ -38,6 +39,7 @@
     version: int
     evidence: float
     quiet: float = RETURN_QUIET_SECONDS
+    source: str = ""
 
 
 @dataclass(slots=True, eq=False)
@@ -68,13 +70,19 @@
         """Return the boot under which each leaving instance leaves; 0 if not known."""
         return {name: note.boot for name, note in self._notes.items() if note.leaving}
 
-    def notes_since(self, version: int) -> list[tuple[str, int, int, bool]]:
-        """Return id, boot, count and leaving of the notes changed after a version."""
-        return [
-            (name, note.boot, note.count, note.leaving)
+    def notes_since(
+        self, version: int, limit: int, receiver: str = ""
+    ) -> Changes[InstanceNote]:
+        """Return the notes that changed first after a version.
+
+        :param receiver: who is told; what it told itself is left out.
+        """
+        changed = (
+            (note.version, InstanceNote(name, note.boot, note.count, note.leaving))
             for name, note in self._notes.items()
-            if note.version > version
-        ]
+            if note.version > version and (not receiver or note.source != receiver)
+        )
+        return self._counter.oldest(changed, limit)
 
     def note_leaving(
         self, instance_id: str, source: str, now: float, boot: int = 0
@@ -125,23 +133,27 @@
             self._put(instance_id, note)
 
     def merge(
-        self, told: Iterable[tuple[str, int, int, bool]], source: str, now: float
+        self, told: Iterable[InstanceNote], source: str, now: float
     ) -> list[InstanceEvent]:
-        """Take over a peer's notes."""
+        """Take over a peer's notes.
+
+        :param source: the name of the peer.
+        """
         events: list[InstanceEvent] = []
-        for instance_id, boot, count, leaving in told:
-            note = self._notes.get(instance_id)
-            if note is not None and not _supersedes(note, boot, count, leaving):
+        for item in told:
+            note = self._notes.get(item.instance_id)
+            if note is not None and not _supersedes(note, item):
                 continue
             was_leaving = note is not None and note.leaving
             quiet = note.quiet if note is not None else RETURN_QUIET_SECONDS
-            if note is not None and leaving and not was_leaving:
+            if note is not None and item.leaving and not was_leaving:
                 quiet = _longer(quiet)
-            self._put(instance_id, _Note(boot, count, leaving, 0, now, quiet))
-            if leaving and not was_leaving:
-                events.append(InstanceLeaving(instance_id, source))
-            if was_leaving and not leaving:
-                events.append(InstanceReturned(instance_id, source))
+            merged = _Note(item.boot, item.count, item.leaving, 0, now, quiet)
+            self._put(item.instance_id, merged, source)
+            if item.leaving and not was_leaving:
+                events.append(InstanceLeaving(item.instance_id, source))
+            if was_leaving and not item.leaving:
+                events.append(InstanceReturned(item.instance_id, source))
         return events
 
     def note_failure(self, instance_id: str, now: float) -> None:
@@ -192,8 +204,9 @@
         self._put(instance_id, note)
         return [InstanceReturned(instance_id, source)]
 
-    def _put(self, instance_id: str, note: _Note) -> None:
+    def _put(self, instance_id: str, note: _Note, source: str = "") -> None:
         note.version = self._counter.advance()
+        note.source = source
         self._notes[instance_id] = note
 
 
@@ -201,7 +214,7 @@
     return min(quiet * 2, MAXIMUM_QUIET_SECONDS)
 
 
-def _supersedes(note: _Note, boot: int, count: int, leaving: bool) -> bool:
-    if (boot, count) != (note.boot, note.count):
-        return (boot, count) > (note.boot, note.count)
-    return leaving and not note.leaving
+def _supersedes(note: _Note, told: InstanceNote) -> bool:
+    if (told.boot, told.count) != (note.boot, note.count):
+        return (told.boot, told.count) > (note.boot, note.count)
+    return told.leaving and not note.leaving
--- a/mustardward/components/membership/table.py
+++ b/mustardward/components/membership/table.py
@@ -51,11 +51,12 @@
 
 @dataclass(slots=True, eq=False)
 class _Record:
-    """Hold a member, and when it last changed by count and by time."""
+    """Hold a member, when it last changed by count and by time, and who told of it."""
 
     member: Member
     version: int
     changed: float
+    source: str = ""
 
 
 class MemberTable:
@@ -91,13 +92,22 @@
             and data_centre in (None, record.member.data_centre)
         ]
 
-    def changes_since(self, version: int) -> list[Member]:
-        """Return the members that changed after a version; unmet ones never."""
-        return [
-            record.member
+    def changes_since(
+        self, version: int, limit: int, receiver: str = ""
+    ) -> list[Member]:
+        """Return the members that changed last after a version; unmet ones never.
+
+        :param receiver: who is told; what it told itself is left out.
+        """
+        changed = [
+            record
             for record in self._records.values()
-            if record.version > version and record.member.incarnation != UNMET
+            if record.version > version
+            and record.member.incarnation != UNMET
+            and (not receiver or record.source != receiver)
         ]
+        changed.sort(key=lambda record: record.version)
+        return [record.member for record in changed[-limit:]]
 
     def all_met(self, data_centres: Iterable[str]) -> list[Member]:
         """Return all members of some data centres, gone ones included."""
@@ -161,14 +171,19 @@
         """Note where this process listens."""
         self._put(replace(self.own, address=address), now)
 
-    def apply(self, told: Iterable[Member], now: float) -> list[TableEvent]:
-        """Merge what was told and return what that changed."""
+    def apply(
+        self, told: Iterable[Member], now: float, source: str = ""
+    ) -> list[TableEvent]:
+        """Merge what was told and return what that changed.
+
+        :param source: the peer that told it.
+        """
         events: list[TableEvent] = []
         for member in told:
             if member.name == self._own_name:
                 events.extend(self._merge_own(member, now))
             else:
-                events.extend(self._merge(member, now))
+                events.extend(self._merge(member, now, source))
         return events
 
     def signal(
@@ -197,16 +212,16 @@
             if gone and now - record.changed > TOMBSTONE_SECONDS:
                 del self._records[name]
 
-    def _merge(self, told: Member, now: float) -> list[TableEvent]:
+    def _merge(self, told: Member, now: float, source: str) -> list[TableEvent]:
         known = self.get(told.name)
         if known is None or told.start > known.start:
-            return self._replace(known, told, now)
+            return self._replace(known, told, now, source)
         if told.start < known.start or not self._advances(known, told):
             return []
         after = self._chart.next_state(known.status, _EVENTS[told.status])
         incarnation = max(known.incarnation, told.incarnation)
         merged = replace(known, incarnation=incarnation, status=MemberStatus(after))
-        self._put(merged, now)
+        self._put(merged, now, source)
         if merged.status is known.status:
             return []
         return [MembershipChanged(merged, known.status)]
@@ -223,11 +238,11 @@
         return told.incarnation > known.incarnation
 
     def _replace(
-        self, known: Member | None, told: Member, now: float
+        self, known: Member | None, told: Member, now: float, source: str
     ) -> list[TableEvent]:
         if told.incarnation == UNMET:
             return []
-        self._put(told, now)
+        self._put(told, now, source)
         if known is None and told.status is MemberStatus.GONE:
             return []
         return [MembershipChanged(told, known.status if known else None)]
@@ -268,9 +283,10 @@
         self._put(replace(self.own, incarnation=incarnation, status=status), now)
         return [OwnContested(verdict, incarnation)]
 
-    def _put(self, member: Member, now: float) -> None:
+    def _put(self, member: Member, now: float, source: str = "") -> None:
         self._digests = None
-        self._records[member.name] = _Record(member, self._counter.advance(), now)
+        version = self._counter.advance()
+        self._records[member.name] = _Record(member, version, now, source)
 
 
 def _member_digest(member: Member) -> int:
--- a/mustardward/components/peers/server.py
+++ b/mustardward/components/peers/server.py
@@ -85,8 +85,7 @@
     ) -> None:
         """Begin to listen."""
         self._server = _ClosingServer(self, self._codec)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listener = socket.create_server((host, port), family=family)
+        listener = _listen(host, port)
         self._port = listener.getsockname()[1]
         await self._server.start(sock=listener, ssl=context)
 
@@ -166,6 +165,21 @@
         )
 
 
+def _listen(host: str, port: int) -> socket.socket:
+    # asyncio and grpclib switch off Nagle's algorithm only where the socket names its
+    # protocol, which one of socket.create_server() does not. Every reply would wait
+    # some 40 ms for the delayed acknowledgement of its first segment.
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, port))
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
 def _decode(codec: MsgpackCodec, description: PeerMessage, data: bytes | None) -> Any:
     try:
         return codec.decode(data or b"", description.message_type)
--- a/tests/components/membership/test_instances.py
+++ b/tests/components/membership/test_instances.py
@@ -79,6 +79,21 @@
     assert await cluster.async_run_until(_everywhere(cluster, False), 10.0) <= 3.0
 
 
+async def test_restarted_entry_learns_what_it_had_reported_itself() -> None:
+    """Tell a restarted entry again what its earlier start told.
+
+    Symptom: one entry gives work to a leaving worker. Sequence: it meets the refusal,
+    tells all others, and restarts. Cause: each of them leaving out of its digests what
+    it learnt from that very entry.
+    """
+    cluster = await _async_started()
+    cluster.nodes["v-1-2"].membership.report_instance(WORKER, False, "draining")
+    await cluster.async_run(3.0)
+    cluster.kill("v-1-2")
+    await cluster.async_start("v-1-2", "v-1")
+    assert await cluster.async_run_until(_everywhere(cluster, False), 10.0) <= 3.0
+
+
 async def test_list_counts_as_one_source() -> None:
     cluster = await _async_started()
     _set_list(cluster, _list(ListedState.LEAVING))
--- a/tests/components/membership/test_table.py
+++ b/tests/components/membership/test_table.py
@@ -132,7 +132,7 @@
     table = _table()
     table.meet("b", "v-1", "10.0.0.2:1", 0.0)
     assert _status(table) is SUSPECT
-    assert [m.name for m in table.changes_since(0)] == ["a"]
+    assert [m.name for m in table.changes_since(0, 9)] == ["a"]
     table.apply([_member()], 0.0)
     assert _status(table) is ALIVE
     table.meet("b", "v-9", "10.9.9.9:1", 0.0)
--- a/tests/components/peers/test_calls.py
+++ b/tests/components/peers/test_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from typing import Any
 
 import anyio
@@ -136,3 +137,19 @@
             c.handle(Echo, _async_echo)
             reply = await a.async_call(build_member("c", c.address), Echo("new"))
             assert reply.text == "new"
+
+
+async def test_replies_do_not_wait_for_delayed_acknowledgements() -> None:
+    """Keep Nagle's algorithm off on accepted connections.
+
+    Symptom: each call between entries takes 45 ms instead of half a millisecond.
+    Sequence: the reply's first segment leaves, the next waits for its acknowledgement,
+    which the caller delays. Cause: a listening socket that does not name its protocol,
+    so that neither asyncio nor grpclib sets the option.
+    """
+    async with running_peers("a") as a, running_peers("b") as b:
+        b.handle(Echo, _async_echo)
+        await a.async_call(build_member("b", b.address), Echo("hello"))
+        for protocol in b._server._server._protocols:
+            accepted = protocol.connection._transport.get_extra_info("socket")
+            assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
--- a/tests/fakes/peers.py
+++ b/tests/fakes/peers.py
@@ -57,6 +57,7 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self.calls_made = 0
+        self.calls_answered = 0
         network.peers[address] = self
 
     @property
@@ -91,6 +92,7 @@
 
     async def async_answer(self, sender: str, message: Any, data: bytes) -> bytes:
         """Answer one encoded message."""
+        self.calls_answered += 1
         handler = self._handlers.get(type(message))
         if handler is None:
             raise PeerRefusedError("no handler")
