--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Hold measurements; each is run as ``python -m bench.NAME``."""
+"""Measure the product; each module prints its figures on its last line."""
--- /dev/null
+++ b/mustardward/helpers/waiting.py
@@ -0,0 +1,47 @@
+"""Wait no longer than the timer service says."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import anyio
+
+from .timer import TimerService
+
+T = TypeVar("T")
+
+
+async def async_wait_for(
+    event: anyio.Event, timers: TimerService, seconds: float
+) -> bool:
+    """Wait for an event up to ``seconds``; tell whether it happened."""
+    if event.is_set():
+        return True
+    async with anyio.create_task_group() as group:
+
+        async def expire() -> None:
+            await timers.async_sleep(seconds)
+            group.cancel_scope.cancel()
+
+        group.start_soon(expire)
+        await event.wait()
+        group.cancel_scope.cancel()
+    return event.is_set()
+
+
+async def async_within(
+    timers: TimerService, seconds: float, call: Callable[[], Awaitable[T]]
+) -> T | None:
+    """Return what a call gives, or nothing if it takes longer than ``seconds``."""
+    answers: list[T] = []
+    async with anyio.create_task_group() as group:
+
+        async def expire() -> None:
+            await timers.async_sleep(seconds)
+            group.cancel_scope.cancel()
+
+        group.start_soon(expire)
+        answers.append(await call())
+        group.cancel_scope.cancel()
+    return answers[0] if answers else None
