Keep an incarnation the same while suspicions are refuted

Cause: leases, homes of idempotency keys and executors name an entry by its incarnation; a refuted suspicion made it grow, so others would have taken the entry's leases over and answered "unknown" for its keys. Ruled out: having all of them strip the count, which the next user would forget. Change: refutations are counted apart from the incarnation. Forwarded requests find the entry by its key; a cut-off forwarded answer is a TruncatedAnswerError too; a caller that goes away ends the worker's answer behind the peer; in flight is read from the limiter; one message may hold 16 MB, for the image of a large state.

--- a/mustardward/components/membership/assembly.py
+++ b/mustardward/components/membership/assembly.py
@@ -16,7 +16,6 @@
     LIST_SECONDS,
     RETURN_CHECK_SECONDS,
     ROUND_SECONDS,
-    START_FACTOR,
 )
 from .counter import ChangeCounter
 from .digests import Digests
@@ -127,12 +126,12 @@
 def _own_member(core: Core, address: str) -> Member:
     # Drawn from the wall clock, an incarnation is higher than that of any process that
     # had the name before. Should that clock go back, the peers' word corrects it.
-    start = int(core.timers.wall() * 1000)
+    incarnation = int(core.timers.wall() * 1000)
     identity = core.settings.entry
     return Member(
         identity.name,
         identity.data_centre,
         address,
-        start * START_FACTOR,
+        incarnation,
         MemberStatus.ALIVE,
     )
--- a/mustardward/components/membership/const.py
+++ b/mustardward/components/membership/const.py
@@ -69,6 +69,3 @@
 
 DUTY_LIST: Final = "membership.list"
 DUTY_RETURNS: Final = "membership.returns"
-
-START_FACTOR: Final = 1024
-"""Incarnations that one start of a process may use up in refuting suspicions."""
--- a/mustardward/components/membership/digests.py
+++ b/mustardward/components/membership/digests.py
@@ -25,9 +25,9 @@
 
 @dataclass(slots=True, eq=False)
 class _Dialogue:
-    """Hold how far this process and one start of a peer know each other's news."""
+    """Hold how far this process and an incarnation of a peer know of each other."""
 
-    start: int
+    incarnation: int
     seen_by_peer: int = 0
     received: int = 0
     heard: float = float("-inf")
@@ -125,8 +125,8 @@
 
     def _note_dialogue(self, member: Member, news: News, now: float) -> None:
         dialogue = self._dialogues.get(member.name)
-        if dialogue is None or dialogue.start != member.start:
-            dialogue = _Dialogue(member.start)
+        if dialogue is None or dialogue.incarnation != member.incarnation:
+            dialogue = _Dialogue(member.incarnation)
             self._dialogues[member.name] = dialogue
         # A number above ours was counted by an earlier start of this process.
         known = news.seen <= self._counter.value
--- a/mustardward/components/membership/gossip.py
+++ b/mustardward/components/membership/gossip.py
@@ -259,10 +259,7 @@
             )
             return
         events = self._table.signal(
-            member.name,
-            member.incarnation,
-            MemberStatus.SUSPECT,
-            self._timers.monotonic(),
+            member, MemberStatus.SUSPECT, self._timers.monotonic()
         )
         self._reporter.report(events, pass_on=True)
 
--- a/mustardward/components/membership/listing.py
+++ b/mustardward/components/membership/listing.py
@@ -131,7 +131,5 @@
                 continue
             self._absences[name] = self._absences.get(name, 0) + 1
             if self._absences[name] >= LIST_ABSENCES:
-                events = self._table.signal(
-                    name, member.incarnation, MemberStatus.GONE, now
-                )
+                events = self._table.signal(member, MemberStatus.GONE, now)
                 self._reporter.report(events, pass_on=True)
--- a/mustardward/components/membership/messages.py
+++ b/mustardward/components/membership/messages.py
@@ -28,6 +28,7 @@
     status: _Status
     data_centre: _Name
     address: _Address
+    refutations: _Number = 0
 
     def to_member(self) -> Member:
         """Return the member told of."""
@@ -37,6 +38,7 @@
             self.address,
             self.incarnation,
             _CODES[self.status],
+            refutations=self.refutations,
         )
 
     @classmethod
@@ -48,6 +50,7 @@
             _CODES.index(member.status),
             member.data_centre,
             member.address,
+            member.refutations,
         )
 
 
--- a/mustardward/components/membership/models.py
+++ b/mustardward/components/membership/models.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from .const import START_FACTOR
-
 
 class MemberStatus(StrEnum):
     """Name the states of ``charts/member.yaml``."""
@@ -22,7 +20,7 @@
     """Hold one entry process.
 
     ``incarnation`` is drawn anew at each start and grows; leaving is final for it.
-    Refuting a suspicion makes it grow too, within the same start.
+    ``refutations`` counts the suspicions that it has refuted since.
     ``fleet_offset`` is the next offset its fold wants, ``fleet_digest`` the beginning
     of its digest there, both as last told by the member itself.
     """
@@ -35,11 +33,12 @@
     fleet_offset: int = 0
     fleet_digest: str = ""
     in_flight: int = 0
+    refutations: int = 0
 
     @property
     def start(self) -> int:
-        """Return what stays the same until the process starts again."""
-        return self.incarnation // START_FACTOR
+        """Return the incarnation: what stays the same until the process starts anew."""
+        return self.incarnation
 
 
 @dataclass(frozen=True, slots=True)
--- a/mustardward/components/membership/services.py
+++ b/mustardward/components/membership/services.py
@@ -131,7 +131,7 @@
             self.own.name,
             fleet.next_offset if fleet else 0,
             fleet.digest[:DIGEST_CHARACTERS] if fleet else "",
-            int(getattr(limiter, "in_flight", 0)),
+            _in_flight(limiter),
         )
 
     async def async_announce_leaving(self) -> None:
@@ -150,3 +150,8 @@
             _LOGGER.info(
                 "leaving_announced", status=status, bound_seconds=LEAVING_BOUND_SECONDS
             )
+
+
+def _in_flight(limiter: Any) -> int:
+    figures = getattr(limiter, "figures", None)
+    return int(figures().in_flight) if figures is not None else 0
--- a/mustardward/components/membership/table.py
+++ b/mustardward/components/membership/table.py
@@ -14,7 +14,7 @@
 import xxhash
 
 from ...helpers.chart import Chart, load_chart
-from .const import START_FACTOR, TOMBSTONE_SECONDS
+from .const import TOMBSTONE_SECONDS
 from .counter import ChangeCounter
 from .models import Member, MembershipChanged, MemberStatus
 
@@ -25,7 +25,7 @@
     MemberStatus.GONE: "end",
 }
 _RANKS: Final = {status: rank for rank, status in enumerate(MemberStatus)}
-_FINAL_FOR_START: Final = (MemberStatus.LEAVING, MemberStatus.GONE)
+_FINAL: Final = (MemberStatus.LEAVING, MemberStatus.GONE)
 UNMET: Final = 0
 """Incarnation of a member known by its address only; it is never told on."""
 
@@ -187,11 +187,11 @@
         return events
 
     def signal(
-        self, name: str, incarnation: int, status: MemberStatus, now: float
+        self, member: Member, status: MemberStatus, now: float
     ) -> list[TableEvent]:
-        """Take own evidence of one incarnation into account."""
-        known = self.get(name)
-        if known is None or known.incarnation != incarnation:
+        """Take own evidence of a member into account, unless it spoke up since."""
+        known = self.get(member.name)
+        if known is None or _spoken_word(known) != _spoken_word(member):
             return []
         return self.apply([replace(known, status=status)], now)
 
@@ -214,13 +214,14 @@
 
     def _merge(self, told: Member, now: float, source: str) -> list[TableEvent]:
         known = self.get(told.name)
-        if known is None or told.start > known.start:
+        if known is None or told.incarnation > known.incarnation:
             return self._replace(known, told, now, source)
-        if told.start < known.start or not self._advances(known, told):
+        stale = told.incarnation < known.incarnation
+        if stale or not self._advances(known, told):
             return []
         after = self._chart.next_state(known.status, _EVENTS[told.status])
-        incarnation = max(known.incarnation, told.incarnation)
-        merged = replace(known, incarnation=incarnation, status=MemberStatus(after))
+        refutations = max(known.refutations, told.refutations)
+        merged = replace(known, refutations=refutations, status=MemberStatus(after))
         self._put(merged, now, source)
         if merged.status is known.status:
             return []
@@ -229,13 +230,13 @@
     def _advances(self, known: Member, told: Member) -> bool:
         if not self._chart.accepts(known.status, _EVENTS[told.status]):
             return False
-        # A suspicion and its refutation compare by incarnation. What is final for a
-        # start holds against each of its incarnations; otherwise two entries that hear
-        # of a leaving and of an older refutation in different order stay at odds.
-        same = told.incarnation == known.incarnation
-        if same or told.status in _FINAL_FOR_START:
+        # A suspicion and its refutation compare by their count. What is final for an
+        # incarnation holds against any refutation; otherwise two entries that hear of
+        # a leaving and of an older refutation in different order stay at odds.
+        same = told.refutations == known.refutations
+        if same or told.status in _FINAL:
             return _RANKS[told.status] > _RANKS[known.status]
-        return told.incarnation > known.incarnation
+        return told.refutations > known.refutations
 
     def _replace(
         self, known: Member | None, told: Member, now: float, source: str
@@ -248,21 +249,22 @@
         return [MembershipChanged(told, known.status if known else None)]
 
     def _merge_own(self, told: Member, now: float) -> list[TableEvent]:
-        if told.start > self.own.start:
+        own = self.own
+        if told.incarnation > own.incarnation:
             return self._meet_namesake(told, now)
-        if told.start < self.own.start or told.status is MemberStatus.ALIVE:
+        stale = told.incarnation < own.incarnation
+        if stale or told.status is MemberStatus.ALIVE:
             return []
-        if self.own.status in _FINAL_FOR_START:
+        if own.status in _FINAL:
             return []
-        if told.status in _FINAL_FOR_START:
+        if told.status in _FINAL:
             # Others were given proof that this process ended, and may have acted on
-            # it, while it was only paused. That start stays ended; it joins anew.
+            # it, while it was only paused. That incarnation stays ended; it joins anew.
             return self._restart(told, OwnVerdict.DECLARED_GONE, now)
-        if told.incarnation < self.own.incarnation:
+        if told.refutations < own.refutations:
             return []
-        incarnation = told.incarnation + 1
-        self._put(replace(self.own, incarnation=incarnation), now)
-        return [OwnContested(OwnVerdict.SUSPECTED, incarnation)]
+        self._put(replace(own, refutations=told.refutations + 1), now)
+        return [OwnContested(OwnVerdict.SUSPECTED, own.incarnation)]
 
     def _meet_namesake(self, told: Member, now: float) -> list[TableEvent]:
         # Before it joined, this process may meet its own predecessor, whose clock ran
@@ -278,9 +280,10 @@
     def _restart(
         self, told: Member, verdict: OwnVerdict, now: float
     ) -> list[TableEvent]:
-        incarnation = (told.start + 1) * START_FACTOR
+        incarnation = told.incarnation + 1
         status = MemberStatus(self._chart.initial)
-        self._put(replace(self.own, incarnation=incarnation, status=status), now)
+        anew = replace(self.own, incarnation=incarnation, status=status, refutations=0)
+        self._put(anew, now)
         return [OwnContested(verdict, incarnation)]
 
     def _put(self, member: Member, now: float, source: str = "") -> None:
@@ -289,8 +292,12 @@
         self._records[member.name] = _Record(member, version, now, source)
 
 
+def _spoken_word(member: Member) -> tuple[int, int]:
+    return (member.incarnation, member.refutations)
+
+
 def _member_digest(member: Member) -> int:
-    final = member.status in _FINAL_FOR_START
-    number = member.start if final else member.incarnation
-    text = f"{member.name}\x00{number}\x00{member.status}"
+    final = member.status in _FINAL
+    word = member.incarnation if final else _spoken_word(member)
+    text = f"{member.name}\x00{word}\x00{member.status}"
     return xxhash.xxh3_64_intdigest(text.encode()) >> 32
--- a/mustardward/components/peers/__init__.py
+++ b/mustardward/components/peers/__init__.py
@@ -2,22 +2,21 @@
 
 from __future__ import annotations
 
-from ...core import COMPONENTS, ComponentDescription, ComponentKey, Core, Unload
-from ..keys import DIRECTORY, PEERS
+from ...core import COMPONENTS, ComponentDescription, Core, Unload
+from ..keys import DIRECTORY, ENTRY, PEERS
 from .const import SWEEP_SECONDS
 
 
 async def async_setup(core: Core) -> Unload:
     """Set the component up and return what undoes it."""
-    from .receiver import ForwardedRequestServer, ForwardReceiver
+    from .receiver import ForwardReceiver
     from .services import GrpcPeers
     from .tls import client_context, server_context
 
-    entry: ComponentKey[ForwardedRequestServer] = ComponentKey("entry")
     settings = core.settings
     tls = settings.peer_tls
     receiver = ForwardReceiver(
-        lambda: core.find(entry),
+        lambda: core.find(ENTRY),
         lambda: core.find(DIRECTORY),
         core.timers.monotonic,
         settings.limits.maximum_deadline_seconds,
--- a/mustardward/components/peers/const.py
+++ b/mustardward/components/peers/const.py
@@ -11,8 +11,8 @@
 METADATA_MESSAGE: Final = "mw-message"
 METADATA_SENDER: Final = "mw-sender"
 
-MAXIMUM_MESSAGE_BYTES: Final = 4 * 1024 * 1024
-"""Largest single message; larger things are sent in pieces by who sends them."""
+MAXIMUM_MESSAGE_BYTES: Final = 16 * 1024 * 1024
+"""Largest single message: the image of a state of the size we build towards."""
 
 MAXIMUM_CALLS: Final = 512
 """Calls and forwarded requests that one entry answers for its peers at once."""
--- a/mustardward/components/peers/exceptions.py
+++ b/mustardward/components/peers/exceptions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ...exceptions import PeerError
+from ...exceptions import PeerError, TruncatedAnswerError
 
 
 class PeerUnreachableError(PeerError):
@@ -26,7 +26,7 @@
     code = "peer-message-invalid"
 
 
-class PeerAnswerTruncatedError(PeerError):
+class PeerAnswerTruncatedError(PeerError, TruncatedAnswerError):
     """Report that a forwarded request's answer ended before it was whole."""
 
     code = "peer-answer-truncated"
--- a/mustardward/components/peers/receiver.py
+++ b/mustardward/components/peers/receiver.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any, Protocol
 
+import anyio
 import msgspec
 from returns.result import Failure, Result
 
@@ -159,13 +160,25 @@
     # stream ends without one, and the entry that asked tells its caller of an error
     # rather than of a short success.
     head = AnswerHead(answer.status, answer.headers)
-    await _async_write(stream, AnswerFrame(head=head))
-    async for chunk in answer.chunks:
-        for start in range(0, len(chunk), CHUNK_BYTES):
-            piece = bytes(chunk[start : start + CHUNK_BYTES])
-            await _async_write(stream, AnswerFrame(chunk=piece))
+    try:
+        await _async_write(stream, AnswerFrame(head=head))
+        async for chunk in answer.chunks:
+            for start in range(0, len(chunk), CHUNK_BYTES):
+                piece = bytes(chunk[start : start + CHUNK_BYTES])
+                await _async_write(stream, AnswerFrame(chunk=piece))
+    finally:
+        await _async_close(answer.chunks)
     await _async_write(stream, AnswerFrame(last=True))
 
 
+async def _async_close(chunks: AsyncIterator[bytes]) -> None:
+    # A caller that went away ends this stream in the middle; the worker's connection
+    # has to be given up with it, or it stays open until its deadline.
+    close = getattr(chunks, "aclose", None)
+    if close is not None:
+        with anyio.CancelScope(shield=True):
+            await close()
+
+
 async def _async_write(stream: Any, frame: AnswerFrame) -> None:
     await stream.send_message(msgspec.Raw(msgspec.msgpack.encode(frame)))
