--- a/tests/fakes/policy.py
+++ b/tests/fakes/policy.py
@@ -49,6 +49,10 @@
         self.barred: set[str] = set()
         self.reports: list[tuple[str, bool, str]] = []
 
+    @property
+    def own(self) -> Member:
+        return self._members[0]
+
     def live(self, data_centre: str | None = None) -> tuple[Member, ...]:
         return tuple(
             member
@@ -59,7 +63,13 @@
     def instance_may_get_work(self, instance_id: str) -> bool:
         return instance_id not in self.barred
 
-    def report_instance(self, instance_id: str, healthy: bool, cause: str) -> None:
+    def report_instance(
+        self,
+        instance_id: str,
+        healthy: bool,
+        cause: str,
+        began: float | None = None,
+    ) -> None:
         self.reports.append((instance_id, healthy, cause))
 
 
