Name executors by the incarnation itself in the tests of maintenance

Ruled out: keeping the division for the tests' sake. START_FACTOR stays for test data that draws incarnations with it. Conclusion: the change of meaning was ours; nothing was eased.

--- a/tests/components/maintenance/test_executor.py
+++ b/tests/components/maintenance/test_executor.py
@@ -137,7 +137,7 @@
     site.membership.others.clear()
     second = site.executor("entry-1")
     await steps(second, 2)
-    assert site.driver.state.claims[name].executor == "entry-1#0"
+    assert site.driver.state.claims[name].executor == "entry-1#1"
     assert site.power.count("reboot") == 1
     await first.async_step()
     with pytest.raises(StaleGenerationError):
@@ -294,9 +294,9 @@
     executor = site.executor()
     await executor.async_step()
     site.membership.others.append(build_member("entry-9"))
-    site.driver.accept(TakeClaim("w1", FIRST, "entry-9#0", 1))
+    site.driver.accept(TakeClaim("w1", FIRST, "entry-9#1", 1))
     await steps(executor, 4)
-    assert site.driver.state.claims[FIRST].executor == "entry-9#0"
+    assert site.driver.state.claims[FIRST].executor == "entry-9#1"
     assert site.stage(FIRST) == "claimed"
 
 
