Try past failing workers, beside slow ones and in other data centres

Cause: routing and retries offer hedges, retried failures and remote entries, and the entry used none of them. Change: attempts have a part of their own; an urgent idempotent request may run a second attempt, a worker's 5xx may be tried past, and a refusal for want of room may be forwarded to an entry of another data centre. A keyed request never is, since its intent stands in one data centre's log. A drain waits for forwarded requests too. The stand-in directory is gone.

--- a/bench/path_targets.py
+++ b/bench/path_targets.py
@@ -13,8 +13,7 @@
 import httpx
 
 from mustardward.cli.serve import async_serve
-from mustardward.components.entry.defaults import StateDirectory
-from mustardward.components.keys import DIRECTORY, DRAIN, FLEET_LOG, MEMBERSHIP
+from mustardward.components.keys import DRAIN, FLEET_LOG, MEMBERSHIP
 from mustardward.components.membership.models import Member, MemberStatus
 from mustardward.components.membership.protocols import Membership
 from mustardward.core import Core, Unload
@@ -38,7 +37,7 @@
 
 BODY = b"x" * 512
 WORKERS = 4
-PATH_DOMAINS = ("routing", "limits", "retries", "entry")
+PATH_DOMAINS = ("templates", "routing", "limits", "retries", "entry")
 _HOP_BY_HOP = (b"connection", b"keep-alive", b"transfer-encoding")
 
 
@@ -184,7 +183,6 @@
     """Set up the parts of the request path as an entry does, on a given state."""
     core.put(FLEET_LOG, cast(FleetLog, StaticFleet(address)))
     core.put(MEMBERSHIP, cast(Membership, LoneMembership()))
-    core.put(DIRECTORY, StateDirectory(core))
     unloads = [
         await import_module(f"mustardward.components.{domain}").async_setup(core)
         for domain in PATH_DOMAINS
--- a/mustardward/components/entry/answer.py
+++ b/mustardward/components/entry/answer.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Final
 
 import httpx
 
-from ...exceptions import TruncatedAnswerError
+from ...exceptions import PeerError, TruncatedAnswerError
 from .lanes import Lane, WorkerLanes
 from .protocols import WorkerAnswer
 
+BROKEN_ANSWER: Final = (TruncatedAnswerError, PeerError)
+"""What the pieces of an answer raise when it ended too early."""
+
 EndCallback = Callable[[bool, bytes | None], None]
 
 
@@ -94,7 +98,7 @@
         except StopAsyncIteration:
             self._end(True)
             raise
-        except TruncatedAnswerError:
+        except BROKEN_ANSWER:
             self._end(False)
             raise
         if self._room >= 0:
--- a/mustardward/components/entry/dispatcher.py
+++ b/mustardward/components/entry/dispatcher.py
@@ -17,7 +17,7 @@
     HEADER_RAN,
     HEADER_REQUEST_ID,
 )
-from ...exceptions import BodyTooLargeError, CallerGoneError, TruncatedAnswerError
+from ...exceptions import MustardwardError, TruncatedAnswerError
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
 from .answer import WorkerBody
@@ -37,7 +37,9 @@
 _ATTEMPT_ID: Final = HEADER_ATTEMPT_ID.encode()
 _RAN: Final = HEADER_RAN.encode()
 _BODY_METHODS: Final = frozenset({"POST", "PUT", "PATCH"})
-_UNANSWERED: Final = (httpx.TransportError, BodyTooLargeError, CallerGoneError)
+_UNANSWERED: Final = (httpx.TransportError, MustardwardError)
+"""Failures of the connection, or of the body that was being sent."""
+
 _NOT_CONNECTED: Final = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
--- a/mustardward/components/entry/drain.py
+++ b/mustardward/components/entry/drain.py
@@ -61,7 +61,7 @@
         await timers.async_sleep(self._core.settings.entry.leaving_seconds)
         _LOGGER.info("listener_closing", in_progress=self._health.in_progress)
         await self._listener.async_stop()
-        while self._service.closing:
+        while self._service.unfinished:
             await timers.async_sleep(_STEP_SECONDS)
         _LOGGER.info("drained", seconds=timers.monotonic() - began)
 
--- a/mustardward/components/entry/front.py
+++ b/mustardward/components/entry/front.py
@@ -17,7 +17,7 @@
 from ...settings.models import RequestLimits
 from ...state.models.templates import Urgency
 from ..templates.protocols import Directory, Resolved
-from .answer import async_close_answer
+from .answer import BROKEN_ANSWER, async_close_answer
 from .body import BodyReader, StreamedBody
 from .const import KEYED_BODY_BYTES, RETRY_BUFFER_BYTES
 from .digest import request_digest
@@ -181,8 +181,11 @@
             with anyio.move_on_after(remaining):
                 await self._writer.async_answer(answer)
                 cause = "worker" if answer.status >= 500 else ""
-        except TruncatedAnswerError as error:
-            cause = error.code
+        except BROKEN_ANSWER as error:
+            cause = TruncatedAnswerError.code
+            _LOGGER.warning(
+                "answer_broken_off", request_id=self._request_id, error=error.code
+            )
         finally:
             with anyio.CancelScope(shield=True):
                 await async_close_answer(answer)
--- a/mustardward/components/entry/parts.py
+++ b/mustardward/components/entry/parts.py
@@ -3,8 +3,32 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Protocol
 
-from .protocols import IntentGate, Limiter, RetryPolicy, Router, WorkerDispatcher
+from returns.result import Result
+
+from ..membership.models import Member
+from .models import RequestFacts
+from .protocols import (
+    FailedAttempt,
+    IntentGate,
+    Limiter,
+    OutgoingRequest,
+    RetryPolicy,
+    Router,
+    WorkerAnswer,
+    WorkerDispatcher,
+)
+
+
+class Forwarding(Protocol):
+    """Let another entry serve a request; ``Peers`` does."""
+
+    async def async_forward(
+        self, member: Member, facts: RequestFacts, request: OutgoingRequest
+    ) -> Result[WorkerAnswer, FailedAttempt]:
+        """Return when the answer's head is there."""
+        ...
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,3 +40,4 @@
     retries: RetryPolicy
     dispatcher: WorkerDispatcher
     intents: IntentGate | None = None
+    peers: Forwarding | None = None
--- a/mustardward/components/entry/service.py
+++ b/mustardward/components/entry/service.py
@@ -1,4 +1,4 @@
-"""Serve requests: admit, open intents, choose workers, try and try again."""
+"""Serve requests whose organisation is known."""
 
 from __future__ import annotations
 
@@ -7,15 +7,19 @@
 from anyio.abc import TaskGroup
 from returns.result import Result
 
+from ...exceptions import MustardwardError
+from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
 from .models import RequestFacts, RequestRefusal
 from .parts import EntryParts
 from .protocols import OutgoingRequest, WorkerAnswer
-from .serving import Serving
+from .serving import Serving, ServingHost
+
+_LOGGER = get_logger(__name__)
 
 
 class EntryService:
-    """Serve requests whose organisation is known.
+    """Serve requests, from callers and from other entries.
 
     :param tasks: the group that makes outcomes durable after the answer.
     """
@@ -23,32 +27,43 @@
     def __init__(
         self, parts: EntryParts, timers: TimerService, tasks: TaskGroup
     ) -> None:
-        self._parts = parts
-        self._timers = timers
+        self._host = ServingHost(parts, timers, self._in_background, self._ended)
         self._tasks = tasks
         self._closing = 0
+        self._in_progress = 0
 
     @property
-    def closing(self) -> int:
-        """Return how many outcomes are still being made durable."""
-        return self._closing
+    def unfinished(self) -> int:
+        """Return how many requests are in progress or not yet durable."""
+        return self._in_progress + self._closing
 
     def start(self, facts: RequestFacts, request: OutgoingRequest) -> Serving:
-        """Return the serving of one request, not yet begun."""
-        return Serving(self._parts, self._timers, self._in_background, facts, request)
+        """Return the serving of one request, which has to be run."""
+        self._in_progress += 1
+        return Serving(self._host, facts, request)
 
     async def async_serve(
         self, facts: RequestFacts, request: OutgoingRequest
     ) -> Result[WorkerAnswer, RequestRefusal]:
-        """Return a worker's answer, or the refusal that ends the request."""
+        """Return a worker's answer, or the refusal that ends the request.
+
+        Whoever takes the answer reads its body to the end or closes it with
+        ``answer.async_close_answer``; until then its places are held.
+        """
         return await self.start(facts, request).async_run()
 
+    def _ended(self) -> None:
+        self._in_progress -= 1
+
     def _in_background(self, function: Callable[[], Awaitable[None]]) -> None:
         self._closing += 1
         self._tasks.start_soon(self._async_run, function)
 
     async def _async_run(self, function: Callable[[], Awaitable[None]]) -> None:
+        # An error here would end the group that carries the whole process.
         try:
             await function()
+        except MustardwardError as error:
+            _LOGGER.warning("outcome_not_durable", error=error.code)
         finally:
             self._closing -= 1
--- a/mustardward/components/entry/serving.py
+++ b/mustardward/components/entry/serving.py
@@ -1,9 +1,9 @@
-"""Take one request through its attempts."""
+"""Take one request from its admission to its answer."""
 
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Final
 
@@ -12,24 +12,27 @@
 
 from ...exceptions import BodyTooLargeError, CallerGoneError
 from ...helpers.timer import TimerService
-from .answer import StoredBody, WatchedBody, async_close_answer
-from .body import StreamedBody
+from ..routing.models import REMOTE_HELPS
+from .answer import StoredBody, WatchedBody
+from .attempts import Attempts, HeldAnswer
 from .const import STORED_ANSWER_BYTES
 from .headers import find_header
-from .models import Attempt, AttemptOutcome, Ran, RequestFacts, RequestRefusal
+from .hedge import HedgedAttempt
+from .models import AttemptOutcome, Ran, RequestFacts, RequestRefusal
 from .parts import EntryParts
 from .problem import no_answer_refusal
 from .protocols import (
     Choice,
-    FailedAttempt,
     OutgoingRequest,
     Permit,
+    RetryDecision,
     StoredAnswer,
     WorkerAnswer,
 )
 
-Background = Callable[[Callable[[], Awaitable[None]]], None]
+Served = Result[WorkerAnswer, RequestRefusal]
 
+_SERVER_ERROR: Final = 500
 _FINAL: Final = {
     AttemptOutcome.NOT_SENT: ("worker-unreachable", 503),
     AttemptOutcome.REFUSED: ("workers-busy", 503),
@@ -42,33 +45,39 @@
 }
 
 
-class Serving:
-    """Hold what one request has been through.
+@dataclass(frozen=True, slots=True)
+class ServingHost:
+    """Hold what a serving needs of its process.
 
-    :param background: runs what the caller need not wait for.
+    ``background`` runs what the caller need not wait for; ``ended`` is called once
+    when nothing of the request is left in progress.
     """
 
+    parts: EntryParts
+    timers: TimerService
+    background: Callable[[Callable[[], Awaitable[None]]], None]
+    ended: Callable[[], None]
+
+
+class Serving:
+    """Hold what one request has been through."""
+
     def __init__(
-        self,
-        parts: EntryParts,
-        timers: TimerService,
-        background: Background,
-        facts: RequestFacts,
-        request: OutgoingRequest,
+        self, host: ServingHost, facts: RequestFacts, request: OutgoingRequest
     ) -> None:
-        self._parts = parts
-        self._timers = timers
-        self._background = background
+        self._host = host
+        self._parts = host.parts
+        self._timers = host.timers
         self._facts = facts
-        self._request = request
-        self._attempts: list[Attempt] = []
+        self._attempts = Attempts(host.parts, host.timers, facts, request)
         self._permit: Permit | None = None
         self._intent_open = False
+        self._over = False
 
     @property
     def attempts(self) -> int:
-        """Return how many attempts were made."""
-        return len(self._attempts)
+        """Return how many attempts were begun."""
+        return self._attempts.begun
 
     @property
     def ran(self) -> Ran:
@@ -78,11 +87,9 @@
         """
         if self._facts.idempotency_key and not self._intent_open:
             return Ran.UNKNOWN
-        if all(attempt.outcome.surely_not_run for attempt in self._attempts):
-            return Ran.NO
-        return Ran.UNKNOWN
+        return self._attempts.ran
 
-    async def async_run(self) -> Result[WorkerAnswer, RequestRefusal]:
+    async def async_run(self) -> Served:
         """Return a worker's answer, or the refusal that ends the request."""
         remaining = self._facts.deadline - self._timers.monotonic()
         if remaining <= 0:
@@ -95,16 +102,16 @@
             raise
         return self._refuse_late()
 
-    async def _async_admitted(self) -> Result[WorkerAnswer, RequestRefusal]:
+    async def _async_admitted(self) -> Served:
         admitted = await self._parts.limiter.async_admit(self._facts)
         if isinstance(admitted, Failure):
-            return self._refuse(admitted.failure())
+            return await self._async_elsewhere(admitted.failure())
         self._permit = admitted.unwrap()
         if self._facts.idempotency_key:
             return await self._async_keyed()
         return await self._async_attempts()
 
-    async def _async_keyed(self) -> Result[WorkerAnswer, RequestRefusal]:
+    async def _async_keyed(self) -> Served:
         gate = self._parts.intents
         if gate is None:
             return self._refuse(
@@ -114,116 +121,123 @@
             )
         opened = await gate.async_open(self._facts)
         if isinstance(opened, Failure):
-            self._release(False)
+            self._give_up()
             return Failure(opened.failure())
         stored = opened.unwrap()
         if stored is not None:
             self._release(True)
+            self._end_once()
             return Success(_stored_answer(stored))
         self._intent_open = True
         return await self._async_attempts()
 
-    async def _async_attempts(self) -> Result[WorkerAnswer, RequestRefusal]:
-        self._parts.retries.record_first(self._facts)
+    async def _async_attempts(self) -> Served:
+        retries = self._parts.retries
+        retries.record_first(self._facts)
         exclude: frozenset[str] = frozenset()
         while True:
-            chosen = self._parts.router.choose(self._facts, exclude)
+            chosen = self._choose(exclude)
             if isinstance(chosen, Failure):
-                return self._refuse(chosen.failure())
+                return await self._async_elsewhere(chosen.failure())
             choice = chosen.unwrap()
-            started = self._timers.monotonic()
-            answer = await self._async_attempt(choice, started)
-            if answer is not None:
-                return self._accept(answer, choice, started)
-            decision = self._parts.retries.decide(
-                self._facts, tuple(self._attempts), self._timers.monotonic()
-            )
-            if not decision.again or not self._can_send_again():
-                return self._refuse(self._final_refusal())
+            held = await self._async_try(choice)
+            if held is not None and not await self._async_try_past(held):
+                return self._accept(held)
+            if held is None:
+                if not self._attempts.may_send_again:
+                    return self._refuse(self._final_refusal())
+                decision = retries.decide(
+                    self._facts, self._attempts.made, self._timers.monotonic()
+                )
+                if not decision.again:
+                    return self._refuse(self._final_refusal())
+                await self._async_pause(decision)
             exclude |= {choice.instance.instance_id}
-            if decision.delay_seconds > 0:
-                await self._timers.async_sleep(decision.delay_seconds)
 
-    async def _async_attempt(
-        self, choice: Choice, started: float
-    ) -> WorkerAnswer | None:
-        failed = FailedAttempt(AttemptOutcome.UNKNOWN, "abandoned")
-        try:
-            sent = await self._parts.dispatcher.async_send(
-                choice, self._facts, self._request
-            )
-            if not isinstance(sent, Failure):
-                answer = sent.unwrap()
-                if self._timers.monotonic() <= self._facts.deadline:
-                    return answer
-                await async_close_answer(answer)
-                failed = FailedAttempt(AttemptOutcome.ANSWERED, "answer-late")
-            else:
-                failed = sent.failure()
-        except BaseException:
-            self._record(choice, failed, started)
-            raise
-        self._record(choice, failed, started)
-        return None
-
-    def _record(self, choice: Choice, failed: FailedAttempt, started: float) -> None:
-        attempt = Attempt(
-            choice.attempt_id,
-            choice.instance.instance_id,
-            failed.outcome,
-            self._timers.monotonic() - started,
-            cause=failed.cause,
+    def _choose(self, exclude: frozenset[str]) -> Result[Choice, RequestRefusal]:
+        """Choose a worker not tried yet; any, once all were."""
+        chosen = self._parts.router.choose(self._facts, exclude)
+        if isinstance(chosen, Failure) and exclude:
+            return self._parts.router.choose(self._facts, frozenset())
+        return chosen
+
+    async def _async_try(self, choice: Choice) -> HeldAnswer | None:
+        delay = self._parts.retries.hedge_after(self._facts)
+        if delay is None or not self._attempts.may_hedge:
+            return await self._attempts.async_local(choice)
+        race = HedgedAttempt(
+            self._parts, self._timers, self._facts, self._attempts, delay
         )
-        self._attempts.append(attempt)
-        self._parts.router.finish(choice, self._facts, attempt)
-
-    def _accept(
-        self, answer: WorkerAnswer, choice: Choice, started: float
-    ) -> Result[WorkerAnswer, RequestRefusal]:
-        attempt = Attempt(
-            choice.attempt_id,
-            choice.instance.instance_id,
-            AttemptOutcome.ANSWERED,
-            self._timers.monotonic() - started,
-            status=answer.status,
+        return await race.async_run(choice)
+
+    async def _async_try_past(self, held: HeldAnswer) -> bool:
+        """Drop an answer that is a worker's failure if another try is allowed."""
+        if held.answer.status < _SERVER_ERROR or not self._facts.idempotent:
+            return False
+        if not self._attempts.may_send_again:
+            return False
+        decision = self._parts.retries.decide(
+            self._facts,
+            (*self._attempts.made, held.attempt),
+            self._timers.monotonic(),
         )
-        self._attempts.append(attempt)
+        if not decision.again:
+            return False
+        await self._attempts.async_give_up(held, "worker-failed")
+        await self._async_pause(decision)
+        return True
+
+    async def _async_pause(self, decision: RetryDecision) -> None:
+        if decision.delay_seconds > 0:
+            await self._timers.async_sleep(decision.delay_seconds)
+
+    async def _async_elsewhere(self, refusal: RequestRefusal) -> Served:
+        """Try another data centre where that helps; else refuse.
+
+        A keyed request stays: its intent stands in this data centre's log, and no
+        other may dispatch it.
+        """
+        helps = refusal.code in REMOTE_HELPS and not self._facts.idempotency_key
+        if not helps or not self._attempts.may_send_again or not self._safe_to_send:
+            return self._refuse(refusal)
+        choice = self._parts.router.choose_remote(self._facts)
+        if choice is None or self._parts.peers is None:
+            return self._refuse(refusal)
+        held = await self._attempts.async_remote(choice)
+        if held is not None:
+            return self._accept(held)
+        return self._refuse(refusal)
+
+    @property
+    def _safe_to_send(self) -> bool:
+        return self._facts.idempotent or self._attempts.ran is Ran.NO
+
+    def _accept(self, held: HeldAnswer) -> Served:
+        answer = held.answer
         keep = STORED_ANSWER_BYTES if self._intent_open else -1
-        on_end = partial(self._end, answer, choice, attempt)
-        body = WatchedBody(answer.chunks, keep, on_end)
+        body = WatchedBody(answer.chunks, keep, partial(self._end, held))
         return Success(WorkerAnswer(answer.status, answer.headers, body))
 
-    def _end(
-        self,
-        answer: WorkerAnswer,
-        choice: Choice,
-        attempt: Attempt,
-        whole: bool,
-        kept: bytes | None,
-    ) -> None:
-        if not whole:
-            attempt = replace(attempt, cause="answer-not-whole")
-        self._parts.router.finish(choice, self._facts, attempt)
-        self._release(whole and answer.status < 500)
+    def _end(self, held: HeldAnswer, whole: bool, kept: bytes | None) -> None:
+        held.end(whole)
+        self._release(whole and held.answer.status < _SERVER_ERROR)
         if self._intent_open:
-            stored = None if kept is None else _stored(answer, kept)
+            stored = None if kept is None else _stored(held.answer, kept)
             self._close_intent(Ran.YES, stored)
-
-    def _can_send_again(self) -> bool:
-        body = self._request.body
-        return not (isinstance(body, StreamedBody) and body.begun)
+        self._end_once()
 
     def _final_refusal(self) -> RequestRefusal:
-        last = self._attempts[-1]
+        made = self._attempts.made
+        last = made[-1]
         code, status = _FINAL_BY_CAUSE.get(last.cause, _FINAL[last.outcome])
-        detail = f"attempts={len(self._attempts)} last={last.cause}"
+        detail = f"attempts={len(made)} last={last.cause}"
         return no_answer_refusal(code, status, self.ran, detail)
 
-    def _refuse_late(self) -> Result[WorkerAnswer, RequestRefusal]:
-        detail = f"attempts={len(self._attempts)}"
+    def _refuse_late(self) -> Served:
+        detail = f"attempts={self._attempts.begun}"
         return self._refuse(RequestRefusal("deadline-exceeded", 504, self.ran, detail))
 
-    def _refuse(self, refusal: RequestRefusal) -> Result[WorkerAnswer, RequestRefusal]:
+    def _refuse(self, refusal: RequestRefusal) -> Served:
         """End with a refusal whose ``ran`` holds for all attempts and the key."""
         ran = self.ran if refusal.ran is Ran.NO else refusal.ran
         self._give_up()
@@ -233,6 +247,12 @@
         self._release(False)
         if self._intent_open:
             self._close_intent(self.ran, None)
+        self._end_once()
+
+    def _end_once(self) -> None:
+        if not self._over:
+            self._over = True
+            self._host.ended()
 
     def _release(self, succeeded: bool) -> None:
         if self._permit is None:
@@ -248,7 +268,7 @@
         gate = self._parts.intents
         assert gate is not None
         facts = self._facts
-        self._background(lambda: gate.async_close(facts, ran.value, answer))
+        self._host.background(lambda: gate.async_close(facts, ran.value, answer))
 
 
 def _stored(answer: WorkerAnswer, body: bytes) -> StoredAnswer:
--- a/mustardward/components/entry/setup.py
+++ b/mustardward/components/entry/setup.py
@@ -12,11 +12,11 @@
     ENTRY,
     INTENT_GATE,
     LIMITER,
+    PEERS,
     RETRY_POLICY,
     ROUTER,
 )
 from .const import CALLER_KEEPALIVE_SECONDS, PRUNE_SECONDS
-from .defaults import StateDirectory
 from .dispatcher import HttpDispatcher
 from .drain import Drain
 from .front import CallerFront
@@ -36,7 +36,7 @@
     health = Health(core)
     front = CallerFront(
         service,
-        core.find(DIRECTORY) or StateDirectory(core),
+        core.get(DIRECTORY),
         health,
         core.settings.limits,
         core.timers,
@@ -70,6 +70,7 @@
         retries=core.get(RETRY_POLICY),
         dispatcher=dispatcher,
         intents=core.find(INTENT_GATE),
+        peers=core.find(PEERS),
     )
 
 
--- a/tests/components/entry/test_failures.py
+++ b/tests/components/entry/test_failures.py
@@ -148,8 +148,9 @@
     next is refused. Cause: the refusal spoke of the last attempt alone.
     """
     async with running_entry(hang_up, refuse) as (entry, _):
+        entry.retries.maximum = 2
         answer = await call(entry, "PUT")
-    assert problem(answer) == (503, "no-worker", "unknown")
+    assert problem(answer) == (503, "workers-busy", "unknown")
 
 
 async def test_a_stray_answer_reaches_nobody() -> None:
--- a/tests/fakes/entry.py
+++ b/tests/fakes/entry.py
@@ -26,13 +26,18 @@
 from mustardward.components.entry.parts import EntryParts
 from mustardward.components.entry.protocols import (
     Choice,
+    FailedAttempt,
     IntentGate,
+    OutgoingRequest,
     Permit,
     RetryDecision,
     StoredAnswer,
+    WorkerAnswer,
 )
 from mustardward.components.entry.service import EntryService
 from mustardward.components.keys import FLEET_LOG
+from mustardward.components.membership.models import Member
+from mustardward.components.routing.models import RemoteChoice
 from mustardward.components.templates.protocols import Resolved
 from mustardward.core import Core
 from mustardward.helpers.listener import HttpListener, ListenerOptions
@@ -130,6 +135,7 @@
     addresses: list[str]
     attempts: list[Attempt] = field(default_factory=list)
     chosen: int = 0
+    remote: RemoteChoice | None = None
 
     def choose(
         self, facts: RequestFacts, exclude: frozenset[str]
@@ -141,6 +147,14 @@
                 return Success(Choice(instance, f"attempt-{self.chosen}"))
         return Failure(RequestRefusal("no-worker", 503, Ran.NO, "none left", 1.0))
 
+    def choose_remote(
+        self, facts: RequestFacts, exclude: frozenset[str] = frozenset()
+    ) -> RemoteChoice | None:
+        return self.remote
+
+    def slots(self, pool: str) -> int:
+        return 8 * len(self.addresses)
+
     def finish(self, choice: Choice, facts: RequestFacts, attempt: Attempt) -> None:
         self.attempts.append(attempt)
 
@@ -155,6 +169,15 @@
     """Allow retries that are safe, up to a number of attempts."""
 
     maximum: int = 3
+    hedge_seconds: float | None = None
+    hedges: int = 0
+
+    def hedge_after(self, facts: RequestFacts) -> float | None:
+        return self.hedge_seconds
+
+    def take_hedge(self, facts: RequestFacts, now: float) -> bool:
+        self.hedges += 1
+        return True
 
     def decide(
         self, facts: RequestFacts, attempts: tuple[Attempt, ...], now: float
@@ -189,6 +212,21 @@
         self.closed.append((ran, answer))
 
 
+@dataclass(slots=True)
+class FakePeers:
+    """Answer forwarded requests with what was set."""
+
+    result: Result[WorkerAnswer, FailedAttempt] | None = None
+    forwarded: list[str] = field(default_factory=list)
+
+    async def async_forward(
+        self, member: Member, facts: RequestFacts, request: OutgoingRequest
+    ) -> Result[WorkerAnswer, FailedAttempt]:
+        self.forwarded.append(member.name)
+        assert self.result is not None
+        return self.result
+
+
 @dataclass(slots=True)
 class SeenRequest:
     """Hold a request as a worker got it."""
@@ -319,6 +357,7 @@
     limits: RequestLimits | None = None,
     intents: IntentGate | None = None,
     parameters: Parameters | None = None,
+    peers: FakePeers | None = None,
 ) -> AsyncIterator[tuple[RunningEntry, list[RawWorker]]]:
     """Run an entry in front of one scripted worker for each script."""
     async with anyio.create_task_group() as tasks:
@@ -331,9 +370,8 @@
         router = FakeRouter([worker.address for worker in workers])
         limiter, retries = FakeLimiter(), FakeRetries()
         dispatcher = HttpDispatcher(timers)
-        service = EntryService(
-            EntryParts(limiter, router, retries, dispatcher, intents), timers, tasks
-        )
+        parts = EntryParts(limiter, router, retries, dispatcher, intents, peers)
+        service = EntryService(parts, timers, tasks)
         directory = FakeDirectory()
         if parameters is not None:
             directory.parameters = parameters
