Move instances between pools by acknowledgement of every entry

Cause: two pools must never send work to one instance, while entries pause, get cut off, join in the middle, or the executor dies between its steps. Ruled out: taking silence for consent, waiting only for the entries that the request names (a newcomer may start from an older state), and returning the instance after the transfer (a dead executor would leave it drained). Membership tells whether a start of an entry is proven gone, the router how many attempts are on their way.

--- a/mustardward/components/maintenance/claim_steps.py
+++ b/mustardward/components/maintenance/claim_steps.py
@@ -35,7 +35,6 @@
     CLAIM_PRIORITY,
     CONFIRM_TIMEOUT_SECONDS,
     REBOOT_PATIENCE_SECONDS,
-    TAIL_FRESH_SECONDS,
     TAIL_LOST_SECONDS,
 )
 from .decisions import DecisionJournal
@@ -134,13 +133,9 @@
             return "tail-lost"
         return ""
 
-    def _may_begin(self) -> bool:
-        log = self._parts.log
-        return log.may_decide and log.tail_age_seconds() <= TAIL_FRESH_SECONDS
-
     @STAGES.register(ClaimStage.CLAIMED)
     async def _async_drain(self, claim: Claim) -> None:
-        if not self._may_begin():
+        if not self._parts.may_begin():
             return
         power = await self._parts.power.async_get(claim.instance_id)
         if power.state is PowerState.DOWN or power.boot != claim.boot:
--- a/mustardward/components/maintenance/models.py
+++ b/mustardward/components/maintenance/models.py
@@ -12,6 +12,7 @@
 from ...state.protocols import FleetLog
 from ..membership.models import Member
 from ..membership.protocols import Membership
+from .const import TAIL_FRESH_SECONDS
 
 
 class Outcome(StrEnum):
@@ -40,6 +41,12 @@
     events: EventBus
     vacate: Callable[[str], Awaitable[bool]]
 
+    def may_begin(self) -> bool:
+        """Tell whether something new may begin: the tail was confirmed just now."""
+        log = self.log
+        fresh = log.tail_age_seconds() <= TAIL_FRESH_SECONDS
+        return log.ready and log.may_decide and fresh
+
 
 def executor_name(member: Member) -> str:
     """Return the name under which a process holds claims and acknowledges moves."""
--- a/mustardward/components/maintenance/services.py
+++ b/mustardward/components/maintenance/services.py
@@ -28,7 +28,7 @@
 )
 from ..explain.models import SubjectKind
 from .claim_steps import ClaimSteps
-from .const import CLAIM_PRIORITY, MAXIMUM_CLAIMS_AT_ONCE, TAIL_FRESH_SECONDS
+from .const import CLAIM_PRIORITY, MAXIMUM_CLAIMS_AT_ONCE
 from .decisions import DecisionJournal
 from .evidence import unreported_down
 from .models import ExecutorParts, executor_name
@@ -76,7 +76,7 @@
         async with anyio.create_task_group() as group:
             for claim in self._own_claims():
                 group.start_soon(self._steps.async_step, claim)
-        if self._may_begin():
+        if self._parts.may_begin():
             for wave in self._duties():
                 await self._async_step_wave(wave)
 
@@ -99,10 +99,6 @@
                 f"pending={len(wave.pending)}",
             )
 
-    def _may_begin(self) -> bool:
-        log = self._parts.log
-        return log.may_decide and log.tail_age_seconds() <= TAIL_FRESH_SECONDS
-
     def _duties(self) -> list[Wave]:
         return [
             wave
--- a/mustardward/components/maintenance/silence_reporter.py
+++ b/mustardward/components/maintenance/silence_reporter.py
@@ -4,7 +4,7 @@
 
 from ...state.fold import RecordOutcome
 from ...state.models.maintenance import ReportSilence
-from .const import CONTRADICTION_SECONDS, DUTY_SILENCE, TAIL_FRESH_SECONDS
+from .const import CONTRADICTION_SECONDS, DUTY_SILENCE
 from .models import ExecutorParts
 
 
@@ -22,15 +22,12 @@
 
     async def async_step(self) -> None:
         """Report what changed."""
-        log = self._parts.log
-        if not log.ready or not log.may_decide:
-            return
-        if log.tail_age_seconds() > TAIL_FRESH_SECONDS:
+        if not self._parts.may_begin():
             return
         if not self._parts.membership.owns_duty(DUTY_SILENCE):
             return
         for body in self._changes():
-            await log.async_propose(body, actor=self._parts.executor)
+            await self._parts.log.async_propose(body, actor=self._parts.executor)
 
     def note_outcome(self, outcome: RecordOutcome) -> None:
         """Remember that a data centre said it speaks."""
--- a/mustardward/components/membership/protocols.py
+++ b/mustardward/components/membership/protocols.py
@@ -53,6 +53,13 @@
         """Tell whether a data centre has given no sign for a while."""
         ...
 
+    def is_gone(self, name: str, start: int) -> bool:
+        """Tell whether a start of an entry is proven to have ended.
+
+        An entry that is only silent is not gone: it may be paused with work in hand.
+        """
+        ...
+
     async def async_announce_leaving(self) -> None:
         """Tell all peers at once that this process is leaving."""
         ...
--- a/mustardward/components/membership/services.py
+++ b/mustardward/components/membership/services.py
@@ -80,6 +80,13 @@
         """Tell whether a data centre has given no sign for a while."""
         return data_centre in self._silence.silent
 
+    def is_gone(self, name: str, start: int) -> bool:
+        """Tell whether a start of an entry is proven to have ended."""
+        member = self._table.get(name)
+        if member is None or member.start < start:
+            return False
+        return member.start > start or member.status is MemberStatus.GONE
+
     def owns_duty(self, duty: str, holders: int = 1) -> bool:
         """Tell whether this process is among the holders of a duty now.
 
--- a/mustardward/components/pools/__init__.py
+++ b/mustardward/components/pools/__init__.py
@@ -7,11 +7,15 @@
 
 async def async_setup(core: Core) -> Unload:
     """Set the component up and return what undoes it."""
+    from .setup import async_setup_pools
 
-    async def async_unload() -> None:
-        return None
+    return await async_setup_pools(core)
 
-    return async_unload
 
-
-COMPONENTS.register("pools")(ComponentDescription("pools", async_setup))
+COMPONENTS.register("pools")(
+    ComponentDescription(
+        "pools",
+        async_setup,
+        ("platform", "log", "peers", "membership", "routing", "jobs"),
+    )
+)
--- a/mustardward/components/routing/services.py
+++ b/mustardward/components/routing/services.py
@@ -92,6 +92,11 @@
         lost = sum(load.counted_slots for load in members if load is not None)
         return group.slots - lost
 
+    def in_flight(self, instance_id: str) -> int:
+        """Return how many attempts of this process are on their way to a worker."""
+        load = self.index.load(instance_id)
+        return load.in_flight if load is not None else 0
+
     def on_record(self, outcome: RecordOutcome) -> None:
         """Follow one folded record."""
         if not isinstance(outcome.result, Success):
--- a/tests/fakes/waves.py
+++ b/tests/fakes/waves.py
@@ -8,6 +8,7 @@
 
 from returns.result import Failure, Result
 
+from mustardward.components.membership.const import START_FACTOR
 from mustardward.components.membership.models import Member, MemberStatus
 from mustardward.exceptions import (
     MustardwardError,
@@ -181,6 +182,7 @@
         self.others: list[Member] = []
         self.down: set[str] = set()
         self.silent: set[str] = set()
+        self.gone: set[tuple[str, int]] = set()
         self.duty = True
 
     @property
@@ -206,6 +208,15 @@
     def instance_may_get_work(self, instance_id: str) -> bool:
         return instance_id not in self.down
 
+    def restart(self) -> None:
+        """Let this process be a later start under its name."""
+        self._own = build_member(
+            self._own.name, self._own.data_centre, incarnation=START_FACTOR
+        )
+
+    def is_gone(self, name: str, start: int) -> bool:
+        return (name, start) in self.gone
+
     def is_silent(self, data_centre: str) -> bool:
         return data_centre in self.silent
 
