--- a/mustardward/components/routing/services.py
+++ b/mustardward/components/routing/services.py
@@ -104,6 +104,11 @@
         """Follow a change of the slots that long work holds on a worker."""
         self.index.refresh(instance_id)
 
+    def in_flight(self, instance_id: str) -> int:
+        """Return how many attempts of this process are on their way to a worker."""
+        load = self.index.load(instance_id)
+        return load.in_flight if load is not None else 0
+
     def on_record(self, outcome: RecordOutcome) -> None:
         """Follow one folded record."""
         if not isinstance(outcome.result, Success):
