Leave unreachable workers alone for moments, not terms

Cause: workers that could not be reached were judged outliers; after half of a pool came back, two of them stayed in quarantine for five seconds and more. Ruled out: a shorter first term, which would let in workers that fail what they run. Change: a connection that fails makes the router leave the worker alone for 0.25 s, doubling up to 2 s; quarantine judges what was sent.

--- a/mustardward/components/routing/const.py
+++ b/mustardward/components/routing/const.py
@@ -19,6 +19,13 @@
 AVOID_SECONDS: Final = 1.0
 """How long a worker that said it is draining, or not ours, is left alone."""
 
+UNREACHABLE_SECONDS: Final = 0.25
+UNREACHABLE_MAXIMUM_SECONDS: Final = 2.0
+"""How long a worker that could not be reached is left alone, at first and at most.
+
+It is no matter for quarantine: it fails nothing, and comes back from one moment to the
+next."""
+
 BUSY_MEMORY_SECONDS: Final = 0.1
 """How long a busy refusal counts as knowledge of what other entries do there."""
 
--- a/mustardward/components/routing/index.py
+++ b/mustardward/components/routing/index.py
@@ -42,6 +42,7 @@
     others_memory: float = 1.0
     avoid_until: float = 0.0
     suspect: bool = False
+    unreachable: int = 0
     health: Health = field(default_factory=Health)
 
     @property
--- a/mustardward/components/routing/services.py
+++ b/mustardward/components/routing/services.py
@@ -29,6 +29,8 @@
     QUARANTINE_CAUSE,
     REFUSAL_BASE_SECONDS,
     REFUSAL_SPREAD_SECONDS,
+    UNREACHABLE_MAXIMUM_SECONDS,
+    UNREACHABLE_SECONDS,
     USAGE_MEMORY_SECONDS,
 )
 from .index import FleetIndex, WorkerGroup, WorkerLoad
@@ -169,6 +171,7 @@
         now = self._timers.monotonic()
         load.in_flight = max(0, load.in_flight - 1)
         self._note_refusal(load, attempt, now)
+        self._note_unreachable(load, attempt, now)
         self._standing.judge(self._index, load, facts.request_id, attempt, now)
         self._index.place(load)
         self._report(load, attempt, now)
@@ -230,6 +233,15 @@
         instance_id = load.instance.instance_id
         return load if self._membership.instance_may_get_work(instance_id) else None
 
+    def _note_unreachable(self, load: WorkerLoad, attempt: Attempt, now: float) -> None:
+        if attempt.outcome is not AttemptOutcome.NOT_SENT:
+            load.unreachable = 0
+            return
+        pause = UNREACHABLE_SECONDS * 2.0**load.unreachable
+        load.unreachable = min(load.unreachable + 1, 8)
+        pause = min(pause, UNREACHABLE_MAXIMUM_SECONDS)
+        load.avoid_until = now + pause * (0.5 + self._random.random() / 2)
+
     def _report(self, load: WorkerLoad, attempt: Attempt, now: float) -> None:
         instance_id = load.instance.instance_id
         if attempt.outcome is AttemptOutcome.ANSWERED:
--- a/mustardward/components/routing/standing.py
+++ b/mustardward/components/routing/standing.py
@@ -57,6 +57,8 @@
         if load.health.standing != TRUSTED:
             self._judge_probe(index, load, failed, now)
             return
+        if attempt.outcome is AttemptOutcome.NOT_SENT:
+            return
         if failed and not self._blame_counts(index, load, request_id):
             return
         self._change_share(load, failed, now)
