--- a/bench/policy_model.py
+++ b/bench/policy_model.py
@@ -85,6 +85,7 @@
     claimed_ran: str = ""
     code: str = ""
     retry_after: float | None = None
+    repeats: int = 0
     on_answer: Callable[[Request], None] | None = None
 
     @property
@@ -340,6 +341,7 @@
             deadline=now + traffic.deadline_seconds,
             service_seconds=traffic.service_seconds * length,
             parameters=traffic.parameters,
+            repeats=traffic.retries - retries,
         )
         if retries:
             request.on_answer = partial(self._answered, traffic, random, retries)
--- a/mustardward/components/limits/const.py
+++ b/mustardward/components/limits/const.py
@@ -37,7 +37,7 @@
 BUSY_FEW: Final = 0.02
 """Share of busy refusals above which what was borrowed is given back."""
 
-MINIMUM_SHARE: Final = 0.25
+MINIMUM_SHARE: Final = 0.5
 """Share of the fair share below which no limit shrinks."""
 
 USUAL_SMOOTHING: Final = 0.005
