Ask long work for as many slots as end the wait, and count on them

Cause: each waiting urgent request asked for a slot of its own, which emptied the pool of long work for 0.1 s requests; urgent requests were refused by what was free at that moment; busy refusals used the retry budget up while slots fell free.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from bench.policy_entries import build_entries
+from bench.policy_long import LongWork
 from bench.policy_model import (
     POOL,
     Callers,
@@ -195,6 +196,51 @@
     return sum(item.good for item in requests) / len(requests)
 
 
+def measure_urgent(report: Report, scale: float, seed: int) -> None:
+    """Measure when urgent work starts where long work fills what it may, or all."""
+    urgent = Parameters(quota=Quota(concurrency=64, queue=512))
+    traffic = Traffic(
+        "shop",
+        0.3 * CAPACITY,
+        deadline_seconds=10.0,
+        urgency=Urgency.URGENT,
+        parameters=urgent,
+        start=10.0,
+    )
+    for share, label in ((0.9, "reserve"), (1.0, "all")):
+        for kind in ("product", "fifo"):
+            fleet = Fleet(seed)
+            long_work = LongWork(fleet, share)
+            entries = build_entries(fleet, kind, ENTRIES, long_work)
+            callers = Callers(fleet, entries)
+            callers.start(traffic)
+            fleet.clock.run(10.0)
+            before = long_work.slot_seconds
+            length = 30.0 * scale
+            fleet.clock.run(10.0 + length)
+            held = (long_work.slot_seconds - before) / length / fleet.slots
+            callers.stop()
+            fleet.clock.run(60.0 + length)
+            _put_urgent(report, f"{kind}_{label}", callers.requests, held)
+
+
+def _put_urgent(
+    report: Report, label: str, requests: list[Request], held: float
+) -> None:
+    waits = [
+        item.deadline - item.arrived
+        if item.first_start is None
+        else item.first_start - item.arrived
+        for item in requests
+    ]
+    label = label.removeprefix("product_")
+    slowest = max(waits)
+    is_aim = not label.startswith("fifo")
+    report.aim(f"urgent_start_{label}_max_s", slowest, slowest <= 3.1 or not is_aim)
+    report.put(f"urgent_start_{label}_p99_s", quantile(waits, 0.99))
+    report.put(f"long_share_{label}", held)
+
+
 def measure_choice(report: Report, scale: float, seed: int) -> None:
     """Measure the cost of one placement decision as the fleet grows."""
     costs = {}
@@ -253,6 +299,7 @@
     "goodput": measure_goodput,
     "outage": measure_outage,
     "truth": measure_truth,
+    "urgent": measure_urgent,
     "choice": measure_choice,
 }
 
--- a/bench/policy_entries.py
+++ b/bench/policy_entries.py
@@ -9,6 +9,7 @@
 
 from returns.result import Failure
 
+from bench.policy_long import LongWork
 from bench.policy_model import (
     DATA_CENTRE,
     POOL,
@@ -69,8 +70,16 @@
 class ProductEntry:
     """Run the product's limits, routing and retries for one entry."""
 
-    def __init__(self, fleet: Fleet, name: str, membership: ModelMembership) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        name: str,
+        membership: ModelMembership,
+        long_work: LongWork | None,
+    ) -> None:
         self._fleet = fleet
+        self._name = name
+        self._long_work = long_work
         self._clock = fleet.clock
         random = Random(f"{fleet.seed}/{name}")
         self.events: list[Any] = []
@@ -80,13 +89,17 @@
             timers=fleet.clock,  # type: ignore[arg-type]
             data_centre=DATA_CENTRE,
             publish=self._publish,
+            count_long=self._count_long,
             random=random,
         )
+        if long_work is not None:
+            long_work.listeners.append(self.router.on_long_work)
         fleet.log.listen(self.router.on_record)
         self._capacity = CapacityView(
             log=fleet.log,  # type: ignore[arg-type]
             membership=membership,  # type: ignore[arg-type]
             slots=self.router.slots,
+            lent_slots=self.router.lent_slots,
             data_centre=DATA_CENTRE,
         )
         self.gate = PoolGate(self._capacity.of(POOL, 0.0), 512)
@@ -125,6 +138,13 @@
         now = self._clock.now
         self._decided(self.gate.resize(self._capacity.of(POOL, now), now))
         self._decided(self.gate.sweep(now))
+        if self._long_work is not None and self.gate.slots_wanted:
+            self._long_work.wanted(self._name, self.gate.slots_wanted)
+
+    def _count_long(self, instance_id: str) -> int:
+        if self._long_work is None:
+            return 0
+        return self._long_work.folded.get(instance_id, 0)
 
     def _decided(self, tickets: list[Ticket]) -> None:
         for ticket in tickets:
@@ -334,11 +354,16 @@
         self._pump()
 
 
-def build_entries(fleet: Fleet, kind: str, count: int) -> list[Any]:
+def build_entries(
+    fleet: Fleet, kind: str, count: int, long_work: LongWork | None = None
+) -> list[Any]:
     """Return entries of one kind: ``product``, ``round-robin`` or ``fifo``."""
     if kind == "round-robin":
         return [RoundRobinEntry(fleet, number) for number in range(count)]
     if kind == "fifo":
         return [FifoEntry(fleet, number, count) for number in range(count)]
     names = [f"entry-{number}" for number in range(count)]
-    return [ProductEntry(fleet, name, ModelMembership(name, names)) for name in names]
+    return [
+        ProductEntry(fleet, name, ModelMembership(name, names), long_work)
+        for name in names
+    ]
--- a/mustardward/components/entry/protocols.py
+++ b/mustardward/components/entry/protocols.py
@@ -70,6 +70,10 @@
         """Return the slots for requests of a pool's workers in this data centre."""
         ...
 
+    def lent_slots(self, pool: str) -> int:
+        """Return the slots of a pool's workers here that long work holds."""
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class RetryDecision:
--- a/mustardward/components/limits/__init__.py
+++ b/mustardward/components/limits/__init__.py
@@ -17,6 +17,7 @@
         log=core.get(FLEET_LOG),
         membership=core.get(MEMBERSHIP),
         slots=core.get(ROUTER).slots,
+        lent_slots=core.get(ROUTER).lent_slots,
         data_centre=core.settings.entry.data_centre,
     )
     limiter = LimiterService(
--- a/mustardward/components/limits/capacity.py
+++ b/mustardward/components/limits/capacity.py
@@ -14,7 +14,8 @@
 class CapacityView:
     """Tell capacities, each at most ``CAPACITY_SECONDS`` old.
 
-    :param slots: returns the slots of a pool's usable workers in this data centre.
+    :param slots: returns the slots for requests of a pool in this data centre.
+    :param lent_slots: returns those that long work holds.
     """
 
     def __init__(
@@ -23,11 +24,13 @@
         log: FleetLog,
         membership: Membership,
         slots: Callable[[str], int],
+        lent_slots: Callable[[str], int],
         data_centre: str,
     ) -> None:
         self._log = log
         self._membership = membership
         self._slots = slots
+        self._lent_slots = lent_slots
         self._data_centre = data_centre
         self._read: dict[str, tuple[float, PoolCapacity]] = {}
         self._reserves: dict[str, float] = {}
@@ -42,6 +45,7 @@
             slots=self._slots(pool),
             entries=max(1, len(self._membership.live(self._data_centre))),
             reserve=self._reserve(pool),
+            lent=self._lent_slots(pool),
         )
         self._read[pool] = (now, capacity)
         return capacity
--- a/mustardward/components/limits/const.py
+++ b/mustardward/components/limits/const.py
@@ -58,6 +58,9 @@
 SERVICE_SHARE: Final = 0.5
 """Share of the expected latency that has to be left when a request is started."""
 
+URGENT_DRAIN_SECONDS: Final = 0.5
+"""Time in which slots taken back from long work should end urgent work's wait."""
+
 URGENT_OVERDUE_SECONDS: Final = 1.0
 """Wait after which urgent work is sent although no slot is known to be free."""
 
--- a/mustardward/components/limits/gate.py
+++ b/mustardward/components/limits/gate.py
@@ -16,6 +16,7 @@
     LONG_AGING_SECONDS,
     RESERVE_PARTS,
     SERVICE_SHARE,
+    URGENT_DRAIN_SECONDS,
     URGENT_OVERDUE_SECONDS,
     URGENT_TRIALS,
     WAIT_SHARE,
@@ -45,7 +46,7 @@
         self._virtual_time = 0.0
         self._in_flight = 0
         self._waiting = 0
-        self._urgent_waiting = 0
+        self._urgent_seconds = 0.0
         self._follow_capacity()
 
     @property
@@ -82,9 +83,13 @@
         return min(self.places, self.open_places + (self.reserved_places + 1) // 2)
 
     @property
-    def urgent_waiting(self) -> int:
-        """Return the number of urgent requests that wait."""
-        return self._urgent_waiting
+    def slots_wanted(self) -> int:
+        """Return the slots that would end the wait of urgent requests soon.
+
+        Asking for one slot for each would stop far more long work than short requests
+        can use.
+        """
+        return math.ceil(self._urgent_seconds / URGENT_DRAIN_SECONDS)
 
     def figures(self) -> GateFigures:
         """Return what reports show."""
@@ -198,7 +203,7 @@
     def _would_miss(self, queue: OrganisationQueue, ticket: Ticket, now: float) -> bool:
         if not queue.in_flight and queue.total_waiting == 1:
             return False
-        share = self._table.backlog_share(queue, self.places)
+        share = self._table.backlog_share(queue, self._places_soon(ticket))
         wait = queue.cost_ahead(ticket.urgency) / max(1e-6, share)
         return wait > WAIT_SHARE * (ticket.deadline - now)
 
@@ -215,6 +220,13 @@
         self._selection.file(queue)
         return [ticket]
 
+    def _places_soon(self, ticket: Ticket) -> int:
+        # Urgent work has long work's slots as soon as they are given back; refused for
+        # what is free at this moment, nobody would ask for them.
+        if ticket.urgency is not Urgency.URGENT:
+            return self.places
+        return self.places + self._capacity.lent // self._capacity.entries
+
     def _enqueue(self, queue: OrganisationQueue, ticket: Ticket) -> None:
         ticket.is_long = ticket.urgency is Urgency.LONG
         ticket.cost = ticket.estimate.recent
@@ -309,7 +321,8 @@
     def _count_waiting(self, ticket: Ticket, change: int) -> None:
         self._waiting += change
         if ticket.urgency is Urgency.URGENT:
-            self._urgent_waiting += change
+            seconds = self._urgent_seconds + change * ticket.cost
+            self._urgent_seconds = max(0.0, seconds) if self._waiting else 0.0
 
     def _follow_capacity(self) -> None:
         entries = max(1, self._capacity.entries)
--- a/mustardward/components/limits/models.py
+++ b/mustardward/components/limits/models.py
@@ -53,12 +53,14 @@
 class PoolCapacity:
     """Hold a pool's capacity in this data centre.
 
-    ``reserve`` is the share of places kept for urgent work and light organisations.
+    ``reserve`` is the share of places kept for urgent work and light organisations,
+    ``lent`` the slots that long work holds and gives back to urgent work.
     """
 
     slots: int
     entries: int
     reserve: float
+    lent: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/mustardward/components/limits/services.py
+++ b/mustardward/components/limits/services.py
@@ -111,8 +111,8 @@
         for pool, gate in self._gates.items():
             self._wake(gate.resize(self._capacity.of(pool, now), now))
             self._wake(gate.sweep(now))
-            if gate.urgent_waiting:
-                self._publish(SlotsWanted(pool, gate.urgent_waiting))
+            if gate.slots_wanted:
+                self._publish(SlotsWanted(pool, gate.slots_wanted))
 
     async def async_prune(self) -> None:
         """Forget organisations that are idle."""
--- a/mustardward/components/retries/const.py
+++ b/mustardward/components/retries/const.py
@@ -7,7 +7,7 @@
 MAXIMUM_ATTEMPTS: Final = 4
 """Attempts of one request that may cost a worker something."""
 
-MAXIMUM_BUSY: Final = 16
+MAXIMUM_BUSY: Final = 32
 """Busy refusals of one request; each costs next to nothing."""
 
 FIRST_TOKENS: Final = 3.0
@@ -17,8 +17,12 @@
 """Retries that an organisation may save up."""
 
 RETRY_COST: Final = 1.0
-BUSY_COST: Final = 0.2
-"""Cost of trying again after a busy refusal, which cost its worker nothing."""
+BUSY_COST: Final = 0.0
+"""Cost of trying again after a busy refusal.
+
+It cost its worker next to nothing, and the limits bound how many requests are on their
+way at once; paid for out of the budget it would end in refusals while slots fall free.
+"""
 
 BACKOFF_BASE_SECONDS: Final = 0.025
 BACKOFF_MAXIMUM_SECONDS: Final = 1.0
--- a/mustardward/components/routing/index.py
+++ b/mustardward/components/routing/index.py
@@ -34,6 +34,7 @@
     in_flight: int = 0
     usable: bool = False
     counted_slots: int = 0
+    counted_lent: int = 0
     counted: bool = False
     allotment: int = 0
     long_tasks: int = 0
@@ -61,8 +62,9 @@
     """Hold the workers of one pool in one data centre.
 
     ``open`` lists those that may get work now, ``allotted`` those of them that have
-    a free slot of our own allotment. ``slots`` are those for requests and
-    ``failure_sum`` the failure shares of the trusted ones.
+    a free slot of our own allotment. ``slots`` are those for requests,
+    ``lent`` those that long work holds, and ``failure_sum`` the failure shares, all of
+    the trusted ones.
     """
 
     key: GroupKey
@@ -72,6 +74,7 @@
     usable: int = 0
     trusted: int = 0
     slots: int = 0
+    lent: int = 0
     failure_sum: float = 0.0
     quarantined: set[str] = field(default_factory=set)
 
@@ -160,8 +163,11 @@
         """Put a worker on or off the list of those that may get work now."""
         trusted = load.usable and load.health.standing == TRUSTED
         slots = load.request_slots if trusted else 0
+        lent = load.instance.slots - slots if trusted else 0
         load.group.slots += slots - load.counted_slots
+        load.group.lent += lent - load.counted_lent
         load.counted_slots = slots
+        load.counted_lent = lent
         load.group.trusted += trusted - load.counted
         load.counted = trusted
         wanted = trusted and not load.is_full
--- a/mustardward/components/routing/services.py
+++ b/mustardward/components/routing/services.py
@@ -102,6 +102,11 @@
         # nobody would ask long work to give way.
         return max(1, group.slots)
 
+    def lent_slots(self, pool: str) -> int:
+        """Return the slots of a pool's workers here that long work holds."""
+        group = self.group(pool)
+        return 0 if group is None else group.lent
+
     def on_long_work(self, instance_id: str) -> None:
         """Follow a change of the slots that long work holds on a worker."""
         self.index.refresh(instance_id)
--- a/tests/components/limits/test_limiter.py
+++ b/tests/components/limits/test_limiter.py
@@ -40,6 +40,7 @@
             log=self.log,
             membership=FakeMembership(),
             slots=lambda pool: self.slots,
+            lent_slots=lambda pool: 0,
             data_centre="dc-1",
         )
         self.limiter = LimiterService(
