--- a/tests/state/test_pools.py
+++ b/tests/state/test_pools.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mustardward.state.budgets import BudgetExceededError
+from mustardward.state.budgets import BudgetExceededError, BudgetIndex, index_of
 from mustardward.state.fold import RevisionConflictError
 from mustardward.state.handlers.pools import (
     MoveInProgressError,
@@ -16,7 +16,11 @@
     UnknownPoolError,
     UnknownSubjectError,
 )
-from mustardward.state.models.maintenance import Claim
+from mustardward.state.models.maintenance import (
+    AbsenceChange,
+    Claim,
+    ReportAbsences,
+)
 from mustardward.state.models.pools import (
     AcknowledgeMove,
     CancelMove,
@@ -135,3 +139,28 @@
     refused = builder.apply(request, generation).result.failure()
     assert isinstance(refused, BudgetExceededError)
     assert refused.binding.organisation == "club"
+
+
+def test_an_instance_that_failed_while_draining_is_not_transferred(
+    builder: FoldBuilder,
+) -> None:
+    _request(builder, "move-1")
+    builder.accept(AcknowledgeMove("move-1", ("entry-a", "entry-b")))
+    builder.accept(ReportAbsences("bergen", (AbsenceChange("one", up=False, boot=1),)))
+    held = builder.apply(TransferInstance("move-1")).result.failure()
+    assert isinstance(held, SubjectInUseError)
+    builder.accept(ReportAbsences("bergen", (AbsenceChange("one", up=True, boot=1),)))
+    builder.accept(TransferInstance("move-1"))
+
+
+def test_counters_of_budgets_follow_every_change_of_owner(
+    builder: FoldBuilder,
+) -> None:
+    _request(builder, "move-1")
+    builder.accept(AcknowledgeMove("move-1", ("entry-a", "entry-b")))
+    builder.accept(TransferInstance("move-1"))
+    builder.accept(build_instance("three", "casting"))
+    builder.accept(RemoveInstance("two"))
+    state = builder.fold.state
+    assert index_of(state).snapshot() == BudgetIndex(state).snapshot()
+    assert index_of(state).count(state, "casting", "bergen").total == 2
