--- a/mustardward/state/handlers/pools.py
+++ b/mustardward/state/handlers/pools.py
@@ -162,6 +162,9 @@
     waiting = move.expected - move.acknowledged
     if waiting:
         return Failure(MoveUnacknowledgedError(f"waiting={','.join(sorted(waiting))}"))
+    if move.instance_id in state.absences:
+        # In its target it would count as one more instance that is not available.
+        return Failure(SubjectInUseError(f"instance={move.instance_id} absent"))
     instance = state.instances[move.instance_id]
     instance.pool = move.target
     instance.generation = context.sequence
