Bound the reading of a body by the request's own deadline

Cause: a body was waited for up to the longest deadline of the settings, however short the request's own; and `limits.default_deadline_seconds` decided nothing, since a template always has a deadline. Ruled out: keeping the key as a second default (two places for one value). Change: the deadline is known before the body is read; a request without a body is not waited for at all. Conclusion: a test sends half a body and gets 408; a test holds the page to the models.

--- a/mustardward/components/entry/body.py
+++ b/mustardward/components/entry/body.py
@@ -27,6 +27,10 @@
         """Tell whether all of the body was read."""
         return self._ended
 
+    def end(self) -> None:
+        """Take it that there is no body, and read none."""
+        self._ended = True
+
     async def async_chunk(self) -> bytes:
         """Return the next piece; empty once the body has ended.
 
--- a/mustardward/components/entry/front.py
+++ b/mustardward/components/entry/front.py
@@ -37,6 +37,9 @@
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 _HEALTH_PREFIX: Final = b"/-/"
+_CALLER_GONE: Final = 499
+"""Status in the log and the metrics of a request whose caller went away."""
+
 _NO_URGENCY: Final = Urgency.NORMAL
 
 
@@ -104,18 +107,15 @@
 
     async def async_run(self) -> None:
         """Serve the request up to its final answer."""
-        front = self._front
-        deadline = front._limits.maximum_deadline_seconds
         prepared: Result[OutgoingRequest, RequestRefusal]
         try:
-            with anyio.fail_after(deadline):
-                prepared = await self._async_prepare()
+            prepared = await self._async_prepare()
         except TimeoutError:
-            prepared = _refuse("body-too-slow", 408, "the body did not come in time")
+            prepared = _refuse("body-too-slow", 408, "the body missed the deadline")
         except BodyTooLargeError as error:
             prepared = _refuse(error.code, 413, error.detail)
         except CallerGoneError:
-            self._finish(499, Ran.NO, "caller-gone")
+            self._finish(_CALLER_GONE, Ran.NO, CallerGoneError.code)
             return
         if isinstance(prepared, Failure):
             await self._async_refuse(self._cautious(prepared.failure()))
@@ -142,29 +142,39 @@
     async def _async_read(
         self, request: CallerRequest, resolved: Resolved
     ) -> Result[OutgoingRequest, RequestRefusal]:
+        front = self._front
+        facts = build_facts(request, resolved, front._limits, self._arrived)
         keyed = bool(request.idempotency_key)
         bound = KEYED_BODY_BYTES if keyed else RETRY_BUFFER_BYTES
-        length = request.content_length
-        held = b""
-        if length is None or length <= bound:
-            held = await self._reader.async_hold(bound)
-        if keyed and not self._reader.ended:
+        held = await self._async_hold(request, bound, facts.deadline)
+        whole = self._reader.ended
+        if keyed and not whole:
             return _refuse("key-body-too-large", 413, f"limit={KEYED_BODY_BYTES}")
-        digest = request_digest(request, held) if keyed else ""
-        front = self._front
-        self._facts = build_facts(
-            request, resolved, front._limits, self._arrived, digest
-        )
+        if keyed:
+            facts = replace(facts, request_digest=request_digest(request, held))
+        self._facts = facts
         headers = request_headers(self._scope["headers"])
-        if self._reader.ended:
+        if whole:
             return Success(
                 OutgoingRequest(request.method, request.target, headers, held)
             )
-        if length is not None:
-            headers += ((b"content-length", b"%d" % length),)
+        if request.content_length is not None:
+            headers += ((b"content-length", b"%d" % request.content_length),)
         body = StreamedBody(self._reader, held)
         return Success(OutgoingRequest(request.method, request.target, headers, body))
 
+    async def _async_hold(
+        self, request: CallerRequest, bound: int, deadline: float
+    ) -> bytes:
+        """Read the body as far as it is held; all of it if it is small."""
+        if _is_bodiless(self._scope):
+            self._reader.end()
+            return b""
+        if request.content_length is not None and request.content_length > bound:
+            return b""
+        with anyio.fail_after(deadline - self._front._timers.monotonic()):
+            return await self._reader.async_hold(bound)
+
     async def _async_serve(self, facts: RequestFacts, request: OutgoingRequest) -> None:
         serving = self._front._service.start(facts, request)
         result = await serving.async_run()
--- a/mustardward/components/entry/parse.py
+++ b/mustardward/components/entry/parse.py
@@ -107,9 +107,11 @@
     resolved: Resolved,
     limits: RequestLimits,
     arrived: float,
-    digest: str,
 ) -> RequestFacts:
-    """Return the facts of a request whose organisation was found."""
+    """Return the facts of a request whose organisation was found.
+
+    The digest of a keyed request is filled in once its body was read.
+    """
     parameters = resolved.organisation.parameters
     return RequestFacts(
         request_id=request.request_id,
@@ -122,7 +124,6 @@
         arrived=arrived,
         deadline=arrived + _deadline_seconds(request, parameters, limits),
         idempotency_key=request.idempotency_key,
-        request_digest=digest,
     )
 
 
--- a/mustardward/settings/models.py
+++ b/mustardward/settings/models.py
@@ -27,11 +27,24 @@
 class EntryIdentity(SettingsModel):
     """Say who and where the process is."""
 
-    name: str = Field(min_length=1, max_length=64, pattern=r"^[a-z0-9][a-z0-9.-]*$")
+    name: str = Field(
+        min_length=1,
+        max_length=64,
+        pattern=r"^[a-z0-9][a-z0-9.-]*$",
+        description="name of the process, unique in the fleet",
+    )
     data_centre: str = Field(
-        min_length=1, max_length=64, pattern=r"^[a-z0-9][a-z0-9-]*$"
+        min_length=1,
+        max_length=64,
+        pattern=r"^[a-z0-9][a-z0-9-]*$",
+        description="data centre it stands in; its workers are those of the same",
+    )
+    region: str = Field(
+        default="default",
+        min_length=1,
+        max_length=64,
+        description="region of the data centre",
     )
-    region: str = Field(default="default", min_length=1, max_length=64)
     leaving_seconds: float = Field(
         default=2.0,
         ge=0,
@@ -43,17 +56,21 @@
 class PeerAddress(SettingsModel):
     """Name another entry process to begin with; others are learnt from it."""
 
-    name: str
-    data_centre: str
-    host: str
-    port: int = Field(ge=1, le=65535)
+    name: str = Field(description="the other entry's `entry.name`")
+    data_centre: str = Field(description="the other entry's `entry.data_centre`")
+    host: str = Field(description="IP number of its `peer_listen`")
+    port: int = Field(ge=1, le=65535, description="TCP port of its `peer_listen`")
 
 
 class PlatformSettings(SettingsModel):
     """Say where the platform's services are."""
 
-    url: str = Field(pattern=r"^https?://")
-    timeout_seconds: float = Field(default=2.0, gt=0, le=60)
+    url: str = Field(
+        pattern=r"^https?://", description="where log, list and pool service answer"
+    )
+    timeout_seconds: float = Field(
+        default=2.0, gt=0, le=60, description="longest wait for an answer"
+    )
     poll_seconds: float = Field(default=1.0, gt=0, le=30, description="long-poll wait")
     append_interval_seconds: float = Field(
         default=0.02, ge=0, le=5, description="group-commit window"
@@ -63,36 +80,52 @@
 class RequestLimits(SettingsModel):
     """Bound what one caller's request may cost."""
 
-    header_bytes: int = Field(default=32_768, ge=1024)
-    body_bytes: int = Field(default=16_777_216, ge=0)
-    default_deadline_seconds: float = Field(default=30.0, gt=0, le=3600)
-    maximum_deadline_seconds: float = Field(default=300.0, gt=0, le=3600)
-    queue_length: int = Field(default=512, ge=0)
+    header_bytes: int = Field(
+        default=32_768, ge=1024, description="request line and headers; else 431"
+    )
+    body_bytes: int = Field(
+        default=16_777_216, ge=0, description="a request's body; else 413"
+    )
+    maximum_deadline_seconds: float = Field(
+        default=300.0,
+        gt=0,
+        le=3600,
+        description="longest life of a request, whatever its caller or template asks",
+    )
+    queue_length: int = Field(
+        default=512, ge=0, description="requests that may wait for one pool"
+    )
 
 
 class TlsSettings(SettingsModel):
     """Name the files of a key pair and the authority that peers must show."""
 
-    certificate: Path
-    key: Path
-    authority: Path
+    certificate: Path = Field(description="PEM file of the process's certificate")
+    key: Path = Field(description="PEM file of its private key")
+    authority: Path = Field(
+        description="PEM file of the authority that the other side's has to be from"
+    )
 
 
 class OperatorSettings(SettingsModel):
     """Say how operators reach the process."""
 
     listen: Listener = Listener(port=0)
-    token_file: Path | None = None
+    token_file: Path | None = Field(
+        default=None,
+        description="file with the bearer token, at least 16 characters; "
+        "without one, any call that reaches the listener is let in",
+    )
     tls: TlsSettings | None = None
 
 
 class MetricsSettings(SettingsModel):
     """Say where statsd metrics go."""
 
-    host: str = "127.0.0.1"
-    port: int = Field(default=8125, ge=1, le=65535)
-    prefix: str = "mustardward"
-    enabled: bool = False
+    host: str = Field(default="127.0.0.1", description="IP number of statsd")
+    port: int = Field(default=8125, ge=1, le=65535, description="UDP port of statsd")
+    prefix: str = Field(default="mustardward", description="first part of all names")
+    enabled: bool = Field(default=False, description="whether to feed statsd at all")
 
 
 class Settings(SettingsModel):
--- a/tests/components/entry/test_failures.py
+++ b/tests/components/entry/test_failures.py
@@ -398,3 +398,22 @@
         entry.health.leave()
         answer = await call(entry)
     assert (answer.content, answer.headers["connection"]) == (b"done", "close")
+
+
+async def test_a_body_that_does_not_come_is_given_up() -> None:
+    """Wait for a body no longer than the request may live.
+
+    Symptom: connections pile up and a stop takes minutes. Sequence: a caller sends
+    half of a body and falls silent. Cause: the body was read without an end in time.
+    """
+    async with running_entry(answer_plainly) as (entry, (worker,)):
+        stream = await anyio.connect_tcp("127.0.0.1", entry.listener.port)
+        async with stream:
+            await stream.send(
+                b"POST /hvelv/turn/ HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n"
+                b"mw-deadline-seconds: 0.05\r\n\r\nhalf"
+            )
+            head = await stream.receive()
+    assert b" 408 " in head.split(b"\r\n")[0]
+    assert worker.seen == []
+    assert entry.health.in_progress == 0
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -82,3 +82,9 @@
         f"{file}:4: colour: no such key; see the settings reference\n"
     )
     assert "readable" in missing.output
+
+
+def test_the_reference_page_is_the_one_that_the_models_give() -> None:
+    page = Path(__file__).parents[2] / "docs" / "operators" / "settings.md"
+    printed = CliRunner().invoke(main, ["check", "--reference"])
+    assert printed.output == page.read_text(encoding="utf-8")
