--- a/mustardward/cli/serve.py
+++ b/mustardward/cli/serve.py
@@ -2,26 +2,33 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 import sys
 from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
+from typing import Final
 
 import anyio
 import click
 
 from ..app import async_setup_entry
+from ..components.keys import DRAIN, METRICS
 from ..core import Core, Unload
 from ..exceptions import SettingsError
 from ..helpers.log_output import set_up_logging
 from ..helpers.logging import get_logger
+from ..helpers.metrics import FLUSH_SECONDS, open_metrics
 from ..helpers.timer import LoopTimerService
 from ..settings.loader import load_settings
 from ..settings.models import Settings
 
 _LOGGER = get_logger(__name__)
 
+GARBAGE_THRESHOLDS: Final = (10_000, 20, 100)
+"""Allocations, young rounds and middle rounds before the next round of each age."""
+
 Setup = Callable[[Core], Awaitable[list[Unload]]]
 
 
@@ -53,8 +60,12 @@
         timers = LoopTimerService(tasks)
         timers.start()
         core = Core(settings, timers, tasks)
+        metrics = open_metrics(settings.metrics, settings.entry.name)
+        core.put(METRICS, metrics)
+        timers.subscribe("metrics", FLUSH_SECONDS, metrics.async_flush)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             unloads = await async_setup(core)
+            settle_garbage()
             _LOGGER.info(
                 "entry_started",
                 entry=settings.entry.name,
@@ -69,10 +80,20 @@
     _LOGGER.info("entry_stopped", entry=settings.entry.name)
 
 
+def settle_garbage() -> None:
+    """Take what was set up out of the collector's rounds.
+
+    A full round walks every object that the process holds, most of them modules that
+    stay for ever. It stops the loop for tens of milliseconds, which shows as a p99
+    far above the median at an even load.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GARBAGE_THRESHOLDS)
+
+
 async def async_leave(core: Core) -> None:
     """Drain the entry while operators can still watch it."""
-    from ..components.keys import DRAIN
-
     drain = core.find(DRAIN)
     if drain is not None:
         await drain.async_run()
