--- a/mustardward/components/maintenance/api.py
+++ b/mustardward/components/maintenance/api.py
@@ -19,7 +19,7 @@
 from .plan_bounds import canary_bound, rollout_bound
 from .plan_facts import gather_facts, running_tasks
 from .plan_models import Plan, PlanInput
-from .planner import plan_wave
+from .planner import async_plan_wave
 
 OPERATOR_SIGNALS: Final = ("pause", "resume", "cancel")
 
@@ -137,7 +137,7 @@
     facts = gather_facts(
         state, pools, due, running_tasks(work.state if work else None), model.canary
     )
-    return ApiAnswer(describe_plan(facts, plan_wave(facts)))
+    return ApiAnswer(describe_plan(facts, await async_plan_wave(facts)))
 
 
 def describe_plan(facts: PlanInput, plan: Plan) -> dict[str, Any]:
--- a/mustardward/components/maintenance/plan_paces.py
+++ b/mustardward/components/maintenance/plan_paces.py
@@ -16,7 +16,7 @@
 from .plan_models import Pace, PlanInput, PlanInstance, Unit
 from .plan_units import PlanBudgets, group_by_unit, weights_of
 
-STRETCH: Final = 1.15
+STRETCH: Final = 1.25
 """How much longer than its bound a wave may take for the sake of other measures."""
 
 MAXIMUM_PATIENCE_SECONDS: Final = 3600.0
@@ -46,16 +46,23 @@
         if most[unit] == 0:
             continue
         weights = weights_of(facts.users.get(unit.pool, {}))
-        stretch = (
-            1.0 if weights.rollout >= max(weights.buffer, weights.moves) else STRETCH
-        )
-        target = bound * facts.cycle_seconds * stretch
+        target = _target(bound, weights) * facts.cycle_seconds
         paces[unit] = _choose(
             _Facts(items, most[unit], target, facts.cycle_seconds, weights)
         )
     return paces
 
 
+def _target(bound: int, weights: PlanWeights) -> float:
+    """Return the cycles in which a unit has to be through once the canary is back.
+
+    The canary's cycle comes out of the time that may be spent beyond the bound.
+    """
+    if weights.rollout >= max(weights.buffer, weights.moves):
+        return bound
+    return max(float(bound), bound * STRETCH - 1)
+
+
 def _choose(facts: _Facts) -> Pace:
     return min(_paces(facts), key=lambda pace: (_cost(facts, pace), pace.concurrency))
 
--- a/mustardward/components/maintenance/plan_tasks.py
+++ b/mustardward/components/maintenance/plan_tasks.py
@@ -69,6 +69,8 @@
         def rank(peer: PlanInstance) -> tuple[bool, bool, int, str]:
             running = len(self._running(peer, now))
             due = self._prefer_finished and peer.instance_id not in self._settled
-            return running >= peer.slots, due, running, peer.instance_id
+            # The busiest go last, so a task on one of these has the most time to end.
+            order = -running if due else running
+            return running >= peer.slots, due, order, peer.instance_id
 
         self._guests[min(candidates, key=rank).instance_id].append(end)
--- a/mustardward/components/maintenance/planner.py
+++ b/mustardward/components/maintenance/planner.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 import heapq
-from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+import anyio.lowlevel
+
 from ...state.handlers.waves import growth_limit
 from .plan_models import Measures, Pace, Plan, PlanInput, PlanInstance, PlanStep, Unit
 from .plan_paces import choose_paces
@@ -20,7 +21,22 @@
 
 def plan_wave(facts: PlanInput) -> Plan:
     """Return the plan of a wave that nothing disturbs."""
-    return _Planner(facts, choose_paces(facts)).plan()
+    planner = _Planner(facts, choose_paces(facts))
+    for _ in planner.run():
+        pass
+    return planner.plan()
+
+
+async def async_plan_wave(facts: PlanInput) -> Plan:
+    """Return the plan, letting the loop go on in between.
+
+    A plan of thousands of instances takes seconds; made in one go it would stop every
+    request of this entry, and look to its timers like a pause of the process.
+    """
+    planner = _Planner(facts, choose_paces(facts))
+    for _ in planner.run():
+        await anyio.lowlevel.checkpoint()
+    return planner.plan()
 
 
 @dataclass(slots=True)
@@ -51,17 +67,29 @@
         self._returns: list[tuple[float, str, PlanInstance]] = []
         self._steps: list[PlanStep] = []
         self._finished = 0
+        self._now = 0.0
+        self._held_back = False
 
-    def plan(self) -> Plan:
-        """Take and return instances until nothing more can be taken."""
-        now = 0.0
-        self._take_all(now)
+    def run(self) -> Iterator[None]:
+        """Take and return instances until nothing more can be taken.
+
+        Yields after each time at which instances came back.
+        """
+        self._take_from(self._order(self._units))
         while self._returns:
-            now, _, item = heapq.heappop(self._returns)
-            self._return(item)
-            while self._returns and self._returns[0][0] == now:
-                self._return(heapq.heappop(self._returns)[2])
-            self._take_all(now)
+            self._now = self._returns[0][0]
+            pools = set()
+            while self._returns and self._returns[0][0] == self._now:
+                item = heapq.heappop(self._returns)[2]
+                self._return(item)
+                pools.add(item.unit.pool)
+            # Only growth holds back units of other pools than those that changed.
+            changed = {unit for unit in self._units if unit.pool in pools}
+            self._take_from(self._order(self._units if self._held_back else changed))
+            yield
+
+    def plan(self) -> Plan:
+        """Return what was planned."""
         left = [
             item.instance_id
             for progress in self._units.values()
@@ -71,7 +99,7 @@
             tuple(self._steps),
             Measures(
                 buffer=sum(item.peak for item in self._units.values()),
-                rollout_seconds=now,
+                rollout_seconds=self._now,
                 moves=sum(step.moves for step in self._steps),
             ),
             self._binding,
@@ -84,23 +112,22 @@
         self._budgets.give(item)
         self._tasks.finish(item)
 
-    def _take_all(self, now: float) -> None:
+    def _take_from(self, units: list[Unit]) -> None:
         left = growth_limit(self._finished, self._facts.canary) - len(self._returns)
-        for unit in self._order():
+        for unit in units:
             while left > 0 and self._may_take(unit):
-                self._take(unit, now)
+                self._take(unit)
                 left -= 1
-            if left <= 0:
-                return
+        self._held_back = left <= 0
 
-    def _order(self) -> Iterator[Unit]:
-        """Yield the units, those with the most turns left first."""
+    def _order(self, units: Iterable[Unit]) -> list[Unit]:
+        """Return units with something left, those with the most turns left first."""
         turns = {
-            unit: -len(progress.pending) / self._paces[unit].concurrency
-            for unit, progress in self._units.items()
-            if progress.pending and unit in self._paces
+            unit: -len(self._units[unit].pending) / self._paces[unit].concurrency
+            for unit in units
+            if self._units[unit].pending and unit in self._paces
         }
-        yield from sorted(turns, key=lambda unit: (turns[unit], unit))
+        return sorted(turns, key=lambda unit: (turns[unit], unit))
 
     def _may_take(self, unit: Unit) -> bool:
         progress = self._units[unit]
@@ -110,7 +137,8 @@
             and self._budgets.margin(unit) >= 1
         )
 
-    def _take(self, unit: Unit, now: float) -> None:
+    def _take(self, unit: Unit) -> None:
+        now = self._now
         progress = self._units[unit]
         patience = self._paces[unit].patience
         item = min(
@@ -129,11 +157,3 @@
         ends = now + drain + self._facts.reboot_seconds
         heapq.heappush(self._returns, (ends, item.instance_id, item))
         self._steps.append(PlanStep(item.instance_id, unit, now, ends, moves))
-
-
-def binding_counts(plan: Plan) -> dict[str, int]:
-    """Count the units that each organisation's budget holds back most."""
-    counts: dict[str, int] = defaultdict(int)
-    for budget in plan.binding.values():
-        counts[budget.organisation] += 1
-    return dict(counts)
--- a/mustardward/state/handlers/waves.py
+++ b/mustardward/state/handlers/waves.py
@@ -20,8 +20,11 @@
 )
 from .refusals import UnknownSubjectError, conflict_with
 
-GROWTH: Final = 8
-"""Instances a wave may hold for each one that came back."""
+GROWTH: Final = 64
+"""Instances a wave may hold for each one that came back.
+
+Budgets bound a wave far below this in fleets of today; it is there for large ones.
+"""
 
 Decision = Result[Acceptance, MustardwardError]
 
