--- a/bench/history/__main__.py
+++ b/bench/history/__main__.py
@@ -57,8 +57,15 @@
         f"executions={len(history.executions)} published={len(history.published)} "
         f"views={len(history.revisions_seen)} power={len(history.power)} "
         f"transfers={len(history.owned) - len(history.placements)} "
-        f"tasks={len(history.tasks)} stops={len(history.stops)}"
+        f"jobs={len(history.jobs)} tasks={len(history.tasks)} "
+        f"stops={len(history.stops)}"
     )
+    changes = Counter(str(item.change) for item in history.power)
+    print(" ".join(f"{name}={count}" for name, count in sorted(changes.items())))
+    statuses = Counter(f"job-status-{item.status}" for item in history.jobs)
+    outcomes = Counter(f"task-{item.outcome}" for item in history.tasks)
+    counted = [*sorted(statuses.items()), *sorted(outcomes.items())]
+    print(" ".join(f"{name}={count}" for name, count in counted))
     if not result.started:
         print("no entry became ready")
     print(
--- a/bench/history/collect.py
+++ b/bench/history/collect.py
@@ -7,6 +7,7 @@
 from mustardward.standin.executions import Execution as Recorded
 
 from .models import Execution, TaskExecution
+from .planners import ONCE_PREFIX
 from .world import World
 
 
@@ -22,7 +23,7 @@
                     job_id=run.task_id,
                     instance=name,
                     generation=run.generation,
-                    idempotent=not run.task_id.startswith("once-"),
+                    idempotent=not run.task_id.startswith(ONCE_PREFIX),
                     start=run.start,
                     end=run.end or inf,
                     outcome=run.outcome,
