--- /dev/null
+++ b/bench/control_entry.py
@@ -0,0 +1,217 @@
+"""Measure a whole entry process that holds a fleet: memory, start, processor share."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from itertools import chain
+from pathlib import Path
+
+import anyio
+import anyio.abc
+import psutil
+import yaml
+
+from mustardward.helpers.timer import LoopTimerService
+from mustardward.standin.log import LogOptions
+from mustardward.standin.platform import (
+    PlatformOptions,
+    RunningPlatform,
+    async_run_platform,
+)
+from mustardward.standin.store import Retention
+from mustardward.state.images import make_image
+from mustardward.state.snapshots import CHUNK_BYTES, Chunk, Manifest, seal
+from mustardward.state.streams import FLEET_SPEC
+
+from .control_fleet import DATA_CENTRES, FleetBuilder, FleetShape, Proposed
+
+DAY_SECONDS = 86_400.0
+EVENTS_A_DAY = {
+    "configuration": 6_400.0,
+    "instance": 1_470.0,
+    "maintenance": 12_000 / 21.0,
+}
+"""Changes, failures with returns, and instances maintained, at the two-year size."""
+RECORDS_OF = {"configuration": 1, "instance": 2, "maintenance": 5}
+SPEED_UP = 40.0
+"""How much faster than at the two-year rate events come while the share is taken."""
+_START_SECONDS = 20.0
+_SETTLE_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class EntryFigures:
+    """Hold what was measured of one process.
+
+    Shares are of one core; ``idle`` is without any record, ``busy`` with records at
+    ``SPEED_UP`` times the rate of events.
+    """
+
+    start_seconds: float
+    resident_megabytes: float
+    idle_share: float
+    busy_share: float
+    records: int
+
+
+def records_a_second() -> float:
+    """Return the records of the fleet's stream at the two-year rate of events."""
+    daily = sum(EVENTS_A_DAY[kind] * RECORDS_OF[kind] for kind in EVENTS_A_DAY)
+    return daily / DAY_SECONDS
+
+
+async def async_measure_entry(
+    shape: FleetShape, seed: int, seconds: float
+) -> EntryFigures:
+    """Run one entry on a stand-in platform that holds a snapshot of a fleet."""
+    builder = FleetBuilder(shape, seed)
+    builder.build()
+    builder.start_wave("wave")
+    async with anyio.create_task_group() as group:
+        timers = LoopTimerService(group)
+        options = PlatformOptions(log=LogOptions(retention=Retention(1_000_000, 1e6)))
+        async with (
+            async_run_platform(timers, options) as platform,
+            _async_run_entry(platform, builder) as (process, start_seconds),
+        ):
+            figures = await _async_watch(
+                platform, builder, process, start_seconds, seconds
+            )
+        group.cancel_scope.cancel()
+    return figures
+
+
+async def _async_watch(
+    platform: RunningPlatform,
+    builder: FleetBuilder,
+    process: psutil.Process,
+    start_seconds: float,
+    seconds: float,
+) -> EntryFigures:
+    await anyio.sleep(_SETTLE_SECONDS)
+    idle = await _async_share(process, seconds)
+    payloads = _payloads(builder, int(records_a_second() * SPEED_UP * seconds) + 1)
+    async with anyio.create_task_group() as group:
+        group.start_soon(_async_append, platform, payloads, seconds)
+        busy = await _async_share(process, seconds)
+    resident = process.memory_info().rss / 1e6
+    return EntryFigures(start_seconds, resident, idle, busy, len(payloads))
+
+
+async def _async_share(process: psutil.Process, seconds: float) -> float:
+    before = process.cpu_times()
+    began = anyio.current_time()
+    await anyio.sleep(seconds)
+    after = process.cpu_times()
+    used = after.user + after.system - before.user - before.system
+    return used / (anyio.current_time() - began)
+
+
+async def _async_append(
+    platform: RunningPlatform, payloads: list[bytes], seconds: float
+) -> None:
+    for payload in payloads:
+        platform.platform.log.append(FLEET_SPEC.name, payload)
+        await anyio.sleep(seconds / len(payloads) * 0.95)
+
+
+def _payloads(builder: FleetBuilder, count: int) -> list[bytes]:
+    """Return entries of the two-year mix, folded here as they are made."""
+    total = sum(EVENTS_A_DAY.values())
+    mixed: list[bytes] = []
+    done = 0
+    share = {kind: 0.0 for kind in EVENTS_A_DAY}
+    while len(mixed) < count:
+        for kind, daily in EVENTS_A_DAY.items():
+            share[kind] += daily / total
+            if share[kind] < 1.0:
+                continue
+            share[kind] -= 1.0
+            for proposed in _event(builder, kind, done):
+                payload = builder.encode(proposed)
+                builder.fold.apply(builder.fold.next_offset, payload)
+                mixed.append(payload)
+            done += kind == "maintenance"
+    return mixed
+
+
+def _event(builder: FleetBuilder, kind: str, done: int) -> chain[Proposed]:
+    if kind == "configuration":
+        return chain([builder.change_configuration()])
+    if kind == "instance":
+        return chain(builder.fail_and_return())
+    return chain(builder.maintain("wave", done))
+
+
+@asynccontextmanager
+async def _async_run_entry(
+    platform: RunningPlatform, builder: FleetBuilder
+) -> AsyncIterator[tuple[psutil.Process, float]]:
+    _put_snapshot(platform, builder)
+    with tempfile.TemporaryDirectory() as folder:
+        settings = Path(folder) / "entry.yaml"
+        settings.write_text(yaml.safe_dump(_settings(platform.url)))
+        command = [sys.executable, "-m", "mustardward", "serve", str(settings)]
+        began = anyio.current_time()
+        async with await anyio.open_process(
+            command, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE
+        ) as process:
+            try:
+                await _async_wait_ready(process)
+                ready = anyio.current_time() - began
+                async with anyio.create_task_group() as group:
+                    group.start_soon(_async_drain, process)
+                    yield psutil.Process(process.pid), ready
+                    group.cancel_scope.cancel()
+            finally:
+                process.kill()
+
+
+async def _async_wait_ready(process: anyio.abc.Process) -> None:
+    assert process.stderr is not None
+    seen = b""
+    with anyio.fail_after(_START_SECONDS):
+        async for chunk in process.stderr:
+            seen += chunk
+            if b"event=state_ready part=state.follower stream=fleet" in seen:
+                return
+    raise RuntimeError(seen.decode(errors="replace"))
+
+
+async def _async_drain(process: anyio.abc.Process) -> None:
+    assert process.stderr is not None
+    async for _ in process.stderr:
+        pass
+
+
+def _put_snapshot(platform: RunningPlatform, builder: FleetBuilder) -> None:
+    """Let the log hold the fleet's snapshot, and its offsets without their entries."""
+    import xxhash
+
+    log = platform.platform.log
+    image = make_image(FLEET_SPEC, builder.fold)
+    for _ in range(builder.fold.next_offset):
+        log.store.append(FLEET_SPEC.name, b"")
+    chunks = []
+    for start in range(0, len(image.body), CHUNK_BYTES):
+        part = image.body[start : start + CHUNK_BYTES]
+        offset = log.append("fleet.snapshots.chunks", part)
+        chunks.append(Chunk(offset, xxhash.xxh3_128_hexdigest(part)))
+    manifest = Manifest(image.header, tuple(chunks), 0.0)
+    log.append("fleet.snapshots", seal(manifest))
+
+
+def _settings(url: str) -> dict[str, object]:
+    listen = {"host": "127.0.0.1", "port": 0}
+    return {
+        "entry": {"name": "bench-1", "data_centre": DATA_CENTRES[0]},
+        "callers": listen,
+        "operators": {"listen": listen},
+        "peer_listen": listen,
+        "platform": {"url": url},
+    }
--- a/mustardward/state/snapshots.py
+++ b/mustardward/state/snapshots.py
@@ -110,7 +110,7 @@
             await self._timers.async_sleep(_CHUNK_PAUSE_SECONDS)
             chunks.append(Chunk(offset, xxhash.xxh3_128_hexdigest(part)))
         manifest = Manifest(image.header, tuple(chunks), self._timers.wall())
-        await self._async_append(self._manifests, _seal(manifest))
+        await self._async_append(self._manifests, seal(manifest))
         return manifest
 
     async def async_manifests(self) -> list[Manifest]:
@@ -128,7 +128,7 @@
         found = []
         for entry in page.entries:
             try:
-                found.append(_unseal(entry.payload))
+                found.append(unseal(entry.payload))
             except SnapshotUnusableError as error:
                 self._refuse(f"manifest:{entry.offset}", error)
         return sorted(found, key=lambda item: -item.header.next_offset)
@@ -204,12 +204,17 @@
     return None
 
 
-def _seal(manifest: Manifest) -> bytes:
+def seal(manifest: Manifest) -> bytes:
+    """Return the entry that carries a manifest and its digest."""
     body = _ENCODER.encode(manifest)
     return _ENCODER.encode(_SealedManifest(body, xxhash.xxh3_128_hexdigest(body)))
 
 
-def _unseal(payload: bytes) -> Manifest:
+def unseal(payload: bytes) -> Manifest:
+    """Return the manifest of an entry.
+
+    :raises SnapshotUnusableError: if it is corrupt.
+    """
     try:
         sealed = _SEALED_DECODER.decode(payload)
         if xxhash.xxh3_128_hexdigest(sealed.body) != sealed.digest:
