--- a/bench/policy_entries.py
+++ b/bench/policy_entries.py
@@ -55,6 +55,8 @@
     request.status = status
     request.claimed_ran = ran.value
     request.code = code
+    if request.on_answer is not None:
+        request.on_answer(request)
 
 
 def what_ran(request: Request) -> Ran:
@@ -339,5 +341,4 @@
     if kind == "fifo":
         return [FifoEntry(fleet, number, count) for number in range(count)]
     names = [f"entry-{number}" for number in range(count)]
-    membership = ModelMembership(names)
-    return [ProductEntry(fleet, name, membership) for name in names]
+    return [ProductEntry(fleet, name, ModelMembership(name, names)) for name in names]
