Explain why instances are held back, leave and return

Cause: explain instance told of claims and moves, but not why an entry gives a worker nothing. A burst of attempts that failed together also counted one by one, so that one refused connection held a worker back for half a minute. Ruled out: a decision by each entry that was told; the one that met the evidence tells.

--- a/mustardward/components/membership/assembly.py
+++ b/mustardward/components/membership/assembly.py
@@ -78,7 +78,7 @@
         table.meet(seed.name, seed.data_centre, f"{seed.host}:{seed.port}", now)
     instances = InstanceTable(counter)
     silence = SilenceDetector(own.data_centre)
-    reporter = Reporter(core.events)
+    reporter = Reporter(core.events, lambda: _folded_offset(core))
     digests = Digests(counter, table, instances, silence)
     service = MembershipService(
         timers,
@@ -123,6 +123,11 @@
     return Parts(service, gossip, listing, returns, forget, peers)
 
 
+def _folded_offset(core: Core) -> int:
+    fleet = core.find(FLEET_LOG)
+    return fleet.next_offset - 1 if fleet else -1
+
+
 def _own_member(core: Core, address: str) -> Member:
     # Drawn from the wall clock, an incarnation is higher than that of any process that
     # had the name before. Should that clock go back, the peers' word corrects it.
--- a/mustardward/components/membership/instances.py
+++ b/mustardward/components/membership/instances.py
@@ -19,9 +19,9 @@
 )
 from .counter import ChangeCounter, Changes
 from .messages import InstanceNote
-from .models import InstanceLeaving, InstanceReturned
+from .models import InstanceHeldBack, InstanceLeaving, InstanceReturned
 
-InstanceEvent = InstanceLeaving | InstanceReturned
+InstanceEvent = InstanceLeaving | InstanceReturned | InstanceHeldBack
 
 
 @dataclass(slots=True, eq=False)
@@ -156,14 +156,22 @@
                 events.append(InstanceReturned(item.instance_id, source))
         return events
 
-    def note_failure(self, instance_id: str, now: float) -> None:
+    def note_failure(
+        self, instance_id: str, cause: str, now: float
+    ) -> list[InstanceEvent]:
         """Count a failed attempt; a few in a row hold the instance back for a while."""
         failures = self._failures.setdefault(instance_id, _Failures())
+        if now < failures.held_until:
+            # Attempts that were under way together fail together: one incident.
+            return []
         failures.number += 1
         excess = failures.number - FAILURES_TO_SUSPECT
-        if excess >= 0:
-            hold = SUSPECT_HOLD_SECONDS * 2.0 ** min(excess, 10)
-            failures.held_until = now + min(hold, MAXIMUM_HOLD_SECONDS)
+        if excess < 0:
+            return []
+        hold = SUSPECT_HOLD_SECONDS * 2.0 ** min(excess, 10)
+        hold = min(hold, MAXIMUM_HOLD_SECONDS)
+        failures.held_until = now + hold
+        return [InstanceHeldBack(instance_id, cause, failures.number, hold)]
 
     def note_success(
         self, instance_id: str, began: float | None, now: float
--- a/mustardward/components/membership/models.py
+++ b/mustardward/components/membership/models.py
@@ -49,6 +49,22 @@
     previous: MemberStatus | None
 
 
+class OwnVerdict(StrEnum):
+    """Say what others believe of this process that is not so."""
+
+    SUSPECTED = "suspected"
+    DECLARED_GONE = "declared-gone"
+    SUPERSEDED = "superseded"
+
+
+@dataclass(frozen=True, slots=True)
+class OwnContested:
+    """Announce that this process had to answer what others believe of it."""
+
+    verdict: OwnVerdict
+    incarnation: int
+
+
 @dataclass(frozen=True, slots=True)
 class InstanceLeaving:
     """Announce that a worker instance is leaving and gets no new work."""
@@ -65,6 +81,16 @@
     source: str
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceHeldBack:
+    """Announce that this entry's attempts fail and a worker gets none for a while."""
+
+    instance_id: str
+    source: str
+    failures: int
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class DataCentreSilent:
     """Announce that a data centre gives no sign any more, or (``silent`` false) again.
--- a/mustardward/components/membership/reporter.py
+++ b/mustardward/components/membership/reporter.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from ...core import EventBus
 from ...helpers.logging import get_logger
+from ..explain.models import DecisionMade, SubjectKind
 from .models import (
     DataCentreSilent,
+    InstanceHeldBack,
     InstanceLeaving,
     InstanceReturned,
     MembershipChanged,
     MemberStatus,
+    OwnContested,
 )
-from .table import OwnContested
 
 _LOGGER = get_logger(__name__)
 
@@ -23,16 +25,26 @@
     | OwnContested
     | InstanceLeaving
     | InstanceReturned
+    | InstanceHeldBack
     | DataCentreSilent
 )
+_DECISIONS: Final = {
+    InstanceLeaving: "instance-leaving",
+    InstanceReturned: "instance-returned",
+    InstanceHeldBack: "instance-held-back",
+}
 _URGENT: Final = (MemberStatus.SUSPECT, MemberStatus.LEAVING, MemberStatus.GONE)
 
 
 class Reporter:
-    """Log and publish events; keep whether peers have to be told at once."""
+    """Log and publish events; keep whether peers have to be told at once.
 
-    def __init__(self, bus: EventBus) -> None:
+    :param offset: returns the offset up to which the fleet's state was folded.
+    """
+
+    def __init__(self, bus: EventBus, offset: Callable[[], int]) -> None:
         self._bus = bus
+        self._offset = offset
         self._urgent = False
 
     def take_urgent(self) -> bool:
@@ -50,9 +62,28 @@
         for event in events:
             _log(event)
             self._bus.publish(event)
+            self._explain(event, pass_on)
             if _is_urgent(event, pass_on):
                 self._urgent = True
 
+    def _explain(self, event: Event, pass_on: bool) -> None:
+        # The entry that met the evidence tells of it; those that it told need not.
+        inputs: tuple[str, ...] = ()
+        if isinstance(event, InstanceHeldBack):
+            inputs = (f"failures={event.failures}", f"seconds={event.seconds:g}")
+        elif not (pass_on and isinstance(event, InstanceLeaving | InstanceReturned)):
+            return
+        self._bus.publish(
+            DecisionMade(
+                SubjectKind.INSTANCE,
+                event.instance_id,
+                _DECISIONS[type(event)],
+                event.source,
+                inputs,
+                self._offset(),
+            )
+        )
+
 
 def _is_urgent(event: Event, pass_on: bool) -> bool:
     # What this process answers to a suspicion of itself, nobody else can tell.
@@ -82,7 +113,5 @@
             "data_centre_silent", data_centre=event.data_centre, silent=event.silent
         )
     else:
-        name = "leaving" if isinstance(event, InstanceLeaving) else "returned"
-        _LOGGER.info(
-            f"instance_{name}", instance=event.instance_id, source=event.source
-        )
+        name = _DECISIONS[type(event)].replace("-", "_")
+        _LOGGER.info(name, instance=event.instance_id, source=event.source)
--- a/mustardward/components/membership/services.py
+++ b/mustardward/components/membership/services.py
@@ -129,7 +129,8 @@
             events = self._instances.note_leaving(instance_id, "worker", now)
             self._reporter.report(events, pass_on=True)
         elif cause not in INDIFFERENT_CAUSES:
-            self._instances.note_failure(instance_id, now)
+            events = self._instances.note_failure(instance_id, cause, now)
+            self._reporter.report(events, pass_on=False)
 
     def refresh_own(self) -> None:
         """Bring what this process tells of itself up to date."""
--- a/mustardward/components/membership/table.py
+++ b/mustardward/components/membership/table.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
-from enum import StrEnum
 from typing import Final
 
 import xxhash
@@ -16,7 +15,13 @@
 from ...helpers.chart import Chart, load_chart
 from .const import TOMBSTONE_SECONDS
 from .counter import ChangeCounter
-from .models import Member, MembershipChanged, MemberStatus
+from .models import (
+    Member,
+    MembershipChanged,
+    MemberStatus,
+    OwnContested,
+    OwnVerdict,
+)
 
 _EVENTS: Final = {
     MemberStatus.ALIVE: "refute",
@@ -30,22 +35,6 @@
 """Incarnation of a member known by its address only; it is never told on."""
 
 
-class OwnVerdict(StrEnum):
-    """Say what others believe of this process that is not so."""
-
-    SUSPECTED = "suspected"
-    DECLARED_GONE = "declared-gone"
-    SUPERSEDED = "superseded"
-
-
-@dataclass(frozen=True, slots=True)
-class OwnContested:
-    """Announce that this process had to answer what others believe of it."""
-
-    verdict: OwnVerdict
-    incarnation: int
-
-
 TableEvent = MembershipChanged | OwnContested
 
 
--- a/mustardward/components/peers/forward.py
+++ b/mustardward/components/peers/forward.py
@@ -16,15 +16,12 @@
 from ..entry.models import AttemptOutcome, Ran, RequestFacts
 from ..entry.protocols import FailedAttempt, OutgoingRequest, WorkerAnswer
 from ..membership.models import Member
+from .answer import STREAM_FAILURES, AnswerChunks, async_close_stream
 from .channels import ChannelPool, Purpose
-from .client import TRANSPORT_ERRORS, translate_status
-from .codec import MsgpackCodec
+from .client import translate_status
 from .const import CHUNK_BYTES, FORWARD_PATH, MAXIMUM_HOPS, METADATA_SENDER
-from .exceptions import PeerAnswerTruncatedError, PeerMessageError, PeerRefusedError
-from .framing import async_receive_bytes
-from .models import AnswerFrame, ForwardHead, ForwardRefusal, RequestFrame
-
-_FAILURES = (*TRANSPORT_ERRORS, GRPCError, msgspec.MsgspecError)
+from .exceptions import PeerMessageError, PeerRefusedError
+from .models import ForwardHead, ForwardRefusal, RequestFrame
 
 
 class Forwarder:
@@ -53,10 +50,10 @@
         try:
             stream = await self._async_open(member, facts.deadline, stack)
         except PeerError as error:
-            await _async_close(None, stack)
+            await async_close_stream(None, stack)
             return _failed(AttemptOutcome.NOT_SENT, error.code)
-        except _FAILURES as error:
-            await _async_close(None, stack)
+        except STREAM_FAILURES as error:
+            await async_close_stream(None, stack)
             return _failed(AttemptOutcome.NOT_SENT, type(error).__name__)
         chunks = AnswerChunks(stream, stack, facts.deadline, self._clock)
         try:
@@ -104,7 +101,7 @@
                 frame = await chunks.async_receive()
         except GRPCError as error:
             return _failed(*_judge(error, member))
-        except _FAILURES as error:
+        except STREAM_FAILURES as error:
             return _failed(AttemptOutcome.UNKNOWN, type(error).__name__)
         if frame.refusal is not None:
             return _refused(frame.refusal)
@@ -114,101 +111,6 @@
         return Success(WorkerAnswer(frame.head.status, frame.head.headers, chunks))
 
 
-class AnswerChunks:
-    """Iterate over a forwarded answer's body and close the stream after it.
-
-    :param stack: what to leave when the answer ends.
-    :raises PeerAnswerTruncatedError: from iteration, if the answer was cut off.
-    """
-
-    def __init__(
-        self,
-        stream: Any,
-        stack: AsyncExitStack,
-        deadline: float,
-        clock: Callable[[], float],
-    ) -> None:
-        self._stream = stream
-        self._stack = stack
-        self._deadline = deadline
-        self._clock = clock
-        self._codec = MsgpackCodec()
-        self._pending: AnswerFrame | None = None
-        self._finished = False
-
-    @property
-    def stream(self) -> Any:
-        """Return grpclib's stream."""
-        return self._stream
-
-    def put_back(self, frame: AnswerFrame) -> None:
-        """Let iteration begin with a frame that was received already."""
-        self._pending = frame
-
-    def __aiter__(self) -> AsyncIterator[bytes]:
-        """Return the iterator itself."""
-        return self
-
-    async def __anext__(self) -> bytes:
-        """Return the next piece that is not empty."""
-        while not self._finished:
-            frame = self._pending or await self._async_next()
-            self._pending = None
-            if frame.last:
-                await self.aclose()
-            if frame.chunk:
-                return frame.chunk
-        raise StopAsyncIteration
-
-    async def aclose(self) -> None:
-        """Close the stream; the peer stops answering if it was not at the end."""
-        if not self._finished:
-            self._finished = True
-            with anyio.CancelScope(shield=True):
-                await _async_close(self._stream, self._stack)
-
-    async def async_receive(self) -> AnswerFrame:
-        """Return the next frame.
-
-        :raises PeerMessageError: if the stream ended instead.
-        """
-        if not self._stream._recv_initial_metadata_done:
-            await self._stream.recv_initial_metadata()
-        with self._stream._wrapper:
-            data = await async_receive_bytes(self._stream._stream)
-        if data is None:
-            # A status of the peer says more than the mere end.
-            await self._stream.recv_trailing_metadata()
-            raise PeerMessageError("stream ended without its last frame")
-        frame: AnswerFrame = self._codec.decode(data, AnswerFrame)
-        return frame
-
-    async def _async_next(self) -> AnswerFrame:
-        try:
-            with anyio.fail_after(max(0.0, self._deadline - self._clock())):
-                return await self.async_receive()
-        except _FAILURES as error:
-            await self.aclose()
-            raise PeerAnswerTruncatedError(type(error).__name__) from error
-        except BaseException:
-            await self.aclose()
-            raise
-
-
-async def _async_close(stream: Any, stack: AsyncExitStack) -> None:
-    # Leaving grpclib's stream waits for trailers, which never come from a peer that
-    # was cut off: the request would hang past its deadline. So the stream is reset,
-    # and marked as such, first.
-    try:
-        if stream is not None:
-            if stream._stream.closable:
-                stream._stream.reset_nowait()
-            stream._cancel_done = True
-        await stack.aclose()
-    except _FAILURES:
-        return
-
-
 async def _async_send(
     stream: Any, head: ForwardHead, body: bytes | AsyncIterator[bytes]
 ) -> None:
--- a/tests/components/membership/test_instances.py
+++ b/tests/components/membership/test_instances.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 import pytest
 
+from mustardward.components.explain.models import DecisionMade
 from mustardward.components.membership.models import InstanceLeaving, InstanceReturned
 from mustardward.platform.models import (
     InstancePower,
@@ -233,6 +235,26 @@
     assert [type(event) for event in seen] == [InstanceLeaving, InstanceReturned]
 
 
+async def test_decisions_are_explained_by_the_entry_that_met_the_evidence() -> None:
+    cluster = await _async_started()
+    told: list[tuple[str, str, str, int]] = []
+
+    def note(name: str, made: DecisionMade) -> None:
+        told.append((name, made.decision, made.cause, made.offset))
+
+    for node in cluster.of("v-1"):
+        node.fleet.next_offset = 8
+        node.core.events.listen(DecisionMade, partial(note, node.name))
+    for _ in range(2):
+        cluster.nodes["v-1-0"].membership.report_instance(WORKER, False, "connect")
+    cluster.nodes["v-1-1"].membership.report_instance(WORKER, False, "draining")
+    await cluster.async_run(3.0)
+    assert told == [
+        ("v-1-0", "instance-held-back", "connect", 7),
+        ("v-1-1", "instance-leaving", "worker", 7),
+    ]
+
+
 async def test_entry_that_the_list_dropped_counts_as_gone() -> None:
     """Take the list's word for the end of an entry that does not answer.
 
