Open a key's intent in the one data centre that keeps the key

Cause: each data centre has a stream of its own, so a key that reached two of them had two judges; entries refused keys of another data centre. A finished task was seen up to 6 s late, as the wait followed the declared run time. Ruled out: forwarding the whole request to the key's home (its body and answer would cross between data centres although local workers can serve it); a second judge by membership (a partition makes two). Change: the gate asks the key's data centre to record intent and outcome, by the same record id over repetitions; what a lost reply opened for nobody is closed as not run. The gate's `home` goes again, nobody needs it. Tasks are polled by their age.

--- a/bench/jobs_intents.py
+++ b/bench/jobs_intents.py
@@ -15,6 +15,7 @@
 from mustardward.components.entry.protocols import StoredAnswer
 from mustardward.components.retries.intents import LogIntentGate
 from mustardward.components.retries.intents_home import KeyHomes, home_name
+from mustardward.components.retries.intents_recorder import IntentRecorder
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.state.fold import Fold
 from mustardward.state.handlers.all import WORK_HANDLERS
@@ -55,10 +56,10 @@
             log = FoldedLog(work_spec("dc-1"), service, timers, options, Random(number))
             group.start_soon(log.async_run)
             homes = KeyHomes("dc-1", None, None)
-            gate = LogIntentGate(
-                log, homes, timers, group, home_name(f"entry-{number}", 1)
-            )
-            gate.start()
+            recorder = IntentRecorder(log, timers, group, homes.is_live)
+            recorder.start()
+            identity = home_name(f"entry-{number}", 1)
+            gate = LogIntentGate(recorder, homes, timers, group, identity)
             gates.append(gate)
         yield gates
         group.cancel_scope.cancel()
--- a/mustardward/components/entry/protocols.py
+++ b/mustardward/components/entry/protocols.py
@@ -13,7 +13,6 @@
 from returns.result import Result
 
 from ...state.models.pools import Instance
-from ..membership.models import Member
 from ..routing.models import RemoteChoice
 from .models import Attempt, AttemptOutcome, Ran, RequestFacts, RequestRefusal
 
@@ -117,10 +116,6 @@
 class IntentGate(Protocol):
     """Make sure that a request under an idempotency key runs at most once."""
 
-    def home(self, facts: RequestFacts) -> Member | None:
-        """Return the entry to forward a keyed request to, or nothing for this one."""
-        ...
-
     def truthful(self, facts: RequestFacts, ran: Ran) -> Ran:
         """Return what a refusal may say, with earlier attempts under the key in mind.
 
--- a/mustardward/components/jobs/const.py
+++ b/mustardward/components/jobs/const.py
@@ -8,7 +8,7 @@
 LEASE_SECONDS: Final = 30.0
 RENEW_SECONDS: Final = 10.0
 POLL_SHARE: Final = 0.1
-"""Share of the expected run time after which a task is looked at again."""
+"""Share of its age after which a task is looked at again."""
 
 ARRIVAL_SECONDS: Final = 10.0
 """How long a start whose answer was lost may still be on its way."""
--- a/mustardward/components/jobs/keeper.py
+++ b/mustardward/components/jobs/keeper.py
@@ -70,7 +70,6 @@
     ) -> HeldAttempt:
         """Hold the attempt that a lease just made ours."""
         now = self.timers.monotonic()
-        expected = self.lessons.expected_seconds(job, 0.5)
         attempt = HeldAttempt(
             job_id=job.job_id,
             generation=generation,
@@ -84,7 +83,6 @@
             unsure=taken_over,
             contact=now,
             progressed=now,
-            poll_seconds=min(RENEW_SECONDS, max(TICK_SECONDS, POLL_SHARE * expected)),
             from_checkpoint=bool(job.checkpoint),
         )
         self.held[job.job_id] = attempt
@@ -211,8 +209,12 @@
             await self._async_on_silence(attempt, job)
 
     def _is_due(self, attempt: HeldAttempt) -> bool:
+        # Looked at often while young: how long a task runs is not known beforehand,
+        # and what ended unseen keeps its slot and its caller waiting.
         now = self.timers.monotonic()
-        return now - attempt.renewed >= attempt.poll_seconds
+        share = POLL_SHARE * (now - attempt.began)
+        wait = min(RENEW_SECONDS, max(TICK_SECONDS, share))
+        return now - attempt.renewed >= wait
 
     async def _async_renew(self, attempt: HeldAttempt, job: Job) -> None:
         now = self.timers.monotonic()
--- a/mustardward/components/jobs/models.py
+++ b/mustardward/components/jobs/models.py
@@ -89,7 +89,6 @@
     from_checkpoint: bool = False
     progress: float = 0.0
     progressed: float = 0.0
-    poll_seconds: float = 10.0
     checkpoint_asked: bool = False
     throttled: bool = False
     busy: bool = False
--- a/mustardward/components/retries/intents_close.py
+++ b/mustardward/components/retries/intents_close.py
@@ -6,9 +6,9 @@
 
 from returns.result import Success
 
-from ...exceptions import PlatformOutcomeUnknownError, PlatformUnavailableError
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
+from ...state.fold import RecordRefusedError
 from ...state.models.jobs import CloseIntent
 from ...state.protocols import WorkLog
 
@@ -27,10 +27,9 @@
     to its caller; so giving one up is the last resort, when too many wait.
     """
 
-    def __init__(self, log: WorkLog, timers: TimerService, actor: str) -> None:
+    def __init__(self, log: WorkLog, timers: TimerService) -> None:
         self._log = log
         self._timers = timers
-        self._actor = actor
         self._pending = 0
 
     @property
@@ -49,19 +48,24 @@
         finally:
             self._pending -= 1
 
+    async def async_try(self, body: CloseIntent) -> bool:
+        """Propose a close once; tell whether the fold answered it."""
+        result = await self._log.async_propose(
+            body,
+            actor=body.home,
+            record_id=f"close/{body.home}/{body.opened}",
+            priority=CLOSE_PRIORITY,
+        )
+        if isinstance(result, Success):
+            return True
+        error = result.failure()
+        if not isinstance(error, RecordRefusedError):
+            return False
+        _LOGGER.info("intent_close_refused", code=error.code)
+        return True
+
     async def _async_repeat(self, body: CloseIntent) -> None:
-        record_id = f"close/{self._actor}/{body.opened}"
         delay = RETRY_SECONDS
-        while True:
-            result = await self._log.async_propose(
-                body, actor=self._actor, record_id=record_id, priority=CLOSE_PRIORITY
-            )
-            if isinstance(result, Success):
-                return
-            error = result.failure()
-            retry = (PlatformUnavailableError, PlatformOutcomeUnknownError)
-            if not isinstance(error, retry):
-                _LOGGER.info("intent_close_refused", code=error.code)
-                return
+        while not await self.async_try(body):
             await self._timers.async_sleep(delay)
             delay = min(2 * delay, RETRY_SECONDS_MAXIMUM)
--- a/mustardward/components/retries/intents_home.py
+++ b/mustardward/components/retries/intents_home.py
@@ -4,22 +4,20 @@
 
 from typing import Final
 
-from ...const import WORK_STREAM_PREFIX
 from ...helpers.rendezvous import rendezvous_owner
 from ...state.protocols import FleetLog
 from ...state.work import intent_name
 from ..entry.models import RequestFacts
-from ..membership.models import Member
 from ..membership.protocols import Membership
 
 _STALE: Final = -1
 
 
 class KeyHomes:
-    """Share keys out over an organisation's data centres, then over their entries.
+    """Share keys out over an organisation's data centres.
 
-    The data centre matters for safety, since each has a stream of its own; the entry
-    within it does not, since the order in that stream decides.
+    Each data centre has a stream of its own, and one of them has to decide on a key
+    alone. Within it every entry may propose, since the stream's order decides.
 
     :param data_centre: the data centre of this process.
     """
@@ -44,27 +42,11 @@
         name = intent_name(facts.organisation, facts.idempotency_key)
         return rendezvous_owner(name, candidates) or self._data_centre
 
-    def member_of(self, facts: RequestFacts) -> Member | None:
-        """Return the entry that is a key's home, or nothing if it is this one."""
-        if self._membership is None:
-            return None
-        data_centre = self.data_centre_of(facts)
-        # A forwarded request that reached the right data centre stays: two entries
-        # with different pictures of their peers would send it to and fro.
-        if facts.hops and data_centre == self._data_centre:
-            return None
-        live = {item.name: item for item in self._membership.live(data_centre)}
-        name = intent_name(facts.organisation, facts.idempotency_key)
-        owner = rendezvous_owner(WORK_STREAM_PREFIX + name, live)
-        if owner is None or owner == self._membership.own.name:
-            return None
-        return live[owner]
-
     def is_live(self, home: str) -> bool:
         """Tell whether the incarnation that opened an intent may still close it."""
         if self._membership is None:
             return True
-        members = self._membership.live(self._data_centre)
+        members = self._membership.live()
         return home in {home_name(item.name, item.incarnation) for item in members}
 
     def _data_centres(self, facts: RequestFacts) -> frozenset[str]:
--- a/mustardward/components/retries/intents_judge.py
+++ b/mustardward/components/retries/intents_judge.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from ...state.models.jobs import Intent
-from ..entry.models import Ran, RequestFacts, RequestRefusal
+from ..entry.models import Ran, RequestRefusal
 from ..entry.protocols import StoredAnswer
 
 RETRY_AFTER_SECONDS: Final = 1.0
@@ -35,11 +35,11 @@
 FREE: Final = Verdict(Standing.FREE)
 
 
-def judge_intent(intent: Intent | None, facts: RequestFacts) -> Verdict:
+def judge_intent(intent: Intent | None, request_digest: str) -> Verdict:
     """Return what the folded intent allows."""
     if intent is None:
         return FREE
-    if intent.request_digest != facts.request_digest:
+    if intent.request_digest != request_digest:
         return Verdict(Standing.REFUSED, refusal=_mismatch(intent))
     if not intent.closed:
         return Verdict(Standing.IN_PROGRESS, refusal=IN_PROGRESS)
--- a/mustardward/components/retries/intents_setup.py
+++ b/mustardward/components/retries/intents_setup.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from ...core import Core, Unload
-from ..keys import FLEET_LOG, INTENT_GATE, MEMBERSHIP, WORK_LOG
+from ..keys import FLEET_LOG, INTENT_GATE, MEMBERSHIP, PEERS, WORK_LOG
 from .intents import LogIntentGate
 from .intents_home import KeyHomes, home_name
+from .intents_recorder import IntentRecorder
+from .intents_remote import RemoteRecorders, serve_recorder
 
 
 async def async_setup_intents(core: Core) -> Unload:
@@ -13,18 +15,23 @@
     entry = core.settings.entry
     membership = core.find(MEMBERSHIP)
     incarnation = membership.own.incarnation if membership else 0
-    gate = LogIntentGate(
-        log=core.get(WORK_LOG),
-        homes=KeyHomes(entry.data_centre, core.find(FLEET_LOG), membership),
-        timers=core.timers,
-        tasks=core.tasks,
-        identity=home_name(entry.name, incarnation),
+    homes = KeyHomes(entry.data_centre, core.find(FLEET_LOG), membership)
+    recorder = IntentRecorder(
+        core.get(WORK_LOG), core.timers, core.tasks, homes.is_live
     )
-    stop = gate.start()
+    undo = [recorder.start()]
+    remote = None
+    peers = core.find(PEERS)
+    if peers is not None and membership is not None:
+        remote = RemoteRecorders(peers, membership, core.timers)
+        undo.append(serve_recorder(peers, recorder))
+    identity = home_name(entry.name, incarnation)
+    gate = LogIntentGate(recorder, homes, core.timers, core.tasks, identity, remote)
     core.put(INTENT_GATE, gate)
 
     async def async_unload() -> None:
         core.remove(INTENT_GATE)
-        stop()
+        for stop in reversed(undo):
+            stop()
 
     return async_unload
--- a/tests/components/jobs/test_faulty_runs.py
+++ b/tests/components/jobs/test_faulty_runs.py
@@ -24,16 +24,9 @@
     assert await FaultyRun(7).async_run() == first
 
 
-@pytest.mark.parametrize(
-    ("mutant", "seed"),
-    [
-        ("requeue-unknown", 0),
-        ("lost-answer-is-no-start", 28),
-        ("trust-lease-after-pause", 4),
-    ],
-)
+@pytest.mark.parametrize("mutant", sorted(jobs_mutants.MUTANTS))
 async def test_a_broken_rule_is_seen(
-    mutant: str, seed: int, monkeypatch: pytest.MonkeyPatch
+    mutant: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     for owner, name in (
         (handlers, "_event_when_not_idempotent"),
@@ -42,5 +35,8 @@
     ):
         monkeypatch.setattr(owner, name, getattr(owner, name))
     jobs_mutants.MUTANTS[mutant]()
-    figures = await FaultyRun(seed).async_run()
-    assert figures.doubled + figures.stray > 0
+    for seed in range(30):
+        figures = await FaultyRun(seed).async_run()
+        if figures.doubled + figures.stray > 0:
+            return
+    pytest.fail("thirty seeds did not show the broken rule")
--- a/tests/components/jobs/test_intents.py
+++ b/tests/components/jobs/test_intents.py
@@ -18,6 +18,7 @@
 from mustardward.components.membership.models import Member, MemberStatus
 from mustardward.components.retries.intents import LogIntentGate
 from mustardward.components.retries.intents_home import KeyHomes, home_name
+from mustardward.components.retries.intents_recorder import IntentRecorder
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.state.models.templates import Parameters, ServiceBinding, Urgency
 from tests.fakes.worklog import FakeWorkLog, SharedLog
@@ -70,8 +71,11 @@
             log = FakeWorkLog(world.shared, name)
             membership = FakeMembership(name, list(names))
             homes = KeyHomes("dc-1", None, membership)  # type: ignore[arg-type]
-            gate = LogIntentGate(log, homes, world.timers, tasks, home_name(name, 1))
-            gate.start()
+            recorder = IntentRecorder(log, world.timers, tasks, homes.is_live)
+            recorder.start()
+            gate = LogIntentGate(
+                recorder, homes, world.timers, tasks, home_name(name, 1)
+            )
             world.gates[name] = gate
             world.logs[name] = log
             world.members[name] = membership
@@ -146,7 +150,6 @@
     async with running_gates("a", "b", "c") as world:
         facts = build_facts(world.timers)
         world.members["a"].names = ["a"]
-        assert world.gates["a"].home(facts) is None
         await world.gates["a"].async_open(facts)
         results = []
 
@@ -265,7 +268,7 @@
             tasks.start_soon(world.gates["a"].async_open, facts)
             await anyio.lowlevel.checkpoint()
             tasks.cancel_scope.cancel()
-        assert world.gates["a"]._proposed == {}
+        assert world.gates["a"].recorder._proposed == {}
         await settle()
         assert (await world.gates["a"].async_open(facts)).unwrap() is None
 
