--- a/mustardward/components/entry/setup.py
+++ b/mustardward/components/entry/setup.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ...core import Core, Unload
 from ...helpers.listener import HttpListener, ListenerOptions
 from ...helpers.logging import get_logger
@@ -12,15 +14,17 @@
     ENTRY,
     INTENT_GATE,
     LIMITER,
+    METRICS,
+    PEERS,
     RETRY_POLICY,
     ROUTER,
 )
 from .const import CALLER_KEEPALIVE_SECONDS, PRUNE_SECONDS
-from .defaults import StateDirectory
 from .dispatcher import HttpDispatcher
 from .drain import Drain
 from .front import CallerFront
 from .health import Health
+from .metrics import subscribe_metrics
 from .parts import EntryParts
 from .service import EntryService
 
@@ -36,7 +40,7 @@
     health = Health(core)
     front = CallerFront(
         service,
-        core.find(DIRECTORY) or StateDirectory(core),
+        core.get(DIRECTORY),
         health,
         core.settings.limits,
         core.timers,
@@ -48,13 +52,17 @@
     core.put(DRAIN, drain)
     _LOGGER.info("callers_listening", host=listener.host, port=listener.port)
 
-    unsubscribe = core.timers.subscribe(
-        "entry.connections", PRUNE_SECONDS, dispatcher.async_prune
-    )
+    unsubscribes = [
+        core.timers.subscribe(
+            "entry.connections", PRUNE_SECONDS, dispatcher.async_prune
+        ),
+        *_feed_metrics(core, health),
+    ]
 
     async def async_unload() -> None:
-        unsubscribe()
         await drain.async_run()
+        for unsubscribe in unsubscribes:
+            unsubscribe()
         core.remove(DRAIN)
         core.remove(ENTRY)
         core.remove(DISPATCHER)
@@ -70,9 +78,17 @@
         retries=core.get(RETRY_POLICY),
         dispatcher=dispatcher,
         intents=core.find(INTENT_GATE),
+        peers=core.find(PEERS),
     )
 
 
+def _feed_metrics(core: Core, health: Health) -> list[Callable[[], None]]:
+    metrics = core.find(METRICS)
+    if metrics is None or not metrics.enabled:
+        return []
+    return subscribe_metrics(core, metrics, health)
+
+
 def _options(core: Core) -> ListenerOptions:
     limits = core.settings.limits
     return ListenerOptions(
--- a/mustardward/components/membership/assembly.py
+++ b/mustardward/components/membership/assembly.py
@@ -16,7 +16,6 @@
     LIST_SECONDS,
     RETURN_CHECK_SECONDS,
     ROUND_SECONDS,
-    START_FACTOR,
 )
 from .counter import ChangeCounter
 from .digests import Digests
@@ -79,7 +78,7 @@
         table.meet(seed.name, seed.data_centre, f"{seed.host}:{seed.port}", now)
     instances = InstanceTable(counter)
     silence = SilenceDetector(own.data_centre)
-    reporter = Reporter(core.events)
+    reporter = Reporter(core.events, lambda: _folded_offset(core))
     digests = Digests(counter, table, instances, silence)
     service = MembershipService(
         timers,
@@ -124,15 +123,20 @@
     return Parts(service, gossip, listing, returns, forget, peers)
 
 
+def _folded_offset(core: Core) -> int:
+    fleet = core.find(FLEET_LOG)
+    return fleet.next_offset - 1 if fleet else -1
+
+
 def _own_member(core: Core, address: str) -> Member:
     # Drawn from the wall clock, an incarnation is higher than that of any process that
     # had the name before. Should that clock go back, the peers' word corrects it.
-    start = int(core.timers.wall() * 1000)
+    incarnation = int(core.timers.wall() * 1000)
     identity = core.settings.entry
     return Member(
         identity.name,
         identity.data_centre,
         address,
-        start * START_FACTOR,
+        incarnation,
         MemberStatus.ALIVE,
     )
--- a/mustardward/components/membership/table.py
+++ b/mustardward/components/membership/table.py
@@ -8,15 +8,20 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
-from enum import StrEnum
 from typing import Final
 
 import xxhash
 
 from ...helpers.chart import Chart, load_chart
-from .const import START_FACTOR, TOMBSTONE_SECONDS
+from .const import TOMBSTONE_SECONDS
 from .counter import ChangeCounter
-from .models import Member, MembershipChanged, MemberStatus
+from .models import (
+    Member,
+    MembershipChanged,
+    MemberStatus,
+    OwnContested,
+    OwnVerdict,
+)
 
 _EVENTS: Final = {
     MemberStatus.ALIVE: "refute",
@@ -25,37 +30,22 @@
     MemberStatus.GONE: "end",
 }
 _RANKS: Final = {status: rank for rank, status in enumerate(MemberStatus)}
-_FINAL_FOR_START: Final = (MemberStatus.LEAVING, MemberStatus.GONE)
+_FINAL: Final = (MemberStatus.LEAVING, MemberStatus.GONE)
 UNMET: Final = 0
 """Incarnation of a member known by its address only; it is never told on."""
 
 
-class OwnVerdict(StrEnum):
-    """Say what others believe of this process that is not so."""
-
-    SUSPECTED = "suspected"
-    DECLARED_GONE = "declared-gone"
-    SUPERSEDED = "superseded"
-
-
-@dataclass(frozen=True, slots=True)
-class OwnContested:
-    """Announce that this process had to answer what others believe of it."""
-
-    verdict: OwnVerdict
-    incarnation: int
-
-
 TableEvent = MembershipChanged | OwnContested
 
 
 @dataclass(slots=True, eq=False)
 class _Record:
-    """Hold a member, and when it last changed by count and by time."""
+    """Hold a member, when it last changed by count and by time, and who told of it."""
 
     member: Member
     version: int
     changed: float
+    source: str = ""
 
 
 class MemberTable:
@@ -91,13 +81,22 @@
             and data_centre in (None, record.member.data_centre)
         ]
 
-    def changes_since(self, version: int) -> list[Member]:
-        """Return the members that changed after a version; unmet ones never."""
-        return [
-            record.member
+    def changes_since(
+        self, version: int, limit: int, receiver: str = ""
+    ) -> list[Member]:
+        """Return the members that changed last after a version; unmet ones never.
+
+        :param receiver: who is told; what it told itself is left out.
+        """
+        changed = [
+            record
             for record in self._records.values()
-            if record.version > version and record.member.incarnation != UNMET
+            if record.version > version
+            and record.member.incarnation != UNMET
+            and (not receiver or record.source != receiver)
         ]
+        changed.sort(key=lambda record: record.version)
+        return [record.member for record in changed[-limit:]]
 
     def all_met(self, data_centres: Iterable[str]) -> list[Member]:
         """Return all members of some data centres, gone ones included."""
@@ -161,22 +160,27 @@
         """Note where this process listens."""
         self._put(replace(self.own, address=address), now)
 
-    def apply(self, told: Iterable[Member], now: float) -> list[TableEvent]:
-        """Merge what was told and return what that changed."""
+    def apply(
+        self, told: Iterable[Member], now: float, source: str = ""
+    ) -> list[TableEvent]:
+        """Merge what was told and return what that changed.
+
+        :param source: the peer that told it.
+        """
         events: list[TableEvent] = []
         for member in told:
             if member.name == self._own_name:
                 events.extend(self._merge_own(member, now))
             else:
-                events.extend(self._merge(member, now))
+                events.extend(self._merge(member, now, source))
         return events
 
     def signal(
-        self, name: str, incarnation: int, status: MemberStatus, now: float
+        self, member: Member, status: MemberStatus, now: float
     ) -> list[TableEvent]:
-        """Take own evidence of one incarnation into account."""
-        known = self.get(name)
-        if known is None or known.incarnation != incarnation:
+        """Take own evidence of a member into account, unless it spoke up since."""
+        known = self.get(member.name)
+        if known is None or _spoken_word(known) != _spoken_word(member):
             return []
         return self.apply([replace(known, status=status)], now)
 
@@ -197,16 +201,17 @@
             if gone and now - record.changed > TOMBSTONE_SECONDS:
                 del self._records[name]
 
-    def _merge(self, told: Member, now: float) -> list[TableEvent]:
+    def _merge(self, told: Member, now: float, source: str) -> list[TableEvent]:
         known = self.get(told.name)
-        if known is None or told.start > known.start:
-            return self._replace(known, told, now)
-        if told.start < known.start or not self._advances(known, told):
+        if known is None or told.incarnation > known.incarnation:
+            return self._replace(known, told, now, source)
+        stale = told.incarnation < known.incarnation
+        if stale or not self._advances(known, told):
             return []
         after = self._chart.next_state(known.status, _EVENTS[told.status])
-        incarnation = max(known.incarnation, told.incarnation)
-        merged = replace(known, incarnation=incarnation, status=MemberStatus(after))
-        self._put(merged, now)
+        refutations = max(known.refutations, told.refutations)
+        merged = replace(known, refutations=refutations, status=MemberStatus(after))
+        self._put(merged, now, source)
         if merged.status is known.status:
             return []
         return [MembershipChanged(merged, known.status)]
@@ -214,40 +219,41 @@
     def _advances(self, known: Member, told: Member) -> bool:
         if not self._chart.accepts(known.status, _EVENTS[told.status]):
             return False
-        # A suspicion and its refutation compare by incarnation. What is final for a
-        # start holds against each of its incarnations; otherwise two entries that hear
-        # of a leaving and of an older refutation in different order stay at odds.
-        same = told.incarnation == known.incarnation
-        if same or told.status in _FINAL_FOR_START:
+        # A suspicion and its refutation compare by their count. What is final for an
+        # incarnation holds against any refutation; otherwise two entries that hear of
+        # a leaving and of an older refutation in different order stay at odds.
+        same = told.refutations == known.refutations
+        if same or told.status in _FINAL:
             return _RANKS[told.status] > _RANKS[known.status]
-        return told.incarnation > known.incarnation
+        return told.refutations > known.refutations
 
     def _replace(
-        self, known: Member | None, told: Member, now: float
+        self, known: Member | None, told: Member, now: float, source: str
     ) -> list[TableEvent]:
         if told.incarnation == UNMET:
             return []
-        self._put(told, now)
+        self._put(told, now, source)
         if known is None and told.status is MemberStatus.GONE:
             return []
         return [MembershipChanged(told, known.status if known else None)]
 
     def _merge_own(self, told: Member, now: float) -> list[TableEvent]:
-        if told.start > self.own.start:
+        own = self.own
+        if told.incarnation > own.incarnation:
             return self._meet_namesake(told, now)
-        if told.start < self.own.start or told.status is MemberStatus.ALIVE:
+        stale = told.incarnation < own.incarnation
+        if stale or told.status is MemberStatus.ALIVE:
             return []
-        if self.own.status in _FINAL_FOR_START:
+        if own.status in _FINAL:
             return []
-        if told.status in _FINAL_FOR_START:
+        if told.status in _FINAL:
             # Others were given proof that this process ended, and may have acted on
-            # it, while it was only paused. That start stays ended; it joins anew.
+            # it, while it was only paused. That incarnation stays ended; it joins anew.
             return self._restart(told, OwnVerdict.DECLARED_GONE, now)
-        if told.incarnation < self.own.incarnation:
+        if told.refutations < own.refutations:
             return []
-        incarnation = told.incarnation + 1
-        self._put(replace(self.own, incarnation=incarnation), now)
-        return [OwnContested(OwnVerdict.SUSPECTED, incarnation)]
+        self._put(replace(own, refutations=told.refutations + 1), now)
+        return [OwnContested(OwnVerdict.SUSPECTED, own.incarnation)]
 
     def _meet_namesake(self, told: Member, now: float) -> list[TableEvent]:
         # Before it joined, this process may meet its own predecessor, whose clock ran
@@ -263,18 +269,24 @@
     def _restart(
         self, told: Member, verdict: OwnVerdict, now: float
     ) -> list[TableEvent]:
-        incarnation = (told.start + 1) * START_FACTOR
+        incarnation = told.incarnation + 1
         status = MemberStatus(self._chart.initial)
-        self._put(replace(self.own, incarnation=incarnation, status=status), now)
+        anew = replace(self.own, incarnation=incarnation, status=status, refutations=0)
+        self._put(anew, now)
         return [OwnContested(verdict, incarnation)]
 
-    def _put(self, member: Member, now: float) -> None:
+    def _put(self, member: Member, now: float, source: str = "") -> None:
         self._digests = None
-        self._records[member.name] = _Record(member, self._counter.advance(), now)
+        version = self._counter.advance()
+        self._records[member.name] = _Record(member, version, now, source)
+
+
+def _spoken_word(member: Member) -> tuple[int, int]:
+    return (member.incarnation, member.refutations)
 
 
 def _member_digest(member: Member) -> int:
-    final = member.status in _FINAL_FOR_START
-    number = member.start if final else member.incarnation
-    text = f"{member.name}\x00{number}\x00{member.status}"
+    final = member.status in _FINAL
+    word = member.incarnation if final else _spoken_word(member)
+    text = f"{member.name}\x00{word}\x00{member.status}"
     return xxhash.xxh3_64_intdigest(text.encode()) >> 32
