Take an ended reboot as evidence that the instance is up

Cause: in a wave over 6 workers and 3 entry processes a claim was given back for budget-exceeded with nothing failed: membership held the instance that had just returned for down, so the check before the next reboot counted it twice. Ruled out: a stale fold (the release stood at the offset before).

--- a/tests/components/maintenance/test_executor.py
+++ b/tests/components/maintenance/test_executor.py
@@ -120,6 +120,27 @@
     assert site.stage(name) == ""
 
 
+async def test_an_instance_that_returned_does_not_send_the_next_claim_back() -> None:
+    """Take the end of a reboot as evidence that the instance is up.
+
+    Symptom: a wave gives claims back for budget-exceeded while nothing has failed, and
+    drains the same instance twice. Sequence: an instance reboots and is seen down by
+    its peers; it returns and its claim is released; the next one is about to reboot.
+    Cause: local evidence still held the returned instance for down.
+    """
+    site = Site(reserve_largest_rack=False)
+    site.schedule()
+    executor = site.executor()
+    name = await take_to(site, executor, "rebooting")
+    site.membership.down.add(name)
+    site.power.finish_reboots()
+    while name in site.driver.state.claims:
+        await executor.async_step()
+    assert site.membership.instance_may_get_work(name)
+    await take_to(site, executor, "rebooting")
+    assert site.causes("claim-given-back") == []
+
+
 async def test_a_paused_executor_is_fenced_by_its_adopter() -> None:
     """Let a woken executor do nothing to a claim that another adopted.
 
