--- a/mustardward/cli/pool.py
+++ b/mustardward/cli/pool.py
@@ -8,6 +8,7 @@
 import click
 
 from .client import make_client, operator_options
+from .registration import register
 
 
 @click.group()
@@ -15,6 +16,9 @@
     """Look at pools and move instances between them."""
 
 
+command.add_command(register)
+
+
 @command.command("list")
 @operator_options
 def list_pools(server: str, token_file: Path | None, authority: str) -> None:
