--- a/mustardward/components/log/__init__.py
+++ b/mustardward/components/log/__init__.py
@@ -67,7 +67,7 @@
 
     log.use_relay(PeerRelay(core, Random()))
     writer = SnapshotWriter(log, core.timers, lambda: _owns(core, log.spec.name))
-    unsubscribe = writer.subscribe()
+    unsubscribe = writer.subscribe(core.tasks)
     core.tasks.start_soon(log.async_run)
 
     def stop() -> None:
@@ -78,12 +78,9 @@
 
 
 def _serve_relay(core: Core, logs: list[FoldedLog[Any]]) -> Callable[[], None]:
-    from .relay import serve_relay
+    from .relay import RelayServer
 
-    peers = core.find(PEERS)
-    if peers is None:
-        return lambda: None
-    return serve_relay(peers, logs)
+    return RelayServer(logs).subscribe(core.get(PEERS))
 
 
 def _owns(core: Core, stream: str) -> bool:
--- a/mustardward/components/log/relay.py
+++ b/mustardward/components/log/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from typing import Any, Final
 
@@ -10,19 +11,30 @@
 
 from ...core import Core
 from ...exceptions import PeerError, PeerOutcomeUnknownError
+from ...state.images import Image
 from ...state.log import FoldedLog
-from ...state.relay import RelayAnswer, RelayQuestion, RelayStatus, RelayWanted
+from ...state.relay import (
+    RelayAnswer,
+    RelayPart,
+    RelayPartQuestion,
+    RelayQuestion,
+    RelayStatus,
+    RelayWanted,
+)
 from ..keys import MEMBERSHIP, PEERS
 from ..membership.models import Member
 from ..peers.protocols import Peers, peer_message
 
 PROBED_PEERS: Final = 12
 """Peers asked how far they are before a whole state is taken."""
+PART_BYTES: Final = 1_048_576
+"""Largest part of an image in one answer."""
 _PROBE_SECONDS: Final = 1.0
 _IMAGE_SECONDS: Final = 10.0
 _UNAVAILABLE: Final = RelayAnswer(RelayStatus.UNAVAILABLE)
 
 peer_message("log.relay", RelayAnswer)(RelayQuestion)
+peer_message("log.relay.part", RelayPart)(RelayPartQuestion)
 
 
 class PeerRelay:
@@ -64,7 +76,25 @@
                 furthest = (answer.next_offset, member)
         if furthest is None:
             return _UNAVAILABLE
-        return await self._async_ask(furthest[1], question, _IMAGE_SECONDS)
+        member = furthest[1]
+        answer = await self._async_ask(member, question, _IMAGE_SECONDS)
+        return await self._async_complete(member, question.stream, answer)
+
+    async def _async_complete(
+        self, member: Member, stream: str, answer: RelayAnswer
+    ) -> RelayAnswer:
+        image = answer.image
+        if image is None or answer.image_parts == 1:
+            return answer
+        parts = [image.body]
+        for number in range(1, answer.image_parts):
+            wanted = RelayPartQuestion(stream, image.header.body_digest, number)
+            part = await self._async_call(member, wanted, _IMAGE_SECONDS)
+            if not isinstance(part, RelayPart) or not part.body:
+                return _UNAVAILABLE
+            parts.append(part.body)
+        whole = Image(image.header, b"".join(parts))
+        return replace(answer, image=whole, image_parts=1)
 
     async def _async_probe(
         self, members: list[Member], stream: str
@@ -85,14 +115,19 @@
     async def _async_ask(
         self, member: Member, question: RelayQuestion, timeout_seconds: float
     ) -> RelayAnswer:
+        answer = await self._async_call(member, question, timeout_seconds)
+        return answer if isinstance(answer, RelayAnswer) else _UNAVAILABLE
+
+    async def _async_call(
+        self, member: Member, message: Any, timeout_seconds: float
+    ) -> Any:
         peers = self._core.find(PEERS)
         if peers is None:
-            return _UNAVAILABLE
+            return None
         try:
-            answer = await peers.async_call(member, question, timeout_seconds)
+            return await peers.async_call(member, message, timeout_seconds)
         except (PeerError, PeerOutcomeUnknownError):
-            return _UNAVAILABLE
-        return answer if isinstance(answer, RelayAnswer) else _UNAVAILABLE
+            return None
 
     def _others(self, stream: str) -> list[Member]:
         membership = self._core.find(MEMBERSHIP)
@@ -104,12 +139,48 @@
         return [member for member in membership.live(centre) if member.name != own.name]
 
 
-def serve_relay(peers: Peers, logs: list[FoldedLog[Any]]) -> Callable[[], None]:
-    """Answer peers' questions about some logs until unsubscribed."""
-    by_stream = {log.spec.name: log for log in logs}
+class RelayServer:
+    """Answer peers' questions about some logs.
 
-    async def async_answer(caller: str, question: RelayQuestion) -> RelayAnswer:
-        log = by_stream.get(question.stream)
-        return _UNAVAILABLE if log is None else log.answer(question)
+    The last image that took more than one part is held until its last part is sent, so
+    that all parts are of one state.
+    """
+
+    def __init__(self, logs: list[FoldedLog[Any]]) -> None:
+        self._logs = {log.spec.name: log for log in logs}
+        self._held: dict[str, Image] = {}
+
+    def subscribe(self, peers: Peers) -> Callable[[], None]:
+        """Answer until unsubscribed."""
+        undo = [
+            peers.handle(RelayQuestion, self._async_answer),
+            peers.handle(RelayPartQuestion, self._async_part),
+        ]
 
-    return peers.handle(RelayQuestion, async_answer)
+        def unsubscribe() -> None:
+            for stop in undo:
+                stop()
+
+        return unsubscribe
+
+    async def _async_answer(self, caller: str, question: RelayQuestion) -> RelayAnswer:
+        log = self._logs.get(question.stream)
+        if log is None:
+            return _UNAVAILABLE
+        answer = log.answer(question)
+        if answer.image is None or len(answer.image.body) <= PART_BYTES:
+            return answer
+        self._held[question.stream] = answer.image
+        first = Image(answer.image.header, answer.image.body[:PART_BYTES])
+        parts = -(-len(answer.image.body) // PART_BYTES)
+        return replace(answer, image=first, image_parts=parts)
+
+    async def _async_part(self, caller: str, question: RelayPartQuestion) -> RelayPart:
+        held = self._held.get(question.stream)
+        if held is None or held.header.body_digest != question.body_digest:
+            return RelayPart()
+        start = question.part * PART_BYTES
+        body = held.body[start : start + PART_BYTES]
+        if start + PART_BYTES >= len(held.body):
+            del self._held[question.stream]
+        return RelayPart(body)
--- a/mustardward/state/relay.py
+++ b/mustardward/state/relay.py
@@ -62,6 +62,7 @@
     """Hold a peer's answer; ``tail_age_seconds`` is how old its own tail is.
 
     ``next_offset`` is what the peer's fold wants next, also when it sends no entry.
+    An image of more than one part has to be completed before it is used.
     """
 
     status: RelayStatus
@@ -69,6 +70,23 @@
     tail_age_seconds: float = 0.0
     entries: tuple[RelayedEntry, ...] = ()
     image: Image | None = None
+    image_parts: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class RelayPartQuestion:
+    """Ask a peer for a further part of the image that it began to send."""
+
+    stream: str
+    body_digest: str
+    part: int
+
+
+@dataclass(frozen=True, slots=True)
+class RelayPart:
+    """Hold one part of an image; empty if the peer does not hold it any more."""
+
+    body: bytes = b""
 
 
 class RelaySource(Protocol):
--- a/mustardward/state/snapshot_writer.py
+++ b/mustardward/state/snapshot_writer.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from anyio.abc import TaskGroup
+
 from ..exceptions import MustardwardError
 from ..helpers.logging import get_logger
 from ..helpers.timer import TimerService
@@ -65,11 +67,15 @@
         self._owns_duty = owns_duty
         self._busy = False
 
-    def subscribe(self) -> Callable[[], None]:
-        """Check at intervals until unsubscribed."""
+    def subscribe(self, tasks: TaskGroup) -> Callable[[], None]:
+        """Check at intervals until unsubscribed; writing goes on in a task."""
+
+        async def check() -> None:
+            tasks.start_soon(self.async_check)
+
         name = f"snapshot.{self._log.spec.name}"
         seconds = self._log.options.snapshot_check_seconds
-        return self._timers.subscribe(name, seconds, self.async_check)
+        return self._timers.subscribe(name, seconds, check)
 
     async def async_check(self) -> None:
         """Write a snapshot if this process holds the duty and one is due."""
--- a/tests/state/test_snapshots.py
+++ b/tests/state/test_snapshots.py
@@ -290,7 +290,7 @@
         await bench.async_settle()
         await bench.async_fill(log, 3)
         idle = SnapshotWriter(log, bench.timers, lambda: False)
-        idle.subscribe()
+        idle.subscribe(bench.group)
         await bench.async_settle(65.0, 1.0)
         assert bench.service.tail(MANIFESTS) == 0
         writer = SnapshotWriter(log, bench.timers, lambda: True)
