--- a/mustardward/state/appender.py
+++ b/mustardward/state/appender.py
@@ -25,6 +25,7 @@
 from ..platform.protocols import LogService
 from .fold import Acceptance, RecordOutcome, RecordRefusedError
 from .options import LogOptions
+from .pace import AppendPace
 from .records import Envelope, encode_batch
 from .window import Verdict
 
@@ -89,6 +90,9 @@
         self._backoff = Backoff(
             options.backoff_initial_seconds, options.backoff_maximum_seconds, random
         )
+        self._pace = AppendPace(
+            options.append_interval_seconds, options.append_interval_maximum_seconds
+        )
         self._queues: tuple[deque[Proposal], ...] = tuple(
             deque() for _ in range(PRIORITIES)
         )
@@ -133,7 +137,7 @@
         while True:
             await self._wanted.wait()
             self._wanted = anyio.Event()
-            await self._timers.async_sleep(self._options.append_interval_seconds)
+            await self._timers.async_sleep(self._pace.window_seconds)
             while batch := self._take_batch():
                 await self._async_append(batch)
 
@@ -178,15 +182,15 @@
         except PlatformError as error:
             await self._async_retry(batch, error)
         else:
+            self._pace.note_appended()
             self._backoff.reset()
 
     async def _async_retry(self, batch: list[Proposal], error: PlatformError) -> None:
         delay = self._backoff.next_seconds()
-        event = (
-            "append_rate_exceeded"
-            if isinstance(error, AppendRateError)
-            else "append_failed"
-        )
+        event = "append_failed"
+        if isinstance(error, AppendRateError):
+            event = "append_rate_exceeded"
+            self._pace.note_refused()
         _LOGGER.warning(
             event,
             stream=self._stream,
--- a/mustardward/state/options.py
+++ b/mustardward/state/options.py
@@ -16,6 +16,7 @@
     poll_seconds: float = 1.0
     page_entries: int = 256
     append_interval_seconds: float = 0.02
+    append_interval_maximum_seconds: float = 0.5
     batch_records: int = 512
     batch_bytes: int = 262_144
     backoff_initial_seconds: float = 0.1
--- a/mustardward/state/replica.py
+++ b/mustardward/state/replica.py
@@ -108,7 +108,7 @@
         restore_image(self._spec, self._fold, image)
         self._recent.start_after(self._fold.digest)
         for listener in list(self._restored_listeners):
-            listener()
+            _call(listener)
         self._tail.note_progress(self._fold.next_offset)
 
     def image(self) -> Image:
@@ -163,10 +163,24 @@
             )
         for outcome in outcomes:
             for listener in list(self._listeners):
-                listener(outcome)
+                _call(listener, outcome)
         self._tail.note_progress(self._fold.next_offset)
 
 
+def _call(listener: Callable[..., None], *arguments: RecordOutcome) -> None:
+    # One part's bug must not end the follower of all parts; it would show as an entry
+    # that dies on a record which the others fold.
+    try:
+        listener(*arguments)
+    except Exception as error:
+        _LOGGER.error(
+            "listener_failed",
+            listener=getattr(listener, "__qualname__", "-"),
+            error=type(error).__name__,
+            detail=str(error),
+        )
+
+
 def check_page(page: LogPage, offset: int) -> None:
     """Check that a log that was asked for ``offset`` still stands where it stood.
 
--- a/tests/fakes/log.py
+++ b/tests/fakes/log.py
@@ -43,6 +43,8 @@
         self._out = False
         self.refuse_appends = 0
         """Refuse this many appends for their rate."""
+        self.budget: int | None = None
+        """Appends taken until it is set anew; no bound if nothing."""
         self.lose_answers = 0
         """Take this many appends, yet lose their answers."""
         self.lose_requests = 0
@@ -120,8 +122,10 @@
         await anyio.lowlevel.checkpoint()
         if self.out:
             raise PlatformUnavailableError("log is out")
-        if self._take("refuse_appends"):
+        if self._take("refuse_appends") or self.budget == 0:
             raise AppendRateError()
+        if self.budget is not None:
+            self.budget -= 1
         if self._take("lose_requests"):
             raise PlatformOutcomeUnknownError("request was lost")
         if self._take("delay_appends"):
--- /dev/null
+++ b/tests/state/test_pace.py
@@ -0,0 +1,69 @@
+"""Share the log's budget of appends."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from mustardward.state.log import FoldedLog
+from mustardward.state.models.pools import PutPool
+from mustardward.state.pace import AppendPace
+from tests.fakes.log_bench import running_bench
+
+pytestmark = pytest.mark.anyio
+
+
+def test_the_window_widens_at_once_and_narrows_slowly() -> None:
+    pace = AppendPace(0.02, 0.5)
+    for _ in range(10):
+        pace.note_refused()
+    assert pace.window_seconds == 0.5
+    pace.note_appended()
+    assert 0.4 < pace.window_seconds < 0.5
+    for _ in range(200):
+        pace.note_appended()
+    assert pace.window_seconds == 0.02
+
+
+async def test_many_entries_get_their_records_through_a_small_budget() -> None:
+    """Stay within the budget instead of at its edge.
+
+    Symptom: claims time out although the log is well. Sequence: many entries append at
+    once, each comes back to the log at its own short interval, most are refused. Cause:
+    the window of group commits stays as it is.
+    """
+    async with running_bench() as bench:
+        logs = [bench.start() for _ in range(12)]
+        await bench.async_settle()
+        bench.service.budget = 4
+        results: list[Any] = []
+
+        async def propose(log: FoldedLog[Any], number: int) -> None:
+            body = PutPool(f"pool-{number}")
+            results.append(
+                await log.async_propose(body, actor="o", timeout_seconds=30.0)
+            )
+
+        for number in range(120):
+            bench.group.start_soon(propose, logs[number % 12], number)
+        for _ in range(40):
+            bench.service.budget = 4
+            await bench.async_settle(0.25)
+        assert len(results) == 120
+        assert all(item.unwrap().revision for item in results)
+
+
+async def test_a_listener_that_breaks_stops_neither_fold_nor_other_listeners() -> None:
+    async with running_bench() as bench:
+        log = bench.start()
+        heard: list[int] = []
+
+        def fail(outcome: object) -> None:
+            raise ValueError("broken part")
+
+        log.listen(fail)
+        log.listen(lambda outcome: heard.append(outcome.offset))
+        await bench.async_settle()
+        await bench.async_fill(log, 2)
+        assert heard == [0, 1]
