Stop a real entry of three on a real stand-in platform

Cause: the graceful stop was proved with entries whose directory, routing and limits were fakes. Change: the test starts `platform` and three `serve` processes as an operator would, publishes pool, worker, template and organisation over the operators' interface, and stops one entry under load. Ruled out: keeping both tests (the second would show nothing more).

--- a/tests/cli/test_serve.py
+++ b/tests/cli/test_serve.py
@@ -10,17 +10,22 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import anyio
 import httpx
 import pytest
-from anyio.abc import Process, SocketStream
+from anyio.abc import Process, SocketStream, TaskGroup
 
 from tests.fakes.entry import RawWorker, SeenRequest, async_start_worker, plain_answer
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 CALLERS = 8
+PLATFORM_PORT = re.compile(rb"http://127\.0\.0\.1:(\d+)")
+ENTRY_PORTS = re.compile(
+    rb"callers_listening.* port=(\d+)\n(?:.*\n)*.*operators_listening.* port=(\d+)"
+)
 STREAM_PIECES = 25
 PIECE_SECONDS = 0.06
 
@@ -31,6 +36,7 @@
 
     process: Process
     port: int
+    operators_port: int
     ready: bool = True
 
     @property
@@ -38,6 +44,11 @@
         """Return where its callers reach it."""
         return f"http://127.0.0.1:{self.port}"
 
+    @property
+    def operators_url(self) -> str:
+        """Return where its operators reach it."""
+        return f"http://127.0.0.1:{self.operators_port}"
+
 
 @dataclass(slots=True)
 class History:
@@ -78,41 +89,105 @@
 
 
 @asynccontextmanager
-async def running_entries(count: int) -> AsyncIterator[tuple[list[Entry], RawWorker]]:
+async def running_entries(
+    count: int, folder: Path
+) -> AsyncIterator[tuple[list[Entry], RawWorker]]:
+    """Run a stand-in platform and entries as an operator would, and one worker."""
     async with anyio.create_task_group() as tasks:
         worker = await async_start_worker(tasks, echo)
-        entries: list[Entry] = []
+        processes: list[Process] = []
         try:
-            for number in range(count):
-                entries.append(await async_start_entry(number, worker.address))
-                tasks.start_soon(async_drop_log, entries[-1].process)
+            platform = await async_start(["platform"], processes, tasks, PLATFORM_PORT)
+            files = [
+                write_settings(folder, number, int(platform[1]))
+                for number in range(count)
+            ]
+            entries = []
+            for file in files:
+                command = ["serve", str(file)]
+                found = await async_start(command, processes, tasks, ENTRY_PORTS)
+                entries.append(Entry(processes[-1], int(found[1]), int(found[2])))
+            await async_publish(entries, worker.address)
             yield entries, worker
         finally:
-            for entry in entries:
-                if entry.process.returncode is None:
-                    entry.process.kill()
+            for process in processes:
+                if process.returncode is None:
+                    process.kill()
                 with anyio.CancelScope(shield=True):
-                    await entry.process.aclose()
+                    await process.aclose()
             tasks.cancel_scope.cancel()
 
 
-async def async_start_entry(number: int, worker: str) -> Entry:
-    command = [sys.executable, "-m", "tests.fakes.entry_process", f"entry-{number}"]
+def write_settings(folder: Path, number: int, platform_port: int) -> Path:
+    file = folder / f"entry-{number}.yaml"
+    file.write_text(
+        f"entry: {{name: entry-{number}, data_centre: dc-a, leaving_seconds: 0.6}}\n"
+        "callers: {port: 0}\n"
+        f"platform: {{url: 'http://127.0.0.1:{platform_port}'}}\n"
+    )
+    return file
+
+
+async def async_start(
+    command: list[str],
+    processes: list[Process],
+    tasks: TaskGroup,
+    wanted: re.Pattern[bytes],
+) -> re.Match[bytes]:
+    """Start a command, and return what it says once it listens."""
     process = await anyio.open_process(
-        [*command, worker], stdout=subprocess.DEVNULL, stderr=subprocess.PIPE
+        [sys.executable, "-m", "mustardward", *command],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
     )
-    assert process.stderr is not None
+    processes.append(process)
+    assert process.stdout is not None
     seen = b""
-    while (found := re.search(rb"callers_listening.* port=(\d+)\n", seen)) is None:
-        seen += await process.stderr.receive()
-    return Entry(process, int(found[1]))
+    while (found := wanted.search(seen)) is None:
+        seen += await process.stdout.receive()
+    tasks.start_soon(async_drop_log, process)
+    return found
+
+
+async def async_publish(entries: list[Entry], worker: str) -> None:
+    """Bring a pool with one worker, a template and an organisation into force."""
+    instance = {
+        "instance_id": "worker-1",
+        "data_centre": "dc-a",
+        "rack": "rack-1",
+        "address": worker,
+        "pool": "racks",
+    }
+    template = {"services": [{"service": "turn", "pool": "racks"}]}
+    async with httpx.AsyncClient(timeout=10.0) as client:
+        for entry in entries:
+            await async_until_good(client, f"{entry.url}/-/ready")
+        operators = entries[0].operators_url
+        calls = [
+            ("PUT", "/pools/racks", {}),
+            ("POST", "/instances", {"instances": [instance]}),
+            ("POST", "/templates/small", {"parameters": template, "base_revision": 0}),
+            ("PUT", "/organisations/hvelv", {"template": "small", "base_revision": 0}),
+        ]
+        for method, path, body in calls:
+            answer = await client.request(method, operators + path, json=body)
+            assert answer.status_code < 300, answer.text
+        for entry in entries:
+            await async_until_good(client, f"{entry.url}/hvelv/turn/")
+
+
+async def async_until_good(client: httpx.AsyncClient, url: str) -> None:
+    while True:
+        if (await client.get(url)).status_code == 200:
+            return
+        await anyio.sleep(0.02)
 
 
 async def async_drop_log(process: Process) -> None:
     # A full pipe would stop the process at its next log line.
-    assert process.stderr is not None
+    assert process.stdout is not None
     with suppress(anyio.ClosedResourceError):
-        async for _ in process.stderr:
+        async for _ in process.stdout:
             pass
 
 
@@ -179,7 +254,7 @@
                 pieces.append(piece)
 
 
-async def test_a_stop_under_load_cuts_no_request() -> None:
+async def test_a_stop_under_load_cuts_no_request(tmp_path: Path) -> None:
     """Stop one of three entries while orders and a stream go through it.
 
     Symptom: orders are cut or placed twice at every roll-out. Sequence: SIGTERM comes
@@ -187,8 +262,8 @@
     callers have gone elsewhere, or before their answers are whole.
     """
     history, pieces, done = History(), list[bytes](), anyio.Event()
-    with anyio.fail_after(30):
-        async with running_entries(3) as (entries, worker):
+    with anyio.fail_after(60):
+        async with running_entries(3, tmp_path) as (entries, worker):
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(async_probe, entries, done)
                 for caller in range(CALLERS):
