Hold dispatch after a pause until the state was confirmed

Cause: a process that was stopped went on dispatching from an old picture of the fleet; a caller that left a long stream left its worker busy; of two headers that decide, the last one counted. Ruled out: asking for the tail before each dispatch (a round trip, and nothing served in a log outage); the timer's watcher alone (other tasks may run first). Change: a guard looks at a beat of its own at each dispatch and waits for a read of the tail, or a peer, from after the pause. A stream is dropped once its caller is gone. A deciding header that comes twice is refused.

--- a/bench/path_targets.py
+++ b/bench/path_targets.py
@@ -154,6 +154,14 @@
                 instance_id, "dc-a", f"rack-{number}", address, "pool-1", 1
             )
 
+    def tail_age_seconds(self) -> float:
+        """Be always up to date."""
+        return 0.0
+
+    async def async_confirm_tail(self, timeout_seconds: float) -> bool:
+        """Be always at the tail."""
+        return True
+
     def listen(self, listener: Callable[[Any], None]) -> Callable[[], None]:
         """Tell of nothing."""
         return lambda: None
--- a/mustardward/components/entry/abort.py
+++ b/mustardward/components/entry/abort.py
@@ -1,4 +1,4 @@
-"""Break off an answer that has begun."""
+"""Reach what ASGI has no word for: whether a caller is gone, and a reset."""
 
 from __future__ import annotations
 
@@ -25,3 +25,12 @@
         return
     reset(stream.stream_id, error_code=h2.errors.ErrorCodes.INTERNAL_ERROR)
     await flush()
+
+
+def is_gone(send: Callable[[dict[str, Any]], Awaitable[None]]) -> bool:
+    """Tell whether the caller's connection or stream was closed.
+
+    hypercorn drops what is sent to a caller that went away, without a sign. A large
+    answer would be read from its worker to the end, for nobody.
+    """
+    return getattr(getattr(send, "__self__", None), "closed", False) is True
--- a/mustardward/components/entry/front.py
+++ b/mustardward/components/entry/front.py
@@ -191,6 +191,8 @@
             with anyio.move_on_after(remaining):
                 await self._writer.async_answer(answer)
                 cause = "worker" if answer.status >= 500 else ""
+        except CallerGoneError as error:
+            cause = error.code
         except BROKEN_ANSWER as error:
             cause = TruncatedAnswerError.code
             _LOGGER.warning(
@@ -201,6 +203,8 @@
                 await async_close_answer(answer)
         if cause in ("", "worker"):
             self._finish(answer.status, Ran.YES, cause)
+        elif cause == CallerGoneError.code:
+            self._finish(_CALLER_GONE, Ran.YES, cause)
         elif self._writer.started:
             await self._writer.async_abort()
             self._finish(answer.status, Ran.YES, cause)
--- a/mustardward/components/entry/health.py
+++ b/mustardward/components/entry/health.py
@@ -8,6 +8,7 @@
 
 from ...core import Core
 from ..keys import FLEET_LOG
+from .pause import PauseGuard
 
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
@@ -18,8 +19,9 @@
 class Health:
     """Count requests in progress and know whether new ones are welcome."""
 
-    def __init__(self, core: Core) -> None:
+    def __init__(self, core: Core, guard: PauseGuard | None = None) -> None:
         self._core = core
+        self._guard = guard
         self._leaving = False
         self._in_progress = 0
 
@@ -41,6 +43,8 @@
         log = self._core.find(FLEET_LOG)
         if log is None or not log.ready:
             return "no-state"
+        if self._guard is not None and not self._guard.open:
+            return "unconfirmed"
         return ""
 
     def leave(self) -> None:
--- a/mustardward/components/entry/parse.py
+++ b/mustardward/components/entry/parse.py
@@ -85,11 +85,10 @@
         return _refuse("headers-too-large", 431, f"limit={limits.header_bytes}")
     if has_injection(headers):
         return _refuse("header-invalid", 400, "a header holds a line break")
-    wanted = {
-        _WANTED[name]: value.decode("latin-1")
-        for name, value in headers
-        if name in _WANTED
-    }
+    known = [item for item in headers if item[0] in _WANTED]
+    wanted = {_WANTED[name]: value.decode("latin-1") for name, value in known}
+    if len(wanted) != len(known):
+        return _refuse("header-repeated", 400, "a header that decides came twice")
     fault = _fault_in(wanted, limits)
     if fault is not None:
         return Failure(fault)
--- a/mustardward/components/entry/parts.py
+++ b/mustardward/components/entry/parts.py
@@ -9,6 +9,7 @@
 
 from ..membership.models import Member
 from .models import RequestFacts
+from .pause import PauseGuard
 from .protocols import (
     FailedAttempt,
     IntentGate,
@@ -41,3 +42,4 @@
     dispatcher: WorkerDispatcher
     intents: IntentGate | None = None
     peers: Forwarding | None = None
+    guard: PauseGuard | None = None
--- a/mustardward/components/entry/serving.py
+++ b/mustardward/components/entry/serving.py
@@ -43,6 +43,9 @@
     BodyTooLargeError.code: ("body-too-large", 413),
     CallerGoneError.code: ("caller-gone", 400),
 }
+_UNCONFIRMED: Final = no_answer_refusal(
+    "not-ready", 503, Ran.NO, "the state was not confirmed since a pause"
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +139,8 @@
         retries.record_first(self._facts)
         exclude: frozenset[str] = frozenset()
         while True:
+            if not await self._async_may_dispatch():
+                return self._refuse(_UNCONFIRMED)
             chosen = self._choose(exclude)
             if isinstance(chosen, Failure):
                 return await self._async_elsewhere(chosen.failure())
@@ -154,6 +159,10 @@
                 await self._async_pause(decision)
             exclude |= {choice.instance.instance_id}
 
+    async def _async_may_dispatch(self) -> bool:
+        guard = self._parts.guard
+        return guard is None or guard.open or await guard.async_pass()
+
     def _choose(self, exclude: frozenset[str]) -> Result[Choice, RequestRefusal]:
         """Choose a worker not tried yet; any, once all were."""
         chosen = self._parts.router.choose(self._facts, exclude)
--- a/mustardward/components/entry/setup.py
+++ b/mustardward/components/entry/setup.py
@@ -12,6 +12,7 @@
     DISPATCHER,
     DRAIN,
     ENTRY,
+    FLEET_LOG,
     INTENT_GATE,
     LIMITER,
     METRICS,
@@ -26,6 +27,7 @@
 from .health import Health
 from .metrics import subscribe_metrics
 from .parts import EntryParts
+from .pause import PauseGuard
 from .service import EntryService
 
 _LOGGER = get_logger(__name__)
@@ -35,9 +37,11 @@
     """Begin to listen for callers; return what drains and stops all of it."""
     dispatcher = HttpDispatcher(core.timers)
     core.put(DISPATCHER, dispatcher)
-    service = EntryService(_parts(core, dispatcher), core.timers, core.tasks)
+    guard = PauseGuard(core.get(FLEET_LOG), core.timers, core.tasks)
+    parts = _parts(core, dispatcher, guard)
+    service = EntryService(parts, core.timers, core.tasks)
     core.put(ENTRY, service)
-    health = Health(core)
+    health = Health(core, guard)
     front = CallerFront(
         service,
         core.get(DIRECTORY),
@@ -56,6 +60,7 @@
         core.timers.subscribe(
             "entry.connections", PRUNE_SECONDS, dispatcher.async_prune
         ),
+        *guard.start(),
         *_feed_metrics(core, health),
     ]
 
@@ -71,7 +76,7 @@
     return async_unload
 
 
-def _parts(core: Core, dispatcher: HttpDispatcher) -> EntryParts:
+def _parts(core: Core, dispatcher: HttpDispatcher, guard: PauseGuard) -> EntryParts:
     return EntryParts(
         limiter=core.get(LIMITER),
         router=core.get(ROUTER),
@@ -79,6 +84,7 @@
         dispatcher=dispatcher,
         intents=core.find(INTENT_GATE),
         peers=core.find(PEERS),
+        guard=guard,
     )
 
 
--- a/mustardward/components/entry/writer.py
+++ b/mustardward/components/entry/writer.py
@@ -7,7 +7,8 @@
 
 import anyio
 
-from .abort import async_abort_stream
+from ...exceptions import CallerGoneError
+from .abort import async_abort_stream, is_gone
 from .const import LINGER_SECONDS, RETRY_BUFFER_BYTES
 from .headers import find_header
 from .health import Health
@@ -50,6 +51,7 @@
         """Pass a worker's answer on, small ones in one piece.
 
         :raises TruncatedAnswerError: if the worker ended too early.
+        :raises CallerGoneError: if the caller went away in the middle of a stream.
         """
         headers = [
             *answer.headers,
@@ -92,6 +94,8 @@
 
     async def _async_stream(self, chunks: AsyncIterator[bytes]) -> None:
         async for chunk in chunks:
+            if is_gone(self._send):
+                raise CallerGoneError("answer not taken")
             await self._send(
                 {"type": "http.response.body", "body": chunk, "more_body": True}
             )
--- a/tests/components/entry/test_failures.py
+++ b/tests/components/entry/test_failures.py
@@ -297,6 +297,45 @@
     assert worker.seen == []
 
 
+async def test_a_header_that_decides_may_come_once() -> None:
+    async with running_entry(answer_plainly) as (entry, (worker,)):
+        url = f"{entry.url}/hvelv/turn/"
+        twice = [("idempotency-key", "a"), ("idempotency-key", "b")]
+        async with httpx.AsyncClient() as client:
+            answer = await client.post(url, headers=twice)
+    assert problem(answer) == (400, "header-repeated", "unknown")
+    assert worker.seen == []
+
+
+async def test_a_stream_is_not_read_on_for_a_caller_that_left() -> None:
+    """Stop reading a worker's stream once nobody takes it.
+
+    Symptom: slots stay busy long after the tablets are off. Sequence: a caller leaves
+    in the middle of a long answer. Cause: the server drops what is sent, silently.
+    """
+    stopped = anyio.Event()
+
+    async def stream_on(stream: SocketStream, seen: SeenRequest) -> bool:
+        head = f"HTTP/1.1 200 X\r\nmw-attempt-id: {seen.attempt_id}\r\n"
+        await stream.send(head.encode() + b"transfer-encoding: chunked\r\n\r\n")
+        try:
+            while True:
+                await stream.send(b"4\r\nturn\r\n")
+                await anyio.sleep(0.001)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            stopped.set()
+        return False
+
+    async with running_entry(stream_on) as (entry, _):
+        async with httpx.AsyncClient() as client:
+            async with client.stream("GET", f"{entry.url}/hvelv/turn/") as answer:
+                await anext(answer.aiter_raw())
+        with anyio.fail_after(10):
+            await stopped.wait()
+    assert [item.cause for item in entry.finished] == ["caller-gone"]
+    assert entry.service.unfinished == 0
+
+
 async def test_hop_by_hop_and_own_headers_end_at_the_entry() -> None:
     """Let neither side steer a hop that is not its own.
 
--- a/tests/fakes/entry.py
+++ b/tests/fakes/entry.py
@@ -24,6 +24,7 @@
     RequestRefusal,
 )
 from mustardward.components.entry.parts import EntryParts
+from mustardward.components.entry.pause import PauseGuard
 from mustardward.components.entry.protocols import (
     Choice,
     FailedAttempt,
@@ -358,6 +359,7 @@
     intents: IntentGate | None = None,
     parameters: Parameters | None = None,
     peers: FakePeers | None = None,
+    make_guard: Callable[[Core], PauseGuard] | None = None,
 ) -> AsyncIterator[tuple[RunningEntry, list[RawWorker]]]:
     """Run an entry in front of one scripted worker for each script."""
     async with anyio.create_task_group() as tasks:
@@ -370,12 +372,13 @@
         router = FakeRouter([worker.address for worker in workers])
         limiter, retries = FakeLimiter(), FakeRetries()
         dispatcher = HttpDispatcher(timers)
-        parts = EntryParts(limiter, router, retries, dispatcher, intents, peers)
+        guard = None if make_guard is None else make_guard(core)
+        parts = EntryParts(limiter, router, retries, dispatcher, intents, peers, guard)
         service = EntryService(parts, timers, tasks)
         directory = FakeDirectory()
         if parameters is not None:
             directory.parameters = parameters
-        health = Health(core)
+        health = Health(core, guard)
         front = CallerFront(
             service, directory, health, core.settings.limits, timers, core.events
         )
