--- a/tests/components/pools/test_moves.py
+++ b/tests/components/pools/test_moves.py
@@ -140,7 +140,7 @@
     waiting = [d for d in moves.site.decisions if d.decision == "move-waiting"]
     assert "waiting=entry-3#1" in waiting[-1].inputs
     moves.site.membership.others.pop()
-    moves.site.membership.gone.add(("entry-3", 0))
+    moves.site.membership.gone.add(("entry-3", 1))
     await moves.steps()
     assert moves.pool == "casting"
 
