Cut no forwarded answer off when an entry leaves

Cause: a test of unload during an answer got half of it: the peers' server closed while the last frames were on their way, and grpclib drops received frames with the connection. Ruled out: waiting a fixed time, which a slow caller outlasts; writing past grpclib's buffers. Change: the asking entry ends its side when it has the whole answer and the answering one waits for that, bounded by the deadline; unload waits for running streams; a leaving entry refuses forwarded requests as not run; a cut-off answer has a frame of its own.

--- a/bench/membership_wire.py
+++ b/bench/membership_wire.py
@@ -72,7 +72,9 @@
 
 @asynccontextmanager
 async def _running(name: str) -> AsyncIterator[GrpcPeers]:
-    receiver = ForwardReceiver(lambda: None, lambda: None, time.monotonic, 300.0)
+    receiver = ForwardReceiver(
+        lambda: None, lambda: None, lambda: False, time.monotonic, 300.0
+    )
     peers = GrpcPeers(name, receiver, time.monotonic)
     await peers.async_start("127.0.0.1", 0, None)
     try:
--- a/mustardward/components/membership/models.py
+++ b/mustardward/components/membership/models.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Final
 
 
 class MemberStatus(StrEnum):
@@ -15,6 +16,10 @@
     GONE = "gone"
 
 
+FINAL_STATUSES: Final = frozenset({MemberStatus.LEAVING, MemberStatus.GONE})
+"""States from which nothing leads back within one incarnation."""
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """Hold one entry process.
--- a/mustardward/components/membership/table.py
+++ b/mustardward/components/membership/table.py
@@ -16,6 +16,7 @@
 from .const import TOMBSTONE_SECONDS
 from .counter import ChangeCounter
 from .models import (
+    FINAL_STATUSES,
     Member,
     MembershipChanged,
     MemberStatus,
@@ -30,7 +31,6 @@
     MemberStatus.GONE: "end",
 }
 _RANKS: Final = {status: rank for rank, status in enumerate(MemberStatus)}
-_FINAL: Final = (MemberStatus.LEAVING, MemberStatus.GONE)
 UNMET: Final = 0
 """Incarnation of a member known by its address only; it is never told on."""
 
@@ -223,7 +223,7 @@
         # incarnation holds against any refutation; otherwise two entries that hear of
         # a leaving and of an older refutation in different order stay at odds.
         same = told.refutations == known.refutations
-        if same or told.status in _FINAL:
+        if same or told.status in FINAL_STATUSES:
             return _RANKS[told.status] > _RANKS[known.status]
         return told.refutations > known.refutations
 
@@ -244,9 +244,9 @@
         stale = told.incarnation < own.incarnation
         if stale or told.status is MemberStatus.ALIVE:
             return []
-        if own.status in _FINAL:
+        if own.status in FINAL_STATUSES:
             return []
-        if told.status in _FINAL:
+        if told.status in FINAL_STATUSES:
             # Others were given proof that this process ended, and may have acted on
             # it, while it was only paused. That incarnation stays ended; it joins anew.
             return self._restart(told, OwnVerdict.DECLARED_GONE, now)
@@ -286,7 +286,7 @@
 
 
 def _member_digest(member: Member) -> int:
-    final = member.status in _FINAL
+    final = member.status in FINAL_STATUSES
     word = member.incarnation if final else _spoken_word(member)
     text = f"{member.name}\x00{word}\x00{member.status}"
     return xxhash.xxh3_64_intdigest(text.encode()) >> 32
--- a/mustardward/components/peers/__init__.py
+++ b/mustardward/components/peers/__init__.py
@@ -3,21 +3,28 @@
 from __future__ import annotations
 
 from ...core import COMPONENTS, ComponentDescription, Core, Unload
-from ..keys import DIRECTORY, ENTRY, PEERS
+from ..keys import DIRECTORY, ENTRY, MEMBERSHIP, PEERS
 from .const import SWEEP_SECONDS
 
 
 async def async_setup(core: Core) -> Unload:
     """Set the component up and return what undoes it."""
+    from ..membership.models import FINAL_STATUSES
     from .receiver import ForwardReceiver
     from .services import GrpcPeers
     from .tls import client_context, server_context
 
     settings = core.settings
     tls = settings.peer_tls
+
+    def is_leaving() -> bool:
+        membership = core.find(MEMBERSHIP)
+        return membership is not None and membership.own.status in FINAL_STATUSES
+
     receiver = ForwardReceiver(
         lambda: core.find(ENTRY),
         lambda: core.find(DIRECTORY),
+        is_leaving,
         core.timers.monotonic,
         settings.limits.maximum_deadline_seconds,
     )
--- a/mustardward/components/peers/answer.py
+++ b/mustardward/components/peers/answer.py
@@ -10,12 +10,16 @@
 import msgspec
 from grpclib.exceptions import GRPCError
 
+from ...helpers.logging import get_logger
 from .client import TRANSPORT_ERRORS
 from .codec import MsgpackCodec
+from .const import LAST_FRAMES_SECONDS
 from .exceptions import PeerAnswerTruncatedError, PeerMessageError
 from .framing import async_receive_bytes
 from .models import AnswerFrame
 
+_LOGGER = get_logger(__name__)
+
 STREAM_FAILURES: Final = (*TRANSPORT_ERRORS, GRPCError, msgspec.MsgspecError)
 """What the transport raises when a stream is lost or not understood."""
 
@@ -60,18 +64,30 @@
         while not self._finished:
             frame = self._pending or await self._async_next()
             self._pending = None
-            if frame.last:
+            if frame.cut:
                 await self.aclose()
+                raise PeerAnswerTruncatedError("the worker's answer was cut off")
+            if frame.last:
+                await self._async_end()
             if frame.chunk:
                 return frame.chunk
         raise StopAsyncIteration
 
-    async def aclose(self) -> None:
-        """Close the stream; the peer stops answering if it was not at the end."""
+    async def aclose(self, whole: bool = False) -> None:
+        """Close the stream; the peer stops answering unless it was taken whole."""
         if not self._finished:
             self._finished = True
             with anyio.CancelScope(shield=True):
-                await async_close_stream(self._stream, self._stack)
+                await async_close_stream(self._stream, self._stack, whole)
+
+    async def _async_end(self) -> None:
+        # The end of our side tells the peer that the answer was taken whole.
+        with anyio.move_on_after(LAST_FRAMES_SECONDS, shield=True):
+            try:
+                await self._stream.end()
+            except STREAM_FAILURES:
+                _LOGGER.debug("peer_left_before_the_end")
+        await self.aclose(whole=True)
 
     async def async_receive(self) -> AnswerFrame:
         """Return the next frame.
@@ -101,14 +117,16 @@
             raise
 
 
-async def async_close_stream(stream: Any, stack: AsyncExitStack) -> None:
+async def async_close_stream(
+    stream: Any, stack: AsyncExitStack, whole: bool = False
+) -> None:
     """Leave a stream, or what was opened for one, without waiting for the peer."""
     # Leaving grpclib's stream waits for trailers, which never come from a peer that
     # was cut off: the request would hang past its deadline. So the stream is reset,
     # and marked as such, first.
     try:
         if stream is not None:
-            if stream._stream.closable:
+            if stream._stream.closable and not whole:
                 stream._stream.reset_nowait()
             stream._cancel_done = True
         await stack.aclose()
--- a/mustardward/components/peers/const.py
+++ b/mustardward/components/peers/const.py
@@ -24,6 +24,9 @@
 """Entries that may forward a request: to another data centre, then to a home."""
 
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
+LAST_FRAMES_SECONDS: Final = 5.0
+"""Time beyond a request's deadline for its answer's end to be taken."""
+
 IDLE_SECONDS: Final = 120.0
 """Time after which an unused connection is closed."""
 
--- a/mustardward/components/peers/forward.py
+++ b/mustardward/components/peers/forward.py
@@ -116,12 +116,12 @@
 ) -> None:
     if isinstance(body, bytes) and len(body) <= CHUNK_BYTES:
         frame = RequestFrame(head=head, chunk=body, last=True)
-        await stream.send_message(frame, end=True)
+        await stream.send_message(frame)
         return
     await stream.send_message(RequestFrame(head=head))
     async for chunk in _pieces(body):
         await stream.send_message(RequestFrame(chunk=chunk))
-    await stream.send_message(RequestFrame(last=True), end=True)
+    await stream.send_message(RequestFrame(last=True))
 
 
 async def _pieces(body: bytes | AsyncIterator[bytes]) -> AsyncIterator[bytes]:
--- a/mustardward/components/peers/models.py
+++ b/mustardward/components/peers/models.py
@@ -54,9 +54,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerFrame:
-    """Carry one piece of an answer; without a ``last`` one it was cut off."""
+    """Carry one piece of an answer; without a ``last`` one it was cut off.
+
+    ``cut`` says so at once, where the peer noticed it itself.
+    """
 
     head: AnswerHead | None = None
     refusal: ForwardRefusal | None = None
     chunk: bytes = b""
     last: bool = False
+    cut: bool = False
--- a/mustardward/components/peers/receiver.py
+++ b/mustardward/components/peers/receiver.py
@@ -10,11 +10,12 @@
 from returns.result import Failure, Result
 
 from ...helpers.logging import get_logger
+from ..entry.answer import async_close_answer
 from ..entry.models import Ran, RequestFacts, RequestRefusal
 from ..entry.protocols import OutgoingRequest, WorkerAnswer
 from ..templates.protocols import Directory, Resolved
 from .codec import MsgpackCodec
-from .const import CHUNK_BYTES, MAXIMUM_HOPS
+from .const import CHUNK_BYTES, LAST_FRAMES_SECONDS, MAXIMUM_HOPS
 from .exceptions import PeerBodyTruncatedError, PeerMessageError
 from .framing import async_receive_bytes
 from .models import (
@@ -43,6 +44,7 @@
 
     :param find_entry: returns what serves requests, once it is set up.
     :param find_directory: returns what resolves organisations, once it is set up.
+    :param is_leaving: tells whether this entry takes no new work.
     :param clock: returns monotonic seconds.
     """
 
@@ -50,17 +52,36 @@
         self,
         find_entry: Callable[[], ForwardedRequestServer | None],
         find_directory: Callable[[], Directory | None],
+        is_leaving: Callable[[], bool],
         clock: Callable[[], float],
         maximum_deadline_seconds: float,
     ) -> None:
         self._find_entry = find_entry
         self._find_directory = find_directory
+        self._is_leaving = is_leaving
         self._clock = clock
         self._maximum_deadline_seconds = maximum_deadline_seconds
         self._codec = MsgpackCodec()
+        self._running = 0
+        self._idle: anyio.Event | None = None
+
+    async def async_wait_idle(self) -> None:
+        """Wait until no forwarded request is being served; each has its deadline."""
+        if self._running:
+            self._idle = anyio.Event()
+            await self._idle.wait()
 
     async def async_answer(self, stream: Any) -> None:
         """Answer one stream."""
+        self._running += 1
+        try:
+            await self._async_answer(stream)
+        finally:
+            self._running -= 1
+            if self._idle is not None and not self._running:
+                self._idle.set()
+
+    async def _async_answer(self, stream: Any) -> None:
         try:
             first = await self._async_receive(stream)
         except PeerMessageError as error:
@@ -79,6 +100,9 @@
         if entry is None or directory is None:
             await self._async_refuse(stream, "not-ready", Ran.NO)
             return
+        if self._is_leaving():
+            await self._async_refuse(stream, "leaving", Ran.NO)
+            return
         if head.hops > MAXIMUM_HOPS or not head.remaining_seconds > 0:
             await self._async_refuse(stream, "forward-refused", Ran.NO)
             return
@@ -97,6 +121,7 @@
             await self._async_refuse(stream, refusal.code, refusal.ran, refusal.detail)
             return
         await _async_stream(stream, result.unwrap())
+        await _async_wait_taken(stream, facts.deadline - self._clock())
 
     def _facts(self, head: ForwardHead, resolved: Resolved) -> RequestFacts:
         # The sender may hold an older or newer configuration, and its clocks are its
@@ -153,31 +178,45 @@
         _LOGGER.info("forwarded_request_refused", code=code, ran=ran)
         refusal = ForwardRefusal(code, ran, detail)
         await _async_write(stream, AnswerFrame(refusal=refusal, last=True))
+        await _async_wait_taken(stream, 0.0)
 
 
 async def _async_stream(stream: Any, answer: WorkerAnswer) -> None:
-    # The last frame is sent only after the worker's body was whole: if it raises, the
-    # stream ends without one, and the entry that asked tells its caller of an error
-    # rather than of a short success.
-    head = AnswerHead(answer.status, answer.headers)
+    # The last frame is sent only after the worker's body was whole. Otherwise the peer
+    # hears that it is cut off, and its caller gets an error, never a short success.
+    await _async_write(
+        stream, AnswerFrame(head=AnswerHead(answer.status, answer.headers))
+    )
     try:
-        await _async_write(stream, AnswerFrame(head=head))
-        async for chunk in answer.chunks:
-            for start in range(0, len(chunk), CHUNK_BYTES):
-                piece = bytes(chunk[start : start + CHUNK_BYTES])
-                await _async_write(stream, AnswerFrame(chunk=piece))
+        whole = await _async_copy(stream, answer.chunks)
     finally:
-        await _async_close(answer.chunks)
-    await _async_write(stream, AnswerFrame(last=True))
+        # A caller that went away ends this stream in the middle; the worker's
+        # connection has to be given up with it, or it stays open till its deadline.
+        await async_close_answer(answer)
+    await _async_write(stream, AnswerFrame(last=whole, cut=not whole))
 
 
-async def _async_close(chunks: AsyncIterator[bytes]) -> None:
-    # A caller that went away ends this stream in the middle; the worker's connection
-    # has to be given up with it, or it stays open until its deadline.
-    close = getattr(chunks, "aclose", None)
-    if close is not None:
-        with anyio.CancelScope(shield=True):
-            await close()
+async def _async_copy(stream: Any, chunks: AsyncIterator[bytes]) -> bool:
+    while True:
+        try:
+            chunk = await anext(chunks, None)
+        except Exception as error:
+            _LOGGER.warning("forwarded_answer_cut", error=type(error).__name__)
+            return False
+        if chunk is None:
+            return True
+        for start in range(0, len(chunk), CHUNK_BYTES):
+            piece = bytes(chunk[start : start + CHUNK_BYTES])
+            await _async_write(stream, AnswerFrame(chunk=piece))
+
+
+async def _async_wait_taken(stream: Any, remaining: float) -> None:
+    # The peer ends the stream when it has the whole answer. If this entry closed the
+    # connection before, grpclib would throw away what the peer has not read yet, and
+    # a planned stop would cut answers off.
+    with anyio.move_on_after(max(0.0, remaining) + LAST_FRAMES_SECONDS):
+        while await stream._stream.recv_data(1):
+            pass
 
 
 async def _async_write(stream: Any, frame: AnswerFrame) -> None:
--- a/mustardward/components/peers/services.py
+++ b/mustardward/components/peers/services.py
@@ -38,6 +38,7 @@
         self._channels = ChannelPool(clock, client_context)
         self._client = PeerClient(name, self._channels)
         self._forwarder = Forwarder(name, self._channels, clock)
+        self._receiver = receiver
         self._server = PeerServer(self._handlers, receiver.async_answer)
         self._host = ""
 
@@ -55,7 +56,8 @@
         await self._server.async_start(host, port, context)
 
     async def async_stop(self) -> None:
-        """Close all connections."""
+        """Let forwarded requests get the end of their answers; close connections."""
+        await self._receiver.async_wait_idle()
         self._channels.close()
         await self._server.async_stop()
 
--- a/tests/components/peers/builders.py
+++ b/tests/components/peers/builders.py
@@ -126,10 +126,13 @@
 
 @asynccontextmanager
 async def running_peers(
-    name: str, entry: RecordingEntry | None = None, tls: TlsSettings | None = None
+    name: str,
+    entry: RecordingEntry | None = None,
+    tls: TlsSettings | None = None,
+    leaving: bool = False,
 ) -> AsyncIterator[GrpcPeers]:
     receiver = ForwardReceiver(
-        lambda: entry, lambda: FixedDirectory(), time.monotonic, 300.0
+        lambda: entry, FixedDirectory, lambda: leaving, time.monotonic, 300.0
     )
     context = client_context(tls) if tls else None
     peers = GrpcPeers(name, receiver, time.monotonic, context)
--- a/tests/components/peers/test_forward.py
+++ b/tests/components/peers/test_forward.py
@@ -129,6 +129,49 @@
     assert result == Failure(FailedAttempt(AttemptOutcome.REFUSED, "not-ready"))
 
 
+async def test_leaving_peer_says_not_run() -> None:
+    entry = RecordingEntry()
+    async with running_peers("a") as a, running_peers("b", entry, leaving=True) as b:
+        result = await a.async_forward(
+            build_member("b", b.address), build_facts(), build_request()
+        )
+    assert result == Failure(FailedAttempt(AttemptOutcome.REFUSED, "leaving"))
+    assert entry.served == []
+
+
+async def test_unload_lets_an_answer_come_to_its_end() -> None:
+    """Cut no forwarded answer off at a planned stop.
+
+    Symptom: a caller of another data centre gets half an answer during a release.
+    Sequence: the entry has drained and is unloaded while the last frames are written.
+    Cause: the server closed at once.
+    """
+
+    class SlowEntry(RecordingEntry):
+        async def _chunks(self) -> AsyncIterator[bytes]:
+            yield b"one"
+            stopping.set()
+            await anyio.sleep(0.1)
+            yield b"two"
+
+    async def async_read(answer: WorkerAnswer) -> None:
+        await anyio.sleep(0.2)
+        whole.extend([chunk async for chunk in answer.chunks])
+
+    whole: list[bytes] = []
+    stopping = anyio.Event()
+    async with running_peers("a") as a:
+        async with running_peers("b", SlowEntry()) as b:
+            member = build_member("b", b.address)
+            result = await a.async_forward(member, build_facts(), build_request())
+            await stopping.wait()
+            reader = anyio.create_task_group()
+            await reader.__aenter__()
+            reader.start_soon(async_read, result.unwrap())
+        await reader.__aexit__(None, None, None)
+    assert whole == [b"one", b"two"]
+
+
 async def test_answer_cut_off_is_never_a_short_success() -> None:
     """Raise when the peer's worker ended its answer too early.
 
@@ -171,6 +214,7 @@
             await group.__aenter__()
             group.start_soon(async_one)
             await started.wait()
+            await b._server.async_stop()
         await group.__aexit__(None, None, None)
     assert results[0].failure().outcome is AttemptOutcome.UNKNOWN
 
--- a/tests/components/peers/test_malformed.py
+++ b/tests/components/peers/test_malformed.py
@@ -140,7 +140,9 @@
 @given(st.binary(max_size=40))
 def test_random_frames_are_refused_as_not_run(data: bytes) -> None:
     entry = RecordingEntry()
-    receiver = ForwardReceiver(lambda: entry, FixedDirectory, lambda: 0.0, 300.0)
+    receiver = ForwardReceiver(
+        lambda: entry, FixedDirectory, lambda: False, lambda: 0.0, 300.0
+    )
     stream = BytesStream(struct.pack(">BI", 0, len(data)) + data)
     anyio.run(receiver.async_answer, stream)
     assert entry.served == []
