--- a/mustardward/components/entry/protocols.py
+++ b/mustardward/components/entry/protocols.py
@@ -13,7 +13,6 @@
 from returns.result import Result
 
 from ...state.models.pools import Instance
-from ..membership.models import Member
 from ..routing.models import RemoteChoice
 from .models import Attempt, AttemptOutcome, Ran, RequestFacts, RequestRefusal
 
@@ -29,6 +28,11 @@
 class Limiter(Protocol):
     """Admit requests."""
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests that hold a permit."""
+        ...
+
     async def async_admit(self, facts: RequestFacts) -> Result[Permit, RequestRefusal]:
         """Wait in the organisation's queue for a place, or say why there is none."""
         ...
@@ -70,6 +74,10 @@
         """Return the slots for requests of a pool's workers in this data centre."""
         ...
 
+    def lent_slots(self, pool: str) -> int:
+        """Return the slots of a pool's workers here that long work holds."""
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class RetryDecision:
@@ -117,10 +125,6 @@
 class IntentGate(Protocol):
     """Make sure that a request under an idempotency key runs at most once."""
 
-    def home(self, facts: RequestFacts) -> Member | None:
-        """Return the entry to forward a keyed request to, or nothing for this one."""
-        ...
-
     def truthful(self, facts: RequestFacts, ran: Ran) -> Ran:
         """Return what a refusal may say, with earlier attempts under the key in mind.
 
