Answer operators only from a whole state

Change: the operators' routes refuse with not-ready until the state stood at a tail. Result: the new test fails before (201) and passes after (503, not-ready).

--- a/mustardward/components/api/server.py
+++ b/mustardward/components/api/server.py
@@ -13,9 +13,9 @@
 from starlette.routing import Route
 
 from ...core import Core
-from ...exceptions import MustardwardError
+from ...exceptions import MustardwardError, NotReadyError
 from ...helpers.logging import get_logger
-from ..keys import DRAIN
+from ..keys import DRAIN, FLEET_LOG
 from .auth import TokenCheck, read_actor
 from .openapi import openapi_document, openapi_page
 from .problems import BodyInvalidError, RouteUnknownError, problem_response
@@ -63,6 +63,7 @@
 
     def _endpoint(self, route: ApiRoute) -> Endpoint:
         async def async_handle(request: Request) -> Response:
+            self._check_ready()
             model = await _async_read_model(request, route.body_model)
             call = ApiRequest(
                 core=self._core,
@@ -76,6 +77,14 @@
 
         return self._guarded(async_handle)
 
+    def _check_ready(self) -> None:
+        # An entry that starts anew folds the log from a snapshot or its beginning. An
+        # answer from the middle shows a revision that was replaced long ago, and looks
+        # as if an accepted configuration had been taken back.
+        log = self._core.find(FLEET_LOG)
+        if log is not None and not log.ready:
+            raise NotReadyError("the state is still being read")
+
     def _guarded(self, endpoint: Endpoint) -> Endpoint:
         """Check the token first, turn failures into problems, and log one line."""
 
--- a/tests/components/api/test_server.py
+++ b/tests/components/api/test_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from pathlib import Path
+from types import SimpleNamespace
+from typing import cast
 
 import anyio
 import httpx
@@ -13,6 +15,7 @@
 from mustardward.components.api.auth import TokenCheck, read_token
 from mustardward.components.api.routes import ApiAnswer, ApiRequest, ApiRoute
 from mustardward.components.api.server import OperatorServer
+from mustardward.components.keys import FLEET_LOG
 from mustardward.core import Core
 from mustardward.exceptions import (
     PlatformOutcomeUnknownError,
@@ -21,6 +24,7 @@
 )
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.state.fold import RevisionConflictError
+from mustardward.state.protocols import FleetLog
 from tests.fakes.entry import answer_plainly, build_settings, running_entry
 
 pytestmark = pytest.mark.anyio
@@ -55,10 +59,16 @@
 
 
 async def call(
-    method: str, path: str, token: str | None = TOKEN, **more: object
+    method: str,
+    path: str,
+    token: str | None = TOKEN,
+    log: FleetLog | None = None,
+    **more: object,
 ) -> httpx.Response:
     async with anyio.create_task_group() as tasks:
         core = Core(build_settings(), DrivenTimerService(), tasks)
+        if log is not None:
+            core.put(FLEET_LOG, log)
         server = OperatorServer(core, ROUTES, TokenCheck(token))
         transport = httpx.ASGITransport(server.application())
         async with httpx.AsyncClient(transport=transport, base_url="http://o") as http:
@@ -166,3 +176,21 @@
             read_token(path)
     short.write_text(TOKEN + "\n")
     assert read_token(short) == TOKEN
+
+
+async def test_a_state_that_is_still_being_read_is_not_shown() -> None:
+    """Answer operators from a whole state only.
+
+    Symptom: an entry that was replaced shows revision 21 in force, seconds after its
+    predecessor showed 40. Sequence: it starts, folds the log's first entries, and is
+    asked before it reaches the tail. Cause: the operators' interface answered from
+    whatever was folded, while the callers' port already refused.
+    """
+    log = cast(FleetLog, SimpleNamespace(ready=False))
+    body = {"name": "north", "slots": 8}
+    answer = await call("PUT", "/racks/north", log=log, json=body, headers=BEARER)
+    assert answer.status_code == 503
+    assert answer.json()["type"].endswith(":not-ready")
+    log = cast(FleetLog, SimpleNamespace(ready=True))
+    answer = await call("PUT", "/racks/north", log=log, json=body, headers=BEARER)
+    assert answer.status_code == 201
