Search a wave's instances only when something changed

Ruled out: the fold (no record arrived) and the budgets (0.18 s of the selection). Change: membership names the few instances that evidence speaks against; a selection that took nothing is made again when the log, the evidence or 10 s have moved on. Also the evidence of a return carries when the look began, which membership asks for.

--- a/mustardward/components/maintenance/claim_steps.py
+++ b/mustardward/components/maintenance/claim_steps.py
@@ -194,11 +194,14 @@
 
     @STAGES.register(ClaimStage.REBOOTING)
     async def _async_await_return(self, claim: Claim) -> None:
+        began = self._parts.timers.monotonic()
         power = await self._parts.power.async_get(claim.instance_id)
         if power.boot > claim.boot and power.state is PowerState.SERVING:
             # Membership still holds it for down, from the time of its reboot. Left so,
             # the next claim would count it as failed and go back for nothing.
-            self._parts.membership.report_instance(claim.instance_id, True, "returned")
+            self._parts.membership.report_instance(
+                claim.instance_id, True, "returned", began
+            )
             await self._async_release(claim, Outcome.DONE, power.boot, "")
             return
         if power.state is PowerState.DRAINED:
--- a/mustardward/components/maintenance/const.py
+++ b/mustardward/components/maintenance/const.py
@@ -61,6 +61,9 @@
 DRAIN_SECONDS: Final = 5.0
 """What a plan takes the quick requests of an instance to need."""
 
+RESELECT_SECONDS: Final = 10.0
+"""Time after which a choice that took nothing is made again though nothing changed."""
+
 PACE_SECONDS: Final = 30.0
 """Time for which the chosen paces hold."""
 
--- a/mustardward/components/maintenance/evidence.py
+++ b/mustardward/components/maintenance/evidence.py
@@ -18,10 +18,11 @@
     them in would take the instance that the failed one's work went to.
     """
     index = index_of(state)
-    return Counter(
-        instance.pool
-        for instance in state.instances.values()
-        if instance.data_centre == data_centre
-        and index.is_available(instance.instance_id)
-        and not membership.instance_may_get_work(instance.instance_id)
-    )
+    found: Counter[str] = Counter()
+    for instance_id in membership.instances_held_back():
+        instance = state.instances.get(instance_id)
+        if instance is None or instance.data_centre != data_centre:
+            continue
+        if index.is_available(instance_id):
+            found[instance.pool] += 1
+    return found
--- a/mustardward/components/maintenance/selection.py
+++ b/mustardward/components/maintenance/selection.py
@@ -46,6 +46,18 @@
     most: int
 
 
+@dataclass(frozen=True, slots=True)
+class SelectionBasis:
+    """Hold what a selection came from: the same basis gives the same selection.
+
+    Windows and paces depend on time, so the period counts too.
+    """
+
+    next_offset: int
+    period: int
+    evidence: frozenset[tuple[str, int]]
+
+
 def select_claims(state: FleetState, wave: Wave, facts: SelectionFacts) -> Selection:
     """Return the instances of one data centre that a wave should claim now."""
     left = min(facts.most, wave_limit(wave) - index_of(state).claims_of(wave.wave_id))
--- a/mustardward/components/maintenance/services.py
+++ b/mustardward/components/maintenance/services.py
@@ -28,13 +28,14 @@
 )
 from ..explain.models import SubjectKind
 from .claim_steps import ClaimSteps
-from .const import CLAIM_PRIORITY, MAXIMUM_CLAIMS_AT_ONCE
+from .const import CLAIM_PRIORITY, MAXIMUM_CLAIMS_AT_ONCE, RESELECT_SECONDS
 from .decisions import DecisionJournal
 from .evidence import unreported_down
 from .models import ExecutorParts, executor_name
 from .pacing import Pacing
 from .selection import (
     Selection,
+    SelectionBasis,
     SelectionFacts,
     give_back_order,
     select_claims,
@@ -59,6 +60,7 @@
         self._journal = DecisionJournal(parts.events, parts.log)
         self._steps = ClaimSteps(parts, self._journal, pacing.patience)
         self._refused_at: dict[str, int] = {}
+        self._nothing_at: dict[str, SelectionBasis] = {}
         self._statuses: dict[str, str] = {}
 
     @property
@@ -192,18 +194,32 @@
         if self._refused_at.get(wave.wave_id) == self._parts.log.next_offset:
             # Nothing was folded since the refusal, so the answer would be the same.
             return
-        selection = self._select(wave)
+        evidence = self._evidence()
+        basis = self._basis(evidence)
+        if self._nothing_at.get(wave.wave_id) == basis:
+            return
+        selection = self._select(wave, evidence)
         self._note_selection(wave, selection)
+        proposed: list[str] = []
         async with anyio.create_task_group() as group:
             for instance_id in selection.chosen:
-                group.start_soon(self._async_claim, wave, instance_id)
+                group.start_soon(self._async_claim, wave, instance_id, proposed)
+        if not proposed:
+            # Nothing may be taken, or the pool service knows none of it: the next step
+            # would search all that is pending for the same end.
+            self._nothing_at[wave.wave_id] = basis
 
-    def _select(self, wave: Wave) -> Selection:
+    def _basis(self, evidence: Counter[str]) -> SelectionBasis:
+        period = int(self._parts.timers.monotonic() / RESELECT_SECONDS)
+        seen = frozenset(evidence.items())
+        return SelectionBasis(self._parts.log.next_offset, period, seen)
+
+    def _select(self, wave: Wave, evidence: Counter[str]) -> Selection:
         state = self._parts.log.state
         facts = SelectionFacts(
             data_centre=self._parts.data_centre,
             wall=self._parts.timers.wall(),
-            evidence=self._evidence(),
+            evidence=evidence,
             concurrency=self._pacing.concurrency,
             burden=self._pacing.burden,
             most=MAXIMUM_CLAIMS_AT_ONCE,
@@ -243,7 +259,9 @@
             base_revision=wave.revision,
         )
 
-    async def _async_claim(self, wave: Wave, instance_id: str) -> None:
+    async def _async_claim(
+        self, wave: Wave, instance_id: str, proposed: list[str]
+    ) -> None:
         try:
             power = await self._parts.power.async_get(instance_id)
         except PlatformError as error:
@@ -251,6 +269,7 @@
             return
         if power.state not in _CLAIMABLE:
             return
+        proposed.append(instance_id)
         body = TakeClaim(wave.wave_id, instance_id, self._parts.executor, power.boot)
         result = await self._parts.log.async_propose(
             body, actor=self._parts.executor, priority=CLAIM_PRIORITY
--- a/mustardward/components/membership/instances.py
+++ b/mustardward/components/membership/instances.py
@@ -66,6 +66,16 @@
         failures = self._failures.get(instance_id)
         return failures is None or now >= failures.held_until
 
+    def held_back(self, now: float) -> frozenset[str]:
+        """Return the instances that something speaks against."""
+        leaving = {name for name, note in self._notes.items() if note.leaving}
+        failing = {
+            name
+            for name, failures in self._failures.items()
+            if now < failures.held_until
+        }
+        return frozenset(leaving | failing)
+
     def leaving(self) -> dict[str, int]:
         """Return the boot under which each leaving instance leaves; 0 if not known."""
         return {name: note.boot for name, note in self._notes.items() if note.leaving}
--- a/mustardward/components/membership/protocols.py
+++ b/mustardward/components/membership/protocols.py
@@ -34,6 +34,13 @@
         """Tell whether a worker is neither leaving, suspect nor known as down."""
         ...
 
+    def instances_held_back(self) -> frozenset[str]:
+        """Return the instances that evidence speaks against, folded or not.
+
+        Few at any time, so that looking for them costs nothing as the fleet grows.
+        """
+        ...
+
     def report_instance(
         self,
         instance_id: str,
--- a/mustardward/components/membership/services.py
+++ b/mustardward/components/membership/services.py
@@ -99,6 +99,10 @@
         live = self.live(self.own.data_centre)
         return self.own.name in duty_holders(duty, live, holders)
 
+    def instances_held_back(self) -> frozenset[str]:
+        """Return the instances that own or peers' evidence speaks against."""
+        return self._instances.held_back(self._timers.monotonic())
+
     def instance_may_get_work(self, instance_id: str) -> bool:
         """Tell whether a worker is neither leaving, suspect nor known as down."""
         now = self._timers.monotonic()
--- a/tests/components/maintenance/test_executor.py
+++ b/tests/components/maintenance/test_executor.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
-from mustardward.components.maintenance.const import REBOOT_PATIENCE_SECONDS
+from mustardward.components.maintenance import services
+from mustardward.components.maintenance.const import (
+    REBOOT_PATIENCE_SECONDS,
+    RESELECT_SECONDS,
+)
+from mustardward.components.maintenance.selection import Selection, select_claims
 from mustardward.components.maintenance.services import WaveExecutor
 from mustardward.exceptions import StaleGenerationError
 from mustardward.platform.models import PowerState
@@ -141,6 +148,35 @@
     assert site.causes("claim-given-back") == []
 
 
+async def test_a_wave_that_is_held_back_does_not_search_the_fleet_at_every_step(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Look for instances again only when something changed.
+
+    Symptom: an entry that holds 12,000 instances spends 6 % of a core on nothing while
+    a wave waits. Sequence: the budget allows no more; each step sorts what is pending.
+    Cause: the step did not know that it would choose nothing again.
+    """
+    site = Site()
+    site.schedule()
+    executor = site.executor()
+    searches: list[str] = []
+
+    def search(*arguments: Any) -> Selection:
+        searches.append("search")
+        return select_claims(*arguments)
+
+    monkeypatch.setattr(services, "select_claims", search)
+    await take_to(site, executor, "rebooting")
+    await executor.async_step()
+    before = len(searches)
+    await steps(executor, 20)
+    assert len(searches) == before
+    site.timers.pause(RESELECT_SECONDS)
+    await executor.async_step()
+    assert len(searches) == before + 1
+
+
 async def test_a_paused_executor_is_fenced_by_its_adopter() -> None:
     """Let a woken executor do nothing to a claim that another adopted.
 
--- a/tests/fakes/waves.py
+++ b/tests/fakes/waves.py
@@ -208,6 +208,9 @@
     def instance_may_get_work(self, instance_id: str) -> bool:
         return instance_id not in self.down
 
+    def instances_held_back(self) -> frozenset[str]:
+        return frozenset(self.down)
+
     def restart(self) -> None:
         """Let this process be a later start under its name."""
         self._own = build_member(
