Add mutants that each check has to catch (in progress)

Cause: a checker that never fails proves nothing. A first run with the fencing mutant showed that no job was held to running once: tasks are named after organisation and job, and the check looked for the job's name alone.

--- a/bench/history/checks/stopping.py
+++ b/bench/history/checks/stopping.py
@@ -83,7 +83,9 @@
         at = planned.get(item.entry)
         if at is None or killed.get(item.entry, inf) < item.end:
             continue
+        # A server that is cut down itself may still say 500 in the worker's place.
         broken = item.outcome is Outcome.UNKNOWN and item.status == 0
+        broken = broken or (item.outcome is Outcome.ANSWERED and not item.own)
         if item.start < at < item.end and broken:
             detail = f"{item.operation_id} {item.detail}"
             yield Violation("graceful-stop", item.entry, item.end, detail)
--- a/bench/history/collect.py
+++ b/bench/history/collect.py
@@ -12,7 +12,10 @@
 
 
 def collect(world: World) -> None:
-    """Add every worker's executions and task runs."""
+    """Add every worker's executions and task runs.
+
+    A task is named after its organisation and its job.
+    """
     now = world.now()
     for name, worker in world.workers.items():
         for item in worker.executions.all():
@@ -23,7 +26,7 @@
                     job_id=run.task_id,
                     instance=name,
                     generation=run.generation,
-                    idempotent=not run.task_id.startswith(ONCE_PREFIX),
+                    idempotent=f".{ONCE_PREFIX}" not in run.task_id,
                     start=run.start,
                     end=run.end or inf,
                     outcome=run.outcome,
--- a/bench/history/launch.py
+++ b/bench/history/launch.py
@@ -69,14 +69,17 @@
     """Patch, then hand over to the product's commands."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--mutant", default="")
+    parser.add_argument("--provoke", default="")
     parser.add_argument("--cut-file", type=Path)
     options, arguments = parser.parse_known_args()
     if options.cut_file is not None:
         CutNetwork(options.cut_file).install()
-    if options.mutant:
+    if options.mutant or options.provoke:
         from .mutants import MUTANTS
 
-        MUTANTS[options.mutant].apply()
+        MUTANTS[options.mutant or options.provoke].provoke()
+        if options.mutant:
+            MUTANTS[options.mutant].remove()
     from mustardward.cli.main import main as run
 
     run(arguments, prog_name="mustardward")
--- a/bench/history/run.py
+++ b/bench/history/run.py
@@ -17,6 +17,7 @@
 from .collect import collect
 from .faults import Faults
 from .models import History, Violation
+from .mutants import MUTANTS, Mutant
 from .operators import Operators
 from .planners import Planners
 from .views import Viewers
@@ -34,8 +35,26 @@
     seconds: float
     seed: int
     mutant: str = ""
+    provoke: str = ""
     keep: Path | None = None
 
+    @property
+    def patches(self) -> tuple[str, ...]:
+        """Return the arguments for each entry's launcher."""
+        if self.mutant:
+            return ("--mutant", self.mutant)
+        return ("--provoke", self.provoke) if self.provoke else ()
+
+    @property
+    def planners(self) -> int:
+        """Return how many submit jobs at once."""
+        return self.situation.planners if self.situation else 1
+
+    @property
+    def situation(self) -> Mutant | None:
+        """Return the mutant whose situation is brought about."""
+        return MUTANTS.get(self.mutant or self.provoke)
+
 
 @dataclass(frozen=True, slots=True)
 class RunResult:
@@ -54,7 +73,7 @@
         folder.mkdir(parents=True, exist_ok=True)
         async with anyio.create_task_group() as tasks:
             timers = LoopTimerService(tasks)
-            async with async_run_world(timers, folder, options.mutant) as world:
+            async with async_run_world(timers, folder, options.patches) as world:
                 result = await _async_run(world, options)
             tasks.cancel_scope.cancel()
     return result
@@ -66,6 +85,13 @@
     callers = Callers(world, balancer, Random(random.random()))
     operators = Operators(world, Random(random.random()))
     faults = Faults(world, Random(random.random()))
+    if options.situation is not None:
+        options.situation.prepare(world)
+        if options.mutant:
+            # The bench folds the log, too, and has to come to the same answers.
+            options.situation.remove()
+        faults.names = options.situation.faults or faults.names
+        faults.quiet_seconds = options.situation.quiet_seconds
     planners = Planners(world, balancer, Random(random.random()))
     viewers = Viewers(world)
     async with anyio.create_task_group() as background:
@@ -80,7 +106,8 @@
                 group.start_soon(operators.async_publish)
                 group.start_soon(operators.async_schedule_waves)
                 group.start_soon(operators.async_move_instances)
-                group.start_soon(planners.async_run)
+                for _ in range(options.planners):
+                    group.start_soon(planners.async_run)
                 group.start_soon(faults.async_run)
                 await anyio.sleep(options.seconds)
                 for part in (faults, operators, planners, callers):
--- a/bench/history/world.py
+++ b/bench/history/world.py
@@ -46,7 +46,7 @@
     settings: Path
     cut_file: Path
     log_file: Path
-    mutant: str = ""
+    patches: tuple[str, ...] = ()
     process: subprocess.Popen[bytes] | None = None
     incarnation: int = 0
     paused: bool = False
@@ -63,8 +63,7 @@
         self.paused = self.leaving = False
         command = [sys.executable, "-m", "bench.history.launch"]
         command += ["--cut-file", str(self.cut_file)]
-        if self.mutant:
-            command += ["--mutant", self.mutant]
+        command += self.patches
         with self.log_file.open("ab") as output:
             self.process = subprocess.Popen(
                 [*command, "serve", str(self.settings)],
@@ -116,7 +115,7 @@
 
 @asynccontextmanager
 async def async_run_world(
-    timers: LoopTimerService, folder: Path, mutant: str
+    timers: LoopTimerService, folder: Path, patches: tuple[str, ...] = ()
 ) -> AsyncIterator[World]:
     """Run platform, workers and entries inside the block."""
     history = History()
@@ -135,7 +134,7 @@
                 write_settings(folder, place, running.url),
                 folder / f"{place.name}.cut",
                 folder / f"{place.name}.log",
-                mutant,
+                patches,
             )
             for place in entry_places()
         ]
