--- a/mustardward/components/entry/setup.py
+++ b/mustardward/components/entry/setup.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ...core import Core, Unload
 from ...helpers.listener import HttpListener, ListenerOptions
 from ...helpers.logging import get_logger
@@ -10,18 +12,22 @@
     DISPATCHER,
     DRAIN,
     ENTRY,
+    FLEET_LOG,
     INTENT_GATE,
     LIMITER,
+    METRICS,
+    PEERS,
     RETRY_POLICY,
     ROUTER,
 )
 from .const import CALLER_KEEPALIVE_SECONDS, PRUNE_SECONDS
-from .defaults import StateDirectory
 from .dispatcher import HttpDispatcher
 from .drain import Drain
 from .front import CallerFront
 from .health import Health
+from .metrics import subscribe_metrics
 from .parts import EntryParts
+from .pause import PauseGuard
 from .service import EntryService
 
 _LOGGER = get_logger(__name__)
@@ -31,12 +37,14 @@
     """Begin to listen for callers; return what drains and stops all of it."""
     dispatcher = HttpDispatcher(core.timers)
     core.put(DISPATCHER, dispatcher)
-    service = EntryService(_parts(core, dispatcher), core.timers, core.tasks)
+    guard = PauseGuard(core.get(FLEET_LOG), core.timers, core.tasks)
+    parts = _parts(core, dispatcher, guard)
+    service = EntryService(parts, core.timers, core.tasks)
     core.put(ENTRY, service)
-    health = Health(core)
+    health = Health(core, guard)
     front = CallerFront(
         service,
-        core.find(DIRECTORY) or StateDirectory(core),
+        core.get(DIRECTORY),
         health,
         core.settings.limits,
         core.timers,
@@ -48,13 +56,18 @@
     core.put(DRAIN, drain)
     _LOGGER.info("callers_listening", host=listener.host, port=listener.port)
 
-    unsubscribe = core.timers.subscribe(
-        "entry.connections", PRUNE_SECONDS, dispatcher.async_prune
-    )
+    unsubscribes = [
+        core.timers.subscribe(
+            "entry.connections", PRUNE_SECONDS, dispatcher.async_prune
+        ),
+        *guard.start(),
+        *_feed_metrics(core, health),
+    ]
 
     async def async_unload() -> None:
-        unsubscribe()
         await drain.async_run()
+        for unsubscribe in unsubscribes:
+            unsubscribe()
         core.remove(DRAIN)
         core.remove(ENTRY)
         core.remove(DISPATCHER)
@@ -63,16 +76,25 @@
     return async_unload
 
 
-def _parts(core: Core, dispatcher: HttpDispatcher) -> EntryParts:
+def _parts(core: Core, dispatcher: HttpDispatcher, guard: PauseGuard) -> EntryParts:
     return EntryParts(
         limiter=core.get(LIMITER),
         router=core.get(ROUTER),
         retries=core.get(RETRY_POLICY),
         dispatcher=dispatcher,
         intents=core.find(INTENT_GATE),
+        peers=core.find(PEERS),
+        guard=guard,
     )
 
 
+def _feed_metrics(core: Core, health: Health) -> list[Callable[[], None]]:
+    metrics = core.find(METRICS)
+    if metrics is None or not metrics.enabled:
+        return []
+    return subscribe_metrics(core, metrics, health)
+
+
 def _options(core: Core) -> ListenerOptions:
     limits = core.settings.limits
     return ListenerOptions(
--- a/mustardward/components/maintenance/plan_paces.py
+++ b/mustardward/components/maintenance/plan_paces.py
@@ -16,7 +16,7 @@
 from .plan_models import Pace, PlanInput, PlanInstance, Unit
 from .plan_units import PlanBudgets, group_by_unit, weights_of
 
-STRETCH: Final = 1.15
+STRETCH: Final = 1.25
 """How much longer than its bound a wave may take for the sake of other measures."""
 
 MAXIMUM_PATIENCE_SECONDS: Final = 3600.0
@@ -28,6 +28,7 @@
 
     items: list[PlanInstance]
     most: int
+    bound: float
     target: float
     cycle: float
     weights: PlanWeights
@@ -46,16 +47,30 @@
         if most[unit] == 0:
             continue
         weights = weights_of(facts.users.get(unit.pool, {}))
-        stretch = (
-            1.0 if weights.rollout >= max(weights.buffer, weights.moves) else STRETCH
-        )
-        target = bound * facts.cycle_seconds * stretch
+        target = _target(bound, weights) * facts.cycle_seconds
         paces[unit] = _choose(
-            _Facts(items, most[unit], target, facts.cycle_seconds, weights)
+            _Facts(
+                items,
+                most[unit],
+                bound * facts.cycle_seconds,
+                target,
+                facts.cycle_seconds,
+                weights,
+            )
         )
     return paces
 
 
+def _target(bound: int, weights: PlanWeights) -> float:
+    """Return the cycles in which a unit has to be through once the canary is back.
+
+    The canary's cycle comes out of the time that may be spent beyond the bound.
+    """
+    if weights.rollout >= max(weights.buffer, weights.moves):
+        return bound
+    return max(float(bound), bound * STRETCH - 1)
+
+
 def _choose(facts: _Facts) -> Pace:
     return min(_paces(facts), key=lambda pace: (_cost(facts, pace), pace.concurrency))
 
@@ -64,17 +79,19 @@
     """Yield paces that keep the target, from the fastest on."""
     for concurrency in range(facts.most, 0, -1):
         turns = rounds(len(facts.items), concurrency)
-        spare = facts.target / turns - facts.cycle
-        if spare < 0 and concurrency < facts.most:
+        if turns * facts.cycle > facts.target and concurrency < facts.most:
             return
         yield Pace(concurrency, 0.0)
-        if spare > 0:
-            yield Pace(concurrency, min(spare, MAXIMUM_PATIENCE_SECONDS))
+        for seconds in (facts.bound, facts.target):
+            spare = seconds / turns - facts.cycle
+            if spare > 0:
+                yield Pace(concurrency, min(spare, MAXIMUM_PATIENCE_SECONDS))
 
 
 def _cost(facts: _Facts, pace: Pace) -> float:
     turns = rounds(len(facts.items), pace.concurrency)
-    seconds = turns * (facts.cycle + pace.patience)
+    # Within the bound of the tightest unit, time costs the wave nothing.
+    seconds = max(facts.bound, turns * (facts.cycle + pace.patience))
     return (
         facts.weights.buffer * pace.concurrency / facts.most
         + facts.weights.moves * _moved_share(facts, pace)
--- a/mustardward/components/membership/services.py
+++ b/mustardward/components/membership/services.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
 from ...const import LEAVING_BOUND_SECONDS
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
 from ...state.protocols import FleetLog
+from ..entry.protocols import Limiter
 from .duties import duty_holders
 from .gossip import Gossip
 from .instances import InstanceTable
@@ -43,7 +44,7 @@
         silence: SilenceDetector,
         reporter: Reporter,
         find_fleet: Callable[[], FleetLog | None],
-        find_limiter: Callable[[], Any],
+        find_limiter: Callable[[], Limiter | None],
     ) -> None:
         self._timers = timers
         self._table = table
@@ -80,6 +81,13 @@
         """Tell whether a data centre has given no sign for a while."""
         return data_centre in self._silence.silent
 
+    def is_gone(self, name: str, start: int) -> bool:
+        """Tell whether a start of an entry is proven to have ended."""
+        member = self._table.get(name)
+        if member is None or member.start < start:
+            return False
+        return member.start > start or member.status is MemberStatus.GONE
+
     def owns_duty(self, duty: str, holders: int = 1) -> bool:
         """Tell whether this process is among the holders of a duty now.
 
@@ -121,7 +129,8 @@
             events = self._instances.note_leaving(instance_id, "worker", now)
             self._reporter.report(events, pass_on=True)
         elif cause not in INDIFFERENT_CAUSES:
-            self._instances.note_failure(instance_id, now)
+            events = self._instances.note_failure(instance_id, cause, now)
+            self._reporter.report(events, pass_on=False)
 
     def refresh_own(self) -> None:
         """Bring what this process tells of itself up to date."""
@@ -131,7 +140,7 @@
             self.own.name,
             fleet.next_offset if fleet else 0,
             fleet.digest[:DIGEST_CHARACTERS] if fleet else "",
-            int(getattr(limiter, "in_flight", 0)),
+            limiter.in_flight if limiter else 0,
         )
 
     async def async_announce_leaving(self) -> None:
--- a/mustardward/components/peers/const.py
+++ b/mustardward/components/peers/const.py
@@ -11,8 +11,8 @@
 METADATA_MESSAGE: Final = "mw-message"
 METADATA_SENDER: Final = "mw-sender"
 
-MAXIMUM_MESSAGE_BYTES: Final = 4 * 1024 * 1024
-"""Largest single message; larger things are sent in pieces by who sends them."""
+MAXIMUM_MESSAGE_BYTES: Final = 16 * 1024 * 1024
+"""Largest single message: the image of a state of the size we build towards."""
 
 MAXIMUM_CALLS: Final = 512
 """Calls and forwarded requests that one entry answers for its peers at once."""
@@ -24,6 +24,9 @@
 """Entries that may forward a request: to another data centre, then to a home."""
 
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
+LAST_FRAMES_SECONDS: Final = 5.0
+"""Time beyond a request's deadline for its answer's end to be taken."""
+
 IDLE_SECONDS: Final = 120.0
 """Time after which an unused connection is closed."""
 
--- a/mustardward/components/routing/services.py
+++ b/mustardward/components/routing/services.py
@@ -29,6 +29,8 @@
     QUARANTINE_CAUSE,
     REFUSAL_BASE_SECONDS,
     REFUSAL_SPREAD_SECONDS,
+    UNREACHABLE_MAXIMUM_SECONDS,
+    UNREACHABLE_SECONDS,
     USAGE_MEMORY_SECONDS,
 )
 from .index import FleetIndex, WorkerGroup, WorkerLoad
@@ -100,10 +102,20 @@
         # nobody would ask long work to give way.
         return max(1, group.slots)
 
+    def lent_slots(self, pool: str) -> int:
+        """Return the slots of a pool's workers here that long work holds."""
+        group = self.group(pool)
+        return 0 if group is None else group.lent
+
     def on_long_work(self, instance_id: str) -> None:
         """Follow a change of the slots that long work holds on a worker."""
         self.index.refresh(instance_id)
 
+    def in_flight(self, instance_id: str) -> int:
+        """Return how many attempts of this process are on their way to a worker."""
+        load = self.index.load(instance_id)
+        return load.in_flight if load is not None else 0
+
     def on_record(self, outcome: RecordOutcome) -> None:
         """Follow one folded record."""
         if not isinstance(outcome.result, Success):
@@ -169,6 +181,7 @@
         now = self._timers.monotonic()
         load.in_flight = max(0, load.in_flight - 1)
         self._note_refusal(load, attempt, now)
+        self._note_unreachable(load, attempt, now)
         self._standing.judge(self._index, load, facts.request_id, attempt, now)
         self._index.place(load)
         self._report(load, attempt, now)
@@ -230,6 +243,15 @@
         instance_id = load.instance.instance_id
         return load if self._membership.instance_may_get_work(instance_id) else None
 
+    def _note_unreachable(self, load: WorkerLoad, attempt: Attempt, now: float) -> None:
+        if attempt.outcome is not AttemptOutcome.NOT_SENT:
+            load.unreachable = 0
+            return
+        pause = UNREACHABLE_SECONDS * 2.0**load.unreachable
+        load.unreachable = min(load.unreachable + 1, 8)
+        pause = min(pause, UNREACHABLE_MAXIMUM_SECONDS)
+        load.avoid_until = now + pause * (0.5 + self._random.random() / 2)
+
     def _report(self, load: WorkerLoad, attempt: Attempt, now: float) -> None:
         instance_id = load.instance.instance_id
         if attempt.outcome is AttemptOutcome.ANSWERED:
--- a/tests/components/entry/test_failures.py
+++ b/tests/components/entry/test_failures.py
@@ -148,8 +148,9 @@
     next is refused. Cause: the refusal spoke of the last attempt alone.
     """
     async with running_entry(hang_up, refuse) as (entry, _):
+        entry.retries.maximum = 2
         answer = await call(entry, "PUT")
-    assert problem(answer) == (503, "no-worker", "unknown")
+    assert problem(answer) == (503, "workers-busy", "unknown")
 
 
 async def test_a_stray_answer_reaches_nobody() -> None:
@@ -296,6 +297,45 @@
     assert worker.seen == []
 
 
+async def test_a_header_that_decides_may_come_once() -> None:
+    async with running_entry(answer_plainly) as (entry, (worker,)):
+        url = f"{entry.url}/hvelv/turn/"
+        twice = [("idempotency-key", "a"), ("idempotency-key", "b")]
+        async with httpx.AsyncClient() as client:
+            answer = await client.post(url, headers=twice)
+    assert problem(answer) == (400, "header-repeated", "unknown")
+    assert worker.seen == []
+
+
+async def test_a_stream_is_not_read_on_for_a_caller_that_left() -> None:
+    """Stop reading a worker's stream once nobody takes it.
+
+    Symptom: slots stay busy long after the tablets are off. Sequence: a caller leaves
+    in the middle of a long answer. Cause: the server drops what is sent, silently.
+    """
+    stopped = anyio.Event()
+
+    async def stream_on(stream: SocketStream, seen: SeenRequest) -> bool:
+        head = f"HTTP/1.1 200 X\r\nmw-attempt-id: {seen.attempt_id}\r\n"
+        await stream.send(head.encode() + b"transfer-encoding: chunked\r\n\r\n")
+        try:
+            while True:
+                await stream.send(b"4\r\nturn\r\n")
+                await anyio.sleep(0.001)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            stopped.set()
+        return False
+
+    async with running_entry(stream_on) as (entry, _):
+        async with httpx.AsyncClient() as client:
+            async with client.stream("GET", f"{entry.url}/hvelv/turn/") as answer:
+                await anext(answer.aiter_raw())
+        with anyio.fail_after(10):
+            await stopped.wait()
+    assert [item.cause for item in entry.finished] == ["caller-gone"]
+    assert entry.service.unfinished == 0
+
+
 async def test_hop_by_hop_and_own_headers_end_at_the_entry() -> None:
     """Let neither side steer a hop that is not its own.
 
@@ -397,3 +437,22 @@
         entry.health.leave()
         answer = await call(entry)
     assert (answer.content, answer.headers["connection"]) == (b"done", "close")
+
+
+async def test_a_body_that_does_not_come_is_given_up() -> None:
+    """Wait for a body no longer than the request may live.
+
+    Symptom: connections pile up and a stop takes minutes. Sequence: a caller sends
+    half of a body and falls silent. Cause: the body was read without an end in time.
+    """
+    async with running_entry(answer_plainly) as (entry, (worker,)):
+        stream = await anyio.connect_tcp("127.0.0.1", entry.listener.port)
+        async with stream:
+            await stream.send(
+                b"POST /hvelv/turn/ HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n"
+                b"mw-deadline-seconds: 0.05\r\n\r\nhalf"
+            )
+            head = await stream.receive()
+    assert b" 408 " in head.split(b"\r\n")[0]
+    assert worker.seen == []
+    assert entry.health.in_progress == 0
--- a/tests/components/peers/test_forward.py
+++ b/tests/components/peers/test_forward.py
@@ -129,6 +129,49 @@
     assert result == Failure(FailedAttempt(AttemptOutcome.REFUSED, "not-ready"))
 
 
+async def test_leaving_peer_says_not_run() -> None:
+    entry = RecordingEntry()
+    async with running_peers("a") as a, running_peers("b", entry, leaving=True) as b:
+        result = await a.async_forward(
+            build_member("b", b.address), build_facts(), build_request()
+        )
+    assert result == Failure(FailedAttempt(AttemptOutcome.REFUSED, "leaving"))
+    assert entry.served == []
+
+
+async def test_unload_lets_an_answer_come_to_its_end() -> None:
+    """Cut no forwarded answer off at a planned stop.
+
+    Symptom: a caller of another data centre gets half an answer during a release.
+    Sequence: the entry has drained and is unloaded while the last frames are written.
+    Cause: the server closed at once.
+    """
+
+    class SlowEntry(RecordingEntry):
+        async def _chunks(self) -> AsyncIterator[bytes]:
+            yield b"one"
+            stopping.set()
+            await anyio.sleep(0.1)
+            yield b"two"
+
+    async def async_read(answer: WorkerAnswer) -> None:
+        await anyio.sleep(0.2)
+        whole.extend([chunk async for chunk in answer.chunks])
+
+    whole: list[bytes] = []
+    stopping = anyio.Event()
+    async with running_peers("a") as a:
+        async with running_peers("b", SlowEntry()) as b:
+            member = build_member("b", b.address)
+            result = await a.async_forward(member, build_facts(), build_request())
+            await stopping.wait()
+            reader = anyio.create_task_group()
+            await reader.__aenter__()
+            reader.start_soon(async_read, result.unwrap())
+        await reader.__aexit__(None, None, None)
+    assert whole == [b"one", b"two"]
+
+
 async def test_answer_cut_off_is_never_a_short_success() -> None:
     """Raise when the peer's worker ended its answer too early.
 
@@ -171,6 +214,7 @@
             await group.__aenter__()
             group.start_soon(async_one)
             await started.wait()
+            await b._server.async_stop()
         await group.__aexit__(None, None, None)
     assert results[0].failure().outcome is AttemptOutcome.UNKNOWN
 
@@ -186,3 +230,32 @@
     facts = build_facts(remaining=0.3)
     result = await _async_forward(SilentEntry(), facts, build_request())
     assert result.failure().outcome is AttemptOutcome.UNKNOWN
+
+
+async def test_caller_that_goes_away_ends_the_workers_answer() -> None:
+    """Give the worker's connection up with the caller's.
+
+    Symptom: workers run out of connections. Sequence: a caller of another data centre
+    goes away in the middle of a long answer. Cause: only the stream between the entries
+    ending with it.
+    """
+
+    class EndlessEntry(RecordingEntry):
+        async def _chunks(self) -> AsyncIterator[bytes]:
+            try:
+                while True:
+                    yield b"x" * 1000
+                    await anyio.sleep(0.001)
+            finally:
+                ended.set()
+
+    ended = anyio.Event()
+    async with running_peers("a") as a, running_peers("b", EndlessEntry()) as b:
+        member = build_member("b", b.address)
+        answer = (
+            await a.async_forward(member, build_facts(), build_request())
+        ).unwrap()
+        assert await anext(answer.chunks)
+        await answer.chunks.aclose()  # type: ignore[attr-defined]
+        with anyio.fail_after(5):
+            await ended.wait()
