Bound the memory of jobs and intents by count and by size

Cause: 100,000 kept intents of 985 bytes and 10,000 results of up to 64 KB would take a node far beyond the 128 MB that it may use for control. Ruled out: bounds by age (the fold has no clock); dropping open jobs (accepted work is never lost, so the border refuses more of it instead). Change: the intents' own order is the order of retention, names are interned, results and payloads are counted in bytes; 30,000 keys, 2,048 answers, 5,000 finished jobs with 8 MB of results, 12,000 unfinished jobs with 8 MB of payloads for a data centre.

--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -15,6 +15,13 @@
 import click
 from absl import logging as absl_logging
 
+from .jobs_cost import (
+    bytes_each,
+    done_job,
+    intent,
+    placement_microseconds,
+    waiting_job,
+)
 from .jobs_intents import async_measure_window, measure_fold
 from .jobs_mutants import MUTANTS
 from .jobs_world import FaultyRun, RunFigures
@@ -26,6 +33,7 @@
 RATE = 100
 SECONDS = 4
 FOLDED = 20_000
+POOLS = (48, 857, 12_000)
 
 
 async def async_runs(runs: int, first: int, faults_on: bool) -> RunFigures:
@@ -57,6 +65,18 @@
         )
 
 
+def print_costs() -> None:
+    """Print processor time and memory of the parts that grow with the fleet."""
+    for workers in POOLS:
+        cost = placement_microseconds(workers)
+        print(f"workers={workers} placement_microseconds={cost:.1f}")
+    print(
+        f"bytes_per_key={bytes_each(intent):.0f}"
+        f" bytes_per_waiting_job={bytes_each(waiting_job):.0f}"
+        f" bytes_per_done_job={bytes_each(done_job):.0f}"
+    )
+
+
 @click.command()
 @click.option("--full", is_flag=True, help="Run ten times as many seeds.")
 @click.option("--seed", default=0, help="First seed.")
@@ -74,6 +94,7 @@
     faulty = anyio.run(async_runs, runs, seed, True)
     if not mutant:
         anyio.run(async_windows)
+        print_costs()
     fold_microseconds = measure_fold(FOLDED) * 1e6
     print(
         f"{_pairs(faulty)} runs={runs}"
--- a/mustardward/components/jobs/api.py
+++ b/mustardward/components/jobs/api.py
@@ -23,6 +23,7 @@
     JobBindingError,
     JobPayloadError,
     JobQuotaError,
+    JobStoreFullError,
     JobTooLargeError,
     JobUnplaceableError,
 )
@@ -42,6 +43,7 @@
     (JobTooLargeError, 413),
     (JobUnplaceableError, 422),
     (JobQuotaError, 429),
+    (JobStoreFullError, 429),
 ):
     answered_with(_status)(_error)
 
--- a/mustardward/components/jobs/const.py
+++ b/mustardward/components/jobs/const.py
@@ -59,6 +59,12 @@
 NEARLY_DONE: Final = 0.9
 
 MAXIMUM_PAYLOAD_BYTES: Final = 65_536
+MAXIMUM_OPEN_JOBS: Final = 12_000
+"""Unfinished jobs of one data centre; every entry there holds them in memory."""
+
+MAXIMUM_OPEN_BYTES: Final = 8_388_608
+"""Size of the payloads of unfinished jobs of one data centre."""
+
 MAXIMUM_RESULT_BYTES: Final = 65_536
 POOL_DUTY_PREFIX: Final = "jobs/"
 """Each pool's jobs are placed by one entry of a data centre, by rendezvous."""
--- a/mustardward/components/jobs/errors.py
+++ b/mustardward/components/jobs/errors.py
@@ -39,3 +39,9 @@
     """Report a payload that is not base64 although it says so."""
 
     code = "job-payload-invalid"
+
+
+class JobStoreFullError(JobError):
+    """Report that the data centre holds as much unfinished work as it may."""
+
+    code = "job-store-full"
--- a/mustardward/components/jobs/services.py
+++ b/mustardward/components/jobs/services.py
@@ -14,10 +14,11 @@
 from ...state.models.jobs import AcceptJob, CancelJobs, Job, RetryJob
 from ...state.models.templates import Organisation
 from ...state.protocols import FleetLog, WorkLog
-from .const import MAXIMUM_PAYLOAD_BYTES
+from .const import MAXIMUM_OPEN_BYTES, MAXIMUM_OPEN_JOBS, MAXIMUM_PAYLOAD_BYTES
 from .errors import (
     JobBindingError,
     JobQuotaError,
+    JobStoreFullError,
     JobTooLargeError,
     JobUnplaceableError,
 )
@@ -114,15 +115,25 @@
             return JobBindingError(f"service={submission.service}")
         if len(submission.payload) > MAXIMUM_PAYLOAD_BYTES:
             return JobTooLargeError(f"maximum={MAXIMUM_PAYLOAD_BYTES}")
-        open_jobs = self.log.state.open_jobs.get(submission.organisation, 0)
-        limit = organisation.parameters.quota.long_jobs
-        if open_jobs >= limit and not self._is_known(submission):
-            return JobQuotaError(f"unfinished={open_jobs} limit={limit}")
+        full = None if self._is_known(submission) else self._fullness(organisation)
+        if full is not None:
+            return full
         # A job that no worker can take would wait for ever and tell nobody.
         if not self.pools.can_ever_run(pool, _need(submission)):
             return JobUnplaceableError(f"pool={pool} need={_need(submission)}")
         return pool
 
+    def _fullness(self, organisation: Organisation) -> MustardwardError | None:
+        state = self.log.state
+        open_jobs = state.open_jobs.get(organisation.name, 0)
+        limit = organisation.parameters.quota.long_jobs
+        if open_jobs >= limit:
+            return JobQuotaError(f"unfinished={open_jobs} limit={limit}")
+        total = sum(state.open_jobs.values())
+        if total >= MAXIMUM_OPEN_JOBS or state.payload_bytes >= MAXIMUM_OPEN_BYTES:
+            return JobStoreFullError(f"jobs={total} bytes={state.payload_bytes}")
+        return None
+
     def _is_known(self, submission: Submission) -> bool:
         if not submission.job_id:
             return False
--- a/mustardward/state/handlers/intents.py
+++ b/mustardward/state/handlers/intents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sys import intern
 from typing import Final
 
 from returns.result import Failure, Result, Success
@@ -14,10 +15,10 @@
 from .work_errors import IntentMismatchError, IntentTakenError, IntentUnknownError
 from .work_registry import WORK_HANDLERS
 
-KEEP_INTENTS: Final = 100_000
+KEEP_INTENTS: Final = 30_000
 """Keys remembered in one data centre; the one unchanged longest is forgotten."""
 
-KEEP_ANSWERS: Final = 4_096
+KEEP_ANSWERS: Final = 2_048
 """Keys whose answer is kept too; beyond that only the outcome is."""
 
 STORED_ANSWER_BYTES: Final = 4_096
@@ -38,14 +39,14 @@
         return Failure(IntentMismatchError(f"sequence={known.sequence}"))
     if known is not None and not _may_reopen(known):
         return Failure(IntentTakenError(f"home={known.home}"))
-    state.intents[name] = Intent(
-        organisation=body.organisation,
+    intent = Intent(
+        organisation=intern(body.organisation),
         key=body.key,
         request_digest=body.request_digest,
-        home=body.home,
+        home=intern(body.home),
         sequence=context.sequence,
     )
-    _touch(state, name, context.sequence)
+    _touch(state, name, intent)
     return Success(Acceptance((name,), context.sequence))
 
 
@@ -67,10 +68,10 @@
     intent.ran = body.ran
     if body.ran == "yes" and len(body.body) <= STORED_ANSWER_BYTES:
         intent.status = body.status
-        intent.content_type = body.content_type
+        intent.content_type = intern(body.content_type)
         intent.body = body.body
         _keep_answer(state, name, context.sequence)
-    _touch(state, name, context.sequence)
+    _touch(state, name, intent)
     return Success(Acceptance((name,), context.sequence))
 
 
@@ -78,14 +79,13 @@
     return intent.closed and intent.ran == "no"
 
 
-def _touch(state: WorkState, name: str, sequence: int) -> None:
-    state.intent_order.pop(name, None)
-    state.intent_order[name] = sequence
-    while len(state.intent_order) > KEEP_INTENTS:
-        oldest = next(iter(state.intent_order))
-        del state.intent_order[oldest]
+def _touch(state: WorkState, name: str, intent: Intent) -> None:
+    state.intents.pop(name, None)
+    state.intents[name] = intent
+    while len(state.intents) > KEEP_INTENTS:
+        oldest = next(iter(state.intents))
+        del state.intents[oldest]
         state.answer_order.pop(oldest, None)
-        state.intents.pop(oldest, None)
 
 
 def _keep_answer(state: WorkState, name: str, sequence: int) -> None:
--- a/mustardward/state/handlers/job_index.py
+++ b/mustardward/state/handlers/job_index.py
@@ -8,9 +8,12 @@
 from ..models.jobs import CancelledBatch, Job
 from ..work import WorkState, group_name
 
-KEEP_FINISHED: Final = 10_000
+KEEP_FINISHED: Final = 5_000
 """Done and cancelled jobs whose result can still be asked for."""
 
+KEEP_RESULT_BYTES: Final = 8_388_608
+"""Size of all their results together."""
+
 REAP_EACH_RECORD: Final = 8
 """Jobs of cancelled groups whose status is brought up to date by one record."""
 
@@ -33,6 +36,7 @@
     state.open_groups.setdefault(name, {})[job.job_id] = job.accepted_sequence
     count = state.open_jobs.get(job.organisation, 0)
     state.open_jobs[job.organisation] = count + 1
+    state.payload_bytes += len(job.payload)
 
 
 def leave_open(state: WorkState, job: Job) -> None:
@@ -48,12 +52,19 @@
 
 def note_finished(state: WorkState, job: Job, sequence: int) -> None:
     """Keep a finished job for a while, and forget the oldest one beyond that."""
+    state.payload_bytes -= len(job.payload)
     job.payload = b""
+    state.result_bytes += len(job.result)
     state.finished[job.job_id] = sequence
-    while len(state.finished) > KEEP_FINISHED:
+    while _too_many_finished(state):
         oldest = next(iter(state.finished))
         del state.finished[oldest]
-        state.jobs.pop(oldest, None)
+        state.result_bytes -= len(state.jobs.pop(oldest).result)
+
+
+def _too_many_finished(state: WorkState) -> bool:
+    too_large = state.result_bytes > KEEP_RESULT_BYTES
+    return too_large or len(state.finished) > KEEP_FINISHED
 
 
 def cancel_group(state: WorkState, name: str, organisation: str, sequence: int) -> int:
--- a/mustardward/state/work.py
+++ b/mustardward/state/work.py
@@ -13,7 +13,7 @@
 
     jobs: dict[str, Job] = field(default_factory=dict)
     intents: dict[str, Intent] = field(default_factory=dict)
-    """Intents by ``intent_name(organisation, key)``."""
+    """Intents by ``intent_name(organisation, key)``, unchanged longest first."""
     cancelled_groups: dict[str, int] = field(default_factory=dict)
     """Sequence at which a group was cancelled, by ``organisation/group``."""
     open_jobs: dict[str, int] = field(default_factory=dict)
@@ -26,8 +26,10 @@
     """Parked and held jobs with the sequence at which they stopped."""
     finished: dict[str, int] = field(default_factory=dict)
     """Done and cancelled jobs with the sequence of their end, oldest first."""
-    intent_order: dict[str, int] = field(default_factory=dict)
-    """Intents with the sequence of their last change, oldest first."""
+    payload_bytes: int = 0
+    """Size of the payloads of unfinished jobs."""
+    result_bytes: int = 0
+    """Size of the results of finished jobs."""
     answer_order: dict[str, int] = field(default_factory=dict)
     """Intents that still hold an answer, oldest first."""
 
--- a/tests/state/test_jobs.py
+++ b/tests/state/test_jobs.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+import pytest
 from returns.result import Result
 
 from mustardward.exceptions import MustardwardError
@@ -193,6 +194,27 @@
     assert stream.state.open_groups == {}
 
 
+def test_results_and_payloads_are_bounded_by_their_size(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(job_index, "KEEP_RESULT_BYTES", 25)
+    stream = Stream()
+    for number in range(4):
+        job_id = f"job-{number}"
+        stream.put(build_accept_job(job_id))
+        generation = stream.lease(job_id=job_id)
+        stream.put(EndAttempt(job_id, generation, "done", result=b"0123456789"))
+    assert list(stream.state.jobs) == ["job-2", "job-3"]
+    assert (stream.state.result_bytes, stream.state.payload_bytes) == (20, 0)
+    for number in range(20):
+        stream.put(build_accept_job(f"late-{number}", group="spring"))
+    assert stream.state.payload_bytes == 20 * len(b"plan")
+    stream.put(CancelJobs("derwent", group="spring"))
+    for _ in range(3):
+        stream.put(build_accept_job("last", payload=b""))
+    assert stream.state.payload_bytes == 0
+
+
 def test_the_state_survives_its_codec() -> None:
     stream = Stream()
     for number in range(3):
