--- a/mustardward/components/maintenance/claim_steps.py
+++ b/mustardward/components/maintenance/claim_steps.py
@@ -22,7 +22,7 @@
 from ...helpers.logging import get_logger
 from ...helpers.registry import Registry
 from ...platform.models import InstancePower, PowerState
-from ...state.budgets import BudgetExceededError, check_budgets_without
+from ...state.budgets import BudgetExceededError, check_held
 from ...state.models.maintenance import (
     AdvanceClaim,
     Claim,
@@ -196,6 +196,9 @@
     async def _async_await_return(self, claim: Claim) -> None:
         power = await self._parts.power.async_get(claim.instance_id)
         if power.boot > claim.boot and power.state is PowerState.SERVING:
+            # Membership still holds it for down, from the time of its reboot. Left so,
+            # the next claim would count it as failed and go back for nothing.
+            self._parts.membership.report_instance(claim.instance_id, True, "returned")
             await self._async_release(claim, Outcome.DONE, power.boot, "")
             return
         if power.state is PowerState.DRAINED:
@@ -213,9 +216,7 @@
     ) -> BudgetExceededError | None:
         """Return why a claimed instance should go back, or nothing."""
         instance = self._parts.log.state.instances[claim.instance_id]
-        return check_budgets_without(
-            self._parts.log.state, instance, evidence[instance.pool]
-        )
+        return check_held(self._parts.log.state, instance, evidence[instance.pool])
 
     async def _async_met_trouble(self, claim: Claim, power: InstancePower) -> bool:
         """End the claim if the instance is not as the stage says.
