Give every connection and answer back, whatever is cancelled

Cause: a cancellation between an answer's end and the count of its connection left it lent for ever; a hedge's winner could be left open at the deadline; a start that failed ended in a traceback. Change: connections are counted back before anything is waited for; a hedge closes its winner if nobody takes it; a drain ends after the longest deadline and says what it lost count of; a failed start logs its code and exits with 1.

--- a/mustardward/cli/serve.py
+++ b/mustardward/cli/serve.py
@@ -5,7 +5,7 @@
 import gc
 import signal
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from functools import partial
 from pathlib import Path
 from typing import Final
@@ -16,7 +16,7 @@
 from ..app import async_setup_entry
 from ..components.keys import DRAIN, METRICS
 from ..core import Core, Unload
-from ..exceptions import SettingsError
+from ..exceptions import MustardwardError, SettingsError
 from ..helpers.log_output import set_up_logging
 from ..helpers.logging import get_logger
 from ..helpers.metrics import FLUSH_SECONDS, open_metrics
@@ -26,6 +26,8 @@
 
 _LOGGER = get_logger(__name__)
 
+EXIT_FAILED: Final = 1
+
 GARBAGE_THRESHOLDS: Final = (10_000, 20, 100)
 """Allocations, young rounds and middle rounds before the next round of each age."""
 
@@ -38,15 +40,39 @@
 def command(settings_file: Path, verbose: bool) -> None:
     """Run an entry with the settings in SETTINGS_FILE until SIGTERM or SIGINT.
 
-    Exit codes: 0 after a graceful stop, 1 if the settings have faults.
+    Exit codes: 0 after a graceful stop, 1 if the settings have faults or the entry
+    could not start (an address in use, a token file that can't be read).
     """
     set_up_logging(verbose)
     try:
         settings = load_settings(settings_file)
     except SettingsError as error:
         click.echo(error.detail, err=True)
-        sys.exit(1)
-    anyio.run(partial(async_serve, settings), backend="asyncio")
+        sys.exit(EXIT_FAILED)
+    try:
+        anyio.run(partial(async_serve, settings), backend="asyncio")
+    except* (MustardwardError, OSError) as failed:
+        for failure in leaves(failed):
+            _LOGGER.error(
+                "entry_failed", error=error_code(failure), detail=str(failure)
+            )
+        sys.exit(EXIT_FAILED)
+
+
+def leaves(group: BaseExceptionGroup[Exception]) -> Iterator[Exception]:
+    """Yield the failures within a group and the groups in it."""
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from leaves(error)
+        else:
+            yield error
+
+
+def error_code(error: Exception) -> str:
+    """Return the stable code of a failure, or the name of its type."""
+    if isinstance(error, MustardwardError):
+        return error.code
+    return type(error).__name__
 
 
 async def async_serve(
--- a/mustardward/components/entry/answer.py
+++ b/mustardward/components/entry/answer.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Final
 
+import anyio
 import httpx
 
 from ...exceptions import PeerError, TruncatedAnswerError
@@ -59,14 +60,25 @@
         """
         lane, self._lane = self._lane, None
         if lane is not None:
-            await self._stream.aclose()
-            await self._lanes.async_discard(lane)
+            await self._async_discard(lane)
 
     async def _async_end(self) -> None:
         lane, self._lane = self._lane, None
-        if lane is not None:
+        if lane is None:
+            return
+        try:
             await self._stream.aclose()
-            self._lanes.give_back(lane)
+        except BaseException:
+            await self._async_discard(lane)
+            raise
+        self._lanes.give_back(lane)
+
+    async def _async_discard(self, lane: Lane) -> None:
+        with anyio.CancelScope(shield=True):
+            try:
+                await self._stream.aclose()
+            finally:
+                await self._lanes.async_discard(lane)
 
 
 class WatchedBody:
--- a/mustardward/components/entry/drain.py
+++ b/mustardward/components/entry/drain.py
@@ -61,10 +61,19 @@
         await timers.async_sleep(self._core.settings.entry.leaving_seconds)
         _LOGGER.info("listener_closing", in_progress=self._health.in_progress)
         await self._listener.async_stop()
-        while self._service.unfinished:
-            await timers.async_sleep(_STEP_SECONDS)
+        await self._async_finish(timers.monotonic())
         _LOGGER.info("drained", seconds=timers.monotonic() - began)
 
+    async def _async_finish(self, began: float) -> None:
+        # Nothing lives longer than the longest deadline: what is left after it was
+        # lost count of, and must not keep the process from ending.
+        timers = self._core.timers
+        until = began + self._core.settings.limits.maximum_deadline_seconds
+        while self._service.unfinished and timers.monotonic() < until:
+            await timers.async_sleep(_STEP_SECONDS)
+        if self._service.unfinished:
+            _LOGGER.error("drain_incomplete", unfinished=self._service.unfinished)
+
     async def _async_announce(self) -> None:
         membership = self._core.find(MEMBERSHIP)
         if membership is None:
--- a/mustardward/components/entry/hedge.py
+++ b/mustardward/components/entry/hedge.py
@@ -37,6 +37,17 @@
 
     async def async_run(self, first: Choice) -> HeldAnswer | None:
         """Return the answer that came first, or nothing if none came."""
+        try:
+            return await self._async_race(first)
+        except BaseException:
+            # The deadline may come between an answer and its being taken; nobody
+            # would close it, and its worker would stay short of a connection.
+            if self._winner is not None:
+                with anyio.CancelScope(shield=True):
+                    await self._attempts.async_give_up(self._winner, "abandoned")
+            raise
+
+    async def _async_race(self, first: Choice) -> HeldAnswer | None:
         async with anyio.create_task_group() as group:
             self._start(group, first)
             with anyio.move_on_after(self._delay):
--- a/mustardward/components/entry/lanes.py
+++ b/mustardward/components/entry/lanes.py
@@ -84,6 +84,8 @@
 
     async def async_discard(self, lane: Lane) -> None:
         """Close a lane after an abnormal end."""
+        # Counted before anything is waited for: a cancellation in between would leave
+        # the lane counted as lent for ever, and the worker with one connection less.
         self._lent -= 1
         await lane.transport.aclose()
 
