--- a/mustardward/embedded/demo.py
+++ b/mustardward/embedded/demo.py
@@ -16,7 +16,7 @@
 from ..load.runner import LoadRunner
 from ..standin.log import LogOptions
 from ..standin.platform import PlatformOptions
-from .fleet import async_run_fleet
+from .fleet import MakeTimers, async_run_fleet
 from .models import FleetPlan, RunningFleet
 from .operator import FleetOperator
 
@@ -30,6 +30,7 @@
         log=LogOptions(), listing_lag_seconds=0.5, reboot_seconds=0.5
     ),
 )
+WAVE_ROUNDS: Final = 25
 ORGANISATIONS: Final = ("gamalost-vik", "brunost-aurland")
 TEMPLATE: Final = {
     "services": [
@@ -73,11 +74,16 @@
 """Steps in order; each returns what happened, or raises."""
 
 
-async def async_run_demo(timers: TimerService) -> list[DemoLine]:
-    """Return a line for each step; the first failing one is the last."""
+async def async_run_demo(
+    timers: TimerService, make_timers: MakeTimers | None = None
+) -> list[DemoLine]:
+    """Return a line for each step; the first failing one is the last.
+
+    :param make_timers: gives each entry its clock; real time if left out.
+    """
     started = timers.monotonic()
     async with (
-        async_run_fleet(DEMO_PLAN, timers) as fleet,
+        async_run_fleet(DEMO_PLAN, timers, make_timers) as fleet,
         httpx.AsyncClient(trust_env=False) as client,
     ):
         context = DemoContext(fleet, FleetOperator(fleet, client), timers)
@@ -200,6 +206,32 @@
     raise DemoStepError(f"status={view['status']} reason={view['reason']}")
 
 
+@DEMO_STEPS.register("wave")
+async def async_wave(context: DemoContext) -> str:
+    """Reboot half of a pool under load, within every budget."""
+    instances = [
+        planned.instance_id
+        for planned in context.fleet.planned.values()
+        if planned.pool == "climate" and planned.rack.endswith("-1")
+    ]
+    body = {"pools": ["climate"], "instances": instances}
+    await context.operator.async_call("POST", "/waves/demo", body)
+    answered = 0
+    for _ in range(WAVE_ROUNDS):
+        result = await async_load(context, seconds=1.0)
+        describe_load(result)
+        answered += sum(item.answered for item in result.classes.values())
+        wave = await context.operator.async_call("GET", "/waves/demo")
+        if wave["status"] not in ("scheduled", "running"):
+            break
+    require(wave["status"] == "done", f"wave={wave}")
+    boots = [context.fleet.workers[name].worker.boot for name in instances]
+    cut = sum(item["cut"] for item in executions(context))
+    require(min(boots) == 2, f"boots={boots}")
+    require(cut == 0, f"cut={cut}")
+    return f"{len(instances)} workers rebooted, {answered} answered meanwhile, none cut"
+
+
 async def async_load(context: DemoContext, seconds: float) -> LoadResult:
     """Return what came of a mixed load through all entries."""
     targets = tuple(
--- a/tests/embedded/test_examples.py
+++ b/tests/embedded/test_examples.py
@@ -7,7 +7,6 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-import anyio
 import httpx
 import pytest
 
@@ -21,6 +20,8 @@
 from mustardward.standin.log import LogOptions
 from mustardward.standin.platform import PlatformOptions
 
+from ..fakes.driving import DrivenLoopTimers, async_driven
+
 pytestmark = pytest.mark.anyio
 
 EXAMPLES = Path(mustardward.__file__).parent / "settings" / "examples"
@@ -52,16 +53,13 @@
         platform=PlatformOptions(log=LogOptions(appends_per_second=10_000.0)),
     )
 
-    async def drive() -> None:
-        while True:
-            await timers.async_advance(0.02)
-            await anyio.sleep(0.001)
-
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(drive)
-        async with async_run_fleet(plan, timers, lambda _: timers) as fleet:
-            yield fleet
-        tasks.cancel_scope.cancel()
+    async with (
+        async_driven(timers, step_seconds=0.02),
+        async_run_fleet(
+            plan, timers, lambda tasks: DrivenLoopTimers(timers, tasks)
+        ) as fleet,
+    ):
+        yield fleet
 
 
 def test_an_example_describes_its_deployment(deployment: str) -> None:
