--- a/bench/control.py
+++ b/bench/control.py
@@ -125,28 +125,36 @@
 
 
 async def async_measure_entries(report: Report, seed: int, seconds: float) -> None:
-    """Measure whole entry processes at each size."""
+    """Measure whole entry processes: memory at each size, shares at the largest."""
     points: list[tuple[int, EntryFigures]] = []
     for size in SIZES:
-        figures = await async_measure_entry(FleetShape(size), seed, seconds)
+        figures = await async_measure_entry(FleetShape(size), seed, 0.0, False)
         points.append((size, figures))
         click.echo(
             f"size={size} start_s={figures.start_seconds:.3f}"
             f" resident_mb={figures.resident_megabytes:.1f}"
-            f" idle_share={figures.idle_share:.4f}"
-            f" share_at_{SPEED_UP:.0f}x={figures.busy_share:.4f}"
         )
     last = points[-1][1]
     report.put("start_s", last.start_seconds)
     report.slope("start_s", [(size, item.start_seconds) for size, item in points])
-    report.aim("resident_mb", last.resident_megabytes, MEMORY_AIM_MEGABYTES)
+    report.put("resident_fleet_mb", last.resident_megabytes)
     resident = [(size, item.resident_megabytes) for size, item in points]
-    report.slope("resident_mb", resident)
-    report.put("idle_share", last.idle_share)
-    # The share at the true rate: what idling costs, and what each record adds.
-    added = max(0.0, last.busy_share - last.idle_share) / SPEED_UP
+    report.slope("resident_fleet_mb", resident)
     report.put("records_a_second", records_a_second())
-    report.aim("share_at_rate", last.idle_share + added, SHARE_AIM)
+    for name, with_work in (("fleet", False), ("all", True)):
+        figures = await async_measure_entry(
+            FleetShape(TARGET), seed, seconds, with_work
+        )
+        _note_shares(report, name, figures)
+    report.aim("resident_mb", figures.resident_megabytes, MEMORY_AIM_MEGABYTES)
+
+
+def _note_shares(report: Report, name: str, figures: EntryFigures) -> None:
+    # The share at the true rate: what idling costs, and what each record adds.
+    added = max(0.0, figures.busy_share - figures.idle_share) / SPEED_UP
+    report.put(f"idle_share_{name}", figures.idle_share)
+    report.put(f"share_{name}_at_{SPEED_UP:.0f}x", figures.busy_share)
+    report.aim(f"share_{name}", figures.idle_share + added, SHARE_AIM)
 
 
 async def async_measure_force(report: Report, seed: int, rounds: int) -> None:
--- a/bench/control_entry.py
+++ b/bench/control_entry.py
@@ -14,9 +14,12 @@
 import anyio
 import anyio.abc
 import psutil
+import xxhash
 import yaml
 
+from mustardward.const import SNAPSHOT_STREAM_SUFFIX
 from mustardward.helpers.timer import LoopTimerService
+from mustardward.platform.models import ListedInstance, ListedState
 from mustardward.standin.log import LogOptions
 from mustardward.standin.platform import (
     PlatformOptions,
@@ -24,11 +27,19 @@
     async_run_platform,
 )
 from mustardward.standin.store import Retention
-from mustardward.state.images import make_image
-from mustardward.state.snapshots import CHUNK_BYTES, Chunk, Manifest, seal
-from mustardward.state.streams import FLEET_SPEC
+from mustardward.state.fleet import FleetState
+from mustardward.state.images import Image, make_image
+from mustardward.state.snapshots import (
+    CHUNK_BYTES,
+    CHUNK_STREAM_SUFFIX,
+    Chunk,
+    Manifest,
+    seal,
+)
+from mustardward.state.streams import FLEET_SPEC, work_spec
 
 from .control_fleet import DATA_CENTRES, FleetBuilder, FleetShape, Proposed
+from .control_work import WorkBuilder
 
 DAY_SECONDS = 86_400.0
 EVENTS_A_DAY = {
@@ -41,7 +52,10 @@
 SPEED_UP = 40.0
 """How much faster than at the two-year rate events come while the share is taken."""
 _START_SECONDS = 20.0
-_SETTLE_SECONDS = 1.0
+_STREAMS = 2
+_MEMORY_SECONDS = 1.0
+_SETTLE_SECONDS = 5.0
+"""Time for what an entry works out once after its start."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,18 +80,28 @@
 
 
 async def async_measure_entry(
-    shape: FleetShape, seed: int, seconds: float
+    shape: FleetShape, seed: int, seconds: float, with_work: bool
 ) -> EntryFigures:
-    """Run one entry on a stand-in platform that holds a snapshot of a fleet."""
+    """Run one entry on a stand-in platform that holds snapshots.
+
+    :param seconds: length of each share; 0 takes none.
+    :param with_work: fill the data centre's stream of work up to its bounds, too.
+    """
     builder = FleetBuilder(shape, seed)
     builder.build()
     builder.start_wave("wave")
+    images = [make_image(FLEET_SPEC, builder.fold)]
+    if with_work:
+        images.append(_work_image(shape))
     async with anyio.create_task_group() as group:
         timers = LoopTimerService(group)
         options = PlatformOptions(log=LogOptions(retention=Retention(1_000_000, 1e6)))
         async with (
             async_run_platform(timers, options) as platform,
-            _async_run_entry(platform, builder) as (process, start_seconds),
+            _async_run_entry(platform, builder.fold.state, images) as (
+                process,
+                start_seconds,
+            ),
         ):
             figures = await _async_watch(
                 platform, builder, process, start_seconds, seconds
@@ -93,6 +117,10 @@
     start_seconds: float,
     seconds: float,
 ) -> EntryFigures:
+    if seconds == 0:
+        await anyio.sleep(_MEMORY_SECONDS)
+        resident = process.memory_info().rss / 1e6
+        return EntryFigures(start_seconds, resident, 0.0, 0.0, 0)
     await anyio.sleep(_SETTLE_SECONDS)
     idle = await _async_share(process, seconds)
     payloads = _payloads(builder, int(records_a_second() * SPEED_UP * seconds) + 1)
@@ -150,9 +178,11 @@
 
 @asynccontextmanager
 async def _async_run_entry(
-    platform: RunningPlatform, builder: FleetBuilder
+    platform: RunningPlatform, fleet: FleetState, images: list[Image]
 ) -> AsyncIterator[tuple[psutil.Process, float]]:
-    _put_snapshot(platform, builder)
+    for image in images:
+        _put_snapshot(platform, image)
+    _list_instances(platform, fleet)
     with tempfile.TemporaryDirectory() as folder:
         settings = Path(folder) / "entry.yaml"
         settings.write_text(yaml.safe_dump(_settings(platform.url)))
@@ -178,7 +208,7 @@
     with anyio.fail_after(_START_SECONDS):
         async for chunk in process.stderr:
             seen += chunk
-            if b"event=state_ready part=state.follower stream=fleet" in seen:
+            if seen.count(b"event=state_ready part=state.follower") == _STREAMS:
                 return
     raise RuntimeError(seen.decode(errors="replace"))
 
@@ -189,21 +219,39 @@
         pass
 
 
-def _put_snapshot(platform: RunningPlatform, builder: FleetBuilder) -> None:
-    """Let the log hold the fleet's snapshot, and its offsets without their entries."""
-    import xxhash
+def _list_instances(platform: RunningPlatform, fleet: FleetState) -> None:
+    for instance in fleet.instances.values():
+        platform.platform.listing.put(
+            ListedInstance(
+                instance.instance_id,
+                "worker",
+                instance.data_centre,
+                instance.rack,
+                instance.address,
+                ListedState.LIVE,
+                1,
+            )
+        )
+
+
+def _work_image(shape: FleetShape) -> Image:
+    spec = work_spec(DATA_CENTRES[0])
+    return make_image(spec, WorkBuilder(spec, shape).build())
+
 
+def _put_snapshot(platform: RunningPlatform, image: Image) -> None:
+    """Let the log hold a snapshot, and the offsets before it without their entries."""
     log = platform.platform.log
-    image = make_image(FLEET_SPEC, builder.fold)
-    for _ in range(builder.fold.next_offset):
-        log.store.append(FLEET_SPEC.name, b"")
+    stream = image.header.stream
+    for _ in range(image.header.next_offset):
+        log.store.append(stream, b"")
+    manifests = stream + SNAPSHOT_STREAM_SUFFIX
     chunks = []
     for start in range(0, len(image.body), CHUNK_BYTES):
         part = image.body[start : start + CHUNK_BYTES]
-        offset = log.append("fleet.snapshots.chunks", part)
+        offset = log.append(manifests + CHUNK_STREAM_SUFFIX, part)
         chunks.append(Chunk(offset, xxhash.xxh3_128_hexdigest(part)))
-    manifest = Manifest(image.header, tuple(chunks), 0.0)
-    log.append("fleet.snapshots", seal(manifest))
+    log.append(manifests, seal(Manifest(image.header, tuple(chunks), 0.0)))
 
 
 def _settings(url: str) -> dict[str, object]:
--- a/bench/control_fleet.py
+++ b/bench/control_fleet.py
@@ -35,6 +35,10 @@
 TARGET = SIZES[-1]
 DATA_CENTRES = tuple(f"region-{number % 6}-{number}" for number in range(14))
 RACK = 4
+CLOSED = MaintenanceWindow(0, 1, weekdays=())
+"""No day: entries take nothing by themselves, so that only the records here count."""
+CLOSED_PORT = 9
+"""Nobody listens there: no instance is up, and nothing leaves this machine."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +130,7 @@
             services=services,
             minimum_available=0.5,
             headroom=round(self._random.random() / 10, 3),
-            windows=(MaintenanceWindow(0, 86_400),),
+            windows=(CLOSED,),
         )
 
     def change_configuration(self) -> Proposed:
@@ -173,7 +177,7 @@
             instance_id=f"instance-{number}",
             data_centre=DATA_CENTRES[centre],
             rack=f"rack-{centre}-{rack}",
-            address=f"10.{centre}.{number // 250 % 250}.{number % 250}:8080",
+            address=f"127.0.0.1:{CLOSED_PORT}",
             pool=f"pool-{(number // len(DATA_CENTRES)) % self.shape.pools}",
         )
 
