--- a/mustardward/components/log/__init__.py
+++ b/mustardward/components/log/__init__.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 from ...core import COMPONENTS, ComponentDescription, Core, Unload
 from ..keys import FLEET_LOG, LOG_SERVICE, MEMBERSHIP, PEERS, WORK_LOG
 
 if TYPE_CHECKING:
+    from ...state.fleet import FleetState
     from ...state.log import FoldedLog
 
+DIVERGENCE_SECONDS: Final = 5.0
+
 
 async def async_setup(core: Core) -> Unload:
     """Follow the logs in the background; readiness comes later."""
@@ -29,6 +32,7 @@
         logs.append(work)
     undo = [_start(core, log) for log in logs]
     undo.append(_serve_relay(core, logs))
+    undo.append(_watch_divergence(core, fleet))
 
     async def async_unload() -> None:
         core.remove(FLEET_LOG)
@@ -83,6 +87,19 @@
     return RelayServer(logs).subscribe(core.get(PEERS))
 
 
+def _watch_divergence(core: Core, fleet: FoldedLog[FleetState]) -> Callable[[], None]:
+    from .divergence import DivergenceWatch
+
+    watch = DivergenceWatch(fleet)
+
+    async def check() -> None:
+        membership = core.find(MEMBERSHIP)
+        if membership is not None:
+            watch.check(membership.members())
+
+    return core.timers.subscribe("log.divergence", DIVERGENCE_SECONDS, check)
+
+
 def _owns(core: Core, stream: str) -> bool:
     membership = core.find(MEMBERSHIP)
     return membership is None or membership.owns_duty(f"snapshot:{stream}")
--- a/tests/components/log/test_relay.py
+++ b/tests/components/log/test_relay.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from random import Random
 from typing import Any, cast
 
@@ -17,6 +18,7 @@
     WORK_LOG,
 )
 from mustardward.components.log import async_setup, relay
+from mustardward.components.log.divergence import DivergenceWatch
 from mustardward.components.log.relay import PeerRelay, RelayServer
 from mustardward.components.membership.models import Member, MemberStatus
 from mustardward.core import Core
@@ -141,6 +143,17 @@
         assert fold.digest == pair.log.digest
 
 
+async def test_a_peer_that_folds_to_another_state_is_reported_once() -> None:
+    async with running_pair() as pair:
+        watch = DivergenceWatch(pair.log)
+        same = replace(_member("same", 3), fleet_digest=pair.log.digest[:8])
+        behind = replace(_member("behind", 2), fleet_digest="00000000")
+        silent = _member("silent", 3)
+        wrong = replace(_member("wrong", 3), fleet_digest="00000000")
+        assert watch.check([same, behind, silent, wrong]) == [wrong]
+        assert watch.check([same, behind, silent, wrong]) == []
+
+
 async def test_an_entry_sets_its_logs_up_and_takes_them_down() -> None:
     async with running_bench() as bench:
         peers = FakePeers(FakeNetwork(), "only", "only")
--- a/tests/state/test_entries_replaced.py
+++ b/tests/state/test_entries_replaced.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 
+from mustardward.const import CONFIGURATION_BOUND_SECONDS
 from mustardward.helpers.timer import LoopTimerService
 from mustardward.standin.platform import RunningPlatform, async_run_platform
 from mustardward.state.models.pools import PutPool
@@ -65,3 +66,39 @@
             again = await third.async_get("/undredal/service-cellar/wheels")
             assert "no-worker" in again.text
         group.cancel_scope.cancel()
+
+
+async def test_a_data_centre_cut_off_from_the_platform_gets_configuration(
+    tmp_path: Path,
+) -> None:
+    """Relay a change over the peers' protocol within its bound.
+
+    Symptom: one data centre serves an old configuration. Sequence: it is cut off from
+    the platform, not from its peers, and an organisation is added elsewhere. Cause:
+    entries come from the platform alone.
+    """
+    async with anyio.create_task_group() as group:
+        timers = LoopTimerService(group)
+        async with (
+            async_run_platform(timers) as platform,
+            running_processes(tmp_path, platform.url) as processes,
+        ):
+            platform.platform.log.append(
+                "fleet", encode_batch([build_record(PutPool("cellar"), "zero")])
+            )
+            first = await processes.async_start("first", "bergen", [])
+            await first.async_logged("event=state_ready .*stream=fleet source=log")
+            second = await processes.async_start("second", "flam", [first])
+            await second.async_logged("event=state_ready .*stream=fleet source=log")
+            platform.platform.log.faults.change(cut_off=("flam",))
+            await second.async_logged("event=log_out .*stream=fleet")
+
+            _publish(platform)
+            began = anyio.current_time()
+            answer = await second.async_get("/undredal/service-cellar/wheels")
+            while "no-worker" not in answer.text:
+                assert anyio.current_time() - began < CONFIGURATION_BOUND_SECONDS
+                await anyio.sleep(0.1)
+                answer = await second.async_get("/undredal/service-cellar/wheels")
+            assert "event=log_back" not in second.logged
+        group.cancel_scope.cancel()
