--- a/bench/control.py
+++ b/bench/control.py
@@ -34,6 +34,8 @@
 
 MEMORY_AIM_MEGABYTES = 128.0
 SHARE_AIM = 0.026
+BYTES_AIM = 4096.0
+"""The whole budget of a node; what peers exchange comes on top."""
 SITUATIONS = ("well", "slow", "cut_off")
 
 
@@ -155,6 +157,10 @@
     report.put(f"idle_share_{name}", figures.idle_share)
     report.put(f"share_{name}_at_{SPEED_UP:.0f}x", figures.busy_share)
     report.aim(f"share_{name}", figures.idle_share + added, SHARE_AIM)
+    more = max(0.0, figures.busy_bytes_a_second - figures.idle_bytes_a_second)
+    rate = figures.idle_bytes_a_second + more / SPEED_UP
+    report.put(f"idle_log_bytes_a_second_{name}", figures.idle_bytes_a_second)
+    report.aim(f"log_bytes_a_second_{name}", rate, BYTES_AIM)
 
 
 async def async_measure_force(report: Report, seed: int, rounds: int) -> None:
--- a/mustardward/state/snapshot_writer.py
+++ b/mustardward/state/snapshot_writer.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Final
 
 from anyio.abc import TaskGroup
 
@@ -18,6 +18,9 @@
 _LOGGER = get_logger(__name__)
 
 
+_MANIFESTS_CHECKED: Final = 4
+
+
 @dataclass(frozen=True, slots=True)
 class SnapshotSituation:
     """Hold what decides whether a snapshot is due.
@@ -95,7 +98,7 @@
             self._busy = False
 
     async def _async_check(self) -> None:
-        manifests = await self._log.store.async_manifests()
+        manifests = await self._log.store.async_manifests(_MANIFESTS_CHECKED)
         latest = furthest_readable(manifests, self._log.spec)
         cause = due_cause(self._situation(latest), self._log.options)
         if not cause:
--- a/mustardward/state/snapshots.py
+++ b/mustardward/state/snapshots.py
@@ -113,18 +113,17 @@
         await self._async_append(self._manifests, seal(manifest))
         return manifest
 
-    async def async_manifests(self) -> list[Manifest]:
+    async def async_manifests(self, count: int = MANIFESTS_READ) -> list[Manifest]:
         """Return the latest readable manifests, the furthest state first.
 
+        :param count: how many are looked at, from the tail back.
         :raises PlatformError: if the log can't be read.
         """
         end = await self._async_bounds(self._manifests)
-        start = max(end.oldest, end.tail - MANIFESTS_READ)
+        start = max(end.oldest, end.tail - count)
         if start >= end.tail:
             return []
-        page = await self._service.async_read(
-            self._manifests, start, MANIFESTS_READ, 0.0
-        )
+        page = await self._service.async_read(self._manifests, start, count, 0.0)
         found = []
         for entry in page.entries:
             try:
