End the connection of a caller that reads nothing

Cause: an answer that was given up waited, in the server, until its caller had taken what was written; a caller that read nothing held up the stop for as long as the longest deadline. Ruled out: a shorter wait at the stop (it would cut whole requests as well). Change: giving an answer up resets the HTTP/1.1 connection, as it did the HTTP/2 stream; both reach through the bound method that hypercorn hands over.

--- a/mustardward/components/entry/abort.py
+++ b/mustardward/components/entry/abort.py
@@ -1,4 +1,9 @@
-"""Reach what ASGI has no word for: whether a caller is gone, and a reset."""
+"""Reach what ASGI has no word for: whether a caller is gone, and a reset.
+
+hypercorn hands the application a bound method ``send``; behind it stand the stream, the
+protocol and the connection's writer. With another server nothing is found, and nothing
+happens.
+"""
 
 from __future__ import annotations
 
@@ -7,30 +12,38 @@
 
 import h2.errors
 
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
 
-async def async_abort_stream(send: Callable[[dict[str, Any]], Awaitable[None]]) -> None:
-    """Reset an HTTP/2 stream; over HTTP/1.1 leave the break to the server.
+async def async_abort_stream(send: Send) -> None:
+    """Reset a stream of HTTP/2, or the connection of HTTP/1.1.
 
-    The application returns without ending its answer. Over HTTP/1.1 hypercorn then
-    closes the connection in the middle of the body, which every client notices. Over
-    HTTP/2 it forgets the stream and says nothing: the caller would wait for the rest
-    until its own timeout. ASGI has no word for a reset, so this reaches through the
-    bound method ``send`` to the connection; with another server nothing happens.
+    Left to itself, hypercorn forgets an HTTP/2 stream whose application returns early,
+    and the caller waits for the rest until its own timeout. Over HTTP/1.1 it closes
+    the connection, but first waits until the caller has taken what was written: one
+    that reads nothing would hold up the end of the process.
     """
     stream = getattr(send, "__self__", None)
-    protocol = getattr(getattr(stream, "send", None), "__self__", None)
-    reset = getattr(getattr(protocol, "connection", None), "reset_stream", None)
-    flush = getattr(protocol, "_flush", None)
-    if stream is None or reset is None or flush is None:
+    protocol = _owner(stream, "send")
+    connection = getattr(protocol, "connection", None)
+    reset = getattr(connection, "reset_stream", None)
+    if stream is not None and protocol is not None and reset is not None:
+        reset(stream.stream_id, error_code=h2.errors.ErrorCodes.INTERNAL_ERROR)
+        await protocol._flush()
         return
-    reset(stream.stream_id, error_code=h2.errors.ErrorCodes.INTERNAL_ERROR)
-    await flush()
+    writer = getattr(_owner(protocol, "send"), "writer", None)
+    if writer is not None:
+        writer.transport.abort()
 
 
-def is_gone(send: Callable[[dict[str, Any]], Awaitable[None]]) -> bool:
+def is_gone(send: Send) -> bool:
     """Tell whether the caller's connection or stream was closed.
 
     hypercorn drops what is sent to a caller that went away, without a sign. A large
     answer would be read from its worker to the end, for nobody.
     """
     return getattr(getattr(send, "__self__", None), "closed", False) is True
+
+
+def _owner(target: Any, method: str) -> Any:
+    return getattr(getattr(target, method, None), "__self__", None)
--- a/tests/components/entry/test_failures.py
+++ b/tests/components/entry/test_failures.py
@@ -8,7 +8,11 @@
 import httpx
 import pytest
 
-from mustardward.components.entry.models import Ran, RequestRefusal
+from mustardward.components.entry.models import (
+    Ran,
+    RequestFinished,
+    RequestRefusal,
+)
 from mustardward.components.entry.parse import parse_request
 from mustardward.components.entry.protocols import StoredAnswer
 from mustardward.settings.models import RequestLimits
@@ -456,3 +460,31 @@
     assert b" 408 " in head.split(b"\r\n")[0]
     assert worker.seen == []
     assert entry.health.in_progress == 0
+
+
+async def test_a_caller_that_takes_nothing_does_not_hold_up_the_stop() -> None:
+    """End the connection of a caller that stopped reading.
+
+    Symptom: an entry does not end for minutes after SIGTERM. Sequence: a caller asks
+    for a large answer and reads none of it; its deadline passes. Cause: the server
+    waits for what was written to be taken before it closes.
+    """
+
+    async def answer_largely(stream: SocketStream, seen: SeenRequest) -> bool:
+        await stream.send(plain_answer(seen, b"x" * 50_000_000))
+        return True
+
+    with anyio.fail_after(20):
+        async with running_entry(answer_largely) as (entry, _):
+            ended = anyio.Event()
+            entry.core.events.listen(RequestFinished, lambda _: ended.set())
+            caller = await anyio.connect_tcp("127.0.0.1", entry.listener.port)
+            async with caller:
+                await caller.send(
+                    b"GET /hvelv/turn/ HTTP/1.1\r\nhost: a\r\n"
+                    b"mw-deadline-seconds: 0.3\r\n\r\n"
+                )
+                await ended.wait()
+                await entry.listener.async_stop()
+    assert [item.cause for item in entry.finished] == ["deadline-exceeded"]
+    assert entry.service.unfinished == 0
