Let waves take quarantined instances and stop at a failed canary

Cause: in drills with real parts a quarantined worker ate the last margin and stood in the wave for ever, a hung one held its claim, and a wave went on after its canary failed. Ruled out: leaving both to operators, and asking a margin of an instance that counts as unavailable already. Change: claims on quarantined instances need whole floors only and are never canaries; a drain that cannot begin for a minute gives its claim back; one failure stops a wave whose canary is not back; only the holder of the duty announces what the fold decided. Conclusion: the wave repairs what it can and says what it cannot.

--- a/mustardward/components/maintenance/absence_reporter.py
+++ b/mustardward/components/maintenance/absence_reporter.py
@@ -11,7 +11,7 @@
 from ...platform.models import InstancePower, PowerState
 from ...platform.protocols import ListingService
 from ...state.budgets import index_of
-from ...state.handlers.absences import CAUSE_FAILED
+from ...state.handlers.absences import CAUSE_FAILED, is_quarantine
 from ...state.models.maintenance import AbsenceChange, ReportAbsences
 from .const import (
     DOWN_AFTER_SECONDS,
@@ -28,7 +28,6 @@
 _LOGGER = get_logger(__name__)
 
 CAUSE_LEAVING = "leaving"
-_QUARANTINE_PREFIX = "quarantine"
 
 
 @dataclass(slots=True, eq=False)
@@ -104,7 +103,7 @@
             name
             for name, absence in state.absences.items()
             if state.instances[name].data_centre == self._parts.data_centre
-            and not absence.cause.startswith(_QUARANTINE_PREFIX)
+            and not is_quarantine(absence)
             and name not in state.claims
         }
         for name in absent - self._backoffs.keys():
--- /dev/null
+++ b/mustardward/components/maintenance/claim_records.py
@@ -0,0 +1,61 @@
+"""Propose what happened to a claim, and announce it."""
+
+from __future__ import annotations
+
+from returns.result import Failure
+
+from ...state.models.maintenance import (
+    AdvanceClaim,
+    Claim,
+    ClaimStage,
+    ReleaseClaim,
+)
+from ..explain.models import SubjectKind
+from .const import CLAIM_PRIORITY
+from .decisions import DecisionJournal
+from .models import ExecutorParts, Outcome
+
+
+class ClaimRecords:
+    """Write claims' stages and ends into the log under their generations."""
+
+    def __init__(self, parts: ExecutorParts, journal: DecisionJournal) -> None:
+        self._parts = parts
+        self._journal = journal
+
+    async def async_advance(self, claim: Claim, stage: ClaimStage) -> bool:
+        """Note that a claim reached a stage; tell whether the fold took it."""
+        body = AdvanceClaim(claim.instance_id, claim.generation, stage)
+        return await self._async_propose(claim, body, f"claim-{stage}")
+
+    async def async_release(
+        self, claim: Claim, outcome: Outcome, boot: int, reason: str
+    ) -> None:
+        """End a claim."""
+        body = ReleaseClaim(claim.instance_id, claim.generation, outcome, boot, reason)
+        if await self._async_propose(claim, body, f"claim-{outcome}"):
+            self.note(claim, f"claim-{outcome}", reason or outcome)
+
+    def note(self, claim: Claim, decision: str, cause: str, *inputs: str) -> None:
+        """Announce a decision on a claim."""
+        self._journal.note(
+            SubjectKind.INSTANCE,
+            claim.instance_id,
+            decision,
+            cause,
+            f"wave={claim.wave_id}",
+            f"generation={claim.generation}",
+            *inputs,
+        )
+
+    async def _async_propose(
+        self, claim: Claim, body: AdvanceClaim | ReleaseClaim, decision: str
+    ) -> bool:
+        result = await self._parts.log.async_propose(
+            body, actor=self._parts.executor, priority=CLAIM_PRIORITY
+        )
+        if isinstance(result, Failure):
+            error = result.failure()
+            self.note(claim, f"{decision}-refused", error.code, error.detail)
+            return False
+        return True
--- a/mustardward/components/maintenance/claim_steps.py
+++ b/mustardward/components/maintenance/claim_steps.py
@@ -10,10 +10,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from returns.result import Failure
-
 from ...exceptions import (
-    MustardwardError,
     PlatformError,
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
@@ -24,17 +21,16 @@
 from ...platform.models import InstancePower, PowerState
 from ...state.budgets import BudgetExceededError, check_held
 from ...state.models.maintenance import (
-    AdvanceClaim,
     Claim,
     ClaimStage,
-    ReleaseClaim,
     WaveStatus,
 )
-from ..explain.models import SubjectKind
+from .claim_records import ClaimRecords
 from .const import (
-    CLAIM_PRIORITY,
     CONFIRM_TIMEOUT_SECONDS,
+    DRAIN_PATIENCE_SECONDS,
     REBOOT_PATIENCE_SECONDS,
+    SHUN_SECONDS,
     TAIL_LOST_SECONDS,
 )
 from .decisions import DecisionJournal
@@ -62,9 +58,10 @@
         patience: Callable[[str], float],
     ) -> None:
         self._parts = parts
-        self._journal = journal
+        self._records = ClaimRecords(parts, journal)
         self._patience = patience
         self._since: dict[tuple[str, int, str], float] = {}
+        self._shunned: dict[str, float] = {}
 
     async def async_step(self, claim: Claim) -> None:
         """Take a claim one step further; a platform failure leaves it for later."""
@@ -76,7 +73,7 @@
         except StaleGenerationError as error:
             # Another executor adopted the claim and has called already; its record is
             # on the way. Going on here would steer one instance from two places.
-            self._note(claim, "claim-fenced", error.code)
+            self._records.note(claim, "claim-fenced", error.code)
         except (PlatformUnavailableError, PlatformOutcomeUnknownError) as error:
             _LOGGER.warning(
                 "claim_step_postponed", instance=claim.instance_id, cause=error.code
@@ -93,14 +90,16 @@
         """Let an instance serve again without a reboot, and end its claim."""
         power = await self._parts.power.async_get(claim.instance_id)
         if power.state is PowerState.DOWN:
-            await self._async_release(claim, Outcome.FAILED, power.boot, "down")
+            await self._records.async_release(claim, Outcome.FAILED, power.boot, "down")
             return
         if power.state is not PowerState.SERVING:
             power = await self._parts.power.async_return(
                 claim.instance_id, _operation(claim, "return"), claim.generation
             )
         if power.state is PowerState.SERVING:
-            await self._async_release(claim, Outcome.GIVEN_BACK, power.boot, cause)
+            await self._records.async_release(
+                claim, Outcome.GIVEN_BACK, power.boot, cause
+            )
 
     def waited(self, claim: Claim) -> float:
         """Return the seconds for which this process has seen the claim's stage."""
@@ -108,9 +107,15 @@
         now = self._parts.timers.monotonic()
         return now - self._since.setdefault(key, now)
 
+    def shunned(self) -> frozenset[str]:
+        """Return the instances that could not be drained a while ago."""
+        now = self._parts.timers.monotonic()
+        return frozenset(name for name, until in self._shunned.items() if now < until)
+
     def forget_ended(self) -> None:
         """Drop what was kept of claims that ended or moved on."""
         claims = self._parts.log.state.claims
+        self._shunned = {name: self._shunned[name] for name in self.shunned()}
         self._since = {
             key: since
             for key, since in self._since.items()
@@ -141,10 +146,20 @@
         if power.state is PowerState.DOWN or power.boot != claim.boot:
             await self.async_give_back(claim, "boot-changed")
             return
-        await self._parts.power.async_drain(
-            claim.instance_id, _operation(claim, "drain"), claim.generation
-        )
-        await self._async_advance(claim, ClaimStage.DRAINING)
+        try:
+            await self._parts.power.async_drain(
+                claim.instance_id, _operation(claim, "drain"), claim.generation
+            )
+        except PlatformUnavailableError:
+            if self.waited(claim) < DRAIN_PATIENCE_SECONDS:
+                raise
+            # The platform does not reach the instance. Held on to, it would keep the
+            # wave from ending, and its place in the wave from others.
+            now = self._parts.timers.monotonic()
+            self._shunned[claim.instance_id] = now + SHUN_SECONDS
+            await self.async_give_back(claim, "undrainable")
+            return
+        await self._records.async_advance(claim, ClaimStage.DRAINING)
 
     @STAGES.register(ClaimStage.DRAINING)
     async def _async_let_work_end(self, claim: Claim) -> None:
@@ -155,7 +170,7 @@
         if power.running > 0 and self.waited(claim) < self._patience_for(claim):
             return
         if not await self._async_empty(claim, power):
-            await self._async_advance(claim, ClaimStage.VACATING)
+            await self._records.async_advance(claim, ClaimStage.VACATING)
 
     @STAGES.register(ClaimStage.VACATING)
     async def _async_move_work_away(self, claim: Claim) -> None:
@@ -171,7 +186,7 @@
         """
         vacated = await self._parts.vacate(claim.instance_id)
         if vacated and power.running == 0 and power.state is PowerState.DRAINED:
-            return await self._async_advance(claim, ClaimStage.DRAINED)
+            return await self._records.async_advance(claim, ClaimStage.DRAINED)
         return False
 
     @STAGES.register(ClaimStage.DRAINED)
@@ -180,23 +195,23 @@
         if await self._async_met_trouble(claim, power):
             return
         if not await self._parts.log.async_confirm_tail(CONFIRM_TIMEOUT_SECONDS):
-            self._note(claim, "reboot-postponed", "tail-unconfirmed")
+            self._records.note(claim, "reboot-postponed", "tail-unconfirmed")
             return
         if not self._still_held(claim) or not self._parts.log.may_decide:
             return
         refusal = self.refusal(claim, self._local_evidence())
         if refusal is not None:
-            self._note(claim, "claim-given-back", refusal.code, refusal.detail)
+            self._records.note(claim, "claim-given-back", refusal.code, refusal.detail)
             await self.async_give_back(claim, refusal.code)
             return
-        if await self._async_advance(claim, ClaimStage.REBOOTING):
+        if await self._records.async_advance(claim, ClaimStage.REBOOTING):
             await self._async_reboot(claim)
 
     @STAGES.register(ClaimStage.REBOOTING)
     async def _async_await_return(self, claim: Claim) -> None:
         power = await self._parts.power.async_get(claim.instance_id)
         if power.boot > claim.boot and power.state is PowerState.SERVING:
-            await self._async_release(claim, Outcome.DONE, power.boot, "")
+            await self._records.async_release(claim, Outcome.DONE, power.boot, "")
             return
         if power.state is PowerState.DRAINED:
             # The call never arrived, or its executor died before it. The operation id
@@ -206,7 +221,7 @@
         overdue = self.waited(claim) >= REBOOT_PATIENCE_SECONDS
         if power.state is PowerState.DOWN or overdue:
             cause = "overdue" if overdue else "down"
-            await self._async_release(claim, Outcome.FAILED, power.boot, cause)
+            await self._records.async_release(claim, Outcome.FAILED, power.boot, cause)
 
     def refusal(
         self, claim: Claim, evidence: Counter[str]
@@ -234,7 +249,7 @@
         await self._parts.power.async_reboot(
             claim.instance_id, _operation(claim, "reboot"), claim.generation
         )
-        self._note(claim, "reboot-begun", "drained")
+        self._records.note(claim, "reboot-begun", "drained")
 
     def _still_held(self, claim: Claim) -> bool:
         held = self._parts.log.state.claims.get(claim.instance_id)
@@ -248,44 +263,6 @@
         parts = self._parts
         return unreported_down(parts.log.state, parts.membership, parts.data_centre)
 
-    async def _async_advance(self, claim: Claim, stage: ClaimStage) -> bool:
-        body = AdvanceClaim(claim.instance_id, claim.generation, stage)
-        return await self._async_propose(claim, body, f"claim-{stage}")
-
-    async def _async_release(
-        self, claim: Claim, outcome: Outcome, boot: int, reason: str
-    ) -> None:
-        body = ReleaseClaim(claim.instance_id, claim.generation, outcome, boot, reason)
-        if await self._async_propose(claim, body, f"claim-{outcome}"):
-            self._note(claim, f"claim-{outcome}", reason or outcome)
-
-    async def _async_propose(
-        self, claim: Claim, body: AdvanceClaim | ReleaseClaim, decision: str
-    ) -> bool:
-        result = await self._parts.log.async_propose(
-            body, actor=self._parts.executor, priority=CLAIM_PRIORITY
-        )
-        if isinstance(result, Failure):
-            self._note_refusal(claim, decision, result.failure())
-            return False
-        return True
-
-    def _note_refusal(
-        self, claim: Claim, decision: str, error: MustardwardError
-    ) -> None:
-        self._note(claim, f"{decision}-refused", error.code, error.detail)
-
-    def _note(self, claim: Claim, decision: str, cause: str, *inputs: str) -> None:
-        self._journal.note(
-            SubjectKind.INSTANCE,
-            claim.instance_id,
-            decision,
-            cause,
-            f"wave={claim.wave_id}",
-            f"generation={claim.generation}",
-            *inputs,
-        )
-
 
 def _operation(claim: Claim, action: str) -> str:
     return f"claim.{claim.instance_id}.{claim.taken}.{action}"
--- a/mustardward/components/maintenance/const.py
+++ b/mustardward/components/maintenance/const.py
@@ -22,6 +22,12 @@
 REBOOT_PATIENCE_SECONDS: Final = 900.0
 """Time after which an instance that did not come back counts as failed."""
 
+DRAIN_PATIENCE_SECONDS: Final = 60.0
+"""Time after which an instance whose drain cannot even begin is given back."""
+
+SHUN_SECONDS: Final = 600.0
+"""Time for which such an instance is not taken again."""
+
 DOWN_AFTER_SECONDS: Final = 3.0
 """Time for which an instance has to look down before it is reported."""
 
--- a/mustardward/components/maintenance/selection.py
+++ b/mustardward/components/maintenance/selection.py
@@ -9,6 +9,7 @@
 from ...state.budget_counters import Budget
 from ...state.budgets import index_of
 from ...state.fleet import FleetState
+from ...state.handlers.absences import is_quarantine
 from ...state.handlers.waves import wave_limit
 from ...state.models.maintenance import Wave
 from ...state.models.pools import Instance
@@ -36,6 +37,7 @@
     :param evidence: instances by pool that look down and are not folded as such.
     :param concurrency: most instances of a pool that may be out in the data centre.
     :param burden: cost of taking an instance now; the least burdened go first.
+    :param excluded: instances not to be taken for now.
     """
 
     data_centre: str
@@ -44,6 +46,7 @@
     concurrency: Callable[[str], int]
     burden: Callable[[Instance], float]
     most: int
+    excluded: frozenset[str] = frozenset()
 
 
 def select_claims(state: FleetState, wave: Wave, facts: SelectionFacts) -> Selection:
@@ -54,36 +57,55 @@
     chosen: list[str] = []
     binding: dict[str, Budget] = {}
     closed: set[str] = set()
-    candidates = _candidates(state, wave, facts.data_centre)
+    candidates = _candidates(state, wave, facts)
     for pool in sorted(candidates, key=lambda name: (-len(candidates[name]), name)):
         if not windows_allow(index_of(state).users(pool).values(), facts.wall):
             closed.add(pool)
             continue
-        allowed, budget = _allowed(state, pool, facts)
-        if allowed <= 0 and budget is not None:
-            binding[pool] = budget
         ordered = sorted(
             candidates[pool], key=lambda item: (facts.burden(item), item.instance_id)
         )
-        taken = ordered[: max(0, min(allowed, left - len(chosen)))]
-        chosen.extend(item.instance_id for item in taken)
+        names = [item.instance_id for item in ordered]
+        free = [name for name in names if name in state.absences]
+        costly = [name for name in names if name not in state.absences]
+        allowed, budget = _allowed(state, pool, facts)
+        if allowed <= 0 and budget is not None:
+            binding[pool] = budget
+        wanted = costly[: max(0, allowed)]
+        if len(wave.done) >= wave.canary and _is_whole(budget):
+            wanted = [*free, *wanted]
+        chosen.extend(wanted[: left - len(chosen)])
     return Selection(tuple(chosen), binding, frozenset(closed))
 
 
 def _candidates(
-    state: FleetState, wave: Wave, data_centre: str
+    state: FleetState, wave: Wave, facts: SelectionFacts
 ) -> dict[str, list[Instance]]:
     index = index_of(state)
     found: dict[str, list[Instance]] = defaultdict(list)
-    for instance_id in wave.pending:
+    for instance_id in wave.pending - facts.excluded:
         instance = state.instances.get(instance_id)
-        if instance is None or instance.data_centre != data_centre:
+        if instance is None or instance.data_centre != facts.data_centre:
             continue
-        if index.is_available(instance_id):
+        if index.is_available(instance_id) or _is_free(state, instance_id):
             found[instance.pool].append(instance)
     return found
 
 
+def _is_free(state: FleetState, instance_id: str) -> bool:
+    """Tell whether an instance is in quarantine only: taking it costs no budget.
+
+    It never serves as a canary: that it fails would say nothing about the wave.
+    """
+    absence = state.absences.get(instance_id)
+    held = instance_id in state.claims or instance_id in state.moves
+    return absence is not None and is_quarantine(absence) and not held
+
+
+def _is_whole(budget: Budget | None) -> bool:
+    return budget is None or budget.margin >= 0
+
+
 def _allowed(
     state: FleetState, pool: str, facts: SelectionFacts
 ) -> tuple[int, Budget | None]:
--- a/mustardward/components/maintenance/services.py
+++ b/mustardward/components/maintenance/services.py
@@ -89,6 +89,8 @@
             self._statuses[wave.wave_id] = wave.status
             if before is None or before == wave.status:
                 continue
+            if not self._parts.membership.owns_duty(f"wave:{wave.wave_id}"):
+                continue
             self._journal.note(
                 SubjectKind.WAVE,
                 wave.wave_id,
@@ -207,6 +209,7 @@
             concurrency=self._pacing.concurrency,
             burden=self._pacing.burden,
             most=MAXIMUM_CLAIMS_AT_ONCE,
+            excluded=self._steps.shunned(),
         )
         return select_claims(state, wave, facts)
 
--- a/mustardward/state/handlers/maintenance.py
+++ b/mustardward/state/handlers/maintenance.py
@@ -28,7 +28,7 @@
     WaveStatus,
 )
 from ..models.pools import Instance
-from .absences import CAUSE_REBOOT
+from .absences import CAUSE_REBOOT, is_quarantine
 from .fleet_registry import FLEET_HANDLERS
 from .maintenance_refusals import (
     ClaimFencedError,
@@ -92,9 +92,14 @@
         return InstanceBusyError(f"instance={name} wave={state.claims[name].wave_id}")
     if name in state.moves:
         return InstanceBusyError(f"instance={name} move={state.moves[name].move_id}")
-    if name in state.absences:
-        return InstanceBusyError(f"instance={name} absent={state.absences[name].cause}")
-    return check_budgets(state, instance)
+    absence = state.absences.get(name)
+    if absence is None:
+        return check_budgets(state, instance)
+    if not is_quarantine(absence):
+        return InstanceBusyError(f"instance={name} absent={absence.cause}")
+    # It counts as unavailable already, so a reboot takes nothing from any budget, and
+    # may be what it needs.
+    return check_held(state, instance)
 
 
 def _fenced(
--- a/mustardward/state/handlers/waves.py
+++ b/mustardward/state/handlers/waves.py
@@ -122,9 +122,12 @@
 
 
 def stop_if_failing(context: FoldContext, wave: Wave) -> None:
-    """Pause a running wave whose failures reached its maximum."""
+    """Pause a running wave whose failures reached its maximum.
+
+    While the canary is not back, one failure is enough: that is what it is for.
+    """
     fresh = len(wave.failed) - wave.forgiven
-    if wave.status != WaveStatus.RUNNING or fresh < wave.maximum_failures:
+    maximum = wave.maximum_failures if len(wave.done) >= wave.canary else 1
+    if wave.status != WaveStatus.RUNNING or fresh < maximum:
         return
-    reason = f"failures={fresh} maximum={wave.maximum_failures}"
-    signal_chart(context, wave, "stop", reason)
+    signal_chart(context, wave, "stop", f"failures={fresh} maximum={maximum}")
--- a/tests/components/maintenance/test_executor.py
+++ b/tests/components/maintenance/test_executor.py
@@ -4,11 +4,18 @@
 
 import pytest
 
-from mustardward.components.maintenance.const import REBOOT_PATIENCE_SECONDS
+from mustardward.components.maintenance.const import (
+    DRAIN_PATIENCE_SECONDS,
+    REBOOT_PATIENCE_SECONDS,
+)
 from mustardward.components.maintenance.services import WaveExecutor
 from mustardward.exceptions import StaleGenerationError
 from mustardward.platform.models import PowerState
-from mustardward.state.models.maintenance import TakeClaim
+from mustardward.state.models.maintenance import (
+    AbsenceChange,
+    ReportAbsences,
+    TakeClaim,
+)
 from mustardward.state.models.templates import MaintenanceWindow
 from tests.components.maintenance.site import FIRST, SECOND, Site
 from tests.fakes.waves import build_member
@@ -312,3 +319,56 @@
     site.driver.fail(*(f"dc1-etching-{number:03d}" for number in range(7, 12)))
     await steps(executor, 1)
     assert (site.stage(FIRST), site.stage(SECOND)) == ("draining", "")
+
+
+async def test_a_quarantined_instance_is_taken_without_any_margin() -> None:
+    """Reboot what is in quarantine although no budget has a margin left.
+
+    Symptom: a wave never ends, and one bad worker stays in quarantine for ever.
+    Sequence: the worker is quarantined; it eats the last margin; the wave can take
+    neither it nor another. Cause: it was asked to cost a margin that it costs already.
+    """
+    site = Site(size=8, minimum_available=0.75)
+    site.schedule()
+    executor = site.executor()
+    first = await take_to(site, executor, "rebooting")
+    site.power.finish_reboots()
+    await executor._steps.async_step(site.driver.state.claims[first])
+    bad = "dc1-etching-005"
+    change = AbsenceChange(bad, False, 1, "quarantined")
+    site.driver.accept(ReportAbsences("dc1", (change,)))
+    for _ in range(8):
+        await executor.async_step()
+        site.power.finish_reboots()
+    assert bad in site.driver.state.waves["w1"].done
+    assert bad not in site.driver.state.absences
+
+
+async def test_a_quarantined_instance_is_no_canary() -> None:
+    site = Site()
+    site.schedule()
+    change = AbsenceChange(FIRST, False, 1, "quarantined")
+    site.driver.accept(ReportAbsences("dc1", (change,)))
+    executor = site.executor()
+    await steps(executor, 2)
+    assert SECOND in site.driver.state.claims
+
+
+async def test_an_instance_that_cannot_be_drained_does_not_hold_the_wave() -> None:
+    """Go on with others when the platform cannot reach an instance.
+
+    Symptom: a wave stands still and names one claimed instance for hours.
+    Sequence: the worker hangs after the claim; each drain is refused as unavailable.
+    Cause: the claim waited for a drain that could not begin.
+    """
+    site = Site(size=8, minimum_available=0.75)
+    site.schedule()
+    executor = site.executor()
+    site.power.undrainable.add(FIRST)
+    for _ in range(4):
+        await executor.async_step()
+        site.timers.pause(DRAIN_PATIENCE_SECONDS / 2)
+    await steps(executor, 1)
+    assert site.stage(FIRST) == ""
+    assert "undrainable" in site.causes("claim-given-back")
+    assert SECOND in site.driver.state.claims
--- a/tests/fakes/waves.py
+++ b/tests/fakes/waves.py
@@ -101,6 +101,7 @@
     seen: set[str] = field(default_factory=set)
     calls: list[tuple[str, str]] = field(default_factory=list)
     lose_answers: set[str] = field(default_factory=set)
+    undrainable: set[str] = field(default_factory=set)
     out: bool = False
 
     async def async_get(self, instance_id: str) -> InstancePower:
@@ -149,8 +150,8 @@
     def _call(
         self, action: str, instance_id: str, operation_id: str, generation: int
     ) -> InstancePower:
-        if self.out:
-            raise PlatformUnavailableError("power is out")
+        if self.out or (action == "drain" and instance_id in self.undrainable):
+            raise PlatformUnavailableError("not reached")
         power = self._power(instance_id)
         if generation < power.generation:
             raise StaleGenerationError(f"seen={power.generation}")
--- a/tests/state/handlers/test_maintenance.py
+++ b/tests/state/handlers/test_maintenance.py
@@ -249,3 +249,13 @@
     for name, generation in held.items():
         advance(driver, name, generation, *STAGES)
     assert [claim.stage for claim in driver.state.claims.values()] == ["rebooting"] * 3
+
+
+def test_a_failed_canary_stops_the_wave_at_once() -> None:
+    driver = build_driver(size=20)
+    driver.run_wave(maximum_failures=5)
+    generation = driver.take("dc1-etching-000")
+    advance(driver, "dc1-etching-000", generation, *STAGES)
+    driver.accept(ReleaseClaim("dc1-etching-000", generation, "failed", 1))
+    wave = driver.state.waves["w1"]
+    assert (wave.status, wave.reason) == ("paused", "failures=1 maximum=1")
