--- a/bench/control_entry.py
+++ b/bench/control_entry.py
@@ -98,7 +98,10 @@
         images.append(_work_image(shape))
     async with anyio.create_task_group() as group:
         timers = LoopTimerService(group)
-        options = PlatformOptions(log=LogOptions(retention=Retention(1_000_000, 1e6)))
+        options = PlatformOptions(
+            log=LogOptions(retention=Retention(1_000_000, 1e6)),
+            listing_lag_seconds=0.0,
+        )
         async with (
             async_run_platform(timers, options) as platform,
             async_counted_way(platform.url) as way,
--- a/mustardward/components/maintenance/absence_reporter.py
+++ b/mustardward/components/maintenance/absence_reporter.py
@@ -84,13 +84,11 @@
 
     def _suspects(self) -> set[str]:
         parts = self._parts
-        state = parts.log.state
-        index = index_of(state)
+        index = index_of(parts.log.state)
         return {
             name
-            for name, instance in state.instances.items()
-            if instance.data_centre == parts.data_centre
-            and index.is_available(name)
+            for name in index.instances_of(parts.data_centre)
+            if index.is_available(name)
             and (
                 name in self._missing
                 or not parts.membership.instance_may_get_work(name)
--- a/mustardward/components/maintenance/selection.py
+++ b/mustardward/components/maintenance/selection.py
@@ -87,11 +87,9 @@
 ) -> dict[str, list[Instance]]:
     index = index_of(state)
     found: dict[str, list[Instance]] = defaultdict(list)
-    for instance_id in wave.pending:
-        instance = state.instances.get(instance_id)
-        if instance is None or instance.data_centre != data_centre:
-            continue
-        if index.is_available(instance_id):
+    for instance_id in index.instances_of(data_centre):
+        if instance_id in wave.pending and index.is_available(instance_id):
+            instance = state.instances[instance_id]
             found[instance.pool].append(instance)
     return found
 
--- a/mustardward/state/budgets.py
+++ b/mustardward/state/budgets.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import weakref
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 from typing import Final
 
@@ -68,6 +68,7 @@
     def __init__(self, state: FleetState) -> None:
         self._counters: dict[str, dict[str, PoolCounter]] = {}
         self._placed: dict[str, _Placed] = {}
+        self._local: dict[str, dict[str, None]] = {}
         self._users: dict[str, dict[str, Parameters]] = {}
         self._bound: dict[str, frozenset[str]] = {}
         self._wave_claims: dict[str, int] = {}
@@ -87,9 +88,11 @@
         if before is not None:
             self._count(before, -1)
             del self._placed[instance_id]
+            del self._local[before.data_centre][instance_id]
         if placed is not None:
             self._count(placed, 1)
             self._placed[instance_id] = placed
+            self._local.setdefault(placed.data_centre, {})[instance_id] = None
 
     def touch_organisation(self, state: FleetState, name: str) -> None:
         """Take an organisation's present parameters, or its end, into account."""
@@ -106,6 +109,10 @@
         """Return the parameters of the organisations that use a pool, by name."""
         return self._users.get(pool, {})
 
+    def instances_of(self, data_centre: str) -> Collection[str]:
+        """Return the instances of a data centre, without a look at all the others."""
+        return self._local.get(data_centre, {}).keys()
+
     def is_available(self, instance_id: str) -> bool:
         """Tell whether an instance counts as available in its data centre."""
         placed = self._placed.get(instance_id)
