--- a/mustardward/components/maintenance/absence_reporter.py
+++ b/mustardward/components/maintenance/absence_reporter.py
@@ -85,15 +85,12 @@
         parts = self._parts
         state = parts.log.state
         index = index_of(state)
+        suspects = {*self._missing, *parts.membership.instances_held_back()}
         return {
             name
-            for name, instance in state.instances.items()
-            if instance.data_centre == parts.data_centre
-            and index.is_available(name)
-            and (
-                name in self._missing
-                or not parts.membership.instance_may_get_work(name)
-            )
+            for name in suspects
+            if index.is_available(name)
+            and state.instances[name].data_centre == parts.data_centre
         }
 
     def _due_absences(self) -> list[str]:
--- a/mustardward/state/snapshot_writer.py
+++ b/mustardward/state/snapshot_writer.py
@@ -4,7 +4,9 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Final
+
+from anyio.abc import TaskGroup
 
 from ..exceptions import MustardwardError
 from ..helpers.logging import get_logger
@@ -16,6 +18,9 @@
 _LOGGER = get_logger(__name__)
 
 
+_MANIFESTS_CHECKED: Final = 4
+
+
 @dataclass(frozen=True, slots=True)
 class SnapshotSituation:
     """Hold what decides whether a snapshot is due.
@@ -65,11 +70,15 @@
         self._owns_duty = owns_duty
         self._busy = False
 
-    def subscribe(self) -> Callable[[], None]:
-        """Check at intervals until unsubscribed."""
+    def subscribe(self, tasks: TaskGroup) -> Callable[[], None]:
+        """Check at intervals until unsubscribed; writing goes on in a task."""
+
+        async def check() -> None:
+            tasks.start_soon(self.async_check)
+
         name = f"snapshot.{self._log.spec.name}"
         seconds = self._log.options.snapshot_check_seconds
-        return self._timers.subscribe(name, seconds, self.async_check)
+        return self._timers.subscribe(name, seconds, check)
 
     async def async_check(self) -> None:
         """Write a snapshot if this process holds the duty and one is due."""
@@ -89,7 +98,7 @@
             self._busy = False
 
     async def _async_check(self) -> None:
-        manifests = await self._log.store.async_manifests()
+        manifests = await self._log.store.async_manifests(_MANIFESTS_CHECKED)
         latest = furthest_readable(manifests, self._log.spec)
         cause = due_cause(self._situation(latest), self._log.options)
         if not cause:
--- a/tests/components/entry/test_failures.py
+++ b/tests/components/entry/test_failures.py
@@ -8,7 +8,11 @@
 import httpx
 import pytest
 
-from mustardward.components.entry.models import Ran, RequestRefusal
+from mustardward.components.entry.models import (
+    Ran,
+    RequestFinished,
+    RequestRefusal,
+)
 from mustardward.components.entry.parse import parse_request
 from mustardward.components.entry.protocols import StoredAnswer
 from mustardward.settings.models import RequestLimits
@@ -297,6 +301,45 @@
     assert worker.seen == []
 
 
+async def test_a_header_that_decides_may_come_once() -> None:
+    async with running_entry(answer_plainly) as (entry, (worker,)):
+        url = f"{entry.url}/hvelv/turn/"
+        twice = [("idempotency-key", "a"), ("idempotency-key", "b")]
+        async with httpx.AsyncClient() as client:
+            answer = await client.post(url, headers=twice)
+    assert problem(answer) == (400, "header-repeated", "unknown")
+    assert worker.seen == []
+
+
+async def test_a_stream_is_not_read_on_for_a_caller_that_left() -> None:
+    """Stop reading a worker's stream once nobody takes it.
+
+    Symptom: slots stay busy long after the tablets are off. Sequence: a caller leaves
+    in the middle of a long answer. Cause: the server drops what is sent, silently.
+    """
+    stopped = anyio.Event()
+
+    async def stream_on(stream: SocketStream, seen: SeenRequest) -> bool:
+        head = f"HTTP/1.1 200 X\r\nmw-attempt-id: {seen.attempt_id}\r\n"
+        await stream.send(head.encode() + b"transfer-encoding: chunked\r\n\r\n")
+        try:
+            while True:
+                await stream.send(b"4\r\nturn\r\n")
+                await anyio.sleep(0.001)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            stopped.set()
+        return False
+
+    async with running_entry(stream_on) as (entry, _):
+        async with httpx.AsyncClient() as client:
+            async with client.stream("GET", f"{entry.url}/hvelv/turn/") as answer:
+                await anext(answer.aiter_raw())
+        with anyio.fail_after(10):
+            await stopped.wait()
+    assert [item.cause for item in entry.finished] == ["caller-gone"]
+    assert entry.service.unfinished == 0
+
+
 async def test_hop_by_hop_and_own_headers_end_at_the_entry() -> None:
     """Let neither side steer a hop that is not its own.
 
@@ -417,3 +460,31 @@
     assert b" 408 " in head.split(b"\r\n")[0]
     assert worker.seen == []
     assert entry.health.in_progress == 0
+
+
+async def test_a_caller_that_takes_nothing_does_not_hold_up_the_stop() -> None:
+    """End the connection of a caller that stopped reading.
+
+    Symptom: an entry does not end for minutes after SIGTERM. Sequence: a caller asks
+    for a large answer and reads none of it; its deadline passes. Cause: the server
+    waits for what was written to be taken before it closes.
+    """
+
+    async def answer_largely(stream: SocketStream, seen: SeenRequest) -> bool:
+        await stream.send(plain_answer(seen, b"x" * 50_000_000))
+        return True
+
+    with anyio.fail_after(20):
+        async with running_entry(answer_largely) as (entry, _):
+            ended = anyio.Event()
+            entry.core.events.listen(RequestFinished, lambda _: ended.set())
+            caller = await anyio.connect_tcp("127.0.0.1", entry.listener.port)
+            async with caller:
+                await caller.send(
+                    b"GET /hvelv/turn/ HTTP/1.1\r\nhost: a\r\n"
+                    b"mw-deadline-seconds: 0.3\r\n\r\n"
+                )
+                await ended.wait()
+                await entry.listener.async_stop()
+    assert [item.cause for item in entry.finished] == ["deadline-exceeded"]
+    assert entry.service.unfinished == 0
--- a/tests/components/maintenance/test_executor.py
+++ b/tests/components/maintenance/test_executor.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
+from mustardward.components.maintenance import services
 from mustardward.components.maintenance.const import (
     DRAIN_PATIENCE_SECONDS,
     REBOOT_PATIENCE_SECONDS,
+    RESELECT_SECONDS,
 )
+from mustardward.components.maintenance.selection import Selection, select_claims
 from mustardward.components.maintenance.services import WaveExecutor
 from mustardward.exceptions import StaleGenerationError
 from mustardward.platform.models import PowerState
@@ -127,6 +132,56 @@
     assert site.stage(name) == ""
 
 
+async def test_an_instance_that_returned_does_not_send_the_next_claim_back() -> None:
+    """Take the end of a reboot as evidence that the instance is up.
+
+    Symptom: a wave gives claims back for budget-exceeded while nothing has failed, and
+    drains the same instance twice. Sequence: an instance reboots and is seen down by
+    its peers; it returns and its claim is released; the next one is about to reboot.
+    Cause: local evidence still held the returned instance for down.
+    """
+    site = Site(reserve_largest_rack=False)
+    site.schedule()
+    executor = site.executor()
+    name = await take_to(site, executor, "rebooting")
+    site.membership.down.add(name)
+    site.power.finish_reboots()
+    while name in site.driver.state.claims:
+        await executor.async_step()
+    assert site.membership.instance_may_get_work(name)
+    await take_to(site, executor, "rebooting")
+    assert site.causes("claim-given-back") == []
+
+
+async def test_a_wave_that_is_held_back_does_not_search_the_fleet_at_every_step(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Look for instances again only when something changed.
+
+    Symptom: an entry that holds 12,000 instances spends 6 % of a core on nothing while
+    a wave waits. Sequence: the budget allows no more; each step sorts what is pending.
+    Cause: the step did not know that it would choose nothing again.
+    """
+    site = Site()
+    site.schedule()
+    executor = site.executor()
+    searches: list[str] = []
+
+    def search(*arguments: Any) -> Selection:
+        searches.append("search")
+        return select_claims(*arguments)
+
+    monkeypatch.setattr(services, "select_claims", search)
+    await take_to(site, executor, "rebooting")
+    await executor.async_step()
+    before = len(searches)
+    await steps(executor, 20)
+    assert len(searches) == before
+    site.timers.pause(RESELECT_SECONDS)
+    await executor.async_step()
+    assert len(searches) == before + 1
+
+
 async def test_a_paused_executor_is_fenced_by_its_adopter() -> None:
     """Let a woken executor do nothing to a claim that another adopted.
 
