Place long work where no wave will take it soon

Cause: the planner counts on moved jobs going to workers that a wave is through with, and placement did not look at waves, so a job could move several times in one wave. Ruled out: refusing workers that are still due, which would let work wait. Change: such workers come last among those with room. Conclusion: a test shows that jobs go to the one worker that is done; no figure of moves in a running fleet was taken.

--- a/mustardward/components/jobs/models.py
+++ b/mustardward/components/jobs/models.py
@@ -24,13 +24,17 @@
 
 @dataclass(slots=True)
 class WorkerRoom:
-    """Hold what is left on one worker for long work."""
+    """Hold what is left on one worker for long work.
+
+    ``due`` tells that a running wave will take the worker soon.
+    """
 
     instance: Instance
     slots: int
     cores: int
     memory_gigabytes: int
     accelerators: int
+    due: bool = False
 
     def fits(self, need: Need) -> bool:
         """Tell whether one more task with this need has room."""
--- a/mustardward/components/jobs/placement.py
+++ b/mustardward/components/jobs/placement.py
@@ -61,16 +61,17 @@
 ) -> WorkerRoom | None:
     """Return the tightest of a few random workers with room, else any with room.
 
-    The tightest keeps whole workers free for jobs that need one.
+    The tightest keeps whole workers free for jobs that need one. A worker that a wave
+    will take soon comes last: what starts there would have to move again.
     """
     usable = view.rooms
     sample = random.sample(usable, min(CANDIDATES, len(usable)))
     fitting = [room for room in sample if _may_use(view, candidate, room)]
-    if not fitting:
+    if all(room.due for room in fitting):
         fitting = [room for room in usable if _may_use(view, candidate, room)]
     return min(
         fitting,
-        key=lambda room: (room.cores, room.slots, room.instance.instance_id),
+        key=lambda room: (room.due, room.cores, room.slots, room.instance.instance_id),
         default=None,
     )
 
--- a/mustardward/components/jobs/pool_view.py
+++ b/mustardward/components/jobs/pool_view.py
@@ -13,6 +13,7 @@
 from ...state.models.pools import Instance
 from ...state.models.templates import Organisation, Urgency
 from ...state.protocols import FleetLog
+from ...state.wave_queries import is_due, running_waves
 from .board import JobBoard
 from .models import Need, WorkerRoom, could_ever_fit, empty_room, need_of
 from .placement import PoolView
@@ -74,12 +75,14 @@
         rooms = []
         total = 0
         busy = 0
+        waves = running_waves(self.fleet.state)
         for instance in self.instances(pool):
             if not self.is_usable(instance.instance_id):
                 continue
             room, count = _room(instance, board)
             total += instance.slots
             busy += count
+            room.due = is_due(waves, instance.instance_id)
             if instance.instance_id not in now_out:
                 rooms.append(room)
         allowed = math.floor(total * (1.0 - self.urgent_reserve(pool)))
--- a/tests/components/jobs/test_scheduling.py
+++ b/tests/components/jobs/test_scheduling.py
@@ -10,7 +10,7 @@
 from mustardward.components.jobs.errors import JobQuotaError, JobUnplaceableError
 from mustardward.components.jobs.models import Submission
 from mustardward.platform.models import TaskReport, TaskState
-from mustardward.state.models.maintenance import Claim
+from mustardward.state.models.maintenance import Claim, Wave
 from tests.fakes.jobs_world import Entry, JobsWorld
 
 pytestmark = pytest.mark.anyio
@@ -339,6 +339,23 @@
     assert entry.service.status(later).unwrap().status == "waiting"
 
 
+async def test_a_job_goes_to_a_worker_that_the_wave_is_through_with() -> None:
+    """Spare a job a second move within one wave.
+
+    Symptom: jobs move several times while a wave passes through their pool.
+    Sequence: a job is vacated, starts on a worker that is still due, and is vacated
+    again. Cause: placement did not look at what the wave would take next.
+    """
+    world = JobsWorld(workers_count=4)
+    entry = world.add_entry("a")
+    names = sorted(world.fleet.state.instances)
+    world.fleet.state.waves["w"] = Wave("w", ("etching",), "running", 1, set(names[:3]))
+    for number in range(4):
+        job_id = await world.async_submit(entry, f"plan-{number}")
+        await world.async_run(2)
+        assert worker_of(entry, job_id) == names[3]
+
+
 async def test_a_lease_whose_append_lost_its_answer_still_starts_its_job() -> None:
     """Adopt what the log gave without a word.
 
