Cut no stream for another one that was refused

Cause: a caller that went on with an upload after its refusal made the server fail on the unknown stream, and every other request on that HTTP/2 connection was cut; and an answer that came before the body was read could wait for the server's full queue until the deadline. Ruled out: holding the refused stream open until its body ends (a caller chooses how long that is). Conclusion: the new test fails without the change (the GET beside the refused upload is cut) and passes with it.

--- a/mustardward/components/entry/abort.py
+++ b/mustardward/components/entry/abort.py
@@ -47,3 +47,30 @@
 
 def _owner(target: Any, method: str) -> Any:
     return getattr(getattr(target, method, None), "__self__", None)
+
+
+class _LateStreams(dict[int, Any]):
+    """Know streams by number, and take data for those that are over in silence."""
+
+    def __missing__(self, stream_id: int) -> _OverStream:
+        return _OverStream()
+
+
+class _OverStream:
+    """Be a stream that is over."""
+
+    async def handle(self, event: Any) -> None:
+        """Drop what came."""
+
+
+def tolerate_late_data(send: Send) -> None:
+    """Let an HTTP/2 caller go on sending a body whose stream is answered.
+
+    hypercorn looks the stream up for each piece of data, and fails as a whole where it
+    is gone: every other request on the connection would be cut. It shows as requests
+    that are cut whenever another upload of the same caller is refused.
+    """
+    protocol = _owner(getattr(send, "__self__", None), "send")
+    streams = getattr(protocol, "streams", None)
+    if protocol is not None and type(streams) is dict:
+        protocol.streams = _LateStreams(streams)
--- a/mustardward/components/entry/exchange.py
+++ b/mustardward/components/entry/exchange.py
@@ -163,7 +163,7 @@
         code = "deadline-exceeded"
         try:
             with anyio.move_on_after(remaining):
-                await self._writer.async_answer(answer)
+                await self._writer.async_answer(answer, self._reader.ended)
                 code = ""
         except CallerGoneError as error:
             code = error.code
--- a/tests/components/entry/test_failures.py
+++ b/tests/components/entry/test_failures.py
@@ -488,3 +488,43 @@
                 await entry.listener.async_stop()
     assert [item.code for item in entry.finished] == ["deadline-exceeded"]
     assert entry.service.unfinished == 0
+
+
+async def test_a_refused_upload_does_not_cut_other_streams_of_its_connection() -> None:
+    """Take data of a refused HTTP/2 stream in silence.
+
+    Symptom: requests are cut whenever another upload of the same client is refused.
+    Sequence: an upload is refused and goes on. Cause: the server knows its stream no
+    more, and ends the whole connection.
+    """
+    refused = anyio.Event()
+
+    async def answer_after_refusal(stream: SocketStream, seen: SeenRequest) -> bool:
+        await refused.wait()
+        await anyio.wait_all_tasks_blocked()
+        return await answer_plainly(stream, seen)
+
+    async def upload() -> AsyncIterator[bytes]:
+        yield b"x" * 2_000
+        await refused.wait()
+        yield b"x" * 2_000
+
+    limits = RequestLimits(body_bytes=1_000)
+    async with running_entry(answer_after_refusal, limits=limits) as (entry, _):
+        entry.core.events.listen(RequestFinished, lambda _: refused.set())
+        answers: dict[str, httpx.Response] = {}
+        async with httpx.AsyncClient(http1=False, http2=True) as client:
+
+            async def send(method: str, content: object) -> None:
+                answers[method] = await client.request(
+                    method,
+                    f"{entry.url}/hvelv/turn/",
+                    content=content,  # type: ignore[arg-type]
+                    timeout=10.0,
+                )
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(send, "GET", None)
+                tasks.start_soon(send, "POST", upload())
+    assert answers["GET"].content == b"done"
+    assert problem(answers["POST"]) == (413, "body-too-large", "no")
