Answer and give every place back though a part of ours is broken

Cause: an error nobody expected left the caller with the server's bare 500, no log line for the request, and no event for the reports. Ruled out: catching it in each part (the next part would be forgotten). Change: the exchange turns it into a problem with ran "unknown", or breaks the answer off, and logs the request as any other. Conclusion: a test breaks the router; the place is given back and counted out.

--- a/mustardward/components/entry/causes.py
+++ b/mustardward/components/entry/causes.py
@@ -59,6 +59,7 @@
     "key-unavailable",
     "idempotency-log-out",
     "idempotency-outcome-unknown",
+    "internal-error",
 )
 def refused(inputs: CauseInputs) -> str:
     """Blame the limits and rules that the organisation is under."""
--- a/mustardward/components/entry/exchange.py
+++ b/mustardward/components/entry/exchange.py
@@ -41,6 +41,9 @@
 _CALLER_GONE: Final = 499
 """Status in the log and the metrics of a request whose caller went away."""
 
+_DEFECT: Final = RequestRefusal(
+    "internal-error", 500, Ran.UNKNOWN, "see the entry's log"
+)
 _NO_URGENCY: Final = Urgency.NORMAL
 
 
@@ -82,6 +85,20 @@
 
     async def async_run(self) -> None:
         """Serve the request up to its final answer."""
+        try:
+            await self._async_exchange()
+        except Exception as error:
+            # A defect of ours, somewhere on the path: the caller still gets an answer
+            # that says what is known, which is nothing.
+            _LOGGER.error(
+                "request_failed",
+                request_id=self._request_id,
+                error=type(error).__name__,
+                detail=str(error),
+            )
+            await self._async_break(_DEFECT)
+
+    async def _async_exchange(self) -> None:
         prepared: Result[OutgoingRequest, RequestRefusal]
         try:
             prepared = await self._async_prepare()
@@ -180,11 +197,16 @@
             self._finish(answer.status, Ran.YES, "", cause)
         elif code == CallerGoneError.code:
             self._finish(_CALLER_GONE, Ran.YES, code)
-        elif self._writer.started:
-            await self._writer.async_abort()
-            self._finish(answer.status, Ran.YES, code)
         else:
-            await self._async_refuse(_lost_answer(code))
+            await self._async_break(_lost_answer(code))
+
+    async def _async_break(self, refusal: RequestRefusal) -> None:
+        """Refuse, or break off what has begun."""
+        if not self._writer.started:
+            await self._async_refuse(refusal)
+            return
+        await self._writer.async_abort()
+        self._finish(refusal.status, refusal.ran, refusal.code)
 
     async def _async_refuse(self, refusal: RequestRefusal) -> None:
         body_read = self._reader.ended or _is_bodiless(self._scope)
--- a/tests/components/entry/test_failures.py
+++ b/tests/components/entry/test_failures.py
@@ -528,3 +528,21 @@
                 tasks.start_soon(send, "POST", upload())
     assert answers["GET"].content == b"done"
     assert problem(answers["POST"]) == (413, "body-too-large", "no")
+
+
+async def test_a_defect_gets_an_answer_and_holds_no_place(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Answer, and give every place back, though one of our parts is broken.
+
+    Symptom: a pool is full although nothing runs in it. Sequence: a part raises what
+    nobody expects. Cause: the request's place was given back on known ends only.
+    """
+    async with running_entry(answer_plainly) as (entry, _):
+        monkeypatch.setattr(
+            type(entry.router), "choose", lambda *_: {}["a part of ours"]
+        )
+        answer = await call(entry)
+    assert problem(answer) == (500, "internal-error", "unknown")
+    assert entry.limiter.released == [False]
+    assert (entry.service.unfinished, entry.health.in_progress) == (0, 0)
