Pace entry and pass-through side by side

Change: one load process drives worker, pass-through and entry at the same time and rate; the statistic and the aims are as before.

--- a/bench/path.py
+++ b/bench/path.py
@@ -1,9 +1,9 @@
 """Measure what an entry costs against a bare pass-through.
 
-Worker, pass-through, entry and load are processes of their own on this machine, and
-the two are measured by turns in one run. Throughput per core is answers per second of
-the process's own processor time, under as much load as it takes; latency is measured
-at one fixed rate for both, from when each request was due.
+Worker, pass-through, entry and load are processes of their own on this machine, in one
+run. Throughput per core is answers per second of the process's own processor time,
+under as much load as it takes, by turns. Latency is measured at one fixed rate, side by
+side, so that a hiccup of the machine meets both, and from when each request was due.
 
 Exit code 1 if an aim is missed: throughput per core at least 0.7 of the
 pass-through's, p99 at most 1.5 times its p99.
@@ -15,6 +15,7 @@
 import subprocess
 import sys
 from dataclasses import dataclass, field
+from typing import Any
 
 import click
 import psutil
@@ -26,11 +27,11 @@
 P99_AIM = 1.5
 CONNECTIONS = 16
 PACED_SHARE = 0.35
-PACED_TURNS = 1.7
-"""Time at the fixed rate, as a multiple of the time under full load: p99 needs it."""
+PACED_TURNS = 3.0
+"""Time at the fixed rate, in turns under full load: p99 needs many answers."""
 
-PACED_TURN_SECONDS = 1.0
-"""Short, so that a hiccup of the machine meets all targets alike."""
+WARM_UP_SECONDS = 2.0
+WARM_UP_RATE = 200.0
 PATHS = {"entry": "/derwent/quotes/12", "pass": "/serve/quotes/12", "direct": "/x"}
 
 
@@ -62,7 +63,7 @@
         """Load the process with as much as it takes."""
         watched = psutil.Process(self.process.pid)
         before = watched.cpu_times()
-        report = run_load(self, seconds, 0.0)
+        (report,) = run_load([self], seconds, 0.0)
         after = watched.cpu_times()
         self.answers += report["count"]
         self.failures += report["failures"]
@@ -71,9 +72,8 @@
             after.user + after.system - before.user - before.system
         )
 
-    def pace(self, seconds: float, rate: float) -> None:
-        """Load the process at a fixed rate."""
-        report = run_load(self, seconds, rate)
+    def take_paced(self, report: dict[str, Any]) -> None:
+        """Take in what came back at the fixed rate."""
         self.failures += report["failures"]
         self.latencies.add(HdrHistogram.decode(report["histogram"]))
 
@@ -89,21 +89,26 @@
     return Target(name, process, int(process.stdout.readline()))
 
 
-def run_load(target: Target, seconds: float, rate: float) -> dict[str, object] | dict:
-    """Run the load process and return its report."""
-    arguments = [target.port, PATHS[target.name], seconds, CONNECTIONS, rate]
+def run_load(
+    targets: list[Target], seconds: float, rate: float
+) -> list[dict[str, Any]]:
+    """Run the load process on targets side by side; return its reports."""
+    addresses = [
+        part for target in targets for part in (str(target.port), PATHS[target.name])
+    ]
+    arguments = [str(seconds), str(CONNECTIONS), str(rate), *addresses]
     done = subprocess.run(
-        [sys.executable, "-m", "bench.path_load", *map(str, arguments)],
+        [sys.executable, "-m", "bench.path_load", *arguments],
         stdout=subprocess.PIPE,
         check=True,
     )
-    return json.loads(done.stdout)
+    reports: list[dict[str, Any]] = json.loads(done.stdout)
+    return reports
 
 
 def measure(targets: list[Target], rounds: int, seconds: float) -> float:
-    """Measure the targets by turns; return the fixed rate used."""
-    for target in targets:
-        run_load(target, 1.0, 0.0)
+    """Measure the targets; return the fixed rate used."""
+    run_load(targets, WARM_UP_SECONDS, WARM_UP_RATE)
     for _ in range(rounds):
         for target in targets:
             if target.name != "direct":
@@ -112,9 +117,9 @@
         target.answers / target.wall_seconds for target in targets if target.answers
     )
     rate = PACED_SHARE * slowest
-    for _ in range(round(PACED_TURNS * rounds * seconds / PACED_TURN_SECONDS)):
-        for target in targets:
-            target.pace(PACED_TURN_SECONDS, rate)
+    reports = run_load(targets, PACED_TURNS * rounds * seconds, rate)
+    for target, report in zip(targets, reports, strict=True):
+        target.take_paced(report)
     return rate
 
 
--- a/bench/path_load.py
+++ b/bench/path_load.py
@@ -1,7 +1,8 @@
-"""Send load to one address and print what came back, a JSON line on standard output.
+"""Send load to addresses side by side and print what came back as one JSON line.
 
-Arguments: PORT PATH SECONDS CONNECTIONS RATE. Rate 0 sends as fast as answers come;
-otherwise latency counts from when a request was due, so that a stall is not hidden.
+Arguments: SECONDS CONNECTIONS RATE and PORT PATH for each address. Rate 0 sends as fast
+as answers come; otherwise latency counts from when a request was due, so that a stall
+is not hidden.
 """
 
 from __future__ import annotations
@@ -81,39 +82,72 @@
         due += interval
 
 
+class Load:
+    """Drive one address.
+
+    :param rate: requests a second, 0 for as many as possible.
+    """
+
+    def __init__(self, port: int, path: str, connections: int, rate: float) -> None:
+        self._port = port
+        self._count = connections
+        self._interval = connections / rate if rate else 0.0
+        self._request = (
+            f"GET {path} HTTP/1.1\r\nhost: bench\r\naccept: */*\r\n\r\n".encode()
+        )
+        self._opened: list[LoadConnection] = []
+        self._histogram = HdrHistogram(1, HIGHEST_MICROSECONDS, 3)
+        self._failures: list[int] = []
+
+    async def async_open(self) -> None:
+        """Open the connections."""
+        loop = asyncio.get_running_loop()
+        for _ in range(self._count):
+            _, connection = await loop.create_connection(
+                lambda: LoadConnection(self._request), "127.0.0.1", self._port
+            )
+            self._opened.append(connection)
+
+    def start(self, group: asyncio.TaskGroup, start: float, seconds: float) -> None:
+        """Begin to send, the connections spread over an interval."""
+        for index, connection in enumerate(self._opened):
+            due = start + self._interval * index / self._count
+            group.create_task(
+                async_drive(
+                    connection,
+                    self._histogram,
+                    due,
+                    self._interval,
+                    start + seconds,
+                    self._failures,
+                )
+            )
+
+    def document(self) -> dict[str, Any]:
+        """Return what came back."""
+        return {
+            "count": self._histogram.get_total_count(),
+            "failures": len(self._failures),
+            "histogram": self._histogram.encode().decode("ascii"),
+        }
+
+
 async def async_main() -> None:
     """Run the load."""
-    port, path, seconds, connections, rate = sys.argv[1:]
-    count = int(connections)
-    loop = asyncio.get_running_loop()
-    request = f"GET {path} HTTP/1.1\r\nhost: bench\r\naccept: */*\r\n\r\n".encode()
-    opened = [
-        (
-            await loop.create_connection(
-                lambda: LoadConnection(request), "127.0.0.1", int(port)
-            )
-        )[1]
-        for _ in range(count)
+    seconds, connections, rate, *addresses = sys.argv[1:]
+    loads = [
+        Load(int(port), path, int(connections), float(rate))
+        for port, path in zip(addresses[::2], addresses[1::2], strict=True)
     ]
-    histogram = HdrHistogram(1, HIGHEST_MICROSECONDS, 3)
-    failures: list[int] = []
-    interval = count / float(rate) if float(rate) else 0.0
+    for load in loads:
+        await load.async_open()
     start = time.perf_counter()
     async with asyncio.TaskGroup() as group:
-        for index, connection in enumerate(opened):
-            due = start + interval * index / count
-            end = start + float(seconds)
-            group.create_task(
-                async_drive(connection, histogram, due, interval, end, failures)
-            )
+        for load in loads:
+            load.start(group, start, float(seconds))
     elapsed = time.perf_counter() - start
-    document = {
-        "count": histogram.get_total_count(),
-        "failures": len(failures),
-        "seconds": elapsed,
-        "histogram": histogram.encode().decode("ascii"),
-    }
-    print(json.dumps(document), flush=True)
+    documents = [{**load.document(), "seconds": elapsed} for load in loads]
+    print(json.dumps(documents), flush=True)
 
 
 if __name__ == "__main__":
