--- a/tests/components/entry/test_failures.py
+++ b/tests/components/entry/test_failures.py
@@ -188,7 +188,7 @@
         async with httpx.AsyncClient(http1=not http2, http2=http2) as client:
             with pytest.raises(httpx.RemoteProtocolError):
                 await client.get(f"{entry.url}/hvelv/turn/", timeout=5.0)
-    assert [item.cause for item in entry.finished] == ["answer-truncated"]
+    assert [item.code for item in entry.finished] == ["answer-truncated"]
     assert entry.limiter.released == [False]
 
 
@@ -336,7 +336,7 @@
                 await anext(answer.aiter_raw())
         with anyio.fail_after(10):
             await stopped.wait()
-    assert [item.cause for item in entry.finished] == ["caller-gone"]
+    assert [item.code for item in entry.finished] == ["caller-gone"]
     assert entry.service.unfinished == 0
 
 
@@ -486,5 +486,63 @@
                 )
                 await ended.wait()
                 await entry.listener.async_stop()
-    assert [item.cause for item in entry.finished] == ["deadline-exceeded"]
+    assert [item.code for item in entry.finished] == ["deadline-exceeded"]
     assert entry.service.unfinished == 0
+
+
+async def test_a_refused_upload_does_not_cut_other_streams_of_its_connection() -> None:
+    """Take data of a refused HTTP/2 stream in silence.
+
+    Symptom: requests are cut whenever another upload of the same client is refused.
+    Sequence: an upload is refused and goes on. Cause: the server knows its stream no
+    more, and ends the whole connection.
+    """
+    refused = anyio.Event()
+
+    async def answer_after_refusal(stream: SocketStream, seen: SeenRequest) -> bool:
+        await refused.wait()
+        await anyio.wait_all_tasks_blocked()
+        return await answer_plainly(stream, seen)
+
+    async def upload() -> AsyncIterator[bytes]:
+        yield b"x" * 2_000
+        await refused.wait()
+        yield b"x" * 2_000
+
+    limits = RequestLimits(body_bytes=1_000)
+    async with running_entry(answer_after_refusal, limits=limits) as (entry, _):
+        entry.core.events.listen(RequestFinished, lambda _: refused.set())
+        answers: dict[str, httpx.Response] = {}
+        async with httpx.AsyncClient(http1=False, http2=True) as client:
+
+            async def send(method: str, content: object) -> None:
+                answers[method] = await client.request(
+                    method,
+                    f"{entry.url}/hvelv/turn/",
+                    content=content,  # type: ignore[arg-type]
+                    timeout=10.0,
+                )
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(send, "GET", None)
+                tasks.start_soon(send, "POST", upload())
+    assert answers["GET"].content == b"done"
+    assert problem(answers["POST"]) == (413, "body-too-large", "no")
+
+
+async def test_a_defect_gets_an_answer_and_holds_no_place(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Answer, and give every place back, though one of our parts is broken.
+
+    Symptom: a pool is full although nothing runs in it. Sequence: a part raises what
+    nobody expects. Cause: the request's place was given back on known ends only.
+    """
+    async with running_entry(answer_plainly) as (entry, _):
+        monkeypatch.setattr(
+            type(entry.router), "choose", lambda *_: {}["a part of ours"]
+        )
+        answer = await call(entry)
+    assert problem(answer) == (500, "internal-error", "unknown")
+    assert entry.limiter.released == [False]
+    assert (entry.service.unfinished, entry.health.in_progress) == (0, 0)
