Ask a silent worker once for all its tasks; feed metrics of jobs and keys

Cause: with a rack dead each of its tasks waited for a time-out of its own at each tick, and healthy tasks' renewals waited behind them; long work fed no metrics. Ruled out: dropping the worker's tasks at once (their leases run on, and a job that may not run twice has to be asked about).

--- a/mustardward/components/jobs/attempt.py
+++ b/mustardward/components/jobs/attempt.py
@@ -1,17 +1,32 @@
-"""Decide what the state of an attempt's task means: pure."""
+"""Say what an attempt orders, and what the state of its task means: pure."""
 
 from __future__ import annotations
 
-from ...platform.models import TaskReport, TaskState
+from ...platform.models import TaskOrder, TaskReport, TaskState
 from ...state.models.jobs import AttemptEnd, EndAttempt, Job
 from .const import (
     HOLD_AFTER_SECONDS,
     LEASE_MARGIN_SECONDS,
+    LEASE_SECONDS,
     MAXIMUM_RESULT_BYTES,
 )
 from .models import HeldAttempt
 
 
+def order_of(attempt: HeldAttempt, job: Job) -> TaskOrder:
+    """Return the order that starts an attempt's task."""
+    return TaskOrder(
+        task_id=job.job_id,
+        generation=attempt.task_generation,
+        organisation=job.organisation,
+        service=job.service,
+        payload=job.payload,
+        checkpoint=job.checkpoint,
+        lease_seconds=LEASE_SECONDS,
+        pool_generation=attempt.pool_generation,
+    )
+
+
 def end_by_report(
     attempt: HeldAttempt, job: Job, report: TaskReport, suspect: bool
 ) -> EndAttempt | None:
--- a/mustardward/components/jobs/const.py
+++ b/mustardward/components/jobs/const.py
@@ -44,6 +44,9 @@
 RESERVE_AFTER_SECONDS: Final = 300.0
 """After this a job that finds no room gets a worker kept free for it."""
 
+SILENT_SECONDS: Final = 5.0
+"""How long a worker that did not answer about one task is asked about no other."""
+
 BUSY_SECONDS: Final = 5.0
 VACATE_SECONDS: Final = 60.0
 """How long a worker gets no task after it was last asked to be vacated."""
--- a/mustardward/components/jobs/keeper.py
+++ b/mustardward/components/jobs/keeper.py
@@ -10,7 +10,7 @@
 
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
-from ...platform.models import TaskOrder, TaskReport, TaskState
+from ...platform.models import TaskReport, TaskState
 from ...platform.protocols import WorkerService
 from ...state.fold import RecordRefusedError
 from ...state.handlers.job_index import job_status
@@ -22,6 +22,7 @@
     end_by_report,
     end_by_silence,
     end_not_run,
+    order_of,
 )
 from .calls import CallFailure, async_outcome
 from .const import (
@@ -37,6 +38,7 @@
 from .giveback import GiveBack
 from .lessons import Lessons
 from .models import HeldAttempt
+from .silence import SilentWorkers
 
 _LOGGER = get_logger(__name__)
 
@@ -58,8 +60,12 @@
     usable: Callable[[str], bool]
     lessons: Lessons
     held: dict[str, HeldAttempt] = field(default_factory=dict)
+    silent: SilentWorkers = field(init=False)
     _paused: bool = False
 
+    def __post_init__(self) -> None:
+        self.silent = SilentWorkers(self.timers)
+
     def on_pause(self, lost_seconds: float) -> None:
         """Distrust every lease until the log's tail is confirmed again."""
         self._paused = True
@@ -127,6 +133,8 @@
             self._drop(attempt, "fenced")
         elif attempt.ending is not None:
             await self.async_end(attempt, attempt.ending)
+        elif attempt.started and attempt.instance_id in self.silent:
+            await self._async_on_silence(attempt, job)
         elif job_status(self.log.state, job) == "cancelling":
             await self._async_cancel(attempt, job)
         elif not attempt.started:
@@ -179,7 +187,7 @@
         attempt.started = True
         now = self.timers.monotonic()
         attempt.lapses_by = now + LEASE_SECONDS
-        order = self._order(attempt, job)
+        order = order_of(attempt, job)
         outcome = await async_outcome(self.workers.async_start(attempt.address, order))
         if isinstance(outcome, Success):
             await self._async_on_report(attempt, job, outcome.unwrap(), now)
@@ -192,18 +200,6 @@
             reason = f"start {outcome.failure()}"
             await self.async_end(attempt, end_not_run(attempt, reason))
 
-    def _order(self, attempt: HeldAttempt, job: Job) -> TaskOrder:
-        return TaskOrder(
-            task_id=job.job_id,
-            generation=attempt.task_generation,
-            organisation=job.organisation,
-            service=job.service,
-            payload=job.payload,
-            checkpoint=job.checkpoint,
-            lease_seconds=LEASE_SECONDS,
-            pool_generation=attempt.pool_generation,
-        )
-
     async def _async_find_out(self, attempt: HeldAttempt, job: Job) -> None:
         now = self.timers.monotonic()
         outcome = await async_outcome(
@@ -217,6 +213,7 @@
         if known_not and (job.idempotent or now - attempt.began >= ARRIVAL_SECONDS):
             await self.async_end(attempt, end_by_ignorance(attempt, job))
         elif not known_not:
+            self.silent.note(attempt.instance_id)
             await self._async_on_silence(attempt, job)
 
     def _is_due(self, attempt: HeldAttempt) -> bool:
@@ -246,6 +243,8 @@
             attempt.lapses_by = self.timers.monotonic() + LEASE_SECONDS
         if outcome.failure() in (CallFailure.REFUSED, CallFailure.FENCED):
             attempt.unsure = True
+        else:
+            self.silent.note(attempt.instance_id)
         await self._async_on_silence(attempt, job)
 
     async def _async_on_silence(self, attempt: HeldAttempt, job: Job) -> None:
@@ -256,6 +255,7 @@
     async def _async_on_report(
         self, attempt: HeldAttempt, job: Job, report: TaskReport, asked: float
     ) -> None:
+        self.silent.clear(attempt.instance_id)
         attempt.contact = asked
         attempt.renewed = asked
         attempt.lapses_by = max(
--- a/mustardward/components/jobs/setup.py
+++ b/mustardward/components/jobs/setup.py
@@ -8,7 +8,15 @@
 
 from ...core import Core, Unload
 from ...state.models.jobs import Job
-from ..keys import FLEET_LOG, JOBS, MEMBERSHIP, PEERS, WORK_LOG, WORKER_SERVICE
+from ..keys import (
+    FLEET_LOG,
+    JOBS,
+    MEMBERSHIP,
+    METRICS,
+    PEERS,
+    WORK_LOG,
+    WORKER_SERVICE,
+)
 from ..limits.models import SlotsWanted
 from ..membership.models import InstanceLeaving, MemberStatus
 from ..membership.protocols import Membership
@@ -16,6 +24,7 @@
 from .const import TICK_SECONDS
 from .keeper import AttemptKeeper
 from .lessons import Lessons
+from .metrics import subscribe_metrics
 from .pool_view import PoolIndex
 from .scheduler import JobScheduler
 from .services import LogJobService
@@ -84,7 +93,12 @@
         core.tasks.start_soon(scheduler.async_vacate, event.instance_id)
 
     timers = core.timers
+    metrics = core.find(METRICS)
+    feeds: list[Callable[[], None]] = []
+    if metrics is not None:
+        feeds = subscribe_metrics(metrics, core.get(WORK_LOG), scheduler.keeper)
     return [
+        *feeds,
         slots.start(),
         core.get(WORK_LOG).listen(scheduler.on_record),
         timers.subscribe("jobs.tick", TICK_SECONDS, scheduler.async_tick),
--- a/tests/components/jobs/test_scheduling.py
+++ b/tests/components/jobs/test_scheduling.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+import anyio
+import anyio.lowlevel
 import pytest
 
 from mustardward.components.jobs.const import LEASE_SECONDS
@@ -369,6 +371,51 @@
     assert task.report.state is TaskState.LAPSED
 
 
+async def test_a_silent_worker_is_asked_for_all_its_tasks_at_once() -> None:
+    """Ask a dead worker once in a while, not about each task.
+
+    Symptom: tasks on healthy workers lapse while a rack is dead. Sequence: each tick
+    waits for the time-out of every task of the rack. Cause: tasks were asked about one
+    by one although they share their worker's fate.
+    """
+    world = JobsWorld(workers_count=1, slots=8)
+    entry = world.add_entry("a")
+    for number in range(8):
+        job_id = await world.async_submit(entry, f"plan-{number}")
+        world.workers.seconds[job_id] = 1000.0
+    await world.async_run(3)
+    world.workers.at["worker-0"].down = True
+    calls = world.workers.calls
+    await world.async_run(60)
+    assert world.workers.calls - calls <= 8 * 60 / 5
+    assert len(entry.keeper.held) == 8
+
+
+async def test_a_worker_that_hangs_gives_its_slot_back_in_time() -> None:
+    """Bound each step of giving a slot back.
+
+    Symptom: urgent work starts late while a checkpoint is written. Sequence: a worker
+    takes the call and does not answer. Cause: the next step waited for it.
+    """
+    world = JobsWorld(workers_count=1, slots=1)
+    entry = world.add_entry("a")
+    await world.async_submit(entry, "plan")
+    await world.async_run(3)
+    world.workers.hang = "checkpoint"
+    freed: list[int] = []
+
+    async def free() -> None:
+        freed.append(await entry.service.async_free_slots("casting", 1))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(free)
+        for _ in range(24):
+            await anyio.lowlevel.checkpoint()
+            await world.timers.async_advance(0.1)
+        assert freed == [1]
+        tasks.cancel_scope.cancel()
+
+
 async def test_a_large_organisations_flood_does_not_starve_a_small_one() -> None:
     world = JobsWorld(workers_count=1, slots=4)
     entry = world.add_entry("a")
--- a/tests/fakes/workers.py
+++ b/tests/fakes/workers.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+import anyio
 import anyio.lowlevel
 
 from mustardward.exceptions import (
@@ -68,6 +69,7 @@
         self.seconds: dict[str, float] = {}
         self.spans: list[Span] = []
         self.calls = 0
+        self.hang = ""
         self.on_start: Callable[[TaskOrder], None] = lambda order: None
 
     def runs(self, task_id: str) -> int:
@@ -103,6 +105,8 @@
         self, address: str, task_id: str, generation: int
     ) -> TaskReport:
         worker, task = await self._async_task(address, task_id, generation)
+        if self.hang == "checkpoint":
+            await anyio.Event().wait()
         if worker.no_checkpoint:
             raise PlatformRefusedError("cannot checkpoint")
         if task.report.state in ACTIVE:
