Tell operators nothing from a state that is still being read

The operators' listener opens before the state is ready. Ruled out: a check in each of the 30 routes; opening the listener later, since its health probe has to answer from the start. Change: the operators' routes answer 503 not-ready until the fleet's state is ready.

--- a/mustardward/components/api/server.py
+++ b/mustardward/components/api/server.py
@@ -13,9 +13,9 @@
 from starlette.routing import Route
 
 from ...core import Core
-from ...exceptions import MustardwardError
+from ...exceptions import MustardwardError, NotReadyError
 from ...helpers.logging import get_logger
-from ..keys import DRAIN
+from ..keys import DRAIN, FLEET_LOG
 from .auth import TokenCheck, read_actor
 from .openapi import openapi_document, openapi_page
 from .problems import BodyInvalidError, RouteUnknownError, problem_response
@@ -63,6 +63,7 @@
 
     def _endpoint(self, route: ApiRoute) -> Endpoint:
         async def async_handle(request: Request) -> Response:
+            self._check_ready()
             model = await _async_read_model(request, route.body_model)
             call = ApiRequest(
                 core=self._core,
@@ -76,6 +77,14 @@
 
         return self._guarded(async_handle)
 
+    def _check_ready(self) -> None:
+        # A starting process folds the log from its beginning. An answer from the middle
+        # of that shows an operator a configuration that was replaced long ago, as if it
+        # had been reverted by the restart.
+        fleet = self._core.find(FLEET_LOG)
+        if fleet is not None and not fleet.ready:
+            raise NotReadyError("the log has not been read to its end yet")
+
     def _guarded(self, endpoint: Endpoint) -> Endpoint:
         """Check the token first, turn failures into problems, and log one line."""
 
--- a/tests/components/api/test_server.py
+++ b/tests/components/api/test_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import cast
 
 import anyio
 import httpx
@@ -13,6 +14,7 @@
 from mustardward.components.api.auth import TokenCheck, read_token
 from mustardward.components.api.routes import ApiAnswer, ApiRequest, ApiRoute
 from mustardward.components.api.server import OperatorServer
+from mustardward.components.keys import FLEET_LOG
 from mustardward.core import Core
 from mustardward.exceptions import (
     PlatformOutcomeUnknownError,
@@ -21,6 +23,7 @@
 )
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.state.fold import RevisionConflictError
+from mustardward.state.protocols import FleetLog
 from tests.fakes.entry import answer_plainly, build_settings, running_entry
 
 pytestmark = pytest.mark.anyio
@@ -76,6 +79,30 @@
     )
 
 
+class UnreadyLog:
+    """Stand in for a log whose state is still being read."""
+
+    ready = False
+
+
+async def test_a_starting_entry_tells_no_state() -> None:
+    """Answer nothing from a state that is still being read.
+
+    Symptom: a restarted entry shows an organisation's older revision for a moment.
+    Sequence: it starts, folds the log page by page, and is asked in between. Cause: the
+    operators' listener answering before the state is ready.
+    """
+    async with anyio.create_task_group() as tasks:
+        core = Core(build_settings(), DrivenTimerService(), tasks)
+        core.put(FLEET_LOG, cast(FleetLog, UnreadyLog()))
+        server = OperatorServer(core, ROUTES, TokenCheck(None))
+        transport = httpx.ASGITransport(server.application())
+        async with httpx.AsyncClient(transport=transport, base_url="http://o") as http:
+            answer = await http.put("/racks/north", json={"name": "north", "slots": 1})
+    assert answer.status_code == 503
+    assert answer.json()["type"] == "urn:mustardward:problem:not-ready"
+
+
 @pytest.mark.parametrize("authorization", [None, "Bearer wrong", TOKEN, "Bearer "])
 async def test_a_wrong_token_opens_nothing(authorization: str | None) -> None:
     """Let in nobody without the token.
