Leave connections that lead nowhere, and ask for duties cheaply

Cause: after a timeout a call went out on the same connection again; one whose packets are dropped looks open to TCP for minutes, so a healed cut would leave an entry suspected and forwarded requests unknown. Duties were hashed anew for each job of a data centre. Ruled out: closing the connection at once, which ends other calls on it. Change: a connection is retired after a timeout and closed after its last call; ones that carry forwarded requests are pinged; duties are remembered until a member changes; a test that builds mix; mutual TLS tested through the settings; memory in bench.membership.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -20,6 +20,7 @@
 from mustardward.components.membership.models import MemberStatus
 from tests.fakes.cluster import Cluster, Node
 
+from .membership_memory import measure_memory
 from .membership_wire import CallCost, async_measure_call
 
 _SIZES: Final = {7: 4, 50: 6, 170: 14}
@@ -242,11 +243,14 @@
 
 async def _async_main() -> int:
     absl_logging.set_verbosity(absl_logging.ERROR)
+    memory = measure_memory()
     call = await async_measure_call()
     pairs = [
         f"call_overhead_bytes={call.overhead_bytes:.0f}",
         f"call_http2_bytes={call.http2_bytes:.0f}",
         f"call_cpu_ms={call.cpu_seconds * 1000:.3f}",
+        f"member_bytes={memory.member_bytes:.0f}",
+        f"note_bytes={memory.note_bytes:.0f}",
     ]
     missed = 0
     for size in _SIZES:
--- a/mustardward/components/membership/const.py
+++ b/mustardward/components/membership/const.py
@@ -69,6 +69,3 @@
 
 DUTY_LIST: Final = "membership.list"
 DUTY_RETURNS: Final = "membership.returns"
-
-START_FACTOR: Final = 1024
-"""Distance between two incarnations that tests draw for one name."""
--- a/mustardward/components/membership/services.py
+++ b/mustardward/components/membership/services.py
@@ -10,7 +10,7 @@
 from ...helpers.timer import TimerService
 from ...state.protocols import FleetLog
 from ..entry.protocols import Limiter
-from .duties import duty_holders
+from .duties import DutyBook
 from .gossip import Gossip
 from .instances import InstanceTable
 from .models import Member, MemberStatus
@@ -54,6 +54,7 @@
         self._find_fleet = find_fleet
         self._find_limiter = find_limiter
         self._gossip: Gossip | None = None
+        self._duties = DutyBook()
 
     @property
     def own(self) -> Member:
@@ -96,8 +97,11 @@
         """
         if self._gossip is not None and not self._gossip.confirmed:
             return False
-        live = self.live(self.own.data_centre)
-        return self.own.name in duty_holders(duty, live, holders)
+        own = self.own
+        names = self._duties.holders(
+            duty, holders, self._table.revision, lambda: self.live(own.data_centre)
+        )
+        return own.name in names
 
     def instance_may_get_work(self, instance_id: str) -> bool:
         """Tell whether a worker is neither leaving, suspect nor known as down."""
--- a/mustardward/components/membership/table.py
+++ b/mustardward/components/membership/table.py
@@ -60,8 +60,14 @@
         self._own_name = own.name
         self._records = {own.name: _Record(own, counter.advance(), now)}
         self._joined = False
+        self._revision = 0
         self._digests: dict[str, int] | None = None
 
+    @property
+    def revision(self) -> int:
+        """Return a number that grows with each change of a state or a member."""
+        return self._revision
+
     @property
     def own(self) -> Member:
         """Return this process as a member."""
@@ -199,6 +205,7 @@
         for name, record in list(self._records.items()):
             gone = record.member.status is MemberStatus.GONE
             if gone and now - record.changed > TOMBSTONE_SECONDS:
+                self._revision += 1
                 del self._records[name]
 
     def _merge(self, told: Member, now: float, source: str) -> list[TableEvent]:
@@ -277,6 +284,7 @@
 
     def _put(self, member: Member, now: float, source: str = "") -> None:
         self._digests = None
+        self._revision += 1
         version = self._counter.advance()
         self._records[member.name] = _Record(member, version, now, source)
 
--- a/mustardward/components/peers/channels.py
+++ b/mustardward/components/peers/channels.py
@@ -10,9 +10,15 @@
 
 import anyio
 from grpclib.client import Channel
+from grpclib.config import Configuration
 
 from .codec import MsgpackCodec
-from .const import CONNECT_TIMEOUT_SECONDS, IDLE_SECONDS
+from .const import (
+    CONNECT_TIMEOUT_SECONDS,
+    IDLE_SECONDS,
+    KEEPALIVE_SECONDS,
+    KEEPALIVE_TIMEOUT_SECONDS,
+)
 from .exceptions import PeerUnreachableError
 
 
@@ -30,6 +36,31 @@
     channel: Any
     used: float
     running: int = 0
+    retired: bool = False
+
+
+class ChannelLease:
+    """Hold a connection for one call."""
+
+    def __init__(self, pool: ChannelPool, slot: _Slot) -> None:
+        self._pool = pool
+        self._slot = slot
+        self._released = False
+
+    @property
+    def channel(self) -> Any:
+        """Return grpclib's channel."""
+        return self._slot.channel
+
+    def retire(self) -> None:
+        """Let no further call begin on this connection."""
+        self._pool.retire(self._slot)
+
+    def release(self) -> None:
+        """Note that the call ended; a second call does nothing."""
+        if not self._released:
+            self._released = True
+            self._pool.release(self._slot)
 
 
 class ChannelPool:
@@ -47,38 +78,49 @@
         self._slots: dict[tuple[str, Purpose], _Slot] = {}
 
     def __len__(self) -> int:
-        """Return the number of connections held."""
+        """Return the number of connections that calls can begin on."""
         return len(self._slots)
 
-    async def async_take(self, address: str, purpose: Purpose) -> Any:
-        """Return a connected channel; give it back with :meth:`release`.
+    async def async_take(self, address: str, purpose: Purpose) -> ChannelLease:
+        """Return a connected channel, to be released.
 
         :raises PeerUnreachableError: if there is no connection in time.
         """
         slot = self._slots.get((address, purpose))
         if slot is None:
-            slot = _Slot(self._open(address), self._clock())
+            slot = _Slot(self._open(address, purpose), self._clock())
             self._slots[(address, purpose)] = slot
-        slot.used = self._clock()
         slot.running += 1
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
                 await slot.channel.__connect__()
         except (OSError, TimeoutError) as error:
-            slot.running -= 1
+            self.retire(slot)
+            self.release(slot)
             detail = f"address={address} {type(error).__name__}"
             raise PeerUnreachableError(detail) from error
         except BaseException:
-            slot.running -= 1
+            self.release(slot)
             raise
-        return slot.channel
+        return ChannelLease(self, slot)
 
-    def release(self, address: str, purpose: Purpose) -> None:
-        """Note that a call on a channel ended."""
-        slot = self._slots.get((address, purpose))
-        if slot is not None:
-            slot.running -= 1
-            slot.used = self._clock()
+    def retire(self, slot: _Slot) -> None:
+        """Begin no further call on a connection, and close it after the last one.
+
+        A connection whose packets are dropped looks open until TCP gives up, minutes
+        later: every call on it times out although the peer could be reached anew.
+        """
+        slot.retired = True
+        for key, held in list(self._slots.items()):
+            if held is slot:
+                del self._slots[key]
+
+    def release(self, slot: _Slot) -> None:
+        """Note that a call on a connection ended."""
+        slot.running -= 1
+        slot.used = self._clock()
+        if slot.retired and slot.running <= 0:
+            slot.channel.close()
 
     def close_idle(self) -> None:
         """Close connections that were not used for a while."""
@@ -94,10 +136,26 @@
             slot.channel.close()
         self._slots.clear()
 
-    def _open(self, address: str) -> Any:
+    def _open(self, address: str, purpose: Purpose) -> Any:
         host, separator, port = address.rpartition(":")
         if not separator or not port.isdigit():
             raise PeerUnreachableError(f"address={address}")
         return Channel(
-            host.strip("[]"), int(port), codec=self._codec, ssl=self._context
+            host.strip("[]"),
+            int(port),
+            codec=self._codec,
+            ssl=self._context,
+            config=_keepalive() if purpose is Purpose.FORWARD else None,
         )
+
+
+def _keepalive() -> Configuration:
+    # A forwarded request waits as long as its deadline says. Without pings one whose
+    # connection leads nowhere any more, and all that follow on it, would wait till
+    # then, and end as unknown.
+    return Configuration(
+        _keepalive_time=KEEPALIVE_SECONDS,
+        _keepalive_timeout=KEEPALIVE_TIMEOUT_SECONDS,
+        _http2_max_pings_without_data=0,
+        _http2_min_sent_ping_interval_without_data=KEEPALIVE_SECONDS,
+    )
--- a/mustardward/components/peers/client.py
+++ b/mustardward/components/peers/client.py
@@ -56,18 +56,21 @@
         :raises PeerOutcomeUnknownError: if it may have had one.
         """
         description = describe_message(message)
-        channel = await self._channels.async_take(member.address, Purpose.CONTROL)
+        lease = await self._channels.async_take(member.address, Purpose.CONTROL)
         try:
             with anyio.fail_after(timeout_seconds):
-                data = await self._async_exchange(channel, description.name, message)
+                data = await self._async_exchange(
+                    lease.channel, description.name, message
+                )
             return self._codec.decode(data, description.reply_type)
         except GRPCError as error:
             raise translate_status(error, member) from error
         except (*TRANSPORT_ERRORS, msgspec.MsgspecError) as error:
+            lease.retire()
             detail = f"peer={member.name} {type(error).__name__}"
             raise PeerOutcomeUnknownError(detail) from error
         finally:
-            self._channels.release(member.address, Purpose.CONTROL)
+            lease.release()
 
     async def _async_exchange(self, channel: Any, name: str, message: Any) -> bytes:
         metadata = {METADATA_MESSAGE: name, METADATA_SENDER: self._sender}
--- a/mustardward/components/peers/forward.py
+++ b/mustardward/components/peers/forward.py
@@ -55,6 +55,9 @@
         except STREAM_FAILURES as error:
             await async_close_stream(None, stack)
             return _failed(AttemptOutcome.NOT_SENT, type(error).__name__)
+        except BaseException:
+            await async_close_stream(None, stack)
+            raise
         chunks = AnswerChunks(stream, stack, facts.deadline, self._clock)
         try:
             answer = await self._async_exchange(member, chunks, facts, request)
@@ -68,10 +71,10 @@
     async def _async_open(
         self, member: Member, deadline: float, stack: AsyncExitStack
     ) -> Any:
-        channel = await self._channels.async_take(member.address, Purpose.FORWARD)
-        stack.callback(self._channels.release, member.address, Purpose.FORWARD)
+        lease = await self._channels.async_take(member.address, Purpose.FORWARD)
+        stack.callback(lease.release)
         stream = await stack.enter_async_context(
-            channel.request(
+            lease.channel.request(
                 FORWARD_PATH,
                 Cardinality.STREAM_STREAM,
                 RequestFrame,
@@ -79,8 +82,12 @@
                 metadata={METADATA_SENDER: self._sender},
             )
         )
-        with anyio.fail_after(deadline - self._clock()):
-            await stream.send_request()
+        try:
+            with anyio.fail_after(deadline - self._clock()):
+                await stream.send_request()
+        except STREAM_FAILURES:
+            lease.retire()
+            raise
         return stream
 
     async def _async_exchange(
--- a/tests/components/membership/test_digests.py
+++ b/tests/components/membership/test_digests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from mustardward.components.membership.const import DIGEST_MEMBERS, DIGEST_NOTES
 from mustardward.components.membership.counter import ChangeCounter
 from mustardward.components.membership.digests import Digests
@@ -100,3 +102,19 @@
     a.tell(b)
     assert a.members.view() == b.members.view()
     assert not b.digests.wants_view("a")
+
+
+def test_digest_of_a_newer_build_is_understood() -> None:
+    """Ignore what a newer build adds at the end of a digest.
+
+    Symptom: during a release the old and the new entries suspect each other. Sequence:
+    a field is added; the older build refuses the longer message. Cause: arrays without
+    field names that have to match in length.
+    """
+    a, b = _pair()
+    news = a.tell(b)
+    fields = msgspec.msgpack.decode(MsgpackCodec().encode(news, Exchange))
+    longer = msgspec.msgpack.encode([*fields, "something new"])
+    assert MsgpackCodec().decode(longer, Exchange) == news
+    shorter = msgspec.msgpack.encode(fields[:4])
+    assert MsgpackCodec().decode(shorter, Exchange).version == news.version
--- a/tests/components/peers/test_calls.py
+++ b/tests/components/peers/test_calls.py
@@ -8,6 +8,7 @@
 import anyio
 import pytest
 
+from mustardward.components.peers.channels import Purpose
 from mustardward.components.peers.const import MAXIMUM_MESSAGE_BYTES
 from mustardward.components.peers.exceptions import (
     PeerRefusedError,
@@ -153,3 +154,31 @@
         for protocol in b._server._server._protocols:
             accepted = protocol.connection._transport.get_extra_info("socket")
             assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
+async def test_call_that_timed_out_leaves_its_connection() -> None:
+    """Call anew on a fresh connection after a timeout.
+
+    Symptom: an entry stays suspected for minutes after a cut has healed. Sequence: the
+    packets of its connection are dropped, each call times out, the connection is used
+    again. Cause: TCP takes it for open until its retransmissions give up.
+    """
+
+    async def async_slow_first(sender: str, message: Any) -> EchoReply:
+        if message.text == "slow":
+            await anyio.sleep(30)
+        return EchoReply(sender, message.text)
+
+    async with running_peers("a") as a, running_peers("b") as b:
+        b.handle(Echo, async_slow_first)
+        member = build_member("b", b.address)
+        first = await a._channels.async_take(b.address, Purpose.CONTROL)
+        first.release()
+        with pytest.raises(PeerOutcomeUnknownError):
+            await a.async_call(member, Echo("slow"), 0.1)
+        assert len(a._channels) == 0
+        assert (await a.async_call(member, Echo("quick"))).text == "quick"
+        second = await a._channels.async_take(b.address, Purpose.CONTROL)
+        second.release()
+        assert second.channel is not first.channel
+        assert not first.channel._connected
--- a/tests/components/peers/test_forward.py
+++ b/tests/components/peers/test_forward.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import anyio
@@ -19,6 +20,7 @@
     OutgoingRequest,
     WorkerAnswer,
 )
+from mustardward.components.peers import channels
 from mustardward.components.peers.const import MAXIMUM_HOPS
 from mustardward.components.peers.exceptions import PeerAnswerTruncatedError
 from mustardward.state.models.templates import Urgency
@@ -259,3 +261,33 @@
         await answer.chunks.aclose()  # type: ignore[attr-defined]
         with anyio.fail_after(5):
             await ended.wait()
+
+
+async def test_connection_that_leads_nowhere_is_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Notice a cut by pings instead of by each request's deadline.
+
+    Symptom: for minutes every request forwarded to one entry ends as unknown at its
+    deadline. Sequence: a firewall forgets the connection and drops its packets. Cause:
+    TCP takes it for open until its retransmissions give up.
+    """
+    monkeypatch.setattr(channels, "KEEPALIVE_SECONDS", 0.1)
+    monkeypatch.setattr(channels, "KEEPALIVE_TIMEOUT_SECONDS", 0.1)
+
+    async def async_swallow(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while await reader.read(65536):
+            pass
+        writer.close()
+
+    hole = await asyncio.start_server(async_swallow, "127.0.0.1", 0)
+    host, port = hole.sockets[0].getsockname()
+    async with running_peers("a") as a:
+        member = build_member("b", f"{host}:{port}")
+        with anyio.fail_after(5):
+            facts = build_facts(remaining=60.0)
+            result = await a.async_forward(member, facts, build_request())
+    hole.close()
+    assert result.failure().outcome is AttemptOutcome.UNKNOWN
--- a/tests/components/peers/test_tls.py
+++ b/tests/components/peers/test_tls.py
@@ -6,16 +6,27 @@
 import ipaddress
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import pytest
+from anyio.abc import TaskGroup
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
+from mustardward.components.keys import PEERS
+from mustardward.components.peers import async_setup
+from mustardward.core import Core
 from mustardward.exceptions import PeerError
-from mustardward.settings.models import TlsSettings
+from mustardward.helpers.timer import DrivenTimerService
+from mustardward.settings.models import (
+    EntryIdentity,
+    Listener,
+    PlatformSettings,
+    Settings,
+    TlsSettings,
+)
 
 from .builders import Echo, EchoReply, build_member, running_peers
 
@@ -144,3 +155,25 @@
     stranger = _build_authority("stranger")
     tls_a = _write_settings(tmp_path, "a", fleet, fleet)
     await _async_check_refused(tls_a, _write_settings(tmp_path, "b", stranger, fleet))
+
+
+async def test_settings_switch_mutual_tls_on(tmp_path: Path) -> None:
+    authority = _build_authority("fleet")
+    tls_b = _write_settings(tmp_path, "b", authority, authority)
+    settings = Settings(
+        entry=EntryIdentity(name="b", data_centre="tas-1"),
+        callers=Listener(port=0),
+        peer_tls=tls_b,
+        platform=PlatformSettings(url="http://127.0.0.1:1"),
+    )
+    core = Core(settings, DrivenTimerService(), cast(TaskGroup, None))
+    unload = await async_setup(core)
+    core.get(PEERS).handle(Echo, _async_echo)
+    member = build_member("b", core.get(PEERS).address)
+    tls_a = _write_settings(tmp_path, "a", authority, authority)
+    async with running_peers("a", tls=tls_a) as a, running_peers("c") as c:
+        assert (await a.async_call(member, Echo("hello"))).text == "hello"
+        with pytest.raises(PeerError):
+            await c.async_call(member, Echo("plain"))
+    await unload()
+    assert served == ["hello"]
--- a/tests/fakes/waves.py
+++ b/tests/fakes/waves.py
@@ -8,7 +8,6 @@
 
 from returns.result import Failure, Result
 
-from mustardward.components.membership.const import START_FACTOR
 from mustardward.components.membership.models import Member, MemberStatus
 from mustardward.exceptions import (
     MustardwardError,
@@ -211,7 +210,7 @@
     def restart(self) -> None:
         """Let this process be a later start under its name."""
         self._own = build_member(
-            self._own.name, self._own.data_centre, incarnation=START_FACTOR
+            self._own.name, self._own.data_centre, incarnation=self._own.incarnation + 1
         )
 
     def is_gone(self, name: str, start: int) -> bool:
