--- a/mustardward/components/api/server.py
+++ b/mustardward/components/api/server.py
@@ -78,12 +78,12 @@
         return self._guarded(async_handle)
 
     def _check_ready(self) -> None:
-        # A starting process folds the log from its beginning. An answer from the middle
-        # of that shows an operator a configuration that was replaced long ago, as if it
-        # had been reverted by the restart.
-        fleet = self._core.find(FLEET_LOG)
-        if fleet is not None and not fleet.ready:
-            raise NotReadyError("the log has not been read to its end yet")
+        # An entry that starts anew folds the log from a snapshot or its beginning. An
+        # answer from the middle shows a revision that was replaced long ago, and looks
+        # as if an accepted configuration had been taken back.
+        log = self._core.find(FLEET_LOG)
+        if log is not None and not log.ready:
+            raise NotReadyError("the state is still being read")
 
     def _guarded(self, endpoint: Endpoint) -> Endpoint:
         """Check the token first, turn failures into problems, and log one line."""
--- a/mustardward/components/jobs/const.py
+++ b/mustardward/components/jobs/const.py
@@ -5,8 +5,11 @@
 from typing import Final
 
 TICK_SECONDS: Final = 1.0
-LEASE_SECONDS: Final = 30.0
-RENEW_SECONDS: Final = 10.0
+LEASE_SECONDS: Final = 90.0
+RENEW_SECONDS: Final = 30.0
+"""An entry may hold several hundred tasks, and each renewal is a call: a shorter lease
+would cost more of a core than all of control may."""
+
 POLL_SHARE: Final = 0.1
 """Share of its age after which a task is looked at again."""
 
@@ -59,6 +62,12 @@
 NEARLY_DONE: Final = 0.9
 
 MAXIMUM_PAYLOAD_BYTES: Final = 65_536
+MAXIMUM_OPEN_JOBS: Final = 12_000
+"""Unfinished jobs of one data centre; every entry there holds them in memory."""
+
+MAXIMUM_OPEN_BYTES: Final = 8_388_608
+"""Size of the payloads of unfinished jobs of one data centre."""
+
 MAXIMUM_RESULT_BYTES: Final = 65_536
 POOL_DUTY_PREFIX: Final = "jobs/"
 """Each pool's jobs are placed by one entry of a data centre, by rendezvous."""
--- a/mustardward/components/membership/services.py
+++ b/mustardward/components/membership/services.py
@@ -103,6 +103,10 @@
         )
         return own.name in names
 
+    def instances_held_back(self) -> frozenset[str]:
+        """Return the instances that own or peers' evidence speaks against."""
+        return self._instances.held_back(self._timers.monotonic())
+
     def instance_may_get_work(self, instance_id: str) -> bool:
         """Tell whether a worker is neither leaving, suspect nor known as down."""
         now = self._timers.monotonic()
--- a/tests/components/api/test_server.py
+++ b/tests/components/api/test_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
+from types import SimpleNamespace
 from typing import cast
 
 import anyio
@@ -58,10 +59,16 @@
 
 
 async def call(
-    method: str, path: str, token: str | None = TOKEN, **more: object
+    method: str,
+    path: str,
+    token: str | None = TOKEN,
+    log: FleetLog | None = None,
+    **more: object,
 ) -> httpx.Response:
     async with anyio.create_task_group() as tasks:
         core = Core(build_settings(), DrivenTimerService(), tasks)
+        if log is not None:
+            core.put(FLEET_LOG, log)
         server = OperatorServer(core, ROUTES, TokenCheck(token))
         transport = httpx.ASGITransport(server.application())
         async with httpx.AsyncClient(transport=transport, base_url="http://o") as http:
@@ -79,30 +86,6 @@
     )
 
 
-class UnreadyLog:
-    """Stand in for a log whose state is still being read."""
-
-    ready = False
-
-
-async def test_a_starting_entry_tells_no_state() -> None:
-    """Answer nothing from a state that is still being read.
-
-    Symptom: a restarted entry shows an organisation's older revision for a moment.
-    Sequence: it starts, folds the log page by page, and is asked in between. Cause: the
-    operators' listener answering before the state is ready.
-    """
-    async with anyio.create_task_group() as tasks:
-        core = Core(build_settings(), DrivenTimerService(), tasks)
-        core.put(FLEET_LOG, cast(FleetLog, UnreadyLog()))
-        server = OperatorServer(core, ROUTES, TokenCheck(None))
-        transport = httpx.ASGITransport(server.application())
-        async with httpx.AsyncClient(transport=transport, base_url="http://o") as http:
-            answer = await http.put("/racks/north", json={"name": "north", "slots": 1})
-    assert answer.status_code == 503
-    assert answer.json()["type"] == "urn:mustardward:problem:not-ready"
-
-
 @pytest.mark.parametrize("authorization", [None, "Bearer wrong", TOKEN, "Bearer "])
 async def test_a_wrong_token_opens_nothing(authorization: str | None) -> None:
     """Let in nobody without the token.
@@ -193,3 +176,21 @@
             read_token(path)
     short.write_text(TOKEN + "\n")
     assert read_token(short) == TOKEN
+
+
+async def test_a_state_that_is_still_being_read_is_not_shown() -> None:
+    """Answer operators from a whole state only.
+
+    Symptom: an entry that was replaced shows revision 21 in force, seconds after its
+    predecessor showed 40. Sequence: it starts, folds the log's first entries, and is
+    asked before it reaches the tail. Cause: the operators' interface answered from
+    whatever was folded, while the callers' port already refused.
+    """
+    log = cast(FleetLog, SimpleNamespace(ready=False))
+    body = {"name": "north", "slots": 8}
+    answer = await call("PUT", "/racks/north", log=log, json=body, headers=BEARER)
+    assert answer.status_code == 503
+    assert answer.json()["type"].endswith(":not-ready")
+    log = cast(FleetLog, SimpleNamespace(ready=True))
+    answer = await call("PUT", "/racks/north", log=log, json=body, headers=BEARER)
+    assert answer.status_code == 201
