--- a/mustardward/components/peers/answer.py
+++ b/mustardward/components/peers/answer.py
@@ -45,6 +45,7 @@
         self._codec = MsgpackCodec()
         self._pending: AnswerFrame | None = None
         self._finished = False
+        self._whole = False
 
     @property
     def stream(self) -> Any:
@@ -71,12 +72,17 @@
                 await self._async_end()
             if frame.chunk:
                 return frame.chunk
+        if not self._whole:
+            # Closed in the middle, by a deadline perhaps: who goes on to read would
+            # take a plain end for the end of the answer.
+            raise PeerAnswerTruncatedError("the answer was closed before its end")
         raise StopAsyncIteration
 
     async def aclose(self, whole: bool = False) -> None:
         """Close the stream; the peer stops answering unless it was taken whole."""
         if not self._finished:
             self._finished = True
+            self._whole = whole
             with anyio.CancelScope(shield=True):
                 await async_close_stream(self._stream, self._stack, whole)
 
--- a/tests/components/peers/test_forward.py
+++ b/tests/components/peers/test_forward.py
@@ -263,6 +263,24 @@
             await ended.wait()
 
 
+async def test_answer_closed_in_the_middle_does_not_end_plainly() -> None:
+    """Raise when somebody reads on after a close.
+
+    Symptom: a short answer under status 200. Sequence: a deadline closes the answer
+    while it streams, and the reader asks for the next piece. Cause: the end of
+    iteration meaning both "whole" and "closed".
+    """
+    entry = RecordingEntry()
+    async with running_peers("a") as a, running_peers("b", entry) as b:
+        member = build_member("b", b.address)
+        answer = (
+            await a.async_forward(member, build_facts(), build_request())
+        ).unwrap()
+        await answer.chunks.aclose()  # type: ignore[attr-defined]
+        with pytest.raises(PeerAnswerTruncatedError):
+            await anext(answer.chunks)
+
+
 async def test_connection_that_leads_nowhere_is_given_up(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
