Move instances in histories, and catch the eighth mutant

Cause: histories had no moves, and owners were compared by an offset that no entry tells. Change: waves and moves go through the operators' interface; an owner is compared with the log by its generation; views count only from processes that say they are ready, since one that catches up shows operators how far it is; the mutant ownership-acknowledgement.

--- a/bench/history/__main__.py
+++ b/bench/history/__main__.py
@@ -67,12 +67,15 @@
         f"executions={len(history.executions)} published={len(history.published)} "
         f"views={len(history.revisions_seen)} power={len(history.power)} "
         f"transfers={len(history.owned) - len(history.placements)} "
-        f"jobs={len(history.jobs)} tasks={len(history.tasks)} "
+        f"calls={len(history.calls)} tasks={len(history.tasks)} "
         f"stops={len(history.stops)}"
     )
     changes = Counter(str(item.change) for item in history.power)
     print(" ".join(f"{name}={count}" for name, count in sorted(changes.items())))
-    statuses = Counter(f"job-status-{item.status}" for item in history.jobs)
+    statuses = Counter(
+        f"{item.operation_id.strip('/').split('-')[0]}-{item.status}"
+        for item in history.calls
+    )
     outcomes = Counter(f"task-{item.outcome}" for item in history.tasks)
     counted = [*sorted(statuses.items()), *sorted(outcomes.items())]
     print(" ".join(f"{name}={count}" for name, count in counted))
--- a/bench/history/checks/budget.py
+++ b/bench/history/checks/budget.py
@@ -92,7 +92,7 @@
 
 def _members(history: History, pool: str, at: float) -> set[str]:
     owner: dict[str, str] = {}
-    for item in sorted(history.owned, key=lambda change: change.offset):
+    for item in sorted(history.owned, key=lambda change: change.generation):
         if item.at <= at:
             owner[item.instance] = item.pool
     return {name for name, held in owner.items() if held == pool}
--- a/bench/history/checks/ownership.py
+++ b/bench/history/checks/ownership.py
@@ -11,7 +11,7 @@
 
 @INVARIANTS.register("one-pool")
 def check_one_pool(history: History) -> Iterator[Violation]:
-    """Find views that differ at one offset, and work of a pool that is not the owner.
+    """Find views that differ from the log, and work of a pool that is not the owner.
 
     Work that began for the old owner and still runs when the new one takes over is a
     violation too: for that time the instance works for two pools.
@@ -34,17 +34,22 @@
     history: History, owners: dict[str, list[Owned]]
 ) -> Iterator[Violation]:
     for seen in history.owners_seen:
-        changes = owners.get(seen.instance, [])
-        index = bisect_right([item.offset for item in changes], seen.offset - 1) - 1
-        expected = changes[index].pool if index >= 0 else ""
-        if seen.pool != expected:
-            detail = f"{seen.entry} says {seen.pool} at {seen.offset}, log {expected}"
+        pools = {
+            change.pool
+            for change in owners.get(seen.instance, [])
+            if change.generation == seen.generation
+        }
+        if pools != {seen.pool}:
+            detail = (
+                f"{seen.entry} says {seen.pool} generation={seen.generation}, "
+                f"log {sorted(pools)}"
+            )
             yield Violation("one-pool", seen.instance, seen.end, detail)
 
 
 def _by_instance(owned: list[Owned]) -> dict[str, list[Owned]]:
     by_instance: dict[str, list[Owned]] = {}
-    for item in sorted(owned, key=lambda change: change.offset):
+    for item in sorted(owned, key=lambda change: change.generation):
         by_instance.setdefault(item.instance, []).append(item)
     return by_instance
 
--- a/bench/history/models.py
+++ b/bench/history/models.py
@@ -63,8 +63,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class JobRequest:
-    """Hold a submission or cancellation of long work; ``status`` 0 is unknown."""
+class OperatorCall:
+    """Hold a call of an operator or planner; ``status`` 0 is unknown."""
 
     operation_id: str
     start: float
@@ -119,22 +119,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Owned:
-    """Say that the log gave an instance to a pool at a time and an offset."""
+    """Say that the log gave an instance to a pool, under a generation."""
 
     at: float
-    offset: int
+    generation: int
     instance: str
     pool: str
 
 
 @dataclass(frozen=True, slots=True)
 class OwnerSeen:
-    """Hold what an entry said of an instance's pool, and from which offset."""
+    """Hold what an entry said of an instance's pool and its generation."""
 
     start: float
     end: float
     entry: str
-    offset: int
+    generation: int
     instance: str
     pool: str
 
@@ -203,7 +203,7 @@
     requests: list[CallerRequest] = field(default_factory=list)
     executions: list[Execution] = field(default_factory=list)
     tasks: list[TaskExecution] = field(default_factory=list)
-    jobs: list[JobRequest] = field(default_factory=list)
+    calls: list[OperatorCall] = field(default_factory=list)
     power: list[PowerEvent] = field(default_factory=list)
     placements: list[Placement] = field(default_factory=list)
     owned: list[Owned] = field(default_factory=list)
@@ -220,14 +220,14 @@
     def operations(self) -> int:
         """Return how many operations callers and operators made."""
         seen = len(self.revisions_seen) + len(self.owners_seen)
-        changed = len(self.published) + len(self.jobs)
+        changed = len(self.published) + len(self.calls)
         return len(self.requests) + changed + seen
 
     @property
     def unknown(self) -> int:
         """Return how many requests ended without a known outcome."""
         requests = sum(item.outcome is Outcome.UNKNOWN for item in self.requests)
-        return requests + sum(item.status == 0 for item in self.jobs)
+        return requests + sum(item.status == 0 for item in self.calls)
 
 
 @dataclass(frozen=True, slots=True)
--- a/bench/history/mutants.py
+++ b/bench/history/mutants.py
@@ -104,6 +104,14 @@
         removals.remove_drain,
         faults=("graceful-restart",),
     ),
+    Mutant(
+        "ownership-acknowledgement",
+        "one-pool",
+        "an instance changes its owner while work of the old one runs there",
+        removals.remove_acknowledgement,
+        prepare=provocations.slow_answers,
+        faults=("list-lags",),
+    ),
 )
 
 MUTANTS: dict[str, Mutant] = {mutant.name: mutant for mutant in _ALL}
--- a/bench/history/operators.py
+++ b/bench/history/operators.py
@@ -9,13 +9,13 @@
 from typing import Any, Final
 
 import anyio
+import httpx
 
-from mustardward.state.models.maintenance import ScheduleWave
-from mustardward.state.models.pools import RequestMove
 from mustardward.state.models.templates import Overrides, PutOrganisation
 
+from .callers import Balancer
 from .layout import POOLS, SERVICES, TEMPLATE
-from .models import Published
+from .models import OperatorCall, Published
 from .world import World
 
 _PAUSE_SECONDS: Final = 0.4
@@ -25,11 +25,12 @@
 class Operators:
     """Run operators that do not know of each other.
 
-    They write to the log, since that is where operators publish; what the entries'
-    interface offers besides is tried by its own tests.
+    Parameters are published to the log itself, so that two operators may base their
+    changes on the same revision; waves and moves go through the entries' interface.
     """
 
     world: World
+    balancer: Balancer
     random: Random
     stopping: bool = False
     _numbers: Any = field(default_factory=count)
@@ -72,26 +73,42 @@
     async def async_schedule_waves(self) -> None:
         """Schedule waves over pools, now and then two at once."""
         random = Random(self.random.random())
-        while not self.stopping:
-            pools = random.sample(POOLS, random.randint(1, len(POOLS)))
-            number = next(self._numbers)
-            wave = ScheduleWave(f"wave-{number}", tuple(pools), maximum_failures=4)
-            self.world.watcher.propose(wave, f"wave-{number}", 0)
-            await anyio.sleep(random.uniform(3.0, 8.0))
+        async with httpx.AsyncClient(timeout=6.0, trust_env=False) as client:
+            while not self.stopping:
+                pools = random.sample(POOLS, random.randint(1, len(POOLS)))
+                body = {"pools": pools, "maximum_failures": 4}
+                path = f"/waves/wave-{next(self._numbers)}"
+                await self._async_post(client, random, path, body)
+                await anyio.sleep(random.uniform(3.0, 8.0))
 
     async def async_move_instances(self) -> None:
         """Ask for moves of instances between pools and back."""
         random = Random(self.random.random())
-        while not self.stopping:
-            await anyio.sleep(random.uniform(1.0, 3.0))
-            state = self.world.watcher.state
-            instance = state.instances[random.choice(sorted(state.instances))]
-            target = next(pool for pool in POOLS if pool != instance.pool)
-            expected = tuple(
-                entry.place.name
-                for entry in self.world.entries
-                if entry.place.data_centre == instance.data_centre
-            )
-            number = next(self._numbers)
-            body = RequestMove(f"move-{number}", instance.instance_id, target, expected)
-            self.world.watcher.propose(body, f"move-{number}", instance.generation)
+        async with httpx.AsyncClient(timeout=6.0, trust_env=False) as client:
+            while not self.stopping:
+                await anyio.sleep(random.uniform(0.5, 2.0))
+                state = self.world.watcher.state
+                instance = state.instances[random.choice(sorted(state.instances))]
+                target = next(pool for pool in POOLS if pool != instance.pool)
+                body = {"instance_id": instance.instance_id, "target": target}
+                await self._async_post(client, random, "/moves", body)
+
+    async def _async_post(
+        self,
+        client: httpx.AsyncClient,
+        random: Random,
+        path: str,
+        body: dict[str, Any],
+    ) -> None:
+        ready = self.balancer.ready
+        if not ready:
+            return
+        entry, start, status = random.choice(ready), self.world.now(), 0
+        try:
+            answer = await client.post(entry.place.operators_url + path, json=body)
+            status = answer.status_code
+        except httpx.HTTPError:
+            pass
+        self.world.history.calls.append(
+            OperatorCall(path, start, self.world.now(), status)
+        )
--- a/bench/history/planners.py
+++ b/bench/history/planners.py
@@ -14,7 +14,7 @@
 
 from .callers import Balancer
 from .layout import SERVICES
-from .models import JobRequest
+from .models import OperatorCall
 from .world import World
 
 ONCE_PREFIX: Final = "once-"
@@ -83,6 +83,6 @@
             status = answer.status_code
         except httpx.HTTPError:
             pass
-        self.world.history.jobs.append(
-            JobRequest(name, start, self.world.now(), status)
+        self.world.history.calls.append(
+            OperatorCall(name, start, self.world.now(), status)
         )
--- a/bench/history/provocations.py
+++ b/bench/history/provocations.py
@@ -12,7 +12,8 @@
 if TYPE_CHECKING:
     from .world import World
 
-_DRAIN_SECONDS: Final = 7.0
+_DRAIN_SECONDS: Final = 5.0
+_SLOW_SECONDS: Final = 0.6
 _IMAGE_SECONDS: Final = 2.5
 _STALE_SECONDS: Final = 0.8
 _MIXED_SHARE: Final = 10
@@ -80,6 +81,12 @@
         worker.faults.change(ignore_drain=True)
 
 
+def slow_answers(world: World) -> None:
+    """Let every request take a while longer on its worker."""
+    for worker in world.workers.values():
+        worker.faults.change(slow_seconds=_SLOW_SECONDS)
+
+
 def mix_answers_up(world: World) -> None:
     """Let workers answer now and then what they were asked before."""
     from mustardward.standin.worker_serve import ServeApp
--- a/bench/history/removals.py
+++ b/bench/history/removals.py
@@ -96,6 +96,22 @@
     setattr(FleetIndex, "_may_get_work", lambda self, instance_id: True)  # noqa: B010
 
 
+def remove_acknowledgement() -> None:
+    """Change an owner without waiting for what its entries still send there."""
+    from mustardward.components.pools.acknowledge import Acknowledger
+    from mustardward.components.pools.messages import Acknowledgement
+    from mustardward.components.pools.services import MoveExecutor
+
+    async def async_acknowledge(self: Any, message: Any) -> Any:
+        return Acknowledgement(self._parts.executor, True)
+
+    async def async_empty(self: Any, move: Any) -> bool:
+        return True
+
+    setattr(Acknowledger, "async_acknowledge", async_acknowledge)  # noqa: B010
+    setattr(MoveExecutor, "_async_empty", async_empty)  # noqa: B010
+
+
 def remove_drain() -> None:
     """End the process while requests are in progress."""
     from mustardward.components.entry.drain import Drain
--- a/bench/history/run.py
+++ b/bench/history/run.py
@@ -83,7 +83,7 @@
     random = Random(options.seed)
     balancer = Balancer(world)
     callers = Callers(world, balancer, Random(random.random()))
-    operators = Operators(world, Random(random.random()))
+    operators = Operators(world, balancer, Random(random.random()))
     faults = Faults(world, Random(random.random()))
     if options.situation is not None:
         options.situation.prepare(world)
--- a/bench/history/views.py
+++ b/bench/history/views.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import cycle
 from typing import Any, Final
 
 import anyio
 import httpx
 
-from .layout import SERVICES
-from .models import RevisionSeen
+from .layout import POOLS, SERVICES
+from .models import OwnerSeen, RevisionSeen
 from .world import EntryProcess, World
 
 _PAUSE_SECONDS: Final = 0.25
@@ -28,12 +29,26 @@
                 group.start_soon(self._async_watch, entry)
 
     async def _async_watch(self, entry: EntryProcess) -> None:
+        pools = cycle(POOLS)
         async with httpx.AsyncClient(timeout=1.0, trust_env=False) as client:
             while True:
-                for name in SERVICES:
-                    await self._async_ask(client, entry, name)
+                # A process that catches up shows operators how far it is, and says
+                # that it is not ready; nothing is in force there yet.
+                if await self._async_is_ready(client, entry):
+                    for name in SERVICES:
+                        await self._async_ask(client, entry, name)
+                    await self._async_ask_owners(client, entry, next(pools))
                 await anyio.sleep(_PAUSE_SECONDS)
 
+    async def _async_is_ready(
+        self, client: httpx.AsyncClient, entry: EntryProcess
+    ) -> bool:
+        try:
+            answer = await client.get(f"{entry.place.url}/-/ready")
+        except httpx.HTTPError:
+            return False
+        return answer.status_code == 200
+
     async def _async_ask(
         self, client: httpx.AsyncClient, entry: EntryProcess, name: str
     ) -> None:
@@ -56,3 +71,25 @@
                 end=self.world.now(),
             )
         )
+
+    async def _async_ask_owners(
+        self, client: httpx.AsyncClient, entry: EntryProcess, pool: str
+    ) -> None:
+        start, label = self.world.now(), entry.label
+        try:
+            answer = await client.get(f"{entry.place.operators_url}/pools/{pool}")
+        except httpx.HTTPError:
+            return
+        if answer.status_code != 200 or label != entry.label:
+            return
+        for item in answer.json()["instances"]:
+            self.world.history.owners_seen.append(
+                OwnerSeen(
+                    start=start,
+                    end=self.world.now(),
+                    entry=label,
+                    generation=int(item["generation"]),
+                    instance=item["instance"],
+                    pool=pool,
+                )
+            )
--- a/bench/history/watch.py
+++ b/bench/history/watch.py
@@ -87,17 +87,19 @@
     def _note(self, at: float, outcome: RecordOutcome) -> None:
         if outcome.duplicate:
             return
-        self.taken[outcome.envelope.record_id] = Taken(at, outcome)
+        taken = Taken(at, outcome)
+        self.taken[outcome.envelope.record_id] = taken
         if not isinstance(outcome.result, Success):
             return
         body = outcome.body
         if isinstance(body, AddInstance):
-            self._own(at, outcome.offset, body.instance_id, body.pool)
+            self._own(taken, body.instance_id, body.pool)
         elif isinstance(body, RequestMove):
             self._target_of_move[body.move_id] = body
         elif isinstance(body, TransferInstance):
             move = self._target_of_move[body.move_id]
-            self._own(at, outcome.offset, move.instance_id, move.target)
+            self._own(taken, move.instance_id, move.target)
 
-    def _own(self, at: float, offset: int, instance: str, pool: str) -> None:
-        self._history.owned.append(Owned(at, offset, instance, pool))
+    def _own(self, taken: Taken, instance: str, pool: str) -> None:
+        owned = Owned(taken.at, taken.revision, instance, pool)
+        self._history.owned.append(owned)
--- a/tests/bench/test_history_checks.py
+++ b/tests/bench/test_history_checks.py
@@ -154,10 +154,10 @@
 def test_views_of_the_owner_have_to_agree_with_the_log() -> None:
     history = fleet()
     history.owned.append(Owned(5.0, 7, "w-1", "casting"))
-    view = OwnerSeen(6.0, 6.1, "entry-1", 8, "w-1", "casting")
+    view = OwnerSeen(6.0, 6.1, "entry-1", 7, "w-1", "casting")
     history.owners_seen.append(view)
     assert found(history) == set()
-    history.owners_seen.append(replace(view, offset=7, pool="etching"))
+    history.owners_seen.append(replace(view, generation=0, pool="etching"))
     assert found(history) == set()
     history.owners_seen.append(replace(view, pool="etching"))
     assert found(history) == {"one-pool"}
