Show no configuration before an entry has caught up with the log

Ruled out: readiness itself; callers were refused as they should be. Conclusion: what an entry shows is what it serves.

--- a/mustardward/components/templates/api.py
+++ b/mustardward/components/templates/api.py
@@ -7,17 +7,16 @@
 from ...core import Core
 from ...state.models.templates import PublishTemplate, TemplateRevision
 from ..api.routes import ApiAnswer, ApiRequest, api_route
-from ..keys import FLEET_LOG
 from .border import PublishModel, plain
 from .exceptions import TemplateUnknownError
 from .progress import async_progress
-from .proposing import async_accepted, async_propose, whole_number
+from .proposing import async_accepted, async_propose, ready_state, whole_number
 
 
 @api_route("GET", "/templates", "List the templates in force")
 async def async_list(request: ApiRequest) -> ApiAnswer:
     """Return the revision in force of each template."""
-    templates = request.core.get(FLEET_LOG).state.templates
+    templates = ready_state(request.core).templates
     return ApiAnswer(
         [
             {"name": name, "revision": revisions[-1].revision}
@@ -87,7 +86,7 @@
 
 
 def _revisions(core: Core, name: str) -> list[TemplateRevision]:
-    revisions = core.get(FLEET_LOG).state.templates.get(name)
+    revisions = ready_state(core).templates.get(name)
     if not revisions:
         raise TemplateUnknownError(name)
     return revisions
--- a/mustardward/components/templates/fleet_api.py
+++ b/mustardward/components/templates/fleet_api.py
@@ -9,9 +9,8 @@
 from ...exceptions import MustardwardError
 from ...state.models.pools import AddInstance, Instance, PutPool
 from ..api.routes import ApiAnswer, ApiRequest, api_route
-from ..keys import FLEET_LOG
 from .border import InstancesModel
-from .proposing import async_accepted, async_propose
+from .proposing import async_accepted, async_propose, ready_state
 
 _COMPARED = ("data_centre", "rack", "address", "pool")
 
@@ -43,7 +42,7 @@
 
 
 async def _async_add(request: ApiRequest, record: AddInstance) -> dict[str, Any]:
-    held = request.core.get(FLEET_LOG).state.instances.get(record.instance_id)
+    held = ready_state(request.core).instances.get(record.instance_id)
     outcome: dict[str, Any] = {"instance_id": record.instance_id}
     if held is not None and _same(held, record):
         return {**outcome, "revision": held.generation, "unchanged": True}
--- a/mustardward/components/templates/organisations_api.py
+++ b/mustardward/components/templates/organisations_api.py
@@ -4,16 +4,15 @@
 
 from ...state.models.templates import Organisation, PutOrganisation, RemoveOrganisation
 from ..api.routes import ApiAnswer, ApiRequest, api_route
-from ..keys import FLEET_LOG
 from .border import OrganisationModel, plain
 from .exceptions import OrganisationUnknownError
-from .proposing import async_accepted, async_propose, whole_number
+from .proposing import async_accepted, async_propose, ready_state, whole_number
 
 
 @api_route("GET", "/organisations", "List the organisations")
 async def async_list(request: ApiRequest) -> ApiAnswer:
     """Return each organisation with its template and services."""
-    organisations = request.core.get(FLEET_LOG).state.organisations
+    organisations = ready_state(request.core).organisations
     return ApiAnswer(
         [
             {
@@ -60,7 +59,7 @@
 
 
 def _find(request: ApiRequest, name: str) -> Organisation:
-    found = request.core.get(FLEET_LOG).state.organisations.get(name)
+    found = ready_state(request.core).organisations.get(name)
     if found is None:
         raise OrganisationUnknownError(name)
     return found
--- a/mustardward/components/templates/proposing.py
+++ b/mustardward/components/templates/proposing.py
@@ -7,6 +7,8 @@
 from returns.result import Failure
 
 from ...core import Core
+from ...exceptions import NotReadyError
+from ...state.fleet import FleetState
 from ...state.fold import Acceptance
 from ...state.records import NO_BASE
 from ..api.routes import ApiAnswer, ApiRequest
@@ -18,6 +20,19 @@
 OPERATOR_PRIORITY: Final = 1
 
 
+def ready_state(core: Core) -> FleetState:
+    """Return the folded state to show.
+
+    :raises NotReadyError: if this entry has not caught up with the log yet.
+    """
+    # An entry that has just started folds the past at first. Shown meanwhile, an old
+    # revision would look as if the one in force had been reverted.
+    log = core.get(FLEET_LOG)
+    if not log.ready:
+        raise NotReadyError("still reading the log")
+    return log.state
+
+
 async def async_propose(
     request: ApiRequest,
     body: Any,
--- a/tests/components/templates/test_directory.py
+++ b/tests/components/templates/test_directory.py
@@ -22,7 +22,7 @@
 from mustardward.components.templates.directory import FoldedDirectory
 from mustardward.components.templates.exceptions import TemplateUnknownError
 from mustardward.core import Core
-from mustardward.exceptions import MustardwardError
+from mustardward.exceptions import MustardwardError, NotReadyError
 from mustardward.state.fold import RevisionConflictError
 from mustardward.state.models.pools import AddInstance
 from mustardward.state.models.templates import (
@@ -221,6 +221,31 @@
     assert [item["revision"] for item in history.body] == [4, 2]
 
 
+@pytest.mark.parametrize(
+    ("handler", "name"),
+    [
+        (api.async_list, ""),
+        (api.async_show, "cellar"),
+        (api.async_history, "cellar"),
+        (organisations_api.async_list, ""),
+        (organisations_api.async_show, "dairy"),
+    ],
+)
+async def test_an_entry_that_reads_the_past_shows_nothing(
+    handler: Any, name: str
+) -> None:
+    """Never show a configuration as reverted.
+
+    Symptom: an operator sees an old revision after a newer one. Sequence: an entry is
+    replaced, folds the log from its beginning, and is asked meanwhile. Cause: state
+    shown before the entry has caught up.
+    """
+    log = build_log()
+    log.ready = False
+    with pytest.raises(NotReadyError):
+        await async_in_core(log, FakePeers({}), handler, name=name)
+
+
 async def test_an_organisation_keeps_only_what_it_overrides() -> None:
     log = build_log()
     model = OrganisationModel.model_validate(
