--- a/mustardward/embedded/fleet.py
+++ b/mustardward/embedded/fleet.py
@@ -14,6 +14,7 @@
 from ..core import Core
 from ..exceptions import NotReadyError
 from ..helpers.timer import LoopTimerService, TimerService
+from ..platform.models import ListedInstance, ListedState
 from ..settings.models import (
     EntryIdentity,
     Listener,
@@ -59,9 +60,11 @@
             for number in range(plan.entries):
                 name = f"{data_centre}-{number + 1}"
                 settings = _settings(fleet, name, data_centre)
-                fleet.entries[name] = await stack.enter_async_context(
+                core = await stack.enter_async_context(
                     async_run_entry(settings, make_timers or loop_timers)
                 )
+                fleet.entries[name] = core
+                _list(fleet, core)
         await async_until(timers, lambda: _ready(fleet), READY_SECONDS)
         yield fleet
 
@@ -125,6 +128,21 @@
     )
 
 
+def _list(fleet: RunningFleet, core: Core) -> None:
+    own = core.get(MEMBERSHIP).own
+    fleet.platform.platform.listing.put(
+        ListedInstance(
+            instance_id=own.name,
+            kind="entry",
+            data_centre=own.data_centre,
+            rack=f"{own.data_centre}-entries",
+            address=own.address,
+            state=ListedState.LIVE,
+            boot=1,
+        )
+    )
+
+
 def _seed(core: Core) -> PeerAddress:
     own = core.get(MEMBERSHIP).own
     host, _, port = own.address.rpartition(":")
--- a/tests/components/templates/test_joined.py
+++ b/tests/components/templates/test_joined.py
@@ -15,7 +15,7 @@
 from mustardward.components.templates import api, fleet_api, organisations_api
 from mustardward.components.templates.border import OrganisationModel, PublishModel
 from mustardward.core import Core, async_setup_components
-from mustardward.exceptions import MustardwardError
+from mustardward.exceptions import MustardwardError, PlatformUnavailableError
 from mustardward.settings.models import (
     EntryIdentity,
     Listener,
@@ -184,3 +184,27 @@
         )
         history = await async_call(bench, api.async_history, first, name="dairy")
     assert [item["revision"] for item in history.body] == [published.body["revision"]]
+
+
+async def test_publishing_in_an_outage_says_that_nothing_happened() -> None:
+    """Refuse truthfully while the log is out.
+
+    Symptom: an operator repeats a change that was told to have failed, and meets it as
+    a conflict. Sequence: the log is out, the entry gives up, the append lands later.
+    Cause: "unavailable" said of a record that may still be appended.
+    """
+    model = PublishModel.model_validate({"parameters": PARAMETERS})
+    async with (
+        async_platform_bench() as bench,
+        async_two_entries(bench) as (first, _),
+    ):
+        await async_call(bench, fleet_api.async_put_pool, first, name="cellar")
+        bench.platform.log.faults.change(outage=True)
+        with pytest.raises(PlatformUnavailableError):
+            await async_call(bench, api.async_publish, first, model, name="dairy")
+        bench.platform.log.faults.change(outage=False)
+        published = await async_call(
+            bench, api.async_publish, first, model, name="dairy"
+        )
+        history = await async_call(bench, api.async_history, first, name="dairy")
+    assert [item["revision"] for item in history.body] == [published.body["revision"]]
--- a/tests/embedded/test_examples.py
+++ b/tests/embedded/test_examples.py
@@ -19,6 +19,7 @@
 from mustardward.settings.loader import load_model, load_settings
 from mustardward.standin.log import LogOptions
 from mustardward.standin.platform import PlatformOptions
+from mustardward.state.budget_counters import ScopeCount, budget_of
 
 from ..fakes.driving import DrivenLoopTimers, async_driven
 
@@ -85,6 +86,24 @@
     )
 
 
+def test_an_example_leaves_a_worker_to_maintain(deployment: str) -> None:
+    """Let waves go on.
+
+    Symptom: a wave of an example deployment never takes an instance. Sequence: floor,
+    headroom and the largest rack leave nothing over. Cause: shares chosen without
+    regard to the number of workers.
+    """
+    instances = load_pools(deployment).instances()
+    template = load_model(EXAMPLES / f"{deployment}-template.yaml", TemplateFile)
+    parameters = template.parameters.parameters()
+    for scope in {(item.data_centre, item.pool) for item in instances}:
+        here = [item for item in instances if (item.data_centre, item.pool) == scope]
+        largest = max(Counter(item.rack for item in here).values())
+        count = ScopeCount(len(here), 0, largest)
+        budget = budget_of("any", parameters, scope[1], scope[0], count)
+        assert budget.margin >= 1
+
+
 async def test_an_example_starts_and_serves_every_service(deployment: str) -> None:
     pools = load_pools(deployment)
     template = load_model(EXAMPLES / f"{deployment}-template.yaml", TemplateFile)
