Keep a quiet organisation's usual places from slow requests

Ruled out (trials): a bound by the pool's rate of places falling free (blind in the first seconds of a flood); credit for any pause (a newcomer's flood went first, the other one got 56 of 80 a second). Change: requests that hold places long, or for nobody knows how long, leave others' usual demand free; credit of two seconds of one's own recent demand; forgotten organisations are no longer barred by their old place in the order; a raised quota lets waiting requests in at once; urgent trials beyond the known slots only where long work holds some; abandoned attempts blame a worker only after four times the usual latency; the model's organisations stand in its state, so its reserve is 0.1.

--- a/bench/policy_model.py
+++ b/bench/policy_model.py
@@ -20,7 +20,14 @@
 from mustardward.state.fleet import FleetState
 from mustardward.state.fold import Acceptance, RecordOutcome
 from mustardward.state.models.pools import Instance
-from mustardward.state.models.templates import Parameters, Urgency
+from mustardward.state.models.templates import (
+    Organisation,
+    Overrides,
+    Parameters,
+    Quota,
+    ServiceBinding,
+    Urgency,
+)
 from mustardward.state.records import make_record
 
 NETWORK_SECONDS = 0.0005
@@ -259,6 +266,15 @@
     return state
 
 
+def build_parameters(reserve: float = 0.1) -> Parameters:
+    """Return parameters with a wide quota and the pool of the model."""
+    return Parameters(
+        services=(ServiceBinding("service", POOL),),
+        urgent_reserve=reserve,
+        quota=Quota(concurrency=64, queue=512),
+    )
+
+
 class Fleet:
     """Hold the workers and the clock of one run."""
 
@@ -292,7 +308,7 @@
     deadline_seconds: float = 2.0
     urgency: Urgency = Urgency.NORMAL
     idempotent_share: float = 1.0
-    parameters: Parameters = field(default_factory=Parameters)
+    parameters: Parameters = field(default_factory=lambda: build_parameters())
     start: float = 0.0
     end: float = float("inf")
     retries: int = 0
@@ -313,7 +329,12 @@
         self._stopped = True
 
     def start(self, traffic: Traffic) -> None:
-        """Begin to send."""
+        """Begin to send, as an organisation of the folded state."""
+        organisation = Organisation(
+            traffic.organisation, "template", 1, 1, Overrides(), traffic.parameters
+        )
+        self._fleet.log.state.organisations[traffic.organisation] = organisation
+        self._fleet.log.sequence += 1
         random = Random(f"{self._fleet.seed}/{traffic.organisation}")
         self._fleet.clock.after(
             traffic.start + random.expovariate(traffic.rate),
--- a/mustardward/components/limits/const.py
+++ b/mustardward/components/limits/const.py
@@ -58,6 +58,25 @@
 SERVICE_SHARE: Final = 0.5
 """Share of the expected latency that has to be left when a request is started."""
 
+CREDIT_SECONDS: Final = 2.0
+"""Time for which an organisation that used less than its share may go first."""
+
+DEMAND_RISE_SECONDS: Final = 2.0
+DEMAND_FALL_SECONDS: Final = 10.0
+"""Times in which the demand that places are kept for follows up and down."""
+
+LEAST_DEMAND: Final = 0.05
+"""Demand below which nothing is kept."""
+
+HELD_SMOOTHING: Final = 0.1
+"""Weight of one request in the time that an organisation holds places."""
+
+PROTECTION_WAIT_SHARE: Final = 0.2
+"""Wait for a place, in latencies of the quickest organisation, that may be caused."""
+
+PROTECTION_DEVIATIONS: Final = 1.5
+"""Deviations above the mean demand that places are kept for."""
+
 URGENT_DRAIN_SECONDS: Final = 0.5
 """Time in which slots taken back from long work should end urgent work's wait."""
 
--- a/mustardward/components/limits/fairness.py
+++ b/mustardward/components/limits/fairness.py
@@ -19,7 +19,11 @@
 
 @dataclass(slots=True, eq=False)
 class OrganisationQueue:
-    """Hold one organisation's waiting requests and what it has in flight."""
+    """Hold one organisation's waiting requests and what it has in flight.
+
+    ``demand`` is the number of places it lately wanted at once, ``protected`` those
+    kept for it, and ``unused`` those of them that are idle.
+    """
 
     name: str
     quota: Quota
@@ -38,6 +42,10 @@
     finish: float = 0.0
     active_weight: float = 0.0
     backlog_weight: float = 0.0
+    demand: float = 0.0
+    latency: float = 0.0
+    protected: int = 0
+    unused: int = 0
 
     @property
     def weight(self) -> float:
@@ -97,14 +105,14 @@
 
     def __init__(self) -> None:
         self._heap: list[tuple[float, int, OrganisationQueue]] = []
-        self._filed: set[str] = set()
+        self._filed: set[OrganisationQueue] = set()
         self._count = 0
 
     def push(self, queue: OrganisationQueue) -> None:
         """File an organisation under its present virtual time."""
-        if queue.name in self._filed:
+        if queue in self._filed:
             return
-        self._filed.add(queue.name)
+        self._filed.add(queue)
         self._push(queue)
 
     def pop(self) -> OrganisationQueue | None:
@@ -114,7 +122,7 @@
             if tag < queue.tag:
                 self._push(queue)
                 continue
-            self._filed.discard(queue.name)
+            self._filed.discard(queue)
             return queue
         return None
 
--- a/mustardward/components/limits/gate.py
+++ b/mustardward/components/limits/gate.py
@@ -11,10 +11,9 @@
 from collections import deque
 
 from ...state.models.templates import Urgency
-from .adaptive import AdaptiveLimit
 from .const import (
+    CREDIT_SECONDS,
     LONG_AGING_SECONDS,
-    RESERVE_PARTS,
     SERVICE_SHARE,
     URGENT_DRAIN_SECONDS,
     URGENT_OVERDUE_SECONDS,
@@ -23,6 +22,7 @@
 )
 from .fairness import OrganisationQueue
 from .models import GateFigures, PoolCapacity, RefusalCause, Ticket, TicketState
+from .places import Places
 from .selection import Selection
 from .shares import OrganisationTable
 
@@ -36,9 +36,8 @@
 
     def __init__(self, capacity: PoolCapacity, queue_length: int) -> None:
         self._queue_length = queue_length
-        self._limit = AdaptiveLimit()
-        self._capacity = capacity
-        self._table = OrganisationTable()
+        self._places = Places(capacity)
+        self._table = OrganisationTable(capacity.entries)
         self._selection = Selection(self._table)
         self._aging: deque[Ticket] = deque()
         self._deadlines: list[tuple[float, int, Ticket]] = []
@@ -47,41 +46,17 @@
         self._in_flight = 0
         self._waiting = 0
         self._urgent_seconds = 0.0
-        self._follow_capacity()
 
     @property
-    def open_places(self) -> int:
-        """Return the places that any request may use."""
-        if not self._capacity.slots:
-            return 0
-        return max(1, round(self._limit.limit * (1.0 - self._capacity.reserve)))
-
-    @property
-    def reserved_places(self) -> int:
-        """Return the places kept for urgent work and light organisations.
-
-        The reserve is the pool's, not split among entries: a place or less for each
-        would be rounded up to far more than the template asks. Each entry may use up
-        to twice its part, and where they meet the worker says that it is busy.
-        """
-        capacity = self._capacity
-        part = min(1.0, RESERVE_PARTS / capacity.entries)
-        return math.ceil(capacity.reserve * capacity.slots * part)
-
-    @property
-    def places(self) -> int:
-        """Return the number of requests that may be in flight now."""
-        return min(self._capacity.slots, self.open_places + self.reserved_places)
+    def places(self) -> Places:
+        """Return the places of the pool."""
+        return self._places
 
     @property
     def in_flight(self) -> int:
         """Return the requests in flight."""
         return self._in_flight
 
-    @property
-    def _light_places(self) -> int:
-        return min(self.places, self.open_places + (self.reserved_places + 1) // 2)
-
     @property
     def slots_wanted(self) -> int:
         """Return the slots that would end the wait of urgent requests soon.
@@ -94,20 +69,22 @@
     def figures(self) -> GateFigures:
         """Return what reports show."""
         held = {queue.name: queue.in_flight for queue in self._table.queues()}
-        return GateFigures(self._limit.limit, self._in_flight, self._waiting, held)
+        limit = self._places.limit.limit
+        return GateFigures(limit, self._in_flight, self._waiting, held)
 
     def rate_for(self, ticket: Ticket) -> float:
         """Return the requests a second that its organisation may count on."""
         queue = self._table.find(ticket.organisation)
-        share = 1.0 if queue is None else self._table.backlog_share(queue, self.places)
+        places = self._places.total
+        share = 1.0 if queue is None else self._table.backlog_share(queue, places)
         return max(1.0, share) / max(ticket.estimate.recent, 1e-3)
 
     def resize(self, capacity: PoolCapacity, now: float) -> list[Ticket]:
         """Follow a change of workers, entries or parameters, losing nothing."""
-        if capacity == self._capacity:
+        if capacity == self._places.capacity:
             return []
-        self._capacity = capacity
-        self._follow_capacity()
+        self._places.resize(capacity)
+        self._table.set_entries(capacity.entries)
         self._selection.unpark_all()
         return self._pump(now)
 
@@ -116,12 +93,14 @@
         cause = self._border_cause(ticket, now)
         if cause is not None:
             return [_refuse(ticket, cause)]
-        queue = self._table.open(ticket.organisation, ticket.quota)
+        name, now_virtual = ticket.organisation, self._virtual_time
+        queue = self._table.open(name, ticket.quota, now_virtual)
         evicted = self._make_room(queue)
         if self._waiting >= self._queue_length or self._table.is_queue_full(queue):
             at_quota = self._table.is_at_quota(queue)
             cause = RefusalCause.QUOTA if at_quota else RefusalCause.QUEUE_FULL
             return [*evicted, _refuse(ticket, cause)]
+        self._selection.unpark(queue)
         self._enqueue(queue, ticket)
         decided = [*evicted, *self._pump(now)]
         if ticket.state is not TicketState.WAITING:
@@ -139,7 +118,7 @@
         if ticket.state is not TicketState.ADMITTED:
             return []
         ticket.state = TicketState.ENDED
-        saturated = self._waiting > 0 or self._in_flight >= self.open_places
+        saturated = self._waiting > 0 or self._in_flight >= self._places.open
         queue = self._table[ticket.organisation]
         self._in_flight -= 1
         queue.in_flight -= 1
@@ -148,7 +127,8 @@
         estimate = ticket.estimate
         estimate.in_flight -= 1
         ratio = estimate.add(latency) if succeeded else estimate.ratio(latency)
-        self._limit.add(ratio, saturated, now)
+        self._places.limit.add(ratio, saturated, now)
+        self._table.note_release(queue, max(0.0, now - ticket.started))
         self._table.weigh(queue)
         self._selection.unpark(queue)
         return self._pump(now)
@@ -163,10 +143,12 @@
 
     def note_busy(self, now: float) -> None:
         """Take into account that a worker had no slot for us."""
-        self._limit.note_busy(now)
+        self._places.limit.note_busy(now)
 
     def sweep(self, now: float) -> list[Ticket]:
-        """Refuse waiting requests whose deadline has passed."""
+        """Refuse what waited past its deadline, and renew what is protected."""
+        self._table.sample(self._places.total, now)
+        self._selection.unpark_all()
         decided = []
         while self._deadlines and self._deadlines[0][0] <= now:
             _, _, ticket = heapq.heappop(self._deadlines)
@@ -183,7 +165,7 @@
     def _border_cause(self, ticket: Ticket, now: float) -> RefusalCause | None:
         if now >= ticket.deadline:
             return RefusalCause.DEADLINE
-        if not self._capacity.slots:
+        if not self._places.capacity.slots:
             return RefusalCause.NO_WORKER
         return None
 
@@ -203,40 +185,45 @@
     def _would_miss(self, queue: OrganisationQueue, ticket: Ticket, now: float) -> bool:
         if not queue.in_flight and queue.total_waiting == 1:
             return False
-        share = self._table.backlog_share(queue, self._places_soon(ticket))
+        # Urgent work has long work's slots as soon as they are given back; refused for
+        # what is free at this moment, nobody would ask for them.
+        urgent = ticket.urgency is Urgency.URGENT
+        places = self._places.soon if urgent else self._places.total
+        share = self._table.backlog_share(queue, places)
         wait = queue.cost_ahead(ticket.urgency) / max(1e-6, share)
         return wait > WAIT_SHARE * (ticket.deadline - now)
 
     def _start_overdue(self, now: float) -> list[Ticket]:
         # Long work that was throttled freed a slot, and no record says so; nor does one
         # while the log is out. Only trying shows it: the worker says if it is busy.
-        ticket = self._selection.next_urgent(self.places)
-        if ticket is None or now - ticket.arrived < URGENT_OVERDUE_SECONDS:
+        places = self._places.total
+        if not self._places.capacity.lent or self._in_flight >= places + URGENT_TRIALS:
             return []
-        if self._in_flight >= self._capacity.slots + URGENT_TRIALS:
+        ticket = self._selection.next_urgent(places, places)
+        if ticket is None or now - ticket.arrived < URGENT_OVERDUE_SECONDS:
             return []
         queue = self._table[ticket.organisation]
         self._start(queue, ticket, now)
         self._selection.file(queue)
         return [ticket]
 
-    def _places_soon(self, ticket: Ticket) -> int:
-        # Urgent work has long work's slots as soon as they are given back; refused for
-        # what is free at this moment, nobody would ask for them.
-        if ticket.urgency is not Urgency.URGENT:
-            return self.places
-        return self.places + self._capacity.lent // self._capacity.entries
-
     def _enqueue(self, queue: OrganisationQueue, ticket: Ticket) -> None:
         ticket.is_long = ticket.urgency is Urgency.LONG
         ticket.cost = ticket.estimate.recent
         if not queue.total_waiting:
-            queue.tag = max(self._virtual_time, queue.finish)
+            queue.tag = max(self._virtual_time - self._credit(queue), queue.finish)
         queue.push(ticket)
         self._count_waiting(ticket, 1)
         self._table.weigh(queue)
         self._selection.file(queue)
 
+    def _credit(self, queue: OrganisationQueue) -> float:
+        # Requests come in bursts, so one within its share still queues now and then.
+        # Without credit its queue would shrink at the pace of a flood's; with credit
+        # for all of a pause, a newcomer's flood would go before everybody.
+        due = min(queue.demand, self._table.fair_share(queue, self._places.total))
+        return CREDIT_SECONDS * due / queue.weight
+
     def _watch(self, ticket: Ticket) -> None:
         self._count += 1
         heapq.heappush(self._deadlines, (ticket.deadline, self._count, ticket))
@@ -267,14 +254,17 @@
     def _next(self) -> Ticket | None:
         if not self._waiting:
             return None
-        if self._in_flight < self.open_places:
-            return self._selection.next_open()
-        if self._in_flight >= self.places:
+        places = self._places
+        free = places.open - self._in_flight
+        if free > 0:
+            return self._selection.next_open(free, places.total)
+        free = places.total - self._in_flight
+        if free <= 0:
             return None
-        urgent = self._selection.next_urgent(self.places)
-        if urgent is not None or self._in_flight >= self._light_places:
+        urgent = self._selection.next_urgent(places.total, free)
+        if urgent is not None or self._in_flight >= places.light:
             return urgent
-        return self._selection.next_light(self.places)
+        return self._selection.next_light(places.total)
 
     def _start(self, queue: OrganisationQueue, ticket: Ticket, now: float) -> None:
         queue.forget(ticket)
@@ -324,11 +314,6 @@
             seconds = self._urgent_seconds + change * ticket.cost
             self._urgent_seconds = max(0.0, seconds) if self._waiting else 0.0
 
-    def _follow_capacity(self) -> None:
-        entries = max(1, self._capacity.entries)
-        self._limit.resize(self._capacity.slots / entries, self._capacity.slots)
-        self._table.set_entries(entries)
-
 
 def _refuse(ticket: Ticket, cause: RefusalCause) -> Ticket:
     ticket.state = TicketState.REFUSED
--- a/mustardward/components/limits/selection.py
+++ b/mustardward/components/limits/selection.py
@@ -11,7 +11,7 @@
 from .shares import OrganisationTable
 
 _Head = Callable[[OrganisationQueue], Ticket | None]
-_Eligible = Callable[[OrganisationQueue], bool]
+_Eligible = Callable[[OrganisationQueue, Ticket], bool]
 
 
 class Selection:
@@ -50,28 +50,31 @@
         for queue in list(self._parked.values()):
             self.unpark(queue)
 
-    def next_open(self) -> Ticket | None:
-        """Return the request for a place that anyone may use."""
-        ticket = self._take(self._prompt, _prompt_head, _anyone)
-        return ticket or self._take(self._long, _long_head, _anyone)
+    def next_open(self, free: int, places: int) -> Ticket | None:
+        """Return the request for one of ``free`` places that anyone may use."""
 
-    def next_urgent(self, places: int) -> Ticket | None:
-        """Return the urgent request for a place of the reserve."""
+        def leaves_protected(queue: OrganisationQueue, head: Ticket) -> bool:
+            return self._table.leaves_protected(queue, head, free, places)
 
-        def may_be_urgent(queue: OrganisationQueue) -> bool:
+        ticket = self._take(self._prompt, _prompt_head, leaves_protected)
+        return ticket or self._take(self._long, _long_head, leaves_protected)
+
+    def next_urgent(self, places: int, free: int) -> Ticket | None:
+        """Return the urgent request for one of ``free`` places of the reserve."""
+
+        def may_be_urgent(queue: OrganisationQueue, head: Ticket) -> bool:
             share = self._table.fair_share(queue, places)
-            return queue.urgent_in_flight < max(1.0, share)
+            if queue.urgent_in_flight >= max(1.0, share):
+                return False
+            return self._table.leaves_protected(queue, head, free, places)
 
         return self._take(self._urgent, _urgent_head, may_be_urgent)
 
     def next_light(self, places: int) -> Ticket | None:
         """Return the request of a light organisation for a place of the reserve."""
 
-        def is_light(queue: OrganisationQueue) -> bool:
-            head = _prompt_head(queue)
-            if head is None or head.is_long:
-                return False
-            return self._table.is_light(queue, places)
+        def is_light(queue: OrganisationQueue, head: Ticket) -> bool:
+            return not head.is_long and self._table.is_light(queue, places)
 
         return self._take(self._prompt, _prompt_head, is_light)
 
@@ -88,7 +91,7 @@
                 self._parked[queue.name] = queue
                 continue
             passed.append(queue)
-            if eligible(queue):
+            if eligible(queue, ticket):
                 found = ticket
                 break
         for queue in passed:
@@ -96,10 +99,6 @@
         return found
 
 
-def _anyone(queue: OrganisationQueue) -> bool:
-    return True
-
-
 def _urgent_head(queue: OrganisationQueue) -> Ticket | None:
     return queue.head(Urgency.URGENT)
 
--- a/mustardward/components/limits/shares.py
+++ b/mustardward/components/limits/shares.py
@@ -7,16 +7,19 @@
 from ...state.models.templates import Quota
 from .const import LIGHT_SHARE
 from .fairness import OrganisationQueue
+from .models import Ticket
+from .protection import Protection
 
 
 class OrganisationTable:
     """Hold the organisations of one pool and the sums of their weights."""
 
-    def __init__(self) -> None:
+    def __init__(self, entries: int = 1) -> None:
         self._queues: dict[str, OrganisationQueue] = {}
+        self._protection = Protection()
         self._active_weight = 0.0
         self._backlog_weight = 0.0
-        self._entries = 1
+        self._entries = max(1, entries)
 
     def __getitem__(self, name: str) -> OrganisationQueue:
         """Return an organisation's queue."""
@@ -30,11 +33,12 @@
         """Return an organisation's queue, if it has one."""
         return self._queues.get(name)
 
-    def open(self, name: str, quota: Quota) -> OrganisationQueue:
+    def open(self, name: str, quota: Quota, virtual_time: float) -> OrganisationQueue:
         """Return an organisation's queue with the quota now in force."""
         queue = self._queues.get(name)
         if queue is None:
-            queue = self._queues[name] = OrganisationQueue(name, quota)
+            queue = OrganisationQueue(name, quota, finish=virtual_time)
+            self._queues[name] = queue
         queue.quota = quota
         return queue
 
@@ -46,6 +50,7 @@
         """Forget organisations that are idle and owe nothing."""
         for name, queue in list(self._queues.items()):
             if queue.is_idle and queue.finish <= virtual_time:
+                self._protection.forget(queue)
                 del self._queues[name]
 
     def weigh(self, queue: OrganisationQueue) -> None:
@@ -56,6 +61,21 @@
         self._backlog_weight += backlog - queue.backlog_weight
         queue.active_weight = active
         queue.backlog_weight = backlog
+        self._protection.count(queue)
+
+    def note_release(self, queue: OrganisationQueue, held_seconds: float) -> None:
+        """Learn how long places are held."""
+        self._protection.note_release(queue, held_seconds)
+
+    def sample(self, places: int, now: float) -> None:
+        """Renew what is protected for each organisation."""
+        self._protection.sample(self.queues(), places, now)
+
+    def leaves_protected(
+        self, queue: OrganisationQueue, ticket: Ticket, free: int, places: int
+    ) -> bool:
+        """Tell whether one more request leaves the others what is kept for them."""
+        return self._protection.allows(queue, ticket, free, places)
 
     def backlog_share(self, queue: OrganisationQueue, places: int) -> float:
         """Return the places an organisation gets while others wait too."""
--- a/mustardward/components/routing/choice.py
+++ b/mustardward/components/routing/choice.py
@@ -13,8 +13,10 @@
 
 def others_in_flight(load: WorkerLoad, now: float) -> float:
     """Return the slots that others were last known to use, fading with age."""
+    if load.others <= 0.0:
+        return 0.0
     age = max(0.0, now - load.others_at)
-    if load.others <= 0.0 or age >= load.others_memory:
+    if age >= load.others_memory:
         return 0.0
     return load.others * (1.0 - age / load.others_memory)
 
@@ -27,7 +29,8 @@
     Its failure share therefore weighs like load.
     """
     busy = load.in_flight + load.long_tasks + others_in_flight(load, now)
-    return busy / max(1, load.instance.slots) + penalty(load.health, now)
+    used = busy / max(1, load.slots)
+    return used if now >= load.penalised_until else used + penalty(load.health, now)
 
 
 def choose_worker(
--- a/mustardward/components/routing/const.py
+++ b/mustardward/components/routing/const.py
@@ -50,6 +50,12 @@
 OUTLIER_MARGIN: Final = 0.4
 """How far an outlier's failure share is above the mean of its trusted peers."""
 
+ABANDONED_RATIO: Final = 4.0
+"""Usual latencies for which a worker must have had an abandoned attempt to blame it."""
+
+LATENCY_SMOOTHING: Final = 0.02
+"""Weight of one answer in a pool's usual latency."""
+
 QUARANTINED_SHARE: Final = 1 / 3
 """Largest share of a data centre's part of a pool that may be in quarantine."""
 
--- a/mustardward/components/routing/health.py
+++ b/mustardward/components/routing/health.py
@@ -8,6 +8,7 @@
 from ...helpers.chart import load_chart
 from ..entry.models import Attempt, AttemptOutcome
 from .const import (
+    ABANDONED_RATIO,
     BLAME_MEMORY,
     FAILURE_PENALTY,
     FAILURE_SMOOTHING,
@@ -26,6 +27,8 @@
 PROBATION = "probation"
 
 _SERVER_ERROR = 500
+_ABANDONED = "abandoned"
+_FAULTY_ANSWERS = ("answer-late", "truncated")
 
 
 @dataclass(slots=True)
@@ -46,14 +49,27 @@
     successes: int = 0
 
 
-def is_failure(attempt: Attempt) -> bool:
-    """Tell whether an attempt speaks against its worker.
+def is_verdict(attempt: Attempt, usual_seconds: float) -> bool:
+    """Tell whether an attempt says anything of its worker.
 
-    A refusal does not: the worker said the truth about its slots.
+    A refusal does not: the worker said the truth about its slots. An attempt that was
+    abandoned does so only if the worker had it for long: a caller with little time left
+    gives up on any worker, and an overload would so condemn them all.
     """
     if attempt.outcome is AttemptOutcome.ANSWERED:
-        return attempt.status >= _SERVER_ERROR
-    return attempt.outcome is not AttemptOutcome.REFUSED
+        return attempt.cause in ("", *_FAULTY_ANSWERS)
+    if attempt.outcome is not AttemptOutcome.UNKNOWN:
+        return False
+    if attempt.cause != _ABANDONED:
+        return True
+    return attempt.latency_seconds >= ABANDONED_RATIO * usual_seconds
+
+
+def is_failure(attempt: Attempt) -> bool:
+    """Tell whether an attempt speaks against its worker."""
+    if attempt.outcome is AttemptOutcome.ANSWERED:
+        return attempt.status >= _SERVER_ERROR or bool(attempt.cause)
+    return True
 
 
 def add_verdict(health: Health, failed: bool, now: float) -> None:
--- a/mustardward/components/routing/index.py
+++ b/mustardward/components/routing/index.py
@@ -11,7 +11,7 @@
 
 from ...state.fleet import FleetState
 from ...state.models.pools import Instance
-from .const import QUARANTINE_CAUSE
+from .const import LATENCY_SMOOTHING, QUARANTINE_CAUSE
 from .health import TRUSTED, Health
 from .picklist import PickList
 
@@ -26,7 +26,8 @@
 
     ``others`` is the number of slots that were in use beside ours at ``others_at``
     and counts less and less until ``others_memory`` seconds later. ``allotment`` is
-    the number of its slots that no other entry uses first.
+    the number of its slots that no other entry uses first. ``slots`` repeats the
+    instance's, so that a choice touches one object less in memory.
     """
 
     instance: Instance
@@ -44,12 +45,14 @@
     avoid_until: float = 0.0
     suspect: bool = False
     unreachable: int = 0
+    penalised_until: float = 0.0
+    slots: int = 0
     health: Health = field(default_factory=Health)
 
     @property
     def is_full(self) -> bool:
         """Tell whether our own requests fill every slot or connection."""
-        return self.in_flight >= min(self.instance.slots, self.instance.connections)
+        return self.in_flight >= self.slots
 
     @property
     def request_slots(self) -> int:
@@ -77,6 +80,13 @@
     lent: int = 0
     failure_sum: float = 0.0
     quarantined: set[str] = field(default_factory=set)
+    usual_seconds: float = 0.0
+
+    def learn(self, latency: float) -> None:
+        """Take the latency of an answer into account."""
+        if not self.usual_seconds:
+            self.usual_seconds = latency
+        self.usual_seconds += LATENCY_SMOOTHING * (latency - self.usual_seconds)
 
     def peers_share(self, load: WorkerLoad) -> float:
         """Return the mean failure share of the other trusted workers."""
@@ -153,6 +163,7 @@
         if load is None or load.group.key != key:
             load = self._move(load, instance, key)
         load.instance = instance
+        load.slots = min(instance.slots, instance.connections)
         load.long_tasks = self._count_long(instance_id)
         load.allotment = self._allot(instance, load.request_slots)
         self._set_usable(load, self._may_get_work(instance_id))
--- a/mustardward/components/routing/standing.py
+++ b/mustardward/components/routing/standing.py
@@ -7,7 +7,7 @@
 
 from ...helpers.logging import get_logger
 from ..entry.models import Attempt, AttemptOutcome
-from .const import CAPPED_LOG_SECONDS, PROBE_SECONDS
+from .const import CAPPED_LOG_SECONDS, PENALTY_SECONDS, PROBE_SECONDS
 from .health import (
     PROBATION,
     QUARANTINED,
@@ -17,6 +17,7 @@
     add_verdict,
     is_failure,
     is_outlier,
+    is_verdict,
     judge_probe,
     move_standing,
     quarantine_cap,
@@ -51,14 +52,15 @@
         now: float,
     ) -> None:
         """Take the outcome of one attempt into account."""
-        if attempt.outcome is AttemptOutcome.REFUSED:
-            return
-        failed = is_failure(attempt)
         if load.health.standing != TRUSTED:
-            self._judge_probe(index, load, failed, now)
+            if attempt.outcome is not AttemptOutcome.REFUSED:
+                self._judge_probe(index, load, is_failure(attempt), now)
             return
-        if attempt.outcome is AttemptOutcome.NOT_SENT:
+        if not is_verdict(attempt, load.group.usual_seconds):
             return
+        failed = is_failure(attempt)
+        if not failed:
+            load.group.learn(attempt.latency_seconds)
         if failed and not self._blame_counts(index, load, request_id):
             return
         self._change_share(load, failed, now)
@@ -109,6 +111,8 @@
         before = load.health.failure_share
         add_verdict(load.health, failed, now)
         load.group.failure_sum += load.health.failure_share - before
+        if failed:
+            load.penalised_until = now + PENALTY_SECONDS
 
     def _consider(self, index: FleetIndex, load: WorkerLoad, now: float) -> None:
         group = load.group
--- a/tests/components/limits/test_gate.py
+++ b/tests/components/limits/test_gate.py
@@ -237,3 +237,86 @@
     gate.finish(third)
     gate.gate.prune()
     assert gate.gate.figures().by_organisation in ({}, {"large": 0})
+
+
+def test_usual_demand_is_kept_free_from_requests_that_hold_places_long() -> None:
+    """Symptom: a small organisation within its share waits seconds for a place.
+
+    Sequence: a neighbour's requests take five seconds each and fill all places while
+    the small one pauses; the next place falls free much later.
+    Cause: giving whoever waits every place that is free at the moment.
+    """
+    gate = Gate(slots=10, reserve=0.0)
+    for _ in range(200):
+        quick = gate.offer("small")
+        gate.pass_time(0.05)
+        gate.finish(quick, 0.05)
+        gate.pass_time(0.05)
+    for _ in range(20):
+        gate.offer("large", deadline=300.0)
+    gate.pass_time(0.05)
+    assert gate.held()["large"] == 7
+    last = gate.offer("small")
+    assert last.state is TicketState.ADMITTED
+    gate.finish(last)
+    gate.pass_time(120.0)
+    gate.offer("large", deadline=300.0)
+    assert gate.held()["large"] == 10
+
+
+def test_quick_requests_need_not_leave_places_idle() -> None:
+    gate = Gate(slots=10, reserve=0.0)
+    for name in ("small", "large") * 200:
+        quick = gate.offer(name)
+        gate.pass_time(0.05)
+        gate.finish(quick, 0.05)
+    for _ in range(20):
+        gate.offer("large")
+    assert gate.held() == {"large": 10}
+
+
+def test_unused_share_is_credit_for_a_while() -> None:
+    """Symptom: an organisation at four fifths of its share queues as if above it.
+
+    Sequence: its requests come in bursts; each burst drains no faster than the flood.
+    Cause: forgetting at each pause what it left to the others.
+    """
+    gate = Gate(slots=8, reserve=0.0)
+    for _ in range(100):
+        gate.offer("large", quota=Quota(queue=1000))
+    order: list[str] = []
+    for step in range(100):
+        if step % 20 == 0:
+            for _ in range(6):
+                gate.offer("small")
+        gate.pass_time(0.0125)
+        done = gate.running[0]
+        order.append(done.organisation)
+        gate.finish(done, 0.1)
+    assert order[88:94] == ["small"] * 6
+
+
+def test_organisation_forgotten_while_idle_is_served_again() -> None:
+    """Symptom: an organisation that comes back after minutes is never admitted.
+
+    Sequence: its last request was refused while it waited; idle, it is forgotten, but
+    its old place in the order bars the new one.
+    Cause: an order that knows organisations by name.
+    """
+    gate = Gate(slots=1, reserve=0.0)
+    running = gate.offer("large")
+    gate.offer("small", deadline=1.0)
+    gate.pass_time(2.0)
+    gate.gate.prune()
+    again = gate.offer("small")
+    gate.finish(running)
+    assert again.state is TicketState.ADMITTED
+
+
+def test_raised_quota_lets_waiting_requests_in() -> None:
+    gate = Gate(slots=8, reserve=0.0)
+    for _ in range(3):
+        gate.offer("small", quota=Quota(concurrency=1))
+    assert gate.held() == {"small": 1}
+    gate.offer("small", quota=Quota(concurrency=4))
+    assert gate.held() == {"small": 4}
--- a/tests/components/routing/test_router.py
+++ b/tests/components/routing/test_router.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from mustardward.components.entry.models import (
+    Attempt,
     AttemptOutcome,
     RequestFacts,
 )
@@ -220,6 +221,43 @@
     assert not bench.of_type(InstanceQuarantined)
 
 
+def test_abandoned_attempts_of_hurried_callers_condemn_nobody() -> None:
+    """Symptom: workers go into quarantine in an overload, which makes it worse.
+
+    Sequence: requests leave the queue with little time left, and their callers give
+    up while healthy workers are at them.
+    Cause: blaming whoever had the request when time was up.
+    """
+    bench = Bench(build_state(6))
+    bench.run_many("request", 100, NONE)
+    for number in range(200):
+        facts = build_facts(f"hurried-{number}")
+        choice = bench.choose(facts)
+        gone = build_attempt(AttemptOutcome.UNKNOWN, cause="abandoned")
+        bench.router.finish(choice, facts, gone)
+    assert not bench.of_type(InstanceQuarantined)
+
+
+def test_worker_that_finishes_nothing_is_found() -> None:
+    """Symptom: a share of all requests ends at its deadline.
+
+    Sequence: one worker starts everything and finishes nothing.
+    Cause: judging only by answers.
+    """
+    bench = Bench(build_state(6))
+    bench.run_many("request", 100, NONE)
+    for number in range(400):
+        facts = build_facts(f"stuck-{number}", deadline=bench.timers.monotonic() + 30)
+        choice = bench.choose(facts)
+        attempt = build_attempt()
+        if choice.instance.instance_id == "dc-1-pool-1-2":
+            attempt = Attempt("a", "w", AttemptOutcome.UNKNOWN, 2.0, 0, "abandoned")
+        bench.timers.pause(0.05)
+        bench.router.finish(choice, facts, attempt)
+    (event,) = bench.of_type(InstanceQuarantined)
+    assert event.instance_id == "dc-1-pool-1-2"
+
+
 def test_probation_ends_a_quarantine_once_the_worker_answers() -> None:
     bench = Bench(build_state(8))
     broken = frozenset({"dc-1-pool-1-3"})
