Take jobs over from a holder that is out of sight

Cause: with real processes, the jobs of a killed entry were not taken over in 72 s: its peers suspected it and could not prove it gone, and only proof freed its leases. Ruled out: a shorter way to proof (the platform's list lags by design); waiting for the leases to lapse (done tasks would be thrown away). Change: a holder that nobody has seen alive for 15 s is taken over, one that says it leaves at once. That needs no proof: the log fences the holder, the task stays.

--- a/mustardward/components/jobs/setup.py
+++ b/mustardward/components/jobs/setup.py
@@ -18,20 +18,18 @@
     WORKER_SERVICE,
 )
 from ..limits.models import SlotsWanted
-from ..membership.models import InstanceLeaving, MemberStatus
-from ..membership.protocols import Membership
+from ..membership.models import InstanceLeaving
 from ..retries.intents_home import home_name
 from .const import TICK_SECONDS
 from .keeper import AttemptKeeper
 from .lessons import Lessons
 from .metrics import subscribe_metrics
 from .pool_view import PoolIndex
+from .presence import HolderPresence
 from .scheduler import JobScheduler
 from .services import LogJobService
 from .slots import SlotReturns
 
-_PRESENT = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
-
 
 async def async_setup_jobs(core: Core) -> Unload:
     """Publish the job service, start its ticks, and return what undoes that."""
@@ -78,7 +76,7 @@
         pools=pools,
         timers=core.timers,
         owns_duty=membership.owns_duty if membership else _always,
-        holder_present=_presence(membership, entry.data_centre, identity),
+        holder_present=HolderPresence(core.timers, membership, identity).is_present,
         random=Random(identity),
     )
 
@@ -108,21 +106,6 @@
     ]
 
 
-def _presence(
-    membership: Membership | None, data_centre: str, identity: str
-) -> Callable[[str], bool]:
-    def is_present(holder: str) -> bool:
-        if membership is None:
-            return holder == identity
-        return any(
-            home_name(item.name, item.incarnation) == holder
-            for item in membership.members(data_centre)
-            if item.status in _PRESENT
-        )
-
-    return is_present
-
-
 def _run_key(core: Core, job: Job) -> str:
     # Organisations made from one template run the same services, so what one teaches
     # holds for the next.
