--- a/mustardward/components/limits/gate.py
+++ b/mustardward/components/limits/gate.py
@@ -6,14 +6,11 @@
 
 from __future__ import annotations
 
-import heapq
 import math
-from collections import deque
 
 from ...state.models.templates import Urgency
 from .const import (
     CREDIT_SECONDS,
-    LONG_AGING_SECONDS,
     SERVICE_SHARE,
     URGENT_DRAIN_SECONDS,
     URGENT_OVERDUE_SECONDS,
@@ -25,6 +22,7 @@
 from .places import Places
 from .selection import Selection
 from .shares import OrganisationTable
+from .waiting import WaitingWatch
 
 
 class PoolGate:
@@ -39,9 +37,7 @@
         self._places = Places(capacity)
         self._table = OrganisationTable(capacity.entries)
         self._selection = Selection(self._table)
-        self._aging: deque[Ticket] = deque()
-        self._deadlines: list[tuple[float, int, Ticket]] = []
-        self._count = 0
+        self._watch = WaitingWatch()
         self._virtual_time = 0.0
         self._in_flight = 0
         self._waiting = 0
@@ -108,7 +104,7 @@
         if self._would_miss(queue, ticket, now):
             self._drop(queue, ticket, RefusalCause.WOULD_MISS_DEADLINE)
             return [*decided, ticket]
-        self._watch(ticket)
+        self._watch.add(ticket)
         return decided
 
     def release(
@@ -150,12 +146,10 @@
         self._table.sample(self._places.total, now)
         self._selection.unpark_all()
         decided = []
-        while self._deadlines and self._deadlines[0][0] <= now:
-            _, _, ticket = heapq.heappop(self._deadlines)
-            if ticket.state is TicketState.WAITING:
-                queue = self._table[ticket.organisation]
-                self._drop(queue, ticket, RefusalCause.DEADLINE)
-                decided.append(ticket)
+        for ticket in self._watch.overdue(now):
+            queue = self._table[ticket.organisation]
+            self._drop(queue, ticket, RefusalCause.DEADLINE)
+            decided.append(ticket)
         return decided + self._pump(now) + self._start_overdue(now)
 
     def prune(self) -> None:
@@ -224,12 +218,6 @@
         due = min(queue.demand, self._table.fair_share(queue, self._places.total))
         return CREDIT_SECONDS * due / queue.weight
 
-    def _watch(self, ticket: Ticket) -> None:
-        self._count += 1
-        heapq.heappush(self._deadlines, (ticket.deadline, self._count, ticket))
-        if ticket.is_long:
-            self._aging.append(ticket)
-
     def _drop(
         self, queue: OrganisationQueue, ticket: Ticket, cause: RefusalCause
     ) -> None:
@@ -240,7 +228,8 @@
 
     def _pump(self, now: float) -> list[Ticket]:
         decided: list[Ticket] = []
-        self._age(now)
+        for aged in self._watch.aged(now):
+            self._promote(aged)
         while (ticket := self._next()) is not None:
             queue = self._table[ticket.organisation]
             if self._is_too_late(ticket, now):
@@ -291,15 +280,6 @@
         needed = SERVICE_SHARE * ticket.estimate.recent
         return ticket.deadline - now < needed
 
-    def _age(self, now: float) -> None:
-        while self._aging:
-            ticket = self._aging[0]
-            if ticket.state is TicketState.WAITING:
-                if now - ticket.arrived < LONG_AGING_SECONDS:
-                    return
-                self._promote(ticket)
-            self._aging.popleft()
-
     def _promote(self, ticket: Ticket) -> None:
         queue = self._table[ticket.organisation]
         queue.forget(ticket)
--- a/mustardward/components/routing/health.py
+++ b/mustardward/components/routing/health.py
@@ -28,7 +28,10 @@
 
 _SERVER_ERROR = 500
 _ABANDONED = "abandoned"
-_FAULTY_ANSWERS = ("answer-late", "truncated")
+_FAULTY_ANSWERS = frozenset({"answer-late", "truncated"})
+_OWN_CAUSES = frozenset(
+    {"body-too-large", "caller-gone", "connections-used-up", "deadline-exceeded"}
+)
 
 
 @dataclass(slots=True)
@@ -57,7 +60,7 @@
     gives up on any worker, and an overload would so condemn them all.
     """
     if attempt.outcome is AttemptOutcome.ANSWERED:
-        return attempt.cause in ("", *_FAULTY_ANSWERS)
+        return is_failure(attempt) or not attempt.cause
     if attempt.outcome is not AttemptOutcome.UNKNOWN:
         return False
     if attempt.cause != _ABANDONED:
@@ -65,10 +68,16 @@
     return attempt.latency_seconds >= ABANDONED_RATIO * usual_seconds
 
 
+def is_unreachable(attempt: Attempt) -> bool:
+    """Tell whether the worker could not be reached, for no reason on our side."""
+    unsent = attempt.outcome is AttemptOutcome.NOT_SENT
+    return unsent and attempt.cause not in _OWN_CAUSES
+
+
 def is_failure(attempt: Attempt) -> bool:
     """Tell whether an attempt speaks against its worker."""
     if attempt.outcome is AttemptOutcome.ANSWERED:
-        return attempt.status >= _SERVER_ERROR or bool(attempt.cause)
+        return attempt.status >= _SERVER_ERROR or attempt.cause in _FAULTY_ANSWERS
     return True
 
 
--- a/mustardward/components/routing/services.py
+++ b/mustardward/components/routing/services.py
@@ -33,6 +33,7 @@
     UNREACHABLE_SECONDS,
     USAGE_MEMORY_SECONDS,
 )
+from .health import is_unreachable
 from .index import FleetIndex, WorkerGroup, WorkerLoad
 from .models import RemoteChoice, WorkerBusy
 from .remote import choose_remote
@@ -244,7 +245,7 @@
         return load if self._membership.instance_may_get_work(instance_id) else None
 
     def _note_unreachable(self, load: WorkerLoad, attempt: Attempt, now: float) -> None:
-        if attempt.outcome is not AttemptOutcome.NOT_SENT:
+        if not is_unreachable(attempt):
             load.unreachable = 0
             return
         pause = UNREACHABLE_SECONDS * 2.0**load.unreachable
@@ -259,7 +260,7 @@
                 load.suspect = False
                 began = now - attempt.latency_seconds
                 self._membership.report_instance(instance_id, True, "answered", began)
-        elif attempt.outcome is not AttemptOutcome.UNKNOWN and attempt.cause != _BUSY:
+        elif is_unreachable(attempt) or _is_refused_for_good(attempt):
             load.suspect = True
             self._membership.report_instance(instance_id, False, attempt.cause)
 
@@ -298,3 +299,7 @@
         spread = self._random.random() * REFUSAL_SPREAD_SECONDS
         retry_after = None if status == 504 else REFUSAL_BASE_SECONDS + spread
         return RequestRefusal(code, status, Ran.NO, detail, retry_after)
+
+
+def _is_refused_for_good(attempt: Attempt) -> bool:
+    return attempt.outcome is AttemptOutcome.REFUSED and attempt.cause != _BUSY
--- a/mustardward/components/routing/standing.py
+++ b/mustardward/components/routing/standing.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ...helpers.logging import get_logger
-from ..entry.models import Attempt, AttemptOutcome
+from ..entry.models import Attempt
 from .const import CAPPED_LOG_SECONDS, PENALTY_SECONDS, PROBE_SECONDS
 from .health import (
     PROBATION,
@@ -53,7 +53,7 @@
     ) -> None:
         """Take the outcome of one attempt into account."""
         if load.health.standing != TRUSTED:
-            if attempt.outcome is not AttemptOutcome.REFUSED:
+            if is_verdict(attempt, load.group.usual_seconds):
                 self._judge_probe(index, load, is_failure(attempt), now)
             return
         if not is_verdict(attempt, load.group.usual_seconds):
--- a/tests/components/routing/test_router.py
+++ b/tests/components/routing/test_router.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Any
 
+import pytest
 from returns.result import Success
 
 from mustardward.components.entry.models import (
@@ -14,6 +15,7 @@
     RequestFacts,
 )
 from mustardward.components.entry.protocols import Choice
+from mustardward.components.routing.health import is_failure, is_verdict
 from mustardward.components.routing.models import (
     InstanceQuarantined,
     InstanceReleased,
@@ -238,6 +240,42 @@
     assert not bench.of_type(InstanceQuarantined)
 
 
+@pytest.mark.parametrize(
+    ("status", "cause", "verdict", "failure"),
+    [
+        (200, "", True, False),
+        (500, "", True, True),
+        (500, "worker-failed", True, True),
+        (200, "answer-late", True, True),
+        (200, "hedge-lost", False, False),
+        (200, "answer-not-whole", False, False),
+    ],
+)
+def test_answers_are_judged_by_what_the_worker_did(
+    status: int, cause: str, verdict: bool, failure: bool
+) -> None:
+    attempt = build_attempt(status=status, cause=cause)
+    assert is_verdict(attempt, 0.05) is verdict
+    assert is_failure(attempt) is failure
+
+
+def test_own_shortage_is_no_evidence_against_a_worker() -> None:
+    """Symptom: a healthy worker is suspected of being down.
+
+    Sequence: this entry has used up its connections to it, or the request's time.
+    Cause: taking every attempt that was not sent for a failed connection.
+    """
+    bench = Bench(build_state(1))
+    for cause in ("connections-used-up", "deadline-exceeded"):
+        own = build_attempt(AttemptOutcome.NOT_SENT, cause=cause)
+        bench.router.finish(bench.choose(), build_facts(), own)
+    assert not bench.membership.reports
+    failed = build_attempt(AttemptOutcome.NOT_SENT, cause="connect-failed")
+    bench.router.finish(bench.choose(), build_facts(), failed)
+    assert bench.membership.reports == [("dc-1-pool-1-0", False, "connect-failed")]
+    assert bench.refusal() == "no-capacity"
+
+
 def test_worker_that_finishes_nothing_is_found() -> None:
     """Symptom: a share of all requests ends at its deadline.
 
