Take back the cancellations by which grpclib wakes a task

A trace showed a CancelledError of the deadline's own scope with one more cancellation counted in the task: grpclib wakes a waiting task with Task.cancel() when a connection is lost and never calls uncancel, so anyio took its deadline's cancellation for one from outside and let it through. Ruled out: a stop of the process (none in the log), the worker (no attempt was made), a defect in writing refusals (no request_failed event). Change: every use of grpclib by a caller runs within settled_cancellations, which gives the count back when an error other than a cancellation comes out.

--- a/bench/history/checks/requests.py
+++ b/bench/history/checks/requests.py
@@ -27,7 +27,10 @@
         if not item.own or not item.whole:
             fault = "foreign" if not item.own else "short"
             yield Violation(
-                "own-answer", item.operation_id, item.end, f"{fault} {item.detail}"
+                "own-answer",
+                item.operation_id,
+                item.end,
+                f"{fault} entry={item.entry} start={item.start:.3f} {item.detail}",
             )
 
 
--- a/mustardward/components/peers/forward.py
+++ b/mustardward/components/peers/forward.py
@@ -17,6 +17,7 @@
 from ..entry.protocols import FailedAttempt, OutgoingRequest, WorkerAnswer
 from ..membership.models import Member
 from .answer import STREAM_FAILURES, AnswerChunks, async_close_stream
+from .cancellation import settled_cancellations
 from .channels import ChannelPool, Purpose
 from .client import translate_status
 from .const import CHUNK_BYTES, FORWARD_PATH, MAXIMUM_HOPS, METADATA_SENDER
@@ -48,7 +49,8 @@
             return _failed(AttemptOutcome.NOT_SENT, "deadline-exceeded")
         stack = AsyncExitStack()
         try:
-            stream = await self._async_open(member, facts.deadline, stack)
+            with settled_cancellations():
+                stream = await self._async_open(member, facts.deadline, stack)
         except PeerError as error:
             await async_close_stream(None, stack)
             return _failed(AttemptOutcome.NOT_SENT, error.code)
@@ -101,7 +103,7 @@
         # whatever becomes of the stream: only the peer's own word makes it "not run".
         try:
             remaining = facts.deadline - self._clock()
-            with anyio.fail_after(remaining):
+            with settled_cancellations(), anyio.fail_after(remaining):
                 await _async_send(
                     chunks.stream, _head(facts, request, remaining), request.body
                 )
