Bound what waves leave behind, and time the budgets

Cause: ended waves kept thousands of names each, journals grew with every instance, a move could name nobody to wait for, and paces for a whole fleet were chosen every 30 s. Ruled out: dropping ended waves that still hold claims. Conclusion: nothing of maintenance grows with the number of waves any more.

--- a/bench/planner_baselines.py
+++ b/bench/planner_baselines.py
@@ -112,7 +112,7 @@
     """Fold every turn of a plan and count what the fold refuses or leaves broken."""
 
     def __init__(self, facts: PlanInput) -> None:
-        self._fold = Fold(_state(facts), FLEET_HANDLERS)
+        self._fold = Fold(fleet_state(facts), FLEET_HANDLERS)
         self._numbers = count(1)
 
     def run(self, facts: PlanInput, plan: Plan) -> int:
@@ -150,7 +150,8 @@
         return 0 if isinstance(outcome.result, Success) else 1
 
 
-def _state(facts: PlanInput) -> FleetState:
+def fleet_state(facts: PlanInput) -> FleetState:
+    """Return the folded state that the facts describe."""
     state = FleetState()
     for pool, users in facts.users.items():
         state.pools[pool] = Pool(pool, 1)
--- a/mustardward/components/maintenance/const.py
+++ b/mustardward/components/maintenance/const.py
@@ -70,7 +70,10 @@
 RESELECT_SECONDS: Final = 10.0
 """Time after which a choice that took nothing is made again though nothing changed."""
 
-PACE_SECONDS: Final = 30.0
-"""Time for which the chosen paces hold."""
+PACE_SECONDS: Final = 300.0
+"""Time for which the chosen paces hold; to choose them for a whole fleet is dear."""
+
+TASKS_SECONDS: Final = 30.0
+"""Time for which the count of running jobs by worker holds."""
 
 DEFAULT_PATIENCE_SECONDS: Final = 0.0
--- a/mustardward/components/maintenance/decisions.py
+++ b/mustardward/components/maintenance/decisions.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
+from typing import Final
+
 from ...core import EventBus
 from ...helpers.logging import get_logger
 from ...state.protocols import FleetLog
@@ -9,6 +12,9 @@
 
 _LOGGER = get_logger(__name__)
 
+_REMEMBERED: Final = 4096
+"""Subjects whose last decision is kept, so that it is not announced twice."""
+
 
 class DecisionJournal:
     """Publish each decision once, with the offset that it was made at."""
@@ -16,7 +22,9 @@
     def __init__(self, events: EventBus, log: FleetLog) -> None:
         self._events = events
         self._log = log
-        self._last: dict[tuple[SubjectKind, str], tuple[str, str]] = {}
+        self._last: OrderedDict[tuple[SubjectKind, str], tuple[str, str]] = (
+            OrderedDict()
+        )
 
     def note(
         self,
@@ -30,6 +38,9 @@
         if self._last.get((kind, subject_id)) == (decision, cause):
             return
         self._last[kind, subject_id] = (decision, cause)
+        self._last.move_to_end((kind, subject_id))
+        if len(self._last) > _REMEMBERED:
+            self._last.popitem(last=False)
         offset = self._log.next_offset - 1
         self._events.publish(
             DecisionMade(kind, subject_id, decision, cause, inputs, offset)
@@ -41,7 +52,3 @@
             inputs=" ".join(inputs),
             offset=offset,
         )
-
-    def forget(self, kind: SubjectKind, subject_id: str) -> None:
-        """Let the last decision on a subject be announced again."""
-        self._last.pop((kind, subject_id), None)
--- a/mustardward/components/maintenance/planned_pacing.py
+++ b/mustardward/components/maintenance/planned_pacing.py
@@ -9,7 +9,7 @@
 from ...state.models.maintenance import WaveStatus
 from ...state.models.pools import Instance
 from ...state.work import WorkState
-from .const import DEFAULT_PATIENCE_SECONDS, PACE_SECONDS
+from .const import DEFAULT_PATIENCE_SECONDS, PACE_SECONDS, TASKS_SECONDS
 from .plan_facts import Tasks, running_tasks, wave_facts
 from .plan_models import Pace, Unit
 from .plan_paces import choose_paces
@@ -37,6 +37,7 @@
         self._timers = timers
         self._paces: dict[Unit, Pace] = {}
         self._tasks: Tasks = {}
+        self._counted = float("-inf")
         self._chosen: tuple[float, frozenset[str]] = (float("-inf"), frozenset())
 
     def concurrency(self, pool: str) -> int:
@@ -49,8 +50,7 @@
 
     def burden(self, instance: Instance) -> float:
         """Return the number of jobs that a drain of the instance might move."""
-        self._refresh()
-        return float(len(self._tasks.get(instance.instance_id, ())))
+        return float(len(self._running().get(instance.instance_id, ())))
 
     def _pace(self, pool: str) -> Pace:
         self._refresh()
@@ -68,12 +68,19 @@
         if waves == running and now - since < PACE_SECONDS:
             return
         self._chosen = (now, running)
-        self._tasks = running_tasks(self._find_work())
         self._paces = {}
+        tasks = self._running()
         for wave_id in sorted(running):
-            facts = wave_facts(state, state.waves[wave_id], self._tasks)
+            facts = wave_facts(state, state.waves[wave_id], tasks)
             for unit, pace in choose_paces(facts).items():
                 held = self._paces.get(unit, pace)
                 self._paces[unit] = max(
                     held, pace, key=lambda one: (one.concurrency, one.patience)
                 )
+
+    def _running(self) -> Tasks:
+        now = self._timers.monotonic()
+        if now - self._counted >= TASKS_SECONDS:
+            self._counted = now
+            self._tasks = running_tasks(self._find_work())
+        return self._tasks
--- a/mustardward/components/pools/api.py
+++ b/mustardward/components/pools/api.py
@@ -24,6 +24,15 @@
     code = "pool-unknown"
 
 
+class EntriesUnknownError(MustardwardError):
+    """Report that no entry of the instance's data centre is known here.
+
+    Without their names nobody could tell who still has to give the instance up.
+    """
+
+    code = "entries-unknown"
+
+
 class MoveModel(BaseModel):
     """Validate a move; without a base generation the present owner is meant."""
 
@@ -100,6 +109,8 @@
     if instance is None:
         raise PoolUnknownError(f"instance={model.instance_id}")
     members = request.core.get(MEMBERSHIP).members(instance.data_centre)
+    if not members:
+        raise EntriesUnknownError(f"data_centre={instance.data_centre}")
     base = model.base_generation
     move_id = model.record_id or uuid4().hex
     body = RequestMove(
--- a/mustardward/state/handlers/waves.py
+++ b/mustardward/state/handlers/waves.py
@@ -26,6 +26,9 @@
 Budgets bound a wave far below this in fleets of today; it is there for large ones.
 """
 
+KEEP_ENDED: Final = 16
+"""Waves that are done or cancelled and stay in memory."""
+
 Decision = Result[Acceptance, MustardwardError]
 
 
@@ -79,9 +82,24 @@
         maximum_failures=max(1, body.maximum_failures),
         not_before=body.not_before,
     )
+    _forget_ended(state)
     return accept(context, f"wave:{body.wave_id}")
 
 
+def _forget_ended(state: FleetState) -> None:
+    """Drop the waves that ended longest ago; each names thousands of instances."""
+    index = index_of(state)
+    ended = [
+        wave
+        for wave in state.waves.values()
+        if load_chart("wave").is_final(wave.status)
+        and index.claims_of(wave.wave_id) == 0
+    ]
+    ended.sort(key=lambda wave: wave.revision)
+    for wave in ended[:-KEEP_ENDED]:
+        del state.waves[wave.wave_id]
+
+
 @FLEET_HANDLERS.register("wave.signal")
 def signal_wave(state: FleetState, context: FoldContext, body: SignalWave) -> Decision:
     """Take a wave through its chart, if the actor saw its present revision."""
--- a/tests/cli/test_waves.py
+++ b/tests/cli/test_waves.py
@@ -16,6 +16,7 @@
 from mustardward.components.maintenance import api as wave_api  # noqa: F401
 from mustardward.components.maintenance.models import executor_name
 from mustardward.components.pools import api as pool_api  # noqa: F401
+from mustardward.components.pools.api import EntriesUnknownError
 from mustardward.state.models.pools import Pool
 from tests.components.maintenance.site import FIRST, Site
 from tests.fakes.routes import async_route
@@ -71,3 +72,16 @@
     assert run("pool", "cancel-move", move).exit_code == 0
     assert site.driver.state.moves == {}
     assert "casting" in run("pool", "list").output
+
+
+def test_a_move_is_refused_where_no_entry_is_known(site: Site) -> None:
+    """Refuse a move that nobody could acknowledge.
+
+    Symptom: an instance changes its pool while entries still send it work.
+    Sequence: an entry that knows no member of the instance's data centre takes the
+    call. Cause: a record that names nobody waits for nobody.
+    """
+    site.driver.state.instances[FIRST].data_centre = "dc9"
+    refused = run("pool", "move", FIRST, "casting")
+    assert isinstance(refused.exception, EntriesUnknownError)
+    assert site.log.proposed == []
--- a/tests/state/handlers/test_maintenance.py
+++ b/tests/state/handlers/test_maintenance.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mustardward.state.budgets import BudgetIndex, index_of
+from mustardward.state.handlers.waves import KEEP_ENDED
 from mustardward.state.models.maintenance import (
     AbsenceChange,
     AdoptClaim,
@@ -259,3 +260,23 @@
     driver.accept(ReleaseClaim("dc1-etching-000", generation, "failed", 1))
     wave = driver.state.waves["w1"]
     assert (wave.status, wave.reason) == ("paused", "failures=1 maximum=1")
+
+
+def test_waves_that_ended_long_ago_are_forgotten_unless_they_hold_claims() -> None:
+    """Keep the state from growing with every wave.
+
+    Symptom: an entry's memory grows by a megabyte with each wave over the fleet.
+    Sequence: a wave every few hours for a year. Cause: ended waves kept their names.
+    """
+    driver = build_driver(size=20)
+    driver.run_wave("held")
+    driver.take("dc1-etching-000", "held")
+    cancelled = driver.state.waves["held"].revision
+    driver.accept(SignalWave("held", "cancel"), cancelled)
+    for number in range(KEEP_ENDED + 3):
+        revision = driver.accept(ScheduleWave(f"w{number}", ("etching",)))
+        driver.accept(SignalWave(f"w{number}", "cancel"), revision)
+    driver.accept(ScheduleWave("last", ("etching",)))
+    assert len(driver.state.waves) == KEEP_ENDED + 2
+    assert {"held", "last", "w18"} <= driver.state.waves.keys()
+    assert "w0" not in driver.state.waves
