--- a/mustardward/components/maintenance/absence_reporter.py
+++ b/mustardward/components/maintenance/absence_reporter.py
@@ -85,12 +85,13 @@
         parts = self._parts
         state = parts.log.state
         index = index_of(state)
-        suspects = {*self._missing, *parts.membership.instances_held_back()}
+        suspected = parts.membership.instances_held_back() | self._missing
         return {
             name
-            for name in suspects
-            if index.is_available(name)
-            and state.instances[name].data_centre == parts.data_centre
+            for name in suspected
+            if (instance := state.instances.get(name)) is not None
+            and instance.data_centre == parts.data_centre
+            and index.is_available(name)
         }
 
     def _due_absences(self) -> list[str]:
@@ -112,7 +113,7 @@
         if self._listing is None or now < self._next_list:
             return
         try:
-            listed = await self._listing.async_list()
+            listed = await self._listing.async_list(self._parts.data_centre)
         except PlatformError:
             return
         wait = max(LIST_INTERVAL_SECONDS, LIST_SECONDS_PER_INSTANCE * len(listed))
--- a/mustardward/components/routing/health.py
+++ b/mustardward/components/routing/health.py
@@ -8,6 +8,7 @@
 from ...helpers.chart import load_chart
 from ..entry.models import Attempt, AttemptOutcome
 from .const import (
+    ABANDONED_RATIO,
     BLAME_MEMORY,
     FAILURE_PENALTY,
     FAILURE_SMOOTHING,
@@ -26,6 +27,11 @@
 PROBATION = "probation"
 
 _SERVER_ERROR = 500
+_ABANDONED = "abandoned"
+_FAULTY_ANSWERS = frozenset({"answer-late", "truncated"})
+_OWN_CAUSES = frozenset(
+    {"body-too-large", "caller-gone", "connections-used-up", "deadline-exceeded"}
+)
 
 
 @dataclass(slots=True)
@@ -46,14 +52,33 @@
     successes: int = 0
 
 
-def is_failure(attempt: Attempt) -> bool:
-    """Tell whether an attempt speaks against its worker.
+def is_verdict(attempt: Attempt, usual_seconds: float) -> bool:
+    """Tell whether an attempt says anything of its worker.
 
-    A refusal does not: the worker said the truth about its slots.
+    A refusal does not: the worker said the truth about its slots. An attempt that was
+    abandoned does so only if the worker had it for long: a caller with little time left
+    gives up on any worker, and an overload would so condemn them all.
     """
     if attempt.outcome is AttemptOutcome.ANSWERED:
-        return attempt.status >= _SERVER_ERROR
-    return attempt.outcome is not AttemptOutcome.REFUSED
+        return is_failure(attempt) or not attempt.cause
+    if attempt.outcome is not AttemptOutcome.UNKNOWN:
+        return False
+    if attempt.cause != _ABANDONED:
+        return True
+    return attempt.latency_seconds >= ABANDONED_RATIO * usual_seconds
+
+
+def is_unreachable(attempt: Attempt) -> bool:
+    """Tell whether the worker could not be reached, for no reason on our side."""
+    unsent = attempt.outcome is AttemptOutcome.NOT_SENT
+    return unsent and attempt.cause not in _OWN_CAUSES
+
+
+def is_failure(attempt: Attempt) -> bool:
+    """Tell whether an attempt speaks against its worker."""
+    if attempt.outcome is AttemptOutcome.ANSWERED:
+        return attempt.status >= _SERVER_ERROR or attempt.cause in _FAULTY_ANSWERS
+    return True
 
 
 def add_verdict(health: Health, failed: bool, now: float) -> None:
