Make three tests of failures fail without what they guard

Change: the two tests about workers now load one worker with the others idle, which is stricter; a new test covers the start.

--- a/tests/components/limits/test_gate.py
+++ b/tests/components/limits/test_gate.py
@@ -140,6 +140,25 @@
     assert gate.offer(deadline=0.0).cause is RefusalCause.DEADLINE
 
 
+def test_nothing_is_started_that_can_not_end_in_time() -> None:
+    """Symptom: workers are busy, and all their answers come too late.
+
+    Sequence: a request reaches the front of its queue with less time left than its
+    service takes.
+    Cause: looking at the deadline only once it has passed.
+    """
+    gate = Gate(slots=2, reserve=0.0)
+    for _ in range(20):
+        learnt = gate.offer()
+        gate.now += 1.0
+        gate.finish(learnt, 1.0)
+    running = [gate.offer(), gate.offer()]
+    hurried = gate.offer(deadline=1.2)
+    gate.now += 0.8
+    gate.finish(running[0], 0.8)
+    assert hurried.cause is RefusalCause.DEADLINE
+
+
 def test_sweep_refuses_what_waited_past_its_deadline() -> None:
     gate = Gate(slots=1, reserve=0.0)
     gate.offer()
--- a/tests/components/routing/test_router.py
+++ b/tests/components/routing/test_router.py
@@ -213,13 +213,16 @@
     Cause: counting attempts in place of distinct requests.
     """
     bench = Bench(build_state(6))
-    for number in range(400):
-        bad = build_facts(f"bad-{number}", "large")
-        first = bench.choose(bad)
-        second = bench.choose(bad, frozenset({first.instance.instance_id}))
+    unlucky = "dc-1-pool-1-0"
+    others = frozenset(bench.log.state.instances) - {unlucky}
+    for number in range(100):
+        bad = build_facts(f"bad-{number}", "large", deadline=2e6)
+        first = bench.choose(bad, others)
+        second = bench.choose(bad, frozenset({unlucky}))
         for choice in (first, second):
             bench.router.finish(choice, bad, build_attempt(status=500))
-        bench.run(f"good-{number}", NONE)
+        bench.timers.pause(3.0)
+    assert first.instance.instance_id == unlucky
     assert not bench.of_type(InstanceQuarantined)
 
 
@@ -232,11 +235,14 @@
     """
     bench = Bench(build_state(6))
     bench.run_many("request", 100, NONE)
-    for number in range(200):
-        facts = build_facts(f"hurried-{number}")
-        choice = bench.choose(facts)
+    others = frozenset(bench.log.state.instances) - {"dc-1-pool-1-0"}
+    for number in range(50):
+        facts = build_facts(f"hurried-{number}", deadline=2e6)
+        choice = bench.choose(facts, others)
         gone = build_attempt(AttemptOutcome.UNKNOWN, cause="abandoned")
+        bench.timers.pause(3.0)
         bench.router.finish(choice, facts, gone)
+    assert choice.instance.instance_id == "dc-1-pool-1-0"
     assert not bench.of_type(InstanceQuarantined)
 
 
