--- a/bench/history/callers.py
+++ b/bench/history/callers.py
@@ -223,7 +223,7 @@
     try:
         answer = json.loads(content)
     except ValueError:
-        return False, f"not JSON: {content[:60]!r}"
+        return False, f"status={status} not JSON: {content[:60]!r}"
     if not isinstance(answer, dict):
         return False, f"not an answer: {content[:60]!r}"
     digest = xxhash.xxh3_128_hexdigest(plan.body)
--- a/mustardward/components/maintenance/selection.py
+++ b/mustardward/components/maintenance/selection.py
@@ -95,10 +95,10 @@
 ) -> dict[str, list[Instance]]:
     index = index_of(state)
     found: dict[str, list[Instance]] = defaultdict(list)
-    for instance_id in wave.pending - facts.excluded:
-        instance = state.instances.get(instance_id)
-        if instance is None or instance.data_centre != facts.data_centre:
+    for instance_id in index.instances_of(facts.data_centre):
+        if instance_id not in wave.pending or instance_id in facts.excluded:
             continue
+        instance = state.instances[instance_id]
         if index.is_available(instance_id) or _is_free(state, instance_id):
             found[instance.pool].append(instance)
     return found
