End a connection when its caller has closed it

Cause: a load with stray answers left a stand-in worker refusing everything as busy: it counted 70 connections, of which 12 were open. hypercorn ends a connection only when its idle timer has run out, also if the other side closed it. On an entry, 100 closed connections left 101 sockets in CLOSE-WAIT for 75 s. Ruled out: a short idle timer (requests would cross with the end of connections that callers still use). Change: connections are hypercorn's, with their idle timer stopped at the other side's end; the listener accepts them itself. The stand-ins use the same.

--- a/mustardward/helpers/listener.py
+++ b/mustardward/helpers/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import sys
 from collections.abc import Awaitable, Callable
@@ -11,11 +12,12 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from hypercorn.asyncio import serve
+from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
 from hypercorn.logging import Logger
 
 from ..settings.models import Listener, TlsSettings
+from .connection import HttpConnection
 from .logging import get_logger
 
 _LOGGER = get_logger(__name__)
@@ -84,6 +86,7 @@
         self._options = options
         self._stop = anyio.Event()
         self._stopped = anyio.Event()
+        self._connections: set[asyncio.Task[Any]] = set()
         self._socket = _bind(address)
         self._host, self._port = self._socket.getsockname()[:2]
 
@@ -97,6 +100,11 @@
         """Return the port listened on."""
         return int(self._port)
 
+    @property
+    def connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self._connections)
+
     def start(self, tasks: TaskGroup) -> None:
         """Begin to take connections."""
         tasks.start_soon(self._async_serve)
@@ -107,26 +115,42 @@
         await self._stopped.wait()
 
     async def _async_serve(self) -> None:
+        config = self._config()
+        context = WorkerContext(None)
+
+        async def async_handle(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            task = asyncio.current_task()
+            assert task is not None
+            self._connections.add(task)
+            task.add_done_callback(self._connections.discard)
+            connection = HttpConnection(self._app, config, context, reader, writer)
+            await _async_run(connection)
+
+        server = await asyncio.start_server(
+            async_handle,
+            sock=self._socket,
+            backlog=BACKLOG,
+            ssl=config.create_ssl_context() if config.ssl_enabled else None,
+        )
         try:
-            await serve(
-                self._app,
-                self._config(),
-                shutdown_trigger=self._stop.wait,
-            )
+            await self._stop.wait()
         finally:
+            with anyio.CancelScope(shield=True):
+                server.close()
+                await context.terminated.set()
+                await _async_finish(self._connections, self._options.graceful_seconds)
             self._stopped.set()
 
     def _config(self) -> Config:
         options = self._options
         config = Config()
-        config.bind = [f"fd://{self._socket.detach()}"]
-        config.backlog = BACKLOG
         config.logger_class = EventLog
         config.include_server_header = False
         config.include_date_header = False
         config.keep_alive_timeout = options.keepalive_seconds
         config.keep_alive_max_requests = 1_000_000
-        config.graceful_timeout = options.graceful_seconds
         # Twice the limit: the application refuses what is over it with a clear
         # problem, and the server cuts off only what is far beyond.
         config.h11_max_incomplete_size = 2 * options.header_bytes
@@ -139,6 +163,27 @@
         return config
 
 
+async def _async_run(connection: HttpConnection) -> None:
+    # asyncio prints a traceback for a handler that fails, and one caller's broken
+    # connection is not worth more than a line.
+    try:
+        await connection
+    except Exception as error:
+        _LOGGER.warning("connection_failed", error=type(error).__name__)
+
+
+async def _async_finish(connections: set[asyncio.Task[Any]], seconds: float) -> None:
+    """Wait until all connections ended; cut those that take longer."""
+    if not connections:
+        return
+    _, late = await asyncio.wait(set(connections), timeout=seconds)
+    for task in late:
+        task.cancel()
+    if late:
+        _LOGGER.warning("connections_cut", connections=len(late))
+        await asyncio.gather(*late, return_exceptions=True)
+
+
 def _bind(address: Listener) -> socket.socket:
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     bound = socket.socket(family, socket.SOCK_STREAM)
@@ -146,4 +191,5 @@
     bound.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     bound.bind((address.host, address.port))
     bound.listen(BACKLOG)
+    bound.setblocking(False)
     return bound
--- a/mustardward/standin/serving.py
+++ b/mustardward/standin/serving.py
@@ -12,11 +12,10 @@
 from typing import Any, Final
 
 import anyio
-from hypercorn.app_wrappers import ASGIWrapper
-from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
-from hypercorn.typing import LifespanState
+
+from ..helpers.connection import HttpConnection
 
 CONNECTION_STATE: Final = "connection"
 GRACE_SECONDS: Final = 0.05
@@ -84,7 +83,6 @@
     """
     config = _config()
     context = WorkerContext(None)
-    loop = asyncio.get_running_loop()
     counted = connections if connections is not None else Connections()
     tasks: set[asyncio.Task[Any]] = set()
 
@@ -97,11 +95,9 @@
             task.add_done_callback(tasks.discard)
         connection = RawConnection(writer)
         counted.add(connection)
-        state = LifespanState({CONNECTION_STATE: connection})
+        state = {CONNECTION_STATE: connection}
         try:
-            await TCPServer(
-                ASGIWrapper(app), loop, config, context, state, reader, writer
-            )
+            await HttpConnection(app, config, context, reader, writer, state)
         except asyncio.CancelledError:
             # asyncio's stream callback asks each finished handler for its exception
             # and prints a traceback for a cancelled one, so it must end normally.
--- a/tests/components/entry/test_path.py
+++ b/tests/components/entry/test_path.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import anyio
 import httpx
 import pytest
 
@@ -86,3 +87,22 @@
         200,
     )
     assert after.headers["connection"] == "close"
+
+
+async def test_a_connection_that_its_caller_closed_is_closed_here() -> None:
+    """Let go of connections as soon as their callers have.
+
+    Symptom: an entry takes no more connections after a busy minute. Sequence: callers
+    open a connection for each request and close it. Cause: the server keeps its side
+    until the idle timer runs out.
+    """
+    async with running_entry(answer_plainly) as (entry, _):
+        for _ in range(10):
+            async with httpx.AsyncClient() as client:
+                await client.get(f"{entry.url}/hvelv/turn/")
+        with anyio.fail_after(10):
+            while True:
+                if not entry.listener.connections:
+                    break
+                await anyio.sleep(0.01)
+    assert len(entry.finished) == 10
