--- a/tests/components/jobs/test_scheduling.py
+++ b/tests/components/jobs/test_scheduling.py
@@ -4,13 +4,15 @@
 
 from typing import Any
 
+import anyio
+import anyio.lowlevel
 import pytest
 
 from mustardward.components.jobs.const import LEASE_SECONDS
 from mustardward.components.jobs.errors import JobQuotaError, JobUnplaceableError
 from mustardward.components.jobs.models import Submission
 from mustardward.platform.models import TaskReport, TaskState
-from mustardward.state.models.maintenance import Claim
+from mustardward.state.models.maintenance import Claim, Wave
 from tests.fakes.jobs_world import Entry, JobsWorld
 
 pytestmark = pytest.mark.anyio
@@ -339,6 +341,23 @@
     assert entry.service.status(later).unwrap().status == "waiting"
 
 
+async def test_a_job_goes_to_a_worker_that_the_wave_is_through_with() -> None:
+    """Spare a job a second move within one wave.
+
+    Symptom: jobs move several times while a wave passes through their pool.
+    Sequence: a job is vacated, starts on a worker that is still due, and is vacated
+    again. Cause: placement did not look at what the wave would take next.
+    """
+    world = JobsWorld(workers_count=4)
+    entry = world.add_entry("a")
+    names = sorted(world.fleet.state.instances)
+    world.fleet.state.waves["w"] = Wave("w", ("etching",), "running", 1, set(names[:3]))
+    for number in range(4):
+        job_id = await world.async_submit(entry, f"plan-{number}")
+        await world.async_run(2)
+        assert worker_of(entry, job_id) == names[3]
+
+
 async def test_a_lease_whose_append_lost_its_answer_still_starts_its_job() -> None:
     """Adopt what the log gave without a word.
 
@@ -369,6 +388,51 @@
     assert task.report.state is TaskState.LAPSED
 
 
+async def test_a_silent_worker_is_asked_for_all_its_tasks_at_once() -> None:
+    """Ask a dead worker once in a while, not about each task.
+
+    Symptom: tasks on healthy workers lapse while a rack is dead. Sequence: each tick
+    waits for the time-out of every task of the rack. Cause: tasks were asked about one
+    by one although they share their worker's fate.
+    """
+    world = JobsWorld(workers_count=1, slots=8)
+    entry = world.add_entry("a")
+    for number in range(8):
+        job_id = await world.async_submit(entry, f"plan-{number}")
+        world.workers.seconds[job_id] = 1000.0
+    await world.async_run(3)
+    world.workers.at["worker-0"].down = True
+    calls = world.workers.calls
+    await world.async_run(60)
+    assert world.workers.calls - calls <= 8 * 60 / 5
+    assert len(entry.keeper.held) == 8
+
+
+async def test_a_worker_that_hangs_gives_its_slot_back_in_time() -> None:
+    """Bound each step of giving a slot back.
+
+    Symptom: urgent work starts late while a checkpoint is written. Sequence: a worker
+    takes the call and does not answer. Cause: the next step waited for it.
+    """
+    world = JobsWorld(workers_count=1, slots=1)
+    entry = world.add_entry("a")
+    await world.async_submit(entry, "plan")
+    await world.async_run(3)
+    world.workers.hang = "checkpoint"
+    freed: list[int] = []
+
+    async def free() -> None:
+        freed.append(await entry.service.async_free_slots("casting", 1))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(free)
+        for _ in range(24):
+            await anyio.lowlevel.checkpoint()
+            await world.timers.async_advance(0.1)
+        assert freed == [1]
+        tasks.cancel_scope.cancel()
+
+
 async def test_a_large_organisations_flood_does_not_starve_a_small_one() -> None:
     world = JobsWorld(workers_count=1, slots=4)
     entry = world.add_entry("a")
--- a/tests/components/peers/test_forward.py
+++ b/tests/components/peers/test_forward.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import anyio
@@ -19,6 +20,7 @@
     OutgoingRequest,
     WorkerAnswer,
 )
+from mustardward.components.peers import channels
 from mustardward.components.peers.const import MAXIMUM_HOPS
 from mustardward.components.peers.exceptions import PeerAnswerTruncatedError
 from mustardward.state.models.templates import Urgency
@@ -259,3 +261,51 @@
         await answer.chunks.aclose()  # type: ignore[attr-defined]
         with anyio.fail_after(5):
             await ended.wait()
+
+
+async def test_answer_closed_in_the_middle_does_not_end_plainly() -> None:
+    """Raise when somebody reads on after a close.
+
+    Symptom: a short answer under status 200. Sequence: a deadline closes the answer
+    while it streams, and the reader asks for the next piece. Cause: the end of
+    iteration meaning both "whole" and "closed".
+    """
+    entry = RecordingEntry()
+    async with running_peers("a") as a, running_peers("b", entry) as b:
+        member = build_member("b", b.address)
+        answer = (
+            await a.async_forward(member, build_facts(), build_request())
+        ).unwrap()
+        await answer.chunks.aclose()  # type: ignore[attr-defined]
+        with pytest.raises(PeerAnswerTruncatedError):
+            await anext(answer.chunks)
+
+
+async def test_connection_that_leads_nowhere_is_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Notice a cut by pings instead of by each request's deadline.
+
+    Symptom: for minutes every request forwarded to one entry ends as unknown at its
+    deadline. Sequence: a firewall forgets the connection and drops its packets. Cause:
+    TCP takes it for open until its retransmissions give up.
+    """
+    monkeypatch.setattr(channels, "KEEPALIVE_SECONDS", 0.1)
+    monkeypatch.setattr(channels, "KEEPALIVE_TIMEOUT_SECONDS", 0.1)
+
+    async def async_swallow(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while await reader.read(65536):
+            pass
+        writer.close()
+
+    hole = await asyncio.start_server(async_swallow, "127.0.0.1", 0)
+    host, port = hole.sockets[0].getsockname()
+    async with running_peers("a") as a:
+        member = build_member("b", f"{host}:{port}")
+        with anyio.fail_after(5):
+            facts = build_facts(remaining=60.0)
+            result = await a.async_forward(member, facts, build_request())
+    hole.close()
+    assert result.failure().outcome is AttemptOutcome.UNKNOWN
