--- a/mustardward/components/maintenance/absence_reporter.py
+++ b/mustardward/components/maintenance/absence_reporter.py
@@ -83,15 +83,15 @@
 
     def _suspects(self) -> set[str]:
         parts = self._parts
-        index = index_of(parts.log.state)
+        state = parts.log.state
+        index = index_of(state)
+        suspected = parts.membership.instances_held_back() | self._missing
         return {
             name
-            for name in index.instances_of(parts.data_centre)
-            if index.is_available(name)
-            and (
-                name in self._missing
-                or not parts.membership.instance_may_get_work(name)
-            )
+            for name in suspected
+            if (instance := state.instances.get(name)) is not None
+            and instance.data_centre == parts.data_centre
+            and index.is_available(name)
         }
 
     def _due_absences(self) -> list[str]:
