--- a/mustardward/components/log/relay.py
+++ b/mustardward/components/log/relay.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from ...const import FLEET_STREAM
 from ...core import Core
 from ...exceptions import PeerError, PeerOutcomeUnknownError
 from ...state.images import Image
@@ -52,7 +53,9 @@
         """Ask one peer, by preference one that is known to be ahead."""
         members = self._others(question.stream)
         ahead = [
-            member for member in members if member.fleet_offset > question.next_offset
+            member
+            for member in members
+            if _known_offset(member, question.stream) > question.next_offset
         ]
         candidates = ahead or members
         if not candidates:
@@ -66,7 +69,7 @@
         # Taking the first answer could take a stale peer's state, and this entry would
         # serve a configuration that the others have already left behind.
         members = self._others(question.stream)
-        members.sort(key=lambda member: -member.fleet_offset)
+        members.sort(key=lambda member: -_known_offset(member, question.stream))
         furthest: tuple[int, Member] | None = None
         answers = await self._async_probe(members[:PROBED_PEERS], question.stream)
         for member, answer in answers:
@@ -135,10 +138,15 @@
             return []
         own = membership.own
         # Only the entries of a data centre fold its stream of work.
-        centre = own.data_centre if stream.startswith("work.") else None
+        centre = None if stream == FLEET_STREAM else own.data_centre
         return [member for member in membership.live(centre) if member.name != own.name]
 
 
+def _known_offset(member: Member, stream: str) -> int:
+    """Return how far a member said it is; members only tell of the fleet's stream."""
+    return member.fleet_offset if stream == FLEET_STREAM else 0
+
+
 class RelayServer:
     """Answer peers' questions about some logs.
 
--- a/mustardward/state/follower.py
+++ b/mustardward/state/follower.py
@@ -62,6 +62,7 @@
         self._log_failed = False
         self._last_refusal = ""
         self._oldest = 0
+        self._asked_offset = -1
 
     @property
     def oldest(self) -> int:
@@ -129,15 +130,19 @@
         """Ask peers whenever the log has been silent for long."""
         began = self._timers.monotonic()
         while True:
-            jitter = 0.75 + 0.5 * self._random.random()
-            await self._timers.async_sleep(
-                self._options.relay_interval_seconds * jitter
-            )
+            await self._timers.async_sleep(self._relay_wait_seconds())
             waited = self._timers.monotonic() - began
             silent = min(self._tail.age_seconds, waited)
             if silent > self._options.relay_after_seconds or self._log_failed:
                 await self._async_ask_peers()
 
+    def _relay_wait_seconds(self) -> float:
+        # With the whole log out every entry asks all the time, and nobody has news.
+        seconds = self._options.relay_interval_seconds
+        if self._ready and self._replica.fold.next_offset == self._asked_offset:
+            seconds = self._options.relay_idle_seconds
+        return seconds * (0.75 + 0.5 * self._random.random())
+
     def _wait_seconds(self) -> float:
         # At the start, after a pause and after an outage the tail is wanted at once; a
         # long poll at an idle log would hold it back.
@@ -193,6 +198,7 @@
             return
         fold = self._replica.fold
         asked_at = self._timers.monotonic()
+        self._asked_offset = fold.next_offset
         question = RelayQuestion(self._spec.name, fold.next_offset, fold.digest)
         answer = await self._relay.async_entries(question)
         if answer.status is RelayStatus.IMAGE_NEEDED:
--- a/mustardward/state/options.py
+++ b/mustardward/state/options.py
@@ -9,7 +9,8 @@
 class LogOptions:
     """Bound waits (seconds), reads and appends of one folded log.
 
-    ``relay_after_seconds`` is how old the tail may get before peers are asked;
+    ``relay_after_seconds`` is how old the tail may get before peers are asked,
+    ``relay_idle_seconds`` the time between questions while they bring nothing;
     ``snapshot_entries`` and ``snapshot_seconds`` say when a snapshot is rewritten.
     """
 
@@ -22,6 +23,7 @@
     backoff_initial_seconds: float = 0.1
     backoff_maximum_seconds: float = 2.0
     relay_interval_seconds: float = 0.5
+    relay_idle_seconds: float = 1.0
     relay_after_seconds: float = 2.5
     snapshot_check_seconds: float = 30.0
     snapshot_entries: int = 10_000
--- a/tests/components/log/test_relay.py
+++ b/tests/components/log/test_relay.py
@@ -97,6 +97,20 @@
             assert len(answer.entries) == 3
 
 
+async def test_work_is_asked_of_the_own_data_centre_alone() -> None:
+    async with running_pair() as pair:
+        log = pair.bench.start_work("bergen")
+        await pair.bench.async_settle()
+        pair.log.stop()
+        server = FakePeers(pair.network, "near", "near")
+        RelayServer([log]).subscribe(server)
+        pair.know(_member("near"), _member("far", 99, "flam"))
+        question = RelayQuestion("work.bergen", 0, "")
+        for _ in range(5):
+            answer = await pair.relay.async_entries(question)
+            assert answer.status is RelayStatus.ENTRIES
+
+
 async def test_the_state_is_taken_from_the_furthest_of_several_peers() -> None:
     """Probe before taking a state.
 
--- a/tests/fakes/log_bench.py
+++ b/tests/fakes/log_bench.py
@@ -16,7 +16,8 @@
 from mustardward.state.log import FoldedLog
 from mustardward.state.models.pools import PutPool
 from mustardward.state.options import LogOptions
-from mustardward.state.streams import FLEET_SPEC
+from mustardward.state.streams import FLEET_SPEC, work_spec
+from mustardward.state.work import WorkState
 from tests.fakes.log import FakeLog, LogClient
 from tests.fakes.relay import DirectRelay
 
@@ -51,6 +52,14 @@
         self.group.start_soon(log.async_run)
         return log
 
+    def start_work(self, data_centre: str) -> FoldedLog[WorkState]:
+        """Start a node of a data centre's stream of work."""
+        log = FoldedLog(
+            work_spec(data_centre), self.service, self.timers, random=Random(99)
+        )
+        self.group.start_soon(log.async_run)
+        return log
+
     async def async_settle(self, seconds: float = 0.0, step: float = 0.05) -> None:
         """Let everything run that can, and drive the clock on."""
         await _async_idle()
