--- a/mustardward/state/appender.py
+++ b/mustardward/state/appender.py
@@ -18,7 +18,6 @@
     PlatformRefusedError,
     PlatformUnavailableError,
 )
-from ..helpers.backoff import Backoff
 from ..helpers.logging import get_logger
 from ..helpers.timer import TimerService
 from ..helpers.waiting import async_wait_for
@@ -87,9 +86,7 @@
         self._stream = stream
         self._timers = timers
         self._options = options
-        self._backoff = Backoff(
-            options.backoff_initial_seconds, options.backoff_maximum_seconds, random
-        )
+        self._backoff = options.backoff(random)
         self._pace = AppendPace(
             options.append_interval_seconds, options.append_interval_maximum_seconds
         )
--- a/mustardward/state/follower.py
+++ b/mustardward/state/follower.py
@@ -15,9 +15,10 @@
 from ..helpers.logging import get_logger
 from ..helpers.timer import TimerService
 from ..platform.protocols import LogService
+from .continuity import Continuity, LogRewrittenError
 from .options import LogOptions
 from .relay import RelayAnswer, RelayQuestion, RelaySource, RelayStatus, RelayWanted
-from .replica import Replica, check_page
+from .replica import Replica
 from .snapshots import SnapshotStore
 from .streams import StreamSpec
 from .tail import TailTracker
@@ -55,6 +56,7 @@
         self._timers = timers
         self._options = options
         self._random = random
+        self._continuity = Continuity(replica, service, spec.name)
         self._relay: RelaySource | None = None
         self._ready = False
         self._lost = False
@@ -90,13 +92,18 @@
 
     async def async_follow(self) -> None:
         """Read the log until cancelled."""
-        backoff = self._new_backoff()
+        backoff = self._options.backoff(self._random)
         while True:
             try:
                 await self._async_read(self._wait_seconds())
             except OffsetExpiredError as error:
                 await self._async_recover(f"expired {error.detail}")
                 await self._async_pause(backoff)
+            except LogRewrittenError as error:
+                # A snapshot of the other history would undo what was accepted here.
+                self._lost = True
+                self._note_refusal(error.code, error.detail)
+                await self._async_pause(backoff)
             except LogGapError as error:
                 await self._async_recover(f"gap {error.detail}")
                 await self._async_pause(backoff)
@@ -109,7 +116,7 @@
 
     async def async_answer_questions(self) -> None:
         """Read at once, beside a waiting read, whenever the tail is asked for."""
-        backoff = self._new_backoff()
+        backoff = self._options.backoff(self._random)
         while True:
             await self._tail.async_wait_for_question()
             while self._tail.has_questions:
@@ -154,11 +161,12 @@
         if not self._started:
             await self._async_start()
         offset = self._replica.fold.next_offset
+        await self._continuity.async_check(offset)
         ticket = self._tail.begin_read()
         page = await self._service.async_read(
             self._spec.name, offset, self._options.page_entries, wait_seconds
         )
-        check_page(page, offset)
+        self._continuity.check_page(page, offset)
         self._oldest = page.oldest
         await self._replica.async_take_page(ticket, page)
         self._lost = False
@@ -286,13 +294,5 @@
             _LOGGER.warning(event, stream=self._spec.name, error=code)
         self._log_failed = failed
 
-    def _new_backoff(self) -> Backoff:
-        options = self._options
-        return Backoff(
-            options.backoff_initial_seconds,
-            options.backoff_maximum_seconds,
-            self._random,
-        )
-
     async def _async_pause(self, backoff: Backoff) -> None:
         await self._timers.async_sleep(backoff.next_seconds())
--- a/mustardward/state/options.py
+++ b/mustardward/state/options.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from random import Random
+
+from ..helpers.backoff import Backoff
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,3 +31,9 @@
     snapshot_check_seconds: float = 30.0
     snapshot_entries: int = 10_000
     snapshot_seconds: float = 1800.0
+
+    def backoff(self, random: Random) -> Backoff:
+        """Return the waits between tries against a log that fails."""
+        return Backoff(
+            self.backoff_initial_seconds, self.backoff_maximum_seconds, random
+        )
--- a/mustardward/state/relay.py
+++ b/mustardward/state/relay.py
@@ -118,6 +118,13 @@
             self._bytes -= len(dropped.payload)
             self._before = dropped.digest
 
+    def payload(self, offset: int) -> bytes | None:
+        """Return an entry that is still kept."""
+        index = offset - self._entries[0].offset if self._entries else -1
+        if not 0 <= index < len(self._entries):
+            return None
+        return self._entries[index].payload
+
     def start_after(self, digest: str) -> None:
         """Drop everything, as the fold has jumped to a state with this digest."""
         self._entries.clear()
--- a/mustardward/state/replica.py
+++ b/mustardward/state/replica.py
@@ -7,7 +7,7 @@
 
 import anyio.lowlevel
 
-from ..exceptions import LogGapError, StateError
+from ..exceptions import StateError
 from ..helpers.logging import get_logger
 from ..platform.models import LogPage
 from .fold import Fold, RecordOutcome
@@ -59,6 +59,11 @@
         """Return the fold; only this class changes it."""
         return self._fold
 
+    @property
+    def recent(self) -> RecentEntries:
+        """Return the latest entries."""
+        return self._recent
+
     @property
     def stopped(self) -> StateError | None:
         """Return why this node must not decide from its state, if so."""
@@ -181,18 +186,6 @@
         )
 
 
-def check_page(page: LogPage, offset: int) -> None:
-    """Check that a log that was asked for ``offset`` still stands where it stood.
-
-    :raises LogGapError: if its tail is behind, or the wanted entry was skipped.
-    """
-    # A log that lost its end would give the same offsets to other records.
-    if page.tail < offset:
-        raise LogGapError(f"wanted={offset} tail={page.tail}")
-    if not page.entries and page.tail > offset:
-        raise LogGapError(f"wanted={offset} tail={page.tail} empty")
-
-
 def _subscribe(listeners: list[T], listener: T) -> Callable[[], None]:
     listeners.append(listener)
 
--- a/tests/state/test_log.py
+++ b/tests/state/test_log.py
@@ -259,16 +259,43 @@
 async def test_a_log_that_lost_its_end_is_not_followed() -> None:
     """Keep an accepted configuration when the log stands behind it.
 
-    Symptom: offsets are given out a second time. Sequence: the log comes back from an
-    outage without its last entries. Cause: the node reads on as if nothing happened.
+    Symptom: offsets are given out a second time, and nodes hold different histories.
+    Sequence: the log comes back from an outage without its last entries, others take
+    their place, and it grows past the node. Cause: the node waits for its offset and
+    reads on as if nothing happened.
     """
     async with running_bench() as bench:
         client = LogClient(bench.service)
         log = bench.start(client)
         await bench.async_settle()
-        await bench.async_propose(log, PutPool("cellar"))
-        client.log = FakeLog()
+        await bench.async_fill(log, 2)
+        restored = FakeLog()
+        restored.put("fleet", bench.service.payload("fleet", 0))
+        client.log = restored
+        bench.service.wake()
+        await bench.async_settle(3.0)
+        assert not log.may_decide
+        for name in ("x", "y", "z"):
+            restored.put("fleet", encode_batch([build_record(PutPool(name), name)]))
+        await bench.async_settle(10.0)
+        assert set(log.state.pools) == {"pool-0", "pool-1"}
+        assert log.ready and not log.may_decide
+
+
+async def test_a_log_that_was_behind_for_a_moment_is_followed_again() -> None:
+    async with running_bench() as bench:
+        client = LogClient(bench.service)
+        log = bench.start(client)
+        await bench.async_settle()
+        await bench.async_fill(log, 2)
+        lagging = FakeLog()
+        lagging.put("fleet", bench.service.payload("fleet", 0))
+        client.log = lagging
         bench.service.wake()
         await bench.async_settle(3.0)
-        assert set(log.state.pools) == {"cellar"}
         assert not log.may_decide
+        client.log = bench.service
+        await bench.async_settle(5.0)
+        assert log.may_decide
+        await bench.async_fill(log, 1)
+        assert len(log.state.pools) == 3
