--- a/bench/history/mutants.py
+++ b/bench/history/mutants.py
@@ -34,6 +34,7 @@
     :param faults: names of the faults to strike with; none means all.
     :param quiet_seconds: time without a new fault after each.
     :param planners: how many submit jobs at once.
+    :param least_seconds: shortest run in which the situation surely comes up.
     """
 
     name: str
@@ -45,6 +46,7 @@
     faults: tuple[str, ...] = ()
     quiet_seconds: float = 0.0
     planners: int = 1
+    least_seconds: float = 10.0
 
 
 _ALL = (
@@ -72,6 +74,7 @@
         prepare=provocations.slow_drains,
         faults=("racks-beside-a-drain-down",),
         quiet_seconds=9.0,
+        least_seconds=30.0,
     ),
     Mutant(
         "attempt-id",
@@ -111,6 +114,7 @@
         removals.remove_acknowledgement,
         prepare=provocations.slow_answers,
         faults=("list-lags",),
+        least_seconds=30.0,
     ),
 )
 
--- a/bench/history/run.py
+++ b/bench/history/run.py
@@ -45,6 +45,12 @@
             return ("--mutant", self.mutant)
         return ("--provoke", self.provoke) if self.provoke else ()
 
+    @property
+    def length(self) -> float:
+        """Return the seconds to run; a situation may need longer to come up."""
+        least = self.situation.least_seconds if self.situation else 0.0
+        return max(self.seconds, least)
+
     @property
     def planners(self) -> int:
         """Return how many submit jobs at once."""
@@ -109,7 +115,7 @@
                 for _ in range(options.planners):
                     group.start_soon(planners.async_run)
                 group.start_soon(faults.async_run)
-                await anyio.sleep(options.seconds)
+                await anyio.sleep(options.length)
                 for part in (faults, operators, planners, callers):
                     part.stopping = True
             await anyio.sleep(_SETTLE_SECONDS)
