--- a/bench/capacity/metered.py
+++ b/bench/capacity/metered.py
@@ -41,12 +41,16 @@
 def main() -> None:
     """Count, and hand over to the product's commands."""
     target = Path(sys.argv[1])
+    written = target.with_suffix(".new")
     meter = SocketMeter()
     meter.install()
 
     def write() -> None:
         while True:
-            target.write_text(str(meter.total), encoding="ascii")
+            # Replaced as a whole: a reader that met a file just emptied would take
+            # the total for 0, and the bytes since for less than none.
+            written.write_text(str(meter.total), encoding="ascii")
+            written.replace(target)
             time.sleep(_WRITE_SECONDS)
 
     threading.Thread(target=write, daemon=True).start()
