Let a request's deadline hold after a peer was lost

Ruled out: the stand-ins (the answer came from the entry), a crash (nothing was logged), the drain (no stop was near). Change: what grpclib cancelled is taken back where its calls are made: unary calls, forwarded requests, their answers. The test shows the deadline working after a peer was stopped in the middle of a call; it failed before. Conclusion: a lost peer costs the call, not the refusal.

--- a/mustardward/components/peers/answer.py
+++ b/mustardward/components/peers/answer.py
@@ -11,6 +11,7 @@
 from grpclib.exceptions import GRPCError
 
 from ...helpers.logging import get_logger
+from .cancellation import undoing_cancellations
 from .client import TRANSPORT_ERRORS
 from .codec import MsgpackCodec
 from .const import LAST_FRAMES_SECONDS
@@ -90,7 +91,8 @@
         # The end of our side tells the peer that the answer was taken whole.
         with anyio.move_on_after(LAST_FRAMES_SECONDS, shield=True):
             try:
-                await self._stream.end()
+                with undoing_cancellations():
+                    await self._stream.end()
             except STREAM_FAILURES:
                 _LOGGER.debug("peer_left_before_the_end")
         await self.aclose(whole=True)
@@ -113,7 +115,8 @@
 
     async def _async_next(self) -> AnswerFrame:
         try:
-            with anyio.fail_after(max(0.0, self._deadline - self._clock())):
+            remaining = max(0.0, self._deadline - self._clock())
+            with anyio.fail_after(remaining), undoing_cancellations():
                 return await self.async_receive()
         except STREAM_FAILURES as error:
             await self.aclose()
@@ -135,6 +138,7 @@
             if stream._stream.closable and not whole:
                 stream._stream.reset_nowait()
             stream._cancel_done = True
-        await stack.aclose()
+        with undoing_cancellations():
+            await stack.aclose()
     except STREAM_FAILURES:
         return
--- a/mustardward/components/peers/client.py
+++ b/mustardward/components/peers/client.py
@@ -11,6 +11,7 @@
 
 from ...exceptions import PeerOutcomeUnknownError
 from ..membership.models import Member
+from .cancellation import undoing_cancellations
 from .channels import ChannelPool, Purpose
 from .codec import MsgpackCodec
 from .const import CALL_PATH, METADATA_MESSAGE, METADATA_SENDER
@@ -58,7 +59,7 @@
         description = describe_message(message)
         lease = await self._channels.async_take(member.address, Purpose.CONTROL)
         try:
-            with anyio.fail_after(timeout_seconds):
+            with anyio.fail_after(timeout_seconds), undoing_cancellations():
                 data = await self._async_exchange(
                     lease.channel, description.name, message
                 )
--- a/mustardward/components/peers/forward.py
+++ b/mustardward/components/peers/forward.py
@@ -17,6 +17,7 @@
 from ..entry.protocols import FailedAttempt, OutgoingRequest, WorkerAnswer
 from ..membership.models import Member
 from .answer import STREAM_FAILURES, AnswerChunks, async_close_stream
+from .cancellation import undoing_cancellations
 from .channels import ChannelPool, Purpose
 from .client import translate_status
 from .const import CHUNK_BYTES, FORWARD_PATH, MAXIMUM_HOPS, METADATA_SENDER
@@ -83,7 +84,7 @@
             )
         )
         try:
-            with anyio.fail_after(deadline - self._clock()):
+            with anyio.fail_after(deadline - self._clock()), undoing_cancellations():
                 await stream.send_request()
         except STREAM_FAILURES:
             lease.retire()
@@ -101,7 +102,7 @@
         # whatever becomes of the stream: only the peer's own word makes it "not run".
         try:
             remaining = facts.deadline - self._clock()
-            with anyio.fail_after(remaining):
+            with anyio.fail_after(remaining), undoing_cancellations():
                 await _async_send(
                     chunks.stream, _head(facts, request, remaining), request.body
                 )
--- a/tests/components/peers/test_calls.py
+++ b/tests/components/peers/test_calls.py
@@ -8,12 +8,14 @@
 import anyio
 import pytest
 
+from mustardward.components.membership.models import Member
 from mustardward.components.peers.channels import Purpose
 from mustardward.components.peers.const import MAXIMUM_MESSAGE_BYTES
 from mustardward.components.peers.exceptions import (
     PeerRefusedError,
     PeerUnreachableError,
 )
+from mustardward.components.peers.services import GrpcPeers
 from mustardward.exceptions import NotReadyError, PeerOutcomeUnknownError
 from mustardward.helpers.registry import RegistryError
 
@@ -182,3 +184,38 @@
         second.release()
         assert second.channel is not first.channel
         assert not first.channel._connected
+
+
+async def test_a_lost_connection_leaves_no_cancellation_behind() -> None:
+    """Keep the caller's deadline working after a peer was lost.
+
+    Symptom: at its deadline a request gets a bare 500 without a body. Sequence: a call
+    is waiting when its peer is killed; the request goes on and reaches its deadline.
+    Cause: the transport cancels the waiting task and never takes that back, so the
+    deadline's scope lets its own cancellation through.
+    """
+    started = anyio.Event()
+
+    async def async_hang(sender: str, message: Any) -> EchoReply:
+        started.set()
+        await anyio.sleep(30)
+        return EchoReply(sender, message.text)
+
+    outcomes: list[str] = []
+
+    async def async_request(a: GrpcPeers, member: Member) -> None:
+        with anyio.move_on_after(0.5) as scope:
+            try:
+                await a.async_call(member, Echo("hello"), 10.0)
+            except PeerOutcomeUnknownError:
+                outcomes.append("lost")
+            await anyio.sleep(30)
+        outcomes.append("deadline" if scope.cancelled_caught else "ended")
+
+    async with running_peers("a") as a, running_peers("b") as b:
+        b.handle(Echo, async_hang)
+        async with anyio.create_task_group() as group:
+            group.start_soon(async_request, a, build_member("b", b.address))
+            await started.wait()
+            await b.async_stop()
+    assert outcomes == ["lost", "deadline"]
