--- a/mustardward/components/maintenance/const.py
+++ b/mustardward/components/maintenance/const.py
@@ -46,7 +46,7 @@
 LIST_INTERVAL_SECONDS: Final = 10.0
 """Least time between two readings of the platform's list."""
 
-LIST_SECONDS_PER_INSTANCE: Final = 0.02
+LIST_SECONDS_PER_INSTANCE: Final = 0.2
 """What each listed instance adds to that time, so that the list stays cheap."""
 
 LOOKS_PER_STEP: Final = 16
@@ -84,7 +84,10 @@
 RESELECT_SECONDS: Final = 10.0
 """Time after which a choice that took nothing is made again though nothing changed."""
 
-PACE_SECONDS: Final = 30.0
-"""Time for which the chosen paces hold."""
+PACE_SECONDS: Final = 300.0
+"""Time for which the chosen paces hold; to choose them for a whole fleet is dear."""
+
+TASKS_SECONDS: Final = 30.0
+"""Time for which the count of running jobs by worker holds."""
 
 DEFAULT_PATIENCE_SECONDS: Final = 0.0
--- a/mustardward/components/peers/cancellation.py
+++ b/mustardward/components/peers/cancellation.py
@@ -1,4 +1,11 @@
-"""Keep grpclib's cancellations away from the scopes around a call."""
+"""Take back the cancellations by which grpclib wakes a task.
+
+grpclib cancels a task that waits on a stream when the connection is lost, and raises
+its own error in place of the cancellation; but the task goes on counting it. A scope of
+anyio that passes its deadline later in the same task takes its own cancellation for one
+from outside and lets it through: a request would end without an answer, and show as an
+empty 500 without a line in the log.
+"""
 
 from __future__ import annotations
 
@@ -8,17 +15,11 @@
 
 
 @contextmanager
-def undoing_cancellations() -> Iterator[None]:
-    """Take back what grpclib cancelled of this task when it raises instead.
+def settled_cancellations() -> Iterator[None]:
+    """Leave the task's count of cancellations as it was, if an error comes out.
 
-    Enter it inside the scopes that bound the call.
+    A cancellation that comes out as such is somebody else's, and stays.
     """
-    # When a connection is lost, grpclib wakes the waiting task with ``Task.cancel()``,
-    # turns the cancellation into an error of its own, and leaves the task's count of
-    # cancellations raised. Every scope around takes that for somebody's wish to end
-    # the task: at the request's deadline the scope lets its own cancellation through,
-    # and the caller gets the server's bare 500 in place of a refusal that tells what
-    # ran.
     task = asyncio.current_task()
     before = task.cancelling() if task is not None else 0
     try:
--- a/tests/components/routing/test_router.py
+++ b/tests/components/routing/test_router.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Any
 
+import pytest
 from returns.result import Success
 
 from mustardward.components.entry.models import (
@@ -14,6 +15,7 @@
     RequestFacts,
 )
 from mustardward.components.entry.protocols import Choice
+from mustardward.components.routing.health import is_failure, is_verdict
 from mustardward.components.routing.models import (
     InstanceQuarantined,
     InstanceReleased,
@@ -211,13 +213,16 @@
     Cause: counting attempts in place of distinct requests.
     """
     bench = Bench(build_state(6))
-    for number in range(400):
-        bad = build_facts(f"bad-{number}", "large")
-        first = bench.choose(bad)
-        second = bench.choose(bad, frozenset({first.instance.instance_id}))
+    unlucky = "dc-1-pool-1-0"
+    others = frozenset(bench.log.state.instances) - {unlucky}
+    for number in range(100):
+        bad = build_facts(f"bad-{number}", "large", deadline=2e6)
+        first = bench.choose(bad, others)
+        second = bench.choose(bad, frozenset({unlucky}))
         for choice in (first, second):
             bench.router.finish(choice, bad, build_attempt(status=500))
-        bench.run(f"good-{number}", NONE)
+        bench.timers.pause(3.0)
+    assert first.instance.instance_id == unlucky
     assert not bench.of_type(InstanceQuarantined)
 
 
@@ -230,14 +235,53 @@
     """
     bench = Bench(build_state(6))
     bench.run_many("request", 100, NONE)
-    for number in range(200):
-        facts = build_facts(f"hurried-{number}")
-        choice = bench.choose(facts)
+    others = frozenset(bench.log.state.instances) - {"dc-1-pool-1-0"}
+    for number in range(50):
+        facts = build_facts(f"hurried-{number}", deadline=2e6)
+        choice = bench.choose(facts, others)
         gone = build_attempt(AttemptOutcome.UNKNOWN, cause="abandoned")
+        bench.timers.pause(3.0)
         bench.router.finish(choice, facts, gone)
+    assert choice.instance.instance_id == "dc-1-pool-1-0"
     assert not bench.of_type(InstanceQuarantined)
 
 
+@pytest.mark.parametrize(
+    ("status", "cause", "verdict", "failure"),
+    [
+        (200, "", True, False),
+        (500, "", True, True),
+        (500, "worker-failed", True, True),
+        (200, "answer-late", True, True),
+        (200, "hedge-lost", False, False),
+        (200, "answer-not-whole", False, False),
+    ],
+)
+def test_answers_are_judged_by_what_the_worker_did(
+    status: int, cause: str, verdict: bool, failure: bool
+) -> None:
+    attempt = build_attempt(status=status, cause=cause)
+    assert is_verdict(attempt, 0.05) is verdict
+    assert is_failure(attempt) is failure
+
+
+def test_own_shortage_is_no_evidence_against_a_worker() -> None:
+    """Symptom: a healthy worker is suspected of being down.
+
+    Sequence: this entry has used up its connections to it, or the request's time.
+    Cause: taking every attempt that was not sent for a failed connection.
+    """
+    bench = Bench(build_state(1))
+    for cause in ("connections-used-up", "deadline-exceeded"):
+        own = build_attempt(AttemptOutcome.NOT_SENT, cause=cause)
+        bench.router.finish(bench.choose(), build_facts(), own)
+    assert not bench.membership.reports
+    failed = build_attempt(AttemptOutcome.NOT_SENT, cause="connect-failed")
+    bench.router.finish(bench.choose(), build_facts(), failed)
+    assert bench.membership.reports == [("dc-1-pool-1-0", False, "connect-failed")]
+    assert bench.refusal() == "no-capacity"
+
+
 def test_worker_that_finishes_nothing_is_found() -> None:
     """Symptom: a share of all requests ends at its deadline.
 
