Try past a small answer that broke off

Cause: a soak with workers that cut every seventh answer gave callers 502 for one read in seven, while reads whose worker gave no answer at all were tried again. Ruled out: the same for long answers (their beginning has gone out). Change: an answer of up to 64 KiB is read to its end within its attempt; if it breaks off, the attempt is unknown, and an idempotent request may be tried again.

--- a/mustardward/components/entry/answer.py
+++ b/mustardward/components/entry/answer.py
@@ -9,6 +9,8 @@
 import httpx
 
 from ...exceptions import PeerError, TruncatedAnswerError
+from .const import HELD_ANSWER_BYTES
+from .headers import find_header
 from .lanes import Lane, WorkerLanes
 from .protocols import WorkerAnswer
 
@@ -155,6 +157,12 @@
         return body
 
 
+def is_small(answer: WorkerAnswer) -> bool:
+    """Tell whether an answer declares a length that is held until it is whole."""
+    length = find_header(answer.headers, b"content-length")
+    return length is not None and length.isdigit() and int(length) <= HELD_ANSWER_BYTES
+
+
 async def async_close_parts(parts: AsyncIterator[bytes]) -> None:
     """Close a source of pieces if it can be closed."""
     close: Callable[[], Awaitable[None]] | None = getattr(parts, "aclose", None)
--- a/mustardward/components/entry/attempts.py
+++ b/mustardward/components/entry/attempts.py
@@ -5,11 +5,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+import anyio
 from returns.result import Failure
 
+from ...exceptions import TruncatedAnswerError
 from ...helpers.timer import TimerService
 from ..routing.models import RemoteChoice
-from .answer import async_close_answer
+from .answer import BROKEN_ANSWER, StoredBody, async_close_answer, is_small
 from .body import StreamedBody
 from .models import Attempt, AttemptOutcome, Ran, RequestFacts
 from .parts import EntryParts
@@ -150,10 +152,32 @@
             attempt_id, name, AttemptOutcome.ANSWERED, now - started, answer.status
         )
         held = HeldAnswer(answer, attempt, finish)
-        if now <= self._facts.deadline:
+        if now > self._facts.deadline:
+            await self.async_give_up(held, "answer-late")
+            return None
+        if not is_small(answer):
             return held
-        await self.async_give_up(held, "answer-late")
-        return None
+        return await self._async_whole(held)
+
+    async def _async_whole(self, held: HeldAnswer) -> HeldAnswer | None:
+        """Read a small answer to its end, so that a broken one can be tried past."""
+        chunks = held.answer.chunks
+        try:
+            body = b"".join([chunk async for chunk in chunks])
+        except BROKEN_ANSWER:
+            lost = replace(
+                held.attempt,
+                outcome=AttemptOutcome.UNKNOWN,
+                cause=TruncatedAnswerError.code,
+            )
+            self.note(lost, held.finish)
+            return None
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await self.async_give_up(held, "abandoned")
+            raise
+        held.answer.chunks = StoredBody(body)
+        return held
 
     def _attempt(
         self, attempt_id: str, name: str, failed: FailedAttempt, started: float
--- a/mustardward/components/entry/const.py
+++ b/mustardward/components/entry/const.py
@@ -33,6 +33,9 @@
 KEYED_BODY_BYTES: Final = 1_048_576
 """Longest body under an idempotency key, which is held whole for its digest."""
 
+HELD_ANSWER_BYTES: Final = 65_536
+"""Longest answer that is held until it is whole, before any of it is passed on."""
+
 STORED_ANSWER_BYTES: Final = 16_384
 """Longest answer that is kept under an idempotency key."""
 
--- a/mustardward/components/entry/serving.py
+++ b/mustardward/components/entry/serving.py
@@ -10,7 +10,7 @@
 import anyio
 from returns.result import Failure, Result, Success
 
-from ...exceptions import BodyTooLargeError, CallerGoneError
+from ...exceptions import BodyTooLargeError, CallerGoneError, TruncatedAnswerError
 from ...helpers.timer import TimerService
 from ..routing.models import REMOTE_HELPS
 from .answer import StoredBody, WatchedBody
@@ -42,6 +42,7 @@
 _FINAL_BY_CAUSE: Final = {
     BodyTooLargeError.code: ("body-too-large", 413),
     CallerGoneError.code: ("caller-gone", 400),
+    TruncatedAnswerError.code: ("answer-truncated", 502),
 }
 _UNCONFIRMED: Final = no_answer_refusal(
     "not-ready", 503, Ran.NO, "the state was not confirmed since a pause"
--- a/mustardward/components/entry/writer.py
+++ b/mustardward/components/entry/writer.py
@@ -10,8 +10,8 @@
 
 from ...exceptions import CallerGoneError, MustardwardError
 from .abort import async_abort_stream, is_gone, tolerate_late_data
-from .const import LINGER_SECONDS, RETRY_BUFFER_BYTES
-from .headers import find_header
+from .answer import is_small
+from .const import LINGER_SECONDS
 from .health import Health
 from .models import RequestRefusal
 from .problem import problem_body, problem_headers
@@ -92,10 +92,9 @@
             *answer.headers,
             (b"mw-request-id", self._request_id.encode()),
         ]
-        length = find_header(answer.headers, b"content-length")
-        if length is not None and _is_small(length):
-            # Held until it is whole: a worker that breaks off then still shows as a
-            # clear refusal instead of a cut connection.
+        if is_small(answer):
+            # Whole already, or held until it is: what breaks off then still shows as
+            # a clear refusal instead of a cut connection.
             body = b"".join([chunk async for chunk in answer.chunks])
             await self._async_start(answer.status, headers)
             await self._async_end(body)
@@ -146,7 +145,3 @@
                 self._ended.set()
             if gone:
                 return
-
-
-def _is_small(length: bytes) -> bool:
-    return length.isdigit() and int(length) <= RETRY_BUFFER_BYTES
