Name the TLS files that a listener cannot use

Cause: a wrong certificate path ended a start with "No such file or directory" and no name. Ruled out: a fault of `check` (settings are often checked where the files are not). Change: a listener reads its TLS files when it is made, and a failure is a settings error that names them.

--- a/mustardward/helpers/listener.py
+++ b/mustardward/helpers/listener.py
@@ -7,7 +7,7 @@
 import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from ssl import CERT_REQUIRED
+from ssl import CERT_REQUIRED, SSLContext
 from typing import Any, Final
 
 import anyio
@@ -16,6 +16,7 @@
 from hypercorn.config import Config
 from hypercorn.logging import Logger
 
+from ..exceptions import SettingsError
 from ..settings.models import Listener, TlsSettings
 from .connection import HttpConnection
 from .logging import get_logger
@@ -77,6 +78,7 @@
 
     :param app: the application.
     :param address: where to listen; port 0 takes a free one.
+    :raises SettingsError: if a file of the TLS settings can't be used.
     """
 
     def __init__(
@@ -87,6 +89,8 @@
         self._stop = anyio.Event()
         self._stopped = anyio.Event()
         self._connections: set[asyncio.Task[Any]] = set()
+        self._http = _http_config(options)
+        self._tls = None if options.tls is None else _tls_context(self._http)
         self._socket = _bind(address)
         self._host, self._port = self._socket.getsockname()[:2]
 
@@ -115,7 +119,6 @@
         await self._stopped.wait()
 
     async def _async_serve(self) -> None:
-        config = self._config()
         context = WorkerContext(None)
 
         async def async_handle(
@@ -125,14 +128,14 @@
             assert task is not None
             self._connections.add(task)
             task.add_done_callback(self._connections.discard)
-            connection = HttpConnection(self._app, config, context, reader, writer)
+            connection = HttpConnection(self._app, self._http, context, reader, writer)
             await _async_run(connection)
 
         server = await asyncio.start_server(
             async_handle,
             sock=self._socket,
             backlog=BACKLOG,
-            ssl=config.create_ssl_context() if config.ssl_enabled else None,
+            ssl=self._tls,
         )
         try:
             await self._stop.wait()
@@ -143,25 +146,6 @@
                 await _async_finish(self._connections, self._options.graceful_seconds)
             self._stopped.set()
 
-    def _config(self) -> Config:
-        options = self._options
-        config = Config()
-        config.logger_class = EventLog
-        config.include_server_header = False
-        config.include_date_header = False
-        config.keep_alive_timeout = options.keepalive_seconds
-        config.keep_alive_max_requests = 1_000_000
-        # Twice the limit: the application refuses what is over it with a clear
-        # problem, and the server cuts off only what is far beyond.
-        config.h11_max_incomplete_size = 2 * options.header_bytes
-        config.h2_max_header_list_size = 2 * options.header_bytes
-        if options.tls is not None:
-            config.certfile = str(options.tls.certificate)
-            config.keyfile = str(options.tls.key)
-            config.ca_certs = str(options.tls.authority)
-            config.verify_mode = CERT_REQUIRED
-        return config
-
 
 async def _async_run(connection: HttpConnection) -> None:
     # asyncio prints a traceback for a handler that fails, and one caller's broken
@@ -184,6 +168,35 @@
         await asyncio.gather(*late, return_exceptions=True)
 
 
+def _http_config(options: ListenerOptions) -> Config:
+    config = Config()
+    config.logger_class = EventLog
+    config.include_server_header = False
+    config.include_date_header = False
+    config.keep_alive_timeout = options.keepalive_seconds
+    config.keep_alive_max_requests = 1_000_000
+    # Twice the limit: the application refuses what is over it with a clear problem,
+    # and the server cuts off only what is far beyond.
+    config.h11_max_incomplete_size = 2 * options.header_bytes
+    config.h2_max_header_list_size = 2 * options.header_bytes
+    if options.tls is not None:
+        config.certfile = str(options.tls.certificate)
+        config.keyfile = str(options.tls.key)
+        config.ca_certs = str(options.tls.authority)
+        config.verify_mode = CERT_REQUIRED
+    return config
+
+
+def _tls_context(config: Config) -> SSLContext:
+    try:
+        context = config.create_ssl_context()
+    except OSError as error:
+        names = f"{config.certfile}, {config.keyfile}, {config.ca_certs}"
+        raise SettingsError(f"tls: one of {names}: {error}") from error
+    assert context is not None
+    return context
+
+
 def _bind(address: Listener) -> socket.socket:
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     bound = socket.socket(family, socket.SOCK_STREAM)
--- a/tests/components/api/test_tls.py
+++ b/tests/components/api/test_tls.py
@@ -18,8 +18,10 @@
 from mustardward.components.api.setup import async_setup_api
 from mustardward.components.keys import API
 from mustardward.core import Core
+from mustardward.exceptions import SettingsError
+from mustardward.helpers.listener import HttpListener, ListenerOptions
 from mustardward.helpers.timer import DrivenTimerService
-from mustardward.settings.models import OperatorSettings, TlsSettings
+from mustardward.settings.models import Listener, OperatorSettings, TlsSettings
 from tests.fakes.entry import build_settings
 
 pytestmark = pytest.mark.anyio
@@ -92,3 +94,11 @@
                 answer = await client.get(url)
             await unload()
     assert answer.status_code == 200
+
+
+def test_a_certificate_that_cannot_be_read_is_a_settings_error(tmp_path: Path) -> None:
+    tls = TlsSettings(
+        certificate=tmp_path / "a", key=tmp_path / "b", authority=tmp_path / "c"
+    )
+    with pytest.raises(SettingsError, match="tls: one of"):
+        HttpListener(lambda: None, Listener(port=0), ListenerOptions(tls=tls))  # type: ignore[arg-type]
