Forget old terms of quarantine

Cause: a worker's terms doubled for ever, so one bad hour a year ago cost it minutes. Change: terms older than ten minutes do not lengthen a new one; the organisation's queue is opened from the request in one step.

--- a/mustardward/components/limits/gate.py
+++ b/mustardward/components/limits/gate.py
@@ -89,8 +89,7 @@
         cause = self._border_cause(ticket, now)
         if cause is not None:
             return [_refuse(ticket, cause)]
-        name, now_virtual = ticket.organisation, self._virtual_time
-        queue = self._table.open(name, ticket.quota, now_virtual)
+        queue = self._table.open(ticket, self._virtual_time)
         evicted = self._make_room(queue)
         if self._waiting >= self._queue_length or self._table.is_queue_full(queue):
             at_quota = self._table.is_at_quota(queue)
@@ -277,8 +276,7 @@
             return True
         if not ticket.estimate.in_flight:
             return False
-        needed = SERVICE_SHARE * ticket.estimate.recent
-        return ticket.deadline - now < needed
+        return ticket.deadline - now < SERVICE_SHARE * ticket.estimate.recent
 
     def _promote(self, ticket: Ticket) -> None:
         queue = self._table[ticket.organisation]
--- a/mustardward/components/limits/shares.py
+++ b/mustardward/components/limits/shares.py
@@ -4,7 +4,6 @@
 
 import math
 
-from ...state.models.templates import Quota
 from .const import LIGHT_SHARE
 from .fairness import OrganisationQueue
 from .models import Ticket
@@ -33,13 +32,14 @@
         """Return an organisation's queue, if it has one."""
         return self._queues.get(name)
 
-    def open(self, name: str, quota: Quota, virtual_time: float) -> OrganisationQueue:
-        """Return an organisation's queue with the quota now in force."""
+    def open(self, ticket: Ticket, virtual_time: float) -> OrganisationQueue:
+        """Return the queue of a request's organisation with the quota now in force."""
+        name = ticket.organisation
         queue = self._queues.get(name)
         if queue is None:
-            queue = OrganisationQueue(name, quota, finish=virtual_time)
+            queue = OrganisationQueue(name, ticket.quota, finish=virtual_time)
             self._queues[name] = queue
-        queue.quota = quota
+        queue.quota = ticket.quota
         return queue
 
     def set_entries(self, entries: int) -> None:
--- a/mustardward/components/routing/const.py
+++ b/mustardward/components/routing/const.py
@@ -68,6 +68,9 @@
 QUARANTINE_MAXIMUM_SECONDS: Final = 300.0
 """Longest term of quarantine."""
 
+TERMS_FORGOTTEN_SECONDS: Final = 600.0
+"""Time after which earlier terms of quarantine do not lengthen a new one."""
+
 PROBE_SECONDS: Final = 0.05
 """Shortest time between two probes of one worker."""
 
--- a/mustardward/components/routing/health.py
+++ b/mustardward/components/routing/health.py
@@ -20,6 +20,7 @@
     QUARANTINE_MAXIMUM_SECONDS,
     QUARANTINE_SECONDS,
     QUARANTINED_SHARE,
+    TERMS_FORGOTTEN_SECONDS,
 )
 
 TRUSTED = "trusted"
@@ -125,6 +126,8 @@
     """
     health.standing = load_chart("quarantine").next_state(health.standing, event)
     if health.standing == QUARANTINED:
+        if now - health.due > TERMS_FORGOTTEN_SECONDS:
+            health.terms = 0
         term = QUARANTINE_SECONDS * 2.0**health.terms
         health.due = now + min(term, QUARANTINE_MAXIMUM_SECONDS)
         health.terms += 1
--- a/tests/components/routing/test_router.py
+++ b/tests/components/routing/test_router.py
@@ -15,7 +15,12 @@
     RequestFacts,
 )
 from mustardward.components.entry.protocols import Choice
-from mustardward.components.routing.health import is_failure, is_verdict
+from mustardward.components.routing.health import (
+    Health,
+    is_failure,
+    is_verdict,
+    move_standing,
+)
 from mustardward.components.routing.models import (
     InstanceQuarantined,
     InstanceReleased,
@@ -350,6 +355,16 @@
     assert released == ["dc-1-pool-1-5"]
 
 
+def test_old_terms_of_quarantine_are_forgotten() -> None:
+    health = Health()
+    terms = []
+    for now in (0.0, 100.0, 2000.0):
+        move_standing(health, "judged_outlier", now)
+        terms.append(health.due - now)
+        move_standing(health, "seen_up", health.due)
+    assert terms == [5.0, 10.0, 5.0]
+
+
 def test_folded_quarantine_of_another_entry_is_followed() -> None:
     bench = Bench(build_state(3))
     name = "dc-1-pool-1-0"
