Let the instance's chart decide what may happen to it

Cause: the chart of an instance was a file that nothing read, and claims, moves and removals each asked the maps of the state in their own way. Ruled out: a status kept in the state; it could disagree with claims, moves, absences. Change: the state of an instance is told from what holds it, and the chart says whether a claim, a move or a removal is accepted; "pool show" prints it.

--- a/mustardward/components/maintenance/absence_reporter.py
+++ b/mustardward/components/maintenance/absence_reporter.py
@@ -11,7 +11,8 @@
 from ...platform.models import InstancePower, PowerState
 from ...platform.protocols import ListingService
 from ...state.budgets import index_of
-from ...state.handlers.absences import CAUSE_FAILED, is_quarantine
+from ...state.handlers.absences import CAUSE_FAILED
+from ...state.instance_status import is_quarantine
 from ...state.models.maintenance import AbsenceChange, ReportAbsences
 from .const import (
     DOWN_AFTER_SECONDS,
--- a/mustardward/components/maintenance/decisions.py
+++ b/mustardward/components/maintenance/decisions.py
@@ -7,8 +7,11 @@
 
 from ...core import EventBus
 from ...helpers.logging import get_logger
+from ...state.budgets import BudgetExceededError
+from ...state.models.maintenance import Wave
 from ...state.protocols import FleetLog
 from ..explain.models import DecisionMade, SubjectKind
+from .selection import Selection
 
 _LOGGER = get_logger(__name__)
 
@@ -52,3 +55,27 @@
             inputs=" ".join(inputs),
             offset=offset,
         )
+
+
+def note_selection(journal: DecisionJournal, wave: Wave, selection: Selection) -> None:
+    """Announce what holds a wave back, if something does."""
+    for pool, budget in selection.binding.items():
+        journal.note(
+            SubjectKind.WAVE,
+            wave.wave_id,
+            "claim-held-back",
+            BudgetExceededError.code,
+            f"pool={pool}",
+            f"organisation={budget.organisation}",
+            f"scope={budget.scope}",
+            f"margin={budget.margin}",
+        )
+    if selection.closed:
+        pools = ",".join(sorted(selection.closed))
+        journal.note(
+            SubjectKind.WAVE,
+            wave.wave_id,
+            "claim-held-back",
+            "window-closed",
+            f"pools={pools}",
+        )
--- a/mustardward/components/maintenance/selection.py
+++ b/mustardward/components/maintenance/selection.py
@@ -9,8 +9,8 @@
 from ...state.budget_counters import Budget
 from ...state.budgets import index_of
 from ...state.fleet import FleetState
-from ...state.handlers.absences import is_quarantine
 from ...state.handlers.waves import wave_limit
+from ...state.instance_status import instance_status
 from ...state.models.maintenance import Wave
 from ...state.models.pools import Instance
 from .windows import windows_allow
@@ -109,9 +109,7 @@
 
     It never serves as a canary: that it fails would say nothing about the wave.
     """
-    absence = state.absences.get(instance_id)
-    held = instance_id in state.claims or instance_id in state.moves
-    return absence is not None and is_quarantine(absence) and not held
+    return instance_status(state, instance_id) == "quarantined"
 
 
 def _is_whole(budget: Budget | None) -> bool:
--- a/mustardward/components/maintenance/services.py
+++ b/mustardward/components/maintenance/services.py
@@ -29,7 +29,7 @@
 from ..explain.models import SubjectKind
 from .claim_steps import ClaimSteps
 from .const import CLAIM_PRIORITY, MAXIMUM_CLAIMS_AT_ONCE, RESELECT_SECONDS
-from .decisions import DecisionJournal
+from .decisions import DecisionJournal, note_selection
 from .evidence import unreported_down
 from .models import ExecutorParts, executor_name
 from .pacing import Pacing
@@ -204,7 +204,7 @@
         if selection.chosen:
             await self._async_look(selection.chosen)
             selection = self._select(wave, evidence)
-        self._note_selection(wave, selection)
+        note_selection(self._journal, wave, selection)
         proposed: list[str] = []
         async with anyio.create_task_group() as group:
             for instance_id in selection.chosen:
@@ -244,28 +244,6 @@
         parts = self._parts
         return unreported_down(parts.log.state, parts.membership, parts.data_centre)
 
-    def _note_selection(self, wave: Wave, selection: Selection) -> None:
-        for pool, budget in selection.binding.items():
-            self._journal.note(
-                SubjectKind.WAVE,
-                wave.wave_id,
-                "claim-held-back",
-                BudgetExceededError.code,
-                f"pool={pool}",
-                f"organisation={budget.organisation}",
-                f"scope={budget.scope}",
-                f"margin={budget.margin}",
-            )
-        if selection.closed:
-            pools = ",".join(sorted(selection.closed))
-            self._journal.note(
-                SubjectKind.WAVE,
-                wave.wave_id,
-                "claim-held-back",
-                "window-closed",
-                f"pools={pools}",
-            )
-
     async def _async_signal(self, wave: Wave, signal: str) -> None:
         await self._parts.log.async_propose(
             SignalWave(wave.wave_id, signal),
--- a/mustardward/components/pools/api.py
+++ b/mustardward/components/pools/api.py
@@ -11,6 +11,7 @@
 from ...exceptions import MustardwardError
 from ...state.budgets import index_of
 from ...state.fleet import FleetState
+from ...state.instance_status import instance_status
 from ...state.models.pools import CancelMove, Instance, Move, RequestMove
 from ...state.records import NO_BASE
 from ..api.routes import ApiAnswer, ApiRequest, api_route
@@ -164,7 +165,7 @@
         "rack": item.rack,
         "generation": item.generation,
         "claim": f"{claim.wave_id}/{claim.stage}" if claim else "",
-        "move": item.instance_id in state.moves,
+        "status": instance_status(state, item.instance_id),
         "absent": absence.cause if absence else "",
     }
 
--- a/mustardward/state/handlers/absences.py
+++ b/mustardward/state/handlers/absences.py
@@ -23,13 +23,6 @@
 CAUSE_REBOOT: Final = "reboot-failed"
 """Cause of an absence that only a newer boot ends."""
 
-_QUARANTINE_PREFIX: Final = "quarantine"
-
-
-def is_quarantine(absence: Absence) -> bool:
-    """Tell whether an instance is up and only trusted with no work."""
-    return absence.cause.startswith(_QUARANTINE_PREFIX)
-
 
 @FLEET_HANDLERS.register("absence.report")
 def report_absences(
--- a/mustardward/state/handlers/maintenance.py
+++ b/mustardward/state/handlers/maintenance.py
@@ -16,6 +16,7 @@
 from ..budgets import check_budgets, check_held, index_of, touch_instance
 from ..fleet import FleetState
 from ..fold import FoldContext, RecordRefusedError
+from ..instance_status import instance_accepts, instance_status
 from ..models.maintenance import (
     Absence,
     AdoptClaim,
@@ -28,7 +29,7 @@
     WaveStatus,
 )
 from ..models.pools import Instance
-from .absences import CAUSE_REBOOT, is_quarantine
+from .absences import CAUSE_REBOOT
 from .fleet_registry import FLEET_HANDLERS
 from .maintenance_refusals import (
     ClaimFencedError,
@@ -88,18 +89,14 @@
     state: FleetState, instance: Instance
 ) -> RecordRefusedError | None:
     name = instance.instance_id
-    if name in state.claims:
-        return InstanceBusyError(f"instance={name} wave={state.claims[name].wave_id}")
-    if name in state.moves:
-        return InstanceBusyError(f"instance={name} move={state.moves[name].move_id}")
-    absence = state.absences.get(name)
-    if absence is None:
-        return check_budgets(state, instance)
-    if not is_quarantine(absence):
-        return InstanceBusyError(f"instance={name} absent={absence.cause}")
-    # It counts as unavailable already, so a reboot takes nothing from any budget, and
-    # may be what it needs.
-    return check_held(state, instance)
+    status = instance_status(state, name)
+    if not instance_accepts(state, name, "claim"):
+        return InstanceBusyError(f"instance={name} status={status}")
+    if name in state.absences:
+        # Quarantined, it counts as unavailable already: a reboot takes nothing from any
+        # budget, and may be what it needs.
+        return check_held(state, instance)
+    return check_budgets(state, instance)
 
 
 def _fenced(
--- a/mustardward/state/handlers/pools.py
+++ b/mustardward/state/handlers/pools.py
@@ -14,6 +14,7 @@
 from ..budgets import check_budgets, touch_instance
 from ..fleet import FleetState
 from ..fold import Acceptance, FoldContext, RecordRefusedError
+from ..instance_status import instance_accepts, instance_status
 from ..models.pools import (
     AcknowledgeMove,
     AddInstance,
@@ -99,7 +100,7 @@
         conflict = conflict_with(context, instance.generation)
         if conflict is not None:
             return Failure(conflict)
-    if body.instance_id in state.claims:
+    if not instance_accepts(state, body.instance_id, "remove"):
         return Failure(SubjectInUseError(f"instance={body.instance_id} claimed"))
     del state.instances[body.instance_id]
     state.moves.pop(body.instance_id, None)
@@ -190,9 +191,9 @@
     held = state.moves.get(name)
     if held is not None:
         return MoveInProgressError(f"move={held.move_id}")
-    claim = state.claims.get(name)
-    if claim is not None:
-        return SubjectInUseError(f"instance={name} wave={claim.wave_id}")
+    if not instance_accepts(state, name, "request-move"):
+        status = instance_status(state, name)
+        return SubjectInUseError(f"instance={name} status={status}")
     if name in state.absences:
         return None
     return check_budgets(state, instance)
--- a/tests/state/test_pools.py
+++ b/tests/state/test_pools.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mustardward.helpers.chart import load_chart
 from mustardward.state.budgets import BudgetExceededError, BudgetIndex, index_of
 from mustardward.state.fold import RevisionConflictError
 from mustardward.state.handlers.pools import (
@@ -16,7 +17,9 @@
     UnknownPoolError,
     UnknownSubjectError,
 )
+from mustardward.state.instance_status import instance_status
 from mustardward.state.models.maintenance import (
+    Absence,
     AbsenceChange,
     Claim,
     ReportAbsences,
@@ -164,3 +167,23 @@
     state = builder.fold.state
     assert index_of(state).snapshot() == BudgetIndex(state).snapshot()
     assert index_of(state).count(state, "casting", "bergen").total == 2
+
+
+@pytest.mark.parametrize(
+    ("held", "wanted"),
+    [
+        ({}, "serving"),
+        ({"absences": Absence("one", "failed", "e", 1)}, "absent"),
+        ({"absences": Absence("one", "quarantined", "e", 1)}, "quarantined"),
+        ({"claims": Claim("one", "w", "e#1", 1, "claimed", 1)}, "maintained"),
+    ],
+)
+def test_an_instance_has_one_state_of_its_chart(
+    builder: FoldBuilder, held: dict[str, object], wanted: str
+) -> None:
+    state = builder.fold.state
+    for name, value in held.items():
+        getattr(state, name)["one"] = value
+    assert instance_status(state, "one") == wanted
+    assert wanted in load_chart("instance").transitions
+    assert instance_status(state, "nobody") == "removed"
