--- a/mustardward/state/snapshot_writer.py
+++ b/mustardward/state/snapshot_writer.py
@@ -94,6 +94,14 @@
                 error=error.code,
                 detail=error.detail,
             )
+        except Exception as error:
+            # The duty runs in a task of the process; what escapes it ends the entry.
+            _LOGGER.error(
+                "snapshot_not_written",
+                stream=self._log.spec.name,
+                error=type(error).__name__,
+                detail=str(error),
+            )
         finally:
             self._busy = False
 
--- a/tests/state/test_pace.py
+++ b/tests/state/test_pace.py
@@ -67,3 +67,40 @@
         await bench.async_settle()
         await bench.async_fill(log, 2)
         assert heard == [0, 1]
+
+
+async def test_claims_go_before_what_waits_longer() -> None:
+    async with running_bench() as bench:
+        log = bench.start()
+        await bench.async_settle()
+        accepted: list[str] = []
+        log.listen(lambda outcome: accepted.append(outcome.body.name))
+
+        async def propose(name: str, priority: int) -> None:
+            await log.async_propose(PutPool(name), actor="o", priority=priority)
+
+        bench.service.refuse_appends = 2
+        for name, priority in (("last", 2), ("middle", 1), ("claim", 0)):
+            bench.group.start_soon(propose, name, priority)
+        await bench.async_until(lambda: len(accepted) == 3, 10.0)
+        assert accepted == ["claim", "middle", "last"]
+
+
+async def test_one_record_proposed_twice_at_once_is_accepted_once() -> None:
+    async with running_bench() as bench:
+        log = bench.start()
+        await bench.async_settle()
+        results: list[Any] = []
+
+        async def propose() -> None:
+            body = PutPool("cellar")
+            results.append(
+                await log.async_propose(body, actor="o", record_id="the-same")
+            )
+
+        for _ in range(2):
+            bench.group.start_soon(propose)
+        await bench.async_until(lambda: len(results) == 2, 5.0)
+        await propose()
+        assert [item.unwrap().revision for item in results] == [1, 1, 1]
+        assert log.sequence == 1
--- a/tests/state/test_snapshots.py
+++ b/tests/state/test_snapshots.py
@@ -297,3 +297,23 @@
         await bench.async_run(writer.async_check)
         await bench.async_run(writer.async_check)
         assert bench.service.tail(MANIFESTS) == 1
+
+
+async def test_a_snapshot_that_breaks_does_not_end_the_entry(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with running_bench() as bench:
+        log = bench.start()
+        await bench.async_settle()
+        await bench.async_fill(log, 1)
+
+        def fail() -> None:
+            raise ValueError("cannot be encoded")
+
+        writer = SnapshotWriter(log, bench.timers, lambda: True)
+        monkeypatch.setattr(log, "image", fail)
+        await bench.async_run(writer.async_check)
+        assert bench.service.tail(MANIFESTS) == 0
+        monkeypatch.undo()
+        await bench.async_run(writer.async_check)
+        assert bench.service.tail(MANIFESTS) == 1
