Give each operators' command its client

Cause: every command took three options only to make the same client of them; the same lines stood 26 times in eight modules. Ruled out: click's context object; a command called from a test would have to build one. Change: with_client adds the options and hands the command the client. Conclusion: a new command says what it does and no more.

--- a/mustardward/cli/client.py
+++ b/mustardward/cli/client.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import wraps
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -98,6 +99,19 @@
     return UnreachableError(message) if status == 503 else RefusedError(message)
 
 
+def with_client(function: Callable[..., Any]) -> Callable[..., Any]:
+    """Add the shared options; the command gets the client they describe."""
+
+    @wraps(function)
+    def run(
+        *args: Any, server: str, token_file: Path | None, authority: str, **others: Any
+    ) -> Any:
+        client = make_client(server, token_file, authority)
+        return function(*args, client=client, **others)
+
+    return operator_options(run)
+
+
 def operator_options(function: FunctionT) -> FunctionT:
     """Add the options that every operator's command shares.
 
--- a/mustardward/cli/explain.py
+++ b/mustardward/cli/explain.py
@@ -4,12 +4,11 @@
 
 from collections.abc import Iterator
 from datetime import UTC, datetime
-from pathlib import Path
 from typing import Any
 
 import click
 
-from .client import make_client, operator_options
+from .client import OperatorClient, with_client
 from .output import output_option, print_data
 
 
@@ -17,17 +16,14 @@
 @click.argument("kind", type=click.Choice(["instance", "wave", "job", "organisation"]))
 @click.argument("subject_id", metavar="ID")
 @output_option
-@operator_options
+@with_client
 def command(
     kind: str,
     subject_id: str,
     output: str,
-    server: str,
-    token_file: Path | None,
-    authority: str,
+    client: OperatorClient,
 ) -> None:
     """Tell what happened to a subject, in order, and why."""
-    client = make_client(server, token_file, authority)
     story = client.call("GET", f"/explain/{kind}/{subject_id}")
     if output == "json":
         print_data(story, output)
--- a/mustardward/cli/job.py
+++ b/mustardward/cli/job.py
@@ -9,7 +9,7 @@
 
 import click
 
-from .client import make_client, operator_options
+from .client import OperatorClient, with_client
 from .exit_codes import OutcomeUnknownError
 from .output import output_option, print_data
 from .records import FILE_TYPE
@@ -46,7 +46,7 @@
 @click.argument("organisation")
 @click.argument("service")
 @_submit_options
-@operator_options
+@with_client
 def submit(
     organisation: str,
     service: str,
@@ -58,9 +58,7 @@
     memory: int,
     accelerators: int,
     seconds: float,
-    server: str,
-    token_file: Path | None,
-    authority: str,
+    client: OperatorClient,
 ) -> None:
     """Submit a job for a SERVICE of an ORGANISATION; print its id once accepted."""
     content = payload.read_bytes() if payload else b""
@@ -80,7 +78,6 @@
         "accelerators": accelerators,
         "declared_seconds": seconds,
     }
-    client = make_client(server, token_file, authority)
     try:
         answer = client.call("POST", "/jobs", body=body)
     except OutcomeUnknownError as error:
@@ -93,28 +90,22 @@
 @command.command()
 @click.argument("job_id")
 @output_option
-@operator_options
-def status(
-    job_id: str, output: str, server: str, token_file: Path | None, authority: str
-) -> None:
+@with_client
+def status(job_id: str, output: str, client: OperatorClient) -> None:
     """Show where the job JOB_ID is."""
-    client = make_client(server, token_file, authority)
     print_data(client.call("GET", f"/jobs/{job_id}"), output)
 
 
 @command.command()
 @click.argument("job_id")
 @click.option("--output-file", type=FILE_TYPE, help="Write the result here.")
-@operator_options
+@with_client
 def result(
     job_id: str,
     output_file: Path | None,
-    server: str,
-    token_file: Path | None,
-    authority: str,
+    client: OperatorClient,
 ) -> None:
     """Print the result of the job JOB_ID, once it is done."""
-    client = make_client(server, token_file, authority)
     answer = client.call("GET", f"/jobs/{job_id}/result")
     if answer["status"] != "done":
         raise click.ClickException(f"job={job_id} status={answer['status']}")
@@ -129,17 +120,14 @@
 @click.argument("job_id", required=False)
 @click.option("--organisation", help="With --group: whose group.")
 @click.option("--group", help="Cancel all unfinished jobs of this group.")
-@operator_options
+@with_client
 def cancel(
     job_id: str | None,
     organisation: str | None,
     group: str | None,
-    server: str,
-    token_file: Path | None,
-    authority: str,
+    client: OperatorClient,
 ) -> None:
     """Cancel the job JOB_ID, or a whole group of an organisation."""
-    client = make_client(server, token_file, authority)
     if job_id and not group:
         answer = client.call("POST", f"/jobs/{job_id}/cancel")
         click.echo(f"job={job_id} status={answer['status']}")
@@ -153,26 +141,22 @@
 
 @command.command()
 @click.argument("job_id")
-@operator_options
-def retry(job_id: str, server: str, token_file: Path | None, authority: str) -> None:
+@with_client
+def retry(job_id: str, client: OperatorClient) -> None:
     """Let the parked or held job JOB_ID run again.
 
     A held job may have run. Make sure that it did not, or that a second run does no
     harm, before you retry it.
     """
-    client = make_client(server, token_file, authority)
     answer = client.call("POST", f"/jobs/{job_id}/retry")
     click.echo(f"job={job_id} status={answer['status']}")
 
 
 @command.command(name="list")
 @output_option
-@operator_options
-def list_jobs(
-    output: str, server: str, token_file: Path | None, authority: str
-) -> None:
+@with_client
+def list_jobs(output: str, client: OperatorClient) -> None:
     """List the parked and held jobs, which wait for an operator."""
-    client = make_client(server, token_file, authority)
     answer = client.call("GET", "/jobs")
     names = ("job_id", "status", "attempts", "failed_workers", "reason")
     rows = [{name: job[name] for name in names} for job in answer["stuck"]]
--- a/mustardward/cli/organisation.py
+++ b/mustardward/cli/organisation.py
@@ -6,7 +6,7 @@
 
 import click
 
-from .client import make_client, operator_options
+from .client import OperatorClient, with_client
 from .files import OrganisationEntry, OrganisationsFile, read_file
 from .output import output_option, print_data
 from .records import FILE_TYPE, change_options, check_in_force, send_change
@@ -24,7 +24,7 @@
 @click.option("--base", default=0, help="Revision to replace; 0 for a new one.")
 @change_options
 @output_option
-@operator_options
+@with_client
 def create(
     name: str | None,
     template: str | None,
@@ -33,15 +33,12 @@
     wait: float,
     record_id: str | None,
     output: str,
-    server: str,
-    token_file: Path | None,
-    authority: str,
+    client: OperatorClient,
 ) -> None:
     """Create the organisation NAME from --template, or all of --file."""
     entries = _entries(name, template, file)
     if record_id is not None and len(entries) != 1:
         raise click.UsageError("--record-id belongs to one organisation")
-    client = make_client(server, token_file, authority)
     answers = []
     for entry in entries:
         body = {
@@ -60,12 +57,9 @@
 @command.command()
 @click.argument("name")
 @output_option
-@operator_options
-def show(
-    name: str, output: str, server: str, token_file: Path | None, authority: str
-) -> None:
+@with_client
+def show(name: str, output: str, client: OperatorClient) -> None:
     """Show the organisation NAME with the parameters in force."""
-    client = make_client(server, token_file, authority)
     found = client.call("GET", f"/organisations/{name}")
     names = ("name", "template", "template_revision", "revision")
     shown = {key: found[key] for key in names} | found["parameters"]
@@ -75,10 +69,9 @@
 
 @command.command("list")
 @output_option
-@operator_options
-def list_all(output: str, server: str, token_file: Path | None, authority: str) -> None:
+@with_client
+def list_all(output: str, client: OperatorClient) -> None:
     """List the organisations."""
-    client = make_client(server, token_file, authority)
     print_data(client.call("GET", "/organisations"), output)
 
 
@@ -86,17 +79,14 @@
 @click.argument("name")
 @click.option("--base", type=int, help="Revision that must be in force.")
 @output_option
-@operator_options
+@with_client
 def remove(
     name: str,
     base: int | None,
     output: str,
-    server: str,
-    token_file: Path | None,
-    authority: str,
+    client: OperatorClient,
 ) -> None:
     """Remove the organisation NAME."""
-    client = make_client(server, token_file, authority)
     query = {} if base is None else {"base_revision": str(base)}
     print_data(client.call("DELETE", f"/organisations/{name}", query=query), output)
 
--- a/mustardward/cli/pool.py
+++ b/mustardward/cli/pool.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-
 import click
 
-from .client import make_client, operator_options
+from .client import OperatorClient, with_client
 from .output import output_option, print_data
 from .records import record_option, send_record
 from .registration import register
@@ -23,24 +21,18 @@
 
 @command.command("list")
 @output_option
-@operator_options
-def list_pools(
-    output: str, server: str, token_file: Path | None, authority: str
-) -> None:
+@with_client
+def list_pools(output: str, client: OperatorClient) -> None:
     """List the pools."""
-    client = make_client(server, token_file, authority)
     print_data(client.call("GET", "/pools"), output)
 
 
 @command.command()
 @click.argument("name")
 @output_option
-@operator_options
-def show(
-    name: str, output: str, server: str, token_file: Path | None, authority: str
-) -> None:
+@with_client
+def show(name: str, output: str, client: OperatorClient) -> None:
     """Show the pool NAME with its budgets, moves and instances."""
-    client = make_client(server, token_file, authority)
     found = client.call("GET", f"/pools/{name}")
     print_sections(found, output, ("budgets", "moves", "instances"))
 
@@ -51,20 +43,17 @@
 @click.option("--base", type=int, help="Ownership generation that was seen.")
 @record_option
 @output_option
-@operator_options
+@with_client
 def move(
     instance: str,
     target: str,
     base: int | None,
     record_id: str | None,
     output: str,
-    server: str,
-    token_file: Path | None,
-    authority: str,
+    client: OperatorClient,
 ) -> None:
     """Move INSTANCE to the pool TARGET once every entry has given it up."""
     body = {"instance_id": instance, "target": target, "base_generation": base}
-    client = make_client(server, token_file, authority)
     print_data(send_record(client, "POST", "/moves", body, record_id), output)
 
 
@@ -72,16 +61,13 @@
 @click.argument("move_id")
 @record_option
 @output_option
-@operator_options
+@with_client
 def cancel_move(
     move_id: str,
     record_id: str | None,
     output: str,
-    server: str,
-    token_file: Path | None,
-    authority: str,
+    client: OperatorClient,
 ) -> None:
     """Cancel the move MOVE_ID; the instance stays in its pool."""
-    client = make_client(server, token_file, authority)
     path = f"/moves/{move_id}/cancel"
     print_data(send_record(client, "POST", path, {}, record_id), output)
--- a/mustardward/cli/registration.py
+++ b/mustardward/cli/registration.py
@@ -7,7 +7,7 @@
 
 import click
 
-from .client import OperatorClient, make_client, operator_options
+from .client import OperatorClient, with_client
 from .exit_codes import RefusedError
 from .files import PoolsFile, read_file
 from .output import output_option, print_data
@@ -19,13 +19,10 @@
 @click.command()
 @click.argument("file", type=FILE_TYPE)
 @output_option
-@operator_options
-def register(
-    file: Path, output: str, server: str, token_file: Path | None, authority: str
-) -> None:
+@with_client
+def register(file: Path, output: str, client: OperatorClient) -> None:
     """Register the pools and workers in FILE; a second run changes nothing."""
     content = read_file(file, PoolsFile)
-    client = make_client(server, token_file, authority)
     outcomes = register_pools(client, content)
     print_data(outcomes, output)
     refused = [item for item in outcomes if "error" in item]
--- a/mustardward/cli/report.py
+++ b/mustardward/cli/report.py
@@ -9,7 +9,7 @@
 
 import click
 
-from .client import make_client, operator_options
+from .client import OperatorClient, with_client
 from .records import FILE_TYPE
 
 
@@ -28,17 +28,14 @@
     help="How the report is printed.",
 )
 @click.option("--output-file", type=FILE_TYPE, help="Write the report here.")
-@operator_options
+@with_client
 def burn(
     organisation: str,
     output: str,
     output_file: Path | None,
-    server: str,
-    token_file: Path | None,
-    authority: str,
+    client: OperatorClient,
 ) -> None:
     """Show error budgets left, burn rates, and what burnt them."""
-    client = make_client(server, token_file, authority)
     query = {"organisation": organisation} if organisation else None
     report = client.call("GET", "/reports/burn", query=query)
     text = render(report, output)
--- a/mustardward/cli/template.py
+++ b/mustardward/cli/template.py
@@ -7,7 +7,7 @@
 
 import click
 
-from .client import OperatorClient, make_client, operator_options
+from .client import OperatorClient, with_client
 from .files import TemplateFile, read_file
 from .output import output_option, print_data
 from .records import FILE_TYPE, change_options, check_in_force, send_change
@@ -22,19 +22,16 @@
 @click.argument("file", type=FILE_TYPE)
 @change_options
 @output_option
-@operator_options
+@with_client
 def publish(
     file: Path,
     wait: float,
     record_id: str | None,
     output: str,
-    server: str,
-    token_file: Path | None,
-    authority: str,
+    client: OperatorClient,
 ) -> None:
     """Publish the new template in FILE."""
     content = read_file(file, TemplateFile)
-    client = make_client(server, token_file, authority)
     _publish(client, content, content.base_revision or 0, wait, record_id, output)
 
 
@@ -43,16 +40,14 @@
 @click.option("--base", type=int, help="Revision that FILE was made from.")
 @change_options
 @output_option
-@operator_options
+@with_client
 def revise(
     file: Path,
     base: int | None,
     wait: float,
     record_id: str | None,
     output: str,
-    server: str,
-    token_file: Path | None,
-    authority: str,
+    client: OperatorClient,
 ) -> None:
     """Publish FILE as the revision that follows its base.
 
@@ -63,7 +58,6 @@
     seen = content.base_revision if base is None else base
     if seen is None:
         raise click.UsageError("give --base or a base_revision in FILE")
-    client = make_client(server, token_file, authority)
     _publish(client, content, seen, wait, record_id, output)
 
 
@@ -71,17 +65,14 @@
 @click.argument("name")
 @click.option("--revision", type=int, help="One that is kept; else the one in force.")
 @output_option
-@operator_options
+@with_client
 def show(
     name: str,
     revision: int | None,
     output: str,
-    server: str,
-    token_file: Path | None,
-    authority: str,
+    client: OperatorClient,
 ) -> None:
     """Show a revision of the template NAME."""
-    client = make_client(server, token_file, authority)
     query = {} if revision is None else {"revision": str(revision)}
     found = client.call("GET", f"/templates/{name}", query=query)
     rows = _rows({key: found[key] for key in ("name", "revision", "offset")})
@@ -91,12 +82,9 @@
 @command.command()
 @click.argument("name")
 @output_option
-@operator_options
-def history(
-    name: str, output: str, server: str, token_file: Path | None, authority: str
-) -> None:
+@with_client
+def history(name: str, output: str, client: OperatorClient) -> None:
     """List the kept revisions of the template NAME, newest first."""
-    client = make_client(server, token_file, authority)
     found = client.call("GET", f"/templates/{name}/history")
     rows = [
         {
@@ -112,12 +100,9 @@
 @command.command()
 @click.argument("name")
 @output_option
-@operator_options
-def status(
-    name: str, output: str, server: str, token_file: Path | None, authority: str
-) -> None:
+@with_client
+def status(name: str, output: str, client: OperatorClient) -> None:
     """Show at which entries the template NAME is in force."""
-    client = make_client(server, token_file, authority)
     found = client.call("GET", f"/templates/{name}/status")
     print_data(found, output, found["entries"])
 
--- a/mustardward/cli/wave.py
+++ b/mustardward/cli/wave.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any, TypeVar
 
 import click
 
-from .client import make_client, operator_options
+from .client import OperatorClient, with_client
 from .output import output_option, print_data
 from .records import record_option, send_record
 
@@ -47,7 +46,7 @@
 @click.option("--not-before", default=0.0, help="Seconds since the epoch.")
 @record_option
 @output_option
-@operator_options
+@with_client
 def schedule(
     wave_id: str,
     pools: tuple[str, ...],
@@ -57,9 +56,7 @@
     not_before: float,
     record_id: str | None,
     output: str,
-    server: str,
-    token_file: Path | None,
-    authority: str,
+    client: OperatorClient,
 ) -> None:
     """Schedule the wave WAVE_ID over all instances of some pools."""
     body = {
@@ -69,7 +66,6 @@
         "maximum_failures": maximum_failures,
         "not_before": not_before,
     }
-    client = make_client(server, token_file, authority)
     answer = send_record(client, "POST", f"/waves/{wave_id}", body, record_id)
     print_data(answer, output)
 
@@ -77,18 +73,15 @@
 @command.command()
 @_scope_options
 @output_option
-@operator_options
+@with_client
 def plan(
     pools: tuple[str, ...],
     instances: tuple[str, ...],
     canary: int,
     output: str,
-    server: str,
-    token_file: Path | None,
-    authority: str,
+    client: OperatorClient,
 ) -> None:
     """Print what a wave would take when, and which budgets bind; changes nothing."""
-    client = make_client(server, token_file, authority)
     body = {"pools": pools, "instances": instances, "canary": canary}
     found = client.call("POST", "/wave-plans", body=body)
     print_sections(found, output, ("steps", "binding", "never"))
@@ -97,16 +90,13 @@
 @command.command()
 @click.argument("wave_id", required=False)
 @output_option
-@operator_options
+@with_client
 def status(
     wave_id: str | None,
     output: str,
-    server: str,
-    token_file: Path | None,
-    authority: str,
+    client: OperatorClient,
 ) -> None:
     """Show how far the wave WAVE_ID is, or list all waves."""
-    client = make_client(server, token_file, authority)
     if wave_id is None:
         print_data(client.call("GET", "/waves"), output)
         return
@@ -121,18 +111,15 @@
     @click.option("--base", type=int, help="Revision of the wave that was seen.")
     @record_option
     @output_option
-    @operator_options
+    @with_client
     def send(
         wave_id: str,
         reason: str,
         base: int | None,
         record_id: str | None,
         output: str,
-        server: str,
-        token_file: Path | None,
-        authority: str,
+        client: OperatorClient,
     ) -> None:
-        client = make_client(server, token_file, authority)
         body = {"reason": reason, "base_revision": base}
         path = f"/waves/{wave_id}/{signal}"
         print_data(send_record(client, "POST", path, body, record_id), output)
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import anyio
+import click
 import httpx
 import pytest
 
+from mustardward.cli.load import parse_target
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.load.models import LoadPlan, LoadResult, Target, plan_requests
 from mustardward.load.runner import LoadRunner
@@ -125,3 +127,10 @@
         release.set()
     assert sent == 3
     assert runner._result.held_back == 7
+
+
+@pytest.mark.parametrize("text", ["dairy", "/climate", "dairy/", "dairy/climate/now"])
+def test_a_target_is_an_organisation_and_a_service(text: str) -> None:
+    assert parse_target("dairy/climate") == Target("dairy", "climate")
+    with pytest.raises(click.BadParameter):
+        parse_target(text)
