--- a/bench/control_entry.py
+++ b/bench/control_entry.py
@@ -92,6 +92,7 @@
     """
     builder = FleetBuilder(shape, seed)
     builder.build()
+    builder.keep_ended_waves()
     builder.start_wave("wave")
     images = [make_image(FLEET_SPEC, builder.fold)]
     if with_work:
--- a/bench/control_fleet.py
+++ b/bench/control_fleet.py
@@ -9,6 +9,7 @@
 
 from mustardward.state.fleet import FleetState
 from mustardward.state.fold import Fold
+from mustardward.state.handlers.waves import KEEP_ENDED, KEEP_ENDED_INSTANCES
 from mustardward.state.models.maintenance import (
     AbsenceChange,
     AdvanceClaim,
@@ -17,6 +18,7 @@
     ScheduleWave,
     SignalWave,
     TakeClaim,
+    Wave,
 )
 from mustardward.state.models.pools import AddInstance, PutPool
 from mustardward.state.models.templates import (
@@ -166,6 +168,20 @@
         revision = self.apply(Proposed(ScheduleWave(wave, pools, canary=1)))
         self.apply(Proposed(SignalWave(wave, "start"), revision))
 
+    def keep_ended_waves(self) -> None:
+        """Let the state hold as many ended waves over all instances as it keeps.
+
+        Put there without their records, of which there would be a million.
+        """
+        state = self.fold.state
+        pools = tuple(state.pools)
+        for number in range(
+            min(KEEP_ENDED, KEEP_ENDED_INSTANCES // len(state.instances))
+        ):
+            name = f"ended-{number}"
+            done = set(state.instances)
+            state.waves[name] = Wave(name, pools, "done", number + 1, set(), done)
+
     def maintain(self, wave: str, number: int) -> Iterator[Proposed]:
         """Yield the records of one instance taken through a wave."""
         name = f"instance-{number}"
--- a/mustardward/state/handlers/waves.py
+++ b/mustardward/state/handlers/waves.py
@@ -29,6 +29,12 @@
 KEEP_ENDED: Final = 16
 """Waves that are done or cancelled and stay in memory."""
 
+KEEP_ENDED_INSTANCES: Final = 24_000
+"""Instances that those waves name together, but for the one that ended last.
+
+A wave over the whole fleet takes as much memory as hundreds of small ones.
+"""
+
 Decision = Result[Acceptance, MustardwardError]
 
 
@@ -95,9 +101,12 @@
         if load_chart("wave").is_final(wave.status)
         and index.claims_of(wave.wave_id) == 0
     ]
-    ended.sort(key=lambda wave: wave.revision)
-    for wave in ended[:-KEEP_ENDED]:
-        del state.waves[wave.wave_id]
+    ended.sort(key=lambda wave: -wave.revision)
+    named = 0
+    for number, wave in enumerate(ended):
+        named += len(wave.pending) + len(wave.done) + len(wave.failed)
+        if number > 0 and (number >= KEEP_ENDED or named > KEEP_ENDED_INSTANCES):
+            del state.waves[wave.wave_id]
 
 
 @FLEET_HANDLERS.register("wave.signal")
--- a/mustardward/state/streams.py
+++ b/mustardward/state/streams.py
@@ -42,12 +42,20 @@
         instance.data_centre = intern(instance.data_centre)
         instance.rack = intern(instance.rack)
         instance.pool = intern(instance.pool)
+    _share_ids(state)
     for name, organisation in state.organisations.items():
         template = current_revision(state, organisation.template)
         if template is not None:
             state.organisations[name] = share_parameters(organisation, template)
 
 
+def _share_ids(state: FleetState) -> None:
+    ids = {name: name for name in state.instances}
+    for wave in state.waves.values():
+        wave.pending = {ids.get(name, name) for name in wave.pending}
+        wave.done = {ids.get(name, name) for name in wave.done}
+
+
 def compact_work(state: WorkState) -> None:
     """Let jobs and intents share the names of their organisations and services."""
     for job in state.jobs.values():
--- a/tests/state/handlers/test_maintenance.py
+++ b/tests/state/handlers/test_maintenance.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mustardward.state.budgets import BudgetIndex, index_of
+from mustardward.state.handlers import waves
 from mustardward.state.handlers.waves import KEEP_ENDED
 from mustardward.state.models.maintenance import (
     AbsenceChange,
@@ -280,3 +281,15 @@
     assert len(driver.state.waves) == KEEP_ENDED + 2
     assert {"held", "last", "w18"} <= driver.state.waves.keys()
     assert "w0" not in driver.state.waves
+
+
+def test_large_waves_that_ended_are_forgotten_sooner(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(waves, "KEEP_ENDED_INSTANCES", 45)
+    driver = build_driver(size=20)
+    for number in range(4):
+        revision = driver.accept(ScheduleWave(f"w{number}", ("etching",)))
+        driver.accept(SignalWave(f"w{number}", "cancel"), revision)
+    driver.accept(ScheduleWave("last", ("etching",)))
+    assert driver.state.waves.keys() == {"w2", "w3", "last"}
--- a/tests/state/test_snapshots.py
+++ b/tests/state/test_snapshots.py
@@ -10,6 +10,7 @@
 
 from mustardward.exceptions import SnapshotUnusableError
 from mustardward.state.images import make_image, restore_image
+from mustardward.state.models.maintenance import ScheduleWave
 from mustardward.state.models.pools import PutPool
 from mustardward.state.models.templates import (
     Overrides,
@@ -78,6 +79,19 @@
     assert target.fold.next_offset == 0
 
 
+def test_a_restored_state_holds_each_name_once() -> None:
+    original = build_fleet_fold("cellar")
+    for number in range(4):
+        original.accept(build_instance(f"instance-{number}", "cellar"))
+    original.accept(ScheduleWave("wave-1", ("cellar",)))
+    restored = build_fleet_fold()
+    restore_image(FLEET_SPEC, restored.fold, make_image(FLEET_SPEC, original.fold))
+    state = restored.fold.state
+    held = {id(name) for name in state.instances}
+    assert {id(name) for name in state.waves["wave-1"].pending} == held
+    assert len({id(item.rack) for item in state.instances.values()}) == 1
+
+
 def test_an_older_image_is_refused() -> None:
     """Never step back to a snapshot.
 
