Let long work give way to requests that find no slot

Cause: with long work in every slot, urgent requests were refused as "workers busy": the limits had admitted them, so they did not wait there, and only waiting ones made long work give slots back. Ruled out: giving way for each busy refusal (one full worker says nothing while others have room, and each slot taken back moves a job); a reserve over the pool alone (a request meets full workers first). Change: busy refusals, refused requests and waiting ones ask long work for slots; the reserve is kept on each worker, for every pool that answers requests; requests that are not urgent leave long work a quarter. WorkerBusy says for which request and class.

--- a/mustardward/components/jobs/pool_view.py
+++ b/mustardward/components/jobs/pool_view.py
@@ -43,8 +43,12 @@
         self._refresh()
         return self._by_pool.get(pool, [])
 
-    def urgent_reserve(self, pool: str) -> float:
-        """Return the share of a pool's slots that long work has to leave free."""
+    def reserve(self, pool: str) -> float:
+        """Return the share of each worker's slots that long work leaves free.
+
+        It is the largest urgent reserve of the organisations whose requests the pool
+        answers, whatever their class: long work waits, a caller does not.
+        """
         self._refresh()
         return self._reserve.get(pool, 0.0)
 
@@ -80,12 +84,15 @@
             if not self.is_usable(instance.instance_id):
                 continue
             room, count = _room(instance, board)
+            # Kept on each worker: a request finds it wherever it is sent, and need
+            # not try one full worker after the other.
+            room.slots -= round(instance.slots * self.reserve(pool))
             total += instance.slots
             busy += count
             room.due = is_due(waves, instance.instance_id)
             if instance.instance_id not in now_out:
                 rooms.append(room)
-        allowed = math.floor(total * (1.0 - self.urgent_reserve(pool)))
+        allowed = math.floor(total * (1.0 - self.reserve(pool)))
         weights = {
             name: organisation.parameters.quota.weight
             for name, organisation in self.fleet.state.organisations.items()
@@ -120,11 +127,11 @@
     reserves: dict[str, float] = {}
     for organisation in state.organisations.values():
         share = organisation.parameters.urgent_reserve
-        for pool in _urgent_pools(organisation):
+        for pool in _answering_pools(organisation):
             reserves[pool] = max(share, reserves.get(pool, 0.0))
     return reserves
 
 
-def _urgent_pools(organisation: Organisation) -> set[str]:
+def _answering_pools(organisation: Organisation) -> set[str]:
     services = organisation.parameters.services
-    return {item.pool for item in services if item.urgency is Urgency.URGENT}
+    return {item.pool for item in services if item.urgency is not Urgency.LONG}
--- a/mustardward/components/jobs/setup.py
+++ b/mustardward/components/jobs/setup.py
@@ -8,6 +8,7 @@
 
 from ...core import Core, Unload
 from ...state.models.jobs import Job
+from ..entry.models import RequestFinished
 from ..keys import (
     FLEET_LOG,
     JOBS,
@@ -20,6 +21,7 @@
 from ..limits.models import SlotsWanted
 from ..membership.models import InstanceLeaving
 from ..retries.intents_home import home_name
+from ..routing.models import WorkerBusy
 from .const import TICK_SECONDS
 from .keeper import AttemptKeeper
 from .lessons import Lessons
@@ -29,6 +31,7 @@
 from .scheduler import JobScheduler
 from .services import LogJobService
 from .slots import SlotReturns
+from .wishes import SlotWishes
 
 
 async def async_setup_jobs(core: Core) -> Unload:
@@ -84,8 +87,13 @@
 def _subscribe(
     core: Core, scheduler: JobScheduler, slots: SlotReturns
 ) -> list[Callable[[], None]]:
-    def on_slots_wanted(event: SlotsWanted) -> None:
-        core.tasks.start_soon(slots.async_free, event.pool, event.slots)
+    wishes = SlotWishes(
+        returns=slots,
+        pools=scheduler.pools,
+        timers=core.timers,
+        pool_of=lambda organisation, service: _pool_of(core, organisation, service),
+        start=core.tasks.start_soon,
+    )
 
     def on_leaving(event: InstanceLeaving) -> None:
         core.tasks.start_soon(scheduler.async_vacate, event.instance_id)
@@ -101,11 +109,19 @@
         core.get(WORK_LOG).listen(scheduler.on_record),
         timers.subscribe("jobs.tick", TICK_SECONDS, scheduler.async_tick),
         timers.subscribe_pause(scheduler.keeper.on_pause),
-        core.events.listen(SlotsWanted, on_slots_wanted),
+        core.events.listen(SlotsWanted, wishes.on_wanted),
+        core.events.listen(WorkerBusy, wishes.on_busy),
+        core.events.listen(RequestFinished, wishes.on_finished),
         core.events.listen(InstanceLeaving, on_leaving),
     ]
 
 
+def _pool_of(core: Core, organisation: str, service: str) -> str | None:
+    found = core.get(FLEET_LOG).state.organisations.get(organisation)
+    services = found.parameters.services if found else ()
+    return next((item.pool for item in services if item.service == service), None)
+
+
 def _run_key(core: Core, job: Job) -> str:
     # Organisations made from one template run the same services, so what one teaches
     # holds for the next.
--- a/mustardward/components/routing/models.py
+++ b/mustardward/components/routing/models.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from ...state.models.templates import Urgency
 from ..membership.models import Member
 
 REMOTE_HELPS: Final = frozenset(
@@ -56,3 +57,5 @@
 
     instance_id: str
     pool: str
+    request_id: str = ""
+    urgency: Urgency = Urgency.NORMAL
--- a/mustardward/components/routing/services.py
+++ b/mustardward/components/routing/services.py
@@ -181,7 +181,7 @@
             return
         now = self._timers.monotonic()
         load.in_flight = max(0, load.in_flight - 1)
-        self._note_refusal(load, attempt, now)
+        self._note_refusal(load, facts, attempt, now)
         self._note_unreachable(load, attempt, now)
         self._standing.judge(self._index, load, facts.request_id, attempt, now)
         self._index.place(load)
@@ -264,7 +264,9 @@
             load.suspect = True
             self._membership.report_instance(instance_id, False, attempt.cause)
 
-    def _note_refusal(self, load: WorkerLoad, attempt: Attempt, now: float) -> None:
+    def _note_refusal(
+        self, load: WorkerLoad, facts: RequestFacts, attempt: Attempt, now: float
+    ) -> None:
         if attempt.outcome is not AttemptOutcome.REFUSED:
             return
         if attempt.cause != _BUSY:
@@ -274,7 +276,14 @@
         load.others = max(known, float(load.instance.slots - load.in_flight))
         load.others_at = now
         load.others_memory = BUSY_MEMORY_SECONDS
-        self._publish(WorkerBusy(load.instance.instance_id, load.instance.pool))
+        self._publish(
+            WorkerBusy(
+                load.instance.instance_id,
+                load.instance.pool,
+                facts.request_id,
+                facts.urgency,
+            )
+        )
 
     def _follow_absence(self, change: AbsenceChange) -> None:
         load = self._index.load(change.instance_id)
