Count only members that were met

Cause: moves and publications wait for every member that is not gone; an address in the settings that was replaced long ago counted as one and would have held both up for ever. Ruled out: proving such an address gone, for which there is nothing to go by. Change: members() leaves out what was never met; it is still tried, to join by. Conclusion: the new test fails without the change.

--- a/mustardward/components/membership/services.py
+++ b/mustardward/components/membership/services.py
@@ -16,7 +16,7 @@
 from .models import Member, MemberStatus
 from .reporter import Reporter
 from .silence import SilenceDetector
-from .table import MemberTable
+from .table import UNMET, MemberTable
 from .targets import is_live
 
 _LOGGER = get_logger(__name__)
@@ -66,8 +66,16 @@
         self._gossip = gossip
 
     def members(self, data_centre: str | None = None) -> tuple[Member, ...]:
-        """Return all members known that are not gone, this process included."""
-        return tuple(self._table.members(data_centre))
+        """Return all members met that are not gone, this process included.
+
+        A mere address of the settings may lead nowhere: who waits for all members to
+        answer would wait for ever for one that was replaced long ago.
+        """
+        return tuple(
+            member
+            for member in self._table.members(data_centre)
+            if member.incarnation != UNMET
+        )
 
     def live(self, data_centre: str | None = None) -> tuple[Member, ...]:
         """Return the members that are alive, this process included."""
--- a/tests/components/membership/test_cluster.py
+++ b/tests/components/membership/test_cluster.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mustardward.components.membership.models import MemberStatus
+from mustardward.settings.models import PeerAddress
 from tests.fakes.cluster import Cluster
 
 pytestmark = pytest.mark.anyio
@@ -204,6 +205,23 @@
         assert found["v-1-2"] == new.membership.own.incarnation
 
 
+async def test_address_of_a_replaced_entry_holds_nobody_up() -> None:
+    """Count only members that were met.
+
+    Symptom: a move, or a publication that waits for all, never ends. Sequence: an entry
+    starts with settings that still name one that was replaced months ago. Cause: an
+    address taken for a member.
+    """
+    cluster = Cluster()
+    seed = PeerAddress(name="old", data_centre="v-1", host="10.9.9.9", port=1)
+    cluster.seeds["old"] = seed
+    await cluster.async_start_all({"v-1": 3})
+    await cluster.async_run(10.0)
+    for node in cluster.nodes.values():
+        names = {member.name for member in node.membership.members()}
+        assert names == set(cluster.nodes) == node.live()
+
+
 async def test_lost_replies_delay_news_but_lose_none() -> None:
     cluster = await _async_started({"v-1": 4, "v-2": 3})
     cluster.network.lost_share = 0.3
