Give each history a loopback network of its own

Cause: a mutant's run named at-most-once 20 times for requests that ran twice 30 s apart, the second time as the first requests of another run: the network followed the process id modulo 200, and two runs side by side had the same. Change: a run holds a guard socket in its network, and takes the next one if that is held.

--- a/bench/history/layout.py
+++ b/bench/history/layout.py
@@ -4,10 +4,13 @@
 
 import json
 import os
+import socket
 from dataclasses import dataclass
+from functools import cache
 from pathlib import Path
 from typing import Final
 
+from mustardward.exceptions import MustardwardError
 from mustardward.state.models.pools import AddInstance, PutPool
 from mustardward.state.models.templates import (
     Overrides,
@@ -29,6 +32,10 @@
 CALLERS_PORT: Final = 8080
 OPERATORS_PORT: Final = 8081
 PEERS_PORT: Final = 8082
+GUARD_PORT: Final = 8083
+_FIRST_NETWORK: Final = 20
+_NETWORKS: Final = 200
+_GUARDS: Final[list[socket.socket]] = []
 SERVICES: Final = {
     "dairy": (
         ServiceBinding("climate", "etching", Urgency.URGENT),
@@ -41,6 +48,12 @@
 }
 
 
+class NoNetworkError(MustardwardError):
+    """Report that every loopback network is taken by another run."""
+
+    code = "no-network"
+
+
 @dataclass(frozen=True, slots=True)
 class EntryPlace:
     """Say who and where an entry is."""
@@ -75,8 +88,27 @@
 
     It differs between runs, so that two histories may run side by side.
     """
-    own = 20 + os.getpid() % 200
-    return f"127.{own}.{DATA_CENTRES.index(data_centre) + 1}."
+    return f"127.{_own_network()}.{DATA_CENTRES.index(data_centre) + 1}."
+
+
+@cache
+def _own_network() -> int:
+    """Take a network that no other history runs in, and hold it to the end.
+
+    Two runs in one network send requests to each other's entries; it shows as requests
+    that ran twice, 30 s apart, though each run sent them once.
+    """
+    for step in range(_NETWORKS):
+        number = _FIRST_NETWORK + (os.getpid() + step) % _NETWORKS
+        guard = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            guard.bind((f"127.{number}.0.1", GUARD_PORT))
+        except OSError:
+            guard.close()
+            continue
+        _GUARDS.append(guard)
+        return number
+    raise NoNetworkError(f"tried={_NETWORKS}")
 
 
 def entry_places() -> list[EntryPlace]:
