Say "not run" of a keyed request only if no earlier try can have run

Cause: while the log is out an idempotent request is served without its key; a later try under the key opened its intent, was refused by every worker, and was told "ran: no". Ruled out: the intents themselves, whose gate already knew (truthful), but was not asked. Change: each refusal of a keyed request asks the gate; the intent is still closed with what this try knows, so a further try may dispatch. Result: the new test fails before ("no") and passes after ("unknown").

--- a/mustardward/components/entry/serving.py
+++ b/mustardward/components/entry/serving.py
@@ -249,10 +249,18 @@
 
     def _refuse(self, refusal: RequestRefusal) -> Served:
         """End with a refusal whose ``ran`` holds for all attempts and the key."""
-        ran = self.ran if refusal.ran is Ran.NO else refusal.ran
+        ran = self._truthful(self.ran if refusal.ran is Ran.NO else refusal.ran)
         self._give_up()
         return Failure(replace(refusal, ran=ran))
 
+    def _truthful(self, ran: Ran) -> Ran:
+        # An idempotent request may have been served without its key while the log was
+        # out. A caller who is then told that its retry was not run would order again.
+        gate = self._parts.intents
+        if gate is None or not self._facts.idempotency_key:
+            return ran
+        return gate.truthful(self._facts, ran)
+
     def _give_up(self) -> None:
         self._release(False)
         if self._intent_open:
--- a/tests/components/entry/test_failures.py
+++ b/tests/components/entry/test_failures.py
@@ -408,6 +408,22 @@
     assert intents.closed == [(ran, None)]
 
 
+async def test_not_run_is_not_said_of_a_key_served_without_its_intent() -> None:
+    """Say ``unknown`` where a try may have been served while the log was out.
+
+    Symptom: a refusal says "not run" of a request that an earlier try ran. Sequence:
+    the log is out and an idempotent request is served without its key; the log comes
+    back; the retry opens its intent, and every worker refuses it. Cause: only this
+    try's attempts were looked at.
+    """
+    intents = FakeIntents(served_keyless=True)
+    async with running_entry(refuse, intents=intents) as (entry, _):
+        entry.retries.maximum = 1
+        answer = await call(entry, headers=KEY)
+    assert problem(answer)[2] == "unknown"
+    assert intents.closed == [("no", None)]
+
+
 async def test_not_run_is_not_said_of_a_key_that_was_not_looked_up() -> None:
     """Say ``unknown`` while an earlier try under the key may have run.
 
--- a/tests/fakes/entry.py
+++ b/tests/fakes/entry.py
@@ -202,6 +202,10 @@
     refusal: RequestRefusal | None = None
     opened: list[str] = field(default_factory=list)
     closed: list[tuple[str, StoredAnswer | None]] = field(default_factory=list)
+    served_keyless: bool = False
+
+    def truthful(self, facts: RequestFacts, ran: Ran) -> Ran:
+        return Ran.UNKNOWN if self.served_keyless else ran
 
     async def async_open(
         self, facts: RequestFacts
