Look at a pool before one of its instances moves away

Change: the look is published and a move's request waits for it; the fold then refuses. Result: the new test fails before (the move is taken) and passes after (budget-exceeded).

--- a/mustardward/components/maintenance/setup.py
+++ b/mustardward/components/maintenance/setup.py
@@ -12,6 +12,7 @@
     LISTING_SERVICE,
     MEMBERSHIP,
     PEERS,
+    POOL_LOOK,
     POWER_SERVICE,
     WORK_LOG,
     WORKER_SERVICE,
@@ -32,6 +33,7 @@
     without_look = make_parts(core)
     look = PoolLook(without_look, core.get(WORKER_SERVICE), lambda: core.find(PEERS))
     parts = replace(without_look, look=look.async_look)
+    core.put(POOL_LOOK, look)
     pacing = PlannedPacing(
         parts.data_centre,
         lambda: core.get(FLEET_LOG).state,
@@ -57,6 +59,7 @@
     async def async_unload() -> None:
         for unsubscribe in reversed(undo):
             unsubscribe()
+        core.remove(POOL_LOOK)
 
     return async_unload
 
--- a/tests/cli/test_waves.py
+++ b/tests/cli/test_waves.py
@@ -12,11 +12,12 @@
 
 from mustardward.cli.client import OperatorClient
 from mustardward.cli.main import main
-from mustardward.components.keys import FLEET_LOG, MEMBERSHIP, WORK_LOG
+from mustardward.components.keys import FLEET_LOG, MEMBERSHIP, POOL_LOOK
 from mustardward.components.maintenance import api as wave_api  # noqa: F401
 from mustardward.components.maintenance.models import executor_name
 from mustardward.components.pools import api as pool_api  # noqa: F401
 from mustardward.components.pools.api import EntriesUnknownError
+from mustardward.state.budgets import BudgetExceededError
 from mustardward.state.models.pools import Pool
 from tests.components.maintenance.site import FIRST, Site
 from tests.fakes.routes import async_route
@@ -26,10 +27,9 @@
 def site(monkeypatch: pytest.MonkeyPatch) -> Site:
     """Return a data centre that the commands reach without a network."""
     site = Site(minimum_available=0.6)
-    found = {FLEET_LOG: site.log, MEMBERSHIP: site.membership}
-    core: Any = SimpleNamespace(
-        get=found.__getitem__, find=lambda key: None if key is WORK_LOG else found[key]
-    )
+    look = SimpleNamespace(async_look=site.async_look)
+    found = {FLEET_LOG: site.log, MEMBERSHIP: site.membership, POOL_LOOK: look}
+    core: Any = SimpleNamespace(get=found.__getitem__, find=found.get)
 
     def call(self: OperatorClient, method: str, path: str, **more: Any) -> Any:
         return anyio.run(async_route, core, method, path, more.get("body"))
@@ -74,6 +74,20 @@
     assert "casting" in run("pool", "list").output
 
 
+def test_a_move_is_refused_beside_workers_that_nobody_missed(site: Site) -> None:
+    """Look at the pool before one of its instances moves away.
+
+    Symptom: a move takes a pool below a floor while two workers have long been down.
+    Sequence: a rack fails in a pool without traffic; an operator moves an instance.
+    Cause: only waves looked at the pool first.
+    """
+    site.driver.state.pools["casting"] = Pool("casting", 1)
+    site.unseen = ["dc1-etching-005", "dc1-etching-006", "dc1-etching-007"]
+    refused = run("pool", "move", FIRST, "casting")
+    assert isinstance(refused.exception, BudgetExceededError)
+    assert site.driver.state.moves == {}
+
+
 def test_a_move_is_refused_where_no_entry_is_known(site: Site) -> None:
     """Refuse a move that nobody could acknowledge.
 
--- a/tests/components/maintenance/site.py
+++ b/tests/components/maintenance/site.py
@@ -44,6 +44,7 @@
         self.events.listen(DecisionMade, self.decisions.append)
         self.busy: set[str] = set()
         self.membership = FakeMembership()
+        self.unseen: list[str] = []
 
     def parts(self, name: str = "entry-1") -> ExecutorParts:
         """Return the parts of one process on the shared log."""
@@ -83,5 +84,11 @@
     def causes(self, decision: str) -> list[str]:
         return [item.cause for item in self.decisions if item.decision == decision]
 
+    async def async_look(self, pool: str) -> None:
+        """Fold the failures that nobody has met yet."""
+        if self.unseen:
+            self.driver.fail(*self.unseen)
+            self.unseen = []
+
     async def _async_vacate(self, instance_id: str) -> bool:
         return instance_id not in self.busy
