--- a/mustardward/components/jobs/scheduler.py
+++ b/mustardward/components/jobs/scheduler.py
@@ -169,10 +169,13 @@
 
     async def _async_place(self, pool: str) -> None:
         now = self.timers.monotonic()
+        # Looking through thousands of waiting jobs costs milliseconds in each tick.
+        view = self._view(pool, now)
+        if view.slots_left <= 0 or not view.rooms:
+            return
         candidates = self._candidates(pool, now)
         if not candidates:
             return
-        view = self._view(pool, now)
         placements = plan_placements(view, candidates, PLACE_EACH_TICK, self.random)
         async with anyio.create_task_group() as group:
             for candidate, room in placements:
