Leave the closing of a lost intent to who may dispatch under it

Cause: an entry that recorded an intent for another data centre and lost its caller in mid-append closed the intent as not run when it was folded, although the caller may have got the same intent through the next entry and dispatched: a retry could run twice. Ruled out: refusing repeated questions (each lost reply would cost a request). Change: only the home that an intent names closes it as not run; a recorder says that an intent may still come, and the asker settles it. A question asked twice of one recorder no longer ends in a KeyError.

--- a/bench/jobs_intents.py
+++ b/bench/jobs_intents.py
@@ -56,9 +56,9 @@
             log = FoldedLog(work_spec("dc-1"), service, timers, options, Random(number))
             group.start_soon(log.async_run)
             homes = KeyHomes("dc-1", None, None)
-            recorder = IntentRecorder(log, timers, group, homes.is_live)
-            recorder.start()
             identity = home_name(f"entry-{number}", 1)
+            recorder = IntentRecorder(log, timers, group, identity, homes.is_live)
+            recorder.start()
             gate = LogIntentGate(recorder, homes, timers, group, identity)
             gates.append(gate)
         yield gates
--- a/mustardward/components/retries/intents_models.py
+++ b/mustardward/components/retries/intents_models.py
@@ -21,6 +21,7 @@
     answer: StoredAnswer | None = None
     refusal: RequestRefusal | None = None
     unseen: bool = False
+    unsure: bool = False
 
 
 @peer_message("intents.open", KeyReply)
--- a/mustardward/components/retries/intents_recorder.py
+++ b/mustardward/components/retries/intents_recorder.py
@@ -43,12 +43,14 @@
 class IntentRecorder:
     """Propose intents, for this entry or for one of another data centre.
 
+    :param identity: the name of this incarnation, see ``home_name``.
     :param is_live: tells whether the home that an intent names may still close it.
     """
 
     log: WorkLog
     timers: TimerService
     tasks: TaskGroup
+    identity: str
     is_live: Callable[[str], bool]
     _proposed: dict[str, int] = field(default_factory=dict)
     _abandoned: dict[str, None] = field(default_factory=dict)
@@ -102,18 +104,18 @@
             # Who asked gave up in mid-append: nobody will dispatch under the intent.
             self._abandon(question)
             raise
-        folded = self._proposed[record_id]
+        folded = self._proposed.get(record_id, 0)
         if isinstance(result, Success) or folded:
-            del self._proposed[record_id]
+            self._proposed.pop(record_id, None)
             return self._opened(question, folded or result.unwrap().revision)
         error = result.failure()
-        if isinstance(error, PlatformOutcomeUnknownError):
+        unsure = isinstance(error, PlatformOutcomeUnknownError)
+        if unsure:
             self._abandon(question)
-        else:
-            del self._proposed[record_id]
+        self._proposed.pop(record_id, None)
         if isinstance(error, RecordRefusedError):
             return None
-        return await self._async_log_out(question)
+        return await self._async_log_out(question, unsure)
 
     def _opened(self, question: KeyQuestion, sequence: int) -> KeyReply | None:
         # A repeated question may come so late that its intent was closed, and even
@@ -143,7 +145,11 @@
         # it. It is closed then as not run: else the key would answer `unknown` for
         # ever.
         _LOGGER.warning("intent_abandoned", record_id=question.record_id)
-        opened = self._proposed.pop(question.record_id)
+        opened = self._proposed.pop(question.record_id, 0)
+        if question.home != self.identity:
+            # Who asked may get the intent through another entry and dispatch under
+            # it; to close it here as not run would let a second try run as well.
+            return
         if opened:
             body = (question.organisation, question.key, question.home)
             self._close_unused(CloseIntent(*body, "no", opened=opened))
@@ -155,14 +161,14 @@
     def _close_unused(self, close: CloseIntent) -> None:
         self.tasks.start_soon(self.closer.async_close, close)
 
-    async def _async_log_out(self, question: KeyQuestion) -> KeyReply:
+    async def _async_log_out(self, question: KeyQuestion, unsure: bool) -> KeyReply:
         # `not run` is true only if nobody else opened the key before; without the
         # tail an earlier attempt may stand there unseen.
         confirmed = await self.log.async_confirm_tail(CONFIRM_SECONDS)
         verdict = self.judge(question)
         if verdict.standing is Standing.FREE:
-            return KeyReply(unseen=confirmed)
-        return KeyReply(answer=verdict.answer, refusal=verdict.refusal)
+            return KeyReply(unseen=confirmed, unsure=unsure)
+        return KeyReply(answer=verdict.answer, refusal=verdict.refusal, unsure=unsure)
 
     async def _async_wait(
         self, question: KeyQuestion, deadline: float
--- a/mustardward/components/retries/intents_remote.py
+++ b/mustardward/components/retries/intents_remote.py
@@ -59,10 +59,17 @@
             except PeerError as error:
                 _LOGGER.info("intent_peer_silent", peer=member.name, code=error.code)
             else:
-                self.unsure.pop(question.record_id, None)
+                self._note_reply(question, reply)
                 return reply
         return KeyReply()
 
+    def _note_reply(self, question: KeyQuestion, reply: KeyReply) -> None:
+        settled = reply.opened or reply.answer or reply.refusal
+        if reply.unsure:
+            self.unsure[question.record_id] = None
+        elif settled:
+            self.unsure.pop(question.record_id, None)
+
     async def async_settle(self, question: KeyQuestion, data_centre: str) -> None:
         """Close as not run what a lost answer may have opened for nobody."""
         if len(self.unsure) > MAXIMUM_UNSURE:
--- a/mustardward/components/retries/intents_setup.py
+++ b/mustardward/components/retries/intents_setup.py
@@ -16,8 +16,9 @@
     membership = core.find(MEMBERSHIP)
     incarnation = membership.own.incarnation if membership else 0
     homes = KeyHomes(entry.data_centre, core.find(FLEET_LOG), membership)
+    identity = home_name(entry.name, incarnation)
     recorder = IntentRecorder(
-        core.get(WORK_LOG), core.timers, core.tasks, homes.is_live
+        core.get(WORK_LOG), core.timers, core.tasks, identity, homes.is_live
     )
     undo = [recorder.start()]
     remote = None
@@ -25,7 +26,6 @@
     if peers is not None and membership is not None:
         remote = RemoteRecorders(peers, membership, core.timers)
         undo.append(serve_recorder(peers, recorder))
-    identity = home_name(entry.name, incarnation)
     gate = LogIntentGate(recorder, homes, core.timers, core.tasks, identity, remote)
     core.put(INTENT_GATE, gate)
 
--- a/tests/components/jobs/test_intents.py
+++ b/tests/components/jobs/test_intents.py
@@ -71,7 +71,9 @@
             log = FakeWorkLog(world.shared, name)
             membership = FakeMembership(name, list(names))
             homes = KeyHomes("dc-1", None, membership)  # type: ignore[arg-type]
-            recorder = IntentRecorder(log, world.timers, tasks, homes.is_live)
+            recorder = IntentRecorder(
+                log, world.timers, tasks, home_name(name, 1), homes.is_live
+            )
             recorder.start()
             gate = LogIntentGate(
                 recorder, homes, world.timers, tasks, home_name(name, 1)
--- a/tests/components/jobs/test_intents_remote.py
+++ b/tests/components/jobs/test_intents_remote.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 
@@ -85,7 +86,9 @@
             log = FakeWorkLog(shared[own.data_centre], name)
             membership: Any = SimpleNamespace(own=own, live=live)
             homes = KeyHomes(own.data_centre, fleet, membership)
-            recorder = IntentRecorder(log, timers, tasks, homes.is_live)
+            recorder = IntentRecorder(
+                log, timers, tasks, home_name(name, 1), homes.is_live
+            )
             recorder.start()
             serve_recorder(wire.of(name), recorder)
             remote = RemoteRecorders(wire.of(name), membership, timers)
@@ -155,3 +158,29 @@
         await settle()
         local = world.gates[f"{world.home}-1"]
         assert (await local.async_open(build_facts(world.timers))).unwrap() is None
+
+
+async def test_an_entry_that_lost_its_asker_does_not_close_what_another_gave() -> None:
+    """Let only who may dispatch say that nobody did.
+
+    Symptom: an order is etched twice. Sequence: the first entry asked loses the stream
+    in mid-append and gives the intent up; the second one finds it accepted and hands it
+    over; the request runs; the first closes the intent as not run, and a retry runs
+    too. Cause: the entry that records took the caller's giving up for its own.
+    """
+    async with running_centres() as world:
+        gate = world.gates[f"{world.away}-1"]
+        facts = build_facts(world.timers)
+        question = gate._question(facts)
+        first, second = (world.gates[f"{world.home}-{n}"].recorder for n in (1, 2))
+        world.logs[f"{world.home}-1"].lose_next = True
+        world.logs[f"{world.home}-1"].cut_off = True
+        lost = await first.async_open(question)
+        assert lost.unsure and not lost.opened
+        given = await second.async_open(replace(question, repeated=True))
+        assert given.opened
+        world.logs[f"{world.home}-1"].cut_off = False
+        world.logs[f"{world.home}-1"].catch_up()
+        await settle()
+        (intent,) = second.log.state.intents.values()
+        assert not intent.closed
