Look at demand five times a second, and let a newcomer's first request in

Change: a look every 0.2 s; one place is everybody's; the protection test's period no longer is a multiple of the look's, which had made it see one phase only.

--- a/mustardward/components/limits/const.py
+++ b/mustardward/components/limits/const.py
@@ -65,6 +65,9 @@
 DEMAND_FALL_SECONDS: Final = 10.0
 """Times in which the demand that places are kept for follows up and down."""
 
+SAMPLE_SECONDS: Final = 0.2
+"""Interval at which demand is looked at; it costs a step for each organisation."""
+
 LEAST_DEMAND: Final = 0.05
 """Demand below which nothing is kept."""
 
--- a/mustardward/components/limits/protection.py
+++ b/mustardward/components/limits/protection.py
@@ -18,6 +18,7 @@
     LEAST_DEMAND,
     PROTECTION_DEVIATIONS,
     PROTECTION_WAIT_SHARE,
+    SAMPLE_SECONDS,
 )
 from .fairness import OrganisationQueue
 from .models import Ticket
@@ -29,13 +30,14 @@
     def __init__(self) -> None:
         self._unused = 0
         self._least_latency = 0.0
-        self._sampled_at: float | None = None
+        self._sampled_at = float("-inf")
 
     def allows(
         self, queue: OrganisationQueue, ticket: Ticket, free: int, places: int
     ) -> bool:
         """Tell whether a request may have one of the free places."""
-        if queue.in_flight < queue.protected:
+        # One place is everybody's, or a newcomer would wait until it is known.
+        if queue.in_flight < max(1, queue.protected):
             return True
         if free > self._unused - queue.unused:
             return True
@@ -69,7 +71,10 @@
         moment, a large organisation would be due every place whenever a small one
         pauses between two requests.
         """
-        seconds = 0.0 if self._sampled_at is None else now - self._sampled_at
+        if now - self._sampled_at < SAMPLE_SECONDS:
+            return
+        first = self._sampled_at == float("-inf")
+        seconds = 0.0 if first else now - self._sampled_at
         self._sampled_at = now
         for queue in queues:
             _follow_demand(queue, seconds)
--- a/tests/components/limits/test_gate.py
+++ b/tests/components/limits/test_gate.py
@@ -268,9 +268,9 @@
     gate = Gate(slots=10, reserve=0.0)
     for _ in range(200):
         quick = gate.offer("small")
-        gate.pass_time(0.05)
-        gate.finish(quick, 0.05)
-        gate.pass_time(0.05)
+        gate.pass_time(0.07)
+        gate.finish(quick, 0.07)
+        gate.pass_time(0.06)
     for _ in range(20):
         gate.offer("large", deadline=300.0)
     gate.pass_time(0.05)
