--- a/mustardward/components/entry/parse.py
+++ b/mustardward/components/entry/parse.py
@@ -27,6 +27,7 @@
 _REQUEST_ID: Final = re.compile(r"[A-Za-z0-9._-]{1,64}")
 _KEY: Final = re.compile(r"[\x21-\x7e]{1,255}")
 _NAME: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+_LENGTH_DIGITS: Final = 18
 _OWN_NAMES: Final = (
     HEADER_CLASS,
     HEADER_DEADLINE,
@@ -173,7 +174,8 @@
         return None
     if not (word.isascii() and word.isdigit()):
         return _refusal("length-invalid", 400, "content-length is no number")
-    if int(word) > limits.body_bytes:
+    # More digits than any length has; Python itself refuses to convert thousands.
+    if len(word) > _LENGTH_DIGITS or int(word) > limits.body_bytes:
         return _refusal("body-too-large", 413, f"limit={limits.body_bytes}")
     return None
 
--- a/mustardward/settings/loader.py
+++ b/mustardward/settings/loader.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 from pathlib import Path
-from typing import TypeVar
+from typing import Final, TypeVar
 
 import yaml
 from pydantic import BaseModel, ValidationError
@@ -18,6 +18,9 @@
 
 M = TypeVar("M", bound=BaseModel)
 
+_YAML_FAILURES: Final = (yaml.YAMLError, ValueError, AttributeError, RecursionError)
+"""What the library raises for a date, number or nesting that it can't read."""
+
 
 @dataclass(frozen=True, slots=True)
 class SettingsFault:
@@ -89,14 +92,14 @@
     try:
         root = yaml.compose(text, Loader=yaml.SafeLoader)
         data = yaml.safe_load(text)
+        lines = _Lines(root)
     except yaml.MarkedYAMLError as error:
         raise SettingsFaultsError((_yaml_fault(error, name),)) from error
-    except yaml.YAMLError as error:
+    except _YAML_FAILURES as error:
         fault = SettingsFault(name, 0, "", f"valid YAML ({error})")
         raise SettingsFaultsError((fault,)) from error
     if not isinstance(root, MappingNode):
         raise SettingsFaultsError((SettingsFault(name, 1, "", "a mapping of keys"),))
-    lines = _Lines(root)
     faults = lines.duplicates(name)
     try:
         value = model.model_validate(data)
@@ -111,10 +114,11 @@
 class _Lines:
     """Know the line of each key."""
 
-    def __init__(self, root: Node) -> None:
+    def __init__(self, root: Node | None) -> None:
         self._lines: dict[KeyPath, int] = {(): 1}
         self._duplicates: list[tuple[KeyPath, int]] = []
-        self._visit((), root)
+        if root is not None:
+            self._visit((), root)
 
     def line(self, path: KeyPath) -> int:
         """Return the line of a key, or of the nearest one that holds it."""
