Let a transfer wait while its target could not lose its largest rack

The fold had admitted the claim with a reserve of one; the arrival made the floor 3 and the reserve 2, and nothing asked whether they still held. Ruled out: the claim (its margin was 1), failures beyond one rack, the check itself. Change: the fold refuses a transfer that makes the target's margin negative and less than before, and the executor asks again once the log moved on. A name without a start in a move's list no longer ends the step. Result: the new test fails before (the transfer is accepted) and passes after.

--- a/mustardward/components/pools/services.py
+++ b/mustardward/components/pools/services.py
@@ -30,12 +30,14 @@
     """Hold what this process saw of a move.
 
     ``given_up`` names the entries that gave the instance up, also such as joined after
-    the request; ``emptied`` tells that the worker was then seen empty.
+    the request; ``emptied`` tells that the worker was then seen empty, and
+    ``refused_at`` how far the log was when the transfer was refused.
     """
 
     number: int
     given_up: set[str] = field(default_factory=set)
     emptied: bool = False
+    refused_at: int = -1
 
 
 class MoveExecutor:
@@ -109,7 +111,7 @@
 
     def _gone(self, name: str) -> bool:
         entry, _, start = name.rpartition("#")
-        return self._parts.membership.is_gone(entry, int(start))
+        return start.isdigit() and self._parts.membership.is_gone(entry, int(start))
 
     async def _async_ask(self, move: Move, member: Member) -> None:
         question = AskAcknowledgement(move.move_id, move.instance_id)
@@ -182,10 +184,15 @@
         held = log.state.moves.get(move.instance_id)
         if held is None or held.move_id != move.move_id or not log.may_decide:
             return
+        progress = self._progress[move.move_id]
+        if progress.refused_at == log.next_offset:
+            # Nothing was folded since the refusal, so the answer would be the same.
+            return
         result = await log.async_propose(
             TransferInstance(move.move_id), actor=self._parts.executor
         )
         if isinstance(result, Failure):
+            progress.refused_at = log.next_offset
             self._note(move, "move-refused", result.failure().code)
             return
         self._note(move, "instance-moved", "acknowledged-and-empty")
--- a/mustardward/state/handlers/pools.py
+++ b/mustardward/state/handlers/pools.py
@@ -11,7 +11,13 @@
 from returns.result import Failure, Result, Success
 
 from ...exceptions import MustardwardError
-from ..budgets import check_budgets, touch_instance
+from ..budgets import (
+    BudgetExceededError,
+    check_budgets,
+    check_held,
+    index_of,
+    touch_instance,
+)
 from ..fleet import FleetState
 from ..fold import Acceptance, FoldContext, RecordRefusedError
 from ..instance_status import instance_accepts, instance_status
@@ -167,11 +173,33 @@
         # In its target it would count as one more instance that is not available.
         return Failure(SubjectInUseError(f"instance={move.instance_id} absent"))
     instance = state.instances[move.instance_id]
-    instance.pool = move.target
+    crowded = _put_into_target(state, instance, move)
+    if crowded is not None:
+        return Failure(crowded)
     instance.generation = context.sequence
+    return _accepted(context, body.move_id, move.instance_id)
+
+
+def _put_into_target(
+    state: FleetState, instance: Instance, move: Move
+) -> BudgetExceededError | None:
+    """Change the owner, unless that breaks a budget of the target.
+
+    A larger pool has a larger floor, and one more instance in a rack makes for a larger
+    reserve. With an instance of the target out for maintenance, the rack that fails
+    next would break a floor that was safe when the claim was admitted.
+    """
+    before = index_of(state).tightest(state, move.target, instance.data_centre)
+    instance.pool = move.target
     del state.moves[move.instance_id]
     touch_instance(state, move.instance_id)
-    return _accepted(context, body.move_id, move.instance_id)
+    after = check_held(state, instance)
+    if after is None or before is None or after.binding.margin >= before.margin:
+        return None
+    instance.pool = move.source
+    state.moves[move.instance_id] = move
+    touch_instance(state, move.instance_id)
+    return after
 
 
 @FLEET_HANDLERS.register("move.cancel")
--- a/tests/state/test_pools.py
+++ b/tests/state/test_pools.py
@@ -156,6 +156,39 @@
     builder.accept(TransferInstance("move-1"))
 
 
+def test_a_transfer_waits_while_its_target_could_not_lose_the_larger_rack(
+    builder: FoldBuilder,
+) -> None:
+    """Keep a target's budget when an instance arrives.
+
+    Symptom: a rack fails during a wave, and the pool falls below its floor although the
+    reserve is for just that. Sequence: one of four is out for maintenance; a fifth
+    arrives in a rack that holds another; that rack fails. Cause: the arrival made floor
+    and reserve larger, and nobody asked whether they still held.
+    """
+    parameters = Parameters(services=(ServiceBinding("cast", "casting"),))
+    builder.accept(PublishTemplate("base", parameters), 0)
+    builder.accept(PutOrganisation("club", "base"), 0)
+    for number in range(1, 5):
+        rack = f"rack-{number}"
+        builder.accept(build_instance(f"cast-{number}", "casting", rack))
+    _request(builder, "move-1")
+    builder.accept(AcknowledgeMove("move-1", ("entry-a", "entry-b")))
+    state = builder.fold.state
+    builder.accept(
+        ReportAbsences("bergen", (AbsenceChange("cast-2", up=False, boot=1),))
+    )
+    refused = builder.apply(TransferInstance("move-1")).result.failure()
+    assert isinstance(refused, BudgetExceededError)
+    assert (state.instances["one"].pool, "one" in state.moves) == ("etching", True)
+    assert index_of(state).snapshot() == BudgetIndex(state).snapshot()
+    builder.accept(
+        ReportAbsences("bergen", (AbsenceChange("cast-2", up=True, boot=1),))
+    )
+    builder.accept(TransferInstance("move-1"))
+    assert state.instances["one"].pool == "casting"
+
+
 def test_counters_of_budgets_follow_every_change_of_owner(
     builder: FoldBuilder,
 ) -> None:
