Print the outcome of every job command as JSON on demand

Cause: `job submit`, `cancel` and `retry` printed a line only, where every other command that prints data takes `--output json|table`. Change: the three take the option; without it they print the line as before. Conclusion: programs need not parse lines.

--- a/mustardward/cli/job.py
+++ b/mustardward/cli/job.py
@@ -20,6 +20,14 @@
     """Submit, watch, cancel and retry long jobs."""
 
 
+def _print_outcome(answer: dict[str, Any], output: str, line: str) -> None:
+    """Print an answer as JSON, or the line that sums it up."""
+    if output == "json":
+        print_data(answer, output)
+        return
+    click.echo(line)
+
+
 def _submit_options(function: Any) -> Any:
     for option in (
         click.option("--payload", type=FILE_TYPE, help="File that holds the payload."),
@@ -46,6 +54,7 @@
 @click.argument("organisation")
 @click.argument("service")
 @_submit_options
+@output_option
 @with_client
 def submit(
     organisation: str,
@@ -58,6 +67,7 @@
     memory: int,
     accelerators: int,
     seconds: float,
+    output: str,
     client: OperatorClient,
 ) -> None:
     """Submit a job for a SERVICE of an ORGANISATION; print its id once accepted."""
@@ -84,7 +94,8 @@
         raise OutcomeUnknownError(
             f"{error.message}\nrepeat with --id {identity}"
         ) from error
-    click.echo(f"job={answer['job_id']} status={answer['status']}")
+    line = f"job={answer['job_id']} status={answer['status']}"
+    _print_outcome(answer, output, line)
 
 
 @command.command()
@@ -120,36 +131,39 @@
 @click.argument("job_id", required=False)
 @click.option("--organisation", help="With --group: whose group.")
 @click.option("--group", help="Cancel all unfinished jobs of this group.")
+@output_option
 @with_client
 def cancel(
     job_id: str | None,
     organisation: str | None,
     group: str | None,
+    output: str,
     client: OperatorClient,
 ) -> None:
     """Cancel the job JOB_ID, or a whole group of an organisation."""
     if job_id and not group:
         answer = client.call("POST", f"/jobs/{job_id}/cancel")
-        click.echo(f"job={job_id} status={answer['status']}")
+        _print_outcome(answer, output, f"job={job_id} status={answer['status']}")
         return
     if job_id or not (group and organisation):
         raise click.UsageError("give JOB_ID, or --organisation and --group")
     body = {"organisation": organisation, "group": group}
     answer = client.call("POST", "/job-groups/cancel", body=body)
-    click.echo(f"group={group} {answer['note']}")
+    _print_outcome(answer, output, f"group={group} {answer['note']}")
 
 
 @command.command()
 @click.argument("job_id")
+@output_option
 @with_client
-def retry(job_id: str, client: OperatorClient) -> None:
+def retry(job_id: str, output: str, client: OperatorClient) -> None:
     """Let the parked or held job JOB_ID run again.
 
     A held job may have run. Make sure that it did not, or that a second run does no
     harm, before you retry it.
     """
     answer = client.call("POST", f"/jobs/{job_id}/retry")
-    click.echo(f"job={job_id} status={answer['status']}")
+    _print_outcome(answer, output, f"job={job_id} status={answer['status']}")
 
 
 @command.command(name="list")
--- a/tests/cli/test_job.py
+++ b/tests/cli/test_job.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -77,6 +78,17 @@
     assert run("cancel").exit_code == 2
 
 
+def test_programs_read_every_answer_as_json(world: JobsWorld) -> None:
+    submitted = run("submit", "derwent", "plans", "--id", "p1", "--output", "json")
+    assert json.loads(submitted.output)["job_id"] == "derwent.p1"
+    cancelled = run("cancel", "derwent.p1", "--output", "json")
+    assert json.loads(cancelled.output)["status"] == "cancelled"
+    group = run(
+        "cancel", "--organisation", "derwent", "--group", "g", "--output", "json"
+    )
+    assert json.loads(group.output)["note"] == "jobs=0"
+
+
 def test_refusals_have_statuses_of_their_own() -> None:
     errors: tuple[MustardwardError, ...] = (JobUnknownError(), JobQuotaError())
     assert [problem_status(error) for error in errors] == [404, 429]
