Let the budget mutant remove the protection under its present name

Ruled out: the look at the pool before a claim, which stays in place in the mutant. Change: the mutant replaces check_held, and fails loudly if that name goes. Conclusion: a mutant has to fail when it can't remove what it names.

--- a/bench/history/removals.py
+++ b/bench/history/removals.py
@@ -48,9 +48,9 @@
     from mustardward.state.handlers import maintenance
 
     setattr(ClaimSteps, "refusal", lambda *arguments: None)  # noqa: B010
-    setattr(  # noqa: B010
-        maintenance, "check_budgets_without", lambda *arguments: None
-    )
+    if not hasattr(maintenance, "check_held"):
+        raise AttributeError("the protection has another name now")
+    setattr(maintenance, "check_held", lambda *arguments: None)  # noqa: B010
 
 
 def remove_attempt_id() -> None:
