Let the look at a pool use the index by data centre

Cause: a review of the whole change found that each look walked over all instances of the fleet for those of one data centre, which the budgets' index keeps by data centre. Change: the look asks the index; the same instances are looked at. Not timed: at 12,000 instances 857 are walked over in place of all.

--- a/mustardward/components/maintenance/pool_look.py
+++ b/mustardward/components/maintenance/pool_look.py
@@ -94,11 +94,9 @@
         state = self._parts.log.state
         index = index_of(state)
         return [
-            instance
-            for instance in state.instances.values()
-            if instance.pool == pool
-            and instance.data_centre == self._parts.data_centre
-            and index.is_available(instance.instance_id)
+            state.instances[name]
+            for name in index.instances_of(self._parts.data_centre)
+            if state.instances[name].pool == pool and index.is_available(name)
         ]
 
     def _elsewhere(self, pool: str) -> list[Member]:
