--- a/bench/capacity/measures.py
+++ b/bench/capacity/measures.py
@@ -29,7 +29,7 @@
 from mustardward.components.routing.index import FleetIndex
 from mustardward.components.routing.services import RouterService
 from mustardward.helpers.timer import DrivenTimerService
-from mustardward.platform.models import ListedInstance, ListedState
+from mustardward.standin.protocol.models import ListedInstance, ListedState
 from mustardward.state.budgets import check_budgets
 from mustardward.state.fold import Fold
 from mustardward.state.images import make_image, restore_image
--- a/bench/control_entry.py
+++ b/bench/control_entry.py
@@ -19,13 +19,13 @@
 
 from mustardward.const import SNAPSHOT_STREAM_SUFFIX
 from mustardward.helpers.timer import LoopTimerService
-from mustardward.platform.models import ListedInstance, ListedState
 from mustardward.standin.log import LogOptions
 from mustardward.standin.platform import (
     PlatformOptions,
     RunningPlatform,
     async_run_platform,
 )
+from mustardward.standin.protocol.models import ListedInstance, ListedState
 from mustardward.standin.store import Retention
 from mustardward.state.fleet import FleetState
 from mustardward.state.images import Image, make_image
--- a/bench/jobs_mutants.py
+++ b/bench/jobs_mutants.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Success
 
 from mustardward.components.jobs import calls, keeper
-from mustardward.platform.models import TaskReport
+from mustardward.standin.protocol.models import TaskReport
 from mustardward.state.handlers import jobs as handlers
 from mustardward.state.models.jobs import AttemptEnd, EndAttempt
 
--- a/bench/jobs_world.py
+++ b/bench/jobs_world.py
@@ -11,7 +11,7 @@
 from returns.result import Success
 
 from mustardward.components.jobs.models import Submission
-from mustardward.platform.models import TaskOrder
+from mustardward.standin.protocol.models import TaskOrder
 from tests.fakes.jobs_world import Entry, JobsWorld
 from tests.fakes.worklog import FakeWorkLog
 
--- /dev/null
+++ b/mustardward/components/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Follow what the operator publishes: configuration and maintenance waves."""
--- /dev/null
+++ b/mustardward/components/configuration/services.py
@@ -0,0 +1,87 @@
+"""Hold the newest configuration, and never go back to an older one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ...helpers.logging import get_logger
+from ...platform.models import OperatorConfig, UpkeepWave
+from ...platform.store import KEY_CONFIG, KEY_WAVE_PREFIX, KeyedRecord
+from ..scheduling.models import QueuePolicy
+from .routing import RouteTable, build_table, queue_key
+
+_LOGGER = get_logger(__name__)
+_CONFIG = msgspec.json.Decoder(OperatorConfig)
+_WAVE = msgspec.json.Decoder(UpkeepWave)
+
+
+@dataclass(slots=True, eq=False)
+class Configuration:
+    """Fold the operator's topic.
+
+    :param on_change: called after a newer version came into force.
+    """
+
+    config: OperatorConfig | None = None
+    table: RouteTable = field(default_factory=RouteTable)
+    waves: dict[int, UpkeepWave] = field(default_factory=dict)
+    on_change: Callable[[], None] | None = None
+    _policies: dict[str, QueuePolicy] = field(default_factory=dict)
+
+    def apply(self, record: KeyedRecord) -> None:
+        """Fold one record."""
+        try:
+            if record.key == KEY_CONFIG and record.value:
+                self._apply_config(_CONFIG.decode(record.value))
+            elif record.key.startswith(KEY_WAVE_PREFIX) and record.value:
+                wave = _WAVE.decode(record.value)
+                if self.waves.get(wave.wave) != wave:
+                    _LOGGER.info(
+                        "wave_published",
+                        wave=wave.wave,
+                        machines=len(wave.machines),
+                        max_count=wave.max_count,
+                        duration_s=wave.duration_s,
+                    )
+                self.waves[wave.wave] = wave
+        except msgspec.MsgspecError as error:
+            _LOGGER.error("operator_record_unreadable", key=record.key, d=str(error))
+
+    def keys(self) -> Iterable[str]:
+        """Return no keys: what the operator published stays in force."""
+        return ()
+
+    def policy_of(self, queue: str) -> QueuePolicy | None:
+        """Return the policy of a queue, or None if no version in force has it."""
+        return self._policies.get(queue)
+
+    def standby_pools(self) -> set[str]:
+        """Return the pools whose instances are off."""
+        services = self.config.services if self.config else []
+        return {pool.name for pool in services if pool.standby}
+
+    def _apply_config(self, config: OperatorConfig) -> None:
+        if self.config is not None and config.version <= self.config.version:
+            return
+        self.config = config
+        self.table = build_table(config)
+        # Policies of queues that went stay known: their jobs are still to be run.
+        for queue in config.routes:
+            self._policies[queue_key(queue)] = QueuePolicy(
+                queue.service,
+                queue.priority,
+                queue.max_attempts,
+                queue.stretch,
+                queue.target_duration_ms / 1000,
+                queue.advice is not None,
+            )
+        _LOGGER.info(
+            "configuration_in_force",
+            version=config.version,
+            queues=len(config.routes),
+        )
+        if self.on_change is not None:
+            self.on_change()
--- /dev/null
+++ b/mustardward/components/dispatch/const.py
@@ -0,0 +1,38 @@
+"""Hold the figures of leases and calls to workers."""
+
+from __future__ import annotations
+
+from typing import Final
+
+LEASE_SECONDS: Final = 5.0
+"""Outlives a takeover (2 s) and its first hold; bounds how long a silent worker's
+tasks wait before they may run elsewhere."""
+
+CLOCK_ERROR: Final = 0.03
+"""A worker's clock may be 2 % slow, so its lease ends that much later."""
+
+LEASE_SLACK_SECONDS: Final = 0.25
+"""Covers the way of the order that renewed the lease last."""
+
+LONG_HOLD_MILLISECONDS: Final = 1000
+SHORT_HOLD_MILLISECONDS: Final = 300
+"""Used where figures have to be fresh: serving beside filling, and evacuations."""
+
+HOLD_GAP_SECONDS: Final = 0.05
+"""Shortest time between two holds of a worker: ends that come together are read
+together. Each call takes about 1 ms of the owner's processor."""
+
+UNSTORED_WAIT_SECONDS: Final = 0.25
+"""While ends are not stored, a hold answers at once; this keeps it from spinning."""
+
+FAILED_HOLD_SECONDS: Final = 0.2
+STOP_RETRY_SECONDS: Final = 0.15
+
+AUTHORITY_SECONDS: Final = 10.0
+"""An owner whose renewals were not stored for so long gives no more orders: another
+one may have taken over, and waits for workers it can't reach only so long."""
+
+
+def lease_bound(now: float) -> float:
+    """Return until when a lease renewed now may last, in the owner's time."""
+    return now + LEASE_SECONDS * (1 + CLOCK_ERROR) + LEASE_SLACK_SECONDS
--- /dev/null
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -0,0 +1,200 @@
+"""Carry out the scheduler's commands."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from anyio.abc import TaskGroup
+
+from ...helpers.logging import get_logger
+from ...helpers.timer import TimerService
+from ...platform.advice import AdviceClient
+from ...platform.exceptions import (
+    CallRefusedError,
+    CallUnknownError,
+    FencedError,
+    WrongIncarnationError,
+)
+from ...platform.http import HttpCaller
+from ...platform.models import WorkerEntry
+from ...platform.workers import TaskName, WorkerClient
+from ..scheduling.models import AskAdvice, Command, Pace, Start, Stop, Task
+from ..scheduling.scheduler import Scheduler
+from .const import STOP_RETRY_SECONDS, lease_bound
+from .session import WorkerSession
+
+_LOGGER = get_logger(__name__)
+
+ADVICE_TIMEOUT_SECONDS = 2.0
+_FAILED = (CallRefusedError, CallUnknownError)
+
+
+@dataclass(slots=True, eq=False)
+class Dispatcher:
+    """Keep a session with each worker.
+
+    :param token: the fencing token, the owner's epoch.
+    :param on_fenced: called when a worker has seen a newer owner.
+    :param on_report: called when there may be something to plan or to store.
+    """
+
+    http: HttpCaller
+    scheduler: Scheduler
+    timers: TimerService
+    tasks: TaskGroup
+    token: int
+    on_fenced: Callable[[], None]
+    on_report: Callable[[], None]
+    authorised: Callable[[], bool]
+    advice: AdviceClient | None = None
+    sessions: dict[str, WorkerSession] = field(default_factory=dict)
+
+    def see_worker(self, worker_id: str, entry: WorkerEntry) -> None:
+        """Open a session with a worker that is not known yet."""
+        now = self.timers.monotonic()
+        self.scheduler.see_worker(worker_id, entry, now)
+        session = self.sessions.get(worker_id)
+        if session is not None and not session.gone:
+            return
+        session = WorkerSession(
+            worker_id,
+            WorkerClient(self.http, entry.address, worker_id, self.token),
+            self.scheduler,
+            self.timers,
+            self.on_report,
+            self.authorised,
+            lease_bound(now),
+        )
+        self.sessions[worker_id] = session
+        self.tasks.start_soon(self._async_run_session, session)
+
+    def execute(self, commands: list[Command]) -> None:
+        """Carry out commands, all at once."""
+        for command in commands:
+            if isinstance(command, Start):
+                self.tasks.start_soon(self._async_start, command)
+            elif isinstance(command, Stop):
+                self.tasks.start_soon(self._async_stop, command)
+            elif isinstance(command, Pace):
+                self.tasks.start_soon(self._async_pace, command)
+            elif self.advice is not None:
+                self.tasks.start_soon(self._async_advice, self.advice, command)
+
+    def all_answered(self) -> bool:
+        """Return whether every worker told what it runs."""
+        return all(s.answered or s.gone for s in self.sessions.values())
+
+    async def _async_run_session(self, session: WorkerSession) -> None:
+        try:
+            await session.async_run()
+        except FencedError:
+            self.on_fenced()
+        finally:
+            session.gone = True
+
+    async def _async_start(self, start: Start) -> None:
+        task = start.task
+        run = start.run
+        reports = self.scheduler.reports
+        session = self.sessions.get(start.worker)
+        try:
+            if session is None or session.gone:
+                raise CallRefusedError("worker gone")
+            answer = await session.async_start(task, run)
+            if answer is None:
+                raise CallRefusedError("no authority")
+        except FencedError:
+            self.on_fenced()
+            return
+        except WrongIncarnationError:
+            self.lose_worker(start.worker)
+        except CallRefusedError as error:
+            self._log_start(task, start, error.detail)
+            reports.start_refused(task, run, self.timers.monotonic())
+        except CallUnknownError as error:
+            self._log_start(task, start, error.detail)
+            reports.start_unknown(task, run)
+        else:
+            reports.start_answered(task, run, answer.reason, self.timers.monotonic())
+            if not answer.reason:
+                return
+        self.on_report()
+
+    async def _async_stop(self, stop: Stop) -> None:
+        while True:
+            session = self.sessions.get(stop.worker)
+            if session is None or session.gone:
+                return
+            if not self.authorised():
+                await self.timers.async_sleep(STOP_RETRY_SECONDS)
+                continue
+            try:
+                await session.client.async_stop(stop.name, stop.run)
+            except FencedError:
+                self.on_fenced()
+                return
+            except WrongIncarnationError:
+                self.lose_worker(stop.worker)
+                return
+            except _FAILED:
+                await self.timers.async_sleep(STOP_RETRY_SECONDS)
+                continue
+            if stop.task is not None:
+                now = self.timers.monotonic()
+                self.scheduler.reports.stop_answered(stop.task, stop.run, now)
+            session.wake()
+            return
+
+    async def _async_pace(self, pace: Pace) -> None:
+        session = self.sessions.get(pace.worker)
+        if session is None or session.gone:
+            return
+        name: TaskName = pace.task.name
+        try:
+            await session.client.async_pace(name, pace.run, pace.percent)
+        except FencedError:
+            self.on_fenced()
+        except WrongIncarnationError:
+            self.lose_worker(pace.worker)
+        except _FAILED as error:
+            _LOGGER.warning("pace_failed", worker=pace.worker, detail=error.detail)
+            if pace.task.run == pace.run:
+                # The next look gives the order again.
+                pace.task.pace = -1
+
+    async def _async_advice(self, client: AdviceClient, ask: AskAdvice) -> None:
+        step = ask.step
+        try:
+            advice = await client.async_ask(
+                step.job.record.id,
+                step.occurrence,
+                step.number,
+                list(ask.workers),
+                ADVICE_TIMEOUT_SECONDS,
+            )
+        except CallRefusedError as error:
+            _LOGGER.warning(
+                "advice_failed", job=step.job.record.id, detail=error.detail
+            )
+            return
+        until = self.timers.monotonic() + advice.valid_ms / 1000
+        self.scheduler.give_tickets(step, advice.tickets, until)
+        self.on_report()
+
+    def lose_worker(self, worker_id: str) -> None:
+        """Take in that a worker's incarnation is surely gone."""
+        session = self.sessions.get(worker_id)
+        if session is not None:
+            session.gone = True
+            session.wake()
+        self.scheduler.lose_worker(worker_id, self.timers.monotonic())
+
+    def _log_start(self, task: Task, start: Start, detail: str) -> None:
+        _LOGGER.warning(
+            "start_unanswered",
+            job=task.step.job.record.id,
+            worker=start.worker,
+            run=start.run,
+            detail=detail,
+        )
--- /dev/null
+++ b/mustardward/components/dispatch/session.py
@@ -0,0 +1,193 @@
+"""Keep one worker's lease, and read its reports."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+
+from ...helpers.logging import get_logger
+from ...helpers.timer import TimerService
+from ...platform.exceptions import (
+    CallRefusedError,
+    CallUnknownError,
+    WrongIncarnationError,
+)
+from ...platform.workers import HoldAnswer, StartAnswer, StartOrder, WorkerClient
+from ..scheduling.models import Phase, Task, WorkerState
+from ..scheduling.scheduler import Scheduler
+from .const import (
+    FAILED_HOLD_SECONDS,
+    HOLD_GAP_SECONDS,
+    LEASE_SECONDS,
+    LONG_HOLD_MILLISECONDS,
+    SHORT_HOLD_MILLISECONDS,
+    UNSTORED_WAIT_SECONDS,
+    lease_bound,
+)
+
+_LOGGER = get_logger(__name__)
+
+
+@dataclass(slots=True)
+class WorkerClock:
+    """Know a worker's steady clock by its last answer."""
+
+    clock_ms: float = 0.0
+    at: float = -1.0
+
+    @property
+    def known(self) -> bool:
+        """Return whether the worker ever answered."""
+        return self.at >= 0
+
+    def take(self, clock_ms: float, at: float) -> None:
+        """Take in an answer that came at ``at``."""
+        if clock_ms:
+            self.clock_ms = clock_ms
+            self.at = at
+
+    def deadline(self, now: float) -> int:
+        """Return the end of a lease that begins now, on the worker's clock."""
+        return int(self.clock_ms + (now - self.at + LEASE_SECONDS) * 1000)
+
+
+@dataclass(slots=True, eq=False)
+class WorkerSession:
+    """Talk to one incarnation of a worker under one epoch.
+
+    :param on_report: called after each report, to plan and to store.
+    :param authorised: whether this owner may still give orders.
+    :param lease_until: until when something may run there, in the owner's time.
+    """
+
+    worker_id: str
+    client: WorkerClient
+    scheduler: Scheduler
+    timers: TimerService
+    on_report: Callable[[], None]
+    authorised: Callable[[], bool]
+    lease_until: float
+    clock: WorkerClock = field(default_factory=WorkerClock)
+    listed_upto: int = 0
+    seen_upto: int = 0
+    answered: bool = False
+    gone: bool = False
+    _stored: anyio.Event = field(default_factory=anyio.Event)
+    _wake: anyio.Event = field(default_factory=anyio.Event)
+
+    def acknowledge(self, number: int) -> None:
+        """Note that the ends up to a number are stored."""
+        if number > self.seen_upto:
+            self.seen_upto = number
+        self._stored.set()
+
+    def wake(self) -> None:
+        """Look at the worker though nothing ran there before."""
+        self._wake.set()
+
+    async def async_run(self) -> None:
+        """Hold the worker until it is surely gone."""
+        while not self.gone:
+            worker = self.scheduler.board.workers.get(self.worker_id)
+            if worker is None:
+                return
+            if self._idle(worker):
+                self._wake = anyio.Event()
+                await self._wake.wait()
+                continue
+            if not self.authorised():
+                await self.timers.async_sleep(FAILED_HOLD_SECONDS)
+                continue
+            await self._async_hold(worker)
+
+    async def async_start(self, task: Task, run: int) -> StartAnswer | None:
+        """Order a start; return None if this owner may give no orders."""
+        if not self.authorised():
+            return None
+        if not self.clock.known:
+            raise CallRefusedError("clock unknown")
+        now = self.timers.monotonic()
+        self.lease_until = max(self.lease_until, lease_bound(now))
+        order = StartOrder(
+            task.name,
+            run,
+            task.step.job.record.spec,
+            self.clock.deadline(now),
+            task.checkpoint,
+            task.step.tickets.get(self.worker_id, ""),
+        )
+        self._wake.set()
+        answer = await self.client.async_start(order)
+        self.clock.take(answer.clock_ms, self.timers.monotonic())
+        return answer
+
+    def _idle(self, worker: WorkerState) -> bool:
+        return (
+            worker.confirmed
+            and not worker.tasks
+            and not worker.stale
+            and self.listed_upto <= self.seen_upto
+        )
+
+    async def _async_hold(self, worker: WorkerState) -> None:
+        if self.listed_upto > self.seen_upto:
+            with anyio.move_on_after(UNSTORED_WAIT_SECONDS):
+                await self._stored.wait()
+        sent_at = self.timers.monotonic()
+        try:
+            answer = await self._async_call(worker, sent_at)
+        except WrongIncarnationError:
+            self.gone = True
+            self.scheduler.lose_worker(self.worker_id, self.timers.monotonic())
+            self.on_report()
+            return
+        except (CallRefusedError, CallUnknownError) as error:
+            await self._async_failed(worker, error.detail)
+            return
+        now = self.timers.monotonic()
+        self.clock.take(answer.clock_ms, now)
+        self.answered = True
+        numbers = [ended.number for ended in answer.ended]
+        self.listed_upto = max(numbers, default=self.listed_upto)
+        self._stored = anyio.Event()
+        self.scheduler.hold_worker(self.worker_id, answer, sent_at, now)
+        self.on_report()
+        spent = now - sent_at
+        if spent < HOLD_GAP_SECONDS:
+            await self.timers.async_sleep(HOLD_GAP_SECONDS - spent)
+
+    async def _async_call(self, worker: WorkerState, now: float) -> HoldAnswer:
+        deadline = None
+        wait_ms = 0
+        if self.clock.known:
+            self.lease_until = max(self.lease_until, lease_bound(now))
+            deadline = self.clock.deadline(now)
+            wait_ms = self._wait_ms(worker)
+        return await self.client.async_hold(self.seen_upto, deadline, wait_ms)
+
+    def _wait_ms(self, worker: WorkerState) -> int:
+        if not worker.confirmed or worker.stale or not worker.tasks:
+            return 0
+        if any(task.phase is Phase.UNCERTAIN for task in worker.tasks.values()):
+            return 0
+        if worker.leaving or worker.draining:
+            return SHORT_HOLD_MILLISECONDS
+        if self.scheduler.pacing.needs_looks(worker):
+            return SHORT_HOLD_MILLISECONDS
+        return LONG_HOLD_MILLISECONDS
+
+    async def _async_failed(self, worker: WorkerState, detail: str) -> None:
+        now = self.timers.monotonic()
+        if not worker.stale:
+            worker.stale = True
+            _LOGGER.warning("worker_silent", worker=self.worker_id, detail=detail)
+        if now > self.lease_until:
+            # Its leases have run out on the slowest clock it can have, so nothing
+            # runs there, whether it lives or not.
+            self.scheduler.lose_worker(self.worker_id, now)
+            self.gone = True
+            self.on_report()
+            return
+        await self.timers.async_sleep(FAILED_HOLD_SECONDS)
--- /dev/null
+++ b/mustardward/components/fleet/models.py
@@ -0,0 +1,95 @@
+"""Hold what fleet work knows and decides."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ...platform.models import Instance, UpkeepWave
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Hold what runs on one worker.
+
+    :param lasting: tasks that last.
+    :param others: all other tasks.
+    """
+
+    lasting: int
+    others: int
+
+    @property
+    def empty(self) -> bool:
+        """Return whether nothing runs."""
+        return self.lasting + self.others == 0
+
+
+@dataclass(slots=True)
+class MaintenanceOrder:
+    """Hold an order that was given, until the instance was seen up again.
+
+    :param old_id: the worker's id when the order was given.
+    :param accepted: whether the platform answered that it has begun.
+    """
+
+    machine: str
+    old_id: str | None
+    given_at: float
+    accepted: bool = False
+    accepted_at: float = 0.0
+
+
+@dataclass(slots=True)
+class WaveRun:
+    """Hold how far a wave is.
+
+    :param begun: machines whose maintenance has begun.
+    :param emptying: machines that are being emptied for it.
+    """
+
+    wave: UpkeepWave
+    first_seen_at: float
+    begun: set[str] = field(default_factory=set)
+    orders: dict[str, MaintenanceOrder] = field(default_factory=dict)
+    emptying: dict[str, float] = field(default_factory=dict)
+    done: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """Hold the newest list and what runs on its workers.
+
+    :param read_at: when the list was asked for, in steady seconds.
+    """
+
+    instances: dict[str, Instance]
+    loads: dict[str, Load]
+    standby: frozenset[str]
+    read_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Empty:
+    """Give an instance's worker no new work, and let it run out."""
+
+    machine: str
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class Maintain:
+    """Order an instance's maintenance."""
+
+    machine: str
+    wave: int
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """Order an instance into another pool."""
+
+    machine: str
+    pool: str
+
+
+Decision = Empty | Maintain | Move
--- /dev/null
+++ b/mustardward/components/fleet/services.py
@@ -0,0 +1,167 @@
+"""Read the fleet's list, and carry out what the planners decide."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from anyio.abc import TaskGroup
+
+from ...helpers.logging import get_logger
+from ...helpers.timer import TimerService
+from ...platform.exceptions import CallRefusedError, CallUnknownError, FencedError
+from ...platform.fleet import FleetClient
+from ...platform.models import WAVE_DONE, WAVE_RUNNING, Instance
+from ...platform.store import KEY_WAVE_PREFIX
+from ..configuration.services import Configuration
+from ..dispatch.dispatcher import Dispatcher
+from ..ledger.appender import GroupAppender
+from ..ledger.const import PREFIX_WAVE
+from ..ledger.ledger import Ledger, encode
+from ..ledger.models import WaveRecord
+from ..scheduling.scheduler import Scheduler
+from .const import BUSY_LIST_SECONDS, LIST_SECONDS, TICK_SECONDS
+from .models import Empty, FleetView, Load, Maintain, WaveRun
+from .waves import WavePlanner
+
+_LOGGER = get_logger(__name__)
+
+
+@dataclass(slots=True, eq=False)
+class Fleet:
+    """Do the fleet work of one ownership.
+
+    :param token: the owner's fencing token, which all orders carry.
+    :param begins_at: steady time before which no order is given: the instances'
+        holder must not change twice within a short time.
+    :param ledger_appender: stores which instances a wave has taken.
+    :param status_appender: tells the operator how far waves are.
+    """
+
+    client: FleetClient
+    token: int
+    begins_at: float
+    timers: TimerService
+    scheduler: Scheduler
+    dispatcher: Dispatcher
+    configuration: Configuration
+    ledger: Ledger
+    ledger_appender: GroupAppender
+    status_appender: GroupAppender
+    planner: WavePlanner
+    authorised: Callable[[], bool]
+    on_fenced: Callable[[], None]
+    tasks: TaskGroup
+    _instances: dict[str, Instance] = field(default_factory=dict)
+    _read_at: float = -1.0
+    _told: dict[int, str] = field(default_factory=dict)
+    _busy: set[str] = field(default_factory=set)
+
+    async def async_run(self) -> None:
+        """Work until cancelled."""
+        while True:
+            await self._async_tick()
+            await self.timers.async_sleep(TICK_SECONDS)
+
+    async def _async_tick(self) -> None:
+        self._take_in_waves()
+        now = self.timers.monotonic()
+        active = any(not run.done for run in self.planner.runs.values())
+        interval = BUSY_LIST_SECONDS if active else LIST_SECONDS
+        if now - self._read_at >= interval:
+            await self._async_read()
+        if self._read_at < 0 or now < self.begins_at or not self.authorised():
+            return
+        for decision in self.planner.decide(self._view(), self.timers.monotonic()):
+            if isinstance(decision, Empty):
+                _LOGGER.info("instance_emptying", machine=decision.machine)
+                self._set_leaving(decision.worker, True)
+            elif isinstance(decision, Maintain):
+                self.tasks.start_soon(self._async_maintain, decision)
+        self._tell()
+
+    async def _async_read(self) -> None:
+        sent_at = self.timers.monotonic()
+        try:
+            instances = await self.client.async_list()
+        except CallRefusedError as error:
+            _LOGGER.warning("list_unreadable", detail=error.detail)
+            return
+        self._instances = {instance.machine: instance for instance in instances}
+        self._read_at = sent_at
+
+    async def _async_maintain(self, order: Maintain) -> None:
+        if order.machine in self._busy:
+            return
+        self._busy.add(order.machine)
+        try:
+            await self.client.async_maintain(order.machine, order.wave, self.token)
+        except FencedError:
+            self.on_fenced()
+        except CallRefusedError as error:
+            _LOGGER.warning(
+                "maintenance_refused", machine=order.machine, detail=error.detail
+            )
+            self.planner.refused(order.wave, order.machine)
+            self._set_leaving(self._worker_of(order.machine), False)
+        except CallUnknownError as error:
+            _LOGGER.warning(
+                "maintenance_unknown", machine=order.machine, detail=error.detail
+            )
+        else:
+            self._begun(order)
+        finally:
+            self._busy.discard(order.machine)
+
+    def _begun(self, order: Maintain) -> None:
+        _LOGGER.info("maintenance_begun", machine=order.machine, wave=order.wave)
+        self.planner.accepted(order.wave, order.machine, self.timers.monotonic())
+        self.dispatcher.lose_worker(self._worker_of(order.machine))
+        self._store_wave(self.planner.runs[order.wave])
+
+    def _worker_of(self, machine: str) -> str:
+        instance = self._instances.get(machine)
+        return (instance.id if instance is not None else None) or ""
+
+    def _set_leaving(self, worker_id: str, leaving: bool) -> None:
+        self.scheduler.set_leaving(worker_id, leaving, self.timers.monotonic())
+
+    def _take_in_waves(self) -> None:
+        for number, wave in self.configuration.waves.items():
+            if number in self.planner.runs:
+                continue
+            stored = self.ledger.waves.get(str(number))
+            run = WaveRun(wave, self.timers.monotonic())
+            if stored is not None:
+                run.begun.update(stored.machines)
+                run.done = stored.done
+            self.planner.runs[number] = run
+
+    def _view(self) -> FleetView:
+        loads = {
+            worker.id: Load(
+                sum(t.step.spec.long_running for t in worker.tasks.values()),
+                sum(not t.step.spec.long_running for t in worker.tasks.values()),
+            )
+            for worker in self.scheduler.board.workers.values()
+        }
+        standby = frozenset(self.configuration.standby_pools())
+        return FleetView(self._instances, loads, standby, self._read_at)
+
+    def _tell(self) -> None:
+        for number, run in self.planner.runs.items():
+            state = WAVE_DONE if run.done else WAVE_RUNNING
+            if self._told.get(number) == state:
+                continue
+            self._told[number] = state
+            body = msgspec.json.encode({"state": state})
+            self.status_appender.post([(f"{KEY_WAVE_PREFIX}{number}", body)])
+            if run.done:
+                _LOGGER.info("wave_done", wave=number)
+                self._store_wave(run)
+
+    def _store_wave(self, run: WaveRun) -> None:
+        record = WaveRecord(sorted(run.begun), run.done)
+        key = f"{PREFIX_WAVE}{run.wave.wave}"
+        self.ledger_appender.post([(key, encode(record))])
--- /dev/null
+++ b/mustardward/components/fleet/waves.py
@@ -0,0 +1,156 @@
+"""Decide which instances a maintenance wave takes when; pure."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ...platform.models import INSTANCE_UP, Instance
+from .const import CYCLE_SECONDS, HURRY_FACTOR, POOL_SHARE, RETRY_SECONDS
+from .models import Decision, Empty, FleetView, Maintain, MaintenanceOrder, WaveRun
+
+
+@dataclass(slots=True, eq=False)
+class WavePlanner:
+    """Carry out waves within their most at once.
+
+    :param maintenance_seconds: how long an instance is down at least.
+    """
+
+    maintenance_seconds: float
+    runs: dict[int, WaveRun] = field(default_factory=dict)
+
+    def decide(self, view: FleetView, now: float) -> list[Decision]:
+        """Return what is to be done for all waves that are not done."""
+        decisions: list[Decision] = []
+        for run in self.runs.values():
+            if run.done:
+                continue
+            self._settle(run, view)
+            decisions.extend(self._order(run, view, now))
+            decisions.extend(self._empty(run, view, now))
+            run.done = not self._left(run, view) and not run.orders
+        return decisions
+
+    def accepted(self, wave: int, machine: str, now: float) -> None:
+        """Take in that the platform has begun an instance's maintenance."""
+        run = self.runs[wave]
+        run.begun.add(machine)
+        run.emptying.pop(machine, None)
+        order = run.orders.get(machine)
+        if order is not None and not order.accepted:
+            order.accepted = True
+            order.accepted_at = now
+
+    def refused(self, wave: int, machine: str) -> None:
+        """Take in that an order certainly had no effect."""
+        self.runs[wave].orders.pop(machine, None)
+
+    def taken(self) -> set[str]:
+        """Return the machines that waves hold now."""
+        held: set[str] = set()
+        for run in self.runs.values():
+            held.update(run.emptying)
+            held.update(run.orders)
+        return held
+
+    def waiting(self) -> set[str]:
+        """Return the machines that waves have still to take."""
+        left: set[str] = set()
+        for run in self.runs.values():
+            if not run.done:
+                left.update(set(run.wave.machines) - run.begun)
+        return left
+
+    def _left(self, run: WaveRun, view: FleetView) -> list[Instance]:
+        return [
+            view.instances[machine]
+            for machine in run.wave.machines
+            if machine not in run.begun and machine in view.instances
+        ]
+
+    def _settle(self, run: WaveRun, view: FleetView) -> None:
+        """Forget the orders whose instances were seen up again, or are gone.
+
+        An instance counts as down until a list that was asked for after its
+        maintenance shows it up as another incarnation: the list lags, and one more
+        order too early would break the wave's most at once.
+        """
+        for machine, order in list(run.orders.items()):
+            instance = view.instances.get(machine)
+            if not order.accepted:
+                continue
+            if view.read_at < order.accepted_at + self.maintenance_seconds:
+                continue
+            if instance is None or _is_up_again(instance, order, view):
+                del run.orders[machine]
+
+    def _order(self, run: WaveRun, view: FleetView, now: float) -> Iterable[Decision]:
+        for machine in list(run.emptying):
+            instance = view.instances.get(machine)
+            if instance is None or instance.state != INSTANCE_UP:
+                del run.emptying[machine]
+                continue
+            load = view.loads.get(instance.id or "")
+            if load is not None and not load.empty:
+                continue
+            if len(run.orders) >= run.wave.max_count:
+                continue
+            del run.emptying[machine]
+            run.orders[machine] = MaintenanceOrder(machine, instance.id, now)
+            yield Maintain(machine, run.wave.wave)
+        for order in run.orders.values():
+            if not order.accepted and now - order.given_at >= RETRY_SECONDS:
+                order.given_at = now
+                yield Maintain(order.machine, run.wave.wave)
+
+    def _empty(self, run: WaveRun, view: FleetView, now: float) -> Iterable[Decision]:
+        left = [i for i in self._left(run, view) if i.machine not in run.emptying]
+        wanted = self._at_once(run, len(left), now)
+        held = len(run.emptying) + len(run.orders)
+        per_pool = self._held_by_pool(run, view)
+        sizes = Counter(instance.pool for instance in view.instances.values())
+        for instance in sorted(left, key=lambda i: _cost(i, view)):
+            if held >= wanted:
+                return
+            if instance.state != INSTANCE_UP or instance.machine in run.orders:
+                continue
+            pool = instance.pool
+            most = max(1, math.floor(POOL_SHARE * sizes[pool]))
+            if pool not in view.standby and per_pool[pool] >= most:
+                continue
+            per_pool[pool] += 1
+            held += 1
+            run.emptying[instance.machine] = now
+            yield Empty(instance.machine, instance.id or "")
+
+    def _at_once(self, run: WaveRun, left: int, now: float) -> int:
+        time_left = run.first_seen_at + run.wave.duration_s - now
+        rounds = max(1.0, time_left / CYCLE_SECONDS - 1)
+        pace = math.ceil(HURRY_FACTOR * left / rounds)
+        return min(run.wave.max_count, max(1, pace))
+
+    def _held_by_pool(self, run: WaveRun, view: FleetView) -> Counter[str]:
+        held: Counter[str] = Counter()
+        for machine in [*run.emptying, *run.orders]:
+            instance = view.instances.get(machine)
+            if instance is not None:
+                held[instance.pool] += 1
+        return held
+
+
+def _is_up_again(instance: Instance, order: MaintenanceOrder, view: FleetView) -> bool:
+    if instance.state != INSTANCE_UP:
+        return False
+    if instance.pool in view.standby:
+        return True
+    return instance.id is not None and instance.id != order.old_id
+
+
+def _cost(instance: Instance, view: FleetView) -> tuple[int, int, str]:
+    load = view.loads.get(instance.id or "")
+    if load is None:
+        return (0, 0, instance.machine)
+    return (load.lasting, load.others, instance.machine)
--- /dev/null
+++ b/mustardward/components/front/__init__.py
@@ -0,0 +1,1 @@
+"""Answer callers on any entry, from the folded ledger."""
--- /dev/null
+++ b/mustardward/components/front/const.py
@@ -0,0 +1,20 @@
+"""Hold the figures of answering callers."""
+
+from __future__ import annotations
+
+from typing import Final
+
+DEFAULT_DEADLINE_SECONDS: Final = 3.0
+ANSWER_MARGIN_SECONDS: Final = 0.15
+"""An answer leaves this long before its caller's deadline: it has a way to go."""
+
+FRESH_SECONDS: Final = 0.1
+"""A job's state may be this old; older, and the log's end is read first."""
+
+CONFIG_FRESH_SECONDS: Final = 0.5
+"""Beyond this a queue that is not there may only not be known yet, so that the log's
+end is read before anybody is told so."""
+
+RETRY_AFTER_SECONDS: Final = 1
+JSON: Final = "application/json"
+"""Content type of all answers."""
--- /dev/null
+++ b/mustardward/components/front/server.py
@@ -0,0 +1,102 @@
+"""Serve callers and the balancer over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from ...helpers.logging import get_logger
+from ...helpers.timer import TimerService
+from ...platform import callers
+from .const import DEFAULT_DEADLINE_SECONDS, JSON
+from .services import Front, Reply, Request
+
+_LOGGER = get_logger(__name__)
+
+BACKLOG = 512
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+@dataclass(slots=True, eq=False)
+class FrontServer:
+    """Listen for callers and for questions whether this entry is ready.
+
+    :param is_ready: whether new callers should come here.
+    """
+
+    front: Front
+    timers: TimerService
+    is_ready: Callable[[], bool]
+    leaving: bool = False
+    busy: int = 0
+    _runners: list[web.ServerRunner] = field(default_factory=list)
+
+    async def async_listen(self, front: str, ready: str) -> None:
+        """Begin to listen on both addresses."""
+        await self._async_serve(front, self._async_front)
+        await self._async_serve(ready, self._async_ready)
+
+    async def async_close(self) -> None:
+        """Close all connections."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _async_serve(self, address: str, handler: Handler) -> None:
+        server = web.Server(
+            handler, access_log=None, keepalive_timeout=15.0, lingering_time=0.5
+        )
+        runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
+        await runner.setup()
+        self._runners.append(runner)
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
+
+    async def _async_ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != callers.READINESS_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self.is_ready() else 503)
+
+    async def _async_front(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.busy += 1
+        try:
+            reply = await self._async_reply(request)
+        finally:
+            self.busy -= 1
+        headers = {}
+        if reply.retry_after is not None:
+            headers["Retry-After"] = str(reply.retry_after)
+        response = web.Response(
+            status=reply.status, body=reply.body, content_type=JSON, headers=headers
+        )
+        if self.leaving:
+            # The caller's next request then opens a connection to another entry.
+            response.force_close()
+        return response
+
+    async def _async_reply(self, request: web.BaseRequest) -> Reply:
+        now = self.timers.monotonic()
+        config = self.front.configuration.config
+        most = config.limits.max_body_bytes if config else 0
+        body = b""
+        if request.can_read_body:
+            if most and (request.content_length or 0) > most:
+                detail = f"most={most}"
+                return Reply(413, callers.encode_error("body-too-large", detail))
+            body = await request.content.read(-1)
+            if most and len(body) > most:
+                detail = f"most={most}"
+                return Reply(413, callers.encode_error("body-too-large", detail))
+        host = request.headers.get("Host", "").lower().partition(":")[0]
+        return await self.front.async_answer(
+            Request(request.method, host, request.path, body, now + _patience(request))
+        )
+
+
+def _patience(request: web.BaseRequest) -> float:
+    text = request.headers.get(callers.HEADER_DEADLINE_MS, "")
+    try:
+        return max(0.0, float(text) / 1000)
+    except ValueError:
+        return DEFAULT_DEADLINE_SECONDS
--- /dev/null
+++ b/mustardward/components/front/services.py
@@ -0,0 +1,186 @@
+"""Accept, tell, cancel and count jobs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ...helpers.logging import get_logger
+from ...helpers.timer import TimerService
+from ...platform import callers
+from ...platform.exceptions import MalformedJobError
+from ...platform.models import Queue
+from ..configuration.routing import queue_key
+from ..configuration.services import Configuration
+from ..ledger.appender import GroupAppender, Outcome
+from ..ledger.const import PREFIX_CANCEL, PREFIX_JOB
+from ..ledger.follower import TopicFollower
+from ..ledger.ledger import Ledger, encode
+from ..ledger.models import CancelRecord, JobRecord, JobState
+from .const import (
+    ANSWER_MARGIN_SECONDS,
+    CONFIG_FRESH_SECONDS,
+    FRESH_SECONDS,
+    RETRY_AFTER_SECONDS,
+)
+
+_LOGGER = get_logger(__name__)
+
+_STATES = {
+    JobState.QUEUED: callers.STATE_QUEUED,
+    JobState.RUNNING: callers.STATE_RUNNING,
+    JobState.DONE: callers.STATE_DONE,
+    JobState.FAILED: callers.STATE_FAILED,
+    JobState.CANCELLED: callers.STATE_CANCELLED,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Hold what a caller sent; the deadline in steady seconds."""
+
+    method: str
+    host: str
+    path: str
+    body: bytes
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold what a caller is answered; ``retry_after`` in seconds, or None."""
+
+    status: int
+    body: bytes
+    retry_after: int | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Front:
+    """Answer callers.
+
+    :param appender: stores what is accepted here, under this process's own name.
+    """
+
+    timers: TimerService
+    configuration: Configuration
+    config_follower: TopicFollower
+    ledger: Ledger
+    follower: TopicFollower
+    appender: GroupAppender
+
+    async def async_answer(self, request: Request) -> Reply:
+        """Return the answer to a request."""
+        if self.configuration.config is None:
+            return _refused("no-configuration", "the configuration is not read yet")
+        queue = self.configuration.table.find(request.host, request.path)
+        if queue is None:
+            return await self._async_no_queue(request)
+        name = request.path[len(queue.path_prefix) :]
+        if not name:
+            return await self._async_count(request, queue)
+        if not callers.is_job_id(name):
+            return _error(404, "no-such-job", "the id has not 16 hexadecimal digits")
+        return await self._async_job(request, queue, name)
+
+    async def _async_job(self, request: Request, queue: Queue, name: str) -> Reply:
+        if request.method == "POST":
+            return await self._async_submit(request, queue, name)
+        if request.method == "GET":
+            return await self._async_tell(name)
+        if request.method == "DELETE":
+            return await self._async_cancel(request, name)
+        return _error(405, "method-not-allowed", request.method)
+
+    async def _async_no_queue(self, request: Request) -> Reply:
+        """Answer that there is no such queue only as of a configuration just read."""
+        age = self.timers.monotonic() - self.config_follower.fresh_at
+        if age > CONFIG_FRESH_SECONDS:
+            if not await self.config_follower.async_confirm():
+                return _refused("configuration-old", f"age={age:.1f}")
+            if self.configuration.table.find(request.host, request.path) is not None:
+                return await self.async_answer(request)
+        return _error(404, "no-such-queue", "no queue has this host and prefix")
+
+    async def _async_submit(self, request: Request, queue: Queue, name: str) -> Reply:
+        known = self.ledger.jobs.get(name)
+        if known is not None:
+            return Reply(200, callers.encode_state(_STATES[known.state]))
+        try:
+            job = callers.decode_job(request.body)
+        except MalformedJobError as error:
+            return _error(400, error.code, error.detail)
+        record = JobRecord(
+            name,
+            queue_key(queue),
+            queue.service,
+            job.spec,
+            job.steps,
+            job.times,
+            job.start_at_ms,
+            job.interval_ms,
+            self.timers.wall(),
+        )
+        outcome = await self.appender.async_append(
+            [(PREFIX_JOB + name, encode(record))],
+            request.deadline - ANSWER_MARGIN_SECONDS,
+        )
+        _LOGGER.info("job_submitted", job=name, queue=queue.name, outcome=outcome.value)
+        if outcome is Outcome.STORED:
+            return Reply(200, callers.encode_state(callers.STATE_QUEUED))
+        return _not_stored(outcome)
+
+    async def _async_tell(self, name: str) -> Reply:
+        job = self.ledger.jobs.get(name)
+        if job is None or not job.state.final:
+            age = self.timers.monotonic() - self.follower.fresh_at
+            if age > FRESH_SECONDS:
+                confirmed = await self.follower.async_confirm()
+                job = self.ledger.jobs.get(name)
+                if job is None and not confirmed:
+                    return _refused("state-old", f"age={age:.1f}")
+        if job is None:
+            return _error(410, "no-such-job", "no job has this id")
+        return Reply(200, callers.encode_state(_STATES[job.state]))
+
+    async def _async_cancel(self, request: Request, name: str) -> Reply:
+        job = self.ledger.jobs.get(name)
+        if job is None and not await self.follower.async_confirm():
+            return _refused("state-old", "the log can't be read")
+        job = self.ledger.jobs.get(name)
+        if job is None:
+            return _error(410, "no-such-job", "no job has this id")
+        if not job.state.final:
+            outcome = await self.appender.async_append(
+                [(PREFIX_CANCEL + name, encode(CancelRecord(self.timers.wall())))],
+                request.deadline - ANSWER_MARGIN_SECONDS,
+            )
+            _LOGGER.info("job_cancelled", job=name, outcome=outcome.value)
+            if outcome is not Outcome.STORED:
+                return _not_stored(outcome)
+        return Reply(200, callers.encode_state(callers.STATE_CANCELLED))
+
+    async def _async_count(self, request: Request, queue: Queue) -> Reply:
+        if request.method != "GET":
+            return _error(405, "method-not-allowed", request.method)
+        age = self.timers.monotonic() - self.follower.fresh_at
+        if age > 1.0:
+            await self.follower.async_confirm()
+        count = self.ledger.count_pending(queue_key(queue))
+        return Reply(200, callers.encode_pending(count))
+
+
+def _error(status: int, code: str, detail: str) -> Reply:
+    return Reply(status, callers.encode_error(code, detail))
+
+
+def _refused(code: str, detail: str) -> Reply:
+    """Return a refusal that is true: nothing of the request was kept."""
+    _LOGGER.info("request_refused", code=code, detail=detail)
+    return Reply(503, callers.encode_error(code, detail), RETRY_AFTER_SECONDS)
+
+
+def _not_stored(outcome: Outcome) -> Reply:
+    if outcome is Outcome.NOT_STORED:
+        return _refused("not-stored", "the log did not take it")
+    # It may be stored, now or later: to call it refused would be a guess.
+    return _error(504, "outcome-unknown", "ask again with the same id")
--- a/mustardward/components/jobs/attempt.py
+++ b/mustardward/components/jobs/attempt.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ...platform.models import TaskOrder, TaskReport, TaskState
+from ...standin.protocol.models import TaskOrder, TaskReport, TaskState
 from ...state.models.jobs import AttemptEnd, EndAttempt, Job
 from .const import (
     HOLD_AFTER_SECONDS,
--- a/mustardward/components/jobs/calls.py
+++ b/mustardward/components/jobs/calls.py
@@ -15,7 +15,7 @@
 )
 from ...helpers.timer import TimerService
 from ...helpers.waiting import async_within
-from ...platform.models import TaskReport
+from ...standin.protocol.models import TaskReport
 
 
 class CallFailure(StrEnum):
--- a/mustardward/components/jobs/giveback.py
+++ b/mustardward/components/jobs/giveback.py
@@ -9,8 +9,8 @@
 from returns.result import Success
 
 from ...helpers.timer import TimerService
-from ...platform.models import TaskReport, TaskState
-from ...platform.protocols import WorkerService
+from ...standin.protocol.models import TaskReport, TaskState
+from ...standin.protocol.protocols import WorkerService
 from ...state.models.jobs import EndAttempt, Job
 from .attempt import end_by_ignorance, end_by_report, end_by_silence, end_stalled
 from .calls import CallFailure, CallOutcome, async_outcome_within
--- a/mustardward/components/jobs/keeper.py
+++ b/mustardward/components/jobs/keeper.py
@@ -10,8 +10,8 @@
 
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
-from ...platform.models import TaskReport, TaskState
-from ...platform.protocols import WorkerService
+from ...standin.protocol.models import TaskReport, TaskState
+from ...standin.protocol.protocols import WorkerService
 from ...state.fold import RecordRefusedError
 from ...state.handlers.job_index import job_status
 from ...state.models.jobs import EndAttempt, Job
--- a/mustardward/components/keys.py
+++ b/mustardward/components/keys.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from ..helpers.listener import HttpListener
     from ..helpers.metrics import Metrics
-    from ..platform.protocols import (
+    from ..standin.protocol.protocols import (
         ListingService,
         LogService,
         PowerService,
--- /dev/null
+++ b/mustardward/components/ledger/appender.py
@@ -0,0 +1,173 @@
+"""Append records in groups, exactly once, and say truly what became of them."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Final
+
+import anyio
+
+from ...helpers.logging import get_logger
+from ...helpers.timer import TimerService
+from ...platform.exceptions import (
+    CallRefusedError,
+    CallUnknownError,
+    FencedError,
+    SequenceError,
+)
+from ...platform.store import Producer
+from .const import FIRST_RETRY_SECONDS, RETRY_SECONDS
+
+_LOGGER = get_logger(__name__)
+
+MOST_BYTES: Final = 900_000
+"""Stays below the store's limit for one call with room for lengths and keys."""
+
+Record = tuple[str, bytes]
+AppendCall = Callable[[list[Record], Producer], Awaitable[int]]
+
+
+class Outcome(Enum):
+    """Say what became of records."""
+
+    STORED = "stored"
+    NOT_STORED = "not_stored"
+    UNKNOWN = "unknown"
+    FENCED = "fenced"
+
+
+@dataclass(slots=True, eq=False)
+class _Entry:
+    """Hold records that wait, and who waits for them."""
+
+    records: list[Record]
+    deadline: float
+    done: anyio.Event = field(default_factory=anyio.Event)
+    outcome: Outcome = Outcome.UNKNOWN
+
+
+@dataclass(slots=True, eq=False)
+class GroupAppender:
+    """Append what waits, one call at a time, under one producer's name.
+
+    The symptom this prevents is a job that runs though its caller was refused, or runs
+    twice: an append whose answer is lost is repeated under its own number until the log
+    says what became of it, and nothing else is appended before. The log drops the
+    repeat of a number it has seen.
+    """
+
+    call: AppendCall
+    timers: TimerService
+    producer: str
+    epoch: int
+    sequence: int = 0
+    fenced: bool = False
+    last_stored_at: float = 0.0
+    _waiting: list[_Entry] = field(default_factory=list)
+    _wake: anyio.Event = field(default_factory=anyio.Event)
+
+    async def async_append(self, records: list[Record], deadline: float) -> Outcome:
+        """Append records; return once their fate is known or the deadline is past.
+
+        :param deadline: steady clock, in seconds.
+        """
+        entry = _Entry(records, deadline)
+        self._waiting.append(entry)
+        self._wake.set()
+        with anyio.move_on_after(max(0.0, deadline - self.timers.monotonic())):
+            await entry.done.wait()
+        if not entry.done.is_set() and entry in self._waiting:
+            # It was never sent, so nothing of it can be stored later.
+            self._waiting.remove(entry)
+            return Outcome.NOT_STORED
+        return entry.outcome
+
+    def post(self, records: list[Record]) -> None:
+        """Append records that nobody waits for."""
+        self._waiting.append(_Entry(records, self.timers.monotonic() + 1.0))
+        self._wake.set()
+
+    async def async_run(self) -> None:
+        """Append for as long as the producer is not fenced."""
+        while not self.fenced:
+            if not self._waiting:
+                self._wake = anyio.Event()
+                await self._wake.wait()
+            batch = self._take_batch()
+            if batch:
+                await self._async_settle(batch)
+        for entry in self._waiting:
+            self._finish(entry, Outcome.FENCED)
+        self._waiting.clear()
+
+    def _take_batch(self) -> list[_Entry]:
+        size = 0
+        batch: list[_Entry] = []
+        for entry in self._waiting:
+            size += sum(len(key) + len(value) + 5 for key, value in entry.records)
+            if batch and size > MOST_BYTES:
+                break
+            batch.append(entry)
+        del self._waiting[: len(batch)]
+        return batch
+
+    async def _async_settle(self, batch: list[_Entry]) -> None:
+        records = [record for entry in batch for record in entry.records]
+        may_be_stored = False
+        pause = FIRST_RETRY_SECONDS
+        while True:
+            try:
+                await self.call(
+                    records, Producer(self.producer, self.epoch, self.sequence)
+                )
+            except CallRefusedError as error:
+                if not may_be_stored and self._give_up_late(batch):
+                    return
+                _LOGGER.debug("append_refused", detail=error.detail)
+            except CallUnknownError as error:
+                may_be_stored = True
+                _LOGGER.warning(
+                    "append_unknown", producer=self.producer, detail=error.detail
+                )
+            except FencedError:
+                self.fenced = True
+                _LOGGER.warning("append_fenced", producer=self.producer)
+                for entry in batch:
+                    self._finish(entry, Outcome.FENCED)
+                return
+            except SequenceError as error:
+                if error.expected <= self.sequence:
+                    raise
+                # The log is past this number: the repeat found its first try stored.
+                self._stored(batch)
+                return
+            else:
+                self._stored(batch)
+                return
+            await self.timers.async_sleep(pause)
+            pause = min(RETRY_SECONDS, pause * 2)
+
+    def _give_up_late(self, batch: list[_Entry]) -> bool:
+        """Return whether nobody waits any more for a batch that is surely not stored.
+
+        A batch is given up as a whole: its number may be used again only with all of
+        its records, or with none of them.
+        """
+        now = self.timers.monotonic()
+        if any(entry.deadline > now for entry in batch):
+            return False
+        for entry in batch:
+            self._finish(entry, Outcome.NOT_STORED)
+        return True
+
+    def _stored(self, batch: list[_Entry]) -> None:
+        self.sequence += 1
+        self.last_stored_at = self.timers.monotonic()
+        for entry in batch:
+            self._finish(entry, Outcome.STORED)
+
+    def _finish(self, entry: _Entry, outcome: Outcome) -> None:
+        entry.outcome = outcome
+        entry.done.set()
--- /dev/null
+++ b/mustardward/components/ledger/const.py
@@ -0,0 +1,26 @@
+"""Name the ledger's topic and the kinds of its keys."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ...platform.store import KEYED_PREFIX
+
+SHARD: Final = "shard-0"
+"""All pools are in one hand: their demand comes by turns, so that one owner at a time
+carries one pool's peak, and lending between pools needs no agreement."""
+
+TOPIC: Final = f"{KEYED_PREFIX}{SHARD}"
+
+KEY_OWNER: Final = "owner"
+PREFIX_JOB: Final = "j/"
+PREFIX_PROGRESS: Final = "p/"
+PREFIX_CANCEL: Final = "x/"
+PREFIX_WAVE: Final = "w/"
+
+RETRY_SECONDS: Final = 0.08
+"""Pause after a refused call; the store's own answers take some 6 ms."""
+
+FIRST_RETRY_SECONDS: Final = 0.01
+LONG_POLL_MILLISECONDS: Final = 1000
+"""A connection that went silent is noticed after this and the slack of a read."""
--- /dev/null
+++ b/mustardward/components/ledger/follower.py
@@ -0,0 +1,146 @@
+"""Follow a keyed topic: its newest records first, then its tail."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import anyio
+
+from ...helpers.logging import get_logger
+from ...helpers.timer import TimerService
+from ...platform.exceptions import CallRefusedError, CallUnknownError, OffsetGoneError
+from ...platform.store import KeyedRecord, Page, StoreClient
+from .const import LONG_POLL_MILLISECONDS, RETRY_SECONDS
+
+_LOGGER = get_logger(__name__)
+
+_READ_FAILURES = (CallRefusedError, CallUnknownError)
+
+
+@dataclass(slots=True, eq=False)
+class TopicFollower:
+    """Keep a fold of a keyed topic up to date.
+
+    :param apply: folds one record; an empty value means that the key is gone.
+    :param keys: returns the keys that the fold holds, to find those that went while
+        their records were not to be had.
+    :param gap_seconds: shortest time between two reads of the tail.
+    """
+
+    store: StoreClient
+    timers: TimerService
+    topic: str
+    apply: Callable[[KeyedRecord], None]
+    keys: Callable[[], Iterable[str]]
+    gap_seconds: float
+    wait_ms: int = LONG_POLL_MILLISECONDS
+    offset: int = -1
+    fresh_at: float = -1.0
+    failing_since: float | None = None
+    on_change: Callable[[], None] | None = None
+    _loaded: anyio.Event = field(default_factory=anyio.Event)
+    _confirming: anyio.Lock = field(default_factory=anyio.Lock)
+
+    @property
+    def loaded(self) -> bool:
+        """Return whether the fold was complete once."""
+        return self.fresh_at >= 0
+
+    async def async_wait_loaded(self) -> None:
+        """Wait until the fold was complete once."""
+        await self._loaded.wait()
+
+    async def async_run(self) -> None:
+        """Follow the topic for ever."""
+        while True:
+            try:
+                if self.offset < 0:
+                    await self.async_load()
+                else:
+                    await self._async_read(self.wait_ms)
+            except OffsetGoneError as error:
+                _LOGGER.warning("history_gone", topic=self.topic, first=error.first)
+                self.offset = -1
+                continue
+            except _READ_FAILURES as error:
+                self._failed(error.detail)
+                await self.timers.async_sleep(RETRY_SECONDS)
+                continue
+            await self.timers.async_sleep(self.gap_seconds)
+
+    async def async_confirm(self) -> bool:
+        """Read up to the present end; return whether that was possible.
+
+        Calls that come while one is under way share the next one.
+        """
+        asked_at = self.timers.monotonic()
+        async with self._confirming:
+            if self.fresh_at >= asked_at:
+                return True
+            try:
+                if self.offset < 0:
+                    await self.async_load()
+                else:
+                    while not await self._async_read(0):
+                        pass
+            except OffsetGoneError:
+                self.offset = -1
+                return False
+            except _READ_FAILURES as error:
+                self._failed(error.detail)
+                return False
+        return True
+
+    async def async_load(self) -> None:
+        """Fold the newest record of each key, and forget the keys that are gone."""
+        sent_at = self.timers.monotonic()
+        first_end = -1
+        after = ""
+        found: list[KeyedRecord] = []
+        while True:
+            page = await self.store.async_newest(self.topic, after)
+            if first_end < 0:
+                first_end = page.end
+            found.extend(page.records)
+            if not page.more or not page.records:
+                break
+            after = page.records[-1].key
+        # The pages are no snapshot: what changed meanwhile lies behind the end that
+        # the first one named, and is read again from there.
+        for key in set(self.keys()) - {record.key for record in found}:
+            self.apply(KeyedRecord(first_end, key, b""))
+        for record in sorted(found, key=lambda record: record.offset):
+            self.apply(record)
+        self.offset = first_end
+        self._succeeded(sent_at)
+
+    async def _async_read(self, wait_ms: int) -> bool:
+        sent_at = self.timers.monotonic()
+        page = await self.store.async_read(self.topic, self.offset, wait_ms)
+        self._fold(page)
+        if page.next_offset < page.end:
+            return False
+        self._succeeded(sent_at)
+        return True
+
+    def _fold(self, page: Page) -> None:
+        fresh = [record for record in page.records if record.offset >= self.offset]
+        for record in fresh:
+            self.apply(record)
+        self.offset = max(self.offset, page.next_offset)
+        if fresh and self.on_change is not None:
+            self.on_change()
+
+    def _succeeded(self, sent_at: float) -> None:
+        if self.failing_since is not None:
+            lost = self.timers.monotonic() - self.failing_since
+            _LOGGER.info("topic_regained", topic=self.topic, lost_seconds=lost)
+            self.failing_since = None
+        self.fresh_at = max(self.fresh_at, sent_at)
+        self._loaded.set()
+
+    def _failed(self, detail: str) -> None:
+        if self.failing_since is None:
+            self.failing_since = self.timers.monotonic()
+            _LOGGER.warning("topic_lost", topic=self.topic, detail=detail)
--- /dev/null
+++ b/mustardward/components/ledger/ledger.py
@@ -0,0 +1,175 @@
+"""Fold the records of a shard; pure, and alike on every entry."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Final
+
+import msgspec
+
+from ...helpers.logging import get_logger
+from ...platform.store import KeyedRecord
+from .const import KEY_OWNER, PREFIX_CANCEL, PREFIX_JOB, PREFIX_PROGRESS, PREFIX_WAVE
+from .models import (
+    CancelRecord,
+    JobRecord,
+    JobState,
+    OwnerRecord,
+    Progress,
+    WaveRecord,
+)
+
+_LOGGER = get_logger(__name__)
+
+_JOB: Final = msgspec.msgpack.Decoder(JobRecord)
+_PROGRESS: Final = msgspec.msgpack.Decoder(Progress)
+_CANCEL: Final = msgspec.msgpack.Decoder(CancelRecord)
+_OWNER: Final = msgspec.msgpack.Decoder(OwnerRecord)
+_WAVE: Final = msgspec.msgpack.Decoder(WaveRecord)
+_ENCODER: Final = msgspec.msgpack.Encoder()
+
+NO_OWNER: Final = OwnerRecord(0, "", "", 0)
+
+
+def encode(
+    record: JobRecord | Progress | CancelRecord | OwnerRecord | WaveRecord,
+) -> bytes:
+    """Return the stored form of a record."""
+    return _ENCODER.encode(record)
+
+
+@dataclass(slots=True)
+class LedgerJob:
+    """Hold all that is stored of one job."""
+
+    record: JobRecord
+    progress: Progress | None = None
+    cancelled_at: float = 0.0
+
+    @property
+    def state(self) -> JobState:
+        """Return the state that callers see.
+
+        What ended before the cancel came stays as it ended.
+        """
+        stored = self.progress.state if self.progress else JobState.QUEUED
+        if self.cancelled_at and not stored.final:
+            return JobState.CANCELLED
+        return stored
+
+    @property
+    def ended_at(self) -> float:
+        """Return when the job ended, as wall clock in seconds, or 0."""
+        if self.progress is not None and self.progress.ended_at:
+            return self.progress.ended_at
+        return self.cancelled_at
+
+
+JobListener = Callable[[LedgerJob], None]
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Hold the folded state of a shard.
+
+    A record may be folded again, or come before the one it belongs to: the newest
+    record of each key decides alone, so that reading from the newest records of a
+    compacted topic and reading all of them come to the same state.
+    """
+
+    owner: OwnerRecord = NO_OWNER
+    jobs: dict[str, LedgerJob] = field(default_factory=dict)
+    waves: dict[str, WaveRecord] = field(default_factory=dict)
+    on_job: JobListener | None = None
+    on_cancel: JobListener | None = None
+    _early_progress: dict[str, Progress] = field(default_factory=dict)
+    _early_cancels: dict[str, float] = field(default_factory=dict)
+
+    def apply(self, record: KeyedRecord) -> None:
+        """Fold one record; an empty value drops its key."""
+        key = record.key
+        try:
+            if key.startswith(PREFIX_JOB):
+                self._apply_job(key[len(PREFIX_JOB) :], record.value)
+            elif key.startswith(PREFIX_PROGRESS):
+                self._apply_progress(key[len(PREFIX_PROGRESS) :], record.value)
+            elif key.startswith(PREFIX_CANCEL):
+                self._apply_cancel(key[len(PREFIX_CANCEL) :], record.value)
+            elif key == KEY_OWNER and record.value:
+                self._apply_owner(_OWNER.decode(record.value))
+            elif key.startswith(PREFIX_WAVE):
+                self._apply_wave(key[len(PREFIX_WAVE) :], record.value)
+        except msgspec.MsgspecError as error:
+            # A record of another version must not end the fold of all others.
+            _LOGGER.error("record_unreadable", key=key, detail=str(error))
+
+    def keys(self) -> Iterator[str]:
+        """Return the keys that something is held of."""
+        for job in self.jobs.values():
+            yield PREFIX_JOB + job.record.id
+            if job.progress is not None:
+                yield PREFIX_PROGRESS + job.record.id
+            if job.cancelled_at:
+                yield PREFIX_CANCEL + job.record.id
+        for name in self._early_progress:
+            yield PREFIX_PROGRESS + name
+        for name in self._early_cancels:
+            yield PREFIX_CANCEL + name
+        for name in self.waves:
+            yield PREFIX_WAVE + name
+
+    def count_pending(self, queue: str) -> int:
+        """Return how many accepted jobs of a queue have had no task started."""
+        return sum(
+            job.record.queue == queue and job.state is JobState.QUEUED
+            for job in self.jobs.values()
+        )
+
+    def _apply_job(self, name: str, value: bytes) -> None:
+        if not value:
+            self.jobs.pop(name, None)
+            return
+        if name in self.jobs:
+            # The same job handed in twice: the first record stays, so that both
+            # readings of the log agree on what its tasks are.
+            return
+        job = LedgerJob(_JOB.decode(value))
+        job.progress = self._early_progress.pop(name, None)
+        job.cancelled_at = self._early_cancels.pop(name, 0.0)
+        self.jobs[name] = job
+        if self.on_job is not None:
+            self.on_job(job)
+
+    def _apply_progress(self, name: str, value: bytes) -> None:
+        job = self.jobs.get(name)
+        progress = _PROGRESS.decode(value) if value else None
+        if job is not None:
+            job.progress = progress
+        elif progress is None:
+            self._early_progress.pop(name, None)
+        else:
+            self._early_progress[name] = progress
+
+    def _apply_cancel(self, name: str, value: bytes) -> None:
+        job = self.jobs.get(name)
+        at = _CANCEL.decode(value).at if value else 0.0
+        if job is None:
+            self._early_cancels.pop(name, None)
+            if at:
+                self._early_cancels[name] = at
+            return
+        job.cancelled_at = at
+        if at and self.on_cancel is not None:
+            self.on_cancel(job)
+
+    def _apply_owner(self, owner: OwnerRecord) -> None:
+        # Epochs are fenced by the log, so a lower one can only be an older record.
+        if owner.epoch >= self.owner.epoch:
+            self.owner = owner
+
+    def _apply_wave(self, name: str, value: bytes) -> None:
+        if value:
+            self.waves[name] = _WAVE.decode(value)
+        else:
+            self.waves.pop(name, None)
--- /dev/null
+++ b/mustardward/components/ledger/models.py
@@ -0,0 +1,93 @@
+"""Hold the records of the ledger, as they are stored."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+import msgspec
+
+from ...platform.models import SubmittedStep
+
+
+class JobState(IntEnum):
+    """Say where a job stands."""
+
+    QUEUED = 0
+    RUNNING = 1
+    DONE = 2
+    FAILED = 3
+    CANCELLED = 4
+
+    @property
+    def final(self) -> bool:
+        """Return whether nothing of the job runs any more."""
+        return self >= JobState.DONE
+
+
+class JobRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Hold an accepted job.
+
+    :param queue: host and prefix that it was sent to.
+    :param accepted_at: wall clock of the entry that accepted it, in seconds.
+    """
+
+    id: str
+    queue: str
+    service: str
+    spec: str
+    steps: list[SubmittedStep]
+    times: int
+    start_at_ms: float
+    interval_ms: float
+    accepted_at: float
+
+
+class TaskMark(msgspec.Struct, frozen=True, array_like=True):
+    """Hold what is stored of one task.
+
+    :param failures: runs that ended failed, up to run ``last_failed_run``.
+    """
+
+    occurrence: int
+    step: int
+    index: int
+    done: bool
+    failures: int = 0
+    last_failed_run: int = 0
+    checkpoint: str = ""
+
+
+class Progress(msgspec.Struct, frozen=True, array_like=True):
+    """Hold how far a job is; ``ended_at`` is wall clock, in seconds, or 0."""
+
+    state: JobState
+    marks: list[TaskMark]
+    ended_at: float = 0.0
+
+
+class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Hold who owns the shard.
+
+    :param epoch: rises with each owner; it is the fencing token of all its orders.
+    :param claim: names the one claim that won, since a node may claim twice.
+    :param node: empty once the owner has given the shard up.
+    :param beat: counts renewals.
+    """
+
+    epoch: int
+    claim: str
+    node: str
+    beat: int
+
+
+class WaveRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Hold the machines of a wave whose maintenance has begun, and if it is done."""
+
+    machines: list[str]
+    done: bool
+
+
+class CancelRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Hold that a caller cancelled a job, at this wall clock in seconds."""
+
+    at: float
--- a/mustardward/components/maintenance/absence_reporter.py
+++ b/mustardward/components/maintenance/absence_reporter.py
@@ -8,8 +8,8 @@
 
 from ...exceptions import PlatformError, PlatformRefusedError
 from ...helpers.logging import get_logger
-from ...platform.models import InstancePower, PowerState
-from ...platform.protocols import ListingService
+from ...standin.protocol.models import InstancePower, PowerState
+from ...standin.protocol.protocols import ListingService
 from ...state.budgets import index_of
 from ...state.handlers.absences import CAUSE_FAILED
 from ...state.instance_status import is_quarantine
--- a/mustardward/components/maintenance/claim_steps.py
+++ b/mustardward/components/maintenance/claim_steps.py
@@ -18,7 +18,7 @@
 )
 from ...helpers.logging import get_logger
 from ...helpers.registry import Registry
-from ...platform.models import InstancePower, PowerState
+from ...standin.protocol.models import InstancePower, PowerState
 from ...state.budgets import BudgetExceededError, check_held
 from ...state.models.maintenance import (
     Claim,
--- a/mustardward/components/maintenance/models.py
+++ b/mustardward/components/maintenance/models.py
@@ -9,7 +9,7 @@
 
 from ...core import EventBus
 from ...helpers.timer import TimerService
-from ...platform.protocols import PowerService
+from ...standin.protocol.protocols import PowerService
 from ...state.protocols import FleetLog
 from ..membership.models import Member
 from ..membership.protocols import Membership
--- a/mustardward/components/maintenance/pool_look.py
+++ b/mustardward/components/maintenance/pool_look.py
@@ -17,7 +17,7 @@
 from ...exceptions import PeerError, PeerOutcomeUnknownError, PlatformError
 from ...helpers.logging import get_logger
 from ...helpers.rendezvous import rendezvous_owner
-from ...platform.protocols import WorkerService
+from ...standin.protocol.protocols import WorkerService
 from ...state.budgets import index_of
 from ...state.handlers.absences import CAUSE_FAILED
 from ...state.models.maintenance import AbsenceChange, ReportAbsences
--- a/mustardward/components/maintenance/services.py
+++ b/mustardward/components/maintenance/services.py
@@ -10,7 +10,7 @@
 
 from ...exceptions import PlatformError
 from ...helpers.logging import get_logger
-from ...platform.models import PowerState
+from ...standin.protocol.models import PowerState
 from ...state.budgets import BudgetExceededError
 from ...state.fold import RecordOutcome
 from ...state.handlers.waves import is_finished
--- a/mustardward/components/membership/listing.py
+++ b/mustardward/components/membership/listing.py
@@ -7,8 +7,8 @@
 from ...exceptions import PlatformError
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
-from ...platform.models import ListedInstance, ListedState
-from ...platform.protocols import ListingService
+from ...standin.protocol.models import ListedInstance, ListedState
+from ...standin.protocol.protocols import ListingService
 from .const import (
     DUTY_LIST,
     LIST_ABSENCES,
--- a/mustardward/components/membership/returns.py
+++ b/mustardward/components/membership/returns.py
@@ -6,8 +6,8 @@
 
 from ...exceptions import PlatformError
 from ...helpers.timer import TimerService
-from ...platform.models import PowerState
-from ...platform.protocols import PowerService
+from ...standin.protocol.models import PowerState
+from ...standin.protocol.protocols import PowerService
 from ...state.protocols import FleetLog
 from .const import DUTY_RETURNS, RETURN_CHECKS
 from .instances import InstanceTable
--- /dev/null
+++ b/mustardward/components/ownership/const.py
@@ -0,0 +1,29 @@
+"""Hold the figures of ownership."""
+
+from __future__ import annotations
+
+from typing import Final
+
+BEAT_SECONDS: Final = 0.5
+"""Interval of renewals; one write of the store's several hundred a second."""
+
+SILENCE_SECONDS: Final = 1.6
+"""Silence after which an owner counts as lost: three renewals and a slow answer."""
+
+JITTER_SECONDS: Final = 0.3
+"""Spread of the claims of equal entries, so that mostly one is made."""
+
+RELEASED_JITTER_SECONDS: Final = 0.08
+WATCH_SECONDS: Final = 0.1
+PLAN_GAP_SECONDS: Final = 0.01
+"""Shortest time between two plans; what comes together is planned together."""
+
+PLAN_SECONDS: Final = 0.1
+PAUSE_SECONDS: Final = 1.0
+"""A step of the owner's clock by more than this means that the process was paused."""
+
+STORED_JOBS_SECONDS: Final = 60.0
+"""Added to how long a job's state has to be readable, before its records go."""
+
+SWEEP_SECONDS: Final = 5.0
+"""Interval at which records of old jobs are dropped and sessions are looked over."""
--- /dev/null
+++ b/mustardward/components/ownership/election.py
@@ -0,0 +1,47 @@
+"""Decide when an entry claims the shard; pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..ledger.models import OwnerRecord
+from .const import JITTER_SECONDS, RELEASED_JITTER_SECONDS, SILENCE_SECONDS
+
+
+@dataclass(slots=True)
+class Election:
+    """Watch the owner's renewals as they are read from the log.
+
+    :param node: this entry's name.
+    :param share: where in the spread of claims this entry stands, from 0 to 1; larger
+        instances come first.
+    """
+
+    node: str
+    share: float
+    seen: OwnerRecord | None = None
+    changed_at: float = 0.0
+
+    def see(self, owner: OwnerRecord, now: float) -> None:
+        """Take in the newest owner's record."""
+        if owner != self.seen:
+            self.seen = owner
+            self.changed_at = now
+
+    def due(self, now: float) -> bool:
+        """Return whether this entry should claim, once it has read the log's end.
+
+        Silence is measured from the renewal as it was read here, on this entry's
+        steady clock, so no two clocks are ever compared.
+        """
+        owner = self.seen
+        if owner is None:
+            return False
+        if not owner.node:
+            return now - self.changed_at >= self.share * RELEASED_JITTER_SECONDS
+        if owner.node == self.node:
+            # This entry's earlier process was the owner, and is gone: a node runs
+            # one process.
+            return True
+        patience = SILENCE_SECONDS + self.share * JITTER_SECONDS
+        return now - self.changed_at >= patience
--- /dev/null
+++ b/mustardward/components/ownership/owner.py
@@ -0,0 +1,347 @@
+"""Do an owner's work: plan, store what ended, renew, until deposed."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ...helpers.logging import get_logger
+from ...helpers.timer import TimerService
+from ...platform.advice import AdviceClient
+from ...platform.boot import BootBounds
+from ...platform.fleet import FleetClient
+from ...platform.http import HttpCaller
+from ...platform.store import TOPIC_STATUS, TOPIC_WORKERS, Producer, StoreClient
+from ..configuration.services import Configuration
+from ..dispatch.const import AUTHORITY_SECONDS, lease_bound
+from ..dispatch.dispatcher import Dispatcher
+from ..fleet.services import Fleet
+from ..fleet.waves import WavePlanner
+from ..ledger.appender import GroupAppender, Outcome, Record
+from ..ledger.const import (
+    KEY_OWNER,
+    PREFIX_CANCEL,
+    PREFIX_JOB,
+    PREFIX_PROGRESS,
+    SHARD,
+    TOPIC,
+)
+from ..ledger.follower import TopicFollower
+from ..ledger.ledger import Ledger, encode
+from ..ledger.models import OwnerRecord
+from ..scheduling.scheduler import Scheduler
+from .const import (
+    BEAT_SECONDS,
+    PAUSE_SECONDS,
+    PLAN_GAP_SECONDS,
+    PLAN_SECONDS,
+    STORED_JOBS_SECONDS,
+    SWEEP_SECONDS,
+)
+from .directory import WorkerDirectory
+
+_LOGGER = get_logger(__name__)
+
+WORKERS_GAP_SECONDS = 0.25
+"""Entries are renewed each heartbeat; a change may be seen this much later."""
+
+FOREVER_SECONDS = 86400.0
+
+
+def boot_time() -> float:
+    """Return a steady clock that goes on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerParts:
+    """Hold what an owner's work is built on."""
+
+    node: str
+    store: StoreClient
+    http: HttpCaller
+    timers: TimerService
+    ledger: Ledger
+    follower: TopicFollower
+    configuration: Configuration
+    bounds: BootBounds
+    advice: AdviceClient | None = None
+    fleet: FleetClient | None = None
+    clock: Callable[[], float] = boot_time
+
+
+class Owner:
+    """Own the shard under one epoch.
+
+    :param epoch: the fencing token of all orders and appends.
+    :param claim: the claim that won.
+    """
+
+    def __init__(self, parts: OwnerParts, epoch: int, claim: str) -> None:
+        self._parts = parts
+        self._epoch = epoch
+        self._claim = claim
+        self._beat = 0
+        self._deposed = anyio.Event()
+        self._wake = anyio.Event()
+        self._dirty = anyio.Event()
+        self._last_beat_sent = 0.0
+        self._authority_from = parts.clock()
+        self._last_tick = parts.clock()
+        self.scheduler = Scheduler(epoch, parts.configuration.policy_of)
+        self.appender = GroupAppender(
+            self._async_call_append, parts.timers, f"owner/{SHARD}", epoch, sequence=1
+        )
+        self.dispatcher: Dispatcher | None = None
+
+    @property
+    def epoch(self) -> int:
+        """Return the fencing token."""
+        return self._epoch
+
+    def authorised(self) -> bool:
+        """Return whether orders may still be given.
+
+        Another entry that took over waits for the workers it can't reach only for as
+        long as this, and the lease on top of it.
+        """
+        now = self._parts.clock()
+        if now - self._last_tick > PAUSE_SECONDS:
+            return False
+        return now - self._authority_from < AUTHORITY_SECONDS
+
+    def depose(self) -> None:
+        """End this ownership; another entry has taken over."""
+        self._deposed.set()
+
+    def kick(self) -> None:
+        """Plan and store soon."""
+        self._wake.set()
+        self._dirty.set()
+
+    async def async_run(self) -> None:
+        """Work until deposed."""
+        parts = self._parts
+        async with anyio.create_task_group() as tasks:
+            dispatcher = Dispatcher(
+                parts.http,
+                self.scheduler,
+                parts.timers,
+                tasks,
+                self._epoch,
+                self.depose,
+                self.kick,
+                self.authorised,
+                parts.advice,
+            )
+            self.dispatcher = dispatcher
+            directory = WorkerDirectory(self._see_worker, self._miss_worker)
+            follower = TopicFollower(
+                parts.store,
+                parts.timers,
+                TOPIC_WORKERS,
+                directory.apply,
+                directory.keys,
+                WORKERS_GAP_SECONDS,
+            )
+            self._take_over()
+            tasks.start_soon(follower.async_run)
+            tasks.start_soon(self.appender.async_run)
+            tasks.start_soon(self._async_store)
+            tasks.start_soon(self._async_plan)
+            tasks.start_soon(self._async_watch, directory)
+            tasks.start_soon(self._async_release_held, follower)
+            if parts.fleet is not None:
+                self._start_fleet(parts.fleet, dispatcher, tasks)
+            await self._deposed.wait()
+            _LOGGER.warning("owner_deposed", epoch=self._epoch)
+            self._unsubscribe()
+            tasks.cancel_scope.cancel()
+
+    async def async_release(self) -> None:
+        """Give the shard up, so that another entry claims it at once."""
+        now = self._parts.timers.monotonic()
+        record = OwnerRecord(self._epoch, self._claim, "", self._beat + 1)
+        await self.appender.async_append([(KEY_OWNER, encode(record))], now + 1.0)
+        self.depose()
+
+    def _start_fleet(
+        self, client: FleetClient, dispatcher: Dispatcher, tasks: TaskGroup
+    ) -> None:
+        parts = self._parts
+        # Two holders that order the same instance within a lease look like two
+        # owners that take turns.
+        pause = parts.bounds.lease_ms / 1000 if self._epoch > 1 else 0.0
+        status = GroupAppender(
+            lambda records, producer: parts.store.async_append(
+                TOPIC_STATUS, records, producer
+            ),
+            parts.timers,
+            f"status/{SHARD}",
+            self._epoch,
+        )
+        fleet = Fleet(
+            client,
+            self._epoch,
+            parts.timers.monotonic() + pause,
+            parts.timers,
+            self.scheduler,
+            dispatcher,
+            parts.configuration,
+            parts.ledger,
+            self.appender,
+            status,
+            WavePlanner(parts.bounds.maintenance_s),
+            self.authorised,
+            self.depose,
+            tasks,
+        )
+        tasks.start_soon(status.async_run)
+        tasks.start_soon(fleet.async_run)
+
+    def _take_over(self) -> None:
+        parts = self._parts
+        now = parts.timers.monotonic()
+        wall = parts.timers.wall()
+        board = self.scheduler.board
+        # A worker that does not answer may still run what an earlier owner gave it.
+        board.held_until = lease_bound(now) + AUTHORITY_SECONDS
+        for job in parts.ledger.jobs.values():
+            self.scheduler.add_job(job, now, wall)
+        parts.ledger.on_job = lambda job: self._add_job(job)
+        parts.ledger.on_cancel = lambda job: self._cancel_job(job.record.id)
+        parts.configuration.on_change = self._configured
+        _LOGGER.info("owner_started", epoch=self._epoch, jobs=len(board.jobs))
+
+    def _unsubscribe(self) -> None:
+        self._parts.ledger.on_job = None
+        self._parts.ledger.on_cancel = None
+        self._parts.configuration.on_change = None
+
+    def _add_job(self, job: object) -> None:
+        timers = self._parts.timers
+        self.scheduler.add_job(job, timers.monotonic(), timers.wall())  # type: ignore[arg-type]
+        self._wake.set()
+
+    def _cancel_job(self, job_id: str) -> None:
+        self.scheduler.cancel_job(job_id)
+        self.kick()
+
+    def _configured(self) -> None:
+        self.scheduler.update_policies()
+        self._wake.set()
+
+    def _see_worker(self, worker_id: str, entry: object) -> None:
+        if self.dispatcher is not None:
+            self.dispatcher.see_worker(worker_id, entry)  # type: ignore[arg-type]
+            self._wake.set()
+
+    def _miss_worker(self, worker_id: str) -> None:
+        self.scheduler.miss_worker(worker_id, self._parts.timers.monotonic())
+
+    async def _async_release_held(self, follower: TopicFollower) -> None:
+        await follower.async_wait_loaded()
+        board = self.scheduler.board
+        timers = self._parts.timers
+        while timers.monotonic() < board.held_until:
+            if self.dispatcher is not None and self.dispatcher.all_answered():
+                board.held_until = 0.0
+                _LOGGER.info("takeover_complete", epoch=self._epoch)
+            await timers.async_sleep(0.02)
+        self._wake.set()
+
+    async def _async_plan(self) -> None:
+        timers = self._parts.timers
+        while True:
+            with anyio.move_on_after(PLAN_SECONDS):
+                await self._wake.wait()
+            self._wake = anyio.Event()
+            if self.authorised() and self.dispatcher is not None:
+                commands = self.scheduler.plan(timers.monotonic(), timers.wall())
+                self.dispatcher.execute(commands)
+                if self.scheduler.board.dirty:
+                    self._dirty.set()
+            await timers.async_sleep(PLAN_GAP_SECONDS)
+
+    async def _async_watch(self, directory: WorkerDirectory) -> None:
+        """Notice a pause of the process, a newer owner, and lost sessions."""
+        parts = self._parts
+        swept_at = 0.0
+        while True:
+            now = parts.clock()
+            if now - self._last_tick > PAUSE_SECONDS:
+                _LOGGER.warning("owner_paused", lost_seconds=now - self._last_tick)
+                while not await parts.follower.async_confirm():
+                    await parts.timers.async_sleep(0.05)
+            owner = parts.ledger.owner
+            if owner.epoch > self._epoch or owner.claim != self._claim:
+                self.depose()
+                return
+            self._last_tick = parts.clock()
+            if now - swept_at > SWEEP_SECONDS:
+                swept_at = now
+                self._drop_old_jobs()
+            if self.dispatcher is not None:
+                for worker_id, entry in directory.entries.items():
+                    session = self.dispatcher.sessions.get(worker_id)
+                    if session is None or session.gone:
+                        self.dispatcher.see_worker(worker_id, entry)
+            await parts.timers.async_sleep(0.2)
+
+    async def _async_store(self) -> None:
+        """Store progress, then let workers forget the ends that it came from."""
+        timers = self._parts.timers
+        while True:
+            with anyio.move_on_after(BEAT_SECONDS / 2):
+                await self._dirty.wait()
+            self._dirty = anyio.Event()
+            records = self._records()
+            if self.dispatcher is None:
+                continue
+            upto = [(s, s.listed_upto) for s in self.dispatcher.sessions.values()]
+            sent_at = self._parts.clock()
+            if records:
+                forever = timers.monotonic() + FOREVER_SECONDS
+                outcome = await self.appender.async_append(records, forever)
+                if outcome is not Outcome.STORED:
+                    self.depose()
+                    return
+                self._authority_from = sent_at
+            for session, number in upto:
+                session.acknowledge(number)
+
+    def _records(self) -> list[Record]:
+        timers = self._parts.timers
+        records: list[Record] = [
+            (PREFIX_PROGRESS + job_id, encode(progress))
+            for job_id, progress in self.scheduler.take_dirty(timers.wall())
+        ]
+        now = timers.monotonic()
+        if records or now - self._last_beat_sent >= BEAT_SECONDS:
+            self._last_beat_sent = now
+            self._beat += 1
+            owner = OwnerRecord(self._epoch, self._claim, self._parts.node, self._beat)
+            records.append((KEY_OWNER, encode(owner)))
+        return records
+
+    def _drop_old_jobs(self) -> None:
+        wall = self._parts.timers.wall()
+        keep = self._parts.bounds.status_s + STORED_JOBS_SECONDS
+        old: list[Record] = []
+        for job_id, job in self._parts.ledger.jobs.items():
+            if job.state.final and job.ended_at and wall - job.ended_at > keep:
+                old.append((PREFIX_JOB + job_id, b""))
+                old.append((PREFIX_PROGRESS + job_id, b""))
+                if job.cancelled_at:
+                    old.append((PREFIX_CANCEL + job_id, b""))
+        if old:
+            self.appender.post(old)
+
+    async def _async_call_append(
+        self, records: list[Record], producer: Producer
+    ) -> int:
+        return await self._parts.store.async_append(TOPIC, records, producer)
--- /dev/null
+++ b/mustardward/components/ownership/services.py
@@ -0,0 +1,117 @@
+"""Claim the shard when nobody owns it, and own it until deposed."""
+
+from __future__ import annotations
+
+import secrets
+
+from ...helpers.logging import get_logger
+from ...platform.exceptions import (
+    CallRefusedError,
+    CallUnknownError,
+    FencedError,
+    SequenceError,
+)
+from ...platform.store import Producer
+from ..ledger.const import KEY_OWNER, RETRY_SECONDS, SHARD, TOPIC
+from ..ledger.ledger import encode
+from ..ledger.models import OwnerRecord
+from .const import WATCH_SECONDS
+from .election import Election
+from .owner import Owner, OwnerParts
+
+_LOGGER = get_logger(__name__)
+
+
+class Ownership:
+    """Take part in the shard's ownership.
+
+    :param share: where in the spread of claims this entry stands, from 0 to 1.
+    """
+
+    def __init__(self, parts: OwnerParts, share: float) -> None:
+        self._parts = parts
+        self._election = Election(parts.node, share)
+        self._leaving = False
+        self.owner: Owner | None = None
+
+    async def async_run(self) -> None:
+        """Watch the owner, and take its place when it is lost."""
+        parts = self._parts
+        await parts.follower.async_wait_loaded()
+        while not self._leaving:
+            now = parts.timers.monotonic()
+            self._election.see(parts.ledger.owner, now)
+            if self._election.due(now) and await self._async_still_due():
+                owner = await self._async_claim()
+                if owner is not None:
+                    await self._async_own(owner)
+                continue
+            await parts.timers.async_sleep(WATCH_SECONDS)
+
+    async def async_leave(self) -> None:
+        """Claim nothing any more, and give up what is owned."""
+        self._leaving = True
+        if self.owner is not None:
+            await self.owner.async_release()
+
+    async def _async_still_due(self) -> bool:
+        """Return whether the log's present end shows no renewal either."""
+        parts = self._parts
+        if not await parts.follower.async_confirm():
+            await parts.timers.async_sleep(RETRY_SECONDS)
+            return False
+        now = parts.timers.monotonic()
+        self._election.see(parts.ledger.owner, now)
+        return self._election.due(now)
+
+    async def _async_claim(self) -> Owner | None:
+        """Claim the next epoch; the log's first record of it decides who has it.
+
+        Two entries that claim the same epoch use the same producer, epoch and number,
+        so the log keeps one of the two records and answers both.
+        """
+        parts = self._parts
+        epoch = parts.ledger.owner.epoch + 1
+        claim = secrets.token_hex(8)
+        record = OwnerRecord(epoch, claim, parts.node, 0)
+        if not await self._async_append(record):
+            return None
+        while parts.ledger.owner.epoch < epoch:
+            if not await parts.follower.async_confirm():
+                await parts.timers.async_sleep(RETRY_SECONDS)
+        won = parts.ledger.owner.claim == claim
+        _LOGGER.info("shard_claimed", epoch=epoch, won=won)
+        return Owner(parts, epoch, claim) if won else None
+
+    async def _async_append(self, record: OwnerRecord) -> bool:
+        parts = self._parts
+        producer = Producer(f"owner/{SHARD}", record.epoch, 0)
+        while parts.ledger.owner.epoch < record.epoch:
+            try:
+                await parts.store.async_append(
+                    TOPIC, [(KEY_OWNER, encode(record))], producer
+                )
+                return True
+            except (FencedError, SequenceError):
+                await parts.follower.async_confirm()
+                return False
+            except (CallRefusedError, CallUnknownError) as error:
+                _LOGGER.warning("claim_unanswered", detail=error.detail)
+                await parts.timers.async_sleep(RETRY_SECONDS)
+        return True
+
+    async def _async_own(self, owner: Owner) -> None:
+        self.owner = owner
+        self._parts.follower.gap_seconds = OWNER_GAP_SECONDS
+        try:
+            await owner.async_run()
+        finally:
+            self.owner = None
+            self._parts.follower.gap_seconds = IDLE_GAP_SECONDS
+
+
+OWNER_GAP_SECONDS = 0.02
+"""An owner reads new jobs at once, but not more often than this."""
+
+IDLE_GAP_SECONDS = 0.15
+"""Other entries follow the log to answer callers and to take over."""
--- a/mustardward/components/platform/services.py
+++ b/mustardward/components/platform/services.py
@@ -8,10 +8,10 @@
 
 from ...const import HEADER_DATA_CENTRE
 from ...core import Core, Unload
-from ...platform.http import PlatformHttp
-from ...platform.instances import HttpListingService, HttpPowerService
-from ...platform.log import HttpLogService
-from ...platform.worker import HttpWorkerService
+from ...standin.protocol.http import PlatformHttp
+from ...standin.protocol.instances import HttpListingService, HttpPowerService
+from ...standin.protocol.log import HttpLogService
+from ...standin.protocol.worker import HttpWorkerService
 from ..keys import LISTING_SERVICE, LOG_SERVICE, POWER_SERVICE, WORKER_SERVICE
 
 PLATFORM_CONNECTIONS: Final = httpx.Limits(
--- a/mustardward/components/pools/services.py
+++ b/mustardward/components/pools/services.py
@@ -10,7 +10,7 @@
 
 from ...exceptions import PeerError, PlatformError
 from ...helpers.logging import get_logger
-from ...platform.models import PowerState
+from ...standin.protocol.models import PowerState
 from ...state.models.pools import AcknowledgeMove, Move, TransferInstance
 from ..explain.models import SubjectKind
 from ..maintenance.const import CONFIRM_TIMEOUT_SECONDS
--- a/mustardward/components/routing/reporter.py
+++ b/mustardward/components/routing/reporter.py
@@ -8,7 +8,7 @@
 
 from ...exceptions import PlatformError
 from ...helpers.logging import get_logger
-from ...platform.protocols import PowerService
+from ...standin.protocol.protocols import PowerService
 from ...state.models.maintenance import AbsenceChange, ReportAbsences
 from ...state.protocols import FleetLog
 from .const import QUARANTINE_CAUSE
--- a/mustardward/components/routing/services.py
+++ b/mustardward/components/routing/services.py
@@ -10,7 +10,7 @@
 
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
-from ...platform.models import WorkerUsage
+from ...standin.protocol.models import WorkerUsage
 from ...state.fold import RecordOutcome
 from ...state.models.maintenance import AbsenceChange, ReportAbsences
 from ...state.models.pools import Instance
--- /dev/null
+++ b/mustardward/components/scheduling/board.py
@@ -0,0 +1,220 @@
+"""Hold the scheduler's state, and the few operations that change who runs where."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ...platform.workers import TaskName
+from ..ledger.models import JobState, Progress, TaskMark
+from .const import RUN_BITS
+from .estimates import Estimates
+from .models import (
+    ACTIVE,
+    Command,
+    Job,
+    Phase,
+    QueuePolicy,
+    Start,
+    StepRun,
+    Stop,
+    Task,
+    WorkerState,
+)
+
+PolicyLookup = Callable[[str], QueuePolicy | None]
+
+
+@dataclass(slots=True, eq=False)
+class Board:
+    """Hold all jobs that are not over, all workers, and the commands not yet taken.
+
+    :param epoch: the owner's; it stands in the upper bits of each run's number.
+    :param policy_of: the operator's word on a queue.
+    """
+
+    epoch: int
+    policy_of: PolicyLookup
+    jobs: dict[str, Job] = field(default_factory=dict)
+    workers: dict[str, WorkerState] = field(default_factory=dict)
+    estimates: Estimates = field(default_factory=Estimates)
+    dirty: dict[str, Job] = field(default_factory=dict)
+    ready: dict[int, StepRun] = field(default_factory=dict)
+    held_until: float = 0.0
+    _commands: list[Command] = field(default_factory=list)
+    _counter: int = 0
+
+    def take_commands(self) -> list[Command]:
+        """Return the commands given since the last call."""
+        commands = self._commands
+        self._commands = []
+        return commands
+
+    def give(self, command: Command) -> None:
+        """Give a command."""
+        self._commands.append(command)
+
+    def next_run(self) -> int:
+        """Return a number above all that this or an older owner gave."""
+        self._counter += 1
+        return (self.epoch << RUN_BITS) + self._counter
+
+    def find(self, name: TaskName) -> Task | None:
+        """Return the task of a name, or None if its job is over or not known."""
+        job = self.jobs.get(name.job)
+        if job is None:
+            return None
+        step = job.steps.get((name.occurrence, name.step))
+        if step is None or name.index >= len(step.tasks):
+            return None
+        return step.tasks[name.index]
+
+    def mark_dirty(self, job: Job) -> None:
+        """Note that a job's progress has to be stored."""
+        self.dirty[job.record.id] = job
+
+    def assign(self, task: Task, worker: WorkerState, run: int, now: float) -> None:
+        """Give a waiting task to a worker; it was taken off the step's queue before."""
+        self._occupy(task, worker, run)
+        task.phase = Phase.STARTING
+        task.started_at = now
+        task.percent = 0.0
+        task.percent_since = now
+        task.pace = 100
+        job = task.step.job
+        if job.state is JobState.QUEUED:
+            job.state = JobState.RUNNING
+            self.mark_dirty(job)
+        self.give(Start(task, worker.id, run))
+
+    def adopt(self, task: Task, worker: WorkerState, run: int, now: float) -> None:
+        """Take over a task that an earlier owner started."""
+        if task in task.step.waiting:
+            task.step.waiting.remove(task)
+        self._occupy(task, worker, run)
+        task.phase = Phase.RUNNING
+        task.started_at = now
+        task.percent_since = now
+        task.step.job.state = JobState.RUNNING
+
+    def stop(self, task: Task) -> None:
+        """Ask a worker to end a task's run."""
+        if task.worker is None or task.phase is Phase.STOPPING:
+            return
+        task.phase = Phase.STOPPING
+        task.stop_acknowledged_at = None
+        self.give(Stop(task.name, task.worker.id, task.run, task))
+
+    def doubt(self, task: Task) -> None:
+        """Note that a start was not answered: it may run now, later, or never.
+
+        A stop of that run makes the worker reject it from then on, so once that is
+        acknowledged and the worker does not list it, the task may go elsewhere.
+        """
+        if task.worker is None:
+            return
+        task.phase = Phase.UNCERTAIN
+        task.stop_acknowledged_at = None
+        self.give(Stop(task.name, task.worker.id, task.run, task))
+
+    def requeue(self, task: Task, now: float) -> None:
+        """Let a task whose run is over wait for its next one."""
+        self._vacate(task)
+        task.phase = Phase.WAITING
+        task.ready_since = now
+        step = task.step
+        step.waiting.append(task)
+        if step.open:
+            self.ready[id(step)] = step
+
+    def finish(self, task: Task) -> None:
+        """Note that a task is done."""
+        if task.phase is Phase.DONE:
+            return
+        step = task.step
+        if task.phase in ACTIVE:
+            self._vacate(task)
+        elif task in step.waiting:
+            step.waiting.remove(task)
+        task.phase = Phase.DONE
+        task.checkpoint = ""
+        step.done += 1
+        self.mark_dirty(step.job)
+
+    def end_job(self, job: Job, state: JobState) -> None:
+        """Note that a job is over, and stop what still runs of it.
+
+        Its runs stay on their workers until their ends are listed, so that their room
+        counts as taken until then.
+        """
+        job.state = state
+        for step in job.steps.values():
+            step.waiting.clear()
+            step.open = False
+            self.ready.pop(id(step), None)
+            for task in step.tasks:
+                if task.phase in ACTIVE:
+                    self.stop(task)
+        self.mark_dirty(job)
+
+    def drop_worker(self, worker: WorkerState, now: float) -> None:
+        """Let everything on a worker that is surely gone wait again."""
+        for task in list(worker.tasks.values()):
+            self.end_run(task, now)
+        self.workers.pop(worker.id, None)
+
+    def end_run(self, task: Task, now: float) -> None:
+        """Note that a task's run is over without having been done."""
+        if task.step.job.state.final:
+            self._vacate(task)
+            task.phase = Phase.WAITING
+        else:
+            self.requeue(task, now)
+
+    def progress(self, job: Job, wall: float) -> Progress:
+        """Return what has to be stored of a job."""
+        marks = [
+            TaskMark(
+                step.occurrence,
+                step.number,
+                task.index,
+                task.phase is Phase.DONE,
+                task.failures,
+                task.last_failed_run,
+                task.checkpoint,
+            )
+            for step in job.steps.values()
+            for task in step.tasks
+            if task.phase is Phase.DONE or task.failures or task.checkpoint
+        ]
+        return Progress(job.state, marks, wall if job.state.final else 0.0)
+
+    def _occupy(self, task: Task, worker: WorkerState, run: int) -> None:
+        step = task.step
+        room = step.room
+        worker.free_cpu -= room.cpu
+        worker.free_mem -= room.mem_mb
+        worker.free_gpu -= room.gpu
+        worker.tasks[task.name] = task
+        step.active += 1
+        step.on_worker[worker.id] += 1
+        task.worker = worker
+        task.run = run
+        task.missed_holds = 0
+        task.stop_acknowledged_at = None
+        task.over_target_since = None
+
+    def _vacate(self, task: Task) -> None:
+        worker = task.worker
+        if worker is None:
+            return
+        step = task.step
+        room = step.room
+        worker.free_cpu += room.cpu
+        worker.free_mem += room.mem_mb
+        worker.free_gpu += room.gpu
+        worker.tasks.pop(task.name, None)
+        step.active -= 1
+        step.on_worker[worker.id] -= 1
+        task.worker = None
+        task.percent = 0.0
--- /dev/null
+++ b/mustardward/components/scheduling/const.py
@@ -0,0 +1,47 @@
+"""Hold the scheduler's limits, each with its unit and reason."""
+
+from __future__ import annotations
+
+from typing import Final
+
+RUN_BITS: Final = 20
+"""A run's number is its owner's epoch and a counter of so many bits, so that a new
+owner's numbers lie above all that an old one may have given."""
+
+ESTIMATE_WEIGHT: Final = 0.1
+"""Weight of the newest run in what is learned of a queue's run times."""
+
+ESTIMATE_FLOOR: Final = 0.2
+ESTIMATE_CEILING: Final = 8.0
+"""Bounds of the learned ratio of run time to declared run time."""
+
+UNKNOWN_ESTIMATE_SECONDS: Final = 1.0
+"""Used where a step declares no run time."""
+
+LATE_FACTOR: Final = 3.0
+"""A job is of some use until this many times its objective."""
+
+STUCK_SECONDS: Final = 2.0
+"""A run that makes no progress for this long, and for STUCK_FACTOR times its
+estimate, stands still."""
+
+STUCK_FACTOR: Final = 1.5
+
+QUARANTINE_SECONDS: Final = 4.0
+"""A worker that fails what others carry out gets nothing for so long, then a trial."""
+
+FAILURES_TO_QUARANTINE: Final = 3
+"""Distinct jobs that have to fail on a worker, with none done since, to condemn it."""
+
+QUARANTINE_SHARE: Final = 0.34
+"""Most of a pool that may be in quarantine; beyond it the jobs are at fault."""
+
+MISSING_GRACE_SECONDS: Final = 2.5
+"""A worker's entry that lapsed while the store was away is back within 2 s of its
+return, if the worker lives."""
+
+VANISHED_HOLDS: Final = 2
+"""Answers in a row that have to miss a run before it counts as lost."""
+
+EVACUATION_SECONDS: Final = 1.5
+"""Runs shorter than this may end by themselves before an instance is maintained."""
--- /dev/null
+++ b/mustardward/components/scheduling/estimates.py
@@ -0,0 +1,62 @@
+"""Learn how long tasks run, since what is declared is far from the truth."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from .const import (
+    ESTIMATE_CEILING,
+    ESTIMATE_FLOOR,
+    ESTIMATE_WEIGHT,
+    UNKNOWN_ESTIMATE_SECONDS,
+)
+from .models import Job, StepRun
+
+
+@dataclass(slots=True)
+class Estimates:
+    """Hold, for each queue, the learned ratio of run time to declared run time.
+
+    Means are taken of logarithms: run times err by factors, and one run of ten times
+    its declared length must not make all others look long.
+    """
+
+    _log_ratio: dict[str, float] = field(default_factory=dict)
+
+    def ratio(self, queue: str) -> float:
+        """Return the learned ratio of a queue."""
+        return math.exp(self._log_ratio.get(queue, 0.0))
+
+    def learn(self, step: StepRun, seconds: float) -> None:
+        """Take in one run that ended done."""
+        declared = step.spec.estimate_ms / 1000
+        if declared <= 0 or seconds <= 0:
+            return
+        seen = min(ESTIMATE_CEILING, max(ESTIMATE_FLOOR, seconds / declared))
+        queue = step.job.record.queue
+        old = self._log_ratio.get(queue, 0.0)
+        self._log_ratio[queue] = old + ESTIMATE_WEIGHT * (math.log(seen) - old)
+
+    def seconds(self, step: StepRun) -> float:
+        """Return how long one task of a step is expected to run."""
+        declared = step.spec.estimate_ms / 1000
+        if declared <= 0:
+            return UNKNOWN_ESTIMATE_SECONDS
+        return declared * self.ratio(step.job.record.queue)
+
+    def chain(self, job: Job, only_left: bool) -> float:
+        """Return the longest chain of a job's work, in seconds.
+
+        :param only_left: leave out the steps that are done.
+        """
+        ratio = self.ratio(job.record.queue)
+        ends: list[float] = []
+        for number, spec in enumerate(job.record.steps):
+            declared = spec.estimate_ms / 1000 or UNKNOWN_ESTIMATE_SECONDS
+            step = job.steps.get((0, number))
+            gone = only_left and step is not None and step.complete
+            length = 0.0 if gone or spec.long_running else declared * ratio
+            begin = max((ends[earlier] for earlier in spec.after), default=0.0)
+            ends.append(begin + length)
+        return max(ends, default=0.0)
--- /dev/null
+++ b/mustardward/components/scheduling/health.py
@@ -0,0 +1,50 @@
+"""Judge workers by what they carry out, against what others carry out.
+
+A worker that fails all it starts looks free, and draws all work of its pool.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ...helpers.logging import get_logger
+from .board import Board
+from .const import FAILURES_TO_QUARANTINE, QUARANTINE_SECONDS, QUARANTINE_SHARE
+from .models import Task, WorkerState
+
+_LOGGER = get_logger(__name__)
+
+_SPEED_WEIGHT = 0.15
+
+
+@dataclass(slots=True, eq=False)
+class Health:
+    """Put workers into quarantine, and let them try again."""
+
+    board: Board
+
+    def note_done(self, worker: WorkerState, task: Task, seconds: float) -> None:
+        """Take in a run that a worker carried out."""
+        worker.failed_jobs.clear()
+        expected = self.board.estimates.seconds(task.step)
+        if seconds > 0:
+            seen = min(2.0, max(0.1, expected / seconds))
+            worker.speed += _SPEED_WEIGHT * (min(1.0, seen) - worker.speed)
+
+    def note_failed(self, worker: WorkerState, task: Task, now: float) -> None:
+        """Take in a run that failed or stood still on a worker."""
+        worker.failed_jobs.add(task.step.job.record.id)
+        if len(worker.failed_jobs) < FAILURES_TO_QUARANTINE:
+            return
+        if worker.quarantined_until > now or not self._may_quarantine(worker, now):
+            return
+        worker.quarantined_until = now + QUARANTINE_SECONDS
+        # A trial follows: one more failure condemns it again, one run done clears it.
+        kept = list(worker.failed_jobs)[: FAILURES_TO_QUARANTINE - 1]
+        worker.failed_jobs = set(kept)
+        _LOGGER.warning("worker_quarantined", worker=worker.id, service=worker.service)
+
+    def _may_quarantine(self, worker: WorkerState, now: float) -> bool:
+        pool = [w for w in self.board.workers.values() if w.service == worker.service]
+        held = sum(other.quarantined_until > now for other in pool)
+        return held + 1 <= QUARANTINE_SHARE * len(pool)
--- /dev/null
+++ b/mustardward/components/scheduling/intake.py
@@ -0,0 +1,152 @@
+"""Take jobs in, open their steps and occurrences in turn, and end them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..ledger.ledger import LedgerJob
+from ..ledger.models import JobState, TaskMark
+from .board import Board
+from .const import LATE_FACTOR
+from .models import Job, Phase, QueuePolicy, StepRun, Task
+
+OCCURRENCE_MARGIN_SECONDS = 0.03
+"""Clocks differ a little; a timed occurrence must never begin before its time."""
+
+
+@dataclass(slots=True, eq=False)
+class Intake:
+    """Turn accepted jobs into steps and tasks."""
+
+    board: Board
+
+    def add(self, ledger_job: LedgerJob, now: float, wall: float) -> None:
+        """Take a job in, with what is stored of it."""
+        record = ledger_job.record
+        if ledger_job.state.final or record.id in self.board.jobs:
+            return
+        known = self.board.policy_of(record.queue)
+        policy = known or QueuePolicy(service=record.service)
+        age = max(0.0, wall - record.accepted_at)
+        job = Job(record, policy, accepted_at=now - age)
+        self._set_objective(job, job.accepted_at)
+        self.board.jobs[record.id] = job
+        progress = ledger_job.progress
+        if progress is not None:
+            job.state = progress.state
+            self._restore(job, progress.marks)
+        if not record.times:
+            self._open_occurrence(job, 0, now)
+            job.next_occurrence = 1
+        self._advance(job, now)
+
+    def cancel(self, job_id: str) -> None:
+        """End a job that a caller cancelled."""
+        job = self.board.jobs.get(job_id)
+        if job is not None and not job.state.final:
+            self.board.end_job(job, JobState.CANCELLED)
+
+    def open_due(self, now: float, wall: float) -> None:
+        """Open the occurrences whose time has come."""
+        for job in self.board.jobs.values():
+            record = job.record
+            if not record.times or job.state.final:
+                continue
+            while job.next_occurrence < record.times:
+                due_ms = record.start_at_ms + job.next_occurrence * record.interval_ms
+                if wall < due_ms / 1000 + OCCURRENCE_MARGIN_SECONDS:
+                    break
+                self._set_objective(job, now)
+                self._open_occurrence(job, job.next_occurrence, now)
+                job.next_occurrence += 1
+
+    def step_of(self, job: Job, occurrence: int, number: int) -> StepRun | None:
+        """Return a step, made if an earlier owner had begun it."""
+        if occurrence >= job.occurrences or number >= len(job.record.steps):
+            return None
+        if (occurrence, number) not in job.steps:
+            self._make_steps(job, occurrence)
+        return job.steps[(occurrence, number)]
+
+    def task_done(self, task: Task, now: float) -> None:
+        """Note that a task is done, and open what waited for it."""
+        step = task.step
+        if step.spec.gang:
+            # Members end done together, and one such end speaks for all of them.
+            for member in step.tasks:
+                self.board.finish(member)
+        else:
+            self.board.finish(task)
+        if step.complete:
+            self.board.ready.pop(id(step), None)
+            self._advance(step.job, now)
+
+    def task_failed(self, task: Task) -> None:
+        """End a job whose task, or gang, has failed too often."""
+        step = task.step
+        if step.spec.long_running:
+            return
+        members = step.tasks if step.spec.gang else [task]
+        failures = sum(member.failures for member in members)
+        if failures >= step.job.policy.max_attempts and not step.job.state.final:
+            self.board.end_job(step.job, JobState.FAILED)
+
+    def _set_objective(self, job: Job, begun_at: float) -> None:
+        chain = self.board.estimates.chain(job, only_left=False)
+        objective = job.policy.stretch * chain + job.policy.target_seconds
+        job.objective_at = begun_at + objective
+        job.late_at = begun_at + LATE_FACTOR * objective
+
+    def _make_steps(self, job: Job, occurrence: int) -> None:
+        for number, spec in enumerate(job.record.steps):
+            step = StepRun(job, occurrence, number, spec)
+            step.tasks = [Task(step, index) for index in range(spec.count)]
+            step.waiting.extend(step.tasks)
+            job.steps[(occurrence, number)] = step
+
+    def _open_occurrence(self, job: Job, occurrence: int, now: float) -> None:
+        if (occurrence, 0) not in job.steps:
+            self._make_steps(job, occurrence)
+        self._open_steps(job, occurrence, now)
+
+    def _open_steps(self, job: Job, occurrence: int, now: float) -> None:
+        for number, spec in enumerate(job.record.steps):
+            step = job.steps[(occurrence, number)]
+            if step.open or step.complete:
+                continue
+            if all(job.steps[(occurrence, earlier)].complete for earlier in spec.after):
+                step.open = True
+                for task in step.waiting:
+                    task.ready_since = now
+                self.board.ready[id(step)] = step
+
+    def _advance(self, job: Job, now: float) -> None:
+        if job.state.final:
+            return
+        for occurrence in sorted({key[0] for key in job.steps}):
+            if occurrence < job.next_occurrence:
+                self._open_steps(job, occurrence, now)
+        if job.next_occurrence < job.occurrences:
+            return
+        if all(step.complete for step in job.steps.values()):
+            job.state = JobState.DONE
+            self.board.mark_dirty(job)
+
+    def _restore(self, job: Job, marks: list[TaskMark]) -> None:
+        for mark in marks:
+            step = self.step_of(job, mark.occurrence, mark.step)
+            if step is None or mark.index >= len(step.tasks):
+                continue
+            task = step.tasks[mark.index]
+            task.failures = mark.failures
+            task.last_failed_run = mark.last_failed_run
+            task.checkpoint = mark.checkpoint
+            if mark.done and task.phase is Phase.WAITING:
+                step.waiting.remove(task)
+                task.phase = Phase.DONE
+                step.done += 1
+        self._skip_begun(job)
+
+    def _skip_begun(self, job: Job) -> None:
+        if job.record.times and job.steps:
+            job.next_occurrence = max(key[0] for key in job.steps) + 1
--- /dev/null
+++ b/mustardward/components/scheduling/models.py
@@ -0,0 +1,221 @@
+"""Hold what the scheduler knows, and the commands that it gives."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ...platform.models import Room, SubmittedStep
+from ...platform.workers import TaskName
+from ..ledger.models import JobRecord, JobState
+
+
+class Phase(Enum):
+    """Say where a task stands."""
+
+    WAITING = "waiting"
+    STARTING = "starting"
+    RUNNING = "running"
+    UNCERTAIN = "uncertain"
+    STOPPING = "stopping"
+    DONE = "done"
+
+
+ACTIVE: frozenset[Phase] = frozenset(
+    (Phase.STARTING, Phase.RUNNING, Phase.UNCERTAIN, Phase.STOPPING)
+)
+
+
+@dataclass(frozen=True, slots=True)
+class QueuePolicy:
+    """Hold what the operator's configuration says of a queue.
+
+    :param service: the pool whose workers run the queue's tasks.
+    :param stretch: the objective as a multiple of the longest chain of work.
+    :param target_seconds: what the objective adds to it.
+    """
+
+    service: str
+    priority: int = 0
+    max_attempts: int = 3
+    stretch: float = 2.0
+    target_seconds: float = 0.0
+    advice: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """Hold one task of a step.
+
+    :param ready_since: when its turn came, or it became ready again; steady seconds.
+    :param stop_acknowledged_at: when the worker last acknowledged a stop, or None.
+    """
+
+    step: StepRun
+    index: int
+    phase: Phase = Phase.WAITING
+    run: int = 0
+    worker: WorkerState | None = None
+    failures: int = 0
+    last_failed_run: int = 0
+    checkpoint: str = ""
+    started_at: float = 0.0
+    percent: float = 0.0
+    percent_since: float = 0.0
+    figure: float = 0.0
+    pace: int = 100
+    over_target_since: float | None = None
+    missed_holds: int = 0
+    stop_acknowledged_at: float | None = None
+    avoid: set[str] = field(default_factory=set)
+    ready_since: float = 0.0
+
+    @property
+    def name(self) -> TaskName:
+        """Return the task's name."""
+        step = self.step
+        return TaskName(step.job.record.id, step.occurrence, step.number, self.index)
+
+    @property
+    def at_work(self) -> bool:
+        """Return whether a lasting task serves."""
+        return self.phase is Phase.RUNNING and self.percent >= 100
+
+
+@dataclass(slots=True, eq=False)
+class StepRun:
+    """Hold one step of one occurrence of a job.
+
+    :param open: whether all tasks of the steps before it are done.
+    """
+
+    job: Job
+    occurrence: int
+    number: int
+    spec: SubmittedStep
+    tasks: list[Task] = field(default_factory=list)
+    waiting: deque[Task] = field(default_factory=deque)
+    done: int = 0
+    active: int = 0
+    open: bool = False
+    on_worker: Counter[str] = field(default_factory=Counter)
+    tickets: dict[str, str] = field(default_factory=dict)
+    tickets_until: float = 0.0
+    asked_until: float = 0.0
+
+    @property
+    def complete(self) -> bool:
+        """Return whether all tasks are done."""
+        return self.done >= len(self.tasks)
+
+    @property
+    def room(self) -> Room:
+        """Return what one task takes of a worker.
+
+        A step that fills takes what others leave unused, so its processor share is
+        not counted.
+        """
+        spec = self.spec
+        return Room(0 if spec.fills else spec.cpu, spec.mem_mb, spec.gpu)
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """Hold one job that is not over.
+
+    :param objective_at: until when it earns in full; steady seconds.
+    """
+
+    record: JobRecord
+    policy: QueuePolicy
+    accepted_at: float
+    objective_at: float = 0.0
+    late_at: float = 0.0
+    steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
+    next_occurrence: int = 0
+    state: JobState = JobState.QUEUED
+    dirty: bool = False
+
+    @property
+    def occurrences(self) -> int:
+        """Return how many times the steps run."""
+        return max(1, self.record.times)
+
+
+@dataclass(slots=True, eq=False)
+class WorkerState:
+    """Hold one incarnation of a worker.
+
+    :param confirmed: whether what runs there was read under this owner's token.
+    :param missing_since: when its entry went, or None.
+    :param leaving: whether the fleet is about to take it.
+    """
+
+    id: str
+    service: str
+    zone: str
+    labels: tuple[str, ...]
+    capacity: Room
+    guards: bool = True
+    free_cpu: int = 0
+    free_mem: int = 0
+    free_gpu: int = 0
+    tasks: dict[TaskName, Task] = field(default_factory=dict)
+    confirmed: bool = False
+    draining: bool = False
+    drains_at: float = 0.0
+    missing_since: float | None = None
+    leaving: bool = False
+    leaving_since: float = 0.0
+    refusing_until: float = 0.0
+    quarantined_until: float = 0.0
+    failed_jobs: set[str] = field(default_factory=set)
+    done_since_failure: int = 0
+    speed: float = 1.0
+    stale: bool = False
+
+    @property
+    def rack(self) -> str:
+        """Return the label of the rack; a worker names its kind first."""
+        return self.labels[-1] if self.labels else ""
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """Start a task on a worker."""
+
+    task: Task
+    worker: str
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """Stop a run on a worker; ``task`` is None for a run that nobody owns."""
+
+    name: TaskName
+    worker: str
+    run: int
+    task: Task | None
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """Let a run work at a share of its speed, in percent."""
+
+    task: Task
+    worker: str
+    run: int
+    percent: int
+
+
+@dataclass(frozen=True, slots=True)
+class AskAdvice:
+    """Ask which workers may run a step."""
+
+    step: StepRun
+    workers: tuple[str, ...]
+
+
+Command = Start | Stop | Pace | AskAdvice
--- /dev/null
+++ b/mustardward/components/scheduling/pacing.py
@@ -0,0 +1,73 @@
+"""Hold back tasks that fill while they harm those that serve beside them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .board import Board
+from .models import Pace, Phase, Task, WorkerState
+
+OVER_SHARE = 0.9
+"""Share of its target at which a serving task counts as harmed; the figure is rough,
+and covers the last half second."""
+
+UNDER_SHARE = 0.7
+CHANGE_SECONDS = 0.6
+"""Shortest time between two changes: a change shows in the figure only after it."""
+
+RAISE_SECONDS = 1.5
+LOWEST = 20
+RAISE_STEP = 25
+
+
+@dataclass(slots=True)
+class _Throttle:
+    """Hold what one worker's filling tasks may take, in percent."""
+
+    percent: int = 100
+    changed_at: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Pacing:
+    """Halve what fills while a serving task is near its target; raise it slowly."""
+
+    board: Board
+    _throttles: dict[str, _Throttle] = field(default_factory=dict)
+
+    def run(self, now: float) -> None:
+        """Give the pace orders that are due."""
+        for worker in self.board.workers.values():
+            filling = [t for t in worker.tasks.values() if _fills(t)]
+            if filling:
+                self._control(worker, filling, now)
+
+    def needs_looks(self, worker: WorkerState) -> bool:
+        """Return whether serving and filling tasks stand side by side."""
+        tasks = worker.tasks.values()
+        return any(_fills(t) for t in tasks) and any(_serves(t) for t in tasks)
+
+    def _control(self, worker: WorkerState, filling: list[Task], now: float) -> None:
+        throttle = self._throttles.setdefault(worker.id, _Throttle())
+        serving = [task for task in worker.tasks.values() if _serves(task)]
+        worst = max((t.figure / t.step.spec.target_ms for t in serving), default=0.0)
+        since = now - throttle.changed_at
+        if worst > OVER_SHARE and since >= CHANGE_SECONDS:
+            half = throttle.percent // 2
+            throttle.percent = half if half >= LOWEST else 0
+            throttle.changed_at = now
+        elif worst < UNDER_SHARE and throttle.percent < 100 and since >= RAISE_SECONDS:
+            throttle.percent = min(100, throttle.percent + RAISE_STEP)
+            throttle.changed_at = now
+        for task in filling:
+            if task.pace != throttle.percent:
+                task.pace = throttle.percent
+                self.board.give(Pace(task, worker.id, task.run, throttle.percent))
+
+
+def _fills(task: Task) -> bool:
+    return task.phase is Phase.RUNNING and task.step.spec.fills
+
+
+def _serves(task: Task) -> bool:
+    return task.phase is Phase.RUNNING and task.step.spec.target_ms > 0
--- /dev/null
+++ b/mustardward/components/scheduling/placement.py
@@ -0,0 +1,133 @@
+"""Choose the worker of a task."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ...platform.models import Room
+from .models import StepRun, Task, WorkerState
+
+Score = tuple[float, ...]
+
+
+def fits(worker: WorkerState, room: Room) -> bool:
+    """Return whether a task has room on a worker, counting what is being stopped."""
+    return (
+        worker.free_cpu >= room.cpu
+        and worker.free_mem >= room.mem_mb
+        and worker.free_gpu >= room.gpu
+    )
+
+
+def may_run(worker: WorkerState, step: StepRun) -> bool:
+    """Return whether the rules of a step allow a worker, whatever its room."""
+    spec = step.spec
+    if spec.required_label and spec.required_label not in worker.labels:
+        return False
+    if spec.max_per_server and step.on_worker[worker.id] >= spec.max_per_server:
+        return False
+    if step.job.policy.advice and worker.id not in step.tickets:
+        return False
+    return True
+
+
+def usable(worker: WorkerState, now: float) -> bool:
+    """Return whether a worker may be given new tasks."""
+    return (
+        worker.confirmed
+        and not worker.draining
+        and not worker.leaving
+        and not worker.stale
+        and worker.refusing_until <= now
+        and worker.quarantined_until <= now
+    )
+
+
+def score(worker: WorkerState, task: Task) -> Score:
+    """Return how well a worker suits a task; the smallest suits best.
+
+    Lasting tasks spread over workers, racks and zones, so that one loss or one
+    maintenance takes few of a step. Others go where least room is left, so that large
+    holes stay whole for wide tasks; near their data first.
+    """
+    step = task.step
+    spec = step.spec
+    avoided = float(worker.id in task.avoid)
+    far = float(bool(spec.data_rack) and spec.data_rack not in worker.labels)
+    if spec.long_running:
+        serving = sum(
+            other.step.spec.fills != spec.fills for other in worker.tasks.values()
+        )
+        return (
+            avoided,
+            far,
+            float(step.on_worker[worker.id]),
+            float(serving if spec.fills else 0),
+            -worker.speed,
+            -float(worker.free_cpu),
+        )
+    return (avoided, far, round(1 / worker.speed, 1), float(worker.free_cpu))
+
+
+def choose(
+    workers: Iterable[WorkerState], task: Task, room: Room
+) -> WorkerState | None:
+    """Return the worker that suits a task best, or None."""
+    step = task.step
+    best: WorkerState | None = None
+    best_score: Score = ()
+    for worker in workers:
+        if not fits(worker, room) or not may_run(worker, step):
+            continue
+        own = score(worker, task)
+        if best is None or own < best_score:
+            best = worker
+            best_score = own
+    return best
+
+
+def choose_gang(
+    workers: list[WorkerState], step: StepRun
+) -> list[tuple[Task, WorkerState]] | None:
+    """Return a worker for every task of a gang, or None.
+
+    Members wait for each other only for a short time, so a gang is placed as a whole
+    or not at all; on one rack first, where that is faster.
+    """
+    if step.spec.same_rack:
+        racks = sorted({worker.rack for worker in workers})
+        groups = [[w for w in workers if w.rack == rack] for rack in racks]
+        groups.append(workers)
+    else:
+        groups = [workers]
+    for group in groups:
+        placed = _place_all(group, step)
+        if placed is not None:
+            return placed
+    return None
+
+
+def _place_all(
+    workers: list[WorkerState], step: StepRun
+) -> list[tuple[Task, WorkerState]] | None:
+    room = step.room
+    left = {w.id: [w.free_cpu, w.free_mem, w.free_gpu] for w in workers}
+    count = {w.id: step.on_worker[w.id] for w in workers}
+    limit = step.spec.max_per_server or len(step.tasks)
+    placed: list[tuple[Task, WorkerState]] = []
+    for task in step.waiting:
+        for worker in workers:
+            free = left[worker.id]
+            if count[worker.id] >= limit or not may_run(worker, step):
+                continue
+            if free[0] < room.cpu or free[1] < room.mem_mb or free[2] < room.gpu:
+                continue
+            free[0] -= room.cpu
+            free[1] -= room.mem_mb
+            free[2] -= room.gpu
+            count[worker.id] += 1
+            placed.append((task, worker))
+            break
+        else:
+            return None
+    return placed
--- /dev/null
+++ b/mustardward/components/scheduling/planner.py
@@ -0,0 +1,122 @@
+"""Give waiting tasks to workers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ...platform.models import Room
+from .board import Board
+from .models import AskAdvice, StepRun, WorkerState
+from .order import rank
+from .placement import choose, choose_gang, usable
+
+ADVICE_SECONDS = 2.0
+"""Longest wait for advice before it is asked again."""
+
+
+@dataclass(slots=True, eq=False)
+class Planner:
+    """Place what is ready, the most urgent first."""
+
+    board: Board
+
+    def run(self, now: float) -> None:
+        """Give the starts that are possible."""
+        by_service: dict[str, list[StepRun]] = {}
+        for step in self.board.ready.values():
+            if step.waiting:
+                by_service.setdefault(step.job.policy.service, []).append(step)
+        for service, steps in by_service.items():
+            workers = [
+                worker
+                for worker in self.board.workers.values()
+                if worker.service == service and usable(worker, now)
+            ]
+            if workers:
+                self._place(workers, steps, now)
+
+    def _place(
+        self, workers: list[WorkerState], steps: list[StepRun], now: float
+    ) -> None:
+        estimates = self.board.estimates
+        ranked = sorted(steps, key=lambda step: rank(step, now, estimates))
+        too_large: list[Room] = []
+        for step in ranked:
+            if not workers:
+                return
+            if self._held(step, now) or _covers(too_large, step.room):
+                continue
+            if step.job.policy.advice and not self._has_advice(step, workers, now):
+                continue
+            if step.spec.gang:
+                self._place_gang(step, workers, now)
+                continue
+            if self._place_tasks(step, workers, now):
+                continue
+            if step.spec.long_running:
+                # A task that lasts would wait for ever while shorter ones take each
+                # small hole: the emptiest worker is kept for it.
+                workers = _without_emptiest(workers)
+            elif not _restricted(step):
+                too_large.append(step.room)
+
+    def _held(self, step: StepRun, now: float) -> bool:
+        return now < self.board.held_until and (
+            step.job.accepted_at < self.board.held_until
+        )
+
+    def _place_tasks(
+        self, step: StepRun, workers: list[WorkerState], now: float
+    ) -> bool:
+        """Return whether all tasks of a step found a worker."""
+        room = step.room
+        while step.waiting:
+            task = step.waiting[0]
+            worker = choose(workers, task, room)
+            if worker is None:
+                return False
+            step.waiting.popleft()
+            self.board.assign(task, worker, self.board.next_run(), now)
+        self.board.ready.pop(id(step), None)
+        return True
+
+    def _place_gang(
+        self, step: StepRun, workers: list[WorkerState], now: float
+    ) -> None:
+        if step.active or len(step.waiting) != len(step.tasks):
+            return
+        placed = choose_gang(workers, step)
+        if placed is None:
+            return
+        run = self.board.next_run()
+        step.waiting.clear()
+        for task, worker in placed:
+            self.board.assign(task, worker, run, now)
+
+    def _has_advice(
+        self, step: StepRun, workers: list[WorkerState], now: float
+    ) -> bool:
+        if step.tickets and now < step.tickets_until:
+            return True
+        step.tickets.clear()
+        if now >= step.asked_until:
+            step.asked_until = now + ADVICE_SECONDS
+            self.board.give(AskAdvice(step, tuple(worker.id for worker in workers)))
+        return False
+
+
+def _covers(too_large: list[Room], room: Room) -> bool:
+    return any(
+        seen.cpu <= room.cpu and seen.mem_mb <= room.mem_mb and seen.gpu <= room.gpu
+        for seen in too_large
+    )
+
+
+def _restricted(step: StepRun) -> bool:
+    spec = step.spec
+    return bool(spec.required_label or spec.max_per_server or step.job.policy.advice)
+
+
+def _without_emptiest(workers: list[WorkerState]) -> list[WorkerState]:
+    emptiest = max(workers, key=lambda worker: worker.free_cpu)
+    return [worker for worker in workers if worker is not emptiest]
--- /dev/null
+++ b/mustardward/components/scheduling/reports.py
@@ -0,0 +1,188 @@
+"""Take in what workers say: what runs, what ended, and the answers to orders."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ...helpers.logging import get_logger
+from ...platform.models import ENDED_DONE, ENDED_FAILED
+from ...platform.workers import (
+    REFUSED_LATE,
+    REFUSED_ROOM,
+    REFUSED_TICKET,
+    EndedTask,
+    HoldAnswer,
+    RunningTask,
+)
+from .board import Board
+from .const import VANISHED_HOLDS
+from .health import Health
+from .intake import Intake
+from .models import ACTIVE, Phase, Stop, Task, WorkerState
+
+_LOGGER = get_logger(__name__)
+
+MOST_ENDS = 500
+ROOM_PAUSE_SECONDS = 0.1
+UNHEALTHY_PAUSE_SECONDS = 0.5
+
+
+@dataclass(slots=True, eq=False)
+class Reports:
+    """Fold workers' reports into the board."""
+
+    board: Board
+    intake: Intake
+    health: Health
+
+    def held(
+        self, worker: WorkerState, answer: HoldAnswer, sent_at: float, now: float
+    ) -> None:
+        """Take in a worker's lists.
+
+        :param sent_at: when the call was sent; what was ordered since may be missing.
+        """
+        for ended in answer.ended:
+            self._ended(worker, ended, now)
+        listed: set[tuple[object, int]] = set()
+        for row in answer.running:
+            listed.add((row.task, row.run))
+            self._running(worker, row, now)
+        if len(answer.ended) < MOST_ENDS:
+            self._missing(worker, listed, sent_at, now)
+        worker.confirmed = True
+        worker.stale = False
+
+    def start_answered(self, task: Task, run: int, reason: str, now: float) -> None:
+        """Take in a worker's answer to a start."""
+        if task.run != run or task.phase is not Phase.STARTING or task.worker is None:
+            return
+        if not reason:
+            task.phase = Phase.RUNNING
+            task.started_at = now
+            task.percent_since = now
+            return
+        worker = task.worker
+        if reason == REFUSED_ROOM:
+            worker.refusing_until = now + ROOM_PAUSE_SECONDS
+        elif reason == REFUSED_TICKET:
+            task.step.tickets.pop(worker.id, None)
+        elif reason == REFUSED_LATE:
+            worker.stale = True
+        _LOGGER.info("start_rejected", worker=worker.id, run=run, reason=reason)
+        self._not_started(task, now)
+
+    def start_refused(self, task: Task, run: int, now: float) -> None:
+        """Take in that a start certainly was not carried out."""
+        if task.run != run or task.phase is not Phase.STARTING or task.worker is None:
+            return
+        task.worker.refusing_until = now + UNHEALTHY_PAUSE_SECONDS
+        self._not_started(task, now)
+
+    def start_unknown(self, task: Task, run: int) -> None:
+        """Take in that a start was not answered."""
+        if task.run == run and task.phase is Phase.STARTING:
+            self.board.doubt(task)
+
+    def stop_answered(self, task: Task, run: int, now: float) -> None:
+        """Take in that a worker acknowledged a stop."""
+        if task.run == run and task.phase in (Phase.UNCERTAIN, Phase.STOPPING):
+            task.stop_acknowledged_at = now
+
+    def _not_started(self, task: Task, now: float) -> None:
+        step = task.step
+        self.board.end_run(task, now)
+        if step.spec.gang:
+            # The others would wait for this one until they end alone.
+            for member in step.tasks:
+                if member.phase in (Phase.STARTING, Phase.RUNNING):
+                    self.board.stop(member)
+
+    def _ended(self, worker: WorkerState, ended: EndedTask, now: float) -> None:
+        task = self.board.find(ended.task)
+        if task is None or task.phase is Phase.DONE:
+            return
+        own = task.worker is worker and task.run == ended.run and task.phase in ACTIVE
+        if ended.how == ENDED_DONE:
+            self._done(worker, task, own, now)
+            return
+        if ended.how == ENDED_FAILED and ended.run > task.last_failed_run:
+            task.failures += 1
+            task.last_failed_run = ended.run
+            task.avoid.add(worker.id)
+            self.health.note_failed(worker, task, now)
+        if ended.checkpoint:
+            task.checkpoint = ended.checkpoint
+        self.board.mark_dirty(task.step.job)
+        if own:
+            self.board.end_run(task, now)
+        if ended.how == ENDED_FAILED:
+            self.intake.task_failed(task)
+
+    def _done(self, worker: WorkerState, task: Task, own: bool, now: float) -> None:
+        if own:
+            seconds = now - task.started_at
+            if not task.checkpoint:
+                self.board.estimates.learn(task.step, seconds)
+            self.health.note_done(worker, task, seconds)
+        elif task.phase in ACTIVE and task.worker is not None:
+            self.board.give(Stop(task.name, task.worker.id, task.run, None))
+        if not task.step.job.state.final:
+            self.intake.task_done(task, now)
+        elif own:
+            self.board.end_run(task, now)
+
+    def _running(self, worker: WorkerState, row: RunningTask, now: float) -> None:
+        task = self._expected(row)
+        if task is None or task.phase is Phase.DONE:
+            self.board.give(Stop(row.task, worker.id, row.run, None))
+            return
+        if task.phase is Phase.WAITING:
+            if task.step.job.state.final:
+                self.board.give(Stop(row.task, worker.id, row.run, None))
+                return
+            self.board.adopt(task, worker, row.run, now)
+        elif task.worker is not worker or task.run != row.run:
+            self.board.give(Stop(row.task, worker.id, row.run, None))
+            return
+        elif task.phase is Phase.STARTING:
+            task.phase = Phase.RUNNING
+        task.missed_holds = 0
+        task.figure = row.figure
+        if row.checkpoint:
+            task.checkpoint = row.checkpoint
+        if row.percent != task.percent:
+            task.percent = row.percent
+            task.percent_since = now
+
+    def _expected(self, row: RunningTask) -> Task | None:
+        task = self.board.find(row.task)
+        if task is not None:
+            return task
+        job = self.board.jobs.get(row.task.job)
+        if job is None:
+            return None
+        step = self.intake.step_of(job, row.task.occurrence, row.task.step)
+        if step is None or row.task.index >= len(step.tasks):
+            return None
+        return step.tasks[row.task.index]
+
+    def _missing(
+        self,
+        worker: WorkerState,
+        listed: set[tuple[object, int]],
+        sent_at: float,
+        now: float,
+    ) -> None:
+        for name, task in list(worker.tasks.items()):
+            if (name, task.run) in listed:
+                continue
+            if task.phase in (Phase.UNCERTAIN, Phase.STOPPING):
+                at = task.stop_acknowledged_at
+                if at is not None and at <= sent_at:
+                    self.board.end_run(task, now)
+            elif task.phase is Phase.RUNNING and task.started_at <= sent_at:
+                task.missed_holds += 1
+                if task.missed_holds >= VANISHED_HOLDS:
+                    _LOGGER.warning("run_vanished", worker=worker.id, run=task.run)
+                    self.board.end_run(task, now)
--- /dev/null
+++ b/mustardward/components/scheduling/scheduler.py
@@ -0,0 +1,169 @@
+"""Tie the deciding parts together: events in, commands out."""
+
+from __future__ import annotations
+
+from ...helpers.logging import get_logger
+from ...platform.models import WORKER_DRAINING, WorkerEntry
+from ...platform.workers import HoldAnswer
+from ..ledger.ledger import LedgerJob
+from ..ledger.models import Progress
+from .board import Board, PolicyLookup
+from .const import MISSING_GRACE_SECONDS, STUCK_FACTOR, STUCK_SECONDS
+from .evacuation import Evacuation
+from .health import Health
+from .intake import Intake
+from .models import Command, Job, Phase, StepRun, Task, WorkerState
+from .pacing import Pacing
+from .planner import Planner
+from .reports import Reports
+
+_LOGGER = get_logger(__name__)
+
+
+class Scheduler:
+    """Decide for one shard under one epoch.
+
+    All times are steady seconds, but for ``wall``, in seconds since 1970.
+    """
+
+    def __init__(self, epoch: int, policy_of: PolicyLookup) -> None:
+        self.board = Board(epoch, policy_of)
+        self.intake = Intake(self.board)
+        self.health = Health(self.board)
+        self.reports = Reports(self.board, self.intake, self.health)
+        self.pacing = Pacing(self.board)
+        self._evacuation = Evacuation(self.board)
+        self._planner = Planner(self.board)
+        self._ending: dict[str, Job] = {}
+
+    def add_job(self, job: LedgerJob, now: float, wall: float) -> None:
+        """Take an accepted job in."""
+        self.intake.add(job, now, wall)
+
+    def cancel_job(self, job_id: str) -> None:
+        """End a job that a caller cancelled."""
+        self.intake.cancel(job_id)
+
+    def update_policies(self) -> None:
+        """Apply a new configuration to the jobs at hand."""
+        for job in self.board.jobs.values():
+            policy = self.board.policy_of(job.record.queue)
+            if policy is not None:
+                job.policy = policy
+
+    def see_worker(self, worker_id: str, entry: WorkerEntry, now: float) -> bool:
+        """Take in a worker's entry; return whether the worker is new."""
+        worker = self.board.workers.get(worker_id)
+        is_new = worker is None
+        if worker is None:
+            room = entry.capacity
+            worker = WorkerState(
+                worker_id,
+                entry.service,
+                entry.zone,
+                tuple(entry.labels),
+                room,
+                free_cpu=room.cpu,
+                free_mem=room.mem_mb,
+                free_gpu=room.gpu,
+            )
+            self.board.workers[worker_id] = worker
+        worker.missing_since = None
+        if entry.state == WORKER_DRAINING and not worker.draining:
+            worker.draining = True
+            worker.drains_at = now + (entry.remaining_ms or 0) / 1000
+            _LOGGER.info("worker_draining", worker=worker_id)
+        return is_new
+
+    def miss_worker(self, worker_id: str, now: float) -> None:
+        """Take in that a worker's entry is gone; what runs there may go on."""
+        worker = self.board.workers.get(worker_id)
+        if worker is not None and worker.missing_since is None:
+            worker.missing_since = now
+
+    def lose_worker(self, worker_id: str, now: float) -> None:
+        """Take in that nothing runs on a worker any more."""
+        worker = self.board.workers.get(worker_id)
+        if worker is not None:
+            _LOGGER.info("worker_lost", worker=worker_id, tasks=len(worker.tasks))
+            self.board.drop_worker(worker, now)
+
+    def hold_worker(
+        self, worker_id: str, answer: HoldAnswer, sent_at: float, now: float
+    ) -> None:
+        """Take in what runs and has ended on a worker."""
+        worker = self.board.workers.get(worker_id)
+        if worker is not None:
+            self.reports.held(worker, answer, sent_at, now)
+
+    def set_leaving(self, worker_id: str, leaving: bool, now: float) -> None:
+        """Give a worker no new tasks and empty it, or take that back."""
+        worker = self.board.workers.get(worker_id)
+        if worker is not None and worker.leaving != leaving:
+            worker.leaving = leaving
+            worker.leaving_since = now
+
+    def give_tickets(
+        self, step: StepRun, tickets: dict[str, str], valid_until: float
+    ) -> None:
+        """Take in the advice on a step."""
+        step.tickets = tickets
+        step.tickets_until = valid_until
+        step.asked_until = 0.0
+
+    def plan(self, now: float, wall: float) -> list[Command]:
+        """Return all commands that are due."""
+        self.intake.open_due(now, wall)
+        self._leave_missing(now)
+        self._evacuation.run(now)
+        self._stop_stuck(now)
+        self.pacing.run(now)
+        self._planner.run(now)
+        self._forget_ended()
+        return self.board.take_commands()
+
+    def take_dirty(self, wall: float) -> list[tuple[str, Progress]]:
+        """Return what has to be stored, and forget the jobs that are over."""
+        dirty = self.board.dirty
+        self.board.dirty = {}
+        records = [
+            (job_id, self.board.progress(job, wall)) for job_id, job in dirty.items()
+        ]
+        for job_id, job in dirty.items():
+            if job.state.final:
+                self._ending[job_id] = job
+        return records
+
+    def _leave_missing(self, now: float) -> None:
+        for worker in self.board.workers.values():
+            since = worker.missing_since
+            if since is not None and now - since > MISSING_GRACE_SECONDS:
+                self.set_leaving(worker.id, True, now)
+
+    def _forget_ended(self) -> None:
+        # A job that is over is kept until its last run has ended: the room of a run
+        # that is being stopped is taken until its worker lists the end.
+        for job_id, job in list(self._ending.items()):
+            if any(step.active for step in job.steps.values()):
+                continue
+            del self._ending[job_id]
+            self.board.jobs.pop(job_id, None)
+            for step in job.steps.values():
+                self.board.ready.pop(id(step), None)
+
+    def _stop_stuck(self, now: float) -> None:
+        for worker in self.board.workers.values():
+            for task in list(worker.tasks.values()):
+                if self._is_stuck(task, now):
+                    _LOGGER.warning(
+                        "run_stuck", worker=worker.id, job=task.step.job.record.id
+                    )
+                    task.avoid.add(worker.id)
+                    self.health.note_failed(worker, task, now)
+                    self.board.stop(task)
+
+    def _is_stuck(self, task: Task, now: float) -> bool:
+        if task.phase is not Phase.RUNNING or task.at_work:
+            return False
+        expected = STUCK_FACTOR * self.board.estimates.seconds(task.step)
+        return now - task.percent_since > max(STUCK_SECONDS, expected)
--- a/mustardward/embedded/fleet.py
+++ b/mustardward/embedded/fleet.py
@@ -14,7 +14,6 @@
 from ..core import Core
 from ..exceptions import NotReadyError
 from ..helpers.timer import LoopTimerService, TimerService
-from ..platform.models import ListedInstance, ListedState
 from ..settings.models import (
     EntryIdentity,
     Listener,
@@ -23,6 +22,7 @@
     Settings,
 )
 from ..standin.platform import async_run_platform
+from ..standin.protocol.models import ListedInstance, ListedState
 from ..standin.worker import WorkerOptions
 from ..standin.worker_app import async_run_worker
 from .models import FleetPlan, RunningFleet, plan_workers
--- /dev/null
+++ b/mustardward/node/__init__.py
@@ -0,0 +1,1 @@
+"""Run an entry on the users' platform."""
--- /dev/null
+++ b/mustardward/node/__main__.py
@@ -0,0 +1,8 @@
+"""Run an entry with ``python -m mustardward.node``."""
+
+from __future__ import annotations
+
+from .app import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mustardward/node/app.py
@@ -0,0 +1,174 @@
+"""Set up one entry, run it, and let it leave without cutting a request."""
+
+from __future__ import annotations
+
+import logging
+import secrets
+import signal
+import sys
+import zlib
+
+import anyio
+from absl import flags
+from absl import logging as absl_logging
+from anyio.abc import TaskGroup
+
+from ..components.configuration.services import Configuration
+from ..components.front.server import FrontServer
+from ..components.front.services import Front
+from ..components.ledger.appender import GroupAppender
+from ..components.ledger.const import TOPIC
+from ..components.ledger.follower import TopicFollower
+from ..components.ledger.ledger import Ledger
+from ..components.ownership.owner import OwnerParts
+from ..components.ownership.services import IDLE_GAP_SECONDS, Ownership
+from ..helpers.log_output import PairFormatter
+from ..helpers.logging import get_logger
+from ..helpers.timer import LoopTimerService
+from ..platform.advice import AdviceClient
+from ..platform.boot import BootSettings, load_boot
+from ..platform.exceptions import BootSettingsError
+from ..platform.fleet import FleetClient
+from ..platform.http import HttpCaller
+from ..platform.store import TOPIC_OPERATOR, StoreClient
+
+_LOGGER = get_logger(__name__)
+
+CONFIG_GAP_SECONDS = 0.05
+LEAVE_SHARE = 0.55
+"""Share of the grace period in which a leaving entry goes on answering."""
+
+
+class Node:
+    """Hold the parts of one entry."""
+
+    def __init__(self, boot: BootSettings, tasks: TaskGroup) -> None:
+        self._boot = boot
+        self._tasks = tasks
+        self._timers = LoopTimerService(tasks)
+        self._http = HttpCaller()
+        store = StoreClient(self._http, boot.platform.address)
+        self._configuration = Configuration()
+        self._ledger = Ledger()
+        self._config_follower = TopicFollower(
+            store,
+            self._timers,
+            TOPIC_OPERATOR,
+            self._configuration.apply,
+            self._configuration.keys,
+            CONFIG_GAP_SECONDS,
+        )
+        self._follower = TopicFollower(
+            store,
+            self._timers,
+            TOPIC,
+            self._ledger.apply,
+            self._ledger.keys,
+            IDLE_GAP_SECONDS,
+        )
+        self._appender = GroupAppender(
+            lambda records, producer: store.async_append(TOPIC, records, producer),
+            self._timers,
+            f"{boot.node}/{secrets.token_hex(6)}",
+            epoch=1,
+        )
+        front = Front(
+            self._timers,
+            self._configuration,
+            self._config_follower,
+            self._ledger,
+            self._follower,
+            self._appender,
+        )
+        self._server = FrontServer(front, self._timers, self._is_ready)
+        advice = AdviceClient(self._http, boot.advice) if boot.advice else None
+        address = boot.cloud.address
+        fleet = FleetClient(self._http, address, boot.node) if address else None
+        self._ownership = Ownership(
+            OwnerParts(
+                boot.node,
+                store,
+                self._http,
+                self._timers,
+                self._ledger,
+                self._follower,
+                self._configuration,
+                boot.bounds,
+                advice,
+                fleet,
+            ),
+            _share(boot),
+        )
+
+    async def async_run(self) -> None:
+        """Run until told to stop."""
+        self._timers.start()
+        listen = self._boot.listen
+        await self._server.async_listen(listen.front, listen.ready)
+        _LOGGER.info("node_started", node=self._boot.node, zone=self._boot.zone)
+        self._tasks.start_soon(self._config_follower.async_run)
+        self._tasks.start_soon(self._follower.async_run)
+        self._tasks.start_soon(self._appender.async_run)
+        self._tasks.start_soon(self._ownership.async_run)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number == signal.SIGTERM:
+                    break
+                _LOGGER.info("settings_reloaded", node=self._boot.node)
+        await self._async_leave()
+        self._tasks.cancel_scope.cancel()
+
+    async def _async_leave(self) -> None:
+        _LOGGER.info("node_leaving", node=self._boot.node)
+        self._server.leaving = True
+        await self._ownership.async_leave()
+        await self._timers.async_sleep(self._boot.bounds.grace_s * LEAVE_SHARE)
+        while self._server.busy:
+            await self._timers.async_sleep(0.02)
+        with anyio.move_on_after(0.5):
+            await self._server.async_close()
+        with anyio.move_on_after(0.2):
+            await self._http.async_close()
+        _LOGGER.info("node_stopped", node=self._boot.node)
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._server.leaving
+            and self._configuration.config is not None
+            and self._follower.loaded
+        )
+
+
+def _share(boot: BootSettings) -> float:
+    """Return where in the spread of claims an entry stands; large ones come first."""
+    speed = boot.limits.cpu_share * max(1.0, boot.limits.cores)
+    spread = (zlib.crc32(boot.node.encode()) % 1000) / 1000
+    return min(1.0, 0.5 * spread + 0.5 / (1.0 + speed))
+
+
+async def async_main(boot: BootSettings) -> None:
+    """Run one entry."""
+    async with anyio.create_task_group() as tasks:
+        await Node(boot, tasks).async_run()
+
+
+def set_up_logging() -> None:
+    """Write events to standard output, a line of pairs for each."""
+    flags.FLAGS.mark_as_parsed()
+    absl_logging.use_absl_handler()
+    handler = logging.StreamHandler(sys.stdout)
+    handler.setFormatter(PairFormatter())
+    logging.getLogger("absl").handlers = [handler]
+    logging.getLogger("absl").propagate = False
+    absl_logging.set_verbosity(absl_logging.INFO)
+
+
+def main() -> None:
+    """Run the entry that the settings file describes."""
+    set_up_logging()
+    try:
+        boot = load_boot()
+    except BootSettingsError as error:
+        _LOGGER.error("boot_settings_unusable", detail=error.detail)
+        sys.exit(2)
+    anyio.run(async_main, boot)
--- /dev/null
+++ b/mustardward/platform/advice.py
@@ -0,0 +1,62 @@
+"""Ask the advice service which workers may run a step."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+import msgspec
+
+from .exceptions import CallRefusedError, CallUnknownError
+from .http import HttpCaller
+
+MOST_WORKERS: Final = 100
+
+
+@dataclass(frozen=True, slots=True)
+class StepAdvice:
+    """Hold the ticket of each worker that may run a step, and how long it is valid."""
+
+    tickets: dict[str, str]
+    valid_ms: float
+
+
+class _Allowed(msgspec.Struct, rename="kebab"):
+    allowed: list[list[str]] = []
+    valid_ms: float = 0
+
+
+class AdviceClient:
+    """Call the advice service."""
+
+    def __init__(self, http: HttpCaller, address: str) -> None:
+        self._http = http
+        self._url = f"http://{address}/mustardward/advise"
+
+    async def async_ask(
+        self,
+        job: str,
+        occurrence: int,
+        step: int,
+        workers: list[str],
+        timeout_seconds: float,
+    ) -> StepAdvice:
+        """Return which of the workers may run a step.
+
+        :raises CallRefusedError: if there was no advice.
+        """
+        body = {"step": f"{job}.{occurrence}.{step}", "workers": workers[:MOST_WORKERS]}
+        try:
+            answer = await self._http.async_call(
+                "POST",
+                self._url,
+                body=msgspec.json.encode(body),
+                headers={"Content-Type": "application/json"},
+                timeout_seconds=timeout_seconds,
+            )
+            if answer.status != 200:
+                raise CallRefusedError(f"status={answer.status}")
+            allowed = msgspec.json.decode(answer.body, type=_Allowed)
+        except (CallUnknownError, msgspec.MsgspecError) as error:
+            raise CallRefusedError(str(error)) from error
+        return StepAdvice({row[0]: row[1] for row in allowed.allowed}, allowed.valid_ms)
--- /dev/null
+++ b/mustardward/platform/boot.py
@@ -0,0 +1,119 @@
+"""Read the settings file that the platform lays for a process."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+
+from .exceptions import BootSettingsError
+
+PATH_VARIABLE: Final = "MUSTARDWARD_BOOT"
+
+
+class BootLimits(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold what the instance offers this process."""
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    memory_mb: int = 300
+    max_fds: int = 1024
+    link_mbps: float = 1000.0
+
+
+class BootListen(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold the addresses to listen on, as ``host:port``; empty means not served."""
+
+    front: str = ""
+    ready: str = ""
+    control: str = ""
+
+
+class BootStore(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold where the platform's store is and what it takes."""
+
+    address: str
+    writes_per_s: float = 300.0
+    reads_per_s: float = 1000.0
+    parts: int = 1
+    record_bytes: int = 262144
+    request_bytes: int = 2097152
+
+
+class BootFleet(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold where the platform's fleet calls go and how many it takes a second."""
+
+    address: str = ""
+    rate_per_s: float = 10.0
+    duty_per_s: float = 10.0
+
+
+class BootBounds(msgspec.Struct, frozen=True):
+    """Hold the bounds that the product's own figures follow from."""
+
+    stability_window_ms: float = msgspec.field(default=3000, name="stability-window-ms")
+    grace_s: float = msgspec.field(default=6, name="grace-s")
+    hold_max_ms: float = msgspec.field(default=10000, name="hold-max-ms")
+    stop_grace_ms: float = msgspec.field(default=500, name="stop-grace-ms")
+    gang_timeout_ms: float = msgspec.field(default=3000, name="gang-timeout-ms")
+    status_s: float = 120
+    early_ms: float = 250
+    remote_factor: float = msgspec.field(default=1, name="remote-factor")
+    checkpoint_interval_s: float = msgspec.field(
+        default=1, name="checkpoint-interval-s"
+    )
+    restore_ms: float = msgspec.field(default=250, name="restore-ms")
+    notice_ms: float = msgspec.field(default=4500, name="notice-ms")
+    move_s: float = msgspec.field(default=1.5, name="move-s")
+    maintenance_s: float = msgspec.field(default=2, name="maintenance-s")
+    lease_ms: float = msgspec.field(default=3000, name="lease-ms")
+    pace_ms: float = msgspec.field(default=100, name="pace-ms")
+    harm_ms: float = msgspec.field(default=4000, name="harm-ms")
+    drain_ms: float = msgspec.field(default=2000, name="drain-ms")
+
+
+class BootSettings(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold the fields of the settings file that the product uses."""
+
+    node: str
+    ip: str
+    zone: str
+    listen: BootListen
+    platform: BootStore
+    region: str = ""
+    zones: dict[str, str] = {}
+    limits: BootLimits = BootLimits()
+    bounds: BootBounds = BootBounds()
+    cloud: BootFleet = BootFleet()
+    advice: str | None = None
+    orders: str = "call"
+    bootstrap: bool = False
+    port_range: tuple[int, int] = (0, 0)
+
+
+def decode_boot(content: bytes) -> BootSettings:
+    """Return the settings; unknown fields are ignored.
+
+    :raises BootSettingsError: naming the field that is missing or wrong.
+    """
+    try:
+        return msgspec.json.decode(content, type=BootSettings)
+    except msgspec.MsgspecError as error:
+        raise BootSettingsError(str(error)) from error
+
+
+def load_boot(environment: Any = os.environ) -> BootSettings:
+    """Read the file that the environment names.
+
+    :raises BootSettingsError: if it is not named, not there or not usable.
+    """
+    path = environment.get(PATH_VARIABLE)
+    if not path:
+        raise BootSettingsError(f"variable={PATH_VARIABLE} is not set")
+    try:
+        content = Path(path).read_bytes()
+    except OSError as error:
+        raise BootSettingsError(str(error)) from error
+    return decode_boot(content)
--- /dev/null
+++ b/mustardward/platform/fleet.py
@@ -0,0 +1,116 @@
+"""Call the platform's fleet service: list, move and maintain instances."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from .exceptions import CallRefusedError, CallUnknownError, FencedError
+from .http import Answer, HttpCaller
+from .models import Instance
+
+HEADER_HOLDER: Final = "Mustardward-Lease-Holder"
+HEADER_TOKEN: Final = "Mustardward-Fencing-Token"
+FLEET_TIMEOUT_SECONDS: Final = 1.5
+_REFUSED_FENCE: Final = "fence"
+
+
+class _Listed(msgspec.Struct, rename="kebab"):
+    machines: list[Instance]
+    next_token: str | None = None
+
+
+class _Refused(msgspec.Struct):
+    reason: str = ""
+
+
+class FleetClient:
+    """Call the fleet service in the name of one owner.
+
+    :param holder: the owner's name; calls of two holders are told apart by it.
+    """
+
+    def __init__(self, http: HttpCaller, address: str, holder: str) -> None:
+        self._http = http
+        self._base = f"http://{address}/mustardward"
+        self._holder = holder
+
+    async def async_list(self) -> list[Instance]:
+        """Return all instances.
+
+        :raises CallRefusedError: if the list was not to be had.
+        """
+        instances: list[Instance] = []
+        token = ""
+        while True:
+            page = await self._async_page(token)
+            instances.extend(page.machines)
+            if not page.next_token:
+                return instances
+            token = page.next_token
+
+    async def async_move(self, machine: str, pool: str, token: int) -> None:
+        """Move an instance to another pool; everything on it ends at once.
+
+        :raises CallRefusedError: if it did not move.
+        :raises CallUnknownError: if it may have moved.
+        :raises FencedError: if a newer owner acted on it.
+        """
+        await self._async_order(
+            "machine-move", {"machine": machine, "pool": pool}, token
+        )
+
+    async def async_maintain(self, machine: str, wave: int, token: int) -> None:
+        """Begin an instance's maintenance; everything on it ends at once.
+
+        :raises CallRefusedError: if it did not begin.
+        :raises CallUnknownError: if it may have begun.
+        :raises FencedError: if a newer owner acted on it.
+        """
+        await self._async_order(
+            "machine-upkeep", {"machine": machine, "wave": wave}, token
+        )
+
+    async def _async_page(self, token: str) -> _Listed:
+        params = {"page-token": token} if token else None
+        try:
+            answer = await self._http.async_call(
+                "GET",
+                f"{self._base}/machines",
+                params=params,
+                timeout_seconds=FLEET_TIMEOUT_SECONDS,
+            )
+            if answer.status != 200:
+                raise CallRefusedError(f"status={answer.status}")
+            return msgspec.json.decode(answer.body, type=_Listed)
+        except (CallUnknownError, msgspec.MsgspecError) as error:
+            raise CallRefusedError(str(error)) from error
+
+    async def _async_order(self, call: str, body: object, token: int) -> None:
+        answer = await self._http.async_call(
+            "POST",
+            f"{self._base}/{call}",
+            body=msgspec.json.encode(body),
+            headers={
+                HEADER_HOLDER: self._holder,
+                HEADER_TOKEN: str(token),
+                "Content-Type": "application/json",
+            },
+            timeout_seconds=FLEET_TIMEOUT_SECONDS,
+        )
+        if answer.status == 200:
+            return
+        reason = _reason(answer)
+        if answer.status == 409 and reason == _REFUSED_FENCE:
+            raise FencedError(call)
+        if answer.status in (400, 409, 429, 503):
+            raise CallRefusedError(f"status={answer.status} reason={reason}")
+        raise CallUnknownError(f"status={answer.status}")
+
+
+def _reason(answer: Answer) -> str:
+    try:
+        return msgspec.json.decode(answer.body, type=_Refused).reason
+    except msgspec.MsgspecError:
+        return ""
--- a/mustardward/platform/http.py
+++ b/mustardward/platform/http.py
@@ -1,102 +1,104 @@
-"""Call the platform over HTTP and turn what goes wrong into typed failures."""
+"""Make HTTP calls, and type what goes wrong by what it says about the effect."""
 
 from __future__ import annotations
 
-from typing import Any, Final
+import socket
+from dataclasses import dataclass
+from typing import Final
 
-import httpx
+import aiohttp
+from multidict import CIMultiDictProxy
 
-from ..const import HEADER_RAN
-from ..exceptions import (
-    MustardwardError,
-    PlatformOutcomeUnknownError,
-    PlatformRefusedError,
-    PlatformUnavailableError,
-    StaleGenerationError,
-)
+from .exceptions import CallRefusedError, CallUnknownError
 
-_NOT_SENT: Final = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+CONNECT_TIMEOUT_SECONDS: Final = 0.6
+"""A partner that is cut off answers no opening packet; one retransmission is 1 s."""
 
+KEEP_ALIVE_SECONDS: Final = 30.0
+SILENCE_MILLISECONDS: Final = 1500
+"""Unacknowledged bytes for so long close a connection, so that a pool of connections
+that went silent empties itself."""
 
-class PlatformHttp:
-    """Send calls to one base URL, or to absolute URLs.
+CONNECTIONS_A_HOST: Final = 8
 
-    :param client: carries the calls; its owner closes it.
-    :param timeout_seconds: longest wait for an answer.
-    """
 
-    def __init__(self, client: httpx.AsyncClient, timeout_seconds: float) -> None:
-        self._client = client
-        self._timeout_seconds = timeout_seconds
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold one answer."""
 
-    async def async_read(
-        self, path: str, extra_seconds: float = 0.0, **params: Any
-    ) -> httpx.Response:
-        """Make a call that has no effect.
+    status: int
+    body: bytes
+    headers: CIMultiDictProxy[str]
 
-        :param extra_seconds: added to the time-out, for a long poll.
-        :raises PlatformUnavailableError: if there was no usable answer.
-        """
-        try:
-            answer = await self._client.get(
-                path, params=params, timeout=self._timeout_seconds + extra_seconds
-            )
-        except httpx.TransportError as error:
-            raise PlatformUnavailableError(_describe(error)) from error
-        if answer.status_code >= 500 or answer.status_code == 429:
-            raise PlatformUnavailableError(f"status={answer.status_code}")
-        return answer
-
-    async def async_send(
+
+def open_socket(address: tuple[int, int, int, str, tuple[str, int]]) -> socket.socket:
+    """Open a client's socket that notices a silent partner."""
+    family, kind, protocol, _, _ = address
+    channel = socket.socket(family, kind, protocol)
+    channel.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    user_timeout = getattr(socket, "TCP_USER_TIMEOUT", None)
+    if user_timeout is not None:
+        channel.setsockopt(socket.IPPROTO_TCP, user_timeout, SILENCE_MILLISECONDS)
+    return channel
+
+
+class HttpCaller:
+    """Make calls over pooled connections.
+
+    :param connections_a_host: most connections to one address.
+    """
+
+    def __init__(self, connections_a_host: int = CONNECTIONS_A_HOST) -> None:
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            limit_per_host=connections_a_host,
+            keepalive_timeout=KEEP_ALIVE_SECONDS,
+            use_dns_cache=False,
+            socket_factory=open_socket,
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+        )
+
+    async def async_close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def async_call(
         self,
         method: str,
-        path: str,
+        url: str,
         *,
-        content: bytes | None = None,
-        json: Any = None,
-    ) -> httpx.Response:
-        """Make a call that may have an effect.
-
-        :raises PlatformUnavailableError: if it certainly had none.
-        :raises PlatformOutcomeUnknownError: if it was sent and its answer was lost.
+        timeout_seconds: float,
+        body: bytes | None = None,
+        params: dict[str, str] | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Make one call.
+
+        :raises CallRefusedError: if it was certainly not sent.
+        :raises CallUnknownError: if it was sent and its answer was lost.
         """
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
+        )
         try:
-            answer = await self._client.request(
+            async with self._session.request(
                 method,
-                path,
-                content=content,
-                json=json,
-                timeout=self._timeout_seconds,
-            )
-        except _NOT_SENT as error:
-            raise PlatformUnavailableError(_describe(error)) from error
-        except httpx.TransportError as error:
-            # From here on bytes may have reached the platform. To call this "had no
-            # effect" would let a caller act twice, seen as two entries or two reboots
-            # for one wish.
-            raise PlatformOutcomeUnknownError(_describe(error)) from error
-        if answer.status_code == 503 and HEADER_RAN not in answer.headers:
-            raise PlatformUnavailableError("status=503")
-        if answer.status_code >= 500 and answer.status_code != 503:
-            raise PlatformOutcomeUnknownError(f"status={answer.status_code}")
-        return answer
-
-
-def refused(answer: httpx.Response) -> MustardwardError:
-    """Return the failure that a refusal names."""
-    code = _code(answer)
-    if code == StaleGenerationError.code:
-        return StaleGenerationError(answer.text)
-    return PlatformRefusedError(f"status={answer.status_code} code={code}")
-
-
-def _code(answer: httpx.Response) -> str:
-    try:
-        body = answer.json()
-    except ValueError:
-        return ""
-    return str(body.get("code", "")) if isinstance(body, dict) else ""
-
-
-def _describe(error: httpx.TransportError) -> str:
-    return f"{type(error).__name__} {error}".strip()
+                url,
+                data=body,
+                params=params,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as answer:
+                content = await answer.read()
+                return Answer(answer.status, content, answer.headers)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise CallRefusedError(type(error).__name__) from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            # Bytes may have reached the other side: to call this "had no effect" would
+            # let a caller act twice.
+            raise CallUnknownError(type(error).__name__) from error
--- a/mustardward/platform/models.py
+++ b/mustardward/platform/models.py
@@ -1,119 +1,139 @@
-"""Model what the platform's services say."""
+"""Hold what the platform's bodies say, decoded into types."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from enum import StrEnum
+from typing import Final
 
+import msgspec
 
-@dataclass(frozen=True, slots=True)
-class LogEntry:
-    """Hold one entry of a stream."""
 
-    offset: int
-    payload: bytes
+class QueueAdvice(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold what asking for advice on a queue's steps costs in time."""
 
+    decide_ms: float = 0
+    period_ms: float = 0
+    valid_ms: float = 0
 
-@dataclass(frozen=True, slots=True)
-class LogPage:
-    """Hold entries read at once; ``tail`` is the offset the next append will get."""
 
-    entries: tuple[LogEntry, ...]
-    oldest: int
-    tail: int
+class Queue(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold one queue of the operator's configuration."""
 
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    timeout_ms: float = 3000
+    target_duration_ms: float = 0
+    priority: int = 0
+    max_attempts: int = 3
+    stretch: float = 2.0
+    advice: QueueAdvice | None = None
 
-class ListedState(StrEnum):
-    """Say what the platform's lagging list believes of an instance."""
-
-    LIVE = "live"
-    LEAVING = "leaving"
-
-
-@dataclass(frozen=True, slots=True)
-class ListedInstance:
-    """Hold one line of the platform's list; ``kind`` is ``worker`` or ``entry``."""
-
-    instance_id: str
-    kind: str
-    data_centre: str
-    rack: str
-    address: str
-    state: ListedState
-    boot: int
-
-
-class PowerState(StrEnum):
-    """Say where an instance is on its way through drain and reboot."""
-
-    SERVING = "serving"
-    DRAINING = "draining"
-    DRAINED = "drained"
-    REBOOTING = "rebooting"
-    DOWN = "down"
 
+class PoolSettings(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold one pool of the operator's configuration."""
 
-@dataclass(frozen=True, slots=True)
-class InstancePower:
-    """Hold an instance as the platform's pool service sees it.
+    name: str
+    max_conns: int = 64
+    admission_check: bool = True
+    standby: bool = False
 
-    ``boot`` grows with each boot; ``generation`` is the highest one a call carried;
-    ``running`` counts requests and tasks still in progress there.
-    """
 
-    instance_id: str
-    state: PowerState
-    boot: int
-    generation: int
-    running: int
+class CallerLimits(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold what callers may send."""
 
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 262144
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
 
-@dataclass(frozen=True, slots=True)
-class WorkerUsage:
-    """Hold what a worker reported of itself, ``age_seconds`` ago."""
 
-    instance_id: str
-    slots_busy: int
-    connections_open: int
-    age_seconds: float
+class OperatorConfig(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold one version of the operator's configuration."""
 
+    version: int
+    routes: list[Queue] = []
+    services: list[PoolSettings] = []
+    limits: CallerLimits = CallerLimits()
 
-class TaskState(StrEnum):
-    """Say how far a task on a worker is."""
 
-    RUNNING = "running"
-    THROTTLED = "throttled"
-    DONE = "done"
-    FAILED = "failed"
-    STOPPED = "stopped"
-    LAPSED = "lapsed"
+class Room(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold processor (thousandths of a core), memory (MB) and accelerators."""
 
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
 
-@dataclass(frozen=True, slots=True)
-class TaskOrder:
-    """Ask a worker to run a task under a lease.
 
-    ``generation`` fences: a worker refuses one lower than it has seen for the task.
-    """
+class WorkerEntry(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold what a worker says of itself."""
 
-    task_id: str
-    generation: int
-    organisation: str
     service: str
-    payload: bytes
-    checkpoint: str
-    lease_seconds: float
-    pool_generation: int
-
-
-@dataclass(frozen=True, slots=True)
-class TaskReport:
-    """Hold a task as its worker reports it; ``progress`` runs from 0 to 1."""
-
-    task_id: str
-    generation: int
-    state: TaskState
-    progress: float
-    checkpoint: str
-    result: bytes = b""
-    reason: str = ""
+    address: str
+    zone: str = ""
+    state: str = "ready"
+    capacity: Room = Room()
+    labels: list[str] = []
+    remaining_ms: float | None = None
+
+
+class UpkeepWave(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold one maintenance wave."""
+
+    wave: int
+    machines: list[str]
+    duration_s: float
+    max_count: int = 1
+
+
+class Instance(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold one instance of the fleet's list."""
+
+    machine: str
+    pool: str
+    state: str
+    zone: str = ""
+    labels: list[str] = []
+    capacity: Room = Room()
+    id: str | None = None
+
+
+class SubmittedStep(msgspec.Struct, frozen=True, rename="kebab", omit_defaults=True):
+    """Hold one step of a job as callers submit it."""
+
+    count: int
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0
+    after: list[int] = []
+    saves_progress: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_server: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class SubmittedJob(msgspec.Struct, frozen=True, rename="kebab", omit_defaults=True):
+    """Hold a job as callers submit it."""
+
+    spec: str
+    steps: list[SubmittedStep]
+    times: int = 0
+    start_at_ms: float = 0
+    interval_ms: float = 0
+
+
+WAVE_RUNNING: Final = "running"
+WAVE_DONE: Final = "done"
+INSTANCE_UP: Final = "up"
+WORKER_DRAINING: Final = "draining"
+ENDED_DONE: Final = "done"
+ENDED_FAILED: Final = "failed"
--- /dev/null
+++ b/mustardward/platform/store.py
@@ -0,0 +1,245 @@
+"""Call the platform's store: appends, reads, and the newest record of each key."""
+
+from __future__ import annotations
+
+import base64
+import struct
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final, TypeVar
+
+import msgspec
+
+from .exceptions import (
+    CallRefusedError,
+    CallUnknownError,
+    FencedError,
+    OffsetGoneError,
+    SequenceError,
+)
+from .http import Answer, HttpCaller
+
+TOPIC_OPERATOR: Final = "keyed.op"
+TOPIC_WORKERS: Final = "keyed.servers"
+TOPIC_STATUS: Final = "keyed.status"
+KEYED_PREFIX: Final = "keyed."
+KEY_CONFIG: Final = "config"
+KEY_WAVE_PREFIX: Final = "wave/"
+
+T = TypeVar("T")
+
+_LENGTH: Final = struct.Struct(">I")
+_HEAD: Final = struct.Struct(">QQ")
+CALL_TIMEOUT_SECONDS: Final = 1.2
+"""An answer takes some milliseconds; a store that is 60 times slower still answers."""
+
+LONG_POLL_SLACK_SECONDS: Final = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedRecord:
+    """Hold one record of a keyed topic; an empty value removes the key."""
+
+    offset: int
+    key: str
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Hold the records of one read, and where reading goes on."""
+
+    records: list[KeyedRecord]
+    next_offset: int
+    end: int
+
+
+@dataclass(frozen=True, slots=True)
+class NewestPage:
+    """Hold one page of the newest record of each key."""
+
+    records: list[KeyedRecord]
+    more: bool
+    end: int
+
+
+@dataclass(frozen=True, slots=True)
+class Producer:
+    """Name who appends, under which epoch, and the append's number."""
+
+    name: str
+    epoch: int
+    sequence: int
+
+
+class _Appended(msgspec.Struct):
+    offset: int = 0
+    end: int = 0
+
+
+class _AppendRefused(msgspec.Struct):
+    reason: str = ""
+    seq: int = 0
+    expected: int = 0
+
+
+class _Gone(msgspec.Struct):
+    first: int = 0
+
+
+class _NewestItem(msgspec.Struct):
+    key: str
+    offset: int
+    value: str = ""
+
+
+class _Newest(msgspec.Struct, rename="kebab"):
+    items: list[_NewestItem]
+    end: int
+    more_pages: bool = False
+
+
+def encode_keyed(records: Iterable[tuple[str, bytes]]) -> bytes:
+    """Return the body of an append to a keyed topic."""
+    parts: list[bytes] = []
+    for key, value in records:
+        name = key.encode()
+        parts.append(_LENGTH.pack(1 + len(name) + len(value)))
+        parts.append(bytes((len(name),)))
+        parts.append(name)
+        parts.append(value)
+    return b"".join(parts)
+
+
+def decode_keyed(body: bytes, first_offset: int) -> Page:
+    """Return the records of a read's body."""
+    end, first = _HEAD.unpack_from(body, 0)
+    offset = max(first_offset, first)
+    position = _HEAD.size
+    records: list[KeyedRecord] = []
+    while position + _LENGTH.size <= len(body):
+        (length,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        name_length = body[position]
+        name_end = position + 1 + name_length
+        key = body[position + 1 : name_end].decode()
+        value = body[name_end : position + length]
+        records.append(KeyedRecord(offset, key, value))
+        position += length
+        offset += 1
+    return Page(records, offset, end)
+
+
+class StoreClient:
+    """Call the store.
+
+    :param http: carries the calls.
+    :param address: the store's ``host:port``.
+    """
+
+    def __init__(self, http: HttpCaller, address: str) -> None:
+        self._http = http
+        self._base = f"http://{address}/mustardward"
+
+    async def async_append(
+        self,
+        topic: str,
+        records: Iterable[tuple[str, bytes]],
+        producer: Producer | None = None,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> int:
+        """Append keyed records, all or none, and return the log's new end.
+
+        :raises CallRefusedError: if nothing was appended.
+        :raises CallUnknownError: if that is not known.
+        :raises FencedError: if a higher epoch of this producer was seen.
+        :raises SequenceError: if the number does not follow the producer's last.
+        """
+        params = {"topic": topic, "part": "0"}
+        if producer is not None:
+            params["producer"] = producer.name
+            params["epoch"] = str(producer.epoch)
+            params["seq"] = str(producer.sequence)
+        answer = await self._http.async_call(
+            "POST",
+            f"{self._base}/log-append",
+            params=params,
+            body=encode_keyed(records),
+            timeout_seconds=timeout_seconds,
+        )
+        if answer.status == 200:
+            return _decode(answer, _Appended).end
+        if answer.status == 409:
+            raise _append_refusal(answer)
+        raise CallRefusedError(f"status={answer.status}")
+
+    async def async_read(
+        self, topic: str, from_offset: int, wait_ms: int, kilobytes: int = 1024
+    ) -> Page:
+        """Return the records from an offset on, waiting for the first.
+
+        :raises OffsetGoneError: if records from there on were deleted.
+        :raises CallRefusedError: if the store did not answer with records.
+        """
+        answer = await self._async_get(
+            "log-read",
+            {
+                "topic": topic,
+                "part": "0",
+                "from": str(from_offset),
+                "wait-ms": str(wait_ms),
+                "max-kilobytes": str(kilobytes),
+            },
+            wait_ms / 1000 + LONG_POLL_SLACK_SECONDS,
+        )
+        if answer.status == 410:
+            raise OffsetGoneError(_decode(answer, _Gone).first)
+        if answer.status != 200 or len(answer.body) < _HEAD.size:
+            raise CallRefusedError(f"status={answer.status}")
+        return decode_keyed(answer.body, from_offset)
+
+    async def async_newest(self, topic: str, after: str = "") -> NewestPage:
+        """Return a page of the newest record of each key.
+
+        :raises CallRefusedError: if the store did not answer with records.
+        """
+        params = {"topic": topic, "part": "0"}
+        if after:
+            params["after"] = after
+        answer = await self._async_get("log-newest", params, CALL_TIMEOUT_SECONDS)
+        if answer.status != 200:
+            raise CallRefusedError(f"status={answer.status}")
+        newest = _decode(answer, _Newest)
+        records = [
+            KeyedRecord(item.offset, item.key, base64.b64decode(item.value))
+            for item in newest.items
+        ]
+        return NewestPage(records, newest.more_pages, newest.end)
+
+    async def _async_get(
+        self, call: str, params: dict[str, str], timeout_seconds: float
+    ) -> Answer:
+        try:
+            return await self._http.async_call(
+                "GET",
+                f"{self._base}/{call}",
+                params=params,
+                timeout_seconds=timeout_seconds,
+            )
+        except CallUnknownError as error:
+            # A read has no effect, so a lost answer is as good as a refusal.
+            raise CallRefusedError(str(error)) from error
+
+
+def _append_refusal(answer: Answer) -> Exception:
+    refusal = _decode(answer, _AppendRefused)
+    if refusal.reason == "fenced":
+        return FencedError("append")
+    return SequenceError(refusal.seq or refusal.expected)
+
+
+def _decode(answer: Answer, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise CallUnknownError(str(error)) from error
--- /dev/null
+++ b/mustardward/platform/workers.py
@@ -0,0 +1,242 @@
+"""Call workers: start, stop, hold and pace tasks."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Final
+
+import msgspec
+
+from .exceptions import (
+    CallRefusedError,
+    CallUnknownError,
+    FencedError,
+    WrongIncarnationError,
+)
+from .http import Answer, HttpCaller
+
+HEADER_EXPECTED: Final = "Mustardward-Expected-Instance"
+START_TIMEOUT_SECONDS: Final = 0.7
+"""An answer takes 2 to 5 ms; an order that is carried out late gets none at all."""
+
+HOLD_SLACK_SECONDS: Final = 0.7
+
+REFUSED_ROOM: Final = "room"
+REFUSED_OLD: Final = "old"
+REFUSED_LATE: Final = "late"
+REFUSED_TICKET: Final = "ticket"
+_REFUSED_FENCE: Final = "fence"
+
+
+@dataclass(frozen=True, slots=True)
+class TaskName:
+    """Name one task: its job, occurrence, step and index."""
+
+    job: str
+    occurrence: int
+    step: int
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class RunningTask:
+    """Hold one row of what runs on a worker.
+
+    :param figure: the tail in milliseconds of a task that serves, else processor in
+        use, in thousandths of a core; over the last half second.
+    """
+
+    task: TaskName
+    run: int
+    checkpoint: str
+    percent: float
+    figure: float
+
+
+@dataclass(frozen=True, slots=True)
+class EndedTask:
+    """Hold one row of what ended on a worker."""
+
+    number: int
+    task: TaskName
+    run: int
+    how: str
+    checkpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class HoldAnswer:
+    """Hold what a worker says it runs and has ended; its clock in milliseconds."""
+
+    clock_ms: float
+    running: list[RunningTask]
+    ended: list[EndedTask]
+
+
+@dataclass(frozen=True, slots=True)
+class StartAnswer:
+    """Hold the answer to a start; an empty reason means that the task runs."""
+
+    clock_ms: float
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class StartOrder:
+    """Hold what a start says."""
+
+    task: TaskName
+    run: int
+    spec: str
+    deadline_ms: int
+    checkpoint: str
+    ticket: str
+
+
+class _Hold(msgspec.Struct, rename="kebab"):
+    clock_ms: float
+    running: list[list[Any]] = []
+    ended: list[list[Any]] = []
+
+
+class _Clock(msgspec.Struct, rename="kebab"):
+    clock_ms: float = 0
+    reason: str = ""
+
+
+def encode_task(task: TaskName) -> str:
+    """Return a task's name as workers know it."""
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
+
+
+def decode_task(text: str) -> TaskName:
+    """Return the task that a worker names.
+
+    :raises ValueError: if the text names none.
+    """
+    job, occurrence, step, index = text.split(".")
+    return TaskName(job, int(occurrence), int(step), int(index))
+
+
+class WorkerClient:
+    """Call one incarnation of a worker under one fencing token.
+
+    :param http: carries the calls.
+    :param address: the worker's ``host:port``.
+    :param incarnation: the worker's id; another one answers nothing.
+    :param token: the fencing token of the caller's ownership.
+    """
+
+    def __init__(
+        self, http: HttpCaller, address: str, incarnation: str, token: int
+    ) -> None:
+        self._http = http
+        self._base = f"http://{address}/mustardward"
+        self._token = token
+        self._headers = {
+            HEADER_EXPECTED: incarnation,
+            "Content-Type": "application/json",
+        }
+
+    async def async_start(self, order: StartOrder) -> StartAnswer:
+        """Start a task.
+
+        :raises CallRefusedError: if it certainly does not run by this order.
+        :raises CallUnknownError: if it may run, now or later.
+        :raises FencedError: if a newer owner's token was seen.
+        :raises WrongIncarnationError: if another incarnation answered.
+        """
+        body: dict[str, object] = {
+            "task": encode_task(order.task),
+            "run": order.run,
+            "spec": order.spec,
+            "deadline-ms": order.deadline_ms,
+            "fence": self._token,
+        }
+        if order.checkpoint:
+            body["last-checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        answer = await self._async_post("run-start", body, START_TIMEOUT_SECONDS)
+        clock = _decode_clock(answer)
+        return StartAnswer(clock.clock_ms, clock.reason)
+
+    async def async_stop(self, task: TaskName, run: int) -> None:
+        """Stop a run; one that is not there yet will be rejected.
+
+        :raises CallUnknownError: if it may still run.
+        """
+        body = {"task": encode_task(task), "run": run, "fence": self._token}
+        await self._async_post("run-stop", body, START_TIMEOUT_SECONDS)
+
+    async def async_pace(self, task: TaskName, run: int, percent: int) -> None:
+        """Let a run work at a share of its speed."""
+        body = {
+            "task": encode_task(task),
+            "run": run,
+            "percent": percent,
+            "fence": self._token,
+        }
+        await self._async_post("pace", body, START_TIMEOUT_SECONDS)
+
+    async def async_hold(
+        self, seen_upto: int, deadline_ms: int | None, wait_ms: int
+    ) -> HoldAnswer:
+        """Renew the lease, acknowledge ends, and return what runs and has ended.
+
+        :raises CallUnknownError: if there was no answer.
+        """
+        body: dict[str, object] = {"fence": self._token, "seen-upto": seen_upto}
+        if deadline_ms is not None:
+            body["deadline-ms"] = deadline_ms
+        if wait_ms:
+            body["wait-ms"] = wait_ms
+        answer = await self._async_post(
+            "hold", body, wait_ms / 1000 + HOLD_SLACK_SECONDS
+        )
+        return _decode_hold(answer)
+
+    async def _async_post(
+        self, call: str, body: dict[str, object], timeout_seconds: float
+    ) -> Answer:
+        answer = await self._http.async_call(
+            "POST",
+            f"{self._base}/{call}",
+            body=msgspec.json.encode(body),
+            headers=self._headers,
+            timeout_seconds=timeout_seconds,
+        )
+        if answer.status == 421:
+            raise WrongIncarnationError(answer.headers.get(HEADER_EXPECTED, ""))
+        if answer.status == 409 and _decode_clock(answer).reason == _REFUSED_FENCE:
+            raise FencedError(call)
+        if answer.status in (200, 409):
+            return answer
+        if answer.status in (400, 404, 429, 503):
+            raise CallRefusedError(f"status={answer.status}")
+        raise CallUnknownError(f"status={answer.status}")
+
+
+def _decode_clock(answer: Answer) -> _Clock:
+    try:
+        return msgspec.json.decode(answer.body, type=_Clock)
+    except msgspec.MsgspecError as error:
+        raise CallUnknownError(str(error)) from error
+
+
+def _decode_hold(answer: Answer) -> HoldAnswer:
+    try:
+        hold = msgspec.json.decode(answer.body, type=_Hold)
+        running = [_running(row) for row in hold.running]
+        ended = [
+            EndedTask(int(row[0]), decode_task(row[1]), int(row[2]), row[3], row[4])
+            for row in hold.ended
+        ]
+    except (msgspec.MsgspecError, ValueError, IndexError) as error:
+        raise CallUnknownError(str(error)) from error
+    return HoldAnswer(hold.clock_ms, running, ended)
+
+
+def _running(row: list[Any]) -> RunningTask:
+    figure = float(row[4]) if len(row) > 4 else 0.0
+    return RunningTask(decode_task(row[0]), int(row[1]), row[2], float(row[3]), figure)
--- a/mustardward/standin/listing.py
+++ b/mustardward/standin/listing.py
@@ -11,9 +11,9 @@
 from starlette.routing import Route
 
 from ..helpers.timer import TimerService
-from ..platform.models import ListedInstance, ListedState
 from .common import async_body, async_with_faults
 from .faults import FaultSwitch, ListingFaults
+from .protocol.models import ListedInstance, ListedState
 
 
 class RegisterModel(BaseModel):
