--- a/mustardward/standin/log.py
+++ b/mustardward/standin/log.py
@@ -15,9 +15,9 @@
 from ..exceptions import OffsetExpiredError
 from ..helpers.timer import TimerService
 from ..helpers.waiting import async_wait_for
-from ..platform.models import LogPage
 from .common import NoAnswer, async_with_faults, refusal
 from .faults import FaultSwitch, LogFaults
+from .protocol.models import LogPage
 from .store import LogStore, Retention, TokenBucket
 
 
--- a/mustardward/standin/power.py
+++ b/mustardward/standin/power.py
@@ -14,10 +14,10 @@
 from starlette.routing import Route
 
 from ..helpers.timer import TimerService
-from ..platform.models import InstancePower, ListedState, PowerState
 from .common import async_body, async_with_faults, refusal
 from .faults import FaultSwitch, PowerFaults
 from .listing import StandInListing
+from .protocol.models import InstancePower, ListedState, PowerState
 
 WORKER_TIMEOUT_SECONDS: Final = 2.0
 
--- /dev/null
+++ b/mustardward/standin/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Speak the platform's published protocols."""
--- a/mustardward/platform/instances.py
+++ b/mustardward/standin/protocol/instances.py
@@ -5,7 +5,7 @@
 import httpx
 import msgspec
 
-from ..exceptions import PlatformOutcomeUnknownError, PlatformUnavailableError
+from ...exceptions import PlatformOutcomeUnknownError, PlatformUnavailableError
 from .http import PlatformHttp, refused
 from .models import InstancePower, ListedInstance
 
--- a/mustardward/platform/log.py
+++ b/mustardward/standin/protocol/log.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..exceptions import (
+from ...exceptions import (
     AppendRateError,
     OffsetExpiredError,
     PlatformOutcomeUnknownError,
--- a/mustardward/standin/store.py
+++ b/mustardward/standin/store.py
@@ -7,7 +7,7 @@
 
 from ..exceptions import OffsetExpiredError
 from ..helpers.timer import TimerService
-from ..platform.models import LogEntry, LogPage
+from .protocol.models import LogEntry, LogPage
 
 
 class TokenBucket:
--- a/mustardward/standin/tasks.py
+++ b/mustardward/standin/tasks.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from ..exceptions import PlatformRefusedError, StaleGenerationError
-from ..platform.models import TaskOrder, TaskReport, TaskState
+from .protocol.models import TaskOrder, TaskReport, TaskState
 
 THROTTLED_SPEED: Final = 0.1
 _ACTIVE: Final = (TaskState.RUNNING, TaskState.THROTTLED)
--- a/mustardward/standin/worker.py
+++ b/mustardward/standin/worker.py
@@ -7,9 +7,9 @@
 from typing import Final
 
 from ..helpers.timer import TimerService
-from ..platform.models import WorkerUsage
 from .executions import Execution, ExecutionRecord
 from .faults import FaultSwitch, WorkerFaults
+from .protocol.models import WorkerUsage
 from .serving import Connections
 from .tasks import TaskTable
 from .usage import UsageHistory
--- a/mustardward/standin/worker_app.py
+++ b/mustardward/standin/worker_app.py
@@ -18,8 +18,8 @@
 from ..const import HEADER_RAN
 from ..exceptions import PlatformRefusedError, StaleGenerationError
 from ..helpers.timer import TimerService
-from ..platform.models import TaskOrder, TaskReport
 from .common import BodyError, NoAnswer, async_body, async_body_refusal, refusal
+from .protocol.models import TaskOrder, TaskReport
 from .serving import async_serve
 from .tasks import UnknownTaskError
 from .worker import StandInWorker, WorkerOptions
--- a/mustardward/state/appender.py
+++ b/mustardward/state/appender.py
@@ -21,7 +21,7 @@
 from ..helpers.logging import get_logger
 from ..helpers.timer import TimerService
 from ..helpers.waiting import async_wait_for
-from ..platform.protocols import LogService
+from ..standin.protocol.protocols import LogService
 from .fold import Acceptance, RecordOutcome, RecordRefusedError
 from .options import LogOptions
 from .pace import AppendPace
--- a/mustardward/state/continuity.py
+++ b/mustardward/state/continuity.py
@@ -6,8 +6,8 @@
 
 from ..exceptions import LogGapError
 from ..helpers.logging import get_logger
-from ..platform.models import LogPage
-from ..platform.protocols import LogService
+from ..standin.protocol.models import LogPage
+from ..standin.protocol.protocols import LogService
 from .replica import Replica
 
 _LOGGER = get_logger(__name__)
--- a/mustardward/state/follower.py
+++ b/mustardward/state/follower.py
@@ -14,7 +14,7 @@
 from ..helpers.backoff import Backoff
 from ..helpers.logging import get_logger
 from ..helpers.timer import TimerService
-from ..platform.protocols import LogService
+from ..standin.protocol.protocols import LogService
 from .continuity import Continuity, LogRewrittenError
 from .options import LogOptions
 from .relay import RelayAnswer, RelayQuestion, RelaySource, RelayStatus, RelayWanted
--- a/mustardward/state/log.py
+++ b/mustardward/state/log.py
@@ -12,7 +12,7 @@
 
 from ..exceptions import MustardwardError, NotReadyError
 from ..helpers.timer import TimerService
-from ..platform.protocols import LogService
+from ..standin.protocol.protocols import LogService
 from .appender import Appender, remembered_outcome
 from .fold import Acceptance, RecordOutcome
 from .follower import Follower
--- a/mustardward/state/replica.py
+++ b/mustardward/state/replica.py
@@ -9,7 +9,7 @@
 
 from ..exceptions import StateError
 from ..helpers.logging import get_logger
-from ..platform.models import LogPage
+from ..standin.protocol.models import LogPage
 from .fold import Fold, RecordOutcome
 from .images import Image, make_image, restore_image
 from .relay import (
--- a/mustardward/state/snapshots.py
+++ b/mustardward/state/snapshots.py
@@ -24,8 +24,8 @@
 from ..helpers.backoff import Backoff
 from ..helpers.logging import get_logger
 from ..helpers.timer import TimerService
-from ..platform.models import LogPage
-from ..platform.protocols import LogService
+from ..standin.protocol.models import LogPage
+from ..standin.protocol.protocols import LogService
 from .images import Image, ImageHeader, check_header
 from .streams import StreamSpec
 
--- a/tests/components/jobs/test_real_tasks.py
+++ b/tests/components/jobs/test_real_tasks.py
@@ -10,7 +10,7 @@
 from mustardward.components.jobs.const import LEASE_SECONDS
 from mustardward.exceptions import PlatformUnavailableError
 from mustardward.helpers.timer import TimerService
-from mustardward.platform.models import TaskOrder, TaskReport
+from mustardward.standin.protocol.models import TaskOrder, TaskReport
 from mustardward.standin.tasks import TaskTable
 from tests.fakes.jobs_world import JobsWorld
 
--- a/tests/components/jobs/test_scheduling.py
+++ b/tests/components/jobs/test_scheduling.py
@@ -11,7 +11,7 @@
 from mustardward.components.jobs.const import LEASE_SECONDS
 from mustardward.components.jobs.errors import JobQuotaError, JobUnplaceableError
 from mustardward.components.jobs.models import Submission
-from mustardward.platform.models import TaskReport, TaskState
+from mustardward.standin.protocol.models import TaskReport, TaskState
 from mustardward.state.models.maintenance import Claim, Wave
 from tests.fakes.jobs_world import Entry, JobsWorld
 
--- a/tests/components/maintenance/test_executor.py
+++ b/tests/components/maintenance/test_executor.py
@@ -15,7 +15,7 @@
 from mustardward.components.maintenance.selection import Selection, select_claims
 from mustardward.components.maintenance.services import WaveExecutor
 from mustardward.exceptions import StaleGenerationError
-from mustardward.platform.models import PowerState
+from mustardward.standin.protocol.models import PowerState
 from mustardward.state.models.maintenance import (
     AbsenceChange,
     ReportAbsences,
--- a/tests/components/maintenance/test_pool_look.py
+++ b/tests/components/maintenance/test_pool_look.py
@@ -12,8 +12,8 @@
 from mustardward.components.maintenance.services import WaveExecutor
 from mustardward.components.peers.protocols import Peers
 from mustardward.exceptions import PeerError, PlatformUnavailableError
-from mustardward.platform.models import WorkerUsage
-from mustardward.platform.protocols import WorkerService
+from mustardward.standin.protocol.models import WorkerUsage
+from mustardward.standin.protocol.protocols import WorkerService
 from mustardward.state.models.pools import AddInstance
 from tests.components.maintenance.site import FIRST, FixedPacing, Site
 from tests.fakes.waves import build_member
--- a/tests/components/maintenance/test_reporters.py
+++ b/tests/components/maintenance/test_reporters.py
@@ -7,7 +7,7 @@
 from mustardward.components.maintenance.absence_reporter import AbsenceReporter
 from mustardward.components.maintenance.silence_reporter import SilenceReporter
 from mustardward.components.maintenance.windows import window_is_open
-from mustardward.platform.models import ListedInstance, ListedState, PowerState
+from mustardward.standin.protocol.models import ListedInstance, ListedState, PowerState
 from mustardward.state.models.maintenance import ReportAbsences, ReportSilence
 from mustardward.state.models.templates import MaintenanceWindow
 from tests.components.maintenance.site import FIRST, SECOND, Site
--- a/tests/components/membership/test_instances.py
+++ b/tests/components/membership/test_instances.py
@@ -9,7 +9,7 @@
 
 from mustardward.components.explain.models import DecisionMade
 from mustardward.components.membership.models import InstanceLeaving, InstanceReturned
-from mustardward.platform.models import (
+from mustardward.standin.protocol.models import (
     InstancePower,
     ListedInstance,
     ListedState,
--- a/tests/components/pools/test_moves.py
+++ b/tests/components/pools/test_moves.py
@@ -13,7 +13,7 @@
 from mustardward.components.pools.acknowledge import Acknowledger
 from mustardward.components.pools.services import MoveExecutor
 from mustardward.exceptions import PeerError
-from mustardward.platform.models import PowerState
+from mustardward.standin.protocol.models import PowerState
 from mustardward.state.fold import RevisionConflictError
 from mustardward.state.handlers.pools import MoveInProgressError
 from mustardward.state.models.maintenance import TakeClaim
--- a/tests/components/routing/test_router.py
+++ b/tests/components/routing/test_router.py
@@ -28,7 +28,7 @@
 )
 from mustardward.components.routing.services import RouterService
 from mustardward.helpers.timer import DrivenTimerService
-from mustardward.platform.models import WorkerUsage
+from mustardward.standin.protocol.models import WorkerUsage
 from mustardward.state.fleet import FleetState
 from mustardward.state.models.maintenance import (
     Absence,
--- a/tests/fakes/cluster.py
+++ b/tests/fakes/cluster.py
@@ -26,7 +26,6 @@
 from mustardward.core import Core, Unload
 from mustardward.exceptions import PlatformUnavailableError
 from mustardward.helpers.timer import DrivenTimerService
-from mustardward.platform.models import InstancePower, ListedInstance
 from mustardward.settings.models import (
     EntryIdentity,
     Listener,
@@ -34,6 +33,7 @@
     PlatformSettings,
     Settings,
 )
+from mustardward.standin.protocol.models import InstancePower, ListedInstance
 from mustardward.state.fleet import FleetState
 
 from .peers import FakeNetwork, FakePeers
--- a/tests/fakes/log.py
+++ b/tests/fakes/log.py
@@ -16,7 +16,7 @@
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
 )
-from mustardward.platform.models import LogEntry, LogPage
+from mustardward.standin.protocol.models import LogEntry, LogPage
 
 
 @dataclass(slots=True)
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -11,15 +11,15 @@
 
 from mustardward.const import HEADER_DATA_CENTRE
 from mustardward.helpers.timer import DrivenTimerService
-from mustardward.platform.http import PlatformHttp
-from mustardward.platform.instances import HttpListingService, HttpPowerService
-from mustardward.platform.log import HttpLogService
-from mustardward.platform.worker import HttpWorkerService
 from mustardward.standin.platform import (
     PlatformOptions,
     StandInPlatform,
     async_run_platform,
 )
+from mustardward.standin.protocol.http import PlatformHttp
+from mustardward.standin.protocol.instances import HttpListingService, HttpPowerService
+from mustardward.standin.protocol.log import HttpLogService
+from mustardward.standin.protocol.worker import HttpWorkerService
 from mustardward.standin.worker import StandInWorker, WorkerOptions
 from mustardward.standin.worker_app import async_run_worker
 
--- a/tests/fakes/waves.py
+++ b/tests/fakes/waves.py
@@ -16,7 +16,7 @@
     PlatformUnavailableError,
     StaleGenerationError,
 )
-from mustardward.platform.models import InstancePower, PowerState
+from mustardward.standin.protocol.models import InstancePower, PowerState
 from mustardward.state.fleet import FleetState
 from mustardward.state.fold import Acceptance, RecordOutcome
 from mustardward.state.records import NO_BASE
--- a/tests/fakes/workers.py
+++ b/tests/fakes/workers.py
@@ -16,7 +16,12 @@
     StaleGenerationError,
 )
 from mustardward.helpers.timer import TimerService
-from mustardward.platform.models import TaskOrder, TaskReport, TaskState, WorkerUsage
+from mustardward.standin.protocol.models import (
+    TaskOrder,
+    TaskReport,
+    TaskState,
+    WorkerUsage,
+)
 
 ACTIVE = (TaskState.RUNNING, TaskState.THROTTLED)
 
--- a/tests/standin/test_log.py
+++ b/tests/standin/test_log.py
@@ -11,9 +11,9 @@
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
 )
-from mustardward.platform.models import LogEntry, LogPage
 from mustardward.standin.log import LogOptions
 from mustardward.standin.platform import PlatformOptions
+from mustardward.standin.protocol.models import LogEntry, LogPage
 from mustardward.standin.store import Retention
 
 from ..fakes.platform import async_platform_bench, async_until
--- a/tests/standin/test_power.py
+++ b/tests/standin/test_power.py
@@ -12,8 +12,8 @@
     PlatformUnavailableError,
     StaleGenerationError,
 )
-from mustardward.platform.models import InstancePower, ListedState, PowerState
 from mustardward.standin.platform import PlatformOptions
+from mustardward.standin.protocol.models import InstancePower, ListedState, PowerState
 
 from ..fakes.platform import (
     PlatformBench,
--- a/tests/standin/test_tasks.py
+++ b/tests/standin/test_tasks.py
@@ -11,7 +11,7 @@
     PlatformRefusedError,
     StaleGenerationError,
 )
-from mustardward.platform.models import TaskOrder, TaskState
+from mustardward.standin.protocol.models import TaskOrder, TaskState
 from mustardward.standin.tasks import TaskTable, UnknownTaskError
 
 from ..fakes.platform import async_platform_bench, async_worker_bench
--- a/tests/state/test_tail.py
+++ b/tests/state/test_tail.py
@@ -7,7 +7,7 @@
 import pytest
 
 from mustardward.helpers.timer import DrivenTimerService
-from mustardward.platform.models import LogEntry, LogPage
+from mustardward.standin.protocol.models import LogEntry, LogPage
 from mustardward.state.models.pools import PutPool
 from mustardward.state.records import encode_batch
 from mustardward.state.relay import RelayAnswer, RelayedEntry, RelayStatus
