Count tasks on silent workers as away before one more is stopped

Ruled out: the order of stops within one plan (one at a time, tested), and a restart that had not reached its work yet (counted by its percentage, tested).

Change: a lasting task on a worker that fell silent is not at work. Runs' starts, stops and ends are logged with task, run and worker, and each pool's load once a second.

Measured: the test fails without the change.

--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -124,7 +124,19 @@
             [(PREFIX_JOB + name, encode(record))],
             request.deadline - ANSWER_MARGIN_SECONDS,
         )
-        _LOGGER.info("job_submitted", job=name, queue=queue.name, outcome=outcome.value)
+        _LOGGER.info(
+            "job_submitted",
+            job=name,
+            queue=queue.name,
+            service=queue.service,
+            steps=len(job.steps),
+            tasks=sum(step.count for step in job.steps),
+            lasting=any(step.long_running for step in job.steps),
+            fills=any(step.fills for step in job.steps),
+            most_a_worker=max(step.max_per_server for step in job.steps),
+            may_miss=max(step.may_miss for step in job.steps),
+            outcome=outcome.value,
+        )
         if outcome is Outcome.STORED:
             return Reply(200, callers.encode_state(callers.STATE_QUEUED))
         return _not_stored(outcome)
--- a/mustardward/components/ownership/const.py
+++ b/mustardward/components/ownership/const.py
@@ -27,3 +27,6 @@
 
 SWEEP_SECONDS: Final = 5.0
 """Interval at which records of old jobs are dropped and sessions are looked over."""
+
+TELL_SECONDS: Final = 1.0
+"""Interval of the lines that tell each pool's load."""
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -33,6 +33,7 @@
 from ..ledger.follower import TopicFollower
 from ..ledger.ledger import Ledger, encode
 from ..ledger.models import OwnerRecord
+from ..scheduling.demand import measure
 from ..scheduling.scheduler import Scheduler
 from .const import (
     BEAT_SECONDS,
@@ -41,6 +42,7 @@
     PLAN_SECONDS,
     STORED_JOBS_SECONDS,
     SWEEP_SECONDS,
+    TELL_SECONDS,
 )
 from .directory import WorkerDirectory
 
@@ -271,6 +273,7 @@
         """Notice a pause of the process, a newer owner, and lost sessions."""
         parts = self._parts
         swept_at = 0.0
+        told_at = 0.0
         while True:
             now = parts.clock()
             if now - self._last_tick > PAUSE_SECONDS:
@@ -282,6 +285,9 @@
                 self.depose()
                 return
             self._last_tick = parts.clock()
+            if now - told_at > TELL_SECONDS:
+                told_at = now
+                self._tell_load()
             if now - swept_at > SWEEP_SECONDS:
                 swept_at = now
                 self._drop_old_jobs()
@@ -328,6 +334,20 @@
             records.append((KEY_OWNER, encode(owner)))
         return records
 
+    def _tell_load(self) -> None:
+        for service, load in measure(self.scheduler.board).items():
+            _LOGGER.info(
+                "pool_load",
+                service=service,
+                workers=load.workers,
+                capacity=load.capacity,
+                lasting=load.lasting,
+                running=load.running,
+                waiting=load.waiting,
+                waiting_seconds=load.waiting_seconds,
+                lasting_waiting=load.lasting_waiting,
+            )
+
     def _drop_old_jobs(self) -> None:
         wall = self._parts.timers.wall()
         keep = self._parts.bounds.status_s + STORED_JOBS_SECONDS
--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ...platform.workers import TaskName
+from ...helpers.logging import get_logger
+from ...platform.workers import TaskName, encode_task
 from ..ledger.models import JobState, Progress, TaskMark
 from .const import RUN_BITS
 from .estimates import Estimates
@@ -22,6 +23,8 @@
     WorkerState,
 )
 
+_LOGGER = get_logger(__name__)
+
 PolicyLookup = Callable[[str], QueuePolicy | None]
 
 
@@ -97,10 +100,18 @@
         task.percent_since = now
         task.step.job.state = JobState.RUNNING
 
-    def stop(self, task: Task) -> None:
+    def stop(self, task: Task, reason: str) -> None:
         """Ask a worker to end a task's run."""
         if task.worker is None or task.phase is Phase.STOPPING:
             return
+        _LOGGER.info(
+            "run_stopping",
+            task=encode_task(task.name),
+            run=task.run,
+            worker=task.worker.id,
+            reason=reason,
+            percent=task.percent,
+        )
         task.phase = Phase.STOPPING
         task.stop_acknowledged_at = None
         self.give(Stop(task.name, task.worker.id, task.run, task))
@@ -154,7 +165,7 @@
             self.ready.pop(id(step), None)
             for task in step.tasks:
                 if task.phase in ACTIVE:
-                    self.stop(task)
+                    self.stop(task, state.name.lower())
         self.mark_dirty(job)
 
     def drop_worker(self, worker: WorkerState, now: float) -> None:
--- a/mustardward/components/scheduling/evacuation.py
+++ b/mustardward/components/scheduling/evacuation.py
@@ -37,9 +37,9 @@
                 continue
             if task.step.spec.long_running:
                 if not task.at_work or may_interrupt(task.step):
-                    self.board.stop(task)
+                    self.board.stop(task, "evacuation")
             elif self._not_worth_waiting(worker, task, now):
-                self.board.stop(task)
+                self.board.stop(task, "evacuation")
 
     def _not_worth_waiting(self, worker: WorkerState, task: Task, now: float) -> bool:
         if task.step.spec.saves_progress:
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -79,7 +79,12 @@
 
     @property
     def at_work(self) -> bool:
-        """Return whether a lasting task serves."""
+        """Return whether a lasting task serves, as far as is known.
+
+        What a worker reported last says nothing once it has fallen silent.
+        """
+        if self.worker is None or self.worker.stale:
+            return False
         return self.phase is Phase.RUNNING and self.percent >= 100
 
 
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -13,6 +13,7 @@
     EndedTask,
     HoldAnswer,
     RunningTask,
+    encode_task,
 )
 from .board import Board
 from .const import VANISHED_HOLDS
@@ -61,6 +62,13 @@
             task.phase = Phase.RUNNING
             task.started_at = now
             task.percent_since = now
+            _LOGGER.info(
+                "run_started",
+                task=encode_task(task.name),
+                run=run,
+                worker=task.worker.id,
+                waited_seconds=now - task.ready_since,
+            )
             return
         worker = task.worker
         if reason == REFUSED_ROOM:
@@ -96,13 +104,21 @@
             # The others would wait for this one until they end alone.
             for member in step.tasks:
                 if member.phase in (Phase.STARTING, Phase.RUNNING):
-                    self.board.stop(member)
+                    self.board.stop(member, "gang")
 
     def _ended(self, worker: WorkerState, ended: EndedTask, now: float) -> None:
         task = self.board.find(ended.task)
         if task is None or task.phase is Phase.DONE:
             return
         own = task.worker is worker and task.run == ended.run and task.phase in ACTIVE
+        _LOGGER.info(
+            "run_ended",
+            task=encode_task(ended.task),
+            run=ended.run,
+            worker=worker.id,
+            how=ended.how,
+            own=own,
+        )
         if ended.how == ENDED_DONE:
             self._done(worker, task, own, now)
             return
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -155,12 +155,9 @@
         for worker in self.board.workers.values():
             for task in list(worker.tasks.values()):
                 if self._is_stuck(task, now):
-                    _LOGGER.warning(
-                        "run_stuck", worker=worker.id, job=task.step.job.record.id
-                    )
                     task.avoid.add(worker.id)
                     self.health.note_failed(worker, task, now)
-                    self.board.stop(task)
+                    self.board.stop(task, "stuck")
 
     def _is_stuck(self, task: Task, now: float) -> bool:
         if task.phase is not Phase.RUNNING or task.at_work:
--- /dev/null
+++ b/tests/components/scheduling/builders.py
@@ -0,0 +1,153 @@
+"""Build jobs, workers and reports for the scheduler's tests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from mustardward.components.ledger.ledger import LedgerJob
+from mustardward.components.ledger.models import JobRecord
+from mustardward.components.scheduling.models import (
+    Command,
+    QueuePolicy,
+    Start,
+    Stop,
+    Task,
+    WorkerState,
+)
+from mustardward.components.scheduling.scheduler import Scheduler
+from mustardward.platform.models import Room, SubmittedStep, WorkerEntry
+from mustardward.platform.workers import EndedTask, HoldAnswer, RunningTask, TaskName
+
+POOL = "pool-a"
+JOB = "00000000000000aa"
+
+
+def a_step(**changes: object) -> SubmittedStep:
+    """Return a step of two short tasks of one core."""
+    values: dict[str, object] = {
+        "count": 2,
+        "cpu": 1000,
+        "mem_mb": 100,
+        "estimate_ms": 1000,
+    }
+    values.update(changes)
+    return SubmittedStep(**values)  # type: ignore[arg-type]
+
+
+def a_job(*steps: SubmittedStep, job: str = JOB, **changes: object) -> LedgerJob:
+    """Return an accepted job."""
+    values: dict[str, object] = {
+        "id": job,
+        "queue": "host /a/",
+        "service": POOL,
+        "spec": "do it",
+        "steps": list(steps) or [a_step()],
+        "times": 0,
+        "start_at_ms": 0.0,
+        "interval_ms": 0.0,
+        "accepted_at": 0.0,
+    }
+    values.update(changes)
+    return LedgerJob(JobRecord(**values))  # type: ignore[arg-type]
+
+
+def an_entry(**changes: object) -> WorkerEntry:
+    """Return the entry of a ready worker of eight cores."""
+    values: dict[str, object] = {
+        "service": POOL,
+        "address": "127.0.0.1:1",
+        "capacity": Room(cpu=8000, mem_mb=8000),
+        "labels": ["a", "r1"],
+    }
+    values.update(changes)
+    return WorkerEntry(**values)  # type: ignore[arg-type]
+
+
+@dataclass(slots=True)
+class SchedulerBench:
+    """Drive a scheduler, playing workers that do as they are told.
+
+    :param now: steady and wall clock, in seconds.
+    """
+
+    policy: QueuePolicy = QueuePolicy(service=POOL, target_seconds=1.0)
+    now: float = 1000.0
+    epoch: int = 1
+    scheduler: Scheduler = field(init=False)
+    clock_ms: float = 0.0
+    _numbers: dict[str, int] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Make the scheduler."""
+        self.scheduler = Scheduler(self.epoch, lambda queue: self.policy)
+
+    def worker(self, name: str, **changes: object) -> WorkerState:
+        """Add a worker that answered its first hold."""
+        self.scheduler.see_worker(name, an_entry(**changes), self.now)
+        self.hold(name)
+        return self.scheduler.board.workers[name]
+
+    def add(self, job: LedgerJob) -> None:
+        """Hand a job in."""
+        self.scheduler.add_job(job, self.now, self.now)
+
+    def plan(self) -> list[Command]:
+        """Return what the scheduler orders now."""
+        return self.scheduler.plan(self.now, self.now)
+
+    def plan_starts(self) -> list[Start]:
+        """Plan, answer every start with success, and return the starts."""
+        starts = [c for c in self.plan() if isinstance(c, Start)]
+        for start in starts:
+            self.accept(start)
+        return starts
+
+    def plan_stops(self) -> list[Stop]:
+        """Plan, and return the stops."""
+        return [c for c in self.plan() if isinstance(c, Stop)]
+
+    def accept(self, start: Start) -> None:
+        """Answer a start with success."""
+        self.scheduler.reports.start_answered(start.task, start.run, "", self.now)
+
+    def hold(
+        self,
+        name: str,
+        running: list[RunningTask] | None = None,
+        ended: list[EndedTask] | None = None,
+    ) -> None:
+        """Let a worker report."""
+        answer = HoldAnswer(self.clock_ms, running or [], ended or [])
+        self.scheduler.hold_worker(name, answer, self.now, self.now)
+
+    def show_at_work(self, task: Task) -> None:
+        """Let the worker of a lasting task report it at work, beside its others."""
+        assert task.worker is not None
+        rows = [
+            a_row(other, 100.0 if other is task or other.at_work else other.percent)
+            for other in task.worker.tasks.values()
+        ]
+        self.hold(task.worker.id, running=rows)
+
+    def end(self, task: Task, how: str, checkpoint: str = "") -> None:
+        """Let a task's worker list its end, beside what else runs there."""
+        worker = task.worker
+        assert worker is not None
+        number = self._numbers.get(worker.id, 0) + 1
+        self._numbers[worker.id] = number
+        rows = [a_row(o, o.percent) for o in worker.tasks.values() if o is not task]
+        ended = EndedTask(number, task.name, task.run, how, checkpoint)
+        self.hold(worker.id, running=rows, ended=[ended])
+
+    def task(
+        self, index: int, step: int = 0, job: str = JOB, occurrence: int = 0
+    ) -> Task:
+        """Return a task."""
+        found = self.scheduler.board.find(TaskName(job, occurrence, step, index))
+        assert found is not None
+        return found
+
+
+def a_row(task: Task, percent: float, checkpoint: str = "") -> RunningTask:
+    """Return the row of a task that runs."""
+    return RunningTask(task.name, task.run, checkpoint, percent, task.figure)
--- /dev/null
+++ b/tests/components/scheduling/test_evacuation.py
@@ -0,0 +1,57 @@
+"""Test that emptying workers never takes too many tasks of one step."""
+
+from __future__ import annotations
+
+from mustardward.components.scheduling.models import Task
+
+from .builders import SchedulerBench, a_job, a_step
+
+
+def lasting_on_three_workers() -> tuple[SchedulerBench, list[Task]]:
+    """Return three lasting tasks of one step at work, one a worker; one may miss."""
+    bench = SchedulerBench()
+    for name in ("w1", "w2", "w3"):
+        bench.worker(name)
+    bench.add(a_job(a_step(count=3, long_running=True, may_miss=1)))
+    starts = bench.plan_starts()
+    tasks = [start.task for start in starts]
+    assert sorted(start.worker for start in starts) == ["w1", "w2", "w3"]
+    for task in tasks:
+        bench.show_at_work(task)
+    return bench, tasks
+
+
+def test_one_task_of_a_step_is_stopped_at_a_time() -> None:
+    bench, tasks = lasting_on_three_workers()
+    bench.scheduler.set_leaving("w1", True, bench.now)
+    bench.scheduler.set_leaving("w2", True, bench.now)
+    assert len(bench.plan_stops()) == 1
+    assert bench.plan_stops() == []
+
+
+def test_the_next_task_is_stopped_once_the_first_is_at_work_again() -> None:
+    bench, tasks = lasting_on_three_workers()
+    bench.scheduler.set_leaving("w1", True, bench.now)
+    bench.scheduler.set_leaving("w2", True, bench.now)
+    (stop,) = bench.plan_stops()
+    assert stop.task is not None
+    bench.end(stop.task, "stopped")
+    (start,) = bench.plan_starts()
+    assert start.worker == "w3"
+    assert bench.plan_stops() == []
+    bench.show_at_work(start.task)
+    assert len(bench.plan_stops()) == 1
+
+
+def test_a_silent_worker_counts_its_tasks_as_away() -> None:
+    """No task is stopped beside those of a worker that fell silent.
+
+    Symptom: maintenance ended a second task of a step that may miss one.
+    Sequence: a worker crashed without a sign; its lease, and so its tasks, counted
+    for five seconds more; meanwhile another worker of the step was emptied.
+    Cause: a task's last report said that it was at work, however old the report was.
+    """
+    bench, tasks = lasting_on_three_workers()
+    bench.scheduler.board.workers["w1"].stale = True
+    bench.scheduler.set_leaving("w2", True, bench.now)
+    assert bench.plan_stops() == []
