Lend instances to the pool whose turn it is, and switch off what idles

Ruled out: a better order of the same work (the pool was full for 12 s on end, so order only chooses who is late).

Change: a pure planner compares what each pool's work asks for with what it has; a pool that lacks instances takes idle ones of other pools, else of standby; what idles 2.5 s goes off.

--- a/mustardward/components/fleet/const.py
+++ b/mustardward/components/fleet/const.py
@@ -24,3 +24,21 @@
 
 RETRY_SECONDS: Final = 0.3
 """Pause before an order of unknown outcome is repeated; it is idempotent."""
+
+TARGET_SHARE: Final = 0.75
+"""Share of a pool's processors that its work may take before it wants an instance
+more: a move takes seconds, and demand rises to five times its mean within one."""
+
+CLEAR_SECONDS: Final = 1.5
+"""Time in which waiting work should be begun; a quick job's objective is about 2 s."""
+
+LEAST_INSTANCES: Final = 2
+"""Instances that a pool keeps without any work, on two racks if it can: a first task
+is never kept waiting for a move, nor lost with one rack."""
+
+IDLE_SECONDS: Final = 2.5
+"""Idle time after which an instance goes off: off and on again costs about as much as
+keeping it on for 2.3 s."""
+
+MOVE_LOST_SECONDS: Final = 6.0
+"""Time after which an accepted move that no list shows counts as over."""
--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -65,6 +65,7 @@
     instances: dict[str, Instance]
     loads: dict[str, Load]
     standby: frozenset[str]
+    pools: frozenset[str]
     read_at: float
 
 
--- /dev/null
+++ b/mustardward/components/fleet/pools.py
@@ -0,0 +1,239 @@
+"""Decide which instances move between pools and standby; pure.
+
+Load pattern: demand comes by turns. Each queue asks five times its mean for some
+seconds, more than its pool holds, while other pools stand idle; then it asks next to
+nothing. A pool that is full takes idle instances of other pools at once, else of
+standby, and what stays idle for as long as a way off and on costs goes off.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ...platform.models import INSTANCE_UP, Instance
+from ..scheduling.demand import PoolLoad
+from .const import (
+    CLEAR_SECONDS,
+    IDLE_SECONDS,
+    LEAST_INSTANCES,
+    MOVE_LOST_SECONDS,
+    RETRY_SECONDS,
+    TARGET_SHARE,
+)
+from .models import FleetView, Move
+
+
+@dataclass(slots=True)
+class MoveOrder:
+    """Hold a move that was ordered, until the list shows it."""
+
+    machine: str
+    pool: str
+    given_at: float
+    accepted_at: float | None = None
+
+
+@dataclass(slots=True, eq=False)
+class PoolPlanner:
+    """Move instances to where work waits.
+
+    :param move_seconds: how long an instance is away at least.
+    """
+
+    move_seconds: float
+    orders: dict[str, MoveOrder] = field(default_factory=dict)
+    _needs: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
+    _idle_since: dict[str, float] = field(default_factory=dict)
+
+    def decide(
+        self,
+        view: FleetView,
+        loads: dict[str, PoolLoad],
+        taken: set[str],
+        now: float,
+    ) -> list[Move]:
+        """Return the moves to order now.
+
+        :param taken: machines that maintenance holds.
+        """
+        self._settle(view, now)
+        moves = list(self._repeat(now))
+        free = self._free(view, taken, now)
+        have = self._have(view, taken)
+        needs = {pool: self._need(pool, view, loads, now) for pool in _pools(view)}
+        lendable = self._lendable(free, have, needs, view)
+        for pool, need in sorted(needs.items(), key=lambda item: -_gap(item, have)):
+            moves.extend(self._fill(pool, need - have[pool], lendable, view, now))
+        moves.extend(self._rest(free, have, needs, view, now))
+        return moves
+
+    def accepted(self, machine: str, now: float) -> None:
+        """Take in that the platform has begun a move."""
+        order = self.orders.get(machine)
+        if order is not None and order.accepted_at is None:
+            order.accepted_at = now
+
+    def refused(self, machine: str) -> None:
+        """Take in that a move certainly was not begun."""
+        self.orders.pop(machine, None)
+
+    def _settle(self, view: FleetView, now: float) -> None:
+        for machine, order in list(self.orders.items()):
+            if order.accepted_at is None:
+                continue
+            instance = view.instances.get(machine)
+            since = now - order.accepted_at
+            shown = (
+                instance is not None
+                and instance.pool == order.pool
+                and instance.state == INSTANCE_UP
+                and view.read_at >= order.accepted_at + self.move_seconds
+            )
+            if instance is None or shown or since > MOVE_LOST_SECONDS:
+                del self.orders[machine]
+
+    def _repeat(self, now: float) -> Iterable[Move]:
+        for order in self.orders.values():
+            if order.accepted_at is None and now - order.given_at >= RETRY_SECONDS:
+                order.given_at = now
+                yield Move(order.machine, order.pool)
+
+    def _free(
+        self, view: FleetView, taken: set[str], now: float
+    ) -> dict[str, Instance]:
+        """Return the instances that nothing runs on and nobody holds."""
+        free: dict[str, Instance] = {}
+        for machine, instance in view.instances.items():
+            load = view.loads.get(instance.id or "")
+            off = instance.pool in view.standby
+            idle = off or (load is not None and load.empty)
+            held = machine in taken or machine in self.orders
+            if instance.state != INSTANCE_UP or not idle or held:
+                self._idle_since.pop(machine, None)
+                continue
+            self._idle_since.setdefault(machine, now)
+            free[machine] = instance
+        return free
+
+    def _have(self, view: FleetView, taken: set[str]) -> Counter[str]:
+        have: Counter[str] = Counter()
+        for machine, instance in view.instances.items():
+            if machine in self.orders:
+                have[self.orders[machine].pool] += 1
+            elif machine not in taken and instance.state == INSTANCE_UP:
+                have[instance.pool] += 1
+        return have
+
+    def _need(
+        self, pool: str, view: FleetView, loads: dict[str, PoolLoad], now: float
+    ) -> int:
+        """Return how many instances a pool's work asks for now."""
+        load = loads.get(pool, PoolLoad())
+        size = _size(pool, view)
+        taken = load.lasting + load.lasting_waiting + load.running + load.waiting
+        asked = taken / TARGET_SHARE + load.waiting_seconds / CLEAR_SECONDS
+        need = max(LEAST_INSTANCES, math.ceil(asked / size))
+        history = self._needs.setdefault(pool, [])
+        history.append((now, need))
+        while history[0][0] < now - IDLE_SECONDS:
+            history.pop(0)
+        return need
+
+    def _lendable(
+        self,
+        free: dict[str, Instance],
+        have: Counter[str],
+        needs: dict[str, int],
+        view: FleetView,
+    ) -> dict[str, list[Instance]]:
+        """Return, by pool, the instances that it can spare now."""
+        by_pool: dict[str, list[Instance]] = defaultdict(list)
+        for instance in free.values():
+            by_pool[instance.pool].append(instance)
+        for pool, instances in by_pool.items():
+            if pool not in view.standby:
+                spare = max(0, have[pool] - needs.get(pool, 0))
+                _keep_racks_apart(instances)
+                del instances[spare:]
+        return by_pool
+
+    def _fill(
+        self,
+        pool: str,
+        missing: int,
+        lendable: dict[str, list[Instance]],
+        view: FleetView,
+        now: float,
+    ) -> Iterable[Move]:
+        for _ in range(missing):
+            # One that is on already costs nothing more in its new pool.
+            donors = [
+                name
+                for name, instances in lendable.items()
+                if instances and name != pool
+            ]
+            if not donors:
+                return
+            donor = min(
+                donors, key=lambda name: (name in view.standby, -len(lendable[name]))
+            )
+            yield self._order(lendable[donor].pop(), pool, now)
+
+    def _rest(
+        self,
+        free: dict[str, Instance],
+        have: Counter[str],
+        needs: dict[str, int],
+        view: FleetView,
+        now: float,
+    ) -> Iterable[Move]:
+        """Send off what its pool has not needed for a while."""
+        if not view.standby:
+            return
+        target = min(view.standby)
+        for machine, instance in sorted(free.items()):
+            pool = instance.pool
+            if machine in self.orders or pool in view.standby or pool not in needs:
+                continue
+            if now - self._idle_since[machine] < IDLE_SECONDS:
+                continue
+            recent = max(need for _, need in self._needs[pool])
+            if have[pool] <= max(recent, LEAST_INSTANCES):
+                continue
+            have[pool] -= 1
+            yield self._order(instance, target, now)
+
+    def _order(self, instance: Instance, pool: str, now: float) -> Move:
+        self.orders[instance.machine] = MoveOrder(instance.machine, pool, now)
+        self._idle_since.pop(instance.machine, None)
+        return Move(instance.machine, pool)
+
+
+def _pools(view: FleetView) -> set[str]:
+    pools = {instance.pool for instance in view.instances.values()}
+    return (pools | set(view.pools)) - view.standby
+
+
+def _gap(item: tuple[str, int], have: Counter[str]) -> float:
+    pool, need = item
+    return (need - have[pool]) / max(1, have[pool])
+
+
+def _size(pool: str, view: FleetView) -> float:
+    sizes = [i.capacity.cpu for i in view.instances.values() if i.pool == pool]
+    if not sizes:
+        sizes = [i.capacity.cpu for i in view.instances.values()]
+    return max(1.0, sum(sizes) / max(1, len(sizes)))
+
+
+def _keep_racks_apart(instances: list[Instance]) -> None:
+    """Order instances so that those of the fullest rack are lent first."""
+    racks = Counter(_rack(instance) for instance in instances)
+    instances.sort(key=lambda i: (-racks[_rack(i)], _rack(i), i.machine))
+
+
+def _rack(instance: Instance) -> str:
+    return instance.labels[-1] if instance.labels else ""
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 from anyio.abc import TaskGroup
@@ -20,9 +20,11 @@
 from ..ledger.const import PREFIX_WAVE
 from ..ledger.ledger import Ledger, encode
 from ..ledger.models import WaveRecord
+from ..scheduling.demand import measure
 from ..scheduling.scheduler import Scheduler
 from .const import BUSY_LIST_SECONDS, LIST_SECONDS, TICK_SECONDS
-from .models import Empty, FleetView, Load, Maintain, WaveRun
+from .models import Empty, FleetView, Load, Maintain, Move, WaveRun
+from .pools import PoolPlanner
 from .waves import WavePlanner
 
 _LOGGER = get_logger(__name__)
@@ -50,6 +52,7 @@
     ledger_appender: GroupAppender
     status_appender: GroupAppender
     planner: WavePlanner
+    pools: PoolPlanner
     authorised: Callable[[], bool]
     on_fenced: Callable[[], None]
     tasks: TaskGroup
@@ -68,12 +71,20 @@
         self._take_in_waves()
         now = self.timers.monotonic()
         active = any(not run.done for run in self.planner.runs.values())
+        active = active or bool(self.pools.orders)
         interval = BUSY_LIST_SECONDS if active else LIST_SECONDS
         if now - self._read_at >= interval:
             await self._async_read()
         if self._read_at < 0 or now < self.begins_at or not self.authorised():
             return
-        for decision in self.planner.decide(self._view(), self.timers.monotonic()):
+        view = self._view()
+        now = self.timers.monotonic()
+        for move in self.pools.decide(
+            view, measure(self.scheduler.board), self.planner.taken(), now
+        ):
+            self.tasks.start_soon(self._async_move, move)
+        view = self._without_moving(view)
+        for decision in self.planner.decide(view, now):
             if isinstance(decision, Empty):
                 _LOGGER.info("instance_emptying", machine=decision.machine)
                 self._set_leaving(decision.worker, True)
@@ -114,6 +125,38 @@
         finally:
             self._busy.discard(order.machine)
 
+    async def _async_move(self, order: Move) -> None:
+        if order.machine in self._busy:
+            return
+        self._busy.add(order.machine)
+        worker_id = self._worker_of(order.machine)
+        self._set_leaving(worker_id, True)
+        try:
+            await self.client.async_move(order.machine, order.pool, self.token)
+        except FencedError:
+            self.on_fenced()
+        except CallRefusedError as error:
+            _LOGGER.warning("move_refused", machine=order.machine, d=error.detail)
+            self.pools.refused(order.machine)
+            self._set_leaving(worker_id, False)
+        except CallUnknownError as error:
+            _LOGGER.warning("move_unknown", machine=order.machine, d=error.detail)
+        else:
+            _LOGGER.info("move_begun", machine=order.machine, pool=order.pool)
+            self.pools.accepted(order.machine, self.timers.monotonic())
+            self.dispatcher.lose_worker(worker_id)
+        finally:
+            self._busy.discard(order.machine)
+
+    def _without_moving(self, view: FleetView) -> FleetView:
+        """Return the view without the instances that are on their way."""
+        staying = {
+            machine: instance
+            for machine, instance in view.instances.items()
+            if machine not in self.pools.orders
+        }
+        return replace(view, instances=staying)
+
     def _begun(self, order: Maintain) -> None:
         _LOGGER.info("maintenance_begun", machine=order.machine, wave=order.wave)
         self.planner.accepted(order.wave, order.machine, self.timers.monotonic())
@@ -147,7 +190,11 @@
             for worker in self.scheduler.board.workers.values()
         }
         standby = frozenset(self.configuration.standby_pools())
-        return FleetView(self._instances, loads, standby, self._read_at)
+        config = self.configuration.config
+        pools = frozenset(pool.name for pool in config.services) if config else ()
+        return FleetView(
+            self._instances, loads, standby, frozenset(pools), self._read_at
+        )
 
     def _tell(self) -> None:
         for number, run in self.planner.runs.items():
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -19,6 +19,7 @@
 from ..configuration.services import Configuration
 from ..dispatch.const import AUTHORITY_SECONDS, lease_bound
 from ..dispatch.dispatcher import Dispatcher
+from ..fleet.pools import PoolPlanner
 from ..fleet.services import Fleet
 from ..fleet.waves import WavePlanner
 from ..ledger.appender import GroupAppender, Outcome, Record
@@ -48,7 +49,7 @@
 
 _LOGGER = get_logger(__name__)
 
-WORKERS_GAP_SECONDS = 0.25
+WORKERS_GAP_SECONDS = 0.1
 """Entries are renewed each heartbeat; a change may be seen this much later."""
 
 FOREVER_SECONDS = 86400.0
@@ -198,6 +199,7 @@
             self.appender,
             status,
             WavePlanner(parts.bounds.maintenance_s),
+            PoolPlanner(parts.bounds.move_s),
             self.authorised,
             self.depose,
             tasks,
