Hold after a takeover only what an earlier owner may still run

A release was taken back by the renewal behind it, so each restart in turn cost 2 s. Machines of workers that had not reported yet were taken for empty (AVAIL). A failed run was forgotten when a later one had failed before (BUDGET).

Change: only jobs accepted before the takeover are held; a silent worker that the fleet's list no longer names as up is gone; the entries that lapsed are checked against that list; an owner's authority without renewals is 4 s; nothing is appended behind a release; silence counts only while the log can be read; failed runs are kept by number; unknown workers are not empty.

--- a/mustardward/components/dispatch/const.py
+++ b/mustardward/components/dispatch/const.py
@@ -28,7 +28,7 @@
 FAILED_HOLD_SECONDS: Final = 0.2
 STOP_RETRY_SECONDS: Final = 0.15
 
-AUTHORITY_SECONDS: Final = 10.0
+AUTHORITY_SECONDS: Final = 4.0
 """An owner whose renewals were not stored for so long gives no more orders: another
 one may have taken over, and waits for workers it can't reach only so long."""
 
--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -27,6 +27,10 @@
 _LOGGER = get_logger(__name__)
 
 ADVICE_TIMEOUT_SECONDS = 2.0
+CLOSED_SECONDS = 5.0
+"""Time in which no session is opened with a worker that was gone: its entry lapses
+after three missed heartbeats."""
+
 _FAILED = (CallRefusedError, CallUnknownError)
 
 
@@ -49,14 +53,19 @@
     authorised: Callable[[], bool]
     advice: AdviceClient | None = None
     sessions: dict[str, WorkerSession] = field(default_factory=dict)
+    accounted: set[str] = field(default_factory=set)
+    _closed_until: dict[str, float] = field(default_factory=dict)
 
     def see_worker(self, worker_id: str, entry: WorkerEntry) -> None:
         """Open a session with a worker that is not known yet."""
         now = self.timers.monotonic()
-        self.scheduler.see_worker(worker_id, entry, now)
+        if now >= self._closed_until.get(worker_id, 0.0):
+            self.scheduler.see_worker(worker_id, entry, now)
         session = self.sessions.get(worker_id)
         if session is not None and not session.gone:
             return
+        if now < self._closed_until.get(worker_id, 0.0):
+            return
         session = WorkerSession(
             worker_id,
             WorkerClient(self.http, entry.address, worker_id, self.token),
@@ -81,9 +90,19 @@
             elif self.advice is not None:
                 self.tasks.start_soon(self._async_advice, self.advice, command)
 
+    def any_silent(self) -> bool:
+        """Return whether a worker stopped answering."""
+        return any(
+            session.silent_since is not None and not session.gone
+            for session in self.sessions.values()
+        )
+
     def all_answered(self) -> bool:
         """Return whether every worker told what it runs."""
-        return all(s.answered or s.gone for s in self.sessions.values())
+        return all(
+            session.answered or session.gone or worker_id in self.accounted
+            for worker_id, session in self.sessions.items()
+        )
 
     async def _async_run_session(self, session: WorkerSession) -> None:
         try:
@@ -184,6 +203,10 @@
 
     def lose_worker(self, worker_id: str) -> None:
         """Take in that a worker's incarnation is surely gone."""
+        self.accounted.add(worker_id)
+        # Its entry stays in the store for some seconds.
+        now = self.timers.monotonic()
+        self._closed_until[worker_id] = now + CLOSED_SECONDS
         session = self.sessions.get(worker_id)
         if session is not None:
             session.gone = True
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -74,6 +74,7 @@
     seen_upto: int = 0
     answered: bool = False
     gone: bool = False
+    silent_since: float | None = None
     _stored: anyio.Event = field(default_factory=anyio.Event)
     _wake: anyio.Event = field(default_factory=anyio.Event)
 
@@ -149,6 +150,7 @@
         now = self.timers.monotonic()
         self.clock.take(answer.clock_ms, now)
         self.answered = True
+        self.silent_since = None
         numbers = [ended.number for ended in answer.ended]
         self.listed_upto = max(numbers, default=self.listed_upto)
         self._stored = anyio.Event()
@@ -180,6 +182,8 @@
 
     async def _async_failed(self, worker: WorkerState, detail: str) -> None:
         now = self.timers.monotonic()
+        if self.silent_since is None:
+            self.silent_since = now
         if not worker.stale:
             worker.stale = True
             _LOGGER.warning("worker_silent", worker=self.worker_id, detail=detail)
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -12,7 +12,7 @@
 from ...helpers.timer import TimerService
 from ...platform.exceptions import CallRefusedError, CallUnknownError, FencedError
 from ...platform.fleet import FleetClient
-from ...platform.models import WAVE_DONE, WAVE_RUNNING, Instance
+from ...platform.models import INSTANCE_UP, WAVE_DONE, WAVE_RUNNING, Instance
 from ...platform.store import KEY_WAVE_PREFIX
 from ..configuration.services import Configuration
 from ..dispatch.dispatcher import Dispatcher
@@ -71,7 +71,7 @@
         self._take_in_waves()
         now = self.timers.monotonic()
         active = any(not run.done for run in self.planner.runs.values())
-        active = active or bool(self.pools.orders)
+        active = active or bool(self.pools.orders) or self.dispatcher.any_silent()
         interval = BUSY_LIST_SECONDS if active else LIST_SECONDS
         if now - self._read_at >= interval:
             await self._async_read()
@@ -82,6 +82,8 @@
         for move in self.pools.decide(
             view, measure(self.scheduler.board), self.planner.taken(), now
         ):
+            # At once: a task that were placed before the call is sent would end.
+            self._set_leaving(self._worker_of(move.machine), True)
             self.tasks.start_soon(self._async_move, move)
         view = self._without_moving(view)
         for decision in self.planner.decide(view, now):
@@ -101,6 +103,31 @@
             return
         self._instances = {instance.machine: instance for instance in instances}
         self._read_at = sent_at
+        self._drop_gone(sent_at)
+
+    def listed_workers(self) -> list[str] | None:
+        """Return the workers that the list names as up, or None if it was not read."""
+        if self._read_at < 0:
+            return None
+        return [
+            instance.id
+            for instance in self._instances.values()
+            if instance.id and instance.state == INSTANCE_UP
+        ]
+
+    def _drop_gone(self, read_at: float) -> None:
+        """Lose the silent workers whose incarnation the list shows as over.
+
+        Their tasks would else wait for the end of their leases.
+        """
+        up = set(self.listed_workers() or ())
+        for worker_id, session in list(self.dispatcher.sessions.items()):
+            since = session.silent_since
+            if session.gone or since is None or worker_id in up:
+                continue
+            if read_at > since:
+                _LOGGER.info("silent_worker_gone", worker=worker_id)
+                self.dispatcher.lose_worker(worker_id)
 
     async def _async_maintain(self, order: Maintain) -> None:
         if order.machine in self._busy:
@@ -130,7 +157,6 @@
             return
         self._busy.add(order.machine)
         worker_id = self._worker_of(order.machine)
-        self._set_leaving(worker_id, True)
         try:
             await self.client.async_move(order.machine, order.pool, self.token)
         except FencedError:
@@ -188,6 +214,7 @@
                 sum(not t.step.spec.long_running for t in worker.tasks.values()),
             )
             for worker in self.scheduler.board.workers.values()
+            if worker.confirmed and not worker.stale
         }
         standby = frozenset(self.configuration.standby_pools())
         config = self.configuration.config
--- a/mustardward/components/fleet/waves.py
+++ b/mustardward/components/fleet/waves.py
@@ -93,8 +93,7 @@
             if instance is None or instance.state != INSTANCE_UP:
                 del run.emptying[machine]
                 continue
-            load = view.loads.get(instance.id or "")
-            if load is not None and not load.empty:
+            if not _is_empty(instance, view):
                 continue
             if len(run.orders) >= run.wave.max_count:
                 continue
@@ -117,6 +116,9 @@
                 return
             if instance.state != INSTANCE_UP or instance.machine in run.orders:
                 continue
+            if instance.pool not in view.standby and instance.id not in view.loads:
+                # A worker that was not heard of may run tasks of any step.
+                continue
             pool = instance.pool
             most = max(1, math.floor(POOL_SHARE * sizes[pool]))
             if pool not in view.standby and per_pool[pool] >= most:
@@ -149,6 +151,13 @@
     return instance.id is not None and instance.id != order.old_id
 
 
+def _is_empty(instance: Instance, view: FleetView) -> bool:
+    if instance.pool in view.standby:
+        return True
+    load = view.loads.get(instance.id or "")
+    return load is not None and load.empty
+
+
 def _cost(instance: Instance, view: FleetView) -> tuple[int, int, str]:
     load = view.loads.get(instance.id or "")
     if load is None:
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -45,15 +45,16 @@
 class TaskMark(msgspec.Struct, frozen=True, array_like=True):
     """Hold what is stored of one task.
 
-    :param failures: runs that ended failed, up to run ``last_failed_run``.
+    :param failed_runs: the numbers of the runs that ended failed. Ends are listed
+        again to a new owner, and late by a worker that was cut off, so a count alone
+        would count some twice and miss others.
     """
 
     occurrence: int
     step: int
     index: int
     done: bool
-    failures: int = 0
-    last_failed_run: int = 0
+    failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
 
 
--- a/mustardward/components/ownership/election.py
+++ b/mustardward/components/ownership/election.py
@@ -28,6 +28,14 @@
             self.seen = owner
             self.changed_at = now
 
+    def excuse(self, now: float) -> None:
+        """Start the owner's silence anew, since the log can't be read here.
+
+        After an outage all entries would else claim at once, while the owner's
+        renewal is on its way.
+        """
+        self.changed_at = max(self.changed_at, now)
+
     def due(self, now: float) -> bool:
         """Return whether this entry should claim, once it has read the log's end.
 
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -82,10 +82,14 @@
 
     :param epoch: the fencing token of all orders and appends.
     :param claim: the claim that won.
+    :param was_released: whether the owner before gave the shard up.
     """
 
-    def __init__(self, parts: OwnerParts, epoch: int, claim: str) -> None:
+    def __init__(
+        self, parts: OwnerParts, epoch: int, claim: str, was_released: bool
+    ) -> None:
         self._parts = parts
+        self._was_released = was_released
         self._epoch = epoch
         self._claim = claim
         self._beat = 0
@@ -93,6 +97,7 @@
         self._wake = anyio.Event()
         self._dirty = anyio.Event()
         self._last_beat_sent = 0.0
+        self._releasing = False
         self._authority_from = parts.clock()
         self._last_tick = parts.clock()
         self.scheduler = Scheduler(epoch, parts.configuration.policy_of)
@@ -100,6 +105,7 @@
             self._async_call_append, parts.timers, f"owner/{SHARD}", epoch, sequence=1
         )
         self.dispatcher: Dispatcher | None = None
+        self._fleet: Fleet | None = None
 
     @property
     def epoch(self) -> int:
@@ -167,6 +173,9 @@
 
     async def async_release(self) -> None:
         """Give the shard up, so that another entry claims it at once."""
+        # A renewal behind the release would take it back, and others would wait as
+        # for an owner that died.
+        self._releasing = True
         now = self._parts.timers.monotonic()
         record = OwnerRecord(self._epoch, self._claim, "", self._beat + 1)
         await self.appender.async_append([(KEY_OWNER, encode(record))], now + 1.0)
@@ -204,6 +213,7 @@
             self.depose,
             tasks,
         )
+        self._fleet = fleet
         tasks.start_soon(status.async_run)
         tasks.start_soon(fleet.async_run)
 
@@ -213,7 +223,11 @@
         wall = parts.timers.wall()
         board = self.scheduler.board
         # A worker that does not answer may still run what an earlier owner gave it.
-        board.held_until = lease_bound(now) + AUTHORITY_SECONDS
+        # One that gave the shard up gives no more orders; one that fell silent may,
+        # for as long as its last renewal allows.
+        authority = 0.0 if self._was_released else AUTHORITY_SECONDS
+        board.held_until = lease_bound(now) + authority
+        board.taken_over_at = now
         for job in parts.ledger.jobs.values():
             self.scheduler.add_job(job, now, wall)
         parts.ledger.on_job = lambda job: self._add_job(job)
@@ -252,12 +266,27 @@
         board = self.scheduler.board
         timers = self._parts.timers
         while timers.monotonic() < board.held_until:
-            if self.dispatcher is not None and self.dispatcher.all_answered():
+            if self._all_accounted():
                 board.held_until = 0.0
                 _LOGGER.info("takeover_complete", epoch=self._epoch)
             await timers.async_sleep(0.02)
         self._wake.set()
 
+    def _all_accounted(self) -> bool:
+        """Return whether every worker that may run something told what it runs.
+
+        A worker's entry may have lapsed while the store was away, so the fleet's
+        list has to name no worker that is not known here either.
+        """
+        if self.dispatcher is None or not self.dispatcher.all_answered():
+            return False
+        if self._fleet is None:
+            return True
+        listed = self._fleet.listed_workers()
+        return listed is not None and all(
+            worker_id in self.dispatcher.sessions for worker_id in listed
+        )
+
     async def _async_plan(self) -> None:
         timers = self._parts.timers
         while True:
@@ -329,6 +358,8 @@
             for job_id, progress in self.scheduler.take_dirty(timers.wall())
         ]
         now = timers.monotonic()
+        if self._releasing:
+            return records
         if records or now - self._last_beat_sent >= BEAT_SECONDS:
             self._last_beat_sent = now
             self._beat += 1
--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -41,6 +41,8 @@
         while not self._leaving:
             now = parts.timers.monotonic()
             self._election.see(parts.ledger.owner, now)
+            if parts.follower.failing_since is not None:
+                self._election.excuse(now)
             if self._election.due(now) and await self._async_still_due():
                 owner = await self._async_claim()
                 if owner is not None:
@@ -72,6 +74,7 @@
         """
         parts = self._parts
         epoch = parts.ledger.owner.epoch + 1
+        was_released = not parts.ledger.owner.node
         claim = secrets.token_hex(8)
         record = OwnerRecord(epoch, claim, parts.node, 0)
         if not await self._async_append(record):
@@ -81,7 +84,7 @@
                 await parts.timers.async_sleep(RETRY_SECONDS)
         won = parts.ledger.owner.claim == claim
         _LOGGER.info("shard_claimed", epoch=epoch, won=won)
-        return Owner(parts, epoch, claim) if won else None
+        return Owner(parts, epoch, claim, was_released) if won else None
 
     async def _async_append(self, record: OwnerRecord) -> bool:
         parts = self._parts
--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -44,6 +44,7 @@
     dirty: dict[str, Job] = field(default_factory=dict)
     ready: dict[int, StepRun] = field(default_factory=dict)
     held_until: float = 0.0
+    taken_over_at: float = 0.0
     _commands: list[Command] = field(default_factory=list)
     _counter: int = 0
 
@@ -190,13 +191,12 @@
                 step.number,
                 task.index,
                 task.phase is Phase.DONE,
-                task.failures,
-                task.last_failed_run,
+                task.failed_runs,
                 task.checkpoint,
             )
             for step in job.steps.values()
             for task in step.tasks
-            if task.phase is Phase.DONE or task.failures or task.checkpoint
+            if task.phase is Phase.DONE or task.failed_runs or task.checkpoint
         ]
         return Progress(job.state, marks, wall if job.state.final else 0.0)
 
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -87,7 +87,7 @@
         if step.spec.long_running:
             return
         members = step.tasks if step.spec.gang else [task]
-        failures = sum(member.failures for member in members)
+        failures = sum(len(member.failed_runs) for member in members)
         if failures >= step.job.policy.max_attempts and not step.job.state.final:
             self.board.end_job(step.job, JobState.FAILED)
 
@@ -138,8 +138,7 @@
             if step is None or mark.index >= len(step.tasks):
                 continue
             task = step.tasks[mark.index]
-            task.failures = mark.failures
-            task.last_failed_run = mark.last_failed_run
+            task.failed_runs = mark.failed_runs
             task.checkpoint = mark.checkpoint
             if mark.done and task.phase is Phase.WAITING:
                 step.waiting.remove(task)
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -57,8 +57,7 @@
     phase: Phase = Phase.WAITING
     run: int = 0
     worker: WorkerState | None = None
-    failures: int = 0
-    last_failed_run: int = 0
+    failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
     started_at: float = 0.0
     percent: float = 0.0
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -62,7 +62,7 @@
 
     def _held(self, step: StepRun, now: float) -> bool:
         return now < self.board.held_until and (
-            step.job.accepted_at < self.board.held_until
+            step.job.accepted_at < self.board.taken_over_at
         )
 
     def _place_tasks(
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -122,9 +122,8 @@
         if ended.how == ENDED_DONE:
             self._done(worker, task, own, now)
             return
-        if ended.how == ENDED_FAILED and ended.run > task.last_failed_run:
-            task.failures += 1
-            task.last_failed_run = ended.run
+        if ended.how == ENDED_FAILED and ended.run not in task.failed_runs:
+            task.failed_runs += (ended.run,)
             task.avoid.add(worker.id)
             self.health.note_failed(worker, task, now)
         if ended.checkpoint:
