Let a peer answer what an entry cannot while the log refuses it

Change: entries tell their peers' address in the ledger; one whose log fails, or whose append is not answered within 0.4 s, asks a peer over grpclib. The job's id makes both the same job; a refusal is given only where no peer may have taken the request. An entry with neither log nor peer reports itself not ready and closes its callers' connections.

--- a/bench/membership_wire.py
+++ b/bench/membership_wire.py
@@ -11,9 +11,9 @@
 
 from mustardward.components.membership.messages import Exchange, ExchangeReply, Vitals
 from mustardward.components.membership.models import Member, MemberStatus
-from mustardward.components.peers.codec import MsgpackCodec
 from mustardward.components.peers.receiver import ForwardReceiver
 from mustardward.components.peers.services import GrpcPeers
+from mustardward.helpers.msgpack_codec import MsgpackCodec
 
 _SEGMENT_BYTES: Final = 52
 """Headers of one segment: 20 of IPv4, 20 of TCP, 12 of its time stamps."""
--- a/mustardward/components/dispatch/const.py
+++ b/mustardward/components/dispatch/const.py
@@ -15,6 +15,9 @@
 """Covers the way of the order that renewed the lease last."""
 
 LONG_HOLD_MILLISECONDS: Final = 1000
+BUSY_HOLD_MILLISECONDS: Final = 250
+"""Used where short tasks run: an answer that is lost then costs them less."""
+
 SHORT_HOLD_MILLISECONDS: Final = 300
 """Used where figures have to be fresh: serving beside filling, and evacuations."""
 
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -18,6 +18,7 @@
 from ..scheduling.models import Phase, Task, WorkerState
 from ..scheduling.scheduler import Scheduler
 from .const import (
+    BUSY_HOLD_MILLISECONDS,
     FAILED_HOLD_SECONDS,
     HOLD_GAP_SECONDS,
     LEASE_SECONDS,
@@ -178,6 +179,8 @@
             return SHORT_HOLD_MILLISECONDS
         if self.scheduler.pacing.needs_looks(worker):
             return SHORT_HOLD_MILLISECONDS
+        if any(not task.step.spec.long_running for task in worker.tasks.values()):
+            return BUSY_HOLD_MILLISECONDS
         return LONG_HOLD_MILLISECONDS
 
     async def _async_failed(self, worker: WorkerState, detail: str) -> None:
--- /dev/null
+++ b/mustardward/components/forwarding/answering.py
@@ -0,0 +1,127 @@
+"""Answer from the log here, or let a peer do so."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import anyio
+
+from ...helpers.logging import get_logger
+from ...helpers.timer import TimerService
+from ...platform import callers
+from ..front.const import ANSWER_MARGIN_SECONDS
+from ..front.services import Front, Reply, Request
+from .const import FAILING_SECONDS, HEDGE_SECONDS
+from .models import AskedReply, AskedRequest
+from .services import AskOutcome, Forwarder
+
+_LOGGER = get_logger(__name__)
+
+_UNSURE = (503, 504)
+
+
+@dataclass(slots=True, eq=False)
+class Answering:
+    """Answer callers whether or not the log can be reached from here."""
+
+    front: Front
+    forwarder: Forwarder
+    timers: TimerService
+
+    def cut_off(self) -> bool:
+        """Return whether the log could not be reached for a while."""
+        now = self.timers.monotonic()
+        follower = self.front.follower
+        since = follower.failing_since
+        if since is not None and now - since > FAILING_SECONDS:
+            return True
+        since = self.front.config_follower.failing_since
+        return since is not None and now - since > FAILING_SECONDS
+
+    async def async_answer(self, request: Request) -> Reply:
+        """Return the answer to a caller."""
+        if not self.cut_off():
+            return await self._async_hedged(request)
+        outcome = await self._async_ask(request)
+        if outcome.reply is not None:
+            return _reply(outcome.reply)
+        reply = await self.front.async_answer(request)
+        return _unless_unknown(request, reply, outcome.may_have_effect)
+
+    async def async_answer_peer(self, asked: AskedRequest) -> AskedReply:
+        """Return the answer to a peer's question, from the log here or not at all."""
+        if self.cut_off():
+            return AskedReply(503, b"", confirmed=False)
+        deadline = self.timers.monotonic() + asked.patience
+        request = Request(asked.method, asked.host, asked.path, asked.body, deadline)
+        reply = await self.front.async_answer(request)
+        confirmed = reply.status not in _UNSURE
+        return AskedReply(reply.status, reply.body, reply.retry_after, confirmed)
+
+    async def _async_hedged(self, request: Request) -> Reply:
+        """Answer here, and ask a peer too if that takes long.
+
+        The job's id makes both the same job, so that it is accepted once.
+        """
+        replies: list[Reply] = []
+        asked: list[AskOutcome] = []
+        async with anyio.create_task_group() as tasks:
+
+            async def async_here() -> None:
+                reply = await self.front.async_answer(request)
+                replies.append(reply)
+                if reply.status not in _UNSURE:
+                    tasks.cancel_scope.cancel()
+                elif not asked:
+                    # It is over here before a peer was asked: ask one now.
+                    hedge.set()
+
+            async def async_elsewhere() -> None:
+                with anyio.move_on_after(HEDGE_SECONDS):
+                    await hedge.wait()
+                asked.append(AskOutcome(None, True))
+                asked[0] = await self._async_ask(request)
+                if asked[0].reply is not None:
+                    tasks.cancel_scope.cancel()
+
+            hedge = anyio.Event()
+            tasks.start_soon(async_here)
+            tasks.start_soon(async_elsewhere)
+        for reply in replies:
+            if reply.status not in _UNSURE:
+                return reply
+        if asked and asked[0].reply is not None:
+            return _reply(asked[0].reply)
+        unknown = bool(asked) and asked[0].may_have_effect
+        here = replies[0] if replies else _unknown()
+        return _unless_unknown(request, here, unknown)
+
+    async def _async_ask(self, request: Request) -> AskOutcome:
+        left = request.deadline - self.timers.monotonic() - ANSWER_MARGIN_SECONDS
+        asked = AskedRequest(
+            request.method, request.host, request.path, request.body, max(0.0, left)
+        )
+        outcome = await self.forwarder.async_ask(asked)
+        _LOGGER.info(
+            "peer_asked",
+            method=request.method,
+            path=request.path,
+            status=outcome.reply.status if outcome.reply else None,
+        )
+        return outcome
+
+
+def _reply(asked: AskedReply) -> Reply:
+    return Reply(asked.status, asked.body, asked.retry_after)
+
+
+def _unknown() -> Reply:
+    body = callers.encode_error("outcome-unknown", "ask again with the same id")
+    return Reply(504, body)
+
+
+def _unless_unknown(request: Request, reply: Reply, unknown: bool) -> Reply:
+    """Return a refusal only if no peer may have taken the request."""
+    if unknown and reply.status == 503 and request.method != "GET":
+        return _unknown()
+    return reply
--- /dev/null
+++ b/mustardward/components/forwarding/const.py
@@ -0,0 +1,25 @@
+"""Hold the figures of forwarding."""
+
+from __future__ import annotations
+
+from typing import Final
+
+ASK_PATH: Final = "/mustardward.Entry/Ask"
+ASK_SECONDS: Final = 0.8
+"""Longest wait for one peer's answer; its own append takes some milliseconds."""
+
+SHUN_SECONDS: Final = 1.5
+"""Time in which a peer that did not answer, or was cut off itself, is not asked."""
+
+HEDGE_SECONDS: Final = 0.4
+"""Time after which a peer is asked beside an append that is not answered; an append
+takes 6 ms, and a store that is 60 times slower still ends before."""
+
+MOST_ASKED: Final = 3
+"""Peers asked for one request, one after the other."""
+
+FAILING_SECONDS: Final = 0.15
+"""Age of a failure of the log after which peers are asked first."""
+
+RETRY_LISTEN_SECONDS: Final = 0.5
+"""Pause before the listener is opened again."""
--- /dev/null
+++ b/mustardward/components/forwarding/services.py
@@ -0,0 +1,143 @@
+"""Ask peers over grpclib, and answer them."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+from grpclib.client import UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Server
+
+from ...helpers.logging import get_logger
+from ...helpers.msgpack_codec import MsgpackCodec
+from ...helpers.peer_channels import ChannelPool, PeerUnreachableError, Purpose
+from ...helpers.timer import TimerService
+from ..ledger.ledger import Ledger
+from .const import ASK_PATH, ASK_SECONDS, MOST_ASKED, RETRY_LISTEN_SECONDS
+from .models import AskedReply, AskedRequest
+from .peers import PeerBook
+
+_LOGGER = get_logger(__name__)
+
+_FAILURES = (
+    PeerUnreachableError,
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    TimeoutError,
+    OSError,
+)
+
+AnswerAsked = Callable[[AskedRequest], Awaitable[AskedReply]]
+
+
+@dataclass(frozen=True, slots=True)
+class AskOutcome:
+    """Hold what asking came to.
+
+    :param reply: the answer of a peer that has the log, or None.
+    :param may_have_effect: whether a peer was asked and its answer is not known.
+    """
+
+    reply: AskedReply | None
+    may_have_effect: bool
+
+
+@dataclass(slots=True, eq=False)
+class Forwarder:
+    """Ask one peer after the other until one answers from the log."""
+
+    ledger: Ledger
+    timers: TimerService
+    book: PeerBook
+    pool: ChannelPool = field(init=False)
+    last_answer_at: float = -1.0
+
+    def __post_init__(self) -> None:
+        """Make the pool of connections."""
+        self.pool = ChannelPool(self.timers.monotonic, None)
+
+    async def async_ask(self, request: AskedRequest) -> AskOutcome:
+        """Return the answer of the first peer that has the log."""
+        may_have_effect = False
+        deadline = self.timers.monotonic() + request.patience
+        nodes = {
+            name: (node.address, node.zone) for name, node in self.ledger.nodes.items()
+        }
+        candidates = self.book.candidates(nodes, self.timers.monotonic())
+        for name, address in candidates[:MOST_ASKED]:
+            left = deadline - self.timers.monotonic()
+            if left <= 0:
+                break
+            try:
+                reply = await self._async_ask_one(address, request, left)
+            except PeerUnreachableError as error:
+                self._shun(name, error.detail)
+                continue
+            except _FAILURES as error:
+                may_have_effect = True
+                self._shun(name, type(error).__name__)
+                continue
+            if reply.confirmed:
+                self.last_answer_at = self.timers.monotonic()
+                return AskOutcome(reply, may_have_effect)
+            self._shun(name, "cut off too")
+        return AskOutcome(None, may_have_effect)
+
+    async def _async_ask_one(
+        self, address: str, request: AskedRequest, left: float
+    ) -> AskedReply:
+        lease = await self.pool.async_take(address, Purpose.CONTROL)
+        method = UnaryUnaryMethod(lease.channel, ASK_PATH, AskedRequest, AskedReply)
+        try:
+            reply: AskedReply = await method(request, timeout=min(left, ASK_SECONDS))
+        except _FAILURES:
+            lease.retire()
+            raise
+        finally:
+            lease.release()
+        return reply
+
+    def _shun(self, name: str, detail: str) -> None:
+        self.book.shun(name, self.timers.monotonic())
+        _LOGGER.info("peer_shunned", peer=name, detail=detail)
+
+
+class _EntryService:
+    """Map the call that peers make; grpclib asks for this shape."""
+
+    def __init__(self, answer: AnswerAsked) -> None:
+        self._answer = answer
+
+    def __mapping__(self) -> dict[str, Handler]:
+        return {
+            ASK_PATH: Handler(
+                self._async_ask, Cardinality.UNARY_UNARY, AskedRequest, AskedReply
+            )
+        }
+
+    async def _async_ask(self, stream: Any) -> None:
+        request: AskedRequest = await stream.recv_message()
+        with anyio.move_on_after(max(0.0, request.patience)):
+            await stream.send_message(await self._answer(request))
+
+
+async def async_serve_peers(
+    address: str, answer: AnswerAsked, timers: TimerService
+) -> None:
+    """Answer peers until cancelled."""
+    host, _, port = address.rpartition(":")
+    while True:
+        server = Server([_EntryService(answer)], codec=MsgpackCodec())
+        try:
+            await server.start(host, int(port))
+            await server.wait_closed()
+        except OSError as error:
+            _LOGGER.error("peers_not_served", address=address, detail=str(error))
+        finally:
+            server.close()
+        await timers.async_sleep(RETRY_LISTEN_SECONDS)
--- a/mustardward/components/front/server.py
+++ b/mustardward/components/front/server.py
@@ -10,8 +10,9 @@
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
 from ...platform import callers
+from ..forwarding.answering import Answering
 from .const import DEFAULT_DEADLINE_SECONDS, JSON
-from .services import Front, Reply, Request
+from .services import Reply, Request
 
 _LOGGER = get_logger(__name__)
 
@@ -26,7 +27,7 @@
     :param is_ready: whether new callers should come here.
     """
 
-    front: Front
+    answering: Answering
     timers: TimerService
     is_ready: Callable[[], bool]
     leaving: bool = False
@@ -70,14 +71,14 @@
         response = web.Response(
             status=reply.status, body=reply.body, content_type=JSON, headers=headers
         )
-        if self.leaving:
+        if self.leaving or reply.status in (503, 504):
             # The caller's next request then opens a connection to another entry.
             response.force_close()
         return response
 
     async def _async_reply(self, request: web.BaseRequest) -> Reply:
         now = self.timers.monotonic()
-        config = self.front.configuration.config
+        config = self.answering.front.configuration.config
         most = config.limits.max_body_bytes if config else 0
         body = b""
         if request.can_read_body:
@@ -89,7 +90,7 @@
                 detail = f"most={most}"
                 return Reply(413, callers.encode_error("body-too-large", detail))
         host = request.headers.get("Host", "").lower().partition(":")[0]
-        return await self.front.async_answer(
+        return await self.answering.async_answer(
             Request(request.method, host, request.path, body, now + _patience(request))
         )
 
--- a/mustardward/components/ledger/const.py
+++ b/mustardward/components/ledger/const.py
@@ -17,6 +17,7 @@
 PREFIX_PROGRESS: Final = "p/"
 PREFIX_CANCEL: Final = "x/"
 PREFIX_WAVE: Final = "w/"
+PREFIX_NODE: Final = "n/"
 
 RETRY_SECONDS: Final = 0.08
 """Pause after a refused call; the store's own answers take some 6 ms."""
--- a/mustardward/components/ledger/ledger.py
+++ b/mustardward/components/ledger/ledger.py
@@ -10,11 +10,19 @@
 
 from ...helpers.logging import get_logger
 from ...platform.store import KeyedRecord
-from .const import KEY_OWNER, PREFIX_CANCEL, PREFIX_JOB, PREFIX_PROGRESS, PREFIX_WAVE
+from .const import (
+    KEY_OWNER,
+    PREFIX_CANCEL,
+    PREFIX_JOB,
+    PREFIX_NODE,
+    PREFIX_PROGRESS,
+    PREFIX_WAVE,
+)
 from .models import (
     CancelRecord,
     JobRecord,
     JobState,
+    NodeRecord,
     OwnerRecord,
     Progress,
     WaveRecord,
@@ -27,13 +35,14 @@
 _CANCEL: Final = msgspec.msgpack.Decoder(CancelRecord)
 _OWNER: Final = msgspec.msgpack.Decoder(OwnerRecord)
 _WAVE: Final = msgspec.msgpack.Decoder(WaveRecord)
+_NODE: Final = msgspec.msgpack.Decoder(NodeRecord)
 _ENCODER: Final = msgspec.msgpack.Encoder()
 
 NO_OWNER: Final = OwnerRecord(0, "", "", 0)
 
 
 def encode(
-    record: JobRecord | Progress | CancelRecord | OwnerRecord | WaveRecord,
+    record: JobRecord | Progress | CancelRecord | OwnerRecord | WaveRecord | NodeRecord,
 ) -> bytes:
     """Return the stored form of a record."""
     return _ENCODER.encode(record)
@@ -81,6 +90,7 @@
     owner: OwnerRecord = NO_OWNER
     jobs: dict[str, LedgerJob] = field(default_factory=dict)
     waves: dict[str, WaveRecord] = field(default_factory=dict)
+    nodes: dict[str, NodeRecord] = field(default_factory=dict)
     on_job: JobListener | None = None
     on_cancel: JobListener | None = None
     _early_progress: dict[str, Progress] = field(default_factory=dict)
@@ -89,17 +99,24 @@
     def apply(self, record: KeyedRecord) -> None:
         """Fold one record; an empty value drops its key."""
         key = record.key
+        if key == KEY_OWNER:
+            kind, name = KEY_OWNER, ""
+        else:
+            kind, name = key[:2], key[2:]
+        folds: dict[str, Callable[[str, bytes], None]] = {
+            PREFIX_JOB: self._apply_job,
+            PREFIX_PROGRESS: self._apply_progress,
+            PREFIX_CANCEL: self._apply_cancel,
+            PREFIX_WAVE: self._apply_wave,
+            PREFIX_NODE: self._apply_node,
+            KEY_OWNER: self._apply_owner,
+        }
+        fold = folds.get(kind)
+        if fold is None:
+            _LOGGER.error("record_unknown", key=key)
+            return
         try:
-            if key.startswith(PREFIX_JOB):
-                self._apply_job(key[len(PREFIX_JOB) :], record.value)
-            elif key.startswith(PREFIX_PROGRESS):
-                self._apply_progress(key[len(PREFIX_PROGRESS) :], record.value)
-            elif key.startswith(PREFIX_CANCEL):
-                self._apply_cancel(key[len(PREFIX_CANCEL) :], record.value)
-            elif key == KEY_OWNER and record.value:
-                self._apply_owner(_OWNER.decode(record.value))
-            elif key.startswith(PREFIX_WAVE):
-                self._apply_wave(key[len(PREFIX_WAVE) :], record.value)
+            fold(name, record.value)
         except msgspec.MsgspecError as error:
             # A record of another version must not end the fold of all others.
             _LOGGER.error("record_unreadable", key=key, detail=str(error))
@@ -118,6 +135,8 @@
             yield PREFIX_CANCEL + name
         for name in self.waves:
             yield PREFIX_WAVE + name
+        for name in self.nodes:
+            yield PREFIX_NODE + name
 
     def count_pending(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have had no task started."""
@@ -163,11 +182,20 @@
         if at and self.on_cancel is not None:
             self.on_cancel(job)
 
-    def _apply_owner(self, owner: OwnerRecord) -> None:
+    def _apply_owner(self, _: str, value: bytes) -> None:
+        if not value:
+            return
+        owner = _OWNER.decode(value)
         # Epochs are fenced by the log, so a lower one can only be an older record.
         if owner.epoch >= self.owner.epoch:
             self.owner = owner
 
+    def _apply_node(self, name: str, value: bytes) -> None:
+        if value:
+            self.nodes[name] = _NODE.decode(value)
+        else:
+            self.nodes.pop(name, None)
+
     def _apply_wave(self, name: str, value: bytes) -> None:
         if value:
             self.waves[name] = _WAVE.decode(value)
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -88,6 +88,13 @@
     done: bool
 
 
+class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Hold where an entry answers its peers, and its data centre."""
+
+    address: str
+    zone: str
+
+
 class CancelRecord(msgspec.Struct, frozen=True, array_like=True):
     """Hold that a caller cancelled a job, at this wall clock in seconds."""
 
--- a/mustardward/components/peers/answer.py
+++ b/mustardward/components/peers/answer.py
@@ -11,9 +11,9 @@
 from grpclib.exceptions import GRPCError
 
 from ...helpers.logging import get_logger
+from ...helpers.msgpack_codec import MsgpackCodec
 from .cancellation import settled_cancellations
 from .client import TRANSPORT_ERRORS
-from .codec import MsgpackCodec
 from .const import LAST_FRAMES_SECONDS
 from .exceptions import PeerAnswerTruncatedError, PeerMessageError
 from .framing import async_receive_bytes
--- a/mustardward/components/peers/client.py
+++ b/mustardward/components/peers/client.py
@@ -10,10 +10,10 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from ...exceptions import PeerOutcomeUnknownError
+from ...helpers.msgpack_codec import MsgpackCodec
+from ...helpers.peer_channels import ChannelPool, Purpose
 from ..membership.models import Member
 from .cancellation import settled_cancellations
-from .channels import ChannelPool, Purpose
-from .codec import MsgpackCodec
 from .const import CALL_PATH, METADATA_MESSAGE, METADATA_SENDER
 from .exceptions import PeerMessageError, PeerRefusedError
 from .framing import async_receive_bytes
--- a/mustardward/components/peers/const.py
+++ b/mustardward/components/peers/const.py
@@ -23,15 +23,7 @@
 MAXIMUM_HOPS: Final = 2
 """Entries that may forward a request: to another data centre, then to a home."""
 
-CONNECT_TIMEOUT_SECONDS: Final = 1.0
-KEEPALIVE_SECONDS: Final = 5.0
-KEEPALIVE_TIMEOUT_SECONDS: Final = 3.0
-"""Pings on a connection with forwarded requests, and the wait for their answer."""
-
 LAST_FRAMES_SECONDS: Final = 5.0
 """Time beyond a request's deadline for its answer's end to be taken."""
 
-IDLE_SECONDS: Final = 120.0
-"""Time after which an unused connection is closed."""
-
 SWEEP_SECONDS: Final = 30.0
--- a/mustardward/components/peers/exceptions.py
+++ b/mustardward/components/peers/exceptions.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from ...exceptions import PeerError, TruncatedAnswerError
-
-
-class PeerUnreachableError(PeerError):
-    """Report that no connection to a peer could be made; nothing was sent."""
-
-    code = "peer-unreachable"
+from ...helpers.peer_channels import PeerUnreachableError
+
+__all__ = [
+    "PeerAnswerTruncatedError",
+    "PeerBodyTruncatedError",
+    "PeerMessageError",
+    "PeerRefusedError",
+    "PeerUnreachableError",
+]
 
 
 class PeerRefusedError(PeerError):
--- a/mustardward/components/peers/forward.py
+++ b/mustardward/components/peers/forward.py
@@ -13,12 +13,12 @@
 from returns.result import Failure, Result, Success
 
 from ...exceptions import PeerError
+from ...helpers.peer_channels import ChannelPool, Purpose
 from ..entry.models import AttemptOutcome, Ran, RequestFacts
 from ..entry.protocols import FailedAttempt, OutgoingRequest, WorkerAnswer
 from ..membership.models import Member
 from .answer import STREAM_FAILURES, AnswerChunks, async_close_stream
 from .cancellation import settled_cancellations
-from .channels import ChannelPool, Purpose
 from .client import translate_status
 from .const import CHUNK_BYTES, FORWARD_PATH, MAXIMUM_HOPS, METADATA_SENDER
 from .exceptions import PeerMessageError, PeerRefusedError
--- a/mustardward/components/peers/receiver.py
+++ b/mustardward/components/peers/receiver.py
@@ -10,11 +10,11 @@
 from returns.result import Failure, Result
 
 from ...helpers.logging import get_logger
+from ...helpers.msgpack_codec import MsgpackCodec
 from ..entry.answer import async_close_answer
 from ..entry.models import Ran, RequestFacts, RequestRefusal
 from ..entry.protocols import OutgoingRequest, WorkerAnswer
 from ..templates.protocols import Directory, Resolved
-from .codec import MsgpackCodec
 from .const import CHUNK_BYTES, LAST_FRAMES_SECONDS, MAXIMUM_HOPS
 from .exceptions import PeerBodyTruncatedError, PeerMessageError
 from .framing import async_receive_bytes
--- a/mustardward/components/peers/server.py
+++ b/mustardward/components/peers/server.py
@@ -15,7 +15,7 @@
 
 from ...exceptions import MustardwardError
 from ...helpers.logging import get_logger
-from .codec import MsgpackCodec
+from ...helpers.msgpack_codec import MsgpackCodec
 from .const import (
     CALL_PATH,
     FORWARD_PATH,
--- a/mustardward/components/peers/services.py
+++ b/mustardward/components/peers/services.py
@@ -8,11 +8,11 @@
 
 from returns.result import Result
 
+from ...helpers.peer_channels import ChannelPool
 from ...helpers.registry import RegistryError
 from ..entry.models import RequestFacts
 from ..entry.protocols import FailedAttempt, OutgoingRequest, WorkerAnswer
 from ..membership.models import Member
-from .channels import ChannelPool
 from .client import PeerClient
 from .forward import Forwarder
 from .protocols import PeerHandler
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -160,7 +160,10 @@
                     self.board.stop(task, "stuck")
 
     def _is_stuck(self, task: Task, now: float) -> bool:
-        if task.phase is not Phase.RUNNING or task.at_work:
+        if task.phase is not Phase.RUNNING or task.percent >= 100:
+            return False
+        if task.worker is None or task.worker.stale:
+            # Nothing is known of it, neither that it works nor that it stands still.
             return False
         expected = STUCK_FACTOR * self.board.estimates.seconds(task.step)
         return now - task.percent_since > max(STUCK_SECONDS, expected)
--- a/mustardward/components/peers/channels.py
+++ b/mustardward/helpers/peer_channels.py
@@ -6,20 +6,28 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Any
+from typing import Any, Final
 
 import anyio
 from grpclib.client import Channel
 from grpclib.config import Configuration
 
-from .codec import MsgpackCodec
-from .const import (
-    CONNECT_TIMEOUT_SECONDS,
-    IDLE_SECONDS,
-    KEEPALIVE_SECONDS,
-    KEEPALIVE_TIMEOUT_SECONDS,
-)
-from .exceptions import PeerUnreachableError
+from ..exceptions import PeerError
+from .msgpack_codec import MsgpackCodec
+
+CONNECT_TIMEOUT_SECONDS: Final = 1.0
+KEEPALIVE_SECONDS: Final = 5.0
+KEEPALIVE_TIMEOUT_SECONDS: Final = 3.0
+"""Pings on a connection with forwarded requests, and the wait for their answer."""
+
+IDLE_SECONDS: Final = 120.0
+"""Time after which an unused connection is closed."""
+
+
+class PeerUnreachableError(PeerError):
+    """Report that no connection to a peer could be made; nothing was sent."""
+
+    code = "peer-unreachable"
 
 
 class Purpose(StrEnum):
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -14,12 +14,16 @@
 from anyio.abc import TaskGroup
 
 from ..components.configuration.services import Configuration
+from ..components.forwarding.answering import Answering
+from ..components.forwarding.peers import PeerBook
+from ..components.forwarding.services import Forwarder, async_serve_peers
 from ..components.front.server import FrontServer
 from ..components.front.services import Front
 from ..components.ledger.appender import GroupAppender
-from ..components.ledger.const import TOPIC
+from ..components.ledger.const import PREFIX_NODE, TOPIC
 from ..components.ledger.follower import TopicFollower
-from ..components.ledger.ledger import Ledger
+from ..components.ledger.ledger import Ledger, encode
+from ..components.ledger.models import NodeRecord
 from ..components.ownership.owner import OwnerParts
 from ..components.ownership.services import IDLE_GAP_SECONDS, Ownership
 from ..helpers.log_output import PairFormatter
@@ -35,6 +39,10 @@
 _LOGGER = get_logger(__name__)
 
 CONFIG_GAP_SECONDS = 0.05
+CUT_OFF_SECONDS = 1.0
+"""Time without the log, and without a peer's answer, after which an entry asks for no
+more callers; the balancer looks once a second."""
+
 LEAVE_SHARE = 0.55
 """Share of the grace period in which a leaving entry goes on answering."""
 
@@ -80,7 +88,11 @@
             self._follower,
             self._appender,
         )
-        self._server = FrontServer(front, self._timers, self._is_ready)
+        self._forwarder = Forwarder(
+            self._ledger, self._timers, PeerBook(boot.node, boot.zone)
+        )
+        self._answering = Answering(front, self._forwarder, self._timers)
+        self._server = FrontServer(self._answering, self._timers, self._is_ready)
         advice = AdviceClient(self._http, boot.advice) if boot.advice else None
         address = boot.cloud.address
         fleet = FleetClient(self._http, address, boot.node) if address else None
@@ -110,6 +122,11 @@
         self._tasks.start_soon(self._follower.async_run)
         self._tasks.start_soon(self._appender.async_run)
         self._tasks.start_soon(self._ownership.async_run)
+        address = f"{self._boot.ip}:{self._boot.port_range[0]}"
+        self._tasks.start_soon(
+            async_serve_peers, address, self._answering.async_answer_peer, self._timers
+        )
+        self._tasks.start_soon(self._async_register, address)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
             async for number in signals:
                 if number == signal.SIGTERM:
@@ -118,6 +135,13 @@
         await self._async_leave()
         self._tasks.cancel_scope.cancel()
 
+    async def _async_register(self, address: str) -> None:
+        """Tell the other entries where this one answers them."""
+        await self._follower.async_wait_loaded()
+        record = NodeRecord(address, self._boot.zone)
+        if self._ledger.nodes.get(self._boot.node) != record:
+            self._appender.post([(PREFIX_NODE + self._boot.node, encode(record))])
+
     async def _async_leave(self) -> None:
         _LOGGER.info("node_leaving", node=self._boot.node)
         self._server.leaving = True
@@ -132,11 +156,20 @@
         _LOGGER.info("node_stopped", node=self._boot.node)
 
     def _is_ready(self) -> bool:
-        return (
-            not self._server.leaving
-            and self._configuration.config is not None
-            and self._follower.loaded
-        )
+        """Return whether callers are served here.
+
+        An entry that is cut off from the log answers as long as a peer does; else the
+        balancer sends callers elsewhere.
+        """
+        if self._server.leaving or self._configuration.config is None:
+            return False
+        if not self._follower.loaded:
+            return False
+        since = self._follower.failing_since
+        now = self._timers.monotonic()
+        if since is None or now - since < CUT_OFF_SECONDS:
+            return True
+        return now - self._forwarder.last_answer_at < CUT_OFF_SECONDS
 
 
 def _share(boot: BootSettings) -> float:
--- a/mustardward/platform/workers.py
+++ b/mustardward/platform/workers.py
@@ -16,10 +16,12 @@
 from .http import Answer, HttpCaller
 
 HEADER_EXPECTED: Final = "Mustardward-Expected-Instance"
-START_TIMEOUT_SECONDS: Final = 0.7
-"""An answer takes 2 to 5 ms; an order that is carried out late gets none at all."""
+START_TIMEOUT_SECONDS: Final = 0.35
+"""An answer takes 2 to 5 ms; an order that is carried out late gets none at all, and
+its task waits until it is given up."""
 
-HOLD_SLACK_SECONDS: Final = 0.7
+HOLD_SLACK_SECONDS: Final = 0.35
+"""The same, beyond the time that the worker was asked to wait."""
 
 REFUSED_ROOM: Final = "room"
 REFUSED_OLD: Final = "old"
--- /dev/null
+++ b/tests/components/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Test the fleet component."""
--- a/tests/components/membership/test_digests.py
+++ b/tests/components/membership/test_digests.py
@@ -12,7 +12,7 @@
 from mustardward.components.membership.models import Member, MemberStatus
 from mustardward.components.membership.silence import SilenceDetector
 from mustardward.components.membership.table import MemberTable
-from mustardward.components.peers.codec import MsgpackCodec
+from mustardward.helpers.msgpack_codec import MsgpackCodec
 
 
 class _Side:
--- /dev/null
+++ b/tests/components/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Test the ownership component."""
--- a/tests/components/peers/conftest.py
+++ b/tests/components/peers/conftest.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mustardward.components.peers import channels
+from mustardward.helpers import peer_channels as channels
 
 
 @pytest.fixture(autouse=True)
--- a/tests/components/peers/test_calls.py
+++ b/tests/components/peers/test_calls.py
@@ -9,7 +9,6 @@
 import pytest
 
 from mustardward.components.membership.models import Member
-from mustardward.components.peers.channels import Purpose
 from mustardward.components.peers.const import MAXIMUM_MESSAGE_BYTES
 from mustardward.components.peers.exceptions import (
     PeerRefusedError,
@@ -17,6 +16,7 @@
 )
 from mustardward.components.peers.services import GrpcPeers
 from mustardward.exceptions import NotReadyError, PeerOutcomeUnknownError
+from mustardward.helpers.peer_channels import Purpose
 from mustardward.helpers.registry import RegistryError
 
 from .builders import PATIENT, Echo, EchoReply, build_member, running_peers
--- a/tests/components/peers/test_forward.py
+++ b/tests/components/peers/test_forward.py
@@ -20,9 +20,9 @@
     OutgoingRequest,
     WorkerAnswer,
 )
-from mustardward.components.peers import channels
 from mustardward.components.peers.const import MAXIMUM_HOPS
 from mustardward.components.peers.exceptions import PeerAnswerTruncatedError
+from mustardward.helpers import peer_channels as channels
 from mustardward.state.models.templates import Urgency
 
 from .builders import (
--- a/tests/components/peers/test_malformed.py
+++ b/tests/components/peers/test_malformed.py
@@ -18,13 +18,13 @@
     MemberState,
     Vitals,
 )
-from mustardward.components.peers.codec import MsgpackCodec
 from mustardward.components.peers.exceptions import PeerMessageError, PeerRefusedError
 from mustardward.components.peers.framing import async_receive_bytes
 from mustardward.components.peers.models import AnswerFrame
 from mustardward.components.peers.receiver import ForwardReceiver
 from mustardward.components.peers.server import PeerServer
 from mustardward.exceptions import MustardwardError
+from mustardward.helpers.msgpack_codec import MsgpackCodec
 from tests.fakes.cluster import Cluster
 
 from .builders import (
--- /dev/null
+++ b/tests/components/scheduling/test_takeover.py
@@ -0,0 +1,100 @@
+"""Test what a new owner starts, adopts and waits for."""
+
+from __future__ import annotations
+
+from mustardward.components.ledger.models import JobState, Progress, TaskMark
+from mustardward.components.scheduling.models import Phase, Stop
+from mustardward.platform.workers import EndedTask, RunningTask, TaskName
+
+from .builders import JOB, SchedulerBench, a_job, a_step, an_entry
+
+OTHER = "00000000000000bb"
+
+
+def a_successor() -> SchedulerBench:
+    """Return a scheduler that took over and has not heard of all workers."""
+    bench = SchedulerBench(epoch=2)
+    bench.scheduler.board.taken_over_at = bench.now
+    bench.scheduler.board.held_until = bench.now + 9.0
+    return bench
+
+
+def test_jobs_of_an_earlier_owner_wait_for_silent_workers() -> None:
+    bench = a_successor()
+    bench.worker("w1")
+    bench.add(a_job(accepted_at=bench.now - 1.0))
+    assert bench.plan_starts() == []
+    bench.scheduler.board.held_until = 0.0
+    assert len(bench.plan_starts()) == 2
+
+
+def test_jobs_accepted_after_the_takeover_start_at_once() -> None:
+    """A new owner starts what no earlier owner can have started.
+
+    Symptom: no job of a pool ran for 15 s after a restart in turn; callers gave up.
+    Sequence: a rack had crashed, so one worker stayed silent; the owner was restarted.
+    Cause: all jobs were held for as long as the silent worker's leases might last,
+    those accepted after the takeover too.
+    """
+    bench = a_successor()
+    bench.worker("w1")
+    bench.now += 0.5
+    bench.add(a_job(accepted_at=bench.now))
+    assert len(bench.plan_starts()) == 2
+
+
+def test_what_runs_is_adopted_and_not_started_again() -> None:
+    bench = a_successor()
+    bench.scheduler.board.held_until = 0.0
+    bench.add(a_job(a_step(count=2)))
+    bench.scheduler.see_worker("w1", an_entry(), bench.now)
+    running = RunningTask(TaskName(JOB, 0, 0, 0), 1048577, "abc", 40.0, 0.0)
+    bench.hold("w1", running=[running])
+    starts = bench.plan_starts()
+    assert [start.task.index for start in starts] == [1]
+    adopted = bench.task(0)
+    assert adopted.phase is Phase.RUNNING
+    assert adopted.checkpoint == "abc"
+    assert starts[0].run > 1048577
+
+
+def test_ends_that_were_stored_are_not_counted_twice() -> None:
+    bench = a_successor()
+    bench.scheduler.board.held_until = 0.0
+    job = a_job(a_step(count=1))
+    job.progress = Progress(JobState.RUNNING, [TaskMark(0, 0, 0, False, (7,), "")])
+    bench.add(job)
+    bench.scheduler.see_worker("w1", an_entry(), bench.now)
+    bench.hold("w1", ended=[EndedTask(1, TaskName(JOB, 0, 0, 0), 7, "failed", "")])
+    assert bench.task(0).failed_runs == (7,)
+    assert len(bench.plan_starts()) == 1
+
+
+def test_failed_runs_count_in_whichever_order_they_are_told() -> None:
+    """A failed run that is told late counts, though a later run failed before.
+
+    Symptom: a task was started a fourth time after three runs had failed.
+    Sequence: a worker was cut off and its run given up; the next run failed
+    elsewhere; the cut healed, and the first worker listed that its run had failed.
+    Cause: only the number of the newest failed run was kept, and an older one was
+    taken for a repeat.
+    """
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1)))
+    task = bench.task(0)
+    name = task.name
+    bench.hold("w1", ended=[EndedTask(1, name, 9, "failed", "")])
+    bench.hold("w1", ended=[EndedTask(2, name, 5, "failed", "")])
+    bench.hold("w1", ended=[EndedTask(3, name, 7, "failed", "")])
+    assert bench.plan_starts() == []
+    assert task.step.job.state is JobState.FAILED
+
+
+def test_what_runs_of_a_job_that_is_over_is_stopped() -> None:
+    bench = a_successor()
+    bench.scheduler.see_worker("w1", an_entry(), bench.now)
+    name = TaskName(OTHER, 0, 0, 0)
+    bench.hold("w1", running=[RunningTask(name, 5, "", 10.0, 0.0)])
+    stops = [c for c in bench.plan() if isinstance(c, Stop)]
+    assert [(stop.name, stop.run) for stop in stops] == [(name, 5)]
--- a/tests/fakes/peers.py
+++ b/tests/fakes/peers.py
@@ -16,13 +16,13 @@
     WorkerAnswer,
 )
 from mustardward.components.membership.models import Member
-from mustardward.components.peers.codec import MsgpackCodec
 from mustardward.components.peers.exceptions import (
     PeerRefusedError,
     PeerUnreachableError,
 )
 from mustardward.components.peers.protocols import PeerHandler, describe_message
 from mustardward.exceptions import PeerOutcomeUnknownError
+from mustardward.helpers.msgpack_codec import MsgpackCodec
 
 
 @dataclass(eq=False)
