Stop a lasting task at once only if it is known to be away

Change: a task counts as away only by its reported share of work; before a peer is asked for something with an effect it is checked with a call that has none, so that a cut leaves fewer outcomes unknown.

--- a/mustardward/components/forwarding/answering.py
+++ b/mustardward/components/forwarding/answering.py
@@ -11,7 +11,7 @@
 from ...platform import callers
 from ..front.const import ANSWER_MARGIN_SECONDS
 from ..front.services import Front, Reply, Request
-from .const import FAILING_SECONDS, HEDGE_SECONDS
+from .const import CHECK_METHOD, FAILING_SECONDS, HEDGE_SECONDS
 from .models import AskedReply, AskedRequest
 from .services import AskOutcome, Forwarder
 
@@ -52,6 +52,8 @@
         """Return the answer to a peer's question, from the log here or not at all."""
         if self.cut_off():
             return AskedReply(503, b"", confirmed=False)
+        if asked.method == CHECK_METHOD:
+            return AskedReply(200, b"")
         deadline = self.timers.monotonic() + asked.patience
         request = Request(asked.method, asked.host, asked.path, asked.body, deadline)
         reply = await self.front.async_answer(request)
--- a/mustardward/components/forwarding/const.py
+++ b/mustardward/components/forwarding/const.py
@@ -8,6 +8,13 @@
 ASK_SECONDS: Final = 0.8
 """Longest wait for one peer's answer; its own append takes some milliseconds."""
 
+CHECK_METHOD: Final = "CHECK"
+CHECK_SECONDS: Final = 0.3
+"""Longest wait for a check; peers are some milliseconds away."""
+
+CHECKED_SECONDS: Final = 0.3
+"""Time for which an answer shows that a peer can be reached."""
+
 SHUN_SECONDS: Final = 1.5
 """Time in which a peer that did not answer, or was cut off itself, is not asked."""
 
--- a/mustardward/components/forwarding/services.py
+++ b/mustardward/components/forwarding/services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -17,7 +18,15 @@
 from ...helpers.peer_channels import ChannelPool, PeerUnreachableError, Purpose
 from ...helpers.timer import TimerService
 from ..ledger.ledger import Ledger
-from .const import ASK_PATH, ASK_SECONDS, MOST_ASKED, RETRY_LISTEN_SECONDS
+from .const import (
+    ASK_PATH,
+    ASK_SECONDS,
+    CHECK_METHOD,
+    CHECK_SECONDS,
+    CHECKED_SECONDS,
+    MOST_ASKED,
+    RETRY_LISTEN_SECONDS,
+)
 from .models import AskedReply, AskedRequest
 from .peers import PeerBook
 
@@ -56,6 +65,7 @@
     book: PeerBook
     pool: ChannelPool = field(init=False)
     last_answer_at: float = -1.0
+    _answered_at: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Make the pool of connections."""
@@ -74,20 +84,36 @@
             if left <= 0:
                 break
             try:
-                reply = await self._async_ask_one(address, request, left)
-            except PeerUnreachableError as error:
-                self._shun(name, error.detail)
+                await self._async_check(name, address)
+            except _FAILURES as error:
+                self._shun(name, type(error).__name__)
                 continue
+            try:
+                reply = await self._async_ask_one(address, request, left)
             except _FAILURES as error:
                 may_have_effect = True
                 self._shun(name, type(error).__name__)
                 continue
             if reply.confirmed:
                 self.last_answer_at = self.timers.monotonic()
+                self._answered_at[name] = self.last_answer_at
                 return AskOutcome(reply, may_have_effect)
             self._shun(name, "cut off too")
         return AskOutcome(None, may_have_effect)
 
+    async def _async_check(self, name: str, address: str) -> None:
+        """Call a peer without effect, unless it answered just now.
+
+        A call that is cut off on its way may have had its effect, and its caller can
+        then be told nothing sure; a check that is cut off costs nothing.
+        """
+        now = self.timers.monotonic()
+        if now - self._answered_at.get(name, -math.inf) < CHECKED_SECONDS:
+            return
+        check = AskedRequest(CHECK_METHOD, "", "", b"", CHECK_SECONDS)
+        await self._async_ask_one(address, check, CHECK_SECONDS)
+        self._answered_at[name] = self.timers.monotonic()
+
     async def _async_ask_one(
         self, address: str, request: AskedRequest, left: float
     ) -> AskedReply:
--- a/mustardward/components/scheduling/evacuation.py
+++ b/mustardward/components/scheduling/evacuation.py
@@ -36,7 +36,7 @@
             if task.phase is not Phase.RUNNING:
                 continue
             if task.step.spec.long_running:
-                if not task.at_work or may_interrupt(task.step):
+                if task.percent < 100 or may_interrupt(task.step):
                     self.board.stop(task, "evacuation")
             elif self._not_worth_waiting(worker, task, now):
                 self.board.stop(task, "evacuation")
--- a/tests/components/scheduling/test_evacuation.py
+++ b/tests/components/scheduling/test_evacuation.py
@@ -55,3 +55,23 @@
     bench.scheduler.board.workers["w1"].stale = True
     bench.scheduler.set_leaving("w2", True, bench.now)
     assert bench.plan_stops() == []
+
+
+def test_a_task_on_a_leaving_worker_that_is_silent_counts_as_at_work() -> None:
+    """A leaving worker's silence does not let its tasks be stopped together.
+
+    Symptom: a second task of a step that may miss one was stopped on a worker that
+    was being emptied.
+    Sequence: the worker left one call unanswered while the first stop was under way.
+    Cause: a task that is not known to be at work was stopped without a look at the
+    others of its step.
+    """
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=2, long_running=True, may_miss=1)))
+    for start in bench.plan_starts():
+        bench.show_at_work(start.task)
+    bench.scheduler.set_leaving("w1", True, bench.now)
+    assert len(bench.plan_stops()) == 1
+    bench.scheduler.board.workers["w1"].stale = True
+    assert bench.plan_stops() == []
