Let a wave wait for instances that are on their way to another pool

Ruled out: a list that lost instances (the logs show their moves' answers).

Measured: the test fails without the change.

--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -60,6 +60,7 @@
     """Hold the newest list and what runs on its workers.
 
     :param read_at: when the list was asked for, in steady seconds.
+    :param moving: machines that were ordered into another pool.
     """
 
     instances: dict[str, Instance]
@@ -67,6 +68,7 @@
     standby: frozenset[str]
     pools: frozenset[str]
     read_at: float
+    moving: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -85,7 +85,7 @@
             # At once: a task that were placed before the call is sent would end.
             self._set_leaving(self._worker_of(move.machine), True)
             self.tasks.start_soon(self._async_move, move)
-        view = self._without_moving(view)
+        view = replace(view, moving=frozenset(self.pools.orders))
         for decision in self.planner.decide(view, now):
             if isinstance(decision, Empty):
                 _LOGGER.info("instance_emptying", machine=decision.machine)
@@ -174,15 +174,6 @@
         finally:
             self._busy.discard(order.machine)
 
-    def _without_moving(self, view: FleetView) -> FleetView:
-        """Return the view without the instances that are on their way."""
-        staying = {
-            machine: instance
-            for machine, instance in view.instances.items()
-            if machine not in self.pools.orders
-        }
-        return replace(view, instances=staying)
-
     def _begun(self, order: Maintain) -> None:
         _LOGGER.info("maintenance_begun", machine=order.machine, wave=order.wave)
         self.planner.accepted(order.wave, order.machine, self.timers.monotonic())
--- a/mustardward/components/fleet/waves.py
+++ b/mustardward/components/fleet/waves.py
@@ -122,6 +122,8 @@
         for instance in sorted(left, key=lambda i: _cost(i, view)):
             if held >= wanted:
                 return
+            if instance.machine in view.moving:
+                continue
             if instance.state != INSTANCE_UP or instance.machine in run.orders:
                 continue
             if instance.pool not in view.standby and instance.id not in view.loads:
--- a/tests/components/fleet/builders.py
+++ b/tests/components/fleet/builders.py
@@ -31,6 +31,7 @@
     instances: list[Instance],
     loads: dict[str, Load] | None = None,
     read_at: float = 0.0,
+    moving: frozenset[str] = frozenset(),
 ) -> FleetView:
     """Return a view in which workers run nothing unless told otherwise."""
     known = {i.id: EMPTY for i in instances if i.id is not None}
@@ -42,6 +43,7 @@
         frozenset({STANDBY}),
         pools,
         read_at,
+        moving,
     )
 
 
--- a/tests/components/fleet/test_waves.py
+++ b/tests/components/fleet/test_waves.py
@@ -110,6 +110,20 @@
     assert planner.runs[1].done
 
 
+def test_a_wave_waits_for_an_instance_that_moves() -> None:
+    """An instance on its way to another pool is still to be maintained.
+
+    Symptom: a wave was said to be done, and two of its instances had not begun.
+    Sequence: the last two were being moved to another pool while the others ended.
+    Cause: instances that were on their way counted as gone.
+    """
+    planner = a_planner(["m-00"])
+    moving = frozenset({"m-00"})
+    assert planner.decide(a_view(eight(), moving=moving), 0.0) == []
+    assert not planner.runs[1].done
+    assert planner.decide(a_view(eight()), 0.1) == [Empty("m-00", "i-00")]
+
+
 def _orders(planner: WavePlanner, view: object, now: float) -> list[object]:
     decisions = planner.decide(view, now)  # type: ignore[arg-type]
     return [d for d in decisions if isinstance(d, Maintain)]
