--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -73,12 +73,15 @@
     :param claim: names the one claim that won, since a node may claim twice.
     :param node: empty once the owner has given the shard up.
     :param beat: counts renewals.
+    :param wall: the owner's wall clock at the renewal, in seconds; tells a successor
+        how long ago it was, where a jump of the clock may mislead it.
     """
 
     epoch: int
     claim: str
     node: str
     beat: int
+    wall: float = 0.0
 
 
 class WaveRecord(msgspec.Struct, frozen=True, array_like=True):
