Say when to come back by how long the log has been away

Change: a refusal's Retry-After is the outage so far, 1 to 5 s; an unknown job is looked up at the log's end before it is called unknown. Waiting work is cleared within 2 s, not 1.5.

--- a/mustardward/components/fleet/const.py
+++ b/mustardward/components/fleet/const.py
@@ -29,7 +29,7 @@
 """Share of a pool's processors that its work may take before it wants an instance
 more: a move takes seconds, and demand rises to five times its mean within one."""
 
-CLEAR_SECONDS: Final = 1.5
+CLEAR_SECONDS: Final = 2.0
 """Time in which waiting work should be begun; a quick job's objective is about 2 s."""
 
 LEAST_INSTANCES: Final = 2
--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -20,6 +20,7 @@
     ANSWER_MARGIN_SECONDS,
     CONFIG_FRESH_SECONDS,
     FRESH_SECONDS,
+    LONGEST_RETRY_AFTER_SECONDS,
     RETRY_AFTER_SECONDS,
 )
 
@@ -71,7 +72,7 @@
     async def async_answer(self, request: Request) -> Reply:
         """Return the answer to a request."""
         if self.configuration.config is None:
-            return _refused("no-configuration", "the configuration is not read yet")
+            return self._refused("no-configuration", "it is not read yet")
         queue = self.configuration.table.find(request.host, request.path)
         if queue is None:
             return await self._async_no_queue(request)
@@ -96,7 +97,7 @@
         age = self.timers.monotonic() - self.config_follower.fresh_at
         if age > CONFIG_FRESH_SECONDS:
             if not await self.config_follower.async_confirm():
-                return _refused("configuration-old", f"age={age:.1f}")
+                return self._refused("configuration-old", f"age={age:.1f}")
             if self.configuration.table.find(request.host, request.path) is not None:
                 return await self.async_answer(request)
         return _error(404, "no-such-queue", "no queue has this host and prefix")
@@ -139,17 +140,17 @@
         )
         if outcome is Outcome.STORED:
             return Reply(200, callers.encode_state(callers.STATE_QUEUED))
-        return _not_stored(outcome)
+        return self._not_stored(outcome)
 
     async def _async_tell(self, name: str) -> Reply:
         job = self.ledger.jobs.get(name)
-        if job is None or not job.state.final:
-            age = self.timers.monotonic() - self.follower.fresh_at
-            if age > FRESH_SECONDS:
-                confirmed = await self.follower.async_confirm()
-                job = self.ledger.jobs.get(name)
-                if job is None and not confirmed:
-                    return _refused("state-old", f"age={age:.1f}")
+        age = self.timers.monotonic() - self.follower.fresh_at
+        if job is None or (not job.state.final and age > FRESH_SECONDS):
+            # A job may have been accepted by another entry a moment ago.
+            confirmed = await self.follower.async_confirm()
+            job = self.ledger.jobs.get(name)
+            if job is None and not confirmed:
+                return self._refused("state-old", f"age={age:.1f}")
         if job is None:
             return _error(410, "no-such-job", "no job has this id")
         return Reply(200, callers.encode_state(_STATES[job.state]))
@@ -157,7 +158,7 @@
     async def _async_cancel(self, request: Request, name: str) -> Reply:
         job = self.ledger.jobs.get(name)
         if job is None and not await self.follower.async_confirm():
-            return _refused("state-old", "the log can't be read")
+            return self._refused("state-old", "the log can't be read")
         job = self.ledger.jobs.get(name)
         if job is None:
             return _error(410, "no-such-job", "no job has this id")
@@ -168,9 +169,24 @@
             )
             _LOGGER.info("job_cancelled", job=name, outcome=outcome.value)
             if outcome is not Outcome.STORED:
-                return _not_stored(outcome)
+                return self._not_stored(outcome)
         return Reply(200, callers.encode_state(callers.STATE_CANCELLED))
 
+    def _refused(self, code: str, detail: str) -> Reply:
+        """Return a refusal that is true: nothing of the request was kept."""
+        now = self.timers.monotonic()
+        failing = (self.follower.failing_since, self.config_follower.failing_since)
+        outage = max((now - since for since in failing if since is not None), default=0)
+        pause = retry_after(outage)
+        _LOGGER.info("request_refused", code=code, detail=detail, retry_after=pause)
+        return Reply(503, callers.encode_error(code, detail), pause)
+
+    def _not_stored(self, outcome: Outcome) -> Reply:
+        if outcome is Outcome.NOT_STORED:
+            return self._refused("not-stored", "the log did not take it")
+        # It may be stored, now or later: to call it refused would be a guess.
+        return _error(504, "outcome-unknown", "ask again with the same id")
+
     async def _async_count(self, request: Request, queue: Queue) -> Reply:
         if request.method != "GET":
             return _error(405, "method-not-allowed", request.method)
@@ -185,14 +201,13 @@
     return Reply(status, callers.encode_error(code, detail))
 
 
-def _refused(code: str, detail: str) -> Reply:
-    """Return a refusal that is true: nothing of the request was kept."""
-    _LOGGER.info("request_refused", code=code, detail=detail)
-    return Reply(503, callers.encode_error(code, detail), RETRY_AFTER_SECONDS)
+def retry_after(outage_seconds: float) -> int:
+    """Return when a refused caller should come back, in whole seconds.
 
-
-def _not_stored(outcome: Outcome) -> Reply:
-    if outcome is Outcome.NOT_STORED:
-        return _refused("not-stored", "the log did not take it")
-    # It may be stored, now or later: to call it refused would be a guess.
-    return _error(504, "outcome-unknown", "ask again with the same id")
+    Callers give up after a few tries. With a short pause they are all used up in one
+    outage; a pause as long as the outage has lasted makes few tries span a long one,
+    and still ends soon after a short one.
+    """
+    return int(
+        min(LONGEST_RETRY_AFTER_SECONDS, max(RETRY_AFTER_SECONDS, outage_seconds))
+    )
--- /dev/null
+++ b/tests/components/front/__init__.py
@@ -0,0 +1,1 @@
+"""Test answering callers."""
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Test the names and formats of the platform."""
