Type the platform's bodies, and name its calls in one place

Cause: bodies were bare maps, and a stand-in served over HTTP would have to repeat the platform's names.

--- a/mustardward/platform/advice.py
+++ b/mustardward/platform/advice.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from . import names
+from .bodies import AdviceBody, AdviseBody
 from .exceptions import CallRefusedError, CallUnknownError
 from .http import HttpCaller
 
@@ -21,17 +23,12 @@
     valid_ms: float
 
 
-class _Allowed(msgspec.Struct, rename="kebab"):
-    allowed: list[list[str]] = []
-    valid_ms: float = 0
-
-
 class AdviceClient:
     """Call the advice service."""
 
     def __init__(self, http: HttpCaller, address: str) -> None:
         self._http = http
-        self._url = f"http://{address}/mustardward/advise"
+        self._url = f"http://{address}{names.ADVISE}"
 
     async def async_ask(
         self,
@@ -45,7 +42,7 @@
 
         :raises CallRefusedError: if there was no advice.
         """
-        body = {"step": f"{job}.{occurrence}.{step}", "workers": workers[:MOST_WORKERS]}
+        body = AdviseBody(f"{job}.{occurrence}.{step}", workers[:MOST_WORKERS])
         try:
             answer = await self._http.async_call(
                 "POST",
@@ -56,7 +53,7 @@
             )
             if answer.status != 200:
                 raise CallRefusedError(f"status={answer.status}")
-            allowed = msgspec.json.decode(answer.body, type=_Allowed)
+            allowed = msgspec.json.decode(answer.body, type=AdviceBody)
         except (CallUnknownError, msgspec.MsgspecError) as error:
             raise CallRefusedError(str(error)) from error
         return StepAdvice({row[0]: row[1] for row in allowed.allowed}, allowed.valid_ms)
--- a/mustardward/platform/callers.py
+++ b/mustardward/platform/callers.py
@@ -9,8 +9,9 @@
 
 from .exceptions import MalformedJobError
 from .models import SubmittedJob
+from .names import ROOT
 
-READINESS_PATH: Final = "/mustardward/readiness"
+READINESS_PATH: Final = f"{ROOT}/readiness"
 HEADER_DEADLINE_MS: Final = "Mustardward-Deadline-Ms"
 MOST_SPEC_BYTES: Final = 4000
 
--- a/mustardward/platform/fleet.py
+++ b/mustardward/platform/fleet.py
@@ -6,23 +6,13 @@
 
 import msgspec
 
+from . import names
+from .bodies import ListedBody, MaintainBody, MoveBody, RefusedBody
 from .exceptions import CallRefusedError, CallUnknownError, FencedError
 from .http import Answer, HttpCaller
 from .models import Instance
 
-HEADER_HOLDER: Final = "Mustardward-Lease-Holder"
-HEADER_TOKEN: Final = "Mustardward-Fencing-Token"
 FLEET_TIMEOUT_SECONDS: Final = 1.5
-_REFUSED_FENCE: Final = "fence"
-
-
-class _Listed(msgspec.Struct, rename="kebab"):
-    machines: list[Instance]
-    next_token: str | None = None
-
-
-class _Refused(msgspec.Struct):
-    reason: str = ""
 
 
 class FleetClient:
@@ -33,7 +23,7 @@
 
     def __init__(self, http: HttpCaller, address: str, holder: str) -> None:
         self._http = http
-        self._base = f"http://{address}/mustardward"
+        self._base = f"http://{address}"
         self._holder = holder
 
     async def async_list(self) -> list[Instance]:
@@ -57,9 +47,7 @@
         :raises CallUnknownError: if it may have moved.
         :raises FencedError: if a newer owner acted on it.
         """
-        await self._async_order(
-            "machine-move", {"machine": machine, "pool": pool}, token
-        )
+        await self._async_order(names.MACHINE_MOVE, MoveBody(machine, pool), token)
 
     async def async_maintain(self, machine: str, wave: int, token: int) -> None:
         """Begin an instance's maintenance; everything on it ends at once.
@@ -69,32 +57,32 @@
         :raises FencedError: if a newer owner acted on it.
         """
         await self._async_order(
-            "machine-upkeep", {"machine": machine, "wave": wave}, token
+            names.MACHINE_UPKEEP, MaintainBody(machine, wave), token
         )
 
-    async def _async_page(self, token: str) -> _Listed:
-        params = {"page-token": token} if token else None
+    async def _async_page(self, token: str) -> ListedBody:
+        params = {names.PARAM_PAGE: token} if token else None
         try:
             answer = await self._http.async_call(
                 "GET",
-                f"{self._base}/machines",
+                self._base + names.MACHINES,
                 params=params,
                 timeout_seconds=FLEET_TIMEOUT_SECONDS,
             )
             if answer.status != 200:
                 raise CallRefusedError(f"status={answer.status}")
-            return msgspec.json.decode(answer.body, type=_Listed)
+            return msgspec.json.decode(answer.body, type=ListedBody)
         except (CallUnknownError, msgspec.MsgspecError) as error:
             raise CallRefusedError(str(error)) from error
 
-    async def _async_order(self, call: str, body: object, token: int) -> None:
+    async def _async_order(self, call: str, body: msgspec.Struct, token: int) -> None:
         answer = await self._http.async_call(
             "POST",
-            f"{self._base}/{call}",
+            self._base + call,
             body=msgspec.json.encode(body),
             headers={
-                HEADER_HOLDER: self._holder,
-                HEADER_TOKEN: str(token),
+                names.HEADER_HOLDER: self._holder,
+                names.HEADER_TOKEN: str(token),
                 "Content-Type": "application/json",
             },
             timeout_seconds=FLEET_TIMEOUT_SECONDS,
@@ -102,7 +90,7 @@
         if answer.status == 200:
             return
         reason = _reason(answer)
-        if answer.status == 409 and reason == _REFUSED_FENCE:
+        if answer.status == 409 and reason == names.REASON_FENCE:
             raise FencedError(call)
         if answer.status in (400, 409, 429, 503):
             raise CallRefusedError(f"status={answer.status} reason={reason}")
@@ -111,6 +99,6 @@
 
 def _reason(answer: Answer) -> str:
     try:
-        return msgspec.json.decode(answer.body, type=_Refused).reason
+        return msgspec.json.decode(answer.body, type=RefusedBody).reason
     except msgspec.MsgspecError:
         return ""
--- a/mustardward/platform/store.py
+++ b/mustardward/platform/store.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from . import names
+from .bodies import AppendedBody, AppendRefusedBody, GoneBody, NewestBody
 from .exceptions import (
     CallRefusedError,
     CallUnknownError,
@@ -72,33 +74,6 @@
     sequence: int
 
 
-class _Appended(msgspec.Struct):
-    offset: int = 0
-    end: int = 0
-
-
-class _AppendRefused(msgspec.Struct):
-    reason: str = ""
-    seq: int = 0
-    expected: int = 0
-
-
-class _Gone(msgspec.Struct):
-    first: int = 0
-
-
-class _NewestItem(msgspec.Struct):
-    key: str
-    offset: int
-    value: str = ""
-
-
-class _Newest(msgspec.Struct, rename="kebab"):
-    items: list[_NewestItem]
-    end: int
-    more_pages: bool = False
-
-
 def encode_keyed(records: Iterable[tuple[str, bytes]]) -> bytes:
     """Return the body of an append to a keyed topic."""
     parts: list[bytes] = []
@@ -139,7 +114,7 @@
 
     def __init__(self, http: HttpCaller, address: str) -> None:
         self._http = http
-        self._base = f"http://{address}/mustardward"
+        self._base = f"http://{address}"
 
     async def async_append(
         self,
@@ -155,20 +130,20 @@
         :raises FencedError: if a higher epoch of this producer was seen.
         :raises SequenceError: if the number does not follow the producer's last.
         """
-        params = {"topic": topic, "part": "0"}
+        params = {names.PARAM_TOPIC: topic, names.PARAM_PART: "0"}
         if producer is not None:
-            params["producer"] = producer.name
-            params["epoch"] = str(producer.epoch)
-            params["seq"] = str(producer.sequence)
+            params[names.PARAM_PRODUCER] = producer.name
+            params[names.PARAM_EPOCH] = str(producer.epoch)
+            params[names.PARAM_SEQUENCE] = str(producer.sequence)
         answer = await self._http.async_call(
             "POST",
-            f"{self._base}/log-append",
+            self._base + names.LOG_APPEND,
             params=params,
             body=encode_keyed(records),
             timeout_seconds=timeout_seconds,
         )
         if answer.status == 200:
-            return _decode(answer, _Appended).end
+            return _decode(answer, AppendedBody).end
         if answer.status == 409:
             raise _append_refusal(answer)
         raise CallRefusedError(f"status={answer.status}")
@@ -182,18 +157,18 @@
         :raises CallRefusedError: if the store did not answer with records.
         """
         answer = await self._async_get(
-            "log-read",
+            names.LOG_READ,
             {
-                "topic": topic,
-                "part": "0",
-                "from": str(from_offset),
-                "wait-ms": str(wait_ms),
-                "max-kilobytes": str(kilobytes),
+                names.PARAM_TOPIC: topic,
+                names.PARAM_PART: "0",
+                names.PARAM_FROM: str(from_offset),
+                names.PARAM_WAIT: str(wait_ms),
+                names.PARAM_KILOBYTES: str(kilobytes),
             },
             wait_ms / 1000 + LONG_POLL_SLACK_SECONDS,
         )
         if answer.status == 410:
-            raise OffsetGoneError(_decode(answer, _Gone).first)
+            raise OffsetGoneError(_decode(answer, GoneBody).first)
         if answer.status != 200 or len(answer.body) < _HEAD.size:
             raise CallRefusedError(f"status={answer.status}")
         return decode_keyed(answer.body, from_offset)
@@ -203,13 +178,13 @@
 
         :raises CallRefusedError: if the store did not answer with records.
         """
-        params = {"topic": topic, "part": "0"}
+        params = {names.PARAM_TOPIC: topic, names.PARAM_PART: "0"}
         if after:
-            params["after"] = after
-        answer = await self._async_get("log-newest", params, CALL_TIMEOUT_SECONDS)
+            params[names.PARAM_AFTER] = after
+        answer = await self._async_get(names.LOG_NEWEST, params, CALL_TIMEOUT_SECONDS)
         if answer.status != 200:
             raise CallRefusedError(f"status={answer.status}")
-        newest = _decode(answer, _Newest)
+        newest = _decode(answer, NewestBody)
         records = [
             KeyedRecord(item.offset, item.key, base64.b64decode(item.value))
             for item in newest.items
@@ -222,7 +197,7 @@
         try:
             return await self._http.async_call(
                 "GET",
-                f"{self._base}/{call}",
+                self._base + call,
                 params=params,
                 timeout_seconds=timeout_seconds,
             )
@@ -232,10 +207,10 @@
 
 
 def _append_refusal(answer: Answer) -> Exception:
-    refusal = _decode(answer, _AppendRefused)
-    if refusal.reason == "fenced":
+    refusal = _decode(answer, AppendRefusedBody)
+    if refusal.reason == names.REASON_FENCED:
         return FencedError("append")
-    return SequenceError(refusal.seq or refusal.expected)
+    return SequenceError(refusal.seq)
 
 
 def _decode(answer: Answer, kind: type[T]) -> T:
--- a/mustardward/platform/workers.py
+++ b/mustardward/platform/workers.py
@@ -7,6 +7,15 @@
 
 import msgspec
 
+from . import names
+from .bodies import (
+    ClockBody,
+    HoldAnswerBody,
+    HoldBody,
+    PaceBody,
+    StartBody,
+    StopBody,
+)
 from .exceptions import (
     CallRefusedError,
     CallUnknownError,
@@ -15,7 +24,6 @@
 )
 from .http import Answer, HttpCaller
 
-HEADER_EXPECTED: Final = "Mustardward-Expected-Instance"
 START_TIMEOUT_SECONDS: Final = 0.35
 """An answer takes 2 to 5 ms; an order that is carried out late gets none at all, and
 its task waits until it is given up."""
@@ -27,7 +35,6 @@
 REFUSED_OLD: Final = "old"
 REFUSED_LATE: Final = "late"
 REFUSED_TICKET: Final = "ticket"
-_REFUSED_FENCE: Final = "fence"
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,17 +102,6 @@
     ticket: str
 
 
-class _Hold(msgspec.Struct, rename="kebab"):
-    clock_ms: float
-    running: list[list[Any]] = []
-    ended: list[list[Any]] = []
-
-
-class _Clock(msgspec.Struct, rename="kebab"):
-    clock_ms: float = 0
-    reason: str = ""
-
-
 def encode_task(task: TaskName) -> str:
     """Return a task's name as workers know it."""
     return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
@@ -133,10 +129,10 @@
         self, http: HttpCaller, address: str, incarnation: str, token: int
     ) -> None:
         self._http = http
-        self._base = f"http://{address}/mustardward"
+        self._base = f"http://{address}"
         self._token = token
         self._headers = {
-            HEADER_EXPECTED: incarnation,
+            names.HEADER_EXPECTED: incarnation,
             "Content-Type": "application/json",
         }
 
@@ -148,18 +144,16 @@
         :raises FencedError: if a newer owner's token was seen.
         :raises WrongIncarnationError: if another incarnation answered.
         """
-        body: dict[str, object] = {
-            "task": encode_task(order.task),
-            "run": order.run,
-            "spec": order.spec,
-            "deadline-ms": order.deadline_ms,
-            "fence": self._token,
-        }
-        if order.checkpoint:
-            body["last-checkpoint"] = order.checkpoint
-        if order.ticket:
-            body["ticket"] = order.ticket
-        answer = await self._async_post("run-start", body, START_TIMEOUT_SECONDS)
+        body = StartBody(
+            encode_task(order.task),
+            order.run,
+            order.spec,
+            order.deadline_ms,
+            self._token,
+            order.checkpoint,
+            order.ticket,
+        )
+        answer = await self._async_post(names.RUN_START, body, START_TIMEOUT_SECONDS)
         clock = _decode_clock(answer)
         return StartAnswer(clock.clock_ms, clock.reason)
 
@@ -168,18 +162,13 @@
 
         :raises CallUnknownError: if it may still run.
         """
-        body = {"task": encode_task(task), "run": run, "fence": self._token}
-        await self._async_post("run-stop", body, START_TIMEOUT_SECONDS)
+        body = StopBody(encode_task(task), run, self._token)
+        await self._async_post(names.RUN_STOP, body, START_TIMEOUT_SECONDS)
 
     async def async_pace(self, task: TaskName, run: int, percent: int) -> None:
         """Let a run work at a share of its speed."""
-        body = {
-            "task": encode_task(task),
-            "run": run,
-            "percent": percent,
-            "fence": self._token,
-        }
-        await self._async_post("pace", body, START_TIMEOUT_SECONDS)
+        body = PaceBody(encode_task(task), run, percent, self._token)
+        await self._async_post(names.PACE, body, START_TIMEOUT_SECONDS)
 
     async def async_hold(
         self, seen_upto: int, deadline_ms: int | None, wait_ms: int
@@ -188,29 +177,25 @@
 
         :raises CallUnknownError: if there was no answer.
         """
-        body: dict[str, object] = {"fence": self._token, "seen-upto": seen_upto}
-        if deadline_ms is not None:
-            body["deadline-ms"] = deadline_ms
-        if wait_ms:
-            body["wait-ms"] = wait_ms
+        body = HoldBody(self._token, seen_upto, deadline_ms, wait_ms)
         answer = await self._async_post(
-            "hold", body, wait_ms / 1000 + HOLD_SLACK_SECONDS
+            names.HOLD, body, wait_ms / 1000 + HOLD_SLACK_SECONDS
         )
         return _decode_hold(answer)
 
     async def _async_post(
-        self, call: str, body: dict[str, object], timeout_seconds: float
+        self, call: str, body: msgspec.Struct, timeout_seconds: float
     ) -> Answer:
         answer = await self._http.async_call(
             "POST",
-            f"{self._base}/{call}",
+            self._base + call,
             body=msgspec.json.encode(body),
             headers=self._headers,
             timeout_seconds=timeout_seconds,
         )
         if answer.status == 421:
-            raise WrongIncarnationError(answer.headers.get(HEADER_EXPECTED, ""))
-        if answer.status == 409 and _decode_clock(answer).reason == _REFUSED_FENCE:
+            raise WrongIncarnationError(answer.headers.get(names.HEADER_EXPECTED, ""))
+        if answer.status == 409 and _decode_clock(answer).reason == names.REASON_FENCE:
             raise FencedError(call)
         if answer.status in (200, 409):
             return answer
@@ -219,16 +204,16 @@
         raise CallUnknownError(f"status={answer.status}")
 
 
-def _decode_clock(answer: Answer) -> _Clock:
+def _decode_clock(answer: Answer) -> ClockBody:
     try:
-        return msgspec.json.decode(answer.body, type=_Clock)
+        return msgspec.json.decode(answer.body, type=ClockBody)
     except msgspec.MsgspecError as error:
         raise CallUnknownError(str(error)) from error
 
 
 def _decode_hold(answer: Answer) -> HoldAnswer:
     try:
-        hold = msgspec.json.decode(answer.body, type=_Hold)
+        hold = msgspec.json.decode(answer.body, type=HoldAnswerBody)
         running = [_running(row) for row in hold.running]
         ended = [
             EndedTask(int(row[0]), decode_task(row[1]), int(row[2]), row[3], row[4])
