--- a/mustardward/cli/demo.py
+++ b/mustardward/cli/demo.py
@@ -45,12 +45,15 @@
 
 async def _async_run() -> list[DemoLine]:
     from ..embedded.demo import DemoLine, async_run_demo
+    from ..embedded.estate_demo import async_run_estate_demo
     from ..helpers.timer import LoopTimerService
 
     lines: list[DemoLine] = []
     with anyio.move_on_after(MOST_SECONDS) as scope:
         async with anyio.create_task_group() as tasks:
             lines = await async_run_demo(LoopTimerService(tasks))
+            if all(line.succeeded for line in lines):
+                lines.extend(await async_run_estate_demo())
             tasks.cancel_scope.cancel()
     if scope.cancelled_caught:
         lines.append(DemoLine("end", "took too long", MOST_SECONDS, False))
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -112,8 +112,18 @@
             _share(boot),
         )
 
-    async def async_run(self) -> None:
-        """Run until told to stop."""
+    @property
+    def owns(self) -> bool:
+        """Return whether this entry owns the shard."""
+        return self._ownership.owner is not None
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers are served here."""
+        return self._is_ready()
+
+    async def async_start(self) -> None:
+        """Listen, and begin to take part."""
         self._timers.start()
         listen = self._boot.listen
         await self._server.async_listen(listen.front, listen.ready)
@@ -127,13 +137,6 @@
             async_serve_peers, address, self._answering.async_answer_peer, self._timers
         )
         self._tasks.start_soon(self._async_register, address)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-            async for number in signals:
-                if number == signal.SIGTERM:
-                    break
-                _LOGGER.info("settings_reloaded", node=self._boot.node)
-        await self._async_leave()
-        self._tasks.cancel_scope.cancel()
 
     async def _async_register(self, address: str) -> None:
         """Tell the other entries where this one answers them."""
@@ -142,7 +145,13 @@
         if self._ledger.nodes.get(self._boot.node) != record:
             self._appender.post([(PREFIX_NODE + self._boot.node, encode(record))])
 
-    async def _async_leave(self) -> None:
+    async def async_close(self) -> None:
+        """Close all connections at once."""
+        await self._server.async_close()
+        await self._http.async_close()
+
+    async def async_leave(self) -> None:
+        """Give up what is owned, and go on answering until callers went elsewhere."""
         _LOGGER.info("node_leaving", node=self._boot.node)
         self._server.leaving = True
         await self._ownership.async_leave()
@@ -180,9 +189,17 @@
 
 
 async def async_main(boot: BootSettings) -> None:
-    """Run one entry."""
+    """Run one entry until it is told to stop."""
     async with anyio.create_task_group() as tasks:
-        await Node(boot, tasks).async_run()
+        node = Node(boot, tasks)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            await node.async_start()
+            async for number in signals:
+                if number == signal.SIGTERM:
+                    break
+                _LOGGER.info("settings_reloaded", node=boot.node)
+        await node.async_leave()
+        tasks.cancel_scope.cancel()
 
 
 def set_up_logging() -> None:
--- /dev/null
+++ b/mustardward/standin/estate/app.py
@@ -0,0 +1,228 @@
+"""Serve the stand-in platform over HTTP, so that real entries run against it."""
+
+from __future__ import annotations
+
+import base64
+import struct
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any, Final
+
+import anyio
+import msgspec
+from aiohttp import web
+
+from ...platform import names
+from ...platform.bodies import (
+    AppendedBody,
+    AppendRefusedBody,
+    ClockBody,
+    GoneBody,
+    HoldBody,
+    ListedBody,
+    MaintainBody,
+    MoveBody,
+    NewestBody,
+    NewestItem,
+    PaceBody,
+    RefusedBody,
+    StartBody,
+    StopBody,
+)
+from ...platform.exceptions import (
+    CallRefusedError,
+    CallUnknownError,
+    FencedError,
+    OffsetGoneError,
+    SequenceError,
+)
+from ...platform.store import Producer, decode_keyed, encode_keyed
+from .estate import Estate, EstatePlan
+from .worker import MemoryWorker
+
+_HEAD: Final = struct.Struct(">QQ")
+TICK_SECONDS: Final = 0.01
+SILENCE_SECONDS: Final = 30.0
+"""A silent store or worker keeps a call open for so long."""
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class EstateApp:
+    """Answer the platform's calls."""
+
+    def __init__(self, estate: Estate) -> None:
+        self._estate = estate
+        self._handlers: dict[tuple[str, str], Handler] = {
+            ("POST", names.LOG_APPEND): self._async_append,
+            ("GET", names.LOG_READ): self._async_read,
+            ("GET", names.LOG_NEWEST): self._async_newest,
+            ("POST", names.RUN_START): self._async_start,
+            ("POST", names.RUN_STOP): self._async_stop,
+            ("POST", names.HOLD): self._async_hold,
+            ("POST", names.PACE): self._async_pace,
+            ("GET", names.MACHINES): self._async_list,
+            ("POST", names.MACHINE_MOVE): self._async_move,
+            ("POST", names.MACHINE_UPKEEP): self._async_maintain,
+        }
+
+    async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call."""
+        handler = self._handlers.get((request.method, request.path))
+        if handler is None:
+            return web.Response(status=404)
+        self._estate.advance(time.monotonic())
+        try:
+            return await handler(request)  # type: ignore[arg-type]
+        except CallRefusedError:
+            return web.Response(status=503)
+        except CallUnknownError:
+            await anyio.sleep(SILENCE_SECONDS)
+            return web.Response(status=503)
+
+    async def _async_append(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        page = decode_keyed(_HEAD.pack(0, 0) + body, 0)
+        records = [(record.key, record.value) for record in page.records]
+        topic = request.query[names.PARAM_TOPIC]
+        producer = None
+        if names.PARAM_PRODUCER in request.query:
+            producer = Producer(
+                request.query[names.PARAM_PRODUCER],
+                int(request.query[names.PARAM_EPOCH]),
+                int(request.query[names.PARAM_SEQUENCE]),
+            )
+        try:
+            end = await self._estate.store.async_append(topic, records, producer)
+        except FencedError:
+            return _json(AppendRefusedBody(names.REASON_FENCED), 409)
+        except SequenceError as error:
+            refusal = AppendRefusedBody(names.REASON_SEQUENCE, error.expected)
+            return _json(refusal, 409)
+        return _json(AppendedBody(end - len(records), end))
+
+    async def _async_read(self, request: web.Request) -> web.StreamResponse:
+        topic = request.query[names.PARAM_TOPIC]
+        start = int(request.query[names.PARAM_FROM])
+        wait_ms = int(request.query.get(names.PARAM_WAIT, "0"))
+        until = time.monotonic() + wait_ms / 1000
+        while True:
+            try:
+                page = await self._estate.store.async_read(topic, start, 0)
+            except OffsetGoneError as error:
+                return _json(GoneBody(error.first), 410)
+            if page.records or time.monotonic() >= until:
+                break
+            await anyio.sleep(TICK_SECONDS)
+        body = encode_keyed((record.key, record.value) for record in page.records)
+        return web.Response(body=_HEAD.pack(page.end, start) + body)
+
+    async def _async_newest(self, request: web.Request) -> web.StreamResponse:
+        page = await self._estate.store.async_newest(
+            request.query[names.PARAM_TOPIC], request.query.get(names.PARAM_AFTER, "")
+        )
+        items = [
+            NewestItem(r.key, r.offset, base64.b64encode(r.value).decode())
+            for r in page.records
+        ]
+        return _json(NewestBody(items, page.end, page.more))
+
+    async def _async_start(self, request: web.Request) -> web.StreamResponse:
+        order = msgspec.json.decode(await request.read(), type=StartBody)
+        worker = await self._async_worker(request)
+        if worker is None:
+            return web.Response(status=421)
+        return _clock(worker.start(order, _now_ms()))
+
+    async def _async_stop(self, request: web.Request) -> web.StreamResponse:
+        order = msgspec.json.decode(await request.read(), type=StopBody)
+        worker = await self._async_worker(request)
+        if worker is None:
+            return web.Response(status=421)
+        return _clock(worker.stop(order.task, order.run, order.fence, _now_ms()))
+
+    async def _async_pace(self, request: web.Request) -> web.StreamResponse:
+        msgspec.json.decode(await request.read(), type=PaceBody)
+        return _clock("")
+
+    async def _async_hold(self, request: web.Request) -> web.StreamResponse:
+        call = msgspec.json.decode(await request.read(), type=HoldBody)
+        worker = await self._async_worker(request)
+        if worker is None:
+            return web.Response(status=421)
+        worker.hold(call.fence, call.seen_upto, call.deadline_ms, _now_ms())
+        until = time.monotonic() + call.wait_ms / 1000
+        while time.monotonic() < until and not worker.has_news(call.seen_upto):
+            await anyio.sleep(TICK_SECONDS)
+            worker.advance(_now_ms())
+        answer = worker.hold(call.fence, call.seen_upto, None, _now_ms())
+        if answer is None:
+            return _clock(names.REASON_FENCE)
+        return _json(answer)
+
+    async def _async_worker(self, request: web.Request) -> MemoryWorker | None:
+        worker_id = request.headers.get(names.HEADER_EXPECTED, "")
+        worker = self._estate.workers.get(worker_id)
+        if worker is not None and worker.silent:
+            await anyio.sleep(SILENCE_SECONDS)
+        return worker
+
+    async def _async_list(self, request: web.Request) -> web.StreamResponse:
+        return _json(ListedBody(self._estate.list_instances()))
+
+    async def _async_move(self, request: web.Request) -> web.StreamResponse:
+        order = msgspec.json.decode(await request.read(), type=MoveBody)
+        now = time.monotonic()
+        token = int(request.headers[names.HEADER_TOKEN])
+        return _refusal(self._estate.move(order.machine, order.pool, token, now))
+
+    async def _async_maintain(self, request: web.Request) -> web.StreamResponse:
+        order = msgspec.json.decode(await request.read(), type=MaintainBody)
+        now = time.monotonic()
+        token = int(request.headers[names.HEADER_TOKEN])
+        return _refusal(self._estate.maintain(order.machine, order.wave, token, now))
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1000
+
+
+def _json(body: Any, status: int = 200) -> web.Response:
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(body),
+        content_type="application/json",
+    )
+
+
+def _clock(reason: str) -> web.Response:
+    return _json(ClockBody(_now_ms(), reason), 409 if reason else 200)
+
+
+def _refusal(reason: str) -> web.Response:
+    return _json(RefusedBody(reason), 409 if reason else 200)
+
+
+@asynccontextmanager
+async def async_run_estate(plan: EstatePlan, host: str) -> AsyncIterator[Estate]:
+    """Serve a platform on a free port until the block ends.
+
+    ``estate.address`` tells where.
+    """
+    holder: list[EstateApp] = []
+
+    async def async_handle(request: web.BaseRequest) -> web.StreamResponse:
+        return await holder[0].async_handle(request)
+
+    runner = web.ServerRunner(web.Server(async_handle, access_log=None))
+    await runner.setup()
+    site = web.TCPSite(runner, host, 0)
+    await site.start()
+    port = runner.addresses[0][1]
+    estate = Estate(plan, f"{host}:{port}")
+    holder.append(EstateApp(estate))
+    try:
+        yield estate
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/mustardward/standin/estate/estate.py
@@ -0,0 +1,247 @@
+"""Tie a store, workers and a fleet into one platform."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import Final
+
+import msgspec
+
+from ...components.ledger.const import PREFIX_JOB, TOPIC
+from ...components.ledger.models import JobRecord
+from ...platform.models import INSTANCE_UP, Instance, Room
+from ...platform.names import REASON_BUSY, REASON_FENCE, REASON_WAVE
+from ...platform.store import (
+    KEY_CONFIG,
+    KEY_WAVE_PREFIX,
+    TOPIC_OPERATOR,
+    TOPIC_WORKERS,
+)
+from .store import MemoryStore
+from .worker import MemoryWorker, Work, draw_seconds
+
+DOWN_SECONDS: Final = 0.5
+"""How long an instance is away for a move or maintenance."""
+
+STATE_MOVING: Final = "moving"
+STATE_UPKEEP: Final = "upkeep"
+
+_JOB: Final = msgspec.msgpack.Decoder(JobRecord)
+
+
+@dataclass(frozen=True, slots=True)
+class EstatePlan:
+    """Hold how large a platform is.
+
+    :param pools: names of the pools that serve.
+    :param instances: instances in each of them.
+    :param standby: instances that are off.
+    """
+
+    pools: tuple[str, ...] = ("pool-a", "pool-b")
+    instances: int = 2
+    standby: int = 2
+    cores: int = 8
+    seed: int = 1
+
+
+@dataclass(slots=True, eq=False)
+class _Machine:
+    """Hold one instance."""
+
+    name: str
+    pool: str
+    rack: str
+    state: str = INSTANCE_UP
+    back_at: float = 0.0
+    incarnation: int = 0
+    worker: MemoryWorker | None = None
+    maintained: set[int] = field(default_factory=set)
+    token: int = 0
+
+
+class Estate:
+    """Play the platform.
+
+    :param address: the ``host:port`` at which workers are called.
+    """
+
+    def __init__(self, plan: EstatePlan, address: str) -> None:
+        self.store = MemoryStore()
+        self.workers: dict[str, MemoryWorker] = {}
+        self.work_of: dict[str, Work] = {}
+        self.orders: list[tuple[str, str, str]] = []
+        self._plan = plan
+        self._address = address
+        self._random = random.Random(plan.seed)
+        self._machines: dict[str, _Machine] = {}
+        self._read_upto = 0
+        self._versions = 0
+        self._add_machines()
+
+    @property
+    def address(self) -> str:
+        """Return where everything of the platform is called."""
+        return self._address
+
+    def publish_config(self, queues: dict[str, str], host: str) -> int:
+        """Put a configuration in force.
+
+        :param queues: the pool of each path prefix.
+        """
+        self._versions += 1
+        pools = [*self._plan.pools, "standby"]
+        body = {
+            "version": self._versions,
+            "routes": [
+                {
+                    "name": prefix.strip("/"),
+                    "host": host,
+                    "path-prefix": prefix,
+                    "service": pool,
+                    "target-duration-ms": 600,
+                    "stretch": 1.6,
+                }
+                for prefix, pool in queues.items()
+            ],
+            "services": [{"name": p, "standby": p == "standby"} for p in pools],
+            "limits": {},
+        }
+        record = (KEY_CONFIG, msgspec.json.encode(body))
+        self.store.append(TOPIC_OPERATOR, [record])
+        return self._versions
+
+    def publish_wave(self, number: int, machines: list[str], max_count: int) -> None:
+        """Ask for the maintenance of instances."""
+        body = {
+            "wave": number,
+            "machines": machines,
+            "duration-s": 20,
+            "max-count": max_count,
+        }
+        record = (f"{KEY_WAVE_PREFIX}{number}", msgspec.json.encode(body))
+        self.store.append(TOPIC_OPERATOR, [record])
+
+    def advance(self, now: float) -> None:
+        """Let time pass: learn of jobs, and bring instances back."""
+        self._learn_jobs()
+        for machine in self._machines.values():
+            if machine.state != INSTANCE_UP and now >= machine.back_at:
+                machine.state = INSTANCE_UP
+                self._boot(machine)
+        for worker in self.workers.values():
+            worker.advance(now * 1000)
+
+    def list_instances(self) -> list[Instance]:
+        """Return the fleet's list."""
+        return [
+            Instance(
+                machine=machine.name,
+                pool=machine.pool,
+                state=machine.state,
+                zone="z1",
+                labels=["a", machine.rack],
+                capacity=Room(cpu=self._plan.cores * 1000, mem_mb=65536),
+                id=machine.worker.id if machine.worker is not None else None,
+            )
+            for machine in self._machines.values()
+        ]
+
+    def move(self, name: str, pool: str, token: int, now: float) -> str:
+        """Move an instance; return the reason of a refusal, or nothing."""
+        machine = self._machines[name]
+        if token < machine.token:
+            return REASON_FENCE
+        if machine.pool == pool:
+            return ""
+        if machine.state != INSTANCE_UP:
+            return REASON_BUSY
+        machine.token = token
+        self.orders.append(("move", name, pool))
+        machine.pool = pool
+        self._take_down(machine, STATE_MOVING, now)
+        return ""
+
+    def maintain(self, name: str, wave: int, token: int, now: float) -> str:
+        """Maintain an instance; return the reason of a refusal, or nothing."""
+        machine = self._machines[name]
+        if token < machine.token:
+            return REASON_FENCE
+        if wave in machine.maintained:
+            return ""
+        if machine.state != INSTANCE_UP:
+            return REASON_BUSY
+        if wave < 1:
+            return REASON_WAVE
+        machine.token = token
+        machine.maintained.add(wave)
+        self.orders.append(("maintain", name, str(wave)))
+        self._take_down(machine, STATE_UPKEEP, now)
+        return ""
+
+    def crash(self, worker_id: str, now: float) -> None:
+        """End a worker without a sign; its instance comes back as another one."""
+        for machine in self._machines.values():
+            if machine.worker is not None and machine.worker.id == worker_id:
+                self._take_down(machine, "down", now)
+
+    def _add_machines(self) -> None:
+        number = 0
+        for pool in self._plan.pools:
+            for _ in range(self._plan.instances):
+                self._add_machine(number, pool)
+                number += 1
+        for _ in range(self._plan.standby):
+            self._add_machine(number, "standby")
+            number += 1
+
+    def _add_machine(self, number: int, pool: str) -> None:
+        machine = _Machine(f"m-{number:02d}", pool, f"r{number // 2}")
+        self._machines[machine.name] = machine
+        self._boot(machine)
+
+    def _boot(self, machine: _Machine) -> None:
+        if machine.pool == "standby":
+            return
+        machine.incarnation += 1
+        worker_id = f"i-{machine.name}-{machine.incarnation}"
+        room = Room(cpu=self._plan.cores * 1000, mem_mb=65536)
+        worker = MemoryWorker(worker_id, machine.name, machine.pool, room, self.work_of)
+        machine.worker = worker
+        self.workers[worker_id] = worker
+        entry = {
+            "service": machine.pool,
+            "address": self._address,
+            "zone": "z1",
+            "state": "ready",
+            "capacity": room,
+            "labels": ["a", machine.rack],
+        }
+        self.store.append(TOPIC_WORKERS, [(worker_id, msgspec.json.encode(entry))])
+
+    def _take_down(self, machine: _Machine, state: str, now: float) -> None:
+        machine.state = state
+        machine.back_at = now + DOWN_SECONDS
+        if machine.worker is not None:
+            self.workers.pop(machine.worker.id, None)
+            self.store.append(TOPIC_WORKERS, [(machine.worker.id, b"")])
+            machine.worker = None
+
+    def _learn_jobs(self) -> None:
+        """Know each accepted job's tasks, as the platform does from callers."""
+        for record in self.store.records_from(TOPIC, self._read_upto):
+            self._read_upto = record.offset + 1
+            if not record.key.startswith(PREFIX_JOB) or not record.value:
+                continue
+            job = _JOB.decode(record.value)
+            for number, step in enumerate(job.steps):
+                key = f"{job.id}.{number}"
+                if key in self.work_of:
+                    continue
+                self.work_of[key] = Work(
+                    Room(0 if step.fills else step.cpu, step.mem_mb, step.gpu),
+                    draw_seconds(self._random, step.estimate_ms or 100),
+                    step.long_running,
+                    job.spec == "fails",
+                )
--- a/mustardward/standin/estate/store.py
+++ b/mustardward/standin/estate/store.py
@@ -66,6 +66,11 @@
         """Return the offset that the next record gets."""
         return self._topic(topic).end
 
+    def records_from(self, topic: str, offset: int) -> list[KeyedRecord]:
+        """Return the records that are kept from an offset on, whatever the mood."""
+        held = self._topic(topic)
+        return held.records[max(0, offset - held.first) :]
+
     def append(
         self,
         topic: str,
--- /dev/null
+++ b/tests/embedded/test_estate.py
@@ -0,0 +1,121 @@
+"""Run entries against the stand-in of the users' platform, over real connections."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import anyio
+import pytest
+
+from mustardward.embedded.estate import EstateFleet, async_run_estate_fleet, async_until
+from mustardward.platform.models import SubmittedStep
+from mustardward.standin.estate.estate import EstatePlan
+from mustardward.standin.estate.store import Mood
+
+pytestmark = pytest.mark.anyio
+
+PREFIX = "/pool-a/"
+PLAN = EstatePlan()
+MOST_SECONDS = 40.0
+
+
+def two_steps() -> list[SubmittedStep]:
+    """Return three short tasks and, after them, two more."""
+    first = SubmittedStep(count=3, cpu=1000, mem_mb=10, estimate_ms=150)
+    second = SubmittedStep(count=2, cpu=1000, mem_mb=10, estimate_ms=150, after=[0])
+    return [first, second]
+
+
+def lasting() -> list[SubmittedStep]:
+    """Return two tasks that last, one of which may be missing."""
+    step = SubmittedStep(
+        count=2, cpu=1000, mem_mb=10, estimate_ms=150, long_running=True, may_miss=1
+    )
+    return [step]
+
+
+def starts_of(fleet: EstateFleet) -> Counter[str]:
+    """Return how often each task was started on the workers that live."""
+    return Counter(
+        task for worker in fleet.estate.workers.values() for task, _ in worker.starts
+    )
+
+
+def maintained(fleet: EstateFleet) -> list[str]:
+    """Return the instances whose maintenance was ordered."""
+    return [machine for kind, machine, _ in fleet.estate.orders if kind == "maintain"]
+
+
+async def test_a_job_runs_each_task_once_and_is_told_as_done() -> None:
+    with anyio.fail_after(MOST_SECONDS):
+        async with async_run_estate_fleet(PLAN, entries=2) as fleet:
+            path = await fleet.async_submit(PREFIX, two_steps())
+            await fleet.async_wait_state(path, "done")
+            starts = starts_of(fleet)
+            assert len(starts) == 5
+            assert set(starts.values()) == {1}
+
+
+async def test_a_job_that_always_fails_is_told_as_failed() -> None:
+    with anyio.fail_after(MOST_SECONDS):
+        async with async_run_estate_fleet(PLAN, entries=1) as fleet:
+            step = SubmittedStep(count=1, cpu=1000, mem_mb=10, estimate_ms=50)
+            path = await fleet.async_submit(PREFIX, [step], spec="fails")
+            await fleet.async_wait_state(path, "failed")
+            assert set(starts_of(fleet).values()) == {3}
+
+
+async def test_a_cancelled_job_ends_on_its_workers() -> None:
+    with anyio.fail_after(MOST_SECONDS):
+        async with async_run_estate_fleet(PLAN, entries=2) as fleet:
+            path = await fleet.async_submit(PREFIX, lasting())
+            await fleet.async_wait_state(path, "running")
+            await fleet.async_cancel(path)
+            await fleet.async_wait_state(path, "cancelled")
+            workers = fleet.estate.workers
+            await async_until(lambda: not any(w.runs for w in workers.values()))
+
+
+async def test_another_entry_goes_on_when_the_owner_loses_power() -> None:
+    """What the lost owner had started is adopted, not started again."""
+    with anyio.fail_after(MOST_SECONDS):
+        async with async_run_estate_fleet(PLAN, entries=3) as fleet:
+            path = await fleet.async_submit(PREFIX, lasting())
+            await fleet.async_wait_state(path, "running")
+            before = starts_of(fleet)
+            owner = fleet.owner()
+            assert owner is not None
+            owner.kill()
+            done = await fleet.async_submit(PREFIX, two_steps())
+            await fleet.async_wait_state(done, "done")
+            after = starts_of(fleet)
+            assert all(after[task] == count for task, count in before.items())
+            assert fleet.owner() is not owner
+
+
+async def test_jobs_are_answered_while_the_store_refuses_for_a_while() -> None:
+    with anyio.fail_after(MOST_SECONDS):
+        async with async_run_estate_fleet(PLAN, entries=2) as fleet:
+            fleet.estate.store.mood = Mood.REFUSING
+            async with anyio.create_task_group() as tasks:
+
+                async def async_return() -> None:
+                    await anyio.sleep(1.0)
+                    fleet.estate.store.mood = Mood.SERVING
+
+                tasks.start_soon(async_return)
+                path = await fleet.async_submit(PREFIX, two_steps())
+            await fleet.async_wait_state(path, "done")
+            assert set(starts_of(fleet).values()) == {1}
+
+
+async def test_a_wave_maintains_each_instance_without_a_lasting_task_lost() -> None:
+    with anyio.fail_after(MOST_SECONDS):
+        async with async_run_estate_fleet(PLAN, entries=2) as fleet:
+            path = await fleet.async_submit(PREFIX, lasting())
+            await fleet.async_wait_state(path, "running")
+            machines = [i.machine for i in fleet.estate.list_instances()]
+            fleet.estate.publish_wave(1, machines, max_count=2)
+            await async_until(lambda: len(maintained(fleet)) >= len(machines))
+            assert sorted(maintained(fleet)) == machines
+            await fleet.async_wait_state(path, "running")
