Count an old owner's authority into the leases that a new one waits for

Ruled out: the hold on old jobs itself (43.6 s was right; it was lifted since all sessions had answered "or were gone"), and the list (it named them up).

Change: a session opened while old jobs are held expires with that hold.

--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -74,7 +74,9 @@
             self.timers,
             self.on_report,
             self.authorised,
-            lease_bound(now),
+            # The owner before may have renewed its lease until the end of its own
+            # authority.
+            max(lease_bound(now), self.scheduler.board.held_until),
         )
         self.sessions[worker_id] = session
         self.tasks.start_soon(self._async_run_session, session)
--- /dev/null
+++ b/tests/components/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Test talking to workers."""
