Refuse at once what can't be stored, and name instances before they are ordered

Ruled out: a longer Retry-After (callers' retries end with their time).

Change: an entry with neither log nor peer refuses at once; an append that hangs counts as being cut off; the margin is 0.03 s. Renewals name what the owner ordered lately, before it orders it, so a new owner leaves only those instances alone. Renewals each 0.4 s, silence 1.3 s.

--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 
 import msgspec
@@ -36,15 +36,16 @@
     """Do the fleet work of one ownership.
 
     :param token: the owner's fencing token, which all orders carry.
-    :param begins_at: steady time before which no order is given: the instances'
-        holder must not change twice within a short time.
+    :param barred: until when instances are left alone, in steady seconds, since the
+        owner before ordered them: their holder must not change twice within a lease.
+    :param announce: names an instance in the log before it is ordered.
     :param ledger_appender: stores which instances a wave has taken.
     :param status_appender: tells the operator how far waves are.
     """
 
     client: FleetClient
     token: int
-    begins_at: float
+    barred: dict[str, float]
     timers: TimerService
     scheduler: Scheduler
     dispatcher: Dispatcher
@@ -56,6 +57,7 @@
     pools: PoolPlanner
     authorised: Callable[[], bool]
     on_fenced: Callable[[], None]
+    announce: Callable[[str], Awaitable[bool]]
     tasks: TaskGroup
     _instances: dict[str, Instance] = field(default_factory=dict)
     _read_at: float = -1.0
@@ -76,17 +78,17 @@
         interval = BUSY_LIST_SECONDS if active else LIST_SECONDS
         if now - self._read_at >= interval:
             await self._async_read()
-        if self._read_at < 0 or now < self.begins_at or not self.authorised():
+        if self._read_at < 0 or not self.authorised():
             return
+        barred = {machine for machine, until in self.barred.items() if until > now}
         view = self._view()
         now = self.timers.monotonic()
-        for move in self.pools.decide(
-            view, measure(self.scheduler.board), self.planner.taken(), now
-        ):
+        taken = self.planner.taken() | barred
+        for move in self.pools.decide(view, measure(self.scheduler.board), taken, now):
             # At once: a task that were placed before the call is sent would end.
             self._set_leaving(self._worker_of(move.machine), True)
             self.tasks.start_soon(self._async_move, move)
-        view = replace(view, moving=frozenset(self.pools.orders))
+        view = replace(view, moving=frozenset(barred | set(self.pools.orders)))
         for decision in self.planner.decide(view, now):
             if isinstance(decision, Empty):
                 _LOGGER.info("instance_emptying", machine=decision.machine)
@@ -135,6 +137,8 @@
             return
         self._busy.add(order.machine)
         try:
+            if not await self.announce(order.machine):
+                raise CallRefusedError("not announced")
             await self.client.async_maintain(order.machine, order.wave, self.token)
         except FencedError:
             self.on_fenced()
@@ -161,6 +165,8 @@
         self._busy.add(order.machine)
         worker_id = self._worker_of(order.machine)
         try:
+            if not await self.announce(order.machine):
+                raise CallRefusedError("not announced")
             await self.client.async_move(order.machine, order.pool, self.token)
         except FencedError:
             self.on_fenced()
--- a/mustardward/components/forwarding/answering.py
+++ b/mustardward/components/forwarding/answering.py
@@ -32,12 +32,15 @@
     def cut_off(self) -> bool:
         """Return whether the log could not be reached for a while."""
         now = self.timers.monotonic()
-        follower = self.front.follower
-        since = follower.failing_since
-        if since is not None and now - since > FAILING_SECONDS:
-            return True
-        since = self.front.config_follower.failing_since
-        return since is not None and now - since > FAILING_SECONDS
+        front = self.front
+        failures = (
+            front.follower.failing_since,
+            front.config_follower.failing_since,
+            front.appender.failing_since,
+        )
+        return any(
+            since is not None and now - since > FAILING_SECONDS for since in failures
+        )
 
     async def async_answer(self, request: Request) -> Reply:
         """Return the answer to a caller."""
@@ -46,7 +49,11 @@
         outcome = await self._async_ask(request)
         if outcome.reply is not None:
             return _reply(outcome.reply)
-        reply = await self.front.async_answer(request)
+        if request.method == "GET":
+            return await self.front.async_answer(request)
+        # It can't be stored from here, and would only wait for its deadline: its
+        # caller is told at once, and has time left to try elsewhere.
+        reply = self.front.refuse_cut_off(request)
         return _unless_unknown(request, reply, outcome.may_have_effect)
 
     async def async_answer_peer(self, asked: AskedRequest) -> AskedReply:
@@ -84,7 +91,7 @@
                     await hedge.wait()
                 asked.append(AskOutcome(None, True))
                 asked[0] = await self._async_ask(request)
-                if asked[0].reply is not None:
+                if asked[0].reply is not None or self.cut_off():
                     tasks.cancel_scope.cancel()
 
             hedge = anyio.Event()
--- a/mustardward/components/front/const.py
+++ b/mustardward/components/front/const.py
@@ -5,8 +5,12 @@
 from typing import Final
 
 DEFAULT_DEADLINE_SECONDS: Final = 3.0
-ANSWER_MARGIN_SECONDS: Final = 0.15
-"""An answer leaves this long before its caller's deadline: it has a way to go."""
+ANSWER_MARGIN_SECONDS: Final = 0.03
+"""An answer leaves this long before its caller's deadline: it has some milliseconds to
+go. A caller that comes back late in its time is served in what is left of it."""
+
+LEAST_APPEND_SECONDS: Final = 0.05
+"""An append is waited for at least so long, though its caller's time is short."""
 
 FRESH_SECONDS: Final = 0.1
 """A job's state may be this old; older, and the log's end is read first."""
--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -20,6 +20,7 @@
     ANSWER_MARGIN_SECONDS,
     CONFIG_FRESH_SECONDS,
     FRESH_SECONDS,
+    LEAST_APPEND_SECONDS,
     LONGEST_RETRY_AFTER_SECONDS,
     RETRY_AFTER_SECONDS,
 )
@@ -125,7 +126,7 @@
         )
         outcome = await self.appender.async_append(
             [(PREFIX_JOB + name, encode(record))],
-            request.deadline - ANSWER_MARGIN_SECONDS,
+            self._append_until(request),
         )
         _LOGGER.info(
             "job_submitted",
@@ -167,13 +168,21 @@
         if not job.state.final:
             outcome = await self.appender.async_append(
                 [(PREFIX_CANCEL + name, encode(CancelRecord(self.timers.wall())))],
-                request.deadline - ANSWER_MARGIN_SECONDS,
+                self._append_until(request),
             )
             _LOGGER.info("job_cancelled", job=name, outcome=outcome.value)
             if outcome is not Outcome.STORED:
                 return self._not_stored(name, outcome)
         return Reply(200, callers.encode_state(callers.STATE_CANCELLED))
 
+    def refuse_cut_off(self, request: Request) -> Reply:
+        """Return the refusal of what can't be stored from here, nothing of it kept."""
+        return self._refused(request.path, "cut-off", "neither log nor peer answers")
+
+    def _append_until(self, request: Request) -> float:
+        least = self.timers.monotonic() + LEAST_APPEND_SECONDS
+        return max(least, request.deadline - ANSWER_MARGIN_SECONDS)
+
     def _refused(self, what: str, code: str, detail: str) -> Reply:
         """Return a refusal that is true: nothing of the request was kept."""
         now = self.timers.monotonic()
--- a/mustardward/components/ledger/appender.py
+++ b/mustardward/components/ledger/appender.py
@@ -66,6 +66,7 @@
     sequence: int = 0
     fenced: bool = False
     last_stored_at: float = 0.0
+    failing_since: float | None = None
     _waiting: list[_Entry] = field(default_factory=list)
     _wake: anyio.Event = field(default_factory=anyio.Event)
 
@@ -121,37 +122,45 @@
         may_be_stored = False
         pause = FIRST_RETRY_SECONDS
         while True:
-            try:
-                await self.call(
-                    records, Producer(self.producer, self.epoch, self.sequence)
-                )
-            except CallRefusedError as error:
-                if not may_be_stored and self._give_up_late(batch):
-                    return
-                _LOGGER.debug("append_refused", detail=error.detail)
-            except CallUnknownError as error:
-                may_be_stored = True
-                _LOGGER.warning(
-                    "append_unknown", producer=self.producer, detail=error.detail
-                )
-            except FencedError:
+            outcome = await self._async_try(records)
+            if outcome is Outcome.STORED:
+                self._stored(batch)
+                return
+            if outcome is Outcome.FENCED:
                 self.fenced = True
-                _LOGGER.warning("append_fenced", producer=self.producer)
                 for entry in batch:
                     self._finish(entry, Outcome.FENCED)
                 return
-            except SequenceError as error:
-                if error.expected <= self.sequence:
-                    raise
-                # The log is past this number: the repeat found its first try stored.
-                self._stored(batch)
-                return
-            else:
-                self._stored(batch)
+            if outcome is Outcome.UNKNOWN:
+                may_be_stored = True
+            elif not may_be_stored and self._give_up_late(batch):
                 return
             await self.timers.async_sleep(pause)
             pause = min(RETRY_SECONDS, pause * 2)
 
+    async def _async_try(self, records: list[Record]) -> Outcome:
+        """Make one call; return what it alone says of the records."""
+        try:
+            await self.call(records, Producer(self.producer, self.epoch, self.sequence))
+        except CallRefusedError as error:
+            _LOGGER.debug("append_refused", detail=error.detail)
+            return Outcome.NOT_STORED
+        except CallUnknownError as error:
+            _LOGGER.warning(
+                "append_unknown", producer=self.producer, detail=error.detail
+            )
+            if self.failing_since is None:
+                self.failing_since = self.timers.monotonic()
+            return Outcome.UNKNOWN
+        except FencedError:
+            _LOGGER.warning("append_fenced", producer=self.producer)
+            return Outcome.FENCED
+        except SequenceError as error:
+            if error.expected <= self.sequence:
+                raise
+            # The log is past this number: the repeat found its first try stored.
+        return Outcome.STORED
+
     def _give_up_late(self, batch: list[_Entry]) -> bool:
         """Return whether nobody waits any more for a batch that is surely not stored.
 
@@ -167,6 +176,7 @@
 
     def _stored(self, batch: list[_Entry]) -> None:
         self.sequence += 1
+        self.failing_since = None
         self.last_stored_at = self.timers.monotonic()
         for entry in batch:
             self._finish(entry, Outcome.STORED)
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -75,6 +75,8 @@
     :param beat: counts renewals.
     :param wall: the owner's wall clock at the renewal, in seconds; tells a successor
         how long ago it was, where a jump of the clock may mislead it.
+    :param ordered: instances that the owner ordered to move or be maintained within
+        the last lease; a successor leaves them alone for a lease.
     """
 
     epoch: int
@@ -82,6 +84,7 @@
     node: str
     beat: int
     wall: float = 0.0
+    ordered: list[str] = []
 
 
 class WaveRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardward/components/ownership/const.py
+++ b/mustardward/components/ownership/const.py
@@ -4,10 +4,10 @@
 
 from typing import Final
 
-BEAT_SECONDS: Final = 0.5
+BEAT_SECONDS: Final = 0.4
 """Interval of renewals; one write of the store's several hundred a second."""
 
-SILENCE_SECONDS: Final = 1.6
+SILENCE_SECONDS: Final = 1.3
 """Silence after which an owner counts as lost: three renewals and a slow answer."""
 
 JITTER_SECONDS: Final = 0.3
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -53,6 +53,8 @@
 """Entries are renewed each heartbeat; a change may be seen this much later."""
 
 FOREVER_SECONDS = 86400.0
+ANNOUNCE_SECONDS = 1.0
+"""Longest wait for an order's announcement; it is decided anew after that."""
 
 
 def boot_time() -> float:
@@ -77,18 +79,17 @@
     clock: Callable[[], float] = boot_time
 
 
-def fleet_pause(before: OwnerRecord, wall: float, lease_seconds: float) -> float:
-    """Return how long a new owner orders no instance, in seconds.
+def barred_until(
+    before: OwnerRecord, now: float, wall: float, lease_seconds: float
+) -> dict[str, float]:
+    """Return until when a new owner leaves instances alone, in steady seconds.
 
     Two holders that order the same instance within a lease look like two owners that
-    take turns. The owner before may have ordered until its next renewal was due.
+    take turns. An owner's renewals name what it ordered lately, before it does.
     """
-    if not before.epoch:
-        return 0.0
-    passed = wall - before.wall
-    if before.node:
-        passed -= BEAT_SECONDS
-    return min(lease_seconds, max(0.0, lease_seconds - passed))
+    passed = max(0.0, wall - before.wall)
+    until = now + max(0.0, lease_seconds - passed)
+    return dict.fromkeys(before.ordered, until)
 
 
 class Owner:
@@ -112,6 +113,7 @@
         self._dirty = anyio.Event()
         self._last_beat_sent = 0.0
         self._releasing = False
+        self._ordered: dict[str, float] = {}
         self._authority_from = parts.clock()
         self._last_tick = parts.clock()
         self.scheduler = Scheduler(epoch, parts.configuration.policy_of)
@@ -191,9 +193,7 @@
         # for an owner that died.
         self._releasing = True
         now = self._parts.timers.monotonic()
-        record = OwnerRecord(
-            self._epoch, self._claim, "", self._beat + 1, self._parts.timers.wall()
-        )
+        record = self._renewal("")
         await self.appender.async_append([(KEY_OWNER, encode(record))], now + 1.0)
         self.depose()
 
@@ -201,9 +201,9 @@
         self, client: FleetClient, dispatcher: Dispatcher, tasks: TaskGroup
     ) -> None:
         parts = self._parts
-        pause = fleet_pause(
-            self._before, parts.timers.wall(), parts.bounds.lease_ms / 1000
-        )
+        now = parts.timers.monotonic()
+        lease = parts.bounds.lease_ms / 1000
+        barred = barred_until(self._before, now, parts.timers.wall(), lease)
         status = GroupAppender(
             lambda records, producer: parts.store.async_append(
                 TOPIC_STATUS, records, producer
@@ -215,7 +215,7 @@
         fleet = Fleet(
             client,
             self._epoch,
-            parts.timers.monotonic() + pause,
+            barred,
             parts.timers,
             self.scheduler,
             dispatcher,
@@ -227,6 +227,7 @@
             PoolPlanner(parts.bounds.move_s),
             self.authorised,
             self.depose,
+            self._async_announce,
             tasks,
         )
         self._fleet = fleet
@@ -380,14 +381,7 @@
             return records
         if records or now - self._last_beat_sent >= BEAT_SECONDS:
             self._last_beat_sent = now
-            self._beat += 1
-            owner = OwnerRecord(
-                self._epoch,
-                self._claim,
-                self._parts.node,
-                self._beat,
-                timers.wall(),
-            )
+            owner = self._renewal(self._parts.node)
             records.append((KEY_OWNER, encode(owner)))
         return records
 
@@ -405,6 +399,28 @@
                 lasting_waiting=load.lasting_waiting,
             )
 
+    def _renewal(self, node: str) -> OwnerRecord:
+        """Return the record that renews the ownership, or gives it up."""
+        self._beat += 1
+        wall = self._parts.timers.wall()
+        recent = self._parts.bounds.lease_ms / 1000
+        self._ordered = {
+            machine: at for machine, at in self._ordered.items() if wall - at < recent
+        }
+        return OwnerRecord(
+            self._epoch, self._claim, node, self._beat, wall, sorted(self._ordered)
+        )
+
+    async def _async_announce(self, machine: str) -> bool:
+        """Name an instance in the log before it is ordered; return whether it is."""
+        timers = self._parts.timers
+        self._ordered[machine] = timers.wall()
+        record = self._renewal(self._parts.node)
+        outcome = await self.appender.async_append(
+            [(KEY_OWNER, encode(record))], timers.monotonic() + ANNOUNCE_SECONDS
+        )
+        return outcome is Outcome.STORED and not self._releasing
+
     def _drop_old_jobs(self) -> None:
         wall = self._parts.timers.wall()
         keep = self._parts.bounds.status_s + STORED_JOBS_SECONDS
--- /dev/null
+++ b/tests/components/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Test letting peers answer."""
