Let large instances own the shard, and trust no old report before a stop

Change: entries tell their cores; one that knows a much larger instance claims 0.35 s later, and gives way a second after it became the owner. A lasting task whose worker was heard of more than 2.5 s ago counts as away when another one of its step is to be stopped.

--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -95,10 +95,11 @@
 
 
 class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Hold where an entry answers its peers, and its data centre."""
+    """Hold where an entry answers its peers, its data centre and its speed in cores."""
 
     address: str
     zone: str
+    speed: float = 1.0
 
 
 class CancelRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardward/components/ownership/const.py
+++ b/mustardward/components/ownership/const.py
@@ -14,6 +14,19 @@
 """Spread of the claims of equal entries, so that mostly one is made."""
 
 RELEASED_JITTER_SECONDS: Final = 0.08
+SMALL_DELAY_SECONDS: Final = 0.35
+"""Added to the patience of an instance that is much smaller than the largest, so that
+those claim first; entries see a silence up to 0.15 s apart."""
+
+HANDOVER_FACTOR: Final = 1.5
+"""An owner gives way to an instance that is faster by this. An owner with half a core
+and 600 tasks a second renewed leases too late, and they lapsed."""
+
+HANDOVER_AFTER_SECONDS: Final = 1.0
+HANDOVER_AGAIN_SECONDS: Final = 20.0
+"""Shortest time between two attempts of an entry to give way: the faster instances that
+are known may all be down."""
+
 WATCH_SECONDS: Final = 0.1
 PLAN_GAP_SECONDS: Final = 0.01
 """Shortest time between two plans; what comes together is planned together."""
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -74,6 +74,7 @@
     follower: TopicFollower
     configuration: Configuration
     bounds: BootBounds
+    speed: float = 1.0
     advice: AdviceClient | None = None
     fleet: FleetClient | None = None
     clock: Callable[[], float] = boot_time
--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
 import secrets
 
+import anyio
+
 from ...helpers.instruments import OWNED_EPOCH
 from ...helpers.logging import get_logger
 from ...platform.exceptions import (
@@ -16,8 +19,8 @@
 from ..ledger.const import KEY_OWNER, RETRY_SECONDS, SHARD, TOPIC
 from ..ledger.ledger import encode
 from ..ledger.models import OwnerRecord
-from .const import WATCH_SECONDS
-from .election import Election
+from .const import HANDOVER_AFTER_SECONDS, HANDOVER_AGAIN_SECONDS, WATCH_SECONDS
+from .election import Election, should_hand_over
 from .owner import Owner, OwnerParts
 
 _LOGGER = get_logger(__name__)
@@ -33,6 +36,7 @@
         self._parts = parts
         self._election = Election(parts.node, share)
         self._leaving = False
+        self._gave_way_at = -math.inf
         self.owner: Owner | None = None
 
     async def async_run(self) -> None:
@@ -42,6 +46,7 @@
         while not self._leaving:
             now = parts.timers.monotonic()
             self._election.see(parts.ledger.owner, now)
+            self._election.small = self._is_small()
             if parts.follower.failing_since is not None:
                 self._election.excuse(now)
             if self._election.due(now) and await self._async_still_due():
@@ -51,6 +56,24 @@
                 continue
             await parts.timers.async_sleep(WATCH_SECONDS)
 
+    async def _async_give_way(self, owner: Owner) -> None:
+        """Let a much faster instance own the shard, if there is one."""
+        parts = self._parts
+        await parts.timers.async_sleep(HANDOVER_AFTER_SECONDS)
+        now = parts.timers.monotonic()
+        if not self._is_small():
+            return
+        if now - self._gave_way_at < HANDOVER_AGAIN_SECONDS:
+            return
+        self._gave_way_at = now
+        _LOGGER.info("owner_gives_way", epoch=owner.epoch, speed=parts.speed)
+        await owner.async_release()
+
+    def _is_small(self) -> bool:
+        parts = self._parts
+        speeds = [node.speed for node in parts.ledger.nodes.values()]
+        return should_hand_over(parts.speed, speeds)
+
     async def async_leave(self) -> None:
         """Claim nothing any more, and give up what is owned."""
         self._leaving = True
@@ -109,7 +132,10 @@
         OWNED_EPOCH.set(owner.epoch)
         self._parts.follower.gap_seconds = OWNER_GAP_SECONDS
         try:
-            await owner.async_run()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._async_give_way, owner)
+                await owner.async_run()
+                tasks.cancel_scope.cancel()
         finally:
             self.owner = None
             OWNED_EPOCH.set(0)
--- a/mustardward/components/scheduling/evacuation.py
+++ b/mustardward/components/scheduling/evacuation.py
@@ -8,17 +8,27 @@
 from .const import EVACUATION_SECONDS
 from .models import Phase, StepRun, Task, WorkerState
 
+REPORT_SECONDS = 2.5
+"""Age at which a worker's report tells nothing any more: an owner that is short of
+processor time reads late, and a failure meanwhile must not be added to."""
 
-def may_interrupt(step: StepRun) -> bool:
+
+def may_interrupt(step: StepRun, now: float) -> bool:
     """Return whether a step can spare one more of its lasting tasks now.
 
     Whatever keeps a task from its work counts, so that a failure that came meanwhile
     is never added to what the fleet takes.
     """
-    away = sum(not task.at_work for task in step.tasks)
+    away = sum(not _surely_at_work(task, now) for task in step.tasks)
     return away < max(1, step.spec.may_miss)
 
 
+def _surely_at_work(task: Task, now: float) -> bool:
+    if task.worker is None or now - task.worker.heard_at > REPORT_SECONDS:
+        return False
+    return task.at_work
+
+
 @dataclass(slots=True, eq=False)
 class Evacuation:
     """Stop what runs on workers that leave."""
@@ -36,7 +46,7 @@
             if task.phase is not Phase.RUNNING:
                 continue
             if task.step.spec.long_running:
-                if task.percent < 100 or may_interrupt(task.step):
+                if task.percent < 100 or may_interrupt(task.step, now):
                     self.board.stop(task, "evacuation")
             elif self._not_worth_waiting(worker, task, now):
                 self.board.stop(task, "evacuation")
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -178,6 +178,7 @@
     done_since_failure: int = 0
     speed: float = 1.0
     stale: bool = False
+    heard_at: float = 0.0
 
     @property
     def rack(self) -> str:
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -53,6 +53,7 @@
             self._missing(worker, listed, sent_at, now)
         worker.confirmed = True
         worker.stale = False
+        worker.heard_at = sent_at
 
     def start_answered(self, task: Task, run: int, reason: str, now: float) -> None:
         """Take in a worker's answer to a start."""
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -114,6 +114,7 @@
                 self._follower,
                 self._configuration,
                 boot.bounds,
+                _speed(boot),
                 advice,
                 fleet,
             ),
@@ -150,7 +151,7 @@
     async def _async_register(self, address: str) -> None:
         """Tell the other entries where this one answers them."""
         await self._follower.async_wait_loaded()
-        record = NodeRecord(address, self._boot.zone)
+        record = NodeRecord(address, self._boot.zone, _speed(self._boot))
         if self._ledger.nodes.get(self._boot.node) != record:
             self._appender.post([(PREFIX_NODE + self._boot.node, encode(record))])
 
@@ -190,11 +191,14 @@
         return now - self._forwarder.last_answer_at < CUT_OFF_SECONDS
 
 
+def _speed(boot: BootSettings) -> float:
+    """Return an instance's cores."""
+    return boot.limits.cpu_share * max(1.0, boot.limits.cores)
+
+
 def _share(boot: BootSettings) -> float:
-    """Return where in the spread of claims an entry stands; large ones come first."""
-    speed = boot.limits.cpu_share * max(1.0, boot.limits.cores)
-    spread = (zlib.crc32(boot.node.encode()) % 1000) / 1000
-    return min(1.0, 0.5 * spread + 0.5 / (1.0 + speed))
+    """Return where in the spread of claims an entry stands, the same each time."""
+    return (zlib.crc32(boot.node.encode()) % 1000) / 1000
 
 
 async def async_main(boot: BootSettings, output: BoundedOutput) -> None:
--- a/tests/components/ownership/test_election.py
+++ b/tests/components/ownership/test_election.py
@@ -3,8 +3,15 @@
 from __future__ import annotations
 
 from mustardward.components.ledger.models import OwnerRecord
-from mustardward.components.ownership.const import JITTER_SECONDS, SILENCE_SECONDS
-from mustardward.components.ownership.election import Election
+from mustardward.components.ownership.const import (
+    JITTER_SECONDS,
+    SILENCE_SECONDS,
+    SMALL_DELAY_SECONDS,
+)
+from mustardward.components.ownership.election import (
+    Election,
+    should_hand_over,
+)
 
 LONGEST = SILENCE_SECONDS + JITTER_SECONDS
 
@@ -61,3 +68,24 @@
     election.excuse(104.0)
     assert not election.due(104.0 + SILENCE_SECONDS)
     assert election.due(104.0 + LONGEST)
+
+
+def test_large_instances_claim_before_small_ones_whatever_their_chance() -> None:
+    """A shard whose tasks need a whole core is not owned by half of one.
+
+    Symptom: after the owner was lost an instance with half a core took over; leases
+    were renewed too late, and lapsed.
+    """
+    for owner in (OwnerRecord(1, "c", "other", 0), OwnerRecord(1, "c", "", 7)):
+        large = an_election(owner, share=1.0)
+        small = an_election(owner, share=0.0)
+        small.small = True
+        claimed = next(s for s in range(300) if large.due(100.0 + s / 100))
+        assert not small.due(100.0 + claimed / 100)
+        assert small.due(100.0 + LONGEST + SMALL_DELAY_SECONDS)
+
+
+def test_an_owner_gives_way_only_to_a_much_faster_instance() -> None:
+    assert should_hand_over(0.5, [0.5, 2.1])
+    assert not should_hand_over(1.0, [1.0, 1.2])
+    assert not should_hand_over(1.0, [])
--- a/tests/components/scheduling/test_evacuation.py
+++ b/tests/components/scheduling/test_evacuation.py
@@ -75,3 +75,18 @@
     assert len(bench.plan_stops()) == 1
     bench.scheduler.board.workers["w1"].stale = True
     assert bench.plan_stops() == []
+
+
+def test_old_reports_do_not_let_a_task_be_stopped() -> None:
+    """An owner that reads late stops nothing on what it read long ago.
+
+    Symptom: on an entry with half a core, tasks of one step were stopped beside others
+    that had been gone for seconds.
+    """
+    bench, tasks = lasting_on_three_workers()
+    bench.now += 3.0
+    bench.scheduler.set_leaving("w2", True, bench.now)
+    assert bench.plan_stops() == []
+    for task in tasks:
+        bench.show_at_work(task)
+    assert len(bench.plan_stops()) == 1
