Look at workers less often, and let pools be fuller before they ask for more

Change: a worker with lasting tasks alone is held each 1 s (0.7 before), two holds are 0.07 s apart (0.05), and a pool asks for an instance more at 0.85 of its processors (0.75).

Ruled out: two lasting tasks of a step on one worker, which would save an instance or two a pool and lose both with it.

--- a/mustardward/components/dispatch/const.py
+++ b/mustardward/components/dispatch/const.py
@@ -14,14 +14,14 @@
 LEASE_SLACK_SECONDS: Final = 0.25
 """Covers the way of the order that renewed the lease last."""
 
-LONG_HOLD_MILLISECONDS: Final = 700
+LONG_HOLD_MILLISECONDS: Final = 1000
 BUSY_HOLD_MILLISECONDS: Final = 250
 """Used where short tasks run: an answer that is lost then costs them less."""
 
 SHORT_HOLD_MILLISECONDS: Final = 300
 """Used where figures have to be fresh: serving beside filling, and evacuations."""
 
-HOLD_GAP_SECONDS: Final = 0.05
+HOLD_GAP_SECONDS: Final = 0.07
 """Shortest time between two holds of a worker: ends that come together are read
 together. Each call takes about 1 ms of the owner's processor."""
 
--- a/mustardward/components/fleet/const.py
+++ b/mustardward/components/fleet/const.py
@@ -25,7 +25,7 @@
 RETRY_SECONDS: Final = 0.3
 """Pause before an order of unknown outcome is repeated; it is idempotent."""
 
-TARGET_SHARE: Final = 0.75
+TARGET_SHARE: Final = 0.85
 """Share of a pool's processors that its work may take before it wants an instance
 more: a move takes seconds, and demand rises to five times its mean within one."""
 
