Part an owner's renewals and authority from its work

Change: renewals.py makes and announces renewals and says nothing behind a release; authority.py knows how long orders may be given; the owner keeps to its work. Fields and methods that nothing used are gone.

--- a/mustardward/components/fleet/waves.py
+++ b/mustardward/components/fleet/waves.py
@@ -64,14 +64,6 @@
             held.update(run.orders)
         return held
 
-    def waiting(self) -> set[str]:
-        """Return the machines that waves have still to take."""
-        left: set[str] = set()
-        for run in self.runs.values():
-            if not run.done:
-                left.update(set(run.wave.machines) - run.begun)
-        return left
-
     def _left(self, run: WaveRun, view: FleetView) -> list[Instance]:
         return [
             view.instances[machine]
--- a/mustardward/components/ledger/appender.py
+++ b/mustardward/components/ledger/appender.py
@@ -65,7 +65,6 @@
     epoch: int
     sequence: int = 0
     fenced: bool = False
-    last_stored_at: float = 0.0
     failing_since: float | None = None
     _waiting: list[_Entry] = field(default_factory=list)
     _wake: anyio.Event = field(default_factory=anyio.Event)
@@ -177,7 +176,6 @@
     def _stored(self, batch: list[_Entry]) -> None:
         self.sequence += 1
         self.failing_since = None
-        self.last_stored_at = self.timers.monotonic()
         for entry in batch:
             self._finish(entry, Outcome.STORED)
 
--- a/mustardward/components/ownership/const.py
+++ b/mustardward/components/ownership/const.py
@@ -43,3 +43,14 @@
 
 TELL_SECONDS: Final = 1.0
 """Interval of the lines that tell each pool's load."""
+
+ANNOUNCE_SECONDS: Final = 1.0
+"""Longest wait for an order's announcement; it is decided anew after that."""
+
+RELEASE_SECONDS: Final = 1.0
+"""Longest wait for a release; without it the others wait for a silence."""
+
+WATCH_OWN_SECONDS: Final = 0.2
+HELD_LOOK_SECONDS: Final = 0.02
+CONFIRM_RETRY_SECONDS: Final = 0.05
+"""Pauses of the owner's own looks: at itself, at who answered, at the log's end."""
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import time
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
@@ -15,6 +13,7 @@
 from ...platform.boot import BootBounds
 from ...platform.fleet import FleetClient
 from ...platform.http import HttpCaller
+from ...platform.models import WorkerEntry
 from ...platform.store import TOPIC_STATUS, TOPIC_WORKERS, Producer, StoreClient
 from ..configuration.services import Configuration
 from ..dispatch.const import AUTHORITY_SECONDS, lease_bound
@@ -24,7 +23,6 @@
 from ..fleet.waves import WavePlanner
 from ..ledger.appender import GroupAppender, Outcome, Record
 from ..ledger.const import (
-    KEY_OWNER,
     PREFIX_CANCEL,
     PREFIX_JOB,
     PREFIX_PROGRESS,
@@ -32,20 +30,24 @@
     TOPIC,
 )
 from ..ledger.follower import TopicFollower
-from ..ledger.ledger import Ledger, encode
+from ..ledger.ledger import Ledger, LedgerJob, encode
 from ..ledger.models import OwnerRecord
-from ..scheduling.demand import measure
+from ..scheduling.demand import log_loads
 from ..scheduling.scheduler import Scheduler
+from .authority import Authority
 from .const import (
     BEAT_SECONDS,
-    PAUSE_SECONDS,
+    CONFIRM_RETRY_SECONDS,
+    HELD_LOOK_SECONDS,
     PLAN_GAP_SECONDS,
     PLAN_SECONDS,
     STORED_JOBS_SECONDS,
     SWEEP_SECONDS,
     TELL_SECONDS,
+    WATCH_OWN_SECONDS,
 )
 from .directory import WorkerDirectory
+from .renewals import Renewals, barred_until
 
 _LOGGER = get_logger(__name__)
 
@@ -53,13 +55,6 @@
 """Entries are renewed each heartbeat; a change may be seen this much later."""
 
 FOREVER_SECONDS = 86400.0
-ANNOUNCE_SECONDS = 1.0
-"""Longest wait for an order's announcement; it is decided anew after that."""
-
-
-def boot_time() -> float:
-    """Return a steady clock that goes on while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,20 +72,6 @@
     speed: float = 1.0
     advice: AdviceClient | None = None
     fleet: FleetClient | None = None
-    clock: Callable[[], float] = boot_time
-
-
-def barred_until(
-    before: OwnerRecord, now: float, wall: float, lease_seconds: float
-) -> dict[str, float]:
-    """Return until when a new owner leaves instances alone, in steady seconds.
-
-    Two holders that order the same instance within a lease look like two owners that
-    take turns. An owner's renewals name what it ordered lately, before it does.
-    """
-    passed = max(0.0, wall - before.wall)
-    until = now + max(0.0, lease_seconds - passed)
-    return dict.fromkeys(before.ordered, until)
 
 
 class Owner:
@@ -108,19 +89,22 @@
         self._before = before
         self._epoch = epoch
         self._claim = claim
-        self._beat = 0
         self._deposed = anyio.Event()
         self._wake = anyio.Event()
         self._dirty = anyio.Event()
-        self._last_beat_sent = 0.0
-        self._releasing = False
-        self._ordered: dict[str, float] = {}
-        self._authority_from = parts.clock()
-        self._last_tick = parts.clock()
+        self._authority = Authority()
         self.scheduler = Scheduler(epoch, parts.configuration.policy_of)
         self.appender = GroupAppender(
             self._async_call_append, parts.timers, f"owner/{SHARD}", epoch, sequence=1
         )
+        self._renewals = Renewals(
+            epoch,
+            claim,
+            parts.node,
+            parts.timers,
+            self.appender,
+            parts.bounds.lease_ms / 1000,
+        )
         self.dispatcher: Dispatcher | None = None
         self._fleet: Fleet | None = None
 
@@ -129,17 +113,6 @@
         """Return the fencing token."""
         return self._epoch
 
-    def authorised(self) -> bool:
-        """Return whether orders may still be given.
-
-        Another entry that took over waits for the workers it can't reach only for as
-        long as this, and the lease on top of it.
-        """
-        now = self._parts.clock()
-        if now - self._last_tick > PAUSE_SECONDS:
-            return False
-        return now - self._authority_from < AUTHORITY_SECONDS
-
     def depose(self) -> None:
         """End this ownership; another entry has taken over."""
         self._deposed.set()
@@ -161,7 +134,7 @@
                 self._epoch,
                 self.depose,
                 self.kick,
-                self.authorised,
+                self._authority.holds,
                 parts.advice,
             )
             self.dispatcher = dispatcher
@@ -190,12 +163,7 @@
 
     async def async_release(self) -> None:
         """Give the shard up, so that another entry claims it at once."""
-        # A renewal behind the release would take it back, and others would wait as
-        # for an owner that died.
-        self._releasing = True
-        now = self._parts.timers.monotonic()
-        record = self._renewal("")
-        await self.appender.async_append([(KEY_OWNER, encode(record))], now + 1.0)
+        await self._renewals.async_release()
         self.depose()
 
     def _start_fleet(
@@ -226,9 +194,9 @@
             status,
             WavePlanner(parts.bounds.maintenance_s),
             PoolPlanner(parts.bounds.move_s),
-            self.authorised,
+            self._authority.holds,
             self.depose,
-            self._async_announce,
+            self._renewals.async_announce,
             tasks,
         )
         self._fleet = fleet
@@ -248,7 +216,7 @@
         board.taken_over_at = now
         for job in parts.ledger.jobs.values():
             self.scheduler.add_job(job, now, wall)
-        parts.ledger.on_job = lambda job: self._add_job(job)
+        parts.ledger.on_job = self._add_job
         parts.ledger.on_cancel = lambda job: self._cancel_job(job.record.id)
         parts.configuration.on_change = self._configured
         _LOGGER.info("owner_started", epoch=self._epoch, jobs=len(board.jobs))
@@ -258,9 +226,9 @@
         self._parts.ledger.on_cancel = None
         self._parts.configuration.on_change = None
 
-    def _add_job(self, job: object) -> None:
+    def _add_job(self, job: LedgerJob) -> None:
         timers = self._parts.timers
-        self.scheduler.add_job(job, timers.monotonic(), timers.wall())  # type: ignore[arg-type]
+        self.scheduler.add_job(job, timers.monotonic(), timers.wall())
         self._wake.set()
 
     def _cancel_job(self, job_id: str) -> None:
@@ -271,9 +239,9 @@
         self.scheduler.update_policies()
         self._wake.set()
 
-    def _see_worker(self, worker_id: str, entry: object) -> None:
+    def _see_worker(self, worker_id: str, entry: WorkerEntry) -> None:
         if self.dispatcher is not None:
-            self.dispatcher.see_worker(worker_id, entry)  # type: ignore[arg-type]
+            self.dispatcher.see_worker(worker_id, entry)
             self._wake.set()
 
     def _miss_worker(self, worker_id: str) -> None:
@@ -287,7 +255,7 @@
             if self._all_accounted():
                 board.held_until = 0.0
                 _LOGGER.info("takeover_complete", epoch=self._epoch)
-            await timers.async_sleep(0.02)
+            await timers.async_sleep(HELD_LOOK_SECONDS)
         self._wake.set()
 
     def _all_accounted(self) -> bool:
@@ -311,7 +279,7 @@
             with anyio.move_on_after(PLAN_SECONDS):
                 await self._wake.wait()
             self._wake = anyio.Event()
-            if self.authorised() and self.dispatcher is not None:
+            if self._authority.holds() and self.dispatcher is not None:
                 commands = self.scheduler.plan(timers.monotonic(), timers.wall())
                 self.dispatcher.execute(commands)
                 if self.scheduler.board.dirty:
@@ -324,28 +292,34 @@
         swept_at = 0.0
         told_at = 0.0
         while True:
-            now = parts.clock()
-            if now - self._last_tick > PAUSE_SECONDS:
-                _LOGGER.warning("owner_paused", lost_seconds=now - self._last_tick)
+            lost = self._authority.paused_for()
+            if lost:
+                _LOGGER.warning("owner_paused", lost_seconds=lost)
                 while not await parts.follower.async_confirm():
-                    await parts.timers.async_sleep(0.05)
+                    await parts.timers.async_sleep(CONFIRM_RETRY_SECONDS)
             owner = parts.ledger.owner
             if owner.epoch > self._epoch or owner.claim != self._claim:
                 self.depose()
                 return
-            self._last_tick = parts.clock()
+            self._authority.tick()
+            now = parts.timers.monotonic()
             if now - told_at > TELL_SECONDS:
                 told_at = now
-                self._tell_load()
+                log_loads(self.scheduler.board)
             if now - swept_at > SWEEP_SECONDS:
                 swept_at = now
                 self._drop_old_jobs()
-            if self.dispatcher is not None:
-                for worker_id, entry in directory.entries.items():
-                    session = self.dispatcher.sessions.get(worker_id)
-                    if session is None or session.gone:
-                        self.dispatcher.see_worker(worker_id, entry)
-            await parts.timers.async_sleep(0.2)
+            self._reopen_sessions(directory)
+            await parts.timers.async_sleep(WATCH_OWN_SECONDS)
+
+    def _reopen_sessions(self, directory: WorkerDirectory) -> None:
+        """Talk again to workers that were silent and may be back."""
+        if self.dispatcher is None:
+            return
+        for worker_id, entry in directory.entries.items():
+            session = self.dispatcher.sessions.get(worker_id)
+            if session is None or session.gone:
+                self.dispatcher.see_worker(worker_id, entry)
 
     async def _async_store(self) -> None:
         """Store progress, then let workers forget the ends that it came from."""
@@ -358,14 +332,14 @@
             if self.dispatcher is None:
                 continue
             upto = [(s, s.listed_upto) for s in self.dispatcher.sessions.values()]
-            sent_at = self._parts.clock()
+            sent_at = self._authority.clock()
             if records:
                 forever = timers.monotonic() + FOREVER_SECONDS
                 outcome = await self.appender.async_append(records, forever)
                 if outcome is not Outcome.STORED:
                     self.depose()
                     return
-                self._authority_from = sent_at
+                self._authority.confirm(sent_at)
             for session, number in upto:
                 session.acknowledge(number)
 
@@ -377,50 +351,7 @@
                 timers.monotonic(), timers.wall()
             )
         ]
-        now = timers.monotonic()
-        if self._releasing:
-            return records
-        if records or now - self._last_beat_sent >= BEAT_SECONDS:
-            self._last_beat_sent = now
-            owner = self._renewal(self._parts.node)
-            records.append((KEY_OWNER, encode(owner)))
-        return records
-
-    def _tell_load(self) -> None:
-        for service, load in measure(self.scheduler.board).items():
-            _LOGGER.info(
-                "pool_load",
-                service=service,
-                workers=load.workers,
-                capacity=load.capacity,
-                lasting=load.lasting,
-                running=load.running,
-                waiting=load.waiting,
-                waiting_seconds=load.waiting_seconds,
-                lasting_waiting=load.lasting_waiting,
-            )
-
-    def _renewal(self, node: str) -> OwnerRecord:
-        """Return the record that renews the ownership, or gives it up."""
-        self._beat += 1
-        wall = self._parts.timers.wall()
-        recent = self._parts.bounds.lease_ms / 1000
-        self._ordered = {
-            machine: at for machine, at in self._ordered.items() if wall - at < recent
-        }
-        return OwnerRecord(
-            self._epoch, self._claim, node, self._beat, wall, sorted(self._ordered)
-        )
-
-    async def _async_announce(self, machine: str) -> bool:
-        """Name an instance in the log before it is ordered; return whether it is."""
-        timers = self._parts.timers
-        self._ordered[machine] = timers.wall()
-        record = self._renewal(self._parts.node)
-        outcome = await self.appender.async_append(
-            [(KEY_OWNER, encode(record))], timers.monotonic() + ANNOUNCE_SECONDS
-        )
-        return outcome is Outcome.STORED and not self._releasing
+        return records + self._renewals.due(with_others=bool(records))
 
     def _drop_old_jobs(self) -> None:
         wall = self._parts.timers.wall()
--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -213,7 +213,6 @@
         task.run = run
         task.missed_holds = 0
         task.stop_acknowledged_at = None
-        task.over_target_since = None
 
     def _vacate(self, task: Task) -> None:
         worker = task.worker
--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -4,8 +4,11 @@
 
 from dataclasses import dataclass
 
+from ...helpers.logging import get_logger
 from .board import Board
 
+_LOGGER = get_logger(__name__)
+
 
 @dataclass(slots=True)
 class PoolLoad:
@@ -27,6 +30,22 @@
     lasting_waiting: int = 0
 
 
+def log_loads(board: Board) -> None:
+    """Log each pool's load."""
+    for service, load in measure(board).items():
+        _LOGGER.info(
+            "pool_load",
+            service=service,
+            workers=load.workers,
+            capacity=load.capacity,
+            lasting=load.lasting,
+            running=load.running,
+            waiting=load.waiting,
+            waiting_seconds=load.waiting_seconds,
+            lasting_waiting=load.lasting_waiting,
+        )
+
+
 def measure(board: Board) -> dict[str, PoolLoad]:
     """Return the load of each pool that has workers or work."""
     loads: dict[str, PoolLoad] = {}
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -64,7 +64,6 @@
     percent_since: float = 0.0
     figure: float = 0.0
     pace: int = 100
-    over_target_since: float | None = None
     missed_holds: int = 0
     stop_acknowledged_at: float | None = None
     avoid: set[str] = field(default_factory=set)
@@ -161,7 +160,6 @@
     zone: str
     labels: tuple[str, ...]
     capacity: Room
-    guards: bool = True
     free_cpu: int = 0
     free_mem: int = 0
     free_gpu: int = 0
@@ -175,7 +173,6 @@
     refusing_until: float = 0.0
     quarantined_until: float = 0.0
     failed_jobs: set[str] = field(default_factory=set)
-    done_since_failure: int = 0
     speed: float = 1.0
     stale: bool = False
     heard_at: float = 0.0
--- a/tests/components/ownership/test_fleet_pause.py
+++ b/tests/components/ownership/test_barred_instances.py
@@ -6,7 +6,7 @@
 
 from mustardward.components.ledger.ledger import NO_OWNER
 from mustardward.components.ledger.models import OwnerRecord
-from mustardward.components.ownership.owner import barred_until
+from mustardward.components.ownership.renewals import barred_until
 
 LEASE = 3.0
 NOW = 50.0
