Count what an earlier owner took down for a wave; let a history wait for faults

Ruled out for LIMIT: a list that showed an instance up too soon (its own orders are held until a later list).

Change: instances of a wave that the list shows down for maintenance, or that the owner before named as just ordered, count. A history may be told the least faults to wait for; the test does, and asserts what it did before.

Measured: both tests of the wave fail without the change.

--- a/bench/history/__main__.py
+++ b/bench/history/__main__.py
@@ -28,6 +28,12 @@
         default="",
         help="bring about a mutant's situation with its protection in place",
     )
+    parser.add_argument(
+        "--least-faults",
+        type=int,
+        default=0,
+        help="go on beyond the seconds until so many faults have struck",
+    )
     parser.add_argument("--list-mutants", action="store_true")
     parser.add_argument("--keep", type=Path, help="folder for the entries' logs")
     arguments = parser.parse_args()
@@ -41,6 +47,7 @@
         arguments.mutant,
         arguments.provoke,
         arguments.keep,
+        arguments.least_faults,
     )
     result = anyio.run(partial(async_run_history, options), backend="asyncio")
     return report(result)
--- a/bench/history/faults.py
+++ b/bench/history/faults.py
@@ -27,6 +27,10 @@
 _CATCH_UP_SECONDS: Final = 1.0
 
 
+_WAIT_SECONDS = 0.1
+_MOST_WAITS = 300
+
+
 @dataclass(slots=True, eq=False)
 class Faults:
     """Strike one fault after the other, now and then two at once."""
@@ -48,6 +52,17 @@
                 group.start_soon(FAULTS[name], self.world, self._draw())
                 await anyio.sleep(self.quiet_seconds)
 
+    async def async_wait_struck(self, count: int) -> None:
+        """Wait, for at most a while, until so many faults have struck.
+
+        On a busy machine fewer strike within a run's seconds; a test that counts them
+        would then say how busy the machine was.
+        """
+        for _ in range(_MOST_WAITS):
+            if self.struck >= count:
+                return
+            await anyio.sleep(_WAIT_SECONDS)
+
     def _draw(self) -> Random:
         return Random(self.random.random())
 
--- a/bench/history/run.py
+++ b/bench/history/run.py
@@ -37,6 +37,7 @@
     mutant: str = ""
     provoke: str = ""
     keep: Path | None = None
+    least_faults: int = 0
 
     @property
     def patches(self) -> tuple[str, ...]:
@@ -116,6 +117,7 @@
                     group.start_soon(planners.async_run)
                 group.start_soon(faults.async_run)
                 await anyio.sleep(options.length)
+                await faults.async_wait_struck(options.least_faults)
                 for part in (faults, operators, planners, callers):
                     part.stopping = True
             await anyio.sleep(_SETTLE_SECONDS)
--- a/mustardward/components/fleet/waves.py
+++ b/mustardward/components/fleet/waves.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ...platform.models import INSTANCE_UP, Instance
+from ...platform.models import INSTANCE_UP, INSTANCE_UPKEEP, Instance
 from .const import CYCLE_SECONDS, HURRY_FACTOR, POOL_SHARE, RETRY_SECONDS
 from .models import (
     Decision,
@@ -95,7 +95,7 @@
                 continue
             if not _is_empty(instance, view):
                 continue
-            if len(run.orders) >= run.wave.max_count:
+            if self._down(run, view) >= run.wave.max_count:
                 continue
             del run.emptying[machine]
             run.orders[machine] = MaintenanceOrder(machine, instance.id, now)
@@ -105,10 +105,28 @@
                 order.given_at = now
                 yield Maintain(order.machine, run.wave.wave)
 
+    def _down(self, run: WaveRun, view: FleetView) -> int:
+        """Return how many of a wave's instances are, or may be, down for it.
+
+        An owner before this one may have taken some; the list shows them, or, where it
+        lags, that owner's last renewal named them.
+        """
+        others = [
+            machine
+            for machine in run.wave.machines
+            if machine not in run.orders
+            and machine in view.instances
+            and (
+                view.instances[machine].state == INSTANCE_UPKEEP
+                or machine in view.moving
+            )
+        ]
+        return len(run.orders) + len(others)
+
     def _empty(self, run: WaveRun, view: FleetView, now: float) -> Iterable[Decision]:
         left = [i for i in self._left(run, view) if i.machine not in run.emptying]
         wanted = self._at_once(run, len(left), now)
-        held = len(run.emptying) + len(run.orders)
+        held = len(run.emptying) + self._down(run, view)
         per_pool = self._held_by_pool(run, view)
         sizes = Counter(instance.pool for instance in view.instances.values())
         for instance in sorted(left, key=lambda i: _cost(i, view)):
--- a/mustardward/platform/models.py
+++ b/mustardward/platform/models.py
@@ -134,6 +134,7 @@
 WAVE_RUNNING: Final = "running"
 WAVE_DONE: Final = "done"
 INSTANCE_UP: Final = "up"
+INSTANCE_UPKEEP: Final = "upkeep"
 WORKER_DRAINING: Final = "draining"
 ENDED_DONE: Final = "done"
 ENDED_FAILED: Final = "failed"
--- a/mustardward/standin/estate/estate.py
+++ b/mustardward/standin/estate/estate.py
@@ -10,7 +10,7 @@
 
 from ...components.ledger.const import PREFIX_JOB, TOPIC
 from ...components.ledger.models import JobRecord
-from ...platform.models import INSTANCE_UP, Instance, Room
+from ...platform.models import INSTANCE_UP, INSTANCE_UPKEEP, Instance, Room
 from ...platform.names import REASON_BUSY, REASON_FENCE, REASON_WAVE
 from ...platform.store import (
     KEY_CONFIG,
@@ -25,7 +25,6 @@
 """How long an instance is away for a move or maintenance."""
 
 STATE_MOVING: Final = "moving"
-STATE_UPKEEP: Final = "upkeep"
 
 _JOB: Final = msgspec.msgpack.Decoder(JobRecord)
 
@@ -177,7 +176,7 @@
         machine.token = token
         machine.maintained.add(wave)
         self.orders.append(("maintain", name, str(wave)))
-        self._take_down(machine, STATE_UPKEEP, now)
+        self._take_down(machine, INSTANCE_UPKEEP, now)
         return ""
 
     def crash(self, worker_id: str, now: float) -> None:
--- a/tests/bench/test_history_run.py
+++ b/tests/bench/test_history_run.py
@@ -32,7 +32,7 @@
     operators that race, and seeded faults for some seconds. Cause: whichever
     protection the named check is about.
     """
-    completed = run_history("--seconds", "4", "--seed", "11")
+    completed = run_history("--seconds", "4", "--seed", "11", "--least-faults", "4")
     totals = _TOTALS.search(completed.stdout.splitlines()[-1])
     assert totals is not None, completed.stdout + completed.stderr
     assert completed.returncode == 0, completed.stdout
--- a/tests/components/fleet/test_waves.py
+++ b/tests/components/fleet/test_waves.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from mustardward.components.fleet.models import Empty, Load, Maintain
 from mustardward.components.fleet.waves import WavePlanner
 from mustardward.platform.models import Instance
@@ -63,6 +65,30 @@
     assert len(after) == 1
 
 
+@pytest.mark.parametrize("known_by", ["list", "renewal"])
+def test_what_an_owner_before_took_down_counts(known_by: str) -> None:
+    """A new owner counts the instances that are down by an earlier owner's orders.
+
+    Symptom: six instances of a wave were down, though five may be.
+    Sequence: the owner was restarted while five were down; the next one began with an
+    empty count, and took another.
+    Cause: only its own orders were counted, not what the list shows down for
+    maintenance, nor what the last renewal named as ordered just now.
+    """
+    planner = a_planner(["m-00", "m-01", "m-02", "m-03"], max_count=2)
+    fleet = eight()
+    moving = frozenset({"m-00", "m-01"})
+    if known_by == "list":
+        fleet[0] = an_instance(0, state="upkeep", id=None)
+        fleet[1] = an_instance(1, state="upkeep", id=None)
+        moving = frozenset()
+    orders = []
+    for tick in range(4):
+        now = 0.1 * tick
+        orders += _orders(planner, a_view(fleet, read_at=now, moving=moving), now)
+    assert orders == []
+
+
 def test_an_order_of_unknown_outcome_holds_its_place_and_is_repeated() -> None:
     planner = a_planner(["m-00", "m-04"], max_count=1)
     fleet = eight()
