Never answer by an older configuration than a peer answered by here

Ruled out: a fold that went back (no configuration_in_force below the newest; the entry never read version 6 itself).

Change: a peer's answer names its version; an entry that is behind a version seen in an answer asks peers or refuses until it has read it.

Measured: both tests fail without the change.

--- a/mustardward/components/forwarding/answering.py
+++ b/mustardward/components/forwarding/answering.py
@@ -28,6 +28,18 @@
     front: Front
     forwarder: Forwarder
     timers: TimerService
+    _seen_version: int = 0
+
+    def _version(self) -> int:
+        config = self.front.configuration.config
+        return config.version if config is not None else 0
+
+    def _behind(self) -> bool:
+        """Return whether a peer answered here by a newer configuration.
+
+        To answer by the own one then would take callers back to an older version.
+        """
+        return self._version() < self._seen_version
 
     def cut_off(self) -> bool:
         """Return whether the log could not be reached for a while."""
@@ -44,12 +56,12 @@
 
     async def async_answer(self, request: Request) -> Reply:
         """Return the answer to a caller."""
-        if not self.cut_off():
+        if not self.cut_off() and not self._behind():
             return await self._async_hedged(request)
         outcome = await self._async_ask(request)
         if outcome.reply is not None:
             return _reply(outcome.reply)
-        if request.method == "GET":
+        if request.method == "GET" and not self._behind():
             return await self.front.async_answer(request)
         # It can't be stored from here, and would only wait for its deadline: its
         # caller is told at once, and has time left to try elsewhere.
@@ -66,7 +78,9 @@
         request = Request(asked.method, asked.host, asked.path, asked.body, deadline)
         reply = await self.front.async_answer(request)
         confirmed = reply.status not in _UNSURE
-        return AskedReply(reply.status, reply.body, reply.retry_after, confirmed)
+        return AskedReply(
+            reply.status, reply.body, reply.retry_after, confirmed, self._version()
+        )
 
     async def _async_hedged(self, request: Request) -> Reply:
         """Answer here, and ask a peer too if that takes long.
@@ -112,6 +126,8 @@
             request.method, request.host, request.path, request.body, max(0.0, left)
         )
         outcome = await self.forwarder.async_ask(asked)
+        if outcome.reply is not None:
+            self._seen_version = max(self._seen_version, outcome.reply.version)
         PEER_ANSWERS.labels(str(outcome.reply is not None).lower()).inc()
         _LOGGER.info(
             "peer_asked",
--- a/mustardward/components/forwarding/models.py
+++ b/mustardward/components/forwarding/models.py
@@ -19,9 +19,11 @@
     """Hold a peer's answer to a caller's request.
 
     :param confirmed: whether the peer could read and write the log itself.
+    :param version: the configuration that the peer went by.
     """
 
     status: int
     body: bytes
     retry_after: int | None = None
     confirmed: bool = True
+    version: int = 0
--- a/tests/components/forwarding/test_answering.py
+++ b/tests/components/forwarding/test_answering.py
@@ -150,3 +150,32 @@
     book.shun("c", 0.0)
     assert "c" not in dict(book.candidates(NODES, SHUN_SECONDS / 2))
     assert "c" in dict(book.candidates(NODES, SHUN_SECONDS * 2))
+
+
+async def test_an_entry_never_goes_back_behind_what_a_peer_answered_by() -> None:
+    """Callers do not see an older configuration after a newer one.
+
+    Symptom: an entry answered by version 6, and two seconds later by version 2.
+    Sequence: the store refused the entry, and a peer answered for it by a newer
+    configuration; then the store refused all, so that no peer answered, and the entry
+    answered by the old configuration that it had read itself.
+    Cause: an entry knew only of the versions that it had read, not of those that its
+    peers had answered by.
+    """
+    async with an_entry() as bench:
+        await bench.async_cut_off()
+        bench.forwarder.outcome = AskOutcome(AskedReply(200, b"{}", version=6), False)
+        request = Request("GET", HOST, PREFIX, b"", bench.timers.monotonic() + 1.0)
+        assert (await bench.answering.async_answer(request)).status == 200
+        bench.forwarder.outcome = AskOutcome(None, False)
+        assert (await bench.answering.async_answer(request)).status == 503
+        bench.store.mood = Mood.SERVING
+        await bench.async_configure(6)
+        assert (await bench.answering.async_answer(request)).status == 200
+
+
+async def test_a_peers_answer_names_the_version_that_it_went_by() -> None:
+    async with an_entry() as bench:
+        await bench.async_configure(4)
+        asked = AskedRequest("GET", HOST, PREFIX, b"", 1.0)
+        assert (await bench.answering.async_answer_peer(asked)).version == 4
