File the fold of each kind once, and keep ownership's figures in one place

Cause: reading the change again: each record that an entry folds, on every entry, made a table of six methods anew; two figures of ownership stood at the end of the module that uses them and were imported from there by the node.

Change: the table is made with the ledger; the figures moved to const.py. Behaviour is the same.

--- a/mustardward/components/ledger/ledger.py
+++ b/mustardward/components/ledger/ledger.py
@@ -95,15 +95,13 @@
     on_cancel: JobListener | None = None
     _early_progress: dict[str, Progress] = field(default_factory=dict)
     _early_cancels: dict[str, float] = field(default_factory=dict)
+    _folds: dict[str, Callable[[str, bytes], None]] = field(
+        init=False, repr=False, compare=False
+    )
 
-    def apply(self, record: KeyedRecord) -> None:
-        """Fold one record; an empty value drops its key."""
-        key = record.key
-        if key == KEY_OWNER:
-            kind, name = KEY_OWNER, ""
-        else:
-            kind, name = key[:2], key[2:]
-        folds: dict[str, Callable[[str, bytes], None]] = {
+    def __post_init__(self) -> None:
+        """File how each kind of record is folded, once for all records."""
+        self._folds = {
             PREFIX_JOB: self._apply_job,
             PREFIX_PROGRESS: self._apply_progress,
             PREFIX_CANCEL: self._apply_cancel,
@@ -111,7 +109,15 @@
             PREFIX_NODE: self._apply_node,
             KEY_OWNER: self._apply_owner,
         }
-        fold = folds.get(kind)
+
+    def apply(self, record: KeyedRecord) -> None:
+        """Fold one record; an empty value drops its key."""
+        key = record.key
+        if key == KEY_OWNER:
+            kind, name = KEY_OWNER, ""
+        else:
+            kind, name = key[:2], key[2:]
+        fold = self._folds.get(kind)
         if fold is None:
             _LOGGER.error("record_unknown", key=key)
             return
--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -19,7 +19,13 @@
 from ..ledger.const import KEY_OWNER, RETRY_SECONDS, SHARD, TOPIC
 from ..ledger.ledger import encode
 from ..ledger.models import OwnerRecord
-from .const import HANDOVER_AFTER_SECONDS, HANDOVER_AGAIN_SECONDS, WATCH_SECONDS
+from .const import (
+    HANDOVER_AFTER_SECONDS,
+    HANDOVER_AGAIN_SECONDS,
+    IDLE_GAP_SECONDS,
+    OWNER_GAP_SECONDS,
+    WATCH_SECONDS,
+)
 from .election import Election, should_hand_over
 from .owner import Owner, OwnerParts
 
@@ -140,10 +146,3 @@
             self.owner = None
             OWNED_EPOCH.set(0)
             self._parts.follower.gap_seconds = IDLE_GAP_SECONDS
-
-
-OWNER_GAP_SECONDS = 0.02
-"""An owner reads new jobs at once, but not more often than this."""
-
-IDLE_GAP_SECONDS = 0.15
-"""Other entries follow the log to answer callers and to take over."""
