Answer what still comes while a leaving entry closes

Cause: a leaving entry that found nothing in work at one moment closed all connections, and gave a tenth of a second to what arrived in that moment.

Ruled out: the grace period was not over (3.5 of 6 s); the balancer may send callers until the end, since it uses all entries of a data centre when under half are in rotation.

Change: stop listening first, answer what comes on open connections until nothing came for 0.25 s, then close; no answer is promised beyond the end of the process.

--- a/mustardward/components/front/const.py
+++ b/mustardward/components/front/const.py
@@ -26,3 +26,11 @@
 """Most of it: an outage that lasted long may still end soon."""
 JSON: Final = "application/json"
 """Content type of all answers."""
+
+CLOSE_QUIET_SECONDS: Final = 0.25
+"""An entry that leaves closes its connections once nothing came on them for so long;
+it answers each request with the word that its connection ends, so few are left."""
+
+CLOSE_LOOK_SECONDS: Final = 0.02
+CLOSE_REST_SECONDS: Final = 0.3
+"""Time for what comes in the very moment of closing."""
--- a/mustardward/components/front/server.py
+++ b/mustardward/components/front/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -12,7 +13,13 @@
 from ...helpers.timer import TimerService
 from ...platform import callers
 from ..forwarding.answering import Answering
-from .const import DEFAULT_DEADLINE_SECONDS, JSON
+from .const import (
+    CLOSE_LOOK_SECONDS,
+    CLOSE_QUIET_SECONDS,
+    CLOSE_REST_SECONDS,
+    DEFAULT_DEADLINE_SECONDS,
+    JSON,
+)
 from .services import Reply, Request
 
 _LOGGER = get_logger(__name__)
@@ -31,25 +38,60 @@
     answering: Answering
     timers: TimerService
     is_ready: Callable[[], bool]
-    leaving: bool = False
-    busy: int = 0
     _runners: list[web.ServerRunner] = field(default_factory=list)
+    _in_work: int = 0
+    _quiet_since: float = -math.inf
+    _leave_at: float = math.inf
+
+    @property
+    def leaving(self) -> bool:
+        """Return whether callers are sent elsewhere."""
+        return self._leave_at < math.inf
+
+    @property
+    def addresses(self) -> list[str]:
+        """Return what is listened on, as host and port."""
+        names = [name for runner in self._runners for name in runner.addresses]
+        return [f"{name[0]}:{name[1]}" for name in names]
+
+    def leave_by(self, seconds: float) -> None:
+        """Send callers elsewhere, and answer those that still come within a time."""
+        self._leave_at = self.timers.monotonic() + seconds
 
     async def async_listen(self, front: str, ready: str) -> None:
         """Begin to listen on both addresses."""
         await self._async_serve(front, self._async_front)
         await self._async_serve(ready, self._async_ready)
 
-    async def async_close(self) -> None:
-        """Close all connections."""
+    async def async_close(self, patience: float) -> None:
+        """Stop listening, answer what still comes, and close all connections.
+
+        Nothing in work says nothing of what is on its way: a request that was received
+        while connections are closed ends without an answer. So an entry listens no
+        more, and closes once nothing came for a while.
+
+        :param patience: longest wait for that, in seconds.
+        """
+        for runner in self._runners:
+            for site in list(runner.sites):
+                await site.stop()
+        until = self.timers.monotonic() + patience
+        while self.timers.monotonic() < until and not self._is_quiet():
+            await self.timers.async_sleep(CLOSE_LOOK_SECONDS)
         for runner in self._runners:
             await runner.cleanup()
 
+    def _is_quiet(self) -> bool:
+        quiet = self.timers.monotonic() - self._quiet_since
+        return self._in_work == 0 and quiet >= CLOSE_QUIET_SECONDS
+
     async def _async_serve(self, address: str, handler: Handler) -> None:
         server = web.Server(
             handler, access_log=None, keepalive_timeout=15.0, lingering_time=0.5
         )
-        runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
+        runner = web.ServerRunner(
+            server, handle_signals=False, shutdown_timeout=CLOSE_REST_SECONDS
+        )
         await runner.setup()
         self._runners.append(runner)
         host, _, port = address.rpartition(":")
@@ -61,12 +103,13 @@
         return web.Response(status=200 if self.is_ready() else 503)
 
     async def _async_front(self, request: web.BaseRequest) -> web.StreamResponse:
-        self.busy += 1
+        self._in_work += 1
         began = self.timers.monotonic()
         try:
             reply = await self._async_reply(request)
         finally:
-            self.busy -= 1
+            self._in_work -= 1
+            self._quiet_since = self.timers.monotonic()
         REQUESTS.labels(request.method, reply.status).inc()
         seconds = self.timers.monotonic() - began
         REQUEST_SECONDS.labels(request.method).observe(seconds)
@@ -95,8 +138,9 @@
                 detail = f"most={most}"
                 return Reply(413, callers.encode_error("body-too-large", detail))
         host = request.headers.get("Host", "").lower().partition(":")[0]
+        deadline = min(now + _patience(request), self._leave_at)
         return await self.answering.async_answer(
-            Request(request.method, host, request.path, body, now + _patience(request))
+            Request(request.method, host, request.path, body, deadline)
         )
 
 
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -53,7 +53,13 @@
 """Named in the deploy file too."""
 
 LEAVE_SHARE = 0.55
-"""Share of the grace period in which a leaving entry goes on answering."""
+"""Share of the grace period in which a leaving entry goes on taking callers."""
+
+ANSWER_SHARE = 0.85
+"""Share of it by whose end all of them are answered."""
+
+CLOSE_SHARE = 0.9
+"""Share of it by whose end connections are closed; the rest is for the process."""
 
 
 class Node:
@@ -158,19 +164,19 @@
 
     async def async_close(self) -> None:
         """Close all connections at once."""
-        await self._server.async_close()
+        await self._server.async_close(0.0)
         await self._http.async_close()
 
     async def async_leave(self) -> None:
         """Give up what is owned, and go on answering until callers went elsewhere."""
         _LOGGER.info("node_leaving", node=self._boot.node)
-        self._server.leaving = True
+        grace = self._boot.bounds.grace_s
+        began = self._timers.monotonic()
+        self._server.leave_by(grace * ANSWER_SHARE)
         await self._ownership.async_leave()
-        await self._timers.async_sleep(self._boot.bounds.grace_s * LEAVE_SHARE)
-        while self._server.busy:
-            await self._timers.async_sleep(0.02)
-        with anyio.move_on_after(0.5):
-            await self._server.async_close()
+        await self._timers.async_sleep(grace * LEAVE_SHARE)
+        left = began + grace * CLOSE_SHARE - self._timers.monotonic()
+        await self._server.async_close(max(0.0, left))
         with anyio.move_on_after(0.2):
             await self._http.async_close()
         _LOGGER.info("node_stopped", node=self._boot.node)
