Ask for instances by memory and by a step's limit for each worker

Ruled out: placement (no worker without one had room), the wave.

Change: a pool's load holds processor, memory and accelerators, and the workers that a step with such a limit needs; the scarcest decides. Tests fail before.

--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ...platform.models import INSTANCE_UP, Instance
+from ...platform.models import INSTANCE_UP, Instance, Room
 from ..scheduling.demand import PoolLoad
 from .const import (
     CLEAR_SECONDS,
@@ -133,9 +133,12 @@
         """Return how many instances a pool's work asks for now."""
         load = loads.get(pool, PoolLoad())
         size = _size(pool, view)
-        taken = load.lasting + load.lasting_waiting + load.running + load.waiting
-        asked = taken / TARGET_SHARE + load.waiting_seconds / CLEAR_SECONDS
-        need = max(LEAST_INSTANCES, math.ceil(asked / size))
+        taken = sum(
+            amount.share_of(size)
+            for amount in (load.lasting, load.running, load.waiting)
+        )
+        asked = taken / TARGET_SHARE + load.backlog.share_of(size) / CLEAR_SECONDS
+        need = max(LEAST_INSTANCES, load.spread, math.ceil(asked))
         history = self._needs.setdefault(pool, [])
         history.append((now, need))
         while history[0][0] < now - IDLE_SECONDS:
@@ -222,11 +225,17 @@
     return (need - have[pool]) / max(1, have[pool])
 
 
-def _size(pool: str, view: FleetView) -> float:
-    sizes = [i.capacity.cpu for i in view.instances.values() if i.pool == pool]
-    if not sizes:
-        sizes = [i.capacity.cpu for i in view.instances.values()]
-    return max(1.0, sum(sizes) / max(1, len(sizes)))
+def _size(pool: str, view: FleetView) -> Room:
+    """Return the mean room of a pool's instances, or of all if it has none."""
+    rooms = [i.capacity for i in view.instances.values() if i.pool == pool]
+    if not rooms:
+        rooms = [i.capacity for i in view.instances.values()]
+    count = max(1, len(rooms))
+    return Room(
+        sum(room.cpu for room in rooms) // count,
+        sum(room.mem_mb for room in rooms) // count,
+        max((room.gpu for room in rooms), default=0),
+    )
 
 
 def _keep_racks_apart(instances: list[Instance]) -> None:
--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -2,32 +2,61 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
 
 from ...helpers.logging import get_logger
+from ...platform.models import Room
 from .board import Board
+from .models import StepRun
 
 _LOGGER = get_logger(__name__)
 
 
+@dataclass(slots=True)
+class Amount:
+    """Hold an amount of room, or of room times seconds: processor in thousandths of
+    a core, memory in MB, accelerators."""
+
+    cpu: float = 0.0
+    mem_mb: float = 0.0
+    gpu: float = 0.0
+
+    def add(self, room: Room, times: float = 1.0) -> None:
+        """Add room, so many times."""
+        self.cpu += room.cpu * times
+        self.mem_mb += room.mem_mb * times
+        self.gpu += room.gpu * times
+
+    def share_of(self, room: Room) -> float:
+        """Return how many times it takes the room, by what is scarcest there."""
+        return max(
+            self.cpu / max(1, room.cpu),
+            self.mem_mb / max(1, room.mem_mb),
+            self.gpu / room.gpu if room.gpu else 0.0,
+        )
+
+
 @dataclass(slots=True)
 class PoolLoad:
-    """Hold a pool's load, in thousandths of a core unless told otherwise.
+    """Hold a pool's load.
 
     :param workers: that are confirmed and not leaving.
-    :param lasting: taken by tasks that last.
+    :param capacity: of these, in thousandths of a core.
+    :param lasting: taken or waited for by tasks that last.
     :param running: taken by all others.
     :param waiting: asked for by tasks whose turn has come.
-    :param waiting_seconds: the same times their expected run time, in seconds.
+    :param backlog: the same times their expected run time, in seconds.
+    :param spread: workers that a step needs by its limit of tasks for each worker.
     """
 
     workers: int = 0
     capacity: int = 0
-    lasting: int = 0
-    running: int = 0
-    waiting: int = 0
-    waiting_seconds: float = 0.0
-    lasting_waiting: int = 0
+    lasting: Amount = field(default_factory=Amount)
+    running: Amount = field(default_factory=Amount)
+    waiting: Amount = field(default_factory=Amount)
+    backlog: Amount = field(default_factory=Amount)
+    spread: int = 0
 
 
 def log_loads(board: Board) -> None:
@@ -38,33 +67,46 @@
             service=service,
             workers=load.workers,
             capacity=load.capacity,
-            lasting=load.lasting,
-            running=load.running,
-            waiting=load.waiting,
-            waiting_seconds=load.waiting_seconds,
-            lasting_waiting=load.lasting_waiting,
+            lasting=load.lasting.cpu,
+            running=load.running.cpu,
+            waiting=load.waiting.cpu,
+            backlog=load.backlog.cpu,
+            spread=load.spread,
         )
 
 
 def measure(board: Board) -> dict[str, PoolLoad]:
     """Return the load of each pool that has workers or work."""
     loads: dict[str, PoolLoad] = {}
+    steps: dict[int, StepRun] = {}
     for worker in board.workers.values():
         load = loads.setdefault(worker.service, PoolLoad())
         if worker.confirmed and not worker.leaving:
             load.workers += 1
             load.capacity += worker.capacity.cpu
         for task in worker.tasks.values():
+            steps[id(task.step)] = task.step
             if task.step.spec.long_running:
-                load.lasting += task.step.room.cpu
+                load.lasting.add(task.step.room)
             else:
-                load.running += task.step.room.cpu
+                load.running.add(task.step.room)
     for step in board.ready.values():
+        steps[id(step)] = step
         load = loads.setdefault(step.job.policy.service, PoolLoad())
-        cpu = step.room.cpu * len(step.waiting)
+        count = len(step.waiting)
         if step.spec.long_running:
-            load.lasting_waiting += cpu
+            load.lasting.add(step.room, count)
         else:
-            load.waiting += cpu
-            load.waiting_seconds += cpu * board.estimates.seconds(step)
+            load.waiting.add(step.room, count)
+            load.backlog.add(step.room, count * board.estimates.seconds(step))
+    for step in steps.values():
+        load = loads.setdefault(step.job.policy.service, PoolLoad())
+        load.spread = max(load.spread, _spread(step))
     return loads
+
+
+def _spread(step: StepRun) -> int:
+    most = step.spec.max_per_server
+    if not most or step.job.state.final:
+        return 0
+    return math.ceil((len(step.tasks) - step.done) / most)
--- a/tests/components/fleet/builders.py
+++ b/tests/components/fleet/builders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from mustardward.components.fleet.models import FleetView, Load, WaveRun
-from mustardward.components.scheduling.demand import PoolLoad
+from mustardward.components.scheduling.demand import Amount, PoolLoad
 from mustardward.platform.models import Instance, Room, UpkeepWave
 
 POOL = "pool-a"
@@ -54,10 +54,13 @@
     return WaveRun(UpkeepWave(1, machines, duration_s, max_count), 0.0)
 
 
-def a_load(cores: float = 0.0, waiting: float = 0.0, seconds: float = 0.0) -> PoolLoad:
+def a_load(
+    cores: float = 0.0, waiting: float = 0.0, seconds: float = 0.0, spread: int = 0
+) -> PoolLoad:
     """Return a pool's load, in cores."""
     return PoolLoad(
-        running=int(cores * 1000),
-        waiting=int(waiting * 1000),
-        waiting_seconds=seconds * 1000,
+        running=Amount(cores * 1000),
+        waiting=Amount(waiting * 1000),
+        backlog=Amount(seconds * 1000),
+        spread=spread,
     )
--- a/tests/components/fleet/test_pools.py
+++ b/tests/components/fleet/test_pools.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
-from mustardward.components.fleet.const import IDLE_SECONDS, LEAST_INSTANCES
+from mustardward.components.fleet.const import (
+    IDLE_SECONDS,
+    LEAST_INSTANCES,
+    TARGET_SHARE,
+)
 from mustardward.components.fleet.models import Load, Move
 from mustardward.components.fleet.pools import PoolPlanner
+from mustardward.components.scheduling.demand import Amount, PoolLoad
 from mustardward.platform.models import Instance
 
 from .builders import OTHER, POOL, STANDBY, a_load, a_view, an_instance
@@ -94,3 +99,25 @@
     assert planner.decide(view, loads, set(), 0.4) == [
         Move(move.machine, move.pool) for move in first
     ]
+
+
+def test_a_step_that_spreads_gets_a_worker_for_each_of_its_tasks() -> None:
+    """A limit of tasks for each worker asks for workers, however small the tasks.
+
+    Symptom: tasks that last wait for ever while idle instances are off. Sequence: a
+    step of four tasks allows one on a worker; its pool has two workers with room for
+    all four. Cause: only room was counted.
+    """
+    planner = PoolPlanner(MOVE_SECONDS)
+    fleet = [an_instance(n, POOL if n < 2 else STANDBY) for n in range(8)]
+    load = a_load(cores=1.0, spread=4)
+    moves = planner.decide(a_view(fleet), {POOL: load}, set(), 0.0)
+    assert [move.pool for move in moves].count(POOL) == 2
+
+
+def test_work_that_is_short_of_memory_gets_workers_by_its_memory() -> None:
+    planner = PoolPlanner(MOVE_SECONDS)
+    fleet = [an_instance(n, POOL if n < 2 else STANDBY) for n in range(8)]
+    load = PoolLoad(lasting=Amount(cpu=1000, mem_mb=4 * 8000 * TARGET_SHARE))
+    moves = planner.decide(a_view(fleet), {POOL: load}, set(), 0.0)
+    assert [move.pool for move in moves].count(POOL) == 2
