Begin a wave's instances with lasting tasks early, and let those tasks share workers

What was off or idle went first, many at once; instances that tasks last on can only be emptied a few at a time and were left for the end. Their tasks were spread over all workers of a pool, and moved to workers that had their maintenance still ahead.

Ruled out: the wave's most at once (39, never reached), the fleet's rate.

Change: after the first cycle instances with lasting tasks go first; these tasks go to workers that have maintenance behind them, as many of a step on one as may be missing, unless they serve under a target; instances that are due go off first and are lent last. Tests fail before.

--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -61,6 +61,7 @@
 
     :param read_at: when the list was asked for, in steady seconds.
     :param moving: machines that were ordered into another pool.
+    :param due: machines that a wave is still to maintain.
     """
 
     instances: dict[str, Instance]
@@ -69,6 +70,7 @@
     pools: frozenset[str]
     read_at: float
     moving: frozenset[str] = frozenset()
+    due: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -161,6 +161,9 @@
                 spare = max(0, have[pool] - needs.get(pool, 0))
                 _keep_racks_apart(instances)
                 del instances[spare:]
+            # What has its maintenance behind it is taken first, from the end: the rest
+            # is maintained where nothing runs.
+            instances.sort(key=lambda i: i.machine not in view.due)
         return by_pool
 
     def _fill(
@@ -197,7 +200,9 @@
         if not view.standby:
             return
         target = min(view.standby)
-        for machine, instance in sorted(free.items()):
+        for machine, instance in sorted(
+            free.items(), key=lambda item: (item[0] not in view.due, item[0])
+        ):
             pool = instance.pool
             if machine in self.orders or pool in view.standby or pool not in needs:
                 continue
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -95,6 +95,7 @@
                 self._set_leaving(decision.worker, True)
             elif isinstance(decision, Maintain):
                 self.tasks.start_soon(self._async_maintain, decision)
+        self.scheduler.set_due({self._worker_of(machine) for machine in view.due})
         self._tell()
 
     async def _async_read(self) -> None:
@@ -224,7 +225,12 @@
         config = self.configuration.config
         pools = frozenset(pool.name for pool in config.services) if config else ()
         return FleetView(
-            self._instances, loads, standby, frozenset(pools), self._read_at
+            self._instances,
+            loads,
+            standby,
+            frozenset(pools),
+            self._read_at,
+            due=frozenset(self.planner.due()),
         )
 
     def _tell(self) -> None:
--- a/mustardward/components/fleet/waves.py
+++ b/mustardward/components/fleet/waves.py
@@ -64,6 +64,16 @@
             held.update(run.orders)
         return held
 
+    def due(self) -> set[str]:
+        """Return the machines whose maintenance is still to come."""
+        return {
+            machine
+            for run in self.runs.values()
+            if not run.done
+            for machine in run.wave.machines
+            if machine not in run.begun
+        }
+
     def _left(self, run: WaveRun, view: FleetView) -> list[Instance]:
         return [
             view.instances[machine]
@@ -129,7 +139,8 @@
         held = len(run.emptying) + self._down(run, view)
         per_pool = self._held_by_pool(run, view)
         sizes = Counter(instance.pool for instance in view.instances.values())
-        for instance in sorted(left, key=lambda i: _cost(i, view)):
+        cost = _cost if now - run.first_seen_at < CYCLE_SECONDS else _late_cost
+        for instance in sorted(left, key=lambda i: cost(i, view)):
             if held >= wanted:
                 return
             if instance.machine in view.moving:
@@ -178,8 +189,23 @@
     return load is not None and load.empty
 
 
-def _cost(instance: Instance, view: FleetView) -> tuple[bool, int, int, str]:
+Cost = tuple[bool, bool, int, int, str]
+
+
+def _cost(instance: Instance, view: FleetView) -> Cost:
     """Return what taking an instance costs its pool; the least goes first."""
     load = view.loads.get(instance.id or "", Load(0, 0))
     is_on = instance.pool not in view.standby
-    return (is_on, load.lasting, load.others, instance.machine)
+    return (False, is_on, load.lasting, load.others, instance.machine)
+
+
+def _late_cost(instance: Instance, view: FleetView) -> Cost:
+    """Return the same once some instances are done with.
+
+    Instances that tasks last on are emptied a few at a time, since few of a step's
+    tasks may be away together. Left to the end of a wave, they are late, however many
+    others were maintained at once before; now their tasks find workers that have it
+    behind them.
+    """
+    _, is_on, lasting, others, machine = _cost(instance, view)
+    return (lasting == 0, is_on, lasting, others, machine)
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -153,6 +153,7 @@
     :param confirmed: whether what runs there was read under this owner's token.
     :param missing_since: when its entry went, or None.
     :param leaving: whether the fleet is about to take it.
+    :param due: whether its instance is still to be maintained.
     """
 
     id: str
@@ -169,6 +170,7 @@
     drains_at: float = 0.0
     missing_since: float | None = None
     leaving: bool = False
+    due: bool = False
     leaving_since: float = 0.0
     refusing_until: float = 0.0
     quarantined_until: float = 0.0
--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -46,29 +46,39 @@
 def score(worker: WorkerState, task: Task) -> Score:
     """Return how well a worker suits a task; the smallest suits best.
 
-    Lasting tasks spread over workers, racks and zones, so that one loss or one
-    maintenance takes few of a step. Others go where least room is left, so that large
-    holes stay whole for wide tasks; near their data first.
+    Lasting tasks keep a worker from being lent or sent off, so they share workers; one
+    loss or one maintenance takes no more of a step than may be missing. Where they
+    serve under a target, each other's load harms them, and they spread. Others go where
+    least room is left, so that large holes stay whole for wide tasks; near their data
+    first.
     """
     step = task.step
     spec = step.spec
     avoided = float(worker.id in task.avoid)
     far = float(bool(spec.data_rack) and spec.data_rack not in worker.labels)
     if spec.long_running:
-        serving = sum(
-            other.step.spec.fills != spec.fills for other in worker.tasks.values()
-        )
-        return (
-            avoided,
-            far,
-            float(step.on_worker[worker.id]),
-            float(serving if spec.fills else 0),
-            -worker.speed,
-            -float(worker.free_cpu),
-        )
+        return (avoided, far, *_lasting_score(worker, step))
     return (avoided, far, round(1 / worker.speed, 1), float(worker.free_cpu))
 
 
+def _lasting_score(worker: WorkerState, step: StepRun) -> Score:
+    spec = step.spec
+    here = step.on_worker[worker.id]
+    most = 1 if spec.target_ms else max(1, spec.may_miss)
+    others = [other.step.spec for other in worker.tasks.values()]
+    serving = sum(other.fills != spec.fills for other in others) if spec.fills else 0
+    shared = any(other.long_running for other in others) and not spec.target_ms
+    return (
+        float(max(0, here + 1 - most)),
+        float(worker.due),
+        float(serving),
+        float(not shared),
+        float(here),
+        -round(worker.speed, 1),
+        -float(worker.free_cpu),
+    )
+
+
 def choose(
     workers: Iterable[WorkerState], task: Task, room: Room
 ) -> WorkerState | None:
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -103,6 +103,11 @@
             worker.leaving = leaving
             worker.leaving_since = now
 
+    def set_due(self, worker_ids: set[str]) -> None:
+        """Say on which workers nothing stays for long, since maintenance comes."""
+        for worker in self.board.workers.values():
+            worker.due = worker.id in worker_ids
+
     def give_tickets(
         self, step: StepRun, tickets: dict[str, str], valid_until: float
     ) -> None:
--- a/tests/components/fleet/test_pools.py
+++ b/tests/components/fleet/test_pools.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from mustardward.components.fleet.const import (
     IDLE_SECONDS,
     LEAST_INSTANCES,
@@ -121,3 +123,19 @@
     load = PoolLoad(lasting=Amount(cpu=1000, mem_mb=4 * 8000 * TARGET_SHARE))
     moves = planner.decide(a_view(fleet), {POOL: load}, set(), 0.0)
     assert [move.pool for move in moves].count(POOL) == 2
+
+
+def test_what_was_maintained_is_lent_and_what_was_not_goes_off() -> None:
+    """A wave finds most of what it has left where nothing runs."""
+    planner = PoolPlanner(MOVE_SECONDS)
+    off = [an_instance(n, STANDBY) for n in range(4)]
+    on = [an_instance(n, POOL) for n in range(4, 8)]
+    due = frozenset({"m-00", "m-01", "m-04", "m-06"})
+    view = replace(a_view([*off, *on[:2]]), due=due)
+    lent = planner.decide(view, {}, set(), 0.0)
+    assert {move.machine for move in lent} == {"m-02", "m-03"}
+    planner = PoolPlanner(MOVE_SECONDS)
+    view = replace(a_view(on), pools=frozenset({POOL}), due=due)
+    planner.decide(view, {}, set(), 0.0)
+    sent = planner.decide(view, {}, set(), IDLE_SECONDS + 0.1)
+    assert {move.machine for move in sent} == {"m-04", "m-06"}
--- a/tests/components/fleet/test_waves.py
+++ b/tests/components/fleet/test_waves.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mustardward.components.fleet.const import CYCLE_SECONDS
 from mustardward.components.fleet.models import Empty, Load, Maintain
 from mustardward.components.fleet.waves import WavePlanner
 from mustardward.platform.models import Instance
@@ -153,3 +154,31 @@
 def _orders(planner: WavePlanner, view: object, now: float) -> list[object]:
     decisions = planner.decide(view, now)  # type: ignore[arg-type]
     return [d for d in decisions if isinstance(d, Maintain)]
+
+
+def test_instances_with_lasting_tasks_are_not_left_to_the_end_of_a_wave() -> None:
+    """They are emptied a few at a time, so they begin while others are under way.
+
+    Symptom: a wave was late by its last three instances. Sequence: all that were off or
+    idle were maintained first, many at once; those with lasting tasks followed, and
+    went two by two. Cause: the cheapest went first all the time.
+    """
+    fleet = [*eight(), *(an_instance(number, STANDBY) for number in range(8, 20))]
+    lasting = {f"i-{n:02d}": Load(2, 0) for n in range(4)}
+    machines = [i.machine for i in fleet]
+    planner = a_planner(machines, max_count=4)
+    view = a_view(fleet, lasting)
+    early = [d.machine for d in planner.decide(view, 0.0)]
+    assert not set(early) & {"m-00", "m-01", "m-02", "m-03"}
+    planner = a_planner(machines, max_count=4)
+    later = [d.machine for d in planner.decide(view, CYCLE_SECONDS)]
+    assert set(later[:2]) <= {"m-00", "m-01", "m-02", "m-03"}
+    assert later[2:]
+
+
+def test_what_a_wave_has_begun_is_no_longer_due() -> None:
+    planner = a_planner(["m-00", "m-01"])
+    assert planner.due() == {"m-00", "m-01"}
+    planner.decide(a_view(eight()), 0.0)
+    planner.accepted(1, "m-00", 0.1)
+    assert planner.due() == {"m-01"}
--- a/tests/components/scheduling/test_planning.py
+++ b/tests/components/scheduling/test_planning.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from mustardward.components.ledger.models import JobState
 from mustardward.components.scheduling.models import (
     AskAdvice,
@@ -168,6 +170,43 @@
     assert sorted(s.worker for s in starts) == ["w1", "w2"]
 
 
+def starts_by_worker(bench: SchedulerBench) -> dict[str, int]:
+    """Plan, and count the starts that each worker gets."""
+    return dict(Counter(start.worker for start in bench.plan_starts()))
+
+
+def test_lasting_tasks_share_workers_up_to_what_may_be_missing() -> None:
+    """Workers without a lasting task can be lent while others' demand has its turn.
+
+    Symptom: a pool that asked for four times its mean got nothing from pools that stood
+    idle. Sequence: each of their workers held one lasting task. Cause: lasting tasks
+    were spread as far as workers went.
+    """
+    bench = SchedulerBench()
+    for number in range(8):
+        bench.worker(f"w{number}")
+    bench.add(a_job(a_step(count=8, long_running=True, may_miss=3)))
+    assert sorted(starts_by_worker(bench).values()) == [2, 3, 3]
+
+
+def test_lasting_tasks_with_a_target_spread() -> None:
+    bench = SchedulerBench()
+    for number in range(3):
+        bench.worker(f"w{number}")
+    step = a_step(count=3, long_running=True, may_miss=3, target_ms=50)
+    bench.add(a_job(step))
+    assert len(starts_by_worker(bench)) == 3
+
+
+def test_lasting_tasks_go_where_maintenance_is_done() -> None:
+    bench = SchedulerBench()
+    for number in range(4):
+        bench.worker(f"w{number}")
+    bench.scheduler.set_due({"w0", "w1", "w2"})
+    bench.add(a_job(a_step(count=4, long_running=True, may_miss=2)))
+    assert starts_by_worker(bench)["w3"] == 2
+
+
 def test_a_lasting_task_starts_again_however_it_ended() -> None:
     bench = SchedulerBench()
     bench.worker("w1")
