Ask for a turn's instances by its first arrivals

Change: the work of the last 0.75 s of arrivals, less one standard error, is the room that keeps up with them; a pool asks for that or for what waits, whichever is more.

--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -138,6 +138,8 @@
             for amount in (load.lasting, load.running, load.waiting)
         )
         asked = taken / TARGET_SHARE + load.backlog.share_of(size) / CLEAR_SECONDS
+        coming = load.lasting.share_of(size) + load.inflow.share_of(size)
+        asked = max(asked, coming / TARGET_SHARE)
         need = max(LEAST_INSTANCES, load.spread, math.ceil(asked))
         history = self._needs.setdefault(pool, [])
         history.append((now, need))
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -91,7 +91,9 @@
         view = self._view()
         now = self.timers.monotonic()
         taken = self.planner.taken() | barred
-        for move in self.pools.decide(view, measure(self.scheduler.board), taken, now):
+        for move in self.pools.decide(
+            view, measure(self.scheduler.board, now), taken, now
+        ):
             # At once: a task that were placed before the call is sent would end.
             self._set_leaving(self._worker_of(move.machine), True)
             self.tasks.start_soon(self._async_move, move)
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -305,7 +305,7 @@
             now = parts.timers.monotonic()
             if now - told_at > TELL_SECONDS:
                 told_at = now
-                log_loads(self.scheduler.board)
+                log_loads(self.scheduler.board, now)
             if now - swept_at > SWEEP_SECONDS:
                 swept_at = now
                 self._drop_old_jobs()
--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -11,6 +11,7 @@
 from ..ledger.models import JobState, Progress, StepMark, TaskMark
 from .const import RUN_BITS
 from .estimates import Estimates
+from .inflow import Inflow
 from .models import (
     ACTIVE,
     Command,
@@ -42,6 +43,7 @@
     jobs: dict[str, Job] = field(default_factory=dict)
     workers: dict[str, WorkerState] = field(default_factory=dict)
     estimates: Estimates = field(default_factory=Estimates)
+    inflow: Inflow = field(default_factory=Inflow)
     dirty: dict[str, Job] = field(default_factory=dict)
     ready: dict[int, StepRun] = field(default_factory=dict)
     held_until: float = 0.0
--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -6,37 +6,13 @@
 from dataclasses import dataclass, field
 
 from ...helpers.logging import get_logger
-from ...platform.models import Room
 from .board import Board
+from .inflow import Amount
 from .models import StepRun
 
 _LOGGER = get_logger(__name__)
 
 
-@dataclass(slots=True)
-class Amount:
-    """Hold an amount of room, or of room times seconds: processor in thousandths of
-    a core, memory in MB, accelerators."""
-
-    cpu: float = 0.0
-    mem_mb: float = 0.0
-    gpu: float = 0.0
-
-    def add(self, room: Room, times: float = 1.0) -> None:
-        """Add room, so many times."""
-        self.cpu += room.cpu * times
-        self.mem_mb += room.mem_mb * times
-        self.gpu += room.gpu * times
-
-    def share_of(self, room: Room) -> float:
-        """Return how many times it takes the room, by what is scarcest there."""
-        return max(
-            self.cpu / max(1, room.cpu),
-            self.mem_mb / max(1, room.mem_mb),
-            self.gpu / room.gpu if room.gpu else 0.0,
-        )
-
-
 @dataclass(slots=True)
 class PoolLoad:
     """Hold a pool's load.
@@ -47,6 +23,7 @@
     :param running: taken by all others.
     :param waiting: asked for by tasks whose turn has come.
     :param backlog: the same times their expected run time, in seconds.
+    :param inflow: what keeps up with the last arrivals.
     :param spread: workers that a step needs by its limit of tasks for each worker.
     """
 
@@ -56,12 +33,13 @@
     running: Amount = field(default_factory=Amount)
     waiting: Amount = field(default_factory=Amount)
     backlog: Amount = field(default_factory=Amount)
+    inflow: Amount = field(default_factory=Amount)
     spread: int = 0
 
 
-def log_loads(board: Board) -> None:
+def log_loads(board: Board, now: float) -> None:
     """Log each pool's load."""
-    for service, load in measure(board).items():
+    for service, load in measure(board, now).items():
         _LOGGER.info(
             "pool_load",
             service=service,
@@ -71,11 +49,12 @@
             running=load.running.cpu,
             waiting=load.waiting.cpu,
             backlog=load.backlog.cpu,
+            inflow=load.inflow.cpu,
             spread=load.spread,
         )
 
 
-def measure(board: Board) -> dict[str, PoolLoad]:
+def measure(board: Board, now: float) -> dict[str, PoolLoad]:
     """Return the load of each pool that has workers or work."""
     loads: dict[str, PoolLoad] = {}
     steps: dict[int, StepRun] = {}
@@ -102,6 +81,8 @@
     for step in steps.values():
         load = loads.setdefault(step.job.policy.service, PoolLoad())
         load.spread = max(load.spread, _spread(step))
+    for service, load in loads.items():
+        load.inflow = board.inflow.rate(service, now)
     return loads
 
 
--- a/tests/components/fleet/builders.py
+++ b/tests/components/fleet/builders.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from mustardward.components.fleet.models import FleetView, Load, WaveRun
-from mustardward.components.scheduling.demand import Amount, PoolLoad
+from mustardward.components.scheduling.demand import PoolLoad
+from mustardward.components.scheduling.inflow import Amount
 from mustardward.platform.models import Instance, Room, UpkeepWave
 
 POOL = "pool-a"
--- a/tests/components/fleet/test_pools.py
+++ b/tests/components/fleet/test_pools.py
@@ -11,7 +11,8 @@
 )
 from mustardward.components.fleet.models import Load, Move
 from mustardward.components.fleet.pools import PoolPlanner
-from mustardward.components.scheduling.demand import Amount, PoolLoad
+from mustardward.components.scheduling.demand import PoolLoad
+from mustardward.components.scheduling.inflow import Amount
 from mustardward.platform.models import Instance
 
 from .builders import OTHER, POOL, STANDBY, a_load, a_view, an_instance
@@ -139,3 +140,12 @@
     planner.decide(view, {}, set(), 0.0)
     sent = planner.decide(view, {}, set(), IDLE_SECONDS + 0.1)
     assert {move.machine for move in sent} == {"m-04", "m-06"}
+
+
+def test_a_turn_that_begins_gets_its_instances_before_its_work_waits() -> None:
+    """Load: nothing waits yet, and arrivals ask for four instances."""
+    planner = PoolPlanner(MOVE_SECONDS)
+    fleet = [an_instance(n, POOL if n < 2 else STANDBY) for n in range(8)]
+    load = PoolLoad(inflow=Amount(cpu=4 * 8000 * TARGET_SHARE))
+    moves = planner.decide(a_view(fleet), {POOL: load}, set(), 0.0)
+    assert [move.pool for move in moves].count(POOL) == 2
--- a/tests/components/scheduling/test_demand.py
+++ b/tests/components/scheduling/test_demand.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
+
 from mustardward.components.scheduling.demand import measure
+from mustardward.components.scheduling.inflow import WINDOW_SECONDS
 
 from .builders import POOL, SchedulerBench, a_job, a_step
 
@@ -12,9 +15,9 @@
     bench = SchedulerBench()
     bench.worker("w1")
     bench.add(a_job(a_step(count=5, max_per_server=2, long_running=True)))
-    assert measure(bench.scheduler.board)[POOL].spread == 3
+    assert measure(bench.scheduler.board, bench.now)[POOL].spread == 3
     assert len(bench.plan_starts()) == 2
-    assert measure(bench.scheduler.board)[POOL].spread == 3
+    assert measure(bench.scheduler.board, bench.now)[POOL].spread == 3
 
 
 def test_what_runs_and_what_waits_is_told_apart() -> None:
@@ -22,7 +25,41 @@
     bench.worker("w1")
     bench.add(a_job(a_step(count=12, cpu=1000, mem_mb=100, estimate_ms=2000)))
     bench.plan_starts()
-    load = measure(bench.scheduler.board)[POOL]
+    load = measure(bench.scheduler.board, bench.now)[POOL]
     assert (load.running.cpu, load.waiting.cpu) == (8000, 4000)
     assert load.backlog.cpu == 8000
     assert load.backlog.mem_mb == 800
+
+
+def arrive(bench: SchedulerBench, count: int, over_seconds: float) -> None:
+    """Hand in jobs of two tasks of a core and a second, at even times."""
+    for number in range(count):
+        bench.now += over_seconds / count
+        bench.add(a_job(job=f"{number:016x}"))
+
+
+def test_the_first_arrivals_of_a_turn_tell_its_need() -> None:
+    """Load: a queue that was silent has 16 jobs in three quarters of a second."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    arrive(bench, 16, WINDOW_SECONDS)
+    load = measure(bench.scheduler.board, bench.now)[POOL]
+    assert load.inflow.cpu == pytest.approx(12 * 2000 / WINDOW_SECONDS)
+    bench.now += WINDOW_SECONDS
+    assert measure(bench.scheduler.board, bench.now)[POOL].inflow.cpu == 0
+
+
+def test_a_single_job_tells_nothing_of_a_rate() -> None:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=100)))
+    assert measure(bench.scheduler.board, bench.now)[POOL].inflow.cpu == 0
+
+
+def test_what_an_owner_before_took_in_is_no_arrival() -> None:
+    bench = SchedulerBench()
+    bench.scheduler.board.taken_over_at = bench.now
+    bench.worker("w1")
+    for number in range(16):
+        bench.add(a_job(job=f"{number:016x}"))
+    assert measure(bench.scheduler.board, bench.now)[POOL].inflow.cpu == 0
