Count a wave's time from its first owner, and forget orders that repeat one done

Ruled out: the wave's most at once, busy workers (the two stood idle).

Change: when a wave was first seen is stored with it; an order whose instance stays the same incarnation 3 s beyond its maintenance is settled; two are taken at once where the wave allows.

--- a/mustardward/components/fleet/const.py
+++ b/mustardward/components/fleet/const.py
@@ -28,6 +28,14 @@
 """A wave takes so many times as many instances at once as its time asks for, so that
 it has slack for what it finds."""
 
+LEAST_AT_ONCE: Final = 2
+"""Instances of a wave that are taken at once if its limit allows: a last one that can't
+be emptied yet must not keep another from it."""
+
+REPEATED_SECONDS: Final = 3.0
+"""Time beyond a maintenance after which an instance that a list shows as the same
+incarnation had it before; lists lag by up to a second."""
+
 RETRY_SECONDS: Final = 0.3
 """Pause before an order of unknown outcome is repeated; it is idempotent."""
 
--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -43,12 +43,15 @@
 class WaveRun:
     """Hold how far a wave is.
 
+    :param first_seen_at: when an owner first saw it, in steady seconds.
+    :param seen_wall: the same as wall clock, for the owners after.
     :param begun: machines whose maintenance has begun.
     :param emptying: machines that are being emptied for it.
     """
 
     wave: UpkeepWave
     first_seen_at: float
+    seen_wall: float = 0.0
     begun: set[str] = field(default_factory=set)
     orders: dict[str, MaintenanceOrder] = field(default_factory=dict)
     emptying: dict[str, float] = field(default_factory=dict)
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -32,7 +32,7 @@
 )
 from .models import Empty, FleetView, Load, Maintain, Move, WaveRun
 from .pools import PoolPlanner
-from .waves import WavePlanner
+from .waves import WavePlanner, take_up
 
 _LOGGER = get_logger(__name__)
 
@@ -224,12 +224,13 @@
         for number, wave in self.configuration.waves.items():
             if number in self.planner.runs:
                 continue
+            now = self.timers.monotonic()
+            wall = self.timers.wall()
             stored = self.ledger.waves.get(str(number))
-            run = WaveRun(wave, self.timers.monotonic())
-            if stored is not None:
-                run.begun.update(stored.machines)
-                run.done = stored.done
+            run = take_up(wave, stored, now, wall)
             self.planner.runs[number] = run
+            if stored is None:
+                self._store_wave(run)
 
     def _view(self) -> FleetView:
         loads = {
@@ -280,7 +281,7 @@
             )
 
     def _store_wave(self, run: WaveRun) -> None:
-        record = WaveRecord(sorted(run.begun), run.done)
+        record = WaveRecord(sorted(run.begun), run.done, run.seen_wall)
         key = f"{PREFIX_WAVE}{run.wave.wave}"
         self.ledger_appender.post([(key, encode(record))])
 
--- a/mustardward/components/fleet/waves.py
+++ b/mustardward/components/fleet/waves.py
@@ -7,8 +7,16 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ...platform.models import INSTANCE_UP, INSTANCE_UPKEEP, Instance
-from .const import CYCLE_SECONDS, HURRY_FACTOR, POOL_SHARE, RETRY_SECONDS
+from ...platform.models import INSTANCE_UP, INSTANCE_UPKEEP, Instance, UpkeepWave
+from ..ledger.models import WaveRecord
+from .const import (
+    CYCLE_SECONDS,
+    HURRY_FACTOR,
+    LEAST_AT_ONCE,
+    POOL_SHARE,
+    REPEATED_SECONDS,
+    RETRY_SECONDS,
+)
 from .models import (
     Decision,
     Empty,
@@ -97,6 +105,13 @@
                 continue
             if instance is None or _is_up_again(instance, order, view):
                 del run.orders[machine]
+            elif view.read_at >= (
+                order.accepted_at + self.maintenance_seconds + REPEATED_SECONDS
+            ):
+                # The same incarnation is still up: an owner before had it maintained,
+                # and the platform accepts an order again that was carried out.
+                if instance.state == INSTANCE_UP:
+                    del run.orders[machine]
 
     def _order(self, run: WaveRun, view: FleetView, now: float) -> Iterable[Decision]:
         for machine in list(run.emptying):
@@ -165,7 +180,7 @@
         time_left = run.first_seen_at + run.wave.duration_s - now
         rounds = max(1.0, time_left / CYCLE_SECONDS - 1)
         pace = math.ceil(HURRY_FACTOR * left / rounds)
-        return min(run.wave.max_count, max(1, pace))
+        return min(run.wave.max_count, max(LEAST_AT_ONCE, pace))
 
     def _held_by_pool(self, run: WaveRun, view: FleetView) -> Counter[str]:
         held: Counter[str] = Counter()
@@ -191,6 +206,22 @@
     return load is not None and load.empty
 
 
+def take_up(
+    wave: UpkeepWave, stored: WaveRecord | None, now: float, wall: float
+) -> WaveRun:
+    """Return a wave as an owner takes it up, with what one before it stored.
+
+    Its time runs from when the first owner saw it: one that took it for new would
+    spread what is left over the whole time again.
+    """
+    if stored is None:
+        return WaveRun(wave, now, wall)
+    passed = min(wave.duration_s, max(0.0, wall - stored.seen_at))
+    return WaveRun(
+        wave, now - passed, stored.seen_at, set(stored.machines), done=stored.done
+    )
+
+
 Cost = tuple[bool, bool, int, int, str]
 
 
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -105,10 +105,14 @@
 
 
 class WaveRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Hold the machines of a wave whose maintenance has begun, and if it is done."""
+    """Hold the machines of a wave whose maintenance has begun, and if it is done.
+
+    :param seen_at: when an owner first saw it, wall clock in seconds, or 0.
+    """
 
     machines: list[str]
     done: bool
+    seen_at: float = 0.0
 
 
 class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/components/fleet/test_waves.py
+++ b/tests/components/fleet/test_waves.py
@@ -4,9 +4,10 @@
 
 import pytest
 
-from mustardward.components.fleet.const import CYCLE_SECONDS
+from mustardward.components.fleet.const import CYCLE_SECONDS, REPEATED_SECONDS
 from mustardward.components.fleet.models import Empty, Load, Maintain
-from mustardward.components.fleet.waves import WavePlanner
+from mustardward.components.fleet.waves import WavePlanner, take_up
+from mustardward.components.ledger.models import WaveRecord
 from mustardward.platform.models import Instance
 
 from .builders import POOL, STANDBY, a_view, a_wave, an_instance
@@ -198,3 +199,47 @@
     emptied = {d.machine for d in decisions if isinstance(d, Empty)}
     assert len(emptied) == 2
     assert not emptied & moving
+
+
+def test_an_order_that_was_carried_out_before_does_not_hold_its_place() -> None:
+    """The platform answers an order that repeats an earlier owner's as begun.
+
+    Symptom: a wave was never told as done. Sequence: an owner that was cut off from the
+    log maintained an instance, and could not store it; the next one ordered it again,
+    and waited for another incarnation to come up. Cause: there was none to come.
+    """
+    planner = a_planner(["m-00", "m-01"], max_count=1)
+    fleet = eight()
+    planner.decide(a_view(fleet), 0.0)
+    (first,) = _orders(planner, a_view(fleet, read_at=0.1), 0.1)
+    assert isinstance(first, Maintain)
+    planner.accepted(1, first.machine, 0.1)
+    soon = 0.1 + MAINTENANCE_SECONDS + 1.0
+    assert _orders(planner, a_view(fleet, read_at=soon), soon) == []
+    later = 0.1 + MAINTENANCE_SECONDS + REPEATED_SECONDS
+    planner.decide(a_view(fleet, read_at=later), later)
+    assert len(_orders(planner, a_view(fleet, read_at=later + 0.1), later + 0.1)) == 1
+
+
+def test_an_owner_that_takes_a_wave_up_counts_the_time_that_has_passed() -> None:
+    """What is left of a wave is not spread over its whole time again.
+
+    Symptom: a wave ended late by its last two instances. Sequence: the owner changed
+    5 s before its end; the next one took one instance at a time. Cause: it counted the
+    wave's time from its own beginning.
+    """
+    wave = a_wave([f"m-{n:02d}" for n in range(8)], 8, duration_s=20.0).wave
+    stored = WaveRecord(["m-00"], False, seen_at=1000.0)
+    run = take_up(wave, stored, now=50.0, wall=1015.0)
+    assert run.first_seen_at == 35.0
+    assert run.seen_wall == 1000.0
+    assert run.begun == {"m-00"}
+    jumped = take_up(wave, stored, now=50.0, wall=5000.0)
+    assert jumped.first_seen_at == 30.0
+
+
+def test_one_instance_that_waits_does_not_keep_another_from_its_turn() -> None:
+    planner = a_planner(["m-00", "m-01"], max_count=2)
+    busy = a_view(eight(), {"i-00": Load(0, 1)})
+    emptied = {d.machine for d in planner.decide(busy, 0.0)}
+    assert emptied == {"m-00", "m-01"}
