Serve the smallest first when not all can be in time

Cause: in the order of slack each job gets its room a little too late once a turn asks for more than its pool can do.

The orders are a registry, so that the replay compares them all.

--- a/bench/owner.py
+++ b/bench/owner.py
@@ -130,7 +130,7 @@
     scheduler.reports.start_answered(start.task, start.run, "", now)
     worker = scheduler.board.workers[start.worker]
     ended = EndedTask(1, start.task.name, start.run, "done", "")
-    scheduler.reports._ended(worker, ended, now)
+    scheduler.reports.ended(worker, ended, now)
 
 
 def _pairs(cost: PlanCost) -> dict[str, float]:
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 
@@ -108,6 +109,7 @@
                 self._set_leaving(decision.worker, True)
             elif isinstance(decision, Maintain):
                 self.tasks.start_soon(self._async_maintain, decision)
+        self.scheduler.board.coming = self._coming()
         self.scheduler.set_due({self._worker_of(machine) for machine in view.due})
         self._tell()
         if now - self._progress_told_at >= TELL_SECONDS:
@@ -217,6 +219,15 @@
         instance = self._instances.get(machine)
         return (instance.id if instance is not None else None) or ""
 
+    def _coming(self) -> dict[str, int]:
+        """Return the processor that is on its way to each pool."""
+        coming: Counter[str] = Counter()
+        for machine, order in self.pools.orders.items():
+            instance = self._instances.get(machine)
+            if instance is not None:
+                coming[order.pool] += instance.capacity.cpu
+        return coming
+
     def _set_leaving(self, worker_id: str, leaving: bool) -> None:
         self.scheduler.set_leaving(worker_id, leaving, self.timers.monotonic())
 
--- a/mustardward/components/scheduling/estimates.py
+++ b/mustardward/components/scheduling/estimates.py
@@ -45,6 +45,17 @@
             return UNKNOWN_ESTIMATE_SECONDS
         return declared * self.ratio(step.job.record.queue)
 
+    def work_left(self, job: Job) -> float:
+        """Return what has not begun of a job's work, in core seconds."""
+        ratio = self.ratio(job.record.queue)
+        total = 0.0
+        for number, spec in enumerate(job.record.steps):
+            step = job.steps.get((0, number))
+            begun = step.done + step.active if step is not None else 0
+            declared = spec.estimate_ms / 1000 or UNKNOWN_ESTIMATE_SECONDS
+            total += (spec.count - begun) * spec.cpu / 1000 * declared * ratio
+        return total
+
     def chain(self, job: Job, only_left: bool) -> float:
         """Return the longest chain of a job's work, in seconds.
 
--- a/mustardward/components/scheduling/order.py
+++ b/mustardward/components/scheduling/order.py
@@ -5,16 +5,29 @@
 every job wait as long as the backlog is, so that near all miss their objective. Work
 that can still meet its objective goes first; what can't any more waits for the trough,
 and is not lost.
+
+As long as the pool can do all of it, the job with the least slack comes first. When it
+can't, that order gives every job its room a little too late: then the smallest come
+first, and few large ones are late instead of many small ones.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from enum import IntEnum
+from typing import Final
 
 from .estimates import Estimates
 from .models import StepRun
 
 Rank = tuple[int, int, float]
+Order = Callable[[StepRun, float, Estimates], float]
+
+ORDERS: Final[dict[str, Order]] = {}
+HORIZON_SECONDS: Final = 2.5
+"""Work of more than so much of its pool's time is more than can be in time; with 1.5
+and 4 s a replay of turns earned 0.05 and 0.02 less in one of its three loads."""
 
 
 class Standing(IntEnum):
@@ -26,7 +39,87 @@
     OVERDUE = 3
 
 
-def rank(step: StepRun, now: float, estimates: Estimates) -> Rank:
+def register(name: str) -> Callable[[Order], Order]:
+    """File an order of the work that can still be in time."""
+
+    def file(order: Order) -> Order:
+        ORDERS[name] = order
+        return order
+
+    return file
+
+
+@register("slack")
+def by_slack(step: StepRun, now: float, estimates: Estimates) -> float:
+    """Return when a job has to be at work without a pause."""
+    job = step.job
+    return job.objective_at - estimates.chain(job, only_left=True)
+
+
+@register("arrival")
+def by_arrival(step: StepRun, now: float, estimates: Estimates) -> float:
+    """Return when a job came."""
+    return step.job.accepted_at
+
+
+@register("chain")
+def by_chain(step: StepRun, now: float, estimates: Estimates) -> float:
+    """Return the seconds that a job takes at least from now on."""
+    return estimates.chain(step.job, only_left=True)
+
+
+@register("work")
+def by_work(step: StepRun, now: float, estimates: Estimates) -> float:
+    """Return what is left of a job's work, in core seconds."""
+    return estimates.work_left(step.job)
+
+
+@dataclass(frozen=True, slots=True)
+class Capacity:
+    """Hold what a pool can do from now on, in cores.
+
+    :param begun: what is left of the work that has begun, in core seconds.
+    :param coming: of instances that are on their way to it.
+    :param coming_in: until they are there, in seconds.
+    """
+
+    now: float
+    begun: float = 0.0
+    coming: float = 0.0
+    coming_in: float = 0.0
+
+    def until(self, seconds: float) -> float:
+        """Return the core seconds that it can do within a time."""
+        later = max(0.0, seconds - self.coming_in)
+        return self.now * max(0.0, seconds) + self.coming * later - self.begun
+
+
+def prioritise(
+    steps: Iterable[StepRun],
+    now: float,
+    estimates: Estimates,
+    capacity: Capacity,
+    order: Order | None = None,
+) -> list[StepRun]:
+    """Return steps, the first to be placed first.
+
+    :param order: an order to keep to, whatever the load.
+    """
+    in_time = {
+        step.job.record.id: step.job
+        for step in steps
+        if not step.spec.long_running and step.job.objective_at > now
+    }
+    asked = sum(estimates.work_left(job) for job in in_time.values())
+    if order is None:
+        order = by_work if asked > capacity.until(HORIZON_SECONDS) else by_slack
+    chosen = order
+    return sorted(steps, key=lambda step: rank(step, now, estimates, chosen))
+
+
+def rank(
+    step: StepRun, now: float, estimates: Estimates, order: Order = by_slack
+) -> Rank:
     """Return the sort key of a step; the smallest comes first."""
     job = step.job
     policy = job.policy
@@ -34,7 +127,7 @@
         return (Standing.LASTING, policy.priority, float(step.spec.fills))
     left = estimates.chain(job, only_left=True)
     if now + left <= job.objective_at:
-        return (Standing.IN_TIME, policy.priority, job.objective_at - left)
+        return (Standing.IN_TIME, policy.priority, order(step, now, estimates))
     if now + left <= job.late_at:
         return (Standing.LATE, policy.priority, left * len(step.tasks))
     return (Standing.OVERDUE, policy.priority, job.accepted_at)
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -6,19 +6,23 @@
 
 from ...platform.models import Room
 from .board import Board
-from .models import AskAdvice, StepRun, WorkerState
-from .order import rank
+from .models import AskAdvice, StepRun, Task, WorkerState
+from .order import Capacity, Order, prioritise
 from .placement import choose, choose_gang, usable
 
 ADVICE_SECONDS = 2.0
 """Longest wait for advice before it is asked again."""
 
+COMING_SECONDS = 1.0
+"""Until an instance that is on its way takes work, from half of its way on."""
+
 
 @dataclass(slots=True, eq=False)
 class Planner:
     """Place what is ready, the most urgent first."""
 
     board: Board
+    order: Order | None = None
 
     def run(self, now: float) -> None:
         """Give the starts that are possible."""
@@ -38,8 +42,9 @@
     def _place(
         self, workers: list[WorkerState], steps: list[StepRun], now: float
     ) -> None:
-        estimates = self.board.estimates
-        ranked = sorted(steps, key=lambda step: rank(step, now, estimates))
+        ranked = prioritise(
+            steps, now, self.board.estimates, self._capacity(workers, now), self.order
+        )
         too_large: list[Room] = []
         for step in ranked:
             if not workers:
@@ -60,6 +65,20 @@
             elif not _restricted(step):
                 too_large.append(step.room)
 
+    def _capacity(self, workers: list[WorkerState], now: float) -> Capacity:
+        here = sum(worker.capacity.cpu for worker in workers)
+        begun = sum(
+            task.step.room.cpu * max(0.0, self._left(task, now))
+            for worker in workers
+            for task in worker.tasks.values()
+            if not task.step.spec.long_running
+        )
+        coming = self.board.coming.get(workers[0].service, 0)
+        return Capacity(here / 1000, begun / 1000, coming / 1000, COMING_SECONDS)
+
+    def _left(self, task: Task, now: float) -> float:
+        return self.board.estimates.seconds(task.step) - (now - task.started_at)
+
     def _held(self, step: StepRun, now: float) -> bool:
         job = step.job
         if not job.held or now >= self.board.held_until:
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -44,7 +44,7 @@
         :param sent_at: when the call was sent; what was ordered since may be missing.
         """
         for ended in answer.ended:
-            self._ended(worker, ended, now)
+            self.ended(worker, ended, now)
         listed: set[tuple[object, int]] = set()
         for row in answer.running:
             listed.add((row.task, row.run))
@@ -107,7 +107,8 @@
                 if member.phase in (Phase.STARTING, Phase.RUNNING):
                     self.board.stop(member, "gang")
 
-    def _ended(self, worker: WorkerState, ended: EndedTask, now: float) -> None:
+    def ended(self, worker: WorkerState, ended: EndedTask, now: float) -> None:
+        """Take in that a worker lists a run as ended."""
         task = self.board.find(ended.task)
         if task is None or task.phase is Phase.DONE:
             return
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -15,6 +15,7 @@
 from .health import Health
 from .intake import Intake
 from .models import Command, Job, Phase, StepRun, Task, WorkerState
+from .order import ORDERS
 from .pacing import Pacing
 from .planner import Planner
 from .reports import Reports
@@ -26,16 +27,18 @@
     """Decide for one shard under one epoch.
 
     All times are steady seconds, but for ``wall``, in seconds since 1970.
+
+    :param order: names how work that can still be in time is ordered.
     """
 
-    def __init__(self, epoch: int, policy_of: PolicyLookup) -> None:
+    def __init__(self, epoch: int, policy_of: PolicyLookup, order: str = "") -> None:
         self.board = Board(epoch, policy_of)
         self.intake = Intake(self.board)
         self.health = Health(self.board)
         self.reports = Reports(self.board, self.intake, self.health)
         self.pacing = Pacing(self.board)
         self._evacuation = Evacuation(self.board)
-        self._planner = Planner(self.board)
+        self._planner = Planner(self.board, ORDERS.get(order))
         self._ending: dict[str, Job] = {}
 
     def add_job(self, job: LedgerJob, now: float, wall: float) -> None:
--- a/tests/components/scheduling/test_planning.py
+++ b/tests/components/scheduling/test_planning.py
@@ -250,6 +250,37 @@
     assert start.task.name.job == THIRD
 
 
+def starts_in_shortage(bench: SchedulerBench, cores: int) -> list[str]:
+    """Return the jobs that start, of a large urgent one and five small ones."""
+    bench.worker("w1", capacity=Room(cpu=cores * 1000, mem_mb=8000))
+    large = a_step(count=cores, cpu=1000, estimate_ms=2000)
+    bench.add(a_job(large, job=OTHER, accepted_at=bench.now))
+    bench.now += 0.5
+    for number in range(5):
+        small = a_step(count=2, cpu=1000, estimate_ms=2000)
+        bench.add(a_job(small, job=f"{number:016x}", accepted_at=bench.now))
+    return [start.task.name.job for start in bench.plan_starts()]
+
+
+def test_the_most_urgent_goes_first_while_all_can_be_in_time() -> None:
+    """Load: one large job and five small ones, and instances on their way."""
+    bench = SchedulerBench()
+    bench.scheduler.board.coming[POOL] = 40_000
+    assert set(starts_in_shortage(bench, 10)) == {OTHER}
+
+
+def test_the_smallest_go_first_when_not_all_can_be_in_time() -> None:
+    """Load: a turn asks for far more than its pool can do, and nothing comes.
+
+    In the order of slack the large job would take the whole pool, and all others would
+    be late; now it alone is.
+    """
+    bench = SchedulerBench()
+    started = starts_in_shortage(bench, 10)
+    assert len(started) == 10
+    assert OTHER not in started
+
+
 def test_a_worker_that_fails_what_others_do_gets_nothing_for_a_while() -> None:
     """A worker that fails all it starts looks free, and must not draw all work."""
     bench = SchedulerBench()
