Give fleet orders in one place, and tell of waves in another

Orders are now given by one part that knows nothing of what follows from them, and waves are told by another. A maintenance that had begun lost the worker that the newest list names, which may already be the next incarnation; both kinds of order now use the worker from before the call.

--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -3,19 +3,16 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-import msgspec
 from anyio.abc import TaskGroup
 
-from ...helpers.instruments import FLEET_ORDERS
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
-from ...platform.exceptions import CallRefusedError, CallUnknownError, FencedError
+from ...platform.exceptions import CallRefusedError
 from ...platform.fleet import FleetClient
-from ...platform.models import INSTANCE_UP, WAVE_DONE, WAVE_RUNNING, Instance
-from ...platform.store import KEY_WAVE_PREFIX
+from ...platform.models import INSTANCE_UP, Instance
 from ..configuration.services import Configuration
 from ..dispatch.dispatcher import Dispatcher
 from ..ledger.appender import GroupAppender
@@ -27,12 +24,12 @@
 from .const import (
     BUSY_LIST_SECONDS,
     LIST_SECONDS,
-    NAMED_INSTANCES,
-    TELL_SECONDS,
     TICK_SECONDS,
 )
 from .models import Empty, FleetView, Load, Maintain, Move, WaveRun
+from .ordering import Ordering, OrderOutcome
 from .pools import PoolPlanner
+from .telling import WaveTelling
 from .waves import WavePlanner, take_up
 
 _LOGGER = get_logger(__name__)
@@ -42,16 +39,13 @@
 class Fleet:
     """Do the fleet work of one ownership.
 
-    :param token: the owner's fencing token, which all orders carry.
     :param barred: until when instances are left alone, in steady seconds, since the
         owner before ordered them: their holder must not change twice within a lease.
-    :param announce: names an instance in the log before it is ordered.
     :param ledger_appender: stores which instances a wave has taken.
-    :param status_appender: tells the operator how far waves are.
     """
 
     client: FleetClient
-    token: int
+    ordering: Ordering
     barred: dict[str, float]
     timers: TimerService
     scheduler: Scheduler
@@ -59,18 +53,13 @@
     configuration: Configuration
     ledger: Ledger
     ledger_appender: GroupAppender
-    status_appender: GroupAppender
     planner: WavePlanner
+    telling: WaveTelling
     pools: PoolPlanner
     authorised: Callable[[], bool]
-    on_fenced: Callable[[], None]
-    announce: Callable[[str], Awaitable[bool]]
     tasks: TaskGroup
     _instances: dict[str, Instance] = field(default_factory=dict)
     _read_at: float = -1.0
-    _told: dict[int, str] = field(default_factory=dict)
-    _busy: set[str] = field(default_factory=set)
-    _progress_told_at: float = 0.0
 
     async def async_run(self) -> None:
         """Work until cancelled."""
@@ -111,10 +100,8 @@
                 self.tasks.start_soon(self._async_maintain, decision)
         self.scheduler.board.coming = self._coming()
         self.scheduler.set_due({self._worker_of(machine) for machine in view.due})
-        self._tell()
-        if now - self._progress_told_at >= TELL_SECONDS:
-            self._progress_told_at = now
-            self._tell_progress(view)
+        for number in self.telling.tell(view, now):
+            self._store_wave(self.planner.runs[number])
 
     async def _async_read(self) -> None:
         sent_at = self.timers.monotonic()
@@ -155,65 +142,25 @@
                 self.dispatcher.lose_worker(worker_id)
 
     async def _async_maintain(self, order: Maintain) -> None:
-        if order.machine in self._busy:
-            return
-        self._busy.add(order.machine)
-        try:
-            if not await self.announce(order.machine):
-                raise CallRefusedError("not announced")
-            await self.client.async_maintain(order.machine, order.wave, self.token)
-        except FencedError:
-            self.on_fenced()
-        except CallRefusedError as error:
-            FLEET_ORDERS.labels("maintenance", "refused").inc()
-            _LOGGER.warning(
-                "maintenance_refused", machine=order.machine, detail=error.detail
-            )
+        worker_id = self._worker_of(order.machine)
+        outcome = await self.ordering.async_give(order)
+        if outcome is OrderOutcome.REFUSED:
             self.planner.refused(order.wave, order.machine)
-            self._set_leaving(self._worker_of(order.machine), False)
-        except CallUnknownError as error:
-            FLEET_ORDERS.labels("maintenance", "unknown").inc()
-            _LOGGER.warning(
-                "maintenance_unknown", machine=order.machine, detail=error.detail
-            )
-        else:
-            self._begun(order)
-        finally:
-            self._busy.discard(order.machine)
+            self._set_leaving(worker_id, False)
+        elif outcome is OrderOutcome.BEGUN:
+            self.planner.accepted(order.wave, order.machine, self.timers.monotonic())
+            self.dispatcher.lose_worker(worker_id)
+            self._store_wave(self.planner.runs[order.wave])
 
     async def _async_move(self, order: Move) -> None:
-        if order.machine in self._busy:
-            return
-        self._busy.add(order.machine)
         worker_id = self._worker_of(order.machine)
-        try:
-            if not await self.announce(order.machine):
-                raise CallRefusedError("not announced")
-            await self.client.async_move(order.machine, order.pool, self.token)
-        except FencedError:
-            self.on_fenced()
-        except CallRefusedError as error:
-            FLEET_ORDERS.labels("move", "refused").inc()
-            _LOGGER.warning("move_refused", machine=order.machine, d=error.detail)
+        outcome = await self.ordering.async_give(order)
+        if outcome is OrderOutcome.REFUSED:
             self.pools.refused(order.machine)
             self._set_leaving(worker_id, False)
-        except CallUnknownError as error:
-            FLEET_ORDERS.labels("move", "unknown").inc()
-            _LOGGER.warning("move_unknown", machine=order.machine, d=error.detail)
-        else:
-            FLEET_ORDERS.labels("move", "begun").inc()
-            _LOGGER.info("move_begun", machine=order.machine, pool=order.pool)
+        elif outcome is OrderOutcome.BEGUN:
             self.pools.accepted(order.machine, self.timers.monotonic())
             self.dispatcher.lose_worker(worker_id)
-        finally:
-            self._busy.discard(order.machine)
-
-    def _begun(self, order: Maintain) -> None:
-        FLEET_ORDERS.labels("maintenance", "begun").inc()
-        _LOGGER.info("maintenance_begun", machine=order.machine, wave=order.wave)
-        self.planner.accepted(order.wave, order.machine, self.timers.monotonic())
-        self.dispatcher.lose_worker(self._worker_of(order.machine))
-        self._store_wave(self.planner.runs[order.wave])
 
     def _worker_of(self, machine: str) -> str:
         instance = self._instances.get(machine)
@@ -264,42 +211,7 @@
             due=frozenset(self.planner.due()),
         )
 
-    def _tell(self) -> None:
-        for number, run in self.planner.runs.items():
-            state = WAVE_DONE if run.done else WAVE_RUNNING
-            if self._told.get(number) == state:
-                continue
-            self._told[number] = state
-            body = msgspec.json.encode({"state": state})
-            self.status_appender.post([(f"{KEY_WAVE_PREFIX}{number}", body)])
-            if run.done:
-                _LOGGER.info("wave_done", wave=number)
-                self._store_wave(run)
-
-    def _tell_progress(self, view: FleetView) -> None:
-        for number, run in self.planner.runs.items():
-            if run.done:
-                continue
-            left = self.planner.left(run, view)
-            waiting = [i for i in left if i.machine not in run.emptying]
-            _LOGGER.info(
-                "wave_progress",
-                wave=number,
-                left=len(left),
-                emptying=len(run.emptying),
-                ordered=len(run.orders),
-                waiting=",".join(_describe(i, view) for i in waiting[:NAMED_INSTANCES]),
-            )
-
     def _store_wave(self, run: WaveRun) -> None:
         record = WaveRecord(sorted(run.begun), run.done, run.seen_wall)
         key = f"{PREFIX_WAVE}{run.wave.wave}"
         self.ledger_appender.post([(key, encode(record))])
-
-
-def _describe(instance: Instance, view: FleetView) -> str:
-    """Return why a wave may not take an instance yet."""
-    load = view.loads.get(instance.id or "")
-    tasks = f"{load.lasting}+{load.others}" if load is not None else "unknown"
-    moving = ":moving" if instance.machine in view.moving else ""
-    return f"{instance.machine}:{instance.pool}:{instance.state}:{tasks}{moving}"
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -18,8 +18,10 @@
 from ..configuration.services import Configuration
 from ..dispatch.const import AUTHORITY_SECONDS, lease_bound
 from ..dispatch.dispatcher import Dispatcher
+from ..fleet.ordering import Ordering
 from ..fleet.pools import PoolPlanner
 from ..fleet.services import Fleet
+from ..fleet.telling import WaveTelling
 from ..fleet.waves import WavePlanner
 from ..ledger.appender import GroupAppender, Outcome, Record
 from ..ledger.const import (
@@ -181,9 +183,10 @@
             f"status/{SHARD}",
             self._epoch,
         )
+        planner = WavePlanner(parts.bounds.maintenance_s)
         fleet = Fleet(
             client,
-            self._epoch,
+            Ordering(client, self._epoch, self._renewals.async_announce, self.depose),
             barred,
             parts.timers,
             self.scheduler,
@@ -191,12 +194,10 @@
             parts.configuration,
             parts.ledger,
             self.appender,
-            status,
-            WavePlanner(parts.bounds.maintenance_s),
+            planner,
+            WaveTelling(status, planner),
             PoolPlanner(parts.bounds.move_s),
             self._authority.holds,
-            self.depose,
-            self._renewals.async_announce,
             tasks,
         )
         self._fleet = fleet
