--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -16,7 +16,6 @@
 from ...platform.models import WorkerEntry
 from ...platform.store import TOPIC_STATUS, TOPIC_WORKERS, Producer, StoreClient
 from ..configuration.services import Configuration
-from ..dispatch.const import AUTHORITY_SECONDS, lease_bound
 from ..dispatch.dispatcher import Dispatcher
 from ..fleet.ordering import Ordering
 from ..fleet.pools import PoolPlanner
@@ -40,7 +39,6 @@
 from .const import (
     BEAT_SECONDS,
     CONFIRM_RETRY_SECONDS,
-    HELD_LOOK_SECONDS,
     PLAN_GAP_SECONDS,
     PLAN_SECONDS,
     STORED_JOBS_SECONDS,
@@ -50,6 +48,7 @@
 )
 from .directory import WorkerDirectory
 from .renewals import Renewals, barred_until
+from .takeover import Takeover, hold
 
 _LOGGER = get_logger(__name__)
 
@@ -124,6 +123,10 @@
         self._wake.set()
         self._dirty.set()
 
+    def _wake_up(self) -> None:
+        """Plan soon."""
+        self._wake.set()
+
     async def async_run(self) -> None:
         """Work until deposed."""
         parts = self._parts
@@ -155,9 +158,17 @@
             tasks.start_soon(self._async_store)
             tasks.start_soon(self._async_plan)
             tasks.start_soon(self._async_watch, directory)
-            tasks.start_soon(self._async_release_held, follower)
             if parts.fleet is not None:
                 self._start_fleet(parts.fleet, dispatcher, tasks)
+            takeover = Takeover(
+                self._epoch,
+                self.scheduler.board,
+                dispatcher,
+                parts.timers,
+                self._wake_up,
+                self._fleet,
+            )
+            tasks.start_soon(takeover.async_run, follower)
             await self._deposed.wait()
             _LOGGER.warning("owner_deposed", epoch=self._epoch)
             self._unsubscribe()
@@ -209,12 +220,7 @@
         now = parts.timers.monotonic()
         wall = parts.timers.wall()
         board = self.scheduler.board
-        # A worker that does not answer may still run what an earlier owner gave it.
-        # One that gave the shard up gives no more orders; one that fell silent may,
-        # for as long as its last renewal allows.
-        authority = AUTHORITY_SECONDS if self._before.node else 0.0
-        board.held_until = lease_bound(now) + authority
-        board.taken_over_at = now
+        hold(board, self._before, now)
         for job in parts.ledger.jobs.values():
             self.scheduler.add_job(job, now, wall)
         parts.ledger.on_job = self._add_job
@@ -248,55 +254,6 @@
     def _miss_worker(self, worker_id: str) -> None:
         self.scheduler.miss_worker(worker_id, self._parts.timers.monotonic())
 
-    async def _async_release_held(self, follower: TopicFollower) -> None:
-        await follower.async_wait_loaded()
-        board = self.scheduler.board
-        timers = self._parts.timers
-        while timers.monotonic() < board.held_until:
-            self._release_pools()
-            await timers.async_sleep(HELD_LOOK_SECONDS)
-        self._wake.set()
-
-    def _release_pools(self) -> None:
-        """Start again what was held of the pools whose workers were all heard of."""
-        unheard = self._unheard_pools()
-        if unheard is None:
-            return
-        board = self.scheduler.board
-        if not unheard:
-            board.held_until = 0.0
-            _LOGGER.info("takeover_complete", epoch=self._epoch)
-            return
-        released = {job.policy.service for job in board.jobs.values()} - unheard
-        for pool in released - board.released:
-            _LOGGER.info("pool_released", epoch=self._epoch, pool=pool)
-            board.released.add(pool)
-            self._wake.set()
-
-    def _unheard_pools(self) -> set[str] | None:
-        """Return the pools of workers that may run something nobody told here.
-
-        A worker's entry may have lapsed while the store was away, so the fleet's
-        list has to name no worker that is not known here either.
-
-        :returns: None if that can't be told yet.
-        """
-        if self.dispatcher is None:
-            return None
-        workers = self.scheduler.board.workers
-        pools = {
-            workers[worker_id].service
-            for worker_id in self.dispatcher.unheard()
-            if worker_id in workers
-        }
-        if self._fleet is None:
-            return pools
-        listed = self._fleet.listed_workers()
-        if listed is None:
-            return None
-        sessions = self.dispatcher.sessions
-        return pools | {pool for name, pool in listed.items() if name not in sessions}
-
     async def _async_plan(self) -> None:
         timers = self._parts.timers
         while True:
--- /dev/null
+++ b/tests/components/ownership/test_takeover.py
@@ -0,0 +1,83 @@
+"""Test which pools a new owner starts again, and when."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+from mustardward.components.dispatch.const import AUTHORITY_SECONDS, lease_bound
+from mustardward.components.ledger.models import OwnerRecord
+from mustardward.components.ownership.takeover import Takeover, hold
+from mustardward.helpers.timer import DrivenTimerService
+from tests.components.scheduling.builders import POOL, SchedulerBench, a_job, an_entry
+
+OTHER = "pool-b"
+NOW = 1000.0
+
+
+class TakeoverBench:
+    """Hold a takeover of two pools with a worker each; none has answered."""
+
+    def __init__(self, listed: dict[str, str] | None) -> None:
+        self.bench = SchedulerBench(epoch=2)
+        self.board = self.bench.scheduler.board
+        self.unheard = ["w1", "w2"]
+        self.woken = 0
+        for name, pool in (("w1", POOL), ("w2", OTHER)):
+            entry = an_entry(service=pool)
+            self.bench.scheduler.see_worker(name, entry, self.bench.now)
+        for number, pool in enumerate((POOL, OTHER)):
+            self.bench.add(a_job(job=f"{number:016x}", service=pool))
+            job = self.board.jobs[f"{number:016x}"]
+            job.policy = SimpleNamespace(service=pool)  # type: ignore[assignment]
+        sessions = {"w1": None, "w2": None}
+        dispatcher: Any = SimpleNamespace(
+            unheard=lambda: self.unheard, sessions=sessions
+        )
+        fleet: Any = SimpleNamespace(listed_workers=lambda: listed)
+        self.takeover = Takeover(
+            2, self.board, dispatcher, DrivenTimerService(), self._wake, fleet
+        )
+        hold(self.board, OwnerRecord(1, "c", "node-1", 5), self.bench.now)
+
+    def _wake(self) -> None:
+        self.woken += 1
+
+    def look(self) -> set[str]:
+        """Look once, and return the pools that were released so far."""
+        self.takeover.release_pools()
+        return self.board.released
+
+
+def test_a_pool_is_released_once_its_workers_were_heard_of() -> None:
+    """A silent worker holds up its own pool only."""
+    bench = TakeoverBench({"w1": POOL, "w2": OTHER})
+    assert bench.look() == set()
+    bench.unheard = ["w2"]
+    assert bench.look() == {POOL}
+    assert bench.woken == 1
+    bench.unheard = []
+    bench.look()
+    assert bench.board.held_until == 0.0
+
+
+def test_a_worker_that_only_the_list_names_holds_its_pool() -> None:
+    """Its entry may have lapsed while the store was away, and it may run something."""
+    bench = TakeoverBench({"w1": POOL, "w2": OTHER, "w9": POOL})
+    bench.unheard = []
+    assert bench.look() == {OTHER}
+    assert bench.board.held_until > 0.0
+
+
+def test_nothing_is_released_before_the_list_was_read() -> None:
+    bench = TakeoverBench(None)
+    bench.unheard = []
+    assert bench.look() == set()
+
+
+def test_an_owner_that_gave_the_shard_up_gives_no_more_orders() -> None:
+    board = SchedulerBench().scheduler.board
+    hold(board, OwnerRecord(1, "c", "", 5), NOW)
+    assert board.held_until == lease_bound(NOW)
+    hold(board, OwnerRecord(1, "c", "node-1", 5), NOW)
+    assert board.held_until == lease_bound(NOW) + AUTHORITY_SECONDS
