--- a/mustardward/components/scheduling/estimates.py
+++ b/mustardward/components/scheduling/estimates.py
@@ -50,6 +50,8 @@
         ratio = self.ratio(job.record.queue)
         total = 0.0
         for number, spec in enumerate(job.record.steps):
+            if spec.long_running:
+                continue
             step = job.steps.get((0, number))
             begun = step.done + step.active if step is not None else 0
             declared = spec.estimate_ms / 1000 or UNKNOWN_ESTIMATE_SECONDS
--- a/mustardward/components/scheduling/order.py
+++ b/mustardward/components/scheduling/order.py
@@ -19,10 +19,20 @@
 from typing import Final
 
 from .estimates import Estimates
-from .models import StepRun
+from .models import Job, StepRun
 
 Rank = tuple[int, int, float]
-Order = Callable[[StepRun, float, Estimates], float]
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """Hold what is left of a job: its longest chain (s) and its work (core s)."""
+
+    chain: float
+    work: float
+
+
+Order = Callable[[Job, Left], float]
 
 ORDERS: Final[dict[str, Order]] = {}
 HORIZON_SECONDS: Final = 2.5
@@ -50,28 +60,27 @@
 
 
 @register("slack")
-def by_slack(step: StepRun, now: float, estimates: Estimates) -> float:
+def by_slack(job: Job, left: Left) -> float:
     """Return when a job has to be at work without a pause."""
-    job = step.job
-    return job.objective_at - estimates.chain(job, only_left=True)
+    return job.objective_at - left.chain
 
 
 @register("arrival")
-def by_arrival(step: StepRun, now: float, estimates: Estimates) -> float:
+def by_arrival(job: Job, left: Left) -> float:
     """Return when a job came."""
-    return step.job.accepted_at
+    return job.accepted_at
 
 
 @register("chain")
-def by_chain(step: StepRun, now: float, estimates: Estimates) -> float:
+def by_chain(job: Job, left: Left) -> float:
     """Return the seconds that a job takes at least from now on."""
-    return estimates.chain(step.job, only_left=True)
+    return left.chain
 
 
 @register("work")
-def by_work(step: StepRun, now: float, estimates: Estimates) -> float:
-    """Return what is left of a job's work, in core seconds."""
-    return estimates.work_left(step.job)
+def by_work(job: Job, left: Left) -> float:
+    """Return what has not begun of a job's work."""
+    return left.work
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,29 +114,29 @@
 
     :param order: an order to keep to, whatever the load.
     """
-    in_time = {
-        step.job.record.id: step.job
-        for step in steps
-        if not step.spec.long_running and step.job.objective_at > now
+    steps = list(steps)
+    jobs = {step.job.record.id: step.job for step in steps}
+    left = {
+        name: Left(estimates.chain(job, only_left=True), estimates.work_left(job))
+        for name, job in jobs.items()
     }
-    asked = sum(estimates.work_left(job) for job in in_time.values())
+    asked = sum(left[name].work for name, job in jobs.items() if job.objective_at > now)
     if order is None:
         order = by_work if asked > capacity.until(HORIZON_SECONDS) else by_slack
     chosen = order
-    return sorted(steps, key=lambda step: rank(step, now, estimates, chosen))
+    return sorted(
+        steps, key=lambda step: rank(step, now, left[step.job.record.id], chosen)
+    )
 
 
-def rank(
-    step: StepRun, now: float, estimates: Estimates, order: Order = by_slack
-) -> Rank:
+def rank(step: StepRun, now: float, left: Left, order: Order) -> Rank:
     """Return the sort key of a step; the smallest comes first."""
     job = step.job
     policy = job.policy
     if step.spec.long_running:
         return (Standing.LASTING, policy.priority, float(step.spec.fills))
-    left = estimates.chain(job, only_left=True)
-    if now + left <= job.objective_at:
-        return (Standing.IN_TIME, policy.priority, order(step, now, estimates))
-    if now + left <= job.late_at:
-        return (Standing.LATE, policy.priority, left * len(step.tasks))
+    if now + left.chain <= job.objective_at:
+        return (Standing.IN_TIME, policy.priority, order(job, left))
+    if now + left.chain <= job.late_at:
+        return (Standing.LATE, policy.priority, left.chain * len(step.tasks))
     return (Standing.OVERDUE, policy.priority, job.accepted_at)
