Use a worker again whose entry comes back, and count only usable ones

A data centre was cut off, its workers' entries lapsed and came back; a missing entry marked its worker as leaving and nothing took that back, so its task was stopped 0.7 s after it had begun again. The step allows one task on a worker and its pool had 15 usable workers for 17; the list showed 17, so none was added.

Ruled out: the takeover (none), the order of work (nothing else waited), room.

Change: absence is a mark of its own that ends when the entry is back; workers that are absent, draining or silent for 1.5 s do not count for their pool. Tests fail before.

--- a/mustardward/components/fleet/const.py
+++ b/mustardward/components/fleet/const.py
@@ -50,6 +50,10 @@
 """Instances that a pool keeps without any work, on two racks if it can: a first task
 is never kept waiting for a move, nor lost with one rack."""
 
+SILENT_SECONDS: Final = 1.5
+"""Silence after which a worker does not count for its pool: an instance comes in as
+long, and single answers are lost for less."""
+
 IDLE_SECONDS: Final = 2.5
 """Idle time after which an instance goes off: off and on again costs about as much as
 keeping it on for 2.3 s."""
--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -65,6 +65,7 @@
     :param read_at: when the list was asked for, in steady seconds.
     :param moving: machines that were ordered into another pool.
     :param barred: machines that the owner before ordered somewhere just now.
+    :param unusable: workers that are up and can't be given tasks.
     :param due: machines that a wave is still to maintain.
     """
 
@@ -75,6 +76,7 @@
     read_at: float
     moving: frozenset[str] = frozenset()
     barred: frozenset[str] = frozenset()
+    unusable: frozenset[str] = frozenset()
     due: frozenset[str] = frozenset()
 
 
--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -123,6 +123,9 @@
         for machine, instance in view.instances.items():
             if machine in self.orders:
                 have[self.orders[machine].pool] += 1
+            elif instance.id in view.unusable:
+                # Counted, it would keep a step that spreads from the worker it lacks.
+                continue
             elif machine not in taken and instance.state == INSTANCE_UP:
                 have[instance.pool] += 1
         return have
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -24,6 +24,7 @@
 from .const import (
     BUSY_LIST_SECONDS,
     LIST_SECONDS,
+    SILENT_SECONDS,
     TICK_SECONDS,
 )
 from .models import Empty, FleetView, Load, Maintain, Move, WaveRun
@@ -175,6 +176,17 @@
                 coming[order.pool] += instance.capacity.cpu
         return coming
 
+    def _unusable(self) -> frozenset[str]:
+        """Return the workers that nothing can be started on for a while."""
+        now = self.timers.monotonic()
+        return frozenset(
+            worker.id
+            for worker in self.scheduler.board.workers.values()
+            if worker.absent
+            or worker.draining
+            or (worker.stale and now - worker.heard_at > SILENT_SECONDS)
+        )
+
     def _set_leaving(self, worker_id: str, leaving: bool) -> None:
         self.scheduler.set_leaving(worker_id, leaving, self.timers.monotonic())
 
@@ -208,6 +220,7 @@
             standby,
             frozenset(pools),
             self._read_at,
+            unusable=self._unusable(),
             due=frozenset(self.planner.due()),
         )
 
--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -60,7 +60,7 @@
     steps: dict[int, StepRun] = {}
     for worker in board.workers.values():
         load = loads.setdefault(worker.service, PoolLoad())
-        if worker.confirmed and not worker.leaving:
+        if worker.confirmed and not worker.leaving and not worker.absent:
             load.workers += 1
             load.capacity += worker.capacity.cpu
         for task in worker.tasks.values():
--- a/mustardward/components/scheduling/evacuation.py
+++ b/mustardward/components/scheduling/evacuation.py
@@ -38,7 +38,7 @@
     def run(self, now: float) -> None:
         """Give the stops that are due."""
         for worker in self.board.workers.values():
-            if worker.leaving or worker.draining:
+            if worker.leaving or worker.draining or worker.absent:
                 self._empty(worker, now)
 
     def _empty(self, worker: WorkerState, now: float) -> None:
@@ -57,4 +57,5 @@
         left = self.board.estimates.seconds(task.step) - (now - task.started_at)
         if worker.draining:
             return now + left > worker.drains_at
-        return now - worker.leaving_since > EVACUATION_SECONDS
+        since = worker.leaving_since if worker.leaving else worker.missing_since
+        return since is not None and now - since > EVACUATION_SECONDS
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -156,6 +156,8 @@
 
     :param confirmed: whether what runs there was read under this owner's token.
     :param missing_since: when its entry went, or None.
+    :param absent: whether its entry stayed away, so that it counts as gone unless it
+        comes back.
     :param leaving: whether the fleet is about to take it.
     :param due: whether its instance is still to be maintained.
     """
@@ -173,6 +175,7 @@
     draining: bool = False
     drains_at: float = 0.0
     missing_since: float | None = None
+    absent: bool = False
     leaving: bool = False
     due: bool = False
     leaving_since: float = 0.0
--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -37,6 +37,7 @@
         worker.confirmed
         and not worker.draining
         and not worker.leaving
+        and not worker.absent
         and not worker.stale
         and worker.refusing_until <= now
         and worker.quarantined_until <= now
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -81,6 +81,7 @@
             )
             self.board.workers[worker_id] = worker
         worker.missing_since = None
+        worker.absent = False
         if entry.state == WORKER_DRAINING and not worker.draining:
             worker.draining = True
             worker.drains_at = now + (entry.remaining_ms or 0) / 1000
@@ -162,7 +163,7 @@
         for worker in self.board.workers.values():
             since = worker.missing_since
             if since is not None and now - since > MISSING_GRACE_SECONDS:
-                self.set_leaving(worker.id, True, now)
+                worker.absent = True
 
     def _forget_ended(self) -> None:
         # A job that is over is kept until its last run has ended: the room of a run
--- a/tests/components/fleet/test_pools.py
+++ b/tests/components/fleet/test_pools.py
@@ -149,3 +149,13 @@
     load = PoolLoad(inflow=Amount(cpu=4 * 8000 * TARGET_SHARE))
     moves = planner.decide(a_view(fleet), {POOL: load}, set(), 0.0)
     assert [move.pool for move in moves].count(POOL) == 2
+
+
+def test_a_worker_that_can_run_nothing_does_not_count_for_its_pool() -> None:
+    """Its tasks wait for another one, though the list shows as many as are needed."""
+    planner = PoolPlanner(MOVE_SECONDS)
+    fleet = [an_instance(n, POOL if n < 4 else STANDBY) for n in range(8)]
+    load = a_load(cores=1.0, spread=4)
+    view = replace(a_view(fleet), pools=frozenset({POOL}), unusable=frozenset({"i-00"}))
+    moves = planner.decide(view, {POOL: load}, set(), 0.0)
+    assert [move.pool for move in moves] == [POOL]
--- a/tests/components/scheduling/test_planning.py
+++ b/tests/components/scheduling/test_planning.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from mustardward.components.ledger.models import JobState
+from mustardward.components.scheduling.const import MISSING_GRACE_SECONDS
 from mustardward.components.scheduling.models import (
     AskAdvice,
     Phase,
@@ -15,7 +16,7 @@
 from mustardward.platform.models import Room
 from mustardward.platform.workers import REFUSED_ROOM, REFUSED_TICKET
 
-from .builders import POOL, SchedulerBench, a_job, a_step
+from .builders import POOL, SchedulerBench, a_job, a_step, an_entry
 
 OTHER = "00000000000000bb"
 THIRD = "00000000000000cc"
@@ -189,6 +190,27 @@
     assert sorted(starts_by_worker(bench).values()) == [2, 3, 3]
 
 
+def test_a_worker_whose_entry_comes_back_is_used_again() -> None:
+    """An entry that stays away for a while empties its worker only until it is back.
+
+    Symptom: a lasting task did not run for 11 s, though there was room for it twice
+    over. Sequence: a data centre was cut off, and its workers' entries lapsed; the cut
+    healed and they came back; its worker was emptied, and never given a task again. The
+    step allows one task on a worker, so no other worker could take it. Cause: a worker
+    whose entry was missing was marked as leaving, and nothing took that back.
+    """
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.scheduler.miss_worker("w1", bench.now)
+    bench.now += MISSING_GRACE_SECONDS + 0.1
+    bench.add(a_job(a_step(count=1, long_running=True, max_per_server=1)))
+    assert bench.plan_starts() == []
+    bench.scheduler.see_worker("w1", an_entry(), bench.now)
+    assert len(bench.plan_starts()) == 1
+    bench.now += 1.0
+    assert bench.plan_stops() == []
+
+
 def test_lasting_tasks_with_a_target_spread() -> None:
     bench = SchedulerBench()
     for number in range(3):
