Let all pools wait until every worker was heard of, as before

Read from the code, not yet from a log: a pool is released once its known workers have answered, and a worker that was cut off may be in neither entries nor list; before, others that were silent with it kept all pools held.

Ruled out: the mark that a job was taken in (these jobs had run for 47 s), repeated maintenance orders (their instances are empty).

Change: pools are released together again; what no owner had taken in still starts at once.

--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -22,8 +22,8 @@
 class Takeover:
     """Hold the jobs that an owner before had taken in, until it is known what runs.
 
-    A worker that does not answer may still run anything of its pool that an earlier
-    owner gave it: to start that elsewhere would run it twice.
+    A worker that does not answer may still run anything that an earlier owner gave it:
+    to start that elsewhere would run it twice.
 
     :param wake: plans anew.
     :param fleet: knows the list of instances; None where there is no such list.
@@ -37,53 +37,39 @@
     fleet: Fleet | None = None
 
     async def async_run(self, directory: TopicFollower) -> None:
-        """Release pool after pool; all of them once leases have run out.
+        """Release them once all workers were heard of, or leases have run out.
 
         :param directory: reads workers' entries; before it did, none is known.
         """
         await directory.async_wait_loaded()
         while self.timers.monotonic() < self.board.held_until:
-            self.release_pools()
+            self.release()
             await self.timers.async_sleep(HELD_LOOK_SECONDS)
         self.wake()
 
-    def release_pools(self) -> None:
-        """Start again what was held of the pools whose workers were all heard of."""
-        unheard = self._unheard_pools()
-        if unheard is None:
+    def release(self) -> None:
+        """Start again what was held, once every worker was heard of."""
+        if not self._all_heard():
             return
-        board = self.board
-        if not unheard:
-            board.held_until = 0.0
-            _LOGGER.info("takeover_complete", epoch=self.epoch)
-            return
-        released = {job.policy.service for job in board.jobs.values()} - unheard
-        for pool in released - board.released:
-            _LOGGER.info("pool_released", epoch=self.epoch, pool=pool)
-            board.released.add(pool)
-            self.wake()
-
-    def _unheard_pools(self) -> set[str] | None:
-        """Return the pools of workers that may run something nobody told here.
+        self.board.held_until = 0.0
+        _LOGGER.info("takeover_complete", epoch=self.epoch)
 
-        A worker's entry may have lapsed while the store was away, so the fleet's
-        list has to name no worker that is not known here either.
+    def _all_heard(self) -> bool:
+        """Return whether every worker that may run something told what it runs.
 
-        :returns: None if that can't be told yet.
+        A worker's entry may have lapsed while the store was away, so the fleet's list
+        has to name no worker that is not known here either. All pools wait for each
+        other: that a pool's own workers were all heard of says less, since one that is
+        cut off may be in neither, while others that were cut off with it still are.
         """
-        workers = self.board.workers
-        pools = {
-            workers[worker_id].service
-            for worker_id in self.dispatcher.unheard()
-            if worker_id in workers
-        }
+        if self.dispatcher.unheard():
+            return False
         if self.fleet is None:
-            return pools
+            return True
         listed = self.fleet.listed_workers()
         if listed is None:
-            return None
-        sessions = self.dispatcher.sessions
-        return pools | {pool for name, pool in listed.items() if name not in sessions}
+            return False
+        return all(name in self.dispatcher.sessions for name in listed)
 
 
 def hold(board: Board, before: OwnerRecord, now: float) -> None:
--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -39,7 +39,6 @@
     :param held_until: until when workers that were not heard of may run what an owner
         before started.
     :param coming: processor of the instances on their way to a pool.
-    :param released: pools whose workers have all told what they run.
     """
 
     epoch: int
@@ -51,7 +50,6 @@
     dirty: dict[str, Job] = field(default_factory=dict)
     ready: dict[int, StepRun] = field(default_factory=dict)
     held_until: float = 0.0
-    released: set[str] = field(default_factory=set)
     coming: dict[str, int] = field(default_factory=dict)
     taken_over_at: float = 0.0
     _commands: list[Command] = field(default_factory=list)
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -80,11 +80,7 @@
         return self.board.estimates.seconds(task.step) - (now - task.started_at)
 
     def _held(self, step: StepRun, now: float) -> bool:
-        job = step.job
-        if not job.held or now >= self.board.held_until:
-            return False
-        # The operator may have sent the queue to another pool meanwhile.
-        return not {job.record.service, job.policy.service} <= self.board.released
+        return step.job.held and now < self.board.held_until
 
     def _place_tasks(
         self, step: StepRun, workers: list[WorkerState], now: float
--- a/tests/components/ownership/test_takeover.py
+++ b/tests/components/ownership/test_takeover.py
@@ -43,36 +43,40 @@
     def _wake(self) -> None:
         self.woken += 1
 
-    def look(self) -> set[str]:
-        """Look once, and return the pools that were released so far."""
-        self.takeover.release_pools()
-        return self.board.released
+    def look(self) -> bool:
+        """Look once, and return whether what was held may start."""
+        self.takeover.release()
+        return self.board.held_until == 0.0
 
 
-def test_a_pool_is_released_once_its_workers_were_heard_of() -> None:
-    """A silent worker holds up its own pool only."""
+def test_all_pools_wait_until_every_worker_was_heard_of() -> None:
+    """A silent worker of one pool holds up the others too.
+
+    Symptom: 15 lasting tasks ran twice after a data centre was cut off. Sequence: the
+    owner was cut off with some workers and went on renewing their leases; the next
+    one released a pool of which it had heard all workers that it knew. Cause (read from
+    the code): a worker that is cut off may be in no list, and what tells of the cut is
+    that others are silent.
+    """
     bench = TakeoverBench({"w1": POOL, "w2": OTHER})
-    assert bench.look() == set()
+    assert not bench.look()
     bench.unheard = ["w2"]
-    assert bench.look() == {POOL}
-    assert bench.woken == 1
+    assert not bench.look()
     bench.unheard = []
-    bench.look()
-    assert bench.board.held_until == 0.0
+    assert bench.look()
 
 
-def test_a_worker_that_only_the_list_names_holds_its_pool() -> None:
+def test_a_worker_that_only_the_list_names_holds_all_up() -> None:
     """Its entry may have lapsed while the store was away, and it may run something."""
     bench = TakeoverBench({"w1": POOL, "w2": OTHER, "w9": POOL})
     bench.unheard = []
-    assert bench.look() == {OTHER}
-    assert bench.board.held_until > 0.0
+    assert not bench.look()
 
 
 def test_nothing_is_released_before_the_list_was_read() -> None:
     bench = TakeoverBench(None)
     bench.unheard = []
-    assert bench.look() == set()
+    assert not bench.look()
 
 
 def test_an_owner_that_gave_the_shard_up_gives_no_more_orders() -> None:
--- a/tests/components/scheduling/test_takeover.py
+++ b/tests/components/scheduling/test_takeover.py
@@ -7,7 +7,7 @@
 from mustardward.components.scheduling.models import Phase, Stop
 from mustardward.platform.workers import EndedTask, RunningTask, TaskName
 
-from .builders import JOB, POOL, SchedulerBench, a_job, a_step, an_entry
+from .builders import JOB, SchedulerBench, a_job, a_step, an_entry
 
 OTHER = "00000000000000bb"
 
@@ -36,29 +36,6 @@
     assert len(bench.plan_starts()) == 2
 
 
-def test_jobs_of_a_pool_whose_workers_all_answered_do_not_wait() -> None:
-    """A silent worker of one pool runs nothing of another's."""
-    bench = a_successor()
-    bench.worker("w1")
-    bench.add(a_job_taken_in())
-    bench.scheduler.board.released.add("pool-b")
-    assert bench.plan_starts() == []
-    bench.scheduler.board.released.add(POOL)
-    assert len(bench.plan_starts()) == 2
-
-
-def test_a_job_of_a_queue_that_went_to_another_pool_waits_for_both() -> None:
-    bench = a_successor()
-    bench.worker("w1")
-    job = a_job(service="pool-b")
-    job.progress = Progress(JobState.RUNNING)
-    bench.add(job)
-    bench.scheduler.board.released.add(POOL)
-    assert bench.plan_starts() == []
-    bench.scheduler.board.released.add("pool-b")
-    assert len(bench.plan_starts()) == 2
-
-
 def test_a_job_that_no_owner_has_taken_in_starts_at_once() -> None:
     """What was accepted while nobody owned the shard can run nowhere.
 
