--- a/mustardward/components/scheduling/estimates.py
+++ b/mustardward/components/scheduling/estimates.py
@@ -23,10 +23,11 @@
     """
 
     _log_ratio: dict[str, float] = field(default_factory=dict)
+    _ratio: dict[str, float] = field(default_factory=dict)
 
     def ratio(self, queue: str) -> float:
         """Return the learned ratio of a queue."""
-        return math.exp(self._log_ratio.get(queue, 0.0))
+        return self._ratio.get(queue, 1.0)
 
     def learn(self, step: StepRun, seconds: float) -> None:
         """Take in one run that ended done."""
@@ -36,7 +37,9 @@
         seen = min(ESTIMATE_CEILING, max(ESTIMATE_FLOOR, seconds / declared))
         queue = step.job.record.queue
         old = self._log_ratio.get(queue, 0.0)
-        self._log_ratio[queue] = old + ESTIMATE_WEIGHT * (math.log(seen) - old)
+        learned = old + ESTIMATE_WEIGHT * (math.log(seen) - old)
+        self._log_ratio[queue] = learned
+        self._ratio[queue] = math.exp(learned)
 
     def seconds(self, step: StepRun) -> float:
         """Return how long one task of a step is expected to run."""
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -91,6 +91,9 @@
     """Hold one step of one occurrence of a job.
 
     :param open: whether all tasks of the steps before it are done.
+    :param room: what one task takes of a worker. A step that fills takes what others
+        leave unused, so its processor share is not counted. Held, since each plan asks
+        it of every task that runs.
     """
 
     job: Job
@@ -106,22 +109,18 @@
     tickets: dict[str, str] = field(default_factory=dict)
     tickets_until: float = 0.0
     asked_until: float = 0.0
+    room: Room = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Work out what one task takes."""
+        spec = self.spec
+        self.room = Room(0 if spec.fills else spec.cpu, spec.mem_mb, spec.gpu)
 
     @property
     def complete(self) -> bool:
         """Return whether all tasks are done."""
         return self.done >= len(self.tasks)
 
-    @property
-    def room(self) -> Room:
-        """Return what one task takes of a worker.
-
-        A step that fills takes what others leave unused, so its processor share is
-        not counted.
-        """
-        spec = self.spec
-        return Room(0 if spec.fills else spec.cpu, spec.mem_mb, spec.gpu)
-
 
 @dataclass(slots=True, eq=False)
 class Job:
