--- a/mustardward/components/forwarding/answering.py
+++ b/mustardward/components/forwarding/answering.py
@@ -11,7 +11,7 @@
 from ...helpers.timer import TimerService
 from ...platform import callers
 from ..front.const import ANSWER_MARGIN_SECONDS
-from ..front.services import Front, Reply, Request
+from ..front.services import Front, Reply, Request, longest_outage
 from .const import CHECK_METHOD, FAILING_SECONDS, HEDGE_SECONDS
 from .models import AskedReply, AskedRequest
 from .services import AskOutcome, Forwarder
@@ -43,16 +43,14 @@
 
     def cut_off(self) -> bool:
         """Return whether the log could not be reached for a while."""
-        now = self.timers.monotonic()
         front = self.front
-        failures = (
+        outage = longest_outage(
+            self.timers.monotonic(),
             front.follower.failing_since,
             front.config_follower.failing_since,
             front.appender.failing_since,
         )
-        return any(
-            since is not None and now - since > FAILING_SECONDS for since in failures
-        )
+        return outage > FAILING_SECONDS
 
     async def async_answer(self, request: Request) -> Reply:
         """Return the answer to a caller."""
--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -185,9 +185,11 @@
 
     def _refused(self, what: str, code: str, detail: str) -> Reply:
         """Return a refusal that is true: nothing of the request was kept."""
-        now = self.timers.monotonic()
-        failing = (self.follower.failing_since, self.config_follower.failing_since)
-        outage = max((now - since for since in failing if since is not None), default=0)
+        outage = longest_outage(
+            self.timers.monotonic(),
+            self.follower.failing_since,
+            self.config_follower.failing_since,
+        )
         pause = retry_after(outage)
         _LOGGER.info(
             "request_refused",
@@ -220,6 +222,11 @@
     return Reply(status, callers.encode_error(code, detail))
 
 
+def longest_outage(now: float, *failing_since: float | None) -> float:
+    """Return for how long the first of some ways to the log has failed, or 0."""
+    return max((now - since for since in failing_since if since is not None), default=0)
+
+
 def retry_after(outage_seconds: float) -> int:
     """Return when a refused caller should come back, in whole seconds.
 
--- a/tests/components/forwarding/test_answering.py
+++ b/tests/components/forwarding/test_answering.py
@@ -16,6 +16,7 @@
 from mustardward.components.front.services import Reply, Request
 from mustardward.components.ledger.const import TOPIC
 from mustardward.standin.estate.store import Mood
+from tests.components.ledger.builders import async_appending
 
 from ..front.test_front import BODY, HOST, JOB, PREFIX, FrontBench
 
@@ -70,10 +71,8 @@
 async def an_entry() -> AsyncIterator[AnsweringBench]:
     bench = AnsweringBench()
     await bench.async_configure()
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(bench.appender.async_run)
+    async with async_appending(bench.appender):
         yield bench
-        tasks.cancel_scope.cancel()
 
 
 async def test_an_entry_with_the_log_asks_no_peer() -> None:
--- a/tests/components/front/test_front.py
+++ b/tests/components/front/test_front.py
@@ -5,7 +5,6 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-import anyio
 import msgspec
 import pytest
 
@@ -19,6 +18,7 @@
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.platform.store import TOPIC_OPERATOR
 from mustardward.standin.estate.store import MemoryStore, Mood
+from tests.components.ledger.builders import async_appending
 
 pytestmark = pytest.mark.anyio
 
@@ -94,10 +94,8 @@
 async def a_front() -> AsyncIterator[FrontBench]:
     bench = FrontBench()
     await bench.async_configure()
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(bench.appender.async_run)
+    async with async_appending(bench.appender):
         yield bench
-        tasks.cancel_scope.cancel()
 
 
 async def test_without_a_configuration_callers_are_asked_to_come_back() -> None:
--- a/tests/components/ledger/test_appender.py
+++ b/tests/components/ledger/test_appender.py
@@ -12,6 +12,7 @@
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.platform.store import Producer
 from mustardward.standin.estate.store import MemoryStore, Mood
+from tests.components.ledger.builders import async_appending
 
 pytestmark = pytest.mark.anyio
 
@@ -45,10 +46,8 @@
 @asynccontextmanager
 async def _running() -> AsyncIterator[_Bench]:
     bench = _Bench()
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(bench.appender.async_run)
+    async with async_appending(bench.appender):
         yield bench
-        tasks.cancel_scope.cancel()
 
 
 async def test_what_is_stored_is_told_as_stored() -> None:
--- a/tests/components/ownership/test_renewals.py
+++ b/tests/components/ownership/test_renewals.py
@@ -5,7 +5,6 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-import anyio
 import pytest
 
 from mustardward.components.ledger.appender import GroupAppender
@@ -16,6 +15,7 @@
 from mustardward.components.ownership.renewals import Renewals
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.standin.estate.store import MemoryStore
+from tests.components.ledger.builders import async_appending
 
 pytestmark = pytest.mark.anyio
 
@@ -46,10 +46,8 @@
 @asynccontextmanager
 async def a_bench() -> AsyncIterator[_Bench]:
     bench = _Bench()
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(bench.appender.async_run)
+    async with async_appending(bench.appender):
         yield bench
-        tasks.cancel_scope.cancel()
 
 
 async def test_a_renewal_goes_with_other_records_or_when_it_is_due() -> None:
