Move driven clocks only when nothing is under way beside them

Cause: a test's clock moved 0.01 s for each real millisecond while appends went over loopback sockets. On a busy machine 5 driven seconds passed within one append, which was then told as of unknown outcome instead of as not done. Change: the clock goes from one due time to the next, lets the loop's traffic settle, and waits for calls under way.

--- a/mustardward/helpers/timer.py
+++ b/mustardward/helpers/timer.py
@@ -196,7 +196,7 @@
     async def async_advance(self, seconds: float) -> None:
         """Move time on, calling all that falls due in its order."""
         end = self._now + seconds
-        while (due := self._next_due()) <= end:
+        while (due := self.next_due()) <= end:
             self._now = max(self._now, due)
             await self._async_fire()
         self._now = end
@@ -206,7 +206,8 @@
         self._now += seconds
         self._pauses.announce(seconds)
 
-    def _next_due(self) -> float:
+    def next_due(self) -> float:
+        """Return when something falls due next, or infinity."""
         subscribers = [s.due for s in self._subscriptions if not s.cancelled]
         sleepers = [due for due, _ in self._sleepers]
         return min(subscribers + sleepers, default=math.inf)
--- a/tests/components/templates/test_joined.py
+++ b/tests/components/templates/test_joined.py
@@ -23,16 +23,26 @@
     PlatformSettings,
     Settings,
 )
+from mustardward.standin.protocol.http import PlatformHttp
 from mustardward.state.fold import RevisionConflictError
 
+from ...fakes.driving import CallsUnderWay, async_drive_until
 from ...fakes.platform import PlatformBench, async_platform_bench
 
 pytestmark = pytest.mark.anyio
 
+APPENDS = CallsUnderWay()
 DOMAINS = ("platform", "peers", "membership", "log", "templates")
 PARAMETERS = {"services": [{"service": "climate", "pool": "cellar"}]}
 
 
+@pytest.fixture(autouse=True)
+def _count_appends(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(
+        PlatformHttp, "async_send", APPENDS.wrap(PlatformHttp.async_send)
+    )
+
+
 def build_settings(
     name: str, data_centre: str, url: str, seeds: tuple[PeerAddress, ...]
 ) -> Settings:
@@ -80,12 +90,7 @@
 
 async def async_drive(bench: PlatformBench, condition: Callable[[], bool]) -> None:
     """Move the clock on beside the loopback traffic until a condition holds."""
-    for _ in range(3000):
-        if condition():
-            return
-        await bench.timers.async_advance(0.01)
-        await anyio.sleep(0.001)
-    raise AssertionError("the condition never held")
+    await async_drive_until(bench.timers, condition, APPENDS)
 
 
 async def async_call(
--- a/tests/fakes/driving.py
+++ b/tests/fakes/driving.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from functools import wraps
+from typing import ParamSpec, TypeVar
 
 import anyio
+import anyio.lowlevel
 from anyio.abc import TaskGroup
 
 from mustardward.helpers.timer import (
@@ -15,7 +19,69 @@
     Unsubscribe,
 )
 
-PAUSE_SECONDS = 0.001
+SETTLE_PASSES = 40
+"""Passes of the loop after each step of the clock: what loopback traffic of this loop
+leads to comes about in them, on a busy machine as on an idle one."""
+
+P = ParamSpec("P")
+T = TypeVar("T")
+
+
+@dataclass(slots=True)
+class CallsUnderWay:
+    """Count calls that were sent and are not answered."""
+
+    count: int = 0
+    _answered: anyio.Event = field(default_factory=anyio.Event)
+
+    def wrap(self, call: Callable[P, Awaitable[T]]) -> Callable[P, Awaitable[T]]:
+        """Return the call, counted while it is under way."""
+
+        @wraps(call)
+        async def counted(*args: P.args, **kwargs: P.kwargs) -> T:
+            self.count += 1
+            try:
+                return await call(*args, **kwargs)
+            finally:
+                self.count -= 1
+                self._answered.set()
+
+        return counted
+
+    async def async_wait_answered(self) -> None:
+        """Wait until none is under way."""
+        while self.count:
+            self._answered = anyio.Event()
+            await self._answered.wait()
+
+
+async def async_settle() -> None:
+    """Let loopback traffic of this loop go on until what it leads to has come about."""
+    for _ in range(SETTLE_PASSES):
+        await anyio.lowlevel.checkpoint()
+
+
+async def async_drive_until(
+    timers: DrivenTimerService,
+    condition: Callable[[], bool],
+    calls: CallsUnderWay,
+    step_seconds: float = 0.01,
+    steps: int = 6000,
+) -> None:
+    """Move the clock on until a condition holds, and never past a call under way.
+
+    The clock goes from one due time to the next, and what that leads to is over before
+    the next one. Driven by real time, it would pass a call's timeout while the call is
+    on its way over a socket of a busy machine.
+    """
+    for _ in range(steps):
+        if condition():
+            return
+        left = timers.next_due() - timers.monotonic()
+        await timers.async_advance(max(0.0, min(step_seconds, left)))
+        await async_settle()
+        await calls.async_wait_answered()
+    raise AssertionError("the condition never held")
 
 
 class DrivenLoopTimers:
@@ -69,7 +135,7 @@
     async def drive() -> None:
         while True:
             await timers.async_advance(step_seconds)
-            await anyio.sleep(PAUSE_SECONDS)
+            await async_settle()
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(drive)
