Use no worker that another writer's record names, and let the others hold

Cause: an unreadable entry left the id's older entry in use, an unknown state counted as ready, an address that is no URL or an id that no header carries ended the owner's tasks, and one unreadable key failed its whole page, so that the tail was read from the same offset for ever. A row of the fleet's list that could not be read failed the list; had it been left out, a silent worker could have been taken for gone. A job's negative amounts gave a worker room that it has not. Ruled out: skipping workers of a pool that the configuration does not name. A new owner would then not ask them what they run, and might start it elsewhere. Change: records are checked whole at the border (entries, list, waves, jobs, shard); what can't be used names nothing, is counted, and logged once for each change. What runs on a worker whose entry is spoilt stays accounted for. The emulator plays such a writer.

--- a/mustardward/components/configuration/services.py
+++ b/mustardward/components/configuration/services.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import msgspec
 
 from ...helpers.logging import get_logger
+from ...helpers.unreadable import note_unreadable
+from ...platform.exceptions import UnreadableRecordError
 from ...platform.models import OperatorConfig, UpkeepWave
 from ...platform.store import KEY_CONFIG, KEY_WAVE_PREFIX, KeyedRecord
 from ..scheduling.models import QueuePolicy
@@ -37,7 +40,7 @@
             if record.key == KEY_CONFIG and record.value:
                 self._apply_config(_CONFIG.decode(record.value))
             elif record.key.startswith(KEY_WAVE_PREFIX) and record.value:
-                wave = _WAVE.decode(record.value)
+                wave = _decode_wave(record)
                 if self.waves.get(wave.wave) != wave:
                     _LOGGER.info(
                         "wave_published",
@@ -47,8 +50,14 @@
                         duration_s=wave.duration_s,
                     )
                 self.waves[wave.wave] = wave
-        except msgspec.MsgspecError as error:
-            _LOGGER.error("operator_record_unreadable", key=record.key, d=str(error))
+        except (
+            msgspec.MsgspecError,
+            UnicodeDecodeError,
+            RecursionError,
+            UnreadableRecordError,
+        ) as error:
+            # What was in force before stays so.
+            note_unreadable("operator", record.key, str(error))
 
     def keys(self) -> Iterable[str]:
         """Return no keys: what the operator published stays in force."""
@@ -85,3 +94,19 @@
         )
         if self.on_change is not None:
             self.on_change()
+
+
+def _decode_wave(record: KeyedRecord) -> UpkeepWave:
+    """Return a wave that can be carried out.
+
+    :raises UnreadableRecordError: if it can't: with no instance at once it would never
+        end, and under another number it would take the place of another wave.
+    """
+    wave = _WAVE.decode(record.value)
+    if record.key != f"{KEY_WAVE_PREFIX}{wave.wave}":
+        raise UnreadableRecordError(f"wave={wave.wave}")
+    if wave.max_count < 1 or not 0 <= wave.duration_s < math.inf:
+        raise UnreadableRecordError(
+            f"max_count={wave.max_count} duration_s={wave.duration_s}"
+        )
+    return wave
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -61,6 +61,7 @@
     tasks: TaskGroup
     _instances: dict[str, Instance] = field(default_factory=dict)
     _read_at: float = -1.0
+    _complete: bool = True
 
     async def async_run(self) -> None:
         """Work until cancelled."""
@@ -107,20 +108,22 @@
     async def _async_read(self) -> None:
         sent_at = self.timers.monotonic()
         try:
-            instances = await self.client.async_list()
+            listed = await self.client.async_list()
         except CallRefusedError as error:
             _LOGGER.warning("list_unreadable", detail=error.detail)
             return
-        self._instances = {instance.machine: instance for instance in instances}
+        self._instances = {row.machine: row for row in listed.instances}
+        self._complete = listed.complete
         self._read_at = sent_at
         self._drop_gone(sent_at)
 
     def listed_workers(self) -> dict[str, str] | None:
         """Return the pools of the workers that the list names as up.
 
-        :returns: None if the list was not read yet.
+        :returns: None if the list was not read yet, or a row of it can't be read: a
+            worker that is missing from it may then still run.
         """
-        if self._read_at < 0:
+        if self._read_at < 0 or not self._complete:
             return None
         return {
             instance.id: instance.pool
@@ -133,7 +136,10 @@
 
         Their tasks would else wait for the end of their leases.
         """
-        up = set(self.listed_workers() or ())
+        listed = self.listed_workers()
+        if listed is None:
+            return
+        up = set(listed)
         for worker_id, session in list(self.dispatcher.sessions.items()):
             since = session.silent_since
             if session.gone or since is None or worker_id in up:
--- a/mustardward/components/ledger/follower.py
+++ b/mustardward/components/ledger/follower.py
@@ -23,17 +23,14 @@
     """Hold how far the newest records of all keys were read.
 
     :param first_end: the log's end when the first page was read, or -1.
+    :param after: the key that the next page begins behind.
     """
 
     first_end: int = -1
     found: list[KeyedRecord] = field(default_factory=list)
+    after: str = ""
     complete: bool = False
 
-    @property
-    def after(self) -> str:
-        """Return the key that the next page begins behind."""
-        return self.found[-1].key if self.found else ""
-
 
 @dataclass(slots=True, eq=False)
 class TopicFollower:
@@ -129,7 +126,8 @@
                 if load.first_end < 0:
                     load.first_end = page.end
                 load.found.extend(page.records)
-                load.complete = not page.more or not page.records
+                load.complete = not page.more or page.after in ("", load.after)
+                load.after = page.after
             self._load = _Load()
             self._fold_load(load)
             self._succeeded(sent_at)
--- a/mustardward/components/ledger/ledger.py
+++ b/mustardward/components/ledger/ledger.py
@@ -8,7 +8,9 @@
 
 import msgspec
 
-from ...helpers.logging import get_logger
+from ...helpers.unreadable import note_unreadable
+from ...platform.callers import check_steps
+from ...platform.exceptions import MalformedJobError, UnreadableRecordError
 from ...platform.store import KeyedRecord
 from .const import (
     KEY_OWNER,
@@ -28,8 +30,6 @@
     WaveRecord,
 )
 
-_LOGGER = get_logger(__name__)
-
 _JOB: Final = msgspec.msgpack.Decoder(JobRecord)
 _PROGRESS: Final = msgspec.msgpack.Decoder(Progress)
 _CANCEL: Final = msgspec.msgpack.Decoder(CancelRecord)
@@ -119,13 +119,19 @@
             kind, name = key[:2], key[2:]
         fold = self._folds.get(kind)
         if fold is None:
-            _LOGGER.error("record_unknown", key=key)
+            note_unreadable("ledger", key, "kind of key not known")
             return
         try:
             fold(name, record.value)
-        except msgspec.MsgspecError as error:
-            # A record of another version must not end the fold of all others.
-            _LOGGER.error("record_unreadable", key=key, detail=str(error))
+        except (
+            msgspec.MsgspecError,
+            UnicodeDecodeError,
+            RecursionError,
+            MalformedJobError,
+            UnreadableRecordError,
+        ) as error:
+            # A record of another version or writer must not end the fold of all others.
+            note_unreadable("ledger", key, str(error))
 
     def keys(self) -> Iterator[str]:
         """Return the keys that something is held of."""
@@ -155,7 +161,7 @@
         if not value:
             self.jobs.pop(name, None)
             return
-        record = _JOB.decode(value)
+        record = _decode_job(name, value)
         known = self.jobs.get(name)
         if known is not None:
             # The same job handed in twice: the first record stays, so that both
@@ -211,3 +217,17 @@
             self.waves[name] = _WAVE.decode(value)
         else:
             self.waves.pop(name, None)
+
+
+def _decode_job(name: str, value: bytes) -> JobRecord:
+    """Return an accepted job.
+
+    :raises MsgspecError: if it can't be read.
+    :raises MalformedJobError: if its steps can't be carried out.
+    :raises UnreadableRecordError: if it stands under another job's key.
+    """
+    record = _JOB.decode(value)
+    if record.id != name:
+        raise UnreadableRecordError(f"job={record.id}")
+    check_steps(record.steps)
+    return record
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -143,7 +143,9 @@
                 parts.advice,
             )
             self.dispatcher = dispatcher
-            directory = WorkerDirectory(self._see_worker, self._miss_worker)
+            directory = WorkerDirectory(
+                self._see_worker, self._miss_worker, self.scheduler.bar_worker
+            )
             follower = TopicFollower(
                 parts.store,
                 parts.timers,
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from ...helpers.logging import get_logger
+from ...helpers.unreadable import note_unreadable
 from ...platform.models import WORKER_DRAINING, WorkerEntry
 from ...platform.workers import HoldAnswer
 from ..ledger.ledger import LedgerJob
@@ -80,6 +81,11 @@
                 free_gpu=room.gpu,
             )
             self.board.workers[worker_id] = worker
+        if entry.service != worker.service:
+            # An incarnation never changes its pool, so another writer has written this.
+            note_unreadable("worker", worker_id, f"service={entry.service}")
+            self.bar_worker(worker_id)
+            return False
         worker.missing_since = None
         worker.absent = False
         if entry.state == WORKER_DRAINING and not worker.draining:
@@ -94,6 +100,12 @@
         if worker is not None and worker.missing_since is None:
             worker.missing_since = now
 
+    def bar_worker(self, worker_id: str) -> None:
+        """Give a worker no new tasks until a good entry names it again."""
+        worker = self.board.workers.get(worker_id)
+        if worker is not None:
+            worker.absent = True
+
     def lose_worker(self, worker_id: str, now: float) -> None:
         """Take in that nothing runs on a worker any more."""
         worker = self.board.workers.get(worker_id)
--- a/mustardward/helpers/instruments.py
+++ b/mustardward/helpers/instruments.py
@@ -71,6 +71,12 @@
     ("answered",),
     registry=REGISTRY,
 )
+UNREADABLE: Final = Counter(
+    "mustardward_unreadable_records",
+    "Records and rows that could not be read, by what they were taken for.",
+    ("kind",),
+    registry=REGISTRY,
+)
 OWNED_EPOCH: Final = Gauge(
     "mustardward_owned_epoch",
     "The epoch under which this entry owns the shard, or 0.",
--- a/mustardward/platform/bodies.py
+++ b/mustardward/platform/bodies.py
@@ -6,8 +6,6 @@
 
 import msgspec
 
-from .models import Instance
-
 
 class StartBody(msgspec.Struct, rename="kebab", omit_defaults=True):
     """Hold an order to start a task."""
@@ -90,18 +88,24 @@
     value: str = ""
 
 
+class ItemKey(msgspec.Struct):
+    """Hold the key of an item whose other fields may not be readable."""
+
+    key: str
+
+
 class NewestBody(msgspec.Struct, rename="kebab"):
-    """Hold a page of the newest record of each key."""
+    """Hold a page of the newest record of each key, each still to be decoded."""
 
-    items: list[NewestItem]
+    items: list[msgspec.Raw]
     end: int
     more_pages: bool = False
 
 
 class ListedBody(msgspec.Struct, rename="kebab"):
-    """Hold a page of the fleet's list."""
+    """Hold a page of the fleet's list, each row still to be decoded."""
 
-    machines: list[Instance]
+    machines: list[msgspec.Raw]
     next_token: str | None = None
 
 
--- a/mustardward/platform/callers.py
+++ b/mustardward/platform/callers.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+import math
 import re
 from typing import Final
 
 import msgspec
 
 from .exceptions import MalformedJobError
-from .models import SubmittedJob
+from .models import SubmittedJob, SubmittedStep
 from .names import ROOT
 
 READINESS_PATH: Final = f"{ROOT}/readiness"
 HEADER_DEADLINE_MS: Final = "Mustardward-Deadline-Ms"
 MOST_SPEC_BYTES: Final = 4000
+MOST_TASKS: Final = 100_000
+"""Most tasks of one step: each takes some 400 bytes in the owner's memory."""
 
 STATE_QUEUED: Final = "queued"
 STATE_RUNNING: Final = "running"
@@ -42,12 +45,31 @@
         raise MalformedJobError("spec is too long")
     if not job.steps:
         raise MalformedJobError("steps is empty")
-    for number, step in enumerate(job.steps):
-        if step.count < 1:
-            raise MalformedJobError(f"steps[{number}].count is below 1")
+    if job.times < 0 or not _is_amount(job.interval_ms, job.start_at_ms):
+        raise MalformedJobError("times, interval or start is no usable number")
+    check_steps(job.steps)
+    return job
+
+
+def check_steps(steps: list[SubmittedStep]) -> None:
+    """Check that steps can be carried out.
+
+    A negative processor share would give a worker more room than it has.
+
+    :raises MalformedJobError: saying what is wrong with which step.
+    """
+    for number, step in enumerate(steps):
+        if not 1 <= step.count <= MOST_TASKS:
+            raise MalformedJobError(f"steps[{number}].count is not 1 to {MOST_TASKS}")
         if any(earlier < 0 or earlier >= number for earlier in step.after):
             raise MalformedJobError(f"steps[{number}].after names no earlier step")
-    return job
+        amounts = (step.cpu, step.mem_mb, step.gpu, step.max_per_server, step.may_miss)
+        if not _is_amount(*amounts, step.estimate_ms, step.target_ms):
+            raise MalformedJobError(f"steps[{number}] has an amount below 0")
+
+
+def _is_amount(*values: float) -> bool:
+    return all(0 <= value < math.inf for value in values)
 
 
 def encode_state(state: str) -> bytes:
--- a/mustardward/platform/exceptions.py
+++ b/mustardward/platform/exceptions.py
@@ -49,6 +49,12 @@
         self.first = first
 
 
+class UnreadableRecordError(MustardwardError):
+    """Report a record that can't be used, whoever wrote it."""
+
+    code = "unreadable-record"
+
+
 class WrongIncarnationError(MustardwardError):
     """Report that another incarnation answers at a worker's address."""
 
--- a/mustardward/platform/fleet.py
+++ b/mustardward/platform/fleet.py
@@ -2,19 +2,54 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Final
 
 import msgspec
 
+from ..helpers.unreadable import note_unreadable
 from . import names
 from .bodies import ListedBody, MaintainBody, MoveBody, RefusedBody
-from .exceptions import CallRefusedError, CallUnknownError, FencedError
+from .exceptions import (
+    CallRefusedError,
+    CallUnknownError,
+    FencedError,
+    UnreadableRecordError,
+)
 from .http import Answer, HttpCaller
 from .models import Instance
 
 FLEET_TIMEOUT_SECONDS: Final = 1.5
 
 
+@dataclass(frozen=True, slots=True)
+class FleetList:
+    """Hold the instances of one reading of the list.
+
+    :param complete: whether each row could be read. Where one could not, that a worker
+        is not in the list does not say that it is gone.
+    """
+
+    instances: list[Instance]
+    complete: bool = True
+
+
+def _decode_row(raw: msgspec.Raw) -> Instance | None:
+    try:
+        row = msgspec.json.decode(raw, type=Instance)
+        if min(row.capacity.cpu, row.capacity.mem_mb, row.capacity.gpu) < 0:
+            raise UnreadableRecordError("capacity is negative")
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+        RecursionError,
+        UnreadableRecordError,
+    ) as error:
+        note_unreadable("instance", "", str(error))
+        return None
+    return row
+
+
 class FleetClient:
     """Call the fleet service in the name of one owner.
 
@@ -26,18 +61,22 @@
         self._base = f"http://{address}"
         self._holder = holder
 
-    async def async_list(self) -> list[Instance]:
+    async def async_list(self) -> FleetList:
         """Return all instances.
 
         :raises CallRefusedError: if the list was not to be had.
         """
         instances: list[Instance] = []
+        complete = True
         token = ""
         while True:
             page = await self._async_page(token)
-            instances.extend(page.machines)
+            rows = [_decode_row(raw) for raw in page.machines]
+            found = [row for row in rows if row is not None]
+            complete = complete and len(found) == len(rows)
+            instances.extend(found)
             if not page.next_token:
-                return instances
+                return FleetList(instances, complete)
             token = page.next_token
 
     async def async_move(self, machine: str, pool: str, token: int) -> None:
--- a/mustardward/platform/store.py
+++ b/mustardward/platform/store.py
@@ -10,14 +10,23 @@
 
 import msgspec
 
+from ..helpers.unreadable import note_unreadable
 from . import names
-from .bodies import AppendedBody, AppendRefusedBody, GoneBody, NewestBody
+from .bodies import (
+    AppendedBody,
+    AppendRefusedBody,
+    GoneBody,
+    ItemKey,
+    NewestBody,
+    NewestItem,
+)
 from .exceptions import (
     CallRefusedError,
     CallUnknownError,
     FencedError,
     OffsetGoneError,
     SequenceError,
+    UnreadableRecordError,
 )
 from .http import Answer, HttpCaller
 
@@ -67,11 +76,20 @@
 
 @dataclass(frozen=True, slots=True)
 class NewestPage:
-    """Hold one page of the newest record of each key."""
+    """Hold one page of the newest record of each key.
+
+    :param last_key: the last key, where its record could not be read.
+    """
 
     records: list[KeyedRecord]
     more: bool
     end: int
+    last_key: str = ""
+
+    @property
+    def after(self) -> str:
+        """Return the key that the next page begins behind, or nothing."""
+        return self.last_key or (self.records[-1].key if self.records else "")
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,16 +122,53 @@
     while position + _LENGTH.size <= len(body):
         (length,) = _LENGTH.unpack_from(body, position)
         position += _LENGTH.size
-        name_length = body[position]
-        name_end = position + 1 + name_length
-        key = body[position + 1 : name_end].decode()
-        value = body[name_end : position + length]
-        records.append(KeyedRecord(offset, key, value))
+        if position + length > len(body):
+            # The answer was cut off: the rest is read again from here.
+            break
+        record = _decode_record(offset, body[position : position + length])
+        if record is not None:
+            records.append(record)
         position += length
         offset += 1
     return Page(records, offset, end)
 
 
+def _decode_record(offset: int, content: bytes) -> KeyedRecord | None:
+    """Return a record, or None if its key can't be read: it names nothing then.
+
+    One such record must not spoil the others of its page: the tail would be read from
+    the same offset for ever.
+    """
+    name_end = 1 + (content[0] if content else 0)
+    try:
+        if not content or name_end > len(content):
+            raise UnreadableRecordError("key is cut off")
+        key = content[1:name_end].decode()
+    except (UnicodeDecodeError, UnreadableRecordError) as error:
+        note_unreadable("key", f"offset={offset}", str(error))
+        return None
+    return KeyedRecord(offset, key, content[name_end:])
+
+
+def _decode_item(raw: msgspec.Raw) -> KeyedRecord | None:
+    """Return a record of a page of newest ones, or None if it can't be read."""
+    try:
+        item = msgspec.json.decode(raw, type=NewestItem)
+        value = base64.b64decode(item.value, validate=True)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        note_unreadable("item", "", str(error))
+        return None
+    return KeyedRecord(item.offset, item.key, value)
+
+
+def _key_of(raw: msgspec.Raw) -> str:
+    """Return the key of an item that may be unreadable otherwise, or nothing."""
+    try:
+        return msgspec.json.decode(raw, type=ItemKey).key
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return ""
+
+
 class StoreClient:
     """Call the store.
 
@@ -198,11 +253,10 @@
         if answer.status != 200:
             raise CallRefusedError(f"status={answer.status}")
         newest = _decode(answer, NewestBody)
-        records = [
-            KeyedRecord(item.offset, item.key, base64.b64decode(item.value))
-            for item in newest.items
-        ]
-        return NewestPage(records, newest.more_pages, newest.end)
+        found = [_decode_item(raw) for raw in newest.items]
+        records = [record for record in found if record is not None]
+        last_key = next(filter(None, map(_key_of, reversed(newest.items))), "")
+        return NewestPage(records, newest.more_pages, newest.end, last_key)
 
     async def _async_get(
         self, call: str, params: dict[str, str], silence_seconds: float
--- a/mustardward/platform/workers.py
+++ b/mustardward/platform/workers.py
@@ -219,7 +219,14 @@
             EndedTask(int(row[0]), decode_task(row[1]), int(row[2]), row[3], row[4])
             for row in hold.ended
         ]
-    except (msgspec.MsgspecError, ValueError, IndexError) as error:
+    except (
+        msgspec.MsgspecError,
+        ValueError,
+        IndexError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise CallUnknownError(str(error)) from error
     return HoldAnswer(hold.clock_ms, running, ended)
 
--- a/mustardward/standin/estate/app.py
+++ b/mustardward/standin/estate/app.py
@@ -123,7 +123,7 @@
             request.query[names.PARAM_TOPIC], request.query.get(names.PARAM_AFTER, "")
         )
         items = [
-            NewestItem(r.key, r.offset, base64.b64encode(r.value).decode())
+            _raw(NewestItem(r.key, r.offset, base64.b64encode(r.value).decode()))
             for r in page.records
         ]
         return _json(NewestBody(items, page.end, page.more))
@@ -169,7 +169,8 @@
         return worker
 
     async def _async_list(self, request: web.Request) -> web.StreamResponse:
-        return _json(ListedBody(self._estate.list_instances()))
+        rows = [_raw(instance) for instance in self._estate.list_instances()]
+        return _json(ListedBody(rows))
 
     async def _async_move(self, request: web.Request) -> web.StreamResponse:
         order = msgspec.json.decode(await request.read(), type=MoveBody)
@@ -188,6 +189,10 @@
     return time.monotonic() * 1000
 
 
+def _raw(body: msgspec.Struct) -> msgspec.Raw:
+    return msgspec.Raw(msgspec.json.encode(body))
+
+
 def _json(body: Any, status: int = 200) -> web.Response:
     return web.Response(
         status=status,
--- a/mustardward/standin/estate/estate.py
+++ b/mustardward/standin/estate/estate.py
@@ -18,6 +18,7 @@
     TOPIC_OPERATOR,
     TOPIC_WORKERS,
 )
+from .foreign import foreign_records
 from .store import MemoryStore
 from .worker import MemoryWorker, Work, draw_seconds
 
@@ -122,6 +123,13 @@
         record = (f"{KEY_WAVE_PREFIX}{number}", msgspec.json.encode(body))
         self.store.append(TOPIC_OPERATOR, [record])
 
+    def write_foreign(self, seed: int, worker: str) -> None:
+        """Write records that no worker wrote, one of them in a worker's place."""
+        records = foreign_records(seed, worker)
+        self.store.append(TOPIC_WORKERS, records)
+        self.store.append(TOPIC_OPERATOR, foreign_records(seed, KEY_CONFIG))
+        self.store.append(TOPIC, foreign_records(seed, f"{PREFIX_JOB}{seed:016x}"))
+
     def advance(self, now: float) -> None:
         """Let time pass: learn of jobs, and bring instances back."""
         self._learn_jobs()
--- /dev/null
+++ b/tests/components/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Test the ledger component."""
--- /dev/null
+++ b/tests/components/configuration/test_foreign_records.py
@@ -0,0 +1,39 @@
+"""Test that what the operator published outlasts records of another writer."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from mustardward.components.configuration.services import Configuration
+from mustardward.platform.store import KEY_CONFIG, KEY_WAVE_PREFIX, KeyedRecord
+
+GOOD = b'{"version":3,"routes":[],"services":[{"name":"a","standby":true}]}'
+WAVE = {"wave": 1, "machines": ["m-1"], "duration-s": 10.0, "max-count": 2}
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"\xff", b"null", b"[" * 5000, b'{"version":"x"}', b'{"version":9,"routes":7}'],
+)
+def test_a_configuration_that_cant_be_read_leaves_the_one_in_force(
+    value: bytes,
+) -> None:
+    configuration = Configuration()
+    configuration.apply(KeyedRecord(1, KEY_CONFIG, GOOD))
+    configuration.apply(KeyedRecord(2, KEY_CONFIG, value))
+    assert configuration.standby_pools() == {"a"}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"max-count": 0}, {"max-count": -2}, {"duration-s": -1}, {"wave": 2}]
+    + [{"machines": "m-1"}, {"machines": [None]}, {"max-count": None}],
+)
+def test_a_wave_that_cant_be_carried_out_is_left_out(change: dict[str, object]) -> None:
+    configuration = Configuration()
+    key = f"{KEY_WAVE_PREFIX}1"
+    configuration.apply(KeyedRecord(1, key, msgspec.json.encode({**WAVE, **change})))
+    assert configuration.waves == {}
+    configuration.apply(KeyedRecord(2, key, msgspec.json.encode(WAVE)))
+    assert configuration.waves[1].max_count == 2
--- a/tests/components/ledger/test_ledger.py
+++ b/tests/components/ledger/test_ledger.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import msgspec
+import pytest
+
 from mustardward.components.ledger.const import PREFIX_JOB, PREFIX_PROGRESS
 from mustardward.components.ledger.ledger import Ledger, encode
 from mustardward.components.ledger.models import JobRecord, JobState, Progress
@@ -19,6 +22,27 @@
     ledger.apply(KeyedRecord(0, key, value))
 
 
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\x00",
+        b"\xc1" * 9,
+        encode(Progress(JobState.DONE)),
+        encode(RECORD)[:-3],
+        encode(msgspec.structs.replace(RECORD, id="another")),
+        encode(msgspec.structs.replace(RECORD, steps=[SubmittedStep(3, cpu=-1)])),
+        encode(msgspec.structs.replace(RECORD, steps=[SubmittedStep(3, after=[4])])),
+    ],
+)
+def test_a_job_that_another_writer_stored_is_left_out(value: bytes) -> None:
+    """One such record must neither end the fold nor reach the scheduler."""
+    ledger = Ledger()
+    fold(ledger, PREFIX_JOB + "0" * 16, value)
+    fold(ledger, "?/" + JOB, value)
+    fold(ledger, PREFIX_JOB + JOB, encode(RECORD))
+    assert list(ledger.jobs) == [JOB]
+
+
 def test_what_is_left_of_a_job_tells_its_state_and_is_small() -> None:
     """Entries that start anew read all jobs of the last minutes over narrow links."""
     stub = encode(RECORD.as_stub())
--- a/tests/components/scheduling/test_planning.py
+++ b/tests/components/scheduling/test_planning.py
@@ -357,3 +357,31 @@
     )
     assert start.task.phase is Phase.WAITING
     assert isinstance(bench.plan()[0], AskAdvice)
+
+
+def test_a_worker_whose_entry_cant_be_read_gets_nothing_and_keeps_its_room() -> None:
+    """Use no worker that no good entry names, and account for what runs there.
+
+    Symptom: tasks go to a worker that another writer's record made up, or run twice.
+    Sequence: a good entry is followed by one that can't be read while a task runs.
+    Cause: the older entry stays in use, or the task counts as ended.
+    """
+    bench = SchedulerBench()
+    worker = bench.worker("w-1")
+    bench.add(a_job(a_step(count=1), a_step(count=1)))
+    assert len(bench.plan_starts()) == 2
+    bench.scheduler.bar_worker("w-1")
+    bench.add(a_job(job="00000000000000bb"))
+    assert bench.plan_starts() == []
+    assert len(worker.tasks) == 2 and worker.free_cpu == 6000
+    bench.scheduler.see_worker("w-1", an_entry(), bench.now)
+    assert {start.worker for start in bench.plan_starts()} == {"w-1"}
+
+
+def test_a_worker_that_an_entry_moves_to_another_pool_gets_nothing() -> None:
+    """An incarnation never changes its pool, so another writer has written that."""
+    bench = SchedulerBench()
+    bench.worker("w-1")
+    bench.scheduler.see_worker("w-1", an_entry(service="elsewhere"), bench.now)
+    bench.add(a_job())
+    assert bench.plan_starts() == []
--- a/tests/embedded/test_estate.py
+++ b/tests/embedded/test_estate.py
@@ -119,3 +119,22 @@
             await async_until(lambda: len(maintained(fleet)) >= len(machines))
             assert sorted(maintained(fleet)) == machines
             await fleet.async_wait_state(path, "running")
+
+
+async def test_work_goes_on_beside_records_of_another_writer() -> None:
+    """Serve callers beside records that no worker wrote.
+
+    Symptom: the owner ends, or nobody follows the workers any more. Sequence: records
+    of another writer stand between the workers' own, and in the place of one of them.
+    Cause: one of them ends the reading of all.
+    """
+    with anyio.fail_after(MOST_SECONDS):
+        async with async_run_estate_fleet(PLAN, entries=1) as fleet:
+            barred = min(fleet.estate.workers)
+            fleet.estate.write_foreign(seed=3, worker=barred)
+            path = await fleet.async_submit(PREFIX, two_steps())
+            await fleet.async_wait_state(path, "done")
+            fleet.estate.write_foreign(seed=4, worker=barred)
+            path = await fleet.async_submit(PREFIX, two_steps())
+            await fleet.async_wait_state(path, "done")
+            assert set(starts_of(fleet).values()) == {1}
