Tell what has ended while the store is away

Cause: states came from the log alone. Ruled out: the owner alone tells (callers ask any entry); a message to all entries for each end (40 of them in the very moment in which calls fail). Change: an entry whose log fails asks the owner for the job that its caller asks for, keeps the answer and brings it to the log, so that no owner after starts the job again.

--- a/mustardward/components/forwarding/answering.py
+++ b/mustardward/components/forwarding/answering.py
@@ -12,7 +12,8 @@
 from ...platform import callers
 from ..front.const import ANSWER_MARGIN_SECONDS
 from ..front.services import Front, Reply, Request, longest_outage
-from .const import CHECK_METHOD, FAILING_SECONDS, HEDGE_SECONDS
+from .const import CHECK_METHOD, ENDED_METHOD, FAILING_SECONDS, HEDGE_SECONDS
+from .ends import Ends
 from .models import AskedReply, AskedRequest
 from .services import AskOutcome, Forwarder
 
@@ -28,6 +29,7 @@
     front: Front
     forwarder: Forwarder
     timers: TimerService
+    ends: Ends
     _seen_version: int = 0
 
     def _version(self) -> int:
@@ -54,6 +56,23 @@
 
     async def async_answer(self, request: Request) -> Reply:
         """Return the answer to a caller."""
+        if request.method != "GET":
+            return await self._async_answer(request)
+        failed_before = self.front.log_failing
+        if failed_before and await self._async_ended(request):
+            return self.front.tell_done()
+        reply = await self._async_answer(request)
+        if failed_before or not self.front.log_failing:
+            return reply
+        # That the log fails was found by this very request.
+        return self.front.tell_done() if await self._async_ended(request) else reply
+
+    async def _async_ended(self, request: Request) -> bool:
+        """Return whether a caller asks for a job that is known to be done."""
+        job_id = self.front.open_job(request)
+        return job_id is not None and await self.ends.async_ended(job_id)
+
+    async def _async_answer(self, request: Request) -> Reply:
         if not self.cut_off() and not self._behind():
             return await self._async_hedged(request)
         outcome = await self._async_ask(request)
@@ -68,6 +87,8 @@
 
     async def async_answer_peer(self, asked: AskedRequest) -> AskedReply:
         """Return the answer to a peer's question, from the log here or not at all."""
+        if asked.method == ENDED_METHOD:
+            return self.ends.answer_peer(asked.path)
         if self.cut_off():
             return AskedReply(503, b"", confirmed=False)
         if asked.method == CHECK_METHOD:
--- a/mustardward/components/forwarding/const.py
+++ b/mustardward/components/forwarding/const.py
@@ -12,6 +12,17 @@
 CHECK_SECONDS: Final = 0.3
 """Longest wait for a check; peers are some milliseconds away."""
 
+ENDED_METHOD: Final = "ENDED"
+ENDED_SECONDS: Final = 0.3
+"""Longest wait for the owner's word on a job; it says what it holds in memory."""
+
+BRING_SECONDS: Final = 0.2
+"""Interval of looking for told ends that the log lacks; after an outage the owner
+stores them itself within some 0.1 s, so that mostly nothing is left to bring."""
+
+BRING_WAIT_SECONDS: Final = 2.0
+"""Longest wait for an append of them; it is tried again after that."""
+
 CHECKED_SECONDS: Final = 0.3
 """Time for which an answer shows that a peer can be reached."""
 
--- a/mustardward/components/forwarding/services.py
+++ b/mustardward/components/forwarding/services.py
@@ -101,6 +101,19 @@
             self._shun(name, "cut off too")
         return AskOutcome(None, may_have_effect)
 
+    async def async_ask_node(
+        self, name: str, request: AskedRequest
+    ) -> AskedReply | None:
+        """Return one entry's answer to a question without effect, or None."""
+        node = self.ledger.nodes.get(name)
+        if node is None:
+            return None
+        try:
+            return await self._async_ask_one(node.address, request, request.patience)
+        except _FAILURES as error:
+            _LOGGER.info("node_not_asked", peer=name, detail=type(error).__name__)
+            return None
+
     async def _async_check(self, name: str, address: str) -> None:
         """Call a peer without effect, unless it answered just now.
 
--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -84,6 +84,26 @@
             return _error(404, "no-such-job", "the id has not 16 hexadecimal digits")
         return await self._async_job(request, queue, name)
 
+    @property
+    def log_failing(self) -> bool:
+        """Return whether the last read of the log failed."""
+        return self.follower.failing_since is not None
+
+    def open_job(self, request: Request) -> str | None:
+        """Return the job that a request names, unless it is known to be over."""
+        queue = self.configuration.table.find(request.host, request.path)
+        if queue is None:
+            return None
+        name = request.path[len(queue.path_prefix) :]
+        job = self.ledger.jobs.get(name)
+        if not callers.is_job_id(name) or (job is not None and job.state.final):
+            return None
+        return name
+
+    def tell_done(self) -> Reply:
+        """Return the answer that a job is done."""
+        return Reply(200, callers.encode_state(callers.STATE_DONE))
+
     async def _async_job(self, request: Request, queue: Queue, name: str) -> Reply:
         if request.method == "POST":
             return await self._async_submit(request, queue, name)
--- a/mustardward/components/ledger/const.py
+++ b/mustardward/components/ledger/const.py
@@ -16,6 +16,7 @@
 PREFIX_JOB: Final = "j/"
 PREFIX_PROGRESS: Final = "p/"
 PREFIX_CANCEL: Final = "x/"
+PREFIX_TOLD: Final = "d/"
 PREFIX_WAVE: Final = "w/"
 PREFIX_NODE: Final = "n/"
 
--- a/mustardward/components/ledger/ledger.py
+++ b/mustardward/components/ledger/ledger.py
@@ -18,6 +18,7 @@
     PREFIX_JOB,
     PREFIX_NODE,
     PREFIX_PROGRESS,
+    PREFIX_TOLD,
     PREFIX_WAVE,
 )
 from .models import (
@@ -27,12 +28,14 @@
     NodeRecord,
     OwnerRecord,
     Progress,
+    ToldRecord,
     WaveRecord,
 )
 
 _JOB: Final = msgspec.msgpack.Decoder(JobRecord)
 _PROGRESS: Final = msgspec.msgpack.Decoder(Progress)
 _CANCEL: Final = msgspec.msgpack.Decoder(CancelRecord)
+_TOLD: Final = msgspec.msgpack.Decoder(ToldRecord)
 _OWNER: Final = msgspec.msgpack.Decoder(OwnerRecord)
 _WAVE: Final = msgspec.msgpack.Decoder(WaveRecord)
 _NODE: Final = msgspec.msgpack.Decoder(NodeRecord)
@@ -42,7 +45,13 @@
 
 
 def encode(
-    record: JobRecord | Progress | CancelRecord | OwnerRecord | WaveRecord | NodeRecord,
+    record: JobRecord
+    | Progress
+    | CancelRecord
+    | ToldRecord
+    | OwnerRecord
+    | WaveRecord
+    | NodeRecord,
 ) -> bytes:
     """Return the stored form of a record."""
     return _ENCODER.encode(record)
@@ -55,14 +64,18 @@
     record: JobRecord
     progress: Progress | None = None
     cancelled_at: float = 0.0
+    told_at: float = 0.0
 
     @property
     def state(self) -> JobState:
         """Return the state that callers see.
 
-        What ended before the cancel came stays as it ended.
+        What ended before the cancel came stays as it ended, and what a caller was told
+        as done stays done.
         """
         stored = self.progress.state if self.progress else JobState.QUEUED
+        if self.told_at and not stored.final:
+            return JobState.DONE
         if self.cancelled_at and not stored.final:
             return JobState.CANCELLED
         return stored
@@ -72,7 +85,7 @@
         """Return when the job ended, as wall clock in seconds, or 0."""
         if self.progress is not None and self.progress.ended_at:
             return self.progress.ended_at
-        return self.cancelled_at
+        return self.told_at or self.cancelled_at
 
 
 JobListener = Callable[[LedgerJob], None]
@@ -93,8 +106,10 @@
     nodes: dict[str, NodeRecord] = field(default_factory=dict)
     on_job: JobListener | None = None
     on_cancel: JobListener | None = None
+    on_told: JobListener | None = None
     _early_progress: dict[str, Progress] = field(default_factory=dict)
     _early_cancels: dict[str, float] = field(default_factory=dict)
+    _early_told: dict[str, float] = field(default_factory=dict)
     _folds: dict[str, Callable[[str, bytes], None]] = field(
         init=False, repr=False, compare=False
     )
@@ -105,6 +120,7 @@
             PREFIX_JOB: self._apply_job,
             PREFIX_PROGRESS: self._apply_progress,
             PREFIX_CANCEL: self._apply_cancel,
+            PREFIX_TOLD: self._apply_told,
             PREFIX_WAVE: self._apply_wave,
             PREFIX_NODE: self._apply_node,
             KEY_OWNER: self._apply_owner,
@@ -141,10 +157,14 @@
                 yield PREFIX_PROGRESS + job.record.id
             if job.cancelled_at:
                 yield PREFIX_CANCEL + job.record.id
+            if job.told_at:
+                yield PREFIX_TOLD + job.record.id
         for name in self._early_progress:
             yield PREFIX_PROGRESS + name
         for name in self._early_cancels:
             yield PREFIX_CANCEL + name
+        for name in self._early_told:
+            yield PREFIX_TOLD + name
         for name in self.waves:
             yield PREFIX_WAVE + name
         for name in self.nodes:
@@ -172,6 +192,7 @@
         job = LedgerJob(record)
         job.progress = self._early_progress.pop(name, None)
         job.cancelled_at = self._early_cancels.pop(name, 0.0)
+        job.told_at = self._early_told.pop(name, 0.0)
         self.jobs[name] = job
         if self.on_job is not None:
             self.on_job(job)
@@ -198,6 +219,18 @@
         if at and self.on_cancel is not None:
             self.on_cancel(job)
 
+    def _apply_told(self, name: str, value: bytes) -> None:
+        job = self.jobs.get(name)
+        at = _TOLD.decode(value).at if value else 0.0
+        if job is None:
+            self._early_told.pop(name, None)
+            if at:
+                self._early_told[name] = at
+            return
+        job.told_at = at
+        if at and self.on_told is not None:
+            self.on_told(job)
+
     def _apply_owner(self, _: str, value: bytes) -> None:
         if not value:
             return
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -126,6 +126,12 @@
     speed: float = 1.0
 
 
+class ToldRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Hold that a caller was told that a job is done, at this wall clock in seconds."""
+
+    at: float
+
+
 class CancelRecord(msgspec.Struct, frozen=True, array_like=True):
     """Hold that a caller cancelled a job, at this wall clock in seconds."""
 
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -22,17 +22,19 @@
 from ..fleet.services import Fleet
 from ..fleet.telling import WaveTelling
 from ..fleet.waves import WavePlanner
+from ..ledger.ahead import EndsAhead
 from ..ledger.appender import GroupAppender, Outcome, Record
 from ..ledger.const import (
     PREFIX_CANCEL,
     PREFIX_JOB,
     PREFIX_PROGRESS,
+    PREFIX_TOLD,
     SHARD,
     TOPIC,
 )
 from ..ledger.follower import TopicFollower
 from ..ledger.ledger import Ledger, LedgerJob, encode
-from ..ledger.models import OwnerRecord
+from ..ledger.models import JobState, OwnerRecord
 from ..scheduling.demand import log_loads
 from ..scheduling.scheduler import Scheduler
 from .authority import Authority
@@ -70,6 +72,7 @@
     follower: TopicFollower
     configuration: Configuration
     bounds: BootBounds
+    ahead: EndsAhead
     speed: float = 1.0
     advice: AdviceClient | None = None
     fleet: FleetClient | None = None
@@ -229,12 +232,16 @@
             self.scheduler.add_job(job, now, wall)
         parts.ledger.on_job = self._add_job
         parts.ledger.on_cancel = lambda job: self._cancel_job(job.record.id)
+        parts.ledger.on_told = lambda job: self._end_told(job.record.id)
+        parts.ahead.owner_knows = self.scheduler.has_ended
         parts.configuration.on_change = self._configured
         _LOGGER.info("owner_started", epoch=self._epoch, jobs=len(board.jobs))
 
     def _unsubscribe(self) -> None:
         self._parts.ledger.on_job = None
         self._parts.ledger.on_cancel = None
+        self._parts.ledger.on_told = None
+        self._parts.ahead.owner_knows = None
         self._parts.configuration.on_change = None
 
     def _add_job(self, job: LedgerJob) -> None:
@@ -246,6 +253,10 @@
         self.scheduler.cancel_job(job_id)
         self.kick()
 
+    def _end_told(self, job_id: str) -> None:
+        self.scheduler.end_told(job_id)
+        self.kick()
+
     def _configured(self) -> None:
         self.scheduler.update_policies()
         self._wake.set()
@@ -337,6 +348,9 @@
         records: list[Record] = []
         for job_id, progress in dirty:
             records.append((PREFIX_PROGRESS + job_id, encode(progress)))
+            if progress.state is JobState.DONE:
+                # The scheduler may forget it before the append is through.
+                self._parts.ahead.hold(job_id)
             job = self._parts.ledger.jobs.get(job_id)
             if progress.state.final and job is not None and not job.record.is_stub:
                 records.append((PREFIX_JOB + job_id, encode(job.record.as_stub())))
@@ -353,6 +367,8 @@
                 old.append((PREFIX_PROGRESS + job_id, b""))
                 if job.cancelled_at:
                     old.append((PREFIX_CANCEL + job_id, b""))
+                if job.told_at:
+                    old.append((PREFIX_TOLD + job_id, b""))
         if old:
             self.appender.post(old)
 
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -9,7 +9,7 @@
 from ...platform.models import WORKER_DRAINING, WorkerEntry
 from ...platform.workers import HoldAnswer
 from ..ledger.ledger import LedgerJob
-from ..ledger.models import Progress
+from ..ledger.models import JobState, Progress
 from .board import Board, PolicyLookup
 from .const import MISSING_GRACE_SECONDS, STUCK_FACTOR, STUCK_SECONDS
 from .evacuation import Evacuation
@@ -57,6 +57,17 @@
         """End a job that a caller cancelled."""
         self.intake.cancel(job_id)
 
+    def has_ended(self, job_id: str) -> bool:
+        """Return whether a job is done, stored or not."""
+        job = self.board.jobs.get(job_id)
+        return job is not None and job.state is JobState.DONE
+
+    def end_told(self, job_id: str) -> None:
+        """End a job that a caller was told as done by an owner before."""
+        job = self.board.jobs.get(job_id)
+        if job is not None and not job.state.final:
+            self.board.end_job(job, JobState.DONE)
+
     def update_policies(self) -> None:
         """Apply a new configuration to the jobs at hand."""
         for job in self.board.jobs.values():
--- a/mustardward/embedded/estate.py
+++ b/mustardward/embedded/estate.py
@@ -144,6 +144,17 @@
                 return str(answer.json()["state"])
         return ""
 
+    async def async_wait_state_at(
+        self, node: RunningNode, path: str, state: str
+    ) -> None:
+        """Wait until one entry tells that a job is in a state."""
+        for _ in range(MOST_POLLS):
+            answer = await self._async_call("GET", node, path)
+            if answer is not None and answer.json().get("state") == state:
+                return
+            await anyio.sleep(POLL_SECONDS)
+        raise NotReachedError(f"path={path} state={state} node={node.name}")
+
     async def async_cancel(self, path: str) -> None:
         """Cancel a job."""
         await self._async_call("DELETE", self.alive()[0], path)
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -16,10 +16,12 @@
 
 from ..components.configuration.services import Configuration
 from ..components.forwarding.answering import Answering
+from ..components.forwarding.ends import Ends
 from ..components.forwarding.peers import PeerBook
 from ..components.forwarding.services import Forwarder, async_serve_peers
 from ..components.front.server import FrontServer, async_serve_metrics
 from ..components.front.services import Front
+from ..components.ledger.ahead import EndsAhead
 from ..components.ledger.appender import GroupAppender
 from ..components.ledger.const import PREFIX_NODE, TOPIC
 from ..components.ledger.follower import TopicFollower
@@ -106,7 +108,17 @@
         self._forwarder = Forwarder(
             self._ledger, self._timers, PeerBook(boot.node, boot.zone)
         )
-        self._answering = Answering(front, self._forwarder, self._timers)
+        ahead = EndsAhead()
+        self._ends = Ends(
+            boot.node,
+            ahead,
+            self._ledger,
+            self._follower,
+            self._appender,
+            self._forwarder,
+            self._timers,
+        )
+        self._answering = Answering(front, self._forwarder, self._timers, self._ends)
         self._server = FrontServer(self._answering, self._timers, self._is_ready)
         advice = AdviceClient(self._http, boot.advice) if boot.advice else None
         address = boot.cloud.address
@@ -121,6 +133,7 @@
                 self._follower,
                 self._configuration,
                 boot.bounds,
+                ahead,
                 _speed(boot),
                 advice,
                 fleet,
@@ -149,6 +162,7 @@
         self._tasks.start_soon(self._follower.async_run)
         self._tasks.start_soon(self._appender.async_run)
         self._tasks.start_soon(self._ownership.async_run)
+        self._tasks.start_soon(self._ends.async_run)
         address = f"{self._boot.ip}:{self._boot.port_range[0]}"
         self._tasks.start_soon(
             async_serve_peers, address, self._answering.async_answer_peer, self._timers
--- a/tests/components/forwarding/test_answering.py
+++ b/tests/components/forwarding/test_answering.py
@@ -10,11 +10,15 @@
 
 from mustardward.components.forwarding.answering import Answering
 from mustardward.components.forwarding.const import HEDGE_SECONDS, SHUN_SECONDS
+from mustardward.components.forwarding.ends import Ends
 from mustardward.components.forwarding.models import AskedReply, AskedRequest
 from mustardward.components.forwarding.peers import PeerBook
 from mustardward.components.forwarding.services import AskOutcome
 from mustardward.components.front.services import Reply, Request
-from mustardward.components.ledger.const import TOPIC
+from mustardward.components.ledger.ahead import EndsAhead
+from mustardward.components.ledger.const import KEY_OWNER, PREFIX_TOLD, TOPIC
+from mustardward.components.ledger.ledger import encode
+from mustardward.components.ledger.models import JobState, OwnerRecord
 from mustardward.standin.estate.store import Mood
 from tests.components.ledger.builders import async_appending
 
@@ -36,6 +40,14 @@
     def __init__(self) -> None:
         self.outcome = AskOutcome(None, False)
         self.asked: list[AskedRequest] = []
+        self.node_reply: AskedReply | None = None
+        self.nodes_asked: list[tuple[str, str, str]] = []
+
+    async def async_ask_node(
+        self, name: str, request: AskedRequest
+    ) -> AskedReply | None:
+        self.nodes_asked.append((name, request.method, request.path))
+        return self.node_reply
 
     async def async_ask(self, request: AskedRequest) -> AskOutcome:
         self.asked.append(request)
@@ -48,10 +60,21 @@
     def __init__(self) -> None:
         super().__init__()
         self.forwarder = _Forwarder()
+        self.ahead = EndsAhead()
+        self.ends = Ends(
+            "me",
+            self.ahead,
+            self.ledger,
+            self.follower,
+            self.appender,
+            self.forwarder,  # type: ignore[arg-type]
+            self.timers,
+        )
         self.answering = Answering(
             self.front,
             self.forwarder,  # type: ignore[arg-type]
             self.timers,
+            self.ends,
         )
 
     async def async_post(self, seconds: float = 2.0) -> Reply:
@@ -178,3 +201,69 @@
         await bench.async_configure(4)
         asked = AskedRequest("GET", HOST, PREFIX, b"", 1.0)
         assert (await bench.answering.async_answer_peer(asked)).version == 4
+
+
+async def async_get(bench: AnsweringBench) -> bytes:
+    """Return what a caller is told of the job."""
+    deadline = bench.timers.monotonic() + 2.0
+    request = Request("GET", HOST, PREFIX + JOB, b"", deadline)
+    return (await bench.answering.async_answer(request)).body
+
+
+@asynccontextmanager
+async def an_entry_without_the_log() -> AsyncIterator[AnsweringBench]:
+    """Accept a job, owned by another entry, and lose the log."""
+    async with an_entry() as bench:
+        owner = OwnerRecord(1, "claim", "b", 1)
+        bench.store.append(TOPIC, [(KEY_OWNER, encode(owner))])
+        assert (await bench.async_post()).status == 200
+        bench.timers.pause(0.2)
+        assert await bench.follower.async_confirm()
+        await bench.async_cut_off()
+        yield bench
+
+
+async def test_an_end_is_told_while_the_store_is_away() -> None:
+    """Tell callers what the owner knows, though nothing can be stored.
+
+    Symptom: a job that ended in time is told as running for as long as the store is
+    away, and counts as late. Sequence: the store is away for all, the last task ends,
+    its caller asks another entry than the owner. Cause: states came from the log only.
+    """
+    async with an_entry_without_the_log() as bench:
+        bench.forwarder.node_reply = AskedReply(404, b"")
+        assert b"queued" in await async_get(bench)
+        bench.forwarder.node_reply = AskedReply(200, b"")
+        assert b"done" in await async_get(bench)
+        assert bench.forwarder.nodes_asked == [("b", "ENDED", JOB)] * 2
+        # It is held here now, though the owner is lost.
+        bench.forwarder.node_reply = None
+        assert b"done" in await async_get(bench)
+        assert bench.ends.answer_peer(JOB).status == 200
+
+
+async def test_a_told_end_is_brought_to_the_log() -> None:
+    """The owner and the worker may be lost before they could store it."""
+    async with an_entry_without_the_log() as bench:
+        bench.forwarder.node_reply = AskedReply(200, b"")
+        assert b"done" in await async_get(bench)
+        bench.store.mood = Mood.SERVING
+        bench.timers.pause(1.0)
+        assert await bench.follower.async_confirm()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(bench.ends.async_run)
+            await anyio.wait_all_tasks_blocked()
+            await bench.timers.async_advance(1.0)
+            await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
+        assert bench.ledger.jobs[JOB].state is JobState.DONE
+        keys = [record.key for record in bench.store.records_from(TOPIC, 0)]
+        assert keys.count(PREFIX_TOLD + JOB) == 1
+
+
+async def test_with_the_log_nobody_is_asked_for_ends() -> None:
+    async with an_entry() as bench:
+        bench.ahead.hold(JOB)
+        assert (await bench.async_post()).status == 200
+        assert b"queued" in await async_get(bench)
+        assert bench.forwarder.nodes_asked == []
--- a/tests/embedded/test_estate.py
+++ b/tests/embedded/test_estate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter
 
 import anyio
@@ -138,3 +139,34 @@
             path = await fleet.async_submit(PREFIX, two_steps())
             await fleet.async_wait_state(path, "done")
             assert set(starts_of(fleet).values()) == {1}
+
+
+async def test_what_was_told_as_done_never_runs_again() -> None:
+    """Keep a caller's word through the loss of all who knew it but the teller.
+
+    Symptom: a job that was shown as done runs once more. Sequence: the store is away, a
+    job ends and is told by an entry that does not own the shard; then the worker that
+    ran it crashes and the owner loses power, before anything could be stored. Cause:
+    the end was known to these two only.
+    """
+    with anyio.fail_after(MOST_SECONDS):
+        async with async_run_estate_fleet(PLAN, entries=3) as fleet:
+            path = await fleet.async_submit(PREFIX, two_steps())
+            await async_until(lambda: len(starts_of(fleet)) >= 3)
+            fleet.estate.store.mood = Mood.REFUSING
+            owner = fleet.owner()
+            assert owner is not None
+            teller = next(node for node in fleet.alive() if node is not owner)
+            await fleet.async_wait_state_at(teller, path, "done")
+            before = starts_of(fleet)
+            for worker in [w for w in fleet.estate.workers.values() if w.starts]:
+                fleet.estate.crash(worker.id, time.monotonic())
+            owner.kill()
+            fleet.estate.store.mood = Mood.SERVING
+            done = await fleet.async_submit(PREFIX, two_steps())
+            await fleet.async_wait_state(done, "done")
+            assert fleet.owner() is not owner
+            assert await fleet.async_state(path) == "done"
+            job = path.rpartition("/")[2]
+            assert all(name.partition(".")[0] != job for name in starts_of(fleet))
+            assert sum(before.values()) == 5
