Call the store through a peer while it turns this entry alone away

Entries that do not own asked a peer for each request. Ruled out: sooner claims (owners change with each slow answer), a hand-over to another entry (still a takeover). Now a peer says first whether it has the log, two are asked, and for 0.1 s each. Also mended: a peer's word that a request may have its effect (504) was not counted, so that a refusal could have said "not run" of what runs.

--- a/mustardward/components/forwarding/answering.py
+++ b/mustardward/components/forwarding/answering.py
@@ -12,9 +12,16 @@
 from ...platform import callers
 from ..front.const import ANSWER_MARGIN_SECONDS
 from ..front.services import Front, Reply, Request, longest_outage
-from .const import CHECK_METHOD, ENDED_METHOD, FAILING_SECONDS, HEDGE_SECONDS
+from .const import (
+    CHECK_METHOD,
+    ENDED_METHOD,
+    FAILING_SECONDS,
+    HEDGE_SECONDS,
+    RELAY_METHOD,
+)
 from .ends import Ends
 from .models import AskedReply, AskedRequest
+from .relay import StoreRelay
 from .services import AskOutcome, Forwarder
 
 _LOGGER = get_logger(__name__)
@@ -30,6 +37,7 @@
     forwarder: Forwarder
     timers: TimerService
     ends: Ends
+    relay: StoreRelay
     _seen_version: int = 0
 
     def _version(self) -> int:
@@ -89,6 +97,8 @@
         """Return the answer to a peer's question, from the log here or not at all."""
         if asked.method == ENDED_METHOD:
             return self.ends.answer_peer(asked.path)
+        if asked.method == RELAY_METHOD:
+            return await self.relay.async_answer_peer(asked)
         if self.cut_off():
             return AskedReply(503, b"", confirmed=False)
         if asked.method == CHECK_METHOD:
--- a/mustardward/components/forwarding/const.py
+++ b/mustardward/components/forwarding/const.py
@@ -23,16 +23,46 @@
 BRING_WAIT_SECONDS: Final = 2.0
 """Longest wait for an append of them; it is tried again after that."""
 
+RELAY_METHOD: Final = "STORE"
+RELAY_PATIENCE_SECONDS: Final = 0.8
+"""Longest wait for an append through peers, so that it can still be tried again before
+others take the owner for lost."""
+
+RELAY_MOST_ASKED: Final = 2
+RELAY_CHECK_SECONDS: Final = 0.1
+"""Longest wait for a sign of a peer that is to relay: where a whole data centre is cut
+off no peer answers, and that the log fails should be known soon."""
+
+RELAY_PAUSE_SECONDS: Final = 0.3
+"""Pause after no peer reached the store either: in an outage each entry repeats its
+calls every 0.08 s, and would else ask peers as often."""
+
+MOST_RELAYED: Final = 4
+"""Calls of peers under way at once: half of an entry's connections to the store, so
+that its own calls never wait for them."""
+
+PROBE_SECONDS: Final = 0.5
+"""Interval of looking whether the direct way to the store is open again."""
+
 CHECKED_SECONDS: Final = 0.3
 """Time for which an answer shows that a peer can be reached."""
 
 SHUN_SECONDS: Final = 1.5
-"""Time in which a peer that did not answer, or was cut off itself, is not asked."""
+"""Time in which a peer that did not answer, or was cut off itself, is not asked for
+callers."""
+
+RELAY_SHUN_SECONDS: Final = 0.4
+"""The same for calls to the store: after an outage, the first entry that reaches it is
+the way of all others."""
 
 HEDGE_SECONDS: Final = 0.4
 """Time after which a peer is asked beside an append that is not answered; an append
 takes 6 ms, and a store that is 60 times slower still ends before."""
 
+OUTCOME_UNKNOWN: Final = 504
+"""Status by which a peer says that a request may have its effect: a refusal of it would
+say "not run" of what may run."""
+
 MOST_ASKED: Final = 3
 """Peers asked for one request, one after the other."""
 
--- a/mustardward/components/forwarding/models.py
+++ b/mustardward/components/forwarding/models.py
@@ -15,6 +15,26 @@
     patience: float
 
 
+class RelayedCall(msgspec.Struct, frozen=True, array_like=True):
+    """Hold a call to the store that a peer is asked to make.
+
+    :param body: what is appended; None for a read.
+    :param silence_seconds: longest time in which no byte of the answer comes.
+    """
+
+    method: str
+    path: str
+    params: dict[str, str]
+    body: bytes | None
+    timeout_seconds: float
+    silence_seconds: float | None = None
+
+    @property
+    def is_read(self) -> bool:
+        """Return whether the call has no effect."""
+        return self.body is None
+
+
 class AskedReply(msgspec.Struct, frozen=True):
     """Hold a peer's answer to a caller's request.
 
--- a/mustardward/components/forwarding/peers.py
+++ b/mustardward/components/forwarding/peers.py
@@ -12,10 +12,13 @@
     """Know the other entries and which of them did not answer lately.
 
     :param node: this entry's name.
+    :param shun_seconds: time in which a peer that did not answer, or was cut off
+        itself, is not asked.
     """
 
     node: str
     zone: str
+    shun_seconds: float = SHUN_SECONDS
     _shunned: dict[str, float] = field(default_factory=dict)
     _turn: int = 0
 
@@ -41,4 +44,4 @@
 
     def shun(self, name: str, now: float) -> None:
         """Leave a peer out for a while."""
-        self._shunned[name] = now + SHUN_SECONDS
+        self._shunned[name] = now + self.shun_seconds
--- /dev/null
+++ b/mustardward/components/forwarding/relay.py
@@ -0,0 +1,161 @@
+"""Call the store through a peer while it turns this entry alone away.
+
+Symptom without it: the store refuses the owner, or is cut off from it, and serves all
+others. The owner falls silent, another entry takes over 1.3 s later and asks all
+workers what they run; what ended meanwhile is late. An append is repeated under its
+producer's own number, whichever way it goes, so that the log takes it once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import msgspec
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from ...helpers.instruments import RELAYED_CALLS
+from ...helpers.logging import get_logger
+from ...helpers.timer import TimerService
+from ...platform.exceptions import CallRefusedError, CallUnknownError
+from ...platform.http import Answer, HttpCaller
+from .const import (
+    MOST_RELAYED,
+    PROBE_SECONDS,
+    RELAY_METHOD,
+    RELAY_PATIENCE_SECONDS,
+    RELAY_PAUSE_SECONDS,
+)
+from .models import AskedReply, AskedRequest, RelayedCall
+from .services import Forwarder
+
+_LOGGER = get_logger(__name__)
+
+_TURNED_AWAY = (429, 500, 502, 503)
+_NO_HEADERS: CIMultiDictProxy[str] = CIMultiDictProxy(CIMultiDict())
+_FAILURES = (CallRefusedError, CallUnknownError)
+
+
+@dataclass(slots=True, eq=False)
+class StoreRelay:
+    """Carry calls to the store, on the direct way or through a peer.
+
+    It stands in for the plain HTTP caller of the store's client.
+
+    :param base: the store's address as a URL.
+    :param async_probe: returns whether the store answers on the direct way.
+    """
+
+    http: HttpCaller
+    base: str
+    forwarder: Forwarder
+    timers: TimerService
+    async_probe: Callable[[], Awaitable[bool]]
+    _relaying: bool = False
+    _quiet_until: float = 0.0
+    _for_peers: int = 0
+
+    @property
+    def relaying(self) -> bool:
+        """Return whether calls go through peers."""
+        return self._relaying
+
+    async def async_call(
+        self,
+        method: str,
+        url: str,
+        *,
+        timeout_seconds: float,
+        body: bytes | None = None,
+        params: dict[str, str] | None = None,
+        headers: dict[str, str] | None = None,
+        silence_seconds: float | None = None,
+    ) -> Answer:
+        """Make one call.
+
+        :raises CallRefusedError: if it was certainly not sent.
+        :raises CallUnknownError: if it was sent and its answer was lost.
+        """
+        path = url.removeprefix(self.base)
+        call = RelayedCall(
+            method, path, params or {}, body, timeout_seconds, silence_seconds
+        )
+        may_have_effect = False
+        if self._relaying:
+            answer, may_have_effect = await self._async_relay(call)
+            if answer is not None:
+                return answer
+            self._set_relaying(False)
+        answer, error = await self._async_try(call)
+        if answer is not None and answer.status not in _TURNED_AWAY:
+            return answer
+        if self.timers.monotonic() >= self._quiet_until:
+            relayed, effect = await self._async_relay(call)
+            if relayed is not None:
+                self._set_relaying(True)
+                return relayed
+            may_have_effect = may_have_effect or effect
+            # The store is away for all: peers are not asked again with each retry.
+            self._quiet_until = self.timers.monotonic() + RELAY_PAUSE_SECONDS
+        if may_have_effect:
+            raise CallUnknownError("relayed call unanswered")
+        if answer is None:
+            raise error or CallUnknownError("no answer")
+        return answer
+
+    async def async_answer_peer(self, asked: AskedRequest) -> AskedReply:
+        """Make a peer's call on the direct way, if there is one."""
+        if self._relaying or self._for_peers >= MOST_RELAYED:
+            return AskedReply(503, b"", confirmed=False)
+        call = msgspec.msgpack.decode(asked.body, type=RelayedCall)
+        self._for_peers += 1
+        try:
+            answer, error = await self._async_try(call)
+        finally:
+            self._for_peers -= 1
+        if answer is None:
+            # The peer must not take an append that may be done for one that is not.
+            unknown = isinstance(error, CallUnknownError) and not call.is_read
+            return AskedReply(504 if unknown else 503, b"", confirmed=False)
+        confirmed = answer.status not in _TURNED_AWAY
+        return AskedReply(answer.status, answer.body, confirmed=confirmed)
+
+    async def async_run(self) -> None:
+        """Go back to the direct way once it is open."""
+        while True:
+            await self.timers.async_sleep(PROBE_SECONDS)
+            if self._relaying and await self.async_probe():
+                self._set_relaying(False)
+
+    def _set_relaying(self, relaying: bool) -> None:
+        if relaying != self._relaying:
+            self._relaying = relaying
+            _LOGGER.warning("store_relayed" if relaying else "store_direct")
+
+    async def _async_try(
+        self, call: RelayedCall
+    ) -> tuple[Answer | None, CallRefusedError | CallUnknownError | None]:
+        try:
+            answer = await self.http.async_call(
+                call.method,
+                self.base + call.path,
+                body=call.body,
+                params=call.params,
+                timeout_seconds=call.timeout_seconds,
+                silence_seconds=call.silence_seconds,
+            )
+        except _FAILURES as error:
+            return None, error
+        return answer, None
+
+    async def _async_relay(self, call: RelayedCall) -> tuple[Answer | None, bool]:
+        """Return a peer's answer or None, and whether the call may have its effect."""
+        limit = RELAY_PATIENCE_SECONDS
+        if call.is_read:
+            limit += call.silence_seconds or 0.0
+        asked = AskedRequest(RELAY_METHOD, "", "", msgspec.msgpack.encode(call), limit)
+        outcome = await self.forwarder.async_ask(asked, limit)
+        RELAYED_CALLS.labels(str(outcome.reply is not None).lower()).inc()
+        if outcome.reply is None:
+            return None, outcome.may_have_effect and not call.is_read
+        return Answer(outcome.reply.status, outcome.reply.body, _NO_HEADERS), False
--- a/mustardward/components/forwarding/services.py
+++ b/mustardward/components/forwarding/services.py
@@ -25,6 +25,7 @@
     CHECK_SECONDS,
     CHECKED_SECONDS,
     MOST_ASKED,
+    OUTCOME_UNKNOWN,
     RETRY_LISTEN_SECONDS,
 )
 from .models import AskedReply, AskedRequest
@@ -58,11 +59,17 @@
 
 @dataclass(slots=True, eq=False)
 class Forwarder:
-    """Ask one peer after the other until one answers from the log."""
+    """Ask one peer after the other until one answers from the log.
+
+    :param check_seconds: longest wait for a peer's first sign.
+    :param most_asked: peers asked for one request, one after the other.
+    """
 
     ledger: Ledger
     timers: TimerService
     book: PeerBook
+    check_seconds: float = CHECK_SECONDS
+    most_asked: int = MOST_ASKED
     pool: ChannelPool = field(init=False)
     last_answer_at: float = -1.0
     _answered_at: dict[str, float] = field(default_factory=dict)
@@ -71,25 +78,37 @@
         """Make the pool of connections."""
         self.pool = ChannelPool(self.timers.monotonic, None)
 
-    async def async_ask(self, request: AskedRequest) -> AskOutcome:
-        """Return the answer of the first peer that has the log."""
+    async def async_ask(
+        self, request: AskedRequest, longest_seconds: float = ASK_SECONDS
+    ) -> AskOutcome:
+        """Return the answer of the first peer that has the log.
+
+        :param longest_seconds: longest wait for one peer's answer.
+        """
         may_have_effect = False
         deadline = self.timers.monotonic() + request.patience
         nodes = {
             name: (node.address, node.zone) for name, node in self.ledger.nodes.items()
         }
         candidates = self.book.candidates(nodes, self.timers.monotonic())
-        for name, address in candidates[:MOST_ASKED]:
+        for name, address in candidates[: self.most_asked]:
             left = deadline - self.timers.monotonic()
             if left <= 0:
                 break
             try:
-                await self._async_check(name, address)
+                has_log = await self._async_check(name, address)
             except _FAILURES as error:
                 self._shun(name, type(error).__name__)
                 continue
+            if not has_log:
+                # Asked all the same, it would call the store in vain, and what it may
+                # have appended could not be told as refused any more.
+                self._shun(name, "cut off too")
+                continue
             try:
-                reply = await self._async_ask_one(address, request, left)
+                reply = await self._async_ask_one(
+                    address, request, min(left, longest_seconds)
+                )
             except _FAILURES as error:
                 may_have_effect = True
                 self._shun(name, type(error).__name__)
@@ -98,6 +117,7 @@
                 self.last_answer_at = self.timers.monotonic()
                 self._answered_at[name] = self.last_answer_at
                 return AskOutcome(reply, may_have_effect)
+            may_have_effect = may_have_effect or reply.status == OUTCOME_UNKNOWN
             self._shun(name, "cut off too")
         return AskOutcome(None, may_have_effect)
 
@@ -114,18 +134,21 @@
             _LOGGER.info("node_not_asked", peer=name, detail=type(error).__name__)
             return None
 
-    async def _async_check(self, name: str, address: str) -> None:
-        """Call a peer without effect, unless it answered just now.
+    async def _async_check(self, name: str, address: str) -> bool:
+        """Return whether a peer has the log; it is asked unless it answered just now.
 
         A call that is cut off on its way may have had its effect, and its caller can
         then be told nothing sure; a check that is cut off costs nothing.
         """
         now = self.timers.monotonic()
         if now - self._answered_at.get(name, -math.inf) < CHECKED_SECONDS:
-            return
-        check = AskedRequest(CHECK_METHOD, "", "", b"", CHECK_SECONDS)
-        await self._async_ask_one(address, check, CHECK_SECONDS)
+            return True
+        check = AskedRequest(CHECK_METHOD, "", "", b"", self.check_seconds)
+        reply = await self._async_ask_one(address, check, self.check_seconds)
+        if reply.status != 200:
+            return False
         self._answered_at[name] = self.timers.monotonic()
+        return True
 
     async def _async_ask_one(
         self, address: str, request: AskedRequest, left: float
@@ -133,7 +156,7 @@
         lease = await self.pool.async_take(address, Purpose.CONTROL)
         method = UnaryUnaryMethod(lease.channel, ASK_PATH, AskedRequest, AskedReply)
         try:
-            reply: AskedReply = await method(request, timeout=min(left, ASK_SECONDS))
+            reply: AskedReply = await method(request, timeout=left)
         except _FAILURES:
             lease.retire()
             raise
--- a/mustardward/helpers/instruments.py
+++ b/mustardward/helpers/instruments.py
@@ -77,6 +77,12 @@
     ("kind",),
     registry=REGISTRY,
 )
+RELAYED_CALLS: Final = Counter(
+    "mustardward_relayed_calls",
+    "Calls to the store through a peer, by whether one answered.",
+    ("answered",),
+    registry=REGISTRY,
+)
 OWNED_EPOCH: Final = Gauge(
     "mustardward_owned_epoch",
     "The epoch under which this entry owns the shard, or 0.",
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -16,8 +16,14 @@
 
 from ..components.configuration.services import Configuration
 from ..components.forwarding.answering import Answering
+from ..components.forwarding.const import (
+    RELAY_CHECK_SECONDS,
+    RELAY_MOST_ASKED,
+    RELAY_SHUN_SECONDS,
+)
 from ..components.forwarding.ends import Ends
 from ..components.forwarding.peers import PeerBook
+from ..components.forwarding.relay import StoreRelay
 from ..components.forwarding.services import Forwarder, async_serve_peers
 from ..components.front.server import FrontServer, async_serve_metrics
 from ..components.front.services import Front
@@ -38,7 +44,7 @@
 from ..platform.boot import BootSettings, load_boot
 from ..platform.exceptions import BootSettingsError
 from ..platform.fleet import FleetClient
-from ..platform.http import HttpCaller
+from ..platform.http import HttpCaller, base_url
 from ..platform.store import TOPIC_OPERATOR, StoreClient
 
 _LOGGER = get_logger(__name__)
@@ -72,9 +78,10 @@
         self._tasks = tasks
         self._timers = LoopTimerService(tasks)
         self._http = HttpCaller()
-        store = StoreClient(self._http, boot.platform.address)
         self._configuration = Configuration()
         self._ledger = Ledger()
+        self._relay = self._make_relay(boot)
+        store = StoreClient(self._relay, boot.platform.address)
         self._config_follower = TopicFollower(
             store,
             self._timers,
@@ -118,7 +125,9 @@
             self._forwarder,
             self._timers,
         )
-        self._answering = Answering(front, self._forwarder, self._timers, self._ends)
+        self._answering = Answering(
+            front, self._forwarder, self._timers, self._ends, self._relay
+        )
         self._server = FrontServer(self._answering, self._timers, self._is_ready)
         advice = AdviceClient(self._http, boot.advice) if boot.advice else None
         address = boot.cloud.address
@@ -141,6 +150,25 @@
             _share(boot),
         )
 
+    def _make_relay(self, boot: BootSettings) -> StoreRelay:
+        address = boot.platform.address
+        # Peers that were cut off from the store too are shunned here only: they may
+        # still answer callers' requests.
+        forwarder = Forwarder(
+            self._ledger,
+            self._timers,
+            PeerBook(boot.node, boot.zone, RELAY_SHUN_SECONDS),
+            RELAY_CHECK_SECONDS,
+            RELAY_MOST_ASKED,
+        )
+        return StoreRelay(
+            self._http,
+            base_url(address),
+            forwarder,
+            self._timers,
+            StoreClient(self._http, address).async_reached,
+        )
+
     @property
     def owns(self) -> bool:
         """Return whether this entry owns the shard."""
@@ -163,6 +191,7 @@
         self._tasks.start_soon(self._appender.async_run)
         self._tasks.start_soon(self._ownership.async_run)
         self._tasks.start_soon(self._ends.async_run)
+        self._tasks.start_soon(self._relay.async_run)
         address = f"{self._boot.ip}:{self._boot.port_range[0]}"
         self._tasks.start_soon(
             async_serve_peers, address, self._answering.async_answer_peer, self._timers
--- a/mustardward/platform/http.py
+++ b/mustardward/platform/http.py
@@ -4,7 +4,7 @@
 
 import socket
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, Protocol
 
 import aiohttp
 from multidict import CIMultiDictProxy
@@ -42,6 +42,33 @@
     return channel
 
 
+def base_url(address: str) -> str:
+    """Return the URL of a ``host:port``, without a path."""
+    return f"http://{address}"
+
+
+class Caller(Protocol):
+    """Make a call, on whichever way."""
+
+    async def async_call(
+        self,
+        method: str,
+        url: str,
+        *,
+        timeout_seconds: float,
+        body: bytes | None = None,
+        params: dict[str, str] | None = None,
+        headers: dict[str, str] | None = None,
+        silence_seconds: float | None = None,
+    ) -> Answer:
+        """Make one call.
+
+        :param silence_seconds: longest time in which no byte of the answer comes.
+        :raises CallRefusedError: if it was certainly not sent.
+        :raises CallUnknownError: if it was sent and its answer was lost.
+        """
+
+
 class HttpCaller:
     """Make calls over pooled connections.
 
--- a/mustardward/platform/store.py
+++ b/mustardward/platform/store.py
@@ -28,7 +28,7 @@
     SequenceError,
     UnreadableRecordError,
 )
-from .http import Answer, HttpCaller
+from .http import Answer, Caller, base_url
 
 TOPIC_OPERATOR: Final = "keyed.op"
 TOPIC_WORKERS: Final = "keyed.servers"
@@ -176,9 +176,9 @@
     :param address: the store's ``host:port``.
     """
 
-    def __init__(self, http: HttpCaller, address: str) -> None:
+    def __init__(self, http: Caller, address: str) -> None:
         self._http = http
-        self._base = f"http://{address}"
+        self._base = base_url(address)
 
     async def async_append(
         self,
@@ -241,6 +241,16 @@
             raise CallRefusedError(f"status={answer.status}")
         return decode_keyed(answer.body, from_offset)
 
+    async def async_reached(self) -> bool:
+        """Return whether the store answers reads at once."""
+        try:
+            page = await self.async_read(TOPIC_OPERATOR, 0, 0, kilobytes=1)
+        except OffsetGoneError:
+            return True
+        except (CallRefusedError, CallUnknownError):
+            return False
+        return page.end >= 0
+
     async def async_newest(self, topic: str, after: str = "") -> NewestPage:
         """Return a page of the newest record of each key.
 
--- a/tests/components/forwarding/test_answering.py
+++ b/tests/components/forwarding/test_answering.py
@@ -13,6 +13,7 @@
 from mustardward.components.forwarding.ends import Ends
 from mustardward.components.forwarding.models import AskedReply, AskedRequest
 from mustardward.components.forwarding.peers import PeerBook
+from mustardward.components.forwarding.relay import StoreRelay
 from mustardward.components.forwarding.services import AskOutcome
 from mustardward.components.front.services import Reply, Request
 from mustardward.components.ledger.ahead import EndsAhead
@@ -75,6 +76,13 @@
             self.forwarder,  # type: ignore[arg-type]
             self.timers,
             self.ends,
+            StoreRelay(
+                None,  # type: ignore[arg-type]
+                "",
+                self.forwarder,  # type: ignore[arg-type]
+                self.timers,
+                None,  # type: ignore[arg-type]
+            ),
         )
 
     async def async_post(self, seconds: float = 2.0) -> Reply:
