--- a/mustardward/cli/report.py
+++ b/mustardward/cli/report.py
@@ -5,7 +5,7 @@
 import json
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
+from typing import Any, TextIO
 
 import click
 
@@ -45,6 +45,30 @@
         output_file.write_text(text, encoding="utf-8")
 
 
+@command.command()
+@click.argument("log", type=click.File("r", errors="replace"))
+@click.option("--jobs", default=0, help="List so many of the latest jobs too.")
+def day(log: TextIO, jobs: int) -> None:
+    """Say why jobs were late, from the entries' log lines in LOG (- for input)."""
+    from ..components.reports.day import explain, read_day
+
+    stories = read_day(log)
+    ended = [story for story in stories.jobs.values() if story.state]
+    late = sorted(
+        (story for story in ended if story.late and not story.lasting),
+        key=lambda story: story.objective - story.seconds,
+    )
+    click.echo(f"jobs={len(stories.jobs)} ended={len(ended)} late={len(late)}")
+    for row in explain(stories):
+        click.echo(
+            f"{row.jobs:6d} jobs {row.tasks:7d} tasks {row.seconds_late:9.1f} s late"
+            f"  {row.cause.value}"
+        )
+    for story in late[:jobs]:
+        over = story.seconds - story.objective
+        click.echo(f"job={story.job} queue={story.queue} late_seconds={over:.2f}")
+
+
 def render(report: dict[str, Any], output_format: str) -> str:
     """Return the report as JSON, as a page, or as a table."""
     if output_format == "json":
--- /dev/null
+++ b/mustardward/components/reports/day.py
@@ -0,0 +1,235 @@
+"""Read entries' logs of a day, and say why jobs were late; pure.
+
+A line is read from its first ``key=value`` pair on, so that columns before it (a time,
+an entry's name) do not matter. Lines that say nothing of these matters are left out.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+import statistics
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Final
+
+_PAIR: Final = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
+_RUN: Final = re.compile(r"(\d+)\.(\d+)\.(\d+):(\d+)@([^+=,]+)([+=])([^,]*)")
+
+SLOW_FACTOR: Final = 1.5
+"""A run that took so many times as long as the middle one of its queue was slow."""
+
+Place = tuple[int, int, int]
+Span = tuple[float, float]
+
+
+class Cause(Enum):
+    """Say what took most of a late job's time."""
+
+    NOT_ACCEPTED = "not accepted in time"
+    STORE_AWAY = "the store was away"
+    OWNER_CHANGED = "the owner changed"
+    WAITED_FOR_ROOM = "waited for room"
+    RUN_REPEATED = "a run was lost and repeated"
+    SLOW_RUN = "ran on a slow or failing worker"
+    OTHER = "none of these"
+
+
+@dataclass(slots=True)
+class RunStory:
+    """Hold one run of a task; times in seconds."""
+
+    place: Place
+    worker: str
+    started_at: float
+    waited: float
+    ended_at: float | None = None
+    how: str = ""
+
+    @property
+    def seconds(self) -> float:
+        """Return how long it ran, or 0 while it runs."""
+        return 0.0 if self.ended_at is None else self.ended_at - self.started_at
+
+
+@dataclass(slots=True)
+class JobStory:
+    """Hold what the logs tell of one job; times in seconds."""
+
+    job: str
+    queue: str = ""
+    tasks: int = 0
+    submitted_at: float | None = None
+    ended_at: float | None = None
+    state: str = ""
+    seconds: float = 0.0
+    objective: float = 0.0
+    lasting: bool = False
+    refusals: int = 0
+    runs: dict[int, RunStory] = field(default_factory=dict)
+
+    @property
+    def late(self) -> bool:
+        """Return whether it took longer than its objective."""
+        return bool(self.state) and self.seconds > self.objective
+
+
+@dataclass(slots=True)
+class Day:
+    """Hold the stories of a day, and the spans in which nothing could be decided."""
+
+    jobs: dict[str, JobStory] = field(default_factory=dict)
+    outages: list[Span] = field(default_factory=list)
+    takeovers: list[Span] = field(default_factory=list)
+
+    def job(self, name: str) -> JobStory:
+        """Return a job's story, a new one if nothing was told of it yet."""
+        return self.jobs.setdefault(name, JobStory(name))
+
+
+@dataclass(frozen=True, slots=True)
+class CauseRow:
+    """Hold how many jobs a cause made late, their tasks, and the seconds beyond."""
+
+    cause: Cause
+    jobs: int
+    tasks: int
+    seconds_late: float
+
+
+def read_pairs(line: str) -> dict[str, str]:
+    """Return a line's pairs, or nothing."""
+    pairs: dict[str, str] = {}
+    for key, value in _PAIR.findall(line):
+        pairs[key] = json.loads(value) if value.startswith('"') else value
+    return pairs
+
+
+def read_day(lines: Iterable[str]) -> Day:
+    """Return what the lines of all entries tell, in whichever order they stand."""
+    events = [pairs for line in lines if _tells(pairs := read_pairs(line))]
+    events.sort(key=lambda pairs: float(pairs["time"]))
+    day = Day()
+    lost: dict[str, float] = {}
+    claimed_at: float | None = None
+    for pairs in events:
+        at = float(pairs["time"])
+        event = pairs["event"]
+        if event == "topic_lost":
+            lost.setdefault(pairs.get("topic", ""), at)
+        elif event == "topic_regained":
+            begun = lost.pop(pairs.get("topic", ""), None)
+            if begun is not None:
+                day.outages.append((begun, at))
+        elif event == "owner_started":
+            claimed_at = at
+        elif event == "takeover_complete" and claimed_at is not None:
+            day.takeovers.append((claimed_at, at))
+        else:
+            _read_job(day, event, pairs, at)
+    return day
+
+
+def _tells(pairs: dict[str, str]) -> bool:
+    return "event" in pairs and "time" in pairs
+
+
+def _read_job(day: Day, event: str, pairs: dict[str, str], at: float) -> None:
+    if event == "job_submitted":
+        story = day.job(pairs["job"])
+        story.queue = pairs.get("queue", "")
+        story.tasks = int(pairs.get("tasks", 0))
+        story.lasting = pairs.get("lasting") == "true"
+        if pairs.get("outcome") == "stored" and story.submitted_at is None:
+            story.submitted_at = at
+    elif event == "request_refused":
+        name = pairs.get("request", "").rpartition("/")[2]
+        day.job(name).refusals += 1
+    elif event == "job_ended":
+        story = day.job(pairs["job"])
+        story.ended_at = at
+        story.state = pairs.get("state", "")
+        story.seconds = float(pairs.get("seconds", 0))
+        story.objective = float(pairs.get("objective_seconds", 0))
+    elif event in ("runs_started", "runs_ended"):
+        _read_runs(day.job(pairs["job"]), pairs.get("runs", ""), at)
+
+
+def _read_runs(story: JobStory, text: str, at: float) -> None:
+    for match in _RUN.finditer(text):
+        occurrence, step, index, number, worker, sign, rest = match.groups()
+        place = (int(occurrence), int(step), int(index))
+        if sign == "+":
+            story.runs[int(number)] = RunStory(place, worker, at, float(rest))
+        elif int(number) in story.runs and not rest.endswith("/stray"):
+            run = story.runs[int(number)]
+            run.ended_at = at
+            run.how = rest
+
+
+def explain(day: Day) -> list[CauseRow]:
+    """Return how many jobs each cause made late, the most frequent first."""
+    usual = _usual_seconds(day)
+    jobs: Counter[Cause] = Counter()
+    tasks: Counter[Cause] = Counter()
+    seconds: dict[Cause, float] = defaultdict(float)
+    for story in day.jobs.values():
+        if story.lasting or story.state == "cancelled":
+            continue
+        never = not story.state and story.refusals and story.submitted_at is None
+        if not story.late and not never:
+            continue
+        cause = Cause.NOT_ACCEPTED if never else cause_of(story, day, usual)
+        jobs[cause] += 1
+        tasks[cause] += story.tasks
+        seconds[cause] += max(0.0, story.seconds - story.objective)
+    return [
+        CauseRow(cause, count, tasks[cause], seconds[cause])
+        for cause, count in jobs.most_common()
+    ]
+
+
+def cause_of(story: JobStory, day: Day, usual: dict[str, float]) -> Cause:
+    """Return what took most of a late job's time beyond its work.
+
+    :param usual: middle run time of each queue, in seconds.
+    """
+    end = story.ended_at or 0.0
+    begin = end - story.seconds
+    first_seen = story.submitted_at if story.submitted_at is not None else begin
+    done = [run for run in story.runs.values() if run.how == "done"]
+    again = [run for run in story.runs.values() if run.how not in ("done", "")]
+    limit = SLOW_FACTOR * usual.get(story.queue, 0.0)
+    slow = [run.seconds - limit / SLOW_FACTOR for run in done if run.seconds > limit]
+    spent = {
+        Cause.STORE_AWAY: _overlap(day.outages, begin, end),
+        Cause.OWNER_CHANGED: _overlap(day.takeovers, begin, end),
+        Cause.WAITED_FOR_ROOM: _waited(story),
+        Cause.RUN_REPEATED: max((run.seconds for run in again), default=0.0),
+        Cause.SLOW_RUN: max(slow, default=0.0),
+        Cause.NOT_ACCEPTED: max(0.0, first_seen - begin),
+    }
+    cause = max(spent, key=lambda name: spent[name])
+    return cause if spent[cause] > 0 else Cause.OTHER
+
+
+def _waited(story: JobStory) -> float:
+    """Return the longest wait of each step, added up."""
+    waits: dict[tuple[int, int], float] = defaultdict(float)
+    for run in story.runs.values():
+        step = run.place[:2]
+        waits[step] = max(waits[step], run.waited)
+    return sum(waits.values())
+
+
+def _overlap(spans: list[Span], begin: float, end: float) -> float:
+    return sum(max(0.0, min(end, last) - max(begin, first)) for first, last in spans)
+
+
+def _usual_seconds(day: Day) -> dict[str, float]:
+    runs: dict[str, list[float]] = defaultdict(list)
+    for story in day.jobs.values():
+        runs[story.queue].extend(r.seconds for r in story.runs.values() if r.ended_at)
+    return {queue: statistics.median(times) for queue, times in runs.items() if times}
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ...helpers.logging import get_logger
 from ...platform.models import ENDED_DONE, ENDED_FAILED
@@ -13,13 +13,13 @@
     EndedTask,
     HoldAnswer,
     RunningTask,
-    encode_task,
 )
 from .board import Board
 from .const import VANISHED_HOLDS
 from .health import Health
 from .intake import Intake
 from .models import ACTIVE, Phase, Stop, Task, WorkerState
+from .run_lines import RunLines
 
 _LOGGER = get_logger(__name__)
 
@@ -35,6 +35,7 @@
     board: Board
     intake: Intake
     health: Health
+    lines: RunLines = field(default_factory=RunLines)
 
     def held(
         self, worker: WorkerState, answer: HoldAnswer, sent_at: float, now: float
@@ -63,13 +64,7 @@
             task.phase = Phase.RUNNING
             task.started_at = now
             task.percent_since = now
-            _LOGGER.info(
-                "run_started",
-                task=encode_task(task.name),
-                run=run,
-                worker=task.worker.id,
-                waited_seconds=now - task.ready_since,
-            )
+            self.lines.started(task, task.worker, now - task.ready_since)
             return
         worker = task.worker
         if reason == REFUSED_ROOM:
@@ -113,14 +108,7 @@
         if task is None or task.phase is Phase.DONE:
             return
         own = task.worker is worker and task.run == ended.run and task.phase in ACTIVE
-        _LOGGER.info(
-            "run_ended",
-            task=encode_task(ended.task),
-            run=ended.run,
-            worker=worker.id,
-            how=ended.how,
-            own=own,
-        )
+        self.lines.ended(worker, ended, own)
         if ended.how == ENDED_DONE:
             self._done(worker, task, own, now)
             return
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -161,6 +161,7 @@
         self.pacing.run(now)
         self._planner.run(now)
         self._forget_ended()
+        self.reports.lines.flush()
         return self.board.take_commands()
 
     def take_dirty(self, now: float, wall: float) -> list[tuple[str, Progress]]:
--- /dev/null
+++ b/tests/components/reports/test_day.py
@@ -0,0 +1,114 @@
+"""Test that a day's logs tell why jobs were late."""
+
+from __future__ import annotations
+
+from click.testing import CliRunner
+
+from mustardward.cli.report import command
+from mustardward.components.reports.day import Cause, explain, read_day, read_pairs
+
+JOBS = {name: f"{number:016x}" for number, name in enumerate("abcdefgh")}
+
+
+def line(at: float, event: str, **pairs: object) -> str:
+    text = " ".join(f"{key}={value}" for key, value in pairs.items())
+    return f"  {at} entry-1 time={at} level=info event={event} part=x {text}\n"
+
+
+def submitted(at: float, job: str, outcome: str = "stored") -> str:
+    return line(at, "job_submitted", job=JOBS[job], queue="q", tasks=2, outcome=outcome)
+
+
+def started(at: float, job: str, run: int, waited: float) -> str:
+    runs = f"0.0.{run}:{run}@w-1+{waited}"
+    return line(at, "runs_started", job=JOBS[job], count=1, runs=runs)
+
+
+def run_ended(at: float, job: str, run: int, how: str = "done") -> str:
+    runs = f"0.0.{run}:{run}@w-1={how}"
+    return line(at, "runs_ended", job=JOBS[job], count=1, runs=runs)
+
+
+def job_ended(at: float, job: str, seconds: float) -> str:
+    return line(
+        at,
+        "job_ended",
+        job=JOBS[job],
+        state="done",
+        seconds=seconds,
+        objective_seconds=2.0,
+    )
+
+
+def a_day() -> list[str]:
+    """Return a day on which each cause made one job late, and one was in time."""
+    in_time = [submitted(0, "a"), started(0.1, "a", 1, 0.1), run_ended(1.1, "a", 1)]
+    room = [submitted(10, "b"), started(13, "b", 1, 3.0), run_ended(14, "b", 1)]
+    outage = [submitted(20, "c"), started(20, "c", 1, 0.0), run_ended(21, "c", 1)]
+    lost = line(21, "topic_lost", topic="keyed.shard-0")
+    back = line(26, "topic_regained", topic="keyed.shard-0", lost_seconds=5)
+    owner = [submitted(40, "d"), started(44, "d", 1, 0.2), run_ended(45, "d", 1)]
+    claimed = line(41, "owner_started", epoch=2, jobs=1)
+    complete = line(44, "takeover_complete", epoch=2)
+    again = [
+        submitted(50, "e"),
+        started(50, "e", 1, 0.0),
+        run_ended(53, "e", 1, "lapsed"),
+        started(53, "e", 2, 0.0),
+        run_ended(54, "e", 2),
+    ]
+    slow = [submitted(60, "f"), started(60, "f", 1, 0.0), run_ended(65, "f", 1)]
+    refused = line(70, "request_refused", request=JOBS["g"], code="cut-off")
+    return [
+        *in_time,
+        job_ended(1.1, "a", 1.1),
+        *room,
+        job_ended(14, "b", 4.0),
+        lost,
+        back,
+        *outage,
+        job_ended(26.1, "c", 6.1),
+        *owner,
+        claimed,
+        complete,
+        job_ended(45, "d", 5.0),
+        *again,
+        job_ended(54, "e", 4.0),
+        *slow,
+        job_ended(65, "f", 5.0),
+        refused,
+        "no pairs here\n",
+        "event=without-time job=x\n",
+    ]
+
+
+def test_each_cause_is_told_by_the_lines_of_its_job() -> None:
+    causes = {row.cause: row.jobs for row in explain(read_day(a_day()))}
+    assert causes == {
+        Cause.WAITED_FOR_ROOM: 1,
+        Cause.STORE_AWAY: 1,
+        Cause.OWNER_CHANGED: 1,
+        Cause.RUN_REPEATED: 1,
+        Cause.SLOW_RUN: 1,
+        Cause.NOT_ACCEPTED: 1,
+    }
+
+
+def test_the_order_of_the_lines_does_not_matter() -> None:
+    """Entries' logs are read one after the other."""
+    assert explain(read_day(reversed(a_day()))) == explain(read_day(a_day()))
+
+
+def test_quoted_values_are_read_whole() -> None:
+    pairs = read_pairs('time=1.0 event=x detail="the log \\"failed\\"" job=a')
+    assert (pairs["detail"], pairs["job"]) == ('the log "failed"', "a")
+
+
+def test_the_command_prints_a_row_for_each_cause() -> None:
+    result = CliRunner().invoke(
+        command, ["day", "-", "--jobs", "1"], input="".join(a_day())
+    )
+    assert result.exit_code == 0
+    assert result.output.startswith("jobs=7 ended=6 late=5\n")
+    assert "waited for room" in result.output
+    assert f"job={JOBS['c']} queue=q late_seconds=4.10" in result.output
--- /dev/null
+++ b/tests/components/scheduling/test_run_lines.py
@@ -0,0 +1,62 @@
+"""Test that the log tells of each run of a turn without a line for each."""
+
+from __future__ import annotations
+
+import re
+
+import pytest
+
+from mustardward.components.scheduling.run_lines import MOST_IN_LINE
+from mustardward.helpers.bounded_output import LINES_A_SECOND
+
+from .builders import SchedulerBench, a_job, a_step
+
+RUN = re.compile(r"(\d+\.\d+\.\d+):(\d+)@(\S+?)[+=]")
+
+
+def lines_of(caplog: pytest.LogCaptureFixture, event: str) -> list[str]:
+    """Return the lines of an event."""
+    return [r.getMessage() for r in caplog.records if f"event={event} " in r.message]
+
+
+def test_all_runs_of_a_turn_are_told_within_what_a_second_may_hold(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Follow each task of each job by the log, also in a peak.
+
+    Symptom: an on-call engineer finds no line of a job's tasks. Sequence: 60 jobs of
+    eight tasks each begin and end within a second. Cause: a line for each start and
+    end, of which the log keeps 160 of a kind a second.
+    """
+    caplog.set_level("INFO", "absl")
+    bench = SchedulerBench()
+    for number in range(60):
+        bench.worker(f"w{number}")
+    for number in range(60):
+        bench.add(a_job(a_step(count=8), job=f"{number:016x}"))
+    starts = bench.plan_starts()
+    bench.plan()
+    started = lines_of(caplog, "runs_started")
+    told = [match for line in started for match in RUN.findall(line)]
+    assert len(told) == len(starts) == 480
+    assert len(started) == 60 <= LINES_A_SECOND * 0.4
+    for start in starts:
+        bench.end(start.task, "done")
+    bench.plan()
+    ended = lines_of(caplog, "runs_ended")
+    assert sum(line.count("=done") for line in ended) == 480
+    assert len(ended) == 60
+
+
+def test_a_line_tells_of_so_many_runs_at_most(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO", "absl")
+    bench = SchedulerBench()
+    for number in range(20):
+        bench.worker(f"w{number}")
+    bench.add(a_job(a_step(count=MOST_IN_LINE + 1)))
+    bench.plan_starts()
+    bench.plan()
+    lines = lines_of(caplog, "runs_started")
+    assert [len(RUN.findall(line)) for line in lines] == [MOST_IN_LINE, 1]
