Send callers of a data centre that is cut off elsewhere sooner

Cause: a cut silences a long poll of 1 s; its timeout comes 1.5 s after the cut, an entry counted as cut off from then on, asked for callers for 1 s more, and the balancer believes its second look: callers of that data centre were refused for 4 of 6 s. Change: long polls of 0.3 s, a failure is dated by when its call was sent, and an entry asks for no more callers after 0.3 s unless peers answer for it.

--- a/mustardward/components/ledger/const.py
+++ b/mustardward/components/ledger/const.py
@@ -24,5 +24,7 @@
 """Pause after a refused call; the store's own answers take some 6 ms."""
 
 FIRST_RETRY_SECONDS: Final = 0.01
-LONG_POLL_MILLISECONDS: Final = 1000
-"""A connection that went silent is noticed after this and the slack of a read."""
+LONG_POLL_MILLISECONDS: Final = 300
+"""A connection that went silent is noticed after this and the slack of a read, by an
+entry that is cut off with its data centre too: its callers are refused from then on,
+and sent elsewhere. An idle entry makes some six reads a second for it."""
--- a/mustardward/components/ledger/follower.py
+++ b/mustardward/components/ledger/follower.py
@@ -70,6 +70,7 @@
     async def async_run(self) -> None:
         """Follow the topic for ever."""
         while True:
+            sent_at = self.timers.monotonic()
             try:
                 if self.offset < 0:
                     await self.async_load()
@@ -82,7 +83,7 @@
                 self.offset = -1
                 continue
             except _READ_FAILURES as error:
-                self._failed(error.detail)
+                self._failed(error.detail, sent_at)
                 await self.timers.async_sleep(RETRY_SECONDS)
                 continue
             await self.timers.async_sleep(self.gap_seconds)
@@ -96,6 +97,7 @@
         async with self._confirming:
             if self.fresh_at > asked_at:
                 return True
+            sent_at = self.timers.monotonic()
             try:
                 if self.offset < 0:
                     await self.async_load()
@@ -106,7 +108,7 @@
                 self.offset = -1
                 return False
             except _READ_FAILURES as error:
-                self._failed(error.detail)
+                self._failed(error.detail, sent_at)
                 return False
         return True
 
@@ -166,7 +168,9 @@
         self.fresh_at = max(self.fresh_at, sent_at)
         self._loaded.set()
 
-    def _failed(self, detail: str) -> None:
+    def _failed(self, detail: str, sent_at: float) -> None:
         if self.failing_since is None:
-            self.failing_since = self.timers.monotonic()
+            # Nothing was heard since the call was sent: counted from its timeout on, an
+            # entry that is cut off asked for callers for that much longer.
+            self.failing_since = sent_at
             _LOGGER.warning("topic_lost", topic=self.topic, detail=detail)
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -53,9 +53,12 @@
 FLUSH_SECONDS = 0.1
 """Interval of writing log lines."""
 
-CUT_OFF_SECONDS = 1.0
-"""Time without the log, and without a peer's answer, after which an entry asks for no
-more callers; the balancer looks once a second."""
+CUT_OFF_SECONDS = 0.3
+"""Time without the log after which an entry asks for no more callers, unless peers
+answer for it; the balancer looks once a second, and believes the second look."""
+
+PEER_FRESH_SECONDS = 1.0
+"""Time for which a peer's answer shows that callers can be answered here."""
 
 METRICS_PORT = 9464
 """Named in the deploy file too."""
@@ -238,7 +241,7 @@
         now = self._timers.monotonic()
         if since is None or now - since < CUT_OFF_SECONDS:
             return True
-        return now - self._forwarder.last_answer_at < CUT_OFF_SECONDS
+        return now - self._forwarder.last_answer_at < PEER_FRESH_SECONDS
 
 
 def _speed(boot: BootSettings) -> float:
--- a/tests/components/ledger/test_follower.py
+++ b/tests/components/ledger/test_follower.py
@@ -43,11 +43,13 @@
         return await super().async_read(topic, from_offset, wait_ms, kilobytes)
 
 
-def a_follower(store: MemoryStore) -> tuple[TopicFollower, _Fold]:
+def a_follower(
+    store: MemoryStore, timers: DrivenTimerService | None = None
+) -> tuple[TopicFollower, _Fold]:
     fold = _Fold()
     follower = TopicFollower(
         store,  # type: ignore[arg-type]
-        DrivenTimerService(),
+        timers or DrivenTimerService(),
         TOPIC,
         fold.apply,
         lambda: fold.values,
@@ -131,6 +133,36 @@
     assert set(waits[1:]) == {0}
 
 
+class _SilentStore(MemoryStore):
+    """Let each read hang for a second, and fail."""
+
+    def __init__(self, timers: DrivenTimerService) -> None:
+        super().__init__()
+        self._timers = timers
+
+    async def async_read(
+        self, topic: str, from_offset: int, wait_ms: int, kilobytes: int = 1024
+    ) -> Page:
+        self._timers.pause(1.0)
+        raise CallRefusedError("SocketTimeoutError")
+
+
+async def test_a_failure_counts_from_when_its_call_was_sent() -> None:
+    """Nothing was heard of the log since then.
+
+    Symptom: callers of a data centre that is cut off are kept there for 4 s. Sequence:
+    the cut silences a long poll; its timeout passes; only from then on the entry
+    counted how long it is cut off, and asked for callers meanwhile. Cause: a failure
+    was dated by its timeout.
+    """
+    timers = DrivenTimerService()
+    follower, _ = a_follower(_SilentStore(timers), timers)
+    await follower.async_load()
+    sent_at = timers.monotonic()
+    assert not await follower.async_confirm()
+    assert (follower.failing_since, timers.monotonic()) == (sent_at, sent_at + 1.0)
+
+
 class _NarrowStore(MemoryStore):
     """Fail every second page, as a link does that many entries share."""
 
