--- a/mustardward/components/forwarding/services.py
+++ b/mustardward/components/forwarding/services.py
@@ -75,8 +75,12 @@
     _answered_at: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        """Make the pool of connections."""
-        self.pool = ChannelPool(self.timers.monotonic, None)
+        """Make the pool of connections.
+
+        A peer behind a cut answers no opening packet: waited for as long as elsewhere,
+        two of them kept a call to the store for 1.7 s.
+        """
+        self.pool = ChannelPool(self.timers.monotonic, None, self.check_seconds)
 
     async def async_ask(
         self, request: AskedRequest, longest_seconds: float = ASK_SECONDS
--- a/mustardward/helpers/peer_channels.py
+++ b/mustardward/helpers/peer_channels.py
@@ -75,12 +75,17 @@
     """Open one connection for each peer and purpose, and close the unused ones.
 
     :param clock: returns monotonic seconds.
+    :param connect_seconds: longest wait for a new connection.
     """
 
     def __init__(
-        self, clock: Callable[[], float], context: ssl.SSLContext | None
+        self,
+        clock: Callable[[], float],
+        context: ssl.SSLContext | None,
+        connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
     ) -> None:
         self._clock = clock
+        self._connect_seconds = connect_seconds
         self._context = context
         self._codec = MsgpackCodec()
         self._slots: dict[tuple[str, Purpose], _Slot] = {}
@@ -100,7 +105,7 @@
             self._slots[(address, purpose)] = slot
         slot.running += 1
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
+            with anyio.fail_after(self._connect_seconds):
                 await slot.channel.__connect__()
         except (OSError, TimeoutError) as error:
             self.retire(slot)
