--- a/mustardward/cli/report.py
+++ b/mustardward/cli/report.py
@@ -59,6 +59,8 @@
         key=lambda story: story.objective - story.seconds,
     )
     click.echo(f"jobs={len(stories.jobs)} ended={len(ended)} late={len(late)}")
+    if stories.cut_lines:
+        click.echo(f"{stories.cut_lines} lines are cut off and left out")
     for row in explain(stories):
         click.echo(
             f"{row.jobs:6d} jobs {row.tasks:7d} tasks {row.seconds_late:9.1f} s late"
--- a/mustardward/components/reports/day.py
+++ b/mustardward/components/reports/day.py
@@ -8,7 +8,6 @@
 
 import json
 import re
-import statistics
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -19,7 +18,7 @@
 _RUN: Final = re.compile(r"(\d+)\.(\d+)\.(\d+):(\d+)@([^+=,]+)([+=])([^,]*)")
 
 SLOW_FACTOR: Final = 1.5
-"""A run that took so many times as long as the middle one of its queue was slow."""
+"""A run that took so many times as long as its owner expected was slow."""
 
 Place = tuple[int, int, int]
 Span = tuple[float, float]
@@ -45,6 +44,7 @@
     worker: str
     started_at: float
     waited: float
+    expected: float = 0.0
     ended_at: float | None = None
     how: str = ""
 
@@ -78,9 +78,13 @@
 
 @dataclass(slots=True)
 class Day:
-    """Hold the stories of a day, and the spans in which nothing could be decided."""
+    """Hold the stories of a day, and the spans in which nothing could be decided.
+
+    :param cut_lines: lines that were left out, since they are cut off in the middle.
+    """
 
     jobs: dict[str, JobStory] = field(default_factory=dict)
+    cut_lines: int = 0
     outages: list[Span] = field(default_factory=list)
     takeovers: list[Span] = field(default_factory=list)
 
@@ -100,7 +104,10 @@
 
 
 def read_pairs(line: str) -> dict[str, str]:
-    """Return a line's pairs, or nothing."""
+    """Return a line's pairs, or nothing.
+
+    :raises ValueError: if a quoted value is cut off.
+    """
     pairs: dict[str, str] = {}
     for key, value in _PAIR.findall(line):
         pairs[key] = json.loads(value) if value.startswith('"') else value
@@ -109,13 +116,20 @@
 
 def read_day(lines: Iterable[str]) -> Day:
     """Return what the lines of all entries tell, in whichever order they stand."""
-    events = [pairs for line in lines if _tells(pairs := read_pairs(line))]
-    events.sort(key=lambda pairs: float(pairs["time"]))
     day = Day()
+    events: list[tuple[float, dict[str, str]]] = []
+    for line in lines:
+        try:
+            pairs = read_pairs(line)
+            if "event" in pairs and "time" in pairs:
+                events.append((float(pairs["time"]), pairs))
+        except ValueError:
+            # The last line of an entry that lost power, mostly.
+            day.cut_lines += 1
+    events.sort(key=lambda event: event[0])
     lost: dict[str, float] = {}
     claimed_at: float | None = None
-    for pairs in events:
-        at = float(pairs["time"])
+    for at, pairs in events:
         event = pairs["event"]
         if event == "topic_lost":
             lost.setdefault(pairs.get("topic", ""), at)
@@ -132,15 +146,11 @@
     return day
 
 
-def _tells(pairs: dict[str, str]) -> bool:
-    return "event" in pairs and "time" in pairs
-
-
 def _read_job(day: Day, event: str, pairs: dict[str, str], at: float) -> None:
     if event == "job_submitted":
-        story = day.job(pairs["job"])
+        story = day.job(pairs.get("job", ""))
         story.queue = pairs.get("queue", "")
-        story.tasks = int(pairs.get("tasks", 0))
+        story.tasks = int(_value(pairs, "tasks"))
         story.lasting = pairs.get("lasting") == "true"
         if pairs.get("outcome") == "stored" and story.submitted_at is None:
             story.submitted_at = at
@@ -148,13 +158,21 @@
         name = pairs.get("request", "").rpartition("/")[2]
         day.job(name).refusals += 1
     elif event == "job_ended":
-        story = day.job(pairs["job"])
+        story = day.job(pairs.get("job", ""))
         story.ended_at = at
         story.state = pairs.get("state", "")
-        story.seconds = float(pairs.get("seconds", 0))
-        story.objective = float(pairs.get("objective_seconds", 0))
+        story.seconds = _value(pairs, "seconds")
+        story.objective = _value(pairs, "objective_seconds")
     elif event in ("runs_started", "runs_ended"):
-        _read_runs(day.job(pairs["job"]), pairs.get("runs", ""), at)
+        _read_runs(day.job(pairs.get("job", "")), pairs.get("runs", ""), at)
+
+
+def _value(pairs: dict[str, str], name: str) -> float:
+    """Return a number of a line, or 0 where the line is cut off before its end."""
+    try:
+        return float(pairs.get(name, "0"))
+    except ValueError:
+        return 0.0
 
 
 def _read_runs(story: JobStory, text: str, at: float) -> None:
@@ -162,7 +180,10 @@
         occurrence, step, index, number, worker, sign, rest = match.groups()
         place = (int(occurrence), int(step), int(index))
         if sign == "+":
-            story.runs[int(number)] = RunStory(place, worker, at, float(rest))
+            waited, _, expected = rest.partition("~")
+            story.runs[int(number)] = RunStory(
+                place, worker, at, float(waited), float(expected or 0)
+            )
         elif int(number) in story.runs and not rest.endswith("/stray"):
             run = story.runs[int(number)]
             run.ended_at = at
@@ -171,7 +192,6 @@
 
 def explain(day: Day) -> list[CauseRow]:
     """Return how many jobs each cause made late, the most frequent first."""
-    usual = _usual_seconds(day)
     jobs: Counter[Cause] = Counter()
     tasks: Counter[Cause] = Counter()
     seconds: dict[Cause, float] = defaultdict(float)
@@ -181,7 +201,7 @@
         never = not story.state and story.refusals and story.submitted_at is None
         if not story.late and not never:
             continue
-        cause = Cause.NOT_ACCEPTED if never else cause_of(story, day, usual)
+        cause = Cause.NOT_ACCEPTED if never else cause_of(story, day)
         jobs[cause] += 1
         tasks[cause] += story.tasks
         seconds[cause] += max(0.0, story.seconds - story.objective)
@@ -191,18 +211,18 @@
     ]
 
 
-def cause_of(story: JobStory, day: Day, usual: dict[str, float]) -> Cause:
-    """Return what took most of a late job's time beyond its work.
-
-    :param usual: middle run time of each queue, in seconds.
-    """
+def cause_of(story: JobStory, day: Day) -> Cause:
+    """Return what took most of a late job's time beyond its work."""
     end = story.ended_at or 0.0
     begin = end - story.seconds
     first_seen = story.submitted_at if story.submitted_at is not None else begin
     done = [run for run in story.runs.values() if run.how == "done"]
     again = [run for run in story.runs.values() if run.how not in ("done", "")]
-    limit = SLOW_FACTOR * usual.get(story.queue, 0.0)
-    slow = [run.seconds - limit / SLOW_FACTOR for run in done if run.seconds > limit]
+    slow = [
+        run.seconds - run.expected
+        for run in done
+        if run.expected and run.seconds > SLOW_FACTOR * run.expected
+    ]
     spent = {
         Cause.STORE_AWAY: _overlap(day.outages, begin, end),
         Cause.OWNER_CHANGED: _overlap(day.takeovers, begin, end),
@@ -226,10 +246,3 @@
 
 def _overlap(spans: list[Span], begin: float, end: float) -> float:
     return sum(max(0.0, min(end, last) - max(begin, first)) for first, last in spans)
-
-
-def _usual_seconds(day: Day) -> dict[str, float]:
-    runs: dict[str, list[float]] = defaultdict(list)
-    for story in day.jobs.values():
-        runs[story.queue].extend(r.seconds for r in story.runs.values() if r.ended_at)
-    return {queue: statistics.median(times) for queue, times in runs.items() if times}
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -64,7 +64,9 @@
             task.phase = Phase.RUNNING
             task.started_at = now
             task.percent_since = now
-            self.lines.started(task, task.worker, now - task.ready_since)
+            waited = now - task.ready_since
+            expected = self.board.estimates.seconds(task.step)
+            self.lines.started(task, task.worker, waited, expected)
             return
         worker = task.worker
         if reason == REFUSED_ROOM:
--- a/mustardward/components/scheduling/run_lines.py
+++ b/mustardward/components/scheduling/run_lines.py
@@ -29,9 +29,11 @@
 
     _gathered: dict[Key, list[str]] = field(default_factory=lambda: defaultdict(list))
 
-    def started(self, task: Task, worker: WorkerState, waited: float) -> None:
-        """Take in a start, and how long the task waited for it, in seconds."""
-        text = f"{_place(task)}:{task.run}@{worker.id}+{waited:.3f}"
+    def started(
+        self, task: Task, worker: WorkerState, waited: float, expected: float
+    ) -> None:
+        """Take in a start; how long the task waited, and should run, in seconds."""
+        text = f"{_place(task)}:{task.run}@{worker.id}+{waited:.3f}~{expected:.2f}"
         self._gathered["runs_started", task.step.job.record.id].append(text)
 
     def ended(self, worker: WorkerState, ended: EndedTask, own: bool) -> None:
--- a/tests/components/reports/test_day.py
+++ b/tests/components/reports/test_day.py
@@ -20,7 +20,7 @@
 
 
 def started(at: float, job: str, run: int, waited: float) -> str:
-    runs = f"0.0.{run}:{run}@w-1+{waited}"
+    runs = f"0.0.{run}:{run}@w-1+{waited}~1.00"
     return line(at, "runs_started", job=JOBS[job], count=1, runs=runs)
 
 
@@ -99,6 +99,15 @@
     assert explain(read_day(reversed(a_day()))) == explain(read_day(a_day()))
 
 
+def test_lines_that_are_cut_off_are_counted_and_left_out() -> None:
+    """An entry that loses power stops in the middle of a line."""
+    day = read_day(
+        [*a_day(), 'time=80 event=topic_lost detail="the stor', "time=8x event=a"]
+    )
+    assert day.cut_lines == 2
+    assert explain(day) == explain(read_day(a_day()))
+
+
 def test_quoted_values_are_read_whole() -> None:
     pairs = read_pairs('time=1.0 event=x detail="the log \\"failed\\"" job=a')
     assert (pairs["detail"], pairs["job"]) == ('the log "failed"', "a")
