Let no peer answer by an older configuration than its asker has

At 7.45 s it had read version 7; at 8.28 s, cut off again, it asked a peer that was at version 3, which served a queue that had gone. Ruled out: that the entry itself went back (its fold never does), and the answers of peers to other entries, which were 404 by then. Change: an asker names the newest version that it knows of, and a peer that is behind it answers nothing, before any effect.

--- a/mustardward/components/forwarding/answering.py
+++ b/mustardward/components/forwarding/answering.py
@@ -103,6 +103,10 @@
             return AskedReply(503, b"", confirmed=False)
         if asked.method == CHECK_METHOD:
             return AskedReply(200, b"")
+        if asked.version > self._version():
+            # By an older configuration its caller would be taken back behind what it
+            # has seen at the asker.
+            return AskedReply(503, b"", confirmed=False)
         deadline = self.timers.monotonic() + asked.patience
         request = Request(asked.method, asked.host, asked.path, asked.body, deadline)
         reply = await self.front.async_answer(request)
@@ -152,7 +156,12 @@
     async def _async_ask(self, request: Request) -> AskOutcome:
         left = request.deadline - self.timers.monotonic() - ANSWER_MARGIN_SECONDS
         asked = AskedRequest(
-            request.method, request.host, request.path, request.body, max(0.0, left)
+            request.method,
+            request.host,
+            request.path,
+            request.body,
+            max(0.0, left),
+            max(self._version(), self._seen_version),
         )
         outcome = await self.forwarder.async_ask(asked)
         if outcome.reply is not None:
--- a/mustardward/components/forwarding/models.py
+++ b/mustardward/components/forwarding/models.py
@@ -6,13 +6,19 @@
 
 
 class AskedRequest(msgspec.Struct, frozen=True):
-    """Hold a caller's request; ``patience`` is what is left to answer, in seconds."""
+    """Hold a caller's request.
+
+    :param patience: what is left to answer, in seconds.
+    :param version: the newest configuration that the asker knows of; one that is behind
+        it must not answer.
+    """
 
     method: str
     host: str
     path: str
     body: bytes
     patience: float
+    version: int = 0
 
 
 class RelayedCall(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/components/forwarding/test_answering.py
+++ b/tests/components/forwarding/test_answering.py
@@ -204,6 +204,32 @@
         assert (await bench.answering.async_answer(request)).status == 200
 
 
+async def test_a_peer_that_is_behind_its_asker_answers_nothing() -> None:
+    """Never let a peer answer by an older configuration than the asker's own.
+
+    Symptom: an entry refused a queue that had gone, and 0.8 s later served it again.
+    Sequence: two entries are cut off and come back now and then; one of them has read
+    version 7, and while it is cut off again asks the other, which is at version 3.
+    Cause: an asker kept to what peers had answered by, and not to what it had read.
+    """
+    async with an_entry() as bench:
+        await bench.async_configure(3)
+        asked = AskedRequest("POST", HOST, PREFIX + JOB, BODY, 1.0, version=7)
+        reply = await bench.answering.async_answer_peer(asked)
+        assert (reply.status, reply.confirmed) == (503, False)
+        assert JOB not in bench.ledger.jobs and bench.store.topic_end(TOPIC) == 0
+        await bench.async_configure(7)
+        assert (await bench.answering.async_answer_peer(asked)).status == 200
+        # What this entry has read, or a peer has answered by, goes with its own asks.
+        await bench.async_cut_off()
+        await bench.async_post()
+        assert bench.forwarder.asked[-1].version == 7
+        bench.forwarder.outcome = AskOutcome(AskedReply(200, b"{}", version=9), False)
+        await bench.async_post()
+        await bench.async_post()
+        assert bench.forwarder.asked[-1].version == 9
+
+
 async def test_a_peers_answer_names_the_version_that_it_went_by() -> None:
     async with an_entry() as bench:
         await bench.async_configure(4)
