Keep a job's tasks on one rack while there is room

Cause: a job is done once all its tasks are. Change: a job's first step chooses the rack with most room, and its tasks go there first, then to the same data centre, then elsewhere; how far comes behind a worker's speed. Ruled out: waiting for room there, which would make jobs late for a loss that may not come.

--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -122,6 +122,14 @@
         return self.done >= len(self.tasks)
 
 
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Name a failure domain: a data centre and a rack there."""
+
+    zone: str
+    rack: str
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """Hold one job that is not over.
@@ -130,6 +138,8 @@
     :param stored: whether the log shows that an owner has taken it in. Nothing of it
         starts before, so that the next owner knows which jobs nobody can have started.
     :param held: whether an owner before had taken it in, and may have started it.
+    :param home: where its short tasks go while there is room: a job is done once all of
+        them are, so that a loss should take all tasks of few jobs, not some of most.
     """
 
     record: JobRecord
@@ -142,6 +152,7 @@
     state: JobState = JobState.QUEUED
     stored: bool = False
     held: bool = False
+    home: Place | None = None
 
     @property
     def occurrences(self) -> int:
--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 
 from ...platform.models import Room
-from .models import StepRun, Task, WorkerState
+from .models import Place, StepRun, Task, WorkerState
 
 Score = tuple[float, ...]
 
@@ -59,7 +60,23 @@
     far = float(bool(spec.data_rack) and spec.data_rack not in worker.labels)
     if spec.long_running:
         return (avoided, far, *_lasting_score(worker, step))
-    return (avoided, far, round(1 / worker.speed, 1), float(worker.free_cpu))
+    away = _away(worker, step.job.home)
+    return (avoided, far, round(1 / worker.speed, 1), away, float(worker.free_cpu))
+
+
+def _away(worker: WorkerState, home: Place | None) -> float:
+    """Return how far a worker is from a job's other tasks: 0 on their rack."""
+    if home is None or worker.rack == home.rack:
+        return 0.0
+    return 1.0 if worker.zone == home.zone else 2.0
+
+
+def choose_home(workers: Iterable[WorkerState]) -> Place | None:
+    """Return the rack with most room, where most of a job finds its place."""
+    room: Counter[Place] = Counter()
+    for worker in workers:
+        room[Place(worker.zone, worker.rack)] += worker.free_cpu
+    return max(room, key=lambda place: room[place], default=None)
 
 
 def _lasting_score(worker: WorkerState, step: StepRun) -> Score:
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -8,7 +8,7 @@
 from .board import Board
 from .models import AskAdvice, StepRun, Task, WorkerState
 from .order import Capacity, Order, prioritise
-from .placement import choose, choose_gang, usable
+from .placement import choose, choose_gang, choose_home, usable
 
 ADVICE_SECONDS = 2.0
 """Longest wait for advice before it is asked again."""
@@ -87,6 +87,8 @@
     ) -> bool:
         """Return whether all tasks of a step found a worker."""
         room = step.room
+        if step.job.home is None:
+            step.job.home = choose_home(workers)
         while step.waiting:
             task = step.waiting[0]
             worker = choose(workers, task, room)
--- a/tests/components/scheduling/test_planning.py
+++ b/tests/components/scheduling/test_planning.py
@@ -385,3 +385,38 @@
     bench.scheduler.see_worker("w-1", an_entry(service="elsewhere"), bench.now)
     bench.add(a_job())
     assert bench.plan_starts() == []
+
+
+def test_a_jobs_tasks_stand_on_one_rack_while_it_has_room() -> None:
+    """Let the loss of a rack or a data centre take few jobs.
+
+    Symptom: a data centre is cut off, and nearly all jobs that run are late. Sequence:
+    each of them has one of its tasks there. Cause: tasks were placed one by one, where
+    least room was left.
+    """
+    bench = SchedulerBench()
+    for number in range(6):
+        rack = f"r{number % 3}"
+        cores = 4000 + 1000 * number
+        bench.worker(
+            f"w{number}",
+            zone=f"z{number % 3}",
+            labels=["a", rack],
+            capacity=Room(cpu=cores, mem_mb=8000),
+        )
+    jobs = [f"{number:016x}" for number in range(3)]
+    for job in jobs:
+        bench.add(a_job(a_step(count=6), job=job))
+    starts = bench.plan_starts()
+    for job in jobs:
+        zones = {int(s.worker[1:]) % 3 for s in starts if s.task.name.job == job}
+        assert len(zones) == 1
+
+
+def test_a_job_that_its_rack_has_no_room_for_goes_elsewhere_too() -> None:
+    bench = SchedulerBench()
+    bench.worker("w0", zone="z0", labels=["a", "r0"], capacity=Room(3000, 8000))
+    bench.worker("w1", zone="z0", labels=["a", "r1"], capacity=Room(2000, 8000))
+    bench.worker("w2", zone="z1", labels=["a", "r2"], capacity=Room(2000, 8000))
+    bench.add(a_job(a_step(count=4)))
+    assert starts_by_worker(bench) == {"w0": 3, "w1": 1}
