Size a turn by its arrivals' number and mean work, and by what is left undone

Cause: a pool was sized by the work of the arrivals of the last 0.75 s, of which a dear queue has three, of sizes that differ by factors: one large job brought 18 instances for the work of eight. And orders counted what waits twice, so that the last ones of a turn came when its work was over. Change: a rate is told from at least eight arrivals where there are so many in 3 s, and multiplied by the mean work of the last 64; what waits brings instances only for what the pool itself can't do until they come.

--- a/mustardward/components/fleet/const.py
+++ b/mustardward/components/fleet/const.py
@@ -46,6 +46,13 @@
 CLEAR_SECONDS: Final = 2.0
 """Time in which waiting work should be begun; a quick job's objective is about 2 s."""
 
+ORDER_SECONDS: Final = 0.4
+"""From an order to an instance's first task, beyond the move itself: the announcement,
+the tick, and its worker's first answer."""
+
+THEN_CLEAR_SECONDS: Final = 1.0
+"""Time in which what is left then should be begun."""
+
 LEAST_INSTANCES: Final = 2
 """Instances that a pool keeps without any work, on two racks if it can: a first task
 is never kept waiting for a move, nor lost with one rack."""
--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -20,8 +20,10 @@
     IDLE_SECONDS,
     LEAST_INSTANCES,
     MOVE_LOST_SECONDS,
+    ORDER_SECONDS,
     RETRY_SECONDS,
     TARGET_SHARE,
+    THEN_CLEAR_SECONDS,
 )
 from .models import FleetView, Move
 
@@ -63,7 +65,10 @@
         moves = list(self._repeat(now))
         free = self._free(view, taken, now)
         have = self._have(view, taken)
-        needs = {pool: self._need(pool, view, loads, now) for pool in _pools(view)}
+        needs = {
+            pool: self._need(pool, view, loads, have[pool], now)
+            for pool in _pools(view)
+        }
         lendable = self._lendable(free, have, needs, view)
         for pool, need in sorted(needs.items(), key=lambda item: -_gap(item, have)):
             moves.extend(self._fill(pool, need - have[pool], lendable, view, now))
@@ -131,7 +136,12 @@
         return have
 
     def _need(
-        self, pool: str, view: FleetView, loads: dict[str, PoolLoad], now: float
+        self,
+        pool: str,
+        view: FleetView,
+        loads: dict[str, PoolLoad],
+        have: int,
+        now: float,
     ) -> int:
         """Return how many instances a pool's work asks for now."""
         load = loads.get(pool, PoolLoad())
@@ -141,6 +151,7 @@
             for amount in (load.lasting, load.running, load.waiting)
         )
         asked = taken / TARGET_SHARE + load.backlog.share_of(size) / CLEAR_SECONDS
+        asked = min(asked, self._need_then(load, size, have))
         coming = load.lasting.share_of(size) + load.inflow.share_of(size)
         asked = max(asked, coming / TARGET_SHARE)
         need = max(LEAST_INSTANCES, load.spread, math.ceil(asked))
@@ -150,6 +161,20 @@
             history.pop(0)
         return need
 
+    def _need_then(self, load: PoolLoad, size: Room, have: int) -> float:
+        """Return what is asked for once an instance that is ordered now has come.
+
+        What the pool does by itself until then needs no other instance: asked for by
+        all that waits, the last ones of a turn came when its work was nearly over, and
+        stood idle for seconds.
+        """
+        seconds = self.move_seconds + ORDER_SECONDS
+        lasting = load.lasting.share_of(size)
+        inflow = load.inflow.share_of(size)
+        done = max(0.0, have - lasting) * seconds
+        left = max(0.0, load.left.share_of(size) + inflow * seconds - done)
+        return (lasting + inflow + left / THEN_CLEAR_SECONDS) / TARGET_SHARE
+
     def _lendable(
         self,
         free: dict[str, Instance],
--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -23,6 +23,8 @@
     :param running: taken by all others.
     :param waiting: asked for by tasks whose turn has come.
     :param backlog: the same times their expected run time, in seconds.
+    :param left: all that its jobs still ask for but for what lasts, times seconds: of
+        tasks that run, wait, and wait for others.
     :param inflow: what keeps up with the last arrivals.
     :param spread: workers that a step needs by its limit of tasks for each worker.
     """
@@ -33,6 +35,7 @@
     running: Amount = field(default_factory=Amount)
     waiting: Amount = field(default_factory=Amount)
     backlog: Amount = field(default_factory=Amount)
+    left: Amount = field(default_factory=Amount)
     inflow: Amount = field(default_factory=Amount)
     spread: int = 0
 
@@ -49,6 +52,7 @@
             running=load.running.cpu,
             waiting=load.waiting.cpu,
             backlog=load.backlog.cpu,
+            left=load.left.cpu,
             inflow=load.inflow.cpu,
             spread=load.spread,
         )
@@ -69,6 +73,9 @@
                 load.lasting.add(task.step.room)
             else:
                 load.running.add(task.step.room)
+                left = board.estimates.seconds(task.step) - (now - task.started_at)
+                load.left.add(task.step.room, max(0.0, left))
+    _add_left(loads, board)
     for step in board.ready.values():
         steps[id(step)] = step
         load = loads.setdefault(step.job.policy.service, PoolLoad())
@@ -86,6 +93,18 @@
     return loads
 
 
+def _add_left(loads: dict[str, PoolLoad], board: Board) -> None:
+    """Add what of the jobs' work has not begun."""
+    for job in board.jobs.values():
+        if job.state.final:
+            continue
+        load = loads.setdefault(job.policy.service, PoolLoad())
+        for step in job.steps.values():
+            if not step.spec.long_running:
+                count = len(step.tasks) - step.done - step.active
+                load.left.add(step.room, count * board.estimates.seconds(step))
+
+
 def _spread(step: StepRun) -> int:
     most = step.spec.max_per_server
     if not most or step.job.state.final:
--- a/mustardward/components/scheduling/inflow.py
+++ b/mustardward/components/scheduling/inflow.py
@@ -8,14 +8,27 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 from dataclasses import dataclass, field
+from typing import Final
 
 from ...platform.models import Room
 
-WINDOW_SECONDS = 0.75
-"""Half of the time that an instance takes to come, and some 10 jobs of a turn."""
+WINDOW_SECONDS: Final = 0.75
+"""Half of the time that an instance takes to come, and some 10 jobs of a quick turn."""
+
+FEWEST: Final = 8
+"""Arrivals that a rate is told from at least, where so many came in RECENT_SECONDS: of
+a kind that comes four times a second, 0.75 s hold three, and tell next to nothing."""
+
+RECENT_SECONDS: Final = 3.0
+GAP_JOBS: Final = 2.0
+"""A rate is at most so many jobs in the time since the last one came: after a turn's
+end it falls within a second."""
+
+REMEMBERED: Final = 64
+"""Arrivals whose work makes up the mean. Sizes differ by factors: asked for by the
+work of the last few alone, one large job of a turn brought twice what it needed."""
 
 
 @dataclass(slots=True)
@@ -47,32 +60,58 @@
         )
 
 
+@dataclass(slots=True)
+class _Arrivals:
+    """Hold the last arrivals of one pool, the newest at the end."""
+
+    times: deque[float] = field(default_factory=lambda: deque(maxlen=REMEMBERED))
+    works: deque[Amount] = field(default_factory=lambda: deque(maxlen=REMEMBERED))
+
+    def rate(self, now: float) -> float:
+        """Return how many jobs a second come, told from the last ones."""
+        count = 0
+        first = now
+        for at in reversed(self.times):
+            age = now - at
+            if age >= RECENT_SECONDS or (age >= WINDOW_SECONDS and count >= FEWEST):
+                break
+            count += 1
+            first = at
+        if count < 2:
+            return 0.0
+        gap = max(now - self.times[-1], 1e-9)
+        seen = (count - 1) / max(now - first, WINDOW_SECONDS)
+        return min(seen, GAP_JOBS / gap)
+
+    def mean_work(self) -> Amount:
+        """Return what a job asks for, as room times seconds."""
+        mean = Amount()
+        for work in self.works:
+            mean.add_amount(work, 1 / len(self.works))
+        return mean
+
+
 @dataclass(slots=True)
 class Inflow:
     """Hold the work of the last arrivals, by pool."""
 
-    _arrivals: dict[str, deque[tuple[float, Amount]]] = field(default_factory=dict)
+    _arrivals: dict[str, _Arrivals] = field(default_factory=dict)
 
     def note(self, service: str, now: float, work: Amount) -> None:
         """Take in a job's work, as room times seconds."""
-        self._arrivals.setdefault(service, deque()).append((now, work))
+        arrivals = self._arrivals.setdefault(service, _Arrivals())
+        arrivals.times.append(now)
+        arrivals.works.append(work)
 
     def rate(self, service: str, now: float) -> Amount:
         """Return the room that keeps up with the arrivals.
 
-        Few arrivals tell little of their rate: one standard error is taken off, so that
-        a single large job asks for nothing beyond the room of its own tasks.
+        A single job tells no rate: it asks for nothing beyond the room of its tasks.
         """
         total = Amount()
         arrivals = self._arrivals.get(service)
-        if arrivals is None:
-            return total
-        while arrivals and arrivals[0][0] <= now - WINDOW_SECONDS:
-            arrivals.popleft()
-        count = len(arrivals)
-        if not count:
-            return total
-        trust = (count - math.sqrt(count)) / count
-        for _, work in arrivals:
-            total.add_amount(work, trust / WINDOW_SECONDS)
+        if arrivals is not None:
+            jobs = arrivals.rate(now)
+            if jobs:
+                total.add_amount(arrivals.mean_work(), jobs)
         return total
