Tell a turn by its first third of a second, under a new owner too

The first arrivals were divided by 0.75 s though they came within 0.3 s, and a new owner knew no arrival at all. Change: a rate is told from 0.3 s on; a new owner takes in the jobs of the last 3 s at the times at which they were accepted.

--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -228,7 +228,9 @@
         wall = parts.timers.wall()
         board = self.scheduler.board
         hold(board, self._before, now)
-        for job in parts.ledger.jobs.values():
+        for job in sorted(
+            parts.ledger.jobs.values(), key=lambda job: job.record.accepted_at
+        ):
             self.scheduler.add_job(job, now, wall)
         parts.ledger.on_job = self._add_job
         parts.ledger.on_cancel = lambda job: self._cancel_job(job.record.id)
--- a/mustardward/components/reports/day.py
+++ b/mustardward/components/reports/day.py
@@ -28,7 +28,7 @@
     """Say what took most of a late job's time."""
 
     NOT_ACCEPTED = "not accepted in time"
-    STORE_AWAY = "the store was away"
+    STORE_AWAY = "the store was away, or cut off from an entry"
     OWNER_CHANGED = "the owner changed"
     WAITED_FOR_ROOM = "waited for room"
     RUN_REPEATED = "a run was lost and repeated"
--- a/mustardward/components/scheduling/inflow.py
+++ b/mustardward/components/scheduling/inflow.py
@@ -17,6 +17,10 @@
 WINDOW_SECONDS: Final = 0.75
 """Half of the time that an instance takes to come, and some 10 jobs of a quick turn."""
 
+FIRST_SECONDS: Final = 0.3
+"""Least time that a rate is told from: of a turn that has just begun, the first seven
+jobs tell it."""
+
 FEWEST: Final = 8
 """Arrivals that a rate is told from at least, where so many came in RECENT_SECONDS: of
 a kind that comes four times a second, 0.75 s hold three, and tell next to nothing."""
@@ -80,7 +84,7 @@
         if count < 2:
             return 0.0
         gap = max(now - self.times[-1], 1e-9)
-        seen = (count - 1) / max(now - first, WINDOW_SECONDS)
+        seen = (count - 1) / max(now - first, FIRST_SECONDS)
         return min(seen, GAP_JOBS / gap)
 
     def mean_work(self) -> Amount:
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -9,7 +9,7 @@
 from ..ledger.models import JobState, Progress, StepMark
 from .board import Board
 from .const import LATE_FACTOR
-from .inflow import Amount
+from .inflow import RECENT_SECONDS, Amount
 from .models import Job, Phase, QueuePolicy, StepRun, Task
 
 OCCURRENCE_MARGIN_SECONDS = 0.03
@@ -114,18 +114,20 @@
         if (occurrence, 0) not in job.steps:
             self._make_steps(job, occurrence)
         self._open_steps(job, occurrence, now)
-        if now > self.board.taken_over_at:
-            # What an owner before took in has arrived long ago.
-            self._note_arrival(job, occurrence, now)
+        # What an owner before took in arrived in its time, which an owner that follows
+        # within a turn has to know: it would else size the pool by what waits alone.
+        arrived_at = job.accepted_at if now <= self.board.taken_over_at else now
+        if now - arrived_at < RECENT_SECONDS:
+            self._note_arrival(job, occurrence, arrived_at)
 
-    def _note_arrival(self, job: Job, occurrence: int, now: float) -> None:
+    def _note_arrival(self, job: Job, occurrence: int, at: float) -> None:
         work = Amount()
         for number, spec in enumerate(job.record.steps):
             if not spec.long_running:
                 step = job.steps[(occurrence, number)]
                 work.add(step.room, spec.count * self.board.estimates.seconds(step))
         if work.cpu or work.mem_mb:
-            self.board.inflow.note(job.policy.service, now, work)
+            self.board.inflow.note(job.policy.service, at, work)
 
     def _open_steps(self, job: Job, occurrence: int, now: float) -> None:
         for number, spec in enumerate(job.record.steps):
