Part an owner's storing from its planning and watching

What is stored, when workers may forget it and what is dropped now stands in storing.py, and what an ownership is built on in models.py. Behaviour is unchanged; tests of ownership and of the embedded estate pass.

--- /dev/null
+++ b/mustardward/components/ownership/models.py
@@ -0,0 +1,34 @@
+"""Hold what an ownership is built on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ...helpers.timer import TimerService
+from ...platform.advice import AdviceClient
+from ...platform.boot import BootBounds
+from ...platform.fleet import FleetClient
+from ...platform.http import HttpCaller
+from ...platform.store import StoreClient
+from ..configuration.services import Configuration
+from ..ledger.ahead import EndsAhead
+from ..ledger.follower import TopicFollower
+from ..ledger.ledger import Ledger
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerParts:
+    """Hold what an owner's work is built on."""
+
+    node: str
+    store: StoreClient
+    http: HttpCaller
+    timers: TimerService
+    ledger: Ledger
+    follower: TopicFollower
+    configuration: Configuration
+    bounds: BootBounds
+    ahead: EndsAhead
+    speed: float = 1.0
+    advice: AdviceClient | None = None
+    fleet: FleetClient | None = None
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -2,54 +2,42 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 import anyio
 from anyio.abc import TaskGroup
 
 from ...helpers.logging import get_logger
-from ...helpers.timer import TimerService
-from ...platform.advice import AdviceClient
-from ...platform.boot import BootBounds
 from ...platform.fleet import FleetClient
-from ...platform.http import HttpCaller
 from ...platform.models import WorkerEntry
-from ...platform.store import TOPIC_STATUS, TOPIC_WORKERS, Producer, StoreClient
-from ..configuration.services import Configuration
+from ...platform.store import TOPIC_STATUS, TOPIC_WORKERS, Producer
 from ..dispatch.dispatcher import Dispatcher
 from ..fleet.ordering import Ordering
 from ..fleet.pools import PoolPlanner
 from ..fleet.services import Fleet
 from ..fleet.telling import WaveTelling
 from ..fleet.waves import WavePlanner
-from ..ledger.ahead import EndsAhead
-from ..ledger.appender import GroupAppender, Outcome, Record
+from ..ledger.appender import GroupAppender, Record
 from ..ledger.const import (
-    PREFIX_CANCEL,
-    PREFIX_JOB,
-    PREFIX_PROGRESS,
-    PREFIX_TOLD,
     SHARD,
     TOPIC,
 )
 from ..ledger.follower import TopicFollower
-from ..ledger.ledger import Ledger, LedgerJob, encode
-from ..ledger.models import JobState, OwnerRecord
+from ..ledger.ledger import LedgerJob
+from ..ledger.models import OwnerRecord
 from ..scheduling.demand import log_loads
 from ..scheduling.scheduler import Scheduler
 from .authority import Authority
 from .const import (
-    BEAT_SECONDS,
     CONFIRM_RETRY_SECONDS,
     PLAN_GAP_SECONDS,
     PLAN_SECONDS,
-    STORED_JOBS_SECONDS,
     SWEEP_SECONDS,
     TELL_SECONDS,
     WATCH_OWN_SECONDS,
 )
 from .directory import WorkerDirectory
+from .models import OwnerParts
 from .renewals import Renewals, barred_until
+from .storing import Storing
 from .takeover import Takeover, hold
 
 _LOGGER = get_logger(__name__)
@@ -57,26 +45,6 @@
 WORKERS_GAP_SECONDS = 0.1
 """Entries are renewed each heartbeat; a change may be seen this much later."""
 
-FOREVER_SECONDS = 86400.0
-
-
-@dataclass(frozen=True, slots=True)
-class OwnerParts:
-    """Hold what an owner's work is built on."""
-
-    node: str
-    store: StoreClient
-    http: HttpCaller
-    timers: TimerService
-    ledger: Ledger
-    follower: TopicFollower
-    configuration: Configuration
-    bounds: BootBounds
-    ahead: EndsAhead
-    speed: float = 1.0
-    advice: AdviceClient | None = None
-    fleet: FleetClient | None = None
-
 
 class Owner:
     """Own the shard under one epoch.
@@ -95,7 +63,6 @@
         self._claim = claim
         self._deposed = anyio.Event()
         self._wake = anyio.Event()
-        self._dirty = anyio.Event()
         self._authority = Authority()
         self.scheduler = Scheduler(epoch, parts.configuration.policy_of)
         self.appender = GroupAppender(
@@ -109,6 +76,15 @@
             self.appender,
             parts.bounds.lease_ms / 1000,
         )
+        self._storing = Storing(
+            parts,
+            self.scheduler,
+            self.appender,
+            self._renewals,
+            self._authority,
+            self._wake_up,
+            self.depose,
+        )
         self.dispatcher: Dispatcher | None = None
         self._fleet: Fleet | None = None
 
@@ -124,7 +100,7 @@
     def kick(self) -> None:
         """Plan and store soon."""
         self._wake.set()
-        self._dirty.set()
+        self._storing.kick()
 
     def _wake_up(self) -> None:
         """Plan soon."""
@@ -160,7 +136,7 @@
             self._take_over()
             tasks.start_soon(follower.async_run)
             tasks.start_soon(self.appender.async_run)
-            tasks.start_soon(self._async_store)
+            tasks.start_soon(self._storing.async_run, dispatcher.sessions)
             tasks.start_soon(self._async_plan)
             tasks.start_soon(self._async_watch, directory)
             if parts.fleet is not None:
@@ -281,7 +257,7 @@
                 commands = self.scheduler.plan(timers.monotonic(), timers.wall())
                 self.dispatcher.execute(commands)
                 if self.scheduler.board.dirty:
-                    self._dirty.set()
+                    self._storing.kick()
             await timers.async_sleep(PLAN_GAP_SECONDS)
 
     async def _async_watch(self, directory: WorkerDirectory) -> None:
@@ -306,7 +282,7 @@
                 log_loads(self.scheduler.board, now)
             if now - swept_at > SWEEP_SECONDS:
                 swept_at = now
-                self._drop_old_jobs()
+                self._storing.drop_old_jobs()
             self._reopen_sessions(directory)
             await parts.timers.async_sleep(WATCH_OWN_SECONDS)
 
@@ -319,61 +295,6 @@
             if session is None or session.gone:
                 self.dispatcher.see_worker(worker_id, entry)
 
-    async def _async_store(self) -> None:
-        """Store progress, then let workers forget the ends that it came from."""
-        timers = self._parts.timers
-        while True:
-            with anyio.move_on_after(BEAT_SECONDS / 2):
-                await self._dirty.wait()
-            self._dirty = anyio.Event()
-            job_ids, records = self._records()
-            if self.dispatcher is None:
-                continue
-            upto = [(s, s.listed_upto) for s in self.dispatcher.sessions.values()]
-            sent_at = self._authority.clock()
-            if records:
-                forever = timers.monotonic() + FOREVER_SECONDS
-                outcome = await self.appender.async_append(records, forever)
-                if outcome is not Outcome.STORED:
-                    self.depose()
-                    return
-                self._authority.confirm(sent_at)
-                self.scheduler.note_stored(job_ids)
-                self._wake.set()
-            for session, number in upto:
-                session.acknowledge(number)
-
-    def _records(self) -> tuple[list[str], list[Record]]:
-        """Return the jobs whose progress is to be stored, and all that is."""
-        timers = self._parts.timers
-        dirty = self.scheduler.take_dirty(timers.monotonic(), timers.wall())
-        records: list[Record] = []
-        for job_id, progress in dirty:
-            records.append((PREFIX_PROGRESS + job_id, encode(progress)))
-            if progress.state is JobState.DONE:
-                # The scheduler may forget it before the append is through.
-                self._parts.ahead.hold(job_id)
-            job = self._parts.ledger.jobs.get(job_id)
-            if progress.state.final and job is not None and not job.record.is_stub:
-                records.append((PREFIX_JOB + job_id, encode(job.record.as_stub())))
-        job_ids = [job_id for job_id, _ in dirty]
-        return job_ids, records + self._renewals.due(with_others=bool(records))
-
-    def _drop_old_jobs(self) -> None:
-        wall = self._parts.timers.wall()
-        keep = self._parts.bounds.status_s + STORED_JOBS_SECONDS
-        old: list[Record] = []
-        for job_id, job in self._parts.ledger.jobs.items():
-            if job.state.final and job.ended_at and wall - job.ended_at > keep:
-                old.append((PREFIX_JOB + job_id, b""))
-                old.append((PREFIX_PROGRESS + job_id, b""))
-                if job.cancelled_at:
-                    old.append((PREFIX_CANCEL + job_id, b""))
-                if job.told_at:
-                    old.append((PREFIX_TOLD + job_id, b""))
-        if old:
-            self.appender.post(old)
-
     async def _async_call_append(
         self, records: list[Record], producer: Producer
     ) -> int:
--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -27,7 +27,8 @@
     WATCH_SECONDS,
 )
 from .election import Election, should_hand_over
-from .owner import Owner, OwnerParts
+from .models import OwnerParts
+from .owner import Owner
 
 _LOGGER = get_logger(__name__)
 
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -34,7 +34,7 @@
 from ..components.ledger.ledger import Ledger, encode
 from ..components.ledger.models import NodeRecord
 from ..components.ownership.const import IDLE_GAP_SECONDS
-from ..components.ownership.owner import OwnerParts
+from ..components.ownership.models import OwnerParts
 from ..components.ownership.services import Ownership
 from ..helpers.bounded_output import BoundedOutput, open_output
 from ..helpers.log_output import PairFormatter
