Make the calls of peers on connections of their own

Cause: an owner takes up to six connections to the store itself, and a host has eight: four long polls of peers would have kept its appends waiting for up to 0.3 s each. Change: calls to the store for peers have a caller of their own.

--- a/mustardward/components/forwarding/const.py
+++ b/mustardward/components/forwarding/const.py
@@ -38,8 +38,7 @@
 calls every 0.08 s, and would else ask peers as often."""
 
 MOST_RELAYED: Final = 4
-"""Calls of peers under way at once: half of an entry's connections to the store, so
-that its own calls never wait for them."""
+"""Calls of peers under way at once: half of the connections that they may take."""
 
 PROBE_SECONDS: Final = 0.5
 """Interval of looking whether the direct way to the store is open again."""
--- a/mustardward/components/forwarding/relay.py
+++ b/mustardward/components/forwarding/relay.py
@@ -43,10 +43,13 @@
     It stands in for the plain HTTP caller of the store's client.
 
     :param base: the store's address as a URL.
+    :param peers_http: makes the calls of peers. On connections of their own: else this
+        entry's appends would wait behind their long polls.
     :param async_probe: returns whether the store answers on the direct way.
     """
 
     http: HttpCaller
+    peers_http: HttpCaller
     base: str
     forwarder: Forwarder
     timers: TimerService
@@ -86,7 +89,7 @@
             if answer is not None:
                 return answer
             self._set_relaying(False)
-        answer, error = await self._async_try(call)
+        answer, error = await self._async_try(self.http, call)
         if answer is not None and answer.status not in _TURNED_AWAY:
             return answer
         if self.timers.monotonic() >= self._quiet_until:
@@ -110,7 +113,7 @@
         call = msgspec.msgpack.decode(asked.body, type=RelayedCall)
         self._for_peers += 1
         try:
-            answer, error = await self._async_try(call)
+            answer, error = await self._async_try(self.peers_http, call)
         finally:
             self._for_peers -= 1
         if answer is None:
@@ -133,10 +136,10 @@
             _LOGGER.warning("store_relayed" if relaying else "store_direct")
 
     async def _async_try(
-        self, call: RelayedCall
+        self, http: HttpCaller, call: RelayedCall
     ) -> tuple[Answer | None, CallRefusedError | CallUnknownError | None]:
         try:
-            answer = await self.http.async_call(
+            answer = await http.async_call(
                 call.method,
                 self.base + call.path,
                 body=call.body,
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -81,6 +81,7 @@
         self._tasks = tasks
         self._timers = LoopTimerService(tasks)
         self._http = HttpCaller()
+        self._peers_http = HttpCaller()
         self._configuration = Configuration()
         self._ledger = Ledger()
         self._relay = self._make_relay(boot)
@@ -171,6 +172,7 @@
         )
         return StoreRelay(
             self._http,
+            self._peers_http,
             base_url(address),
             forwarder,
             self._timers,
@@ -216,7 +218,11 @@
     async def async_close(self) -> None:
         """Close all connections at once."""
         await self._server.async_close(0.0)
+        await self._async_close_calls()
+
+    async def _async_close_calls(self) -> None:
         await self._http.async_close()
+        await self._peers_http.async_close()
 
     async def async_leave(self) -> None:
         """Give up what is owned, and go on answering until callers went elsewhere."""
@@ -229,7 +235,7 @@
         left = began + grace * CLOSE_SHARE - self._timers.monotonic()
         await self._server.async_close(max(0.0, left))
         with anyio.move_on_after(0.2):
-            await self._http.async_close()
+            await self._async_close_calls()
         _LOGGER.info("node_stopped", node=self._boot.node)
 
     def _is_ready(self) -> bool:
--- a/tests/components/forwarding/test_answering.py
+++ b/tests/components/forwarding/test_answering.py
@@ -81,6 +81,7 @@
             self.timers,
             self.ends,
             StoreRelay(
+                None,  # type: ignore[arg-type]
                 None,  # type: ignore[arg-type]
                 "",
                 self.forwarder,  # type: ignore[arg-type]
--- a/tests/components/forwarding/test_relay.py
+++ b/tests/components/forwarding/test_relay.py
@@ -69,6 +69,7 @@
     """Hold an entry's ways to the store."""
 
     http: _Http = field(default_factory=_Http)
+    peers_http: _Http = field(default_factory=_Http)
     peers: _Peers = field(default_factory=_Peers)
     timers: DrivenTimerService = field(default_factory=DrivenTimerService)
     reached: bool = False
@@ -80,6 +81,7 @@
 
         self.relay = StoreRelay(
             self.http,  # type: ignore[arg-type]
+            self.peers_http,  # type: ignore[arg-type]
             BASE,
             self.peers,  # type: ignore[arg-type]
             self.timers,
@@ -161,13 +163,15 @@
 
 async def test_an_append_that_a_peer_may_have_made_is_not_told_as_refused() -> None:
     """Else its caller is told that its job was not taken, though it runs."""
-    bench = RelayBench(_Http(BUSY), _Peers(AskOutcome(None, True)))
+    bench = RelayBench(_Http(BUSY), peers=_Peers(AskOutcome(None, True)))
     with pytest.raises(CallUnknownError):
         await bench.async_call()
 
 
 async def test_a_read_that_a_peer_left_unanswered_fails_as_it_did_here() -> None:
-    bench = RelayBench(_Http(CallRefusedError("cut")), _Peers(AskOutcome(None, True)))
+    bench = RelayBench(
+        _Http(CallRefusedError("cut")), peers=_Peers(AskOutcome(None, True))
+    )
     with pytest.raises(CallRefusedError):
         await bench.async_call(READ)
 
@@ -186,29 +190,32 @@
     bench = RelayBench()
     reply = await bench.relay.async_answer_peer(peer_asks(APPEND))
     assert (reply.status, reply.body, reply.confirmed) == (200, b"ok", True)
-    assert bench.http.calls == ["POST http://store:1/append"]
-    bench.http.result = BUSY
+    assert bench.peers_http.calls == ["POST http://store:1/append"]
+    bench.peers_http.result = bench.http.result = BUSY
     assert not (await bench.relay.async_answer_peer(peer_asks(APPEND))).confirmed
     assert bench.peers.asked == []
     bench.serve_by_peers()
     await bench.async_call()
-    made = len(bench.http.calls)
+    made = len(bench.peers_http.calls)
     assert not (await bench.relay.async_answer_peer(peer_asks(APPEND))).confirmed
-    assert len(bench.http.calls) == made
+    assert len(bench.peers_http.calls) == made
 
 
 @pytest.mark.parametrize(("call", "status"), [(APPEND, 504), (READ, 503)])
 async def test_a_peer_says_whether_an_append_may_have_been_made(
     call: RelayedCall, status: int
 ) -> None:
-    bench = RelayBench(_Http(CallUnknownError("silent")))
+    bench = RelayBench(peers_http=_Http(CallUnknownError("silent")))
     reply = await bench.relay.async_answer_peer(peer_asks(call))
     assert (reply.status, reply.confirmed) == (status, False)
 
 
-async def test_peers_calls_leave_connections_for_the_own_ones() -> None:
+async def test_peers_calls_take_no_connections_of_the_own_ones() -> None:
+    """An append of this entry would else wait behind the long polls of others."""
     bench = RelayBench()
+    await bench.relay.async_answer_peer(peer_asks(READ))
+    assert bench.http.calls == []
     bench.relay._for_peers = MOST_RELAYED
     reply = await bench.relay.async_answer_peer(peer_asks(READ))
     assert not reply.confirmed
-    assert bench.http.calls == []
+    assert len(bench.peers_http.calls) == 1
