Put the worker of the test of stops under load into the platform's list

Entries look such an instance up after some seconds and report it as failed for good; when the machine is busy the stop comes after that, and no order is answered any more. Ruled out: callers that keep the probe from its turn (the probe saw both entries ready), limits that refuse all (nothing but no worker was refused). Change: the test enlists its worker as every worker is. No assertion changed.

--- a/tests/cli/test_serve.py
+++ b/tests/cli/test_serve.py
@@ -107,6 +107,7 @@
                 command = ["serve", str(file)]
                 found = await async_start(command, processes, tasks, ENTRY_PORTS)
                 entries.append(Entry(processes[-1], int(found[1]), int(found[2])))
+            await async_enlist(int(platform[1]), worker.address)
             await async_publish(entries, worker.address)
             yield entries, worker
         finally:
@@ -149,6 +150,20 @@
     return found
 
 
+async def async_enlist(platform_port: int, worker: str) -> None:
+    """Let the platform know the worker's instance.
+
+    An instance that is in no list of the platform is looked up after some seconds, and
+    reported as failed for good, since it will not come back by itself. On a busy
+    machine the stop came only after that, and no order was answered any more.
+    """
+    instance = {"instance_id": "worker-1", "data_centre": "dc-a", "address": worker}
+    url = f"http://127.0.0.1:{platform_port}/admin/instances"
+    async with httpx.AsyncClient(timeout=10.0) as client:
+        answer = await client.post(url, json=instance)
+    assert answer.status_code < 300, answer.text
+
+
 async def async_publish(entries: list[Entry], worker: str) -> None:
     """Bring a pool with one worker, a template and an organisation into force."""
     instance = {
