Name once what decoding a record of any writer may raise

Cause: found in reading the change again: the same tuple of errors stood in the fleet's list, the configuration and the ledger, so that one more way to fail would have to be added in each. Change: RECORD_ERRORS of platform/exceptions.py serves all three; nothing else is caught than before, since what is new to a place can't be raised there. Ruled out: one signature for the two callers of HTTP (a protocol repeats it by its nature). Measured: formatter, linter, types, and the tests of platform, ledger, configuration, fleet, ownership, front and forwarding pass.

--- a/mustardward/components/configuration/services.py
+++ b/mustardward/components/configuration/services.py
@@ -10,7 +10,7 @@
 
 from ...helpers.logging import get_logger
 from ...helpers.unreadable import note_unreadable
-from ...platform.exceptions import UnreadableRecordError
+from ...platform.exceptions import RECORD_ERRORS, UnreadableRecordError
 from ...platform.models import OperatorConfig, UpkeepWave
 from ...platform.store import KEY_CONFIG, KEY_WAVE_PREFIX, KeyedRecord
 from ..scheduling.models import QueuePolicy
@@ -50,12 +50,7 @@
                         duration_s=wave.duration_s,
                     )
                 self.waves[wave.wave] = wave
-        except (
-            msgspec.MsgspecError,
-            UnicodeDecodeError,
-            RecursionError,
-            UnreadableRecordError,
-        ) as error:
+        except RECORD_ERRORS as error:
             # What was in force before stays so.
             note_unreadable("operator", record.key, str(error))
 
--- a/mustardward/components/ledger/ledger.py
+++ b/mustardward/components/ledger/ledger.py
@@ -10,7 +10,7 @@
 
 from ...helpers.unreadable import note_unreadable
 from ...platform.callers import check_steps
-from ...platform.exceptions import MalformedJobError, UnreadableRecordError
+from ...platform.exceptions import RECORD_ERRORS, UnreadableRecordError
 from ...platform.store import KeyedRecord
 from .const import (
     KEY_OWNER,
@@ -139,13 +139,7 @@
             return
         try:
             fold(name, record.value)
-        except (
-            msgspec.MsgspecError,
-            UnicodeDecodeError,
-            RecursionError,
-            MalformedJobError,
-            UnreadableRecordError,
-        ) as error:
+        except RECORD_ERRORS as error:
             # A record of another version or writer must not end the fold of all others.
             note_unreadable("ledger", key, str(error))
 
--- a/mustardward/platform/exceptions.py
+++ b/mustardward/platform/exceptions.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from typing import Final
+
+import msgspec
+
 from ..exceptions import MustardwardError
 
 
@@ -71,3 +75,13 @@
     """Report a submitted body that is not a job."""
 
     code = "malformed-job"
+
+
+RECORD_ERRORS: Final = (
+    msgspec.MsgspecError,
+    UnicodeDecodeError,
+    RecursionError,
+    MalformedJobError,
+    UnreadableRecordError,
+)
+"""All that decoding and checking a record of any writer may raise."""
--- a/mustardward/platform/fleet.py
+++ b/mustardward/platform/fleet.py
@@ -11,6 +11,7 @@
 from . import names
 from .bodies import ListedBody, MaintainBody, MoveBody, RefusedBody
 from .exceptions import (
+    RECORD_ERRORS,
     CallRefusedError,
     CallUnknownError,
     FencedError,
@@ -39,12 +40,7 @@
         row = msgspec.json.decode(raw, type=Instance)
         if min(row.capacity.cpu, row.capacity.mem_mb, row.capacity.gpu) < 0:
             raise UnreadableRecordError("capacity is negative")
-    except (
-        msgspec.MsgspecError,
-        UnicodeDecodeError,
-        RecursionError,
-        UnreadableRecordError,
-    ) as error:
+    except RECORD_ERRORS as error:
         note_unreadable("instance", "", str(error))
         return None
     return row
