Tell an outage of the store from what one entry lost alone

The lines did not name their entry. Ruled out: telling entries apart by the columns before a line, which are the reader's. Change: topic_lost, topic_regained and owner_started name the entry; the store is away while half of the entries, or the owner, have lost it.

--- a/mustardward/components/ledger/follower.py
+++ b/mustardward/components/ledger/follower.py
@@ -56,6 +56,8 @@
         their records were not to be had.
     :param gap_seconds: shortest time between two reads of the tail.
     :param entries: returns how many entries follow the topic.
+    :param node: names this entry in the lines that tell of an outage: what one entry
+        lost and what all lost are told apart by it.
     """
 
     store: StoreClient
@@ -65,6 +67,7 @@
     keys: Callable[[], Iterable[str]]
     gap_seconds: float
     entries: Callable[[], int] = lambda: 1
+    node: str = ""
     offset: int = -1
     fresh_at: float = -1.0
     failing_since: float | None = None
@@ -180,7 +183,9 @@
     def _succeeded(self, sent_at: float) -> None:
         if self.failing_since is not None:
             lost = self.timers.monotonic() - self.failing_since
-            _LOGGER.info("topic_regained", topic=self.topic, lost_seconds=lost)
+            _LOGGER.info(
+                "topic_regained", node=self.node, topic=self.topic, lost_seconds=lost
+            )
             self.failing_since = None
         self.fresh_at = max(self.fresh_at, sent_at)
         self._loaded.set()
@@ -190,4 +195,6 @@
             # Nothing was heard since the call was sent: counted from its timeout on, an
             # entry that is cut off asked for callers for that much longer.
             self.failing_since = sent_at
-            _LOGGER.warning("topic_lost", topic=self.topic, detail=detail)
+            _LOGGER.warning(
+                "topic_lost", node=self.node, topic=self.topic, detail=detail
+            )
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -132,6 +132,7 @@
                 directory.apply,
                 directory.keys,
                 WORKERS_GAP_SECONDS,
+                node=parts.node,
             )
             self._take_over()
             tasks.start_soon(follower.async_run)
@@ -213,7 +214,9 @@
         parts.ledger.on_told = lambda job: self._end_told(job.record.id)
         parts.ahead.owner_knows = self.scheduler.has_ended
         parts.configuration.on_change = self._configured
-        _LOGGER.info("owner_started", epoch=self._epoch, jobs=len(board.jobs))
+        _LOGGER.info(
+            "owner_started", node=parts.node, epoch=self._epoch, jobs=len(board.jobs)
+        )
 
     def _unsubscribe(self) -> None:
         self._parts.ledger.on_job = None
--- a/mustardward/components/reports/day.py
+++ b/mustardward/components/reports/day.py
@@ -14,6 +14,8 @@
 from enum import Enum
 from typing import Final
 
+from .outages import Outages, Span
+
 _PAIR: Final = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
 _RUN: Final = re.compile(r"(\d+)\.(\d+)\.(\d+):(\d+)@([^+=,]+)([+=])([^,]*)")
 
@@ -21,14 +23,13 @@
 """A run that took so many times as long as its owner expected was slow."""
 
 Place = tuple[int, int, int]
-Span = tuple[float, float]
 
 
 class Cause(Enum):
     """Say what took most of a late job's time."""
 
     NOT_ACCEPTED = "not accepted in time"
-    STORE_AWAY = "the store was away, or cut off from an entry"
+    STORE_AWAY = "the store was away, for most entries or for the owner"
     OWNER_CHANGED = "the owner changed"
     WAITED_FOR_ROOM = "waited for room"
     RUN_REPEATED = "a run was lost and repeated"
@@ -127,17 +128,19 @@
             # The last line of an entry that lost power, mostly.
             day.cut_lines += 1
     events.sort(key=lambda event: event[0])
-    lost: dict[str, float] = {}
+    outages = Outages(day.outages)
     claimed_at: float | None = None
     for at, pairs in events:
         event = pairs["event"]
+        node = pairs.get("node", "")
         if event == "topic_lost":
-            lost.setdefault(pairs.get("topic", ""), at)
+            outages.lost(node, pairs.get("topic", ""), at)
         elif event == "topic_regained":
-            begun = lost.pop(pairs.get("topic", ""), None)
-            if begun is not None:
-                day.outages.append((begun, at))
+            outages.regained(node, pairs.get("topic", ""), at)
+        elif event == "node_started":
+            outages.entry_started(node, at)
         elif event == "owner_started":
+            outages.owner_started(node, at)
             claimed_at = at
         elif event == "takeover_complete" and claimed_at is not None:
             day.takeovers.append((claimed_at, at))
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -94,6 +94,7 @@
             self._configuration.keys,
             CONFIG_GAP_SECONDS,
             entries=self._count_entries,
+            node=boot.node,
         )
         self._follower = TopicFollower(
             store,
@@ -103,6 +104,7 @@
             self._ledger.keys,
             IDLE_GAP_SECONDS,
             entries=self._count_entries,
+            node=boot.node,
         )
         self._appender = GroupAppender(
             lambda records, producer: store.async_append(TOPIC, records, producer),
--- a/tests/components/reports/test_day.py
+++ b/tests/components/reports/test_day.py
@@ -121,3 +121,58 @@
     assert result.output.startswith("jobs=7 ended=6 late=5\n")
     assert "waited for room" in result.output
     assert f"job={JOBS['c']} queue=q late_seconds=4.10" in result.output
+
+
+def entries_started(*names: str) -> list[str]:
+    return [line(0, "node_started", node=name, zone="a") for name in names]
+
+
+def lost_by(node: str, first: float, last: float) -> list[str]:
+    topic = "keyed.shard-0"
+    return [
+        line(first, "topic_lost", node=node, topic=topic),
+        line(last, "topic_regained", node=node, topic=topic, lost_seconds=last - first),
+    ]
+
+
+def a_job_that_waited() -> list[str]:
+    return [
+        submitted(20, "a"),
+        started(23, "a", 1, 1.5),
+        run_ended(24, "a", 1),
+        job_ended(24, "a", 4.0),
+    ]
+
+
+def test_what_one_entry_lost_is_no_outage_of_the_store() -> None:
+    """Symptom: a job that waited for room counted as held up by the store.
+
+    Sequence: one of four entries was cut off from the store while the job waited; the
+    owner and all others had it. Cause: a topic that any one entry lost was an outage.
+    """
+    owner = line(1, "owner_started", node="n-1", epoch=1, jobs=0)
+    lines = [*entries_started("n-1", "n-2", "n-3", "n-4"), owner, *a_job_that_waited()]
+    day = read_day([*lines, *lost_by("n-4", 20, 24)])
+    assert day.outages == []
+    assert [row.cause for row in explain(day)] == [Cause.WAITED_FOR_ROOM]
+
+
+def test_what_most_entries_lost_is_an_outage_from_the_second_of_four_on() -> None:
+    lines = [*entries_started("n-1", "n-2", "n-3", "n-4"), *a_job_that_waited()]
+    day = read_day([*lines, *lost_by("n-4", 20, 24), *lost_by("n-3", 21, 23)])
+    assert day.outages == [(21.0, 23.0)]
+    assert [row.cause for row in explain(day)] == [Cause.STORE_AWAY]
+
+
+def test_what_the_owner_lost_alone_is_an_outage_until_another_owns() -> None:
+    lines = [*entries_started("n-1", "n-2", "n-3"), *lost_by("n-1", 20, 24)]
+    first = line(1, "owner_started", node="n-1", epoch=1, jobs=0)
+    second = line(22.5, "owner_started", node="n-2", epoch=2, jobs=0)
+    assert read_day([*lines, first, second]).outages == [(20.0, 22.5)]
+
+
+def test_an_entry_that_lost_power_without_the_store_has_lost_nothing_after() -> None:
+    lines = [*entries_started("n-1", "n-2")]
+    lines.append(line(5, "topic_lost", node="n-1", topic="t"))
+    lines.append(line(8, "node_started", node="n-1", zone="a"))
+    assert read_day(lines).outages == [(5.0, 8.0)]
