Let settings switch single policies off, by name

Cause: what each mechanism is worth could only be told by editing the code; the users ask for a table with each one switched off. Ruled out: reading the platform's settings file for it, which has the platform's own format; click or pydantic on entries (20 ms and more of each start): absl, which is loaded anyway, reads the command line, msgspec checks the YAML, and PyYAML is imported only where a file is named. An unknown name or key ends the process with a typed line. Before: no switch. Conclusion: kept; behaviour with all policies on is as before.

--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from ...helpers.policies import switchable
 from ...platform.models import INSTANCE_UP, Instance, Room
 from ..scheduling.demand import PoolLoad
 from .const import (
@@ -28,6 +29,34 @@
 from .models import FleetView, Move
 
 
+def _wait_for_nothing() -> float:
+    return 0.0
+
+
+@switchable(
+    "idle-time",
+    "an idle instance stays for a while before it goes off",
+    without=_wait_for_nothing,
+)
+def idle_seconds() -> float:
+    """Return how long an instance stands idle before it goes off."""
+    return IDLE_SECONDS
+
+
+def _spare_nothing(have: int, need: int) -> int:
+    return 0
+
+
+@switchable(
+    "lending",
+    "a full pool takes idle instances of others before standby ones",
+    without=_spare_nothing,
+)
+def spare(have: int, need: int) -> int:
+    """Return how many of its idle instances a pool can lend."""
+    return max(0, have - need)
+
+
 @dataclass(slots=True)
 class MoveOrder:
     """Hold a move that was ordered, until the list shows it."""
@@ -38,6 +67,12 @@
     accepted_at: float | None = None
 
 
+def _need_at_once(
+    planner: PoolPlanner, /, load: PoolLoad, size: Room, have: int
+) -> float:
+    return math.inf
+
+
 @dataclass(slots=True, eq=False)
 class PoolPlanner:
     """Move instances to where work waits.
@@ -157,10 +192,15 @@
         need = max(LEAST_INSTANCES, load.spread, math.ceil(asked))
         history = self._needs.setdefault(pool, [])
         history.append((now, need))
-        while history[0][0] < now - IDLE_SECONDS:
+        while history[0][0] < now - idle_seconds():
             history.pop(0)
         return need
 
+    @switchable(
+        "coming-work",
+        "a pool asks for what it can't do itself until instances come, no more",
+        without=_need_at_once,
+    )
     def _need_then(self, load: PoolLoad, size: Room, have: int) -> float:
         """Return what is asked for once an instance that is ordered now has come.
 
@@ -188,9 +228,8 @@
             by_pool[instance.pool].append(instance)
         for pool, instances in by_pool.items():
             if pool not in view.standby:
-                spare = max(0, have[pool] - needs.get(pool, 0))
                 _keep_racks_apart(instances)
-                del instances[spare:]
+                del instances[spare(have[pool], needs.get(pool, 0)) :]
             # What has its maintenance behind it is taken first, from the end: the rest
             # is maintained where nothing runs.
             instances.sort(key=lambda i: i.machine not in view.due)
@@ -236,7 +275,7 @@
             pool = instance.pool
             if machine in self.orders or pool in view.standby or pool not in needs:
                 continue
-            if now - self._idle_since[machine] < IDLE_SECONDS:
+            if now - self._idle_since[machine] < idle_seconds():
                 continue
             recent = max(need for _, need in self._needs[pool])
             if have[pool] <= max(recent, LEAST_INSTANCES):
@@ -273,6 +312,15 @@
     )
 
 
+def _keep_order(instances: list[Instance]) -> None:
+    instances.sort(key=lambda i: i.machine)
+
+
+@switchable(
+    "racks-apart",
+    "a pool's last instances stand on several racks",
+    without=_keep_order,
+)
 def _keep_racks_apart(instances: list[Instance]) -> None:
     """Order instances so that those of the fullest rack are lent first."""
     racks = Counter(_rack(instance) for instance in instances)
--- a/mustardward/components/fleet/waves.py
+++ b/mustardward/components/fleet/waves.py
@@ -4,9 +4,10 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from ...helpers.policies import switchable
 from ...platform.models import INSTANCE_UP, INSTANCE_UPKEEP, Instance, UpkeepWave
 from ..ledger.models import WaveRecord
 from .const import (
@@ -156,7 +157,7 @@
         held = len(run.emptying) + self._down(run, view)
         per_pool = self._held_by_pool(run, view)
         sizes = Counter(instance.pool for instance in view.instances.values())
-        cost = _cost if now - run.first_seen_at < CYCLE_SECONDS else _late_cost
+        cost = choose_cost(now - run.first_seen_at)
         for instance in sorted(left, key=lambda i: cost(i, view)):
             if held >= wanted:
                 return
@@ -242,3 +243,20 @@
     """
     _, is_on, lasting, others, machine = _cost(instance, view)
     return (lasting == 0, is_on, lasting, others, machine)
+
+
+Costing = Callable[[Instance, FleetView], Cost]
+
+
+def _always_cheapest(since: float) -> Costing:
+    return _cost
+
+
+@switchable(
+    "early-evacuation",
+    "a wave empties instances of lasting tasks while it has time",
+    without=_always_cheapest,
+)
+def choose_cost(since: float) -> Costing:
+    """Return how to compare a wave's instances, so many seconds after its begin."""
+    return _cost if since < CYCLE_SECONDS else _late_cost
--- a/mustardward/components/forwarding/answering.py
+++ b/mustardward/components/forwarding/answering.py
@@ -8,6 +8,7 @@
 
 from ...helpers.instruments import PEER_ANSWERS
 from ...helpers.logging import get_logger
+from ...helpers.policies import switchable
 from ...helpers.timer import TimerService
 from ...platform import callers
 from ..front.const import ANSWER_MARGIN_SECONDS
@@ -31,6 +32,22 @@
 _UNSURE = (503, 504)
 
 
+async def _async_answer_here(answering: Answering, /, request: Request) -> Reply:
+    return await answering.front.async_answer(request)
+
+
+async def _async_ask_nobody(answering: Answering, /, request: Request) -> AskOutcome:
+    return AskOutcome(None, may_have_effect=False)
+
+
+async def _async_ask_each_time(answering: Answering, /, request: Request) -> AskOutcome:
+    return await answering.async_ask(request)
+
+
+async def _async_tell_stored(answering: Answering, /, request: Request) -> bool:
+    return False
+
+
 @dataclass(slots=True, eq=False)
 class Answering:
     """Answer callers whether or not the log can be reached from here."""
@@ -78,6 +95,11 @@
         # That the log fails was found by this very request.
         return self.front.tell_done() if await self._async_ended(request) else reply
 
+    @switchable(
+        "ends-ahead",
+        "a job that ended while the store is away is told as done",
+        without=_async_tell_stored,
+    )
     async def _async_ended(self, request: Request) -> bool:
         """Return whether a caller asks for a job that is known to be done."""
         job_id = self.front.open_job(request)
@@ -118,6 +140,11 @@
             reply.status, reply.body, reply.retry_after, confirmed, self._version()
         )
 
+    @switchable(
+        "hedged-appends",
+        "a slow answer here is asked of a peer too",
+        without=_async_answer_here,
+    )
     async def _async_hedged(self, request: Request) -> Reply:
         """Answer here, and ask a peer too if that takes long.
 
@@ -140,7 +167,7 @@
                 with anyio.move_on_after(HEDGE_SECONDS):
                     await hedge.wait()
                 asked.append(AskOutcome(None, True))
-                asked[0] = await self._async_ask(request)
+                asked[0] = await self.async_ask(request)
                 if asked[0].reply is not None or self.cut_off():
                     tasks.cancel_scope.cancel()
 
@@ -159,6 +186,11 @@
             _LOGGER.warning("outcome_unknown", request=request.path, outcome="cut-off")
         return reply
 
+    @switchable(
+        "refused-alone",
+        "callers are refused at once where no peer had the log a moment ago",
+        without=_async_ask_each_time,
+    )
     async def _async_ask_unless_alone(self, request: Request) -> AskOutcome:
         """Ask peers, unless none had the log a moment ago.
 
@@ -172,12 +204,18 @@
             return AskOutcome(None, may_have_effect=False)
         if self._alone_until:
             self._alone_until = now + ALONE_SECONDS
-        outcome = await self._async_ask(request)
+        outcome = await self.async_ask(request)
         found = outcome.reply is not None
         self._alone_until = 0.0 if found else self.timers.monotonic() + ALONE_SECONDS
         return outcome
 
-    async def _async_ask(self, request: Request) -> AskOutcome:
+    @switchable(
+        "peer-answers",
+        "an entry without the log answers through one that has it",
+        without=_async_ask_nobody,
+    )
+    async def async_ask(self, request: Request) -> AskOutcome:
+        """Ask peers, one after the other."""
         left = request.deadline - self.timers.monotonic() - ANSWER_MARGIN_SECONDS
         asked = AskedRequest(
             request.method,
--- a/mustardward/components/forwarding/relay.py
+++ b/mustardward/components/forwarding/relay.py
@@ -16,6 +16,7 @@
 
 from ...helpers.instruments import RELAYED_CALLS
 from ...helpers.logging import get_logger
+from ...helpers.policies import switchable
 from ...helpers.timer import TimerService
 from ...platform.exceptions import CallRefusedError, CallUnknownError
 from ...platform.http import Answer, HttpCaller
@@ -36,6 +37,13 @@
 _FAILURES = (CallRefusedError, CallUnknownError)
 
 
+Relayed = tuple[Answer | None, bool]
+
+
+async def _async_relay_nothing(relay: StoreRelay, /, call: RelayedCall) -> Relayed:
+    return None, False
+
+
 @dataclass(slots=True, eq=False)
 class StoreRelay:
     """Carry calls to the store, on the direct way or through a peer.
@@ -151,7 +159,12 @@
             return None, error
         return answer, None
 
-    async def _async_relay(self, call: RelayedCall) -> tuple[Answer | None, bool]:
+    @switchable(
+        "store-relay",
+        "an entry that the store turns away calls it through a peer",
+        without=_async_relay_nothing,
+    )
+    async def _async_relay(self, call: RelayedCall) -> Relayed:
         """Return a peer's answer or None, and whether the call may have its effect."""
         limit = RELAY_PATIENCE_SECONDS
         if call.is_read:
--- a/mustardward/components/ownership/renewals.py
+++ b/mustardward/components/ownership/renewals.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from ...helpers.policies import switchable
 from ...helpers.timer import TimerService
 from ..ledger.appender import GroupAppender, Outcome, Record
 from ..ledger.const import KEY_OWNER
@@ -25,6 +26,10 @@
     return dict.fromkeys(before.ordered, until)
 
 
+async def _async_name_nothing(renewals: Renewals, /, machine: str) -> bool:
+    return True
+
+
 @dataclass(slots=True, eq=False)
 class Renewals:
     """Renew one ownership until it is given up.
@@ -54,6 +59,11 @@
         self._sent_at = now
         return [self._record(self.node)]
 
+    @switchable(
+        "named-orders",
+        "an instance is named in the log before it is ordered",
+        without=_async_name_nothing,
+    )
     async def async_announce(self, machine: str) -> bool:
         """Name an instance in the log before it is ordered; return whether it is."""
         if self._released:
--- a/mustardward/components/scheduling/estimates.py
+++ b/mustardward/components/scheduling/estimates.py
@@ -5,6 +5,7 @@
 import math
 from dataclasses import dataclass, field
 
+from ...helpers.policies import switchable
 from .const import (
     ESTIMATE_CEILING,
     ESTIMATE_FLOOR,
@@ -14,6 +15,10 @@
 from .models import Job, StepRun
 
 
+def _learn_nothing(estimates: Estimates, /, step: StepRun, seconds: float) -> None:
+    """Believe declared run times."""
+
+
 @dataclass(slots=True)
 class Estimates:
     """Hold, for each queue, the learned ratio of run time to declared run time.
@@ -29,6 +34,11 @@
         """Return the learned ratio of a queue."""
         return self._ratio.get(queue, 1.0)
 
+    @switchable(
+        "learned-run-times",
+        "order and sizes of pools follow what runs took, not what was declared",
+        without=_learn_nothing,
+    )
     def learn(self, step: StepRun, seconds: float) -> None:
         """Take in one run that ended done."""
         declared = step.spec.estimate_ms / 1000
--- a/mustardward/components/scheduling/health.py
+++ b/mustardward/components/scheduling/health.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from ...helpers.logging import get_logger
+from ...helpers.policies import switchable
 from .board import Board
 from .const import FAILURES_TO_QUARANTINE, QUARANTINE_SECONDS, QUARANTINE_SHARE
 from .models import Task, WorkerState
@@ -17,6 +18,16 @@
 _SPEED_WEIGHT = 0.15
 
 
+def _judge_nothing(
+    health: Health, /, worker: WorkerState, task: Task, now: float
+) -> None:
+    """Let a worker that fails its runs have more of them."""
+
+
+def _learn_no_speed(health: Health, /, worker: WorkerState, ratio: float) -> None:
+    """Take all workers for equally fast."""
+
+
 @dataclass(slots=True, eq=False)
 class Health:
     """Put workers into quarantine, and let them try again."""
@@ -28,9 +39,22 @@
         worker.failed_jobs.clear()
         expected = self.board.estimates.seconds(task.step)
         if seconds > 0:
-            seen = min(2.0, max(0.1, expected / seconds))
-            worker.speed += _SPEED_WEIGHT * (min(1.0, seen) - worker.speed)
+            self._learn_speed(worker, expected / seconds)
+
+    @switchable(
+        "worker-speed",
+        "tasks go to workers that were not slow with others",
+        without=_learn_no_speed,
+    )
+    def _learn_speed(self, worker: WorkerState, ratio: float) -> None:
+        seen = min(1.0, max(0.1, ratio))
+        worker.speed += _SPEED_WEIGHT * (seen - worker.speed)
 
+    @switchable(
+        "quarantine",
+        "a worker that fails all it starts does not draw all work",
+        without=_judge_nothing,
+    )
     def note_failed(self, worker: WorkerState, task: Task, now: float) -> None:
         """Take in a run that failed or stood still on a worker."""
         worker.failed_jobs.add(task.step.job.record.id)
--- a/mustardward/components/scheduling/inflow.py
+++ b/mustardward/components/scheduling/inflow.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from ...helpers.policies import switchable
 from ...platform.models import Room
 
 WINDOW_SECONDS: Final = 0.75
@@ -95,6 +96,10 @@
         return mean
 
 
+def _tell_no_rate(inflow: Inflow, /, service: str, now: float) -> Amount:
+    return Amount()
+
+
 @dataclass(slots=True)
 class Inflow:
     """Hold the work of the last arrivals, by pool."""
@@ -107,6 +112,11 @@
         arrivals.times.append(now)
         arrivals.works.append(work)
 
+    @switchable(
+        "arrivals-forecast",
+        "instances for a turn are ordered by its first arrivals",
+        without=_tell_no_rate,
+    )
     def rate(self, service: str, now: float) -> Amount:
         """Return the room that keeps up with the arrivals.
 
--- a/mustardward/components/scheduling/order.py
+++ b/mustardward/components/scheduling/order.py
@@ -18,6 +18,7 @@
 from enum import IntEnum
 from typing import Final
 
+from ...helpers.policies import switchable
 from .estimates import Estimates
 from .models import Job, StepRun
 
@@ -103,6 +104,23 @@
         return self.now * max(0.0, seconds) + self.coming * later - self.begun
 
 
+def _choose_by_slack(asked: float, capacity: Capacity) -> Order:
+    return by_slack
+
+
+@switchable(
+    "order-by-load",
+    "the smallest jobs first once a pool can't do all in time",
+    without=_choose_by_slack,
+)
+def choose_order(asked: float, capacity: Capacity) -> Order:
+    """Return how to order work that can still be in time.
+
+    :param asked: what is asked of the pool, in core seconds.
+    """
+    return by_work if asked > capacity.until(HORIZON_SECONDS) else by_slack
+
+
 def prioritise(
     steps: Iterable[StepRun],
     now: float,
@@ -121,9 +139,7 @@
         for name, job in jobs.items()
     }
     asked = sum(left[name].work for name, job in jobs.items() if job.objective_at > now)
-    if order is None:
-        order = by_work if asked > capacity.until(HORIZON_SECONDS) else by_slack
-    chosen = order
+    chosen = order if order is not None else choose_order(asked, capacity)
     return sorted(
         steps, key=lambda step: rank(step, now, left[step.job.record.id], chosen)
     )
--- a/mustardward/components/scheduling/pacing.py
+++ b/mustardward/components/scheduling/pacing.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from ...helpers.policies import switchable
 from .board import Board
 from .models import Pace, Phase, Task, WorkerState
 
@@ -28,6 +29,10 @@
     changed_at: float = 0.0
 
 
+def _pace_nothing(pacing: Pacing, /, now: float) -> None:
+    """Let all that fills work at full speed."""
+
+
 @dataclass(slots=True, eq=False)
 class Pacing:
     """Halve what fills while a serving task is near its target; raise it slowly."""
@@ -35,6 +40,11 @@
     board: Board
     _throttles: dict[str, _Throttle] = field(default_factory=dict)
 
+    @switchable(
+        "pacing",
+        "what fills gives way to serving tasks on its worker",
+        without=_pace_nothing,
+    )
     def run(self, now: float) -> None:
         """Give the pace orders that are due."""
         for worker in self.board.workers.values():
--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from ...helpers.policies import switchable
 from ...platform.models import Room
 from .models import Place, StepRun, Task, WorkerState
 
@@ -71,6 +72,15 @@
     return 1.0 if worker.zone == home.zone else 2.0
 
 
+def _choose_no_home(workers: Iterable[WorkerState]) -> Place | None:
+    return None
+
+
+@switchable(
+    "one-rack-a-job",
+    "a lost rack or data centre takes few jobs, not some of each",
+    without=_choose_no_home,
+)
 def choose_home(workers: Iterable[WorkerState]) -> Place | None:
     """Return the rack with most room, where most of a job finds its place."""
     room: Counter[Place] = Counter()
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from ...helpers.logging import get_logger
+from ...helpers.policies import switchable
 from ...helpers.unreadable import note_unreadable
 from ...platform.models import WORKER_DRAINING, WorkerEntry
 from ...platform.workers import HoldAnswer
@@ -24,6 +25,10 @@
 _LOGGER = get_logger(__name__)
 
 
+def _stop_nothing(scheduler: Scheduler, /, now: float) -> None:
+    """Let runs that stand still keep their room."""
+
+
 class Scheduler:
     """Decide for one shard under one epoch.
 
@@ -200,6 +205,11 @@
             for step in job.steps.values():
                 self.board.ready.pop(id(step), None)
 
+    @switchable(
+        "stuck-runs",
+        "a run that stands still is stopped and done elsewhere",
+        without=_stop_nothing,
+    )
     def _stop_stuck(self, now: float) -> None:
         for worker in self.board.workers.values():
             for task in list(worker.tasks.values()):
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -36,9 +36,11 @@
 from ..components.ownership.const import IDLE_GAP_SECONDS
 from ..components.ownership.models import OwnerParts
 from ..components.ownership.services import Ownership
+from ..exceptions import SettingsError
 from ..helpers.bounded_output import BoundedOutput, open_output
 from ..helpers.log_output import PairFormatter
 from ..helpers.logging import get_logger
+from ..helpers.policies import UnknownPolicyError, switch_off, switched_off
 from ..helpers.timer import LoopTimerService
 from ..platform.advice import AdviceClient
 from ..platform.boot import BootSettings, load_boot
@@ -46,9 +48,14 @@
 from ..platform.fleet import FleetClient
 from ..platform.http import HttpCaller, base_url
 from ..platform.store import TOPIC_OPERATOR, StoreClient
+from .settings import load_settings
 
 _LOGGER = get_logger(__name__)
 
+_SETTINGS = flags.DEFINE_string(
+    "settings", "", "YAML file of the entry's own settings."
+)
+
 CONFIG_GAP_SECONDS = 0.05
 FLUSH_SECONDS = 0.1
 """Interval of writing log lines."""
@@ -197,7 +204,12 @@
         listen = self._boot.listen
         await self._server.async_listen(listen.front, listen.ready)
         await async_serve_metrics(self._boot.ip, METRICS_PORT)
-        _LOGGER.info("node_started", node=self._boot.node, zone=self._boot.zone)
+        _LOGGER.info(
+            "node_started",
+            node=self._boot.node,
+            zone=self._boot.zone,
+            policies_off=",".join(switched_off()),
+        )
         self._tasks.start_soon(self._config_follower.async_run)
         self._tasks.start_soon(self._follower.async_run)
         self._tasks.start_soon(self._appender.async_run)
@@ -301,14 +313,27 @@
     return output
 
 
+def read_arguments(arguments: list[str]) -> None:
+    """Take in the command line: ``--settings FILE``, the entry's own settings.
+
+    :raises SettingsError: if it names what there is not.
+    """
+    try:
+        flags.FLAGS(arguments)
+    except flags.Error as error:
+        raise SettingsError(str(error)) from error
+    switch_off(load_settings(_SETTINGS.value).policies_off)
+
+
 def main() -> None:
     """Run the entry that the settings file describes."""
     output = set_up_logging()
     try:
+        read_arguments(sys.argv)
         boot = load_boot()
         anyio.run(async_main, boot, output)
-    except BootSettingsError as error:
-        _LOGGER.error("boot_settings_unusable", detail=error.detail)
+    except (BootSettingsError, SettingsError, UnknownPolicyError) as error:
+        _LOGGER.error("settings_unusable", code=error.code, detail=error.detail)
         sys.exit(2)
     finally:
         output.flush_some()
--- /dev/null
+++ b/tests/helpers/test_policies.py
@@ -0,0 +1,80 @@
+"""Test that policies can be switched off by name, and that nothing else changes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+import mustardward.node.app  # noqa: F401 - all policies are registered by it
+from mustardward.components.fleet.pools import idle_seconds, spare
+from mustardward.components.scheduling.order import (
+    Capacity,
+    by_slack,
+    by_work,
+    choose_order,
+)
+from mustardward.exceptions import SettingsError
+from mustardward.helpers.policies import (
+    POLICIES,
+    UnknownPolicyError,
+    switch_off,
+    switched_off,
+)
+from mustardward.node.settings import EntrySettings, load_settings
+
+PAGE = Path(__file__).parents[2] / "docs" / "measurements" / "ablation.md"
+
+
+@pytest.fixture(autouse=True)
+def all_on() -> Iterator[None]:
+    """Leave all policies on behind each test."""
+    yield
+    switch_off(())
+
+
+def test_a_policy_that_is_off_gives_way_to_what_stands_in_for_it() -> None:
+    overload = (1000.0, Capacity(now=1.0))
+    assert choose_order(*overload) is by_work
+    assert spare(5, 2) == 3
+    switch_off(["order-by-load", "lending"])
+    assert choose_order(*overload) is by_slack
+    assert spare(5, 2) == 0
+    assert idle_seconds() > 0
+    assert switched_off() == ["lending", "order-by-load"]
+    switch_off(())
+    assert choose_order(*overload) is by_work
+
+
+def test_a_name_that_nobody_registered_changes_nothing() -> None:
+    switch_off(["idle-time"])
+    with pytest.raises(UnknownPolicyError, match="no-such"):
+        switch_off(["lending", "no-such"])
+    assert switched_off() == ["idle-time"]
+
+
+def test_settings_name_the_policies_that_are_off(tmp_path: Path) -> None:
+    path = tmp_path / "entry.yaml"
+    path.write_text("policies-off: [lending]\n")
+    assert load_settings(str(path)).policies_off == ("lending",)
+    assert load_settings("") == EntrySettings()
+
+
+@pytest.mark.parametrize("text", ["policy-off: [lending]", "policies-off: 3", "a: ["])
+def test_settings_that_hold_anything_else_are_refused(
+    tmp_path: Path, text: str
+) -> None:
+    path = tmp_path / "entry.yaml"
+    path.write_text(text)
+    with pytest.raises(SettingsError, match=r"entry\.yaml"):
+        load_settings(str(path))
+    with pytest.raises(SettingsError):
+        load_settings(str(tmp_path / "missing.yaml"))
+
+
+def test_each_policy_says_what_it_is_for_and_has_its_row_of_figures() -> None:
+    page = PAGE.read_text()
+    for name in POLICIES:
+        assert POLICIES[name]
+        assert f"| {name} |" in page
