Rank a step's workers once, and only the chosen one again

Cause: each task looked at each worker of its pool: 36 looks a start at 48 workers. Ruled out: an index over all steps, whose scores differ by step, rack and data. Change: a heap for each step; a task went where a look at each worker would put it.

--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
+from heapq import heapify, heappop, heapreplace
 
 from ...helpers.policies import switchable
 from ...platform.models import Room
@@ -46,8 +47,8 @@
     )
 
 
-def score(worker: WorkerState, task: Task) -> Score:
-    """Return how well a worker suits a task; the smallest suits best.
+def score(worker: WorkerState, step: StepRun, avoided: Set[str]) -> Score:
+    """Return how well a worker suits a step's tasks; the smallest suits best.
 
     Lasting tasks keep a worker from being lent or sent off, so they share workers; one
     loss or one maintenance takes no more of a step than may be missing. Where they
@@ -55,14 +56,13 @@
     least room is left, so that large holes stay whole for wide tasks; near their data
     first.
     """
-    step = task.step
     spec = step.spec
-    avoided = float(worker.id in task.avoid)
+    shunned = float(worker.id in avoided)
     far = float(bool(spec.data_rack) and spec.data_rack not in worker.labels)
     if spec.long_running:
-        return (avoided, far, *_lasting_score(worker, step))
+        return (shunned, far, *_lasting_score(worker, step))
     away = _away(worker, step.job.home)
-    return (avoided, far, round(1 / worker.speed, 1), away, float(worker.free_cpu))
+    return (shunned, far, round(1 / worker.speed, 1), away, float(worker.free_cpu))
 
 
 def _away(worker: WorkerState, home: Place | None) -> float:
@@ -107,21 +107,42 @@
     )
 
 
-def choose(
-    workers: Iterable[WorkerState], task: Task, room: Room
-) -> WorkerState | None:
-    """Return the worker that suits a task best, or None."""
-    step = task.step
-    best: WorkerState | None = None
-    best_score: Score = ()
-    for worker in workers:
-        if not fits(worker, room) or not may_run(worker, step):
-            continue
-        own = score(worker, task)
-        if best is None or own < best_score:
-            best = worker
-            best_score = own
-    return best
+class Shortlist:
+    """Hold the workers that have room for a step's tasks, the best one first.
+
+    Only the worker that a task went to is looked at again: with a look at each worker
+    for each task, half of an owner's time went into placing at 250 workers.
+
+    :param avoided: workers that none of these tasks is to go to while others have room.
+    """
+
+    def __init__(
+        self, workers: Iterable[WorkerState], step: StepRun, avoided: Set[str]
+    ) -> None:
+        self._step = step
+        self._avoided = avoided
+        self._ranked = [
+            (score(worker, step, avoided), number, worker)
+            for number, worker in enumerate(workers)
+            if self._suits(worker)
+        ]
+        heapify(self._ranked)
+
+    def best(self) -> WorkerState | None:
+        """Return the worker that suits the next task best, or None."""
+        return self._ranked[0][2] if self._ranked else None
+
+    def renew(self) -> None:
+        """Rank the best worker anew, since a task went there."""
+        _, number, worker = self._ranked[0]
+        if self._suits(worker):
+            own = score(worker, self._step, self._avoided)
+            heapreplace(self._ranked, (own, number, worker))
+        else:
+            heappop(self._ranked)
+
+    def _suits(self, worker: WorkerState) -> bool:
+        return fits(worker, self._step.room) and may_run(worker, self._step)
 
 
 def choose_gang(
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
 from dataclasses import dataclass
 
 from ...platform.models import Room
 from .board import Board
 from .models import AskAdvice, StepRun, Task, WorkerState
 from .order import Capacity, Order, prioritise
-from .placement import choose, choose_gang, choose_home, usable
+from .placement import Shortlist, choose_gang, choose_home, usable
 
 ADVICE_SECONDS = 2.0
 """Longest wait for advice before it is asked again."""
@@ -86,16 +87,21 @@
         self, step: StepRun, workers: list[WorkerState], now: float
     ) -> bool:
         """Return whether all tasks of a step found a worker."""
-        room = step.room
         if step.job.home is None:
             step.job.home = choose_home(workers)
+        shortlist: Shortlist | None = None
+        avoided: Set[str] = frozenset()
         while step.waiting:
             task = step.waiting[0]
-            worker = choose(workers, task, room)
+            if shortlist is None or task.avoid != avoided:
+                avoided = task.avoid
+                shortlist = Shortlist(workers, step, avoided)
+            worker = shortlist.best()
             if worker is None:
                 return False
             step.waiting.popleft()
             self.board.assign(task, worker, self.board.next_run(), now)
+            shortlist.renew()
         self.board.ready.pop(id(step), None)
         return True
 
--- /dev/null
+++ b/tests/components/scheduling/test_shortlist.py
@@ -0,0 +1,71 @@
+"""Test that the shortlist places tasks where a look at each worker would."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mustardward.components.scheduling.models import Task, WorkerState
+from mustardward.components.scheduling.placement import (
+    Shortlist,
+    choose_home,
+    fits,
+    may_run,
+    score,
+)
+
+from .builders import JOB, SchedulerBench, a_job, a_step
+
+ROOMS = st.tuples(st.integers(0, 6), st.integers(1, 3), st.sampled_from([0.5, 1.0]))
+STEPS = st.fixed_dictionaries(
+    {
+        "count": st.integers(1, 12),
+        "cpu": st.integers(1, 4).map(lambda cores: 1000 * cores),
+        "long_running": st.booleans(),
+        "may_miss": st.integers(0, 3),
+        "max_per_server": st.integers(0, 2),
+        "data_rack": st.sampled_from(["", "r1", "r2"]),
+    }
+)
+
+
+def by_looking_at_each(
+    workers: Iterable[WorkerState], task: Task
+) -> WorkerState | None:
+    """Return the first of the workers that suit a task best."""
+    step = task.step
+    able = [w for w in workers if fits(w, step.room) and may_run(w, step)]
+    return min(able, key=lambda w: score(w, step, task.avoid), default=None)
+
+
+@given(st.lists(ROOMS, max_size=8), STEPS, st.lists(st.integers(0, 9), max_size=6))
+def test_each_task_goes_where_a_look_at_each_worker_would_put_it(
+    rooms: list[tuple[int, int, float]], step: dict[str, object], avoiding: list[int]
+) -> None:
+    bench = SchedulerBench()
+    for number, (cores, rack, speed) in enumerate(rooms):
+        worker = bench.worker(f"w{number}", labels=["a", f"r{rack}"])
+        worker.free_cpu = 1000 * cores
+        worker.speed = speed
+    bench.add(a_job(a_step(**step)), stored=False)
+    board = bench.scheduler.board
+    run = board.jobs[JOB].steps[(0, 0)]
+    for index, worker_number in enumerate(avoiding):
+        if index < len(run.tasks):
+            run.tasks[index].avoid.add(f"w{worker_number}")
+    workers = list(board.workers.values())
+    run.job.home = choose_home(workers)
+    for task in list(run.waiting):
+        shortlist = Shortlist(workers, run, task.avoid)
+        expected = by_looking_at_each(workers, task)
+        assert shortlist.best() is expected
+        if expected is None:
+            break
+        run.waiting.remove(task)
+        board.assign(task, expected, board.next_run(), bench.now)
+        shortlist.renew()
+        following = next(iter(run.waiting), None)
+        if following is not None and following.avoid == task.avoid:
+            assert shortlist.best() is by_looking_at_each(workers, following)
