Look over running tasks ten times a second, not in each plan

Cause: an owner plans up to 100 times a second in a turn, and each plan looked at each running task for standing still and for harm, which show after 0.5 s and more.

--- a/mustardward/components/scheduling/const.py
+++ b/mustardward/components/scheduling/const.py
@@ -27,6 +27,11 @@
 
 STUCK_FACTOR: Final = 1.5
 
+LOOK_SECONDS: Final = 0.1
+"""Interval at which all that runs is looked over for runs that stand still and for
+serving tasks that are harmed: both show after half a second or more. Looked over in
+each plan, 3,200 runs took 2.2 of 2.7 ms of a plan that had nothing to place."""
+
 QUARANTINE_SECONDS: Final = 4.0
 """A worker that fails what others carry out gets nothing for so long, then a trial."""
 
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 from ...helpers.logging import get_logger
@@ -12,7 +13,12 @@
 from ..ledger.ledger import LedgerJob
 from ..ledger.models import JobState, Progress
 from .board import Board, PolicyLookup
-from .const import MISSING_GRACE_SECONDS, STUCK_FACTOR, STUCK_SECONDS
+from .const import (
+    LOOK_SECONDS,
+    MISSING_GRACE_SECONDS,
+    STUCK_FACTOR,
+    STUCK_SECONDS,
+)
 from .evacuation import Evacuation
 from .health import Health
 from .intake import Intake
@@ -46,6 +52,7 @@
         self._evacuation = Evacuation(self.board)
         self._planner = Planner(self.board, ORDERS.get(order))
         self._ending: dict[str, Job] = {}
+        self._look_at = -math.inf
 
     def add_job(self, job: LedgerJob, now: float, wall: float) -> None:
         """Take an accepted job in."""
@@ -162,8 +169,10 @@
         self.intake.open_due(now, wall)
         self._leave_missing(now)
         self._evacuation.run(now)
-        self._stop_stuck(now)
-        self.pacing.run(now)
+        if now >= self._look_at:
+            self._look_at = now + LOOK_SECONDS
+            self._stop_stuck(now)
+            self.pacing.run(now)
         self._planner.run(now)
         self._forget_ended()
         self.reports.lines.flush()
