--- a/mustardward/cli/report.py
+++ b/mustardward/cli/report.py
@@ -71,6 +71,27 @@
         click.echo(f"job={story.job} queue={story.queue} late_seconds={over:.2f}")
 
 
+@command.command()
+@click.argument("log", type=click.File("r", errors="replace"))
+@click.option("--plot", type=FILE_TYPE, help="Draw instances over time here (SVG).")
+def bound(log: TextIO, plot: Path | None) -> None:
+    """Compare a day's instances and jobs in time with other planners, from LOG."""
+    from ..components.reports.bound import compare
+    from ..components.reports.day import read_day
+
+    planned = compare(read_day(log))
+    click.echo(f"{'planner':<18} {'instance s':>10} {'moves':>6} {'in time':>8}")
+    for row in planned:
+        click.echo(
+            f"{row.name:<18} {row.instance_seconds:10.0f} {row.moves:6d}"
+            f" {row.share_in_time:8.3f}"
+        )
+    if plot is not None:
+        from ..components.reports.bound_plot import draw
+
+        draw(planned, plot)
+
+
 def render(report: dict[str, Any], output_format: str) -> str:
     """Return the report as JSON, as a page, or as a table."""
     if output_format == "json":
--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -8,7 +8,7 @@
 from ...helpers.timer import TimerService
 from ...platform import callers
 from ...platform.exceptions import MalformedJobError
-from ...platform.models import Queue
+from ...platform.models import Queue, SubmittedStep
 from ..configuration.routing import queue_key
 from ..configuration.services import Configuration
 from ..ledger.appender import GroupAppender, Outcome
@@ -155,6 +155,7 @@
             service=queue.service,
             steps=len(job.steps),
             tasks=sum(step.count for step in job.steps),
+            shape=_shape(job.steps),
             lasting=any(step.long_running for step in job.steps),
             fills=any(step.fills for step in job.steps),
             most_a_worker=max(step.max_per_server for step in job.steps),
@@ -238,6 +239,15 @@
         return Reply(200, callers.encode_pending(count))
 
 
+def _shape(steps: list[SubmittedStep]) -> str:
+    """Return what the steps ask for, as ``8x9.0;8x2.5<0``: tasks, cores, after."""
+    return ";".join(
+        f"{step.count}x{step.cpu / 1000:g}"
+        + (f"<{','.join(map(str, step.after))}" if step.after else "")
+        for step in steps
+    )
+
+
 def _error(status: int, code: str, detail: str) -> Reply:
     return Reply(status, callers.encode_error(code, detail))
 
--- /dev/null
+++ b/mustardward/components/reports/bound_plot.py
@@ -0,0 +1,32 @@
+"""Draw the instances of several planners over a day, one panel a pool."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+
+from .bound import GRID_SECONDS, Planned
+
+
+def draw(planned: Sequence[Planned], path: Path) -> None:
+    """Write an SVG; matplotlib is needed, which no entry has."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    pools = sorted({pool for row in planned for pool in row.instances})
+    figure, panels = pyplot.subplots(
+        max(1, len(pools)), 1, squeeze=False, figsize=(8, 2.2 * max(1, len(pools)))
+    )
+    for pool, panel in zip(pools, panels[:, 0], strict=False):
+        for row in planned:
+            counts = row.instances.get(pool, [])
+            times = [cell * GRID_SECONDS for cell in range(len(counts))]
+            panel.step(times, counts, label=row.name, linewidth=1)
+        panel.set_ylabel(f"{pool}\ninstances")
+    panels[0, 0].legend(fontsize="small")
+    panels[-1, 0].set_xlabel("seconds")
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
--- a/mustardward/components/reports/day.py
+++ b/mustardward/components/reports/day.py
@@ -55,12 +55,24 @@
         return 0.0 if self.ended_at is None else self.ended_at - self.started_at
 
 
+@dataclass(frozen=True, slots=True)
+class PoolLook:
+    """Hold what an owner told of a pool; room in cores."""
+
+    at: float
+    workers: int
+    capacity: float
+    lasting: float
+
+
 @dataclass(slots=True)
 class JobStory:
     """Hold what the logs tell of one job; times in seconds."""
 
     job: str
     queue: str = ""
+    service: str = ""
+    shape: str = ""
     tasks: int = 0
     submitted_at: float | None = None
     ended_at: float | None = None
@@ -88,6 +100,8 @@
     cut_lines: int = 0
     outages: list[Span] = field(default_factory=list)
     takeovers: list[Span] = field(default_factory=list)
+    pools: dict[str, list[PoolLook]] = field(default_factory=dict)
+    moves: int = 0
 
     def job(self, name: str) -> JobStory:
         """Return a job's story, a new one if nothing was told of it yet."""
@@ -128,31 +142,65 @@
             # The last line of an entry that lost power, mostly.
             day.cut_lines += 1
     events.sort(key=lambda event: event[0])
-    outages = Outages(day.outages)
-    claimed_at: float | None = None
+    reader = _Reader(day, Outages(day.outages))
     for at, pairs in events:
+        reader.read(at, pairs)
+    return day
+
+
+@dataclass(slots=True)
+class _Reader:
+    """Fold events into a day, in the order of their times."""
+
+    day: Day
+    outages: Outages
+    claimed_at: float | None = None
+
+    def read(self, at: float, pairs: dict[str, str]) -> None:
+        """Take in one event."""
         event = pairs["event"]
         node = pairs.get("node", "")
         if event == "topic_lost":
-            outages.lost(node, pairs.get("topic", ""), at)
+            self.outages.lost(node, pairs.get("topic", ""), at)
         elif event == "topic_regained":
-            outages.regained(node, pairs.get("topic", ""), at)
+            self.outages.regained(node, pairs.get("topic", ""), at)
         elif event == "node_started":
-            outages.entry_started(node, at)
+            self.outages.entry_started(node, at)
         elif event == "owner_started":
-            outages.owner_started(node, at)
-            claimed_at = at
-        elif event == "takeover_complete" and claimed_at is not None:
-            day.takeovers.append((claimed_at, at))
+            self.outages.owner_started(node, at)
+            self.claimed_at = at
+        elif event == "takeover_complete" and self.claimed_at is not None:
+            self.day.takeovers.append((self.claimed_at, at))
         else:
-            _read_job(day, event, pairs, at)
-    return day
+            self._read_work(event, pairs, at)
+
+    def _read_work(self, event: str, pairs: dict[str, str], at: float) -> None:
+        if event == "pool_load":
+            _read_pool(self.day, pairs, at)
+        elif event == "move_begun":
+            self.day.moves += 1
+        else:
+            _read_job(self.day, event, pairs, at)
+
+
+def _read_pool(day: Day, pairs: dict[str, str], at: float) -> None:
+    looks = day.pools.setdefault(pairs.get("service", ""), [])
+    looks.append(
+        PoolLook(
+            at,
+            int(_value(pairs, "workers")),
+            _value(pairs, "capacity") / 1000,
+            _value(pairs, "lasting") / 1000,
+        )
+    )
 
 
 def _read_job(day: Day, event: str, pairs: dict[str, str], at: float) -> None:
     if event == "job_submitted":
         story = day.job(pairs.get("job", ""))
         story.queue = pairs.get("queue", "")
+        story.service = pairs.get("service", "")
+        story.shape = pairs.get("shape", "")
         story.tasks = int(_value(pairs, "tasks"))
         story.lasting = pairs.get("lasting") == "true"
         if pairs.get("outcome") == "stored" and story.submitted_at is None:
