Count a step's spread over workers in the bound of instances

Cause: a step with a limit of tasks for each worker keeps so many workers, whatever they are used; the bound left that out and lay too low where tasks last. Change: pool_load's spread is the least of the bound. Shown by the new test.

--- a/mustardward/components/reports/bound.py
+++ b/mustardward/components/reports/bound.py
@@ -104,12 +104,14 @@
 
     :param sizes: instances of each pool, look by look.
     :param lasting: cores that lasting tasks took there, look by look.
+    :param spread: workers that a step needed there by its limit of tasks for each.
     :param cores: of one instance of each pool.
     """
 
     works: list[Work] = field(default_factory=list)
     sizes: dict[str, Looks] = field(default_factory=dict)
     lasting: dict[str, Looks] = field(default_factory=dict)
+    spread: dict[str, Looks] = field(default_factory=dict)
     cores: dict[str, float] = field(default_factory=dict)
     moves: int = 0
     actually_in_time: int = 0
@@ -128,6 +130,7 @@
     for service, looks in day.pools.items():
         account.sizes[service] = [(look.at - first, look.workers) for look in looks]
         account.lasting[service] = [(look.at - first, look.lasting) for look in looks]
+        account.spread[service] = [(look.at - first, look.spread) for look in looks]
         sizes = [look.capacity / look.workers for look in looks if look.workers]
         account.cores[service] = max(sizes, default=1.0)
     for story in day.jobs.values():
@@ -187,7 +190,11 @@
             for cell in range(_cell(begin), min(len(cores), over)):
                 cores[cell] += taken
     for service, cores in demand.items():
-        needs = [math.ceil(taken / account.cores[service]) for taken in cores]
+        least = _sample(account.spread[service], account.cells)
+        needs = [
+            max(math.ceil(taken / account.cores[service]), spread)
+            for taken, spread in zip(cores, least, strict=True)
+        ]
         planned.instances[service], moves = keep_over_gaps(needs)
         planned.moves += moves
     return planned
--- a/mustardward/components/reports/day.py
+++ b/mustardward/components/reports/day.py
@@ -57,12 +57,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolLook:
-    """Hold what an owner told of a pool; room in cores."""
+    """Hold what an owner told of a pool; room in cores.
+
+    :param spread: workers that a step needs by its limit of tasks for each.
+    """
 
     at: float
     workers: int
     capacity: float
     lasting: float
+    spread: int = 0
 
 
 @dataclass(slots=True)
@@ -191,6 +195,7 @@
             int(_value(pairs, "workers")),
             _value(pairs, "capacity") / 1000,
             _value(pairs, "lasting") / 1000,
+            int(_value(pairs, "spread")),
         )
     )
 
--- a/tests/components/reports/test_bound.py
+++ b/tests/components/reports/test_bound.py
@@ -79,6 +79,12 @@
     assert round(least.instance_seconds) == 10 + 4 + 1
 
 
+def test_a_step_that_spreads_keeps_its_workers_in_the_bound_too() -> None:
+    lines = [text.replace("lasting=1000", "lasting=1000 spread=3") for text in a_day()]
+    least = by_name(lines)["known beforehand"]
+    assert min(least.instances["p"]) == 3
+
+
 def test_simple_planners_are_played_on_the_same_jobs() -> None:
     planned = by_name(a_day())
     assert planned["all kept on"].share_in_time == 0.5
