--- a/mustardward/components/reports/day.py
+++ b/mustardward/components/reports/day.py
@@ -17,7 +17,9 @@
 from .outages import Outages, Span
 
 _PAIR: Final = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
-_RUN: Final = re.compile(r"(\d+)\.(\d+)\.(\d+):(\d+)@([^+=,]+)([+=])([^,]*)")
+_RUN: Final = re.compile(r"(\d+)\.(\d+)\.(\d+):(\d+)@([^+=,\s]+)([+=])([^,\s]*)")
+_GLUED: Final = re.compile(r"\S(time=\d+\.?\d* level=)")
+"""Where a line goes on as another one, since bytes between them were lost."""
 
 SLOW_FACTOR: Final = 1.5
 """A run that took so many times as long as its owner expected was slow."""
@@ -138,6 +140,9 @@
     day = Day()
     events: list[tuple[float, dict[str, str]]] = []
     for line in lines:
+        if _GLUED.search(line):
+            day.cut_lines += 1
+            continue
         try:
             pairs = read_pairs(line)
             if "event" in pairs and "time" in pairs:
@@ -225,8 +230,12 @@
 
 def _value(pairs: dict[str, str], name: str) -> float:
     """Return a number of a line, or 0 where the line is cut off before its end."""
+    return _number(pairs.get(name, "0"))
+
+
+def _number(text: str) -> float:
     try:
-        return float(pairs.get(name, "0"))
+        return float(text)
     except ValueError:
         return 0.0
 
@@ -238,7 +247,7 @@
         if sign == "+":
             waited, _, expected = rest.partition("~")
             story.runs[int(number)] = RunStory(
-                place, worker, at, float(waited), float(expected or 0)
+                place, worker, at, _number(waited), _number(expected)
             )
         elif int(number) in story.runs and not rest.endswith("/stray"):
             run = story.runs[int(number)]
--- a/tests/components/reports/test_day.py
+++ b/tests/components/reports/test_day.py
@@ -108,6 +108,21 @@
     assert explain(day) == explain(read_day(a_day()))
 
 
+def test_a_line_that_goes_on_as_another_is_no_failure() -> None:
+    """Symptom: the report of a day ended with an error.
+
+    Sequence: bytes were lost between an entry and its log, so that the middle of one
+    line was followed by the rest of another. Cause: numbers of runs were taken to be
+    whole once their line had a time and an event.
+    """
+    whole = "0.0.1:7@w-1+0.5~1.00"
+    glued = 'runs="' + whole + ",0.0.2:8@w-1+0.time=80 level=info event=runs_ended "
+    lost = f"time=79 event=runs_started job={JOBS['h']} {glued}" + 'runs="0.0.1:7@w"'
+    day = read_day([*a_day(), lost])
+    assert day.cut_lines == 1
+    assert explain(day) == explain(read_day(a_day()))
+
+
 def test_quoted_values_are_read_whole() -> None:
     pairs = read_pairs('time=1.0 event=x detail="the log \\"failed\\"" job=a')
     assert (pairs["detail"], pairs["job"]) == ('the log "failed"', "a")
