Tell how late an owner is, and bound instances by memory too

Cause: an owner that is short of processor time looked like a full pool: no line said how late its loop was, how many calls were under way or how many starts a second it made. The bound of instances went by cores alone, though memory is as scarce.

--- a/mustardward/cli/report.py
+++ b/mustardward/cli/report.py
@@ -5,13 +5,16 @@
 import json
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any, TextIO
+from typing import TYPE_CHECKING, Any, TextIO
 
 import click
 
 from .client import OperatorClient, with_client
 from .records import FILE_TYPE
 
+if TYPE_CHECKING:
+    from ..components.reports.day import Day
+
 
 @click.group()
 def command() -> None:
@@ -61,6 +64,8 @@
     click.echo(f"jobs={len(stories.jobs)} ended={len(ended)} late={len(late)}")
     if stories.cut_lines:
         click.echo(f"{stories.cut_lines} lines are cut off and left out")
+    for text in _owner_lines(stories):
+        click.echo(text)
     for row in explain(stories):
         click.echo(
             f"{row.jobs:6d} jobs {row.tasks:7d} tasks {row.seconds_late:9.1f} s late"
@@ -71,6 +76,30 @@
         click.echo(f"job={story.job} queue={story.queue} late_seconds={over:.2f}")
 
 
+def _owner_lines(day: Day) -> Iterator[str]:
+    """Yield how busy the owners were, and how soon work began."""
+    from ..components.reports.day import first_starts
+
+    if day.owners:
+        owners = list(dict.fromkeys(look.node for look in day.owners))
+        yield (
+            f"owners={','.join(owners)}"
+            f" lag_seconds={max(look.lag for look in day.owners):.3f}"
+            f" calls_under_way={max(look.under_way for look in day.owners)}"
+            f" starts_a_second={max(look.starts for look in day.owners)}"
+            f" ends_a_second={max(look.ends for look in day.owners)}"
+        )
+    waits = first_starts(day)
+    if waits:
+        tail = waits[int(0.95 * (len(waits) - 1))]
+        yield (
+            f"submit to first start: half within {waits[len(waits) // 2]:.3f} s,"
+            f" 95 of 100 within {tail:.3f} s"
+        )
+    for begin, end in day.takeovers:
+        yield f"takeover_seconds={end - begin:.2f}"
+
+
 @command.command()
 @click.argument("log", type=click.File("r", errors="replace"))
 @click.option("--plot", type=FILE_TYPE, help="Draw instances over time here (SVG).")
--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -240,9 +240,12 @@
 
 
 def _shape(steps: list[SubmittedStep]) -> str:
-    """Return what the steps ask for, as ``8x9.0;8x2.5<0``: tasks, cores, after."""
+    """Return what the steps ask for, as ``8x9x512;8x2.5x64<0``.
+
+    That is tasks, cores and MB of each, and the steps that come before.
+    """
     return ";".join(
-        f"{step.count}x{step.cpu / 1000:g}"
+        f"{step.count}x{step.cpu / 1000:g}x{step.mem_mb}"
         + (f"<{','.join(map(str, step.after))}" if step.after else "")
         for step in steps
     )
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -35,6 +35,7 @@
     WATCH_OWN_SECONDS,
 )
 from .directory import WorkerDirectory
+from .load import OwnerLoad
 from .models import OwnerParts
 from .renewals import Renewals, barred_until
 from .storing import Storing
@@ -139,7 +140,8 @@
             tasks.start_soon(self.appender.async_run)
             tasks.start_soon(self._storing.async_run, dispatcher.sessions)
             tasks.start_soon(self._async_plan)
-            tasks.start_soon(self._async_watch, directory)
+            load = OwnerLoad(parts.node, dispatcher.lanes, self.scheduler.reports.lines)
+            tasks.start_soon(self._async_watch, directory, load)
             if parts.fleet is not None:
                 self._start_fleet(parts.fleet, dispatcher, tasks)
             takeover = Takeover(
@@ -263,7 +265,7 @@
                     self._storing.kick()
             await timers.async_sleep(PLAN_GAP_SECONDS)
 
-    async def _async_watch(self, directory: WorkerDirectory) -> None:
+    async def _async_watch(self, directory: WorkerDirectory, load: OwnerLoad) -> None:
         """Notice a pause of the process, a newer owner, and lost sessions."""
         parts = self._parts
         swept_at = 0.0
@@ -280,9 +282,11 @@
                 return
             self._authority.tick()
             now = parts.timers.monotonic()
+            load.look(now)
             if now - told_at > TELL_SECONDS:
                 told_at = now
                 log_loads(self.scheduler.board, now)
+                load.tell(now)
             if now - swept_at > SWEEP_SECONDS:
                 swept_at = now
                 self._storing.drop_old_jobs()
--- a/mustardward/components/reports/bound.py
+++ b/mustardward/components/reports/bound.py
@@ -13,9 +13,9 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from statistics import median
-from typing import Final
+from typing import Final, TypeVar
 
-from .day import Day, JobStory
+from .day import Amount, Day, JobStory
 
 GRID_SECONDS: Final = 0.1
 BRIDGE_SECONDS: Final = 2.3
@@ -29,15 +29,16 @@
 IDLE_SECONDS: Final = 2.5
 
 Shape = tuple["StepShape", ...]
-Looks = list[tuple[float, float]]
+Looks = list[tuple[float, int]]
+V = TypeVar("V")
 
 
 @dataclass(frozen=True, slots=True)
 class StepShape:
-    """Hold what a job's step was submitted with; cores of one task."""
+    """Hold what a job's step was submitted with; the room of one task."""
 
     count: int
-    cores: float
+    room: Amount
     after: tuple[int, ...] = ()
 
 
@@ -48,7 +49,7 @@
     :param seconds: run times of its tasks on a sound worker.
     """
 
-    cores: float
+    room: Amount
     seconds: tuple[float, ...]
     after: tuple[int, ...]
 
@@ -88,13 +89,14 @@
 
 
 def parse_shape(text: str) -> Shape:
-    """Return the steps of a ``job_submitted`` line, as ``8x9.0;8x2.5<0``."""
+    """Return the steps of a ``job_submitted`` line, as ``8x9x512;8x2.5x64<0``."""
     steps = []
     for part in filter(None, text.split(";")):
         head, _, after = part.partition("<")
-        count, _, cores = head.partition("x")
+        count, cores, memory = head.split("x")
         earlier = tuple(int(number) for number in after.split(",") if number)
-        steps.append(StepShape(int(count), float(cores), earlier))
+        room = Amount(float(cores), float(memory))
+        steps.append(StepShape(int(count), room, earlier))
     return tuple(steps)
 
 
@@ -103,16 +105,16 @@
     """Hold what planners are compared on; times in seconds from the first look.
 
     :param sizes: instances of each pool, look by look.
-    :param lasting: cores that lasting tasks took there, look by look.
+    :param lasting: room that lasting tasks took there, look by look.
     :param spread: workers that a step needed there by its limit of tasks for each.
-    :param cores: of one instance of each pool.
+    :param room: of one instance of each pool.
     """
 
     works: list[Work] = field(default_factory=list)
     sizes: dict[str, Looks] = field(default_factory=dict)
-    lasting: dict[str, Looks] = field(default_factory=dict)
+    lasting: dict[str, list[tuple[float, Amount]]] = field(default_factory=dict)
     spread: dict[str, Looks] = field(default_factory=dict)
-    cores: dict[str, float] = field(default_factory=dict)
+    room: dict[str, Amount] = field(default_factory=dict)
     moves: int = 0
     actually_in_time: int = 0
 
@@ -131,8 +133,8 @@
         account.sizes[service] = [(look.at - first, look.workers) for look in looks]
         account.lasting[service] = [(look.at - first, look.lasting) for look in looks]
         account.spread[service] = [(look.at - first, look.spread) for look in looks]
-        sizes = [look.capacity / look.workers for look in looks if look.workers]
-        account.cores[service] = max(sizes, default=1.0)
+        sizes = [look.capacity * (1 / look.workers) for look in looks if look.workers]
+        account.room[service] = sizes[-1] if sizes else Amount(1.0)
     for story in day.jobs.values():
         if story.state != "done" or story.submitted_at is None or not story.shape:
             continue
@@ -155,7 +157,7 @@
         usual = median(done[number]) if done[number] else 0.0
         seconds = [min(length, usual) for length in done[number]]
         seconds += [usual] * (step.count - len(seconds))
-        pieces.append(Piece(step.cores, tuple(seconds), step.after))
+        pieces.append(Piece(step.room, tuple(seconds), step.after))
     return tuple(pieces)
 
 
@@ -171,7 +173,8 @@
     planned = Planned("as it was", len(account.works), account.actually_in_time)
     planned.moves = account.moves
     for service, looks in account.sizes.items():
-        planned.instances[service] = _sample(looks, account.cells)
+        counts = _sample(looks, account.cells, 0)
+        planned.instances[service] = [int(count) for count in counts]
     return planned
 
 
@@ -180,34 +183,35 @@
     count = len(account.works)
     planned = Planned("known beforehand", count, count)
     demand = {
-        service: [float(cores) for cores in _sample(looks, account.cells)]
+        service: _sample(looks, account.cells, Amount())
         for service, looks in account.lasting.items()
     }
     for work in account.works:
-        cores = demand.get(work.service, [])
-        for begin, end, taken in _spans(work):
+        taken = demand.get(work.service, [])
+        for begin, end, room in _spans(work):
             over = max(_cell(begin) + 1, _cell(end))
-            for cell in range(_cell(begin), min(len(cores), over)):
-                cores[cell] += taken
-    for service, cores in demand.items():
-        least = _sample(account.spread[service], account.cells)
+            for cell in range(_cell(begin), min(len(taken), over)):
+                taken[cell] += room
+    for service, taken in demand.items():
+        size = account.room[service]
+        least = _sample(account.spread[service], account.cells, 0)
         needs = [
-            max(math.ceil(taken / account.cores[service]), spread)
-            for taken, spread in zip(cores, least, strict=True)
+            max(math.ceil(amount.share_of(size)), int(spread))
+            for amount, spread in zip(taken, least, strict=True)
         ]
         planned.instances[service], moves = keep_over_gaps(needs)
         planned.moves += moves
     return planned
 
 
-def _spans(work: Work) -> Iterable[tuple[float, float, float]]:
-    """Yield begin, end and cores of each task that begins as its turn comes."""
+def _spans(work: Work) -> Iterable[tuple[float, float, Amount]]:
+    """Yield begin, end and room of each task that begins as its turn comes."""
     ends: list[float] = []
     for piece in work.pieces:
         begin = max((ends[n] for n in piece.after if n < len(ends)), default=0.0)
         begin = max(begin, work.submitted_at)
         for seconds in piece.seconds:
-            yield begin, begin + seconds, piece.cores
+            yield begin, begin + seconds, piece.room
         ends.append(begin + max(piece.seconds, default=0.0))
 
 
@@ -247,13 +251,13 @@
 
 
 def _simulate(
-    name: str, account: Account, sizes: Mapping[str, float], adapts: bool
+    name: str, account: Account, sizes: Mapping[str, int], adapts: bool
 ) -> Planned:
     planned = Planned(name, len(account.works))
     for service, size in sizes.items():
         own = [work for work in account.works if work.service == service]
-        lasting = _sample(account.lasting[service], account.cells)
-        pool = _Pool(own, account.cores[service], int(size), adapts)
+        lasting = _sample(account.lasting[service], account.cells, Amount())
+        pool = _Pool(own, account.room[service], size, adapts)
         planned.instances[service] = [
             pool.step(cell * GRID_SECONDS, lasting[cell])
             for cell in range(account.cells)
@@ -287,39 +291,39 @@
 
     job: int
     number: int
-    cores: float
     seconds: float
+    room: Amount = field(compare=False)
 
 
 @dataclass(slots=True)
 class _Pool:
     """Play one pool that gives room in the order of arrival.
 
-    :param cores: of one instance.
+    :param size: the room of one instance.
     """
 
     works: Sequence[Work]
-    cores: float
+    size: Amount
     on: int
     adapts: bool
     in_time: int = 0
     moves: int = 0
     _next: int = 0
-    _used: float = 0.0
+    _used: Amount = field(default_factory=Amount)
     _waiting: deque[_Task] = field(default_factory=deque)
     _running: list[tuple[float, _Task]] = field(default_factory=list)
     _begun: dict[int, _Begun] = field(default_factory=dict)
     _coming: deque[float] = field(default_factory=deque)
     _idle_since: float | None = None
 
-    def step(self, now: float, lasting: float) -> int:
+    def step(self, now: float, lasting: Amount) -> int:
         """Let time pass until now, and return how many instances stand."""
         while self._coming and self._coming[0] <= now:
             self._coming.popleft()
             self.on += 1
         while self._running and self._running[0][0] <= now:
             end, task = heapq.heappop(self._running)
-            self._used -= task.cores
+            self._used -= task.room
             self._ended(task, end)
         while self._next < len(self.works):
             work = self.works[self._next]
@@ -328,10 +332,10 @@
             self._begun[self._next] = _Begun([len(p.seconds) for p in work.pieces])
             self._open(self._next)
             self._next += 1
-        room = self.on * self.cores - lasting
-        while self._waiting and self._used + self._waiting[0].cores <= room:
+        room = self.size * self.on - lasting
+        while self._waiting and (self._used + self._waiting[0].room).fits(room):
             task = self._waiting.popleft()
-            self._used += task.cores
+            self._used += task.room
             heapq.heappush(self._running, (now + task.seconds, task))
         if self.adapts:
             self._adapt(now, lasting)
@@ -342,7 +346,7 @@
         for number in self._begun[job].opens(pieces):
             piece = pieces[number]
             for seconds in piece.seconds:
-                self._waiting.append(_Task(job, number, piece.cores, seconds))
+                self._waiting.append(_Task(job, number, seconds, piece.room))
 
     def _ended(self, task: _Task, end: float) -> None:
         work = self.works[task.job]
@@ -353,14 +357,15 @@
         if not any(begun.left):
             self.in_time += end - work.submitted_at <= work.objective
 
-    def _adapt(self, now: float, lasting: float) -> None:
-        asked = lasting + self._used + sum(task.cores for task in self._waiting)
-        wanted = math.ceil(asked / THRESHOLD / self.cores)
+    def _adapt(self, now: float, lasting: Amount) -> None:
+        waiting = sum((task.room for task in self._waiting), Amount())
+        asked = (lasting + self._used + waiting).share_of(self.size)
+        wanted = math.ceil(asked / THRESHOLD)
         missing = wanted - self.on - len(self._coming)
         for _ in range(missing):
             self._coming.append(now + COMING_SECONDS)
             self.moves += 1
-        if asked > (self.on - 1) * self.cores * THRESHOLD or self.on <= 1:
+        if asked > (self.on - 1) * THRESHOLD or self.on <= 1:
             self._idle_since = None
         elif self._idle_since is None:
             self._idle_since = now
@@ -373,14 +378,14 @@
     return max(0, int(at / GRID_SECONDS))
 
 
-def _sample(looks: Looks, cells: int) -> list[int]:
+def _sample(looks: Sequence[tuple[float, V]], cells: int, first: V) -> list[V]:
     """Return the newest look before each cell of the grid."""
-    sampled: list[int] = []
+    sampled: list[V] = []
     index = 0
-    value = 0.0
+    value = first
     for cell in range(cells):
         while index < len(looks) and looks[index][0] <= cell * GRID_SECONDS:
             value = looks[index][1]
             index += 1
-        sampled.append(math.ceil(value))
+        sampled.append(value)
     return sampled
--- a/mustardward/components/reports/day.py
+++ b/mustardward/components/reports/day.py
@@ -57,20 +57,65 @@
         return 0.0 if self.ended_at is None else self.ended_at - self.started_at
 
 
+@dataclass(frozen=True, slots=True)
+class Amount:
+    """Hold room: cores and MB."""
+
+    cores: float = 0.0
+    memory: float = 0.0
+
+    def __add__(self, other: Amount) -> Amount:
+        """Return both together."""
+        return Amount(self.cores + other.cores, self.memory + other.memory)
+
+    def __sub__(self, other: Amount) -> Amount:
+        """Return what is left without the other."""
+        return Amount(self.cores - other.cores, self.memory - other.memory)
+
+    def __mul__(self, times: float) -> Amount:
+        """Return so many of it."""
+        return Amount(self.cores * times, self.memory * times)
+
+    def fits(self, room: Amount) -> bool:
+        """Return whether it has its place in a room."""
+        return self.cores <= room.cores and self.memory <= room.memory
+
+    def share_of(self, size: Amount) -> float:
+        """Return how many of a size it takes, by what is scarcest there."""
+        memory = self.memory / size.memory if size.memory else 0.0
+        return max(self.cores / max(size.cores, 1e-9), memory)
+
+
 @dataclass(frozen=True, slots=True)
 class PoolLook:
-    """Hold what an owner told of a pool; room in cores.
+    """Hold what an owner told of a pool; room in cores and MB.
 
     :param spread: workers that a step needs by its limit of tasks for each.
     """
 
     at: float
     workers: int
-    capacity: float
-    lasting: float
+    capacity: Amount
+    lasting: Amount
     spread: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class OwnerLook:
+    """Hold what an owner told of itself in one second.
+
+    :param lag: how much too late it came to look at itself, in seconds at most.
+    :param under_way: calls to workers under way, at most.
+    """
+
+    at: float
+    node: str
+    lag: float
+    under_way: int
+    starts: int
+    ends: int
+
+
 @dataclass(slots=True)
 class JobStory:
     """Hold what the logs tell of one job; times in seconds."""
@@ -107,6 +152,7 @@
     outages: list[Span] = field(default_factory=list)
     takeovers: list[Span] = field(default_factory=list)
     pools: dict[str, list[PoolLook]] = field(default_factory=dict)
+    owners: list[OwnerLook] = field(default_factory=list)
     moves: int = 0
 
     def job(self, name: str) -> JobStory:
@@ -186,6 +232,8 @@
     def _read_work(self, event: str, pairs: dict[str, str], at: float) -> None:
         if event == "pool_load":
             _read_pool(self.day, pairs, at)
+        elif event == "owner_load":
+            self.day.owners.append(_owner_look(pairs, at))
         elif event == "move_begun":
             self.day.moves += 1
         else:
@@ -198,13 +246,33 @@
         PoolLook(
             at,
             int(_value(pairs, "workers")),
-            _value(pairs, "capacity") / 1000,
-            _value(pairs, "lasting") / 1000,
+            Amount(_value(pairs, "capacity") / 1000, _value(pairs, "memory")),
+            Amount(_value(pairs, "lasting") / 1000, _value(pairs, "lasting_mb")),
             int(_value(pairs, "spread")),
         )
     )
 
 
+def _owner_look(pairs: dict[str, str], at: float) -> OwnerLook:
+    return OwnerLook(
+        at,
+        pairs.get("node", ""),
+        _value(pairs, "lag_seconds"),
+        int(_value(pairs, "under_way")),
+        int(_value(pairs, "starts_a_second")),
+        int(_value(pairs, "ends_a_second")),
+    )
+
+
+def first_starts(day: Day) -> list[float]:
+    """Return, sorted, the seconds from each job's submission to its first start."""
+    return sorted(
+        min(run.started_at for run in story.runs.values()) - story.submitted_at
+        for story in day.jobs.values()
+        if story.runs and story.submitted_at is not None and not story.lasting
+    )
+
+
 def _read_job(day: Day, event: str, pairs: dict[str, str], at: float) -> None:
     if event == "job_submitted":
         story = day.job(pairs.get("job", ""))
--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -19,6 +19,7 @@
 
     :param workers: that are confirmed and not leaving.
     :param capacity: of these, in thousandths of a core.
+    :param memory: of these, in MB.
     :param lasting: taken or waited for by tasks that last.
     :param running: taken by all others.
     :param waiting: asked for by tasks whose turn has come.
@@ -31,6 +32,7 @@
 
     workers: int = 0
     capacity: int = 0
+    memory: int = 0
     lasting: Amount = field(default_factory=Amount)
     running: Amount = field(default_factory=Amount)
     waiting: Amount = field(default_factory=Amount)
@@ -48,8 +50,11 @@
             service=service,
             workers=load.workers,
             capacity=load.capacity,
+            memory=load.memory,
             lasting=load.lasting.cpu,
+            lasting_mb=load.lasting.mem_mb,
             running=load.running.cpu,
+            running_mb=load.running.mem_mb,
             waiting=load.waiting.cpu,
             backlog=load.backlog.cpu,
             left=load.left.cpu,
@@ -67,6 +72,7 @@
         if worker.confirmed and not worker.leaving and not worker.absent:
             load.workers += 1
             load.capacity += worker.capacity.cpu
+            load.memory += worker.capacity.mem_mb
         for task in worker.tasks.values():
             steps[id(task.step)] = task.step
             if task.step.spec.long_running:
--- a/mustardward/components/scheduling/run_lines.py
+++ b/mustardward/components/scheduling/run_lines.py
@@ -25,19 +25,27 @@
 
 @dataclass(slots=True)
 class RunLines:
-    """Gather what is to be told, by event and job."""
+    """Gather what is to be told, by event and job.
 
+    :param started_count: runs that were told as started, since the begin.
+    :param ended_count: the same of those that ended.
+    """
+
+    started_count: int = 0
+    ended_count: int = 0
     _gathered: dict[Key, list[str]] = field(default_factory=lambda: defaultdict(list))
 
     def started(
         self, task: Task, worker: WorkerState, waited: float, expected: float
     ) -> None:
         """Take in a start; how long the task waited, and should run, in seconds."""
+        self.started_count += 1
         text = f"{_place(task)}:{task.run}@{worker.id}+{waited:.3f}~{expected:.2f}"
         self._gathered["runs_started", task.step.job.record.id].append(text)
 
     def ended(self, worker: WorkerState, ended: EndedTask, own: bool) -> None:
         """Take in an end; a run that was not the task's newest is marked as stray."""
+        self.ended_count += own
         name = ended.task
         text = f"{name.occurrence}.{name.step}.{name.index}:{ended.run}@{worker.id}"
         text += f"={ended.how}" + ("" if own else "/stray")
--- a/mustardward/helpers/instruments.py
+++ b/mustardward/helpers/instruments.py
@@ -53,6 +53,17 @@
     buckets=_FAST,
     registry=REGISTRY,
 )
+LOOP_LAG_SECONDS: Final = Histogram(
+    "mustardward_loop_lag_seconds",
+    "How much too late an owner's looks at itself came.",
+    buckets=_FAST,
+    registry=REGISTRY,
+)
+CALLS_UNDER_WAY: Final = Gauge(
+    "mustardward_calls_under_way",
+    "Calls to workers that an owner has under way.",
+    registry=REGISTRY,
+)
 ENDS: Final = Counter(
     "mustardward_ends",
     "Runs that ended, by how.",
--- a/tests/components/reports/test_bound.py
+++ b/tests/components/reports/test_bound.py
@@ -16,7 +16,7 @@
     keep_over_gaps,
     parse_shape,
 )
-from mustardward.components.reports.day import read_day
+from mustardward.components.reports.day import Amount, read_day
 
 from .test_day import line
 
@@ -27,7 +27,7 @@
     """Return the lines of a job: four tasks of two cores, then one more."""
     first = ",".join(f"0.0.{n}:{n}@w+0.0~1.0" for n in range(4))
     ends = ",".join(f"0.0.{n}:{n}@w=done" for n in range(4))
-    shape = "4x2;1x2<0"
+    shape = "4x2x0;1x2x0<0"
     return [
         line(at, "job_submitted", job=name, service="p", shape=shape, outcome="stored"),
         line(at, "runs_started", job=name, runs=first),
@@ -60,9 +60,9 @@
 
 
 def test_shapes_are_read_as_the_front_writes_them() -> None:
-    assert parse_shape("8x9;1x2.5<0,1") == (
-        StepShape(8, 9.0),
-        StepShape(1, 2.5, (0, 1)),
+    assert parse_shape("8x9x512;1x2.5x64<0,1") == (
+        StepShape(8, Amount(9.0, 512)),
+        StepShape(1, Amount(2.5, 64), (0, 1)),
     )
     assert parse_shape("") == ()
 
@@ -85,6 +85,15 @@
     assert min(least.instances["p"]) == 3
 
 
+def test_what_is_scarcest_bounds() -> None:
+    """Tasks of a quarter of the cores and all of the memory take an instance each."""
+    lines = [
+        text.replace("4x2x0", "4x1x100").replace("lasting=", "memory=500 lasting=")
+        for text in a_day()
+    ]
+    assert max(by_name(lines)["known beforehand"].instances["p"]) == 8
+
+
 def test_simple_planners_are_played_on_the_same_jobs() -> None:
     planned = by_name(a_day())
     assert planned["all kept on"].share_in_time == 0.5
