Tell the log in which data centres a job may start, before it starts

Cause: starts are not stored, so that after a change of owner every job that the owner before had taken in was held until all workers were heard of or their leases had run out. Ruled out: storing each start (a thousand appends a second); a shorter lease, which a pause of the owner would run out. A job's record names its data centres; a successor releases it once all workers of these were heard of.

--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -131,6 +131,17 @@
             if instance.id and instance.state == INSTANCE_UP
         }
 
+    def listed_zones(self) -> dict[str, str] | None:
+        """Return the data centres of the workers that the list names as up, or None."""
+        listed = self.listed_workers()
+        if listed is None:
+            return None
+        return {
+            instance.id: instance.zone
+            for instance in self._instances.values()
+            if instance.id and instance.id in listed
+        }
+
     def _drop_gone(self, read_at: float) -> None:
         """Lose the silent workers whose incarnation the list shows as over.
 
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -75,12 +75,17 @@
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True):
-    """Hold how far a job is; ``ended_at`` is wall clock, in seconds, or 0."""
+    """Hold how far a job is; ``ended_at`` is wall clock, in seconds, or 0.
+
+    :param zones: the data centres in which something of it may have started; empty if
+        that may be any.
+    """
 
     state: JobState
     steps: list[StepMark] = []
     tasks: list[TaskMark] = []
     ended_at: float = 0.0
+    zones: list[str] = []
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -48,12 +48,37 @@
         self.wake()
 
     def release(self) -> None:
-        """Start again what was held, once every worker was heard of."""
+        """Start again what was held, once every worker that may run it was heard of."""
+        accounted = self._accounted()
+        if accounted != self.board.accounted:
+            self.board.accounted = accounted
+            self.wake()
         if not self._all_heard():
             return
         self.board.held_until = 0.0
         _LOGGER.info("takeover_complete", epoch=self.epoch)
 
+    def _accounted(self) -> frozenset[str]:
+        """Return the data centres all of whose workers told what they run.
+
+        One of which no worker was heard is none of them: its workers may be in neither
+        entries nor list, for they are cut off from both.
+        """
+        listed = self.fleet.listed_zones() if self.fleet is not None else {}
+        if listed is None:
+            return frozenset()
+        workers = self.board.workers
+        heard = {worker.zone for worker in workers.values() if worker.confirmed}
+        silent = {
+            workers[name].zone for name in self.dispatcher.unheard() if name in workers
+        }
+        unknown = {
+            zone
+            for name, zone in listed.items()
+            if name not in self.dispatcher.sessions
+        }
+        return frozenset(heard - silent - unknown - {""})
+
     def _all_heard(self) -> bool:
         """Return whether every worker that may run something told what it runs.
 
--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -39,6 +39,7 @@
     :param held_until: until when workers that were not heard of may run what an owner
         before started.
     :param coming: processor of the instances on their way to a pool.
+    :param accounted: data centres all of whose workers told what they run.
     """
 
     epoch: int
@@ -50,6 +51,7 @@
     dirty: dict[str, Job] = field(default_factory=dict)
     ready: dict[int, StepRun] = field(default_factory=dict)
     held_until: float = 0.0
+    accounted: frozenset[str] = frozenset()
     coming: dict[str, int] = field(default_factory=dict)
     taken_over_at: float = 0.0
     _commands: list[Command] = field(default_factory=list)
@@ -80,6 +82,12 @@
             return None
         return step.tasks[name.index]
 
+    def is_held(self, job: Job, now: float) -> bool:
+        """Return whether what an owner before started of a job may still run unseen."""
+        if not job.held or now >= self.held_until:
+            return False
+        return job.open_zones is None or not job.open_zones <= self.accounted
+
     def mark_dirty(self, job: Job) -> None:
         """Note that a job's progress has to be stored."""
         self.dirty[job.record.id] = job
@@ -215,7 +223,7 @@
             for task in step.tasks
             if task.phase is not Phase.DONE and (task.failed_runs or task.checkpoint)
         ]
-        return Progress(job.state, steps, tasks)
+        return Progress(job.state, steps, tasks, zones=sorted(job.zones or ()))
 
     def _occupy(self, task: Task, worker: WorkerState, run: int) -> None:
         step = task.step
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -11,6 +11,7 @@
 from .const import LATE_FACTOR
 from .inflow import RECENT_SECONDS, Amount
 from .models import Job, Phase, QueuePolicy, StepRun, Task
+from .zones import Zones
 
 OCCURRENCE_MARGIN_SECONDS = 0.03
 """Clocks differ a little; a timed occurrence must never begin before its time."""
@@ -21,6 +22,7 @@
     """Turn accepted jobs into steps and tasks."""
 
     board: Board
+    zones: Zones
 
     def add(self, ledger_job: LedgerJob, now: float, wall: float) -> None:
         """Take a job in, with what is stored of it."""
@@ -35,11 +37,14 @@
         self.board.jobs[record.id] = job
         progress = ledger_job.progress
         if progress is None:
+            self.zones.choose(job)
             self.board.mark_dirty(job)
         else:
             job.stored = True
             job.held = True
             job.state = progress.state
+            job.zones = frozenset(progress.zones) or None
+            job.open_zones = job.sent_zones = job.zones
             self._restore(job, progress)
         if not record.times:
             self._open_occurrence(job, 0, now)
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -140,6 +140,11 @@
     :param held: whether an owner before had taken it in, and may have started it.
     :param home: where its short tasks go while there is room: a job is done once all of
         them are, so that a loss should take all tasks of few jobs, not some of most.
+    :param zones: the data centres in which it is to start, or None for any.
+    :param open_zones: those of which the log is known to have been told: it starts
+        nowhere else.
+    :param sent_zones: those that the record on its way to the log names.
+    :param work: in core seconds, as expected when it was taken in.
     """
 
     record: JobRecord
@@ -153,6 +158,10 @@
     stored: bool = False
     held: bool = False
     home: Place | None = None
+    zones: frozenset[str] | None = None
+    open_zones: frozenset[str] | None = None
+    sent_zones: frozenset[str] | None = None
+    work: float = 0.0
 
     @property
     def occurrences(self) -> int:
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from collections import Counter, defaultdict
 from collections.abc import Set
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ...platform.models import Room
 from .board import Board
 from .models import AskAdvice, StepRun, Task, WorkerState
 from .order import Capacity, Order, prioritise
 from .placement import Shortlist, choose_gang, choose_home, usable
+from .zones import Zones
 
 ADVICE_SECONDS = 2.0
 """Longest wait for advice before it is asked again."""
@@ -18,11 +20,68 @@
 """Until an instance that is on its way takes work, from half of its way on."""
 
 
+Where = frozenset[str] | None
+
+
+@dataclass(slots=True, eq=False)
+class _Offers:
+    """Hold a pool's workers in one plan, and the rooms that were found too large.
+
+    :param by_zone: the workers of each data centre.
+    """
+
+    workers: list[WorkerState]
+    by_zone: dict[str, list[WorkerState]] = field(default_factory=dict)
+    _lists: dict[Where, list[WorkerState]] = field(default_factory=dict)
+    _full: dict[Where, list[Room]] = field(default_factory=lambda: defaultdict(list))
+    _nowhere: list[Room] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        """Part the workers by data centre."""
+        self._part()
+
+    def _part(self) -> None:
+        by_zone: dict[str, list[WorkerState]] = defaultdict(list)
+        for worker in self.workers:
+            by_zone[worker.zone].append(worker)
+        self.by_zone = dict(by_zone)
+        self._lists = {None: self.workers}
+
+    def of(self, where: Where) -> list[WorkerState]:
+        """Return the workers of some data centres, or of all."""
+        found = self._lists.get(where)
+        if found is None:
+            zones = sorted(where or ())
+            found = [w for zone in zones for w in self.by_zone.get(zone, ())]
+            self._lists[where] = found
+        return found
+
+    def fits_nowhere(self, step: StepRun) -> bool:
+        """Return whether a step needs as much as what no worker of the pool has."""
+        return _covers(self._nowhere, step.room)
+
+    def may_fit(self, step: StepRun) -> bool:
+        """Return whether its own data centres may have room for a step."""
+        return not _covers(self._full[step.job.open_zones], step.room)
+
+    def note_full(self, step: StepRun, everywhere: bool) -> None:
+        """Take in that a step's tasks have no room where they may start."""
+        self._full[step.job.open_zones].append(step.room)
+        if everywhere:
+            self._nowhere.append(step.room)
+
+    def keep_emptiest(self) -> None:
+        """Give the emptiest worker to nobody else in this plan."""
+        self.workers = _without_emptiest(self.workers)
+        self._part()
+
+
 @dataclass(slots=True, eq=False)
 class Planner:
     """Place what is ready, the most urgent first."""
 
     board: Board
+    zones: Zones
     order: Order | None = None
 
     def run(self, now: float) -> None:
@@ -46,25 +105,39 @@
         ranked = prioritise(
             steps, now, self.board.estimates, self._capacity(workers, now), self.order
         )
-        too_large: list[Room] = []
+        offers = _Offers(workers)
+        promised = self._on_the_way(steps)
         for step in ranked:
-            if not workers:
+            if not offers.workers:
                 return
-            if self._held(step, now) or _covers(too_large, step.room):
+            if self.board.is_held(step.job, now) or offers.fits_nowhere(step):
                 continue
-            if step.job.policy.advice and not self._has_advice(step, workers, now):
+            allowed = offers.of(step.job.open_zones)
+            if step.job.policy.advice and not self._has_advice(step, allowed, now):
                 continue
             if step.spec.gang:
-                self._place_gang(step, workers, now)
+                self._place_gang(step, allowed, now)
                 continue
-            if self._place_tasks(step, workers, now):
+            if offers.may_fit(step) and self._place_tasks(step, allowed, now):
                 continue
             if step.spec.long_running:
                 # A task that lasts would wait for ever while shorter ones take each
                 # small hole: the emptiest worker is kept for it.
-                workers = _without_emptiest(workers)
-            elif not _restricted(step):
-                too_large.append(step.room)
+                offers.keep_emptiest()
+                continue
+            elsewhere = self.zones.widen(step, offers.by_zone, promised)
+            if not _restricted(step):
+                offers.note_full(step, everywhere=not elsewhere)
+
+    def _on_the_way(self, steps: list[StepRun]) -> Counter[str]:
+        """Return the room that is promised to jobs whose next data centre is told."""
+        promised: Counter[str] = Counter()
+        for step in steps:
+            job = step.job
+            if job.zones is not None and job.zones != job.open_zones:
+                for zone in job.zones - (job.open_zones or frozenset()):
+                    promised[zone] += step.room.cpu * len(step.waiting)
+        return promised
 
     def _capacity(self, workers: list[WorkerState], now: float) -> Capacity:
         here = sum(worker.capacity.cpu for worker in workers)
@@ -80,14 +153,11 @@
     def _left(self, task: Task, now: float) -> float:
         return self.board.estimates.seconds(task.step) - (now - task.started_at)
 
-    def _held(self, step: StepRun, now: float) -> bool:
-        return step.job.held and now < self.board.held_until
-
     def _place_tasks(
         self, step: StepRun, workers: list[WorkerState], now: float
     ) -> bool:
         """Return whether all tasks of a step found a worker."""
-        if step.job.home is None:
+        if step.job.home is None and workers:
             step.job.home = choose_home(workers)
         shortlist: Shortlist | None = None
         avoided: Set[str] = frozenset()
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -27,6 +27,7 @@
 from .pacing import Pacing
 from .planner import Planner
 from .reports import Reports
+from .zones import Zones
 
 _LOGGER = get_logger(__name__)
 
@@ -45,12 +46,13 @@
 
     def __init__(self, epoch: int, policy_of: PolicyLookup, order: str = "") -> None:
         self.board = Board(epoch, policy_of)
-        self.intake = Intake(self.board)
+        zones = Zones(self.board)
+        self.intake = Intake(self.board, zones)
         self.health = Health(self.board)
         self.reports = Reports(self.board, self.intake, self.health)
         self.pacing = Pacing(self.board)
         self._evacuation = Evacuation(self.board)
-        self._planner = Planner(self.board, ORDERS.get(order))
+        self._planner = Planner(self.board, zones, ORDERS.get(order))
         self._ending: dict[str, Job] = {}
         self._look_at = -math.inf
 
@@ -64,6 +66,7 @@
             job = self.board.jobs.get(job_id)
             if job is not None:
                 job.stored = True
+                job.open_zones = job.sent_zones
 
     def cancel_job(self, job_id: str) -> None:
         """End a job that a caller cancelled."""
@@ -186,6 +189,7 @@
             (job_id, self.board.progress(job, wall)) for job_id, job in dirty.items()
         ]
         for job_id, job in dirty.items():
+            job.sent_zones = job.zones
             if job.state.final and job_id not in self._ending:
                 self._ending[job_id] = job
                 _LOGGER.info(
--- /dev/null
+++ b/mustardward/components/scheduling/zones.py
@@ -0,0 +1,116 @@
+"""Choose the data centres in which a job may start; the log is told of them first.
+
+Symptom without it: a data centre is cut off with the owner in it, and for five seconds
+nothing starts of any job that the owner had taken in, wherever there is room.
+Cause: starts are not stored, so that each of those jobs might run on a worker that the
+next owner can't ask. With the data centres stored before anything of a job starts, only
+jobs that may run in one that is cut off wait for its leases to run out.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from ...helpers.policies import switchable
+from .board import Board
+from .models import Job, StepRun, WorkerState
+from .placement import fits, may_run
+
+ByZone = Mapping[str, Sequence[WorkerState]]
+
+
+def _choose_none(zones: Zones, /, job: Job) -> None:
+    """Let a job start in any data centre."""
+
+
+@dataclass(slots=True, eq=False)
+class Zones:
+    """Choose data centres by the work that was promised to their workers."""
+
+    board: Board
+
+    @switchable(
+        "zones-told",
+        "a data centre that is cut off holds up the jobs that may run in it, no others",
+        without=_choose_none,
+    )
+    def choose(self, job: Job) -> None:
+        """Choose where a job that was just taken in may start.
+
+        Lasting tasks spread, a gang needs much room at once, and advice names workers
+        anywhere: these go anywhere.
+        """
+        if any(step.long_running or step.gang for step in job.record.steps):
+            return
+        if job.policy.advice:
+            return
+        capacity = self._capacity(job)
+        if not capacity or "" in capacity:
+            return
+        job.work = self.board.estimates.work_left(job)
+        promised = self._promised(job)
+        near = self._near_data(job) & set(capacity)
+        if near:
+            job.zones = frozenset(near)
+            return
+        best = min(
+            sorted(capacity),
+            key=lambda zone: (promised[zone] + job.work) / capacity[zone],
+        )
+        job.zones = frozenset((best,))
+
+    def widen(self, step: StepRun, by_zone: ByZone, promised: Counter[str]) -> bool:
+        """Let a job start in one data centre more, where there is room for its step.
+
+        :param promised: room given away like that in this plan; it is added to.
+        :returns: whether any data centre has room for one of the step's tasks.
+        """
+        job = step.job
+        if job.zones is None:
+            return False
+        if job.zones != job.open_zones:
+            # The log is being told.
+            return True
+        room = step.room
+        free: dict[str, int] = {}
+        for zone, workers in by_zone.items():
+            if zone not in job.zones:
+                able = [w for w in workers if fits(w, room) and may_run(w, step)]
+                free[zone] = sum(worker.free_cpu for worker in able)
+        free = {zone: cpu for zone, cpu in free.items() if cpu > 0}
+        if not free:
+            return False
+        best = max(sorted(free), key=lambda zone: free[zone] - promised[zone])
+        if free[best] - promised[best] >= room.cpu:
+            promised[best] += room.cpu * len(step.waiting)
+            job.zones = job.zones | {best}
+            self.board.mark_dirty(job)
+        return True
+
+    def _capacity(self, job: Job) -> dict[str, int]:
+        """Return the processors of the job's pool by data centre."""
+        capacity: Counter[str] = Counter()
+        for worker in self.board.workers.values():
+            usable = worker.confirmed and not (worker.leaving or worker.draining)
+            if worker.service == job.policy.service and usable and not worker.absent:
+                capacity[worker.zone] += worker.capacity.cpu
+        return {zone: cpu for zone, cpu in capacity.items() if cpu > 0}
+
+    def _promised(self, job: Job) -> Counter[str]:
+        promised: Counter[str] = Counter()
+        for other in self.board.jobs.values():
+            if other.zones and not other.state.final:
+                if other.policy.service == job.policy.service:
+                    for zone in other.zones:
+                        promised[zone] += round(other.work / len(other.zones))
+        return promised
+
+    def _near_data(self, job: Job) -> set[str]:
+        racks = {step.data_rack for step in job.record.steps if step.data_rack}
+        return {
+            worker.zone
+            for worker in self.board.workers.values()
+            if racks and worker.service == job.policy.service and worker.rack in racks
+        }
--- a/tests/components/ownership/test_takeover.py
+++ b/tests/components/ownership/test_takeover.py
@@ -22,6 +22,7 @@
         self.bench = SchedulerBench(epoch=2)
         self.board = self.bench.scheduler.board
         self.unheard = ["w1", "w2"]
+        self.listed_zones: dict[str, str] | None = {}
         self.woken = 0
         for name, pool in (("w1", POOL), ("w2", OTHER)):
             entry = an_entry(service=pool)
@@ -34,7 +35,9 @@
         dispatcher: Any = SimpleNamespace(
             unheard=lambda: self.unheard, sessions=sessions
         )
-        fleet: Any = SimpleNamespace(listed_workers=lambda: listed)
+        fleet: Any = SimpleNamespace(
+            listed_workers=lambda: listed, listed_zones=lambda: self.listed_zones
+        )
         self.takeover = Takeover(
             2, self.board, dispatcher, DrivenTimerService(), self._wake, fleet
         )
@@ -95,3 +98,40 @@
     board = SchedulerBench().scheduler.board
     hold(board, OwnerRecord(2, "c", "", 5, settled=False), NOW)
     assert board.held_until == lease_bound(NOW) + AUTHORITY_SECONDS
+
+
+def with_zones(listed: dict[str, str] | None) -> TakeoverBench:
+    """Return a takeover whose workers stand in two data centres; w1 has answered."""
+    bench = TakeoverBench({"w1": POOL, "w2": OTHER})
+    bench.listed_zones = listed
+    for name, zone in (("w1", "z1"), ("w2", "z2")):
+        bench.board.workers[name].zone = zone
+    bench.board.workers["w1"].confirmed = True
+    bench.unheard = ["w2"]
+    bench.look()
+    return bench
+
+
+def test_a_data_centre_is_accounted_for_once_all_its_workers_were_heard_of() -> None:
+    bench = with_zones({"w1": "z1", "w2": "z2"})
+    assert bench.board.accounted == {"z1"}
+    assert bench.woken == 1
+    assert bench.board.held_until > 0
+
+
+def test_a_worker_that_only_the_list_names_keeps_its_data_centre_open() -> None:
+    assert with_zones({"w1": "z1", "w9": "z1"}).board.accounted == frozenset()
+
+
+def test_no_data_centre_is_accounted_for_before_the_list_was_read() -> None:
+    assert with_zones(None).board.accounted == frozenset()
+
+
+def test_a_data_centre_of_which_nobody_was_heard_is_not_accounted_for() -> None:
+    """Its workers may have lapsed from entries and list, and run on behind a cut."""
+    bench = with_zones({"w1": "z1"})
+    del bench.board.workers["w2"]
+    bench.unheard = []
+    bench.listed_zones = {"w1": "z1", "w8": "z3"}
+    bench.look()
+    assert bench.board.accounted == {"z1"}
--- /dev/null
+++ b/tests/components/scheduling/test_zones.py
@@ -0,0 +1,184 @@
+"""Test in which data centres a job may start, and what that is worth at a takeover."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mustardward.components.ledger.ledger import LedgerJob
+from mustardward.components.ledger.models import JobState, Progress
+from mustardward.components.scheduling.models import Start, WorkerState
+from mustardward.platform.models import ENDED_DONE
+
+from .builders import JOB, SchedulerBench, a_job, a_step
+
+ZONES = ("z1", "z2", "z3")
+
+
+def a_bench(workers: int = 1, **changes: object) -> SchedulerBench:
+    """Return a bench with so many workers in each of three data centres."""
+    bench = SchedulerBench(**changes)  # type: ignore[arg-type]
+    for zone in ZONES:
+        for number in range(workers):
+            bench.worker(f"{zone}-{number}", zone=zone)
+    return bench
+
+
+def store(bench: SchedulerBench) -> dict[str, Progress]:
+    """Store what is due, and return it."""
+    records = dict(bench.scheduler.take_dirty(bench.now, bench.now))
+    bench.scheduler.note_stored(records)
+    return records
+
+
+def zones_of(bench: SchedulerBench, starts: list[Start]) -> set[str]:
+    return {bench.scheduler.board.workers[start.worker].zone for start in starts}
+
+
+def taken_in(*zones: str, job: str = JOB) -> LedgerJob:
+    """Return a job that an owner before may have started in these data centres."""
+    found = a_job(job=job)
+    found.progress = Progress(JobState.RUNNING, zones=list(zones))
+    return found
+
+
+def test_a_job_starts_in_the_data_centre_that_its_record_names() -> None:
+    bench = a_bench()
+    bench.add(a_job(a_step(count=4)), stored=False)
+    assert bench.plan_starts() == []
+    records = store(bench)
+    (zone,) = records[JOB].zones
+    starts = bench.plan_starts()
+    assert (len(starts), zones_of(bench, starts)) == (4, {zone})
+
+
+def test_it_starts_in_another_one_only_once_the_log_was_told() -> None:
+    """Else the next owner would take it for accounted for, and start it again."""
+    bench = a_bench()
+    bench.add(a_job(a_step(count=12)), stored=False)
+    first = store(bench)[JOB].zones
+    starts = bench.plan_starts()
+    assert len(starts) == 8
+    assert bench.plan_starts() == []
+    told = bench.scheduler.take_dirty(bench.now, bench.now)
+    ((_, progress),) = told
+    assert set(first) < set(progress.zones) and len(progress.zones) == 2
+    assert bench.plan_starts() == []
+    bench.scheduler.note_stored([JOB])
+    more = bench.plan_starts()
+    assert zones_of(bench, more) == set(progress.zones) - set(first)
+    assert len(more) == 4
+
+
+def test_jobs_that_come_together_are_spread_over_the_data_centres() -> None:
+    bench = a_bench(workers=2)
+    for number in range(6):
+        bench.add(a_job(a_step(count=4), job=f"{number:016x}"), stored=False)
+    zones = [zone for record in store(bench).values() for zone in record.zones]
+    assert sorted(zones) == sorted(ZONES * 2)
+
+
+def test_a_job_goes_where_its_data_is() -> None:
+    bench = SchedulerBench()
+    for zone, rack in (("z1", "r1"), ("z2", "r2")):
+        bench.worker(zone, zone=zone, labels=["a", rack])
+    for number in range(3):
+        bench.add(a_job(a_step(data_rack="r2"), job=f"{number:016x}"), stored=False)
+    assert {tuple(record.zones) for record in store(bench).values()} == {("z2",)}
+
+
+def test_what_lasts_or_is_a_gang_may_start_anywhere() -> None:
+    bench = a_bench()
+    for number, step in enumerate((a_step(long_running=True), a_step(gang=True))):
+        bench.add(a_job(step, job=f"{number:016x}"), stored=False)
+    assert all(record.zones == [] for record in store(bench).values())
+    assert len(bench.plan_starts()) == 4
+
+
+def test_a_data_centre_that_is_cut_off_holds_up_only_its_own_jobs() -> None:
+    """Symptom: for 5 s after a change of owner nothing started of 201 jobs.
+
+    Sequence: a data centre was cut off with the owner in it; the next owner heard of
+    all workers elsewhere at once, and of those behind the cut never. Cause: starts are
+    not stored, so each job that the owner before had taken in might run behind the cut.
+    """
+    bench = SchedulerBench(epoch=2)
+    board = bench.scheduler.board
+    board.taken_over_at = bench.now
+    board.held_until = bench.now + 8.0
+    bench.worker("z1-0", zone="z1")
+    bench.worker("z2-0", zone="z2")
+    for number, zones in enumerate((["z1"], ["z3"], ["z1", "z3"], [])):
+        bench.add(taken_in(*zones, job=f"{number:016x}"))
+    assert bench.plan_starts() == []
+    board.accounted = frozenset({"z1", "z2"})
+    starts = bench.plan_starts()
+    assert {start.task.step.job.record.id for start in starts} == {f"{0:016x}"}
+    bench.now += 9.0
+    starts = bench.plan_starts()
+    assert {start.task.step.job.record.id for start in starts} >= {f"{2:016x}"}
+
+
+def test_a_job_whose_data_centre_went_goes_elsewhere_once_the_log_was_told() -> None:
+    bench = a_bench()
+    bench.add(a_job(), stored=False)
+    (zone,) = store(bench)[JOB].zones
+    worker = bench.scheduler.board.workers[f"{zone}-0"]
+    worker.stale = True
+    assert bench.plan_starts() == []
+    assert len(store(bench)[JOB].zones) == 2
+    assert len(bench.plan_starts()) == 2
+
+
+def test_room_for_one_task_does_not_send_every_waiting_job_there() -> None:
+    """Each job that goes on in one data centre more is held up by one cut more."""
+    bench = a_bench()
+    for worker in bench.scheduler.board.workers.values():
+        worker.free_cpu = 0
+    for number in range(9):
+        bench.add(a_job(a_step(count=1), job=f"{number:016x}"), stored=False)
+    first = {job: record.zones for job, record in store(bench).items()}
+    bench.plan()
+    bench.scheduler.board.workers["z1-0"].free_cpu = 1000
+    bench.plan()
+    widened = [
+        job for job, record in store(bench).items() if record.zones != first[job]
+    ]
+    assert len(widened) <= 1
+
+
+def _busy(workers: list[WorkerState]) -> list[WorkerState]:
+    return [worker for worker in workers if worker.tasks]
+
+
+@given(st.integers(0, 10_000))
+def test_nothing_ever_starts_where_the_log_does_not_name(seed: int) -> None:
+    """Whatever comes when: a start follows a record that names its data centre."""
+    chance = random.Random(seed)
+    bench = a_bench(workers=chance.randint(1, 2))
+    log: dict[str, set[str]] = {}
+    under_way: dict[str, Progress] = {}
+    for number in range(40):
+        move = chance.randrange(5)
+        if move == 0:
+            step = a_step(count=chance.randint(1, 9), cpu=chance.choice([1000, 3000]))
+            bench.add(a_job(step, job=f"{number:016x}"), stored=False)
+        elif move == 1 and not under_way:
+            under_way = dict(bench.scheduler.take_dirty(bench.now, bench.now))
+        elif move == 2:
+            for job, record in under_way.items():
+                log[job] = set(record.zones)
+            bench.scheduler.note_stored(under_way)
+            under_way = {}
+        elif move == 3:
+            for worker in _busy(list(bench.scheduler.board.workers.values()))[:1]:
+                bench.end(next(iter(worker.tasks.values())), ENDED_DONE)
+        else:
+            worker = chance.choice(list(bench.scheduler.board.workers.values()))
+            worker.stale = not worker.stale
+        bench.now += 0.01
+        for start in bench.plan_starts():
+            zone = bench.scheduler.board.workers[start.worker].zone
+            assert zone in log[start.task.step.job.record.id]
