Learn from the log what became of an append without an answer

Cause: the store carried appends out for five seconds and lost their answers, while it answered reads. Change: after 0.15 s without an answer the entry reads the log; a record of the append in it is as good as its answer.

--- a/mustardward/components/ledger/appender.py
+++ b/mustardward/components/ledger/appender.py
@@ -20,6 +20,7 @@
 )
 from ...platform.store import Producer
 from .const import FIRST_RETRY_SECONDS, RETRY_SECONDS
+from .sighting import Sighting, async_or_seen
 
 _LOGGER = get_logger(__name__)
 
@@ -57,6 +58,8 @@
     twice: an append whose answer is lost is repeated under its own number until the log
     says what became of it, and nothing else is appended before. The log drops the
     repeat of a number it has seen.
+
+    :param sighting: shows an append in the log though its answer does not come.
     """
 
     call: AppendCall
@@ -64,6 +67,7 @@
     producer: str
     epoch: int
     sequence: int = 0
+    sighting: Sighting | None = None
     fenced: bool = False
     failing_since: float | None = None
     _waiting: list[_Entry] = field(default_factory=list)
@@ -120,8 +124,10 @@
         records = [record for entry in batch for record in entry.records]
         may_be_stored = False
         pause = FIRST_RETRY_SECONDS
+        if self.sighting is not None:
+            self.sighting.expect(records)
         while True:
-            outcome = await self._async_try(records)
+            outcome = await self._async_try_or_see(records)
             if outcome is Outcome.STORED:
                 self._stored(batch)
                 return
@@ -137,6 +143,26 @@
             await self.timers.async_sleep(pause)
             pause = min(RETRY_SECONDS, pause * 2)
 
+    async def _async_try_or_see(self, records: list[Record]) -> Outcome:
+        """Make one call; what the log shows meanwhile is as good as its answer."""
+        sighting = self.sighting
+        if sighting is None or not sighting.possible:
+            return await self._async_try(records)
+        if sighting.seen:
+            return Outcome.STORED
+        outcome = await async_or_seen(
+            self.timers,
+            lambda: self._async_try(records),
+            sighting.look,
+            lambda: sighting.seen,
+        )
+        if outcome is Outcome.UNKNOWN:
+            await sighting.look()
+        if outcome is None or (outcome is Outcome.UNKNOWN and sighting.seen):
+            _LOGGER.info("append_seen", producer=self.producer, records=len(records))
+            return Outcome.STORED
+        return outcome
+
     async def _async_try(self, records: list[Record]) -> Outcome:
         """Make one call; return what it alone says of the records."""
         try:
--- a/mustardward/components/ledger/const.py
+++ b/mustardward/components/ledger/const.py
@@ -20,6 +20,11 @@
 PREFIX_WAVE: Final = "w/"
 PREFIX_NODE: Final = "n/"
 
+MARKS_OF_ENTRIES: Final = (PREFIX_JOB, PREFIX_CANCEL, PREFIX_TOLD)
+MARKS_OF_OWNERS: Final = (KEY_OWNER,)
+"""Keys whose values hold the moment or the renewal that they were written for, so that
+no two appends of their writers have the same."""
+
 RETRY_SECONDS: Final = 0.08
 """Pause after a refused call; the store's own answers take some 6 ms."""
 
--- a/mustardward/components/ledger/follower.py
+++ b/mustardward/components/ledger/follower.py
@@ -66,6 +66,7 @@
         their records were not to be had.
     :param gap_seconds: shortest time between two reads of the tail.
     :param entries: returns how many entries follow the topic.
+    :param watchers: called with each record of the tail, once it is folded.
     :param paced: whether the gap grows with their number, unless one is in a hurry: for
         a topic that changes all the time.
     :param node: names this entry in the lines that tell of an outage: what one entry
@@ -85,6 +86,7 @@
     fresh_at: float = -1.0
     failing_since: float | None = None
     on_change: Callable[[], None] | None = None
+    watchers: list[Callable[[KeyedRecord], None]] = field(default_factory=list)
     _hurry_gap: float | None = None
     _loaded: anyio.Event = field(default_factory=anyio.Event)
     _confirming: anyio.Lock = field(default_factory=anyio.Lock)
@@ -199,6 +201,8 @@
         fresh = [record for record in page.records if record.offset >= self.offset]
         for record in fresh:
             self.apply(record)
+            for watch in self.watchers:
+                watch(record)
         self.offset = max(self.offset, page.next_offset)
         if fresh and self.on_change is not None:
             self.on_change()
--- /dev/null
+++ b/mustardward/components/ledger/sighting.py
@@ -0,0 +1,93 @@
+"""Learn from the log itself what became of a call to it whose answer does not come.
+
+Symptom without it: the store carries appends out and loses their answers for five
+seconds, while it answers reads. Each entry repeats its first append, 0.7 s a try, and
+holds all others back; the owner's renewals stop, sixty entries claim the shard, and
+callers are told 504 for jobs that the log has had all the while.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Final, TypeVar
+
+import anyio
+
+from ...exceptions import MustardwardError
+from ...helpers.timer import TimerService
+from ...platform.store import KeyedRecord
+
+T = TypeVar("T")
+
+LOOK_SECONDS: Final = 0.15
+"""Time after which an answer is overdue, and between two reads for what it would say:
+an answer takes some 6 ms, so a store that is slow or away is asked little more."""
+
+
+async def async_or_seen(
+    timers: TimerService,
+    call: Callable[[], Awaitable[T]],
+    look: Callable[[], Awaitable[object]],
+    is_seen: Callable[[], bool],
+) -> T | None:
+    """Make a call; return None as soon as the log shows that it was carried out.
+
+    :param look: reads the log up to its end.
+    :raises MustardwardError: what the call raises.
+    """
+    answers: list[T] = []
+    errors: list[MustardwardError] = []
+    async with anyio.create_task_group() as tasks:
+
+        async def async_call() -> None:
+            try:
+                answers.append(await call())
+            except MustardwardError as error:
+                errors.append(error)
+            tasks.cancel_scope.cancel()
+
+        tasks.start_soon(async_call)
+        while True:
+            await timers.async_sleep(LOOK_SECONDS)
+            if not is_seen():
+                await look()
+            if is_seen():
+                tasks.cancel_scope.cancel()
+                break
+    if errors:
+        raise errors[0]
+    return answers[0] if answers else None
+
+
+@dataclass(slots=True, eq=False)
+class Sighting:
+    """Watch the records that are read for one of an append that is under way.
+
+    An append is stored as a whole or not at all, so that one of its records shows all.
+
+    :param look: reads the log up to its end.
+    :param marking: beginnings of the keys whose records name their one append: no
+        other append has the same key and value.
+    """
+
+    look: Callable[[], Awaitable[object]]
+    marking: tuple[str, ...]
+    _marker: tuple[str, bytes] | None = None
+    seen: bool = field(default=False, init=False)
+
+    def expect(self, records: list[tuple[str, bytes]]) -> None:
+        """Watch for an append that is about to be sent for the first time."""
+        self.seen = False
+        marks = [r for r in records if r[1] and r[0].startswith(self.marking)]
+        self._marker = marks[0] if marks else None
+
+    def see(self, record: KeyedRecord) -> None:
+        """Take in a record that was read."""
+        if self._marker is not None and record.key == self._marker[0]:
+            self.seen = self.seen or record.value == self._marker[1]
+
+    @property
+    def possible(self) -> bool:
+        """Return whether a record of the append would show it."""
+        return self._marker is not None
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -16,13 +16,11 @@
 from ..fleet.telling import WaveTelling
 from ..fleet.waves import WavePlanner
 from ..ledger.appender import GroupAppender, Record
-from ..ledger.const import (
-    SHARD,
-    TOPIC,
-)
+from ..ledger.const import MARKS_OF_OWNERS, SHARD, TOPIC
 from ..ledger.follower import TopicFollower
 from ..ledger.ledger import LedgerJob
 from ..ledger.models import OwnerRecord
+from ..ledger.sighting import Sighting
 from ..scheduling.demand import log_loads
 from ..scheduling.scheduler import Scheduler
 from .authority import Authority
@@ -69,6 +67,8 @@
         self.appender = GroupAppender(
             self._async_call_append, parts.timers, f"owner/{SHARD}", epoch, sequence=1
         )
+        self._sighting = Sighting(parts.follower.async_confirm, MARKS_OF_OWNERS)
+        self.appender.sighting = self._sighting
         self._renewals = Renewals(
             epoch,
             claim,
@@ -211,6 +211,7 @@
             parts.ledger.jobs.values(), key=lambda job: job.record.accepted_at
         ):
             self.scheduler.add_job(job, now, wall)
+        parts.follower.watchers.append(self._sighting.see)
         parts.ledger.on_job = self._add_job
         parts.ledger.on_cancel = lambda job: self._cancel_job(job.record.id)
         parts.ledger.on_told = lambda job: self._end_told(job.record.id)
@@ -221,6 +222,7 @@
         )
 
     def _unsubscribe(self) -> None:
+        self._parts.follower.watchers.remove(self._sighting.see)
         self._parts.ledger.on_job = None
         self._parts.ledger.on_cancel = None
         self._parts.ledger.on_told = None
--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -4,6 +4,7 @@
 
 import math
 import secrets
+from functools import partial
 
 import anyio
 
@@ -19,6 +20,7 @@
 from ..ledger.const import KEY_OWNER, RETRY_SECONDS, SHARD, TOPIC
 from ..ledger.ledger import encode
 from ..ledger.models import OwnerRecord
+from ..ledger.sighting import async_or_seen
 from .const import (
     HANDOVER_AFTER_SECONDS,
     HANDOVER_AGAIN_SECONDS,
@@ -121,8 +123,16 @@
         producer = Producer(f"owner/{SHARD}", record.epoch, 0)
         while parts.ledger.owner.epoch < record.epoch:
             try:
-                await parts.store.async_append(
-                    TOPIC, [(KEY_OWNER, encode(record))], producer
+                await async_or_seen(
+                    parts.timers,
+                    partial(
+                        parts.store.async_append,
+                        TOPIC,
+                        [(KEY_OWNER, encode(record))],
+                        producer,
+                    ),
+                    parts.follower.async_confirm,
+                    lambda: parts.ledger.owner.epoch >= record.epoch,
                 )
                 return True
             except (FencedError, SequenceError):
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -29,10 +29,11 @@
 from ..components.front.services import Front, longest_outage
 from ..components.ledger.ahead import EndsAhead
 from ..components.ledger.appender import GroupAppender
-from ..components.ledger.const import PREFIX_NODE, TOPIC
+from ..components.ledger.const import MARKS_OF_ENTRIES, PREFIX_NODE, TOPIC
 from ..components.ledger.follower import TopicFollower
 from ..components.ledger.ledger import Ledger, encode
 from ..components.ledger.models import NodeRecord
+from ..components.ledger.sighting import Sighting
 from ..components.ownership.const import IDLE_GAP_SECONDS
 from ..components.ownership.models import OwnerParts
 from ..components.ownership.services import Ownership
@@ -120,6 +121,9 @@
             f"{boot.node}/{secrets.token_hex(6)}",
             epoch=1,
         )
+        sighting = Sighting(self._follower.async_confirm, MARKS_OF_ENTRIES)
+        self._follower.watchers.append(sighting.see)
+        self._appender.sighting = sighting
         front = Front(
             self._timers,
             self._configuration,
