Count promised work job by job, and tell which data centres are accounted for

Cause: each job that came looked at all others to see where work was promised: 600 looks a job with 600 live ones, which grows with the square of the load. And no line said what a new owner had released. Change: work is counted as jobs come, widen and end; zones_accounted at a takeover.

--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -52,6 +52,8 @@
         accounted = self._accounted()
         if accounted != self.board.accounted:
             self.board.accounted = accounted
+            zones = ",".join(sorted(accounted))
+            _LOGGER.info("zones_accounted", epoch=self.epoch, zones=zones)
             self.wake()
         if not self._all_heard():
             return
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -46,6 +46,7 @@
             job.zones = frozenset(progress.zones) or None
             job.open_zones = job.sent_zones = job.zones
             self._restore(job, progress)
+            self.zones.promise(job)
         if not record.times:
             self._open_occurrence(job, 0, now)
             job.next_occurrence = 1
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -144,7 +144,6 @@
     :param open_zones: those of which the log is known to have been told: it starts
         nowhere else.
     :param sent_zones: those that the record on its way to the log names.
-    :param work: in core seconds, as expected when it was taken in.
     """
 
     record: JobRecord
@@ -161,7 +160,6 @@
     zones: frozenset[str] | None = None
     open_zones: frozenset[str] | None = None
     sent_zones: frozenset[str] | None = None
-    work: float = 0.0
 
     @property
     def occurrences(self) -> int:
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -46,13 +46,13 @@
 
     def __init__(self, epoch: int, policy_of: PolicyLookup, order: str = "") -> None:
         self.board = Board(epoch, policy_of)
-        zones = Zones(self.board)
-        self.intake = Intake(self.board, zones)
+        self._zones = Zones(self.board)
+        self.intake = Intake(self.board, self._zones)
         self.health = Health(self.board)
         self.reports = Reports(self.board, self.intake, self.health)
         self.pacing = Pacing(self.board)
         self._evacuation = Evacuation(self.board)
-        self._planner = Planner(self.board, zones, ORDERS.get(order))
+        self._planner = Planner(self.board, self._zones, ORDERS.get(order))
         self._ending: dict[str, Job] = {}
         self._look_at = -math.inf
 
@@ -192,6 +192,7 @@
             job.sent_zones = job.zones
             if job.state.final and job_id not in self._ending:
                 self._ending[job_id] = job
+                self._zones.forget(job)
                 _LOGGER.info(
                     "job_ended",
                     job=job_id,
--- a/mustardward/components/scheduling/zones.py
+++ b/mustardward/components/scheduling/zones.py
@@ -9,15 +9,16 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ...helpers.policies import switchable
 from .board import Board
 from .models import Job, StepRun, WorkerState
 from .placement import fits, may_run
 
+Key = tuple[str, str]
 ByZone = Mapping[str, Sequence[WorkerState]]
 
 
@@ -27,9 +28,15 @@
 
 @dataclass(slots=True, eq=False)
 class Zones:
-    """Choose data centres by the work that was promised to their workers."""
+    """Choose data centres by the work that was promised to their workers.
+
+    Work is in core seconds, by pool and data centre. What each job adds is held by its
+    id, so that a job that comes costs no look at all others.
+    """
 
     board: Board
+    _promised: dict[Key, float] = field(default_factory=lambda: defaultdict(float))
+    _shares: dict[str, tuple[list[Key], float]] = field(default_factory=dict)
 
     @switchable(
         "zones-told",
@@ -49,17 +56,26 @@
         capacity = self._capacity(job)
         if not capacity or "" in capacity:
             return
-        job.work = self.board.estimates.work_left(job)
-        promised = self._promised(job)
         near = self._near_data(job) & set(capacity)
-        if near:
-            job.zones = frozenset(near)
+        job.zones = frozenset(near or (self._least_promised(job, capacity),))
+        self.promise(job)
+
+    def promise(self, job: Job) -> None:
+        """Count a job's work for the data centres in which it may start."""
+        self.forget(job)
+        if not job.zones:
             return
-        best = min(
-            sorted(capacity),
-            key=lambda zone: (promised[zone] + job.work) / capacity[zone],
-        )
-        job.zones = frozenset((best,))
+        share = self.board.estimates.work_left(job) / len(job.zones)
+        keys = [(job.policy.service, zone) for zone in job.zones]
+        for key in keys:
+            self._promised[key] += share
+        self._shares[job.record.id] = (keys, share)
+
+    def forget(self, job: Job) -> None:
+        """Count a job's work no longer, since it is over."""
+        keys, share = self._shares.pop(job.record.id, ([], 0.0))
+        for key in keys:
+            self._promised[key] -= share
 
     def widen(self, step: StepRun, by_zone: ByZone, promised: Counter[str]) -> bool:
         """Let a job start in one data centre more, where there is room for its step.
@@ -86,6 +102,7 @@
         if free[best] - promised[best] >= room.cpu:
             promised[best] += room.cpu * len(step.waiting)
             job.zones = job.zones | {best}
+            self.promise(job)
             self.board.mark_dirty(job)
         return True
 
@@ -98,14 +115,13 @@
                 capacity[worker.zone] += worker.capacity.cpu
         return {zone: cpu for zone, cpu in capacity.items() if cpu > 0}
 
-    def _promised(self, job: Job) -> Counter[str]:
-        promised: Counter[str] = Counter()
-        for other in self.board.jobs.values():
-            if other.zones and not other.state.final:
-                if other.policy.service == job.policy.service:
-                    for zone in other.zones:
-                        promised[zone] += round(other.work / len(other.zones))
-        return promised
+    def _least_promised(self, job: Job, capacity: dict[str, int]) -> str:
+        work = self.board.estimates.work_left(job)
+        service = job.policy.service
+        return min(
+            sorted(capacity),
+            key=lambda zone: (self._promised[service, zone] + work) / capacity[zone],
+        )
 
     def _near_data(self, job: Job) -> set[str]:
         racks = {step.data_rack for step in job.record.steps if step.data_rack}
--- a/tests/components/scheduling/test_zones.py
+++ b/tests/components/scheduling/test_zones.py
@@ -182,3 +182,18 @@
         for start in bench.plan_starts():
             zone = bench.scheduler.board.workers[start.worker].zone
             assert zone in log[start.task.step.job.record.id]
+
+
+def test_a_job_that_is_over_is_promised_no_room_any_more() -> None:
+    """Else work would go to the data centre with the fewest jobs since the begin."""
+    bench = a_bench()
+    zones = bench.scheduler.intake.zones
+    for number in range(5):
+        bench.add(a_job(a_step(count=2), job=f"{number:016x}"), stored=False)
+    store(bench)
+    assert sum(zones._promised.values()) > 0
+    for start in bench.plan_starts():
+        bench.end(start.task, ENDED_DONE)
+    store(bench)
+    assert round(sum(zones._promised.values()), 6) == 0
+    assert zones._shares == {}
