--- a/mustardward/cli/report.py
+++ b/mustardward/cli/report.py
@@ -13,7 +13,7 @@
 from .records import FILE_TYPE
 
 if TYPE_CHECKING:
-    from ..components.reports.day import Day
+    from ..components.reports.stories import Day
 
 
 @click.group()
@@ -53,7 +53,8 @@
 @click.option("--jobs", default=0, help="List so many of the latest jobs too.")
 def day(log: TextIO, jobs: int) -> None:
     """Say why jobs were late, from the entries' log lines in LOG (- for input)."""
-    from ..components.reports.day import explain, read_day
+    from ..components.reports.day import explain
+    from ..components.reports.day_lines import read_day
 
     stories = read_day(log)
     ended = [story for story in stories.jobs.values() if story.state]
@@ -106,7 +107,7 @@
 def bound(log: TextIO, plot: Path | None) -> None:
     """Compare a day's instances and jobs in time with other planners, from LOG."""
     from ..components.reports.bound import compare
-    from ..components.reports.day import read_day
+    from ..components.reports.day_lines import read_day
 
     planned = compare(read_day(log))
     click.echo(f"{'planner':<18} {'instance s':>10} {'moves':>6} {'in time':>8}")
--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -18,7 +18,6 @@
 from ..scheduling.demand import PoolLoad
 from .const import (
     CLEAR_SECONDS,
-    IDLE_SECONDS,
     LEAST_INSTANCES,
     MOVE_LOST_SECONDS,
     ORDER_SECONDS,
@@ -26,37 +25,10 @@
     TARGET_SHARE,
     THEN_CLEAR_SECONDS,
 )
+from .lending import idle_seconds, keep_racks_apart, spare
 from .models import FleetView, Move
 
 
-def _wait_for_nothing() -> float:
-    return 0.0
-
-
-@switchable(
-    "idle-time",
-    "an idle instance stays for a while before it goes off",
-    without=_wait_for_nothing,
-)
-def idle_seconds() -> float:
-    """Return how long an instance stands idle before it goes off."""
-    return IDLE_SECONDS
-
-
-def _spare_nothing(have: int, need: int) -> int:
-    return 0
-
-
-@switchable(
-    "lending",
-    "a full pool takes idle instances of others before standby ones",
-    without=_spare_nothing,
-)
-def spare(have: int, need: int) -> int:
-    """Return how many of its idle instances a pool can lend."""
-    return max(0, have - need)
-
-
 @dataclass(slots=True)
 class MoveOrder:
     """Hold a move that was ordered, until the list shows it."""
@@ -228,7 +200,7 @@
             by_pool[instance.pool].append(instance)
         for pool, instances in by_pool.items():
             if pool not in view.standby:
-                _keep_racks_apart(instances)
+                keep_racks_apart(instances)
                 del instances[spare(have[pool], needs.get(pool, 0)) :]
             # What has its maintenance behind it is taken first, from the end: the rest
             # is maintained where nothing runs.
@@ -310,22 +282,3 @@
         sum(room.mem_mb for room in rooms) // count,
         max((room.gpu for room in rooms), default=0),
     )
-
-
-def _keep_order(instances: list[Instance]) -> None:
-    instances.sort(key=lambda i: i.machine)
-
-
-@switchable(
-    "racks-apart",
-    "a pool's last instances stand on several racks",
-    without=_keep_order,
-)
-def _keep_racks_apart(instances: list[Instance]) -> None:
-    """Order instances so that those of the fullest rack are lent first."""
-    racks = Counter(_rack(instance) for instance in instances)
-    instances.sort(key=lambda i: (-racks[_rack(i)], _rack(i), i.machine))
-
-
-def _rack(instance: Instance) -> str:
-    return instance.labels[-1] if instance.labels else ""
--- a/mustardward/components/reports/bound_plot.py
+++ b/mustardward/components/reports/bound_plot.py
@@ -5,7 +5,8 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from .bound import GRID_SECONDS, Planned
+from .bound import Planned
+from .replayed import GRID_SECONDS
 
 
 def draw(planned: Sequence[Planned], path: Path) -> None:
--- a/mustardward/node/__main__.py
+++ b/mustardward/node/__main__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .app import main
+from .main import main
 
 if __name__ == "__main__":
     main()
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -1,17 +1,11 @@
-"""Set up one entry, run it, and let it leave without cutting a request."""
+"""Set up one entry, and let it leave without cutting a request."""
 
 from __future__ import annotations
 
-import logging
 import secrets
-import signal
-import sys
-import time
 import zlib
 
 import anyio
-from absl import flags
-from absl import logging as absl_logging
 from anyio.abc import TaskGroup
 
 from ..components.configuration.services import Configuration
@@ -37,30 +31,18 @@
 from ..components.ownership.const import IDLE_GAP_SECONDS
 from ..components.ownership.models import OwnerParts
 from ..components.ownership.services import Ownership
-from ..exceptions import SettingsError
-from ..helpers.bounded_output import BoundedOutput, open_output
-from ..helpers.log_output import PairFormatter
 from ..helpers.logging import get_logger
-from ..helpers.policies import UnknownPolicyError, switch_off, switched_off
+from ..helpers.policies import switched_off
 from ..helpers.timer import LoopTimerService
 from ..platform.advice import AdviceClient
-from ..platform.boot import BootSettings, load_boot
-from ..platform.exceptions import BootSettingsError
+from ..platform.boot import BootSettings
 from ..platform.fleet import FleetClient
 from ..platform.http import HttpCaller, base_url
 from ..platform.store import TOPIC_OPERATOR, StoreClient
-from .settings import load_settings
 
 _LOGGER = get_logger(__name__)
 
-_SETTINGS = flags.DEFINE_string(
-    "settings", "", "YAML file of the entry's own settings."
-)
-
 CONFIG_GAP_SECONDS = 0.05
-FLUSH_SECONDS = 0.1
-"""Interval of writing log lines."""
-
 CUT_OFF_SECONDS = 0.3
 """Time without the log after which an entry asks for no more callers, unless peers
 answer for it; the balancer looks once a second, and believes the second look."""
@@ -286,63 +268,3 @@
 def _share(boot: BootSettings) -> float:
     """Return where in the spread of claims an entry stands, the same each time."""
     return (zlib.crc32(boot.node.encode()) % 1000) / 1000
-
-
-async def async_main(boot: BootSettings, output: BoundedOutput) -> None:
-    """Run one entry until it is told to stop."""
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(async_flush, output)
-        node = Node(boot, tasks)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-            await node.async_start()
-            async for number in signals:
-                if number == signal.SIGTERM:
-                    break
-                _LOGGER.info("settings_reloaded", node=boot.node)
-        await node.async_leave()
-        tasks.cancel_scope.cancel()
-
-
-async def async_flush(output: BoundedOutput) -> None:
-    """Write log lines as the reader takes them."""
-    while True:
-        output.flush_some()
-        await anyio.sleep(FLUSH_SECONDS)
-
-
-def set_up_logging() -> BoundedOutput:
-    """Collect events for standard output, a line of pairs for each."""
-    flags.FLAGS.mark_as_parsed()
-    absl_logging.use_absl_handler()
-    output = BoundedOutput(open_output(sys.stdout.fileno()), time.monotonic)
-    output.setFormatter(PairFormatter())
-    logging.getLogger("absl").handlers = [output]
-    logging.getLogger("absl").propagate = False
-    absl_logging.set_verbosity(absl_logging.INFO)
-    return output
-
-
-def read_arguments(arguments: list[str]) -> None:
-    """Take in the command line: ``--settings FILE``, the entry's own settings.
-
-    :raises SettingsError: if it names what there is not.
-    """
-    try:
-        flags.FLAGS(arguments)
-    except flags.Error as error:
-        raise SettingsError(str(error)) from error
-    switch_off(load_settings(_SETTINGS.value).policies_off)
-
-
-def main() -> None:
-    """Run the entry that the settings file describes."""
-    output = set_up_logging()
-    try:
-        read_arguments(sys.argv)
-        boot = load_boot()
-        anyio.run(async_main, boot, output)
-    except (BootSettingsError, SettingsError, UnknownPolicyError) as error:
-        _LOGGER.error("settings_unusable", code=error.code, detail=error.detail)
-        sys.exit(2)
-    finally:
-        output.flush_some()
--- a/tests/components/ownership/test_load.py
+++ b/tests/components/ownership/test_load.py
@@ -10,7 +10,8 @@
 from mustardward.components.dispatch.lanes import Lanes
 from mustardward.components.ownership.const import WATCH_OWN_SECONDS
 from mustardward.components.ownership.load import OwnerLoad
-from mustardward.components.reports.day import OwnerLook, read_day
+from mustardward.components.reports.day_lines import read_day
+from mustardward.components.reports.stories import OwnerLook
 from mustardward.components.scheduling.run_lines import RunLines
 
 from ..reports.test_day import a_day, line
--- a/tests/components/reports/test_bound.py
+++ b/tests/components/reports/test_bound.py
@@ -9,14 +9,17 @@
 from mustardward.cli.report import command
 from mustardward.components.reports.bound import (
     BRIDGE_SECONDS,
-    GRID_SECONDS,
     Planned,
-    StepShape,
     compare,
     keep_over_gaps,
+)
+from mustardward.components.reports.day_lines import read_day
+from mustardward.components.reports.replayed import (
+    GRID_SECONDS,
+    StepShape,
     parse_shape,
 )
-from mustardward.components.reports.day import Amount, read_day
+from mustardward.components.reports.stories import Amount
 
 from .test_day import line
 
--- a/tests/components/reports/test_day.py
+++ b/tests/components/reports/test_day.py
@@ -5,7 +5,9 @@
 from click.testing import CliRunner
 
 from mustardward.cli.report import command
-from mustardward.components.reports.day import Cause, explain, read_day, read_pairs
+from mustardward.components.reports.day import explain
+from mustardward.components.reports.day_lines import read_day, read_pairs
+from mustardward.components.reports.stories import Cause
 
 JOBS = {name: f"{number:016x}" for number, name in enumerate("abcdefgh")}
 
