Read the log for an append in a task of its own; say when an entry ends unasked

Each time its last line was append_unknown, while a peer was asked for the log. A peer call's library cancels the task that waits when the call's time is out; where that met the end of the append, the appender's own task had been asked to end once more than its scope knew, the cancellation went through, and the entry's task group ended with it. Ruled out: the process being stopped (no node_leaving), an error (code 0). Change: call and reading run in tasks of their own within the scope; what is neither answered nor seen is unknown. An entry that ends though nobody asked logs node_ended_unasked and ends with 1.

--- a/mustardward/components/ledger/appender.py
+++ b/mustardward/components/ledger/appender.py
@@ -150,12 +150,15 @@
             return await self._async_try(records)
         if sighting.seen:
             return Outcome.STORED
-        outcome = await async_or_seen(
-            self.timers,
-            lambda: self._async_try(records),
-            sighting.look,
-            lambda: sighting.seen,
-        )
+        try:
+            outcome = await async_or_seen(
+                self.timers,
+                lambda: self._async_try(records),
+                sighting.look,
+                lambda: sighting.seen,
+            )
+        except CallUnknownError:
+            outcome = Outcome.UNKNOWN
         if outcome is Outcome.UNKNOWN:
             await sighting.look()
         if outcome is None or (outcome is Outcome.UNKNOWN and sighting.seen):
--- a/mustardward/components/ledger/sighting.py
+++ b/mustardward/components/ledger/sighting.py
@@ -16,6 +16,7 @@
 
 from ...exceptions import MustardwardError
 from ...helpers.timer import TimerService
+from ...platform.exceptions import CallUnknownError
 from ...platform.store import KeyedRecord
 
 T = TypeVar("T")
@@ -33,7 +34,12 @@
 ) -> T | None:
     """Make a call; return None as soon as the log shows that it was carried out.
 
+    Both run in tasks of their own. A peer call's library cancels the task that waits
+    for it when its time is out; where that met the end of the other here, this task
+    was asked to end once more than the scope knew, and the entry with it.
+
     :param look: reads the log up to its end.
+    :raises CallUnknownError: if neither the call nor the log said anything.
     :raises MustardwardError: what the call raises.
     """
     answers: list[T] = []
@@ -47,17 +53,22 @@
                 errors.append(error)
             tasks.cancel_scope.cancel()
 
+        async def async_watch() -> None:
+            while not is_seen():
+                await timers.async_sleep(LOOK_SECONDS)
+                if not is_seen():
+                    await look()
+            tasks.cancel_scope.cancel()
+
         tasks.start_soon(async_call)
-        while True:
-            await timers.async_sleep(LOOK_SECONDS)
-            if not is_seen():
-                await look()
-            if is_seen():
-                tasks.cancel_scope.cancel()
-                break
+        tasks.start_soon(async_watch)
     if errors:
         raise errors[0]
-    return answers[0] if answers else None
+    if answers:
+        return answers[0]
+    if not is_seen():
+        raise CallUnknownError("neither answered nor seen")
+    return None
 
 
 @dataclass(slots=True, eq=False)
--- a/mustardward/node/main.py
+++ b/mustardward/node/main.py
@@ -11,7 +11,7 @@
 from absl import flags
 from absl import logging as absl_logging
 
-from ..exceptions import SettingsError
+from ..exceptions import MustardwardError, SettingsError
 from ..helpers.bounded_output import BoundedOutput, open_output
 from ..helpers.log_output import PairFormatter
 from ..helpers.logging import get_logger
@@ -31,8 +31,18 @@
 """Interval of writing log lines."""
 
 
+class UnaskedEndError(MustardwardError):
+    """Report that an entry ended though nobody asked for it."""
+
+    code = "unasked-end"
+
+
 async def async_main(boot: BootSettings, output: BoundedOutput) -> None:
-    """Run one entry until it is told to stop."""
+    """Run one entry until it is told to stop.
+
+    :raises UnaskedEndError: if it ended though nobody asked for it.
+    """
+    asked = False
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(async_flush, output)
         node = Node(boot, tasks)
@@ -40,10 +50,15 @@
             await node.async_start()
             async for number in signals:
                 if number == signal.SIGTERM:
+                    asked = True
                     break
                 _LOGGER.info("settings_reloaded", node=boot.node)
         await node.async_leave()
         tasks.cancel_scope.cancel()
+    if not asked:
+        # A part that is cancelled by anything but this entry takes all others along.
+        # Without a word, and with code 0, its end could be told from no planned one.
+        raise UnaskedEndError("a part of the entry was cancelled")
 
 
 async def async_flush(output: BoundedOutput) -> None:
@@ -87,5 +102,8 @@
     except (BootSettingsError, SettingsError, UnknownPolicyError) as error:
         _LOGGER.error("settings_unusable", code=error.code, detail=error.detail)
         sys.exit(2)
+    except UnaskedEndError as error:
+        _LOGGER.error("node_ended_unasked", code=error.code, detail=error.detail)
+        sys.exit(1)
     finally:
         output.flush_some()
--- a/tests/components/ledger/test_sighting.py
+++ b/tests/components/ledger/test_sighting.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import anyio
+import anyio.lowlevel
 import pytest
 
 from mustardward.components.ledger.appender import GroupAppender, Outcome
@@ -15,7 +17,7 @@
     Sighting,
     async_or_seen,
 )
-from mustardward.helpers.timer import DrivenTimerService
+from mustardward.helpers.timer import DrivenTimerService, LoopTimerService
 from mustardward.platform.exceptions import CallUnknownError, FencedError
 from mustardward.platform.store import Producer
 from mustardward.standin.estate.store import MemoryStore
@@ -148,3 +150,53 @@
         await async_or_seen(
             DrivenTimerService(), async_refuse, async_look, lambda: False
         )
+
+
+async def test_a_cancellation_that_a_library_leaves_behind_ends_no_appender() -> None:
+    """Symptom: an entry ends by itself, with code 0 and without a word.
+
+    Sequence: an append's call ended while the log was read for it through a peer; the
+    peer call's own time ran out in the same moment. Its library cancels the task that
+    waits and turns that into an error, but the task has then been asked to end once
+    more than the scope around it knows, and the scope lets the cancellation through.
+    Cause: the log was read in the appender's own task.
+    """
+    readers: list[asyncio.Task[object]] = []
+
+    async def async_call() -> int:
+        await anyio.sleep(2 * LOOK_SECONDS)
+        for reader in readers:
+            reader.cancel()
+        return 1
+
+    async def async_look() -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        readers.append(task)
+        try:
+            await anyio.sleep_forever()
+        except asyncio.CancelledError:
+            await anyio.sleep(0.01)
+
+    for _ in range(3):
+        readers.clear()
+        async with anyio.create_task_group() as tasks:
+            timers = LoopTimerService(tasks)
+            answer = await async_or_seen(timers, async_call, async_look, lambda: False)
+            await anyio.lowlevel.checkpoint()
+        assert answer == 1
+        assert not tasks.cancel_scope.cancel_called
+
+
+async def test_a_call_that_is_cancelled_from_elsewhere_is_not_taken_for_seen() -> None:
+    async def async_call() -> int:
+        raise asyncio.CancelledError
+
+    async def async_look() -> None:
+        return None
+
+    async with anyio.create_task_group() as tasks:
+        with pytest.raises(CallUnknownError):
+            await async_or_seen(
+                LoopTimerService(tasks), async_call, async_look, lambda: False
+            )
--- /dev/null
+++ b/tests/node/__init__.py
@@ -0,0 +1,1 @@
+"""Test an entry's own program."""
