Let a step that takes no processor go on where all workers are full

Cause: a data centre counted as having room only by free processor; a step that fills takes none, and would have waited for a worker to be less than full.

--- a/mustardward/components/scheduling/zones.py
+++ b/mustardward/components/scheduling/zones.py
@@ -92,10 +92,11 @@
         room = step.room
         free: dict[str, int] = {}
         for zone, workers in by_zone.items():
-            if zone not in job.zones:
-                able = [w for w in workers if fits(w, room) and may_run(w, step)]
+            if zone in job.zones:
+                continue
+            able = [w for w in workers if fits(w, room) and may_run(w, step)]
+            if able:
                 free[zone] = sum(worker.free_cpu for worker in able)
-        free = {zone: cpu for zone, cpu in free.items() if cpu > 0}
         if not free:
             return False
         best = max(sorted(free), key=lambda zone: free[zone] - promised[zone])
--- a/tests/components/scheduling/test_zones.py
+++ b/tests/components/scheduling/test_zones.py
@@ -197,3 +197,16 @@
     store(bench)
     assert round(sum(zones._promised.values()), 6) == 0
     assert zones._shares == {}
+
+
+def test_a_step_that_takes_no_processor_finds_a_full_worker_elsewhere() -> None:
+    """What fills takes what others leave unused, so a full worker has room for it."""
+    bench = a_bench()
+    bench.add(a_job(a_step(fills=True)), stored=False)
+    (zone,) = store(bench)[JOB].zones
+    for worker in bench.scheduler.board.workers.values():
+        worker.free_cpu = 0
+    bench.scheduler.board.workers[f"{zone}-0"].stale = True
+    bench.plan()
+    assert len(store(bench)[JOB].zones) == 2
+    assert len(bench.plan_starts()) == 2
