Keep one type for an answer and one list of workers

Found by reading the change as a whole: an answer was gathered in one type and copied into another; the fleet's list was gone through twice for pools that nobody read and for data centres, fifty times a second in a takeover; racks of data were looked for on all workers by jobs that have none; counts were made whole that were. Change: Answer stands beside the connection that builds it; listed_workers names data centres; the rest goes. The takeover's tests hand their list in once, and assert what they did. Behaviour is as before.

--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -118,28 +118,17 @@
         self._drop_gone(sent_at)
 
     def listed_workers(self) -> dict[str, str] | None:
-        """Return the pools of the workers that the list names as up.
+        """Return the data centres of the workers that the list names as up.
 
         :returns: None if the list was not read yet, or a row of it can't be read: a
             worker that is missing from it may then still run.
         """
         if self._read_at < 0 or not self._complete:
             return None
-        return {
-            instance.id: instance.pool
-            for instance in self._instances.values()
-            if instance.id and instance.state == INSTANCE_UP
-        }
-
-    def listed_zones(self) -> dict[str, str] | None:
-        """Return the data centres of the workers that the list names as up, or None."""
-        listed = self.listed_workers()
-        if listed is None:
-            return None
         return {
             instance.id: instance.zone
             for instance in self._instances.values()
-            if instance.id and instance.id in listed
+            if instance.id and instance.state == INSTANCE_UP
         }
 
     def _drop_gone(self, read_at: float) -> None:
@@ -150,10 +139,9 @@
         listed = self.listed_workers()
         if listed is None:
             return
-        up = set(listed)
         for worker_id, session in list(self.dispatcher.sessions.items()):
             since = session.silent_since
-            if session.gone or since is None or worker_id in up:
+            if session.gone or since is None or worker_id in listed:
                 continue
             if read_at > since:
                 _LOGGER.info("silent_worker_gone", worker=worker_id)
--- a/mustardward/components/forwarding/relay.py
+++ b/mustardward/components/forwarding/relay.py
@@ -13,12 +13,13 @@
 
 import msgspec
 
+from ...helpers.http_connection import Answer
 from ...helpers.instruments import RELAYED_CALLS
 from ...helpers.logging import get_logger
 from ...helpers.policies import switchable
 from ...helpers.timer import TimerService
 from ...platform.exceptions import CallRefusedError, CallUnknownError
-from ...platform.http import Answer, HttpCaller
+from ...platform.http import HttpCaller
 from .const import (
     MOST_RELAYED,
     PROBE_SECONDS,
--- a/mustardward/components/ledger/follower.py
+++ b/mustardward/components/ledger/follower.py
@@ -66,9 +66,9 @@
         their records were not to be had.
     :param gap_seconds: shortest time between two reads of the tail.
     :param entries: returns how many entries follow the topic.
-    :param watchers: called with each record of the tail, once it is folded.
     :param paced: whether the gap grows with their number, unless one is in a hurry: for
         a topic that changes all the time.
+    :param watchers: called with each record of the tail, once it is folded.
     :param node: names this entry in the lines that tell of an outage: what one entry
         lost and what all lost are told apart by it.
     """
--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -66,7 +66,7 @@
         One of which no worker was heard is none of them: its workers may be in neither
         entries nor list, for they are cut off from both.
         """
-        listed = self.fleet.listed_zones() if self.fleet is not None else {}
+        listed = self.fleet.listed_workers() if self.fleet is not None else {}
         if listed is None:
             return frozenset()
         workers = self.board.workers
--- a/mustardward/components/reports/bound.py
+++ b/mustardward/components/reports/bound.py
@@ -57,8 +57,7 @@
     planned = Planned("as it was", len(account.works), account.actually_in_time)
     planned.moves = account.moves
     for service, looks in account.sizes.items():
-        counts = sample(looks, account.cells, 0)
-        planned.instances[service] = [int(count) for count in counts]
+        planned.instances[service] = sample(looks, account.cells, 0)
     return planned
 
 
@@ -80,7 +79,7 @@
         size = account.room[service]
         least = sample(account.spread[service], account.cells, 0)
         needs = [
-            max(math.ceil(amount.share_of(size)), int(spread))
+            max(math.ceil(amount.share_of(size)), spread)
             for amount, spread in zip(taken, least, strict=True)
         ]
         planned.instances[service], moves = keep_over_gaps(needs)
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -19,7 +19,6 @@
 COMING_SECONDS = 1.0
 """Until an instance that is on its way takes work, from half of its way on."""
 
-
 Where = frozenset[str] | None
 
 
--- a/mustardward/components/scheduling/zones.py
+++ b/mustardward/components/scheduling/zones.py
@@ -126,8 +126,10 @@
 
     def _near_data(self, job: Job) -> set[str]:
         racks = {step.data_rack for step in job.record.steps if step.data_rack}
+        if not racks:
+            return set()
         return {
             worker.zone
             for worker in self.board.workers.values()
-            if racks and worker.service == job.policy.service and worker.rack in racks
+            if worker.service == job.policy.service and worker.rack in racks
         }
--- a/mustardward/helpers/http_connection.py
+++ b/mustardward/helpers/http_connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass, field
 from typing import Final
 
 import httptools
@@ -30,18 +31,21 @@
         self.closed_unheard = closed_unheard
 
 
-class RawAnswer:
-    """Gather one answer.
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold one answer; its headers as they came, in their order."""
 
-    :param headers: as they came, in their order.
-    """
-
-    __slots__ = ("body", "headers", "status")
+    status: int
+    body: bytes
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
 
-    def __init__(self) -> None:
-        self.status = 0
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.body = b""
+    def header(self, name: str) -> str:
+        """Return a header's value, or nothing; its name in any case."""
+        wanted = name.lower().encode()
+        for key, value in self.headers:
+            if key.lower() == wanted:
+                return value.decode("latin-1")
+        return ""
 
 
 class HttpConnection(asyncio.Protocol):
@@ -55,8 +59,8 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._waiter: asyncio.Future[RawAnswer] | None = None
-        self._answer = RawAnswer()
+        self._waiter: asyncio.Future[Answer] | None = None
+        self._headers: list[tuple[bytes, bytes]] = []
         self._chunks: list[bytes] = []
         self._timer: asyncio.TimerHandle | None = None
         self._due_at = 0.0
@@ -80,7 +84,7 @@
 
     async def async_exchange(
         self, request: bytes, timeout_seconds: float, silence_seconds: float | None
-    ) -> RawAnswer:
+    ) -> Answer:
         """Send a request and return its answer.
 
         :param silence_seconds: longest time in which no byte of the answer comes.
@@ -89,7 +93,7 @@
         if self._transport is None or self._transport.is_closing():
             raise ExchangeError("closed", closed_unheard=True)
         self.exchanges += 1
-        self._answer = RawAnswer()
+        self._headers = []
         self._chunks = []
         self._began = False
         self._whole = False
@@ -141,7 +145,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take one header in."""
-        self._answer.headers.append((name, value))
+        self._headers.append((name, value))
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body in."""
@@ -154,9 +158,8 @@
             self.close()
             return
         self._whole = True
-        answer = self._answer
-        answer.status = self._parser.get_status_code()
-        answer.body = b"".join(self._chunks)
+        status = self._parser.get_status_code()
+        answer = Answer(status, b"".join(self._chunks), self._headers)
         self.idle_since = self._heard_at
         if not self._parser.should_keep_alive():
             self.close()
--- a/mustardward/platform/fleet.py
+++ b/mustardward/platform/fleet.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..helpers.http_connection import Answer
 from ..helpers.unreadable import note_unreadable
 from . import names
 from .bodies import ListedBody, MaintainBody, MoveBody, RefusedBody
@@ -17,7 +18,7 @@
     FencedError,
     UnreadableRecordError,
 )
-from .http import Answer, HttpCaller
+from .http import HttpCaller
 from .models import Instance
 
 FLEET_TIMEOUT_SECONDS: Final = 1.5
--- a/mustardward/platform/http.py
+++ b/mustardward/platform/http.py
@@ -6,13 +6,12 @@
 import math
 import socket
 from collections import deque
-from dataclasses import dataclass, field
 from typing import Final, Protocol
 from urllib.parse import urlencode
 
 import anyio
 
-from ..helpers.http_connection import ExchangeError, HttpConnection, RawAnswer
+from ..helpers.http_connection import Answer, ExchangeError, HttpConnection
 from .exceptions import CallRefusedError, CallUnknownError
 
 CONNECT_TIMEOUT_SECONDS: Final = 0.6
@@ -26,23 +25,6 @@
 CONNECTIONS_A_HOST: Final = 8
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """Hold one answer."""
-
-    status: int
-    body: bytes
-    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-
-    def header(self, name: str) -> str:
-        """Return a header's value, or nothing; its name in any case."""
-        wanted = name.lower().encode()
-        for key, value in self.headers:
-            if key.lower() == wanted:
-                return value.decode("latin-1")
-        return ""
-
-
 def open_socket() -> socket.socket:
     """Open a client's socket that notices a silent partner."""
     channel = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -237,7 +219,7 @@
             connection = await host.async_take(timeout_seconds)
             kept = connection.exchanges > 0
             try:
-                raw = await connection.async_exchange(
+                return await connection.async_exchange(
                     request, timeout_seconds, silence_seconds
                 )
             except ExchangeError as error:
@@ -249,7 +231,6 @@
                 raise CallUnknownError(error.detail) from error
             finally:
                 host.give_back(connection)
-            return _answer(raw)
 
     def _forget_unused(self) -> None:
         """Forget hosts that are not called any more.
@@ -264,10 +245,6 @@
                 del self._hosts[address]
 
 
-def _answer(raw: RawAnswer) -> Answer:
-    return Answer(raw.status, raw.body, raw.headers)
-
-
 def _split(url: str) -> tuple[str, str]:
     """Return the address and the path of a URL."""
     address, slash, path = url.removeprefix("http://").partition("/")
--- a/mustardward/platform/store.py
+++ b/mustardward/platform/store.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..helpers.http_connection import Answer
 from ..helpers.unreadable import note_unreadable
 from . import names
 from .bodies import (
@@ -28,7 +29,7 @@
     SequenceError,
     UnreadableRecordError,
 )
-from .http import Answer, Caller, base_url
+from .http import Caller, base_url
 
 TOPIC_OPERATOR: Final = "keyed.op"
 TOPIC_WORKERS: Final = "keyed.servers"
--- a/mustardward/platform/workers.py
+++ b/mustardward/platform/workers.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..helpers.http_connection import Answer
 from . import names
 from .bodies import (
     ClockBody,
@@ -22,7 +23,7 @@
     FencedError,
     WrongIncarnationError,
 )
-from .http import Answer, HttpCaller
+from .http import HttpCaller
 
 START_TIMEOUT_SECONDS: Final = 0.35
 """An answer takes 2 to 5 ms; an order that is carried out late gets none at all, and
--- a/tests/components/ownership/test_takeover.py
+++ b/tests/components/ownership/test_takeover.py
@@ -22,7 +22,7 @@
         self.bench = SchedulerBench(epoch=2)
         self.board = self.bench.scheduler.board
         self.unheard = ["w1", "w2"]
-        self.listed_zones: dict[str, str] | None = {}
+        self.listed = listed
         self.woken = 0
         for name, pool in (("w1", POOL), ("w2", OTHER)):
             entry = an_entry(service=pool)
@@ -35,9 +35,7 @@
         dispatcher: Any = SimpleNamespace(
             unheard=lambda: self.unheard, sessions=sessions
         )
-        fleet: Any = SimpleNamespace(
-            listed_workers=lambda: listed, listed_zones=lambda: self.listed_zones
-        )
+        fleet: Any = SimpleNamespace(listed_workers=lambda: self.listed)
         self.takeover = Takeover(
             2, self.board, dispatcher, DrivenTimerService(), self._wake, fleet
         )
@@ -102,8 +100,7 @@
 
 def with_zones(listed: dict[str, str] | None) -> TakeoverBench:
     """Return a takeover whose workers stand in two data centres; w1 has answered."""
-    bench = TakeoverBench({"w1": POOL, "w2": OTHER})
-    bench.listed_zones = listed
+    bench = TakeoverBench(listed)
     for name, zone in (("w1", "z1"), ("w2", "z2")):
         bench.board.workers[name].zone = zone
     bench.board.workers["w1"].confirmed = True
@@ -132,6 +129,6 @@
     bench = with_zones({"w1": "z1"})
     del bench.board.workers["w2"]
     bench.unheard = []
-    bench.listed_zones = {"w1": "z1", "w8": "z3"}
+    bench.listed = {"w1": "z1", "w8": "z3"}
     bench.look()
     assert bench.board.accounted == {"z1"}
