Ask callers for a key of their organisation

Change: organisations, keys and public queues are decoded in the adapter; a pure table made of one version says whose a key is. An unknown key is refused with 401, as of a configuration read up to its end, else with 503; submit, state, cancel and count are covered, also through peers and for ends that are told ahead of the log. A job belongs to its organisation: no other sees, cancels or takes it over. Keys are held as digests under a secret of the process, and stand in no line, record, error or text of an object. What admits and what refuses callers are modules of their own now.

Ruled out: telling the age of an unknown key by repeated reads (a slow store was read for each request until its caller gave up; one read decides now, with a test). Refusing withdrawn keys while the log is away: only where the deployment asks for it (strict-revoke), since its callers would else lose service in each outage.

--- a/mustardward/components/configuration/services.py
+++ b/mustardward/components/configuration/services.py
@@ -11,8 +11,10 @@
 from ...helpers.logging import get_logger
 from ...helpers.unreadable import note_unreadable
 from ...platform.exceptions import RECORD_ERRORS, UnreadableRecordError
-from ...platform.models import OperatorConfig, UpkeepWave
+from ...platform.models import OperatorConfig, Room, UpkeepWave
 from ...platform.store import KEY_CONFIG, KEY_WAVE_PREFIX, KeyedRecord
+from ..organisations.keys import KeyTable, build_keys
+from ..organisations.models import Organisation
 from ..scheduling.models import QueuePolicy
 from .routing import RouteTable, build_table, queue_key
 
@@ -26,13 +28,17 @@
     """Fold the operator's topic.
 
     :param on_change: called after a newer version came into force.
+    :param asks_for_keys: whether callers have to show keys whatever a version says.
     """
 
     config: OperatorConfig | None = None
     table: RouteTable = field(default_factory=RouteTable)
+    keys_in_force: KeyTable = field(default_factory=KeyTable)
+    asks_for_keys: bool = False
     waves: dict[int, UpkeepWave] = field(default_factory=dict)
     on_change: Callable[[], None] | None = None
     _policies: dict[str, QueuePolicy] = field(default_factory=dict)
+    _organisations: dict[str, Organisation] = field(default_factory=dict)
 
     def apply(self, record: KeyedRecord) -> None:
         """Fold one record."""
@@ -62,6 +68,19 @@
         """Return the policy of a queue, or None if no version in force has it."""
         return self._policies.get(queue)
 
+    def organisation(self, name: str) -> Organisation | None:
+        """Return an organisation as it was last named, or None if it never was.
+
+        One that is named no more may have jobs that were accepted: they are still run,
+        within its last quota.
+        """
+        return self._organisations.get(name)
+
+    def quota_of(self, name: str) -> Room:
+        """Return what an organisation may have running; 0 is no limit."""
+        organisation = self._organisations.get(name)
+        return organisation.quota if organisation is not None else Room()
+
     def standby_pools(self) -> set[str]:
         """Return the pools whose instances are off."""
         services = self.config.services if self.config else []
@@ -70,7 +89,11 @@
     def _apply_config(self, config: OperatorConfig) -> None:
         if self.config is not None and config.version <= self.config.version:
             return
-        self.config = config
+        keys = build_keys(config.organisations, self.asks_for_keys)
+        self.keys_in_force = keys
+        self._organisations.update(keys.by_name)
+        # The keys themselves are not held: a digest of each is.
+        self.config = msgspec.structs.replace(config, organisations=None)
         self.table = build_table(config)
         # Policies of queues that went stay known: their jobs are still to be run.
         for queue in config.routes:
@@ -86,6 +109,8 @@
             "configuration_in_force",
             version=config.version,
             queues=len(config.routes),
+            organisations=len(keys.by_name),
+            keys=len(keys.by_digest),
         )
         if self.on_change is not None:
             self.on_change()
--- a/mustardward/components/forwarding/answering.py
+++ b/mustardward/components/forwarding/answering.py
@@ -12,7 +12,9 @@
 from ...helpers.timer import TimerService
 from ...platform import callers
 from ..front.const import ANSWER_MARGIN_SECONDS
-from ..front.services import Front, Reply, Request, longest_outage
+from ..front.models import Reply, Request
+from ..front.refusing import longest_outage
+from ..front.services import Front
 from .const import (
     ALONE_SECONDS,
     CHECK_METHOD,
@@ -133,7 +135,9 @@
             # has seen at the asker.
             return AskedReply(503, b"", confirmed=False)
         deadline = self.timers.monotonic() + asked.patience
-        request = Request(asked.method, asked.host, asked.path, asked.body, deadline)
+        request = Request(
+            asked.method, asked.host, asked.path, asked.body, deadline, asked.key
+        )
         reply = await self.front.async_answer(request)
         confirmed = reply.status not in _UNSURE
         return AskedReply(
@@ -224,6 +228,7 @@
             request.body,
             max(0.0, left),
             max(self._version(), self._seen_version),
+            request.key,
         )
         outcome = await self.forwarder.async_ask(asked)
         if outcome.reply is not None:
--- a/mustardward/components/forwarding/models.py
+++ b/mustardward/components/forwarding/models.py
@@ -11,6 +11,7 @@
     :param patience: what is left to answer, in seconds.
     :param version: the newest configuration that the asker knows of; one that is behind
         it must not answer.
+    :param key: the secret that the caller shows; it is never logged.
     """
 
     method: str
@@ -19,6 +20,11 @@
     body: bytes
     patience: float
     version: int = 0
+    key: str = ""
+
+    def __repr__(self) -> str:
+        """Return a text without the key: it may end up in a log line."""
+        return f"AskedRequest(method={self.method!r}, path={self.path!r})"
 
 
 class RelayedCall(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardward/components/front/server.py
+++ b/mustardward/components/front/server.py
@@ -20,7 +20,7 @@
     DEFAULT_DEADLINE_SECONDS,
     JSON,
 )
-from .services import Reply, Request
+from .models import Reply, Request
 
 _LOGGER = get_logger(__name__)
 
@@ -148,7 +148,14 @@
         host = request.headers.get("Host", "").lower().partition(":")[0]
         deadline = min(now + _patience(request), self._leave_at)
         return await self.answering.async_answer(
-            Request(request.method, host, request.path, body, deadline)
+            Request(
+                request.method,
+                host,
+                request.path,
+                body,
+                deadline,
+                callers.decode_key(request.headers.get(callers.HEADER_KEY, "")),
+            )
         )
 
 
--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
@@ -14,19 +15,19 @@
 from ..ledger.appender import GroupAppender, Outcome
 from ..ledger.const import PREFIX_CANCEL, PREFIX_JOB
 from ..ledger.follower import TopicFollower
-from ..ledger.ledger import Ledger, encode
+from ..ledger.ledger import Ledger, LedgerJob, encode
 from ..ledger.models import CancelRecord, JobRecord, JobState
-from .const import (
-    ANSWER_MARGIN_SECONDS,
-    CONFIG_FRESH_SECONDS,
-    FRESH_SECONDS,
-    LEAST_APPEND_SECONDS,
-    LONGEST_RETRY_AFTER_SECONDS,
-    RETRY_AFTER_SECONDS,
-)
+from ..organisations.access import may_see
+from .admission import Admission
+from .const import ANSWER_MARGIN_SECONDS, FRESH_SECONDS, LEAST_APPEND_SECONDS
+from .models import Admitted, Reply, Request, error_reply
+from .refusing import Refusing
 
 _LOGGER = get_logger(__name__)
 
+VisibleJob = Callable[[], LedgerJob | None]
+"""Returns a job as it is known now, if its caller may see it."""
+
 _STATES = {
     JobState.QUEUED: callers.STATE_QUEUED,
     JobState.RUNNING: callers.STATE_RUNNING,
@@ -36,31 +37,12 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
-    """Hold what a caller sent; the deadline in steady seconds."""
-
-    method: str
-    host: str
-    path: str
-    body: bytes
-    deadline: float
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """Hold what a caller is answered; ``retry_after`` in seconds, or None."""
-
-    status: int
-    body: bytes
-    retry_after: int | None = None
-
-
 @dataclass(slots=True, eq=False)
 class Front:
     """Answer callers.
 
     :param appender: stores what is accepted here, under this process's own name.
+    :param oldest_keys_seconds: see ``Admission``.
     """
 
     timers: TimerService
@@ -69,20 +51,35 @@
     ledger: Ledger
     follower: TopicFollower
     appender: GroupAppender
+    oldest_keys_seconds: float | None = None
+    admission: Admission = field(init=False)
+    refusing: Refusing = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Make what admits and what refuses callers."""
+        self.refusing = Refusing(self.timers, self.follower, self.config_follower)
+        self.admission = Admission(
+            self.timers,
+            self.configuration,
+            self.config_follower,
+            self.refusing,
+            self.oldest_keys_seconds,
+        )
 
     async def async_answer(self, request: Request) -> Reply:
         """Return the answer to a request."""
-        if self.configuration.config is None:
-            return self._refused(request.path, "no-configuration", "it is not read yet")
-        queue = self.configuration.table.find(request.host, request.path)
-        if queue is None:
-            return await self._async_no_queue(request)
+        admitted = await self.admission.async_admit(request)
+        if isinstance(admitted, Reply):
+            return admitted
+        queue = admitted.queue
         name = request.path[len(queue.path_prefix) :]
         if not name:
             return await self._async_count(request, queue)
         if not callers.is_job_id(name):
-            return _error(404, "no-such-job", "the id has not 16 hexadecimal digits")
-        return await self._async_job(request, queue, name)
+            return error_reply(
+                404, "no-such-job", "the id has not 16 hexadecimal digits"
+            )
+        return await self._async_job(request, admitted, name)
 
     @property
     def log_failing(self) -> bool:
@@ -90,49 +87,54 @@
         return self.follower.failing_since is not None
 
     def open_job(self, request: Request) -> str | None:
-        """Return the job that a request names, unless it is known to be over."""
-        queue = self.configuration.table.find(request.host, request.path)
-        if queue is None:
+        """Return the job that a request names, unless it is known to be over.
+
+        Nor is one returned that the caller may not ask for.
+        """
+        admitted = self.admission.find(request)
+        if isinstance(admitted, Reply):
             return None
-        name = request.path[len(queue.path_prefix) :]
-        job = self.ledger.jobs.get(name)
-        if not callers.is_job_id(name) or (job is not None and job.state.final):
+        name = request.path[len(admitted.queue.path_prefix) :]
+        if not callers.is_job_id(name):
             return None
-        return name
+        job = self.ledger.jobs.get(name)
+        if job is None:
+            # Whose it is can't be told from here.
+            return None if self.configuration.keys_in_force.in_use else name
+        return None if job.state.final or not _may_see(admitted, job) else name
 
     def tell_done(self) -> Reply:
         """Return the answer that a job is done."""
         return Reply(200, callers.encode_state(callers.STATE_DONE))
 
-    async def _async_job(self, request: Request, queue: Queue, name: str) -> Reply:
+    async def _async_job(
+        self, request: Request, admitted: Admitted, name: str
+    ) -> Reply:
+        def visible() -> LedgerJob | None:
+            job = self.ledger.jobs.get(name)
+            return job if job is not None and _may_see(admitted, job) else None
+
         if request.method == "POST":
-            return await self._async_submit(request, queue, name)
+            return await self._async_submit(request, admitted, name)
         if request.method == "GET":
-            return await self._async_tell(name)
+            return await self._async_tell(name, visible)
         if request.method == "DELETE":
-            return await self._async_cancel(request, name)
-        return _error(405, "method-not-allowed", request.method)
+            return await self._async_cancel(request, name, visible)
+        return error_reply(405, "method-not-allowed", request.method)
 
-    async def _async_no_queue(self, request: Request) -> Reply:
-        """Answer that there is no such queue only as of a configuration just read."""
-        age = self.timers.monotonic() - self.config_follower.fresh_at
-        if age > CONFIG_FRESH_SECONDS:
-            if not await self.config_follower.async_confirm():
-                return self._refused(
-                    request.path, "configuration-old", f"age={age:.1f}"
-                )
-            if self.configuration.table.find(request.host, request.path) is not None:
-                return await self.async_answer(request)
-        return _error(404, "no-such-queue", "no queue has this host and prefix")
-
-    async def _async_submit(self, request: Request, queue: Queue, name: str) -> Reply:
+    async def _async_submit(
+        self, request: Request, admitted: Admitted, name: str
+    ) -> Reply:
+        queue = admitted.queue
         known = self.ledger.jobs.get(name)
         if known is not None:
+            if not _may_see(admitted, known):
+                return error_reply(409, "id-taken", "another organisation's job has it")
             return Reply(200, callers.encode_state(_STATES[known.state]))
         try:
             job = callers.decode_job(request.body)
         except MalformedJobError as error:
-            return _error(400, error.code, error.detail)
+            return error_reply(400, error.code, error.detail)
         record = JobRecord(
             name,
             queue_key(queue),
@@ -143,6 +145,7 @@
             job.start_at_ms,
             job.interval_ms,
             self.timers.wall(),
+            admitted.caller.organisation,
         )
         outcome = await self.appender.async_append(
             [(PREFIX_JOB + name, encode(record))],
@@ -153,6 +156,7 @@
             job=name,
             queue=queue.name,
             service=queue.service,
+            organisation=admitted.caller.organisation,
             steps=len(job.steps),
             tasks=sum(step.count for step in job.steps),
             shape=_shape(job.steps),
@@ -166,26 +170,27 @@
             return Reply(200, callers.encode_state(callers.STATE_QUEUED))
         return self._not_stored(name, outcome)
 
-    async def _async_tell(self, name: str) -> Reply:
-        job = self.ledger.jobs.get(name)
+    async def _async_tell(self, name: str, visible: VisibleJob) -> Reply:
+        job = visible()
         age = self.timers.monotonic() - self.follower.fresh_at
         if job is None or (not job.state.final and age > FRESH_SECONDS):
             # A job may have been accepted by another entry a moment ago.
             confirmed = await self.follower.async_confirm()
-            job = self.ledger.jobs.get(name)
+            job = visible()
             if job is None and not confirmed:
-                return self._refused(name, "state-old", f"age={age:.1f}")
+                return self.refusing.refused(name, "state-old", f"age={age:.1f}")
         if job is None:
-            return _error(410, "no-such-job", "no job has this id")
+            return error_reply(410, "no-such-job", "no job has this id")
         return Reply(200, callers.encode_state(_STATES[job.state]))
 
-    async def _async_cancel(self, request: Request, name: str) -> Reply:
-        job = self.ledger.jobs.get(name)
-        if job is None and not await self.follower.async_confirm():
-            return self._refused(name, "state-old", "the log can't be read")
-        job = self.ledger.jobs.get(name)
+    async def _async_cancel(
+        self, request: Request, name: str, visible: VisibleJob
+    ) -> Reply:
+        if visible() is None and not await self.follower.async_confirm():
+            return self.refusing.refused(name, "state-old", "the log can't be read")
+        job = visible()
         if job is None:
-            return _error(410, "no-such-job", "no job has this id")
+            return error_reply(410, "no-such-job", "no job has this id")
         if not job.state.final:
             outcome = await self.appender.async_append(
                 [(PREFIX_CANCEL + name, encode(CancelRecord(self.timers.wall())))],
@@ -198,40 +203,22 @@
 
     def refuse_cut_off(self, request: Request) -> Reply:
         """Return the refusal of what can't be stored from here, nothing of it kept."""
-        return self._refused(request.path, "cut-off", "neither log nor peer answers")
+        return self.refusing.refused(request.path, "cut-off", "no log, no peer")
 
     def _append_until(self, request: Request) -> float:
         least = self.timers.monotonic() + LEAST_APPEND_SECONDS
         return max(least, request.deadline - ANSWER_MARGIN_SECONDS)
 
-    def _refused(self, what: str, code: str, detail: str) -> Reply:
-        """Return a refusal that is true: nothing of the request was kept."""
-        outage = longest_outage(
-            self.timers.monotonic(),
-            self.follower.failing_since,
-            self.config_follower.failing_since,
-        )
-        pause = retry_after(outage)
-        _LOGGER.info(
-            "request_refused",
-            request=what,
-            code=code,
-            detail=detail,
-            outage_seconds=outage,
-            retry_after=pause,
-        )
-        return Reply(503, callers.encode_error(code, detail), pause)
-
     def _not_stored(self, name: str, outcome: Outcome) -> Reply:
         if outcome is Outcome.NOT_STORED:
-            return self._refused(name, "not-stored", "the log did not take it")
+            return self.refusing.refused(name, "not-stored", "the log did not take it")
         # It may be stored, now or later: to call it refused would be a guess.
         _LOGGER.warning("outcome_unknown", request=name, outcome=outcome.value)
-        return _error(504, "outcome-unknown", "ask again with the same id")
+        return error_reply(504, "outcome-unknown", "ask again with the same id")
 
     async def _async_count(self, request: Request, queue: Queue) -> Reply:
         if request.method != "GET":
-            return _error(405, "method-not-allowed", request.method)
+            return error_reply(405, "method-not-allowed", request.method)
         age = self.timers.monotonic() - self.follower.fresh_at
         if age > 1.0:
             await self.follower.async_confirm()
@@ -251,22 +238,5 @@
     )
 
 
-def _error(status: int, code: str, detail: str) -> Reply:
-    return Reply(status, callers.encode_error(code, detail))
-
-
-def longest_outage(now: float, *failing_since: float | None) -> float:
-    """Return for how long the first of some ways to the log has failed, or 0."""
-    return max((now - since for since in failing_since if since is not None), default=0)
-
-
-def retry_after(outage_seconds: float) -> int:
-    """Return when a refused caller should come back, in whole seconds.
-
-    Callers give up after a few tries. With a short pause they are all used up in one
-    outage; a pause as long as the outage has lasted makes few tries span a long one,
-    and still ends soon after a short one.
-    """
-    return int(
-        min(LONGEST_RETRY_AFTER_SECONDS, max(RETRY_AFTER_SECONDS, outage_seconds))
-    )
+def _may_see(admitted: Admitted, job: LedgerJob) -> bool:
+    return may_see(admitted.caller, admitted.queue, job.record)
--- a/mustardward/components/ledger/ledger.py
+++ b/mustardward/components/ledger/ledger.py
@@ -167,7 +167,9 @@
     def count_pending(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have had no task started."""
         return sum(
-            job.record.queue == queue and job.state is JobState.QUEUED
+            job.record.queue == queue
+            and job.state is JobState.QUEUED
+            and not job.record.is_stub
             for job in self.jobs.values()
         )
 
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -29,6 +29,7 @@
 
     :param queue: host and prefix that it was sent to.
     :param accepted_at: wall clock of the entry that accepted it, in seconds.
+    :param organisation: that handed it in; empty where none is known.
     """
 
     id: str
@@ -40,6 +41,7 @@
     start_at_ms: float
     interval_ms: float
     accepted_at: float
+    organisation: str = ""
 
     @property
     def is_stub(self) -> bool:
@@ -48,7 +50,18 @@
 
     def as_stub(self) -> JobRecord:
         """Return what is kept of a job that is over."""
-        return JobRecord(self.id, "", "", "", [], 0, 0.0, 0.0, self.accepted_at)
+        return JobRecord(
+            self.id,
+            self.queue if self.organisation else "",
+            "",
+            "",
+            [],
+            0,
+            0.0,
+            0.0,
+            self.accepted_at,
+            self.organisation,
+        )
 
 
 class StepMark(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/mustardward/components/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Know to which organisation a caller belongs, and what it may do."""
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -19,8 +19,9 @@
 from ..components.forwarding.peers import PeerBook
 from ..components.forwarding.relay import StoreRelay
 from ..components.forwarding.services import Forwarder, async_serve_peers
+from ..components.front.refusing import longest_outage
 from ..components.front.server import FrontServer, async_serve_metrics
-from ..components.front.services import Front, longest_outage
+from ..components.front.services import Front
 from ..components.ledger.ahead import EndsAhead
 from ..components.ledger.appender import GroupAppender
 from ..components.ledger.const import MARKS_OF_ENTRIES, PREFIX_NODE, TOPIC
@@ -72,7 +73,7 @@
         self._timers = LoopTimerService(tasks)
         self._http = HttpCaller()
         self._peers_http = HttpCaller()
-        self._configuration = Configuration()
+        self._configuration = Configuration(asks_for_keys=boot.has_organisations)
         self._ledger = Ledger()
         self._relay = self._make_relay(boot)
         store = StoreClient(self._relay, boot.platform.address)
@@ -113,6 +114,7 @@
             self._ledger,
             self._follower,
             self._appender,
+            _oldest_keys(boot),
         )
         self._forwarder = Forwarder(
             self._ledger, self._timers, PeerBook(boot.node, boot.zone)
@@ -260,6 +262,11 @@
         return now - self._forwarder.last_answer_at < PEER_FRESH_SECONDS
 
 
+def _oldest_keys(boot: BootSettings) -> float | None:
+    """Return the age of a configuration by which keys are still taken, in seconds."""
+    return boot.bounds.revoke_ms / 1000 if boot.bounds.strict_revoke else None
+
+
 def _speed(boot: BootSettings) -> float:
     """Return an instance's cores."""
     return boot.limits.cpu_share * max(1.0, boot.limits.cores)
--- a/mustardward/platform/boot.py
+++ b/mustardward/platform/boot.py
@@ -11,6 +11,7 @@
 from .exceptions import BootSettingsError
 
 PATH_VARIABLE: Final = "MUSTARDWARD_BOOT"
+_CONTRACT_ORGANISATIONS: Final = "tenants"
 
 
 class BootLimits(msgspec.Struct, frozen=True, rename="kebab"):
@@ -72,6 +73,8 @@
     pace_ms: float = msgspec.field(default=100, name="pace-ms")
     harm_ms: float = msgspec.field(default=4000, name="harm-ms")
     drain_ms: float = msgspec.field(default=2000, name="drain-ms")
+    strict_revoke: bool = msgspec.field(default=False, name="strict-revoke")
+    revoke_ms: float = msgspec.field(default=5000, name="revoke-ms")
 
 
 class BootSettings(msgspec.Struct, frozen=True, rename="kebab"):
@@ -91,6 +94,12 @@
     orders: str = "call"
     bootstrap: bool = False
     port_range: tuple[int, int] = (0, 0)
+    contracts: list[str] = []
+
+    @property
+    def has_organisations(self) -> bool:
+        """Return whether callers of this deployment show keys."""
+        return _CONTRACT_ORGANISATIONS in self.contracts
 
 
 def decode_boot(content: bytes) -> BootSettings:
--- a/mustardward/platform/callers.py
+++ b/mustardward/platform/callers.py
@@ -14,6 +14,9 @@
 
 READINESS_PATH: Final = f"{ROOT}/readiness"
 HEADER_DEADLINE_MS: Final = "Mustardward-Deadline-Ms"
+HEADER_KEY: Final = "Authorization"
+MOST_KEY_LENGTH: Final = 256
+"""A longer text is no key; it is not even compared."""
 MOST_SPEC_BYTES: Final = 4000
 MOST_TASKS: Final = 100_000
 """Most tasks of one step: each takes some 400 bytes in the owner's memory."""
@@ -25,6 +28,7 @@
 STATE_CANCELLED: Final = "cancelled"
 
 _JOB_ID: Final = re.compile(r"[0-9a-fA-F]{16}")
+_KEY_SCHEME: Final = "token"
 
 
 def is_job_id(text: str) -> bool:
@@ -32,6 +36,15 @@
     return _JOB_ID.fullmatch(text) is not None
 
 
+def decode_key(header: str) -> str:
+    """Return the key that a caller shows, or nothing if it shows none."""
+    scheme, _, key = header.strip().partition(" ")
+    key = key.strip()
+    if scheme.lower() != _KEY_SCHEME or len(key) > MOST_KEY_LENGTH:
+        return ""
+    return key
+
+
 def decode_job(body: bytes) -> SubmittedJob:
     """Return a submitted job.
 
--- a/mustardward/platform/models.py
+++ b/mustardward/platform/models.py
@@ -27,6 +27,7 @@
     priority: int = 0
     max_attempts: int = 3
     stretch: float = 2.0
+    public: bool = False
     advice: QueueAdvice | None = None
 
 
@@ -48,15 +49,6 @@
     idle_timeout_ms: float = 15000
 
 
-class OperatorConfig(msgspec.Struct, frozen=True, rename="kebab"):
-    """Hold one version of the operator's configuration."""
-
-    version: int
-    routes: list[Queue] = []
-    services: list[PoolSettings] = []
-    limits: CallerLimits = CallerLimits()
-
-
 class Room(msgspec.Struct, frozen=True, rename="kebab"):
     """Hold processor (thousandths of a core), memory (MB) and accelerators."""
 
@@ -65,8 +57,45 @@
     gpu: int = 0
 
 
+class OrganisationSettings(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold one organisation of the operator's configuration.
+
+    :param keys: secrets by which callers show that they belong to it.
+    :param weight: its share where all is full, in jobs a second.
+    :param quota: most of each resource that it may have running; 0 for no limit.
+    """
+
+    name: str
+    keys: list[str] = msgspec.field(default_factory=list, name="api-keys")
+    weight: float = 1.0
+    quota: Room = msgspec.field(default=Room(), name="max-count")
+
+    def __repr__(self) -> str:
+        """Return a text without the keys: it may end up in a log line."""
+        return f"OrganisationSettings(name={self.name!r}, keys={len(self.keys)})"
+
+
+class OperatorConfig(msgspec.Struct, frozen=True, rename="kebab"):
+    """Hold one version of the operator's configuration.
+
+    :param organisations: None where the deployment has none, and no key is asked for.
+    """
+
+    version: int
+    routes: list[Queue] = []
+    services: list[PoolSettings] = []
+    limits: CallerLimits = CallerLimits()
+    organisations: list[OrganisationSettings] | None = msgspec.field(
+        default=None, name="tenants"
+    )
+
+
 class WorkerEntry(msgspec.Struct, frozen=True, rename="kebab"):
-    """Hold what a worker says of itself."""
+    """Hold what a worker says of itself.
+
+    :param born: when its process started, in milliseconds since 1970. A worker that
+        starts again under its id runs nothing and knows nothing of before.
+    """
 
     service: str
     address: str
@@ -75,6 +104,7 @@
     capacity: Room = Room()
     labels: list[str] = []
     remaining_ms: float | None = None
+    born: int = 0
 
 
 class UpkeepWave(msgspec.Struct, frozen=True, rename="kebab"):
--- a/tests/components/forwarding/test_answering.py
+++ b/tests/components/forwarding/test_answering.py
@@ -19,7 +19,7 @@
 from mustardward.components.forwarding.peers import PeerBook
 from mustardward.components.forwarding.relay import StoreRelay
 from mustardward.components.forwarding.services import AskOutcome
-from mustardward.components.front.services import Reply, Request
+from mustardward.components.front.models import Reply, Request
 from mustardward.components.ledger.ahead import EndsAhead
 from mustardward.components.ledger.const import KEY_OWNER, PREFIX_TOLD, TOPIC
 from mustardward.components.ledger.ledger import encode
@@ -27,7 +27,7 @@
 from mustardward.standin.estate.store import Mood
 from tests.components.ledger.builders import async_appending
 
-from ..front.test_front import BODY, HOST, JOB, PREFIX, FrontBench
+from ..front.builders import BODY, HOST, JOB, PREFIX, FrontBench
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/components/front/test_front.py
+++ b/tests/components/front/test_front.py
@@ -2,100 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-
 import msgspec
 import pytest
 
-from mustardward.components.configuration.services import Configuration
-from mustardward.components.front.services import Front, Reply, Request, retry_after
-from mustardward.components.ledger.appender import GroupAppender
+from mustardward.components.front.refusing import retry_after
 from mustardward.components.ledger.const import PREFIX_PROGRESS, TOPIC
-from mustardward.components.ledger.follower import TopicFollower
-from mustardward.components.ledger.ledger import Ledger, encode
+from mustardward.components.ledger.ledger import encode
 from mustardward.components.ledger.models import JobState, Progress
-from mustardward.helpers.timer import DrivenTimerService
 from mustardward.platform.store import TOPIC_OPERATOR
-from mustardward.standin.estate.store import MemoryStore, Mood
-from tests.components.ledger.builders import async_appending
+from mustardward.standin.estate.store import Mood
 
-pytestmark = pytest.mark.anyio
+from .builders import BODY, JOB, PREFIX, FrontBench, a_config, a_front
 
-JOB = "0123456789abcdef"
-PREFIX = "/q/"
-HOST = "a.example"
-BODY = msgspec.json.encode({"spec": "x", "steps": [{"count": 2, "cpu": 100}]})
-
-
-def a_config(version: int = 1, prefixes: tuple[str, ...] = (PREFIX,)) -> bytes:
-    """Return the operator's record."""
-    routes = [
-        {"name": "r", "host": HOST, "path-prefix": prefix, "service": "s"}
-        for prefix in prefixes
-    ]
-    return msgspec.json.encode(
-        {"version": version, "routes": routes, "services": [], "limits": {}}
-    )
-
-
-class FrontBench:
-    """Hold an entry's front on a store that obeys the test."""
-
-    def __init__(self) -> None:
-        self.store = MemoryStore()
-        self.timers = DrivenTimerService()
-        self.ledger = Ledger()
-        self.configuration = Configuration()
-        self.follower = self._follow(TOPIC, self.ledger)
-        self.config_follower = self._follow(TOPIC_OPERATOR, self.configuration)
-        self.appender = GroupAppender(
-            lambda records, producer: self.store.async_append(TOPIC, records, producer),
-            self.timers,
-            "node/1",
-            epoch=1,
-        )
-        self.front = Front(
-            self.timers,
-            self.configuration,
-            self.config_follower,
-            self.ledger,
-            self.follower,
-            self.appender,
-        )
-
-    async def async_ask(self, method: str, path: str, body: bytes = b"") -> Reply:
-        """Return the answer to a request with some patience."""
-        deadline = self.timers.monotonic() + 0.5
-        return await self.front.async_answer(
-            Request(method, HOST, path, body, deadline)
-        )
-
-    async def async_configure(self, version: int = 1, *prefixes: str) -> None:
-        """Publish a configuration, and let it be read."""
-        record = a_config(version, prefixes or (PREFIX,))
-        self.store.append(TOPIC_OPERATOR, [("config", record)])
-        self.timers.pause(0.01)
-        assert await self.config_follower.async_confirm()
-        assert await self.follower.async_confirm()
-
-    def _follow(self, topic: str, fold: Ledger | Configuration) -> TopicFollower:
-        return TopicFollower(
-            self.store,  # type: ignore[arg-type]
-            self.timers,
-            topic,
-            fold.apply,
-            fold.keys,
-            gap_seconds=0.1,
-        )
-
-
-@asynccontextmanager
-async def a_front() -> AsyncIterator[FrontBench]:
-    bench = FrontBench()
-    await bench.async_configure()
-    async with async_appending(bench.appender):
-        yield bench
+pytestmark = pytest.mark.anyio
 
 
 async def test_without_a_configuration_callers_are_asked_to_come_back() -> None:
--- a/tests/components/front/test_server.py
+++ b/tests/components/front/test_server.py
@@ -10,8 +10,8 @@
 import httpx
 import pytest
 
+from mustardward.components.front.models import Reply, Request
 from mustardward.components.front.server import FrontServer
-from mustardward.components.front.services import Reply, Request
 from mustardward.helpers.timer import LoopTimerService
 
 pytestmark = pytest.mark.anyio
