Tell a worker's incarnations apart, and hold organisations' quotas

Cause: a worker may start again under its id. The session of the id went on: its next hold acknowledged ends of the new incarnation that nobody had read, leases were reckoned on a clock that had begun anew, an order under way was carried out by the new one, which had seen no token, and a worker that came back in another pool was barred for good. Nothing bounded what an organisation has running.

Change: an incarnation is the id and the time of birth. A session, its counts, clock and judgements end with it, on its entry or on its first answer, whichever comes first; nothing is acknowledged unless this incarnation answered within 0.6 s; what ran before is started again at once; orders without an answer are made void at the new one first, those given up before too. A worker that does not say when it was born is told by its clock, which never goes back within one life. A worker learned of by its answer gets nothing until its own entry names its pool. Quotas count all that may run, seen or not, over pools and takeovers, and pools order no instances for what a quota holds back.

Not kept from running twice: an order of an owner before that a worker carries out between its start and its first answer.

--- a/mustardward/components/dispatch/const.py
+++ b/mustardward/components/dispatch/const.py
@@ -32,6 +32,15 @@
 """Age at which a start that has not left is withdrawn: its job may be over, its worker
 full or silent, and the lease it would carry is as much shorter."""
 
+PROOF_SECONDS: Final = 0.6
+"""Time after an answer in which a worker can't have started again, taken a task and
+ended it. Later an acknowledgement may reach another incarnation, whose ends count from
+1 again, and would make it forget ends that nobody has read."""
+
+REBORN_MILLISECONDS: Final = 2000
+"""A worker's clock that is so much behind what it was belongs to another incarnation;
+answers that overtake each other differ by less."""
+
 FAILED_HOLD_SECONDS: Final = 0.2
 STOP_RETRY_SECONDS: Final = 0.15
 
@@ -40,6 +49,6 @@
 one may have taken over, and waits for workers it can't reach only so long."""
 
 
-def lease_bound(now: float) -> float:
+def lease_bound(now: float, seconds: float = LEASE_SECONDS) -> float:
     """Return until when a lease renewed now may last, in the owner's time."""
-    return now + LEASE_SECONDS * (1 + CLOCK_ERROR) + LEASE_SLACK_SECONDS
+    return now + seconds * (1 + CLOCK_ERROR) + LEASE_SLACK_SECONDS
--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -22,8 +22,13 @@
 from ...platform.models import WorkerEntry
 from ...platform.workers import TaskName, WorkerClient
 from ..scheduling.models import AskAdvice, Command, Pace, Phase, Start, Stop, Task
-from ..scheduling.scheduler import Scheduler
-from .const import DECISION_SECONDS, STOP_RETRY_SECONDS, lease_bound
+from ..scheduling.scheduler import Scheduler, is_other
+from .const import (
+    DECISION_SECONDS,
+    LEASE_SECONDS,
+    STOP_RETRY_SECONDS,
+    lease_bound,
+)
 from .lanes import Lanes
 from .session import WorkerSession
 
@@ -37,6 +42,18 @@
 _FAILED = (CallRefusedError, CallUnknownError)
 
 
+@dataclass(frozen=True, slots=True)
+class _Closed:
+    """Hold which incarnation of a worker is gone, and until when that is remembered."""
+
+    born: int
+    until: float
+
+    def holds(self, born: int, now: float) -> bool:
+        """Return whether an entry may be of the incarnation that is gone."""
+        return now < self.until and not (self.born and born > self.born)
+
+
 @dataclass(slots=True, eq=False)
 class Dispatcher:
     """Keep a session with each worker, and call it for the scheduler.
@@ -44,6 +61,8 @@
     :param token: the fencing token, the owner's epoch.
     :param on_fenced: called when a worker has seen a newer owner.
     :param on_report: called when there may be something to plan or to store.
+    :param longest_lease_seconds: the longest lease that workers take, whatever the
+        deadline that they are told.
     """
 
     http: HttpCaller
@@ -55,25 +74,42 @@
     on_report: Callable[[], None]
     authorised: Callable[[], bool]
     advice: AdviceClient | None = None
+    longest_lease_seconds: float = LEASE_SECONDS
     lanes: Lanes = field(init=False)
     sessions: dict[str, WorkerSession] = field(default_factory=dict)
     accounted: set[str] = field(default_factory=set)
-    _closed_until: dict[str, float] = field(default_factory=dict)
+    _entries: dict[str, WorkerEntry] = field(default_factory=dict)
+    _closed: dict[str, _Closed] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Make the lanes to the workers."""
         self.lanes = Lanes(self.tasks)
 
     def see_worker(self, worker_id: str, entry: WorkerEntry) -> None:
-        """Open a session with a worker that is not known yet."""
+        """Open a session with a worker that is not known yet, or started again."""
         now = self.timers.monotonic()
-        if now >= self._closed_until.get(worker_id, 0.0):
-            self.scheduler.see_worker(worker_id, entry, now)
+        self._entries[worker_id] = entry
+        closed = self._closed.get(worker_id)
+        if closed is not None and closed.holds(entry.born, now):
+            return
         session = self.sessions.get(worker_id)
         if session is not None and not session.gone:
+            if session.born and entry.born > session.born:
+                self._replace(session, entry.born)
+            elif is_other(entry.born, session.born):
+                # Read late, or its time of day went back: the worker itself knows.
+                session.ask()
+            self.scheduler.see_worker(worker_id, entry, now)
             return
-        if now < self._closed_until.get(worker_id, 0.0):
-            return
+        self.scheduler.see_worker(worker_id, entry, now)
+        # The owner before may have renewed its lease until the end of its own
+        # authority.
+        lease_until = max(lease_bound(now), self.scheduler.board.held_until)
+        self._open(worker_id, entry, entry.born, lease_until)
+
+    def _open(
+        self, worker_id: str, entry: WorkerEntry, born: int, lease_until: float
+    ) -> None:
         session = WorkerSession(
             worker_id,
             WorkerClient(self.http, entry.address, worker_id, self.token),
@@ -81,13 +117,38 @@
             self.timers,
             self.on_report,
             self.authorised,
-            # The owner before may have renewed its lease until the end of its own
-            # authority.
-            max(lease_bound(now), self.scheduler.board.held_until),
+            lease_until,
+            born,
+            lambda other: self._reborn(session, other),
         )
         self.sessions[worker_id] = session
         self.tasks.start_soon(self._async_run_session, session)
 
+    def _reborn(self, session: WorkerSession, born: int) -> None:
+        """Take in that another incarnation answered in a session's place."""
+        if session.gone or self.sessions.get(session.worker_id) is not session:
+            return
+        self._replace(session, born)
+        self.on_report()
+
+    def _replace(self, session: WorkerSession, born: int) -> None:
+        """Go on with a worker that started again under its id.
+
+        Symptom without it: work that was done is lost, or done again. Sequence: its
+        ends count from 1 anew, and the next acknowledgement, of 58 ends from before,
+        makes it forget ends that nobody has read. So whatever was counted or reckoned
+        for one incarnation ends with its session.
+        """
+        worker_id = session.worker_id
+        now = self.timers.monotonic()
+        session.gone = True
+        session.wake()
+        self.accounted.discard(worker_id)
+        entry = self._entries[worker_id]
+        self.scheduler.replace_worker(worker_id, born, entry, now)
+        # An order that is still on its way carries a deadline of the clock before.
+        self._open(worker_id, entry, born, lease_bound(now, self.longest_lease_seconds))
+
     def execute(self, commands: list[Command]) -> None:
         """Carry out commands, as workers have room for calls."""
         for command in commands:
@@ -140,7 +201,7 @@
             self.on_fenced()
             return
         except WrongIncarnationError:
-            self.lose_worker(start.worker)
+            self._lose(session)
         except CallRefusedError as error:
             STARTS.labels("refused").inc()
             self._log_start(task, start, error.detail)
@@ -183,7 +244,7 @@
         except FencedError:
             self.on_fenced()
         except WrongIncarnationError:
-            self.lose_worker(stop.worker)
+            self._lose(session)
         except _FAILED:
             self.tasks.start_soon(self._async_stop_again, stop)
         else:
@@ -207,7 +268,7 @@
         except FencedError:
             self.on_fenced()
         except WrongIncarnationError:
-            self.lose_worker(pace.worker)
+            self._lose(session)
         except _FAILED as error:
             _LOGGER.warning("pace_failed", worker=pace.worker, detail=error.detail)
             if pace.task.run == pace.run:
@@ -233,13 +294,19 @@
         self.scheduler.give_tickets(step, advice.tickets, until)
         self.on_report()
 
+    def _lose(self, session: WorkerSession | None) -> None:
+        """Take in that the incarnation of a session is gone, unless it is known."""
+        if session is not None and not session.gone:
+            self.lose_worker(session.worker_id)
+
     def lose_worker(self, worker_id: str) -> None:
         """Take in that a worker's incarnation is surely gone."""
         self.accounted.add(worker_id)
         # Its entry stays in the store for some seconds.
         now = self.timers.monotonic()
-        self._closed_until[worker_id] = now + CLOSED_SECONDS
         session = self.sessions.get(worker_id)
+        born = session.born if session is not None else 0
+        self._closed[worker_id] = _Closed(born, now + CLOSED_SECONDS)
         if session is not None:
             session.gone = True
             session.wake()
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -17,13 +18,15 @@
 )
 from ...platform.workers import HoldAnswer, StartAnswer, StartOrder, WorkerClient
 from ..scheduling.models import Phase, Task, WorkerState
-from ..scheduling.scheduler import Scheduler
+from ..scheduling.scheduler import Scheduler, is_other
 from .const import (
     BUSY_HOLD_MILLISECONDS,
     FAILED_HOLD_SECONDS,
     HOLD_GAP_SECONDS,
     LEASE_SECONDS,
     LONG_HOLD_MILLISECONDS,
+    PROOF_SECONDS,
+    REBORN_MILLISECONDS,
     SHORT_HOLD_MILLISECONDS,
     UNSTORED_WAIT_SECONDS,
     lease_bound,
@@ -50,6 +53,10 @@
             self.clock_ms = clock_ms
             self.at = at
 
+    def is_behind(self, clock_ms: float) -> bool:
+        """Return whether an answer shows a clock that began anew."""
+        return self.known and 0 < clock_ms < self.clock_ms - REBORN_MILLISECONDS
+
     def deadline(self, now: float) -> int:
         """Return the end of a lease that begins now, on the worker's clock."""
         return int(self.clock_ms + (now - self.at + LEASE_SECONDS) * 1000)
@@ -62,6 +69,8 @@
     :param on_report: called after each report, to plan and to store.
     :param authorised: whether this owner may still give orders.
     :param lease_until: until when something may run there, in the owner's time.
+    :param born: the incarnation, by when it started; 0 if that is not known yet.
+    :param on_reborn: called with when it started if another incarnation answers.
     """
 
     worker_id: str
@@ -71,12 +80,17 @@
     on_report: Callable[[], None]
     authorised: Callable[[], bool]
     lease_until: float
+    born: int
+    on_reborn: Callable[[int], None]
     clock: WorkerClock = field(default_factory=WorkerClock)
     listed_upto: int = 0
     seen_upto: int = 0
     answered: bool = False
     gone: bool = False
     silent_since: float | None = None
+    _proved_at: float = -math.inf
+    _asked: bool = False
+    _told_upto: int = 0
     _stored: anyio.Event = field(default_factory=anyio.Event)
     _wake: anyio.Event = field(default_factory=anyio.Event)
 
@@ -86,6 +100,12 @@
             self.seen_upto = number
         self._stored.set()
 
+    def ask(self) -> None:
+        """Ask the worker who it is, though nothing runs there."""
+        self._asked = True
+        self._proved_at = -math.inf
+        self._wake.set()
+
     def wake(self) -> None:
         """Look at the worker though nothing ran there before."""
         self._wake.set()
@@ -123,15 +143,37 @@
         )
         self._wake.set()
         answer = await self.client.async_start(order)
-        self.clock.take(answer.clock_ms, self.timers.monotonic())
+        if self.clock.is_behind(answer.clock_ms):
+            # Another incarnation began this under a lease reckoned on the old clock.
+            # Its next answer to a hold tells who it is.
+            self._proved_at = -math.inf
+            raise CallUnknownError("clock went back")
+        self._prove(answer.clock_ms)
         return answer
 
+    def _is_another(self, answer: HoldAnswer) -> bool:
+        """Return whether another incarnation answered; each has a clock of its own."""
+        if is_other(answer.born, self.born):
+            return True
+        return self.clock.is_behind(answer.clock_ms)
+
+    def _prove(self, clock_ms: float) -> None:
+        """Take in an answer of this incarnation."""
+        now = self.timers.monotonic()
+        self.clock.take(clock_ms, now)
+        self._proved_at = now
+
+    def _is_proved(self) -> bool:
+        """Return whether this incarnation answered a moment ago."""
+        return self.timers.monotonic() - self._proved_at <= PROOF_SECONDS
+
     def _idle(self, worker: WorkerState) -> bool:
         return (
-            worker.confirmed
+            not self._asked
+            and worker.confirmed
             and not worker.tasks
             and not worker.stale
-            and self.listed_upto <= self.seen_upto
+            and self.listed_upto <= self._told_upto
         )
 
     async def _async_hold(self, worker: WorkerState) -> None:
@@ -139,18 +181,31 @@
             with anyio.move_on_after(UNSTORED_WAIT_SECONDS):
                 await self._stored.wait()
         sent_at = self.timers.monotonic()
+        # Who answers is to be learned before anything is acknowledged.
+        told_upto = self.seen_upto if self._is_proved() else 0
         try:
-            answer = await self._async_call(worker, sent_at)
+            answer = await self._async_call(worker, sent_at, told_upto)
         except WrongIncarnationError:
-            self.gone = True
-            self.scheduler.lose_worker(self.worker_id, self.timers.monotonic())
-            self.on_report()
+            if not self.gone:
+                self.gone = True
+                self.scheduler.lose_worker(self.worker_id, self.timers.monotonic())
+                self.on_report()
             return
         except (CallRefusedError, CallUnknownError) as error:
             await self._async_failed(worker, error.detail)
             return
+        if self.gone:
+            # It was found out meanwhile that this incarnation is over: what it said
+            # must not be taken for the word of the one that has its id now.
+            return
+        if self._is_another(answer):
+            self.on_reborn(answer.born)
+            return
+        self.born = self.born or answer.born
+        self._asked = False
+        self._told_upto = max(self._told_upto, told_upto)
         now = self.timers.monotonic()
-        self.clock.take(answer.clock_ms, now)
+        self._prove(answer.clock_ms)
         self.answered = True
         self.silent_since = None
         numbers = [ended.number for ended in answer.ended]
@@ -165,14 +220,16 @@
         if spent < HOLD_GAP_SECONDS:
             await self.timers.async_sleep(HOLD_GAP_SECONDS - spent)
 
-    async def _async_call(self, worker: WorkerState, now: float) -> HoldAnswer:
+    async def _async_call(
+        self, worker: WorkerState, now: float, told_upto: int
+    ) -> HoldAnswer:
         deadline = None
         wait_ms = 0
         if self.clock.known:
             self.lease_until = max(self.lease_until, lease_bound(now))
             deadline = self.clock.deadline(now)
-            wait_ms = self._wait_ms(worker)
-        return await self.client.async_hold(self.seen_upto, deadline, wait_ms)
+            wait_ms = self._wait_ms(worker) if told_upto == self.seen_upto else 0
+        return await self.client.async_hold(told_upto, deadline, wait_ms)
 
     def _wait_ms(self, worker: WorkerState) -> int:
         if not worker.confirmed or worker.stale or not worker.tasks:
@@ -188,7 +245,10 @@
         return LONG_HOLD_MILLISECONDS
 
     async def _async_failed(self, worker: WorkerState, detail: str) -> None:
+        if self.gone:
+            return
         now = self.timers.monotonic()
+        self._proved_at = -math.inf
         if self.silent_since is None:
             self.silent_since = now
         if not worker.stale:
--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -13,10 +13,12 @@
 
     :param lasting: tasks that last.
     :param others: all other tasks.
+    :param born: when the worker started, in milliseconds since 1970, or 0.
     """
 
     lasting: int
     others: int
+    born: int = 0
 
     @property
     def empty(self) -> bool:
@@ -30,11 +32,13 @@
 
     :param old_id: the worker's id when the order was given.
     :param accepted: whether the platform answered that it has begun.
+    :param old_born: when that worker had started, or 0 if that is not known.
     """
 
     machine: str
     old_id: str | None
     given_at: float
+    old_born: int = 0
     accepted: bool = False
     accepted_at: float = 0.0
 
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -212,6 +212,7 @@
             worker.id: Load(
                 sum(t.step.spec.long_running for t in worker.tasks.values()),
                 sum(not t.step.spec.long_running for t in worker.tasks.values()),
+                worker.born,
             )
             for worker in self.scheduler.board.workers.values()
             if worker.confirmed and not worker.stale
--- a/mustardward/components/fleet/waves.py
+++ b/mustardward/components/fleet/waves.py
@@ -125,7 +125,9 @@
             if self._down(run, view) >= run.wave.max_count:
                 continue
             del run.emptying[machine]
-            run.orders[machine] = MaintenanceOrder(machine, instance.id, now)
+            run.orders[machine] = MaintenanceOrder(
+                machine, instance.id, now, _born(instance, view)
+            )
             yield Maintain(machine, run.wave.wave)
         for order in run.orders.values():
             if not order.accepted and now - order.given_at >= RETRY_SECONDS:
@@ -197,7 +199,15 @@
         return False
     if instance.pool in view.standby:
         return True
-    return instance.id is not None and instance.id != order.old_id
+    if instance.id != order.old_id:
+        return instance.id is not None
+    # A worker may come back under its id; its time of birth tells it apart.
+    return 0 < order.old_born < _born(instance, view)
+
+
+def _born(instance: Instance, view: FleetView) -> int:
+    load = view.loads.get(instance.id or "")
+    return load.born if load is not None else 0
 
 
 def _is_empty(instance: Instance, view: FleetView) -> bool:
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -63,7 +63,11 @@
         self._deposed = anyio.Event()
         self._wake = anyio.Event()
         self._authority = Authority()
-        self.scheduler = Scheduler(epoch, parts.configuration.policy_of)
+        self.scheduler = Scheduler(
+            epoch,
+            parts.configuration.policy_of,
+            quota_of=parts.configuration.quota_of,
+        )
         self.appender = GroupAppender(
             self._async_call_append, parts.timers, f"owner/{SHARD}", epoch, sequence=1
         )
@@ -121,6 +125,7 @@
                 self.kick,
                 self._authority.holds,
                 parts.advice,
+                parts.bounds.hold_max_ms / 1000,
             )
             self.dispatcher = dispatcher
             directory = WorkerDirectory(
--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from ...helpers.logging import get_logger
+from ...platform.models import Room
 from ...platform.workers import TaskName, encode_task
 from ..ledger.marks import pack
 from ..ledger.models import JobState, Progress, StepMark, TaskMark
@@ -24,6 +25,7 @@
     Task,
     WorkerState,
 )
+from .quotas import Quotas
 
 _LOGGER = get_logger(__name__)
 
@@ -54,6 +56,7 @@
     accounted: frozenset[str] = frozenset()
     coming: dict[str, int] = field(default_factory=dict)
     taken_over_at: float = 0.0
+    quotas: Quotas = field(default_factory=Quotas)
     _commands: list[Command] = field(default_factory=list)
     _counter: int = 0
 
@@ -100,6 +103,7 @@
         task.percent = 0.0
         task.percent_since = now
         task.pace = 100
+        task.seen_running = False
         job = task.step.job
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
@@ -112,6 +116,7 @@
             task.step.waiting.remove(task)
         self._occupy(task, worker, run)
         task.phase = Phase.RUNNING
+        task.seen_running = True
         task.started_at = now
         task.percent_since = now
         task.step.job.state = JobState.RUNNING
@@ -142,6 +147,7 @@
             return
         task.phase = Phase.UNCERTAIN
         task.stop_acknowledged_at = None
+        task.worker.unanswered.append((task.name, task.run))
         self.give(Stop(task.name, task.worker.id, task.run, task))
 
     def requeue(self, task: Task, now: float) -> None:
@@ -184,12 +190,54 @@
                     self.stop(task, state.name.lower())
         self.mark_dirty(job)
 
+    def note_stray(self, worker: WorkerState, name: TaskName) -> None:
+        """Count a run that is no task's any more, until its worker lists it no more."""
+        job = self.jobs.get(name.job)
+        if job is not None and name.step < len(job.record.steps):
+            spec = job.record.steps[name.step]
+            stray = (job.organisation, Room(spec.cpu, spec.mem_mb, spec.gpu))
+            self.quotas.take(*stray)
+            worker.strays.append(stray)
+
+    def forget_strays(self, worker: WorkerState) -> None:
+        """Count a worker's strays no more, since it lists anew what runs there."""
+        for stray in worker.strays:
+            self.quotas.give_back(*stray)
+        worker.strays.clear()
+
     def drop_worker(self, worker: WorkerState, now: float) -> None:
         """Let everything on a worker that is surely gone wait again."""
         for task in list(worker.tasks.values()):
             self.end_run(task, now)
+        self.forget_strays(worker)
         self.workers.pop(worker.id, None)
 
+    def replace_worker(self, old: WorkerState, new: WorkerState, now: float) -> None:
+        """Put a worker's next incarnation in its place.
+
+        What ran on the one before is over. An order that was not answered may still be
+        on its way, and the new one would carry it out, for it has seen no token: it is
+        told to reject that run, and the task goes on once it has. So is each order
+        whose task went elsewhere since: that it was stopped, the one before knew.
+        """
+        for name, run in old.unanswered:
+            new.unanswered.append((name, run))
+            self.give(Stop(name, new.id, run, None))
+        for task in list(old.tasks.values()):
+            if task.seen_running:
+                self.end_run(task, now)
+                continue
+            run = task.run
+            self._vacate(task)
+            self._occupy(task, new, run)
+            self.doubt(task)
+        self.forget_strays(old)
+        self.workers[new.id] = new
+        for job in self.jobs.values():
+            if job.policy.advice:
+                for step in job.steps.values():
+                    step.tickets.pop(new.id, None)
+
     def end_run(self, task: Task, now: float) -> None:
         """Note that a task's run is over without having been done."""
         if task.step.job.state.final:
@@ -232,6 +280,7 @@
         worker.free_mem -= room.mem_mb
         worker.free_gpu -= room.gpu
         worker.tasks[task.name] = task
+        self.quotas.take(step.job.organisation, step.asked)
         step.active += 1
         step.on_worker[worker.id] += 1
         task.worker = worker
@@ -249,6 +298,7 @@
         worker.free_mem += room.mem_mb
         worker.free_gpu += room.gpu
         worker.tasks.pop(task.name, None)
+        self.quotas.give_back(step.job.organisation, step.asked)
         step.active -= 1
         step.on_worker[worker.id] -= 1
         task.worker = None
--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -82,10 +82,11 @@
                 left = board.estimates.seconds(task.step) - (now - task.started_at)
                 load.left.add(task.step.room, max(0.0, left))
     _add_left(loads, board)
+    shares = _shares_that_may_start(board)
     for step in board.ready.values():
         steps[id(step)] = step
         load = loads.setdefault(step.job.policy.service, PoolLoad())
-        count = len(step.waiting)
+        count = len(step.waiting) * shares.get(step.job.organisation, 1.0)
         if step.spec.long_running:
             load.lasting.add(step.room, count)
         else:
@@ -99,6 +100,22 @@
     return loads
 
 
+def _shares_that_may_start(board: Board) -> dict[str, float]:
+    """Return which share of its waiting work each organisation's quota lets start.
+
+    Instances for what a quota holds back would stand idle.
+    """
+    waiting: dict[str, Amount] = {}
+    for step in board.ready.values():
+        if step.job.organisation:
+            amount = waiting.setdefault(step.job.organisation, Amount())
+            amount.add(step.asked, len(step.waiting))
+    return {
+        organisation: board.quotas.share_that_may_start(organisation, amount)
+        for organisation, amount in waiting.items()
+    }
+
+
 def _add_left(loads: dict[str, PoolLoad], board: Board) -> None:
     """Add what of the jobs' work has not begun."""
     for job in board.jobs.values():
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -5,11 +5,16 @@
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Final
 
-from ...platform.models import Room, SubmittedStep
+from ...platform.models import Room, SubmittedStep, WorkerEntry
 from ...platform.workers import TaskName
 from ..ledger.models import JobRecord, JobState
 
+UNANSWERED_KEPT: Final = 64
+"""Starts without an answer that are remembered of a worker: an order that is carried
+out late is so within seconds, in which a worker is given no more than so many."""
+
 
 class Phase(Enum):
     """Say where a task stands."""
@@ -50,6 +55,8 @@
 
     :param ready_since: when its turn came, or it became ready again; steady seconds.
     :param stop_acknowledged_at: when the worker last acknowledged a stop, or None.
+    :param seen_running: whether the worker said that the run began. An order of which
+        that is not known may still be on its way.
     """
 
     step: StepRun
@@ -68,6 +75,7 @@
     stop_acknowledged_at: float | None = None
     avoid: set[str] = field(default_factory=set)
     ready_since: float = 0.0
+    seen_running: bool = False
 
     @property
     def name(self) -> TaskName:
@@ -91,6 +99,7 @@
     """Hold one step of one occurrence of a job.
 
     :param open: whether all tasks of the steps before it are done.
+    :param asked: what one task asks for, by which its organisation's quota counts.
     :param room: what one task takes of a worker. A step that fills takes what others
         leave unused, so its processor share is not counted. Held, since each plan asks
         it of every task that runs.
@@ -109,11 +118,13 @@
     tickets: dict[str, str] = field(default_factory=dict)
     tickets_until: float = 0.0
     asked_until: float = 0.0
+    asked: Room = field(init=False)
     room: Room = field(init=False)
 
     def __post_init__(self) -> None:
         """Work out what one task takes."""
         spec = self.spec
+        self.asked = Room(spec.cpu, spec.mem_mb, spec.gpu)
         self.room = Room(0 if spec.fills else spec.cpu, spec.mem_mb, spec.gpu)
 
     @property
@@ -161,6 +172,11 @@
     open_zones: frozenset[str] | None = None
     sent_zones: frozenset[str] | None = None
 
+    @property
+    def organisation(self) -> str:
+        """Return whose job it is, or nothing."""
+        return self.record.organisation
+
     @property
     def occurrences(self) -> int:
         """Return how many times the steps run."""
@@ -171,12 +187,18 @@
 class WorkerState:
     """Hold one incarnation of a worker.
 
+    :param born: when it started, in milliseconds since 1970, or 0 if that is not known;
+        a worker that starts again under its id is another incarnation.
+    :param described: whether an entry of this very incarnation was read. Its pool, its
+        labels and its room are else those of the one before.
     :param confirmed: whether what runs there was read under this owner's token.
     :param missing_since: when its entry went, or None.
     :param absent: whether its entry stayed away, so that it counts as gone unless it
         comes back.
     :param leaving: whether the fleet is about to take it.
     :param due: whether its instance is still to be maintained.
+    :param unanswered: the last starts that got no answer, by task and run.
+    :param strays: organisation and room of runs there that are no task's any more.
     """
 
     id: str
@@ -202,6 +224,23 @@
     speed: float = 1.0
     stale: bool = False
     heard_at: float = 0.0
+    born: int = 0
+    described: bool = True
+    strays: list[tuple[str, Room]] = field(default_factory=list)
+    unanswered: deque[tuple[TaskName, int]] = field(
+        default_factory=lambda: deque(maxlen=UNANSWERED_KEPT)
+    )
+
+    def describe(self, entry: WorkerEntry) -> None:
+        """Take over what an entry says, keeping the room that tasks take."""
+        self.described = True
+        self.service = entry.service
+        self.zone = entry.zone
+        self.labels = tuple(entry.labels)
+        self.free_cpu += entry.capacity.cpu - self.capacity.cpu
+        self.free_mem += entry.capacity.mem_mb - self.capacity.mem_mb
+        self.free_gpu += entry.capacity.gpu - self.capacity.gpu
+        self.capacity = entry.capacity
 
     @property
     def rack(self) -> str:
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Set
+from collections.abc import Iterator, Set
 from dataclasses import dataclass, field
 
 from ...platform.models import Room
@@ -11,6 +11,7 @@
 from .models import AskAdvice, StepRun, Task, WorkerState
 from .order import Capacity, Order, prioritise
 from .placement import Shortlist, choose_gang, choose_home, usable
+from .quota_waits import QuotaWaits
 from .zones import Zones
 
 ADVICE_SECONDS = 2.0
@@ -82,9 +83,11 @@
     board: Board
     zones: Zones
     order: Order | None = None
+    waits: QuotaWaits = field(default_factory=QuotaWaits)
 
     def run(self, now: float) -> None:
         """Give the starts that are possible."""
+        self.board.quotas.set_unseen(self._unseen(now))
         by_service: dict[str, list[StepRun]] = {}
         for step in self.board.ready.values():
             if step.waiting and step.job.stored:
@@ -97,6 +100,17 @@
             ]
             if workers:
                 self._place(workers, steps, now)
+        self.waits.flush(self.board.quotas, now)
+
+    def _unseen(self, now: float) -> Iterator[tuple[str, Room, int]]:
+        """Yield the tasks that an owner before may have started, and that may run."""
+        if now >= self.board.held_until:
+            return
+        for job in self.board.jobs.values():
+            if job.organisation and self.board.is_held(job, now):
+                for step in job.steps.values():
+                    count = len(step.tasks) - step.done - step.active
+                    yield job.organisation, step.asked, count
 
     def _place(
         self, workers: list[WorkerState], steps: list[StepRun], now: float
@@ -114,6 +128,8 @@
             allowed = offers.of(step.job.open_zones)
             if step.job.policy.advice and not self._has_advice(step, allowed, now):
                 continue
+            if not self._within_quota(step):
+                continue
             if step.spec.gang:
                 self._place_gang(step, allowed, now)
                 continue
@@ -155,12 +171,14 @@
     def _place_tasks(
         self, step: StepRun, workers: list[WorkerState], now: float
     ) -> bool:
-        """Return whether all tasks of a step found a worker."""
+        """Return whether no task of a step lacks room on a worker."""
         if step.job.home is None and workers:
             step.job.home = choose_home(workers)
         shortlist: Shortlist | None = None
         avoided: Set[str] = frozenset()
         while step.waiting:
+            if not self._within_quota(step):
+                return True
             task = step.waiting[0]
             if shortlist is None or task.avoid != avoided:
                 avoided = task.avoid
@@ -174,6 +192,15 @@
         self.board.ready.pop(id(step), None)
         return True
 
+    def _within_quota(self, step: StepRun) -> bool:
+        """Return whether a step's next task, or its gang, may run beside all others."""
+        count = len(step.waiting) if step.spec.gang else 1
+        organisation = step.job.organisation
+        if self.board.quotas.allows(organisation, step.asked, count):
+            return True
+        self.waits.note(organisation, len(step.waiting))
+        return False
+
     def _place_gang(
         self, step: StepRun, workers: list[WorkerState], now: float
     ) -> None:
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -46,6 +46,7 @@
         """
         for ended in answer.ended:
             self.ended(worker, ended, now)
+        self.board.forget_strays(worker)
         listed: set[tuple[object, int]] = set()
         for row in answer.running:
             listed.add((row.task, row.run))
@@ -62,6 +63,7 @@
             return
         if not reason:
             task.phase = Phase.RUNNING
+            task.seen_running = True
             task.started_at = now
             task.percent_since = now
             waited = now - task.ready_since
@@ -147,18 +149,19 @@
     def _running(self, worker: WorkerState, row: RunningTask, now: float) -> None:
         task = self._expected(row)
         if task is None or task.phase is Phase.DONE:
-            self.board.give(Stop(row.task, worker.id, row.run, None))
+            self._stop_stray(worker, row)
             return
         if task.phase is Phase.WAITING:
             if task.step.job.state.final:
-                self.board.give(Stop(row.task, worker.id, row.run, None))
+                self._stop_stray(worker, row)
                 return
             self.board.adopt(task, worker, row.run, now)
         elif task.worker is not worker or task.run != row.run:
-            self.board.give(Stop(row.task, worker.id, row.run, None))
+            self._stop_stray(worker, row)
             return
         elif task.phase is Phase.STARTING:
             task.phase = Phase.RUNNING
+        task.seen_running = True
         task.missed_holds = 0
         task.figure = row.figure
         if row.checkpoint:
@@ -167,6 +170,10 @@
             task.percent = row.percent
             task.percent_since = now
 
+    def _stop_stray(self, worker: WorkerState, row: RunningTask) -> None:
+        self.board.note_stray(worker, row.task)
+        self.board.give(Stop(row.task, worker.id, row.run, None))
+
     def _expected(self, row: RunningTask) -> Task | None:
         task = self.board.find(row.task)
         if task is not None:
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -26,6 +26,7 @@
 from .order import ORDERS
 from .pacing import Pacing
 from .planner import Planner
+from .quotas import QuotaLookup, Quotas, no_quota
 from .reports import Reports
 from .zones import Zones
 
@@ -42,10 +43,17 @@
     All times are steady seconds, but for ``wall``, in seconds since 1970.
 
     :param order: names how work that can still be in time is ordered.
+    :param quota_of: what an organisation may have running.
     """
 
-    def __init__(self, epoch: int, policy_of: PolicyLookup, order: str = "") -> None:
-        self.board = Board(epoch, policy_of)
+    def __init__(
+        self,
+        epoch: int,
+        policy_of: PolicyLookup,
+        order: str = "",
+        quota_of: QuotaLookup = no_quota,
+    ) -> None:
+        self.board = Board(epoch, policy_of, quotas=Quotas(quota_of))
         self._zones = Zones(self.board)
         self.intake = Intake(self.board, self._zones)
         self.health = Health(self.board)
@@ -95,18 +103,14 @@
         worker = self.board.workers.get(worker_id)
         is_new = worker is None
         if worker is None:
-            room = entry.capacity
-            worker = WorkerState(
-                worker_id,
-                entry.service,
-                entry.zone,
-                tuple(entry.labels),
-                room,
-                free_cpu=room.cpu,
-                free_mem=room.mem_mb,
-                free_gpu=room.gpu,
-            )
+            worker = _make_worker(worker_id, entry)
             self.board.workers[worker_id] = worker
+        elif not worker.described and entry.born == worker.born:
+            worker.describe(entry)
+        elif is_other(entry.born, worker.born):
+            # Of an incarnation that is over, and was written or read late.
+            return False
+        worker.born = worker.born or entry.born
         if entry.service != worker.service:
             # An incarnation never changes its pool, so another writer has written this.
             note_unreadable("worker", worker_id, f"service={entry.service}")
@@ -120,6 +124,32 @@
             _LOGGER.info("worker_draining", worker=worker_id)
         return is_new
 
+    def replace_worker(
+        self, worker_id: str, born: int, entry: WorkerEntry, now: float
+    ) -> None:
+        """Take in that a worker started again under its id.
+
+        :param entry: the newest one that is known; it may be of the incarnation before,
+            and the worker gets nothing then until its own is read.
+        """
+        old = self.board.workers.get(worker_id)
+        new = _make_worker(worker_id, entry)
+        new.born = born
+        new.described = entry.born == born
+        new.absent = not new.described
+        _LOGGER.info(
+            "worker_reborn",
+            worker=worker_id,
+            born=born,
+            before=old.born if old is not None else 0,
+            tasks=len(old.tasks) if old is not None else 0,
+            described=new.described,
+        )
+        if old is None:
+            self.board.workers[worker_id] = new
+        else:
+            self.board.replace_worker(old, new, now)
+
     def miss_worker(self, worker_id: str, now: float) -> None:
         """Take in that a worker's entry is gone; what runs there may go on."""
         worker = self.board.workers.get(worker_id)
@@ -240,3 +270,23 @@
             return False
         expected = STUCK_FACTOR * self.board.estimates.seconds(task.step)
         return now - task.percent_since > max(STUCK_SECONDS, expected)
+
+
+def is_other(born: int, known: int) -> bool:
+    """Return whether two times of birth are surely those of two incarnations."""
+    return bool(born and known) and born != known
+
+
+def _make_worker(worker_id: str, entry: WorkerEntry) -> WorkerState:
+    room = entry.capacity
+    return WorkerState(
+        worker_id,
+        entry.service,
+        entry.zone,
+        tuple(entry.labels),
+        room,
+        free_cpu=room.cpu,
+        free_mem=room.mem_mb,
+        free_gpu=room.gpu,
+        born=entry.born,
+    )
--- a/mustardward/helpers/instruments.py
+++ b/mustardward/helpers/instruments.py
@@ -70,6 +70,12 @@
     ("how",),
     registry=REGISTRY,
 )
+QUOTA_WAITS: Final = Counter(
+    "mustardward_quota_wait_seconds",
+    "Seconds in which an organisation's tasks waited for room in its quota.",
+    ("organisation",),
+    registry=REGISTRY,
+)
 FLEET_ORDERS: Final = Counter(
     "mustardward_fleet_orders",
     "Moves and maintenance of instances, by the platform's answer.",
--- a/mustardward/platform/bodies.py
+++ b/mustardward/platform/bodies.py
@@ -46,11 +46,15 @@
 
 
 class HoldAnswerBody(msgspec.Struct, rename="kebab"):
-    """Hold what runs and has ended: rows of mixed values."""
+    """Hold what runs and has ended: rows of mixed values.
+
+    :param born: when the worker's process started, in milliseconds since 1970.
+    """
 
     clock_ms: float
     running: list[list[Any]] = []
     ended: list[list[Any]] = []
+    born: int = 0
 
 
 class ClockBody(msgspec.Struct, rename="kebab"):
--- a/mustardward/platform/entries.py
+++ b/mustardward/platform/entries.py
@@ -27,6 +27,9 @@
 MOST_MEMORY_MB: Final = 256 * 1024 * 1024
 MOST_ACCELERATORS: Final = 1024
 
+LATEST_BORN_MS: Final = 2**45
+"""A start later than this, in milliseconds since 1970, lies a thousand years ahead."""
+
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MOST_NAME_LENGTH)]
 
 
@@ -44,6 +47,7 @@
     capacity: _CapacityBody
     labels: list[Name]
     remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=1e9)] | None = None
+    born: Annotated[int, msgspec.Meta(ge=0, le=LATEST_BORN_MS)] = 0
 
 
 _DECODER: Final = msgspec.json.Decoder(_EntryBody)
@@ -73,6 +77,7 @@
         Room(room.cpu, room.mem_mb, room.gpu),
         body.labels,
         body.remaining_ms,
+        body.born,
     )
 
 
--- a/mustardward/platform/workers.py
+++ b/mustardward/platform/workers.py
@@ -76,11 +76,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldAnswer:
-    """Hold what a worker says it runs and has ended; its clock in milliseconds."""
+    """Hold what a worker says it runs and has ended; its clock in milliseconds.
+
+    :param born: when the worker's process started, in milliseconds since 1970, or 0 if
+        it does not say.
+    """
 
     clock_ms: float
     running: list[RunningTask]
     ended: list[EndedTask]
+    born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,11 +220,8 @@
 def _decode_hold(answer: Answer) -> HoldAnswer:
     try:
         hold = msgspec.json.decode(answer.body, type=HoldAnswerBody)
-        running = [_running(row) for row in hold.running]
-        ended = [
-            EndedTask(int(row[0]), decode_task(row[1]), int(row[2]), row[3], row[4])
-            for row in hold.ended
-        ]
+        running = [decode_running(row) for row in hold.running]
+        ended = [decode_ended(row) for row in hold.ended]
     except (
         msgspec.MsgspecError,
         ValueError,
@@ -229,9 +231,15 @@
         OverflowError,
     ) as error:
         raise CallUnknownError(str(error)) from error
-    return HoldAnswer(hold.clock_ms, running, ended)
+    return HoldAnswer(hold.clock_ms, running, ended, hold.born)
+
+
+def decode_ended(row: list[Any]) -> EndedTask:
+    """Return a row of what ended."""
+    return EndedTask(int(row[0]), decode_task(row[1]), int(row[2]), row[3], row[4])
 
 
-def _running(row: list[Any]) -> RunningTask:
+def decode_running(row: list[Any]) -> RunningTask:
+    """Return a row of what runs."""
     figure = float(row[4]) if len(row) > 4 else 0.0
     return RunningTask(decode_task(row[0]), int(row[1]), row[2], float(row[3]), figure)
--- a/mustardward/standin/estate/app.py
+++ b/mustardward/standin/estate/app.py
@@ -135,32 +135,40 @@
         worker = await self._async_worker(request)
         if worker is None:
             return web.Response(status=421)
-        return _clock(worker.start(order, _now_ms()))
+        now_ms = _clock_ms(worker)
+        return _clock(worker.start(order, now_ms), now_ms)
 
     async def _async_stop(self, request: web.Request) -> web.StreamResponse:
         order = msgspec.json.decode(await request.read(), type=StopBody)
         worker = await self._async_worker(request)
         if worker is None:
             return web.Response(status=421)
-        return _clock(worker.stop(order.task, order.run, order.fence, _now_ms()))
+        now_ms = _clock_ms(worker)
+        return _clock(worker.stop(order.task, order.run, order.fence, now_ms), now_ms)
 
     async def _async_pace(self, request: web.Request) -> web.StreamResponse:
         msgspec.json.decode(await request.read(), type=PaceBody)
-        return _clock("")
+        worker = await self._async_worker(request)
+        if worker is None:
+            return web.Response(status=421)
+        return _clock("", _clock_ms(worker))
 
     async def _async_hold(self, request: web.Request) -> web.StreamResponse:
         call = msgspec.json.decode(await request.read(), type=HoldBody)
         worker = await self._async_worker(request)
         if worker is None:
             return web.Response(status=421)
-        worker.hold(call.fence, call.seen_upto, call.deadline_ms, _now_ms())
+        worker.hold(call.fence, call.seen_upto, call.deadline_ms, _clock_ms(worker))
         until = time.monotonic() + call.wait_ms / 1000
         while time.monotonic() < until and not worker.has_news(call.seen_upto):
             await anyio.sleep(TICK_SECONDS)
-            worker.advance(_now_ms())
-        answer = worker.hold(call.fence, call.seen_upto, None, _now_ms())
+            worker.advance(_clock_ms(worker))
+        if self._estate.workers.get(worker.id) is not worker:
+            # Its process ended meanwhile: the connection breaks without an answer.
+            raise CallUnknownError("restarted")
+        answer = worker.hold(call.fence, call.seen_upto, None, _clock_ms(worker))
         if answer is None:
-            return _clock(names.REASON_FENCE)
+            return _clock(names.REASON_FENCE, _clock_ms(worker))
         return _json(answer)
 
     async def _async_worker(self, request: web.Request) -> MemoryWorker | None:
@@ -187,8 +195,9 @@
         return _refusal(self._estate.maintain(order.machine, order.wave, token, now))
 
 
-def _now_ms() -> float:
-    return time.monotonic() * 1000
+def _clock_ms(worker: MemoryWorker) -> float:
+    """Return a worker's own clock, which begins anew with each start."""
+    return time.monotonic() * 1000 - worker.clock_zero_ms
 
 
 def _raw(body: msgspec.Struct) -> msgspec.Raw:
@@ -203,8 +212,8 @@
     )
 
 
-def _clock(reason: str) -> web.Response:
-    return _json(ClockBody(_now_ms(), reason), 409 if reason else 200)
+def _clock(reason: str, clock_ms: float) -> web.Response:
+    return _json(ClockBody(clock_ms, reason), 409 if reason else 200)
 
 
 def _refusal(reason: str) -> web.Response:
--- a/mustardward/standin/estate/estate.py
+++ b/mustardward/standin/estate/estate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Final
@@ -26,6 +27,9 @@
 DOWN_SECONDS: Final = 0.5
 """How long an instance is away for a move or maintenance."""
 
+FIRST_CLOCK_MS: Final = 10.0
+"""What a worker's clock shows at its start."""
+
 STATE_MOVING: Final = "moving"
 
 _JOB: Final = msgspec.msgpack.Decoder(JobRecord)
@@ -157,7 +161,7 @@
                 machine.state = INSTANCE_UP
                 self._boot(machine)
         for worker in self.workers.values():
-            worker.advance(now * 1000)
+            worker.advance(now * 1000 - worker.clock_zero_ms)
 
     def list_instances(self) -> list[Instance]:
         """Return the fleet's list."""
@@ -212,6 +216,27 @@
             if machine.worker is not None and machine.worker.id == worker_id:
                 self._take_down(machine, "down", now)
 
+    def restart(self, worker_id: str, now: float) -> MemoryWorker:
+        """Start a worker's process again, at once and under its id.
+
+        It runs nothing, has seen no token, and its clock and counts begin anew.
+        """
+        old = self.workers[worker_id]
+        worker = MemoryWorker(
+            worker_id,
+            old.machine,
+            old.pool,
+            old.room,
+            self.work_of,
+            born=max(old.born + 1, time.time_ns() // 1_000_000),
+            clock_zero_ms=now * 1000 - FIRST_CLOCK_MS,
+        )
+        machine = self._machines[old.machine]
+        machine.worker = worker
+        self.workers[worker_id] = worker
+        self._announce(machine, worker)
+        return worker
+
     def _add_machines(self) -> None:
         number = 0
         for pool in self._plan.pools:
@@ -234,18 +259,30 @@
         machine.incarnation += 1
         worker_id = f"i-{machine.name}-{machine.incarnation}"
         room = Room(cpu=self._plan.cores * 1000, mem_mb=65536)
-        worker = MemoryWorker(worker_id, machine.name, machine.pool, room, self.work_of)
+        worker = MemoryWorker(
+            worker_id,
+            machine.name,
+            machine.pool,
+            room,
+            self.work_of,
+            born=time.time_ns() // 1_000_000,
+        )
         machine.worker = worker
         self.workers[worker_id] = worker
+        self._announce(machine, worker)
+
+    def _announce(self, machine: _Machine, worker: MemoryWorker) -> None:
+        """Let a worker register itself."""
         entry = {
             "service": machine.pool,
             "address": machine.address,
             "zone": "z1",
             "state": "ready",
-            "capacity": room,
+            "capacity": worker.room,
             "labels": ["a", machine.rack],
+            "born": worker.born,
         }
-        self.store.append(TOPIC_WORKERS, [(worker_id, msgspec.json.encode(entry))])
+        self.store.append(TOPIC_WORKERS, [(worker.id, msgspec.json.encode(entry))])
 
     def _take_down(self, machine: _Machine, state: str, now: float) -> None:
         machine.state = state
--- a/mustardward/standin/estate/worker.py
+++ b/mustardward/standin/estate/worker.py
@@ -56,6 +56,8 @@
 
     :param work_of: what a task is, as the platform knows from its job.
     :param silent: whether calls get no answer, though what runs goes on.
+    :param born: when it started, in milliseconds since 1970.
+    :param clock_zero_ms: where its own clock began, on the platform's.
     """
 
     id: str
@@ -64,6 +66,8 @@
     room: Room
     work_of: dict[str, Work]
     silent: bool = False
+    born: int = 0
+    clock_zero_ms: float = 0.0
     runs: dict[str, Run] = field(default_factory=dict)
     starts: list[tuple[str, int]] = field(default_factory=list)
     _ended: list[list[object]] = field(default_factory=list)
@@ -118,7 +122,7 @@
             [run.task, run.number, "", self._percent(run, now_ms), 0.0]
             for run in self.runs.values()
         ]
-        return HoldAnswerBody(now_ms, running, list(self._ended))
+        return HoldAnswerBody(now_ms, running, list(self._ended), self.born)
 
     def advance(self, now_ms: float) -> None:
         """Let time pass until now."""
--- a/tests/components/fleet/test_waves.py
+++ b/tests/components/fleet/test_waves.py
@@ -243,3 +243,23 @@
     busy = a_view(eight(), {"i-00": Load(0, 1)})
     emptied = {d.machine for d in planner.decide(busy, 0.0)}
     assert emptied == {"m-00", "m-01"}
+
+
+def test_a_worker_that_comes_back_under_its_id_is_up_again() -> None:
+    """Symptom: each instance of a wave held its place for 3 s after it was back.
+
+    Cause: the list named the same worker, which was taken for not maintained yet; its
+    time of birth says that it started again.
+    """
+    planner = a_planner(["m-00", "m-01"], max_count=1)
+    fleet = [an_instance(number) for number in range(2)]
+    loads = {"i-00": Load(0, 0, born=100), "i-01": Load(0, 0, born=100)}
+    planner.decide(a_view(fleet, loads), 0.0)
+    planner.decide(a_view(fleet, loads), 0.1)
+    (order,) = planner.runs[1].orders.values()
+    planner.accepted(1, order.machine, 0.2)
+    planner.decide(a_view(fleet, loads, read_at=2.5), 2.5)
+    assert list(planner.runs[1].orders) == [order.machine]
+    loads[order.old_id or ""] = Load(0, 0, born=200)
+    planner.decide(a_view(fleet, loads, read_at=2.6), 2.6)
+    assert order.machine not in planner.runs[1].orders
--- a/tests/components/scheduling/builders.py
+++ b/tests/components/scheduling/builders.py
@@ -68,6 +68,7 @@
     """Drive a scheduler, playing workers that do as they are told.
 
     :param now: steady and wall clock, in seconds.
+    :param quotas: what each organisation may have running.
     """
 
     policy: QueuePolicy = QueuePolicy(service=POOL, target_seconds=1.0)
@@ -75,11 +76,16 @@
     epoch: int = 1
     scheduler: Scheduler = field(init=False)
     clock_ms: float = 0.0
+    quotas: dict[str, Room] = field(default_factory=dict)
     _numbers: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Make the scheduler."""
-        self.scheduler = Scheduler(self.epoch, lambda queue: self.policy)
+        self.scheduler = Scheduler(
+            self.epoch,
+            lambda queue: self.policy,
+            quota_of=lambda organisation: self.quotas.get(organisation, Room()),
+        )
 
     def worker(self, name: str, **changes: object) -> WorkerState:
         """Add a worker that answered its first hold."""
--- a/tests/embedded/test_estate.py
+++ b/tests/embedded/test_estate.py
@@ -170,3 +170,22 @@
             job = path.rpartition("/")[2]
             assert all(name.partition(".")[0] != job for name in starts_of(fleet))
             assert sum(before.values()) == 5
+
+
+async def test_work_is_done_though_its_workers_start_again_under_their_ids() -> None:
+    """Symptom: a job is never done; its worker forgot ends that nobody has read."""
+    with anyio.fail_after(MOST_SECONDS):
+        async with async_run_estate_fleet(PLAN, entries=2) as fleet:
+            lasts = await fleet.async_submit(PREFIX, lasting())
+            await fleet.async_wait_state(lasts, "running")
+            paths = []
+            for _ in range(3):
+                paths.append(await fleet.async_submit(PREFIX, two_steps()))
+                await anyio.sleep(0.1)
+                for name, worker in list(fleet.estate.workers.items()):
+                    if worker.pool == "pool-a":
+                        fleet.estate.restart(name, time.monotonic())
+            for path in paths:
+                await fleet.async_wait_state(path, "done")
+            workers = fleet.estate.workers
+            await async_until(lambda: sum(len(w.runs) for w in workers.values()) == 2)
