Never tell a refusal while the request may still be stored

An entry that was cut off in the moment of its append asked a peer beside it, 0.4 s later; the caller's key had been withdrawn meanwhile, and the peer's 401 was told. The append was stored after the cut, and the job ran. The same holds for a queue that goes, and for a peer that may have taken the request before another one refuses it.

Change: a refusal of any kind is told only if neither this entry's own attempt nor a peer's may have its effect; else the caller is told 504, and comes again.

--- a/mustardward/components/forwarding/answering.py
+++ b/mustardward/components/forwarding/answering.py
@@ -112,7 +112,8 @@
             return await self._async_hedged(request)
         outcome = await self._async_ask_unless_alone(request)
         if outcome.reply is not None:
-            return _reply(outcome.reply)
+            reply = _reply(outcome.reply)
+            return _unless_unknown(request, reply, outcome.may_have_effect)
         if request.method == "GET" and not self._behind():
             return await self.front.async_answer(request)
         # It can't be stored from here, and would only wait for its deadline: its
@@ -181,14 +182,20 @@
         for reply in replies:
             if reply.status not in _UNSURE:
                 return reply
-        if asked and asked[0].reply is not None:
-            return _reply(asked[0].reply)
         unknown = bool(asked) and asked[0].may_have_effect
+        if asked and asked[0].reply is not None:
+            # What is under way here, or was unanswered, may still take its effect.
+            under_way = not replies or replies[0].status == OUTCOME_UNKNOWN
+            return self._told(request, _reply(asked[0].reply), unknown or under_way)
         here = replies[0] if replies else _unknown()
-        reply = _unless_unknown(request, here, unknown)
-        if reply.status == OUTCOME_UNKNOWN:
+        return self._told(request, here, unknown)
+
+    def _told(self, request: Request, reply: Reply, unknown: bool) -> Reply:
+        """Return what a caller is told, with a line if that is that nothing is sure."""
+        told = _unless_unknown(request, reply, unknown)
+        if told.status == OUTCOME_UNKNOWN:
             _LOGGER.warning("outcome_unknown", request=request.path, outcome="cut-off")
-        return reply
+        return told
 
     @switchable(
         "refused-alone",
@@ -253,7 +260,16 @@
 
 
 def _unless_unknown(request: Request, reply: Reply, unknown: bool) -> Reply:
-    """Return a refusal only if no peer may have taken the request."""
-    if unknown and reply.status == 503 and request.method != "GET":
+    """Return a refusal only if nobody may have taken the request.
+
+    Symptom without it: a job runs though its caller was refused. Sequence: an append is
+    under way at an entry that was just cut off; a peer is asked beside it, and knows
+    that the caller's key was withdrawn meanwhile, or its queue; the append is stored.
+    """
+    if unknown and _refuses(reply) and request.method != "GET":
         return _unknown()
     return reply
+
+
+def _refuses(reply: Reply) -> bool:
+    return reply.status == 503 or 400 <= reply.status < 500
--- a/tests/components/forwarding/test_keys.py
+++ b/tests/components/forwarding/test_keys.py
@@ -10,6 +10,7 @@
 from mustardward.components.ledger.const import KEY_OWNER, TOPIC
 from mustardward.components.ledger.ledger import encode
 from mustardward.components.ledger.models import OwnerRecord
+from mustardward.standin.estate.store import Mood
 
 from ..front.builders import BODY, HOST, JOB, PREFIX, a_config
 from .test_answering import AnsweringBench, an_entry
@@ -61,3 +62,31 @@
         assert b"done" in (await _async_ask(bench, "GET", DAIRY)).body
         for key in (GAUGES, "", "nobody's"):
             assert b"done" not in (await _async_ask(bench, "GET", key)).body
+
+
+@pytest.mark.parametrize("status", [401, 404, 409])
+async def test_a_peers_refusal_is_not_told_while_an_append_is_under_way_here(
+    status: int,
+) -> None:
+    """Tell nobody that a job was refused which may still be stored.
+
+    Symptom: a job ran though all attempts to hand it in were refused. Sequence: an
+    entry is cut off just after it sent an append; its caller's key is withdrawn; the
+    peer that is asked beside it answers 401; the cut ends, and the append is stored.
+    Cause: a peer's final answer was told without regard to the entry's own attempt.
+    """
+    async with an_entry() as bench:
+        await bench.async_publish(a_config(2, organisations=KEYS))
+        bench.store.mood = Mood.SILENT
+        bench.forwarder.outcome = AskOutcome(AskedReply(status, b"{}"), False)
+        reply = await _async_ask(bench, "POST", DAIRY)
+        assert reply.status == 504
+
+
+async def test_a_peers_refusal_is_not_told_if_another_may_have_taken_it() -> None:
+    async with an_entry() as bench:
+        await bench.async_publish(a_config(2, organisations=KEYS))
+        await bench.async_cut_off()
+        bench.forwarder.outcome = AskOutcome(AskedReply(401, b"{}"), True)
+        assert (await _async_ask(bench, "POST", DAIRY)).status == 504
+        assert (await _async_ask(bench, "GET", DAIRY)).status == 401
