--- a/mustardward/helpers/log_output.py
+++ b/mustardward/helpers/log_output.py
@@ -8,6 +8,10 @@
 from absl import flags
 from absl import logging as absl_logging
 
+from .logging import get_logger
+
+_LOGGER = get_logger(__name__)
+
 _LEVELS: Final = {"DEBUG": "debug", "INFO": "info", "WARNING": "warning"}
 
 _LIBRARIES: Final = ("httpx", "httpcore", "hypercorn.error", "hypercorn.access")
@@ -25,6 +29,25 @@
         return f"time={record.created:.3f} level={level} {message}"
 
 
+class LibraryHandler(logging.Handler):
+    """Write what libraries say as events of ours, so that the bound of lines holds.
+
+    Symptom without it: lines without pairs between an entry's events, some sixty in a
+    cut, past the bound and its count. Cause: a library that logs by itself, and finds
+    no handler, writes to standard error.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line."""
+        raised = record.exc_info[0] if record.exc_info else None
+        _LOGGER.info(
+            "library_line",
+            library=record.name,
+            text=record.getMessage(),
+            exception=raised.__name__ if raised is not None else None,
+        )
+
+
 def set_up_logging(verbose: bool = False) -> None:
     """Begin to write events; ``verbose`` adds those for fault finding."""
     # click parses the command line; absl would first warn that nobody had.
--- a/mustardward/node/main.py
+++ b/mustardward/node/main.py
@@ -13,7 +13,7 @@
 
 from ..exceptions import MustardwardError, SettingsError
 from ..helpers.bounded_output import BoundedOutput, open_output
-from ..helpers.log_output import PairFormatter
+from ..helpers.log_output import LibraryHandler, PairFormatter
 from ..helpers.logging import get_logger
 from ..helpers.policies import UnknownPolicyError, switch_off
 from ..platform.boot import BootSettings, load_boot
@@ -76,6 +76,7 @@
     output.setFormatter(PairFormatter())
     logging.getLogger("absl").handlers = [output]
     logging.getLogger("absl").propagate = False
+    logging.getLogger().handlers = [LibraryHandler()]
     absl_logging.set_verbosity(absl_logging.INFO)
     return output
 
--- a/tests/helpers/test_log_output.py
+++ b/tests/helpers/test_log_output.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from mustardward.helpers.log_output import set_up_logging
+from mustardward.helpers.log_output import LibraryHandler, set_up_logging
 from mustardward.helpers.logging import get_logger
 
 
@@ -50,3 +50,17 @@
     lines = capsys.readouterr().err.splitlines()
     assert len(lines) == 1
     assert lines[0].endswith(r'request_id="x\nevent=reboot"')
+
+
+def test_what_a_library_says_is_one_event(
+    quiet_root: None, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Symptom: an entry's log has lines without pairs, past the bound of lines."""
+    set_up_logging()
+    library = logging.getLogger("some.library")
+    library.propagate = False
+    library.addHandler(LibraryHandler())
+    library.warning("Stream reset\nby %s", "a peer")
+    (line,) = capsys.readouterr().err.splitlines()
+    assert "event=library_line part=helpers.log_output library=some.library" in line
+    assert 'text="Stream reset\\nby a peer" exception=-' in line
