Let what lies beyond an organisation's rate wait for the others

Cause: the order of work knew no organisation; while one sent many times its usual, jobs of all were late alike.

Change: a token bucket of each organisation's weight (jobs a second, a burst of a second) marks jobs that lie beyond it; they go after the others' that can still be in time, and no longer count for the choice between slack and size. A switch takes it out (`policies-off: [shares]`).

Ruled out: refusing such jobs: there may be room for them.

Figures: replay of a pool asked twice what it does, late jobs of the small organisation some -> none.

--- a/mustardward/components/configuration/services.py
+++ b/mustardward/components/configuration/services.py
@@ -81,6 +81,11 @@
         organisation = self._organisations.get(name)
         return organisation.quota if organisation is not None else Room()
 
+    def rate_of(self, name: str) -> float:
+        """Return the jobs a second that are an organisation's share; 0 is no bound."""
+        organisation = self._organisations.get(name)
+        return organisation.weight if organisation is not None else 0.0
+
     def standby_pools(self) -> set[str]:
         """Return the pools whose instances are off."""
         services = self.config.services if self.config else []
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -67,6 +67,7 @@
             epoch,
             parts.configuration.policy_of,
             quota_of=parts.configuration.quota_of,
+            rate_of=parts.configuration.rate_of,
         )
         self.appender = GroupAppender(
             self._async_call_append, parts.timers, f"owner/{SHARD}", epoch, sequence=1
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..ledger.ledger import LedgerJob
 from ..ledger.marks import unpack
@@ -11,6 +11,7 @@
 from .const import LATE_FACTOR
 from .inflow import RECENT_SECONDS, Amount
 from .models import Job, Phase, QueuePolicy, StepRun, Task
+from .shares import Shares
 from .zones import Zones
 
 OCCURRENCE_MARGIN_SECONDS = 0.03
@@ -23,6 +24,7 @@
 
     board: Board
     zones: Zones
+    shares: Shares = field(default_factory=Shares)
 
     def add(self, ledger_job: LedgerJob, now: float, wall: float) -> None:
         """Take a job in, with what is stored of it."""
@@ -34,6 +36,7 @@
         age = max(0.0, wall - record.accepted_at)
         job = Job(record, policy, accepted_at=now - age)
         self._set_objective(job, job.accepted_at)
+        job.beyond = self.shares.is_beyond(job.organisation, job.accepted_at)
         self.board.jobs[record.id] = job
         progress = ledger_job.progress
         if progress is None:
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -155,6 +155,7 @@
     :param open_zones: those of which the log is known to have been told: it starts
         nowhere else.
     :param sent_zones: those that the record on its way to the log names.
+    :param beyond: whether it lies beyond its organisation's rate.
     """
 
     record: JobRecord
@@ -171,6 +172,7 @@
     zones: frozenset[str] | None = None
     open_zones: frozenset[str] | None = None
     sent_zones: frozenset[str] | None = None
+    beyond: bool = False
 
     @property
     def organisation(self) -> str:
--- a/mustardward/components/scheduling/order.py
+++ b/mustardward/components/scheduling/order.py
@@ -22,7 +22,7 @@
 from .estimates import Estimates
 from .models import Job, StepRun
 
-Rank = tuple[int, int, float]
+Rank = tuple[int, int, bool, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,7 +138,11 @@
         name: Left(estimates.chain(job, only_left=True), estimates.work_left(job))
         for name, job in jobs.items()
     }
-    asked = sum(left[name].work for name, job in jobs.items() if job.objective_at > now)
+    asked = sum(
+        left[name].work
+        for name, job in jobs.items()
+        if job.objective_at > now and not job.beyond
+    )
     chosen = order if order is not None else choose_order(asked, capacity)
     return sorted(
         steps, key=lambda step: rank(step, now, left[step.job.record.id], chosen)
@@ -150,9 +154,10 @@
     job = step.job
     policy = job.policy
     if step.spec.long_running:
-        return (Standing.LASTING, policy.priority, float(step.spec.fills))
+        return (Standing.LASTING, policy.priority, False, float(step.spec.fills))
     if now + left.chain <= job.objective_at:
-        return (Standing.IN_TIME, policy.priority, order(job, left))
+        return (Standing.IN_TIME, policy.priority, job.beyond, order(job, left))
     if now + left.chain <= job.late_at:
-        return (Standing.LATE, policy.priority, left.chain * len(step.tasks))
-    return (Standing.OVERDUE, policy.priority, job.accepted_at)
+        size = left.chain * len(step.tasks)
+        return (Standing.LATE, policy.priority, job.beyond, size)
+    return (Standing.OVERDUE, policy.priority, job.beyond, job.accepted_at)
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -28,6 +28,7 @@
 from .planner import Planner
 from .quotas import QuotaLookup, Quotas, no_quota
 from .reports import Reports
+from .shares import RateLookup, Shares, no_rate
 from .zones import Zones
 
 _LOGGER = get_logger(__name__)
@@ -44,6 +45,7 @@
 
     :param order: names how work that can still be in time is ordered.
     :param quota_of: what an organisation may have running.
+    :param rate_of: jobs a second that are an organisation's share.
     """
 
     def __init__(
@@ -52,10 +54,11 @@
         policy_of: PolicyLookup,
         order: str = "",
         quota_of: QuotaLookup = no_quota,
+        rate_of: RateLookup = no_rate,
     ) -> None:
         self.board = Board(epoch, policy_of, quotas=Quotas(quota_of))
         self._zones = Zones(self.board)
-        self.intake = Intake(self.board, self._zones)
+        self.intake = Intake(self.board, self._zones, Shares(rate_of))
         self.health = Health(self.board)
         self.reports = Reports(self.board, self.intake, self.health)
         self.pacing = Pacing(self.board)
@@ -229,6 +232,8 @@
                     state=job.state.name.lower(),
                     seconds=now - job.accepted_at,
                     objective_seconds=job.objective_at - job.accepted_at,
+                    organisation=job.organisation,
+                    beyond=job.beyond,
                 )
         return records
 
--- /dev/null
+++ b/tests/components/scheduling/test_shares.py
@@ -0,0 +1,102 @@
+"""Test what an organisation may take of a full pool."""
+
+from __future__ import annotations
+
+import pytest
+
+from mustardward.components.scheduling.scheduler import Scheduler
+from mustardward.components.scheduling.shares import Shares
+from mustardward.helpers.policies import switch_off
+
+from .builders import SchedulerBench, a_job, a_step
+
+HOT = "hot"
+SMALL = "small"
+RATES = {HOT: 4.0, SMALL: 1.0}
+
+
+def a_bench() -> SchedulerBench:
+    """Return one worker of eight cores."""
+    bench = SchedulerBench()
+    bench.scheduler = Scheduler(
+        1, lambda queue: bench.policy, rate_of=lambda name: RATES.get(name, 0.0)
+    )
+    bench.worker("w0")
+    return bench
+
+
+@pytest.mark.parametrize(
+    ("gap", "within"), [(0.25, 20), (0.125, 12), (0.0, 4), (1.0, 20)]
+)
+def test_a_rate_is_kept_over_time_with_a_seconds_burst(gap: float, within: int) -> None:
+    shares = Shares(lambda name: 4.0)
+    seen = [shares.is_beyond(HOT, 10.0 + gap * number) for number in range(20)]
+    assert abs(seen.count(False) - within) <= 1
+
+
+def test_what_came_late_gives_no_rate_back() -> None:
+    """Jobs are told in the order of the log, their times are other entries' clocks."""
+    shares = Shares(lambda name: 1.0)
+    assert not shares.is_beyond(HOT, 100.0)
+    assert shares.is_beyond(HOT, 90.0)
+    assert shares.is_beyond(HOT, 100.0)
+    assert not shares.is_beyond(HOT, 101.0)
+
+
+def test_without_an_organisation_or_a_rate_nothing_lies_beyond() -> None:
+    assert not any(Shares(lambda name: 1.0).is_beyond("", 0.0) for _ in range(9))
+    assert not any(Shares().is_beyond(HOT, 0.0) for _ in range(9))
+
+
+def _late_jobs_of_the_small(seconds: float = 6.0) -> int:
+    """Play a hot organisation beside a small one; return the latter's late jobs."""
+    bench = a_bench()
+    sent: dict[str, str] = {}
+    late = 0
+    begun = bench.now
+    number = 0
+    while bench.now < begun + seconds:
+        for name, every, count in ((HOT, 1, 3), (SMALL, 10, 4)):
+            if number % every == 0:
+                job = f"{name}{number:012x}"[:16].rjust(16, "0")
+                sent[job] = name
+                step = a_step(count=count, cpu=1000, estimate_ms=500)
+                record = a_job(step, job=job, organisation=name, accepted_at=bench.now)
+                bench.add(record)
+        number += 1
+        bench.plan_starts()
+        for worker in bench.scheduler.board.workers.values():
+            for task in list(worker.tasks.values()):
+                if bench.now - task.started_at >= 0.5:
+                    job = task.step.job
+                    bench.end(task, "done")
+                    is_late = job.state.final and bench.now > job.objective_at
+                    late += is_late and job.organisation == SMALL
+        bench.now += 0.1
+    left = bench.scheduler.board.jobs.values()
+    return late + sum(
+        job.organisation == SMALL and bench.now > job.objective_at
+        for job in left
+        if not job.state.final
+    )
+
+
+def test_a_hot_organisation_keeps_nobody_elses_jobs_waiting() -> None:
+    """Replay a hot organisation: ten times another's rate, beyond what the pool does.
+
+    Symptom: one job in four is late, whoever sent it. Cause: the order of work knew no
+    organisation.
+    """
+    assert _late_jobs_of_the_small() == 0
+    switch_off(["shares"])
+    try:
+        assert _late_jobs_of_the_small() > 0
+    finally:
+        switch_off([])
+
+
+def test_what_lies_beyond_a_rate_takes_the_room_that_is_left() -> None:
+    bench = a_bench()
+    for number in range(8):
+        bench.add(a_job(a_step(count=1), job=f"{number:016x}", organisation=SMALL))
+    assert len(bench.plan_starts()) == 8
