Repeat an append that the log does not show soon, under its number

Cause: a store may leave an append for one to six seconds and then carry it out. The log does not show it meanwhile; each try was waited for 0.7 s, all others behind it, and callers were told 504.

Change: a try is given up once a read that began 0.15 s after it does not show it, the next ones after 0.23 and 0.28 s; the log drops whichever of the two comes second. A switch takes it out (`policies-off: [appends-repeated]`).

Ruled out: tries twice as long from one to the next without a bound: what was sent into an outage was repeated up to 0.6 s after its end.

--- a/mustardward/components/ledger/appender.py
+++ b/mustardward/components/ledger/appender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -11,6 +12,7 @@
 
 from ...helpers.instruments import APPEND_SECONDS, APPENDS
 from ...helpers.logging import get_logger
+from ...helpers.policies import switchable
 from ...helpers.timer import TimerService
 from ...platform.exceptions import (
     CallRefusedError,
@@ -27,6 +29,17 @@
 MOST_BYTES: Final = 900_000
 """Stays below the store's limit for one call with room for lengths and keys."""
 
+FIRST_PATIENCE_SECONDS: Final = 0.15
+"""Time without an answer after which a try that the log does not show is repeated. A
+store may leave an append for seconds and then carry it out; most repeats are carried
+out at once, and the log drops the one of the two that comes second."""
+
+PATIENCE_GROWTH: Final = 1.5
+LONGEST_PATIENCE_SECONDS: Final = 0.28
+"""Each try is waited for longer than the one before, up to this, so that a partition
+that is short of time is not asked by all entries at once; what was sent into an outage
+is repeated this soon after its end."""
+
 Record = tuple[str, bytes]
 AppendCall = Callable[[list[Record], Producer], Awaitable[int]]
 
@@ -40,6 +53,27 @@
     FENCED = "fenced"
 
 
+def _wait_for_the_call() -> float:
+    return math.inf
+
+
+@switchable(
+    "appends-repeated",
+    "an append that the log does not show is soon repeated under its number",
+    without=_wait_for_the_call,
+)
+def choose_patience() -> float:
+    """Return how long the first try of an append is waited for."""
+    return FIRST_PATIENCE_SECONDS
+
+
+def longer(patience: float) -> float:
+    """Return how long the next try is waited for."""
+    if patience == math.inf:
+        return patience
+    return min(LONGEST_PATIENCE_SECONDS, patience * PATIENCE_GROWTH)
+
+
 @dataclass(slots=True, eq=False)
 class _Entry:
     """Hold records that wait, and who waits for them."""
@@ -124,10 +158,11 @@
         records = [record for entry in batch for record in entry.records]
         may_be_stored = False
         pause = FIRST_RETRY_SECONDS
+        patience = choose_patience()
         if self.sighting is not None:
             self.sighting.expect(records)
         while True:
-            outcome = await self._async_try_or_see(records)
+            outcome = await self._async_try_or_see(records, patience)
             if outcome is Outcome.STORED:
                 self._stored(batch)
                 return
@@ -142,8 +177,11 @@
                 return
             await self.timers.async_sleep(pause)
             pause = min(RETRY_SECONDS, pause * 2)
+            patience = longer(patience)
 
-    async def _async_try_or_see(self, records: list[Record]) -> Outcome:
+    async def _async_try_or_see(
+        self, records: list[Record], patience: float
+    ) -> Outcome:
         """Make one call; what the log shows meanwhile is as good as its answer."""
         sighting = self.sighting
         if sighting is None or not sighting.possible:
@@ -156,6 +194,7 @@
                 lambda: self._async_try(records),
                 sighting.look,
                 lambda: sighting.seen,
+                patience,
             )
         except CallUnknownError:
             outcome = Outcome.UNKNOWN
--- a/mustardward/components/ledger/sighting.py
+++ b/mustardward/components/ledger/sighting.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Final, TypeVar
@@ -29,8 +30,9 @@
 async def async_or_seen(
     timers: TimerService,
     call: Callable[[], Awaitable[T]],
-    look: Callable[[], Awaitable[object]],
+    look: Callable[[], Awaitable[bool]],
     is_seen: Callable[[], bool],
+    patience: float = math.inf,
 ) -> T | None:
     """Make a call; return None as soon as the log shows that it was carried out.
 
@@ -38,7 +40,9 @@
     for it when its time is out; where that met the end of the other here, this task
     was asked to end once more than the scope knew, and the entry with it.
 
-    :param look: reads the log up to its end.
+    :param look: reads the log up to its end; returns whether it could.
+    :param patience: seconds after which the call is given up, if a read that began
+        later than that does not show it.
     :raises CallUnknownError: if neither the call nor the log said anything.
     :raises MustardwardError: what the call raises.
     """
@@ -54,10 +58,12 @@
             tasks.cancel_scope.cancel()
 
         async def async_watch() -> None:
+            give_up_at = timers.monotonic() + patience
             while not is_seen():
                 await timers.async_sleep(LOOK_SECONDS)
-                if not is_seen():
-                    await look()
+                began = timers.monotonic()
+                if not is_seen() and await look() and began >= give_up_at:
+                    break
             tasks.cancel_scope.cancel()
 
         tasks.start_soon(async_call)
@@ -82,7 +88,7 @@
         other append has the same key and value.
     """
 
-    look: Callable[[], Awaitable[object]]
+    look: Callable[[], Awaitable[bool]]
     marking: tuple[str, ...]
     _marker: tuple[str, bytes] | None = None
     seen: bool = field(default=False, init=False)
