--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -23,6 +23,7 @@
 from ...platform.workers import TaskName, WorkerClient
 from ..scheduling.models import AskAdvice, Command, Pace, Phase, Start, Stop, Task
 from ..scheduling.scheduler import Scheduler, is_other
+from .closed import ClosedWorkers
 from .const import (
     DECISION_SECONDS,
     LEASE_SECONDS,
@@ -35,25 +36,9 @@
 _LOGGER = get_logger(__name__)
 
 ADVICE_TIMEOUT_SECONDS = 2.0
-CLOSED_SECONDS = 5.0
-"""Time in which no session is opened with a worker that was gone: its entry lapses
-after three missed heartbeats."""
-
 _FAILED = (CallRefusedError, CallUnknownError)
 
 
-@dataclass(frozen=True, slots=True)
-class _Closed:
-    """Hold which incarnation of a worker is gone, and until when that is remembered."""
-
-    born: int
-    until: float
-
-    def holds(self, born: int, now: float) -> bool:
-        """Return whether an entry may be of the incarnation that is gone."""
-        return now < self.until and not (self.born and born > self.born)
-
-
 @dataclass(slots=True, eq=False)
 class Dispatcher:
     """Keep a session with each worker, and call it for the scheduler.
@@ -79,7 +64,7 @@
     sessions: dict[str, WorkerSession] = field(default_factory=dict)
     accounted: set[str] = field(default_factory=set)
     _entries: dict[str, WorkerEntry] = field(default_factory=dict)
-    _closed: dict[str, _Closed] = field(default_factory=dict)
+    _closed: ClosedWorkers = field(default_factory=ClosedWorkers)
 
     def __post_init__(self) -> None:
         """Make the lanes to the workers."""
@@ -89,8 +74,7 @@
         """Open a session with a worker that is not known yet, or started again."""
         now = self.timers.monotonic()
         self._entries[worker_id] = entry
-        closed = self._closed.get(worker_id)
-        if closed is not None and closed.holds(entry.born, now):
+        if self._closed.holds(worker_id, entry.born, now):
             return
         session = self.sessions.get(worker_id)
         if session is not None and not session.gone:
@@ -306,7 +290,7 @@
         now = self.timers.monotonic()
         session = self.sessions.get(worker_id)
         born = session.born if session is not None else 0
-        self._closed[worker_id] = _Closed(born, now + CLOSED_SECONDS)
+        self._closed.close(worker_id, born, now)
         if session is not None:
             session.gone = True
             session.wake()
--- a/tests/components/ledger/test_ledger.py
+++ b/tests/components/ledger/test_ledger.py
@@ -17,6 +17,14 @@
 )
 
 
+def test_a_job_that_was_stored_without_an_organisation_is_nobodys() -> None:
+    """A record of an entry that knew no organisations stays readable."""
+    older = msgspec.msgpack.encode(msgspec.to_builtins(RECORD)[:-1])
+    ledger = Ledger()
+    fold(ledger, PREFIX_JOB + JOB, older)
+    assert ledger.jobs[JOB].record.organisation == ""
+
+
 def fold(ledger: Ledger, key: str, value: bytes) -> None:
     """Fold a record; its offset does not matter here."""
     ledger.apply(KeyedRecord(0, key, value))
--- /dev/null
+++ b/tests/components/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Test the organisations component."""
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -47,6 +47,7 @@
     + [{"cpu": 0, "mem-mb": 1}, {"cpu": 10**12, "mem-mb": 1}]
     + [{"cpu": "8000", "mem-mb": 1}, {"cpu": 1, "mem-mb": 1, "gpu": -1}]
     + [{"cpu": 1, "mem-mb": 10**18}, {"cpu": 10**400, "mem-mb": 1}],
+    "born": [None, "1700000000000", 1.5, -1, 10**30, [1], True],
     "labels": [None, "rack-1", {"a": 1}, [1], [None], [["a"]]],
     "remaining-ms": ["soon", -5, [], 1e300],
 }
