Tell of an unknown key once a request

Cause: a key that was unknown before and after the log's end was read made two lines, and looking whether a job's end is known made one more. Change: the line is written with the answer.

--- a/mustardward/components/front/admission.py
+++ b/mustardward/components/front/admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Final
 
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
@@ -17,6 +18,8 @@
 
 _LOGGER = get_logger(__name__)
 
+UNAUTHORISED: Final = 401
+
 
 @dataclass(slots=True, eq=False)
 class Admission:
@@ -48,6 +51,8 @@
             if not await self.follower.async_confirm():
                 return self._refused(request, "configuration-old", detail)
             found = self.find(request)
+        if isinstance(found, Reply) and found.status == UNAUTHORISED:
+            self._log_unknown_key(request)
         if isinstance(found, Admitted) and not await self._async_trusts(found.queue):
             return self._refused(request, "configuration-old", "keys may be gone")
         return found
@@ -59,8 +64,8 @@
             return error_reply(404, "no-such-queue", "no queue has this host and path")
         caller = self._identify(request, queue)
         if caller is None:
-            self._log_unknown_key(request)
-            return error_reply(401, "unknown-key", "no organisation has the key shown")
+            detail = "no organisation has the key shown"
+            return error_reply(UNAUTHORISED, "unknown-key", detail)
         return Admitted(queue, caller)
 
     def _identify(self, request: Request, queue: Queue) -> Caller | None:
