Ask whether a quota allows a task without making an amount for it

Cause: the question is asked twice a start, in the owner's loop. Change: it is reckoned in plain numbers; the count and its tests are as before.

--- a/mustardward/components/scheduling/quotas.py
+++ b/mustardward/components/scheduling/quotas.py
@@ -18,6 +18,9 @@
 
 UNLIMITED: Final = Room()
 
+_NOTHING: Final = Amount()
+"""Stands for what nothing is counted of; it is only read."""
+
 QuotaLookup = Callable[[str], Room]
 
 
@@ -64,16 +67,21 @@
         Of an organisation that has nothing running one task may start, however large:
         it would else wait for ever.
         """
-        quota = self.quota_of(organisation) if organisation else UNLIMITED
-        if quota == UNLIMITED:
+        if not organisation:
             return True
-        taken = Amount()
-        taken.add_amount(self.used(organisation))
-        taken.add_amount(self._unseen.get(organisation, Amount()))
-        if count == 1 and not (taken.cpu or taken.mem_mb or taken.gpu):
+        quota = self.quota_of(organisation)
+        used = self._used.get(organisation, _NOTHING)
+        unseen = self._unseen.get(organisation, _NOTHING)
+        cpu = used.cpu + unseen.cpu
+        mem_mb = used.mem_mb + unseen.mem_mb
+        gpu = used.gpu + unseen.gpu
+        if count == 1 and not (cpu or mem_mb or gpu):
             return True
-        taken.add(room, count)
-        return fits_within(taken, quota)
+        return (
+            _fits(cpu + count * room.cpu, quota.cpu)
+            and _fits(mem_mb + count * room.mem_mb, quota.mem_mb)
+            and _fits(gpu + count * room.gpu, quota.gpu)
+        )
 
     def share_that_may_start(self, organisation: str, waiting: Amount) -> float:
         """Return which share of what waits an organisation's quota leaves room for."""
@@ -91,10 +99,5 @@
         return min(1.0, *shares) if shares else 1.0
 
 
-def fits_within(taken: Amount, quota: Room) -> bool:
-    """Return whether an amount stays within a quota, of which 0 is no limit."""
-    return (
-        (not quota.cpu or taken.cpu <= quota.cpu)
-        and (not quota.mem_mb or taken.mem_mb <= quota.mem_mb)
-        and (not quota.gpu or taken.gpu <= quota.gpu)
-    )
+def _fits(taken: float, limit: int) -> bool:
+    return not limit or taken <= limit
