Let an owner tell an end ahead of the log only once another entry holds it

While the store was away, the owner's own entry told a caller that a job was done; 0.3 s later it lost power, and the worker had crashed without a sign. The next owner knew of neither end and started four tasks again. Decision 0092 rests on three machines that hold such an end; here two of them were one.

--- a/mustardward/components/forwarding/answering.py
+++ b/mustardward/components/forwarding/answering.py
@@ -23,6 +23,7 @@
     HEDGE_SECONDS,
     OUTCOME_UNKNOWN,
     RELAY_METHOD,
+    WITNESS_METHOD,
 )
 from .ends import Ends
 from .models import AskedReply, AskedRequest
@@ -123,8 +124,8 @@
 
     async def async_answer_peer(self, asked: AskedRequest) -> AskedReply:
         """Return the answer to a peer's question, from the log here or not at all."""
-        if asked.method == ENDED_METHOD:
-            return self.ends.answer_peer(asked.path)
+        if asked.method in (ENDED_METHOD, WITNESS_METHOD):
+            return self.ends.answer_peer(asked)
         if asked.method == RELAY_METHOD:
             return await self.relay.async_answer_peer(asked)
         if self.cut_off():
--- a/mustardward/components/forwarding/const.py
+++ b/mustardward/components/forwarding/const.py
@@ -16,6 +16,11 @@
 ENDED_SECONDS: Final = 0.3
 """Longest wait for the owner's word on a job; it says what it holds in memory."""
 
+WITNESS_METHOD: Final = "WITNESS"
+MOST_WITNESSES_ASKED: Final = 2
+"""Entries asked to hold an end, one after the other: the second one for where the first
+is behind a cut. A caller waits for them."""
+
 BRING_SECONDS: Final = 0.2
 """Interval of looking for told ends that the log lacks; after an outage the owner
 stores them itself within some 0.1 s, so that mostly nothing is left to bring."""
--- a/mustardward/components/forwarding/ends.py
+++ b/mustardward/components/forwarding/ends.py
@@ -12,7 +12,14 @@
 from ..ledger.follower import TopicFollower
 from ..ledger.ledger import Ledger, encode
 from ..ledger.models import ToldRecord
-from .const import BRING_SECONDS, BRING_WAIT_SECONDS, ENDED_METHOD, ENDED_SECONDS
+from .const import (
+    BRING_SECONDS,
+    BRING_WAIT_SECONDS,
+    ENDED_METHOD,
+    ENDED_SECONDS,
+    MOST_WITNESSES_ASKED,
+    WITNESS_METHOD,
+)
 from .models import AskedReply, AskedRequest
 from .services import Forwarder
 
@@ -35,15 +42,33 @@
     timers: TimerService
 
     async def async_ended(self, job_id: str) -> bool:
-        """Return whether a job is surely done; a caller is told so then."""
-        if not self.ahead.knows(job_id) and not await self._async_ask(job_id):
+        """Return whether a job is surely done; a caller is told so then.
+
+        Three machines hold an end that is told before the log has it: the worker, the
+        owner, and the entry that tells it. Where the owner tells it itself, another
+        entry has to hold it too. Symptom without that: a task runs again after its job
+        was told as done. Sequence: the store is away; the owner tells a caller of its
+        own; it loses power, and the worker crashes, before the store is back.
+        """
+        if self.ahead.was_told(job_id):
+            return True
+        known_here = self.ahead.knows(job_id)
+        ask = self._async_find_witness if known_here else self._async_ask
+        if not await ask(job_id):
             return False
         self.ahead.tell(job_id)
         _LOGGER.info("end_told_ahead", job=job_id, owner=self.ledger.owner.node)
         return True
 
-    def answer_peer(self, job_id: str) -> AskedReply:
-        """Return whether a job is known here as done."""
+    def answer_peer(self, asked: AskedRequest) -> AskedReply:
+        """Return whether a job is known here as done, from now on if asked to hold it.
+
+        What is held for a peer is brought to the log from here too.
+        """
+        job_id = asked.path
+        if asked.method == WITNESS_METHOD:
+            self.ahead.tell(job_id)
+            _LOGGER.info("end_witnessed", job=job_id)
         return AskedReply(200 if self.ahead.knows(job_id) else 404, b"")
 
     async def async_run(self) -> None:
@@ -69,6 +94,31 @@
         job = self.ledger.jobs.get(job_id)
         return job is not None and job.state.final
 
+    async def _async_find_witness(self, job_id: str) -> bool:
+        """Return whether another entry holds an end that is known here."""
+        asked = AskedRequest(WITNESS_METHOD, "", job_id, b"", ENDED_SECONDS)
+        for name in self._others()[:MOST_WITNESSES_ASKED]:
+            reply = await self.forwarder.async_ask_node(name, asked)
+            if reply is not None and reply.status == 200:
+                return True
+        return False
+
+    def _others(self) -> list[str]:
+        """Return the other entries, those of other data centres first.
+
+        What takes this one may take its data centre. They are taken in turn by the
+        time, so that one that does not answer is not asked for each caller.
+        """
+        nodes = self.ledger.nodes
+        own = nodes.get(self.node)
+        zone = own.zone if own is not None else ""
+        names = sorted(name for name in nodes if name != self.node)
+        if not names:
+            return []
+        first = int(self.timers.monotonic() / ENDED_SECONDS) % len(names)
+        names = names[first:] + names[:first]
+        return sorted(names, key=lambda name: nodes[name].zone == zone)
+
     async def _async_ask(self, job_id: str) -> bool:
         owner = self.ledger.owner.node
         if owner in ("", self.node):
--- a/mustardward/components/ledger/ahead.py
+++ b/mustardward/components/ledger/ahead.py
@@ -33,6 +33,10 @@
         self._held.add(job_id)
         self._told.add(job_id)
 
+    def was_told(self, job_id: str) -> bool:
+        """Return whether this entry holds that a caller was told of a job."""
+        return job_id in self._told
+
     def knows(self, job_id: str) -> bool:
         """Return whether a job is known here as done."""
         if job_id in self._held:
--- a/tests/components/forwarding/test_answering.py
+++ b/tests/components/forwarding/test_answering.py
@@ -23,7 +23,7 @@
 from mustardward.components.ledger.ahead import EndsAhead
 from mustardward.components.ledger.const import KEY_OWNER, PREFIX_TOLD, TOPIC
 from mustardward.components.ledger.ledger import encode
-from mustardward.components.ledger.models import JobState, OwnerRecord
+from mustardward.components.ledger.models import JobState, NodeRecord, OwnerRecord
 from mustardward.standin.estate.store import Mood
 from tests.components.ledger.builders import async_appending
 
@@ -299,7 +299,8 @@
         # It is held here now, though the owner is lost.
         bench.forwarder.node_reply = None
         assert b"done" in await async_get(bench)
-        assert bench.ends.answer_peer(JOB).status == 200
+        asked = AskedRequest("ENDED", "", JOB, b"", 1.0)
+        assert bench.ends.answer_peer(asked).status == 200
 
 
 async def test_a_told_end_is_brought_to_the_log() -> None:
@@ -327,3 +328,43 @@
         assert (await bench.async_post()).status == 200
         assert b"queued" in await async_get(bench)
         assert bench.forwarder.nodes_asked == []
+
+
+async def test_an_owner_tells_an_end_only_once_another_entry_holds_it() -> None:
+    """Let no end be lost with the owner and a worker alone.
+
+    Symptom: tasks ran again five seconds after their job was told as done. Sequence:
+    the store is away; a caller of the owner's own entry is told the end; the worker
+    crashes without a sign, and the owner loses power, before the store is back. Cause:
+    where the owner tells an end itself, nobody but it and the worker knew of it.
+    """
+    async with an_entry_without_the_log() as bench:
+        for name, zone in (("b", "z1"), ("c", "z2"), ("me", "z1")):
+            bench.ledger.nodes[name] = NodeRecord(f"{name}:1", zone)
+        bench.ahead.owner_knows = lambda job_id: job_id == JOB
+        bench.forwarder.node_reply = None
+        assert b"queued" in await async_get(bench)
+        assert bench.forwarder.nodes_asked == [
+            ("c", "WITNESS", JOB),
+            ("b", "WITNESS", JOB),
+        ]
+        bench.forwarder.node_reply = AskedReply(200, b"")
+        assert b"done" in await async_get(bench)
+        asked = len(bench.forwarder.nodes_asked)
+        assert b"done" in await async_get(bench)
+        assert len(bench.forwarder.nodes_asked) == asked
+
+
+async def test_a_witness_holds_an_end_and_brings_it_to_the_log() -> None:
+    async with an_entry() as bench:
+        assert (await bench.async_post()).status == 200
+        asked = AskedRequest("WITNESS", "", JOB, b"", 1.0)
+        assert (await bench.answering.async_answer_peer(asked)).status == 200
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(bench.ends.async_run)
+            await anyio.wait_all_tasks_blocked()
+            await bench.timers.async_advance(1.0)
+            await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
+        keys = [record.key for record in bench.store.records_from(TOPIC, 0)]
+        assert PREFIX_TOLD + JOB in keys
