--- a/tests/components/scheduling/test_quotas_stateful.py
+++ b/tests/components/scheduling/test_quota_walks.py
@@ -4,7 +4,7 @@
 answered, lost, or carried out late; workers fall silent, start again under their ids,
 and lose their leases; owners change; quotas are raised and lowered. Protections are
 taken out one by one, and each must be missed. Walks are drawn from seeds, so that they
-are the same each time; ``python -m tests.components.scheduling.test_quotas_stateful
+are the same each time; ``python -m tests.components.scheduling.test_quota_walks
 FIRST LAST`` walks others.
 """
 
