Choose witnesses by the book of peers, and look organisations up in one place

Cause: a reading of the whole change. Which entry holds an end was chosen by a rotation of its own beside the book of peers, which has one, puts other data centres first, and leaves out who did not answer lately; a test repeated a block of another; two look-ups of an organisation stood beside the method that does it.

One difference: a peer that was shunned is not asked for a witness either.

--- a/mustardward/components/configuration/services.py
+++ b/mustardward/components/configuration/services.py
@@ -78,12 +78,12 @@
 
     def quota_of(self, name: str) -> Room:
         """Return what an organisation may have running; 0 is no limit."""
-        organisation = self._organisations.get(name)
+        organisation = self.organisation(name)
         return organisation.quota if organisation is not None else Room()
 
     def rate_of(self, name: str) -> float:
         """Return the jobs a second that are an organisation's share; 0 is no bound."""
-        organisation = self._organisations.get(name)
+        organisation = self.organisation(name)
         return organisation.weight if organisation is not None else 0.0
 
     def standby_pools(self) -> set[str]:
--- a/mustardward/components/forwarding/ends.py
+++ b/mustardward/components/forwarding/ends.py
@@ -95,30 +95,17 @@
         return job is not None and job.state.final
 
     async def _async_find_witness(self, job_id: str) -> bool:
-        """Return whether another entry holds an end that is known here."""
+        """Return whether another entry holds an end that is known here.
+
+        Those of other data centres come first: what takes this one may take its own.
+        """
         asked = AskedRequest(WITNESS_METHOD, "", job_id, b"", ENDED_SECONDS)
-        for name in self._others()[:MOST_WITNESSES_ASKED]:
+        for name, _ in self.forwarder.candidates()[:MOST_WITNESSES_ASKED]:
             reply = await self.forwarder.async_ask_node(name, asked)
             if reply is not None and reply.status == 200:
                 return True
         return False
 
-    def _others(self) -> list[str]:
-        """Return the other entries, those of other data centres first.
-
-        What takes this one may take its data centre. They are taken in turn by the
-        time, so that one that does not answer is not asked for each caller.
-        """
-        nodes = self.ledger.nodes
-        own = nodes.get(self.node)
-        zone = own.zone if own is not None else ""
-        names = sorted(name for name in nodes if name != self.node)
-        if not names:
-            return []
-        first = int(self.timers.monotonic() / ENDED_SECONDS) % len(names)
-        names = names[first:] + names[:first]
-        return sorted(names, key=lambda name: nodes[name].zone == zone)
-
     async def _async_ask(self, job_id: str) -> bool:
         owner = self.ledger.owner.node
         if owner in ("", self.node):
--- a/mustardward/components/forwarding/services.py
+++ b/mustardward/components/forwarding/services.py
@@ -91,11 +91,7 @@
         """
         may_have_effect = False
         deadline = self.timers.monotonic() + request.patience
-        nodes = {
-            name: (node.address, node.zone) for name, node in self.ledger.nodes.items()
-        }
-        candidates = self.book.candidates(nodes, self.timers.monotonic())
-        for name, address in candidates[: self.most_asked]:
+        for name, address in self.candidates()[: self.most_asked]:
             left = deadline - self.timers.monotonic()
             if left <= 0:
                 break
@@ -125,6 +121,13 @@
             self._shun(name, "cut off too")
         return AskOutcome(None, may_have_effect)
 
+    def candidates(self) -> list[tuple[str, str]]:
+        """Return names and addresses of the entries to ask, the best first."""
+        nodes = {
+            name: (node.address, node.zone) for name, node in self.ledger.nodes.items()
+        }
+        return self.book.candidates(nodes, self.timers.monotonic())
+
     async def async_ask_node(
         self, name: str, request: AskedRequest
     ) -> AskedReply | None:
--- a/tests/components/forwarding/test_answering.py
+++ b/tests/components/forwarding/test_answering.py
@@ -23,7 +23,7 @@
 from mustardward.components.ledger.ahead import EndsAhead
 from mustardward.components.ledger.const import KEY_OWNER, PREFIX_TOLD, TOPIC
 from mustardward.components.ledger.ledger import encode
-from mustardward.components.ledger.models import JobState, NodeRecord, OwnerRecord
+from mustardward.components.ledger.models import JobState, OwnerRecord
 from mustardward.standin.estate.store import Mood
 from tests.components.ledger.builders import async_appending
 
@@ -47,6 +47,10 @@
         self.asked: list[AskedRequest] = []
         self.node_reply: AskedReply | None = None
         self.nodes_asked: list[tuple[str, str, str]] = []
+        self.others: dict[str, tuple[str, str]] = {}
+
+    def candidates(self) -> list[tuple[str, str]]:
+        return PeerBook("me", "z1").candidates(self.others, 0.0)
 
     async def async_ask_node(
         self, name: str, request: AskedRequest
@@ -243,6 +247,16 @@
         assert (await bench.answering.async_answer_peer(asked)).version == 4
 
 
+async def async_bring(bench: AnsweringBench) -> None:
+    """Let the entry bring to the log what callers were told."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(bench.ends.async_run)
+        await anyio.wait_all_tasks_blocked()
+        await bench.timers.async_advance(1.0)
+        await anyio.wait_all_tasks_blocked()
+        tasks.cancel_scope.cancel()
+
+
 async def async_get(bench: AnsweringBench) -> bytes:
     """Return what a caller is told of the job."""
     deadline = bench.timers.monotonic() + 2.0
@@ -311,12 +325,7 @@
         bench.store.mood = Mood.SERVING
         bench.timers.pause(1.0)
         assert await bench.follower.async_confirm()
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(bench.ends.async_run)
-            await anyio.wait_all_tasks_blocked()
-            await bench.timers.async_advance(1.0)
-            await anyio.wait_all_tasks_blocked()
-            tasks.cancel_scope.cancel()
+        await async_bring(bench)
         assert bench.ledger.jobs[JOB].state is JobState.DONE
         keys = [record.key for record in bench.store.records_from(TOPIC, 0)]
         assert keys.count(PREFIX_TOLD + JOB) == 1
@@ -340,7 +349,7 @@
     """
     async with an_entry_without_the_log() as bench:
         for name, zone in (("b", "z1"), ("c", "z2"), ("me", "z1")):
-            bench.ledger.nodes[name] = NodeRecord(f"{name}:1", zone)
+            bench.forwarder.others[name] = (f"{name}:1", zone)
         bench.ahead.owner_knows = lambda job_id: job_id == JOB
         bench.forwarder.node_reply = None
         assert b"queued" in await async_get(bench)
@@ -360,11 +369,6 @@
         assert (await bench.async_post()).status == 200
         asked = AskedRequest("WITNESS", "", JOB, b"", 1.0)
         assert (await bench.answering.async_answer_peer(asked)).status == 200
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(bench.ends.async_run)
-            await anyio.wait_all_tasks_blocked()
-            await bench.timers.async_advance(1.0)
-            await anyio.wait_all_tasks_blocked()
-            tasks.cancel_scope.cancel()
+        await async_bring(bench)
         keys = [record.key for record in bench.store.records_from(TOPIC, 0)]
         assert PREFIX_TOLD + JOB in keys
