Count a run as standing still only by what its worker reported

The record shows the first three of 300 runs stopped as standing still, 2.0 s after the answers to their starts. These were read just before the owner was held up for 0.8 s; the poll of their workers left after it, with a second of patience, and its answer came later than 2.0 s after the starts' on a slow machine. So no report had been read at all: the owner took the time until now for time without progress.

Change: that time ends with the newest report, by when its poll left. Two older tests asked for a stop without any report; they give the unchanged report now, and ask for the same stop.

Ruled out: a worker that started again (no line of it in the record), a failed poll (it marks the worker, and the rule leaves marked ones alone).

The wait for a stop grows by one poll at most, 0.25 s beside short tasks and 1 s beside lasting ones.

--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -262,19 +262,22 @@
     def _stop_stuck(self, now: float) -> None:
         for worker in self.board.workers.values():
             for task in list(worker.tasks.values()):
-                if self._is_stuck(task, now):
+                if self._is_stuck(task):
                     task.avoid.add(worker.id)
                     self.health.note_failed(worker, task, now)
                     self.board.stop(task, "stuck")
 
-    def _is_stuck(self, task: Task, now: float) -> bool:
+    def _is_stuck(self, task: Task) -> bool:
         if task.phase is not Phase.RUNNING or task.percent >= 100:
             return False
         if task.worker is None or task.worker.stale:
             # Nothing is known of it, neither that it works nor that it stands still.
             return False
         expected = STUCK_FACTOR * self.board.estimates.seconds(task.step)
-        return now - task.percent_since > max(STUCK_SECONDS, expected)
+        # Up to now would count time in which this owner, held up, read no report:
+        # it then stopped runs of workers that had long told of their progress.
+        seen_seconds = task.worker.heard_at - task.percent_since
+        return seen_seconds > max(STUCK_SECONDS, expected)
 
 
 def is_other(born: int, known: int) -> bool:
--- a/tests/components/scheduling/test_stuck.py
+++ b/tests/components/scheduling/test_stuck.py
@@ -13,6 +13,7 @@
     bench.add(a_job(a_step(count=1, estimate_ms=500)))
     (start,) = bench.plan_starts()
     bench.now += 3.0
+    bench.hold("w1", running=[a_row(start.task, 0.0)])
     (stop,) = bench.plan_stops()
     assert stop.run == start.run
 
@@ -54,5 +55,25 @@
     bench.add(a_job(a_step(count=1, long_running=True, estimate_ms=500)))
     (start,) = bench.plan_starts()
     bench.now += 3.0
+    bench.hold("w1", running=[a_row(start.task, 0.0)])
     (stop,) = bench.plan_stops()
     assert stop.run == start.run
+
+
+def test_a_run_whose_reports_are_read_late_is_not_stopped() -> None:
+    """Symptom: tasks at work are stopped and done again beside others that go on.
+
+    Sequence: an owner is held up after a start for longer than a run may stand still;
+    the worker's report of its progress lies unread. Cause: the time until now counted
+    as time without progress, of which no report had told anything.
+    """
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1, long_running=True, estimate_ms=500)))
+    (start,) = bench.plan_starts()
+    bench.now += 3.0
+    assert bench.plan_stops() == []
+    bench.hold("w1", running=[a_row(start.task, 100.0)])
+    bench.now += 3.0
+    assert bench.plan_stops() == []
+    assert start.task.phase is Phase.RUNNING
