Time a run's progress on the clock of the worker that tells of it

Change: the answer to a poll carries the worker's clock; progress is timed between two answers on it, however late this owner reads them. Where a worker shows no clock, between the polls' departures.

Tests: two reports read late, one behind the other, made 0.2 s apart, stop nothing; 2.2 s apart they do.

--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -102,6 +102,7 @@
         task.started_at = now
         task.percent = 0.0
         task.percent_since = now
+        task.percent_at_ms = -1.0
         task.pace = 100
         task.seen_running = False
         job = task.step.job
@@ -119,6 +120,7 @@
         task.seen_running = True
         task.started_at = now
         task.percent_since = now
+        task.percent_at_ms = -1.0
         task.step.job.state = JobState.RUNNING
 
     def stop(self, task: Task, reason: str) -> None:
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -55,6 +55,8 @@
 
     :param ready_since: when its turn came, or it became ready again; steady seconds.
     :param stop_acknowledged_at: when the worker last acknowledged a stop, or None.
+    :param percent_at_ms: the worker's clock as it first listed the run at its percent,
+        or -1 while it has not.
     :param seen_running: whether the worker said that the run began. An order of which
         that is not known may still be on its way.
     """
@@ -76,6 +78,7 @@
     avoid: set[str] = field(default_factory=set)
     ready_since: float = 0.0
     seen_running: bool = False
+    percent_at_ms: float = -1.0
 
     @property
     def name(self) -> TaskName:
@@ -93,6 +96,20 @@
             return False
         return self.phase is Phase.RUNNING and self.percent >= 100
 
+    @property
+    def seconds_without_progress(self) -> float:
+        """Return for how long the worker has told of no progress of the run.
+
+        It counts what the worker reported, on the worker's own clock. Up to now it
+        would count time in which this owner, held up, read no report: it then stopped
+        runs of workers that had long told of their progress.
+        """
+        if self.worker is None:
+            return 0.0
+        if self.percent_at_ms >= 0:
+            return (self.worker.clock_ms - self.percent_at_ms) / 1000
+        return self.worker.heard_at - self.percent_since
+
 
 @dataclass(slots=True, eq=False)
 class StepRun:
@@ -226,6 +243,7 @@
     speed: float = 1.0
     stale: bool = False
     heard_at: float = 0.0
+    clock_ms: float = 0.0
     born: int = 0
     described: bool = True
     strays: list[tuple[str, Room]] = field(default_factory=list)
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -48,9 +48,10 @@
             self.ended(worker, ended, now)
         self.board.forget_strays(worker)
         listed: set[tuple[object, int]] = set()
+        worker.clock_ms = answer.clock_ms
         for row in answer.running:
             listed.add((row.task, row.run))
-            self._running(worker, row, now)
+            self._running(worker, row, sent_at, now)
         if len(answer.ended) < MOST_ENDS:
             self._missing(worker, listed, sent_at, now)
         worker.confirmed = True
@@ -146,7 +147,9 @@
         elif own:
             self.board.end_run(task, now)
 
-    def _running(self, worker: WorkerState, row: RunningTask, now: float) -> None:
+    def _running(
+        self, worker: WorkerState, row: RunningTask, sent_at: float, now: float
+    ) -> None:
         task = self._expected(row)
         if task is None or task.phase is Phase.DONE:
             self._stop_stray(worker, row)
@@ -169,6 +172,10 @@
         if row.percent != task.percent:
             task.percent = row.percent
             task.percent_since = now
+            task.percent_at_ms = worker.clock_ms or -1.0
+        elif task.percent_at_ms < 0 and worker.clock_ms:
+            before = max(0.0, sent_at - task.percent_since)
+            task.percent_at_ms = worker.clock_ms - 1000 * before
 
     def _stop_stray(self, worker: WorkerState, row: RunningTask) -> None:
         self.board.note_stray(worker, row.task)
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -274,10 +274,7 @@
             # Nothing is known of it, neither that it works nor that it stands still.
             return False
         expected = STUCK_FACTOR * self.board.estimates.seconds(task.step)
-        # Up to now would count time in which this owner, held up, read no report:
-        # it then stopped runs of workers that had long told of their progress.
-        seen_seconds = task.worker.heard_at - task.percent_since
-        return seen_seconds > max(STUCK_SECONDS, expected)
+        return task.seconds_without_progress > max(STUCK_SECONDS, expected)
 
 
 def is_other(born: int, known: int) -> bool:
--- a/tests/components/scheduling/test_stuck.py
+++ b/tests/components/scheduling/test_stuck.py
@@ -77,3 +77,26 @@
     bench.now += 3.0
     assert bench.plan_stops() == []
     assert start.task.phase is Phase.RUNNING
+
+
+def test_progress_is_timed_on_the_clock_of_the_worker_that_tells_of_it() -> None:
+    """Symptom: as above, by an owner that reads two reports late, one behind another.
+
+    Sequence: a poll that left long ago is read after a hold-up of seconds; its report
+    was made within a moment of the one before.
+    """
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1, estimate_ms=500)))
+    (start,) = bench.plan_starts()
+    bench.clock_ms = 5000.0
+    bench.hold("w1", running=[a_row(start.task, 20.0)])
+    bench.now += 3.0
+    bench.clock_ms = 5200.0
+    bench.hold("w1", running=[a_row(start.task, 20.0)])
+    assert bench.plan_stops() == []
+    bench.now += 0.2
+    bench.clock_ms = 7200.0
+    bench.hold("w1", running=[a_row(start.task, 20.0)])
+    (stop,) = bench.plan_stops()
+    assert stop.run == start.run
