Ask workers that are not heard of 256 at a time

Cause: on the stand-in, one entry with 3,000 workers never told a job of 50 tasks as done within 60 s, and with 900 it took 13.0 s: a new owner asked all workers at once what they run, each call's 0.35 to 0.6 s ran out while the others' connections were opened, and all were asked again together (4,262 lines of silent workers in one minute with 3,000).

Change: what is not heard of is asked in its turn, 256 at once; what answered a moment ago waits for none.

--- /dev/null
+++ b/mustardward/components/dispatch/contacts.py
@@ -0,0 +1,39 @@
+"""Bound how many workers that are not heard of are asked at once.
+
+Load pattern: a new owner asks thousands of workers what they run. Asked all at once,
+each call waits for all others inside this process while its own limit of time runs out;
+asked again all at once, none is ever heard, and nothing is started.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Final
+
+import anyio
+
+MOST_CONTACTS: Final = 256
+"""Workers asked at once. Opening a connection and asking takes an owner some 0.3 ms of
+a core, so that all of them are asked within a tenth of a second, well before the first
+one counts as silent; and workers behind a cut, 0.6 s each, hold up 3,000 others by
+some seconds at most."""
+
+
+class Contacts:
+    """Let some workers be asked at once, in the order in which they came."""
+
+    def __init__(self, most: int = MOST_CONTACTS) -> None:
+        self._places = anyio.Semaphore(most, fast_acquire=True)
+
+    @asynccontextmanager
+    async def async_place(self, needed: bool) -> AsyncIterator[None]:
+        """Hold a place while a worker is asked.
+
+        :param needed: False for a worker that answered a moment ago; it waits for none.
+        """
+        if not needed:
+            yield
+            return
+        async with self._places:
+            yield
--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -30,6 +30,7 @@
     STOP_RETRY_SECONDS,
     lease_bound,
 )
+from .contacts import Contacts
 from .lanes import Lanes
 from .session import WorkerSession
 
@@ -65,6 +66,7 @@
     accounted: set[str] = field(default_factory=set)
     _entries: dict[str, WorkerEntry] = field(default_factory=dict)
     _closed: ClosedWorkers = field(default_factory=ClosedWorkers)
+    _contacts: Contacts = field(default_factory=Contacts)
 
     def __post_init__(self) -> None:
         """Make the lanes to the workers."""
@@ -104,6 +106,7 @@
             lease_until,
             born,
             lambda other: self._reborn(session, other),
+            self._contacts,
         )
         self.sessions[worker_id] = session
         self.tasks.start_soon(self._async_run_session, session)
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -31,6 +31,7 @@
     UNSTORED_WAIT_SECONDS,
     lease_bound,
 )
+from .contacts import Contacts
 
 _LOGGER = get_logger(__name__)
 
@@ -71,6 +72,7 @@
     :param lease_until: until when something may run there, in the owner's time.
     :param born: the incarnation, by when it started; 0 if that is not known yet.
     :param on_reborn: called with when it started if another incarnation answers.
+    :param contacts: bounds how many workers that are not heard of are asked at once.
     """
 
     worker_id: str
@@ -82,6 +84,7 @@
     lease_until: float
     born: int
     on_reborn: Callable[[int], None]
+    contacts: Contacts
     clock: WorkerClock = field(default_factory=WorkerClock)
     listed_upto: int = 0
     seen_upto: int = 0
@@ -123,7 +126,7 @@
             if not self.authorised():
                 await self.timers.async_sleep(FAILED_HOLD_SECONDS)
                 continue
-            await self._async_hold(worker)
+            await self._async_look(worker)
 
     async def async_start(self, task: Task, run: int) -> StartAnswer | None:
         """Order a start; return None if this owner may give no orders."""
@@ -176,7 +179,19 @@
             and self.listed_upto <= self._told_upto
         )
 
-    async def _async_hold(self, worker: WorkerState) -> None:
+    async def _async_look(self, worker: WorkerState) -> None:
+        """Hold the worker, in its turn if it is not heard of; then pause."""
+        unheard = worker.stale or not worker.confirmed
+        pause = 0.0
+        async with self.contacts.async_place(unheard):
+            # Its incarnation may have ended, or this ownership, while it waited.
+            if not self.gone and self.authorised():
+                pause = await self._async_hold(worker)
+        if pause and not self.gone:
+            await self.timers.async_sleep(pause)
+
+    async def _async_hold(self, worker: WorkerState) -> float:
+        """Hold the worker once; return how long to pause until the next time."""
         if self.listed_upto > self.seen_upto:
             with anyio.move_on_after(UNSTORED_WAIT_SECONDS):
                 await self._stored.wait()
@@ -190,17 +205,16 @@
                 self.gone = True
                 self.scheduler.lose_worker(self.worker_id, self.timers.monotonic())
                 self.on_report()
-            return
+            return 0.0
         except (CallRefusedError, CallUnknownError) as error:
-            await self._async_failed(worker, error.detail)
-            return
+            return self._failed(worker, error.detail)
         if self.gone:
             # It was found out meanwhile that this incarnation is over: what it said
             # must not be taken for the word of the one that has its id now.
-            return
+            return 0.0
         if self._is_another(answer):
             self.on_reborn(answer.born)
-            return
+            return 0.0
         self.born = self.born or answer.born
         self._asked = False
         self._told_upto = max(self._told_upto, told_upto)
@@ -216,9 +230,7 @@
         self._stored = anyio.Event()
         self.scheduler.hold_worker(self.worker_id, answer, sent_at, now)
         self.on_report()
-        spent = now - sent_at
-        if spent < HOLD_GAP_SECONDS:
-            await self.timers.async_sleep(HOLD_GAP_SECONDS - spent)
+        return max(0.0, HOLD_GAP_SECONDS - (now - sent_at))
 
     async def _async_call(
         self, worker: WorkerState, now: float, told_upto: int
@@ -244,9 +256,10 @@
             return BUSY_HOLD_MILLISECONDS
         return LONG_HOLD_MILLISECONDS
 
-    async def _async_failed(self, worker: WorkerState, detail: str) -> None:
+    def _failed(self, worker: WorkerState, detail: str) -> float:
+        """Take in that a hold was not answered; return how long to pause."""
         if self.gone:
-            return
+            return 0.0
         now = self.timers.monotonic()
         self._proved_at = -math.inf
         if self.silent_since is None:
@@ -260,5 +273,5 @@
             self.scheduler.lose_worker(self.worker_id, now)
             self.gone = True
             self.on_report()
-            return
-        await self.timers.async_sleep(FAILED_HOLD_SECONDS)
+            return 0.0
+        return FAILED_HOLD_SECONDS
