Decide on no more starts than leave in time

Cause: an owner decided on all tasks that had room, in each plan. What had not left half a second later was withdrawn, to be decided anew on what is known then: right for a few, but an owner short of processor time spent its time on deciding and withdrawing.

Change: a window of starts that may wait to leave; it halves when starts are withdrawn, and grows while none wait. Pools have the first choice in turns, as one would else have the whole window.

--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -33,6 +33,7 @@
 from .contacts import Contacts
 from .lanes import Lanes
 from .session import WorkerSession
+from .window import StartWindow
 
 _LOGGER = get_logger(__name__)
 
@@ -67,6 +68,7 @@
     _entries: dict[str, WorkerEntry] = field(default_factory=dict)
     _closed: ClosedWorkers = field(default_factory=ClosedWorkers)
     _contacts: Contacts = field(default_factory=Contacts)
+    _window: StartWindow = field(default_factory=StartWindow)
 
     def __post_init__(self) -> None:
         """Make the lanes to the workers."""
@@ -148,6 +150,10 @@
             elif self.advice is not None:
                 self.tasks.start_soon(self._async_advice, self.advice, command)
 
+    def start_room(self) -> int:
+        """Return how many starts may be decided now."""
+        return self._window.room(self.lanes.waiting)
+
     def any_silent(self) -> bool:
         """Return whether a worker stopped answering."""
         return any(
@@ -215,6 +221,7 @@
             return False
         # Decided on what was known then; it is decided anew on what is known now.
         STARTS.labels("withdrawn").inc()
+        self._window.note_withdrawn(now)
         self.scheduler.reports.start_withdrawn(task, start.run, now)
         self.on_report()
         return True
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -271,7 +271,9 @@
                 await self._wake.wait()
             self._wake = anyio.Event()
             if self._authority.holds() and self.dispatcher is not None:
-                commands = self.scheduler.plan(timers.monotonic(), timers.wall())
+                commands = self.scheduler.plan(
+                    timers.monotonic(), timers.wall(), self.dispatcher.start_room()
+                )
                 self.dispatcher.execute(commands)
                 if self.scheduler.board.dirty:
                     self._storing.kick()
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -84,24 +84,36 @@
     zones: Zones
     order: Order | None = None
     waits: QuotaWaits = field(default_factory=QuotaWaits)
+    _starts_left: int = 0
+    _turn: int = 0
 
-    def run(self, now: float) -> None:
-        """Give the starts that are possible."""
+    def run(self, now: float, most_starts: int) -> None:
+        """Give the starts that are possible, up to a number of them."""
+        self._starts_left = most_starts
         self.board.quotas.set_unseen(self._unseen(now))
         by_service: dict[str, list[StepRun]] = {}
         for step in self.board.ready.values():
             if step.waiting and step.job.stored:
                 by_service.setdefault(step.job.policy.service, []).append(step)
-        for service, steps in by_service.items():
+        for service in self._in_turn(sorted(by_service)):
             workers = [
                 worker
                 for worker in self.board.workers.values()
                 if worker.service == service and usable(worker, now)
             ]
             if workers:
-                self._place(workers, steps, now)
+                self._place(workers, by_service[service], now)
         self.waits.flush(self.board.quotas, now)
 
+    def _in_turn(self, services: list[str]) -> list[str]:
+        """Return the pools, another one first each time.
+
+        Where few starts may be decided, the first pool would else have all of them.
+        """
+        self._turn += 1
+        first = self._turn % max(1, len(services))
+        return services[first:] + services[:first]
+
     def _unseen(self, now: float) -> Iterator[tuple[str, Room, int]]:
         """Yield the tasks that an owner before may have started, and that may run."""
         if now >= self.board.held_until:
@@ -121,7 +133,7 @@
         offers = _Offers(workers)
         promised = self._on_the_way(steps)
         for step in ranked:
-            if not offers.workers:
+            if not offers.workers or self._starts_left <= 0:
                 return
             if self.board.is_held(step.job, now) or offers.fits_nowhere(step):
                 continue
@@ -177,6 +189,8 @@
         shortlist: Shortlist | None = None
         avoided: Set[str] = frozenset()
         while step.waiting:
+            if self._starts_left <= 0:
+                return True
             if not self._within_quota(step):
                 return True
             task = step.waiting[0]
@@ -187,6 +201,7 @@
             if worker is None:
                 return False
             step.waiting.popleft()
+            self._starts_left -= 1
             self.board.assign(task, worker, self.board.next_run(), now)
             shortlist.renew()
         self.board.ready.pop(id(step), None)
@@ -211,6 +226,8 @@
             return
         run = self.board.next_run()
         step.waiting.clear()
+        # Members wait for each other on their workers, so that all go or none.
+        self._starts_left -= len(placed)
         for task, worker in placed:
             self.board.assign(task, worker, run, now)
 
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import sys
 from collections.abc import Iterable
 
 from ...helpers.logging import get_logger
@@ -200,8 +201,13 @@
         step.tickets_until = valid_until
         step.asked_until = 0.0
 
-    def plan(self, now: float, wall: float) -> list[Command]:
-        """Return all commands that are due."""
+    def plan(
+        self, now: float, wall: float, most_starts: int = sys.maxsize
+    ) -> list[Command]:
+        """Return the commands that are due.
+
+        :param most_starts: starts that can be carried out soon; no more are decided.
+        """
         self.intake.open_due(now, wall)
         self._leave_missing(now)
         self._evacuation.run(now)
@@ -209,7 +215,7 @@
             self._look_at = now + LOOK_SECONDS
             self._stop_stuck(now)
             self.pacing.run(now)
-        self._planner.run(now)
+        self._planner.run(now, most_starts)
         self._forget_ended()
         self.reports.lines.flush()
         return self.board.take_commands()
