--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -1,49 +1,29 @@
-"""Carry out the scheduler's commands."""
+"""Keep a session with each worker, and begin anew with those that start again."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from functools import partial
 
 from anyio.abc import TaskGroup
 
-from ...helpers.instruments import START_WAIT_SECONDS, STARTS
-from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
 from ...platform.advice import AdviceClient
-from ...platform.exceptions import (
-    CallRefusedError,
-    CallUnknownError,
-    FencedError,
-    WrongIncarnationError,
-)
+from ...platform.exceptions import FencedError
 from ...platform.http import HttpCaller
 from ...platform.models import WorkerEntry
-from ...platform.workers import TaskName, WorkerClient
-from ..scheduling.models import AskAdvice, Command, Pace, Phase, Start, Stop, Task
+from ...platform.workers import WorkerClient
 from ..scheduling.scheduler import Scheduler, is_other
 from .closed import ClosedWorkers
-from .const import (
-    DECISION_SECONDS,
-    LEASE_SECONDS,
-    STOP_RETRY_SECONDS,
-    lease_bound,
-)
+from .const import LEASE_SECONDS, lease_bound
 from .contacts import Contacts
-from .lanes import Lanes
+from .orders import Orders
 from .session import WorkerSession
-from .window import StartWindow
-
-_LOGGER = get_logger(__name__)
-
-ADVICE_TIMEOUT_SECONDS = 2.0
-_FAILED = (CallRefusedError, CallUnknownError)
 
 
 @dataclass(slots=True, eq=False)
 class Dispatcher:
-    """Keep a session with each worker, and call it for the scheduler.
+    """Hold the sessions with workers under one epoch, and the orders given in them.
 
     :param token: the fencing token, the owner's epoch.
     :param on_fenced: called when a worker has seen a newer owner.
@@ -62,17 +42,26 @@
     authorised: Callable[[], bool]
     advice: AdviceClient | None = None
     longest_lease_seconds: float = LEASE_SECONDS
-    lanes: Lanes = field(init=False)
+    orders: Orders = field(init=False)
     sessions: dict[str, WorkerSession] = field(default_factory=dict)
     accounted: set[str] = field(default_factory=set)
     _entries: dict[str, WorkerEntry] = field(default_factory=dict)
     _closed: ClosedWorkers = field(default_factory=ClosedWorkers)
     _contacts: Contacts = field(default_factory=Contacts)
-    _window: StartWindow = field(default_factory=StartWindow)
 
     def __post_init__(self) -> None:
-        """Make the lanes to the workers."""
-        self.lanes = Lanes(self.tasks)
+        """Make what carries out orders."""
+        self.orders = Orders(
+            self.scheduler,
+            self.timers,
+            self.tasks,
+            self.sessions,
+            self.on_fenced,
+            self.on_report,
+            self.authorised,
+            self.lose_worker,
+            self.advice,
+        )
 
     def see_worker(self, worker_id: str, entry: WorkerEntry) -> None:
         """Open a session with a worker that is not known yet, or started again."""
@@ -138,22 +127,6 @@
         # An order that is still on its way carries a deadline of the clock before.
         self._open(worker_id, entry, born, lease_bound(now, self.longest_lease_seconds))
 
-    def execute(self, commands: list[Command]) -> None:
-        """Carry out commands, as workers have room for calls."""
-        for command in commands:
-            if isinstance(command, Start):
-                self.lanes.put(command.worker, partial(self._async_start, command))
-            elif isinstance(command, Stop):
-                self.lanes.put(command.worker, partial(self._async_stop, command))
-            elif isinstance(command, Pace):
-                self.lanes.put(command.worker, partial(self._async_pace, command))
-            elif self.advice is not None:
-                self.tasks.start_soon(self._async_advice, self.advice, command)
-
-    def start_room(self) -> int:
-        """Return how many starts may be decided now."""
-        return self._window.room(self.lanes.waiting)
-
     def any_silent(self) -> bool:
         """Return whether a worker stopped answering."""
         return any(
@@ -177,122 +150,6 @@
         finally:
             session.gone = True
 
-    async def _async_start(self, start: Start) -> None:
-        task = start.task
-        run = start.run
-        reports = self.scheduler.reports
-        if self._withdrawn(start):
-            return
-        session = self.sessions.get(start.worker)
-        try:
-            if session is None or session.gone:
-                raise CallRefusedError("worker gone")
-            answer = await session.async_start(task, run)
-            if answer is None:
-                raise CallRefusedError("no authority")
-        except FencedError:
-            self.on_fenced()
-            return
-        except WrongIncarnationError:
-            self._lose(session)
-        except CallRefusedError as error:
-            STARTS.labels("refused").inc()
-            self._log_start(task, start, error.detail)
-            reports.start_refused(task, run, self.timers.monotonic())
-        except CallUnknownError as error:
-            STARTS.labels("unknown").inc()
-            self._log_start(task, start, error.detail)
-            reports.start_unknown(task, run)
-        else:
-            reports.start_answered(task, run, answer.reason, self.timers.monotonic())
-            STARTS.labels(answer.reason or "started").inc()
-            if not answer.reason:
-                START_WAIT_SECONDS.observe(task.started_at - task.ready_since)
-                return
-        self.on_report()
-
-    def _withdrawn(self, start: Start) -> bool:
-        """Return whether a start must not leave any more."""
-        task = start.task
-        if task.run != start.run or task.phase is not Phase.STARTING:
-            return True
-        now = self.timers.monotonic()
-        if now - task.started_at <= DECISION_SECONDS:
-            return False
-        # Decided on what was known then; it is decided anew on what is known now.
-        STARTS.labels("withdrawn").inc()
-        self._window.note_withdrawn(now)
-        self.scheduler.reports.start_withdrawn(task, start.run, now)
-        self.on_report()
-        return True
-
-    async def _async_stop(self, stop: Stop) -> None:
-        session = self.sessions.get(stop.worker)
-        if session is None or session.gone:
-            return
-        if not self.authorised():
-            self.tasks.start_soon(self._async_stop_again, stop)
-            return
-        try:
-            await session.client.async_stop(stop.name, stop.run)
-        except FencedError:
-            self.on_fenced()
-        except WrongIncarnationError:
-            self._lose(session)
-        except _FAILED:
-            self.tasks.start_soon(self._async_stop_again, stop)
-        else:
-            if stop.task is not None:
-                now = self.timers.monotonic()
-                self.scheduler.reports.stop_answered(stop.task, stop.run, now)
-            session.wake()
-
-    async def _async_stop_again(self, stop: Stop) -> None:
-        """Repeat a stop; what waits meanwhile takes no other call's place."""
-        await self.timers.async_sleep(STOP_RETRY_SECONDS)
-        self.lanes.put(stop.worker, partial(self._async_stop, stop))
-
-    async def _async_pace(self, pace: Pace) -> None:
-        session = self.sessions.get(pace.worker)
-        if session is None or session.gone:
-            return
-        name: TaskName = pace.task.name
-        try:
-            await session.client.async_pace(name, pace.run, pace.percent)
-        except FencedError:
-            self.on_fenced()
-        except WrongIncarnationError:
-            self._lose(session)
-        except _FAILED as error:
-            _LOGGER.warning("pace_failed", worker=pace.worker, detail=error.detail)
-            if pace.task.run == pace.run:
-                # The next look gives the order again.
-                pace.task.pace = -1
-
-    async def _async_advice(self, client: AdviceClient, ask: AskAdvice) -> None:
-        step = ask.step
-        try:
-            advice = await client.async_ask(
-                step.job.record.id,
-                step.occurrence,
-                step.number,
-                list(ask.workers),
-                ADVICE_TIMEOUT_SECONDS,
-            )
-        except CallRefusedError as error:
-            _LOGGER.warning(
-                "advice_failed", job=step.job.record.id, detail=error.detail
-            )
-            return
-        until = self.timers.monotonic() + advice.valid_ms / 1000
-        self.scheduler.give_tickets(step, advice.tickets, until)
-        self.on_report()
-
-    def _lose(self, session: WorkerSession | None) -> None:
-        """Take in that the incarnation of a session is gone, unless it is known."""
-        if session is not None and not session.gone:
-            self.lose_worker(session.worker_id)
-
     def lose_worker(self, worker_id: str) -> None:
         """Take in that a worker's incarnation is surely gone."""
         self.accounted.add(worker_id)
@@ -305,12 +162,3 @@
             session.gone = True
             session.wake()
         self.scheduler.lose_worker(worker_id, self.timers.monotonic())
-
-    def _log_start(self, task: Task, start: Start, detail: str) -> None:
-        _LOGGER.warning(
-            "start_unanswered",
-            job=task.step.job.record.id,
-            worker=start.worker,
-            run=start.run,
-            detail=detail,
-        )
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -154,7 +154,9 @@
             tasks.start_soon(self.appender.async_run)
             tasks.start_soon(self._storing.async_run, dispatcher.sessions)
             tasks.start_soon(self._async_plan)
-            load = OwnerLoad(parts.node, dispatcher.lanes, self.scheduler.reports.lines)
+            load = OwnerLoad(
+                parts.node, dispatcher.orders.lanes, self.scheduler.reports.lines
+            )
             tasks.start_soon(self._async_watch, directory, load)
             if parts.fleet is not None:
                 self._start_fleet(parts.fleet, dispatcher, tasks)
@@ -279,9 +281,11 @@
             began = timers.monotonic()
             if self._authority.holds() and self.dispatcher is not None:
                 commands = self.scheduler.plan(
-                    timers.monotonic(), timers.wall(), self.dispatcher.start_room()
+                    timers.monotonic(),
+                    timers.wall(),
+                    self.dispatcher.orders.start_room(),
                 )
-                self.dispatcher.execute(commands)
+                self.dispatcher.orders.execute(commands)
                 if self.scheduler.board.dirty:
                     self._storing.kick()
             spent = timers.monotonic() - began
--- a/tests/components/dispatch/test_held_up.py
+++ b/tests/components/dispatch/test_held_up.py
@@ -69,7 +69,7 @@
         now = self.timers.monotonic()
         commands = self.scheduler.plan(now, now)
         self.commands.extend(commands)
-        self.dispatcher.execute(commands)
+        self.dispatcher.orders.execute(commands)
 
     async def async_go_on(self, seconds: float) -> None:
         until = self.timers.monotonic() + seconds
@@ -135,7 +135,7 @@
         worker = scheduler.board.workers["w"]
         worker.confirmed = True
         (start,) = [c for c in scheduler.plan(now - 2.0, 0.0) if isinstance(c, Start)]
-        dispatcher.execute([start])
+        dispatcher.orders.execute([start])
         await anyio.wait_all_tasks_blocked()
         assert start.task.phase is Phase.WAITING
         assert worker.refusing_until == 0.0
--- a/tests/components/dispatch/test_reborn.py
+++ b/tests/components/dispatch/test_reborn.py
@@ -173,7 +173,7 @@
         for _ in range(round(seconds / 0.05)):
             now = self.timers.monotonic()
             if plans:
-                self.dispatcher.execute(self.scheduler.plan(now, 0.0))
+                self.dispatcher.orders.execute(self.scheduler.plan(now, 0.0))
             await anyio.wait_all_tasks_blocked()
             await self.timers.async_advance(0.05)
             self._report()
@@ -327,7 +327,7 @@
         bench.worker.restart()
         bench.see()
         await bench.async_pass(0.3)
-        bench.dispatcher._lose(old)
+        bench.dispatcher.orders._lose_session(old)
         assert not bench.session.gone
         assert WORKER in bench.scheduler.board.workers
 
@@ -440,7 +440,7 @@
         bench.scheduler.board.stop(bench.task(), "test")
         commands = bench.scheduler.board.take_commands()
         old.client = _Wrong()  # type: ignore[assignment]
-        bench.dispatcher.execute(commands)
+        bench.dispatcher.orders.execute(commands)
         await anyio.wait_all_tasks_blocked()
         assert not bench.session.gone
         assert WORKER in bench.scheduler.board.workers
