--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -185,11 +185,11 @@
     good = {"machine": "m-1", "pool": "pool-a", "state": "up", "id": "w-1"}
     bad = [{"machine": 1}, None, {**good, "capacity": {"cpu": -5}}]
     client = FleetClient(_OneAnswer({"machines": [good, *bad]}), "c:1", "h")  # type: ignore[arg-type]
-    listed = await client.async_list()
+    listed = await client.async_page()
     assert [row.machine for row in listed.instances] == ["m-1"]
     assert not listed.complete
     client = FleetClient(_OneAnswer({"machines": [good]}), "c:1", "h")  # type: ignore[arg-type]
-    assert (await client.async_list()).complete
+    assert (await client.async_page()).complete
 
 
 @pytest.mark.parametrize(
