--- a/mustardward/standin/estate/app.py
+++ b/mustardward/standin/estate/app.py
@@ -47,6 +47,8 @@
 """A silent store or worker keeps a call open for so long."""
 
 HOSTS_A_BLOCK: Final = 250
+LISTED_ROWS: Final = 100
+"""Rows of the fleet's list in one page."""
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -179,8 +181,11 @@
         return worker
 
     async def _async_list(self, request: web.Request) -> web.StreamResponse:
-        rows = [_raw(instance) for instance in self._estate.list_instances()]
-        return _json(ListedBody(rows))
+        first = int(request.query.get(names.PARAM_PAGE, "0"))
+        instances = self._estate.list_instances()
+        rows = [_raw(instance) for instance in instances[first : first + LISTED_ROWS]]
+        behind = first + LISTED_ROWS
+        return _json(ListedBody(rows, str(behind) if behind < len(instances) else None))
 
     async def _async_move(self, request: web.Request) -> web.StreamResponse:
         order = msgspec.json.decode(await request.read(), type=MoveBody)
--- /dev/null
+++ b/tests/embedded/test_long_list.py
@@ -0,0 +1,32 @@
+"""Run an entry on a fleet whose list has several pages, over real connections."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from mustardward.components.fleet.listing import ListReader
+from mustardward.helpers.timer import DrivenTimerService
+from mustardward.platform.fleet import FleetClient
+from mustardward.platform.http import HttpCaller
+from mustardward.standin.estate.app import LISTED_ROWS, async_run_estate
+from mustardward.standin.estate.estate import EstatePlan
+
+pytestmark = pytest.mark.anyio
+
+PLAN = EstatePlan(pools=("pool-a",), instances=2 * LISTED_ROWS, standby=3)
+
+
+async def test_a_list_of_several_pages_names_each_instance_once() -> None:
+    async with async_run_estate(PLAN, "127.0.0.1") as estate:
+        http = HttpCaller()
+        client = FleetClient(http, estate.address, "entry-1")
+        reader = ListReader(client, DrivenTimerService(), readings_per_second=10.0)
+        with anyio.fail_after(10.0):
+            read = await reader.async_read()
+        assert read is not None
+        names = [instance.machine for instance in read[1].instances]
+        assert len(set(names)) == len(names) == PLAN.machines
+        # Three pages, of which seven a second may be read.
+        assert reader.interval(0.1) == pytest.approx(3 / 7)
+        await http.async_close()
