Look for hosts that went at most every five seconds

Cause: each first call to a host looked through all hosts for those that are not called any more: a new owner's first calls to its workers cost the square of their number. Of 9.5 s of (profiled) processor time until 600 workers were heard of, 3.6 went there, in 448,035 looks.

Change: one look in five seconds. The test that hosts are forgotten sets that time to nothing, as it did the time that connections are kept; it checks the same.

The new test fails before: 44,850 looks for 300 hosts.

--- a/mustardward/platform/http.py
+++ b/mustardward/platform/http.py
@@ -22,6 +22,11 @@
 """Unacknowledged bytes for so long close a connection, so that a pool of connections
 that went silent empties itself."""
 
+FORGET_SECONDS: Final = 5.0
+"""Shortest time between two looks for hosts that are not called any more. With a look
+at each new host an owner of 600 workers looked 448,000 times before it had heard of all
+of them, more than a third of its processor time; it grows with the square of them."""
+
 CONNECTIONS_A_HOST: Final = 8
 
 
@@ -185,6 +190,7 @@
     def __init__(self, connections_a_host: int = CONNECTIONS_A_HOST) -> None:
         self._most = connections_a_host
         self._hosts: dict[str, _Host] = {}
+        self._looked_at = -math.inf
 
     async def async_close(self) -> None:
         """Close all connections that no call uses."""
@@ -239,6 +245,9 @@
         use up the process's descriptors.
         """
         now = asyncio.get_running_loop().time()
+        if now - self._looked_at < FORGET_SECONDS:
+            return
+        self._looked_at = now
         for address, host in list(self._hosts.items()):
             host.close_idle(now, KEEP_ALIVE_SECONDS)
             if host.unused:
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -15,7 +15,7 @@
 
 from mustardward.embedded.elsewhere import async_elsewhere
 from mustardward.platform.exceptions import CallRefusedError, CallUnknownError
-from mustardward.platform.http import HttpCaller
+from mustardward.platform.http import HttpCaller, _Host
 
 pytestmark = pytest.mark.anyio
 
@@ -277,6 +277,7 @@
 async def test_hosts_that_went_are_forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
     """Symptom: descriptors run out on a day with many moved instances."""
     monkeypatch.setattr("mustardward.platform.http.KEEP_ALIVE_SECONDS", 0.0)
+    monkeypatch.setattr("mustardward.platform.http.FORGET_SECONDS", 0.0)
     http = HttpCaller()
     for _ in range(5):
         async with a_server(answering(an_answer())) as server:
@@ -284,6 +285,38 @@
     assert len(http._hosts) == 1
 
 
+async def test_thousands_of_new_hosts_are_not_each_weighed_against_all_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Symptom: an owner of 3,000 workers starts nothing, and its renewals are late.
+
+    Sequence: it calls each worker for the first time, and each of these calls looks
+    through all hosts for those that went. Cause: work that grows with the square of
+    the fleet.
+    """
+    looks = 0
+    close_idle = _Host.close_idle
+
+    def count(host: _Host, now: float, idle_seconds: float) -> None:
+        nonlocal looks
+        looks += 1
+        close_idle(host, now, idle_seconds)
+
+    monkeypatch.setattr(_Host, "close_idle", count)
+    # As if each of them had a connection, of which this machine has not so many.
+    monkeypatch.setattr(_Host, "unused", False)
+    http = HttpCaller()
+    hosts = 300
+    for number in range(hosts):
+        with pytest.raises(CallRefusedError):
+            await http.async_call(
+                "GET",
+                f"http://127.0.1.{number % 250 + 1}:{9 + number // 250}/",
+                timeout_seconds=1.0,
+            )
+    assert looks <= 2 * hosts
+
+
 @given(st.lists(st.integers(1, 30), max_size=12), st.booleans(), st.binary())
 def test_an_answer_is_read_whole_however_its_bytes_come(
     cuts: list[int], chunked: bool, body: bytes
