--- a/mustardward/components/dispatch/contacts.py
+++ b/mustardward/components/dispatch/contacts.py
@@ -17,8 +17,8 @@
 """Workers asked at once. Opening a connection and asking takes an owner 1 to 2 ms of a
 core, so that on half a core all of them have their turn within the 0.35 s that a worker
 has for its answer (3,000 workers, silent ones told of: 807 with 256 at once, 387 with
-these). Workers behind a cut hold a place for 0.6 s each, and held up by 750 of them
-others are still heard of within the time of a lease."""
+these). Workers behind a cut hold a place for 0.6 s each: 750 of them hold up the others
+by 4.7 s, reckoned."""
 
 
 class Contacts:
--- a/mustardward/components/dispatch/orders.py
+++ b/mustardward/components/dispatch/orders.py
@@ -53,7 +53,7 @@
     on_lost: Callable[[str], None]
     advice: AdviceClient | None = None
     lanes: Lanes = field(init=False)
-    _window: StartWindow = field(default_factory=StartWindow)
+    window: StartWindow = field(default_factory=StartWindow)
 
     def __post_init__(self) -> None:
         """Make the lanes to the workers."""
@@ -73,7 +73,7 @@
 
     def start_room(self) -> int:
         """Return how many starts may be decided now."""
-        return self._window.room(self.lanes.waiting)
+        return self.window.room(self.lanes.waiting)
 
     async def _async_start(self, start: Start) -> None:
         task = start.task
@@ -119,7 +119,7 @@
             return False
         # Decided on what was known then; it is decided anew on what is known now.
         STARTS.labels("withdrawn").inc()
-        self._window.note_withdrawn(now)
+        self.window.note_withdrawn(now)
         self.scheduler.reports.start_withdrawn(task, start.run, now)
         self.on_report()
         return True
--- a/mustardward/components/dispatch/window.py
+++ b/mustardward/components/dispatch/window.py
@@ -31,11 +31,16 @@
     _most: float = FIRST_STARTS
     _shrunk_at: float = -math.inf
 
+    @property
+    def most(self) -> int:
+        """Return how many starts may wait to leave."""
+        return int(self._most)
+
     def room(self, waiting: int) -> int:
         """Return how many starts may be decided beside those that wait to leave."""
         if not waiting:
             self._most = min(MOST_STARTS, self._most * GROWTH)
-        return max(0, int(self._most) - waiting)
+        return max(0, self.most - waiting)
 
     def note_withdrawn(self, now: float) -> None:
         """Take in that a start waited too long to leave."""
--- a/mustardward/components/ownership/load.py
+++ b/mustardward/components/ownership/load.py
@@ -7,6 +7,7 @@
 from ...helpers.instruments import CALLS_UNDER_WAY, LOOP_LAG_SECONDS
 from ...helpers.logging import get_logger
 from ..dispatch.lanes import Lanes
+from ..dispatch.window import StartWindow
 from ..scheduling.run_lines import RunLines
 from .const import WATCH_OWN_SECONDS
 
@@ -18,10 +19,13 @@
     """Gather an owner's load between two lines.
 
     :param node: names the entry.
+    :param window: bounds how many starts wait to leave; it shrinks where they do for
+        too long.
     """
 
     node: str
     lanes: Lanes
+    window: StartWindow
     lines: RunLines
     _looked_at: float | None = None
     _told_at: float | None = None
@@ -52,6 +56,7 @@
                 lag_seconds=round(self._most_lag, 3),
                 under_way=self._most_under_way,
                 waiting=self._most_waiting,
+                start_window=self.window.most,
                 starts_a_second=round(
                     (self.lines.started_count - self._started) / seconds
                 ),
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -154,9 +154,9 @@
             tasks.start_soon(self.appender.async_run)
             tasks.start_soon(self._storing.async_run, dispatcher.sessions)
             tasks.start_soon(self._async_plan)
-            load = OwnerLoad(
-                parts.node, dispatcher.orders.lanes, self.scheduler.reports.lines
-            )
+            orders = dispatcher.orders
+            lines = self.scheduler.reports.lines
+            load = OwnerLoad(parts.node, orders.lanes, orders.window, lines)
             tasks.start_soon(self._async_watch, directory, load)
             if parts.fleet is not None:
                 self._start_fleet(parts.fleet, dispatcher, tasks)
