Leave dark workers out of what an owner is held to carry out

Change: neither the room that is left nor the window's halving counts starts for a worker that left its last call unanswered. An unanswered start ends the proof of its incarnation too, so that nothing is acknowledged until it answers again.

Test: 400 starts behind a dark worker leave the whole window to others; 50 behind one that answers take 50 of it.

--- a/mustardward/components/dispatch/lanes.py
+++ b/mustardward/components/dispatch/lanes.py
@@ -45,6 +45,12 @@
         """Return how many calls have not left."""
         return sum(len(calls) for calls in self._waiting.values())
 
+    def waiting_for(self, counts: Callable[[str], bool]) -> int:
+        """Return how many calls have not left to workers that count."""
+        return sum(
+            len(calls) for worker, calls in self._waiting.items() if counts(worker)
+        )
+
     def put(self, worker: str, call: Call) -> None:
         """Make a call as soon as its worker and this process have room for it."""
         calls = self._waiting.get(worker)
--- a/mustardward/components/dispatch/orders.py
+++ b/mustardward/components/dispatch/orders.py
@@ -72,8 +72,16 @@
                 self.tasks.start_soon(self._async_advice, self.advice, command)
 
     def start_room(self) -> int:
-        """Return how many starts may be decided now."""
-        return self.window.room(self.lanes.waiting)
+        """Return how many starts may be decided now.
+
+        What waits for a worker that leaves calls unanswered says nothing of this owner:
+        one dark worker would else hold up the starts on all others.
+        """
+        return self.window.room(self.lanes.waiting_for(self._answers))
+
+    def _answers(self, worker: str) -> bool:
+        session = self.sessions.get(worker)
+        return session is not None and not session.gone and not session.doubted
 
     async def _async_start(self, start: Start) -> None:
         task = start.task
@@ -119,7 +127,8 @@
             return False
         # Decided on what was known then; it is decided anew on what is known now.
         STARTS.labels("withdrawn").inc()
-        self.window.note_withdrawn(now)
+        if self._answers(start.worker):
+            self.window.note_withdrawn(now)
         self.scheduler.reports.start_withdrawn(task, start.run, now)
         self.on_report()
         return True
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -97,6 +97,11 @@
     _stored: anyio.Event = field(default_factory=anyio.Event)
     _wake: anyio.Event = field(default_factory=anyio.Event)
 
+    @property
+    def doubted(self) -> bool:
+        """Return whether the worker left its last call unanswered, or all of them."""
+        return math.isinf(self._proved_at)
+
     def acknowledge(self, number: int) -> None:
         """Note that the ends up to a number are stored."""
         if number > self.seen_upto:
@@ -145,7 +150,11 @@
             task.step.tickets.get(self.worker_id, ""),
         )
         self._wake.set()
-        answer = await self.client.async_start(order)
+        try:
+            answer = await self.client.async_start(order)
+        except CallUnknownError:
+            self._proved_at = -math.inf
+            raise
         if self.clock.is_behind(answer.clock_ms):
             # Another incarnation began this under a lease reckoned on the old clock.
             # Its next answer to a hold tells who it is.
--- a/tests/components/dispatch/test_held_up.py
+++ b/tests/components/dispatch/test_held_up.py
@@ -4,6 +4,7 @@
 
 import time
 from collections import Counter
+from typing import Any
 
 import anyio
 import anyio.lowlevel
@@ -11,6 +12,8 @@
 
 from mustardward.components.dispatch.dispatcher import Dispatcher
 from mustardward.components.dispatch.lanes import MOST, MOST_A_WORKER, Lanes
+from mustardward.components.dispatch.orders import Orders
+from mustardward.components.dispatch.window import FIRST_STARTS
 from mustardward.components.scheduling.models import (
     Command,
     Phase,
@@ -37,6 +40,15 @@
 """More than twice the time that a start has for its answer."""
 
 
+class _Answering:
+    """Stand in for a session whose worker answers, or does not."""
+
+    gone = False
+
+    def __init__(self, answers: bool) -> None:
+        self.doubted = not answers
+
+
 class HeldUpOwner:
     """Hold an owner's scheduler and dispatcher, and workers in another thread."""
 
@@ -143,6 +155,43 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_a_dark_worker_does_not_hold_up_the_starts_on_others() -> None:
+    """Symptom: a pool has room and work, and hardly anything is started.
+
+    Sequence: a worker goes dark with a dozen starts waiting to leave for it, each
+    for as long as the calls before have for their answers. Cause: these counted as
+    what this owner is too slow to carry out.
+    """
+    async with anyio.create_task_group() as tasks:
+        scheduler = Scheduler(1, lambda queue: QueuePolicy(service=POOL))
+        timers = LoopTimerService(tasks)
+        sessions: dict[str, Any] = {"dark": _Answering(False), "well": _Answering(True)}
+        orders = Orders(
+            scheduler,
+            timers,
+            tasks,
+            sessions,
+            lambda: None,
+            lambda: None,
+            lambda: True,
+            lambda worker: None,
+        )
+
+        async def async_hang() -> None:
+            await anyio.sleep_forever()
+
+        for _ in range(MOST_A_WORKER + 400):
+            orders.lanes.put("dark", async_hang)
+        await anyio.wait_all_tasks_blocked()
+        assert orders.lanes.waiting == 400
+        assert orders.start_room() >= FIRST_STARTS
+        for _ in range(MOST_A_WORKER + 50):
+            orders.lanes.put("well", async_hang)
+        await anyio.wait_all_tasks_blocked()
+        assert orders.start_room() == orders.window.most - 50
+        tasks.cancel_scope.cancel()
+
+
 async def test_calls_are_bounded_by_worker_and_in_all_and_none_is_forgotten() -> None:
     most: Counter[str] = Counter()
     now: Counter[str] = Counter()
