--- a/mustardward/components/dispatch/window.py
+++ b/mustardward/components/dispatch/window.py
@@ -37,7 +37,10 @@
         return int(self._most)
 
     def room(self, waiting: int) -> int:
-        """Return how many starts may be decided beside those that wait to leave."""
+        """Return how many starts may be decided beside those that wait to leave.
+
+        The window grows with each plan that finds none waiting.
+        """
         if not waiting:
             self._most = min(MOST_STARTS, self._most * GROWTH)
         return max(0, self.most - waiting)
