Let no freeze of the process lengthen an owner's pauses

Cause, found by reading: what a look or a plan took is told by the steady clock, so that a process that was frozen for four seconds in the middle of one would have paused its looks for 22 s after it. Change: no pause is longer than 2 s between looks, 0.3 s between plans. The new test fails before.

--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -40,7 +40,10 @@
 TICK_SHARE: Final = 0.15
 """Most of an owner's time for the fleet: workers wait for the rest of it."""
 
-_DUTY: Final = Duty(TICK_SECONDS, TICK_SHARE)
+LONGEST_TICK_SECONDS: Final = 2.0
+"""An instance that a pool needs is ordered this much later at most."""
+
+_DUTY: Final = Duty(TICK_SECONDS, TICK_SHARE, LONGEST_TICK_SECONDS)
 _IDLE: Final = Load(0, 0)
 
 
--- a/mustardward/components/ownership/const.py
+++ b/mustardward/components/ownership/const.py
@@ -34,6 +34,9 @@
 PLAN_SHARE: Final = 0.5
 """Most of an owner's time for planning: what is planned has to be carried out too."""
 
+LONGEST_PLAN_GAP_SECONDS: Final = 0.3
+"""A task that has room waits this much longer for its start at most."""
+
 PLAN_SECONDS: Final = 0.1
 PAUSE_SECONDS: Final = 1.0
 """A step of the owner's clock by more than this means that the process was paused."""
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -31,6 +31,7 @@
 from .authority import Authority
 from .const import (
     CONFIRM_RETRY_SECONDS,
+    LONGEST_PLAN_GAP_SECONDS,
     PLAN_GAP_SECONDS,
     PLAN_SECONDS,
     PLAN_SHARE,
@@ -47,7 +48,7 @@
 
 _LOGGER = get_logger(__name__)
 
-_PLANNING: Final = Duty(PLAN_GAP_SECONDS, PLAN_SHARE)
+_PLANNING: Final = Duty(PLAN_GAP_SECONDS, PLAN_SHARE, LONGEST_PLAN_GAP_SECONDS)
 
 WORKERS_GAP_SECONDS = 0.1
 """Entries are renewed each heartbeat; a change may be seen this much later."""
--- a/mustardward/helpers/duty.py
+++ b/mustardward/helpers/duty.py
@@ -17,11 +17,15 @@
 
     :param least_pause: seconds between two times, however little one takes.
     :param share: most of this process's time that it may take.
+    :param longest_pause: the most, in seconds: a process that is frozen in the middle of
+        a time has not worked for so long, and must not rest for it.
     """
 
     least_pause: float
     share: float
+    longest_pause: float
 
     def pause(self, spent_seconds: float) -> float:
         """Return how long to wait after a time that took so many seconds."""
-        return max(self.least_pause, spent_seconds * (1 / self.share - 1))
+        owed = spent_seconds * (1 / self.share - 1)
+        return max(self.least_pause, min(self.longest_pause, owed))
--- a/tests/helpers/test_duty.py
+++ b/tests/helpers/test_duty.py
@@ -8,8 +8,8 @@
 
 
 def test_cheap_work_is_done_as_often_as_wanted() -> None:
-    assert Duty(0.1, 0.2).pause(0.0) == 0.1
-    assert Duty(0.1, 0.2).pause(0.02) == 0.1
+    assert Duty(0.1, 0.2, 10.0).pause(0.0) == 0.1
+    assert Duty(0.1, 0.2, 10.0).pause(0.02) == 0.1
 
 
 @pytest.mark.parametrize("spent", [0.03, 0.1, 2.0])
@@ -18,5 +18,14 @@
 
     Load: looking over the instances takes a third of its time, ten times a second.
     """
-    pause = Duty(0.1, 0.2).pause(spent)
+    pause = Duty(0.1, 0.2, 10.0).pause(spent)
     assert spent / (spent + pause) == pytest.approx(0.2)
+
+
+def test_a_process_that_was_frozen_does_not_rest_for_it() -> None:
+    """Symptom: an owner that was frozen for four seconds orders nothing for 22 more.
+
+    Sequence: it was stopped in the middle of a look, and went on. Cause: the time until
+    then counted as work.
+    """
+    assert Duty(0.1, 0.15, 2.0).pause(4.0) == 2.0
