--- a/mustardward/helpers/duty.py
+++ b/mustardward/helpers/duty.py
@@ -17,8 +17,8 @@
 
     :param least_pause: seconds between two times, however little one takes.
     :param share: most of this process's time that it may take.
-    :param longest_pause: the most, in seconds: a process that is frozen in the middle of
-        a time has not worked for so long, and must not rest for it.
+    :param longest_pause: the most, in seconds: a process that is frozen in the middle
+        of a time has not worked for so long, and must not rest for it.
     """
 
     least_pause: float
