Count by one token bucket, and return a reading of the list as it was gathered

Cause: organisations' rates, orders for instances, the stand-in log and a test's platform each filled a token bucket of their own; the fleet's list had three types (page, reading, list) of which the last only copied the second.

--- a/mustardward/components/fleet/budget.py
+++ b/mustardward/components/fleet/budget.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
+from ...helpers.token_bucket import TokenBucket
+
 ORDERS_SHARE: Final = 0.8
 """Share of the orders that an owner gives to moves: the rest is for maintenance, and
 for the orders of one that was deposed a moment ago."""
@@ -24,19 +26,18 @@
     """
 
     orders_per_second: float = math.inf
-    _left: float = math.inf
-    _filled_at: float = -math.inf
+    _bucket: TokenBucket = field(
+        default_factory=lambda: TokenBucket(math.inf, -math.inf)
+    )
 
     def left(self, now: float) -> int | None:
         """Return how many orders may be given, or None if there is no bound."""
         rate = self.orders_per_second * ORDERS_SHARE
         if math.isinf(rate):
             return None
-        gained = (now - self._filled_at) * rate
-        self._left = min(max(1.0, rate), self._left + gained)
-        self._filled_at = now
-        return int(self._left)
+        self._bucket.fill(now, rate, max(1.0, rate))
+        return int(self._bucket.left)
 
     def spend(self, orders: int) -> None:
         """Take in that orders were given."""
-        self._left -= orders
+        self._bucket.left -= orders
--- a/mustardward/components/fleet/listing.py
+++ b/mustardward/components/fleet/listing.py
@@ -14,7 +14,7 @@
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
 from ...platform.exceptions import CallRefusedError
-from ...platform.fleet import FleetClient, FleetList
+from ...platform.fleet import FleetClient
 from ...platform.models import Instance
 
 _LOGGER = get_logger(__name__)
@@ -29,10 +29,12 @@
 
 
 @dataclass(slots=True)
-class _Reading:
-    """Hold the pages of a reading that is under way.
+class Reading:
+    """Hold what a reading of the list has found so far.
 
+    :param begun_at: when its first page was asked for, in steady seconds.
     :param token: names the next page; nothing for the first.
+    :param complete: see ``FleetPage``.
     """
 
     begun_at: float
@@ -53,19 +55,19 @@
     timers: TimerService
     readings_per_second: float
     _pages: int = 1
-    _reading: _Reading | None = None
+    _reading: Reading | None = None
 
     def interval(self, wanted: float) -> float:
         """Return the seconds between two readings where one wants ``wanted``."""
         allowed = max(1.0, self.readings_per_second * READINGS_SHARE)
         return max(wanted, self._pages / allowed)
 
-    async def async_read(self) -> tuple[float, FleetList] | None:
-        """Return when a reading began and what it found, or None if it broke off."""
+    async def async_read(self) -> Reading | None:
+        """Return a reading of the whole list, or None if it broke off."""
         now = self.timers.monotonic()
         reading = self._reading
         if reading is None or now - reading.begun_at > LONGEST_READING_SECONDS:
-            reading = self._reading = _Reading(now)
+            reading = self._reading = Reading(now)
         try:
             while not await self._async_add_page(reading):
                 pass
@@ -76,9 +78,9 @@
             return None
         self._reading = None
         self._pages = reading.pages
-        return reading.begun_at, FleetList(reading.instances, reading.complete)
+        return reading
 
-    async def _async_add_page(self, reading: _Reading) -> bool:
+    async def _async_add_page(self, reading: Reading) -> bool:
         """Read the next page; return whether it was the last."""
         page = await self.client.async_page(reading.token)
         reading.instances.extend(page.instances)
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -126,9 +126,9 @@
         read = await self.listing.async_read()
         if read is None:
             return
-        self._read_at, listed = read
-        self._instances = {row.machine: row for row in listed.instances}
-        self._complete = listed.complete
+        self._read_at = read.begun_at
+        self._instances = {row.machine: row for row in read.instances}
+        self._complete = read.complete
         self._drop_gone(self._read_at)
 
     def listed_workers(self) -> dict[str, str] | None:
--- a/mustardward/components/scheduling/shares.py
+++ b/mustardward/components/scheduling/shares.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from ...helpers.policies import switchable
+from ...helpers.token_bucket import TokenBucket
 
 BURST_SECONDS: Final = 1.0
 """Time of its rate that an organisation may send at once: callers come in bursts, and a
@@ -30,14 +31,6 @@
     return False
 
 
-@dataclass(slots=True)
-class _Bucket:
-    """Hold how many jobs an organisation may still send within its rate."""
-
-    left: float
-    at: float
-
-
 @dataclass(slots=True, eq=False)
 class Shares:
     """Hold a token bucket for each organisation.
@@ -46,7 +39,7 @@
     """
 
     rate_of: RateLookup = no_rate
-    _buckets: dict[str, _Bucket] = field(default_factory=dict)
+    _buckets: dict[str, TokenBucket] = field(default_factory=dict)
 
     @switchable(
         "shares",
@@ -59,10 +52,6 @@
         if rate <= 0.0:
             return False
         most = max(1.0, rate * BURST_SECONDS)
-        bucket = self._buckets.setdefault(organisation, _Bucket(most, at))
-        bucket.left = min(most, bucket.left + rate * max(0.0, at - bucket.at))
-        bucket.at = max(bucket.at, at)
-        if bucket.left < 1.0:
-            return True
-        bucket.left -= 1.0
-        return False
+        bucket = self._buckets.setdefault(organisation, TokenBucket(most, at))
+        bucket.fill(at, rate, most)
+        return not bucket.take()
--- a/mustardward/platform/fleet.py
+++ b/mustardward/platform/fleet.py
@@ -24,23 +24,12 @@
 FLEET_TIMEOUT_SECONDS: Final = 1.5
 
 
-@dataclass(frozen=True, slots=True)
-class FleetList:
-    """Hold the instances of one reading of the list.
-
-    :param complete: whether each row could be read. Where one could not, that a worker
-        is not in the list does not say that it is gone.
-    """
-
-    instances: list[Instance]
-    complete: bool = True
-
-
 @dataclass(frozen=True, slots=True)
 class FleetPage:
     """Hold one page of the list.
 
-    :param complete: see ``FleetList``.
+    :param complete: whether each row could be read. Where one could not, that a worker
+        is not in the list does not say that it is gone.
     :param next_token: names the page behind it; nothing if it is the last.
     """
 
--- a/mustardward/standin/log.py
+++ b/mustardward/standin/log.py
@@ -14,11 +14,12 @@
 
 from ..exceptions import OffsetExpiredError
 from ..helpers.timer import TimerService
+from ..helpers.token_bucket import TokenBucket
 from ..helpers.waiting import async_wait_for
 from .common import NoAnswer, async_with_faults, refusal
 from .faults import FaultSwitch, LogFaults
 from .protocol.models import LogPage
-from .store import LogStore, Retention, TokenBucket
+from .store import LogStore, Retention
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +42,8 @@
     ) -> None:
         self._timers = timers
         self._tasks = tasks
-        self._bucket = TokenBucket(options.appends_per_second, options.burst, timers)
+        self._options = options
+        self._bucket = TokenBucket(options.burst, timers.monotonic())
         self._store = LogStore(timers, options.retention)
         self._grown: dict[str, anyio.Event] = {}
         self._appends = 0
@@ -82,7 +84,7 @@
         return await async_with_faults(request, self.faults, self._timers, run)
 
     def _append(self, stream: str, payload: bytes) -> Response:
-        if self.faults.now.refuse_appends or not self._bucket.take():
+        if self.faults.now.refuse_appends or not self._take_token():
             self._refused += 1
             return refusal(429, "append-rate-exceeded")
         if self.faults.take("late_appends"):
@@ -90,6 +92,12 @@
             return NoAnswer()
         return JSONResponse({"offset": self.append(stream, payload)}, status_code=201)
 
+    def _take_token(self) -> bool:
+        options = self._options
+        now = self._timers.monotonic()
+        self._bucket.fill(now, options.appends_per_second, options.burst)
+        return self._bucket.take()
+
     async def _async_append_late(self, stream: str, payload: bytes) -> None:
         await self._timers.async_sleep(self.faults.now.late_seconds)
         self.append(stream, payload)
--- a/mustardward/standin/store.py
+++ b/mustardward/standin/store.py
@@ -10,32 +10,6 @@
 from .protocol.models import LogEntry, LogPage
 
 
-class TokenBucket:
-    """Allow a number of events a second, with a bounded burst.
-
-    :param rate: tokens a second.
-    :param burst: most tokens that can be saved up.
-    """
-
-    def __init__(self, rate: float, burst: float, timers: TimerService) -> None:
-        self._rate = rate
-        self._burst = burst
-        self._timers = timers
-        self._tokens = burst
-        self._filled = timers.monotonic()
-
-    def take(self) -> bool:
-        """Take one token, or tell that there is none."""
-        now = self._timers.monotonic()
-        gained = (now - self._filled) * self._rate
-        self._tokens = min(self._burst, self._tokens + gained)
-        self._filled = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
-
 @dataclass(frozen=True, slots=True)
 class Retention:
     """Bound what a stream keeps, by number of entries and by age in seconds."""
--- a/tests/components/fleet/test_listing.py
+++ b/tests/components/fleet/test_listing.py
@@ -9,6 +9,7 @@
 from mustardward.components.fleet.const import BUSY_LIST_SECONDS, TICK_SECONDS
 from mustardward.components.fleet.listing import LONGEST_READING_SECONDS, ListReader
 from mustardward.helpers.timer import DrivenTimerService
+from mustardward.helpers.token_bucket import TokenBucket
 from mustardward.platform.exceptions import CallRefusedError
 from mustardward.platform.fleet import FleetPage
 
@@ -29,20 +30,16 @@
         self.refused = 0
         self.answered = 0
         self.unreadable_page = -1
-        self._tokens = READINGS_PER_SECOND
-        self._filled_at = timers.monotonic()
+        self._bucket = TokenBucket(READINGS_PER_SECOND, timers.monotonic())
 
     async def async_page(self, token: str = "") -> FleetPage:
         """Answer, or refuse what goes beyond the readings of a second."""
         await self.timers.async_advance(PAGE_SECONDS)
         now = self.timers.monotonic()
-        gained = (now - self._filled_at) * READINGS_PER_SECOND
-        self._tokens = min(READINGS_PER_SECOND, self._tokens + gained)
-        self._filled_at = now
-        if self._tokens < 1:
+        self._bucket.fill(now, READINGS_PER_SECOND, READINGS_PER_SECOND)
+        if not self._bucket.take():
             self.refused += 1
             raise CallRefusedError("status=429")
-        self._tokens -= 1
         self.answered += 1
         number = int(token or 0)
         following = str(number + 1) if number + 1 < PAGES else ""
@@ -73,10 +70,9 @@
             break
         await timers.async_advance(TICK_SECONDS)
     assert read is not None
-    read_at, listed = read
-    assert read_at == began
-    assert len(listed.instances) == PAGES
-    assert listed.complete
+    assert read.begun_at == began
+    assert len(read.instances) == PAGES
+    assert read.complete
     assert pages.answered == PAGES
     assert timers.monotonic() - began < PAGES / READINGS_PER_SECOND
 
@@ -96,7 +92,7 @@
     pages.unreadable_page = 3
     while (read := await reader.async_read()) is None:
         await timers.async_advance(TICK_SECONDS)
-    assert not read[1].complete
+    assert not read.complete
 
 
 async def test_pages_that_lie_far_apart_are_no_list() -> None:
@@ -107,5 +103,5 @@
     began = timers.monotonic()
     while (read := await reader.async_read()) is None:
         await timers.async_advance(TICK_SECONDS)
-    assert read[0] >= began
-    assert len(read[1].instances) == PAGES
+    assert read.begun_at >= began
+    assert len(read.instances) == PAGES
--- a/tests/embedded/test_long_list.py
+++ b/tests/embedded/test_long_list.py
@@ -25,7 +25,7 @@
         with anyio.fail_after(10.0):
             read = await reader.async_read()
         assert read is not None
-        names = [instance.machine for instance in read[1].instances]
+        names = [instance.machine for instance in read.instances]
         assert len(set(names)) == len(names) == PLAN.machines
         # Three pages, of which seven a second may be read.
         assert reader.interval(0.1) == pytest.approx(3 / 7)
