Say once what a look at the fleet found, and when a worker is doubted

Cause: four methods of the pools' planner took the same five values one by one; a start without an answer and one of another incarnation ended a worker's proof in two places; what a task asks for was put together in two; five tests handed a job in by the same two lines.

The time is read once where a worker is lost. No change of what is done.

--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -161,4 +161,4 @@
         if session is not None:
             session.gone = True
             session.wake()
-        self.scheduler.lose_worker(worker_id, self.timers.monotonic())
+        self.scheduler.lose_worker(worker_id, now)
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -152,14 +152,13 @@
         self._wake.set()
         try:
             answer = await self.client.async_start(order)
+            if self.clock.is_behind(answer.clock_ms):
+                # Another incarnation began this under a lease reckoned on the old
+                # clock. Its next answer to a hold tells who it is.
+                raise CallUnknownError("clock went back")
         except CallUnknownError:
             self._proved_at = -math.inf
             raise
-        if self.clock.is_behind(answer.clock_ms):
-            # Another incarnation began this under a lease reckoned on the old clock.
-            # Its next answer to a hold tells who it is.
-            self._proved_at = -math.inf
-            raise CallUnknownError("clock went back")
         self._prove(answer.clock_ms)
         return answer
 
--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -45,6 +45,22 @@
     accepted_at: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Look:
+    """Hold what one look at the fleet found.
+
+    :param free: the instances that nothing runs on and nobody holds, by machine.
+    :param have: how many instances each pool has, or is about to have.
+    :param needs: how many its work asks for.
+    """
+
+    view: FleetView
+    free: dict[str, Instance]
+    have: Counter[str]
+    needs: dict[str, int]
+    now: float
+
+
 def _need_at_once(
     planner: PoolPlanner, /, load: PoolLoad, size: Room, have: int
 ) -> float:
@@ -85,27 +101,20 @@
             pool: self._need(pool, sizes, loads, have[pool], now)
             for pool in _pools(view)
         }
-        wanted = chain(
-            self._repeat(now),
-            self._fill_all(free, have, needs, view, now),
-            self._rest(free, have, needs, view, now),
-        )
+        look = _Look(view, free, have, needs, now)
+        wanted = chain(self._repeat(now), self._fill_all(look), self._rest(look))
         moves = list(islice(wanted, self.budget.left(now)))
         self.budget.spend(len(moves))
         return moves
 
-    def _fill_all(
-        self,
-        free: dict[str, Instance],
-        have: Counter[str],
-        needs: dict[str, int],
-        view: FleetView,
-        now: float,
-    ) -> Iterator[Move]:
+    def _fill_all(self, look: _Look) -> Iterator[Move]:
         """Fill the pools, the one that lacks most of its need first."""
-        lendable = self._lendable(free, have, needs, view)
-        for pool, need in sorted(needs.items(), key=lambda item: -_gap(item, have)):
-            yield from self._fill(pool, need - have[pool], lendable, view, now)
+        lendable = self._lendable(look)
+        have = look.have
+        for pool, need in sorted(
+            look.needs.items(), key=lambda item: -_gap(item, have)
+        ):
+            yield from self._fill(pool, need - have[pool], lendable, look)
 
     def accepted(self, machine: str, now: float) -> None:
         """Take in that the platform has begun a move."""
@@ -212,24 +221,18 @@
         left = max(0.0, load.left.share_of(size) + inflow * seconds - done)
         return (lasting + inflow + left / THEN_CLEAR_SECONDS) / TARGET_SHARE
 
-    def _lendable(
-        self,
-        free: dict[str, Instance],
-        have: Counter[str],
-        needs: dict[str, int],
-        view: FleetView,
-    ) -> dict[str, list[Instance]]:
+    def _lendable(self, look: _Look) -> dict[str, list[Instance]]:
         """Return, by pool, the instances that it can spare now."""
         by_pool: dict[str, list[Instance]] = defaultdict(list)
-        for instance in free.values():
+        for instance in look.free.values():
             by_pool[instance.pool].append(instance)
         for pool, instances in by_pool.items():
-            if pool not in view.standby:
+            if pool not in look.view.standby:
                 keep_racks_apart(instances)
-                del instances[spare(have[pool], needs.get(pool, 0)) :]
+                del instances[spare(look.have[pool], look.needs.get(pool, 0)) :]
             # What has its maintenance behind it is taken first, from the end: the rest
             # is maintained where nothing runs.
-            instances.sort(key=lambda i: i.machine not in view.due)
+            instances.sort(key=lambda i: i.machine not in look.view.due)
         return by_pool
 
     def _fill(
@@ -237,8 +240,7 @@
         pool: str,
         missing: int,
         lendable: dict[str, list[Instance]],
-        view: FleetView,
-        now: float,
+        look: _Look,
     ) -> Iterable[Move]:
         for _ in range(missing):
             # One that is on already costs nothing more in its new pool.
@@ -250,36 +252,31 @@
             if not donors:
                 return
             donor = min(
-                donors, key=lambda name: (name in view.standby, -len(lendable[name]))
+                donors,
+                key=lambda name: (name in look.view.standby, -len(lendable[name])),
             )
-            yield self._order(lendable[donor].pop(), pool, now)
+            yield self._order(lendable[donor].pop(), pool, look.now)
 
-    def _rest(
-        self,
-        free: dict[str, Instance],
-        have: Counter[str],
-        needs: dict[str, int],
-        view: FleetView,
-        now: float,
-    ) -> Iterable[Move]:
+    def _rest(self, look: _Look) -> Iterable[Move]:
         """Send off what its pool has not needed for a while."""
+        view, have = look.view, look.have
         if not view.standby:
             return
         target = min(view.standby)
         idle = idle_seconds()
         for machine, instance in sorted(
-            free.items(), key=lambda item: (item[0] not in view.due, item[0])
+            look.free.items(), key=lambda item: (item[0] not in view.due, item[0])
         ):
             pool = instance.pool
-            if machine in self.orders or pool in view.standby or pool not in needs:
+            if machine in self.orders or pool in view.standby or pool not in look.needs:
                 continue
-            if now - self._idle_since[machine] < idle:
+            if look.now - self._idle_since[machine] < idle:
                 continue
             recent = max(need for _, need in self._needs[pool])
             if have[pool] <= max(recent, LEAST_INSTANCES):
                 continue
             have[pool] -= 1
-            yield self._order(instance, target, now)
+            yield self._order(instance, target, look.now)
 
     def _order(self, instance: Instance, pool: str, now: float) -> Move:
         self.orders[instance.machine] = MoveOrder(instance.machine, pool, now)
--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 
 from ...helpers.logging import get_logger
-from ...platform.models import Room
 from ...platform.workers import TaskName, encode_task
 from ..ledger.marks import pack
 from ..ledger.models import JobState, Progress, StepMark, TaskMark
@@ -197,7 +196,7 @@
         job = self.jobs.get(name.job)
         if job is not None and name.step < len(job.record.steps):
             spec = job.record.steps[name.step]
-            stray = (job.organisation, Room(spec.cpu, spec.mem_mb, spec.gpu))
+            stray = (job.organisation, spec.asked)
             self.quotas.take(*stray)
             worker.strays.append(stray)
 
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -141,7 +141,7 @@
     def __post_init__(self) -> None:
         """Work out what one task takes."""
         spec = self.spec
-        self.asked = Room(spec.cpu, spec.mem_mb, spec.gpu)
+        self.asked = spec.asked
         self.room = Room(0 if spec.fills else spec.cpu, spec.mem_mb, spec.gpu)
 
     @property
--- a/mustardward/platform/models.py
+++ b/mustardward/platform/models.py
@@ -150,6 +150,11 @@
     fills: bool = False
     may_miss: int = 0
 
+    @property
+    def asked(self) -> Room:
+        """Return what one task asks for."""
+        return Room(self.cpu, self.mem_mb, self.gpu)
+
 
 class SubmittedJob(msgspec.Struct, frozen=True, rename="kebab", omit_defaults=True):
     """Hold a job as callers submit it."""
--- a/tests/components/front/test_keys.py
+++ b/tests/components/front/test_keys.py
@@ -29,6 +29,12 @@
     await bench.async_publish(a_config(version, BOTH, keys, public))
 
 
+async def _async_hand_in(bench: FrontBench) -> None:
+    """Hand the dairy's job in, and let what was read of the log grow old."""
+    await bench.async_ask("POST", PREFIX + JOB, BODY, DAIRY)
+    bench.timers.pause(0.2)
+
+
 @pytest.mark.parametrize(
     ("method", "path"),
     [("POST", PREFIX + JOB), ("GET", PREFIX + JOB), ("DELETE", PREFIX + JOB)]
@@ -40,8 +46,7 @@
 ) -> None:
     async with a_front() as bench:
         await _async_configure(bench, 2, KEYS)
-        await bench.async_ask("POST", PREFIX + JOB, BODY, DAIRY)
-        bench.timers.pause(0.2)
+        await _async_hand_in(bench)
         end = bench.store.topic_end(TOPIC)
         reply = await bench.async_ask(method, path, BODY, key)
         assert reply.status == 401
@@ -69,8 +74,7 @@
 async def test_another_key_of_the_same_organisation_names_the_same_job() -> None:
     async with a_front() as bench:
         await _async_configure(bench, 2, KEYS)
-        await bench.async_ask("POST", PREFIX + JOB, BODY, DAIRY)
-        bench.timers.pause(0.2)
+        await _async_hand_in(bench)
         await bench.async_ask("GET", PREFIX + JOB, key=DAIRY)
         again = await bench.async_ask("POST", PREFIX + JOB, BODY, DAIRY_TOO)
         assert again.status == 200
@@ -80,8 +84,7 @@
 async def test_nobody_sees_cancels_or_takes_over_another_organisations_job() -> None:
     async with a_front() as bench:
         await _async_configure(bench, 2, KEYS)
-        await bench.async_ask("POST", PREFIX + JOB, BODY, DAIRY)
-        bench.timers.pause(0.2)
+        await _async_hand_in(bench)
         statuses = [
             (await bench.async_ask(method, PREFIX + JOB, BODY, GAUGES)).status
             for method in ("GET", "DELETE", "POST")
@@ -95,8 +98,7 @@
 async def test_a_private_job_is_not_told_over_a_public_queue() -> None:
     async with a_front() as bench:
         await _async_configure(bench, 2, KEYS, OPEN)
-        await bench.async_ask("POST", PREFIX + JOB, BODY, DAIRY)
-        bench.timers.pause(0.2)
+        await _async_hand_in(bench)
         assert (await bench.async_ask("GET", OPEN + JOB)).status == 410
 
 
@@ -227,8 +229,7 @@
 async def test_a_job_that_is_over_is_still_its_organisations_own() -> None:
     async with a_front() as bench:
         await _async_configure(bench, 2, KEYS)
-        await bench.async_ask("POST", PREFIX + JOB, BODY, DAIRY)
-        bench.timers.pause(0.2)
+        await _async_hand_in(bench)
         await bench.async_ask("GET", PREFIX + JOB, key=DAIRY)
         stub = bench.ledger.jobs[JOB].record.as_stub()
         assert (stub.organisation, stub.queue) == ("dairy", f"{HOST} {PREFIX}")
