Tell why a worker was lost, and which runs it had

Cause: worker_lost had only the number of tasks.

Change: every loss has a cause that its caller names; the line gives it with the birth of the incarnation, whether it drained or was leaving, and each run with its state and age. A counter by cause. No change of what is decided; the tests that lose a worker name a cause now and assert as before.

--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -13,6 +13,7 @@
 from ...platform.http import HttpCaller
 from ...platform.models import WorkerEntry
 from ...platform.workers import WorkerClient
+from ..scheduling.losses import LossCause
 from ..scheduling.scheduler import Scheduler, is_other
 from .closed import ClosedWorkers
 from .const import LEASE_SECONDS, lease_bound
@@ -150,7 +151,7 @@
         finally:
             session.gone = True
 
-    def lose_worker(self, worker_id: str) -> None:
+    def lose_worker(self, worker_id: str, cause: LossCause) -> None:
         """Take in that a worker's incarnation is surely gone."""
         self.accounted.add(worker_id)
         # Its entry stays in the store for some seconds.
@@ -161,4 +162,4 @@
         if session is not None:
             session.gone = True
             session.wake()
-        self.scheduler.lose_worker(worker_id, now)
+        self.scheduler.lose_worker(worker_id, cause, now)
--- a/mustardward/components/dispatch/orders.py
+++ b/mustardward/components/dispatch/orders.py
@@ -20,6 +20,7 @@
     WrongIncarnationError,
 )
 from ...platform.workers import TaskName
+from ..scheduling.losses import LossCause
 from ..scheduling.models import AskAdvice, Command, Pace, Phase, Start, Stop, Task
 from ..scheduling.scheduler import Scheduler
 from .const import DECISION_SECONDS, STOP_RETRY_SECONDS
@@ -50,7 +51,7 @@
     on_fenced: Callable[[], None]
     on_report: Callable[[], None]
     authorised: Callable[[], bool]
-    on_lost: Callable[[str], None]
+    on_lost: Callable[[str, LossCause], None]
     advice: AdviceClient | None = None
     lanes: Lanes = field(init=False)
     window: StartWindow = field(default_factory=StartWindow)
@@ -207,4 +208,4 @@
     def _lose_session(self, session: WorkerSession | None) -> None:
         """Tell that the incarnation of a session is gone, unless it is known."""
         if session is not None and not session.gone:
-            self.on_lost(session.worker_id)
+            self.on_lost(session.worker_id, LossCause.REPLACED)
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -17,6 +17,7 @@
     WrongIncarnationError,
 )
 from ...platform.workers import HoldAnswer, StartAnswer, StartOrder, WorkerClient
+from ..scheduling.losses import LossCause
 from ..scheduling.models import Phase, Task, WorkerState
 from ..scheduling.scheduler import Scheduler, is_other
 from .const import (
@@ -211,7 +212,8 @@
         except WrongIncarnationError:
             if not self.gone:
                 self.gone = True
-                self.scheduler.lose_worker(self.worker_id, self.timers.monotonic())
+                now = self.timers.monotonic()
+                self.scheduler.lose_worker(self.worker_id, LossCause.REPLACED, now)
                 self.on_report()
             return 0.0
         except (CallRefusedError, CallUnknownError) as error:
@@ -278,7 +280,7 @@
         if now > self.lease_until:
             # Its leases have run out on the slowest clock it can have, so nothing
             # runs there, whether it lives or not.
-            self.scheduler.lose_worker(self.worker_id, now)
+            self.scheduler.lose_worker(self.worker_id, LossCause.LEASES_OVER, now)
             self.gone = True
             self.on_report()
             return 0.0
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -20,6 +20,7 @@
 from ..ledger.ledger import Ledger, encode
 from ..ledger.models import WaveRecord
 from ..scheduling.demand import measure
+from ..scheduling.losses import LossCause
 from ..scheduling.models import WorkerState
 from ..scheduling.scheduler import Scheduler
 from .const import (
@@ -159,7 +160,7 @@
                 continue
             if read_at > since:
                 _LOGGER.info("silent_worker_gone", worker=worker_id)
-                self.dispatcher.lose_worker(worker_id)
+                self.dispatcher.lose_worker(worker_id, LossCause.UNLISTED)
 
     async def _async_maintain(self, order: Maintain) -> None:
         worker_id = self._worker_of(order.machine)
@@ -169,7 +170,7 @@
             self._set_leaving(worker_id, False)
         elif outcome is OrderOutcome.BEGUN:
             self.planner.accepted(order.wave, order.machine, self.timers.monotonic())
-            self.dispatcher.lose_worker(worker_id)
+            self.dispatcher.lose_worker(worker_id, LossCause.ORDERED)
             self._store_wave(self.planner.runs[order.wave])
 
     async def _async_move(self, order: Move) -> None:
@@ -180,7 +181,7 @@
             self._set_leaving(worker_id, False)
         elif outcome is OrderOutcome.BEGUN:
             self.pools.accepted(order.machine, self.timers.monotonic())
-            self.dispatcher.lose_worker(worker_id)
+            self.dispatcher.lose_worker(worker_id, LossCause.ORDERED)
 
     def _worker_of(self, machine: str) -> str:
         instance = self._instances.get(machine)
--- /dev/null
+++ b/mustardward/components/scheduling/losses.py
@@ -0,0 +1,57 @@
+"""Tell of workers that were lost: why, and what ran there."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Final
+
+from ...helpers.instruments import WORKERS_LOST
+from ...helpers.logging import get_logger
+from ...platform.workers import encode_task
+from .models import Task, WorkerState
+
+_LOGGER = get_logger(__name__)
+
+MOST_IN_LINE: Final = 32
+"""Runs that one line names."""
+
+
+class LossCause(Enum):
+    """Say how it is known that nothing of an incarnation runs any more."""
+
+    ORDERED = "ordered"
+    """The fleet began to move or maintain its instance."""
+
+    UNLISTED = "unlisted"
+    """It is silent, and the list of instances no longer names it."""
+
+    REPLACED = "replaced"
+    """Another incarnation answers at its address."""
+
+    REBORN = "reborn"
+    """It started again under its id."""
+
+    LEASES_OVER = "leases-over"
+    """It is silent, and all its leases have run out; it may be alive."""
+
+
+def tell_lost(worker: WorkerState, cause: LossCause, now: float) -> None:
+    """Log and count a lost worker, before its tasks are taken from it."""
+    WORKERS_LOST.labels(cause.value).inc()
+    runs = [_describe(task, now) for task in worker.tasks.values()]
+    _LOGGER.info(
+        "worker_lost",
+        worker=worker.id,
+        born=worker.born,
+        cause=cause.value,
+        draining=worker.draining,
+        leaving=worker.leaving,
+        tasks=len(runs),
+        runs=",".join(runs[:MOST_IN_LINE]),
+    )
+
+
+def _describe(task: Task, now: float) -> str:
+    """Return a run's name, its state and its age in seconds."""
+    age = now - task.started_at
+    return f"{encode_task(task.name)}:{task.run}={task.phase.value}+{age:.3f}"
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -23,6 +23,7 @@
 from .evacuation import Evacuation
 from .health import Health
 from .intake import Intake
+from .losses import LossCause, tell_lost
 from .models import Command, Job, Phase, StepRun, Task, WorkerState
 from .order import ORDERS
 from .pacing import Pacing
@@ -146,12 +147,12 @@
             worker=worker_id,
             born=born,
             before=old.born if old is not None else 0,
-            tasks=len(old.tasks) if old is not None else 0,
             described=new.described,
         )
         if old is None:
             self.board.workers[worker_id] = new
         else:
+            tell_lost(old, LossCause.REBORN, now)
             self.board.replace_worker(old, new, now)
 
     def miss_worker(self, worker_id: str, now: float) -> None:
@@ -166,11 +167,11 @@
         if worker is not None:
             worker.absent = True
 
-    def lose_worker(self, worker_id: str, now: float) -> None:
+    def lose_worker(self, worker_id: str, cause: LossCause, now: float) -> None:
         """Take in that nothing runs on a worker any more."""
         worker = self.board.workers.get(worker_id)
         if worker is not None:
-            _LOGGER.info("worker_lost", worker=worker_id, tasks=len(worker.tasks))
+            tell_lost(worker, cause, now)
             self.board.drop_worker(worker, now)
 
     def hold_worker(
--- a/mustardward/helpers/instruments.py
+++ b/mustardward/helpers/instruments.py
@@ -70,6 +70,12 @@
     ("how",),
     registry=REGISTRY,
 )
+WORKERS_LOST: Final = Counter(
+    "mustardward_workers_lost",
+    "Incarnations of workers that are over, by how that is known.",
+    ("cause",),
+    registry=REGISTRY,
+)
 QUOTA_WAITS: Final = Counter(
     "mustardward_quota_wait_seconds",
     "Seconds in which an organisation's tasks waited for room in its quota.",
--- a/tests/components/dispatch/test_reborn.py
+++ b/tests/components/dispatch/test_reborn.py
@@ -11,6 +11,7 @@
 
 from mustardward.components.dispatch.dispatcher import Dispatcher
 from mustardward.components.dispatch.session import WorkerSession
+from mustardward.components.scheduling.losses import LossCause
 from mustardward.components.scheduling.models import Phase, QueuePolicy, Task
 from mustardward.components.scheduling.scheduler import Scheduler
 from mustardward.helpers.timer import DrivenTimerService
@@ -404,7 +405,7 @@
 async def test_a_worker_that_is_back_in_its_id_is_used_at_once_after_a_loss() -> None:
     """An entry of the lost incarnation opens nothing, one of the next does."""
     async with a_bench() as bench:
-        bench.dispatcher.lose_worker(WORKER)
+        bench.dispatcher.lose_worker(WORKER, LossCause.UNLISTED)
         bench.see()
         assert WORKER not in bench.scheduler.board.workers
         bench.worker.restart()
@@ -452,7 +453,7 @@
     """Its clock begins anew with each start, and never goes back within one."""
     async with a_bench() as bench:
         bench.worker.tells_born = False
-        bench.dispatcher.lose_worker(WORKER)
+        bench.dispatcher.lose_worker(WORKER, LossCause.UNLISTED)
         await bench.async_pass(6.0)
         bench.see(born=0)
         bench.add(a_step(count=1, long_running=True))
--- a/tests/components/scheduling/test_quota_walks.py
+++ b/tests/components/scheduling/test_quota_walks.py
@@ -20,6 +20,7 @@
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.ledger.models import JobState, Progress
 from mustardward.components.scheduling.board import Board
+from mustardward.components.scheduling.losses import LossCause
 from mustardward.components.scheduling.models import QueuePolicy, Start, Stop
 from mustardward.components.scheduling.planner import Planner
 from mustardward.components.scheduling.quotas import Quotas
@@ -251,7 +252,7 @@
                 # What ended under a lease that lapsed unread counts for nothing.
                 worker.ended.clear()
                 worker.ended_at.clear()
-                self.scheduler.lose_worker(name, self.now)
+                self.scheduler.lose_worker(name, LossCause.UNLISTED, self.now)
         self.scheduler.board.held_until = min(self.scheduler.board.held_until, self.now)
 
     def restart(self, name: str) -> None:
