Reproduce a job that crashes every worker that starts it

Change: the stand-in of the platform plays tasks that end the worker that starts them (a job whose spec is `crashes`).

--- a/mustardward/standin/estate/estate.py
+++ b/mustardward/standin/estate/estate.py
@@ -32,6 +32,10 @@
 
 STATE_MOVING: Final = "moving"
 
+SPEC_FAILS: Final = "fails"
+SPEC_CRASHES: Final = "crashes"
+"""What a job names whose tasks all fail, or end the worker that starts them."""
+
 _JOB: Final = msgspec.msgpack.Decoder(JobRecord)
 
 
@@ -86,6 +90,7 @@
         self.workers: dict[str, MemoryWorker] = {}
         self.work_of: dict[str, Work] = {}
         self.orders: list[tuple[str, str, str]] = []
+        self.crashed: list[MemoryWorker] = []
         self._plan = plan
         self._address = address
         self._port = address.rpartition(":")[2]
@@ -160,8 +165,11 @@
             if machine.state != INSTANCE_UP and now >= machine.back_at:
                 machine.state = INSTANCE_UP
                 self._boot(machine)
-        for worker in self.workers.values():
+        for worker in list(self.workers.values()):
             worker.advance(now * 1000 - worker.clock_zero_ms)
+            if worker.crashing:
+                self.crashed.append(worker)
+                self.crash(worker.id, now)
 
     def list_instances(self) -> list[Instance]:
         """Return the fleet's list."""
@@ -307,5 +315,6 @@
                     Room(0 if step.fills else step.cpu, step.mem_mb, step.gpu),
                     draw_seconds(self._random, step.estimate_ms or 100),
                     step.long_running,
-                    job.spec == "fails",
+                    job.spec == SPEC_FAILS,
+                    job.spec == SPEC_CRASHES,
                 )
--- a/mustardward/standin/estate/worker.py
+++ b/mustardward/standin/estate/worker.py
@@ -31,12 +31,14 @@
     """Hold what a task asks for and how it behaves.
 
     :param seconds: how long a run takes; one that lasts never ends by itself.
+    :param crashes: whether its start ends the worker, and all that runs there.
     """
 
     room: Room
     seconds: float
     lasts: bool = False
     fails: bool = False
+    crashes: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -58,6 +60,7 @@
     :param silent: whether calls get no answer, though what runs goes on.
     :param born: when it started, in milliseconds since 1970.
     :param clock_zero_ms: where its own clock began, on the platform's.
+    :param crashing: whether something was started that ends it.
     """
 
     id: str
@@ -68,6 +71,7 @@
     silent: bool = False
     born: int = 0
     clock_zero_ms: float = 0.0
+    crashing: bool = False
     runs: dict[str, Run] = field(default_factory=dict)
     starts: list[tuple[str, int]] = field(default_factory=list)
     _ended: list[list[object]] = field(default_factory=list)
@@ -94,6 +98,7 @@
         self._extend(order.deadline_ms, now_ms)
         self.runs[order.task] = Run(order.task, order.run, work, now_ms)
         self.starts.append((order.task, order.run))
+        self.crashing = self.crashing or work.crashes
         return ""
 
     def stop(self, task: str, run: int, token: int, now_ms: float) -> str:
--- a/tests/components/scheduling/builders.py
+++ b/tests/components/scheduling/builders.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from mustardward.components.ledger.ledger import LedgerJob
-from mustardward.components.ledger.models import JobRecord
+from mustardward.components.ledger.models import JobRecord, Progress
 from mustardward.components.scheduling.models import (
     Command,
     QueuePolicy,
@@ -69,6 +69,7 @@
 
     :param now: steady and wall clock, in seconds.
     :param quotas: what each organisation may have running.
+    :param stored: the newest progress of each job that ``store`` took.
     """
 
     policy: QueuePolicy = QueuePolicy(service=POOL, target_seconds=1.0)
@@ -77,6 +78,7 @@
     scheduler: Scheduler = field(init=False)
     clock_ms: float = 0.0
     quotas: dict[str, Room] = field(default_factory=dict)
+    stored: dict[str, Progress] = field(default_factory=dict)
     _numbers: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -99,6 +101,12 @@
         if stored:
             self.scheduler.note_stored([job.record.id])
 
+    def store(self) -> None:
+        """Store the progress that is due."""
+        records = dict(self.scheduler.take_dirty(self.now, self.now))
+        self.stored.update(records)
+        self.scheduler.note_stored(records)
+
     def plan(self) -> list[Command]:
         """Return what the scheduler orders now."""
         return self.scheduler.plan(self.now, self.now)
--- a/tests/embedded/test_estate.py
+++ b/tests/embedded/test_estate.py
@@ -66,6 +66,18 @@
             assert set(starts_of(fleet).values()) == {3}
 
 
+async def test_a_job_that_crashes_its_workers_is_told_as_failed() -> None:
+    """Guards against tasks that are started anew however many workers they crash."""
+    with anyio.fail_after(MOST_SECONDS):
+        async with async_run_estate_fleet(PLAN, entries=1) as fleet:
+            step = SubmittedStep(count=2, cpu=1000, mem_mb=10, estimate_ms=50)
+            path = await fleet.async_submit(PREFIX, [step], spec="crashes")
+            await fleet.async_wait_state(path, "failed")
+            assert len(fleet.estate.crashed) <= 3
+            beside = await fleet.async_submit(PREFIX, two_steps())
+            await fleet.async_wait_state(beside, "done")
+
+
 async def test_a_cancelled_job_ends_on_its_workers() -> None:
     with anyio.fail_after(MOST_SECONDS):
         async with async_run_estate_fleet(PLAN, entries=2) as fleet:
