Give up a job whose tasks crash the workers that start them

Only ends that a worker lists as failed are attempts, and a worker that crashed lists none, so its tasks waited again as if they had never begun. The class of fault: an effect of our own orders that is seen only as somebody else's failure, and so has no bound. Ruled out: counts lost at a change of owner (ten crashes under one epoch), workers that were given up too early (each was gone from the fleet's list 0.03 to 0.4 s later and came back as another one).

Change: every worker that ends unasked is counted for each task that had begun there within 5 s (what ran for longer is no suspect, and a run that goes on for 5 s clears its task); drains, moves, maintenance and leases that ran out are no crash. The count stands in the task's stored mark, by incarnations, so a takeover counts on. From the second crash on a task runs apart from other jobs, once that is stored, one such job at a time in a pool; for that a pool asks for an instance more. After the third its job is shown as failed, after the fourth if another worker crashed in the same half second.

Why it works: of all that is started three workers at most crash under a task before its job is over, four beside a common cause; the rule allows three crashes and two starts more, which leaves one or two for crashes that a change of owner hides.

--- a/mustardward/components/dispatch/orders.py
+++ b/mustardward/components/dispatch/orders.py
@@ -94,6 +94,7 @@
         try:
             if session is None or session.gone:
                 raise CallRefusedError("worker gone")
+            reports.start_sent(task, run)
             answer = await session.async_start(task, run)
             if answer is None:
                 raise CallRefusedError("no authority")
--- a/mustardward/components/fleet/const.py
+++ b/mustardward/components/fleet/const.py
@@ -57,6 +57,9 @@
 """Instances that a pool keeps without any work, on two racks if it can: a first task
 is never kept waiting for a move, nor lost with one rack."""
 
+MOST_WORKERS_APART: Final = 4
+"""Most instances that a pool asks for so that suspected jobs run apart."""
+
 SILENT_SECONDS: Final = 1.5
 """Silence after which a worker does not count for its pool: an instance comes in as
 long, and single answers are lost for less."""
--- /dev/null
+++ b/mustardward/components/fleet/hosts.py
@@ -0,0 +1,51 @@
+"""Remember where workers ran, and tell why one is no longer listed."""
+
+from __future__ import annotations
+
+from collections.abc import Container, Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from ...platform.models import INSTANCE_MOVING, INSTANCE_UPKEEP, Instance
+from ..scheduling.losses import LossCause
+
+_ORDERED_STATES: Final = (INSTANCE_MOVING, INSTANCE_UPKEEP)
+
+
+@dataclass(slots=True, eq=False)
+class Hosts:
+    """Hold the instance of each worker that was listed and may be alive."""
+
+    _machines: dict[str, str] = field(default_factory=dict)
+
+    def read(self, instances: Mapping[str, Instance], alive: Container[str]) -> None:
+        """Take in a list.
+
+        :param alive: workers that are not known to be gone, listed or not.
+        """
+        self._machines = {
+            worker_id: machine
+            for worker_id, machine in self._machines.items()
+            if worker_id in alive
+        }
+        for machine, instance in instances.items():
+            if instance.id:
+                self._machines[instance.id] = machine
+
+    def why_unlisted(
+        self,
+        worker_id: str,
+        instances: Mapping[str, Instance],
+        ordered: Container[str],
+    ) -> LossCause:
+        """Return why a worker that was listed is no longer.
+
+        :param ordered: machines that an owner may have had moved or maintained.
+        """
+        machine = self._machines.get(worker_id, "")
+        instance = instances.get(machine)
+        if machine in ordered:
+            return LossCause.ORDERED
+        if instance is not None and instance.state in _ORDERED_STATES:
+            return LossCause.ORDERED
+        return LossCause.UNLISTED
--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -22,6 +22,7 @@
 from .const import (
     CLEAR_SECONDS,
     LEAST_INSTANCES,
+    MOST_WORKERS_APART,
     MOVE_LOST_SECONDS,
     ORDER_SECONDS,
     RETRY_SECONDS,
@@ -196,6 +197,7 @@
         coming = load.lasting.share_of(size) + load.inflow.share_of(size)
         asked = max(asked, coming / TARGET_SHARE)
         need = max(LEAST_INSTANCES, load.spread, math.ceil(asked))
+        need += min(load.apart, MOST_WORKERS_APART)
         history = self._needs.setdefault(pool, [])
         history.append((now, need))
         while history[0][0] < now - idle_seconds():
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -29,6 +29,7 @@
     SILENT_SECONDS,
     TICK_SECONDS,
 )
+from .hosts import Hosts
 from .listing import ListReader
 from .models import Empty, FleetView, Load, Maintain, Move, WaveRun
 from .ordering import Ordering, OrderOutcome
@@ -72,6 +73,7 @@
     authorised: Callable[[], bool]
     tasks: TaskGroup
     _instances: dict[str, Instance] = field(default_factory=dict)
+    _hosts: Hosts = field(default_factory=Hosts)
     _read_at: float = -1.0
     _complete: bool = True
 
@@ -98,7 +100,7 @@
         if self._read_at < 0 or not self.authorised():
             return
         now = self.timers.monotonic()
-        barred = {machine for machine, until in self.barred.items() if until > now}
+        barred = self._barred()
         view = self._view()
         taken = self.planner.taken() | barred
         for move in self.pools.decide(
@@ -154,13 +156,23 @@
         listed = self.listed_workers()
         if listed is None:
             return
-        for worker_id, session in list(self.dispatcher.sessions.items()):
+        sessions = self.dispatcher.sessions
+        ordered = self._barred() | set(self.pools.orders) | self.planner.taken()
+        for worker_id, session in list(sessions.items()):
             since = session.silent_since
             if session.gone or since is None or worker_id in listed:
                 continue
             if read_at > since:
-                _LOGGER.info("silent_worker_gone", worker=worker_id)
-                self.dispatcher.lose_worker(worker_id, LossCause.UNLISTED)
+                cause = self._hosts.why_unlisted(worker_id, self._instances, ordered)
+                _LOGGER.info("silent_worker_gone", worker=worker_id, cause=cause.value)
+                self.dispatcher.lose_worker(worker_id, cause)
+        alive = {name for name, session in sessions.items() if not session.gone}
+        self._hosts.read(self._instances, alive)
+
+    def _barred(self) -> set[str]:
+        """Return the machines that the owner before may just have ordered."""
+        now = self.timers.monotonic()
+        return {machine for machine, until in self.barred.items() if until > now}
 
     async def _async_maintain(self, order: Maintain) -> None:
         worker_id = self._worker_of(order.machine)
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -78,6 +78,7 @@
     :param failed_runs: the numbers of the runs that ended failed. Ends are listed
         again to a new owner, and late by a worker that was cut off, so a count alone
         would count some twice and miss others.
+    :param crashes: the incarnations of workers that crashed under the task.
     """
 
     occurrence: int
@@ -85,6 +86,7 @@
     index: int
     failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
+    crashes: tuple[str, ...] = ()
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from ...helpers.logging import get_logger
 from ...platform.workers import TaskName, encode_task
 from ..ledger.marks import pack
 from ..ledger.models import JobState, Progress, StepMark, TaskMark
-from .const import RUN_BITS
+from .const import APART_CRASHES, RUN_BITS
 from .estimates import Estimates
 from .inflow import Inflow
 from .models import (
@@ -41,6 +41,7 @@
         before started.
     :param coming: processor of the instances on their way to a pool.
     :param accounted: data centres all of whose workers told what they run.
+    :param suspects: the jobs with tasks under which workers crashed, by id.
     """
 
     epoch: int
@@ -56,6 +57,7 @@
     coming: dict[str, int] = field(default_factory=dict)
     taken_over_at: float = 0.0
     quotas: Quotas = field(default_factory=Quotas)
+    suspects: dict[str, Job] = field(default_factory=dict)
     _commands: list[Command] = field(default_factory=list)
     _counter: int = 0
 
@@ -104,6 +106,7 @@
         task.percent_at_ms = -1.0
         task.pace = 100
         task.seen_running = False
+        task.sent = False
         job = task.step.job
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
@@ -161,6 +164,14 @@
         if step.open:
             self.ready[id(step)] = step
 
+    def wait_on(self, step: StepRun, tasks: Iterable[Task]) -> None:
+        """Put the tasks back on a step's queue that were taken off and not assigned."""
+        step.waiting.extend(task for task in tasks if task.phase is Phase.WAITING)
+        if not step.waiting:
+            self.ready.pop(id(step), None)
+        elif step.open:
+            self.ready[id(step)] = step
+
     def finish(self, task: Task) -> None:
         """Note that a task is done."""
         if task.phase is Phase.DONE:
@@ -173,6 +184,7 @@
         task.phase = Phase.DONE
         task.checkpoint = ""
         step.done += 1
+        self.clear(task)
         self.mark_dirty(step.job)
 
     def end_job(self, job: Job, state: JobState) -> None:
@@ -182,6 +194,7 @@
         counts as taken until then.
         """
         job.state = state
+        self.suspects.pop(job.record.id, None)
         for step in job.steps.values():
             step.waiting.clear()
             step.open = False
@@ -191,6 +204,41 @@
                     self.stop(task, state.name.lower())
         self.mark_dirty(job)
 
+    def suspect(self, task: Task, incarnation: str) -> None:
+        """Note that a worker crashed under a task.
+
+        What makes its job run apart is stored before it starts again, so that another
+        owner counts on from there; it may then start in any data centre.
+        """
+        if incarnation in task.crashes:
+            return
+        task.crashes += (incarnation,)
+        job = task.step.job
+        self.weigh(job)
+        if job.suspicion >= APART_CRASHES:
+            job.stored = False
+            job.zones = None
+        self.mark_dirty(job)
+
+    def clear(self, task: Task) -> None:
+        """Suspect a task no longer."""
+        if task.crashes:
+            task.crashes = ()
+            task.judged_at = 0.0
+            self.weigh(task.step.job)
+            self.mark_dirty(task.step.job)
+
+    def weigh(self, job: Job) -> None:
+        """Count anew how far a job is suspected."""
+        job.suspicion = max(
+            (len(task.crashes) for step in job.steps.values() for task in step.tasks),
+            default=0,
+        )
+        if job.suspicion and not job.state.final:
+            self.suspects[job.record.id] = job
+        else:
+            self.suspects.pop(job.record.id, None)
+
     def note_stray(self, worker: WorkerState, name: TaskName) -> None:
         """Count a run that is no task's any more, until its worker lists it no more."""
         job = self.jobs.get(name.job)
@@ -267,10 +315,12 @@
                 task.index,
                 task.failed_runs,
                 task.checkpoint,
+                task.crashes,
             )
             for step in job.steps.values()
             for task in step.tasks
-            if task.phase is not Phase.DONE and (task.failed_runs or task.checkpoint)
+            if task.phase is not Phase.DONE
+            and (task.failed_runs or task.checkpoint or task.crashes)
         ]
         return Progress(job.state, steps, tasks, zones=sorted(job.zones or ()))
 
--- a/mustardward/components/scheduling/const.py
+++ b/mustardward/components/scheduling/const.py
@@ -27,6 +27,29 @@
 
 STUCK_FACTOR: Final = 1.5
 
+MOST_CRASHES: Final = 4
+"""Workers that may crash under a task before its job is given up."""
+
+ENOUGH_CRASHES: Final = 3
+"""The same where the last one crashed by itself, not together with others."""
+
+TOGETHER_SECONDS: Final = 0.5
+"""Workers that crash within this time may have a common cause, such as their rack."""
+
+TRIAL_GAP_SECONDS: Final = 0.6
+"""Shortest time between two suspected jobs that begin to run apart in a pool, so that
+their crashes are not taken for one."""
+
+APART_CRASHES: Final = 2
+"""Workers that crashed under a task from which on its job shares no worker."""
+
+APART_WAIT_SECONDS: Final = 2.5
+"""A suspected job that has waited for so long for an empty worker takes one with runs
+that are not suspects: a new instance would have come meanwhile."""
+
+SOUND_SECONDS: Final = 5.0
+"""A run that went on for so long is not suspected of its worker's crash."""
+
 LOOK_SECONDS: Final = 0.1
 """Interval at which all that runs is looked over for runs that stand still and for
 serving tasks that are harmed: both show after half a second or more. Looked over in
--- /dev/null
+++ b/mustardward/components/scheduling/crashes.py
@@ -0,0 +1,239 @@
+"""Find the jobs whose tasks crash the workers that run them; pure.
+
+A crash ends everything that ran on a worker, and any of it may be the cause. Tasks that
+had begun there lately are suspects. A job that is suspected repeatedly runs on workers
+of its own, where the next crash is evidence against it alone, and is given up after a
+few crashes; one whose tasks run on is cleared.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ...helpers.instruments import CRASHES, JOBS_GIVEN_UP
+from ...helpers.logging import get_logger
+from ...helpers.policies import switchable
+from ...platform.workers import encode_task
+from ..ledger.models import JobState
+from .board import Board
+from .const import (
+    APART_CRASHES,
+    APART_WAIT_SECONDS,
+    ENOUGH_CRASHES,
+    MOST_CRASHES,
+    SOUND_SECONDS,
+    TOGETHER_SECONDS,
+)
+from .losses import LossCause
+from .models import Job, Phase, StepRun, Task, WorkerState
+
+_LOGGER = get_logger(__name__)
+
+_CRASH_CAUSES = frozenset((LossCause.UNLISTED, LossCause.REPLACED, LossCause.REBORN))
+
+
+@dataclass(frozen=True, slots=True)
+class _Crash:
+    """Hold when a worker crashed, and the tasks that were suspected of it."""
+
+    at: float
+    suspects: tuple[Task, ...]
+
+
+def is_crash(worker: WorkerState, cause: LossCause) -> bool:
+    """Return whether a worker ended unasked.
+
+    One that drained, or that the fleet was about to take, was expected to end. One
+    whose leases ran out may be alive behind a cut.
+    """
+    return cause in _CRASH_CAUSES and not (worker.draining or worker.leaving)
+
+
+def began(task: Task) -> bool:
+    """Return whether a worker may have begun a task's run."""
+    return task.phase is not Phase.STARTING or task.sent or task.seen_running
+
+
+def _suspect_all(worker: WorkerState, now: float) -> list[Task]:
+    return [task for task in worker.tasks.values() if began(task)]
+
+
+@switchable(
+    "crash-suspects-by-age",
+    "what had run for long on a worker is not suspected of its crash",
+    without=_suspect_all,
+)
+def suspects_of(worker: WorkerState, now: float) -> list[Task]:
+    """Return the tasks that may have crashed a worker."""
+    return [
+        task
+        for task in worker.tasks.values()
+        if began(task) and now - task.started_at < SOUND_SECONDS
+    ]
+
+
+def _never_apart(task: Task) -> bool:
+    return False
+
+
+@switchable(
+    "crash-suspects-apart",
+    "a task that is suspected again takes no other job's tasks down with it",
+    without=_never_apart,
+)
+def runs_apart(task: Task) -> bool:
+    """Return whether a task shares no worker with other jobs."""
+    return len(task.crashes) >= APART_CRASHES
+
+
+def _count_alone(crashes: int, together: bool) -> bool:
+    return crashes >= ENOUGH_CRASHES
+
+
+@switchable(
+    "crash-evidence",
+    "a job is not given up as soon for a crash that may have another cause",
+    without=_count_alone,
+)
+def is_guilty(crashes: int, together: bool) -> bool:
+    """Return whether a task's job is to be given up.
+
+    :param crashes: workers that crashed under the task.
+    :param together: whether a worker that it did not run on crashed with the last one.
+    """
+    return crashes >= (MOST_CRASHES if together else ENOUGH_CRASHES)
+
+
+@dataclass(slots=True, eq=False)
+class Crashes:
+    """Suspect, clear and give up jobs."""
+
+    board: Board
+    _recent: deque[_Crash] = field(default_factory=deque)
+
+    def note(self, worker: WorkerState, suspects: list[Task], now: float) -> None:
+        """Take in that a worker crashed, after its tasks were taken from it.
+
+        :param suspects: its tasks that may have been the cause.
+        """
+        CRASHES.inc()
+        _LOGGER.warning(
+            "worker_crashed",
+            worker=worker.id,
+            born=worker.born,
+            suspects=",".join(encode_task(task.name) for task in suspects),
+        )
+        self._recent.append(_Crash(now, tuple(suspects)))
+        for task in suspects:
+            if not task.step.job.state.final:
+                self.board.suspect(task, worker.incarnation)
+                task.judged_at = now + TOGETHER_SECONDS
+
+    def judge(self, now: float) -> None:
+        """Give up the jobs whose tasks crash their workers, and clear sound ones."""
+        for job in list(self.board.suspects.values()):
+            for step in job.steps.values():
+                for task in step.tasks:
+                    if task.crashes:
+                        self._judge(task, now)
+        while self._recent and self._recent[0].at < now - 2 * TOGETHER_SECONDS:
+            self._recent.popleft()
+
+    def _judge(self, task: Task, now: float) -> None:
+        job = task.step.job
+        if job.state.final:
+            return
+        if _is_sound(task):
+            _LOGGER.info("suspect_cleared", task=encode_task(task.name))
+            self.board.clear(task)
+            return
+        if not task.judged_at or now < task.judged_at:
+            return
+        crashed_at = task.judged_at - TOGETHER_SECONDS
+        task.judged_at = 0.0
+        together = self._crashed_together(task, crashed_at)
+        guilty = is_guilty(len(task.crashes), together)
+        _LOGGER.info(
+            "task_suspected",
+            task=encode_task(task.name),
+            crashes=",".join(task.crashes),
+            together=together,
+            apart=runs_apart(task),
+            given_up=guilty,
+        )
+        if guilty:
+            JOBS_GIVEN_UP.inc()
+            self.board.end_job(job, JobState.FAILED)
+
+    def _crashed_together(self, task: Task, at: float) -> bool:
+        """Return whether a worker that a task was not on crashed about then."""
+        return any(
+            abs(crash.at - at) <= TOGETHER_SECONDS and task not in crash.suspects
+            for crash in self._recent
+        )
+
+
+def _is_sound(task: Task) -> bool:
+    if task.phase is not Phase.RUNNING or task.worker is None:
+        return False
+    return task.worker.heard_at - task.started_at >= SOUND_SECONDS
+
+
+def awaits_judgement(job: Job) -> bool:
+    """Return whether a job may be about to be given up, and starts nothing."""
+    return job.suspicion >= ENOUGH_CRASHES and any(
+        task.judged_at for step in job.steps.values() for task in step.tasks
+    )
+
+
+def tasks_apart(job: Job) -> list[Task]:
+    """Return the tasks of a job that share no worker with other jobs."""
+    if job.suspicion < APART_CRASHES:
+        return []
+    tasks = [task for step in job.steps.values() for task in step.tasks]
+    return [task for task in tasks if runs_apart(task)]
+
+
+def trial_workers(job: Job) -> set[str]:
+    """Return the workers where tasks of a job run that share none."""
+    return {task.worker.id for task in tasks_apart(job) if task.worker is not None}
+
+
+def workers_apart(jobs: Iterable[Job]) -> set[str]:
+    """Return the workers where tasks run that share none."""
+    return {worker_id for job in jobs for worker_id in trial_workers(job)}
+
+
+def take_suspects(step: StepRun) -> list[Task]:
+    """Take the tasks that have to run apart off a step's queue; of a gang, all."""
+    if step.job.suspicion < APART_CRASHES:
+        return []
+    suspects = [task for task in step.waiting if runs_apart(task)]
+    if suspects and step.spec.gang:
+        suspects = list(step.waiting) if len(step.waiting) == len(step.tasks) else []
+    if suspects:
+        step.waiting = deque(task for task in step.waiting if task not in suspects)
+    return suspects
+
+
+def has_lasting(worker: WorkerState) -> bool:
+    """Return whether a worker does not become empty by itself."""
+    return any(task.step.spec.long_running for task in worker.tasks.values())
+
+
+def is_free_for(worker: WorkerState, suspects: list[Task], now: float) -> bool:
+    """Return whether suspected tasks of one job may use a worker.
+
+    Where no worker becomes empty, tasks that have run there for long are no suspects of
+    the next crash either.
+    """
+    job = suspects[0].step.job
+    others = [task for task in worker.tasks.values() if task.step.job is not job]
+    if not others:
+        return True
+    waited = any(now - task.ready_since > APART_WAIT_SECONDS for task in suspects)
+    return waited and not any(
+        runs_apart(task) or now - task.started_at < SOUND_SECONDS for task in others
+    )
--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -8,6 +8,7 @@
 
 from ...helpers.logging import get_logger
 from .board import Board
+from .crashes import tasks_apart
 from .inflow import Amount
 from .models import StepRun
 
@@ -29,6 +30,7 @@
         tasks that run, wait, and wait for others.
     :param inflow: what keeps up with the last arrivals.
     :param spread: workers that a step needs by its limit of tasks for each worker.
+    :param apart: workers that suspected jobs need for themselves.
     """
 
     workers: int = 0
@@ -41,6 +43,7 @@
     left: Amount = field(default_factory=Amount)
     inflow: Amount = field(default_factory=Amount)
     spread: int = 0
+    apart: int = 0
 
 
 def log_loads(board: Board, now: float) -> None:
@@ -61,6 +64,7 @@
             left=load.left.cpu,
             inflow=load.inflow.cpu,
             spread=load.spread,
+            apart=load.apart,
         )
 
 
@@ -96,6 +100,7 @@
     for step in steps.values():
         load = loads[step.job.policy.service]
         load.spread = max(load.spread, _spread(step))
+    _add_apart(loads, board)
     for service, load in loads.items():
         load.inflow = board.inflow.rate(service, now)
     return dict(loads)
@@ -129,6 +134,13 @@
                 load.left.add(step.room, count * board.estimates.seconds(step))
 
 
+def _add_apart(loads: defaultdict[str, PoolLoad], board: Board) -> None:
+    """Add the workers that suspected jobs need for themselves."""
+    for job in board.suspects.values():
+        if tasks_apart(job):
+            loads[job.policy.service].apart += 1
+
+
 def _spread(step: StepRun) -> int:
     most = step.spec.max_per_server
     if not most or step.job.state.final:
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -171,6 +171,8 @@
             task = step.tasks[task_mark.index]
             task.failed_runs = task_mark.failed_runs
             task.checkpoint = task_mark.checkpoint
+            task.crashes = task_mark.crashes
+        self.board.weigh(job)
         self._skip_begun(job)
 
     def _restore_done(self, job: Job, mark: StepMark) -> None:
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -59,6 +59,10 @@
         or -1 while it has not.
     :param seen_running: whether the worker said that the run began. An order of which
         that is not known may still be on its way.
+    :param sent: whether the order to start was given to the worker.
+    :param crashes: the incarnations of workers that crashed under the task.
+    :param judged_at: when it is known what crashed together with the last of them, or 0
+        if that was looked at.
     """
 
     step: StepRun
@@ -79,6 +83,9 @@
     ready_since: float = 0.0
     seen_running: bool = False
     percent_at_ms: float = -1.0
+    sent: bool = False
+    crashes: tuple[str, ...] = ()
+    judged_at: float = 0.0
 
     @property
     def name(self) -> TaskName:
@@ -173,6 +180,7 @@
         nowhere else.
     :param sent_zones: those that the record on its way to the log names.
     :param beyond: whether it lies beyond its organisation's rate.
+    :param suspicion: most workers that crashed under one of its tasks.
     """
 
     record: JobRecord
@@ -190,6 +198,7 @@
     open_zones: frozenset[str] | None = None
     sent_zones: frozenset[str] | None = None
     beyond: bool = False
+    suspicion: int = 0
 
     @property
     def organisation(self) -> str:
@@ -262,6 +271,11 @@
         self.free_gpu += entry.capacity.gpu - self.capacity.gpu
         self.capacity = entry.capacity
 
+    @property
+    def incarnation(self) -> str:
+        """Return a name that no other incarnation has, if its birth is known."""
+        return f"{self.id}/{self.born}" if self.born else self.id
+
     @property
     def rack(self) -> str:
         """Return the label of the rack; a worker names its kind first."""
--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -11,6 +11,7 @@
 from .models import Place, StepRun, Task, WorkerState
 
 Score = tuple[float, ...]
+GangPlaces = list[tuple[Task, WorkerState]]
 
 
 def fits(worker: WorkerState, room: Room) -> bool:
@@ -58,11 +59,20 @@
     """
     spec = step.spec
     shunned = float(worker.id in avoided)
+    beside = _others_beside(worker, step)
     far = float(bool(spec.data_rack) and spec.data_rack not in worker.labels)
     if spec.long_running:
-        return (shunned, far, *_lasting_score(worker, step))
+        return (shunned, beside, far, *_lasting_score(worker, step))
     away = _away(worker, step.job.home)
-    return (shunned, far, round(1 / worker.speed, 1), away, float(worker.free_cpu))
+    speed = round(1 / worker.speed, 1)
+    return (shunned, beside, far, speed, away, float(worker.free_cpu))
+
+
+def _others_beside(worker: WorkerState, step: StepRun) -> float:
+    """Return how many other jobs' tasks a suspected job's crash would end."""
+    if not step.job.suspicion:
+        return 0.0
+    return float(sum(task.step.job is not step.job for task in worker.tasks.values()))
 
 
 def _away(worker: WorkerState, home: Place | None) -> float:
@@ -147,8 +157,8 @@
 
 
 def choose_gang(
-    workers: list[WorkerState], step: StepRun
-) -> list[tuple[Task, WorkerState]] | None:
+    workers: list[WorkerState], step: StepRun, tasks: Iterable[Task]
+) -> GangPlaces | None:
     """Return a worker for every task of a gang, or None.
 
     Members wait for each other only for a short time, so a gang is placed as a whole
@@ -161,21 +171,21 @@
     else:
         groups = [workers]
     for group in groups:
-        placed = _place_all(group, step)
+        placed = _place_all(group, step, tasks)
         if placed is not None:
             return placed
     return None
 
 
 def _place_all(
-    workers: list[WorkerState], step: StepRun
-) -> list[tuple[Task, WorkerState]] | None:
+    workers: list[WorkerState], step: StepRun, tasks: Iterable[Task]
+) -> GangPlaces | None:
     room = step.room
     left = {w.id: [w.free_cpu, w.free_mem, w.free_gpu] for w in workers}
     count = {w.id: step.on_worker[w.id] for w in workers}
     limit = step.spec.max_per_server or len(step.tasks)
-    placed: list[tuple[Task, WorkerState]] = []
-    for task in step.waiting:
+    placed: GangPlaces = []
+    for task in tasks:
         for worker in workers:
             free = left[worker.id]
             if count[worker.id] >= limit or not may_run(worker, step):
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Iterator, Set
 from dataclasses import dataclass, field
 
 from ...platform.models import Room
 from .board import Board
+from .const import TRIAL_GAP_SECONDS
+from .crashes import (
+    awaits_judgement,
+    has_lasting,
+    is_free_for,
+    take_suspects,
+    trial_workers,
+    workers_apart,
+)
 from .models import AskAdvice, StepRun, Task, WorkerState
 from .order import Capacity, Order, prioritise
-from .placement import Shortlist, choose_gang, choose_home, usable
+from .placement import GangPlaces, Shortlist, choose_gang, choose_home, usable
 from .quota_waits import QuotaWaits
 from .zones import Zones
 
@@ -35,6 +45,7 @@
     _lists: dict[Where, list[WorkerState]] = field(default_factory=dict)
     _full: dict[Where, list[Room]] = field(default_factory=lambda: defaultdict(list))
     _nowhere: list[Room] = field(default_factory=list)
+    _one_is_kept: bool = False
 
     def __post_init__(self) -> None:
         """Part the workers by data centre."""
@@ -70,10 +81,23 @@
         if everywhere:
             self._nowhere.append(step.room)
 
-    def keep_emptiest(self) -> None:
-        """Give the emptiest worker to nobody else in this plan."""
-        self.workers = _without_emptiest(self.workers)
-        self._part()
+    def keep_emptiest(self, workers: list[WorkerState]) -> None:
+        """Give the emptiest of some workers to nobody else in this plan."""
+        if workers:
+            self.leave_out([max(workers, key=lambda worker: worker.free_cpu)])
+
+    def keep_one_to_empty(self) -> None:
+        """Keep one worker that becomes empty by itself, whoever waits for it."""
+        if not self._one_is_kept:
+            self._one_is_kept = True
+            self.keep_emptiest([w for w in self.workers if not has_lasting(w)])
+
+    def leave_out(self, taken: list[WorkerState]) -> None:
+        """Give workers to nobody else in this plan."""
+        left = [worker for worker in self.workers if worker not in taken]
+        if len(left) < len(self.workers):
+            self.workers = left
+            self._part()
 
 
 @dataclass(slots=True, eq=False)
@@ -86,6 +110,7 @@
     waits: QuotaWaits = field(default_factory=QuotaWaits)
     _starts_left: int = 0
     _turn: int = 0
+    _tried_at: dict[str, float] = field(default_factory=dict)
 
     def run(self, now: float, most_starts: int) -> None:
         """Give the starts that are possible, up to a number of them."""
@@ -130,31 +155,105 @@
         ranked = prioritise(
             steps, now, self.board.estimates, self._capacity(workers, now), self.order
         )
-        offers = _Offers(workers)
+        apart = workers_apart(self.board.suspects.values())
+        offers = _Offers([worker for worker in workers if worker.id not in apart])
         promised = self._on_the_way(steps)
         for step in ranked:
-            if not offers.workers or self._starts_left <= 0:
+            if self._starts_left <= 0:
                 return
-            if self.board.is_held(step.job, now) or offers.fits_nowhere(step):
-                continue
-            allowed = offers.of(step.job.open_zones)
-            if step.job.policy.advice and not self._has_advice(step, allowed, now):
-                continue
-            if not self._within_quota(step):
-                continue
-            if step.spec.gang:
-                self._place_gang(step, allowed, now)
-                continue
-            if offers.may_fit(step) and self._place_tasks(step, allowed, now):
-                continue
-            if step.spec.long_running:
-                # A task that lasts would wait for ever while shorter ones take each
-                # small hole: the emptiest worker is kept for it.
-                offers.keep_emptiest()
+            if self.board.is_held(step.job, now) or awaits_judgement(step.job):
                 continue
-            elsewhere = self.zones.widen(step, offers.by_zone, promised)
-            if not _restricted(step):
-                offers.note_full(step, everywhere=not elsewhere)
+            suspects = take_suspects(step)
+            if suspects:
+                self._place_apart(step, suspects, workers, offers, now)
+            if step.waiting and offers.workers and not offers.fits_nowhere(step):
+                self._place_among_others(step, offers, promised, now)
+            if suspects:
+                self.board.wait_on(step, suspects)
+
+    def _place_among_others(
+        self, step: StepRun, offers: _Offers, promised: Counter[str], now: float
+    ) -> None:
+        allowed = offers.of(step.job.open_zones)
+        if not self._may_start(step, allowed, now):
+            return
+        if step.spec.gang:
+            self._place_gang(step, allowed, now)
+            return
+        if offers.may_fit(step) and self._place_tasks(step, allowed, now):
+            return
+        if step.spec.long_running:
+            # A task that lasts would wait for ever while shorter ones take each
+            # small hole: the emptiest worker is kept for it.
+            offers.keep_emptiest(offers.workers)
+            return
+        elsewhere = self.zones.widen(step, offers.by_zone, promised)
+        if not _restricted(step):
+            offers.note_full(step, everywhere=not elsewhere)
+
+    def _place_apart(
+        self,
+        step: StepRun,
+        suspects: list[Task],
+        workers: list[WorkerState],
+        offers: _Offers,
+        now: float,
+    ) -> None:
+        """Place suspected tasks where a crash ends no other job's."""
+        trial = trial_workers(step.job)
+        if not trial and not self._may_try(step, now):
+            return
+        allowed = [w for w in workers if is_free_for(w, suspects, now)]
+        if not allowed:
+            offers.keep_one_to_empty()
+            return
+        if not self._may_start(step, allowed, now):
+            return
+        if step.spec.gang:
+            placed = choose_gang(allowed, step, suspects)
+            self._start_gang(placed, now)
+        else:
+            one_worker = not step.spec.long_running
+            if one_worker and trial:
+                allowed = [worker for worker in allowed if worker.id in trial]
+            self._place_each(step, suspects, allowed, one_worker, now)
+        used = trial_workers(step.job)
+        if used:
+            self._tried_at[step.job.policy.service] = now
+            offers.leave_out([worker for worker in allowed if worker.id in used])
+
+    def _place_each(
+        self,
+        step: StepRun,
+        suspects: list[Task],
+        workers: list[WorkerState],
+        one_worker: bool,
+        now: float,
+    ) -> None:
+        """Place tasks one by one.
+
+        :param one_worker: whether all go to one, so that no more of them crash at once.
+        """
+        for task in suspects:
+            if self._starts_left <= 0 or not self._within_quota(step):
+                return
+            worker = Shortlist(workers, step, task.avoid).best()
+            if worker is None:
+                return
+            self._starts_left -= 1
+            self.board.assign(task, worker, self.board.next_run(), now)
+            if one_worker:
+                workers = [worker]
+
+    def _may_try(self, step: StepRun, now: float) -> bool:
+        """Return whether another suspected job may begin to run apart.
+
+        Of two that crash their workers at once neither could be told to be the cause.
+        """
+        if step.spec.long_running:
+            return True
+        tried_at = self._tried_at.get(step.job.policy.service, -math.inf)
+        return now - tried_at >= TRIAL_GAP_SECONDS
 
     def _on_the_way(self, steps: list[StepRun]) -> Counter[str]:
         """Return the room that is promised to jobs whose next data centre is told."""
@@ -207,6 +306,12 @@
         self.board.ready.pop(id(step), None)
         return True
 
+    def _may_start(self, step: StepRun, workers: list[WorkerState], now: float) -> bool:
+        """Return whether advice on some workers and the quota let a step start."""
+        if step.job.policy.advice and not self._has_advice(step, workers, now):
+            return False
+        return self._within_quota(step)
+
     def _within_quota(self, step: StepRun) -> bool:
         """Return whether a step's next task, or its gang, may run beside all others."""
         count = len(step.waiting) if step.spec.gang else 1
@@ -221,14 +326,16 @@
     ) -> None:
         if step.active or len(step.waiting) != len(step.tasks):
             return
-        placed = choose_gang(workers, step)
-        if placed is None:
-            return
-        run = self.board.next_run()
-        step.waiting.clear()
+        placed = choose_gang(workers, step, step.waiting)
+        if placed is not None:
+            step.waiting.clear()
+        self._start_gang(placed, now)
+
+    def _start_gang(self, placed: GangPlaces | None, now: float) -> None:
         # Members wait for each other on their workers, so that all go or none.
-        self._starts_left -= len(placed)
-        for task, worker in placed:
+        run = self.board.next_run()
+        for task, worker in placed or ():
+            self._starts_left -= 1
             self.board.assign(task, worker, run, now)
 
     def _has_advice(
@@ -253,8 +360,3 @@
 def _restricted(step: StepRun) -> bool:
     spec = step.spec
     return bool(spec.required_label or spec.max_per_server or step.job.policy.advice)
-
-
-def _without_emptiest(workers: list[WorkerState]) -> list[WorkerState]:
-    emptiest = max(workers, key=lambda worker: worker.free_cpu)
-    return [worker for worker in workers if worker is not emptiest]
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -58,6 +58,11 @@
         worker.stale = False
         worker.heard_at = sent_at
 
+    def start_sent(self, task: Task, run: int) -> None:
+        """Take in that an order to start leaves."""
+        if task.run == run:
+            task.sent = True
+
     def start_answered(self, task: Task, run: int, reason: str, now: float) -> None:
         """Take in a worker's answer to a start."""
         if task.run != run or task.phase is not Phase.STARTING or task.worker is None:
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -20,6 +20,7 @@
     STUCK_FACTOR,
     STUCK_SECONDS,
 )
+from .crashes import Crashes, is_crash, suspects_of
 from .evacuation import Evacuation
 from .health import Health
 from .intake import Intake
@@ -64,6 +65,7 @@
         self.health = Health(self.board)
         self.reports = Reports(self.board, self.intake, self.health)
         self.pacing = Pacing(self.board)
+        self._crashes = Crashes(self.board)
         self._evacuation = Evacuation(self.board)
         self._planner = Planner(self.board, self._zones, ORDERS.get(order))
         self._ending: dict[str, Job] = {}
@@ -153,7 +155,10 @@
             self.board.workers[worker_id] = new
         else:
             tell_lost(old, LossCause.REBORN, now)
+            suspects = suspects_of(old, now)
             self.board.replace_worker(old, new, now)
+            if is_crash(old, LossCause.REBORN):
+                self._crashes.note(old, suspects, now)
 
     def miss_worker(self, worker_id: str, now: float) -> None:
         """Take in that a worker's entry is gone; what runs there may go on."""
@@ -172,7 +177,10 @@
         worker = self.board.workers.get(worker_id)
         if worker is not None:
             tell_lost(worker, cause, now)
+            suspects = suspects_of(worker, now)
             self.board.drop_worker(worker, now)
+            if is_crash(worker, cause):
+                self._crashes.note(worker, suspects, now)
 
     def hold_worker(
         self, worker_id: str, answer: HoldAnswer, sent_at: float, now: float
@@ -215,6 +223,7 @@
         if now >= self._look_at:
             self._look_at = now + LOOK_SECONDS
             self._stop_stuck(now)
+            self._crashes.judge(now)
             self.pacing.run(now)
         self._planner.run(now, most_starts)
         self._forget_ended()
--- a/mustardward/helpers/instruments.py
+++ b/mustardward/helpers/instruments.py
@@ -76,6 +76,16 @@
     ("cause",),
     registry=REGISTRY,
 )
+CRASHES: Final = Counter(
+    "mustardward_worker_crashes",
+    "Workers that ended unasked.",
+    registry=REGISTRY,
+)
+JOBS_GIVEN_UP: Final = Counter(
+    "mustardward_jobs_given_up",
+    "Jobs that were given up since workers crashed under a task.",
+    registry=REGISTRY,
+)
 QUOTA_WAITS: Final = Counter(
     "mustardward_quota_wait_seconds",
     "Seconds in which an organisation's tasks waited for room in its quota.",
--- a/mustardward/standin/estate/estate.py
+++ b/mustardward/standin/estate/estate.py
@@ -12,7 +12,13 @@
 
 from ...components.ledger.const import PREFIX_JOB, TOPIC
 from ...components.ledger.models import JobRecord
-from ...platform.models import INSTANCE_UP, INSTANCE_UPKEEP, Instance, Room
+from ...platform.models import (
+    INSTANCE_MOVING,
+    INSTANCE_UP,
+    INSTANCE_UPKEEP,
+    Instance,
+    Room,
+)
 from ...platform.names import REASON_BUSY, REASON_FENCE, REASON_WAVE
 from ...platform.store import (
     KEY_CONFIG,
@@ -30,8 +36,6 @@
 FIRST_CLOCK_MS: Final = 10.0
 """What a worker's clock shows at its start."""
 
-STATE_MOVING: Final = "moving"
-
 SPEC_FAILS: Final = "fails"
 SPEC_CRASHES: Final = "crashes"
 """What a job names whose tasks all fail, or end the worker that starts them."""
@@ -198,7 +202,7 @@
         machine.token = token
         self.orders.append(("move", name, pool))
         machine.pool = pool
-        self._take_down(machine, STATE_MOVING, now)
+        self._take_down(machine, INSTANCE_MOVING, now)
         return ""
 
     def maintain(self, name: str, wave: int, token: int, now: float) -> str:
--- a/tests/components/fleet/test_pools.py
+++ b/tests/components/fleet/test_pools.py
@@ -183,3 +183,15 @@
         for move in moves:
             planner.accepted(move.machine, IDLE_SECONDS)
     assert set(machines) == set(planner.orders)
+
+
+def test_a_suspected_job_has_an_instance_more_to_itself() -> None:
+    """Guards against a wait for an empty worker in a pool that is large enough."""
+    first = [an_instance(number, POOL) for number in range(LEAST_INSTANCES)]
+    second = [an_instance(number, OTHER) for number in range(4, 4 + LEAST_INSTANCES)]
+    view = a_view([*first, *second, an_instance(8, STANDBY)])
+    load = a_load(cores=2.0)
+    assert PoolPlanner(MOVE_SECONDS).decide(view, {POOL: load}, set(), 0.0) == []
+    load.apart = 1
+    moves = PoolPlanner(MOVE_SECONDS).decide(view, {POOL: load}, set(), 0.0)
+    assert moves == [Move("m-08", POOL)]
--- a/tests/components/scheduling/test_crashes.py
+++ b/tests/components/scheduling/test_crashes.py
@@ -2,12 +2,43 @@
 
 from __future__ import annotations
 
-from mustardward.components.ledger.models import JobState
+import pytest
+
+from mustardward.components.ledger.models import JobState, Progress, TaskMark
+from mustardward.components.scheduling.const import (
+    APART_WAIT_SECONDS,
+    ENOUGH_CRASHES,
+    MOST_CRASHES,
+    SOUND_SECONDS,
+    TOGETHER_SECONDS,
+)
+from mustardward.components.scheduling.demand import measure
 from mustardward.components.scheduling.losses import LossCause
+from mustardward.components.scheduling.models import Phase, Start
+
+from .builders import JOB, POOL, SchedulerBench, a_job, a_row, a_step
+
+OTHER = "00000000000000bb"
+
 
-from .builders import JOB, SchedulerBench, a_job, a_step
+def crash(bench: SchedulerBench, worker: str) -> None:
+    """End a worker without a sign."""
+    bench.scheduler.lose_worker(worker, LossCause.UNLISTED, bench.now)
 
-MOST_CRASHES = 3
+
+def crash_under_job(bench: SchedulerBench, rounds: int, job: str = JOB) -> int:
+    """Crash each worker that starts something of a job; return how many crashed."""
+    crashed = 0
+    for number in range(rounds):
+        bench.worker(f"crash-{bench.epoch}-{number}")
+        bench.now += 2.0
+        starts = bench.plan_starts()
+        bench.store()
+        for worker in {s.worker for s in starts if s.task.step.job.record.id == job}:
+            crash(bench, worker)
+            crashed += 1
+        bench.store()
+    return crashed
 
 
 def crash_all_that_start(bench: SchedulerBench, rounds: int) -> int:
@@ -24,9 +55,194 @@
     return crashed
 
 
+def suspected(bench: SchedulerBench, crashes: int = 2) -> None:
+    """Hand a job in under whose only task workers crashed."""
+    job = a_job(a_step(count=1))
+    marks = tuple(f"old-{number}" for number in range(crashes))
+    job.progress = Progress(JobState.RUNNING, tasks=[TaskMark(0, 0, 0, (), "", marks)])
+    bench.add(job)
+
+
 def test_a_job_whose_tasks_crash_their_workers_is_given_up() -> None:
     """Guards against tasks that are started anew however many workers they crash."""
     bench = SchedulerBench()
     bench.add(a_job(a_step(count=3)))
-    assert crash_all_that_start(bench, rounds=10) <= MOST_CRASHES
+    assert crash_all_that_start(bench, rounds=10) <= ENOUGH_CRASHES
+    assert bench.stored[JOB].state is JobState.FAILED
+
+
+def test_an_order_without_an_answer_counts_when_its_worker_crashes() -> None:
+    """Guards against a crash that came before the answer and counts for nothing."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=2)))
+    starts = [c for c in bench.plan() if isinstance(c, Start)]
+    bench.scheduler.reports.start_sent(starts[0].task, starts[0].run)
+    crash(bench, "w1")
+    assert starts[0].task.crashes == ("w1",)
+    assert starts[1].task.crashes == ()
+
+
+def test_crashes_count_on_after_a_takeover() -> None:
+    """Guards against an owner that starts to count anew."""
+    bench = SchedulerBench()
+    bench.add(a_job(a_step(count=1)))
+    assert crash_under_job(bench, rounds=2) == 2
+    successor = SchedulerBench(epoch=2, now=bench.now)
+    job = a_job(a_step(count=1))
+    job.progress = bench.stored[JOB]
+    successor.add(job)
+    assert crash_under_job(successor, rounds=5) == 1
+    assert successor.stored[JOB].state is JobState.FAILED
+
+
+def test_a_suspected_job_starts_again_only_once_its_crashes_are_stored() -> None:
+    """Guards against a crash that the next owner does not know of."""
+    bench = SchedulerBench()
+    suspected(bench, crashes=1)
+    bench.worker("w1")
+    assert len(bench.plan_starts()) == 1
+    crash(bench, "w1")
+    bench.worker("w2")
+    bench.now += 1.0
+    assert bench.plan_starts() == []
+    bench.store()
+    assert len(bench.plan_starts()) == 1
+
+
+def test_what_ran_for_long_beside_it_is_not_suspected() -> None:
+    """Guards against sound tasks that are given up with the one that crashes."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1, long_running=True), job=OTHER))
+    (lasting,) = bench.plan_starts()
+    bench.now += SOUND_SECONDS
+    bench.add(a_job(a_step(count=1)))
+    (started,) = bench.plan_starts()
+    crash(bench, "w1")
+    assert started.task.crashes == ("w1",)
+    assert lasting.task.crashes == ()
+
+
+def test_a_lasting_task_outlives_the_job_that_crashes_its_workers() -> None:
+    """Guards against giving up a neighbour that was on all workers that crashed."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1, long_running=True), job=OTHER))
+    bench.plan_starts()
+    bench.add(a_job(a_step(count=3)))
+    assert crash_under_job(bench, rounds=12) <= MOST_CRASHES
     assert bench.stored[JOB].state is JobState.FAILED
+    assert bench.task(0, job=OTHER).phase is Phase.RUNNING
+
+
+@pytest.mark.parametrize("how", ["draining", "leaving", "ordered", "leases"])
+def test_an_end_that_was_asked_for_is_no_crash(how: str) -> None:
+    """Guards against sound tasks that are given up in a rolling replacement."""
+    bench = SchedulerBench()
+    worker = bench.worker("w1")
+    bench.add(a_job(a_step(count=1)))
+    (start,) = bench.plan_starts()
+    worker.draining = how == "draining"
+    worker.leaving = how == "leaving"
+    causes = {"ordered": LossCause.ORDERED, "leases": LossCause.LEASES_OVER}
+    cause = causes.get(how, LossCause.UNLISTED)
+    bench.scheduler.lose_worker("w1", cause, bench.now)
+    assert start.task.crashes == ()
+
+
+def test_a_suspected_job_shares_no_worker() -> None:
+    """Guards against a crash that ends other jobs' work, and has many suspects."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("w2")
+    suspected(bench)
+    bench.add(a_job(a_step(count=4), job=OTHER))
+    starts = bench.plan_starts()
+    bench.add(a_job(a_step(count=4), job="00000000000000cc"))
+    starts += bench.plan_starts()
+    apart = {s.worker for s in starts if s.task.step.job.record.id == JOB}
+    others = {s.worker for s in starts if s.task.step.job.record.id != JOB}
+    assert len(starts) == 9
+    assert len(apart) == 1
+    assert not apart & others
+
+
+def test_a_suspected_job_waits_for_an_empty_worker_and_asks_for_one() -> None:
+    """Guards against a wait that no instance ends."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1, long_running=True), job=OTHER))
+    bench.plan_starts()
+    suspected(bench)
+    assert bench.plan_starts() == []
+    assert measure(bench.scheduler.board, bench.now)[POOL].apart == 1
+
+
+def test_a_suspected_job_runs_beside_what_is_not_suspected_in_the_end() -> None:
+    """Guards against a job that waits for ever where each worker has a lasting task."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1, long_running=True), job=OTHER))
+    bench.plan_starts()
+    suspected(bench)
+    bench.now += APART_WAIT_SECONDS + 0.1
+    assert bench.plan_starts() == []
+    bench.now += SOUND_SECONDS
+    assert len(bench.plan_starts()) == 1
+
+
+def test_a_task_that_runs_on_is_cleared() -> None:
+    """Guards against lasting tasks that are given up for crashes far apart."""
+    bench = SchedulerBench()
+    bench.add(a_job(a_step(count=1, long_running=True)))
+    for number in range(2 * MOST_CRASHES):
+        bench.worker(f"w{number}")
+        (start,) = bench.plan_starts()
+        bench.now += SOUND_SECONDS
+        bench.hold(f"w{number}", running=[a_row(start.task, 100.0)])
+        bench.plan()
+        assert start.task.crashes == ()
+        crash(bench, f"w{number}")
+        bench.store()
+    assert bench.scheduler.board.jobs[JOB].state is JobState.RUNNING
+
+
+def test_a_task_that_is_done_is_suspected_no_longer() -> None:
+    bench = SchedulerBench()
+    suspected(bench)
+    bench.worker("w1")
+    (start,) = bench.plan_starts()
+    bench.end(start.task, "done")
+    assert not bench.scheduler.board.suspects
+
+
+def test_workers_that_crash_together_give_no_job_up_at_once() -> None:
+    """Guards against sound jobs that are given up when a rack or a pool goes."""
+    bench = SchedulerBench()
+    suspected(bench)
+    bench.worker("w1")
+    bench.worker("w2")
+    (start,) = bench.plan_starts()
+    crash(bench, "w1")
+    bench.now += TOGETHER_SECONDS / 2
+    crash(bench, "w2")
+    bench.now += TOGETHER_SECONDS
+    bench.plan()
+    assert len(start.task.crashes) == MOST_CRASHES - 1
+    assert not start.task.step.job.state.final
+
+
+def test_two_suspected_jobs_do_not_begin_to_run_apart_at_once() -> None:
+    """Guards against crashes at the same moment, of which none tells its cause."""
+    bench = SchedulerBench()
+    suspected(bench)
+    other = a_job(a_step(count=1), job=OTHER)
+    marks = [TaskMark(0, 0, 0, (), "", ("old-0", "old-1"))]
+    other.progress = Progress(JobState.RUNNING, tasks=marks)
+    bench.add(other)
+    bench.worker("w1")
+    bench.worker("w2")
+    assert len(bench.plan_starts()) == 1
+    bench.now += 1.0
+    assert len(bench.plan_starts()) == 1
