Part what a plan offers from the planner

Change: the workers that one plan may still give away, and the rooms found too large, stand in offers.py. No change of what is decided.

--- /dev/null
+++ b/mustardward/components/scheduling/offers.py
@@ -0,0 +1,86 @@
+"""Hold the workers that one plan may still give tasks to."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from ...platform.models import Room
+from .crashes import has_lasting
+from .models import StepRun, WorkerState
+
+Where = frozenset[str] | None
+
+
+@dataclass(slots=True, eq=False)
+class Offers:
+    """Hold a pool's workers in one plan, and the rooms that were found too large.
+
+    :param by_zone: the workers of each data centre.
+    """
+
+    workers: list[WorkerState]
+    by_zone: dict[str, list[WorkerState]] = field(default_factory=dict)
+    _lists: dict[Where, list[WorkerState]] = field(default_factory=dict)
+    _full: dict[Where, list[Room]] = field(default_factory=lambda: defaultdict(list))
+    _nowhere: list[Room] = field(default_factory=list)
+    _one_is_kept: bool = False
+
+    def __post_init__(self) -> None:
+        """Part the workers by data centre."""
+        self._part()
+
+    def _part(self) -> None:
+        by_zone: dict[str, list[WorkerState]] = defaultdict(list)
+        for worker in self.workers:
+            by_zone[worker.zone].append(worker)
+        self.by_zone = dict(by_zone)
+        self._lists = {None: self.workers}
+
+    def of(self, where: Where) -> list[WorkerState]:
+        """Return the workers of some data centres, or of all."""
+        found = self._lists.get(where)
+        if found is None:
+            zones = sorted(where or ())
+            found = [w for zone in zones for w in self.by_zone.get(zone, ())]
+            self._lists[where] = found
+        return found
+
+    def fits_nowhere(self, step: StepRun) -> bool:
+        """Return whether a step needs as much as what no worker of the pool has."""
+        return _covers(self._nowhere, step.room)
+
+    def may_fit(self, step: StepRun) -> bool:
+        """Return whether its own data centres may have room for a step."""
+        return not _covers(self._full[step.job.open_zones], step.room)
+
+    def note_full(self, step: StepRun, everywhere: bool) -> None:
+        """Take in that a step's tasks have no room where they may start."""
+        self._full[step.job.open_zones].append(step.room)
+        if everywhere:
+            self._nowhere.append(step.room)
+
+    def keep_emptiest(self, workers: list[WorkerState]) -> None:
+        """Give the emptiest of some workers to nobody else in this plan."""
+        if workers:
+            self.leave_out([max(workers, key=lambda worker: worker.free_cpu)])
+
+    def keep_one_to_empty(self) -> None:
+        """Keep one worker that becomes empty by itself, whoever waits for it."""
+        if not self._one_is_kept:
+            self._one_is_kept = True
+            self.keep_emptiest([w for w in self.workers if not has_lasting(w)])
+
+    def leave_out(self, taken: list[WorkerState]) -> None:
+        """Give workers to nobody else in this plan."""
+        left = [worker for worker in self.workers if worker not in taken]
+        if len(left) < len(self.workers):
+            self.workers = left
+            self._part()
+
+
+def _covers(too_large: list[Room], room: Room) -> bool:
+    return any(
+        seen.cpu <= room.cpu and seen.mem_mb <= room.mem_mb and seen.gpu <= room.gpu
+        for seen in too_large
+    )
