Fill a worker up to the room that it tells now, not to its first one

A worker whose capacity shrinks while it runs, and that does not check what it is given, is filled up to the room that it had at its start.

Cause: an entry's room was taken over once for each incarnation; later entries of it only renewed its state.

Change: every entry of the running incarnation renews the room. What runs above a room that shrank goes on, and nothing starts until it fits again.

Evidence: test_rooms.py, two of its four tests failed before.

--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -7,10 +7,13 @@
 from enum import Enum
 from typing import Final
 
+from ...helpers.logging import get_logger
 from ...platform.models import Room, SubmittedStep, WorkerEntry
 from ...platform.workers import TaskName
 from ..ledger.models import JobRecord, JobState
 
+_LOGGER = get_logger(__name__)
+
 UNANSWERED_KEPT: Final = 64
 """Starts without an answer that are remembered of a worker: an order that is carried
 out late is so within seconds, in which a worker is given no more than so many."""
@@ -266,10 +269,25 @@
         self.service = entry.service
         self.zone = entry.zone
         self.labels = tuple(entry.labels)
-        self.free_cpu += entry.capacity.cpu - self.capacity.cpu
-        self.free_mem += entry.capacity.mem_mb - self.capacity.mem_mb
-        self.free_gpu += entry.capacity.gpu - self.capacity.gpu
-        self.capacity = entry.capacity
+        self.resize(entry.capacity)
+
+    def resize(self, room: Room) -> None:
+        """Take over a room; what runs may take more of it than there is."""
+        old = self.capacity
+        self.free_cpu += room.cpu - old.cpu
+        self.free_mem += room.mem_mb - old.mem_mb
+        self.free_gpu += room.gpu - old.gpu
+        self.capacity = room
+        if room != old:
+            _LOGGER.info(
+                "worker_resized",
+                worker=self.id,
+                cpu=f"{old.cpu}>{room.cpu}",
+                mem_mb=f"{old.mem_mb}>{room.mem_mb}",
+                gpu=f"{old.gpu}>{room.gpu}",
+                free_cpu=self.free_cpu,
+                free_mem=self.free_mem,
+            )
 
     @property
     def incarnation(self) -> str:
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -123,6 +123,8 @@
             note_unreadable("worker", worker_id, f"service={entry.service}")
             self.bar_worker(worker_id)
             return False
+        if worker.described and entry.capacity != worker.capacity:
+            worker.resize(entry.capacity)
         worker.missing_since = None
         worker.absent = False
         if entry.state == WORKER_DRAINING and not worker.draining:
--- /dev/null
+++ b/tests/components/scheduling/test_rooms.py
@@ -0,0 +1,63 @@
+"""Test workers whose room changes while they run."""
+
+from __future__ import annotations
+
+from mustardward.components.scheduling.demand import measure
+from mustardward.platform.models import Room
+
+from .builders import POOL, SchedulerBench, a_job, a_step, an_entry
+
+BORN = 1_700_000_000_000
+HALF = Room(cpu=4000, mem_mb=8000)
+
+
+def a_bench() -> SchedulerBench:
+    """Return a scheduler with one worker of eight cores."""
+    bench = SchedulerBench()
+    bench.worker("w1", born=BORN)
+    return bench
+
+
+def see(bench: SchedulerBench, room: Room, born: int = BORN) -> None:
+    """Let the worker's entry tell of a room."""
+    entry = an_entry(capacity=room, born=born)
+    bench.scheduler.see_worker("w1", entry, bench.now)
+
+
+def test_a_worker_whose_room_has_shrunk_is_not_filled_beyond_it() -> None:
+    """Guards against starts that bring a worker over the room that it has left."""
+    bench = a_bench()
+    see(bench, HALF)
+    bench.add(a_job(a_step(count=8)))
+    assert len(bench.plan_starts()) == 4
+    assert measure(bench.scheduler.board, bench.now)[POOL].capacity == HALF.cpu
+
+
+def test_nothing_starts_above_a_room_that_shrank_under_what_runs() -> None:
+    """Guards against counting what runs above the room as free."""
+    bench = a_bench()
+    bench.add(a_job(a_step(count=8)))
+    assert len(bench.plan_starts()) == 8
+    see(bench, HALF)
+    for index in range(4):
+        bench.end(bench.task(index), "done")
+    bench.add(a_job(a_step(count=1), job="00000000000000bb"))
+    assert bench.plan_starts() == []
+    bench.end(bench.task(4), "done")
+    assert len(bench.plan_starts()) == 1
+
+
+def test_a_room_that_grows_again_is_used() -> None:
+    bench = a_bench()
+    see(bench, HALF)
+    see(bench, Room(cpu=8000, mem_mb=8000))
+    bench.add(a_job(a_step(count=8)))
+    assert len(bench.plan_starts()) == 8
+
+
+def test_the_room_of_an_incarnation_that_is_over_says_nothing() -> None:
+    """Guards against an entry that is read late and was written by another life."""
+    bench = a_bench()
+    see(bench, HALF, born=BORN - 1000)
+    bench.add(a_job(a_step(count=8)))
+    assert len(bench.plan_starts()) == 8
