Size pools by the rooms that workers tell

Cause: pools were sized by the list of instances, whose rooms stay as they were when a worker's room shrinks, so a pool of halved workers asked for no more of them.

Change: the planner takes an instance's room as its worker tells it, where that is known.

Evidence: the new test fails without it (a view had no such rooms).

--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from ...platform.models import Instance, UpkeepWave
+from ...platform.models import Instance, Room, UpkeepWave
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +72,7 @@
     :param barred: machines that the owner before ordered somewhere just now.
     :param unusable: workers that are up and can't be given tasks.
     :param due: machines that a wave is still to maintain.
+    :param rooms: what workers tell of their room, which may be less than the list says.
     """
 
     instances: dict[str, Instance]
@@ -82,6 +84,11 @@
     barred: frozenset[str] = frozenset()
     unusable: frozenset[str] = frozenset()
     due: frozenset[str] = frozenset()
+    rooms: Mapping[str, Room] = field(default_factory=dict)
+
+    def room_of(self, instance: Instance) -> Room:
+        """Return an instance's room, as its worker tells it if that is known."""
+        return self.rooms.get(instance.id or "", instance.capacity)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -300,7 +300,7 @@
     """Return the mean room of each pool's instances, and of all of them."""
     rooms: dict[str, list[Room]] = defaultdict(list)
     for instance in view.instances.values():
-        rooms[instance.pool].append(instance.capacity)
+        rooms[instance.pool].append(view.room_of(instance))
     sizes = {pool: _mean(of_pool) for pool, of_pool in rooms.items()}
     sizes[_ANY_POOL] = _mean([room for of_pool in rooms.values() for room in of_pool])
     return sizes
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -251,6 +251,7 @@
             self._read_at,
             unusable=self._unusable(),
             due=frozenset(self.planner.due()),
+            rooms={w.id: w.capacity for w in self.scheduler.board.workers.values()},
         )
 
     def _store_wave(self, run: WaveRun) -> None:
--- a/tests/components/fleet/test_pools.py
+++ b/tests/components/fleet/test_pools.py
@@ -14,9 +14,9 @@
 from mustardward.components.fleet.pools import PoolPlanner
 from mustardward.components.scheduling.demand import PoolLoad
 from mustardward.components.scheduling.inflow import Amount
-from mustardward.platform.models import Instance
+from mustardward.platform.models import Instance, Room
 
-from .builders import OTHER, POOL, STANDBY, a_load, a_view, an_instance
+from .builders import CORES, OTHER, POOL, STANDBY, a_load, a_view, an_instance
 
 MOVE_SECONDS = 1.5
 
@@ -195,3 +195,15 @@
     load.apart = 1
     moves = PoolPlanner(MOVE_SECONDS).decide(view, {POOL: load}, set(), 0.0)
     assert moves == [Move("m-08", POOL)]
+
+
+def test_a_pool_whose_workers_have_shrunk_asks_for_more_of_them() -> None:
+    """Guards against a pool that is sized by rooms which its workers no longer have."""
+    view = a_view(two_pools_of_four(), {f"i-0{n}": Load(0, 5) for n in range(4)})
+    load = a_load(cores=16.0)
+    full = PoolPlanner(MOVE_SECONDS).decide(view, {POOL: load}, set(), 0.0)
+    halves = {f"i-0{n}": Room(cpu=CORES // 2, mem_mb=8000) for n in range(4)}
+    shrunk = replace(view, rooms=halves)
+    more = PoolPlanner(MOVE_SECONDS).decide(shrunk, {POOL: load}, set(), 0.0)
+    assert len(more) > len(full)
+    assert {move.pool for move in more} == {POOL}
