Let the stand-in's workers shrink, and start what their room does not hold

Cause: nothing of ours could play a worker whose room changes, or one that does not check what it is given, so LIMIT could break on the users' side only.

Change: the stand-in of the platform resizes a worker while it runs and tells it in its entry; a plan says whether workers guard their room, and those that don't count the starts beyond it. One test plays an entry against it.

--- a/mustardward/standin/estate/estate.py
+++ b/mustardward/standin/estate/estate.py
@@ -50,6 +50,7 @@
     :param pools: names of the pools that serve.
     :param instances: instances in each of them.
     :param standby: instances that are off.
+    :param guarded: whether workers refuse what their room does not hold.
     """
 
     pools: tuple[str, ...] = ("pool-a", "pool-b")
@@ -57,6 +58,7 @@
     standby: int = 2
     cores: int = 8
     seed: int = 1
+    guarded: bool = True
 
     @property
     def machines(self) -> int:
@@ -242,6 +244,7 @@
             self.work_of,
             born=max(old.born + 1, time.time_ns() // 1_000_000),
             clock_zero_ms=now * 1000 - FIRST_CLOCK_MS,
+            guards=old.guards,
         )
         machine = self._machines[old.machine]
         machine.worker = worker
@@ -249,6 +252,12 @@
         self._announce(machine, worker)
         return worker
 
+    def resize(self, worker_id: str, cores: int) -> None:
+        """Change a worker's room while it runs."""
+        worker = self.workers[worker_id]
+        worker.room = Room(cpu=cores * 1000, mem_mb=worker.room.mem_mb)
+        self._announce(self._machines[worker.machine], worker)
+
     def _add_machines(self) -> None:
         number = 0
         for pool in self._plan.pools:
@@ -278,6 +287,7 @@
             room,
             self.work_of,
             born=time.time_ns() // 1_000_000,
+            guards=self._plan.guarded,
         )
         machine.worker = worker
         self.workers[worker_id] = worker
--- a/mustardward/standin/estate/worker.py
+++ b/mustardward/standin/estate/worker.py
@@ -61,6 +61,8 @@
     :param born: when it started, in milliseconds since 1970.
     :param clock_zero_ms: where its own clock began, on the platform's.
     :param crashing: whether something was started that ends it.
+    :param guards: whether it refuses what its room does not hold.
+    :param overfull: starts that its room did not hold.
     """
 
     id: str
@@ -72,6 +74,8 @@
     born: int = 0
     clock_zero_ms: float = 0.0
     crashing: bool = False
+    guards: bool = True
+    overfull: int = 0
     runs: dict[str, Run] = field(default_factory=dict)
     starts: list[tuple[str, int]] = field(default_factory=list)
     _ended: list[list[object]] = field(default_factory=list)
@@ -94,7 +98,9 @@
             return REFUSED_LATE
         work = self._work(order.task)
         if not self._has_room(work.room):
-            return REFUSED_ROOM
+            if self.guards:
+                return REFUSED_ROOM
+            self.overfull += 1
         self._extend(order.deadline_ms, now_ms)
         self.runs[order.task] = Run(order.task, order.run, work, now_ms)
         self.starts.append((order.task, order.run))
--- a/tests/embedded/test_estate.py
+++ b/tests/embedded/test_estate.py
@@ -18,6 +18,8 @@
 PREFIX = "/pool-a/"
 PLAN = EstatePlan()
 MOST_SECONDS = 40.0
+SEEN_SECONDS = 0.5
+"""Until an entry of a worker was surely read."""
 
 
 def two_steps() -> list[SubmittedStep]:
@@ -78,6 +80,23 @@
             await fleet.async_wait_state(beside, "done")
 
 
+async def test_workers_that_have_shrunk_are_not_filled_beyond_their_room() -> None:
+    """Guards against starts that bring a worker that guards nothing over its room."""
+    with anyio.fail_after(MOST_SECONDS):
+        async with async_run_estate_fleet(EstatePlan(guarded=False), 1) as fleet:
+            workers = fleet.estate.workers
+            for name in [name for name, w in workers.items() if w.pool == "pool-a"]:
+                fleet.estate.resize(name, cores=2)
+            await anyio.sleep(SEEN_SECONDS)
+            step = SubmittedStep(count=6, cpu=1000, mem_mb=10, estimate_ms=300)
+            paths = [await fleet.async_submit(PREFIX, [step]) for _ in range(3)]
+            for path in paths:
+                await fleet.async_wait_state(path, "done")
+            assert [worker.overfull for worker in workers.values()] == [0] * len(
+                workers
+            )
+
+
 async def test_a_cancelled_job_ends_on_its_workers() -> None:
     with anyio.fail_after(MOST_SECONDS):
         async with async_run_estate_fleet(PLAN, entries=2) as fleet:
