Judge after a takeover what the owner before had not judged

What callers would see: BUDGET, one start too many, and a job told as failed one crash late.

Cause: the fourth crash of a task was stored, and the owner ended before it judged the task half a second later; the next one took the count over and judged only after another crash.

Change: a task under which as many workers crashed as may is judged at the next look, whoever counted them, and nothing of its job starts before.

--- a/mustardward/components/scheduling/crashes.py
+++ b/mustardward/components/scheduling/crashes.py
@@ -149,7 +149,7 @@
             _LOGGER.info("suspect_cleared", task=encode_task(task.name))
             self.board.clear(task)
             return
-        if not task.judged_at or now < task.judged_at:
+        if not self._is_due(task, now):
             return
         crashed_at = task.judged_at - TOGETHER_SECONDS
         task.judged_at = 0.0
@@ -167,6 +167,12 @@
             JOBS_GIVEN_UP.inc()
             self.board.end_job(job, JobState.FAILED)
 
+    def _is_due(self, task: Task, now: float) -> bool:
+        """Return whether a task is to be judged; an owner before may not have."""
+        if len(task.crashes) >= MOST_CRASHES:
+            return True
+        return 0.0 < task.judged_at <= now
+
     def _crashed_together(self, task: Task, at: float) -> bool:
         """Return whether a worker that a task was not on crashed about then."""
         return any(
@@ -183,7 +189,9 @@
 
 def awaits_judgement(job: Job) -> bool:
     """Return whether a job may be about to be given up, and starts nothing."""
-    return job.suspicion >= ENOUGH_CRASHES and any(
+    if job.suspicion < ENOUGH_CRASHES:
+        return False
+    return job.suspicion >= MOST_CRASHES or any(
         task.judged_at for step in job.steps.values() for task in step.tasks
     )
 
--- a/tests/components/scheduling/test_crashes.py
+++ b/tests/components/scheduling/test_crashes.py
@@ -96,6 +96,16 @@
     assert successor.stored[JOB].state is JobState.FAILED
 
 
+def test_a_job_that_the_owner_before_had_not_judged_is_given_up() -> None:
+    """Guards against a change of owner between the last crash and what follows."""
+    bench = SchedulerBench(epoch=2)
+    suspected(bench, crashes=MOST_CRASHES)
+    bench.worker("w1")
+    assert bench.plan_starts() == []
+    bench.store()
+    assert bench.stored[JOB].state is JobState.FAILED
+
+
 def test_a_suspected_job_starts_again_only_once_its_crashes_are_stored() -> None:
     """Guards against a crash that the next owner does not know of."""
     bench = SchedulerBench()
