Suspect a task that does not last whatever its age

What callers would see: BUDGET, if a long task crashes its workers after some seconds.

Cause: what had run for 5 s was no suspect, so that lasting neighbours are not given up; a task of 10 s that crashes its workers at its end was never one either, and was started without a bound.

Change: only lasting tasks are cleared by their age; any other by being done.

--- a/mustardward/components/scheduling/const.py
+++ b/mustardward/components/scheduling/const.py
@@ -48,7 +48,7 @@
 that are not suspects: a new instance would have come meanwhile."""
 
 SOUND_SECONDS: Final = 5.0
-"""A run that went on for so long is not suspected of its worker's crash."""
+"""A lasting task that ran for so long is not suspected of its worker's crash."""
 
 LOOK_SECONDS: Final = 0.1
 """Interval at which all that runs is looked over for runs that stand still and for
--- a/mustardward/components/scheduling/crashes.py
+++ b/mustardward/components/scheduling/crashes.py
@@ -62,7 +62,7 @@
 
 @switchable(
     "crash-suspects-by-age",
-    "what had run for long on a worker is not suspected of its crash",
+    "a lasting task that had run for long is not suspected of its worker's crash",
     without=_suspect_all,
 )
 def suspects_of(worker: WorkerState, now: float) -> list[Task]:
@@ -70,7 +70,7 @@
     return [
         task
         for task in worker.tasks.values()
-        if began(task) and now - task.started_at < SOUND_SECONDS
+        if began(task) and not _has_run_on(task, now)
     ]
 
 
@@ -181,10 +181,15 @@
         )
 
 
+def _has_run_on(task: Task, now: float) -> bool:
+    """Return whether a lasting task ran for long; any other may crash at its end."""
+    return task.step.spec.long_running and now - task.started_at >= SOUND_SECONDS
+
+
 def _is_sound(task: Task) -> bool:
     if task.phase is not Phase.RUNNING or task.worker is None:
         return False
-    return task.worker.heard_at - task.started_at >= SOUND_SECONDS
+    return _has_run_on(task, task.worker.heard_at)
 
 
 def awaits_judgement(job: Job) -> bool:
@@ -234,7 +239,7 @@
 def is_free_for(worker: WorkerState, suspects: list[Task], now: float) -> bool:
     """Return whether suspected tasks of one job may use a worker.
 
-    Where no worker becomes empty, tasks that have run there for long are no suspects of
+    Where no worker becomes empty, lasting tasks that ran for long are no suspects of
     the next crash either.
     """
     job = suspects[0].step.job
@@ -243,5 +248,5 @@
         return True
     waited = any(now - task.ready_since > APART_WAIT_SECONDS for task in suspects)
     return waited and not any(
-        runs_apart(task) or now - task.started_at < SOUND_SECONDS for task in others
+        runs_apart(task) or not _has_run_on(task, now) for task in others
     )
--- a/tests/components/scheduling/test_crashes.py
+++ b/tests/components/scheduling/test_crashes.py
@@ -134,6 +134,25 @@
     assert lasting.task.crashes == ()
 
 
+def test_a_task_that_crashes_its_workers_late_is_given_up() -> None:
+    """Guards against long tasks that are started anew since they ran for a while."""
+    bench = SchedulerBench()
+    bench.add(a_job(a_step(count=1, estimate_ms=20_000)))
+    crashed = 0
+    for number in range(2 * MOST_CRASHES):
+        bench.worker(f"w{number}")
+        for start in bench.plan_starts():
+            for _ in range(4):
+                bench.now += SOUND_SECONDS / 2
+                bench.hold(start.worker, [a_row(start.task, 10.0)])
+                bench.plan()
+            crash(bench, start.worker)
+            crashed += 1
+        bench.store()
+        bench.now += 1.0
+    assert crashed == ENOUGH_CRASHES
+
+
 def test_a_lasting_task_outlives_the_job_that_crashes_its_workers() -> None:
     """Guards against giving up a neighbour that was on all workers that crashed."""
     bench = SchedulerBench()
