Try suspected jobs apart at once, and excuse a crash only beside much of a pool

Cause: jobs that run apart began one at a time in a pool, 0.6 s after each other, so that their crashes did not excuse each other. With 40 of them in a pool of 60 workers 18 were not told as failed within 30 s, and sound suspects waited in the same queue.

--- a/mustardward/components/scheduling/const.py
+++ b/mustardward/components/scheduling/const.py
@@ -36,9 +36,8 @@
 TOGETHER_SECONDS: Final = 0.5
 """Workers that crash within this time may have a common cause, such as their rack."""
 
-TRIAL_GAP_SECONDS: Final = 0.6
-"""Shortest time between two suspected jobs that begin to run apart in a pool, so that
-their crashes are not taken for one."""
+TOGETHER_SHARE: Final = 0.25
+"""Share of a pool that has to crash so for a common cause to be likelier."""
 
 APART_CRASHES: Final = 2
 """Workers that crashed under a task from which on its job shares no worker."""
--- a/mustardward/components/scheduling/crashes.py
+++ b/mustardward/components/scheduling/crashes.py
@@ -25,6 +25,7 @@
     MOST_CRASHES,
     SOUND_SECONDS,
     TOGETHER_SECONDS,
+    TOGETHER_SHARE,
 )
 from .losses import LossCause
 from .models import Job, Phase, StepRun, Task, WorkerState
@@ -39,6 +40,7 @@
     """Hold when a worker crashed, and the tasks that were suspected of it."""
 
     at: float
+    service: str
     suspects: tuple[Task, ...]
 
 
@@ -101,7 +103,7 @@
     """Return whether a task's job is to be given up.
 
     :param crashes: workers that crashed under the task.
-    :param together: whether a worker that it did not run on crashed with the last one.
+    :param together: whether much of its pool crashed with the last one.
     """
     return crashes >= (MOST_CRASHES if together else ENOUGH_CRASHES)
 
@@ -125,7 +127,7 @@
             born=worker.born,
             suspects=",".join(encode_task(task.name) for task in suspects),
         )
-        self._recent.append(_Crash(now, tuple(suspects)))
+        self._recent.append(_Crash(now, worker.service, tuple(suspects)))
         for task in suspects:
             if not task.step.job.state.final:
                 self.board.suspect(task, worker.incarnation)
@@ -174,11 +176,15 @@
         return 0.0 < task.judged_at <= now
 
     def _crashed_together(self, task: Task, at: float) -> bool:
-        """Return whether a worker that a task was not on crashed about then."""
-        return any(
+        """Return whether much of its pool crashed with a task's last worker."""
+        service = task.step.job.policy.service
+        crashed = sum(
             abs(crash.at - at) <= TOGETHER_SECONDS and task not in crash.suspects
             for crash in self._recent
+            if crash.service == service
         )
+        left = sum(w.service == service for w in self.board.workers.values())
+        return crashed > TOGETHER_SHARE * (crashed + left)
 
 
 def _has_run_on(task: Task, now: float) -> bool:
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from collections.abc import Iterator, Set
 from dataclasses import dataclass, field
 
 from ...platform.models import Room
 from .board import Board
-from .const import TRIAL_GAP_SECONDS
 from .crashes import (
     awaits_judgement,
     is_free_for,
@@ -41,7 +39,6 @@
     waits: QuotaWaits = field(default_factory=QuotaWaits)
     _starts_left: int = 0
     _turn: int = 0
-    _tried_at: dict[str, float] = field(default_factory=dict)
 
     def run(self, now: float, most_starts: int) -> None:
         """Give the starts that are possible, up to a number of them."""
@@ -132,8 +129,6 @@
     ) -> None:
         """Place suspected tasks where a crash ends no other job's."""
         trial = trial_workers(step.job)
-        if not trial and not self._may_try(step, now):
-            return
         allowed = [w for w in workers if is_free_for(w, suspects, now)]
         if not allowed:
             offers.keep_one_to_empty()
@@ -150,7 +145,6 @@
             self._place_each(step, suspects, allowed, one_worker, now)
         used = trial_workers(step.job)
         if used:
-            self._tried_at[step.job.policy.service] = now
             offers.leave_out([worker for worker in allowed if worker.id in used])
 
     def _place_each(
@@ -176,16 +170,6 @@
             if one_worker:
                 workers = [worker]
 
-    def _may_try(self, step: StepRun, now: float) -> bool:
-        """Return whether another suspected job may begin to run apart.
-
-        Of two that crash their workers at once neither could be told to be the cause.
-        """
-        if step.spec.long_running:
-            return True
-        tried_at = self._tried_at.get(step.job.policy.service, -math.inf)
-        return now - tried_at >= TRIAL_GAP_SECONDS
-
     def _on_the_way(self, steps: list[StepRun]) -> Counter[str]:
         """Return the room that is promised to jobs whose next data centre is told."""
         promised: Counter[str] = Counter()
