--- a/mustardward/components/reports/day.py
+++ b/mustardward/components/reports/day.py
@@ -44,6 +44,8 @@
 
 def cause_of(story: JobStory, day: Day) -> Cause:
     """Return what took most of a late job's time beyond its work."""
+    if story.given_up:
+        return Cause.GIVEN_UP
     end = story.ended_at or 0.0
     begin = end - story.seconds
     first_seen = story.submitted_at if story.submitted_at is not None else begin
--- a/mustardward/components/reports/day_lines.py
+++ b/mustardward/components/reports/day_lines.py
@@ -17,6 +17,7 @@
 
 _PAIR: Final = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
 _RUN: Final = re.compile(r"(\d+)\.(\d+)\.(\d+):(\d+)@([^+=,\s]+)([+=])([^,\s]*)")
+_LOST: Final = re.compile(r"([^.,\s]+)\.\d+\.\d+\.\d+:(\d+)=")
 _GLUED: Final = re.compile(r"\S(time=\d+\.?\d* level=)")
 """Where a line goes on as another one, since bytes between them were lost."""
 
@@ -136,6 +137,10 @@
         story.objective = _value(pairs, "objective_seconds")
     elif event in ("runs_started", "runs_ended"):
         _read_runs(day.job(pairs.get("job", "")), pairs.get("runs", ""), at)
+    elif event == "worker_lost":
+        _read_lost(day, pairs.get("runs", ""), at)
+    elif event == "task_suspected" and pairs.get("given_up") == "true":
+        day.job(pairs.get("task", "").partition(".")[0]).given_up = True
 
 
 def _value(pairs: dict[str, str], name: str) -> float:
@@ -163,3 +168,12 @@
             run = story.runs[int(number)]
             run.ended_at = at
             run.how = rest
+
+
+def _read_lost(day: Day, text: str, at: float) -> None:
+    """End the runs that were lost with their worker."""
+    for job, number in _LOST.findall(text):
+        run = day.job(job).runs.get(int(number))
+        if run is not None and not run.how:
+            run.ended_at = at
+            run.how = "lost"
--- a/mustardward/components/reports/stories.py
+++ b/mustardward/components/reports/stories.py
@@ -17,6 +17,7 @@
     STORE_AWAY = "the store was away, for most entries or for the owner"
     OWNER_CHANGED = "the owner changed"
     WAITED_FOR_ROOM = "waited for room"
+    GIVEN_UP = "workers crashed under one of its tasks"
     RUN_REPEATED = "a run was lost and repeated"
     SLOW_RUN = "ran on a slow or failing worker"
     OTHER = "none of these"
@@ -115,6 +116,7 @@
     objective: float = 0.0
     lasting: bool = False
     refusals: int = 0
+    given_up: bool = False
     runs: dict[int, RunStory] = field(default_factory=dict)
 
     @property
--- a/tests/components/reports/test_day.py
+++ b/tests/components/reports/test_day.py
@@ -96,6 +96,31 @@
     }
 
 
+def test_a_job_that_was_given_up_and_its_neighbours_are_told_apart() -> None:
+    """Guards against a neighbour's lost run that no cause names."""
+    guilty, beside = (f"{JOBS[name]}.0.0.1" for name in "ab")
+    lines = [
+        submitted(0, "a"),
+        submitted(0, "b"),
+        started(0.1, "a", 1, 0.1),
+        started(0.1, "b", 1, 0.1),
+        line(
+            2.2,
+            "worker_lost",
+            worker="w-1",
+            cause="unlisted",
+            runs=f"{guilty}:1=running+2.1,{beside}:1=running+2.1",
+        ),
+        line(2.7, "task_suspected", task=guilty, given_up="true"),
+        job_ended(2.7, "a", 2.7),
+        started(2.3, "b", 2, 0.1),
+        run_ended(3.3, "b", 2),
+        job_ended(3.3, "b", 3.3),
+    ]
+    rows = {row.cause: row.jobs for row in explain(read_day(lines))}
+    assert rows == {Cause.GIVEN_UP: 1, Cause.RUN_REPEATED: 1}
+
+
 def test_the_order_of_the_lines_does_not_matter() -> None:
     """Entries' logs are read one after the other."""
     assert explain(read_day(reversed(a_day()))) == explain(read_day(a_day()))
