Part commands, stored progress and incarnations from large files of scheduling

Change: commands.py, progress.py and incarnations.py; imports follow. No change of what is decided, and no test asserts anything else.

--- a/bench/crashes.py
+++ b/bench/crashes.py
@@ -19,8 +19,9 @@
 
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.ledger.models import JobRecord, JobState
+from mustardward.components.scheduling.commands import Start, Stop
 from mustardward.components.scheduling.losses import LossCause
-from mustardward.components.scheduling.models import QueuePolicy, Start, Stop
+from mustardward.components.scheduling.models import QueuePolicy
 from mustardward.components.scheduling.scheduler import Scheduler
 from mustardward.helpers.policies import switch_off
 from mustardward.platform.models import Room, SubmittedStep, WorkerEntry
--- a/bench/owner.py
+++ b/bench/owner.py
@@ -19,7 +19,8 @@
 from mustardward.components.ledger.const import PREFIX_JOB, PREFIX_PROGRESS, TOPIC
 from mustardward.components.ledger.ledger import LedgerJob, encode
 from mustardward.components.ledger.models import JobRecord, Progress
-from mustardward.components.scheduling.models import QueuePolicy, Start
+from mustardward.components.scheduling.commands import Start
+from mustardward.components.scheduling.models import QueuePolicy
 from mustardward.components.scheduling.scheduler import Scheduler
 from mustardward.embedded.elsewhere import async_elsewhere
 from mustardward.embedded.estate import (
--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -13,8 +13,9 @@
 from ...platform.http import HttpCaller
 from ...platform.models import WorkerEntry
 from ...platform.workers import WorkerClient
+from ..scheduling.incarnations import is_other
 from ..scheduling.losses import LossCause
-from ..scheduling.scheduler import Scheduler, is_other
+from ..scheduling.scheduler import Scheduler
 from .closed import ClosedWorkers
 from .const import LEASE_SECONDS, lease_bound
 from .contacts import Contacts
--- a/mustardward/components/dispatch/orders.py
+++ b/mustardward/components/dispatch/orders.py
@@ -20,8 +20,9 @@
     WrongIncarnationError,
 )
 from ...platform.workers import TaskName
+from ..scheduling.commands import AskAdvice, Command, Pace, Start, Stop
 from ..scheduling.losses import LossCause
-from ..scheduling.models import AskAdvice, Command, Pace, Phase, Start, Stop, Task
+from ..scheduling.models import Phase, Task
 from ..scheduling.scheduler import Scheduler
 from .const import DECISION_SECONDS, STOP_RETRY_SECONDS
 from .lanes import Lanes
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -17,9 +17,10 @@
     WrongIncarnationError,
 )
 from ...platform.workers import HoldAnswer, StartAnswer, StartOrder, WorkerClient
+from ..scheduling.incarnations import is_other
 from ..scheduling.losses import LossCause
 from ..scheduling.models import Phase, Task, WorkerState
-from ..scheduling.scheduler import Scheduler, is_other
+from ..scheduling.scheduler import Scheduler
 from .const import (
     BUSY_HOLD_MILLISECONDS,
     FAILED_HOLD_SECONDS,
--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -7,23 +7,12 @@
 
 from ...helpers.logging import get_logger
 from ...platform.workers import TaskName, encode_task
-from ..ledger.marks import pack
-from ..ledger.models import JobState, Progress, StepMark, TaskMark
+from ..ledger.models import JobState
+from .commands import Command, Start, Stop
 from .const import APART_CRASHES, RUN_BITS
 from .estimates import Estimates
 from .inflow import Inflow
-from .models import (
-    ACTIVE,
-    Command,
-    Job,
-    Phase,
-    QueuePolicy,
-    Start,
-    StepRun,
-    Stop,
-    Task,
-    WorkerState,
-)
+from .models import ACTIVE, Job, Phase, QueuePolicy, StepRun, Task, WorkerState
 from .quotas import Quotas
 
 _LOGGER = get_logger(__name__)
@@ -295,35 +284,6 @@
         else:
             self.requeue(task, now)
 
-    def progress(self, job: Job, wall: float) -> Progress:
-        """Return what has to be stored of a job; of one that is over, its state."""
-        if job.state.final:
-            return Progress(job.state, ended_at=wall)
-        steps = [
-            StepMark(
-                step.occurrence,
-                step.number,
-                pack(t.index for t in step.tasks if t.phase is Phase.DONE),
-            )
-            for step in job.steps.values()
-            if step.done
-        ]
-        tasks = [
-            TaskMark(
-                step.occurrence,
-                step.number,
-                task.index,
-                task.failed_runs,
-                task.checkpoint,
-                task.crashes,
-            )
-            for step in job.steps.values()
-            for task in step.tasks
-            if task.phase is not Phase.DONE
-            and (task.failed_runs or task.checkpoint or task.crashes)
-        ]
-        return Progress(job.state, steps, tasks, zones=sorted(job.zones or ()))
-
     def _occupy(self, task: Task, worker: WorkerState, run: int) -> None:
         step = task.step
         room = step.room
--- /dev/null
+++ b/mustardward/components/scheduling/incarnations.py
@@ -0,0 +1,27 @@
+"""Tell a worker's incarnations apart, and begin with one."""
+
+from __future__ import annotations
+
+from ...platform.models import WorkerEntry
+from .models import WorkerState
+
+
+def is_other(born: int, known: int) -> bool:
+    """Return whether two times of birth are surely those of two incarnations."""
+    return bool(born and known) and born != known
+
+
+def make_worker(worker_id: str, entry: WorkerEntry) -> WorkerState:
+    """Return a worker as its entry describes it."""
+    room = entry.capacity
+    return WorkerState(
+        worker_id,
+        entry.service,
+        entry.zone,
+        tuple(entry.labels),
+        room,
+        free_cpu=room.cpu,
+        free_mem=room.mem_mb,
+        free_gpu=room.gpu,
+        born=entry.born,
+    )
--- a/mustardward/components/scheduling/pacing.py
+++ b/mustardward/components/scheduling/pacing.py
@@ -6,7 +6,8 @@
 
 from ...helpers.policies import switchable
 from .board import Board
-from .models import Pace, Phase, Task, WorkerState
+from .commands import Pace
+from .models import Phase, Task, WorkerState
 
 OVER_SHARE = 0.9
 """Share of its target at which a serving task counts as harmed; the figure is rough,
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -8,6 +8,7 @@
 
 from ...platform.models import Room
 from .board import Board
+from .commands import AskAdvice
 from .crashes import (
     awaits_judgement,
     is_free_for,
@@ -15,7 +16,7 @@
     trial_workers,
     workers_apart,
 )
-from .models import AskAdvice, StepRun, Task, WorkerState
+from .models import StepRun, Task, WorkerState
 from .offers import Offers
 from .order import Capacity, Order, prioritise
 from .placement import GangPlaces, Shortlist, choose_gang, choose_home, usable
--- /dev/null
+++ b/mustardward/components/scheduling/progress.py
@@ -0,0 +1,37 @@
+"""Say what has to be stored of a job."""
+
+from __future__ import annotations
+
+from ..ledger.marks import pack
+from ..ledger.models import Progress, StepMark, TaskMark
+from .models import Job, Phase
+
+
+def progress_of(job: Job, wall: float) -> Progress:
+    """Return what has to be stored of a job; of one that is over, its state."""
+    if job.state.final:
+        return Progress(job.state, ended_at=wall)
+    steps = [
+        StepMark(
+            step.occurrence,
+            step.number,
+            pack(t.index for t in step.tasks if t.phase is Phase.DONE),
+        )
+        for step in job.steps.values()
+        if step.done
+    ]
+    tasks = [
+        TaskMark(
+            step.occurrence,
+            step.number,
+            task.index,
+            task.failed_runs,
+            task.checkpoint,
+            task.crashes,
+        )
+        for step in job.steps.values()
+        for task in step.tasks
+        if task.phase is not Phase.DONE
+        and (task.failed_runs or task.checkpoint or task.crashes)
+    ]
+    return Progress(job.state, steps, tasks, zones=sorted(job.zones or ()))
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -15,10 +15,11 @@
     RunningTask,
 )
 from .board import Board
+from .commands import Stop
 from .const import VANISHED_HOLDS
 from .health import Health
 from .intake import Intake
-from .models import ACTIVE, Phase, Stop, Task, WorkerState
+from .models import ACTIVE, Phase, Task, WorkerState
 from .run_lines import RunLines
 
 _LOGGER = get_logger(__name__)
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 from ..ledger.ledger import LedgerJob
 from ..ledger.models import JobState, Progress
 from .board import Board, PolicyLookup
+from .commands import Command
 from .const import (
     LOOK_SECONDS,
     MISSING_GRACE_SECONDS,
@@ -23,12 +24,14 @@
 from .crashes import Crashes, is_crash, suspects_of
 from .evacuation import Evacuation
 from .health import Health
+from .incarnations import is_other, make_worker
 from .intake import Intake
 from .losses import LossCause, tell_lost
-from .models import Command, Job, Phase, StepRun, Task, WorkerState
+from .models import Job, Phase, StepRun, Task
 from .order import ORDERS
 from .pacing import Pacing
 from .planner import Planner
+from .progress import progress_of
 from .quotas import QuotaLookup, Quotas, no_quota
 from .reports import Reports
 from .shares import RateLookup, Shares, no_rate
@@ -110,7 +113,7 @@
         worker = self.board.workers.get(worker_id)
         is_new = worker is None
         if worker is None:
-            worker = _make_worker(worker_id, entry)
+            worker = make_worker(worker_id, entry)
             self.board.workers[worker_id] = worker
         elif not worker.described and entry.born == worker.born:
             worker.describe(entry)
@@ -142,7 +145,7 @@
             and the worker gets nothing then until its own is read.
         """
         old = self.board.workers.get(worker_id)
-        new = _make_worker(worker_id, entry)
+        new = make_worker(worker_id, entry)
         new.born = born
         new.described = entry.born == born
         new.absent = not new.described
@@ -236,9 +239,7 @@
         """Return what has to be stored, and forget the jobs that are over."""
         dirty = self.board.dirty
         self.board.dirty = {}
-        records = [
-            (job_id, self.board.progress(job, wall)) for job_id, job in dirty.items()
-        ]
+        records = [(job_id, progress_of(job, wall)) for job_id, job in dirty.items()]
         for job_id, job in dirty.items():
             job.sent_zones = job.zones
             if job.state.final and job_id not in self._ending:
@@ -293,23 +294,3 @@
             return False
         expected = STUCK_FACTOR * self.board.estimates.seconds(task.step)
         return task.seconds_without_progress > max(STUCK_SECONDS, expected)
-
-
-def is_other(born: int, known: int) -> bool:
-    """Return whether two times of birth are surely those of two incarnations."""
-    return bool(born and known) and born != known
-
-
-def _make_worker(worker_id: str, entry: WorkerEntry) -> WorkerState:
-    room = entry.capacity
-    return WorkerState(
-        worker_id,
-        entry.service,
-        entry.zone,
-        tuple(entry.labels),
-        room,
-        free_cpu=room.cpu,
-        free_mem=room.mem_mb,
-        free_gpu=room.gpu,
-        born=entry.born,
-    )
--- a/tests/components/dispatch/test_held_up.py
+++ b/tests/components/dispatch/test_held_up.py
@@ -14,13 +14,8 @@
 from mustardward.components.dispatch.lanes import MOST, MOST_A_WORKER, Lanes
 from mustardward.components.dispatch.orders import Orders
 from mustardward.components.dispatch.window import FIRST_STARTS
-from mustardward.components.scheduling.models import (
-    Command,
-    Phase,
-    QueuePolicy,
-    Start,
-    Stop,
-)
+from mustardward.components.scheduling.commands import Command, Start, Stop
+from mustardward.components.scheduling.models import Phase, QueuePolicy
 from mustardward.components.scheduling.scheduler import Scheduler
 from mustardward.embedded.elsewhere import async_elsewhere
 from mustardward.embedded.estate import async_until
--- a/tests/components/dispatch/test_window.py
+++ b/tests/components/dispatch/test_window.py
@@ -8,7 +8,8 @@
 
 from mustardward.components.dispatch.const import DECISION_SECONDS
 from mustardward.components.dispatch.window import StartWindow
-from mustardward.components.scheduling.models import QueuePolicy, Start
+from mustardward.components.scheduling.commands import Start
+from mustardward.components.scheduling.models import QueuePolicy
 from mustardward.platform.models import Room
 
 from ..scheduling.builders import SchedulerBench, a_job, a_step
--- a/tests/components/scheduling/builders.py
+++ b/tests/components/scheduling/builders.py
@@ -6,14 +6,8 @@
 
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.ledger.models import JobRecord, Progress
-from mustardward.components.scheduling.models import (
-    Command,
-    QueuePolicy,
-    Start,
-    Stop,
-    Task,
-    WorkerState,
-)
+from mustardward.components.scheduling.commands import Command, Start, Stop
+from mustardward.components.scheduling.models import QueuePolicy, Task, WorkerState
 from mustardward.components.scheduling.scheduler import Scheduler
 from mustardward.platform.models import Room, SubmittedStep, WorkerEntry
 from mustardward.platform.workers import EndedTask, HoldAnswer, RunningTask, TaskName
--- a/tests/components/scheduling/test_crash_walks.py
+++ b/tests/components/scheduling/test_crash_walks.py
@@ -22,14 +22,10 @@
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.ledger.models import JobState, Progress
 from mustardward.components.scheduling import crashes, scheduler
-from mustardward.components.scheduling.board import Board
+from mustardward.components.scheduling.commands import Start, Stop
 from mustardward.components.scheduling.losses import LossCause
-from mustardward.components.scheduling.models import (
-    QueuePolicy,
-    Start,
-    Stop,
-    WorkerState,
-)
+from mustardward.components.scheduling.models import Job, QueuePolicy, WorkerState
+from mustardward.components.scheduling.progress import progress_of
 from mustardward.components.scheduling.scheduler import Scheduler
 from mustardward.platform.models import WorkerEntry
 from mustardward.platform.workers import EndedTask, HoldAnswer, RunningTask, TaskName
@@ -328,21 +324,11 @@
     walks(0, WALKS)
 
 
-def _without_marks(board: Board, job: object, wall: float) -> Progress:
-    progress = _PROGRESS(board, job, wall)  # type: ignore[arg-type]
+def _without_marks(job: Job, wall: float) -> Progress:
+    progress = progress_of(job, wall)
     return Progress(progress.state, progress.steps, [], progress.ended_at)
 
 
-_PROGRESS = Board.progress
-_SUSPECT = Board.suspect
-
-
-def _suspect_without_waiting(board: Board, task: object, incarnation: str) -> None:
-    stored = task.step.job.stored  # type: ignore[attr-defined]
-    _SUSPECT(board, task, incarnation)  # type: ignore[arg-type]
-    task.step.job.stored = stored  # type: ignore[attr-defined]
-
-
 def _everything_is_a_crash(worker: WorkerState, cause: LossCause) -> bool:
     return True
 
@@ -360,7 +346,7 @@
 
 
 MUTANTS: dict[str, tuple[object, str, object]] = {
-    "crashes-forgotten-at-a-takeover": (Board, "progress", _without_marks),
+    "crashes-forgotten-at-a-takeover": (scheduler, "progress_of", _without_marks),
     "everything-is-a-crash": (scheduler, "is_crash", _everything_is_a_crash),
     "a-drain-is-a-crash": (scheduler, "is_crash", _drains_are_crashes),
     "nothing-is-a-crash": (scheduler, "is_crash", _nothing_is_a_crash),
--- a/tests/components/scheduling/test_crashes.py
+++ b/tests/components/scheduling/test_crashes.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mustardward.components.ledger.models import JobState, Progress, TaskMark
+from mustardward.components.scheduling.commands import Start
 from mustardward.components.scheduling.const import (
     APART_WAIT_SECONDS,
     ENOUGH_CRASHES,
@@ -14,7 +15,7 @@
 )
 from mustardward.components.scheduling.demand import measure
 from mustardward.components.scheduling.losses import LossCause
-from mustardward.components.scheduling.models import Phase, Start
+from mustardward.components.scheduling.models import Phase
 
 from .builders import JOB, POOL, SchedulerBench, a_job, a_row, a_step
 
--- a/tests/components/scheduling/test_pacing.py
+++ b/tests/components/scheduling/test_pacing.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from mustardward.components.scheduling.models import Pace, Task
+from mustardward.components.scheduling.commands import Pace
+from mustardward.components.scheduling.models import Task
 from mustardward.platform.models import Room
 
 from .builders import SchedulerBench, a_job, a_row, a_step
--- a/tests/components/scheduling/test_planning.py
+++ b/tests/components/scheduling/test_planning.py
@@ -5,14 +5,9 @@
 from collections import Counter
 
 from mustardward.components.ledger.models import JobState
+from mustardward.components.scheduling.commands import AskAdvice, Start, Stop
 from mustardward.components.scheduling.const import MISSING_GRACE_SECONDS
-from mustardward.components.scheduling.models import (
-    AskAdvice,
-    Phase,
-    QueuePolicy,
-    Start,
-    Stop,
-)
+from mustardward.components.scheduling.models import Phase, QueuePolicy
 from mustardward.platform.models import Room
 from mustardward.platform.workers import REFUSED_ROOM, REFUSED_TICKET
 
--- a/tests/components/scheduling/test_quota_walks.py
+++ b/tests/components/scheduling/test_quota_walks.py
@@ -20,8 +20,9 @@
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.ledger.models import JobState, Progress
 from mustardward.components.scheduling.board import Board
+from mustardward.components.scheduling.commands import Start, Stop
 from mustardward.components.scheduling.losses import LossCause
-from mustardward.components.scheduling.models import QueuePolicy, Start, Stop
+from mustardward.components.scheduling.models import QueuePolicy
 from mustardward.components.scheduling.planner import Planner
 from mustardward.components.scheduling.quotas import Quotas
 from mustardward.components.scheduling.scheduler import Scheduler
--- a/tests/components/scheduling/test_takeover.py
+++ b/tests/components/scheduling/test_takeover.py
@@ -4,7 +4,8 @@
 
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.ledger.models import JobState, Progress, TaskMark
-from mustardward.components.scheduling.models import Phase, Stop
+from mustardward.components.scheduling.commands import Stop
+from mustardward.components.scheduling.models import Phase
 from mustardward.platform.workers import EndedTask, RunningTask, TaskName
 
 from .builders import JOB, SchedulerBench, a_job, a_step, an_entry
--- a/tests/components/scheduling/test_uncertain_starts.py
+++ b/tests/components/scheduling/test_uncertain_starts.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from mustardward.components.scheduling.commands import Start, Stop
 from mustardward.components.scheduling.losses import LossCause
-from mustardward.components.scheduling.models import Phase, Start, Stop
+from mustardward.components.scheduling.models import Phase
 from mustardward.platform.workers import REFUSED_ROOM
 
 from .builders import SchedulerBench, a_job, a_row, a_step
--- a/tests/components/scheduling/test_zones.py
+++ b/tests/components/scheduling/test_zones.py
@@ -9,7 +9,8 @@
 
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.ledger.models import JobState, Progress
-from mustardward.components.scheduling.models import Start, WorkerState
+from mustardward.components.scheduling.commands import Start
+from mustardward.components.scheduling.models import WorkerState
 from mustardward.platform.models import ENDED_DONE
 
 from .builders import JOB, SchedulerBench, a_job, a_step
