Count the room of runs that are no task's any more

What callers would see: LIMIT where workers don't check what they are given, else starts rejected for want of room.

Cause: a worker may list a run whose task went elsewhere (it was behind a cut, or carried an order out late). The run was stopped and counted for its organisation's quota, but its room counted as free until it was gone.

Change: such a run takes its step's room until the worker lists it no more. Taking and giving room stand in one place each.

Evidence: the new test failed before, with a start of 4 cores beside 6 of 8.

--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -231,16 +231,17 @@
     def note_stray(self, worker: WorkerState, name: TaskName) -> None:
         """Count a run that is no task's any more, until its worker lists it no more."""
         job = self.jobs.get(name.job)
-        if job is not None and name.step < len(job.record.steps):
-            spec = job.record.steps[name.step]
-            stray = (job.organisation, spec.asked)
-            self.quotas.take(*stray)
-            worker.strays.append(stray)
+        step = job.steps.get((name.occurrence, name.step)) if job is not None else None
+        if step is not None:
+            self.quotas.take(step.job.organisation, step.asked)
+            worker.take(step.room)
+            worker.strays.append(step)
 
     def forget_strays(self, worker: WorkerState) -> None:
         """Count a worker's strays no more, since it lists anew what runs there."""
-        for stray in worker.strays:
-            self.quotas.give_back(*stray)
+        for step in worker.strays:
+            self.quotas.give_back(step.job.organisation, step.asked)
+            worker.give_back(step.room)
         worker.strays.clear()
 
     def drop_worker(self, worker: WorkerState, now: float) -> None:
@@ -286,10 +287,7 @@
 
     def _occupy(self, task: Task, worker: WorkerState, run: int) -> None:
         step = task.step
-        room = step.room
-        worker.free_cpu -= room.cpu
-        worker.free_mem -= room.mem_mb
-        worker.free_gpu -= room.gpu
+        worker.take(step.room)
         worker.tasks[task.name] = task
         self.quotas.take(step.job.organisation, step.asked)
         step.active += 1
@@ -304,10 +302,7 @@
         if worker is None:
             return
         step = task.step
-        room = step.room
-        worker.free_cpu += room.cpu
-        worker.free_mem += room.mem_mb
-        worker.free_gpu += room.gpu
+        worker.give_back(step.room)
         worker.tasks.pop(task.name, None)
         self.quotas.give_back(step.job.organisation, step.asked)
         step.active -= 1
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -229,7 +229,7 @@
     :param leaving: whether the fleet is about to take it.
     :param due: whether its instance is still to be maintained.
     :param unanswered: the last starts that got no answer, by task and run.
-    :param strays: organisation and room of runs there that are no task's any more.
+    :param strays: the steps of runs there that are no task's any more.
     """
 
     id: str
@@ -258,7 +258,7 @@
     clock_ms: float = 0.0
     born: int = 0
     described: bool = True
-    strays: list[tuple[str, Room]] = field(default_factory=list)
+    strays: list[StepRun] = field(default_factory=list)
     unanswered: deque[tuple[TaskName, int]] = field(
         default_factory=lambda: deque(maxlen=UNANSWERED_KEPT)
     )
@@ -271,12 +271,23 @@
         self.labels = tuple(entry.labels)
         self.resize(entry.capacity)
 
+    def take(self, room: Room) -> None:
+        """Count a run's room as taken."""
+        self.free_cpu -= room.cpu
+        self.free_mem -= room.mem_mb
+        self.free_gpu -= room.gpu
+
+    def give_back(self, room: Room) -> None:
+        """Count a run's room as free again."""
+        self.free_cpu += room.cpu
+        self.free_mem += room.mem_mb
+        self.free_gpu += room.gpu
+
     def resize(self, room: Room) -> None:
         """Take over a room; what runs may take more of it than there is."""
         old = self.capacity
-        self.free_cpu += room.cpu - old.cpu
-        self.free_mem += room.mem_mb - old.mem_mb
-        self.free_gpu += room.gpu - old.gpu
+        self.take(old)
+        self.give_back(room)
         self.capacity = room
         if room != old:
             _LOGGER.info(
--- a/tests/components/scheduling/test_rooms.py
+++ b/tests/components/scheduling/test_rooms.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from mustardward.components.scheduling.demand import measure
+from mustardward.components.scheduling.losses import LossCause
 from mustardward.platform.models import Room
 
-from .builders import POOL, SchedulerBench, a_job, a_step, an_entry
+from .builders import POOL, SchedulerBench, a_job, a_row, a_step, an_entry
 
 BORN = 1_700_000_000_000
 HALF = Room(cpu=4000, mem_mb=8000)
@@ -61,3 +62,20 @@
     see(bench, HALF, born=BORN - 1000)
     bench.add(a_job(a_step(count=8)))
     assert len(bench.plan_starts()) == 8
+
+
+def test_a_run_that_is_no_tasks_any_more_takes_its_room() -> None:
+    """Guards against starts beside a stray run that bring a worker over its room."""
+    bench = a_bench()
+    bench.add(a_job(a_step(count=1, cpu=6000)))
+    (start,) = bench.plan_starts()
+    stray = a_row(start.task, 10.0)
+    bench.scheduler.lose_worker("w1", LossCause.LEASES_OVER, bench.now)
+    bench.worker("w2")
+    bench.plan_starts()
+    bench.scheduler.see_worker("w1", an_entry(born=BORN), bench.now)
+    bench.hold("w1", running=[stray])
+    bench.add(a_job(a_step(count=1, cpu=4000), job="00000000000000bb"))
+    assert bench.plan_starts() == []
+    bench.hold("w1")
+    assert [s.worker for s in bench.plan_starts()] == ["w1"]
