Start nothing beside a run whose room is not known

What callers would see: LIMIT where workers don't check what they are given, after a change of owner.

Cause: what an owner before was still stopping belongs to jobs that are over, of which only a stub is kept; the room of such a run counted as free while it was being stopped.

Evidence: the new test failed before: a start was given beside the stop.

--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -232,10 +232,12 @@
         """Count a run that is no task's any more, until its worker lists it no more."""
         job = self.jobs.get(name.job)
         step = job.steps.get((name.occurrence, name.step)) if job is not None else None
-        if step is not None:
-            self.quotas.take(step.job.organisation, step.asked)
-            worker.take(step.room)
-            worker.strays.append(step)
+        if step is None:
+            worker.unknown_runs = True
+            return
+        self.quotas.take(step.job.organisation, step.asked)
+        worker.take(step.room)
+        worker.strays.append(step)
 
     def forget_strays(self, worker: WorkerState) -> None:
         """Count a worker's strays no more, since it lists anew what runs there."""
@@ -243,6 +245,7 @@
             self.quotas.give_back(step.job.organisation, step.asked)
             worker.give_back(step.room)
         worker.strays.clear()
+        worker.unknown_runs = False
 
     def drop_worker(self, worker: WorkerState, now: float) -> None:
         """Let everything on a worker that is surely gone wait again."""
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -230,6 +230,7 @@
     :param due: whether its instance is still to be maintained.
     :param unanswered: the last starts that got no answer, by task and run.
     :param strays: the steps of runs there that are no task's any more.
+    :param unknown_runs: whether it lists a run of a job that is not known here.
     """
 
     id: str
@@ -259,6 +260,7 @@
     born: int = 0
     described: bool = True
     strays: list[StepRun] = field(default_factory=list)
+    unknown_runs: bool = False
     unanswered: deque[tuple[TaskName, int]] = field(
         default_factory=lambda: deque(maxlen=UNANSWERED_KEPT)
     )
--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -43,6 +43,7 @@
         and not worker.leaving
         and not worker.absent
         and not worker.stale
+        and not worker.unknown_runs
         and worker.refusing_until <= now
         and worker.quarantined_until <= now
     )
--- a/tests/components/scheduling/test_rooms.py
+++ b/tests/components/scheduling/test_rooms.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from mustardward.components.scheduling.commands import Stop
 from mustardward.components.scheduling.demand import measure
 from mustardward.components.scheduling.losses import LossCause
 from mustardward.platform.models import Room
+from mustardward.platform.workers import RunningTask, TaskName
 
 from .builders import POOL, SchedulerBench, a_job, a_row, a_step, an_entry
 
@@ -79,3 +81,15 @@
     assert bench.plan_starts() == []
     bench.hold("w1")
     assert [s.worker for s in bench.plan_starts()] == ["w1"]
+
+
+def test_nothing_starts_beside_a_run_whose_room_is_not_known() -> None:
+    """Guards against starts beside what an owner before is still stopping."""
+    bench = a_bench()
+    over = RunningTask(TaskName("00000000000000cc", 0, 0, 0), 7, "", 10.0, 0.0)
+    bench.hold("w1", running=[over])
+    bench.add(a_job(a_step(count=1)))
+    (stop,) = bench.plan()
+    assert isinstance(stop, Stop)
+    bench.hold("w1")
+    assert len(bench.plan_starts()) == 1
