Show a job that crashes its workers and rooms that shrink in the demo

Cause: nothing that a newcomer runs showed either.

Change: two steps on the stand-in of the platform.

--- a/mustardward/embedded/estate_demo.py
+++ b/mustardward/embedded/estate_demo.py
@@ -8,10 +8,11 @@
 
 import httpx
 
+from ..components.scheduling.const import MOST_CRASHES
 from ..exceptions import MustardwardError
 from ..helpers.registry import Registry
 from ..platform.models import SubmittedStep
-from ..standin.estate.estate import EstatePlan
+from ..standin.estate.estate import SPEC_CRASHES, EstatePlan
 from .demo import DemoLine, require
 from .estate import EstateFleet, async_run_estate_fleet, async_until
 
@@ -56,6 +57,33 @@
     return f"six tasks in two steps, {_starts(fleet)} starts, done"
 
 
+@ESTATE_STEPS.register("platform job that crashes its workers")
+async def async_crash(fleet: EstateFleet) -> str:
+    """Hand in a job that ends each worker that starts it."""
+    step = SubmittedStep(count=2, cpu=1000, mem_mb=10, estimate_ms=300)
+    path = await fleet.async_submit(PREFIX, [step], spec=SPEC_CRASHES)
+    await fleet.async_wait_state(path, "failed")
+    crashed = len(fleet.estate.crashed)
+    require(crashed <= MOST_CRASHES, f"crashed={crashed}")
+    return f"{crashed} workers crashed, the job was told as failed"
+
+
+@ESTATE_STEPS.register("platform rooms that shrink")
+async def async_shrink(fleet: EstateFleet) -> str:
+    """Shrink the workers of a pool, and run more than they hold at once."""
+    pool = PREFIX.strip("/")
+    workers = [w for w in fleet.estate.workers.values() if w.pool == pool]
+    for worker in workers:
+        fleet.estate.resize(worker.id, cores=2)
+    step = SubmittedStep(count=8, cpu=1000, mem_mb=10, estimate_ms=300)
+    path = await fleet.async_submit(PREFIX, [step])
+    await fleet.async_wait_state(path, "done")
+    for worker in workers:
+        if worker.id in fleet.estate.workers:
+            fleet.estate.resize(worker.id, cores=PLAN.cores)
+    return f"{len(workers)} workers with a quarter of their room, eight tasks, done"
+
+
 @ESTATE_STEPS.register("platform owner lost")
 async def async_lose_owner(fleet: EstateFleet) -> str:
     """End the owning entry, and run another job."""
