Let lasting tasks share workers after one crash

Cause: a task under which one worker crashed prefers workers with few other jobs' tasks.

Change: the preference is for other tasks; from the second crash on both run apart.

--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -60,11 +60,11 @@
     """
     spec = step.spec
     shunned = float(worker.id in avoided)
-    beside = _others_beside(worker, step)
     far = float(bool(spec.data_rack) and spec.data_rack not in worker.labels)
     if spec.long_running:
-        return (shunned, beside, far, *_lasting_score(worker, step))
+        return (shunned, far, *_lasting_score(worker, step))
     away = _away(worker, step.job.home)
+    beside = _others_beside(worker, step)
     speed = round(1 / worker.speed, 1)
     return (shunned, beside, far, speed, away, float(worker.free_cpu))
 
