Let a lasting task have one crash more before its job is given up

Change: for lasting tasks four crashes are enough, as beside a common cause.

The bound of starts holds: one start after the third crash, two are allowed.

--- a/mustardward/components/scheduling/crashes.py
+++ b/mustardward/components/scheduling/crashes.py
@@ -90,7 +90,7 @@
     return len(task.crashes) >= APART_CRASHES
 
 
-def _count_alone(crashes: int, together: bool) -> bool:
+def _count_alone(crashes: int, excused: bool) -> bool:
     return crashes >= ENOUGH_CRASHES
 
 
@@ -99,13 +99,13 @@
     "a job is not given up as soon for a crash that may have another cause",
     without=_count_alone,
 )
-def is_guilty(crashes: int, together: bool) -> bool:
+def is_guilty(crashes: int, excused: bool) -> bool:
     """Return whether a task's job is to be given up.
 
     :param crashes: workers that crashed under the task.
-    :param together: whether much of its pool crashed with the last one.
+    :param excused: whether chance may be the cause of as many as are usually enough.
     """
-    return crashes >= (MOST_CRASHES if together else ENOUGH_CRASHES)
+    return crashes >= (MOST_CRASHES if excused else ENOUGH_CRASHES)
 
 
 @dataclass(slots=True, eq=False)
@@ -156,7 +156,9 @@
         crashed_at = task.judged_at - TOGETHER_SECONDS
         task.judged_at = 0.0
         together = self._crashed_together(task, crashed_at)
-        guilty = is_guilty(len(task.crashes), together)
+        # A task that lasts meets more crashes by chance than one of a second.
+        excused = together or task.step.spec.long_running
+        guilty = is_guilty(len(task.crashes), excused)
         _LOGGER.info(
             "task_suspected",
             task=encode_task(task.name),
--- a/tests/components/scheduling/test_crashes.py
+++ b/tests/components/scheduling/test_crashes.py
@@ -154,6 +154,14 @@
     assert crashed == ENOUGH_CRASHES
 
 
+def test_a_lasting_task_may_have_bad_luck_once_more() -> None:
+    """Guards against a lasting job that is given up for crashes by chance."""
+    bench = SchedulerBench()
+    bench.add(a_job(a_step(count=1, long_running=True)))
+    assert crash_all_that_start(bench, rounds=10) == MOST_CRASHES
+    assert bench.stored[JOB].state is JobState.FAILED
+
+
 def test_a_lasting_task_outlives_the_job_that_crashes_its_workers() -> None:
     """Guards against giving up a neighbour that was on all workers that crashed."""
     bench = SchedulerBench()
