Suspect no run whose stop was acknowledged before the crash

What callers would see: a sound job shown as failed, though its task was not there.

Cause: a start without an answer is stopped; once the worker acknowledged that, the run is over or never was, but it counted among the suspects until the next list.

--- a/mustardward/components/scheduling/crashes.py
+++ b/mustardward/components/scheduling/crashes.py
@@ -53,13 +53,15 @@
     return cause in _CRASH_CAUSES and not (worker.draining or worker.leaving)
 
 
-def began(task: Task) -> bool:
-    """Return whether a worker may have begun a task's run."""
+def may_run(task: Task) -> bool:
+    """Return whether a worker may have begun a task's run, and not stopped it."""
+    if task.stop_acknowledged_at is not None:
+        return False
     return task.phase is not Phase.STARTING or task.sent or task.seen_running
 
 
 def _suspect_all(worker: WorkerState, now: float) -> list[Task]:
-    return [task for task in worker.tasks.values() if began(task)]
+    return [task for task in worker.tasks.values() if may_run(task)]
 
 
 @switchable(
@@ -72,7 +74,7 @@
     return [
         task
         for task in worker.tasks.values()
-        if began(task) and not _has_run_on(task, now)
+        if may_run(task) and not _has_run_on(task, now)
     ]
 
 
--- a/tests/components/scheduling/test_crash_walks.py
+++ b/tests/components/scheduling/test_crash_walks.py
@@ -358,7 +358,7 @@
     ),
     "an-order-without-answer-does-not-count": (
         crashes,
-        "began",
+        "may_run",
         lambda task: task.seen_running,
     ),
     "neighbours-are-convicted": (crashes, "runs_apart", lambda task: False),
--- a/tests/components/scheduling/test_crashes.py
+++ b/tests/components/scheduling/test_crashes.py
@@ -84,6 +84,20 @@
     assert starts[1].task.crashes == ()
 
 
+def test_a_run_that_was_stopped_before_the_crash_is_not_suspected() -> None:
+    """Guards against a sound job that is given up for crashes it was not there for."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1)))
+    (start,) = [c for c in bench.plan() if isinstance(c, Start)]
+    reports = bench.scheduler.reports
+    reports.start_sent(start.task, start.run)
+    reports.start_unknown(start.task, start.run)
+    reports.stop_answered(start.task, start.run, bench.now)
+    crash(bench, "w1")
+    assert start.task.crashes == ()
+
+
 def test_crashes_count_on_after_a_takeover() -> None:
     """Guards against an owner that starts to count anew."""
     bench = SchedulerBench()
