Count every start after enough crashes, however it ended

What callers would see: BUDGET, if runs of a task that crashes its workers end by moves, drains or leases instead, after a change of owner hid its last judgement.

Cause: what was bounded were crashes, and what must be bounded are starts.

Change: a loss of any cause counts for a task under which three workers crashed.

--- a/mustardward/components/scheduling/crashes.py
+++ b/mustardward/components/scheduling/crashes.py
@@ -117,11 +117,24 @@
     board: Board
     _recent: deque[_Crash] = field(default_factory=deque)
 
-    def note(self, worker: WorkerState, suspects: list[Task], now: float) -> None:
-        """Take in that a worker crashed, after its tasks were taken from it.
+    def note(
+        self, worker: WorkerState, cause: LossCause, suspects: list[Task], now: float
+    ) -> None:
+        """Take in that a worker was lost, after its tasks were taken from it.
 
-        :param suspects: its tasks that may have been the cause.
+        :param suspects: its tasks that may have crashed it.
         """
+        if is_crash(worker, cause):
+            self._note_crash(worker, suspects, now)
+            return
+        # Each further start of these counts, however it ended.
+        for task in suspects:
+            if len(task.crashes) >= ENOUGH_CRASHES:
+                self._suspect(task, worker, now)
+
+    def _note_crash(
+        self, worker: WorkerState, suspects: list[Task], now: float
+    ) -> None:
         CRASHES.inc()
         _LOGGER.warning(
             "worker_crashed",
@@ -131,9 +144,12 @@
         )
         self._recent.append(_Crash(now, worker.service, tuple(suspects)))
         for task in suspects:
-            if not task.step.job.state.final:
-                self.board.suspect(task, worker.incarnation)
-                task.judged_at = now + TOGETHER_SECONDS
+            self._suspect(task, worker, now)
+
+    def _suspect(self, task: Task, worker: WorkerState, now: float) -> None:
+        if not task.step.job.state.final:
+            self.board.suspect(task, worker.incarnation)
+            task.judged_at = now + TOGETHER_SECONDS
 
     def judge(self, now: float) -> None:
         """Give up the jobs whose tasks crash their workers, and clear sound ones."""
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -21,7 +21,7 @@
     STUCK_FACTOR,
     STUCK_SECONDS,
 )
-from .crashes import Crashes, is_crash, suspects_of
+from .crashes import Crashes, suspects_of
 from .evacuation import Evacuation
 from .health import Health
 from .incarnations import is_other, make_worker
@@ -162,8 +162,7 @@
             tell_lost(old, LossCause.REBORN, now)
             suspects = suspects_of(old, now)
             self.board.replace_worker(old, new, now)
-            if is_crash(old, LossCause.REBORN):
-                self._crashes.note(old, suspects, now)
+            self._crashes.note(old, LossCause.REBORN, suspects, now)
 
     def miss_worker(self, worker_id: str, now: float) -> None:
         """Take in that a worker's entry is gone; what runs there may go on."""
@@ -184,8 +183,7 @@
             tell_lost(worker, cause, now)
             suspects = suspects_of(worker, now)
             self.board.drop_worker(worker, now)
-            if is_crash(worker, cause):
-                self._crashes.note(worker, suspects, now)
+            self._crashes.note(worker, cause, suspects, now)
 
     def hold_worker(
         self, worker_id: str, answer: HoldAnswer, sent_at: float, now: float
--- a/tests/components/scheduling/test_crashes.py
+++ b/tests/components/scheduling/test_crashes.py
@@ -203,6 +203,21 @@
     assert start.task.crashes == ()
 
 
+def test_each_start_after_enough_crashes_counts_however_it_ended() -> None:
+    """Guards against starts without a bound while other causes end the runs."""
+    bench = SchedulerBench()
+    suspected(bench, crashes=MOST_CRASHES - 1)
+    starts = 0
+    for number in range(5):
+        bench.worker(f"w{number}")
+        for start in bench.plan_starts():
+            starts += 1
+            bench.scheduler.lose_worker(start.worker, LossCause.ORDERED, bench.now)
+        bench.now += 1.0
+        bench.store()
+    assert starts == 1
+
+
 def test_a_suspected_job_shares_no_worker() -> None:
     """Guards against a crash that ends other jobs' work, and has many suspects."""
     bench = SchedulerBench()
