--- a/tests/components/scheduling/test_crash_walks.py
+++ b/tests/components/scheduling/test_crash_walks.py
@@ -35,6 +35,9 @@
 WALKS = 120
 STEPS = 140
 TASK_SECONDS = 0.8
+KEPT_SEEDS = (2246,)
+"""Walks beyond the first ones that broke a rule."""
+
 MOST_CRASHES_FOR_CAUSE = 2
 """Crashes under one task after which its job may be shown as failed."""
 
@@ -320,6 +323,11 @@
     walks(0, WALKS)
 
 
+@pytest.mark.parametrize("seed", KEPT_SEEDS)
+def test_an_order_that_broke_a_rule_once_keeps_it(seed: int) -> None:
+    walks(seed, seed + 1)
+
+
 def _without_marks(job: Job, wall: float) -> Progress:
     progress = progress_of(job, wall)
     return Progress(progress.state, progress.steps, [], progress.ended_at)
