--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -153,7 +153,7 @@
         if step.open:
             self.ready[id(step)] = step
 
-    def wait_on(self, step: StepRun, tasks: Iterable[Task]) -> None:
+    def put_back(self, step: StepRun, tasks: Iterable[Task]) -> None:
         """Put the tasks back on a step's queue that were taken off and not assigned."""
         step.waiting.extend(task for task in tasks if task.phase is Phase.WAITING)
         if not step.waiting:
@@ -203,7 +203,7 @@
             return
         task.crashes += (incarnation,)
         job = task.step.job
-        self.weigh(job)
+        self.update_suspicion(job)
         if job.suspicion >= APART_CRASHES:
             job.stored = False
             job.zones = None
@@ -214,10 +214,10 @@
         if task.crashes:
             task.crashes = ()
             task.judged_at = 0.0
-            self.weigh(task.step.job)
+            self.update_suspicion(task.step.job)
             self.mark_dirty(task.step.job)
 
-    def weigh(self, job: Job) -> None:
+    def update_suspicion(self, job: Job) -> None:
         """Count anew how far a job is suspected."""
         job.suspicion = max(
             (len(task.crashes) for step in job.steps.values() for task in step.tasks),
--- a/mustardward/components/scheduling/crashes.py
+++ b/mustardward/components/scheduling/crashes.py
@@ -27,7 +27,7 @@
     TOGETHER_SECONDS,
     TOGETHER_SHARE,
 )
-from .losses import LossCause
+from .losses import MOST_IN_LINE, LossCause
 from .models import Job, Phase, StepRun, Task, WorkerState
 
 _LOGGER = get_logger(__name__)
@@ -140,7 +140,8 @@
             "worker_crashed",
             worker=worker.id,
             born=worker.born,
-            suspects=",".join(encode_task(task.name) for task in suspects),
+            tasks=len(suspects),
+            suspects=",".join(encode_task(t.name) for t in suspects[:MOST_IN_LINE]),
         )
         self._recent.append(_Crash(now, worker.service, tuple(suspects)))
         for task in suspects:
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -172,7 +172,7 @@
             task.failed_runs = task_mark.failed_runs
             task.checkpoint = task_mark.checkpoint
             task.crashes = task_mark.crashes
-        self.board.weigh(job)
+        self.board.update_suspicion(job)
         self._skip_begun(job)
 
     def _restore_done(self, job: Job, mark: StepMark) -> None:
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -98,7 +98,7 @@
             if step.waiting and offers.workers and not offers.fits_nowhere(step):
                 self._place_among_others(step, offers, promised, now)
             if suspects:
-                self.board.wait_on(step, suspects)
+                self.board.put_back(step, suspects)
 
     def _place_among_others(
         self, step: StepRun, offers: Offers, promised: Counter[str], now: float
