Take no run number for a gang that finds no room

What callers would see: in time nothing or worse, runs numbered as the next owner's, whose orders workers then reject as old.

Parting the start of a gang from its placing moved the draw of its run number ahead of the question whether it was placed, so each plan, some 20 a second, used one up for each gang that waits; a number has 20 bits below its owner's epoch.

Change: a gang that is not placed draws none, as before the change.

Evidence: the new test failed before, with five numbers used in five plans.

--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -248,9 +248,11 @@
         self._start_gang(placed, now)
 
     def _start_gang(self, placed: GangPlaces | None, now: float) -> None:
+        if placed is None:
+            return
         # Members wait for each other on their workers, so that all go or none.
         run = self.board.next_run()
-        for task, worker in placed or ():
+        for task, worker in placed:
             self._starts_left -= 1
             self.board.assign(task, worker, run, now)
 
--- a/tests/components/scheduling/test_planning.py
+++ b/tests/components/scheduling/test_planning.py
@@ -415,3 +415,14 @@
     bench.worker("w2", zone="z1", labels=["a", "r2"], capacity=Room(2000, 8000))
     bench.add(a_job(a_step(count=4)))
     assert starts_by_worker(bench) == {"w0": 3, "w1": 1}
+
+
+def test_a_gang_that_finds_no_room_takes_no_run_number() -> None:
+    """Guards against a wait that uses run numbers up, into those of the next owner."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=9, gang=True)))
+    first = bench.scheduler.board.next_run()
+    for _ in range(5):
+        assert bench.plan_starts() == []
+    assert bench.scheduler.board.next_run() == first + 1
