Show that a worker sleeps with a run of no task on its books

Cause: WorkerSession.wake sets an event that the session replaces just before it waits, so a wake that comes in the pause between two looks is lost. A stop is answered some 20 ms after the look that asked for it, the pause is 70 ms, and _idle asks nothing of unknown runs and strays. Both stay on the books until something wakes the session, and nothing does: a worker with unknown_runs is given no start.

--- /dev/null
+++ b/tests/components/dispatch/test_holds.py
@@ -0,0 +1,95 @@
+"""Test that a worker, or work, that was held back is given back once it may be."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from mustardward.components.ledger.ledger import LedgerJob
+from mustardward.components.ledger.marks import pack
+from mustardward.components.ledger.models import JobState, Progress, StepMark
+from mustardward.components.scheduling.models import Phase
+from mustardward.platform.bodies import StartBody
+from mustardward.standin.estate.worker import STOP_MS, MemoryWorker, Work
+
+from ..scheduling.builders import POOL, a_job, a_step
+from .test_reborn import BORN, ROOM, WORKER, RebornBench
+
+pytestmark = pytest.mark.anyio
+
+OLD_RUN = (1 << 20) + 1
+OLD_JOB = "00000000000000bb"
+WHOLE = a_step(count=1, cpu=ROOM.cpu, mem_mb=ROOM.mem_mb, long_running=True)
+
+
+class _Stopping(MemoryWorker):
+    """Play a worker on which a repeated stop puts no end off."""
+
+    def stop(self, task: str, run: int, token: int, now_ms: float) -> str:
+        running = self.runs.get(task)
+        if running is not None and running.stops_at_ms is not None:
+            return ""
+        return super().stop(task, run, token, now_ms)
+
+
+@asynccontextmanager
+async def a_takeover(*, running: str, ledger: LedgerJob) -> AsyncIterator[RebornBench]:
+    """Yield an owner that takes over a worker on which an owner before left a run.
+
+    :param running: the run's task, which takes the whole worker.
+    :param ledger: what the log says of its job.
+    """
+    async with anyio.create_task_group() as tasks:
+        bench = RebornBench(tasks)
+        work_of = bench.worker.work_of
+        work_of[f"{OLD_JOB}.0"] = Work(ROOM, 60.0, lasts=True)
+        bench.worker.process = _Stopping(WORKER, "m", POOL, ROOM, work_of, born=BORN)
+        order = StartBody(running, OLD_RUN, "x", 10**9, 1)
+        assert bench.worker.process.start(order, 100_000.0) == ""
+        bench.scheduler.add_job(ledger, bench.timers.monotonic(), 0.0)
+        bench.see()
+        yield bench
+        tasks.cancel_scope.cancel()
+
+
+async def async_check_used(bench: RebornBench) -> None:
+    """Check that the worker runs what needs all of it, once the stop is over."""
+    await bench.async_pass(STOP_MS / 1000 + 1.0)
+    bench.worker.process.advance(bench.worker._clock())
+    assert not bench.worker.process.runs
+    bench.add(WHOLE)
+    await bench.async_pass(12.0)
+    worker = bench.scheduler.board.workers[WORKER]
+    assert (worker.unknown_runs, worker.strays) == (False, [])
+    assert (worker.free_cpu, bench.task().phase) == (0, Phase.RUNNING)
+
+
+async def test_a_worker_with_a_run_of_a_cancelled_job_is_used_once_it_ended() -> None:
+    """Symptom: a worker that nothing runs on is given nothing, as long as it lives.
+
+    Sequence: a job is cancelled while no owner is there; the next one reads its run and
+    stops it; the stop is acknowledged while the session pauses between two looks, and
+    the wake-up with it is lost; no task is there, so that the session sleeps. Cause: no
+    further look shows that the run is gone.
+    """
+    cancelled = a_job(WHOLE, job=OLD_JOB)
+    cancelled.cancelled_at = 5.0
+    async with a_takeover(running=f"{OLD_JOB}.0.0.0", ledger=cancelled) as bench:
+        await async_check_used(bench)
+
+
+async def test_a_stray_gives_its_room_back_once_it_ended() -> None:
+    """Symptom: room that nothing takes is never given, where nothing else runs.
+
+    Sequence: a run of a task that is done is read and stopped, and the session sleeps
+    before the worker lists its end.
+    """
+    half_done = a_job(a_step(count=2, cpu=ROOM.cpu, mem_mb=ROOM.mem_mb), job=OLD_JOB)
+    marks = [StepMark(0, 0, pack([0]))]
+    half_done.progress = Progress(JobState.RUNNING, marks, [])
+    async with a_takeover(running=f"{OLD_JOB}.0.0.0", ledger=half_done) as bench:
+        bench.scheduler.cancel_job(OLD_JOB)
+        await async_check_used(bench)
