Show that a worker that fell silent is never lost by its leases

Cause: WorkerSession._async_call moves lease_until on by a lease before each look, as a look without an answer may have been carried out. It is made anew each 0.55 s, so that _failed never finds the lease over. Only a worker that had never answered, whose clock is not known, is told no deadline, and that is the one case the tests had. The list of instances ends the hold, where it stops naming the worker; one that is cut off from the owner and listed as up keeps its tasks for as long as that lasts.

--- a/tests/components/dispatch/test_holds.py
+++ b/tests/components/dispatch/test_holds.py
@@ -8,6 +8,7 @@
 import anyio
 import pytest
 
+from mustardward.components.dispatch.const import LEASE_SECONDS
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.ledger.marks import pack
 from mustardward.components.ledger.models import JobState, Progress, StepMark
@@ -93,3 +94,26 @@
     async with a_takeover(running=f"{OLD_JOB}.0.0.0", ledger=half_done) as bench:
         bench.scheduler.cancel_job(OLD_JOB)
         await async_check_used(bench)
+
+
+async def test_a_worker_that_falls_silent_is_lost_when_its_longest_lease_is_over() -> (
+    None
+):
+    """Symptom: what runs on a worker that is cut off never goes elsewhere.
+
+    Sequence: a worker answers, is given a task, and falls silent, while the list of
+    instances still names it. Cause: each look that gets no answer asks for a lease
+    anew and counts as renewed, so that the lease is never over.
+    """
+    async with anyio.create_task_group() as tasks:
+        bench = RebornBench(tasks)
+        bench.see()
+        await bench.async_pass(0.3)
+        bench.add(a_step(count=1, long_running=True))
+        await bench.async_pass(0.3)
+        assert bench.task().phase is Phase.RUNNING
+        bench.worker.dark = True
+        await bench.async_pass(4 * LEASE_SECONDS)
+        phase = bench.task().phase
+        tasks.cancel_scope.cancel()
+    assert phase is Phase.WAITING
