Check that a worker's books hold over any order of events

400 walks of 160 events (rebirths, resizes, strays, ends listed twice, cancels, takeovers, adopted runs, lost and late answers): free room, quotas and a step's counts are what is held after each. Two mutants are found.

--- /dev/null
+++ b/tests/components/scheduling/test_room_walks.py
@@ -0,0 +1,199 @@
+"""Check that room and quotas are given back as often as they are taken.
+
+Walks as those of ``test_quota_walks``, with runs that are no task's, workers that
+change their size, and jobs that are cancelled, stored and forgotten. After each event
+the books are made anew from what is held.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+import pytest
+
+from mustardward.components.scheduling.board import Board
+from mustardward.components.scheduling.models import ACTIVE, Task
+from mustardward.platform.models import Room
+from mustardward.platform.workers import EndedTask, HoldAnswer, RunningTask, TaskName
+
+from .builders import a_job, a_step, an_entry
+from .test_quota_walks import FATES, ORGANISATIONS, WORKERS, QuotaWalk, _Order
+
+MOST_JOBS = 30
+UNKNOWN = TaskName("ffffffffffffffff", 0, 0, 0)
+
+
+class RoomWalk(QuotaWalk):
+    """Drive an owner, and check its books alone."""
+
+    def __init__(self, seed: int) -> None:
+        """Begin with workers of one size."""
+        self.rooms = dict.fromkeys(WORKERS, Room(8000, 8000))
+        self.strays_seen = 0
+        super().__init__(seed)
+
+    def _see(self, name: str) -> None:
+        born = self.truth[name].born
+        entry = an_entry(born=born, capacity=self.rooms[name])
+        known = self.scheduler.board.workers.get(name)
+        if known is not None and known.born != born:
+            self.scheduler.replace_worker(name, born, entry, self.now)
+        self.scheduler.see_worker(name, entry, self.now)
+
+    def _check_start(self, order: _Order) -> None:
+        """Check nothing: strays are made on purpose."""
+
+    def _hold(self, name: str) -> None:
+        worker = self.truth[name]
+        known = self.scheduler.board.workers.get(name)
+        if worker.silent or known is None or known.born != worker.born:
+            return
+        worker.token = max(worker.token, self.epoch)
+        rows = [RunningTask(t, r, "", 50.0, 0.0) for t, r in worker.running.items()]
+        answer = HoldAnswer(0.0, rows, list(worker.ended), worker.born)
+        self.scheduler.hold_worker(name, answer, self.now, self.now)
+        self.strays_seen += len(known.strays)
+
+    def fail(self, name: str) -> None:
+        """Let a run fail."""
+        worker = self.truth[name]
+        for task in list(worker.running)[:1]:
+            self._end(worker, task, "failed")
+
+    def resize(self, name: str) -> None:
+        """Let a worker shrink or grow, whatever runs there."""
+        cores = self.random.choice([1000, 2000, 4000, 8000, 16000])
+        self.rooms[name] = Room(cores, self.random.choice([500, 8000]))
+        self._see(name)
+
+    def stray(self, name: str) -> None:
+        """Let a worker run something beside what is known."""
+        names = [UNKNOWN] + [
+            TaskName(job, 0, 0, index) for job in self.jobs for index in range(3)
+        ]
+        run = self.random.choice([1, 5, 1 << 20, (1 << 20) + 1])
+        self.truth[name].running.setdefault(self.random.choice(names), run)
+
+    def repeat_end(self, name: str) -> None:
+        """Let a worker list an end of a run that is not there."""
+        worker = self.truth[name]
+        jobs = self.scheduler.board.jobs.values()
+        tasks = [t for job in jobs for s in job.steps.values() for t in s.tasks]
+        if tasks:
+            task = self.random.choice(tasks)
+            how = self.random.choice(["done", "failed", "stopped", "lapsed"])
+            number = len(worker.ended) + 1
+            worker.ended.append(EndedTask(number, task.name, task.run, how, ""))
+            worker.ended_at.append(0)
+
+    def cancel(self) -> None:
+        """Cancel a job."""
+        if self.jobs:
+            self.scheduler.cancel_job(self.random.choice(sorted(self.jobs)))
+
+    def store(self) -> None:
+        """Store what is due; jobs that are over are forgotten after that."""
+        for job_id, progress in self.scheduler.take_dirty(self.now, self.now):
+            self.jobs[job_id].progress = progress
+            self.scheduler.note_stored([job_id])
+
+    def submit(self, organisation: str, count: int) -> None:
+        """Accept a job, while there are few."""
+        if len(self.jobs) >= MOST_JOBS:
+            return
+        name = f"{len(self.jobs):016x}"
+        job = a_job(a_step(count=count), job=name, organisation=organisation)
+        self.jobs[name] = job
+        self.scheduler.add_job(job, self.now, self.now)
+
+    def counts_match(self) -> None:
+        """Compare rooms, quotas and counts with what is held."""
+        board = self.scheduler.board
+        used: Counter[str] = Counter()
+        for worker in board.workers.values():
+            steps = [task.step for task in worker.tasks.values()] + worker.strays
+            used.update({o: 0 for o in ORGANISATIONS})
+            for step in steps:
+                used[step.job.organisation] += step.asked.cpu
+            cpu = worker.capacity.cpu - sum(step.room.cpu for step in steps)
+            mem = worker.capacity.mem_mb - sum(step.room.mem_mb for step in steps)
+            assert (worker.free_cpu, worker.free_mem) == (cpu, mem), "room"
+            for task in worker.tasks.values():
+                assert task.worker is worker and task.phase in ACTIVE, "task"
+        for organisation in ORGANISATIONS:
+            counted = board.quotas.used(organisation).cpu
+            assert counted == used[organisation], "quota"
+        for job in board.jobs.values():
+            for step in job.steps.values():
+                active = [t for t in step.tasks if t.worker is not None]
+                assert step.active == len(active), "active"
+                here = Counter(t.worker.id for t in active if t.worker is not None)
+                assert +step.on_worker == here, "on worker"
+
+
+def walk_once(seed: int, steps: int = 160) -> RoomWalk:
+    """Walk, and check the books after each event."""
+    walk = RoomWalk(seed)
+    draw = walk.random
+    events: list[Callable[[], None]] = [
+        lambda: walk.submit(draw.choice(ORGANISATIONS), draw.randint(1, 4)),
+        lambda: walk.plan([draw.choice(FATES) for _ in range(12)]),
+        lambda: walk.plan(["answered"]),
+        lambda: walk.finish(draw.choice(WORKERS)),
+        lambda: walk.fail(draw.choice(WORKERS)),
+        lambda: walk.hold(draw.choice(WORKERS)),
+        lambda: walk.hold(draw.choice(WORKERS)),
+        lambda: walk.carry_out_late(draw.choice(WORKERS), draw.randint(0, 3)),
+        lambda: walk.cut_or_mend(draw.choice(WORKERS)),
+        lambda: walk.lapse(),
+        lambda: walk.restart(draw.choice(WORKERS)),
+        lambda: walk.configure(draw.choice(ORGANISATIONS), draw.randint(1, 6)),
+        lambda: walk.take_over(),
+        lambda: walk.release(),
+        lambda: walk.resize(draw.choice(WORKERS)),
+        lambda: walk.stray(draw.choice(WORKERS)),
+        lambda: walk.repeat_end(draw.choice(WORKERS)),
+        lambda: walk.cancel(),
+        lambda: walk.store(),
+        lambda: walk.store(),
+    ]
+    for _ in range(steps):
+        draw.choice(events)()
+        walk.counts_match()
+    return walk
+
+
+@pytest.mark.parametrize("first", range(0, 400, 100))
+def test_no_order_of_events_loses_room_or_gives_it_back_twice(first: int) -> None:
+    seen = sum(walk_once(seed).strays_seen for seed in range(first, first + 100))
+    assert seen > 100
+
+
+def _keep_strays_of_the_lost(patch: pytest.MonkeyPatch) -> None:
+    """Give nothing back for the strays of a worker."""
+    patch.setattr(Board, "forget_strays", lambda board, worker: worker.strays.clear())
+
+
+def _give_doubted_room_back_twice(patch: pytest.MonkeyPatch) -> None:
+    """Give the room of a start without an answer back twice."""
+    doubt = Board.doubt
+
+    def twice(board: Board, task: Task) -> None:
+        doubt(board, task)
+        if task.worker is not None:
+            task.worker.give_back(task.step.room)
+
+    patch.setattr(Board, "doubt", twice)
+
+
+@pytest.mark.parametrize(
+    "mutate", [_keep_strays_of_the_lost, _give_doubted_room_back_twice]
+)
+def test_a_book_that_is_wrong_is_found(
+    mutate: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    mutate(monkeypatch)
+    with pytest.raises(AssertionError):
+        for seed in range(100):
+            walk_once(seed)
