Show that a worker first read under another service is barred for good

Cause: Scheduler.see_worker makes the worker of the first entry that it reads, and takes every later one with another service for another writer's. Where the first was, the worker's own entry bars it, and the service stays wrong, until another owner or another life. An entry that can't be read at all does no such harm: the next good one, equal to the one before, takes it back.

--- a/tests/components/dispatch/test_holds.py
+++ b/tests/components/dispatch/test_holds.py
@@ -6,16 +6,20 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import msgspec
 import pytest
 
 from mustardward.components.dispatch.const import LEASE_SECONDS
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.ledger.marks import pack
 from mustardward.components.ledger.models import JobState, Progress, StepMark
+from mustardward.components.ownership.directory import WorkerDirectory
 from mustardward.components.scheduling.models import Phase
 from mustardward.platform.bodies import StartBody
+from mustardward.platform.store import KeyedRecord
 from mustardward.standin.estate.worker import STOP_MS, MemoryWorker, Work
 
+from ...platform.test_entries import GOOD
 from ..scheduling.builders import POOL, a_job, a_step
 from .test_reborn import BORN, ROOM, WORKER, RebornBench
 
@@ -117,3 +121,49 @@
         phase = bench.task().phase
         tasks.cancel_scope.cancel()
     assert phase is Phase.WAITING
+
+
+async def test_a_worker_first_read_under_another_service_is_used_under_its_own() -> (
+    None
+):
+    """Symptom: a worker is given nothing for as long as its owner lives.
+
+    Sequence: another writer's entry names a service that there is none of; an owner
+    takes over and reads it first; the worker writes its own entry again. Cause: the
+    first service that was read is taken for the worker's, and bars its own entry.
+    """
+    async with anyio.create_task_group() as tasks:
+        bench = RebornBench(tasks)
+        bench.see(service="no-such-service")
+        await bench.async_pass(0.3)
+        bench.see()
+        bench.add(a_step(count=1, long_running=True))
+        await bench.async_pass(12.0)
+        worker = bench.scheduler.board.workers[WORKER]
+        tasks.cancel_scope.cancel()
+    assert (worker.absent, worker.service) == (False, POOL)
+    assert bench.task().phase is Phase.RUNNING
+
+
+async def test_a_worker_whose_entry_could_not_be_read_is_used_once_it_can() -> None:
+    """The same entry as before the unreadable one ends what the latter began."""
+    async with anyio.create_task_group() as tasks:
+        bench = RebornBench(tasks)
+        bench.see()
+        await bench.async_pass(0.3)
+        directory = WorkerDirectory(
+            bench.dispatcher.see_worker,
+            lambda name: bench.scheduler.miss_worker(name, bench.timers.monotonic()),
+            bench.scheduler.bar_worker,
+        )
+        good = {**GOOD, "service": POOL, "born": BORN}
+        for entry in (good, {**good, "state": "?"}, good):
+            directory.apply(KeyedRecord(1, WORKER, msgspec.json.encode(entry)))
+            worker = bench.scheduler.board.workers[WORKER]
+            assert worker.absent == (entry["state"] == "?")
+        directory.apply(KeyedRecord(1, WORKER, b""))
+        await bench.async_pass(4.0)
+        assert worker.absent
+        directory.apply(KeyedRecord(1, WORKER, msgspec.json.encode(good)))
+        assert not worker.absent
+        tasks.cancel_scope.cancel()
