Show that an entry larger than one call holds the owner's log up for good

Beyond request-bytes (2 MB; some 10,000 small jobs, 2,000 with many checkpoints) the store refuses it each time, and the renewals behind it are never stored.

--- /dev/null
+++ b/tests/components/ledger/test_holds.py
@@ -0,0 +1,59 @@
+"""Test that nothing that waits to be appended holds up all that comes after it."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from mustardward.components.ledger.appender import GroupAppender, Outcome, Record
+from mustardward.helpers.timer import DrivenTimerService
+from mustardward.platform.boot import BootStore
+from mustardward.platform.exceptions import CallRefusedError
+from mustardward.platform.store import Producer
+
+from .builders import async_appending
+
+pytestmark = pytest.mark.anyio
+
+RECORD_BYTES = 1000
+RECORDS = 3 * BootStore("").request_bytes // RECORD_BYTES
+
+
+class _BoundedStore:
+    """Refuse calls that are larger than what the platform takes."""
+
+    def __init__(self) -> None:
+        self.stored: list[str] = []
+
+    async def async_append(self, records: list[Record], producer: Producer) -> int:
+        if sum(len(value) for _, value in records) > BootStore("").request_bytes:
+            raise CallRefusedError("status=413")
+        self.stored.extend(key for key, _ in records)
+        return len(self.stored)
+
+
+async def test_more_than_one_call_takes_is_appended_in_several() -> None:
+    """Symptom: nothing of an owner is stored any more, and its authority ends.
+
+    Load: after an outage the progress of thousands of jobs is due at once. Sequence:
+    it is handed over as one entry, which is one call, and refused for its size each
+    time; the renewals come behind it. Cause: only whole entries are parted.
+    """
+    store = _BoundedStore()
+    timers = DrivenTimerService()
+    appender = GroupAppender(store.async_append, timers, "owner/s", epoch=1)
+    records = [(f"p/{number}", b"x" * RECORD_BYTES) for number in range(RECORDS)]
+    outcomes: list[Outcome] = []
+
+    async def async_append() -> None:
+        outcome = await appender.async_append(records, timers.monotonic() + 1e6)
+        outcomes.append(outcome)
+
+    async with async_appending(appender), anyio.create_task_group() as tasks:
+        tasks.start_soon(async_append)
+        for _ in range(20):
+            await anyio.wait_all_tasks_blocked()
+            await timers.async_advance(0.5)
+        tasks.cancel_scope.cancel()
+    assert outcomes == [Outcome.STORED]
+    assert store.stored == [key for key, _ in records]
