Show that a stop's answer counts for an incarnation that was not told

Cause: Orders._async_stop takes the session before it calls, and reports the answer by task and run, which a worker that started again keeps. No hold: the window lasts until the next incarnation's own stop is through, and is one for a second run.

--- a/tests/components/dispatch/test_holds.py
+++ b/tests/components/dispatch/test_holds.py
@@ -16,12 +16,14 @@
 from mustardward.components.ownership.directory import WorkerDirectory
 from mustardward.components.scheduling.models import Phase
 from mustardward.platform.bodies import StartBody
+from mustardward.platform.exceptions import CallUnknownError
 from mustardward.platform.store import KeyedRecord
+from mustardward.platform.workers import HoldAnswer, StartAnswer, StartOrder, TaskName
 from mustardward.standin.estate.worker import STOP_MS, MemoryWorker, Work
 
 from ...platform.test_entries import GOOD
 from ..scheduling.builders import POOL, a_job, a_step
-from .test_reborn import BORN, ROOM, WORKER, RebornBench
+from .test_reborn import BORN, ROOM, WORKER, RebornBench, _Never
 
 pytestmark = pytest.mark.anyio
 
@@ -167,3 +169,46 @@
         directory.apply(KeyedRecord(1, WORKER, msgspec.json.encode(good)))
         assert not worker.absent
         tasks.cancel_scope.cancel()
+
+
+async def test_a_stop_is_acknowledged_by_the_incarnation_that_may_run_it() -> None:
+    """Symptom: a task runs twice.
+
+    Sequence: a start gets no answer; its stop is under way as the worker starts again;
+    the incarnation before answers it, and the task goes elsewhere before the next one
+    was told to reject the start. Cause: the answer is counted by task and run alone.
+    """
+    release = anyio.Event()
+
+    class _Before:
+        async def async_start(self, order: StartOrder) -> StartAnswer:
+            raise CallUnknownError("no answer")
+
+        async def async_stop(self, task: TaskName, run: int) -> None:
+            await release.wait()
+
+        async def async_hold(self, *_: object) -> HoldAnswer:
+            await anyio.sleep_forever()
+            raise AssertionError
+
+    async with anyio.create_task_group() as tasks:
+        bench = RebornBench(tasks)
+        bench.see()
+        await bench.async_pass(0.3)
+        bench.add(a_step(count=1, long_running=True))
+        before = bench.session
+        for _ in range(2):
+            before.client = _Before()  # type: ignore[assignment]
+            now = bench.timers.monotonic()
+            bench.dispatcher.orders.execute(bench.scheduler.plan(now, 0.0))
+            await anyio.wait_all_tasks_blocked()
+        assert bench.task().phase is Phase.UNCERTAIN
+        bench.worker.restart()
+        bench.see()
+        bench.session.client = _Never()  # type: ignore[assignment]
+        assert bench.session is not before
+        release.set()
+        await anyio.wait_all_tasks_blocked()
+        acknowledged_at = bench.task().stop_acknowledged_at
+        tasks.cancel_scope.cancel()
+    assert acknowledged_at is None
