--- /dev/null
+++ b/tests/components/scheduling/test_hold_walks.py
@@ -0,0 +1,361 @@
+"""Check over any order of events that in a calm all work runs that can.
+
+Before the calm, starts and records of progress are answered or not, runs end or fail,
+workers fall silent, leave, come back and crash, callers cancel, and owners change, with
+or without what they had under way to the log. Data centres and racks differ, rules of
+steps too, but each step has room somewhere in the pool. Walks are drawn from seeds.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+import pytest
+
+from mustardward.components.ledger.ledger import LedgerJob
+from mustardward.components.ledger.models import Progress
+from mustardward.components.scheduling.commands import Start, Stop
+from mustardward.components.scheduling.losses import LossCause
+from mustardward.components.scheduling.models import Phase, StepRun, WorkerState
+from mustardward.components.scheduling.placement import fits, may_run
+from mustardward.platform.models import Room, SubmittedStep
+from mustardward.platform.workers import EndedTask, RunningTask, TaskName
+
+from .builders import SchedulerBench, a_job, a_step, an_entry
+
+WALKS = 60
+POOLS = 150
+ROUNDS = 12
+STEPS = 120
+TICK_SECONDS = 0.1
+RUN_SECONDS = 0.6
+CALM_SECONDS = 40.0
+ZONES = ("z1", "z2", "z3")
+WORKERS_IN_ZONE = 2
+MOST_LASTING = 4
+TEAM = "team"
+QUOTAS = {TEAM: Room(cpu=16_000)}
+"""Room for the widest gang beside all that lasts."""
+
+
+@dataclass(slots=True)
+class _Place:
+    """Hold what really runs on a worker, and the ends that it still lists."""
+
+    zone: str
+    runs: dict[TaskName, tuple[int, float]] = field(default_factory=dict)
+    ends: list[EndedTask] = field(default_factory=list)
+    count: int = 0
+    silent: bool = False
+
+    def end(self, name: TaskName, how: str) -> None:
+        """End a run."""
+        run, _ = self.runs.pop(name)
+        self.count += 1
+        self.ends.append(EndedTask(self.count, name, run, how, ""))
+
+
+class _Walk:
+    """Play one walk."""
+
+    def __init__(self, seed: int) -> None:
+        self.chance = random.Random(seed)
+        self.bench = SchedulerBench(quotas=QUOTAS)
+        self.places: dict[str, _Place] = {}
+        self.accepted: dict[str, LedgerJob] = {}
+        self.log: dict[str, Progress] = {}
+        self.under_way: dict[str, Progress] = {}
+        self.upto: dict[str, int] = {}
+        self.lasting = 0
+        self.joined = 0
+        for zone in ZONES:
+            for _ in range(WORKERS_IN_ZONE):
+                self.join(zone)
+
+    def join(self, zone: str) -> None:
+        """Let a worker join the pool."""
+        self.joined += 1
+        name = f"w{self.joined}"
+        self.places[name] = _Place(zone)
+        self.see(name)
+
+    def see(self, name: str) -> None:
+        """Let the owner read a worker's entry."""
+        zone = self.places[name].zone
+        entry = an_entry(zone=zone, labels=["a", f"r-{zone}"])
+        self.bench.scheduler.see_worker(name, entry, self.bench.now)
+
+    def step(self) -> None:
+        """Let one thing happen, and a moment pass."""
+        kinds = [self.accept] * 3 + [self.take, self.note] * 3
+        kinds += [self.silence, self.leave, self.fail, self.cancel] + [self.crash] * 3
+        kinds += [self.take_over] * (self.chance.random() < 0.3)
+        self.chance.choice(kinds)()
+        self.tick(calm=False)
+
+    def accept(self) -> None:
+        """Take a job in."""
+        job_id = f"{len(self.accepted):016x}"
+        job = a_job(
+            *self.draw_steps(),
+            job=job_id,
+            accepted_at=self.bench.now,
+            organisation=self.chance.choice(["", TEAM]),
+        )
+        self.accepted[job_id] = job
+        self.bench.scheduler.add_job(job, self.bench.now, self.bench.now)
+
+    def draw_steps(self) -> list[SubmittedStep]:
+        """Return the steps of a job."""
+        draw = self.chance
+        kind = draw.randrange(6)
+        if kind == 0 and self.lasting < MOST_LASTING:
+            self.lasting += 1
+            return [a_step(count=2, cpu=500, long_running=True)]
+        if kind == 1:
+            return [a_step(count=draw.randint(2, 3), cpu=3000, gang=True)]
+        rules: dict[str, object] = {"cpu": draw.choice([500, 2000, 5000])}
+        if kind == 2:
+            rules["max_per_server"] = draw.randint(1, 2)
+        if kind == 3:
+            rules["required_label"] = f"r-{draw.choice(ZONES)}"
+        if kind == 4:
+            rules["data_rack"] = f"r-{draw.choice(ZONES)}"
+        first = a_step(count=draw.randint(1, 6), estimate_ms=600, **rules)
+        return [first] if draw.random() < 0.7 else [first, a_step(after=[0])]
+
+    def take(self) -> None:
+        """Begin an append."""
+        if not self.under_way:
+            scheduler = self.bench.scheduler
+            now = self.bench.now
+            self.under_way = dict(scheduler.take_dirty(now, now))
+            self.upto = {name: place.count for name, place in self.places.items()}
+
+    def note(self) -> None:
+        """End an append."""
+        self.log.update(self.under_way)
+        self.bench.scheduler.note_stored(self.under_way)
+        self.under_way = {}
+        for name, number in self.upto.items():
+            if name in self.places:
+                place = self.places[name]
+                place.ends = [end for end in place.ends if end.number > number]
+        self.upto = {}
+
+    def silence(self) -> None:
+        """Let a worker fall silent, or answer again."""
+        name = self.chance.choice(list(self.places))
+        place = self.places[name]
+        place.silent = not place.silent
+        self.bench.scheduler.board.workers[name].stale = place.silent
+
+    def leave(self) -> None:
+        """Let the fleet take a worker, or take that back."""
+        name = self.chance.choice(list(self.places))
+        leaving = self.bench.scheduler.board.workers[name].leaving
+        self.bench.scheduler.set_leaving(name, not leaving, self.bench.now)
+
+    def crash(self) -> None:
+        """End a worker; another one joins in its place."""
+        name = self.chance.choice(list(self.places))
+        place = self.places.pop(name)
+        cause = self.chance.choice([LossCause.UNLISTED, LossCause.ORDERED])
+        self.bench.scheduler.lose_worker(name, cause, self.bench.now)
+        self.join(place.zone)
+
+    def fail(self) -> None:
+        """Let a run fail."""
+        places = [place for place in self.places.values() if place.runs]
+        if places:
+            place = self.chance.choice(places)
+            place.end(self.chance.choice(list(place.runs)), "failed")
+
+    def cancel(self) -> None:
+        """Cancel a job."""
+        if self.accepted and self.chance.random() < 0.3:
+            job_id = self.chance.choice(list(self.accepted))
+            self.accepted[job_id].cancelled_at = self.bench.now
+            self.bench.scheduler.cancel_job(job_id)
+
+    def take_over(self) -> None:
+        """Let another owner follow, which reads the log."""
+        if self.chance.random() < 0.5:
+            self.log.update(self.under_way)
+        self.under_way = {}
+        self.upto = {}
+        before = self.bench
+        self.bench = SchedulerBench(
+            epoch=before.epoch + 1, now=before.now, quotas=QUOTAS
+        )
+        board = self.bench.scheduler.board
+        board.taken_over_at = before.now
+        board.held_until = before.now + 1.5
+        for job_id, job in self.accepted.items():
+            job.progress = self.log.get(job_id)
+            self.bench.scheduler.add_job(job, before.now, before.now)
+        for name in self.places:
+            self.see(name)
+
+    def tick(self, calm: bool) -> None:
+        """Plan, carry orders out, and let workers report."""
+        bench = self.bench
+        for command in bench.plan():
+            if isinstance(command, Start):
+                self.start(command, calm)
+            elif isinstance(command, Stop):
+                self.stop(command)
+        bench.now += TICK_SECONDS
+        for name, place in list(self.places.items()):
+            self.report(name, place)
+
+    def start(self, command: Start, calm: bool) -> None:
+        """Carry a start out, answered or not, or lose it."""
+        reports = self.bench.scheduler.reports
+        reports.start_sent(command.task, command.run)
+        luck = 1.0 if calm else self.chance.random()
+        if luck > 0.1:
+            place = self.places[command.worker]
+            place.runs[command.task.name] = (command.run, self.bench.now)
+        if luck > 0.2:
+            reports.start_answered(command.task, command.run, "", self.bench.now)
+        else:
+            reports.start_unknown(command.task, command.run)
+
+    def stop(self, command: Stop) -> None:
+        """Carry a stop out."""
+        place = self.places.get(command.worker)
+        if place is None:
+            return
+        if place.runs.get(command.name, (0, 0.0))[0] == command.run:
+            place.end(command.name, "stopped")
+        if command.task is not None:
+            reports = self.bench.scheduler.reports
+            reports.stop_answered(command.task, command.run, self.bench.now)
+
+    def report(self, name: str, place: _Place) -> None:
+        """Let a worker's runs go on, and let it tell of them."""
+        now = self.bench.now
+        for task, (_, began) in list(place.runs.items()):
+            steps = self.accepted[task.job].record.steps
+            if not steps[task.step].long_running and now - began >= RUN_SECONDS:
+                place.end(task, "done")
+        if place.silent:
+            return
+        rows = [
+            RunningTask(task, run, "", 100.0, 0.0)
+            for task, (run, _) in place.runs.items()
+        ]
+        self.bench.clock_ms = 1000 * now
+        self.bench.hold(name, rows, list(place.ends))
+
+    def calm_down(self) -> None:
+        """Let all workers answer and stay, and the log take all, for a while."""
+        for name, place in self.places.items():
+            place.silent = False
+            self.bench.scheduler.set_leaving(name, False, self.bench.now)
+        for _ in range(round(CALM_SECONDS / TICK_SECONDS)):
+            self.take()
+            self.note()
+            self.tick(calm=True)
+
+    def taken(self, organisation: str) -> int:
+        """Return what an organisation's runs really take, in thousandths of a core."""
+        records = [
+            (self.accepted[task.job].record, task.step)
+            for place in self.places.values()
+            for task in place.runs
+        ]
+        return sum(
+            record.steps[step].cpu
+            for record, step in records
+            if record.organisation == organisation
+        )
+
+    def waiting(self) -> list[str]:
+        """Return what is neither over nor runs."""
+        board = self.bench.scheduler.board
+        left: list[str] = []
+        for job_id, job in self.accepted.items():
+            if job.cancelled_at or (
+                job_id in self.log and self.log[job_id].state.final
+            ):
+                continue
+            known = board.jobs.get(job_id)
+            steps = known.steps.values() if known is not None else ()
+            lasts = [s for s in steps if s.spec.long_running]
+            tasks = [task for step in lasts for task in step.tasks]
+            if not tasks or any(t.phase is not Phase.RUNNING for t in tasks):
+                left.append(job_id)
+        return left
+
+
+@pytest.mark.parametrize("seed", range(WALKS))
+def test_in_a_calm_all_work_runs_that_can(seed: int) -> None:
+    """Guards against work that waits for what never comes, or is never told."""
+    walk = _Walk(seed)
+    for _ in range(STEPS):
+        walk.step()
+    walk.calm_down()
+    assert walk.waiting() == []
+    assert walk.bench.scheduler.board.quotas.used(TEAM).cpu == walk.taken(TEAM)
+
+
+def a_crowd(chance: random.Random) -> SchedulerBench:
+    """Return a pool of uneven workers, and jobs of which not all have room."""
+    bench = SchedulerBench()
+    for number in range(chance.randint(1, 7)):
+        zone = chance.choice(ZONES)
+        room = Room(cpu=chance.randint(1, 9) * 1000, mem_mb=chance.randint(1, 9) * 1000)
+        labels = ["a", f"r-{zone}"]
+        bench.worker(f"w{number}", zone=zone, labels=labels, capacity=room)
+    for number in range(chance.randint(1, 25)):
+        rules: dict[str, object] = {
+            "count": chance.randint(1, 5),
+            "cpu": chance.randint(1, 6) * 1000,
+            "mem_mb": chance.randint(1, 6) * 1000,
+        }
+        kind = chance.randrange(6)
+        if kind == 0:
+            rules["max_per_server"] = 1
+        elif kind == 1:
+            rules["required_label"] = f"r-{chance.choice(ZONES)}"
+        elif kind == 2:
+            rules["data_rack"] = f"r-{chance.choice(ZONES)}"
+        elif kind == 3:
+            rules["fills"] = True
+        bench.add(a_job(a_step(**rules), job=f"{number:016x}"), stored=False)
+    return bench
+
+
+def could_run(step: StepRun, workers: list[WorkerState]) -> bool:
+    """Return whether a step has a task that waits beside room for it."""
+    return bool(step.waiting) and any(
+        fits(worker, step.room) and may_run(worker, step) for worker in workers
+    )
+
+
+def test_no_task_waits_beside_room_for_it() -> None:
+    """Guards against room that is found too small for one step, and is not for others.
+
+    All of the log is told after each plan, so that every data centre may be used.
+    """
+    chance = random.Random(1)
+    for _ in range(POOLS):
+        bench = a_crowd(chance)
+        board = bench.scheduler.board
+        for _ in range(ROUNDS):
+            bench.store()
+            bench.plan_starts()
+            here = {
+                id(step): [
+                    worker
+                    for worker in board.workers.values()
+                    if worker.zone in (step.job.open_zones or ZONES)
+                ]
+                for step in board.ready.values()
+            }
+            assert not [s for s in board.ready.values() if could_run(s, here[id(s)])]
+        workers = list(board.workers.values())
+        assert not [s for s in board.ready.values() if could_run(s, workers)]
