--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -170,3 +170,20 @@
     bench.add(suspected(MOST_CRASHES, **kind))
     assert Play(bench).run(1.0) == []
     assert bench.stored[JOB].state is JobState.FAILED
+
+
+HOPELESS = {
+    "label": {"required_label": "nowhere"},
+    "processor": {"cpu": 9000},
+    "memory": {"mem_mb": 9000},
+}
+
+
+@pytest.mark.parametrize("reason", HOPELESS)
+def test_a_lasting_task_that_no_worker_can_take_keeps_none(reason: str) -> None:
+    """Guards against a pool that stands still for a task it can never run."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1, long_running=True, **HOPELESS[reason]), job=OTHER))
+    bench.add(a_job())
+    assert Play(bench).run(CALM_SECONDS) == [JOB, JOB]
