--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -187,3 +187,19 @@
     bench.add(a_job(a_step(count=1, long_running=True, **HOPELESS[reason]), job=OTHER))
     bench.add(a_job())
     assert Play(bench).run(CALM_SECONDS) == [JOB, JOB]
+
+
+def test_a_lasting_task_that_advice_keeps_off_a_worker_does_not_keep_it() -> None:
+    """Guards against a worker that stands idle for a task it is not allowed."""
+    bench = SchedulerBench()
+    bench.worker("w1", capacity=Room(cpu=1000, mem_mb=8000))
+    bench.worker("w2")
+    lasting = a_step(count=2, long_running=True)
+    bench.add(a_job(lasting, job=OTHER))
+    job = bench.scheduler.board.jobs[OTHER]
+    job.policy = QueuePolicy(service=POOL, advice=True)
+    step = job.steps[(0, 0)]
+    bench.scheduler.give_tickets(step, {"w1": "t"}, bench.now + 100.0)
+    assert [start.worker for start in bench.plan_starts()] == ["w1"]
+    bench.add(a_job())
+    assert Play(bench).run(CALM_SECONDS) == [JOB, JOB]
