Show that the worker kept for a lasting task may lack the memory for it

The emptiest by processor is kept, which has no memory left; short tasks go on taking the holes of the other one. Held for as long as they come.

--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -203,3 +203,25 @@
     assert [start.worker for start in bench.plan_starts()] == ["w1"]
     bench.add(a_job())
     assert Play(bench).run(CALM_SECONDS) == [JOB, JOB]
+
+
+def test_a_lasting_task_that_lacks_memory_keeps_a_worker_that_can_have_it() -> None:
+    """Guards against short tasks that take each hole a lasting one waits for.
+
+    The worker with most of its processor free has no memory left for it.
+    """
+    bench = SchedulerBench()
+    bench.worker("w1")
+    lasting = a_step(count=1, cpu=100, mem_mb=7000, long_running=True)
+    bench.add(a_job(lasting))
+    play = Play(bench)
+    play.run(1.0)
+    bench.worker("w2", capacity=Room(cpu=4000, mem_mb=8000))
+    for number in range(200):
+        name = f"f{number:015x}"
+        play.seconds[name] = 1.0
+        bench.add(a_job(a_step(count=1, mem_mb=2000), job=name))
+        if number == 20:
+            bench.add(a_job(lasting, job=OTHER))
+        play.tick()
+    assert bench.task(0, job=OTHER).phase is Phase.RUNNING
