--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -225,3 +225,15 @@
             bench.add(a_job(lasting, job=OTHER))
         play.tick()
     assert bench.task(0, job=OTHER).phase is Phase.RUNNING
+
+
+def test_a_suspected_task_that_fits_no_worker_keeps_none() -> None:
+    """Guards against a pool that waits as long as its longest task runs."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    play = Play(bench)
+    bench.add(a_job(a_step(count=1, estimate_ms=60_000), job=OTHER))
+    play.run(1.0)
+    bench.add(suspected(required_label="nowhere"))
+    bench.add(a_job(job=THIRD))
+    assert play.run(CALM_SECONDS) == [THIRD, THIRD]
