--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -237,3 +237,15 @@
     bench.add(suspected(required_label="nowhere"))
     bench.add(a_job(job=THIRD))
     assert play.run(CALM_SECONDS) == [THIRD, THIRD]
+
+
+def test_a_suspected_task_does_not_hold_a_pool_for_a_long_task() -> None:
+    """Guards against ordinary work that waits as long as another's task runs."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    play = Play(bench)
+    bench.add(a_job(a_step(count=1, estimate_ms=60_000), job=OTHER))
+    play.run(1.0)
+    bench.add(suspected())
+    bench.add(a_job(job=THIRD))
+    assert play.run(CALM_SECONDS)[-2:] == [THIRD, THIRD]
