Show that a lasting suspect that always fails early is never cleared

Its worker is given to nobody else while it runs, and it is cleared by a run of 5 s or by being done alone: one that fails before has its worker for ever.

--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -249,3 +249,21 @@
     bench.add(suspected())
     bench.add(a_job(job=THIRD))
     assert play.run(CALM_SECONDS)[-2:] == [THIRD, THIRD]
+
+
+def test_a_suspected_lasting_task_that_fails_early_does_not_hold_its_worker() -> None:
+    """Guards against a worker that others never get, since its task is never cleared.
+
+    A lasting task is cleared once it ran for a while; this one always fails before.
+    """
+    bench = SchedulerBench()
+    bench.worker("w1")
+    play = Play(bench)
+    bench.add(suspected(job=OTHER, long_running=True))
+    bench.add(a_job())
+    for _ in range(20):
+        play.run(3.0)
+        task = bench.task(0, job=OTHER)
+        if task.worker is not None:
+            bench.end(task, "failed")
+    assert JOB in {start.task.name.job for start in play.started}
