Show that an older record's append lets a suspect start before its crash is stored

Board.suspect takes stored back, and note_stored of a record that was under way sets it. The next owner does not know of the crash. This starts too early, it holds nothing.

--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -267,3 +267,20 @@
         if task.worker is not None:
             bench.end(task, "failed")
     assert JOB in {start.task.name.job for start in play.started}
+
+
+def test_a_suspected_task_starts_only_once_its_own_crash_is_in_the_log() -> None:
+    """Guards against a record from before the crash that is taken for one after it."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("w2")
+    bench.add(suspected(crashes=1))
+    (start,) = bench.plan_starts()
+    bench.scheduler.board.mark_dirty(start.task.step.job)
+    under_way = dict(bench.scheduler.take_dirty(bench.now, bench.now))
+    bench.scheduler.board.end_run(start.task, bench.now)
+    bench.scheduler.board.suspect(start.task, "w1")
+    bench.scheduler.note_stored(under_way)
+    assert bench.plan_starts() == []
+    bench.store()
+    assert len(bench.plan_starts()) == 1
