Show that a new owner passes over an occurrence of which nothing is stored

Intake._skip_begun goes on after the highest occurrence that has marks; one before it without any is never opened. For ever: the job then even ends as done.

--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -7,6 +7,7 @@
 import pytest
 
 from mustardward.components.ledger.ledger import LedgerJob
+from mustardward.components.ledger.marks import pack
 from mustardward.components.ledger.models import JobState, Progress, StepMark, TaskMark
 from mustardward.components.scheduling.commands import Start
 from mustardward.components.scheduling.const import MOST_CRASHES
@@ -284,3 +285,14 @@
     assert bench.plan_starts() == []
     bench.store()
     assert len(bench.plan_starts()) == 1
+
+
+def test_an_occurrence_of_which_nothing_is_stored_runs_under_the_next_owner() -> None:
+    """Guards against an occurrence that is passed over since a later one began."""
+    bench = SchedulerBench(epoch=2)
+    bench.worker("w1")
+    play = Play(bench, {JOB: 1.0})
+    bench.add(a_timed_job(StepMark(1, 0, pack([0]))))
+    play.run(CALM_SECONDS)
+    runs = {(s.task.name.occurrence, s.task.index) for s in play.started}
+    assert runs == {(0, 0), (0, 1), (1, 1), (2, 0), (2, 1)}
