--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -13,7 +13,7 @@
 from mustardward.components.scheduling.const import MOST_CRASHES
 from mustardward.components.scheduling.models import Phase, QueuePolicy, Task
 from mustardward.platform.models import ENDED_DONE, Room
-from mustardward.platform.workers import EndedTask
+from mustardward.platform.workers import EndedTask, TaskName
 
 from .builders import JOB, POOL, SchedulerBench, a_job, a_row, a_step
 
@@ -296,3 +296,15 @@
     play.run(CALM_SECONDS)
     runs = {(s.task.name.occurrence, s.task.index) for s in play.started}
     assert runs == {(0, 0), (0, 1), (1, 1), (2, 0), (2, 1)}
+
+
+def test_an_end_of_an_occurrence_that_is_not_open_yet_counts() -> None:
+    """Guards against an end that is dropped, and that its worker then forgets."""
+    bench = SchedulerBench(epoch=2)
+    bench.worker("w1")
+    bench.add(a_timed_job())
+    name = TaskName(JOB, 0, 0, 0)
+    bench.hold("w1", ended=[EndedTask(1, name, 5, ENDED_DONE, "")])
+    play = Play(bench, {JOB: 1.0})
+    play.run(CALM_SECONDS)
+    assert (0, 0) not in {(s.task.name.occurrence, s.task.index) for s in play.started}
