--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -308,3 +308,12 @@
     play = Play(bench, {JOB: 1.0})
     play.run(CALM_SECONDS)
     assert (0, 0) not in {(s.task.name.occurrence, s.task.index) for s in play.started}
+
+
+def test_a_suspected_task_gets_a_worker_that_has_room_for_it() -> None:
+    """Guards against a wait beside an empty worker that is too small."""
+    bench = SchedulerBench()
+    bench.worker("w1", capacity=Room(cpu=900, mem_mb=8000))
+    bench.worker("w2")
+    job = suspected(job=OTHER, cpu=4000)
+    assert OTHER in run_beside_short_tasks(Play(bench), job)
