--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -317,3 +317,12 @@
     bench.worker("w2")
     job = suspected(job=OTHER, cpu=4000)
     assert OTHER in run_beside_short_tasks(Play(bench), job)
+
+
+def test_a_suspected_gang_gets_the_workers_that_it_needs() -> None:
+    """Guards against a gang that waits for a second empty worker."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("w2")
+    job = suspected(job=OTHER, count=2, cpu=5000, gang=True)
+    assert OTHER in run_beside_short_tasks(Play(bench), job)
