Show that a suspect waits beside lasting tasks while short ones come

keep_one_to_empty keeps no worker that has a lasting task, and is_free_for takes none with a short one. Held for as long as short tasks come.

--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -326,3 +326,13 @@
     bench.worker("w2")
     job = suspected(job=OTHER, count=2, cpu=5000, gang=True)
     assert OTHER in run_beside_short_tasks(Play(bench), job)
+
+
+def test_a_suspected_task_gets_room_where_each_worker_has_a_lasting_task() -> None:
+    """Guards against a wait for as long as short tasks go on coming."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    play = Play(bench)
+    bench.add(a_job(a_step(count=1, long_running=True), job=THIRD))
+    play.run(6.0)
+    assert OTHER in run_beside_short_tasks(play, suspected(job=OTHER))
