Show that an occurrence found running is not opened

Intake.step_of makes its steps, _open_steps is called for it at the end of another step only. Held until some other step of the job is complete.

--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -13,7 +13,7 @@
 from mustardward.components.scheduling.const import MOST_CRASHES
 from mustardward.components.scheduling.models import Phase, QueuePolicy, Task
 from mustardward.platform.models import ENDED_DONE, Room
-from mustardward.platform.workers import EndedTask, TaskName
+from mustardward.platform.workers import EndedTask, RunningTask, TaskName
 
 from .builders import JOB, POOL, SchedulerBench, a_job, a_row, a_step
 
@@ -336,3 +336,13 @@
     bench.add(a_job(a_step(count=1, long_running=True), job=THIRD))
     play.run(6.0)
     assert OTHER in run_beside_short_tasks(play, suspected(job=OTHER))
+
+
+def test_what_is_left_of_an_occurrence_runs_beside_what_the_next_owner_found() -> None:
+    """Guards against an occurrence whose steps are made but never opened."""
+    bench = SchedulerBench(epoch=2)
+    bench.worker("w1")
+    bench.add(a_timed_job(StepMark(1, 0, pack([0])), StepMark(2, 0, pack([0]))))
+    bench.hold("w1", [RunningTask(TaskName(JOB, 0, 0, 0), 5, "", 10.0, 0.0)])
+    Play(bench, {JOB: 1.0}).run(1.0)
+    assert bench.task(1, occurrence=0).phase is not Phase.WAITING
