--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -346,3 +346,12 @@
     bench.hold("w1", [RunningTask(TaskName(JOB, 0, 0, 0), 5, "", 10.0, 0.0)])
     Play(bench, {JOB: 1.0}).run(1.0)
     assert bench.task(1, occurrence=0).phase is not Phase.WAITING
+
+
+def test_a_timed_job_is_not_done_while_an_occurrence_has_not_run() -> None:
+    """Guards against a job that is shown as done once its last occurrences are."""
+    bench = SchedulerBench(epoch=2)
+    bench.worker("w1")
+    done = pack([0, 1])
+    bench.add(a_timed_job(StepMark(1, 0, done), StepMark(2, 0, done)))
+    assert bench.scheduler.board.jobs[JOB].state is JobState.RUNNING
