--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -355,3 +355,16 @@
     done = pack([0, 1])
     bench.add(a_timed_job(StepMark(1, 0, done), StepMark(2, 0, done)))
     assert bench.scheduler.board.jobs[JOB].state is JobState.RUNNING
+
+
+def test_a_job_that_is_found_running_is_stored_as_running() -> None:
+    """Guards against a job that callers are shown as queued while it runs."""
+    bench = SchedulerBench(epoch=2)
+    bench.worker("w1")
+    job = a_job(a_step(count=2, long_running=True))
+    job.progress = Progress(JobState.QUEUED)
+    bench.add(job)
+    rows = [RunningTask(TaskName(JOB, 0, 0, n), 5 + n, "", 50.0, 0.0) for n in (0, 1)]
+    bench.hold("w1", rows)
+    Play(bench).run(5.0)
+    assert bench.stored.get(JOB, job.progress).state is JobState.RUNNING
