--- a/tests/components/dispatch/test_gone_workers.py
+++ b/tests/components/dispatch/test_gone_workers.py
@@ -152,7 +152,7 @@
 async def test_a_sound_job_is_not_given_up_for_workers_that_were_gone(
     gone: Exception,
 ) -> None:
-    """A job whose starts met only workers that had crashed before was shown as failed."""
+    """A job whose starts met only workers gone before was shown as failed."""
     async with a_bench() as bench:
         bench.lose_rack(gone)
         bench.add()
@@ -163,7 +163,7 @@
 
 
 async def test_a_job_that_crashes_idle_workers_before_they_answer_is_given_up() -> None:
-    """A task that ends each worker before it answers its start is started three times."""
+    """A task that ends each worker before it answers is started three times."""
     async with a_bench() as bench:
         for worker in bench.workers.values():
             worker.deadly = True
