--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -313,6 +313,7 @@
             if now - told_at > TELL_SECONDS:
                 told_at = now
                 log_loads(self.scheduler.board, now)
+                self.scheduler.waits.tell(now)
                 load.tell(now)
             if now - swept_at > SWEEP_SECONDS:
                 swept_at = now
--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from ...helpers.instruments import OWNED_EPOCH
+from ...helpers.instruments import OLDEST_WAIT_SECONDS, OWNED_EPOCH
 from ...helpers.logging import get_logger
 from ...platform.exceptions import (
     CallRefusedError,
@@ -155,4 +155,5 @@
         finally:
             self.owner = None
             OWNED_EPOCH.set(0)
+            OLDEST_WAIT_SECONDS.set(0)
             self._parts.follower.hurry(None)
--- a/mustardward/components/scheduling/offers.py
+++ b/mustardward/components/scheduling/offers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Set
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from ...platform.models import Room
 from .crashes import has_lasting
@@ -12,18 +14,30 @@
 Where = frozenset[str] | None
 
 
+class Kept(NamedTuple):
+    """Hold a worker that a plan gives to nobody else, and the step it is kept for."""
+
+    worker: WorkerState
+    step: StepRun
+
+
 @dataclass(slots=True, eq=False)
 class Offers:
     """Hold a pool's workers in one plan, and the rooms that were found too large.
 
+    :param apart: the workers where suspected tasks run.
     :param by_zone: the workers of each data centre.
+    :param kept: the workers that were taken out, and for whom.
     """
 
     workers: list[WorkerState]
+    apart: Set[str] = frozenset()
     by_zone: dict[str, list[WorkerState]] = field(default_factory=dict)
+    kept: list[Kept] = field(default_factory=list)
     _lists: dict[Where, list[WorkerState]] = field(default_factory=dict)
     _full: dict[Where, list[Room]] = field(default_factory=lambda: defaultdict(list))
     _nowhere: list[Room] = field(default_factory=list)
+    _nowhere_of: list[StepRun] = field(default_factory=list)
     _one_is_kept: bool = False
 
     def __post_init__(self) -> None:
@@ -50,6 +64,13 @@
         """Return whether a step needs as much as what no worker of the pool has."""
         return _covers(self._nowhere, step.room)
 
+    def found_by(self, step: StepRun) -> StepRun | None:
+        """Return the step whose tasks showed that a step fits nowhere, if any."""
+        for other in self._nowhere_of:
+            if _covers([other.room], step.room):
+                return other
+        return None
+
     def may_fit(self, step: StepRun) -> bool:
         """Return whether its own data centres may have room for a step."""
         return not _covers(self._full[step.job.open_zones], step.room)
@@ -59,22 +80,24 @@
         self._full[step.job.open_zones].append(step.room)
         if everywhere:
             self._nowhere.append(step.room)
+            self._nowhere_of.append(step)
 
-    def keep_emptiest(self, workers: list[WorkerState]) -> None:
-        """Give the emptiest of some workers to nobody else in this plan."""
+    def keep_emptiest(self, workers: list[WorkerState], step: StepRun) -> None:
+        """Give the emptiest of some workers to no other step in this plan."""
         if workers:
-            self.leave_out([max(workers, key=lambda worker: worker.free_cpu)])
+            self.leave_out([max(workers, key=lambda worker: worker.free_cpu)], step)
 
-    def keep_one_to_empty(self) -> None:
+    def keep_one_to_empty(self, step: StepRun) -> None:
         """Keep one worker that becomes empty by itself, whoever waits for it."""
         if not self._one_is_kept:
             self._one_is_kept = True
-            self.keep_emptiest([w for w in self.workers if not has_lasting(w)])
+            self.keep_emptiest([w for w in self.workers if not has_lasting(w)], step)
 
-    def leave_out(self, taken: list[WorkerState]) -> None:
-        """Give workers to nobody else in this plan."""
+    def leave_out(self, taken: list[WorkerState], step: StepRun) -> None:
+        """Give workers to no other step in this plan."""
         left = [worker for worker in self.workers if worker not in taken]
         if len(left) < len(self.workers):
+            self.kept.extend(Kept(w, step) for w in taken if w in self.workers)
             self.workers = left
             self._part()
 
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -21,7 +21,8 @@
 from .order import Capacity, Order, prioritise
 from .placement import GangPlaces, Shortlist, choose_gang, choose_home, usable
 from .quota_waits import QuotaWaits
-from .zones import Zones
+from .waits import Reason, Waits, reason_elsewhere
+from .zones import Zones, promised_room
 
 ADVICE_SECONDS = 2.0
 """Longest wait for advice before it is asked again."""
@@ -37,17 +38,21 @@
     board: Board
     zones: Zones
     order: Order | None = None
-    waits: QuotaWaits = field(default_factory=QuotaWaits)
+    quota_waits: QuotaWaits = field(default_factory=QuotaWaits)
+    waits: Waits = field(default_factory=Waits)
     _starts_left: int = 0
     _turn: int = 0
 
     def run(self, now: float, most_starts: int) -> None:
         """Give the starts that are possible, up to a number of them."""
         self._starts_left = most_starts
+        self.waits.begin(now, most_starts)
         self.board.quotas.set_unseen(self._unseen(now))
         by_service: dict[str, list[StepRun]] = {}
         for step in self.board.ready.values():
-            if step.waiting and step.job.stored:
+            if step.waiting and not step.job.stored:
+                self.waits.note(step, Reason.NOT_STORED)
+            elif step.waiting:
                 by_service.setdefault(step.job.policy.service, []).append(step)
         for service in self._in_turn(sorted(by_service)):
             workers = [
@@ -57,7 +62,9 @@
             ]
             if workers:
                 self._place(workers, by_service[service], now)
-        self.waits.flush(self.board.quotas, now)
+            else:
+                self.waits.note_all(by_service[service], Reason.NO_USABLE_WORKER)
+        self.quota_waits.flush(self.board.quotas, now)
 
     def _in_turn(self, services: list[str]) -> list[str]:
         """Return the pools, another one first each time.
@@ -85,17 +92,22 @@
             steps, now, self.board.estimates, self._capacity(workers, now), self.order
         )
         apart = workers_apart(self.board.suspects.values())
-        offers = Offers([worker for worker in workers if worker.id not in apart])
-        promised = self._on_the_way(steps)
-        for step in ranked:
+        offers = Offers([worker for worker in workers if worker.id not in apart], apart)
+        promised = promised_room(steps)
+        for number, step in enumerate(ranked):
             if self._starts_left <= 0:
+                self.waits.note_all(ranked[number:], Reason.STARTS_USED_UP)
                 return
-            if self.board.is_held(step.job, now) or awaits_judgement(step.job):
+            if self.board.is_held(step.job, now):
+                self.waits.note(step, Reason.HELD_AFTER_TAKEOVER)
+                continue
+            if awaits_judgement(step.job):
+                self.waits.note(step, Reason.AWAITS_JUDGEMENT)
                 continue
             suspects = take_suspects(step)
             if suspects:
                 self._place_apart(step, suspects, workers, offers, now)
-            if step.waiting and offers.workers and not offers.fits_nowhere(step):
+            if step.waiting:
                 self._place_among_others(step, offers, promised, now)
             if suspects:
                 self.board.put_back(step, suspects)
@@ -103,6 +115,12 @@
     def _place_among_others(
         self, step: StepRun, offers: Offers, promised: Counter[str], now: float
     ) -> None:
+        if not offers.workers:
+            self.waits.note(step, Reason.KEPT_FOR_OTHERS, offers)
+            return
+        if offers.fits_nowhere(step):
+            self.waits.note(step, Reason.FITS_NOWHERE, offers)
+            return
         allowed = offers.of(step.job.open_zones)
         if not self._may_start(step, allowed, now):
             return
@@ -114,9 +132,11 @@
         if step.spec.long_running:
             # A task that lasts would wait for ever while shorter ones take each
             # small hole: the emptiest worker is kept for it.
-            offers.keep_emptiest(offers.workers)
+            offers.keep_emptiest(offers.workers, step)
+            self.waits.note(step, Reason.NO_ROOM, offers)
             return
         elsewhere = self.zones.widen(step, offers.by_zone, promised)
+        self.waits.note(step, reason_elsewhere(step, elsewhere), offers, promised)
         if not _restricted(step):
             offers.note_full(step, everywhere=not elsewhere)
 
@@ -132,12 +152,15 @@
         trial = trial_workers(step.job)
         allowed = [w for w in workers if is_free_for(w, suspects, now)]
         if not allowed:
-            offers.keep_one_to_empty()
+            offers.keep_one_to_empty(step)
+            self.waits.note(step, Reason.SUSPECTS_WAIT)
             return
         if not self._may_start(step, allowed, now):
             return
         if step.spec.gang:
             placed = choose_gang(allowed, step, suspects)
+            if placed is None:
+                self.waits.note(step, Reason.SUSPECTS_WAIT)
             self._start_gang(placed, now)
         else:
             one_worker = not step.spec.long_running
@@ -146,7 +169,7 @@
             self._place_each(step, suspects, allowed, one_worker, now)
         used = trial_workers(step.job)
         if used:
-            offers.leave_out([worker for worker in allowed if worker.id in used])
+            offers.leave_out([w for w in allowed if w.id in used], step)
 
     def _place_each(
         self,
@@ -161,26 +184,17 @@
         :param one_worker: whether all go to one, so that no more of them crash at once.
         """
         for task in suspects:
-            if self._starts_left <= 0 or not self._within_quota(step):
+            if not self._has_starts(step) or not self._within_quota(step):
                 return
             worker = Shortlist(workers, step, task.avoid).best()
             if worker is None:
+                self.waits.note(step, Reason.SUSPECTS_WAIT)
                 return
             self._starts_left -= 1
             self.board.assign(task, worker, self.board.next_run(), now)
             if one_worker:
                 workers = [worker]
 
-    def _on_the_way(self, steps: list[StepRun]) -> Counter[str]:
-        """Return the room that is promised to jobs whose next data centre is told."""
-        promised: Counter[str] = Counter()
-        for step in steps:
-            job = step.job
-            if job.zones is not None and job.zones != job.open_zones:
-                for zone in job.zones - (job.open_zones or frozenset()):
-                    promised[zone] += step.room.cpu * len(step.waiting)
-        return promised
-
     def _capacity(self, workers: list[WorkerState], now: float) -> Capacity:
         here = sum(worker.capacity.cpu for worker in workers)
         begun = sum(
@@ -204,9 +218,7 @@
         shortlist: Shortlist | None = None
         avoided: Set[str] = frozenset()
         while step.waiting:
-            if self._starts_left <= 0:
-                return True
-            if not self._within_quota(step):
+            if not self._has_starts(step) or not self._within_quota(step):
                 return True
             task = step.waiting[0]
             if shortlist is None or task.avoid != avoided:
@@ -228,22 +240,33 @@
             return False
         return self._within_quota(step)
 
+    def _has_starts(self, step: StepRun) -> bool:
+        """Return whether this plan may still start something."""
+        if self._starts_left > 0:
+            return True
+        self.waits.note(step, Reason.STARTS_USED_UP)
+        return False
+
     def _within_quota(self, step: StepRun) -> bool:
         """Return whether a step's next task, or its gang, may run beside all others."""
         count = len(step.waiting) if step.spec.gang else 1
         organisation = step.job.organisation
         if self.board.quotas.allows(organisation, step.asked, count):
             return True
-        self.waits.note(organisation, len(step.waiting))
+        self.quota_waits.note(organisation, len(step.waiting))
+        self.waits.note(step, Reason.QUOTA)
         return False
 
     def _place_gang(
         self, step: StepRun, workers: list[WorkerState], now: float
     ) -> None:
         if step.active or len(step.waiting) != len(step.tasks):
+            self.waits.note(step, Reason.GANG_INCOMPLETE)
             return
         placed = choose_gang(workers, step, step.waiting)
-        if placed is not None:
+        if placed is None:
+            self.waits.note(step, Reason.GANG_HAS_NO_ROOM)
+        else:
             step.waiting.clear()
         self._start_gang(placed, now)
 
@@ -265,6 +288,7 @@
         if now >= step.asked_until:
             step.asked_until = now + ADVICE_SECONDS
             self.board.give(AskAdvice(step, tuple(worker.id for worker in workers)))
+        self.waits.note(step, Reason.ADVICE_UNANSWERED)
         return False
 
 
--- a/mustardward/components/scheduling/quotas.py
+++ b/mustardward/components/scheduling/quotas.py
@@ -54,6 +54,10 @@
         """Return what is counted of an organisation."""
         return self._used.get(organisation, Amount())
 
+    def unseen(self, organisation: str) -> Amount:
+        """Return what of an organisation may run unseen."""
+        return self._unseen.get(organisation, Amount())
+
     def set_unseen(self, runs: Iterable[tuple[str, Room, int]]) -> None:
         """Say what may run unseen, as organisation, room and number of tasks."""
         self._unseen = {}
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -35,6 +35,7 @@
 from .quotas import QuotaLookup, Quotas, no_quota
 from .reports import Reports
 from .shares import RateLookup, Shares, no_rate
+from .wait_lines import WaitLines
 from .zones import Zones
 
 _LOGGER = get_logger(__name__)
@@ -71,6 +72,7 @@
         self._crashes = Crashes(self.board)
         self._evacuation = Evacuation(self.board)
         self._planner = Planner(self.board, self._zones, ORDERS.get(order))
+        self.waits = WaitLines(self.board, self._planner.waits)
         self._ending: dict[str, Job] = {}
         self._look_at = -math.inf
 
@@ -240,6 +242,7 @@
         records = [(job_id, progress_of(job, wall)) for job_id, job in dirty.items()]
         for job_id, job in dirty.items():
             job.sent_zones = job.zones
+            self.waits.sent(job_id, now)
             if job.state.final and job_id not in self._ending:
                 self._ending[job_id] = job
                 self._zones.forget(job)
--- /dev/null
+++ b/mustardward/components/scheduling/wait_inputs.py
@@ -0,0 +1,268 @@
+"""Name the inputs from which it was decided that a step waits; pure."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from ...helpers.logging import LogValue
+from ...helpers.registry import Registry
+from .crashes import runs_apart, trial_workers
+from .models import Phase, StepRun, WorkerState
+from .planner import ADVICE_SECONDS
+from .wait_views import Wait
+from .waits import Reason
+
+MOST_NAMED: Final = 8
+"""Workers, jobs or data centres that one pair names."""
+
+Inputs = dict[str, LogValue]
+
+
+INPUTS: Final[Registry[Reason, Callable[[Wait], Inputs]]] = Registry("wait inputs")
+
+
+def inputs_of(wait: Wait, reason: Reason) -> Inputs:
+    """Return the inputs of a reason."""
+    describe = INPUTS.get(reason)
+    return describe(wait) if describe is not None else {}
+
+
+@INPUTS.register(Reason.NOT_STORED)
+def _storing(wait: Wait) -> Inputs:
+    job = wait.step.job
+    return {
+        "dirty": job.record.id in wait.board.dirty,
+        "sent_seconds": _since(wait.sent_at, wait.now),
+        "suspicion": job.suspicion,
+    }
+
+
+@INPUTS.register(Reason.NO_USABLE_WORKER)
+def _unusable(wait: Wait) -> Inputs:
+    """Count the workers with room by what makes them unusable; one may have several."""
+    counts: Counter[str] = Counter()
+    for worker in wait.with_room:
+        counts.update(_faults(worker, wait.now))
+    named = ",".join(f"{name}:{count}" for name, count in sorted(counts.items()))
+    heard = [w.heard_at for w in wait.with_room if w.heard_at]
+    return {
+        "unusable": named or None,
+        "heard_seconds": _since(min(heard, default=None), wait.now),
+    }
+
+
+def _faults(worker: WorkerState, now: float) -> list[str]:
+    faults = {
+        "unconfirmed": not worker.confirmed,
+        "draining": worker.draining,
+        "leaving": worker.leaving,
+        "absent": worker.absent,
+        "stale": worker.stale,
+        "unknown-runs": worker.unknown_runs,
+        "refusing": worker.refusing_until > now,
+        "quarantined": worker.quarantined_until > now,
+    }
+    return [name for name, present in faults.items() if present]
+
+
+@INPUTS.register(Reason.STARTS_USED_UP)
+def _starts(wait: Wait) -> Inputs:
+    return {"most_starts": wait.waits.most_starts}
+
+
+@INPUTS.register(Reason.HELD_AFTER_TAKEOVER)
+def _held(wait: Wait) -> Inputs:
+    board = wait.board
+    where = wait.step.job.open_zones
+    zones = where if where is not None else {w.zone for w in board.workers.values()}
+    return {
+        "held_seconds_left": board.held_until - wait.now,
+        "taken_over_seconds": wait.now - board.taken_over_at,
+        "open_zones": _named(where),
+        "unaccounted": _named(zones - board.accounted),
+    }
+
+
+@INPUTS.register(Reason.AWAITS_JUDGEMENT)
+def _judgement(wait: Wait) -> Inputs:
+    job = wait.step.job
+    dates = [t.judged_at for s in job.steps.values() for t in s.tasks if t.judged_at]
+    return {
+        "suspicion": job.suspicion,
+        "unjudged": len(dates),
+        "overdue_seconds": _since(min(dates, default=None), wait.now),
+    }
+
+
+@INPUTS.register(Reason.SUSPECTS_WAIT)
+def _suspects(wait: Wait) -> Inputs:
+    step = wait.step
+    free = [
+        worker.id
+        for worker in wait.able
+        if all(task.step.job is step.job for task in worker.tasks.values())
+    ]
+    return {
+        "suspects": sum(runs_apart(task) for task in step.waiting),
+        "suspicion": step.job.suspicion,
+        "trial_workers": _named(trial_workers(step.job)),
+        "empty_workers": _named(free),
+    }
+
+
+@INPUTS.register(Reason.KEPT_FOR_OTHERS)
+def _kept(wait: Wait) -> Inputs:
+    kept = wait.kept
+    apart = [step for step in kept.values() if any(map(runs_apart, step.tasks))]
+    return {
+        "kept": len(kept),
+        "kept_for_suspects": len(apart),
+        "kept_for_lasting": len(kept) - len(apart),
+        "kept_for": _named(f"{w}:{s.job.record.id}" for w, s in kept.items()),
+    }
+
+
+@INPUTS.register(Reason.FITS_NOWHERE)
+def _nowhere(wait: Wait) -> Inputs:
+    offers = wait.held.offers if wait.held is not None else None
+    other = offers.found_by(wait.step) if offers is not None else None
+    if other is None:
+        return _kept(wait)
+    room = other.room
+    held = wait.waits.of(other)
+    return {
+        "found_by": other.job.record.id,
+        "found_reason": held.reason.value if held is not None else None,
+        "found_zones": _named(other.job.open_zones),
+        "found_cpu": room.cpu,
+        "found_mb": room.mem_mb,
+        "found_gpu": room.gpu,
+        **_kept(wait),
+    }
+
+
+@INPUTS.register(Reason.ADVICE_UNANSWERED)
+def _advice(wait: Wait) -> Inputs:
+    step = wait.step
+    asked = step.asked_until - ADVICE_SECONDS if step.asked_until else None
+    return {
+        "asked_seconds": _since(asked, wait.now),
+        "tickets": len(step.tickets),
+    }
+
+
+@INPUTS.register(Reason.QUOTA)
+def _quota(wait: Wait) -> Inputs:
+    organisation = wait.step.job.organisation
+    quotas = wait.board.quotas
+    quota = quotas.quota_of(organisation)
+    used = quotas.used(organisation)
+    unseen = quotas.unseen(organisation)
+    return {
+        "organisation": organisation,
+        "used_cpu": used.cpu,
+        "unseen_cpu": unseen.cpu,
+        "quota_cpu": quota.cpu,
+        "used_mb": used.mem_mb,
+        "unseen_mb": unseen.mem_mb,
+        "quota_mb": quota.mem_mb,
+        "used_gpu": used.gpu,
+        "unseen_gpu": unseen.gpu,
+        "quota_gpu": quota.gpu,
+    }
+
+
+@INPUTS.register(Reason.GANG_INCOMPLETE)
+def _members(wait: Wait) -> Inputs:
+    phases = Counter(task.phase.value for task in wait.step.tasks)
+    return {
+        "members": ",".join(f"{phase}:{n}" for phase, n in sorted(phases.items())),
+    }
+
+
+@INPUTS.register(Reason.GANG_HAS_NO_ROOM)
+def _gang(wait: Wait) -> Inputs:
+    spec = wait.step.spec
+    return {
+        "members": len(wait.step.tasks),
+        "same_rack": spec.same_rack,
+        **_rules(wait),
+        **_zones(wait),
+    }
+
+
+@INPUTS.register(Reason.NO_ROOM)
+def _room(wait: Wait) -> Inputs:
+    return {**_zones(wait), **_kept(wait)}
+
+
+@INPUTS.register(Reason.ZONE_BEING_STORED)
+def _next_zone(wait: Wait) -> Inputs:
+    job = wait.step.job
+    return {
+        **_zones(wait),
+        "sent_zones": _named(job.sent_zones),
+        "dirty": job.record.id in wait.board.dirty,
+        "sent_seconds": _since(wait.sent_at, wait.now),
+    }
+
+
+@INPUTS.register(Reason.ROOM_PROMISED)
+def _promised(wait: Wait) -> Inputs:
+    free: Counter[str] = Counter()
+    for worker in wait.allowed:
+        free[worker.zone] += worker.free_cpu
+    promised = wait.held.promised if wait.held is not None else None
+    return {
+        **_zones(wait),
+        "free": _named(f"{zone}:{cpu}" for zone, cpu in free.items()),
+        "promised": _named(f"{zone}:{cpu}" for zone, cpu in (promised or {}).items()),
+    }
+
+
+@INPUTS.register(Reason.RULES)
+def _rules(wait: Wait) -> Inputs:
+    step = wait.step
+    label = step.spec.required_label
+    most = step.spec.max_per_server
+    able = wait.able
+    return {
+        "required_label": label or None,
+        "without_label": sum(label not in w.labels for w in able) if label else 0,
+        "max_per_server": most,
+        "at_most": sum(step.on_worker[w.id] >= most for w in able) if most else 0,
+        "advice": step.job.policy.advice,
+        "tickets": len(step.tickets),
+        "tickets_seconds_left": step.tickets_until - wait.now if step.tickets else None,
+    }
+
+
+def _zones(wait: Wait) -> Inputs:
+    job = wait.step.job
+    return {"zones": _named(job.zones), "open_zones": _named(job.open_zones)}
+
+
+def _named(names: Iterable[str] | None) -> str | None:
+    """Return names in order, and how many more there are; None for no names."""
+    names = sorted(names or ())
+    if not names:
+        return None
+    more = [f"+{len(names) - MOST_NAMED}"] if len(names) > MOST_NAMED else []
+    return ",".join([*names[:MOST_NAMED], *more])
+
+
+def _since(at: float | None, now: float) -> float | None:
+    return now - at if at is not None else None
+
+
+def phases_of(step: StepRun) -> Inputs:
+    """Return how many tasks are on the queue, lost off it, and in each phase."""
+    phases = Counter(task.phase for task in step.tasks)
+    others = [phase for phase in Phase if phase is not Phase.WAITING]
+    return {
+        "ready": len(step.waiting),
+        "off_queue": phases[Phase.WAITING] - len(step.waiting),
+        **{phase.value: phases[phase] for phase in others},
+    }
--- /dev/null
+++ b/mustardward/components/scheduling/waits.py
@@ -0,0 +1,119 @@
+"""Keep which rule let each step pass in the last plan; pure."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .models import StepRun
+from .offers import Offers
+
+
+class Reason(Enum):
+    """Say why nothing more of a step starts. The first ones are the planner's own."""
+
+    NOT_STORED = "not-stored"
+    NO_USABLE_WORKER = "no-usable-worker"
+    STARTS_USED_UP = "starts-used-up"
+    HELD_AFTER_TAKEOVER = "held-after-takeover"
+    AWAITS_JUDGEMENT = "awaits-judgement"
+    SUSPECTS_WAIT = "suspects-wait-for-own-worker"
+    KEPT_FOR_OTHERS = "workers-kept-for-others"
+    FITS_NOWHERE = "as-large-as-what-fits-nowhere"
+    ADVICE_UNANSWERED = "advice-unanswered"
+    QUOTA = "quota"
+    GANG_INCOMPLETE = "gang-incomplete"
+    GANG_HAS_NO_ROOM = "gang-has-no-room"
+    NO_ROOM = "no-room-where-it-may-start"
+    ZONE_BEING_STORED = "next-data-centre-being-stored"
+    ROOM_PROMISED = "room-elsewhere-promised"
+    RULES = "no-worker-its-rules-allow"
+    NOT_PLANNED = "no-plan-was-made"
+    NOT_READY = "not-among-the-ready-steps"
+    OFF_QUEUE = "task-off-its-queue"
+    UNFINISHED_ORDER = "order-unfinished"
+    NOT_NOTED = "not-noted"
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """Hold what the planner decided on a step.
+
+    :param since: of the first plan in a row that gave this reason; steady seconds.
+    :param plan: the number of the last one.
+    :param offers: what the pool still offered, if the reason came from there.
+    :param promised: room given away by data centre in that plan, in thousandths of a
+        core, if the reason came from there.
+    """
+
+    reason: Reason
+    since: float
+    plan: int
+    offers: Offers | None = None
+    promised: Counter[str] | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Waits:
+    """Take in what each plan let pass; the newest reason of a plan stands.
+
+    :param planned_at: when the last plan was made; steady seconds.
+    :param most_starts: how many starts it could decide.
+    """
+
+    planned_at: float = -math.inf
+    most_starts: int = 0
+    _plan: int = 0
+    _held: dict[StepRun, Held] = field(default_factory=dict)
+
+    def begin(self, now: float, most_starts: int) -> None:
+        """Take in that a plan begins."""
+        self._plan += 1
+        self.planned_at = now
+        self.most_starts = most_starts
+
+    def note(
+        self,
+        step: StepRun,
+        reason: Reason,
+        offers: Offers | None = None,
+        promised: Counter[str] | None = None,
+    ) -> None:
+        """Take in that a step waits on, and why."""
+        held = self._held.get(step)
+        if held is None or held.reason is not reason or held.plan < self._plan - 1:
+            since = self.planned_at
+            self._held[step] = Held(reason, since, self._plan, offers, promised)
+            return
+        held.plan = self._plan
+        held.offers = offers
+        held.promised = promised
+
+    def note_all(self, steps: Iterable[StepRun], reason: Reason) -> None:
+        """Take in that steps wait on for one reason."""
+        for step in steps:
+            self.note(step, reason)
+
+    def of(self, step: StepRun) -> Held | None:
+        """Return why the last plan let a step pass, or None if it did not."""
+        held = self._held.get(step)
+        return held if held is not None and held.plan == self._plan else None
+
+    def forget(self) -> None:
+        """Drop what older plans decided."""
+        self._held = {s: h for s, h in self._held.items() if h.plan == self._plan}
+
+
+def reason_elsewhere(step: StepRun, elsewhere: bool) -> Reason:
+    """Return why a step that has no room where it may start gets none elsewhere.
+
+    :param elsewhere: whether another data centre has room for a task of it.
+    """
+    if not elsewhere:
+        return Reason.NO_ROOM
+    if step.job.zones != step.job.open_zones:
+        return Reason.ZONE_BEING_STORED
+    return Reason.ROOM_PROMISED
--- a/mustardward/components/scheduling/zones.py
+++ b/mustardward/components/scheduling/zones.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from ...helpers.policies import switchable
@@ -133,3 +133,14 @@
             for worker in self.board.workers.values()
             if worker.service == job.policy.service and worker.rack in racks
         }
+
+
+def promised_room(steps: Iterable[StepRun]) -> Counter[str]:
+    """Return the room that is promised to jobs whose next data centre is told."""
+    promised: Counter[str] = Counter()
+    for step in steps:
+        job = step.job
+        if job.zones is not None and job.zones != job.open_zones:
+            for zone in job.zones - (job.open_zones or frozenset()):
+                promised[zone] += step.room.cpu * len(step.waiting)
+    return promised
--- a/mustardward/helpers/instruments.py
+++ b/mustardward/helpers/instruments.py
@@ -92,6 +92,17 @@
     ("organisation",),
     registry=REGISTRY,
 )
+TASK_WAITS: Final = Counter(
+    "mustardward_task_waits",
+    "Steps that a look each second found waiting though their pool had room, by why.",
+    ("reason",),
+    registry=REGISTRY,
+)
+OLDEST_WAIT_SECONDS: Final = Gauge(
+    "mustardward_oldest_task_wait_seconds",
+    "The longest of these waits that goes on, or 0.",
+    registry=REGISTRY,
+)
 FLEET_ORDERS: Final = Counter(
     "mustardward_fleet_orders",
     "Moves and maintenance of instances, by the platform's answer.",
--- /dev/null
+++ b/tests/components/scheduling/test_wait_lines.py
@@ -0,0 +1,164 @@
+"""Test how much is told of steps that wait, and what the metrics have of it."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from mustardward.components.scheduling.wait_lines import (
+    MOST_LINES,
+    TELL_AGAIN_SECONDS,
+    WAIT_TOLD_SECONDS,
+)
+from mustardward.components.scheduling.waits import Reason
+from mustardward.helpers.instruments import REGISTRY
+from mustardward.platform.models import ENDED_DONE, Room
+
+from .builders import JOB, SchedulerBench, a_job, a_step
+from .test_waits import starts_of, tell, wait_on
+
+JOBS = 100
+
+
+def a_bench_that_waits(jobs: int = JOBS) -> SchedulerBench:
+    """Return one whose only worker has room and may not be used."""
+    bench = SchedulerBench()
+    bench.worker("w1").stale = True
+    for number in range(jobs):
+        bench.add(a_job(job=f"{number:016x}"))
+        bench.now += 0.001
+    wait_on(bench)
+    return bench
+
+
+def oldest_seconds() -> float | None:
+    return REGISTRY.get_sample_value("mustardward_oldest_task_wait_seconds")
+
+
+def looks_with(reason: Reason) -> float:
+    name = "mustardward_task_waits_total"
+    return REGISTRY.get_sample_value(name, {"reason": reason.value}) or 0.0
+
+
+def test_a_look_writes_a_bounded_number_of_lines_the_oldest_first(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a log that is full of waits when a pool is held up."""
+    bench = a_bench_that_waits()
+    lines = tell(bench, caplog)
+    assert [int(line["job"], 16) for line in lines] == list(range(MOST_LINES))
+    (untold,) = tell(bench, caplog, "task_waits_untold")
+    assert untold["count"] == str(JOBS - 2 * MOST_LINES)
+
+
+def test_each_step_is_told_in_turn_and_not_again_soon(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    bench = a_bench_that_waits()
+    told: Counter[str] = Counter()
+    for _ in range(int(TELL_AGAIN_SECONDS)):
+        told.update(line["job"] for line in tell(bench, caplog))
+        wait_on(bench, 1.0)
+    assert len(told) == JOBS
+    assert set(told.values()) == {1}
+    assert tell(bench, caplog, "task_waits_untold") == []
+
+
+def test_a_step_is_told_again_while_it_waits_on(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    bench = a_bench_that_waits(jobs=1)
+    told = []
+    for _ in range(10):
+        told += tell(bench, caplog)
+        wait_on(bench, 1.0)
+    assert len(told) == 2
+
+
+def test_what_waits_is_counted_by_its_reason_in_each_look(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Also what no line told of, and under the reason that its line told."""
+    before = looks_with(Reason.NO_USABLE_WORKER)
+    bench = a_bench_that_waits()
+    tell(bench, caplog)
+    assert looks_with(Reason.NO_USABLE_WORKER) - before == JOBS
+    before = looks_with(Reason.RULES)
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(required_label="ssd")))
+    wait_on(bench)
+    tell(bench, caplog)
+    wait_on(bench, 1.0)
+    tell(bench, caplog)
+    assert looks_with(Reason.RULES) - before == 2
+
+
+def test_the_gauge_has_the_oldest_wait_until_it_is_over(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    bench = a_bench_that_waits(jobs=2)
+    tell(bench, caplog)
+    assert oldest_seconds() == pytest.approx(4.002)
+    bench.scheduler.board.workers["w1"].stale = False
+    starts = bench.plan_starts()
+    tell(bench, caplog)
+    assert len(starts) == 4
+    assert oldest_seconds() == 0.0
+
+
+def test_the_gauge_has_an_order_without_an_end(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job())
+    starts_of(bench)
+    wait_on(bench, 2 * WAIT_TOLD_SECONDS)
+    tell(bench, caplog)
+    assert oldest_seconds() == 2 * WAIT_TOLD_SECONDS
+
+
+def test_looks_hold_on_to_nothing_of_jobs_that_are_over(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against memory that grows with each job."""
+    bench = a_bench_that_waits(jobs=9)
+    tell(bench, caplog)
+    waits = bench.scheduler.waits
+    assert waits._told and waits.waits._held
+    bench.scheduler.board.workers["w1"].stale = False
+    for _ in range(4):
+        for start in bench.plan_starts():
+            bench.end(start.task, ENDED_DONE)
+        bench.store()
+    bench.plan()
+    assert not bench.scheduler.board.jobs
+    wait_on(bench, TELL_AGAIN_SECONDS)
+    tell(bench, caplog)
+    assert not waits._told
+    assert not waits._sent
+    assert not waits._since
+    assert not waits.waits._held
+
+
+@pytest.mark.parametrize(
+    ("free", "told"),
+    [
+        ([(8000, 50, 0), (500, 8000, 0)], 0),
+        ([(8000, 50, 0), (1000, 100, 0)], 1),
+        ([(8000, 8000, 0)], 1),
+    ],
+)
+def test_room_is_what_one_worker_has(
+    free: list[tuple[int, int, int]], told: int, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Cores of one worker and memory of another are no room for a task."""
+    bench = SchedulerBench()
+    for number, (cpu, mem_mb, gpu) in enumerate(free):
+        worker = bench.worker(f"w{number}", capacity=Room(cpu, mem_mb, gpu))
+        worker.stale = True
+    bench.add(a_job())
+    wait_on(bench)
+    assert [line["job"] for line in tell(bench, caplog)] == [JOB] * told
--- /dev/null
+++ b/tests/components/scheduling/test_waits.py
@@ -0,0 +1,582 @@
+"""Test that each hold of a step is told by its own reason, with what decided it."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Final
+
+import pytest
+
+from mustardward.components.ledger.ledger import LedgerJob
+from mustardward.components.ledger.models import JobState, Progress, TaskMark
+from mustardward.components.reports.day_lines import read_pairs
+from mustardward.components.scheduling.commands import Start
+from mustardward.components.scheduling.models import Phase, QueuePolicy
+from mustardward.components.scheduling.wait_lines import WAIT_TOLD_SECONDS
+from mustardward.components.scheduling.waits import Reason
+from mustardward.helpers.registry import Registry
+from mustardward.platform.models import Room
+
+from .builders import JOB, POOL, SchedulerBench, a_job, a_row, a_step
+
+OTHER: Final = "00000000000000bb"
+FULL: Final = Room(cpu=8000, mem_mb=8000)
+Scene = Callable[[], tuple[SchedulerBench, dict[str, str]]]
+SCENES: Final[Registry[Reason, Scene]] = Registry("scenes")
+
+
+def wait_on(
+    bench: SchedulerBench, seconds: float = 4.0, most_starts: int = sys.maxsize
+) -> None:
+    """Let time go by, with a plan each half of a second."""
+    for _ in range(int(2 * seconds)):
+        bench.now += 0.5
+        bench.scheduler.plan(bench.now, bench.now, most_starts)
+
+
+def tell(
+    bench: SchedulerBench, caplog: pytest.LogCaptureFixture, event: str = "task_waiting"
+) -> list[dict[str, str]]:
+    """Return the pairs of the lines that a look writes."""
+    caplog.set_level("INFO", "absl")
+    caplog.clear()
+    bench.scheduler.waits.tell(bench.now)
+    lines = [read_pairs(record.getMessage()) for record in caplog.records]
+    return [pairs for pairs in lines if pairs["event"] == event]
+
+
+def lasting(job: str, count: int = 2) -> LedgerJob:
+    """Return a job whose tasks last, one a worker at most."""
+    step = a_step(count=count, long_running=True, max_per_server=1)
+    return a_job(step, job=job)
+
+
+def suspected(crashes: int = 2) -> LedgerJob:
+    """Return a job under whose first task workers crashed."""
+    job = a_job(a_step(count=1))
+    marks = tuple(f"old-{number}" for number in range(crashes))
+    job.progress = Progress(JobState.RUNNING, tasks=[TaskMark(0, 0, 0, (), "", marks)])
+    return job
+
+
+def starts_of(bench: SchedulerBench) -> list[Start]:
+    """Plan, and leave the starts without an answer."""
+    return [command for command in bench.plan() if isinstance(command, Start)]
+
+
+@SCENES.register(Reason.NOT_STORED)
+def not_stored() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(), stored=False)
+    wait_on(bench, 1.0)
+    bench.scheduler.take_dirty(bench.now, bench.now)
+    wait_on(bench)
+    return bench, {"dirty": "false", "sent_seconds": "4", "reason_seconds": "4.5"}
+
+
+@SCENES.register(Reason.NO_USABLE_WORKER)
+def no_usable_worker() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1").stale = True
+    bench.worker("w2").leaving = True
+    second = bench.worker("w3")
+    second.stale = second.draining = True
+    bench.add(a_job())
+    wait_on(bench)
+    return bench, {
+        "unusable": "draining:1,leaving:1,stale:2",
+        "heard_seconds": "4",
+        "with_room": "3",
+        "able": "0",
+    }
+
+
+@SCENES.register(Reason.STARTS_USED_UP)
+def starts_used_up() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job())
+    wait_on(bench, most_starts=0)
+    return bench, {"most_starts": "0", "allowed": "1"}
+
+
+@SCENES.register(Reason.HELD_AFTER_TAKEOVER)
+def held_after_takeover() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench(epoch=2)
+    board = bench.scheduler.board
+    board.taken_over_at = bench.now
+    board.held_until = bench.now + 9.0
+    board.accounted = frozenset({"z1"})
+    bench.worker("w1", zone="z1")
+    job = a_job()
+    job.progress = Progress(JobState.RUNNING, zones=["z1", "z2"])
+    bench.add(job)
+    wait_on(bench)
+    return bench, {
+        "held_seconds_left": "5",
+        "taken_over_seconds": "4",
+        "open_zones": "z1,z2",
+        "unaccounted": "z2",
+    }
+
+
+@SCENES.register(Reason.AWAITS_JUDGEMENT)
+def awaits_judgement() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(suspected(crashes=3))
+    bench.task(0).judged_at = bench.now + 60.0
+    wait_on(bench)
+    return bench, {"suspicion": "3", "unjudged": "1", "overdue_seconds": "-56"}
+
+
+@SCENES.register(Reason.SUSPECTS_WAIT)
+def suspects_wait() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1, estimate_ms=60_000), job=OTHER))
+    bench.plan_starts()
+    bench.add(suspected())
+    wait_on(bench)
+    return bench, {"suspects": "1", "suspicion": "2", "empty_workers": "-"}
+
+
+@SCENES.register(Reason.KEPT_FOR_OTHERS)
+def kept_for_others() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("w2")
+    for number in (1, 2):
+        bench.add(lasting(f"{number:016x}", count=3))
+    bench.plan_starts()
+    bench.add(a_job())
+    wait_on(bench)
+    return bench, {
+        "kept": "2",
+        "kept_for_lasting": "2",
+        "kept_for_suspects": "0",
+        "allowed": "2",
+    }
+
+
+@SCENES.register(Reason.FITS_NOWHERE)
+def fits_nowhere() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1").leaving = True
+    bench.worker("w2", capacity=Room(cpu=500, mem_mb=8000))
+    bench.add(a_job(job=OTHER))
+    bench.add(a_job(a_step(count=9)))
+    wait_on(bench)
+    return bench, {
+        "found_by": OTHER,
+        "found_reason": "no-room-where-it-may-start",
+        "found_cpu": "1000",
+        "able": "0",
+    }
+
+
+@SCENES.register(Reason.ADVICE_UNANSWERED)
+def advice_unanswered() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench(policy=QueuePolicy(service=POOL, advice=True))
+    bench.worker("w1")
+    bench.add(a_job())
+    wait_on(bench)
+    return bench, {"asked_seconds": "1.5", "tickets": "0"}
+
+
+@SCENES.register(Reason.QUOTA)
+def quota() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench(quotas={"dairy": Room(cpu=1500)})
+    bench.worker("w1")
+    bench.add(a_job(organisation="dairy"))
+    bench.plan_starts()
+    wait_on(bench)
+    return bench, {
+        "organisation": "dairy",
+        "used_cpu": "1000",
+        "unseen_cpu": "0",
+        "quota_cpu": "1500",
+        "running": "1",
+        "ready": "1",
+    }
+
+
+@SCENES.register(Reason.GANG_INCOMPLETE)
+def gang_incomplete() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(gang=True)))
+    first, second = starts_of(bench)
+    bench.accept(second)
+    bench.scheduler.reports.start_refused(first.task, first.run, bench.now)
+    bench.scheduler.waits.tell(bench.now)
+    wait_on(bench)
+    return bench, {
+        "members": "stopping:1,waiting:1",
+        "order_phase": "stopping",
+        "order_task": f"{JOB}.0.0.1",
+        "order_worker": "w1",
+        "order_seconds": "4",
+        "stop_acknowledged": "false",
+    }
+
+
+@SCENES.register(Reason.GANG_HAS_NO_ROOM)
+def gang_has_no_room() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("w2")
+    bench.add(a_job(a_step(count=3, cpu=5000, gang=True)))
+    wait_on(bench)
+    return bench, {"members": "3", "allowed": "2", "same_rack": "false"}
+
+
+@SCENES.register(Reason.NO_ROOM)
+def no_room() -> tuple[SchedulerBench, dict[str, str]]:
+    """Let a job lose its next data centres between two records of it."""
+    bench = SchedulerBench()
+    bench.worker("w1", zone="z1", capacity=Room(cpu=500, mem_mb=8000))
+    bench.worker("w2", zone="z2")
+    bench.add(a_job())
+    job = bench.task(0).step.job
+    job.zones, job.open_zones = None, frozenset({"z1"})
+    wait_on(bench)
+    return bench, {"zones": "-", "open_zones": "z1", "allowed": "1", "kept": "0"}
+
+
+@SCENES.register(Reason.ZONE_BEING_STORED)
+def zone_being_stored() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1", zone="z1")
+    bench.add(a_job(), stored=False)
+    bench.store()
+    bench.scheduler.board.workers["w1"].stale = True
+    bench.worker("w2", zone="z2")
+    wait_on(bench, 1.0)
+    bench.scheduler.take_dirty(bench.now, bench.now)
+    wait_on(bench)
+    return bench, {
+        "zones": "z1,z2",
+        "open_zones": "z1",
+        "sent_zones": "z1,z2",
+        "sent_seconds": "4",
+        "dirty": "false",
+    }
+
+
+@SCENES.register(Reason.ROOM_PROMISED)
+def room_promised() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1", zone="z1")
+    for job in (OTHER, JOB):
+        bench.add(a_job(a_step(cpu=4000), job=job), stored=False)
+    bench.store()
+    bench.scheduler.board.workers["w1"].stale = True
+    bench.worker("w2", zone="z2")
+    wait_on(bench)
+    return bench, {
+        "open_zones": "z1",
+        "zones": "z1",
+        "free": "z2:8000",
+        "promised": "z2:8000",
+    }
+
+
+@SCENES.register(Reason.RULES)
+def rules() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("w2")
+    bench.add(a_job(a_step(required_label="ssd")))
+    wait_on(bench)
+    return bench, {"required_label": "ssd", "without_label": "2", "able": "2"}
+
+
+@SCENES.register(Reason.NOT_PLANNED)
+def not_planned() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1").stale = True
+    bench.add(a_job())
+    bench.plan()
+    bench.now += 4.0
+    return bench, {"plan_seconds": "4"}
+
+
+@SCENES.register(Reason.NOT_READY)
+def not_ready() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job())
+    bench.scheduler.board.ready.clear()
+    wait_on(bench)
+    return bench, {"ready": "2", "allowed": "1"}
+
+
+@SCENES.register(Reason.OFF_QUEUE)
+def off_queue() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job())
+    bench.task(0).step.waiting.clear()
+    wait_on(bench)
+    return bench, {"ready": "0", "off_queue": "2"}
+
+
+@SCENES.register(Reason.UNFINISHED_ORDER)
+def unfinished_order() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1)))
+    starts_of(bench)
+    wait_on(bench)
+    return bench, {
+        "ready": "0",
+        "starting": "1",
+        "order_phase": "starting",
+        "order_seconds": "4",
+        "order_sent": "false",
+        "order_worker": "w1",
+        "worker_heard_seconds": "4",
+    }
+
+
+@SCENES.register(Reason.NOT_NOTED)
+def not_noted() -> tuple[SchedulerBench, dict[str, str]]:
+    """Put a step among the ready ones behind the planner's back."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job())
+    step = bench.task(0).step
+    bench.scheduler.board.ready.clear()
+    wait_on(bench)
+    bench.scheduler.board.ready[id(step)] = step
+    return bench, {"reason_seconds": "-"}
+
+
+def test_each_reason_has_a_scene() -> None:
+    assert set(SCENES) == set(Reason)
+
+
+@pytest.mark.parametrize("reason", list(Reason), ids=lambda reason: reason.value)
+def test_a_step_that_waits_is_told_with_its_reason_and_inputs(
+    reason: Reason, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a job that waits without a line that says why."""
+    bench, inputs = SCENES[reason]()
+    (line,) = [pairs for pairs in tell(bench, caplog) if pairs["job"] == JOB]
+    assert line["reason"] == reason.value
+    assert line["step"] == "0.0"
+    assert {name: line.get(name) for name in inputs} == inputs
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("unconfirmed", ("confirmed", False)),
+        ("draining", ("draining", True)),
+        ("leaving", ("leaving", True)),
+        ("absent", ("absent", True)),
+        ("stale", ("stale", True)),
+        ("unknown-runs", ("unknown_runs", True)),
+        ("refusing", ("refusing_until", 2000.0)),
+        ("quarantined", ("quarantined_until", 2000.0)),
+    ],
+)
+def test_what_makes_a_worker_unusable_is_named(
+    name: str, value: tuple[str, object], caplog: pytest.LogCaptureFixture
+) -> None:
+    """Also where a worker without room is usable, so that the pool's is looked at."""
+    bench = SchedulerBench()
+    setattr(bench.worker("w1"), *value)
+    bench.worker("w2", capacity=Room(cpu=500, mem_mb=8000))
+    bench.add(a_job())
+    wait_on(bench)
+    (line,) = tell(bench, caplog)
+    assert line["reason"] == Reason.NO_USABLE_WORKER.value
+    assert line["unusable"] == f"{name}:1"
+
+
+def test_a_worker_kept_beside_full_ones_is_told_as_kept(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a pool that seems to have no room, and keeps all of it."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(lasting(OTHER))
+    bench.plan_starts()
+    bench.worker("w2", capacity=Room(cpu=500, mem_mb=8000))
+    bench.add(a_job())
+    wait_on(bench)
+    (line,) = [pairs for pairs in tell(bench, caplog) if pairs["job"] == JOB]
+    assert line["reason"] == Reason.KEPT_FOR_OTHERS.value
+    assert line["kept_for"] == f"w1:{OTHER}"
+
+
+@pytest.mark.parametrize("at_trial", [True, False])
+def test_a_worker_kept_for_suspects_is_told_with_their_job(
+    at_trial: bool, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Whether the suspects run there or wait until it is empty."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    if not at_trial:
+        third = "00000000000000cc"
+        bench.add(a_job(a_step(count=1, estimate_ms=60_000), job=third))
+        bench.plan_starts()
+    bench.add(suspected())
+    bench.plan_starts()
+    bench.add(a_job(job=OTHER))
+    wait_on(bench)
+    (line,) = [pairs for pairs in tell(bench, caplog) if pairs["job"] == OTHER]
+    assert line["reason"] == Reason.KEPT_FOR_OTHERS.value
+    assert line["kept_for"] == f"w1:{JOB}"
+    assert line["kept_for_suspects"] == "1"
+
+
+@pytest.mark.parametrize(
+    ("step", "inputs"),
+    [
+        ({"max_per_server": 1}, {"max_per_server": "1", "at_most": "1"}),
+        ({"required_label": "ssd"}, {"required_label": "ssd", "without_label": "1"}),
+    ],
+)
+def test_a_rule_that_allows_no_worker_is_told(
+    step: dict[str, object], inputs: dict[str, str], caplog: pytest.LogCaptureFixture
+) -> None:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(**step)))
+    bench.plan_starts()
+    wait_on(bench)
+    (line,) = tell(bench, caplog)
+    assert line["reason"] == Reason.RULES.value
+    assert {name: line[name] for name in inputs} == inputs
+
+
+def test_tickets_that_name_no_worker_with_room_are_told(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    bench = SchedulerBench(policy=QueuePolicy(service=POOL, advice=True))
+    bench.worker("w1")
+    bench.add(a_job())
+    bench.plan()
+    step = bench.task(0).step
+    bench.scheduler.give_tickets(step, {"gone": "t"}, bench.now + 9.0)
+    wait_on(bench)
+    (line,) = tell(bench, caplog)
+    assert line["reason"] == Reason.RULES.value
+    assert (line["advice"], line["tickets"]) == ("true", "1")
+    assert line["tickets_seconds_left"] == "5"
+
+
+@pytest.mark.parametrize("acknowledged", [True, False])
+@pytest.mark.parametrize("phase", [Phase.UNCERTAIN, Phase.STOPPING])
+def test_a_stop_without_an_end_is_told(
+    phase: Phase, acknowledged: bool, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against tasks that stay between two phases while their job waits."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=3)))
+    first, *others = starts_of(bench)
+    for start in others:
+        bench.accept(start)
+    bench.scheduler.reports.start_sent(first.task, first.run)
+    if phase is Phase.UNCERTAIN:
+        bench.scheduler.reports.start_unknown(first.task, first.run)
+    else:
+        bench.accept(first)
+        bench.scheduler.board.stop(first.task, "test")
+    assert tell(bench, caplog) == []
+    if acknowledged:
+        bench.scheduler.reports.stop_answered(first.task, first.run, bench.now)
+    wait_on(bench)
+    (line,) = tell(bench, caplog)
+    assert line["reason"] == Reason.UNFINISHED_ORDER.value
+    assert line["order_phase"] == phase.value
+    assert (line["running"], line[phase.value]) == ("2", "1")
+    assert line["order_sent"] == "true"
+    assert line["stop_acknowledged"] == str(acknowledged).lower()
+    assert line["acknowledged_seconds"] == ("4" if acknowledged else "-")
+
+
+def test_a_job_that_is_over_and_can_not_be_stopped_is_told(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """It keeps its room, and nothing else says so."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1)))
+    bench.plan_starts()
+    bench.scheduler.cancel_job(JOB)
+    tell(bench, caplog)
+    wait_on(bench)
+    (line,) = tell(bench, caplog)
+    assert line["reason"] == Reason.UNFINISHED_ORDER.value
+
+
+def test_a_step_waits_for_its_order_too_where_its_pool_is_full(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Room that lacks is no reason to tell; an order without an end is."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=9)))
+    for start in starts_of(bench)[1:]:
+        bench.accept(start)
+    wait_on(bench)
+    (line,) = tell(bench, caplog)
+    assert line["reason"] == Reason.UNFINISHED_ORDER.value
+    assert (line["ready"], line["starting"], line["running"]) == ("1", "1", "7")
+
+
+def test_a_new_reason_counts_its_seconds_anew(caplog: pytest.LogCaptureFixture) -> None:
+    bench = SchedulerBench()
+    worker = bench.worker("w1")
+    worker.stale = True
+    bench.add(a_job())
+    wait_on(bench, 2.0)
+    worker.stale = False
+    wait_on(bench, 2.0, most_starts=0)
+    (line,) = tell(bench, caplog)
+    assert line["reason"] == Reason.STARTS_USED_UP.value
+    assert (line["seconds"], line["reason_seconds"]) == ("4", "1.5")
+
+
+def test_nothing_is_told_of_work_that_runs_or_waits_for_room(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """A full pool is told by its load; lines of each job would tell no more."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("other", service="pool-b")
+    bench.add(a_job(a_step(count=9), a_step(after=[0])))
+    starts = bench.plan_starts()
+    bench.hold("w1", running=[a_row(start.task, 1.0) for start in starts])
+    wait_on(bench, 10.0)
+    assert len(starts) == 8
+    assert tell(bench, caplog) == []
+
+
+def test_a_short_wait_is_not_told(caplog: pytest.LogCaptureFixture) -> None:
+    bench = SchedulerBench()
+    bench.worker("w1").stale = True
+    bench.add(a_job())
+    wait_on(bench, WAIT_TOLD_SECONDS)
+    assert tell(bench, caplog) == []
+    wait_on(bench, 0.5)
+    assert len(tell(bench, caplog)) == 1
+
+
+def test_room_on_a_worker_whose_entry_is_gone_is_none(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.scheduler.miss_worker("w1", bench.now)
+    bench.scheduler.board.workers["w1"].stale = True
+    bench.add(a_job())
+    wait_on(bench)
+    assert tell(bench, caplog) == []
