Let a repeated stop put no end off on the stand-in's workers

The platform says that a stop takes at most its grace. The stand-in's worker began its stopping anew with each stop, so that an owner that repeats one at each look would never see the end. Two test files had a worker of their own for it, which go: the stand-in plays it now, and the tests assert what they did.

--- a/mustardward/standin/estate/worker.py
+++ b/mustardward/standin/estate/worker.py
@@ -114,7 +114,8 @@
             return REASON_FENCE
         running = self.runs.get(task)
         if running is not None and running.number == run:
-            running.stops_at_ms = now_ms + STOP_MS
+            if running.stops_at_ms is None:
+                running.stops_at_ms = now_ms + STOP_MS
         else:
             self._closed[task] = max(run, self._closed.get(task, 0))
         return ""
--- a/tests/components/dispatch/test_hold_walks.py
+++ b/tests/components/dispatch/test_hold_walks.py
@@ -49,16 +49,6 @@
 CALLS = ("well", "dark", "lost", "late", "refused")
 
 
-class _Firm(MemoryWorker):
-    """Play a worker on which a repeated stop puts no end off."""
-
-    def stop(self, task: str, run: int, token: int, now_ms: float) -> str:
-        running = self.runs.get(task)
-        if running is not None and running.stops_at_ms is not None:
-            return ""
-        return super().stop(task, run, token, now_ms)
-
-
 class _Worker:
     """Play a worker's calls; what becomes of one is drawn while there is trouble."""
 
@@ -85,7 +75,7 @@
 
     def _begin(self) -> MemoryWorker:
         work_of = self.walk.work_of
-        return _Firm(self.name, "m", POOL, self.room, work_of, born=self.born)
+        return MemoryWorker(self.name, "m", POOL, self.room, work_of, born=self.born)
 
     def _fate(self) -> str:
         fate = self.walk.random.choice(self.fates)
--- a/tests/components/dispatch/test_holds.py
+++ b/tests/components/dispatch/test_holds.py
@@ -32,16 +32,6 @@
 WHOLE = a_step(count=1, cpu=ROOM.cpu, mem_mb=ROOM.mem_mb, long_running=True)
 
 
-class _Stopping(MemoryWorker):
-    """Play a worker on which a repeated stop puts no end off."""
-
-    def stop(self, task: str, run: int, token: int, now_ms: float) -> str:
-        running = self.runs.get(task)
-        if running is not None and running.stops_at_ms is not None:
-            return ""
-        return super().stop(task, run, token, now_ms)
-
-
 @asynccontextmanager
 async def a_takeover(*, running: str, ledger: LedgerJob) -> AsyncIterator[RebornBench]:
     """Yield an owner that takes over a worker on which an owner before left a run.
@@ -53,7 +43,7 @@
         bench = RebornBench(tasks)
         work_of = bench.worker.work_of
         work_of[f"{OLD_JOB}.0"] = Work(ROOM, 60.0, lasts=True)
-        bench.worker.process = _Stopping(WORKER, "m", POOL, ROOM, work_of, born=BORN)
+        bench.worker.process = MemoryWorker(WORKER, "m", POOL, ROOM, work_of, born=BORN)
         order = StartBody(running, OLD_RUN, "x", 10**9, 1)
         assert bench.worker.process.start(order, 100_000.0) == ""
         bench.scheduler.add_job(ledger, bench.timers.monotonic(), 0.0)
