Keep looking at a worker while runs of no known task may be there

Cause: a new owner reads runs of a job that ended while nobody owned it, orders stops, and marks the worker as one with unknown runs, which is given nothing until a look lists none. The session with it counted only tasks as something to look for, so it went to sleep 70 ms later, and no look followed for as long as the owner lived. The pool's plan counted such workers as had, so that it asked for no other. Runs that are no task's any more kept their room and quota in the same way. A wake-up that came between two looks was lost as well. Why it works: whether a session may sleep follows from what the scheduler holds of the worker, not from who remembers to wake it; a wake-up stays until it is taken.

--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -127,8 +127,8 @@
             if worker is None:
                 return
             if self._idle(worker):
-                self._wake = anyio.Event()
                 await self._wake.wait()
+                self._wake = anyio.Event()
                 continue
             if not self.authorised():
                 await self.timers.async_sleep(FAILED_HOLD_SECONDS)
@@ -181,10 +181,14 @@
         return self.timers.monotonic() - self._proved_at <= PROOF_SECONDS
 
     def _idle(self, worker: WorkerState) -> bool:
+        """Return whether nothing is to be learned from the worker.
+
+        A run that no task is known of, too, holds room until a look no longer lists it.
+        """
         return (
             not self._asked
             and worker.confirmed
-            and not worker.tasks
+            and not worker.has_runs
             and not worker.stale
             and self.listed_upto <= self._told_upto
         )
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -302,6 +302,11 @@
                 free_mem=self.free_mem,
             )
 
+    @property
+    def has_runs(self) -> bool:
+        """Return whether something may run there, of a known task or not."""
+        return bool(self.tasks or self.strays or self.unknown_runs)
+
     @property
     def incarnation(self) -> str:
         """Return a name that no other incarnation has, if its birth is known."""
