Ask a worker that was not heard of lately before it is given a task

Cause: nothing is asked of a worker on which nothing runs, so that its crash is noticed by the next start. A rack that is gone has most room free, and a job's tasks go to one rack: three starts in a row met workers long gone, each counted as a crash under its task, and three of them give a job up. Why it works: a start leaves only for a worker that answered within 1.5 s, which a worker with runs always has; an idle one is asked first, once for all starts that wait. What meets a worker that is gone is refused at once, was not sent, and suspects nobody. Ruled out: to take a start that another incarnation answered for no evidence.

--- a/mustardward/components/dispatch/const.py
+++ b/mustardward/components/dispatch/const.py
@@ -37,6 +37,13 @@
 ended it. Later an acknowledgement may reach another incarnation, whose ends count from
 1 again, and would make it forget ends that nobody has read."""
 
+ALIVE_SECONDS: Final = 1.5
+"""Age of a worker's last answer up to which it is given tasks unasked. One on which
+something runs answers more often: its longest poll takes LONG_HOLD_MILLISECONDS."""
+
+ALIVE_WAIT_SECONDS: Final = 0.35
+"""Longest wait for the answer of a worker that is asked first."""
+
 REBORN_MILLISECONDS: Final = 2000
 """A worker's clock that is so much behind what it was belongs to another incarnation;
 answers that overtake each other differ by less."""
--- a/mustardward/components/dispatch/orders.py
+++ b/mustardward/components/dispatch/orders.py
@@ -95,14 +95,16 @@
         try:
             if session is None or session.gone:
                 raise CallRefusedError("worker gone")
+            await session.async_prove()
+            if self._withdrawn(start):
+                return
             reports.start_sent(task, run)
             answer = await session.async_start(task, run)
-            if answer is None:
-                raise CallRefusedError("no authority")
         except FencedError:
             self.on_fenced()
             return
         except WrongIncarnationError:
+            self._log_start(task, start, "other incarnation")
             self._lose_session(session)
         except CallRefusedError as error:
             STARTS.labels("refused").inc()
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -22,6 +22,8 @@
 from ..scheduling.models import Phase, Task, WorkerState
 from ..scheduling.scheduler import Scheduler
 from .const import (
+    ALIVE_SECONDS,
+    ALIVE_WAIT_SECONDS,
     BUSY_HOLD_MILLISECONDS,
     FAILED_HOLD_SECONDS,
     HOLD_GAP_SECONDS,
@@ -98,6 +100,7 @@
     _told_upto: int = 0
     _stored: anyio.Event = field(default_factory=anyio.Event)
     _wake: anyio.Event = field(default_factory=anyio.Event)
+    _looked: anyio.Event = field(default_factory=anyio.Event)
 
     @property
     def doubted(self) -> bool:
@@ -135,10 +138,30 @@
                 continue
             await self._async_look(worker)
 
-    async def async_start(self, task: Task, run: int) -> StartAnswer | None:
-        """Order a start; return None if this owner may give no orders."""
+    async def async_prove(self) -> None:
+        """Make sure that the worker was heard a moment ago, before it is given a task.
+
+        While nothing runs there its crash goes unnoticed, and a start that it does not
+        answer would count as the cause.
+
+        :raises CallRefusedError: if it does not answer.
+        """
+        if self._was_heard_within(ALIVE_SECONDS):
+            return
+        self._asked = True
+        self._wake.set()
+        with anyio.move_on_after(ALIVE_WAIT_SECONDS):
+            await self._looked.wait()
+        if not self._was_heard_within(ALIVE_SECONDS):
+            raise CallRefusedError("not heard")
+
+    async def async_start(self, task: Task, run: int) -> StartAnswer:
+        """Order a start.
+
+        :raises CallRefusedError: if this owner may give no orders; nothing was sent.
+        """
         if not self.authorised():
-            return None
+            raise CallRefusedError("no authority")
         if not self.clock.known:
             raise CallRefusedError("clock unknown")
         now = self.timers.monotonic()
@@ -176,9 +199,9 @@
         self.clock.take(clock_ms, now)
         self._proved_at = now
 
-    def _is_proved(self) -> bool:
-        """Return whether this incarnation answered a moment ago."""
-        return self.timers.monotonic() - self._proved_at <= PROOF_SECONDS
+    def _was_heard_within(self, seconds: float) -> bool:
+        """Return whether this incarnation answered its last call, and so lately."""
+        return self.timers.monotonic() - self._proved_at <= seconds
 
     def _idle(self, worker: WorkerState) -> bool:
         """Return whether nothing is to be learned from the worker.
@@ -201,6 +224,8 @@
             # Its incarnation may have ended, or this ownership, while it waited.
             if not self.gone and self.authorised():
                 pause = await self._async_hold(worker)
+        self._looked.set()
+        self._looked = anyio.Event()
         if pause and not self.gone:
             await self.timers.async_sleep(pause)
 
@@ -211,7 +236,7 @@
                 await self._stored.wait()
         sent_at = self.timers.monotonic()
         # Who answers is to be learned before anything is acknowledged.
-        told_upto = self.seen_upto if self._is_proved() else 0
+        told_upto = self.seen_upto if self._was_heard_within(PROOF_SECONDS) else 0
         try:
             answer = await self._async_call(worker, sent_at, told_upto)
         except WrongIncarnationError:
--- a/tests/components/dispatch/test_gone_workers.py
+++ b/tests/components/dispatch/test_gone_workers.py
@@ -47,6 +47,7 @@
         self.gone: Exception | None = None
         self.deadly = False
         self.starts: list[TaskName] = []
+        self.holds = 0
         self._runs: dict[TaskName, int] = {}
 
     async def async_start(self, order: StartOrder) -> StartAnswer:
@@ -60,6 +61,7 @@
 
     async def async_hold(self, *_: object) -> HoldAnswer:
         self._check()
+        self.holds += 1
         rows = [RunningTask(t, run, "", 50.0, 0.0) for t, run in self._runs.items()]
         return HoldAnswer(self._clock(), rows, [])
 
@@ -99,9 +101,10 @@
             session = self.dispatcher.sessions[name]
             session.client = self.workers[name]  # type: ignore[assignment]
 
-    def add(self) -> None:
-        """Hand in a job of one task that may start at once."""
-        self.scheduler.add_job(a_job(a_step(count=1)), self.timers.monotonic(), 0.0)
+    def add(self, count: int = 1) -> None:
+        """Hand in a job that may start at once."""
+        job = a_job(a_step(count=count))
+        self.scheduler.add_job(job, self.timers.monotonic(), 0.0)
         self.scheduler.note_stored([JOB])
 
     def lose_rack(self, gone: Exception) -> None:
@@ -170,3 +173,19 @@
         bench.add()
         await bench.async_pass(12.0)
         assert sum(len(worker.starts) for worker in bench.workers.values()) == 3
+
+
+async def test_an_idle_worker_is_asked_once_before_many_starts() -> None:
+    """Each start on a worker that slept was held up by a look of its own."""
+    async with a_bench() as bench:
+        asked = {n: w.holds for n, w in bench.workers.items()}
+        bench.add(count=6)
+        bench.dispatcher.orders.execute(
+            bench.scheduler.plan(bench.timers.monotonic(), 0.0)
+        )
+        await anyio.wait_all_tasks_blocked()
+        used = {n: w for n, w in bench.workers.items() if w.starts}
+        assert sum(len(worker.starts) for worker in used.values()) == 6
+        assert {n: w.holds - asked[n] for n, w in used.items()} == dict.fromkeys(
+            used, 1
+        )
