Bound what a look at waiting steps costs an owner

A look went over all workers of a pool for each line. An owner that is late because it explains a wait would be worse than one that leaves some waits to the next look; and four places that note a reason were passed by no test.

Added: lines of one look go over 4,000 workers at most (all 20 in a pool of 200, two in one of 3,200; the others are counted and follow), the room is asked before the wait, and the causes that bar a worker are counted without a list for each. Tests for a lasting step that its rules keep out, suspects whose own worker is too small, alone and as a gang, and starts used up amid a step.

--- a/mustardward/components/reports/day_lines.py
+++ b/mustardward/components/reports/day_lines.py
@@ -6,33 +6,21 @@
 
 from __future__ import annotations
 
-import json
 import re
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
+from ...helpers.log_pairs import read_pairs
 from .outages import Outages
 from .stories import Amount, Day, JobStory, OwnerLook, PoolLook, RunStory
 
-_PAIR: Final = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
 _RUN: Final = re.compile(r"(\d+)\.(\d+)\.(\d+):(\d+)@([^+=,\s]+)([+=])([^,\s]*)")
 _LOST: Final = re.compile(r"([^.,\s]+)\.\d+\.\d+\.\d+:(\d+)=")
 _GLUED: Final = re.compile(r"\S(time=\d+\.?\d* level=)")
 """Where a line goes on as another one, since bytes between them were lost."""
 
 
-def read_pairs(line: str) -> dict[str, str]:
-    """Return a line's pairs, or nothing.
-
-    :raises ValueError: if a quoted value is cut off.
-    """
-    pairs: dict[str, str] = {}
-    for key, value in _PAIR.findall(line):
-        pairs[key] = json.loads(value) if value.startswith('"') else value
-    return pairs
-
-
 def read_day(lines: Iterable[str]) -> Day:
     """Return what the lines of all entries tell, in whichever order they stand."""
     day = Day()
--- a/mustardward/components/scheduling/wait_inputs.py
+++ b/mustardward/components/scheduling/wait_inputs.py
@@ -20,6 +20,18 @@
 Inputs = dict[str, LogValue]
 
 
+_FAULTS: Final[dict[str, Callable[[WorkerState, float], bool]]] = {
+    "absent": lambda worker, now: worker.absent,
+    "draining": lambda worker, now: worker.draining,
+    "leaving": lambda worker, now: worker.leaving,
+    "quarantined": lambda worker, now: worker.quarantined_until > now,
+    "refusing": lambda worker, now: worker.refusing_until > now,
+    "stale": lambda worker, now: worker.stale,
+    "unconfirmed": lambda worker, now: not worker.confirmed,
+    "unknown-runs": lambda worker, now: worker.unknown_runs,
+}
+"""What makes a worker unusable, in the terms of ``placement.usable``."""
+
 INPUTS: Final[Registry[Reason, Callable[[Wait], Inputs]]] = Registry("wait inputs")
 
 
@@ -42,10 +54,11 @@
 @INPUTS.register(Reason.NO_USABLE_WORKER)
 def _unusable(wait: Wait) -> Inputs:
     """Count the workers with room by what makes them unusable; one may have several."""
-    counts: Counter[str] = Counter()
-    for worker in wait.with_room:
-        counts.update(_faults(worker, wait.now))
-    named = ",".join(f"{name}:{count}" for name, count in sorted(counts.items()))
+    counts = {
+        name: sum(is_faulty(worker, wait.now) for worker in wait.with_room)
+        for name, is_faulty in _FAULTS.items()
+    }
+    named = ",".join(f"{name}:{count}" for name, count in counts.items() if count)
     heard = [w.heard_at for w in wait.with_room if w.heard_at]
     return {
         "unusable": named or None,
@@ -53,20 +66,6 @@
     }
 
 
-def _faults(worker: WorkerState, now: float) -> list[str]:
-    faults = {
-        "unconfirmed": not worker.confirmed,
-        "draining": worker.draining,
-        "leaving": worker.leaving,
-        "absent": worker.absent,
-        "stale": worker.stale,
-        "unknown-runs": worker.unknown_runs,
-        "refusing": worker.refusing_until > now,
-        "quarantined": worker.quarantined_until > now,
-    }
-    return [name for name, present in faults.items() if present]
-
-
 @INPUTS.register(Reason.STARTS_USED_UP)
 def _starts(wait: Wait) -> Inputs:
     return {"most_starts": wait.waits.most_starts}
--- a/mustardward/components/scheduling/wait_lines.py
+++ b/mustardward/components/scheduling/wait_lines.py
@@ -27,6 +27,10 @@
 MOST_LINES: Final = 20
 """Lines of one look; the oldest waits come first, the others are counted."""
 
+MOST_WORKERS: Final = 4000
+"""Workers that one look goes over for its lines: it is to hold the owner up for some
+milliseconds at most, also where a pool has thousands."""
+
 PLAN_MISSING_SECONDS: Final = 1.0
 """Plans are made some times a second; without one for so long nothing starts."""
 
@@ -88,14 +92,22 @@
         }
         found = sorted(self._find(now), key=lambda item: -item.seconds)
         due = [item for item in found if item.step not in self._told]
-        for item in due[:MOST_LINES]:
-            self._write(item, now)
-        if len(due) > MOST_LINES:
-            _LOGGER.info("task_waits_untold", count=len(due) - MOST_LINES)
+        written = self._write_some(due, now)
+        if written < len(due):
+            _LOGGER.info("task_waits_untold", count=len(due) - written)
         for item in found:
             TASK_WAITS.labels(self._settled(item).value).inc()
         OLDEST_WAIT_SECONDS.set(found[0].seconds if found else 0.0)
 
+    def _write_some(self, due: list[_Found], now: float) -> int:
+        """Write the first lines; return how many."""
+        looked_at = 0
+        for number, item in enumerate(due[:MOST_LINES]):
+            if looked_at >= MOST_WORKERS:
+                return number
+            looked_at += self._write(item, now)
+        return min(len(due), MOST_LINES)
+
     def _settled(self, item: _Found) -> Reason:
         told = self._told.get(item.step)
         if told is None or told.reason is not item.reason:
@@ -108,6 +120,8 @@
         for job in self.board.jobs.values():
             for step in job.steps.values():
                 order = orders.get(step)
+                if order is None and not (step.open and _has_room(pools, step)):
+                    continue
                 waited = _waited(job, step, now)
                 if waited > WAIT_TOLD_SECONDS and _has_room(pools, step):
                     held = self.waits.of(step)
@@ -168,7 +182,8 @@
                     ):
                         yield task
 
-    def _write(self, item: _Found, now: float) -> None:
+    def _write(self, item: _Found, now: float) -> int:
+        """Write a line; return how many workers were looked at for it."""
         step = item.step
         job = step.job
         workers = self.board.workers.values()
@@ -204,6 +219,7 @@
             **inputs_of(wait, reason),
             **_order_pairs(item.order, now),
         )
+        return len(wait.workers)
 
 
 def _waited(job: Job, step: StepRun, now: float) -> float:
--- /dev/null
+++ b/mustardward/helpers/log_pairs.py
@@ -0,0 +1,20 @@
+"""Read back the ``key=value`` pairs of a log line; pure."""
+
+from __future__ import annotations
+
+import json
+import re
+from typing import Final
+
+_PAIR: Final = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
+
+
+def read_pairs(line: str) -> dict[str, str]:
+    """Return a line's pairs, or nothing.
+
+    :raises ValueError: if a quoted value is cut off.
+    """
+    pairs: dict[str, str] = {}
+    for key, value in _PAIR.findall(line):
+        pairs[key] = json.loads(value) if value.startswith('"') else value
+    return pairs
--- a/tests/components/scheduling/test_wait_lines.py
+++ b/tests/components/scheduling/test_wait_lines.py
@@ -8,6 +8,7 @@
 
 from mustardward.components.scheduling.wait_lines import (
     MOST_LINES,
+    MOST_WORKERS,
     TELL_AGAIN_SECONDS,
     WAIT_TOLD_SECONDS,
 )
@@ -52,6 +53,21 @@
     assert untold["count"] == str(JOBS - 2 * MOST_LINES)
 
 
+def test_a_large_pool_gets_fewer_lines_a_look(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against an owner that is late since it looks at thousands of workers."""
+    bench = SchedulerBench()
+    for number in range(MOST_WORKERS // 2 + 1):
+        bench.worker(f"w{number}").stale = True
+    for number in range(9):
+        bench.add(a_job(job=f"{number:016x}"))
+    wait_on(bench)
+    assert len(tell(bench, caplog)) == 2
+    (untold,) = tell(bench, caplog, "task_waits_untold")
+    assert untold["count"] == "5"
+
+
 def test_each_step_is_told_in_turn_and_not_again_soon(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
--- a/tests/components/scheduling/test_waits.py
+++ b/tests/components/scheduling/test_waits.py
@@ -52,9 +52,9 @@
     return a_job(step, job=job)
 
 
-def suspected(crashes: int = 2) -> LedgerJob:
+def suspected(crashes: int = 2, **changes: object) -> LedgerJob:
     """Return a job under whose first task workers crashed."""
-    job = a_job(a_step(count=1))
+    job = a_job(a_step(**{"count": 1, **changes}))
     marks = tuple(f"old-{number}" for number in range(crashes))
     job.progress = Progress(JobState.RUNNING, tasks=[TaskMark(0, 0, 0, (), "", marks)])
     return job
@@ -439,6 +439,10 @@
     ("step", "inputs"),
     [
         ({"max_per_server": 1}, {"max_per_server": "1", "at_most": "1"}),
+        (
+            {"max_per_server": 1, "long_running": True},
+            {"max_per_server": "1", "at_most": "1"},
+        ),
         ({"required_label": "ssd"}, {"required_label": "ssd", "without_label": "1"}),
     ],
 )
@@ -455,6 +459,37 @@
     assert {name: line[name] for name in inputs} == inputs
 
 
+@pytest.mark.parametrize(
+    "step", [{"cpu": 1000}, {"count": 3, "cpu": 200, "gang": True}], ids=["one", "gang"]
+)
+def test_suspects_whose_own_worker_is_too_small_are_told(
+    step: dict[str, object], caplog: pytest.LogCaptureFixture
+) -> None:
+    """Other workers have room, beside jobs that a crash would take along."""
+    bench = SchedulerBench()
+    bench.worker("w1", capacity=Room(cpu=500, mem_mb=8000))
+    bench.worker("w2")
+    bench.add(a_job(a_step(count=1, estimate_ms=60_000), job=OTHER))
+    (start,) = bench.plan_starts()
+    assert start.worker == "w2"
+    bench.add(suspected(**step))
+    wait_on(bench)
+    (line,) = [pairs for pairs in tell(bench, caplog) if pairs["job"] == JOB]
+    assert line["reason"] == Reason.SUSPECTS_WAIT.value
+    assert line["suspicion"] == "2"
+
+
+def test_starts_used_up_amid_a_step_are_told(caplog: pytest.LogCaptureFixture) -> None:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("w2")
+    bench.add(a_job(a_step(count=16)))
+    wait_on(bench, most_starts=1)
+    (line,) = tell(bench, caplog)
+    assert line["reason"] == Reason.STARTS_USED_UP.value
+    assert (line["ready"], line["most_starts"]) == ("8", "1")
+
+
 def test_tickets_that_name_no_worker_with_room_are_told(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
