Show that a worker with a run of a job that is over is given nothing for ever

Cause: a worker that lists a run of a job that is not known is not usable (unknown_runs) until it is held again. The run is stopped and the stop acknowledged, but WorkerSession._idle does not count such runs: where none of its own tasks runs there, the session waits for work, the planner gives it none, and neither ever ends. wake() after the stop ends the wait, and the session finds itself idle again. So it goes after each takeover for runs of jobs that were cancelled, or had ended, a moment before.

--- a/tests/components/scheduling/test_liveness.py
+++ b/tests/components/scheduling/test_liveness.py
@@ -2,10 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
+
+import anyio
+
+from mustardward.components.ledger.ledger import LedgerJob
+from mustardward.components.ledger.models import (
+    OwnerRecord,
+)
 from mustardward.components.scheduling.models import Phase
-from mustardward.platform.models import Room
+from mustardward.platform.models import Room, SubmittedStep
+from mustardward.platform.workers import TaskName
 
-from .builders import SchedulerBench, a_job, a_step
+from .builders import JOB, SchedulerBench, a_job, a_step
+from .liveness_jobs import POLICIES, POOL_A
+from .liveness_owner import Directory, Owner
+from .liveness_world import DrivenLoop, ModelWorker, Run, World
 
 TICK_SECONDS = 0.1
 WAIT_SECONDS = 10.0
@@ -34,3 +46,52 @@
     _plan_for(bench, WAIT_SECONDS)
 
     assert [bench.task(index).phase for index in range(6)] == 6 * [Phase.RUNNING]
+
+
+def _done_after_a_takeover(
+    job: LedgerJob, stray: TaskName, step: SubmittedStep, workers: int, quota: int = 0
+) -> set[TaskName]:
+    """Return what is done of a job some time after an owner took over.
+
+    :param stray: runs on the first worker, and is to be stopped there.
+    """
+
+    async def async_own() -> set[TaskName]:
+        world = World(0)
+        world.troubled = False
+        world.jobs[job.record.id] = job
+        now = world.now
+        for number in range(workers):
+            name = f"w{number}"
+            world.workers[name] = ModelWorker(
+                name, 1, POOL_A, "z1", ("a", "r1"), Room(8000, 8000), True, now
+            )
+        first = world.workers["w0"]
+        first.runs[stray] = Run(stray, 1, step, WAIT_SECONDS, "done", now, now)
+        first.lease_until = now + LEASE_SECONDS
+        entries = {w.id: w.entry(now) for w in world.workers.values()}
+        directory = Directory(entries)
+        owner = Owner(world, directory, 2, POLICIES, {"a": Room(cpu=quota)})
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(owner.async_run, OwnerRecord(1, "", "", 0, settled=True))
+            while world.now < now + 2 * WAIT_SECONDS:
+                await anyio.sleep(TICK_SECONDS)
+                world.advance()
+            tasks.cancel_scope.cancel()
+        assert not first.runs
+        return directory.done
+
+    with asyncio.Runner(loop_factory=DrivenLoop) as runner:
+        return runner.run(async_own())
+
+
+def test_a_worker_whose_only_run_is_of_a_job_that_is_over_takes_work_again() -> None:
+    """Guard against a worker that lists a run of a job that is not known any more, is
+    not asked again once that was stopped, and so is given nothing for ever.
+    """
+    stray = TaskName("00000000000000ff", 0, 0, 0)
+    job = a_job(a_step(count=1), queue="plain", accepted_at=1e6)
+
+    done = _done_after_a_takeover(job, stray, a_step(), workers=1)
+
+    assert done == {TaskName(JOB, 0, 0, 0)}
