Show that room and quota of a stray stay taken on a worker that is not asked again

Cause: as for runs of jobs that are not known: a run of a task that is done, or runs elsewhere, is counted on its worker (strays) until that lists anew what runs there, and WorkerSession._idle does not ask a worker on which nothing else runs. What needs its whole room, or all of an organisation's quota, then waits for ever. A worker that died with a stray and nothing else is never found out either.

--- a/tests/components/scheduling/test_liveness.py
+++ b/tests/components/scheduling/test_liveness.py
@@ -7,8 +7,12 @@
 import anyio
 
 from mustardward.components.ledger.ledger import LedgerJob
+from mustardward.components.ledger.marks import pack
 from mustardward.components.ledger.models import (
+    JobState,
     OwnerRecord,
+    Progress,
+    StepMark,
 )
 from mustardward.components.scheduling.models import Phase
 from mustardward.platform.models import Room, SubmittedStep
@@ -95,3 +99,38 @@
     done = _done_after_a_takeover(job, stray, a_step(), workers=1)
 
     assert done == {TaskName(JOB, 0, 0, 0)}
+
+
+def _half_done_job(**changes: object) -> LedgerJob:
+    """Return a job whose first step is done, and whose second has its turn."""
+    step = a_step(**MOST_OF_A_WORKER)
+    after = a_step(**MOST_OF_A_WORKER, after=[0])
+    job = a_job(step, after, queue="plain", accepted_at=1e6, **changes)
+    job.progress = Progress(JobState.RUNNING, [StepMark(0, 0, pack([0]))])
+    return job
+
+
+def test_the_room_of_a_stray_is_given_back_though_nothing_else_runs_there() -> None:
+    """Guard against a run of a task that is done, whose room stays taken for ever on a
+    worker that is not asked again.
+    """
+    job = _half_done_job()
+
+    done = _done_after_a_takeover(
+        job, TaskName(JOB, 0, 0, 0), job.record.steps[0], workers=1
+    )
+
+    assert done == {TaskName(JOB, 0, 1, 0)}
+
+
+def test_the_quota_of_a_stray_is_given_back_though_nothing_else_runs_there() -> None:
+    """Guard against a run of a task that is done, which counts for its organisation for
+    ever, so that this starts nothing on any worker.
+    """
+    job = _half_done_job(organisation="a")
+
+    done = _done_after_a_takeover(
+        job, TaskName(JOB, 0, 0, 0), job.record.steps[0], workers=2, quota=8000
+    )
+
+    assert done == {TaskName(JOB, 0, 1, 0)}
