Show that a step keeps to the tickets of workers that are gone

Cause: Planner._has_advice asks again only once a step has no ticket, or its tickets have run out. A worker that was lost, or is full or leaving, answers no start with `ticket`, so its ticket stays, and the step waits as long as that is valid, whatever other workers the advice would allow. Board.replace_worker drops tickets; drop_worker does not.

--- a/tests/components/scheduling/test_liveness.py
+++ b/tests/components/scheduling/test_liveness.py
@@ -14,11 +14,13 @@
     Progress,
     StepMark,
 )
-from mustardward.components.scheduling.models import Phase
+from mustardward.components.scheduling.commands import AskAdvice
+from mustardward.components.scheduling.losses import LossCause
+from mustardward.components.scheduling.models import Phase, QueuePolicy
 from mustardward.platform.models import Room, SubmittedStep
 from mustardward.platform.workers import TaskName
 
-from .builders import JOB, SchedulerBench, a_job, a_step
+from .builders import JOB, POOL, SchedulerBench, a_job, a_step
 from .liveness_jobs import POLICIES, POOL_A
 from .liveness_owner import Directory, Owner
 from .liveness_world import DrivenLoop, ModelWorker, Run, World
@@ -134,3 +136,21 @@
     )
 
     assert done == {TaskName(JOB, 0, 1, 0)}
+
+
+def test_a_step_asks_for_advice_anew_once_the_workers_it_may_use_are_gone() -> None:
+    """Guard against tickets of workers that are gone, which keep a step from asking for
+    others as long as they are valid.
+    """
+    bench = SchedulerBench(policy=QueuePolicy(POOL, advice=True))
+    bench.worker("w1")
+    bench.add(a_job())
+    asked = [c for c in bench.plan() if isinstance(c, AskAdvice)]
+    bench.scheduler.give_tickets(asked[0].step, {"w1": "t"}, bench.now + 60.0)
+    bench.scheduler.lose_worker("w1", LossCause.UNLISTED, bench.now)
+    bench.worker("w2")
+    bench.now += WAIT_SECONDS
+
+    asked = [c for c in bench.plan() if isinstance(c, AskAdvice)]
+
+    assert [ask.workers for ask in asked] == [("w2",)]
