--- /dev/null
+++ b/tests/components/scheduling/liveness_estate.py
@@ -0,0 +1,164 @@
+"""Hold the workers of a walk, their entries, and who owns the shard."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from mustardward.components.ledger.ledger import LedgerJob
+from mustardward.platform.models import Room
+
+from .liveness_jobs import POOL_A, POOL_B
+from .liveness_owner import Directory, Owner
+from .liveness_world import ModelWorker, World
+
+ENTRY_LAPSE_SECONDS: Final = 3.0
+
+
+@dataclass(frozen=True)
+class Slot:
+    """Hold where a worker stands; each incarnation there has a number."""
+
+    service: str
+    zone: str
+    rack: str
+    capacity: Room
+
+
+def _slots() -> list[Slot]:
+    room = Room(8000, 8000, 1)
+    return [
+        Slot(POOL_A, "z1", "r1", room),
+        Slot(POOL_A, "z1", "r2", room),
+        Slot(POOL_A, "z2", "r1", room),
+        Slot(POOL_A, "z2", "r2", room),
+        Slot(POOL_B, "z1", "r1", room),
+        Slot(POOL_B, "z2", "r2", room),
+        Slot(POOL_B, "z2", "r2", room),
+    ]
+
+
+class Estate:
+    """Let workers begin, end and write of themselves."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self._chance = world.chance
+        self._directory = Directory()
+        self._slots = _slots()
+        self._at: dict[int, str] = {}
+        self._incarnations = 1000
+        self._tells_births = self._chance.random() < 0.8
+        self._jobs = 0
+        self._owner: Owner | None = None
+        self._pending: list[tuple[float, Callable[[], None]]] = []
+
+    def _later(self, seconds: float, call: Callable[[], None]) -> None:
+        """Do something later, unless all is calm then."""
+        self._pending.append((self.world.now + seconds, call))
+
+    def _do_pending(self) -> None:
+        now = self.world.now
+        due = [call for at, call in self._pending if at <= now]
+        self._pending = [(at, call) for at, call in self._pending if at > now]
+        for call in due:
+            call()
+
+    def _boot(self, number: int) -> None:
+        """Let a new incarnation with a new id begin at a slot."""
+        self._begin(number, f"w{number}.{self._incarnations + 1}")
+
+    def _begin(self, number: int, worker_id: str) -> None:
+        slot = self._slots[number]
+        self._incarnations += 1
+        worker = ModelWorker(
+            worker_id,
+            self._incarnations if self._tells_births else 0,
+            slot.service,
+            slot.zone,
+            ("kind", slot.rack),
+            slot.capacity,
+            slot.service == POOL_A,
+            self.world.now,
+        )
+        self.world.workers[worker_id] = worker
+        self._at[number] = worker_id
+
+    def _boot_told(self, number: int) -> None:
+        if number not in self._at:
+            self._boot(number)
+            self._tell(self._at[number])
+
+    def _die(self, worker: ModelWorker) -> None:
+        del self.world.workers[worker.id]
+        del self._at[self._number_of(worker)]
+        worker_id = worker.id
+        self._later(ENTRY_LAPSE_SECONDS, lambda: self._untell(worker_id))
+
+    def _tell(self, worker_id: str) -> None:
+        """Write a worker's entry."""
+        worker = self.world.workers.get(worker_id)
+        if worker is None:
+            return
+        entry = worker.entry(self.world.now)
+        if self._directory.entries.get(worker_id) != entry:
+            self._directory.entries[worker_id] = entry
+            if self._owner is not None:
+                self._owner.see(worker_id, entry)
+
+    def _untell(self, worker_id: str) -> None:
+        """Let a worker's entry lapse."""
+        if self._directory.entries.pop(worker_id, None) is not None:
+            if self._owner is not None:
+                self._owner.miss(worker_id)
+
+    def _set_leaving(self, worker: ModelWorker, leaving: bool) -> None:
+        worker.leaving = leaving
+        if self._owner is not None:
+            self._owner.set_leaving(worker.id, leaving)
+
+    def _pick(self) -> ModelWorker:
+        return self._chance.choice(list(self.world.workers.values()))
+
+    def _number_of(self, worker: ModelWorker) -> int:
+        return next(n for n, worker_id in self._at.items() if worker_id == worker.id)
+
+    def _hand_in(self, job: LedgerJob) -> None:
+        self._jobs += 1
+        self.world.jobs[job.record.id] = job
+        if self._owner is not None:
+            now = self.world.now
+            self._owner.scheduler.add_job(job, now, now)
+            self._owner.kick()
+
+    def _mend(self) -> None:
+        """Let everything be calm from now on."""
+        self.world.troubled = False
+        self._pending.clear()
+        self.world.late = [(-math.inf, call) for _, call in self.world.late]
+        if self._owner is not None:
+            self._owner.list_is_read = True
+        self._mend_workers()
+        self._mend_entries()
+
+    def _mend_workers(self) -> None:
+        for worker in list(self.world.workers.values()):
+            worker.silent = False
+            if worker.draining:
+                self._die(worker)
+            else:
+                slot = self._slots[self._number_of(worker)]
+                worker.capacity = slot.capacity
+                self._set_leaving(worker, False)
+        for number in range(len(self._slots)):
+            if number not in self._at:
+                self._boot(number)
+
+    def _mend_entries(self) -> None:
+        for worker_id in list(self._directory.entries):
+            if worker_id not in self.world.workers:
+                self._untell(worker_id)
+        for worker_id in self.world.workers:
+            self._tell(worker_id)
--- a/tests/components/scheduling/liveness_owner.py
+++ b/tests/components/scheduling/liveness_owner.py
@@ -19,7 +19,9 @@
 from mustardward.platform.models import Room, WorkerEntry
 from mustardward.platform.workers import HoldAnswer, TaskName
 
-from .liveness_world import LoopTimers, ModelAdvice, ModelClient, World
+from .liveness_calls import ModelAdvice, ModelClient
+from .liveness_loop import LoopTimers
+from .liveness_world import World
 
 PLAN_SECONDS = 0.1
 PLAN_GAP_SECONDS = 0.02
--- a/tests/components/scheduling/test_liveness.py
+++ b/tests/components/scheduling/test_liveness.py
@@ -22,8 +22,9 @@
 
 from .builders import JOB, POOL, SchedulerBench, a_job, a_step
 from .liveness_jobs import POLICIES, POOL_A
+from .liveness_loop import DrivenLoop
 from .liveness_owner import Directory, Owner
-from .liveness_world import DrivenLoop, ModelWorker, Run, World
+from .liveness_world import ModelWorker, Run, World
 
 TICK_SECONDS = 0.1
 WAIT_SECONDS = 10.0
