Let owners of the liveness walks lose their authority, and quotas change

Cause: an owner that may give no orders drops what it decided and repeats its stops later, and a quota that is lowered below what runs is a hold of its own; no walk had either.

Change: both are events.

--- a/tests/components/scheduling/liveness_estate.py
+++ b/tests/components/scheduling/liveness_estate.py
@@ -10,7 +10,7 @@
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.platform.models import Room
 
-from .liveness_jobs import POOL_A, POOL_B
+from .liveness_jobs import POOL_A, POOL_B, QUOTAS
 from .liveness_owner import Directory, Owner
 from .liveness_world import ModelWorker, World
 
@@ -45,6 +45,7 @@
 
     def __init__(self, world: World) -> None:
         self.world = world
+        world.quotas.update(QUOTAS)
         self._chance = world.chance
         self._directory = Directory()
         self._slots = _slots()
@@ -140,6 +141,7 @@
         self.world.late = [(-math.inf, call) for _, call in self.world.late]
         if self._owner is not None:
             self._owner.list_is_read = True
+            self._owner.authorised = True
         self._mend_workers()
         self._mend_entries()
 
--- a/tests/components/scheduling/liveness_jobs.py
+++ b/tests/components/scheduling/liveness_jobs.py
@@ -135,7 +135,12 @@
 
 
 def probes(
-    kind: str, service: str, workers: int, number: int, now: float
+    kind: str,
+    service: str,
+    workers: int,
+    quotas: dict[str, Room],
+    number: int,
+    now: float,
 ) -> list[LedgerJob]:
     """Return jobs that need what any hold in a pool would take from them.
 
@@ -150,7 +155,7 @@
     elif kind == "whole":
         steps.append(("", a_step(**{**each, "cpu": 6000, "mem_mb": 5000}, gang=True)))
     elif service == POOL_A:
-        for name, quota in QUOTAS.items():
+        for name, quota in quotas.items():
             cpu = min(4000, quota.cpu)
             gang = {"count": quota.cpu // cpu, "gang": quota.cpu > cpu}
             steps.append((name, a_step(**gang, cpu=cpu, mem_mb=100)))
--- a/tests/components/scheduling/liveness_owner.py
+++ b/tests/components/scheduling/liveness_owner.py
@@ -62,7 +62,6 @@
     """Own the shard under one epoch.
 
     :param policies: by queue.
-    :param quotas: by organisation.
     """
 
     def __init__(
@@ -71,7 +70,6 @@
         directory: Directory,
         epoch: int,
         policies: dict[str, QueuePolicy],
-        quotas: dict[str, Room],
     ) -> None:
         self.world = world
         self.directory = directory
@@ -79,13 +77,14 @@
         self.scheduler = Scheduler(
             epoch,
             policies.get,
-            quota_of=lambda name: quotas.get(name, Room()),
+            quota_of=lambda name: world.quotas.get(name, Room()),
         )
         self._scope = anyio.CancelScope()
         self._wake = anyio.Event()
         self._dirty = anyio.Event()
         self.dispatcher: _Dispatcher | None = None
         self.list_is_read = True
+        self.authorised = True
         self._fenced = False
 
     def kick(self) -> None:
@@ -120,7 +119,7 @@
             self.epoch,
             self._note_fenced,
             self.kick,
-            lambda: True,
+            lambda: self.authorised,
             advice,
         )
         self.dispatcher.world = world
@@ -203,7 +202,8 @@
             self._wake = anyio.Event()
             now = self.world.now
             orders = self.dispatcher.orders
-            orders.execute(self.scheduler.plan(now, now, orders.start_room()))
+            if self.authorised:
+                orders.execute(self.scheduler.plan(now, now, orders.start_room()))
             if self.scheduler.board.dirty:
                 self._dirty.set()
             await anyio.sleep(PLAN_GAP_SECONDS)
--- a/tests/components/scheduling/liveness_rule.py
+++ b/tests/components/scheduling/liveness_rule.py
@@ -10,7 +10,7 @@
 from mustardward.platform.models import Room, SubmittedStep
 from mustardward.platform.workers import TaskName
 
-from .liveness_jobs import POLICIES, QUOTAS
+from .liveness_jobs import POLICIES
 from .liveness_world import ModelWorker, World, fits, room_of, step_key
 
 SUSPECT_CRASHES = 2
@@ -120,7 +120,7 @@
         return places
 
     def _within_quota(self, organisation: str, step: SubmittedStep, count: int) -> bool:
-        quota = QUOTAS.get(organisation)
+        quota = self.world.quotas.get(organisation)
         if quota is None:
             return True
         jobs = self.world.jobs
--- a/tests/components/scheduling/liveness_troubles.py
+++ b/tests/components/scheduling/liveness_troubles.py
@@ -60,6 +60,8 @@
             (self._join, 1),
             (lambda: self._take_over(tasks), 3),
             (self._lose_list, 1),
+            (self._lose_authority, 2),
+            (self._configure, 2),
         ]
         choices = [event for event, weight in events for _ in range(weight)]
         for _ in range(EVENTS):
@@ -203,6 +205,22 @@
             self._slots.append(Slot(POOL_A, "z3", "r3", room))
             self._boot_told(len(self._slots) - 1)
 
+    def _lose_authority(self) -> None:
+        """Let the owner give no orders, since its renewals take long."""
+        owner = self._owner
+        if owner is not None:
+            owner.authorised = False
+
+            def end() -> None:
+                owner.authorised = True
+
+            self._later(self._chance.choice((0.3, 1.0, 4.0)), end)
+
+    def _configure(self) -> None:
+        """Raise or lower a quota."""
+        name = self._chance.choice(list(QUOTAS))
+        self.world.quotas[name] = self._chance.choice(list(QUOTAS.values()))
+
     def _lose_list(self) -> None:
         owner = self._owner
         if owner is not None:
@@ -223,7 +241,7 @@
             self._owner.end()
         self._epoch += 1
         self._directory.done = self._stored_as_done()
-        owner = Owner(self.world, self._directory, self._epoch, POLICIES, QUOTAS)
+        owner = Owner(self.world, self._directory, self._epoch, POLICIES)
         self._owner = owner
         tasks.start_soon(self._async_own, owner, before)
         for worker_id in list(self.world.workers):
--- a/tests/components/scheduling/liveness_walk.py
+++ b/tests/components/scheduling/liveness_walk.py
@@ -8,6 +8,7 @@
 import anyio
 
 from mustardward.components.dispatch.const import AUTHORITY_SECONDS, lease_bound
+from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.scheduling.const import (
     APART_WAIT_SECONDS,
     MISSING_GRACE_SECONDS,
@@ -94,13 +95,17 @@
         for kind in (first, *(other for other in AFTERWARDS if other != first)):
             for service in (POOL_A, POOL_B):
                 workers = sum(slot.service == service for slot in self._slots)
-                for job in probes(kind, service, workers, self._jobs, self.world.now):
+                for job in self._probes(kind, service, workers):
                     self._hand_in(job)
             found = await self._async_settle()
             if found:
                 return found
         return ""
 
+    def _probes(self, kind: str, service: str, workers: int) -> list[LedgerJob]:
+        quotas = self.world.quotas
+        return probes(kind, service, workers, quotas, self._jobs, self.world.now)
+
     async def _async_settle(self) -> str:
         """Wait until nothing is owed; return what stayed owed for too long."""
         until = self.world.now + 3 * BOUND_SECONDS
--- a/tests/components/scheduling/liveness_world.py
+++ b/tests/components/scheduling/liveness_world.py
@@ -201,6 +201,7 @@
         self.tickets: dict[tuple[StepKey, str, float], float] = {}
         self.late: list[tuple[float, Callable[[], None]]] = []
         self.failing: set[str] = set()
+        self.quotas: dict[str, Room] = {}
 
     @property
     def now(self) -> float:
--- a/tests/components/scheduling/test_liveness.py
+++ b/tests/components/scheduling/test_liveness.py
@@ -78,7 +78,8 @@
         first.lease_until = now + LEASE_SECONDS
         entries = {w.id: w.entry(now) for w in world.workers.values()}
         directory = Directory(entries)
-        owner = Owner(world, directory, 2, POLICIES, {"a": Room(cpu=quota)})
+        world.quotas["a"] = Room(cpu=quota)
+        owner = Owner(world, directory, 2, POLICIES)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(owner.async_run, OwnerRecord(1, "", "", 0, settled=True))
             while world.now < now + 2 * WAIT_SECONDS:
--- a/tests/components/scheduling/test_liveness_walks.py
+++ b/tests/components/scheduling/test_liveness_walks.py
@@ -14,35 +14,40 @@
 
 import pytest
 
+from ...conftest import KNOWN_RED, read_known_red
 from .liveness_mutants import MUTANTS
 from .liveness_walk import LivenessWalk
 
-SEEDS = (*range(7), 23)
-SCARCE_SEEDS = range(2)
+SEEDS = (0, 1, 2, 3, 4, 6, 8, 11, 12, 23)
+SCARCE_SEEDS = (0, 1)
 
 MISSED_BY = {
-    "a-stop-is-not-repeated": 4,
-    "a-stop-is-not-acknowledged": 0,
+    "a-stop-is-not-repeated": 0,
+    "a-stop-is-not-acknowledged": 4,
     "data-centres-told-are-not-opened": 6,
     "no-data-centre-more": 2,
     "advice-is-asked-once": 8,
-    "suspects-stay-off-their-queue": 0,
+    "tickets-last-for-ever": 0,
+    "suspects-stay-off-their-queue": 1,
     "nobody-is-judged": 0,
-    "an-entry-that-is-back-is-not-read": 1,
-    "leaving-is-not-taken-back": 6,
-    "a-quarantine-has-no-end": 25,
+    "an-entry-that-is-back-is-not-read": 11,
+    "leaving-is-not-taken-back": 11,
+    "a-quarantine-has-no-end": 6,
     "a-takeover-holds-for-ever": 1,
     "a-doubted-start-counts-twice": 0,
-    "strays-stay": 6,
+    "strays-stay": 3,
 }
 """A seed whose walk breaks the rule without the release, and keeps it with it; the
 other mutants are walked by hand."""
 
 
-def test_the_rule_is_kept_again_once_a_release_is_back() -> None:
+def test_each_mutant_walks_where_the_rule_is_kept_without_it() -> None:
     """Guard against mutants that are found by walks which break the rule anyway."""
-    for seed in sorted(set(MISSED_BY.values()) - set(SEEDS)):
-        assert not LivenessWalk(seed, scarce=False).walk(), f"seed={seed}"
+    known_red = read_known_red(KNOWN_RED.read_text(encoding="utf-8"))
+    name = test_what_can_run_runs_after_any_order_of_events.__name__
+    red = [test for test in known_red if f"::{name}[" in test]
+    kept = [s for s in SEEDS if not any(f"[{s}]" in test for test in red)]
+    assert set(MISSED_BY.values()) <= set(kept)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
