Hold what a wave and a move hold though a list misses the instance

Cause: the planners took "not in the newest list" for "gone". That a list is not whole was asked for silent workers alone.

Now the view says whether each row could be read. An instance of a wave is gone once two lists in a row miss it and the last is complete: before that its emptying goes on, its order holds its place, and the wave is not done. A move that was accepted is dropped by a complete list alone, and counts for its pool whether the list names the instance or not. The hold is bounded: an instance that no list names for 3 s is no longer emptied, so that its worker is used; the wave still waits for it.

--- a/mustardward/components/fleet/const.py
+++ b/mustardward/components/fleet/const.py
@@ -36,6 +36,10 @@
 """Time beyond a maintenance after which an instance that a list shows as the same
 incarnation had it before; lists lag by up to a second."""
 
+MISSED_SECONDS: Final = 3.0
+"""Time after which an instance that no list names, as one whose row can't be read, is
+no longer emptied: its worker would do nothing until it can be."""
+
 RETRY_SECONDS: Final = 0.3
 """Pause before an order of unknown outcome is repeated; it is idempotent."""
 
--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -68,6 +68,7 @@
     :param seen_wall: the same as wall clock, for the owners after.
     :param begun: machines whose maintenance has begun.
     :param emptying: machines that are being emptied for it, and their workers.
+    :param missed: machines that lists miss, by when the first such list was asked for.
     """
 
     wave: UpkeepWave
@@ -76,6 +77,7 @@
     begun: set[str] = field(default_factory=set)
     orders: dict[str, MaintenanceOrder] = field(default_factory=dict)
     emptying: dict[str, str] = field(default_factory=dict)
+    missed: dict[str, float] = field(default_factory=dict)
     done: bool = False
 
 
@@ -84,6 +86,7 @@
     """Hold the newest list and what runs on its workers.
 
     :param read_at: when the list was asked for, in steady seconds.
+    :param complete: whether each of its rows could be read.
     :param moving: machines that were ordered into another pool.
     :param barred: machines that the owner before ordered somewhere just now.
     :param unusable: workers that are up and can't be given tasks.
@@ -101,6 +104,7 @@
     unusable: frozenset[str] = frozenset()
     due: frozenset[str] = frozenset()
     rooms: Mapping[str, Room] = field(default_factory=dict)
+    complete: bool = True
 
     def room_of(self, instance: Instance) -> Room:
         """Return an instance's room, as its worker tells it if that is known."""
--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -129,7 +129,8 @@
                 and instance.state == INSTANCE_UP
                 and view.read_at >= order.accepted_at + self.move_seconds
             )
-            if instance is None or shown or since > MOVE_LOST_SECONDS:
+            gone = instance is None and view.complete
+            if gone or shown or since > MOVE_LOST_SECONDS:
                 del self.orders[machine]
 
     def _repeat(self, view: FleetView, now: float) -> Iterator[Move]:
@@ -157,14 +158,14 @@
         return free
 
     def _have(self, view: FleetView, taken: set[str]) -> Counter[str]:
-        have: Counter[str] = Counter()
+        have = Counter(order.pool for order in self.orders.values())
         for machine, instance in view.instances.items():
             if machine in self.orders:
-                have[self.orders[machine].pool] += 1
-            elif instance.id in view.unusable:
+                continue
+            if instance.id in view.unusable:
                 # Counted, it would keep a step that spreads from the worker it lacks.
                 continue
-            elif machine not in taken and instance.state == INSTANCE_UP:
+            if machine not in taken and instance.state == INSTANCE_UP:
                 have[instance.pool] += 1
         return have
 
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -255,6 +255,7 @@
             standby,
             frozenset(pools),
             self._read_at,
+            complete=self._complete,
             unusable=self._unusable(),
             due=frozenset(self.planner.due()),
             rooms={w.id: w.capacity for w in self.scheduler.board.workers.values()},
--- a/mustardward/components/fleet/waves.py
+++ b/mustardward/components/fleet/waves.py
@@ -14,6 +14,7 @@
     CYCLE_SECONDS,
     HURRY_FACTOR,
     LEAST_AT_ONCE,
+    MISSED_SECONDS,
     POOL_SHARE,
     REPEATED_SECONDS,
     RETRY_SECONDS,
@@ -45,10 +46,14 @@
         for run in self.runs.values():
             if run.done:
                 continue
+            _note_missed(run, view)
             self._settle(run, view)
             decisions.extend(self._order(run, view, now))
             decisions.extend(self._empty(run, view, now))
-            run.done = not self.left(run, view) and not run.orders
+            run.done = not run.orders and all(
+                machine in run.begun or _is_gone(run, machine, view)
+                for machine in run.wave.machines
+            )
         return decisions
 
     def accepted(self, wave: int, machine: str, now: float) -> None:
@@ -104,7 +109,10 @@
                 continue
             if view.read_at < order.accepted_at + self.maintenance_seconds:
                 continue
-            if instance is None or _is_up_again(instance, order, view):
+            if instance is None:
+                if _is_gone(run, machine, view):
+                    del run.orders[machine]
+            elif _is_up_again(instance, order, view):
                 del run.orders[machine]
             elif view.read_at >= (
                 order.accepted_at + self.maintenance_seconds + REPEATED_SECONDS
@@ -117,7 +125,11 @@
     def _order(self, run: WaveRun, view: FleetView, now: float) -> Iterable[Decision]:
         for machine in list(run.emptying):
             instance = view.instances.get(machine)
-            if instance is None or instance.state != INSTANCE_UP:
+            if instance is None:
+                if _is_gone(run, machine, view) or _is_missed_long(run, machine, view):
+                    del run.emptying[machine]
+                continue
+            if instance.state != INSTANCE_UP:
                 del run.emptying[machine]
                 continue
             # Whichever worker runs there by now gets no new task.
@@ -196,6 +208,29 @@
         return held
 
 
+def _note_missed(run: WaveRun, view: FleetView) -> None:
+    """Note which instances of a wave the lists miss, and since when."""
+    for machine in run.wave.machines:
+        if machine in view.instances:
+            run.missed.pop(machine, None)
+        else:
+            run.missed.setdefault(machine, view.read_at)
+
+
+def _is_gone(run: WaveRun, machine: str, view: FleetView) -> bool:
+    """Return whether two lists in a row missed an instance, the last of them complete.
+
+    Instances come and go while the pages of one list are read, and a row that can't be
+    read may be that of any.
+    """
+    return view.complete and run.missed.get(machine, view.read_at) < view.read_at
+
+
+def _is_missed_long(run: WaveRun, machine: str, view: FleetView) -> bool:
+    since = run.missed.get(machine, view.read_at)
+    return view.read_at - since > MISSED_SECONDS
+
+
 def _is_up_again(instance: Instance, order: MaintenanceOrder, view: FleetView) -> bool:
     if instance.state != INSTANCE_UP:
         return False
--- a/tests/components/fleet/test_pools.py
+++ b/tests/components/fleet/test_pools.py
@@ -105,6 +105,19 @@
     ]
 
 
+def test_an_instance_under_way_counts_though_its_row_can_not_be_read() -> None:
+    """Guards against a second instance for the same need."""
+    planner = PoolPlanner(MOVE_SECONDS)
+    fleet = [an_instance(n, POOL if n < 2 else STANDBY) for n in range(8)]
+    load = a_load(cores=1.0, spread=3)
+    view = replace(a_view(fleet), pools=frozenset({POOL}))
+    (move,) = planner.decide(view, {POOL: load}, set(), 0.0)
+    planner.accepted(move.machine, 0.1)
+    rest = {i.machine: i for i in fleet if i.machine != move.machine}
+    view = replace(view, instances=rest, read_at=0.4, complete=False)
+    assert planner.decide(view, {POOL: load}, set(), 0.4) == []
+
+
 def test_a_step_that_spreads_gets_a_worker_for_each_of_its_tasks() -> None:
     """A limit of tasks for each worker asks for workers, however small the tasks.
 
--- a/tests/components/fleet/test_waves.py
+++ b/tests/components/fleet/test_waves.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
-from mustardward.components.fleet.const import CYCLE_SECONDS, REPEATED_SECONDS
+from mustardward.components.fleet.const import (
+    CYCLE_SECONDS,
+    MISSED_SECONDS,
+    REPEATED_SECONDS,
+)
 from mustardward.components.fleet.models import Empty, Load, Maintain
 from mustardward.components.fleet.waves import WavePlanner, take_up
 from mustardward.components.ledger.models import WaveRecord
@@ -263,3 +269,43 @@
     loads[order.old_id or ""] = Load(0, 0, born=200)
     planner.decide(a_view(fleet, loads, read_at=2.6), 2.6)
     assert order.machine not in planner.runs[1].orders
+
+
+def test_a_wave_is_not_done_since_one_list_misses_its_last_instance() -> None:
+    """Guards against a wave that is told as done before its last instance's turn."""
+    planner = a_planner(["m-00"])
+    busy = {"i-00": Load(1, 0)}
+    planner.decide(a_view(eight(), busy), 0.0)
+    planner.decide(a_view(eight()[1:], read_at=0.4), 0.4)
+    assert not planner.runs[1].done
+    planner.decide(a_view(eight(), busy, read_at=0.8), 0.8)
+    assert not planner.runs[1].done
+    planner.decide(a_view(eight()[1:], read_at=1.2), 1.2)
+    planner.decide(a_view(eight()[1:], read_at=1.6), 1.6)
+    assert planner.runs[1].done
+
+
+def test_an_instance_whose_row_can_not_be_read_is_not_emptied_for_good() -> None:
+    """Guards against a worker that is left out, and a wave that is done without it."""
+    planner = a_planner(["m-00"])
+    run = planner.runs[1]
+    planner.decide(a_view(eight(), {"i-00": Load(1, 0)}), 0.0)
+    for read_at in (0.4, 0.4 + MISSED_SECONDS, 0.5 + MISSED_SECONDS):
+        assert run.emptying
+        view = replace(a_view(eight()[1:], read_at=read_at), complete=False)
+        planner.decide(view, read_at)
+    assert not run.emptying
+    assert not run.done
+
+
+def test_an_instance_that_is_down_counts_though_its_row_can_not_be_read() -> None:
+    """Guards against a wave that takes more instances at once than it may."""
+    planner = a_planner(["m-00", "m-01"], max_count=1)
+    planner.decide(a_view(eight()), 0.0)
+    (order,) = _orders(planner, a_view(eight(), read_at=0.1), 0.1)
+    assert isinstance(order, Maintain)
+    planner.accepted(1, order.machine, 0.1)
+    rest = [i for i in eight() if i.machine != order.machine]
+    for read_at in (2.5, 2.9):
+        view = replace(a_view(rest, read_at=read_at), complete=False)
+        assert _orders(planner, view, read_at) == []
