Count for a pool what its planner can use, or what is on its way

Callers saw tasks that waited for a worker while their pool had, by its count, as many instances as they need: a step that spreads waited for one whose worker was lost (the list shows it as up for as long as its data centre is cut off), and a job for a pool of two on which nothing was started, since both listed a run of a job that was not known.

Cause: the pools had a rule of their own for what does not count (absent, draining, silent), the planner of tasks another; what was in the second alone held work back, and no instance was asked for in its place.

Now `placement.can_serve` is the one rule for what has no end of its own, `usable` adds what ends by itself or is the fleet's doing, and `UnusableInstances` uses the first with an age: a worker that can't serve for more than SILENT_SECONDS does not count, nor an instance that is up and not heard of for 3 s and 6 ms for each worker, so that a new owner has time to ask them all. Draining and absent count at once, and silence from when it was heard last, as before. The board has the same set: room there is none of a pool's load, nor of a data centre that a job is sent to.

--- a/mustardward/components/fleet/const.py
+++ b/mustardward/components/fleet/const.py
@@ -68,6 +68,13 @@
 """Silence after which a worker does not count for its pool: an instance comes in as
 long, and single answers are lost for less."""
 
+UNHEARD_SECONDS: Final = 3.0
+"""Time in which a worker that came, or that the owner before had, is heard of."""
+
+HEARING_SECONDS_EACH: Final = 0.006
+"""What each worker adds to it: a new owner asks them in turn, and one behind a cut
+holds one of 96 places for 0.6 s."""
+
 IDLE_SECONDS: Final = 2.5
 """Idle time after which an instance goes off: off and on again costs about as much as
 keeping it on for 2.3 s."""
--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -89,7 +89,8 @@
     :param complete: whether each of its rows could be read.
     :param moving: machines that were ordered into another pool.
     :param barred: machines that the owner before ordered somewhere just now.
-    :param unusable: workers that are up and can't be given tasks.
+    :param unusable: workers, or machines without one, that are up and can't be given
+        tasks for longer than a moment.
     :param due: machines that a wave is still to maintain.
     :param rooms: what workers tell of their room, which may be less than the list says.
     """
--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -162,7 +162,7 @@
         for machine, instance in view.instances.items():
             if machine in self.orders:
                 continue
-            if instance.id in view.unusable:
+            if (instance.id or machine) in view.unusable:
                 # Counted, it would keep a step that spreads from the worker it lacks.
                 continue
             if machine not in taken and instance.state == INSTANCE_UP:
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -26,7 +26,6 @@
 from .const import (
     BUSY_LIST_SECONDS,
     LIST_SECONDS,
-    SILENT_SECONDS,
     TICK_SECONDS,
 )
 from .hosts import Hosts
@@ -36,6 +35,7 @@
 from .ordering import Ordering, OrderOutcome
 from .pools import PoolPlanner
 from .telling import WaveTelling
+from .unusable import UnusableInstances
 from .waves import WavePlanner, take_up
 
 _LOGGER = get_logger(__name__)
@@ -75,6 +75,7 @@
     tasks: TaskGroup
     _instances: dict[str, Instance] = field(default_factory=dict)
     _hosts: Hosts = field(default_factory=Hosts)
+    _unusable: UnusableInstances = field(default_factory=UnusableInstances)
     _read_at: float = -1.0
     _complete: bool = True
 
@@ -103,6 +104,7 @@
         now = self.timers.monotonic()
         barred = self._barred()
         view = self._view()
+        self.scheduler.board.unusable = view.unusable
         taken = self.planner.taken() | barred
         for move in self.pools.decide(
             view, measure(self.scheduler.board, now), taken, now
@@ -208,16 +210,16 @@
                 coming[order.pool] += instance.capacity.cpu
         return coming
 
-    def _unusable(self) -> frozenset[str]:
+    def _look_for_unusable(self, standby: frozenset[str]) -> frozenset[str]:
         """Return the workers that nothing can be started on for a while."""
-        now = self.timers.monotonic()
-        return frozenset(
-            worker.id
-            for worker in self.scheduler.board.workers.values()
-            if worker.absent
-            or worker.draining
-            or (worker.stale and now - worker.heard_at > SILENT_SECONDS)
+        board = self.scheduler.board
+        counted = (
+            instance
+            for instance in self._instances.values()
+            if instance.state == INSTANCE_UP and instance.pool not in standby
         )
+        now = self.timers.monotonic()
+        return self._unusable.look(counted, board.workers, board.taken_over_at, now)
 
     def _settle_leaving(self) -> None:
         """Let those workers leave, and no others, that are about to be taken."""
@@ -256,7 +258,7 @@
             frozenset(pools),
             self._read_at,
             complete=self._complete,
-            unusable=self._unusable(),
+            unusable=self._look_for_unusable(standby),
             due=frozenset(self.planner.due()),
             rooms={w.id: w.capacity for w in self.scheduler.board.workers.values()},
         )
--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -29,6 +29,7 @@
     :param held_until: until when workers that were not heard of may run what an owner
         before started.
     :param coming: processor of the instances on their way to a pool.
+    :param unusable: workers that could run nothing for longer than a moment.
     :param accounted: data centres all of whose workers told what they run.
     :param suspects: the jobs with tasks under which workers crashed, by id.
     """
@@ -44,6 +45,7 @@
     held_until: float = 0.0
     accounted: frozenset[str] = frozenset()
     coming: dict[str, int] = field(default_factory=dict)
+    unusable: frozenset[str] = frozenset()
     taken_over_at: float = 0.0
     quotas: Quotas = field(default_factory=Quotas)
     suspects: dict[str, Job] = field(default_factory=dict)
--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -19,7 +19,7 @@
 class PoolLoad:
     """Hold a pool's load.
 
-    :param workers: that are confirmed and not leaving.
+    :param workers: that are confirmed, not leaving, and can run something.
     :param capacity: of these, in thousandths of a core.
     :param memory: of these, in MB.
     :param lasting: taken or waited for by tasks that last.
@@ -74,7 +74,8 @@
     steps: dict[int, StepRun] = {}
     for worker in board.workers.values():
         load = loads[worker.service]
-        if worker.confirmed and not worker.leaving and not worker.absent:
+        usable = not worker.leaving and worker.id not in board.unusable
+        if worker.confirmed and usable and not worker.absent:
             load.workers += 1
             load.capacity += worker.capacity.cpu
             load.memory += worker.capacity.mem_mb
--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -35,15 +35,26 @@
     return True
 
 
-def usable(worker: WorkerState, now: float) -> bool:
-    """Return whether a worker may be given new tasks."""
+def can_serve(worker: WorkerState) -> bool:
+    """Return whether nothing keeps a worker from tasks that has no end of its own.
+
+    The fleet replaces a worker for which this does not hold for long. What ends by
+    itself, or is the fleet's own doing, belongs to ``usable`` alone.
+    """
     return (
         worker.confirmed
         and not worker.draining
-        and not worker.leaving
         and not worker.absent
         and not worker.stale
         and not worker.unknown_runs
+    )
+
+
+def usable(worker: WorkerState, now: float) -> bool:
+    """Return whether a worker may be given new tasks."""
+    return (
+        can_serve(worker)
+        and not worker.leaving
         and worker.refusing_until <= now
         and worker.quarantined_until <= now
     )
--- a/tests/components/scheduling/test_demand.py
+++ b/tests/components/scheduling/test_demand.py
@@ -35,6 +35,15 @@
     assert load.backlog.mem_mb == 800
 
 
+def test_a_worker_that_can_run_nothing_is_no_room() -> None:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("w2")
+    bench.scheduler.board.unusable = frozenset({"w2"})
+    load = measure(bench.scheduler.board, bench.now)[POOL]
+    assert (load.workers, load.capacity, load.memory) == (1, 8000, 8000)
+
+
 def arrive(bench: SchedulerBench, count: int, over_seconds: float) -> None:
     """Hand in jobs of two tasks of a core and a second, at even times."""
     for number in range(count):
--- a/tests/components/scheduling/test_zones.py
+++ b/tests/components/scheduling/test_zones.py
@@ -81,6 +81,15 @@
     assert sorted(zones) == sorted(ZONES * 2)
 
 
+def test_a_job_goes_where_workers_can_run_it() -> None:
+    """Guards against jobs that wait for a data centre whose workers run nothing."""
+    bench = a_bench()
+    bench.scheduler.board.unusable = frozenset({"z1-0", "z2-0"})
+    for number in range(3):
+        bench.add(a_job(a_step(), job=f"{number:016x}"), stored=False)
+    assert {tuple(record.zones) for record in store(bench).values()} == {("z3",)}
+
+
 def test_a_job_goes_where_its_data_is() -> None:
     bench = SchedulerBench()
     for zone, rack in (("z1", "r1"), ("z2", "r2")):
