Keep a worker for a lasting step only where it can come to run

Callers saw ordinary jobs wait beside idle workers for as long as some lasting step waited; a pool of n workers stood still once n lasting steps could not be placed. Cause: each plan took the worker with most free processor out of the offers for each lasting step that found no place. Nothing asked for the step's label, limit or advice, for memory and accelerators, or for room that lasting tasks never give back. A run over its estimate counts as lasting as long again. Steps share a kept worker while all that they need fits there.

--- a/mustardward/components/scheduling/offers.py
+++ b/mustardward/components/scheduling/offers.py
@@ -10,6 +10,13 @@
 from ...platform.models import Room
 from .crashes import has_lasting
 from .models import StepRun, WorkerState
+from .placement import (
+    SecondsLeft,
+    lasting_tasks_to_fit,
+    room_beside_lasting,
+    seconds_to_room,
+    tasks_in,
+)
 
 Where = frozenset[str] | None
 
@@ -39,6 +46,7 @@
     _nowhere: list[Room] = field(default_factory=list)
     _nowhere_of: list[StepRun] = field(default_factory=list)
     _one_is_kept: bool = False
+    _room_kept: list[tuple[WorkerState, Room]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Part the workers by data centre."""
@@ -87,6 +95,29 @@
         if workers:
             self.leave_out([max(workers, key=lambda worker: worker.free_cpu)], step)
 
+    def keep_for_lasting(self, step: StepRun, left: SecondsLeft) -> None:
+        """Keep a worker for a lasting step that waits, if it can run there in time.
+
+        Steps share a worker as long as all that they need has room there.
+
+        :param left: how long a task is expected to run on.
+        """
+        for number, (worker, room) in enumerate(self._room_kept):
+            count = lasting_tasks_to_fit(worker, step)
+            if 0 < count <= tasks_in(room, step.room):
+                self._room_kept[number] = (worker, _less(room, step.room, count))
+                return
+        able = [w for w in self.workers if lasting_tasks_to_fit(w, step)]
+        if not able:
+            return
+        kept = min(
+            able, key=lambda w: (seconds_to_room(w, step.room, left), -w.free_cpu)
+        )
+        count = lasting_tasks_to_fit(kept, step)
+        room = _less(room_beside_lasting(kept), step.room, count)
+        self._room_kept.append((kept, room))
+        self.leave_out([kept], step)
+
     def keep_one_to_empty(self, step: StepRun) -> None:
         """Keep one worker that becomes empty by itself, whoever waits for it."""
         if not self._one_is_kept:
@@ -102,6 +133,15 @@
             self._part()
 
 
+def _less(room: Room, size: Room, count: int) -> Room:
+    """Return what some tasks of a size leave of a room."""
+    return Room(
+        room.cpu - count * size.cpu,
+        room.mem_mb - count * size.mem_mb,
+        room.gpu - count * size.gpu,
+    )
+
+
 def _covers(too_large: list[Room], room: Room) -> bool:
     return any(
         seen.cpu <= room.cpu and seen.mem_mb <= room.mem_mb and seen.gpu <= room.gpu
--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
-from collections.abc import Iterable, Set
+from collections.abc import Callable, Iterable, Set
 from heapq import heapify, heappop, heapreplace
+from typing import Final
 
 from ...helpers.policies import switchable
 from ...platform.models import Room
@@ -12,6 +14,10 @@
 
 Score = tuple[float, ...]
 GangPlaces = list[tuple[Task, WorkerState]]
+SecondsLeft = Callable[[Task], float]
+
+MOST_IN_ROOM: Final = 1_000_000
+"""Tasks that a room has place for if they take none."""
 
 
 def fits(worker: WorkerState, room: Room) -> bool:
@@ -35,6 +41,52 @@
     return True
 
 
+def room_beside_lasting(worker: WorkerState) -> Room:
+    """Return a worker's room once all that ends by itself has ended."""
+    taken = [t.step.room for t in worker.tasks.values() if t.step.spec.long_running]
+    taken += [step.room for step in worker.strays]
+    return Room(
+        worker.capacity.cpu - sum(room.cpu for room in taken),
+        worker.capacity.mem_mb - sum(room.mem_mb for room in taken),
+        worker.capacity.gpu - sum(room.gpu for room in taken),
+    )
+
+
+def lasting_tasks_to_fit(worker: WorkerState, step: StepRun) -> int:
+    """Return how many waiting tasks of a lasting step a worker will have room for."""
+    if not may_run(worker, step):
+        return 0
+    count = min(len(step.waiting), tasks_in(room_beside_lasting(worker), step.room))
+    most = step.spec.max_per_server
+    return min(count, most - step.on_worker[worker.id]) if most else count
+
+
+def tasks_in(room: Room, size: Room) -> int:
+    """Return how many tasks of a size a room has place for."""
+    pairs = ((room.cpu, size.cpu), (room.mem_mb, size.mem_mb), (room.gpu, size.gpu))
+    counts = [have // need for have, need in pairs if need]
+    return max(0, min(counts, default=MOST_IN_ROOM))
+
+
+def seconds_to_room(worker: WorkerState, room: Room, left: SecondsLeft) -> float:
+    """Return when enough has ended on a worker for a task, or infinity.
+
+    :param left: how long a task is expected to run on.
+    """
+    free = [worker.free_cpu, worker.free_mem, worker.free_gpu]
+    needed = (room.cpu, room.mem_mb, room.gpu)
+    seconds = 0.0
+    ending = [t for t in worker.tasks.values() if not t.step.spec.long_running]
+    for task in sorted(ending, key=left):
+        if all(have >= need for have, need in zip(free, needed, strict=True)):
+            break
+        seconds = max(seconds, left(task))
+        given = task.step.room
+        free = [free[0] + given.cpu, free[1] + given.mem_mb, free[2] + given.gpu]
+    enough = all(have >= need for have, need in zip(free, needed, strict=True))
+    return seconds if enough else math.inf
+
+
 def can_serve(worker: WorkerState) -> bool:
     """Return whether nothing keeps a worker from tasks that has no end of its own.
 
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -130,9 +130,9 @@
         if offers.may_fit(step) and self._place_tasks(step, allowed, now):
             return
         if step.spec.long_running:
-            # A task that lasts would wait for ever while shorter ones take each
-            # small hole: the emptiest worker is kept for it.
-            offers.keep_emptiest(offers.workers, step)
+            # A task that lasts would wait for ever while shorter ones take each hole.
+            # One that runs over its estimate is expected to run on for as long again.
+            offers.keep_for_lasting(step, lambda task: abs(self._left(task, now)))
             self.waits.note(step, Reason.NO_ROOM, offers)
             return
         elsewhere = self.zones.widen(step, offers.by_zone, promised)
--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -228,6 +228,35 @@
     assert bench.task(0, job=OTHER).phase is Phase.RUNNING
 
 
+def test_lasting_steps_that_wait_keep_no_worker_where_each_has_all_it_may() -> None:
+    """Guards against a pool that stands still for tasks that its limit holds back."""
+    bench = SchedulerBench()
+    for name in ("w1", "w2", "w3"):
+        bench.worker(name)
+    for number in range(3):
+        lasting = a_step(count=6, cpu=500, long_running=True, max_per_server=1)
+        bench.add(a_job(lasting, job=f"{number:016x}"))
+    play = Play(bench)
+    play.run(1.0)
+    bench.add(a_job())
+    assert play.run(CALM_SECONDS) == [JOB, JOB]
+
+
+def test_lasting_steps_that_wait_share_the_worker_that_is_kept() -> None:
+    """Guards against a worker kept for each of many steps that one has room for."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("w2")
+    bench.add(a_job(a_step(count=2, cpu=7500, estimate_ms=60_000), job=THIRD))
+    play = Play(bench)
+    play.run(1.0)
+    for number in range(2):
+        lasting = a_step(count=1, cpu=1000, long_running=True)
+        bench.add(a_job(lasting, job=f"{number:016x}"))
+    bench.add(a_job(a_step(count=1, cpu=500)))
+    assert play.run(CALM_SECONDS) == [JOB]
+
+
 def test_a_suspected_task_that_fits_no_worker_keeps_none() -> None:
     """Guards against a pool that waits as long as its longest task runs."""
     bench = SchedulerBench()
