Keep a worker for suspects only where one can run soon

Callers saw a pool of one start nothing for as long as a long task ran beside a waiting suspect, also for a suspect that no worker could ever run; and suspects that waited for ever beside an empty worker that was too small, beside half of the workers that a gang needs, or where each worker had a lasting task while short tasks kept coming. Cause: one worker was kept by its free processor alone, for as long as it took, and only while no worker was free of other jobs, whether or not that one could run the suspect. Now quota and advice are asked first, and one worker is kept if nothing fits on a free one: its rules and the room beside lasting tasks have to allow a task, and it has to be free for it within APART_WAIT_SECONDS by the estimates; rather one without lasting tasks. A gang also keeps the free workers that it needs, if it fits on all together. A run over its estimate is expected to last as long again, so that none closes a worker for more than twice that time. What a pool can do moved from planner.py to order.py.

--- a/mustardward/components/scheduling/estimates.py
+++ b/mustardward/components/scheduling/estimates.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ...helpers.policies import switchable
@@ -12,7 +13,7 @@
     ESTIMATE_WEIGHT,
     UNKNOWN_ESTIMATE_SECONDS,
 )
-from .models import Job, StepRun
+from .models import Job, StepRun, Task
 
 
 def _learn_nothing(estimates: Estimates, /, step: StepRun, seconds: float) -> None:
@@ -58,6 +59,17 @@
             return UNKNOWN_ESTIMATE_SECONDS
         return declared * self.ratio(step.job.record.queue)
 
+    def left_at(self, now: float) -> Callable[[Task], float]:
+        """Return how long tasks are expected to run on, in seconds.
+
+        One that runs over its estimate is expected to run on for as long again.
+        """
+        return lambda task: abs(self.seconds_left(task, now))
+
+    def seconds_left(self, task: Task, now: float) -> float:
+        """Return what is left of a task's estimate; below 0 once it is over that."""
+        return self.seconds(task.step) - (now - task.started_at)
+
     def work_left(self, job: Job) -> float:
         """Return what has not begun of a job's work, in core seconds."""
         ratio = self.ratio(job.record.queue)
--- a/mustardward/components/scheduling/offers.py
+++ b/mustardward/components/scheduling/offers.py
@@ -8,8 +8,7 @@
 from typing import NamedTuple
 
 from ...platform.models import Room
-from .crashes import has_lasting
-from .models import StepRun, WorkerState
+from .models import StepRun, Task, WorkerState
 from .placement import (
     SecondsLeft,
     lasting_tasks_to_fit,
@@ -17,6 +16,7 @@
     seconds_to_room,
     tasks_in,
 )
+from .trials import SecondsToEmpty, choose_to_empty
 
 Where = frozenset[str] | None
 
@@ -90,11 +90,6 @@
             self._nowhere.append(step.room)
             self._nowhere_of.append(step)
 
-    def keep_emptiest(self, workers: list[WorkerState], step: StepRun) -> None:
-        """Give the emptiest of some workers to no other step in this plan."""
-        if workers:
-            self.leave_out([max(workers, key=lambda worker: worker.free_cpu)], step)
-
     def keep_for_lasting(self, step: StepRun, left: SecondsLeft) -> None:
         """Keep a worker for a lasting step that waits, if it can run there in time.
 
@@ -118,11 +113,19 @@
         self._room_kept.append((kept, room))
         self.leave_out([kept], step)
 
-    def keep_one_to_empty(self, step: StepRun) -> None:
+    def keep_to_empty(
+        self,
+        step: StepRun,
+        suspects: list[Task],
+        free: list[WorkerState],
+        seconds: SecondsToEmpty,
+    ) -> None:
         """Keep one worker that becomes empty by itself, whoever waits for it."""
-        if not self._one_is_kept:
-            self._one_is_kept = True
-            self.keep_emptiest([w for w in self.workers if not has_lasting(w)], step)
+        if self._one_is_kept:
+            return
+        kept = choose_to_empty(self.workers, free, step, suspects, seconds)
+        self._one_is_kept = bool(kept)
+        self.leave_out(kept, step)
 
     def leave_out(self, taken: list[WorkerState], step: StepRun) -> None:
         """Give workers to no other step in this plan."""
--- a/mustardward/components/scheduling/order.py
+++ b/mustardward/components/scheduling/order.py
@@ -20,7 +20,7 @@
 
 from ...helpers.policies import switchable
 from .estimates import Estimates
-from .models import Job, StepRun
+from .models import Job, StepRun, WorkerState
 
 Rank = tuple[int, int, bool, float]
 
@@ -33,6 +33,9 @@
     work: float
 
 
+COMING_SECONDS: Final = 1.0
+"""Until an instance that is on its way takes work, from half of its way on."""
+
 Order = Callable[[Job, Left], float]
 
 ORDERS: Final[dict[str, Order]] = {}
@@ -104,6 +107,23 @@
         return self.now * max(0.0, seconds) + self.coming * later - self.begun
 
 
+def capacity_of(
+    workers: Iterable[WorkerState], coming: int, estimates: Estimates, now: float
+) -> Capacity:
+    """Return what some workers can do.
+
+    :param coming: processor of instances on their way, in thousandths of a core.
+    """
+    here = begun = 0.0
+    for worker in workers:
+        here += worker.capacity.cpu
+        for task in worker.tasks.values():
+            if not task.step.spec.long_running:
+                left = max(0.0, estimates.seconds_left(task, now))
+                begun += task.step.room.cpu * left
+    return Capacity(here / 1000, begun / 1000, coming / 1000, COMING_SECONDS)
+
+
 def _choose_by_slack(asked: float, capacity: Capacity) -> Order:
     return by_slack
 
--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -15,6 +15,7 @@
 Score = tuple[float, ...]
 GangPlaces = list[tuple[Task, WorkerState]]
 SecondsLeft = Callable[[Task], float]
+RoomOf = Callable[[WorkerState], Room]
 
 MOST_IN_ROOM: Final = 1_000_000
 """Tasks that a room has place for if they take none."""
@@ -41,6 +42,11 @@
     return True
 
 
+def free_room(worker: WorkerState) -> Room:
+    """Return the room that nothing takes of a worker now."""
+    return Room(worker.free_cpu, worker.free_mem, worker.free_gpu)
+
+
 def room_beside_lasting(worker: WorkerState) -> Room:
     """Return a worker's room once all that ends by itself has ended."""
     taken = [t.step.room for t in worker.tasks.values() if t.step.spec.long_running]
@@ -221,12 +227,17 @@
 
 
 def choose_gang(
-    workers: list[WorkerState], step: StepRun, tasks: Iterable[Task]
+    workers: list[WorkerState],
+    step: StepRun,
+    tasks: Iterable[Task],
+    room_of: RoomOf = free_room,
 ) -> GangPlaces | None:
     """Return a worker for every task of a gang, or None.
 
     Members wait for each other only for a short time, so a gang is placed as a whole
     or not at all; on one rack first, where that is faster.
+
+    :param room_of: the room that counts of a worker.
     """
     if step.spec.same_rack:
         racks = sorted({worker.rack for worker in workers})
@@ -235,17 +246,18 @@
     else:
         groups = [workers]
     for group in groups:
-        placed = _place_all(group, step, tasks)
+        placed = _place_all(group, step, tasks, room_of)
         if placed is not None:
             return placed
     return None
 
 
 def _place_all(
-    workers: list[WorkerState], step: StepRun, tasks: Iterable[Task]
+    workers: list[WorkerState], step: StepRun, tasks: Iterable[Task], room_of: RoomOf
 ) -> GangPlaces | None:
     room = step.room
-    left = {w.id: [w.free_cpu, w.free_mem, w.free_gpu] for w in workers}
+    rooms = {worker.id: room_of(worker) for worker in workers}
+    left = {name: [r.cpu, r.mem_mb, r.gpu] for name, r in rooms.items()}
     count = {w.id: step.on_worker[w.id] for w in workers}
     limit = step.spec.max_per_server or len(step.tasks)
     placed: GangPlaces = []
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -18,18 +18,22 @@
 )
 from .models import StepRun, Task, WorkerState
 from .offers import Offers
-from .order import Capacity, Order, prioritise
-from .placement import GangPlaces, Shortlist, choose_gang, choose_home, usable
+from .order import Capacity, Order, capacity_of, prioritise
+from .placement import (
+    GangPlaces,
+    Shortlist,
+    choose_gang,
+    choose_home,
+    usable,
+)
 from .quota_waits import QuotaWaits
+from .trials import seconds_to_empty
 from .waits import Reason, Waits, reason_elsewhere
 from .zones import Zones, promised_room
 
 ADVICE_SECONDS = 2.0
 """Longest wait for advice before it is asked again."""
 
-COMING_SECONDS = 1.0
-"""Until an instance that is on its way takes work, from half of its way on."""
-
 
 @dataclass(slots=True, eq=False)
 class Planner:
@@ -131,8 +135,7 @@
             return
         if step.spec.long_running:
             # A task that lasts would wait for ever while shorter ones take each hole.
-            # One that runs over its estimate is expected to run on for as long again.
-            offers.keep_for_lasting(step, lambda task: abs(self._left(task, now)))
+            offers.keep_for_lasting(step, self.board.estimates.left_at(now))
             self.waits.note(step, Reason.NO_ROOM, offers)
             return
         elsewhere = self.zones.widen(step, offers.by_zone, promised)
@@ -149,27 +152,30 @@
         now: float,
     ) -> None:
         """Place suspected tasks where a crash ends no other job's."""
-        trial = trial_workers(step.job)
-        allowed = [w for w in workers if is_free_for(w, suspects, now)]
-        if not allowed:
-            offers.keep_one_to_empty(step)
-            self.waits.note(step, Reason.SUSPECTS_WAIT)
-            return
-        if not self._may_start(step, allowed, now):
+        if not self._may_start(step, workers, now):
             return
+        free = [w for w in workers if is_free_for(w, suspects, now)]
+        at_trial = trial_workers(step.job)
+        one_worker = not (step.spec.long_running or step.spec.gang)
         if step.spec.gang:
-            placed = choose_gang(allowed, step, suspects)
-            if placed is None:
-                self.waits.note(step, Reason.SUSPECTS_WAIT)
+            placed = choose_gang(free, step, suspects)
             self._start_gang(placed, now)
+            all_fit = placed is not None
         else:
-            one_worker = not step.spec.long_running
-            if one_worker and trial:
-                allowed = [worker for worker in allowed if worker.id in trial]
-            self._place_each(step, suspects, allowed, one_worker, now)
+            if one_worker and at_trial:
+                free = [worker for worker in free if worker.id in at_trial]
+            all_fit = self._place_each(step, suspects, free, one_worker, now)
         used = trial_workers(step.job)
         if used:
-            offers.leave_out([w for w in allowed if w.id in used], step)
+            offers.leave_out([w for w in free if w.id in used], step)
+        if all_fit:
+            return
+        self.waits.note(step, Reason.SUSPECTS_WAIT)
+        if not (one_worker and used):
+            job, left = step.job, self.board.estimates.left_at(now)
+            offers.keep_to_empty(
+                step, suspects, free, lambda w: seconds_to_empty(w, job, left, now)
+            )
 
     def _place_each(
         self,
@@ -178,36 +184,26 @@
         workers: list[WorkerState],
         one_worker: bool,
         now: float,
-    ) -> None:
-        """Place tasks one by one.
+    ) -> bool:
+        """Place tasks one by one; return whether none of them lacks room.
 
         :param one_worker: whether all go to one, so that no more of them crash at once.
         """
         for task in suspects:
             if not self._has_starts(step) or not self._within_quota(step):
-                return
+                return True
             worker = Shortlist(workers, step, task.avoid).best()
             if worker is None:
-                self.waits.note(step, Reason.SUSPECTS_WAIT)
-                return
+                return False
             self._starts_left -= 1
             self.board.assign(task, worker, self.board.next_run(), now)
             if one_worker:
                 workers = [worker]
+        return True
 
     def _capacity(self, workers: list[WorkerState], now: float) -> Capacity:
-        here = sum(worker.capacity.cpu for worker in workers)
-        begun = sum(
-            task.step.room.cpu * max(0.0, self._left(task, now))
-            for worker in workers
-            for task in worker.tasks.values()
-            if not task.step.spec.long_running
-        )
         coming = self.board.coming.get(workers[0].service, 0)
-        return Capacity(here / 1000, begun / 1000, coming / 1000, COMING_SECONDS)
-
-    def _left(self, task: Task, now: float) -> float:
-        return self.board.estimates.seconds(task.step) - (now - task.started_at)
+        return capacity_of(workers, coming, self.board.estimates, now)
 
     def _place_tasks(
         self, step: StepRun, workers: list[WorkerState], now: float
--- /dev/null
+++ b/mustardward/components/scheduling/trials.py
@@ -0,0 +1,70 @@
+"""Choose the workers that are kept until suspected tasks can run there; pure."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from .const import APART_WAIT_SECONDS, SOUND_SECONDS
+from .crashes import has_lasting
+from .models import Job, StepRun, Task, WorkerState
+from .placement import (
+    SecondsLeft,
+    choose_gang,
+    may_run,
+    room_beside_lasting,
+    tasks_in,
+)
+
+SecondsToEmpty = Callable[[WorkerState], float]
+
+
+def could_run(worker: WorkerState, step: StepRun) -> bool:
+    """Return whether a worker can run a task once all that ends by itself has ended."""
+    return (
+        may_run(worker, step) and tasks_in(room_beside_lasting(worker), step.room) > 0
+    )
+
+
+def seconds_to_empty(
+    worker: WorkerState, job: Job, left: SecondsLeft, now: float
+) -> float:
+    """Return when nothing on a worker keeps a suspected job off it any more.
+
+    :param left: how long a task is expected to run on.
+    """
+    others = [task for task in worker.tasks.values() if task.step.job is not job]
+    return max((_seconds_in_the_way(task, left, now) for task in others), default=0.0)
+
+
+def _seconds_in_the_way(task: Task, left: SecondsLeft, now: float) -> float:
+    if task.step.spec.long_running:
+        return SOUND_SECONDS - (now - task.started_at)
+    return left(task)
+
+
+def choose_to_empty(
+    workers: list[WorkerState],
+    free: list[WorkerState],
+    step: StepRun,
+    suspects: list[Task],
+    seconds: SecondsToEmpty,
+) -> list[WorkerState]:
+    """Return the workers to keep for suspected tasks that can't run now.
+
+    One is to become empty, soon enough that others are not held up for a long run. A
+    gang also needs those that are free, which others would else fill meanwhile.
+
+    :param free: the workers that suspects may use.
+    :param seconds: when a worker will be free for them.
+    """
+    able = [worker for worker in workers if could_run(worker, step)]
+    busy = [worker for worker in able if worker not in free]
+    soon = [worker for worker in busy if seconds(worker) <= APART_WAIT_SECONDS]
+    if not soon:
+        return []
+    best = min(soon, key=lambda worker: (has_lasting(worker), seconds(worker)))
+    if not step.spec.gang:
+        return [best]
+    if choose_gang(able, step, suspects, room_beside_lasting) is None:
+        return []
+    return [best, *(worker for worker in able if worker in free)]
--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
 import pytest
 
 from mustardward.components.ledger.ledger import LedgerJob
@@ -281,6 +282,45 @@
     assert play.run(CALM_SECONDS)[-2:] == [THIRD, THIRD]
 
 
+def test_a_suspected_task_does_not_hold_a_pool_for_a_run_over_its_estimate() -> None:
+    """Guards against ordinary work that waits as long as nobody foresaw."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    play = Play(bench)
+    bench.add(a_job(a_step(count=1, estimate_ms=1000), job=OTHER))
+    play.run(0.5)
+    bench.add(suspected())
+    bench.add(a_job(job=THIRD))
+    assert play.run(CALM_SECONDS) == [THIRD, THIRD]
+
+
+def test_a_suspected_gang_that_fits_no_pool_keeps_no_worker() -> None:
+    """Guards against a worker that is emptied for a gang it is too small for."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    play = Play(bench)
+    bench.add(a_job(a_step(count=1, estimate_ms=2000), job=OTHER))
+    play.run(0.5)
+    bench.add(suspected(count=9, gang=True))
+    bench.add(a_job(job=THIRD))
+    assert play.run(0.5) == [THIRD, THIRD]
+
+
+def test_a_suspected_task_that_waits_for_its_quota_keeps_no_worker() -> None:
+    """Guards against a worker that is emptied for a task that may not start."""
+    bench = SchedulerBench(quotas={"team": Room(cpu=1000)})
+    bench.worker("w1")
+    play = Play(bench)
+    running = a_step(count=1, estimate_ms=2000)
+    bench.add(a_job(running, job=OTHER, organisation="team"))
+    play.run(0.5)
+    job = suspected()
+    job.record = msgspec.structs.replace(job.record, organisation="team")
+    bench.add(job)
+    bench.add(a_job(job=THIRD))
+    assert play.run(0.5) == [THIRD, THIRD]
+
+
 def test_a_suspected_lasting_task_that_fails_early_does_not_hold_its_worker() -> None:
     """Guards against a worker that others never get, since its task is never cleared.
 
