End the trial of a lasting suspect that fails without a crash

Callers saw a worker that nothing else got for good: a lasting task under which two workers had crashed ran there apart, and failed again and again before it was cleared. Cause: a lasting suspect is cleared only by a run of SOUND_SECONDS. Others end done, or fail max_attempts times; a lasting one may fail for ever, and its trial had no bound. Now TRIAL_RUNS runs that ended by themselves, with no crash since the last, clear it. A crash starts the count anew, so that a task that crashes its workers gains no start.

--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -204,6 +204,7 @@
         if incarnation in task.crashes:
             return
         task.crashes += (incarnation,)
+        task.calm_runs = 0
         job = task.step.job
         job.suspicion = max(job.suspicion, len(task.crashes))
         self.suspects[job.record.id] = job
--- a/mustardward/components/scheduling/const.py
+++ b/mustardward/components/scheduling/const.py
@@ -49,6 +49,10 @@
 SOUND_SECONDS: Final = 5.0
 """A lasting task that ran for so long is not suspected of its worker's crash."""
 
+TRIAL_RUNS: Final = 3
+"""Runs of a lasting suspect that may end without a crash, before SOUND_SECONDS, until
+it shares workers again: one that always fails would else have a worker for good."""
+
 LOOK_SECONDS: Final = 0.1
 """Interval at which all that runs is looked over for runs that stand still and for
 serving tasks that are harmed: both show after half a second or more. Looked over in
--- a/mustardward/components/scheduling/crashes.py
+++ b/mustardward/components/scheduling/crashes.py
@@ -26,6 +26,7 @@
     SOUND_SECONDS,
     TOGETHER_SECONDS,
     TOGETHER_SHARE,
+    TRIAL_RUNS,
 )
 from .losses import MOST_IN_LINE, LossCause
 from .models import Job, Phase, StepRun, Task, WorkerState
@@ -214,6 +215,8 @@
 
 
 def _is_sound(task: Task) -> bool:
+    if task.step.spec.long_running and task.calm_runs >= TRIAL_RUNS:
+        return True
     if task.phase is not Phase.RUNNING or task.worker is None:
         return False
     return _has_run_on(task, task.worker.heard_at)
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -66,6 +66,7 @@
     :param crashes: the incarnations of workers that crashed under the task.
     :param judged_at: when it is known what crashed together with the last of them, or 0
         if that was looked at.
+    :param calm_runs: how many runs ended by themselves since, under no crash.
     """
 
     step: StepRun
@@ -89,6 +90,7 @@
     sent: bool = False
     crashes: tuple[str, ...] = ()
     judged_at: float = 0.0
+    calm_runs: int = 0
 
     @property
     def name(self) -> TaskName:
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -136,6 +136,7 @@
             task.checkpoint = ended.checkpoint
         self.board.mark_dirty(task.step.job)
         if own:
+            task.calm_runs += task.phase is not Phase.STOPPING
             self.board.end_run(task, now)
         if ended.how == ENDED_FAILED:
             self.intake.task_failed(task)
--- a/tests/components/scheduling/test_crashes.py
+++ b/tests/components/scheduling/test_crashes.py
@@ -12,6 +12,7 @@
     MOST_CRASHES,
     SOUND_SECONDS,
     TOGETHER_SECONDS,
+    TRIAL_RUNS,
 )
 from mustardward.components.scheduling.demand import measure
 from mustardward.components.scheduling.losses import LossCause
@@ -275,6 +276,51 @@
     assert bench.scheduler.board.jobs[JOB].state is JobState.RUNNING
 
 
+def test_only_runs_that_nobody_stopped_clear_a_lasting_suspect() -> None:
+    """Guards against a suspect that is cleared by ends which others asked for."""
+    bench = SchedulerBench()
+    job = a_job(a_step(count=1, long_running=True))
+    marks = [TaskMark(0, 0, 0, (), "", ("old-0", "old-1"))]
+    job.progress = Progress(JobState.RUNNING, tasks=marks)
+    bench.add(job)
+    bench.worker("w1")
+    for number in range(2 * TRIAL_RUNS):
+        bench.now += 1.0
+        (start,) = bench.plan_starts()
+        if number < TRIAL_RUNS:
+            bench.scheduler.board.stop(start.task, "test")
+        assert start.task.crashes == ("old-0", "old-1")
+        bench.end(start.task, "stopped" if number < TRIAL_RUNS else "failed")
+    bench.now += 1.0
+    (start,) = bench.plan_starts()
+    assert start.task.crashes == ()
+
+
+def test_a_crash_counts_the_runs_of_a_lasting_suspect_anew() -> None:
+    """Guards against a suspect that is cleared by runs from before its last crash."""
+    bench = SchedulerBench()
+    job = a_job(a_step(count=1, long_running=True))
+    marks = [TaskMark(0, 0, 0, (), "", ("old-0",))]
+    job.progress = Progress(JobState.RUNNING, tasks=marks)
+    bench.add(job)
+    for _ in range(TRIAL_RUNS - 1):
+        bench.worker("w1")
+        bench.now += 1.0
+        (start,) = bench.plan_starts()
+        bench.end(start.task, "failed")
+    bench.now += 1.0
+    (start,) = bench.plan_starts()
+    crash(bench, "w1")
+    bench.store()
+    bench.worker("w2")
+    bench.now += 1.0
+    (start,) = bench.plan_starts()
+    bench.end(start.task, "failed")
+    bench.now += 1.0
+    bench.plan()
+    assert start.task.crashes == ("old-0", "w1")
+
+
 def test_a_task_that_is_done_is_suspected_no_longer() -> None:
     bench = SchedulerBench()
     suspected(bench)
