Start a suspect only once a record with its own crash is stored

A task could start again before its newest crash was in the log; an owner that followed then counted one crash too few, and started the task once more on a worker. Cause: a crash sets the job back to not stored, and the answer to any append of the job set it to stored, also of a record that was taken before the crash. Now a job counts the crashes that this owner noted and those that its newest record for the log has; an append only sets it to stored if the two are the same. Appends follow each other, so that the newest record taken is the one that was answered.

--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -206,6 +206,7 @@
         task.crashes += (incarnation,)
         task.calm_runs = 0
         job = task.step.job
+        job.crashes_noted += 1
         job.suspicion = max(job.suspicion, len(task.crashes))
         self.suspects[job.record.id] = job
         if job.suspicion >= APART_CRASHES:
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -186,6 +186,8 @@
     :param sent_zones: those that the record on its way to the log names.
     :param beyond: whether it lies beyond its organisation's rate.
     :param suspicion: most workers that crashed under one of its tasks.
+    :param crashes_noted: how many crashes this owner noted under its tasks.
+    :param crashes_sent: how many of them its newest record for the log has.
     """
 
     record: JobRecord
@@ -204,6 +206,8 @@
     sent_zones: frozenset[str] | None = None
     beyond: bool = False
     suspicion: int = 0
+    crashes_noted: int = 0
+    crashes_sent: int = 0
 
     @property
     def organisation(self) -> str:
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -85,7 +85,7 @@
         for job_id in job_ids:
             job = self.board.jobs.get(job_id)
             if job is not None:
-                job.stored = True
+                job.stored |= job.crashes_sent == job.crashes_noted
                 job.open_zones = job.sent_zones
 
     def cancel_job(self, job_id: str) -> None:
@@ -242,6 +242,7 @@
         records = [(job_id, progress_of(job, wall)) for job_id, job in dirty.items()]
         for job_id, job in dirty.items():
             job.sent_zones = job.zones
+            job.crashes_sent = job.crashes_noted
             self.waits.sent(job_id, now)
             if job.state.final and job_id not in self._ending:
                 self._ending[job_id] = job
