Open each occurrence up to the last that has marks at a takeover

Callers saw a timed job wait for ever, or shown as done though an occurrence had not run: what was left of an occurrence that had begun under the owner before never started. Cause: a new owner went on after the last occurrence with marks in the log, and passed over earlier ones of which nothing was stored yet. Occurrences may overlap, and starts are not stored, so that a later one can have marks first. What workers listed of one passed over was made but never opened; one not made did not count for the job's end. Now all occurrences up to the last with marks are made and opened as the job is taken in; those due by the wall clock follow in the next plan as before. What the owner before may have started is held as before, since the job is held and not an occurrence of it.

--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -173,7 +173,7 @@
             task.checkpoint = task_mark.checkpoint
             task.crashes = task_mark.crashes
         self.board.update_suspicion(job)
-        self._skip_begun(job)
+        self._make_begun(job)
 
     def _restore_done(self, job: Job, mark: StepMark) -> None:
         step = self.step_of(job, mark.occurrence, mark.step)
@@ -188,6 +188,14 @@
                 task.phase = Phase.DONE
                 step.done += 1
 
-    def _skip_begun(self, job: Job) -> None:
-        if job.record.times and job.steps:
-            job.next_occurrence = max(key[0] for key in job.steps) + 1
+    def _make_begun(self, job: Job) -> None:
+        """Make the occurrences up to the last with marks; their time has come.
+
+        Of an earlier one nothing may be stored yet, though a later one began.
+        """
+        if not job.record.times or not job.steps:
+            return
+        job.next_occurrence = max(key[0] for key in job.steps) + 1
+        for occurrence in range(job.next_occurrence):
+            if (occurrence, 0) not in job.steps:
+                self._make_steps(job, occurrence)
