Ask for advice anew where the workers that it allowed can run no more

What callers would see: a step of a queue with advice waits for as long as its tickets are valid, though its pool has room, since they name only workers that are gone, or, for a lasting step with a limit per worker, only some that have all they may have. Cause: any ticket that was still valid counted as advice; workers that came since were never asked about. A belief about workers outlived them.

--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -128,6 +128,7 @@
     """Hold one step of one occurrence of a job.
 
     :param open: whether all tasks of the steps before it are done.
+    :param asked_about: the workers of which advice was asked last.
     :param asked: what one task asks for, by which its organisation's quota counts.
     :param room: what one task takes of a worker. A step that fills takes what others
         leave unused, so its processor share is not counted. Held, since each plan asks
@@ -147,6 +148,7 @@
     tickets: dict[str, str] = field(default_factory=dict)
     tickets_until: float = 0.0
     asked_until: float = 0.0
+    asked_about: frozenset[str] = frozenset()
     asked: Room = field(init=False)
     room: Room = field(init=False)
 
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -24,6 +24,8 @@
     Shortlist,
     choose_gang,
     choose_home,
+    fits,
+    may_run,
     usable,
 )
 from .quota_waits import QuotaWaits
@@ -278,14 +280,22 @@
     def _has_advice(
         self, step: StepRun, workers: list[WorkerState], now: float
     ) -> bool:
-        if step.tickets and now < step.tickets_until:
+        if now >= step.tickets_until:
+            step.tickets.clear()
+            step.asked_about = frozenset()
+        allowed = [worker for worker in workers if worker.id in step.tickets]
+        if any(fits(worker, step.room) and may_run(worker, step) for worker in allowed):
             return True
-        step.tickets.clear()
-        if now >= step.asked_until:
+        # Those that came since may be allowed too.
+        names = frozenset(worker.id for worker in workers)
+        is_new = not allowed or not names <= step.asked_about
+        if is_new and now >= step.asked_until:
             step.asked_until = now + ADVICE_SECONDS
+            step.asked_about = names
             self.board.give(AskAdvice(step, tuple(worker.id for worker in workers)))
-        self.waits.note(step, Reason.ADVICE_UNANSWERED)
-        return False
+        if not allowed:
+            self.waits.note(step, Reason.ADVICE_UNANSWERED)
+        return bool(allowed)
 
 
 def _restricted(step: StepRun) -> bool:
--- a/tests/components/scheduling/test_liveness.py
+++ b/tests/components/scheduling/test_liveness.py
@@ -156,3 +156,19 @@
     asked = [c for c in bench.plan() if isinstance(c, AskAdvice)]
 
     assert [ask.workers for ask in asked] == [("w2",)]
+
+
+def test_a_step_asks_about_workers_that_came_once_its_own_may_run_no_more() -> None:
+    """Guard against a lasting step that keeps to the workers it asked about first."""
+    bench = SchedulerBench(policy=QueuePolicy(POOL, advice=True))
+    bench.worker("w1")
+    bench.add(a_job(a_step(long_running=True, max_per_server=1)))
+    asked = [c for c in bench.plan() if isinstance(c, AskAdvice)]
+    bench.scheduler.give_tickets(asked[0].step, {"w1": "t"}, bench.now + 60.0)
+    assert len(bench.plan_starts()) == 1
+    bench.worker("w2")
+    bench.now += WAIT_SECONDS
+
+    asked = [c for c in bench.plan() if isinstance(c, AskAdvice)]
+
+    assert [set(ask.workers) for ask in asked] == [{"w1", "w2"}]
