Tell no step that it waits for a worker it keeps itself

On call was told `workers-kept-for-others` where the one worker kept was the step's own, so that a lasting step that may not start in the worker's data centre seemed to wait for itself. Workers that a step keeps count as kept no more, but for a suspected job, whose other tasks wait for its own trial.

--- a/mustardward/components/scheduling/wait_views.py
+++ b/mustardward/components/scheduling/wait_views.py
@@ -48,7 +48,9 @@
         offers = self.held.offers if self.held is not None else None
         if offers is None:
             return {}
-        kept = {item.worker.id: item.step for item in offers.kept}
+        # What a suspected step's own trial keeps, its other tasks wait for.
+        own = None if self.step.job.suspicion else self.step
+        kept = {k.worker.id: k.step for k in offers.kept if k.step is not own}
         for worker in self.workers:
             if worker.id in offers.apart:
                 suspects = [t.step for t in worker.tasks.values() if runs_apart(t)]
--- a/tests/components/scheduling/test_waits.py
+++ b/tests/components/scheduling/test_waits.py
@@ -423,6 +423,22 @@
     assert line["kept_for"] == f"w1:{OTHER}"
 
 
+def test_a_worker_that_a_step_keeps_for_itself_is_not_kept_for_others(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a step that is told to wait for itself."""
+    bench = SchedulerBench()
+    bench.worker("w1", zone="z1", capacity=Room(cpu=500, mem_mb=8000))
+    bench.worker("w2", zone="z2")
+    bench.add(a_job(a_step(long_running=True)))
+    job = bench.task(0).step.job
+    job.zones = job.open_zones = frozenset({"z1"})
+    wait_on(bench)
+    (line,) = tell(bench, caplog)
+    assert line["reason"] == Reason.NO_ROOM.value
+    assert (line["open_zones"], line["kept"]) == ("z1", "0")
+
+
 @pytest.mark.parametrize("at_trial", [True, False])
 def test_a_worker_kept_for_suspects_is_told_with_their_job(
     at_trial: bool, caplog: pytest.LogCaptureFixture
