Refuse a call for which no socket can be opened

Callers saw an OSError, which none of them knows as a call that was not sent, when an entry was out of descriptors for a moment; a session with a worker ended. The place of the connection stayed counted, so that after eight such calls an address could not be called any more. Cause: the socket was opened after the place was counted and before the part that gives it back on an error. Evidence: test_a_call_without_a_descriptor_takes_no_connection failed before with OSError. Opened inside that part, the error is a refused call, nothing was sent, and the place is given back and the next waiter woken.

--- a/mustardward/platform/http.py
+++ b/mustardward/platform/http.py
@@ -133,8 +133,9 @@
     async def _async_open(self, timeout_seconds: float) -> HttpConnection:
         loop = asyncio.get_running_loop()
         self._open += 1
-        channel = open_socket()
+        channel: socket.socket | None = None
         try:
+            channel = open_socket()
             with anyio.fail_after(min(CONNECT_TIMEOUT_SECONDS, timeout_seconds)):
                 await loop.sock_connect(channel, self._address)
                 _, connection = await loop.create_connection(
@@ -148,8 +149,9 @@
             raise
         return connection
 
-    def _abandon(self, channel: socket.socket) -> None:
-        channel.close()
+    def _abandon(self, channel: socket.socket | None) -> None:
+        if channel is not None:
+            channel.close()
         self._open -= 1
         self._wake_next()
 
