Count a stop's acknowledgement for the incarnation that gave it

Symptom: a task may run twice. A start got no answer and its stop was under way as the worker started again; the incarnation before answered the stop, and the task counted as stopped before the next one was told to reject the start, which it would still carry out. Cause: the answer was counted by task and run alone, and both stay the same when an order that is not answered passes on to the next one. Evidence: test_a_stop_is_acknowledged_by_the_incarnation_that_may_run_it failed before. An answer now counts only while the session that got it is the worker's; the stop that the replacement gives anew is acknowledged in the next session.

--- a/mustardward/components/dispatch/orders.py
+++ b/mustardward/components/dispatch/orders.py
@@ -154,6 +154,9 @@
         except _FAILED:
             self.tasks.start_soon(self._async_stop_again, stop)
         else:
+            if self.sessions.get(stop.worker) is not session or session.gone:
+                # The incarnation that has its id now was not told.
+                return
             if stop.task is not None:
                 now = self.timers.monotonic()
                 self.scheduler.reports.stop_answered(stop.task, stop.run, now)
