Let an instance that falls silent hold no place of its wave

Callers would see a wave that is late, or never done: with a most at once of two, two instances whose workers fell silent while they were emptied (a data centre that is cut off) kept all others of the wave from their turn for as long as that lasted.

Cause: an emptying ends when the instance is seen as empty, not up or gone. A silent one is none of these while the list shows it as up, and it counts as held.

Now an instance of which nothing was heard for longer than a moment, by the same set that the pools use, is no longer emptied. The wave still has it left, and takes it again once its worker is heard of; nothing is ended by this.

Evidence: the new test failed before (0 instances emptied in their place, now 2).

--- a/mustardward/components/fleet/waves.py
+++ b/mustardward/components/fleet/waves.py
@@ -129,7 +129,7 @@
                 if _is_gone(run, machine, view) or _is_missed_long(run, machine, view):
                     del run.emptying[machine]
                 continue
-            if instance.state != INSTANCE_UP:
+            if instance.state != INSTANCE_UP or _is_silent(instance, view):
                 del run.emptying[machine]
                 continue
             # Whichever worker runs there by now gets no new task.
@@ -246,6 +246,16 @@
     return 0 < order.old_born < view.born_of(instance)
 
 
+def _is_silent(instance: Instance, view: FleetView) -> bool:
+    """Return whether nothing was heard of an instance for longer than a moment.
+
+    Emptied on, it would hold a place of its wave for as long as that lasts.
+    """
+    if instance.pool in view.standby or instance.id in view.loads:
+        return False
+    return (instance.id or instance.machine) in view.unusable
+
+
 def _is_empty(instance: Instance, view: FleetView) -> bool:
     if instance.pool in view.standby:
         return True
--- a/tests/components/fleet/test_holds.py
+++ b/tests/components/fleet/test_holds.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from mustardward.components.fleet.const import LEAST_INSTANCES
+from mustardward.components.fleet.const import LEAST_INSTANCES, MOVE_LOST_SECONDS
 from mustardward.components.fleet.models import Maintain, Move
 from mustardward.components.fleet.ordering import OrderOutcome
 from mustardward.components.fleet.pools import PoolPlanner
@@ -174,6 +174,34 @@
     assert fleet.worker(worker_id).leaving
 
 
+def test_a_worker_whose_move_no_list_shows_is_used_again() -> None:
+    """Guards against a worker that is left out for a move that is not carried out."""
+    fleet, worker_id = an_order_without_an_answer()
+    instances = list(fleet.fleet._instances.values())
+    fleet.fleet.pools.accepted(worker_id.replace("i", "m"), fleet.bench.now)
+    # With nothing to give away it is not ordered anew.
+    fleet.bench.add(a_job(a_step(count=1, long_running=True, cpu=20_000)))
+    until = fleet.bench.now + MOVE_LOST_SECONDS
+    while fleet.bench.now <= until:
+        fleet.look(instances)
+    assert not fleet.worker(worker_id).leaving
+
+
+@pytest.mark.anyio
+async def test_an_order_that_is_skipped_is_given_again() -> None:
+    """Guards against a worker that is left out for an order that nobody gives."""
+    fleet, worker_id = an_order_without_an_answer()
+    fleet.outcome = OrderOutcome.SKIPPED
+    (order,) = fleet.orders
+    assert isinstance(order, Move)
+    await fleet.fleet._async_move(order)
+    fleet.look(list(fleet.fleet._instances.values()))
+    assert fleet.orders == [order, order]
+    fleet.outcome = OrderOutcome.REFUSED
+    await fleet.fleet._async_move(order)
+    assert not fleet.worker(worker_id).leaving
+
+
 def test_a_worker_that_came_before_its_instance_moved_is_left_out() -> None:
     """Guards against tasks that an order which is repeated would end."""
     fleet, worker_id = an_order_without_an_answer()
--- a/tests/components/fleet/test_waves.py
+++ b/tests/components/fleet/test_waves.py
@@ -309,3 +309,22 @@
     for read_at in (2.5, 2.9):
         view = replace(a_view(rest, read_at=read_at), complete=False)
         assert _orders(planner, view, read_at) == []
+
+
+def test_an_instance_that_falls_silent_does_not_hold_its_wave_up() -> None:
+    """Guards against a wave whose places are all held by what it can't empty."""
+    planner = a_planner([f"m-{n:02d}" for n in range(4)], max_count=2)
+    lasting = {f"i-{n:02d}": Load(1, 0) for n in range(4)}
+    planner.decide(a_view(eight(), lasting), 0.0)
+    silent = set(planner.runs[1].emptying)
+    assert len(silent) == 2
+    view = a_view(eight(), lasting, read_at=0.4)
+    workers = {machine.replace("m", "i") for machine in silent}
+    for worker in workers:
+        del view.loads[worker]
+    assert planner.decide(view, 0.4) == []
+    view = replace(view, unusable=frozenset(workers))
+    emptied = {d.machine for d in planner.decide(view, 0.8) if isinstance(d, Empty)}
+    assert len(emptied) == 2
+    assert not emptied & silent
+    assert not planner.runs[1].done
