Move the pools' sizes and the waves' costs to modules of their own

`sizes.py` says how large a pool's instances are, `costs.py` which instances of a wave go first; what an order moves, and for which worker, stands with the order. Code is moved as it was, and decides the same.

--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -59,6 +59,19 @@
     worker: str = ""
     born: int = 0
 
+    @property
+    def move(self) -> Move:
+        """Return what is ordered."""
+        return Move(self.machine, self.pool, self.worker, self.born)
+
+    def update_worker(self, view: FleetView) -> None:
+        """Note which worker this takes if another came before it was carried out."""
+        instance = view.instances.get(self.machine)
+        if instance is None or not instance.id or instance.pool == self.pool:
+            return
+        if instance.id != self.worker:
+            self.worker, self.born = instance.id, view.born_of(instance)
+
 
 @dataclass(slots=True)
 class WaveRun:
--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -13,7 +13,6 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from itertools import chain, islice
-from typing import Final
 
 from ...helpers.policies import switchable
 from ...platform.models import INSTANCE_UP, Instance, Room
@@ -31,9 +30,7 @@
 )
 from .lending import idle_seconds, keep_racks_apart, spare
 from .models import FleetView, Move, MoveOrder
-
-_ANY_POOL: Final = ""
-"""Stands for all pools: one that has no instance is taken for as large as they are."""
+from .sizes import ANY_POOL, sizes_of
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +84,7 @@
         # What was free and needed is noted at each look, however few orders may go.
         free = self._free(view, taken, now)
         have = self._have(view, taken)
-        sizes = _sizes(view)
+        sizes = sizes_of(view)
         needs = {
             pool: self._need(pool, sizes, loads, have[pool], now)
             for pool in _pools(view)
@@ -137,8 +134,8 @@
         for order in self.orders.values():
             if order.accepted_at is None and now - order.given_at >= RETRY_SECONDS:
                 order.given_at = now
-                _take_for(order, view)
-                yield _move(order)
+                order.update_worker(view)
+                yield order.move
 
     def _free(
         self, view: FleetView, taken: set[str], now: float
@@ -179,7 +176,7 @@
     ) -> int:
         """Return how many instances a pool's work asks for now."""
         load = loads.get(pool, PoolLoad())
-        size = sizes.get(pool) or sizes[_ANY_POOL]
+        size = sizes.get(pool) or sizes[ANY_POOL]
         taken = sum(
             amount.share_of(size)
             for amount in (load.lasting, load.running, load.waiting)
@@ -281,20 +278,7 @@
             born=look.view.born_of(instance),
         )
         self._idle_since.pop(instance.machine, None)
-        return _move(order)
-
-
-def _move(order: MoveOrder) -> Move:
-    return Move(order.machine, order.pool, order.worker, order.born)
-
-
-def _take_for(order: MoveOrder, view: FleetView) -> None:
-    """Note which worker an order takes if another came before it was carried out."""
-    instance = view.instances.get(order.machine)
-    if instance is None or not instance.id or instance.pool == order.pool:
-        return
-    if instance.id != order.worker:
-        order.worker, order.born = instance.id, view.born_of(instance)
+        return order.move
 
 
 def _pools(view: FleetView) -> set[str]:
@@ -305,22 +289,3 @@
 def _gap(item: tuple[str, int], have: Counter[str]) -> float:
     pool, need = item
     return (need - have[pool]) / max(1, have[pool])
-
-
-def _sizes(view: FleetView) -> dict[str, Room]:
-    """Return the mean room of each pool's instances, and of all of them."""
-    rooms: dict[str, list[Room]] = defaultdict(list)
-    for instance in view.instances.values():
-        rooms[instance.pool].append(view.room_of(instance))
-    sizes = {pool: _mean(of_pool) for pool, of_pool in rooms.items()}
-    sizes[_ANY_POOL] = _mean([room for of_pool in rooms.values() for room in of_pool])
-    return sizes
-
-
-def _mean(rooms: list[Room]) -> Room:
-    count = max(1, len(rooms))
-    return Room(
-        sum(room.cpu for room in rooms) // count,
-        sum(room.mem_mb for room in rooms) // count,
-        max((room.gpu for room in rooms), default=0),
-    )
--- a/mustardward/components/fleet/waves.py
+++ b/mustardward/components/fleet/waves.py
@@ -4,10 +4,9 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ...helpers.policies import switchable
 from ...platform.models import INSTANCE_UP, INSTANCE_UPKEEP, Instance, UpkeepWave
 from ..ledger.models import WaveRecord
 from .const import (
@@ -19,11 +18,11 @@
     REPEATED_SECONDS,
     RETRY_SECONDS,
 )
+from .costs import choose_cost
 from .models import (
     Decision,
     Empty,
     FleetView,
-    Load,
     Maintain,
     MaintenanceOrder,
     WaveRun,
@@ -277,42 +276,3 @@
     return WaveRun(
         wave, now - passed, stored.seen_at, set(stored.machines), done=stored.done
     )
-
-
-Cost = tuple[bool, bool, int, int, str]
-
-
-def _cost(instance: Instance, view: FleetView) -> Cost:
-    """Return what taking an instance costs its pool; the least goes first."""
-    load = view.loads.get(instance.id or "", Load(0, 0))
-    is_on = instance.pool not in view.standby
-    return (False, is_on, load.lasting, load.others, instance.machine)
-
-
-def _late_cost(instance: Instance, view: FleetView) -> Cost:
-    """Return the same once some instances are done with.
-
-    Instances that tasks last on are emptied a few at a time, since few of a step's
-    tasks may be away together. Left to the end of a wave, they are late, however many
-    others were maintained at once before; now their tasks find workers that have it
-    behind them.
-    """
-    _, is_on, lasting, others, machine = _cost(instance, view)
-    return (lasting == 0, is_on, lasting, others, machine)
-
-
-Costing = Callable[[Instance, FleetView], Cost]
-
-
-def _always_cheapest(since: float) -> Costing:
-    return _cost
-
-
-@switchable(
-    "early-evacuation",
-    "a wave empties instances of lasting tasks while it has time",
-    without=_always_cheapest,
-)
-def choose_cost(since: float) -> Costing:
-    """Return how to compare a wave's instances, so many seconds after its begin."""
-    return _cost if since < CYCLE_SECONDS else _late_cost
