Take an instance last from a data centre of which no worker is heard

Callers would see a pool pay for instance after instance and get no worker: an instance asked for in place of one that is cut off was taken from standby whatever its data centre, and was as far out of reach.

Cause: the order of what can be taken knew maintenance alone.

Now instances of data centres whose workers can all run nothing go last. They still go if there are no others: kept back they could never bring workers back to a data centre that lost all of them. What remains is that a pool whose only spare instances are cut off asks for one more each time that the last was not heard of, every 5 s or so.

Evidence: the new test failed before (an instance of the data centre that is cut off was taken beside one that was in reach). tests/components/fleet, scheduling, ownership and tests/embedded pass, ruff and mypy too.

--- a/mustardward/components/fleet/lending.py
+++ b/mustardward/components/fleet/lending.py
@@ -7,6 +7,7 @@
 from ...helpers.policies import switchable
 from ...platform.models import Instance
 from .const import IDLE_SECONDS
+from .models import FleetView
 
 
 def _wait_for_nothing() -> float:
@@ -52,5 +53,20 @@
     instances.sort(key=lambda i: (-racks[_rack(i)], _rack(i), i.machine))
 
 
+def unheard_zones(view: FleetView) -> set[str]:
+    """Return the data centres whose workers can all run nothing.
+
+    An instance from there may be as far out of reach as the one that it is taken for.
+    """
+    unusable: set[str] = set()
+    heard: set[str] = set()
+    for machine, instance in view.instances.items():
+        if (instance.id or machine) in view.unusable:
+            unusable.add(instance.zone)
+        elif instance.id in view.loads:
+            heard.add(instance.zone)
+    return unusable - heard
+
+
 def _rack(instance: Instance) -> str:
     return instance.labels[-1] if instance.labels else ""
--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -28,7 +28,7 @@
     TARGET_SHARE,
     THEN_CLEAR_SECONDS,
 )
-from .lending import idle_seconds, keep_racks_apart, spare
+from .lending import idle_seconds, keep_racks_apart, spare, unheard_zones
 from .models import FleetView, Move, MoveOrder
 from .sizes import ANY_POOL, sizes_of
 
@@ -215,6 +215,7 @@
     def _lendable(self, look: _Look) -> dict[str, list[Instance]]:
         """Return, by pool, the instances that it can spare now."""
         by_pool: dict[str, list[Instance]] = defaultdict(list)
+        unheard = unheard_zones(look.view)
         for instance in look.free.values():
             by_pool[instance.pool].append(instance)
         for pool, instances in by_pool.items():
@@ -223,7 +224,8 @@
                 del instances[spare(look.have[pool], look.needs.get(pool, 0)) :]
             # What has its maintenance behind it is taken first, from the end: the rest
             # is maintained where nothing runs.
-            instances.sort(key=lambda i: i.machine not in look.view.due)
+            due = look.view.due
+            instances.sort(key=lambda i: (i.zone not in unheard, i.machine not in due))
         return by_pool
 
     def _fill(
--- a/tests/components/fleet/test_pools.py
+++ b/tests/components/fleet/test_pools.py
@@ -220,3 +220,17 @@
     more = PoolPlanner(MOVE_SECONDS).decide(shrunk, {POOL: load}, set(), 0.0)
     assert len(more) > len(full)
     assert {move.pool for move in more} == {POOL}
+
+
+def test_an_instance_is_taken_from_where_workers_are_heard_of() -> None:
+    """Guards against instance after instance of a data centre that is cut off."""
+    pool = [an_instance(n, POOL, zone="z1" if n < 2 else "z2") for n in range(4)]
+    off = [an_instance(8 + n, STANDBY, zone=f"z{n % 2 + 1}") for n in range(4)]
+    for order in (off, off[::-1]):
+        view = replace(a_view([*pool, *order]), pools=frozenset({POOL}))
+        for worker in ("i-02", "i-03"):
+            del view.loads[worker]
+        view = replace(view, unusable=frozenset({"i-02", "i-03"}))
+        load = a_load(cores=1.0, spread=4)
+        moves = PoolPlanner(MOVE_SECONDS).decide(view, {POOL: load}, set(), 0.0)
+        assert {move.machine for move in moves} == {"m-08", "m-10"}
