Take in an end of an occurrence that is not open here yet

Cause: an owner that took over looked for a listed end among the steps it had made. Of an occurrence without marks it has none until its first plan, so that the end was dropped, and acknowledged with all others, after which its worker forgot it. Now ends are looked up as running tasks are: steps of an occurrence of the job are made if need be, and opened once its time has come.

--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -13,6 +13,7 @@
     EndedTask,
     HoldAnswer,
     RunningTask,
+    TaskName,
 )
 from .board import Board
 from .commands import Stop
@@ -120,7 +121,7 @@
 
     def ended(self, worker: WorkerState, ended: EndedTask, now: float) -> None:
         """Take in that a worker lists a run as ended."""
-        task = self.board.find(ended.task)
+        task = self._expected(ended.task)
         if task is None or task.phase is Phase.DONE:
             return
         own = task.worker is worker and task.run == ended.run and task.phase in ACTIVE
@@ -157,7 +158,7 @@
     def _running(
         self, worker: WorkerState, row: RunningTask, sent_at: float, now: float
     ) -> None:
-        task = self._expected(row)
+        task = self._expected(row.task)
         if task is None or task.phase is Phase.DONE:
             self._stop_stray(worker, row)
             return
@@ -188,17 +189,18 @@
         self.board.note_stray(worker, row.task)
         self.board.give(Stop(row.task, worker.id, row.run, None))
 
-    def _expected(self, row: RunningTask) -> Task | None:
-        task = self.board.find(row.task)
+    def _expected(self, name: TaskName) -> Task | None:
+        """Return a task, also of an occurrence that is not open here yet."""
+        task = self.board.find(name)
         if task is not None:
             return task
-        job = self.board.jobs.get(row.task.job)
+        job = self.board.jobs.get(name.job)
         if job is None:
             return None
-        step = self.intake.step_of(job, row.task.occurrence, row.task.step)
-        if step is None or row.task.index >= len(step.tasks):
+        step = self.intake.step_of(job, name.occurrence, name.step)
+        if step is None or name.index >= len(step.tasks):
             return None
-        return step.tasks[row.task.index]
+        return step.tasks[name.index]
 
     def _missing(
         self,
--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -379,6 +379,17 @@
     assert (0, 0) not in {(s.task.name.occurrence, s.task.index) for s in play.started}
 
 
+def test_a_failed_run_of_an_occurrence_that_is_not_open_yet_counts() -> None:
+    """Guards against more attempts than are allowed, since one was dropped."""
+    bench = SchedulerBench(epoch=2)
+    bench.worker("w1")
+    bench.add(a_timed_job())
+    ends = [EndedTask(n, TaskName(JOB, n, 0, 0), 5, "failed", "") for n in (2, 3)]
+    bench.hold("w1", ended=ends)
+    assert bench.task(0, occurrence=2).failed_runs == (5,)
+    assert (3, 0) not in bench.scheduler.board.jobs[JOB].steps
+
+
 def test_a_suspected_task_gets_a_worker_that_has_room_for_it() -> None:
     """Guards against a wait beside an empty worker that is too small."""
     bench = SchedulerBench()
