Store a job as running once any of it is found to have begun

Callers were shown a job as queued for as long as it ran, and it counted as pending. Cause: an owner that takes over adopts what runs and sets the job to running, but did not put it among the jobs to be stored; a job with nothing else to store, such as one whose tasks all last, stayed queued in the log. An end found of it changed no state. Now a start, an adopted run and a listed end all note that the job has begun, and the change of state alone makes it one to be stored.

--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -98,10 +98,7 @@
         task.pace = 100
         task.seen_running = False
         task.sent = False
-        job = task.step.job
-        if job.state is JobState.QUEUED:
-            job.state = JobState.RUNNING
-            self.mark_dirty(job)
+        self.note_begun(task.step.job)
         self.give(Start(task, worker.id, run))
 
     def adopt(self, task: Task, worker: WorkerState, run: int, now: float) -> None:
@@ -114,7 +111,13 @@
         task.started_at = now
         task.percent_since = now
         task.percent_at_ms = -1.0
-        task.step.job.state = JobState.RUNNING
+        self.note_begun(task.step.job)
+
+    def note_begun(self, job: Job) -> None:
+        """Note that a task of a job has begun, which callers are shown once stored."""
+        if job.state is JobState.QUEUED:
+            job.state = JobState.RUNNING
+            self.mark_dirty(job)
 
     def stop(self, task: Task, reason: str) -> None:
         """Ask a worker to end a task's run."""
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -126,6 +126,7 @@
             return
         own = task.worker is worker and task.run == ended.run and task.phase in ACTIVE
         self.lines.ended(worker, ended, own)
+        self.board.note_begun(task.step.job)
         if ended.how == ENDED_DONE:
             self._done(worker, task, own, now)
             return
--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -448,3 +448,15 @@
     bench.hold("w1", rows)
     Play(bench).run(5.0)
     assert bench.stored.get(JOB, job.progress).state is JobState.RUNNING
+
+
+def test_a_job_of_which_an_end_is_found_is_stored_as_running() -> None:
+    """Guards against a job that callers are shown as queued though a task was done."""
+    bench = SchedulerBench(epoch=2)
+    bench.worker("w1")
+    job = a_job(a_step(count=2, cpu=9000))
+    job.progress = Progress(JobState.QUEUED)
+    bench.add(job)
+    bench.hold("w1", ended=[EndedTask(1, TaskName(JOB, 0, 0, 0), 5, ENDED_DONE, "")])
+    bench.store()
+    assert bench.stored[JOB].state is JobState.RUNNING
