Count all members of a suspected gang against its quota

A suspected gang started though its organisation had no room for it in its quota. Cause: the quota is asked for as many tasks as are on a gang's queue, and suspects are taken off the queue before they are placed, so that it was asked for none. Evidence: a new test had both members start beside a quota that was used up, and has no start now. Now a gang without any on its queue is asked for with all its members; the count of what waits for the quota follows.

--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -247,11 +247,12 @@
 
     def _within_quota(self, step: StepRun) -> bool:
         """Return whether a step's next task, or its gang, may run beside all others."""
-        count = len(step.waiting) if step.spec.gang else 1
+        # All members of a suspected gang were taken off its queue.
+        count = (len(step.waiting) or len(step.tasks)) if step.spec.gang else 1
         organisation = step.job.organisation
         if self.board.quotas.allows(organisation, step.asked, count):
             return True
-        self.quota_waits.note(organisation, len(step.waiting))
+        self.quota_waits.note(organisation, max(count, len(step.waiting)))
         self.waits.note(step, Reason.QUOTA)
         return False
 
--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -321,6 +321,20 @@
     assert play.run(0.5) == [THIRD, THIRD]
 
 
+def test_a_suspected_gang_starts_within_its_quota() -> None:
+    """Guards against a quota that members off their queue do not count for."""
+    bench = SchedulerBench(quotas={"team": Room(cpu=1000)})
+    bench.worker("w1")
+    bench.worker("w2")
+    bench.add(a_job(a_step(count=1), job=OTHER, organisation="team"))
+    play = Play(bench, {OTHER: 2.0})
+    play.run(0.5)
+    job = suspected(count=2, gang=True)
+    job.record = msgspec.structs.replace(job.record, organisation="team")
+    bench.add(job)
+    assert play.run(1.0) == []
+
+
 def test_a_suspected_lasting_task_that_fails_early_does_not_hold_its_worker() -> None:
     """Guards against a worker that others never get, since its task is never cleared.
 
