Let a trial that has waited for too long go before what ranks first

A suspected job that was late waited for as long as work in time kept coming, beside a pool that was mostly idle. Cause: a plan places what is in time first, and keeps a worker to empty for a suspect only when it comes to that. By then the worker had its next short task, in each plan. Evidence: a new test had no start of the suspect in 18 s on one worker of eight cores, with one short task of one core more each 0.3 s; it starts now. Now steps with a suspect that has waited for longer than APART_WAIT_SECONDS are placed first, as long as no worker of the pool has a trial: one worker at most is kept by it, for APART_WAIT_SECONDS by the estimates.

--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -29,7 +29,7 @@
     usable,
 )
 from .quota_waits import QuotaWaits
-from .trials import seconds_to_empty
+from .trials import put_trials_first, seconds_to_empty
 from .waits import Reason, Waits, reason_elsewhere
 from .zones import Zones, promised_room
 
@@ -99,6 +99,9 @@
         )
         apart = workers_apart(self.board.suspects.values())
         offers = Offers([worker for worker in workers if worker.id not in apart], apart)
+        if len(offers.workers) == len(workers):
+            # One trial at a time goes before what ranks first.
+            ranked = put_trials_first(ranked, now)
         promised = promised_room(steps)
         for number, step in enumerate(ranked):
             if self._starts_left <= 0:
--- a/mustardward/components/scheduling/trials.py
+++ b/mustardward/components/scheduling/trials.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable
 
-from .const import APART_WAIT_SECONDS, SOUND_SECONDS
-from .crashes import has_lasting
+from .const import APART_CRASHES, APART_WAIT_SECONDS, SOUND_SECONDS
+from .crashes import has_lasting, runs_apart
 from .models import Job, StepRun, Task, WorkerState
 from .placement import (
     SecondsLeft,
@@ -68,3 +68,20 @@
     if choose_gang(able, step, suspects, room_beside_lasting) is None:
         return []
     return [best, *(worker for worker in able if worker in free)]
+
+
+def put_trials_first(steps: list[StepRun], now: float) -> list[StepRun]:
+    """Return the steps with those first whose suspects have waited for too long.
+
+    Work that ranks before them would else take each worker before it is empty.
+    """
+    return sorted(steps, key=lambda step: not _waits_too_long(step, now))
+
+
+def _waits_too_long(step: StepRun, now: float) -> bool:
+    if step.job.suspicion < APART_CRASHES:
+        return False
+    return any(
+        runs_apart(task) and now - task.ready_since > APART_WAIT_SECONDS
+        for task in step.waiting
+    )
--- a/tests/components/scheduling/test_holds.py
+++ b/tests/components/scheduling/test_holds.py
@@ -335,6 +335,22 @@
     assert play.run(1.0) == []
 
 
+def test_a_suspected_task_that_is_late_gets_a_worker_beside_work_in_time() -> None:
+    """Guards against a wait for as long as work that ranks before it goes on coming."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    play = Play(bench)
+    for number in range(200):
+        if number == 20:
+            bench.add(suspected(job=OTHER))
+        if number % 3 == 0:
+            name = f"f{number:015x}"
+            play.seconds[name] = 1.0
+            bench.add(a_job(a_step(count=1), job=name, accepted_at=bench.now))
+        play.tick()
+    assert OTHER in {start.task.name.job for start in play.started}
+
+
 def test_a_suspected_lasting_task_that_fails_early_does_not_hold_its_worker() -> None:
     """Guards against a worker that others never get, since its task is never cleared.
 
