Renew no lease by a look that may not arrive

Symptom: work on a worker that is cut off goes elsewhere only once the list of instances no longer names it; while the list does, never. Cause: each look at a silent worker asked for a longer lease and counted as renewed, so that the end of its leases moved on with the time. Evidence: test_a_worker_that_falls_silent_is_lost_when_its_longest_lease_is_over failed before (16 s after, its task counted as running). While the last look got no answer, a look now repeats the last deadline that was sent, and the end that is waited for stays; the first answer is followed by a renewing look at once. Ruled out: looks without any deadline, by which a worker that leaves every other look unanswered gets none of the renewing ones; its work lapsed after 4 s in test_a_worker_that_leaves_every_other_look_unanswered_keeps_its_work. As the end of leases now decides, it reckons with the drift of the worker's clock since its last answer, and a look after a long sleep renews none: the deadline was up to 3 % of the sleep later than what was waited for.

--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -25,6 +25,7 @@
     ALIVE_SECONDS,
     ALIVE_WAIT_SECONDS,
     BUSY_HOLD_MILLISECONDS,
+    CLOCK_ERROR,
     FAILED_HOLD_SECONDS,
     HOLD_GAP_SECONDS,
     LEASE_SECONDS,
@@ -66,6 +67,13 @@
         """Return the end of a lease that begins now, on the worker's clock."""
         return int(self.clock_ms + (now - self.at + LEASE_SECONDS) * 1000)
 
+    def lease_until(self, now: float) -> float:
+        """Return when that lease is surely over, in the owner's time.
+
+        The clock may have been slow since its last answer, too.
+        """
+        return lease_bound(now) + (now - self.at) * CLOCK_ERROR
+
 
 @dataclass(slots=True, eq=False)
 class WorkerSession:
@@ -96,6 +104,7 @@
     gone: bool = False
     silent_since: float | None = None
     _proved_at: float = -math.inf
+    _deadline_ms: int | None = None
     _asked: bool = False
     _told_upto: int = 0
     _stored: anyio.Event = field(default_factory=anyio.Event)
@@ -165,12 +174,12 @@
         if not self.clock.known:
             raise CallRefusedError("clock unknown")
         now = self.timers.monotonic()
-        self.lease_until = max(self.lease_until, lease_bound(now))
+        deadline_ms = self._renew(now)
         order = StartOrder(
             task.name,
             run,
             task.step.job.record.spec,
-            self.clock.deadline(now),
+            deadline_ms,
             task.checkpoint,
             task.step.tickets.get(self.worker_id, ""),
         )
@@ -259,6 +268,7 @@
         self._asked = False
         self._told_upto = max(self._told_upto, told_upto)
         now = self.timers.monotonic()
+        renewed = self._renews(sent_at)
         self._prove(answer.clock_ms)
         self.answered = True
         self.silent_since = None
@@ -270,19 +280,39 @@
         self._stored = anyio.Event()
         self.scheduler.hold_worker(self.worker_id, answer, sent_at, now)
         self.on_report()
+        if not renewed and worker.has_runs:
+            # Its lease may be almost over.
+            return 0.0
         return max(0.0, HOLD_GAP_SECONDS - (now - sent_at))
 
     async def _async_call(
         self, worker: WorkerState, now: float, told_upto: int
     ) -> HoldAnswer:
-        deadline = None
+        deadline = self._deadline_ms
         wait_ms = 0
-        if self.clock.known:
-            self.lease_until = max(self.lease_until, lease_bound(now))
-            deadline = self.clock.deadline(now)
+        if self._renews(now):
+            deadline = self._renew(now)
             wait_ms = self._wait_ms(worker) if told_upto == self.seen_upto else 0
         return await self.client.async_hold(told_upto, deadline, wait_ms)
 
+    def _renews(self, now: float) -> bool:
+        """Return whether a look sent now renews the lease.
+
+        One that may not arrive repeats the last lease that was sent: with a longer one,
+        what runs on a silent worker could not start elsewhere for as long as such looks
+        go on. So does one after a long time without an answer, in which the worker's
+        clock may have drifted; nothing runs there then.
+        """
+        if not self.clock.known or self.silent_since is not None:
+            return False
+        return now - self.clock.at <= LEASE_SECONDS
+
+    def _renew(self, now: float) -> int:
+        """Reckon with a lease sent now; return its end on the worker's clock."""
+        self.lease_until = max(self.lease_until, self.clock.lease_until(now))
+        self._deadline_ms = self.clock.deadline(now)
+        return self._deadline_ms
+
     def _wait_ms(self, worker: WorkerState) -> int:
         if not worker.confirmed or worker.stale or not worker.tasks:
             return 0
