Append more than one call takes in several calls

Symptom: nothing of an owner is stored any more and its authority ends, once the progress of thousands of jobs is due at once. Cause: it was handed over as one entry, which was one call; a call over the store's limit is refused each time, and all that waits behind it, renewals too, is held up. Records are now parted below the limit as they are handed over, so that the pieces follow each other in the producer's order. Neighbours of one job stay in one call, as its stub must not be stored without its end; the newest record of each key decides alone, so that a part of the pieces can be read. The renewal is the first record and goes with the first piece. Stored in part is told as unknown.

--- a/mustardward/components/ledger/appender.py
+++ b/mustardward/components/ledger/appender.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import groupby
 from typing import Final
 
 import anyio
@@ -74,6 +75,38 @@
     return min(LONGEST_PATIENCE_SECONDS, patience * PATIENCE_GROWTH)
 
 
+def size_of(records: list[Record]) -> int:
+    """Return how many bytes records take in a call."""
+    return sum(len(key) + len(value) + 5 for key, value in records)
+
+
+def part(records: list[Record]) -> list[list[Record]]:
+    """Return records in pieces that a call takes, in their order.
+
+    Neighbours of one job stay together: without its end, a job that is only a stub
+    could not be carried on.
+    """
+    if size_of(records) <= MOST_BYTES:
+        return [records]
+    pieces: list[list[Record]] = [[]]
+    size = 0
+    for _, neighbours in groupby(records, lambda record: record[0][2:]):
+        group = list(neighbours)
+        size += size_of(group)
+        if pieces[-1] and size > MOST_BYTES:
+            pieces.append([])
+            size = size_of(group)
+        pieces[-1].extend(group)
+    return pieces
+
+
+def _outcome_of(pieces: set[Outcome]) -> Outcome:
+    """Return what became of records, by what became of their pieces."""
+    if len(pieces) == 1:
+        return pieces.pop()
+    return Outcome.FENCED if Outcome.FENCED in pieces else Outcome.UNKNOWN
+
+
 @dataclass(slots=True, eq=False)
 class _Entry:
     """Hold records that wait, and who waits for them."""
@@ -112,23 +145,29 @@
 
         :param deadline: steady clock, in seconds.
         """
-        entry = _Entry(records, deadline)
-        self._waiting.append(entry)
-        self._wake.set()
+        entries = self._put(records, deadline)
         began = self.timers.monotonic()
         with anyio.move_on_after(max(0.0, deadline - began)):
-            await entry.done.wait()
+            for entry in entries:
+                await entry.done.wait()
         APPEND_SECONDS.observe(self.timers.monotonic() - began)
-        if not entry.done.is_set() and entry in self._waiting:
-            # It was never sent, so nothing of it can be stored later.
-            self._waiting.remove(entry)
-            return Outcome.NOT_STORED
-        return entry.outcome
+        for entry in entries:
+            if not entry.done.is_set() and entry in self._waiting:
+                # It was never sent, so nothing of it can be stored later.
+                self._waiting.remove(entry)
+                entry.outcome = Outcome.NOT_STORED
+        return _outcome_of({entry.outcome for entry in entries})
 
     def post(self, records: list[Record]) -> None:
         """Append records that nobody waits for."""
-        self._waiting.append(_Entry(records, self.timers.monotonic() + 1.0))
+        self._put(records, self.timers.monotonic() + 1.0)
+
+    def _put(self, records: list[Record], deadline: float) -> list[_Entry]:
+        """Let records wait, in pieces that one call takes, behind all that waits."""
+        entries = [_Entry(piece, deadline) for piece in part(records)]
+        self._waiting.extend(entries)
         self._wake.set()
+        return entries
 
     async def async_run(self) -> None:
         """Append for as long as the producer is not fenced."""
@@ -147,7 +186,7 @@
         size = 0
         batch: list[_Entry] = []
         for entry in self._waiting:
-            size += sum(len(key) + len(value) + 5 for key, value in entry.records)
+            size += size_of(entry.records)
             if batch and size > MOST_BYTES:
                 break
             batch.append(entry)
--- a/mustardward/components/ownership/storing.py
+++ b/mustardward/components/ownership/storing.py
@@ -106,4 +106,5 @@
             if progress.state.final and job is not None and not job.record.is_stub:
                 records.append((PREFIX_JOB + job_id, encode(job.record.as_stub())))
         job_ids = [job_id for job_id, _ in dirty]
-        return job_ids, records + self.renewals.due(with_others=bool(records))
+        # First, so that it is in the first piece if one call does not take all.
+        return job_ids, self.renewals.due(with_others=bool(records)) + records
--- a/tests/components/ledger/test_appender.py
+++ b/tests/components/ledger/test_appender.py
@@ -8,7 +8,14 @@
 import anyio
 import pytest
 
-from mustardward.components.ledger.appender import GroupAppender, Outcome
+from mustardward.components.ledger.appender import (
+    MOST_BYTES,
+    GroupAppender,
+    Outcome,
+    Record,
+    part,
+    size_of,
+)
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.platform.store import Producer
 from mustardward.standin.estate.store import MemoryStore, Mood
@@ -131,3 +138,45 @@
         assert await bench.async_append("a") is Outcome.FENCED
         assert bench.appender.fenced
         assert bench.store.topic_end(TOPIC) == 1
+
+
+def test_records_of_one_job_stay_in_one_piece_and_all_keep_their_order() -> None:
+    """Guards against a job that is stored as a stub and not as ended."""
+    half = b"x" * (MOST_BYTES // 2 - 20)
+    records = [
+        ("owner", b"renewal"),
+        ("p/1", half),
+        ("p/2", half),
+        ("j/2", b"stub"),
+        ("p/3", half),
+        ("p/4", half),
+    ]
+    assert size_of(records[:3]) <= MOST_BYTES < size_of(records[:4])
+    pieces = part(records)
+    assert pieces == [records[:2], records[2:5], records[5:]]
+    assert max(map(size_of, pieces)) <= MOST_BYTES
+
+
+async def test_records_of_which_some_pieces_are_stored_are_told_as_unknown() -> None:
+    """Guards against a caller that is told that nothing of them was stored."""
+    async with _running() as bench:
+        record = b"x" * (MOST_BYTES - 20)
+        records = [("p/1", record), ("p/2", record)]
+        deadline = bench.timers.monotonic() + SOON
+        outcomes: list[Outcome] = []
+
+        async def async_append() -> None:
+            outcomes.append(await bench.appender.async_append(records, deadline))
+
+        async def async_refuse_the_second(piece: list[Record], by: Producer) -> int:
+            if bench.store.topic_end(TOPIC) == 1:
+                bench.store.mood = Mood.REFUSING
+            return await bench.store.async_append(TOPIC, piece, by)
+
+        bench.appender.call = async_refuse_the_second
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(async_append)
+            for _ in range(20):
+                await bench.async_pass(SOON / 4)
+        assert outcomes == [Outcome.UNKNOWN]
+        assert bench.store.topic_end(TOPIC) == 1
