Rank the workers for waiting lasting steps once a plan for each size

Plans are made several times a second. Cause: each step worked out the room beside lasting tasks and the seconds to room of each worker anew, though both are the same for all steps of one size. The workers that will have room for a size are ranked once a plan; a step takes the first that is not kept yet and that its rules allow. The two sums became plain loops.

--- a/mustardward/components/scheduling/offers.py
+++ b/mustardward/components/scheduling/offers.py
@@ -46,6 +46,7 @@
     _nowhere: list[Room] = field(default_factory=list)
     _nowhere_of: list[StepRun] = field(default_factory=list)
     _one_is_kept: bool = False
+    _by_size: dict[Room, list[WorkerState]] = field(default_factory=dict)
     _room_kept: list[tuple[WorkerState, Room]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -102,16 +103,27 @@
             if 0 < count <= tasks_in(room, step.room):
                 self._room_kept[number] = (worker, _less(room, step.room, count))
                 return
-        able = [w for w in self.workers if lasting_tasks_to_fit(w, step)]
-        if not able:
-            return
-        kept = min(
-            able, key=lambda w: (seconds_to_room(w, step.room, left), -w.free_cpu)
-        )
-        count = lasting_tasks_to_fit(kept, step)
-        room = _less(room_beside_lasting(kept), step.room, count)
-        self._room_kept.append((kept, room))
-        self.leave_out([kept], step)
+        taken = {item.worker.id for item in self.kept}
+        for worker in self._soonest(step.room, left):
+            count = lasting_tasks_to_fit(worker, step)
+            if worker.id not in taken and count:
+                room = _less(room_beside_lasting(worker), step.room, count)
+                self._room_kept.append((worker, room))
+                self.leave_out([worker], step)
+                return
+
+    def _soonest(self, size: Room, left: SecondsLeft) -> list[WorkerState]:
+        """Return who will have room for a task, the soonest and emptiest first.
+
+        Ranked once a plan for each size, since many steps may wait.
+        """
+        found = self._by_size.get(size)
+        if found is None:
+            able = [w for w in self.workers if tasks_in(room_beside_lasting(w), size)]
+            seconds = {w.id: seconds_to_room(w, size, left) for w in able}
+            found = sorted(able, key=lambda w: (seconds[w.id], -w.free_cpu))
+            self._by_size[size] = found
+        return found
 
     def keep_to_empty(
         self,
--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -49,13 +49,14 @@
 
 def room_beside_lasting(worker: WorkerState) -> Room:
     """Return a worker's room once all that ends by itself has ended."""
-    taken = [t.step.room for t in worker.tasks.values() if t.step.spec.long_running]
-    taken += [step.room for step in worker.strays]
-    return Room(
-        worker.capacity.cpu - sum(room.cpu for room in taken),
-        worker.capacity.mem_mb - sum(room.mem_mb for room in taken),
-        worker.capacity.gpu - sum(room.gpu for room in taken),
-    )
+    capacity = worker.capacity
+    cpu, mem_mb, gpu = capacity.cpu, capacity.mem_mb, capacity.gpu
+    lasting = [t.step for t in worker.tasks.values() if t.step.spec.long_running]
+    for step in (*lasting, *worker.strays):
+        cpu -= step.room.cpu
+        mem_mb -= step.room.mem_mb
+        gpu -= step.room.gpu
+    return Room(cpu, mem_mb, gpu)
 
 
 def lasting_tasks_to_fit(worker: WorkerState, step: StepRun) -> int:
@@ -79,18 +80,18 @@
 
     :param left: how long a task is expected to run on.
     """
-    free = [worker.free_cpu, worker.free_mem, worker.free_gpu]
-    needed = (room.cpu, room.mem_mb, room.gpu)
-    seconds = 0.0
+    if fits(worker, room):
+        return 0.0
+    cpu, mem_mb, gpu = worker.free_cpu, worker.free_mem, worker.free_gpu
     ending = [t for t in worker.tasks.values() if not t.step.spec.long_running]
     for task in sorted(ending, key=left):
-        if all(have >= need for have, need in zip(free, needed, strict=True)):
-            break
-        seconds = max(seconds, left(task))
         given = task.step.room
-        free = [free[0] + given.cpu, free[1] + given.mem_mb, free[2] + given.gpu]
-    enough = all(have >= need for have, need in zip(free, needed, strict=True))
-    return seconds if enough else math.inf
+        cpu += given.cpu
+        mem_mb += given.mem_mb
+        gpu += given.gpu
+        if cpu >= room.cpu and mem_mb >= room.mem_mb and gpu >= room.gpu:
+            return max(0.0, left(task))
+    return math.inf
 
 
 def can_serve(worker: WorkerState) -> bool:
