Let a task go elsewhere after a start that was not answered

What callers would see: a job that waits though workers are free, as long as one worker answers looks and stops but leaves each start unanswered. Cause: after the stop was acknowledged the task was ready again, and the same worker still suited it best: it looked idle, and nothing was held against it. A refused start pauses its worker; an unanswered one did not even that. The worker is avoided by that task as long as others have room, as after a run that failed there.

--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -102,7 +102,9 @@
 
     def start_unknown(self, task: Task, run: int) -> None:
         """Take in that a start was not answered."""
-        if task.run == run and task.phase is Phase.STARTING:
+        if task.run == run and task.phase is Phase.STARTING and task.worker:
+            # A worker may answer all else, and leave each start unanswered.
+            task.avoid.add(task.worker.id)
             self.board.doubt(task)
 
     def stop_answered(self, task: Task, run: int, now: float) -> None:
