Start a suspect only where an answer to a call sent for it came

Evidence: found in review. The test of a task that does end each worker before it answers still has three starts. Why it works: a task under which a worker crashed is started only after an answer to a call that left for that very start, so that chance can give it one crash, not three. A start whose proof took long is no longer counted against the window of starts: the time was the worker's. An owner without authority is told so before it waits.

--- a/mustardward/components/dispatch/orders.py
+++ b/mustardward/components/dispatch/orders.py
@@ -95,8 +95,8 @@
         try:
             if session is None or session.gone:
                 raise CallRefusedError("worker gone")
-            await session.async_prove()
-            if self._withdrawn(start):
+            await session.async_prove(anew=bool(task.crashes))
+            if self._is_void(start):
                 return
             reports.start_sent(task, run)
             answer = await session.async_start(task, run)
@@ -122,10 +122,15 @@
                 return
         self.on_report()
 
+    def _is_void(self, start: Start) -> bool:
+        """Return whether a start's task is no longer the one to be started by it."""
+        task = start.task
+        return task.run != start.run or task.phase is not Phase.STARTING
+
     def _withdrawn(self, start: Start) -> bool:
         """Return whether a start must not leave any more."""
         task = start.task
-        if task.run != start.run or task.phase is not Phase.STARTING:
+        if self._is_void(start):
             return True
         now = self.timers.monotonic()
         if now - task.started_at <= DECISION_SECONDS:
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -147,16 +147,25 @@
                 continue
             await self._async_look(worker)
 
-    async def async_prove(self) -> None:
+    async def async_prove(self, anew: bool) -> None:
         """Make sure that the worker was heard a moment ago, before it is given a task.
 
         While nothing runs there its crash goes unnoticed, and a start that it does not
         answer would count as the cause.
 
-        :raises CallRefusedError: if it does not answer.
+        :param anew: whether only an answer to a call that leaves now will do.
+        :raises CallRefusedError: if it does not answer, or may be given no task.
+        :raises WrongIncarnationError: if another incarnation answered.
         """
-        if self._was_heard_within(ALIVE_SECONDS):
-            return
+        if not self.authorised():
+            raise CallRefusedError("no authority")
+        if anew:
+            await self._async_ask_anew()
+        elif not self._was_heard_within(ALIVE_SECONDS):
+            await self._async_wait_for_look()
+
+    async def _async_wait_for_look(self) -> None:
+        """Wait for the session's next look; all starts that wait share it."""
         self._asked = True
         self._wake.set()
         with anyio.move_on_after(ALIVE_WAIT_SECONDS):
@@ -164,6 +173,18 @@
         if not self._was_heard_within(ALIVE_SECONDS):
             raise CallRefusedError("not heard")
 
+    async def _async_ask_anew(self) -> None:
+        """Call the worker beside the session's looks, which may wait long for ends."""
+        try:
+            answer = await self.client.async_hold(0, None, 0)
+        except CallUnknownError as error:
+            self.ask()
+            raise CallRefusedError(f"not heard: {error.detail}") from error
+        if self.gone or self._is_another(answer):
+            self.ask()
+            raise CallRefusedError("other incarnation")
+        self._prove(answer.clock_ms)
+
     async def async_start(self, task: Task, run: int) -> StartAnswer:
         """Order a start.
 
--- a/tests/components/dispatch/test_gone_workers.py
+++ b/tests/components/dispatch/test_gone_workers.py
@@ -40,12 +40,14 @@
 
     :param gone: what a call meets once it is gone.
     :param deadly: whether a start ends it before it is answered.
+    :param deaf: whether it leaves starts alone unanswered.
     """
 
     def __init__(self, timers: DrivenTimerService) -> None:
         self._timers = timers
         self.gone: Exception | None = None
         self.deadly = False
+        self.deaf = False
         self.starts: list[TaskName] = []
         self.holds = 0
         self._runs: dict[TaskName, int] = {}
@@ -53,6 +55,8 @@
     async def async_start(self, order: StartOrder) -> StartAnswer:
         self._check()
         self.starts.append(order.task)
+        if self.deaf:
+            raise CallUnknownError("timeout")
         if self.deadly:
             self.gone = CallUnknownError("timeout")
             raise self.gone
@@ -189,3 +193,34 @@
         assert {n: w.holds - asked[n] for n, w in used.items()} == dict.fromkeys(
             used, 1
         )
+
+
+@pytest.mark.parametrize("heard_seconds", [0.1, 0.4, 0.8, 1.2])
+@pytest.mark.parametrize(
+    "gone",
+    [WrongIncarnationError("other"), CallUnknownError("timeout")],
+    ids=["replaced", "silent"],
+)
+async def test_a_sound_job_is_not_given_up_for_a_rack_that_was_just_heard(
+    gone: Exception, heard_seconds: float
+) -> None:
+    """A rack that dies within a moment of its last answers convicted a sound job."""
+    async with a_bench() as bench:
+        for name in bench.workers:
+            bench.dispatcher.sessions[name].ask()
+        await bench.async_pass(heard_seconds)
+        bench.lose_rack(gone)
+        bench.add()
+        await bench.async_pass(6.0)
+        assert bench.scheduler.board.jobs[JOB].state is JobState.RUNNING
+        assert len(bench.task().crashes) <= 1
+
+
+async def test_a_task_whose_start_is_not_answered_goes_elsewhere() -> None:
+    """A task was given for ever to a worker that answers all calls but its starts."""
+    async with a_bench() as bench:
+        bench.workers["w1"].deaf = True
+        bench.add()
+        await bench.async_pass(2.0)
+        assert len(bench.workers["w1"].starts) == 1
+        assert bench.task().phase is Phase.RUNNING
