Believe the entry of a worker that stays, while nothing runs there

Symptom: a worker is given nothing for as long as its owner lives. Another writer's entry named a service that there is none of, an owner took over and read it first, and the worker wrote its own again. Cause: the first service that was read counted as the worker's, and barred its own entry for good. A contradicting entry still bars the worker at once. A worker writes its own anew with each heartbeat, so the one that stays for longer than three of them is its own: it is believed once the worker answered and runs nothing. The two in turn, an entry that can't be read, or one that is gone begin the wait anew.

--- /dev/null
+++ b/mustardward/components/scheduling/entries.py
@@ -0,0 +1,106 @@
+"""Take in what the store holds of workers, and tell their own words from others'."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from ...helpers.logging import get_logger
+from ...helpers.unreadable import note_unreadable
+from ...platform.models import WORKER_DRAINING, WorkerEntry
+from .board import Board
+from .const import MISSING_GRACE_SECONDS
+from .incarnations import is_other, make_worker
+from .models import WorkerState
+
+_LOGGER = get_logger(__name__)
+
+OWN_ENTRY_SECONDS: Final = 2.5
+"""A worker writes its entry anew with each heartbeat, and is taken out of the store
+after three that are missed: what stands for so long is its own."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Dispute:
+    """Hold the newest entry of a worker that contradicts the one in use."""
+
+    worker: WorkerState
+    entry: WorkerEntry
+    since: float
+
+
+@dataclass(slots=True, eq=False)
+class Entries:
+    """Keep workers as their entries describe them."""
+
+    board: Board
+    _disputes: dict[str, _Dispute] = field(default_factory=dict)
+
+    def see(self, worker_id: str, entry: WorkerEntry, now: float) -> bool:
+        """Take in a worker's entry; return whether the worker is new."""
+        worker = self.board.workers.get(worker_id)
+        is_new = worker is None
+        if worker is None:
+            worker = make_worker(worker_id, entry)
+            self.board.workers[worker_id] = worker
+        elif not worker.described and entry.born == worker.born:
+            worker.describe(entry)
+        elif is_other(entry.born, worker.born):
+            # Of an incarnation that is over, and was written or read late.
+            return False
+        worker.born = worker.born or entry.born
+        if entry.service != worker.service:
+            # An incarnation never changes its pool, so one of the two entries is
+            # another writer's.
+            note_unreadable("worker", worker_id, f"service={entry.service}")
+            self.bar(worker_id)
+            self._disputes[worker_id] = _Dispute(worker, entry, now)
+            return False
+        self._use(worker, entry, now)
+        return is_new
+
+    def miss(self, worker_id: str, now: float) -> None:
+        """Take in that a worker's entry is gone; what runs there may go on."""
+        self._disputes.pop(worker_id, None)
+        worker = self.board.workers.get(worker_id)
+        if worker is not None and worker.missing_since is None:
+            worker.missing_since = now
+
+    def bar(self, worker_id: str) -> None:
+        """Give a worker no new tasks until a good entry names it again."""
+        self._disputes.pop(worker_id, None)
+        worker = self.board.workers.get(worker_id)
+        if worker is not None:
+            worker.absent = True
+
+    def run(self, now: float) -> None:
+        """Take in that entries stayed away, or stayed."""
+        for worker in self.board.workers.values():
+            since = worker.missing_since
+            if since is not None and now - since > MISSING_GRACE_SECONDS:
+                worker.absent = True
+        for dispute in list(self._disputes.values()):
+            self._settle(dispute, now)
+
+    def _use(self, worker: WorkerState, entry: WorkerEntry, now: float) -> None:
+        self._disputes.pop(worker.id, None)
+        if worker.described and entry.capacity != worker.capacity:
+            worker.resize(entry.capacity)
+        worker.missing_since = None
+        worker.absent = False
+        if entry.state == WORKER_DRAINING and not worker.draining:
+            worker.draining = True
+            worker.drains_at = now + (entry.remaining_ms or 0) / 1000
+            _LOGGER.info("worker_draining", worker=worker.id)
+
+    def _settle(self, dispute: _Dispute, now: float) -> None:
+        """Believe an entry that stays, once the worker answered and runs nothing."""
+        worker = dispute.worker
+        if self.board.workers.get(worker.id) is not worker:
+            del self._disputes[worker.id]
+            return
+        if now - dispute.since < OWN_ENTRY_SECONDS or worker.has_runs:
+            return
+        if worker.confirmed and not worker.stale:
+            worker.describe(dispute.entry)
+            self._use(worker, dispute.entry, now)
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -8,8 +8,7 @@
 
 from ...helpers.logging import get_logger
 from ...helpers.policies import switchable
-from ...helpers.unreadable import note_unreadable
-from ...platform.models import WORKER_DRAINING, WorkerEntry
+from ...platform.models import WorkerEntry
 from ...platform.workers import HoldAnswer
 from ..ledger.ledger import LedgerJob
 from ..ledger.models import JobState, Progress
@@ -17,14 +16,14 @@
 from .commands import Command
 from .const import (
     LOOK_SECONDS,
-    MISSING_GRACE_SECONDS,
     STUCK_FACTOR,
     STUCK_SECONDS,
 )
 from .crashes import Crashes, suspects_of
+from .entries import Entries
 from .evacuation import Evacuation
 from .health import Health
-from .incarnations import is_other, make_worker
+from .incarnations import make_worker
 from .intake import Intake
 from .losses import LossCause, tell_lost
 from .models import Job, Phase, StepRun, Task
@@ -64,6 +63,7 @@
         rate_of: RateLookup = no_rate,
     ) -> None:
         self.board = Board(epoch, policy_of, quotas=Quotas(quota_of))
+        self.entries = Entries(self.board)
         self._zones = Zones(self.board)
         self.intake = Intake(self.board, self._zones, Shares(rate_of))
         self.health = Health(self.board)
@@ -112,31 +112,7 @@
 
     def see_worker(self, worker_id: str, entry: WorkerEntry, now: float) -> bool:
         """Take in a worker's entry; return whether the worker is new."""
-        worker = self.board.workers.get(worker_id)
-        is_new = worker is None
-        if worker is None:
-            worker = make_worker(worker_id, entry)
-            self.board.workers[worker_id] = worker
-        elif not worker.described and entry.born == worker.born:
-            worker.describe(entry)
-        elif is_other(entry.born, worker.born):
-            # Of an incarnation that is over, and was written or read late.
-            return False
-        worker.born = worker.born or entry.born
-        if entry.service != worker.service:
-            # An incarnation never changes its pool, so another writer has written this.
-            note_unreadable("worker", worker_id, f"service={entry.service}")
-            self.bar_worker(worker_id)
-            return False
-        if worker.described and entry.capacity != worker.capacity:
-            worker.resize(entry.capacity)
-        worker.missing_since = None
-        worker.absent = False
-        if entry.state == WORKER_DRAINING and not worker.draining:
-            worker.draining = True
-            worker.drains_at = now + (entry.remaining_ms or 0) / 1000
-            _LOGGER.info("worker_draining", worker=worker_id)
-        return is_new
+        return self.entries.see(worker_id, entry, now)
 
     def replace_worker(
         self, worker_id: str, born: int, entry: WorkerEntry, now: float
@@ -168,15 +144,11 @@
 
     def miss_worker(self, worker_id: str, now: float) -> None:
         """Take in that a worker's entry is gone; what runs there may go on."""
-        worker = self.board.workers.get(worker_id)
-        if worker is not None and worker.missing_since is None:
-            worker.missing_since = now
+        self.entries.miss(worker_id, now)
 
     def bar_worker(self, worker_id: str) -> None:
         """Give a worker no new tasks until a good entry names it again."""
-        worker = self.board.workers.get(worker_id)
-        if worker is not None:
-            worker.absent = True
+        self.entries.bar(worker_id)
 
     def lose_worker(self, worker_id: str, cause: LossCause, now: float) -> None:
         """Take in that nothing runs on a worker any more."""
@@ -223,7 +195,7 @@
         :param most_starts: starts that can be carried out soon; no more are decided.
         """
         self.intake.open_due(now, wall)
-        self._leave_missing(now)
+        self.entries.run(now)
         self._evacuation.run(now)
         if now >= self._look_at:
             self._look_at = now + LOOK_SECONDS
@@ -258,12 +230,6 @@
                 )
         return records
 
-    def _leave_missing(self, now: float) -> None:
-        for worker in self.board.workers.values():
-            since = worker.missing_since
-            if since is not None and now - since > MISSING_GRACE_SECONDS:
-                worker.absent = True
-
     def _forget_ended(self) -> None:
         # A job that is over is kept until its last run has ended: the room of a run
         # that is being stopped is taken until its worker lists the end.
--- a/tests/components/dispatch/test_holds.py
+++ b/tests/components/dispatch/test_holds.py
@@ -202,3 +202,46 @@
         acknowledged_at = bench.task().stop_acknowledged_at
         tasks.cancel_scope.cancel()
     assert acknowledged_at is None
+
+
+async def test_another_writers_entry_that_the_workers_own_follows_changes_nothing() -> (
+    None
+):
+    """Guards against a worker that is used as another writer has it."""
+    async with anyio.create_task_group() as tasks:
+        bench = RebornBench(tasks)
+        bench.see()
+        await bench.async_pass(0.3)
+        for _ in range(8):
+            bench.see(service="no-such-service")
+            await bench.async_pass(0.5)
+            bench.see()
+            await bench.async_pass(0.5)
+        worker = bench.scheduler.board.workers[WORKER]
+        assert (worker.absent, worker.service) == (False, POOL)
+        bench.see(service="no-such-service")
+        bench.scheduler.bar_worker(WORKER)
+        await bench.async_pass(4.0)
+        assert (worker.absent, worker.service) == (True, POOL)
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_worker_changes_its_service_only_while_nothing_runs_there() -> None:
+    """Guards against a task that runs on a worker of another service than its own."""
+    async with anyio.create_task_group() as tasks:
+        bench = RebornBench(tasks)
+        bench.see()
+        await bench.async_pass(0.3)
+        bench.add(a_step(count=1, long_running=True))
+        await bench.async_pass(0.3)
+        assert bench.task().phase is Phase.RUNNING
+        bench.see(service="no-such-service")
+        worker = bench.scheduler.board.workers[WORKER]
+        for _ in range(120):
+            await bench.async_pass(0.1)
+            bench.worker.process.advance(bench.worker._clock())
+            runs = worker.has_runs or bench.worker.process.runs
+            assert worker.service == POOL or not runs
+        assert (worker.absent, worker.service) == (False, "no-such-service")
+        assert bench.task().phase is Phase.WAITING
+        tasks.cancel_scope.cancel()
