Part the session with a worker by job

Until when something may run there (the worker's clock, the leases sent on it) is lease.py, what proves the worker alive proof.py, and how long it keeps a look looks.py; the session carries the calls.

--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -19,6 +19,7 @@
 from .closed import ClosedWorkers
 from .const import LEASE_SECONDS, lease_bound
 from .contacts import Contacts
+from .lease import Lease
 from .orders import Orders
 from .session import WorkerSession
 
@@ -96,7 +97,7 @@
             self.timers,
             self.on_report,
             self.authorised,
-            lease_until,
+            Lease(lease_until),
             born,
             lambda other: self._reborn(session, other),
             self._contacts,
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -19,69 +18,31 @@
 from ...platform.workers import HoldAnswer, StartAnswer, StartOrder, WorkerClient
 from ..scheduling.incarnations import is_other
 from ..scheduling.losses import LossCause
-from ..scheduling.models import Phase, Task, WorkerState
+from ..scheduling.models import Task, WorkerState
 from ..scheduling.scheduler import Scheduler
 from .const import (
     ALIVE_SECONDS,
     ALIVE_WAIT_SECONDS,
-    BUSY_HOLD_MILLISECONDS,
-    CLOCK_ERROR,
     FAILED_HOLD_SECONDS,
     HOLD_GAP_SECONDS,
-    LEASE_SECONDS,
-    LONG_HOLD_MILLISECONDS,
     PROOF_SECONDS,
-    REBORN_MILLISECONDS,
-    SHORT_HOLD_MILLISECONDS,
     UNSTORED_WAIT_SECONDS,
-    lease_bound,
 )
 from .contacts import Contacts
+from .lease import Lease, WorkerClock
+from .looks import choose_wait_ms
+from .proof import Proof
 
 _LOGGER = get_logger(__name__)
 
 
-@dataclass(slots=True)
-class WorkerClock:
-    """Know a worker's steady clock by its last answer."""
-
-    clock_ms: float = 0.0
-    at: float = -1.0
-
-    @property
-    def known(self) -> bool:
-        """Return whether the worker ever answered."""
-        return self.at >= 0
-
-    def take(self, clock_ms: float, at: float) -> None:
-        """Take in an answer that came at ``at``."""
-        if clock_ms:
-            self.clock_ms = clock_ms
-            self.at = at
-
-    def is_behind(self, clock_ms: float) -> bool:
-        """Return whether an answer shows a clock that began anew."""
-        return self.known and 0 < clock_ms < self.clock_ms - REBORN_MILLISECONDS
-
-    def deadline(self, now: float) -> int:
-        """Return the end of a lease that begins now, on the worker's clock."""
-        return int(self.clock_ms + (now - self.at + LEASE_SECONDS) * 1000)
-
-    def lease_until(self, now: float) -> float:
-        """Return when that lease is surely over, in the owner's time.
-
-        The clock may have been slow since its last answer, too.
-        """
-        return lease_bound(now) + (now - self.at) * CLOCK_ERROR
-
-
 @dataclass(slots=True, eq=False)
 class WorkerSession:
     """Talk to one incarnation of a worker under one epoch.
 
     :param on_report: called after each report, to plan and to store.
     :param authorised: whether this owner may still give orders.
-    :param lease_until: until when something may run there, in the owner's time.
+    :param lease: until when something may run there.
     :param born: the incarnation, by when it started; 0 if that is not known yet.
     :param on_reborn: called with when it started if another incarnation answers.
     :param contacts: bounds how many workers that are not heard of are asked at once.
@@ -93,18 +54,16 @@
     timers: TimerService
     on_report: Callable[[], None]
     authorised: Callable[[], bool]
-    lease_until: float
+    lease: Lease
     born: int
     on_reborn: Callable[[int], None]
     contacts: Contacts
-    clock: WorkerClock = field(default_factory=WorkerClock)
     listed_upto: int = 0
     seen_upto: int = 0
     answered: bool = False
     gone: bool = False
     silent_since: float | None = None
-    _proved_at: float = -math.inf
-    _deadline_ms: int | None = None
+    _proof: Proof = field(default_factory=Proof)
     _asked: bool = False
     _told_upto: int = 0
     _stored: anyio.Event = field(default_factory=anyio.Event)
@@ -114,7 +73,17 @@
     @property
     def doubted(self) -> bool:
         """Return whether the worker left its last call unanswered, or all of them."""
-        return math.isinf(self._proved_at)
+        return not self._proof.stands
+
+    @property
+    def clock(self) -> WorkerClock:
+        """Return what is known of the worker's steady clock."""
+        return self.lease.clock
+
+    @property
+    def lease_until(self) -> float:
+        """Return until when something may run there, in the owner's time."""
+        return self.lease.until
 
     def acknowledge(self, number: int) -> None:
         """Note that the ends up to a number are stored."""
@@ -125,7 +94,7 @@
     def ask(self) -> None:
         """Ask the worker who it is, though nothing runs there."""
         self._asked = True
-        self._proved_at = -math.inf
+        self._proof.withdraw()
         self._wake.set()
 
     def wake(self) -> None:
@@ -195,7 +164,7 @@
         if not self.clock.known:
             raise CallRefusedError("clock unknown")
         now = self.timers.monotonic()
-        deadline_ms = self._renew(now)
+        deadline_ms = self.lease.renew(now)
         order = StartOrder(
             task.name,
             run,
@@ -212,7 +181,7 @@
                 # clock. Its next answer to a hold tells who it is.
                 raise CallUnknownError("clock went back")
         except CallUnknownError:
-            self._proved_at = -math.inf
+            self._proof.withdraw()
             raise
         self._prove(answer.clock_ms)
         return answer
@@ -227,11 +196,11 @@
         """Take in an answer of this incarnation."""
         now = self.timers.monotonic()
         self.clock.take(clock_ms, now)
-        self._proved_at = now
+        self._proof.give(now)
 
     def _was_heard_within(self, seconds: float) -> bool:
         """Return whether this incarnation answered its last call, and so lately."""
-        return self.timers.monotonic() - self._proved_at <= seconds
+        return self._proof.is_within(seconds, self.timers.monotonic())
 
     def _idle(self, worker: WorkerState) -> bool:
         """Return whether nothing is to be learned from the worker.
@@ -309,11 +278,12 @@
     async def _async_call(
         self, worker: WorkerState, now: float, told_upto: int
     ) -> HoldAnswer:
-        deadline = self._deadline_ms
+        deadline = self.lease.deadline_ms
         wait_ms = 0
         if self._renews(now):
-            deadline = self._renew(now)
-            wait_ms = self._wait_ms(worker) if told_upto == self.seen_upto else 0
+            deadline = self.lease.renew(now)
+            if told_upto == self.seen_upto:
+                wait_ms = choose_wait_ms(worker, self.scheduler.pacing)
         return await self.client.async_hold(told_upto, deadline, wait_ms)
 
     def _renews(self, now: float) -> bool:
@@ -321,38 +291,16 @@
 
         One that may not arrive repeats the last lease that was sent: with a longer one,
         what runs on a silent worker could not start elsewhere for as long as such looks
-        go on. So does one after a long time without an answer, in which the worker's
-        clock may have drifted; nothing runs there then.
+        go on.
         """
-        if not self.clock.known or self.silent_since is not None:
-            return False
-        return now - self.clock.at <= LEASE_SECONDS
-
-    def _renew(self, now: float) -> int:
-        """Reckon with a lease sent now; return its end on the worker's clock."""
-        self.lease_until = max(self.lease_until, self.clock.lease_until(now))
-        self._deadline_ms = self.clock.deadline(now)
-        return self._deadline_ms
-
-    def _wait_ms(self, worker: WorkerState) -> int:
-        if not worker.confirmed or worker.stale or not worker.tasks:
-            return 0
-        if any(task.phase is Phase.UNCERTAIN for task in worker.tasks.values()):
-            return 0
-        if worker.leaving or worker.draining:
-            return SHORT_HOLD_MILLISECONDS
-        if self.scheduler.pacing.needs_looks(worker):
-            return SHORT_HOLD_MILLISECONDS
-        if any(not task.step.spec.long_running for task in worker.tasks.values()):
-            return BUSY_HOLD_MILLISECONDS
-        return LONG_HOLD_MILLISECONDS
+        return self.silent_since is None and self.lease.may_renew(now)
 
     def _failed(self, worker: WorkerState, detail: str) -> float:
         """Take in that a hold was not answered; return how long to pause."""
         if self.gone:
             return 0.0
         now = self.timers.monotonic()
-        self._proved_at = -math.inf
+        self._proof.withdraw()
         if self.silent_since is None:
             self.silent_since = now
         if not worker.stale:
