Move the state of a worker to a module of its own

WorkerState and its one constant stand in worker_state.py; what imports them follows, nothing else is changed.

--- a/mustardward/components/dispatch/looks.py
+++ b/mustardward/components/dispatch/looks.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from ..scheduling.models import Phase, WorkerState
+from ..scheduling.models import Phase
 from ..scheduling.pacing import Pacing
+from ..scheduling.worker_state import WorkerState
 from .const import (
     BUSY_HOLD_MILLISECONDS,
     LONG_HOLD_MILLISECONDS,
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -18,8 +18,9 @@
 from ...platform.workers import HoldAnswer, StartAnswer, StartOrder, WorkerClient
 from ..scheduling.incarnations import is_other
 from ..scheduling.losses import LossCause
-from ..scheduling.models import Task, WorkerState
+from ..scheduling.models import Task
 from ..scheduling.scheduler import Scheduler
+from ..scheduling.worker_state import WorkerState
 from .const import (
     ALIVE_SECONDS,
     ALIVE_WAIT_SECONDS,
--- a/mustardward/components/fleet/leaving.py
+++ b/mustardward/components/fleet/leaving.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from ..scheduling.incarnations import is_other
-from ..scheduling.models import WorkerState
+from ..scheduling.worker_state import WorkerState
 from .models import MoveOrder, WaveRun
 
 Leaving = dict[str, int]
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -22,8 +22,8 @@
 from ..scheduling.demand import measure
 from ..scheduling.incarnations import is_other
 from ..scheduling.losses import LossCause
-from ..scheduling.models import WorkerState
 from ..scheduling.scheduler import Scheduler
+from ..scheduling.worker_state import WorkerState
 from .const import (
     BUSY_LIST_SECONDS,
     LIST_SECONDS,
--- a/mustardward/components/fleet/unusable.py
+++ b/mustardward/components/fleet/unusable.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 
 from ...platform.models import Instance
-from ..scheduling.models import WorkerState
 from ..scheduling.placement import can_serve
+from ..scheduling.worker_state import WorkerState
 from .const import HEARING_SECONDS_EACH, SILENT_SECONDS, UNHEARD_SECONDS
 
 
--- a/mustardward/components/scheduling/board.py
+++ b/mustardward/components/scheduling/board.py
@@ -12,8 +12,9 @@
 from .const import APART_CRASHES, RUN_BITS
 from .estimates import Estimates
 from .inflow import Inflow
-from .models import ACTIVE, Job, Phase, QueuePolicy, StepRun, Task, WorkerState
+from .models import ACTIVE, Job, Phase, QueuePolicy, StepRun, Task
 from .quotas import Quotas
+from .worker_state import WorkerState
 
 _LOGGER = get_logger(__name__)
 
--- a/mustardward/components/scheduling/crashes.py
+++ b/mustardward/components/scheduling/crashes.py
@@ -29,7 +29,8 @@
     TRIAL_RUNS,
 )
 from .losses import MOST_IN_LINE, LossCause
-from .models import Job, Phase, StepRun, Task, WorkerState
+from .models import Job, Phase, StepRun, Task
+from .worker_state import WorkerState
 
 _LOGGER = get_logger(__name__)
 
--- a/mustardward/components/scheduling/entries.py
+++ b/mustardward/components/scheduling/entries.py
@@ -11,7 +11,7 @@
 from .board import Board
 from .const import MISSING_GRACE_SECONDS
 from .incarnations import is_other, make_worker
-from .models import WorkerState
+from .worker_state import WorkerState
 
 _LOGGER = get_logger(__name__)
 
--- a/mustardward/components/scheduling/evacuation.py
+++ b/mustardward/components/scheduling/evacuation.py
@@ -6,7 +6,8 @@
 
 from .board import Board
 from .const import EVACUATION_SECONDS
-from .models import Phase, StepRun, Task, WorkerState
+from .models import Phase, StepRun, Task
+from .worker_state import WorkerState
 
 REPORT_SECONDS = 2.5
 """Age at which a worker's report tells nothing any more: an owner that is short of
--- a/mustardward/components/scheduling/health.py
+++ b/mustardward/components/scheduling/health.py
@@ -11,7 +11,8 @@
 from ...helpers.policies import switchable
 from .board import Board
 from .const import FAILURES_TO_QUARANTINE, QUARANTINE_SECONDS, QUARANTINE_SHARE
-from .models import Task, WorkerState
+from .models import Task
+from .worker_state import WorkerState
 
 _LOGGER = get_logger(__name__)
 
--- a/mustardward/components/scheduling/incarnations.py
+++ b/mustardward/components/scheduling/incarnations.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ...platform.models import WorkerEntry
-from .models import WorkerState
+from .worker_state import WorkerState
 
 
 def is_other(born: int, known: int) -> bool:
--- a/mustardward/components/scheduling/losses.py
+++ b/mustardward/components/scheduling/losses.py
@@ -8,7 +8,8 @@
 from ...helpers.instruments import WORKERS_LOST
 from ...helpers.logging import get_logger
 from ...platform.workers import encode_task
-from .models import Task, WorkerState
+from .models import Task
+from .worker_state import WorkerState
 
 _LOGGER = get_logger(__name__)
 
--- a/mustardward/components/scheduling/offers.py
+++ b/mustardward/components/scheduling/offers.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from ...platform.models import Room
-from .models import StepRun, Task, WorkerState
+from .models import StepRun, Task
 from .placement import (
     SecondsLeft,
     lasting_tasks_to_fit,
@@ -17,6 +17,7 @@
     tasks_in,
 )
 from .trials import SecondsToEmpty, choose_to_empty
+from .worker_state import WorkerState
 
 Where = frozenset[str] | None
 
--- a/mustardward/components/scheduling/order.py
+++ b/mustardward/components/scheduling/order.py
@@ -20,7 +20,8 @@
 
 from ...helpers.policies import switchable
 from .estimates import Estimates
-from .models import Job, StepRun, WorkerState
+from .models import Job, StepRun
+from .worker_state import WorkerState
 
 Rank = tuple[int, int, bool, float]
 
--- a/mustardward/components/scheduling/pacing.py
+++ b/mustardward/components/scheduling/pacing.py
@@ -7,7 +7,8 @@
 from ...helpers.policies import switchable
 from .board import Board
 from .commands import Pace
-from .models import Phase, Task, WorkerState
+from .models import Phase, Task
+from .worker_state import WorkerState
 
 OVER_SHARE = 0.9
 """Share of its target at which a serving task counts as harmed; the figure is rough,
--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -10,7 +10,8 @@
 
 from ...helpers.policies import switchable
 from ...platform.models import Room
-from .models import Place, StepRun, Task, WorkerState
+from .models import Place, StepRun, Task
+from .worker_state import WorkerState
 
 Score = tuple[float, ...]
 GangPlaces = list[tuple[Task, WorkerState]]
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -16,7 +16,7 @@
     trial_workers,
     workers_apart,
 )
-from .models import StepRun, Task, WorkerState
+from .models import StepRun, Task
 from .offers import Offers
 from .order import Capacity, Order, capacity_of, prioritise
 from .placement import (
@@ -31,6 +31,7 @@
 from .quota_waits import QuotaWaits
 from .trials import put_trials_first, seconds_to_empty
 from .waits import Reason, Waits, reason_elsewhere
+from .worker_state import WorkerState
 from .zones import Zones, promised_room
 
 ADVICE_SECONDS = 2.0
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -20,8 +20,9 @@
 from .const import VANISHED_HOLDS
 from .health import Health
 from .intake import Intake
-from .models import ACTIVE, Phase, Task, WorkerState
+from .models import ACTIVE, Phase, Task
 from .run_lines import RunLines
+from .worker_state import WorkerState
 
 _LOGGER = get_logger(__name__)
 
--- a/mustardward/components/scheduling/run_lines.py
+++ b/mustardward/components/scheduling/run_lines.py
@@ -13,7 +13,8 @@
 
 from ...helpers.logging import get_logger
 from ...platform.workers import EndedTask
-from .models import Task, WorkerState
+from .models import Task
+from .worker_state import WorkerState
 
 _LOGGER = get_logger(__name__)
 
--- a/mustardward/components/scheduling/trials.py
+++ b/mustardward/components/scheduling/trials.py
@@ -6,7 +6,7 @@
 
 from .const import APART_CRASHES, APART_WAIT_SECONDS, SOUND_SECONDS
 from .crashes import has_lasting, runs_apart
-from .models import Job, StepRun, Task, WorkerState
+from .models import Job, StepRun, Task
 from .placement import (
     SecondsLeft,
     choose_gang,
@@ -14,6 +14,7 @@
     room_beside_lasting,
     tasks_in,
 )
+from .worker_state import WorkerState
 
 SecondsToEmpty = Callable[[WorkerState], float]
 
--- a/mustardward/components/scheduling/wait_inputs.py
+++ b/mustardward/components/scheduling/wait_inputs.py
@@ -9,10 +9,11 @@
 from ...helpers.logging import LogValue
 from ...helpers.registry import Registry
 from .crashes import runs_apart, trial_workers
-from .models import Phase, StepRun, WorkerState
+from .models import Phase, StepRun
 from .planner import ADVICE_SECONDS
 from .wait_views import Wait
 from .waits import Reason
+from .worker_state import WorkerState
 
 MOST_NAMED: Final = 8
 """Workers, jobs or data centres that one pair names."""
--- a/mustardward/components/scheduling/wait_lines.py
+++ b/mustardward/components/scheduling/wait_lines.py
@@ -11,10 +11,11 @@
 from ...platform.models import Room
 from ...platform.workers import encode_task
 from .board import Board
-from .models import Job, Phase, StepRun, Task, WorkerState
+from .models import Job, Phase, StepRun, Task
 from .wait_inputs import inputs_of, phases_of
 from .wait_views import Wait, settle
 from .waits import Held, Reason, Waits
+from .worker_state import WorkerState
 
 _LOGGER = get_logger(__name__)
 
--- a/mustardward/components/scheduling/wait_views.py
+++ b/mustardward/components/scheduling/wait_views.py
@@ -6,9 +6,10 @@
 
 from .board import Board
 from .crashes import runs_apart
-from .models import StepRun, WorkerState
+from .models import StepRun
 from .placement import fits, may_run, usable
 from .waits import Held, Reason, Waits
+from .worker_state import WorkerState
 
 
 @dataclass(slots=True, eq=False)
--- a/mustardward/components/scheduling/zones.py
+++ b/mustardward/components/scheduling/zones.py
@@ -15,8 +15,9 @@
 
 from ...helpers.policies import switchable
 from .board import Board
-from .models import Job, StepRun, WorkerState
+from .models import Job, StepRun
 from .placement import fits, may_run
+from .worker_state import WorkerState
 
 Key = tuple[str, str]
 ByZone = Mapping[str, Sequence[WorkerState]]
--- a/tests/components/dispatch/test_hold_walks.py
+++ b/tests/components/dispatch/test_hold_walks.py
@@ -18,8 +18,9 @@
 from mustardward.components.dispatch.dispatcher import Dispatcher
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.scheduling.losses import LossCause
-from mustardward.components.scheduling.models import Phase, QueuePolicy, WorkerState
+from mustardward.components.scheduling.models import Phase, QueuePolicy
 from mustardward.components.scheduling.scheduler import Scheduler
+from mustardward.components.scheduling.worker_state import WorkerState
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.platform.bodies import StartBody
 from mustardward.platform.exceptions import CallRefusedError, CallUnknownError
--- a/tests/components/fleet/test_holds.py
+++ b/tests/components/fleet/test_holds.py
@@ -15,7 +15,7 @@
 from mustardward.components.fleet.services import Fleet
 from mustardward.components.fleet.waves import WavePlanner
 from mustardward.components.scheduling.losses import LossCause
-from mustardward.components.scheduling.models import WorkerState
+from mustardward.components.scheduling.worker_state import WorkerState
 from mustardward.platform.models import Instance
 
 from ..scheduling.builders import SchedulerBench, a_job, a_step
--- a/tests/components/fleet/test_unusable.py
+++ b/tests/components/fleet/test_unusable.py
@@ -13,8 +13,8 @@
     UNHEARD_SECONDS,
 )
 from mustardward.components.fleet.models import Move
-from mustardward.components.scheduling.models import WorkerState
 from mustardward.components.scheduling.placement import usable
+from mustardward.components.scheduling.worker_state import WorkerState
 from mustardward.platform.models import Instance, Room
 
 from .builders import OTHER, POOL, STANDBY, an_instance
--- a/tests/components/scheduling/builders.py
+++ b/tests/components/scheduling/builders.py
@@ -7,8 +7,9 @@
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.ledger.models import JobRecord, Progress
 from mustardward.components.scheduling.commands import Command, Start, Stop
-from mustardward.components.scheduling.models import QueuePolicy, Task, WorkerState
+from mustardward.components.scheduling.models import QueuePolicy, Task
 from mustardward.components.scheduling.scheduler import Scheduler
+from mustardward.components.scheduling.worker_state import WorkerState
 from mustardward.platform.models import Room, SubmittedStep, WorkerEntry
 from mustardward.platform.workers import EndedTask, HoldAnswer, RunningTask, TaskName
 
--- a/tests/components/scheduling/test_crash_walks.py
+++ b/tests/components/scheduling/test_crash_walks.py
@@ -24,9 +24,10 @@
 from mustardward.components.scheduling import crashes, planner, scheduler
 from mustardward.components.scheduling.commands import Start, Stop
 from mustardward.components.scheduling.losses import LossCause
-from mustardward.components.scheduling.models import Job, QueuePolicy, WorkerState
+from mustardward.components.scheduling.models import Job, QueuePolicy
 from mustardward.components.scheduling.progress import progress_of
 from mustardward.components.scheduling.scheduler import Scheduler
+from mustardward.components.scheduling.worker_state import WorkerState
 from mustardward.platform.models import WorkerEntry
 from mustardward.platform.workers import EndedTask, HoldAnswer, RunningTask, TaskName
 
--- a/tests/components/scheduling/test_hold_walks.py
+++ b/tests/components/scheduling/test_hold_walks.py
@@ -17,8 +17,9 @@
 from mustardward.components.ledger.models import Progress
 from mustardward.components.scheduling.commands import Start, Stop
 from mustardward.components.scheduling.losses import LossCause
-from mustardward.components.scheduling.models import Phase, StepRun, WorkerState
+from mustardward.components.scheduling.models import Phase, StepRun
 from mustardward.components.scheduling.placement import fits, may_run
+from mustardward.components.scheduling.worker_state import WorkerState
 from mustardward.platform.models import Room, SubmittedStep
 from mustardward.platform.workers import EndedTask, RunningTask, TaskName
 
--- a/tests/components/scheduling/test_shortlist.py
+++ b/tests/components/scheduling/test_shortlist.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mustardward.components.scheduling.models import Task, WorkerState
+from mustardward.components.scheduling.models import Task
 from mustardward.components.scheduling.placement import (
     Shortlist,
     choose_home,
@@ -15,6 +15,7 @@
     may_run,
     score,
 )
+from mustardward.components.scheduling.worker_state import WorkerState
 
 from .builders import JOB, SchedulerBench, a_job, a_step
 
--- a/tests/components/scheduling/test_zones.py
+++ b/tests/components/scheduling/test_zones.py
@@ -10,7 +10,7 @@
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.ledger.models import JobState, Progress
 from mustardward.components.scheduling.commands import Start
-from mustardward.components.scheduling.models import WorkerState
+from mustardward.components.scheduling.worker_state import WorkerState
 from mustardward.platform.models import ENDED_DONE
 
 from .builders import JOB, SchedulerBench, a_job, a_step
