--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 
 from ...platform.models import Room
+from .advice import seek_advice
 from .board import Board
-from .commands import AskAdvice
 from .crashes import (
     awaits_judgement,
     is_free_for,
@@ -24,8 +24,6 @@
     Shortlist,
     choose_gang,
     choose_home,
-    fits,
-    may_run,
     usable,
 )
 from .quota_waits import QuotaWaits
@@ -34,9 +32,6 @@
 from .worker_state import WorkerState
 from .zones import Zones, promised_room
 
-ADVICE_SECONDS = 2.0
-"""Longest wait for advice before it is asked again."""
-
 
 @dataclass(slots=True, eq=False)
 class Planner:
@@ -285,22 +280,10 @@
     def _has_advice(
         self, step: StepRun, workers: list[WorkerState], now: float
     ) -> bool:
-        if now >= step.tickets_until:
-            step.tickets.clear()
-            step.asked_about = frozenset()
-        allowed = [worker for worker in workers if worker.id in step.tickets]
-        if any(fits(worker, step.room) and may_run(worker, step) for worker in allowed):
+        if seek_advice(self.board, step, workers, now):
             return True
-        # Those that came since may be allowed too.
-        names = frozenset(worker.id for worker in workers)
-        is_new = not allowed or not names <= step.asked_about
-        if is_new and now >= step.asked_until:
-            step.asked_until = now + ADVICE_SECONDS
-            step.asked_about = names
-            self.board.give(AskAdvice(step, tuple(worker.id for worker in workers)))
-        if not allowed:
-            self.waits.note(step, Reason.ADVICE_UNANSWERED)
-        return bool(allowed)
+        self.waits.note(step, Reason.ADVICE_UNANSWERED)
+        return False
 
 
 def _restricted(step: StepRun) -> bool:
--- a/mustardward/components/scheduling/wait_inputs.py
+++ b/mustardward/components/scheduling/wait_inputs.py
@@ -8,9 +8,9 @@
 
 from ...helpers.logging import LogValue
 from ...helpers.registry import Registry
+from .advice import ADVICE_SECONDS
 from .crashes import runs_apart, trial_workers
 from .models import Phase, StepRun
-from .planner import ADVICE_SECONDS
 from .wait_views import Wait
 from .waits import Reason
 from .worker_state import WorkerState
--- a/tests/components/scheduling/liveness_walk.py
+++ b/tests/components/scheduling/liveness_walk.py
@@ -9,6 +9,7 @@
 
 from mustardward.components.dispatch.const import AUTHORITY_SECONDS, lease_bound
 from mustardward.components.ledger.ledger import LedgerJob
+from mustardward.components.scheduling.advice import ADVICE_SECONDS
 from mustardward.components.scheduling.const import (
     APART_WAIT_SECONDS,
     MISSING_GRACE_SECONDS,
@@ -18,7 +19,6 @@
     STUCK_SECONDS,
 )
 from mustardward.components.scheduling.models import Job
-from mustardward.components.scheduling.planner import ADVICE_SECONDS
 from mustardward.platform.workers import TaskName, encode_task
 
 from .liveness_jobs import (
