--- a/tests/components/scheduling/test_liveness_walks.py
+++ b/tests/components/scheduling/test_liveness_walks.py
@@ -18,24 +18,24 @@
 from .liveness_mutants import MUTANTS
 from .liveness_walk import LivenessWalk
 
-SEEDS = (0, 1, 2, 3, 4, 6, 8, 11, 12, 21, 23, 45)
+SEEDS = (0, 1, 2, 3, 4, 6, 8, 11, 12, 21, 22, 23, 45, 61)
 SCARCE_SEEDS = (0, 1)
 
 MISSED_BY = {
     "a-stop-is-not-repeated": 0,
-    "a-stop-is-not-acknowledged": 4,
+    "a-stop-is-not-acknowledged": 0,
     "data-centres-told-are-not-opened": 6,
-    "no-data-centre-more": 21,
-    "advice-is-asked-once": 8,
-    "tickets-last-for-ever": 0,
-    "suspects-stay-off-their-queue": 1,
-    "nobody-is-judged": 0,
-    "an-entry-that-is-back-is-not-read": 11,
-    "leaving-is-not-taken-back": 21,
-    "a-quarantine-has-no-end": 6,
-    "a-takeover-holds-for-ever": 1,
-    "a-doubted-start-counts-twice": 0,
-    "strays-stay": 3,
+    "no-data-centre-more": 0,
+    "advice-is-asked-once": 4,
+    "tickets-last-for-ever": 22,
+    "suspects-stay-off-their-queue": 2,
+    "nobody-is-judged": 2,
+    "an-entry-that-is-back-is-not-read": 3,
+    "leaving-is-not-taken-back": 0,
+    "a-quarantine-has-no-end": 61,
+    "a-takeover-holds-for-ever": 0,
+    "a-doubted-start-counts-twice": 1,
+    "strays-stay": 0,
 }
 """The seed that is walked first; the other mutants are walked by hand."""
 
