Walk the seed that misses data centres that are told and not opened

Of seeds 0 to 249 on this head three miss it (161, 168, 249) and keep the rule with the release in place; the first is named for it. test_zones.py and test_hold_walks.py fail without the release as well (tried).

--- a/tests/components/scheduling/test_liveness_walks.py
+++ b/tests/components/scheduling/test_liveness_walks.py
@@ -18,13 +18,13 @@
 from .liveness_mutants import MUTANTS
 from .liveness_walk import LivenessWalk
 
-SEEDS = (0, 1, 2, 3, 4, 6, 8, 11, 12, 21, 22, 23, 45, 61)
+SEEDS = (0, 1, 2, 3, 4, 6, 8, 11, 12, 21, 22, 23, 45, 61, 161)
 SCARCE_SEEDS = (0, 1)
 
 MISSED_BY = {
     "a-stop-is-not-repeated": 0,
     "a-stop-is-not-acknowledged": 0,
-    "data-centres-told-are-not-opened": 6,
+    "data-centres-told-are-not-opened": 161,
     "no-data-centre-more": 0,
     "advice-is-asked-once": 4,
     "tickets-last-for-ever": 22,
