End a silent worker's runs by their leases only as the owner the log names

Cause: lets an owner end what runs on a silent worker once the last lease that it sent is over. An owner that is cut off with its data centre and the log has 4 s of authority left, and another one may have taken over and renewed these leases meanwhile: 3.5 s into the cut it started the task again on a worker in its own data centre. Evidence: worker_lost cause=leases-over at 31.27 s in a cut from 27.66 to 31.76 s, the run was never ended on its worker. Why it works: leases are over for an owner only once one of its renewals that was sent after their end is stored, so that nobody can have renewed them before.

--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -31,6 +31,7 @@
     :param token: the fencing token, the owner's epoch.
     :param on_fenced: called when a worker has seen a newer owner.
     :param on_report: called when there may be something to plan or to store.
+    :param confirmed_seconds: age of the newest renewal of the ownership that is stored.
     :param longest_lease_seconds: the longest lease that workers take, whatever the
         deadline that they are told.
     """
@@ -45,6 +46,7 @@
     authorised: Callable[[], bool]
     advice: AdviceClient | None = None
     longest_lease_seconds: float = LEASE_SECONDS
+    confirmed_seconds: Callable[[], float] = lambda: 0.0
     orders: Orders = field(init=False)
     sessions: dict[str, WorkerSession] = field(default_factory=dict)
     accounted: set[str] = field(default_factory=set)
@@ -101,6 +103,7 @@
             born,
             lambda other: self._reborn(session, other),
             self._contacts,
+            lambda: self.timers.monotonic() - self.confirmed_seconds(),
         )
         self.sessions[worker_id] = session
         self.tasks.start_soon(self._async_run_session, session)
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -47,6 +47,8 @@
     :param born: the incarnation, by when it started; 0 if that is not known yet.
     :param on_reborn: called with when it started if another incarnation answers.
     :param contacts: bounds how many workers that are not heard of are asked at once.
+    :param owned_until: until when the log is known to name no other owner; steady
+        seconds.
     """
 
     worker_id: str
@@ -59,6 +61,7 @@
     born: int
     on_reborn: Callable[[int], None]
     contacts: Contacts
+    owned_until: Callable[[], float]
     listed_upto: int = 0
     seen_upto: int = 0
     answered: bool = False
@@ -307,9 +310,9 @@
         if not worker.stale:
             worker.stale = True
             _LOGGER.warning("worker_silent", worker=self.worker_id, detail=detail)
-        if now > self.lease_until:
-            # Its leases have run out on the slowest clock it can have, so nothing
-            # runs there, whether it lives or not.
+        if self.owned_until() > self.lease_until:
+            # Its leases have run out on the slowest clock it can have, and no other
+            # owner can have renewed them before, so nothing runs there.
             self.scheduler.lose_worker(self.worker_id, LossCause.LEASES_OVER, now)
             self.gone = True
             self.on_report()
--- a/mustardward/components/ownership/authority.py
+++ b/mustardward/components/ownership/authority.py
@@ -39,6 +39,10 @@
             return False
         return now - self._confirmed_at < AUTHORITY_SECONDS
 
+    def confirmed_seconds(self) -> float:
+        """Return how long ago the newest renewal that is stored was sent."""
+        return self.clock() - self._confirmed_at
+
     def confirm(self, sent_at: float) -> None:
         """Take in that a renewal that was sent at a time is stored."""
         self._confirmed_at = max(self._confirmed_at, sent_at)
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -136,6 +136,7 @@
                 self._authority.holds,
                 parts.advice,
                 parts.bounds.hold_max_ms / 1000,
+                self._authority.confirmed_seconds,
             )
             self.dispatcher = dispatcher
             directory = WorkerDirectory(
--- a/tests/components/dispatch/test_leases.py
+++ b/tests/components/dispatch/test_leases.py
@@ -152,3 +152,23 @@
         assert worker.runs() == 1
         assert len(worker.process.starts) == 1
         assert bench.task().phase is Phase.RUNNING
+
+
+async def test_an_owner_that_may_be_deposed_ends_no_run_by_its_own_leases() -> None:
+    """A run that a newer owner renews was started again by one cut off with its log."""
+    async with anyio.create_task_group() as tasks:
+        bench = RebornBench(tasks)
+        bench.see()
+        await bench.async_pass(0.3)
+        bench.add(a_step(count=1, long_running=True))
+        await bench.async_pass(0.3)
+        assert bench.task().phase is Phase.RUNNING
+        cut_at = bench.timers.monotonic()
+        bench.dispatcher.confirmed_seconds = lambda: bench.timers.monotonic() - cut_at
+        bench.worker.dark = True
+        await bench.async_pass(3 * LEASE_SECONDS)
+        assert bench.task().phase is Phase.RUNNING
+        bench.dispatcher.confirmed_seconds = lambda: 0.0
+        await bench.async_pass(0.5)
+        assert bench.task().phase is Phase.WAITING
+        tasks.cancel_scope.cancel()
