Stop no second task that may have come to work since its last report

Cause: as a worker leaves, a task that was not at work by its worker's last report was stopped whatever else of its step was away. Two were started at 11.79 s on a worker that a wave took at 12.39 s; they had come to work since the report. Evidence: run_stopping of both at 12.393 s with percent=0; AVAIL at 12.374 s. The driven test failed before. Why it works: whether a task may be stopped follows from the others of its step alone, so that it makes no difference whether it is at work. One that never comes to work is stopped as one that stands still, as before.

--- a/mustardward/components/scheduling/evacuation.py
+++ b/mustardward/components/scheduling/evacuation.py
@@ -6,7 +6,7 @@
 
 from .board import Board
 from .const import EVACUATION_SECONDS
-from .models import Phase, StepRun, Task
+from .models import Phase, Task
 from .worker_state import WorkerState
 
 REPORT_SECONDS = 2.5
@@ -14,14 +14,16 @@
 processor time reads late, and a failure meanwhile must not be added to."""
 
 
-def may_interrupt(step: StepRun, now: float) -> bool:
-    """Return whether a step can spare one more of its lasting tasks now.
+def may_interrupt(task: Task, now: float) -> bool:
+    """Return whether a step can spare one of its lasting tasks now.
 
-    Whatever keeps a task from its work counts, so that a failure that came meanwhile
-    is never added to what the fleet takes.
+    Whatever keeps another task from its work counts, so that a failure that came
+    meanwhile is never added to what the fleet takes. A task that was not at work when
+    its worker reported last may be by now.
     """
-    away = sum(not _surely_at_work(task, now) for task in step.tasks)
-    return away < max(1, step.spec.may_miss)
+    others = (other for other in task.step.tasks if other is not task)
+    away = sum(not _surely_at_work(other, now) for other in others)
+    return away < max(1, task.step.spec.may_miss)
 
 
 def _surely_at_work(task: Task, now: float) -> bool:
@@ -47,7 +49,7 @@
             if task.phase is not Phase.RUNNING:
                 continue
             if task.step.spec.long_running:
-                if task.percent < 100 or may_interrupt(task.step, now):
+                if may_interrupt(task, now):
                     self.board.stop(task, "evacuation")
             elif self._not_worth_waiting(worker, task, now):
                 self.board.stop(task, "evacuation")
--- a/tests/components/scheduling/test_evacuation.py
+++ b/tests/components/scheduling/test_evacuation.py
@@ -90,3 +90,17 @@
     for task in tasks:
         bench.show_at_work(task)
     assert len(bench.plan_stops()) == 1
+
+
+def test_two_tasks_that_may_have_come_to_work_are_not_stopped_together() -> None:
+    """Two tasks at work were ended at once, since neither was at its last report."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=2, long_running=True, may_miss=1)))
+    assert len(bench.plan_starts()) == 2
+    bench.worker("w2")
+    bench.scheduler.set_leaving("w1", True, bench.now)
+    assert bench.plan_stops() == []
+    bench.show_at_work(bench.task(0))
+    bench.show_at_work(bench.task(1))
+    assert len(bench.plan_stops()) == 1
