--- a/tests/components/fleet/test_holds.py
+++ b/tests/components/fleet/test_holds.py
@@ -1,74 +1,106 @@
-"""Test that a worker that the fleet was about to take is taken, or given back."""
+"""Test that no instance is left out of use for longer than its reason lasts."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from types import SimpleNamespace
-from typing import Any
 
-from mustardward.components.fleet.models import WaveRun
+import pytest
+
+from mustardward.components.fleet.const import LEAST_INSTANCES
+from mustardward.components.fleet.models import Move
+from mustardward.components.fleet.ordering import OrderOutcome
+from mustardward.components.fleet.pools import PoolPlanner
 from mustardward.components.fleet.services import Fleet
 from mustardward.components.fleet.waves import WavePlanner
-from mustardward.helpers.timer import DrivenTimerService
-from mustardward.platform.models import Instance, UpkeepWave
+from mustardward.components.scheduling.losses import LossCause
+from mustardward.components.scheduling.models import WorkerState
+from mustardward.platform.models import Instance
 
-from ..scheduling.builders import SchedulerBench, a_job, a_step
-from .builders import an_instance
+from ..scheduling.builders import SchedulerBench
+from .builders import OTHER, POOL, STANDBY, a_view, an_instance
 
+MOVE_SECONDS = 1.5
 MAINTENANCE_SECONDS = 2.0
 
 
+@dataclass(slots=True)
 class FleetBench:
-    """Hold a fleet's work in driven time; its lists are handed to it."""
-
-    def __init__(self, wave: UpkeepWave) -> None:
-        self.timers = DrivenTimerService()
-        self.bench = SchedulerBench(now=self.timers.monotonic())
-        self.planner = WavePlanner(MAINTENANCE_SECONDS)
-        now = self.timers.monotonic()
-        self.planner.runs[wave.wave] = WaveRun(wave, now)
-        nothing: Any = SimpleNamespace
+    """Drive a fleet by lists; orders are noted, and the platform answers none.
+
+    :param orders: what was to be ordered.
+    :param lost: the workers that were taken for gone.
+    """
+
+    instances: list[Instance]
+    bench: SchedulerBench = field(default_factory=SchedulerBench)
+    orders: list[object] = field(default_factory=list)
+    lost: list[str] = field(default_factory=list)
+    outcome: OrderOutcome = OrderOutcome.BEGUN
+    waves: WavePlanner = field(default_factory=lambda: WavePlanner(MAINTENANCE_SECONDS))
+    fleet: Fleet = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Make the fleet, and a worker for each instance that is on."""
         self.fleet = Fleet(
-            nothing(),
-            nothing(),
-            {},
-            self.timers,
-            self.bench.scheduler,
-            nothing(sessions={}),
-            nothing(standby_pools=lambda: [], config=None, waves={}),
-            nothing(waves={}),
-            nothing(post=lambda records: None),
-            self.planner,
-            nothing(tell=lambda view, now: []),
-            nothing(decide=lambda *_: [], orders={}),
-            lambda: True,
-            nothing(start_soon=lambda *_: None),
+            listing=None,  # type: ignore[arg-type]
+            ordering=SimpleNamespace(async_give=self._async_give),  # type: ignore[arg-type]
+            barred={},
+            timers=SimpleNamespace(monotonic=lambda: self.bench.now),  # type: ignore[arg-type]
+            scheduler=self.bench.scheduler,
+            dispatcher=SimpleNamespace(lose_worker=self._lose),  # type: ignore[arg-type]
+            configuration=SimpleNamespace(  # type: ignore[arg-type]
+                standby_pools=lambda: [STANDBY], config=None
+            ),
+            ledger=None,  # type: ignore[arg-type]
+            ledger_appender=SimpleNamespace(post=lambda records: None),  # type: ignore[arg-type]
+            planner=self.waves,
+            telling=SimpleNamespace(tell=lambda view, now: []),  # type: ignore[arg-type]
+            pools=PoolPlanner(MOVE_SECONDS),
+            authorised=lambda: True,
+            tasks=SimpleNamespace(start_soon=self._start),  # type: ignore[arg-type]
         )
+        for instance in self.instances:
+            if instance.id is not None:
+                self.bench.worker(instance.id, service=instance.pool)
+
+    def worker(self, name: str) -> WorkerState:
+        """Return a worker."""
+        return self.bench.scheduler.board.workers[name]
 
-    def read(self, *rows: Instance, complete: bool = True) -> None:
-        """Take a list in, and decide by it."""
-        self.timers.pause(0.3)
-        self.fleet._read_at = self.timers.monotonic()
-        self.fleet._instances = {row.machine: row for row in rows}
-        self.fleet._complete = complete
+    def look(self, instances: list[Instance]) -> None:
+        """Read a list, and decide."""
+        self.bench.now += 0.5
+        self.fleet._instances = {i.machine: i for i in instances}
+        self.fleet._read_at = self.bench.now
         self.fleet._decide()
 
+    def _start(self, call: Callable[[object], object], order: object) -> None:
+        self.orders.append(order)
 
-def test_a_row_that_can_not_be_read_does_not_leave_a_worker_kept_back() -> None:
-    """Symptom: a worker is given nothing for good, and is not maintained either.
+    def _lose(self, worker_id: str, cause: LossCause) -> None:
+        self.lost.append(worker_id)
 
-    Sequence: a wave's last worker is being emptied; its row of one list can't be read;
-    the wave counts it as gone, and as done. Cause: that the list is not whole is asked
-    for silent workers alone, and what emptying kept back is never given back.
-    """
-    fleet = FleetBench(UpkeepWave(1, ["m-01"], 20.0, 2))
-    worker = fleet.bench.worker("i-01")
-    fleet.bench.add(a_job(a_step(count=1, long_running=True)))
-    fleet.bench.plan_starts()
-    first, second = an_instance(1), an_instance(2)
-    fleet.read(first, second)
-    assert worker.leaving
-    fleet.read(second, complete=False)
-    fleet.read(first, second)
-    run = fleet.planner.runs[1]
-    assert not worker.leaving or "m-01" in run.emptying
-    assert not run.done
+    async def _async_give(self, order: object) -> OrderOutcome:
+        return self.outcome
+
+
+def test_a_pool_whose_instance_is_maintained_gets_another() -> None:
+    """Guards against a pool of the least size that a wave makes smaller."""
+    planner = PoolPlanner(MOVE_SECONDS)
+    pool = [an_instance(number) for number in range(LEAST_INSTANCES)]
+    others = [an_instance(number, OTHER) for number in (4, 5)]
+    view = a_view([*pool, *others, an_instance(8, STANDBY)])
+    assert planner.decide(view, {}, {"m-00"}, 0.0) == [Move("m-08", POOL)]
+
+
+@pytest.mark.anyio
+async def test_a_refused_move_gives_its_worker_back() -> None:
+    """Guards against a worker that stays left out for a move that never comes."""
+    instances = [an_instance(number) for number in range(3)]
+    fleet = FleetBench(instances, outcome=OrderOutcome.REFUSED)
+    fleet.look(instances)
+    fleet.bench.scheduler.set_leaving("i-00", True, fleet.bench.now)
+    await fleet.fleet._async_move(Move("m-00", OTHER))
+    assert not fleet.worker("i-00").leaving
--- /dev/null
+++ b/tests/components/fleet/test_unreadable_rows.py
@@ -0,0 +1,74 @@
+"""Test that a worker that the fleet was about to take is taken, or given back."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+from mustardward.components.fleet.models import WaveRun
+from mustardward.components.fleet.services import Fleet
+from mustardward.components.fleet.waves import WavePlanner
+from mustardward.helpers.timer import DrivenTimerService
+from mustardward.platform.models import Instance, UpkeepWave
+
+from ..scheduling.builders import SchedulerBench, a_job, a_step
+from .builders import an_instance
+
+MAINTENANCE_SECONDS = 2.0
+
+
+class FleetBench:
+    """Hold a fleet's work in driven time; its lists are handed to it."""
+
+    def __init__(self, wave: UpkeepWave) -> None:
+        self.timers = DrivenTimerService()
+        self.bench = SchedulerBench(now=self.timers.monotonic())
+        self.planner = WavePlanner(MAINTENANCE_SECONDS)
+        now = self.timers.monotonic()
+        self.planner.runs[wave.wave] = WaveRun(wave, now)
+        nothing: Any = SimpleNamespace
+        self.fleet = Fleet(
+            nothing(),
+            nothing(),
+            {},
+            self.timers,
+            self.bench.scheduler,
+            nothing(sessions={}),
+            nothing(standby_pools=lambda: [], config=None, waves={}),
+            nothing(waves={}),
+            nothing(post=lambda records: None),
+            self.planner,
+            nothing(tell=lambda view, now: []),
+            nothing(decide=lambda *_: [], orders={}),
+            lambda: True,
+            nothing(start_soon=lambda *_: None),
+        )
+
+    def read(self, *rows: Instance, complete: bool = True) -> None:
+        """Take a list in, and decide by it."""
+        self.timers.pause(0.3)
+        self.fleet._read_at = self.timers.monotonic()
+        self.fleet._instances = {row.machine: row for row in rows}
+        self.fleet._complete = complete
+        self.fleet._decide()
+
+
+def test_a_row_that_can_not_be_read_does_not_leave_a_worker_kept_back() -> None:
+    """Symptom: a worker is given nothing for good, and is not maintained either.
+
+    Sequence: a wave's last worker is being emptied; its row of one list can't be read;
+    the wave counts it as gone, and as done. Cause: that the list is not whole is asked
+    for silent workers alone, and what emptying kept back is never given back.
+    """
+    fleet = FleetBench(UpkeepWave(1, ["m-01"], 20.0, 2))
+    worker = fleet.bench.worker("i-01")
+    fleet.bench.add(a_job(a_step(count=1, long_running=True)))
+    fleet.bench.plan_starts()
+    first, second = an_instance(1), an_instance(2)
+    fleet.read(first, second)
+    assert worker.leaving
+    fleet.read(second, complete=False)
+    fleet.read(first, second)
+    run = fleet.planner.runs[1]
+    assert not worker.leaving or "m-01" in run.emptying
+    assert not run.done
