--- a/tests/components/fleet/test_holds.py
+++ b/tests/components/fleet/test_holds.py
@@ -18,8 +18,8 @@
 from mustardward.components.scheduling.models import WorkerState
 from mustardward.platform.models import Instance
 
-from ..scheduling.builders import SchedulerBench
-from .builders import OTHER, POOL, STANDBY, a_view, an_instance
+from ..scheduling.builders import SchedulerBench, a_job, a_step
+from .builders import OTHER, POOL, STANDBY, a_view, a_wave, an_instance
 
 MOVE_SECONDS = 1.5
 MAINTENANCE_SECONDS = 2.0
@@ -104,3 +104,18 @@
     fleet.bench.scheduler.set_leaving("i-00", True, fleet.bench.now)
     await fleet.fleet._async_move(Move("m-00", OTHER))
     assert not fleet.worker("i-00").leaving
+
+
+def test_a_worker_that_was_emptied_is_used_again_if_its_wave_ends_without_it() -> None:
+    """Guards against a worker that is left out since a list did not name it once."""
+    instances = [an_instance(number) for number in range(8)]
+    fleet = FleetBench(instances)
+    fleet.bench.add(a_job(a_step(count=1, long_running=True)))
+    (start,) = fleet.bench.plan_starts()
+    fleet.waves.runs[1] = a_wave([start.worker.replace("i", "m")])
+    fleet.look(instances)
+    assert fleet.worker(start.worker).leaving
+    fleet.look([i for i in instances if i.id != start.worker])
+    fleet.look(instances)
+    held = start.worker.replace("i", "m") in fleet.waves.taken()
+    assert held or not fleet.worker(start.worker).leaving
