--- a/tests/components/fleet/test_holds.py
+++ b/tests/components/fleet/test_holds.py
@@ -119,3 +119,18 @@
     fleet.look(instances)
     held = start.worker.replace("i", "m") in fleet.waves.taken()
     assert held or not fleet.worker(start.worker).leaving
+
+
+def test_an_instance_whose_worker_is_lost_does_not_count_for_its_pool() -> None:
+    """Guards against a step that spreads and waits for a worker that is gone.
+
+    The list shows an instance as up for as long as its data centre is cut off.
+    """
+    instances = [an_instance(number, POOL) for number in range(3)]
+    instances += [an_instance(number, OTHER) for number in range(4, 8)]
+    fleet = FleetBench(instances)
+    fleet.bench.add(a_job(a_step(count=3, long_running=True, max_per_server=1)))
+    assert len(fleet.bench.plan_starts()) == 3
+    fleet.bench.scheduler.lose_worker("i-00", LossCause.LEASES_OVER, fleet.bench.now)
+    fleet.look(instances)
+    assert [order.pool for order in fleet.orders if isinstance(order, Move)] == [POOL]
