--- a/tests/components/fleet/test_holds.py
+++ b/tests/components/fleet/test_holds.py
@@ -134,3 +134,17 @@
     fleet.bench.scheduler.lose_worker("i-00", LossCause.LEASES_OVER, fleet.bench.now)
     fleet.look(instances)
     assert [order.pool for order in fleet.orders if isinstance(order, Move)] == [POOL]
+
+
+@pytest.mark.anyio
+async def test_an_answer_that_comes_late_loses_no_worker_that_came_since() -> None:
+    """Guards against a new worker that is taken for the one before the move.
+
+    The first orders had no answer, and the list shows the move before the next has one.
+    """
+    instances = [an_instance(number) for number in range(3)]
+    fleet = FleetBench(instances)
+    fleet.bench.worker("i-90", service=OTHER)
+    fleet.look([an_instance(0, OTHER, id="i-90"), *instances[1:]])
+    await fleet.fleet._async_move(Move("m-00", OTHER))
+    assert "i-90" not in fleet.lost
