--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -44,6 +44,22 @@
     accepted_at: float = 0.0
 
 
+@dataclass(slots=True)
+class MoveOrder:
+    """Hold a move that was ordered, until the list shows it.
+
+    :param worker: what ran there when it was decided, or nothing.
+    :param born: when that worker had started, or 0 if that is not known.
+    """
+
+    machine: str
+    pool: str
+    given_at: float
+    accepted_at: float | None = None
+    worker: str = ""
+    born: int = 0
+
+
 @dataclass(slots=True)
 class WaveRun:
     """Hold how far a wave is.
@@ -51,7 +67,7 @@
     :param first_seen_at: when an owner first saw it, in steady seconds.
     :param seen_wall: the same as wall clock, for the owners after.
     :param begun: machines whose maintenance has begun.
-    :param emptying: machines that are being emptied for it.
+    :param emptying: machines that are being emptied for it, and their workers.
     """
 
     wave: UpkeepWave
@@ -59,7 +75,7 @@
     seen_wall: float = 0.0
     begun: set[str] = field(default_factory=set)
     orders: dict[str, MaintenanceOrder] = field(default_factory=dict)
-    emptying: dict[str, float] = field(default_factory=dict)
+    emptying: dict[str, str] = field(default_factory=dict)
     done: bool = False
 
 
@@ -90,6 +106,11 @@
         """Return an instance's room, as its worker tells it if that is known."""
         return self.rooms.get(instance.id or "", instance.capacity)
 
+    def born_of(self, instance: Instance) -> int:
+        """Return when an instance's worker started, or 0 if that is not known."""
+        load = self.loads.get(instance.id or "")
+        return load.born if load is not None else 0
+
 
 @dataclass(frozen=True, slots=True)
 class Empty:
--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -30,22 +30,12 @@
     THEN_CLEAR_SECONDS,
 )
 from .lending import idle_seconds, keep_racks_apart, spare
-from .models import FleetView, Move
+from .models import FleetView, Move, MoveOrder
 
 _ANY_POOL: Final = ""
 """Stands for all pools: one that has no instance is taken for as large as they are."""
 
 
-@dataclass(slots=True)
-class MoveOrder:
-    """Hold a move that was ordered, until the list shows it."""
-
-    machine: str
-    pool: str
-    given_at: float
-    accepted_at: float | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class _Look:
     """Hold what one look at the fleet found.
@@ -103,7 +93,7 @@
             for pool in _pools(view)
         }
         look = _Look(view, free, have, needs, now)
-        wanted = chain(self._repeat(now), self._fill_all(look), self._rest(look))
+        wanted = chain(self._repeat(view, now), self._fill_all(look), self._rest(look))
         moves = list(islice(wanted, self.budget.left(now)))
         self.budget.spend(len(moves))
         return moves
@@ -142,10 +132,11 @@
             if instance is None or shown or since > MOVE_LOST_SECONDS:
                 del self.orders[machine]
 
-    def _repeat(self, now: float) -> Iterator[Move]:
+    def _repeat(self, view: FleetView, now: float) -> Iterator[Move]:
         for order in self.orders.values():
             if order.accepted_at is None and now - order.given_at >= RETRY_SECONDS:
                 order.given_at = now
+                _take_for(order, view)
                 yield Move(order.machine, order.pool)
 
     def _free(
@@ -257,7 +248,7 @@
                 donors,
                 key=lambda name: (name in look.view.standby, -len(lendable[name])),
             )
-            yield self._order(lendable[donor].pop(), pool, look.now)
+            yield self._order(lendable[donor].pop(), pool, look)
 
     def _rest(self, look: _Look) -> Iterable[Move]:
         """Send off what its pool has not needed for a while."""
@@ -278,14 +269,29 @@
             if have[pool] <= max(recent, LEAST_INSTANCES):
                 continue
             have[pool] -= 1
-            yield self._order(instance, target, look.now)
-
-    def _order(self, instance: Instance, pool: str, now: float) -> Move:
-        self.orders[instance.machine] = MoveOrder(instance.machine, pool, now)
+            yield self._order(instance, target, look)
+
+    def _order(self, instance: Instance, pool: str, look: _Look) -> Move:
+        self.orders[instance.machine] = MoveOrder(
+            instance.machine,
+            pool,
+            look.now,
+            worker=instance.id or "",
+            born=look.view.born_of(instance),
+        )
         self._idle_since.pop(instance.machine, None)
         return Move(instance.machine, pool)
 
 
+def _take_for(order: MoveOrder, view: FleetView) -> None:
+    """Note which worker an order takes if another came before it was carried out."""
+    instance = view.instances.get(order.machine)
+    if instance is None or not instance.id or instance.pool == order.pool:
+        return
+    if instance.id != order.worker:
+        order.worker, order.born = instance.id, view.born_of(instance)
+
+
 def _pools(view: FleetView) -> set[str]:
     pools = {instance.pool for instance in view.instances.values()}
     return (pools | set(view.pools)) - view.standby
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -30,6 +30,7 @@
     TICK_SECONDS,
 )
 from .hosts import Hosts
+from .leaving import find_leaving, is_leaving
 from .listing import ListReader
 from .models import Empty, FleetView, Load, Maintain, Move, WaveRun
 from .ordering import Ordering, OrderOutcome
@@ -106,8 +107,6 @@
         for move in self.pools.decide(
             view, measure(self.scheduler.board, now), taken, now
         ):
-            # At once: a task that were placed before the call is sent would end.
-            self._set_leaving(self._worker_of(move.machine), True)
             self.tasks.start_soon(self._async_move, move)
         view = replace(
             view,
@@ -117,9 +116,10 @@
         for decision in self.planner.decide(view, now):
             if isinstance(decision, Empty):
                 _LOGGER.info("instance_emptying", machine=decision.machine)
-                self._set_leaving(decision.worker, True)
             elif isinstance(decision, Maintain):
                 self.tasks.start_soon(self._async_maintain, decision)
+        # Before a call is sent: a task that were placed until then would end.
+        self._settle_leaving()
         self.scheduler.board.coming = self._coming()
         self.scheduler.set_due({self._worker_of(machine) for machine in view.due})
         for number in self.telling.tell(view, now):
@@ -179,7 +179,7 @@
         outcome = await self.ordering.async_give(order)
         if outcome is OrderOutcome.REFUSED:
             self.planner.refused(order.wave, order.machine)
-            self._set_leaving(worker_id, False)
+            self._settle_leaving()
         elif outcome is OrderOutcome.BEGUN:
             self.planner.accepted(order.wave, order.machine, self.timers.monotonic())
             self.dispatcher.lose_worker(worker_id, LossCause.ORDERED)
@@ -190,7 +190,7 @@
         outcome = await self.ordering.async_give(order)
         if outcome is OrderOutcome.REFUSED:
             self.pools.refused(order.machine)
-            self._set_leaving(worker_id, False)
+            self._settle_leaving()
         elif outcome is OrderOutcome.BEGUN:
             self.pools.accepted(order.machine, self.timers.monotonic())
             self.dispatcher.lose_worker(worker_id, LossCause.ORDERED)
@@ -219,8 +219,14 @@
             or (worker.stale and now - worker.heard_at > SILENT_SECONDS)
         )
 
-    def _set_leaving(self, worker_id: str, leaving: bool) -> None:
-        self.scheduler.set_leaving(worker_id, leaving, self.timers.monotonic())
+    def _settle_leaving(self) -> None:
+        """Let those workers leave, and no others, that are about to be taken."""
+        now = self.timers.monotonic()
+        leaving = find_leaving(self.planner.runs.values(), self.pools.orders.values())
+        for worker in self.scheduler.board.workers.values():
+            leaves = is_leaving(worker, leaving)
+            if worker.leaving != leaves:
+                self.scheduler.set_leaving(worker.id, leaves, now)
 
     def _take_in_waves(self) -> None:
         for number, wave in self.configuration.waves.items():
--- a/mustardward/components/fleet/waves.py
+++ b/mustardward/components/fleet/waves.py
@@ -120,13 +120,15 @@
             if instance is None or instance.state != INSTANCE_UP:
                 del run.emptying[machine]
                 continue
+            # Whichever worker runs there by now gets no new task.
+            run.emptying[machine] = instance.id or ""
             if not _is_empty(instance, view):
                 continue
             if self._down(run, view) >= run.wave.max_count:
                 continue
             del run.emptying[machine]
             run.orders[machine] = MaintenanceOrder(
-                machine, instance.id, now, _born(instance, view)
+                machine, instance.id, now, view.born_of(instance)
             )
             yield Maintain(machine, run.wave.wave)
         for order in run.orders.values():
@@ -176,7 +178,7 @@
                 continue
             per_pool[pool] += 1
             held += 1
-            run.emptying[instance.machine] = now
+            run.emptying[instance.machine] = instance.id or ""
             yield Empty(instance.machine, instance.id or "")
 
     def _at_once(self, run: WaveRun, left: int, now: float) -> int:
@@ -202,12 +204,7 @@
     if instance.id != order.old_id:
         return instance.id is not None
     # A worker may come back under its id; its time of birth tells it apart.
-    return 0 < order.old_born < _born(instance, view)
-
-
-def _born(instance: Instance, view: FleetView) -> int:
-    load = view.loads.get(instance.id or "")
-    return load.born if load is not None else 0
+    return 0 < order.old_born < view.born_of(instance)
 
 
 def _is_empty(instance: Instance, view: FleetView) -> bool:
--- a/tests/components/fleet/test_holds.py
+++ b/tests/components/fleet/test_holds.py
@@ -121,6 +121,77 @@
     assert held or not fleet.worker(start.worker).leaving
 
 
+def an_emptying_fleet() -> tuple[FleetBench, str, str]:
+    """Return a fleet with a wave's instance whose worker is being emptied."""
+    instances = [an_instance(number) for number in range(8)]
+    fleet = FleetBench(instances)
+    fleet.bench.add(a_job(a_step(count=1, long_running=True)))
+    (start,) = fleet.bench.plan_starts()
+    machine = start.worker.replace("i", "m")
+    fleet.waves.runs[1] = a_wave([machine])
+    fleet.look(instances)
+    assert fleet.worker(start.worker).leaving
+    return fleet, machine, start.worker
+
+
+def test_a_worker_whose_instance_is_not_up_for_a_moment_is_emptied_anew() -> None:
+    """Guards against a worker that is left out though no wave holds it any more."""
+    fleet, machine, worker_id = an_emptying_fleet()
+    up = dict(fleet.fleet._instances)
+    number = int(machine[2:])
+    fleet.look([*up.values(), an_instance(number, state="down")])
+    assert not fleet.worker(worker_id).leaving
+    fleet.look(list(up.values()))
+    assert fleet.worker(worker_id).leaving
+
+
+def test_a_worker_that_came_where_one_was_emptied_is_emptied_too() -> None:
+    """Guards against an instance that is never empty, and holds its wave's place."""
+    fleet, machine, _ = an_emptying_fleet()
+    fleet.bench.worker("i-90")
+    new = an_instance(int(machine[2:]), id="i-90")
+    fleet.look([*fleet.fleet._instances.values(), new])
+    assert fleet.worker("i-90").leaving
+
+
+def an_order_without_an_answer() -> tuple[FleetBench, str]:
+    """Return a fleet whose pool gave an instance away, and its worker."""
+    instances = [an_instance(number) for number in range(LEAST_INSTANCES + 1)]
+    instances += [an_instance(number, OTHER) for number in range(4, 5)]
+    fleet = FleetBench(instances, outcome=OrderOutcome.UNKNOWN)
+    fleet.look(instances)
+    (order,) = fleet.fleet.pools.orders.values()
+    return fleet, order.machine.replace("m", "i")
+
+
+def test_a_worker_is_left_out_until_its_move_is_seen() -> None:
+    """Guards against tasks that a move under way would end."""
+    fleet, worker_id = an_order_without_an_answer()
+    instances = list(fleet.fleet._instances.values())
+    assert fleet.worker(worker_id).leaving
+    fleet.fleet.pools.accepted(worker_id.replace("i", "m"), fleet.bench.now)
+    fleet.look(instances)
+    assert fleet.worker(worker_id).leaving
+
+
+def test_a_worker_that_came_before_its_instance_moved_is_left_out() -> None:
+    """Guards against tasks that an order which is repeated would end."""
+    fleet, worker_id = an_order_without_an_answer()
+    fleet.bench.worker("i-90")
+    new = an_instance(int(worker_id[2:]), id="i-90")
+    fleet.look([*fleet.fleet._instances.values(), new])
+    assert fleet.worker("i-90").leaving
+
+
+def test_a_worker_that_came_after_its_instance_moved_is_used() -> None:
+    """Guards against a new worker that is left out for an order to the one before."""
+    fleet, worker_id = an_order_without_an_answer()
+    fleet.bench.worker("i-90", service=OTHER)
+    moved = an_instance(int(worker_id[2:]), OTHER, id="i-90")
+    fleet.look([*fleet.fleet._instances.values(), moved])
+    assert not fleet.worker("i-90").leaving
+
+
 def test_an_instance_whose_worker_is_lost_does_not_count_for_its_pool() -> None:
     """Guards against a step that spreads and waits for a worker that is gone.
 
