--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -127,18 +127,30 @@
 
 @dataclass(frozen=True, slots=True)
 class Maintain:
-    """Order an instance's maintenance."""
+    """Order an instance's maintenance.
+
+    :param worker: what ran there when this was decided, or nothing.
+    :param born: when that worker had started, or 0 if that is not known.
+    """
 
     machine: str
     wave: int
+    worker: str = field(default="", compare=False)
+    born: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
 class Move:
-    """Order an instance into another pool."""
+    """Order an instance into another pool.
+
+    :param worker: what ran there when this was decided, or nothing.
+    :param born: when that worker had started, or 0 if that is not known.
+    """
 
     machine: str
     pool: str
+    worker: str = field(default="", compare=False)
+    born: int = field(default=0, compare=False)
 
 
 Decision = Empty | Maintain | Move
--- a/mustardward/components/fleet/pools.py
+++ b/mustardward/components/fleet/pools.py
@@ -138,7 +138,7 @@
             if order.accepted_at is None and now - order.given_at >= RETRY_SECONDS:
                 order.given_at = now
                 _take_for(order, view)
-                yield Move(order.machine, order.pool)
+                yield _move(order)
 
     def _free(
         self, view: FleetView, taken: set[str], now: float
@@ -273,7 +273,7 @@
             yield self._order(instance, target, look)
 
     def _order(self, instance: Instance, pool: str, look: _Look) -> Move:
-        self.orders[instance.machine] = MoveOrder(
+        order = self.orders[instance.machine] = MoveOrder(
             instance.machine,
             pool,
             look.now,
@@ -281,7 +281,11 @@
             born=look.view.born_of(instance),
         )
         self._idle_since.pop(instance.machine, None)
-        return Move(instance.machine, pool)
+        return _move(order)
+
+
+def _move(order: MoveOrder) -> Move:
+    return Move(order.machine, order.pool, order.worker, order.born)
 
 
 def _take_for(order: MoveOrder, view: FleetView) -> None:
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -20,6 +20,7 @@
 from ..ledger.ledger import Ledger, encode
 from ..ledger.models import WaveRecord
 from ..scheduling.demand import measure
+from ..scheduling.incarnations import is_other
 from ..scheduling.losses import LossCause
 from ..scheduling.models import WorkerState
 from ..scheduling.scheduler import Scheduler
@@ -177,25 +178,32 @@
         return {machine for machine, until in self.barred.items() if until > now}
 
     async def _async_maintain(self, order: Maintain) -> None:
-        worker_id = self._worker_of(order.machine)
         outcome = await self.ordering.async_give(order)
         if outcome is OrderOutcome.REFUSED:
             self.planner.refused(order.wave, order.machine)
             self._settle_leaving()
         elif outcome is OrderOutcome.BEGUN:
             self.planner.accepted(order.wave, order.machine, self.timers.monotonic())
-            self.dispatcher.lose_worker(worker_id, LossCause.ORDERED)
+            self._lose_worker_of(order)
             self._store_wave(self.planner.runs[order.wave])
 
     async def _async_move(self, order: Move) -> None:
-        worker_id = self._worker_of(order.machine)
         outcome = await self.ordering.async_give(order)
         if outcome is OrderOutcome.REFUSED:
             self.pools.refused(order.machine)
             self._settle_leaving()
         elif outcome is OrderOutcome.BEGUN:
             self.pools.accepted(order.machine, self.timers.monotonic())
-            self.dispatcher.lose_worker(worker_id, LossCause.ORDERED)
+            self._lose_worker_of(order)
+
+    def _lose_worker_of(self, order: Maintain | Move) -> None:
+        """Lose the worker that an order was decided for, and none that came since."""
+        if not order.worker:
+            return
+        worker = self.scheduler.board.workers.get(order.worker)
+        if worker is not None and is_other(worker.born, order.born):
+            return
+        self.dispatcher.lose_worker(order.worker, LossCause.ORDERED)
 
     def _worker_of(self, machine: str) -> str:
         instance = self._instances.get(machine)
--- a/mustardward/components/fleet/waves.py
+++ b/mustardward/components/fleet/waves.py
@@ -139,14 +139,14 @@
             if self._down(run, view) >= run.wave.max_count:
                 continue
             del run.emptying[machine]
-            run.orders[machine] = MaintenanceOrder(
+            order = run.orders[machine] = MaintenanceOrder(
                 machine, instance.id, now, view.born_of(instance)
             )
-            yield Maintain(machine, run.wave.wave)
+            yield _maintain(order, run)
         for order in run.orders.values():
             if not order.accepted and now - order.given_at >= RETRY_SECONDS:
                 order.given_at = now
-                yield Maintain(order.machine, run.wave.wave)
+                yield _maintain(order, run)
 
     def _down(self, run: WaveRun, view: FleetView) -> int:
         """Return how many of a wave's instances are, or may be, down for it.
@@ -208,6 +208,10 @@
         return held
 
 
+def _maintain(order: MaintenanceOrder, run: WaveRun) -> Maintain:
+    return Maintain(order.machine, run.wave.wave, order.old_id or "", order.old_born)
+
+
 def _note_missed(run: WaveRun, view: FleetView) -> None:
     """Note which instances of a wave the lists miss, and since when."""
     for machine in run.wave.machines:
--- a/tests/components/fleet/test_holds.py
+++ b/tests/components/fleet/test_holds.py
@@ -9,7 +9,7 @@
 import pytest
 
 from mustardward.components.fleet.const import LEAST_INSTANCES
-from mustardward.components.fleet.models import Move
+from mustardward.components.fleet.models import Maintain, Move
 from mustardward.components.fleet.ordering import OrderOutcome
 from mustardward.components.fleet.pools import PoolPlanner
 from mustardward.components.fleet.services import Fleet
@@ -219,3 +219,33 @@
     fleet.look([an_instance(0, OTHER, id="i-90"), *instances[1:]])
     await fleet.fleet._async_move(Move("m-00", OTHER))
     assert "i-90" not in fleet.lost
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("kind", ["move", "maintenance"])
+async def test_an_answer_loses_the_worker_that_its_order_was_decided_for(
+    kind: str,
+) -> None:
+    """Guards against a lookup after the call, and against none being lost at all.
+
+    The second time a worker has started again under the same id meanwhile.
+    """
+    instances = [an_instance(number) for number in range(LEAST_INSTANCES + 1)]
+    instances += [an_instance(4, OTHER)]
+    for came_since in (False, True):
+        fleet = FleetBench(instances)
+        for worker in fleet.bench.scheduler.board.workers.values():
+            worker.born = 1000
+        if kind == "maintenance":
+            fleet.waves.runs[1] = a_wave(["m-04"])
+            fleet.look(instances)
+        fleet.look(instances)
+        wanted = Move if kind == "move" else Maintain
+        order = next(order for order in fleet.orders if isinstance(order, wanted))
+        worker_id = order.machine.replace("m", "i")
+        fleet.worker(worker_id).born += came_since
+        if isinstance(order, Move):
+            await fleet.fleet._async_move(order)
+        else:
+            await fleet.fleet._async_maintain(order)
+        assert fleet.lost == ([] if came_since else [worker_id])
