--- a/tests/components/dispatch/test_hold_walks.py
+++ b/tests/components/dispatch/test_hold_walks.py
@@ -334,7 +334,7 @@
 
 @pytest.mark.parametrize("first", [0, 5, 10])
 async def test_after_any_order_of_events_each_worker_is_used_again(first: int) -> None:
-    """Symptom: work waits for as long as its owner lives, though workers are free."""
+    """Work waits for as long as its owner lives, though workers are free."""
     held = {}
     for seed in range(first, first + 5):
         held[seed] = await async_walk(seed)
--- a/tests/components/dispatch/test_holds.py
+++ b/tests/components/dispatch/test_holds.py
@@ -65,13 +65,7 @@
 
 
 async def test_a_worker_with_a_run_of_a_cancelled_job_is_used_once_it_ended() -> None:
-    """Symptom: a worker that nothing runs on is given nothing, as long as it lives.
-
-    Sequence: a job is cancelled while no owner is there; the next one reads its run and
-    stops it; the stop is acknowledged while the session pauses between two looks, and
-    the wake-up with it is lost; no task is there, so that the session sleeps. Cause: no
-    further look shows that the run is gone.
-    """
+    """A worker that nothing runs on is given nothing, as long as it lives."""
     cancelled = a_job(WHOLE, job=OLD_JOB)
     cancelled.cancelled_at = 5.0
     async with a_takeover(running=f"{OLD_JOB}.0.0.0", ledger=cancelled) as bench:
@@ -79,11 +73,7 @@
 
 
 async def test_a_stray_gives_its_room_back_once_it_ended() -> None:
-    """Symptom: room that nothing takes is never given, where nothing else runs.
-
-    Sequence: a run of a task that is done is read and stopped, and the session sleeps
-    before the worker lists its end.
-    """
+    """Room that nothing takes is never given, where nothing else runs."""
     half_done = a_job(a_step(count=2, cpu=ROOM.cpu, mem_mb=ROOM.mem_mb), job=OLD_JOB)
     marks = [StepMark(0, 0, pack([0]))]
     half_done.progress = Progress(JobState.RUNNING, marks, [])
@@ -95,12 +85,7 @@
 async def test_a_worker_that_falls_silent_is_lost_when_its_longest_lease_is_over() -> (
     None
 ):
-    """Symptom: what runs on a worker that is cut off never goes elsewhere.
-
-    Sequence: a worker answers, is given a task, and falls silent, while the list of
-    instances still names it. Cause: each look that gets no answer asks for a lease
-    anew and counts as renewed, so that the lease is never over.
-    """
+    """What runs on a worker that is cut off never goes elsewhere."""
     async with anyio.create_task_group() as tasks:
         bench = RebornBench(tasks)
         bench.see()
@@ -118,12 +103,7 @@
 async def test_a_worker_first_read_under_another_service_is_used_under_its_own() -> (
     None
 ):
-    """Symptom: a worker is given nothing for as long as its owner lives.
-
-    Sequence: another writer's entry names a service that there is none of; an owner
-    takes over and reads it first; the worker writes its own entry again. Cause: the
-    first service that was read is taken for the worker's, and bars its own entry.
-    """
+    """A worker is given nothing for as long as its owner lives."""
     async with anyio.create_task_group() as tasks:
         bench = RebornBench(tasks)
         bench.see(service="no-such-service")
@@ -162,12 +142,7 @@
 
 
 async def test_a_stop_is_acknowledged_by_the_incarnation_that_may_run_it() -> None:
-    """Symptom: a task runs twice.
-
-    Sequence: a start gets no answer; its stop is under way as the worker starts again;
-    the incarnation before answers it, and the task goes elsewhere before the next one
-    was told to reject the start. Cause: the answer is counted by task and run alone.
-    """
+    """A task runs twice."""
     release = anyio.Event()
 
     class _Before:
--- a/tests/components/fleet/test_unreadable_rows.py
+++ b/tests/components/fleet/test_unreadable_rows.py
@@ -54,12 +54,7 @@
 
 
 def test_a_row_that_can_not_be_read_does_not_leave_a_worker_kept_back() -> None:
-    """Symptom: a worker is given nothing for good, and is not maintained either.
-
-    Sequence: a wave's last worker is being emptied; its row of one list can't be read;
-    the wave counts it as gone, and as done. Cause: that the list is not whole is asked
-    for silent workers alone, and what emptying kept back is never given back.
-    """
+    """A worker is given nothing for good, and is not maintained either."""
     fleet = FleetBench(UpkeepWave(1, ["m-01"], 20.0, 2))
     worker = fleet.bench.worker("i-01")
     fleet.bench.add(a_job(a_step(count=1, long_running=True)))
--- a/tests/components/ledger/test_holds.py
+++ b/tests/components/ledger/test_holds.py
@@ -33,12 +33,7 @@
 
 
 async def test_more_than_one_call_takes_is_appended_in_several() -> None:
-    """Symptom: nothing of an owner is stored any more, and its authority ends.
-
-    Load: after an outage the progress of thousands of jobs is due at once. Sequence:
-    it is handed over as one entry, which is one call, and refused for its size each
-    time; the renewals come behind it. Cause: only whole entries are parted.
-    """
+    """Nothing of an owner is stored any more, and its authority ends."""
     store = _BoundedStore()
     timers = DrivenTimerService()
     appender = GroupAppender(store.async_append, timers, "owner/s", epoch=1)
--- a/tests/components/ownership/test_log_walks.py
+++ b/tests/components/ownership/test_log_walks.py
@@ -174,7 +174,7 @@
 
 @pytest.mark.parametrize("first", [0, 5])
 async def test_each_accepted_job_comes_to_the_owner_and_is_stored(first: int) -> None:
-    """Symptom: a job that was accepted is never begun, as long as its owner lives."""
+    """A job that was accepted is never begun, as long as its owner lives."""
     walks = {seed: await async_walk(seed) for seed in range(first, first + 5)}
     assert not {seed: held for seed, (held, _) in walks.items() if held}
     assert sum(owners for _, owners in walks.values()) > 10
--- a/tests/embedded/test_holds.py
+++ b/tests/embedded/test_holds.py
@@ -19,13 +19,7 @@
 
 
 async def test_a_job_runs_though_one_was_cancelled_while_there_was_no_owner() -> None:
-    """Symptom: a job of a pool with nothing to do waits as long as the pool is left so.
-
-    Sequence: all entries end; a job is cancelled at the first one that is back, before
-    any owns the shard; its runs on both workers of the pool are no known job's to the
-    owner; both are stopped, and given nothing any more. Cause: neither is looked at
-    again.
-    """
+    """A job of a pool with nothing to do waits as long as the pool is left so."""
     with anyio.fail_after(MOST_SECONDS):
         async with async_run_estate_fleet(PLAN, entries=2) as fleet:
             whole = SubmittedStep(
--- a/tests/platform/test_http_holds.py
+++ b/tests/platform/test_http_holds.py
@@ -74,11 +74,7 @@
 async def test_a_call_without_a_descriptor_takes_no_connection(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Symptom: an entry that is out of descriptors for a moment ends, or calls no more.
-
-    Sequence: no socket can be opened; the place of its connection stays counted, and
-    the error is none that callers know as a call that was not sent.
-    """
+    """An entry that is out of descriptors for a moment ends, or calls no more."""
 
     def fail() -> None:
         raise OSError(errno.EMFILE, "too many open files")
