Read the clock of an owner's authority through the timer service

Authority read CLOCK_BOOTTIME by itself, so that tests in driven time could not suspend an owner and the walks of the log used the real clock for it. The timer service has the clock now, and the driven one can be suspended: its monotonic clock stands still meanwhile.

--- a/mustardward/components/ownership/authority.py
+++ b/mustardward/components/ownership/authority.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -10,20 +9,17 @@
 from .const import PAUSE_THRESHOLD_SECONDS
 
 
-def boot_time() -> float:
-    """Return a monotonic clock that continues while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 @dataclass(slots=True, eq=False)
 class Authority:
     """Limit the time in which commands may be sent without a stored renewal.
 
     After a takeover, the new owner waits no longer than this time plus a lease for
     workers that it can't reach.
+
+    :param clock: a monotonic clock that also counts suspensions, in seconds.
     """
 
-    clock: Callable[[], float] = boot_time
+    clock: Callable[[], float]
     _renewed_at: float = field(init=False)
     _ticked_at: float = field(init=False)
 
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -77,7 +77,7 @@
         self._claim = claim
         self._deposed = anyio.Event()
         self._plan_requested = anyio.Event()
-        self._authority = Authority()
+        self._authority = Authority(dependencies.timers.boottime)
         self.scheduler = Scheduler(
             epoch,
             dependencies.configuration.policy_of,
--- a/mustardward/helpers/timer.py
+++ b/mustardward/helpers/timer.py
@@ -34,6 +34,10 @@
         """Return seconds of a monotonic clock."""
         ...
 
+    def boottime(self) -> float:
+        """Return seconds of a monotonic clock that also counts suspensions."""
+        ...
+
     def wall(self) -> float:
         """Return seconds since the epoch; only for display and time windows."""
         ...
@@ -102,6 +106,10 @@
         """Return seconds of a monotonic clock."""
         return time.monotonic()
 
+    def boottime(self) -> float:
+        """Return seconds of a monotonic clock that also counts suspensions."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def wall(self) -> float:
         """Return seconds since the epoch; only for display and time windows."""
         return time.time()
@@ -152,11 +160,12 @@
 class DrivenTimerService:
     """Timer service whose clock only advances on request; for tests and dry runs.
 
-    :param start: initial value of both clocks, in seconds.
+    :param start: initial value of all clocks, in seconds.
     """
 
     def __init__(self, start: float = 1_000_000.0) -> None:
         self._now = start
+        self._suspended_seconds = 0.0
         self._subscriptions: list[_Subscription] = []
         self._sleepers: list[tuple[float, anyio.Event]] = []
         self._pauses = _PauseListeners()
@@ -165,9 +174,13 @@
         """Return seconds of a monotonic clock."""
         return self._now
 
+    def boottime(self) -> float:
+        """Return seconds of a monotonic clock that also counts suspensions."""
+        return self._now + self._suspended_seconds
+
     def wall(self) -> float:
         """Return seconds since the epoch; only for display and time windows."""
-        return self._now
+        return self._now + self._suspended_seconds
 
     async def async_sleep(self, seconds: float) -> None:
         """Wait until the clock has advanced by ``seconds``."""
@@ -201,8 +214,12 @@
             await self._async_fire()
         self._now = end
 
+    def suspend(self, seconds: float) -> None:
+        """Suspend the machine, which the monotonic clock does not count."""
+        self._suspended_seconds += seconds
+
     def pause(self, seconds: float) -> None:
-        """Advance the clock without running due callbacks, like a suspended process."""
+        """Advance the clock without running due callbacks, like a stopped process."""
         self._now += seconds
         self._pauses.notify(seconds)
 
--- a/tests/components/scheduling/liveness_virtual_time.py
+++ b/tests/components/scheduling/liveness_virtual_time.py
@@ -47,6 +47,7 @@
     def monotonic(self) -> float:
         return asyncio.get_running_loop().time()
 
+    boottime = monotonic
     wall = monotonic
 
     async def async_sleep(self, seconds: float) -> None:
--- a/tests/fakes/driving.py
+++ b/tests/fakes/driving.py
@@ -100,6 +100,9 @@
     def monotonic(self) -> float:
         return self._clock.monotonic()
 
+    def boottime(self) -> float:
+        return self._clock.boottime()
+
     def wall(self) -> float:
         return self._clock.wall()
 
