Count a new owner's authority from when its claim was sent

What callers may see: a lasting task that runs twice at once (TWICE). Cause: an owner's first authority of 4 s began when the claimant had read its claim, not when it was sent. A claimant that stood still in between (frozen or suspended as the response was on its way) woke with 4 s of authority and no sign of a pause, while another entry owned the shard. Until it reads the log again or an append is fenced it polls workers and extends the leases of what runs there; if it is cut off from the store too, for 4 s. The successor reckons 4 s and a lease from its own claim, which may be over by then. Renewals were dated by their sending all along; the claim was the exception. Why it works: no other claim can be older than the sending of the one that won, so that the successor's wait covers an authority counted from there; the pause shows in the first check, which reads the log before any command.

--- a/mustardward/components/ownership/authority.py
+++ b/mustardward/components/ownership/authority.py
@@ -17,16 +17,19 @@
     workers that it can't reach.
 
     :param clock: a monotonic clock that also counts suspensions, in seconds.
+    :param claimed_at: when the claim was sent, on that clock. The process may have been
+        paused since, and another entry may have claimed the shard meanwhile.
     """
 
     clock: Callable[[], float]
+    claimed_at: float
     _renewed_at: float = field(init=False)
     _ticked_at: float = field(init=False)
 
     def __post_init__(self) -> None:
-        """Start from an ownership that was just claimed."""
-        self._renewed_at = self.clock()
-        self._ticked_at = self._renewed_at
+        """Count from the claim as from a renewal."""
+        self._renewed_at = self.claimed_at
+        self._ticked_at = self.claimed_at
 
     def is_valid(self) -> bool:
         """Return whether commands may be sent now."""
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -62,6 +62,7 @@
     :param epoch: the fencing token of all commands and appends.
     :param claim: the id of the claim that won.
     :param previous: the newest record of the previous owner.
+    :param claimed_at: when the claim was sent, on the clock that counts suspensions.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         epoch: int,
         claim: str,
         previous: OwnerRecord,
+        claimed_at: float,
     ) -> None:
         self._dependencies = dependencies
         self._previous = previous
@@ -77,7 +79,7 @@
         self._claim = claim
         self._deposed = anyio.Event()
         self._plan_requested = anyio.Event()
-        self._authority = Authority(dependencies.timers.boottime)
+        self._authority = Authority(dependencies.timers.boottime, claimed_at)
         self.scheduler = Scheduler(
             epoch,
             dependencies.configuration.policy_of,
--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -111,6 +111,7 @@
         epoch = dependencies.ledger.owner.epoch + 1
         previous = dependencies.ledger.owner
         claim = secrets.token_hex(8)
+        claimed_at = dependencies.timers.boottime()
         record = OwnerRecord(
             epoch, claim, dependencies.node, 0, dependencies.timers.wall()
         )
@@ -121,7 +122,9 @@
                 await dependencies.timers.async_sleep(RETRY_DELAY_SECONDS)
         won = dependencies.ledger.owner.claim == claim
         _LOGGER.info("shard_claimed", epoch=epoch, won=won)
-        return Owner(dependencies, epoch, claim, previous) if won else None
+        if not won:
+            return None
+        return Owner(dependencies, epoch, claim, previous, claimed_at)
 
     async def _async_append(self, record: OwnerRecord) -> bool:
         dependencies = self._dependencies
--- a/tests/components/ownership/test_authority.py
+++ b/tests/components/ownership/test_authority.py
@@ -19,7 +19,7 @@
 
 def test_authority_ends_without_stored_renewals() -> None:
     clock = _FakeClock()
-    authority = Authority(clock)
+    authority = Authority(clock, clock.now)
     for _ in range(round(AUTHORITY_SECONDS / 0.5) - 1):
         clock.now += 0.5
         authority.tick()
@@ -35,7 +35,7 @@
     Both count from when the renewal was sent, not from its response.
     """
     clock = _FakeClock()
-    authority = Authority(clock)
+    authority = Authority(clock, clock.now)
     clock.now += 3.0
     authority.tick()
     authority.record_renewal(sent_at=101.0)
@@ -51,7 +51,7 @@
     who owns the shard before it sends a command.
     """
     clock = _FakeClock()
-    authority = Authority(clock)
+    authority = Authority(clock, clock.now)
     clock.now += PAUSE_THRESHOLD_SECONDS + 0.1
     assert authority.pause_seconds() > 0
     assert not authority.is_valid()
