Date an owner's check of the log by when it was sent

What callers may see: a task that runs twice at once (TWICE), started or kept alive by an owner that has a successor. Cause: after a pause an owner reads the log's end before it commands again, and a response that was on its way during a second pause counted as that reading: the check was dated by when it was processed. The deposed owner could also command until its tasks were cancelled. Evidence: test_second_pause_during_the_check_after_a_pause_is_noticed failed before. With the read dated by its sending alone, a store that takes over a second for a read would never have given the authority back: test_slow_read_after_a_pause_restores_authority. Why it works: pauses are noticed by a task of their own, also while the log is read, and only a read that was sent after the last pause confirms. Deposing revokes the authority at once. owner_paused names the epoch now.

--- a/mustardward/components/ownership/authority.py
+++ b/mustardward/components/ownership/authority.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -25,16 +26,25 @@
     claimed_at: float
     _renewed_at: float = field(init=False)
     _ticked_at: float = field(init=False)
+    _paused_until: float = field(init=False)
+    _confirmed_at: float = field(init=False)
 
     def __post_init__(self) -> None:
         """Count from the claim as from a renewal."""
         self._renewed_at = self.claimed_at
         self._ticked_at = self.claimed_at
+        self._paused_until = self.claimed_at
+        self._confirmed_at = self.claimed_at
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Return whether the newest owner was read since the process last paused."""
+        return self._confirmed_at >= self._paused_until
 
     def is_valid(self) -> bool:
         """Return whether commands may be sent now."""
         now = self.clock()
-        if now - self._ticked_at > PAUSE_THRESHOLD_SECONDS:
+        if now - self._ticked_at > PAUSE_THRESHOLD_SECONDS or not self.is_confirmed:
             return False
         return now - self._renewed_at < AUTHORITY_SECONDS
 
@@ -44,13 +54,27 @@
 
     def record_renewal(self, sent_at: float) -> None:
         """Record a stored renewal; it counts from the time at which it was sent."""
-        self._renewed_at = max(self._renewed_at, sent_at)
+        if not math.isinf(self._renewed_at):
+            self._renewed_at = max(self._renewed_at, sent_at)
+
+    def revoke(self) -> None:
+        """End the authority at once; another entry has taken over."""
+        self._renewed_at = -math.inf
+
+    def tick(self) -> float:
+        """Record that the process is running; return how long it was paused, or 0."""
+        now = self.clock()
+        elapsed = now - self._ticked_at
+        self._ticked_at = now
+        if elapsed <= PAUSE_THRESHOLD_SECONDS:
+            return 0.0
+        self._paused_until = now
+        return elapsed
 
-    def pause_seconds(self) -> float:
-        """Return how long the process was paused, or 0."""
-        elapsed = self.clock() - self._ticked_at
-        return elapsed if elapsed > PAUSE_THRESHOLD_SECONDS else 0.0
+    def confirm(self, sent_at: float) -> None:
+        """Record that a read of the log's end named no newer owner.
 
-    def tick(self) -> None:
-        """Record that the process is running and has read the newest owner."""
-        self._ticked_at = self.clock()
+        :param sent_at: when the read was sent. A response that was on its way during a
+            pause confirms nothing.
+        """
+        self._confirmed_at = max(self._confirmed_at, sent_at)
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -124,6 +124,7 @@
 
     def depose(self) -> None:
         """End this ownership; another entry has taken over."""
+        self._authority.revoke()
         self._deposed.set()
 
     def request_work(self) -> None:
@@ -177,6 +178,7 @@
             load = OwnerLoad(
                 dependencies.node, executor.calls, executor.window, run_logger
             )
+            tasks.start_soon(self._async_tick)
             tasks.start_soon(self._async_monitor, directory, load)
             if dependencies.fleet is not None:
                 self._start_fleet(dependencies.fleet, dispatcher, tasks)
@@ -323,22 +325,37 @@
             elapsed = timers.monotonic() - started_at
             await timers.async_sleep(_PLANNING.pause(elapsed))
 
+    async def _async_tick(self) -> None:
+        """Notice pauses of the process, also while the log is read."""
+        while True:
+            pause_seconds = self._authority.tick()
+            if pause_seconds:
+                _LOGGER.warning(
+                    "owner_paused", epoch=self._epoch, pause_seconds=pause_seconds
+                )
+            await self._dependencies.timers.async_sleep(SELF_CHECK_SECONDS)
+
+    async def _async_confirm(self) -> None:
+        """Read up to the end of the log until no pause falls into the read."""
+        dependencies = self._dependencies
+        while not self._authority.is_confirmed:
+            sent_at = dependencies.timers.boottime()
+            if await dependencies.follower.async_catch_up():
+                self._authority.confirm(sent_at)
+            else:
+                await dependencies.timers.async_sleep(CONFIRM_RETRY_SECONDS)
+
     async def _async_monitor(self, directory: WorkerDirectory, load: OwnerLoad) -> None:
-        """Detect pauses of the process, a newer owner and closed sessions."""
+        """Detect a newer owner and closed sessions."""
         dependencies = self._dependencies
         cleaned_up_at = 0.0
         logged_at = 0.0
         while True:
-            pause_seconds = self._authority.pause_seconds()
-            if pause_seconds:
-                _LOGGER.warning("owner_paused", pause_seconds=pause_seconds)
-                while not await dependencies.follower.async_catch_up():
-                    await dependencies.timers.async_sleep(CONFIRM_RETRY_SECONDS)
+            await self._async_confirm()
             owner = dependencies.ledger.owner
             if owner.epoch > self._epoch or owner.claim != self._claim:
                 self.depose()
                 return
-            self._authority.tick()
             now = dependencies.timers.monotonic()
             load.sample(now)
             if now - logged_at > LOAD_LOG_INTERVAL_SECONDS:
--- a/tests/components/ownership/test_authority.py
+++ b/tests/components/ownership/test_authority.py
@@ -53,8 +53,34 @@
     clock = _FakeClock()
     authority = Authority(clock, clock.now)
     clock.now += PAUSE_THRESHOLD_SECONDS + 0.1
-    assert authority.pause_seconds() > 0
     assert not authority.is_valid()
+    assert authority.tick() > 0
+    assert not authority.is_valid()
+    authority.confirm(sent_at=clock.now)
+    assert authority.tick() == 0
+    assert authority.is_valid()
+
+
+def test_read_sent_before_the_end_of_a_pause_confirms_nothing() -> None:
+    """Guard against an owner that takes the log's answer of before a pause for new."""
+    clock = _FakeClock()
+    authority = Authority(clock, clock.now)
+    sent_at = clock.now
+    clock.now += PAUSE_THRESHOLD_SECONDS + 0.1
+    authority.confirm(sent_at)
     authority.tick()
-    assert authority.pause_seconds() == 0
+    assert not authority.is_valid()
+
+
+def test_slow_read_after_a_pause_restores_authority() -> None:
+    """Guard against an owner that a slow store keeps from commanding after a pause."""
+    clock = _FakeClock()
+    authority = Authority(clock, clock.now)
+    clock.now += PAUSE_THRESHOLD_SECONDS + 0.1
+    authority.tick()
+    sent_at = clock.now
+    for _ in range(8):
+        clock.now += 0.25
+        authority.tick()
+    authority.confirm(sent_at)
     assert authority.is_valid()
--- a/tests/components/ownership/test_stopped_owners.py
+++ b/tests/components/ownership/test_stopped_owners.py
@@ -7,10 +7,12 @@
 from anyio.abc import TaskGroup
 
 from mustardward.components.configuration.services import Configuration
+from mustardward.components.dispatch.const import AUTHORITY_SECONDS
 from mustardward.components.ledger.const import TOPIC
 from mustardward.components.ledger.follower import TopicFollower
 from mustardward.components.ledger.ledger import Ledger
 from mustardward.components.ledger.unlogged_completions import UnloggedCompletions
+from mustardward.components.ownership.const import SELF_CHECK_SECONDS
 from mustardward.components.ownership.models import OwnerDependencies
 from mustardward.components.ownership.services import Ownership
 from mustardward.helpers.timer import DrivenTimerService
@@ -160,3 +162,23 @@
         stopped.store.release()
         await async_check_no_commands(stopped)
         tasks.cancel_scope.cancel()
+
+
+async def test_second_pause_during_the_check_after_a_pause_is_noticed() -> None:
+    """Guard against an owner that takes the log's answer of before a pause for new."""
+    store = MemoryStore()
+    async with anyio.create_task_group() as tasks:
+        stopped, other = start_entries(tasks, store)
+        await async_advance(AUTHORITY_SECONDS, stopped, other)
+        assert stopped.epoch == 1
+        assert stopped.may_command
+        stopped.store.hold()
+        stopped.timers.suspend(1.2)
+        await async_advance(2 * SELF_CHECK_SECONDS, stopped)
+        assert stopped.store.held
+        await async_advance(PAUSE_SECONDS, other)
+        assert other.epoch == 2
+        stopped.timers.suspend(1.8)
+        stopped.store.release()
+        await async_check_no_commands(stopped)
+        tasks.cancel_scope.cancel()
