Send no commands once the release of the shard is sent

What callers may see: a lasting task that runs twice at once (TWICE), after a handover or SIGTERM in the moment of a cut, on workers that only the old owner reaches. Cause: the old owner went on starting and renewing until the release was answered, for up to its timeout of 1 s. If the release is stored and its answer lost, the successor has read it and waits one lease from then on, which ends before the last lease of the old owner. Evidence: test_released_owner_renews_no_lease_that_outlasts_the_hold failed before: the run was alive when the successor's hold ended. Why it works: authority ends before the release is sent, so that every lease was sent before the successor could read it.

--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -197,9 +197,14 @@
             tasks.cancel_scope.cancel()
 
     async def async_release(self) -> None:
-        """Release the shard, so that another entry claims it at once."""
+        """Release the shard, so that another entry claims it at once.
+
+        The response may be lost while the next owner has read the release already, and
+        waits only for the leases that were sent before it.
+        """
         state = self.scheduler.state
         settled = self._dependencies.timers.monotonic() >= state.takeover_hold_until
+        self._authority.revoke()
         await self._renewals.async_release(settled)
         self.depose()
 
