Win a claim only once a later read has reached the log's end

What callers may see: runs that an unaware owner stops, and ends that it loses, so that their tasks start again after they were done. Cause: a claim counted as won as soon as the ledger showed it. If the log's history expired meanwhile, all newest records are loaded in pages of different times: the page with the claim may be newer than the one with the jobs, and the tail between them was not read. Evidence: test_claim_is_not_won_before_all_earlier_records_are_read failed before: the new owner lacked a job that was accepted before its claim. By reading and a driven test. Why it works: a load is followed by a read of the tail, and a claim needs a successful read up to the end that was sent after it was stored.

--- a/mustardward/components/ledger/follower.py
+++ b/mustardward/components/ledger/follower.py
@@ -143,6 +143,9 @@
     async def async_catch_up(self) -> bool:
         """Read up to the current end of the log; return whether that succeeded.
 
+        A load is followed by a read of the tail: its pages are of different times, so
+        that one may show an owner's claim and another lack a record from before it.
+
         Calls made while a read is in progress share the next one.
         """
         requested_at = self.timers.monotonic()
@@ -153,9 +156,8 @@
             try:
                 if self.offset < 0:
                     await self.async_load()
-                else:
-                    while not await self._async_read(0):
-                        pass
+                while not await self._async_read(0):
+                    pass
             except OffsetGoneError:
                 self.offset = -1
                 return False
--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -117,9 +117,13 @@
         )
         if not await self._async_append(record):
             return None
-        while dependencies.ledger.owner.epoch < epoch:
-            if not await dependencies.follower.async_catch_up():
-                await dependencies.timers.async_sleep(RETRY_DELAY_SECONDS)
+        # The claim may be known from a load, whose pages are of different times. All
+        # records before the claim are known once a later read has reached the end.
+        while not (
+            await dependencies.follower.async_catch_up()
+            and dependencies.ledger.owner.epoch >= epoch
+        ):
+            await dependencies.timers.async_sleep(RETRY_DELAY_SECONDS)
         won = dependencies.ledger.owner.claim == claim
         _LOGGER.info("shard_claimed", epoch=epoch, won=won)
         if not won:
--- /dev/null
+++ b/tests/components/ownership/test_claim.py
@@ -0,0 +1,140 @@
+"""Test what an entry knows when its claim of the shard has won."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+import pytest
+
+from mustardward.components.configuration.services import Configuration
+from mustardward.components.ledger.const import (
+    KEY_OWNER,
+    PREFIX_JOB,
+    PREFIX_PROGRESS,
+    TOPIC,
+)
+from mustardward.components.ledger.follower import TopicFollower
+from mustardward.components.ledger.ledger import Ledger, encode
+from mustardward.components.ledger.models import JobState, OwnerRecord, Progress
+from mustardward.components.ledger.unlogged_completions import UnloggedCompletions
+from mustardward.components.ownership.models import OwnerDependencies
+from mustardward.components.ownership.services import Ownership
+from mustardward.helpers.timer import DrivenTimerService
+from mustardward.platform.boot import BootBounds
+from mustardward.platform.exceptions import CallUnknownError
+from mustardward.platform.http import HttpCaller
+from mustardward.platform.store import NewestPage, Producer
+from mustardward.standin.estate.store import MemoryStore
+
+from ..scheduling.builders import a_job
+
+pytestmark = pytest.mark.anyio
+
+STEP_SECONDS = 0.05
+OLD_JOB = "00000000000000bb"
+NEW_JOB = "00000000000000aa"
+"""Its key is before the one of the old job."""
+
+
+class PagedStore(MemoryStore):
+    """Simulate a store with one record a page, that performs the next append late.
+
+    :param on_job_page: called after the page with the old job was read.
+    """
+
+    on_job_page: Callable[[], None] | None = None
+    late_append: Callable[[], object] | None = None
+    delays_appends = False
+
+    async def async_append(
+        self,
+        topic: str,
+        records: list[tuple[str, bytes]],
+        producer: Producer | None = None,
+        timeout_seconds: float = 1.0,
+    ) -> int:
+        if not self.delays_appends:
+            return await super().async_append(topic, records, producer)
+        self.late_append = lambda: self.append(topic, records, producer)
+        await anyio.sleep_forever()
+        raise CallUnknownError("no answer")
+
+    async def async_read_newest(self, topic: str, after: str = "") -> NewestPage:
+        page = await super().async_read_newest(topic, after)
+        first = page.records[:1]
+        if first and first[0].key.startswith(PREFIX_JOB) and self.on_job_page:
+            self.on_job_page()
+            self.on_job_page = None
+        return NewestPage(first, len(page.records) > 1 or page.more, page.end)
+
+
+def store_job(store: MemoryStore, name: str) -> None:
+    """Store an accepted job and the progress of its owner, which may then start it."""
+    record = a_job(job=name).record
+    progress = Progress(JobState.QUEUED, zones=["z"])
+    store.append(TOPIC, [(PREFIX_JOB + name, encode(record))])
+    store.append(TOPIC, [(PREFIX_PROGRESS + name, encode(progress))])
+
+
+def an_ownership(store: MemoryStore, timers: DrivenTimerService) -> Ownership:
+    """Return the part of an entry that claims the shard."""
+    ledger = Ledger()
+    follower = TopicFollower(
+        store,  # type: ignore[arg-type]
+        timers,
+        TOPIC,
+        ledger.apply,
+        ledger.keys,
+        0.1,
+    )
+    dependencies = OwnerDependencies(
+        "node-2",
+        store,  # type: ignore[arg-type]
+        HttpCaller(),
+        timers,
+        ledger,
+        follower,
+        Configuration(),
+        BootBounds(),
+        UnloggedCompletions(),
+    )
+    return Ownership(dependencies, 0.0)
+
+
+async def test_claim_is_not_won_before_all_earlier_records_are_read() -> None:
+    """Guard against an owner to whom runs of a job are unknown, and are stopped.
+
+    The history expires while a claim is outstanding, so that all newest records are
+    loaded; the page with the claim is newer than the one with the jobs.
+    """
+    store = PagedStore()
+    timers = DrivenTimerService()
+    owner = OwnerRecord(1, "c", "node-1", 0)
+    store.append(TOPIC, [(KEY_OWNER, encode(owner))])
+    store_job(store, OLD_JOB)
+    ownership = an_ownership(store, timers)
+    ledger = ownership._dependencies.ledger
+    assert await ownership._dependencies.follower.async_catch_up()
+    known: list[set[str]] = []
+
+    async def async_claim() -> None:
+        assert await ownership._async_claim() is not None
+        known.append(set(ledger.jobs))
+
+    def accept_and_apply_claim() -> None:
+        store_job(store, NEW_JOB)
+        assert store.late_append is not None
+        store.late_append()
+
+    async with anyio.create_task_group() as tasks:
+        store.delays_appends = True
+        tasks.start_soon(async_claim)
+        await anyio.wait_all_tasks_blocked()
+        store.append(TOPIC, [(KEY_OWNER, encode(OwnerRecord(1, "c", "node-1", 1)))])
+        store.drop_before(TOPIC, store.topic_end(TOPIC))
+        store.on_job_page = accept_and_apply_claim
+        while not known:
+            await anyio.wait_all_tasks_blocked()
+            await timers.async_advance(STEP_SECONDS)
+    assert known == [{OLD_JOB, NEW_JOB}]
