Compare a worker's clock only with what was known when the call was sent

What callers may see: a task that runs twice at once (TWICE), and a crash counted under a task that caused none. Cause: an answer whose clock was 2 s behind the newest one passed for another incarnation's, whose runs are over. An answer may be overtaken by that much: on a lossy connection, when the deadline of its call was extended because the owner's loop was blocked. Evidence: test_an_overtaken_answer_does_not_repeat_a_live_run failed before. Why it works: an answer was given after all that had arrived when its call was sent, so that a lower clock than those proves a restart, and one lower than a later answer's proves nothing. An overtaken answer doesn't set the clock back either, which would shorten leases. test_answer_out_of_order_is_not_a_restart passes the clock known at the sending now.

--- a/mustardward/components/dispatch/const.py
+++ b/mustardward/components/dispatch/const.py
@@ -47,8 +47,7 @@
 """Timeout of the liveness check before a start."""
 
 CLOCK_RESET_THRESHOLD_MS: Final = 2000
-"""A worker's clock that went back by more than this belongs to another incarnation;
-answers that arrive out of order differ by less."""
+"""A worker's clock that went back by more than this belongs to another incarnation."""
 
 POLL_RETRY_SECONDS: Final = 0.2
 STOP_RETRY_SECONDS: Final = 0.15
--- a/mustardward/components/dispatch/lease.py
+++ b/mustardward/components/dispatch/lease.py
@@ -25,14 +25,21 @@
         return self.read_at >= 0
 
     def update(self, clock_ms: float, at: float) -> None:
-        """Record the clock of an answer that was received at ``at``."""
-        if clock_ms:
+        """Record the clock of an answer that was received at ``at``.
+
+        An answer that a newer one has overtaken says nothing about the clock now.
+        """
+        if clock_ms > self.clock_ms:
             self.clock_ms = clock_ms
             self.read_at = at
 
-    def has_reset(self, clock_ms: float) -> bool:
-        """Return whether the clock of an answer shows that the worker restarted."""
-        return self.is_known and 0 < clock_ms < self.clock_ms - CLOCK_RESET_THRESHOLD_MS
+    def has_reset(self, clock_ms: float, before_ms: float) -> bool:
+        """Return whether the clock of an answer shows that the worker restarted.
+
+        :param before_ms: the clock that was known when the call was sent. An answer may
+            arrive after newer ones, but was given after those that arrived before.
+        """
+        return 0 < clock_ms < before_ms - CLOCK_RESET_THRESHOLD_MS
 
     def lease_deadline_ms(self, now: float) -> int:
         """Return the end of a lease that begins now, on the worker's clock in ms."""
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -151,12 +151,13 @@
 
     async def _async_probe(self) -> None:
         """Poll the worker outside the session's loop, whose polls may take long."""
+        known_clock_ms = self.clock.clock_ms
         try:
             answer = await self.client.async_poll(0, None, 0)
         except CallUnknownError as error:
             self.request_identity()
             raise CallRefusedError(f"worker did not answer: {error.detail}") from error
-        if self.closed or self._is_other_incarnation(answer):
+        if self.closed or self._is_other_incarnation(answer, known_clock_ms):
             self.request_identity()
             raise CallRefusedError("another incarnation answered")
         self._record_answer(answer.clock_ms)
@@ -180,10 +181,11 @@
             task.checkpoint,
             task.step.tickets.get(self.worker_id, ""),
         )
+        known_clock_ms = self.clock.clock_ms
         self._wake.set()
         try:
             answer = await self.client.async_start(order)
-            if self.clock.has_reset(answer.clock_ms):
+            if self.clock.has_reset(answer.clock_ms, known_clock_ms):
                 # Another incarnation started the task under a lease that was
                 # calculated on the old clock. The next poll identifies it.
                 raise CallUnknownError("worker's clock went back")
@@ -193,11 +195,16 @@
         self._record_answer(answer.clock_ms)
         return answer
 
-    def _is_other_incarnation(self, answer: WorkerReport) -> bool:
-        """Return whether another incarnation answered, by start time or clock."""
+    def _is_other_incarnation(
+        self, answer: WorkerReport, known_clock_ms: float
+    ) -> bool:
+        """Return whether another incarnation answered, by start time or clock.
+
+        :param known_clock_ms: the worker's clock as known when the call was sent.
+        """
         if is_other_incarnation(answer.born, self.started_at_ms):
             return True
-        return self.clock.has_reset(answer.clock_ms)
+        return self.clock.has_reset(answer.clock_ms, known_clock_ms)
 
     def _record_answer(self, clock_ms: float) -> None:
         """Record the clock and time of an answer of this incarnation."""
@@ -242,6 +249,7 @@
             with anyio.move_on_after(UNSTORED_POLL_DELAY_SECONDS):
                 await self._stored.wait()
         sent_at = self.timers.monotonic()
+        known_clock_ms = self.clock.clock_ms
         # The incarnation must be known before anything is acknowledged to it.
         acknowledged_upto = (
             self.stored_upto
@@ -263,7 +271,7 @@
             # The incarnation was replaced during the call; its answer must not be
             # applied to the incarnation that has its id now.
             return 0.0
-        if self._is_other_incarnation(answer):
+        if self._is_other_incarnation(answer, known_clock_ms):
             self.on_restart(answer.born)
             return 0.0
         self.started_at_ms = self.started_at_ms or answer.born
