Forget with the ownership which completions only the owner knew

Cause: a deposed owner went on answering other entries that a job was complete, from what it had not stored. The worker that held the end had crashed behind a cut, the successor knew of no end, and an entry that was cut off from the log told the caller 0.96 s after the owner had noticed its deposition. Reported completions are held by worker, owner and teller: here one of the three was no owner any more. Why it works: what an owner knows alone ends with it; completions that a caller was told, or that it holds as a witness, stay and are written to the log. Remains: an owner that is cut off from the log and doesn't know its successor still answers.

--- a/mustardward/components/ledger/unlogged_completions.py
+++ b/mustardward/components/ledger/unlogged_completions.py
@@ -26,12 +26,16 @@
     _reported: set[str] = field(default_factory=set)
 
     def add(self, job_id: str) -> None:
-        """Record that a job is complete."""
+        """Record that a job is complete, until the owner in this process is deposed."""
         self._completed.add(job_id)
 
+    def end_ownership(self) -> None:
+        """Discard what only the deposed owner knew; its successor may not know it."""
+        self.completed_at_owner = None
+        self._completed.clear()
+
     def mark_reported(self, job_id: str) -> None:
         """Record that a caller was told that a job is complete."""
-        self._completed.add(job_id)
         self._reported.add(job_id)
 
     def was_reported(self, job_id: str) -> bool:
@@ -40,7 +44,7 @@
 
     def contains(self, job_id: str) -> bool:
         """Return whether a job is known here to be complete."""
-        if job_id in self._completed:
+        if job_id in self._completed or job_id in self._reported:
             return True
         return self.completed_at_owner is not None and self.completed_at_owner(job_id)
 
@@ -49,7 +53,6 @@
 
         :param is_stored: returns whether the log has a final state for a job.
         """
-        for job_id in [name for name in self._completed if is_stored(name)]:
-            self._completed.discard(job_id)
-            self._reported.discard(job_id)
+        for jobs in (self._completed, self._reported):
+            jobs.difference_update([name for name in jobs if is_stored(name)])
         return sorted(self._reported)
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -281,7 +281,7 @@
         self._dependencies.ledger.on_job = None
         self._dependencies.ledger.on_cancel = None
         self._dependencies.ledger.on_told = None
-        self._dependencies.unlogged.completed_at_owner = None
+        self._dependencies.unlogged.end_ownership()
         self._dependencies.configuration.on_change = None
 
     def _add_job(self, job: LedgerJob) -> None:
--- a/tests/components/ledger/test_unlogged_completions.py
+++ b/tests/components/ledger/test_unlogged_completions.py
@@ -37,6 +37,19 @@
     assert unlogged.contains("a") and not unlogged.contains("b")
 
 
+def test_deposed_owner_vouches_for_no_completion() -> None:
+    """Guard against a job that is reported as done and runs again at the next owner.
+
+    The worker that held the completion has crashed, and only a deposed owner knows it.
+    """
+    unlogged = UnloggedCompletions(completed_at_owner=lambda job: job == "a")
+    unlogged.add("b")
+    unlogged.mark_reported("c")
+    unlogged.end_ownership()
+    assert [job for job in "abc" if unlogged.contains(job)] == ["c"]
+    assert unlogged.pending_reports(lambda job: False) == ["c"]
+
+
 def test_job_reported_as_done_stays_done_in_any_order_of_records() -> None:
     """Guard against a job that a caller saw as done and that runs again.
 
