Count no adopted task as serving before the previous owner's stops show

Cause: an owner that emptied workers for a wave stopped one task at 762.939 s and was deposed 9 ms later. Its successor read reports in which that task still served and stopped the next one at 762.975 s. A worker may take stop-grace-ms to end a run. Why it works: once a worker has answered the new owner, its token bars stops of the previous one, and those before have ended within the grace. Only a report that was requested after it says that an adopted task serves. An evacuation waits that long after a change of owner.

--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -86,6 +86,9 @@
             quota_of=dependencies.configuration.quota_of,
             rate_of=dependencies.configuration.rate_of,
         )
+        self.scheduler.state.stop_grace_seconds = (
+            dependencies.bounds.stop_grace_ms / 1000
+        )
         self.appender = GroupAppender(
             self._async_call_append,
             dependencies.timers,
--- a/mustardward/components/scheduling/const.py
+++ b/mustardward/components/scheduling/const.py
@@ -77,5 +77,8 @@
 MAX_MISSED_REPORTS: Final = 2
 """Consecutive reports without a run after which it counts as lost."""
 
+STOP_GRACE_SECONDS: Final = 0.5
+"""Time that a worker may take to stop a run unless the platform's settings say so."""
+
 EVACUATION_GRACE_SECONDS: Final = 1.5
 """Time that short runs get to end by themselves on a worker that is being emptied."""
--- a/mustardward/components/scheduling/evacuation.py
+++ b/mustardward/components/scheduling/evacuation.py
@@ -14,7 +14,7 @@
 processor time reads reports late, and must not add to a failure that happened since."""
 
 
-def may_interrupt(task: Task, now: float) -> bool:
+def may_interrupt(task: Task, stop_grace_seconds: float, now: float) -> bool:
     """Return whether a step's limit of missing tasks allows one more to be stopped.
 
     Every other task that is not known to be serving counts as missing, whatever the
@@ -22,12 +22,18 @@
     task that was not serving in its worker's last report, since it may serve by now.
     """
     others = (other for other in task.step.tasks if other is not task)
-    missing = sum(not _is_surely_serving(other, now) for other in others)
+    missing = sum(
+        not _is_surely_serving(other, stop_grace_seconds, now) for other in others
+    )
     return missing < max(1, task.step.spec.may_miss)
 
 
-def _is_surely_serving(task: Task, now: float) -> bool:
-    if task.worker is None or now - task.worker.reported_at > MAX_REPORT_AGE_SECONDS:
+def _is_surely_serving(task: Task, stop_grace_seconds: float, now: float) -> bool:
+    worker = task.worker
+    if worker is None or now - worker.reported_at > MAX_REPORT_AGE_SECONDS:
+        return False
+    if task.adopted and worker.reported_at < task.started_at + stop_grace_seconds:
+        # A stop that the previous owner sent may not show in this report yet.
         return False
     return task.is_serving
 
@@ -49,7 +55,7 @@
             if task.phase is not Phase.RUNNING:
                 continue
             if task.step.spec.long_running:
-                if may_interrupt(task, now):
+                if may_interrupt(task, self.state.stop_grace_seconds, now):
                     self.state.stop(task, "evacuation")
             elif self._should_stop_now(worker, task, now):
                 self.state.stop(task, "evacuation")
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -63,6 +63,7 @@
     :param crashes: the incarnations of workers that crashed under the task.
     :param evaluation_due_at: when it will be known which other workers crashed together
         with the last of these, or 0 if no evaluation is due.
+    :param adopted: whether a previous owner started the run, and may have stopped it.
     :param runs_since_crash: number of runs since the last crash that ended without one.
     """
 
@@ -88,6 +89,7 @@
     crashes: tuple[str, ...] = ()
     evaluation_due_at: float = 0.0
     runs_since_crash: int = 0
+    adopted: bool = False
 
     @property
     def name(self) -> TaskName:
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -9,7 +9,7 @@
 from ...platform.workers import TaskName, encode_task
 from ..ledger.models import JobState
 from .commands import Command, Start, Stop
-from .const import ISOLATION_CRASHES, RUN_BITS
+from .const import ISOLATION_CRASHES, RUN_BITS, STOP_GRACE_SECONDS
 from .estimates import Estimates
 from .inflow import Inflow
 from .models import ACTIVE, Job, Phase, QueuePolicy, StepRun, Task
@@ -35,6 +35,7 @@
     :param unusable_workers: ids of workers that have been unusable for a while.
     :param reconciled_zones: data centres whose workers have all reported their runs.
     :param suspects: the jobs with tasks under which workers crashed, by id.
+    :param stop_grace_seconds: how long a worker may take to stop a run.
     """
 
     epoch: int
@@ -52,6 +53,7 @@
     taken_over_at: float = 0.0
     quotas: Quotas = field(default_factory=Quotas)
     suspects: dict[str, Job] = field(default_factory=dict)
+    stop_grace_seconds: float = STOP_GRACE_SECONDS
     _commands: list[Command] = field(default_factory=list)
     _run_counter: int = 0
 
@@ -101,6 +103,7 @@
         task.pace = 100
         task.seen_running = False
         task.sent = False
+        task.adopted = False
         self.mark_started(task.step.job)
         self.add_command(Start(task, worker.id, run))
 
@@ -111,6 +114,7 @@
         self._reserve(task, worker, run)
         task.phase = Phase.RUNNING
         task.seen_running = True
+        task.adopted = True
         task.started_at = now
         task.percent_since = now
         task.percent_at_ms = -1.0
--- a/tests/components/scheduling/test_evacuation.py
+++ b/tests/components/scheduling/test_evacuation.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from mustardward.components.ledger.models import JobState, Progress
+from mustardward.components.scheduling.const import RUN_BITS, STOP_GRACE_SECONDS
 from mustardward.components.scheduling.models import Task
+from mustardward.platform.workers import RunningTask
 
 from .builders import SchedulerBench, a_job, a_step
 
@@ -101,3 +104,26 @@
     bench.report_serving(bench.task(0))
     bench.report_serving(bench.task(1))
     assert len(bench.plan_stops()) == 1
+
+
+def test_task_that_the_previous_owner_may_have_stopped_is_not_serving() -> None:
+    """Guards against two owners that each stop a task of a step, one of them missing.
+
+    The previous owner's stop is on its way, or its worker takes its time, when the next
+    owner reads that the task serves.
+    """
+    bench = SchedulerBench(epoch=2)
+    job = a_job(a_step(count=2, long_running=True, may_miss=1))
+    job.progress = Progress(JobState.RUNNING)
+    bench.add(job)
+    previous_run = 1 << RUN_BITS
+    for index, name in enumerate(("w1", "w2")):
+        bench.worker(name)
+        row = RunningTask(bench.task(index).name, previous_run, "", 100.0, 0.0)
+        bench.hold(name, running=[row])
+    bench.scheduler.set_cordoned("w2", True, bench.now)
+    assert bench.plan_stops() == []
+    bench.now += STOP_GRACE_SECONDS
+    for index in range(2):
+        bench.report_serving(bench.task(index))
+    assert len(bench.plan_stops()) == 1
