Ask for authority again after a poll has waited for the store

What callers may see: a lasting task that runs twice at once (TWICE). Cause: a poll asks for authority, waits up to 0.25 s until the ends that it received are stored, and renews the lease without asking again. An owner that released the shard, or was stopped for seconds, in that wait extends a lease beyond what its successor waits for. Why it works: nothing is awaited between the question and the deadline that is sent.

--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -235,7 +235,8 @@
         is_unconfirmed = worker.stale or not worker.confirmed
         pause = 0.0
         async with self.contact_limiter.async_slot(is_unconfirmed):
-            # The incarnation or this ownership may have ended during the wait.
+            await self._async_wait_until_stored()
+            # The incarnation or this ownership may have ended during the waits.
             if not self.closed and self.authorised():
                 pause = await self._async_poll(worker)
         self._polled.set()
@@ -243,11 +244,14 @@
         if pause and not self.closed:
             await self.timers.async_sleep(pause)
 
-    async def _async_poll(self, worker: WorkerState) -> float:
-        """Poll the worker once; return the delay in seconds until the next poll."""
+    async def _async_wait_until_stored(self) -> None:
+        """Wait until the ends that were received are stored, which polls return."""
         if self.received_upto > self.stored_upto:
             with anyio.move_on_after(UNSTORED_POLL_DELAY_SECONDS):
                 await self._stored.wait()
+
+    async def _async_poll(self, worker: WorkerState) -> float:
+        """Poll the worker once; return the delay in seconds until the next poll."""
         sent_at = self.timers.monotonic()
         known_clock_ms = self.clock.clock_ms
         # The incarnation must be known before anything is acknowledged to it.
