Detect the removed expiry of tickets by another walk

An evacuation waits for a report after a takeover now, which changes the walks, and none of the listed seeds showed the mutant tickets-last-for-ever any more. Seed 33 does (as do 44, 69, 75 and others of 24 to 223) and passes without the mutant; 22 stays in the list.

--- a/tests/components/scheduling/test_liveness_walks.py
+++ b/tests/components/scheduling/test_liveness_walks.py
@@ -18,7 +18,7 @@
 from .liveness_mutants import MUTANTS
 from .liveness_walk import LivenessWalk
 
-SEEDS = (0, 1, 2, 3, 4, 6, 8, 11, 12, 21, 22, 23, 45, 61, 161)
+SEEDS = (0, 1, 2, 3, 4, 6, 8, 11, 12, 21, 22, 23, 33, 45, 61, 161)
 SCARCE_SEEDS = (0, 1)
 
 DETECTING_SEEDS = {
@@ -27,7 +27,7 @@
     "data-centres-told-are-not-opened": 161,
     "no-data-centre-more": 0,
     "advice-is-asked-once": 4,
-    "tickets-last-for-ever": 22,
+    "tickets-last-for-ever": 33,
     "suspects-stay-off-their-queue": 2,
     "nobody-is-judged": 2,
     "an-entry-that-is-back-is-not-read": 3,
