Walk through faults of successive owners against two runs of a task

Three real entries (Ownership, Owner, Dispatcher, Takeover, ProgressWriter and Fleet) compete for the shard in virtual time. After each start that a worker executes, no other live worker may run the task, and no end done of it may have been noted.

Covered: calls lost, answered late, executed without an answer or 1 to 12 s later; slow clocks; crashes, drains, moves and upkeeps; entries that lapse; links cut between zones, workers, entries and the platform; store and fleet calls that fail in part; owners cut off, killed, frozen or suspended (also between a check and the call), released. The docstring names the line of the protocol that allows each; others are off by default.

--- /dev/null
+++ b/tests/components/ownership/twice_walk.py
@@ -0,0 +1,463 @@
+"""Walk through faults of successive owners and of workers; find tasks that run twice.
+
+Real entries compete for the shard in virtual time: each owner is a real scheduler,
+dispatcher, takeover, progress writer and fleet under its own token. After each start
+that a worker executes, no other live worker may run the same task, nor may an end
+``done`` of it have been noted, unless the worker's lease ended in between (`RULES.md`,
+TWICE).
+
+The faults and the lines of `PROTOCOL.md` that allow them:
+
+- calls lost, answered late, executed without an answer, or executed 1 to 12 s later:
+  "A call that receives no response may have been executed. It may also be executed
+  seconds later, after newer calls. Responses on different channels may overtake each
+  other"; refused: "429 or 503 from an unhealthy minion, which has then done nothing";
+- clocks up to 2 % slow, and leases that end by themselves: "Lease time is measured on
+  the minion's own steady clock, which may be 2% slow. When the lease expires,
+  everything is killed";
+- a crash and a new life at the same address, also of another service: "After a crash,
+  the minion has a new ID, runs nothing and has seen no fence number. A new lifetime may
+  be of a different kind, even at the same address";
+- a drain: "Before a planned shutdown, the minion reports `draining`. [...] and then
+  exits";
+- entries that lapse while the worker is alive: "It is removed when the minion has left,
+  or after three status report intervals of silence, at times also while the store is
+  down", and workers and entries cut off from the platform or each other;
+- the store refuses, is cut off, loses answers or appends late: "A call that receives no
+  response may have been executed, or may be executed seconds later if its condition
+  still holds. The store may be slow, down (wholly or partly), or cut off. It may reject
+  some machines";
+- fleet calls refused, slow or unanswered, and pages read at different moments: "The
+  platform may be slow or unavailable. A call that receives no response may have been
+  executed", "It takes `page-token`"; "The call also returns 200 if the operation is
+  already done";
+- owners killed, stopped, frozen and suspended: "To stop a process, the platform sends
+  SIGTERM, and then sends SIGKILL"; freezes are named in `RULES.md`, In touch.
+
+`Faults` holds what the protocol does not allow.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from unittest.mock import patch
+
+import anyio
+import msgspec
+
+from mustardward.components.ledger.const import PREFIX_CANCEL, PREFIX_JOB, TOPIC
+from mustardward.components.ledger.ledger import encode
+from mustardward.components.ledger.models import CancelRecord
+from mustardward.components.ownership import owner as owner_module
+from mustardward.components.ownership.authority import Authority
+from mustardward.platform.models import Room
+from mustardward.platform.store import KEY_CONFIG, KEY_WAVE_PREFIX, TOPIC_OPERATOR
+from mustardward.standin.estate.store import StoreMode
+from mustardward.standin.estate.worker import Workload
+
+from ..scheduling.builders import a_job, a_step
+from .twice_entries import Entry
+from .twice_process import ProcessLoop
+from .twice_world import (
+    CALM_FAULT_RATE,
+    HEARTBEAT_SECONDS,
+    ORDER_OUTCOMES,
+    PLATFORM,
+    POOL_A,
+    POOL_B,
+    STANDBY,
+    Faults,
+    Machine,
+    World,
+)
+
+NODES = (("node-1", "z1"), ("node-2", "z2"), ("node-3", "z1"))
+EVENT_COUNT = 34
+MEAN_EVENT_INTERVAL_SECONDS = 0.7
+SETTLE_SECONDS = 10.0
+MAX_JOBS = 26
+MAX_LONG_RUNNING = 4
+ALLOWED = Faults()
+"""Only faults that the protocol allows."""
+
+
+class TwiceWalk:
+    """Run one walk.
+
+    :param counts: how often each event and outcome occurred.
+    """
+
+    def __init__(self, seed: int, faults: Faults = ALLOWED) -> None:
+        self.world = World(seed, faults)
+        self._rng = self.world.rng
+        self._entries: dict[str, Entry] = {}
+        self._past: list[Entry] = []
+        self._jobs: list[str] = []
+        self._long_running = 0
+        self._waves = 0
+        self.epochs: set[int] = set()
+
+    def walk(self) -> list[str]:
+        """Return the violations that were found, at most those of one moment."""
+        with (
+            asyncio.Runner(loop_factory=ProcessLoop) as runner,
+            patch.object(owner_module, "Authority", _authority),
+        ):
+            return runner.run(self._async_walk())
+
+    async def _async_walk(self) -> list[str]:
+        world = self.world
+        ticker = asyncio.create_task(world.async_tick())
+        self._configure()
+        for machine in world.machines.values():
+            world.boot(machine)
+        for number in range(len(NODES)):
+            self._start_entry(number)
+        await self._async_advance(1.5)
+        for _ in range(3):
+            self._submit()
+        events = self._events()
+        for _ in range(EVENT_COUNT):
+            if world.violations:
+                break
+            self._rng.choice(events)()
+            interval = self._rng.uniform(0, 2 * MEAN_EVENT_INTERVAL_SECONDS)
+            await self._async_advance(interval)
+        if not world.violations:
+            world.heal()
+            await self._async_advance(SETTLE_SECONDS)
+        ticker.cancel()
+        for entry in (*self._past, *self._entries.values()):
+            await entry.async_end()
+        return world.violations
+
+    def _events(self) -> list[Callable[[], None]]:
+        weighted: list[tuple[Callable[[], None], int]] = [
+            (self._submit, 14),
+            (self._cancel, 2),
+            (self._cut_owner_from_store, 5),
+            (self._freeze_owner, 4),
+            (self._freeze_owner_at_send, 5),
+            (self._kill_owner, 3),
+            (self._resign_owner, 2),
+            (self._release_owner, 2),
+            (self._restart_entry, 3),
+            (self._cut_zone, 3),
+            (self._cut_worker_from_platform, 4),
+            (self._cut_worker_from_entries, 6),
+            (self._cut_worker_from_all, 3),
+            (self._disturb_worker, 8),
+            (self._crash_worker, 5),
+            (self._drain_worker, 2),
+            (self._publish_wave, 2),
+            (self._disturb_fleet, 2),
+            (self._disturb_store, 3),
+            (self._stop_store, 2),
+        ]
+        return [event for event, weight in weighted for _ in range(weight)]
+
+    async def _async_advance(self, seconds: float) -> None:
+        until = self.world.now + seconds
+        while self.world.now < until and not self.world.violations:
+            await anyio.sleep(0.05)
+            for entry in self._entries.values():
+                failure = entry.failure()
+                if failure is not None:
+                    raise AssertionError(f"{entry.node} ended") from failure
+                if entry.ownership.owner is not None:
+                    epoch = entry.ownership.owner.epoch
+                    if epoch not in self.epochs:
+                        self.world.note(f"{entry.node} owns epoch {epoch}")
+                    self.epochs.add(epoch)
+
+    # What callers and the operator do.
+
+    def _configure(self) -> None:
+        body = {
+            "version": 1,
+            "routes": [
+                {
+                    "name": prefix,
+                    "host": "host",
+                    "path-prefix": f"/{prefix}/",
+                    "service": pool,
+                    "max-attempts": 50,
+                    "target-duration-ms": 600,
+                    "stretch": 1.6,
+                }
+                for prefix, pool in (("a", POOL_A), ("b", POOL_B))
+            ],
+            "services": [
+                {"name": pool, "standby": pool == STANDBY}
+                for pool in (POOL_A, POOL_B, STANDBY)
+            ],
+            "limits": {},
+        }
+        record = (KEY_CONFIG, msgspec.json.encode(body))
+        self.world.store.append(TOPIC_OPERATOR, [record])
+
+    def _submit(self) -> None:
+        if len(self._jobs) >= MAX_JOBS:
+            return
+        rng = self._rng
+        name = f"{len(self._jobs) + 1:016x}"
+        self._jobs.append(name)
+        lasts = rng.random() < 0.4 and self._long_running < MAX_LONG_RUNNING
+        self._long_running += lasts
+        seconds = rng.choice([0.05, 0.3, 1.0, 3.0, 6.0])
+        room = Room(rng.choice([500, 1000, 2000, 4000]), 100)
+        step = a_step(
+            count=rng.randint(1, 6),
+            cpu=room.cpu,
+            mem_mb=room.mem_mb,
+            estimate_ms=1000 * seconds,
+            long_running=lasts,
+        )
+        prefix, pool = rng.choice([("a", POOL_A), ("a", POOL_A), ("b", POOL_B)])
+        self.world.workloads[f"{name}.0"] = Workload(room, seconds, lasts)
+        record = a_job(
+            step,
+            job=name,
+            queue=f"host /{prefix}/",
+            service=pool,
+            accepted_at=self.world.now,
+        ).record
+        self.world.store.append(TOPIC, [(PREFIX_JOB + name, encode(record))])
+        self.world.note(f"submit {name} count={step.count} lasts={lasts} {pool}")
+
+    def _cancel(self) -> None:
+        if self._jobs:
+            name = self._rng.choice(self._jobs)
+            stamp = encode(CancelRecord(self.world.now))
+            self.world.store.append(TOPIC, [(PREFIX_CANCEL + name, stamp)])
+            self.world.note(f"cancel {name}")
+
+    def _publish_wave(self) -> None:
+        self._waves += 1
+        machines = self._rng.sample(sorted(self.world.machines), 3)
+        body = {
+            "wave": self._waves,
+            "machines": machines,
+            "duration-s": self._rng.choice([3, 10, 20]),
+            "max-count": 2,
+        }
+        key = f"{KEY_WAVE_PREFIX}{self._waves}"
+        self.world.store.append(TOPIC_OPERATOR, [(key, msgspec.json.encode(body))])
+        self.world.note(f"wave {self._waves} {machines}")
+
+    # What becomes of entries.
+
+    def _start_entry(self, number: int) -> None:
+        node, zone = NODES[number]
+        entry = Entry(self.world, node, zone, number / len(NODES))
+        self._entries[node] = entry
+        entry.run()
+
+    def _owner(self) -> Entry:
+        """Return an owner, or any entry if there is none."""
+        owners = [entry for entry in self._entries.values() if entry.is_owner]
+        return self._rng.choice(owners or list(self._entries.values()))
+
+    def _cut_owner_from_store(self) -> None:
+        entry = self._owner()
+        seconds = self._rng.choice([1.0, 3.0, 6.0, 12.0])
+        self.world.note(f"{entry.node} is cut off from the store for {seconds} s")
+        self.world.cut(entry.node, PLATFORM, seconds)
+
+    def _freeze_owner(self) -> None:
+        entry = self._owner()
+        seconds = self._rng.choice([0.5, 1.5, 3.0, 5.0, 9.0])
+        suspended = self._rng.random() < 0.4
+        self.world.note(f"{entry.node} freezes for {seconds} s suspended={suspended}")
+        entry.process.freeze(seconds, suspended)
+
+    def _freeze_owner_at_send(self) -> None:
+        entry = self._owner()
+        seconds = self._rng.choice([0.5, 1.5, 3.0, 5.0, 9.0])
+        suspended = self._rng.random() < 0.4
+        self.world.note(
+            f"{entry.node} freezes at its next call for {seconds} s "
+            f"suspended={suspended}"
+        )
+        entry.process.freeze_at_send = (seconds, suspended)
+
+    def _kill_owner(self) -> None:
+        entry = self._owner()
+        self.world.note(f"{entry.node} is killed")
+        entry.process.kill()
+
+    def _resign_owner(self) -> None:
+        entry = self._owner()
+        self.world.note(f"{entry.node} resigns")
+        entry.spawn(entry.ownership.async_resign())
+
+    def _release_owner(self) -> None:
+        entry = self._owner()
+        if entry.ownership.owner is not None:
+            self.world.note(f"{entry.node} releases")
+            entry.spawn(entry.ownership.owner.async_release())
+
+    def _restart_entry(self) -> None:
+        """Restart entries that were killed or have resigned."""
+        for number, (node, _) in enumerate(NODES):
+            entry = self._entries[node]
+            if entry.process.killed or entry.ownership._resigning:
+                self.world.note(f"{node} restarts")
+                entry.process.kill()
+                self._past.append(entry)
+                self._start_entry(number)
+
+    # What becomes of workers and links.
+
+    def _machine(self) -> Machine:
+        return self._rng.choice(self.world.live() or list(self.world.machines.values()))
+
+    def _cut_zone(self) -> None:
+        """Cut a zone off from the platform, and most times from the other zone."""
+        world = self.world
+        zone = self._rng.choice(["z1", "z2"])
+        seconds = self._rng.choice([2.0, 5.0, 9.0])
+        apart = self._rng.random() < 0.7
+        world.note(f"{zone} is cut off for {seconds} s apart={apart}")
+        for node, node_zone in NODES:
+            if node_zone == zone:
+                world.cut(node, PLATFORM, seconds)
+        for machine in world.machines.values():
+            if machine.zone == zone:
+                world.cut(machine.name, PLATFORM, seconds)
+                machine.hidden_until = world.now + seconds + HEARTBEAT_SECONDS
+            for node, node_zone in NODES:
+                if apart and (machine.zone == zone) != (node_zone == zone):
+                    world.cut(node, machine.name, seconds)
+
+    def _cut_worker_from_platform(self) -> None:
+        for machine in self._rng.sample(self.world.live(), k=self._rng.randint(1, 2)):
+            seconds = self._rng.choice([1.0, 3.0, 6.0, 14.0])
+            self.world.note(f"{machine.name} is cut off from the store, {seconds} s")
+            self.world.cut(machine.name, PLATFORM, seconds)
+            machine.hidden_until = self.world.now + seconds + HEARTBEAT_SECONDS
+
+    def _cut_worker_from_entries(self) -> None:
+        """Cut a worker off from one entry, or from all."""
+        machine = self._machine()
+        seconds = self._rng.choice([0.5, 2.0, 5.0, 10.0])
+        nodes = [node for node, _ in NODES]
+        if self._rng.random() < 0.5:
+            nodes = [self._owner().node]
+        self.world.note(f"{machine.name} is cut off from {nodes} for {seconds} s")
+        for node in nodes:
+            self.world.cut(node, machine.name, seconds)
+
+    def _cut_worker_from_all(self) -> None:
+        machine = self._machine()
+        seconds = self._rng.choice([2.0, 5.0, 10.0])
+        self.world.note(f"{machine.name} is cut off from all for {seconds} s")
+        for place in (PLATFORM, *(node for node, _ in NODES)):
+            self.world.cut(place, machine.name, seconds)
+        machine.hidden_until = self.world.now + seconds + HEARTBEAT_SECONDS
+
+    def _disturb_worker(self) -> None:
+        machine = self._machine()
+        machine.error_rate = self._rng.choice([CALM_FAULT_RATE, 0.2, 0.5, 0.9])
+        count = self._rng.randint(1, len(ORDER_OUTCOMES))
+        machine.outcomes = tuple(self._rng.sample(ORDER_OUTCOMES, count))
+        self.world.note(
+            f"calls to {machine.name}: {machine.error_rate} {machine.outcomes}"
+        )
+
+    def _crash_worker(self) -> None:
+        """Crash a worker; its next life may serve another pool."""
+        world = self.world
+        machine = self._machine()
+        if machine.worker is None:
+            return
+        worker_id = machine.worker.id
+        world.take_down(machine, "down", self._rng.choice([0.1, 0.5, 2.0]))
+        if world.faults.same_id and self._rng.random() < 0.5:
+            machine.state = "up"
+            world.boot(machine, worker_id)
+        elif self._rng.random() < 0.2:
+            machine.pool = POOL_B if machine.pool == POOL_A else POOL_A
+
+    def _drain_worker(self) -> None:
+        machine = self._machine()
+        machine.drains_until = self.world.now + self._rng.uniform(2.0, 6.0)
+        self.world.note(f"{machine.name} drains")
+
+    def _disturb_fleet(self) -> None:
+        outcomes = ("ok", "ok", "refused", "lost", "answer-lost", "slow", "late")
+        count = self._rng.randint(1, 3)
+        self.world.cloud_outcomes = tuple(self._rng.sample(outcomes, count))
+        self.world.note(f"fleet calls: {self.world.cloud_outcomes}")
+
+    def _disturb_store(self) -> None:
+        """Choose the outcomes of an entry's calls to the store."""
+        entry = self._owner()
+        outcomes = ("ok", "ok", "refused", "lost", "answer-lost", "slow", "late")
+        count = self._rng.randint(1, 3)
+        chosen = tuple(self._rng.sample(outcomes, count))
+        self.world.store_outcomes[entry.node] = chosen
+        self.world.note(f"store calls of {entry.node}: {chosen}")
+
+    def _stop_store(self) -> None:
+        """Stop the store for all, or let it serve again."""
+        store = self.world.store
+        if store.mode is not StoreMode.SERVING:
+            store.mode = StoreMode.SERVING
+        else:
+            store.mode = self._rng.choice(list(StoreMode))
+            self.world.entries_lapse_in_outage = self._rng.random() < 0.5
+            if self.world.entries_lapse_in_outage:
+                self.world.lapse_entries()
+        self.world.note(f"store is {store.mode.value}")
+
+
+def _authority() -> Authority:
+    return Authority(asyncio.get_running_loop().time)
+
+
+def find_violations(seed: int, faults: Faults = ALLOWED) -> list[str]:
+    """Return the violations of one walk."""
+    return TwiceWalk(seed, faults).walk()
+
+
+def main() -> None:
+    """Run walks by hand: FIRST COUNT [--trace] [FAULT ...]."""
+    import faulthandler
+    import logging
+    import sys
+    import time
+
+    from mustardward.helpers.logging import get_logger
+
+    get_logger("twice")
+    logging.disable(logging.NOTSET if "--log" in sys.argv else logging.CRITICAL)
+    faulthandler.dump_traceback_later(60, repeat=True)
+
+    arguments = [a for a in sys.argv[1:] if not a.startswith("--")]
+    first, count = int(arguments[0]), int(arguments[1])
+    faults = Faults(**dict.fromkeys(arguments[2:], True))
+    started_at = time.monotonic()
+    totals: dict[str, int] = {}
+    epochs = 0
+    for seed in range(first, first + count):
+        walk = TwiceWalk(seed, faults)
+        try:
+            found = walk.walk()
+        except Exception as error:
+            found = [f"{type(error).__name__}: {error} {error.__cause__!r}"]
+        epochs += len(walk.epochs)
+        for name, number in walk.world.counts.items():
+            totals[name] = totals.get(name, 0) + number
+        if found:
+            print(seed, found[0], flush=True)
+        if "--trace" in sys.argv:
+            for at, line in walk.world.trace:
+                print(f"{at - 1_000_000:8.3f} {line}")
+    seconds = time.monotonic() - started_at
+    print(f"walks={count} seconds={seconds:.1f} epochs={epochs} {totals}")
+
+
+if __name__ == "__main__":
+    main()
