Show that a start accepted by an unnoticed new life is taken for over

With restarts under the same id (named parameter same_id; the protocol gives a new id), seed 37 of the walk breaks TWICE: the old life answered 1.45 s ago and is young, so that its clock is less than 2 s ahead of the next one's. The new life accepts a start (200); the clock does not show the restart, so the task counts as seen running. Then the poll or the entry names another start time, and SchedulerState.replace_worker ends all runs that were seen running, this one among them. The task starts elsewhere while its run goes on.

--- a/tests/components/dispatch/test_restarts.py
+++ b/tests/components/dispatch/test_restarts.py
@@ -295,6 +295,30 @@
         assert [run for _, run in harness.worker.process.starts] == [harness.task().run]
 
 
+async def test_start_accepted_by_unnoticed_new_incarnation_is_not_over() -> None:
+    """Guard against a task that runs twice after two quick restarts under one id.
+
+    The clock of a young incarnation is not yet 2 s ahead of that of the next one, which
+    answers a start before its entry is read. The entry then ends all runs of the
+    previous incarnation, and this one among them, although the new incarnation has it.
+    """
+    async with a_harness() as harness:
+        harness.worker.restart()
+        harness.update_entry()
+        await harness.async_advance_time(0.5)
+        harness.worker.restart()
+        harness.worker.async_poll = (  # type: ignore[method-assign]
+            UnansweredClient().async_poll
+        )
+        harness.add(a_step(count=1, long_running=True))
+        now = harness.timers.monotonic()
+        harness.dispatcher.executor.execute(harness.scheduler.plan(now, 0.0))
+        await anyio.wait_all_tasks_blocked()
+        harness.update_entry()
+        assert harness.worker.process.runs
+        assert harness.task().phase is not Phase.WAITING
+
+
 async def test_delayed_answer_of_previous_incarnation_is_ignored() -> None:
     async with a_harness() as harness:
         harness.add(a_step(count=1, long_running=True))
--- a/tests/components/ownership/test_twice_walks.py
+++ b/tests/components/ownership/test_twice_walks.py
@@ -6,6 +6,7 @@
 
 from .twice_mutants import MUTANTS
 from .twice_walk import find_violations
+from .twice_world import Faults
 
 SEEDS = (0, 1, 4, 8)
 
@@ -30,6 +31,11 @@
     assert not find_violations(seed)
 
 
+def test_no_task_runs_twice_when_workers_restart_under_their_ids() -> None:
+    """Guard against a restart that is noticed after the new life accepted a start."""
+    assert not find_violations(37, Faults(same_id=True))
+
+
 @pytest.mark.parametrize("name", FOUND_BY)
 def test_walk_finds_each_mutant(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guard against walks that can't detect a missing guard."""
