--- /dev/null
+++ b/tests/components/ownership/test_twice_walks.py
@@ -0,0 +1,43 @@
+"""Check that no task runs twice under any sequence of allowed faults."""
+
+from __future__ import annotations
+
+import pytest
+
+from .twice_mutants import MUTANTS
+from .twice_walk import find_violations
+from .twice_world import Faults
+
+SEEDS = (0, 1, 4, 8)
+
+FOUND_BY = {
+    "no-hold-after-a-takeover": 1,
+    "a-takeover-waits-for-nobody": 0,
+    "a-start-without-answer-was-none": 0,
+    "an-unresponsive-worker-is-renewed": 8,
+    "leases-are-expected-to-end-early": 4,
+    "leases-of-previous-owners-are-forgotten": 10,
+    "no-fence": 62,
+    "authority-lasts-for-ever": 85,
+    "an-unresponsive-worker-is-lost": 1,
+    "ends-are-acknowledged-unstored": 0,
+}
+"""A seed that finds each mutant."""
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_task_runs_twice_under_allowed_faults(seed: int) -> None:
+    """Guard against two live runs of a task, and a start after its noted end."""
+    assert not find_violations(seed)
+
+
+def test_no_task_runs_twice_when_workers_restart_under_their_ids() -> None:
+    """Guard against a restart that is noticed after the new life accepted a start."""
+    assert not find_violations(37, Faults(same_id=True))
+
+
+@pytest.mark.parametrize("name", FOUND_BY)
+def test_walk_finds_each_mutant(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against walks that can't detect a missing guard."""
+    MUTANTS[name](monkeypatch)
+    assert find_violations(FOUND_BY[name])
