--- a/tests/components/ownership/twice_mutants.py
+++ b/tests/components/ownership/twice_mutants.py
@@ -67,11 +67,11 @@
     """Take an unresponsive worker for lost although the list shows it."""
     remove = Fleet._remove_unlisted_workers
 
-    def remove_all(fleet: Fleet, read_at: float) -> None:
+    def remove_all(fleet: Fleet) -> None:
         for name, own in list(fleet.dispatcher.sessions.items()):
             if own.unresponsive_since is not None and not own.closed:
                 fleet.dispatcher.remove_worker(name, LossCause.UNLISTED)
-        remove(fleet, read_at)
+        remove(fleet)
 
     patch.setattr(Fleet, "_remove_unlisted_workers", remove_all)
 
--- a/tests/components/ownership/twice_process.py
+++ b/tests/components/ownership/twice_process.py
@@ -132,6 +132,9 @@
     def monotonic(self) -> float:
         return super().monotonic() - self._process.suspended_seconds
 
+    def boottime(self) -> float:
+        return asyncio.get_running_loop().time()
+
     def wall(self) -> float:
         return asyncio.get_running_loop().time()
 
--- a/tests/components/ownership/twice_walk.py
+++ b/tests/components/ownership/twice_walk.py
@@ -42,7 +42,6 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from unittest.mock import patch
 
 import anyio
 import msgspec
@@ -50,8 +49,6 @@
 from mustardward.components.ledger.const import PREFIX_CANCEL, PREFIX_JOB, TOPIC
 from mustardward.components.ledger.ledger import encode
 from mustardward.components.ledger.models import CancelRecord
-from mustardward.components.ownership import owner as owner_module
-from mustardward.components.ownership.authority import Authority
 from mustardward.platform.models import Room
 from mustardward.platform.store import KEY_CONFIG, KEY_WAVE_PREFIX, TOPIC_OPERATOR
 from mustardward.standin.estate.store import StoreMode
@@ -103,10 +100,7 @@
 
     def walk(self) -> list[str]:
         """Return the violations that were found, at most those of one moment."""
-        with (
-            asyncio.Runner(loop_factory=ProcessLoop) as runner,
-            patch.object(owner_module, "Authority", _authority),
-        ):
+        with asyncio.Runner(loop_factory=ProcessLoop) as runner:
             return runner.run(self._async_walk())
 
     async def _async_walk(self) -> list[str]:
@@ -453,10 +447,6 @@
         world.later(self._rng.choice(STORE_FAULT_SECONDS), world.restore_store)
 
 
-def _authority() -> Authority:
-    return Authority(asyncio.get_running_loop().time)
-
-
 def find_violations(seed: int, faults: Faults = ALLOWED) -> list[str]:
     """Return the violations of one walk."""
     return TwiceWalk(seed, faults).walk()
