Take a run for over with an incarnation only if that one listed it

What callers may see: a task that runs twice at once (TWICE), where a worker may restart under its old id. Cause: a start that was answered counted as run by the incarnation that was known then. A worker that restarted since its last answer, 1.5 s ago at most, accepts the start in its next life; once that life's start time is read, all runs of the previous one were over, and this one among them. Why it works: only a report names its incarnation. Other runs are uncertain at a restart: the new life is sent a stop, and the task goes on once that is acknowledged.

--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -57,8 +57,8 @@
     :param stop_acknowledged_at: when the worker last acknowledged a stop, or None.
     :param percent_at_ms: the worker's clock when it first listed the run at its present
         percentage, or -1 if that is unknown.
-    :param seen_running: whether the worker confirmed that the run started. Otherwise
-        the start command may still be in flight.
+    :param seen_running: whether a report of the worker listed the run. Otherwise the
+        start command may be in flight, or another incarnation may have accepted it.
     :param sent: whether the start command was sent to the worker.
     :param crashes: the incarnations of workers that crashed under the task.
     :param evaluation_due_at: when it will be known which other workers crashed together
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -72,7 +72,6 @@
             return
         if not reason:
             task.phase = Phase.RUNNING
-            task.seen_running = True
             task.started_at = now
             task.percent_since = now
             waited = now - task.ready_since
