Ask for the authority again once an order is announced

What callers may see: an instance that two owners order within one lease (ONE), an upkeep beyond its wave's limit (LIMIT), and work lost by an order that nobody decided any more. Cause: an order was sent as soon as its announcement was stored. Authority was asked only at the decision, up to a second before, and a suspension of the machine isn't counted by the announcement's timeout, so that another owner could have claimed and ordered meanwhile. Why it works: the authority counts suspensions, and nothing is awaited between the question and the call. The order is skipped, not refused: an earlier call of it may have taken effect, so that it stays known and is repeated if the authority returns. Remains: a suspension that falls into the call itself (connecting, sending) isn't noticed.

--- a/mustardward/components/fleet/order_executor.py
+++ b/mustardward/components/fleet/order_executor.py
@@ -34,12 +34,15 @@
         the next owner doesn't order it for as long as this owner's order may take
         effect; returns whether that succeeded.
     :param on_fenced: called if the platform rejects the token as outdated.
+    :param authorised: whether this owner may still issue orders. The announcement takes
+        time, and its timeout doesn't count a suspension of the machine.
     """
 
     client: FleetClient
     token: int
     announce: Announce
     on_fenced: Callable[[], None]
+    authorised: Callable[[], bool]
     _in_progress: set[str] = field(default_factory=set)
 
     async def async_execute(self, order: Maintain | Move) -> OrderOutcome:
@@ -67,6 +70,8 @@
         try:
             if not await self.announce(order.machine):
                 return OrderOutcome.REFUSED, "not announced"
+            if not self.authorised():
+                return OrderOutcome.SKIPPED, "not authorised"
             await self._async_call(order)
         except FencedError:
             self.on_fenced()
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -232,7 +232,11 @@
                 client, dependencies.timers, dependencies.fleet_limits.rate_per_s
             ),
             OrderExecutor(
-                client, self._epoch, self._renewals.async_announce, self.depose
+                client,
+                self._epoch,
+                self._renewals.async_announce,
+                self.depose,
+                self._authority.is_valid,
             ),
             blocked,
             dependencies.timers,
--- a/tests/components/fleet/test_order_executor.py
+++ b/tests/components/fleet/test_order_executor.py
@@ -29,13 +29,18 @@
     def __init__(self, error: Exception | None = None, announced: bool = True) -> None:
         self.calls: list[str] = []
         self.fenced = 0
+        self.authorised = True
         self.response_gate = anyio.Event()
         self.response_gate.set()
         self._error = error
         self._announced = announced
         client: Any = self
         self.executor = OrderExecutor(
-            client, 3, self.async_announce, self.record_fenced
+            client,
+            3,
+            self.async_announce,
+            self.record_fenced,
+            lambda: self.authorised,
         )
 
     async def async_announce(self, machine: str) -> bool:
@@ -75,6 +80,17 @@
     assert harness.calls == ["announce m-00"]
 
 
+async def test_an_order_without_authority_is_skipped_after_its_announcement() -> None:
+    """Guard against dropping an earlier call of the order that may have taken effect.
+
+    A refused order is dropped; a skipped one is repeated.
+    """
+    harness = OrderHarness()
+    harness.authorised = False
+    assert await harness.executor.async_execute(MOVE) is OrderOutcome.SKIPPED
+    assert harness.calls == ["announce m-00"]
+
+
 @pytest.mark.parametrize(
     ("error", "outcome"),
     [
