Name an ordered instance for a lease by the clock that can't be stepped

What callers may see: an instance that two owners order within one lease (ONE), or one more instance down than a wave allows (LIMIT). Cause: how long an owner's renewals name an instance that it ordered was measured by the wall clock. A step of 5 s forward made every name older than the lease of 3 s, and the next owner neither blocked the instance nor counted it as down. Why it works: CLOCK_BOOTTIME is never stepped, and counts suspensions as the wall clock did. Renewals still carry the wall clock as their time.

--- a/mustardward/components/ownership/renewals.py
+++ b/mustardward/components/ownership/renewals.py
@@ -75,7 +75,7 @@
         """Name an instance in the log before it is ordered; return whether stored."""
         if self._released:
             return False
-        self._ordered[machine] = self.timers.wall()
+        self._ordered[machine] = self.timers.boottime()
         until = self.timers.monotonic() + ANNOUNCE_TIMEOUT_SECONDS
         outcome = await self.appender.async_append([self._record(self.node)], until)
         return outcome is Outcome.STORED and not self._released
@@ -94,14 +94,19 @@
 
     def _record(self, node: str, settled: bool = False) -> Record:
         self._renewal_count += 1
-        wall = self.timers.wall()
+        now = self.timers.boottime()
         self._ordered = {
             machine: at
             for machine, at in self._ordered.items()
-            if wall - at < self.lease_seconds
+            if now - at < self.lease_seconds
         }
-        ordered = sorted(self._ordered)
         owner = OwnerRecord(
-            self.epoch, self.claim, node, self._renewal_count, wall, ordered, settled
+            self.epoch,
+            self.claim,
+            node,
+            self._renewal_count,
+            self.timers.wall(),
+            sorted(self._ordered),
+            settled,
         )
         return (KEY_OWNER, encode(owner))
