Cordon the worker that came back before its repeated upkeep was accepted

Cause: an upkeep's order kept the worker of its decision. If that one crashed and came back, under another id or the same, before the platform accepted the order, nothing kept tasks off the new one until the repeated call ended it. A move's order has taken it in since before. Why it works: until the order is accepted, the list's current worker is cordoned too, and its cordon ends with the order. It is never removed: a row of the same pool doesn't show whether the worker came up by a crash or by the first call, and 200 also means "already done". Only the worker of the decision is. So a worker that the repeated call does end is noticed by its silence, and one that the first call brought gets no tasks until the order is finished.

--- a/mustardward/components/fleet/cordons.py
+++ b/mustardward/components/fleet/cordons.py
@@ -26,6 +26,7 @@
     for run in runs:
         for order in run.orders.values():
             cordoned[order.worker_id or ""] = order.started_at_ms
+            cordoned[order.replacement_id] = order.replacement_started_at_ms
         for worker_id in run.draining.values():
             cordoned[worker_id] = 0
     return cordoned
--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from ...platform.models import Instance, MaintenanceWave, Room
+from ..scheduling.incarnations import is_other_incarnation
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +37,10 @@
     :param issued_at: when it was last sent, in monotonic seconds.
     :param started_at_ms: when that worker had started, or 0 if that is unknown.
     :param accepted: whether the platform has confirmed the start of the maintenance.
+    :param replacement_id: the worker that replaced it since; empty if none is known.
+        A repeated order may interrupt it, or may have been carried out before it
+        started, so that it gets no tasks and isn't removed either.
+    :param replacement_started_at_ms: when that one had started, or 0 if unknown.
     """
 
     machine: str
@@ -44,6 +49,20 @@
     started_at_ms: int = 0
     accepted: bool = False
     accepted_at: float = 0.0
+    replacement_id: str = ""
+    replacement_started_at_ms: int = 0
+
+    def update_replacement(self, view: FleetView) -> None:
+        """Record the current worker if it has replaced the one of the decision."""
+        instance = view.instances.get(self.machine)
+        if instance is None or not instance.id:
+            return
+        started_at_ms = view.worker_started_at_ms(instance)
+        if instance.id != self.worker_id or is_other_incarnation(
+            started_at_ms, self.started_at_ms
+        ):
+            self.replacement_id = instance.id
+            self.replacement_started_at_ms = started_at_ms
 
 
 @dataclass(slots=True)
--- a/mustardward/components/fleet/wave_planner.py
+++ b/mustardward/components/fleet/wave_planner.py
@@ -149,7 +149,10 @@
             )
             yield _maintain(order, run)
         for order in run.orders.values():
-            if not order.accepted and now - order.issued_at >= ORDER_RETRY_SECONDS:
+            if order.accepted:
+                continue
+            order.update_replacement(view)
+            if now - order.issued_at >= ORDER_RETRY_SECONDS:
                 order.issued_at = now
                 yield _maintain(order, run)
 
