Date the previous owner's renewal by when it was read here

Cause: a new owner leaves alone for a lease what its predecessor's last renewal names, and measured that renewal's age by comparing the wall clocks of two machines. A step of 5 s forward after the renewal ended the block at once. Ruled out: the read time alone. An entry that starts after a total loss reads an old renewal first, and would wait a lease for instances that were ordered long ago. Why it works: a renewal is read no earlier than it was stored, so that its age is never overstated by the reader's monotonic clock, which isn't stepped and counts no suspension. Remains: an entry that has started since the last renewal still compares the wall clocks.

--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -115,7 +115,8 @@
     :param node: empty once the owner has released the shard.
     :param renewal: number of the renewal within the epoch.
     :param renewed_at: the owner's wall clock at the renewal, in seconds. A successor
-        computes the age of the renewal from it; a clock jump makes that wrong.
+        that has started since computes the age of the renewal from it; a clock jump
+        makes that wrong.
     :param ordered: instances that the owner ordered to move or be maintained within
         the last lease; a successor does not touch them for the length of a lease.
     :param settled: whether the owner has confirmed the state of every run that a
--- a/mustardward/components/ownership/election.py
+++ b/mustardward/components/ownership/election.py
@@ -27,6 +27,8 @@
     :param node: this entry's name.
     :param jitter_position: this entry's fraction of the claim jitter, from 0 to 1.
     :param is_slow: whether a much faster instance is known, which should claim first.
+    :param renewal_read_at: when the newest renewal was read here; None if it was there
+        at the first read, and may be of any age.
     """
 
     node: str
@@ -34,6 +36,7 @@
     is_slow: bool = False
     last_owner: OwnerRecord | None = None
     changed_at: float = 0.0
+    renewal_read_at: float | None = None
 
     @property
     def _delay(self) -> float:
@@ -42,6 +45,7 @@
     def observe(self, owner: OwnerRecord, now: float) -> None:
         """Apply the newest owner's record and restart the timeout if it changed."""
         if owner != self.last_owner:
+            self.renewal_read_at = None if self.last_owner is None else now
             self.last_owner = owner
             self.changed_at = now
 
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -63,6 +63,8 @@
     :param claim: the id of the claim that won.
     :param previous: the newest record of the previous owner.
     :param claimed_at: when the claim was sent, on the clock that counts suspensions.
+    :param previous_read_at: when that newest record was read here, in monotonic
+        seconds; None if it was there at the first read.
     """
 
     def __init__(
@@ -72,9 +74,11 @@
         claim: str,
         previous: OwnerRecord,
         claimed_at: float,
+        previous_read_at: float | None = None,
     ) -> None:
         self._dependencies = dependencies
         self._previous = previous
+        self._previous_read_at = previous_read_at
         self._epoch = epoch
         self._claim = claim
         self._deposed = anyio.Event()
@@ -217,7 +221,10 @@
         dependencies = self._dependencies
         now = dependencies.timers.monotonic()
         lease = dependencies.bounds.lease_ms / 1000
-        blocked = blocked_until(self._previous, now, dependencies.timers.wall(), lease)
+        wall = dependencies.timers.wall()
+        blocked = blocked_until(
+            self._previous, now, wall, lease, self._previous_read_at
+        )
         status = GroupAppender(
             lambda records, producer: dependencies.store.async_append(
                 TOPIC_STATUS, records, producer
--- a/mustardward/components/ownership/renewals.py
+++ b/mustardward/components/ownership/renewals.py
@@ -18,15 +18,23 @@
 
 
 def blocked_until(
-    previous: OwnerRecord, now: float, wall: float, lease_seconds: float
+    previous: OwnerRecord,
+    now: float,
+    wall: float,
+    lease_seconds: float,
+    read_at: float | None = None,
 ) -> dict[str, float]:
     """Return until when a new owner may not order instances, in monotonic seconds.
 
     Two owners that order the same instance within one lease look as if they alternated.
     An owner's renewals therefore name each instance before it is ordered, for the time
     of a lease.
+
+    :param read_at: when this entry read the previous owner's last renewal, in monotonic
+        seconds, which is no earlier than it was stored. None if this entry has started
+        since; only then are the wall clocks of two machines compared.
     """
-    elapsed = max(0.0, wall - previous.renewed_at)
+    elapsed = max(0.0, wall - previous.renewed_at if read_at is None else now - read_at)
     until = now + max(0.0, lease_seconds - elapsed)
     return dict.fromkeys(previous.ordered, until)
 
--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -110,6 +110,7 @@
         dependencies = self._dependencies
         epoch = dependencies.ledger.owner.epoch + 1
         previous = dependencies.ledger.owner
+        previous_read_at = self._election.renewal_read_at
         claim = secrets.token_hex(8)
         claimed_at = dependencies.timers.boottime()
         record = OwnerRecord(
@@ -128,7 +129,7 @@
         _LOGGER.info("shard_claimed", epoch=epoch, won=won)
         if not won:
             return None
-        return Owner(dependencies, epoch, claim, previous, claimed_at)
+        return Owner(dependencies, epoch, claim, previous, claimed_at, previous_read_at)
 
     async def _async_append(self, record: OwnerRecord) -> bool:
         dependencies = self._dependencies
