--- a/mustardward/components/ownership/renewals.py
+++ b/mustardward/components/ownership/renewals.py
@@ -18,15 +18,23 @@
 
 
 def blocked_until(
-    previous: OwnerRecord, now: float, wall: float, lease_seconds: float
+    previous: OwnerRecord,
+    now: float,
+    wall: float,
+    lease_seconds: float,
+    read_at: float | None = None,
 ) -> dict[str, float]:
     """Return until when a new owner may not order instances, in monotonic seconds.
 
     Two owners that order the same instance within one lease look as if they alternated.
     An owner's renewals therefore name each instance before it is ordered, for the time
     of a lease.
+
+    :param read_at: when this entry read the previous owner's last renewal, in monotonic
+        seconds, which is no earlier than it was stored. None if this entry has started
+        since; only then are the wall clocks of two machines compared.
     """
-    elapsed = max(0.0, wall - previous.renewed_at)
+    elapsed = max(0.0, wall - previous.renewed_at if read_at is None else now - read_at)
     until = now + max(0.0, lease_seconds - elapsed)
     return dict.fromkeys(previous.ordered, until)
 
@@ -75,7 +83,7 @@
         """Name an instance in the log before it is ordered; return whether stored."""
         if self._released:
             return False
-        self._ordered[machine] = self.timers.wall()
+        self._ordered[machine] = self.timers.boottime()
         until = self.timers.monotonic() + ANNOUNCE_TIMEOUT_SECONDS
         outcome = await self.appender.async_append([self._record(self.node)], until)
         return outcome is Outcome.STORED and not self._released
@@ -94,14 +102,19 @@
 
     def _record(self, node: str, settled: bool = False) -> Record:
         self._renewal_count += 1
-        wall = self.timers.wall()
+        now = self.timers.boottime()
         self._ordered = {
             machine: at
             for machine, at in self._ordered.items()
-            if wall - at < self.lease_seconds
+            if now - at < self.lease_seconds
         }
-        ordered = sorted(self._ordered)
         owner = OwnerRecord(
-            self.epoch, self.claim, node, self._renewal_count, wall, ordered, settled
+            self.epoch,
+            self.claim,
+            node,
+            self._renewal_count,
+            self.timers.wall(),
+            sorted(self._ordered),
+            settled,
         )
         return (KEY_OWNER, encode(owner))
