Take over the last record before the claim, not the one read before it was sent

Cause: a claim kept the previous owner's record as read before it was sent. It may be stored much later. Whatever the previous owner stored until then, the instances that it named before it ordered them, or its release, was read, and then forgotten. Why it works: the log fences the previous epoch from the claim on, and a claim has won only once all records before it were read, so that the ledger's last record of the epoch before is the last one there is. blocked_until and hold_previous_runs both get it. A load may show the claim first; records of the lower epoch that the log still has then follow, and count. Remains: if the history between what was read last and a load has expired, the newest record is not to be had, and what was read last counts, as before.

--- a/mustardward/components/ledger/ledger.py
+++ b/mustardward/components/ledger/ledger.py
@@ -102,9 +102,13 @@
     A record may be applied twice, or before the job record that it belongs to: only the
     newest record of each key counts, so that a compacted topic and a complete one give
     the same state.
+
+    :param previous_owner: the newest record applied of the epoch before the owner's. A
+        compacted topic doesn't have it, so that it depends on what was read before.
     """
 
     owner: OwnerRecord = NO_OWNER
+    previous_owner: OwnerRecord = field(default=NO_OWNER, compare=False)
     jobs: dict[str, LedgerJob] = field(default_factory=dict)
     waves: dict[str, WaveRecord] = field(default_factory=dict)
     nodes: dict[str, NodeRecord] = field(default_factory=dict)
@@ -236,9 +240,14 @@
         if not value:
             return
         owner = _OWNER.decode(value)
-        # The log fences epochs, so a lower one can only be an older record.
+        # The log fences epochs, so a lower one can only be an older record. After a
+        # load, the records from before a claim may be read after the claim.
+        if owner.epoch > self.owner.epoch:
+            self.previous_owner = self.owner
         if owner.epoch >= self.owner.epoch:
             self.owner = owner
+        elif owner.epoch >= self.previous_owner.epoch:
+            self.previous_owner = owner
 
     def _apply_node(self, name: str, value: bytes) -> None:
         if value:
--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -109,7 +109,6 @@
         """
         dependencies = self._dependencies
         epoch = dependencies.ledger.owner.epoch + 1
-        previous = dependencies.ledger.owner
         claim = secrets.token_hex(8)
         claimed_at = dependencies.timers.boottime()
         record = OwnerRecord(
@@ -128,6 +127,8 @@
         _LOGGER.info("shard_claimed", epoch=epoch, won=won)
         if not won:
             return None
+        # The previous owner may have stored records while the claim was outstanding.
+        previous = dependencies.ledger.previous_owner
         return Owner(dependencies, epoch, claim, previous, claimed_at)
 
     async def _async_append(self, record: OwnerRecord) -> bool:
--- a/tests/components/ledger/test_ledger.py
+++ b/tests/components/ledger/test_ledger.py
@@ -5,9 +5,18 @@
 import msgspec
 import pytest
 
-from mustardward.components.ledger.const import PREFIX_JOB, PREFIX_PROGRESS
+from mustardward.components.ledger.const import (
+    KEY_OWNER,
+    PREFIX_JOB,
+    PREFIX_PROGRESS,
+)
 from mustardward.components.ledger.ledger import Ledger, encode
-from mustardward.components.ledger.models import JobRecord, JobState, Progress
+from mustardward.components.ledger.models import (
+    JobRecord,
+    JobState,
+    OwnerRecord,
+    Progress,
+)
 from mustardward.platform.models import SubmittedStep
 from mustardward.platform.store import KeyedRecord
 
@@ -86,3 +95,22 @@
     )
     apply_record(ledger, PREFIX_JOB + JOB, encode(other))
     assert ledger.jobs[JOB].record == RECORD
+
+
+def test_previous_owners_records_count_after_a_load_showed_the_claim() -> None:
+    """Guard against an owner that doesn't know its predecessor's last orders.
+
+    A load shows the claim first; the records between it and what was read before, if
+    the log still has them, follow.
+    """
+    first = OwnerRecord(1, "a", "node-1", 4)
+    last = OwnerRecord(1, "a", "node-1", 6, ordered=["m-00"])
+    claim = OwnerRecord(2, "b", "node-2", 0)
+    older = OwnerRecord(0, "z", "node-3", 9)
+    ledger = Ledger()
+    for record in (first, claim):
+        apply_record(ledger, KEY_OWNER, encode(record))
+    assert (ledger.previous_owner, ledger.owner) == (first, claim)
+    for record in (last, claim, older):
+        apply_record(ledger, KEY_OWNER, encode(record))
+    assert (ledger.previous_owner, ledger.owner) == (last, claim)
--- /dev/null
+++ b/tests/components/ownership/test_outdated_claims.py
@@ -0,0 +1,102 @@
+"""Test what a claim relies on while it is outstanding."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from mustardward.components.ledger.const import KEY_OWNER, TOPIC
+from mustardward.components.ledger.ledger import Ledger, encode
+from mustardward.components.ledger.models import OwnerRecord
+from mustardward.components.ownership.owner import Owner
+from mustardward.components.ownership.renewals import blocked_until
+from mustardward.components.ownership.services import Ownership
+from mustardward.helpers.timer import DrivenTimerService
+from mustardward.platform.exceptions import CallRefusedError
+from mustardward.platform.store import Producer
+
+from .test_claim import STEP_SECONDS, PagedStore, an_ownership
+
+pytestmark = pytest.mark.anyio
+
+LEASE_SECONDS = 3.0
+MACHINE = "m-00"
+
+
+class RefusingStore(PagedStore):
+    """Simulate a store that can refuse the appends of one entry."""
+
+    refuses_appends = False
+    refused = 0
+
+    async def async_append(
+        self,
+        topic: str,
+        records: list[tuple[str, bytes]],
+        producer: Producer | None = None,
+        timeout_seconds: float = 1.0,
+    ) -> int:
+        if self.refuses_appends:
+            self.refused += 1
+            raise CallRefusedError("busy")
+        return await super().async_append(topic, records, producer)
+
+
+class ClaimHarness:
+    """Provide an entry whose claim is stored late."""
+
+    def __init__(self) -> None:
+        self.store = RefusingStore()
+        self.timers = DrivenTimerService()
+        record = OwnerRecord(1, "c", "node-1", 0, self.timers.wall())
+        self.store.append(TOPIC, [(KEY_OWNER, encode(record))])
+        self.ownership: Ownership = an_ownership(self.store, self.timers)
+        self.store.delays_appends = True
+
+    def newest_owner_record(self) -> OwnerRecord:
+        """Return what other entries read."""
+        ledger = Ledger()
+        for record in self.store.records_from(TOPIC, 0):
+            ledger.apply(record)
+        return ledger.owner
+
+    def store_claim(self) -> None:
+        """Perform the outstanding append of the claim; later ones are not delayed."""
+        assert self.store.late_append is not None
+        self.store.late_append()
+        self.store.delays_appends = False
+
+    async def async_advance_time(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_SECONDS)):
+            await anyio.wait_all_tasks_blocked()
+            await self.timers.async_advance(STEP_SECONDS)
+        await anyio.wait_all_tasks_blocked()
+
+
+async def test_instance_ordered_while_a_claim_is_outstanding_is_blocked() -> None:
+    """Guard against two owners that order one instance within a lease.
+
+    The previous owner names the instance after the claim was sent and before it is
+    stored, which the log allows.
+    """
+    harness = ClaimHarness()
+    owners: list[Owner | None] = []
+    assert await harness.ownership._dependencies.follower.async_catch_up()
+
+    async def async_claim() -> None:
+        owners.append(await harness.ownership._async_claim())
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(async_claim)
+        await anyio.wait_all_tasks_blocked()
+        now = harness.timers.wall()
+        announced = OwnerRecord(1, "c", "node-1", 1, now, [MACHINE])
+        harness.store.append(TOPIC, [(KEY_OWNER, encode(announced))])
+        harness.store_claim()
+        while not owners:
+            await harness.async_advance_time(STEP_SECONDS)
+    owner = owners[0]
+    assert owner is not None
+    now = harness.timers.monotonic()
+    blocked = blocked_until(owner._previous, now, harness.timers.wall(), LEASE_SECONDS)
+    assert blocked.get(MACHINE, 0.0) > now
