Name the previous owner's instances until a lease is over

What callers may see: two owners that order the same instance within a lease (ONE), when the owner between them held the shard for less than a lease. Cause: a successor blocks the instances that the newest owner record names, and an owner's records named only what it ordered itself. Its predecessor's were forgotten with it. Evidence: found by reading, for the release of a claim that is won after the entry resigned; test_previous_owners_instances_are_named_for_a_lease failed in a trial without the change's effect. Why it works: each owner starts with its predecessor's names and drops them after a lease of its own clock, so that no order is older than a lease when its name is missing. Remains: a claim itself names nothing, until the first renewal of its owner.

--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -108,6 +108,7 @@
             self.appender,
             dependencies.bounds.lease_ms / 1000,
         )
+        self._renewals.carry_over(previous)
         self._progress_writer = ProgressWriter(
             dependencies,
             self.scheduler,
--- a/mustardward/components/ownership/renewals.py
+++ b/mustardward/components/ownership/renewals.py
@@ -53,6 +53,13 @@
     _released: bool = False
     _ordered: dict[str, float] = field(default_factory=dict)
 
+    def carry_over(self, previous: OwnerRecord) -> None:
+        """Name the previous owner's instances too; this one may end within the lease.
+
+        The lease counts from now, since the clocks of two entries may differ.
+        """
+        self._ordered = dict.fromkeys(previous.ordered, self.timers.wall())
+
     def due_records(self, with_others: bool) -> list[Record]:
         """Return the renewal that is due, or nothing.
 
--- a/tests/components/ownership/test_renewals.py
+++ b/tests/components/ownership/test_renewals.py
@@ -78,3 +78,27 @@
         harness.timers.pause(3.5)
         assert await harness.renewals.async_announce("m-2")
         assert harness.owner().ordered == ["m-2"]
+
+
+async def test_previous_owners_instances_are_named_for_a_lease() -> None:
+    """Guard against three owners within a lease, the last of which orders again.
+
+    The owner in between releases the shard soon, and has ordered nothing itself.
+    """
+    async with a_harness() as harness:
+        behind = harness.timers.wall() - 9.0
+        harness.renewals.carry_over(OwnerRecord(2, "c", "n", 9, behind, ["m-1"]))
+        harness.timers.pause(2.5)
+        assert await harness.renewals.async_announce("m-2")
+        assert harness.owner().ordered == ["m-1", "m-2"]
+        await harness.renewals.async_release(settled=True)
+        assert harness.owner().ordered == ["m-1", "m-2"]
+
+
+async def test_previous_owners_instances_are_not_named_after_a_lease() -> None:
+    async with a_harness() as harness:
+        now = harness.timers.wall()
+        harness.renewals.carry_over(OwnerRecord(2, "c", "n", 9, now, ["m-1"]))
+        harness.timers.pause(3.5)
+        assert await harness.renewals.async_announce("m-2")
+        assert harness.owner().ordered == ["m-2"]
