Release a claim that is won after the entry resigned

What callers may see: work that stands still for the timeout of a lost owner, and then for its authority, when an entry is shut down while its claim of the shard is outstanding. Cause: async_resign releases an owner, of which there is none yet. The claim was stored later, and the entry took up the shard until its process ended, without a release. Why it works: an ownership that begins after the resignation begins with its release, by the way of any other. It revokes the authority before anything is sent, names the previous owner's instances, and isn't settled, so that the successor waits for that owner's leases.

--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -99,7 +99,7 @@
             return False
         now = dependencies.timers.monotonic()
         self._election.observe(dependencies.ledger.owner, now)
-        return self._election.should_claim(now)
+        return not self._resigning and self._election.should_claim(now)
 
     async def _async_claim(self) -> Owner | None:
         """Claim the next epoch; the first record of it in the log wins.
@@ -171,7 +171,11 @@
         self._dependencies.follower.override_interval(OWNER_POLL_SECONDS)
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._async_hand_over, owner)
+                if self._resigning:
+                    # The entry resigned while its claim was outstanding.
+                    tasks.start_soon(owner.async_release)
+                else:
+                    tasks.start_soon(self._async_hand_over, owner)
                 await owner.async_run()
                 tasks.cancel_scope.cancel()
         finally:
--- a/tests/components/ownership/test_outdated_claims.py
+++ b/tests/components/ownership/test_outdated_claims.py
@@ -102,6 +102,24 @@
     assert blocked.get(MACHINE, 0.0) > now
 
 
+async def test_entry_that_resigns_during_its_claim_keeps_no_shard() -> None:
+    """Guard against a shard whose owner shuts down without a release."""
+    harness = ClaimHarness()
+    follower = harness.ownership._dependencies.follower
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.async_run)
+        tasks.start_soon(harness.ownership.async_run)
+        while harness.store.late_append is None:
+            await harness.async_advance_time(STEP_SECONDS)
+        await harness.ownership.async_resign()
+        harness.store_claim()
+        await harness.async_advance_time(2.0)
+        owner = harness.newest_owner_record()
+        tasks.cancel_scope.cancel()
+    assert owner.epoch == 2
+    assert not owner.node
+
+
 @pytest.mark.parametrize("renews", [False, True])
 async def test_refused_claim_is_given_up_once_the_owner_renews(renews: bool) -> None:
     """Guard against a change of owner by a timeout that is over."""
@@ -125,3 +143,42 @@
         owner = harness.newest_owner_record()
         tasks.cancel_scope.cancel()
     assert owner.node == ("node-1" if renews else "node-2")
+
+
+async def test_release_after_a_claim_tells_what_the_previous_owner_left() -> None:
+    """Guard against a successor that neither waits for old leases nor for orders."""
+    harness = ClaimHarness()
+    follower = harness.ownership._dependencies.follower
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.async_run)
+        tasks.start_soon(harness.ownership.async_run)
+        while harness.store.late_append is None:
+            await harness.async_advance_time(STEP_SECONDS)
+        await harness.ownership.async_resign()
+        now = harness.timers.wall()
+        announced = OwnerRecord(1, "c", "node-1", 1, now, [MACHINE])
+        harness.store.append(TOPIC, [(KEY_OWNER, encode(announced))])
+        harness.store_claim()
+        await harness.async_advance_time(2.0)
+        owner = harness.newest_owner_record()
+        assert harness.ownership.owner is None
+        tasks.cancel_scope.cancel()
+    assert (owner.epoch, owner.node) == (2, "")
+    assert owner.ordered == [MACHINE]
+    assert not owner.settled
+
+
+async def test_entry_that_resigns_before_its_claim_is_sent_sends_none() -> None:
+    """Guard against a claim by an entry that shuts down while it reads the log."""
+    harness = ClaimHarness()
+    ownership = harness.ownership
+    follower = ownership._dependencies.follower
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.async_run)
+        await harness.async_advance_time(0.5)
+        election = ownership._election
+        election.observe(ownership._dependencies.ledger.owner, 0.0)
+        assert await ownership._async_should_still_claim()
+        await ownership.async_resign()
+        assert not await ownership._async_should_still_claim()
+        tasks.cancel_scope.cancel()
