--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -99,7 +99,7 @@
             return False
         now = dependencies.timers.monotonic()
         self._election.observe(dependencies.ledger.owner, now)
-        return self._election.should_claim(now)
+        return not self._resigning and self._election.should_claim(now)
 
     async def _async_claim(self) -> Owner | None:
         """Claim the next epoch; the first record of it in the log wins.
@@ -109,8 +109,6 @@
         """
         dependencies = self._dependencies
         epoch = dependencies.ledger.owner.epoch + 1
-        previous = dependencies.ledger.owner
-        previous_read_at = self._election.renewal_read_at
         claim = secrets.token_hex(8)
         claimed_at = dependencies.timers.boottime()
         record = OwnerRecord(
@@ -129,10 +127,23 @@
         _LOGGER.info("shard_claimed", epoch=epoch, won=won)
         if not won:
             return None
+        # The previous owner may have stored records while the claim was outstanding.
+        previous = dependencies.ledger.previous_owner
+        previous_read_at = (
+            self._election.renewal_read_at
+            if previous == self._election.last_owner
+            else dependencies.timers.monotonic()
+        )
         return Owner(dependencies, epoch, claim, previous, claimed_at, previous_read_at)
 
     async def _async_append(self, record: OwnerRecord) -> bool:
+        """Append a claim; return False if it is not stored or has certainly lost.
+
+        A refused claim is given up, and decided again from what is read by then. One
+        that may be stored, now or late, is repeated until that is known: it may win.
+        """
         dependencies = self._dependencies
+        may_be_stored = False
         producer = Producer(f"owner/{SHARD}", record.epoch, 0)
         while dependencies.ledger.owner.epoch < record.epoch:
             try:
@@ -153,7 +164,10 @@
                 return False
             except (CallRefusedError, CallUnknownError) as error:
                 _LOGGER.warning("claim_unanswered", detail=error.detail)
+                may_be_stored |= isinstance(error, CallUnknownError)
                 await dependencies.timers.async_sleep(RETRY_DELAY_SECONDS)
+                if not may_be_stored:
+                    return False
         return True
 
     async def _async_run_owner(self, owner: Owner) -> None:
@@ -162,7 +176,11 @@
         self._dependencies.follower.override_interval(OWNER_POLL_SECONDS)
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._async_hand_over, owner)
+                if self._resigning:
+                    # The entry resigned while its claim was outstanding.
+                    tasks.start_soon(owner.async_release)
+                else:
+                    tasks.start_soon(self._async_hand_over, owner)
                 await owner.async_run()
                 tasks.cancel_scope.cancel()
         finally:
