Give no reply by an older version than callers have seen

Cause, by reading and driven tests: a node asked whether a peer had answered for it by a newer version only before it handled a request. A request that was outstanding at that moment was answered by the version that had admitted it: a POST whose append was slow, a GET that was reading the log, a forwarded request whose peer was older. The same held if the node itself read the newer version meanwhile, without any peer. And a completion ahead of the log was reported without asking at all, for requests of any time.

Change: each reply says the newest version known to allow it; the version that admitted the request, or the one in force at the end if that admits the same caller to the same queue and service. Before a reply is given it is compared with the newest version read here or used by a peer. An older reply is withheld and the request answered once more, by that version or by a peer that has it; 503 at once if that fails. Whatever the first attempt carried out stands, so that a refusal of a POST or DELETE becomes 504. A job that waits for its append is not sent any more if the newest version does not allow it, so that it is not stored at all; one that was sent can't be withdrawn. The log is read before a stored job is answered again, so that its second record can't name another service. A peer's reply names the version that allows it, in the field that it had; a reply without one counts as by the version that the request named, below which no peer answers. Nothing is held: a withheld reply is replaced at once, and a queue that the newer version still has is answered as before.

Not covered: a request that is answered by the older version after a peer has handled another one by a newer version and before its reply, or any word of it, has arrived here. The node can't know; checks of peers carry no version.

--- a/mustardward/components/configuration/services.py
+++ b/mustardward/components/configuration/services.py
@@ -28,6 +28,7 @@
     """Apply the records of the operator's topic.
 
     :param on_change: called after a newer version has taken effect.
+    :param seen_version: newest version by which peers answered for this entry node.
     :param require_api_keys: whether callers need API keys regardless of the version.
     """
 
@@ -37,6 +38,7 @@
     require_api_keys: bool = False
     waves: dict[int, MaintenanceWave] = field(default_factory=dict)
     on_change: Callable[[], None] | None = None
+    seen_version: int = 0
     _policies: dict[str, QueuePolicy] = field(default_factory=dict)
     _organisations: dict[str, Organisation] = field(default_factory=dict)
 
@@ -59,6 +61,25 @@
         except RECORD_ERRORS as error:
             report_unreadable_record("operator", record.key, str(error))
 
+    @property
+    def version(self) -> int:
+        """Return the version in force here, or 0 if none was read."""
+        return self.config.version if self.config is not None else 0
+
+    @property
+    def outdated(self) -> bool:
+        """Return whether callers of this entry node have seen a newer version."""
+        return self.version < self.seen_version
+
+    @property
+    def newest_version(self) -> int:
+        """Return the newest version that callers of this entry node may have seen."""
+        return max(self.version, self.seen_version)
+
+    def record_seen(self, version: int) -> None:
+        """Note that a peer answered a caller of this entry node by a version."""
+        self.seen_version = max(self.seen_version, version)
+
     def keys(self) -> Iterable[str]:
         """Return no keys, so that records missing from a reload stay in effect."""
         return ()
--- a/mustardward/components/forwarding/failover.py
+++ b/mustardward/components/forwarding/failover.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
+import msgspec
 
 from ...helpers.instruments import PEER_ANSWERS
 from ...helpers.logging import get_logger
@@ -66,19 +67,23 @@
     timers: TimerService
     completions: CompletionTracker
     relay: StoreRelay
-    _newest_peer_version: int = 0
     _isolated_until: float = 0.0
 
     def _version(self) -> int:
-        config = self.front.configuration.config
-        return config.version if config is not None else 0
+        return self.front.configuration.version
 
     def _is_outdated(self) -> bool:
         """Return whether a peer answered for this node by a newer configuration.
 
         An answer by the local one would then take callers back to an older version.
         """
-        return self._version() < self._newest_peer_version
+        return self.front.configuration.outdated
+
+    def _is_current(self, reply: Reply) -> bool:
+        """Return whether a reply takes no caller back to an older version."""
+        if reply.status in _UNCERTAIN_STATUSES:
+            return True
+        return reply.version >= self.front.configuration.newest_version
 
     def is_log_unreachable(self) -> bool:
         """Return whether the log has been unreachable for over OUTAGE_SECONDS."""
@@ -92,19 +97,59 @@
         return outage > OUTAGE_SECONDS
 
     async def async_answer(self, request: Request) -> Reply:
-        """Return the answer to a caller's request."""
+        """Return the answer to a caller's request.
+
+        An answer is not given if another caller may have been answered by a newer
+        version meanwhile. The request is then answered once more, by that version.
+        """
+        reply = await self._async_answer_once(request)
+        if self._is_current(reply):
+            return reply
+        _LOGGER.info(
+            "reply_outdated",
+            method=request.method,
+            path=request.path,
+            status=reply.status,
+            version=reply.version,
+        )
+        await self._async_read_submitted(request)
+        again = await self._async_answer_once(request)
+        if not self._is_current(again):
+            again = self.front.unreachable_reply(request)
+        # What the first attempt carried out here or at a peer stands.
+        return self._outcome_reply(request, again, True)
+
+    async def _async_read_submitted(self, request: Request) -> None:
+        """Read the log, so that a job that was just stored isn't stored once more.
+
+        Its second record could name another service.
+        """
+        if request.method != "POST" or self.is_log_unreachable():
+            return
+        with anyio.move_on_after(self._remaining_seconds(request)):
+            await self.front.follower.async_catch_up()
+
+    def _remaining_seconds(self, request: Request) -> float:
+        now = self.timers.monotonic()
+        return max(0.0, request.deadline - now - ANSWER_MARGIN_SECONDS)
+
+    async def _async_answer_once(self, request: Request) -> Reply:
         if request.method != "GET":
             return await self._async_answer_or_forward(request)
+        version = self._version()
         failed_before = self.front.log_failing
         if failed_before and await self._async_is_complete(request):
-            return self.front.done_reply()
+            return self._done_reply(version)
         reply = await self._async_answer_or_forward(request)
         if failed_before or not self.front.log_failing:
             return reply
         # This very request discovered that the log fails.
-        return (
-            self.front.done_reply() if await self._async_is_complete(request) else reply
-        )
+        version = self._version()
+        complete = await self._async_is_complete(request)
+        return self._done_reply(version) if complete else reply
+
+    def _done_reply(self, version: int) -> Reply:
+        return replace(self.front.done_reply(), version=version)
 
     @switchable(
         "ends-ahead",
@@ -113,6 +158,8 @@
     )
     async def _async_is_complete(self, request: Request) -> bool:
         """Return whether a request is for a job that is known to be done."""
+        if self._is_outdated():
+            return False
         job_id = self.front.unfinished_job_id(request)
         return job_id is not None and await self.completions.async_is_complete(job_id)
 
@@ -156,7 +203,7 @@
         reply = await self.front.async_answer(front_request)
         confirmed = reply.status not in _UNCERTAIN_STATUSES
         return PeerReply(
-            reply.status, reply.body, reply.retry_after, confirmed, self._version()
+            reply.status, reply.body, reply.retry_after, confirmed, reply.version
         )
 
     @switchable(
@@ -245,23 +292,23 @@
     )
     async def async_forward(self, request: Request) -> PeerOutcome:
         """Forward a request to peers, one after the other."""
-        remaining_seconds = (
-            request.deadline - self.timers.monotonic() - ANSWER_MARGIN_SECONDS
-        )
         peer_request = PeerRequest(
             request.method,
             request.host,
             request.path,
             request.body,
-            max(0.0, remaining_seconds),
-            max(self._version(), self._newest_peer_version),
+            self._remaining_seconds(request),
+            self.front.configuration.newest_version,
             request.key,
         )
         outcome = await self.forwarder.async_forward(peer_request)
         if outcome.reply is not None:
-            self._newest_peer_version = max(
-                self._newest_peer_version, outcome.reply.version
-            )
+            # A peer never answers by an older version than the request names, and an
+            # older build may not name the version that it used.
+            version = max(outcome.reply.version, peer_request.version)
+            self.front.configuration.record_seen(version)
+            reply = msgspec.structs.replace(outcome.reply, version=version)
+            outcome = PeerOutcome(reply, outcome.may_have_effect)
         PEER_ANSWERS.labels(str(outcome.reply is not None).lower()).inc()
         _LOGGER.info(
             "request_forwarded",
@@ -273,7 +320,7 @@
 
 
 def _from_peer_reply(reply: PeerReply) -> Reply:
-    return Reply(reply.status, reply.body, reply.retry_after)
+    return Reply(reply.status, reply.body, reply.retry_after, reply.version)
 
 
 def _unknown_reply() -> Reply:
--- a/mustardward/components/front/admission.py
+++ b/mustardward/components/front/admission.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
 from ...platform.models import Queue
+from ..configuration.routing import queue_key
 from ..configuration.services import Configuration
 from ..ledger.follower import TopicFollower
 from ..organisations.access import resolve_caller
@@ -61,14 +62,31 @@
 
     def resolve(self, request: Request) -> AdmittedRequest | Reply:
         """Return the queue and caller by the local configuration, or the refusal."""
+        version = self.configuration.version
         queue = self.configuration.routes.find(request.host, request.path)
         if queue is None:
-            return error_reply(404, "no-such-queue", "no queue has this host and path")
+            detail = "no queue has this host and path"
+            return replace(error_reply(404, "no-such-queue", detail), version=version)
         caller = self._resolve_caller(request, queue)
         if caller is None:
             detail = "no organisation has the key shown"
-            return error_reply(UNAUTHORIZED_STATUS, "unknown-key", detail)
-        return AdmittedRequest(queue, caller)
+            refusal = error_reply(UNAUTHORIZED_STATUS, "unknown-key", detail)
+            return replace(refusal, version=version)
+        return AdmittedRequest(queue, caller, version)
+
+    def newest_allowing(self, request: Request, admitted: AdmittedRequest) -> int:
+        """Return the newest version known here that admits a request in the same way.
+
+        :param admitted: result of its admission.
+        """
+        if admitted.version == self.configuration.version:
+            return admitted.version
+        current = self.resolve(request)
+        if isinstance(current, Reply) or current.caller != admitted.caller:
+            return admitted.version
+        if _destination(current.queue) != _destination(admitted.queue):
+            return admitted.version
+        return current.version
 
     def _resolve_caller(self, request: Request, queue: Queue) -> Caller | None:
         return resolve_caller(self.configuration.api_keys, queue, request.key)
@@ -95,3 +113,7 @@
             version=config.version if config is not None else 0,
             age=self._config_age(),
         )
+
+
+def _destination(queue: Queue) -> tuple[str, str]:
+    return queue_key(queue), queue.service
--- a/mustardward/components/front/models.py
+++ b/mustardward/components/front/models.py
@@ -30,19 +30,26 @@
     """Reply to a caller.
 
     :param retry_after: seconds after which the caller should retry, or None.
+    :param version: newest configuration version known to allow this reply; 0 if it
+        depends on none.
     """
 
     status: int
     body: bytes
     retry_after: int | None = None
+    version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class AdmittedRequest:
-    """Queue and caller of an admitted request."""
+    """Queue and caller of an admitted request.
+
+    :param version: configuration version that admitted it.
+    """
 
     queue: Queue
     caller: Caller
+    version: int
 
 
 def error_reply(status: int, code: str, detail: str) -> Reply:
--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
@@ -71,10 +71,17 @@
         )
 
     async def async_answer(self, request: Request) -> Reply:
-        """Return the reply to a request."""
+        """Return the reply to a request, with the newest version that allows it."""
         admitted = await self.admission.async_admit(request)
         if isinstance(admitted, Reply):
             return admitted
+        reply = await self._async_answer_admitted(request, admitted)
+        version = self.admission.newest_allowing(request, admitted)
+        return replace(reply, version=version)
+
+    async def _async_answer_admitted(
+        self, request: Request, admitted: AdmittedRequest
+    ) -> Reply:
         queue = admitted.queue
         job_id = request.path[len(queue.path_prefix) :]
         if not job_id:
@@ -154,6 +161,7 @@
         outcome = await self.appender.async_append(
             [(PREFIX_JOB + job_id, encode(record))],
             self._append_deadline(request),
+            lambda: self._is_allowed(request, admitted),
         )
         _LOGGER.info(
             "job_submitted",
@@ -209,6 +217,11 @@
         """Return the refusal of a request that can't be stored from here."""
         return self.refusals.reject(request.path, "cut-off", "no log, no peer")
 
+    def _is_allowed(self, request: Request, admitted: AdmittedRequest) -> bool:
+        """Return whether the newest version that callers have seen allows a request."""
+        newest_version = self.configuration.newest_version
+        return self.admission.newest_allowing(request, admitted) >= newest_version
+
     def _append_deadline(self, request: Request) -> float:
         earliest = self.timers.monotonic() + MIN_APPEND_TIMEOUT_SECONDS
         return max(earliest, request.deadline - ANSWER_MARGIN_SECONDS)
--- a/mustardward/components/ledger/appender.py
+++ b/mustardward/components/ledger/appender.py
@@ -54,6 +54,10 @@
     FENCED = "fenced"
 
 
+def _always_allowed() -> bool:
+    return True
+
+
 def _no_answer_timeout() -> float:
     return math.inf
 
@@ -109,10 +113,14 @@
 
 @dataclass(slots=True, eq=False)
 class _PendingAppend:
-    """Hold records that are queued for an append, and their outcome."""
+    """Hold records that are queued for an append, and their outcome.
+
+    :param is_allowed: returns whether the records may still be sent.
+    """
 
     records: list[Record]
     deadline: float
+    is_allowed: Callable[[], bool]
     done: anyio.Event = field(default_factory=anyio.Event)
     outcome: Outcome = Outcome.UNKNOWN
 
@@ -141,12 +149,18 @@
     _queue: list[_PendingAppend] = field(default_factory=list)
     _wake: anyio.Event = field(default_factory=anyio.Event)
 
-    async def async_append(self, records: list[Record], deadline: float) -> Outcome:
+    async def async_append(
+        self,
+        records: list[Record],
+        deadline: float,
+        is_allowed: Callable[[], bool] = _always_allowed,
+    ) -> Outcome:
         """Append records; return once the outcome is known or the deadline has passed.
 
         :param deadline: steady clock, in seconds.
+        :param is_allowed: returns whether records that were not sent yet still may be.
         """
-        pending_appends = self._enqueue(records, deadline)
+        pending_appends = self._enqueue(records, deadline, is_allowed)
         started = self.timers.monotonic()
         with anyio.move_on_after(max(0.0, deadline - started)):
             for pending in pending_appends:
@@ -163,10 +177,16 @@
         """Queue records for an append without waiting for the outcome."""
         self._enqueue(records, self.timers.monotonic() + 1.0)
 
-    def _enqueue(self, records: list[Record], deadline: float) -> list[_PendingAppend]:
+    def _enqueue(
+        self,
+        records: list[Record],
+        deadline: float,
+        is_allowed: Callable[[], bool] = _always_allowed,
+    ) -> list[_PendingAppend]:
         """Queue records, in chunks that fit one call."""
         pending_appends = [
-            _PendingAppend(chunk, deadline) for chunk in split_records(records)
+            _PendingAppend(chunk, deadline, is_allowed)
+            for chunk in split_records(records)
         ]
         self._queue.extend(pending_appends)
         self._wake.set()
@@ -186,6 +206,7 @@
         self._queue.clear()
 
     def _take_batch(self) -> list[_PendingAppend]:
+        self._drop_disallowed()
         size = 0
         batch: list[_PendingAppend] = []
         for pending in self._queue:
@@ -196,6 +217,13 @@
         del self._queue[: len(batch)]
         return batch
 
+    def _drop_disallowed(self) -> None:
+        """Drop queued records that may not be sent any more."""
+        disallowed = [pending for pending in self._queue if not pending.is_allowed()]
+        for pending in disallowed:
+            self._queue.remove(pending)
+            self._finish(pending, Outcome.NOT_STORED)
+
     async def _async_append_batch(self, batch: list[_PendingAppend]) -> None:
         records = [record for pending in batch for record in pending.records]
         may_be_stored = False
