--- a/tests/components/ownership/test_twice_walks.py
+++ b/tests/components/ownership/test_twice_walks.py
@@ -14,7 +14,7 @@
     "no-hold-after-a-takeover": 1,
     "a-takeover-waits-for-nobody": 0,
     "a-start-without-answer-was-none": 0,
-    "an-unresponsive-worker-is-renewed": 1,
+    "an-unresponsive-worker-is-renewed": 5,
     "leases-are-expected-to-end-early": 0,
     "leases-of-previous-owners-are-forgotten": 1,
     "no-fence": 3,
