Build an owner's dependencies once in the tests of ownership

Cause: six modules in tests/components/ownership each built the ledger, the follower and the nine fields of OwnerDependencies of an entry that may own the shard, nearly alike.

Change: build_dependencies in builders.py builds them; callers name the fields that differ and read the ledger, the follower and the unlogged completions from the result. test_outdated_claims.py uses it through an_ownership of test_claim.py. In test_release.py and test_suspended_orders.py the owner's record is now applied to the ledger after the follower and the dependencies are built instead of before; building them reads nothing of the ledger. LogEntry.ledger of test_log_walks.py, which nothing read, is gone. No line of an assertion, parametrisation or test name changes.

Left as they are: the stores with overridden calls. They share the signature of async_append, but no two do the same. twice_entries.py has followers, HTTP calls and a configuration of its own.

--- /dev/null
+++ b/tests/components/ownership/builders.py
@@ -0,0 +1,44 @@
+"""Build what an entry that may own the shard needs."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from mustardward.components.configuration.services import Configuration
+from mustardward.components.ledger.const import TOPIC
+from mustardward.components.ledger.follower import TopicFollower
+from mustardward.components.ledger.ledger import Ledger
+from mustardward.components.ledger.unlogged_completions import UnloggedCompletions
+from mustardward.components.ownership.models import OwnerDependencies
+from mustardward.helpers.timer import TimerService
+from mustardward.platform.boot import BootBounds
+from mustardward.platform.http import HttpCaller
+
+READ_INTERVAL_SECONDS = 0.1
+
+
+def build_dependencies(
+    node: str, store: Any, timers: TimerService, **changes: Any
+) -> OwnerDependencies:
+    """Return the dependencies of an entry with a ledger and a follower of its own.
+
+    :param store: simulates the calls of a store client.
+    :param changes: fields that differ from an entry without a fleet.
+    """
+    ledger = Ledger()
+    follower = TopicFollower(
+        store, timers, TOPIC, ledger.apply, ledger.keys, READ_INTERVAL_SECONDS
+    )
+    dependencies = OwnerDependencies(
+        node,
+        store,
+        HttpCaller(),
+        timers,
+        ledger,
+        follower,
+        Configuration(),
+        BootBounds(),
+        UnloggedCompletions(),
+    )
+    return replace(dependencies, **changes)
--- a/tests/components/ownership/test_claim.py
+++ b/tests/components/ownership/test_claim.py
@@ -7,27 +7,22 @@
 import anyio
 import pytest
 
-from mustardward.components.configuration.services import Configuration
 from mustardward.components.ledger.const import (
     KEY_OWNER,
     PREFIX_JOB,
     PREFIX_PROGRESS,
     TOPIC,
 )
-from mustardward.components.ledger.follower import TopicFollower
-from mustardward.components.ledger.ledger import Ledger, encode
+from mustardward.components.ledger.ledger import encode
 from mustardward.components.ledger.models import JobState, OwnerRecord, Progress
-from mustardward.components.ledger.unlogged_completions import UnloggedCompletions
-from mustardward.components.ownership.models import OwnerDependencies
 from mustardward.components.ownership.services import Ownership
 from mustardward.helpers.timer import DrivenTimerService
-from mustardward.platform.boot import BootBounds
 from mustardward.platform.exceptions import CallRefusedError, CallUnknownError
-from mustardward.platform.http import HttpCaller
 from mustardward.platform.store import NewestPage, Producer
 from mustardward.standin.estate.store import MemoryStore
 
 from ..scheduling.builders import a_job
+from .builders import build_dependencies
 
 pytestmark = pytest.mark.anyio
 
@@ -97,27 +92,7 @@
 
 def an_ownership(store: MemoryStore, timers: DrivenTimerService) -> Ownership:
     """Return the part of an entry that claims the shard."""
-    ledger = Ledger()
-    follower = TopicFollower(
-        store,  # type: ignore[arg-type]
-        timers,
-        TOPIC,
-        ledger.apply,
-        ledger.keys,
-        0.1,
-    )
-    dependencies = OwnerDependencies(
-        "node-2",
-        store,  # type: ignore[arg-type]
-        HttpCaller(),
-        timers,
-        ledger,
-        follower,
-        Configuration(),
-        BootBounds(),
-        UnloggedCompletions(),
-    )
-    return Ownership(dependencies, 0.0)
+    return Ownership(build_dependencies("node-2", store, timers), 0.0)
 
 
 async def test_claim_is_not_won_before_all_earlier_records_are_read() -> None:
--- a/tests/components/ownership/test_log_walks.py
+++ b/tests/components/ownership/test_log_walks.py
@@ -14,20 +14,15 @@
 import pytest
 from anyio.abc import TaskGroup
 
-from mustardward.components.configuration.services import Configuration
 from mustardward.components.ledger.const import PREFIX_JOB, PREFIX_PROGRESS, TOPIC
-from mustardward.components.ledger.follower import TopicFollower
-from mustardward.components.ledger.ledger import Ledger, encode
-from mustardward.components.ledger.unlogged_completions import UnloggedCompletions
-from mustardward.components.ownership.models import OwnerDependencies
+from mustardward.components.ledger.ledger import encode
 from mustardward.components.ownership.owner import Owner
 from mustardward.components.ownership.services import Ownership
 from mustardward.helpers.timer import DrivenTimerService
-from mustardward.platform.boot import BootBounds
-from mustardward.platform.http import HttpCaller
 from mustardward.standin.estate.store import MemoryStore, StoreMode
 
 from ..scheduling.builders import a_job
+from .builders import build_dependencies
 
 pytestmark = pytest.mark.anyio
 
@@ -47,26 +42,8 @@
         timers: DrivenTimerService,
         jitter_position: float,
     ) -> None:
-        self.ledger = Ledger()
-        self.follower = TopicFollower(
-            store,  # type: ignore[arg-type]
-            timers,
-            TOPIC,
-            self.ledger.apply,
-            self.ledger.keys,
-            0.1,
-        )
-        dependencies = OwnerDependencies(
-            node,
-            store,  # type: ignore[arg-type]
-            HttpCaller(),
-            timers,
-            self.ledger,
-            self.follower,
-            Configuration(),
-            BootBounds(),
-            UnloggedCompletions(),
-        )
+        dependencies = build_dependencies(node, store, timers)
+        self.follower = dependencies.follower
         self.ownership = Ownership(dependencies, jitter_position)
 
     def run(self, tasks: TaskGroup) -> None:
--- a/tests/components/ownership/test_release.py
+++ b/tests/components/ownership/test_release.py
@@ -6,26 +6,21 @@
 import pytest
 from anyio.abc import TaskGroup
 
-from mustardward.components.configuration.services import Configuration
 from mustardward.components.ledger.const import KEY_OWNER, TOPIC
-from mustardward.components.ledger.follower import TopicFollower
 from mustardward.components.ledger.ledger import Ledger, encode
 from mustardward.components.ledger.models import OwnerRecord
-from mustardward.components.ledger.unlogged_completions import UnloggedCompletions
-from mustardward.components.ownership.models import OwnerDependencies
 from mustardward.components.ownership.owner import Owner
 from mustardward.components.ownership.takeover import hold_previous_runs
 from mustardward.components.scheduling.models import QueuePolicy
 from mustardward.components.scheduling.scheduler import Scheduler
 from mustardward.helpers.timer import DrivenTimerService
-from mustardward.platform.boot import BootBounds
 from mustardward.platform.exceptions import CallRefusedError, CallUnknownError
-from mustardward.platform.http import HttpCaller
 from mustardward.platform.store import KeyedRecord, Page, Producer
 from mustardward.standin.estate.store import MemoryStore
 
 from ..fleet.live_workers import EPOCH, LiveWorker
 from ..scheduling.builders import JOB, POOL, a_job, a_step, an_entry
+from .builders import build_dependencies
 
 pytestmark = pytest.mark.anyio
 
@@ -71,31 +66,12 @@
         self.worker = LiveWorker("i-01", self.timers)
         record = OwnerRecord(EPOCH, "c", "node-1", 0, self.timers.wall())
         self.store.append(TOPIC, [(KEY_OWNER, encode(record))])
-        ledger = Ledger()
-        ledger.apply(KeyedRecord(0, KEY_OWNER, encode(record)))
-        follower = TopicFollower(
-            self.store,  # type: ignore[arg-type]
-            self.timers,
-            TOPIC,
-            ledger.apply,
-            ledger.keys,
-            0.1,
-        )
-        dependencies = OwnerDependencies(
-            "node-1",
-            self.store,  # type: ignore[arg-type]
-            HttpCaller(),
-            self.timers,
-            ledger,
-            follower,
-            Configuration(),
-            BootBounds(),
-            UnloggedCompletions(),
-        )
+        dependencies = build_dependencies("node-1", self.store, self.timers)
+        dependencies.ledger.apply(KeyedRecord(0, KEY_OWNER, encode(record)))
         previous = OwnerRecord(EPOCH - 1, "", "", 0)
         claimed_at = self.timers.boottime()
         self.owner = Owner(dependencies, EPOCH, "c", previous, claimed_at)
-        tasks.start_soon(follower.async_run)
+        tasks.start_soon(dependencies.follower.async_run)
         tasks.start_soon(self.owner.async_run)
 
     def connect(self) -> None:
--- a/tests/components/ownership/test_stepped_successor.py
+++ b/tests/components/ownership/test_stepped_successor.py
@@ -2,26 +2,20 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import anyio
 import pytest
 
-from mustardward.components.configuration.services import Configuration
 from mustardward.components.ledger.const import KEY_OWNER, TOPIC
-from mustardward.components.ledger.follower import TopicFollower
-from mustardward.components.ledger.ledger import Ledger, encode
+from mustardward.components.ledger.ledger import encode
 from mustardward.components.ledger.models import OwnerRecord
-from mustardward.components.ledger.unlogged_completions import UnloggedCompletions
 from mustardward.components.ownership.const import OWNER_TIMEOUT_SECONDS
 from mustardward.components.ownership.election import Election
-from mustardward.components.ownership.models import OwnerDependencies
 from mustardward.components.ownership.services import Ownership
 from mustardward.platform.boot import BootBounds
 from mustardward.platform.fleet import FleetPage
-from mustardward.platform.http import HttpCaller
 from mustardward.standin.estate.store import MemoryStore
 
+from .builders import build_dependencies
 from .test_clock_steps import LEASE_SECONDS, MACHINE, SteppedTimers
 
 pytestmark = pytest.mark.anyio
@@ -42,28 +36,14 @@
     def __init__(self) -> None:
         self.timers = SteppedTimers()
         self.store = MemoryStore()
-        ledger = Ledger()
-        self.follower = TopicFollower(
-            self.store,  # type: ignore[arg-type]
-            self.timers,
-            TOPIC,
-            ledger.apply,
-            ledger.keys,
-            0.1,
-        )
-        fleet: Any = EmptyFleet()
-        dependencies = OwnerDependencies(
+        dependencies = build_dependencies(
             "node-2",
-            self.store,  # type: ignore[arg-type]
-            HttpCaller(),
+            self.store,
             self.timers,
-            ledger,
-            self.follower,
-            Configuration(),
-            BootBounds(lease_ms=1000 * LEASE_SECONDS),
-            UnloggedCompletions(),
-            fleet=fleet,
+            bounds=BootBounds(lease_ms=1000 * LEASE_SECONDS),
+            fleet=EmptyFleet(),
         )
+        self.follower = dependencies.follower
         self.ownership = Ownership(dependencies, 0.0)
 
     def renew(self, renewal: int) -> None:
--- a/tests/components/ownership/test_stopped_owners.py
+++ b/tests/components/ownership/test_stopped_owners.py
@@ -6,21 +6,15 @@
 import pytest
 from anyio.abc import TaskGroup
 
-from mustardward.components.configuration.services import Configuration
 from mustardward.components.dispatch.const import AUTHORITY_SECONDS
-from mustardward.components.ledger.const import TOPIC
-from mustardward.components.ledger.follower import TopicFollower
-from mustardward.components.ledger.ledger import Ledger
-from mustardward.components.ledger.unlogged_completions import UnloggedCompletions
 from mustardward.components.ownership.const import SELF_CHECK_SECONDS
-from mustardward.components.ownership.models import OwnerDependencies
 from mustardward.components.ownership.services import Ownership
 from mustardward.helpers.timer import DrivenTimerService
-from mustardward.platform.boot import BootBounds
-from mustardward.platform.http import HttpCaller
 from mustardward.platform.store import Page, Producer
 from mustardward.standin.estate.store import MemoryStore
 
+from .builders import build_dependencies
+
 pytestmark = pytest.mark.anyio
 
 STEP_SECONDS = 0.02
@@ -74,28 +68,9 @@
     def __init__(self, node: str, store: MemoryStore, jitter_position: float) -> None:
         self.store = HeldStore(store)
         self.timers = DrivenTimerService()
-        ledger = Ledger()
-        follower = TopicFollower(
-            self.store,  # type: ignore[arg-type]
-            self.timers,
-            TOPIC,
-            ledger.apply,
-            ledger.keys,
-            0.1,
-        )
-        self.unlogged = UnloggedCompletions()
-        dependencies = OwnerDependencies(
-            node,
-            self.store,  # type: ignore[arg-type]
-            HttpCaller(),
-            self.timers,
-            ledger,
-            follower,
-            Configuration(),
-            BootBounds(),
-            self.unlogged,
-        )
-        self.follower = follower
+        dependencies = build_dependencies(node, self.store, self.timers)
+        self.unlogged = dependencies.unlogged
+        self.follower = dependencies.follower
         self.ownership = Ownership(dependencies, jitter_position)
 
     @property
--- a/tests/components/ownership/test_suspended_orders.py
+++ b/tests/components/ownership/test_suspended_orders.py
@@ -2,27 +2,21 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import anyio
 import pytest
 
-from mustardward.components.configuration.services import Configuration
 from mustardward.components.fleet.models import Maintain, Move
 from mustardward.components.ledger.const import KEY_OWNER, TOPIC
-from mustardward.components.ledger.follower import TopicFollower
-from mustardward.components.ledger.ledger import Ledger, encode
+from mustardward.components.ledger.ledger import encode
 from mustardward.components.ledger.models import OwnerRecord
-from mustardward.components.ledger.unlogged_completions import UnloggedCompletions
-from mustardward.components.ownership.models import OwnerDependencies
 from mustardward.components.ownership.owner import Owner
 from mustardward.helpers.timer import DrivenTimerService
-from mustardward.platform.boot import BootBounds
 from mustardward.platform.fleet import FleetPage
-from mustardward.platform.http import HttpCaller
 from mustardward.platform.store import KeyedRecord, Producer
 from mustardward.standin.estate.store import MemoryStore
 
+from .builders import build_dependencies
+
 pytestmark = pytest.mark.anyio
 
 EPOCH = 2
@@ -79,30 +73,9 @@
     store = HeldStore()
     record = OwnerRecord(EPOCH, "c", "node-1", 0, timers.wall())
     store.append(TOPIC, [(KEY_OWNER, encode(record))])
-    ledger = Ledger()
-    ledger.apply(KeyedRecord(0, KEY_OWNER, encode(record)))
-    follower = TopicFollower(
-        store,  # type: ignore[arg-type]
-        timers,
-        TOPIC,
-        ledger.apply,
-        ledger.keys,
-        0.1,
-    )
     platform = OrderRecorder()
-    fleet: Any = platform
-    dependencies = OwnerDependencies(
-        "node-1",
-        store,  # type: ignore[arg-type]
-        HttpCaller(),
-        timers,
-        ledger,
-        follower,
-        Configuration(),
-        BootBounds(),
-        UnloggedCompletions(),
-        fleet=fleet,
-    )
+    dependencies = build_dependencies("node-1", store, timers, fleet=platform)
+    dependencies.ledger.apply(KeyedRecord(0, KEY_OWNER, encode(record)))
     previous = OwnerRecord(EPOCH - 1, "", "", 0)
     owner = Owner(dependencies, EPOCH, "c", previous, timers.boottime())
     async with anyio.create_task_group() as tasks:
