Move an owner's checks of itself to a module of their own

The notice of pauses, the reading of the log after one and the check for a newer owner are OwnerCheck now; Owner asks for a plan in one place, and Fleet decides once whether the list is read often.

--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -96,9 +96,8 @@
     async def _async_read_if_due(self) -> None:
         self._add_new_waves()
         now = self.timers.monotonic()
-        active = any(not run.done for run in self.wave_planner.runs.values())
         active = (
-            active
+            any(not run.done for run in self.wave_planner.runs.values())
             or bool(self.pool_planner.orders)
             or self._listed.needs_another
             or self.dispatcher.has_unresponsive_workers()
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -30,7 +30,6 @@
 from ..scheduling.scheduler import Scheduler
 from .authority import Authority
 from .const import (
-    CONFIRM_RETRY_SECONDS,
     IDLE_PLAN_INTERVAL_SECONDS,
     JOB_CLEANUP_INTERVAL_SECONDS,
     LOAD_LOG_INTERVAL_SECONDS,
@@ -42,6 +41,7 @@
 from .directory import WorkerDirectory
 from .load import OwnerLoad
 from .models import OwnerDependencies
+from .owner_check import OwnerCheck
 from .progress_writer import ProgressWriter
 from .renewals import Renewals, blocked_until
 from .takeover import Takeover, hold_previous_runs
@@ -80,10 +80,18 @@
         self._previous = previous
         self._previous_read_at = previous_read_at
         self._epoch = epoch
-        self._claim = claim
         self._deposed = anyio.Event()
         self._plan_requested = anyio.Event()
         self._authority = Authority(dependencies.timers.boottime, claimed_at)
+        self._check = OwnerCheck(
+            epoch,
+            claim,
+            self._authority,
+            dependencies.ledger,
+            dependencies.follower,
+            dependencies.timers,
+            self.depose,
+        )
         self.scheduler = Scheduler(
             epoch,
             dependencies.configuration.policy_of,
@@ -137,7 +145,7 @@
 
     def request_work(self) -> None:
         """Request a plan and a write of progress."""
-        self._plan_requested.set()
+        self._request_plan()
         self._progress_writer.request_write()
 
     def _request_plan(self) -> None:
@@ -186,7 +194,7 @@
             load = OwnerLoad(
                 dependencies.node, executor.calls, executor.window, run_logger
             )
-            tasks.start_soon(self._async_tick)
+            tasks.start_soon(self._check.async_tick)
             tasks.start_soon(self._async_monitor, directory, load)
             if dependencies.fleet is not None:
                 self._start_fleet(dependencies.fleet, dispatcher, tasks)
@@ -314,12 +322,12 @@
 
     def _apply_configuration(self) -> None:
         self.scheduler.update_policies()
-        self._plan_requested.set()
+        self._request_plan()
 
     def _update_worker(self, worker_id: str, entry: WorkerEntry) -> None:
         if self.dispatcher is not None:
             self.dispatcher.update_worker(worker_id, entry)
-            self._plan_requested.set()
+            self._request_plan()
 
     def _mark_worker_missing(self, worker_id: str) -> None:
         self.scheduler.mark_worker_missing(
@@ -345,36 +353,13 @@
             elapsed = timers.monotonic() - started_at
             await timers.async_sleep(_PLANNING.pause(elapsed))
 
-    async def _async_tick(self) -> None:
-        """Notice pauses of the process, also while the log is read."""
-        while True:
-            pause_seconds = self._authority.tick()
-            if pause_seconds:
-                _LOGGER.warning(
-                    "owner_paused", epoch=self._epoch, pause_seconds=pause_seconds
-                )
-            await self._dependencies.timers.async_sleep(SELF_CHECK_SECONDS)
-
-    async def _async_confirm(self) -> None:
-        """Read up to the end of the log until no pause falls into the read."""
-        dependencies = self._dependencies
-        while not self._authority.is_confirmed:
-            sent_at = dependencies.timers.boottime()
-            if await dependencies.follower.async_catch_up():
-                self._authority.confirm(sent_at)
-            else:
-                await dependencies.timers.async_sleep(CONFIRM_RETRY_SECONDS)
-
     async def _async_monitor(self, directory: WorkerDirectory, load: OwnerLoad) -> None:
         """Detect a newer owner and closed sessions."""
         dependencies = self._dependencies
         cleaned_up_at = 0.0
         logged_at = 0.0
         while True:
-            await self._async_confirm()
-            owner = dependencies.ledger.owner
-            if owner.epoch > self._epoch or owner.claim != self._claim:
-                self.depose()
+            if not await self._check.async_is_owner():
                 return
             now = dependencies.timers.monotonic()
             load.sample(now)
