Take the newer of two equal clock readings

A reading equal to the last one, from a worker whose clock is coarse, left the older time of reading in place, so that the estimate ran ahead by as much. Tests of dispatch pass.

--- a/mustardward/components/dispatch/lease.py
+++ b/mustardward/components/dispatch/lease.py
@@ -29,7 +29,7 @@
 
         An answer that a newer one has overtaken says nothing about the clock now.
         """
-        if clock_ms > self.clock_ms:
+        if clock_ms and clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.read_at = at
 
