--- a/tests/components/ownership/twice_walk.py
+++ b/tests/components/ownership/twice_walk.py
@@ -3,36 +3,21 @@
 Real entries compete for the shard in virtual time: each owner is a real scheduler,
 dispatcher, takeover, progress writer and fleet under its own token. After each start
 that a worker executes, no other live worker may run the same task, nor may an end
-``done`` of it have been noted, unless the worker's lease ended in between (`RULES.md`,
-TWICE).
-
-The faults and the lines of `PROTOCOL.md` that allow them:
-
-- calls lost, answered late, executed without an answer, or executed 1 to 12 s later:
-  "A call that receives no response may have been executed. It may also be executed
-  seconds later, after newer calls. Responses on different channels may overtake each
-  other"; refused: "429 or 503 from an unhealthy minion, which has then done nothing";
-- clocks up to 2 % slow, and leases that end by themselves: "Lease time is measured on
-  the minion's own steady clock, which may be 2% slow. When the lease expires,
-  everything is killed";
-- a crash and a new life at the same address, also of another service: "After a crash,
-  the minion has a new ID, runs nothing and has seen no fence number. A new lifetime may
-  be of a different kind, even at the same address";
-- a drain: "Before a planned shutdown, the minion reports `draining`. [...] and then
-  exits";
-- entries that lapse while the worker is alive: "It is removed when the minion has left,
-  or after three status report intervals of silence, at times also while the store is
-  down", and workers and entries cut off from the platform or each other;
-- the store refuses, is cut off, loses answers or appends late: "A call that receives no
-  response may have been executed, or may be executed seconds later if its condition
-  still holds. The store may be slow, down (wholly or partly), or cut off. It may reject
-  some machines";
-- fleet calls refused, slow or unanswered, and pages read at different moments: "The
-  platform may be slow or unavailable. A call that receives no response may have been
-  executed", "It takes `page-token`"; "The call also returns 200 if the operation is
-  already done";
-- owners killed, stopped, frozen and suspended: "To stop a process, the platform sends
-  SIGTERM, and then sends SIGKILL"; freezes are named in `RULES.md`, In touch.
+``done`` of it have been acknowledged, unless the worker's lease ended in between.
+
+The faults, all of which the platform's protocol allows:
+
+- calls to workers are lost, refused, answered late, executed without an answer, or
+  executed 1 to 12 s later, after newer ones;
+- workers' clocks are up to 2 % slow, and leases end by themselves;
+- workers crash and start again at the same address under a new id, also in another
+  pool, or drain and leave;
+- entries expire while their workers are alive, and workers and entries are cut off from
+  the platform or from each other;
+- the store refuses calls, is cut off, loses answers or appends late;
+- fleet calls are refused, slow or unanswered, and repeated orders are accepted without
+  being carried out; pages of a list are read at different moments;
+- owners are killed, stopped, frozen and suspended.
 
 `Faults` holds what the protocol does not allow.
 """
--- a/tests/components/ownership/twice_world.py
+++ b/tests/components/ownership/twice_world.py
@@ -1,7 +1,7 @@
 """Simulate the platform of a walk: machines, workers, store entries and the list.
 
-The faults of calls and machines are those that ``PROTOCOL.md`` allows; ``Faults`` names
-the others.
+The faults of calls and machines are those that the platform's protocol allows;
+``Faults`` names the others.
 """
 
 from __future__ import annotations
