--- a/mustardward/components/scheduling/estimates.py
+++ b/mustardward/components/run_times/estimates.py
@@ -7,13 +7,13 @@
 from dataclasses import dataclass, field
 
 from ...helpers.policies import switchable
+from ..scheduling.models import Job, StepRun, Task
 from .const import (
     ESTIMATE_CEILING,
     ESTIMATE_FLOOR,
     ESTIMATE_WEIGHT,
     UNKNOWN_ESTIMATE_SECONDS,
 )
-from .models import Job, StepRun, Task
 
 
 def _keep_declared_times(
@@ -61,6 +61,17 @@
             return UNKNOWN_ESTIMATE_SECONDS
         return declared * self.ratio(step.job.record.queue)
 
+    def mean_seconds(self, step: StepRun) -> float:
+        """Return the mean run time of one task of a step, in seconds.
+
+        For sums of work: the mean of a skewed distribution exceeds its median.
+        """
+        return self.seconds(step)
+
+    def high_seconds(self, step: StepRun) -> float:
+        """Return a run time that few tasks of a step exceed, in seconds."""
+        return self.seconds(step)
+
     def remaining_seconds_at(self, now: float) -> Callable[[Task], float]:
         """Return a function that returns the expected remaining seconds of a task.
 
--- a/mustardward/components/scheduling/const.py
+++ b/mustardward/components/scheduling/const.py
@@ -8,16 +8,6 @@
 """Bits of the counter in a run number. The owner's epoch is in the bits above it, so
 that a new owner's numbers are greater than all numbers of previous owners."""
 
-ESTIMATE_WEIGHT: Final = 0.1
-"""Weight of the newest run in the moving average of a queue's run times."""
-
-ESTIMATE_FLOOR: Final = 0.2
-ESTIMATE_CEILING: Final = 8.0
-"""Bounds of one run's ratio of actual to declared run time."""
-
-UNKNOWN_ESTIMATE_SECONDS: Final = 1.0
-"""Expected run time of a step that declares none."""
-
 LATE_FACTOR: Final = 3.0
 """A job that ends within this multiple of its objective is late, but still useful."""
 
--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -98,7 +98,7 @@
             load.long_running.add(step.room, count)
         else:
             load.waiting.add(step.room, count)
-            load.backlog.add(step.room, count * state.estimates.seconds(step))
+            load.backlog.add(step.room, count * state.estimates.mean_seconds(step))
     for step in steps.values():
         load = loads[step.job.policy.service]
         load.spread_workers = max(load.spread_workers, _workers_to_spread(step))
@@ -133,7 +133,9 @@
         for step in job.steps.values():
             if not step.spec.long_running:
                 count = len(step.tasks) - step.done - step.active
-                load.remaining.add(step.room, count * state.estimates.seconds(step))
+                load.remaining.add(
+                    step.room, count * state.estimates.mean_seconds(step)
+                )
 
 
 def _add_isolation_workers(
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -139,7 +139,9 @@
         for number, spec in enumerate(job.record.steps):
             if not spec.long_running:
                 step = job.steps[(occurrence, number)]
-                work.add(step.room, spec.count * self.state.estimates.seconds(step))
+                work.add(
+                    step.room, spec.count * self.state.estimates.mean_seconds(step)
+                )
         if work.cpu or work.mem_mb:
             self.state.inflow.record(job.policy.service, at, work)
 
--- a/mustardward/components/scheduling/job_order.py
+++ b/mustardward/components/scheduling/job_order.py
@@ -19,7 +19,7 @@
 from typing import Final
 
 from ...helpers.policies import switchable
-from .estimates import Estimates
+from ..run_times.estimates import Estimates
 from .models import Job, StepRun
 from .worker_state import WorkerState
 
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -8,9 +8,9 @@
 from ...helpers.logging import get_logger
 from ...platform.workers import TaskName, encode_task
 from ..ledger.models import JobState
+from ..run_times.estimates import Estimates
 from .commands import Command, Start, Stop
 from .const import ISOLATION_CRASHES, RUN_BITS, STOP_GRACE_SECONDS
-from .estimates import Estimates
 from .inflow import Inflow
 from .models import ACTIVE, Job, Phase, QueuePolicy, StepRun, Task
 from .quotas import Quotas
