Collect the appends of all entries while the store is slow

A store that is 94 times slower was taken for one that loses responses. Each of 42 entries appended its own callers' records, repeated each append after 0.15 s and sent it to peers after 0.4 s, so that the partition executed more repeats than new records and the owner's renewals waited behind them.

Each entry now knows the store's latency from its reads, with their wait subtracted, and a probe with a long timeout tells a very slow store from one that is down. While the store is slow, an append is repeated only once it is overdue by that latency, no request is hedged, and POST and DELETE go to one of two to four collecting entries, which append them together. A request that can't be stored in its time is refused at once. Timeouts of store calls follow the latency, also those of appends that are outstanding when it rises.

--- a/mustardward/components/forwarding/const.py
+++ b/mustardward/components/forwarding/const.py
@@ -42,6 +42,13 @@
 """Pause after no peer reached the store either. In an outage each entry node retries
 its calls every 0.08 s, and would otherwise ask peers as often."""
 
+MAX_EXTENSION_SECONDS: Final = 5.0
+"""Limit of the time by which calls to a slow store are extended. A store refuses an
+append when more than 2 s of work is queued, so that a later response is lost."""
+
+EXTENSION_POLL_SECONDS: Final = 0.05
+"""Interval of checks whether the store is still slow while an append is outstanding."""
+
 MAX_RELAYED_CALLS: Final = 4
 """Limit of concurrent calls on behalf of peers: half of the connections available to
 them."""
@@ -64,6 +71,9 @@
 """Time after which a request whose append is unanswered is also sent to a peer. An
 append takes 6 ms; even on a store that is 60 times slower it finishes earlier."""
 
+HEDGE_POLL_SECONDS: Final = 0.1
+"""Interval of checks whether a slow store has recovered or is down."""
+
 OUTCOME_UNKNOWN_STATUS: Final = 504
 """Status of a request that may have taken effect. Any refusal status would state that a
 job does not run although it may."""
@@ -71,6 +81,16 @@
 ISOLATED_RETRY_SECONDS: Final = 0.25
 """Time after which peers are tried again if none could reach the log."""
 
+COLLECTED_STORE_SECONDS: Final = 1.5
+"""Time within which a collected request should be stored."""
+
+MIN_COLLECTORS: Final = 2
+"""So that the loss of one collecting node stops only some of the requests."""
+
+MAX_COLLECTORS: Final = 4
+MAX_COLLECTORS_ASKED: Final = 3
+"""Collecting nodes tried for one request, one after the other."""
+
 MAX_PEERS_ASKED: Final = 3
 """Peers tried for one request, one after the other."""
 
--- a/mustardward/components/forwarding/failover.py
+++ b/mustardward/components/forwarding/failover.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
 
 import anyio
 import msgspec
@@ -16,11 +17,14 @@
 from ..front.models import Reply, Request
 from ..front.refusals import longest_outage
 from ..front.services import FrontService
+from ..ledger.store_latency import StoreLatency
+from .collectors import choose_collectors, collector_count, rank_collectors
 from .completions import CompletionTracker
 from .const import (
     CHECK_METHOD,
     ENDED_METHOD,
     HEDGE_DELAY_SECONDS,
+    HEDGE_POLL_SECONDS,
     ISOLATED_RETRY_SECONDS,
     OUTAGE_SECONDS,
     OUTCOME_UNKNOWN_STATUS,
@@ -34,6 +38,7 @@
 _LOGGER = get_logger(__name__)
 
 _UNCERTAIN_STATUSES = (503, 504)
+_APPENDED_METHODS = ("POST", "DELETE")
 
 
 async def _async_answer_locally(
@@ -54,19 +59,33 @@
     return await failover.async_forward(request)
 
 
+async def _async_never_collect(failover: FailoverHandler, /, request: Request) -> Reply:
+    return await failover.async_answer_hedged(request)
+
+
+def _never_draining() -> bool:
+    return False
+
+
 async def _async_never_complete(failover: FailoverHandler, /, request: Request) -> bool:
     return False
 
 
 @dataclass(slots=True, eq=False)
 class FailoverHandler:
-    """Answer callers whether or not the log is reachable from this entry node."""
+    """Answer callers whether or not the log is reachable from this entry node.
+
+    :param latency: the store's latency.
+    :param is_draining: returns whether this entry node is about to stop.
+    """
 
     front: FrontService
     forwarder: Forwarder
     timers: TimerService
     completions: CompletionTracker
     relay: StoreRelay
+    latency: StoreLatency = field(default_factory=StoreLatency)
+    is_draining: Callable[[], bool] = _never_draining
     _isolated_until: float = 0.0
 
     def _version(self) -> int:
@@ -165,7 +184,9 @@
 
     async def _async_answer_or_forward(self, request: Request) -> Reply:
         if not self.is_log_unreachable() and not self._is_outdated():
-            return await self._async_answer_hedged(request)
+            if request.method in _APPENDED_METHODS and self._is_store_slow():
+                return await self._async_answer_collected(request)
+            return await self.async_answer_hedged(request)
         outcome = await self._async_forward_unless_isolated(request)
         if outcome.reply is not None:
             reply = _from_peer_reply(outcome.reply)
@@ -183,14 +204,10 @@
             return self.completions.answer_peer(request)
         if request.method == RELAY_METHOD:
             return await self.relay.async_answer_peer(request)
-        if self.is_log_unreachable():
+        if self.is_log_unreachable() or self._must_decline(request):
             return PeerReply(503, b"", confirmed=False)
         if request.method == CHECK_METHOD:
             return PeerReply(200, b"")
-        if request.version > self._version():
-            # An answer by an older configuration than the sender's could take the
-            # caller back to an older version.
-            return PeerReply(503, b"", confirmed=False)
         deadline = self.timers.monotonic() + request.timeout_seconds
         front_request = Request(
             request.method,
@@ -206,14 +223,25 @@
             reply.status, reply.body, reply.retry_after, confirmed, reply.version
         )
 
+    def _must_decline(self, request: PeerRequest) -> bool:
+        """Return whether a peer's request must not be answered here.
+
+        An answer by an older configuration than the sender's could take the caller back
+        to an older version, and a node that is about to stop may not finish an append.
+        """
+        if request.collected and self.is_draining():
+            return True
+        return request.method != CHECK_METHOD and request.version > self._version()
+
     @switchable(
         "hedged-appends",
         "a request that is slow to be answered here is sent to a peer too",
         without=_async_answer_locally,
     )
-    async def _async_answer_hedged(self, request: Request) -> Reply:
+    async def async_answer_hedged(self, request: Request) -> Reply:
         """Answer here, and forward the request to a peer too if that takes long.
 
+        A slow store is no reason to forward it: the peer's append would take as long.
         Both attempts have the same job id, so that the job is accepted once.
         """
         replies: list[Reply] = []
@@ -223,18 +251,17 @@
             async def async_answer_locally() -> None:
                 reply = await self.front.async_answer(request)
                 replies.append(reply)
-                if reply.status not in _UNCERTAIN_STATUSES:
+                if reply.status not in _UNCERTAIN_STATUSES or self._is_store_slow():
                     tasks.cancel_scope.cancel()
                 elif not outcomes:
                     # The local attempt failed early: forward the request now.
                     forward_now.set()
 
             async def async_forward_late() -> None:
-                with anyio.move_on_after(HEDGE_DELAY_SECONDS):
-                    await forward_now.wait()
+                await self._async_wait_to_hedge(forward_now)
                 outcomes.append(PeerOutcome(None, True))
                 outcomes[0] = await self.async_forward(request)
-                if outcomes[0].reply is not None or self.is_log_unreachable():
+                if await self._async_ends_hedge(outcomes[0]):
                     tasks.cancel_scope.cancel()
 
             forward_now = anyio.Event()
@@ -253,6 +280,87 @@
         local_reply = replies[0] if replies else _unknown_reply()
         return self._outcome_reply(request, local_reply, unknown)
 
+    def _is_store_slow(self) -> bool:
+        return self.latency.is_slow(self.timers.monotonic())
+
+    @switchable(
+        "collected-appends",
+        "while the store is slow, a few entry nodes append the requests of all",
+        without=_async_never_collect,
+    )
+    async def _async_answer_collected(self, request: Request) -> Reply:
+        """Answer through an entry node that collects requests for the slow store.
+
+        One that does not answer is replaced by the next one, and in the end by this
+        node's own append. Since all of them have the same job id, the job is accepted
+        once; a refusal is returned only if none of them may have accepted it.
+        """
+        front = self.front
+        may_have_effect = False
+        for name in self.collectors(request.path):
+            expected_seconds = self.latency.seconds(self.timers.monotonic())
+            refusal = front.refuse_if_late(request, expected_seconds)
+            if refusal is not None:
+                return self._outcome_reply(request, refusal, may_have_effect)
+            if name == front.follower.node:
+                break
+            outcome = await self._async_send_collected(name, request)
+            may_have_effect = may_have_effect or outcome.may_have_effect
+            if outcome.reply is not None:
+                reply = _from_peer_reply(outcome.reply)
+                return self._outcome_reply(request, reply, may_have_effect)
+        if self.is_log_unreachable():
+            reply = front.unreachable_reply(request)
+        elif may_have_effect and self._remaining_seconds(request) <= 0.0:
+            reply = _unknown_reply()
+        else:
+            reply = await self.async_answer_hedged(request)
+        return self._outcome_reply(request, reply, may_have_effect)
+
+    def collectors(self, path: str = "") -> list[str]:
+        """Return the entry nodes to send a request to, one after the other.
+
+        :param path: path of the request.
+        """
+        ledger = self.front.ledger
+        node = self.front.follower.node
+        return choose_collectors(
+            path,
+            rank_collectors(ledger.nodes, ledger.owner.node),
+            collector_count(self.latency.seconds(self.timers.monotonic())),
+            node,
+            lambda name: (
+                self.is_draining()
+                if name == node
+                else self.forwarder.is_backed_off(name)
+            ),
+        )
+
+    async def _async_send_collected(self, name: str, request: Request) -> PeerOutcome:
+        """Send a request to one collecting entry node."""
+        peer_request = self._build_peer_request(request, collected=True)
+        outcome = await self.forwarder.async_send_collected(name, peer_request)
+        return self._record_version(peer_request, outcome)
+
+    async def _async_wait_to_hedge(self, forward_now: anyio.Event) -> None:
+        """Wait until a request should be forwarded in addition to the local append."""
+        with anyio.move_on_after(HEDGE_DELAY_SECONDS):
+            await forward_now.wait()
+        while self._is_store_slow():
+            await self.timers.async_sleep(HEDGE_POLL_SECONDS)
+
+    async def _async_ends_hedge(self, outcome: PeerOutcome) -> bool:
+        """Return whether to end the local append after a request was forwarded.
+
+        If no peer can reach the log either, the store is down or very slow. In the
+        latter case the append that is outstanding here will be answered.
+        """
+        if outcome.reply is not None:
+            return True
+        while self.latency.may_be_slow(self.timers.monotonic()):
+            await self.timers.async_sleep(HEDGE_POLL_SECONDS)
+        return self.is_log_unreachable()
+
     def _outcome_reply(self, request: Request, reply: Reply, unknown: bool) -> Reply:
         """Return the reply for a caller; log it if the outcome is unknown."""
         masked = _mask_uncertain_refusal(request, reply, unknown)
@@ -292,23 +400,9 @@
     )
     async def async_forward(self, request: Request) -> PeerOutcome:
         """Forward a request to peers, one after the other."""
-        peer_request = PeerRequest(
-            request.method,
-            request.host,
-            request.path,
-            request.body,
-            self._remaining_seconds(request),
-            self.front.configuration.newest_version,
-            request.key,
-        )
+        peer_request = self._build_peer_request(request)
         outcome = await self.forwarder.async_forward(peer_request)
-        if outcome.reply is not None:
-            # A peer never answers by an older version than the request names, and an
-            # older build may not name the version that it used.
-            version = max(outcome.reply.version, peer_request.version)
-            self.front.configuration.record_seen(version)
-            reply = msgspec.structs.replace(outcome.reply, version=version)
-            outcome = PeerOutcome(reply, outcome.may_have_effect)
+        outcome = self._record_version(peer_request, outcome)
         PEER_ANSWERS.labels(str(outcome.reply is not None).lower()).inc()
         _LOGGER.info(
             "request_forwarded",
@@ -318,6 +412,35 @@
         )
         return outcome
 
+    def _build_peer_request(
+        self, request: Request, collected: bool = False
+    ) -> PeerRequest:
+        return PeerRequest(
+            request.method,
+            request.host,
+            request.path,
+            request.body,
+            self._remaining_seconds(request),
+            self.front.configuration.newest_version,
+            request.key,
+            collected,
+        )
+
+    def _record_version(
+        self, request: PeerRequest, outcome: PeerOutcome
+    ) -> PeerOutcome:
+        """Record the configuration version of a peer's reply, and return it in it.
+
+        A peer never answers by an older version than the request names, and an older
+        build may not name the version that it used.
+        """
+        if outcome.reply is None:
+            return outcome
+        version = max(outcome.reply.version, request.version)
+        self.front.configuration.record_seen(version)
+        reply = msgspec.structs.replace(outcome.reply, version=version)
+        return PeerOutcome(reply, outcome.may_have_effect)
+
 
 def _from_peer_reply(reply: PeerReply) -> Reply:
     return Reply(reply.status, reply.body, reply.retry_after, reply.version)
--- a/mustardward/components/forwarding/models.py
+++ b/mustardward/components/forwarding/models.py
@@ -13,6 +13,8 @@
     :param version: newest configuration version known to the sender; a peer with an
         older one must not answer.
     :param key: API key of the caller; never logged.
+    :param collected: whether the peer is to append the request together with others,
+        since the store is slow.
     """
 
     method: str
@@ -22,6 +24,7 @@
     timeout_seconds: float = msgspec.field(name="patience")
     version: int = 0
     key: str = ""
+    collected: bool = False
 
     def __repr__(self) -> str:
         """Return a representation without the key, since it may be logged."""
--- a/mustardward/components/forwarding/peer_selector.py
+++ b/mustardward/components/forwarding/peer_selector.py
@@ -39,10 +39,14 @@
             return []
         start = self._rotation % len(names)
         names = names[start:] + names[:start]
-        names = [n for n in names if self._backoff_until.get(n, 0.0) <= now]
+        names = [name for name in names if not self.is_backed_off(name, now)]
         names.sort(key=lambda name: nodes[name][1] == self.zone)
         return [(name, nodes[name][0]) for name in names]
 
+    def is_backed_off(self, name: str, now: float) -> bool:
+        """Return whether a peer is left out."""
+        return self._backoff_until.get(name, 0.0) > now
+
     def back_off(self, name: str, now: float) -> None:
         """Leave a peer out for the backoff time."""
         self._backoff_until[name] = now + self.backoff_seconds
--- a/mustardward/components/forwarding/relay.py
+++ b/mustardward/components/forwarding/relay.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+import anyio
 import msgspec
 
 from ...helpers.http_connection import HttpResponse
@@ -20,7 +21,10 @@
 from ...helpers.timer import TimerService
 from ...platform.exceptions import CallRefusedError, CallUnknownError
 from ...platform.http import HttpCaller
+from ..ledger.store_latency import StoreLatency
 from .const import (
+    EXTENSION_POLL_SECONDS,
+    MAX_EXTENSION_SECONDS,
     MAX_RELAYED_CALLS,
     PROBE_INTERVAL_SECONDS,
     RELAY_METHOD,
@@ -53,6 +57,7 @@
     :param peers_http: makes calls on behalf of peers, on separate connections, so that
         this node's appends do not wait behind the peers' long polls.
     :param async_probe: returns whether the store answers directly.
+    :param latency: the store's latency, by which the timeouts of calls are extended.
     """
 
     http: HttpCaller
@@ -61,6 +66,7 @@
     forwarder: Forwarder
     timers: TimerService
     async_probe: Callable[[], Awaitable[bool]]
+    latency: StoreLatency = field(default_factory=StoreLatency)
     _relaying: bool = False
     _peers_retry_at: float = 0.0
     _peer_calls_in_flight: int = 0
@@ -99,7 +105,7 @@
         answer, error = await self._async_try(self.http, call)
         if answer is not None and answer.status not in _UNAVAILABLE_STATUSES:
             return answer
-        if self.timers.monotonic() >= self._peers_retry_at:
+        if self._should_relay():
             relayed, relayed_effect = await self._async_relay(call)
             if relayed is not None:
                 self._set_relaying(True)
@@ -113,6 +119,11 @@
             raise error or CallUnknownError("no answer")
         return answer
 
+    def _should_relay(self) -> bool:
+        """Return whether peers should be asked; a slow store is as slow for them."""
+        now = self.timers.monotonic()
+        return now >= self._peers_retry_at and not self.latency.is_slow(now)
+
     async def async_answer_peer(self, request: PeerRequest) -> PeerReply:
         """Make a peer's call directly; refuse it if this node relays itself."""
         if self._relaying or self._peer_calls_in_flight >= MAX_RELAYED_CALLS:
@@ -146,17 +157,75 @@
         self, http: HttpCaller, call: RelayedCall
     ) -> tuple[HttpResponse | None, CallRefusedError | CallUnknownError | None]:
         try:
-            answer = await http.async_call(
-                call.method,
-                self.base + call.path,
-                body=call.body,
-                params=call.params,
-                timeout_seconds=call.timeout_seconds,
-                read_timeout_seconds=call.silence_seconds,
-            )
+            if call.is_read:
+                return await self._async_call_direct(http, call, self._late_by()), None
+            return await self._async_append_direct(http, call), None
         except _FAILURES as error:
             return None, error
-        return answer, None
+
+    async def _async_call_direct(
+        self, http: HttpCaller, call: RelayedCall, extension_seconds: float
+    ) -> HttpResponse:
+        silence_seconds = call.silence_seconds
+        if silence_seconds is not None:
+            silence_seconds += extension_seconds
+        return await http.async_call(
+            call.method,
+            self.base + call.path,
+            body=call.body,
+            params=call.params,
+            timeout_seconds=call.timeout_seconds + extension_seconds,
+            read_timeout_seconds=silence_seconds,
+        )
+
+    async def _async_append_direct(
+        self, http: HttpCaller, call: RelayedCall
+    ) -> HttpResponse:
+        """Make an append; extend its timeout if the store turns out to be slow.
+
+        The store is often found to be slow only after the append was sent. If the
+        timeout was fixed then, all entry nodes would repeat their appends at once.
+
+        :raises CallRefusedError: if it was certainly not sent.
+        :raises CallUnknownError: if it was sent and its answer was lost.
+        """
+        answers: list[HttpResponse] = []
+        errors: list[CallRefusedError | CallUnknownError] = []
+        sent_at = self.timers.monotonic()
+        async with anyio.create_task_group() as tasks:
+
+            async def async_call() -> None:
+                try:
+                    answers.append(
+                        await self._async_call_direct(http, call, MAX_EXTENSION_SECONDS)
+                    )
+                except _FAILURES as error:
+                    errors.append(error)
+                tasks.cancel_scope.cancel()
+
+            async def async_limit() -> None:
+                await self.timers.async_sleep(call.timeout_seconds)
+                while self._may_be_late(sent_at):
+                    await self.timers.async_sleep(EXTENSION_POLL_SECONDS)
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(async_call)
+            tasks.start_soon(async_limit)
+        if answers:
+            return answers[0]
+        raise errors[0] if errors else CallUnknownError("no answer in time")
+
+    def _late_by(self) -> float:
+        """Return how much later than usual a response may arrive, in seconds."""
+        overdue_seconds = self.latency.overdue_seconds(self.timers.monotonic())
+        return min(MAX_EXTENSION_SECONDS, overdue_seconds)
+
+    def _may_be_late(self, sent_at: float) -> bool:
+        """Return whether the response to an append may still arrive."""
+        now = self.timers.monotonic()
+        if not self.latency.is_slow(now):
+            return self.latency.may_be_slow(now)
+        return now - sent_at < self._late_by()
 
     @switchable(
         "store-relay",
--- a/mustardward/components/forwarding/services.py
+++ b/mustardward/components/forwarding/services.py
@@ -97,15 +97,9 @@
             remaining_seconds = deadline - self.timers.monotonic()
             if remaining_seconds <= 0:
                 break
-            try:
-                can_reach_log = await self._async_check(name, address)
-            except _FAILURES as error:
-                self._back_off(name, type(error).__name__)
-                continue
-            if not can_reach_log:
-                # It would call the store in vain, and the outcome of its append would
-                # be unknown rather than refused.
-                self._back_off(name, "log unreachable")
+            # Without the log, it would call the store in vain, and the outcome of its
+            # append would be unknown rather than refused.
+            if not await self._async_is_usable(name, address):
                 continue
             try:
                 reply = await self._async_call(
@@ -123,6 +117,63 @@
             self._back_off(name, "log unreachable")
         return PeerOutcome(None, may_have_effect)
 
+    async def async_send_collected(
+        self, name: str, request: PeerRequest
+    ) -> PeerOutcome:
+        """Send a request to one entry node that collects requests for a slow store.
+
+        Its answer may take seconds. Meanwhile it is checked that the node can still be
+        reached and can reach the log; otherwise the request is given up.
+        """
+        node = self.ledger.nodes.get(name)
+        if node is None or not await self._async_is_usable(name, node.address):
+            return PeerOutcome(None, may_have_effect=False)
+        replies: list[PeerReply] = []
+        async with anyio.create_task_group() as tasks:
+
+            async def async_call() -> None:
+                try:
+                    replies.append(
+                        await self._async_call(
+                            node.address, request, request.timeout_seconds
+                        )
+                    )
+                except _FAILURES as error:
+                    self._back_off(name, type(error).__name__)
+                tasks.cancel_scope.cancel()
+
+            async def async_watch() -> None:
+                while await self._async_is_usable(name, node.address):
+                    await self.timers.async_sleep(CHECK_VALID_SECONDS)
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(async_call)
+            tasks.start_soon(async_watch)
+        if not replies:
+            return PeerOutcome(None, may_have_effect=True)
+        self._answered_at[name] = self.timers.monotonic()
+        reply = replies[0]
+        if reply.status == 503 and reply.retry_after is None:
+            # It is draining, or can't append for another reason.
+            self._back_off(name, "not collecting")
+            return PeerOutcome(None, may_have_effect=False)
+        return PeerOutcome(reply, reply.status == OUTCOME_UNKNOWN_STATUS)
+
+    def is_backed_off(self, name: str) -> bool:
+        """Return whether an entry node recently failed to answer."""
+        return self.book.is_backed_off(name, self.timers.monotonic())
+
+    async def _async_is_usable(self, name: str, address: str) -> bool:
+        """Return whether a peer can be reached and can reach the log."""
+        try:
+            usable = await self._async_check(name, address)
+        except _FAILURES as error:
+            self._back_off(name, type(error).__name__)
+            return False
+        if not usable:
+            self._back_off(name, "log unreachable")
+        return usable
+
     def ranked_peers(self) -> list[tuple[str, str]]:
         """Return names and addresses of the peers to try, best first."""
         nodes = {
--- a/mustardward/components/front/refusals.py
+++ b/mustardward/components/front/refusals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from ...helpers.logging import get_logger
@@ -22,28 +23,31 @@
     follower: TopicFollower
     config_follower: TopicFollower
 
-    def reject(self, subject: str, code: str, detail: str) -> Reply:
+    def reject(
+        self, subject: str, code: str, detail: str, retry_seconds: float = 0.0
+    ) -> Reply:
         """Return a refusal with status 503 and log it.
 
         Only for a request that certainly had no effect.
 
         :param subject: path or job id for the log.
+        :param retry_seconds: minimum delay for the retry, if the store is slow.
         """
         outage = longest_outage(
             self.timers.monotonic(),
             self.follower.failing_since,
             self.config_follower.failing_since,
         )
-        retry_seconds = retry_after(outage)
+        retry_in = retry_after(max(outage, math.ceil(retry_seconds)))
         _LOGGER.info(
             "request_refused",
             request=subject,
             code=code,
             detail=detail,
             outage_seconds=outage,
-            retry_after=retry_seconds,
+            retry_after=retry_in,
         )
-        return Reply(503, callers.encode_error(code, detail), retry_seconds)
+        return Reply(503, callers.encode_error(code, detail), retry_in)
 
 
 def longest_outage(now: float, *failing_since: float | None) -> float:
--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -146,6 +146,9 @@
             job = callers.decode_job(request.body)
         except MalformedJobError as error:
             return error_reply(400, error.code, error.detail)
+        refusal = self.refuse_if_late(request, self.appender.expected_seconds())
+        if refusal is not None:
+            return refusal
         record = JobRecord(
             job_id,
             queue_key(queue),
@@ -204,6 +207,9 @@
         if job is None:
             return error_reply(410, "no-such-job", "no job has this id")
         if not job.state.final:
+            refusal = self.refuse_if_late(request, self.appender.expected_seconds())
+            if refusal is not None:
+                return refusal
             outcome = await self.appender.async_append(
                 [(PREFIX_CANCEL + job_id, encode(CancelRecord(self.timers.wall())))],
                 self._append_deadline(request),
@@ -213,6 +219,21 @@
                 return self._append_failed_reply(job_id, outcome)
         return Reply(200, callers.encode_state(callers.STATE_CANCELLED))
 
+    def refuse_if_late(self, request: Request, expected_seconds: float) -> Reply | None:
+        """Return the refusal of a request that can't be stored in its time, or None.
+
+        Only for a request that was not sent anywhere.
+
+        :param expected_seconds: time until the store's response, or 0 if unknown.
+        """
+        remaining_seconds = request.deadline - self.timers.monotonic()
+        if expected_seconds <= max(0.0, remaining_seconds):
+            return None
+        detail = f"expected={expected_seconds:.2f} left={remaining_seconds:.2f}"
+        return self.refusals.reject(
+            request.path, "store-slow", detail, expected_seconds
+        )
+
     def unreachable_reply(self, request: Request) -> Reply:
         """Return the refusal of a request that can't be stored from here."""
         return self.refusals.reject(request.path, "cut-off", "no log, no peer")
--- a/mustardward/components/ledger/append_watcher.py
+++ b/mustardward/components/ledger/append_watcher.py
@@ -27,12 +27,16 @@
 answer takes about 6 ms, so this adds little load to a store that is slow or down."""
 
 
+def _no_limit() -> float:
+    return math.inf
+
+
 async def async_call_or_observe(
     timers: TimerService,
     call: Callable[[], Awaitable[T]],
     read_log: Callable[[], Awaitable[bool]],
     is_observed: Callable[[], bool],
-    answer_timeout: float = math.inf,
+    answer_timeout: Callable[[], float] = _no_limit,
 ) -> T | None:
     """Make a call; return None as soon as the log shows that it took effect.
 
@@ -42,8 +46,9 @@
     cancel scope counts, and the whole process would end.
 
     :param read_log: reads the log up to its end; returns whether it succeeded.
-    :param answer_timeout: seconds after which the call is given up, unless a read that
-        began later than that shows its effect.
+    :param answer_timeout: returns the seconds after which the call is given up, unless
+        a read that began later than that shows its effect. Asked again with each read,
+        since the store may become slow while the call is outstanding.
     :raises CallUnknownError: if neither the call nor the log gave a result.
     :raises MustardwardError: whatever the call raises.
     """
@@ -59,11 +64,13 @@
             tasks.cancel_scope.cancel()
 
         async def async_watch_log() -> None:
-            give_up_at = timers.monotonic() + answer_timeout
+            sent_at = timers.monotonic()
             while not is_observed():
                 await timers.async_sleep(LOG_POLL_SECONDS)
                 began = timers.monotonic()
-                if not is_observed() and await read_log() and began >= give_up_at:
+                if is_observed() or not await read_log():
+                    continue
+                if began >= sent_at + answer_timeout():
                     break
             tasks.cancel_scope.cancel()
 
--- a/mustardward/components/ledger/appender.py
+++ b/mustardward/components/ledger/appender.py
@@ -24,6 +24,7 @@
 from ...platform.store import Producer
 from .append_watcher import AppendWatcher, async_call_or_observe
 from .const import INITIAL_RETRY_DELAY_SECONDS, RETRY_DELAY_SECONDS
+from .store_latency import StoreLatency
 
 _LOGGER = get_logger(__name__)
 
@@ -136,6 +137,8 @@
 
     :param sighting: detects an append in the log when its answer does not arrive.
     :param failing_since: steady clock since which calls go unanswered, in seconds.
+    :param latency: the store's latency. While the store is slow, an append is repeated
+        only once its response is overdue by it.
     """
 
     call: AppendCall
@@ -146,6 +149,8 @@
     sighting: AppendWatcher | None = None
     fenced: bool = False
     failing_since: float | None = None
+    latency: StoreLatency = field(default_factory=StoreLatency)
+    _sent_at: float | None = None
     _queue: list[_PendingAppend] = field(default_factory=list)
     _wake: anyio.Event = field(default_factory=anyio.Event)
 
@@ -173,6 +178,22 @@
                 pending.outcome = Outcome.NOT_STORED
         return _combined_outcome({pending.outcome for pending in pending_appends})
 
+    def expected_seconds(self) -> float:
+        """Return how long an append would take if it was queued now, in seconds.
+
+        Zero unless the store is slow; only then can it exceed what a caller has left.
+        """
+        now = self.timers.monotonic()
+        if not self.latency.is_slow(now):
+            return 0.0
+        seconds = self.latency.seconds(now)
+        remaining = 0.0
+        if self._sent_at is not None:
+            # One that is late already is likely to take as long again.
+            remaining = abs(self._sent_at + seconds - now)
+        queued = sum(encoded_size(pending.records) for pending in self._queue)
+        return remaining + seconds * (1 + queued // MAX_APPEND_BYTES)
+
     def post(self, records: list[Record]) -> None:
         """Queue records for an append without waiting for the outcome."""
         self._enqueue(records, self.timers.monotonic() + 1.0)
@@ -232,7 +253,11 @@
         if self.sighting is not None:
             self.sighting.expect(records)
         while True:
+            self._sent_at = self.timers.monotonic()
             outcome = await self._async_attempt_or_observe(records, answer_timeout)
+            if outcome is Outcome.STORED:
+                self.latency.record_append(self._sent_at, self.timers.monotonic())
+            self._sent_at = None
             if outcome is Outcome.STORED:
                 self._mark_stored(batch)
                 return
@@ -264,7 +289,7 @@
                 lambda: self._async_attempt(records),
                 watcher.read_log,
                 lambda: watcher.observed,
-                answer_timeout,
+                lambda: max(answer_timeout, self._overdue_seconds()),
             )
         except CallUnknownError:
             outcome = Outcome.UNKNOWN
@@ -277,6 +302,9 @@
             return Outcome.STORED
         return outcome
 
+    def _overdue_seconds(self) -> float:
+        return self.latency.overdue_seconds(self.timers.monotonic())
+
     async def _async_attempt(self, records: list[Record]) -> Outcome:
         """Make one call; return its outcome from its answer alone."""
         try:
--- a/mustardward/components/ledger/const.py
+++ b/mustardward/components/ledger/const.py
@@ -35,6 +35,10 @@
 for callers are not counted. Two topics make 280 a second, a seventh of what the store
 can answer, whatever the number of entry nodes."""
 
+MAX_TIMED_PAGE_BYTES: Final = 32_768
+"""Size up to which the time of a read tells the store's latency. A larger page takes
+long to transfer over a slow link."""
+
 MAX_POLL_MS: Final = 1000
 MIN_POLL_MS: Final = 300
 """A silent connection is detected after this and the read's own slack, also by an entry
--- a/mustardward/components/ledger/follower.py
+++ b/mustardward/components/ledger/follower.py
@@ -14,9 +14,11 @@
 from .const import (
     MAX_POLL_MS,
     MAX_READS_PER_SECOND,
+    MAX_TIMED_PAGE_BYTES,
     MIN_POLL_MS,
     RETRY_DELAY_SECONDS,
 )
+from .store_latency import StoreLatency
 
 _LOGGER = get_logger(__name__)
 
@@ -74,6 +76,7 @@
         or negative before the first load.
     :param failing_since: steady clock since which calls fail, in seconds, or None.
     :param record_listeners: called with each record of the tail, once it is applied.
+    :param latency: is told how long the reads take.
     """
 
     store: StoreClient
@@ -90,6 +93,7 @@
     failing_since: float | None = None
     on_change: Callable[[], None] | None = None
     record_listeners: list[Callable[[KeyedRecord], None]] = field(default_factory=list)
+    latency: StoreLatency = field(default_factory=StoreLatency)
     _interval_override: float | None = None
     _loaded: anyio.Event = field(default_factory=anyio.Event)
     _catch_up_lock: anyio.Lock = field(default_factory=anyio.Lock)
@@ -117,10 +121,7 @@
                 if self.offset < 0:
                     await self.async_load()
                 else:
-                    # A long poll sent during an outage would still hang after its end.
-                    failing = self.failing_since is not None
-                    wait_ms = 0 if failing else poll_timeout_ms(self.entries())
-                    await self._async_read(wait_ms)
+                    await self._async_read(self._wait_ms())
             except OffsetGoneError as error:
                 _LOGGER.warning(
                     "topic_history_expired", topic=self.topic, first=error.first
@@ -133,11 +134,26 @@
                 continue
             await self.timers.async_sleep(self._interval())
 
+    def _wait_ms(self) -> int:
+        """Return how long the next read waits for a record, in milliseconds.
+
+        A long poll sent during an outage would still hang after its end. While the
+        store is slow, one without a wait shows sooner that it has recovered.
+        """
+        if self.failing_since is not None or self._is_store_slow():
+            return 0
+        return poll_timeout_ms(self.entries())
+
+    def _is_store_slow(self) -> bool:
+        return self.latency.is_slow(self.timers.monotonic())
+
     def _interval(self) -> float:
         if self._interval_override is not None:
             return self._interval_override
+        # Without a wait, only the interval limits the reads.
+        scaled = self.scale_interval or self._is_store_slow()
         return idle_poll_interval(
-            self.interval_seconds, self.entries() if self.scale_interval else 0
+            self.interval_seconds, self.entries() if scaled else 0
         )
 
     async def async_catch_up(self) -> bool:
@@ -199,13 +215,30 @@
 
     async def _async_read(self, wait_ms: int) -> bool:
         sent_at = self.timers.monotonic()
-        page = await self.store.async_read(self.topic, self.offset, wait_ms)
+        page = await self._async_read_timed(sent_at, wait_ms)
         self._apply_page(page)
         if page.next_offset < page.end:
             return False
         self._mark_succeeded(sent_at)
         return True
 
+    async def _async_read_timed(self, sent_at: float, wait_ms: int) -> Page:
+        """Read a page, and record how long the store took."""
+        wait_seconds = wait_ms / 1000
+        token = self.latency.begin_call(sent_at, wait_seconds)
+        try:
+            page = await self.store.async_read(self.topic, self.offset, wait_ms)
+        except _READ_FAILURES:
+            self.latency.record_failed_read(sent_at, self.timers.monotonic())
+            raise
+        finally:
+            self.latency.end_call(token)
+        if sum(len(record.value) for record in page.records) <= MAX_TIMED_PAGE_BYTES:
+            now = self.timers.monotonic()
+            has_records = bool(page.records)
+            self.latency.record_read(sent_at, now, wait_seconds, has_records)
+        return page
+
     def _apply_page(self, page: Page) -> None:
         fresh = [record for record in page.records if record.offset >= self.offset]
         for record in fresh:
--- a/mustardward/components/ledger/store_latency.py
+++ b/mustardward/components/ledger/store_latency.py
@@ -3,6 +3,9 @@
 Without this, a store that is 94 times slower is taken for one that loses responses: all
 entries retry their appends several times a second, the log partition executes more
 retries than new records, and the owner's lease renewals wait behind them.
+
+Only reads show whether the store is slow. An append also waits in its partition's
+queue, and a store that loses the responses to appends still answers reads fast.
 """
 
 from __future__ import annotations
@@ -11,20 +14,53 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from ...helpers.policies import switchable
+
 SLOW_SECONDS: Final = 0.1
 """Latency from which on the store counts as slow; its usual one is 6 ms."""
 
 RECOVERED_SECONDS: Final = 0.05
 """Latency below which a slow store counts as recovered."""
 
+EXECUTION_SHARE: Final = 0.25
+"""Share of a read's latency that a partition takes to execute one append: 1 ms of 4 ms.
+An append's response takes that much longer than a read's, even without a queue."""
+
+APPEND_MAX_AGE_SECONDS: Final = 2.0
+"""Time for which an append's response tells the length of the partition's queue. The
+store refuses an append when more than 2 s of work is queued."""
+
+UNDECIDED_SECONDS: Final = 1.0
+"""Time after the first failed read within which a store may turn out to be slow rather
+than down."""
+
+OVERDUE_FACTOR: Final = 3.0
+"""Multiple of the expected time after which a response is overdue. Appends that arrive
+before the slowness is detected queue for up to twice the usual response time."""
+
+
+def _not_measured(latency: StoreLatency, /, now: float) -> float:
+    return 0.0
+
 
 @dataclass(slots=True, eq=False)
 class StoreLatency:
-    """Hold the store's current latency; all times are monotonic seconds."""
-
-    _latency_seconds: float = 0.0
-    _slow: bool = False
-    _outstanding: dict[int, float] = field(default_factory=dict)
+    """Hold the store's current latency; all times are monotonic seconds.
+
+    :param slow_since: time since which the store is slow, or None.
+    :param unanswered_since: time since which reads fail, or None. A store that answers
+        nothing is down rather than slow.
+    """
+
+    slow_since: float | None = None
+    unanswered_since: float | None = None
+    _read_seconds: float = 0.0
+    _read_limit: float = 0.0
+    _read_sent_at: float = -math.inf
+    _answered_at: float = -math.inf
+    _append_seconds: float = 0.0
+    _append_answered_at: float = -math.inf
+    _outstanding: dict[int, tuple[float, float]] = field(default_factory=dict)
     _last_token: int = 0
 
     def record_read(
@@ -34,44 +70,112 @@
 
         A read that waits for a record is answered once there is one. An empty response
         therefore took the wait and the latency; one with records took between the
-        latency and both.
+        latency and both. The read that was sent last counts.
 
         :param wait_seconds: how long the store was asked to wait for a record.
         """
+        # A read that was late counts as seen, even if the next one answers first.
+        self.is_slow(answered_at)
+        self.unanswered_since = None
+        self._answered_at = max(self._answered_at, answered_at)
+        if sent_at < self._read_sent_at:
+            return
+        self._read_sent_at = sent_at
         elapsed = answered_at - sent_at
         at_least = max(0.0, elapsed - wait_seconds)
-        if wait_seconds <= 0.0 or not has_records:
-            self._set(at_least if wait_seconds > 0.0 else elapsed)
-        else:
-            self._set(min(elapsed, max(at_least, self._latency_seconds)))
+        self._read_limit = elapsed if has_records else at_least
+        self._read_seconds = min(self._read_limit, max(at_least, self._read_seconds))
+        self.is_slow(answered_at)
+
+    def record_failed_read(self, sent_at: float, now: float) -> None:
+        """Record that a read failed or got no response in time.
+
+        The timeout of a read that was sent before the last response was received may
+        have been too short for the latency that this response showed.
+        """
+        if sent_at >= self._answered_at and self.unanswered_since is None:
+            self.unanswered_since = now
 
     def record_append(self, sent_at: float, answered_at: float) -> None:
         """Record the response to an append, which includes its wait in the queue."""
-        self._set(answered_at - sent_at)
+        self._append_seconds = answered_at - sent_at
+        self._append_answered_at = answered_at
 
     def begin_call(self, now: float, wait_seconds: float = 0.0) -> int:
-        """Record that a call is sent; return the token for its end.
+        """Record that a read is sent; return the token for its end.
 
         :param wait_seconds: how long the store was asked to wait for a record.
         """
         self._last_token += 1
-        self._outstanding[self._last_token] = now + wait_seconds
+        self._outstanding[self._last_token] = (now, now + wait_seconds)
         return self._last_token
 
     def end_call(self, token: int) -> None:
-        """Record that a call has ended, with or without a response."""
+        """Record that a read has ended, with or without a response."""
         self._outstanding.pop(token, None)
 
     def seconds(self, now: float) -> float:
-        """Return the expected time until a call's response, in seconds."""
-        oldest = min(self._outstanding.values(), default=math.inf)
-        return max(self._latency_seconds, now - oldest)
+        """Return the expected time until a call's response, in seconds.
 
-    def is_slow(self, now: float) -> bool:
-        """Return whether the store responds much later than usual."""
-        limit = RECOVERED_SECONDS if self._slow else SLOW_SECONDS
-        self._slow = self.seconds(now) >= limit
-        return self._slow
+        While the store is slow, that of an append, which takes longer than a read.
+        """
+        read_seconds = self._current_read_seconds(now)
+        if not self.is_slow(now):
+            return read_seconds
+        expected = read_seconds * (1 + EXECUTION_SHARE)
+        if now - self._append_answered_at < APPEND_MAX_AGE_SECONDS:
+            expected = max(expected, self._append_seconds)
+        return expected
+
+    def overdue_seconds(self, now: float) -> float:
+        """Return the time after which a response is overdue; 0 unless it is slow."""
+        return OVERDUE_FACTOR * self.seconds(now) if self.is_slow(now) else 0.0
 
-    def _set(self, latency_seconds: float) -> None:
-        self._latency_seconds = latency_seconds
+    def is_slow(self, now: float) -> bool:
+        """Return whether the store responds to reads much later than usual."""
+        if self.unanswered_since is not None:
+            self.slow_since = None
+            return False
+        limit = SLOW_SECONDS if self.slow_since is None else RECOVERED_SECONDS
+        if self._current_read_seconds(now) < limit:
+            self.slow_since = None
+        elif self.slow_since is None:
+            self.slow_since = now
+        return self.slow_since is not None
+
+    def may_be_slow(self, now: float) -> bool:
+        """Return whether the store is slow, or began to fail a moment ago.
+
+        The responses of a very slow store arrive after the timeout of its reads, which
+        therefore fail until a probe with a longer timeout is answered.
+        """
+        if self.unanswered_since is None:
+            return self.is_slow(now)
+        return now - self.unanswered_since < UNDECIDED_SECONDS
+
+    def is_overdue(self, now: float) -> bool:
+        """Return whether a read is outstanding for longer than usual, or failed."""
+        failing = self.unanswered_since is not None
+        return failing or self._outstanding_seconds(now) >= SLOW_SECONDS
+
+    @switchable(
+        "store-latency",
+        "a store that is slow is not taken for one that loses responses",
+        without=_not_measured,
+    )
+    def _current_read_seconds(self, now: float) -> float:
+        return max(self._read_seconds, self._outstanding_seconds(now))
+
+    def _outstanding_seconds(self, now: float) -> float:
+        """Return by how much the latest of the outstanding reads is late, in seconds.
+
+        One that was sent before the newest answered read shows an earlier latency, and
+        counts only as far as that read may have taken as long.
+        """
+        late = (
+            now - due
+            if sent_at >= self._read_sent_at
+            else min(now - due, self._read_limit)
+            for sent_at, due in self._outstanding.values()
+        )
+        return max(late, default=0.0)
--- a/mustardward/components/ownership/models.py
+++ b/mustardward/components/ownership/models.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ...helpers.timer import TimerService
 from ...platform.advice import AdviceClient
@@ -13,6 +13,7 @@
 from ..configuration.services import Configuration
 from ..ledger.follower import TopicFollower
 from ..ledger.ledger import Ledger
+from ..ledger.store_latency import StoreLatency
 from ..ledger.unlogged_completions import UnloggedCompletions
 
 
@@ -36,3 +37,4 @@
     advice: AdviceClient | None = None
     fleet: FleetClient | None = None
     fleet_limits: BootFleet = BootFleet()
+    store_latency: StoreLatency = field(default_factory=StoreLatency)
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -107,6 +107,7 @@
             f"owner/{SHARD}",
             epoch,
             sequence=1,
+            latency=dependencies.store_latency,
         )
         self._append_watcher = AppendWatcher(
             dependencies.follower.async_catch_up, UNIQUE_OWNER_PREFIXES
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -26,8 +26,10 @@
 from ..components.ledger.appender import GroupAppender
 from ..components.ledger.const import PREFIX_NODE, TOPIC, UNIQUE_ENTRY_PREFIXES
 from ..components.ledger.follower import TopicFollower
+from ..components.ledger.latency_probe import LatencyProbe
 from ..components.ledger.ledger import Ledger, encode
 from ..components.ledger.models import NodeRecord
+from ..components.ledger.store_latency import StoreLatency
 from ..components.ledger.unlogged_completions import UnloggedCompletions
 from ..components.ownership.const import FOLLOWER_POLL_SECONDS
 from ..components.ownership.models import OwnerDependencies
@@ -39,7 +41,7 @@
 from ..platform.boot import BootSettings
 from ..platform.fleet import FleetClient
 from ..platform.http import HttpCaller, base_url
-from ..platform.store import TOPIC_OPERATOR, StoreClient
+from ..platform.store import LONG_POLL_SLACK_SECONDS, TOPIC_OPERATOR, StoreClient
 
 _LOGGER = get_logger(__name__)
 
@@ -76,7 +78,10 @@
         self._peers_http = HttpCaller()
         self._configuration = Configuration(require_api_keys=boot.has_organisations)
         self._ledger = Ledger()
-        self._relay = self._build_relay(boot)
+        self._latency = StoreLatency()
+        direct_store = StoreClient(self._http, boot.platform.address)
+        self._probe = LatencyProbe(direct_store, self._timers, self._latency)
+        self._relay = self._build_relay(boot, direct_store)
         store = StoreClient(self._relay, boot.platform.address)
         self._config_follower = TopicFollower(
             store,
@@ -87,6 +92,7 @@
             CONFIG_POLL_SECONDS,
             entries=self._count_entries,
             node=boot.node,
+            latency=self._latency,
         )
         self._follower = TopicFollower(
             store,
@@ -98,12 +104,14 @@
             entries=self._count_entries,
             node=boot.node,
             scale_interval=True,
+            latency=self._latency,
         )
         self._appender = GroupAppender(
             lambda records, producer: store.async_append(TOPIC, records, producer),
             self._timers,
             f"{boot.node}/{secrets.token_hex(6)}",
             epoch=1,
+            latency=self._latency,
         )
         append_watcher = AppendWatcher(
             self._follower.async_catch_up, UNIQUE_ENTRY_PREFIXES
@@ -133,7 +141,13 @@
             self._timers,
         )
         self._failover = FailoverHandler(
-            front, self._forwarder, self._timers, self._completions, self._relay
+            front,
+            self._forwarder,
+            self._timers,
+            self._completions,
+            self._relay,
+            self._latency,
+            lambda: self._server.draining,
         )
         self._server = FrontServer(self._failover, self._timers, self._is_ready)
         advice = AdviceClient(self._http, boot.advice) if boot.advice else None
@@ -154,6 +168,7 @@
                 advice,
                 fleet,
                 boot.cloud,
+                self._latency,
             ),
             _claim_fraction(boot),
         )
@@ -161,8 +176,7 @@
     def _count_entries(self) -> int:
         return len(self._ledger.nodes)
 
-    def _build_relay(self, boot: BootSettings) -> StoreRelay:
-        address = boot.platform.address
+    def _build_relay(self, boot: BootSettings, direct_store: StoreClient) -> StoreRelay:
         # Separate from the forwarder of callers' requests: a peer that can't reach the
         # store is skipped here only, since it may still serve those.
         forwarder = Forwarder(
@@ -175,10 +189,14 @@
         return StoreRelay(
             self._http,
             self._peers_http,
-            base_url(address),
+            base_url(boot.platform.address),
             forwarder,
             self._timers,
-            StoreClient(self._http, address).async_is_reachable,
+            lambda: direct_store.async_is_reachable(
+                LONG_POLL_SLACK_SECONDS
+                + self._latency.overdue_seconds(self._timers.monotonic())
+            ),
+            self._latency,
         )
 
     @property
@@ -209,6 +227,7 @@
         self._tasks.start_soon(self._ownership.async_run)
         self._tasks.start_soon(self._completions.async_run)
         self._tasks.start_soon(self._relay.async_run)
+        self._tasks.start_soon(self._probe.async_run)
         address = f"{self._boot.ip}:{self._boot.port_range[0]}"
         self._tasks.start_soon(
             async_serve_peers, address, self._failover.async_answer_peer, self._timers
--- a/mustardward/platform/store.py
+++ b/mustardward/platform/store.py
@@ -220,9 +220,12 @@
         from_offset: int,
         wait_ms: int,
         kilobytes: int = READ_KILOBYTES,
+        slack_seconds: float = LONG_POLL_SLACK_SECONDS,
     ) -> Page:
         """Return the records from an offset on; wait for the first one if needed.
 
+        :param slack_seconds: timeout of the response, in addition to the wait.
+
         :raises OffsetGoneError: if records at this offset were deleted.
         :raises CallRefusedError: if the store returned no records response.
         """
@@ -235,7 +238,7 @@
                 names.PARAM_WAIT: str(wait_ms),
                 names.PARAM_KILOBYTES: str(kilobytes),
             },
-            wait_ms / 1000 + LONG_POLL_SLACK_SECONDS,
+            wait_ms / 1000 + slack_seconds,
         )
         if response.status == 410:
             raise OffsetGoneError(_decode(response, GoneBody).first)
@@ -243,10 +246,14 @@
             raise CallRefusedError(f"status={response.status}")
         return decode_keyed(response.body, from_offset)
 
-    async def async_is_reachable(self) -> bool:
+    async def async_is_reachable(
+        self, timeout_seconds: float = LONG_POLL_SLACK_SECONDS
+    ) -> bool:
         """Return whether the store responds to a read without waiting."""
         try:
-            page = await self.async_read(TOPIC_OPERATOR, 0, 0, kilobytes=1)
+            page = await self.async_read(
+                TOPIC_OPERATOR, 0, 0, kilobytes=1, slack_seconds=timeout_seconds
+            )
         except OffsetGoneError:
             return True
         except (CallRefusedError, CallUnknownError):
--- a/tests/components/forwarding/slow_store.py
+++ b/tests/components/forwarding/slow_store.py
@@ -31,8 +31,10 @@
     UNIQUE_OWNER_PREFIXES,
 )
 from mustardward.components.ledger.follower import TopicFollower
+from mustardward.components.ledger.latency_probe import LatencyProbe
 from mustardward.components.ledger.ledger import Ledger, encode
 from mustardward.components.ledger.models import NodeRecord, OwnerRecord
+from mustardward.components.ledger.store_latency import StoreLatency
 from mustardward.components.ledger.unlogged_completions import UnloggedCompletions
 from mustardward.helpers.http_connection import HttpResponse
 from mustardward.helpers.timer import LoopTimerService
@@ -55,6 +57,9 @@
 PEER_SECONDS = 0.002
 CALLER_SECONDS = 3.0
 RENEWAL_SECONDS = 0.4
+START_SPREAD_SECONDS = 0.047
+"""Delay between the starts of two entries, whose reads must not be in step."""
+
 _HEAD: Final = struct.Struct(">QQ")
 
 
@@ -212,14 +217,20 @@
             return _LocalForwarder(self.ledger, timers, book, world=world, name=name)
 
         self.forwarder = build_forwarder()
+        latency = self.latency = StoreLatency()
+        direct = StoreClient(world.partition, "store:1")
         relay = StoreRelay(
             world.partition,  # type: ignore[arg-type]
             world.partition,  # type: ignore[arg-type]
             "http://store:1",
             build_forwarder(),
             timers,
-            StoreClient(world.partition, "store:1").async_is_reachable,
+            lambda: direct.async_is_reachable(
+                0.5 + latency.overdue_seconds(timers.monotonic())
+            ),
+            latency,
         )
+        self.probe = LatencyProbe(direct, timers, latency)
         store = StoreClient(relay, "store:1")
 
         def follow(topic: str, state: Any, interval: float) -> TopicFollower:
@@ -236,6 +247,7 @@
                 scale_interval=topic == TOPIC,
                 offset=0,
                 up_to_date_at=timers.monotonic(),
+                latency=latency,
             )
 
         self.follower = follow(TOPIC, self.ledger, 0.15)
@@ -250,6 +262,7 @@
                 producer,
                 epoch=1,
                 sighting=watcher,
+                latency=latency,
             )
 
         self.appender = build_appender(f"{name}/1", UNIQUE_ENTRY_PREFIXES)
@@ -272,15 +285,18 @@
             timers,
         )
         self.failover = FailoverHandler(
-            self.front, self.forwarder, timers, completions, relay
+            self.front, self.forwarder, timers, completions, relay, latency
         )
 
-    def start(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Start the entry's background tasks."""
+    async def async_run(self, delay_seconds: float) -> None:
+        """Run the entry's background tasks from a moment of its own on."""
+        await anyio.sleep(delay_seconds)
+        tasks = self.world.tasks
         tasks.start_soon(self.follower.async_run)
         tasks.start_soon(self.config_follower.async_run)
         tasks.start_soon(self.appender.async_run)
         tasks.start_soon(self.owner_appender.async_run)
+        tasks.start_soon(self.probe.async_run)
 
     async def async_post(
         self, job_id: str, seconds: float = CALLER_SECONDS, method: str = "POST"
@@ -329,8 +345,8 @@
         self.entries = [Entry(self, name, nodes[name].zone) for name in self.names]
         self.by_address = {f"{entry.name}:1": entry for entry in self.entries}
         self._submitted: dict[str, tuple[float, Reply | None, float]] = {}
-        for entry in self.entries:
-            entry.start(tasks)
+        for at, entry in enumerate(self.entries):
+            tasks.start_soon(entry.async_run, START_SPREAD_SECONDS * at)
 
     @property
     def owner(self) -> Entry:
