Count the age of a claim as no pause of the process

The authority is now created when the claim is sent and ticked while it is outstanding; only a gap between ticks is a pause. It still counts from the sending of the claim, as a successor's hold assumes.

Two tests build the Authority that they passed as a time before.

--- a/mustardward/components/ownership/authority.py
+++ b/mustardward/components/ownership/authority.py
@@ -15,11 +15,12 @@
     """Limit the time in which commands may be sent without a stored renewal.
 
     After a takeover, the new owner waits no longer than this time plus a lease for
-    workers that it can't reach.
+    workers that it can't reach. It is created and ticked from the sending of the claim
+    on, so that a pause of the process while the claim is outstanding is detected, and a
+    claim that a slow store answers late is not taken for a pause.
 
     :param clock: a monotonic clock that also counts suspensions, in seconds.
-    :param claimed_at: when the claim was sent, on that clock. The process may have been
-        paused since, and another entry may have claimed the shard meanwhile.
+    :param claimed_at: when the claim was sent, on that clock; counts as a renewal.
     """
 
     clock: Callable[[], float]
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -41,7 +41,7 @@
 from .directory import WorkerDirectory
 from .load import OwnerLoad
 from .models import OwnerDependencies
-from .owner_check import OwnerCheck
+from .owner_check import OwnerCheck, async_tick
 from .progress_writer import ProgressWriter
 from .renewals import Renewals, blocked_until
 from .takeover import Takeover, hold_previous_runs
@@ -62,7 +62,7 @@
     :param epoch: the fencing token of all commands and appends.
     :param claim: the id of the claim that won.
     :param previous: the newest record of the previous owner.
-    :param claimed_at: when the claim was sent, on the clock that counts suspensions.
+    :param authority: ticked since the claim was sent.
     :param previous_read_at: when that newest record was read here, in monotonic
         seconds; None if it was there at the first read.
     """
@@ -73,7 +73,7 @@
         epoch: int,
         claim: str,
         previous: OwnerRecord,
-        claimed_at: float,
+        authority: Authority,
         previous_read_at: float | None = None,
     ) -> None:
         self._dependencies = dependencies
@@ -82,7 +82,7 @@
         self._epoch = epoch
         self._deposed = anyio.Event()
         self._plan_requested = anyio.Event()
-        self._authority = Authority(dependencies.timers.boottime, claimed_at)
+        self._authority = authority
         self._check = OwnerCheck(
             epoch,
             claim,
@@ -194,7 +194,9 @@
             load = OwnerLoad(
                 dependencies.node, executor.calls, executor.window, run_logger
             )
-            tasks.start_soon(self._check.async_tick)
+            tasks.start_soon(
+                async_tick, self._authority, self._epoch, dependencies.timers
+            )
             tasks.start_soon(self._async_monitor, directory, load)
             if dependencies.fleet is not None:
                 self._start_fleet(dependencies.fleet, dispatcher, tasks)
--- a/mustardward/components/ownership/owner_check.py
+++ b/mustardward/components/ownership/owner_check.py
@@ -15,9 +15,18 @@
 _LOGGER = get_logger(__name__)
 
 
+async def async_tick(authority: Authority, epoch: int, timers: TimerService) -> None:
+    """Notice pauses of the process, also while the log is read."""
+    while True:
+        pause_seconds = authority.tick()
+        if pause_seconds:
+            _LOGGER.warning("owner_paused", epoch=epoch, pause_seconds=pause_seconds)
+        await timers.async_sleep(SELF_CHECK_SECONDS)
+
+
 @dataclass(slots=True, eq=False)
 class OwnerCheck:
-    """Notice pauses of the process and a newer owner.
+    """Notice a newer owner, also after pauses of the process.
 
     :param claim: the id of the claim that won the epoch.
     :param depose: called if another entry owns the shard.
@@ -31,16 +40,6 @@
     timers: TimerService
     depose: Callable[[], None]
 
-    async def async_tick(self) -> None:
-        """Notice pauses of the process, also while the log is read."""
-        while True:
-            pause_seconds = self.authority.tick()
-            if pause_seconds:
-                _LOGGER.warning(
-                    "owner_paused", epoch=self.epoch, pause_seconds=pause_seconds
-                )
-            await self.timers.async_sleep(SELF_CHECK_SECONDS)
-
     async def async_is_owner(self) -> bool:
         """Return whether the log names no other owner; depose this one if it does.
 
--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -21,6 +21,7 @@
 from ..ledger.const import KEY_OWNER, RETRY_DELAY_SECONDS, SHARD, TOPIC
 from ..ledger.ledger import encode
 from ..ledger.models import OwnerRecord
+from .authority import Authority
 from .const import (
     HANDOVER_DELAY_SECONDS,
     HANDOVER_INTERVAL_SECONDS,
@@ -30,6 +31,7 @@
 from .election import Election, should_hand_over
 from .models import OwnerDependencies
 from .owner import Owner
+from .owner_check import async_tick
 
 _LOGGER = get_logger(__name__)
 
@@ -108,23 +110,15 @@
         number, so that the log keeps one of the two records and confirms both.
         """
         dependencies = self._dependencies
+        timers = dependencies.timers
         epoch = dependencies.ledger.owner.epoch + 1
         claim = secrets.token_hex(8)
-        claimed_at = dependencies.timers.boottime()
-        record = OwnerRecord(
-            epoch, claim, dependencies.node, 0, dependencies.timers.wall()
-        )
-        if not await self._async_append(record):
-            return None
-        # The claim may be known from a load, whose pages are of different times. All
-        # records before the claim are known once a later read has reached the end.
-        while not (
-            await dependencies.follower.async_catch_up()
-            and dependencies.ledger.owner.epoch >= epoch
-        ):
-            await dependencies.timers.async_sleep(RETRY_DELAY_SECONDS)
-        won = dependencies.ledger.owner.claim == claim
-        _LOGGER.info("shard_claimed", epoch=epoch, won=won)
+        authority = Authority(timers.boottime, timers.boottime())
+        record = OwnerRecord(epoch, claim, dependencies.node, 0, timers.wall())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(async_tick, authority, epoch, timers)
+            won = await self._async_win(record)
+            tasks.cancel_scope.cancel()
         if not won:
             return None
         # The previous owner may have stored records while the claim was outstanding.
@@ -132,9 +126,25 @@
         previous_read_at = (
             self._election.renewal_read_at
             if previous == self._election.last_owner
-            else dependencies.timers.monotonic()
+            else timers.monotonic()
         )
-        return Owner(dependencies, epoch, claim, previous, claimed_at, previous_read_at)
+        return Owner(dependencies, epoch, claim, previous, authority, previous_read_at)
+
+    async def _async_win(self, record: OwnerRecord) -> bool:
+        """Append a claim and read the log; return whether it won."""
+        dependencies = self._dependencies
+        if not await self._async_append(record):
+            return False
+        # The claim may be known from a load, whose pages are of different times. All
+        # records before the claim are known once a later read has reached the end.
+        while not (
+            await dependencies.follower.async_catch_up()
+            and dependencies.ledger.owner.epoch >= record.epoch
+        ):
+            await dependencies.timers.async_sleep(RETRY_DELAY_SECONDS)
+        won = dependencies.ledger.owner.claim == record.claim
+        _LOGGER.info("shard_claimed", epoch=record.epoch, won=won)
+        return won
 
     async def _async_append(self, record: OwnerRecord) -> bool:
         """Append a claim; return False if it is not stored or has certainly lost.
--- a/tests/components/ownership/test_release.py
+++ b/tests/components/ownership/test_release.py
@@ -9,6 +9,7 @@
 from mustardward.components.ledger.const import KEY_OWNER, TOPIC
 from mustardward.components.ledger.ledger import Ledger, encode
 from mustardward.components.ledger.models import OwnerRecord
+from mustardward.components.ownership.authority import Authority
 from mustardward.components.ownership.owner import Owner
 from mustardward.components.ownership.takeover import hold_previous_runs
 from mustardward.components.scheduling.models import QueuePolicy
@@ -69,8 +70,8 @@
         dependencies = build_dependencies("node-1", self.store, self.timers)
         dependencies.ledger.apply(KeyedRecord(0, KEY_OWNER, encode(record)))
         previous = OwnerRecord(EPOCH - 1, "", "", 0)
-        claimed_at = self.timers.boottime()
-        self.owner = Owner(dependencies, EPOCH, "c", previous, claimed_at)
+        authority = Authority(self.timers.boottime, self.timers.boottime())
+        self.owner = Owner(dependencies, EPOCH, "c", previous, authority)
         tasks.start_soon(dependencies.follower.async_run)
         tasks.start_soon(self.owner.async_run)
 
--- a/tests/components/ownership/test_suspended_orders.py
+++ b/tests/components/ownership/test_suspended_orders.py
@@ -9,6 +9,7 @@
 from mustardward.components.ledger.const import KEY_OWNER, TOPIC
 from mustardward.components.ledger.ledger import encode
 from mustardward.components.ledger.models import OwnerRecord
+from mustardward.components.ownership.authority import Authority
 from mustardward.components.ownership.owner import Owner
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.platform.fleet import FleetPage
@@ -77,7 +78,8 @@
     dependencies = build_dependencies("node-1", store, timers, fleet=platform)
     dependencies.ledger.apply(KeyedRecord(0, KEY_OWNER, encode(record)))
     previous = OwnerRecord(EPOCH - 1, "", "", 0)
-    owner = Owner(dependencies, EPOCH, "c", previous, timers.boottime())
+    authority = Authority(timers.boottime, timers.boottime())
+    owner = Owner(dependencies, EPOCH, "c", previous, authority)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(owner.async_run)
         for _ in range(4):
