Keep the number of collecting entries small while a store turns slow

While the slowness is being detected, each entry took a very slow store for one that is down for a fraction of a second. Others then left it out for 1.5 s and chose further collecting entries, so that up to 15 entries appended. The job records sent before the detection also queue in the partition.

A collecting entry goes on collecting until the store is known to be down, is left out for only 0.3 s, and entries that can't read forward to the collecting ones first. Reads of a busy topic wait 50 ms, and a POST or DELETE waits while a read is 0.03 to 0.1 s late, so that fewer appends are sent before the detection.

--- a/mustardward/components/forwarding/collectors.py
+++ b/mustardward/components/forwarding/collectors.py
@@ -39,10 +39,14 @@
     A request waits for the append in flight and for its own. The owner and each
     collecting node have one append in flight, and the partition executes them one at a
     time, so that each collecting node adds one execution to the time of an append.
+
+    :param latency_seconds: infinite if it is not known yet.
     """
     execution_seconds = latency_seconds * EXECUTION_SHARE
     if execution_seconds <= 0.0:
         return MAX_COLLECTORS
+    if execution_seconds == math.inf:
+        return MIN_COLLECTORS
     queue_seconds = COLLECTED_STORE_SECONDS / 2 - latency_seconds
     affordable = math.floor(queue_seconds / execution_seconds) - 1
     return max(MIN_COLLECTORS, min(MAX_COLLECTORS, affordable))
--- a/mustardward/components/forwarding/const.py
+++ b/mustardward/components/forwarding/const.py
@@ -74,6 +74,9 @@
 HEDGE_POLL_SECONDS: Final = 0.1
 """Interval of checks whether a slow store has recovered or is down."""
 
+SUSPECT_POLL_SECONDS: Final = 0.01
+"""Interval of checks whether a late read has been answered."""
+
 OUTCOME_UNKNOWN_STATUS: Final = 504
 """Status of a request that may have taken effect. Any refusal status would state that a
 job does not run although it may."""
@@ -87,6 +90,11 @@
 MIN_COLLECTORS: Final = 2
 """So that the loss of one collecting node stops only some of the requests."""
 
+COLLECTOR_BACKOFF_SECONDS: Final = 0.3
+"""Time for which a collecting node that can't append is left out. While a store becomes
+very slow, every entry node takes it for being down for a fraction of a second; if that
+changed the choice for longer, most of them would collect."""
+
 MAX_COLLECTORS: Final = 4
 MAX_COLLECTORS_ASKED: Final = 3
 """Collecting nodes tried for one request, one after the other."""
--- a/mustardward/components/forwarding/failover.py
+++ b/mustardward/components/forwarding/failover.py
@@ -29,6 +29,7 @@
     OUTAGE_SECONDS,
     OUTCOME_UNKNOWN_STATUS,
     RELAY_METHOD,
+    SUSPECT_POLL_SECONDS,
     WITNESS_METHOD,
 )
 from .models import PeerReply, PeerRequest
@@ -105,10 +106,16 @@
         return reply.version >= self.front.configuration.newest_version
 
     def is_log_unreachable(self) -> bool:
-        """Return whether the log has been unreachable for over OUTAGE_SECONDS."""
+        """Return whether the log has been unreachable for over OUTAGE_SECONDS.
+
+        A slow store answers, even if earlier calls to it have timed out.
+        """
+        now = self.timers.monotonic()
+        if self.latency.is_slow(now):
+            return False
         front = self.front
         outage = longest_outage(
-            self.timers.monotonic(),
+            now,
             front.follower.failing_since,
             front.config_follower.failing_since,
             front.appender.failing_since,
@@ -183,8 +190,11 @@
         return job_id is not None and await self.completions.async_is_complete(job_id)
 
     async def _async_answer_or_forward(self, request: Request) -> Reply:
+        is_append = request.method in _APPENDED_METHODS
+        if is_append:
+            await self._async_wait_while_suspect()
         if not self.is_log_unreachable() and not self._is_outdated():
-            if request.method in _APPENDED_METHODS and self._is_store_slow():
+            if is_append and self._is_store_slow():
                 return await self._async_answer_collected(request)
             return await self.async_answer_hedged(request)
         outcome = await self._async_forward_unless_isolated(request)
@@ -204,7 +214,7 @@
             return self.completions.answer_peer(request)
         if request.method == RELAY_METHOD:
             return await self.relay.async_answer_peer(request)
-        if self.is_log_unreachable() or self._must_decline(request):
+        if self._must_decline(request):
             return PeerReply(503, b"", confirmed=False)
         if request.method == CHECK_METHOD:
             return PeerReply(200, b"")
@@ -228,9 +238,14 @@
 
         An answer by an older configuration than the sender's could take the caller back
         to an older version, and a node that is about to stop may not finish an append.
+        One that may merely take a very slow store for being down goes on collecting.
         """
         if request.collected and self.is_draining():
             return True
+        now = self.timers.monotonic()
+        collects = request.collected and self.latency.may_be_slow(now)
+        if self.is_log_unreachable() and not collects:
+            return True
         return request.method != CHECK_METHOD and request.version > self._version()
 
     @switchable(
@@ -283,6 +298,15 @@
     def _is_store_slow(self) -> bool:
         return self.latency.is_slow(self.timers.monotonic())
 
+    async def _async_wait_while_suspect(self) -> None:
+        """Wait until it is known whether the store has become slow.
+
+        Each append that an entry node sends to a slow store without knowing so queues
+        in the partition, and all those that follow wait behind it.
+        """
+        while self.latency.is_suspect(self.timers.monotonic()):
+            await self.timers.async_sleep(SUSPECT_POLL_SECONDS)
+
     @switchable(
         "collected-appends",
         "while the store is slow, a few entry nodes append the requests of all",
@@ -298,7 +322,8 @@
         front = self.front
         may_have_effect = False
         for name in self.collectors(request.path):
-            expected_seconds = self.latency.seconds(self.timers.monotonic())
+            now = self.timers.monotonic()
+            expected_seconds = self.latency.unqueued_seconds(now)
             refusal = front.refuse_if_late(request, expected_seconds)
             if refusal is not None:
                 return self._outcome_reply(request, refusal, may_have_effect)
@@ -327,7 +352,9 @@
         return choose_collectors(
             path,
             rank_collectors(ledger.nodes, ledger.owner.node),
-            collector_count(self.latency.seconds(self.timers.monotonic())),
+            collector_count(
+                self.latency.confirmed_read_seconds(self.timers.monotonic())
+            ),
             node,
             lambda name: (
                 self.is_draining()
@@ -401,7 +428,15 @@
     async def async_forward(self, request: Request) -> PeerOutcome:
         """Forward a request to peers, one after the other."""
         peer_request = self._build_peer_request(request)
-        outcome = await self.forwarder.async_forward(peer_request)
+        if self.latency.was_slow(self.timers.monotonic()):
+            # Any other peer's append would lengthen the partition's queue.
+            outcome = await self.forwarder.async_forward(
+                peer_request,
+                peer_request.timeout_seconds,
+                self.collectors(request.path),
+            )
+        else:
+            outcome = await self.forwarder.async_forward(peer_request)
         outcome = self._record_version(peer_request, outcome)
         PEER_ANSWERS.labels(str(outcome.reply is not None).lower()).inc()
         _LOGGER.info(
--- a/mustardward/components/forwarding/relay.py
+++ b/mustardward/components/forwarding/relay.py
@@ -234,7 +234,7 @@
     )
     async def _async_relay(self, call: RelayedCall) -> RelayResult:
         """Return a peer's answer or None, and whether the call may have an effect."""
-        timeout_seconds = RELAY_TIMEOUT_SECONDS
+        timeout_seconds = RELAY_TIMEOUT_SECONDS + self._late_by()
         if call.is_read:
             timeout_seconds += call.silence_seconds or 0.0
         request = PeerRequest(
--- a/mustardward/components/forwarding/services.py
+++ b/mustardward/components/forwarding/services.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -22,6 +22,7 @@
     CHECK_METHOD,
     CHECK_TIMEOUT_SECONDS,
     CHECK_VALID_SECONDS,
+    COLLECTOR_BACKOFF_SECONDS,
     LISTEN_RETRY_DELAY_SECONDS,
     MAX_PEERS_ASKED,
     OUTCOME_UNKNOWN_STATUS,
@@ -85,15 +86,22 @@
         self.pool = ChannelPool(self.timers.monotonic, None, self.check_seconds)
 
     async def async_forward(
-        self, request: PeerRequest, answer_timeout_seconds: float = PEER_TIMEOUT_SECONDS
+        self,
+        request: PeerRequest,
+        answer_timeout_seconds: float = PEER_TIMEOUT_SECONDS,
+        preferred: Sequence[str] = (),
     ) -> PeerOutcome:
         """Return the answer of the first peer that can reach the log.
 
         :param answer_timeout_seconds: timeout of one peer's answer.
+        :param preferred: names of the peers to try before all others.
         """
         may_have_effect = False
         deadline = self.timers.monotonic() + request.timeout_seconds
-        for name, address in self.ranked_peers()[: self.most_asked]:
+        peers = self.ranked_peers()
+        order = {name: at for at, name in enumerate(preferred)}
+        peers.sort(key=lambda peer: order.get(peer[0], len(order)))
+        for name, address in peers[: self.most_asked]:
             remaining_seconds = deadline - self.timers.monotonic()
             if remaining_seconds <= 0:
                 break
@@ -126,7 +134,7 @@
         reached and can reach the log; otherwise the request is given up.
         """
         node = self.ledger.nodes.get(name)
-        if node is None or not await self._async_is_usable(name, node.address):
+        if node is None or not await self._async_is_collecting(name, node.address):
             return PeerOutcome(None, may_have_effect=False)
         replies: list[PeerReply] = []
         async with anyio.create_task_group() as tasks:
@@ -143,7 +151,7 @@
                 tasks.cancel_scope.cancel()
 
             async def async_watch() -> None:
-                while await self._async_is_usable(name, node.address):
+                while await self._async_is_collecting(name, node.address):
                     await self.timers.async_sleep(CHECK_VALID_SECONDS)
                 tasks.cancel_scope.cancel()
 
@@ -155,7 +163,7 @@
         reply = replies[0]
         if reply.status == 503 and reply.retry_after is None:
             # It is draining, or can't append for another reason.
-            self._back_off(name, "not collecting")
+            self._back_off(name, "not collecting", COLLECTOR_BACKOFF_SECONDS)
             return PeerOutcome(None, may_have_effect=False)
         return PeerOutcome(reply, reply.status == OUTCOME_UNKNOWN_STATUS)
 
@@ -163,15 +171,22 @@
         """Return whether an entry node recently failed to answer."""
         return self.book.is_backed_off(name, self.timers.monotonic())
 
-    async def _async_is_usable(self, name: str, address: str) -> bool:
+    async def _async_is_collecting(self, name: str, address: str) -> bool:
+        """Return whether a peer can be reached and can collect requests."""
+        return await self._async_is_usable(name, address, collected=True)
+
+    async def _async_is_usable(
+        self, name: str, address: str, collected: bool = False
+    ) -> bool:
         """Return whether a peer can be reached and can reach the log."""
         try:
-            usable = await self._async_check(name, address)
+            usable = await self._async_check(name, address, collected)
         except _FAILURES as error:
             self._back_off(name, type(error).__name__)
             return False
         if not usable:
-            self._back_off(name, "log unreachable")
+            max_seconds = COLLECTOR_BACKOFF_SECONDS if collected else math.inf
+            self._back_off(name, "log unreachable", max_seconds)
         return usable
 
     def ranked_peers(self) -> list[tuple[str, str]]:
@@ -196,16 +211,22 @@
             _LOGGER.info("peer_query_failed", peer=name, detail=type(error).__name__)
             return None
 
-    async def _async_check(self, name: str, address: str) -> bool:
+    async def _async_check(
+        self, name: str, address: str, collected: bool = False
+    ) -> bool:
         """Return whether a peer can reach the log; skip the call after a recent answer.
 
         A lost answer to a real request leaves its outcome unknown; a lost answer to a
         check has no consequence.
+
+        :param collected: whether it is to collect requests for a slow store.
         """
         now = self.timers.monotonic()
         if now - self._answered_at.get(name, -math.inf) < CHECK_VALID_SECONDS:
             return True
-        check = PeerRequest(CHECK_METHOD, "", "", b"", self.check_seconds)
+        check = PeerRequest(
+            CHECK_METHOD, "", "", b"", self.check_seconds, collected=collected
+        )
         reply = await self._async_call(address, check, self.check_seconds)
         if reply.status != 200:
             return False
@@ -226,8 +247,8 @@
             lease.release()
         return reply
 
-    def _back_off(self, name: str, detail: str) -> None:
-        self.book.back_off(name, self.timers.monotonic())
+    def _back_off(self, name: str, detail: str, max_seconds: float = math.inf) -> None:
+        self.book.back_off(name, self.timers.monotonic(), max_seconds)
         _LOGGER.info("peer_backed_off", peer=name, detail=detail)
 
 
--- a/mustardward/components/ledger/appender.py
+++ b/mustardward/components/ledger/appender.py
@@ -186,7 +186,8 @@
         now = self.timers.monotonic()
         if not self.latency.is_slow(now):
             return 0.0
-        seconds = self.latency.seconds(now)
+        # What was queued when the last append was sent has been executed since.
+        seconds = self.latency.unqueued_seconds(now)
         remaining = 0.0
         if self._sent_at is not None:
             # One that is late already is likely to take as long again.
--- a/mustardward/components/ledger/const.py
+++ b/mustardward/components/ledger/const.py
@@ -40,6 +40,9 @@
 long to transfer over a slow link."""
 
 MAX_POLL_MS: Final = 1000
+BUSY_POLL_MS: Final = 50
+"""Wait of a read after one that returned records."""
+
 MIN_POLL_MS: Final = 300
 """A silent connection is detected after this and the read's own slack, also by an entry
 node that is partitioned together with its data centre, which then rejects callers so
--- a/mustardward/components/ledger/follower.py
+++ b/mustardward/components/ledger/follower.py
@@ -12,6 +12,7 @@
 from ...platform.exceptions import CallRefusedError, CallUnknownError, OffsetGoneError
 from ...platform.store import KeyedRecord, Page, StoreClient
 from .const import (
+    BUSY_POLL_MS,
     MAX_POLL_MS,
     MAX_READS_PER_SECOND,
     MAX_TIMED_PAGE_BYTES,
@@ -95,6 +96,7 @@
     record_listeners: list[Callable[[KeyedRecord], None]] = field(default_factory=list)
     latency: StoreLatency = field(default_factory=StoreLatency)
     _interval_override: float | None = None
+    _has_news: bool = False
     _loaded: anyio.Event = field(default_factory=anyio.Event)
     _catch_up_lock: anyio.Lock = field(default_factory=anyio.Lock)
     _load_lock: anyio.Lock = field(default_factory=anyio.Lock)
@@ -142,6 +144,10 @@
         """
         if self.failing_since is not None or self._is_store_slow():
             return 0
+        if self._has_news:
+            # Most likely there is more soon. A read that is late then shows after a
+            # short time that the store is slow.
+            return BUSY_POLL_MS
         return poll_timeout_ms(self.entries())
 
     def _is_store_slow(self) -> bool:
@@ -216,6 +222,7 @@
     async def _async_read(self, wait_ms: int) -> bool:
         sent_at = self.timers.monotonic()
         page = await self._async_read_timed(sent_at, wait_ms)
+        self._has_news = bool(page.records)
         self._apply_page(page)
         if page.next_offset < page.end:
             return False
--- a/mustardward/components/ledger/store_latency.py
+++ b/mustardward/components/ledger/store_latency.py
@@ -19,6 +19,9 @@
 SLOW_SECONDS: Final = 0.1
 """Latency from which on the store counts as slow; its usual one is 6 ms."""
 
+SUSPECT_SECONDS: Final = 0.03
+"""Lateness of a read from which on the store may be about to count as slow."""
+
 RECOVERED_SECONDS: Final = 0.05
 """Latency below which a slow store counts as recovered."""
 
@@ -119,13 +122,20 @@
 
         While the store is slow, that of an append, which takes longer than a read.
         """
-        read_seconds = self._current_read_seconds(now)
         if not self.is_slow(now):
-            return read_seconds
-        expected = read_seconds * (1 + EXECUTION_SHARE)
-        if now - self._append_answered_at < APPEND_MAX_AGE_SECONDS:
-            expected = max(expected, self._append_seconds)
-        return expected
+            return self.read_seconds(now)
+        if now - self._append_answered_at >= APPEND_MAX_AGE_SECONDS:
+            return self.unqueued_seconds(now)
+        return max(self.unqueued_seconds(now), self._append_seconds)
+
+    def confirmed_read_seconds(self, now: float) -> float:
+        """Return the time of a read; infinite while one is later than any response."""
+        late = self._outstanding_seconds(now) > self._read_seconds
+        return math.inf if late else self._read_seconds
+
+    def unqueued_seconds(self, now: float) -> float:
+        """Return the least time until an append's response, without a queue."""
+        return self.read_seconds(now) * (1 + EXECUTION_SHARE)
 
     def overdue_seconds(self, now: float) -> float:
         """Return the time after which a response is overdue; 0 unless it is slow."""
@@ -137,7 +147,7 @@
             self.slow_since = None
             return False
         limit = SLOW_SECONDS if self.slow_since is None else RECOVERED_SECONDS
-        if self._current_read_seconds(now) < limit:
+        if self.read_seconds(now) < limit:
             self.slow_since = None
         elif self.slow_since is None:
             self.slow_since = now
@@ -153,6 +163,16 @@
             return self.is_slow(now)
         return now - self.unanswered_since < UNDECIDED_SECONDS
 
+    def is_suspect(self, now: float) -> bool:
+        """Return whether a read is late, but not late enough for a slow store."""
+        return self._outstanding_seconds(now) >= SUSPECT_SECONDS and not (
+            self.is_slow(now) or self.unanswered_since is not None
+        )
+
+    def was_slow(self, now: float) -> bool:
+        """Return whether the store is slow, or was before it began to fail."""
+        return self.may_be_slow(now) or self._read_seconds >= RECOVERED_SECONDS
+
     def is_overdue(self, now: float) -> bool:
         """Return whether a read is outstanding for longer than usual, or failed."""
         failing = self.unanswered_since is not None
@@ -163,7 +183,8 @@
         "a store that is slow is not taken for one that loses responses",
         without=_not_measured,
     )
-    def _current_read_seconds(self, now: float) -> float:
+    def read_seconds(self, now: float) -> float:
+        """Return the expected time until a read's response, in seconds."""
         return max(self._read_seconds, self._outstanding_seconds(now))
 
     def _outstanding_seconds(self, now: float) -> float:
