Test failures of collecting entries, and report the store's latency

Log lines store_slow and store_recovered show the latency, since when the store is slow, and which entries collect; metrics show the same.

--- a/mustardward/components/forwarding/collectors.py
+++ b/mustardward/components/forwarding/collectors.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Mapping, Sequence
 from itertools import zip_longest
 
 from ...helpers.rendezvous import rendezvous_order
@@ -53,22 +53,18 @@
 
 
 def choose_collectors(
-    key: str,
-    ranked: Iterable[str],
-    count: int,
-    node: str,
-    is_backed_off: Callable[[str], bool],
+    key: str, available: Sequence[str], count: int, node: str
 ) -> list[str]:
     """Return the entry nodes to send a request to, one after the other.
 
     Requests with the same key go to the same node, whichever entry node they are sent
     from. A node that collects appends its own callers' requests itself.
 
+    :param available: ranked entry nodes that did not fail recently; the first of them
+        collect.
     :param node: the entry node that has the request.
-    :param is_backed_off: returns whether a node recently failed.
     """
-    available = [name for name in ranked if not is_backed_off(name)]
-    collecting, others = available[:count], available[count:]
+    collecting, others = available[:count], list(available[count:])
     if node in collecting:
         return [node]
     order = rendezvous_order(key, collecting) + others
--- a/mustardward/components/forwarding/failover.py
+++ b/mustardward/components/forwarding/failover.py
@@ -342,26 +342,30 @@
             reply = await self.async_answer_hedged(request)
         return self._outcome_reply(request, reply, may_have_effect)
 
-    def collectors(self, path: str = "") -> list[str]:
-        """Return the entry nodes to send a request to, one after the other.
+    def collecting(self) -> list[str]:
+        """Return the entry nodes that collect requests in this one's view."""
+        return self._available()[: self._collector_count()]
 
-        :param path: path of the request.
-        """
-        ledger = self.front.ledger
+    def collectors(self, path: str) -> list[str]:
+        """Return the entry nodes to send a request to, one after the other."""
         node = self.front.follower.node
-        return choose_collectors(
-            path,
-            rank_collectors(ledger.nodes, ledger.owner.node),
-            collector_count(
-                self.latency.confirmed_read_seconds(self.timers.monotonic())
-            ),
-            node,
-            lambda name: (
-                self.is_draining()
-                if name == node
-                else self.forwarder.is_backed_off(name)
-            ),
-        )
+        count = self._collector_count()
+        return choose_collectors(path, self._available(), count, node)
+
+    def _collector_count(self) -> int:
+        now = self.timers.monotonic()
+        return collector_count(self.latency.confirmed_read_seconds(now))
+
+    def _available(self) -> list[str]:
+        """Return the entry nodes that can collect, the best ones first."""
+        ledger = self.front.ledger
+        ranked = rank_collectors(ledger.nodes, ledger.owner.node)
+        return [name for name in ranked if not self._is_left_out(name)]
+
+    def _is_left_out(self, name: str) -> bool:
+        if name == self.front.follower.node:
+            return self.is_draining()
+        return self.forwarder.is_backed_off(name)
 
     async def _async_send_collected(self, name: str, request: Request) -> PeerOutcome:
         """Send a request to one collecting entry node."""
--- a/mustardward/helpers/instruments.py
+++ b/mustardward/helpers/instruments.py
@@ -139,6 +139,21 @@
     ("answered",),
     registry=REGISTRY,
 )
+STORE_LATENCY_SECONDS: Final = Gauge(
+    "mustardward_store_latency_seconds",
+    "Expected time until the store's response, as this entry knows it.",
+    registry=REGISTRY,
+)
+STORE_SLOW_SECONDS: Final = Gauge(
+    "mustardward_store_slow_seconds",
+    "Time since which the store is slow for this entry, or 0.",
+    registry=REGISTRY,
+)
+COLLECTING: Final = Gauge(
+    "mustardward_collecting",
+    "Whether this entry appends the requests of others while the store is slow.",
+    registry=REGISTRY,
+)
 OWNED_EPOCH: Final = Gauge(
     "mustardward_owned_epoch",
     "The epoch under which this entry owns the shard, or 0.",
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -16,6 +16,7 @@
     RELAY_PEER_BACKOFF_SECONDS,
 )
 from ..components.forwarding.failover import FailoverHandler
+from ..components.forwarding.latency_reporter import LatencyReporter
 from ..components.forwarding.peer_selector import PeerSelector
 from ..components.forwarding.relay import StoreRelay
 from ..components.forwarding.services import Forwarder, async_serve_peers
@@ -228,6 +229,10 @@
         self._tasks.start_soon(self._completions.async_run)
         self._tasks.start_soon(self._relay.async_run)
         self._tasks.start_soon(self._probe.async_run)
+        reporter = LatencyReporter(
+            self._boot.node, self._timers, self._latency, self._failover.collecting
+        )
+        self._tasks.start_soon(reporter.async_run)
         address = f"{self._boot.ip}:{self._boot.port_range[0]}"
         self._tasks.start_soon(
             async_serve_peers, address, self._failover.async_answer_peer, self._timers
--- a/tests/components/forwarding/slow_store.py
+++ b/tests/components/forwarding/slow_store.py
@@ -90,6 +90,7 @@
 
     slowness: float = 1.0
     losing_responses: bool = False
+    losing_appends: bool = False
     down: bool = False
     store: MemoryStore = field(default_factory=MemoryStore)
     executed: int = 0
@@ -145,6 +146,8 @@
         self, topic: str, params: dict[str, str], body: bytes
     ) -> HttpResponse:
         loop = asyncio.get_running_loop()
+        if self.losing_appends:
+            await anyio.sleep_forever()
         if self._busy_until > loop.time() + 2.0:
             await anyio.sleep(0.004 * self.slowness)
             return HttpResponse(503, b"")
@@ -181,6 +184,26 @@
         self._changed = anyio.Event()
 
 
+@dataclass(eq=False)
+class _Link:
+    """Connect an entry to the store, unless it is lost or cut off."""
+
+    world: World
+    name: str
+
+    async def async_call(self, *args: Any, **options: Any) -> HttpResponse:
+        world = self.world
+        params = options.get("params") or {}
+        if names.PARAM_PRODUCER in params:
+            sequence = int(params[names.PARAM_SEQUENCE])
+            world.calls.append((params[names.PARAM_PRODUCER], sequence))
+        if self.name in world.lost | world.cut_off:
+            limit = options.get("read_timeout_seconds") or options["timeout_seconds"]
+            await anyio.sleep(limit)
+            raise CallUnknownError("timeout")
+        return await world.partition.async_call(*args, **options)
+
+
 @dataclass(slots=True, eq=False)
 class _LocalForwarder(Forwarder):
     """Call peers in this process; those that are cut off never answer."""
@@ -218,10 +241,11 @@
 
         self.forwarder = build_forwarder()
         latency = self.latency = StoreLatency()
-        direct = StoreClient(world.partition, "store:1")
+        link = _Link(world, name)
+        direct = StoreClient(link, "store:1")
         relay = StoreRelay(
-            world.partition,  # type: ignore[arg-type]
-            world.partition,  # type: ignore[arg-type]
+            link,  # type: ignore[arg-type]
+            link,  # type: ignore[arg-type]
             "http://store:1",
             build_forwarder(),
             timers,
@@ -285,7 +309,13 @@
             timers,
         )
         self.failover = FailoverHandler(
-            self.front, self.forwarder, timers, completions, relay, latency
+            self.front,
+            self.forwarder,
+            timers,
+            completions,
+            relay,
+            latency,
+            lambda: name in world.draining,
         )
 
     async def async_run(self, delay_seconds: float) -> None:
@@ -325,6 +355,9 @@
     """Entry nodes, their partition and a steady load of jobs.
 
     :param lost: names of the entries that no peer reaches.
+    :param cut_off: names of the entries that do not reach the store.
+    :param draining: names of the entries that are about to stop.
+    :param calls: appends that entries sent, as the producer and its sequence number.
     """
 
     def __init__(self, tasks: anyio.abc.TaskGroup, entries: int = 42) -> None:
@@ -333,6 +366,9 @@
         self.partition = Partition()
         self.names = [f"e{number:02d}" for number in range(entries)]
         self.lost: set[str] = set()
+        self.cut_off: set[str] = set()
+        self.draining: set[str] = set()
+        self.calls: list[tuple[str, int]] = []
         store = self.partition.store
         store.append(TOPIC_OPERATOR, [("config", encode_config())])
         nodes = {
