Leave out a collecting entry only briefly when forwarding during detection

An entry whose reads of a very slow store time out forwards to the collecting entries. Those that were at the same point declined, were left out for 1.5 s, and further entries appended instead.

--- a/mustardward/components/forwarding/services.py
+++ b/mustardward/components/forwarding/services.py
@@ -100,6 +100,7 @@
         deadline = self.timers.monotonic() + request.timeout_seconds
         peers = self.ranked_peers()
         order = {name: at for at, name in enumerate(preferred)}
+        max_backoff = COLLECTOR_BACKOFF_SECONDS if preferred else math.inf
         peers.sort(key=lambda peer: order.get(peer[0], len(order)))
         for name, address in peers[: self.most_asked]:
             remaining_seconds = deadline - self.timers.monotonic()
@@ -107,7 +108,7 @@
                 break
             # Without the log, it would call the store in vain, and the outcome of its
             # append would be unknown rather than refused.
-            if not await self._async_is_usable(name, address):
+            if not await self._async_is_usable(name, address, max_backoff=max_backoff):
                 continue
             try:
                 reply = await self._async_call(
@@ -122,7 +123,7 @@
                 self._answered_at[name] = self.last_answer_at
                 return PeerOutcome(reply, may_have_effect)
             may_have_effect = may_have_effect or reply.status == OUTCOME_UNKNOWN_STATUS
-            self._back_off(name, "log unreachable")
+            self._back_off(name, "log unreachable", max_backoff)
         return PeerOutcome(None, may_have_effect)
 
     async def async_send_collected(
@@ -173,20 +174,29 @@
 
     async def _async_is_collecting(self, name: str, address: str) -> bool:
         """Return whether a peer can be reached and can collect requests."""
-        return await self._async_is_usable(name, address, collected=True)
+        return await self._async_is_usable(
+            name, address, collected=True, max_backoff=COLLECTOR_BACKOFF_SECONDS
+        )
 
     async def _async_is_usable(
-        self, name: str, address: str, collected: bool = False
+        self,
+        name: str,
+        address: str,
+        collected: bool = False,
+        max_backoff: float = math.inf,
     ) -> bool:
-        """Return whether a peer can be reached and can reach the log."""
+        """Return whether a peer can be reached and can reach the log.
+
+        :param collected: whether it is to collect requests for a slow store.
+        :param max_backoff: limit of its backoff if it can't reach the log, in seconds.
+        """
         try:
             usable = await self._async_check(name, address, collected)
         except _FAILURES as error:
             self._back_off(name, type(error).__name__)
             return False
         if not usable:
-            max_seconds = COLLECTOR_BACKOFF_SECONDS if collected else math.inf
-            self._back_off(name, "log unreachable", max_seconds)
+            self._back_off(name, "log unreachable", max_backoff)
         return usable
 
     def ranked_peers(self) -> list[tuple[str, str]]:
