--- a/mustardward/components/forwarding/failover.py
+++ b/mustardward/components/forwarding/failover.py
@@ -28,13 +28,14 @@
     ISOLATED_RETRY_SECONDS,
     OUTAGE_SECONDS,
     OUTCOME_UNKNOWN_STATUS,
+    OWNER_METHOD,
     RELAY_METHOD,
     SUSPECT_POLL_SECONDS,
     WITNESS_METHOD,
 )
 from .models import PeerReply, PeerRequest
 from .relay import StoreRelay
-from .services import Forwarder, PeerOutcome
+from .services import Forwarder, PeerOutcome, PeerRequestHandler
 
 _LOGGER = get_logger(__name__)
 
@@ -78,6 +79,7 @@
 
     :param latency: the store's latency.
     :param is_draining: returns whether this entry node is about to stop.
+    :param answer_owner_query: answers about this node's ownership; None without one.
     """
 
     front: FrontService
@@ -87,6 +89,7 @@
     relay: StoreRelay
     latency: StoreLatency = field(default_factory=StoreLatency)
     is_draining: Callable[[], bool] = _never_draining
+    answer_owner_query: PeerRequestHandler | None = None
     _isolated_until: float = 0.0
 
     def _version(self) -> int:
@@ -214,6 +217,9 @@
             return self.completions.answer_peer(request)
         if request.method == RELAY_METHOD:
             return await self.relay.async_answer_peer(request)
+        if request.method == OWNER_METHOD and self.answer_owner_query is not None:
+            # An owner that can't reach the log keeps its authority for a while.
+            return await self.answer_owner_query(request)
         if self._must_decline(request):
             return PeerReply(503, b"", confirmed=False)
         if request.method == CHECK_METHOD:
--- a/mustardward/components/ownership/models.py
+++ b/mustardward/components/ownership/models.py
@@ -15,12 +15,15 @@
 from ..ledger.ledger import Ledger
 from ..ledger.store_latency import StoreLatency
 from ..ledger.unlogged_completions import UnloggedCompletions
+from .owner_query import PeerQuerier
 
 
 @dataclass(frozen=True, slots=True)
 class OwnerDependencies:
     """Provide the clients and state that an owner's work needs.
 
+    :param latency: tells how slow the store is.
+    :param peers: reaches the other entries; None if there are none.
     :param fleet_limits: the platform's limits on fleet calls of all entries together.
     """
 
@@ -37,4 +40,5 @@
     advice: AdviceClient | None = None
     fleet: FleetClient | None = None
     fleet_limits: BootFleet = BootFleet()
-    store_latency: StoreLatency = field(default_factory=StoreLatency)
+    peers: PeerQuerier | None = None
+    latency: StoreLatency = field(default_factory=StoreLatency)
