Handle an outage as before while the store's latency is unknown

A read that was merely outstanding extended the timeout of the reads that followed, so that the entries noticed an outage late and callers waited for up to 3 s. Only answered reads extend timeouts now, a store counts as undecided for 0.6 s after the first failed read, and a request forwarded in that time is watched like a collected one.

--- a/mustardward/components/forwarding/const.py
+++ b/mustardward/components/forwarding/const.py
@@ -90,11 +90,6 @@
 MIN_COLLECTORS: Final = 2
 """So that the loss of one collecting node stops only some of the requests."""
 
-COLLECTOR_BACKOFF_SECONDS: Final = 0.3
-"""Time for which a collecting node that can't append is left out. While a store becomes
-very slow, every entry node takes it for being down for a fraction of a second; if that
-changed the choice for longer, most of them would collect."""
-
 MAX_COLLECTORS: Final = 4
 MAX_COLLECTORS_ASKED: Final = 3
 """Collecting nodes tried for one request, one after the other."""
--- a/mustardward/components/forwarding/failover.py
+++ b/mustardward/components/forwarding/failover.py
@@ -433,12 +433,7 @@
         """Forward a request to peers, one after the other."""
         peer_request = self._build_peer_request(request)
         if self.latency.was_slow(self.timers.monotonic()):
-            # Any other peer's append would lengthen the partition's queue.
-            outcome = await self.forwarder.async_forward(
-                peer_request,
-                peer_request.timeout_seconds,
-                self.collectors(request.path),
-            )
+            outcome = await self._async_forward_to_collectors(request)
         else:
             outcome = await self.forwarder.async_forward(peer_request)
         outcome = self._record_version(peer_request, outcome)
@@ -451,6 +446,22 @@
         )
         return outcome
 
+    async def _async_forward_to_collectors(self, request: Request) -> PeerOutcome:
+        """Forward a request to the collecting entry nodes, one after the other.
+
+        Any other peer's append would lengthen the queue of a slow partition.
+        """
+        may_have_effect = False
+        for name in self.collectors(request.path):
+            peer_request = self._build_peer_request(request)
+            if peer_request.timeout_seconds <= 0.0:
+                break
+            outcome = await self.forwarder.async_send_collected(name, peer_request)
+            may_have_effect = may_have_effect or outcome.may_have_effect
+            if outcome.reply is not None and outcome.reply.confirmed:
+                return PeerOutcome(outcome.reply, may_have_effect)
+        return PeerOutcome(None, may_have_effect)
+
     def _build_peer_request(
         self, request: Request, collected: bool = False
     ) -> PeerRequest:
--- a/mustardward/components/forwarding/peer_selector.py
+++ b/mustardward/components/forwarding/peer_selector.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass, field
 
 from .const import PEER_BACKOFF_SECONDS
@@ -48,6 +47,6 @@
         """Return whether a peer is left out."""
         return self._backoff_until.get(name, 0.0) > now
 
-    def back_off(self, name: str, now: float, max_seconds: float = math.inf) -> None:
-        """Leave a peer out for the backoff time, or for less."""
-        self._backoff_until[name] = now + min(max_seconds, self.backoff_seconds)
+    def back_off(self, name: str, now: float) -> None:
+        """Leave a peer out for the backoff time."""
+        self._backoff_until[name] = now + self.backoff_seconds
--- a/mustardward/components/forwarding/relay.py
+++ b/mustardward/components/forwarding/relay.py
@@ -158,7 +158,8 @@
     ) -> tuple[HttpResponse | None, CallRefusedError | CallUnknownError | None]:
         try:
             if call.is_read:
-                return await self._async_call_direct(http, call, self._late_by()), None
+                late_by = self._read_extension()
+                return await self._async_call_direct(http, call, late_by), None
             return await self._async_append_direct(http, call), None
         except _FAILURES as error:
             return None, error
@@ -215,17 +216,18 @@
             return answers[0]
         raise errors[0] if errors else CallUnknownError("no answer in time")
 
-    def _late_by(self) -> float:
-        """Return how much later than usual a response may arrive, in seconds."""
-        overdue_seconds = self.latency.overdue_seconds(self.timers.monotonic())
-        return min(MAX_EXTENSION_SECONDS, overdue_seconds)
+    def _read_extension(self) -> float:
+        """Return how much later than usual a read may be answered, in seconds."""
+        seconds = self.latency.read_extension_seconds(self.timers.monotonic())
+        return min(MAX_EXTENSION_SECONDS, seconds)
 
     def _may_be_late(self, sent_at: float) -> bool:
         """Return whether the response to an append may still arrive."""
         now = self.timers.monotonic()
         if not self.latency.is_slow(now):
             return self.latency.may_be_slow(now)
-        return now - sent_at < self._late_by()
+        overdue_seconds = self.latency.overdue_seconds(now)
+        return now - sent_at < min(MAX_EXTENSION_SECONDS, overdue_seconds)
 
     @switchable(
         "store-relay",
@@ -234,7 +236,7 @@
     )
     async def _async_relay(self, call: RelayedCall) -> RelayResult:
         """Return a peer's answer or None, and whether the call may have an effect."""
-        timeout_seconds = RELAY_TIMEOUT_SECONDS + self._late_by()
+        timeout_seconds = RELAY_TIMEOUT_SECONDS + self._read_extension()
         if call.is_read:
             timeout_seconds += call.silence_seconds or 0.0
         request = PeerRequest(
--- a/mustardward/components/forwarding/services.py
+++ b/mustardward/components/forwarding/services.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -22,7 +22,6 @@
     CHECK_METHOD,
     CHECK_TIMEOUT_SECONDS,
     CHECK_VALID_SECONDS,
-    COLLECTOR_BACKOFF_SECONDS,
     LISTEN_RETRY_DELAY_SECONDS,
     MAX_PEERS_ASKED,
     OUTCOME_UNKNOWN_STATUS,
@@ -89,26 +88,20 @@
         self,
         request: PeerRequest,
         answer_timeout_seconds: float = PEER_TIMEOUT_SECONDS,
-        preferred: Sequence[str] = (),
     ) -> PeerOutcome:
         """Return the answer of the first peer that can reach the log.
 
         :param answer_timeout_seconds: timeout of one peer's answer.
-        :param preferred: names of the peers to try before all others.
         """
         may_have_effect = False
         deadline = self.timers.monotonic() + request.timeout_seconds
-        peers = self.ranked_peers()
-        order = {name: at for at, name in enumerate(preferred)}
-        max_backoff = COLLECTOR_BACKOFF_SECONDS if preferred else math.inf
-        peers.sort(key=lambda peer: order.get(peer[0], len(order)))
-        for name, address in peers[: self.most_asked]:
+        for name, address in self.ranked_peers()[: self.most_asked]:
             remaining_seconds = deadline - self.timers.monotonic()
             if remaining_seconds <= 0:
                 break
             # Without the log, it would call the store in vain, and the outcome of its
             # append would be unknown rather than refused.
-            if not await self._async_is_usable(name, address, max_backoff=max_backoff):
+            if not await self._async_is_usable(name, address):
                 continue
             try:
                 reply = await self._async_call(
@@ -123,7 +116,7 @@
                 self._answered_at[name] = self.last_answer_at
                 return PeerOutcome(reply, may_have_effect)
             may_have_effect = may_have_effect or reply.status == OUTCOME_UNKNOWN_STATUS
-            self._back_off(name, "log unreachable", max_backoff)
+            self._back_off(name, "log unreachable")
         return PeerOutcome(None, may_have_effect)
 
     async def async_send_collected(
@@ -135,7 +128,16 @@
         reached and can reach the log; otherwise the request is given up.
         """
         node = self.ledger.nodes.get(name)
-        if node is None or not await self._async_is_collecting(name, node.address):
+        if node is None:
+            return PeerOutcome(None, may_have_effect=False)
+
+        async def async_is_collecting() -> bool:
+            # One that declines answers at once, so that asking it again costs little.
+            return await self._async_is_usable(
+                name, node.address, collected=request.collected, backs_off=False
+            )
+
+        if not await async_is_collecting():
             return PeerOutcome(None, may_have_effect=False)
         replies: list[PeerReply] = []
         async with anyio.create_task_group() as tasks:
@@ -152,7 +154,7 @@
                 tasks.cancel_scope.cancel()
 
             async def async_watch() -> None:
-                while await self._async_is_collecting(name, node.address):
+                while await async_is_collecting():
                     await self.timers.async_sleep(CHECK_VALID_SECONDS)
                 tasks.cancel_scope.cancel()
 
@@ -164,7 +166,6 @@
         reply = replies[0]
         if reply.status == 503 and reply.retry_after is None:
             # It is draining, or can't append for another reason.
-            self._back_off(name, "not collecting", COLLECTOR_BACKOFF_SECONDS)
             return PeerOutcome(None, may_have_effect=False)
         return PeerOutcome(reply, reply.status == OUTCOME_UNKNOWN_STATUS)
 
@@ -172,31 +173,25 @@
         """Return whether an entry node recently failed to answer."""
         return self.book.is_backed_off(name, self.timers.monotonic())
 
-    async def _async_is_collecting(self, name: str, address: str) -> bool:
-        """Return whether a peer can be reached and can collect requests."""
-        return await self._async_is_usable(
-            name, address, collected=True, max_backoff=COLLECTOR_BACKOFF_SECONDS
-        )
-
     async def _async_is_usable(
         self,
         name: str,
         address: str,
         collected: bool = False,
-        max_backoff: float = math.inf,
+        backs_off: bool = True,
     ) -> bool:
         """Return whether a peer can be reached and can reach the log.
 
         :param collected: whether it is to collect requests for a slow store.
-        :param max_backoff: limit of its backoff if it can't reach the log, in seconds.
+        :param backs_off: whether to leave it out for a while if it can't reach the log.
         """
         try:
             usable = await self._async_check(name, address, collected)
         except _FAILURES as error:
             self._back_off(name, type(error).__name__)
             return False
-        if not usable:
-            self._back_off(name, "log unreachable", max_backoff)
+        if not usable and backs_off:
+            self._back_off(name, "log unreachable")
         return usable
 
     def ranked_peers(self) -> list[tuple[str, str]]:
@@ -257,8 +252,8 @@
             lease.release()
         return reply
 
-    def _back_off(self, name: str, detail: str, max_seconds: float = math.inf) -> None:
-        self.book.back_off(name, self.timers.monotonic(), max_seconds)
+    def _back_off(self, name: str, detail: str) -> None:
+        self.book.back_off(name, self.timers.monotonic())
         _LOGGER.info("peer_backed_off", peer=name, detail=detail)
 
 
--- a/mustardward/components/ledger/store_latency.py
+++ b/mustardward/components/ledger/store_latency.py
@@ -33,7 +33,7 @@
 """Time for which an append's response tells the length of the partition's queue. The
 store refuses an append when more than 2 s of work is queued."""
 
-UNDECIDED_SECONDS: Final = 1.0
+UNDECIDED_SECONDS: Final = 0.6
 """Time after the first failed read within which a store may turn out to be slow rather
 than down."""
 
@@ -129,9 +129,12 @@
         return max(self.unqueued_seconds(now), self._append_seconds)
 
     def confirmed_read_seconds(self, now: float) -> float:
-        """Return the time of a read; infinite while one is later than any response."""
-        late = self._outstanding_seconds(now) > self._read_seconds
-        return math.inf if late else self._read_seconds
+        """Return the longest time that a read may take.
+
+        Infinite while one is later than any response.
+        """
+        late = self._outstanding_seconds(now) > self._read_limit
+        return math.inf if late else self._read_limit
 
     def unqueued_seconds(self, now: float) -> float:
         """Return the least time until an append's response, without a queue."""
@@ -141,6 +144,14 @@
         """Return the time after which a response is overdue; 0 unless it is slow."""
         return OVERDUE_FACTOR * self.seconds(now) if self.is_slow(now) else 0.0
 
+    def read_extension_seconds(self, now: float) -> float:
+        """Return how much later than usual a read may be answered, in seconds.
+
+        It follows from answered reads alone, since a read that is merely outstanding
+        may never be answered.
+        """
+        return OVERDUE_FACTOR * self._read_seconds if self.is_slow(now) else 0.0
+
     def is_slow(self, now: float) -> bool:
         """Return whether the store responds to reads much later than usual."""
         if self.unanswered_since is not None:
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -195,7 +195,7 @@
             self._timers,
             lambda: direct_store.async_is_reachable(
                 LONG_POLL_SLACK_SECONDS
-                + self._latency.overdue_seconds(self._timers.monotonic())
+                + self._latency.read_extension_seconds(self._timers.monotonic())
             ),
             self._latency,
         )
--- a/tests/components/forwarding/slow_store.py
+++ b/tests/components/forwarding/slow_store.py
@@ -250,7 +250,7 @@
             build_forwarder(),
             timers,
             lambda: direct.async_is_reachable(
-                0.5 + latency.overdue_seconds(timers.monotonic())
+                0.5 + latency.read_extension_seconds(timers.monotonic())
             ),
             latency,
         )
--- a/tests/components/forwarding/test_collected_appends.py
+++ b/tests/components/forwarding/test_collected_appends.py
@@ -251,6 +251,39 @@
     play(async_play, slowness=1.0)
 
 
+def test_callers_in_an_outage_are_not_held_back() -> None:
+    """Guard against callers that wait for a store that is down as if it was slow."""
+
+    async def async_play(world: World) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(world.async_submit_for, 2.0)
+            await anyio.sleep(0.5)
+            world.partition.down = True
+        await anyio.sleep(CALLER_SECONDS)
+        assert max(answer.waited for answer in world.answers()) < 2.0
+        refused = [answer for answer in world.answers() if answer.status == 503]
+        assert len(refused) > 20
+        assert max(answer.waited for answer in refused) < 0.1
+
+    play(async_play, slowness=1.0)
+
+
+def test_very_slow_store_is_told_from_one_that_is_down() -> None:
+    """Guard against entries that refuse all callers of a store that answers late.
+
+    Each of their reads times out before its response arrives.
+    """
+
+    async def async_play(world: World) -> None:
+        now = world.timers.monotonic()
+        for entry in world.entries:
+            assert entry.latency.is_slow(now)
+            assert not entry.failover.is_log_unreachable()
+        assert (await other(world).async_post(JOB)).status == 200
+
+    play(async_play, slowness=200.0)
+
+
 @pytest.mark.parametrize("collects", [False, True])
 def test_caller_with_too_little_time_is_refused_at_once(collects: bool) -> None:
     """Guard against callers that wait for their full time and can't retry then."""
