Size pools by the work projected for the next seconds

An idle instance stayed on for 2.5 s after a demand peak, and the need was a multiple of what ran and waited at one moment, so that all instances of a peak stayed on for seconds after its work.

Each tick now projects what runs, what waits, later steps and expected jobs in cells of 0.1 s. A pool orders the smallest number of instances that shortens the wait to 0.3 s once they have arrived, and releases an idle instance after 0.5 s if nothing within the break-even time of 2.3 s needs it. Today's rule remains as the `without` of `pools-look-ahead`.

Tests: loads of the planner's tests carry the projected work.

--- a/mustardward/components/fleet/pool_planner.py
+++ b/mustardward/components/fleet/pool_planner.py
@@ -17,6 +17,8 @@
 
 from ...helpers.policies import switchable
 from ...platform.models import INSTANCE_UP, Instance, Room
+from ..pool_sizing.models import Demand, Need, Supply
+from ..pool_sizing.sizing import PoolSizing
 from ..scheduling.demand import PoolLoad
 from .const import (
     BACKLOG_START_SECONDS,
@@ -51,10 +53,23 @@
     view: FleetView
     available: dict[str, Instance]
     counts: Counter[str]
-    needs: dict[str, int]
+    needs: dict[str, Need]
     now: float
 
 
+def _need_by_load(
+    planner: PoolPlanner,
+    /,
+    pool: str,
+    size: Room,
+    load: PoolLoad,
+    supply: Supply,
+    now: float,
+) -> Need:
+    """Return a pool's need by its present load and the rate of its arrivals."""
+    return planner.need_by_load(pool, size, load, supply, now)
+
+
 def _unlimited_need(
     planner: PoolPlanner, /, load: PoolLoad, size: Room, count: int
 ) -> float:
@@ -72,6 +87,7 @@
     move_seconds: float
     budget: OrderBudget = field(default_factory=OrderBudget)
     orders: dict[str, MoveOrder] = field(default_factory=dict)
+    _sizing: PoolSizing = field(default_factory=PoolSizing)
     _need_history: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
     _idle_since: dict[str, float] = field(default_factory=dict)
 
@@ -92,7 +108,13 @@
         counts = self._count_instances(view, held)
         sizes = mean_sizes(view)
         needs = {
-            pool: self._need(pool, sizes, loads, counts[pool], now)
+            pool: self._need(
+                pool,
+                sizes.get(pool) or sizes[ALL_POOLS],
+                loads.get(pool, PoolLoad()),
+                self._supply(pool, counts[pool], now),
+                now,
+            )
             for pool in _pool_names(view)
         }
         snapshot = _Snapshot(view, available, counts, needs, now)
@@ -112,7 +134,8 @@
         for pool, need in sorted(
             snapshot.needs.items(), key=lambda item: -_relative_shortage(item, counts)
         ):
-            yield from self._fill(pool, need - counts[pool], transferable, snapshot)
+            missing = need.ordered - counts[pool]
+            yield from self._fill(pool, missing, transferable, snapshot)
 
     def record_accepted(self, machine: str, now: float) -> None:
         """Record that the platform has started a move."""
@@ -182,17 +205,40 @@
                 counts[instance.pool] += 1
         return counts
 
+    def _supply(self, pool: str, count: int, now: float) -> Supply:
+        """Return the instances that a pool has, and when others arrive."""
+        seconds = self.move_seconds + ORDER_OVERHEAD_SECONDS
+        arrivals = tuple(
+            max(0.0, (order.accepted_at or now) + seconds - now)
+            for order in self.orders.values()
+            if order.pool == pool
+        )
+        return Supply(count - len(arrivals), arrivals, seconds)
+
+    @switchable(
+        "pools-look-ahead",
+        "a pool has the instances that its work needs over the next seconds",
+        without=_need_by_load,
+    )
     def _need(
-        self,
-        pool: str,
-        sizes: dict[str, Room],
-        loads: dict[str, PoolLoad],
-        count: int,
-        now: float,
-    ) -> int:
+        self, pool: str, size: Room, load: PoolLoad, supply: Supply, now: float
+    ) -> Need:
+        """Return how many instances a pool's work needs over the next seconds."""
+        long_running = load.long_running.share_of(size)
+        minimum = max(
+            MIN_POOL_INSTANCES,
+            load.spread_workers,
+            math.ceil(long_running / TARGET_UTILISATION),
+        )
+        demand = Demand(load.profile.in_instances(size), long_running, minimum)
+        isolated = min(load.isolation_workers, MAX_ISOLATED_WORKERS)
+        return self._sizing.need(pool, demand, supply, isolated, now)
+
+    def need_by_load(
+        self, pool: str, size: Room, load: PoolLoad, supply: Supply, now: float
+    ) -> Need:
         """Return how many instances a pool's work needs now."""
-        load = loads.get(pool, PoolLoad())
-        size = sizes.get(pool) or sizes[ALL_POOLS]
+        count = supply.present + len(supply.arrivals)
         demand = sum(
             amount.share_of(size)
             for amount in (load.long_running, load.running, load.waiting)
@@ -210,7 +256,8 @@
         history.append((now, need))
         while history[0][0] < now - idle_timeout_seconds():
             history.pop(0)
-        return need
+        kept = max(recent for _, recent in history)
+        return Need(need, need, kept, idle_timeout_seconds())
 
     @switchable(
         "coming-work",
@@ -242,9 +289,9 @@
         for pool, instances in by_pool.items():
             if pool not in snapshot.view.standby:
                 sort_by_rack_load(instances)
-                del instances[
-                    surplus(snapshot.counts[pool], snapshot.needs.get(pool, 0)) :
-                ]
+                need = snapshot.needs.get(pool)
+                spare = surplus(snapshot.counts[pool], need.lent if need else 0)
+                del instances[spare:]
             # Instances are taken from the end, maintained ones first: the others get
             # their maintenance while nothing runs on them.
             due = snapshot.view.maintenance_due
@@ -284,7 +331,6 @@
         if not view.standby:
             return
         target = min(view.standby)
-        timeout = idle_timeout_seconds()
         for machine, instance in sorted(
             snapshot.available.items(),
             key=lambda item: (item[0] not in view.maintenance_due, item[0]),
@@ -296,10 +342,10 @@
                 or pool not in snapshot.needs
             ):
                 continue
-            if snapshot.now - self._idle_since[machine] < timeout:
+            need = snapshot.needs[pool]
+            if snapshot.now - self._idle_since[machine] < need.idle_seconds:
                 continue
-            recent_need = max(need for _, need in self._need_history[pool])
-            if counts[pool] <= max(recent_need, MIN_POOL_INSTANCES):
+            if counts[pool] <= max(need.kept, MIN_POOL_INSTANCES):
                 continue
             counts[pool] -= 1
             yield self._order(instance, target, snapshot)
@@ -321,6 +367,6 @@
     return (pools | set(view.pools)) - view.standby
 
 
-def _relative_shortage(item: tuple[str, int], counts: Counter[str]) -> float:
+def _relative_shortage(item: tuple[str, Need], counts: Counter[str]) -> float:
     pool, need = item
-    return (need - counts[pool]) / max(1, counts[pool])
+    return (need.ordered - counts[pool]) / max(1, counts[pool])
--- /dev/null
+++ b/mustardward/components/pool_sizing/__init__.py
@@ -0,0 +1,1 @@
+"""Size pools by the work that is projected for the next seconds; pure."""
--- /dev/null
+++ b/mustardward/components/pool_sizing/const.py
@@ -0,0 +1,25 @@
+"""Define the timings and limits of pool sizing."""
+
+from __future__ import annotations
+
+from typing import Final
+
+CELL_SECONDS: Final = 0.1
+"""Length of a cell of the projection; the fleet decides once in each."""
+
+CELLS: Final = 50
+"""Cells of a projection: the time until an instance that is ordered now arrives, and
+the break-even time after that."""
+
+BREAK_EVEN_SECONDS: Final = 2.3
+"""Idle time that costs as much as releasing an instance and ordering it again."""
+
+MAX_WAIT_SECONDS: Final = 0.3
+"""Time that work may wait for room once ordered instances have arrived."""
+
+MAX_KEEP_WAIT_SECONDS: Final = 0.2
+"""Time that work may wait for room before idle instances are kept for it."""
+
+RELEASE_DELAY_SECONDS: Final = 0.5
+"""Time for which an instance has to be idle, and more than its pool needs, before it is
+released: forecasts fluctuate by some instances from tick to tick."""
--- /dev/null
+++ b/mustardward/components/pool_sizing/projection.py
@@ -0,0 +1,96 @@
+"""Search the smallest supply that serves projected work in time; pure.
+
+Work that finds no room waits, and is served in order of arrival by what later cells
+leave free. A cell's supply suffices while what waits can be served within a limit.
+"""
+
+from __future__ import annotations
+
+import math
+
+from .const import (
+    BREAK_EVEN_SECONDS,
+    CELL_SECONDS,
+    CELLS,
+    MAX_KEEP_WAIT_SECONDS,
+    MAX_WAIT_SECONDS,
+)
+from .models import Demand, Supply
+
+UTILISATION = 0.9
+"""Share of an instance that tasks can use: what is left over between tasks of different
+sizes is lost."""
+
+DRAIN_SECONDS = 0.3
+"""Time after the arrival of an instance after which no work waits for too long."""
+
+
+def smallest_order(demand: Demand, supply: Supply) -> int:
+    """Return how many instances have to be ordered now."""
+    present = _capacity_cells(supply, demand.constant)
+    arrival = min(CELLS - 1, math.ceil(supply.order_seconds / CELL_SECONDS))
+    window = slice(arrival, arrival + round(DRAIN_SECONDS / CELL_SECONDS))
+    waiting = _waiting_after(demand.cells[:arrival], present)
+
+    def suffices(count: int) -> bool:
+        capacity = [value + count * UTILISATION for value in present[window]]
+        left = _waiting_after(demand.cells[window], capacity, waiting)
+        return left <= MAX_WAIT_SECONDS * capacity[-1]
+
+    if suffices(0):
+        return 0
+    low, high = 0, 1
+    while not suffices(high):
+        low, high = high, 2 * high
+    while high - low > 1:
+        middle = (low + high) // 2
+        if suffices(middle):
+            high = middle
+        else:
+            low = middle
+    return high
+
+
+def smallest_kept(demand: Demand) -> int:
+    """Return the smallest constant supply that suffices until the break-even time."""
+    cells = demand.cells[: round(BREAK_EVEN_SECONDS / CELL_SECONDS)]
+    low, high = 0.0, max(cells, default=0.0)
+    while high - low > 0.5:
+        middle = (low + high) / 2
+        if _suffices(cells, [middle] * len(cells), 0.0, MAX_KEEP_WAIT_SECONDS):
+            high = middle
+        else:
+            low = middle
+    return math.ceil((high + demand.constant) / UTILISATION)
+
+
+def _capacity_cells(supply: Supply, constant: float) -> list[float]:
+    """Return the capacity for short tasks in each cell, in instances."""
+    cells = [supply.present * UTILISATION - constant] * CELLS
+    for seconds in supply.arrivals:
+        for cell in range(min(CELLS, math.ceil(seconds / CELL_SECONDS)), CELLS):
+            cells[cell] += UTILISATION
+    return [max(0.0, value) for value in cells]
+
+
+def _waiting_after(
+    demand: list[float], capacity: list[float], waiting: float = 0.0
+) -> float:
+    """Return the work that waits after some cells, in instance seconds.
+
+    :param waiting: the work that waits before them.
+    """
+    for used, available in zip(demand, capacity, strict=False):
+        waiting = max(0.0, waiting + (used - available) * CELL_SECONDS)
+    return waiting
+
+
+def _suffices(
+    demand: list[float], capacity: list[float], waiting: float, max_wait: float
+) -> bool:
+    """Return whether no work waits for longer than a limit."""
+    for used, available in zip(demand, capacity, strict=True):
+        waiting = max(0.0, waiting + (used - available) * CELL_SECONDS)
+        if waiting > max_wait * available + 1e-9:
+            return False
+    return True
--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from ...helpers.logging import get_logger
+from ..pool_sizing.work_profile import WorkProfile
 from .crashes import isolated_tasks
 from .inflow import Amount
 from .models import StepRun
@@ -29,6 +30,8 @@
     :param remaining: resources times seconds of all short tasks that are not done,
         whether they run, are ready, or wait for earlier steps.
     :param inflow: resources that keep up with the recent arrivals.
+    :param profile: what short tasks use over the next seconds, including later steps
+        and expected jobs.
     :param spread_workers: workers that a step needs to respect its limit of tasks per
         worker.
     :param isolation_workers: workers that suspected jobs need for themselves.
@@ -43,6 +46,7 @@
     backlog: Amount = field(default_factory=Amount)
     remaining: Amount = field(default_factory=Amount)
     inflow: Amount = field(default_factory=Amount)
+    profile: WorkProfile = field(default_factory=WorkProfile)
     spread_workers: int = 0
     isolation_workers: int = 0
 
@@ -73,6 +77,7 @@
     """Return the load of each pool that has workers or work."""
     loads: defaultdict[str, PoolLoad] = defaultdict(PoolLoad)
     steps: dict[int, StepRun] = {}
+    ends: dict[int, float] = {}
     for worker in state.workers.values():
         load = loads[worker.service]
         is_usable = not worker.cordoned and worker.id not in state.unusable_workers
@@ -86,9 +91,13 @@
                 load.long_running.add(task.step.room)
             else:
                 load.running.add(task.step.room)
-                remaining = state.estimates.seconds(task.step) - (now - task.started_at)
+                remaining = state.estimates.remaining_seconds(task, now)
                 load.remaining.add(task.step.room, max(0.0, remaining))
+                load.profile.add(task.step.room, abs(remaining))
+                key = id(task.step)
+                ends[key] = max(ends.get(key, 0.0), abs(remaining))
     _add_remaining(loads, state)
+    _add_later_steps(loads, state, ends)
     shares = _shares_that_may_start(state)
     for step in state.ready.values():
         steps[id(step)] = step
@@ -98,13 +107,16 @@
             load.long_running.add(step.room, count)
         else:
             load.waiting.add(step.room, count)
-            load.backlog.add(step.room, count * state.estimates.mean_seconds(step))
+            seconds = state.estimates.mean_seconds(step)
+            load.backlog.add(step.room, count * seconds)
+            load.profile.add(step.room, seconds, count)
     for step in steps.values():
         load = loads[step.job.policy.service]
         load.spread_workers = max(load.spread_workers, _workers_to_spread(step))
     _add_isolation_workers(loads, state)
     for service, load in loads.items():
         load.inflow = state.inflow.rate(service, now)
+        state.inflow.add_expected(service, load.profile, now)
     return dict(loads)
 
 
@@ -138,6 +150,33 @@
                 )
 
 
+def _add_later_steps(
+    loads: defaultdict[str, PoolLoad], state: SchedulerState, ends: dict[int, float]
+) -> None:
+    """Add the steps that start once earlier ones are complete to the profiles.
+
+    :param ends: seconds until the running tasks of a step have ended, by object id.
+    """
+    for job in state.jobs.values():
+        if job.state.final or len(job.steps) < 2:
+            continue
+        end_of: dict[tuple[int, int], float] = {}
+        for (occurrence, number), step in job.steps.items():
+            if step.complete or step.spec.long_running:
+                continue
+            seconds = state.estimates.mean_seconds(step)
+            start = max(
+                (end_of.get((occurrence, n), 0.0) for n in step.spec.after),
+                default=0.0,
+            )
+            end = start + seconds if step.waiting else ends.get(id(step), 0.0)
+            end_of[(occurrence, number)] = end
+            if not step.open:
+                loads[job.policy.service].profile.add(
+                    step.room, seconds, len(step.waiting), start
+                )
+
+
 def _add_isolation_workers(
     loads: defaultdict[str, PoolLoad], state: SchedulerState
 ) -> None:
--- a/mustardward/components/scheduling/inflow.py
+++ b/mustardward/components/scheduling/inflow.py
@@ -14,6 +14,8 @@
 
 from ...helpers.policies import switchable
 from ...platform.models import Room
+from ..pool_sizing.const import CELL_SECONDS, CELLS
+from ..pool_sizing.work_profile import WorkProfile
 
 WINDOW_SECONDS: Final = 0.75
 """Window of the arrival rate: half of the start time of an instance, and about 10 jobs
@@ -74,6 +76,7 @@
 
     times: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_ARRIVALS))
     works: deque[Amount] = field(default_factory=lambda: deque(maxlen=MAX_ARRIVALS))
+    seconds: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_ARRIVALS))
 
     def rate(self, now: float) -> float:
         """Return the rate of recent arrivals, in jobs per second."""
@@ -111,11 +114,17 @@
 
     _arrivals: dict[str, _Arrivals] = field(default_factory=dict)
 
-    def record(self, service: str, now: float, work: Amount) -> None:
-        """Record the arrival of a job's work, as resources times seconds."""
+    def record(
+        self, service: str, now: float, work: Amount, seconds: float = 1.0
+    ) -> None:
+        """Record the arrival of a job's work, as resources times seconds.
+
+        :param seconds: the shortest time in which the job can complete.
+        """
         arrivals = self._arrivals.setdefault(service, _Arrivals())
         arrivals.times.append(now)
         arrivals.works.append(work)
+        arrivals.seconds.append(seconds)
 
     @switchable(
         "arrivals-forecast",
@@ -134,3 +143,16 @@
             if jobs:
                 total.add_amount(arrivals.mean_work(), jobs)
         return total
+
+    def add_expected(self, service: str, profile: WorkProfile, now: float) -> None:
+        """Add the jobs that are expected to arrive to a profile."""
+        arrivals = self._arrivals.get(service)
+        rate = arrivals.rate(now) if arrivals is not None else 0.0
+        if arrivals is None or not rate:
+            return
+        seconds = max(CELL_SECONDS, sum(arrivals.seconds) / len(arrivals.seconds))
+        used = Amount()
+        used.add_amount(arrivals.mean_work(), 1 / seconds)
+        for cell in range(CELLS):
+            jobs = rate * CELL_SECONDS
+            profile.add(used, seconds, jobs, cell * CELL_SECONDS)
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -143,7 +143,8 @@
                     step.room, spec.count * self.state.estimates.mean_seconds(step)
                 )
         if work.cpu or work.mem_mb:
-            self.state.inflow.record(job.policy.service, at, work)
+            seconds = self.state.estimates.critical_path(job, only_remaining=False)
+            self.state.inflow.record(job.policy.service, at, work, seconds)
 
     def _open_steps(self, job: Job, occurrence: int, now: float) -> None:
         for number, spec in enumerate(job.record.steps):
--- a/tests/components/fleet/builders.py
+++ b/tests/components/fleet/builders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from mustardward.components.fleet.models import FleetView, Load, WaveRun
+from mustardward.components.pool_sizing.work_profile import WorkProfile
 from mustardward.components.scheduling.demand import PoolLoad
 from mustardward.components.scheduling.inflow import Amount
 from mustardward.platform.models import Instance, MaintenanceWave, Room
@@ -61,10 +62,15 @@
     cores: float = 0.0, waiting: float = 0.0, seconds: float = 0.0, spread: int = 0
 ) -> PoolLoad:
     """Return a pool's load in cores; running tasks take three more seconds."""
+    profile = WorkProfile()
+    profile.add(Amount(cores * 1000), 3.0)
+    if waiting:
+        profile.add(Amount(waiting * 1000), seconds / waiting)
     return PoolLoad(
         running=Amount(cores * 1000),
         waiting=Amount(waiting * 1000),
         backlog=Amount(seconds * 1000),
         remaining=Amount((3.0 * cores + seconds) * 1000),
+        profile=profile,
         spread_workers=spread,
     )
--- /dev/null
+++ b/tests/components/pool_sizing/__init__.py
@@ -0,0 +1,1 @@
+"""Test pool sizing."""
