--- a/tests/components/fleet/test_pool_planner.py
+++ b/tests/components/fleet/test_pool_planner.py
@@ -165,8 +165,8 @@
 def test_a_starting_peak_gets_instances_before_its_work_waits() -> None:
     """Load pattern: nothing waits yet, and the arrival rate needs 3.4 instances.
 
-    Two instances have room for 1.8 of them. When others arrive, after 1.9 s, 3.0 instance
-    seconds wait. Six more shorten the wait to 0.3 s within 0.3 s.
+    Two instances have room for 1.8 of them. When others arrive, after 1.9 s, 3.0
+    instance seconds wait. Six more shorten the wait to 0.3 s within 0.3 s.
     """
     planner = PoolPlanner(MOVE_SECONDS)
     fleet = [an_instance(n, POOL if n < 2 else STANDBY) for n in range(16)]
