Judge in each plan which jobs are beyond their organisation's share

Cause: RateShares judged a job once, when it arrived, by a token bucket of one second at the organisation's rate, which holds one job where the rate is below 1.

Change: components/fair_sharing replaces scheduling/rate_shares. A job that exceeded it is ranked behind only while its organisation demands more of the pool than its weighted max-min share, by the scarcest resource of what runs and of what waits and is on time, over 1 s of the pool; judged in each plan. Jobs beyond the shares are ordered by work. Without weights the order of steps is the same, since no job exceeds a rate.

--- /dev/null
+++ b/mustardward/components/fair_sharing/pool_demand.py
@@ -0,0 +1,85 @@
+"""Measure what each organisation demands of a pool, by its scarcest resource."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ...platform.models import Room
+from ..run_times.estimates import Estimates
+from ..scheduling.models import Job
+from ..scheduling.worker_state import WorkerState
+
+
+@dataclass(slots=True)
+class PoolDemand:
+    """Hold the demand of each organisation, in seconds of the whole pool.
+
+    A task's demand is the largest share of the pool that it takes of any resource,
+    times its run time.
+
+    :param used: share of the pool that each organisation's running tasks take.
+    :param demands: work of the tasks that run, and of jobs that wait and are on time.
+    """
+
+    used: dict[str, float] = field(default_factory=dict)
+    demands: dict[str, float] = field(default_factory=dict)
+
+
+def measure_demand(
+    workers: Iterable[WorkerState],
+    jobs: Iterable[Job],
+    estimates: Estimates,
+    now: float,
+) -> PoolDemand:
+    """Return the demand of the tasks that run on some workers and of some jobs.
+
+    Long-running tasks don't count: they precede all shares, and have no end.
+    """
+    found = PoolDemand()
+    workers = list(workers)
+    capacity = _total_capacity(workers)
+    remaining_seconds = estimates.remaining_seconds_at(now)
+    for worker in workers:
+        for task in worker.tasks.values():
+            step = task.step
+            if not step.spec.long_running:
+                name = step.job.organisation
+                share = dominant_share(step.room, capacity)
+                seconds = remaining_seconds(task)
+                found.used[name] = found.used.get(name, 0.0) + share
+                found.demands[name] = found.demands.get(name, 0.0) + share * seconds
+    for job in jobs:
+        work = _waiting_work(job, capacity, estimates)
+        name = job.organisation
+        found.demands[name] = found.demands.get(name, 0.0) + work
+    return found
+
+
+def dominant_share(room: Room, capacity: Room) -> float:
+    """Return the largest share that a room takes of any resource of a capacity."""
+    return max(
+        room.cpu / capacity.cpu if capacity.cpu else 0.0,
+        room.mem_mb / capacity.mem_mb if capacity.mem_mb else 0.0,
+        room.gpu / capacity.gpu if capacity.gpu else 0.0,
+    )
+
+
+def _total_capacity(workers: Iterable[WorkerState]) -> Room:
+    cpu = mem_mb = gpu = 0
+    for worker in workers:
+        cpu += worker.capacity.cpu
+        mem_mb += worker.capacity.mem_mb
+        gpu += worker.capacity.gpu
+    return Room(cpu, mem_mb, gpu)
+
+
+def _waiting_work(job: Job, capacity: Room, estimates: Estimates) -> float:
+    """Return the work of a job's tasks that have not started, in all its steps."""
+    work = 0.0
+    for step in job.steps.values():
+        count = len(step.tasks) - step.done - step.active
+        if count and not step.spec.long_running:
+            share = dominant_share(step.room, capacity)
+            work += count * share * estimates.mean_seconds(step)
+    return work
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -4,13 +4,13 @@
 
 from dataclasses import dataclass, field
 
+from ..fair_sharing.fair_shares import FairShares
 from ..ledger.bitset import unpack_indices
 from ..ledger.ledger import LedgerJob
 from ..ledger.models import JobState, Progress, StepProgress
 from .const import LATE_FACTOR
 from .inflow import RECENT_SECONDS, Amount
 from .models import Job, Phase, QueuePolicy, StepRun, Task
-from .rate_shares import RateShares
 from .scheduler_state import SchedulerState
 from .zone_chooser import ZoneChooser
 
@@ -24,7 +24,7 @@
 
     state: SchedulerState
     zone_chooser: ZoneChooser
-    rate_shares: RateShares = field(default_factory=RateShares)
+    fair_shares: FairShares = field(default_factory=FairShares)
 
     def add(self, ledger_job: LedgerJob, now: float, wall: float) -> None:
         """Add an accepted job and restore its stored progress."""
@@ -36,7 +36,9 @@
         age = max(0.0, wall - record.accepted_at)
         job = Job(record, policy, accepted_at=now - age)
         self._set_objective(job, job.accepted_at)
-        job.over_rate = self.rate_shares.exceeds_rate(job.organisation, job.accepted_at)
+        job.exceeds_rate = self.fair_shares.exceeds_rate(
+            job.organisation, job.accepted_at
+        )
         self.state.jobs[record.id] = job
         progress = ledger_job.progress
         if progress is None:
--- a/mustardward/components/scheduling/job_order.py
+++ b/mustardward/components/scheduling/job_order.py
@@ -39,6 +39,9 @@
 
 JobOrder = Callable[[Job, RemainingWork], float]
 
+ShareJudge = Callable[[Iterable[Job], Iterable[Job]], None]
+"""Takes the jobs that wait for a pool, and those of them that are on time."""
+
 ORDERS: Final[dict[str, JobOrder]] = {}
 
 HORIZON_SECONDS: Final = 2.5
@@ -148,16 +151,26 @@
     return by_work if demand > capacity.until(HORIZON_SECONDS) else by_slack
 
 
+def _judge_nothing(jobs: Iterable[Job], on_time: Iterable[Job]) -> None:
+    """Leave all jobs within the share of their organisation."""
+
+
+def _is_on_time(job: Job, remaining: RemainingWork, now: float) -> bool:
+    return now + remaining.critical_path <= job.objective_at
+
+
 def order_steps(
     steps: Iterable[StepRun],
     now: float,
     estimates: Estimates,
     capacity: Capacity,
     order: JobOrder | None = None,
+    judge: ShareJudge = _judge_nothing,
 ) -> list[StepRun]:
     """Return steps in the order in which they are to be placed.
 
     :param order: an order to use regardless of the load.
+    :param judge: sets which jobs are beyond their organisation's share.
     """
     steps = list(steps)
     jobs = {step.job.record.id: step.job for step in steps}
@@ -168,14 +181,26 @@
         )
         for name, job in jobs.items()
     }
+    judge(
+        jobs.values(),
+        [job for name, job in jobs.items() if _is_on_time(job, remaining[name], now)],
+    )
     demand = sum(
         remaining[name].work
         for name, job in jobs.items()
-        if job.objective_at > now and not job.over_rate
+        if job.objective_at > now and not job.beyond_share
     )
-    chosen = order if order is not None else choose_order(demand, capacity)
+    within_share = order if order is not None else choose_order(demand, capacity)
+    # What is beyond the shares is by definition more than the pool can do on time.
+    beyond_share = order if order is not None else by_work
     return sorted(
-        steps, key=lambda step: rank(step, now, remaining[step.job.record.id], chosen)
+        steps,
+        key=lambda step: rank(
+            step,
+            now,
+            remaining[step.job.record.id],
+            beyond_share if step.job.beyond_share else within_share,
+        ),
     )
 
 
@@ -190,14 +215,14 @@
             False,
             float(step.spec.fills),
         )
-    if now + remaining.critical_path <= job.objective_at:
+    if _is_on_time(job, remaining, now):
         return (
             DeadlineClass.IN_TIME,
             policy.priority,
-            job.over_rate,
+            job.beyond_share,
             order(job, remaining),
         )
     if now + remaining.critical_path <= job.late_at:
         size = remaining.critical_path * len(step.tasks)
-        return (DeadlineClass.LATE, policy.priority, job.over_rate, size)
-    return (DeadlineClass.OVERDUE, policy.priority, job.over_rate, job.accepted_at)
+        return (DeadlineClass.LATE, policy.priority, job.beyond_share, size)
+    return (DeadlineClass.OVERDUE, policy.priority, job.beyond_share, job.accepted_at)
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -191,7 +191,9 @@
         nowhere else.
     :param pending_zones: the data centres in the record that is being appended to the
         log.
-    :param over_rate: whether it exceeds its organisation's rate.
+    :param exceeds_rate: whether it exceeded its organisation's rate when it arrived.
+    :param beyond_share: whether it is beyond its organisation's share of the pool.
+    :param was_beyond_share: whether it was so in any plan.
     :param suspicion: the largest number of worker crashes under one of its tasks.
     :param crashes_counted: number of crashes that this owner recorded for its tasks.
     :param crashes_in_record: how many of these its newest log record contains.
@@ -211,7 +213,9 @@
     zones: frozenset[str] | None = None
     stored_zones: frozenset[str] | None = None
     pending_zones: frozenset[str] | None = None
-    over_rate: bool = False
+    exceeds_rate: bool = False
+    beyond_share: bool = False
+    was_beyond_share: bool = False
     suspicion: int = 0
     crashes_counted: int = 0
     crashes_in_record: int = 0
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator, Set
+from collections.abc import Iterable, Iterator, Set
 from dataclasses import dataclass, field
 
 from ...platform.models import Room
+from ..fair_sharing.fair_shares import FairShares
 from .advice import check_advice
 from .candidates import Candidates
 from .crashes import (
@@ -18,7 +19,7 @@
 )
 from .isolation import put_overdue_isolation_first, seconds_to_empty
 from .job_order import Capacity, JobOrder, capacity_of, order_steps
-from .models import StepRun, Task
+from .models import Job, StepRun, Task
 from .placement import (
     GangPlacement,
     RankedWorkers,
@@ -40,6 +41,7 @@
     state: SchedulerState
     zone_chooser: ZoneChooser
     order: JobOrder | None = None
+    fair_shares: FairShares = field(default_factory=FairShares)
     quota_wait_logger: QuotaWaitLogger = field(default_factory=QuotaWaitLogger)
     wait_tracker: WaitTracker = field(default_factory=WaitTracker)
     _remaining_starts: int = 0
@@ -93,7 +95,12 @@
         self, workers: list[WorkerState], steps: list[StepRun], now: float
     ) -> None:
         ordered = order_steps(
-            steps, now, self.state.estimates, self._capacity(workers, now), self.order
+            steps,
+            now,
+            self.state.estimates,
+            self._capacity(workers, now),
+            self.order,
+            lambda jobs, on_time: self._judge_shares(workers, jobs, on_time, now),
         )
         isolation_ids = all_isolation_workers(self.state.suspects.values())
         candidates = Candidates(
@@ -122,6 +129,15 @@
             if suspects:
                 self.state.return_to_queue(step, suspects)
 
+    def _judge_shares(
+        self,
+        workers: list[WorkerState],
+        jobs: Iterable[Job],
+        on_time: Iterable[Job],
+        now: float,
+    ) -> None:
+        self.fair_shares.judge(jobs, on_time, workers, self.state.estimates, now)
+
     def _place_shared(
         self, step: StepRun, candidates: Candidates, promised: Counter[str], now: float
     ) -> None:
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -10,6 +10,7 @@
 from ...helpers.policies import switchable
 from ...platform.models import WorkerEntry
 from ...platform.workers import WorkerReport
+from ..fair_sharing.fair_shares import FairShares, RateLookup, unlimited_rate
 from ..ledger.ledger import LedgerJob
 from ..ledger.models import JobState, Progress
 from .commands import Command
@@ -30,7 +31,6 @@
 from .planner import Planner
 from .progress import progress_of
 from .quotas import QuotaLookup, Quotas, unlimited_quota
-from .rate_shares import RateLookup, RateShares, unlimited_rate
 from .reports import Reports
 from .scheduler_state import PolicyLookup, SchedulerState
 from .wait_logger import WaitLogger
@@ -67,13 +67,16 @@
         self.state = SchedulerState(epoch, policy_of, quotas=Quotas(quota_of))
         self.worker_entries = WorkerEntries(self.state)
         self._zone_chooser = ZoneChooser(self.state)
-        self.intake = Intake(self.state, self._zone_chooser, RateShares(rate_of))
+        fair_shares = FairShares(rate_of)
+        self.intake = Intake(self.state, self._zone_chooser, fair_shares)
         self.health = WorkerHealth(self.state)
         self.reports = Reports(self.state, self.intake, self.health)
         self.pacing = Pacing(self.state)
         self._crash_tracker = CrashTracker(self.state)
         self._evacuation = Evacuation(self.state)
-        self._planner = Planner(self.state, self._zone_chooser, ORDERS.get(order))
+        self._planner = Planner(
+            self.state, self._zone_chooser, ORDERS.get(order), fair_shares
+        )
         self.wait_logger = WaitLogger(self.state, self._planner.wait_tracker)
         self._ending: dict[str, Job] = {}
         self._next_check_at = -math.inf
@@ -228,7 +231,7 @@
                     seconds=now - job.accepted_at,
                     objective_seconds=job.objective_at - job.accepted_at,
                     organisation=job.organisation,
-                    beyond=job.over_rate,
+                    beyond=job.was_beyond_share,
                 )
         return records
 
