Refuse no caller whose job an earlier request has stored or sent

A caller that asks again with little time left was refused for a slow store although its first request was queued, in flight or stored: it was told that its job never runs, and the job ran. An entry that knows the job answers from what it has read, and one that holds its record answers 504.

--- a/mustardward/components/forwarding/failover.py
+++ b/mustardward/components/forwarding/failover.py
@@ -190,11 +190,12 @@
         return job_id is not None and await self.completions.async_is_complete(job_id)
 
     async def _async_answer_or_forward(self, request: Request) -> Reply:
+        front = self.front
         is_append = request.method in _APPENDED_METHODS
         if is_append:
             await self._async_wait_while_suspect()
         if not self.is_log_unreachable() and not self._is_outdated():
-            if is_append and self._is_store_slow():
+            if is_append and self._is_store_slow() and not front.is_stored(request):
                 return await self._async_answer_collected(request)
             return await self.async_answer_hedged(request)
         outcome = await self._async_forward_unless_isolated(request)
@@ -202,10 +203,10 @@
             reply = _from_peer_reply(outcome.reply)
             return _mask_uncertain_refusal(request, reply, outcome.may_have_effect)
         if request.method == "GET" and not self._is_outdated():
-            return await self.front.async_answer(request)
+            return await front.async_answer(request)
         # The request can't be stored from here. Refusing it at once, rather than at its
         # deadline, leaves its caller time to retry at another entry node.
-        reply = self.front.unreachable_reply(request)
+        reply = front.unreachable_reply(request)
         return _mask_uncertain_refusal(request, reply, outcome.may_have_effect)
 
     async def async_answer_peer(self, request: PeerRequest) -> PeerReply:
@@ -322,13 +323,13 @@
         front = self.front
         may_have_effect = False
         for name in self.collectors(request.path):
+            if name == front.follower.node:
+                break
             now = self.timers.monotonic()
             expected_seconds = self.latency.unqueued_seconds(now)
             refusal = front.refuse_if_late(request, expected_seconds)
             if refusal is not None:
                 return self._outcome_reply(request, refusal, may_have_effect)
-            if name == front.follower.node:
-                break
             outcome = await self._async_send_collected(name, request)
             may_have_effect = may_have_effect or outcome.may_have_effect
             if outcome.reply is not None:
@@ -371,6 +372,14 @@
         """Send a request to one collecting entry node."""
         peer_request = self._build_peer_request(request, collected=True)
         outcome = await self.forwarder.async_send_collected(name, peer_request)
+        PEER_ANSWERS.labels(str(outcome.reply is not None).lower()).inc()
+        _LOGGER.info(
+            "request_forwarded",
+            method=request.method,
+            path=request.path,
+            status=outcome.reply.status if outcome.reply else None,
+            collector=name,
+        )
         return self._record_version(peer_request, outcome)
 
     async def _async_wait_to_hedge(self, forward_now: anyio.Event) -> None:
--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -146,7 +146,7 @@
             job = callers.decode_job(request.body)
         except MalformedJobError as error:
             return error_reply(400, error.code, error.detail)
-        refusal = self.refuse_if_late(request, self.appender.expected_seconds())
+        refusal = self._refuse_if_queued_late(request, PREFIX_JOB + job_id)
         if refusal is not None:
             return refusal
         record = JobRecord(
@@ -183,7 +183,7 @@
         )
         if outcome is Outcome.STORED:
             return Reply(200, callers.encode_state(callers.STATE_QUEUED))
-        return self._append_failed_reply(job_id, outcome)
+        return self._append_failed_reply(PREFIX_JOB, job_id, outcome)
 
     async def _async_get_state(self, job_id: str, visible: VisibleJob) -> Reply:
         job = visible()
@@ -207,7 +207,7 @@
         if job is None:
             return error_reply(410, "no-such-job", "no job has this id")
         if not job.state.final:
-            refusal = self.refuse_if_late(request, self.appender.expected_seconds())
+            refusal = self._refuse_if_queued_late(request, PREFIX_CANCEL + job_id)
             if refusal is not None:
                 return refusal
             outcome = await self.appender.async_append(
@@ -216,7 +216,7 @@
             )
             _LOGGER.info("job_cancelled", job=job_id, outcome=outcome.value)
             if outcome is not Outcome.STORED:
-                return self._append_failed_reply(job_id, outcome)
+                return self._append_failed_reply(PREFIX_CANCEL, job_id, outcome)
         return Reply(200, callers.encode_state(callers.STATE_CANCELLED))
 
     def refuse_if_late(self, request: Request, expected_seconds: float) -> Reply | None:
@@ -234,6 +234,21 @@
             request.path, "store-slow", detail, expected_seconds
         )
 
+    def _refuse_if_queued_late(self, request: Request, key: str) -> Reply | None:
+        """Return the refusal of a request that would be queued too long, or None.
+
+        A caller that asks again is not refused while its first request is queued or in
+        flight here.
+        """
+        if self.appender.holds(key):
+            return None
+        return self.refuse_if_late(request, self.appender.expected_seconds())
+
+    def is_stored(self, request: Request) -> bool:
+        """Return whether a submitted job is stored, as far as this node has read."""
+        job_id = request.path[-callers.JOB_ID_LENGTH :]
+        return request.method == "POST" and job_id in self.ledger.jobs
+
     def unreachable_reply(self, request: Request) -> Reply:
         """Return the refusal of a request that can't be stored from here."""
         return self.refusals.reject(request.path, "cut-off", "no log, no peer")
@@ -247,8 +262,10 @@
         earliest = self.timers.monotonic() + MIN_APPEND_TIMEOUT_SECONDS
         return max(earliest, request.deadline - ANSWER_MARGIN_SECONDS)
 
-    def _append_failed_reply(self, job_id: str, outcome: Outcome) -> Reply:
-        if outcome is Outcome.NOT_STORED:
+    def _append_failed_reply(self, prefix: str, job_id: str, outcome: Outcome) -> Reply:
+        # An earlier request of the same caller may be in flight.
+        held = self.appender.holds(prefix + job_id)
+        if outcome is Outcome.NOT_STORED and not held:
             return self.refusals.reject(job_id, "not-stored", "the log did not take it")
         # It may be stored now or later, so that it must not be reported as refused.
         _LOGGER.warning("outcome_unknown", request=job_id, outcome=outcome.value)
--- a/mustardward/components/ledger/appender.py
+++ b/mustardward/components/ledger/appender.py
@@ -151,6 +151,7 @@
     failing_since: float | None = None
     latency: StoreLatency = field(default_factory=StoreLatency)
     _sent_at: float | None = None
+    _batch: list[_PendingAppend] = field(default_factory=list)
     _queue: list[_PendingAppend] = field(default_factory=list)
     _wake: anyio.Event = field(default_factory=anyio.Event)
 
@@ -195,6 +196,11 @@
         queued = sum(encoded_size(pending.records) for pending in self._queue)
         return remaining + seconds * (1 + queued // MAX_APPEND_BYTES)
 
+    def holds(self, key: str) -> bool:
+        """Return whether a record with this key is queued or may be in flight."""
+        pending_appends = self._batch + self._queue
+        return any(key == record[0] for p in pending_appends for record in p.records)
+
     def post(self, records: list[Record]) -> None:
         """Queue records for an append without waiting for the outcome."""
         self._enqueue(records, self.timers.monotonic() + 1.0)
@@ -222,7 +228,9 @@
                 await self._wake.wait()
             batch = self._take_batch()
             if batch:
+                self._batch = batch
                 await self._async_append_batch(batch)
+                self._batch = []
         for pending in self._queue:
             self._finish(pending, Outcome.FENCED)
         self._queue.clear()
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -285,7 +285,7 @@
         outage = longest_outage(
             now, self._follower.failing_since, self._config_follower.failing_since
         )
-        if outage < LOG_OUTAGE_SECONDS:
+        if outage < LOG_OUTAGE_SECONDS or self._latency.is_slow(now):
             return True
         return now - self._forwarder.last_answer_at < PEER_RESPONSE_MAX_AGE_SECONDS
 
--- a/mustardward/platform/callers.py
+++ b/mustardward/platform/callers.py
@@ -27,7 +27,8 @@
 STATE_FAILED: Final = "failed"
 STATE_CANCELLED: Final = "cancelled"
 
-_JOB_ID: Final = re.compile(r"[0-9a-fA-F]{16}")
+JOB_ID_LENGTH: Final = 16
+_JOB_ID: Final = re.compile(rf"[0-9a-fA-F]{{{JOB_ID_LENGTH}}}")
 _KEY_SCHEME: Final = "token"
 
 
--- a/tests/components/forwarding/test_collected_appends.py
+++ b/tests/components/forwarding/test_collected_appends.py
@@ -310,6 +310,22 @@
     play(async_play)
 
 
+def test_caller_that_asks_again_is_not_refused() -> None:
+    """Guard against a refusal of a job that its first request has stored, or will."""
+
+    async def async_play(world: World) -> None:
+        entry = collecting(world)[0]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(entry.async_post, JOB)
+            await anyio.sleep(0.01)
+            reply = await entry.async_post(JOB, 0.5 * APPEND_SECONDS)
+            assert reply.status == 504
+        await anyio.sleep(1.0)
+        assert (await other(world).async_post(JOB, 0.1)).status == 200
+
+    play(async_play)
+
+
 def test_caller_is_refused_for_what_is_queued_already() -> None:
     async def async_play(world: World) -> None:
         entry = collecting(world)[0]
