Send a new owner's first append at once

A new owner waited for the interval of its progress (0.2 s) before it stored its first renewal and the admission of new jobs; meanwhile the announcement of its first order to the fleet was appended alone, and the admission waited for the whole response to that. What is left is one read of the log after the claim (0.3 s to 0.4 s, for the previous owner's last records) and, at the same time, the load of the workers' entries and the append.

The walks' sequences changed again: seed 52 finds the mutant without an end of the authority, whose owners now answer queries as usual; otherwise nobody claims against them.

--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -306,6 +306,9 @@
             epoch=self._epoch,
             jobs=len(state.jobs),
         )
+        # The first append holds the first renewal and the admission of all new jobs.
+        # With a slow store, both would otherwise wait for the one before them.
+        self.request_work()
 
     def _unsubscribe(self) -> None:
         self._dependencies.follower.record_listeners.remove(
--- a/tests/components/ownership/test_claim_age.py
+++ b/tests/components/ownership/test_claim_age.py
@@ -65,3 +65,20 @@
     authority = await async_win(harness, lambda: pause(PAUSE_THRESHOLD_SECONDS + 0.2))
     assert authority.tick() or not authority.is_confirmed
     assert not authority.is_valid()
+
+
+async def test_first_renewal_is_sent_at_once() -> None:
+    """Guard against a claim by others while a new owner waits for its next interval."""
+    harness = ClaimHarness()
+    ownership = harness.ownership
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ownership._dependencies.follower.async_run)
+        tasks.start_soon(ownership.async_run)
+        while harness.store.late_append is None:
+            await harness.async_advance_time(STEP_SECONDS)
+        harness.store_claim()
+        while ownership.owner is None:
+            await harness.async_advance_time(STEP_SECONDS)
+        renewal = harness.newest_owner_record().renewal
+        tasks.cancel_scope.cancel()
+    assert renewal == 1
--- a/tests/components/ownership/test_twice_walks.py
+++ b/tests/components/ownership/test_twice_walks.py
@@ -18,7 +18,7 @@
     "leases-are-expected-to-end-early": 0,
     "leases-of-previous-owners-are-forgotten": 4,
     "no-fence": 9,
-    "authority-lasts-for-ever": 28,
+    "authority-lasts-for-ever": 52,
     "an-unresponsive-worker-is-lost": 0,
     "ends-are-acknowledged-unstored": 3,
     "an-owner-without-authority-is-over": 18,
--- a/tests/components/ownership/twice_mutants.py
+++ b/tests/components/ownership/twice_mutants.py
@@ -17,6 +17,7 @@
 from mustardward.components.ledger.models import OwnerRecord
 from mustardward.components.ownership import owner
 from mustardward.components.ownership.authority import Authority
+from mustardward.components.ownership.owner_query import OwnerStatus
 from mustardward.components.ownership.takeover import Takeover, hold_previous_runs
 from mustardward.components.scheduling.losses import LossCause
 from mustardward.components.scheduling.reports import Reports
@@ -111,6 +112,17 @@
     patch.setattr(owner, "hold_previous_runs", hold)
 
 
+def _command_for_ever(patch: pytest.MonkeyPatch) -> None:
+    """Send commands without authority, but answer other entries' queries as usual."""
+    is_valid = Authority.is_valid
+
+    def status(own: owner.Owner) -> OwnerStatus:
+        return OwnerStatus(own.epoch, is_valid(own._authority))
+
+    patch.setattr(Authority, "is_valid", lambda authority: True)
+    patch.setattr(owner.Owner, "status", status)
+
+
 MUTANTS: dict[str, Mutate] = {
     "no-hold-after-a-takeover": _replace(
         owner, "hold_previous_runs", lambda state, previous, now: None
@@ -123,7 +135,7 @@
     "leases-are-expected-to-end-early": _shorten_leases,
     "leases-of-previous-owners-are-forgotten": _forget_previous_leases,
     "no-fence": _replace(MemoryWorker, "_accept_token", lambda worker, token: True),
-    "authority-lasts-for-ever": _replace(Authority, "is_valid", lambda authority: True),
+    "authority-lasts-for-ever": _command_for_ever,
     "an-unresponsive-worker-is-lost": _give_up_unresponsive,
     "ends-are-acknowledged-unstored": _acknowledge_unstored,
     "an-owner-without-authority-is-over": _trust_answers,
