Let an entry that gave up the shard wait before it claims it again

An owner could win the next epoch over itself: an entry claims at once if the log names it as the owner, since that is taken for its previous process. The same is true after a release that is lost (it gives up after RELEASE_TIMEOUT_SECONDS), and after a stored release by a slow entry whose faster ones are cut off: they read the release up to 0.3 s late and the slow entry claims 0.35 s after it. Sound (the claim holds the jobs as any takeover does) but a needless takeover.

An entry now waits for the owner's timeout before it claims a shard that it owned last in this process, and a slow owner hands over only once a much faster entry answers that it can reach the log. A refused or unanswered claim is repeated after the store's latency rather than after 0.08 s.

test_handover (virtual time): with a lost release, node-1 won epoch 2 over itself after 0.02 s before; now node-2 wins it at its usual timeout.

--- a/mustardward/components/ownership/election.py
+++ b/mustardward/components/ownership/election.py
@@ -32,6 +32,7 @@
     :param jitter_position: this entry's fraction of the claim jitter, from 0 to 1.
     :param is_slow: whether a much faster instance is known, which should claim first.
     :param rank: how many entries claim before this one while the store is slow.
+    :param ended_claim: the claim of this process's last ownership, once that has ended.
     :param renewal_read_at: when the newest renewal was read here; None if it was there
         at the first read, and may be of any age.
     """
@@ -43,6 +44,7 @@
     last_owner: OwnerRecord | None = None
     changed_at: float = 0.0
     renewal_read_at: float | None = None
+    ended_claim: str = ""
     _rank_delay_seconds: float = 0.0
     _deferred_until: float = -math.inf
     _may_claim: bool = False
@@ -126,11 +128,14 @@
 
     def _claim_at(self, owner: OwnerRecord) -> float:
         """Return when this entry claims if it reads nothing new, in monotonic time."""
-        if not owner.node:
-            return self.changed_at + self._spread(RELEASED_CLAIM_JITTER_SECONDS)
-        if owner.node == self.node:
-            # The owner was this node's previous process, which has ended, since a
-            # node runs one process.
-            return -math.inf
+        # An entry that has given up its ownership waits for the timeout, also while its
+        # release is outstanding: others would claim it later than the entry itself.
+        if not self.ended_claim or owner.claim != self.ended_claim:
+            if not owner.node:
+                return self.changed_at + self._spread(RELEASED_CLAIM_JITTER_SECONDS)
+            if owner.node == self.node:
+                # The owner was this node's previous process, which has ended, since a
+                # node runs one process.
+                return -math.inf
         lost_at = max(self.changed_at + OWNER_TIMEOUT_SECONDS, self._deferred_until)
         return lost_at + self._spread(CLAIM_JITTER_SECONDS)
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -134,6 +134,11 @@
         self.dispatcher: Dispatcher | None = None
         self._fleet: Fleet | None = None
 
+    @property
+    def claim(self) -> str:
+        """Return the id of the claim that won."""
+        return self._check.claim
+
     @property
     def epoch(self) -> int:
         """Return the fencing token."""
--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -10,6 +10,7 @@
 
 from ...helpers.instruments import OLDEST_WAIT_SECONDS, OWNED_EPOCH
 from ...helpers.logging import get_logger
+from ...helpers.rendezvous import rendezvous_order
 from ...platform.exceptions import (
     CallRefusedError,
     CallUnknownError,
@@ -17,6 +18,8 @@
     SequenceError,
 )
 from ...platform.store import Producer
+from ..forwarding.const import CHECK_METHOD
+from ..forwarding.models import PeerRequest
 from ..ledger.append_watcher import async_call_or_observe
 from ..ledger.const import KEY_OWNER, RETRY_DELAY_SECONDS, SHARD, TOPIC
 from ..ledger.ledger import encode
@@ -26,8 +29,11 @@
 from .const import (
     HANDOVER_DELAY_SECONDS,
     HANDOVER_INTERVAL_SECONDS,
+    MAX_FAST_RANKS,
+    MAX_RANK_DELAY_SECONDS,
     OWNER_CHECK_SECONDS,
     OWNER_POLL_SECONDS,
+    OWNER_QUERY_TIMEOUT_SECONDS,
 )
 from .election import Election, should_hand_over
 from .models import OwnerDependencies
@@ -103,7 +109,7 @@
             self._election.record_rank_delay(delay)
 
     async def _async_hand_over(self, owner: Owner) -> None:
-        """Release the shard if a much faster instance is known."""
+        """Release the shard once a much faster instance can take it over."""
         dependencies = self._dependencies
         await dependencies.timers.async_sleep(HANDOVER_DELAY_SECONDS)
         now = dependencies.timers.monotonic()
@@ -111,10 +117,35 @@
             return
         if now - self._handed_over_at < HANDOVER_INTERVAL_SECONDS:
             return
-        self._handed_over_at = now
+        while not await self._async_reaches_faster():
+            await dependencies.timers.async_sleep(HANDOVER_DELAY_SECONDS)
+        self._handed_over_at = dependencies.timers.monotonic()
         _LOGGER.info("owner_handover", epoch=owner.epoch, speed=dependencies.speed)
         await owner.async_release()
 
+    async def _async_reaches_faster(self) -> bool:
+        """Return whether a much faster instance answers that it can reach the log.
+
+        All that are known may be cut off. The shard would then have no owner until this
+        entry claims it again.
+        """
+        dependencies = self._dependencies
+        if dependencies.peers is None:
+            return True
+        faster = [
+            name
+            for name, node in dependencies.ledger.nodes.items()
+            if should_hand_over(dependencies.speed, [node.speed])
+        ]
+        # Others are asked each time, in case that the first ones are down.
+        key = str(dependencies.timers.monotonic())
+        request = PeerRequest(CHECK_METHOD, "", "", b"", OWNER_QUERY_TIMEOUT_SECONDS)
+        for name in rendezvous_order(key, faster)[:MAX_FAST_RANKS]:
+            reply = await dependencies.peers.async_send_to_node(name, request)
+            if reply is not None and reply.status == 200:
+                return True
+        return False
+
     def _is_slow(self) -> bool:
         dependencies = self._dependencies
         speeds = [node.speed for node in dependencies.ledger.nodes.values()]
@@ -205,6 +236,7 @@
         that may be stored, now or late, is repeated until that is known: it may win.
         """
         dependencies = self._dependencies
+        timers = dependencies.timers
         may_be_stored = False
         producer = Producer(f"owner/{SHARD}", record.epoch, 0)
         while dependencies.ledger.owner.epoch < record.epoch:
@@ -227,7 +259,10 @@
             except (CallRefusedError, CallUnknownError) as error:
                 _LOGGER.warning("claim_unanswered", detail=error.detail)
                 may_be_stored |= isinstance(error, CallUnknownError)
-                await dependencies.timers.async_sleep(RETRY_DELAY_SECONDS)
+                # Repeated claims would fill the partition of a slow store.
+                latency_seconds = dependencies.latency.seconds(timers.monotonic())
+                delay = min(MAX_RANK_DELAY_SECONDS, latency_seconds)
+                await timers.async_sleep(max(RETRY_DELAY_SECONDS, delay))
                 if not may_be_stored:
                     return False
         return True
@@ -247,6 +282,7 @@
                 tasks.cancel_scope.cancel()
         finally:
             self.owner = None
+            self._election.ended_claim = owner.claim
             OWNED_EPOCH.set(0)
             OLDEST_WAIT_SECONDS.set(0)
             self._dependencies.follower.override_interval(None)
