--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -135,6 +135,11 @@
         self.dispatcher: Dispatcher | None = None
         self._fleet: Fleet | None = None
 
+    @property
+    def claim(self) -> str:
+        """Return the id of the claim that won."""
+        return self._check.claim
+
     @property
     def epoch(self) -> int:
         """Return the fencing token."""
@@ -307,6 +312,9 @@
             epoch=self._epoch,
             jobs=len(state.jobs),
         )
+        # The first append holds the first renewal and the admission of all new jobs.
+        # With a slow store, both would otherwise wait for the one before them.
+        self.request_work()
 
     def _unsubscribe(self) -> None:
         self._dependencies.follower.record_listeners.remove(
