End a hedged request with its local reply while the store is slow

The hedge waited while the store was slow, also after the local append had failed, so that a caller could wait beyond its deadline. It now ends with the local reply. Three changes of the code that no test noticed have tests: no hedge while the store is slow, reads without a wait then, and a log that counts as reachable although earlier reads have timed out.

--- a/mustardward/components/forwarding/failover.py
+++ b/mustardward/components/forwarding/failover.py
@@ -274,10 +274,10 @@
                     forward_now.set()
 
             async def async_forward_late() -> None:
-                await self._async_wait_to_hedge(forward_now)
+                await self._async_wait_to_hedge(forward_now, replies)
                 outcomes.append(PeerOutcome(None, True))
                 outcomes[0] = await self.async_forward(request)
-                if await self._async_ends_hedge(outcomes[0]):
+                if await self._async_ends_hedge(outcomes[0], replies):
                     tasks.cancel_scope.cancel()
 
             forward_now = anyio.Event()
@@ -382,22 +382,31 @@
         )
         return self._record_version(peer_request, outcome)
 
-    async def _async_wait_to_hedge(self, forward_now: anyio.Event) -> None:
-        """Wait until a request should be forwarded in addition to the local append."""
+    async def _async_wait_to_hedge(
+        self, forward_now: anyio.Event, replies: list[Reply]
+    ) -> None:
+        """Wait until a request should be forwarded in addition to the local append.
+
+        :param replies: gets the reply of the local append.
+        """
         with anyio.move_on_after(HEDGE_DELAY_SECONDS):
             await forward_now.wait()
-        while self._is_store_slow():
+        while self._is_store_slow() and not replies:
             await self.timers.async_sleep(HEDGE_POLL_SECONDS)
 
-    async def _async_ends_hedge(self, outcome: PeerOutcome) -> bool:
+    async def _async_ends_hedge(
+        self, outcome: PeerOutcome, replies: list[Reply]
+    ) -> bool:
         """Return whether to end the local append after a request was forwarded.
 
         If no peer can reach the log either, the store is down or very slow. In the
         latter case the append that is outstanding here will be answered.
+
+        :param replies: gets the reply of the local append.
         """
         if outcome.reply is not None:
             return True
-        while self.latency.may_be_slow(self.timers.monotonic()):
+        while not replies and self.latency.may_be_slow(self.timers.monotonic()):
             await self.timers.async_sleep(HEDGE_POLL_SECONDS)
         return self.is_log_unreachable()
 
--- a/tests/components/forwarding/test_collected_appends.py
+++ b/tests/components/forwarding/test_collected_appends.py
@@ -221,6 +221,30 @@
     play(async_play, slowness=1.0)
 
 
+def test_request_is_not_hedged_while_the_store_is_slow() -> None:
+    """Guard against a partition that executes the same requests for several entries."""
+
+    async def async_play(world: World) -> None:
+        entry = collecting(world)[0]
+        started = world.timers.monotonic()
+        assert (await entry.async_post(JOB)).status == 200
+        assert world.timers.monotonic() - started > HEDGE_DELAY_SECONDS
+        assert appenders(world) == {entry.name}
+
+    play(async_play, slowness=94.0)
+
+
+def test_slow_store_is_reachable_although_reads_have_timed_out() -> None:
+    """Guard against callers refused until a read has taken its time once more."""
+
+    async def async_play(world: World) -> None:
+        entry = other(world)
+        entry.follower.failing_since = world.timers.monotonic() - 1.0
+        assert not entry.failover.is_log_unreachable()
+
+    play(async_play)
+
+
 def test_late_append_is_not_repeated_while_the_store_is_slow() -> None:
     """Guard against a partition that executes more repeats than new records."""
 
--- a/tests/components/ledger/test_follower.py
+++ b/tests/components/ledger/test_follower.py
@@ -5,7 +5,9 @@
 import anyio
 import pytest
 
+from mustardward.components.ledger.const import BUSY_POLL_MS
 from mustardward.components.ledger.follower import TopicFollower, poll_timeout_ms
+from mustardward.components.ledger.store_latency import StoreLatency
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.platform.exceptions import CallRefusedError
 from mustardward.platform.store import KeyedRecord, NewestPage, Page
@@ -129,6 +131,51 @@
     assert set(waits[1:]) == {0}
 
 
+class _SlowLatency(StoreLatency):
+    """Report a slow store, whatever the reads show."""
+
+    def is_slow(self, now: float) -> bool:
+        return True
+
+
+async def test_reads_do_not_wait_while_the_store_is_slow() -> None:
+    """Guard against entry nodes that notice late that the store has recovered.
+
+    Without a wait, only the interval limits the reads of an idle topic.
+    """
+    store = _RecordingStore()
+    timers = DrivenTimerService()
+    follower, _ = build_follower(store, timers)
+    follower.entries = lambda: 42
+    await follower.async_catch_up()
+    follower.latency = _SlowLatency()
+    store.waits.clear()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.async_run)
+        for _ in range(200):
+            await anyio.wait_all_tasks_blocked()
+            await timers.async_advance(0.01)
+        tasks.cancel_scope.cancel()
+    assert set(store.waits) == {0}
+    assert len(store.waits) in range(6, 9)
+
+
+async def test_read_that_follows_records_waits_briefly() -> None:
+    """Guard against a slow store that a busy topic's long polls show late."""
+    store = _RecordingStore()
+    follower, _ = build_follower(store)
+    await follower.async_catch_up()
+    store.append(TOPIC, [("a", b"1")])
+    store.waits.clear()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.async_run)
+        for _ in range(30):
+            await anyio.wait_all_tasks_blocked()
+            await follower.timers.async_advance(0.01)  # type: ignore[attr-defined]
+        tasks.cancel_scope.cancel()
+    assert store.waits[:3] == [poll_timeout_ms(1), BUSY_POLL_MS, poll_timeout_ms(1)]
+
+
 class _SilentStore(MemoryStore):
     """Let each read fail after one second."""
 
