Test how queries about the owner are answered and judged

An owner answers while it can't read the log, since its authority outlasts that; an entry without an ownership refuses; an answer for another epoch defers no claim. test_failover and test_owner_query: 34 passed.

--- a/tests/components/forwarding/test_failover.py
+++ b/tests/components/forwarding/test_failover.py
@@ -12,6 +12,7 @@
 from mustardward.components.forwarding.const import (
     HEDGE_DELAY_SECONDS,
     ISOLATED_RETRY_SECONDS,
+    OWNER_METHOD,
     PEER_BACKOFF_SECONDS,
 )
 from mustardward.components.forwarding.failover import FailoverHandler
@@ -176,6 +177,36 @@
         assert not reply.confirmed
 
 
+async def test_query_about_the_owner_is_answered_without_the_log() -> None:
+    """Guard against an owner that is deposed since it can't read the log for a moment.
+
+    Its authority outlasts that.
+    """
+    async with running_entry() as harness:
+        queries: list[PeerRequest] = []
+
+        async def async_answer(request: PeerRequest) -> PeerReply:
+            queries.append(request)
+            return PeerReply(200, b"valid")
+
+        harness.failover.answer_owner_query = async_answer
+        await harness.async_partition()
+        query = PeerRequest(OWNER_METHOD, "me", "", b"", 0.3)
+        assert await harness.failover.async_answer_peer(query) == PeerReply(
+            200, b"valid"
+        )
+        assert queries == [query]
+
+
+async def test_query_about_the_owner_is_refused_by_an_entry_without_one() -> None:
+    """Guard against an entry whose answer is taken for that of an owner."""
+    async with running_entry() as harness:
+        query = PeerRequest(OWNER_METHOD, "me", "", b"", 0.3)
+        reply = await harness.failover.async_answer_peer(query)
+        assert reply.status != 200
+        assert reply.body != b"valid"
+
+
 def test_peers_of_other_data_centres_are_asked_first() -> None:
     selector = PeerSelector("me", "z1")
     order = [name for name, _ in selector.ranked_peers(NODES, 0.0)]
--- a/tests/components/ownership/test_owner_query.py
+++ b/tests/components/ownership/test_owner_query.py
@@ -180,6 +180,20 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_answer_for_another_epoch_defers_no_claim() -> None:
+    """Guard against a shard without an owner whose entry has lost it since.
+
+    It claims another epoch, or answers before it knows its successor.
+    """
+    async with running_entries() as (_, entries):
+        owner = entries[0].ownership.owner
+        assert owner is not None
+        hold_appends(entries[0])
+        owner.status = lambda: OwnerStatus(2, True, 0.1)  # type: ignore[method-assign]
+        await async_advance(CLAIM_DELAY_SECONDS, *entries)
+        assert entries[1].epoch == 2
+
+
 async def test_owners_with_authority_are_deposed_without_the_policy() -> None:
     """Guard against a switch that has no effect."""
     switch_off(["owner-queried"])
