--- a/mustardward/components/fair_sharing/fair_shares.py
+++ b/mustardward/components/fair_sharing/fair_shares.py
@@ -17,7 +17,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Final
@@ -28,7 +27,9 @@
 from ..scheduling.models import Job
 from ..scheduling.worker_state import WorkerState
 from .levels import fair_level
-from .pool_demand import PoolDemand, measure_demand
+from .pool_demand import measure_demand
+from .pool_shares import PoolShares
+from .share_logger import ShareLogger
 
 BURST_SECONDS: Final = 1.0
 """Capacity of a token bucket as a time at the organisation's rate."""
@@ -54,29 +55,6 @@
     return False
 
 
-@dataclass(slots=True)
-class PoolShares:
-    """Hold how a pool is shared.
-
-    :param level: an organisation's share is this times its weight, in seconds of the
-        whole pool; infinite while the pool satisfies all demands.
-    """
-
-    demand: PoolDemand
-    weights: dict[str, float]
-    level: float
-
-    def is_beyond(self, organisation: str) -> bool:
-        """Return whether an organisation demands more than its share."""
-        demand = self.demand.demands.get(organisation, 0.0)
-        return demand > self.share(organisation)
-
-    def share(self, organisation: str) -> float:
-        """Return an organisation's largest share, in seconds of the whole pool."""
-        weight = self.weights.get(organisation, 0.0)
-        return self.level * weight if weight > 0.0 else math.inf
-
-
 @dataclass(slots=True, eq=False)
 class FairShares:
     """Hold a token bucket for each organisation, and judge the jobs of a pool.
@@ -86,6 +64,7 @@
     """
 
     rate_of: RateLookup = unlimited_rate
+    share_logger: ShareLogger = field(default_factory=ShareLogger)
     _buckets: dict[str, TokenBucket] = field(default_factory=dict)
 
     @switchable(
@@ -105,21 +84,23 @@
 
     def judge(
         self,
+        service: str,
         jobs: Iterable[Job],
         on_time: Iterable[Job],
         workers: Iterable[WorkerState],
         estimates: Estimates,
         now: float,
-    ) -> PoolShares | None:
+    ) -> None:
         """Set which jobs that wait for a pool are beyond their organisation's share.
 
         :param on_time: those that can still meet their objective; only these count as
             demand.
-        :returns: None if no job exceeded its organisation's rate when it arrived.
         """
+        jobs = list(jobs)
         exceeding = [job for job in jobs if job.exceeds_rate]
-        if not exceeding:
-            return None
+        is_log_due = self.share_logger.is_due(service, now)
+        if not exceeding and not (is_log_due and self._has_weights(jobs)):
+            return
         demand = measure_demand(workers, on_time, estimates, now)
         weights = {name: self.rate_of(name) if name else 0.0 for name in demand.demands}
         level = fair_level(demand.demands, weights, HORIZON_SECONDS)
@@ -127,4 +108,9 @@
         for job in exceeding:
             job.beyond_share = shares.is_beyond(job.organisation)
             job.was_beyond_share |= job.beyond_share
-        return shares
+        if is_log_due:
+            self.share_logger.log(service, shares, exceeding, now)
+
+    def _has_weights(self, jobs: Iterable[Job]) -> bool:
+        names = {job.organisation for job in jobs if job.organisation}
+        return any(self.rate_of(name) > 0.0 for name in names)
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -136,7 +136,9 @@
         on_time: Iterable[Job],
         now: float,
     ) -> None:
-        self.fair_shares.judge(jobs, on_time, workers, self.state.estimates, now)
+        self.fair_shares.judge(
+            workers[0].service, jobs, on_time, workers, self.state.estimates, now
+        )
 
     def _place_shared(
         self, step: StepRun, candidates: Candidates, promised: Counter[str], now: float
--- a/mustardward/helpers/instruments.py
+++ b/mustardward/helpers/instruments.py
@@ -104,6 +104,12 @@
     ("organisation",),
     registry=REGISTRY,
 )
+BEYOND_SHARE: Final = Counter(
+    "mustardward_beyond_share_seconds",
+    "Seconds in which jobs waited beyond their organisation's share of a full pool.",
+    ("organisation",),
+    registry=REGISTRY,
+)
 TASK_WAITS: Final = Counter(
     "mustardward_task_waits",
     "Steps that a look each second found waiting though their pool had room, by why.",
