--- a/mustardward/components/fair_sharing/pool_demand.py
+++ b/mustardward/components/fair_sharing/pool_demand.py
@@ -7,7 +7,7 @@
 
 from ...platform.models import Room
 from ..run_times.estimates import Estimates
-from ..scheduling.models import Job
+from ..scheduling.models import Job, StepRun, Task
 from ..scheduling.worker_state import WorkerState
 
 
@@ -40,15 +40,12 @@
     workers = list(workers)
     capacity = _total_capacity(workers)
     remaining_seconds = estimates.remaining_seconds_at(now)
-    for worker in workers:
-        for task in worker.tasks.values():
-            step = task.step
-            if not step.spec.long_running:
-                name = step.job.organisation
-                share = dominant_share(step.room, capacity)
-                seconds = remaining_seconds(task)
-                found.used[name] = found.used.get(name, 0.0) + share
-                found.demands[name] = found.demands.get(name, 0.0) + share * seconds
+    for step, tasks in _running_by_step(workers):
+        name = step.job.organisation
+        share = dominant_share(step.room, capacity)
+        work = share * sum(map(remaining_seconds, tasks))
+        found.used[name] = found.used.get(name, 0.0) + len(tasks) * share
+        found.demands[name] = found.demands.get(name, 0.0) + work
     for job in jobs:
         work = _waiting_work(job, capacity, estimates)
         name = job.organisation
@@ -56,6 +53,22 @@
     return found
 
 
+def _running_by_step(
+    workers: Iterable[WorkerState],
+) -> Iterable[tuple[StepRun, list[Task]]]:
+    """Return the running tasks by step, except long-running ones."""
+    found: dict[int, tuple[StepRun, list[Task]]] = {}
+    for worker in workers:
+        for task in worker.tasks.values():
+            step = task.step
+            known = found.get(id(step))
+            if known is not None:
+                known[1].append(task)
+            elif not step.spec.long_running:
+                found[id(step)] = (step, [task])
+    return found.values()
+
+
 def dominant_share(room: Room, capacity: Room) -> float:
     """Return the largest share that a room takes of any resource of a capacity."""
     return max(
