Estimate run times by regression on declared ones and by a job's own runs

Cause: one ratio per queue corrects a common bias only. On loads whose declared run times are off by a spread of 1.0 (logarithm) from job to job, order and forecast follow the errors.

Change: for each queue the slope of actual on declared times, the variance of a job's, a step's and a run's error are learned; a job's completed runs correct the estimates of its later tasks and steps. Until 12 steps of a queue are complete, estimates are as before. Runs that were adopted, throttled, restored, far from their data or on a slow worker are not evidence.

--- a/mustardward/components/run_times/const.py
+++ b/mustardward/components/run_times/const.py
@@ -13,3 +13,32 @@
 
 UNKNOWN_ESTIMATE_SECONDS: Final = 1.0
 """Expected run time of a step that declares none."""
+
+MAX_LOG_ERROR: Final = 3.0
+"""Bound of one step's logarithm of actual to declared run time, a factor of 20."""
+
+MIN_STEPS: Final = 12
+"""Completed steps of a queue from which on its declarations' reliability is used."""
+
+MEMORY_STEPS: Final = 64
+"""Completed steps over which a queue's figures are averaged."""
+
+PRIOR_STEPS: Final = 4.0
+"""Weight of the assumption that declarations are right, in completed steps."""
+
+MIN_DECLARED_VARIANCE: Final = 0.01
+"""Variance of declared times (as logarithms) below which they hardly differ, so that
+their reliability can't be learned."""
+
+HIGH_DEVIATIONS: Final = 2.0
+"""Standard deviations of the logarithm up to ``high_seconds``: 2 of 100 runs exceed it."""
+
+MIN_GROWTH: Final = 0.05
+"""Smallest growth of the logarithm of a running task's time that is evidence again."""
+
+MIN_CHANGE: Final = 0.02
+"""Smallest change of a queue's figures after which estimates are computed again. Each
+completed step changes them a little, and a plan reads the estimates of all jobs."""
+
+MAX_QUEUES: Final = 64
+"""Most queues whose figures are exported."""
--- a/mustardward/components/run_times/estimates.py
+++ b/mustardward/components/run_times/estimates.py
@@ -1,10 +1,10 @@
-"""Learn how long tasks run, since declared run times are often far off."""
+"""Estimate run times, since declared run times are often far off."""
 
 from __future__ import annotations
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import astuple, dataclass, field
 
 from ...helpers.policies import switchable
 from ..scheduling.models import Job, StepRun, Task
@@ -12,8 +12,12 @@
     ESTIMATE_CEILING,
     ESTIMATE_FLOOR,
     ESTIMATE_WEIGHT,
+    MAX_QUEUES,
+    MIN_GROWTH,
     UNKNOWN_ESTIMATE_SECONDS,
 )
+from .models import StepEstimate
+from .reliability import FIGURES_COUNT, Figures, QueueReliability, Reliability
 
 
 def _keep_declared_times(
@@ -22,16 +26,24 @@
     """Keep to the declared run times."""
 
 
+def _know_nothing(estimates: Estimates, /, queue: str) -> Reliability | None:
+    """Assume that all declared run times of a queue are off by the same factor."""
+    return None
+
+
 @dataclass(slots=True)
 class Estimates:
-    """Hold, for each queue, the learned ratio of run time to declared run time.
+    """Estimate run times from declared ones, queues' past jobs and jobs' own runs.
 
-    Ratios are averaged as logarithms: declared times are off by factors, and one run of
-    ten times its declared length must not dominate the average.
+    Until enough steps of a queue are complete, the declared times are multiplied by the
+    learned ratio of run time to declared run time. Ratios are averaged as logarithms:
+    declared times are off by factors, and one run of ten times its declared length must
+    not dominate the average.
     """
 
     _log_ratio: dict[str, float] = field(default_factory=dict)
     _ratio: dict[str, float] = field(default_factory=dict)
+    _queues: dict[str, QueueReliability] = field(default_factory=dict)
 
     def ratio(self, queue: str) -> float:
         """Return the learned ratio of a queue."""
@@ -43,7 +55,7 @@
         without=_keep_declared_times,
     )
     def learn(self, step: StepRun, seconds: float) -> None:
-        """Update a queue's ratio with a completed run."""
+        """Learn from a completed run, which must be representative of its step."""
         declared = step.spec.estimate_ms / 1000
         if declared <= 0 or seconds <= 0:
             return
@@ -53,24 +65,68 @@
         learned = old + ESTIMATE_WEIGHT * (math.log(observed) - old)
         self._log_ratio[queue] = learned
         self._ratio[queue] = math.exp(learned)
+        if not step.spec.long_running:
+            job = step.job.run_times
+            job.step(step.number).add(math.log(seconds))
+            job.estimates = ()
+
+    def learn_step(self, step: StepRun) -> None:
+        """Learn from a completed step how reliable its queue's declarations are."""
+        job = step.job.run_times
+        runs = job.steps.get(step.number)
+        if runs is None or not runs.count or runs.residual is not None:
+            return
+        queue = self._queue(step.job.record.queue)
+        queue.learn(math.log(step.spec.estimate_ms / 1000), runs, job)
+
+    def observe_running(self, task: Task, now: float) -> bool:
+        """Observe a run in progress; return whether estimates of its job changed.
+
+        A run that exceeds its estimate shows that its siblings are longer, too.
+        """
+        step = task.step
+        seconds = now - task.started_at
+        if seconds <= self.seconds(step) or step.spec.long_running:
+            return False
+        if self.reliability(step.job.record.queue) is None:
+            return False
+        job = step.job.run_times
+        runs = job.step(step.number)
+        value = math.log(seconds)
+        if runs.running is not None and value < runs.running + MIN_GROWTH:
+            return False
+        runs.running = value
+        job.estimates = ()
+        return True
+
+    @switchable(
+        "known-run-times",
+        "wrong declarations are recognised, and a job's runs correct its estimates",
+        without=_know_nothing,
+    )
+    def reliability(self, queue: str) -> Reliability | None:
+        """Return what is known of a queue's declarations, or None if that is little."""
+        known = self._queues.get(queue)
+        return known.known if known is not None else None
 
     def seconds(self, step: StepRun) -> float:
-        """Return the expected run time of one task of a step, in seconds."""
-        declared = step.spec.estimate_ms / 1000
-        if declared <= 0:
-            return UNKNOWN_ESTIMATE_SECONDS
-        return declared * self.ratio(step.job.record.queue)
+        """Return the median run time of one task of a step, in seconds."""
+        return self._of(step.job)[step.number].median
 
     def mean_seconds(self, step: StepRun) -> float:
         """Return the mean run time of one task of a step, in seconds.
 
         For sums of work: the mean of a skewed distribution exceeds its median.
         """
-        return self.seconds(step)
+        return self._of(step.job)[step.number].mean
 
     def high_seconds(self, step: StepRun) -> float:
         """Return a run time that few tasks of a step exceed, in seconds."""
-        return self.seconds(step)
+        return self._of(step.job)[step.number].high
+
+    def confidence(self, step: StepRun) -> float:
+        """Return how much a run's time shows about its worker, not its step; 0 to 1."""
+        return self._of(step.job)[step.number].confidence
 
     def remaining_seconds_at(self, now: float) -> Callable[[Task], float]:
         """Return a function that returns the expected remaining seconds of a task.
@@ -86,15 +142,14 @@
 
     def remaining_work(self, job: Job) -> float:
         """Return a job's work that has not started, in core seconds."""
-        ratio = self.ratio(job.record.queue)
+        estimates = self._of(job)
         total = 0.0
         for number, spec in enumerate(job.record.steps):
             if spec.long_running:
                 continue
             step = job.steps.get((0, number))
             begun = step.done + step.active if step is not None else 0
-            declared = spec.estimate_ms / 1000 or UNKNOWN_ESTIMATE_SECONDS
-            total += (spec.count - begun) * spec.cpu / 1000 * declared * ratio
+            total += (spec.count - begun) * spec.cpu / 1000 * estimates[number].mean
         return total
 
     def critical_path(self, job: Job, only_remaining: bool) -> float:
@@ -102,13 +157,69 @@
 
         :param only_remaining: whether to leave out the steps that are complete.
         """
-        ratio = self.ratio(job.record.queue)
+        estimates = self._of(job)
         ends: list[float] = []
         for number, spec in enumerate(job.record.steps):
-            declared = spec.estimate_ms / 1000 or UNKNOWN_ESTIMATE_SECONDS
             step = job.steps.get((0, number))
             is_complete = only_remaining and step is not None and step.complete
-            length = 0.0 if is_complete or spec.long_running else declared * ratio
+            length = (
+                0.0 if is_complete or spec.long_running else estimates[number].median
+            )
             begin = max((ends[earlier] for earlier in spec.after), default=0.0)
             ends.append(begin + length)
         return max(ends, default=0.0)
+
+    def export(self) -> dict[str, tuple[float, ...]]:
+        """Return what was learned of each queue, with the best known queues first."""
+        queues = sorted(self._queues.items(), key=lambda item: -item[1].figures.steps)
+        return {
+            name: astuple(queue.figures)
+            for name, queue in queues[:MAX_QUEUES]
+            if queue.known is not None
+        }
+
+    def restore(self, queue: str, figures: tuple[float, ...]) -> None:
+        """Restore what a previous owner learned of a queue; ignore unusable figures."""
+        if len(figures) < FIGURES_COUNT or not all(map(math.isfinite, figures)):
+            return
+        restored = QueueReliability(Figures(*figures[:FIGURES_COUNT]))
+        restored.update()
+        if restored.known is not None:
+            self._queues[queue] = restored
+
+    def _queue(self, name: str) -> QueueReliability:
+        queue = self._queues.get(name)
+        if queue is None:
+            queue = self._queues[name] = QueueReliability(Figures())
+        return queue
+
+    def _of(self, job: Job) -> tuple[StepEstimate, ...]:
+        """Return the estimates of a job's steps, computed again if necessary."""
+        queue = job.record.queue
+        known = self.reliability(queue)
+        if known is None:
+            return self._by_ratio(job)
+        runs = job.run_times
+        version = self._queues[queue].version
+        if runs.version != version or not runs.estimates:
+            declared = [
+                math.log(spec.estimate_ms / 1000 or UNKNOWN_ESTIMATE_SECONDS)
+                for spec in job.record.steps
+            ]
+            runs.estimates = known.estimate(declared, runs)
+            runs.version = version
+        return runs.estimates
+
+    def _by_ratio(self, job: Job) -> tuple[StepEstimate, ...]:
+        runs = job.run_times
+        ratio = self.ratio(job.record.queue)
+        if runs.version != -ratio or not runs.estimates:
+            lengths = [
+                spec.estimate_ms / 1000 * ratio or UNKNOWN_ESTIMATE_SECONDS
+                for spec in job.record.steps
+            ]
+            runs.estimates = tuple(
+                StepEstimate(seconds, seconds, seconds) for seconds in lengths
+            )
+            runs.version = -ratio
+        return runs.estimates
--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -86,7 +86,7 @@
                 load.long_running.add(task.step.room)
             else:
                 load.running.add(task.step.room)
-                remaining = state.estimates.seconds(task.step) - (now - task.started_at)
+                remaining = state.estimates.remaining_seconds(task, now)
                 load.remaining.add(task.step.room, max(0.0, remaining))
     _add_remaining(loads, state)
     shares = _shares_that_may_start(state)
--- a/mustardward/components/scheduling/evacuation.py
+++ b/mustardward/components/scheduling/evacuation.py
@@ -63,9 +63,7 @@
     def _should_stop_now(self, worker: WorkerState, task: Task, now: float) -> bool:
         if task.step.spec.saves_progress:
             return True
-        remaining_seconds = self.state.estimates.seconds(task.step) - (
-            now - task.started_at
-        )
+        remaining_seconds = self.state.estimates.remaining_seconds(task, now)
         if worker.draining:
             return now + remaining_seconds > worker.drains_at
         since = worker.cordoned_since if worker.cordoned else worker.missing_since
--- a/mustardward/components/scheduling/health.py
+++ b/mustardward/components/scheduling/health.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ...helpers.logging import get_logger
 from ...helpers.policies import switchable
@@ -19,6 +19,13 @@
 
 _SPEED_WEIGHT = 0.15
 
+_MEAN_SPEED_WEIGHT = 0.02
+"""Weight of one worker's speed in the moving average of its pool."""
+
+_SLOW_SHARE = 0.7
+"""Share of its pool's mean speed below which a worker counts as slow. Wrong run-time
+estimates lower the speeds of a whole pool."""
+
 
 def _never_quarantine(
     health: WorkerHealth, /, worker: WorkerState, task: Task, now: float
@@ -27,7 +34,7 @@
 
 
 def _assume_equal_speed(
-    health: WorkerHealth, /, worker: WorkerState, ratio: float
+    health: WorkerHealth, /, worker: WorkerState, ratio: float, weight: float
 ) -> None:
     """Assume that all workers are equally fast."""
 
@@ -37,22 +44,33 @@
     """Quarantine workers that fail their runs, and learn how fast workers are."""
 
     state: SchedulerState
+    _mean_speeds: dict[str, float] = field(default_factory=dict)
 
     def record_success(self, worker: WorkerState, task: Task, seconds: float) -> None:
         """Record a completed run, which took ``seconds``."""
         worker.failed_jobs.clear()
-        expected = self.state.estimates.seconds(task.step)
+        estimates = self.state.estimates
         if seconds > 0:
-            self._learn_speed(worker, expected / seconds)
+            expected = estimates.seconds(task.step)
+            weight = _SPEED_WEIGHT * estimates.confidence(task.step)
+            self._learn_speed(worker, expected / seconds, weight)
+
+    def is_slow(self, worker: WorkerState) -> bool:
+        """Return whether a worker is known to be slower than those of its pool."""
+        mean = self._mean_speeds.get(worker.service, 1.0)
+        return worker.speed < _SLOW_SHARE * mean
 
     @switchable(
         "worker-speed",
         "tasks go to workers on which other tasks did not run slowly",
         without=_assume_equal_speed,
     )
-    def _learn_speed(self, worker: WorkerState, ratio: float) -> None:
+    def _learn_speed(self, worker: WorkerState, ratio: float, weight: float) -> None:
         observed = min(1.0, max(0.1, ratio))
-        worker.speed += _SPEED_WEIGHT * (observed - worker.speed)
+        worker.speed += weight * (observed - worker.speed)
+        mean = self._mean_speeds.get(worker.service, 1.0)
+        mean += _MEAN_SPEED_WEIGHT * (worker.speed - mean)
+        self._mean_speeds[worker.service] = mean
 
     @switchable(
         "quarantine",
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -97,6 +97,7 @@
         else:
             self.state.finish_task(task)
         if step.complete:
+            self.state.estimates.learn_step(step)
             self.state.ready.pop(id(step), None)
             self._advance(step.job, now)
 
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -10,6 +10,7 @@
 from ...platform.models import Room, SubmittedStep
 from ...platform.workers import TaskName
 from ..ledger.models import JobRecord, JobState
+from ..run_times.models import JobRunTimes
 
 if TYPE_CHECKING:
     from .worker_state import WorkerState
@@ -64,6 +65,7 @@
     :param evaluation_due_at: when it will be known which other workers crashed together
         with the last of these, or 0 if no evaluation is due.
     :param adopted: whether a previous owner started the run, and may have stopped it.
+    :param paced: whether the run was throttled at any time.
     :param runs_since_crash: number of runs since the last crash that ended without one.
     """
 
@@ -90,6 +92,7 @@
     evaluation_due_at: float = 0.0
     runs_since_crash: int = 0
     adopted: bool = False
+    paced: bool = False
 
     @property
     def name(self) -> TaskName:
@@ -195,6 +198,7 @@
     :param suspicion: the largest number of worker crashes under one of its tasks.
     :param crashes_counted: number of crashes that this owner recorded for its tasks.
     :param crashes_in_record: how many of these its newest log record contains.
+    :param run_times: what its own runs show about its run times.
     """
 
     record: JobRecord
@@ -215,6 +219,7 @@
     suspicion: int = 0
     crashes_counted: int = 0
     crashes_in_record: int = 0
+    run_times: JobRunTimes = field(default_factory=JobRunTimes)
 
     @property
     def organisation(self) -> str:
--- a/mustardward/components/scheduling/pacing.py
+++ b/mustardward/components/scheduling/pacing.py
@@ -82,6 +82,7 @@
         for task in filling:
             if task.pace != throttle.percent:
                 task.pace = throttle.percent
+                task.paced = True
                 self.state.add_command(
                     Pace(task, worker.id, task.run, throttle.percent)
                 )
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -262,5 +262,5 @@
         if task.worker is None or task.worker.stale:
             # Without current reports, progress is unknown.
             return False
-        expected = STUCK_FACTOR * self.state.estimates.seconds(task.step)
+        expected = STUCK_FACTOR * self.state.estimates.high_seconds(task.step)
         return task.seconds_without_progress > max(STUCK_SECONDS, expected)
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -101,6 +101,7 @@
         task.percent_since = now
         task.percent_at_ms = -1.0
         task.pace = 100
+        task.paced = False
         task.seen_running = False
         task.sent = False
         task.adopted = False
