Weigh declared run times by their reliability, and update objectives

Cause: declarations that are off by a spread of 1.0 from job to job decide order, objectives and forecast.

Change: lengths of jobs and errors of declarations are jointly normal (logarithms): a declaration keeps t^2 / (t^2 + s^2), the queue's mean has the rest, and runs of a job show the error that its steps share. A run beyond its estimate counts before it ends. The objective is computed again when a job's estimates change. Stuck runs are judged by a high quantile, except that a run without progress for a second is no evidence.

--- a/bench/turns.py
+++ b/bench/turns.py
@@ -3,8 +3,12 @@
 Load pattern: a queue asks for several times what its pool holds for some seconds; the
 pool grows some seconds later, as instances come. ``python -m bench.turns`` prints a
 line of pairs for each order and kind of work: the share of worth earned, of jobs done
-in time, and of the largest tenth done in time. Time is driven: it takes 20 seconds and
+in time, and of the largest tenth done in time. Time is driven: it takes 40 seconds and
 gives the same figures each time for the same seed.
+
+Then it prints, for queues whose declared run times are off by a factor for each job,
+the same figures for the second of two turns with true declarations and with wrong ones,
+and ``forecast``: the work expected of each job as it arrives, over its true work.
 """
 
 from __future__ import annotations
@@ -12,13 +16,15 @@
 import heapq
 import json
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
+import msgspec
 import numpy
 
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.ledger.models import JobRecord
+from mustardward.components.run_times.estimates import Estimates
 from mustardward.components.scheduling.commands import Start
 from mustardward.components.scheduling.job_order import ORDERS
 from mustardward.components.scheduling.models import QueuePolicy
@@ -39,16 +45,23 @@
 """When instances are ordered, by the first arrivals."""
 
 SEEDS: Final = range(3)
+WRONG_SEEDS: Final = range(6)
 PLAN_SECONDS: Final = 0.05
 MOST_SECONDS_AFTER: Final = 40.0
 """Longest time that is played after a turn."""
 
 
+Learned = dict[str, tuple[float, ...]]
+
+
 @dataclass(frozen=True, slots=True)
 class Kind:
     """Hold what a queue's jobs are like; means of skewed draws.
 
     :param late_pool_at: when the pool's second part comes, in seconds.
+    :param estimate_error: spread of the logarithms of each step's declared run times.
+    :param job_error: spread of the logarithm of a factor for all steps of a job.
+    :param bias: mean of the logarithm of that factor.
     """
 
     name: str
@@ -63,6 +76,8 @@
     turn_seconds: float = 5.0
     worker_cores: int = 32
     estimate_error: float = 0.2
+    job_error: float = 0.0
+    bias: float = 0.0
 
 
 KINDS: Final = (
@@ -72,6 +87,10 @@
 )
 
 
+ERRORS: Final = ((0.5, 0.0), (1.0, 0.0), (1.0, 0.7), (1.0, -0.7), (1.5, 0.0))
+"""Spread and bias of the declared run times of the second part."""
+
+
 @dataclass(slots=True)
 class Drawn:
     """Hold a job and what it is worth and takes in truth."""
@@ -82,6 +101,7 @@
     chain: float
     work: float
     done_at: float = float("inf")
+    expected_work: float = 0.0
 
     @property
     def in_time(self) -> bool:
@@ -96,6 +116,7 @@
     worth: list[float] = field(default_factory=list)
     in_time: list[float] = field(default_factory=list)
     largest: list[float] = field(default_factory=list)
+    forecast: list[float] = field(default_factory=list)
 
 
 def main() -> None:
@@ -105,19 +126,36 @@
             result = Result()
             for seed in SEEDS:
                 _add(result, replay(kind, name, seed))
-            pairs = {
-                "kind": kind.name,
-                "order": name or "by load",
-                "worth": round(float(numpy.mean(result.worth)), 3),
-                "in_time": round(float(numpy.mean(result.in_time)), 3),
-                "largest_tenth_in_time": round(float(numpy.mean(result.largest)), 3),
-            }
-            print(
-                " ".join(f"{key}={json.dumps(value)}" for key, value in pairs.items())
-            )
+            _print({"kind": kind.name, "order": name or "by load"}, result)
+    for kind in KINDS:
+        for error, bias in ((0.0, 0.0), *ERRORS):
+            wrong = replace(kind, estimate_error=0.0, job_error=error, bias=bias)
+            result = Result()
+            for seed in WRONG_SEEDS:
+                learned: Learned = {}
+                replay(wrong, ADAPTIVE, 1000 + seed, learned)
+                _add(result, replay(wrong, ADAPTIVE, seed, learned))
+            _print({"kind": kind.name, "spread": error, "bias": bias}, result)
+
+
+def _print(pairs: dict[str, str | float], result: Result) -> None:
+    figures = {
+        "worth": result.worth,
+        "in_time": result.in_time,
+        "largest_tenth_in_time": result.largest,
+        "forecast": result.forecast,
+    }
+    means = {name: round(float(numpy.mean(x)), 3) for name, x in figures.items()}
+    print(
+        " ".join(
+            f"{key}={json.dumps(value)}" for key, value in {**pairs, **means}.items()
+        )
+    )
 
 
 def _add(result: Result, jobs: list[Drawn]) -> None:
+    expected = sum(job.expected_work for job in jobs)
+    result.forecast.append(expected / sum(job.work for job in jobs))
     mean = sum(job.work for job in jobs) / len(jobs)
     worths = [min(4.0, 0.3 + 0.7 * job.work / mean) for job in jobs]
     shares = [1.0 if job.in_time else LATE_WORTH for job in jobs]
@@ -133,7 +171,21 @@
     chance = numpy.random.default_rng(seed)
     count = int(kind.jobs_a_second * kind.turn_seconds)
     times = numpy.sort(chance.uniform(0.0, kind.turn_seconds, count))
-    return [_draw_job(kind, chance, n, float(at)) for n, at in enumerate(times)]
+    jobs = [_draw_job(kind, chance, n, float(at)) for n, at in enumerate(times)]
+    if kind.job_error or kind.bias:
+        errors = numpy.random.default_rng([seed, 1])
+        for job in jobs:
+            _change_declared(job, float(errors.lognormal(kind.bias, kind.job_error)))
+    return jobs
+
+
+def _change_declared(drawn: Drawn, factor: float) -> None:
+    record = drawn.job.record
+    steps = [
+        msgspec.structs.replace(step, estimate_ms=step.estimate_ms * factor)
+        for step in record.steps
+    ]
+    drawn.job.record = msgspec.structs.replace(record, steps=steps)
 
 
 def _skewed(chance: numpy.random.Generator, mean: float, spread: float) -> float:
@@ -171,9 +223,17 @@
     return Drawn(LedgerJob(record), at, seconds, chain, work)
 
 
-def replay(kind: Kind, order: str, seed: int) -> list[Drawn]:
-    """Return a turn's jobs as an order served them."""
+def replay(
+    kind: Kind, order: str, seed: int, learned: Learned | None = None
+) -> list[Drawn]:
+    """Return a turn's jobs as an order served them.
+
+    :param learned: what an earlier turn learned of run times; updated by this one.
+    """
     turn = _Turn(kind, order, draw(kind, seed))
+    estimates = turn.estimates
+    for queue, figures in (learned or {}).items():
+        estimates.restore(queue, figures)
     now = 0.0
     while now < kind.turn_seconds + MOST_SECONDS_AFTER and turn.going:
         now += PLAN_SECONDS
@@ -181,6 +241,8 @@
         turn.arrive(now)
         turn.end(now)
         turn.plan(now)
+    if learned is not None:
+        learned.update(estimates.export())
     return turn.jobs
 
 
@@ -199,6 +261,11 @@
         self._grown = False
         _add_workers(self._scheduler, kind, 0, kind.workers_first, 0.0)
 
+    @property
+    def estimates(self) -> Estimates:
+        """Return the run-time estimates."""
+        return self._scheduler.state.estimates
+
     @property
     def going(self) -> bool:
         """Return whether something is left to be done."""
@@ -223,7 +290,10 @@
         while self._waiting and self._waiting[-1].at <= now:
             drawn = self._waiting.pop()
             self._scheduler.add_job(drawn.job, now, now)
-            self._scheduler.mark_stored([drawn.job.record.id])
+            job_id = drawn.job.record.id
+            self._scheduler.mark_stored([job_id])
+            job = self._scheduler.state.jobs[job_id]
+            drawn.expected_work = self.estimates.remaining_work(job)
 
     def end(self, now: float) -> None:
         """List the runs that ended."""
--- a/mustardward/components/run_times/const.py
+++ b/mustardward/components/run_times/const.py
@@ -17,6 +17,9 @@
 MAX_LOG_ERROR: Final = 3.0
 """Bound of one step's logarithm of actual to declared run time, a factor of 20."""
 
+MAX_FIGURE: Final = 30.0
+"""Bound of a stored logarithm or variance; e to the power of 30 is a million years."""
+
 MIN_STEPS: Final = 12
 """Completed steps of a queue from which on its declarations' reliability is used."""
 
@@ -30,8 +33,11 @@
 """Variance of declared times (as logarithms) below which they hardly differ, so that
 their reliability can't be learned."""
 
+MIN_SLOPE: Final = 0.02
+"""Smallest weight of declared times; the variance of their errors follows from it."""
+
 HIGH_DEVIATIONS: Final = 2.0
-"""Standard deviations of the logarithm up to ``high_seconds``: 2 of 100 runs exceed it."""
+"""Standard deviations up to ``high_seconds``, which 2 of 100 runs exceed."""
 
 MIN_GROWTH: Final = 0.05
 """Smallest growth of the logarithm of a running task's time that is evidence again."""
--- a/mustardward/components/run_times/estimates.py
+++ b/mustardward/components/run_times/estimates.py
@@ -17,7 +17,7 @@
     UNKNOWN_ESTIMATE_SECONDS,
 )
 from .models import StepEstimate
-from .reliability import FIGURES_COUNT, Figures, QueueReliability, Reliability
+from .reliability import FIGURES_COUNT, Figures, QueueReliability
 
 
 def _keep_declared_times(
@@ -26,11 +26,6 @@
     """Keep to the declared run times."""
 
 
-def _know_nothing(estimates: Estimates, /, queue: str) -> Reliability | None:
-    """Assume that all declared run times of a queue are off by the same factor."""
-    return None
-
-
 @dataclass(slots=True)
 class Estimates:
     """Estimate run times from declared ones, queues' past jobs and jobs' own runs.
@@ -74,7 +69,7 @@
         """Learn from a completed step how reliable its queue's declarations are."""
         job = step.job.run_times
         runs = job.steps.get(step.number)
-        if runs is None or not runs.count or runs.residual is not None:
+        if runs is None or not runs.count or runs.error is not None:
             return
         queue = self._queue(step.job.record.queue)
         queue.learn(math.log(step.spec.estimate_ms / 1000), runs, job)
@@ -88,7 +83,7 @@
         seconds = now - task.started_at
         if seconds <= self.seconds(step) or step.spec.long_running:
             return False
-        if self.reliability(step.job.record.queue) is None:
+        if not self.is_known(step.job.record.queue):
             return False
         job = step.job.run_times
         runs = job.step(step.number)
@@ -99,15 +94,10 @@
         job.estimates = ()
         return True
 
-    @switchable(
-        "known-run-times",
-        "wrong declarations are recognised, and a job's runs correct its estimates",
-        without=_know_nothing,
-    )
-    def reliability(self, queue: str) -> Reliability | None:
-        """Return what is known of a queue's declarations, or None if that is little."""
+    def is_known(self, queue: str) -> bool:
+        """Return whether the reliability of a queue's declarations is known."""
         known = self._queues.get(queue)
-        return known.known if known is not None else None
+        return known is not None and known.known is not None
 
     def seconds(self, step: StepRun) -> float:
         """Return the median run time of one task of a step, in seconds."""
@@ -180,9 +170,11 @@
 
     def restore(self, queue: str, figures: tuple[float, ...]) -> None:
         """Restore what a previous owner learned of a queue; ignore unusable figures."""
-        if len(figures) < FIGURES_COUNT or not all(map(math.isfinite, figures)):
+        if len(figures) < FIGURES_COUNT:
             return
         restored = QueueReliability(Figures(*figures[:FIGURES_COUNT]))
+        if not restored.figures.are_plausible():
+            return
         restored.update()
         if restored.known is not None:
             self._queues[queue] = restored
@@ -195,19 +187,17 @@
 
     def _of(self, job: Job) -> tuple[StepEstimate, ...]:
         """Return the estimates of a job's steps, computed again if necessary."""
-        queue = job.record.queue
-        known = self.reliability(queue)
-        if known is None:
+        queue = self._queues.get(job.record.queue)
+        if queue is None or queue.known is None:
             return self._by_ratio(job)
         runs = job.run_times
-        version = self._queues[queue].version
-        if runs.version != version or not runs.estimates:
+        if runs.version != queue.version or not runs.estimates:
             declared = [
                 math.log(spec.estimate_ms / 1000 or UNKNOWN_ESTIMATE_SECONDS)
                 for spec in job.record.steps
             ]
-            runs.estimates = known.estimate(declared, runs)
-            runs.version = version
+            runs.estimates = queue.known.estimate(declared, runs)
+            runs.version = queue.version
         return runs.estimates
 
     def _by_ratio(self, job: Job) -> tuple[StepEstimate, ...]:
--- a/mustardward/components/run_times/models.py
+++ b/mustardward/components/run_times/models.py
@@ -10,14 +10,14 @@
     """Hold the run times of one step; all sums are of logarithms of seconds.
 
     :param running: the longest time of a run in progress beyond its estimate.
-    :param residual: the mean beyond the queue's expectation, once it is learned.
+    :param error: the mean minus the declared time and the queue's bias, once learned.
     """
 
     count: int = 0
     total: float = 0.0
     squares: float = 0.0
     running: float | None = None
-    residual: float | None = None
+    error: float | None = None
 
     def add(self, value: float) -> None:
         """Add a completed run."""
--- a/mustardward/components/run_times/reliability.py
+++ b/mustardward/components/run_times/reliability.py
@@ -6,18 +6,23 @@
 from dataclasses import astuple, dataclass, fields
 from typing import Final
 
+from ...helpers.policies import switchable
 from .const import (
     HIGH_DEVIATIONS,
+    MAX_FIGURE,
     MAX_LOG_ERROR,
     MEMORY_STEPS,
     MIN_CHANGE,
     MIN_DECLARED_VARIANCE,
+    MIN_SLOPE,
     MIN_STEPS,
     PRIOR_STEPS,
 )
 from .models import JobRunTimes, StepEstimate, StepRunTimes
 
-_LEAST: Final = 1e-9
+_LEAST: Final = 1e-6
+_LEAST_SHARE: Final = 1e-3
+"""Smallest variance and share; both are divided by."""
 
 
 @dataclass(slots=True)
@@ -49,101 +54,115 @@
     pair_product: float = 0.0
     pair_variance: float = 0.0
 
+    def are_plausible(self) -> bool:
+        """Return whether estimates can be computed from the figures."""
+        counts = (self.steps, self.run_steps, self.pairs)
+        return all(0 <= count <= MEMORY_STEPS for count in counts) and all(
+            abs(value) <= MAX_FIGURE for value in astuple(self) if value not in counts
+        )
+
 
 FIGURES_COUNT: Final = len(fields(Figures))
 
 
 @dataclass(frozen=True, slots=True)
 class Reliability:
-    """Predict run times by regression on declared ones; all values are of logarithms.
+    """Estimate run times from declared ones and runs; all values are of logarithms.
 
     If declarations have errors of spread s and jobs have lengths of spread t, the slope
     is t^2 / (t^2 + s^2): the weight that a declaration keeps, while the mean of the
     queue has the rest.
 
-    :param job_variance: variance of the error that all steps of a job share.
-    :param step_variance: variance of the error of each step.
-    :param run_variance: variance of the runs within a step.
+    :param bias: mean of the actual minus the declared time.
+    :param actual: mean of the actual times.
+    :param slope: slope of the regression of actual on declared times.
+    :param residual: standard deviation from that regression.
+    :param alike: share of the errors' variance that all steps of a job have in common.
+    :param run_spread: standard deviation of the runs within a step.
     """
 
-    declared: float
+    bias: float
     actual: float
     slope: float
-    job_variance: float
-    step_variance: float
-    run_variance: float
-
-    def expect(self, declared: float) -> float:
-        """Return the expected logarithm of a declared time."""
-        return self.actual + self.slope * (declared - self.declared)
+    residual: float
+    alike: float
+    run_spread: float
 
     def differs_from(self, other: Reliability) -> bool:
         """Return whether estimates change noticeably."""
-        return any(
-            abs(mine - old) > MIN_CHANGE
-            for mine, old in zip(
-                (self.expect(0.0), *astuple(self)[1:]),
-                (other.expect(0.0), *astuple(other)[1:]),
-                strict=True,
-            )
-        )
+        pairs = zip(astuple(self), astuple(other), strict=True)
+        return any(abs(mine - old) > MIN_CHANGE for mine, old in pairs)
 
     def estimate(
         self, declared: list[float], runs: JobRunTimes
     ) -> tuple[StepEstimate, ...]:
         """Return the estimates of a job's steps.
 
+        The steps' lengths and the error that they share are normally distributed, so
+        that the estimates are sums weighted by precision.
+
         :param declared: logarithms of the declared times.
         """
-        expected = [self.expect(value) for value in declared]
-        shift, shift_variance = self._job_error(expected, runs)
-        return tuple(
-            self._estimate_step(value + shift, shift_variance, runs.steps.get(number))
-            for number, value in enumerate(expected)
+        variance = self.residual**2 + _LEAST
+        error = variance / self.slope
+        own_error = (1 - self.alike) * error
+        lengths = [self._length(runs.steps.get(n)) for n in range(len(declared))]
+        noises = [own_error + length.variance for length in lengths]
+        precision = 1 / (self.alike * error + _LEAST)
+        total = precision * self.bias
+        for value, length, noise in zip(declared, lengths, noises, strict=True):
+            precision += 1 / noise
+            total += (length.mean - value) / noise
+        estimates: list[StepEstimate] = []
+        for number, (value, length, noise) in enumerate(
+            zip(declared, lengths, noises, strict=True)
+        ):
+            # What the other steps show of the error; the step's own runs count once.
+            others = precision - 1 / noise
+            shared = (total - (length.mean - value) / noise) / others
+            by_declaration = _Normal(value + shared, own_error + 1 / others)
+            estimates.append(
+                self._make(by_declaration.combine(length), runs.steps.get(number))
+            )
+        return tuple(estimates)
+
+    def _length(self, runs: StepRunTimes | None) -> _Normal:
+        """Return what is known of a step's length apart from its declaration."""
+        variance = self.residual**2 + _LEAST
+        length = _Normal(self.actual, variance / (1 - self.slope + _LEAST_SHARE))
+        if runs is None or not runs.count:
+            return length
+        run_variance = self.run_spread**2 + _LEAST
+        return length.combine(_Normal(runs.mean, run_variance / runs.count))
+
+    def _make(self, step: _Normal, runs: StepRunTimes | None) -> StepEstimate:
+        run_variance = self.run_spread**2
+        variance = step.variance
+        total = variance + run_variance
+        mean = step.mean
+        if runs is not None and runs.running is not None:
+            mean += variance * _excess(runs.running - mean, total)
+        return StepEstimate(
+            math.exp(mean),
+            math.exp(mean + total / 2),
+            math.exp(mean + HIGH_DEVIATIONS * math.sqrt(total)),
+            (run_variance + _LEAST) / (total + _LEAST),
         )
 
-    def _job_error(
-        self, expected: list[float], runs: JobRunTimes
-    ) -> tuple[float, float]:
-        """Return a job's error as far as its runs show it, and its variance."""
-        if self.job_variance < _LEAST:
-            return 0.0, 0.0
-        precision = 1 / self.job_variance
-        total = 0.0
-        for number, step in runs.steps.items():
-            if step.count:
-                noise = self.step_variance + self.run_variance / step.count + _LEAST
-                precision += 1 / noise
-                total += (step.mean - expected[number]) / noise
-        return total / precision, 1 / precision
-
-    def _estimate_step(
-        self, expected: float, shift_variance: float, runs: StepRunTimes | None
-    ) -> StepEstimate:
-        variance = self.step_variance + shift_variance
-        if runs is not None and runs.count:
-            noise = self.run_variance / runs.count + _LEAST
-            share = variance / (variance + noise)
-            expected += share * (runs.mean - expected)
-            variance *= 1 - share
-        if runs is not None and runs.running is not None:
-            expected += variance * _excess(
-                runs.running - expected, variance + self.run_variance
-            )
-        return make_estimate(expected, variance, self.run_variance)
-
-
-def make_estimate(
-    expected: float, variance: float, run_variance: float
-) -> StepEstimate:
-    """Return the estimate for a lognormal distribution."""
-    total = variance + run_variance
-    return StepEstimate(
-        math.exp(expected),
-        math.exp(expected + total / 2),
-        math.exp(expected + HIGH_DEVIATIONS * math.sqrt(total)),
-        (run_variance + _LEAST) / (total + _LEAST),
-    )
+
+@dataclass(frozen=True, slots=True)
+class _Normal:
+    """Hold a normal distribution."""
+
+    mean: float
+    variance: float
+
+    def combine(self, other: _Normal) -> _Normal:
+        """Return the distribution that follows from two independent observations."""
+        share = self.variance / (self.variance + other.variance)
+        return _Normal(
+            self.mean + share * (other.mean - self.mean), share * other.variance
+        )
 
 
 def _excess(beyond: float, variance: float) -> float:
@@ -160,6 +179,10 @@
     return density / (0.5 * math.erfc(z / math.sqrt(2))) / deviation
 
 
+def _know_nothing(queue: QueueReliability, /) -> None:
+    """Assume that all declared run times of a queue are off by the same factor."""
+
+
 @dataclass(slots=True)
 class QueueReliability:
     """Learn the reliability of one queue's declared run times.
@@ -212,24 +235,28 @@
         self, declared: float, actual: float, runs: StepRunTimes, job: JobRunTimes
     ) -> None:
         """Learn from two steps of a job whether their errors are alike."""
-        if self.known is None:
-            return
-        runs.residual = residual = actual - self.known.expect(declared)
+        figures = self.figures
+        bias = figures.actual - figures.declared
         earlier = [
-            step.residual
+            step.error
             for step in job.steps.values()
-            if step is not runs and step.residual is not None
+            if step is not runs and step.error is not None
         ]
+        runs.error = error = actual - declared - bias
         if not earlier:
             return
-        figures = self.figures
         figures.pairs = min(MEMORY_STEPS, figures.pairs + 1)
         gain = 1 / figures.pairs
-        product = residual * earlier[-1]
-        variance = (residual**2 + earlier[-1] ** 2) / 2
+        product = error * earlier[-1]
+        variance = (error**2 + earlier[-1] ** 2) / 2
         figures.pair_product += gain * (product - figures.pair_product)
         figures.pair_variance += gain * (variance - figures.pair_variance)
 
+    @switchable(
+        "known-run-times",
+        "wrong declarations are recognised, and a job's runs correct its estimates",
+        without=_know_nothing,
+    )
     def update(self) -> None:
         """Compute the reliability from the figures."""
         figures = self.figures
@@ -237,23 +264,22 @@
             return
         prior = PRIOR_STEPS / figures.steps * MIN_DECLARED_VARIANCE
         slope = (figures.covariance + prior) / (figures.declared_variance + prior)
-        slope = max(0.0, min(1.0, slope))
+        slope = max(MIN_SLOPE, min(1.0, slope))
         variance = (
             figures.actual_variance
             - 2 * slope * figures.covariance
             + slope**2 * figures.declared_variance
         )
-        variance = max(0.0, variance - figures.run_variance * figures.inverse_runs)
+        variance -= figures.run_variance * figures.inverse_runs
         alike = figures.pair_product / (figures.pair_variance + _LEAST)
         alike *= figures.pairs / (figures.pairs + PRIOR_STEPS)
-        alike = max(0.0, min(1.0, alike))
         new = Reliability(
-            figures.declared,
+            figures.actual - figures.declared,
             figures.actual,
             slope,
-            alike * variance,
-            (1 - alike) * variance,
-            figures.run_variance,
+            math.sqrt(max(0.0, variance)),
+            max(0.0, min(1.0, alike)),
+            math.sqrt(max(0.0, figures.run_variance)),
         )
         if self.known is None or new.differs_from(self.known):
             self.known = new
--- a/mustardward/components/scheduling/const.py
+++ b/mustardward/components/scheduling/const.py
@@ -17,6 +17,10 @@
 
 STUCK_FACTOR: Final = 1.5
 
+MAX_IDLE_SECONDS: Final = 1.0
+"""A run without progress for longer shows nothing of its task's length; otherwise a
+stuck run would raise its own estimate, and never count as stuck."""
+
 MAX_CRASHES: Final = 4
 """Worker crashes under a task after which its job is given up in any case."""
 
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -111,7 +111,18 @@
         if failures >= step.job.policy.max_attempts and not step.job.state.final:
             self.state.end_job(step.job, JobState.FAILED)
 
+    def update_objective(self, job: Job) -> None:
+        """Update a job's objective after its own runs have changed its estimates.
+
+        Callers measure against the actual run times, so that a job whose declared times
+        are too long is more urgent than they imply.
+        """
+        is_known = self.state.estimates.is_known(job.record.queue)
+        if is_known and not job.state.final:
+            self._set_objective(job, job.begun_at)
+
     def _set_objective(self, job: Job, begun_at: float) -> None:
+        job.begun_at = begun_at
         critical_path = self.state.estimates.critical_path(job, only_remaining=False)
         objective = job.policy.stretch * critical_path + job.policy.target_seconds
         job.objective_at = begun_at + objective
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -180,6 +180,7 @@
 class Job:
     """Hold one unfinished job.
 
+    :param begun_at: when its present occurrence was due, in monotonic seconds.
     :param objective_at: when it has to complete for full credit, in monotonic seconds.
     :param late_at: until when a late completion is still useful, in monotonic seconds.
     :param stored: whether the log contains its admission by an owner. Nothing of it
@@ -204,6 +205,7 @@
     record: JobRecord
     policy: QueuePolicy
     accepted_at: float
+    begun_at: float = 0.0
     objective_at: float = 0.0
     late_at: float = 0.0
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -155,8 +155,9 @@
         if is_current:
             seconds = now - task.started_at
             self.health.record_success(worker, task, seconds)
-            if self._is_representative(worker, task):
+            if self.is_representative(worker, task):
                 self.state.estimates.learn(task.step, seconds)
+                self.intake.update_objective(task.step.job)
         elif task.phase in ACTIVE and task.worker is not None:
             self.state.add_command(Stop(task.name, task.worker.id, task.run, None))
         if not task.step.job.state.final:
@@ -164,8 +165,8 @@
         elif is_current:
             self.state.end_run(task, now)
 
-    def _is_representative(self, worker: WorkerState, task: Task) -> bool:
-        """Return whether a completed run shows how long its task takes."""
+    def is_representative(self, worker: WorkerState, task: Task) -> bool:
+        """Return whether a run shows how long its task takes."""
         data_rack = task.step.spec.data_rack
         is_near_data = not data_rack or data_rack in worker.labels
         is_whole = not (task.checkpoint or task.adopted or task.paced)
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -15,6 +15,7 @@
 from .commands import Command
 from .const import (
     CHECK_INTERVAL_SECONDS,
+    MAX_IDLE_SECONDS,
     STUCK_FACTOR,
     STUCK_SECONDS,
 )
@@ -202,6 +203,7 @@
         if now >= self._next_check_at:
             self._next_check_at = now + CHECK_INTERVAL_SECONDS
             self._stop_stuck(now)
+            self._observe_running(now)
             self._crash_tracker.evaluate(now)
             self.pacing.run(now)
         self._planner.run(now, max_starts)
@@ -256,6 +258,20 @@
                     self.health.record_failure(worker, task, now)
                     self.state.stop(task, "stuck")
 
+    def _observe_running(self, now: float) -> None:
+        """Let runs that exceed their estimates correct those of their siblings."""
+        for worker in self.state.workers.values():
+            if worker.stale:
+                continue
+            for task in worker.tasks.values():
+                if (
+                    task.phase is Phase.RUNNING
+                    and task.seconds_without_progress <= MAX_IDLE_SECONDS
+                    and self.reports.is_representative(worker, task)
+                    and self.state.estimates.observe_running(task, now)
+                ):
+                    self.intake.update_objective(task.step.job)
+
     def _is_stuck(self, task: Task) -> bool:
         if task.phase is not Phase.RUNNING or task.percent >= 100:
             return False
--- /dev/null
+++ b/tests/components/run_times/__init__.py
@@ -0,0 +1,1 @@
+"""Test the scheduler's decisions."""
