Store what an owner learned of run times, and restore it at a takeover

Cause: a new owner trusts declarations known to be wrong until 12 steps are complete.

Change: twelve figures a queue under the new key e/ and the queue's name, at most 64 queues, appended with progress at most every 5 s and only if a figure changed by 0.1. Older builds report the unknown prefix and skip it; unreadable or implausible figures are ignored, and names too long for a key are not stored.

--- a/mustardward/components/ledger/ledger.py
+++ b/mustardward/components/ledger/ledger.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -19,6 +19,7 @@
     PREFIX_NODE,
     PREFIX_PROGRESS,
     PREFIX_REPORTED,
+    PREFIX_RUN_TIMES,
     PREFIX_WAVE,
 )
 from .models import (
@@ -29,6 +30,7 @@
     OwnerRecord,
     Progress,
     ReportedRecord,
+    RunTimesRecord,
     WaveRecord,
 )
 
@@ -39,6 +41,7 @@
 _OWNER: Final = msgspec.msgpack.Decoder(OwnerRecord)
 _WAVE: Final = msgspec.msgpack.Decoder(WaveRecord)
 _NODE: Final = msgspec.msgpack.Decoder(NodeRecord)
+_RUN_TIMES: Final = msgspec.msgpack.Decoder(RunTimesRecord)
 _ENCODER: Final = msgspec.msgpack.Encoder()
 
 NO_OWNER: Final = OwnerRecord(0, "", "", 0)
@@ -51,7 +54,8 @@
     | ReportedRecord
     | OwnerRecord
     | WaveRecord
-    | NodeRecord,
+    | NodeRecord
+    | RunTimesRecord,
 ) -> bytes:
     """Return a record in its stored form."""
     return _ENCODER.encode(record)
@@ -112,6 +116,7 @@
     jobs: dict[str, LedgerJob] = field(default_factory=dict)
     waves: dict[str, WaveRecord] = field(default_factory=dict)
     nodes: dict[str, NodeRecord] = field(default_factory=dict)
+    run_times: dict[str, RunTimesRecord] = field(default_factory=dict)
     on_job: JobListener | None = None
     on_cancel: JobListener | None = None
     on_told: JobListener | None = None
@@ -131,6 +136,7 @@
             PREFIX_REPORTED: self._apply_reported,
             PREFIX_WAVE: self._apply_wave,
             PREFIX_NODE: self._apply_node,
+            PREFIX_RUN_TIMES: self._apply_run_times,
             KEY_OWNER: self._apply_owner,
         }
 
@@ -162,16 +168,17 @@
                 yield PREFIX_CANCEL + job.record.id
             if job.told_at:
                 yield PREFIX_REPORTED + job.record.id
-        for name in self._early_progress:
-            yield PREFIX_PROGRESS + name
-        for name in self._early_cancels:
-            yield PREFIX_CANCEL + name
-        for name in self._early_reports:
-            yield PREFIX_REPORTED + name
-        for name in self.waves:
-            yield PREFIX_WAVE + name
-        for name in self.nodes:
-            yield PREFIX_NODE + name
+        others: tuple[tuple[str, Iterable[str]], ...] = (
+            (PREFIX_PROGRESS, self._early_progress),
+            (PREFIX_CANCEL, self._early_cancels),
+            (PREFIX_REPORTED, self._early_reports),
+            (PREFIX_WAVE, self.waves),
+            (PREFIX_NODE, self.nodes),
+            (PREFIX_RUN_TIMES, self.run_times),
+        )
+        for prefix, names in others:
+            for name in names:
+                yield prefix + name
 
     def count_pending(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have not started a task yet."""
@@ -255,6 +262,12 @@
         else:
             self.nodes.pop(name, None)
 
+    def _apply_run_times(self, name: str, value: bytes) -> None:
+        if value:
+            self.run_times[name] = _RUN_TIMES.decode(value)
+        else:
+            self.run_times.pop(name, None)
+
     def _apply_wave(self, name: str, value: bytes) -> None:
         if value:
             self.waves[name] = _WAVE.decode(value)
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -159,6 +159,15 @@
     speed: float = 1.0
 
 
+class RunTimesRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Store what an owner learned of the run times of a queue's jobs.
+
+    :param figures: as exported by the estimates; a newer build may append some.
+    """
+
+    figures: tuple[float, ...]
+
+
 class ReportedRecord(msgspec.Struct, frozen=True, array_like=True):
     """Store that a caller was told that a job is done.
 
--- a/mustardward/components/ownership/progress_writer.py
+++ b/mustardward/components/ownership/progress_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -15,9 +16,11 @@
     PREFIX_JOB,
     PREFIX_PROGRESS,
     PREFIX_REPORTED,
+    PREFIX_RUN_TIMES,
 )
 from ..ledger.ledger import encode
-from ..ledger.models import JobState
+from ..ledger.models import JobState, RunTimesRecord
+from ..run_times.const import STORE_INTERVAL_SECONDS
 from ..scheduling.scheduler import Scheduler
 from .authority import Authority
 from .const import JOB_RETENTION_MARGIN_SECONDS, RENEWAL_INTERVAL_SECONDS
@@ -44,6 +47,7 @@
     on_stored: Callable[[], None]
     depose: Callable[[], None]
     _write_requested: anyio.Event = field(default_factory=anyio.Event)
+    _run_times_due_at: float = -math.inf
 
     def request_write(self) -> None:
         """Request a write without waiting for the next interval."""
@@ -113,6 +117,20 @@
             job = self.dependencies.ledger.jobs.get(job_id)
             if progress.state.final and job is not None and not job.record.is_stub:
                 records.append((PREFIX_JOB + job_id, encode(job.record.as_stub())))
+        if records:
+            records.extend(self._run_times_records(timers.monotonic()))
         job_ids = [job_id for job_id, _ in dirty]
         # The renewal comes first, to be in the first part of a split append.
         return job_ids, self.renewals.due_records(with_others=bool(records)) + records
+
+    def _run_times_records(self, now: float) -> list[Record]:
+        """Return what was learned of run times, if it is due to be stored."""
+        if now < self._run_times_due_at:
+            return []
+        self._run_times_due_at = now + STORE_INTERVAL_SECONDS
+        run_times = self.dependencies.ledger.run_times
+        stored = {name: record.figures for name, record in run_times.items()}
+        return [
+            (PREFIX_RUN_TIMES + queue, encode(RunTimesRecord(figures)))
+            for queue, figures in self.scheduler.state.estimates.changed_since(stored)
+        ]
--- a/mustardward/components/run_times/const.py
+++ b/mustardward/components/run_times/const.py
@@ -46,5 +46,13 @@
 """Smallest change of a queue's figures after which estimates are computed again. Each
 completed step changes them a little, and a plan reads the estimates of all jobs."""
 
+MIN_STORED_CHANGE: Final = 0.1
+"""Smallest change of a queue's figures after which they are stored again."""
+
+STORE_INTERVAL_SECONDS: Final = 5.0
+
 MAX_QUEUES: Final = 64
 """Most queues whose figures are exported."""
+
+MAX_QUEUE_BYTES: Final = 250
+"""Longest name of an exported queue; a key of the store has up to 255 bytes."""
--- a/mustardward/components/run_times/estimates.py
+++ b/mustardward/components/run_times/estimates.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import astuple, dataclass, field
 
 from ...helpers.policies import switchable
@@ -12,8 +12,10 @@
     ESTIMATE_CEILING,
     ESTIMATE_FLOOR,
     ESTIMATE_WEIGHT,
+    MAX_QUEUE_BYTES,
     MAX_QUEUES,
     MIN_GROWTH,
+    MIN_STORED_CHANGE,
     UNKNOWN_ESTIMATE_SECONDS,
 )
 from .models import StepEstimate
@@ -165,9 +167,19 @@
         return {
             name: astuple(queue.figures)
             for name, queue in queues[:MAX_QUEUES]
-            if queue.known is not None
+            if queue.known is not None and len(name.encode()) <= MAX_QUEUE_BYTES
         }
 
+    def changed_since(
+        self, stored: Mapping[str, Sequence[float]]
+    ) -> list[tuple[str, tuple[float, ...]]]:
+        """Return the exported figures that differ noticeably from the stored ones."""
+        return [
+            (name, figures)
+            for name, figures in self.export().items()
+            if _differ(figures, stored.get(name, ()))
+        ]
+
     def restore(self, queue: str, figures: tuple[float, ...]) -> None:
         """Restore what a previous owner learned of a queue; ignore unusable figures."""
         if len(figures) < FIGURES_COUNT:
@@ -213,3 +225,10 @@
             )
             runs.version = -ratio
         return runs.estimates
+
+
+def _differ(figures: Sequence[float], stored: Sequence[float]) -> bool:
+    return len(stored) < len(figures) or any(
+        abs(new - old) > MIN_STORED_CHANGE
+        for new, old in zip(figures, stored, strict=False)
+    )
--- a/tests/components/ledger/test_ledger.py
+++ b/tests/components/ledger/test_ledger.py
@@ -9,6 +9,7 @@
     KEY_OWNER,
     PREFIX_JOB,
     PREFIX_PROGRESS,
+    PREFIX_RUN_TIMES,
 )
 from mustardward.components.ledger.ledger import Ledger, encode
 from mustardward.components.ledger.models import (
@@ -16,6 +17,7 @@
     JobState,
     OwnerRecord,
     Progress,
+    RunTimesRecord,
 )
 from mustardward.platform.models import SubmittedStep
 from mustardward.platform.store import KeyedRecord
@@ -114,3 +116,31 @@
     for record in (last, claim, older):
         apply_record(ledger, KEY_OWNER, encode(record))
     assert (ledger.previous_owner, ledger.owner) == (last, claim)
+
+
+def test_run_times_are_kept_by_queue_until_they_are_deleted() -> None:
+    """Guards against figures that a load deletes because the ledger hides their key."""
+    ledger = Ledger()
+    key = PREFIX_RUN_TIMES + "host /a/"
+    apply_record(ledger, key, encode(RunTimesRecord((1.0, 2.0))))
+    assert ledger.run_times["host /a/"].figures == (1.0, 2.0)
+    assert key in set(ledger.keys())
+    apply_record(ledger, key, b"")
+    assert ledger.run_times == {}
+    assert key not in set(ledger.keys())
+
+
+def test_run_times_of_a_newer_build_are_readable() -> None:
+    ledger = Ledger()
+    newer = msgspec.msgpack.encode([[1.0, 2.0, 3.0], "more"])
+    apply_record(ledger, PREFIX_RUN_TIMES + "q", newer)
+    assert ledger.run_times["q"].figures == (1.0, 2.0, 3.0)
+
+
+@pytest.mark.parametrize("value", [b"\x00", b"\xc1" * 9, encode(RECORD)])
+def test_unreadable_run_times_are_skipped(value: bytes) -> None:
+    """Guards against a replay that stops, or that forgets the readable figures."""
+    ledger = Ledger()
+    apply_record(ledger, PREFIX_RUN_TIMES + "q", encode(RunTimesRecord((1.0,))))
+    apply_record(ledger, PREFIX_RUN_TIMES + "q", value)
+    assert ledger.run_times["q"].figures == (1.0,)
--- a/tests/components/run_times/test_estimates.py
+++ b/tests/components/run_times/test_estimates.py
@@ -254,6 +254,29 @@
     assert estimates.seconds(job.steps[(0, 0)]) == pytest.approx(declared)
 
 
+def test_a_queue_whose_name_makes_no_key_is_not_exported() -> None:
+    """Guards against an append that can't be encoded, which would end the owner."""
+    queue = Queue(error=1.0)
+    for _ in range(MIN_STEPS):
+        job, true = queue.draw(queue="host /" + "a" * 250)
+        queue.run(job, true, 0)
+    assert queue.estimates.export() == {}
+
+
+def test_figures_are_stored_again_only_after_a_noticeable_change() -> None:
+    """Guards against an append for each completed step."""
+    queue = Queue(error=1.0)
+    queue.complete(100)
+    stored = queue.estimates.export()
+    assert queue.estimates.changed_since({}) == list(stored.items())
+    assert queue.estimates.changed_since(stored) == []
+    queue.median = 7.0
+    queue.complete(10)
+    assert queue.estimates.changed_since(stored) == list(
+        queue.estimates.export().items()
+    )
+
+
 def test_export_is_bounded() -> None:
     queue = Queue(error=1.0)
     for number in range(MAX_QUEUES + 5):
