--- a/mustardward/components/reports/day.py
+++ b/mustardward/components/reports/day.py
@@ -5,7 +5,7 @@
 from collections import Counter, defaultdict
 from typing import Final
 
-from .day_models import Cause, CauseRow, Day, JobRecord
+from .day_models import Cause, CauseRow, Day, JobRecord, RunRecord
 from .outages import Span
 
 SLOW_FACTOR: Final = 1.5
@@ -53,23 +53,35 @@
     accepted_at = record.submitted_at if record.submitted_at is not None else start
     done = [run for run in record.runs.values() if run.outcome == "done"]
     repeated = [run for run in record.runs.values() if run.outcome not in ("done", "")]
-    slow = [
-        run.seconds - run.expected_seconds
+    long = [
+        run
         for run in done
         if run.expected_seconds and run.seconds > SLOW_FACTOR * run.expected_seconds
     ]
+    # Siblings show whether a run was longer than others or all were underestimated.
+    slow = [run.seconds - run.expected_seconds for run in long if _is_slow(run, record)]
+    underestimated = [
+        run.seconds - run.expected_seconds for run in long if not _is_slow(run, record)
+    ]
     delays = {
         Cause.STORE_UNAVAILABLE: _overlap_seconds(day.outages, start, end),
         Cause.OWNER_CHANGED: _overlap_seconds(day.takeovers, start, end),
         Cause.WAITED_FOR_ROOM: _wait_seconds(record),
         Cause.RUN_REPEATED: max((run.seconds for run in repeated), default=0.0),
         Cause.SLOW_RUN: max(slow, default=0.0),
+        Cause.WRONG_DECLARATION: max(underestimated, default=0.0),
         Cause.NOT_ACCEPTED: max(0.0, accepted_at - start),
     }
     cause = max(delays, key=lambda name: delays[name])
     return cause if delays[cause] > 0 else Cause.OTHER
 
 
+def _is_slow(run: RunRecord, record: JobRecord) -> bool:
+    """Return whether a run was slow by what became known of its step."""
+    expected = record.expected_seconds.get(run.position[:2], 0.0)
+    return run.seconds > SLOW_FACTOR * expected
+
+
 def _wait_seconds(record: JobRecord) -> float:
     """Return the sum of the longest waits of the steps."""
     waits: dict[tuple[int, int], float] = defaultdict(float)
--- a/mustardward/components/reports/day_lines.py
+++ b/mustardward/components/reports/day_lines.py
@@ -16,6 +16,7 @@
 from .outages import OutageTracker
 
 _RUN: Final = re.compile(r"(\d+)\.(\d+)\.(\d+):(\d+)@([^+=,\s]+)([+=])([^,\s]*)")
+_ESTIMATE: Final = re.compile(r"(\d+)\.(\d+)~(\d+\.\d+)")
 _LOST: Final = re.compile(r"([^.,\s]+)\.\d+\.\d+\.\d+:(\d+)=")
 _JOINED_LINES: Final = re.compile(r"\S(time=\d+\.?\d* level=)")
 """A line that continues as another one, because bytes in between were lost."""
@@ -124,7 +125,10 @@
         record.seconds = _value(pairs, "seconds")
         record.objective_seconds = _value(pairs, "objective_seconds")
     elif event in ("runs_started", "runs_ended"):
-        _read_runs(day.job(pairs.get("job", "")), pairs.get("runs", ""), at)
+        record = day.job(pairs.get("job", ""))
+        _read_runs(record, pairs.get("runs", ""), at)
+        for occurrence, step, seconds in _ESTIMATE.findall(pairs.get("expected", "")):
+            record.expected_seconds[(int(occurrence), int(step))] = float(seconds)
     elif event == "worker_lost":
         _read_lost_runs(day, pairs.get("runs", ""), at)
     elif event == "task_suspected" and pairs.get("given_up") == "true":
--- a/mustardward/components/reports/day_models.py
+++ b/mustardward/components/reports/day_models.py
@@ -20,6 +20,7 @@
     GIVEN_UP = "workers crashed under one of its tasks"
     RUN_REPEATED = "a run was lost and repeated"
     SLOW_RUN = "ran on a slow or failing worker"
+    WRONG_DECLARATION = "declared run time was wrong"
     OTHER = "none of these"
 
 
@@ -104,7 +105,11 @@
 
 @dataclass(slots=True)
 class JobRecord:
-    """Hold one job as described by the logs; times in seconds."""
+    """Hold one job as described by the logs; times in seconds.
+
+    :param expected_seconds: the run time of a step's tasks, by occurrence and step, as
+        estimated when the last of its runs ended.
+    """
 
     job: str
     queue: str = ""
@@ -120,6 +125,7 @@
     refusals: int = 0
     given_up: bool = False
     runs: dict[int, RunRecord] = field(default_factory=dict)
+    expected_seconds: dict[tuple[int, int], float] = field(default_factory=dict)
 
     @property
     def late(self) -> bool:
--- a/mustardward/components/scheduling/health.py
+++ b/mustardward/components/scheduling/health.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import dataclass, field
 
 from ...helpers.logging import get_logger
@@ -19,9 +20,6 @@
 
 _SPEED_WEIGHT = 0.15
 
-_MEAN_SPEED_WEIGHT = 0.02
-"""Weight of one worker's speed in the moving average of its pool."""
-
 _SLOW_SHARE = 0.7
 """Share of its pool's mean speed below which a worker counts as slow. Wrong run-time
 estimates lower the speeds of a whole pool."""
@@ -55,6 +53,15 @@
             weight = _SPEED_WEIGHT * estimates.confidence(task.step)
             self._learn_speed(worker, expected / seconds, weight)
 
+    def measure_speeds(self) -> None:
+        """Measure the mean speed of each pool's workers."""
+        speeds: defaultdict[str, list[float]] = defaultdict(list)
+        for worker in self.state.workers.values():
+            speeds[worker.service].append(worker.speed)
+        self._mean_speeds = {
+            service: sum(values) / len(values) for service, values in speeds.items()
+        }
+
     def is_slow(self, worker: WorkerState) -> bool:
         """Return whether a worker is known to be slower than those of its pool."""
         mean = self._mean_speeds.get(worker.service, 1.0)
@@ -68,9 +75,6 @@
     def _learn_speed(self, worker: WorkerState, ratio: float, weight: float) -> None:
         observed = min(1.0, max(0.1, ratio))
         worker.speed += weight * (observed - worker.speed)
-        mean = self._mean_speeds.get(worker.service, 1.0)
-        mean += _MEAN_SPEED_WEIGHT * (worker.speed - mean)
-        self._mean_speeds[worker.service] = mean
 
     @switchable(
         "quarantine",
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -158,6 +158,8 @@
             if self.is_representative(worker, task):
                 self.state.estimates.learn(task.step, seconds)
                 self.intake.update_objective(task.step.job)
+            expected = self.state.estimates.seconds(task.step)
+            self.run_logger.record_estimate(task, expected)
         elif task.phase in ACTIVE and task.worker is not None:
             self.state.add_command(Stop(task.name, task.worker.id, task.run, None))
         if not task.step.job.state.final:
--- a/mustardward/components/scheduling/run_logger.py
+++ b/mustardward/components/scheduling/run_logger.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from ...helpers.logging import get_logger
+from ...helpers.logging import LogValue, get_logger
 from ...platform.workers import EndedTask
 from .models import Task
 from .worker_state import WorkerState
@@ -34,6 +34,7 @@
     started_count: int = 0
     ended_count: int = 0
     _gathered: dict[Key, list[str]] = field(default_factory=lambda: defaultdict(list))
+    _estimates: dict[str, dict[str, float]] = field(default_factory=dict)
 
     def record_start(
         self, task: Task, worker: WorkerState, waited: float, expected: float
@@ -53,13 +54,30 @@
         text += f"={ended.how}" + ("" if is_current else "/stray")
         self._gathered["runs_ended", name.job].append(text)
 
+    def record_estimate(self, task: Task, seconds: float) -> None:
+        """Record the run time expected of a step's tasks after a run was completed.
+
+        It shows whether a long run was slow or its declared run time was wrong.
+        """
+        step = task.step
+        estimates = self._estimates.setdefault(step.job.record.id, {})
+        estimates[f"{step.occurrence}.{step.number}"] = seconds
+
     def flush(self) -> None:
         """Log the collected runs, by event and job."""
         for (event, job), runs in self._gathered.items():
+            fields: dict[str, LogValue] = {}
+            if event == "runs_ended" and job in self._estimates:
+                fields["expected"] = ",".join(
+                    f"{step}~{seconds:.2f}"
+                    for step, seconds in self._estimates[job].items()
+                )
             for first in range(0, len(runs), MAX_RUNS_PER_LINE):
                 part = runs[first : first + MAX_RUNS_PER_LINE]
-                _LOGGER.info(event, job=job, count=len(part), runs=",".join(part))
+                listed = ",".join(part)
+                _LOGGER.info(event, job=job, count=len(part), **fields, runs=listed)
         self._gathered.clear()
+        self._estimates.clear()
 
 
 def _run_key(task: Task) -> str:
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -203,6 +203,7 @@
         if now >= self._next_check_at:
             self._next_check_at = now + CHECK_INTERVAL_SECONDS
             self._stop_stuck(now)
+            self.health.measure_speeds()
             self._observe_running(now)
             self._crash_tracker.evaluate(now)
             self.pacing.run(now)
--- a/tests/components/reports/test_day.py
+++ b/tests/components/reports/test_day.py
@@ -120,6 +120,28 @@
     }
 
 
+def format_ends(at: float, job: str, runs: str, expected: str) -> str:
+    return format_line(
+        at, "runs_ended", job=JOBS[job], count=1, expected=expected, runs=runs
+    )
+
+
+def test_wrong_declaration_and_slow_run_have_separate_causes() -> None:
+    """Guards against blaming workers for long runs whose siblings ran as long."""
+    lines = [
+        format_submitted(0, "a"),
+        format_started(0, "a", 1, 0.0),
+        format_ends(5, "a", "0.0.1:1@w-1=done", "0.0~4.80"),
+        format_job_ended(5, "a", 5.0),
+        format_submitted(10, "b"),
+        format_started(10, "b", 1, 0.0),
+        format_ends(15, "b", "0.0.1:1@w-1=done", "0.1~4.80,0.0~1.10"),
+        format_job_ended(15, "b", 5.0),
+    ]
+    causes = {row.cause: row.jobs for row in count_delay_causes(read_day(lines))}
+    assert causes == {Cause.WRONG_DECLARATION: 1, Cause.SLOW_RUN: 1}
+
+
 def test_given_up_job_and_other_jobs_on_its_worker_have_separate_causes() -> None:
     """Guard against a lost run of another job on the worker that has no cause."""
     crashing, colocated = (f"{JOBS[name]}.0.0.1" for name in "ab")
