--- a/mustardward/components/scheduling/health.py
+++ b/mustardward/components/scheduling/health.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import defaultdict
+from dataclasses import dataclass, field
 
 from ...helpers.logging import get_logger
 from ...helpers.policies import switchable
@@ -19,6 +20,10 @@
 
 _SPEED_WEIGHT = 0.15
 
+_SLOW_SHARE = 0.7
+"""Share of its pool's mean speed below which a worker counts as slow. Wrong run-time
+estimates lower the speeds of a whole pool."""
+
 
 def _never_quarantine(
     health: WorkerHealth, /, worker: WorkerState, task: Task, now: float
@@ -27,7 +32,7 @@
 
 
 def _assume_equal_speed(
-    health: WorkerHealth, /, worker: WorkerState, ratio: float
+    health: WorkerHealth, /, worker: WorkerState, ratio: float, weight: float
 ) -> None:
     """Assume that all workers are equally fast."""
 
@@ -37,22 +42,39 @@
     """Quarantine workers that fail their runs, and learn how fast workers are."""
 
     state: SchedulerState
+    _mean_speeds: dict[str, float] = field(default_factory=dict)
 
     def record_success(self, worker: WorkerState, task: Task, seconds: float) -> None:
         """Record a completed run, which took ``seconds``."""
         worker.failed_jobs.clear()
-        expected = self.state.estimates.seconds(task.step)
+        estimates = self.state.estimates
         if seconds > 0:
-            self._learn_speed(worker, expected / seconds)
+            expected = estimates.seconds(task.step)
+            weight = _SPEED_WEIGHT * estimates.confidence(task.step)
+            self._learn_speed(worker, expected / seconds, weight)
+
+    def measure_speeds(self) -> None:
+        """Measure the mean speed of each pool's workers."""
+        speeds: defaultdict[str, list[float]] = defaultdict(list)
+        for worker in self.state.workers.values():
+            speeds[worker.service].append(worker.speed)
+        self._mean_speeds = {
+            service: sum(values) / len(values) for service, values in speeds.items()
+        }
+
+    def is_slow(self, worker: WorkerState) -> bool:
+        """Return whether a worker is known to be slower than those of its pool."""
+        mean = self._mean_speeds.get(worker.service, 1.0)
+        return worker.speed < _SLOW_SHARE * mean
 
     @switchable(
         "worker-speed",
         "tasks go to workers on which other tasks did not run slowly",
         without=_assume_equal_speed,
     )
-    def _learn_speed(self, worker: WorkerState, ratio: float) -> None:
+    def _learn_speed(self, worker: WorkerState, ratio: float, weight: float) -> None:
         observed = min(1.0, max(0.1, ratio))
-        worker.speed += _SPEED_WEIGHT * (observed - worker.speed)
+        worker.speed += weight * (observed - worker.speed)
 
     @switchable(
         "quarantine",
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -16,6 +16,7 @@
 from .commands import Command
 from .const import (
     CHECK_INTERVAL_SECONDS,
+    MAX_IDLE_SECONDS,
     STUCK_FACTOR,
     STUCK_SECONDS,
 )
@@ -205,6 +206,8 @@
         if now >= self._next_check_at:
             self._next_check_at = now + CHECK_INTERVAL_SECONDS
             self._stop_stuck(now)
+            self.health.measure_speeds()
+            self._observe_running(now)
             self._crash_tracker.evaluate(now)
             self.pacing.run(now)
         self._planner.run(now, max_starts)
@@ -259,11 +262,25 @@
                     self.health.record_failure(worker, task, now)
                     self.state.stop(task, "stuck")
 
+    def _observe_running(self, now: float) -> None:
+        """Let runs that exceed their estimates correct those of their siblings."""
+        for worker in self.state.workers.values():
+            if worker.stale:
+                continue
+            for task in worker.tasks.values():
+                if (
+                    task.phase is Phase.RUNNING
+                    and task.seconds_without_progress <= MAX_IDLE_SECONDS
+                    and self.reports.is_representative(worker, task)
+                    and self.state.estimates.observe_running(task, now)
+                ):
+                    self.intake.update_objective(task.step.job)
+
     def _is_stuck(self, task: Task) -> bool:
         if task.phase is not Phase.RUNNING or task.percent >= 100:
             return False
         if task.worker is None or task.worker.stale:
             # Without current reports, progress is unknown.
             return False
-        expected = STUCK_FACTOR * self.state.estimates.seconds(task.step)
+        expected = STUCK_FACTOR * self.state.estimates.high_seconds(task.step)
         return task.seconds_without_progress > max(STUCK_SECONDS, expected)
