Try seed 53 first for the walk without fencing

The joined parts change the walks' random sequences: seeds 0 to 39 don't find the mutant no-fence any more, 53 does.

--- a/tests/components/ownership/test_twice_walks.py
+++ b/tests/components/ownership/test_twice_walks.py
@@ -17,7 +17,7 @@
     "an-unresponsive-worker-is-renewed": 44,
     "leases-are-expected-to-end-early": 3,
     "leases-of-previous-owners-are-forgotten": 4,
-    "no-fence": 9,
+    "no-fence": 53,
     "authority-lasts-for-ever": 46,
     "an-unresponsive-worker-is-lost": 0,
     "ends-are-acknowledged-unstored": 0,
