Let no claim follow from an old query

An entry that was told that the owner has no authority kept that until a newer renewal was read. Its claim can be put off by more than that, if the store becomes slower and its rank waits longer.

--- a/tests/components/ownership/test_election.py
+++ b/tests/components/ownership/test_election.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from mustardward.components.dispatch.const import AUTHORITY_SECONDS
 from mustardward.components.ledger.models import OwnerRecord
 from mustardward.components.ownership.const import (
     CLAIM_JITTER_SECONDS,
+    OWNER_ANSWER_VALID_SECONDS,
+    OWNER_CHECK_SECONDS,
+    OWNER_DENIAL_VALID_SECONDS,
+    OWNER_QUERY_LEAD_SECONDS,
     OWNER_TIMEOUT_SECONDS,
     SLOW_INSTANCE_DELAY_SECONDS,
 )
@@ -68,6 +73,31 @@
     assert election.should_claim(104.0 + MAX_TIMEOUT_SECONDS)
 
 
+def test_claim_follows_a_query_of_a_moment_before() -> None:
+    """Guard against a claim by an old answer, since the owner may have renewed."""
+    election = an_election(OwnerRecord(1, "c", "other", 0), jitter_position=0.0)
+    due_at = 100.0 + OWNER_TIMEOUT_SECONDS
+    assert not election.should_query(due_at - OWNER_QUERY_LEAD_SECONDS - 0.01)
+    assert election.should_query(due_at - OWNER_QUERY_LEAD_SECONDS + 0.01)
+    election.allow_claim(due_at - OWNER_QUERY_LEAD_SECONDS)
+    assert not election.should_query(due_at + OWNER_CHECK_SECONDS)
+    assert election.should_query(due_at + OWNER_DENIAL_VALID_SECONDS)
+    election.record_claim()
+    assert election.should_query(due_at)
+
+
+def test_answer_does_not_outlast_the_authority() -> None:
+    """Guard against an owner that is taken for sound after its authority has ended."""
+    election = an_election(OwnerRecord(1, "c", "other", 0), jitter_position=0.0)
+    sent_at = 100.0 + OWNER_TIMEOUT_SECONDS
+    assert election.defer(sent_at, AUTHORITY_SECONDS - 0.1)
+    assert not election.should_claim(sent_at + 0.05)
+    assert election.should_query(sent_at + 0.11)
+    assert not election.defer(sent_at + 0.11, AUTHORITY_SECONDS - 1.0)
+    assert not election.should_query(sent_at + 0.11 + OWNER_ANSWER_VALID_SECONDS - 0.01)
+    assert election.should_query(sent_at + 0.11 + OWNER_ANSWER_VALID_SECONDS + 0.01)
+
+
 def test_fast_instances_claim_before_slow_ones_whatever_their_jitter() -> None:
     """Guard against an owner that renews leases too late, so that they expire.
 
