Learn each organisation's own error of declared run times

Cause: one organisation that declares wrong times makes all declarations of its queue unreliable.

Change: an organisation's declared times are first corrected by its mean error relative to the queue's, for up to 32 organisations a queue; stored in the queue's record.

--- a/bench/turns.py
+++ b/bench/turns.py
@@ -3,7 +3,7 @@
 Load pattern: a queue asks for several times what its pool holds for some seconds; the
 pool grows some seconds later, as instances come. ``python -m bench.turns`` prints a
 line of pairs for each order and kind of work: the share of worth earned, of jobs done
-in time, and of the largest tenth done in time. Time is driven: it takes 40 seconds and
+in time, and of the largest tenth done in time. Time is driven: it takes 3 minutes and
 gives the same figures each time for the same seed.
 
 Then it prints, for queues whose declared run times are off by a factor for each job,
@@ -23,7 +23,7 @@
 import numpy
 
 from mustardward.components.ledger.ledger import LedgerJob
-from mustardward.components.ledger.models import JobRecord
+from mustardward.components.ledger.models import JobRecord, RunTimesRecord
 from mustardward.components.run_times.estimates import Estimates
 from mustardward.components.scheduling.commands import Start
 from mustardward.components.scheduling.job_order import ORDERS
@@ -51,7 +51,7 @@
 """Longest time that is played after a turn."""
 
 
-Learned = dict[str, tuple[float, ...]]
+Learned = dict[str, RunTimesRecord]
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +62,8 @@
     :param estimate_error: spread of the logarithms of each step's declared run times.
     :param job_error: spread of the logarithm of a factor for all steps of a job.
     :param bias: mean of the logarithm of that factor.
+    :param organisation_error: spread of the logarithm of a factor for all jobs of an
+        organisation; there are ORGANISATIONS of them.
     """
 
     name: str
@@ -78,6 +80,7 @@
     estimate_error: float = 0.2
     job_error: float = 0.0
     bias: float = 0.0
+    organisation_error: float = 0.0
 
 
 KINDS: Final = (
@@ -87,8 +90,19 @@
 )
 
 
-ERRORS: Final = ((0.5, 0.0), (1.0, 0.0), (1.0, 0.7), (1.0, -0.7), (1.5, 0.0))
-"""Spread and bias of the declared run times of the second part."""
+ORGANISATIONS: Final = 10
+
+ERRORS: Final = (
+    (0.0, 0.0, 0.0),
+    (0.5, 0.0, 0.0),
+    (1.0, 0.0, 0.0),
+    (1.0, 0.7, 0.0),
+    (1.0, -0.7, 0.0),
+    (1.5, 0.0, 0.0),
+    (0.2, 0.0, 1.0),
+)
+"""Spread and bias of the declared run times of jobs, and spread of those of the
+organisations, in the second part."""
 
 
 @dataclass(slots=True)
@@ -128,14 +142,27 @@
                 _add(result, replay(kind, name, seed))
             _print({"kind": kind.name, "order": name or "by load"}, result)
     for kind in KINDS:
-        for error, bias in ((0.0, 0.0), *ERRORS):
-            wrong = replace(kind, estimate_error=0.0, job_error=error, bias=bias)
+        for errors in ERRORS:
+            job_error, bias, organisation_error = errors
+            wrong = replace(
+                kind,
+                estimate_error=0.0,
+                job_error=job_error,
+                bias=bias,
+                organisation_error=organisation_error,
+            )
             result = Result()
             for seed in WRONG_SEEDS:
                 learned: Learned = {}
                 replay(wrong, ADAPTIVE, 1000 + seed, learned)
                 _add(result, replay(wrong, ADAPTIVE, seed, learned))
-            _print({"kind": kind.name, "spread": error, "bias": bias}, result)
+            pairs: dict[str, str | float] = {
+                "kind": kind.name,
+                "spread": job_error,
+                "bias": bias,
+                "organisations": organisation_error,
+            }
+            _print(pairs, result)
 
 
 def _print(pairs: dict[str, str | float], result: Result) -> None:
@@ -172,20 +199,29 @@
     count = int(kind.jobs_a_second * kind.turn_seconds)
     times = numpy.sort(chance.uniform(0.0, kind.turn_seconds, count))
     jobs = [_draw_job(kind, chance, n, float(at)) for n, at in enumerate(times)]
-    if kind.job_error or kind.bias:
+    if kind.job_error or kind.bias or kind.organisation_error:
+        # The organisations' factors are the same in all turns.
+        organisations = numpy.random.default_rng(2).lognormal(
+            0.0, kind.organisation_error, ORGANISATIONS
+        )
         errors = numpy.random.default_rng([seed, 1])
-        for job in jobs:
-            _change_declared(job, float(errors.lognormal(kind.bias, kind.job_error)))
+        for number, job in enumerate(jobs):
+            organisation = number % ORGANISATIONS
+            error = float(errors.lognormal(kind.bias, kind.job_error))
+            factor = error * float(organisations[organisation])
+            _change_declared(job, factor, f"o{organisation}")
     return jobs
 
 
-def _change_declared(drawn: Drawn, factor: float) -> None:
+def _change_declared(drawn: Drawn, factor: float, organisation: str) -> None:
     record = drawn.job.record
     steps = [
         msgspec.structs.replace(step, estimate_ms=step.estimate_ms * factor)
         for step in record.steps
     ]
-    drawn.job.record = msgspec.structs.replace(record, steps=steps)
+    drawn.job.record = msgspec.structs.replace(
+        record, steps=steps, organisation=organisation
+    )
 
 
 def _skewed(chance: numpy.random.Generator, mean: float, spread: float) -> float:
@@ -232,8 +268,8 @@
     """
     turn = _Turn(kind, order, draw(kind, seed))
     estimates = turn.estimates
-    for queue, figures in (learned or {}).items():
-        estimates.restore(queue, figures)
+    for queue, record in (learned or {}).items():
+        estimates.restore(queue, record)
     now = 0.0
     while now < kind.turn_seconds + MOST_SECONDS_AFTER and turn.going:
         now += PLAN_SECONDS
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -163,9 +163,12 @@
     """Store what an owner learned of the run times of a queue's jobs.
 
     :param figures: as exported by the estimates; a newer build may append some.
+    :param organisations: mean error of each organisation's declared times, relative to
+        the queue's, as a logarithm.
     """
 
     figures: tuple[float, ...]
+    organisations: dict[str, float] = {}
 
 
 class ReportedRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -281,7 +281,7 @@
         state = self.scheduler.state
         hold_previous_runs(state, self._previous, now)
         for queue, record in dependencies.ledger.run_times.items():
-            state.estimates.restore(queue, record.figures)
+            state.estimates.restore(queue, record)
         for job in sorted(
             dependencies.ledger.jobs.values(), key=lambda job: job.record.accepted_at
         ):
--- a/mustardward/components/ownership/progress_writer.py
+++ b/mustardward/components/ownership/progress_writer.py
@@ -19,7 +19,7 @@
     PREFIX_RUN_TIMES,
 )
 from ..ledger.ledger import encode
-from ..ledger.models import JobState, RunTimesRecord
+from ..ledger.models import JobState
 from ..run_times.const import STORE_INTERVAL_SECONDS
 from ..scheduling.scheduler import Scheduler
 from .authority import Authority
@@ -128,9 +128,8 @@
         if now < self._run_times_due_at:
             return []
         self._run_times_due_at = now + STORE_INTERVAL_SECONDS
-        run_times = self.dependencies.ledger.run_times
-        stored = {name: record.figures for name, record in run_times.items()}
+        stored = self.dependencies.ledger.run_times
         return [
-            (PREFIX_RUN_TIMES + queue, encode(RunTimesRecord(figures)))
-            for queue, figures in self.scheduler.state.estimates.changed_since(stored)
+            (PREFIX_RUN_TIMES + queue, encode(record))
+            for queue, record in self.scheduler.state.estimates.changed_since(stored)
         ]
--- a/mustardward/components/run_times/const.py
+++ b/mustardward/components/run_times/const.py
@@ -51,6 +51,9 @@
 
 STORE_INTERVAL_SECONDS: Final = 5.0
 
+MAX_ORGANISATIONS: Final = 32
+"""Most organisations of a queue whose mean errors are learned."""
+
 MAX_QUEUES: Final = 64
 """Most queues whose figures are exported."""
 
--- a/mustardward/components/run_times/estimates.py
+++ b/mustardward/components/run_times/estimates.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from dataclasses import astuple, dataclass, field
 
 from ...helpers.policies import switchable
+from ..ledger.models import RunTimesRecord
 from ..scheduling.models import Job, StepRun, Task
 from .const import (
     ESTIMATE_CEILING,
@@ -74,7 +75,8 @@
         if runs is None or not runs.count or runs.error is not None:
             return
         queue = self._queue(step.job.record.queue)
-        queue.learn(math.log(step.spec.estimate_ms / 1000), runs, job)
+        declared = math.log(step.spec.estimate_ms / 1000)
+        queue.learn(declared, runs, job, step.job.organisation)
 
     def observe_running(self, task: Task, now: float) -> bool:
         """Observe a run in progress; return whether estimates of its job changed.
@@ -161,32 +163,33 @@
             ends.append(begin + length)
         return max(ends, default=0.0)
 
-    def export(self) -> dict[str, tuple[float, ...]]:
+    def export(self) -> dict[str, RunTimesRecord]:
         """Return what was learned of each queue, with the best known queues first."""
         queues = sorted(self._queues.items(), key=lambda item: -item[1].figures.steps)
         return {
-            name: astuple(queue.figures)
+            name: RunTimesRecord(astuple(queue.figures), dict(queue.offsets))
             for name, queue in queues[:MAX_QUEUES]
             if queue.known is not None and len(name.encode()) <= MAX_QUEUE_BYTES
         }
 
     def changed_since(
-        self, stored: Mapping[str, Sequence[float]]
-    ) -> list[tuple[str, tuple[float, ...]]]:
-        """Return the exported figures that differ noticeably from the stored ones."""
+        self, stored: Mapping[str, RunTimesRecord]
+    ) -> list[tuple[str, RunTimesRecord]]:
+        """Return the exported records that differ noticeably from the stored ones."""
         return [
-            (name, figures)
-            for name, figures in self.export().items()
-            if _differ(figures, stored.get(name, ()))
+            (name, record)
+            for name, record in self.export().items()
+            if name not in stored or _differ(record, stored[name])
         ]
 
-    def restore(self, queue: str, figures: tuple[float, ...]) -> None:
+    def restore(self, queue: str, record: RunTimesRecord) -> None:
         """Restore what a previous owner learned of a queue; ignore unusable figures."""
-        if len(figures) < FIGURES_COUNT:
+        if len(record.figures) < FIGURES_COUNT:
             return
-        restored = QueueReliability(Figures(*figures[:FIGURES_COUNT]))
+        restored = QueueReliability(Figures(*record.figures[:FIGURES_COUNT]))
         if not restored.figures.are_plausible():
             return
+        restored.restore_offsets(record.organisations)
         restored.update()
         if restored.known is not None:
             self._queues[queue] = restored
@@ -204,8 +207,9 @@
             return self._by_ratio(job)
         runs = job.run_times
         if runs.version != queue.version or not runs.estimates:
+            offset = queue.offsets.get(job.organisation, 0.0)
             declared = [
-                math.log(spec.estimate_ms / 1000 or UNKNOWN_ESTIMATE_SECONDS)
+                math.log(spec.estimate_ms / 1000 or UNKNOWN_ESTIMATE_SECONDS) + offset
                 for spec in job.record.steps
             ]
             runs.estimates = queue.known.estimate(declared, runs)
@@ -227,8 +231,13 @@
         return runs.estimates
 
 
-def _differ(figures: Sequence[float], stored: Sequence[float]) -> bool:
-    return len(stored) < len(figures) or any(
-        abs(new - old) > MIN_STORED_CHANGE
-        for new, old in zip(figures, stored, strict=False)
-    )
+def _differ(new: RunTimesRecord, old: RunTimesRecord) -> bool:
+    if len(old.figures) < len(new.figures) or new.organisations.keys() - (
+        old.organisations.keys()
+    ):
+        return True
+    changes = [a - b for a, b in zip(new.figures, old.figures, strict=False)]
+    changes += [
+        offset - old.organisations[name] for name, offset in new.organisations.items()
+    ]
+    return any(abs(change) > MIN_STORED_CHANGE for change in changes)
--- a/mustardward/components/run_times/reliability.py
+++ b/mustardward/components/run_times/reliability.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import math
-from dataclasses import astuple, dataclass, fields
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import astuple, dataclass, field, fields
 from typing import Final
 
 from ...helpers.policies import switchable
@@ -11,6 +13,7 @@
     HIGH_DEVIATIONS,
     MAX_FIGURE,
     MAX_LOG_ERROR,
+    MAX_ORGANISATIONS,
     MEMORY_STEPS,
     MIN_CHANGE,
     MIN_DECLARED_VARIANCE,
@@ -187,6 +190,10 @@
 class QueueReliability:
     """Learn the reliability of one queue's declared run times.
 
+    Each organisation's declared times are first corrected by its own mean error, so
+    that the remaining errors are those of its jobs.
+
+    :param offsets: that mean error by organisation, as a logarithm.
     :param version: increases with each noticeable change of ``known``.
     :param known: None until enough steps are complete.
     """
@@ -194,10 +201,15 @@
     figures: Figures
     version: int = 0
     known: Reliability | None = None
+    offsets: dict[str, float] = field(default_factory=dict)
+    _learned: Counter[str] = field(default_factory=Counter)
 
-    def learn(self, declared: float, runs: StepRunTimes, job: JobRunTimes) -> None:
+    def learn(
+        self, declared: float, runs: StepRunTimes, job: JobRunTimes, organisation: str
+    ) -> None:
         """Learn from a completed step of a job."""
         figures = self.figures
+        declared += self.offsets.get(organisation, 0.0)
         error = max(-MAX_LOG_ERROR, min(MAX_LOG_ERROR, runs.mean - declared))
         actual = declared + error
         figures.steps = min(MEMORY_STEPS, figures.steps + 1)
@@ -219,8 +231,27 @@
         figures.inverse_runs += gain * (1 / runs.count - figures.inverse_runs)
         self._learn_run_variance(runs)
         self._learn_pair(declared, actual, runs, job)
+        self._learn_offset(organisation, actual - declared)
         self.update()
 
+    def _learn_offset(self, organisation: str, error: float) -> None:
+        """Learn an organisation's mean error relative to the queue's."""
+        is_new = organisation not in self.offsets
+        if not organisation or (is_new and len(self.offsets) >= MAX_ORGANISATIONS):
+            return
+        self._learned[organisation] += 1
+        steps = min(MEMORY_STEPS, self._learned[organisation])
+        change = error - (self.figures.actual - self.figures.declared)
+        offset = self.offsets.get(organisation, 0.0)
+        self.offsets[organisation] = offset + change / (steps + PRIOR_STEPS)
+
+    def restore_offsets(self, offsets: Mapping[str, float]) -> None:
+        """Restore plausible offsets, each as that of a well-known organisation."""
+        for organisation, offset in list(offsets.items())[:MAX_ORGANISATIONS]:
+            if abs(offset) <= MAX_LOG_ERROR:
+                self.offsets[organisation] = offset
+                self._learned[organisation] = MEMORY_STEPS // 2
+
     def _learn_run_variance(self, runs: StepRunTimes) -> None:
         if runs.count < 2:
             return
--- a/tests/components/ledger/test_ledger.py
+++ b/tests/components/ledger/test_ledger.py
@@ -132,7 +132,7 @@
 
 def test_run_times_of_a_newer_build_are_readable() -> None:
     ledger = Ledger()
-    newer = msgspec.msgpack.encode([[1.0, 2.0, 3.0], "more"])
+    newer = msgspec.msgpack.encode([[1.0, 2.0, 3.0], {"o": 0.5}, "more"])
     apply_record(ledger, PREFIX_RUN_TIMES + "q", newer)
     assert ledger.run_times["q"].figures == (1.0, 2.0, 3.0)
 
--- a/tests/components/run_times/test_estimates.py
+++ b/tests/components/run_times/test_estimates.py
@@ -9,7 +9,12 @@
 import numpy
 import pytest
 
-from mustardward.components.run_times.const import MAX_QUEUES, MIN_STEPS
+from mustardward.components.ledger.models import RunTimesRecord
+from mustardward.components.run_times.const import (
+    MAX_ORGANISATIONS,
+    MAX_QUEUES,
+    MIN_STEPS,
+)
 from mustardward.components.run_times.estimates import Estimates
 from mustardward.components.scheduling.models import Job, QueuePolicy, StepRun, Task
 from mustardward.helpers.policies import switch_off
@@ -226,8 +231,8 @@
     queue = Queue(error=1.0)
     queue.complete(60)
     restored = Estimates()
-    for name, figures in queue.estimates.export().items():
-        restored.restore(name, figures)
+    for name, record in queue.estimates.export().items():
+        restored.restore(name, record)
     job, _ = queue.draw()
     expected = queue.estimates.seconds(job.steps[(0, 0)])
     job.run_times.estimates = ()
@@ -248,7 +253,7 @@
 def test_unusable_figures_are_ignored(figures: tuple[float, ...]) -> None:
     """Guards against a takeover that fails because of a damaged record."""
     estimates = Estimates()
-    estimates.restore(QUEUE, figures)
+    estimates.restore(QUEUE, RunTimesRecord(figures))
     job, _ = Queue().draw()
     declared = job.record.steps[0].estimate_ms / 1000
     assert estimates.seconds(job.steps[(0, 0)]) == pytest.approx(declared)
@@ -277,6 +282,55 @@
     )
 
 
+def test_an_organisations_own_error_is_learned() -> None:
+    """Guards against distrust of all organisations because one declares wrong times."""
+    queue = Queue(error=0.1)
+    errors: dict[str, list[float]] = {"right": [], "wrong": []}
+    for number in range(160):
+        organisation = "wrong" if number % 4 == 0 else "right"
+        queue.bias = 1.4 if organisation == "wrong" else 0.0
+        job, true = queue.draw(organisation=organisation)
+        if number >= 100:
+            seconds = queue.estimates.seconds(job.steps[(0, 0)])
+            errors[organisation].append(math.log(seconds / true[0]))
+        for step in range(2):
+            queue.run(job, true, step)
+    for values in errors.values():
+        assert numpy.sqrt(numpy.mean(numpy.square(values))) < 0.25
+
+
+def test_an_organisation_alone_is_estimated_like_a_queue_without_any() -> None:
+    queue = Queue(error=1.0, bias=0.7)
+    for _ in range(60):
+        job, true = queue.draw(organisation="alone")
+        queue.run(job, true, 0)
+        queue.run(job, true, 1)
+    expected = actual = 0.0
+    for _ in range(200):
+        job, true = queue.draw(organisation="alone")
+        expected += queue.estimates.remaining_work(job)
+        actual += sum(8 * SHIFT * seconds for seconds in true)
+    assert abs(expected / actual - 1) < 0.15
+
+
+def test_learned_organisations_are_bounded_and_restored() -> None:
+    """Guards against a record that grows with the number of organisations."""
+    queue = Queue(error=0.1)
+    for number in range(3 * MAX_ORGANISATIONS):
+        queue.bias = 1.0 if number % 2 else 0.0
+        job, true = queue.draw(organisation=f"o{number}")
+        queue.run(job, true, 0)
+    (record,) = queue.estimates.export().values()
+    assert len(record.organisations) == MAX_ORGANISATIONS
+    restored = Estimates()
+    damaged = {**record.organisations, "o0": math.nan, "o1": 1e9}
+    restored.restore(QUEUE, RunTimesRecord(record.figures, damaged))
+    (again,) = restored.export().values()
+    expected = dict(record.organisations)
+    del expected["o0"], expected["o1"]
+    assert again.organisations == expected
+
+
 def test_export_is_bounded() -> None:
     queue = Queue(error=1.0)
     for number in range(MAX_QUEUES + 5):
