Give an empty worker to tasks that fit beside no long-running one

The projection takes resources as divisible: eight workers with 4.3 free cores each seemed to have room for a task of 8.7 cores, which then waited for 10 s. Such tasks now ask for workers without long-running tasks. While another pool's peak uses all instances the task still waits, as none is left.

The time of an accepted move counts from zero on; a move accepted at time 0 counted as not accepted.

--- a/mustardward/components/fleet/pool_planner.py
+++ b/mustardward/components/fleet/pool_planner.py
@@ -212,7 +212,7 @@
         """Return the instances that a pool has, and when others arrive."""
         seconds = self.move_seconds + ORDER_OVERHEAD_SECONDS
         arrivals = tuple(
-            max(0.0, (order.accepted_at or now) + seconds - now)
+            max(0.0, _accepted_at(order, now) + seconds - now)
             for order in self.orders.values()
             if order.pool == pool
         )
@@ -232,6 +232,7 @@
             MIN_POOL_INSTANCES,
             load.spread_workers,
             math.ceil(long_running / TARGET_UTILISATION),
+            supply.present + load.empty_workers if load.empty_workers else 0,
         )
         demand = Demand(load.profile.in_instances(size), long_running, minimum)
         isolated = min(load.isolation_workers, MAX_ISOLATED_WORKERS)
@@ -373,3 +374,8 @@
 def _relative_shortage(item: tuple[str, Need], counts: Counter[str]) -> float:
     pool, need = item
     return (need.ordered - counts[pool]) / max(1, counts[pool])
+
+
+def _accepted_at(order: MoveOrder, now: float) -> float:
+    """Return when a move began, or now if that is not known."""
+    return now if order.accepted_at is None else order.accepted_at
--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -7,10 +7,12 @@
 from dataclasses import dataclass, field
 
 from ...helpers.logging import get_logger
+from ...platform.models import Room
 from ..pool_sizing.work_profile import WorkProfile
 from .crashes import isolated_tasks
 from .inflow import Amount
 from .models import StepRun
+from .placement import count_fitting, is_operational, room_after_short_tasks
 from .scheduler_state import SchedulerState
 
 _LOGGER = get_logger(__name__)
@@ -34,6 +36,8 @@
         and expected jobs.
     :param spread_workers: workers that a step needs to respect its limit of tasks per
         worker.
+    :param empty_workers: workers without long-running tasks that waiting tasks need
+        because they fit beside those on no present worker.
     :param isolation_workers: workers that suspected jobs need for themselves.
     """
 
@@ -48,6 +52,7 @@
     inflow: Amount = field(default_factory=Amount)
     profile: WorkProfile = field(default_factory=WorkProfile)
     spread_workers: int = 0
+    empty_workers: int = 0
     isolation_workers: int = 0
 
 
@@ -118,6 +123,7 @@
         load = loads[step.job.policy.service]
         load.spread_workers = max(load.spread_workers, _workers_to_spread(step))
     _add_isolation_workers(loads, state)
+    _add_empty_workers(loads, state)
     for service, load in loads.items():
         load.inflow = state.inflow.rate(service, now)
         state.inflow.add_expected(service, load.profile, now)
@@ -190,6 +196,30 @@
             loads[job.policy.service].isolation_workers += 1
 
 
+def _add_empty_workers(
+    loads: defaultdict[str, PoolLoad], state: SchedulerState
+) -> None:
+    """Add the workers for tasks that are too large to run beside long-running ones.
+
+    Long-running tasks leave some room on each worker, which may be enough in total.
+    """
+    rooms: defaultdict[str, list[tuple[Room, Room]]] = defaultdict(list)
+    for worker in state.workers.values():
+        if is_operational(worker) and worker.id not in state.unusable_workers:
+            pair = (worker.capacity, room_after_short_tasks(worker))
+            rooms[worker.service].append(pair)
+    for step in state.ready.values():
+        pool = rooms.get(step.job.policy.service, [])
+        if step.spec.long_running or not step.waiting:
+            continue
+        if any(count_fitting(left, step.room) for _, left in pool):
+            continue
+        most = max((count_fitting(size, step.room) for size, _ in pool), default=0)
+        if most:
+            count = math.ceil(len(step.waiting) / most)
+            loads[step.job.policy.service].empty_workers += count
+
+
 def _workers_to_spread(step: StepRun) -> int:
     limit = step.spec.max_per_server
     if not limit or step.job.state.final:
--- a/tests/components/scheduling/test_demand.py
+++ b/tests/components/scheduling/test_demand.py
@@ -63,6 +63,22 @@
         bench.plan_starts()
 
 
+def test_a_task_that_fits_beside_no_long_running_one_needs_an_empty_worker() -> None:
+    """Guard against a task that waits forever though the room suffices in total."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("w2")
+    lasting = a_step(count=2, cpu=4000, mem_mb=100, max_per_server=1, long_running=True)
+    bench.add(a_job(lasting))
+    assert len(bench.plan_starts()) == 2
+    bench.add(a_job(a_step(count=2, cpu=6000, mem_mb=100), job=f"{7:016x}"))
+    assert measure(bench.scheduler.state, bench.now)[POOL].empty_workers == 2
+    bench.add(a_job(a_step(count=2, cpu=3000, mem_mb=100), job=f"{8:016x}"))
+    assert measure(bench.scheduler.state, bench.now)[POOL].empty_workers == 2
+    bench.worker("w3")
+    assert measure(bench.scheduler.state, bench.now)[POOL].empty_workers == 0
+
+
 def test_expected_jobs_are_projected() -> None:
     """Guard against a pool that is sized for the jobs that have arrived only."""
     bench = SchedulerBench()
