Test that the order of steps without weights is that of their urgency

Guards deployments without weights against another order: 200 steps of all deadline classes and two priorities are ordered as by a reference key without shares.

--- a/tests/components/fair_sharing/test_fair_shares.py
+++ b/tests/components/fair_sharing/test_fair_shares.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import random
+from dataclasses import replace
+
 import pytest
 
 from mustardward.components.fair_sharing.fair_shares import (
     MIN_BURST_JOBS,
     FairShares,
 )
-from mustardward.components.scheduling.models import Job
+from mustardward.components.scheduling.job_order import capacity_of, order_steps
+from mustardward.components.scheduling.models import Job, StepRun
 from mustardward.components.scheduling.scheduler import Scheduler
 from mustardward.helpers.policies import switch_off
 
-from ..scheduling.builders import SchedulerBench, a_job, a_step
+from ..scheduling.builders import POOL, SchedulerBench, a_job, a_step
 
 BUSY = "hot"
 SMALL = "small"
@@ -199,3 +203,63 @@
     jobs = add_jobs(bench, BUSY, 40)
     bench.plan_starts()
     assert not any(job.exceeds_rate or job.beyond_share for job in jobs)
+
+
+def reference_rank(
+    step: StepRun, now: float, path: float
+) -> tuple[int, int, float | int]:
+    """Return the rank of a step that no share affects, in a pool with little load."""
+    job = step.job
+    priority = job.policy.priority
+    if step.spec.long_running:
+        return (0, priority, float(step.spec.fills))
+    if now + path <= job.objective_at:
+        return (1, priority, job.objective_at - path)
+    if now + path <= job.late_at:
+        return (2, priority, path * len(step.tasks))
+    return (3, priority, job.accepted_at)
+
+
+def test_without_weights_the_order_of_steps_is_that_of_their_urgency() -> None:
+    """Guards against another order where no organisation has a weight."""
+    chance = random.Random(3)
+    bench = SchedulerBench()
+    workers = [bench.worker(f"w{number}") for number in range(100)]
+    for number in range(200):
+        step = a_step(
+            count=chance.randint(1, 4),
+            estimate_ms=chance.choice((200, 1000, 4000)),
+            long_running=chance.random() < 0.1,
+        )
+        accepted_at = bench.now - chance.choice((0.0, 1.0, 4.0, 20.0))
+        organisation = chance.choice(("", BUSY, SMALL))
+        job = a_job(
+            step,
+            job=f"{number:016x}",
+            organisation=organisation,
+            accepted_at=accepted_at,
+        )
+        bench.add(job)
+        found = bench.scheduler.state.jobs[f"{number:016x}"]
+        found.policy = replace(found.policy, priority=chance.randint(0, 1))
+    state = bench.scheduler.state
+    steps = list(state.ready.values())
+    shares = FairShares()
+    capacity = capacity_of(workers, 0, state.estimates, bench.now)
+    ordered = order_steps(
+        steps,
+        bench.now,
+        state.estimates,
+        capacity,
+        judge=lambda jobs, on_time: shares.judge(
+            POOL, jobs, on_time, workers, state.estimates, bench.now
+        ),
+    )
+    assert ordered == sorted(
+        steps,
+        key=lambda step: reference_rank(
+            step,
+            bench.now,
+            state.estimates.critical_path(step.job, only_remaining=True),
+        ),
+    )
