--- a/mustardward/components/fair_sharing/__init__.py
+++ b/mustardward/components/fair_sharing/__init__.py
@@ -1,4 +1,5 @@
 """Share a full pool between organisations by their weights.
 
-Nothing in this package reads a clock, does I/O or blocks.
+Nothing in this package reads a clock or blocks; only ``share_logger`` writes log lines
+and metrics.
 """
