Compare a run with its estimate only when it may exceed it

Cause: each scan compared all running tasks: 4.5 to 17 ms for 3,200 runs, ten times a second, about as long as the scan for stuck runs or longer.

Change: a task has the time of its next comparison.

--- a/mustardward/components/scheduling/const.py
+++ b/mustardward/components/scheduling/const.py
@@ -17,6 +17,10 @@
 
 STUCK_FACTOR: Final = 1.5
 
+MAX_OBSERVE_INTERVAL_SECONDS: Final = 0.5
+"""Longest time after which a running task is compared with its estimate again. With
+3,200 runs, comparing each in every scan takes longer than the scan for stuck runs."""
+
 MAX_IDLE_SECONDS: Final = 1.0
 """A run without progress for longer shows nothing of its task's length; otherwise a
 stuck run would raise its own estimate, and never count as stuck."""
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -65,6 +65,7 @@
     :param evaluation_due_at: when it will be known which other workers crashed together
         with the last of these, or 0 if no evaluation is due.
     :param adopted: whether a previous owner started the run, and may have stopped it.
+    :param observe_at: when to compare the run with its estimate.
     :param paced: whether the run was throttled at any time.
     :param runs_since_crash: number of runs since the last crash that ended without one.
     """
@@ -93,6 +94,7 @@
     runs_since_crash: int = 0
     adopted: bool = False
     paced: bool = False
+    observe_at: float = 0.0
 
     @property
     def name(self) -> TaskName:
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -12,10 +12,12 @@
 from ...platform.workers import WorkerReport
 from ..ledger.ledger import LedgerJob
 from ..ledger.models import JobState, Progress
+from ..run_times.const import MIN_GROWTH
 from .commands import Command
 from .const import (
     CHECK_INTERVAL_SECONDS,
     MAX_IDLE_SECONDS,
+    MAX_OBSERVE_INTERVAL_SECONDS,
     STUCK_FACTOR,
     STUCK_SECONDS,
 )
@@ -36,6 +38,7 @@
 from .scheduler_state import PolicyLookup, SchedulerState
 from .wait_logger import WaitLogger
 from .worker_entries import WorkerEntries
+from .worker_state import WorkerState
 from .zone_chooser import ZoneChooser
 
 _LOGGER = get_logger(__name__)
@@ -265,13 +268,23 @@
             if worker.stale:
                 continue
             for task in worker.tasks.values():
-                if (
-                    task.phase is Phase.RUNNING
-                    and task.seconds_without_progress <= MAX_IDLE_SECONDS
-                    and self.reports.is_representative(worker, task)
-                    and self.state.estimates.observe_running(task, now)
-                ):
-                    self.intake.update_objective(task.step.job)
+                if now >= task.observe_at and task.phase is Phase.RUNNING:
+                    self._observe(worker, task, now)
+
+    def _observe(self, worker: WorkerState, task: Task, now: float) -> None:
+        estimates = self.state.estimates
+        remaining = estimates.remaining_seconds(task, now)
+        if remaining > 0:
+            # The estimate may drop meanwhile.
+            task.observe_at = now + min(remaining, MAX_OBSERVE_INTERVAL_SECONDS)
+            return
+        task.observe_at = now + MIN_GROWTH * (now - task.started_at)
+        if (
+            task.seconds_without_progress <= MAX_IDLE_SECONDS
+            and self.reports.is_representative(worker, task)
+            and estimates.observe_running(task, now)
+        ):
+            self.intake.update_objective(task.step.job)
 
     def _is_stuck(self, task: Task) -> bool:
         if task.phase is not Phase.RUNNING or task.percent >= 100:
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -97,6 +97,7 @@
         self._reserve(task, worker, run)
         task.phase = Phase.STARTING
         task.started_at = now
+        task.observe_at = now
         task.percent = 0.0
         task.percent_since = now
         task.percent_at_ms = -1.0
@@ -116,6 +117,7 @@
         task.seen_running = True
         task.adopted = True
         task.started_at = now
+        task.observe_at = now
         task.percent_since = now
         task.percent_at_ms = -1.0
 
