--- a/mustardward/components/ledger/const.py
+++ b/mustardward/components/ledger/const.py
@@ -40,7 +40,7 @@
 long to transfer over a slow link."""
 
 MAX_POLL_MS: Final = 1000
-BUSY_POLL_MS: Final = 30
+BUSY_POLL_MS: Final = 50
 """Wait of a read after one that returned records."""
 
 MIN_POLL_MS: Final = 300
