--- a/tests/components/ownership/test_stored_run_times.py
+++ b/tests/components/ownership/test_stored_run_times.py
@@ -13,6 +13,7 @@
 )
 from mustardward.components.ledger.ledger import Ledger, encode
 from mustardward.components.ledger.models import OwnerRecord
+from mustardward.components.ownership.authority import Authority
 from mustardward.components.ownership.owner import Owner
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.standin.estate.store import MemoryStore
@@ -38,8 +39,8 @@
         for stored in store.records_from(TOPIC, 0):
             dependencies.ledger.apply(stored)
         previous = OwnerRecord(epoch - 1, "", "", 0)
-        claimed_at = self.timers.boottime()
-        self.owner = Owner(dependencies, epoch, "c", previous, claimed_at)
+        authority = Authority(self.timers.boottime, self.timers.boottime())
+        self.owner = Owner(dependencies, epoch, "c", previous, authority)
         tasks.start_soon(dependencies.follower.async_run)
         tasks.start_soon(self.owner.async_run)
 
