Check only pools without an empty worker for tasks that fit nowhere

The check walked all running tasks of all workers once more in each tick. A pool with a worker that has no long-running task has room for each of its tasks, and is skipped.

--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -87,6 +87,7 @@
     loads: defaultdict[str, PoolLoad] = defaultdict(PoolLoad)
     steps: dict[int, StepRun] = {}
     ends: dict[int, float] = {}
+    occupied: set[str] = set()
     for worker in state.workers.values():
         load = loads[worker.service]
         is_usable = not worker.cordoned and worker.id not in state.unusable_workers
@@ -98,6 +99,7 @@
             steps[id(task.step)] = task.step
             if task.step.spec.long_running:
                 load.long_running.add(task.step.room)
+                occupied.add(worker.id)
             else:
                 load.running.add(task.step.room)
                 remaining = state.estimates.remaining_seconds(task, now)
@@ -123,7 +125,7 @@
         load = loads[step.job.policy.service]
         load.spread_workers = max(load.spread_workers, _workers_to_spread(step))
     _add_isolation_workers(loads, state)
-    _add_empty_workers(loads, state)
+    _add_empty_workers(loads, state, occupied)
     for service, load in loads.items():
         load.inflow = state.inflow.rate(service, now)
         state.inflow.add_expected(service, load.profile, now)
@@ -197,15 +199,23 @@
 
 
 def _add_empty_workers(
-    loads: defaultdict[str, PoolLoad], state: SchedulerState
+    loads: defaultdict[str, PoolLoad], state: SchedulerState, occupied: set[str]
 ) -> None:
     """Add the workers for tasks that are too large to run beside long-running ones.
 
     Long-running tasks leave some room on each worker, which may be enough in total.
+
+    :param occupied: the workers with long-running tasks.
     """
+    usable = [
+        worker
+        for worker in state.workers.values()
+        if is_operational(worker) and worker.id not in state.unusable_workers
+    ]
+    has_empty = {worker.service for worker in usable if worker.id not in occupied}
     rooms: defaultdict[str, list[tuple[Room, Room]]] = defaultdict(list)
-    for worker in state.workers.values():
-        if is_operational(worker) and worker.id not in state.unusable_workers:
+    for worker in usable:
+        if worker.service not in has_empty:
             pair = (worker.capacity, room_after_short_tasks(worker))
             rooms[worker.service].append(pair)
     for step in state.ready.values():
