--- a/tests/components/ownership/test_twice_walks.py
+++ b/tests/components/ownership/test_twice_walks.py
@@ -18,14 +18,14 @@
     "leases-are-expected-to-end-early": 3,
     "leases-of-previous-owners-are-forgotten": 4,
     "no-fence": 53,
-    "authority-lasts-for-ever": 46,
+    "authority-lasts-for-ever": 138,
     "an-unresponsive-worker-is-lost": 0,
     "ends-are-acknowledged-unstored": 0,
     "an-owner-without-authority-is-over": 32,
 }
 """The seed that is tried first for each mutant."""
 
-OTHER_SEEDS = range(40)
+OTHER_SEEDS = (*range(40), 46)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
