Leave steps without an end or declaration out of a job's evidence

A long-running step's declared time, or the 1 s that stands for none, counted as a declaration that shows the error of the whole job: beside a long-running step of 600 s the median of a 1 s step became 0.29 s, and its job's objective shrank likewise. A stored record with negative variances ended a takeover by a division by zero; such figures are now implausible. Found in review.

--- a/mustardward/components/pool_sizing/sizing.py
+++ b/mustardward/components/pool_sizing/sizing.py
@@ -8,7 +8,6 @@
 from .models import Demand, Need, Supply
 from .projection import smallest_kept, smallest_order
 
-
 History = dict[str, list[tuple[float, int]]]
 
 
--- a/mustardward/components/run_times/estimates.py
+++ b/mustardward/components/run_times/estimates.py
@@ -208,11 +208,19 @@
         runs = job.run_times
         if runs.version != queue.version or not runs.estimates:
             offset = queue.offsets.get(job.organisation, 0.0)
+            steps = job.record.steps
             declared = [
-                math.log(spec.estimate_ms / 1000 or UNKNOWN_ESTIMATE_SECONDS) + offset
-                for spec in job.record.steps
+                None
+                if spec.long_running or spec.estimate_ms <= 0
+                else math.log(spec.estimate_ms / 1000) + offset
+                for spec in steps
             ]
-            runs.estimates = queue.known.estimate(declared, runs)
+            estimates = queue.known.estimate(declared, runs)
+            by_ratio = self._from_ratio(job)
+            runs.estimates = tuple(
+                by_ratio[number] if spec.long_running else estimates[number]
+                for number, spec in enumerate(steps)
+            )
             runs.version = queue.version
         return runs.estimates
 
@@ -220,16 +228,19 @@
         runs = job.run_times
         ratio = self.ratio(job.record.queue)
         if runs.version != -ratio or not runs.estimates:
-            lengths = [
-                spec.estimate_ms / 1000 * ratio or UNKNOWN_ESTIMATE_SECONDS
-                for spec in job.record.steps
-            ]
-            runs.estimates = tuple(
-                StepEstimate(seconds, seconds, seconds) for seconds in lengths
-            )
+            runs.estimates = self._from_ratio(job)
             runs.version = -ratio
         return runs.estimates
 
+    def _from_ratio(self, job: Job) -> tuple[StepEstimate, ...]:
+        """Return the declared times of a job's steps times the queue's ratio."""
+        ratio = self.ratio(job.record.queue)
+        lengths = [
+            spec.estimate_ms / 1000 * ratio or UNKNOWN_ESTIMATE_SECONDS
+            for spec in job.record.steps
+        ]
+        return tuple(StepEstimate(seconds, seconds, seconds) for seconds in lengths)
+
 
 def _differ(new: RunTimesRecord, old: RunTimesRecord) -> bool:
     if len(old.figures) < len(new.figures) or new.organisations.keys() - (
--- a/mustardward/components/run_times/reliability.py
+++ b/mustardward/components/run_times/reliability.py
@@ -60,8 +60,21 @@
     def are_plausible(self) -> bool:
         """Return whether estimates can be computed from the figures."""
         counts = (self.steps, self.run_steps, self.pairs)
-        return all(0 <= count <= MEMORY_STEPS for count in counts) and all(
-            abs(value) <= MAX_FIGURE for value in astuple(self) if value not in counts
+        variances = (
+            self.declared_variance,
+            self.actual_variance,
+            self.run_variance,
+            self.pair_variance,
+            self.inverse_runs,
+        )
+        return (
+            all(0 <= count <= MEMORY_STEPS for count in counts)
+            and all(0 <= variance <= MAX_FIGURE for variance in variances)
+            and all(
+                abs(value) <= MAX_FIGURE
+                for value in astuple(self)
+                if value not in counts
+            )
         )
 
 
@@ -97,14 +110,15 @@
         return any(abs(mine - old) > MIN_CHANGE for mine, old in pairs)
 
     def estimate(
-        self, declared: list[float], runs: JobRunTimes
+        self, declared: list[float | None], runs: JobRunTimes
     ) -> tuple[StepEstimate, ...]:
         """Return the estimates of a job's steps.
 
         The steps' lengths and the error that they share are normally distributed, so
         that the estimates are sums weighted by precision.
 
-        :param declared: logarithms of the declared times.
+        :param declared: logarithms of the declared times; None for a step that declares
+            none or has no end, which shows nothing of the job's error.
         """
         variance = self.residual**2 + _LEAST
         error = variance / self.slope
@@ -114,12 +128,16 @@
         precision = 1 / (self.alike * error + _LEAST)
         total = precision * self.bias
         for value, length, noise in zip(declared, lengths, noises, strict=True):
-            precision += 1 / noise
-            total += (length.mean - value) / noise
+            if value is not None:
+                precision += 1 / noise
+                total += (length.mean - value) / noise
         estimates: list[StepEstimate] = []
         for number, (value, length, noise) in enumerate(
             zip(declared, lengths, noises, strict=True)
         ):
+            if value is None:
+                estimates.append(self._make(length, runs.steps.get(number)))
+                continue
             # What the other steps show of the error; the step's own runs count once.
             others = precision - 1 / noise
             shared = (total - (length.mean - value) / noise) / others
--- a/tests/components/run_times/test_estimates.py
+++ b/tests/components/run_times/test_estimates.py
@@ -248,6 +248,7 @@
         (math.inf,) * 12,
         (-5.0,) * 12,
         (64.0,) + (300.0,) * 11,
+        (20.0, -0.3, -0.3, -0.000625, 0.3, 0.0, 0.1, 10.0, 0.02, 10.0, 0.0, -1e-6),
     ],
 )
 def test_unusable_figures_are_ignored(figures: tuple[float, ...]) -> None:
@@ -259,6 +260,23 @@
     assert estimates.seconds(job.steps[(0, 0)]) == pytest.approx(declared)
 
 
+def test_a_step_without_an_end_says_nothing_about_the_others() -> None:
+    """Guards against objectives that shrink because a job has a long-running step."""
+    queue = Queue(error=1.0)
+    queue.complete(60)
+    alone, _ = queue.draw(steps=1)
+    spec = alone.record.steps[0]
+    lasting = a_step(count=8, estimate_ms=600_000, long_running=True)
+    both, _ = queue.draw(steps=1)
+    both.record.steps[:] = [spec, lasting]
+    both.steps[(0, 0)].spec = spec
+    both.steps[(0, 1)] = StepRun(both, 0, 1, lasting)
+    expected = queue.estimates.seconds(alone.steps[(0, 0)])
+    assert queue.estimates.seconds(both.steps[(0, 0)]) == pytest.approx(expected)
+    ratio = queue.estimates.ratio(QUEUE)
+    assert queue.estimates.seconds(both.steps[(0, 1)]) == pytest.approx(600 * ratio)
+
+
 def test_a_queue_whose_name_makes_no_key_is_not_exported() -> None:
     """Guards against an append that can't be encoded, which would end the owner."""
     queue = Queue(error=1.0)
