Share only the room that long-running tasks leave

Long-running tasks are no demand, but their room counted as capacity: with 24 of 32 cores under long-running tasks, 3.0 s of waiting work counted as within the shares. Found in review.

--- a/mustardward/components/fair_sharing/pool_demand.py
+++ b/mustardward/components/fair_sharing/pool_demand.py
@@ -8,6 +8,7 @@
 from ...platform.models import Room
 from ..run_times.estimates import Estimates
 from ..scheduling.models import Job, StepRun, Task
+from ..scheduling.placement import room_after_short_tasks
 from ..scheduling.worker_state import WorkerState
 
 
@@ -81,11 +82,13 @@
 
 
 def _total_capacity(workers: Iterable[WorkerState]) -> Room:
+    """Return the capacity that long-running tasks leave to all others."""
     cpu = mem_mb = gpu = 0
     for worker in workers:
-        cpu += worker.capacity.cpu
-        mem_mb += worker.capacity.mem_mb
-        gpu += worker.capacity.gpu
+        room = room_after_short_tasks(worker)
+        cpu += max(0, room.cpu)
+        mem_mb += max(0, room.mem_mb)
+        gpu += max(0, room.gpu)
     return Room(cpu, mem_mb, gpu)
 
 
--- a/tests/components/fair_sharing/test_fair_shares.py
+++ b/tests/components/fair_sharing/test_fair_shares.py
@@ -197,6 +197,23 @@
     assert any(job.beyond_share for job in many)
 
 
+def test_room_of_long_running_tasks_is_not_shared() -> None:
+    """Guards against a full pool whose long-running tasks count as free room."""
+    bench = a_bench()
+    bench.worker("w1")
+    alone = add_jobs(bench, BUSY, 8, cpu=200)
+    bench.plan_starts()
+    assert not any(job.beyond_share for job in alone)
+    bench = a_bench()
+    bench.worker("w1")
+    lasting = a_step(count=2, cpu=6500, mem_mb=100, max_per_server=1, long_running=True)
+    bench.add(a_job(lasting))
+    bench.plan_starts()
+    beside = add_jobs(bench, BUSY, 8, cpu=200)
+    bench.plan_starts()
+    assert any(job.beyond_share for job in beside)
+
+
 def test_without_weights_no_job_is_beyond_its_share() -> None:
     bench = SchedulerBench()
     bench.worker("w0")
