Measure the running tasks of a step at once

The loop per task was most of a measurement of 3,400 tasks, which took 12 to 25 ms of each tick of 100 ms, on a busy machine. Tasks are now gathered by step and by the cell in which they end, and the estimate of a step is read once. Tests of demand, pool sizes and fleet pass.

--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 from ...helpers.logging import get_logger
 from ...platform.models import Room
+from ..pool_sizing.const import CELL_SECONDS
 from ..pool_sizing.work_profile import WorkProfile
 from .crashes import isolated_tasks
 from .inflow import Amount
@@ -88,6 +89,7 @@
     steps: dict[int, StepRun] = {}
     ends: dict[int, float] = {}
     occupied: set[str] = set()
+    starts: defaultdict[tuple[str, int], list[float]] = defaultdict(list)
     for worker in state.workers.values():
         load = loads[worker.service]
         is_usable = not worker.cordoned and worker.id not in state.unusable_workers
@@ -96,17 +98,16 @@
             load.capacity += worker.capacity.cpu
             load.memory += worker.capacity.mem_mb
         for task in worker.tasks.values():
-            steps[id(task.step)] = task.step
+            key = id(task.step)
+            steps[key] = task.step
             if task.step.spec.long_running:
                 load.long_running.add(task.step.room)
                 occupied.add(worker.id)
             else:
-                load.running.add(task.step.room)
-                remaining = state.estimates.remaining_seconds(task, now)
-                load.remaining.add(task.step.room, max(0.0, remaining))
-                load.profile.add(task.step.room, abs(remaining))
-                key = id(task.step)
-                ends[key] = max(ends.get(key, 0.0), abs(remaining))
+                starts[worker.service, key].append(task.started_at)
+    for (service, key), started in starts.items():
+        longest = _add_running(loads[service], steps[key], started, state, now)
+        ends[key] = max(ends.get(key, 0.0), longest)
     _add_remaining(loads, state)
     _add_later_steps(loads, state, ends)
     shares = _shares_that_may_start(state)
@@ -132,6 +133,29 @@
     return dict(loads)
 
 
+def _add_running(
+    load: PoolLoad,
+    step: StepRun,
+    started: list[float],
+    state: SchedulerState,
+    now: float,
+) -> float:
+    """Add the running tasks of a step; return seconds until all of them have ended.
+
+    Tasks that end in the same cell are added at once, since a pool has thousands.
+
+    :param started: when each task started.
+    """
+    seconds = state.estimates.seconds(step)
+    remaining = [seconds - (now - at) for at in started]
+    load.running.add(step.room, len(started))
+    load.remaining.add(step.room, sum(max(0.0, value) for value in remaining))
+    counts = Counter(round(abs(value) / CELL_SECONDS) for value in remaining)
+    for cells, count in counts.items():
+        load.profile.add(step.room, cells * CELL_SECONDS, count)
+    return max(map(abs, remaining))
+
+
 def _shares_that_may_start(state: SchedulerState) -> dict[str, float]:
     """Return the share of its waiting work that each organisation's quota admits.
 
