Order nothing for work that ends before a slow move

Where a move takes longer than the projection of 5 s, its arrival was cut to the last cell, and instances were ordered for work that the pool finishes by itself until then. The new test failed before.

--- a/mustardward/components/fleet/pool_planner.py
+++ b/mustardward/components/fleet/pool_planner.py
@@ -3,8 +3,7 @@
 Load pattern: demand comes in peaks. Each queue demands five times its mean for some
 seconds, more than its pool can serve, while other pools are idle; then it demands next
 to nothing. A full pool takes idle instances of other pools at once, else standby ones.
-An instance goes to standby after it has been idle for as long as switching it off and
-on again costs.
+An idle instance goes to standby once the projected work does not need it.
 """
 
 from __future__ import annotations
--- a/mustardward/components/pool_sizing/const.py
+++ b/mustardward/components/pool_sizing/const.py
@@ -8,8 +8,8 @@
 """Length of a cell of the projection; the fleet decides once in each."""
 
 CELLS: Final = 50
-"""Cells of a projection: the time until an instance that is ordered now arrives, and
-the break-even time after that."""
+"""Cells of a projection: 1.9 s until an instance that is ordered now arrives, the
+break-even time after that, and 0.8 s more."""
 
 BREAK_EVEN_SECONDS: Final = 2.3
 """Idle time that costs as much as releasing an instance and ordering it again."""
@@ -28,3 +28,10 @@
 """Time for which the largest minimum of a pool stays its minimum. Jobs of a step that
 limits its tasks per worker recur: with 0.5 s, a pool of 4 moved 194 instances for 16
 such jobs, one every 3 s, and each took 2.0 s instead of 0.7 s."""
+
+UTILISATION: Final = 0.85
+"""Share of an instance that tasks can use: what is left over between tasks of different
+sizes is lost."""
+
+DRAIN_SECONDS: Final = 0.3
+"""Time after the arrival of an instance after which no work waits for too long."""
--- a/mustardward/components/pool_sizing/projection.py
+++ b/mustardward/components/pool_sizing/projection.py
@@ -12,18 +12,13 @@
     BREAK_EVEN_SECONDS,
     CELL_SECONDS,
     CELLS,
+    DRAIN_SECONDS,
     MAX_KEEP_WAIT_SECONDS,
     MAX_WAIT_SECONDS,
+    UTILISATION,
 )
 from .models import Demand, Supply
 
-UTILISATION = 0.85
-"""Share of an instance that tasks can use: what is left over between tasks of different
-sizes is lost."""
-
-DRAIN_SECONDS = 0.3
-"""Time after the arrival of an instance after which no work waits for too long."""
-
 
 def smallest_order(demand: Demand, supply: Supply) -> int:
     """Return how many instances have to be ordered now."""
@@ -31,6 +26,8 @@
     arrival = min(CELLS - 1, math.ceil(supply.order_seconds / CELL_SECONDS))
     window = slice(arrival, arrival + round(DRAIN_SECONDS / CELL_SECONDS))
     waiting = _waiting_after(demand.cells[:arrival], present)
+    beyond_seconds = max(0.0, supply.order_seconds - CELLS * CELL_SECONDS)
+    waiting = max(0.0, waiting - beyond_seconds * present[-1])
 
     def suffices(count: int) -> bool:
         capacity = [value + count * UTILISATION for value in present[window]]
--- a/tests/components/pool_sizing/test_projection.py
+++ b/tests/components/pool_sizing/test_projection.py
@@ -71,6 +71,14 @@
     )
 
 
+def test_work_that_ends_before_a_late_instance_arrives_orders_none() -> None:
+    """Guard against orders that arrive after their work, where a move takes long."""
+    demand = a_demand(14.0, 1.0)
+    late = Supply(2, (), 12.0)
+    assert smallest_order(demand, Supply(2, (), 5.0)) > 0
+    assert smallest_order(demand, late) == 0
+
+
 def test_an_instance_is_kept_only_for_work_before_the_break_even_time() -> None:
     """Guard against a pool that stays on for seconds after a demand peak."""
     assert smallest_kept(a_demand(10.0, 2.0, start=1.0)) >= 10
