Name the states of a queried owner and of the store's reads plainly

Read as a newcomer: allow_claim, _denied_at and OWNER_DENIAL_VALID_SECONDS named one thing by opposites, async_send_collected also sent what is not collected, Demand.constant was the work of long-running tasks.

--- a/mustardward/components/forwarding/failover.py
+++ b/mustardward/components/forwarding/failover.py
@@ -368,7 +368,7 @@
 
     def _collector_count(self) -> int:
         now = self.timers.monotonic()
-        return collector_count(self.latency.confirmed_read_seconds(now))
+        return collector_count(self.latency.max_read_seconds(now))
 
     def _available(self) -> list[str]:
         """Return the entry nodes that can collect, the best ones first."""
@@ -384,7 +384,7 @@
     async def _async_send_collected(self, name: str, request: Request) -> PeerOutcome:
         """Send a request to one collecting entry node."""
         peer_request = self._build_peer_request(request, collected=True)
-        outcome = await self.forwarder.async_send_collected(name, peer_request)
+        outcome = await self.forwarder.async_send_watched(name, peer_request)
         PEER_ANSWERS.labels(str(outcome.reply is not None).lower()).inc()
         _LOGGER.info(
             "request_forwarded",
@@ -490,7 +490,7 @@
             peer_request = self._build_peer_request(request)
             if peer_request.timeout_seconds <= 0.0:
                 break
-            outcome = await self.forwarder.async_send_collected(name, peer_request)
+            outcome = await self.forwarder.async_send_watched(name, peer_request)
             may_have_effect = may_have_effect or outcome.may_have_effect
             if outcome.reply is not None and outcome.reply.confirmed:
                 return PeerOutcome(outcome.reply, may_have_effect)
--- a/mustardward/components/forwarding/services.py
+++ b/mustardward/components/forwarding/services.py
@@ -121,9 +121,7 @@
             self._back_off(name, "log unreachable")
         return PeerOutcome(None, may_have_effect)
 
-    async def async_send_collected(
-        self, name: str, request: PeerRequest
-    ) -> PeerOutcome:
+    async def async_send_watched(self, name: str, request: PeerRequest) -> PeerOutcome:
         """Send a request to one entry node that collects requests for a slow store.
 
         Its answer may take seconds. Meanwhile it is checked that the node can still be
--- a/mustardward/components/ledger/store_latency.py
+++ b/mustardward/components/ledger/store_latency.py
@@ -52,12 +52,12 @@
     """Hold the store's current latency; all times are monotonic seconds.
 
     :param slow_since: time since which the store is slow, or None.
-    :param unanswered_since: time since which reads fail, or None. A store that answers
+    :param failed_since: time since which reads fail, or None. A store that answers
         nothing is down rather than slow.
     """
 
     slow_since: float | None = None
-    unanswered_since: float | None = None
+    failed_since: float | None = None
     _read_seconds: float = 0.0
     _read_limit: float = 0.0
     _read_sent_at: float = -math.inf
@@ -80,7 +80,7 @@
         """
         # A read that was late counts as seen, even if the next one answers first.
         self.is_slow(answered_at)
-        self.unanswered_since = None
+        self.failed_since = None
         self._answered_at = max(self._answered_at, answered_at)
         if sent_at < self._read_sent_at:
             return
@@ -97,8 +97,8 @@
         The timeout of a read that was sent before the last response was received may
         have been too short for the latency that this response showed.
         """
-        if sent_at >= self._answered_at and self.unanswered_since is None:
-            self.unanswered_since = now
+        if sent_at >= self._answered_at and self.failed_since is None:
+            self.failed_since = now
 
     def record_append(self, sent_at: float, answered_at: float) -> None:
         """Record the response to an append, which includes its wait in the queue."""
@@ -129,7 +129,7 @@
             return self.unqueued_seconds(now)
         return max(self.unqueued_seconds(now), self._append_seconds)
 
-    def confirmed_read_seconds(self, now: float) -> float:
+    def max_read_seconds(self, now: float) -> float:
         """Return the longest time that a read may take.
 
         Infinite while one is later than any response.
@@ -155,7 +155,7 @@
 
     def is_slow(self, now: float) -> bool:
         """Return whether the store responds to reads much later than usual."""
-        if self.unanswered_since is not None:
+        if self.failed_since is not None:
             self.slow_since = None
             return False
         limit = SLOW_SECONDS if self.slow_since is None else RECOVERED_SECONDS
@@ -171,14 +171,14 @@
         The responses of a very slow store arrive after the timeout of its reads, which
         therefore fail until a probe with a longer timeout is answered.
         """
-        if self.unanswered_since is None:
+        if self.failed_since is None:
             return self.is_slow(now)
-        return now - self.unanswered_since < UNDECIDED_SECONDS
+        return now - self.failed_since < UNDECIDED_SECONDS
 
     def is_suspect(self, now: float) -> bool:
         """Return whether a read is late, but not late enough for a slow store."""
         return self._outstanding_seconds(now) >= SUSPECT_SECONDS and not (
-            self.is_slow(now) or self.unanswered_since is not None
+            self.is_slow(now) or self.failed_since is not None
         )
 
     def was_slow(self, now: float) -> bool:
@@ -187,7 +187,7 @@
 
     def is_overdue(self, now: float) -> bool:
         """Return whether a read is outstanding for longer than usual, or failed."""
-        failing = self.unanswered_since is not None
+        failing = self.failed_since is not None
         return failing or self._outstanding_seconds(now) >= SLOW_SECONDS
 
     @switchable(
--- a/mustardward/components/ownership/const.py
+++ b/mustardward/components/ownership/const.py
@@ -19,7 +19,7 @@
 """Time before a claim at which the owner is queried, so that a lost owner is replaced
 no later than without a query."""
 
-OWNER_DENIAL_VALID_SECONDS: Final = 2 * OWNER_QUERY_LEAD_SECONDS
+OWNER_UNCONFIRMED_SECONDS: Final = 2 * OWNER_QUERY_LEAD_SECONDS
 """Time from the sending of a query within which a claim may follow from it. The claim
 of a later rank may be put off further while the store becomes slower."""
 
--- a/mustardward/components/ownership/election.py
+++ b/mustardward/components/ownership/election.py
@@ -12,9 +12,9 @@
     CLAIM_JITTER_SECONDS,
     HANDOVER_SPEED_RATIO,
     OWNER_ANSWER_VALID_SECONDS,
-    OWNER_DENIAL_VALID_SECONDS,
     OWNER_QUERY_LEAD_SECONDS,
     OWNER_TIMEOUT_SECONDS,
+    OWNER_UNCONFIRMED_SECONDS,
     RELEASED_CLAIM_JITTER_SECONDS,
     SLOW_INSTANCE_DELAY_SECONDS,
 )
@@ -48,7 +48,7 @@
     ended_claim: str = ""
     _rank_delay_seconds: float = 0.0
     _deferred_until: float = -math.inf
-    _denied_at: float = -math.inf
+    _unconfirmed_at: float = -math.inf
 
     def _spread(self, jitter_seconds: float) -> float:
         """Return the delay of this entry's claim after the first entry's."""
@@ -63,7 +63,7 @@
             self.renewal_read_at = None if self.last_owner is None else now
             self.last_owner = owner
             self.changed_at = now
-            self._denied_at = -math.inf
+            self._unconfirmed_at = -math.inf
             self._rank_delay_seconds = 0.0
 
     def record_rank_delay(self, seconds: float) -> None:
@@ -81,7 +81,7 @@
         owner's next renewal arrives.
         """
         self.changed_at = max(self.changed_at, now)
-        self._denied_at = -math.inf
+        self._unconfirmed_at = -math.inf
         self._rank_delay_seconds = 0.0
 
     def should_query(self, now: float) -> bool:
@@ -93,18 +93,18 @@
         owner = self.last_owner
         if owner is None or owner.node in ("", self.node):
             return False
-        if now - self._denied_at <= OWNER_DENIAL_VALID_SECONDS:
+        if now - self._unconfirmed_at <= OWNER_UNCONFIRMED_SECONDS:
             return False
         claim_at = self._claim_at(owner) - OWNER_QUERY_LEAD_SECONDS
         return now >= max(claim_at, self._deferred_until)
 
-    def allow_claim(self, sent_at: float) -> None:
+    def record_owner_unconfirmed(self, sent_at: float) -> None:
         """Record that an owner that was queried has no authority or did not answer."""
-        self._denied_at = sent_at
+        self._unconfirmed_at = sent_at
 
     def record_claim(self) -> None:
         """Record that the shard was claimed; another claim needs another query."""
-        self._denied_at = -math.inf
+        self._unconfirmed_at = -math.inf
 
     def defer(self, sent_at: float, age_seconds: float) -> bool:
         """Defer the claim of a shard whose owner has its authority.
--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -164,7 +164,7 @@
         owner = dependencies.ledger.owner
         status = await self.query.async_ask(owner.node)
         if status is None or status.epoch != owner.epoch or not status.valid:
-            self._election.allow_claim(sent_at)
+            self._election.record_owner_unconfirmed(sent_at)
             return
         if self._election.defer(sent_at, status.age_seconds):
             _LOGGER.info(
--- a/mustardward/components/pool_sizing/models.py
+++ b/mustardward/components/pool_sizing/models.py
@@ -42,10 +42,10 @@
     """Hold a pool's demand, in instances.
 
     :param cells: what short tasks use in each cell, if all start in time.
-    :param constant: what long-running tasks use.
+    :param long_running: what long-running tasks use.
     :param minimum: instances that the pool needs whatever its work is.
     """
 
     cells: list[float]
-    constant: float
+    long_running: float
     minimum: int
--- a/mustardward/components/pool_sizing/projection.py
+++ b/mustardward/components/pool_sizing/projection.py
@@ -22,7 +22,7 @@
 
 def smallest_order(demand: Demand, supply: Supply) -> int:
     """Return how many instances have to be ordered now."""
-    present = _capacity_cells(supply, demand.constant)
+    present = _capacity_cells(supply, demand.long_running)
     arrival = min(CELLS - 1, math.ceil(supply.order_seconds / CELL_SECONDS))
     window = slice(arrival, arrival + round(DRAIN_SECONDS / CELL_SECONDS))
     waiting = _waiting_after(demand.cells[:arrival], present)
@@ -58,12 +58,12 @@
             high = middle
         else:
             low = middle
-    return math.ceil((high + demand.constant) / UTILISATION)
+    return math.ceil((high + demand.long_running) / UTILISATION)
 
 
-def _capacity_cells(supply: Supply, constant: float) -> list[float]:
+def _capacity_cells(supply: Supply, long_running: float) -> list[float]:
     """Return the capacity for short tasks in each cell, in instances."""
-    cells = [supply.present * UTILISATION - constant] * CELLS
+    cells = [supply.present * UTILISATION - long_running] * CELLS
     for seconds in supply.arrivals:
         for cell in range(min(CELLS, math.ceil(seconds / CELL_SECONDS)), CELLS):
             cells[cell] += UTILISATION
--- a/mustardward/components/run_times/reliability.py
+++ b/mustardward/components/run_times/reliability.py
@@ -200,7 +200,7 @@
     return density / (0.5 * math.erfc(z / math.sqrt(2))) / deviation
 
 
-def _know_nothing(queue: QueueReliability, /) -> None:
+def _rely_on_ratio(queue: QueueReliability, /) -> None:
     """Assume that all declared run times of a queue are off by the same factor."""
 
 
@@ -304,7 +304,7 @@
     @switchable(
         "known-run-times",
         "wrong declarations are recognised, and a job's runs correct its estimates",
-        without=_know_nothing,
+        without=_rely_on_ratio,
     )
     def update(self) -> None:
         """Compute the reliability from the figures."""
--- a/tests/components/ownership/test_election.py
+++ b/tests/components/ownership/test_election.py
@@ -8,9 +8,9 @@
     CLAIM_JITTER_SECONDS,
     OWNER_ANSWER_VALID_SECONDS,
     OWNER_CHECK_SECONDS,
-    OWNER_DENIAL_VALID_SECONDS,
     OWNER_QUERY_LEAD_SECONDS,
     OWNER_TIMEOUT_SECONDS,
+    OWNER_UNCONFIRMED_SECONDS,
     SLOW_INSTANCE_DELAY_SECONDS,
 )
 from mustardward.components.ownership.election import (
@@ -79,9 +79,9 @@
     due_at = 100.0 + OWNER_TIMEOUT_SECONDS
     assert not election.should_query(due_at - OWNER_QUERY_LEAD_SECONDS - 0.01)
     assert election.should_query(due_at - OWNER_QUERY_LEAD_SECONDS + 0.01)
-    election.allow_claim(due_at - OWNER_QUERY_LEAD_SECONDS)
+    election.record_owner_unconfirmed(due_at - OWNER_QUERY_LEAD_SECONDS)
     assert not election.should_query(due_at + OWNER_CHECK_SECONDS)
-    assert election.should_query(due_at + OWNER_DENIAL_VALID_SECONDS)
+    assert election.should_query(due_at + OWNER_UNCONFIRMED_SECONDS)
     election.record_claim()
     assert election.should_query(due_at)
 
