review: jobs on a queue with advice are never started, case 2

Cause: a call for advice is given up after 2 s and repeated every 2 s, up to eight at once, whatever the service's stated timings are. The service handles one call at a time, so that after a burst each call waits behind those that were given up.

--- a/review/standin/estate.py
+++ b/review/standin/estate.py
@@ -272,6 +272,7 @@
             "fault-tolerance": {"machines": 2, "zones": 1, "regions": 0},
             "bounds": BOUNDS,
             "orders": "call",
+            "advice": platform if self.minions.advice is not None else None,
             "platform": {
                 "address": platform,
                 "form": "log",
@@ -336,6 +337,8 @@
         answer = await self.store.handle(request)
         if answer is None:
             answer = await self.minions.handle(request)
+        if answer is None and self.minions.advice is not None:
+            answer = await self.minions.advice.handle(request)
         if answer is None and request.path == "/mustardward/machines":
             answer = self._list()
         return answer or web.Response(status=400, text='{"reason":""}')
--- a/review/standin/minions.py
+++ b/review/standin/minions.py
@@ -11,6 +11,7 @@
 
 from aiohttp import web
 
+from .advice import Advice
 from .record import Record
 
 HOLD_MAX_MS = 10_000
@@ -158,13 +159,15 @@
         work = self.estate.work_of(task)
         if number <= self.ended_runs.get(task, 0) or running is not None:
             reason = "old"
+        elif not self.estate.has_ticket(self, task, str(order.get("ticket", ""))):
+            reason = "ticket"
         elif float(str(order["deadline-ms"])) <= clock:
             reason = "late"
         elif self.used_cpu + work.cpu > self.cpu:
             reason = "room"
         elif self.used_mem + work.mem_mb > self.mem_mb:
             reason = "room"
-        if reason != "late":
+        if reason in ("", "old", "room"):
             self.extend(order["deadline-ms"], clock)
         if reason:
             return 409, {"clock-ms": clock, "reason": reason}
@@ -237,9 +240,16 @@
         self.works: dict[str, Work] = {}
         self.starts: list[Start] = []
         self.ends: list[End] = []
+        self.advice: Advice | None = None
         self._record = record
         self._quiet = quiet
 
+    def has_ticket(self, minion: Minion, task: str, ticket: str) -> bool:
+        """Return whether a start carries a valid ticket, where one is needed."""
+        if self.advice is None:
+            return True
+        return self.advice.is_valid(task.rpartition(".")[0], minion.id, ticket)
+
     def add(self, minion: Minion) -> None:
         """Add a minion."""
         self.minions[minion.id] = minion
