--- a/review/standin/minions.py
+++ b/review/standin/minions.py
@@ -19,6 +19,7 @@
 GANG_TIMEOUT_MS = 3_000
 CHECKPOINT_MS = 500
 ENDS_LISTED = 500
+START_UP_SECONDS = 0.7
 TICK_SECONDS = 0.01
 
 
@@ -26,7 +27,7 @@
 class Work:
     """What the work units of one step do.
 
-    :param seconds: time that a unit works.
+    :param seconds: time that a unit works; of one that lasts, until it fails.
     :param fails: whether a run of a unit on a minion ends ``failed``.
     """
 
@@ -36,6 +37,7 @@
     count: int = 1
     gang: bool = False
     saves: bool = False
+    lasts: bool = False
     fails: Callable[[str, int, str], bool] = lambda task, run, minion: False
 
 
@@ -199,6 +201,8 @@
         if run.began_at is None:
             return 0
         elapsed = time.monotonic() - run.began_at
+        if run.work.lasts:
+            return 100 if elapsed >= START_UP_SECONDS else 0
         return round(min(99.9, 100 * elapsed / run.work.seconds), 1)
 
     def end(self, run: Run, how: str) -> None:
@@ -242,7 +246,7 @@
         self.ends: list[End] = []
         self.advice: Advice | None = None
         self._record = record
-        self._quiet = quiet
+        self.quiet = quiet
 
     def has_ticket(self, minion: Minion, task: str, ticket: str) -> bool:
         """Return whether a start carries a valid ticket, where one is needed."""
@@ -263,7 +267,7 @@
         """Record a start."""
         start = Start(time.monotonic(), run.task, run.number, minion.id, checkpoint)
         self.starts.append(start)
-        if not self._quiet:
+        if not self.quiet:
             self._record.add(
                 "start",
                 task=run.task,
@@ -275,7 +279,7 @@
     def record_end(self, end: End) -> None:
         """Record an end."""
         self.ends.append(end)
-        if not self._quiet:
+        if not self.quiet:
             self._record.add(
                 "end", task=end.task, run=end.run, how=end.how, minion=end.minion
             )
