Log how long a takeover took

Cause: the length of a takeover, from the new owner's first step to the release of the jobs of the one before it, could only be had by comparing two lines of one process. Change: takeover_complete has `seconds`.

--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -58,7 +58,11 @@
         if not self._all_workers_reported():
             return
         self.state.takeover_hold_until = 0.0
-        _LOGGER.info("takeover_complete", epoch=self.epoch)
+        _LOGGER.info(
+            "takeover_complete",
+            epoch=self.epoch,
+            seconds=self.timers.monotonic() - self.state.taken_over_at,
+        )
 
     def _reconciled_zones(self) -> frozenset[str]:
         """Return the data centres all of whose workers have reported their runs.
