Wait for all ended runs of a worker before its tasks start again

Cause: a worker lists at most 500 ended runs in one report. Its first report made it `confirmed` and its session `has_answered`, whatever the report held, so the takeover released the previous owner's jobs while more ends were still to come; tasks whose ends stood further down counted as never run. Only the search for missing runs knew of the limit.

Ruled out by reading: an early acknowledgement (seen-upto follows what is stored; the walks have a mutant for it).

Change: a report says whether it lists all ends. Until one does, the worker is not confirmed, gets no tasks and its data centre is not reconciled. Workers that began to list during the takeover prolong the hold for as long as they answer; an owner that releases the shard meanwhile says that its takeover is not settled. A worker that stops answering is lost when its lease ends, as before. The stand-in worker lists 500 ends at once, as the protocol says.

--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -154,12 +154,12 @@
         )
 
     def unconfirmed_workers(self) -> list[str]:
-        """Return the workers that have not reported their runs."""
+        """Return the workers that have not reported all their runs."""
         return [
             worker_id
             for worker_id, session in self.sessions.items()
             if not (
-                session.has_answered or session.closed or worker_id in self.lost_workers
+                session.has_reported or session.closed or worker_id in self.lost_workers
             )
         ]
 
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -235,7 +235,7 @@
         waits only for the leases that were sent before it.
         """
         state = self.scheduler.state
-        settled = self._dependencies.timers.monotonic() >= state.takeover_hold_until
+        settled = state.is_takeover_complete(self._dependencies.timers.monotonic())
         self._authority.revoke()
         await self._renewals.async_release(settled)
         self.depose()
--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -39,10 +39,13 @@
     async def async_run(self, directory: TopicFollower) -> None:
         """Release the jobs once all workers have reported or all leases have expired.
 
+        A worker that has begun to list its ended runs is waited for beyond that, for as
+        long as it answers: its leases are renewed, and it may list tasks as done.
+
         :param directory: reads the workers' entries; no worker is known before that.
         """
         await directory.async_wait_loaded()
-        while self.timers.monotonic() < self.state.takeover_hold_until:
+        while not self.state.is_takeover_complete(self.timers.monotonic()):
             self.try_release()
             await self.timers.async_sleep(TAKEOVER_CHECK_SECONDS)
         self.request_plan()
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -83,7 +83,7 @@
 
     def _unconfirmed_runs(self, now: float) -> Iterator[tuple[str, Room, int]]:
         """Yield the tasks that a previous owner may have started and may still run."""
-        if now >= self.state.takeover_hold_until:
+        if self.state.is_takeover_complete(now):
             return
         for job in self.state.jobs.values():
             if job.organisation and self.state.is_held_after_takeover(job, now):
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -26,7 +26,6 @@
 
 _LOGGER = get_logger(__name__)
 
-MAX_LISTED_ENDS = 500
 ROOM_PAUSE_SECONDS = 0.1
 UNHEALTHY_PAUSE_SECONDS = 0.5
 
@@ -55,9 +54,11 @@
         for row in answer.running:
             listed.add((row.task, row.run))
             self._handle_running(worker, row, sent_at, now)
-        if len(answer.ended) < MAX_LISTED_ENDS:
+        if answer.lists_all_ends:
             self._handle_missing(worker, listed, sent_at, now)
-        worker.confirmed = True
+            self.state.mark_confirmed(worker)
+        elif not worker.confirmed:
+            self.state.mark_listing_ends(worker, now)
         worker.stale = False
         worker.reported_at = sent_at
 
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -32,6 +32,8 @@
     :param ready: the open steps with waiting tasks, by object id.
     :param takeover_hold_until: until when unconfirmed workers may run tasks that a
         previous owner started.
+    :param listing_workers: ids of the workers that began to report their runs to this
+        owner during the takeover, and have more ended runs to list.
     :param incoming_cpu: processors of instances ordered for each pool, in millicores.
     :param pool_needs: how many instances each pool needs, and why.
     :param unusable_workers: ids of workers that have been unusable for a while.
@@ -50,6 +52,7 @@
     ready: dict[int, StepRun] = field(default_factory=dict)
     takeover_hold_until: float = 0.0
     reconciled_zones: frozenset[str] = frozenset()
+    listing_workers: set[str] = field(default_factory=set)
     incoming_cpu: dict[str, int] = field(default_factory=dict)
     pool_needs: dict[str, Need] = field(default_factory=dict)
     unusable_workers: frozenset[str] = frozenset()
@@ -87,10 +90,34 @@
 
     def is_held_after_takeover(self, job: Job, now: float) -> bool:
         """Return whether unknown runs of a job may exist from a previous owner."""
-        if not job.from_previous_owner or now >= self.takeover_hold_until:
+        if not job.from_previous_owner or self.is_takeover_complete(now):
             return False
         return job.stored_zones is None or not job.stored_zones <= self.reconciled_zones
 
+    def is_takeover_complete(self, now: float) -> bool:
+        """Return whether all runs of previous owners are known or certainly over.
+
+        After the hold, the leases of a previous owner have expired. A worker that this
+        owner renewed meanwhile may still have to list tasks that are done.
+        """
+        return now >= self.takeover_hold_until and not self.listing_workers
+
+    def mark_confirmed(self, worker: WorkerState) -> None:
+        """Record that a worker has reported all its runs."""
+        worker.confirmed = True
+        worker.listing_ends = False
+        self.listing_workers.discard(worker.id)
+
+    def mark_listing_ends(self, worker: WorkerState, now: float) -> None:
+        """Record that a worker reported a part of its ended runs for the first time.
+
+        After the takeover its tasks were already started elsewhere, as its leases had
+        expired, so that nothing waits for it.
+        """
+        if not worker.listing_ends and not self.is_takeover_complete(now):
+            self.listing_workers.add(worker.id)
+        worker.listing_ends = True
+
     def mark_dirty(self, job: Job) -> None:
         """Mark a job whose progress has to be stored."""
         self.dirty[job.record.id] = job
@@ -277,6 +304,7 @@
             self.end_run(task, now)
         self.clear_orphan_runs(worker)
         self.workers.pop(worker.id, None)
+        self.listing_workers.discard(worker.id)
 
     def replace_worker(self, old: WorkerState, new: WorkerState, now: float) -> None:
         """Replace a worker by its next incarnation.
@@ -300,6 +328,7 @@
             self.mark_uncertain(task)
         self.clear_orphan_runs(old)
         self.workers[new.id] = new
+        self.listing_workers.discard(old.id)
         for job in self.jobs.values():
             if job.policy.advice:
                 for step in job.steps.values():
--- a/mustardward/components/scheduling/wait_inputs.py
+++ b/mustardward/components/scheduling/wait_inputs.py
@@ -82,6 +82,7 @@
     return {
         "held_seconds_left": state.takeover_hold_until - wait.now,
         "taken_over_seconds": wait.now - state.taken_over_at,
+        "listing_workers": len(state.listing_workers),
         "open_zones": _join_names(where),
         "unaccounted": _join_names(zones - state.reconciled_zones),
     }
--- a/mustardward/components/scheduling/worker_state.py
+++ b/mustardward/components/scheduling/worker_state.py
@@ -22,7 +22,10 @@
 class WorkerState:
     """Hold the state of one incarnation of a worker.
 
-    :param confirmed: whether its runs have been read under this owner's fencing token.
+    :param confirmed: whether its runs, also those that ended, have been read completely
+        under this owner's fencing token.
+    :param listing_ends: whether it answered and is not confirmed, since it has more
+        ended runs than it lists in one report.
     :param missing_since: when its entry in the store was first missing, or None.
     :param absent: whether its entry is invalid or has been missing for too long, so
         that it gets no tasks until a valid entry appears.
@@ -50,6 +53,7 @@
     free_gpu: int = 0
     tasks: dict[TaskName, Task] = field(default_factory=dict)
     confirmed: bool = False
+    listing_ends: bool = False
     draining: bool = False
     drains_at: float = 0.0
     missing_since: float | None = None
--- a/mustardward/platform/workers.py
+++ b/mustardward/platform/workers.py
@@ -32,6 +32,9 @@
 POLL_SLACK_SECONDS: Final = 0.35
 """Timeout of a poll, in addition to the requested wait."""
 
+MAX_LISTED_ENDS: Final = 500
+"""Most ended runs in one report; the others follow once these are acknowledged."""
+
 REFUSED_ROOM: Final = "room"
 REFUSED_OLD: Final = "old"
 REFUSED_LATE: Final = "late"
@@ -87,6 +90,11 @@
     ended: list[EndedTask]
     born: int = 0
 
+    @property
+    def lists_all_ends(self) -> bool:
+        """Return whether the worker has no ended runs beyond those listed."""
+        return len(self.ended) < MAX_LISTED_ENDS
+
 
 @dataclass(frozen=True, slots=True)
 class StartResponse:
--- a/mustardward/standin/estate/worker.py
+++ b/mustardward/standin/estate/worker.py
@@ -22,6 +22,7 @@
 
 MAX_LEASE_MS: Final = 10_000
 STOP_DURATION_MS: Final = 200
+MAX_LISTED_ENDS: Final = 500
 START_UP_MS: Final = 150
 """Start-up time of a long-running task."""
 
@@ -68,6 +69,7 @@
     :param crashing: whether a task was started that crashes the worker.
     :param enforces_capacity: whether it refuses tasks beyond its capacity.
     :param overcommitted_starts: number of starts beyond its capacity.
+    :param max_listed_ends: most ended runs in one answer.
     """
 
     id: str
@@ -83,6 +85,7 @@
     crashing: bool = False
     enforces_capacity: bool = True
     overcommitted_starts: int = 0
+    max_listed_ends: int = MAX_LISTED_ENDS
     runs: dict[str, Run] = field(default_factory=dict)
     starts: list[tuple[str, int]] = field(default_factory=list)
     _unacknowledged_ends: list[list[object]] = field(default_factory=list)
@@ -148,9 +151,8 @@
             [run.task, run.number, "", self._percent(run, now_ms), 0.0]
             for run in self.runs.values()
         ]
-        return HoldAnswerBody(
-            now_ms, running, list(self._unacknowledged_ends), self.started_at_ms
-        )
+        ended = self._unacknowledged_ends[: self.max_listed_ends]
+        return HoldAnswerBody(now_ms, running, ended, self.started_at_ms)
 
     def advance(self, now_ms: float) -> None:
         """Advance the simulation to ``now_ms``."""
--- a/tests/components/ownership/test_twice_walks.py
+++ b/tests/components/ownership/test_twice_walks.py
@@ -25,6 +25,9 @@
 }
 """The seed that is tried first for each mutant."""
 
+FEW_ENDS = 2
+PART_LIST_SEEDS = (2, 3)
+
 OTHER_SEEDS = (*range(40), 46)
 
 
@@ -39,6 +42,21 @@
     assert not find_violations(37, Faults(same_id=True))
 
 
+@pytest.mark.parametrize("seed", PART_LIST_SEEDS)
+def test_no_task_runs_twice_when_workers_list_few_ends_at_once(seed: int) -> None:
+    """Guard against a second run of a task whose end a later list names."""
+    assert not find_violations(seed, listed_ends=FEW_ENDS)
+
+
+def test_walk_finds_owner_that_trusts_a_part_of_the_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against walks that can't detect an incomplete list."""
+    MUTANTS["a-part-of-the-ends-is-taken-for-all"](monkeypatch)
+    seeds = (*PART_LIST_SEEDS, *OTHER_SEEDS)
+    assert any(find_violations(seed, listed_ends=FEW_ENDS) for seed in seeds)
+
+
 @pytest.mark.parametrize("name", FOUND_BY)
 def test_walk_finds_each_mutant(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guard against walks that can't detect a missing guard."""
--- a/tests/components/ownership/twice_mutants.py
+++ b/tests/components/ownership/twice_mutants.py
@@ -123,6 +123,15 @@
     patch.setattr(owner.Owner, "status", status)
 
 
+def _trust_first_lists(patch: pytest.MonkeyPatch) -> None:
+    """Take a worker for known after a list that holds only a part of its ends."""
+
+    def mark(state: SchedulerState, worker: Any, now: float) -> None:
+        state.mark_confirmed(worker)
+
+    patch.setattr(SchedulerState, "mark_listing_ends", mark)
+
+
 MUTANTS: dict[str, Mutate] = {
     "no-hold-after-a-takeover": _replace(
         owner, "hold_previous_runs", lambda state, previous, now: None
@@ -139,6 +148,7 @@
     "an-unresponsive-worker-is-lost": _give_up_unresponsive,
     "ends-are-acknowledged-unstored": _acknowledge_unstored,
     "an-owner-without-authority-is-over": _trust_answers,
+    "a-part-of-the-ends-is-taken-for-all": _trust_first_lists,
     "other-incarnations-are-not-noticed": _replace(
         session, "is_other_incarnation", lambda one, other: False
     ),
--- a/tests/components/ownership/twice_walk.py
+++ b/tests/components/ownership/twice_walk.py
@@ -30,6 +30,7 @@
 import logging
 from collections.abc import Callable
 from itertools import combinations
+from unittest.mock import patch
 
 import anyio
 import msgspec
@@ -42,10 +43,11 @@
 )
 from mustardward.components.ledger.ledger import encode
 from mustardward.components.ledger.models import CancelRecord, NodeRecord
+from mustardward.platform import workers
 from mustardward.platform.models import Room
 from mustardward.platform.store import KEY_CONFIG, KEY_WAVE_PREFIX, TOPIC_OPERATOR
 from mustardward.standin.estate.store import StoreMode
-from mustardward.standin.estate.worker import Workload
+from mustardward.standin.estate.worker import MAX_LISTED_ENDS, Workload
 
 from ..scheduling.builders import a_job, a_step
 from .twice_entries import Entry
@@ -483,9 +485,17 @@
             self.world.cut(owner, node, seconds)
 
 
-def find_violations(seed: int, faults: Faults = ALLOWED) -> list[str]:
-    """Return the violations of one walk."""
-    return TwiceWalk(seed, faults).walk()
+def find_violations(
+    seed: int, faults: Faults = ALLOWED, listed_ends: int = MAX_LISTED_ENDS
+) -> list[str]:
+    """Return the violations of one walk.
+
+    :param listed_ends: most ended runs in one answer of a worker.
+    """
+    walk = TwiceWalk(seed, faults)
+    walk.world.max_listed_ends = listed_ends
+    with patch.object(workers, "MAX_LISTED_ENDS", listed_ends):
+        return walk.walk()
 
 
 class _TraceHandler(logging.Handler):
--- a/tests/components/ownership/twice_world.py
+++ b/tests/components/ownership/twice_world.py
@@ -22,7 +22,12 @@
 from mustardward.platform.names import REASON_BUSY, REASON_FENCE
 from mustardward.platform.store import TOPIC_WORKERS
 from mustardward.standin.estate.store import MemoryStore, StoreMode
-from mustardward.standin.estate.worker import MemoryWorker, Run, Workload
+from mustardward.standin.estate.worker import (
+    MAX_LISTED_ENDS,
+    MemoryWorker,
+    Run,
+    Workload,
+)
 
 from .twice_process import Process
 
@@ -147,6 +152,7 @@
         self.response_seconds = 0.0
         self.entries: dict[str, Any] = {}
         self.entries_lapse_in_outage = False
+        self.max_listed_ends = MAX_LISTED_ENDS
         self._partition_free_at = 0.0
         self._cuts: dict[tuple[str, str], float] = {}
         self._done_ends: dict[str, list[DoneEnd]] = {}
@@ -208,6 +214,7 @@
             ROOM,
             self.workloads,
             started_at_ms=started_at_ms if self.writes_birth_times else 0,
+            max_listed_ends=self.max_listed_ends,
         )
         worker.world = self
         machine.worker = worker
