Keep workers that still list their ended runs in their pools

What callers saw: nothing yet; found by searching for the cause of the second runs elsewhere. Cause: a worker counts as confirmed only once it has listed all ended runs. With a store that takes an append a second, some thousand ends take longer than FIRST_CONTACT_SECONDS, after which the fleet counted the worker as unusable and ordered a replacement; the pool's capacity lacked it meanwhile. Change: a worker that answers and still lists ends is not unusable and counts as capacity. Once it stops answering, the usual time runs from its last report. Evidence: the two tests fail before (a move of i-00; no capacity) and pass now, with the other tests of demand and fleet.

--- a/mustardward/components/fleet/unusable.py
+++ b/mustardward/components/fleet/unusable.py
@@ -66,6 +66,9 @@
         self, name: str, worker: WorkerState | None, contact_timeout: float, now: float
     ) -> bool:
         since = self._since[name]
+        if worker is not None and worker.listing_ends and not worker.stale:
+            # It answers. A replacement would lose the ends that it has not listed yet.
+            return False
         if worker is None or not (worker.confirmed or worker.stale):
             # The owner polls workers in turn and may not have reached this one yet.
             timeout = (
--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -23,7 +23,7 @@
 class PoolLoad:
     """Hold a pool's load.
 
-    :param workers: number of workers that are confirmed, not cordoned and usable.
+    :param workers: number of workers that report, are not cordoned and usable.
     :param capacity: their processors, in thousandths of a core.
     :param memory: their memory, in MB.
     :param long_running: resources used or requested by long-running tasks.
@@ -93,7 +93,8 @@
     for worker in state.workers.values():
         load = loads[worker.service]
         is_usable = not worker.cordoned and worker.id not in state.unusable_workers
-        if worker.confirmed and is_usable and not worker.absent:
+        is_known = worker.confirmed or worker.listing_ends
+        if is_known and is_usable and not worker.absent:
             load.workers += 1
             load.capacity += worker.capacity.cpu
             load.memory += worker.capacity.mem_mb
--- a/tests/components/fleet/test_unusable.py
+++ b/tests/components/fleet/test_unusable.py
@@ -87,6 +87,18 @@
     assert ordered_moves(fleet, 10.0) == []
 
 
+def test_a_worker_that_still_lists_its_ends_is_not_replaced() -> None:
+    """Guard against replacing workers whose ended runs a slow store takes slowly."""
+    fleet = FleetHarness(minimum_pools())
+    fleet.bench.scheduler.state.taken_over_at = fleet.bench.now
+    worker = fleet.worker("i-00")
+    worker.confirmed, worker.listing_ends = False, True
+    bound = FIRST_CONTACT_SECONDS + 12 * FIRST_CONTACT_SECONDS_PER_WORKER
+    assert ordered_moves(fleet, 2 * bound) == []
+    worker.stale = True
+    assert {move.pool for move in ordered_moves(fleet, bound)} == {POOL}
+
+
 def test_a_takeover_without_any_confirmed_worker_orders_replacements_once() -> None:
     """Guard against one order after another while no worker responds."""
     fleet = FleetHarness(minimum_pools())
--- a/tests/components/scheduling/test_demand.py
+++ b/tests/components/scheduling/test_demand.py
@@ -45,6 +45,15 @@
     assert (load.workers, load.capacity, load.memory) == (1, 8000, 8000)
 
 
+def test_worker_that_still_lists_its_ends_is_counted_as_capacity() -> None:
+    """Guard against instances ordered in place of workers that are about to serve."""
+    bench = SchedulerBench()
+    worker = bench.worker("w1")
+    worker.confirmed, worker.listing_ends = False, True
+    load = measure(bench.scheduler.state, bench.now)[POOL]
+    assert (load.workers, load.capacity, load.memory) == (1, 8000, 8000)
+
+
 def test_later_steps_are_projected_after_the_earlier_ones() -> None:
     """Guard against instances that are released just before a job's next step."""
     bench = SchedulerBench()
