Count runs that are no longer listed neither as stuck nor as serving

What callers saw: nothing yet; found by searching for the cause of the second runs elsewhere. Cause: a report lists all present runs and at most 500 ended ones. A run whose end stands further down was kept as it was last reported: a long-running task counted as serving, so that an evacuation could stop another one beside it, and after 2 s without progress a short task counted as stuck, was stopped and its worker recorded as faulty. Change: while a report can't list all ends, runs that it doesn't list have no progress and don't age. They keep their room until their ends are listed, as before.

--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -57,8 +57,10 @@
         if answer.lists_all_ends:
             self._handle_missing(worker, listed, sent_at, now)
             self.state.mark_confirmed(worker)
-        elif not worker.confirmed:
-            self.state.mark_listing_ends(worker, now)
+        else:
+            self._handle_unlisted(worker, listed, sent_at, now)
+            if not worker.confirmed:
+                self.state.mark_listing_ends(worker, now)
         worker.stale = False
         worker.reported_at = sent_at
 
@@ -226,6 +228,25 @@
             return None
         return step.tasks[name.index]
 
+    def _handle_unlisted(
+        self,
+        worker: WorkerState,
+        listed: set[tuple[object, int]],
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Let runs whose ends are yet to be listed count neither as serving nor stuck.
+
+        All present runs are listed, so the others have ended.
+        """
+        for name, task in worker.tasks.items():
+            if task.phase is not Phase.RUNNING or task.started_at > sent_at:
+                continue
+            if (name, task.run) not in listed:
+                task.percent = 0.0
+                task.percent_since = now
+                task.percent_at_ms = worker.clock_ms or -1.0
+
     def _handle_missing(
         self,
         worker: WorkerState,
