Request advice no faster than its service answers

Cause: the service handles one call of an entry at a time and works off the calls that were given up too. Each waiting step was asked for at once, each call was given up after 2 s and repeated, and the eight connections to the service were held by calls that stood behind given-up ones; the others timed out while they waited for a connection. With eight calls in turn of over 0.25 s each, no repeated call was ever answered.

Change: advice is requested for one step at a time, the most urgent one of the pools in turn, steps with room first. The next call is sent once the one before it is answered or overdue. A call is overdue by the queue's own timings, by what was before it and by how slow the service was; overdue calls are still waited for (60 s), since the service works on them anyway, and each doubles the time to the next one, up to 5 s. A later answer shows that the calls before it were lost. A refused call delays all others by up to 2 s and its own step by up to 30 s. Quotas are checked before advice is requested. Two metrics, mustardward_advice_calls and mustardward_advice_seconds.

Evidence: test_advice drives the scheduler against a service with one line of calls and eight connections.

Tests changed: the request after a step's own worker is full names only the new worker (w1 has a ticket already). asked_seconds of a waiting step is 0.5 instead of 1.5, as overdue calls are repeated at other times.

--- a/mustardward/components/configuration/services.py
+++ b/mustardward/components/configuration/services.py
@@ -128,7 +128,7 @@
                 queue.max_attempts,
                 queue.stretch,
                 queue.target_duration_ms / 1000,
-                queue.advice is not None,
+                queue.advice,
             )
         _LOGGER.info(
             "configuration_in_force",
--- a/mustardward/components/dispatch/command_executor.py
+++ b/mustardward/components/dispatch/command_executor.py
@@ -5,11 +5,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
-from typing import Final
 
 from anyio.abc import TaskGroup
 
-from ...helpers.instruments import START_WAIT_SECONDS, STARTS
+from ...helpers.instruments import (
+    ADVICE_CALLS,
+    ADVICE_SECONDS,
+    START_WAIT_SECONDS,
+    STARTS,
+)
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
 from ...platform.advice import AdviceClient
@@ -31,7 +35,6 @@
 
 _LOGGER = get_logger(__name__)
 
-ADVICE_TIMEOUT_SECONDS: Final = 2.0
 _CALL_ERRORS = (CallRefusedError, CallUnknownError)
 
 
@@ -71,8 +74,8 @@
                 self.calls.enqueue(command.worker, partial(self._async_stop, command))
             elif isinstance(command, Pace):
                 self.calls.enqueue(command.worker, partial(self._async_pace, command))
-            elif self.advice is not None:
-                self.tasks.start_soon(self._async_advice, self.advice, command)
+            else:
+                self.tasks.start_soon(self._async_advice, command)
 
     def available_starts(self) -> int:
         """Return how many starts may be planned now.
@@ -132,16 +135,19 @@
         return task.run != start.run or task.phase is not Phase.STARTING
 
     def _withdraw_if_stale(self, start: Start) -> bool:
-        """Withdraw a start that is too old; return whether it must not be sent."""
+        """Withdraw a start that is outdated; return whether it must not be sent."""
         task = start.task
         if self._is_superseded(start):
             return True
         now = self.timers.monotonic()
-        if now - task.started_at <= START_MAX_AGE_SECONDS:
+        step = task.step
+        lacks_ticket = step.job.policy.advice and start.worker not in step.tickets
+        is_late = now - task.started_at > START_MAX_AGE_SECONDS
+        if not (is_late or lacks_ticket):
             return False
         # The state that it was planned on is outdated, so it is planned again.
         STARTS.labels("withdrawn").inc()
-        if self._is_responsive(start.worker):
+        if is_late and self._is_responsive(start.worker):
             self.window.record_withdrawn(now)
         self.scheduler.reports.start_withdrawn(task, start.run, now)
         self.on_report()
@@ -193,23 +199,28 @@
                 # A value that no pace matches makes the next plan send it again.
                 pace.task.pace = -1
 
-    async def _async_advice(self, client: AdviceClient, ask: RequestAdvice) -> None:
-        step = ask.step
+    async def _async_advice(self, request: RequestAdvice) -> None:
+        step = request.step
         try:
-            advice = await client.async_request_advice(
+            if self.advice is None:
+                raise CallRefusedError("no advice service")
+            advice = await self.advice.async_request_advice(
                 step.job.record.id,
                 step.occurrence,
                 step.number,
-                list(ask.workers),
-                ADVICE_TIMEOUT_SECONDS,
+                list(request.workers),
+                request.timeout_seconds,
             )
         except CallRefusedError as error:
-            _LOGGER.warning(
-                "advice_failed", job=step.job.record.id, detail=error.detail
-            )
+            ADVICE_CALLS.labels("failed").inc()
+            now = self.timers.monotonic()
+            self.scheduler.advice.failed(request, error.detail, now)
             return
-        until = self.timers.monotonic() + advice.valid_ms / 1000
-        self.scheduler.set_tickets(step, advice.tickets, until)
+        ADVICE_CALLS.labels("answered").inc()
+        now = self.timers.monotonic()
+        ADVICE_SECONDS.observe(now - request.sent_at)
+        valid_seconds = advice.valid_ms / 1000
+        self.scheduler.advice.answered(request, advice.tickets, valid_seconds, now)
         self.on_report()
 
     def _log_failed_start(self, task: Task, start: Start, detail: str) -> None:
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -174,13 +174,14 @@
             raise CallRefusedError("worker's clock is unknown")
         now = self.timers.monotonic()
         deadline_ms = self.lease.renew(now)
+        ticket = task.step.tickets.get(self.worker_id)
         order = StartRequest(
             task.name,
             run,
             task.step.job.record.spec,
             deadline_ms,
             task.checkpoint,
-            task.step.tickets.get(self.worker_id, ""),
+            ticket.value if ticket is not None else "",
         )
         known_clock_ms = self.clock.clock_ms
         self._wake.set()
--- a/mustardward/components/scheduling/commands.py
+++ b/mustardward/components/scheduling/commands.py
@@ -39,10 +39,18 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestAdvice:
-    """Request advice on which workers may run a step."""
+    """Request advice on which workers may run a step.
+
+    :param sent_at: when it was planned, in monotonic seconds.
+    :param due_at: when it should have been answered; until then no other call is sent.
+    :param timeout_seconds: when it is given up. Until then a late answer still counts.
+    """
 
     step: StepRun
     workers: tuple[str, ...]
+    sent_at: float
+    due_at: float
+    timeout_seconds: float
 
 
 Command = Start | Stop | Pace | RequestAdvice
--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -32,17 +32,31 @@
 
 
 def may_run(worker: WorkerState, step: StepRun) -> bool:
-    """Return whether a step's constraints allow a worker, regardless of its room."""
+    """Return whether constraints and advice allow a worker, regardless of its room."""
+    if step.job.policy.advice and worker.id not in step.tickets:
+        return False
+    return meets_constraints(worker, step)
+
+
+def meets_constraints(worker: WorkerState, step: StepRun) -> bool:
+    """Return whether a step's own constraints allow a worker."""
     spec = step.spec
     if spec.required_label and spec.required_label not in worker.labels:
         return False
     if spec.max_per_server and step.on_worker[worker.id] >= spec.max_per_server:
         return False
-    if step.job.policy.advice and worker.id not in step.tickets:
-        return False
     return True
 
 
+def tasks_that_fit(worker: WorkerState, step: StepRun) -> int:
+    """Return how many tasks of a step a worker has room for, regardless of advice."""
+    if not meets_constraints(worker, step):
+        return 0
+    count = count_fitting(free_room(worker), step.room)
+    limit = step.spec.max_per_server
+    return min(count, limit - step.on_worker[worker.id]) if limit else count
+
+
 def free_room(worker: WorkerState) -> Room:
     """Return a worker's free resources."""
     return Room(worker.free_cpu, worker.free_mem, worker.free_gpu)
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -8,7 +8,7 @@
 
 from ...platform.models import Room
 from ..fair_sharing.fair_shares import FairShares
-from .advice import check_advice
+from .advice import AdviceRequests
 from .candidates import Candidates
 from .crashes import (
     all_isolation_workers,
@@ -40,6 +40,7 @@
 
     state: SchedulerState
     zone_chooser: ZoneChooser
+    advice: AdviceRequests
     order: JobOrder | None = None
     fair_shares: FairShares = field(default_factory=FairShares)
     quota_wait_logger: QuotaWaitLogger = field(default_factory=QuotaWaitLogger)
@@ -51,6 +52,7 @@
         """Start as many ready tasks as possible, up to ``max_starts``."""
         self._remaining_starts = max_starts
         self.wait_tracker.begin_plan(now, max_starts)
+        self.advice.begin_plan()
         self.state.quotas.set_unconfirmed(self._unconfirmed_runs(now))
         by_service: dict[str, list[StepRun]] = {}
         for step in self.state.ready.values():
@@ -70,6 +72,7 @@
                 self.wait_tracker.record_all(
                     by_service[service], Reason.NO_USABLE_WORKER
                 )
+        self.advice.send(now)
         self.quota_wait_logger.flush(self.state.quotas, now)
 
     def _rotate(self, services: list[str]) -> list[str]:
@@ -181,7 +184,7 @@
         now: float,
     ) -> None:
         """Place suspected tasks on workers where a crash affects no other job."""
-        if not self._may_start(step, workers, now):
+        if not self._may_start(step, workers, now, everywhere=True):
             return
         free = [w for w in workers if can_isolate(w, suspects, now)]
         isolating = isolation_workers(step.job)
@@ -259,11 +262,25 @@
         self.state.ready.pop(id(step), None)
         return True
 
-    def _may_start(self, step: StepRun, workers: list[WorkerState], now: float) -> bool:
-        """Return whether advice on some workers and the quota let a step start."""
-        if step.job.policy.advice and not self._has_advice(step, workers, now):
+    def _may_start(
+        self,
+        step: StepRun,
+        workers: list[WorkerState],
+        now: float,
+        everywhere: bool = False,
+    ) -> bool:
+        """Return whether the quota and advice on some workers let a step start.
+
+        :param everywhere: whether advice is needed on workers without room too.
+        """
+        if not self._within_quota(step):
             return False
-        return self._within_quota(step)
+        if not step.job.policy.advice:
+            return True
+        if self.advice.allows(step, workers, now, everywhere):
+            return True
+        self.wait_tracker.record(step, Reason.ADVICE_UNANSWERED)
+        return False
 
     def _can_start_more(self, step: StepRun) -> bool:
         """Return whether this plan may start more tasks."""
@@ -305,14 +322,6 @@
             self._remaining_starts -= 1
             self.state.assign(task, worker, run, now)
 
-    def _has_advice(
-        self, step: StepRun, workers: list[WorkerState], now: float
-    ) -> bool:
-        if check_advice(self.state, step, workers, now):
-            return True
-        self.wait_tracker.record(step, Reason.ADVICE_UNANSWERED)
-        return False
-
 
 def _has_constraints(step: StepRun) -> bool:
     spec = step.spec
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 from ..ledger.ledger import LedgerJob
 from ..ledger.models import JobState, Progress
 from ..run_times.const import MIN_GROWTH
+from .advice import AdviceRequests
 from .commands import Command
 from .const import (
     CHECK_INTERVAL_SECONDS,
@@ -29,7 +30,7 @@
 from .intake import Intake
 from .job_order import ORDERS
 from .losses import LossCause, log_worker_lost
-from .models import Job, Phase, StepRun, Task
+from .models import Job, Phase, Task
 from .pacing import Pacing
 from .planner import Planner
 from .progress import progress_of
@@ -78,8 +79,9 @@
         self.pacing = Pacing(self.state)
         self._crash_tracker = CrashTracker(self.state)
         self._evacuation = Evacuation(self.state)
+        self.advice = AdviceRequests(self.state)
         self._planner = Planner(
-            self.state, self._zone_chooser, ORDERS.get(order), fair_shares
+            self.state, self._zone_chooser, self.advice, ORDERS.get(order), fair_shares
         )
         self.wait_logger = WaitLogger(self.state, self._planner.wait_tracker)
         self._ending: dict[str, Job] = {}
@@ -188,14 +190,6 @@
         for worker in self.state.workers.values():
             worker.maintenance_due = worker.id in worker_ids
 
-    def set_tickets(
-        self, step: StepRun, tickets: dict[str, str], valid_until: float
-    ) -> None:
-        """Store the tickets that advice returned for a step."""
-        step.tickets = tickets
-        step.tickets_valid_until = valid_until
-        step.advice_requested_until = 0.0
-
     def plan(
         self, now: float, wall: float, max_starts: int = sys.maxsize
     ) -> list[Command]:
--- a/mustardward/components/scheduling/wait_inputs.py
+++ b/mustardward/components/scheduling/wait_inputs.py
@@ -8,7 +8,6 @@
 
 from ...helpers.logging import LogValue
 from ...helpers.registry import Registry
-from .advice import ADVICE_TIMEOUT_SECONDS
 from .crashes import isolation_workers, needs_isolation
 from .models import Phase, StepRun
 from .wait_context import WaitContext
@@ -158,14 +157,12 @@
 @INPUTS.register(Reason.ADVICE_UNANSWERED)
 def _advice(wait: WaitContext) -> Inputs:
     step = wait.step
-    requested_at = (
-        step.advice_requested_until - ADVICE_TIMEOUT_SECONDS
-        if step.advice_requested_until
-        else None
-    )
     return {
-        "asked_seconds": _seconds_since(requested_at, wait.now),
+        "asked_seconds": _seconds_since(step.advice_requested_at, wait.now),
         "tickets": len(step.tickets),
+        "denied": len(step.denied_at),
+        "failures": step.advice_failures,
+        "retry_seconds": max(0.0, step.advice_retry_at - wait.now),
     }
 
 
@@ -251,11 +248,12 @@
         "without_label": sum(label not in w.labels for w in able) if label else 0,
         "max_per_server": limit,
         "at_most": sum(step.on_worker[w.id] >= limit for w in able) if limit else 0,
-        "advice": step.job.policy.advice,
+        "advice": step.job.policy.advice is not None,
         "tickets": len(step.tickets),
-        "tickets_seconds_left": step.tickets_valid_until - wait.now
-        if step.tickets
-        else None,
+        "tickets_seconds_left": max(
+            (ticket.valid_until - wait.now for ticket in step.tickets.values()),
+            default=None,
+        ),
     }
 
 
--- a/mustardward/helpers/instruments.py
+++ b/mustardward/helpers/instruments.py
@@ -41,6 +41,18 @@
     buckets=_BUCKETS_SECONDS,
     registry=REGISTRY,
 )
+ADVICE_CALLS: Final = Counter(
+    "mustardward_advice_calls",
+    "Calls of the advice service, by outcome.",
+    ("outcome",),
+    registry=REGISTRY,
+)
+ADVICE_SECONDS: Final = Histogram(
+    "mustardward_advice_seconds",
+    "Time until the advice service answered.",
+    buckets=_BUCKETS_SECONDS,
+    registry=REGISTRY,
+)
 APPENDS: Final = Counter(
     "mustardward_appends",
     "Appends to the log, by what became of them.",
--- a/mustardward/platform/advice.py
+++ b/mustardward/platform/advice.py
@@ -13,6 +13,7 @@
 from .http import HttpCaller
 
 MAX_WORKERS: Final = 100
+"""Most workers that the service accepts in one call."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,11 +41,10 @@
     ) -> StepAdvice:
         """Return which of the workers may run a step.
 
-        Only the first ``MAX_WORKERS`` workers are considered.
-
+        :param workers: at most ``MAX_WORKERS`` ids.
         :raises CallRefusedError: if the service gave no usable advice.
         """
-        body = AdviseBody(f"{job}.{occurrence}.{step}", workers[:MAX_WORKERS])
+        body = AdviseBody(f"{job}.{occurrence}.{step}", workers)
         try:
             response = await self._http.async_call(
                 "POST",
--- a/tests/components/scheduling/builders.py
+++ b/tests/components/scheduling/builders.py
@@ -6,15 +6,26 @@
 
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.ledger.models import JobRecord, Progress
-from mustardward.components.scheduling.commands import Command, Start, Stop
+from mustardward.components.scheduling.commands import (
+    Command,
+    RequestAdvice,
+    Start,
+    Stop,
+)
 from mustardward.components.scheduling.models import QueuePolicy, Task
 from mustardward.components.scheduling.scheduler import Scheduler
 from mustardward.components.scheduling.worker_state import WorkerState
-from mustardward.platform.models import Room, SubmittedStep, WorkerEntry
+from mustardward.platform.models import (
+    QueueAdvice,
+    Room,
+    SubmittedStep,
+    WorkerEntry,
+)
 from mustardward.platform.workers import EndedTask, RunningTask, TaskName, WorkerReport
 
 POOL = "pool-a"
 JOB = "00000000000000aa"
+ADVICE = QueueAdvice(decide_ms=200, period_ms=20, valid_ms=3000)
 
 
 def a_step(**changes: object) -> SubmittedStep:
@@ -141,6 +152,20 @@
         ]
         self.hold(task.worker.id, running=rows)
 
+    def plan_request(self) -> RequestAdvice | None:
+        """Plan, and return the request for advice, if there is one."""
+        requests = [c for c in self.plan() if isinstance(c, RequestAdvice)]
+        assert len(requests) <= 1
+        return requests[0] if requests else None
+
+    def advise(
+        self, request: RequestAdvice | None, *allowed: str, seconds: float = 60.0
+    ) -> None:
+        """Answer a request for advice with tickets for some workers."""
+        assert request is not None
+        tickets = dict.fromkeys(allowed, "t")
+        self.scheduler.advice.answered(request, tickets, seconds, self.now)
+
     def end(self, task: Task, how: str, checkpoint: str = "") -> None:
         """Apply a report in which a task has ended, with its worker's other runs."""
         worker = task.worker
--- /dev/null
+++ b/tests/components/scheduling/test_advice.py
@@ -0,0 +1,132 @@
+"""Test that advice is requested no faster than the service answers."""
+
+from __future__ import annotations
+
+import pytest
+
+from mustardward.components.scheduling.models import QueuePolicy
+from mustardward.platform.advice import MAX_WORKERS
+from mustardward.platform.models import QueueAdvice, Room
+
+from .advice_service import AdviceService, AdvisedOwner
+from .builders import ADVICE, POOL, SchedulerBench, a_job, a_step
+
+ROOM = Room(cpu=64_000, mem_mb=262_144)
+FINISH_SECONDS = 14.0
+BURST = 15
+
+
+def an_owner(advice: QueueAdvice = ADVICE, workers: int = 8) -> AdvisedOwner:
+    """Return an owner of an idle pool whose queue needs advice."""
+    policy = QueuePolicy(service=POOL, advice=advice, target_seconds=0.1)
+    bench = SchedulerBench(policy=policy)
+    for number in range(workers):
+        bench.worker(f"w{number:03}", capacity=ROOM)
+    return AdvisedOwner(bench, AdviceService(advice))
+
+
+def submit(owner: AdvisedOwner, jobs: int, first: int = 0, **step: object) -> None:
+    """Submit jobs of six tasks at once."""
+    values: dict[str, object] = {"count": 6, "cpu": 3500, "mem_mb": 13_000}
+    for number in range(first, first + jobs):
+        owner.bench.add(a_job(a_step(**{**values, **step}), job=f"{number:016x}"))
+
+
+def test_all_jobs_of_a_burst_start_while_the_pool_is_idle() -> None:
+    """Guard against calls that are repeated and given up until none is answered."""
+    owner = an_owner()
+    submit(owner, BURST)
+    owner.run(FINISH_SECONDS)
+    assert len(owner.first_starts) == BURST
+    assert owner.service.given_up == 0
+
+
+@pytest.mark.parametrize("decide_ms", [0.0, 250.0, 2500.0, 8000.0])
+@pytest.mark.parametrize("period_ms", [0.0, 20.0, 400.0])
+def test_calls_are_waited_for_as_long_as_their_queue_says(
+    decide_ms: float, period_ms: float
+) -> None:
+    """Guard against a fixed timeout that is shorter than a call takes."""
+    advice = QueueAdvice(decide_ms, period_ms, 3000)
+    owner = an_owner(advice)
+    submit(owner, 3)
+    owner.run(3 * (decide_ms + 8 * period_ms) / 1000 + 1.0)
+    assert len(owner.first_starts) == 3
+    assert owner.service.given_up == 0
+
+
+@pytest.mark.parametrize("slowdown", [3.0, 10.0, 30.0])
+def test_service_that_is_slower_than_its_timings_is_still_used(slowdown: float) -> None:
+    """Guard against jobs that never start while the service is slow."""
+    owner = an_owner()
+    owner.service.slowdown = slowdown
+    submit(owner, 4)
+    seconds_per_call = slowdown * (ADVICE.decide_ms + 8 * ADVICE.period_ms) / 1000
+    owner.run(8 * seconds_per_call)
+    assert len(owner.first_starts) == 4
+    assert owner.service.refused == 0
+
+
+def test_all_jobs_start_after_a_service_that_was_silent_answers_again() -> None:
+    """Guard against an outage after which all steps are asked for at once."""
+    owner = an_owner()
+    owner.service.silent = True
+    submit(owner, BURST)
+    owner.run(20.0)
+    assert owner.first_starts == {}
+    owner.service.silent = False
+    owner.run(FINISH_SECONDS + 10.0)
+    assert len(owner.first_starts) == BURST
+    assert owner.service.given_up == 0
+
+
+def test_step_whose_calls_always_fail_does_not_delay_the_others() -> None:
+    """Guard against one refused step that is asked for before all others."""
+    owner = an_owner()
+    owner.service.refuses = f"{0:016x}"
+    submit(owner, BURST)
+    owner.run(FINISH_SECONDS)
+    assert len(owner.first_starts) == BURST - 1
+
+
+def test_lost_answer_delays_its_step_by_little() -> None:
+    """Guard against a step that waits until its lost call is given up."""
+    owner = an_owner()
+    owner.service.silent = True
+    submit(owner, 1)
+    owner.run(0.1)
+    owner.service.silent = False
+    owner.run(3.0)
+    assert len(owner.first_starts) == 1
+
+
+def test_every_worker_of_a_large_pool_is_asked_about() -> None:
+    """Guard against workers beyond the first 100 that nobody ever asks about."""
+    owner = an_owner(QueueAdvice(10, 1, 3000), workers=2 * MAX_WORKERS + 50)
+    last = f"w{2 * MAX_WORKERS + 49:03}"
+    owner.service.allows = lambda step, worker: worker == last
+    submit(owner, 1)
+    owner.run(3.0)
+    assert owner.first_starts
+
+
+def test_no_start_is_sent_with_an_expired_ticket() -> None:
+    """Guard against starts that workers reject, since their tickets expired."""
+    owner = an_owner(workers=2)
+    owner.run_seconds = 2.5
+    submit(owner, 12, count=30)
+    owner.run(60.0)
+    assert len(owner.first_starts) == 12
+    assert owner.ticket_rejections == 0
+
+
+def test_steps_with_room_are_asked_for_before_those_without() -> None:
+    """Guard against advice for steps that can't start, while others that could wait."""
+    owner = an_owner(workers=1)
+    submit(owner, 6, cpu=60_000)
+    owner.run(2.0)
+    assert len(owner.first_starts) == 1
+    submit(owner, 1, first=10, count=1, cpu=100)
+    begun = owner.bench.now
+    owner.run(2.0)
+    assert owner.first_starts[f"{10:016x}"] - begun < 1.0
