Name as many workers in a request for advice as a step needs

A call takes `period-ms` for each worker that it names, and all workers of the pool were named: with 40 workers and 15 jobs at once the last job started after 15.3 s, with 100 workers after 33.3 s, while the pool was idle. Cause: the time of the service, which steps share, was spent on workers that no task needed. Change: a call names the number of workers with the shortest expected time to enough allowed ones: duration over the probability that it suffices, by a share of allowed workers learned for each queue. Known workers come first when tickets are renewed.

--- a/mustardward/components/scheduling/advice.py
+++ b/mustardward/components/scheduling/advice.py
@@ -17,10 +17,15 @@
 
 from ...helpers.logging import get_logger
 from ...platform.advice import MAX_WORKERS
-from ...platform.models import QueueAdvice
+from .advice_size import AllowedShare, count_to_name, expected_seconds
 from .commands import RequestAdvice
 from .models import StepRun, Ticket
-from .placement import meets_constraints, tasks_that_fit
+from .placement import (
+    meets_constraints,
+    placement_score,
+    preferred_per_worker,
+    tasks_that_fit,
+)
 from .scheduler_state import SchedulerState
 from .worker_state import WorkerState
 
@@ -70,14 +75,19 @@
 class _Wanted:
     """Hold a request that may be sent.
 
-    :param has_room: whether the named workers have room for the step now.
+    :param workers: the workers that may be named.
+    :param tasks: number of tasks that need a worker.
+    :param has_room: whether the workers have room for the step now.
     :param repeats: whether a call for the step is overdue.
+    :param everywhere: whether to name all of them.
     """
 
     step: StepRun
-    workers: tuple[str, ...]
+    workers: list[WorkerState]
+    tasks: int
     has_room: bool
     repeats: bool
+    everywhere: bool
 
 
 @dataclass(slots=True, eq=False)
@@ -98,6 +108,9 @@
     _turn: int = 0
     _wanted: dict[str, list[_Wanted]] = field(default_factory=lambda: defaultdict(list))
     _ahead: Counter[str] = field(default_factory=Counter)
+    _shares: dict[str, AllowedShare] = field(
+        default_factory=lambda: defaultdict(AllowedShare)
+    )
 
     def begin_plan(self) -> None:
         """Forget the requests of the previous plan."""
@@ -120,7 +133,8 @@
         self._ahead[step.job.policy.service] += bool(allowed) and not count
         if count >= needed and not everywhere:
             return True
-        more = self._want(step, workers, bool(allowed), now, everywhere)
+        missing = max(1, needed - count)
+        more = self._want(step, workers, missing, bool(allowed), now, everywhere)
         if step.spec.gang and more:
             return False
         return bool(allowed)
@@ -129,6 +143,7 @@
         self,
         step: StepRun,
         workers: list[WorkerState],
+        tasks: int,
         is_allowed: bool,
         now: float,
         everywhere: bool,
@@ -152,8 +167,7 @@
             return False
         if now < step.advice_retry_at or not self._may_add(step, bool(with_room)):
             return True
-        names = tuple(worker.id for worker in named[:MAX_WORKERS])
-        wanted = _Wanted(step, names, bool(with_room), bool(calls))
+        wanted = _Wanted(step, named, tasks, bool(with_room), bool(calls), everywhere)
         self._wanted[step.job.policy.service].append(wanted)
         return True
 
@@ -178,10 +192,11 @@
         step = chosen.step
         self._turn += 1
         self._turns[step.job.policy.service] = self._turn
-        patience = self._patience(step, len(chosen.workers))
+        names = self._choose_names(chosen)
+        patience = self._patience(step, len(names))
         is_last = len(calls) == MAX_CALLS - 1
         timeout = patience if is_last else patience + GIVE_UP_SECONDS
-        request = RequestAdvice(step, chosen.workers, now, now + patience, timeout)
+        request = RequestAdvice(step, names, now, now + patience, timeout)
         calls.append(request)
         step.advice_requested_at = now
         self.state.add_command(request)
@@ -207,6 +222,9 @@
         self._learn(now - max(request.sent_at, self._answered_at), expected)
         self._answered_at = now
         margin = min(TICKET_MARGIN_SECONDS, MAX_TICKET_MARGIN_SHARE * valid_seconds)
+        unknown = [w for w in request.workers if w not in step.allowed_workers]
+        share = self._shares[step.job.record.queue]
+        share.record(sum(name in tickets for name in unknown), len(unknown))
         add_tickets(step, tickets, now + valid_seconds - margin)
         for name in request.workers:
             if name not in tickets:
@@ -243,6 +261,29 @@
             detail=detail,
         )
 
+    def _choose_names(self, wanted: _Wanted) -> tuple[str, ...]:
+        """Return the workers to name, those first that the step would use first."""
+        step = wanted.step
+        avoided = step.waiting[0].avoided_workers if step.waiting else frozenset()
+        ranked = sorted(
+            wanted.workers,
+            key=lambda worker: (
+                worker.id not in step.allowed_workers,
+                placement_score(worker, step, avoided),
+            ),
+        )[:MAX_WORKERS]
+        count = len(ranked)
+        advice = step.job.policy.advice
+        if advice is not None and not wanted.everywhere:
+            needed = _workers_needed(wanted, ranked)
+            known = sum(worker.id in step.allowed_workers for worker in ranked)
+            count = needed
+            if needed > known:
+                share = self._shares[step.job.record.queue].value
+                others = len(ranked) - known
+                count = known + count_to_name(needed - known, others, share, advice)
+        return tuple(worker.id for worker in ranked[:count])
+
     def _learn(self, seconds: float, expected: float) -> None:
         """Learn how much slower the service is than the queue's timings say."""
         ratio = seconds / max(expected, SLACK_SECONDS)
@@ -271,18 +312,24 @@
         return max(in_turn, min(MAX_SPACING_SECONDS, spacing))
 
 
-def expected_seconds(advice: QueueAdvice | None, workers: int) -> float:
-    """Return how long the service takes to answer a call that names some workers."""
-    if advice is None:
-        return 0.0
-    milliseconds: float = advice.decide_ms + advice.period_ms * workers
-    return milliseconds / 1000
+def _workers_needed(wanted: _Wanted, ranked: list[WorkerState]) -> int:
+    """Return how many of the workers, if all are allowed, hold a step's tasks."""
+    step = wanted.step
+    limit = preferred_per_worker(step) or wanted.tasks
+    tasks = wanted.tasks
+    for number, worker in enumerate(ranked, start=1):
+        fitting = tasks_that_fit(worker, step) if wanted.has_room else 1
+        tasks -= min(limit, fitting)
+        if tasks <= 0:
+            return number
+    return len(ranked)
 
 
 def add_tickets(step: StepRun, tickets: Mapping[str, str], valid_until: float) -> None:
     """Add tickets that advice returned for a step, by worker id."""
     for name, value in tickets.items():
         step.tickets[name] = Ticket(value, valid_until)
+        step.allowed_workers.add(name)
         step.denied_at.pop(name, None)
 
 
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -147,6 +147,7 @@
     :param waiting: the queue of its tasks that wait for a worker.
     :param on_worker: number of its active tasks by worker id.
     :param tickets: valid tickets by worker id.
+    :param allowed_workers: ids of all workers that advice ever allowed.
     :param denied_at: when advice last did not allow a worker, by worker id.
     :param advice_requested_at: when advice was last requested, or None.
     :param advice_failures: number of failed requests for advice since the last answer.
@@ -168,6 +169,7 @@
     open: bool = False
     on_worker: Counter[str] = field(default_factory=Counter)
     tickets: dict[str, Ticket] = field(default_factory=dict)
+    allowed_workers: set[str] = field(default_factory=set)
     denied_at: dict[str, float] = field(default_factory=dict)
     advice_requested_at: float | None = None
     advice_failures: int = 0
--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -48,6 +48,13 @@
     return True
 
 
+def preferred_per_worker(step: StepRun) -> int:
+    """Return how many tasks of a long-running step one worker should run, or 0."""
+    if not step.spec.long_running:
+        return 0
+    return 1 if step.spec.target_ms else max(1, step.spec.may_miss)
+
+
 def tasks_that_fit(worker: WorkerState, step: StepRun) -> int:
     """Return how many tasks of a step a worker has room for, regardless of advice."""
     if not meets_constraints(worker, step):
@@ -193,7 +200,7 @@
 def _long_running_score(worker: WorkerState, step: StepRun) -> Score:
     spec = step.spec
     here = step.on_worker[worker.id]
-    limit = 1 if spec.target_ms else max(1, spec.may_miss)
+    limit = preferred_per_worker(step)
     others = [other.step.spec for other in worker.tasks.values()]
     serving = sum(other.fills != spec.fills for other in others) if spec.fills else 0
     shared = any(other.long_running for other in others) and not spec.target_ms
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -333,6 +333,7 @@
             if job.policy.advice:
                 for step in job.steps.values():
                     step.tickets.pop(new.id, None)
+                    step.allowed_workers.discard(new.id)
                     step.denied_at.pop(new.id, None)
 
     def end_run(self, task: Task, now: float) -> None:
--- a/tests/components/scheduling/test_advice.py
+++ b/tests/components/scheduling/test_advice.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
+from mustardward.components.ledger.models import JobState
 from mustardward.components.scheduling.models import QueuePolicy
 from mustardward.platform.advice import MAX_WORKERS
 from mustardward.platform.models import QueueAdvice, Room
@@ -100,6 +103,60 @@
     assert len(owner.first_starts) == 1
 
 
+@pytest.mark.parametrize("workers", [40, 100])
+@pytest.mark.parametrize("decide_ms, period_ms", [(200, 20), (20, 60)])
+def test_burst_on_a_large_pool_starts_in_time(
+    workers: int, decide_ms: float, period_ms: float
+) -> None:
+    """Guard against calls that name so many workers that most jobs are late."""
+    owner = an_owner(QueueAdvice(decide_ms, period_ms, 3000), workers)
+    submit(owner, BURST)
+    owner.run(FINISH_SECONDS)
+    assert len(owner.first_starts) == BURST
+
+
+def test_step_that_few_workers_may_run_starts() -> None:
+    """Guard against a step that asks only about workers that may not run it."""
+    owner = an_owner(workers=40)
+    owner.service.allows = lambda step, worker: worker in ("w003", "w031")
+    submit(owner, 2)
+    owner.run(FINISH_SECONDS)
+    assert len(owner.first_starts) == 2
+
+
+def test_gang_asks_about_as_many_workers_as_it_needs() -> None:
+    """Guard against a gang that waits with too few workers that may run it."""
+    owner = an_owner(workers=12)
+    submit(owner, 1, gang=True, cpu=60_000)
+    owner.run(5.0)
+    assert owner.bench.stored[f"{0:016x}"].state is JobState.DONE
+
+
+def test_long_running_tasks_spread_over_allowed_workers() -> None:
+    """Guard against advice on few workers, on which a loss would end most tasks."""
+    owner = an_owner()
+    owner.run_seconds = math.inf
+    submit(owner, 1, count=5, cpu=1000, long_running=True)
+    owner.run(3.0)
+    step = owner.bench.task(0, job=f"{0:016x}").step
+    assert step.active == 5
+    assert max(step.on_worker.values()) == 1
+
+
+def test_tickets_are_renewed_for_allowed_workers_only() -> None:
+    """Guard against asking again about workers that may not run a step."""
+    owner = an_owner(workers=2)
+    submit(owner, 1, count=200)
+    owner.run(1.5)
+    named = owner.service.names
+    owner.service.allows = lambda step, worker: pytest.fail("asked about others")
+    step = owner.bench.task(0, job=f"{0:016x}").step
+    owner.service.allows = lambda name, worker: worker in step.allowed_workers
+    owner.run(6.0)
+    assert owner.service.names > named
+    assert owner.ticket_rejections == 0
+
+
 def test_every_worker_of_a_large_pool_is_asked_about() -> None:
     """Guard against workers beyond the first 100 that nobody ever asks about."""
     owner = an_owner(QueueAdvice(10, 1, 3000), workers=2 * MAX_WORKERS + 50)
