Keep only the newest failed run of a long-running task

Cause: the numbers of all failed runs were kept and stored, to count each one once against the limit of attempts. A long-running task has no such limit. Past 262,144 bytes the store refused the job's record, and the owner repeated that append for good, with its renewals in it. Change: of a long-running task only the highest failed run is kept, in memory, so that an end which is reported several times counts once against its worker. Nothing of it is stored. Records of earlier builds are read; the failed runs of long-running tasks in them are dropped.

--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -191,7 +191,8 @@
             if step is None or task_progress.index >= len(step.tasks):
                 continue
             task = step.tasks[task_progress.index]
-            task.failed_runs = task_progress.failed_runs
+            if not step.spec.long_running:
+                task.failed_runs = task_progress.failed_runs
             task.checkpoint = task_progress.checkpoint
             task.crashes = task_progress.crashes
         self.state.update_suspicion(job)
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -66,6 +66,8 @@
 class Task:
     """Hold one task of a step. All times are monotonic seconds unless noted.
 
+    :param failed_runs: numbers of its failed runs; of a long-running task, whose
+        attempts are not limited, only the highest one.
     :param ready_since: when the task last became ready to start.
     :param stop_acknowledged_at: when the worker last acknowledged a stop, or None.
     :param percent_at_ms: the worker's clock when it first listed the run at its present
@@ -114,6 +116,20 @@
         step = self.step
         return TaskName(step.job.record.id, step.occurrence, step.number, self.index)
 
+    def record_failed_run(self, run: int) -> bool:
+        """Record a failed run; return whether it was not recorded before.
+
+        A worker reports the end of a run until it is acknowledged.
+        """
+        if not self.step.spec.long_running:
+            is_new = run not in self.failed_runs
+            self.failed_runs += (run,) if is_new else ()
+            return is_new
+        if self.failed_runs and run <= self.failed_runs[-1]:
+            return False
+        self.failed_runs = (run,)
+        return True
+
     @property
     def is_serving(self) -> bool:
         """Return whether a long-running task is known to serve.
--- a/mustardward/components/scheduling/progress.py
+++ b/mustardward/components/scheduling/progress.py
@@ -4,7 +4,7 @@
 
 from ..ledger.bitset import pack_indices
 from ..ledger.models import Progress, StepProgress, TaskProgress
-from .models import Job, Phase
+from .models import Job, Phase, Task
 
 
 def progress_of(job: Job, wall: float) -> Progress:
@@ -25,13 +25,18 @@
             step.occurrence,
             step.number,
             task.index,
-            task.failed_runs,
+            task.failed_runs if _has_failed(task) else (),
             task.checkpoint,
             task.crashes,
         )
         for step in job.steps.values()
         for task in step.tasks
         if task.phase is not Phase.DONE
-        and (task.failed_runs or task.checkpoint or task.crashes)
+        and (_has_failed(task) or task.checkpoint or task.crashes)
     ]
     return Progress(job.state, steps, tasks, zones=sorted(job.zones or ()))
+
+
+def _has_failed(task: Task) -> bool:
+    """Return whether failed runs of a task are stored, as they limit its attempts."""
+    return bool(task.failed_runs) and not task.step.spec.long_running
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -139,8 +139,7 @@
         if ended.how == ENDED_DONE:
             self._handle_done(worker, task, is_current, now)
             return
-        if ended.how == ENDED_FAILED and ended.run not in task.failed_runs:
-            task.failed_runs += (ended.run,)
+        if ended.how == ENDED_FAILED and task.record_failed_run(ended.run):
             task.avoided_workers.add(worker.id)
             self.health.record_failure(worker, task, now)
         if ended.checkpoint:
