Leave out of a progress record what the store would not accept

Cause: a job's progress is one record. Past 262,144 bytes (some 10,000 checkpoints of 16 characters) the store refuses it for good, with all others of the append, which was repeated without an end. Change: what doesn't fit is left out, checkpoints first, then the failed runs of the tasks with the fewest; the limit is the platform's `record-bytes`. A metric and a log line say so. Not run by real processes with 14,000 tasks.

--- a/mustardward/components/ownership/models.py
+++ b/mustardward/components/ownership/models.py
@@ -24,6 +24,7 @@
 
     :param latency: tells how slow the store is.
     :param peers: reaches the other entries; None if there are none.
+    :param record_bytes: the size of a record that the store accepts.
     :param fleet_limits: the platform's limits on fleet calls of all entries together.
     """
 
@@ -42,3 +43,4 @@
     fleet_limits: BootFleet = BootFleet()
     peers: PeerQuerier | None = None
     latency: StoreLatency = field(default_factory=StoreLatency)
+    record_bytes: int = 262_144
--- a/mustardward/components/ownership/progress_writer.py
+++ b/mustardward/components/ownership/progress_writer.py
@@ -9,6 +9,8 @@
 
 import anyio
 
+from ...helpers.instruments import PROGRESS_TRUNCATED
+from ...helpers.logging import get_logger
 from ..dispatch.session import WorkerSession
 from ..ledger.appender import GroupAppender, Outcome, Record
 from ..ledger.const import (
@@ -19,7 +21,8 @@
     PREFIX_RUN_TIMES,
 )
 from ..ledger.ledger import encode
-from ..ledger.models import JobState
+from ..ledger.models import JobState, Progress
+from ..ledger.progress_size import encode_within
 from ..run_times.const import STORE_INTERVAL_SECONDS
 from ..scheduling.scheduler import Scheduler
 from .authority import Authority
@@ -30,6 +33,13 @@
 APPEND_TIMEOUT_SECONDS: Final = 86400.0
 """Long enough that an append either is stored or ends because the owner is deposed."""
 
+RECORD_MARGIN_BYTES: Final = 256
+"""Bytes of a record's key and length."""
+
+TRUNCATION_LOG_SECONDS: Final = 1.0
+
+_LOGGER = get_logger(__name__)
+
 
 @dataclass(slots=True, eq=False)
 class ProgressWriter:
@@ -48,6 +58,7 @@
     depose: Callable[[], None]
     _write_requested: anyio.Event = field(default_factory=anyio.Event)
     _run_times_due_at: float = -math.inf
+    _truncation_due_at: float = -math.inf
 
     def request_write(self) -> None:
         """Request a write without waiting for the next interval."""
@@ -110,7 +121,7 @@
         dirty = self.scheduler.take_dirty(timers.monotonic(), timers.wall())
         records: list[Record] = []
         for job_id, progress in dirty:
-            records.append((PREFIX_PROGRESS + job_id, encode(progress)))
+            self._add_progress(job_id, progress, records)
             if progress.state is JobState.DONE:
                 # The scheduler may remove the job before the append completes.
                 self.dependencies.unlogged.add(job_id)
@@ -123,6 +134,29 @@
         # The renewal comes first, to be in the first part of a split append.
         return job_ids, self.renewals.due_records(with_others=bool(records)) + records
 
+    def _add_progress(
+        self, job_id: str, progress: Progress, records: list[Record]
+    ) -> None:
+        """Add a job's progress as far as the store accepts it."""
+        max_bytes = self.dependencies.record_bytes - RECORD_MARGIN_BYTES
+        encoded = encode_within(progress, max_bytes)
+        if encoded.value:
+            records.append((PREFIX_PROGRESS + job_id, encoded.value))
+        if encoded.is_complete:
+            return
+        PROGRESS_TRUNCATED.inc()
+        now = self.dependencies.timers.monotonic()
+        if now < self._truncation_due_at:
+            return
+        self._truncation_due_at = now + TRUNCATION_LOG_SECONDS
+        _LOGGER.warning(
+            "progress_truncated",
+            job=job_id,
+            bytes=len(encoded.value),
+            dropped_checkpoints=encoded.dropped_checkpoints,
+            dropped_failures=encoded.dropped_failures,
+        )
+
     def _run_times_records(self, now: float) -> list[Record]:
         """Return what was learned of run times, if it is due to be stored."""
         if now < self._run_times_due_at:
--- a/mustardward/helpers/instruments.py
+++ b/mustardward/helpers/instruments.py
@@ -59,6 +59,11 @@
     ("outcome",),
     registry=REGISTRY,
 )
+PROGRESS_TRUNCATED: Final = Counter(
+    "mustardward_progress_truncated",
+    "Progress records that leave out what the store would not accept.",
+    registry=REGISTRY,
+)
 APPEND_SECONDS: Final = Histogram(
     "mustardward_append_seconds",
     "Time until an append's fate was known.",
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -171,6 +171,7 @@
                 boot.cloud,
                 self._forwarder,
                 self._latency,
+                boot.platform.record_bytes,
             ),
             _claim_fraction(boot),
         )
--- /dev/null
+++ b/tests/components/ownership/test_large_progress.py
@@ -0,0 +1,67 @@
+"""Test an owner with a job whose progress is larger than the store accepts."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import pytest
+
+from mustardward.components.ledger.const import PREFIX_PROGRESS, TOPIC
+from mustardward.components.ledger.ledger import Ledger
+from mustardward.platform.exceptions import CallRefusedError
+from mustardward.platform.store import Producer
+from mustardward.standin.estate.store import MemoryStore
+
+from ..fleet.live_workers import EPOCH
+from ..scheduling.builders import JOB, a_job, a_step
+from .test_stored_run_times import OwnerHarness
+
+pytestmark = pytest.mark.anyio
+
+RECORD_BYTES = 262_144
+OTHER = "00000000000000bb"
+TASKS = 14_000
+
+
+class LimitedStore(MemoryStore):
+    """Refuse appends with a record that is too large.
+
+    :param refused: number of refused appends.
+    """
+
+    refused = 0
+
+    async def async_append(
+        self, topic: str, records: Any, producer: Producer | None = None, **_: Any
+    ) -> int:
+        if any(len(key) + len(value) + 1 > RECORD_BYTES for key, value in records):
+            self.refused += 1
+            raise CallRefusedError("status=413")
+        return await super().async_append(topic, records, producer)
+
+
+async def test_large_progress_of_one_job_does_not_stop_the_work_of_others() -> None:
+    """Guard against an append that the store refuses and that is repeated for good."""
+    store = LimitedStore()
+    async with anyio.create_task_group() as tasks:
+        harness = OwnerHarness(store, EPOCH, tasks)
+        await harness.async_advance_time(0.2)
+        scheduler = harness.owner.scheduler
+        now = harness.timers.monotonic()
+        scheduler.add_job(a_job(a_step(count=TASKS)), now, harness.timers.wall())
+        job = scheduler.state.jobs[JOB]
+        for task in job.steps[0, 0].tasks:
+            task.checkpoint = f"{task.index:016x}"
+        harness.owner.request_work()
+        await harness.async_advance_time(1.0)
+        submitted_at = harness.timers.wall()
+        await harness.async_store_progress(OTHER)
+        tasks.cancel_scope.cancel()
+    ledger = Ledger()
+    for record in store.records_from(TOPIC, 0):
+        ledger.apply(record)
+    keys = {record.key for record in store.records_from(TOPIC, 0)}
+    assert store.refused == 0
+    assert {PREFIX_PROGRESS + JOB, PREFIX_PROGRESS + OTHER} <= keys
+    assert ledger.owner.renewed_at >= submitted_at
