Read on at once while an entry is behind the log

Cause: an entry that is no owner reads a page of 256 kB each 0.15 s, also when the page shows that there is more. An owner that writes more than 1.7 MB a second is therefore never caught up with, and its last renewal seems recent for as long as the log is behind. Change: while a page doesn't reach the end of the log, the next one is read after 0.05 s. The interval of a follower that is not behind is unchanged.

--- a/mustardward/components/ledger/const.py
+++ b/mustardward/components/ledger/const.py
@@ -31,6 +31,10 @@
 
 INITIAL_RETRY_DELAY_SECONDS: Final = 0.01
 
+CATCH_UP_INTERVAL_SECONDS: Final = 0.05
+"""Interval of reads while there is more to read than one page. An entry that is behind
+does not notice when the owner is lost."""
+
 MAX_READS_PER_SECOND: Final = 140
 """Limit on the background reads of one topic by all entry nodes together; reads made
 for callers are not counted. Two topics make 280 a second, a seventh of what the store
--- a/mustardward/components/ledger/follower.py
+++ b/mustardward/components/ledger/follower.py
@@ -13,6 +13,7 @@
 from ...platform.store import KeyedRecord, Page, StoreClient
 from .const import (
     BUSY_POLL_MS,
+    CATCH_UP_INTERVAL_SECONDS,
     MAX_POLL_MS,
     MAX_READS_PER_SECOND,
     MAX_TIMED_PAGE_BYTES,
@@ -119,11 +120,12 @@
         """Follow the topic until cancelled."""
         while True:
             sent_at = self.timers.monotonic()
+            is_behind = False
             try:
                 if self.offset < 0:
                     await self.async_load()
                 else:
-                    await self._async_read(self._wait_ms())
+                    is_behind = not await self._async_read(self._wait_ms())
             except OffsetGoneError as error:
                 _LOGGER.warning(
                     "topic_history_expired", topic=self.topic, first=error.first
@@ -134,7 +136,10 @@
                 self._mark_failed(error.detail, sent_at)
                 await self.timers.async_sleep(RETRY_DELAY_SECONDS)
                 continue
-            await self.timers.async_sleep(self._interval())
+            interval = self._interval()
+            if is_behind:
+                interval = min(interval, CATCH_UP_INTERVAL_SECONDS)
+            await self.timers.async_sleep(interval)
 
     def _wait_ms(self) -> int:
         """Return how long the next read waits for a record, in milliseconds.
--- a/tests/components/ledger/test_follower.py
+++ b/tests/components/ledger/test_follower.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import anyio
 import pytest
 
@@ -295,3 +297,34 @@
     assert await async_count_reads(9, None) in range(60, 72)
     assert await async_count_reads(97, None) in range(9, 12)
     assert await async_count_reads(97, 0.02) > 200
+
+
+class _PagedStore(MemoryStore):
+    """Return one record per read."""
+
+    async def async_read(
+        self, topic: str, from_offset: int, wait_ms: int, kilobytes: int = 1024
+    ) -> Page:
+        page = await super().async_read(topic, from_offset, wait_ms, kilobytes)
+        records = page.records[:1]
+        next_offset = records[-1].offset + 1 if records else page.next_offset
+        return replace(page, records=records, next_offset=next_offset)
+
+
+async def test_follower_keeps_up_with_an_owner_that_fills_each_page() -> None:
+    """Guard against entries that fall behind and do not notice a lost owner."""
+    store = _PagedStore()
+    timers = DrivenTimerService()
+    follower, state = build_follower(store, timers)
+    written = 0
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.async_run)
+        for _ in range(100):
+            await anyio.wait_all_tasks_blocked()
+            store.append(TOPIC, [("a", str(written).encode())])
+            written += 1
+            await timers.async_advance(0.06)
+        await anyio.wait_all_tasks_blocked()
+        behind = written - 1 - int(state.values["a"])
+        tasks.cancel_scope.cancel()
+    assert behind <= 2
