Count the attempts of a gang by its runs, and run it elsewhere

Cause: the failed runs of all members were added up. They share their run numbers, so one run counted as often as members failed in it. Besides, only single tasks avoid workers on which they failed: a gang was placed on the faulty worker again. Change: the different run numbers are counted, which are stored and restored as before, so that repeated ends and a takeover don't change the count. A gang is placed without the workers on which a member failed, and on all of them if it fits nowhere else. Evidence: 4 of 4 tests of test_gangs fail before and pass now.

--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -109,7 +109,8 @@
         if step.spec.long_running:
             return
         members = step.tasks if step.spec.gang else [task]
-        failures = sum(len(member.failed_runs) for member in members)
+        # The members of a gang share their runs, and several may fail in one.
+        failures = len({run for member in members for run in member.failed_runs})
         if failures >= step.job.policy.max_attempts and not step.job.state.final:
             self.state.end_job(step.job, JobState.FAILED)
 
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -306,7 +306,11 @@
         if step.active or len(step.waiting) != len(step.tasks):
             self.wait_tracker.record(step, Reason.GANG_INCOMPLETE)
             return
-        placed = place_gang(workers, step, step.waiting)
+        avoided = {name for task in step.waiting for name in task.avoided_workers}
+        others = [worker for worker in workers if worker.id not in avoided]
+        placed = place_gang(others, step, step.waiting)
+        if placed is None and avoided:
+            placed = place_gang(workers, step, step.waiting)
         if placed is None:
             self.wait_tracker.record(step, Reason.GANG_HAS_NO_ROOM)
         else:
--- /dev/null
+++ b/tests/components/scheduling/test_gangs.py
@@ -0,0 +1,81 @@
+"""Test how often a gang is run, and where, after some of its members have failed."""
+
+from __future__ import annotations
+
+from mustardward.components.ledger.models import JobState
+from mustardward.components.scheduling.models import QueuePolicy
+from mustardward.platform.models import ENDED_FAILED
+
+from .builders import JOB, POOL, SchedulerBench, a_job, a_step
+
+MEMBERS = 3
+MAX_ATTEMPTS = 3
+BROKEN = "broken"
+
+
+def a_gang(workers: int = 8) -> SchedulerBench:
+    """Return a pool with a waiting gang, two members of which fit on a worker."""
+    policy = QueuePolicy(service=POOL, max_attempts=MAX_ATTEMPTS)
+    bench = SchedulerBench(policy=policy)
+    for number in range(workers):
+        bench.worker(f"w{number}")
+    bench.add(a_job(a_step(count=MEMBERS, cpu=4000, gang=True)))
+    return bench
+
+
+def fail_on(bench: SchedulerBench, bad: set[str]) -> set[str]:
+    """Run the gang once; the members on some workers fail. Return its workers."""
+    starts = bench.plan_starts()
+    used = {start.worker for start in starts}
+    for start in starts:
+        if used & bad:
+            how = ENDED_FAILED if start.worker in bad else BROKEN
+            bench.end(start.task, how)
+    return used
+
+
+def test_failed_members_of_one_run_count_as_one_attempt() -> None:
+    """Guard against a gang that is given up after its first run."""
+    bench = a_gang()
+    for _ in range(MAX_ATTEMPTS - 1):
+        every = set(bench.scheduler.state.workers)
+        assert fail_on(bench, every)
+        assert bench.scheduler.state.jobs[JOB].state is JobState.RUNNING
+    fail_on(bench, set(bench.scheduler.state.workers))
+    assert bench.scheduler.state.jobs[JOB].state is JobState.FAILED
+
+
+def test_gang_avoids_workers_on_which_a_member_failed() -> None:
+    """Guard against a gang that uses up its attempts on one faulty worker."""
+    bench = a_gang()
+    first = fail_on(bench, set(bench.scheduler.state.workers))
+    second = fail_on(bench, set())
+    assert second
+    assert not first & second
+
+
+def test_gang_uses_avoided_workers_if_there_are_no_others() -> None:
+    """Guard against a gang that waits forever since it failed on all workers."""
+    bench = a_gang(workers=2)
+    first = fail_on(bench, set(bench.scheduler.state.workers))
+    assert fail_on(bench, set()) == first
+
+
+def test_attempts_of_a_gang_are_counted_by_the_next_owner() -> None:
+    """Guard against attempts that a takeover or repeated ends count again."""
+    bench = a_gang()
+    fail_on(bench, set(bench.scheduler.state.workers))
+    fail_on(bench, set(bench.scheduler.state.workers))
+    bench.store()
+    successor = SchedulerBench(policy=bench.policy, epoch=2)
+    for number in range(8):
+        successor.worker(f"w{number}")
+    job = a_job(a_step(count=MEMBERS, cpu=4000, gang=True))
+    job.progress = bench.stored[JOB]
+    successor.add(job)
+    reports = successor.scheduler.reports
+    for task in (successor.task(index) for index in range(MEMBERS)):
+        reports.intake.handle_task_failed(task)
+    assert successor.scheduler.state.jobs[JOB].state is JobState.RUNNING
+    fail_on(successor, set(successor.scheduler.state.workers))
+    assert successor.scheduler.state.jobs[JOB].state is JobState.FAILED
