Start all members of a gang from one checkpoint

What callers saw: nothing reported; read in the review. The platform asks that all members of a run carry the same checkpoint, and each member was started from the last one of its own. Change: the newest checkpoint of any member is kept for the step, given to all members when a run is placed, and stored once, with the first member. Records of earlier builds are read. Evidence: two tests of test_gangs fail before and pass now.

--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -194,7 +194,7 @@
             task = step.tasks[task_progress.index]
             if not step.spec.long_running:
                 task.failed_runs = task_progress.failed_runs
-            task.checkpoint = task_progress.checkpoint
+            task.record_checkpoint(task_progress.checkpoint)
             task.crashes = task_progress.crashes
         self.state.update_suspicion(job)
         self._make_started_occurrences(job)
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -116,6 +116,15 @@
         step = self.step
         return TaskName(step.job.record.id, step.occurrence, step.number, self.index)
 
+    def record_checkpoint(self, checkpoint: str) -> None:
+        """Record a checkpoint that a worker reported; an empty one means none."""
+        if not checkpoint:
+            return
+        if self.step.spec.gang:
+            self.step.checkpoint = checkpoint
+        else:
+            self.checkpoint = checkpoint
+
     def record_failed_run(self, run: int) -> bool:
         """Record a failed run; return whether it was not recorded before.
 
@@ -165,6 +174,8 @@
     :param tickets: valid tickets by worker id.
     :param allowed_workers: ids of all workers that advice ever allowed.
     :param denied_at: when advice last did not allow a worker, by worker id.
+    :param checkpoint: the newest checkpoint of any member of a gang, which is valid for
+        all of them. Each run of the gang starts all members from one value.
     :param advice_requested_at: when advice was last requested, or None.
     :param advice_failures: number of failed requests for advice since the last answer.
     :param advice_retry_at: when advice may be requested after a failed request.
@@ -184,6 +195,7 @@
     active: int = 0
     open: bool = False
     on_worker: Counter[str] = field(default_factory=Counter)
+    checkpoint: str = ""
     tickets: dict[str, Ticket] = field(default_factory=dict)
     allowed_workers: set[str] = field(default_factory=set)
     denied_at: dict[str, float] = field(default_factory=dict)
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -324,6 +324,7 @@
         run = self.state.next_run_number()
         for task, worker in placed:
             self._remaining_starts -= 1
+            task.checkpoint = task.step.checkpoint
             self.state.assign(task, worker, run, now)
 
 
--- a/mustardward/components/scheduling/progress.py
+++ b/mustardward/components/scheduling/progress.py
@@ -26,17 +26,24 @@
             step.number,
             task.index,
             task.failed_runs if _has_failed(task) else (),
-            task.checkpoint,
+            _stored_checkpoint(task),
             task.crashes,
         )
         for step in job.steps.values()
         for task in step.tasks
         if task.phase is not Phase.DONE
-        and (_has_failed(task) or task.checkpoint or task.crashes)
+        and (_has_failed(task) or _stored_checkpoint(task) or task.crashes)
     ]
     return Progress(job.state, steps, tasks, zones=sorted(job.zones or ()))
 
 
+def _stored_checkpoint(task: Task) -> str:
+    """Return the checkpoint to store with a task; a gang's is stored once."""
+    if not task.step.spec.gang:
+        return task.checkpoint
+    return task.step.checkpoint if task.index == 0 else ""
+
+
 def _has_failed(task: Task) -> bool:
     """Return whether failed runs of a task are stored, as they limit its attempts."""
     return bool(task.failed_runs) and not task.step.spec.long_running
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -142,8 +142,7 @@
         if ended.how == ENDED_FAILED and task.record_failed_run(ended.run):
             task.avoided_workers.add(worker.id)
             self.health.record_failure(worker, task, now)
-        if ended.checkpoint:
-            task.checkpoint = ended.checkpoint
+        task.record_checkpoint(ended.checkpoint)
         self.state.mark_dirty(task.step.job)
         if is_current:
             task.runs_since_crash += task.phase is not Phase.STOPPING
@@ -200,8 +199,7 @@
         task.seen_running = True
         task.missed_reports = 0
         task.figure = row.figure
-        if row.checkpoint:
-            task.checkpoint = row.checkpoint
+        task.record_checkpoint(row.checkpoint)
         if row.percent != task.percent:
             task.percent = row.percent
             task.percent_since = now
--- a/tests/components/scheduling/test_gangs.py
+++ b/tests/components/scheduling/test_gangs.py
@@ -6,7 +6,7 @@
 from mustardward.components.scheduling.models import QueuePolicy
 from mustardward.platform.models import ENDED_FAILED
 
-from .builders import JOB, POOL, SchedulerBench, a_job, a_step
+from .builders import JOB, POOL, SchedulerBench, a_job, a_row, a_step
 
 MEMBERS = 3
 MAX_ATTEMPTS = 3
@@ -79,3 +79,37 @@
     assert successor.scheduler.state.jobs[JOB].state is JobState.RUNNING
     fail_on(successor, set(successor.scheduler.state.workers))
     assert successor.scheduler.state.jobs[JOB].state is JobState.FAILED
+
+
+def test_members_of_a_gang_start_from_one_checkpoint() -> None:
+    """Guard against members that start from different checkpoints of their own."""
+    bench = a_gang()
+    starts = bench.plan_starts()
+    for start in starts:
+        own = f"{start.task.index:016x}"
+        bench.hold(start.worker, running=[a_row(start.task, 50.0, own)])
+    for start in starts:
+        bench.end(start.task, BROKEN, checkpoint=f"{start.task.index + 8:016x}")
+    restarted = bench.plan_starts()
+    checkpoints = {start.task.checkpoint for start in restarted}
+    assert len(restarted) == MEMBERS
+    assert len(checkpoints) == 1
+    assert checkpoints != {""}
+
+
+def test_checkpoint_of_a_gang_reaches_the_next_owner() -> None:
+    """Guard against a gang that starts from nothing after a takeover."""
+    bench = a_gang()
+    (start, *others) = bench.plan_starts()
+    bench.end(start.task, BROKEN, checkpoint="c" * 16)
+    for other in others:
+        bench.end(other.task, BROKEN)
+    bench.store()
+    successor = SchedulerBench(policy=bench.policy, epoch=2)
+    for number in range(8):
+        successor.worker(f"w{number}")
+    job = a_job(a_step(count=MEMBERS, cpu=4000, gang=True))
+    job.progress = bench.stored[JOB]
+    successor.add(job)
+    restarted = successor.plan_starts()
+    assert {start.task.checkpoint for start in restarted} == {"c" * 16}
