Start and give up nothing before a configuration is read

Cause: without a configuration each queue got default policies: three attempts, no advice, no quotas, and the fleet took instances on standby for working ones. Change: until a configuration is read, steps wait with the reason `no-configuration`, no job is given up and the fleet orders nothing. Leases are renewed, runs adopted and ends stored meanwhile. Once it is read, jobs that have used their attempts end, and the others go on. A queue that a configuration lacks has default policies as before. A stored copy of the last configuration was weighed: the store's topic of the operator keeps it already, and a copy would be read from the same store; not built. Not run by real processes. Test doubles of owners and fleets now have a configuration that was read.

--- a/mustardward/components/configuration/services.py
+++ b/mustardward/components/configuration/services.py
@@ -61,6 +61,11 @@
         except RECORD_ERRORS as error:
             report_unreadable_record("operator", record.key, str(error))
 
+    @property
+    def is_loaded(self) -> bool:
+        """Return whether any configuration was read."""
+        return self.config is not None
+
     @property
     def version(self) -> int:
         """Return the version in force here, or 0 if none was read."""
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -89,7 +89,9 @@
         while True:
             await self._async_read_if_due()
             started_at = self.timers.monotonic()
-            self._decide()
+            if self.configuration.is_loaded:
+                # Otherwise the instances on standby are unknown.
+                self._decide()
             seconds = self.timers.monotonic() - started_at
             await self.timers.async_sleep(_DUTY.pause(seconds))
 
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -98,6 +98,7 @@
             dependencies.configuration.policy_of,
             quota_of=dependencies.configuration.quota_of,
             rate_of=dependencies.configuration.rate_of,
+            is_configured=lambda: dependencies.configuration.is_loaded,
         )
         self.scheduler.state.stop_grace_seconds = (
             dependencies.bounds.stop_grace_ms / 1000
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -106,7 +106,7 @@
     def handle_task_failed(self, task: Task) -> None:
         """End a job whose task, or gang, has failed too often."""
         step = task.step
-        if step.spec.long_running:
+        if step.spec.long_running or not self.state.is_configured():
             return
         members = step.tasks if step.spec.gang else [task]
         # The members of a gang share their runs, and several may fail in one.
@@ -114,6 +114,13 @@
         if failures >= step.job.policy.max_attempts and not step.job.state.final:
             self.state.end_job(step.job, JobState.FAILED)
 
+    def end_failed_jobs(self) -> None:
+        """End the jobs whose tasks had failed too often before policies were known."""
+        for job in list(self.state.jobs.values()):
+            for task in [t for step in job.steps.values() for t in step.tasks]:
+                if task.failed_runs:
+                    self.handle_task_failed(task)
+
     def update_objective(self, job: Job) -> None:
         """Update a job's objective after its own runs have changed its estimates.
 
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -58,6 +58,8 @@
         for step in self.state.ready.values():
             if step.waiting and not step.job.stored:
                 self.wait_tracker.record(step, Reason.NOT_STORED)
+            elif step.waiting and not self.state.is_configured():
+                self.wait_tracker.record(step, Reason.NOT_CONFIGURED)
             elif step.waiting:
                 by_service.setdefault(step.job.policy.service, []).append(step)
         for service in self._rotate(sorted(by_service)):
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -4,7 +4,7 @@
 
 import math
 import sys
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from ...helpers.logging import get_logger
 from ...helpers.policies import switchable
@@ -58,6 +58,7 @@
     :param order: name of a fixed order of work that can still meet its objective; by
         default the order depends on the load.
     :param quota_of: returns the quota of an organisation.
+    :param is_configured: returns whether policies are known.
     :param rate_of: returns the rate of an organisation, in jobs per second.
     """
 
@@ -68,8 +69,11 @@
         order: str = "",
         quota_of: QuotaLookup = unlimited_quota,
         rate_of: RateLookup = unlimited_rate,
+        is_configured: Callable[[], bool] = lambda: True,
     ) -> None:
-        self.state = SchedulerState(epoch, policy_of, quotas=Quotas(quota_of))
+        self.state = SchedulerState(
+            epoch, policy_of, is_configured, quotas=Quotas(quota_of)
+        )
         self.worker_entries = WorkerEntries(self.state)
         self._zone_chooser = ZoneChooser(self.state)
         fair_shares = FairShares(rate_of)
@@ -120,6 +124,7 @@
             policy = self.state.policy_of(job.record.queue)
             if policy is not None:
                 job.policy = policy
+        self.intake.end_failed_jobs()
 
     def update_worker(self, worker_id: str, entry: WorkerEntry, now: float) -> bool:
         """Apply a worker's entry; return whether the worker is new."""
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -19,6 +19,11 @@
 
 _LOGGER = get_logger(__name__)
 
+
+def _always_configured() -> bool:
+    return True
+
+
 PolicyLookup = Callable[[str], QueuePolicy | None]
 
 
@@ -28,6 +33,8 @@
 
     :param epoch: the owner's epoch, which forms the upper bits of each run number.
     :param policy_of: returns the policy of a queue, or None if it is not configured.
+    :param is_configured: returns whether policies are known. Without any, nothing is
+        started or given up.
     :param dirty: the jobs with progress to be stored, by id.
     :param ready: the open steps with waiting tasks, by object id.
     :param takeover_hold_until: until when unconfirmed workers may run tasks that a
@@ -44,6 +51,7 @@
 
     epoch: int
     policy_of: PolicyLookup
+    is_configured: Callable[[], bool] = _always_configured
     jobs: dict[str, Job] = field(default_factory=dict)
     workers: dict[str, WorkerState] = field(default_factory=dict)
     estimates: Estimates = field(default_factory=Estimates)
--- a/mustardward/components/scheduling/wait_inputs.py
+++ b/mustardward/components/scheduling/wait_inputs.py
@@ -43,6 +43,11 @@
     return describe(wait) if describe is not None else {}
 
 
+@INPUTS.register(Reason.NOT_CONFIGURED)
+def _configuration(wait: WaitContext) -> Inputs:
+    return {"taken_over_seconds": wait.now - wait.state.taken_over_at}
+
+
 @INPUTS.register(Reason.NOT_STORED)
 def _storage_state(wait: WaitContext) -> Inputs:
     job = wait.step.job
--- a/mustardward/components/scheduling/wait_tracker.py
+++ b/mustardward/components/scheduling/wait_tracker.py
@@ -20,6 +20,7 @@
     """
 
     NOT_STORED = "not-stored"
+    NOT_CONFIGURED = "no-configuration"
     NO_USABLE_WORKER = "no-usable-worker"
     STARTS_USED_UP = "starts-used-up"
     HELD_AFTER_TAKEOVER = "held-after-takeover"
--- a/tests/components/fleet/live_workers.py
+++ b/tests/components/fleet/live_workers.py
@@ -144,7 +144,7 @@
             self.timers,
             self.scheduler,
             self.dispatcher,
-            nothing(standby_pools=lambda: [], config=None, waves={}),
+            nothing(standby_pools=lambda: [], config=None, waves={}, is_loaded=True),
             nothing(waves={}),
             nothing(post=lambda records: None),
             WavePlanner(2.0),
--- a/tests/components/fleet/test_cordons.py
+++ b/tests/components/fleet/test_cordons.py
@@ -53,7 +53,7 @@
             scheduler=self.bench.scheduler,
             dispatcher=SimpleNamespace(remove_worker=self._remove_worker),  # type: ignore[arg-type]
             configuration=SimpleNamespace(  # type: ignore[arg-type]
-                standby_pools=lambda: [STANDBY], config=None
+                standby_pools=lambda: [STANDBY], config=None, is_loaded=True
             ),
             ledger=None,  # type: ignore[arg-type]
             ledger_appender=SimpleNamespace(post=lambda records: None),  # type: ignore[arg-type]
--- a/tests/components/fleet/test_unreadable_rows.py
+++ b/tests/components/fleet/test_unreadable_rows.py
@@ -34,7 +34,7 @@
             self.timers,
             self.bench.scheduler,
             nothing(sessions={}),
-            nothing(standby_pools=lambda: [], config=None, waves={}),
+            nothing(standby_pools=lambda: [], config=None, waves={}, is_loaded=True),
             nothing(waves={}),
             nothing(post=lambda records: None),
             self.wave_planner,
--- a/tests/components/ownership/builders.py
+++ b/tests/components/ownership/builders.py
@@ -14,10 +14,18 @@
 from mustardward.helpers.timer import TimerService
 from mustardward.platform.boot import BootBounds
 from mustardward.platform.http import HttpCaller
+from mustardward.platform.models import OperatorConfig
 
 READ_INTERVAL_SECONDS = 0.1
 
 
+def a_configuration() -> Configuration:
+    """Return a configuration that was read and has no queues."""
+    configuration = Configuration()
+    configuration.config = OperatorConfig(version=1)
+    return configuration
+
+
 def build_dependencies(
     node: str, store: Any, timers: TimerService, **changes: Any
 ) -> OwnerDependencies:
@@ -37,7 +45,7 @@
         timers,
         ledger,
         follower,
-        Configuration(),
+        a_configuration(),
         BootBounds(),
         UnloggedCompletions(),
     )
--- a/tests/components/scheduling/test_wait_tracker.py
+++ b/tests/components/scheduling/test_wait_tracker.py
@@ -86,6 +86,17 @@
     return bench, {"dirty": "false", "sent_seconds": "4", "reason_seconds": "4.5"}
 
 
+@SCENARIOS.register(Reason.NOT_CONFIGURED)
+def not_configured() -> tuple[SchedulerBench, dict[str, str]]:
+    bench = SchedulerBench()
+    bench.scheduler.state.is_configured = lambda: False
+    bench.scheduler.state.taken_over_at = bench.now
+    bench.worker("w1")
+    bench.add(a_job())
+    plan_for(bench)
+    return bench, {"taken_over_seconds": "4"}
+
+
 @SCENARIOS.register(Reason.NO_USABLE_WORKER)
 def no_usable_worker() -> tuple[SchedulerBench, dict[str, str]]:
     bench = SchedulerBench()
