Ask for advice on workers where no member of a gang has failed

Cause: a gang with tickets for enough workers asked for no more advice, so that on a queue with advice it went back to the worker on which a member had failed. Change: advice and placement first use the workers where no member failed, if the gang fits there. Evidence: the new test of test_gangs fails before and passes now.

--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -26,6 +26,7 @@
     choose_home_rack,
     is_usable,
     place_gang,
+    tasks_that_fit,
 )
 from .quota_wait_logger import QuotaWaitLogger
 from .scheduler_state import SchedulerState
@@ -155,7 +156,7 @@
             self.wait_tracker.record(step, Reason.FITS_NOWHERE, candidates)
             return
         allowed = candidates.in_zones(step.job.stored_zones)
-        if not self._may_start(step, allowed, now):
+        if not self._may_start(step, _preferred(step, allowed), now):
             return
         if step.spec.gang:
             self._place_gang(step, allowed, now)
@@ -308,10 +309,9 @@
         if step.active or len(step.waiting) != len(step.tasks):
             self.wait_tracker.record(step, Reason.GANG_INCOMPLETE)
             return
-        avoided = {name for task in step.waiting for name in task.avoided_workers}
-        others = [worker for worker in workers if worker.id not in avoided]
-        placed = place_gang(others, step, step.waiting)
-        if placed is None and avoided:
+        preferred = _preferred(step, workers)
+        placed = place_gang(preferred, step, step.waiting)
+        if placed is None and preferred is not workers:
             placed = place_gang(workers, step, step.waiting)
         if placed is None:
             self.wait_tracker.record(step, Reason.GANG_HAS_NO_ROOM)
@@ -330,6 +330,19 @@
             self.state.assign(task, worker, run, now)
 
 
+def _preferred(step: StepRun, workers: list[WorkerState]) -> list[WorkerState]:
+    """Return the workers to try first: for a gang, those where no member failed.
+
+    Where the others have no room for it, the gang may use all of them.
+    """
+    if not step.spec.gang:
+        return workers
+    avoided = {name for task in step.waiting for name in task.avoided_workers}
+    others = [worker for worker in workers if worker.id not in avoided]
+    room = sum(tasks_that_fit(worker, step) for worker in others)
+    return others if avoided and room >= len(step.tasks) else workers
+
+
 def _has_constraints(step: StepRun) -> bool:
     spec = step.spec
     return bool(spec.required_label or spec.max_per_server or step.job.policy.advice)
--- a/tests/components/scheduling/test_gangs.py
+++ b/tests/components/scheduling/test_gangs.py
@@ -6,7 +6,7 @@
 from mustardward.components.scheduling.models import QueuePolicy
 from mustardward.platform.models import ENDED_FAILED
 
-from .builders import JOB, POOL, SchedulerBench, a_job, a_row, a_step
+from .builders import ADVICE, JOB, POOL, SchedulerBench, a_job, a_row, a_step
 
 MEMBERS = 3
 MAX_ATTEMPTS = 3
@@ -54,6 +54,26 @@
     assert not first & second
 
 
+def test_gang_asks_for_advice_on_workers_where_no_member_failed() -> None:
+    """Guard against a gang that keeps to a faulty worker since it has its ticket."""
+    policy = QueuePolicy(service=POOL, max_attempts=MAX_ATTEMPTS, advice=ADVICE)
+    bench = SchedulerBench(policy=policy)
+    for number in range(8):
+        bench.worker(f"w{number}")
+    bench.add(a_job(a_step(count=MEMBERS, cpu=4000, gang=True)))
+    request = bench.plan_request()
+    assert request is not None
+    bench.advise(request, *request.workers[:2])
+    first = fail_on(bench, set(bench.scheduler.state.workers))
+    assert first
+    while (request := bench.plan_request()) is not None:
+        assert not first & set(request.workers)
+        bench.advise(request, *request.workers)
+    step = bench.task(0).step
+    assert not first & {name for name, count in step.on_worker.items() if count}
+    assert step.active == MEMBERS
+
+
 def test_gang_uses_avoided_workers_if_there_are_no_others() -> None:
     """Guard against a gang that waits forever since it failed on all workers."""
     bench = a_gang(workers=2)
