Name few workers for a step that has no room

Cause: a step without room was counted as one task a worker, so that a wide one named up to 100 workers in a call that other steps wait for. Found in reading the change again. Change: its tasks are counted by what the workers hold when they are empty. Evidence: a step of 200 tasks on 40 full workers of 64 cores: the new test fails before (40 names), passes now (fewer than 20).

--- a/mustardward/components/scheduling/advice.py
+++ b/mustardward/components/scheduling/advice.py
@@ -21,6 +21,7 @@
 from .commands import RequestAdvice
 from .models import StepRun, Ticket
 from .placement import (
+    count_fitting,
     meets_constraints,
     placement_score,
     preferred_per_worker,
@@ -318,7 +319,9 @@
     limit = preferred_per_worker(step) or wanted.tasks
     tasks = wanted.tasks
     for number, worker in enumerate(ranked, start=1):
-        fitting = tasks_that_fit(worker, step) if wanted.has_room else 1
+        fitting = tasks_that_fit(worker, step)
+        if not wanted.has_room:
+            fitting = max(1, count_fitting(worker.capacity, step.room))
         tasks -= min(limit, fitting)
         if tasks <= 0:
             return number
--- a/tests/components/scheduling/test_advice.py
+++ b/tests/components/scheduling/test_advice.py
@@ -157,6 +157,17 @@
     assert owner.ticket_rejections == 0
 
 
+def test_call_for_a_step_without_room_names_few_workers() -> None:
+    """Guard against long calls for steps that cannot start, before those that can."""
+    owner = an_owner(workers=40)
+    for worker in owner.bench.scheduler.state.workers.values():
+        worker.free_cpu = 0
+    submit(owner, 1, count=200, cpu=1000, mem_mb=100)
+    request = owner.bench.plan_request()
+    assert request is not None
+    assert len(request.workers) < 20
+
+
 def test_every_worker_of_a_large_pool_is_asked_about() -> None:
     """Guard against workers beyond the first 100 that nobody ever asks about."""
     owner = an_owner(QueueAdvice(10, 1, 3000), workers=2 * MAX_WORKERS + 50)
