Judge used-up attempts after a change of owner too

Cause: a job that used its attempts under an owner without a configuration was judged by a scan of all tasks at the next configuration. An owner that took over with one already read it never judged it, and started the task again beyond `max-attempts`. The scan also ran at each later configuration. Ruled out: a scan at each takeover of all tasks; only the stored failures are needed. Change: failures that can't be judged are remembered until a configuration is read, and those of the stored progress are judged when a job is added. Nothing is scanned when a configuration changes.

--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -25,6 +25,7 @@
     state: SchedulerState
     zone_chooser: ZoneChooser
     fair_shares: FairShares = field(default_factory=FairShares)
+    _unjudged: list[Task] = field(default_factory=list)
 
     def add(self, ledger_job: LedgerJob, now: float, wall: float) -> None:
         """Add an accepted job and restore its stored progress."""
@@ -56,6 +57,8 @@
             self._open_occurrence(job, 0, now)
             job.next_occurrence = 1
         self._advance(job, now)
+        if progress is not None:
+            self._judge_restored(job, progress)
 
     def cancel(self, job_id: str) -> None:
         """End a job that a caller cancelled."""
@@ -106,7 +109,10 @@
     def handle_task_failed(self, task: Task) -> None:
         """End a job whose task, or gang, has failed too often."""
         step = task.step
-        if step.spec.long_running or not self.state.is_configured():
+        if step.spec.long_running:
+            return
+        if not self.state.is_configured():
+            self._unjudged.append(task)
             return
         members = step.tasks if step.spec.gang else [task]
         # The members of a gang share their runs, and several may fail in one.
@@ -116,10 +122,9 @@
 
     def end_failed_jobs(self) -> None:
         """End the jobs whose tasks had failed too often before policies were known."""
-        for job in list(self.state.jobs.values()):
-            for task in [t for step in job.steps.values() for t in step.tasks]:
-                if task.failed_runs:
-                    self.handle_task_failed(task)
+        unjudged, self._unjudged = self._unjudged, []
+        for task in unjudged:
+            self.handle_task_failed(task)
 
     def update_objective(self, job: Job) -> None:
         """Update a job's objective after its own runs have changed its estimates.
@@ -206,6 +211,15 @@
         self.state.update_suspicion(job)
         self._make_started_occurrences(job)
 
+    def _judge_restored(self, job: Job, progress: Progress) -> None:
+        """End a job that used its attempts under an owner without a configuration."""
+        for stored in progress.tasks:
+            step = job.steps.get((stored.occurrence, stored.step))
+            if step is None or stored.index >= len(step.tasks):
+                continue
+            if stored.failed_runs:
+                self.handle_task_failed(step.tasks[stored.index])
+
     def _restore_done(self, job: Job, step_progress: StepProgress) -> None:
         step = self.get_step(job, step_progress.occurrence, step_progress.step)
         if step is None:
--- a/tests/components/scheduling/test_unconfigured.py
+++ b/tests/components/scheduling/test_unconfigured.py
@@ -73,6 +73,21 @@
     assert owner.bench.plan_starts() == []
 
 
+@pytest.mark.parametrize("takes_over_configured", [True, False])
+def test_job_that_used_its_attempts_under_an_unconfigured_owner_is_given_up(
+    takes_over_configured: bool,
+) -> None:
+    """Guard against a seventh run after a change of owner."""
+    owner = Unconfigured(QueuePolicy(POOL, max_attempts=MAX_ATTEMPTS))
+    if takes_over_configured:
+        owner.configure()
+    owner.bench.add(a_failing_job(MAX_ATTEMPTS))
+    if not takes_over_configured:
+        owner.configure()
+    assert owner.bench.scheduler.state.jobs[JOB].state is JobState.FAILED
+    assert owner.bench.plan_starts() == []
+
+
 @pytest.mark.parametrize("advice", [None, ADVICE])
 def test_nothing_starts_by_default_policies(advice: object) -> None:
     """Guard against starts without the advice or the pool that the queue needs."""
