--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -155,12 +155,12 @@
 
     def unconfirmed_workers(self) -> list[str]:
         """Return the workers that have not reported all their runs."""
+        workers = self.scheduler.state.workers
         return [
             worker_id
             for worker_id, session in self.sessions.items()
-            if not (
-                session.has_reported or session.closed or worker_id in self.lost_workers
-            )
+            if not (session.closed or worker_id in self.lost_workers)
+            and not (worker_id in workers and workers[worker_id].confirmed)
         ]
 
     async def _async_run_session(self, session: WorkerSession) -> None:
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -46,7 +46,6 @@
 
     :param on_report: called after each report, to plan and to store.
     :param authorised: whether this owner may still send commands.
-    :param has_reported: whether the worker has reported all its runs to this owner.
     :param lease: the longest lease that the incarnation may have.
     :param started_at_ms: the start time that identifies the incarnation, 0 if unknown.
     :param on_restart: called with the start time of another incarnation that answers.
@@ -68,7 +67,6 @@
     ownership_confirmed_until: Callable[[], float]
     received_upto: int = 0
     stored_upto: int = 0
-    has_reported: bool = False
     closed: bool = False
     unresponsive_since: float | None = None
     _liveness: Liveness = field(default_factory=Liveness)
@@ -294,7 +292,6 @@
         self.received_upto = max(numbers, default=self.received_upto)
         self._stored = anyio.Event()
         self.scheduler.apply_worker_report(self.worker_id, answer, sent_at, now)
-        self.has_reported = worker.confirmed
         self.on_report()
         if not renewed and worker.has_runs:
             # The lease may be about to expire.
--- a/mustardward/components/ledger/progress_size.py
+++ b/mustardward/components/ledger/progress_size.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -16,6 +15,8 @@
 from .ledger import encode
 from .models import Progress, TaskProgress
 
+_Name = tuple[int, int, int]
+
 TASK_MARGIN_BYTES: Final = 5
 """Bytes of a list's header, whatever its length."""
 
@@ -52,38 +53,32 @@
     base = len(encode(msgspec.structs.replace(progress, tasks=[]))) + TASK_MARGIN_BYTES
     if base > max_bytes:
         return EncodedProgress(b"")
+    room = max_bytes - base
     failed = [task for task in progress.tasks if _failures(task)]
-    failed.sort(key=_failures, reverse=True)
-    bare = [msgspec.structs.replace(task, checkpoint="") for task in failed]
-    kept = _take_fitting(bare, max_bytes - base)
-    room = max_bytes - base - sum(_size(task) for task in kept)
-    kept_names = {_name(task) for task in kept}
-    tasks = {_name(task): task for task in kept}
-    checkpoints = 0
-    for task in progress.tasks:
-        if not task.checkpoint or (_failures(task) and _name(task) not in kept_names):
-            continue
-        room -= _size(task) - (_size(tasks[_name(task)]) if _name(task) in tasks else 0)
-        if room < 0:
+    kept: dict[_Name, TaskProgress] = {}
+    for task in sorted(failed, key=_failures, reverse=True):
+        bare = msgspec.structs.replace(task, checkpoint="")
+        if _size(bare) > room:
             break
-        tasks[_name(task)] = task
-        checkpoints += 1
-    total = sum(bool(task.checkpoint) for task in progress.tasks)
-    fitting = msgspec.structs.replace(progress, tasks=list(tasks.values()))
-    return EncodedProgress(
-        encode(fitting), total - checkpoints, len(failed) - len(kept)
-    )
-
-
-def _take_fitting(tasks: Iterable[TaskProgress], room: int) -> list[TaskProgress]:
-    """Return the first tasks that fit into a number of bytes."""
-    kept = []
-    for task in tasks:
-        room -= _size(task)
+        room -= _size(bare)
+        kept[_name(task)] = bare
+    dropped_failures = len(failed) - len(kept)
+    candidates = [
+        task
+        for task in progress.tasks
+        if task.checkpoint and (_name(task) in kept or not _failures(task))
+    ]
+    stored = 0
+    for task in candidates:
+        bare_size = _size(kept[_name(task)]) if _name(task) in kept else 0
+        room -= _size(task) - bare_size
         if room < 0:
             break
-        kept.append(task)
-    return kept
+        kept[_name(task)] = task
+        stored += 1
+    dropped_checkpoints = sum(bool(task.checkpoint) for task in progress.tasks) - stored
+    fitting = msgspec.structs.replace(progress, tasks=list(kept.values()))
+    return EncodedProgress(encode(fitting), dropped_checkpoints, dropped_failures)
 
 
 def _size(task: TaskProgress) -> int:
@@ -94,5 +89,5 @@
     return len(task.failed_runs) + len(task.crashes)
 
 
-def _name(task: TaskProgress) -> tuple[int, int, int]:
+def _name(task: TaskProgress) -> _Name:
     return task.occurrence, task.step, task.index
--- a/mustardward/components/ownership/models.py
+++ b/mustardward/components/ownership/models.py
@@ -6,7 +6,7 @@
 
 from ...helpers.timer import TimerService
 from ...platform.advice import AdviceClient
-from ...platform.boot import BootBounds, BootFleet
+from ...platform.boot import DEFAULT_RECORD_BYTES, BootBounds, BootFleet
 from ...platform.fleet import FleetClient
 from ...platform.http import HttpCaller
 from ...platform.store import StoreClient
@@ -43,4 +43,4 @@
     fleet_limits: BootFleet = BootFleet()
     peers: PeerQuerier | None = None
     latency: StoreLatency = field(default_factory=StoreLatency)
-    record_bytes: int = 262_144
+    record_bytes: int = DEFAULT_RECORD_BYTES
--- a/mustardward/components/scheduling/advice.py
+++ b/mustardward/components/scheduling/advice.py
@@ -131,7 +131,8 @@
         allowed = [worker for worker in workers if worker.id in step.tickets]
         count = sum(tasks_that_fit(worker, step) for worker in allowed)
         needed = len(step.waiting) or len(step.tasks)
-        self._ahead[step.job.policy.service] += bool(allowed) and not count
+        if allowed and not count:
+            self._ahead[step.job.policy.service] += 1
         if count >= needed and not everywhere:
             return True
         missing = max(1, needed - count)
@@ -166,19 +167,20 @@
             named = unknown
         if not named:
             return False
-        if now < step.advice_retry_at or not self._may_add(step, bool(with_room)):
+        pool = step.job.policy.service
+        if now < step.advice_retry_at or not self._may_add(pool, bool(with_room)):
             return True
+        if not with_room:
+            self._ahead[pool] += 1
         wanted = _Wanted(step, named, tasks, bool(with_room), bool(calls), everywhere)
-        self._wanted[step.job.policy.service].append(wanted)
+        self._wanted[pool].append(wanted)
         return True
 
-    def _may_add(self, step: StepRun, has_room: bool) -> bool:
-        """Return whether this plan considers another request for a step's pool."""
-        pool = step.job.policy.service
-        if has_room:
-            return sum(w.has_room for w in self._wanted[pool]) < MAX_REQUESTS_PER_POOL
-        self._ahead[pool] += 1
-        return self._ahead[pool] <= MAX_STEPS_AHEAD
+    def _may_add(self, pool: str, has_room: bool) -> bool:
+        """Return whether this plan considers another request for a pool."""
+        if not has_room:
+            return self._ahead[pool] < MAX_STEPS_AHEAD
+        return sum(w.has_room for w in self._wanted[pool]) < MAX_REQUESTS_PER_POOL
 
     def send(self, now: float) -> None:
         """Send the most urgent request if the service should have nothing to do."""
@@ -194,10 +196,11 @@
         self._turn += 1
         self._turns[step.job.policy.service] = self._turn
         names = self._choose_names(chosen)
-        patience = self._patience(step, len(names))
+        expected = expected_seconds(step.job.policy.advice, len(names))
+        patience = self._patience(expected)
         is_last = len(calls) == MAX_CALLS - 1
         timeout = patience if is_last else patience + GIVE_UP_SECONDS
-        request = RequestAdvice(step, names, now, now + patience, timeout)
+        request = RequestAdvice(step, names, now, expected, now + patience, timeout)
         calls.append(request)
         step.advice_requested_at = now
         self.state.add_command(request)
@@ -219,7 +222,7 @@
         self.failures = 0
         step = request.step
         step.advice_failures = 0
-        expected = expected_seconds(step.job.policy.advice, len(request.workers))
+        expected = request.expected_seconds
         self._learn(now - max(request.sent_at, self._answered_at), expected)
         self._answered_at = now
         margin = min(TICKET_MARGIN_SECONDS, MAX_TICKET_MARGIN_SHARE * valid_seconds)
@@ -297,16 +300,14 @@
         requests = [wanted for pool in pools for wanted in self._wanted[pool]]
         return min(requests, key=lambda w: (not w.has_room, w.repeats), default=None)
 
-    def _patience(self, step: StepRun, workers: int) -> float:
+    def _patience(self, own: float) -> float:
         """Return after how many seconds a call that is sent now is overdue.
 
         The service may still work on the calls before it, or may not be there.
+
+        :param own: how long the call itself should take.
         """
-        own = expected_seconds(step.job.policy.advice, workers)
-        before = sum(
-            expected_seconds(call.step.job.policy.advice, len(call.workers))
-            for call in self.in_progress
-        )
+        before = sum(call.expected_seconds for call in self.in_progress)
         factor = LATE_FACTOR * self._slowdown
         spacing: float = (SLACK_SECONDS + factor * own) * 2 ** len(self.in_progress)
         in_turn = SLACK_SECONDS + factor * (own + before)
--- a/mustardward/components/scheduling/commands.py
+++ b/mustardward/components/scheduling/commands.py
@@ -42,6 +42,7 @@
     """Request advice on which workers may run a step.
 
     :param sent_at: when it was planned, in monotonic seconds.
+    :param expected_seconds: how long the call takes by the queue's timings.
     :param due_at: when it should have been answered; until then no other call is sent.
     :param timeout_seconds: when it is given up. Until then a late answer still counts.
     """
@@ -49,6 +50,7 @@
     step: StepRun
     workers: tuple[str, ...]
     sent_at: float
+    expected_seconds: float
     due_at: float
     timeout_seconds: float
 
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -156,10 +156,11 @@
             self.wait_tracker.record(step, Reason.FITS_NOWHERE, candidates)
             return
         allowed = candidates.in_zones(step.job.stored_zones)
-        if not self._may_start(step, _preferred(step, allowed), now):
+        preferred = _preferred(step, allowed)
+        if not self._may_start(step, preferred, now):
             return
         if step.spec.gang:
-            self._place_gang(step, allowed, now)
+            self._place_gang(step, preferred, allowed, now)
             return
         if candidates.may_fit(step) and self._place_tasks(step, allowed, now):
             return
@@ -304,12 +305,15 @@
         return False
 
     def _place_gang(
-        self, step: StepRun, workers: list[WorkerState], now: float
+        self,
+        step: StepRun,
+        preferred: list[WorkerState],
+        workers: list[WorkerState],
+        now: float,
     ) -> None:
         if step.active or len(step.waiting) != len(step.tasks):
             self.wait_tracker.record(step, Reason.GANG_INCOMPLETE)
             return
-        preferred = _preferred(step, workers)
         placed = place_gang(preferred, step, step.waiting)
         if placed is None and preferred is not workers:
             placed = place_gang(workers, step, step.waiting)
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -54,11 +54,12 @@
         for row in answer.running:
             listed.add((row.task, row.run))
             self._handle_running(worker, row, sent_at, now)
+        missing = [t for name, t in worker.tasks.items() if (name, t.run) not in listed]
         if answer.lists_all_ends:
-            self._handle_missing(worker, listed, sent_at, now)
+            self._handle_missing(worker, missing, sent_at, now)
             self.state.mark_confirmed(worker)
         else:
-            self._handle_unlisted(worker, listed, sent_at, now)
+            self._handle_unlisted(worker, missing, sent_at, now)
             if not worker.confirmed:
                 self.state.mark_listing_ends(worker, now)
         worker.stale = False
@@ -226,34 +227,22 @@
         return step.tasks[name.index]
 
     def _handle_unlisted(
-        self,
-        worker: WorkerState,
-        listed: set[tuple[object, int]],
-        sent_at: float,
-        now: float,
+        self, worker: WorkerState, missing: list[Task], sent_at: float, now: float
     ) -> None:
         """Let runs whose ends are yet to be listed count neither as serving nor stuck.
 
         All present runs are listed, so the others have ended.
         """
-        for name, task in worker.tasks.items():
-            if task.phase is not Phase.RUNNING or task.started_at > sent_at:
-                continue
-            if (name, task.run) not in listed:
+        for task in missing:
+            if task.phase is Phase.RUNNING and task.started_at <= sent_at:
                 task.percent = 0.0
                 task.percent_since = now
                 task.percent_at_ms = worker.clock_ms or -1.0
 
     def _handle_missing(
-        self,
-        worker: WorkerState,
-        listed: set[tuple[object, int]],
-        sent_at: float,
-        now: float,
+        self, worker: WorkerState, missing: list[Task], sent_at: float, now: float
     ) -> None:
-        for name, task in list(worker.tasks.items()):
-            if (name, task.run) in listed:
-                continue
+        for task in missing:
             if task.phase in (Phase.UNCERTAIN, Phase.STOPPING):
                 at = task.stop_acknowledged_at
                 if at is not None and at <= sent_at:
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -36,7 +36,7 @@
 from .progress import progress_of
 from .quotas import QuotaLookup, Quotas, unlimited_quota
 from .reports import Reports
-from .scheduler_state import PolicyLookup, SchedulerState
+from .scheduler_state import PolicyLookup, SchedulerState, always_configured
 from .wait_logger import WaitLogger
 from .worker_entries import WorkerEntries
 from .worker_state import WorkerState
@@ -69,7 +69,7 @@
         order: str = "",
         quota_of: QuotaLookup = unlimited_quota,
         rate_of: RateLookup = unlimited_rate,
-        is_configured: Callable[[], bool] = lambda: True,
+        is_configured: Callable[[], bool] = always_configured,
     ) -> None:
         self.state = SchedulerState(
             epoch, policy_of, is_configured, quotas=Quotas(quota_of)
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -20,7 +20,8 @@
 _LOGGER = get_logger(__name__)
 
 
-def _always_configured() -> bool:
+def always_configured() -> bool:
+    """Return that policies are known, for a scheduler that has no configuration."""
     return True
 
 
@@ -51,7 +52,7 @@
 
     epoch: int
     policy_of: PolicyLookup
-    is_configured: Callable[[], bool] = _always_configured
+    is_configured: Callable[[], bool] = always_configured
     jobs: dict[str, Job] = field(default_factory=dict)
     workers: dict[str, WorkerState] = field(default_factory=dict)
     estimates: Estimates = field(default_factory=Estimates)
--- a/mustardward/platform/boot.py
+++ b/mustardward/platform/boot.py
@@ -13,6 +13,8 @@
 PATH_VARIABLE: Final = "MUSTARDWARD_BOOT"
 _CONTRACT_ORGANISATIONS: Final = "tenants"
 
+DEFAULT_RECORD_BYTES: Final = 262_144
+
 
 class BootLimits(msgspec.Struct, frozen=True, rename="kebab"):
     """Resource limits of this process on its instance."""
@@ -39,7 +41,7 @@
     writes_per_s: float = 300.0
     reads_per_s: float = 1000.0
     parts: int = 1
-    record_bytes: int = 262144
+    record_bytes: int = DEFAULT_RECORD_BYTES
     request_bytes: int = 2097152
 
 
