Build dispatchers and gangs of tests in one place

Cause: six lines of a dispatcher without calls stood in five tests, the successor of a gang's owner in two, and a list of seeds took 24 lines. A stand-in copied a record and kept a task group for nothing. Change: build_dispatcher in tests/components/dispatch/builders.py, a_successor in test_gangs; the same seeds in one line. All assertions stay.

--- a/tests/components/dispatch/listing_workers.py
+++ b/tests/components/dispatch/listing_workers.py
@@ -7,17 +7,10 @@
 from typing import Any
 
 import anyio
-import msgspec
 from anyio.abc import TaskGroup
 
-from mustardward.components.dispatch.dispatcher import Dispatcher
 from mustardward.components.ledger.ledger import LedgerJob
-from mustardward.components.ledger.models import (
-    JobRecord,
-    JobState,
-    OwnerRecord,
-    Progress,
-)
+from mustardward.components.ledger.models import JobState, OwnerRecord, Progress
 from mustardward.components.ownership.takeover import Takeover, hold_previous_runs
 from mustardward.components.scheduling.models import Phase, QueuePolicy
 from mustardward.components.scheduling.scheduler import Scheduler
@@ -36,6 +29,7 @@
 from mustardward.standin.estate.worker import MemoryWorker, Workload
 
 from ..scheduling.builders import JOB, POOL, a_job, a_step, an_entry
+from .builders import build_dispatcher
 
 ROOM = Room(cpu=64_000, mem_mb=262_144)
 TASK_ROOM = Room(cpu=1, mem_mb=1)
@@ -97,17 +91,7 @@
         self.append_seconds = append_seconds
         self.scheduler = Scheduler(2, lambda queue: QueuePolicy(service=POOL))
         self.state = self.scheduler.state
-        self.dispatcher = Dispatcher(
-            None,  # type: ignore[arg-type]
-            self.scheduler,
-            self.timers,
-            tasks,
-            2,
-            lambda: None,
-            lambda: None,
-            lambda: True,
-        )
-        self._tasks = tasks
+        self.dispatcher = build_dispatcher(self.scheduler, self.timers, tasks)
         self.clients: dict[str, ListingClient] = {}
         self.count = sum(ends.values())
         now = self.timers.monotonic()
@@ -115,9 +99,8 @@
         self.scheduler.add_job(self._a_started_job(), now, now)
         self.scheduler.mark_stored([JOB])
         self._add_workers(ends)
-        fleet: Any = None
         self.takeover = Takeover(
-            2, self.state, self.dispatcher, self.timers, lambda: None, fleet
+            2, self.state, self.dispatcher, self.timers, lambda: None
         )
         directory: Any = _LoadedDirectory()
         tasks.start_soon(self.takeover.async_run, directory)
@@ -149,10 +132,7 @@
 
     def _a_started_job(self) -> LedgerJob:
         step = a_step(count=self.count, cpu=TASK_ROOM.cpu, mem_mb=TASK_ROOM.mem_mb)
-        record: JobRecord = a_job(step).record
-        return LedgerJob(
-            msgspec.structs.replace(record), progress=Progress(JobState.RUNNING)
-        )
+        return LedgerJob(a_job(step).record, progress=Progress(JobState.RUNNING))
 
     def _add_workers(self, ends: dict[str, int]) -> None:
         index = 0
--- a/tests/components/dispatch/test_lost_workers.py
+++ b/tests/components/dispatch/test_lost_workers.py
@@ -9,7 +9,6 @@
 import pytest
 from anyio.abc import TaskGroup
 
-from mustardward.components.dispatch.dispatcher import Dispatcher
 from mustardward.components.ledger.models import JobState
 from mustardward.components.scheduling.losses import LossCause
 from mustardward.components.scheduling.models import Phase, QueuePolicy, Task
@@ -25,6 +24,7 @@
 )
 
 from ..scheduling.builders import JOB, POOL, a_job, a_step, an_entry
+from .builders import build_dispatcher
 
 pytestmark = pytest.mark.anyio
 
@@ -91,16 +91,7 @@
             name: _FakeWorker(self.timers)
             for name in (*RACK_WORKERS, OTHER_RACK_WORKER)
         }
-        self.dispatcher = Dispatcher(
-            None,  # type: ignore[arg-type]
-            self.scheduler,
-            self.timers,
-            tasks,
-            2,
-            lambda: None,
-            lambda: None,
-            lambda: True,
-        )
+        self.dispatcher = build_dispatcher(self.scheduler, self.timers, tasks)
         for name in self.workers:
             rack = "r1" if name in RACK_WORKERS else "r2"
             entry = an_entry(labels=["a", rack], zone="z")
--- a/tests/components/dispatch/test_recovery_walks.py
+++ b/tests/components/dispatch/test_recovery_walks.py
@@ -15,7 +15,6 @@
 import pytest
 from anyio.abc import TaskGroup
 
-from mustardward.components.dispatch.dispatcher import Dispatcher
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.scheduling.losses import LossCause
 from mustardward.components.scheduling.models import Phase, QueuePolicy
@@ -37,6 +36,7 @@
 from mustardward.standin.estate.worker import MemoryWorker, Workload
 
 from ..scheduling.builders import POOL, a_job, a_step, an_entry
+from .builders import build_dispatcher
 
 pytestmark = pytest.mark.anyio
 
@@ -157,15 +157,14 @@
         self.workers = {name: _FakeWorker(self, name) for name in NAMES}
         self.authorised = True
         self.jobs = 0
-        self.dispatcher = Dispatcher(
-            None,  # type: ignore[arg-type]
+        self.dispatcher = build_dispatcher(
             self.scheduler,
             self.timers,
             tasks,
-            EPOCH,
-            self._fail_on_fenced,
-            self._set_clients,
-            lambda: self.authorised,
+            token=EPOCH,
+            on_fenced=self._fail_on_fenced,
+            on_report=self._set_clients,
+            authorised=lambda: self.authorised,
         )
         self.entries: dict[str, WorkerEntry] = {}
         for name in NAMES:
--- a/tests/components/dispatch/test_restarts.py
+++ b/tests/components/dispatch/test_restarts.py
@@ -9,7 +9,6 @@
 import pytest
 from anyio.abc import TaskGroup
 
-from mustardward.components.dispatch.dispatcher import Dispatcher
 from mustardward.components.dispatch.session import WorkerSession
 from mustardward.components.scheduling.losses import LossCause
 from mustardward.components.scheduling.models import Phase, QueuePolicy, Task
@@ -30,6 +29,7 @@
 from mustardward.standin.estate.worker import MemoryWorker, Workload
 
 from ..scheduling.builders import JOB, POOL, a_job, a_step, an_entry
+from .builders import build_dispatcher
 
 pytestmark = pytest.mark.anyio
 
@@ -131,15 +131,11 @@
         self.timers = DrivenTimerService()
         self.scheduler = Scheduler(2, lambda queue: QueuePolicy(service=POOL))
         self.worker = FakeWorker(self.timers)
-        self.dispatcher = Dispatcher(
-            None,  # type: ignore[arg-type]
+        self.dispatcher = build_dispatcher(
             self.scheduler,
             self.timers,
             tasks,
-            2,
-            lambda: None,
-            self._set_clients,
-            lambda: True,
+            on_report=self._set_clients,
             max_lease_seconds=MAX_LEASE_SECONDS,
         )
 
--- a/tests/components/dispatch/test_session.py
+++ b/tests/components/dispatch/test_session.py
@@ -10,7 +10,6 @@
 from anyio.abc import TaskGroup
 
 from mustardward.components.dispatch.const import LEASE_SECONDS, latest_lease_end
-from mustardward.components.dispatch.dispatcher import Dispatcher
 from mustardward.components.scheduling.models import QueuePolicy
 from mustardward.components.scheduling.scheduler import Scheduler
 from mustardward.helpers.timer import DrivenTimerService
@@ -18,6 +17,7 @@
 from mustardward.platform.workers import WorkerReport
 
 from ..scheduling.builders import POOL, an_entry
+from .builders import build_dispatcher
 
 pytestmark = pytest.mark.anyio
 
@@ -51,15 +51,8 @@
         self.scheduler = Scheduler(2, lambda queue: QueuePolicy(service=POOL))
         self.client = _FakeClient()
         self.fenced = False
-        self.dispatcher = Dispatcher(
-            None,  # type: ignore[arg-type]
-            self.scheduler,
-            self.timers,
-            tasks,
-            2,
-            self._record_fenced,
-            lambda: None,
-            lambda: True,
+        self.dispatcher = build_dispatcher(
+            self.scheduler, self.timers, tasks, on_fenced=self._record_fenced
         )
 
     def update_entry(self) -> None:
--- a/tests/components/scheduling/test_gangs.py
+++ b/tests/components/scheduling/test_gangs.py
@@ -4,7 +4,7 @@
 
 from mustardward.components.ledger.models import JobState
 from mustardward.components.scheduling.models import QueuePolicy
-from mustardward.platform.models import ENDED_FAILED
+from mustardward.platform.models import ENDED_FAILED, QueueAdvice
 
 from .builders import ADVICE, JOB, POOL, SchedulerBench, a_job, a_row, a_step
 
@@ -13,9 +13,9 @@
 BROKEN = "broken"
 
 
-def a_gang(workers: int = 8) -> SchedulerBench:
+def a_gang(workers: int = 8, advice: QueueAdvice | None = None) -> SchedulerBench:
     """Return a pool with a waiting gang, two members of which fit on a worker."""
-    policy = QueuePolicy(service=POOL, max_attempts=MAX_ATTEMPTS)
+    policy = QueuePolicy(service=POOL, max_attempts=MAX_ATTEMPTS, advice=advice)
     bench = SchedulerBench(policy=policy)
     for number in range(workers):
         bench.worker(f"w{number}")
@@ -23,6 +23,17 @@
     return bench
 
 
+def a_successor(bench: SchedulerBench) -> SchedulerBench:
+    """Return the next owner of the gang, with what the owner before has stored."""
+    successor = SchedulerBench(policy=bench.policy, epoch=2)
+    for name in bench.scheduler.state.workers:
+        successor.worker(name)
+    job = a_job(a_step(count=MEMBERS, cpu=4000, gang=True))
+    job.progress = bench.stored[JOB]
+    successor.add(job)
+    return successor
+
+
 def fail_on(bench: SchedulerBench, bad: set[str]) -> set[str]:
     """Run the gang once; the members on some workers fail. Return its workers."""
     starts = bench.plan_starts()
@@ -56,11 +67,7 @@
 
 def test_gang_asks_for_advice_on_workers_where_no_member_failed() -> None:
     """Guard against a gang that keeps to a faulty worker since it has its ticket."""
-    policy = QueuePolicy(service=POOL, max_attempts=MAX_ATTEMPTS, advice=ADVICE)
-    bench = SchedulerBench(policy=policy)
-    for number in range(8):
-        bench.worker(f"w{number}")
-    bench.add(a_job(a_step(count=MEMBERS, cpu=4000, gang=True)))
+    bench = a_gang(advice=ADVICE)
     request = bench.plan_request()
     assert request is not None
     bench.advise(request, *request.workers[:2])
@@ -87,12 +94,7 @@
     fail_on(bench, set(bench.scheduler.state.workers))
     fail_on(bench, set(bench.scheduler.state.workers))
     bench.store()
-    successor = SchedulerBench(policy=bench.policy, epoch=2)
-    for number in range(8):
-        successor.worker(f"w{number}")
-    job = a_job(a_step(count=MEMBERS, cpu=4000, gang=True))
-    job.progress = bench.stored[JOB]
-    successor.add(job)
+    successor = a_successor(bench)
     reports = successor.scheduler.reports
     for task in (successor.task(index) for index in range(MEMBERS)):
         reports.intake.handle_task_failed(task)
@@ -125,11 +127,6 @@
     for other in others:
         bench.end(other.task, BROKEN)
     bench.store()
-    successor = SchedulerBench(policy=bench.policy, epoch=2)
-    for number in range(8):
-        successor.worker(f"w{number}")
-    job = a_job(a_step(count=MEMBERS, cpu=4000, gang=True))
-    job.progress = bench.stored[JOB]
-    successor.add(job)
+    successor = a_successor(bench)
     restarted = successor.plan_starts()
     assert {start.task.checkpoint for start in restarted} == {"c" * 16}
--- a/tests/components/scheduling/test_liveness_walks.py
+++ b/tests/components/scheduling/test_liveness_walks.py
@@ -18,30 +18,7 @@
 from .liveness_mutants import MUTANTS
 from .liveness_walk import LivenessWalk
 
-SEEDS = (
-    0,
-    1,
-    2,
-    3,
-    4,
-    6,
-    8,
-    9,
-    10,
-    11,
-    12,
-    21,
-    22,
-    23,
-    33,
-    45,
-    61,
-    63,
-    87,
-    161,
-    180,
-    454,
-)
+SEEDS = (*range(5), 6, *range(8, 13), 21, 22, 23, 33, 45, 61, 63, 87, 161, 180, 454)
 SCARCE_SEEDS = (0, 1)
 
 DETECTING_SEEDS = {
