--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -11,6 +11,7 @@
 import asyncio
 import base64
 import json
+import logging
 import os
 import signal
 import socket
@@ -240,6 +241,7 @@
     seconds: float = 0.0
     gang: int = 0
     together: bool = True
+    lasts: bool = False
 
 
 @dataclass
@@ -295,6 +297,7 @@
         self.needs_ticket: Callable[[str], bool] = lambda task: False
         self.on_run: Callable[[str, Minion, Run], None] = lambda what, minion, run: None
         self.on_noted: Callable[[Minion, list[Any]], None] = lambda minion, row: None
+        self.lose_answers = False
         self.advice_valid_ms = 3000
         self.advised = 0
         self._runners: list[web.ServerRunner] = []
@@ -545,6 +548,8 @@
         if call == ("POST", "/mustardward/log-append"):
             body = await request.content.read(-1)
             status, answer = self.store.append(request.query, body)
+            if self.lose_answers:
+                await asyncio.sleep(SILENT_SECONDS)
             await asyncio.sleep(0.004)
             return json_response(answer, status)
         if call == ("GET", "/mustardward/log-read"):
@@ -727,6 +732,7 @@
         now = time.monotonic()
         how = self.unit_how(task, number)
         run = Run(task, number, cpu, mem_mb, now + seconds, how, None, now, seconds)
+        run.lasts = spec.get("long-running", False)
         self.on_run("start", minion, run)
         minion.runs[task] = run
         if spec.get("gang"):
@@ -787,6 +793,8 @@
         for run in minion.runs.values():
             total = max(0.001, run.ends_at - run.started_at)
             percent = min(99, int(100 * (now - run.started_at) / total))
+            if run.lasts:
+                percent = 100 if now - run.started_at > 0.15 else 0
             running.append([run.task, run.number, "", percent, run.cpu])
         return json_response(
             {
@@ -1068,6 +1076,7 @@
 
 def run_case(folder: Path, case: Callable[[Rig, bool], Awaitable[bool]]) -> None:
     """Play a case and exit: 0 if the rule held, 1 if it was broken, else 2."""
+    logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     folder = Path(os.environ.get("RECORD_FOLDER", folder))
 
