review/8: a delayed start runs on a minion that started again under its id

Cause: starts without an answer are forgotten when a crash is noticed before the restart, so that the minion's next life gets no stop for them.

--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -298,6 +298,7 @@
         self.on_run: Callable[[str, Minion, Run], None] = lambda what, minion, run: None
         self.on_noted: Callable[[Minion, list[Any]], None] = lambda minion, row: None
         self.lose_answers = False
+        self.unanswered: list[Minion] = []
         self.advice_valid_ms = 3000
         self.advised = 0
         self._runners: list[web.ServerRunner] = []
@@ -664,6 +665,7 @@
             minion.lease_ms = max(minion.lease_ms, bounded)
 
     def _start_late(self, minion: Minion, body: dict[str, Any]) -> None:
+        self.unanswered.append(minion)
         self.record.write(
             "start-unanswered", id=minion.id, task=body["task"], run=body["run"]
         )
