--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -31,6 +31,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "consumers.example"
 SILENT_SECONDS = 60.0
+RECORD_BYTES = 262_144
 LEASE_MAX_MS = 10_000
 STOP_GRACE_MS = 200
 TICK_SECONDS = 0.01
@@ -137,10 +138,17 @@
 
     def append(self, query: Any, body: bytes) -> tuple[int, dict[str, Any]]:
         """Answer ``log-append`` with a status and a body."""
-        topic = self.topic(query["topic"])
         if query["topic"] in ("keyed.op", "keyed.servers"):
             return 403, {}
         records = decode_records(body)
+        if any(len(key) + 1 + len(value) > RECORD_BYTES for key, value in records):
+            return 413, {}
+        return self._append_for(query, records)
+
+    def _append_for(
+        self, query: Any, records: list[tuple[str, bytes]]
+    ) -> tuple[int, dict[str, Any]]:
+        topic = self.topic(query["topic"])
         name = query.get("producer")
         if name is None:
             first = self._append(topic, records)
@@ -465,6 +473,12 @@
 
         return await self._async_serve("127.0.0.1", async_handle)
 
+    def set_gates(self, mode: str) -> None:
+        """Let the store serve all entries, refuse them or not answer them."""
+        for name in self.gates:
+            self.gates[name] = mode
+        self.record.write("store", machines="all", mode=mode)
+
     def settings_of(self, entry: Entry) -> dict[str, Any]:
         """Return the settings file of an entry."""
         return {
@@ -518,7 +532,7 @@
                 "append-ms": 1.0,
                 "partition-mb-s": 20.0,
                 "read-mb-s": 80.0,
-                "record-bytes": 262144,
+                "record-bytes": RECORD_BYTES,
                 "request-bytes": 2097152,
                 "keep_s": 300,
                 "max-partition-mb": 200,
@@ -856,7 +870,7 @@
             async with self.client.request(
                 method,
                 f"http://{entry.front}{path}",
-                data=json.dumps(body).encode() if body is not None else None,
+                data=encode(body) if body is not None else None,
                 headers={
                     "Host": HOST,
                     "Content-Type": "application/json",
@@ -1039,6 +1053,11 @@
             self.process.wait()
 
 
+def encode(body: Any) -> bytes:
+    """Return a consumer's body, without spaces."""
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
 def json_response(body: Any, status: int = 200) -> web.Response:
     """Return a JSON response."""
     return web.Response(
