--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -745,6 +745,8 @@
             if self.unit_seconds is not None
             else spec.get("estimate-ms", 100) / 1000
         )
+        if spec.get("long-running"):
+            seconds = 1e6
         now = time.monotonic()
         how = self.unit_how(task, number)
         run = Run(task, number, cpu, mem_mb, now + seconds, how, None, now, seconds)
