--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,7 @@
 """A timed job, many of whose times have come, stops the jobs of all queues.
 
 The job runs each minute, 20,160 times, one step of one small work unit. It is handed in
-with its first time two weeks ago (``TROUBLE=0``: now). All its work is 1,008 core-seconds.
+with its first time two weeks ago (``TROUBLE=0``: now). Its work is 1,008 core-seconds.
 """
 
 from __future__ import annotations
