Restore and store wide steps in linear time

Cause: the restoring of done tasks removed each from a queue (a search for each), and read a bit set by shifting one large integer; a progress record looked at all tasks of the job twice, and built its bit set by shifting.

Change: a step keeps the bit set of its done tasks, and the tasks that have failed runs, a checkpoint or crashes; records, suspicion and evaluation of crashes read only these. A restored queue is built once.

test_large_progress.py set checkpoints of tasks past their method; it calls the method now. What it checks is the same.

--- a/mustardward/components/ledger/bitset.py
+++ b/mustardward/components/ledger/bitset.py
@@ -12,18 +12,24 @@
 
 def pack_indices(indices: Iterable[int]) -> bytes:
     """Return indices as a little-endian bit set."""
-    bits = 0
+    packed = bytearray()
     for index in indices:
-        bits |= 1 << index
-    return bits.to_bytes((bits.bit_length() + 7) // 8, "little")
+        add_index(packed, index)
+    return bytes(packed)
+
+
+def add_index(packed: bytearray, index: int) -> None:
+    """Add an index to a little-endian bit set."""
+    position = index >> 3
+    if position >= len(packed):
+        packed.extend(bytes(position + 1 - len(packed)))
+    packed[position] |= 1 << (index & 7)
 
 
 def unpack_indices(packed: bytes) -> Iterator[int]:
     """Yield the indices of a little-endian bit set in ascending order."""
-    bits = int.from_bytes(packed, "little")
-    index = 0
-    while bits:
-        if bits & 1:
-            yield index
-        bits >>= 1
-        index += 1
+    for position, value in enumerate(packed):
+        if value:
+            for bit in range(8):
+                if value >> bit & 1:
+                    yield 8 * position + bit
--- a/mustardward/components/scheduling/crashes.py
+++ b/mustardward/components/scheduling/crashes.py
@@ -162,10 +162,8 @@
     def evaluate(self, now: float) -> None:
         """Give up jobs whose tasks crash their workers, and clear sound tasks."""
         for job in list(self.state.suspects.values()):
-            for step in job.steps.values():
-                for task in step.tasks:
-                    if task.crashes:
-                        self._evaluate_task(task, now)
+            for task in _crashed_tasks(job):
+                self._evaluate_task(task, now)
         while self._recent and self._recent[0].at < now - 2 * COMMON_CAUSE_SECONDS:
             self._recent.popleft()
 
@@ -242,7 +240,7 @@
     if job.suspicion < CONCLUSIVE_CRASHES:
         return False
     return job.suspicion >= MAX_CRASHES or any(
-        task.evaluation_due_at for step in job.steps.values() for task in step.tasks
+        task.evaluation_due_at for task in _crashed_tasks(job)
     )
 
 
@@ -250,8 +248,17 @@
     """Return the tasks of a job that must not share a worker with other jobs."""
     if job.suspicion < ISOLATION_CRASHES:
         return []
-    tasks = [task for step in job.steps.values() for task in step.tasks]
-    return [task for task in tasks if needs_isolation(task)]
+    return [task for task in _crashed_tasks(job) if needs_isolation(task)]
+
+
+def _crashed_tasks(job: Job) -> list[Task]:
+    """Return the unfinished tasks of a job under which workers crashed."""
+    return [
+        step.stateful[index]
+        for step in job.steps.values()
+        for index in sorted(step.stateful)
+        if step.stateful[index].crashes
+    ]
 
 
 def isolation_workers(job: Job) -> set[str]:
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from ..fair_sharing.fair_shares import FairShares
@@ -252,6 +253,9 @@
             if step is None or task_progress.index >= len(step.tasks):
                 continue
             task = step.tasks[task_progress.index]
+            if task.phase is Phase.DONE:
+                continue
+            step.stateful[task.index] = task
             if not step.spec.long_running:
                 task.failed_runs = task_progress.failed_runs
             task.record_checkpoint(task_progress.checkpoint)
@@ -277,9 +281,8 @@
                 break
             task = step.tasks[index]
             if task.phase is Phase.WAITING:
-                step.waiting.remove(task)
-                task.phase = Phase.DONE
-                step.done += 1
+                step.record_done(task)
+        step.waiting = deque(t for t in step.tasks if t.phase is Phase.WAITING)
         if step.complete:
             self._complete_step(step)
 
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -9,6 +9,7 @@
 
 from ...platform.models import QueueAdvice, Room, SubmittedStep
 from ...platform.workers import TaskName
+from ..ledger.bitset import add_index
 from ..ledger.index_ranges import IndexRanges
 from ..ledger.models import JobRecord, JobState
 from ..run_times.models import JobRunTimes
@@ -121,6 +122,7 @@
         """Record a checkpoint that a worker reported; an empty one means none."""
         if not checkpoint:
             return
+        self.step.stateful[self.index] = self
         if self.step.spec.gang:
             self.step.checkpoint = checkpoint
         else:
@@ -131,6 +133,7 @@
 
         A worker reports the end of a run until it is acknowledged.
         """
+        self.step.stateful[self.index] = self
         if not self.step.spec.long_running:
             is_new = run not in self.failed_runs
             self.failed_runs += (run,) if is_new else ()
@@ -181,6 +184,9 @@
         complete.
     :param blockers: number of incomplete steps on which it depends.
     :param waiting: the queue of its tasks that wait for a worker.
+    :param done_bits: the indices of its completed tasks as a bit set.
+    :param stateful: the tasks that are not done and may have failed runs, a checkpoint
+        or crashes, by index.
     :param on_worker: number of its active tasks by worker id.
     :param tickets: valid tickets by worker id.
     :param allowed_workers: ids of all workers that advice ever allowed.
@@ -202,6 +208,8 @@
     tasks: list[Task] = field(default_factory=list)
     waiting: deque[Task] = field(default_factory=deque)
     done: int = 0
+    done_bits: bytearray = field(default_factory=bytearray)
+    stateful: dict[int, Task] = field(default_factory=dict)
     active: int = 0
     open: bool = False
     blockers: int = 0
@@ -226,6 +234,13 @@
         """Return whether all tasks are done."""
         return self.done >= len(self.tasks)
 
+    def record_done(self, task: Task) -> None:
+        """Record that a task, which neither waits nor runs any more, is done."""
+        task.phase = Phase.DONE
+        self.done += 1
+        add_index(self.done_bits, task.index)
+        self.stateful.pop(task.index, None)
+
 
 @dataclass(frozen=True, slots=True)
 class FailureDomain:
--- a/mustardward/components/scheduling/progress.py
+++ b/mustardward/components/scheduling/progress.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from ..ledger.bitset import pack_indices
 from ..ledger.models import Progress, StepProgress, TaskProgress
-from .models import Job, Phase, Task
+from .models import Job, StepRun, Task
 
 
 def progress_of(job: Job, wall: float) -> Progress:
@@ -12,11 +11,7 @@
     if job.state.final:
         return Progress(job.state, ended_at=wall)
     steps = [
-        StepProgress(
-            step.occurrence,
-            step.number,
-            pack_indices(t.index for t in step.tasks if t.phase is Phase.DONE),
-        )
+        StepProgress(step.occurrence, step.number, bytes(step.done_bits))
         for step in job.steps.values()
         if step.done
     ]
@@ -30,9 +25,8 @@
             task.crashes,
         )
         for step in job.steps.values()
-        for task in step.tasks
-        if task.phase is not Phase.DONE
-        and (_has_failed(task) or _stored_checkpoint(task) or task.crashes)
+        for task in _stateful_tasks(step)
+        if _has_failed(task) or _stored_checkpoint(task) or task.crashes
     ]
     return Progress(
         job.state,
@@ -43,6 +37,15 @@
     )
 
 
+def _stateful_tasks(step: StepRun) -> list[Task]:
+    """Return the tasks that may have state to store, by index."""
+    found = dict(step.stateful)
+    if step.checkpoint and not step.complete:
+        # The checkpoint of a gang is stored with its first task.
+        found[0] = step.tasks[0]
+    return [found[index] for index in sorted(found)]
+
+
 def _stored_checkpoint(task: Task) -> str:
     """Return the checkpoint to store with a task; a gang's is stored once."""
     if not task.step.spec.gang:
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -226,9 +226,8 @@
             self._release(task)
         elif task in step.waiting:
             step.waiting.remove(task)
-        task.phase = Phase.DONE
         task.checkpoint = ""
-        step.done += 1
+        step.record_done(task)
         self.clear_suspicion(task)
         self.mark_dirty(step.job)
 
@@ -259,6 +258,7 @@
         if incarnation in task.crashes:
             return
         task.crashes += (incarnation,)
+        task.step.stateful[task.index] = task
         task.runs_since_crash = 0
         job = task.step.job
         job.crashes_counted += 1
@@ -280,7 +280,11 @@
     def update_suspicion(self, job: Job) -> None:
         """Recompute a job's suspicion from the crashes of its tasks."""
         job.suspicion = max(
-            (len(task.crashes) for step in job.steps.values() for task in step.tasks),
+            (
+                len(task.crashes)
+                for step in job.steps.values()
+                for task in step.stateful.values()
+            ),
             default=0,
         )
         if job.suspicion and not job.state.final:
--- a/tests/components/ownership/test_large_progress.py
+++ b/tests/components/ownership/test_large_progress.py
@@ -52,7 +52,7 @@
         scheduler.add_job(a_job(a_step(count=TASKS)), now, harness.timers.wall())
         job = scheduler.state.jobs[JOB]
         for task in job.steps[0, 0].tasks:
-            task.checkpoint = f"{task.index:016x}"
+            task.record_checkpoint(f"{task.index:016x}")
         harness.owner.request_work()
         await harness.async_advance_time(1.0)
         submitted_at = harness.timers.wall()
--- a/tests/components/scheduling/builders.py
+++ b/tests/components/scheduling/builders.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import sys
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from types import FrameType
 
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.ledger.models import JobRecord, Progress
@@ -188,3 +191,19 @@
 def a_row(task: Task, percent: float, checkpoint: str = "") -> RunningTask:
     """Return a report's row of a running task."""
     return RunningTask(task.name, task.run, checkpoint, percent, task.figure)
+
+
+def count_calls(call: Callable[[], object]) -> int:
+    """Return how many calls of Python functions and generators something makes."""
+    calls = 0
+
+    def profile(frame: FrameType, event: str, argument: object) -> None:
+        nonlocal calls
+        calls += event == "call"
+
+    sys.setprofile(profile)
+    try:
+        call()
+    finally:
+        sys.setprofile(None)
+    return calls
--- a/tests/components/scheduling/test_occurrences.py
+++ b/tests/components/scheduling/test_occurrences.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 import random
-import sys
 from collections import Counter
-from collections.abc import Callable
 from functools import partial
-from types import FrameType
 
 import pytest
 
@@ -25,7 +22,7 @@
 from mustardward.platform.models import ENDED_DONE, Room, SubmittedStep
 from mustardward.platform.workers import RunningTask, TaskName
 
-from .builders import JOB, POOL, SchedulerBench, a_job, a_step
+from .builders import JOB, POOL, SchedulerBench, a_job, a_step, count_calls
 
 OTHER = "00000000000000bb"
 SMALL = Room(cpu=64_000, mem_mb=64_000)
@@ -58,22 +55,6 @@
     return bench
 
 
-def count_calls(call: Callable[[], object]) -> int:
-    """Return how many calls of Python functions and generators something makes."""
-    calls = 0
-
-    def profile(frame: FrameType, event: str, argument: object) -> None:
-        nonlocal calls
-        calls += event == "call"
-
-    sys.setprofile(profile)
-    try:
-        call()
-    finally:
-        sys.setprofile(None)
-    return calls
-
-
 def plan_and_end(bench: SchedulerBench, count: int) -> list[Start]:
     """Plan and end runs until some number was started, or nothing starts."""
     started: list[Start] = []
