Leave out of an append what the store rejects for good

Only a restart ended that.

Cause: a refusal for good (413) was taken for one that passes (503). After one attempt without an answer, the batch was repeated until it would be stored, and all records of the entry waited behind it. The entry then took the log for unreachable, as only a stored append ended that, and its peers, which were stuck alike, declined.

Ruled out: the hedged request and the peers. With the store up, the same job made its entry refuse it after its deadline, and took the records beside it along.

Change: the client names rejections of the request itself (400, 413, 414, 422). They say that no earlier attempt with the same bytes was stored either, so the batch is taken apart and only the rejected records are left out. Entries know the sizes of the settings (record-bytes, request-bytes) and send no larger record: a job is refused at once with 413 and both sizes. An owner ends the job whose progress is rejected, and acknowledges ends only after that is stored; renewals and other jobs go on. Any other refusal after an attempt without an answer is repeated as before, since the first may be stored.

test_partly_stored_append_is_reported_as_unknown used records of 900 kB, which no store accepts by default; it sets the limits now and checks the same.

--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -12,7 +12,13 @@
 from ...platform.models import Queue, SubmittedStep
 from ..configuration.routing import queue_key
 from ..configuration.services import Configuration
-from ..ledger.appender import GroupAppender, Outcome
+from ..ledger.appender import (
+    LENGTH_BYTES,
+    GroupAppender,
+    Outcome,
+    Record,
+    encoded_size,
+)
 from ..ledger.const import PREFIX_CANCEL, PREFIX_JOB
 from ..ledger.follower import TopicFollower
 from ..ledger.ledger import Ledger, LedgerJob, encode
@@ -161,29 +167,49 @@
             self.timers.wall(),
             admitted.caller.organisation,
         )
+        return await self._async_store_job(request, admitted, record)
+
+    async def _async_store_job(
+        self, request: Request, admitted: AdmittedRequest, record: JobRecord
+    ) -> Reply:
+        records = [(PREFIX_JOB + record.id, encode(record))]
+        if not self.appender.limits.accept(records):
+            return self._job_too_large_reply(record.id, records)
         outcome = await self.appender.async_append(
-            [(PREFIX_JOB + job_id, encode(record))],
+            records,
             self._append_deadline(request),
             lambda: self._is_allowed(request, admitted),
         )
         _LOGGER.info(
             "job_submitted",
-            job=job_id,
-            queue=queue.name,
-            service=queue.service,
-            organisation=admitted.caller.organisation,
-            steps=len(job.steps),
-            tasks=sum(step.count for step in job.steps),
-            shape=_summarize_steps(job.steps),
-            lasting=any(step.long_running for step in job.steps),
-            fills=any(step.fills for step in job.steps),
-            max_per_worker=max(step.max_per_server for step in job.steps),
-            may_miss=max(step.may_miss for step in job.steps),
+            job=record.id,
+            queue=admitted.queue.name,
+            service=record.service,
+            organisation=record.organisation,
+            steps=len(record.steps),
+            tasks=sum(step.count for step in record.steps),
+            shape=_summarize_steps(record.steps),
+            lasting=any(step.long_running for step in record.steps),
+            fills=any(step.fills for step in record.steps),
+            max_per_worker=max(step.max_per_server for step in record.steps),
+            may_miss=max(step.may_miss for step in record.steps),
             outcome=outcome.value,
         )
         if outcome is Outcome.STORED:
             return Reply(200, callers.encode_state(callers.STATE_QUEUED))
-        return self._append_failed_reply(PREFIX_JOB, job_id, outcome)
+        if outcome is Outcome.REJECTED:
+            return self._job_too_large_reply(record.id, records)
+        return self._append_failed_reply(PREFIX_JOB, record.id, outcome)
+
+    def _job_too_large_reply(self, job_id: str, records: list[Record]) -> Reply:
+        """Return the refusal of a job that the store does not accept."""
+        if self.appender.holds(PREFIX_JOB + job_id):
+            # Another request with this id is in flight, perhaps with a smaller job.
+            return self._unknown_reply(job_id, Outcome.UNKNOWN)
+        size = encoded_size(records) - LENGTH_BYTES
+        most = self.appender.limits.max_record_bytes
+        _LOGGER.warning("job_too_large", job=job_id, bytes=size, most=most)
+        return error_reply(413, "job-too-large", f"stored={size} most={most}")
 
     async def _async_get_state(self, job_id: str, visible: VisibleJob) -> Reply:
         job = visible()
@@ -270,8 +296,11 @@
     def _append_failed_reply(self, prefix: str, job_id: str, outcome: Outcome) -> Reply:
         # An earlier request of the same caller may be in flight.
         held = self.appender.holds(prefix + job_id)
-        if outcome is Outcome.NOT_STORED and not held:
+        if outcome in (Outcome.NOT_STORED, Outcome.REJECTED) and not held:
             return self.refusals.reject(job_id, "not-stored", "the log did not take it")
+        return self._unknown_reply(job_id, outcome)
+
+    def _unknown_reply(self, job_id: str, outcome: Outcome) -> Reply:
         # It may be stored now or later, so that it must not be reported as refused.
         _LOGGER.warning("outcome_unknown", request=job_id, outcome=outcome.value)
         return error_reply(504, "outcome-unknown", "ask again with the same id")
--- a/mustardward/components/ledger/appender.py
+++ b/mustardward/components/ledger/appender.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from itertools import groupby
@@ -15,8 +15,10 @@
 from ...helpers.logging import get_logger
 from ...helpers.policies import switchable
 from ...helpers.timer import TimerService
+from ...platform.boot import DEFAULT_RECORD_BYTES
 from ...platform.exceptions import (
     CallRefusedError,
+    CallRejectedError,
     CallUnknownError,
     FencedError,
     SequenceError,
@@ -28,6 +30,9 @@
 
 _LOGGER = get_logger(__name__)
 
+LENGTH_BYTES: Final = 4
+"""Size of a record's length in a call."""
+
 MAX_APPEND_BYTES: Final = 900_000
 """Below the store's limit for one call, with room for lengths and keys."""
 
@@ -46,11 +51,37 @@
 AppendCall = Callable[[list[Record], Producer], Awaitable[int]]
 
 
+@dataclass(frozen=True, slots=True)
+class AppendLimits:
+    """Hold the sizes that the store accepts, in bytes.
+
+    :param record_bytes: of one record, without its length.
+    :param call_bytes: of all records of one call.
+    """
+
+    record_bytes: int = DEFAULT_RECORD_BYTES
+    call_bytes: int = MAX_APPEND_BYTES
+
+    @property
+    def max_record_bytes(self) -> int:
+        """Return the largest size of a record that fits a call, without its length."""
+        return min(self.record_bytes, self.call_bytes - LENGTH_BYTES)
+
+    def accept(self, records: Iterable[Record]) -> bool:
+        """Return whether the store accepts each of some records by its size."""
+        sizes = [encoded_size([record]) - LENGTH_BYTES for record in records]
+        return max(sizes, default=0) <= self.max_record_bytes
+
+
 class Outcome(Enum):
-    """Outcome of an append."""
+    """Outcome of an append.
+
+    Rejected records are not stored, and would not be if the append was repeated.
+    """
 
     STORED = "stored"
     NOT_STORED = "not_stored"
+    REJECTED = "rejected"
     UNKNOWN = "unknown"
     FENCED = "fenced"
 
@@ -82,23 +113,35 @@
 
 def encoded_size(records: list[Record]) -> int:
     """Return the size of records in a call, in bytes."""
-    return sum(len(key) + len(value) + 5 for key, value in records)
+    return sum(
+        len(key.encode()) + len(value) + LENGTH_BYTES + 1 for key, value in records
+    )
+
 
+def group_records(records: list[Record]) -> list[list[Record]]:
+    """Return adjacent records of one job together, keeping their order.
 
-def split_records(records: list[Record]) -> list[list[Record]]:
+    They are stored together: a job whose record was reduced to a stub could not
+    continue if its final progress were missing.
+    """
+    groups = groupby(records, lambda record: record[0][2:])
+    return [list(adjacent) for _, adjacent in groups]
+
+
+def split_records(
+    records: list[Record], max_bytes: int = MAX_APPEND_BYTES
+) -> list[list[Record]]:
     """Split records into chunks that fit one call, keeping their order.
 
-    Adjacent records of one job stay together: a job whose record was reduced to a stub
-    could not continue if its final progress were missing.
+    :param max_bytes: the size of a call.
     """
-    if encoded_size(records) <= MAX_APPEND_BYTES:
+    if encoded_size(records) <= max_bytes:
         return [records]
     chunks: list[list[Record]] = [[]]
     size = 0
-    for _, adjacent in groupby(records, lambda record: record[0][2:]):
-        group = list(adjacent)
+    for group in group_records(records):
         size += encoded_size(group)
-        if chunks[-1] and size > MAX_APPEND_BYTES:
+        if chunks[-1] and size > max_bytes:
             chunks.append([])
             size = encoded_size(group)
         chunks[-1].extend(group)
@@ -106,7 +149,11 @@
 
 
 def _combined_outcome(outcomes: set[Outcome]) -> Outcome:
-    """Combine the outcomes of all chunks of one append."""
+    """Combine the outcomes of all parts of one append.
+
+    Rejected parts are reported by themselves, so that the others determine it.
+    """
+    outcomes = outcomes - {Outcome.REJECTED} or {Outcome.REJECTED}
     if len(outcomes) == 1:
         return outcomes.pop()
     return Outcome.FENCED if Outcome.FENCED in outcomes else Outcome.UNKNOWN
@@ -135,10 +182,16 @@
     sequence number. Otherwise a job could run although its caller was refused, or run
     twice.
 
+    Records that the store rejects are left out, and the others are stored without them.
+    Otherwise one record that is too large would stop all that is appended here.
+
     :param sighting: detects an append in the log when its answer does not arrive.
     :param failing_since: steady clock since which calls go unanswered, in seconds.
     :param latency: the store's latency. While the store is slow, an append is repeated
         only once its response is overdue by it.
+    :param limits: the sizes that the store accepts.
+    :param on_rejected: called with records that are rejected, before the outcome of
+        their append is known.
     """
 
     call: AppendCall
@@ -150,6 +203,8 @@
     fenced: bool = False
     failing_since: float | None = None
     latency: StoreLatency = field(default_factory=StoreLatency)
+    limits: AppendLimits = AppendLimits()
+    on_rejected: Callable[[list[Record]], None] | None = None
     _sent_at: float | None = None
     _batch: list[_PendingAppend] = field(default_factory=list)
     _queue: list[_PendingAppend] = field(default_factory=list)
@@ -166,6 +221,9 @@
         :param deadline: steady clock, in seconds.
         :param is_allowed: returns whether records that were not sent yet still may be.
         """
+        records = self._reject_oversized(records)
+        if not records:
+            return Outcome.REJECTED
         pending_appends = self._enqueue(records, deadline, is_allowed)
         started = self.timers.monotonic()
         with anyio.move_on_after(max(0.0, deadline - started)):
@@ -194,7 +252,7 @@
             # One that is late already is likely to take as long again.
             remaining = abs(self._sent_at + seconds - now)
         queued = sum(encoded_size(pending.records) for pending in self._queue)
-        return remaining + seconds * (1 + queued // MAX_APPEND_BYTES)
+        return remaining + seconds * (1 + queued // self.limits.call_bytes)
 
     def holds(self, key: str) -> bool:
         """Return whether a record with this key is queued or may be in flight."""
@@ -203,7 +261,9 @@
 
     def post(self, records: list[Record]) -> None:
         """Queue records for an append without waiting for the outcome."""
-        self._enqueue(records, self.timers.monotonic() + 1.0)
+        records = self._reject_oversized(records)
+        if records:
+            self._enqueue(records, self.timers.monotonic() + 1.0)
 
     def _enqueue(
         self,
@@ -214,7 +274,7 @@
         """Queue records, in chunks that fit one call."""
         pending_appends = [
             _PendingAppend(chunk, deadline, is_allowed)
-            for chunk in split_records(records)
+            for chunk in split_records(records, self.limits.call_bytes)
         ]
         self._queue.extend(pending_appends)
         self._wake.set()
@@ -241,7 +301,7 @@
         batch: list[_PendingAppend] = []
         for pending in self._queue:
             size += encoded_size(pending.records)
-            if batch and size > MAX_APPEND_BYTES:
+            if batch and size > self.limits.call_bytes:
                 break
             batch.append(pending)
         del self._queue[: len(batch)]
@@ -275,6 +335,9 @@
                 for pending in batch:
                     self._finish(pending, Outcome.FENCED)
                 return
+            if outcome is Outcome.REJECTED:
+                await self._async_append_parts(batch)
+                return
             if outcome is Outcome.UNKNOWN:
                 may_be_stored = True
             elif not may_be_stored and self._drop_expired(batch):
@@ -283,6 +346,55 @@
             delay = min(RETRY_DELAY_SECONDS, delay * 2)
             answer_timeout = next_answer_timeout(answer_timeout)
 
+    async def _async_append_parts(self, batch: list[_PendingAppend]) -> None:
+        """Append the parts of a rejected batch by themselves, as far as possible.
+
+        None of them is stored, also if earlier attempts were not answered: the store
+        would have rejected these too.
+        """
+        if len(batch) > 1:
+            for pending in batch:
+                await self._async_append_batch([pending])
+            return
+        (pending,) = batch
+        groups = group_records(pending.records)
+        if len(groups) == 1:
+            self._reject(pending.records)
+            self._finish(pending, Outcome.REJECTED)
+            return
+        outcomes: set[Outcome] = set()
+        for group in groups:
+            part = _PendingAppend(group, pending.deadline, pending.is_allowed)
+            await self._async_append_batch([part])
+            outcomes.add(part.outcome)
+        self._finish(pending, _combined_outcome(outcomes))
+
+    def _reject_oversized(self, records: list[Record]) -> list[Record]:
+        """Return the records that may be sent, without those too large to be stored."""
+        if self.limits.accept(records):
+            return records
+        accepted: list[Record] = []
+        for group in group_records(records):
+            if self.limits.accept(group):
+                accepted.extend(group)
+            else:
+                APPENDS.labels(Outcome.REJECTED.value).inc()
+                self._reject(group)
+        return accepted
+
+    def _reject(self, records: list[Record]) -> None:
+        """Report records that the store does not accept."""
+        _LOGGER.warning(
+            "append_rejected",
+            producer=self.producer,
+            key=records[0][0],
+            records=len(records),
+            bytes=encoded_size(records),
+            most=self.limits.max_record_bytes,
+        )
+        if self.on_rejected is not None:
+            self.on_rejected(records)
+
     async def _async_attempt_or_observe(
         self, records: list[Record], answer_timeout: float
     ) -> Outcome:
@@ -318,6 +430,10 @@
         """Make one call; return its outcome from its answer alone."""
         try:
             await self.call(records, Producer(self.producer, self.epoch, self.sequence))
+        except CallRejectedError as error:
+            _LOGGER.debug("append_refused", detail=error.detail)
+            self.failing_since = None
+            return Outcome.REJECTED
         except CallRefusedError as error:
             _LOGGER.debug("append_refused", detail=error.detail)
             return Outcome.NOT_STORED
--- a/mustardward/components/ownership/models.py
+++ b/mustardward/components/ownership/models.py
@@ -6,11 +6,12 @@
 
 from ...helpers.timer import TimerService
 from ...platform.advice import AdviceClient
-from ...platform.boot import DEFAULT_RECORD_BYTES, BootBounds, BootFleet
+from ...platform.boot import BootBounds, BootFleet
 from ...platform.fleet import FleetClient
 from ...platform.http import HttpCaller
 from ...platform.store import StoreClient
 from ..configuration.services import Configuration
+from ..ledger.appender import AppendLimits
 from ..ledger.follower import TopicFollower
 from ..ledger.ledger import Ledger
 from ..ledger.store_latency import StoreLatency
@@ -24,7 +25,7 @@
 
     :param latency: tells how slow the store is.
     :param peers: reaches the other entries; None if there are none.
-    :param record_bytes: the size of a record that the store accepts.
+    :param append_limits: the sizes that the store accepts.
     :param fleet_limits: the platform's limits on fleet calls of all entries together.
     """
 
@@ -43,4 +44,4 @@
     fleet_limits: BootFleet = BootFleet()
     peers: PeerQuerier | None = None
     latency: StoreLatency = field(default_factory=StoreLatency)
-    record_bytes: int = DEFAULT_RECORD_BYTES
+    append_limits: AppendLimits = AppendLimits()
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -110,6 +110,7 @@
             epoch,
             sequence=1,
             latency=dependencies.latency,
+            limits=dependencies.append_limits,
         )
         self._append_watcher = AppendWatcher(
             dependencies.follower.async_catch_up, UNIQUE_OWNER_PREFIXES
@@ -258,6 +259,7 @@
             dependencies.timers,
             f"status/{SHARD}",
             self._epoch,
+            limits=dependencies.append_limits,
         )
         planner = WavePlanner(dependencies.bounds.maintenance_s)
         fleet = Fleet(
--- a/mustardward/components/ownership/progress_writer.py
+++ b/mustardward/components/ownership/progress_writer.py
@@ -14,6 +14,7 @@
 from ..dispatch.session import WorkerSession
 from ..ledger.appender import GroupAppender, Outcome, Record
 from ..ledger.const import (
+    KEY_OWNER,
     PREFIX_CANCEL,
     PREFIX_JOB,
     PREFIX_PROGRESS,
@@ -59,6 +60,11 @@
     _write_requested: anyio.Event = field(default_factory=anyio.Event)
     _run_times_due_at: float = -math.inf
     _truncation_due_at: float = -math.inf
+    _rejected_keys: set[str] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        """Give up the jobs whose progress the store does not accept."""
+        self.appender.on_rejected = self._handle_rejected
 
     def request_write(self) -> None:
         """Request a write without waiting for the next interval."""
@@ -74,9 +80,13 @@
             received = [
                 (session, session.received_upto) for session in sessions.values()
             ]
+            self._rejected_keys.clear()
             if records and not await self._async_append(job_ids, records):
                 self.depose()
                 return
+            if self._rejected_keys:
+                # The ends may be acknowledged once their jobs' final state is stored.
+                continue
             for session, number in received:
                 session.acknowledge(number)
 
@@ -108,13 +118,25 @@
         sent_at = self.authority.clock()
         until = self.dependencies.timers.monotonic() + APPEND_TIMEOUT_SECONDS
         outcome = await self.appender.async_append(records, until)
-        if outcome is not Outcome.STORED:
+        if outcome not in (Outcome.STORED, Outcome.REJECTED):
             return False
-        self.authority.record_renewal(sent_at)
-        self.scheduler.mark_stored(job_ids)
+        if KEY_OWNER not in self._rejected_keys:
+            self.authority.record_renewal(sent_at)
+        self.scheduler.mark_stored(
+            job_id
+            for job_id in job_ids
+            if PREFIX_PROGRESS + job_id not in self._rejected_keys
+        )
         self.on_stored()
         return True
 
+    def _handle_rejected(self, records: list[Record]) -> None:
+        """Give up a job whose progress is rejected, as no owner could continue it."""
+        for key, _ in records:
+            self._rejected_keys.add(key)
+            if key.startswith(PREFIX_PROGRESS):
+                self.scheduler.give_up_job(key[len(PREFIX_PROGRESS) :], "not-storable")
+
     def _collect_records(self) -> tuple[list[str], list[Record]]:
         """Return the ids of jobs with new progress, and all records to store."""
         timers = self.dependencies.timers
@@ -138,7 +160,9 @@
         self, job_id: str, progress: Progress, records: list[Record]
     ) -> None:
         """Add a job's progress as far as the store accepts it."""
-        max_bytes = self.dependencies.record_bytes - RECORD_MARGIN_BYTES
+        max_bytes = (
+            self.dependencies.append_limits.max_record_bytes - RECORD_MARGIN_BYTES
+        )
         encoded = encode_within(progress, max_bytes)
         if encoded.value:
             records.append((PREFIX_PROGRESS + job_id, encoded.value))
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import Callable, Iterable
 
+from ...helpers.instruments import JOBS_GIVEN_UP
 from ...helpers.logging import get_logger
 from ...helpers.policies import switchable
 from ...platform.models import WorkerEntry
@@ -118,6 +119,14 @@
         if job is not None and not job.state.final:
             self.state.end_job(job, JobState.DONE)
 
+    def give_up_job(self, job_id: str, reason: str) -> None:
+        """End a job as failed that can't be continued."""
+        job = self.state.jobs.get(job_id)
+        if job is not None and not job.state.final:
+            JOBS_GIVEN_UP.inc()
+            _LOGGER.warning("job_given_up", job=job_id, reason=reason)
+            self.state.end_job(job, JobState.FAILED)
+
     def update_policies(self) -> None:
         """Apply a new configuration to the present jobs."""
         for job in self.state.jobs.values():
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -24,7 +24,11 @@
 from ..components.front.server import FrontServer, async_serve_metrics
 from ..components.front.services import FrontService
 from ..components.ledger.append_watcher import AppendWatcher
-from ..components.ledger.appender import GroupAppender
+from ..components.ledger.appender import (
+    MAX_APPEND_BYTES,
+    AppendLimits,
+    GroupAppender,
+)
 from ..components.ledger.const import PREFIX_NODE, TOPIC, UNIQUE_ENTRY_PREFIXES
 from ..components.ledger.follower import TopicFollower
 from ..components.ledger.latency_probe import LatencyProbe
@@ -107,12 +111,17 @@
             scale_interval=True,
             latency=self._latency,
         )
+        limits = AppendLimits(
+            boot.platform.record_bytes,
+            min(boot.platform.request_bytes, MAX_APPEND_BYTES),
+        )
         self._appender = GroupAppender(
             lambda records, producer: store.async_append(TOPIC, records, producer),
             self._timers,
             f"{boot.node}/{secrets.token_hex(6)}",
             epoch=1,
             latency=self._latency,
+            limits=limits,
         )
         append_watcher = AppendWatcher(
             self._follower.async_catch_up, UNIQUE_ENTRY_PREFIXES
@@ -171,7 +180,7 @@
                 boot.cloud,
                 self._forwarder,
                 self._latency,
-                boot.platform.record_bytes,
+                limits,
             ),
             _claim_fraction(boot),
         )
--- a/mustardward/platform/boot.py
+++ b/mustardward/platform/boot.py
@@ -14,6 +14,7 @@
 _CONTRACT_ORGANISATIONS: Final = "tenants"
 
 DEFAULT_RECORD_BYTES: Final = 262_144
+DEFAULT_REQUEST_BYTES: Final = 2_097_152
 
 
 class BootLimits(msgspec.Struct, frozen=True, rename="kebab"):
@@ -42,7 +43,7 @@
     reads_per_s: float = 1000.0
     parts: int = 1
     record_bytes: int = DEFAULT_RECORD_BYTES
-    request_bytes: int = 2097152
+    request_bytes: int = DEFAULT_REQUEST_BYTES
 
 
 class BootFleet(msgspec.Struct, frozen=True, rename="kebab"):
--- a/mustardward/platform/exceptions.py
+++ b/mustardward/platform/exceptions.py
@@ -18,6 +18,15 @@
     code = "call-refused"
 
 
+class CallRejectedError(CallRefusedError):
+    """Raised when a call had no effect because of what it contains.
+
+    The same call can't have had an effect earlier either, and will never have one.
+    """
+
+    code = "call-rejected"
+
+
 class CallUnknownError(MustardwardError):
     """Raised when a call may have had its effect, or may have it later."""
 
--- a/mustardward/platform/store.py
+++ b/mustardward/platform/store.py
@@ -23,6 +23,7 @@
 )
 from .exceptions import (
     CallRefusedError,
+    CallRejectedError,
     CallUnknownError,
     FencedError,
     OffsetGoneError,
@@ -58,6 +59,10 @@
 """Maximum size of one read, so that other responses share a slow link."""
 
 
+REJECTED_STATUSES: Final = frozenset((400, 413, 414, 422))
+"""Statuses of the response to a call that will never be accepted as it is."""
+
+
 @dataclass(frozen=True, slots=True)
 class KeyedRecord:
     """Record of a keyed topic; an empty value removes the key."""
@@ -191,6 +196,7 @@
     ) -> int:
         """Append keyed records, all or none, and return the log's new end.
 
+        :raises CallRejectedError: if the store will never accept these records.
         :raises CallRefusedError: if nothing was appended.
         :raises CallUnknownError: if the records may have been appended.
         :raises FencedError: if the store has seen a higher epoch of this producer.
@@ -212,6 +218,8 @@
             return _decode(response, AppendedBody).end
         if response.status == 409:
             raise _decode_append_error(response)
+        if response.status in REJECTED_STATUSES:
+            raise CallRejectedError(f"status={response.status}")
         raise CallRefusedError(f"status={response.status}")
 
     async def async_read(
--- a/mustardward/standin/estate/store.py
+++ b/mustardward/standin/estate/store.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from ...platform.boot import DEFAULT_RECORD_BYTES, DEFAULT_REQUEST_BYTES
 from ...platform.exceptions import (
     CallRefusedError,
+    CallRejectedError,
     CallUnknownError,
     FencedError,
     OffsetGoneError,
@@ -55,9 +57,13 @@
     """In-memory store with the interface of the product's client.
 
     :param mode: how the store responds to calls.
+    :param record_bytes: the largest record that it accepts.
+    :param request_bytes: the largest total of the records of one call.
     """
 
     mode: StoreMode = StoreMode.SERVING
+    record_bytes: int = DEFAULT_RECORD_BYTES
+    request_bytes: int = DEFAULT_REQUEST_BYTES
     appends: int = 0
     reads: int = 0
     _topics: dict[str, _Topic] = field(default_factory=dict)
@@ -114,6 +120,13 @@
             raise CallRefusedError("busy")
         if self.mode is StoreMode.UNRESPONSIVE:
             raise CallUnknownError("silent")
+        sizes = [1 + len(key.encode()) + len(value) for key, value in records]
+        if max(sizes, default=0) > self.record_bytes or (
+            sum(4 + size for size in sizes) > self.request_bytes
+        ):
+            if self.mode is StoreMode.LOSING_RESPONSES:
+                raise CallUnknownError("answer lost")
+            raise CallRejectedError("status=413")
         end = self.append(topic, list(records), producer)
         if self.mode is StoreMode.LOSING_RESPONSES:
             raise CallUnknownError("answer lost")
--- a/tests/components/front/test_front.py
+++ b/tests/components/front/test_front.py
@@ -9,6 +9,7 @@
 from mustardward.components.ledger.const import PREFIX_PROGRESS, TOPIC
 from mustardward.components.ledger.ledger import encode
 from mustardward.components.ledger.models import JobState, Progress
+from mustardward.platform.boot import DEFAULT_RECORD_BYTES
 from mustardward.platform.store import TOPIC_OPERATOR
 from mustardward.standin.estate.store import StoreMode
 
@@ -16,6 +17,8 @@
 
 pytestmark = pytest.mark.anyio
 
+OTHER = "0123456789abcdee"
+
 
 async def test_request_before_the_first_configuration_gets_503() -> None:
     harness = FrontHarness()
@@ -144,3 +147,18 @@
         harness.timers.pause(3.0)
         reply = await harness.async_request("GET", PREFIX + JOB)
         assert (reply.status, reply.retry_after) == (503, 3)
+
+
+async def test_job_that_no_record_holds_is_refused_at_once() -> None:
+    """Guards against a large job that stops all appends of its entry in an outage."""
+    async with running_front() as harness:
+        steps = [{"count": 1, "estimate-ms": 5}] * 9300
+        body = msgspec.json.encode({"spec": "x", "steps": steps})
+        assert len(body) < DEFAULT_RECORD_BYTES
+        harness.store.mode = StoreMode.UNRESPONSIVE
+        reply = await harness.async_request("POST", PREFIX + JOB, body)
+        assert reply.status == 413
+        assert b"job-too-large" in reply.body
+        harness.store.mode = StoreMode.SERVING
+        reply = await harness.async_request("POST", PREFIX + OTHER, BODY)
+        assert reply.status == 200
--- a/tests/components/ledger/test_appender.py
+++ b/tests/components/ledger/test_appender.py
@@ -10,6 +10,7 @@
 
 from mustardward.components.ledger.appender import (
     MAX_APPEND_BYTES,
+    AppendLimits,
     GroupAppender,
     Outcome,
     Record,
@@ -158,6 +159,9 @@
 async def test_partly_stored_append_is_reported_as_unknown() -> None:
     """Guard against a caller that is told that none of its records were stored."""
     async with _running_harness() as harness:
+        # One record fills a call, in a store that accepts such records.
+        harness.appender.limits = AppendLimits(record_bytes=MAX_APPEND_BYTES)
+        harness.store.record_bytes = MAX_APPEND_BYTES
         record = b"x" * (MAX_APPEND_BYTES - 20)
         records = [("p/1", record), ("p/2", record)]
         deadline = harness.timers.monotonic() + TIMEOUT_SECONDS
--- a/tests/components/ledger/test_large_appends.py
+++ b/tests/components/ledger/test_large_appends.py
@@ -8,7 +8,7 @@
 from mustardward.components.ledger.appender import GroupAppender, Outcome, Record
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.platform.boot import BootStore
-from mustardward.platform.exceptions import CallRefusedError
+from mustardward.platform.exceptions import CallRejectedError
 from mustardward.platform.store import Producer
 
 from .builders import async_appending
@@ -27,7 +27,7 @@
 
     async def async_append(self, records: list[Record], producer: Producer) -> int:
         if sum(len(value) for _, value in records) > BootStore("").request_bytes:
-            raise CallRefusedError("status=413")
+            raise CallRejectedError("status=413")
         self.stored.extend(key for key, _ in records)
         return len(self.stored)
 
--- a/tests/components/ownership/test_large_progress.py
+++ b/tests/components/ownership/test_large_progress.py
@@ -5,10 +5,12 @@
 from typing import Any
 
 import anyio
+import msgspec
 import pytest
 
 from mustardward.components.ledger.const import PREFIX_PROGRESS, TOPIC
 from mustardward.components.ledger.ledger import Ledger
+from mustardward.components.ledger.models import JobState, Progress
 from mustardward.platform.exceptions import CallRefusedError
 from mustardward.platform.store import Producer
 from mustardward.standin.estate.store import MemoryStore
@@ -22,6 +24,7 @@
 RECORD_BYTES = 262_144
 OTHER = "00000000000000bb"
 TASKS = 14_000
+_PROGRESS = msgspec.msgpack.Decoder(Progress)
 
 
 class LimitedStore(MemoryStore):
@@ -65,3 +68,31 @@
     assert store.refused == 0
     assert {PREFIX_PROGRESS + JOB, PREFIX_PROGRESS + OTHER} <= keys
     assert ledger.owner.renewed_at >= submitted_at
+
+
+async def test_a_job_whose_progress_is_rejected_ends_and_others_go_on() -> None:
+    """Guards against an owner that loses the shard by one record that is rejected."""
+    store = MemoryStore(record_bytes=RECORD_BYTES // 100)
+    async with anyio.create_task_group() as tasks:
+        harness = OwnerHarness(store, EPOCH, tasks)
+        await harness.async_advance_time(0.2)
+        scheduler = harness.owner.scheduler
+        now = harness.timers.monotonic()
+        scheduler.add_job(a_job(a_step(count=TASKS)), now, harness.timers.wall())
+        job = scheduler.state.jobs[JOB]
+        for task in job.steps[0, 0].tasks[:200]:
+            task.record_checkpoint(f"{task.index:016x}")
+        harness.owner.request_work()
+        await harness.async_advance_time(1.0)
+        submitted_at = harness.timers.wall()
+        await harness.async_store_progress(OTHER)
+        tasks.cancel_scope.cancel()
+    ledger = Ledger()
+    newest = {record.key: record for record in store.records_from(TOPIC, 0)}
+    for record in newest.values():
+        ledger.apply(record)
+    assert job.state is JobState.FAILED
+    assert _PROGRESS.decode(newest[PREFIX_PROGRESS + JOB].value).state is job.state
+    assert PREFIX_PROGRESS + OTHER in newest
+    assert ledger.owner.epoch == EPOCH
+    assert ledger.owner.renewed_at >= submitted_at
