Refuse amounts that no record can hold and no plan can add

Cause: amounts were checked for their sign and for infinity only. Integers beyond 64 bits can't be stored, and products of the largest floating point numbers overflow.

Change: each number of a job is 0 to 2^53, else the job is refused with 400 and the step's number.

Evidence: five of the six new bodies in test_front.py get no 400 on the code before; the largest accepted amounts are planned and measured in test_demand.py.

--- a/mustardward/platform/callers.py
+++ b/mustardward/platform/callers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import re
 from typing import Final
 
@@ -19,6 +18,10 @@
 """Longer values are rejected without comparing them to any key."""
 MAX_SPEC_BYTES: Final = 4000
 MAX_TASKS: Final = 100_000
+MAX_AMOUNT: Final = 2**53
+"""Largest number of a job: JSON numbers are exact up to it, a record can hold it, and
+sums and products of such numbers do not overflow."""
+
 """Maximum tasks of a step; each takes about 400 bytes of the owner's memory."""
 
 STATE_QUEUED: Final = "queued"
@@ -59,7 +62,7 @@
         raise MalformedJobError("spec is too long")
     if not job.steps:
         raise MalformedJobError("steps is empty")
-    if job.times < 0 or not _is_amount(job.interval_ms, job.start_at_ms):
+    if not _is_amount(job.times, job.interval_ms, job.start_at_ms):
         raise MalformedJobError("times, interval or start is no usable number")
     check_steps(job.steps)
     return job
@@ -68,7 +71,8 @@
 def check_steps(steps: list[SubmittedStep]) -> None:
     """Check the count, dependencies and amounts of each step.
 
-    A negative CPU request would give a worker more capacity than it has.
+    A negative CPU request would give a worker more capacity than it has, and a run time
+    of 1e308 ms ends the owner by an overflow.
 
     :raises MalformedJobError: if a step is invalid; names the step.
     """
@@ -79,11 +83,13 @@
             raise MalformedJobError(f"steps[{number}].after names no earlier step")
         amounts = (step.cpu, step.mem_mb, step.gpu, step.max_per_server, step.may_miss)
         if not _is_amount(*amounts, step.estimate_ms, step.target_ms):
-            raise MalformedJobError(f"steps[{number}] has an amount below 0")
+            raise MalformedJobError(
+                f"steps[{number}] has an amount that is not 0 to {MAX_AMOUNT}"
+            )
 
 
 def _is_amount(*values: float) -> bool:
-    return all(0 <= value < math.inf for value in values)
+    return all(0 <= value <= MAX_AMOUNT for value in values)
 
 
 def encode_state(state: str) -> bytes:
--- a/tests/components/front/test_front.py
+++ b/tests/components/front/test_front.py
@@ -55,6 +55,12 @@
         b'{"spec":"x","steps":[{"count":0}]}',
         b'{"spec":"x","steps":[{"count":1,"after":[0]}]}',
         b'{"spec":7,"steps":[{"count":1}]}',
+        b'{"spec":"x","steps":[{"count":1}],"times":%d}' % 10**400,
+        b'{"spec":"x","steps":[{"count":1}],"times":-1}',
+        b'{"spec":"x","steps":[{"count":1}],"times":2,"start-at-ms":1e300}',
+        b'{"spec":"x","steps":[{"count":1}],"times":2,"interval-ms":1e300}',
+        b'{"spec":"x","steps":[{"count":1,"cpu":%d}]}' % 2**64,
+        b'{"spec":"x","steps":[{"count":1,"estimate-ms":1e308}]}',
         msgspec.json.encode({"spec": "x" * 4001, "steps": [{"count": 1}]}),
     ],
 )
--- a/tests/components/scheduling/test_demand.py
+++ b/tests/components/scheduling/test_demand.py
@@ -10,7 +10,8 @@
     RECENT_SECONDS,
     WINDOW_SECONDS,
 )
-from mustardward.platform.models import Room
+from mustardward.platform.callers import MAX_AMOUNT, MAX_TASKS, check_steps
+from mustardward.platform.models import ENDED_DONE, Room
 
 from .builders import POOL, SchedulerBench, a_job, a_step
 
@@ -181,3 +182,23 @@
         accepted_at = bench.now - 0.8 + number * 0.05
         bench.add(a_job(job=f"{number:016x}", accepted_at=accepted_at))
     assert inflow_of(bench) == pytest.approx(20 * 2000, rel=0.15)
+
+
+@pytest.mark.parametrize("times", [0, MAX_AMOUNT])
+def test_the_largest_accepted_amounts_can_be_planned_and_measured(times: int) -> None:
+    """Guards against an overflow that ends the owner's process."""
+    largest = float(MAX_AMOUNT)
+    wide = a_step(
+        count=MAX_TASKS, cpu=MAX_AMOUNT, mem_mb=MAX_AMOUNT, estimate_ms=largest
+    )
+    later = a_step(count=1, cpu=100, estimate_ms=largest, after=[0])
+    small = a_step(count=1, cpu=100, estimate_ms=largest)
+    check_steps([wide, later, small])
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(wide, later, small, times=times, interval_ms=largest))
+    (start,) = bench.plan_starts()
+    bench.end(start.task, ENDED_DONE)
+    bench.plan()
+    load = measure(bench.scheduler.state, bench.now)[POOL]
+    assert load.waiting.cpu == MAX_TASKS * largest
