Leave the steps of very large jobs out of their log line

Cause: the line of an accepted job summarizes each of its steps, 54 kB with 9,000 steps, as much as some 500 ordinary lines.

Change: beyond 500 steps and dependencies the summary is empty; reports already leave out jobs without one.

Evidence: the test fails on the code before.

--- a/mustardward/components/front/const.py
+++ b/mustardward/components/front/const.py
@@ -35,3 +35,7 @@
 CLOSE_POLL_SECONDS: Final = 0.02
 SHUTDOWN_TIMEOUT_SECONDS: Final = 0.3
 """Time for requests that arrive at the very moment of closing."""
+
+MAX_SUMMARIZED_STEPS: Final = 500
+"""Steps and dependencies of a job up to which its log line summarizes them. The line of
+9,000 steps would be as long as 500 ordinary ones."""
--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -28,6 +28,7 @@
 from .const import (
     ANSWER_MARGIN_SECONDS,
     MAX_JOB_STATE_AGE_SECONDS,
+    MAX_SUMMARIZED_STEPS,
     MIN_APPEND_TIMEOUT_SECONDS,
 )
 from .models import AdmittedRequest, Reply, Request, error_reply
@@ -319,7 +320,10 @@
     """Return a summary of steps for the log, such as ``8x9x512;8x2.5x64<0``.
 
     Each step is its tasks, cores and memory in MB, then the steps that it depends on.
+    Empty for a job with so many steps that its line would be as long as hundreds.
     """
+    if sum(1 + len(step.after) for step in steps) > MAX_SUMMARIZED_STEPS:
+        return ""
     return ";".join(
         f"{step.count}x{step.cpu / 1000:g}x{step.mem_mb}"
         + (f"<{','.join(map(str, step.after))}" if step.after else "")
--- a/tests/components/front/test_front.py
+++ b/tests/components/front/test_front.py
@@ -168,3 +168,18 @@
         harness.store.mode = StoreMode.SERVING
         reply = await harness.async_request("POST", PREFIX + OTHER, BODY)
         assert reply.status == 200
+
+
+async def test_log_line_of_a_job_with_thousands_of_steps_is_short(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against lines that take the place of hundreds of others."""
+    caplog.set_level("INFO")
+    async with running_front() as harness:
+        steps = [{"count": 1}] * 9000
+        body = msgspec.json.encode({"spec": "x", "steps": steps})
+        reply = await harness.async_request("POST", PREFIX + JOB, body)
+        assert reply.status == 200
+    (line,) = [line for line in caplog.messages if "event=job_submitted" in line]
+    assert "steps=9000" in line
+    assert len(line) < 1000
