--- a/tests/components/ownership/test_large_progress.py
+++ b/tests/components/ownership/test_large_progress.py
@@ -96,3 +96,43 @@
     assert PREFIX_PROGRESS + OTHER in newest
     assert ledger.owner.epoch == EPOCH
     assert ledger.owner.renewed_at >= submitted_at
+
+
+class _Session:
+    """Note whether a job had ended in the log when its worker's ends were acknowledged.
+
+    :param seen: the job's state in the log at each acknowledgement.
+    """
+
+    received_upto = 1
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+        self.seen: list[JobState | None] = []
+
+    def acknowledge(self, number: int) -> None:
+        records = self._store.records_from(TOPIC, 0)
+        stored = [r.value for r in records if r.key == PREFIX_PROGRESS + JOB]
+        self.seen.append(_PROGRESS.decode(stored[-1]).state if stored else None)
+
+
+async def test_ends_are_acknowledged_once_the_job_that_they_ended_is_stored() -> None:
+    """Guards against a task that runs again, since its rejected end was forgotten."""
+    store = MemoryStore(record_bytes=RECORD_BYTES // 100)
+    session = _Session(store)
+    async with anyio.create_task_group() as tasks:
+        harness = OwnerHarness(store, EPOCH, tasks)
+        await harness.async_advance_time(0.2)
+        scheduler = harness.owner.scheduler
+        now = harness.timers.monotonic()
+        scheduler.add_job(a_job(a_step(count=TASKS)), now, harness.timers.wall())
+        for task in scheduler.state.jobs[JOB].steps[0, 0].tasks[:200]:
+            task.record_checkpoint(f"{task.index:016x}")
+        dispatcher = harness.owner.dispatcher
+        assert dispatcher is not None
+        dispatcher.sessions["w1"] = session  # type: ignore[assignment]
+        harness.owner.request_work()
+        await harness.async_advance_time(1.0)
+        tasks.cancel_scope.cancel()
+    assert session.seen
+    assert set(session.seen) == {JobState.FAILED}
--- a/tests/components/scheduling/test_occurrences.py
+++ b/tests/components/scheduling/test_occurrences.py
@@ -11,14 +11,9 @@
 from mustardward.components.ledger.bitset import pack_indices
 from mustardward.components.ledger.ledger import LedgerJob, encode
 from mustardward.components.ledger.models import JobState, Progress, StepProgress
+from mustardward.components.scheduling import occurrences
 from mustardward.components.scheduling.commands import Start, Stop
 from mustardward.components.scheduling.demand import measure
-from mustardward.components.scheduling.occurrences import (
-    MAX_OPEN_STEPS,
-    MAX_TASKS_PER_PLAN,
-    MAX_WAITING_TASKS,
-    count_due,
-)
 from mustardward.platform.models import ENDED_DONE, Room, SubmittedStep
 from mustardward.platform.workers import RunningTask, TaskName
 
@@ -176,7 +171,8 @@
 def test_a_job_of_an_older_build_continues_where_it_was() -> None:
     """Guards against repeating the occurrences that an older build stored as done."""
     bench = a_bench(epoch=2)
-    bench.add(a_due_job(600, done=400))
+    job = a_due_job(600, done=400)
+    assert count_calls(partial(bench.add, job)) < 15 * 400
     started = plan_and_end(bench, 10_000)
     names = [start.task.name for start in started]
     assert len(names) == 200
@@ -193,7 +189,10 @@
         bench.add(a_due_job(2_000, job=job))
     state = bench.scheduler.state
     bench.scheduler.plan(bench.now, bench.now, 0)
-    assert sum(len(job.steps) for job in state.jobs.values()) <= MAX_WAITING_TASKS
+    assert (
+        sum(len(job.steps) for job in state.jobs.values())
+        <= occurrences.MAX_WAITING_TASKS
+    )
     started: Counter[str] = Counter()
     for _ in range(20):
         for start in bench.plan_starts():
@@ -202,20 +201,24 @@
     assert set(started) == set(jobs)
 
 
-def test_each_job_gets_its_turn_to_open_wide_occurrences() -> None:
+def test_each_job_gets_its_turn_to_open_wide_occurrences(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against a job that never opens since others use up each plan's limit."""
+    monkeypatch.setattr(occurrences, "MAX_TASKS_PER_PLAN", 8)
     bench = a_bench()
     jobs = [f"{number:016x}" for number in range(6)]
-    wide = a_step(count=MAX_TASKS_PER_PLAN, cpu=1)
     for job in jobs:
-        bench.add(a_due_job(50, wide, job=job))
-    opened: set[str] = set()
-    for _ in range(len(jobs)):
+        bench.add(a_due_job(50, a_step(count=8, cpu=1, mem_mb=1), job=job))
+    started: set[str] = set()
+    for _ in range(2 * len(jobs)):
         before = count_tasks(bench)
-        bench.scheduler.plan(bench.now, bench.now, 0)
-        assert count_tasks(bench) - before <= MAX_TASKS_PER_PLAN
-        opened |= {j.record.id for j in bench.scheduler.state.jobs.values() if j.steps}
-    assert opened == set(jobs)
+        starts = bench.plan_starts()
+        assert count_tasks(bench) - before <= 8
+        for start in starts:
+            started.add(start.task.name.job)
+            bench.end(start.task, ENDED_DONE)
+    assert started == set(jobs)
 
 
 def count_tasks(bench: SchedulerBench) -> int:
@@ -232,8 +235,18 @@
     started = {start.task.name for start in plan_and_end(bench, 1_500)}
     assert len(started) >= 1_500
     assert {name.step for name in started} == {1}
-    steps = bench.scheduler.state.jobs[JOB].steps
-    assert len(steps) <= MAX_OPEN_STEPS + 1
+
+
+def test_steps_that_fit_nowhere_do_not_accumulate(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against plans that grow with the occurrences of which a part can't run."""
+    monkeypatch.setattr(occurrences, "MAX_OPEN_STEPS", 100)
+    bench = a_bench()
+    bench.add(a_due_job(3_000, a_step(count=1, gpu=1), a_step(count=1, cpu=500)))
+    started = plan_and_end(bench, 3_000)
+    assert len(started) == 50
+    assert len(bench.scheduler.state.jobs[JOB].steps) == 100
 
 
 def test_jobs_whose_times_are_to_come_cost_a_plan_little() -> None:
@@ -318,4 +331,4 @@
 ) -> None:
     """Guards against a start before its time, and against an overflow."""
     record = a_job(times=7, start_at_ms=start_ms, interval_ms=interval_ms).record
-    assert count_due(record, wall) == due
+    assert occurrences.count_due(record, wall) == due
