Store the policy of a job's queue with the job

Cause: the policies of removed queues were in the memory of processes that had read them. A process that starts later decided by defaults: no advice, three attempts.

Change: the job's record has the policy of its acceptance. Its progress has a newer one, which an owner stores when the configuration changes it, and for jobs of older builds. The configuration counts as long as it has the queue.

test_takeover.py expects the policy in the first progress of a job without one.

--- a/mustardward/components/configuration/services.py
+++ b/mustardward/components/configuration/services.py
@@ -11,7 +11,7 @@
 from ...helpers.logging import get_logger
 from ...helpers.unreadable_records import report_unreadable_record
 from ...platform.exceptions import RECORD_ERRORS, UnreadableRecordError
-from ...platform.models import MaintenanceWave, OperatorConfig, Room
+from ...platform.models import MaintenanceWave, OperatorConfig, Queue, Room
 from ...platform.store import KEY_CONFIG, KEY_WAVE_PREFIX, KeyedRecord
 from ..organisations.keys import ApiKeyTable, build_api_keys
 from ..organisations.models import Organisation
@@ -125,16 +125,10 @@
         # Drops the API keys in plain text; the key table holds their digests.
         self.config = msgspec.structs.replace(config, organisations=None)
         self.routes = build_route_table(config)
-        # Policies of removed queues are kept: their accepted jobs still have to run.
+        # Policies of removed queues are kept: their accepted jobs still have to run. A
+        # process that starts later has the policies that are stored with these jobs.
         for queue in config.routes:
-            self._policies[queue_key(queue)] = QueuePolicy(
-                queue.service,
-                queue.priority,
-                queue.max_attempts,
-                queue.stretch,
-                queue.target_duration_ms / 1000,
-                queue.advice,
-            )
+            self._policies[queue_key(queue)] = make_policy(queue)
         _LOGGER.info(
             "configuration_in_force",
             version=config.version,
@@ -146,6 +140,18 @@
             self.on_change()
 
 
+def make_policy(queue: Queue) -> QueuePolicy:
+    """Return the policy of a configured queue."""
+    return QueuePolicy(
+        queue.service,
+        queue.priority,
+        queue.max_attempts,
+        queue.stretch,
+        queue.target_duration_ms / 1000,
+        queue.advice,
+    )
+
+
 def _decode_wave(record: KeyedRecord) -> MaintenanceWave:
     """Return the valid maintenance wave of a record.
 
--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -11,7 +11,7 @@
 from ...platform.exceptions import MalformedJobError
 from ...platform.models import Queue, SubmittedStep
 from ..configuration.routing import queue_key
-from ..configuration.services import Configuration
+from ..configuration.services import Configuration, make_policy
 from ..ledger.appender import (
     LENGTH_BYTES,
     GroupAppender,
@@ -167,6 +167,7 @@
             job.interval_ms,
             self.timers.wall(),
             admitted.caller.organisation,
+            make_policy(queue).to_record(),
         )
         return await self._async_store_job(request, admitted, record)
 
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ...platform.models import SubmittedStep
+from ...platform.models import QueueAdvice, SubmittedStep
 
 
 class JobState(IntEnum):
@@ -24,12 +24,31 @@
         return self >= JobState.DONE
 
 
+class PolicyRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Store the policy of a job's queue, in case that its route is removed.
+
+    :param service: pool of the workers that run the job.
+    :param stretch: factor of the job's critical path in its objective.
+    :param target_seconds: constant part of the objective.
+    :param advice: timings of the advice service, or None if tasks need no advice.
+    """
+
+    service: str
+    priority: int
+    max_attempts: int
+    stretch: float
+    target_seconds: float
+    advice: QueueAdvice | None = None
+
+
 class JobRecord(msgspec.Struct, frozen=True, array_like=True):
     """Store an accepted job.
 
     :param queue: host and path prefix that it was submitted to.
     :param accepted_at: wall clock of the entry node that accepted it, in seconds.
     :param organisation: submitter; empty if unknown.
+    :param policy: policy of its queue when it was accepted; None in the record of an
+        older build.
     """
 
     id: str
@@ -42,6 +61,7 @@
     interval_ms: float
     accepted_at: float
     organisation: str = ""
+    policy: PolicyRecord | None = None
 
     @property
     def is_stub(self) -> bool:
@@ -101,6 +121,8 @@
         be any.
     :param occurrences: the complete occurrences, as pairs of the first one and the one
         after the last. Older builds store them in ``steps``.
+    :param policy: the newest policy of its queue, or None if that is the one in the
+        job's record.
     """
 
     state: JobState
@@ -109,6 +131,7 @@
     ended_at: float = 0.0
     zones: list[str] = []
     occurrences: list[int] = []
+    policy: PolicyRecord | None = None
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -37,8 +37,8 @@
         record = ledger_job.record
         if ledger_job.state.final or record.is_stub or record.id in self.state.jobs:
             return
-        configured = self.state.policy_of(record.queue)
-        policy = configured or QueuePolicy(service=record.service)
+        stored = _stored_policy(ledger_job)
+        policy = self.state.policy_of(record.queue) or stored
         age = max(0.0, wall - record.accepted_at)
         job = Job(record, policy, accepted_at=now - age)
         self._set_objective(job, job.accepted_at)
@@ -57,6 +57,8 @@
             job.zones = frozenset(progress.zones) or None
             job.stored_zones = job.pending_zones = job.zones
             self._restore(job, progress)
+            if policy != stored:
+                self.state.mark_dirty(job)
             self.zone_chooser.add_work(job)
         if not record.times:
             job.next_occurrence = 1
@@ -287,6 +289,19 @@
             self._complete_step(step)
 
 
+def _stored_policy(ledger_job: LedgerJob) -> QueuePolicy:
+    """Return the newest policy that is stored with a job.
+
+    Its queue may be missing from all configurations that this process has read.
+    """
+    record = ledger_job.record
+    newest = ledger_job.progress.policy if ledger_job.progress is not None else None
+    policy = newest or record.policy
+    if policy is None:
+        return QueuePolicy(service=record.service)
+    return QueuePolicy.from_record(policy)
+
+
 def _complete_in_steps(job: Job, progress: Progress) -> list[int]:
     """Return the occurrences of which all steps are stored as complete."""
     complete: dict[int, set[int]] = {}
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -11,7 +11,7 @@
 from ...platform.workers import TaskName
 from ..ledger.bitset import add_index
 from ..ledger.index_ranges import IndexRanges
-from ..ledger.models import JobRecord, JobState
+from ..ledger.models import JobRecord, JobState, PolicyRecord
 from ..run_times.models import JobRunTimes
 
 if TYPE_CHECKING:
@@ -52,6 +52,29 @@
     target_seconds: float = 0.0
     advice: QueueAdvice | None = None
 
+    def to_record(self) -> PolicyRecord:
+        """Return the policy in its stored form."""
+        return PolicyRecord(
+            self.service,
+            self.priority,
+            self.max_attempts,
+            self.stretch,
+            self.target_seconds,
+            self.advice,
+        )
+
+    @classmethod
+    def from_record(cls, record: PolicyRecord) -> QueuePolicy:
+        """Return a stored policy."""
+        return cls(
+            record.service,
+            record.priority,
+            record.max_attempts,
+            record.stretch,
+            record.target_seconds,
+            record.advice,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Ticket:
--- a/mustardward/components/scheduling/progress.py
+++ b/mustardward/components/scheduling/progress.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..ledger.models import Progress, StepProgress, TaskProgress
+from ..ledger.models import PolicyRecord, Progress, StepProgress, TaskProgress
 from .models import Job, StepRun, Task
 
 
@@ -34,9 +34,16 @@
         tasks,
         zones=sorted(job.zones or ()),
         occurrences=job.done_occurrences.pack(),
+        policy=_changed_policy(job),
     )
 
 
+def _changed_policy(job: Job) -> PolicyRecord | None:
+    """Return a job's policy if it differs from the one in the job's record."""
+    policy = job.policy.to_record()
+    return policy if policy != job.record.policy else None
+
+
 def _stateful_tasks(step: StepRun) -> list[Task]:
     """Return the tasks that may have state to store, by index."""
     found = dict(step.stateful)
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -131,8 +131,10 @@
         """Apply a new configuration to the present jobs."""
         for job in self.state.jobs.values():
             policy = self.state.policy_of(job.record.queue)
-            if policy is not None:
+            if policy is not None and policy != job.policy:
                 job.policy = policy
+                if not job.state.final:
+                    self.state.mark_dirty(job)
         self.intake.end_failed_jobs()
 
     def update_worker(self, worker_id: str, entry: WorkerEntry, now: float) -> bool:
--- a/tests/components/scheduling/test_takeover.py
+++ b/tests/components/scheduling/test_takeover.py
@@ -58,7 +58,8 @@
     bench.add(a_job(), stored=False)
     assert bench.plan_starts() == []
     ((job_id, progress),) = bench.scheduler.take_dirty(bench.now, bench.now)
-    assert progress == Progress(JobState.QUEUED)
+    policy = bench.policy.to_record()
+    assert progress == Progress(JobState.QUEUED, policy=policy)
     assert bench.plan_starts() == []
     bench.scheduler.mark_stored([job_id])
     assert len(bench.plan_starts()) == 2
