Ignore progress of steps that a job does not have

Cause: a row with a negative number ended the new owner's process (KeyError), or made an occurrence before the first one.

Change: the range of both numbers is checked.

Evidence: the test fails on the code before.

--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -83,9 +83,9 @@
         Creates the steps of an occurrence that a previous owner started and that is not
         open here yet.
         """
-        if occurrence >= job.occurrences or number >= len(job.record.steps):
+        if not 0 <= occurrence < job.occurrences or occurrence in job.done_occurrences:
             return None
-        if occurrence in job.done_occurrences:
+        if not 0 <= number < len(job.record.steps):
             return None
         if (occurrence, number) not in job.steps:
             self._make_steps(job, occurrence)
