Remember the unanswered starts of lost workers

Cause: a new incarnation is sent a stop for each start that the previous one did not answer, but only if the restart is noticed before the crash. Otherwise the starts were forgotten with the worker.

A worker that is added under the id gets the stops, and the starts are remembered again if it is lost too.

--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -162,7 +162,7 @@
             described=new.described,
         )
         if old is None:
-            self.state.workers[worker_id] = new
+            self.state.add_worker(new, now)
         else:
             log_worker_lost(old, LossCause.RESTARTED, now)
             suspects = suspects_of(old, now)
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -13,6 +13,7 @@
 from .commands import Command, Start, Stop
 from .const import ISOLATION_CRASHES, RUN_BITS, STOP_GRACE_SECONDS
 from .inflow import Inflow
+from .lost_starts import LostStarts, UnansweredStart
 from .models import ACTIVE, Job, Phase, QueuePolicy, StepRun, Task
 from .quotas import Quotas
 from .worker_state import WorkerState
@@ -69,6 +70,7 @@
     quotas: Quotas = field(default_factory=Quotas)
     suspects: dict[str, Job] = field(default_factory=dict)
     stop_grace_seconds: float = STOP_GRACE_SECONDS
+    _lost_starts: LostStarts = field(default_factory=LostStarts)
     _commands: list[Command] = field(default_factory=list)
     _run_counter: int = 0
 
@@ -315,8 +317,20 @@
         worker.orphan_steps.clear()
         worker.unknown_runs = False
 
+    def add_worker(self, worker: WorkerState, now: float) -> None:
+        """Add a worker, which may be the next incarnation of a lost one."""
+        self.workers[worker.id] = worker
+        self._reject_delayed(worker, self._lost_starts.take(worker.id, now))
+
     def drop_worker(self, worker: WorkerState, now: float) -> None:
         """Remove a worker that is certainly gone, and requeue its tasks."""
+        in_flight = [
+            (task.name, task.run)
+            for task in worker.tasks.values()
+            if task.phase is Phase.STARTING and task.sent
+        ]
+        starts = (*worker.unanswered_starts, *in_flight)
+        self._lost_starts.add(worker.id, starts, now)
         for task in list(worker.tasks.values()):
             self.end_run(task, now)
         self.clear_orphan_runs(worker)
@@ -332,9 +346,7 @@
         task continues once the stop is acknowledged. This includes starts whose task
         has moved elsewhere since, because only the old incarnation knew of their stop.
         """
-        for name, run in old.unanswered_starts:
-            new.unanswered_starts.append((name, run))
-            self.add_command(Stop(name, new.id, run, None))
+        self._reject_delayed(new, old.unanswered_starts)
         for task in list(old.tasks.values()):
             if task.seen_running:
                 self.end_run(task, now)
@@ -353,6 +365,17 @@
                     step.allowed_workers.discard(new.id)
                     step.denied_at.pop(new.id, None)
 
+    def _reject_delayed(
+        self, worker: WorkerState, starts: Iterable[UnansweredStart]
+    ) -> None:
+        """Let a worker reject the starts that its previous incarnation did not answer.
+
+        They are remembered for the next incarnation too.
+        """
+        for name, run in starts:
+            worker.unanswered_starts.append((name, run))
+            self.add_command(Stop(name, worker.id, run, None))
+
     def end_run(self, task: Task, now: float) -> None:
         """Handle the end of a run that did not complete its task."""
         if task.step.job.state.final:
--- a/mustardward/components/scheduling/worker_entries.py
+++ b/mustardward/components/scheduling/worker_entries.py
@@ -43,7 +43,7 @@
         is_new = worker is None
         if worker is None:
             worker = make_worker(worker_id, entry)
-            self.state.workers[worker_id] = worker
+            self.state.add_worker(worker, now)
         elif not worker.described and entry.born == worker.started_at_ms:
             worker.describe(entry)
         elif is_other_incarnation(entry.born, worker.started_at_ms):
--- a/mustardward/components/scheduling/worker_state.py
+++ b/mustardward/components/scheduling/worker_state.py
@@ -9,6 +9,7 @@
 from ...helpers.logging import get_logger
 from ...platform.models import Room, WorkerEntry
 from ...platform.workers import TaskName
+from .lost_starts import UnansweredStart
 from .models import StepRun, Task
 
 _LOGGER = get_logger(__name__)
@@ -72,7 +73,7 @@
     described: bool = True
     orphan_steps: list[StepRun] = field(default_factory=list)
     unknown_runs: bool = False
-    unanswered_starts: deque[tuple[TaskName, int]] = field(
+    unanswered_starts: deque[UnansweredStart] = field(
         default_factory=lambda: deque(maxlen=MAX_UNANSWERED_STARTS)
     )
 
