Check that a job with large progress is not given up

Cause: since appenders know the store's limits, an oversized record is not sent, so that `store.refused == 0` no longer showed that progress is shortened: with the shortening taken out, the job was given up, its short final record was stored, and test_large_progress_of_one_job passed. Three tests also repeated one set-up.

Change: the test asserts that the job has not ended, beside all that it asserted before. One function sets the owner up for the three tests.

Evidence: with the shortening taken out the test passed before and fails now; the two other protections of the progress writer are still found when taken out. Formatter, linter, types and the tests of this file pass.

--- a/tests/components/ownership/test_large_progress.py
+++ b/tests/components/ownership/test_large_progress.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 import pytest
+from anyio.abc import TaskGroup
 
 from mustardward.components.ledger.const import PREFIX_PROGRESS, TOPIC
 from mustardward.components.ledger.ledger import Ledger
@@ -44,18 +45,29 @@
         return await super().async_append(topic, records, producer)
 
 
+async def async_own_with_checkpoints(
+    store: MemoryStore, tasks: TaskGroup, checkpoints: int
+) -> OwnerHarness:
+    """Return an owner with a job that is not stored yet.
+
+    :param checkpoints: how many of its tasks have saved their progress.
+    """
+    harness = OwnerHarness(store, EPOCH, tasks)
+    await harness.async_advance_time(0.2)
+    scheduler = harness.owner.scheduler
+    now = harness.timers.monotonic()
+    scheduler.add_job(a_job(a_step(count=TASKS)), now, harness.timers.wall())
+    for task in scheduler.state.jobs[JOB].steps[0, 0].tasks[:checkpoints]:
+        task.record_checkpoint(f"{task.index:016x}")
+    return harness
+
+
 async def test_large_progress_of_one_job_does_not_stop_the_work_of_others() -> None:
     """Guard against an append that the store refuses and that is repeated for good."""
     store = LimitedStore()
     async with anyio.create_task_group() as tasks:
-        harness = OwnerHarness(store, EPOCH, tasks)
-        await harness.async_advance_time(0.2)
-        scheduler = harness.owner.scheduler
-        now = harness.timers.monotonic()
-        scheduler.add_job(a_job(a_step(count=TASKS)), now, harness.timers.wall())
-        job = scheduler.state.jobs[JOB]
-        for task in job.steps[0, 0].tasks:
-            task.record_checkpoint(f"{task.index:016x}")
+        harness = await async_own_with_checkpoints(store, tasks, TASKS)
+        job = harness.owner.scheduler.state.jobs[JOB]
         harness.owner.request_work()
         await harness.async_advance_time(1.0)
         submitted_at = harness.timers.wall()
@@ -66,6 +78,7 @@
         ledger.apply(record)
     keys = {record.key for record in store.records_from(TOPIC, 0)}
     assert store.refused == 0
+    assert not job.state.final
     assert {PREFIX_PROGRESS + JOB, PREFIX_PROGRESS + OTHER} <= keys
     assert ledger.owner.renewed_at >= submitted_at
 
@@ -74,14 +87,8 @@
     """Guards against an owner that loses the shard by one record that is rejected."""
     store = MemoryStore(record_bytes=RECORD_BYTES // 100)
     async with anyio.create_task_group() as tasks:
-        harness = OwnerHarness(store, EPOCH, tasks)
-        await harness.async_advance_time(0.2)
-        scheduler = harness.owner.scheduler
-        now = harness.timers.monotonic()
-        scheduler.add_job(a_job(a_step(count=TASKS)), now, harness.timers.wall())
-        job = scheduler.state.jobs[JOB]
-        for task in job.steps[0, 0].tasks[:200]:
-            task.record_checkpoint(f"{task.index:016x}")
+        harness = await async_own_with_checkpoints(store, tasks, 200)
+        job = harness.owner.scheduler.state.jobs[JOB]
         harness.owner.request_work()
         await harness.async_advance_time(1.0)
         submitted_at = harness.timers.wall()
@@ -121,13 +128,7 @@
     store = MemoryStore(record_bytes=RECORD_BYTES // 100)
     session = _Session(store)
     async with anyio.create_task_group() as tasks:
-        harness = OwnerHarness(store, EPOCH, tasks)
-        await harness.async_advance_time(0.2)
-        scheduler = harness.owner.scheduler
-        now = harness.timers.monotonic()
-        scheduler.add_job(a_job(a_step(count=TASKS)), now, harness.timers.wall())
-        for task in scheduler.state.jobs[JOB].steps[0, 0].tasks[:200]:
-            task.record_checkpoint(f"{task.index:016x}")
+        harness = await async_own_with_checkpoints(store, tasks, 200)
         dispatcher = harness.owner.dispatcher
         assert dispatcher is not None
         dispatcher.sessions["w1"] = session  # type: ignore[assignment]
