Log what was lost with a worker and when a takeover's hold expires

- worker_lost has unstored_ends, the ends that the worker listed and the log lacks;
- takeover_hold_expired names the workers that were not heard when a hold ends by time, which logged nothing before;
- unlogged_completion_reported has the holder (owner or witness) and the outage's length.

No decision changes. Tests: test_losses, test_session, test_takeover.

--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -95,8 +95,14 @@
         """Acknowledge stored ends up to a number with the next poll."""
         if number > self.stored_upto:
             self.stored_upto = number
+        self._count_unstored_ends()
         self._stored.set()
 
+    def _count_unstored_ends(self) -> None:
+        worker = self.scheduler.state.workers.get(self.worker_id)
+        if worker is not None and not self.closed:
+            worker.unstored_ends = max(0, self.received_upto - self.stored_upto)
+
     def request_identity(self) -> None:
         """Poll the worker for its identity even if it has no runs."""
         self._poll_requested = True
@@ -290,6 +296,7 @@
             if ended.number > self.received_upto:
                 ENDS.labels(ended.how).inc()
         self.received_upto = max(numbers, default=self.received_upto)
+        self._count_unstored_ends()
         self._stored = anyio.Event()
         self.scheduler.apply_worker_report(self.worker_id, answer, sent_at, now)
         self.on_report()
--- a/mustardward/components/forwarding/completions.py
+++ b/mustardward/components/forwarding/completions.py
@@ -54,11 +54,19 @@
             return True
         known_here = self.unlogged.contains(job_id)
         query = self._async_find_witness if known_here else self._async_query_owner
-        if not await query(job_id):
+        holder = await query(job_id)
+        if not holder:
             return False
         self.unlogged.mark_reported(job_id)
+        failing_since = self.follower.failing_since
+        now = self.timers.monotonic()
+        outage = now - failing_since if failing_since is not None else 0.0
         _LOGGER.info(
-            "unlogged_completion_reported", job=job_id, owner=self.ledger.owner.node
+            "unlogged_completion_reported",
+            job=job_id,
+            owner=self.ledger.owner.node,
+            holder=holder,
+            outage_seconds=outage,
         )
         return True
 
@@ -98,8 +106,8 @@
         job = self.ledger.jobs.get(job_id)
         return job is not None and job.state.final
 
-    async def _async_find_witness(self, job_id: str) -> bool:
-        """Return whether another entry node recorded a completion known here.
+    async def _async_find_witness(self, job_id: str) -> str:
+        """Return the entry node that recorded a completion known here, if any.
 
         Nodes of other data centres come first, since a failure of this node may affect
         its whole data centre.
@@ -110,15 +118,16 @@
         for name, _ in self.forwarder.ranked_peers()[:MAX_WITNESSES_ASKED]:
             reply = await self.forwarder.async_send_to_node(name, request)
             if reply is not None and reply.status == 200:
-                return True
-        return False
+                return name
+        return ""
 
-    async def _async_query_owner(self, job_id: str) -> bool:
+    async def _async_query_owner(self, job_id: str) -> str:
+        """Return the owner if it knows a job to be complete."""
         owner = self.ledger.owner.node
         if owner in ("", self.node):
-            return False
+            return ""
         request = PeerRequest(
             ENDED_METHOD, "", job_id, b"", COMPLETION_QUERY_TIMEOUT_SECONDS
         )
         reply = await self.forwarder.async_send_to_node(owner, request)
-        return reply is not None and reply.status == 200
+        return owner if reply is not None and reply.status == 200 else ""
--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Final
 
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
@@ -17,6 +18,9 @@
 
 _LOGGER = get_logger(__name__)
 
+MAX_WORKERS_PER_LINE: Final = 32
+"""Most workers that one log line names."""
+
 
 @dataclass(slots=True, eq=False)
 class Takeover:
@@ -48,6 +52,8 @@
         while not self.state.is_takeover_complete(self.timers.monotonic()):
             self.try_release()
             await self.timers.async_sleep(TAKEOVER_CHECK_SECONDS)
+        if self.state.takeover_hold_until:
+            self._log_expired_hold()
         self.request_plan()
 
     def try_release(self) -> None:
@@ -67,6 +73,17 @@
             seconds=self.timers.monotonic() - self.state.taken_over_at,
         )
 
+    def _log_expired_hold(self) -> None:
+        """Log that jobs are released though some workers have not reported."""
+        unconfirmed = sorted(self.dispatcher.unconfirmed_workers())
+        _LOGGER.warning(
+            "takeover_hold_expired",
+            epoch=self.epoch,
+            seconds=self.timers.monotonic() - self.state.taken_over_at,
+            unconfirmed=len(unconfirmed),
+            workers=",".join(unconfirmed[:MAX_WORKERS_PER_LINE]),
+        )
+
     def _reconciled_zones(self) -> frozenset[str]:
         """Return the data centres all of whose workers have reported their runs.
 
--- a/mustardward/components/scheduling/losses.py
+++ b/mustardward/components/scheduling/losses.py
@@ -47,6 +47,7 @@
         cause=cause.value,
         draining=worker.draining,
         leaving=worker.cordoned,
+        unstored_ends=worker.unstored_ends,
         tasks=len(runs),
         runs=",".join(runs[:MAX_RUNS_PER_LINE]),
     )
--- a/mustardward/components/scheduling/worker_state.py
+++ b/mustardward/components/scheduling/worker_state.py
@@ -41,6 +41,7 @@
         pool, labels and capacity are those of the previous incarnation.
     :param orphan_steps: the steps of its orphan runs, which no task owns.
     :param unknown_runs: whether it lists a run of an unknown job.
+    :param unstored_ends: number of its listed ends that the log does not have yet.
     :param unanswered_starts: the last starts without a response, by task and run.
     """
 
@@ -73,6 +74,7 @@
     described: bool = True
     orphan_steps: list[StepRun] = field(default_factory=list)
     unknown_runs: bool = False
+    unstored_ends: int = 0
     unanswered_starts: deque[UnansweredStart] = field(
         default_factory=lambda: deque(maxlen=MAX_UNANSWERED_STARTS)
     )
--- a/tests/components/dispatch/test_session.py
+++ b/tests/components/dispatch/test_session.py
@@ -14,7 +14,7 @@
 from mustardward.components.scheduling.scheduler import Scheduler
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.platform.exceptions import CallUnknownError, WrongIncarnationError
-from mustardward.platform.workers import WorkerReport
+from mustardward.platform.workers import EndedTask, TaskName, WorkerReport
 
 from ..scheduling.builders import POOL, an_entry
 from .builders import build_dispatcher
@@ -143,6 +143,19 @@
         assert harness.client.acknowledged[-1] == 7
 
 
+async def test_ends_that_are_not_stored_are_counted() -> None:
+    """Guard against a lost worker whose log line hides that ends were lost with it."""
+    async with a_harness() as harness:
+        ended = EndedTask(3, TaskName("0" * 16, 0, 0, 0), 1, "done", "")
+        harness.client.answer = WorkerReport(5000.0, [], [ended])
+        harness.update_entry()
+        await harness.async_advance_time(0.1)
+        worker = harness.scheduler.state.workers[WORKER]
+        assert worker.unstored_ends == 3
+        harness.dispatcher.sessions[WORKER].acknowledge(3)
+        assert worker.unstored_ends == 0
+
+
 async def test_lease_deadlines_use_the_workers_clock() -> None:
     async with a_harness() as harness:
         harness.update_entry()
--- a/tests/components/ownership/test_takeover.py
+++ b/tests/components/ownership/test_takeover.py
@@ -5,8 +5,11 @@
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
 from mustardward.components.dispatch.const import AUTHORITY_SECONDS, latest_lease_end
 from mustardward.components.ledger.models import OwnerRecord
+from mustardward.components.ownership import takeover
 from mustardward.components.ownership.takeover import Takeover, hold_previous_runs
 from mustardward.helpers.timer import DrivenTimerService
 from tests.components.scheduling.builders import POOL, SchedulerBench, a_job, an_entry
@@ -146,3 +149,27 @@
     harness.listed = {"w1": "z1", "w8": "z3"}
     harness.try_release()
     assert harness.state.reconciled_zones == {"z1"}
+
+
+@pytest.mark.anyio
+async def test_expired_hold_is_logged_with_the_workers_that_did_not_report(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against jobs that are released early without a trace in the log."""
+    lines: list[dict[str, object]] = []
+    monkeypatch.setattr(
+        takeover._LOGGER,
+        "warning",
+        lambda event, **fields: lines.append({"event": event, **fields}),
+    )
+    harness = TakeoverHarness({"w1": POOL, "w2": OTHER_POOL})
+    harness.state.takeover_hold_until = -1.0
+    directory: Any = SimpleNamespace(async_wait_loaded=_async_nothing)
+    await harness.takeover.async_run(directory)
+    (line,) = lines
+    assert line["event"] == "takeover_hold_expired"
+    assert (line["unconfirmed"], line["workers"]) == (2, "w1,w2")
+
+
+async def _async_nothing() -> None:
+    return None
--- a/tests/components/scheduling/test_losses.py
+++ b/tests/components/scheduling/test_losses.py
@@ -23,12 +23,14 @@
     bench.worker("w1", born=7)
     bench.add(a_job())
     starts = bench.plan_starts()
+    bench.scheduler.state.workers["w1"].unstored_ends = 3
     counted = WORKERS_LOST.labels("unlisted")._value.get()
     bench.now += 0.25
     bench.scheduler.remove_worker("w1", LossCause.UNLISTED, bench.now)
     (line,) = lines
     assert line["cause"] == "unlisted"
     assert line["born"] == 7
+    assert line["unstored_ends"] == 3
     assert line["runs"] == ",".join(
         f"{JOB}.0.0.{index}:{start.run}=running+0.250"
         for index, start in enumerate(starts)
