Show that a job reported as done runs again after a common power loss

The store is away, a job completes and an entry reports it as done, the workers that hold the ends crash, and all entries lose power and come back with the store: all five tasks start again.

--- a/tests/embedded/test_estate.py
+++ b/tests/embedded/test_estate.py
@@ -18,6 +18,8 @@
 PREFIX = "/pool-a/"
 PLAN = EstatePlan()
 TEST_TIMEOUT_SECONDS = 40.0
+OUTAGE_SECONDS = 1.0
+STATE_QUERY_SECONDS = 0.05
 ENTRY_READ_SECONDS = 0.5
 """Time within which the owner reads a changed worker entry."""
 
@@ -207,6 +209,44 @@
             assert sum(before.values()) == 5
 
 
+async def async_is_reported(fleet: EstateFleet, path: str, state: str) -> bool:
+    """Return whether any entry reports a state of a job during a store outage."""
+    until = time.monotonic() + OUTAGE_SECONDS
+    while time.monotonic() < until:
+        if await fleet.async_get_state(path) == state:
+            return True
+        await anyio.sleep(STATE_QUERY_SECONDS)
+    return False
+
+
+async def test_a_job_reported_as_done_survives_a_power_loss_of_all_entries() -> None:
+    """Guard against a job that runs again after it was reported as done.
+
+    A job completes while the store is unavailable. Then its workers crash, and all
+    entries lose power at once and return together with the store.
+    """
+    with anyio.fail_after(TEST_TIMEOUT_SECONDS):
+        async with async_run_estate_fleet(PLAN, entries=3) as fleet:
+            path = await fleet.async_submit(PREFIX, two_steps())
+            await async_until(lambda: len(count_starts(fleet)) >= 3)
+            fleet.estate.store.mode = StoreMode.REFUSING
+            await async_until(lambda: len(count_starts(fleet)) == 5)
+            reported = await async_is_reported(fleet, path, "done")
+            for worker in [w for w in fleet.estate.workers.values() if w.starts]:
+                fleet.estate.crash(worker.id, time.monotonic())
+            for node in fleet.alive_nodes():
+                node.kill()
+            fleet.estate.store.mode = StoreMode.SERVING
+            for _ in range(3):
+                await fleet.async_add_node()
+            await fleet.async_wait_state(path, "done")
+            starts = count_starts(fleet)
+            assert not (reported and starts)
+            await anyio.sleep(OUTAGE_SECONDS)
+            assert await fleet.async_get_state(path) == "done"
+            assert count_starts(fleet) == starts
+
+
 async def test_jobs_complete_when_workers_restart_under_their_ids() -> None:
     """Guard against a job that never completes.
 
