Report a job as done only once its completion is stored

Cause: in a store outage entries reported completions that the log did not have (decision 0092). Its holders, the owner, the reporting entry and the witness, are entries, and one loss of power takes all of them. With the worker that listed the end gone too, nothing was left of a completion that callers had been told, and the next owner started the tasks once its hold was over.

Change: `done` is told from the log only, as `failed` and `cancelled` always were. The tracker, the queries between entries and the policy "ends-ahead" are gone; queries of older builds are answered 404 (they then report nothing ahead), their d/ records are read as before. Ruled out: more witnesses (they share the loss), marks on other workers (state of ours there, and not on those that join later), a second partition (a takeover would need both).

Why it works: what a caller was told is in the store, which loses nothing that it has acknowledged; no set of lost machines revokes it.

--- a/mustardward/components/forwarding/const.py
+++ b/mustardward/components/forwarding/const.py
@@ -12,21 +12,9 @@
 CHECK_TIMEOUT_SECONDS: Final = 0.3
 """Timeout of a reachability check; peers are a few milliseconds away."""
 
-ENDED_METHOD: Final = "ENDED"
-COMPLETION_QUERY_TIMEOUT_SECONDS: Final = 0.3
-"""Timeout of a query whether a job is complete; it is answered from memory."""
-
-WITNESS_METHOD: Final = "WITNESS"
-MAX_WITNESSES_ASKED: Final = 2
-"""Entry nodes asked, one after the other, to record a completion; the second one in
-case the first is partitioned. Limited because a caller waits meanwhile."""
-
-STORE_REPORTED_INTERVAL_SECONDS: Final = 0.2
-"""Interval of checks for reported completions that the log lacks. After an outage, the
-owner stores them itself within about 0.1 s, so that usually none are left."""
-
-STORE_REPORTED_TIMEOUT_SECONDS: Final = 2.0
-"""Timeout of an append of reported completions; it is retried after that."""
+UNCONFIRMED_METHODS: Final = ("ENDED", "WITNESS")
+"""Queries of older builds for completions that are not stored. They are not confirmed,
+since a caller would be told of a completion that a power loss can revoke."""
 
 OWNER_METHOD: Final = "OWNER"
 """Asks the entry node that the host field names about its ownership of the shard."""
--- a/mustardward/components/forwarding/failover.py
+++ b/mustardward/components/forwarding/failover.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import anyio
 import msgspec
@@ -19,10 +19,8 @@
 from ..front.services import FrontService
 from ..ledger.store_latency import SLOW_SECONDS, StoreLatency
 from .collectors import choose_collectors, collector_count, rank_collectors
-from .completions import CompletionTracker
 from .const import (
     CHECK_METHOD,
-    ENDED_METHOD,
     HEDGE_DELAY_SECONDS,
     HEDGE_POLL_SECONDS,
     ISOLATED_RETRY_SECONDS,
@@ -31,7 +29,7 @@
     OWNER_METHOD,
     RELAY_METHOD,
     SUSPECT_POLL_SECONDS,
-    WITNESS_METHOD,
+    UNCONFIRMED_METHODS,
 )
 from .models import PeerReply, PeerRequest
 from .relay import StoreRelay
@@ -69,10 +67,6 @@
     return False
 
 
-async def _async_never_complete(failover: FailoverHandler, /, request: Request) -> bool:
-    return False
-
-
 @dataclass(slots=True, eq=False)
 class FailoverHandler:
     """Answer callers whether or not the log is reachable from this entry node.
@@ -85,7 +79,6 @@
     front: FrontService
     forwarder: Forwarder
     timers: TimerService
-    completions: CompletionTracker
     relay: StoreRelay
     latency: StoreLatency = field(default_factory=StoreLatency)
     is_draining: Callable[[], bool] = _never_draining
@@ -131,7 +124,7 @@
         An answer is not given if another caller may have been answered by a newer
         version meanwhile. The request is then answered once more, by that version.
         """
-        reply = await self._async_answer_once(request)
+        reply = await self._async_answer_or_forward(request)
         if self._is_current(reply):
             return reply
         _LOGGER.info(
@@ -142,7 +135,7 @@
             version=reply.version,
         )
         await self._async_read_submitted(request)
-        again = await self._async_answer_once(request)
+        again = await self._async_answer_or_forward(request)
         if not self._is_current(again):
             again = self.front.unreachable_reply(request)
         # What the first attempt carried out here or at a peer stands.
@@ -162,36 +155,6 @@
         now = self.timers.monotonic()
         return max(0.0, request.deadline - now - ANSWER_MARGIN_SECONDS)
 
-    async def _async_answer_once(self, request: Request) -> Reply:
-        if request.method != "GET":
-            return await self._async_answer_or_forward(request)
-        version = self._version()
-        failed_before = self.front.log_failing
-        if failed_before and await self._async_is_complete(request):
-            return self._done_reply(version)
-        reply = await self._async_answer_or_forward(request)
-        if failed_before or not self.front.log_failing:
-            return reply
-        # This very request discovered that the log fails.
-        version = self._version()
-        complete = await self._async_is_complete(request)
-        return self._done_reply(version) if complete else reply
-
-    def _done_reply(self, version: int) -> Reply:
-        return replace(self.front.done_reply(), version=version)
-
-    @switchable(
-        "ends-ahead",
-        "a job that completes during a store outage is reported as done",
-        without=_async_never_complete,
-    )
-    async def _async_is_complete(self, request: Request) -> bool:
-        """Return whether a request is for a job that is known to be done."""
-        if self._is_outdated():
-            return False
-        job_id = self.front.unfinished_job_id(request)
-        return job_id is not None and await self.completions.async_is_complete(job_id)
-
     async def _async_answer_or_forward(self, request: Request) -> Reply:
         front = self.front
         is_append = request.method in _APPENDED_METHODS
@@ -214,8 +177,8 @@
 
     async def async_answer_peer(self, request: PeerRequest) -> PeerReply:
         """Answer a peer, unless the log is unreachable from here too."""
-        if request.method in (ENDED_METHOD, WITNESS_METHOD):
-            return self.completions.answer_peer(request)
+        if request.method in UNCONFIRMED_METHODS:
+            return PeerReply(404, b"")
         if request.method == RELAY_METHOD:
             return await self.relay.async_answer_peer(request)
         if request.method == OWNER_METHOD and self.answer_owner_query is not None:
--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -99,32 +99,6 @@
             )
         return await self._async_job(request, admitted, job_id)
 
-    @property
-    def log_failing(self) -> bool:
-        """Return whether reads of the log currently fail."""
-        return self.follower.failing_since is not None
-
-    def unfinished_job_id(self, request: Request) -> str | None:
-        """Return the id of the job that a request is for, if it may be unfinished.
-
-        Return None if the caller may not access the job.
-        """
-        admitted = self.admission.resolve(request)
-        if isinstance(admitted, Reply):
-            return None
-        job_id = request.path[len(admitted.queue.path_prefix) :]
-        if not callers.is_job_id(job_id):
-            return None
-        job = self.ledger.jobs.get(job_id)
-        if job is None:
-            # Without the job's record, its organisation is unknown here.
-            return None if self.configuration.api_keys.required else job_id
-        return None if job.state.final or not _may_access(admitted, job) else job_id
-
-    def done_reply(self) -> Reply:
-        """Return the reply that a job is done."""
-        return Reply(200, callers.encode_state(callers.STATE_DONE))
-
     async def _async_job(
         self, request: Request, admitted: AdmittedRequest, job_id: str
     ) -> Reply:
--- a/mustardward/components/ledger/const.py
+++ b/mustardward/components/ledger/const.py
@@ -21,7 +21,7 @@
 PREFIX_NODE: Final = "n/"
 PREFIX_RUN_TIMES: Final = "e/"
 
-UNIQUE_ENTRY_PREFIXES: Final = (PREFIX_JOB, PREFIX_CANCEL, PREFIX_REPORTED)
+UNIQUE_ENTRY_PREFIXES: Final = (PREFIX_JOB, PREFIX_CANCEL)
 UNIQUE_OWNER_PREFIXES: Final = (KEY_OWNER,)
 """Prefixes of keys whose values contain a timestamp or a renewal number, so that no two
 appends of their writers have the same key and value."""
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -309,7 +309,6 @@
         dependencies.ledger.on_job = self._add_job
         dependencies.ledger.on_cancel = lambda job: self._cancel_job(job.record.id)
         dependencies.ledger.on_told = lambda job: self._end_reported_job(job.record.id)
-        dependencies.unlogged.completed_at_owner = self.scheduler.is_job_done
         dependencies.configuration.on_change = self._apply_configuration
         _LOGGER.info(
             "owner_started",
@@ -328,7 +327,6 @@
         self._dependencies.ledger.on_job = None
         self._dependencies.ledger.on_cancel = None
         self._dependencies.ledger.on_told = None
-        self._dependencies.unlogged.end_ownership()
         self._dependencies.configuration.on_change = None
 
     def _add_job(self, job: LedgerJob) -> None:
--- a/mustardward/components/ownership/progress_writer.py
+++ b/mustardward/components/ownership/progress_writer.py
@@ -22,7 +22,7 @@
     PREFIX_RUN_TIMES,
 )
 from ..ledger.ledger import encode
-from ..ledger.models import JobState, Progress
+from ..ledger.models import Progress
 from ..ledger.progress_size import encode_within
 from ..run_times.const import STORE_INTERVAL_SECONDS
 from ..scheduling.scheduler import Scheduler
@@ -144,9 +144,6 @@
         records: list[Record] = []
         for job_id, progress in dirty:
             self._add_progress(job_id, progress, records)
-            if progress.state is JobState.DONE:
-                # The scheduler may remove the job before the append completes.
-                self.dependencies.unlogged.add(job_id)
             job = self.dependencies.ledger.jobs.get(job_id)
             if progress.state.final and job is not None and not job.record.is_stub:
                 records.append((PREFIX_JOB + job_id, encode(job.record.as_stub())))
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -108,11 +108,6 @@
         """End a job that a caller cancelled."""
         self.intake.cancel(job_id)
 
-    def is_job_done(self, job_id: str) -> bool:
-        """Return whether a job is done, even if this is not stored yet."""
-        job = self.state.jobs.get(job_id)
-        return job is not None and job.state is JobState.DONE
-
     def end_reported_job(self, job_id: str) -> None:
         """End a job that a previous owner reported as done to a caller."""
         job = self.state.jobs.get(job_id)
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -9,7 +9,6 @@
 from anyio.abc import TaskGroup
 
 from ..components.configuration.services import Configuration
-from ..components.forwarding.completions import CompletionTracker
 from ..components.forwarding.const import (
     RELAY_CHECK_TIMEOUT_SECONDS,
     RELAY_MAX_PEERS_ASKED,
@@ -35,7 +34,6 @@
 from ..components.ledger.ledger import Ledger, encode
 from ..components.ledger.models import NodeRecord
 from ..components.ledger.store_latency import StoreLatency
-from ..components.ledger.unlogged_completions import UnloggedCompletions
 from ..components.ownership.const import FOLLOWER_POLL_SECONDS
 from ..components.ownership.models import OwnerDependencies
 from ..components.ownership.services import Ownership
@@ -140,21 +138,10 @@
         self._forwarder = Forwarder(
             self._ledger, self._timers, PeerSelector(boot.node, boot.zone)
         )
-        unlogged = UnloggedCompletions()
-        self._completions = CompletionTracker(
-            boot.node,
-            unlogged,
-            self._ledger,
-            self._follower,
-            self._appender,
-            self._forwarder,
-            self._timers,
-        )
         self._failover = FailoverHandler(
             front,
             self._forwarder,
             self._timers,
-            self._completions,
             self._relay,
             self._latency,
             lambda: self._server.draining,
@@ -173,7 +160,6 @@
                 self._follower,
                 self._configuration,
                 boot.bounds,
-                unlogged,
                 _core_count(boot),
                 advice,
                 fleet,
@@ -238,7 +224,6 @@
         self._tasks.start_soon(self._follower.async_run)
         self._tasks.start_soon(self._appender.async_run)
         self._tasks.start_soon(self._ownership.async_run)
-        self._tasks.start_soon(self._completions.async_run)
         self._tasks.start_soon(self._relay.async_run)
         self._tasks.start_soon(self._probe.async_run)
         reporter = LatencyReporter(
