Keep an unanswered query to a peer from ending the entry

Cause: grpclib ends a call at its deadline, or when a connection is lost, by cancelling the task and replacing the cancellation by its own error, but leaves the task's cancellation count raised. A claim makes such a call in the host task of a task group and cancels the group's scope afterwards; the scope then takes its own cancellation for one from outside and propagates it up to the process.

The platform's HTTP calls use anyio's own scopes and have no such count; no asyncio.timeout or wait_for is used.

--- a/mustardward/components/forwarding/services.py
+++ b/mustardward/components/forwarding/services.py
@@ -16,6 +16,7 @@
 
 from ...helpers.logging import get_logger
 from ...helpers.msgpack_codec import MsgpackCodec
+from ...helpers.peer_cancellation import uncancel_on_error
 from ...helpers.peer_channels import ChannelPool, PeerUnreachableError, Purpose
 from ...helpers.timer import TimerService
 from ..ledger.ledger import Ledger
@@ -244,7 +245,8 @@
         lease = await self.pool.async_acquire(address, Purpose.CONTROL)
         method = UnaryUnaryMethod(lease.channel, PEER_RPC_PATH, PeerRequest, PeerReply)
         try:
-            reply: PeerReply = await method(request, timeout=timeout_seconds)
+            with uncancel_on_error():
+                reply: PeerReply = await method(request, timeout=timeout_seconds)
         except _FAILURES:
             lease.retire()
             raise
--- a/mustardward/components/peers/client.py
+++ b/mustardward/components/peers/client.py
@@ -11,9 +11,9 @@
 
 from ...exceptions import PeerOutcomeUnknownError
 from ...helpers.msgpack_codec import MsgpackCodec
+from ...helpers.peer_cancellation import uncancel_on_error
 from ...helpers.peer_channels import ChannelPool, Purpose
 from ..membership.models import Member
-from .cancellation import uncancel_on_error
 from .const import CALL_PATH, METADATA_MESSAGE, METADATA_SENDER
 from .exceptions import PeerMessageError, PeerRefusedError
 from .framing import async_receive_bytes
--- a/mustardward/components/peers/forwarder.py
+++ b/mustardward/components/peers/forwarder.py
@@ -13,11 +13,11 @@
 from returns.result import Failure, Result, Success
 
 from ...exceptions import PeerError
+from ...helpers.peer_cancellation import uncancel_on_error
 from ...helpers.peer_channels import ChannelPool, Purpose
 from ..entry.models import AttemptOutcome, Ran, RequestFacts
 from ..entry.protocols import FailedAttempt, OutgoingRequest, WorkerResponse
 from ..membership.models import Member
-from .cancellation import uncancel_on_error
 from .client import convert_grpc_error
 from .const import CHUNK_BYTES, FORWARD_PATH, MAX_HOPS, METADATA_SENDER
 from .exceptions import PeerMessageError, PeerRefusedError
--- a/mustardward/components/peers/response.py
+++ b/mustardward/components/peers/response.py
@@ -12,7 +12,7 @@
 
 from ...helpers.logging import get_logger
 from ...helpers.msgpack_codec import MsgpackCodec
-from .cancellation import uncancel_on_error
+from ...helpers.peer_cancellation import uncancel_on_error
 from .client import TRANSPORT_ERRORS
 from .const import END_OF_STREAM_TIMEOUT_SECONDS
 from .exceptions import PeerMessageError, PeerResponseTruncatedError
--- a/tests/components/peers/test_cancellation.py
+++ b/tests/helpers/test_peer_cancellation.py
@@ -9,10 +9,10 @@
 import pytest
 
 from mustardward.components.membership.models import Member
-from mustardward.components.peers.cancellation import uncancel_on_error
 from mustardward.exceptions import PeerOutcomeUnknownError
+from mustardward.helpers.peer_cancellation import uncancel_on_error
 
-from .builders import Echo, EchoReply, build_member, running_peers
+from ..components.peers.builders import Echo, EchoReply, build_member, running_peers
 
 pytestmark = pytest.mark.anyio
 
