Store the limits of a job's organisation with the job

Cause: limits lasted in the memory of the processes that had read them, and in the operator's newest configuration only.

Change: a job's record has the limits of its organisation, its progress the newer ones; an owner that no configuration gives them takes the newest version that is stored with any job of the organisation. Weighed as for policies (docs/design/stored-policies.md): a record for each organisation could be overwritten by entries behind the newest configuration. Unchanged limits of newer versions are not written again. Older builds read past the field, and records of theirs are completed by the first owner.

--- a/mustardward/components/configuration/services.py
+++ b/mustardward/components/configuration/services.py
@@ -11,8 +11,9 @@
 from ...helpers.logging import get_logger
 from ...helpers.unreadable_records import report_unreadable_record
 from ...platform.exceptions import RECORD_ERRORS, UnreadableRecordError
-from ...platform.models import MaintenanceWave, OperatorConfig, Queue, Room
+from ...platform.models import MaintenanceWave, OperatorConfig, Queue
 from ...platform.store import KEY_CONFIG, KEY_WAVE_PREFIX, KeyedRecord
+from ..ledger.models import LimitsRecord
 from ..organisations.keys import ApiKeyTable, build_api_keys
 from ..organisations.models import Organisation
 from ..scheduling.models import QueuePolicy
@@ -40,7 +41,7 @@
     on_change: Callable[[], None] | None = None
     seen_version: int = 0
     _policies: dict[str, QueuePolicy] = field(default_factory=dict)
-    _organisations: dict[str, Organisation] = field(default_factory=dict)
+    _limits: dict[str, LimitsRecord] = field(default_factory=dict)
 
     def apply(self, record: KeyedRecord) -> None:
         """Apply one record; an unreadable one leaves the current state unchanged."""
@@ -93,23 +94,13 @@
         """Return the policy of a queue, or None if no applied version had it."""
         return self._policies.get(queue)
 
-    def organisation(self, name: str) -> Organisation | None:
-        """Return the latest settings of an organisation, or None if it is unknown.
+    def limits_of(self, name: str) -> LimitsRecord | None:
+        """Return an organisation's latest limits, or None if no applied version had it.
 
-        An organisation that a newer version omits keeps its last settings: its accepted
+        An organisation that a newer version omits keeps its last limits: its accepted
         jobs still run, within its last quota.
         """
-        return self._organisations.get(name)
-
-    def quota_of(self, name: str) -> Room:
-        """Return an organisation's quota for running tasks; 0 is no limit."""
-        organisation = self.organisation(name)
-        return organisation.quota if organisation is not None else Room()
-
-    def rate_of(self, name: str) -> float:
-        """Return an organisation's share in jobs per second; 0 is no limit."""
-        organisation = self.organisation(name)
-        return organisation.weight if organisation is not None else 0.0
+        return self._limits.get(name)
 
     def standby_pools(self) -> set[str]:
         """Return the pools whose instances are on standby, without a worker."""
@@ -121,12 +112,14 @@
             return
         api_keys = build_api_keys(config.organisations, self.require_api_keys)
         self.api_keys = api_keys
-        self._organisations.update(api_keys.by_name)
+        for organisation in api_keys.by_name.values():
+            self._update_limits(config.version, organisation)
         # Drops the API keys in plain text; the key table holds their digests.
         self.config = msgspec.structs.replace(config, organisations=None)
         self.routes = build_route_table(config)
         # Policies of removed queues are kept: their accepted jobs still have to run. A
-        # process that starts later has the policies that are stored with these jobs.
+        # process that starts later has those that are stored with these jobs, as it has
+        # the limits of removed organisations.
         for queue in config.routes:
             self._policies[queue_key(queue)] = make_policy(queue)
         _LOGGER.info(
@@ -139,6 +132,11 @@
         if self.on_change is not None:
             self.on_change()
 
+    def _update_limits(self, version: int, organisation: Organisation) -> None:
+        limits = LimitsRecord(version, organisation.weight, organisation.quota)
+        if not limits.equals(self._limits.get(organisation.name)):
+            self._limits[organisation.name] = limits
+
 
 def make_policy(queue: Queue) -> QueuePolicy:
     """Return the policy of a configured queue."""
--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -142,6 +142,7 @@
             self.timers.wall(),
             admitted.caller.organisation,
             make_policy(queue).to_record(),
+            self.configuration.limits_of(admitted.caller.organisation),
         )
         return await self._async_store_job(request, admitted, record)
 
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ...platform.models import QueueAdvice, SubmittedStep
+from ...platform.models import QueueAdvice, Room, SubmittedStep
 
 
 class JobState(IntEnum):
@@ -41,6 +41,25 @@
     advice: QueueAdvice | None = None
 
 
+class LimitsRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Store an organisation's limits, in case that it is removed.
+
+    :param version: first configuration version with these limits.
+    :param weight: its share of a full system, in jobs per second; 0 for no limit.
+    :param quota: upper limit of each resource for its running tasks; 0 for no limit.
+    """
+
+    version: int
+    weight: float
+    quota: Room
+
+    def equals(self, other: LimitsRecord | None) -> bool:
+        """Return whether other limits are the same, of whichever version."""
+        return other is not None and (
+            (self.weight, self.quota) == (other.weight, other.quota)
+        )
+
+
 class JobRecord(msgspec.Struct, frozen=True, array_like=True):
     """Store an accepted job.
 
@@ -49,6 +68,7 @@
     :param organisation: submitter; empty if unknown.
     :param policy: policy of its queue when it was accepted; None in the record of an
         older build.
+    :param limits: limits of its organisation then, or None if none were configured.
     """
 
     id: str
@@ -62,6 +82,7 @@
     accepted_at: float
     organisation: str = ""
     policy: PolicyRecord | None = None
+    limits: LimitsRecord | None = None
 
     @property
     def is_stub(self) -> bool:
@@ -123,6 +144,7 @@
         after the last. Older builds store them in ``steps``.
     :param policy: the newest policy of its queue, or None if that is the one in the
         job's record.
+    :param limits: the newest limits of its organisation, likewise.
     """
 
     state: JobState
@@ -132,6 +154,7 @@
     zones: list[str] = []
     occurrences: list[int] = []
     policy: PolicyRecord | None = None
+    limits: LimitsRecord | None = None
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -27,6 +27,7 @@
 from ..ledger.ledger import LedgerJob
 from ..ledger.models import OwnerRecord
 from ..scheduling.demand import log_loads
+from ..scheduling.organisation_limits import OrganisationLimits
 from ..scheduling.scheduler import Scheduler
 from .authority import Authority
 from .const import (
@@ -93,12 +94,14 @@
             dependencies.timers,
             self.depose,
         )
+        limits = OrganisationLimits(dependencies.configuration.limits_of)
         self.scheduler = Scheduler(
             epoch,
             dependencies.configuration.policy_of,
-            quota_of=dependencies.configuration.quota_of,
-            rate_of=dependencies.configuration.rate_of,
+            quota_of=limits.quota_of,
+            rate_of=limits.rate_of,
             is_configured=lambda: dependencies.configuration.is_loaded,
+            limits=limits,
         )
         self.scheduler.state.stop_grace_seconds = (
             dependencies.bounds.stop_grace_ms / 1000
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -9,11 +9,12 @@
 from ..ledger.bitset import unpack_indices
 from ..ledger.index_ranges import IndexRanges
 from ..ledger.ledger import LedgerJob
-from ..ledger.models import JobState, Progress, StepProgress
+from ..ledger.models import JobState, LimitsRecord, Progress, StepProgress
 from .const import LATE_FACTOR
 from .inflow import RECENT_SECONDS, Amount
 from .models import Job, Phase, QueuePolicy, StepRun, Task
 from .occurrences import OccurrenceOpener, due_seconds
+from .organisation_limits import OrganisationLimits
 from .scheduler_state import SchedulerState
 from .zone_chooser import ZoneChooser
 
@@ -25,6 +26,7 @@
     state: SchedulerState
     zone_chooser: ZoneChooser
     fair_shares: FairShares = field(default_factory=FairShares)
+    limits: OrganisationLimits = field(default_factory=OrganisationLimits)
     _opener: OccurrenceOpener = field(init=False)
     _unjudged: list[Task] = field(default_factory=list)
 
@@ -39,8 +41,10 @@
             return
         stored = _stored_policy(ledger_job)
         policy = self.state.policy_of(record.queue) or stored
+        stored_limits = self.limits.restore(ledger_job)
         age = max(0.0, wall - record.accepted_at)
         job = Job(record, policy, accepted_at=now - age)
+        job.limits = self.limits.find(job.organisation)
         self._set_objective(job, job.accepted_at)
         job.exceeds_rate = self.fair_shares.exceeds_rate(
             job.organisation, job.accepted_at
@@ -57,7 +61,7 @@
             job.zones = frozenset(progress.zones) or None
             job.stored_zones = job.pending_zones = job.zones
             self._restore(job, progress)
-            if policy != stored:
+            if policy != stored or not _are_same(job.limits, stored_limits):
                 self.state.mark_dirty(job)
             self.zone_chooser.add_work(job)
         if not record.times:
@@ -289,6 +293,10 @@
             self._complete_step(step)
 
 
+def _are_same(limits: LimitsRecord | None, stored: LimitsRecord | None) -> bool:
+    return limits is None or limits.equals(stored)
+
+
 def _stored_policy(ledger_job: LedgerJob) -> QueuePolicy:
     """Return the newest policy that is stored with a job.
 
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -11,7 +11,7 @@
 from ...platform.workers import TaskName
 from ..ledger.bitset import add_index
 from ..ledger.index_ranges import IndexRanges
-from ..ledger.models import JobRecord, JobState, PolicyRecord
+from ..ledger.models import JobRecord, JobState, LimitsRecord, PolicyRecord
 from ..run_times.models import JobRunTimes
 
 if TYPE_CHECKING:
@@ -310,6 +310,7 @@
     :param crashes_counted: number of crashes that this owner recorded for its tasks.
     :param crashes_in_record: how many of these its newest log record contains.
     :param run_times: what its own runs show about its run times.
+    :param limits: the newest limits of its organisation, or None if it has none.
     """
 
     record: JobRecord
@@ -340,6 +341,7 @@
     crashes_counted: int = 0
     crashes_in_record: int = 0
     run_times: JobRunTimes = field(default_factory=JobRunTimes)
+    limits: LimitsRecord | None = None
 
     def __post_init__(self) -> None:
         """Compute the dependents of each step."""
--- a/mustardward/components/scheduling/progress.py
+++ b/mustardward/components/scheduling/progress.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from ..ledger.models import PolicyRecord, Progress, StepProgress, TaskProgress
+from ..ledger.models import (
+    LimitsRecord,
+    PolicyRecord,
+    Progress,
+    StepProgress,
+    TaskProgress,
+)
 from .models import Job, StepRun, Task
 
 
@@ -35,6 +41,7 @@
         zones=sorted(job.zones or ()),
         occurrences=job.done_occurrences.pack(),
         policy=_changed_policy(job),
+        limits=_changed_limits(job),
     )
 
 
@@ -44,6 +51,13 @@
     return policy if policy != job.record.policy else None
 
 
+def _changed_limits(job: Job) -> LimitsRecord | None:
+    """Return the limits of a job's organisation if they differ from its record's."""
+    if job.limits is None or job.limits.equals(job.record.limits):
+        return None
+    return job.limits
+
+
 def _stateful_tasks(step: StepRun) -> list[Task]:
     """Return the tasks that may have state to store, by index."""
     found = dict(step.stateful)
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -32,6 +32,7 @@
 from .job_order import ORDERS
 from .losses import LossCause, log_worker_lost
 from .models import Job, Phase, Task
+from .organisation_limits import OrganisationLimits
 from .pacing import Pacing
 from .planner import Planner
 from .progress import progress_of
@@ -61,6 +62,7 @@
     :param quota_of: returns the quota of an organisation.
     :param is_configured: returns whether policies are known.
     :param rate_of: returns the rate of an organisation, in jobs per second.
+    :param limits: holds the limits that are stored with jobs.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         quota_of: QuotaLookup = unlimited_quota,
         rate_of: RateLookup = unlimited_rate,
         is_configured: Callable[[], bool] = always_configured,
+        limits: OrganisationLimits | None = None,
     ) -> None:
         self.state = SchedulerState(
             epoch, policy_of, is_configured, quotas=Quotas(quota_of)
@@ -78,7 +81,8 @@
         self.worker_entries = WorkerEntries(self.state)
         self._zone_chooser = ZoneChooser(self.state)
         fair_shares = FairShares(rate_of)
-        self.intake = Intake(self.state, self._zone_chooser, fair_shares)
+        self._limits = limits or OrganisationLimits()
+        self.intake = Intake(self.state, self._zone_chooser, fair_shares, self._limits)
         self.health = WorkerHealth(self.state)
         self.reports = Reports(self.state, self.intake, self.health)
         self.pacing = Pacing(self.state)
@@ -125,13 +129,23 @@
     def update_policies(self) -> None:
         """Apply a new configuration to the present jobs."""
         for job in self.state.jobs.values():
+            changed = self._update_limits(job)
             policy = self.state.policy_of(job.record.queue)
             if policy is not None and policy != job.policy:
                 job.policy = policy
-                if not job.state.final:
-                    self.state.mark_dirty(job)
+                changed = True
+            if changed and not job.state.final:
+                self.state.mark_dirty(job)
         self.intake.end_failed_jobs()
 
+    def _update_limits(self, job: Job) -> bool:
+        """Apply the newest limits of a job's organisation; return if they changed."""
+        limits = self._limits.find(job.organisation)
+        if limits is None or limits.equals(job.limits):
+            return False
+        job.limits = limits
+        return True
+
     def update_worker(self, worker_id: str, entry: WorkerEntry, now: float) -> bool:
         """Apply a worker's entry; return whether the worker is new."""
         return self.worker_entries.update(worker_id, entry, now)
--- a/tests/components/front/test_keys.py
+++ b/tests/components/front/test_keys.py
@@ -202,8 +202,9 @@
         assert (
             await harness.async_request("GET", PREFIX + JOB, key=DAIRY_KEY)
         ).status == 401
-        assert harness.configuration.organisation("dairy") is not None
-        assert JOB in harness.ledger.jobs
+        limits = harness.configuration.limits_of("dairy")
+        assert limits is not None
+        assert harness.ledger.jobs[JOB].record.limits == limits
 
 
 @pytest.mark.parametrize(("strict", "status"), [(None, 200), (5.0, 503)])
