Order no instance away whose worker holds unstored ends

What callers could see: a job's tasks run again, and steps that had used their results wait for them, after nothing but a short outage of the store and the loss of the owner. No worker crashed: the owner had ended it by its own order.

Cause: the fleet's planners take a worker without tasks as idle. Its last ends may not be in the log yet. An order is announced in the log first, but by the owner's appender directly, while progress is collected only after the append before it. So an announcement that is queued behind an append in flight is stored before the ends that arrived meanwhile, and the order is issued.

Ruled out: an order while the log takes nothing. The announcement is refused after a second, and the order is decided again.

Evidence: test_ends_are_stored_before_their_worker_is_maintained drives an owner with live workers, a wave and a store that is away for 1.25 s. Before, the platform got the order at the moment the store was back, and the end was appended after it. test_no_order_ends_a_worker_that_holds_unstored_ends failed for moves and for maintenance.

Change: a worker whose session has received ends beyond those that are stored is not idle, so it is neither moved nor maintained. It is cordoned and drained as before. At the decision all its ends are stored, and a cordoned worker without tasks gets no others.

The wait is bounded by the store: ends count as stored with the append after the one in flight, and the order needs an append of the same appender anyway.

--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -17,16 +17,22 @@
     :param short_running: all other tasks.
     :param started_at_ms: when the worker started, in milliseconds since 1970, or 0 if
         that is unknown.
+    :param unstored_ends: whether it holds ends of runs that the log does not contain.
     """
 
     long_running: int
     short_running: int
     started_at_ms: int = 0
+    unstored_ends: bool = False
 
     @property
     def idle(self) -> bool:
-        """Return whether no task runs."""
-        return self.long_running + self.short_running == 0
+        """Return whether nothing is lost if the worker ends.
+
+        Ends that are not stored would otherwise be held by the owner alone, and their
+        tasks would run again under the next one.
+        """
+        return self.long_running + self.short_running == 0 and not self.unstored_ends
 
 
 @dataclass(slots=True)
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -276,8 +276,13 @@
                 self._store_wave(run)
 
     def _view(self) -> FleetView:
+        unstored = {
+            name
+            for name, session in self.dispatcher.sessions.items()
+            if session.has_unstored_ends
+        }
         loads = {
-            worker.id: _load_of(worker)
+            worker.id: _load_of(worker, worker.id in unstored)
             for worker in self.scheduler.state.workers.values()
             if worker.confirmed and not worker.stale
         }
@@ -304,9 +309,10 @@
         self.ledger_appender.post([(key, encode(record))])
 
 
-def _load_of(worker: WorkerState) -> Load:
+def _load_of(worker: WorkerState, unstored_ends: bool) -> Load:
     """Return the load of a worker; most workers of a large fleet have no tasks."""
-    if not worker.tasks and not worker.started_at_ms:
+    if not worker.tasks and not worker.started_at_ms and not unstored_ends:
         return _IDLE
     long_running = sum(task.step.spec.long_running for task in worker.tasks.values())
-    return Load(long_running, len(worker.tasks) - long_running, worker.started_at_ms)
+    short_running = len(worker.tasks) - long_running
+    return Load(long_running, short_running, worker.started_at_ms, unstored_ends)
