Take a step as done once a run of a later step is found

What callers could see: tasks of a step ran again although later steps of the job, which had used their results, were running or had ended.

Cause: an owner starts a step on ends that it has read and not stored yet. They are held by the workers that listed them and by the owner. If the owner is lost and one of these workers crashes before the append, the next owner finds the step unfinished. It opened it again, though a worker listed runs of the step after it.

An owner starts a step only once it knows that all tasks of the steps in its `after` are done: tasks are placed only of steps in `ready`, these are open, and a step is opened only without blockers, which only complete steps take away. So any run of a step, in progress, ended or stored, shows that these tasks are done.

Change: the first report of such a run, or the restored progress of a step with done tasks, failed runs, checkpoints or crashes, completes the steps on which it depends, directly and over others. Runs of them that were started again are stopped, and their room counts until their worker lists them no more.

Long-running steps are left alone, as their tasks are never done, and so are ended jobs. Occurrences are judged by their own runs.

It cannot help where no run of a later step is left, as for a job's last step.

Cost: a report that finds nothing new checks one number.

--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -5,18 +5,23 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from ...helpers.logging import get_logger
 from ..fair_sharing.fair_shares import FairShares
 from ..ledger.bitset import unpack_indices
 from ..ledger.index_ranges import IndexRanges
 from ..ledger.ledger import LedgerJob
 from ..ledger.models import JobState, Progress, StepProgress
+from .commands import Stop
 from .const import LATE_FACTOR
+from .earlier_steps import find_incomplete, has_run
 from .inflow import RECENT_SECONDS, Amount
 from .models import Job, Phase, QueuePolicy, StepRun, Task
 from .occurrences import OccurrenceOpener, due_seconds
 from .scheduler_state import SchedulerState
 from .zone_chooser import ZoneChooser
 
+_LOGGER = get_logger(__name__)
+
 
 @dataclass(slots=True, eq=False)
 class Intake:
@@ -56,7 +61,7 @@
             job.state = progress.state
             job.zones = frozenset(progress.zones) or None
             job.stored_zones = job.pending_zones = job.zones
-            self._restore(job, progress)
+            self._restore(job, progress, now)
             if policy != stored:
                 self.state.mark_dirty(job)
             self.zone_chooser.add_work(job)
@@ -106,10 +111,31 @@
             self._complete_step(step)
             self._open_dependents(step, now)
 
+    def complete_earlier_steps(self, step: StepRun, now: float) -> None:
+        """Complete the steps on which a step depends that has run."""
+        if not step.blockers or step.job.state.final:
+            return
+        earlier_steps = find_incomplete(step)
+        if not earlier_steps:
+            return
+        _LOGGER.info(
+            "earlier_steps_completed",
+            job=step.job.record.id,
+            occurrence=step.occurrence,
+            step=step.number,
+            steps=len(earlier_steps),
+            tasks=sum(len(earlier.tasks) - earlier.done for earlier in earlier_steps),
+            running=sum(earlier.active for earlier in earlier_steps),
+        )
+        for earlier in earlier_steps:
+            self._complete_unlisted(earlier)
+        for earlier in earlier_steps:
+            self._open_dependents(earlier, now)
+
     def handle_task_failed(self, task: Task) -> None:
         """End a job whose task, or gang, has failed too often."""
         step = task.step
-        if step.spec.long_running:
+        if step.spec.long_running or task.phase is Phase.DONE:
             return
         if not self.state.is_configured():
             self._unjudged.append(task)
@@ -219,6 +245,21 @@
         if not job.incomplete_steps[occurrence]:
             self._complete_occurrence(job, occurrence)
 
+    def _complete_unlisted(self, step: StepRun) -> None:
+        """Complete a step whose tasks are done though no worker lists all their ends.
+
+        Runs that were started again since are stopped, and count until they are over.
+        """
+        step.waiting.clear()
+        self.state.ready.pop(id(step), None)
+        for task in step.tasks:
+            worker, run = task.worker, task.run
+            self.state.finish_task(task)
+            if worker is not None:
+                self.state.add_orphan_run(worker, task.name)
+                self.state.add_command(Stop(task.name, worker.id, run, None))
+        self._complete_step(step)
+
     def _open_dependents(self, step: StepRun, now: float) -> None:
         """Open the steps that waited only for a step that is complete now."""
         job = step.job
@@ -239,7 +280,7 @@
             step = job.steps.pop((occurrence, number), None)
             self.state.ready.pop(id(step), None)
 
-    def _restore(self, job: Job, progress: Progress) -> None:
+    def _restore(self, job: Job, progress: Progress, now: float) -> None:
         stored = IndexRanges.unpack(progress.occurrences, job.occurrences)
         job.done_occurrences = stored
         for occurrence in _complete_in_steps(job, progress):
@@ -262,6 +303,9 @@
                 task.failed_runs = task_progress.failed_runs
             task.record_checkpoint(task_progress.checkpoint)
             task.crashes = task_progress.crashes
+        for step in list(job.steps.values()):
+            if has_run(step):
+                self.complete_earlier_steps(step, now)
         self.state.update_suspicion(job)
         job.begun_occurrences = max([stored.end, *(n + 1 for n in job.unopened)])
 
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -137,6 +137,7 @@
         )
         self.run_logger.record_end(worker, ended, is_current)
         self.state.mark_started(task.step.job)
+        self.intake.complete_earlier_steps(task.step, now)
         if ended.how == ENDED_DONE:
             self._handle_done(worker, task, is_current, now)
             return
@@ -184,6 +185,7 @@
             self._stop_orphan_run(worker, row)
             return
         self.state.mark_started(task.step.job)
+        self.intake.complete_earlier_steps(task.step, now)
         if task.phase is Phase.DONE:
             self._stop_orphan_run(worker, row)
             return
