Set the pace of adopted runs again

What callers could see: a filling task that stands still after a change of the owner. The pace that was ordered is held by the owner alone. Workers do not list it, and the next owner took an adopted run to be at full speed, so that it sent no pace until the throttle of that worker changed.

Change: the pace of an adopted run is unknown, so the next check sets it. That is one call for each adopted filling run; others are never paced.

Evidence: the test paused a run, took over and expected a pace of 100. Before, no command was sent.

--- a/mustardward/components/dispatch/command_executor.py
+++ b/mustardward/components/dispatch/command_executor.py
@@ -26,7 +26,7 @@
 from ...platform.workers import TaskName
 from ..scheduling.commands import Command, Pace, RequestAdvice, Start, Stop
 from ..scheduling.losses import LossCause
-from ..scheduling.models import Phase, Task
+from ..scheduling.models import UNKNOWN_PACE, Phase, Task
 from ..scheduling.scheduler import Scheduler
 from .call_queue import CallQueue
 from .const import START_MAX_AGE_SECONDS, STOP_RETRY_SECONDS
@@ -196,8 +196,7 @@
         except _CALL_ERRORS as error:
             _LOGGER.warning("pace_failed", worker=pace.worker, detail=error.detail)
             if pace.task.run == pace.run:
-                # A value that no pace matches makes the next plan send it again.
-                pace.task.pace = -1
+                pace.task.pace = UNKNOWN_PACE
 
     async def _async_advice(self, request: RequestAdvice) -> None:
         step = request.step
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -5,7 +5,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from ...platform.models import QueueAdvice, Room, SubmittedStep
 from ...platform.workers import TaskName
@@ -34,6 +34,10 @@
 )
 
 
+UNKNOWN_PACE: Final = -1
+"""Pace of a run that may be throttled; the next plan sets it, as it equals none."""
+
+
 @dataclass(frozen=True, slots=True)
 class QueuePolicy:
     """Hold the operator's configuration of a queue.
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -14,7 +14,7 @@
 from .const import ISOLATION_CRASHES, RUN_BITS, STOP_GRACE_SECONDS
 from .inflow import Inflow
 from .lost_starts import LostStarts, UnansweredStart
-from .models import ACTIVE, Job, Phase, QueuePolicy, StepRun, Task
+from .models import ACTIVE, UNKNOWN_PACE, Job, Phase, QueuePolicy, StepRun, Task
 from .quotas import Quotas
 from .worker_state import WorkerState
 
@@ -157,6 +157,7 @@
         task.phase = Phase.RUNNING
         task.seen_running = True
         task.adopted = True
+        task.pace = UNKNOWN_PACE
         task.started_at = now
         task.observe_at = now
         task.percent_since = now
--- a/tests/components/scheduling/test_pacing.py
+++ b/tests/components/scheduling/test_pacing.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from mustardward.components.ledger.ledger import LedgerJob
+from mustardward.components.ledger.models import JobState, Progress
 from mustardward.components.scheduling.commands import Pace
 from mustardward.components.scheduling.models import Task
 from mustardward.platform.models import Room
 
-from .builders import SchedulerBench, a_job, a_row, a_step
+from .builders import SchedulerBench, a_job, a_row, a_step, an_entry
 
 OTHER = "00000000000000bb"
 
@@ -62,3 +64,23 @@
     bench.now += 0.7
     report(bench, serving, filling, 60.0)
     assert paces(bench) == []
+
+
+def test_run_that_a_previous_owner_throttled_gets_its_pace_again() -> None:
+    """Guards against a filling task that stays paused, as only its last owner knew."""
+    first, serving, filling = serving_and_filling()
+    for _ in range(3):
+        first.now += 0.7
+        report(first, serving, filling, 150.0)
+        assert paces(first)
+    serving.figure = 80.0
+    rows = [a_row(serving, 100.0), a_row(filling, 40.0)]
+    second = SchedulerBench(epoch=2)
+    for job in (serving.step.job, filling.step.job):
+        second.add(LedgerJob(job.record, Progress(JobState.RUNNING)))
+    second.scheduler.update_worker("w1", an_entry(), second.now)
+    second.hold("w1", running=rows)
+    assert paces(second) == [100]
+    second.now += 0.7
+    second.hold("w1", running=rows)
+    assert paces(second) == []
