Report the state of a wave however long the store is away

What operators could see: a wave that stays `running` after all its machines were maintained, until the entry that owns the shard changes.

Cause: the state is posted once, when it changes. Posted records were dropped after a second in which the store refused them, and the reporter takes a posted state as told. The wave's own record in the ledger was dropped in the same way.

Change: both are posted until they are stored. Other posts keep their second: one is repeated anyway, and the one with an entry's address shares its queue with callers' requests, which are to be refused in time.

The record in the ledger takes the same path; no test covers it.

--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -306,7 +307,7 @@
     def _store_wave(self, run: WaveRun) -> None:
         record = WaveRecord(sorted(run.started), run.done, run.first_seen_wall)
         key = f"{PREFIX_WAVE}{run.wave.wave}"
-        self.ledger_appender.post([(key, encode(record))])
+        self.ledger_appender.post([(key, encode(record))], math.inf)
 
 
 def _load_of(worker: WorkerState, unstored_ends: bool) -> Load:
--- a/mustardward/components/fleet/wave_reporter.py
+++ b/mustardward/components/fleet/wave_reporter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 import msgspec
@@ -46,7 +47,7 @@
             return False
         self._reported_states[number] = state
         body = msgspec.json.encode({"state": state})
-        self.appender.post([(f"{KEY_WAVE_PREFIX}{number}", body)])
+        self.appender.post([(f"{KEY_WAVE_PREFIX}{number}", body)], math.inf)
         if done:
             _LOGGER.info("wave_done", wave=number)
         return done
--- a/mustardward/components/ledger/appender.py
+++ b/mustardward/components/ledger/appender.py
@@ -47,6 +47,8 @@
 not overload a log partition that is short of processor time. An append sent during an
 outage is repeated this soon after its end."""
 
+POST_TIMEOUT_SECONDS: Final = 1.0
+
 Record = tuple[str, bytes]
 AppendCall = Callable[[list[Record], Producer], Awaitable[int]]
 
@@ -259,11 +261,17 @@
         pending_appends = self._batch + self._queue
         return any(key == record[0] for p in pending_appends for record in p.records)
 
-    def post(self, records: list[Record]) -> None:
-        """Queue records for an append without waiting for the outcome."""
+    def post(
+        self, records: list[Record], timeout_seconds: float = POST_TIMEOUT_SECONDS
+    ) -> None:
+        """Queue records for an append without waiting for the outcome.
+
+        :param timeout_seconds: time after which they are dropped if the store refuses
+            them; infinite for records that are posted only once.
+        """
         records = self._reject_oversized(records)
         if records:
-            self._enqueue(records, self.timers.monotonic() + 1.0)
+            self._enqueue(records, self.timers.monotonic() + timeout_seconds)
 
     def _enqueue(
         self,
--- a/tests/components/fleet/live_workers.py
+++ b/tests/components/fleet/live_workers.py
@@ -146,7 +146,7 @@
             self.dispatcher,
             nothing(standby_pools=lambda: [], config=None, waves={}, is_loaded=True),
             nothing(waves={}),
-            nothing(post=lambda records: None),
+            nothing(post=lambda *_: None),
             WavePlanner(2.0),
             nothing(report=lambda view, now: []),
             nothing(decide=lambda *_: [], orders={}, needs={}),
--- a/tests/components/fleet/test_cordons.py
+++ b/tests/components/fleet/test_cordons.py
@@ -61,7 +61,7 @@
                 standby_pools=lambda: [STANDBY], config=None, is_loaded=True
             ),
             ledger=None,  # type: ignore[arg-type]
-            ledger_appender=SimpleNamespace(post=lambda records: None),  # type: ignore[arg-type]
+            ledger_appender=SimpleNamespace(post=lambda *_: None),  # type: ignore[arg-type]
             wave_planner=self.wave_planner,
             wave_reporter=SimpleNamespace(report=lambda view, now: []),  # type: ignore[arg-type]
             pool_planner=PoolPlanner(MOVE_SECONDS),
--- a/tests/components/fleet/test_unreadable_rows.py
+++ b/tests/components/fleet/test_unreadable_rows.py
@@ -36,7 +36,7 @@
             nothing(sessions={}),
             nothing(standby_pools=lambda: [], config=None, waves={}, is_loaded=True),
             nothing(waves={}),
-            nothing(post=lambda records: None),
+            nothing(post=lambda *_: None),
             self.wave_planner,
             nothing(report=lambda view, now: []),
             nothing(decide=lambda *_: [], orders={}, needs={}),
