Fail only the call whose response is nested too deeply

What would be seen: an owner ends, and so does each that follows it, once a worker, the store, the fleet service or the advice service answers with a value that is nested thousands deep, in a known field or an unknown one. A caller's job with such a field gets an internal error rather than 400.

Cause: the decoder raises RecursionError there. Records were decoded with that in mind, the responses to calls only with the decoder's own errors; the session's task passed it on to the owner's task group.

Change: all of platform/ handles RECORD_ERRORS, so that a response that can't be decoded counts as a lost or refused one.

--- a/mustardward/platform/advice.py
+++ b/mustardward/platform/advice.py
@@ -9,7 +9,7 @@
 
 from . import names
 from .bodies import AdviceBody, AdviseBody
-from .exceptions import CallRefusedError, CallUnknownError
+from .exceptions import RECORD_ERRORS, CallRefusedError, CallUnknownError
 from .http import HttpCaller
 
 MAX_WORKERS: Final = 100
@@ -56,6 +56,6 @@
             if response.status != 200:
                 raise CallRefusedError(f"status={response.status}")
             allowed = msgspec.json.decode(response.body, type=AdviceBody)
-        except (CallUnknownError, msgspec.MsgspecError) as error:
+        except (CallUnknownError, *RECORD_ERRORS) as error:
             raise CallRefusedError(str(error)) from error
         return StepAdvice({row[0]: row[1] for row in allowed.allowed}, allowed.valid_ms)
--- a/mustardward/platform/callers.py
+++ b/mustardward/platform/callers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from .exceptions import MalformedJobError
+from .exceptions import RECORD_ERRORS, MalformedJobError
 from .models import SubmittedJob, SubmittedStep
 from .names import ROOT
 
@@ -56,7 +56,7 @@
     """
     try:
         job = msgspec.json.decode(body, type=SubmittedJob)
-    except msgspec.MsgspecError as error:
+    except RECORD_ERRORS as error:
         raise MalformedJobError(str(error)) from error
     if len(job.spec.encode()) > MAX_SPEC_BYTES:
         raise MalformedJobError("spec is too long")
--- a/mustardward/platform/fleet.py
+++ b/mustardward/platform/fleet.py
@@ -106,7 +106,7 @@
             if response.status != 200:
                 raise CallRefusedError(f"status={response.status}")
             return msgspec.json.decode(response.body, type=ListedBody)
-        except (CallUnknownError, msgspec.MsgspecError) as error:
+        except (CallUnknownError, *RECORD_ERRORS) as error:
             raise CallRefusedError(str(error)) from error
 
     async def _async_send_command(
@@ -136,5 +136,5 @@
 def _decode_reason(response: HttpResponse) -> str:
     try:
         return msgspec.json.decode(response.body, type=RefusedBody).reason
-    except msgspec.MsgspecError:
+    except RECORD_ERRORS:
         return ""
--- a/mustardward/platform/store.py
+++ b/mustardward/platform/store.py
@@ -22,6 +22,7 @@
     NewestItem,
 )
 from .exceptions import (
+    RECORD_ERRORS,
     CallRefusedError,
     CallRejectedError,
     CallUnknownError,
@@ -313,5 +314,5 @@
 def _decode(response: HttpResponse, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(response.body, type=kind)
-    except msgspec.MsgspecError as error:
+    except RECORD_ERRORS as error:
         raise CallUnknownError(str(error)) from error
--- a/mustardward/platform/workers.py
+++ b/mustardward/platform/workers.py
@@ -18,6 +18,7 @@
     StopBody,
 )
 from .exceptions import (
+    RECORD_ERRORS,
     CallRefusedError,
     CallUnknownError,
     FencedError,
@@ -224,7 +225,7 @@
 def _decode_clock(response: HttpResponse) -> ClockBody:
     try:
         return msgspec.json.decode(response.body, type=ClockBody)
-    except msgspec.MsgspecError as error:
+    except RECORD_ERRORS as error:
         raise CallUnknownError(str(error)) from error
 
 
@@ -234,7 +235,7 @@
         running = [decode_running(row) for row in body.running]
         ended = [decode_ended(row) for row in body.ended]
     except (
-        msgspec.MsgspecError,
+        *RECORD_ERRORS,
         ValueError,
         IndexError,
         TypeError,
