Reject workers' reports with numbers or texts out of range

What would be seen: one row in a worker's report ends the owner, and each that follows it. A run of 2^200 is stored among a task's failed runs, which no record can hold (OverflowError); a task index of -4 of a step of three raises IndexError. An index of -1 counted the last task of the step as done though it had not ended. A checkpoint that is no text makes a progress record that no entry can read.

Cause: rows were converted, not validated. Any integer, "nan", "inf" and any type of checkpoint passed.

Change: numbers of a report are 0 to 2^53 and finite, and texts are texts. Another report counts as unanswered, which concerns that worker's session alone.

--- a/mustardward/platform/bodies.py
+++ b/mustardward/platform/bodies.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any, Final
 
 import msgspec
 
+MAX_AMOUNT: Final = 2**53
+"""Largest number of a body: JSON numbers are exact up to it, a record can hold it, and
+sums and products of such numbers do not overflow."""
+
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+
 
 class StartBody(msgspec.Struct, rename="kebab", omit_defaults=True):
     """Request to start a task."""
@@ -51,16 +58,16 @@
     :param born: when the worker's process started, in milliseconds since 1970.
     """
 
-    clock_ms: float
+    clock_ms: Amount
     running: list[list[Any]] = []
     ended: list[list[Any]] = []
-    born: int = 0
+    born: Number = 0
 
 
 class ClockBody(msgspec.Struct, rename="kebab"):
     """Response of a worker to a command."""
 
-    clock_ms: float = 0
+    clock_ms: Amount = 0
     reason: str = ""
 
 
--- a/mustardward/platform/callers.py
+++ b/mustardward/platform/callers.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .bodies import MAX_AMOUNT
 from .exceptions import RECORD_ERRORS, MalformedJobError
 from .models import SubmittedJob, SubmittedStep
 from .names import ROOT
@@ -18,10 +19,6 @@
 """Longer values are rejected without comparing them to any key."""
 MAX_SPEC_BYTES: Final = 4000
 MAX_TASKS: Final = 100_000
-MAX_AMOUNT: Final = 2**53
-"""Largest number of a job: JSON numbers are exact up to it, a record can hold it, and
-sums and products of such numbers do not overflow."""
-
 """Maximum tasks of a step; each takes about 400 bytes of the owner's memory."""
 
 STATE_QUEUED: Final = "queued"
--- a/mustardward/platform/workers.py
+++ b/mustardward/platform/workers.py
@@ -10,6 +10,7 @@
 from ..helpers.http_connection import HttpResponse
 from . import names
 from .bodies import (
+    MAX_AMOUNT,
     ClockBody,
     HoldAnswerBody,
     HoldBody,
@@ -128,7 +129,7 @@
     :raises ValueError: if the name is malformed.
     """
     job, occurrence, step, index = text.split(".")
-    return TaskName(job, int(occurrence), int(step), int(index))
+    return TaskName(job, _number(occurrence), _number(step), _number(index))
 
 
 class WorkerClient:
@@ -248,10 +249,39 @@
 
 def decode_ended(row: list[Any]) -> EndedTask:
     """Return the ended run described by a row."""
-    return EndedTask(int(row[0]), decode_task(row[1]), int(row[2]), row[3], row[4])
+    return EndedTask(
+        _number(row[0]),
+        decode_task(row[1]),
+        _number(row[2]),
+        _text(row[3]),
+        _text(row[4]),
+    )
 
 
 def decode_running(row: list[Any]) -> RunningTask:
     """Return the running task described by a row."""
-    figure = float(row[4]) if len(row) > 4 else 0.0
-    return RunningTask(decode_task(row[0]), int(row[1]), row[2], float(row[3]), figure)
+    figure = _amount(row[4]) if len(row) > 4 else 0.0
+    return RunningTask(
+        decode_task(row[0]), _number(row[1]), _text(row[2]), _amount(row[3]), figure
+    )
+
+
+def _amount(value: Any) -> float:
+    """Return a value as a number that can be calculated with and stored."""
+    amount = float(value)
+    if not 0 <= amount <= MAX_AMOUNT:
+        raise ValueError(f"value={amount:.6g} is out of range")
+    return amount
+
+
+def _number(value: Any) -> int:
+    number = int(value)
+    if not 0 <= number <= MAX_AMOUNT:
+        raise ValueError("number is out of range")
+    return number
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"expected text, got {type(value).__name__}")
+    return value
--- a/tests/platform/test_odd_responses.py
+++ b/tests/platform/test_odd_responses.py
@@ -12,6 +12,7 @@
 import pytest
 
 from mustardward.platform.advice import AdviceClient
+from mustardward.platform.bodies import MAX_AMOUNT
 from mustardward.platform.callers import decode_job
 from mustardward.platform.exceptions import (
     CallRefusedError,
@@ -25,14 +26,29 @@
 from mustardward.platform.fleet import FleetClient
 from mustardward.platform.http import HttpResponse
 from mustardward.platform.store import TOPIC_WORKERS, StoreClient
-from mustardward.platform.workers import StartRequest, TaskName, WorkerClient
+from mustardward.platform.workers import (
+    StartRequest,
+    TaskName,
+    WorkerClient,
+    WorkerReport,
+)
 
-from .odd_values import DEEP_LIST, DEEP_OBJECT
+from .odd_values import (
+    DEEP_LIST,
+    DEEP_OBJECT,
+    encode_object,
+    odd_fields,
+    odd_rows,
+)
 
 pytestmark = pytest.mark.anyio
 
 TASK = TaskName("5c0e7a21d94b36f8", 0, 1, 17)
 START = StartRequest(TASK, 1, "spec", 1000, "", "")
+RUNNING_ROW = [b'"5c0e7a21d94b36f8.0.1.17"', b"2", b'"7a21"', b"41", b"12.5"]
+ENDED_ROW = [b"58", b'"5c0e7a21d94b36f8.0.1.9"', b"1", b'"done"', b'""']
+ODD_TASKS = [b'"a.0.0.-1"', b'"a.-1.0.0"', b'"a.0.0.' + b"9" * 40 + b'"', b'"a.0.0"']
+REPORT = {"clock-ms": b"482113", "running": b"[]", "ended": b"[]", "born": b"17"}
 
 STORE_ERRORS = (
     CallRefusedError,
@@ -135,3 +151,50 @@
     """Guard against an owner that ends on a deeply nested value of a response."""
     with pytest.raises(errors):
         await async_call(b'{"x":' + deep + b"}")
+
+
+def odd_reports() -> list[bytes]:
+    """Return workers' reports with an odd field or an odd row."""
+    reports = odd_fields(1, REPORT)
+    for field, row, place in (("running", RUNNING_ROW, 0), ("ended", ENDED_ROW, 1)):
+        reports += [
+            encode_object({**REPORT, field: b"[[" + b",".join(renamed) + b"]]"})
+            for renamed in (
+                [*row[:place], name, *row[place + 1 :]] for name in ODD_TASKS
+            )
+        ]
+        reports += [
+            encode_object({**REPORT, field: b"[" + odd + b"]"}) for odd in odd_rows(row)
+        ]
+    return reports
+
+
+def is_usable(report: WorkerReport) -> bool:
+    """Return whether all numbers and texts of a report are in range."""
+    numbers: list[float] = [report.clock_ms, report.born]
+    texts: list[str] = []
+    for row in report.running:
+        numbers += [row.run, row.percent, row.figure]
+        texts.append(row.checkpoint)
+    for end in report.ended:
+        numbers += [end.number, end.run]
+        texts += [end.how, end.checkpoint]
+    for name in [r.task for r in report.running] + [e.task for e in report.ended]:
+        numbers += [name.occurrence, name.step, name.index]
+        texts.append(name.job)
+    return all(0 <= number <= MAX_AMOUNT for number in numbers) and all(
+        isinstance(text, str) for text in texts
+    )
+
+
+async def test_an_odd_report_is_rejected_or_in_range() -> None:
+    """Guard against an owner that ends on a number or text of a worker's report."""
+    taken = 0
+    for body in odd_reports():
+        try:
+            report = await a_worker(body).async_poll(0, None, 0)
+        except CallUnknownError:
+            continue
+        assert is_usable(report), body[:200]
+        taken += 1
+    assert taken
