Refuse advice whose rows lack a ticket

What would be seen: an owner ends once the advice service answers with a row of only a worker, or without anything, and so does the next one, which asks the same.

Cause: rows were lists of texts of any length, and their second text was read unchecked (IndexError in the owner's task group). The time that tickets are valid could also be negative or 1e308 ms.

Change: a row has a worker and a ticket, and the time is 0 to 2^53 ms; another response counts as refused, and the step asks again.

Evidence: test_odd_advice_is_rejected_or_in_range failed before (first on -1e308; a response with the row ["w-1"] alone gave IndexError) and passes now, with the tests of tests/platform and of advice in the scheduling.

--- a/mustardward/platform/advice.py
+++ b/mustardward/platform/advice.py
@@ -58,4 +58,5 @@
             allowed = msgspec.json.decode(response.body, type=AdviceBody)
         except (CallUnknownError, *RECORD_ERRORS) as error:
             raise CallRefusedError(str(error)) from error
-        return StepAdvice({row[0]: row[1] for row in allowed.allowed}, allowed.valid_ms)
+        tickets = {row.worker: row.ticket for row in allowed.allowed}
+        return StepAdvice(tickets, allowed.valid_ms)
--- a/mustardward/platform/bodies.py
+++ b/mustardward/platform/bodies.py
@@ -147,8 +147,15 @@
     workers: list[str]
 
 
+class AllowedRow(msgspec.Struct, array_like=True):
+    """Worker that may run a step, and its ticket."""
+
+    worker: str
+    ticket: str
+
+
 class AdviceBody(msgspec.Struct, rename="kebab"):
-    """Response with rows of a worker that may run the step and its ticket."""
+    """Response with the workers that may run the step."""
 
-    allowed: list[list[str]] = []
-    valid_ms: float = 0
+    allowed: list[AllowedRow] = []
+    valid_ms: Amount = 0
--- a/tests/platform/test_odd_responses.py
+++ b/tests/platform/test_odd_responses.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from mustardward.platform.advice import AdviceClient
+from mustardward.platform.advice import AdviceClient, StepAdvice
 from mustardward.platform.bodies import MAX_AMOUNT
 from mustardward.platform.callers import decode_job
 from mustardward.platform.exceptions import (
@@ -49,6 +49,7 @@
 ENDED_ROW = [b"58", b'"5c0e7a21d94b36f8.0.1.9"', b"1", b'"done"', b'""']
 ODD_TASKS = [b'"a.0.0.-1"', b'"a.-1.0.0"', b'"a.0.0.' + b"9" * 40 + b'"', b'"a.0.0"']
 REPORT = {"clock-ms": b"482113", "running": b"[]", "ended": b"[]", "born": b"17"}
+ADVICE = {"allowed": b'[["w-1","t-1"]]', "valid-ms": b"500"}
 
 STORE_ERRORS = (
     CallRefusedError,
@@ -101,10 +102,10 @@
     await a_fleet(body, 409).async_move("m", "p", 1)
 
 
-async def async_advice(body: bytes) -> None:
+async def async_advise(body: bytes) -> StepAdvice:
     caller: Any = FixedCaller(200, body)
     client = AdviceClient(caller, "10.0.0.1:1")
-    await client.async_request_advice("j", 0, 0, ["w"], 1.0)
+    return await client.async_request_advice("j", 0, 0, ["w"], 1.0)
 
 
 async def async_append(body: bytes) -> None:
@@ -132,7 +133,7 @@
     (async_start, WORKER_ERRORS),
     (async_refused_stop, WORKER_ERRORS),
     (async_refused_move, (CallRefusedError,)),
-    (async_advice, (CallRefusedError,)),
+    (async_advise, (CallRefusedError,)),
     (async_append, STORE_ERRORS),
     (async_refused_append, STORE_ERRORS),
     (async_read_newest, STORE_ERRORS),
@@ -144,7 +145,7 @@
 @pytest.mark.parametrize("deep", [DEEP_LIST, DEEP_OBJECT])
 @pytest.mark.parametrize(("async_call", "errors"), CALLS)
 async def test_a_deeply_nested_response_fails_only_its_call(
-    async_call: Callable[[bytes], Awaitable[None]],
+    async_call: Callable[[bytes], Awaitable[object]],
     errors: tuple[type[Exception], ...],
     deep: bytes,
 ) -> None:
@@ -198,3 +199,16 @@
         assert is_usable(report), body[:200]
         taken += 1
     assert taken
+
+
+async def test_odd_advice_is_rejected_or_in_range() -> None:
+    """Guard against an owner that ends on a row of the advice service."""
+    bodies = odd_fields(2, ADVICE)
+    for row in odd_rows([b'"w-1"', b'"t-1"']):
+        bodies.append(encode_object({**ADVICE, "allowed": b"[" + row + b"]"}))
+    for body in bodies:
+        try:
+            advice = await async_advise(body)
+        except CallRefusedError:
+            continue
+        assert 0 <= advice.valid_ms <= MAX_AMOUNT, body[:200]
