Leave out peers whose addresses can't be called

What would be seen: one record of another writer in the shard's topic, an entry node's with port 65536 or host "a..b", ends every entry node that calls a peer, and again after each restart, as the record stays. With a speed of inf or 1e308 all entry nodes take themselves for slow and delay their claims, for an instance that does not exist.

Cause: the pool of channels expected OSError and timeouts. The event loop raises OverflowError for such a port, and ValueError for a host that can't be a name or a port that is no ASCII number. Speeds were not validated.

Change: the pool checks the port and reports what can't be resolved as unreachable, so that the peer is backed off and logged (peer_backed_off). A node's speed is above 0 and at most 4,096 cores; another record is logged (record_unreadable) and replaces none.

An address that is no IPv4 address is not rejected with its record, since nodes without a peer address count in ranks and intervals.

--- a/mustardward/components/ledger/ledger.py
+++ b/mustardward/components/ledger/ledger.py
@@ -44,6 +44,9 @@
 _RUN_TIMES: Final = msgspec.msgpack.Decoder(RunTimesRecord)
 _ENCODER: Final = msgspec.msgpack.Encoder()
 
+MAX_NODE_CORES: Final = 4096
+"""Four times the size of the largest machines."""
+
 NO_OWNER: Final = OwnerRecord(0, "", "", 0)
 
 
@@ -258,7 +261,7 @@
 
     def _apply_node(self, name: str, value: bytes) -> None:
         if value:
-            self.nodes[name] = _NODE.decode(value)
+            self.nodes[name] = _decode_node(value)
         else:
             self.nodes.pop(name, None)
 
@@ -275,6 +278,19 @@
             self.waves.pop(name, None)
 
 
+def _decode_node(value: bytes) -> NodeRecord:
+    """Return a decoded node record.
+
+    :raises MsgspecError: if it can't be decoded.
+    :raises UnreadableRecordError: if no instance has its speed: entry nodes would wait
+        for it to claim the shard.
+    """
+    record = _NODE.decode(value)
+    if not 0 < record.speed <= MAX_NODE_CORES:
+        raise UnreadableRecordError(f"speed={record.speed:.6g}")
+    return record
+
+
 def _decode_job(name: str, value: bytes) -> JobRecord:
     """Return a decoded job record.
 
--- a/mustardward/helpers/peer_channels.py
+++ b/mustardward/helpers/peer_channels.py
@@ -23,6 +23,11 @@
 IDLE_SECONDS: Final = 120.0
 """Time after which an idle connection is closed."""
 
+MAX_PORT: Final = 65535
+MAX_PORT_DIGITS: Final = 5
+MAX_LOGGED_ADDRESS: Final = 100
+"""Characters of an address in an error; another writer's may have any length."""
+
 
 class PeerUnreachableError(PeerError):
     """Raised when no connection to a peer could be made; nothing was sent."""
@@ -107,10 +112,12 @@
         try:
             with anyio.fail_after(self._connect_seconds):
                 await slot.channel.__connect__()
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
+            # A ValueError means that the host can't be a name, as it is too long or
+            # contains invalid characters.
             self.retire(slot)
             self.release(slot)
-            detail = f"address={address} {type(error).__name__}"
+            detail = f"address={address[:MAX_LOGGED_ADDRESS]} {type(error).__name__}"
             raise PeerUnreachableError(detail) from error
         except BaseException:
             self.release(slot)
@@ -151,8 +158,9 @@
 
     def _open(self, address: str, purpose: Purpose) -> Any:
         host, separator, port = address.rpartition(":")
-        if not separator or not port.isdigit():
-            raise PeerUnreachableError(f"address={address}")
+        is_port = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+        if not separator or not is_port or int(port) > MAX_PORT:
+            raise PeerUnreachableError(f"address={address[:MAX_LOGGED_ADDRESS]}")
         return Channel(
             host.strip("[]"),
             int(port),
