Ignore records of the shard whose numbers can't be used

What would be seen: one record of another writer in the shard's topic ends the owner, and each that follows it. An owner's record of epoch 2^64-1 ends every entry node that claims the next epoch (OverflowError), also after restarts. A timed job whose start or interval is NaN, or a task's progress with a negative index, ends each owner when it takes the job over (ValueError, IndexError); an index of -1 counted failed runs for the last task.

Cause: only the steps of a stored job were validated, and indices only against the upper end.

Change: epochs and renewals are at most 2^53, times of stored jobs are checked as those of submitted ones, and a task's progress outside its step is skipped. Rejected records are logged (record_unreadable) and replace nothing.

--- a/mustardward/components/ledger/ledger.py
+++ b/mustardward/components/ledger/ledger.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ...helpers.unreadable_records import report_unreadable_record
-from ...platform.callers import check_steps
+from ...platform.callers import check_steps, check_times
 from ...platform.exceptions import RECORD_ERRORS, UnreadableRecordError
 from ...platform.store import KeyedRecord
 from .const import (
@@ -295,11 +295,12 @@
     """Return a decoded job record.
 
     :raises MsgspecError: if it can't be decoded.
-    :raises MalformedJobError: if its steps are invalid.
+    :raises MalformedJobError: if its steps or times are invalid.
     :raises UnreadableRecordError: if it is stored under another job's key.
     """
     record = _JOB.decode(value)
     if record.id != name:
         raise UnreadableRecordError(f"record of job {record.id} under this key")
+    check_times(record.times, record.start_at_ms, record.interval_ms)
     check_steps(record.steps)
     return record
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 from enum import IntEnum
+from typing import Annotated
 
 import msgspec
 
+from ...platform.bodies import MAX_AMOUNT
 from ...platform.models import QueueAdvice, SubmittedStep
 
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+"""Number that still fits in a record after it was incremented."""
+
 
 class JobState(IntEnum):
     """State of a job."""
@@ -151,10 +156,10 @@
         leases.
     """
 
-    epoch: int
+    epoch: Number
     claim: str
     node: str
-    renewal: int = msgspec.field(name="beat")
+    renewal: Number = msgspec.field(name="beat")
     renewed_at: float = msgspec.field(default=0.0, name="wall")
     ordered: list[str] = []
     settled: bool = False
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -252,7 +252,7 @@
             self._restore_done(job, step_progress)
         for task_progress in progress.tasks:
             step = self.get_step(job, task_progress.occurrence, task_progress.step)
-            if step is None or task_progress.index >= len(step.tasks):
+            if step is None or not 0 <= task_progress.index < len(step.tasks):
                 continue
             task = step.tasks[task_progress.index]
             if task.phase is Phase.DONE:
@@ -269,7 +269,7 @@
         """End a job that used its attempts under an owner without a configuration."""
         for stored in progress.tasks:
             step = job.steps.get((stored.occurrence, stored.step))
-            if step is None or stored.index >= len(step.tasks):
+            if step is None or not 0 <= stored.index < len(step.tasks):
                 continue
             if stored.failed_runs:
                 self.handle_task_failed(step.tasks[stored.index])
--- a/mustardward/platform/callers.py
+++ b/mustardward/platform/callers.py
@@ -59,12 +59,20 @@
         raise MalformedJobError("spec is too long")
     if not job.steps:
         raise MalformedJobError("steps is empty")
-    if not _is_amount(job.times, job.interval_ms, job.start_at_ms):
-        raise MalformedJobError("times, interval or start is no usable number")
+    check_times(job.times, job.start_at_ms, job.interval_ms)
     check_steps(job.steps)
     return job
 
 
+def check_times(times: int, start_at_ms: float, interval_ms: float) -> None:
+    """Check when a job's occurrences are due.
+
+    :raises MalformedJobError: if a number can't be calculated with.
+    """
+    if not _is_amount(times, start_at_ms, interval_ms):
+        raise MalformedJobError("times, interval or start is no usable number")
+
+
 def check_steps(steps: list[SubmittedStep]) -> None:
     """Check the count, dependencies and amounts of each step.
 
