Limit the log line of an unreadable record

What would be seen: a worker's entry whose state is a text of 16 kB, or a record of another topic with one of 256 kB, fills the log with a line of that size, and 512 of them are held in memory.

Cause: the decoder's errors repeat the text, and neither these nor keys were cut.

Change: both are cut at 200 characters before they are held and logged. An operator sees which worker isn't used, and why, in one line (record_unreadable kind=worker key= detail=).

Evidence: test_unreadable_records.py failed before in 2 of 5 cases, by lines of 5,126 and 600,080 characters, and passes now. It also checks that each of some 400 odd entries is either taken or logged in exactly one line with its key and detail.

--- a/mustardward/helpers/unreadable_records.py
+++ b/mustardward/helpers/unreadable_records.py
@@ -12,6 +12,9 @@
 MAX_LOGGED_DETAILS: Final = 512
 """Maximum number of stored details; all are cleared when it is reached."""
 
+MAX_DETAIL_LENGTH: Final = 200
+"""Maximum logged characters of a detail or a key; both may repeat the record's text."""
+
 _logged_details: dict[tuple[str, str], str] = {}
 
 
@@ -23,6 +26,7 @@
     :param kind: expected kind of the record.
     """
     UNREADABLE.labels(kind).inc()
+    key, detail = key[:MAX_DETAIL_LENGTH], detail[:MAX_DETAIL_LENGTH]
     if _logged_details.get((kind, key)) == detail:
         return
     if len(_logged_details) >= MAX_LOGGED_DETAILS:
