Test that all entries restart among odd records

Guards against entries that end on a record again and again, or stop following a topic. In the workers' topic stand entries at 0.0.0.0, 255.255.255.255, a multicast address, the store and the entries' own listeners, with line feeds in zones, labels and ids, and 60 with odd fields; odd records stand in the other topics. Jobs complete, all entries are killed, two others start, and jobs complete again, each task started once.

An unreadable configuration is not among the records: the store accepts only valid ones, and the newest is the only one it retains.

--- a/tests/embedded/test_estate.py
+++ b/tests/embedded/test_estate.py
@@ -6,13 +6,19 @@
 from collections import Counter
 
 import anyio
+import msgspec
 import pytest
 
+from mustardward.components.ledger.const import PREFIX_NODE, TOPIC
+from mustardward.components.ledger.models import NodeRecord
 from mustardward.embedded.estate import EstateFleet, async_run_estate_fleet, async_until
 from mustardward.platform.models import SubmittedStep
+from mustardward.platform.store import TOPIC_WORKERS
 from mustardward.standin.estate.estate import EstatePlan
 from mustardward.standin.estate.store import StoreMode
 
+from .odd_records import odd_records, odd_workers
+
 pytestmark = pytest.mark.anyio
 
 PREFIX = "/pool-a/"
@@ -175,6 +181,38 @@
             assert set(count_starts(fleet).values()) == {1}
 
 
+async def test_jobs_complete_when_all_entries_restart_among_odd_records() -> None:
+    """Guard against entries that end on a record again and again, or lag behind it.
+
+    Records of another writer stand in all topics: workers at addresses that can't be
+    called, or where something else listens, and values that are out of range.
+    """
+    with anyio.fail_after(TEST_TIMEOUT_SECONDS):
+        async with async_run_estate_fleet(PLAN, entries=2) as fleet:
+            store = fleet.estate.store
+            listeners = [node.url.removeprefix("http://") for node in fleet.nodes]
+            peers = store.records_from(TOPIC, 0)
+            listeners += [
+                msgspec.msgpack.decode(record.value, type=NodeRecord).address
+                for record in peers
+                if record.key.startswith(PREFIX_NODE)
+            ]
+            store.append(TOPIC_WORKERS, odd_workers([fleet.estate.address, *listeners]))
+            for topic, records in odd_records().items():
+                store.append(topic, records)
+            path = await fleet.async_submit(PREFIX, two_steps())
+            await fleet.async_wait_state(path, "done")
+            for node in fleet.alive_nodes():
+                node.kill()
+            for _ in range(2):
+                await fleet.async_add_node()
+            await fleet.async_wait_ready()
+            path = await fleet.async_submit(PREFIX, two_steps())
+            await fleet.async_wait_state(path, "done")
+            assert set(count_starts(fleet).values()) == {1}
+            await async_until(lambda: all(n.node.ready for n in fleet.alive_nodes()))
+
+
 async def test_a_job_reported_as_done_never_runs_again() -> None:
     """Guard against a job that runs again after it was reported as done.
 
