Read a page of which one item is no valid JSON

What would be seen: entry nodes that restart never load a topic, so that none is ready and no job runs (LOST), once the list of its keys shows one that another writer wrote in bytes that are no UTF-8, as a lone surrogate or in raw control characters. The running ones go on until they restart. In the same way an owner never reads the instance list because of one row, and learns of no worker's end by it.

Cause: items are decoded one by one, but the decoder checks the JSON of the whole page before it returns their bytes.

What remains: a page without any key that can be decoded ends a load, as the next page begins after the last known key.

--- a/mustardward/platform/fleet.py
+++ b/mustardward/platform/fleet.py
@@ -20,6 +20,7 @@
 )
 from .http import HttpCaller
 from .models import Instance
+from .pages import decode_page
 
 FLEET_TIMEOUT_SECONDS: Final = 1.5
 
@@ -105,7 +106,7 @@
             )
             if response.status != 200:
                 raise CallRefusedError(f"status={response.status}")
-            return msgspec.json.decode(response.body, type=ListedBody)
+            return decode_page(response.body, ListedBody, "machines")
         except (CallUnknownError, *RECORD_ERRORS) as error:
             raise CallRefusedError(str(error)) from error
 
--- a/mustardward/platform/store.py
+++ b/mustardward/platform/store.py
@@ -32,6 +32,7 @@
     UnreadableRecordError,
 )
 from .http import Caller, base_url
+from .pages import decode_page
 
 TOPIC_OPERATOR: Final = "keyed.op"
 TOPIC_WORKERS: Final = "keyed.servers"
@@ -281,7 +282,10 @@
         response = await self._async_get(names.LOG_NEWEST, params, CALL_TIMEOUT_SECONDS)
         if response.status != 200:
             raise CallRefusedError(f"status={response.status}")
-        newest = _decode(response, NewestBody)
+        try:
+            newest = decode_page(response.body, NewestBody, "items")
+        except RECORD_ERRORS as error:
+            raise CallRefusedError(str(error)) from error
         decoded = [_decode_item(raw) for raw in newest.items]
         records = [record for record in decoded if record is not None]
         last_key = next(filter(None, map(_decode_item_key, reversed(newest.items))), "")
