Reject a queue's policy that no record can hold

What would be seen: after a configuration with a priority or a number of attempts of 2^64 or more, the owner ends when it stores the policy with a job's progress (OverflowError), and so does each that follows it.

Cause: such integers pass the decoder, and records hold 64 bits.

Change: both are at most 2^53 and at least -2^53; another version is logged and leaves the current one in force.

Evidence: 6 new cases of test_foreign_records.py failed before and pass now.

--- a/mustardward/platform/models.py
+++ b/mustardward/platform/models.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
+from .bodies import MAX_AMOUNT
+
+Count = Annotated[int, msgspec.Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
+"""Integer that a record can hold."""
+
 
 class QueueAdvice(msgspec.Struct, frozen=True, rename="kebab"):
     """Timings of the advice for a queue's steps."""
@@ -24,8 +29,8 @@
     service: str
     timeout_ms: float = 3000
     target_duration_ms: float = 0
-    priority: int = 0
-    max_attempts: int = 3
+    priority: Count = 0
+    max_attempts: Count = 3
     stretch: float = 2.0
     public: bool = False
     advice: QueueAdvice | None = None
--- a/tests/components/configuration/test_foreign_records.py
+++ b/tests/components/configuration/test_foreign_records.py
@@ -25,6 +25,23 @@
     assert configuration.standby_pools() == {"a"}
 
 
+@pytest.mark.parametrize("number", [2**64, -(2**63) - 1, 2**200])
+@pytest.mark.parametrize("field", ["priority", "max-attempts"])
+def test_a_policy_that_no_record_can_hold_is_rejected(field: str, number: int) -> None:
+    """Guard against an owner that ends when it stores a job's policy."""
+    configuration = Configuration()
+    route = {"name": "q", "host": "h", "path-prefix": "/a/", "service": "a"}
+    body = {"version": 3, "routes": [{**route, field: number}]}
+    value = msgspec.json.encode(body)
+    configuration.apply(KeyedRecord(1, KEY_CONFIG, value))
+    assert configuration.policy_of("h /a/") is None
+    body = {"version": 4, "routes": [{**route, field: 5}]}
+    configuration.apply(KeyedRecord(2, KEY_CONFIG, msgspec.json.encode(body)))
+    policy = configuration.policy_of("h /a/")
+    assert policy is not None
+    assert msgspec.msgpack.encode(policy.to_record())
+
+
 @pytest.mark.parametrize(
     "change",
     [{"max-count": 0}, {"max-count": -2}, {"duration-s": -1}, {"wave": 2}]
--- a/tests/platform/odd_values.py
+++ b/tests/platform/odd_values.py
@@ -14,6 +14,7 @@
     b"1e999999999",
     b"-1e308",
     b"1e308",
+    b"9" * 400,
     b"9" * 5000,
     str(2**63).encode(),
     str(2**64).encode(),
