--- a/mustardward/platform/callers.py
+++ b/mustardward/platform/callers.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from .exceptions import MalformedJobError
+from .bodies import MAX_AMOUNT
+from .exceptions import RECORD_ERRORS, MalformedJobError
 from .models import SubmittedJob, SubmittedStep
 from .names import ROOT
 
@@ -18,10 +19,6 @@
 """Longer values are rejected without comparing them to any key."""
 MAX_SPEC_BYTES: Final = 4000
 MAX_TASKS: Final = 100_000
-MAX_AMOUNT: Final = 2**53
-"""Largest number of a job: JSON numbers are exact up to it, a record can hold it, and
-sums and products of such numbers do not overflow."""
-
 """Maximum tasks of a step; each takes about 400 bytes of the owner's memory."""
 
 STATE_QUEUED: Final = "queued"
@@ -56,18 +53,26 @@
     """
     try:
         job = msgspec.json.decode(body, type=SubmittedJob)
-    except msgspec.MsgspecError as error:
+    except RECORD_ERRORS as error:
         raise MalformedJobError(str(error)) from error
     if len(job.spec.encode()) > MAX_SPEC_BYTES:
         raise MalformedJobError("spec is too long")
     if not job.steps:
         raise MalformedJobError("steps is empty")
-    if not _is_amount(job.times, job.interval_ms, job.start_at_ms):
-        raise MalformedJobError("times, interval or start is no usable number")
+    check_times(job.times, job.start_at_ms, job.interval_ms)
     check_steps(job.steps)
     return job
 
 
+def check_times(times: int, start_at_ms: float, interval_ms: float) -> None:
+    """Check when a job's occurrences are due.
+
+    :raises MalformedJobError: if a number can't be calculated with.
+    """
+    if not _is_amount(times, start_at_ms, interval_ms):
+        raise MalformedJobError("times, interval or start is no usable number")
+
+
 def check_steps(steps: list[SubmittedStep]) -> None:
     """Check the count, dependencies and amounts of each step.
 
--- a/mustardward/platform/fleet.py
+++ b/mustardward/platform/fleet.py
@@ -20,6 +20,7 @@
 )
 from .http import HttpCaller
 from .models import Instance
+from .pages import decode_page
 
 FLEET_TIMEOUT_SECONDS: Final = 1.5
 
@@ -105,8 +106,8 @@
             )
             if response.status != 200:
                 raise CallRefusedError(f"status={response.status}")
-            return msgspec.json.decode(response.body, type=ListedBody)
-        except (CallUnknownError, msgspec.MsgspecError) as error:
+            return decode_page(response.body, ListedBody, "machines")
+        except (CallUnknownError, *RECORD_ERRORS) as error:
             raise CallRefusedError(str(error)) from error
 
     async def _async_send_command(
@@ -136,5 +137,5 @@
 def _decode_reason(response: HttpResponse) -> str:
     try:
         return msgspec.json.decode(response.body, type=RefusedBody).reason
-    except msgspec.MsgspecError:
+    except RECORD_ERRORS:
         return ""
--- a/mustardward/platform/store.py
+++ b/mustardward/platform/store.py
@@ -22,6 +22,7 @@
     NewestItem,
 )
 from .exceptions import (
+    RECORD_ERRORS,
     CallRefusedError,
     CallRejectedError,
     CallUnknownError,
@@ -31,6 +32,7 @@
     UnreadableRecordError,
 )
 from .http import Caller, base_url
+from .pages import decode_page
 
 TOPIC_OPERATOR: Final = "keyed.op"
 TOPIC_WORKERS: Final = "keyed.servers"
@@ -280,7 +282,10 @@
         response = await self._async_get(names.LOG_NEWEST, params, CALL_TIMEOUT_SECONDS)
         if response.status != 200:
             raise CallRefusedError(f"status={response.status}")
-        newest = _decode(response, NewestBody)
+        try:
+            newest = decode_page(response.body, NewestBody, "items")
+        except RECORD_ERRORS as error:
+            raise CallRefusedError(str(error)) from error
         decoded = [_decode_item(raw) for raw in newest.items]
         records = [record for record in decoded if record is not None]
         last_key = next(filter(None, map(_decode_item_key, reversed(newest.items))), "")
@@ -313,5 +318,5 @@
 def _decode(response: HttpResponse, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(response.body, type=kind)
-    except msgspec.MsgspecError as error:
+    except RECORD_ERRORS as error:
         raise CallUnknownError(str(error)) from error
--- a/tests/components/scheduling/test_earlier_steps.py
+++ b/tests/components/scheduling/test_earlier_steps.py
@@ -85,7 +85,7 @@
     assert phases(after, 0) == {Phase.DONE}
     for index in range(2):
         after.end(after.task(index, step=1), "done")
-    assert after.scheduler.is_job_done(JOB)
+    assert after.scheduler.state.jobs[JOB].state is JobState.DONE
 
 
 @pytest.mark.parametrize("how", ["done", "failed", "stopped", "lapsed"])
