Reject limits of organisations that no record can hold

Limits are stored with jobs, so that a quota or version of a configuration beyond 64 bits would make an entry fail at each job of the organisation. Such a configuration is rejected at the border like a policy that no record can hold; the one before stays in force. Twelve cases of test_limits_that_no_record_can_hold_are_rejected fail before.

--- a/mustardward/platform/models.py
+++ b/mustardward/platform/models.py
@@ -57,9 +57,9 @@
 class Room(msgspec.Struct, frozen=True, rename="kebab"):
     """Amounts of CPU (thousandths of a core), memory (MB) and accelerators."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
 
 
 class OrganisationSettings(msgspec.Struct, frozen=True, rename="kebab"):
@@ -86,7 +86,7 @@
     :param organisations: None if the deployment has none and requires no API keys.
     """
 
-    version: int
+    version: Count
     routes: list[Queue] = []
     services: list[PoolSettings] = []
     limits: CallerLimits = CallerLimits()
--- a/tests/components/configuration/test_foreign_records.py
+++ b/tests/components/configuration/test_foreign_records.py
@@ -42,6 +42,24 @@
     assert msgspec.msgpack.encode(policy.to_record())
 
 
+@pytest.mark.parametrize("number", [2**64, -(2**63) - 1, 2**200])
+@pytest.mark.parametrize("field", ["cpu", "mem-mb", "gpu", "version"])
+def test_limits_that_no_record_can_hold_are_rejected(field: str, number: int) -> None:
+    """Guard against an entry node that fails to store each job of an organisation."""
+    configuration = Configuration()
+    quota = {field: number} if field != "version" else {}
+    dairy = {"name": "dairy", "api-keys": ["k"], "max-count": quota}
+    version = number if field == "version" else 3
+    body = {"version": version, "routes": [], "tenants": [dairy]}
+    configuration.apply(KeyedRecord(1, KEY_CONFIG, msgspec.json.encode(body)))
+    assert configuration.limits_of("dairy") is None
+    body = {"version": 4, "routes": [], "tenants": [{**dairy, "max-count": {}}]}
+    configuration.apply(KeyedRecord(2, KEY_CONFIG, msgspec.json.encode(body)))
+    limits = configuration.limits_of("dairy")
+    assert limits is not None
+    assert msgspec.msgpack.encode(limits)
+
+
 @pytest.mark.parametrize(
     "change",
     [{"max-count": 0}, {"max-count": -2}, {"duration-s": -1}, {"wave": 2}]
