--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -277,13 +277,8 @@
                 self._store_wave(run)
 
     def _view(self) -> FleetView:
-        unstored = {
-            name
-            for name, session in self.dispatcher.sessions.items()
-            if session.has_unstored_ends
-        }
         loads = {
-            worker.id: _load_of(worker, worker.id in unstored)
+            worker.id: _load_of(worker)
             for worker in self.scheduler.state.workers.values()
             if worker.confirmed and not worker.stale
         }
@@ -310,10 +305,11 @@
         self.ledger_appender.post([(key, encode(record))], math.inf)
 
 
-def _load_of(worker: WorkerState, unstored_ends: bool) -> Load:
+def _load_of(worker: WorkerState) -> Load:
     """Return the load of a worker; most workers of a large fleet have no tasks."""
-    if not worker.tasks and not worker.started_at_ms and not unstored_ends:
+    has_unstored_ends = bool(worker.unstored_ends)
+    if not (worker.tasks or worker.started_at_ms or has_unstored_ends):
         return _IDLE
     long_running = sum(task.step.spec.long_running for task in worker.tasks.values())
     short_running = len(worker.tasks) - long_running
-    return Load(long_running, short_running, worker.started_at_ms, unstored_ends)
+    return Load(long_running, short_running, worker.started_at_ms, has_unstored_ends)
--- a/tests/components/fleet/test_cordons.py
+++ b/tests/components/fleet/test_cordons.py
@@ -8,7 +8,6 @@
 
 import pytest
 
-from mustardward.components.dispatch.session import WorkerSession
 from mustardward.components.fleet.const import MIN_POOL_INSTANCES, MOVE_TIMEOUT_SECONDS
 from mustardward.components.fleet.models import Maintain, Move
 from mustardward.components.fleet.order_executor import OrderOutcome
@@ -32,14 +31,12 @@
 
     :param orders: the orders that were to be issued.
     :param removed: the workers that were removed.
-    :param sessions: the sessions with workers, by worker id.
     """
 
     instances: list[Instance]
     bench: SchedulerBench = field(default_factory=SchedulerBench)
     orders: list[object] = field(default_factory=list)
     removed: list[str] = field(default_factory=list)
-    sessions: dict[str, WorkerSession] = field(default_factory=dict)
     outcome: OrderOutcome = OrderOutcome.BEGUN
     wave_planner: WavePlanner = field(
         default_factory=lambda: WavePlanner(MAINTENANCE_SECONDS)
@@ -54,9 +51,7 @@
             blocked_until={},
             timers=SimpleNamespace(monotonic=lambda: self.bench.now),  # type: ignore[arg-type]
             scheduler=self.bench.scheduler,
-            dispatcher=SimpleNamespace(  # type: ignore[arg-type]
-                remove_worker=self._remove_worker, sessions=self.sessions
-            ),
+            dispatcher=SimpleNamespace(remove_worker=self._remove_worker),  # type: ignore[arg-type]
             configuration=SimpleNamespace(  # type: ignore[arg-type]
                 standby_pools=lambda: [STANDBY], config=None, is_loaded=True
             ),
--- a/tests/components/fleet/test_unstored_ends.py
+++ b/tests/components/fleet/test_unstored_ends.py
@@ -2,13 +2,8 @@
 
 from __future__ import annotations
 
-from types import SimpleNamespace
-from typing import Any
-
 import pytest
 
-from mustardward.components.dispatch.lease import Lease
-from mustardward.components.dispatch.session import WorkerSession
 from mustardward.components.fleet.const import MIN_POOL_INSTANCES
 from mustardward.components.fleet.models import Maintain, Move
 
@@ -18,41 +13,20 @@
 NUMBERS = range(MIN_POOL_INSTANCES + 1)
 
 
-def a_session(fleet: FleetHarness, name: str) -> WorkerSession:
-    """Return the session of a worker that has listed the end of a run."""
-    unused: Any = SimpleNamespace()
-    session = WorkerSession(
-        name,
-        unused,
-        fleet.bench.scheduler,
-        unused,
-        lambda: None,
-        lambda: True,
-        Lease(0.0),
-        0,
-        lambda started_at_ms: None,
-        unused,
-        lambda: 0.0,
-    )
-    session.received_upto = 1
-    return session
-
-
 def a_fleet() -> FleetHarness:
     """Return a fleet whose workers all have ends that the log does not contain yet."""
     instances = [an_instance(number) for number in NUMBERS]
     instances.append(an_instance(len(NUMBERS), OTHER))
     fleet = FleetHarness(instances)
-    for instance in instances:
-        assert instance.id is not None
-        fleet.sessions[instance.id] = a_session(fleet, instance.id)
+    for worker in fleet.bench.scheduler.state.workers.values():
+        worker.unstored_ends = 1
     return fleet
 
 
 def store_ends(fleet: FleetHarness) -> None:
     """Record that the log contains the ends of all workers."""
-    for session in fleet.sessions.values():
-        session.acknowledge(session.received_upto)
+    for worker in fleet.bench.scheduler.state.workers.values():
+        worker.unstored_ends = 0
 
 
 @pytest.mark.parametrize("kind", [Move, Maintain])
