Read enough bytes for the largest record

What would be seen, if a store sends only whole records within the size of a read: after a record of the largest size the followers of its topic read the same offset for ever and lag behind. The protocol does not say what the store does. This has not been seen.

Cause: a read asks for 256 kilobytes, and a record of 262,144 bytes does not fit with its length and the head of the response.

Change: a read asks for 264, which also holds it in kilobytes of 1,000 bytes.

Evidence: the new test in test_formats.py compares the two sizes; with 256 its inequality is 256,000 >= 262,164, which does not hold. tests/platform passes.

--- a/mustardward/platform/store.py
+++ b/mustardward/platform/store.py
@@ -57,8 +57,9 @@
 """Additional timeout for large responses: a page of 1 MB takes 2 s over a shared link
 of 10 Mbit/s. The read timeout ends a stalled connection much earlier."""
 
-READ_KILOBYTES: Final = 256
-"""Maximum size of one read, so that other responses share a slow link."""
+READ_KILOBYTES: Final = 264
+"""Maximum size of one read, so that other responses share a slow link. It holds the
+largest record of ``DEFAULT_RECORD_BYTES`` in kilobytes of 1,000 bytes."""
 
 
 REJECTED_STATUSES: Final = frozenset((400, 413, 414, 422))
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -7,11 +7,19 @@
 import msgspec
 import pytest
 
-from mustardward.platform.boot import decode_boot, load_boot
+from mustardward.platform.boot import (
+    DEFAULT_RECORD_BYTES,
+    decode_boot,
+    load_boot,
+)
 from mustardward.platform.callers import is_job_id
 from mustardward.platform.exceptions import BootSettingsError
 from mustardward.platform.models import OperatorConfig
-from mustardward.platform.store import decode_keyed, encode_keyed
+from mustardward.platform.store import (
+    READ_KILOBYTES,
+    decode_keyed,
+    encode_keyed,
+)
 from mustardward.platform.workers import TaskName, decode_task, encode_task
 
 BOOT = {
@@ -72,3 +80,14 @@
 def test_unknown_fields_of_the_operator_config_are_ignored() -> None:
     body = b'{"version":3,"routes":[],"services":[],"limits":{"new":1},"new":{}}'
     assert msgspec.json.decode(body, type=OperatorConfig).version == 3
+
+
+def test_a_read_holds_the_largest_record() -> None:
+    """Guard against a follower that reads the same offset for ever.
+
+    A store that returns whole records only sends none if the next one exceeds the size
+    of the read.
+    """
+    largest = encode_keyed([("k" * 255, b"x" * (DEFAULT_RECORD_BYTES - 256))])
+    head_bytes = 16
+    assert READ_KILOBYTES * 1000 >= len(largest) + head_bytes
