Let the stand-in platform lose machines for good and single topics

EstateFleet can let entries lose power at one moment and start them again under their names and addresses; a crashed worker's instance can stay away; a topic of the store can be away by itself; and EstateApp takes its clock, so that a test can drive it.

--- a/mustardward/embedded/estate.py
+++ b/mustardward/embedded/estate.py
@@ -4,7 +4,7 @@
 
 import secrets
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Final
@@ -50,11 +50,21 @@
 class RunningNode:
     """A running entry and the scope that cancels it."""
 
-    name: str
-    url: str
+    boot: BootSettings
     node: Node
     scope: anyio.CancelScope
     alive: bool = True
+    closed: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def name(self) -> str:
+        """Return the entry's name."""
+        return self.boot.node
+
+    @property
+    def url(self) -> str:
+        """Return the URL for callers."""
+        return f"http://{self.boot.listen.front}"
 
     def kill(self) -> None:
         """Cancel the entry without a graceful shutdown, as on power loss."""
@@ -90,14 +100,30 @@
             cloud=BootFleet(address=self.estate.address),
             port_range=(peer_port, peer_port),
         )
+        running = await self._async_start(boot)
+        self.nodes.append(running)
+        return running
+
+    def power_off(self, nodes: Sequence[RunningNode] = ()) -> None:
+        """Let entries lose power at one moment, all of them by default."""
+        for node in nodes or self.alive_nodes():
+            node.kill()
+
+    async def async_power_on(self) -> None:
+        """Start the entries that lost power, under their names and addresses."""
+        for number, node in enumerate(self.nodes):
+            if not node.alive:
+                await node.closed.wait()
+                self.nodes[number] = await self._async_start(node.boot)
+
+    async def _async_start(self, boot: BootSettings) -> RunningNode:
         started = anyio.Event()
         running: list[RunningNode] = []
 
         async def async_run() -> None:
             async with anyio.create_task_group() as tasks:
                 node = Node(boot, tasks)
-                url = f"http://{HOST}:{front_port}"
-                running.append(RunningNode(name, url, node, tasks.cancel_scope))
+                running.append(RunningNode(boot, node, tasks.cancel_scope))
                 try:
                     await node.async_start()
                     started.set()
@@ -105,10 +131,10 @@
                 finally:
                     with anyio.CancelScope(shield=True):
                         await node.async_close()
+                        running[0].closed.set()
 
         self.tasks.start_soon(async_run)
         await started.wait()
-        self.nodes.append(running[0])
         return running[0]
 
     async def async_wait_ready(self) -> None:
--- a/mustardward/standin/estate/app.py
+++ b/mustardward/standin/estate/app.py
@@ -48,6 +48,9 @@
 UNRESPONSIVE_SECONDS: Final = 30.0
 """Time for which an unresponsive store or worker keeps a call open."""
 
+SHUTDOWN_TIMEOUT_SECONDS: Final = 0.2
+"""Time for calls that are open when the platform ends."""
+
 HOSTS_PER_BLOCK: Final = 250
 LIST_PAGE_ROWS: Final = 100
 """Rows of the instance list per page."""
@@ -56,10 +59,16 @@
 
 
 class EstateApp:
-    """Handle calls to the platform."""
+    """Handle calls to the platform.
+
+    :param monotonic: returns seconds of a monotonic clock.
+    """
 
-    def __init__(self, estate: Estate) -> None:
+    def __init__(
+        self, estate: Estate, monotonic: Callable[[], float] = time.monotonic
+    ) -> None:
         self._estate = estate
+        self._monotonic = monotonic
         self._handlers: dict[tuple[str, str], Handler] = {
             ("POST", names.LOG_APPEND): self._async_append,
             ("GET", names.LOG_READ): self._async_read,
@@ -78,7 +87,7 @@
         handler = self._handlers.get((request.method, request.path))
         if handler is None:
             return web.Response(status=404)
-        self._estate.advance(time.monotonic())
+        self._estate.advance(self._monotonic())
         try:
             return await handler(request)  # type: ignore[arg-type]
         except CallRefusedError:
@@ -112,13 +121,13 @@
         topic = request.query[names.PARAM_TOPIC]
         start = int(request.query[names.PARAM_FROM])
         wait_ms = int(request.query.get(names.PARAM_WAIT, "0"))
-        until = time.monotonic() + wait_ms / 1000
+        until = self._monotonic() + wait_ms / 1000
         while True:
             try:
                 page = await self._estate.store.async_read(topic, start, 0)
             except OffsetGoneError as error:
                 return _json_response(GoneBody(error.first), 410)
-            if page.records or time.monotonic() >= until:
+            if page.records or self._monotonic() >= until:
                 break
             await anyio.sleep(TICK_SECONDS)
         body = encode_keyed((record.key, record.value) for record in page.records)
@@ -139,8 +148,10 @@
         worker = await self._async_worker(request)
         if worker is None:
             return web.Response(status=421)
-        reason = self._execute(worker, lambda: worker.start(order, _clock_ms(worker)))
-        return _clock_response(reason, _clock_ms(worker))
+        reason = self._execute(
+            worker, lambda: worker.start(order, self._clock_ms(worker))
+        )
+        return _clock_response(reason, self._clock_ms(worker))
 
     async def _async_stop(self, request: web.Request) -> web.StreamResponse:
         order = msgspec.json.decode(await request.read(), type=StopBody)
@@ -149,16 +160,18 @@
             return web.Response(status=421)
         reason = self._execute(
             worker,
-            lambda: worker.stop(order.task, order.run, order.fence, _clock_ms(worker)),
+            lambda: worker.stop(
+                order.task, order.run, order.fence, self._clock_ms(worker)
+            ),
         )
-        return _clock_response(reason, _clock_ms(worker))
+        return _clock_response(reason, self._clock_ms(worker))
 
     async def _async_pace(self, request: web.Request) -> web.StreamResponse:
         msgspec.json.decode(await request.read(), type=PaceBody)
         worker = await self._async_worker(request)
         if worker is None:
             return web.Response(status=421)
-        return _clock_response("", _clock_ms(worker))
+        return _clock_response("", self._clock_ms(worker))
 
     async def _async_hold(self, request: web.Request) -> web.StreamResponse:
         call = msgspec.json.decode(await request.read(), type=HoldBody)
@@ -168,22 +181,22 @@
         self._execute(
             worker,
             lambda: worker.poll(
-                call.fence, call.seen_upto, call.deadline_ms, _clock_ms(worker)
+                call.fence, call.seen_upto, call.deadline_ms, self._clock_ms(worker)
             ),
         )
-        until = time.monotonic() + call.wait_ms / 1000
-        while time.monotonic() < until and not worker.has_unacknowledged_ends(
+        until = self._monotonic() + call.wait_ms / 1000
+        while self._monotonic() < until and not worker.has_unacknowledged_ends(
             call.seen_upto
         ):
             await anyio.sleep(TICK_SECONDS)
-            worker.advance(_clock_ms(worker))
+            worker.advance(self._clock_ms(worker))
         if self._estate.workers.get(worker.id) is not worker:
             # The process restarted during the poll: the call is kept open
             # like one to an unresponsive worker.
             raise CallUnknownError("restarted")
-        report = worker.poll(call.fence, call.seen_upto, None, _clock_ms(worker))
+        report = worker.poll(call.fence, call.seen_upto, None, self._clock_ms(worker))
         if report is None:
-            return _clock_response(names.REASON_FENCE, _clock_ms(worker))
+            return _clock_response(names.REASON_FENCE, self._clock_ms(worker))
         return _json_response(report)
 
     async def _async_worker(self, request: web.Request) -> MemoryWorker | None:
@@ -194,7 +207,7 @@
         return worker
 
     def _execute(self, worker: MemoryWorker, call: Callable[[], T]) -> T:
-        return self._estate.execute(worker, call, time.monotonic())
+        return self._estate.execute(worker, call, self._monotonic())
 
     async def _async_list(self, request: web.Request) -> web.StreamResponse:
         first = int(request.query.get(names.PARAM_PAGE, "0"))
@@ -210,7 +223,7 @@
 
     async def _async_move(self, request: web.Request) -> web.StreamResponse:
         order = msgspec.json.decode(await request.read(), type=MoveBody)
-        now = time.monotonic()
+        now = self._monotonic()
         token = int(request.headers[names.HEADER_TOKEN])
         return _command_response(
             self._estate.move(order.machine, order.pool, token, now)
@@ -218,16 +231,15 @@
 
     async def _async_maintain(self, request: web.Request) -> web.StreamResponse:
         order = msgspec.json.decode(await request.read(), type=MaintainBody)
-        now = time.monotonic()
+        now = self._monotonic()
         token = int(request.headers[names.HEADER_TOKEN])
         return _command_response(
             self._estate.maintain(order.machine, order.wave, token, now)
         )
 
-
-def _clock_ms(worker: MemoryWorker) -> float:
-    """Return the time of a worker's clock, which restarts with its process."""
-    return time.monotonic() * 1000 - worker.clock_zero_ms
+    def _clock_ms(self, worker: MemoryWorker) -> float:
+        """Return the time of a worker's clock, which restarts with its process."""
+        return self._monotonic() * 1000 - worker.clock_zero_ms
 
 
 def _encode_raw(body: msgspec.Struct) -> msgspec.Raw:
@@ -268,7 +280,10 @@
     async def async_handle(request: web.BaseRequest) -> web.StreamResponse:
         return await app_holder[0].async_handle(request)
 
-    runner = web.ServerRunner(web.Server(async_handle, access_log=None))
+    runner = web.ServerRunner(
+        web.Server(async_handle, access_log=None),
+        shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
+    )
     await runner.setup()
     site = web.TCPSite(runner, host, 0)
     await site.start()
--- a/mustardward/standin/estate/estate.py
+++ b/mustardward/standin/estate/estate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 from collections.abc import Callable, Sequence
@@ -256,11 +257,16 @@
         self._take_down(machine, INSTANCE_UPKEEP, now)
         return ""
 
-    def crash(self, worker_id: str, now: float) -> None:
-        """Crash a worker; its instance returns with a new worker id."""
+    def crash(self, worker_id: str, now: float, for_good: bool = False) -> None:
+        """Crash a worker; its instance returns with a new worker id.
+
+        :param for_good: whether the instance never returns.
+        """
         for machine in self._machines.values():
             if machine.worker is not None and machine.worker.id == worker_id:
                 self._take_down(machine, "down", now)
+                if for_good:
+                    machine.available_at = math.inf
 
     def restart(self, worker_id: str, now: float) -> MemoryWorker:
         """Restart a worker's process immediately under the same id.
--- a/mustardward/standin/estate/store.py
+++ b/mustardward/standin/estate/store.py
@@ -57,6 +57,7 @@
     """In-memory store with the interface of the product's client.
 
     :param mode: how the store responds to calls.
+    :param topic_modes: how it responds to calls for single topics, instead of ``mode``.
     :param record_bytes: the largest record that it accepts.
     :param request_bytes: the largest total of the records of one call.
     """
@@ -64,6 +65,7 @@
     mode: StoreMode = StoreMode.SERVING
     record_bytes: int = DEFAULT_RECORD_BYTES
     request_bytes: int = DEFAULT_REQUEST_BYTES
+    topic_modes: dict[str, StoreMode] = field(default_factory=dict)
     appends: int = 0
     reads: int = 0
     _topics: dict[str, _Topic] = field(default_factory=dict)
@@ -116,19 +118,20 @@
     ) -> int:
         """Append records according to the mode."""
         self.appends += 1
-        if self.mode is StoreMode.REFUSING:
+        mode = self.topic_modes.get(topic, self.mode)
+        if mode is StoreMode.REFUSING:
             raise CallRefusedError("busy")
-        if self.mode is StoreMode.UNRESPONSIVE:
+        if mode is StoreMode.UNRESPONSIVE:
             raise CallUnknownError("silent")
         sizes = [1 + len(key.encode()) + len(value) for key, value in records]
         if max(sizes, default=0) > self.record_bytes or (
             sum(4 + size for size in sizes) > self.request_bytes
         ):
-            if self.mode is StoreMode.LOSING_RESPONSES:
+            if mode is StoreMode.LOSING_RESPONSES:
                 raise CallUnknownError("answer lost")
             raise CallRejectedError("status=413")
         end = self.append(topic, list(records), producer)
-        if self.mode is StoreMode.LOSING_RESPONSES:
+        if mode is StoreMode.LOSING_RESPONSES:
             raise CallUnknownError("answer lost")
         return end
 
@@ -136,7 +139,7 @@
         self, topic: str, from_offset: int, wait_ms: int, kilobytes: int = 1024
     ) -> Page:
         """Read without waiting."""
-        self._check_readable()
+        self._check_readable(topic)
         partition = self._topic(topic)
         if from_offset < partition.first:
             raise OffsetGoneError(partition.first)
@@ -145,16 +148,17 @@
 
     async def async_read_newest(self, topic: str, after: str = "") -> NewestPage:
         """Read a page of the newest record of each key."""
-        self._check_readable()
+        self._check_readable(topic)
         partition = self._topic(topic)
         keys = sorted(key for key in partition.newest if key > after)
         page = [partition.newest[key] for key in keys[:PAGE_ITEMS]]
         return NewestPage(page, len(keys) > PAGE_ITEMS, partition.end)
 
-    def _check_readable(self) -> None:
+    def _check_readable(self, topic: str) -> None:
         self.reads += 1
-        if self.mode in (StoreMode.REFUSING, StoreMode.UNRESPONSIVE):
-            raise CallRefusedError(self.mode.value)
+        mode = self.topic_modes.get(topic, self.mode)
+        if mode in (StoreMode.REFUSING, StoreMode.UNRESPONSIVE):
+            raise CallRefusedError(mode.value)
 
     def _topic(self, topic: str) -> _Topic:
         return self._topics.setdefault(topic, _Topic())
