Run callbacks of the simulated platform in their own context

An empty Context is falsy, so that a callback of the platform ran as one of the process that happened to be running, and was held back with it when that froze. A walk whose own tasks were cancelled then never ended.

--- a/tests/components/ownership/twice_process.py
+++ b/tests/components/ownership/twice_process.py
@@ -102,7 +102,7 @@
     def call_soon(
         self, callback: Any, *args: Any, context: Context | None = None
     ) -> asyncio.Handle:
-        context = context or contextvars.copy_context()
+        context = contextvars.copy_context() if context is None else context
         process = context.get(PROCESS)
         if process is None:
             return super().call_soon(callback, *args, context=context)
@@ -113,7 +113,7 @@
     def call_at(
         self, when: float, callback: Any, *args: Any, context: Context | None = None
     ) -> asyncio.TimerHandle:
-        context = context or contextvars.copy_context()
+        context = contextvars.copy_context() if context is None else context
         process = context.get(PROCESS)
         if process is None:
             return super().call_at(when, callback, *args, context=context)
