--- a/tests/embedded/test_power_loss_walks.py
+++ b/tests/embedded/test_power_loss_walks.py
@@ -13,11 +13,12 @@
 from mustardward.components.scheduling.scheduler import Scheduler
 from mustardward.platform import callers
 
+from ..components.ownership.twice_mutants import MUTANTS
 from .power_loss_walk import find_violations
 
 SEEDS = (18, 35, 70, 80, 97)
-FOUND_BY = 97
-"""The seed that is tried first."""
+FOUND_BY = {"told-before-stored": 97, "no-hold-after-a-takeover": 7}
+"""The seed that is tried first for each mutant."""
 
 OTHER_SEEDS = range(20)
 
@@ -52,5 +53,15 @@
 
     monkeypatch.setattr(Scheduler, "take_dirty", take_and_tell)
     monkeypatch.setattr(FrontService, "async_answer", async_answer)
-    seeds = (FOUND_BY, *OTHER_SEEDS)
+    seeds = (FOUND_BY["told-before-stored"], *OTHER_SEEDS)
     assert any("starts after" in str(find_violations(seed)) for seed in seeds)
+
+
+def test_walk_finds_an_owner_that_does_not_wait_for_previous_runs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against walks that can't detect two runs of a task at once."""
+    name = "no-hold-after-a-takeover"
+    MUTANTS[name](monkeypatch)
+    seeds = (FOUND_BY[name], *OTHER_SEEDS)
+    assert any("while it runs" in str(find_violations(seed)) for seed in seeds)
