Keep a job's final state once an entry has told it

Cause, twice the same: a query is answered from whichever replica of the log is at hand. An entry without the log passes on a peer's final state and answers the next query from its own older replica; or it has the final state in its replica, and passes on the answer of a peer that was cut off a moment ago with an older one.

Change: a final state in the entry's own replica is told at once, without a peer.

Replies of two different entries can still differ while one of them lags behind the log.

--- a/mustardward/components/forwarding/failover.py
+++ b/mustardward/components/forwarding/failover.py
@@ -31,6 +31,7 @@
     SUSPECT_POLL_SECONDS,
     UNCONFIRMED_METHODS,
 )
+from .final_replies import FinalReplies
 from .models import PeerReply, PeerRequest
 from .relay import StoreRelay
 from .services import Forwarder, PeerOutcome, PeerRequestHandler
@@ -84,6 +85,7 @@
     is_draining: Callable[[], bool] = _never_draining
     answer_owner_query: PeerRequestHandler | None = None
     _isolated_until: float = 0.0
+    _final_replies: FinalReplies = field(default_factory=FinalReplies)
 
     def _version(self) -> int:
         return self.front.configuration.version
@@ -157,6 +159,9 @@
 
     async def _async_answer_or_forward(self, request: Request) -> Reply:
         front = self.front
+        final = await self._async_final_reply(request)
+        if final is not None:
+            return final
         is_append = request.method in _APPENDED_METHODS
         if is_append:
             await self._async_wait_while_suspect()
@@ -166,7 +171,7 @@
             return await self.async_answer_hedged(request)
         outcome = await self._async_forward_unless_isolated(request)
         if outcome.reply is not None:
-            reply = _from_peer_reply(outcome.reply)
+            reply = self._accept_peer_reply(request, outcome.reply)
             return _mask_uncertain_refusal(request, reply, outcome.may_have_effect)
         if request.method == "GET" and not self._is_outdated():
             return await front.async_answer(request)
@@ -175,6 +180,33 @@
         reply = front.unreachable_reply(request)
         return _mask_uncertain_refusal(request, reply, outcome.may_have_effect)
 
+    async def _async_final_reply(self, request: Request) -> Reply | None:
+        """Return the reply about a job whose final state is known here, if it is.
+
+        A peer that has just lost the log answers from an older replica, and so does
+        this node if it got the state from a peer.
+        """
+        if request.method != "GET" or self._is_outdated():
+            return None
+        if self.front.is_final(request):
+            return await self.front.async_answer(request)
+        reply = self._final_replies.find(request)
+        if reply is None or not self._is_current(reply):
+            return None
+        admitted = await self.front.admission.async_admit(request)
+        return None if isinstance(admitted, Reply) else reply
+
+    def _accept_peer_reply(self, request: Request, peer_reply: PeerReply) -> Reply:
+        """Return a peer's reply for the caller."""
+        reply = Reply(
+            peer_reply.status,
+            peer_reply.body,
+            peer_reply.retry_after,
+            peer_reply.version,
+        )
+        self._final_replies.record(request, reply)
+        return reply
+
     async def async_answer_peer(self, request: PeerRequest) -> PeerReply:
         """Answer a peer, unless the log is unreachable from here too."""
         if request.method in UNCONFIRMED_METHODS:
@@ -260,7 +292,9 @@
             # A local attempt that is in flight or unanswered may still take effect.
             maybe_stored = not replies or replies[0].status == OUTCOME_UNKNOWN_STATUS
             return self._outcome_reply(
-                request, _from_peer_reply(outcomes[0].reply), unknown or maybe_stored
+                request,
+                self._accept_peer_reply(request, outcomes[0].reply),
+                unknown or maybe_stored,
             )
         local_reply = replies[0] if replies else _unknown_reply()
         return self._outcome_reply(request, local_reply, unknown)
@@ -311,7 +345,7 @@
             outcome = await self._async_send_collected(name, request)
             may_have_effect = may_have_effect or outcome.may_have_effect
             if outcome.reply is not None:
-                reply = _from_peer_reply(outcome.reply)
+                reply = self._accept_peer_reply(request, outcome.reply)
                 return self._outcome_reply(request, reply, may_have_effect)
         if self.is_log_unreachable():
             reply = front.unreachable_reply(request)
@@ -489,10 +523,6 @@
         return PeerOutcome(reply, outcome.may_have_effect)
 
 
-def _from_peer_reply(reply: PeerReply) -> Reply:
-    return Reply(reply.status, reply.body, reply.retry_after, reply.version)
-
-
 def _unknown_reply() -> Reply:
     body = callers.encode_error("outcome-unknown", "ask again with the same id")
     return Reply(OUTCOME_UNKNOWN_STATUS, body)
--- a/mustardward/components/front/services.py
+++ b/mustardward/components/front/services.py
@@ -99,6 +99,18 @@
             )
         return await self._async_job(request, admitted, job_id)
 
+    def is_final(self, request: Request) -> bool:
+        """Return whether a request is for a job that has ended.
+
+        Return False if the caller may not access the job.
+        """
+        admitted = self.admission.resolve(request)
+        if isinstance(admitted, Reply):
+            return False
+        job_id = request.path[len(admitted.queue.path_prefix) :]
+        job = self.ledger.jobs.get(job_id)
+        return job is not None and job.state.final and _may_access(admitted, job)
+
     async def _async_job(
         self, request: Request, admitted: AdmittedRequest, job_id: str
     ) -> Reply:
--- a/tests/components/forwarding/test_keys.py
+++ b/tests/components/forwarding/test_keys.py
@@ -22,7 +22,7 @@
 KEYS = {"dairy": [DAIRY_KEY], "gauges": [GAUGES_KEY]}
 
 
-async def _async_send(harness: FailoverHarness, method: str, key: str) -> Reply:
+async def async_send(harness: FailoverHarness, method: str, key: str) -> Reply:
     deadline = harness.timers.monotonic() + 2.0
     request = Request(method, HOST, PREFIX + JOB, BODY, deadline, key)
     return await harness.failover.async_answer(request)
@@ -37,7 +37,7 @@
         assert (await harness.failover.async_answer_peer(peer_request)).status == 401
         await harness.async_partition()
         harness.forwarder.outcome = PeerOutcome(PeerReply(200, b"{}"), False)
-        assert (await _async_send(harness, "POST", DAIRY_KEY)).status == 200
+        assert (await async_send(harness, "POST", DAIRY_KEY)).status == 200
         assert harness.forwarder.requests[-1].key == DAIRY_KEY
         assert DAIRY_KEY not in repr(harness.forwarder.requests[-1])
 
@@ -46,8 +46,8 @@
     async with running_entry() as harness:
         await harness.async_publish(encode_config(2, organisations=KEYS))
         await harness.async_partition()
-        assert (await _async_send(harness, "GET", "new")).status == 503
-        assert (await _async_send(harness, "POST", "new")).status == 503
+        assert (await async_send(harness, "GET", "new")).status == 503
+        assert (await async_send(harness, "POST", "new")).status == 503
 
 
 async def test_completion_is_reported_to_its_organisation_only() -> None:
@@ -56,15 +56,15 @@
         await harness.async_publish(encode_config(2, organisations=KEYS))
         owner = OwnerRecord(1, "claim", "b", 1)
         harness.store.append(TOPIC, [(KEY_OWNER, encode(owner))])
-        assert (await _async_send(harness, "POST", DAIRY_KEY)).status == 200
+        assert (await async_send(harness, "POST", DAIRY_KEY)).status == 200
         done = encode(Progress(JobState.DONE))
         harness.store.append(TOPIC, [(PREFIX_PROGRESS + JOB, done)])
         harness.timers.pause(0.2)
         assert await harness.follower.async_catch_up()
         await harness.async_partition()
-        assert b"done" in (await _async_send(harness, "GET", DAIRY_KEY)).body
+        assert b"done" in (await async_send(harness, "GET", DAIRY_KEY)).body
         for key in (GAUGES_KEY, "", "nobody's"):
-            assert b"done" not in (await _async_send(harness, "GET", key)).body
+            assert b"done" not in (await async_send(harness, "GET", key)).body
 
 
 @pytest.mark.parametrize("status", [401, 404, 409])
@@ -81,7 +81,7 @@
         await harness.async_publish(encode_config(2, organisations=KEYS))
         harness.store.mode = StoreMode.UNRESPONSIVE
         harness.forwarder.outcome = PeerOutcome(PeerReply(status, b"{}"), False)
-        reply = await _async_send(harness, "POST", DAIRY_KEY)
+        reply = await async_send(harness, "POST", DAIRY_KEY)
         assert reply.status == 504
 
 
@@ -90,5 +90,5 @@
         await harness.async_publish(encode_config(2, organisations=KEYS))
         await harness.async_partition()
         harness.forwarder.outcome = PeerOutcome(PeerReply(401, b"{}"), True)
-        assert (await _async_send(harness, "POST", DAIRY_KEY)).status == 504
-        assert (await _async_send(harness, "GET", DAIRY_KEY)).status == 401
+        assert (await async_send(harness, "POST", DAIRY_KEY)).status == 504
+        assert (await async_send(harness, "GET", DAIRY_KEY)).status == 401
