Store an entry's address however long the store refuses appends

What would be seen: an entry that starts while the store refuses appends is reached by no peer until it restarts. Cause: its address is posted once, and posted records are dropped after a second of refusals. It is repeated now until it is stored, as the state of a wave is. test_address_of_an_entry_is_stored_after_an_outage failed before.

--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import secrets
 import zlib
 
@@ -241,7 +242,8 @@
         await self._follower.async_wait_loaded()
         record = NodeRecord(address, self._boot.zone, _core_count(self._boot))
         if self._ledger.nodes.get(self._boot.node) != record:
-            self._appender.post([(PREFIX_NODE + self._boot.node, encode(record))])
+            records = [(PREFIX_NODE + self._boot.node, encode(record))]
+            self._appender.post(records, math.inf)
 
     async def async_close(self) -> None:
         """Close all connections at once."""
--- a/tests/embedded/test_power_loss.py
+++ b/tests/embedded/test_power_loss.py
@@ -7,16 +7,18 @@
 import anyio
 import pytest
 
-from mustardward.components.ledger.const import TOPIC
-from mustardward.embedded.estate import async_run_estate_fleet
+from mustardward.components.ledger.const import PREFIX_NODE, TOPIC
+from mustardward.embedded.estate import async_run_estate_fleet, async_until
 from mustardward.platform.models import SubmittedStep
 from mustardward.standin.estate.estate import EstatePlan
-from mustardward.standin.estate.store import StoreMode
+from mustardward.standin.estate.store import MemoryStore, StoreMode
 
 pytestmark = pytest.mark.anyio
 
 PREFIX = "/pool-a/"
 TEST_TIMEOUT_SECONDS = 40.0
+APPEND_OUTAGE_SECONDS = 1.5
+"""Longer than records are usually repeated that nobody waits for."""
 
 
 async def test_a_job_ends_when_all_entries_lost_power_in_an_outage() -> None:
@@ -52,3 +54,28 @@
             modes.clear()
             path = await fleet.async_submit(PREFIX, [step])
             await fleet.async_wait_state(path, "done")
+
+
+async def test_address_of_an_entry_is_stored_after_an_outage() -> None:
+    """Guard against an entry that no peer reaches until it restarts.
+
+    The store refuses appends when the entry registers.
+    """
+    with anyio.fail_after(TEST_TIMEOUT_SECONDS):
+        async with async_run_estate_fleet(EstatePlan(), entries=1) as fleet:
+            store = fleet.estate.store
+            (running,) = fleet.nodes
+            key = PREFIX_NODE + running.name
+            await async_until(lambda: key in stored_keys(store))
+            end = store.append(TOPIC, [(key, b"")])
+            store.topic_modes[TOPIC] = StoreMode.REFUSING
+            running.node._ledger.nodes.clear()
+            await running.node._async_register("127.0.0.1:1")
+            await anyio.sleep(APPEND_OUTAGE_SECONDS)
+            store.topic_modes.clear()
+            await async_until(lambda: key in stored_keys(store, end))
+
+
+def stored_keys(store: MemoryStore, offset: int = 0) -> list[str]:
+    """Return the keys of the records of the log from an offset on."""
+    return [record.key for record in store.records_from(TOPIC, offset)]
