Check that nothing is shown or acknowledged before it is stored

test_a_job_reported_as_done_never_runs_again lost nothing after the job was reported. It now crashes the workers and loses the owner once more, and is stricter.

--- a/tests/components/ownership/test_stored_run_times.py
+++ b/tests/components/ownership/test_stored_run_times.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import anyio
 import pytest
 from anyio.abc import TaskGroup
@@ -29,13 +31,19 @@
 
 
 class OwnerHarness:
-    """Provide an owner of an epoch on a given store."""
+    """Provide an owner of an epoch on a given store.
+
+    :param changes: dependencies that differ from those of an entry without a fleet.
+    """
 
-    def __init__(self, store: MemoryStore, epoch: int, tasks: TaskGroup) -> None:
+    def __init__(
+        self, store: MemoryStore, epoch: int, tasks: TaskGroup, **changes: Any
+    ) -> None:
         self.timers = DrivenTimerService()
         record = OwnerRecord(epoch, "c", "node-1", 0, self.timers.wall())
         store.append(TOPIC, [(KEY_OWNER, encode(record))])
-        dependencies = build_dependencies("node-1", store, self.timers)
+        dependencies = build_dependencies("node-1", store, self.timers, **changes)
+        self.dependencies = dependencies
         for stored in store.records_from(TOPIC, 0):
             dependencies.ledger.apply(stored)
         previous = OwnerRecord(epoch - 1, "", "", 0)
--- a/tests/embedded/test_estate.py
+++ b/tests/embedded/test_estate.py
@@ -208,16 +208,18 @@
             fleet.estate.store.mode = StoreMode.SERVING
             await fleet.async_wait_state(path, "done")
             assert fleet.owner() is not owner
-            starts = count_starts(fleet)
+            # From here on it was reported, whoever is lost.
+            for worker in [w for w in fleet.estate.workers.values() if w.starts]:
+                fleet.estate.crash(worker.id, time.monotonic())
+            owner = fleet.owner()
+            assert owner is not None
+            owner.kill()
             done = await fleet.async_submit(PREFIX, two_steps())
             await fleet.async_wait_state(done, "done")
-            job = path.rpartition("/")[2]
+            assert fleet.owner() is not owner
             assert await fleet.async_get_state(path) == "done"
-            assert all(
-                starts[name] == count
-                for name, count in count_starts(fleet).items()
-                if name.partition(".")[0] == job
-            )
+            job = path.rpartition("/")[2]
+            assert all(name.partition(".")[0] != job for name in count_starts(fleet))
 
 
 async def test_a_job_reported_as_done_survives_a_power_loss_of_all_entries() -> None:
