Give a job up whose progress fits no record, before its ends are acknowledged

Such a job is handled like one whose progress the store rejects: it ends as failed with the reason not-storable, and no end is acknowledged before that is stored.

--- a/mustardward/components/ownership/progress_writer.py
+++ b/mustardward/components/ownership/progress_writer.py
@@ -76,11 +76,11 @@
             with anyio.move_on_after(RENEWAL_INTERVAL_SECONDS / 2):
                 await self._write_requested.wait()
             self._write_requested = anyio.Event()
+            self._rejected_keys.clear()
             job_ids, records = self._collect_records()
             received = [
                 (session, session.received_upto) for session in sessions.values()
             ]
-            self._rejected_keys.clear()
             if records and not await self._async_append(job_ids, records):
                 self.depose()
                 return
@@ -161,8 +161,11 @@
             self.dependencies.append_limits.max_record_bytes - RECORD_MARGIN_BYTES
         )
         encoded = encode_within(progress, max_bytes)
+        record = (PREFIX_PROGRESS + job_id, encoded.value)
         if encoded.value:
-            records.append((PREFIX_PROGRESS + job_id, encoded.value))
+            records.append(record)
+        else:
+            self._handle_rejected([record])
         if encoded.is_complete:
             return
         PROGRESS_TRUNCATED.inc()
