Claim the shard after its owner's record was replaced

What would be seen: no entry node owns the shard and no job runs (LOST) after all have restarted, if another writer replaced or deleted the newest owner's record meanwhile. All claim epoch 1 without a pause, each time refused, as the store has seen a higher one.

Cause: the epoch is known from that record alone. Where the guessed epoch is that of the lost claim, the store repeats the response to that one, and the entry node waited for ever to read a claim that it believed stored.

Change: an entry node that was fenced, and then read the log's end without a newer owner, claims twice that epoch next, after a short pause; 64-bit epochs need few attempts. A claim that was confirmed and is not in the log counts as fenced too. Epochs still only rise, the store still keeps one claim of each, and a new owner that knows no previous one holds all tasks for as long as a previous one's authority and leases may last.

--- a/mustardward/components/ownership/const.py
+++ b/mustardward/components/ownership/const.py
@@ -97,3 +97,6 @@
 
 FOLLOWER_POLL_SECONDS: Final = 0.15
 """Interval at which other entries read the log, to answer callers and to take over."""
+
+MAX_CLAIMED_EPOCH: Final = 2**52
+"""Highest epoch that is claimed without knowing the one before."""
--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -29,6 +29,7 @@
 from .const import (
     HANDOVER_DELAY_SECONDS,
     HANDOVER_INTERVAL_SECONDS,
+    MAX_CLAIMED_EPOCH,
     MAX_FAST_RANKS,
     MAX_RANK_DELAY_SECONDS,
     OWNER_CHECK_SECONDS,
@@ -55,6 +56,7 @@
         self._election = Election(dependencies.node, jitter_position)
         self._resigning = False
         self._handed_over_at = -math.inf
+        self._min_epoch = 0
         self._claim: tuple[int, Authority] | None = None
         self.owner: Owner | None = None
         self.query = OwnerQuery(dependencies.node, self._status, dependencies.peers)
@@ -193,7 +195,7 @@
         """
         dependencies = self._dependencies
         timers = dependencies.timers
-        epoch = dependencies.ledger.owner.epoch + 1
+        epoch = max(dependencies.ledger.owner.epoch + 1, self._min_epoch)
         claim = secrets.token_hex(8)
         authority = Authority(timers.boottime, timers.boottime())
         record = OwnerRecord(epoch, claim, dependencies.node, 0, timers.wall())
@@ -220,11 +222,13 @@
             return False
         # The claim may be known from a load, whose pages are of different times. All
         # records before the claim are known once a later read has reached the end.
-        while not (
-            await dependencies.follower.async_catch_up()
-            and dependencies.ledger.owner.epoch >= record.epoch
-        ):
+        while not await dependencies.follower.async_catch_up():
             await dependencies.timers.async_sleep(RETRY_DELAY_SECONDS)
+        if dependencies.ledger.owner.epoch < record.epoch:
+            # The store has repeated the response to a claim of the same epoch, whose
+            # record is lost.
+            await self._async_skip_epoch(record.epoch)
+            return False
         won = dependencies.ledger.owner.claim == record.claim
         _LOGGER.info("shard_claimed", epoch=record.epoch, won=won)
         return won
@@ -254,7 +258,9 @@
                 )
                 return True
             except (FencedError, SequenceError):
-                await dependencies.follower.async_catch_up()
+                is_read = await dependencies.follower.async_catch_up()
+                if is_read and dependencies.ledger.owner.epoch < record.epoch:
+                    await self._async_skip_epoch(record.epoch)
                 return False
             except (CallRefusedError, CallUnknownError) as error:
                 _LOGGER.warning("claim_unanswered", detail=error.detail)
@@ -267,6 +273,16 @@
                     return False
         return True
 
+    async def _async_skip_epoch(self, epoch: int) -> None:
+        """Claim a higher epoch next, since one was fenced by a claim that nobody knows.
+
+        The newest owner's record may have been replaced by another writer. Nobody that
+        has started since knows its epoch, and only the store still fences lower ones.
+        """
+        self._min_epoch = min(2 * epoch, MAX_CLAIMED_EPOCH)
+        _LOGGER.warning("epoch_unknown", fenced=epoch, next=self._min_epoch)
+        await self._dependencies.timers.async_sleep(RETRY_DELAY_SECONDS)
+
     async def _async_run_owner(self, owner: Owner) -> None:
         self.owner = owner
         OWNED_EPOCH.set(owner.epoch)
--- a/tests/components/ownership/test_claim.py
+++ b/tests/components/ownership/test_claim.py
@@ -11,6 +11,7 @@
     KEY_OWNER,
     PREFIX_JOB,
     PREFIX_PROGRESS,
+    SHARD,
     TOPIC,
 )
 from mustardward.components.ledger.ledger import encode
@@ -27,6 +28,8 @@
 pytestmark = pytest.mark.anyio
 
 STEP_SECONDS = 0.05
+MAX_CLAIM_SECONDS = 10.0
+TEST_TIMEOUT_SECONDS = 5.0
 OLD_JOB = "00000000000000bb"
 NEW_JOB = "00000000000000aa"
 """Its key is before the one of the old job."""
@@ -164,3 +167,37 @@
         tasks.cancel_scope.cancel()
     assert owner is not None
     assert owner.epoch == 2
+
+
+@pytest.mark.parametrize("epoch", [4, 37])
+@pytest.mark.parametrize(
+    "value", [b"\xff", encode(OwnerRecord(2**60, "c", "n", 0)), b""]
+)
+async def test_the_shard_is_claimed_after_the_owners_record_is_lost(
+    value: bytes, epoch: int
+) -> None:
+    """Guard against a shard that no entry can claim after all have restarted.
+
+    Another writer replaces the newest owner's record, whose epoch only the store knows.
+    """
+    store = MemoryStore()
+    timers = DrivenTimerService()
+    owner = OwnerRecord(epoch, "c", "node-1", 0)
+    producer = Producer(f"owner/{SHARD}", epoch, 0)
+    store.append(TOPIC, [(KEY_OWNER, encode(owner))], producer)
+    store.append(TOPIC, [(KEY_OWNER, value)])
+    store.drop_before(TOPIC, store.topic_end(TOPIC))
+    ownership = an_ownership(store, timers)
+    follower = ownership._dependencies.follower
+    # Claims that follow each other without a pause would let no time pass.
+    with anyio.fail_after(TEST_TIMEOUT_SECONDS):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.async_run)
+            tasks.start_soon(ownership.async_run)
+            for _ in range(round(MAX_CLAIM_SECONDS / STEP_SECONDS)):
+                await anyio.wait_all_tasks_blocked()
+                await timers.async_advance(STEP_SECONDS)
+            found = ownership.owner
+            tasks.cancel_scope.cancel()
+    assert found is not None
+    assert found.epoch > owner.epoch
