--- a/mustardward/components/ledger/ledger.py
+++ b/mustardward/components/ledger/ledger.py
@@ -68,8 +68,8 @@
 class LedgerJob:
     """Combine all records of one job.
 
-    :param told_at: wall clock at which a caller was told that the job is done, in
-        seconds, or 0.
+    :param told_at: wall clock at which an entry node of an older build told a caller
+        that the job is done, in seconds, or 0.
     """
 
     record: JobRecord
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -227,7 +227,7 @@
 
 
 class ReportedRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Store that a caller was told that a job is done.
+    """Store that a caller was told that a job is done, as older builds do.
 
     :param at: wall clock in seconds.
     """
--- a/mustardward/embedded/estate.py
+++ b/mustardward/embedded/estate.py
@@ -172,17 +172,6 @@
                 return str(response.json()["state"])
         return ""
 
-    async def async_wait_state_at(
-        self, node: RunningNode, path: str, state: str
-    ) -> None:
-        """Wait until one entry reports a state of a job."""
-        for _ in range(MAX_POLLS):
-            response = await self._async_call("GET", node, path)
-            if response is not None and response.json().get("state") == state:
-                return
-            await anyio.sleep(POLL_SECONDS)
-        raise NotReachedError(f"path={path} state={state} node={node.name}")
-
     async def async_cancel(self, path: str) -> None:
         """Cancel a job."""
         await self._async_call("DELETE", self.alive_nodes()[0], path)
--- a/tests/components/forwarding/test_failover.py
+++ b/tests/components/forwarding/test_failover.py
@@ -51,10 +51,9 @@
         self.requests: list[PeerRequest] = []
         self.node_reply: PeerReply | None = None
         self.node_queries: list[tuple[str, str, str]] = []
-        self.others: dict[str, tuple[str, str]] = {}
 
     def ranked_peers(self) -> list[tuple[str, str]]:
-        return PeerSelector("me", "z1").ranked_peers(self.others, 0.0)
+        return PeerSelector("me", "z1").ranked_peers({}, 0.0)
 
     async def async_send_to_node(
         self, name: str, request: PeerRequest
