--- a/mustardward/components/forwarding/final_replies.py
+++ b/mustardward/components/forwarding/final_replies.py
@@ -7,6 +7,7 @@
 
 from ...platform import callers
 from ..front.models import Reply, Request
+from ..organisations.keys import key_digest
 
 MAX_REPLIES: Final = 4096
 """Most replies remembered; the oldest is dropped first."""
@@ -16,12 +17,15 @@
     for state in (callers.STATE_DONE, callers.STATE_FAILED, callers.STATE_CANCELLED)
 )
 
-_Key = tuple[str, str, str]
+_Key = tuple[str, str, bytes]
 
 
 @dataclass(slots=True, eq=False)
 class FinalReplies:
-    """Hold replies with a final state by host, path and API key of the request."""
+    """Hold replies with a final state by host, path and API key of the request.
+
+    Only a digest of the API key is held, since keys are secrets.
+    """
 
     _replies: dict[_Key, Reply] = field(default_factory=dict, repr=False)
 
@@ -37,8 +41,8 @@
 
     def find(self, request: Request) -> Reply | None:
         """Return the remembered reply to a query, if any."""
-        return self._replies.get(_key(request))
+        return self._replies.get(_key(request)) if self._replies else None
 
 
 def _key(request: Request) -> _Key:
-    return request.host, request.path, request.key
+    return request.host, request.path, key_digest(request.key)
