--- a/mustardward/components/configuration/services.py
+++ b/mustardward/components/configuration/services.py
@@ -134,7 +134,7 @@
 
     def _update_limits(self, version: int, organisation: Organisation) -> None:
         limits = LimitsRecord(version, organisation.weight, organisation.quota)
-        if not limits.equals(self._limits.get(organisation.name)):
+        if limits.differs(self._limits.get(organisation.name)):
             self._limits[organisation.name] = limits
 
 
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -81,11 +81,6 @@
         """Return whether the worker failed to answer its last call or any call."""
         return not self._liveness.is_confirmed
 
-    @property
-    def has_unstored_ends(self) -> bool:
-        """Return whether the log may lack ends that the worker has listed."""
-        return self.received_upto > self.stored_upto
-
     @property
     def clock(self) -> WorkerClock:
         """Return the estimate of the worker's monotonic clock."""
@@ -257,7 +252,7 @@
 
     async def _async_wait_until_stored(self) -> None:
         """Wait until the ends that were received are stored, which polls return."""
-        if self.has_unstored_ends:
+        if self.received_upto > self.stored_upto:
             with anyio.move_on_after(UNSTORED_POLL_DELAY_SECONDS):
                 await self._stored.wait()
 
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -3,16 +3,12 @@
 from __future__ import annotations
 
 from enum import IntEnum
-from typing import Annotated
 
 import msgspec
 
-from ...platform.bodies import MAX_AMOUNT
+from ...platform.bodies import Number
 from ...platform.models import QueueAdvice, Room, SubmittedStep
 
-Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
-"""Number that still fits in a record after it was incremented."""
-
 
 class JobState(IntEnum):
     """State of a job."""
@@ -58,10 +54,10 @@
     weight: float
     quota: Room
 
-    def equals(self, other: LimitsRecord | None) -> bool:
-        """Return whether other limits are the same, of whichever version."""
-        return other is not None and (
-            (self.weight, self.quota) == (other.weight, other.quota)
+    def differs(self, stored: LimitsRecord | None) -> bool:
+        """Return whether stored limits are others, of whichever version."""
+        return stored is None or (
+            (self.weight, self.quota) != (stored.weight, stored.quota)
         )
 
 
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -10,8 +10,7 @@
 from ..ledger.bitset import unpack_indices
 from ..ledger.index_ranges import IndexRanges
 from ..ledger.ledger import LedgerJob
-from ..ledger.models import JobState, LimitsRecord, Progress, StepProgress
-from .commands import Stop
+from ..ledger.models import JobState, Progress, StepProgress
 from .const import LATE_FACTOR
 from .earlier_steps import find_incomplete, has_run
 from .inflow import RECENT_SECONDS, Amount
@@ -66,7 +65,7 @@
             job.zones = frozenset(progress.zones) or None
             job.stored_zones = job.pending_zones = job.zones
             self._restore(job, progress, now)
-            if policy != stored or not _are_same(job.limits, stored_limits):
+            if policy != stored or job.has_other_limits(stored_limits):
                 self.state.mark_dirty(job)
             self.zone_chooser.add_work(job)
         if not record.times:
@@ -260,8 +259,7 @@
             worker, run = task.worker, task.run
             self.state.finish_task(task)
             if worker is not None:
-                self.state.add_orphan_run(worker, task.name)
-                self.state.add_command(Stop(task.name, worker.id, run, None))
+                self.state.stop_orphan_run(worker, task.name, run)
         self._complete_step(step)
 
     def _open_dependents(self, step: StepRun, now: float) -> None:
@@ -337,10 +335,6 @@
             self._complete_step(step)
 
 
-def _are_same(limits: LimitsRecord | None, stored: LimitsRecord | None) -> bool:
-    return limits is None or limits.equals(stored)
-
-
 def _stored_policy(ledger_job: LedgerJob) -> QueuePolicy:
     """Return the newest policy that is stored with a job.
 
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -354,6 +354,10 @@
             for earlier in set(spec.after):
                 self.dependents[earlier].append(number)
 
+    def has_other_limits(self, stored: LimitsRecord | None) -> bool:
+        """Return whether limits are known that differ from stored ones."""
+        return self.limits is not None and self.limits.differs(stored)
+
     @property
     def organisation(self) -> str:
         """Return the organisation that submitted the job, or an empty string."""
--- a/mustardward/components/scheduling/progress.py
+++ b/mustardward/components/scheduling/progress.py
@@ -53,9 +53,7 @@
 
 def _changed_limits(job: Job) -> LimitsRecord | None:
     """Return the limits of a job's organisation if they differ from its record's."""
-    if job.limits is None or job.limits.equals(job.record.limits):
-        return None
-    return job.limits
+    return job.limits if job.has_other_limits(job.record.limits) else None
 
 
 def _stateful_tasks(step: StepRun) -> list[Task]:
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -212,8 +212,7 @@
             task.percent_at_ms = worker.clock_ms - 1000 * elapsed
 
     def _stop_orphan_run(self, worker: WorkerState, row: RunningTask) -> None:
-        self.state.add_orphan_run(worker, row.task)
-        self.state.add_command(Stop(row.task, worker.id, row.run, None))
+        self.state.stop_orphan_run(worker, row.task, row.run)
 
     def _find_task(self, name: TaskName) -> Task | None:
         """Return a task or None; create the steps of its occurrence if needed."""
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -81,8 +81,9 @@
         self.worker_entries = WorkerEntries(self.state)
         self._zone_chooser = ZoneChooser(self.state)
         fair_shares = FairShares(rate_of)
-        self._limits = limits or OrganisationLimits()
-        self.intake = Intake(self.state, self._zone_chooser, fair_shares, self._limits)
+        self.intake = Intake(
+            self.state, self._zone_chooser, fair_shares, limits or OrganisationLimits()
+        )
         self.health = WorkerHealth(self.state)
         self.reports = Reports(self.state, self.intake, self.health)
         self.pacing = Pacing(self.state)
@@ -140,11 +141,9 @@
 
     def _update_limits(self, job: Job) -> bool:
         """Apply the newest limits of a job's organisation; return if they changed."""
-        limits = self._limits.find(job.organisation)
-        if limits is None or limits.equals(job.limits):
-            return False
-        job.limits = limits
-        return True
+        previous = job.limits
+        job.limits = self.intake.limits.find(job.organisation)
+        return job.has_other_limits(previous)
 
     def update_worker(self, worker_id: str, entry: WorkerEntry, now: float) -> bool:
         """Apply a worker's entry; return whether the worker is new."""
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -295,6 +295,11 @@
         else:
             self.suspects.pop(job.record.id, None)
 
+    def stop_orphan_run(self, worker: WorkerState, name: TaskName, run: int) -> None:
+        """Stop a run that no task owns; it occupies room until it is over."""
+        self.add_orphan_run(worker, name)
+        self.add_command(Stop(name, worker.id, run, None))
+
     def add_orphan_run(self, worker: WorkerState, name: TaskName) -> None:
         """Count the resources of an orphan run until its worker's next report."""
         job = self.jobs.get(name.job)
