--- a/tests/components/ownership/twice_entries.py
+++ b/tests/components/ownership/twice_entries.py
@@ -43,7 +43,7 @@
 )
 
 from .twice_process import PROCESS, Process, ProcessTimers
-from .twice_world import PLATFORM, World
+from .twice_world import FLEET, PLATFORM, World
 
 T = TypeVar("T")
 
@@ -177,7 +177,7 @@
                 outcome = "lost"
             execute = partial(self._async_fleet, f"/{path}", body, params, headers)
             return await world.async_exchange(
-                self._process, PLATFORM, outcome, execute, timeout_seconds
+                self._process, FLEET, outcome, execute, timeout_seconds
             )
         machine = next(m for m in world.machines.values() if m.address == address)
         outcome = world.order_outcome(machine)
--- a/tests/components/ownership/twice_walk.py
+++ b/tests/components/ownership/twice_walk.py
@@ -268,7 +268,7 @@
         entry = self._owner()
         seconds = self._rng.choice([1.0, 3.0, 6.0, 12.0])
         self.world.note(f"{entry.node} is cut off from the store for {seconds} s")
-        self.world.cut(entry.node, PLATFORM, seconds)
+        self.world.cut_from_platform(entry.node, seconds)
 
     def _freeze_owner(self) -> None:
         entry = self._owner()
@@ -327,7 +327,7 @@
         world.note(f"{zone} is cut off for {seconds} s apart={apart}")
         for node, node_zone in NODES:
             if node_zone == zone:
-                world.cut(node, PLATFORM, seconds)
+                world.cut_from_platform(node, seconds)
         for machine in world.machines.values():
             if machine.zone == zone:
                 world.cut(machine.name, PLATFORM, seconds)
@@ -393,7 +393,7 @@
         machines = self._rng.sample(world.live(), k=min(2, len(world.live())))
         names = [machine.name for machine in machines]
         world.note(f"{owner} and {names} are cut off from all others, {seconds} s")
-        world.cut(owner, PLATFORM, seconds)
+        world.cut_from_platform(owner, seconds)
         for node, _ in NODES:
             world.cut(owner, node, seconds)
         for machine in machines:
--- a/tests/components/ownership/twice_world.py
+++ b/tests/components/ownership/twice_world.py
@@ -35,6 +35,7 @@
 Outcome = tuple[T | None, Exception | None]
 
 PLATFORM = "platform"
+FLEET = "fleet"
 POOL_A = "pool-a"
 POOL_B = "pool-b"
 STANDBY = "standby"
@@ -145,6 +146,7 @@
         self.counts: dict[str, int] = {}
         self.disturbed = True
         self.writes_birth_times = self.rng.random() < 0.8
+        self.cuts_reach_fleet = True
         self.cloud_outcomes: tuple[str, ...] = ("ok",)
         self.store_outcomes: dict[str, tuple[str, ...]] = {}
         self.query_outcomes: tuple[str, ...] = ("ok",)
@@ -238,6 +240,12 @@
         for pair in ((one, other), (other, one)):
             self._cuts[pair] = max(until, self._cuts.get(pair, 0.0))
 
+    def cut_from_platform(self, name: str, seconds: float) -> None:
+        """Cut an entry off from the store, and from the fleet service as well."""
+        self.cut(name, PLATFORM, seconds)
+        if self.cuts_reach_fleet:
+            self.cut(name, FLEET, seconds)
+
     def reaches(self, one: str, other: str) -> bool:
         """Return whether there is a link between two places."""
         return self.now >= self._cuts.get((one, other), 0.0)
