Log by what an owner was deposed

- owner_deposed has cause (rejected-command with the worker, rejected-append, newer-owner-read, rejected-order, released), renewal_age_seconds, paused_seconds, newest_epoch and starts_since_renewal.
The first cause counts; a release is one from the moment it begins, since the next owner may be read before its response.
- paused_seconds covers a pause that the process has not noticed yet: a rejection may be read before the task that ticks the authority runs.
- Dispatcher and CommandExecutor name the worker that rejected a command.
The tests' callbacks take that argument now; what they check is unchanged.

No decision depends on the new fields; the authority is revoked before anything is recorded.

--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -29,7 +29,7 @@
     """Hold the sessions with workers under one epoch and execute commands in them.
 
     :param token: the fencing token, the owner's epoch.
-    :param on_fenced: called when a worker has seen a newer owner.
+    :param on_fenced: called with a worker that has seen a newer owner.
     :param on_report: called when there may be something to plan or to store.
     :param authorised: whether this owner may still send commands.
     :param max_lease_seconds: the longest lease that workers accept, whatever deadline
@@ -43,7 +43,7 @@
     timers: TimerService
     tasks: TaskGroup
     token: int
-    on_fenced: Callable[[], None]
+    on_fenced: Callable[[str], None]
     on_report: Callable[[], None]
     authorised: Callable[[], bool]
     advice: AdviceClient | None = None
@@ -93,6 +93,13 @@
         )
         self._open_session(worker_id, entry, entry.born, lease_ends_at)
 
+    def reopen_sessions(self, entries: dict[str, WorkerEntry]) -> None:
+        """Open sessions with workers that were lost and may be available again."""
+        for worker_id, entry in entries.items():
+            session = self.sessions.get(worker_id)
+            if session is None or session.closed:
+                self.update_worker(worker_id, entry)
+
     def _open_session(
         self,
         worker_id: str,
@@ -167,7 +174,7 @@
         try:
             await session.async_run()
         except FencedError:
-            self.on_fenced()
+            self.on_fenced(session.worker_id)
         finally:
             session.closed = True
 
--- a/mustardward/components/ownership/authority.py
+++ b/mustardward/components/ownership/authority.py
@@ -29,6 +29,8 @@
     _ticked_at: float = field(init=False)
     _paused_until: float = field(init=False)
     _confirmed_at: float = field(init=False)
+    _newest_renewal_at: float = field(init=False)
+    _paused_seconds: float = 0.0
 
     def __post_init__(self) -> None:
         """Count from the claim as from a renewal."""
@@ -36,12 +38,24 @@
         self._ticked_at = self.claimed_at
         self._paused_until = self.claimed_at
         self._confirmed_at = self.claimed_at
+        self._newest_renewal_at = self.claimed_at
 
     @property
     def is_confirmed(self) -> bool:
         """Return whether the newest owner was read since the process last paused."""
         return self._confirmed_at >= self._paused_until
 
+    @property
+    def newest_renewal_at(self) -> float:
+        """Return when the newest stored renewal was sent, also once revoked."""
+        return self._newest_renewal_at
+
+    def paused_seconds(self) -> float:
+        """Return how long the process was paused since the newest stored renewal."""
+        elapsed = self.clock() - self._ticked_at
+        unnoticed = elapsed if elapsed > PAUSE_THRESHOLD_SECONDS else 0.0
+        return self._paused_seconds + unnoticed
+
     def is_valid(self) -> bool:
         """Return whether commands may be sent now."""
         now = self.clock()
@@ -55,6 +69,10 @@
 
     def record_renewal(self, sent_at: float) -> None:
         """Record a stored renewal; it counts from the time at which it was sent."""
+        if sent_at > self._newest_renewal_at:
+            self._newest_renewal_at = sent_at
+            if sent_at >= self._paused_until:
+                self._paused_seconds = 0.0
         if not math.isinf(self._renewed_at):
             self._renewed_at = max(self._renewed_at, sent_at)
 
@@ -70,6 +88,7 @@
         if elapsed <= PAUSE_THRESHOLD_SECONDS:
             return 0.0
         self._paused_until = now
+        self._paused_seconds += elapsed
         return elapsed
 
     def confirm(self, sent_at: float) -> None:
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Final
 
 import anyio
@@ -11,7 +12,7 @@
 from ...helpers.logging import get_logger
 from ...platform.fleet import FleetClient
 from ...platform.models import WorkerEntry
-from ...platform.store import TOPIC_STATUS, TOPIC_WORKERS, Producer
+from ...platform.store import TOPIC_STATUS, TOPIC_WORKERS
 from ..dispatch.dispatcher import Dispatcher
 from ..fleet.instance_list import InstanceListReader
 from ..fleet.order_budget import OrderBudget
@@ -21,7 +22,7 @@
 from ..fleet.wave_planner import WavePlanner
 from ..fleet.wave_reporter import WaveReporter
 from ..ledger.append_watcher import AppendWatcher
-from ..ledger.appender import GroupAppender, Record
+from ..ledger.appender import GroupAppender
 from ..ledger.const import SHARD, TOPIC, UNIQUE_OWNER_PREFIXES
 from ..ledger.follower import TopicFollower
 from ..ledger.ledger import LedgerJob
@@ -39,6 +40,7 @@
     MIN_PLAN_INTERVAL_SECONDS,
     SELF_CHECK_SECONDS,
 )
+from .deposition import DeposedBy, DepositionLogger
 from .directory import WorkerDirectory
 from .load import OwnerLoad
 from .models import OwnerDependencies
@@ -92,7 +94,7 @@
             dependencies.ledger,
             dependencies.follower,
             dependencies.timers,
-            self.depose,
+            partial(self.depose, DeposedBy.NEWER_OWNER_READ),
         )
         limits = OrganisationLimits(dependencies.configuration.limits_of)
         self.scheduler = Scheduler(
@@ -106,8 +108,16 @@
         self.scheduler.state.stop_grace_seconds = (
             dependencies.bounds.stop_grace_ms / 1000
         )
+        self._sent_starts = self.scheduler.reports.sent_starts
+        self._sent_starts.clock = authority.clock
+        self._sent_starts.renewed_at = lambda: authority.newest_renewal_at
+        self._deposition_logger = DepositionLogger(
+            epoch, authority, dependencies.ledger, self._sent_starts
+        )
         self.appender = GroupAppender(
-            self._async_call_append,
+            lambda records, producer: dependencies.store.async_append(
+                TOPIC, records, producer
+            ),
             dependencies.timers,
             f"owner/{SHARD}",
             epoch,
@@ -135,7 +145,7 @@
             self._renewals,
             self._authority,
             self._request_plan,
-            self.depose,
+            partial(self.depose, DeposedBy.REJECTED_APPEND),
         )
         self.dispatcher: Dispatcher | None = None
         self._fleet: Fleet | None = None
@@ -157,9 +167,13 @@
             self._epoch, authority.is_valid(), authority.renewal_age_seconds()
         )
 
-    def depose(self) -> None:
-        """End this ownership; another entry has taken over."""
+    def depose(self, cause: DeposedBy, worker: str = "") -> None:
+        """End this ownership; another entry has taken over.
+
+        :param worker: the worker that rejected a command.
+        """
         self._authority.revoke()
+        self._deposition_logger.record(cause, worker)
         self._deposed.set()
 
     def request_work(self) -> None:
@@ -181,7 +195,7 @@
                 dependencies.timers,
                 tasks,
                 self._epoch,
-                self.depose,
+                partial(self.depose, DeposedBy.REJECTED_COMMAND),
                 self.request_work,
                 self._authority.is_valid,
                 dependencies.advice,
@@ -229,7 +243,7 @@
             )
             tasks.start_soon(takeover.async_run, follower)
             await self._deposed.wait()
-            _LOGGER.warning("owner_deposed", epoch=self._epoch)
+            self._deposition_logger.log()
             self._unsubscribe()
             tasks.cancel_scope.cancel()
 
@@ -242,8 +256,10 @@
         state = self.scheduler.state
         settled = state.is_takeover_complete(self._dependencies.timers.monotonic())
         self._authority.revoke()
+        # The next owner may be read before the response to the release.
+        self._deposition_logger.record(DeposedBy.RELEASED)
         await self._renewals.async_release(settled)
-        self.depose()
+        self.depose(DeposedBy.RELEASED)
 
     def _start_fleet(
         self, client: FleetClient, dispatcher: Dispatcher, tasks: TaskGroup
@@ -273,7 +289,7 @@
                 client,
                 self._epoch,
                 self._renewals.async_announce,
-                self.depose,
+                partial(self.depose, DeposedBy.REJECTED_ORDER),
                 self._authority.is_valid,
             ),
             blocked,
@@ -396,19 +412,6 @@
             if now - cleaned_up_at > JOB_CLEANUP_INTERVAL_SECONDS:
                 cleaned_up_at = now
                 self._progress_writer.remove_expired_jobs()
-            self._reopen_sessions(directory)
+            if self.dispatcher is not None:
+                self.dispatcher.reopen_sessions(directory.entries)
             await dependencies.timers.async_sleep(SELF_CHECK_SECONDS)
-
-    def _reopen_sessions(self, directory: WorkerDirectory) -> None:
-        """Open sessions with workers that were lost and may be available again."""
-        if self.dispatcher is None:
-            return
-        for worker_id, entry in directory.entries.items():
-            session = self.dispatcher.sessions.get(worker_id)
-            if session is None or session.closed:
-                self.dispatcher.update_worker(worker_id, entry)
-
-    async def _async_call_append(
-        self, records: list[Record], producer: Producer
-    ) -> int:
-        return await self._dependencies.store.async_append(TOPIC, records, producer)
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -22,6 +22,7 @@
 from .models import ACTIVE, Phase, Task
 from .run_logger import RunLogger
 from .scheduler_state import SchedulerState
+from .sent_starts import SentStarts
 from .worker_state import WorkerState
 
 _LOGGER = get_logger(__name__)
@@ -38,6 +39,7 @@
     intake: Intake
     health: WorkerHealth
     run_logger: RunLogger = field(default_factory=RunLogger)
+    sent_starts: SentStarts = field(default_factory=SentStarts)
 
     def apply_report(
         self, worker: WorkerState, answer: WorkerReport, sent_at: float, now: float
@@ -69,6 +71,7 @@
         """Record that a start command is being sent."""
         if task.run == run:
             task.sent = True
+        self.sent_starts.record()
 
     def start_answered(self, task: Task, run: int, reason: str, now: float) -> None:
         """Handle a worker's response to a start; an empty reason means success."""
--- a/tests/components/dispatch/builders.py
+++ b/tests/components/dispatch/builders.py
@@ -21,7 +21,7 @@
     values: dict[str, Any] = {
         "http": None,
         "token": scheduler.state.epoch,
-        "on_fenced": lambda: None,
+        "on_fenced": lambda worker: None,
         "on_report": lambda: None,
         "authorised": lambda: True,
     }
--- a/tests/components/dispatch/test_recovery_walks.py
+++ b/tests/components/dispatch/test_recovery_walks.py
@@ -170,7 +170,7 @@
         for name in NAMES:
             self.update_entry(name)
 
-    def _fail_on_fenced(self) -> None:
+    def _fail_on_fenced(self, worker: str) -> None:
         raise AssertionError("fenced")
 
     def _set_clients(self) -> None:
--- a/tests/components/dispatch/test_session.py
+++ b/tests/components/dispatch/test_session.py
@@ -68,7 +68,7 @@
             await self.timers.async_advance(0.1)
         await anyio.wait_all_tasks_blocked()
 
-    def _record_fenced(self) -> None:
+    def _record_fenced(self, worker: str) -> None:
         self.fenced = True
 
 
--- a/tests/components/ownership/test_log_walks.py
+++ b/tests/components/ownership/test_log_walks.py
@@ -16,6 +16,7 @@
 
 from mustardward.components.ledger.const import PREFIX_JOB, PREFIX_PROGRESS, TOPIC
 from mustardward.components.ledger.ledger import encode
+from mustardward.components.ownership.deposition import DeposedBy
 from mustardward.components.ownership.owner import Owner
 from mustardward.components.ownership.services import Ownership
 from mustardward.helpers.timer import DrivenTimerService
@@ -98,7 +99,7 @@
         """Depose the current owner."""
         for entry in self.entries:
             if entry.ownership.owner is not None:
-                entry.ownership.owner.depose()
+                entry.ownership.owner.depose(DeposedBy.NEWER_OWNER_READ)
 
     async def async_advance_time(self, seconds: float) -> None:
         """Advance the simulated time."""
