Log the epoch and the age of the renewal of each start

Cause: no line joined a run with the owner's token and the age of the authority under which its start was sent, and some runs had no line at all: those whose start was answered after a poll had shown the run, those on their way when the owner was deposed, and those answered after the owner's last plan, since runs are logged with a plan and an owner without authority plans nothing.

- runs_started has epoch and, in the order of runs, renewal_ages.
- starts_overtaken names starts that were answered after a report or a newer run.
- start_failed has task, epoch, sent and renewal_age_seconds; it is also written for a start that a worker rejects for its token.

--- a/mustardward/components/dispatch/command_executor.py
+++ b/mustardward/components/dispatch/command_executor.py
@@ -27,6 +27,7 @@
 from ..scheduling.commands import Command, Pace, RequestAdvice, Start, Stop
 from ..scheduling.losses import LossCause
 from ..scheduling.models import UNKNOWN_PACE, Phase, Task
+from ..scheduling.run_logger import run_key
 from ..scheduling.scheduler import Scheduler
 from .call_queue import CallQueue
 from .const import START_MAX_AGE_SECONDS, STOP_RETRY_SECONDS
@@ -108,6 +109,7 @@
             reports.start_sent(task, run)
             answer = await session.async_start(task, run)
         except FencedError:
+            self._log_failed_start(task, start, "fenced")
             self.on_fenced(start.worker)
             return
         except WrongIncarnationError:
@@ -127,6 +129,8 @@
             if not answer.reason:
                 START_WAIT_SECONDS.observe(task.started_at - task.ready_since)
                 return
+        finally:
+            reports.sent_starts.forget(task.name, run)
         self.on_report()
 
     def _is_superseded(self, start: Start) -> bool:
@@ -223,11 +227,16 @@
         self.on_report()
 
     def _log_failed_start(self, task: Task, start: Start, detail: str) -> None:
+        sent = self.scheduler.reports.sent_starts.get(task.name, start.run)
         _LOGGER.warning(
             "start_failed",
             job=task.step.job.record.id,
+            task=run_key(task),
             worker=start.worker,
             run=start.run,
+            epoch=self.scheduler.state.epoch,
+            sent=sent is not None,
+            renewal_age_seconds=sent.renewal_age_seconds if sent else None,
             detail=detail,
         )
 
--- a/mustardward/components/ownership/deposition.py
+++ b/mustardward/components/ownership/deposition.py
@@ -7,6 +7,7 @@
 
 from ...helpers.logging import LogValue, get_logger
 from ..ledger.ledger import Ledger
+from ..scheduling.run_logger import RunLogger
 from ..scheduling.sent_starts import SentStarts
 from .authority import Authority
 
@@ -35,6 +36,7 @@
     authority: Authority
     ledger: Ledger
     sent_starts: SentStarts
+    run_logger: RunLogger
     _fields: dict[str, LogValue] | None = None
 
     def record(self, cause: DeposedBy, worker: str = "") -> None:
@@ -55,5 +57,8 @@
         }
 
     def log(self) -> None:
-        """Log the deposition."""
+        """Log the deposition, starts in progress and runs not logged yet."""
         _LOGGER.warning("owner_deposed", epoch=self.epoch, **(self._fields or {}))
+        self.sent_starts.log_unanswered(self.epoch)
+        # Without authority nothing was planned, after which runs are logged.
+        self.run_logger.flush()
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -108,11 +108,15 @@
         self.scheduler.state.stop_grace_seconds = (
             dependencies.bounds.stop_grace_ms / 1000
         )
-        self._sent_starts = self.scheduler.reports.sent_starts
-        self._sent_starts.clock = authority.clock
-        self._sent_starts.renewed_at = lambda: authority.newest_renewal_at
+        reports = self.scheduler.reports
+        reports.sent_starts.clock = authority.clock
+        reports.sent_starts.renewed_at = lambda: authority.newest_renewal_at
         self._deposition_logger = DepositionLogger(
-            epoch, authority, dependencies.ledger, self._sent_starts
+            epoch,
+            authority,
+            dependencies.ledger,
+            reports.sent_starts,
+            reports.run_logger,
         )
         self.appender = GroupAppender(
             lambda records, producer: dependencies.store.async_append(
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -41,6 +41,10 @@
     run_logger: RunLogger = field(default_factory=RunLogger)
     sent_starts: SentStarts = field(default_factory=SentStarts)
 
+    def __post_init__(self) -> None:
+        """Name the owner's epoch in the lines of its runs."""
+        self.run_logger.epoch = self.state.epoch
+
     def apply_report(
         self, worker: WorkerState, answer: WorkerReport, sent_at: float, now: float
     ) -> None:
@@ -71,13 +75,17 @@
         """Record that a start command is being sent."""
         if task.run == run:
             task.sent = True
-        self.sent_starts.record()
+            if task.worker is not None:
+                self.sent_starts.record(task.name, run, task.worker.id)
 
     def start_answered(self, task: Task, run: int, reason: str, now: float) -> None:
         """Handle a worker's response to a start; an empty reason means success."""
         if not reason:
             self.state.mark_started(task.step.job)
+        sent = self.sent_starts.get(task.name, run)
         if task.run != run or task.phase is not Phase.STARTING or task.worker is None:
+            if not reason and sent is not None:
+                self.run_logger.record_overtaken_start(task, sent)
             return
         if not reason:
             task.phase = Phase.RUNNING
@@ -85,7 +93,7 @@
             task.percent_since = now
             waited = now - task.ready_since
             expected = self.state.estimates.seconds(task.step)
-            self.run_logger.record_start(task, task.worker, waited, expected)
+            self.run_logger.record_start(task, task.worker, waited, expected, sent)
             return
         worker = task.worker
         if reason == REFUSED_ROOM:
--- a/mustardward/components/scheduling/run_logger.py
+++ b/mustardward/components/scheduling/run_logger.py
@@ -13,6 +13,7 @@
 from ...helpers.logging import LogValue, get_logger
 from ...platform.workers import EndedTask
 from .models import Task
+from .sent_starts import SentStart
 from .worker_state import WorkerState
 
 _LOGGER = get_logger(__name__)
@@ -20,6 +21,9 @@
 MAX_RUNS_PER_LINE: Final = 32
 """Most runs in one log line, which makes about 1,300 characters."""
 
+RENEWAL_AGES: Final = "renewal_ages"
+"""Field with the age of the renewal under which each run of a line was sent."""
+
 Key = tuple[str, str]
 
 
@@ -27,22 +31,40 @@
 class RunLogger:
     """Collect starts and ends of runs by event and job.
 
+    :param epoch: the owner's fencing token.
     :param started_count: total number of recorded starts.
     :param ended_count: total number of recorded ends of current runs.
     """
 
+    epoch: int = 0
     started_count: int = 0
     ended_count: int = 0
     _gathered: dict[Key, list[str]] = field(default_factory=lambda: defaultdict(list))
+    _renewal_ages: dict[Key, list[str]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     _estimates: dict[str, dict[str, float]] = field(default_factory=dict)
 
     def record_start(
-        self, task: Task, worker: WorkerState, waited: float, expected: float
+        self,
+        task: Task,
+        worker: WorkerState,
+        waited: float,
+        expected: float,
+        sent: SentStart | None = None,
     ) -> None:
         """Record a start, with the task's wait and its expected run time in seconds."""
         self.started_count += 1
-        text = f"{_run_key(task)}:{task.run}@{worker.id}+{waited:.3f}~{expected:.2f}"
-        self._gathered["runs_started", task.step.job.record.id].append(text)
+        text = f"{run_key(task)}:{task.run}@{worker.id}+{waited:.3f}~{expected:.2f}"
+        key = ("runs_started", task.step.job.record.id)
+        self._gathered[key].append(text)
+        self._renewal_ages[key].append(_age_text(sent))
+
+    def record_overtaken_start(self, task: Task, sent: SentStart) -> None:
+        """Record a start that was answered after a report or a newer run."""
+        key = ("starts_overtaken", task.step.job.record.id)
+        self._gathered[key].append(f"{run_key(task)}:{sent.run}@{sent.worker}")
+        self._renewal_ages[key].append(_age_text(sent))
 
     def record_end(
         self, worker: WorkerState, ended: EndedTask, is_current: bool
@@ -66,19 +88,29 @@
     def flush(self) -> None:
         """Log the collected runs, by event and job."""
         for (event, job), runs in self._gathered.items():
-            fields: dict[str, LogValue] = {}
+            fields: dict[str, LogValue] = {"epoch": self.epoch}
+            ages = self._renewal_ages.get((event, job), [])
             if event == "runs_ended" and job in self._estimates:
                 fields["expected"] = ",".join(
                     f"{step}~{seconds:.2f}"
                     for step, seconds in self._estimates[job].items()
                 )
             for first in range(0, len(runs), MAX_RUNS_PER_LINE):
-                part = runs[first : first + MAX_RUNS_PER_LINE]
-                listed = ",".join(part)
-                _LOGGER.info(event, job=job, count=len(part), **fields, runs=listed)
+                last = first + MAX_RUNS_PER_LINE
+                part = runs[first:last]
+                more: dict[str, LogValue] = {"runs": ",".join(part)}
+                if ages:
+                    more[RENEWAL_AGES] = ",".join(ages[first:last])
+                _LOGGER.info(event, job=job, count=len(part), **fields, **more)
         self._gathered.clear()
+        self._renewal_ages.clear()
         self._estimates.clear()
 
 
-def _run_key(task: Task) -> str:
+def run_key(task: Task) -> str:
+    """Return a task's occurrence, step and index as log lines name them."""
     return f"{task.step.occurrence}.{task.step.number}.{task.index}"
+
+
+def _age_text(sent: SentStart | None) -> str:
+    return "-" if sent is None else f"{sent.renewal_age_seconds:.2f}"
--- a/tests/components/ownership/test_deposition.py
+++ b/tests/components/ownership/test_deposition.py
@@ -9,12 +9,14 @@
 from mustardward.components.ledger.models import OwnerRecord
 from mustardward.components.ownership.authority import Authority
 from mustardward.components.ownership.deposition import DeposedBy, DepositionLogger
+from mustardward.components.scheduling.run_logger import RunLogger
 from mustardward.components.scheduling.sent_starts import SentStarts
 from mustardward.helpers.log_pairs import read_pairs
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.platform.exceptions import FencedError
-from mustardward.platform.workers import WorkerReport
+from mustardward.platform.workers import TaskName, WorkerReport
 
+from ..scheduling.builders import JOB, SchedulerBench, a_job, a_step
 from .test_release import ReleaseHarness
 
 pytestmark = pytest.mark.anyio
@@ -30,7 +32,10 @@
         self.starts = SentStarts(
             self.timers.boottime, lambda: self.authority.newest_renewal_at
         )
-        self.logger = DepositionLogger(1, self.authority, self.ledger, self.starts)
+        self.run_logger = RunLogger()
+        self.logger = DepositionLogger(
+            1, self.authority, self.ledger, self.starts, self.run_logger
+        )
 
     def run_for(self, seconds: float) -> None:
         """Advance the clock of a process that is running."""
@@ -104,8 +109,8 @@
     caplog: pytest.LogCaptureFixture, renewed: bool, count: str
 ) -> None:
     harness = LogHarness()
-    for _ in range(3):
-        harness.starts.record()
+    for number in range(3):
+        harness.starts.record(TaskName(JOB, 0, 1, number), 7, "w1")
     harness.run_for(1.0)
     if renewed:
         harness.authority.record_renewal(harness.timers.boottime())
@@ -167,3 +172,38 @@
         await harness.async_advance_time(0.1)
         tasks.cancel_scope.cancel()
     assert deposition(caplog)["cause"] == "released"
+
+
+def test_starts_in_progress_are_named_when_deposed(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a run that no line names, as its start was never answered."""
+    harness = LogHarness()
+    harness.run_for(1.5)
+    harness.starts.record(TaskName(JOB, 0, 1, 0), 7, "w1")
+    harness.starts.record(TaskName(JOB, 0, 1, 1), 8, "w2")
+    harness.starts.forget(TaskName(JOB, 0, 1, 1), 8)
+    harness.logger.record(DeposedBy.REJECTED_APPEND)
+    harness.logger.log()
+    (line,) = [
+        r.getMessage() for r in caplog.records if "starts_unanswered" in r.message
+    ]
+    pairs = read_pairs(line)
+    assert pairs["starts"] == f"{JOB}.0.1.0:7@w1+1.50"
+    assert pairs["epoch"] == "1"
+
+
+def test_runs_answered_after_the_last_plan_are_named_when_deposed(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against runs of an owner that lost its authority before its next plan."""
+    caplog.set_level("INFO", "absl")
+    harness = LogHarness()
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1)))
+    bench.plan_starts()
+    harness.logger.run_logger = bench.scheduler.reports.run_logger
+    harness.logger.record(DeposedBy.REJECTED_APPEND)
+    harness.logger.log()
+    assert any("event=runs_started " in r.message for r in caplog.records)
--- a/tests/components/scheduling/test_run_logger.py
+++ b/tests/components/scheduling/test_run_logger.py
@@ -6,8 +6,11 @@
 
 import pytest
 
+from mustardward.components.scheduling.commands import Start
+from mustardward.components.scheduling.models import Phase
 from mustardward.components.scheduling.run_logger import MAX_RUNS_PER_LINE
 from mustardward.helpers.bounded_output import MAX_LINES_PER_SECOND
+from mustardward.helpers.log_pairs import read_pairs
 
 from .builders import SchedulerBench, a_job, a_step
 
@@ -59,3 +62,41 @@
     bench.plan()
     lines = lines_of(caplog, "runs_started")
     assert [len(RUN.findall(line)) for line in lines] == [MAX_RUNS_PER_LINE, 1]
+
+
+def test_start_is_logged_with_epoch_and_age_of_its_renewal(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a second start whose owner and authority no line tells."""
+    caplog.set_level("INFO", "absl")
+    bench = SchedulerBench(epoch=3)
+    reports = bench.scheduler.reports
+    reports.sent_starts.clock = lambda: 12.0
+    reports.sent_starts.renewed_at = lambda: 10.5
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1)))
+    (start,) = [c for c in bench.plan() if isinstance(c, Start)]
+    reports.start_sent(start.task, start.run)
+    reports.start_answered(start.task, start.run, "", bench.now)
+    bench.plan()
+    (line,) = lines_of(caplog, "runs_started")
+    pairs = read_pairs(line)
+    assert (pairs["epoch"], pairs["renewal_ages"]) == ("3", "1.50")
+
+
+def test_start_answered_after_a_report_of_its_run_is_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against runs without a line, as a poll was answered before the start."""
+    caplog.set_level("INFO", "absl")
+    bench = SchedulerBench()
+    reports = bench.scheduler.reports
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1)))
+    (start,) = [c for c in bench.plan() if isinstance(c, Start)]
+    reports.start_sent(start.task, start.run)
+    start.task.phase = Phase.RUNNING
+    reports.start_answered(start.task, start.run, "", bench.now)
+    bench.plan()
+    (line,) = lines_of(caplog, "starts_overtaken")
+    assert read_pairs(line)["runs"] == f"0.0.0:{start.run}@w1"
