Log which ends an owner acknowledges

Cause: nothing said which owner acknowledged an end, and the end of a task that was done already, or of an unknown job, had no line: the second run of a task, in the worst case.

- runs_ended has the epoch and, in the order of runs, numbers.
- ends_ignored names ends of done or unknown tasks, each once per session.

--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -16,6 +16,7 @@
 from ..scheduling.incarnations import is_other_incarnation
 from ..scheduling.losses import LossCause
 from ..scheduling.scheduler import Scheduler
+from .acknowledgement_logger import AcknowledgementLogger
 from .command_executor import CommandExecutor
 from .const import LEASE_SECONDS, latest_lease_end
 from .contact_limiter import ContactLimiter
@@ -50,6 +51,7 @@
     max_lease_seconds: float = LEASE_SECONDS
     renewal_age_seconds: Callable[[], float] = lambda: 0.0
     executor: CommandExecutor = field(init=False)
+    acknowledgements: AcknowledgementLogger = field(init=False)
     sessions: dict[str, WorkerSession] = field(default_factory=dict)
     lost_workers: set[str] = field(default_factory=set)
     _entries: dict[str, WorkerEntry] = field(default_factory=dict)
@@ -58,6 +60,7 @@
 
     def __post_init__(self) -> None:
         """Create the command executor."""
+        self.acknowledgements = AcknowledgementLogger(self.token)
         self.executor = CommandExecutor(
             self.scheduler,
             self.timers,
@@ -119,6 +122,7 @@
             lambda other: self._handle_restart(session, other),
             self._contact_limiter,
             lambda: self.timers.monotonic() - self.renewal_age_seconds(),
+            self.acknowledgements,
         )
         self.sessions[worker_id] = session
         self.tasks.start_soon(self._async_run_session, session)
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -21,6 +21,7 @@
 from ..scheduling.models import Task
 from ..scheduling.scheduler import Scheduler
 from ..scheduling.worker_state import WorkerState
+from .acknowledgement_logger import AcknowledgementLogger
 from .const import (
     ACKNOWLEDGE_MAX_AGE_SECONDS,
     LIVENESS_MAX_AGE_SECONDS,
@@ -52,6 +53,7 @@
     :param contact_limiter: limits concurrent polls of unconfirmed workers.
     :param ownership_confirmed_until: until when the log is known to name no other
         owner, in monotonic seconds.
+    :param acknowledgements: logs which ends are acknowledged; None for no log lines.
     """
 
     worker_id: str
@@ -65,6 +67,7 @@
     on_restart: Callable[[int], None]
     contact_limiter: ContactLimiter
     ownership_confirmed_until: Callable[[], float]
+    acknowledgements: AcknowledgementLogger | None = None
     received_upto: int = 0
     stored_upto: int = 0
     closed: bool = False
@@ -72,6 +75,7 @@
     _liveness: Liveness = field(default_factory=Liveness)
     _poll_requested: bool = False
     _acknowledged_upto: int = 0
+    _logged_upto: int = 0
     _stored: anyio.Event = field(default_factory=anyio.Event)
     _wake: anyio.Event = field(default_factory=anyio.Event)
     _polled: anyio.Event = field(default_factory=anyio.Event)
@@ -295,6 +299,7 @@
         for ended in answer.ended:
             if ended.number > self.received_upto:
                 ENDS.labels(ended.how).inc()
+                self.scheduler.reports.log_ignored_end(worker, ended)
         self.received_upto = max(numbers, default=self.received_upto)
         self._count_unstored_ends()
         self._stored = anyio.Event()
@@ -314,8 +319,18 @@
             deadline = self.lease.renew(now)
             if acknowledged_upto == self.stored_upto:
                 wait_ms = choose_wait_ms(worker, self.scheduler.pacing)
+        self._log_acknowledgement(acknowledged_upto)
         return await self.client.async_poll(acknowledged_upto, deadline, wait_ms)
 
+    def _log_acknowledgement(self, number: int) -> None:
+        if number <= self._logged_upto:
+            return
+        if self.acknowledgements is not None:
+            self.acknowledgements.record(
+                self.worker_id, self.started_at_ms, self._logged_upto, number
+            )
+        self._logged_upto = number
+
     def _should_renew(self, now: float) -> bool:
         """Return whether a poll sent now renews the lease.
 
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -248,6 +248,7 @@
             tasks.start_soon(takeover.async_run, follower)
             await self._deposed.wait()
             self._deposition_logger.log()
+            dispatcher.acknowledgements.flush()
             self._unsubscribe()
             tasks.cancel_scope.cancel()
 
@@ -418,4 +419,5 @@
                 self._progress_writer.remove_expired_jobs()
             if self.dispatcher is not None:
                 self.dispatcher.reopen_sessions(directory.entries)
+                self.dispatcher.acknowledgements.log_due(now)
             await dependencies.timers.async_sleep(SELF_CHECK_SECONDS)
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -163,6 +163,13 @@
         if ended.how == ENDED_FAILED:
             self.intake.handle_task_failed(task)
 
+    def log_ignored_end(self, worker: WorkerState, ended: EndedTask) -> None:
+        """Log an end that will be ignored, as its task is done or its job unknown."""
+        task = self.state.find_task(ended.task)
+        is_unknown = ended.task.job not in self.state.jobs
+        if is_unknown or (task is not None and task.phase is Phase.DONE):
+            self.run_logger.record_ignored_end(worker, ended)
+
     def _handle_done(
         self, worker: WorkerState, task: Task, is_current: bool, now: float
     ) -> None:
--- a/mustardward/components/scheduling/run_logger.py
+++ b/mustardward/components/scheduling/run_logger.py
@@ -24,6 +24,11 @@
 RENEWAL_AGES: Final = "renewal_ages"
 """Field with the age of the renewal under which each run of a line was sent."""
 
+NUMBERS: Final = "numbers"
+"""Field with the number that the worker gave each end of a line."""
+
+_END_EVENTS: Final = frozenset(("runs_ended", "ends_ignored"))
+
 Key = tuple[str, str]
 
 
@@ -40,9 +45,7 @@
     started_count: int = 0
     ended_count: int = 0
     _gathered: dict[Key, list[str]] = field(default_factory=lambda: defaultdict(list))
-    _renewal_ages: dict[Key, list[str]] = field(
-        default_factory=lambda: defaultdict(list)
-    )
+    _details: dict[Key, list[str]] = field(default_factory=lambda: defaultdict(list))
     _estimates: dict[str, dict[str, float]] = field(default_factory=dict)
 
     def record_start(
@@ -58,23 +61,29 @@
         text = f"{run_key(task)}:{task.run}@{worker.id}+{waited:.3f}~{expected:.2f}"
         key = ("runs_started", task.step.job.record.id)
         self._gathered[key].append(text)
-        self._renewal_ages[key].append(_age_text(sent))
+        self._details[key].append(_age_text(sent))
 
     def record_overtaken_start(self, task: Task, sent: SentStart) -> None:
         """Record a start that was answered after a report or a newer run."""
         key = ("starts_overtaken", task.step.job.record.id)
         self._gathered[key].append(f"{run_key(task)}:{sent.run}@{sent.worker}")
-        self._renewal_ages[key].append(_age_text(sent))
+        self._details[key].append(_age_text(sent))
 
     def record_end(
         self, worker: WorkerState, ended: EndedTask, is_current: bool
     ) -> None:
         """Record an end, marked as stray unless it is the task's current run."""
         self.ended_count += is_current
-        name = ended.task
-        text = f"{name.occurrence}.{name.step}.{name.index}:{ended.run}@{worker.id}"
-        text += f"={ended.how}" + ("" if is_current else "/stray")
-        self._gathered["runs_ended", name.job].append(text)
+        text = _end_text(worker, ended) + ("" if is_current else "/stray")
+        key = ("runs_ended", ended.task.job)
+        self._gathered[key].append(text)
+        self._details[key].append(str(ended.number))
+
+    def record_ignored_end(self, worker: WorkerState, ended: EndedTask) -> None:
+        """Record an end of an unknown task or of one that is done."""
+        key = ("ends_ignored", ended.task.job)
+        self._gathered[key].append(_end_text(worker, ended))
+        self._details[key].append(str(ended.number))
 
     def record_estimate(self, task: Task, seconds: float) -> None:
         """Record the run time expected of a step's tasks after a run was completed.
@@ -89,7 +98,8 @@
         """Log the collected runs, by event and job."""
         for (event, job), runs in self._gathered.items():
             fields: dict[str, LogValue] = {"epoch": self.epoch}
-            ages = self._renewal_ages.get((event, job), [])
+            details = self._details.get((event, job), [])
+            detail = NUMBERS if event in _END_EVENTS else RENEWAL_AGES
             if event == "runs_ended" and job in self._estimates:
                 fields["expected"] = ",".join(
                     f"{step}~{seconds:.2f}"
@@ -99,11 +109,10 @@
                 last = first + MAX_RUNS_PER_LINE
                 part = runs[first:last]
                 more: dict[str, LogValue] = {"runs": ",".join(part)}
-                if ages:
-                    more[RENEWAL_AGES] = ",".join(ages[first:last])
+                more[detail] = ",".join(details[first:last])
                 _LOGGER.info(event, job=job, count=len(part), **fields, **more)
         self._gathered.clear()
-        self._renewal_ages.clear()
+        self._details.clear()
         self._estimates.clear()
 
 
@@ -112,5 +121,11 @@
     return f"{task.step.occurrence}.{task.step.number}.{task.index}"
 
 
+def _end_text(worker: WorkerState, ended: EndedTask) -> str:
+    name = ended.task
+    run = f"{name.occurrence}.{name.step}.{name.index}:{ended.run}"
+    return f"{run}@{worker.id}={ended.how}"
+
+
 def _age_text(sent: SentStart | None) -> str:
     return "-" if sent is None else f"{sent.renewal_age_seconds:.2f}"
--- a/tests/components/scheduling/test_run_logger.py
+++ b/tests/components/scheduling/test_run_logger.py
@@ -11,6 +11,7 @@
 from mustardward.components.scheduling.run_logger import MAX_RUNS_PER_LINE
 from mustardward.helpers.bounded_output import MAX_LINES_PER_SECOND
 from mustardward.helpers.log_pairs import read_pairs
+from mustardward.platform.workers import EndedTask
 
 from .builders import SchedulerBench, a_job, a_step
 
@@ -100,3 +101,23 @@
     bench.plan()
     (line,) = lines_of(caplog, "starts_overtaken")
     assert read_pairs(line)["runs"] == f"0.0.0:{start.run}@w1"
+
+
+def test_end_is_logged_with_its_number(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against an acknowledged number that can't be joined with a task."""
+    caplog.set_level("INFO", "absl")
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=2)))
+    starts = bench.plan_starts()
+    ended = [
+        EndedTask(number, start.task.name, start.run, "done", "")
+        for number, start in enumerate(starts, start=5)
+    ]
+    bench.hold("w1", ended=ended)
+    bench.plan()
+    (line,) = lines_of(caplog, "runs_ended")
+    pairs = read_pairs(line)
+    runs = [f"0.0.{end.task.index}:{end.run}@w1=done" for end in ended]
+    assert pairs["runs"].split(",") == runs
+    assert pairs["numbers"] == "5,6"
