Log which incarnations had reported during a takeover

Cause: zones_reconciled and takeover_complete do not say which workers had reported, nor whether a worker is the incarnation that the next owner polled.

workers_confirmed, before these lines and takeover_hold_expired, has the id and the start time of each worker that reported since the last such line, up to 32 a line.

--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from ...helpers.logging import get_logger
@@ -39,6 +39,7 @@
     timers: TimerService
     request_plan: Callable[[], None]
     fleet: Fleet | None = None
+    _logged_workers: set[tuple[str, int]] = field(default_factory=set)
 
     async def async_run(self, directory: TopicFollower) -> None:
         """Release the jobs once all workers have reported or all leases have expired.
@@ -61,12 +62,14 @@
         reconciled = self._reconciled_zones()
         if reconciled != self.state.reconciled_zones:
             self.state.reconciled_zones = reconciled
+            self._log_confirmed_workers()
             zones = ",".join(sorted(reconciled))
             _LOGGER.info("zones_reconciled", epoch=self.epoch, zones=zones)
             self.request_plan()
         if not self._all_workers_reported():
             return
         self.state.takeover_hold_until = 0.0
+        self._log_confirmed_workers()
         _LOGGER.info(
             "takeover_complete",
             epoch=self.epoch,
@@ -75,6 +78,7 @@
 
     def _log_expired_hold(self) -> None:
         """Log that jobs are released though some workers have not reported."""
+        self._log_confirmed_workers()
         unconfirmed = sorted(self.dispatcher.unconfirmed_workers())
         _LOGGER.warning(
             "takeover_hold_expired",
@@ -84,6 +88,25 @@
             workers=",".join(unconfirmed[:MAX_WORKERS_PER_LINE]),
         )
 
+    def _log_confirmed_workers(self) -> None:
+        """Log the incarnations that have reported since the last line of the kind."""
+        confirmed = {
+            (worker.id, worker.started_at_ms)
+            for worker in self.state.workers.values()
+            if worker.confirmed
+        }
+        texts = [f"{name}/{born}" for name, born in confirmed - self._logged_workers]
+        texts.sort()
+        self._logged_workers = confirmed
+        for first in range(0, len(texts), MAX_WORKERS_PER_LINE):
+            part = texts[first : first + MAX_WORKERS_PER_LINE]
+            _LOGGER.info(
+                "workers_confirmed",
+                epoch=self.epoch,
+                count=len(part),
+                workers=",".join(part),
+            )
+
     def _reconciled_zones(self) -> frozenset[str]:
         """Return the data centres all of whose workers have reported their runs.
 
--- a/tests/components/ownership/test_takeover.py
+++ b/tests/components/ownership/test_takeover.py
@@ -11,6 +11,7 @@
 from mustardward.components.ledger.models import OwnerRecord
 from mustardward.components.ownership import takeover
 from mustardward.components.ownership.takeover import Takeover, hold_previous_runs
+from mustardward.helpers.log_pairs import read_pairs
 from mustardward.helpers.timer import DrivenTimerService
 from tests.components.scheduling.builders import POOL, SchedulerBench, a_job, an_entry
 
@@ -173,3 +174,28 @@
 
 async def _async_nothing() -> None:
     return None
+
+
+def test_each_incarnation_that_reported_is_logged_once(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a worker that restarted unseen between two owners."""
+    caplog.set_level("INFO", "absl")
+    harness = TakeoverHarness({"w1": POOL, "w2": OTHER_POOL})
+    workers = harness.state.workers
+    for number, name in enumerate(("w1", "w2"), start=1):
+        workers[name].zone = f"z{number}"
+        workers[name].started_at_ms = 10 * number
+    workers["w1"].confirmed = True
+    harness.unconfirmed_workers = ["w2"]
+    assert not harness.try_release()
+    workers["w2"].confirmed = True
+    harness.unconfirmed_workers = []
+    assert harness.try_release()
+    lines = [
+        read_pairs(record.getMessage())
+        for record in caplog.records
+        if "event=workers_confirmed " in record.getMessage()
+    ]
+    assert [line["workers"] for line in lines] == ["w1/10", "w2/20"]
+    assert {line["epoch"] for line in lines} == {"2"}
