--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -20,7 +20,7 @@
 from .health import WorkerHealth
 from .intake import Intake
 from .models import ACTIVE, Phase, Task
-from .run_logger import RunLogger
+from .run_logger import RunLogger, run_key
 from .scheduler_state import SchedulerState
 from .sent_starts import SentStarts
 from .worker_state import WorkerState
@@ -102,7 +102,14 @@
             task.step.tickets.pop(worker.id, None)
         elif reason == REFUSED_LATE:
             worker.stale = True
-        _LOGGER.info("start_rejected", worker=worker.id, run=run, reason=reason)
+        _LOGGER.info(
+            "start_rejected",
+            job=task.step.job.record.id,
+            task=run_key(task),
+            worker=worker.id,
+            run=run,
+            reason=reason,
+        )
         self._handle_not_started(task, now)
 
     def start_refused(self, task: Task, run: int, now: float) -> None:
--- a/tests/components/scheduling/test_run_logger.py
+++ b/tests/components/scheduling/test_run_logger.py
@@ -11,7 +11,7 @@
 from mustardward.components.scheduling.run_logger import MAX_RUNS_PER_LINE
 from mustardward.helpers.bounded_output import MAX_LINES_PER_SECOND
 from mustardward.helpers.log_pairs import read_pairs
-from mustardward.platform.workers import EndedTask
+from mustardward.platform.workers import REFUSED_ROOM, EndedTask
 
 from .builders import SchedulerBench, a_job, a_step
 
@@ -121,3 +121,19 @@
     runs = [f"0.0.{end.task.index}:{end.run}@w1=done" for end in ended]
     assert pairs["runs"].split(",") == runs
     assert pairs["numbers"] == "5,6"
+
+
+def test_rejected_start_is_logged_with_its_task(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a rejection that can't be joined with the task's other run."""
+    caplog.set_level("INFO", "absl")
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1)))
+    (start,) = [c for c in bench.plan() if isinstance(c, Start)]
+    reports = bench.scheduler.reports
+    reports.start_answered(start.task, start.run, REFUSED_ROOM, bench.now)
+    (line,) = lines_of(caplog, "start_rejected")
+    pairs = read_pairs(line)
+    assert (pairs["job"], pairs["task"]) == (start.task.name.job, "0.0.0")
