Log the pause of the process with a lost topic

Cause: a topic that is lost because the process stood still during the read looks like one behind a partition. The timers log process_paused on each entry, but the failed read may be handled before the task that detects pauses runs.

- TimerService.paused_seconds_since returns the newest pause that ended since a time, or one that was not noticed yet.
- topic_lost has it as paused_seconds, 0 without a pause.
- The task that detects pauses reads the service's monotonic clock rather than time.monotonic; they are the same except in tests with virtual time.

The timers of the virtual worlds get the method, too.

--- a/mustardward/components/ledger/follower.py
+++ b/mustardward/components/ledger/follower.py
@@ -280,5 +280,9 @@
             # timeout, a partitioned entry node would stay ready for callers longer.
             self.failing_since = sent_at
             _LOGGER.warning(
-                "topic_lost", node=self.node, topic=self.topic, detail=detail
+                "topic_lost",
+                node=self.node,
+                topic=self.topic,
+                detail=detail,
+                paused_seconds=self.timers.paused_seconds_since(sent_at),
             )
--- a/mustardward/helpers/timer.py
+++ b/mustardward/helpers/timer.py
@@ -56,6 +56,10 @@
         """Call ``callback`` with the seconds of each pause of the process."""
         ...
 
+    def paused_seconds_since(self, since: float) -> float:
+        """Return how long the newest pause took that ended since a monotonic time."""
+        ...
+
 
 @dataclass(slots=True, eq=False)
 class _Subscription:
@@ -88,6 +92,43 @@
             callback(pause_seconds)
 
 
+@dataclass(slots=True, eq=False)
+class _NewestPause:
+    """The newest pause of the process that was noticed.
+
+    :param checked_at: when the process was last known to run, or None.
+    """
+
+    checked_at: float | None = None
+    ended_at: float = -math.inf
+    seconds: float = 0.0
+
+    def check(self, now: float) -> float:
+        """Record that the process runs; return how long it was paused, or 0."""
+        pause_seconds = self._unnoticed_seconds(now)
+        self.checked_at = now
+        if pause_seconds:
+            self.record(now, pause_seconds)
+        return pause_seconds
+
+    def record(self, now: float, seconds: float) -> None:
+        """Record a pause that has just ended."""
+        self.ended_at = now
+        self.seconds = seconds
+
+    def seconds_since(self, since: float, now: float) -> float:
+        """Return the seconds of a pause that ended since a time, noticed or not."""
+        if unnoticed_seconds := self._unnoticed_seconds(now):
+            return unnoticed_seconds
+        return self.seconds if self.ended_at > since else 0.0
+
+    def _unnoticed_seconds(self, now: float) -> float:
+        if self.checked_at is None:
+            return 0.0
+        seconds = now - self.checked_at - _PAUSE_CHECK_SECONDS
+        return seconds if seconds > PAUSE_THRESHOLD_SECONDS else 0.0
+
+
 class LoopTimerService:
     """Timer service with the real clocks, on the running event loop.
 
@@ -97,6 +138,7 @@
     def __init__(self, task_group: TaskGroup) -> None:
         self._task_group = task_group
         self._pauses = _PauseListeners()
+        self._newest_pause = _NewestPause()
 
     def start(self) -> None:
         """Start to detect pauses of the process."""
@@ -134,6 +176,13 @@
         """Call ``callback`` with the seconds of each pause of the process."""
         return self._pauses.add(callback)
 
+    def paused_seconds_since(self, since: float) -> float:
+        """Return how long the newest pause took that ended since a monotonic time.
+
+        The caller may run before the task that detects pauses.
+        """
+        return self._newest_pause.seconds_since(since, self.monotonic())
+
     async def _async_repeat(self, subscription: _Subscription) -> None:
         while not subscription.cancelled:
             await anyio.sleep(subscription.interval_seconds)
@@ -146,13 +195,11 @@
         # view of the fleet are stale, although all variables are unchanged. The sign
         # is a sleep that takes far longer than requested; subscribers then read the
         # log's tail before they act.
-        last = time.monotonic()
+        self._newest_pause.check(self.monotonic())
         while True:
             await anyio.sleep(_PAUSE_CHECK_SECONDS)
-            now = time.monotonic()
-            pause_seconds = now - last - _PAUSE_CHECK_SECONDS
-            last = now
-            if pause_seconds > PAUSE_THRESHOLD_SECONDS:
+            pause_seconds = self._newest_pause.check(self.monotonic())
+            if pause_seconds:
                 _LOGGER.warning("process_paused", pause_seconds=pause_seconds)
                 self._pauses.notify(pause_seconds)
 
@@ -169,6 +216,7 @@
         self._subscriptions: list[_Subscription] = []
         self._sleepers: list[tuple[float, anyio.Event]] = []
         self._pauses = _PauseListeners()
+        self._newest_pause = _NewestPause()
 
     def monotonic(self) -> float:
         """Return seconds of a monotonic clock."""
@@ -206,6 +254,10 @@
         """Call ``callback`` with the duration of each simulated pause, in seconds."""
         return self._pauses.add(callback)
 
+    def paused_seconds_since(self, since: float) -> float:
+        """Return the seconds of the newest simulated pause that ended since a time."""
+        return self._newest_pause.seconds_since(since, self._now)
+
     async def async_advance(self, seconds: float) -> None:
         """Advance the clock, and run due callbacks and sleepers in order of time."""
         end = self._now + seconds
@@ -221,6 +273,7 @@
     def pause(self, seconds: float) -> None:
         """Advance the clock without running due callbacks, like a stopped process."""
         self._now += seconds
+        self._newest_pause.record(self._now, seconds)
         self._pauses.notify(seconds)
 
     def next_due(self) -> float:
--- a/tests/components/ledger/test_follower.py
+++ b/tests/components/ledger/test_follower.py
@@ -10,6 +10,7 @@
 from mustardward.components.ledger.const import BUSY_POLL_MS
 from mustardward.components.ledger.follower import TopicFollower, poll_timeout_ms
 from mustardward.components.ledger.store_latency import StoreLatency
+from mustardward.helpers.log_pairs import read_pairs
 from mustardward.helpers.timer import DrivenTimerService
 from mustardward.platform.exceptions import CallRefusedError
 from mustardward.platform.store import KeyedRecord, NewestPage, Page
@@ -328,3 +329,30 @@
         behind = written - 1 - int(state.values["a"])
         tasks.cancel_scope.cancel()
     assert behind <= 2
+
+
+class _PausingStore(MemoryStore):
+    """Refuse reads, during which the process is paused."""
+
+    def __init__(self, timers: DrivenTimerService, pause_seconds: float) -> None:
+        super().__init__()
+        self._timers = timers
+        self._pause_seconds = pause_seconds
+
+    async def async_read_newest(self, topic: str, after: str = "") -> NewestPage:
+        if self._pause_seconds:
+            self._timers.pause(self._pause_seconds)
+        raise CallRefusedError("timeout")
+
+
+@pytest.mark.parametrize("pause_seconds", [0.0, 16.0])
+async def test_lost_topic_is_logged_with_the_pause_of_the_process(
+    caplog: pytest.LogCaptureFixture, pause_seconds: float
+) -> None:
+    """Guards against a paused entry whose log reads like a partition."""
+    timers = DrivenTimerService()
+    timers.pause(5.0)
+    follower, _ = build_follower(_PausingStore(timers, pause_seconds), timers)
+    assert not await follower.async_catch_up()
+    (line,) = [r.getMessage() for r in caplog.records if "topic_lost" in r.message]
+    assert float(read_pairs(line)["paused_seconds"]) == pause_seconds
--- a/tests/components/scheduling/liveness_virtual_time.py
+++ b/tests/components/scheduling/liveness_virtual_time.py
@@ -50,5 +50,8 @@
     boottime = monotonic
     wall = monotonic
 
+    def paused_seconds_since(self, since: float) -> float:
+        return 0.0
+
     async def async_sleep(self, seconds: float) -> None:
         await anyio.sleep(seconds)
--- a/tests/fakes/driving.py
+++ b/tests/fakes/driving.py
@@ -126,6 +126,9 @@
     def subscribe_pause(self, callback: PauseCallback) -> Unsubscribe:
         return self._clock.subscribe_pause(callback)
 
+    def paused_seconds_since(self, since: float) -> float:
+        return self._clock.paused_seconds_since(since)
+
 
 @asynccontextmanager
 async def async_driven(
--- a/tests/helpers/test_timer.py
+++ b/tests/helpers/test_timer.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import anyio
 import pytest
 
-from mustardward.helpers.timer import DrivenTimerService
+from mustardward.helpers.timer import DrivenTimerService, LoopTimerService
 
 pytestmark = pytest.mark.anyio
 
@@ -51,3 +52,27 @@
     timers.subscribe_pause(pauses.append)
     timers.pause(60.0)
     assert pauses == [60.0]
+
+
+async def test_pause_is_known_before_it_is_detected(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a failed read that is logged before the pause it falls into."""
+    clock = [100.0]
+
+    class _Timers(LoopTimerService):
+        def monotonic(self) -> float:
+            return clock[0]
+
+    async with anyio.create_task_group() as tasks:
+        timers = _Timers(tasks)
+        timers.start()
+        await anyio.wait_all_tasks_blocked()
+        assert timers.paused_seconds_since(100.0) == 0.0
+        clock[0] += 16.25
+        assert timers.paused_seconds_since(100.0) == 16.0
+        await anyio.sleep(0.3)
+        assert timers.paused_seconds_since(100.0) == 16.0
+        assert timers.paused_seconds_since(clock[0]) == 0.0
+        tasks.cancel_scope.cancel()
+    assert sum("event=process_paused " in r.message for r in caplog.records) == 1
