--- a/mustardward/components/ownership/deposition.py
+++ b/mustardward/components/ownership/deposition.py
@@ -7,6 +7,7 @@
 
 from ...helpers.logging import LogValue, get_logger
 from ..ledger.ledger import Ledger
+from ..scheduling.reports import Reports
 from ..scheduling.run_logger import RunLogger
 from ..scheduling.sent_starts import SentStarts
 from .authority import Authority
@@ -62,3 +63,13 @@
         self.sent_starts.log_unanswered(self.epoch)
         # Without authority nothing was planned, after which runs are logged.
         self.run_logger.flush()
+
+
+def make_deposition_logger(
+    epoch: int, authority: Authority, ledger: Ledger, reports: Reports
+) -> DepositionLogger:
+    """Return an owner's logger, and let its starts be logged with their authority."""
+    starts = reports.sent_starts
+    starts.clock = authority.clock
+    starts.renewed_at = lambda: authority.newest_renewal_at
+    return DepositionLogger(epoch, authority, ledger, starts, reports.run_logger)
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -40,7 +40,7 @@
     MIN_PLAN_INTERVAL_SECONDS,
     SELF_CHECK_SECONDS,
 )
-from .deposition import DeposedBy, DepositionLogger
+from .deposition import DeposedBy, make_deposition_logger
 from .directory import WorkerDirectory
 from .load import OwnerLoad
 from .models import OwnerDependencies
@@ -108,15 +108,8 @@
         self.scheduler.state.stop_grace_seconds = (
             dependencies.bounds.stop_grace_ms / 1000
         )
-        reports = self.scheduler.reports
-        reports.sent_starts.clock = authority.clock
-        reports.sent_starts.renewed_at = lambda: authority.newest_renewal_at
-        self._deposition_logger = DepositionLogger(
-            epoch,
-            authority,
-            dependencies.ledger,
-            reports.sent_starts,
-            reports.run_logger,
+        self._deposition_logger = make_deposition_logger(
+            epoch, authority, dependencies.ledger, self.scheduler.reports
         )
         self.appender = GroupAppender(
             lambda records, producer: dependencies.store.async_append(
--- a/mustardward/helpers/timer.py
+++ b/mustardward/helpers/timer.py
@@ -16,6 +16,7 @@
 from anyio.abc import TaskGroup
 
 from .logging import get_logger
+from .newest_pause import NewestPause
 
 _LOGGER = get_logger(__name__)
 
@@ -92,43 +93,6 @@
             callback(pause_seconds)
 
 
-@dataclass(slots=True, eq=False)
-class _NewestPause:
-    """The newest pause of the process that was noticed.
-
-    :param checked_at: when the process was last known to run, or None.
-    """
-
-    checked_at: float | None = None
-    ended_at: float = -math.inf
-    seconds: float = 0.0
-
-    def check(self, now: float) -> float:
-        """Record that the process runs; return how long it was paused, or 0."""
-        pause_seconds = self._unnoticed_seconds(now)
-        self.checked_at = now
-        if pause_seconds:
-            self.record(now, pause_seconds)
-        return pause_seconds
-
-    def record(self, now: float, seconds: float) -> None:
-        """Record a pause that has just ended."""
-        self.ended_at = now
-        self.seconds = seconds
-
-    def seconds_since(self, since: float, now: float) -> float:
-        """Return the seconds of a pause that ended since a time, noticed or not."""
-        if unnoticed_seconds := self._unnoticed_seconds(now):
-            return unnoticed_seconds
-        return self.seconds if self.ended_at > since else 0.0
-
-    def _unnoticed_seconds(self, now: float) -> float:
-        if self.checked_at is None:
-            return 0.0
-        seconds = now - self.checked_at - _PAUSE_CHECK_SECONDS
-        return seconds if seconds > PAUSE_THRESHOLD_SECONDS else 0.0
-
-
 class LoopTimerService:
     """Timer service with the real clocks, on the running event loop.
 
@@ -138,7 +102,7 @@
     def __init__(self, task_group: TaskGroup) -> None:
         self._task_group = task_group
         self._pauses = _PauseListeners()
-        self._newest_pause = _NewestPause()
+        self._newest_pause = NewestPause(_PAUSE_CHECK_SECONDS, PAUSE_THRESHOLD_SECONDS)
 
     def start(self) -> None:
         """Start to detect pauses of the process."""
@@ -216,7 +180,7 @@
         self._subscriptions: list[_Subscription] = []
         self._sleepers: list[tuple[float, anyio.Event]] = []
         self._pauses = _PauseListeners()
-        self._newest_pause = _NewestPause()
+        self._newest_pause = NewestPause(_PAUSE_CHECK_SECONDS, PAUSE_THRESHOLD_SECONDS)
 
     def monotonic(self) -> float:
         """Return seconds of a monotonic clock."""
