--- a/mustardward/components/dispatch/command_executor.py
+++ b/mustardward/components/dispatch/command_executor.py
@@ -27,6 +27,7 @@
 from ..scheduling.commands import Command, Pace, RequestAdvice, Start, Stop
 from ..scheduling.losses import LossCause
 from ..scheduling.models import UNKNOWN_PACE, Phase, Task
+from ..scheduling.run_logger import run_key
 from ..scheduling.scheduler import Scheduler
 from .call_queue import CallQueue
 from .const import START_MAX_AGE_SECONDS, STOP_RETRY_SECONDS
@@ -43,7 +44,7 @@
     """Execute commands in the workers' sessions and report the results.
 
     :param sessions: the sessions by worker id.
-    :param on_fenced: called when a worker has seen a newer owner.
+    :param on_fenced: called with a worker that has seen a newer owner.
     :param on_report: called when there may be something to plan or to store.
     :param authorised: whether this owner may still send commands.
     :param on_worker_lost: called with a worker that another incarnation answered for.
@@ -53,7 +54,7 @@
     timers: TimerService
     tasks: TaskGroup
     sessions: dict[str, WorkerSession]
-    on_fenced: Callable[[], None]
+    on_fenced: Callable[[str], None]
     on_report: Callable[[], None]
     authorised: Callable[[], bool]
     on_worker_lost: Callable[[str, LossCause], None]
@@ -108,7 +109,8 @@
             reports.start_sent(task, run)
             answer = await session.async_start(task, run)
         except FencedError:
-            self.on_fenced()
+            self._log_failed_start(task, start, "fenced")
+            self.on_fenced(start.worker)
             return
         except WrongIncarnationError:
             self._log_failed_start(task, start, "another incarnation answered")
@@ -127,6 +129,8 @@
             if not answer.reason:
                 START_WAIT_SECONDS.observe(task.started_at - task.ready_since)
                 return
+        finally:
+            reports.sent_starts.forget(task.name, run)
         self.on_report()
 
     def _is_superseded(self, start: Start) -> bool:
@@ -163,7 +167,7 @@
         try:
             await session.client.async_stop(stop.name, stop.run)
         except FencedError:
-            self.on_fenced()
+            self.on_fenced(stop.worker)
         except WrongIncarnationError:
             self._report_restart(session)
         except _CALL_ERRORS:
@@ -190,7 +194,7 @@
         try:
             await session.client.async_set_speed(name, pace.run, pace.percent)
         except FencedError:
-            self.on_fenced()
+            self.on_fenced(pace.worker)
         except WrongIncarnationError:
             self._report_restart(session)
         except _CALL_ERRORS as error:
@@ -223,11 +227,16 @@
         self.on_report()
 
     def _log_failed_start(self, task: Task, start: Start, detail: str) -> None:
+        sent = self.scheduler.reports.sent_starts.get(task.name, start.run)
         _LOGGER.warning(
             "start_failed",
             job=task.step.job.record.id,
+            task=run_key(task),
             worker=start.worker,
             run=start.run,
+            epoch=self.scheduler.state.epoch,
+            sent=sent is not None,
+            renewal_age_seconds=sent.renewal_age_seconds if sent else None,
             detail=detail,
         )
 
--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -16,6 +16,7 @@
 from ..scheduling.incarnations import is_other_incarnation
 from ..scheduling.losses import LossCause
 from ..scheduling.scheduler import Scheduler
+from .acknowledgement_logger import AcknowledgementLogger
 from .command_executor import CommandExecutor
 from .const import LEASE_SECONDS, latest_lease_end
 from .contact_limiter import ContactLimiter
@@ -29,7 +30,7 @@
     """Hold the sessions with workers under one epoch and execute commands in them.
 
     :param token: the fencing token, the owner's epoch.
-    :param on_fenced: called when a worker has seen a newer owner.
+    :param on_fenced: called with a worker that has seen a newer owner.
     :param on_report: called when there may be something to plan or to store.
     :param authorised: whether this owner may still send commands.
     :param max_lease_seconds: the longest lease that workers accept, whatever deadline
@@ -43,13 +44,14 @@
     timers: TimerService
     tasks: TaskGroup
     token: int
-    on_fenced: Callable[[], None]
+    on_fenced: Callable[[str], None]
     on_report: Callable[[], None]
     authorised: Callable[[], bool]
     advice: AdviceClient | None = None
     max_lease_seconds: float = LEASE_SECONDS
     renewal_age_seconds: Callable[[], float] = lambda: 0.0
     executor: CommandExecutor = field(init=False)
+    acknowledgements: AcknowledgementLogger = field(init=False)
     sessions: dict[str, WorkerSession] = field(default_factory=dict)
     lost_workers: set[str] = field(default_factory=set)
     _entries: dict[str, WorkerEntry] = field(default_factory=dict)
@@ -58,6 +60,7 @@
 
     def __post_init__(self) -> None:
         """Create the command executor."""
+        self.acknowledgements = AcknowledgementLogger(self.token)
         self.executor = CommandExecutor(
             self.scheduler,
             self.timers,
@@ -93,6 +96,13 @@
         )
         self._open_session(worker_id, entry, entry.born, lease_ends_at)
 
+    def reopen_sessions(self, entries: dict[str, WorkerEntry]) -> None:
+        """Open sessions with workers that were lost and may be available again."""
+        for worker_id, entry in entries.items():
+            session = self.sessions.get(worker_id)
+            if session is None or session.closed:
+                self.update_worker(worker_id, entry)
+
     def _open_session(
         self,
         worker_id: str,
@@ -112,6 +122,7 @@
             lambda other: self._handle_restart(session, other),
             self._contact_limiter,
             lambda: self.timers.monotonic() - self.renewal_age_seconds(),
+            self.acknowledgements,
         )
         self.sessions[worker_id] = session
         self.tasks.start_soon(self._async_run_session, session)
@@ -167,7 +178,7 @@
         try:
             await session.async_run()
         except FencedError:
-            self.on_fenced()
+            self.on_fenced(session.worker_id)
         finally:
             session.closed = True
 
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -20,8 +20,9 @@
 from .health import WorkerHealth
 from .intake import Intake
 from .models import ACTIVE, Phase, Task
-from .run_logger import RunLogger
+from .run_logger import RunLogger, run_key
 from .scheduler_state import SchedulerState
+from .sent_starts import SentStarts
 from .worker_state import WorkerState
 
 _LOGGER = get_logger(__name__)
@@ -38,6 +39,11 @@
     intake: Intake
     health: WorkerHealth
     run_logger: RunLogger = field(default_factory=RunLogger)
+    sent_starts: SentStarts = field(default_factory=SentStarts)
+
+    def __post_init__(self) -> None:
+        """Name the owner's epoch in the lines of its runs."""
+        self.run_logger.epoch = self.state.epoch
 
     def apply_report(
         self, worker: WorkerState, answer: WorkerReport, sent_at: float, now: float
@@ -69,12 +75,17 @@
         """Record that a start command is being sent."""
         if task.run == run:
             task.sent = True
+            if task.worker is not None:
+                self.sent_starts.record(task.name, run, task.worker.id)
 
     def start_answered(self, task: Task, run: int, reason: str, now: float) -> None:
         """Handle a worker's response to a start; an empty reason means success."""
         if not reason:
             self.state.mark_started(task.step.job)
+        sent = self.sent_starts.get(task.name, run)
         if task.run != run or task.phase is not Phase.STARTING or task.worker is None:
+            if not reason and sent is not None:
+                self.run_logger.record_overtaken_start(task, sent)
             return
         if not reason:
             task.phase = Phase.RUNNING
@@ -82,7 +93,7 @@
             task.percent_since = now
             waited = now - task.ready_since
             expected = self.state.estimates.seconds(task.step)
-            self.run_logger.record_start(task, task.worker, waited, expected)
+            self.run_logger.record_start(task, task.worker, waited, expected, sent)
             return
         worker = task.worker
         if reason == REFUSED_ROOM:
@@ -91,7 +102,14 @@
             task.step.tickets.pop(worker.id, None)
         elif reason == REFUSED_LATE:
             worker.stale = True
-        _LOGGER.info("start_rejected", worker=worker.id, run=run, reason=reason)
+        _LOGGER.info(
+            "start_rejected",
+            job=task.step.job.record.id,
+            task=run_key(task),
+            worker=worker.id,
+            run=run,
+            reason=reason,
+        )
         self._handle_not_started(task, now)
 
     def start_refused(self, task: Task, run: int, now: float) -> None:
@@ -152,6 +170,13 @@
         if ended.how == ENDED_FAILED:
             self.intake.handle_task_failed(task)
 
+    def log_ignored_end(self, worker: WorkerState, ended: EndedTask) -> None:
+        """Log an end that will be ignored, as its task is done or its job unknown."""
+        task = self.state.find_task(ended.task)
+        is_unknown = ended.task.job not in self.state.jobs
+        if is_unknown or (task is not None and task.phase is Phase.DONE):
+            self.run_logger.record_ignored_end(worker, ended)
+
     def _handle_done(
         self, worker: WorkerState, task: Task, is_current: bool, now: float
     ) -> None:
--- a/tests/components/scheduling/test_run_logger.py
+++ b/tests/components/scheduling/test_run_logger.py
@@ -6,8 +6,12 @@
 
 import pytest
 
+from mustardward.components.scheduling.commands import Start
+from mustardward.components.scheduling.models import Phase
 from mustardward.components.scheduling.run_logger import MAX_RUNS_PER_LINE
 from mustardward.helpers.bounded_output import MAX_LINES_PER_SECOND
+from mustardward.helpers.log_pairs import read_pairs
+from mustardward.platform.workers import REFUSED_ROOM, EndedTask
 
 from .builders import SchedulerBench, a_job, a_step
 
@@ -59,3 +63,77 @@
     bench.plan()
     lines = lines_of(caplog, "runs_started")
     assert [len(RUN.findall(line)) for line in lines] == [MAX_RUNS_PER_LINE, 1]
+
+
+def test_start_is_logged_with_epoch_and_age_of_its_renewal(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a second start whose owner and authority no line tells."""
+    caplog.set_level("INFO", "absl")
+    bench = SchedulerBench(epoch=3)
+    reports = bench.scheduler.reports
+    reports.sent_starts.clock = lambda: 12.0
+    reports.sent_starts.renewed_at = lambda: 10.5
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1)))
+    (start,) = [c for c in bench.plan() if isinstance(c, Start)]
+    reports.start_sent(start.task, start.run)
+    reports.start_answered(start.task, start.run, "", bench.now)
+    bench.plan()
+    (line,) = lines_of(caplog, "runs_started")
+    pairs = read_pairs(line)
+    assert (pairs["epoch"], pairs["renewal_ages"]) == ("3", "1.50")
+
+
+def test_start_answered_after_a_report_of_its_run_is_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against runs without a line, as a poll was answered before the start."""
+    caplog.set_level("INFO", "absl")
+    bench = SchedulerBench()
+    reports = bench.scheduler.reports
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1)))
+    (start,) = [c for c in bench.plan() if isinstance(c, Start)]
+    reports.start_sent(start.task, start.run)
+    start.task.phase = Phase.RUNNING
+    reports.start_answered(start.task, start.run, "", bench.now)
+    bench.plan()
+    (line,) = lines_of(caplog, "starts_overtaken")
+    assert read_pairs(line)["runs"] == f"0.0.0:{start.run}@w1"
+
+
+def test_end_is_logged_with_its_number(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against an acknowledged number that can't be joined with a task."""
+    caplog.set_level("INFO", "absl")
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=2)))
+    starts = bench.plan_starts()
+    ended = [
+        EndedTask(number, start.task.name, start.run, "done", "")
+        for number, start in enumerate(starts, start=5)
+    ]
+    bench.hold("w1", ended=ended)
+    bench.plan()
+    (line,) = lines_of(caplog, "runs_ended")
+    pairs = read_pairs(line)
+    runs = [f"0.0.{end.task.index}:{end.run}@w1=done" for end in ended]
+    assert pairs["runs"].split(",") == runs
+    assert pairs["numbers"] == "5,6"
+
+
+def test_rejected_start_is_logged_with_its_task(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a rejection that can't be joined with the task's other run."""
+    caplog.set_level("INFO", "absl")
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=1)))
+    (start,) = [c for c in bench.plan() if isinstance(c, Start)]
+    reports = bench.scheduler.reports
+    reports.start_answered(start.task, start.run, REFUSED_ROOM, bench.now)
+    (line,) = lines_of(caplog, "start_rejected")
+    pairs = read_pairs(line)
+    assert (pairs["job"], pairs["task"]) == (start.task.name.job, "0.0.0")
