Lose the owner of real entry processes behind proxies on loopback

Each entry reaches store, list, workers and other entries through proxies of its own, so that an owner can be cut off alone, with its data centre, or from the store and its peers only: bytes are kept and arrive later, are dropped, or are kept in one direction. Or its process is stopped. The rule TWICE is judged in both parts by what the workers saw; all calls are recorded.

--- /dev/null
+++ b/bench/owner_loss/play.py
@@ -0,0 +1,217 @@
+"""Play one run: jobs, the loss of the owner and what happens beside it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections import defaultdict
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, Final
+
+from rig import Entry, need, route
+
+from .network import Cut, CutMode
+from .platform import PLATFORM, Platform
+
+ZONES: Final = ("z1", "z1", "z1", "z0", "z0", "z2", "z2")
+WORKERS_PER_ZONE: Final = 4
+CPU: Final = 3000
+TASK_CPU: Final = 1000
+LOAD: Final = 0.6
+TASK_SECONDS: Final = (0.3, 1.5)
+LONG_SECONDS: Final = (1.5, 7.0)
+LONG_SHARE: Final = 0.1
+TASKS: Final = (3, 8)
+WARM_UP_SECONDS: Final = 8.0
+TAIL_SECONDS: Final = 9.0
+FINISH_SECONDS: Final = 6.0
+SECOND_LOSS_SECONDS: Final = 7.0
+LATE_SHARE: Final = 0.1
+RETRY_SECONDS: Final = 0.2
+EXTRAS: Final = ("second", "pauses", "restarts", "late", "straggle", "long")
+EXTRA_SHARE: Final = 0.4
+
+
+class Loss(StrEnum):
+    """How an owner is lost: stopped, or cut off with its data centre or alone."""
+
+    PAUSE = "pause"
+    ZONE = "zone"
+    ALONE = "alone"
+    STORE = "store"
+
+
+@dataclass(frozen=True)
+class Plan:
+    """One run.
+
+    :param seconds: how long the owner is lost.
+    """
+
+    seed: int
+    loss: Loss
+    mode: CutMode
+    seconds: float
+    extras: frozenset[str]
+
+
+def draw_plan(seed: int, loss: str, mode: str, extras: str | None) -> Plan:
+    """Return the plan of a seed; what is given is not drawn."""
+    rng = random.Random(seed)
+    drawn_loss, drawn_mode = rng.choice(list(Loss)), rng.choice(list(CutMode))
+    seconds = round(rng.uniform(4.0, 16.0), 2)
+    names = frozenset(name for name in EXTRAS if rng.random() < EXTRA_SHARE)
+    if extras is not None:
+        names = frozenset(filter(None, extras.split(",")))
+    return Plan(
+        seed, Loss(loss or drawn_loss), CutMode(mode or drawn_mode), seconds, names
+    )
+
+
+class Play:
+    """One run of a plan."""
+
+    def __init__(self, plan: Plan, platform: Platform) -> None:
+        self._plan = plan
+        self._platform = platform
+        self._rng = random.Random(plan.seed)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._accepted = 0
+
+    def _begin(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        return task
+
+    async def async_run(self) -> str:
+        """Play the run; return its figures."""
+        await self._async_set_up()
+        jobs = self._begin(self._async_send_jobs())
+        await asyncio.sleep(WARM_UP_SECONDS + self._rng.random())
+        self._begin_extras()
+        await self._async_lose_owner()
+        await asyncio.sleep(TAIL_SECONDS)
+        jobs.cancel()
+        await asyncio.sleep(FINISH_SECONDS)
+        for task in self._tasks:
+            task.cancel()
+        return self._figures()
+
+    async def _async_set_up(self) -> None:
+        platform = self._platform
+        platform.unit_seconds = self._task_seconds
+        await platform.async_start()
+        self._begin(platform.async_watch_leases())
+        for zone in sorted(set(ZONES)):
+            for number in range(WORKERS_PER_ZONE):
+                name = f"m-{zone}-{number}"
+                await platform.async_add_minion(name, "batch", zone, zone, CPU)
+        slack = {"stretch": 3.0, "target-duration-ms": 3000}
+        platform.put_config(1, [route("batch", "/batch/", "batch", **slack)])
+        for number, zone in enumerate(ZONES, start=1):
+            platform.add_entry(f"entry-{number}", number, zone)
+        entries = list(platform.entries.values())
+        await platform.async_connect()
+        for entry in entries:
+            await entry.async_start()
+        need(await platform.async_until_ready(entries, 30.0), "entries never ready")
+        need(bool(platform.owner()), "no entry leads")
+
+    def _task_seconds(self, task: str) -> float:
+        rng = random.Random(f"{self._plan.seed}.{task}")
+        is_long = "long" in self._plan.extras and rng.random() < LONG_SHARE
+        return rng.uniform(*(LONG_SECONDS if is_long else TASK_SECONDS))
+
+    async def _async_send_jobs(self) -> None:
+        slots = len(self._platform.machines) * CPU / TASK_CPU
+        rate = LOAD * slots / (sum(TASK_SECONDS) / 2 * sum(TASKS) / 2)
+        while True:
+            await asyncio.sleep(self._rng.expovariate(rate))
+            self._begin(self._async_send_job())
+
+    async def _async_send_job(self) -> None:
+        count = self._rng.randint(*TASKS)
+        first = self._rng.randint(1, count - 1)
+        task = {"cpu": TASK_CPU, "mem-mb": 64, "estimate-ms": 900}
+        steps = [task | {"count": first}, task | {"count": count - first, "after": [0]}]
+        path = f"/batch/{self._rng.getrandbits(64):016x}"
+        body = {"spec": "work", "steps": steps}
+        status = 0
+        while status != 200:
+            entry = self._rng.choice(list(self._platform.entries.values()))
+            status, _ = await self._platform.async_call("POST", entry, path, body)
+            await asyncio.sleep(RETRY_SECONDS)
+        self._accepted += 1
+
+    def _begin_extras(self) -> None:
+        extras, platform = self._plan.extras, self._platform
+        if "second" in extras:
+            self._begin(self._async_lose_owner(SECOND_LOSS_SECONDS))
+        if "pauses" in extras:
+            others = [
+                e for e in platform.entries.values() if e.name != platform.owner()
+            ]
+            for entry in self._rng.sample(others, 4):
+                after = self._rng.uniform(0.0, self._plan.seconds + 2.0)
+                self._begin(self._async_pause(entry, after, self._rng.uniform(1, 1.4)))
+        if "restarts" in extras:
+            for machine in self._rng.sample(list(platform.machines), 4):
+                self._begin(self._async_restart(machine))
+        if "late" in extras:
+            platform.late_share = LATE_SHARE
+
+    async def _async_pause(self, entry: Entry, after: float, seconds: float) -> None:
+        await asyncio.sleep(after)
+        entry.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        entry.send(signal.SIGCONT)
+
+    async def _async_restart(self, machine: str) -> None:
+        await asyncio.sleep(self._rng.uniform(0.3, self._plan.seconds + 1.0))
+        minion = self._platform.minions[self._platform.machines[machine]["id"]]
+        self._platform.crash(minion)
+        await asyncio.sleep(self._rng.uniform(0.5, 4.0))
+        self._platform.boot(machine, same_id=minion.id)
+
+    async def _async_lose_owner(self, after: float = 0.0) -> None:
+        await asyncio.sleep(after)
+        platform, plan = self._platform, self._plan
+        owner = platform.entries[platform.owner()]
+        platform.record.write("LOST", owner=owner.name, zone=owner.zone)
+        if plan.loss is Loss.PAUSE:
+            await self._async_pause(owner, 0.0, plan.seconds)
+        else:
+            cut = self._cut_for(owner)
+            platform.network.begin(cut)
+            await asyncio.sleep(plan.seconds)
+            platform.network.end(cut)
+        platform.record.write("BACK", owner=owner.name)
+
+    def _cut_for(self, owner: Entry) -> Cut:
+        plan, platform = self._plan, self._platform
+        zones = {name: entry.zone for name, entry in platform.entries.items()}
+        if plan.loss is not Loss.STORE:
+            zones |= {name: row["zone"] for name, row in platform.machines.items()}
+        inside = {owner.name}
+        if plan.loss is Loss.ZONE:
+            inside = {name for name, zone in zones.items() if zone == owner.zone}
+        outside = {PLATFORM, *zones} - inside
+        straggle = plan.seconds / 2 if "straggle" in plan.extras else 0.0
+        return Cut(frozenset(inside), frozenset(outside), plan.mode, straggle)
+
+    def _figures(self) -> str:
+        judge = self._platform.judge
+        zones: dict[str, set[str]] = defaultdict(set)
+        for task, started_in in judge.starts.items():
+            zones[task.partition(".")[0]].update(started_in)
+        counts = judge.finish() | {
+            "accepted": self._accepted,
+            "begun": len(zones),
+            "over_zones": sum(len(names) > 1 for names in zones.values()),
+            "starts": sum(map(len, judge.starts.values())),
+            "again": sum(len(names) > 1 for names in judge.starts.values()),
+        }
+        return " ".join(f"{name}={value}" for name, value in counts.items())
