--- a/bench/owner_loss/judge.py
+++ b/bench/owner_loss/judge.py
@@ -29,7 +29,7 @@
     minions: dict[str, Minion]
     starts: dict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
     broken: int = 0
-    _ends: dict[tuple[int, int], End] = field(default_factory=dict)
+    _ends: dict[tuple[str, int, int], End] = field(default_factory=dict)
     _done: dict[str, list[End]] = field(default_factory=lambda: defaultdict(list))
     _repeats: list[tuple[End, dict[str, Any]]] = field(default_factory=list)
 
@@ -48,20 +48,20 @@
     def add_end(self, minion: Minion, row: list[Any]) -> None:
         """Add the end of a run."""
         if row[3] == "done":
-            end = self._ends[id(minion), row[0]] = End(minion.id)
+            end = self._ends[minion.id, minion.born, row[0]] = End(minion.id)
             self._done[row[1]].append(end)
 
     def add_note(self, minion: Minion, row: list[Any]) -> None:
         """Add that an end was acknowledged."""
         if row[3] == "done":
-            self._ends[id(minion), row[0]].noted = True
+            self._ends[minion.id, minion.born, row[0]].noted = True
 
     def mark_lapsed(self, minion: Minion) -> None:
         """Mark the ends that are not acknowledged if a worker's lease has lapsed."""
         if minion.clock_ms <= minion.lease_ms:
             return
         for row in minion.ended:
-            end = self._ends.get((id(minion), row[0]))
+            end = self._ends.get((minion.id, minion.born, row[0]))
             if end is not None and not end.lapsed:
                 end.lapsed = True
                 self.record.write("lapsed", id=minion.id, task=row[1], run=row[2])
--- a/bench/owner_loss/platform.py
+++ b/bench/owner_loss/platform.py
@@ -84,7 +84,7 @@
     def boot(self, machine: str, same_id: str = "") -> Minion:
         """Start the next life of a machine; the first one began a while ago."""
         minion = super().boot(machine, same_id)
-        if not same_id:
+        if self.machines[machine]["lives"] == 1:
             minion.zero -= self._rng.uniform(20.0, 400.0)
         return minion
 
--- a/bench/owner_loss/play.py
+++ b/bench/owner_loss/play.py
@@ -31,7 +31,8 @@
 SECOND_LOSS_SECONDS: Final = 7.0
 LATE_SHARE: Final = 0.1
 RETRY_SECONDS: Final = 0.2
-EXTRAS: Final = ("second", "pauses", "restarts", "late", "straggle", "long")
+EXTRAS: Final = ("second", "pauses", "restarts", "late", "straggle", "long", "backlog")
+BACKLOG_JOBS: Final = 15
 EXTRA_SHARE: Final = 0.4
 
 
@@ -91,6 +92,10 @@
         await self._async_set_up()
         jobs = self._begin(self._async_send_jobs())
         await asyncio.sleep(WARM_UP_SECONDS + self._rng.random())
+        if "backlog" in self._plan.extras:
+            for _ in range(BACKLOG_JOBS):
+                self._begin(self._async_send_job())
+            await asyncio.sleep(self._rng.uniform(0.1, 1.0))
         self._begin_extras()
         await self._async_lose_owner()
         await asyncio.sleep(TAIL_SECONDS)
@@ -158,7 +163,7 @@
                 after = self._rng.uniform(0.0, self._plan.seconds + 2.0)
                 self._begin(self._async_pause(entry, after, self._rng.uniform(1, 1.4)))
         if "restarts" in extras:
-            for machine in self._rng.sample(list(platform.machines), 4):
+            for machine in self._rng.sample(list(platform.machines), 6):
                 self._begin(self._async_restart(machine))
         if "late" in extras:
             platform.late_share = LATE_SHARE
@@ -170,11 +175,11 @@
         entry.send(signal.SIGCONT)
 
     async def _async_restart(self, machine: str) -> None:
-        await asyncio.sleep(self._rng.uniform(0.3, self._plan.seconds + 1.0))
+        await asyncio.sleep(self._rng.uniform(0.3, self._plan.seconds))
         minion = self._platform.minions[self._platform.machines[machine]["id"]]
         self._platform.crash(minion)
         await asyncio.sleep(self._rng.uniform(0.5, 4.0))
-        self._platform.boot(machine, same_id=minion.id)
+        self._platform.boot(machine, self._rng.choice((minion.id, "")))
 
     async def _async_lose_owner(self, after: float = 0.0) -> None:
         await asyncio.sleep(after)
