--- a/bench/owner_loss/play.py
+++ b/bench/owner_loss/play.py
@@ -30,8 +30,18 @@
 FINISH_SECONDS: Final = 6.0
 SECOND_LOSS_SECONDS: Final = 7.0
 LATE_SHARE: Final = 0.1
+SAME_ID_SHARE: Final = 0.5
 RETRY_SECONDS: Final = 0.2
-EXTRAS: Final = ("second", "pauses", "restarts", "late", "straggle", "long", "backlog")
+EXTRAS: Final = (
+    "second",
+    "pauses",
+    "restarts",
+    "late",
+    "straggle",
+    "long",
+    "backlog",
+    "reborn",
+)
 BACKLOG_JOBS: Final = 15
 EXTRA_SHARE: Final = 0.4
 
@@ -95,7 +105,7 @@
         if "backlog" in self._plan.extras:
             for _ in range(BACKLOG_JOBS):
                 self._begin(self._async_send_job())
-            await asyncio.sleep(self._rng.uniform(0.1, 1.0))
+            await asyncio.sleep(self._rng.uniform(0.03, 0.4))
         self._begin_extras()
         await self._async_lose_owner()
         await asyncio.sleep(TAIL_SECONDS)
@@ -164,7 +174,14 @@
                 self._begin(self._async_pause(entry, after, self._rng.uniform(1, 1.4)))
         if "restarts" in extras:
             for machine in self._rng.sample(list(platform.machines), 6):
-                self._begin(self._async_restart(machine))
+                after = self._rng.uniform(0.3, self._plan.seconds)
+                down = self._rng.uniform(0.5, 4.0)
+                self._begin(self._async_restart(machine, after, down))
+        if "reborn" in extras:
+            for machine in self._rng.sample(list(platform.machines), 6):
+                down = self._rng.uniform(1.0, 3.0)
+                after = self._plan.seconds - down + self._rng.uniform(-0.3, 0.05)
+                self._begin(self._async_restart(machine, after, down, True))
         if "late" in extras:
             platform.late_share = LATE_SHARE
 
@@ -174,12 +191,18 @@
         await asyncio.sleep(seconds)
         entry.send(signal.SIGCONT)
 
-    async def _async_restart(self, machine: str) -> None:
-        await asyncio.sleep(self._rng.uniform(0.3, self._plan.seconds))
-        minion = self._platform.minions[self._platform.machines[machine]["id"]]
-        self._platform.crash(minion)
-        await asyncio.sleep(self._rng.uniform(0.5, 4.0))
-        self._platform.boot(machine, self._rng.choice((minion.id, "")))
+    async def _async_restart(
+        self, machine: str, after: float, down: float, same_id: bool = False
+    ) -> None:
+        await asyncio.sleep(after)
+        platform = self._platform
+        minion = platform.minions.get(platform.machines[machine].get("id", ""))
+        if minion is None:
+            return
+        platform.crash(minion)
+        await asyncio.sleep(down)
+        is_same = same_id or self._rng.random() < SAME_ID_SHARE
+        platform.boot(machine, minion.id if is_same else "")
 
     async def _async_lose_owner(self, after: float = 0.0) -> None:
         await asyncio.sleep(after)
