--- a/bench/owner_loss/__main__.py
+++ b/bench/owner_loss/__main__.py
@@ -44,12 +44,15 @@
     parser.add_argument("--runs", type=int, default=1)
     parser.add_argument("--loss", choices=list(Loss), default="")
     parser.add_argument("--mode", choices=list(CutMode), default="")
+    parser.add_argument("--seconds", type=float)
     parser.add_argument("--extras", help=f"of {','.join(EXTRAS)}; drawn by default")
     parser.add_argument("--out", type=Path, default=ROOT / "target" / "owner_loss")
     options = parser.parse_args()
     logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
     for seed in range(options.seed, options.seed + options.runs):
-        plan = draw_plan(seed, options.loss, options.mode, options.extras)
+        plan = draw_plan(
+            seed, options.loss, options.mode, options.extras, options.seconds
+        )
         folder = options.out / f"{seed}-{plan.loss}"
         folder.mkdir(parents=True, exist_ok=True)
         if not asyncio.run(_async_play(plan, folder)):
--- a/bench/owner_loss/play.py
+++ b/bench/owner_loss/play.py
@@ -28,7 +28,7 @@
 WARM_UP_SECONDS: Final = 8.0
 TAIL_SECONDS: Final = 9.0
 FINISH_SECONDS: Final = 6.0
-SECOND_LOSS_SECONDS: Final = 7.0
+NEXT_LOSS_SECONDS: Final = 7.3
 LATE_SHARE: Final = 0.1
 SAME_ID_SHARE: Final = 0.5
 RETRY_SECONDS: Final = 0.2
@@ -69,16 +69,22 @@
     extras: frozenset[str]
 
 
-def draw_plan(seed: int, loss: str, mode: str, extras: str | None) -> Plan:
+def draw_plan(
+    seed: int, loss: str, mode: str, extras: str | None, seconds: float | None
+) -> Plan:
     """Return the plan of a seed; what is given is not drawn."""
     rng = random.Random(seed)
     drawn_loss, drawn_mode = rng.choice(list(Loss)), rng.choice(list(CutMode))
-    seconds = round(rng.uniform(4.0, 16.0), 2)
+    drawn_seconds = round(rng.uniform(4.0, 16.0), 2)
     names = frozenset(name for name in EXTRAS if rng.random() < EXTRA_SHARE)
     if extras is not None:
         names = frozenset(filter(None, extras.split(",")))
     return Plan(
-        seed, Loss(loss or drawn_loss), CutMode(mode or drawn_mode), seconds, names
+        seed,
+        Loss(loss or drawn_loss),
+        CutMode(mode or drawn_mode),
+        seconds or drawn_seconds,
+        names,
     )
 
 
@@ -90,6 +96,7 @@
         self._platform = platform
         self._rng = random.Random(plan.seed)
         self._tasks: set[asyncio.Task[None]] = set()
+        self._losses: list[asyncio.Task[None]] = []
         self._accepted = 0
 
     def _begin(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
@@ -101,13 +108,16 @@
         """Play the run; return its figures."""
         await self._async_set_up()
         jobs = self._begin(self._async_send_jobs())
+        if "flaky" in self._plan.extras:
+            for machine in self._rng.choices(list(self._platform.machines), k=12):
+                self._begin(self._async_cut_worker(machine))
         await asyncio.sleep(WARM_UP_SECONDS + self._rng.random())
         if "backlog" in self._plan.extras:
             for _ in range(BACKLOG_JOBS):
                 self._begin(self._async_send_job())
             await asyncio.sleep(self._rng.uniform(0.03, 0.4))
         self._begin_extras()
-        await self._async_lose_owner()
+        await asyncio.gather(*self._losses)
         await asyncio.sleep(TAIL_SECONDS)
         jobs.cancel()
         await asyncio.sleep(FINISH_SECONDS)
@@ -163,8 +173,10 @@
 
     def _begin_extras(self) -> None:
         extras, platform = self._plan.extras, self._platform
-        if "second" in extras:
-            self._begin(self._async_lose_owner(SECOND_LOSS_SECONDS))
+        losses = 4 if "series" in extras else 2 if "second" in extras else 1
+        for number in range(losses):
+            after = number * NEXT_LOSS_SECONDS
+            self._losses.append(self._begin(self._async_lose_owner(after)))
         if "pauses" in extras:
             others = [
                 e for e in platform.entries.values() if e.name != platform.owner()
@@ -172,18 +184,28 @@
             for entry in self._rng.sample(others, 4):
                 after = self._rng.uniform(0.0, self._plan.seconds + 2.0)
                 self._begin(self._async_pause(entry, after, self._rng.uniform(1, 1.4)))
+        if "late" in extras:
+            platform.late_share = LATE_SHARE
+        self._begin_restarts()
+
+    def _begin_restarts(self) -> None:
+        extras, platform = self._plan.extras, self._platform
         if "restarts" in extras:
             for machine in self._rng.sample(list(platform.machines), 6):
                 after = self._rng.uniform(0.3, self._plan.seconds)
                 down = self._rng.uniform(0.5, 4.0)
                 self._begin(self._async_restart(machine, after, down))
+        if "near" in extras:
+            zone = platform.entries[platform.owner()].zone
+            near = [m for m, row in platform.machines.items() if row["zone"] == zone]
+            for machine in near[1:]:
+                after, down = self._rng.uniform(0, 0.5), self._rng.uniform(0.6, 2.5)
+                self._begin(self._async_restart(machine, after, down, True))
         if "reborn" in extras:
             for machine in self._rng.sample(list(platform.machines), 6):
                 down = self._rng.uniform(1.0, 3.0)
                 after = self._plan.seconds - down + self._rng.uniform(-0.3, 0.05)
                 self._begin(self._async_restart(machine, after, down, True))
-        if "late" in extras:
-            platform.late_share = LATE_SHARE
 
     async def _async_pause(self, entry: Entry, after: float, seconds: float) -> None:
         await asyncio.sleep(after)
@@ -204,7 +226,15 @@
         is_same = same_id or self._rng.random() < SAME_ID_SHARE
         platform.boot(machine, minion.id if is_same else "")
 
-    async def _async_lose_owner(self, after: float = 0.0) -> None:
+    async def _async_cut_worker(self, machine: str) -> None:
+        await asyncio.sleep(WARM_UP_SECONDS + self._rng.uniform(-4.0, 4.0))
+        network, mode = self._platform.network, self._rng.choice(list(CutMode))
+        cut = Cut(frozenset({machine}), frozenset(self._platform.entries), mode)
+        network.begin(cut)
+        await asyncio.sleep(self._rng.uniform(0.1, 2.0))
+        network.end(cut)
+
+    async def _async_lose_owner(self, after: float) -> None:
         await asyncio.sleep(after)
         platform, plan = self._platform, self._plan
         owner = platform.entries[platform.owner()]
