Carry out polls late too; a poll of an earlier life acknowledges unread ends

Only starts were late so far.

A poll with seen-upto 22 was sent to a worker 0.5 s before it crashed, and carried out 5.0 s later by its next life, whose ends 4 and 5 it acknowledged; the owner had read neither. It logged run_lost for both 0.66 s after, and started them again.

--- a/bench/owner_loss/platform.py
+++ b/bench/owner_loss/platform.py
@@ -49,7 +49,7 @@
 class Platform(Rig):
     """Play store, workers and list of machines, and judge what the workers do.
 
-    :param late_share: share of starts that are carried out or answered late.
+    :param late_shares: shares of calls that are carried out or answered late, by kind.
     """
 
     def __init__(self, folder: Path, seed: int) -> None:
@@ -57,7 +57,7 @@
         self.folder = folder
         self.network = Network(seed)
         self.judge = Judge(self.record, self.minions)
-        self.late_share = 0.0
+        self.late_shares: dict[str, float] = {}
         self._rng = random.Random(seed)
         self._sender: dict[str, Any] = {}
         self.on_run = self._on_run
@@ -121,10 +121,12 @@
         kind = request.path.rpartition("/")[2]
         expected = request.headers.get("Mustardward-Expected-Instance")
         after = 0.0
-        if kind == "run-start" and self._rng.random() < self.late_share:
+        if self._rng.random() < self.late_shares.get(kind, 0.0):
             before = self._rng.choice((0.0, self._rng.uniform(0.3, 7.0)))
             after = 0.0 if before else self._rng.uniform(0.3, 3.0)
-            self.record.write("late", task=body["task"], before=before, after=after)
+            self.record.write(
+                "late", call=kind, id=expected, before=before, after=after
+            )
             await asyncio.sleep(before)
             minion = self.minions.get(expected or "")
         if minion is None:
--- a/bench/owner_loss/play.py
+++ b/bench/owner_loss/play.py
@@ -29,7 +29,7 @@
 TAIL_SECONDS: Final = 9.0
 FINISH_SECONDS: Final = 6.0
 NEXT_LOSS_SECONDS: Final = 7.3
-LATE_SHARE: Final = 0.1
+LATE_SHARES: Final = {"run-start": 0.1, "hold": 0.1}
 SAME_ID_SHARE: Final = 0.5
 RETRY_SECONDS: Final = 0.2
 EXTRAS: Final = (
@@ -185,7 +185,7 @@
                 after = self._rng.uniform(0.0, self._plan.seconds + 2.0)
                 self._begin(self._async_pause(entry, after, self._rng.uniform(1, 1.4)))
         if "late" in extras:
-            platform.late_share = LATE_SHARE
+            platform.late_shares = LATE_SHARES
         self._begin_restarts()
 
     def _begin_restarts(self) -> None:
