--- a/tests/components/ownership/twice_mutants.py
+++ b/tests/components/ownership/twice_mutants.py
@@ -132,6 +132,11 @@
     patch.setattr(SchedulerState, "mark_listing_ends", mark)
 
 
+def _await_no_zones(takeover: Takeover) -> frozenset[str]:
+    """Take the data centres of all known workers for those that have reported."""
+    return frozenset(worker.zone for worker in takeover.state.workers.values())
+
+
 MUTANTS: dict[str, Mutate] = {
     "no-hold-after-a-takeover": _replace(
         owner, "hold_previous_runs", lambda state, previous, now: None
@@ -139,6 +144,9 @@
     "a-takeover-waits-for-nobody": _replace(
         Takeover, "_all_workers_reported", lambda takeover: True
     ),
+    "data-centres-of-a-job-are-not-awaited": _replace(
+        Takeover, "_reconciled_zones", _await_no_zones
+    ),
     "a-start-without-answer-was-none": _forget_unknown_starts,
     "an-unresponsive-worker-is-renewed": _renew_unresponsive,
     "leases-are-expected-to-end-early": _shorten_leases,
--- a/tests/components/ownership/twice_walk.py
+++ b/tests/components/ownership/twice_walk.py
@@ -28,12 +28,14 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from itertools import combinations
+from typing import ClassVar
 from unittest.mock import patch
 
 import anyio
 import msgspec
+import pytest
 
 from mustardward.components.ledger.const import (
     PREFIX_CANCEL,
@@ -55,6 +57,7 @@
 from .twice_world import (
     CALM_FAULT_RATE,
     HEARTBEAT_SECONDS,
+    LAYOUT,
     ORDER_OUTCOMES,
     PLATFORM,
     POOL_A,
@@ -83,8 +86,16 @@
     :param counts: how often each event and outcome occurred.
     """
 
-    def __init__(self, seed: int, faults: Faults = ALLOWED) -> None:
-        self.world = World(seed, faults)
+    nodes: ClassVar[tuple[tuple[str, str], ...]] = NODES
+    settle_seconds: ClassVar[float] = SETTLE_SECONDS
+
+    def __init__(
+        self,
+        seed: int,
+        faults: Faults = ALLOWED,
+        layout: Sequence[tuple[str, str]] = LAYOUT,
+    ) -> None:
+        self.world = World(seed, faults, layout)
         self._rng = self.world.rng
         self._entries: dict[str, Entry] = {}
         self._past: list[Entry] = []
@@ -104,25 +115,29 @@
         self._configure()
         for machine in world.machines.values():
             world.boot(machine)
-        for number in range(len(NODES)):
+        for number in range(len(self.nodes)):
             self._start_entry(number)
+        await self._async_disturb()
+        if not world.violations:
+            world.heal()
+            await self._async_advance(self.settle_seconds)
+        ticker.cancel()
+        for entry in (*self._past, *self._entries.values()):
+            await entry.async_end()
+        return world.violations
+
+    async def _async_disturb(self) -> None:
+        """Let the events of the walk happen, until a violation is found."""
         await self._async_advance(1.5)
         for _ in range(3):
             self._submit()
         events = self._events()
         for _ in range(EVENT_COUNT):
-            if world.violations:
+            if self.world.violations:
                 break
             self._rng.choice(events)()
             interval = self._rng.uniform(0, 2 * MEAN_EVENT_INTERVAL_SECONDS)
             await self._async_advance(interval)
-        if not world.violations:
-            world.heal()
-            await self._async_advance(SETTLE_SECONDS)
-        ticker.cancel()
-        for entry in (*self._past, *self._entries.values()):
-            await entry.async_end()
-        return world.violations
 
     def _events(self) -> list[Callable[[], None]]:
         weighted: list[tuple[Callable[[], None], int]] = [
@@ -175,6 +190,7 @@
     # What callers and the operator do.
 
     def _configure(self) -> None:
+        pools = sorted({machine.pool for machine in self.world.machines.values()})
         body = {
             "version": 1,
             "routes": [
@@ -188,15 +204,14 @@
                     "stretch": 1.6,
                 }
                 for prefix, pool in (("a", POOL_A), ("b", POOL_B))
+                if pool in pools
             ],
-            "services": [
-                {"name": pool, "standby": pool == STANDBY}
-                for pool in (POOL_A, POOL_B, STANDBY)
-            ],
+            "services": [{"name": pool, "standby": pool == STANDBY} for pool in pools],
             "limits": {},
         }
         nodes = [
-            (PREFIX_NODE + node, encode(NodeRecord("", zone))) for node, zone in NODES
+            (PREFIX_NODE + node, encode(NodeRecord("", zone)))
+            for node, zone in self.nodes
         ]
         self.world.store.append(TOPIC, nodes)
         record = (KEY_CONFIG, msgspec.json.encode(body))
@@ -254,8 +269,8 @@
     # What becomes of entries.
 
     def _start_entry(self, number: int) -> None:
-        node, zone = NODES[number]
-        entry = Entry(self.world, node, zone, number / len(NODES))
+        node, zone = self.nodes[number]
+        entry = Entry(self.world, node, zone, number / len(self.nodes))
         self._entries[node] = self.world.entries[node] = entry
         entry.run()
 
@@ -305,7 +320,7 @@
 
     def _restart_entry(self) -> None:
         """Restart entries that were killed or have resigned."""
-        for number, (node, _) in enumerate(NODES):
+        for number, (node, _) in enumerate(self.nodes):
             entry = self._entries[node]
             if entry.process.killed or entry.ownership._resigning:
                 self.world.note(f"{node} restarts")
@@ -325,18 +340,18 @@
         seconds = self._rng.choice([2.0, 5.0, 9.0, 15.0])
         apart = self._rng.random() < 0.7
         world.note(f"{zone} is cut off for {seconds} s apart={apart}")
-        for node, node_zone in NODES:
+        for node, node_zone in self.nodes:
             if node_zone == zone:
                 world.cut(node, PLATFORM, seconds)
         for machine in world.machines.values():
             if machine.zone == zone:
                 world.cut(machine.name, PLATFORM, seconds)
                 machine.hidden_until = world.now + seconds + HEARTBEAT_SECONDS
-            for node, node_zone in NODES:
+            for node, node_zone in self.nodes:
                 if apart and (machine.zone == zone) != (node_zone == zone):
                     world.cut(node, machine.name, seconds)
         if apart:
-            for (node, one), (other, another) in combinations(NODES, 2):
+            for (node, one), (other, another) in combinations(self.nodes, 2):
                 if one != another:
                     world.cut(node, other, seconds)
 
@@ -352,7 +367,7 @@
         """Cut a worker off from one entry, or from all."""
         machine = self._machine()
         seconds = self._rng.choice([0.5, 2.0, 5.0, 10.0])
-        nodes = [node for node, _ in NODES]
+        nodes = [node for node, _ in self.nodes]
         if self._rng.random() < 0.5:
             nodes = [self._owner().node]
         self.world.note(f"{machine.name} is cut off from {nodes} for {seconds} s")
@@ -363,7 +378,7 @@
         machine = self._machine()
         seconds = self._rng.choice([2.0, 5.0, 10.0])
         self.world.note(f"{machine.name} is cut off from all for {seconds} s")
-        for place in (PLATFORM, *(node for node, _ in NODES)):
+        for place in (PLATFORM, *(node for node, _ in self.nodes)):
             self.world.cut(place, machine.name, seconds)
         machine.hidden_until = self.world.now + seconds + HEARTBEAT_SECONDS
 
@@ -394,12 +409,12 @@
         names = [machine.name for machine in machines]
         world.note(f"{owner} and {names} are cut off from all others, {seconds} s")
         world.cut(owner, PLATFORM, seconds)
-        for node, _ in NODES:
+        for node, _ in self.nodes:
             world.cut(owner, node, seconds)
         for machine in machines:
             world.cut(machine.name, PLATFORM, seconds)
             machine.hidden_until = world.now + seconds + HEARTBEAT_SECONDS
-            for node, _ in NODES:
+            for node, _ in self.nodes:
                 if node != owner:
                     world.cut(node, machine.name, seconds)
 
@@ -476,7 +491,7 @@
     def _cut_entries(self) -> None:
         """Cut the owner off from one other entry, or from all."""
         owner = self._owner().node
-        others = [node for node, _ in NODES if node != owner]
+        others = [node for node, _ in self.nodes if node != owner]
         if self._rng.random() < 0.5:
             others = others[:1]
         seconds = self._rng.choice([2.0, 5.0, 9.0])
@@ -516,24 +531,28 @@
             self._world.count(f"lost:{cause}")
 
 
-def main() -> None:
-    """Run walks by hand: FIRST COUNT [--trace] [FAULT ...]."""
+def main(walk_type: type[TwiceWalk] = TwiceWalk) -> None:
+    """Run walks by hand: FIRST COUNT [--trace] [--mutant=NAME] [FAULT ...]."""
     import sys
     import time
 
     from absl import logging as absl_logging
 
+    from .twice_mutants import MUTANTS
+
     arguments = [a for a in sys.argv[1:] if not a.startswith("--")]
     first, count = int(arguments[0]), int(arguments[1])
     faults = Faults(**dict.fromkeys(arguments[2:], True))
     traced = "--trace" in sys.argv
+    for name in (a.removeprefix("--mutant=") for a in sys.argv if "--mutant=" in a):
+        MUTANTS[name](pytest.MonkeyPatch())
     absl_logging.set_verbosity(absl_logging.INFO)
     absl_logging.get_absl_handler().setLevel(logging.CRITICAL)
     started_at = time.monotonic()
     totals: dict[str, int] = {}
     epochs = 0
     for seed in range(first, first + count):
-        walk = TwiceWalk(seed, faults)
+        walk = walk_type(seed, faults)
         handler = _TraceHandler(walk.world)
         absl_logging.get_absl_logger().addHandler(handler)
         try:
--- a/tests/components/ownership/twice_world.py
+++ b/tests/components/ownership/twice_world.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextvars
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -46,10 +46,23 @@
 TICK_SECONDS = 0.02
 LATE_SECONDS = (1.0, 12.0)
 MAX_QUEUED_SECONDS = 2.0
+MAX_RETRANSMISSION_SECONDS = 0.5
 CALM_FAULT_RATE = 0.02
 STARTED_AT_MS = 1_700_000_000_000
 ENDED_DONE = "done"
 
+LAYOUT = (
+    ("z1", POOL_A),
+    ("z1", POOL_A),
+    ("z2", POOL_A),
+    ("z2", POOL_A),
+    ("z1", POOL_B),
+    ("z2", POOL_B),
+    ("z1", STANDBY),
+    ("z2", STANDBY),
+)
+"""Data centre and pool of each machine."""
+
 ORDER_OUTCOMES = ("lost", "answer-lost", "late", "slow", "refused")
 
 
@@ -76,11 +89,10 @@
 class DoneEnd:
     """Track an end ``done`` until it is noted or the worker's lease lapses."""
 
-    worker: WatchedWorker
+    task: str
     number: int
     run: int
     noted: bool = False
-    excused: bool = False
     later_starts: list[str] = field(default_factory=list)
 
 
@@ -132,9 +144,20 @@
 
 
 class World:
-    """Hold the machines, the store and the faults, and judge each start."""
+    """Hold the machines, the store and the faults, and judge each start.
+
+    :param keeps_bytes: whether a request that is sent into a cut is delivered when the
+        cut ends, unless a process at either end of the connection has ended.
+    :param late_calls_survive: whether a call that is executed late is also executed by
+        a later life of the worker that has the same id.
+    """
 
-    def __init__(self, seed: int, faults: Faults) -> None:
+    def __init__(
+        self,
+        seed: int,
+        faults: Faults,
+        layout: Sequence[tuple[str, str]] = LAYOUT,
+    ) -> None:
         self.rng = random.Random(seed)
         self.faults = faults
         self.store = MemoryStore()
@@ -153,26 +176,18 @@
         self.entries: dict[str, Any] = {}
         self.entries_lapse_in_outage = False
         self.max_listed_ends = MAX_LISTED_ENDS
+        self.keeps_bytes = False
+        self.late_calls_survive = True
         self._partition_free_at = 0.0
         self._cuts: dict[tuple[str, str], float] = {}
         self._done_ends: dict[str, list[DoneEnd]] = {}
+        self._open_ends: dict[WatchedWorker, list[DoneEnd]] = {}
         self._lapses: dict[str, float] = {}
         self._entries: dict[str, bytes] = {}
         self._listings: list[tuple[float, list[Instance]]] = []
         self._background: set[asyncio.Task[None]] = set()
         self.machines: dict[str, Machine] = {}
-        for number, (zone, pool) in enumerate(
-            [
-                ("z1", POOL_A),
-                ("z1", POOL_A),
-                ("z2", POOL_A),
-                ("z2", POOL_A),
-                ("z1", POOL_B),
-                ("z2", POOL_B),
-                ("z1", STANDBY),
-                ("z2", STANDBY),
-            ]
-        ):
+        for number, (zone, pool) in enumerate(layout):
             rate = self.rng.choice([1.0, 1.0, 0.98, self.rng.uniform(0.98, 1.0)])
             name = f"m{number}"
             address = f"10.0.0.{number + 1}:80"
@@ -234,14 +249,26 @@
 
     def cut(self, one: str, other: str, seconds: float) -> None:
         """Cut the link between two nodes, machines or the platform."""
-        until = self.now + seconds
-        for pair in ((one, other), (other, one)):
-            self._cuts[pair] = max(until, self._cuts.get(pair, 0.0))
+        self.cut_one_way(one, other, seconds)
+        self.cut_one_way(other, one, seconds)
+
+    def cut_one_way(self, sender: str, receiver: str, seconds: float) -> None:
+        """Lose all that one place sends to another."""
+        pair = (sender, receiver)
+        self._cuts[pair] = max(self.now + seconds, self._cuts.get(pair, 0.0))
 
     def reaches(self, one: str, other: str) -> bool:
-        """Return whether there is a link between two places."""
+        """Return whether what one place sends arrives at another."""
         return self.now >= self._cuts.get((one, other), 0.0)
 
+    def _can_connect(self, one: str, other: str) -> bool:
+        return self.reaches(one, other) and self.reaches(other, one)
+
+    def _life(self, place: str) -> WatchedWorker | None:
+        """Return the process that has the connections to a machine."""
+        machine = self.machines.get(place)
+        return machine.worker if machine is not None else None
+
     def later(self, seconds: float, call: Callable[[], None]) -> None:
         """Call something after a time."""
         asyncio.get_running_loop().call_later(seconds, call)
@@ -320,10 +347,7 @@
         clock_ms = machine.clock_ms(self.now)
         worker.advance(clock_ms)
         if clock_ms > worker._lease_end_ms:
-            for ends in self._done_ends.values():
-                for end in ends:
-                    if end.worker is worker and not end.noted:
-                        end.excused = True
+            self._open_ends.pop(worker, None)
 
     # Entries in the store and the list of instances.
 
@@ -459,7 +483,7 @@
         if outcome == "refused":
             await anyio.sleep(0.004)
             raise CallRefusedError("status=503")
-        if not self.reaches(process.name, other) and self.rng.random() < 0.4:
+        if not self._can_connect(process.name, other) and self.rng.random() < 0.4:
             await anyio.sleep(min(0.6, timeout_seconds))
             raise CallRefusedError("no connection")
         loop = asyncio.get_running_loop()
@@ -487,10 +511,13 @@
         execute: Callable[[], Awaitable[T]],
         answer: asyncio.Future[Outcome[T]],
     ) -> None:
+        life = self._life(other)
         await anyio.sleep(self.rng.uniform(0.001, 0.004))
         if outcome == "late":
             await anyio.sleep(self.rng.uniform(*LATE_SECONDS))
-        if outcome == "lost" or not self.reaches(process.name, other):
+            if not self.late_calls_survive and self._life(other) is not life:
+                return
+        if outcome == "lost" or not await self._async_deliver(process, other, life):
             return
         result: Outcome[T]
         try:
@@ -500,9 +527,31 @@
         slow = outcome == "slow"
         await anyio.sleep(self.rng.uniform(0.05, 0.8) if slow else 0.003)
         silent = outcome in ("late", "answer-lost")
-        if not silent and self.reaches(process.name, other) and not answer.done():
+        if not silent and self.reaches(other, process.name) and not answer.done():
             answer.set_result(result)
 
+    async def _async_deliver(
+        self, process: Process, other: str, life: WatchedWorker | None
+    ) -> bool:
+        """Return whether a request arrives, after the end of a cut if bytes are kept.
+
+        :param life: the worker's life that the connection leads to.
+        """
+        if self.reaches(process.name, other):
+            return True
+        if not self.keeps_bytes:
+            return False
+        cut_seconds = self._cuts[process.name, other] - self.now
+        delay = self.rng.uniform(0.0, MAX_RETRANSMISSION_SECONDS)
+        await anyio.sleep(cut_seconds + delay)
+        if process.killed or self._life(other) is not life:
+            return False
+        if not self.reaches(process.name, other):
+            return False
+        self.note(f"what {process.name} sent to {other} arrives after the cut")
+        self.count("kept")
+        return True
+
     def order_outcome(self, machine: Machine) -> str:
         """Draw what becomes of a call to a worker."""
         if self.now < machine.broken_until:
@@ -577,20 +626,18 @@
         self.note(f"end {run.task} run={_run(run.number)} on {worker.id} {outcome}")
         self.count(outcome)
         if outcome == ENDED_DONE:
-            ends = self._done_ends.setdefault(run.task, [])
-            ends.append(DoneEnd(worker, number, run.number))
+            end = DoneEnd(run.task, number, run.number)
+            self._done_ends.setdefault(run.task, []).append(end)
+            self._open_ends.setdefault(worker, []).append(end)
 
     def _note_ends(self, worker: WatchedWorker, seen_upto: int) -> None:
-        for task, ends in self._done_ends.items():
-            for end in ends:
-                if end.worker is not worker or end.number > seen_upto:
-                    continue
-                if end.noted or end.excused:
-                    continue
-                end.noted = True
-                self.note(f"noted {task} run={_run(end.run)} on {worker.id} done")
-                for start in end.later_starts:
-                    self._report(f"{start}, and its earlier end is noted")
+        ends = self._open_ends.get(worker, [])
+        for end in [end for end in ends if end.number <= seen_upto]:
+            ends.remove(end)
+            end.noted = True
+            self.note(f"noted {end.task} run={_run(end.run)} on {worker.id} done")
+            for start in end.later_starts:
+                self._report(f"{start}, and its earlier end is noted")
 
     def _judge_start(
         self, worker: WatchedWorker, order: StartBody, before: Run | None
