Confirm each lost run for itself instead of whole jobs

Cause: with a count for the whole job, a further loss while a record was on its way made all of the job's tasks wait for the next one.

Change: a task carries the number of its last loss, a job how many losses preceded its newest stored record. Tasks of later losses are taken off the queue while a plan is made, as isolated tasks are; the others of the job go on. The rule on crashes has its own count again, as before.

Tests: each phase, a gang and a long-running task by each cause (a mutant that skipped runs that no report had shown yet, and ones that exempted gangs or long-running tasks, were found by no test before); losses during an append; tasks without lost runs.

--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -105,6 +105,7 @@
         start command may be in flight, or another incarnation may have accepted it.
     :param sent: whether the start command was sent to the worker.
     :param crashes: the incarnations of workers that crashed under the task.
+    :param loss: number of the last loss of one of its runs, counted in its job.
     :param evaluation_due_at: when it will be known which other workers crashed together
         with the last of these, or 0 if no evaluation is due.
     :param adopted: whether a previous owner started the run, and may have stopped it.
@@ -138,6 +139,7 @@
     adopted: bool = False
     paced: bool = False
     observe_at: float = 0.0
+    loss: int = 0
 
     @property
     def name(self) -> TaskName:
@@ -295,10 +297,8 @@
     :param begun_occurrences: the occurrences before this one are due whatever the clock
         says, since a later one has begun.
     :param backlog: number of due occurrences that are not in ``steps``.
-    :param stored: whether the log contains its admission by an owner, and a record that
-        was made after the last loss of one of its runs. Nothing of it starts before, so
-        that the next owner knows which jobs can't have started, and that no run is
-        repeated whose end another owner has acknowledged.
+    :param stored: whether the log contains its admission by an owner. Nothing of it
+        starts before, so that the next owner knows which jobs can't have started.
     :param from_previous_owner: whether a previous owner had admitted it, and may have
         started it.
     :param home_rack: the rack preferred for its short tasks. A job completes only with
@@ -313,8 +313,13 @@
     :param beyond_share: whether it is beyond its organisation's share of the pool.
     :param was_beyond_share: whether it was so in any plan.
     :param suspicion: the largest number of worker crashes under one of its tasks.
-    :param revision: number of crashes and lost runs that this owner recorded for it.
-    :param revision_in_record: the revision of its newest log record.
+    :param crashes_counted: number of crashes that this owner recorded for its tasks.
+    :param crashes_in_record: how many of these its newest log record contains.
+    :param losses: number of times that runs of it were lost with their worker.
+    :param losses_in_record: how many of these preceded its newest log record.
+    :param losses_stored: how many of these preceded its newest stored record. Tasks of
+        later losses wait: another owner may have acknowledged that they are done, and
+        the log accepts a record only if none had taken over by then.
     :param run_times: what its own runs show about its run times.
     :param limits: the newest limits of its organisation, or None if it has none.
     """
@@ -344,8 +349,11 @@
     beyond_share: bool = False
     was_beyond_share: bool = False
     suspicion: int = 0
-    revision: int = 0
-    revision_in_record: int = 0
+    crashes_counted: int = 0
+    crashes_in_record: int = 0
+    losses: int = 0
+    losses_in_record: int = 0
+    losses_stored: int = 0
     run_times: JobRunTimes = field(default_factory=JobRunTimes)
     limits: LimitsRecord | None = None
 
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -30,6 +30,7 @@
 )
 from .quota_wait_logger import QuotaWaitLogger
 from .scheduler_state import SchedulerState
+from .unconfirmed_losses import take_unconfirmed_tasks
 from .wait_tracker import Reason, WaitTracker, reason_elsewhere
 from .worker_state import WorkerState
 from .zone_chooser import ZoneChooser, promised_room
@@ -130,13 +131,16 @@
             if awaits_evaluation(step.job):
                 self.wait_tracker.record(step, Reason.AWAITS_EVALUATION)
                 continue
+            unconfirmed = take_unconfirmed_tasks(step)
             suspects = take_isolated_tasks(step)
             if suspects:
                 self._place_isolated(step, suspects, workers, candidates, now)
             if step.waiting:
                 self._place_shared(step, candidates, promised, now)
-            if suspects:
-                self.state.return_to_queue(step, suspects)
+            if unconfirmed and not (step.waiting or suspects):
+                self.wait_tracker.record(step, Reason.NOT_STORED)
+            if suspects or unconfirmed:
+                self.state.return_to_queue(step, [*suspects, *unconfirmed])
 
     def _judge_shares(
         self,
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -106,8 +106,9 @@
         for job_id in job_ids:
             job = self.state.jobs.get(job_id)
             if job is not None:
-                job.stored |= job.revision_in_record == job.revision
+                job.stored |= job.crashes_in_record == job.crashes_counted
                 job.stored_zones = job.pending_zones
+                job.losses_stored = job.losses_in_record
 
     def cancel_job(self, job_id: str) -> None:
         """End a job that a caller cancelled."""
@@ -243,7 +244,8 @@
         records = [(job_id, progress_of(job, wall)) for job_id, job in dirty.items()]
         for job_id, job in dirty.items():
             job.pending_zones = job.zones
-            job.revision_in_record = job.revision
+            job.crashes_in_record = job.crashes_counted
+            job.losses_in_record = job.losses
             self.wait_logger.record_sent(job_id, now)
             if job.state.final and job_id not in self._ending:
                 self._ending[job_id] = job
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -264,7 +264,7 @@
         task.step.stateful[task.index] = task
         task.runs_since_crash = 0
         job = task.step.job
-        job.revision += 1
+        job.crashes_counted += 1
         job.suspicion = max(job.suspicion, len(task.crashes))
         self.suspects[job.record.id] = job
         if job.suspicion >= ISOLATION_CRASHES:
@@ -330,7 +330,7 @@
 
     def drop_worker(self, worker: WorkerState, now: float) -> None:
         """Remove a worker that is certainly gone, and requeue its tasks."""
-        self._record_lost_runs(worker)
+        self._record_losses(worker)
         in_flight = [
             (task.name, task.run)
             for task in worker.tasks.values()
@@ -353,7 +353,7 @@
         task continues once the stop is acknowledged. This includes starts whose task
         has moved elsewhere since, because only the old incarnation knew of their stop.
         """
-        self._record_lost_runs(old)
+        self._record_losses(old)
         self._reject_delayed(new, old.unanswered_starts)
         for task in list(old.tasks.values()):
             if task.seen_running:
@@ -373,17 +373,16 @@
                     step.allowed_workers.discard(new.id)
                     step.denied_at.pop(new.id, None)
 
-    def _record_lost_runs(self, worker: WorkerState) -> None:
-        """Let the jobs with runs on a lost worker wait until they are stored again.
+    def _record_losses(self, worker: WorkerState) -> None:
+        """Record a lost worker, whose runs another owner may have seen ending.
 
-        Another owner may have ended the worker, after it acknowledged that tasks there
-        are done. The log accepts a record only if there is no other owner yet.
+        Its tasks start only once the log shows that nobody had taken over by then.
         """
         for task in worker.tasks.values():
             job = task.step.job
             if not job.state.final:
-                job.revision += 1
-                job.stored = False
+                job.losses += 1
+                task.loss = job.losses
                 self.mark_dirty(job)
 
     def _reject_delayed(
--- a/tests/components/ownership/twice_mutants.py
+++ b/tests/components/ownership/twice_mutants.py
@@ -158,7 +158,7 @@
     "an-owner-without-authority-is-over": _trust_answers,
     "a-part-of-the-ends-is-taken-for-all": _trust_first_lists,
     "lost-runs-are-repeated-unconfirmed": _replace(
-        SchedulerState, "_record_lost_runs", lambda state, worker: None
+        SchedulerState, "_record_losses", lambda state, worker: None
     ),
     "other-incarnations-are-not-noticed": _replace(
         session, "is_other_incarnation", lambda one, other: False
--- a/tests/components/scheduling/test_unconfirmed_losses.py
+++ b/tests/components/scheduling/test_unconfirmed_losses.py
@@ -7,8 +7,9 @@
 import pytest
 
 from mustardward.components.scheduling.losses import LossCause
+from mustardward.components.scheduling.models import Phase, Task
 
-from .builders import JOB, SchedulerBench, a_job, a_step, an_entry
+from .builders import JOB, SchedulerBench, a_job, a_row, a_step, an_entry
 
 BORN = 1000
 OTHER = "00000000000000bb"
@@ -24,7 +25,8 @@
 
 
 def _restart(bench: SchedulerBench, worker: str) -> None:
-    bench.scheduler.replace_worker(worker, BORN + 1, an_entry(born=BORN + 1), bench.now)
+    entry = an_entry(born=BORN + 1)
+    bench.scheduler.replace_worker(worker, BORN + 1, entry, bench.now)
 
 
 LOSSES = {
@@ -34,41 +36,80 @@
     LossCause.LEASES_EXPIRED: _remove(LossCause.LEASES_EXPIRED),
     LossCause.RESTARTED: _restart,
 }
+STEPS = {
+    "one-task": {"count": 1},
+    "long-running": {"count": 1, "long_running": True},
+    "gang": {"count": 2, "gang": True},
+}
 
 
-def a_bench() -> tuple[SchedulerBench, str]:
-    """Return a scheduler with two workers, one of which runs a job's only task."""
+def a_bench(**step: object) -> tuple[SchedulerBench, list[Task]]:
+    """Return a scheduler with one worker, which is sent all tasks of a job."""
     bench = SchedulerBench()
-    for name in ("w1", "w2"):
-        bench.worker(name, born=BORN)
-    bench.add(a_job(a_step(count=1)))
-    (start,) = bench.plan_starts()
-    bench.task(0).seen_running = True
-    bench.store()
-    return bench, start.worker
+    bench.worker("w1", born=BORN)
+    bench.add(a_job(a_step(**step)))
+    tasks = [command.task for command in bench.plan()]  # type: ignore[union-attr]
+    for task in tasks:
+        bench.scheduler.reports.start_sent(task, task.run)
+    return bench, tasks
+
+
+def collect(bench: SchedulerBench) -> list[str]:
+    """Return the jobs whose records are sent, without an answer yet."""
+    bench.scheduler.state.mark_dirty(bench.scheduler.state.jobs[JOB])
+    return [job_id for job_id, _ in bench.scheduler.take_dirty(bench.now, bench.now)]
 
 
 @pytest.mark.parametrize("cause", LossCause)
-def test_lost_run_is_repeated_only_once_a_record_of_after_the_loss_is_stored(
-    cause: LossCause,
+@pytest.mark.parametrize("phase", [Phase.STARTING, Phase.RUNNING, Phase.STOPPING])
+@pytest.mark.parametrize("kind", STEPS)
+def test_lost_run_is_repeated_only_after_a_record_written_after_the_loss(
+    kind: str, phase: Phase, cause: LossCause
 ) -> None:
     """Guard against a task that another owner knows to be done and that runs again."""
-    bench, worker = a_bench()
-    bench.scheduler.state.mark_dirty(bench.scheduler.state.jobs[JOB])
-    collected_before = [
-        job_id for job_id, _ in bench.scheduler.take_dirty(bench.now, bench.now)
-    ]
-    LOSSES[cause](bench, worker)
-    bench.scheduler.mark_stored(collected_before)
+    bench, tasks = a_bench(**STEPS[kind])
+    if phase is not Phase.STARTING:
+        for task in tasks:
+            bench.scheduler.reports.start_answered(task, task.run, "", bench.now)
+        bench.hold("w1", running=[a_row(task, 10.0) for task in tasks])
+    if phase is Phase.STOPPING:
+        for task in tasks:
+            bench.scheduler.state.stop(task, "test")
+    sent_before = collect(bench)
+    LOSSES[cause](bench, "w1")
+    for task in tasks:
+        if task.worker is not None:
+            bench.scheduler.state.end_run(task, bench.now)
+    bench.worker("w2", born=BORN)
+    bench.scheduler.mark_stored(sent_before)
     assert not bench.plan_starts()
     bench.store()
-    assert len(bench.plan_starts()) == 1
+    assert {start.task for start in bench.plan_starts()} == set(tasks)
+
+
+def test_losses_during_an_append_do_not_delay_what_was_lost_before() -> None:
+    """Guard against a wide job that starts nothing for as long as workers are lost."""
+    bench = SchedulerBench()
+    for name in ("w1", "w2"):
+        bench.worker(name, born=BORN)
+    bench.add(a_job(a_step(count=2, cpu=8000)))
+    first, second = bench.plan_starts()
+    LOSSES[LossCause.UNLISTED](bench, first.worker)
+    sent = collect(bench)
+    LOSSES[LossCause.UNLISTED](bench, second.worker)
+    for name in ("w3", "w4"):
+        bench.worker(name, born=BORN)
+    bench.scheduler.mark_stored(sent)
+    assert [start.task for start in bench.plan_starts()] == [first.task]
+    bench.store()
+    assert [start.task for start in bench.plan_starts()] == [second.task]
 
 
-def test_jobs_without_runs_on_a_lost_worker_start_at_once() -> None:
+def test_tasks_without_lost_runs_start_at_once() -> None:
     """Guard against work that waits for the log although nothing of it was lost."""
-    bench, worker = a_bench()
-    LOSSES[LossCause.UNLISTED](bench, worker)
+    bench, _ = a_bench(count=1)
+    LOSSES[LossCause.UNLISTED](bench, "w1")
+    bench.worker("w2", born=BORN)
     bench.add(a_job(a_step(count=1), job=OTHER))
     (start,) = bench.plan_starts()
     assert start.task.step.job.record.id == OTHER
