End the hold after a takeover only by renewals sent after its reasons

What callers would see: a task runs twice (TWICE).

Cause: jobs of the previous owner are held until all workers have reported or leases are over. An owner that is cut off during its takeover can conclude either while another one has taken over: a worker that had not reported is gone from the list (the next owner has read its ends), or the hold's time has passed (the next owner renews the leases). Neither conclusion asked whether it was still the owner; for the leases of a silent worker does.

Change: jobs stay held until a renewal is stored that was sent after the end of the hold and after the last loss of a worker that had not reported. Why it works: the log accepts no renewal once another owner has claimed.

--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -105,6 +105,9 @@
             is_configured=lambda: dependencies.configuration.is_loaded,
             limits=limits,
         )
+        self.scheduler.state.confirmed_until = lambda: (
+            dependencies.timers.monotonic() - authority.renewal_age_seconds()
+        )
         self.scheduler.state.stop_grace_seconds = (
             dependencies.bounds.stop_grace_ms / 1000
         )
--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -66,7 +66,9 @@
             zones = ",".join(sorted(reconciled))
             _LOGGER.info("zones_reconciled", epoch=self.epoch, zones=zones)
             self.request_plan()
-        if not self._all_workers_reported():
+        if not (
+            self._all_workers_reported() and self.state.is_unreported_loss_confirmed
+        ):
             return
         self.state.takeover_hold_until = 0.0
         self._log_confirmed_workers()
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -26,6 +27,11 @@
     return True
 
 
+def _always_confirmed() -> float:
+    """Return that ownership is confirmed, for a scheduler without a log."""
+    return math.inf
+
+
 PolicyLookup = Callable[[str], QueuePolicy | None]
 
 
@@ -49,6 +55,10 @@
     :param reconciled_zones: data centres whose workers have all reported their runs.
     :param suspects: the jobs with tasks under which workers crashed, by id.
     :param stop_grace_seconds: how long a worker may take to stop a run.
+    :param confirmed_until: returns until when the log is known to name no other owner,
+        in monotonic seconds.
+    :param unreported_loss_at: when a worker was last lost during the takeover before it
+        had reported all its runs.
     """
 
     epoch: int
@@ -70,6 +80,8 @@
     quotas: Quotas = field(default_factory=Quotas)
     suspects: dict[str, Job] = field(default_factory=dict)
     stop_grace_seconds: float = STOP_GRACE_SECONDS
+    confirmed_until: Callable[[], float] = _always_confirmed
+    unreported_loss_at: float = -math.inf
     _lost_starts: LostStarts = field(default_factory=LostStarts)
     _commands: list[Command] = field(default_factory=list)
     _run_counter: int = 0
@@ -103,15 +115,28 @@
         """Return whether unknown runs of a job may exist from a previous owner."""
         if not job.from_previous_owner or self.is_takeover_complete(now):
             return False
+        if not self.is_unreported_loss_confirmed:
+            return True
         return job.stored_zones is None or not job.stored_zones <= self.reconciled_zones
 
     def is_takeover_complete(self, now: float) -> bool:
         """Return whether all runs of previous owners are known or certainly over.
 
-        After the hold, the leases of a previous owner have expired. A worker that this
-        owner renewed meanwhile may still have to list tasks that are done.
+        After the hold, the leases of a previous owner have expired, unless the next
+        owner has renewed them. A worker that this owner renewed meanwhile may still
+        have to list tasks that are done.
         """
-        return now >= self.takeover_hold_until and not self.listing_workers
+        is_hold_over = min(now, self.confirmed_until()) >= self.takeover_hold_until
+        return (
+            is_hold_over
+            and self.is_unreported_loss_confirmed
+            and not self.listing_workers
+        )
+
+    @property
+    def is_unreported_loss_confirmed(self) -> bool:
+        """Return whether nobody had taken over when a worker was lost unreported."""
+        return self.confirmed_until() >= self.unreported_loss_at
 
     def mark_confirmed(self, worker: WorkerState) -> None:
         """Record that a worker has reported all its runs."""
@@ -330,7 +355,7 @@
 
     def drop_worker(self, worker: WorkerState, now: float) -> None:
         """Remove a worker that is certainly gone, and requeue its tasks."""
-        self._record_losses(worker)
+        self._record_losses(worker, now)
         in_flight = [
             (task.name, task.run)
             for task in worker.tasks.values()
@@ -353,7 +378,7 @@
         task continues once the stop is acknowledged. This includes starts whose task
         has moved elsewhere since, because only the old incarnation knew of their stop.
         """
-        self._record_losses(old)
+        self._record_losses(old, now)
         self._reject_delayed(new, old.unanswered_starts)
         for task in list(old.tasks.values()):
             if task.seen_running:
@@ -373,11 +398,14 @@
                     step.allowed_workers.discard(new.id)
                     step.denied_at.pop(new.id, None)
 
-    def _record_losses(self, worker: WorkerState) -> None:
+    def _record_losses(self, worker: WorkerState, now: float) -> None:
         """Record a lost worker, whose runs another owner may have seen ending.
 
-        Its tasks start only once the log shows that nobody had taken over by then.
+        Its tasks, and the jobs that are held for its report, start only once the log
+        shows that nobody had taken over by then.
         """
+        if not (worker.confirmed or self.is_takeover_complete(now)):
+            self.unreported_loss_at = now
         for task in worker.tasks.values():
             job = task.step.job
             if not job.state.final:
--- a/tests/components/ownership/twice_mutants.py
+++ b/tests/components/ownership/twice_mutants.py
@@ -158,7 +158,17 @@
     "an-owner-without-authority-is-over": _trust_answers,
     "a-part-of-the-ends-is-taken-for-all": _trust_first_lists,
     "lost-runs-are-repeated-unconfirmed": _replace(
-        SchedulerState, "_record_losses", lambda state, worker: None
+        SchedulerState, "_record_losses", lambda state, worker, now: None
+    ),
+    "an-unreported-loss-is-not-confirmed": _replace(
+        SchedulerState, "is_unreported_loss_confirmed", True
+    ),
+    "a-hold-ends-by-the-clock-alone": _replace(
+        SchedulerState,
+        "is_takeover_complete",
+        lambda state, now: (
+            now >= state.takeover_hold_until and not state.listing_workers
+        ),
     ),
     "other-incarnations-are-not-noticed": _replace(
         session, "is_other_incarnation", lambda one, other: False
--- a/tests/components/scheduling/test_unconfirmed_losses.py
+++ b/tests/components/scheduling/test_unconfirmed_losses.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from mustardward.components.ledger.models import JobState, Progress
 from mustardward.components.scheduling.losses import LossCause
 from mustardward.components.scheduling.models import Phase, Task
 
@@ -13,6 +14,7 @@
 
 BORN = 1000
 OTHER = "00000000000000bb"
+TAKEOVER_HOLD_SECONDS = 8.0
 
 Lose = Callable[[SchedulerBench, str], None]
 
@@ -113,3 +115,45 @@
     bench.add(a_job(a_step(count=1), job=OTHER))
     (start,) = bench.plan_starts()
     assert start.task.step.job.record.id == OTHER
+
+
+def a_held_bench() -> tuple[SchedulerBench, list[float]]:
+    """Return a new owner that has not heard of a worker, and a list of its renewal."""
+    bench = SchedulerBench(epoch=2)
+    state = bench.scheduler.state
+    renewed_at = [bench.now]
+    state.confirmed_until = lambda: renewed_at[0]
+    state.taken_over_at = bench.now
+    state.takeover_hold_until = bench.now + TAKEOVER_HOLD_SECONDS
+    bench.worker("w1", zone="z1", born=BORN)
+    bench.scheduler.update_worker("w2", an_entry(zone="z2", born=BORN), bench.now)
+    job = a_job(a_step(count=1))
+    job.progress = Progress(JobState.RUNNING, zones=["z1", "z2"])
+    bench.add(job)
+    state.reconciled_zones = frozenset({"z1"})
+    return bench, renewed_at
+
+
+@pytest.mark.parametrize("cause", LossCause)
+def test_held_job_waits_for_a_renewal_after_an_unreported_worker_is_lost(
+    cause: LossCause,
+) -> None:
+    """Guard against a release since a worker is gone whose ends another owner read."""
+    bench, renewed_at = a_held_bench()
+    bench.now += 1.0
+    renewed_at[0] = bench.now - 0.1
+    LOSSES[cause](bench, "w2")
+    bench.scheduler.state.reconciled_zones = frozenset({"z1", "z2"})
+    assert not bench.plan_starts()
+    renewed_at[0] = bench.now
+    assert len(bench.plan_starts()) == 1
+
+
+def test_takeover_hold_ends_with_a_renewal_sent_after_it() -> None:
+    """Guard against a hold that ends while another owner renews the leases."""
+    bench, renewed_at = a_held_bench()
+    bench.now += TAKEOVER_HOLD_SECONDS + 0.5
+    renewed_at[0] = bench.now - 1.0
+    assert not bench.plan_starts()
+    renewed_at[0] = bench.now
+    assert len(bench.plan_starts()) == 1
