--- a/mustardward/components/dispatch/acknowledgement_logger.py
+++ b/mustardward/components/dispatch/acknowledgement_logger.py
@@ -5,13 +5,10 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from ...helpers.logging import get_logger
+from ...helpers.logging import get_logger, log_workers
 
 _LOGGER = get_logger(__name__)
 
-MAX_WORKERS_PER_LINE: Final = 32
-"""Most workers that one log line names."""
-
 LOG_INTERVAL_SECONDS: Final = 1.0
 
 Incarnation = tuple[str, int]
@@ -53,11 +50,4 @@
             for (worker, born), (previous, upto) in self._gathered.items()
         ]
         self._gathered.clear()
-        for first in range(0, len(texts), MAX_WORKERS_PER_LINE):
-            part = texts[first : first + MAX_WORKERS_PER_LINE]
-            _LOGGER.info(
-                "ends_acknowledged",
-                epoch=self.epoch,
-                count=len(part),
-                workers=",".join(part),
-            )
+        log_workers(_LOGGER, "ends_acknowledged", self.epoch, texts)
--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -4,9 +4,8 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Final
 
-from ...helpers.logging import get_logger
+from ...helpers.logging import MAX_WORKERS_PER_LINE, get_logger, log_workers
 from ...helpers.timer import TimerService
 from ..dispatch.const import AUTHORITY_SECONDS, latest_lease_end
 from ..dispatch.dispatcher import Dispatcher
@@ -18,9 +17,6 @@
 
 _LOGGER = get_logger(__name__)
 
-MAX_WORKERS_PER_LINE: Final = 32
-"""Most workers that one log line names."""
-
 
 @dataclass(slots=True, eq=False)
 class Takeover:
@@ -98,16 +94,8 @@
             if worker.confirmed
         }
         texts = [f"{name}/{born}" for name, born in confirmed - self._logged_workers]
-        texts.sort()
         self._logged_workers = confirmed
-        for first in range(0, len(texts), MAX_WORKERS_PER_LINE):
-            part = texts[first : first + MAX_WORKERS_PER_LINE]
-            _LOGGER.info(
-                "workers_confirmed",
-                epoch=self.epoch,
-                count=len(part),
-                workers=",".join(part),
-            )
+        log_workers(_LOGGER, "workers_confirmed", self.epoch, sorted(texts))
 
     def _reconciled_zones(self) -> frozenset[str]:
         """Return the data centres all of whose workers have reported their runs.
--- a/mustardward/helpers/logging.py
+++ b/mustardward/helpers/logging.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Sequence
 from typing import Final
 
 from absl import logging as absl_logging
@@ -11,6 +12,9 @@
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/@+%,"
 )
 
+MAX_WORKERS_PER_LINE: Final = 32
+"""Most workers that one log line names."""
+
 LogValue = str | int | float | bool | None
 
 
@@ -69,6 +73,15 @@
         return format_event(event, {"part": self._name, **fields})
 
 
+def log_workers(
+    logger: EventLogger, event: str, epoch: int, workers: Sequence[str]
+) -> None:
+    """Log an event of many workers under an epoch, in lines of limited length."""
+    for first in range(0, len(workers), MAX_WORKERS_PER_LINE):
+        part = workers[first : first + MAX_WORKERS_PER_LINE]
+        logger.info(event, epoch=epoch, count=len(part), workers=",".join(part))
+
+
 def get_logger(name: str) -> EventLogger:
     """Return the event logger of a module."""
     return EventLogger(name)
--- a/tests/components/dispatch/test_acknowledgement_logger.py
+++ b/tests/components/dispatch/test_acknowledgement_logger.py
@@ -5,10 +5,10 @@
 import pytest
 
 from mustardward.components.dispatch.acknowledgement_logger import (
-    MAX_WORKERS_PER_LINE,
     AcknowledgementLogger,
 )
 from mustardward.helpers.log_pairs import read_pairs
+from mustardward.helpers.logging import MAX_WORKERS_PER_LINE
 from mustardward.platform.exceptions import CallUnknownError
 from mustardward.platform.workers import EndedTask, TaskName, WorkerReport
 
--- a/tests/components/ownership/test_isolated_owners.py
+++ b/tests/components/ownership/test_isolated_owners.py
@@ -178,7 +178,7 @@
 def test_isolated_owner_does_not_restart_runs_that_its_successor_acknowledged(
     seed: int, loss: str
 ) -> None:
-    """Guard against a run that is repeated since its worker is gone, not its end."""
+    """Guard against repeating a run whose worker is gone but whose end is known."""
     walk = IsolatedOwnerWalk(seed, loss)
     assert not walk.walk()
     assert len(walk.epochs) > 1
