--- a/bench/owner_loss/network.py
+++ b/bench/owner_loss/network.py
@@ -17,26 +17,29 @@
 
 
 class CutMode(StrEnum):
-    """What becomes of bytes: kept, dropped, or kept in one direction only."""
+    """What becomes of bytes: kept, dropped, or kept in one direction only.
+
+    INBOUND holds what is sent to the inside, OUTBOUND what is sent from it.
+    """
 
     KEEP = "keep"
     RESET = "reset"
     SILENT = "silent"
-    DEAF = "deaf"
-    MUTE = "mute"
+    INBOUND = "inbound"
+    OUTBOUND = "outbound"
 
 
 @dataclass(frozen=True, eq=False)
 class Cut:
     """Separate names inside from names outside.
 
-    :param straggle_seconds: greatest delay of kept bytes after the end of the cut.
+    :param jitter_seconds: greatest delay of kept bytes after the end of the cut.
     """
 
     inside: frozenset[str]
     outside: frozenset[str]
     mode: CutMode
-    straggle_seconds: float = 0.0
+    jitter_seconds: float = 0.0
 
     def separates(self, one: str, other: str) -> bool:
         """Return whether two names lie on different sides."""
@@ -47,7 +50,7 @@
     def holds(self, sender: str) -> bool:
         """Return whether bytes from a name are held."""
         is_inside = sender in self.inside
-        return self.mode is not (CutMode.DEAF if is_inside else CutMode.MUTE)
+        return self.mode is not (CutMode.INBOUND if is_inside else CutMode.OUTBOUND)
 
 
 class Half(asyncio.Protocol):
@@ -57,7 +60,7 @@
         self.sender = sender
         self.other: Half | None = None
         self.held = False
-        self.doomed = False
+        self.closes_after_cut = False
         self.transport: Any = None
         self._kept: list[bytes] = []
         self._on_made = on_made
@@ -160,7 +163,9 @@
         for half in (near, far):
             if cut.mode is not CutMode.RESET:
                 half.held = half.held or cut.holds(half.sender)
-                half.doomed = half.doomed or cut.mode is CutMode.SILENT
+                half.closes_after_cut = (
+                    half.closes_after_cut or cut.mode is CutMode.SILENT
+                )
             elif half.transport is not None:
                 half.transport.abort()
 
@@ -170,14 +175,14 @@
         loop = asyncio.get_running_loop()
         for near, far in self._pairs:
             if cut.separates(near.sender, far.sender):
-                delay = self._rng.uniform(0.0, cut.straggle_seconds)
+                delay = self._rng.uniform(0.0, cut.jitter_seconds)
                 loop.call_later(delay, self._release, near, far)
 
     def _release(self, near: Half, far: Half) -> None:
         if self.is_cut(near.sender, far.sender):
             return
         for half in (near, far):
-            if half.doomed and half.transport is not None:
+            if half.closes_after_cut and half.transport is not None:
                 half.transport.abort()
             half.held = False
             half.flush()
--- a/bench/owner_loss/play.py
+++ b/bench/owner_loss/play.py
@@ -37,7 +37,7 @@
     "pauses",
     "restarts",
     "late",
-    "straggle",
+    "jitter",
     "long",
     "backlog",
     "reborn",
@@ -257,8 +257,8 @@
         if plan.loss is Loss.ZONE:
             inside = {name for name, zone in zones.items() if zone == owner.zone}
         outside = {PLATFORM, *zones} - inside
-        straggle = plan.seconds / 2 if "straggle" in plan.extras else 0.0
-        return Cut(frozenset(inside), frozenset(outside), plan.mode, straggle)
+        jitter = plan.seconds / 2 if "jitter" in plan.extras else 0.0
+        return Cut(frozenset(inside), frozenset(outside), plan.mode, jitter)
 
     def _figures(self) -> str:
         judge = self._platform.judge
