--- a/tests/components/ownership/test_twice_walks.py
+++ b/tests/components/ownership/test_twice_walks.py
@@ -18,7 +18,7 @@
     "leases-are-expected-to-end-early": 3,
     "leases-of-previous-owners-are-forgotten": 4,
     "no-fence": 57,
-    "authority-lasts-for-ever": 138,
+    "authority-lasts-for-ever": 329,
     "an-unresponsive-worker-is-lost": 0,
     "ends-are-acknowledged-unstored": 0,
     "an-owner-without-authority-is-over": 32,
