Write lines of many names once, drop an unused way to play

Read once more: the line of unanswered starts split its names by a third copy of the same loop and wrote a task's name again, for which encode_task stands in platform; one function logs all three events now, with the same fields and texts. bench.owner_loss had code for cuts of single workers that no run used. No line, check or bound changes.

--- a/bench/owner_loss/play.py
+++ b/bench/owner_loss/play.py
@@ -108,9 +108,6 @@
         """Play the run; return its figures."""
         await self._async_set_up()
         jobs = self._begin(self._async_send_jobs())
-        if "flaky" in self._plan.extras:
-            for machine in self._rng.choices(list(self._platform.machines), k=12):
-                self._begin(self._async_cut_worker(machine))
         await asyncio.sleep(WARM_UP_SECONDS + self._rng.random())
         if "backlog" in self._plan.extras:
             for _ in range(BACKLOG_JOBS):
@@ -226,14 +223,6 @@
         is_same = same_id or self._rng.random() < SAME_ID_SHARE
         platform.boot(machine, minion.id if is_same else "")
 
-    async def _async_cut_worker(self, machine: str) -> None:
-        await asyncio.sleep(WARM_UP_SECONDS + self._rng.uniform(-4.0, 4.0))
-        network, mode = self._platform.network, self._rng.choice(list(CutMode))
-        cut = Cut(frozenset({machine}), frozenset(self._platform.entries), mode)
-        network.begin(cut)
-        await asyncio.sleep(self._rng.uniform(0.1, 2.0))
-        network.end(cut)
-
     async def _async_lose_owner(self, after: float) -> None:
         await asyncio.sleep(after)
         platform, plan = self._platform, self._plan
--- a/mustardward/components/dispatch/acknowledgement_logger.py
+++ b/mustardward/components/dispatch/acknowledgement_logger.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from ...helpers.logging import get_logger, log_workers
+from ...helpers.logging import get_logger, log_names
 
 _LOGGER = get_logger(__name__)
 
@@ -50,4 +50,4 @@
             for (worker, born), (previous, upto) in self._gathered.items()
         ]
         self._gathered.clear()
-        log_workers(_LOGGER, "ends_acknowledged", self.epoch, texts)
+        log_names(_LOGGER.info, "ends_acknowledged", self.epoch, "workers", texts)
--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ...helpers.logging import MAX_WORKERS_PER_LINE, get_logger, log_workers
+from ...helpers.logging import MAX_NAMES_PER_LINE, get_logger, log_names
 from ...helpers.timer import TimerService
 from ..dispatch.const import AUTHORITY_SECONDS, latest_lease_end
 from ..dispatch.dispatcher import Dispatcher
@@ -83,7 +83,7 @@
             epoch=self.epoch,
             seconds=self.timers.monotonic() - self.state.taken_over_at,
             unconfirmed=len(unconfirmed),
-            workers=",".join(unconfirmed[:MAX_WORKERS_PER_LINE]),
+            workers=",".join(unconfirmed[:MAX_NAMES_PER_LINE]),
         )
 
     def _log_confirmed_workers(self) -> None:
@@ -95,7 +95,9 @@
         }
         texts = [f"{name}/{born}" for name, born in confirmed - self._logged_workers]
         self._logged_workers = confirmed
-        log_workers(_LOGGER, "workers_confirmed", self.epoch, sorted(texts))
+        log_names(
+            _LOGGER.info, "workers_confirmed", self.epoch, "workers", sorted(texts)
+        )
 
     def _reconciled_zones(self) -> frozenset[str]:
         """Return the data centres all of whose workers have reported their runs.
--- a/mustardward/components/scheduling/sent_starts.py
+++ b/mustardward/components/scheduling/sent_starts.py
@@ -4,16 +4,12 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Final
 
-from ...helpers.logging import get_logger
-from ...platform.workers import TaskName
+from ...helpers.logging import get_logger, log_names
+from ...platform.workers import TaskName, encode_task
 
 _LOGGER = get_logger(__name__)
 
-MAX_STARTS_PER_LINE: Final = 32
-"""Most starts that one log line names."""
-
 
 def _unset_clock() -> float:
     return 0.0
@@ -33,8 +29,7 @@
 
     def __str__(self) -> str:
         """Return the start as log lines name it."""
-        name = self.name
-        task = f"{name.job}.{name.occurrence}.{name.step}.{name.index}"
+        task = encode_task(self.name)
         return f"{task}:{self.run}@{self.worker}+{self.renewal_age_seconds:.2f}"
 
 
@@ -76,11 +71,4 @@
     def log_unanswered(self, epoch: int) -> None:
         """Log the starts whose calls are in progress."""
         starts = [str(start) for start in self._unanswered.values()]
-        for first in range(0, len(starts), MAX_STARTS_PER_LINE):
-            part = starts[first : first + MAX_STARTS_PER_LINE]
-            _LOGGER.warning(
-                "starts_unanswered",
-                epoch=epoch,
-                count=len(part),
-                starts=",".join(part),
-            )
+        log_names(_LOGGER.warning, "starts_unanswered", epoch, "starts", starts)
--- a/mustardward/helpers/logging.py
+++ b/mustardward/helpers/logging.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from absl import logging as absl_logging
@@ -12,8 +12,8 @@
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/@+%,"
 )
 
-MAX_WORKERS_PER_LINE: Final = 32
-"""Most workers that one log line names."""
+MAX_NAMES_PER_LINE: Final = 32
+"""Most workers or starts that one log line names."""
 
 LogValue = str | int | float | bool | None
 
@@ -73,13 +73,17 @@
         return format_event(event, {"part": self._name, **fields})
 
 
-def log_workers(
-    logger: EventLogger, event: str, epoch: int, workers: Sequence[str]
+def log_names(
+    log: Callable[..., None], event: str, epoch: int, field: str, names: Sequence[str]
 ) -> None:
-    """Log an event of many workers under an epoch, in lines of limited length."""
-    for first in range(0, len(workers), MAX_WORKERS_PER_LINE):
-        part = workers[first : first + MAX_WORKERS_PER_LINE]
-        logger.info(event, epoch=epoch, count=len(part), workers=",".join(part))
+    """Log an event that names many things, in lines of limited length.
+
+    :param log: method of the logger for the level.
+    :param field: field with the names.
+    """
+    for first in range(0, len(names), MAX_NAMES_PER_LINE):
+        part = names[first : first + MAX_NAMES_PER_LINE]
+        log(event, epoch=epoch, count=len(part), **{field: ",".join(part)})
 
 
 def get_logger(name: str) -> EventLogger:
--- a/tests/components/dispatch/test_acknowledgement_logger.py
+++ b/tests/components/dispatch/test_acknowledgement_logger.py
@@ -8,7 +8,7 @@
     AcknowledgementLogger,
 )
 from mustardward.helpers.log_pairs import read_pairs
-from mustardward.helpers.logging import MAX_WORKERS_PER_LINE
+from mustardward.helpers.logging import MAX_NAMES_PER_LINE
 from mustardward.platform.exceptions import CallUnknownError
 from mustardward.platform.workers import EndedTask, TaskName, WorkerReport
 
@@ -48,7 +48,7 @@
 ) -> None:
     caplog.set_level("INFO", "absl")
     logger = AcknowledgementLogger(3)
-    for number in range(MAX_WORKERS_PER_LINE + 1):
+    for number in range(MAX_NAMES_PER_LINE + 1):
         logger.record(f"w{number}", 5, 0, 1)
     logger.flush()
     assert [line["count"] for line in lines(caplog)] == ["32", "1"]
