--- a/bench/owner_loss/play.py
+++ b/bench/owner_loss/play.py
@@ -25,6 +25,7 @@
 LONG_SECONDS: Final = (1.5, 7.0)
 LONG_SHARE: Final = 0.1
 TASKS: Final = (3, 8)
+OWNER_WAIT_SECONDS: Final = 5.0
 WARM_UP_SECONDS: Final = 8.0
 TAIL_SECONDS: Final = 9.0
 FINISH_SECONDS: Final = 6.0
@@ -140,7 +141,15 @@
         for entry in entries:
             await entry.async_start()
         need(await platform.async_until_ready(entries, 30.0), "entries never ready")
-        need(bool(platform.owner()), "no entry leads")
+        await self._async_wait_for_owner()
+
+    async def _async_wait_for_owner(self) -> None:
+        """Wait until an entry has logged that it is the owner."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + OWNER_WAIT_SECONDS
+        while not self._platform.owner():
+            need(loop.time() < until, "no entry owns the shard")
+            await asyncio.sleep(RETRY_SECONDS)
 
     def _task_seconds(self, task: str) -> float:
         rng = random.Random(f"{self._plan.seed}.{task}")
