Log unexpected runs, and which incarnation an owner believes to be unresponsive

Nothing named a run that a worker listed though it was not to run there, and worker_unresponsive did not say which incarnation the owner believed to be there, how old its last answer was, nor until when its leases were counted.

runs_unexpected names such runs with incarnation, progress and the worker's clock; worker_unresponsive and start_failed the incarnation and the age of its last answer; takeover_hold_expired the incarnations that did not report. No logic is changed.

--- a/mustardward/components/dispatch/command_executor.py
+++ b/mustardward/components/dispatch/command_executor.py
@@ -228,11 +228,15 @@
 
     def _log_failed_start(self, task: Task, start: Start, detail: str) -> None:
         sent = self.scheduler.reports.sent_starts.get(task.name, start.run)
+        session = self.sessions.get(start.worker)
+        now = self.timers.monotonic()
         _LOGGER.warning(
             "start_failed",
             job=task.step.job.record.id,
             task=run_key(task),
             worker=start.worker,
+            born=session.started_at_ms if session else None,
+            answered_seconds=session.clock.seconds_since_read(now) if session else None,
             run=start.run,
             epoch=self.scheduler.state.epoch,
             sent=sent is not None,
--- a/mustardward/components/dispatch/lease.py
+++ b/mustardward/components/dispatch/lease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from .const import (
@@ -24,6 +25,10 @@
         """Return whether the worker has ever reported its clock."""
         return self.read_at >= 0
 
+    def seconds_since_read(self, now: float) -> float:
+        """Return the age of the last answer with a clock, infinite if there is none."""
+        return now - self.read_at if self.is_known else math.inf
+
     def update(self, clock_ms: float, at: float) -> None:
         """Record the clock of an answer that was received at ``at``.
 
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -349,7 +349,15 @@
             self.unresponsive_since = now
         if not worker.stale:
             worker.stale = True
-            _LOGGER.warning("worker_unresponsive", worker=self.worker_id, detail=detail)
+            _LOGGER.warning(
+                "worker_unresponsive",
+                worker=self.worker_id,
+                born=self.started_at_ms,
+                answered_seconds=self.clock.seconds_since_read(now),
+                lease_seconds=self.lease_ends_at - now,
+                unanswered_starts=len(worker.unanswered_starts),
+                detail=detail,
+            )
         if self.ownership_confirmed_until() > self.lease_ends_at:
             # The leases have expired even on the slowest clock possible, and no other
             # owner can have renewed them, so nothing runs on the worker.
--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -77,7 +77,11 @@
     def _log_expired_hold(self) -> None:
         """Log that jobs are released though some workers have not reported."""
         self._log_confirmed_workers()
-        unconfirmed = sorted(self.dispatcher.unconfirmed_workers())
+        workers = self.state.workers
+        unconfirmed = sorted(
+            workers[name].incarnation if name in workers else name
+            for name in self.dispatcher.unconfirmed_workers()
+        )
         _LOGGER.warning(
             "takeover_hold_expired",
             epoch=self.epoch,
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -237,6 +237,7 @@
             task.percent_at_ms = worker.clock_ms - 1000 * elapsed
 
     def _stop_orphan_run(self, worker: WorkerState, row: RunningTask) -> None:
+        self.run_logger.record_unexpected_run(worker, row)
         self.state.stop_orphan_run(worker, row.task, row.run)
 
     def _find_task(self, name: TaskName) -> Task | None:
--- a/mustardward/components/scheduling/run_logger.py
+++ b/mustardward/components/scheduling/run_logger.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from ...helpers.logging import LogValue, get_logger
-from ...platform.workers import EndedTask
+from ...platform.workers import EndedTask, RunningTask
 from .models import Task
 from .sent_starts import SentStart
 from .worker_state import WorkerState
@@ -27,7 +27,14 @@
 NUMBERS: Final = "numbers"
 """Field with the number that the worker gave each end of a line."""
 
-_END_EVENTS: Final = frozenset(("runs_ended", "ends_ignored"))
+WORKER_CLOCKS: Final = "clocks_ms"
+"""Field with the clock of each worker at the report that listed a run."""
+
+_DETAIL_FIELDS: Final = {
+    "runs_ended": NUMBERS,
+    "ends_ignored": NUMBERS,
+    "runs_unexpected": WORKER_CLOCKS,
+}
 
 Key = tuple[str, str]
 
@@ -85,6 +92,14 @@
         self._gathered[key].append(_end_text(worker, ended))
         self._details[key].append(str(ended.number))
 
+    def record_unexpected_run(self, worker: WorkerState, row: RunningTask) -> None:
+        """Record a run that a worker lists though its task is not to run there."""
+        name = row.task
+        run = f"{name.occurrence}.{name.step}.{name.index}:{row.run}"
+        key = ("runs_unexpected", name.job)
+        self._gathered[key].append(f"{run}@{worker.incarnation}={row.percent:.0f}%")
+        self._details[key].append(f"{worker.clock_ms:.0f}")
+
     def record_estimate(self, task: Task, seconds: float) -> None:
         """Record the run time expected of a step's tasks after a run was completed.
 
@@ -99,7 +114,7 @@
         for (event, job), runs in self._gathered.items():
             fields: dict[str, LogValue] = {"epoch": self.epoch}
             details = self._details.get((event, job), [])
-            detail = NUMBERS if event in _END_EVENTS else RENEWAL_AGES
+            detail = _DETAIL_FIELDS.get(event, RENEWAL_AGES)
             if event == "runs_ended" and job in self._estimates:
                 fields["expected"] = ",".join(
                     f"{step}~{seconds:.2f}"
--- a/tests/components/scheduling/test_run_logger.py
+++ b/tests/components/scheduling/test_run_logger.py
@@ -11,7 +11,7 @@
 from mustardward.components.scheduling.run_logger import MAX_RUNS_PER_LINE
 from mustardward.helpers.bounded_output import MAX_LINES_PER_SECOND
 from mustardward.helpers.log_pairs import read_pairs
-from mustardward.platform.workers import REFUSED_ROOM, EndedTask
+from mustardward.platform.workers import REFUSED_ROOM, EndedTask, RunningTask
 
 from .builders import SchedulerBench, a_job, a_step
 
@@ -137,3 +137,22 @@
     (line,) = lines_of(caplog, "start_rejected")
     pairs = read_pairs(line)
     assert (pairs["job"], pairs["task"]) == (start.task.name.job, "0.0.0")
+
+
+def test_run_of_an_earlier_call_is_logged_with_its_incarnation(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a run without a trace that a restarted worker began unasked."""
+    caplog.set_level("INFO", "absl")
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("w2", born=1_700_000_000_000)
+    bench.add(a_job(a_step(count=1)))
+    (start,) = bench.plan_starts()
+    other = "w2" if start.worker == "w1" else "w1"
+    row = RunningTask(start.task.name, 7, "", 40.0, 0.0)
+    bench.hold(other, running=[row])
+    bench.plan()
+    (line,) = lines_of(caplog, "runs_unexpected")
+    incarnation = bench.scheduler.state.workers[other].incarnation
+    assert read_pairs(line)["runs"] == f"0.0.0:7@{incarnation}=40%"
