Hold a task whose start went unanswered for the longest lease of a silent worker

What callers saw: a task ran twice at once under one owner. Its worker restarted under its id, accepted a start that was sent to the incarnation before, and was cut off. The owner started the task elsewhere 5.4 s later, while the run went on until 10 s.

Cause: the owner counted the lease that it meant, 4 s on the clock that it knew. The new incarnation's clock starts anew, so that the deadline lies far ahead of it; it shortens such a deadline to hold-max-ms.

Change: when the leases of a silent worker's known incarnation have expired, tasks whose start was answered go on as before. Those whose start was not wait until the worker reports or ends, or until the longest lease is over, counted from when the last unanswered start or renewal can still be carried out. Polls go on repeating the last deadline: without it a worker that loses every other poll would lose its runs (test_leases), and in a next incarnation only unanswered starts can run, for which it is counted.

Waiting for the longest lease with all tasks of a worker was ruled out: only starts without an answer can be in another incarnation.

--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -117,7 +117,7 @@
             self.timers,
             self.on_report,
             self.authorised,
-            Lease(lease_ends_at),
+            Lease(lease_ends_at, self.max_lease_seconds),
             started_at_ms,
             lambda other: self._handle_restart(session, other),
             self._contact_limiter,
@@ -156,6 +156,7 @@
             started_at_ms,
             latest_lease_end(now, self.max_lease_seconds),
         )
+        self.sessions[worker_id].lease.inherit_unanswered(session.lease)
 
     def has_unresponsive_workers(self) -> bool:
         """Return whether any worker stopped answering."""
--- a/mustardward/components/dispatch/lease.py
+++ b/mustardward/components/dispatch/lease.py
@@ -5,6 +5,7 @@
 import math
 from dataclasses import dataclass, field
 
+from ..scheduling.lost_starts import MAX_DELAY_SECONDS
 from .const import (
     CLOCK_DRIFT_RATIO,
     CLOCK_RESET_THRESHOLD_MS,
@@ -63,12 +64,33 @@
     """Hold the longest lease that one incarnation of a worker may have.
 
     :param ends_at: its latest end, on the owner's clock.
+    :param max_seconds: the longest lease that workers grant.
     :param deadline_ms: the last end that was sent, on the worker's clock.
     """
 
     ends_at: float
+    max_seconds: float = LEASE_SECONDS
     clock: WorkerClock = field(default_factory=WorkerClock)
     deadline_ms: int | None = None
+    _unanswered_at: float = -math.inf
+
+    @property
+    def unanswered_until(self) -> float:
+        """Return when the lease ends that the last unanswered call may have granted.
+
+        It may be carried out late, and by the next incarnation, whose clock is behind
+        the deadline that was sent.
+        """
+        carried_out_at = self._unanswered_at + MAX_DELAY_SECONDS
+        return latest_lease_end(carried_out_at, self.max_seconds)
+
+    def record_unanswered(self, now: float) -> None:
+        """Record that a call with a deadline got no response."""
+        self._unanswered_at = max(self._unanswered_at, now)
+
+    def inherit_unanswered(self, previous: Lease) -> None:
+        """Take over the unanswered calls to the previous incarnation."""
+        self.record_unanswered(previous._unanswered_at)
 
     def may_renew(self, now: float) -> bool:
         """Return whether the worker's clock is known precisely enough for a renewal.
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -201,6 +201,7 @@
                 raise CallUnknownError("worker's clock went back")
         except CallUnknownError:
             self._liveness.reset()
+            self.lease.record_unanswered(self.timers.monotonic())
             raise
         self._record_answer(answer.clock_ms)
         return answer
@@ -345,6 +346,7 @@
             return 0.0
         now = self.timers.monotonic()
         self._liveness.reset()
+        self.lease.record_unanswered(now)
         if self.unresponsive_since is None:
             self.unresponsive_since = now
         if not worker.stale:
@@ -361,7 +363,12 @@
         if self.ownership_confirmed_until() > self.lease_ends_at:
             # The leases have expired even on the slowest clock possible, and no other
             # owner can have renewed them, so nothing runs on the worker.
-            self.scheduler.remove_worker(self.worker_id, LossCause.LEASES_EXPIRED, now)
+            self.scheduler.remove_worker(
+                self.worker_id,
+                LossCause.LEASES_EXPIRED,
+                now,
+                self.lease.unanswered_until,
+            )
             self.closed = True
             self.on_report()
             return 0.0
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -147,6 +147,11 @@
         step = self.step
         return TaskName(step.job.record.id, step.occurrence, step.number, self.index)
 
+    @property
+    def is_start_unanswered(self) -> bool:
+        """Return whether the run may have begun without the worker's confirmation."""
+        return self.sent and not (self.seen_running or self.phase is Phase.RUNNING)
+
     def record_checkpoint(self, checkpoint: str) -> None:
         """Record a checkpoint that a worker reported; an empty one means none."""
         if not checkpoint:
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -131,16 +131,28 @@
             if awaits_evaluation(step.job):
                 self.wait_tracker.record(step, Reason.AWAITS_EVALUATION)
                 continue
-            unconfirmed = take_unconfirmed_tasks(step)
-            suspects = take_isolated_tasks(step)
-            if suspects:
-                self._place_isolated(step, suspects, workers, candidates, now)
-            if step.waiting:
-                self._place_shared(step, candidates, promised, now)
-            if unconfirmed and not (step.waiting or suspects):
-                self.wait_tracker.record(step, Reason.NOT_STORED)
-            if suspects or unconfirmed:
-                self.state.return_to_queue(step, [*suspects, *unconfirmed])
+            self._place_step(step, workers, candidates, promised, now)
+
+    def _place_step(
+        self,
+        step: StepRun,
+        workers: list[WorkerState],
+        candidates: Candidates,
+        promised: Counter[str],
+        now: float,
+    ) -> None:
+        unconfirmed = take_unconfirmed_tasks(step)
+        held = self.state.take_held_tasks(step, now)
+        suspects = take_isolated_tasks(step)
+        if suspects:
+            self._place_isolated(step, suspects, workers, candidates, now)
+        if step.waiting:
+            self._place_shared(step, candidates, promised, now)
+        if (unconfirmed or held) and not (step.waiting or suspects):
+            reason = Reason.START_UNANSWERED if held else Reason.NOT_STORED
+            self.wait_tracker.record(step, reason)
+        if suspects or unconfirmed or held:
+            self.state.return_to_queue(step, [*suspects, *unconfirmed, *held])
 
     def _judge_shares(
         self,
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -186,13 +186,23 @@
         """Assign no new tasks to a worker until it has a valid entry again."""
         self.worker_entries.mark_absent(worker_id)
 
-    def remove_worker(self, worker_id: str, cause: LossCause, now: float) -> None:
-        """Remove a lost worker on which nothing runs any more."""
+    def remove_worker(
+        self,
+        worker_id: str,
+        cause: LossCause,
+        now: float,
+        held_until: float | None = None,
+    ) -> None:
+        """Remove a lost worker on which nothing that it confirmed runs any more.
+
+        :param held_until: until when it may run the starts that it left unanswered, or
+            None if it has ended.
+        """
         worker = self.state.workers.get(worker_id)
         if worker is not None:
             log_worker_lost(worker, cause, now)
             suspects = suspects_of(worker, now)
-            self.state.drop_worker(worker, now)
+            self.state.drop_worker(worker, now, held_until)
             self._crash_tracker.record_loss(worker, cause, suspects, now)
 
     def apply_worker_report(
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -13,6 +13,7 @@
 from ..run_times.estimates import Estimates
 from .commands import Command, Start, Stop
 from .const import ISOLATION_CRASHES, RUN_BITS, STOP_GRACE_SECONDS
+from .held_starts import HeldStart, HeldStarts
 from .inflow import Inflow
 from .lost_starts import LostStarts, UnansweredStart
 from .models import ACTIVE, UNKNOWN_PACE, Job, Phase, QueuePolicy, StepRun, Task
@@ -57,6 +58,7 @@
     :param stop_grace_seconds: how long a worker may take to stop a run.
     :param confirmed_until: returns until when the log is known to name no other owner,
         in monotonic seconds.
+    :param held_starts: unanswered starts whose tasks may not start elsewhere.
     :param unreported_loss_at: when a worker was last lost during the takeover before it
         had reported all its runs.
     """
@@ -82,6 +84,7 @@
     stop_grace_seconds: float = STOP_GRACE_SECONDS
     confirmed_until: Callable[[], float] = _always_confirmed
     unreported_loss_at: float = -math.inf
+    held_starts: HeldStarts = field(default_factory=HeldStarts)
     _lost_starts: LostStarts = field(default_factory=LostStarts)
     _commands: list[Command] = field(default_factory=list)
     _run_counter: int = 0
@@ -140,6 +143,8 @@
 
     def mark_confirmed(self, worker: WorkerState) -> None:
         """Record that a worker has reported all its runs."""
+        if self.held_starts:
+            self.held_starts.release(worker.id)
         worker.confirmed = True
         worker.listing_ends = False
         self.listing_workers.discard(worker.id)
@@ -353,9 +358,19 @@
         self.workers[worker.id] = worker
         self._reject_delayed(worker, self._lost_starts.take(worker.id, now))
 
-    def drop_worker(self, worker: WorkerState, now: float) -> None:
-        """Remove a worker that is certainly gone, and requeue its tasks."""
+    def drop_worker(
+        self, worker: WorkerState, now: float, held_until: float | None = None
+    ) -> None:
+        """Remove a worker that is certainly gone, and requeue its tasks.
+
+        :param held_until: until when the worker may run the starts that it left
+            unanswered, if only the leases of its known incarnation have expired.
+        """
         self._record_losses(worker, now)
+        if held_until is None:
+            self.held_starts.release(worker.id)
+        else:
+            self._hold_unanswered(worker, held_until)
         in_flight = [
             (task.name, task.run)
             for task in worker.tasks.values()
@@ -369,6 +384,19 @@
         self.workers.pop(worker.id, None)
         self.listing_workers.discard(worker.id)
 
+    def _hold_unanswered(self, worker: WorkerState, until: float) -> None:
+        for task in worker.tasks.values():
+            if task.is_start_unanswered:
+                start = HeldStart(worker.id, task.run, until)
+                self.held_starts.add(task.name, start)
+
+    def take_held_tasks(self, step: StepRun, now: float) -> list[Task]:
+        """Remove the tasks whose unanswered start may still run from a step's queue.
+
+        :return: the tasks, which the caller returns to the queue.
+        """
+        return self.held_starts.take_held_tasks(step, min(now, self.confirmed_until()))
+
     def replace_worker(self, old: WorkerState, new: WorkerState, now: float) -> None:
         """Replace a worker by its next incarnation.
 
--- a/mustardward/components/scheduling/wait_inputs.py
+++ b/mustardward/components/scheduling/wait_inputs.py
@@ -92,6 +92,20 @@
     }
 
 
+@INPUTS.register(Reason.START_UNANSWERED)
+def _unanswered_starts(wait: WaitContext) -> Inputs:
+    held = [
+        start
+        for name, start in wait.state.held_starts.items()
+        if name.job == wait.step.job.record.id
+    ]
+    return {
+        "held_starts": len(held),
+        "held_workers": _join_names({start.worker for start in held}),
+        "held_seconds_left": max((s.until for s in held), default=wait.now) - wait.now,
+    }
+
+
 @INPUTS.register(Reason.AWAITS_EVALUATION)
 def _evaluation(wait: WaitContext) -> Inputs:
     job = wait.step.job
--- a/mustardward/components/scheduling/wait_tracker.py
+++ b/mustardward/components/scheduling/wait_tracker.py
@@ -24,6 +24,7 @@
     NO_USABLE_WORKER = "no-usable-worker"
     STARTS_USED_UP = "starts-used-up"
     HELD_AFTER_TAKEOVER = "held-after-takeover"
+    START_UNANSWERED = "start-unanswered"
     AWAITS_EVALUATION = "awaits-judgement"
     SUSPECTS_WAIT = "suspects-wait-for-own-worker"
     RESERVED_FOR_OTHERS = "workers-kept-for-others"
--- /dev/null
+++ b/tests/components/scheduling/test_held_starts.py
@@ -0,0 +1,116 @@
+"""Test tasks whose unanswered start may run on a worker that does not respond."""
+
+from __future__ import annotations
+
+import pytest
+
+from mustardward.components.dispatch.const import latest_lease_end
+from mustardward.components.dispatch.lease import Lease
+from mustardward.components.scheduling.commands import Start
+from mustardward.components.scheduling.losses import LossCause
+from mustardward.components.scheduling.lost_starts import MAX_DELAY_SECONDS
+from mustardward.components.scheduling.wait_tracker import Reason
+
+from .builders import SchedulerBench, a_job, a_row, a_step, an_entry
+from .test_uncertain_starts import one_start
+
+HOLD_SECONDS = 10.0
+
+
+def a_held_task() -> tuple[SchedulerBench, Start]:
+    """Return a task whose worker did not answer its start and then fell silent."""
+    bench, start = one_start()
+    bench.scheduler.reports.start_sent(start.task, start.run)
+    bench.scheduler.reports.start_unknown(start.task, start.run)
+    bench.plan()
+    remove(bench, start.worker, bench.now + HOLD_SECONDS)
+    bench.store()
+    return bench, start
+
+
+def remove(bench: SchedulerBench, worker: str, until: float | None) -> None:
+    """Remove a worker whose known leases have expired."""
+    cause = LossCause.LEASES_EXPIRED
+    bench.scheduler.remove_worker(worker, cause, bench.now, until)
+
+
+def test_task_with_unanswered_start_waits_for_the_longest_lease() -> None:
+    """Guard against a second run beside that of a restarted, disconnected worker."""
+    bench, start = a_held_task()
+    assert not bench.plan_starts()
+    tracker = bench.scheduler.wait_logger.wait_tracker
+    decision = tracker.get(start.task.step)
+    assert decision is not None and decision.reason is Reason.START_UNANSWERED
+    bench.now += HOLD_SECONDS - 0.1
+    assert not bench.plan_starts()
+    bench.now += 0.2
+    assert [again.worker for again in bench.plan_starts()] != [start.worker]
+
+
+def test_held_task_starts_once_its_worker_reports() -> None:
+    """Guard against tasks that wait for a lease that the worker has denied."""
+    bench, start = a_held_task()
+    bench.worker(start.worker)
+    assert len(bench.plan_starts()) == 1
+
+
+def test_run_that_the_worker_lists_is_adopted() -> None:
+    bench, start = a_held_task()
+    bench.scheduler.update_worker(start.worker, an_entry(), bench.now)
+    bench.hold(start.worker, running=[a_row(start.task, 5.0)])
+    assert not bench.plan_starts()
+    assert start.task.worker is bench.scheduler.state.workers[start.worker]
+
+
+def test_task_stays_held_while_its_worker_is_polled_in_vain() -> None:
+    """Guard against a hold that ends with the next session of a silent worker."""
+    bench, start = a_held_task()
+    bench.scheduler.update_worker(start.worker, an_entry(), bench.now)
+    remove(bench, start.worker, bench.now - 1.0)
+    assert not bench.plan_starts()
+
+
+def test_held_task_starts_once_its_worker_has_ended() -> None:
+    bench, start = a_held_task()
+    bench.scheduler.update_worker(start.worker, an_entry(), bench.now)
+    bench.scheduler.remove_worker(start.worker, LossCause.UNLISTED, bench.now)
+    assert len(bench.plan_starts()) == 1
+
+
+def test_hold_ends_only_while_no_other_owner_is_known() -> None:
+    """Guard against a hold that ends by the clock while another owner renews leases."""
+    bench, _ = a_held_task()
+    bench.scheduler.state.confirmed_until = lambda: bench.now - HOLD_SECONDS
+    bench.now += HOLD_SECONDS + 0.1
+    assert not bench.plan_starts()
+
+
+@pytest.mark.parametrize("answered", [True, False])
+def test_answered_runs_of_a_silent_worker_wait_for_their_own_leases_only(
+    answered: bool,
+) -> None:
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=2)))
+    first, second = (c for c in bench.plan() if isinstance(c, Start))
+    for start in (first, second):
+        bench.scheduler.reports.start_sent(start.task, start.run)
+    bench.scheduler.reports.start_answered(first.task, first.run, "", bench.now)
+    if answered:
+        bench.scheduler.reports.start_answered(second.task, second.run, "", bench.now)
+    remove(bench, "w1", bench.now + HOLD_SECONDS)
+    bench.store()
+    bench.worker("w2")
+    assert len(bench.plan_starts()) == 1 + answered
+
+
+def test_unanswered_calls_are_counted_until_they_can_no_longer_be_carried_out() -> None:
+    """Guard against a lease that counts the deadline which was meant."""
+    lease = Lease(0.0, HOLD_SECONDS)
+    lease.record_unanswered(5.0)
+    lease.record_unanswered(3.0)
+    delivered_at = 5.0 + MAX_DELAY_SECONDS
+    assert lease.unanswered_until == latest_lease_end(delivered_at, HOLD_SECONDS)
+    successor = Lease(0.0, HOLD_SECONDS)
+    successor.inherit_unanswered(lease)
+    assert successor.unanswered_until == lease.unanswered_until
--- a/tests/components/scheduling/test_wait_tracker.py
+++ b/tests/components/scheduling/test_wait_tracker.py
@@ -20,6 +20,7 @@
 from mustardward.platform.models import Room
 
 from .builders import ADVICE, JOB, POOL, SchedulerBench, a_job, a_row, a_step
+from .test_held_starts import HOLD_SECONDS, a_held_task
 
 OTHER: Final = "00000000000000bb"
 FULL: Final = Room(cpu=8000, mem_mb=8000)
@@ -143,6 +144,18 @@
     }
 
 
+@SCENARIOS.register(Reason.START_UNANSWERED)
+def start_unanswered() -> tuple[SchedulerBench, dict[str, str]]:
+    bench, start = a_held_task()
+    plan_for(bench)
+    held_for = f"{HOLD_SECONDS - 4:g}"
+    return bench, {
+        "held_starts": "1",
+        "held_workers": start.worker,
+        "held_seconds_left": held_for,
+    }
+
+
 @SCENARIOS.register(Reason.AWAITS_EVALUATION)
 def awaits_evaluation() -> tuple[SchedulerBench, dict[str, str]]:
     bench = SchedulerBench()
