Count the longest lease from the first answer of a worker that earlier calls reached

What callers saw: a task ran twice at once. A worker that had restarted under its id ran a start of the owner before, which was meant for its previous incarnation. The next owner adopted the run, the worker was cut off, and the task was started elsewhere 4.4 s later, while the run had a lease of 10 s.

Cause: a new session counted the leases that owners mean to grant. What the worker really granted before is not known to the session, and renewals do not shorten it.

Change: where earlier calls may have granted a lease (the owner had a session with that id, or leases of previous owners may not have expired since the takeover), the first answer counts the longest one from then on. Earlier calls are fenced by that answer if another owner sent them. Other sessions count as before, so that a worker of a growing pool that falls silent is not waited for longer.

--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -18,7 +18,7 @@
 from ..scheduling.scheduler import Scheduler
 from .acknowledgement_logger import AcknowledgementLogger
 from .command_executor import CommandExecutor
-from .const import LEASE_SECONDS, latest_lease_end
+from .const import AUTHORITY_SECONDS, LEASE_SECONDS, latest_lease_end
 from .contact_limiter import ContactLimiter
 from .lease import Lease
 from .lost_incarnations import LostIncarnations
@@ -110,6 +110,7 @@
         started_at_ms: int,
         lease_ends_at: float,
     ) -> None:
+        is_inherited = worker_id in self.sessions or self._may_previous_leases_run()
         session = WorkerSession(
             worker_id,
             WorkerClient(self.http, entry.address, worker_id, self.token),
@@ -117,7 +118,7 @@
             self.timers,
             self.on_report,
             self.authorised,
-            Lease(lease_ends_at, self.max_lease_seconds),
+            Lease(lease_ends_at, self.max_lease_seconds, is_inherited),
             started_at_ms,
             lambda other: self._handle_restart(session, other),
             self._contact_limiter,
@@ -127,6 +128,13 @@
         self.sessions[worker_id] = session
         self.tasks.start_soon(self._async_run_session, session)
 
+    def _may_previous_leases_run(self) -> bool:
+        """Return whether leases that previous owners renewed may not have expired."""
+        elapsed = self.timers.monotonic() - self.scheduler.state.taken_over_at
+        return elapsed < AUTHORITY_SECONDS + latest_lease_end(
+            0.0, self.max_lease_seconds
+        )
+
     def _handle_restart(self, session: WorkerSession, started_at_ms: int) -> None:
         """Replace a session after another incarnation answered its poll."""
         if session.closed or self.sessions.get(session.worker_id) is not session:
--- a/mustardward/components/dispatch/lease.py
+++ b/mustardward/components/dispatch/lease.py
@@ -65,11 +65,13 @@
 
     :param ends_at: its latest end, on the owner's clock.
     :param max_seconds: the longest lease that workers grant.
+    :param inherited: whether earlier calls may have granted the incarnation a lease.
     :param deadline_ms: the last end that was sent, on the worker's clock.
     """
 
     ends_at: float
     max_seconds: float = LEASE_SECONDS
+    inherited: bool = False
     clock: WorkerClock = field(default_factory=WorkerClock)
     deadline_ms: int | None = None
     _unanswered_at: float = -math.inf
@@ -92,6 +94,16 @@
         """Take over the unanswered calls to the previous incarnation."""
         self.record_unanswered(previous._unanswered_at)
 
+    def record_answer(self, clock_ms: float, now: float) -> None:
+        """Record the clock of an answer.
+
+        The first one ends what earlier calls may still grant. They may have granted the
+        longest lease, since they were meant for a previous incarnation.
+        """
+        if self.inherited and not self.clock.is_known:
+            self.ends_at = max(self.ends_at, latest_lease_end(now, self.max_seconds))
+        self.clock.update(clock_ms, now)
+
     def may_renew(self, now: float) -> bool:
         """Return whether the worker's clock is known precisely enough for a renewal.
 
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -220,7 +220,7 @@
     def _record_answer(self, clock_ms: float) -> None:
         """Record the clock and time of an answer of this incarnation."""
         now = self.timers.monotonic()
-        self.clock.update(clock_ms, now)
+        self.lease.record_answer(clock_ms, now)
         self._liveness.confirm(now)
 
     def _has_answered_within(self, seconds: float) -> bool:
--- a/tests/components/dispatch/test_leases.py
+++ b/tests/components/dispatch/test_leases.py
@@ -8,13 +8,14 @@
 import anyio
 import pytest
 
-from mustardward.components.dispatch.const import LEASE_SECONDS
+from mustardward.components.dispatch.const import LEASE_SECONDS, latest_lease_end
+from mustardward.components.dispatch.lease import Lease
 from mustardward.components.scheduling.models import Phase
 from mustardward.platform.exceptions import CallUnknownError
 from mustardward.platform.workers import StartRequest, StartResponse, WorkerReport
 
 from ..scheduling.builders import a_step
-from .test_restarts import FakeWorker, RestartHarness
+from .test_restarts import MAX_LEASE_SECONDS, FakeWorker, RestartHarness
 
 pytestmark = pytest.mark.anyio
 
@@ -179,3 +180,29 @@
         await harness.async_advance_time(0.5)
         assert harness.task().phase is Phase.WAITING
         tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("inherited", [True, False])
+def test_first_answer_ends_what_earlier_calls_may_have_granted(inherited: bool) -> None:
+    """Guard against a lease of an earlier call that outlasts the one counted here."""
+    lease = Lease(0.0, MAX_LEASE_SECONDS, inherited)
+    lease.record_answer(500.0, 100.0)
+    longest = latest_lease_end(100.0, MAX_LEASE_SECONDS)
+    assert lease.ends_at == (longest if inherited else 0.0)
+    lease.record_answer(2_500.0, 102.0)
+    assert lease.ends_at <= longest
+
+
+@pytest.mark.parametrize("seconds", [0.0, 60.0])
+async def test_leases_of_previous_owners_are_counted_for_as_long_as_they_may_run(
+    seconds: float,
+) -> None:
+    """Guard against an adopted run that outlasts the lease counted for it."""
+    async with anyio.create_task_group() as tasks:
+        harness = RestartHarness(tasks)
+        harness.scheduler.state.taken_over_at = harness.timers.monotonic() - seconds
+        harness.update_entry()
+        await harness.async_advance_time(0.3)
+        left = harness.session.lease_ends_at - harness.timers.monotonic()
+        assert (left > 2 * LEASE_SECONDS) == (seconds == 0.0)
+        tasks.cancel_scope.cancel()
