Let a release name the starts that got no response, and count the longest lease else

What callers saw: tasks ran twice at once after a change of owner. A worker had restarted under its id, accepted a start that was meant for its previous incarnation, and was cut off. The next owner started the task elsewhere 4.4 s after it had claimed the shard, while the run went on until 10 s after its start.

Cause: hold_previous_runs counted the lease that owners mean to grant. A worker whose clock has started anew shortens a deadline of the clock before to hold-max-ms, 10 s, and that lease applies to all that runs there.

Change: an owner that leaves waits up to 0.4 s for responses to the starts on their way, and its release names those that got none, and for how long leases of known runs may last. The next owner holds only the named tasks for the longest lease (HeldStarts), until the worker reports or ends, and everything else for what the release says. A release by an older build, or one of more than 500 starts, is held for the longest lease; after the loss of an owner, whose last starts nobody knows, the hold is its authority and the longest lease, counted from the reading of its last renewal.

--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -18,7 +18,7 @@
 from ..scheduling.scheduler import Scheduler
 from .acknowledgement_logger import AcknowledgementLogger
 from .command_executor import CommandExecutor
-from .const import AUTHORITY_SECONDS, LEASE_SECONDS, latest_lease_end
+from .const import LEASE_SECONDS, latest_lease_end
 from .contact_limiter import ContactLimiter
 from .lease import Lease
 from .lost_incarnations import LostIncarnations
@@ -92,7 +92,7 @@
         self.scheduler.update_worker(worker_id, entry, now)
         # The previous owner may have renewed the lease until its authority ended.
         lease_ends_at = max(
-            latest_lease_end(now), self.scheduler.state.takeover_hold_until
+            latest_lease_end(now), self.scheduler.state.previous_leases_until
         )
         self._open_session(worker_id, entry, entry.born, lease_ends_at)
 
@@ -110,7 +110,6 @@
         started_at_ms: int,
         lease_ends_at: float,
     ) -> None:
-        is_inherited = worker_id in self.sessions or self._may_previous_leases_run()
         session = WorkerSession(
             worker_id,
             WorkerClient(self.http, entry.address, worker_id, self.token),
@@ -118,7 +117,11 @@
             self.timers,
             self.on_report,
             self.authorised,
-            Lease(lease_ends_at, self.max_lease_seconds, is_inherited),
+            Lease(
+                lease_ends_at,
+                self.max_lease_seconds,
+                self._is_lease_inherited(worker_id, started_at_ms),
+            ),
             started_at_ms,
             lambda other: self._handle_restart(session, other),
             self._contact_limiter,
@@ -128,12 +131,17 @@
         self.sessions[worker_id] = session
         self.tasks.start_soon(self._async_run_session, session)
 
-    def _may_previous_leases_run(self) -> bool:
-        """Return whether leases that previous owners renewed may not have expired."""
-        elapsed = self.timers.monotonic() - self.scheduler.state.taken_over_at
-        return elapsed < AUTHORITY_SECONDS + latest_lease_end(
-            0.0, self.max_lease_seconds
-        )
+    def _is_lease_inherited(self, worker_id: str, started_at_ms: int) -> bool:
+        """Return whether earlier calls may grant an incarnation the longest lease.
+
+        Calls that were meant for another incarnation may, whoever sent them.
+        """
+        previous = self.sessions.get(worker_id)
+        if previous is None:
+            return self.scheduler.state.held_starts.include(worker_id)
+        if not previous.clock.is_known:
+            return previous.lease.inherited
+        return not started_at_ms or previous.started_at_ms != started_at_ms
 
     def _handle_restart(self, session: WorkerSession, started_at_ms: int) -> None:
         """Replace a session after another incarnation answered its poll."""
@@ -166,6 +174,18 @@
         )
         self.sessions[worker_id].lease.inherit_unanswered(session.lease)
 
+    def remaining_lease_seconds(self, now: float) -> float:
+        """Return for how long the leases of known runs may last."""
+        workers = self.scheduler.state.workers
+        return max(
+            (
+                session.lease_ends_at - now
+                for name, session in self.sessions.items()
+                if not session.closed and name in workers and workers[name].has_runs
+            ),
+            default=0.0,
+        )
+
     def has_unresponsive_workers(self) -> bool:
         """Return whether any worker stopped answering."""
         return any(
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -158,6 +158,18 @@
     limits: LimitsRecord | None = None
 
 
+class UnansweredStart(msgspec.Struct, frozen=True, array_like=True):
+    """Store a start that got no response.
+
+    :param task: the task's name in the workers' format.
+    :param worker: id of the worker that it was sent to.
+    """
+
+    task: str
+    run: Number
+    worker: str
+
+
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
     """Store the owner of the shard and its last renewal.
 
@@ -173,6 +185,10 @@
     :param settled: whether the owner has confirmed the state of every run that a
         previous owner may have left; until then, a previous owner may still renew
         leases.
+    :param lease_seconds: for how long leases may last that were renewed before a
+        release.
+    :param unanswered: the starts that may have begun a run unknown to the owner, at a
+        release; None if they are not known.
     """
 
     epoch: Number
@@ -182,6 +198,8 @@
     renewed_at: float = msgspec.field(default=0.0, name="wall")
     ordered: list[str] = []
     settled: bool = False
+    lease_seconds: float = 0.0
+    unanswered: list[UnansweredStart] | None = None
 
 
 class WaveRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardward/components/ownership/const.py
+++ b/mustardward/components/ownership/const.py
@@ -86,6 +86,14 @@
 RELEASE_TIMEOUT_SECONDS: Final = 1.0
 """Timeout of a release; without it, other entries wait for OWNER_TIMEOUT_SECONDS."""
 
+RELEASE_WAIT_SECONDS: Final = 0.4
+"""Maximum time for responses to the starts on their way before a release. The jobs of
+those that get none are held by the next owner."""
+
+RELEASE_CHECK_SECONDS: Final = 0.01
+MAX_RELEASED_STARTS: Final = 500
+"""Most unanswered starts that a release names, in about 30 kB."""
+
 SELF_CHECK_SECONDS: Final = 0.2
 TAKEOVER_CHECK_SECONDS: Final = 0.02
 CONFIRM_RETRY_SECONDS: Final = 0.05
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -38,6 +38,8 @@
     MAX_PLAN_DELAY_SECONDS,
     MAX_PLAN_SHARE,
     MIN_PLAN_INTERVAL_SECONDS,
+    RELEASE_CHECK_SECONDS,
+    RELEASE_WAIT_SECONDS,
     SELF_CHECK_SECONDS,
 )
 from .deposition import DeposedBy, make_deposition_logger
@@ -48,7 +50,7 @@
 from .owner_query import OwnerStatus
 from .progress_writer import ProgressWriter
 from .renewals import Renewals, blocked_until
-from .takeover import Takeover, hold_previous_runs
+from .takeover import Takeover, hold_previous_runs, list_unanswered_starts
 
 _LOGGER = get_logger(__name__)
 
@@ -108,6 +110,7 @@
         self.scheduler.state.confirmed_until = lambda: (
             dependencies.timers.monotonic() - authority.renewal_age_seconds()
         )
+        self.scheduler.state.max_lease_seconds = dependencies.bounds.hold_max_ms / 1000
         self.scheduler.state.stop_grace_seconds = (
             dependencies.bounds.stop_grace_ms / 1000
         )
@@ -254,14 +257,27 @@
         The response may be lost while the next owner has read the release already, and
         waits only for the leases that were sent before it.
         """
+        timers = self._dependencies.timers
         state = self.scheduler.state
-        settled = state.is_takeover_complete(self._dependencies.timers.monotonic())
+        settled = state.is_takeover_complete(timers.monotonic())
         self._authority.revoke()
         # The next owner may be read before the response to the release.
         self._deposition_logger.record(DeposedBy.RELEASED)
-        await self._renewals.async_release(settled)
+        await self._async_wait_for_responses()
+        lease_seconds = 0.0
+        if self.dispatcher is not None:
+            lease_seconds = self.dispatcher.remaining_lease_seconds(timers.monotonic())
+        unanswered = list_unanswered_starts(state)
+        await self._renewals.async_release(settled, lease_seconds, unanswered)
         self.depose(DeposedBy.RELEASED)
 
+    async def _async_wait_for_responses(self) -> None:
+        """Wait a moment for responses to the starts on their way."""
+        timers = self._dependencies.timers
+        deadline = timers.monotonic() + RELEASE_WAIT_SECONDS
+        while self.scheduler.reports.sent_starts and timers.monotonic() < deadline:
+            await timers.async_sleep(RELEASE_CHECK_SECONDS)
+
     def _start_fleet(
         self, client: FleetClient, dispatcher: Dispatcher, tasks: TaskGroup
     ) -> None:
@@ -318,7 +334,7 @@
         now = dependencies.timers.monotonic()
         wall = dependencies.timers.wall()
         state = self.scheduler.state
-        hold_previous_runs(state, self._previous, now)
+        hold_previous_runs(state, self._previous, now, self._previous_read_at)
         for queue, record in dependencies.ledger.run_times.items():
             state.estimates.restore(queue, record)
         for job in sorted(
--- a/mustardward/components/ownership/renewals.py
+++ b/mustardward/components/ownership/renewals.py
@@ -9,7 +9,7 @@
 from ..ledger.appender import GroupAppender, Outcome, Record
 from ..ledger.const import KEY_OWNER
 from ..ledger.ledger import encode
-from ..ledger.models import OwnerRecord
+from ..ledger.models import OwnerRecord, UnansweredStart
 from .const import (
     ANNOUNCE_TIMEOUT_SECONDS,
     RELEASE_TIMEOUT_SECONDS,
@@ -95,19 +95,33 @@
         outcome = await self.appender.async_append([self._record(self.node)], until)
         return outcome is Outcome.STORED and not self._released
 
-    async def async_release(self, settled: bool) -> None:
+    async def async_release(
+        self,
+        settled: bool,
+        lease_seconds: float = 0.0,
+        unanswered: list[UnansweredStart] | None = None,
+    ) -> None:
         """Release the ownership.
 
         :param settled: whether all runs that previous owners may have started are
             known.
+        :param lease_seconds: for how long the leases of known runs may last.
+        :param unanswered: the starts that may have begun unknown runs, if known.
         """
         # A renewal after the release would revoke it, and the other entries would wait
         # for the timeout of a lost owner.
         self._released = True
         until = self.timers.monotonic() + RELEASE_TIMEOUT_SECONDS
-        await self.appender.async_append([self._record("", settled)], until)
-
-    def _record(self, node: str, settled: bool = False) -> Record:
+        record = self._record("", settled, lease_seconds, unanswered)
+        await self.appender.async_append([record], until)
+
+    def _record(
+        self,
+        node: str,
+        settled: bool = False,
+        lease_seconds: float = 0.0,
+        unanswered: list[UnansweredStart] | None = None,
+    ) -> Record:
         self._renewal_count += 1
         now = self.timers.boottime()
         self._ordered = {
@@ -123,5 +137,7 @@
             self.timers.wall(),
             sorted(self._ordered),
             settled,
+            lease_seconds,
+            unanswered,
         )
         return (KEY_OWNER, encode(owner))
--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -7,13 +7,16 @@
 
 from ...helpers.logging import MAX_NAMES_PER_LINE, get_logger, log_names
 from ...helpers.timer import TimerService
+from ...platform.workers import decode_task, encode_task
 from ..dispatch.const import AUTHORITY_SECONDS, latest_lease_end
 from ..dispatch.dispatcher import Dispatcher
 from ..fleet.services import Fleet
 from ..ledger.follower import TopicFollower
-from ..ledger.models import OwnerRecord
+from ..ledger.models import OwnerRecord, UnansweredStart
+from ..scheduling.held_starts import HeldStart
+from ..scheduling.lost_starts import MAX_DELAY_SECONDS
 from ..scheduling.scheduler_state import SchedulerState
-from .const import TAKEOVER_CHECK_SECONDS
+from .const import MAX_RELEASED_STARTS, TAKEOVER_CHECK_SECONDS
 
 _LOGGER = get_logger(__name__)
 
@@ -145,7 +148,10 @@
 
 
 def hold_previous_runs(
-    state: SchedulerState, previous: OwnerRecord, now: float
+    state: SchedulerState,
+    previous: OwnerRecord,
+    now: float,
+    read_at: float | None = None,
 ) -> None:
     """Hold tasks that previous owners may have started for as long as they may run.
 
@@ -154,8 +160,59 @@
     released the shard within this time, without reports of all workers: after two
     changes of owner in a row, the first by a network partition, tasks would run twice
     while the first owner still renews their leases.
+
+    A start may have reached another incarnation of its worker than it was meant for,
+    which grants the longest lease. Only the owner that sent it knows which ones got no
+    response; unless it has released the shard, all of its leases may be the longest.
+
+    :param read_at: when the last renewal of a lost owner was read, if it was seen.
     """
-    authority_ended = not previous.node and previous.settled
-    authority = 0.0 if authority_ended else AUTHORITY_SECONDS
-    state.takeover_hold_until = latest_lease_end(now) + authority
     state.taken_over_at = now
+    state.takeover_hold_until = _latest_previous_lease_end(
+        previous, now, read_at, state.max_lease_seconds
+    )
+    state.previous_leases_until = state.takeover_hold_until
+    if previous.unanswered is not None:
+        _hold_unanswered_starts(state, previous.unanswered, now)
+
+
+def _latest_previous_lease_end(
+    previous: OwnerRecord, now: float, read_at: float | None, max_lease_seconds: float
+) -> float:
+    """Return when leases end that previous owners may have granted."""
+    is_released = not previous.node
+    if is_released and previous.settled:
+        if previous.unanswered is None:
+            return latest_lease_end(now, max_lease_seconds)
+        return max(latest_lease_end(now), now + previous.lease_seconds)
+    elapsed = 0.0 if is_released or read_at is None else now - read_at
+    authority_end = now + AUTHORITY_SECONDS - elapsed
+    return latest_lease_end(authority_end, max_lease_seconds)
+
+
+def _hold_unanswered_starts(
+    state: SchedulerState, starts: list[UnansweredStart], now: float
+) -> None:
+    until = latest_lease_end(now + MAX_DELAY_SECONDS, state.max_lease_seconds)
+    for start in starts:
+        try:
+            name = decode_task(start.task)
+        except ValueError:
+            _LOGGER.warning("released_start_unreadable", task=start.task)
+            continue
+        state.held_starts.add(name, HeldStart(start.worker, start.run, until))
+
+
+def list_unanswered_starts(state: SchedulerState) -> list[UnansweredStart] | None:
+    """Return the starts that may have begun unknown runs, or None if there are many."""
+    starts = [
+        UnansweredStart(encode_task(task.name), task.run, worker.id)
+        for worker in state.workers.values()
+        for task in worker.tasks.values()
+        if task.is_start_unanswered
+    ]
+    starts += [
+        UnansweredStart(encode_task(name), start.run, start.worker)
+        for name, start in state.held_starts.items()
+    ]
+    return starts if len(starts) <= MAX_RELEASED_STARTS else None
--- a/mustardward/components/scheduling/const.py
+++ b/mustardward/components/scheduling/const.py
@@ -78,5 +78,8 @@
 STOP_GRACE_SECONDS: Final = 0.5
 """Time that a worker may take to stop a run unless the platform's settings say so."""
 
+MAX_LEASE_SECONDS: Final = 10.0
+"""Longest lease that workers grant unless the platform's settings say so."""
+
 EVACUATION_GRACE_SECONDS: Final = 1.5
 """Time that short runs get to end by themselves on a worker that is being emptied."""
--- a/mustardward/components/scheduling/held_starts.py
+++ b/mustardward/components/scheduling/held_starts.py
@@ -45,6 +45,10 @@
         """Return the held starts by task."""
         return self._starts.items()
 
+    def include(self, worker_id: str) -> bool:
+        """Return whether a worker left a start unanswered."""
+        return any(start.worker == worker_id for start in self._starts.values())
+
     def release(self, worker_id: str) -> None:
         """Release the tasks of a worker that has reported its runs, or has ended."""
         self._starts = {
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -12,7 +12,12 @@
 from ..pool_sizing.models import Need
 from ..run_times.estimates import Estimates
 from .commands import Command, Start, Stop
-from .const import ISOLATION_CRASHES, RUN_BITS, STOP_GRACE_SECONDS
+from .const import (
+    ISOLATION_CRASHES,
+    MAX_LEASE_SECONDS,
+    RUN_BITS,
+    STOP_GRACE_SECONDS,
+)
 from .held_starts import HeldStart, HeldStarts
 from .inflow import Inflow
 from .lost_starts import LostStarts, UnansweredStart
@@ -48,6 +53,8 @@
     :param ready: the open steps with waiting tasks, by object id.
     :param takeover_hold_until: until when unconfirmed workers may run tasks that a
         previous owner started.
+    :param previous_leases_until: when the leases that previous owners may have granted
+        have expired, except those of held starts.
     :param listing_workers: ids of the workers that began to report their runs to this
         owner during the takeover, and have more ended runs to list.
     :param incoming_cpu: processors of instances ordered for each pool, in millicores.
@@ -55,6 +62,8 @@
     :param unusable_workers: ids of workers that have been unusable for a while.
     :param reconciled_zones: data centres whose workers have all reported their runs.
     :param suspects: the jobs with tasks under which workers crashed, by id.
+    :param max_lease_seconds: the longest lease that workers grant, whatever deadline
+        they are sent.
     :param stop_grace_seconds: how long a worker may take to stop a run.
     :param confirmed_until: returns until when the log is known to name no other owner,
         in monotonic seconds.
@@ -73,6 +82,7 @@
     dirty: dict[str, Job] = field(default_factory=dict)
     ready: dict[int, StepRun] = field(default_factory=dict)
     takeover_hold_until: float = 0.0
+    previous_leases_until: float = 0.0
     reconciled_zones: frozenset[str] = frozenset()
     listing_workers: set[str] = field(default_factory=set)
     incoming_cpu: dict[str, int] = field(default_factory=dict)
@@ -81,6 +91,7 @@
     taken_over_at: float = 0.0
     quotas: Quotas = field(default_factory=Quotas)
     suspects: dict[str, Job] = field(default_factory=dict)
+    max_lease_seconds: float = MAX_LEASE_SECONDS
     stop_grace_seconds: float = STOP_GRACE_SECONDS
     confirmed_until: Callable[[], float] = _always_confirmed
     unreported_loss_at: float = -math.inf
--- a/mustardward/components/scheduling/sent_starts.py
+++ b/mustardward/components/scheduling/sent_starts.py
@@ -46,6 +46,10 @@
     _count: int = 0
     _counted_since: float | None = None
 
+    def __len__(self) -> int:
+        """Return the number of starts that were not answered yet."""
+        return len(self._unanswered)
+
     def record(self, name: TaskName, run: int, worker: str) -> None:
         """Record that a start is being sent."""
         renewed_at = self.renewed_at()
