Walk through restarts of workers under their ids that are cut off soon

Cause: no walk had a worker that restarts under its id behind a link that is down, accepts what was meant for its previous incarnation and is cut off soon after, with the owner leaving, killed, frozen, without the store or staying.

The world's trace and counts show starts and renewals that make a lease of more than 6 s, and late calls that meet the next incarnation. OwnerLossWalk lends its restart and cut of one worker; it draws as before.

--- a/tests/components/ownership/owner_loss_walk.py
+++ b/tests/components/ownership/owner_loss_walk.py
@@ -256,10 +256,13 @@
             self.world.later(delay, partial(self._restart, machine))
 
     def _restart(self, machine: Machine) -> None:
+        if machine.worker is not None:
+            self._restart_under_id(machine, self._rng.choice(DOWN_SECONDS))
+
+    def _restart_under_id(self, machine: Machine, seconds: float) -> None:
+        """Start a worker again under its id after some seconds."""
         worker = machine.worker
-        if worker is None:
-            return
-        seconds = self._rng.choice(DOWN_SECONDS)
+        assert worker is not None
         self.world.take_down(machine, "down", float("inf"))
 
         def boot() -> None:
@@ -281,11 +284,14 @@
         seconds = self._rng.choice(CUT_SECONDS)
         direction = self._rng.choice(DIRECTIONS)
         for machine in self._some_live():
-            self.world.note(
-                f"{machine.name} is cut off, {direction} {others}, {seconds} s"
-            )
-            for other in others:
-                self._cut_link(machine.name, other, seconds, direction)
+            self._cut_worker(machine, others, seconds, direction)
+
+    def _cut_worker(
+        self, machine: Machine, others: list[str], seconds: float, direction: str
+    ) -> None:
+        self.world.note(f"{machine.name} is cut off, {direction} {others}, {seconds} s")
+        for other in others:
+            self._cut_link(machine.name, other, seconds, direction)
 
     def _disturb_workers(self) -> None:
         """Let calls to workers fail in one way for a while."""
--- /dev/null
+++ b/tests/components/ownership/test_restart_walks.py
@@ -0,0 +1,15 @@
+"""Check that no task runs twice when restarted workers are soon cut off."""
+
+from __future__ import annotations
+
+import pytest
+
+from .restart_walk import find_violations
+
+SEEDS = (42, 117, 121)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_task_runs_twice_when_restarted_workers_are_cut_off(seed: int) -> None:
+    """Guard against calls that reach the next incarnation of a worker."""
+    assert not find_violations(seed)
--- a/tests/components/ownership/twice_world.py
+++ b/tests/components/ownership/twice_world.py
@@ -46,6 +46,7 @@
 UPKEEP_SECONDS = 2.0
 TICK_SECONDS = 0.02
 LATE_SECONDS = (1.0, 12.0)
+EXCESSIVE_LEASE_MS = 6000
 MAX_QUEUED_SECONDS = 2.0
 MAX_RETRANSMISSION_SECONDS = 0.5
 CALM_FAULT_RATE = 0.02
@@ -523,8 +524,11 @@
         await anyio.sleep(self.rng.uniform(0.001, 0.004))
         if outcome == "late":
             await anyio.sleep(self.rng.uniform(*LATE_SECONDS))
-            if not self.late_calls_survive and self._life(other) is not life:
-                return
+            if self._life(other) is not life:
+                if not self.late_calls_survive:
+                    return
+                self.note(f"late call of {process.name} meets next life of {other}")
+                self.count("next-life")
         if outcome == "lost" or not await self._async_deliver(process, other, life):
             return
         result: Outcome[T]
@@ -585,6 +589,8 @@
         )
         if not reason and not was_running:
             self.count("started")
+            if order.deadline_ms - clock_ms > EXCESSIVE_LEASE_MS:
+                self.count("excessive-start")
             self._judge_start(worker, order, before)
         return reason, clock_ms
 
@@ -609,11 +615,12 @@
         report = worker.poll(
             call.fence, call.seen_upto, call.deadline_ms, machine.clock_ms(self.now)
         )
-        if worker.runs and worker._lease_end_ms > renewed:
-            self.note(
-                f"renew {worker.id} fence={call.fence} "
-                f"for {worker._lease_end_ms - clock_ms:.0f}ms"
-            )
+        lease_ms = worker._lease_end_ms - clock_ms
+        has_excessive_lease = lease_ms > EXCESSIVE_LEASE_MS
+        if worker._lease_end_ms > renewed and (worker.runs or has_excessive_lease):
+            self.note(f"renew {worker.id} fence={call.fence} for {lease_ms:.0f}ms")
+            if has_excessive_lease:
+                self.count("excessive-renewal")
         until = self.now + call.wait_ms / 1000
         while report is not None and self.now < until:
             if machine.worker is not worker:
