Give each session with another incarnation of a worker a fencing token of its own

What callers saw: a task started again after its end as done had been acknowledged. A worker had restarted under its id; a poll that was sent to its previous incarnation was carried out late and acknowledged ends of the new one, which nobody had read.

Cause: a restarted worker has seen no token, and all calls of an owner carried the same one, so that nothing distinguishes calls that were sent before the restart.

Change: the token of a session is above that of the owner's last answered session with the same id. Once an incarnation has answered, it rejects whatever was sent before: polls that acknowledge or renew, starts and stops. Such a rejection deposes no owner, as the session has been replaced.

Two ways were weighed: to use a restarted worker only once no call can be late any more (30 s without its room after each restart), or tokens, which cost nothing.

--- a/mustardward/components/dispatch/command_executor.py
+++ b/mustardward/components/dispatch/command_executor.py
@@ -44,7 +44,7 @@
     """Execute commands in the workers' sessions and report the results.
 
     :param sessions: the sessions by worker id.
-    :param on_fenced: called with a worker that has seen a newer owner.
+    :param on_fenced: called with a session whose worker has seen a newer token.
     :param on_report: called when there may be something to plan or to store.
     :param authorised: whether this owner may still send commands.
     :param on_worker_lost: called with a worker that another incarnation answered for.
@@ -54,7 +54,7 @@
     timers: TimerService
     tasks: TaskGroup
     sessions: dict[str, WorkerSession]
-    on_fenced: Callable[[str], None]
+    on_fenced: Callable[[WorkerSession | None], None]
     on_report: Callable[[], None]
     authorised: Callable[[], bool]
     on_worker_lost: Callable[[str, LossCause], None]
@@ -110,7 +110,7 @@
             answer = await session.async_start(task, run)
         except FencedError:
             self._log_failed_start(task, start, "fenced")
-            self.on_fenced(start.worker)
+            self.on_fenced(session)
             return
         except WrongIncarnationError:
             self._log_failed_start(task, start, "another incarnation answered")
@@ -167,7 +167,7 @@
         try:
             await session.client.async_stop(stop.name, stop.run)
         except FencedError:
-            self.on_fenced(stop.worker)
+            self.on_fenced(session)
         except WrongIncarnationError:
             self._report_restart(session)
         except _CALL_ERRORS:
@@ -194,7 +194,7 @@
         try:
             await session.client.async_set_speed(name, pace.run, pace.percent)
         except FencedError:
-            self.on_fenced(pace.worker)
+            self.on_fenced(session)
         except WrongIncarnationError:
             self._report_restart(session)
         except _CALL_ERRORS as error:
--- a/mustardward/components/dispatch/const.py
+++ b/mustardward/components/dispatch/const.py
@@ -52,6 +52,10 @@
 POLL_RETRY_SECONDS: Final = 0.2
 STOP_RETRY_SECONDS: Final = 0.15
 
+TOKENS_PER_EPOCH: Final = 256
+"""Fencing tokens of one owner: its epoch, and one more for each session with another
+incarnation of the same worker. The next owner's epoch is above all of them."""
+
 AUTHORITY_SECONDS: Final = 4.0
 """An owner whose renewals were not stored for this long sends no more commands: another
 entry may have taken over, and waits no longer than this, plus a lease, for workers that
--- a/mustardward/components/dispatch/dispatcher.py
+++ b/mustardward/components/dispatch/dispatcher.py
@@ -18,7 +18,7 @@
 from ..scheduling.scheduler import Scheduler
 from .acknowledgement_logger import AcknowledgementLogger
 from .command_executor import CommandExecutor
-from .const import LEASE_SECONDS, latest_lease_end
+from .const import LEASE_SECONDS, TOKENS_PER_EPOCH, latest_lease_end
 from .contact_limiter import ContactLimiter
 from .lease import Lease
 from .lost_incarnations import LostIncarnations
@@ -29,7 +29,7 @@
 class Dispatcher:
     """Hold the sessions with workers under one epoch and execute commands in them.
 
-    :param token: the fencing token, the owner's epoch.
+    :param token: the lowest fencing token, the owner's epoch.
     :param on_fenced: called with a worker that has seen a newer owner.
     :param on_report: called when there may be something to plan or to store.
     :param authorised: whether this owner may still send commands.
@@ -66,7 +66,7 @@
             self.timers,
             self.tasks,
             self.sessions,
-            self.on_fenced,
+            self._handle_fenced,
             self.on_report,
             self.authorised,
             self.remove_worker,
@@ -110,9 +110,10 @@
         started_at_ms: int,
         lease_ends_at: float,
     ) -> None:
+        token = self._choose_token(worker_id)
         session = WorkerSession(
             worker_id,
-            WorkerClient(self.http, entry.address, worker_id, self.token),
+            WorkerClient(self.http, entry.address, worker_id, token),
             self.scheduler,
             self.timers,
             self.on_report,
@@ -127,10 +128,25 @@
             self._contact_limiter,
             lambda: self.timers.monotonic() - self.renewal_age_seconds(),
             self.acknowledgements,
+            token,
         )
         self.sessions[worker_id] = session
         self.tasks.start_soon(self._async_run_session, session)
 
+    def _choose_token(self, worker_id: str) -> int:
+        """Return a session's fencing token, above that of calls to be rejected.
+
+        Once an incarnation has answered a session, it executes no call of an earlier
+        one that is still on its way: a poll among them would acknowledge ends that
+        nobody has read. Calls of a session that was never answered change nothing.
+        """
+        previous = self.sessions.get(worker_id)
+        if previous is None:
+            return self.token
+        if not previous.clock.is_known:
+            return previous.token
+        return min(previous.token + 1, self.token + TOKENS_PER_EPOCH - 1)
+
     def _is_lease_inherited(self, worker_id: str, started_at_ms: int) -> bool:
         """Return whether earlier calls may grant an incarnation the longest lease.
 
@@ -207,10 +223,20 @@
         try:
             await session.async_run()
         except FencedError:
-            self.on_fenced(session.worker_id)
+            self._handle_fenced(session)
         finally:
             session.closed = True
 
+    def _handle_fenced(self, session: WorkerSession | None) -> None:
+        """Handle a rejection by a worker that has seen a newer token.
+
+        If the session has been replaced, the token is that of the next one.
+        """
+        if session is None or session.closed:
+            return
+        if self.sessions.get(session.worker_id) is session:
+            self.on_fenced(session.worker_id)
+
     def remove_worker(self, worker_id: str, cause: LossCause) -> None:
         """Close the session of a worker whose incarnation is known to be over."""
         self.lost_workers.add(worker_id)
--- a/mustardward/components/dispatch/session.py
+++ b/mustardward/components/dispatch/session.py
@@ -53,6 +53,7 @@
     :param contact_limiter: limits concurrent polls of unconfirmed workers.
     :param ownership_confirmed_until: until when the log is known to name no other
         owner, in monotonic seconds.
+    :param token: the fencing token of its calls.
     :param acknowledgements: logs which ends are acknowledged; None for no log lines.
     """
 
@@ -68,6 +69,7 @@
     contact_limiter: ContactLimiter
     ownership_confirmed_until: Callable[[], float]
     acknowledgements: AcknowledgementLogger | None = None
+    token: int = 0
     received_upto: int = 0
     stored_upto: int = 0
     closed: bool = False
--- a/mustardward/components/ownership/services.py
+++ b/mustardward/components/ownership/services.py
@@ -18,6 +18,7 @@
     SequenceError,
 )
 from ...platform.store import Producer
+from ..dispatch.const import TOKENS_PER_EPOCH
 from ..forwarding.const import CHECK_METHOD
 from ..forwarding.models import PeerRequest
 from ..ledger.append_watcher import async_call_or_observe
@@ -195,7 +196,8 @@
         """
         dependencies = self._dependencies
         timers = dependencies.timers
-        epoch = max(dependencies.ledger.owner.epoch + 1, self._min_epoch)
+        newest = dependencies.ledger.owner.epoch
+        epoch = max(newest + TOKENS_PER_EPOCH if newest else 1, self._min_epoch)
         claim = secrets.token_hex(8)
         authority = Authority(timers.boottime, timers.boottime())
         record = OwnerRecord(epoch, claim, dependencies.node, 0, timers.wall())
--- a/tests/components/dispatch/test_restarts.py
+++ b/tests/components/dispatch/test_restarts.py
@@ -9,6 +9,7 @@
 import pytest
 from anyio.abc import TaskGroup
 
+from mustardward.components.dispatch.const import TOKENS_PER_EPOCH
 from mustardward.components.dispatch.session import WorkerSession
 from mustardward.components.scheduling.losses import LossCause
 from mustardward.components.scheduling.models import Phase, QueuePolicy, Task
@@ -502,3 +503,50 @@
         assert not session.clock.has_reset(known_ms - 1500, known_ms)
         assert session.clock.has_reset(known_ms - 2500, known_ms)
         assert harness.session is session
+
+
+async def test_each_incarnation_is_called_with_a_higher_token() -> None:
+    """Guard against a late poll that acknowledges unread ends of the next incarnation.
+
+    It has seen no token yet, and rejects calls that were sent before its first answer.
+    """
+    async with a_harness() as harness:
+        first = harness.session
+        harness.worker.restart()
+        harness.update_entry()
+        await harness.async_advance_time(0.3)
+        assert harness.session is not first
+        assert harness.session.token == first.token + 1 == harness.dispatcher.token + 1
+
+
+async def test_session_that_was_never_answered_uses_up_no_token() -> None:
+    async with a_harness() as harness:
+        harness.worker.unreachable = True
+        for _ in range(3):
+            harness.worker.restart()
+            harness.update_entry()
+            await harness.async_advance_time(0.3)
+        assert harness.session.token == harness.dispatcher.token + 1
+
+
+async def test_tokens_stay_below_the_next_owners_epoch() -> None:
+    """Guard against a next owner that workers reject."""
+    async with a_harness() as harness:
+        harness.session.token = harness.dispatcher.token + TOKENS_PER_EPOCH - 1
+        harness.worker.restart()
+        harness.update_entry()
+        assert harness.session.token < harness.dispatcher.token + TOKENS_PER_EPOCH
+
+
+async def test_rejected_call_of_a_replaced_session_deposes_no_owner() -> None:
+    """Guard against an owner that gives up since a worker rejects its own old call."""
+    async with a_harness() as harness:
+        fenced: list[str] = []
+        harness.dispatcher.on_fenced = fenced.append
+        previous = harness.session
+        harness.worker.restart()
+        harness.update_entry()
+        harness.dispatcher.executor.on_fenced(previous)
+        assert not fenced
+        harness.dispatcher.executor.on_fenced(harness.session)
+        assert fenced == [WORKER]
