Read callers' bodies piece by piece against the limit

Callers saw nothing; 20 of them with a chunked body without end took an entry over its memory, since a body was read to its end before its size was compared, only a stated length was compared first, and without a configuration there was no limit at all.

The body is now read as it arrives and refused at the first byte beyond `max-body-bytes`. Until a configuration is known its default counts; a larger body is then answered 503 rather than 413, because the operator's limit may be higher and the refusal must not be final.

--- a/mustardward/components/front/server.py
+++ b/mustardward/components/front/server.py
@@ -12,7 +12,9 @@
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
 from ...platform import callers
+from ...platform.models import CallerLimits
 from ..forwarding.failover import FailoverHandler
+from .body import BodyTooLargeError, async_read_body
 from .const import (
     CLOSE_IDLE_SECONDS,
     CLOSE_POLL_SECONDS,
@@ -20,7 +22,7 @@
     JSON_CONTENT_TYPE,
     SHUTDOWN_TIMEOUT_SECONDS,
 )
-from .models import Reply, Request
+from .models import Reply, Request, error_reply
 
 _LOGGER = get_logger(__name__)
 
@@ -137,17 +139,11 @@
 
     async def _async_reply(self, request: web.BaseRequest) -> Reply:
         now = self.timers.monotonic()
-        config = self.failover.front.configuration.config
-        max_body_bytes = config.limits.max_body_bytes if config else 0
-        body = b""
-        if request.can_read_body:
-            if max_body_bytes and (request.content_length or 0) > max_body_bytes:
-                detail = f"most={max_body_bytes}"
-                return Reply(413, callers.encode_error("body-too-large", detail))
-            body = await request.content.read(-1)
-            if max_body_bytes and len(body) > max_body_bytes:
-                detail = f"most={max_body_bytes}"
-                return Reply(413, callers.encode_error("body-too-large", detail))
+        limits = self._caller_limits()
+        try:
+            body = await async_read_body(request, limits.max_body_bytes)
+        except BodyTooLargeError as error:
+            return self._body_too_large_reply(request, error)
         host = request.headers.get("Host", "").lower().partition(":")[0]
         deadline = min(now + _requested_deadline_seconds(request), self._drain_deadline)
         return await self.failover.async_answer(
@@ -161,6 +157,19 @@
             )
         )
 
+    def _caller_limits(self) -> CallerLimits:
+        config = self.failover.front.configuration.config
+        return config.limits if config is not None else CallerLimits()
+
+    def _body_too_large_reply(
+        self, request: web.BaseRequest, error: BodyTooLargeError
+    ) -> Reply:
+        front = self.failover.front
+        if front.configuration.config is None:
+            # The operator's limit, which is not read yet, may be higher.
+            return front.refusals.reject(request.path, "no-configuration", error.detail)
+        return error_reply(413, error.code, error.detail)
+
 
 async def async_serve_metrics(host: str, port: int) -> None:
     """Serve metrics as text; log a warning and continue if the port is in use."""
