Limit the head of a request as a whole, and what precedes it

Callers that sent heads of many fields, each within aiohttp's limit of a line, or empty lines before a request, were read for as long as they liked: the library has no limit of a whole head, and `max-header-bytes` of the configuration was read by nothing.

A connection now counts what it received since the last complete head. Beyond twice `max-header-bytes` it is answered 431 and closed; a complete head whose fields exceed `max-header-bytes` is answered 431 before it is handled. The readiness and metrics listeners use the same server. A single field may now be as large as the limit of the head; the library refused 8,190 bytes.

Callers inside the limits: tests of the server cover a field of exactly the limit, heads in pieces on a kept connection and 100 requests in a row.

--- /dev/null
+++ b/mustardward/components/front/http_server.py
@@ -0,0 +1,129 @@
+"""Serve HTTP to clients that may send anything.
+
+aiohttp limits each line of a head and the number of lines, but not the head as a whole,
+and reads empty lines before a request without a limit.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Any, Final
+
+from aiohttp import web
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+
+from ...platform import callers
+from ...platform.models import CallerLimits
+from .const import JSON_CONTENT_TYPE
+
+MAX_UNFINISHED_HEADS: Final = 2
+"""Bytes of an unfinished head, in heads of the maximum size: the request line and empty
+lines before it are not part of ``max-header-bytes``."""
+
+FIELD_OVERHEAD_BYTES: Final = 4
+"""Colon, space and line end of a header field."""
+
+HEAD_TOO_LARGE_BODY: Final = callers.encode_error("head-too-large", "max-header-bytes")
+HEAD_TOO_LARGE_RESPONSE: Final = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Content-Type: %b\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%b"
+) % (JSON_CONTENT_TYPE.encode(), len(HEAD_TOO_LARGE_BODY), HEAD_TOO_LARGE_BODY)
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class LimitedServer(web.Server):
+    """HTTP server that limits the heads of requests.
+
+    :param limits: returns the limits in force.
+    """
+
+    def __init__(
+        self, handler: Handler, limits: Callable[[], CallerLimits], **options: Any
+    ) -> None:
+        async def async_handle(request: web.BaseRequest) -> web.StreamResponse:
+            if _head_bytes(request) > limits().max_header_bytes:
+                return _head_too_large_response()
+            return await handler(request)
+
+        super().__init__(async_handle, access_log=None, **options)
+        self.limits = limits
+
+    def __call__(self) -> LimitedConnection:
+        """Return the protocol of a new connection."""
+        most = self.limits().max_header_bytes
+        return LimitedConnection(
+            self,
+            loop=self._loop,
+            max_line_size=most,
+            max_field_size=most,
+            **self._kwargs,
+        )
+
+
+class LimitedConnection(web.RequestHandler):
+    """Connection that closes when its client sends too much without a request."""
+
+    __slots__ = ("_payload", "_refused", "_server", "_unfinished_bytes")
+
+    def __init__(self, server: LimitedServer, **options: Any) -> None:
+        super().__init__(server, **options)
+        self._server = server
+        self._payload: StreamReader = EMPTY_PAYLOAD
+        self._refused = False
+        self._unfinished_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, and refuse a head that exceeds the limit."""
+        if self._refused:
+            return
+        parsed_count = self._request_count
+        super().data_received(data)
+        if self._request_count > parsed_count:
+            self._record_parsed()
+        elif self._payload.is_eof():
+            self._unfinished_bytes += len(data)
+            most = MAX_UNFINISHED_HEADS * self._server.limits().max_header_bytes
+            if self._unfinished_bytes > most:
+                self._refuse()
+
+    def _record_parsed(self) -> None:
+        """Record that received bytes completed a head."""
+        self._unfinished_bytes = 0
+        if not self._messages:
+            return
+        self._payload = self._messages[-1][1]
+
+    def _refuse(self) -> None:
+        self._stop_reading()
+        if self._waiter is None:
+            # A response is in progress; the connection closes after it.
+            self.close()
+            return
+        if self.transport is not None:
+            self.transport.write(HEAD_TOO_LARGE_RESPONSE)
+        self.force_close()
+
+    def _stop_reading(self) -> None:
+        self._refused = True
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+
+def _head_bytes(request: web.BaseRequest) -> int:
+    """Return the size of a request's header fields."""
+    fields = request.raw_headers
+    size = sum(len(name) + len(value) for name, value in fields)
+    return size + FIELD_OVERHEAD_BYTES * len(fields)
+
+
+def _head_too_large_response() -> web.Response:
+    """Return the refusal, after which the connection is closed."""
+    response = web.Response(
+        status=HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+        body=HEAD_TOO_LARGE_BODY,
+        content_type=JSON_CONTENT_TYPE,
+    )
+    response.force_close()
+    return response
--- a/mustardward/components/front/server.py
+++ b/mustardward/components/front/server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -22,12 +22,12 @@
     JSON_CONTENT_TYPE,
     SHUTDOWN_TIMEOUT_SECONDS,
 )
+from .http_server import Handler, LimitedServer
 from .models import Reply, Request, error_reply
 
 _LOGGER = get_logger(__name__)
 
 LISTEN_BACKLOG = 512
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
 @dataclass(slots=True, eq=False)
@@ -88,8 +88,8 @@
         return self._in_flight == 0 and idle_seconds >= CLOSE_IDLE_SECONDS
 
     async def _async_serve(self, address: str, handler: Handler) -> None:
-        server = web.Server(
-            handler, access_log=None, keepalive_timeout=15.0, lingering_time=0.5
+        server = LimitedServer(
+            handler, self._caller_limits, keepalive_timeout=15.0, lingering_time=0.5
         )
         runner = web.ServerRunner(
             server, handle_signals=False, shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS
@@ -177,7 +177,7 @@
     async def async_answer(_: web.BaseRequest) -> web.StreamResponse:
         return web.Response(body=render(), content_type="text/plain")
 
-    server = web.Server(async_answer, access_log=None)
+    server = LimitedServer(async_answer, CallerLimits)
     runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
     await runner.setup()
     try:
--- /dev/null
+++ b/tests/components/front/test_http_server.py
@@ -0,0 +1,111 @@
+"""Test that limits of heads are exact towards well-behaved callers."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+from aiohttp import web
+from anyio.abc import SocketStream
+
+from mustardward.components.front.http_server import LimitedServer
+from mustardward.platform.models import CallerLimits
+
+pytestmark = pytest.mark.anyio
+
+LIMITS = CallerLimits()
+TIMEOUT_SECONDS = 20.0
+HOST = b"Host: a\r\n"
+START = b"GET / HTTP/1.1\r\n" + HOST
+
+
+async def async_handle(request: web.BaseRequest) -> web.StreamResponse:
+    """Answer with the size of the body."""
+    return web.Response(text=str(len(await request.read())))
+
+
+@asynccontextmanager
+async def async_connect() -> AsyncIterator[SocketStream]:
+    """Yield a connection to a server with the default limits."""
+    runner = web.ServerRunner(
+        LimitedServer(async_handle, lambda: LIMITS), shutdown_timeout=0.1
+    )
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    try:
+        with anyio.fail_after(TIMEOUT_SECONDS):
+            async with await anyio.connect_tcp(*runner.addresses[0]) as stream:
+                yield stream
+    finally:
+        await runner.cleanup()
+
+
+async def async_read(stream: SocketStream, until: bytes, count: int = 1) -> bytes:
+    """Return what is received until a text was received so often."""
+    received = b""
+    while received.count(until) < count:
+        received += await stream.receive()
+    return received
+
+
+async def async_read_all(stream: SocketStream) -> bytes:
+    """Return what is received until the connection is closed."""
+    received = b""
+    try:
+        while True:
+            received += await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return received
+
+
+async def test_a_field_as_large_as_the_limit_of_the_head_is_accepted() -> None:
+    """Guard against a limit of a line that is below the one of the whole head."""
+    field = b"X: " + b"a" * (LIMITS.max_header_bytes - len(HOST) - 5) + b"\r\n"
+    async with async_connect() as stream:
+        await stream.send(START + field + b"\r\n")
+        assert (await async_read(stream, b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+
+
+async def test_a_head_that_arrives_in_pieces_is_accepted() -> None:
+    """Guard against counting the heads of earlier requests of a connection."""
+    field = b"X: " + b"a" * 6_000 + b"\r\n"
+    async with async_connect() as stream:
+        for _ in range(10):
+            for piece in (b"\r\n", START, field, field, b"\r\n"):
+                await stream.send(piece)
+                await anyio.sleep(0.01)
+            response = await async_read(stream, b"\r\n\r\n0")
+            assert response.startswith(b"HTTP/1.1 200")
+
+
+async def test_requests_in_a_row_are_answered() -> None:
+    """Guard against counting requests that wait as an unfinished head."""
+    field = b"X: " + b"a" * 4_000 + b"\r\n"
+    body = b"Content-Length: 9000\r\n\r\n" + b"b" * 9_000
+    async with async_connect() as stream:
+        async with anyio.create_task_group() as tasks:
+            request = b"POST / HTTP/1.1\r\n" + HOST + field + body
+            tasks.start_soon(stream.send, request * 100)
+            received = await async_read(stream, b"\r\n\r\n9000", 100)
+    assert received.count(b"HTTP/1.1 200") == 100
+
+
+async def test_a_whole_head_over_the_limit_is_refused() -> None:
+    """Guard against a head of many fields, each of which is within the limit."""
+    field = b"X: " + b"a" * 5_000 + b"\r\n"
+    async with async_connect() as stream:
+        await stream.send(START + field * 4 + b"\r\n")
+        assert (await async_read_all(stream)).startswith(b"HTTP/1.1 431")
+
+
+async def test_an_unfinished_head_over_the_limit_is_refused() -> None:
+    """Guard against waiting for the end of a head that is too large already."""
+    field = b"X: " + b"a" * 5_000 + b"\r\n"
+    async with async_connect() as stream:
+        await stream.send(START + field)
+        for _ in range(6):
+            await anyio.sleep(0.01)
+            await stream.send(field)
+        assert (await async_read_all(stream)).startswith(b"HTTP/1.1 431")
