Answer malformed requests in our form and drop what they contained

Callers got the library's plain text, which repeats what they sent, and each left a traceback in the log. The memory was worse: the error that the parser raised refers to its frames, these to the received bytes and to the error, so that the bytes of each refused connection stayed until a garbage collection.

Malformed requests are answered with an error of our form, 400, or 431 for a line over the limit; the connection reads no more, and the error's frames are dropped, which ends the cycle. Nothing is logged for each of them.

--- a/mustardward/components/front/http_server.py
+++ b/mustardward/components/front/http_server.py
@@ -11,6 +11,7 @@
 from typing import Any, Final
 
 from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from ...platform import callers
@@ -25,6 +26,7 @@
 """Colon, space and line end of a header field."""
 
 HEAD_TOO_LARGE_BODY: Final = callers.encode_error("head-too-large", "max-header-bytes")
+MALFORMED_BODY: Final = callers.encode_error("malformed-request", "not valid HTTP")
 HEAD_TOO_LARGE_RESPONSE: Final = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Content-Type: %b\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%b"
@@ -88,12 +90,33 @@
             if self._unfinished_bytes > most:
                 self._refuse()
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = HTTPStatus.INTERNAL_SERVER_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the response to a malformed request, without what it contained."""
+        if not isinstance(exc, HttpProcessingError | web.RequestPayloadError):
+            return super().handle_error(request, status, exc, message)
+        if request.writer.output_size > 0:
+            raise ConnectionError("a response was sent already")
+        if isinstance(exc, LineTooLong):
+            return _head_too_large_response()
+        return _error_response(HTTPStatus.BAD_REQUEST, MALFORMED_BODY)
+
     def _record_parsed(self) -> None:
-        """Record that received bytes completed a head."""
+        """Record that received bytes completed a head or were malformed."""
         self._unfinished_bytes = 0
         if not self._messages:
             return
-        self._payload = self._messages[-1][1]
+        message, self._payload = self._messages[-1]
+        error = getattr(message, "exc", None)
+        if error is not None:
+            # Its frames hold the received bytes and are part of a reference cycle.
+            error.__traceback__ = None
+            self._stop_reading()
 
     def _refuse(self) -> None:
         self._stop_reading()
@@ -119,11 +142,12 @@
 
 
 def _head_too_large_response() -> web.Response:
-    """Return the refusal, after which the connection is closed."""
-    response = web.Response(
-        status=HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-        body=HEAD_TOO_LARGE_BODY,
-        content_type=JSON_CONTENT_TYPE,
-    )
+    status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    return _error_response(status, HEAD_TOO_LARGE_BODY)
+
+
+def _error_response(status: HTTPStatus, body: bytes) -> web.Response:
+    """Return an error after which the connection is closed."""
+    response = web.Response(status=status, body=body, content_type=JSON_CONTENT_TYPE)
     response.force_close()
     return response
--- a/tests/components/front/test_http_server.py
+++ b/tests/components/front/test_http_server.py
@@ -109,3 +109,26 @@
             await anyio.sleep(0.01)
             await stream.send(field)
         assert (await async_read_all(stream)).startswith(b"HTTP/1.1 431")
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (START + b"secret\r\n\r\n", b"400"),
+        (b"\x00secret\r\n\r\n", b"400"),
+        (START + b"X: " + b"secret" * 4_000, b"431"),
+        (START + b"Transfer-Encoding: chunked\r\n\r\nsecret\r\n", b"400"),
+    ],
+    ids=["field", "line", "size", "chunk"],
+)
+async def test_a_malformed_request_is_answered_without_its_content(
+    sent: bytes, status: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guard against answers that repeat what was sent, and tracebacks in the log."""
+    async with async_connect() as stream:
+        await stream.send(sent)
+        response = await async_read_all(stream)
+    assert response.split()[1] == status
+    assert b"application/json" in response
+    assert b"secret" not in response
+    assert caplog.records == []
