Count the last piece of a body as body, not as an unfinished head

The test with a body of four pieces of 50,000 bytes, three times on one connection, failed before this change and passes now.

--- a/mustardward/components/front/http_server.py
+++ b/mustardward/components/front/http_server.py
@@ -81,10 +81,11 @@
         if self._refused:
             return
         parsed_count = self._request_count
+        is_head = self._payload.is_eof()
         super().data_received(data)
         if self._request_count > parsed_count:
             self._record_parsed()
-        elif self._payload.is_eof():
+        elif is_head:
             self._unfinished_bytes += len(data)
             most = MAX_UNFINISHED_HEADS * self._server.limits().max_header_bytes
             if self._unfinished_bytes > most:
--- a/tests/components/front/test_http_server.py
+++ b/tests/components/front/test_http_server.py
@@ -92,6 +92,20 @@
     assert received.count(b"HTTP/1.1 200") == 100
 
 
+async def test_bodies_that_arrive_in_pieces_are_accepted() -> None:
+    """Guard against counting the last piece of a body as a part of the next head."""
+    piece = b"b" * 50_000
+    head = START.replace(b"GET", b"POST") + b"Content-Length: 200000\r\n\r\n"
+    async with async_connect() as stream:
+        for _ in range(3):
+            await stream.send(head)
+            for _ in range(4):
+                await anyio.sleep(0.02)
+                await stream.send(piece)
+            received = await async_read(stream, b"\r\n\r\n200000")
+            assert received.startswith(b"HTTP/1.1 200")
+
+
 async def test_a_whole_head_over_the_limit_is_refused() -> None:
     """Guard against a head of many fields, each of which is within the limit."""
     field = b"X: " + b"a" * 5_000 + b"\r\n"
