Bound callers' connections below the descriptors of the process

Callers that connect and send nothing kept a connection each: 700 of them took 711 sockets of an entry that has 400, and the next calls to workers, peers and the store, and ordinary callers, would have found none. Nothing counted them.

All listeners for HTTP (callers, readiness, metrics) share one table. Beyond half of the sockets it closes, for each new connection, the oldest that never had a complete request, then the longest idle; never one with a request in progress. Beyond three quarters, all waiting for responses, new ones are closed. The accept queue is at most a quarter of the connections, since asyncio accepts a whole queue before any of them can be counted. A connection that is lost while its request is handled no longer leaves a traceback.

--- a/mustardward/components/front/http_server.py
+++ b/mustardward/components/front/http_server.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Any, Final
@@ -16,6 +17,7 @@
 
 from ...platform import callers
 from ...platform.models import CallerLimits
+from .connections import ConnectionTable
 from .const import JSON_CONTENT_TYPE
 
 MAX_UNFINISHED_HEADS: Final = 2
@@ -36,20 +38,33 @@
 
 
 class LimitedServer(web.Server):
-    """HTTP server that limits the heads of requests.
+    """HTTP server that limits its connections and the heads of requests.
 
+    :param connections: connections of all servers of this process.
     :param limits: returns the limits in force.
     """
 
     def __init__(
-        self, handler: Handler, limits: Callable[[], CallerLimits], **options: Any
+        self,
+        handler: Handler,
+        connections: ConnectionTable,
+        limits: Callable[[], CallerLimits],
+        **options: Any,
     ) -> None:
         async def async_handle(request: web.BaseRequest) -> web.StreamResponse:
             if _head_bytes(request) > limits().max_header_bytes:
                 return _head_too_large_response()
-            return await handler(request)
+            connection = request.protocol
+            assert isinstance(connection, LimitedConnection)
+            if request.content.is_eof():
+                connections.mark_busy(connection)
+            try:
+                return await handler(request)
+            finally:
+                connections.mark_idle(connection)
 
         super().__init__(async_handle, access_log=None, **options)
+        self.table = connections
         self.limits = limits
 
     def __call__(self) -> LimitedConnection:
@@ -76,6 +91,23 @@
         self._refused = False
         self._unfinished_bytes = 0
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection; it may be closed at once."""
+        super().connection_made(transport)
+        self._server.table.add(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop counting the connection."""
+        self._server.table.remove(self)
+        super().connection_lost(exc)
+
+    def abort(self) -> None:
+        """Close the connection at once, even if data is still to be sent."""
+        transport = self.transport
+        self.force_close()
+        if transport is not None:
+            transport.abort()
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and refuse a head that exceeds the limit."""
         if self._refused:
@@ -90,6 +122,9 @@
             most = MAX_UNFINISHED_HEADS * self._server.limits().max_header_bytes
             if self._unfinished_bytes > most:
                 self._refuse()
+            return
+        if self._payload.is_eof():
+            self._server.table.mark_busy(self)
 
     def handle_error(
         self,
@@ -99,6 +134,8 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Return the response to a malformed request, without what it contained."""
+        if isinstance(exc, ConnectionError):
+            raise exc
         if not isinstance(exc, HttpProcessingError | web.RequestPayloadError):
             return super().handle_error(request, status, exc, message)
         if request.writer.output_size > 0:
--- a/mustardward/components/front/server.py
+++ b/mustardward/components/front/server.py
@@ -15,6 +15,7 @@
 from ...platform.models import CallerLimits
 from ..forwarding.failover import FailoverHandler
 from .body import BodyTooLargeError, async_read_body
+from .connections import ConnectionTable, build_connections
 from .const import (
     CLOSE_IDLE_SECONDS,
     CLOSE_POLL_SECONDS,
@@ -27,19 +28,19 @@
 
 _LOGGER = get_logger(__name__)
 
-LISTEN_BACKLOG = 512
-
 
 @dataclass(slots=True, eq=False)
 class FrontServer:
     """Listen for callers and for the load balancer's readiness checks.
 
     :param is_ready: returns whether new callers should be sent to this entry node.
+    :param connections: connections to all listeners of this process.
     """
 
     failover: FailoverHandler
     timers: TimerService
     is_ready: Callable[[], bool]
+    connections: ConnectionTable = field(default_factory=build_connections)
     _runners: list[web.ServerRunner] = field(default_factory=list)
     _in_flight: int = 0
     _idle_since: float = -math.inf
@@ -89,7 +90,11 @@
 
     async def _async_serve(self, address: str, handler: Handler) -> None:
         server = LimitedServer(
-            handler, self._caller_limits, keepalive_timeout=15.0, lingering_time=0.5
+            handler,
+            self.connections,
+            self._caller_limits,
+            keepalive_timeout=15.0,
+            lingering_time=0.5,
         )
         runner = web.ServerRunner(
             server, handle_signals=False, shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS
@@ -97,7 +102,8 @@
         await runner.setup()
         self._runners.append(runner)
         host, _, port = address.rpartition(":")
-        await web.TCPSite(runner, host, int(port), backlog=LISTEN_BACKLOG).start()
+        backlog = self.connections.limits.listen_backlog
+        await web.TCPSite(runner, host, int(port), backlog=backlog).start()
 
     async def _async_ready(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != callers.READINESS_PATH:
@@ -171,17 +177,20 @@
         return error_reply(413, error.code, error.detail)
 
 
-async def async_serve_metrics(host: str, port: int) -> None:
+async def async_serve_metrics(
+    host: str, port: int, connections: ConnectionTable
+) -> None:
     """Serve metrics as text; log a warning and continue if the port is in use."""
 
     async def async_answer(_: web.BaseRequest) -> web.StreamResponse:
         return web.Response(body=render(), content_type="text/plain")
 
-    server = LimitedServer(async_answer, CallerLimits)
+    server = LimitedServer(async_answer, connections, CallerLimits)
     runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
     await runner.setup()
     try:
-        await web.TCPSite(runner, host, port).start()
+        backlog = connections.limits.listen_backlog
+        await web.TCPSite(runner, host, port, backlog=backlog).start()
     except OSError as error:
         _LOGGER.warning("metrics_listener_failed", port=port, detail=str(error))
         await runner.cleanup()
--- a/mustardward/helpers/instruments.py
+++ b/mustardward/helpers/instruments.py
@@ -41,6 +41,12 @@
     buckets=_BUCKETS_SECONDS,
     registry=REGISTRY,
 )
+CONNECTIONS_CLOSED: Final = Counter(
+    "mustardward_connections_closed",
+    "Connections of callers closed to stay within the limits, by reason.",
+    ("reason",),
+    registry=REGISTRY,
+)
 ADVICE_CALLS: Final = Counter(
     "mustardward_advice_calls",
     "Calls of the advice service, by outcome.",
--- a/mustardward/node/app.py
+++ b/mustardward/node/app.py
@@ -20,6 +20,7 @@
 from ..components.forwarding.peer_selector import PeerSelector
 from ..components.forwarding.relay import StoreRelay
 from ..components.forwarding.services import Forwarder, async_serve_peers
+from ..components.front.connections import build_connections
 from ..components.front.refusals import longest_outage
 from ..components.front.server import FrontServer, async_serve_metrics
 from ..components.front.services import FrontService
@@ -147,7 +148,12 @@
             self._latency,
             lambda: self._server.draining,
         )
-        self._server = FrontServer(self._failover, self._timers, self._is_ready)
+        self._server = FrontServer(
+            self._failover,
+            self._timers,
+            self._is_ready,
+            build_connections(boot.limits),
+        )
         advice = AdviceClient(self._http, boot.advice) if boot.advice else None
         address = boot.cloud.address
         fleet = FleetClient(self._http, address, boot.node) if address else None
@@ -214,7 +220,7 @@
         self._timers.start()
         listen = self._boot.listen
         await self._server.async_listen(listen.front, listen.ready)
-        await async_serve_metrics(self._boot.ip, METRICS_PORT)
+        await async_serve_metrics(self._boot.ip, METRICS_PORT, self._server.connections)
         _LOGGER.info(
             "node_started",
             node=self._boot.node,
--- a/tests/components/front/test_http_server.py
+++ b/tests/components/front/test_http_server.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 from anyio.abc import SocketStream
 
+from mustardward.components.front.connections import build_connections
 from mustardward.components.front.http_server import LimitedServer
 from mustardward.platform.models import CallerLimits
 
@@ -29,9 +30,8 @@
 @asynccontextmanager
 async def async_connect() -> AsyncIterator[SocketStream]:
     """Yield a connection to a server with the default limits."""
-    runner = web.ServerRunner(
-        LimitedServer(async_handle, lambda: LIMITS), shutdown_timeout=0.1
-    )
+    server = LimitedServer(async_handle, build_connections(), lambda: LIMITS)
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
     try:
--- a/tests/embedded/power_loss_world.py
+++ b/tests/embedded/power_loss_world.py
@@ -379,5 +379,5 @@
     return async_serve
 
 
-async def async_serve_no_metrics(host: str, port: int) -> None:
+async def async_serve_no_metrics(host: str, port: int, connections: object) -> None:
     """Serve nothing."""
