Bound the memory of incomplete requests of all callers together

400 callers that sent 260,000 of the 262,144 bytes that they had announced, all within `max-body-bytes`, took an entry over its memory: what incomplete requests hold together was not bounded, and they could stop for as long as they liked.

Each connection counts what it received of a request that is not complete. When all hold more than an eighth of `memory-mb`, the connection whose request is incomplete for longest is closed; a single one may hold more, so that larger bodies can be configured. Three things held memory beside that: a body that ended by a lost connection stayed in a cycle of exception, frames and request; asyncio read up to 256 KB of each readable connection in one turn, before any of them could be freed (32 KB now); and what still arrived after a refusal was parsed and kept for half a second. It is discarded, and the refusal says that the connection closes.

A caller inside the limits needs 0.42 s for the largest body on 5 Mbit/s; at 37 MB (of 300) 143 such bodies fit at once.

--- a/mustardward/components/front/connections.py
+++ b/mustardward/components/front/connections.py
@@ -24,6 +24,9 @@
 ACCEPT_SHARE: Final = 0.25
 """Share of the connections that may be accepted before the first of them is counted."""
 
+UNFINISHED_MEMORY_SHARE: Final = 0.125
+"""Share of the process's memory for requests that are not complete."""
+
 LOG_INTERVAL_CLOSED: Final = 1000
 """One log line for so many closed connections."""
 
@@ -42,10 +45,13 @@
     :param max_connections: above it, a connection without a request is closed for each
         new one.
     :param max_busy_connections: above it, new connections are closed.
+    :param max_unfinished_bytes: above it, the connection with the oldest incomplete
+        request is closed.
     """
 
     max_connections: int
     max_busy_connections: int
+    max_unfinished_bytes: int
 
     @property
     def listen_backlog(self) -> int:
@@ -59,6 +65,7 @@
     return ConnectionLimits(
         max(1, int(sockets * CLIENT_SHARE)),
         max(1, int(sockets * BUSY_CLIENT_SHARE)),
+        int(limits.memory_mb * 2**20 * UNFINISHED_MEMORY_SHARE),
     )
 
 
@@ -74,6 +81,8 @@
     _open: set[Connection] = field(default_factory=set)
     _new: dict[Connection, None] = field(default_factory=dict)
     _idle: dict[Connection, None] = field(default_factory=dict)
+    _unfinished: dict[Connection, int] = field(default_factory=dict)
+    _unfinished_bytes: int = 0
     _closed_count: int = 0
 
     def add(self, connection: Connection) -> None:
@@ -87,6 +96,7 @@
     def remove(self, connection: Connection) -> None:
         """Remove a closed connection."""
         self._open.discard(connection)
+        self._unfinished_bytes -= self._unfinished.pop(connection, 0)
         self.mark_busy(connection)
 
     def mark_busy(self, connection: Connection) -> None:
@@ -99,6 +109,22 @@
         if connection in self._open:
             self._idle[connection] = None
 
+    def set_unfinished(self, connection: Connection, size_bytes: int) -> None:
+        """Record the memory that a connection holds for incomplete requests.
+
+        A connection alone may hold any amount, since larger bodies may be allowed.
+        """
+        if connection not in self._open:
+            return
+        self._unfinished_bytes += size_bytes - self._unfinished.get(connection, 0)
+        if size_bytes:
+            self._unfinished[connection] = size_bytes
+        else:
+            self._unfinished.pop(connection, None)
+        most = self.limits.max_unfinished_bytes
+        while self._unfinished_bytes > most and len(self._unfinished) > 1:
+            self._close(next(iter(self._unfinished)), "too-many-bytes")
+
     def _close_for(self, added: Connection) -> None:
         waiting = self._new or self._idle
         if waiting:
@@ -116,6 +142,7 @@
                 closed=self._closed_count + 1,
                 open=len(self._open),
                 idle=len(self._idle),
+                unfinished_bytes=self._unfinished_bytes,
             )
         self._closed_count += 1
         connection.abort()
--- a/mustardward/components/front/http_server.py
+++ b/mustardward/components/front/http_server.py
@@ -24,6 +24,10 @@
 """Bytes of an unfinished head, in heads of the maximum size: the request line and empty
 lines before it are not part of ``max-header-bytes``."""
 
+READ_BYTES: Final = 32_768
+"""Bytes read at once. All readable connections are read in one turn of the loop, before
+any that is closed for it frees its memory."""
+
 FIELD_OVERHEAD_BYTES: Final = 4
 """Colon, space and line end of a header field."""
 
@@ -59,9 +63,13 @@
             if request.content.is_eof():
                 connections.mark_busy(connection)
             try:
-                return await handler(request)
+                response = await handler(request)
             finally:
                 connections.mark_idle(connection)
+            if not request.content.is_eof():
+                response.force_close()
+                connection.discard_rest()
+            return response
 
         super().__init__(async_handle, access_log=None, **options)
         self.table = connections
@@ -82,7 +90,7 @@
 class LimitedConnection(web.RequestHandler):
     """Connection that closes when its client sends too much without a request."""
 
-    __slots__ = ("_payload", "_refused", "_server", "_unfinished_bytes")
+    __slots__ = ("_held_bytes", "_payload", "_refused", "_server", "_unfinished_bytes")
 
     def __init__(self, server: LimitedServer, **options: Any) -> None:
         super().__init__(server, **options)
@@ -90,10 +98,12 @@
         self._payload: StreamReader = EMPTY_PAYLOAD
         self._refused = False
         self._unfinished_bytes = 0
+        self._held_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection; it may be closed at once."""
         super().connection_made(transport)
+        transport.max_size = READ_BYTES  # type: ignore[attr-defined]
         self._server.table.add(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -117,14 +127,24 @@
         super().data_received(data)
         if self._request_count > parsed_count:
             self._record_parsed()
+            self._record_body(len(data))
         elif is_head:
-            self._unfinished_bytes += len(data)
-            most = MAX_UNFINISHED_HEADS * self._server.limits().max_header_bytes
-            if self._unfinished_bytes > most:
-                self._refuse()
-            return
-        if self._payload.is_eof():
-            self._server.table.mark_busy(self)
+            self._record_head(len(data))
+        else:
+            self._record_body(self._unfinished_bytes + len(data))
+        self.update_unfinished()
+
+    def discard_rest(self) -> None:
+        """Keep nothing of what still arrives before the connection is closed."""
+        self._refused = True
+        self._unfinished_bytes = 0
+        self.update_unfinished()
+
+    def update_unfinished(self) -> None:
+        """Count the memory that an incomplete request holds."""
+        if self._unfinished_bytes != self._held_bytes:
+            self._held_bytes = self._unfinished_bytes
+            self._server.table.set_unfinished(self, self._held_bytes)
 
     def handle_error(
         self,
@@ -135,7 +155,9 @@
     ) -> web.StreamResponse:
         """Return the response to a malformed request, without what it contained."""
         if isinstance(exc, ConnectionError):
-            raise exc
+            # The body refers to it, and its frames to the bytes read so far.
+            exc.__traceback__ = None
+            raise ConnectionError("the client disconnected")
         if not isinstance(exc, HttpProcessingError | web.RequestPayloadError):
             return super().handle_error(request, status, exc, message)
         if request.writer.output_size > 0:
@@ -144,9 +166,23 @@
             return _head_too_large_response()
         return _error_response(HTTPStatus.BAD_REQUEST, MALFORMED_BODY)
 
+    def _record_head(self, size_bytes: int) -> None:
+        """Record bytes that did not complete a head."""
+        self._unfinished_bytes += size_bytes
+        most = MAX_UNFINISHED_HEADS * self._server.limits().max_header_bytes
+        if self._unfinished_bytes > most:
+            self._refuse()
+
+    def _record_body(self, size_bytes: int) -> None:
+        """Record the size of the last request so far."""
+        if self._payload.is_eof():
+            self._unfinished_bytes = 0
+            self._server.table.mark_busy(self)
+        else:
+            self._unfinished_bytes = size_bytes
+
     def _record_parsed(self) -> None:
         """Record that received bytes completed a head or were malformed."""
-        self._unfinished_bytes = 0
         if not self._messages:
             return
         message, self._payload = self._messages[-1]
--- a/tests/components/front/test_connections.py
+++ b/tests/components/front/test_connections.py
@@ -24,7 +24,7 @@
 
 def test_the_oldest_connection_without_a_request_is_closed_first() -> None:
     """Guard against silent callers that keep out those with requests."""
-    table = ConnectionTable(ConnectionLimits(3, 5))
+    table = ConnectionTable(ConnectionLimits(3, 5, 100))
     kept = FakeConnection(table)
     table.mark_busy(kept)
     table.mark_idle(kept)
@@ -35,7 +35,7 @@
 
 def test_the_longest_idle_connection_is_closed_next() -> None:
     """Guard against callers that keep connections after one request each."""
-    table = ConnectionTable(ConnectionLimits(2, 5))
+    table = ConnectionTable(ConnectionLimits(2, 5, 100))
     idle = [FakeConnection(table) for _ in range(2)]
     for one in reversed(idle):
         table.mark_busy(one)
@@ -47,7 +47,7 @@
 
 def test_a_connection_with_a_request_in_progress_is_never_closed() -> None:
     """Guard against requests that lose their response to a new connection."""
-    table = ConnectionTable(ConnectionLimits(2, 3))
+    table = ConnectionTable(ConnectionLimits(2, 3, 100))
     busy = []
     for _ in range(3):
         busy.append(FakeConnection(table))
@@ -62,3 +62,26 @@
     limits = build_connections(BootLimits(max_fds=4100)).limits
     assert (limits.max_connections, limits.max_busy_connections) == (1950, 2925)
     assert limits.max_connections + 4 * limits.listen_backlog <= 3900
+
+
+def test_the_oldest_incomplete_request_is_closed_when_all_hold_too_much() -> None:
+    """Guard against stalled bodies that use up the memory together."""
+    table = ConnectionTable(ConnectionLimits(9, 9, 100))
+    stalled, complete, recent = (FakeConnection(table) for _ in range(3))
+    table.set_unfinished(stalled, 60)
+    table.set_unfinished(complete, 30)
+    table.set_unfinished(complete, 0)
+    table.set_unfinished(recent, 30)
+    assert not stalled.aborted
+    table.set_unfinished(recent, 50)
+    assert stalled.aborted
+    assert not complete.aborted
+    assert not recent.aborted
+
+
+def test_a_large_body_alone_is_not_closed() -> None:
+    """Guard against an operator's limit of bodies that is above the one of all."""
+    table = ConnectionTable(ConnectionLimits(9, 9, 100))
+    alone = FakeConnection(table)
+    table.set_unfinished(alone, 500)
+    assert not alone.aborted
--- a/tests/components/front/test_http_server.py
+++ b/tests/components/front/test_http_server.py
@@ -23,7 +23,9 @@
 
 
 async def async_handle(request: web.BaseRequest) -> web.StreamResponse:
-    """Answer with the size of the body."""
+    """Answer with the size of the body, unless it is to be refused."""
+    if request.path == "/refused":
+        return web.Response(status=413)
     return web.Response(text=str(len(await request.read())))
 
 
@@ -106,6 +108,17 @@
             assert received.startswith(b"HTTP/1.1 200")
 
 
+async def test_the_refusal_of_a_body_that_still_arrives_is_received() -> None:
+    """Guard against a connection that is reset before its refusal was read."""
+    head = b"POST /refused HTTP/1.1\r\n" + HOST + b"Content-Length: 9000000\r\n\r\n"
+    async with async_connect() as stream:
+        await stream.send(head)
+        for _ in range(20):
+            await anyio.sleep(0.005)
+            await stream.send(b"b" * 10_000)
+        assert (await async_read_all(stream)).startswith(b"HTTP/1.1 413")
+
+
 async def test_a_whole_head_over_the_limit_is_refused() -> None:
     """Guard against a head of many fields, each of which is within the limit."""
     field = b"X: " + b"a" * 5_000 + b"\r\n"
