Bound what callers hold that don't read their answers

100 callers that sent requests in a row and read no answer took an entry to 248 MB with a limit of 128: it stops reading a connection whose requests wait, but the kernel goes on receiving, up to megabytes for each, and bytes received and not yet read count as memory of the process.

The listeners set the socket buffer of their connections to 256 KB, enough for 5 Mbit/s over a round trip of 200 ms. A connection that is not read counts with its buffer and what was read ahead towards the bound of all incomplete requests, as do requests that wait behind the one in progress, so that the oldest of such connections is closed. Where the system does not let the buffer be set, the bound still counts the connection.

--- a/mustardward/components/front/http_server.py
+++ b/mustardward/components/front/http_server.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -28,6 +30,13 @@
 """Bytes read at once. All readable connections are read in one turn of the loop, before
 any that is closed for it frees its memory."""
 
+RECEIVE_BUFFER_BYTES: Final = 131_072
+"""Socket buffer of a connection; the kernel reserves twice as much."""
+
+PAUSED_BYTES: Final = 3 * RECEIVE_BUFFER_BYTES
+"""Memory of a connection that is not read because its requests or their bodies wait:
+its socket buffer and the part of a body that was read ahead."""
+
 FIELD_OVERHEAD_BYTES: Final = 4
 """Colon, space and line end of a header field."""
 
@@ -60,6 +69,7 @@
                 return _head_too_large_response()
             connection = request.protocol
             assert isinstance(connection, LimitedConnection)
+            connection.update_unfinished()
             if request.content.is_eof():
                 connections.mark_busy(connection)
             try:
@@ -141,10 +151,15 @@
         self.update_unfinished()
 
     def update_unfinished(self) -> None:
-        """Count the memory that an incomplete request holds."""
-        if self._unfinished_bytes != self._held_bytes:
-            self._held_bytes = self._unfinished_bytes
-            self._server.table.set_unfinished(self, self._held_bytes)
+        """Count the memory that incomplete and waiting requests hold."""
+        held = self._unfinished_bytes
+        if self._reading_paused or self._buffer_paused:
+            held += PAUSED_BYTES
+        if len(self._messages) > 1:
+            held += len(self._messages) * self._server.limits().max_header_bytes
+        if held != self._held_bytes:
+            self._held_bytes = held
+            self._server.table.set_unfinished(self, held)
 
     def handle_error(
         self,
@@ -166,6 +181,10 @@
             return _head_too_large_response()
         return _error_response(HTTPStatus.BAD_REQUEST, MALFORMED_BODY)
 
+    def _resume_transport_reading(self) -> None:
+        super()._resume_transport_reading()
+        self.update_unfinished()
+
     def _record_head(self, size_bytes: int) -> None:
         """Record bytes that did not complete a head."""
         self._unfinished_bytes += size_bytes
@@ -208,6 +227,28 @@
             self.transport.pause_reading()
 
 
+def site_of(
+    runner: web.ServerRunner, host: str, port: int, connections: ConnectionTable
+) -> web.SockSite:
+    """Return a listener whose connections have bounded socket buffers.
+
+    :raises OSError: if the address can't be used.
+    """
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        with suppress(OSError):
+            listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
+        listener.bind((host, port))
+    except OSError:
+        listener.close()
+        raise
+    backlog = connections.limits.listen_backlog
+    return web.SockSite(runner, listener, backlog=backlog)
+
+
 def _head_bytes(request: web.BaseRequest) -> int:
     """Return the size of a request's header fields."""
     fields = request.raw_headers
--- a/mustardward/components/front/server.py
+++ b/mustardward/components/front/server.py
@@ -23,7 +23,7 @@
     JSON_CONTENT_TYPE,
     SHUTDOWN_TIMEOUT_SECONDS,
 )
-from .http_server import Handler, LimitedServer
+from .http_server import Handler, LimitedServer, site_of
 from .models import Reply, Request, error_reply
 
 _LOGGER = get_logger(__name__)
@@ -102,8 +102,7 @@
         await runner.setup()
         self._runners.append(runner)
         host, _, port = address.rpartition(":")
-        backlog = self.connections.limits.listen_backlog
-        await web.TCPSite(runner, host, int(port), backlog=backlog).start()
+        await site_of(runner, host, int(port), self.connections).start()
 
     async def _async_ready(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != callers.READINESS_PATH:
@@ -189,8 +188,7 @@
     runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
     await runner.setup()
     try:
-        backlog = connections.limits.listen_backlog
-        await web.TCPSite(runner, host, port, backlog=backlog).start()
+        await site_of(runner, host, port, connections).start()
     except OSError as error:
         _LOGGER.warning("metrics_listener_failed", port=port, detail=str(error))
         await runner.cleanup()
