--- a/mustardward/components/front/body.py
+++ b/mustardward/components/front/body.py
@@ -17,6 +17,7 @@
     """Return the body of a request.
 
     :raises BodyTooLargeError: as soon as it is known to exceed ``max_bytes``.
+    :raises ConnectionError: if the connection is closed before its end.
     """
     if not request.can_read_body:
         return b""
@@ -27,4 +28,6 @@
         body += chunk
         if len(body) > max_bytes:
             raise BodyTooLargeError(f"most={max_bytes}")
+        if request.transport is None and not request.content.is_eof():
+            raise ConnectionResetError("the client disconnected")
     return bytes(body)
--- a/tests/components/front/test_http_server.py
+++ b/tests/components/front/test_http_server.py
@@ -10,8 +10,13 @@
 from aiohttp import web
 from anyio.abc import SocketStream
 
-from mustardward.components.front.connections import build_connections
-from mustardward.components.front.http_server import LimitedServer
+from mustardward.components.front.body import async_read_body
+from mustardward.components.front.connections import (
+    ConnectionLimits,
+    ConnectionTable,
+    build_connections,
+)
+from mustardward.components.front.http_server import LimitedServer, site_of
 from mustardward.platform.models import CallerLimits
 
 pytestmark = pytest.mark.anyio
@@ -26,24 +31,31 @@
     """Answer with the size of the body, unless it is to be refused."""
     if request.path == "/refused":
         return web.Response(status=413)
-    return web.Response(text=str(len(await request.read())))
+    return web.Response(text=str(len(await async_read_body(request, 10**6))))
 
 
 @asynccontextmanager
-async def async_connect() -> AsyncIterator[SocketStream]:
-    """Yield a connection to a server with the default limits."""
-    server = LimitedServer(async_handle, build_connections(), lambda: LIMITS)
+async def async_serve(table: ConnectionTable) -> AsyncIterator[tuple[str, int]]:
+    """Yield the address of a server with the default limits of requests."""
+    server = LimitedServer(async_handle, table, lambda: LIMITS)
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
-    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    await site_of(runner, "127.0.0.1", 0, table).start()
     try:
         with anyio.fail_after(TIMEOUT_SECONDS):
-            async with await anyio.connect_tcp(*runner.addresses[0]) as stream:
-                yield stream
+            yield runner.addresses[0]
     finally:
         await runner.cleanup()
 
 
+@asynccontextmanager
+async def async_connect() -> AsyncIterator[SocketStream]:
+    """Yield a connection to a server with the default limits."""
+    async with async_serve(build_connections()) as address:
+        async with await anyio.connect_tcp(*address) as stream:
+            yield stream
+
+
 async def async_read(stream: SocketStream, until: bytes, count: int = 1) -> bytes:
     """Return what is received until a text was received so often."""
     received = b""
@@ -159,3 +171,23 @@
     assert b"application/json" in response
     assert b"secret" not in response
     assert caplog.records == []
+
+
+async def test_a_body_whose_connection_is_closed_for_memory_leaves_no_traceback(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guard against library errors for each caller that is closed while it sends."""
+    head = START.replace(b"GET", b"POST") + b"Content-Length: 5000\r\n\r\n"
+    async with async_serve(ConnectionTable(ConnectionLimits(9, 9, 1_000))) as address:
+        async with (
+            await anyio.connect_tcp(*address) as oldest,
+            await anyio.connect_tcp(*address) as other,
+        ):
+            for stream in (oldest, other):
+                await stream.send(head + b"b" * 300)
+                await anyio.sleep(0.05)
+            await oldest.send(b"b" * 500)
+            assert await async_read_all(oldest) == b""
+            await other.send(b"b" * 4_700)
+            assert (await async_read(other, b"5000")).startswith(b"HTTP/1.1 200")
+    assert [record.name for record in caplog.records] == ["absl"]
