Limit the time of a body, and of idle connections to the metrics listener

A caller that stopped in the middle of a body kept its request in progress for as long as it liked, which also made a stopping entry wait, and the metrics listener kept silent connections for an hour, the library's default.

A body that has not ended after 30 s and 1 s for each 62,500 bytes of `max-body-bytes` (34 s) is answered 408; nothing was done. A link of 5 Mbit/s needs 0.42 s for the largest. Bodies that have arrived with their head take no timer. The metrics listener has 15 s as well.

--- a/mustardward/components/front/const.py
+++ b/mustardward/components/front/const.py
@@ -28,6 +28,10 @@
 JSON_CONTENT_TYPE: Final = "application/json"
 """Content type of all answers."""
 
+KEEP_ALIVE_SECONDS: Final = 15.0
+"""Time without a complete head, since the connection was opened or the last response,
+after which a connection is closed."""
+
 CLOSE_IDLE_SECONDS: Final = 0.25
 """Time without requests after which a draining entry node closes its connections. It
 answers every request with ``Connection: close``, so that few are left by then."""
--- a/mustardward/components/front/server.py
+++ b/mustardward/components/front/server.py
@@ -14,13 +14,19 @@
 from ...platform import callers
 from ...platform.models import CallerLimits
 from ..forwarding.failover import FailoverHandler
-from .body import BodyTooLargeError, async_read_body
+from .body import (
+    BodyTimeoutError,
+    BodyTooLargeError,
+    async_read_body,
+    body_timeout_seconds,
+)
 from .connections import ConnectionTable, build_connections
 from .const import (
     CLOSE_IDLE_SECONDS,
     CLOSE_POLL_SECONDS,
     DEFAULT_DEADLINE_SECONDS,
     JSON_CONTENT_TYPE,
+    KEEP_ALIVE_SECONDS,
     SHUTDOWN_TIMEOUT_SECONDS,
 )
 from .http_server import Handler, LimitedServer, site_of
@@ -93,7 +99,7 @@
             handler,
             self.connections,
             self._caller_limits,
-            keepalive_timeout=15.0,
+            keepalive_timeout=KEEP_ALIVE_SECONDS,
             lingering_time=0.5,
         )
         runner = web.ServerRunner(
@@ -146,9 +152,15 @@
         now = self.timers.monotonic()
         limits = self._caller_limits()
         try:
-            body = await async_read_body(request, limits.max_body_bytes)
+            body = await async_read_body(
+                request,
+                limits.max_body_bytes,
+                body_timeout_seconds(limits.max_body_bytes),
+            )
         except BodyTooLargeError as error:
             return self._body_too_large_reply(request, error)
+        except BodyTimeoutError as error:
+            return error_reply(408, error.code, error.detail)
         host = request.headers.get("Host", "").lower().partition(":")[0]
         deadline = min(now + _requested_deadline_seconds(request), self._drain_deadline)
         return await self.failover.async_answer(
@@ -184,7 +196,9 @@
     async def async_answer(_: web.BaseRequest) -> web.StreamResponse:
         return web.Response(body=render(), content_type="text/plain")
 
-    server = LimitedServer(async_answer, connections, CallerLimits)
+    server = LimitedServer(
+        async_answer, connections, CallerLimits, keepalive_timeout=KEEP_ALIVE_SECONDS
+    )
     runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
     await runner.setup()
     try:
--- a/tests/components/front/test_http_server.py
+++ b/tests/components/front/test_http_server.py
@@ -10,7 +10,11 @@
 from aiohttp import web
 from anyio.abc import SocketStream
 
-from mustardward.components.front.body import async_read_body
+from mustardward.components.front.body import (
+    BodyTimeoutError,
+    async_read_body,
+    body_timeout_seconds,
+)
 from mustardward.components.front.connections import (
     ConnectionLimits,
     ConnectionTable,
@@ -31,7 +35,12 @@
     """Answer with the size of the body, unless it is to be refused."""
     if request.path == "/refused":
         return web.Response(status=413)
-    return web.Response(text=str(len(await async_read_body(request, 10**6))))
+    timeout_seconds = 0.05 if request.path == "/impatient" else TIMEOUT_SECONDS
+    try:
+        body = await async_read_body(request, 10**6, timeout_seconds)
+    except BodyTimeoutError:
+        return web.Response(status=408)
+    return web.Response(text=str(len(body)))
 
 
 @asynccontextmanager
@@ -191,3 +200,17 @@
             await other.send(b"b" * 4_700)
             assert (await async_read(other, b"5000")).startswith(b"HTTP/1.1 200")
     assert [record.name for record in caplog.records] == ["absl"]
+
+
+async def test_a_body_that_never_ends_is_refused() -> None:
+    """Guard against requests that stay in progress as long as the caller likes."""
+    head = b"POST /impatient HTTP/1.1\r\n" + HOST + b"Content-Length: 5000\r\n\r\n"
+    async with async_connect() as stream:
+        await stream.send(head + b"b" * 300)
+        assert (await async_read_all(stream)).startswith(b"HTTP/1.1 408")
+
+
+def test_a_slow_link_has_time_for_the_largest_body() -> None:
+    """Guard against a time limit that a link of 5 Mbit/s misses."""
+    for max_bytes in (1, LIMITS.max_body_bytes, 100 * 2**20):
+        assert body_timeout_seconds(max_bytes) > 10 * max_bytes * 8 / 5e6
