Reproduce clients without limits at the listener between entries, known red

The gRPC listener between entries has none of the limits of the HTTP ones. It is not an address that callers are given, but it is on the same machine and in the same process.

Not mended here: grpclib reads as many bytes as a message announces and keeps idle connections for two hours. A limit has to leave room for the largest relayed append, and connections of peers must not be closed for those of others.

--- a/tests/node/test_misbehaving_callers.py
+++ b/tests/node/test_misbehaving_callers.py
@@ -18,7 +18,7 @@
     EntryProcess,
     async_run_entry,
 )
-from .misbehaving_callers import CHUNK_BYTES, Crowd, async_crowd
+from .misbehaving_callers import CHUNK_BYTES, Crowd, async_crowd, endless_peer_message
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
@@ -45,6 +45,8 @@
     100, b"", (b"GET /none HTTP/1.1\r\n" + _HOST + _FIELD + b"\r\n") * 8, 1 << 22
 )
 
+ENDLESS_PEER_MESSAGE: Final = endless_peer_message(60, 3_500_000)
+
 
 async def async_check(entry: EntryProcess, address: str, crowd: Crowd) -> None:
     """Check the entry while and after a crowd calls."""
@@ -136,3 +138,15 @@
     async with async_run_entry(tmp_path, LIMITS) as entry:
         address = METRICS_ADDRESS if listener == "metrics" else entry.boot.listen.ready
         await async_check(entry, address, crowd)
+
+
+@pytest.mark.parametrize(
+    "crowd", [ENDLESS_PEER_MESSAGE, SILENT], ids=["message", "silent"]
+)
+async def test_the_listener_between_entries_holds_as_well(
+    tmp_path: Path, crowd: Crowd
+) -> None:
+    """Guard against limits that the gRPC listener between entries lacks."""
+    async with async_run_entry(tmp_path, LIMITS) as entry:
+        address = f"{entry.boot.ip}:{entry.boot.port_range[0]}"
+        await async_check(entry, address, crowd)
