--- a/mustardward/components/front/server.py
+++ b/mustardward/components/front/server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -12,32 +12,41 @@
 from ...helpers.logging import get_logger
 from ...helpers.timer import TimerService
 from ...platform import callers
+from ...platform.models import CallerLimits
 from ..forwarding.failover import FailoverHandler
+from .body import (
+    BodyTimeoutError,
+    BodyTooLargeError,
+    async_read_body,
+    body_timeout_seconds,
+)
+from .connections import ConnectionTable, build_connections
 from .const import (
     CLOSE_IDLE_SECONDS,
     CLOSE_POLL_SECONDS,
     DEFAULT_DEADLINE_SECONDS,
     JSON_CONTENT_TYPE,
+    KEEP_ALIVE_SECONDS,
     SHUTDOWN_TIMEOUT_SECONDS,
 )
-from .models import Reply, Request
+from .http_server import Handler, LimitedServer, site_of
+from .models import Reply, Request, error_reply
 
 _LOGGER = get_logger(__name__)
 
-LISTEN_BACKLOG = 512
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
 
 @dataclass(slots=True, eq=False)
 class FrontServer:
     """Listen for callers and for the load balancer's readiness checks.
 
     :param is_ready: returns whether new callers should be sent to this entry node.
+    :param connections: connections to all listeners of this process.
     """
 
     failover: FailoverHandler
     timers: TimerService
     is_ready: Callable[[], bool]
+    connections: ConnectionTable = field(default_factory=build_connections)
     _runners: list[web.ServerRunner] = field(default_factory=list)
     _in_flight: int = 0
     _idle_since: float = -math.inf
@@ -86,8 +95,12 @@
         return self._in_flight == 0 and idle_seconds >= CLOSE_IDLE_SECONDS
 
     async def _async_serve(self, address: str, handler: Handler) -> None:
-        server = web.Server(
-            handler, access_log=None, keepalive_timeout=15.0, lingering_time=0.5
+        server = LimitedServer(
+            handler,
+            self.connections,
+            self._caller_limits,
+            keepalive_timeout=KEEP_ALIVE_SECONDS,
+            lingering_time=0.5,
         )
         runner = web.ServerRunner(
             server, handle_signals=False, shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS
@@ -95,7 +108,7 @@
         await runner.setup()
         self._runners.append(runner)
         host, _, port = address.rpartition(":")
-        await web.TCPSite(runner, host, int(port), backlog=LISTEN_BACKLOG).start()
+        await site_of(runner, host, int(port), self.connections).start()
 
     async def _async_ready(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != callers.READINESS_PATH:
@@ -137,17 +150,17 @@
 
     async def _async_reply(self, request: web.BaseRequest) -> Reply:
         now = self.timers.monotonic()
-        config = self.failover.front.configuration.config
-        max_body_bytes = config.limits.max_body_bytes if config else 0
-        body = b""
-        if request.can_read_body:
-            if max_body_bytes and (request.content_length or 0) > max_body_bytes:
-                detail = f"most={max_body_bytes}"
-                return Reply(413, callers.encode_error("body-too-large", detail))
-            body = await request.content.read(-1)
-            if max_body_bytes and len(body) > max_body_bytes:
-                detail = f"most={max_body_bytes}"
-                return Reply(413, callers.encode_error("body-too-large", detail))
+        limits = self._caller_limits()
+        try:
+            body = await async_read_body(
+                request,
+                limits.max_body_bytes,
+                body_timeout_seconds(limits.max_body_bytes),
+            )
+        except BodyTooLargeError as error:
+            return self._body_too_large_reply(request, error)
+        except BodyTimeoutError as error:
+            return error_reply(408, error.code, error.detail)
         host = request.headers.get("Host", "").lower().partition(":")[0]
         deadline = min(now + _requested_deadline_seconds(request), self._drain_deadline)
         return await self.failover.async_answer(
@@ -161,18 +174,35 @@
             )
         )
 
+    def _caller_limits(self) -> CallerLimits:
+        config = self.failover.front.configuration.config
+        return config.limits if config is not None else CallerLimits()
+
+    def _body_too_large_reply(
+        self, request: web.BaseRequest, error: BodyTooLargeError
+    ) -> Reply:
+        front = self.failover.front
+        if front.configuration.config is None:
+            # The operator's limit, which is not read yet, may be higher.
+            return front.refusals.reject(request.path, "no-configuration", error.detail)
+        return error_reply(413, error.code, error.detail)
+
 
-async def async_serve_metrics(host: str, port: int) -> None:
+async def async_serve_metrics(
+    host: str, port: int, connections: ConnectionTable
+) -> None:
     """Serve metrics as text; log a warning and continue if the port is in use."""
 
     async def async_answer(_: web.BaseRequest) -> web.StreamResponse:
         return web.Response(body=render(), content_type="text/plain")
 
-    server = web.Server(async_answer, access_log=None)
+    server = LimitedServer(
+        async_answer, connections, CallerLimits, keepalive_timeout=KEEP_ALIVE_SECONDS
+    )
     runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
     await runner.setup()
     try:
-        await web.TCPSite(runner, host, port).start()
+        await site_of(runner, host, port, connections).start()
     except OSError as error:
         _LOGGER.warning("metrics_listener_failed", port=port, detail=str(error))
         await runner.cleanup()
