Recut workers in bench.owner_loss, and let the owner leave or be killed

Cause: the bench had no worker that restarts under its id and is cut off soon after it is back, and no owner that ends by a signal.

Change: the extra recut restarts the workers of a data centre under their ids before each loss, lets them write their entries up to 0.5 s later, sends jobs of mostly long tasks and cuts the workers off 0.0 to 1.5 s after they are back; the losses release and kill send SIGTERM and SIGKILL and start the entry again.

--- a/bench/owner_loss/__main__.py
+++ b/bench/owner_loss/__main__.py
@@ -3,13 +3,14 @@
 Store, workers and list of machines are those of ``review/rig``; the entries are real
 processes of the project, whose connections go through proxies. Needs ``target/deps``.
 Each run leaves its record and the logs of its entries. The exit status is 1 if a task
-ran twice.
+ran twice. ``--help`` lists the losses and the extras.
 """
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+import inspect
 import logging
 import sys
 import time
@@ -18,7 +19,7 @@
 from . import ROOT
 from .network import CutMode
 from .platform import Platform
-from .play import EXTRAS, Loss, Plan, Play, draw_plan
+from .play import DRAWN_EXTRAS, DRAWN_LOSSES, EXTRAS, Loss, Plan, Play, draw_plan
 
 
 async def _async_play(plan: Plan, folder: Path) -> bool:
@@ -37,15 +38,37 @@
     return held
 
 
+def _describe() -> str:
+    """Return the losses and extras for the help."""
+    losses = inspect.cleandoc(Loss.__doc__ or "")
+    width = max(map(len, EXTRAS))
+    rows = [
+        f"  {name:{width}}  {text}{'' if name in DRAWN_EXTRAS else ' (never drawn)'}"
+        for name, text in EXTRAS.items()
+    ]
+    return "\n".join([losses, "", "Extras:", *rows])
+
+
 def main() -> None:
     """Play the runs that the arguments name."""
-    parser = argparse.ArgumentParser(prog="python -m bench.owner_loss")
+    parser = argparse.ArgumentParser(
+        prog="python -m bench.owner_loss",
+        description=_describe(),
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--runs", type=int, default=1)
-    parser.add_argument("--loss", choices=list(Loss), default="")
+    parser.add_argument(
+        "--loss",
+        choices=list(Loss),
+        default="",
+        help=f"one of {','.join(DRAWN_LOSSES)} is drawn by default",
+    )
     parser.add_argument("--mode", choices=list(CutMode), default="")
     parser.add_argument("--seconds", type=float)
-    parser.add_argument("--extras", help=f"of {','.join(EXTRAS)}; drawn by default")
+    parser.add_argument(
+        "--extras", help="names separated by commas; drawn by default, see above"
+    )
     parser.add_argument("--out", type=Path, default=ROOT / "target" / "owner_loss")
     options = parser.parse_args()
     logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
--- a/bench/owner_loss/platform.py
+++ b/bench/owner_loss/platform.py
@@ -7,6 +7,7 @@
 import os
 import random
 import subprocess
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any, Final
 
@@ -40,7 +41,8 @@
         variables["MUSTARDWARD_BOOT"] = str(settings)
         variables["OWNER_LOSS_PROXIES"] = str(proxies)
         command = ["python3", "-m", "mustardward.node"]
-        with self._log.open("wb") as log:
+        is_restart = self.process is not None
+        with self._log.open("ab" if is_restart else "wb") as log:
             self.process = subprocess.Popen(  # noqa: ASYNC220 - returns at once
                 command, cwd=ROOT, env=variables, stdout=log, stderr=log
             )
@@ -92,6 +94,13 @@
         if not self.network.is_cut(minion.machine, PLATFORM):
             super()._register(minion)
 
+    def register_machines(self, machines: Iterable[str]) -> None:
+        """Write the entries of the workers of some machines that are up."""
+        for machine in machines:
+            minion = self._minion_at(machine)
+            if minion is not None:
+                self._register(minion)
+
     async def _async_beat(self) -> None:
         silent: dict[str, int] = {}
         while True:
@@ -145,7 +154,8 @@
         if kind == "hold":
             self.judge.mark_lapsed(minion)
             seen = body.get("seen-upto", 0)
-            self.record.write("hold", id=minion.id, seen=seen, **sender)
+            margin = int(body.get("deadline-ms", minion.clock_ms) - minion.clock_ms)
+            self.record.write("hold", id=minion.id, seen=seen, margin=margin, **sender)
             answer = await self._async_hold(minion, body)
             assert isinstance(answer, web.Response) and isinstance(answer.body, bytes)
             told = answer.body.decode()
--- a/bench/owner_loss/play.py
+++ b/bench/owner_loss/play.py
@@ -24,6 +24,8 @@
 TASK_SECONDS: Final = (0.3, 1.5)
 LONG_SECONDS: Final = (1.5, 7.0)
 LONG_SHARE: Final = 0.1
+RECUT_LONG_SECONDS: Final = (4.0, 12.0)
+RECUT_LONG_SHARE: Final = 0.6
 TASKS: Final = (3, 8)
 OWNER_WAIT_SECONDS: Final = 5.0
 WARM_UP_SECONDS: Final = 8.0
@@ -33,27 +35,56 @@
 LATE_SHARES: Final = {"run-start": 0.1, "hold": 0.1}
 SAME_ID_SHARE: Final = 0.5
 RETRY_SECONDS: Final = 0.2
-EXTRAS: Final = (
-    "second",
-    "pauses",
-    "restarts",
-    "late",
-    "jitter",
-    "long",
-    "backlog",
-    "reborn",
-)
+EXIT_SECONDS: Final = 10.0
+RECUT_DOWN_SECONDS: Final = (0.3, 1.0)
+RECUT_ENTRY_DELAY_SECONDS: Final = (0.0, 0.5)
+RECUT_AFTER_SECONDS: Final = (0.0, 1.5)
+RECUT_SECONDS: Final = (3.0, 10.0)
+RECUT_PLATFORM_SHARE: Final = 0.5
+RECUT_LOSS_SECONDS: Final = (-0.5, 0.5)
+RECUT_JOBS: Final = 12
+RECUT_JOB_SECONDS: Final = (-0.2, 1.0)
+DRAWN_EXTRAS: Final = {
+    "second": "the owner is lost a second time",
+    "pauses": "four other entries are paused for a second",
+    "restarts": "six workers restart, half of them under their ids",
+    "late": "a tenth of the starts and polls are executed or answered late",
+    "jitter": "what a cut has kept arrives spread over half its length",
+    "long": "a tenth of the tasks are longer",
+    "backlog": "jobs wait when the owner is lost",
+    "reborn": "six workers restart under their ids as the loss ends",
+}
+"""What happens beside the loss, drawn by default."""
+
+EXTRAS: Final = DRAWN_EXTRAS | {
+    "near": "workers near the owner restart under their ids as the loss begins",
+    "series": "the owner is lost four times",
+    "recut": "workers of a data centre restart under their ids before the loss, and "
+    "are cut off soon after they are back; most tasks are long",
+}
+"""All extras; those that are not drawn have to be named."""
+
 BACKLOG_JOBS: Final = 15
 EXTRA_SHARE: Final = 0.4
 
 
 class Loss(StrEnum):
-    """How an owner is lost: stopped, or cut off with its data centre or alone."""
+    """How an owner is lost.
+
+    It is paused, cut off with its data centre, alone or from the store only, or it
+    ends by SIGTERM or SIGKILL and starts again.
+    """
 
     PAUSE = "pause"
     ZONE = "zone"
     ALONE = "alone"
     STORE = "store"
+    RELEASE = "release"
+    KILL = "kill"
+
+
+DRAWN_LOSSES: Final = (Loss.PAUSE, Loss.ZONE, Loss.ALONE, Loss.STORE)
+ENDING_SIGNALS: Final = {Loss.RELEASE: signal.SIGTERM, Loss.KILL: signal.SIGKILL}
 
 
 @dataclass(frozen=True)
@@ -75,9 +106,9 @@
 ) -> Plan:
     """Return the plan of a seed; what is given is not drawn."""
     rng = random.Random(seed)
-    drawn_loss, drawn_mode = rng.choice(list(Loss)), rng.choice(list(CutMode))
+    drawn_loss, drawn_mode = rng.choice(DRAWN_LOSSES), rng.choice(list(CutMode))
     drawn_seconds = round(rng.uniform(4.0, 16.0), 2)
-    names = frozenset(name for name in EXTRAS if rng.random() < EXTRA_SHARE)
+    names = frozenset(name for name in DRAWN_EXTRAS if rng.random() < EXTRA_SHARE)
     if extras is not None:
         names = frozenset(filter(None, extras.split(",")))
     return Plan(
@@ -153,17 +184,23 @@
 
     def _task_seconds(self, task: str) -> float:
         rng = random.Random(f"{self._plan.seed}.{task}")
+        if "recut" in self._plan.extras and rng.random() < RECUT_LONG_SHARE:
+            return rng.uniform(*RECUT_LONG_SECONDS)
         is_long = "long" in self._plan.extras and rng.random() < LONG_SHARE
         return rng.uniform(*(LONG_SECONDS if is_long else TASK_SECONDS))
 
     async def _async_send_jobs(self) -> None:
         slots = len(self._platform.machines) * CPU / TASK_CPU
-        rate = LOAD * slots / (sum(TASK_SECONDS) / 2 * sum(TASKS) / 2)
+        seconds = sum(TASK_SECONDS) / 2
+        if "recut" in self._plan.extras:
+            seconds += RECUT_LONG_SHARE * (sum(RECUT_LONG_SECONDS) / 2 - seconds)
+        rate = LOAD * slots / (seconds * sum(TASKS) / 2)
         while True:
             await asyncio.sleep(self._rng.expovariate(rate))
             self._begin(self._async_send_job())
 
-    async def _async_send_job(self) -> None:
+    async def _async_send_job(self, after: float = 0.0) -> None:
+        await asyncio.sleep(after)
         count = self._rng.randint(*TASKS)
         first = self._rng.randint(1, count - 1)
         task = {"cpu": TASK_CPU, "mem-mb": 64, "estimate-ms": 900}
@@ -182,6 +219,8 @@
         losses = 4 if "series" in extras else 2 if "second" in extras else 1
         for number in range(losses):
             after = number * NEXT_LOSS_SECONDS
+            if "recut" in extras:
+                after = self._begin_recut(after)
             self._losses.append(self._begin(self._async_lose_owner(after)))
         if "pauses" in extras:
             others = [
@@ -232,6 +271,48 @@
         is_same = same_id or self._rng.random() < SAME_ID_SHARE
         platform.boot(machine, minion.id if is_same else "")
 
+    def _begin_recut(self, after: float) -> float:
+        """Recut the workers of a data centre; return when the owner is lost."""
+        rng, platform = self._rng, self._platform
+        zone = rng.choice(ZONES)
+        machines = frozenset(
+            name for name, row in platform.machines.items() if row["zone"] == zone
+        )
+        down = rng.uniform(*RECUT_DOWN_SECONDS)
+        back_at = after + down
+        for machine in sorted(machines):
+            self._begin(self._async_restart(machine, after, down, True))
+        for _ in range(RECUT_JOBS):
+            job_at = back_at + rng.uniform(*RECUT_JOB_SECONDS)
+            self._begin(self._async_send_job(job_at))
+        self._begin(self._async_delay_entries(machines, after, down))
+        outside = frozenset(platform.entries)
+        if rng.random() < RECUT_PLATFORM_SHARE:
+            outside |= {PLATFORM}
+        cut = Cut(machines, outside, self._plan.mode)
+        cut_at = back_at + rng.uniform(*RECUT_AFTER_SECONDS)
+        self._begin(self._async_cut(cut, cut_at, rng.uniform(*RECUT_SECONDS)))
+        return max(0.0, cut_at + rng.uniform(*RECUT_LOSS_SECONDS))
+
+    async def _async_delay_entries(
+        self, machines: frozenset[str], after: float, down: float
+    ) -> None:
+        """Let restarted workers write their entries a little after they are back."""
+        delay = self._rng.uniform(*RECUT_ENTRY_DELAY_SECONDS)
+        unlisted = Cut(machines, frozenset({PLATFORM}), self._plan.mode)
+        await self._async_cut(unlisted, after, down + delay)
+        self._platform.register_machines(sorted(machines))
+
+    async def _async_cut(self, cut: Cut, after: float, seconds: float) -> None:
+        await asyncio.sleep(after)
+        platform = self._platform
+        platform.network.begin(cut)
+        inside = ",".join(sorted(cut.inside))
+        platform.record.write("CUT", inside=inside, store=PLATFORM in cut.outside)
+        await asyncio.sleep(seconds)
+        platform.network.end(cut)
+        platform.record.write("JOINED", inside=inside)
+
     async def _async_lose_owner(self, after: float) -> None:
         await asyncio.sleep(after)
         platform, plan = self._platform, self._plan
@@ -239,11 +320,13 @@
         platform.record.write("LOST", owner=owner.name, zone=owner.zone)
         if plan.loss is Loss.PAUSE:
             await self._async_pause(owner, 0.0, plan.seconds)
-        else:
-            cut = self._cut_for(owner)
-            platform.network.begin(cut)
+        elif plan.loss in ENDING_SIGNALS:
+            owner.send(ENDING_SIGNALS[plan.loss])
+            await owner.async_wait_exit(EXIT_SECONDS)
             await asyncio.sleep(plan.seconds)
-            platform.network.end(cut)
+            await owner.async_start()
+        else:
+            await self._async_cut(self._cut_for(owner), 0.0, plan.seconds)
         platform.record.write("BACK", owner=owner.name)
 
     def _cut_for(self, owner: Entry) -> Cut:
