--- /dev/null
+++ b/tests/components/ownership/test_release_holds.py
@@ -0,0 +1,62 @@
+"""Test how long starts are held that releases name."""
+
+from __future__ import annotations
+
+from mustardward.components.dispatch.const import latest_lease_end
+from mustardward.components.ledger.models import OwnerRecord, UnansweredStart
+from mustardward.components.ownership.takeover import (
+    hold_previous_runs,
+    list_unanswered_starts,
+)
+from mustardward.components.scheduling.const import MAX_LEASE_SECONDS
+from mustardward.components.scheduling.losses import LossCause
+from mustardward.components.scheduling.lost_starts import MAX_DELAY_SECONDS
+from mustardward.platform.workers import TaskName, encode_task
+
+from ..scheduling.builders import JOB, SchedulerBench, a_job, a_step
+from ..scheduling.test_held_starts import a_held_task
+
+HOLD_SECONDS = latest_lease_end(MAX_DELAY_SECONDS, MAX_LEASE_SECONDS)
+TENURE_SECONDS = 20.0
+START = UnansweredStart(encode_task(TaskName(JOB, 0, 0, 0)), 1 << 20, "lost")
+
+
+def a_successor(bench: SchedulerBench, starts: list[UnansweredStart]) -> None:
+    """Take over from an owner whose release names some starts."""
+    state = bench.scheduler.state
+    release = OwnerRecord(1, "c", "", 5, settled=True, unanswered=starts)
+    hold_previous_runs(state, release, bench.now)
+    state.takeover_hold_until = 0.0
+
+
+def test_hold_of_a_start_does_not_begin_again_with_each_owner() -> None:
+    """Guard against a task that waits for a lost worker under each new owner."""
+    now = started_at = SchedulerBench().now
+    starts = [START]
+    planned = 0
+    while now < started_at + HOLD_SECONDS + TENURE_SECONDS:
+        bench = SchedulerBench(epoch=2)
+        bench.now = now
+        bench.worker("w1")
+        bench.add(a_job(a_step(count=1)))
+        a_successor(bench, starts)
+        bench.now = now = now + TENURE_SECONDS
+        planned += len(bench.plan_starts())
+        starts = list_unanswered_starts(bench.scheduler.state) or []
+    assert planned
+
+
+def test_expired_hold_of_a_job_that_is_over_is_not_named_again() -> None:
+    """Guard against releases that name more and more starts."""
+    bench = SchedulerBench(epoch=2)
+    a_successor(bench, [START])
+    bench.now += HOLD_SECONDS + 1.0
+    bench.plan()
+    assert not list_unanswered_starts(bench.scheduler.state)
+
+
+def test_hold_ends_once_a_worker_without_session_is_known_to_be_gone() -> None:
+    """Guard against a task that waits for a worker that is not listed any more."""
+    bench, start = a_held_task()
+    bench.scheduler.remove_worker(start.worker, LossCause.UNLISTED, bench.now)
+    assert len(bench.plan_starts()) == 1
