Free the waiting requests of a connection when it is closed

In a trial with the settings of a machine (300 MB, 4,100 descriptors), 2,500 callers that sent requests in a row and read no answer still took an entry to 609 MB, 530 of them resident, although the bound of all incomplete requests had closed most of them: parsed requests that waited stayed with their connection, which is part of reference cycles, until a garbage collection.

A connection that is lost drops them.

--- a/mustardward/components/front/http_server.py
+++ b/mustardward/components/front/http_server.py
@@ -119,6 +119,8 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop counting the connection."""
         self._server.table.remove(self)
+        # The connection is part of reference cycles and outlives its end.
+        self._messages.clear()
         super().connection_lost(exc)
 
     def abort(self) -> None:
--- a/tests/node/test_misbehaving_callers.py
+++ b/tests/node/test_misbehaving_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from pathlib import Path
 from typing import Final
 
@@ -45,6 +46,7 @@
     100, b"", (b"GET /none HTTP/1.1\r\n" + _HOST + _FIELD + b"\r\n") * 8, 1 << 22
 )
 
+MANY_UNREAD_ANSWERS: Final = replace(UNREAD_ANSWERS, callers=900, max_bytes=600_000)
 ENDLESS_PEER_MESSAGE: Final = endless_peer_message(60, 3_500_000)
 
 
@@ -129,6 +131,12 @@
         await async_check(entry, entry.boot.listen.front, UNREAD_ANSWERS)
 
 
+async def test_connections_that_were_closed_for_memory_free_it(tmp_path: Path) -> None:
+    """Guard against waiting requests that outlive their connection."""
+    async with async_run_entry(tmp_path, LIMITS) as entry:
+        await async_check(entry, entry.boot.listen.front, MANY_UNREAD_ANSWERS)
+
+
 @pytest.mark.parametrize("listener", ["ready", "metrics"])
 @pytest.mark.parametrize("crowd", [UNFINISHED_HEADS, SILENT], ids=["heads", "silent"])
 async def test_the_other_listeners_hold_as_well(
