Bound the socket buffers of all callers' connections by the memory

In a trial with the settings of a machine (300 MB, 4,100 descriptors), 2,500 callers that sent faster than an entry reads filled the kernel's buffers of 1,950 connections: 386 MB with the bytes received and not yet read, 176 of them resident. 256 KB for each connection are more than the memory of the machine.

The buffer is 64 KB now, enough for 5 Mbit/s over a round trip of 100 ms, and idle and new connections are at most one for each 256 KB of `memory-mb`, so that all buffers take a quarter of it: 1,200 connections on 300 MB, 1,950 still on 488 MB and more. Requests in progress are bounded by descriptors only, as before. The test of the share of sockets names 552 MB for its 1,950; that of 300 MB is new.

--- a/mustardward/components/front/connections.py
+++ b/mustardward/components/front/connections.py
@@ -20,6 +20,13 @@
 BUSY_CLIENT_SHARE: Final = 0.75
 """The same while all clients wait for responses, so that none can be closed."""
 
+SOCKET_BUFFER_BYTES: Final = 65_536
+"""Received bytes that the kernel keeps for a connection; they count as memory of the
+process. Enough for 5 Mbit/s over a round trip of 100 ms."""
+
+SOCKET_MEMORY_SHARE: Final = 0.25
+"""Share of the process's memory for socket buffers."""
+
 MAX_LISTEN_BACKLOG: Final = 512
 ACCEPT_SHARE: Final = 0.25
 """Share of the connections that may be accepted before the first of them is counted."""
@@ -62,10 +69,12 @@
 def connection_limits(limits: BootLimits) -> ConnectionLimits:
     """Return the limits of connections on an instance."""
     sockets = max(0, limits.max_fds - RESERVED_FDS)
+    memory_bytes = limits.memory_mb * 2**20
+    buffers = memory_bytes * SOCKET_MEMORY_SHARE / SOCKET_BUFFER_BYTES
     return ConnectionLimits(
-        max(1, int(sockets * CLIENT_SHARE)),
+        max(1, int(min(sockets * CLIENT_SHARE, buffers))),
         max(1, int(sockets * BUSY_CLIENT_SHARE)),
-        int(limits.memory_mb * 2**20 * UNFINISHED_MEMORY_SHARE),
+        int(memory_bytes * UNFINISHED_MEMORY_SHARE),
     )
 
 
--- a/mustardward/components/front/http_server.py
+++ b/mustardward/components/front/http_server.py
@@ -19,7 +19,7 @@
 
 from ...platform import callers
 from ...platform.models import CallerLimits
-from .connections import ConnectionTable
+from .connections import SOCKET_BUFFER_BYTES, ConnectionTable
 from .const import JSON_CONTENT_TYPE
 
 MAX_UNFINISHED_HEADS: Final = 2
@@ -30,10 +30,7 @@
 """Bytes read at once. All readable connections are read in one turn of the loop, before
 any that is closed for it frees its memory."""
 
-RECEIVE_BUFFER_BYTES: Final = 131_072
-"""Socket buffer of a connection; the kernel reserves twice as much."""
-
-PAUSED_BYTES: Final = 3 * RECEIVE_BUFFER_BYTES
+PAUSED_BYTES: Final = 4 * SOCKET_BUFFER_BYTES
 """Memory of a connection that is not read because its requests or their bodies wait:
 its socket buffer and the part of a body that was read ahead."""
 
@@ -240,9 +237,9 @@
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         with suppress(OSError):
-            listener.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-            )
+            # The kernel reserves twice as much as is asked for.
+            size = SOCKET_BUFFER_BYTES // 2
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
         listener.bind((host, port))
     except OSError:
         listener.close()
--- a/tests/components/front/test_connections.py
+++ b/tests/components/front/test_connections.py
@@ -59,11 +59,17 @@
 
 def test_half_of_the_sockets_are_for_callers() -> None:
     """Guard against callers that use the descriptors of calls to workers."""
-    limits = build_connections(BootLimits(max_fds=4100)).limits
+    limits = build_connections(BootLimits(memory_mb=552, max_fds=4100)).limits
     assert (limits.max_connections, limits.max_busy_connections) == (1950, 2925)
     assert limits.max_connections + 4 * limits.listen_backlog <= 3900
 
 
+def test_socket_buffers_take_a_quarter_of_the_memory() -> None:
+    """Guard against received bytes of a full crowd that exceed the memory."""
+    limits = build_connections(BootLimits(memory_mb=300, max_fds=4100)).limits
+    assert (limits.max_connections, limits.max_busy_connections) == (1200, 2925)
+
+
 def test_the_oldest_incomplete_request_is_closed_when_all_hold_too_much() -> None:
     """Guard against stalled bodies that use up the memory together."""
     table = ConnectionTable(ConnectionLimits(9, 9, 100))
