End the holds of unanswered starts in time, and only hold unanswered ones

What callers saw: nothing yet; found by review of the hold of unanswered starts. A task could wait for a lost worker under each new owner anew; expired holds of jobs that were over stayed and were named in each release; a worker that was known to be gone was waited for if it had no session; a start that was answered counted as unanswered while it was being stopped.

Cause: a release did not say for how long a start is held, holds were dropped only when their step was planned, only open sessions were compared with the list of instances, and the phase of a task stood for the answer to its start.

Change: a release names the remaining seconds of each start; holds are dropped when they end or their task starts no more; a worker that is gone is released by its id; the answer is kept with the task.

--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -167,6 +167,7 @@
         Their tasks would otherwise not restart before the end of their leases.
         """
         sessions = self.dispatcher.sessions
+        held_starts = self.scheduler.state.held_starts
         ordered = (
             self._blocked_machines()
             | set(self.pool_planner.orders)
@@ -174,7 +175,8 @@
         )
         for worker_id, session in list(sessions.items()):
             unresponsive_since = session.unresponsive_since
-            if session.closed or unresponsive_since is None:
+            is_over = session.closed and not held_starts.include(worker_id)
+            if is_over or unresponsive_since is None:
                 continue
             was_listed = self._worker_hosts.has_listed(worker_id)
             if not self._listed.is_gone(worker_id, was_listed, unresponsive_since):
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -163,11 +163,13 @@
 
     :param task: the task's name in the workers' format.
     :param worker: id of the worker that it was sent to.
+    :param seconds: for how long a run that it began may last.
     """
 
     task: str
     run: Number
     worker: str
+    seconds: float
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -267,7 +267,7 @@
         lease_seconds = 0.0
         if self.dispatcher is not None:
             lease_seconds = self.dispatcher.remaining_lease_seconds(timers.monotonic())
-        unanswered = list_unanswered_starts(state)
+        unanswered = list_unanswered_starts(state, timers.monotonic())
         await self._renewals.async_release(settled, lease_seconds, unanswered)
         self.depose(DeposedBy.RELEASED)
 
--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -193,26 +193,30 @@
 def _hold_unanswered_starts(
     state: SchedulerState, starts: list[UnansweredStart], now: float
 ) -> None:
-    until = latest_lease_end(now + MAX_DELAY_SECONDS, state.max_lease_seconds)
     for start in starts:
         try:
             name = decode_task(start.task)
         except ValueError:
             _LOGGER.warning("released_start_unreadable", task=start.task)
             continue
-        state.held_starts.add(name, HeldStart(start.worker, start.run, until))
+        held = HeldStart(start.worker, start.run, now + start.seconds)
+        state.held_starts.add(name, held)
 
 
-def list_unanswered_starts(state: SchedulerState) -> list[UnansweredStart] | None:
+def list_unanswered_starts(
+    state: SchedulerState, now: float
+) -> list[UnansweredStart] | None:
     """Return the starts that may have begun unknown runs, or None if there are many."""
+    state.expire_held_starts(now)
+    longest = latest_lease_end(MAX_DELAY_SECONDS, state.max_lease_seconds)
     starts = [
-        UnansweredStart(encode_task(task.name), task.run, worker.id)
+        UnansweredStart(encode_task(task.name), task.run, worker.id, longest)
         for worker in state.workers.values()
         for task in worker.tasks.values()
         if task.is_start_unanswered
     ]
     starts += [
-        UnansweredStart(encode_task(name), start.run, start.worker)
+        UnansweredStart(encode_task(name), start.run, start.worker, start.until - now)
         for name, start in state.held_starts.items()
     ]
     return starts if len(starts) <= MAX_RELEASED_STARTS else None
--- a/mustardward/components/scheduling/held_starts.py
+++ b/mustardward/components/scheduling/held_starts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from ...platform.workers import TaskName
@@ -57,6 +57,14 @@
             if start.worker != worker_id
         }
 
+    def expire(self, now: float, is_needed: Callable[[TaskName], bool]) -> None:
+        """Drop the starts whose runs are over, and those that are not needed."""
+        self._starts = {
+            name: start
+            for name, start in self._starts.items()
+            if now < start.until and is_needed(name)
+        }
+
     def take_held_tasks(self, step: StepRun, now: float) -> list[Task]:
         """Remove the held tasks from a step's queue.
 
@@ -73,9 +81,4 @@
 
     def _is_held(self, name: TaskName, now: float) -> bool:
         start = self._starts.get(name)
-        if start is None:
-            return False
-        if now >= start.until:
-            del self._starts[name]
-            return False
-        return True
+        return start is not None and now < start.until
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -104,6 +104,7 @@
     :param seen_running: whether a report of the worker listed the run. Otherwise the
         start command may be in flight, or another incarnation may have accepted it.
     :param sent: whether the start command was sent to the worker.
+    :param start_answered: whether the worker confirmed the start.
     :param crashes: the incarnations of workers that crashed under the task.
     :param loss: number of the last loss of one of its runs, counted in its job.
     :param evaluation_due_at: when it will be known which other workers crashed together
@@ -133,6 +134,7 @@
     seen_running: bool = False
     percent_at_ms: float = -1.0
     sent: bool = False
+    start_answered: bool = False
     crashes: tuple[str, ...] = ()
     evaluation_due_at: float = 0.0
     runs_since_crash: int = 0
@@ -150,7 +152,7 @@
     @property
     def is_start_unanswered(self) -> bool:
         """Return whether the run may have begun without the worker's confirmation."""
-        return self.sent and not (self.seen_running or self.phase is Phase.RUNNING)
+        return self.sent and not (self.seen_running or self.start_answered)
 
     def record_checkpoint(self, checkpoint: str) -> None:
         """Record a checkpoint that a worker reported; an empty one means none."""
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -88,6 +88,7 @@
                 self.run_logger.record_overtaken_start(task, sent)
             return
         if not reason:
+            task.start_answered = True
             task.phase = Phase.RUNNING
             task.started_at = now
             task.percent_since = now
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -199,6 +199,8 @@
             None if it has ended.
         """
         worker = self.state.workers.get(worker_id)
+        if held_until is None:
+            self.state.held_starts.release(worker_id)
         if worker is not None:
             log_worker_lost(worker, cause, now)
             suspects = suspects_of(worker, now)
@@ -237,6 +239,7 @@
         self._evacuation.run(now)
         if now >= self._next_check_at:
             self._next_check_at = now + CHECK_INTERVAL_SECONDS
+            self.state.expire_held_starts(now)
             self._stop_stuck(now)
             self.health.measure_speeds()
             self._observe_running(now)
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -187,6 +187,7 @@
         task.paced = False
         task.seen_running = False
         task.sent = False
+        task.start_answered = False
         task.adopted = False
         self.add_command(Start(task, worker.id, run))
 
@@ -378,9 +379,7 @@
             unanswered, if only the leases of its known incarnation have expired.
         """
         self._record_losses(worker, now)
-        if held_until is None:
-            self.held_starts.release(worker.id)
-        else:
+        if held_until is not None:
             self._hold_unanswered(worker, held_until)
         in_flight = [
             (task.name, task.run)
@@ -401,6 +400,19 @@
                 start = HeldStart(worker.id, task.run, until)
                 self.held_starts.add(task.name, start)
 
+    def expire_held_starts(self, now: float) -> None:
+        """Drop the holds that have ended, or whose task starts no more."""
+        if self.held_starts:
+            until = min(now, self.confirmed_until())
+            self.held_starts.expire(until, self._may_start_again)
+
+    def _may_start_again(self, name: TaskName) -> bool:
+        job = self.jobs.get(name.job)
+        if job is None or job.state.final:
+            return False
+        task = self.find_task(name)
+        return task is None or task.phase is not Phase.DONE
+
     def take_held_tasks(self, step: StepRun, now: float) -> list[Task]:
         """Remove the tasks whose unanswered start may still run from a step's queue.
 
--- a/tests/components/ownership/test_release_holds.py
+++ b/tests/components/ownership/test_release_holds.py
@@ -18,7 +18,9 @@
 
 HOLD_SECONDS = latest_lease_end(MAX_DELAY_SECONDS, MAX_LEASE_SECONDS)
 TENURE_SECONDS = 20.0
-START = UnansweredStart(encode_task(TaskName(JOB, 0, 0, 0)), 1 << 20, "lost")
+START = UnansweredStart(
+    encode_task(TaskName(JOB, 0, 0, 0)), 1 << 20, "lost", HOLD_SECONDS
+)
 
 
 def a_successor(bench: SchedulerBench, starts: list[UnansweredStart]) -> None:
@@ -42,7 +44,7 @@
         a_successor(bench, starts)
         bench.now = now = now + TENURE_SECONDS
         planned += len(bench.plan_starts())
-        starts = list_unanswered_starts(bench.scheduler.state) or []
+        starts = list_unanswered_starts(bench.scheduler.state, now) or []
     assert planned
 
 
@@ -52,7 +54,7 @@
     a_successor(bench, [START])
     bench.now += HOLD_SECONDS + 1.0
     bench.plan()
-    assert not list_unanswered_starts(bench.scheduler.state)
+    assert not list_unanswered_starts(bench.scheduler.state, bench.now)
 
 
 def test_hold_ends_once_a_worker_without_session_is_known_to_be_gone() -> None:
--- a/tests/components/ownership/test_takeover.py
+++ b/tests/components/ownership/test_takeover.py
@@ -144,13 +144,13 @@
     bench.add(a_job(a_step(count=1)))
     name = TaskName(JOB, 0, 0, 0)
     starts = [
-        UnansweredStart(encode_task(name), 1 << 20, "w2"),
-        UnansweredStart("unreadable", 1, "w2"),
+        UnansweredStart(encode_task(name), 1 << 20, "w2", 20.0),
+        UnansweredStart("unreadable", 1, "w2", 20.0),
     ]
     release = OwnerRecord(1, "c", "", 5, settled=True, unanswered=starts)
     hold_previous_runs(bench.scheduler.state, release, bench.now)
     bench.scheduler.state.takeover_hold_until = 0.0
-    assert list_unanswered_starts(bench.scheduler.state) == starts[:1]
+    assert list_unanswered_starts(bench.scheduler.state, bench.now) == starts[:1]
     assert not bench.plan_starts()
     bench.worker("w2")
     assert len(bench.plan_starts()) == 1
@@ -167,7 +167,7 @@
     for command in bench.plan():
         assert isinstance(command, Start)
         bench.scheduler.reports.start_sent(command.task, command.run)
-    assert list_unanswered_starts(bench.scheduler.state) is None
+    assert list_unanswered_starts(bench.scheduler.state, bench.now) is None
 
 
 def test_release_by_unsettled_owner_does_not_shorten_the_hold() -> None:
