Count the longest lease of workers without runs after a release

What callers saw: nothing yet; found by review. A task could run twice at once: a worker restarted under its id, a poll that was meant for its previous incarnation renewed the lease of the new one for 10 s, and the owner left. The next owner started a task there, the worker was cut off, and the task was started elsewhere 4.4 s later.

Cause: a release names leases of workers with runs only, and the next owner counted ordinary leases on all others. A lease applies to what starts under it too.

What is held until workers have reported is not changed by this.

--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -164,6 +164,8 @@
     A start may have reached another incarnation of its worker than it was meant for,
     which grants the longest lease. Only the owner that sent it knows which ones got no
     response; unless it has released the shard, all of its leases may be the longest.
+    A renewal may have done the same, so that what starts on the worker from now on has
+    the longest lease as well.
 
     :param read_at: when the last renewal of a lost owner was read, if it was seen.
     """
@@ -171,7 +173,9 @@
     state.takeover_hold_until = _latest_previous_lease_end(
         previous, now, read_at, state.max_lease_seconds
     )
-    state.previous_leases_until = state.takeover_hold_until
+    state.previous_leases_until = max(
+        state.takeover_hold_until, latest_lease_end(now, state.max_lease_seconds)
+    )
     if previous.unanswered is not None:
         _hold_unanswered_starts(state, previous.unanswered, now)
 
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -53,8 +53,8 @@
     :param ready: the open steps with waiting tasks, by object id.
     :param takeover_hold_until: until when unconfirmed workers may run tasks that a
         previous owner started.
-    :param previous_leases_until: when the leases that previous owners may have granted
-        have expired, except those of held starts.
+    :param previous_leases_until: when the longest leases that previous owners may have
+        granted have expired, also those of workers without runs.
     :param listing_workers: ids of the workers that began to report their runs to this
         owner during the takeover, and have more ended runs to list.
     :param incoming_cpu: processors of instances ordered for each pool, in millicores.
