--- a/tests/components/ownership/test_isolated_owners.py
+++ b/tests/components/ownership/test_isolated_owners.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import ClassVar
 
 import msgspec
@@ -48,14 +47,7 @@
 
     async def _async_walk(self) -> list[str]:
         world = self.world
-        world.disturbed = False
-        ticker = asyncio.create_task(world.async_tick())
-        self._configure()
-        for machine in world.machines.values():
-            machine.error_rate = 0.0
-            world.boot(machine)
-        for number in range(len(NODES)):
-            self._start_entry(number)
+        ticker = self._begin_calm()
         await self._async_advance(self.warm_up_seconds)
         self._submit_job()
         await self._async_wait_for_both_zones()
--- a/tests/components/ownership/test_renewed_restarts.py
+++ b/tests/components/ownership/test_renewed_restarts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from functools import partial
 
 import pytest
@@ -39,15 +38,8 @@
 
     async def _async_walk(self) -> list[str]:
         world = self.world
-        world.disturbed = False
         world.writes_birth_times = True
-        ticker = asyncio.create_task(world.async_tick())
-        self._configure()
-        for machine in world.machines.values():
-            machine.error_rate = 0.0
-            world.boot(machine)
-        for number in range(len(NODES)):
-            self._start_entry(number)
+        ticker = self._begin_calm()
         await self._async_advance(3.0)
         # Long-running tasks keep the sessions polling.
         self._submit_step(LONG_RUNNING_JOB, 8, SMALL_ROOM, long_running=True)
--- a/tests/components/ownership/twice_walk.py
+++ b/tests/components/ownership/twice_walk.py
@@ -126,6 +126,19 @@
             await entry.async_end()
         return world.violations
 
+    def _begin_calm(self) -> asyncio.Task[None]:
+        """Start machines and entries without any fault; return the world's ticker."""
+        world = self.world
+        world.disturbed = False
+        ticker = asyncio.create_task(world.async_tick())
+        self._configure()
+        for machine in world.machines.values():
+            machine.error_rate = 0.0
+            world.boot(machine)
+        for number in range(len(self.nodes)):
+            self._start_entry(number)
+        return ticker
+
     async def _async_disturb(self) -> None:
         """Let the events of the walk happen, until a violation is found."""
         await self._async_advance(1.5)
