--- a/tests/node/entry_process.py
+++ b/tests/node/entry_process.py
@@ -28,7 +28,10 @@
 from mustardward.standin.estate.app import async_run_estate
 from mustardward.standin.estate.estate import Estate, EstatePlan
 
-IP: Final = "127.0.9.1"
+_NUMBER: Final = os.getpid() % 50_000
+IP: Final = f"127.9.{_NUMBER // 250 + 1}.{_NUMBER % 250 + 1}"
+"""Address of the entry; test runs beside this one have others."""
+
 METRICS_ADDRESS: Final = f"{IP}:9464"
 CALLERS_HOST: Final = "calls.example"
 QUEUE: Final = "/q/"
