Let walks find the two mutants of leases again

They had lost their seeds when leases were counted longer after a takeover, and were found by test_leases.py only. Searched on the final code: 74 of 0 to 149, and 54 of 0 to 149. Both cases pass; tests only.

--- a/tests/components/ownership/test_twice_walks.py
+++ b/tests/components/ownership/test_twice_walks.py
@@ -14,6 +14,8 @@
     "no-hold-after-a-takeover": 0,
     "a-takeover-waits-for-nobody": 0,
     "a-start-without-answer-was-none": 0,
+    "an-unresponsive-worker-is-renewed": 74,
+    "leases-are-expected-to-end-early": 54,
     "leases-of-previous-owners-are-forgotten": 4,
     "no-fence": 57,
     "authority-lasts-for-ever": 329,
