--- a/tests/components/ownership/restarted_worker_walk.py
+++ b/tests/components/ownership/restarted_worker_walk.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from enum import Enum
 
 from mustardward.components.ledger.const import PREFIX_JOB, TOPIC
@@ -58,12 +59,7 @@
 
     async def _async_walk(self) -> list[str]:
         world = self.world
-        world.writes_birth_times = True
-        ticker = self._begin_calm()
-        await self._async_advance(3.0)
-        # Long-running tasks keep the sessions polling.
-        self._submit_step(LONG_RUNNING_JOB, 8, SMALL_ROOM, long_running=True)
-        await self._async_advance(3.0)
+        ticker = await self._async_begin()
         await self._async_restart_workers()
         await self._async_change_owner()
         await self._async_advance(CUT_SECONDS)
@@ -72,6 +68,15 @@
             await entry.async_end()
         return world.violations
 
+    async def _async_begin(self) -> asyncio.Task[None]:
+        """Start tasks that keep the sessions polling; return the world's ticker."""
+        self.world.writes_birth_times = True
+        ticker = self._begin_calm()
+        await self._async_advance(3.0)
+        self._submit_step(LONG_RUNNING_JOB, 8, SMALL_ROOM, long_running=True)
+        await self._async_advance(3.0)
+        return ticker
+
     def _submit_step(
         self, job: str, count: int, room: Room, long_running: bool = False
     ) -> None:
--- a/tests/components/ownership/test_renewed_restarts.py
+++ b/tests/components/ownership/test_renewed_restarts.py
@@ -11,7 +11,6 @@
 from .restarted_worker_walk import (
     CUT_SECONDS,
     JOB,
-    LONG_RUNNING_JOB,
     SMALL_ROOM,
     Ownership,
     RestartedWorkerWalk,
@@ -38,12 +37,7 @@
 
     async def _async_walk(self) -> list[str]:
         world = self.world
-        world.writes_birth_times = True
-        ticker = self._begin_calm()
-        await self._async_advance(3.0)
-        # Long-running tasks keep the sessions polling.
-        self._submit_step(LONG_RUNNING_JOB, 8, SMALL_ROOM, long_running=True)
-        await self._async_advance(3.0)
+        ticker = await self._async_begin()
         machines = self._machines_to_restart()
         await self._async_renew_restarted(machines)
         entry = self._owner()
