--- a/review/harness-3/traffic.py
+++ b/review/harness-3/traffic.py
@@ -37,6 +37,7 @@
 """Thousandths of a core of an ordinary job."""
 IDLE_SECONDS = 3.0
 """Time of the rule in which a job has nothing running."""
+WATCH_SECONDS = 0.01
 MAX_BROKEN = 3
 """Broken jobs after which no further ones are asked for."""
 
@@ -59,12 +60,16 @@
 
 @dataclass(slots=True, eq=False)
 class World:
-    """Everything that a disruption may use."""
+    """Everything that a disruption may use.
+
+    :param twice: the work units that ran on two minions at once.
+    """
 
     estate: Estate
     fleet: Fleet
     consumer: Consumer
     record: Record
+    twice: set[str] = field(default_factory=set)
 
 
 async def _async_ordinary(consumer: Consumer, until: float, pause: float) -> list[str]:
@@ -125,6 +130,30 @@
     return [path for path in paths if path in idle]
 
 
+async def _async_watch_twice(world: World) -> None:
+    """Record the work units that run on two minions, both of them up, at once."""
+    overlapping: dict[str, float] = {}
+    while True:
+        now = time.monotonic()
+        places: dict[str, set[str]] = {}
+        for worker in world.estate.workers.values():
+            for run in worker.runs.values():
+                places.setdefault(run.task, set()).add(worker.id)
+        for task, names in places.items():
+            if len(names) > 1 and task not in overlapping:
+                overlapping[task] = now
+                world.twice.add(task)
+                world.record.write(f"{task} runs on {' and on '.join(sorted(names))}")
+        for task in [t for t in overlapping if len(places.get(t, ())) < 2]:
+            seconds = now - overlapping.pop(task)
+            world.record.write(f"{task} ran twice at a time for {seconds:.2f} s")
+        await asyncio.sleep(WATCH_SECONDS)
+
+
+def _check_twice(world: World) -> list[str]:
+    return [f"TWICE {task}: two runs at the same time" for task in sorted(world.twice)]
+
+
 def _check_ends(world: World) -> list[str]:
     """Return what breaks Fault: processes that ended by themselves."""
     for entry in world.fleet.entries:
@@ -153,7 +182,7 @@
     world.record.write(f"the traffic ends, accepted={len(accepted)}")
     await asyncio.sleep(BOUNDS["finish_s"])
     broken = await _async_check_lost(world, accepted)
-    return _check_ends(world) + broken
+    return _check_ends(world) + _check_twice(world) + broken
 
 
 async def _async_main(case: Case, record: Record, folder: Path) -> list[str]:
@@ -175,7 +204,9 @@
                 record.write("the entries did not become ready")
                 sys.exit(2)
             tasks.append(asyncio.create_task(fleet.async_supervise()))
-            return await _async_play(case, World(estate, fleet, consumer, record))
+            world = World(estate, fleet, consumer, record)
+            tasks.append(asyncio.create_task(_async_watch_twice(world)))
+            return await _async_play(case, world)
         finally:
             for task in tasks:
                 task.cancel()
