Repeat unanswered starts on their worker, and keep their tasks there

Its first start got no answer, the worker confirmed the stop, the task was started elsewhere, and 5 s later the first worker restarted under its id and executed the late start.

Cause: a start counted as settled once one incarnation of its receiver had confirmed the stop. The next incarnation knows neither the stop nor a fencing token, and executes what arrives before the owner's first call. Class: an unanswered start may take effect in any incarnation of its receiver until it can't be on its way any more.

Ruled out: a stop or an entry that is merely too late. The start is executed in the moment of the restart, when no call can have been first.

The hold ends earlier on evidence (the only call was executed, another worker answers at the address), 3 s after a report without room, 5 s after the worker's end; a release names it. Repeats obey quotas, drains, cordons and routes.

--- a/mustardward/components/dispatch/command_executor.py
+++ b/mustardward/components/dispatch/command_executor.py
@@ -122,7 +122,7 @@
         except CallUnknownError as error:
             STARTS.labels("unknown").inc()
             self._log_failed_start(task, start, error.detail)
-            reports.start_unknown(task, run)
+            reports.start_unknown(task, run, self.timers.monotonic())
         else:
             reports.start_answered(task, run, answer.reason, self.timers.monotonic())
             STARTS.labels(answer.reason or "started").inc()
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -175,7 +175,7 @@
         )
         for worker_id, session in list(sessions.items()):
             unresponsive_since = session.unresponsive_since
-            is_over = session.closed and not held_starts.include(worker_id)
+            is_over = session.closed and not held_starts.await_worker(worker_id)
             if is_over or unresponsive_since is None:
                 continue
             was_listed = self._worker_hosts.has_listed(worker_id)
--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -218,6 +218,7 @@
         for worker in state.workers.values()
         for task in worker.tasks.values()
         if task.is_start_unanswered
+        and state.held_starts.get(task.name, worker.id) is None
     ]
     starts += [
         UnansweredStart(encode_task(name), start.run, start.worker, start.until - now)
--- a/mustardward/components/scheduling/const.py
+++ b/mustardward/components/scheduling/const.py
@@ -81,5 +81,18 @@
 MAX_LEASE_SECONDS: Final = 10.0
 """Longest lease that workers grant unless the platform's settings say so."""
 
+START_REPEAT_SECONDS: Final = 2.0
+"""Time in which an unanswered start is repeated on its worker."""
+
+START_REPEAT_INTERVAL_SECONDS: Final = 0.3
+"""Time between the failure of a repeated start and the next one."""
+
+SAME_WORKER_SECONDS: Final = 3.0
+"""Time for which a task with an unanswered start waits for room on its worker, where
+the delayed start is rejected, before it may start on another one."""
+
+RESTART_SECONDS: Final = 5.0
+"""Time for which such a task waits for a worker that ended to restart under its id."""
+
 EVACUATION_GRACE_SECONDS: Final = 1.5
 """Time that short runs get to end by themselves on a worker that is being emptied."""
--- a/mustardward/components/scheduling/held_starts.py
+++ b/mustardward/components/scheduling/held_starts.py
@@ -1,10 +1,11 @@
-"""Keep tasks waiting whose last start may still run on a worker that is silent."""
+"""Keep tasks from a second worker while a start may reach the first one."""
 
 from __future__ import annotations
 
+import math
 from collections import deque
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
 
 from ...platform.workers import TaskName
 from .models import StepRun, Task
@@ -16,57 +17,126 @@
 
     :param worker: id of the worker that it was sent to.
     :param until: when a run that it began is over at the latest, in monotonic seconds.
+    :param elsewhere_at: from when the task may start on other workers all the same, in
+        monotonic seconds.
+    :param count: how often it was sent.
     """
 
     worker: str
     run: int
     until: float
+    elsewhere_at: float = math.inf
+    count: int = 1
+
+    def is_active(self, now: float) -> bool:
+        """Return whether the task may start on this worker only."""
+        return now < self.until and now < self.elsewhere_at
 
 
 @dataclass(slots=True, eq=False)
 class HeldStarts:
-    """Hold the unanswered starts whose tasks may not start elsewhere.
+    """Hold the unanswered starts by task and worker.
 
-    A worker that restarts under its id accepts a start that was sent to its previous
-    incarnation, and grants it the longest lease, as its clock is behind the deadline.
+    A start without a response may be executed seconds later. The worker's present
+    incarnation rejects it once the run was stopped or has ended there, and the next one
+    once it has seen a newer fencing token. If the worker restarts under its id, the
+    next one may execute the start before that; the task must not run elsewhere then.
     """
 
-    _starts: dict[TaskName, HeldStart] = field(default_factory=dict)
+    _starts: dict[TaskName, dict[str, HeldStart]] = field(default_factory=dict)
 
     def __len__(self) -> int:
-        """Return the number of tasks that are held."""
+        """Return the number of tasks with unanswered starts."""
         return len(self._starts)
 
     def add(self, name: TaskName, start: HeldStart) -> None:
-        """Hold a task for its unanswered start."""
-        self._starts[name] = start
+        """Hold a task for an unanswered start; a repeated one is counted.
 
-    def items(self) -> Iterable[tuple[TaskName, HeldStart]]:
-        """Return the held starts by task."""
-        return self._starts.items()
+        The time from which the task may start elsewhere stays: the worker may answer
+        everything but starts.
+        """
+        starts = self._starts.setdefault(name, {})
+        known = starts.get(start.worker)
+        if known is None:
+            starts[start.worker] = start
+            return
+        starts[start.worker] = replace(
+            known,
+            run=max(known.run, start.run),
+            until=max(known.until, start.until),
+            count=known.count + 1,
+        )
+
+    def items(self) -> Iterator[tuple[TaskName, HeldStart]]:
+        """Yield the unanswered starts by task."""
+        for name, starts in self._starts.items():
+            for start in starts.values():
+                yield name, start
+
+    def get(self, name: TaskName, worker_id: str) -> HeldStart | None:
+        """Return the unanswered start of a task on a worker, if there is one."""
+        return self._starts.get(name, {}).get(worker_id)
 
     def include(self, worker_id: str) -> bool:
         """Return whether a worker left a start unanswered."""
-        return any(start.worker == worker_id for start in self._starts.values())
+        return any(worker_id in starts for starts in self._starts.values())
+
+    def await_worker(self, worker_id: str) -> bool:
+        """Return whether tasks wait for a worker until it reports or has ended."""
+        starts = self._starts_of(worker_id)
+        return any(start.elsewhere_at == math.inf for _, start in starts)
+
+    def record_executed(self, name: TaskName, worker_id: str, run: int) -> None:
+        """Drop a start whose only call is known to have been executed."""
+        start = self.get(name, worker_id)
+        if start is not None and start.run == run and start.count == 1:
+            self._remove(name, worker_id)
 
     def release(self, worker_id: str) -> None:
-        """Release the tasks of a worker that has reported its runs, or has ended."""
-        self._starts = {
-            name: start
-            for name, start in self._starts.items()
-            if start.worker != worker_id
-        }
+        """Drop the starts of a worker that none of them can reach any more."""
+        for name in [name for name, s in self._starts.items() if worker_id in s]:
+            self._remove(name, worker_id)
+
+    def extend(self, worker_id: str, until: float | None = None) -> None:
+        """Let tasks wait for a worker whose present incarnation is not known.
+
+        :param until: when its last lease ends at the latest, if that is later.
+        """
+        for name, start in self._starts_of(worker_id):
+            self._starts[name][worker_id] = replace(
+                start,
+                until=start.until if until is None else max(start.until, until),
+                elsewhere_at=math.inf,
+            )
+
+    def limit(
+        self,
+        worker_id: str,
+        elsewhere_at: float,
+        applies: Callable[[TaskName], bool] = lambda name: True,
+    ) -> None:
+        """Let tasks start elsewhere from a time on, unless they may do so before."""
+        for name, _ in self._starts_of(worker_id):
+            if applies(name):
+                self.limit_task(name, worker_id, elsewhere_at)
+
+    def limit_task(self, name: TaskName, worker_id: str, elsewhere_at: float) -> None:
+        """Let one task start elsewhere from a time on, unless it may do so before."""
+        start = self.get(name, worker_id)
+        if start is not None and elsewhere_at < start.elsewhere_at:
+            self._starts[name][worker_id] = replace(start, elsewhere_at=elsewhere_at)
 
     def expire(self, now: float, is_needed: Callable[[TaskName], bool]) -> None:
         """Drop the starts whose runs are over, and those that are not needed."""
-        self._starts = {
-            name: start
-            for name, start in self._starts.items()
-            if now < start.until and is_needed(name)
-        }
+        for name, starts in list(self._starts.items()):
+            if not is_needed(name):
+                del self._starts[name]
+                continue
+            for worker_id in [w for w, s in starts.items() if now >= s.until]:
+                self._remove(name, worker_id)
 
     def take_held_tasks(self, step: StepRun, now: float) -> list[Task]:
-        """Remove the held tasks from a step's queue.
+        """Remove the tasks that may not start on any worker from a step's queue.
 
         :param now: until when no other owner can have renewed leases.
         :return: the tasks, which the caller returns to the queue.
@@ -79,6 +149,25 @@
             step.waiting = deque(t for t in step.waiting if t.name not in names)
         return held
 
+    def allowed_worker(self, name: TaskName, now: float) -> str:
+        """Return the id of the only worker on which a held task may start, or ""."""
+        starts = self._starts.get(name, {}).values()
+        workers = {start.worker for start in starts if start.is_active(now)}
+        return workers.pop() if len(workers) == 1 else ""
+
     def _is_held(self, name: TaskName, now: float) -> bool:
-        start = self._starts.get(name)
-        return start is not None and now < start.until
+        starts = self._starts.get(name)
+        return starts is not None and any(s.is_active(now) for s in starts.values())
+
+    def _starts_of(self, worker_id: str) -> list[tuple[TaskName, HeldStart]]:
+        return [
+            (name, starts[worker_id])
+            for name, starts in self._starts.items()
+            if worker_id in starts
+        ]
+
+    def _remove(self, name: TaskName, worker_id: str) -> None:
+        starts = self._starts[name]
+        del starts[worker_id]
+        if not starts:
+            del self._starts[name]
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -104,6 +104,8 @@
     :param seen_running: whether a report of the worker listed the run. Otherwise the
         start command may be in flight, or another incarnation may have accepted it.
     :param sent: whether the start command was sent to the worker.
+    :param unanswered_since: when the first start of the run went unanswered.
+    :param unanswered_at: when the last one did, or None once the run is to be stopped.
     :param start_answered: whether the worker confirmed the start.
     :param crashes: the incarnations of workers that crashed under the task.
     :param loss: number of the last loss of one of its runs, counted in its job.
@@ -134,6 +136,8 @@
     seen_running: bool = False
     percent_at_ms: float = -1.0
     sent: bool = False
+    unanswered_since: float = 0.0
+    unanswered_at: float | None = None
     start_answered: bool = False
     crashes: tuple[str, ...] = ()
     evaluation_due_at: float = 0.0
@@ -154,6 +158,11 @@
         """Return whether the run may have begun without the worker's confirmation."""
         return self.sent and not (self.seen_running or self.start_answered)
 
+    @property
+    def awaits_report(self) -> bool:
+        """Return whether a report is to show if an unanswered start was executed."""
+        return self.phase is Phase.UNCERTAIN and self.unanswered_at is not None
+
     def record_checkpoint(self, checkpoint: str) -> None:
         """Record a checkpoint that a worker reported; an empty one means none."""
         if not checkpoint:
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -15,6 +15,7 @@
     awaits_evaluation,
     can_isolate,
     isolation_workers,
+    needs_isolation,
     take_isolated_tasks,
 )
 from .isolation import put_overdue_isolation_first, seconds_to_empty
@@ -143,6 +144,8 @@
     ) -> None:
         unconfirmed = take_unconfirmed_tasks(step)
         held = self.state.take_held_tasks(step, now)
+        if held:
+            held = self._place_held(step, held, candidates, now)
         suspects = take_isolated_tasks(step)
         if suspects:
             self._place_isolated(step, suspects, workers, candidates, now)
@@ -154,6 +157,32 @@
         if suspects or unconfirmed or held:
             self.state.return_to_queue(step, [*suspects, *unconfirmed, *held])
 
+    def _place_held(
+        self, step: StepRun, held: list[Task], candidates: Candidates, now: float
+    ) -> list[Task]:
+        """Start tasks on the workers that may still execute a delayed start of them.
+
+        :return: the tasks that wait.
+        """
+        if step.spec.gang:
+            return held
+        allowed = candidates.in_zones(step.job.stored_zones)
+        waiting = []
+        for task in held:
+            worker = self.state.allowed_worker(task, now)
+            if (
+                worker not in allowed
+                or needs_isolation(task)
+                or self._remaining_starts <= 0
+                or not self._may_start(step, [worker], now)
+                or RankedWorkers([worker], step, frozenset()).best() is None
+            ):
+                waiting.append(task)
+                continue
+            self._remaining_starts -= 1
+            self.state.assign(task, worker, self.state.next_run_number(), now)
+        return waiting
+
     def _judge_shares(
         self,
         workers: list[WorkerState],
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -16,7 +16,11 @@
     WorkerReport,
 )
 from .commands import Stop
-from .const import MAX_MISSED_REPORTS
+from .const import (
+    MAX_MISSED_REPORTS,
+    START_REPEAT_INTERVAL_SECONDS,
+    START_REPEAT_SECONDS,
+)
 from .health import WorkerHealth
 from .intake import Intake
 from .models import ACTIVE, Phase, Task
@@ -63,7 +67,7 @@
         missing = [t for name, t in worker.tasks.items() if (name, t.run) not in listed]
         if answer.lists_all_ends:
             self._handle_missing(worker, missing, sent_at, now)
-            self.state.mark_confirmed(worker)
+            self.state.mark_confirmed(worker, now)
         else:
             self._handle_unlisted(worker, missing, sent_at, now)
             if not worker.confirmed:
@@ -89,6 +93,7 @@
             return
         if not reason:
             task.start_answered = True
+            task.unanswered_at = None
             task.phase = Phase.RUNNING
             task.started_at = now
             task.percent_since = now
@@ -111,32 +116,46 @@
             run=run,
             reason=reason,
         )
-        self._handle_not_started(task, now)
+        if task.unanswered_at is None:
+            self._handle_not_started(task, now)
+        else:
+            # The start before it may have been executed, or still be.
+            self.state.reject_start(task)
 
     def start_refused(self, task: Task, run: int, now: float) -> None:
         """Handle a start that certainly was not carried out."""
         if task.run != run or task.phase is not Phase.STARTING or task.worker is None:
             return
         task.worker.refusing_until = now + UNHEALTHY_PAUSE_SECONDS
-        self._handle_not_started(task, now)
+        self._handle_not_sent(task, now)
 
     def start_withdrawn(self, task: Task, run: int, now: float) -> None:
         """Handle a start that was not sent, which implies no fault of the worker."""
         if task.run == run and task.phase is Phase.STARTING:
-            self._handle_not_started(task, now)
+            self._handle_not_sent(task, now)
 
-    def start_unknown(self, task: Task, run: int) -> None:
+    def start_unknown(self, task: Task, run: int, now: float) -> None:
         """Handle a start without a response."""
-        if task.run == run and task.phase is Phase.STARTING and task.worker:
+        if task.run != run or task.worker is None:
+            return
+        if not task.seen_running:
+            self.state.hold_start(task, now)
+        if task.phase is Phase.STARTING:
             # A worker may respond to everything else and still fail every start.
             task.avoided_workers.add(task.worker.id)
-            self.state.mark_uncertain(task)
+            self.state.mark_uncertain(task, now)
 
     def stop_answered(self, task: Task, run: int, now: float) -> None:
         """Record that a worker acknowledged a stop."""
         if task.run == run and task.phase in (Phase.UNCERTAIN, Phase.STOPPING):
             task.stop_acknowledged_at = now
 
+    def _handle_not_sent(self, task: Task, now: float) -> None:
+        if task.unanswered_at is None:
+            self._handle_not_started(task, now)
+        else:
+            self.state.mark_uncertain(task, now)
+
     def _handle_not_started(self, task: Task, now: float) -> None:
         step = task.step
         self.state.end_run(task, now)
@@ -155,6 +174,7 @@
             task.worker is worker and task.run == ended.run and task.phase in ACTIVE
         )
         self.run_logger.record_end(worker, ended, is_current)
+        self.state.held_starts.record_executed(ended.task, worker.id, ended.run)
         self.state.mark_started(task.step.job)
         self.intake.complete_earlier_steps(task.step, now)
         if ended.how == ENDED_DONE:
@@ -223,8 +243,10 @@
         elif task.worker is not worker or task.run != row.run:
             self._stop_orphan_run(worker, row)
             return
-        elif task.phase is Phase.STARTING:
+        elif task.phase is Phase.STARTING or task.awaits_report:
+            self.state.held_starts.record_executed(task.name, worker.id, task.run)
             task.phase = Phase.RUNNING
+            task.unanswered_at = None
         task.seen_running = True
         task.missed_reports = 0
         task.figure = row.figure
@@ -271,7 +293,9 @@
         self, worker: WorkerState, missing: list[Task], sent_at: float, now: float
     ) -> None:
         for task in missing:
-            if task.phase in (Phase.UNCERTAIN, Phase.STOPPING):
+            if task.awaits_report:
+                self._handle_unanswered(task, sent_at, now)
+            elif task.phase in (Phase.UNCERTAIN, Phase.STOPPING):
                 at = task.stop_acknowledged_at
                 if at is not None and at <= sent_at:
                     self.state.end_run(task, now)
@@ -280,3 +304,20 @@
                 if task.missed_reports >= MAX_MISSED_REPORTS:
                     _LOGGER.warning("run_lost", worker=worker.id, run=task.run)
                     self.state.end_run(task, now)
+
+    def _handle_unanswered(self, task: Task, sent_at: float, now: float) -> None:
+        """Repeat a start whose run a worker does not list, or give up the run."""
+        if task.unanswered_at is None or task.worker is None:
+            return
+        is_repeated = task.unanswered_at > task.unanswered_since
+        pause = START_REPEAT_INTERVAL_SECONDS if is_repeated else 0.0
+        if sent_at < task.unanswered_at + pause:
+            return
+        until = task.unanswered_since + START_REPEAT_SECONDS
+        held = self.state.held_starts.get(task.name, task.worker.id)
+        if held is not None:
+            until = min(until, held.elsewhere_at)
+        if now < until:
+            self.state.unlisted_starts.append(task)
+        else:
+            self.state.reject_start(task)
--- a/mustardward/components/scheduling/scheduler.py
+++ b/mustardward/components/scheduling/scheduler.py
@@ -199,13 +199,16 @@
             None if it has ended.
         """
         worker = self.state.workers.get(worker_id)
-        if held_until is None:
-            self.state.held_starts.release(worker_id)
         if worker is not None:
             log_worker_lost(worker, cause, now)
             suspects = suspects_of(worker, now)
             self.state.drop_worker(worker, now, held_until)
             self._crash_tracker.record_loss(worker, cause, suspects, now)
+        if cause is LossCause.REPLACED:
+            # Its address rejects all calls that name its id.
+            self.state.held_starts.release(worker_id)
+        elif held_until is None:
+            self.state.record_ended(worker_id, now)
 
     def apply_worker_report(
         self, worker_id: str, answer: WorkerReport, sent_at: float, now: float
@@ -245,6 +248,7 @@
             self._observe_running(now)
             self._crash_tracker.evaluate(now)
             self.pacing.run(now)
+        self.state.repeat_starts(now)
         self._planner.run(now, max_starts)
         self._forget_ended()
         self.reports.run_logger.flush()
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -8,6 +8,7 @@
 
 from ...helpers.logging import get_logger
 from ...platform.workers import TaskName, encode_task
+from ..dispatch.const import latest_lease_end
 from ..ledger.models import JobState
 from ..pool_sizing.models import Need
 from ..run_times.estimates import Estimates
@@ -15,12 +16,14 @@
 from .const import (
     ISOLATION_CRASHES,
     MAX_LEASE_SECONDS,
+    RESTART_SECONDS,
     RUN_BITS,
+    SAME_WORKER_SECONDS,
     STOP_GRACE_SECONDS,
 )
 from .held_starts import HeldStart, HeldStarts
 from .inflow import Inflow
-from .lost_starts import LostStarts, UnansweredStart
+from .lost_starts import MAX_DELAY_SECONDS, LostStarts, UnansweredStart
 from .models import ACTIVE, UNKNOWN_PACE, Job, Phase, QueuePolicy, StepRun, Task
 from .quotas import Quotas
 from .worker_state import WorkerState
@@ -68,6 +71,7 @@
     :param confirmed_until: returns until when the log is known to name no other owner,
         in monotonic seconds.
     :param held_starts: unanswered starts whose tasks may not start elsewhere.
+    :param unlisted_starts: tasks whose unanswered starts are to be repeated.
     :param unreported_loss_at: when a worker was last lost during the takeover before it
         had reported all its runs.
     """
@@ -96,6 +100,7 @@
     confirmed_until: Callable[[], float] = _always_confirmed
     unreported_loss_at: float = -math.inf
     held_starts: HeldStarts = field(default_factory=HeldStarts)
+    unlisted_starts: list[Task] = field(default_factory=list)
     _lost_starts: LostStarts = field(default_factory=LostStarts)
     _commands: list[Command] = field(default_factory=list)
     _run_counter: int = 0
@@ -152,10 +157,12 @@
         """Return whether nobody had taken over when a worker was lost unreported."""
         return self.confirmed_until() >= self.unreported_loss_at
 
-    def mark_confirmed(self, worker: WorkerState) -> None:
+    def mark_confirmed(self, worker: WorkerState, now: float) -> None:
         """Record that a worker has reported all its runs."""
         if self.held_starts:
-            self.held_starts.release(worker.id)
+            self.held_starts.limit(
+                worker.id, now + SAME_WORKER_SECONDS, self._is_inactive
+            )
         worker.confirmed = True
         worker.listing_ends = False
         self.listing_workers.discard(worker.id)
@@ -187,6 +194,7 @@
         task.paced = False
         task.seen_running = False
         task.sent = False
+        task.unanswered_at = None
         task.start_answered = False
         task.adopted = False
         self.add_command(Start(task, worker.id, run))
@@ -228,27 +236,79 @@
             percent=task.percent,
         )
         task.phase = Phase.STOPPING
+        task.unanswered_at = None
         task.stop_acknowledged_at = None
         self.add_command(Stop(task.name, task.worker.id, task.run, task))
 
-    def mark_uncertain(self, task: Task) -> None:
+    def mark_uncertain(self, task: Task, now: float) -> None:
         """Handle a start without a response: the run may start now, later or never.
 
-        A stop makes the worker reject the run from then on. Once the stop has been
-        acknowledged and the worker does not list the run, the task may run elsewhere.
+        The worker's next report shows whether the run is there; otherwise the start is
+        repeated, since the worker executes only one of two starts with the same number.
         """
         if task.worker is None:
             return
+        if task.unanswered_at is None:
+            task.worker.unanswered_starts.append((task.name, task.run))
+            task.unanswered_since = now
         task.phase = Phase.UNCERTAIN
+        task.unanswered_at = now
+
+    def repeat_starts(self, now: float) -> None:
+        """Send the starts again that got no response and that workers do not list."""
+        for task in self.unlisted_starts:
+            if task.worker is None or not task.awaits_report:
+                continue
+            if not self._may_repeat(task, task.worker):
+                self.reject_start(task)
+                continue
+            self.hold_start(task, now)
+            task.phase = Phase.STARTING
+            task.started_at = now
+            self.add_command(Start(task, task.worker.id, task.run))
+        self.unlisted_starts.clear()
+
+    def _may_repeat(self, task: Task, worker: WorkerState) -> bool:
+        """Return whether a task may still start on its worker."""
+        job = task.step.job
+        requested = task.step.requested
+        self.quotas.release(job.organisation, requested)
+        is_within_quota = self.quotas.allows(job.organisation, requested)
+        self.quotas.reserve(job.organisation, requested)
+        return (
+            is_within_quota
+            and worker.service == job.policy.service
+            and not (worker.draining or worker.cordoned)
+        )
+
+    def reject_start(self, task: Task) -> None:
+        """Let a worker reject a start without a response.
+
+        Once it has acknowledged the stop and does not list the run, the task may start
+        again.
+        """
+        if task.worker is None:
+            return
+        task.phase = Phase.UNCERTAIN
+        task.unanswered_at = None
         task.stop_acknowledged_at = None
-        task.worker.unanswered_starts.append((task.name, task.run))
         self.add_command(Stop(task.name, task.worker.id, task.run, task))
 
+    def hold_start(self, task: Task, now: float) -> None:
+        """Keep a task from other workers while its start may still be executed."""
+        if task.worker is None:
+            return
+        until = latest_lease_end(now + MAX_DELAY_SECONDS, self.max_lease_seconds)
+        self.held_starts.add(task.name, HeldStart(task.worker.id, task.run, until))
+
     def requeue(self, task: Task, now: float) -> None:
         """Put a task whose run has ended back on its step's queue."""
+        worker = task.worker
         self._release(task)
         task.phase = Phase.WAITING
         task.ready_since = now
+        if self.held_starts and worker is not None and not worker.stale:
+            self.held_starts.limit_task(task.name, worker.id, now + SAME_WORKER_SECONDS)
         step = task.step
         step.waiting.append(task)
         if step.open:
@@ -379,8 +439,7 @@
             unanswered, if only the leases of its known incarnation have expired.
         """
         self._record_losses(worker, now)
-        if held_until is not None:
-            self._hold_unanswered(worker, held_until)
+        self._hold_unanswered(worker, now)
         in_flight = [
             (task.name, task.run)
             for task in worker.tasks.values()
@@ -390,15 +449,23 @@
         self._lost_starts.add(worker.id, starts, now)
         for task in list(worker.tasks.values()):
             self.end_run(task, now)
+        self.held_starts.extend(worker.id, held_until)
         self.clear_orphan_runs(worker)
         self.workers.pop(worker.id, None)
         self.listing_workers.discard(worker.id)
 
-    def _hold_unanswered(self, worker: WorkerState, until: float) -> None:
+    def _hold_unanswered(self, worker: WorkerState, now: float) -> None:
         for task in worker.tasks.values():
-            if task.is_start_unanswered:
-                start = HeldStart(worker.id, task.run, until)
-                self.held_starts.add(task.name, start)
+            if task.is_start_unanswered and task.phase is not Phase.UNCERTAIN:
+                self.hold_start(task, now)
+
+    def record_ended(self, worker_id: str, now: float) -> None:
+        """Record that a worker has ended; it may restart under its id."""
+        self.held_starts.limit(worker_id, now + RESTART_SECONDS)
+
+    def _is_inactive(self, name: TaskName) -> bool:
+        task = self.find_task(name)
+        return task is None or task.phase not in ACTIVE
 
     def expire_held_starts(self, now: float) -> None:
         """Drop the holds that have ended, or whose task starts no more."""
@@ -420,6 +487,11 @@
         """
         return self.held_starts.take_held_tasks(step, min(now, self.confirmed_until()))
 
+    def allowed_worker(self, task: Task, now: float) -> WorkerState | None:
+        """Return the only worker on which a held task may start, if it is known."""
+        until = min(now, self.confirmed_until())
+        return self.workers.get(self.held_starts.allowed_worker(task.name, until))
+
     def replace_worker(self, old: WorkerState, new: WorkerState, now: float) -> None:
         """Replace a worker by its next incarnation.
 
@@ -430,6 +502,7 @@
         has moved elsewhere since, because only the old incarnation knew of their stop.
         """
         self._record_losses(old, now)
+        self._hold_unanswered(old, now)
         self._reject_delayed(new, old.unanswered_starts)
         for task in list(old.tasks.values()):
             if task.seen_running:
@@ -438,7 +511,9 @@
             run = task.run
             self._release(task)
             self._reserve(task, new, run)
-            self.mark_uncertain(task)
+            new.unanswered_starts.append((task.name, run))
+            self.reject_start(task)
+        self.held_starts.extend(old.id)
         self.clear_orphan_runs(old)
         self.workers[new.id] = new
         self.listing_workers.discard(old.id)
--- a/mustardward/components/scheduling/wait_inputs.py
+++ b/mustardward/components/scheduling/wait_inputs.py
@@ -102,7 +102,9 @@
     return {
         "held_starts": len(held),
         "held_workers": _join_names({start.worker for start in held}),
-        "held_seconds_left": max((s.until for s in held), default=wait.now) - wait.now,
+        "held_seconds_left": max(
+            (min(s.until, s.elsewhere_at) - wait.now for s in held), default=0.0
+        ),
     }
 
 
--- a/tests/components/ownership/test_release_holds.py
+++ b/tests/components/ownership/test_release_holds.py
@@ -2,21 +2,18 @@
 
 from __future__ import annotations
 
-from mustardward.components.dispatch.const import latest_lease_end
 from mustardward.components.ledger.models import OwnerRecord, UnansweredStart
 from mustardward.components.ownership.takeover import (
     hold_previous_runs,
     list_unanswered_starts,
 )
-from mustardward.components.scheduling.const import MAX_LEASE_SECONDS
+from mustardward.components.scheduling.const import RESTART_SECONDS
 from mustardward.components.scheduling.losses import LossCause
-from mustardward.components.scheduling.lost_starts import MAX_DELAY_SECONDS
 from mustardward.platform.workers import TaskName, encode_task
 
-from ..scheduling.builders import JOB, SchedulerBench, a_job, a_step
+from ..scheduling.builders import HOLD_SECONDS, JOB, SchedulerBench, a_job, a_step
 from ..scheduling.test_held_starts import a_held_task
 
-HOLD_SECONDS = latest_lease_end(MAX_DELAY_SECONDS, MAX_LEASE_SECONDS)
 TENURE_SECONDS = 20.0
 START = UnansweredStart(
     encode_task(TaskName(JOB, 0, 0, 0)), 1 << 20, "lost", HOLD_SECONDS
@@ -60,5 +57,8 @@
 def test_hold_ends_once_a_worker_without_session_is_known_to_be_gone() -> None:
     """Guard against a task that waits for a worker that is not listed any more."""
     bench, start = a_held_task()
-    bench.scheduler.remove_worker(start.worker, LossCause.UNLISTED, bench.now)
+    for _ in range(2):
+        bench.scheduler.remove_worker(start.worker, LossCause.UNLISTED, bench.now)
+        assert not bench.plan_starts()
+        bench.now += RESTART_SECONDS / 2
     assert len(bench.plan_starts()) == 1
--- a/tests/components/scheduling/builders.py
+++ b/tests/components/scheduling/builders.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from types import FrameType
 
+from mustardward.components.dispatch.const import latest_lease_end
 from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.ledger.models import JobRecord, Progress
 from mustardward.components.scheduling.commands import (
@@ -15,6 +16,8 @@
     Start,
     Stop,
 )
+from mustardward.components.scheduling.const import MAX_LEASE_SECONDS
+from mustardward.components.scheduling.lost_starts import MAX_DELAY_SECONDS
 from mustardward.components.scheduling.models import QueuePolicy, Task
 from mustardward.components.scheduling.scheduler import Scheduler
 from mustardward.components.scheduling.worker_state import WorkerState
@@ -28,6 +31,8 @@
 
 POOL = "pool-a"
 JOB = "00000000000000aa"
+HOLD_SECONDS = latest_lease_end(MAX_DELAY_SECONDS, MAX_LEASE_SECONDS)
+"""Time after which a run that a delayed start began is over."""
 ADVICE = QueueAdvice(decide_ms=200, period_ms=20, valid_ms=3000)
 
 
--- a/tests/components/scheduling/test_unconfirmed_losses.py
+++ b/tests/components/scheduling/test_unconfirmed_losses.py
@@ -10,7 +10,15 @@
 from mustardward.components.scheduling.losses import LossCause
 from mustardward.components.scheduling.models import Phase, Task
 
-from .builders import JOB, SchedulerBench, a_job, a_row, a_step, an_entry
+from .builders import (
+    HOLD_SECONDS,
+    JOB,
+    SchedulerBench,
+    a_job,
+    a_row,
+    a_step,
+    an_entry,
+)
 
 BORN = 1000
 OTHER = "00000000000000bb"
@@ -82,6 +90,9 @@
     for task in tasks:
         if task.worker is not None:
             bench.scheduler.state.end_run(task, bench.now)
+    if phase is Phase.STARTING:
+        # Its delayed start can no longer be executed.
+        bench.now += HOLD_SECONDS
     bench.worker("w2", born=BORN)
     bench.scheduler.mark_stored(sent_before)
     assert not bench.plan_starts()
