Turn declared run times into seconds in one place, with bounds

Cause: _from_reliability took the logarithm of a thousandth of any estimate above 0; the thousandth of a denormal number is 0. Three other places divided by 1000 with guards of their own.

Change: declared_seconds turns a declared time into seconds between 1 ms and ten years; estimates, learning and critical paths use it.

Logarithms and divisions of scheduling, run times, pool sizing and fair shares were read for the same cause; none other found.

--- a/mustardward/components/run_times/const.py
+++ b/mustardward/components/run_times/const.py
@@ -14,6 +14,10 @@
 UNKNOWN_ESTIMATE_SECONDS: Final = 1.0
 """Expected run time of a step that declares none."""
 
+MIN_DECLARED_SECONDS: Final = 0.001
+MAX_DECLARED_SECONDS: Final = 10 * 365 * 86_400.0
+"""Bounds of a declared run time."""
+
 MAX_LOG_ERROR: Final = 3.0
 """Bound of one step's logarithm of actual to declared run time, a factor of 20."""
 
--- a/mustardward/components/run_times/estimates.py
+++ b/mustardward/components/run_times/estimates.py
@@ -21,6 +21,7 @@
     STEPS_PER_CHANGE,
     UNKNOWN_ESTIMATE_SECONDS,
 )
+from .declared import declared_seconds
 from .models import StepEstimate
 from .reliability import FIGURES_COUNT, Figures, QueueReliability, Reliability
 
@@ -57,7 +58,7 @@
     )
     def learn(self, step: StepRun, seconds: float) -> None:
         """Learn from a completed run, which must be representative of its step."""
-        declared = step.spec.estimate_ms / 1000
+        declared = declared_seconds(step.spec)
         if declared <= 0 or seconds <= 0:
             return
         observed = min(ESTIMATE_CEILING, max(ESTIMATE_FLOOR, seconds / declared))
@@ -79,7 +80,7 @@
         if runs is None or not runs.count or runs.error is not None:
             return
         queue = self._queue(step.job.record.queue)
-        declared = math.log(step.spec.estimate_ms / 1000)
+        declared = math.log(declared_seconds(step.spec))
         queue.learn(declared, runs, job, step.job.organisation)
 
     def observe_running(self, task: Task, now: float) -> bool:
@@ -261,7 +262,7 @@
         """Return the declared times of a job's steps times the queue's ratio."""
         ratio = self.ratio(job.record.queue)
         lengths = [
-            spec.estimate_ms / 1000 * ratio or UNKNOWN_ESTIMATE_SECONDS
+            declared_seconds(spec) * ratio or UNKNOWN_ESTIMATE_SECONDS
             for spec in job.record.steps
         ]
         return tuple(StepEstimate(seconds, seconds, seconds) for seconds in lengths)
@@ -279,7 +280,7 @@
     declared = [
         None
         if spec.long_running or spec.estimate_ms <= 0
-        else math.log(spec.estimate_ms / 1000) + offset
+        else math.log(declared_seconds(spec)) + offset
         for spec in steps
     ]
     estimates = known.estimate(declared, job.run_times)
--- a/tests/components/scheduling/test_run_times.py
+++ b/tests/components/scheduling/test_run_times.py
@@ -8,6 +8,7 @@
 import numpy
 import pytest
 
+from mustardward.components.ledger.models import JobState
 from mustardward.components.scheduling.models import Job, Task
 from mustardward.platform.models import ENDED_DONE, Room
 
@@ -221,3 +222,26 @@
             calls += count_calls(partial(bench.end, start.task, ENDED_DONE))
         costs.append(calls)
     assert costs[1] < 2 * costs[0]
+
+
+@pytest.mark.parametrize("estimate_ms", [5e-324, 1e-322, 1e-200, 0.0, 1.0, 2.0**53])
+def test_any_declared_time_is_estimated_and_learned(estimate_ms: float) -> None:
+    """Guards against a job whose declared time ends each owner that reads it.
+
+    A thousandth of the smallest numbers is 0, which has no logarithm.
+    """
+    bench = a_bench_with_wrong_declarations()
+    estimates = bench.scheduler.state.estimates
+    assert estimates.is_known(a_job().record.queue)
+    job, tasks = add_job(bench, estimate_ms=estimate_ms)
+    assert math.isfinite(job.objective_at) and math.isfinite(job.late_at)
+    assert 0 < estimates.seconds(tasks[0].step) < math.inf
+    bench.now += 2.0
+    for task in tasks:
+        bench.end(task, "done")
+    assert job.state is JobState.DONE
+    successor = SchedulerBench(epoch=2, now=bench.now)
+    for queue, record in estimates.export().items():
+        successor.scheduler.state.estimates.restore(queue, record)
+    successor.add(a_job(a_step(estimate_ms=estimate_ms)))
+    assert math.isfinite(successor.scheduler.state.jobs[JOB].objective_at)
