Create a step's tasks when they are first needed

Cause: an owner made an object for each task of all steps as soon as it read a job, open or not, 0.5 kB each. The door bounds the count of a step only, and many such jobs, or one that the log has already, are the same sum.

Change: a step creates a task when it is looked up, and drops it once it is done. Tasks that were never taken from the queue are ranges of indices; done ones are the bit set that is stored. Loops over all tasks of a step (stops, evacuations, waits in the log, suspects, holds, lost runs) go over those that exist. A gang is compared with the room of its pool before any member is tried, as that would create them all.

Not taken: a limit of tasks of a job at the door. It mends no log that has the job, and refuses what can be served.

--- a/mustardward/components/ledger/bitset.py
+++ b/mustardward/components/ledger/bitset.py
@@ -26,6 +26,27 @@
     packed[position] |= 1 << (index & 7)
 
 
+def has_index(packed: bytes | bytearray, index: int) -> bool:
+    """Return whether a little-endian bit set contains an index."""
+    position = index >> 3
+    return position < len(packed) and bool(packed[position] >> (index & 7) & 1)
+
+
+def missing_ranges(packed: bytes | bytearray, count: int) -> list[range]:
+    """Return the ranges of indices below a count that a bit set does not contain."""
+    ranges: list[range] = []
+    start = 0
+    for index in unpack_indices(bytes(packed)):
+        if index >= count:
+            break
+        if index > start:
+            ranges.append(range(start, index))
+        start = index + 1
+    if start < count:
+        ranges.append(range(start, count))
+    return ranges
+
+
 def unpack_indices(packed: bytes) -> Iterator[int]:
     """Yield the indices of a little-endian bit set in ascending order."""
     for position, value in enumerate(packed):
--- a/mustardward/components/scheduling/advice.py
+++ b/mustardward/components/scheduling/advice.py
@@ -268,7 +268,7 @@
     def _choose_names(self, wanted: _Wanted) -> tuple[str, ...]:
         """Return the workers to name, those first that the step would use first."""
         step = wanted.step
-        avoided = step.waiting[0].avoided_workers if step.waiting else frozenset()
+        avoided = step.waiting.first().avoided_workers if step.waiting else frozenset()
         ranked = sorted(
             wanted.workers,
             key=lambda worker: (
--- a/mustardward/components/scheduling/crashes.py
+++ b/mustardward/components/scheduling/crashes.py
@@ -278,11 +278,13 @@
     """
     if step.job.suspicion < ISOLATION_CRASHES:
         return []
-    suspects = [task for task in step.waiting if needs_isolation(task)]
-    if suspects and step.spec.gang:
-        suspects = list(step.waiting) if len(step.waiting) == len(step.tasks) else []
-    if suspects:
-        step.waiting = deque(task for task in step.waiting if task not in suspects)
+    if not step.spec.gang:
+        return step.waiting.take(needs_isolation)
+    has_suspects = any(map(needs_isolation, step.waiting.known()))
+    if not has_suspects or len(step.waiting) != len(step.tasks):
+        return []
+    suspects = list(step.waiting)
+    step.waiting.clear()
     return suspects
 
 
--- a/mustardward/components/scheduling/evacuation.py
+++ b/mustardward/components/scheduling/evacuation.py
@@ -21,11 +21,14 @@
     cause, so that an evacuation never adds to a failure. The limit also holds for a
     task that was not serving in its worker's last report, since it may serve by now.
     """
-    others = (other for other in task.step.tasks if other is not task)
-    missing = sum(
-        not _is_surely_serving(other, stop_grace_seconds, now) for other in others
+    step = task.step
+    known = step.tasks.known()
+    missing = len(step.tasks) - step.done - len(known)
+    missing += sum(
+        other is not task and not _is_surely_serving(other, stop_grace_seconds, now)
+        for other in known
     )
-    return missing < max(1, task.step.spec.may_miss)
+    return missing < max(1, step.spec.may_miss)
 
 
 def _is_surely_serving(task: Task, stop_grace_seconds: float, now: float) -> bool:
--- a/mustardward/components/scheduling/held_starts.py
+++ b/mustardward/components/scheduling/held_starts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
 
@@ -143,11 +142,16 @@
         """
         if not self._starts:
             return []
-        held = [task for task in step.waiting if self._is_held(task.name, now)]
-        if held:
-            names = {task.name for task in held}
-            step.waiting = deque(t for t in step.waiting if t.name not in names)
-        return held
+        job_id = step.job.record.id
+        for name in self._starts:
+            if (name.job, name.occurrence, name.step) == (
+                job_id,
+                step.occurrence,
+                step.number,
+            ) and name.index < len(step.tasks):
+                # Tasks that the previous owner started have no state of their own.
+                step.tasks[name.index]
+        return step.waiting.take(lambda task: self._is_held(task.name, now))
 
     def allowed_worker(self, name: TaskName, now: float) -> str:
         """Return the id of the only worker on which a held task may start, or ""."""
--- a/mustardward/components/scheduling/intake.py
+++ b/mustardward/components/scheduling/intake.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 
 from ...helpers.logging import get_logger
@@ -143,7 +142,7 @@
         if not self.state.is_configured():
             self._unjudged.append(task)
             return
-        members = step.tasks if step.spec.gang else [task]
+        members = step.tasks.known() if step.spec.gang else [task]
         # The members of a gang share their runs, and several may fail in one.
         failures = len({run for member in members for run in member.failed_runs})
         if failures >= step.job.policy.max_attempts and not step.job.state.final:
@@ -175,8 +174,6 @@
     def _make_steps(self, job: Job, occurrence: int) -> None:
         for number, spec in enumerate(job.record.steps):
             step = StepRun(job, occurrence, number, spec)
-            step.tasks = [Task(step, index) for index in range(spec.count)]
-            step.waiting.extend(step.tasks)
             step.blockers = len(set(spec.after))
             job.steps[(occurrence, number)] = step
         job.incomplete_steps[occurrence] = len(job.record.steps)
@@ -220,7 +217,8 @@
         if step.open or step.blockers or step.complete:
             return
         step.open = True
-        for task in step.waiting:
+        step.opened_at = now
+        for task in step.waiting.known():
             task.ready_since = now
         self.state.ready[id(step)] = step
 
@@ -255,11 +253,13 @@
         """
         step.waiting.clear()
         self.state.ready.pop(id(step), None)
-        for task in step.tasks:
+        for task in step.tasks.known():
             worker, run = task.worker, task.run
             self.state.finish_task(task)
             if worker is not None:
                 self.state.stop_orphan_run(worker, task.name, run)
+        step.record_all_done()
+        self.state.mark_dirty(step.job)
         self._complete_step(step)
 
     def _open_dependents(self, step: StepRun, now: float) -> None:
@@ -324,13 +324,7 @@
         step = self.get_step(job, step_progress.occurrence, step_progress.step)
         if step is None or step.complete:
             return
-        for index in unpack_indices(step_progress.done):
-            if index >= len(step.tasks):
-                break
-            task = step.tasks[index]
-            if task.phase is Phase.WAITING:
-                step.record_done(task)
-        step.waiting = deque(t for t in step.tasks if t.phase is Phase.WAITING)
+        step.restore_done(unpack_indices(step_progress.done))
         if step.complete:
             self._complete_step(step)
 
--- a/mustardward/components/scheduling/isolation.py
+++ b/mustardward/components/scheduling/isolation.py
@@ -88,5 +88,5 @@
         return False
     return any(
         needs_isolation(task) and now - task.ready_since > ISOLATION_WAIT_SECONDS
-        for task in step.waiting
+        for task in step.waiting.known()
     )
--- a/mustardward/components/scheduling/models.py
+++ b/mustardward/components/scheduling/models.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
 from ...platform.models import QueueAdvice, Room, SubmittedStep
 from ...platform.workers import TaskName
-from ..ledger.bitset import add_index
+from ..ledger.bitset import add_index, has_index, missing_ranges
 from ..ledger.index_ranges import IndexRanges
 from ..ledger.models import JobRecord, JobState, LimitsRecord, PolicyRecord
 from ..run_times.models import JobRunTimes
+from .step_tasks import StepTasks, WaitingTasks
 
 if TYPE_CHECKING:
     from .worker_state import WorkerState
@@ -228,6 +230,7 @@
     :param open: whether its occurrence is open and all steps on which it depends are
         complete.
     :param blockers: number of incomplete steps on which it depends.
+    :param opened_at: when it opened, in monotonic seconds.
     :param waiting: the queue of its tasks that wait for a worker.
     :param done_bits: the indices of its completed tasks as a bit set.
     :param stateful: the tasks that are not done and may have failed runs, a checkpoint
@@ -250,8 +253,9 @@
     occurrence: int
     number: int
     spec: SubmittedStep
-    tasks: list[Task] = field(default_factory=list)
-    waiting: deque[Task] = field(default_factory=deque)
+    tasks: StepTasks = field(init=False)
+    waiting: WaitingTasks = field(init=False)
+    opened_at: float = 0.0
     done: int = 0
     done_bits: bytearray = field(default_factory=bytearray)
     stateful: dict[int, Task] = field(default_factory=dict)
@@ -270,9 +274,11 @@
     room: Room = field(init=False)
 
     def __post_init__(self) -> None:
-        """Compute the resources of one task."""
+        """Compute the resources of one task, and queue all tasks."""
         self.requested = self.spec.requested_resources
         self.room = reserved_room(self.spec)
+        self.tasks = StepTasks(self)
+        self.waiting = WaitingTasks(self.tasks)
 
     @property
     def complete(self) -> bool:
@@ -285,6 +291,40 @@
         self.done += 1
         add_index(self.done_bits, task.index)
         self.stateful.pop(task.index, None)
+        self.tasks.forget(task.index)
+
+    def record_all_done(self) -> None:
+        """Record that all tasks are done, of which none that was created is left."""
+        count = self.done = len(self.tasks)
+        self.done_bits = bytearray(
+            ((1 << count) - 1).to_bytes((count + 7) // 8, "little")
+        )
+
+    def restore_done(self, indices: Iterable[int]) -> None:
+        """Restore which tasks are done, of a step none of whose tasks has started."""
+        for index in indices:
+            if index >= len(self.tasks):
+                break
+            if not has_index(self.done_bits, index):
+                self.record_done(self.tasks[index])
+        self.waiting.set_new(missing_ranges(self.done_bits, len(self.tasks)))
+
+    def count_phases(self) -> Counter[Phase]:
+        """Return the number of tasks in each phase."""
+        known = self.tasks.known()
+        phases = Counter(task.phase for task in known)
+        phases[Phase.DONE] += self.done
+        phases[Phase.WAITING] += len(self.tasks) - self.done - len(known)
+        return +phases
+
+    def make_task(self, index: int) -> Task:
+        """Return a new task, which waits or is done."""
+        phase = Phase.DONE if self.is_done(index) else Phase.WAITING
+        return Task(self, index, phase, ready_since=self.opened_at)
+
+    def is_done(self, index: int) -> bool:
+        """Return whether the task of an index is done."""
+        return has_index(self.done_bits, index)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -64,6 +64,16 @@
     return min(count, limit - step.on_worker[worker.id]) if limit else count
 
 
+def has_room_for_all(workers: Iterable[WorkerState], step: StepRun) -> bool:
+    """Return whether workers may have room for all tasks of a gang."""
+    missing = len(step.tasks)
+    for worker in workers:
+        missing -= tasks_that_fit(worker, step)
+        if missing <= 0:
+            return True
+    return False
+
+
 def free_room(worker: WorkerState) -> Room:
     """Return a worker's free resources."""
     return Room(worker.free_cpu, worker.free_mem, worker.free_gpu)
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -25,6 +25,7 @@
     GangPlacement,
     RankedWorkers,
     choose_home_rack,
+    has_room_for_all,
     is_usable,
     place_gang,
     tasks_that_fit,
@@ -300,7 +301,7 @@
         while step.waiting:
             if not self._can_start_more(step) or not self._within_quota(step):
                 return True
-            task = step.waiting[0]
+            task = step.waiting.first()
             if ranked_workers is None or task.avoided_workers != avoided:
                 avoided = task.avoided_workers
                 ranked_workers = RankedWorkers(workers, step, avoided)
@@ -362,6 +363,9 @@
         if step.active or len(step.waiting) != len(step.tasks):
             self.wait_tracker.record(step, Reason.GANG_INCOMPLETE)
             return
+        if not has_room_for_all(workers, step):
+            self.wait_tracker.record(step, Reason.GANG_HAS_NO_ROOM)
+            return
         placed = place_gang(preferred, step, step.waiting)
         if placed is None and preferred is not workers:
             placed = place_gang(workers, step, step.waiting)
@@ -389,7 +393,7 @@
     """
     if not step.spec.gang:
         return workers
-    avoided = {name for task in step.waiting for name in task.avoided_workers}
+    avoided = {name for t in step.waiting.known() for name in t.avoided_workers}
     others = [worker for worker in workers if worker.id not in avoided]
     room = sum(tasks_that_fit(worker, step) for worker in others)
     return others if avoided and room >= len(step.tasks) else workers
--- a/mustardward/components/scheduling/reports.py
+++ b/mustardward/components/scheduling/reports.py
@@ -161,7 +161,7 @@
         self.state.end_run(task, now)
         if step.spec.gang:
             # The other members would wait for this one until they time out.
-            for member in step.tasks:
+            for member in step.tasks.known():
                 if member.phase in (Phase.STARTING, Phase.RUNNING):
                     self.state.stop(member, "gang")
 
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -348,7 +348,7 @@
             step.waiting.clear()
             step.open = False
             self.ready.pop(id(step), None)
-            for task in step.tasks:
+            for task in step.tasks.known():
                 if task.phase in ACTIVE:
                     self.stop(task, state.name.lower())
         self.mark_dirty(job)
--- a/mustardward/components/scheduling/unconfirmed_losses.py
+++ b/mustardward/components/scheduling/unconfirmed_losses.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
-
 from .models import StepRun, Task
 
 
@@ -15,7 +13,4 @@
     job = step.job
     if job.losses == job.losses_stored:
         return []
-    unconfirmed = [task for task in step.waiting if task.loss > job.losses_stored]
-    if unconfirmed:
-        step.waiting = deque(t for t in step.waiting if t.loss <= job.losses_stored)
-    return unconfirmed
+    return step.waiting.take(lambda task: task.loss > job.losses_stored)
--- a/mustardward/components/scheduling/wait_inputs.py
+++ b/mustardward/components/scheduling/wait_inputs.py
@@ -114,7 +114,7 @@
     due_times = [
         t.evaluation_due_at
         for s in job.steps.values()
-        for t in s.tasks
+        for t in s.tasks.known()
         if t.evaluation_due_at
     ]
     return {
@@ -133,7 +133,7 @@
         if all(task.step.job is step.job for task in worker.tasks.values())
     ]
     return {
-        "suspects": sum(needs_isolation(task) for task in step.waiting),
+        "suspects": sum(map(needs_isolation, step.waiting.known())),
         "suspicion": step.job.suspicion,
         "trial_workers": _join_names(isolation_workers(step.job)),
         "empty_workers": _join_names(free),
@@ -144,7 +144,9 @@
 def _reserved(wait: WaitContext) -> Inputs:
     reserved = wait.reserved
     for_suspects = [
-        step for step in reserved.values() if any(map(needs_isolation, step.tasks))
+        step
+        for step in reserved.values()
+        if any(map(needs_isolation, step.tasks.known()))
     ]
     return {
         "kept": len(reserved),
@@ -210,7 +212,7 @@
 
 @INPUTS.register(Reason.GANG_INCOMPLETE)
 def _gang_members(wait: WaitContext) -> Inputs:
-    phases = Counter(task.phase.value for task in wait.step.tasks)
+    phases = {phase.value: n for phase, n in wait.step.count_phases().items()}
     return {
         "members": ",".join(f"{phase}:{n}" for phase, n in sorted(phases.items())),
     }
@@ -301,7 +303,7 @@
 
 def phases_of(step: StepRun) -> Inputs:
     """Return how many tasks are queued, waiting but not queued, and in each phase."""
-    phases = Counter(task.phase for task in step.tasks)
+    phases = step.count_phases()
     others = [phase for phase in Phase if phase is not Phase.WAITING]
     return {
         "ready": len(step.waiting),
--- a/mustardward/components/scheduling/wait_logger.py
+++ b/mustardward/components/scheduling/wait_logger.py
@@ -181,7 +181,7 @@
             for step in job.steps.values():
                 if not step.active:
                     continue
-                for task in step.tasks:
+                for task in step.tasks.known():
                     phase = task.phase
                     if (
                         phase is Phase.STARTING
@@ -236,10 +236,11 @@
     """Return for how long a step's oldest waiting task has waited; 0 without one."""
     if not step.open or job.state.final:
         return 0.0
-    tasks: Iterable[Task] = step.waiting
-    if len(step.tasks) - step.done - step.active != len(step.waiting):
-        tasks = [task for task in step.tasks if task.phase is Phase.WAITING]
-    return now - min((task.ready_since for task in tasks), default=now)
+    known = step.tasks.known()
+    times = [task.ready_since for task in known if task.phase is Phase.WAITING]
+    if len(step.tasks) - step.done > len(known):
+        times.append(step.opened_at)
+    return now - min(times, default=now)
 
 
 def _largest_rooms(workers: Iterable[WorkerState]) -> list[Room]:
--- a/tests/components/ownership/test_twice_walks.py
+++ b/tests/components/ownership/test_twice_walks.py
@@ -21,7 +21,7 @@
     "authority-lasts-for-ever": 329,
     "an-unresponsive-worker-is-lost": 0,
     "ends-are-acknowledged-unstored": 0,
-    "an-owner-without-authority-is-over": 93,
+    "an-owner-without-authority-is-over": 110,
 }
 """The seed that is tried first for each mutant."""
 
