Bound the demand that pools are sized by, so that the search ends

Cause: smallest_kept halves an interval of instances until it is shorter than 0.5. From 2^53 instances on its bounds are neighbouring floating-point numbers further apart.

Change: both searches bound what they are given to a million instances, infinity and NaN as well. One step adds at most 1e12 to a projection, and one job at most 1e6 core seconds to its data centre: beside 9e20 the amounts of all others were lost by rounding, in the data centres also once the job was over.

Evidence, before: smallest_kept does not return within 5 s for 2^53, 1e300 and infinity, and raises for NaN; smallest_order raises for infinity; the two tests of rounding fail. After: all pass. Loops of fleet, pool sizing, scheduling and reports whose end depends on a float were read; none other found.

--- a/mustardward/components/pool_sizing/const.py
+++ b/mustardward/components/pool_sizing/const.py
@@ -4,6 +4,13 @@
 
 from typing import Final
 
+MAX_INSTANCES: Final = 1_000_000
+"""Bound of a projected demand. Any number of tasks of any size may be submitted."""
+
+MAX_AMOUNT: Final = 1e12
+"""Bound of what one step adds to a projection. Beside much larger numbers, the amounts
+of other steps would be lost by rounding."""
+
 CELL_SECONDS: Final = 0.1
 """Length of a cell of the projection; the fleet decides once in each."""
 
--- a/mustardward/components/pool_sizing/projection.py
+++ b/mustardward/components/pool_sizing/projection.py
@@ -13,6 +13,7 @@
     CELL_SECONDS,
     CELLS,
     DRAIN_SECONDS,
+    MAX_INSTANCES,
     MAX_KEEP_WAIT_SECONDS,
     MAX_WAIT_SECONDS,
     UTILISATION,
@@ -22,16 +23,17 @@
 
 def smallest_order(demand: Demand, supply: Supply) -> int:
     """Return how many instances have to be ordered now."""
-    present = _capacity_cells(supply, demand.long_running)
+    cells = [_bounded(value) for value in demand.cells]
+    present = _capacity_cells(supply, _bounded(demand.long_running))
     arrival = min(CELLS - 1, math.ceil(supply.order_seconds / CELL_SECONDS))
     window = slice(arrival, arrival + round(DRAIN_SECONDS / CELL_SECONDS))
-    waiting = _waiting_after(demand.cells[:arrival], present)
+    waiting = _waiting_after(cells[:arrival], present)
     beyond_seconds = max(0.0, supply.order_seconds - CELLS * CELL_SECONDS)
     waiting = max(0.0, waiting - beyond_seconds * present[-1])
 
     def suffices(count: int) -> bool:
         capacity = [value + count * UTILISATION for value in present[window]]
-        left = _waiting_after(demand.cells[window], capacity, waiting)
+        left = _waiting_after(cells[window], capacity, waiting)
         return left <= MAX_WAIT_SECONDS * capacity[-1]
 
     if suffices(0):
@@ -50,7 +52,8 @@
 
 def smallest_kept(demand: Demand) -> int:
     """Return the smallest constant supply that suffices until the break-even time."""
-    cells = demand.cells[: round(BREAK_EVEN_SECONDS / CELL_SECONDS)]
+    count = round(BREAK_EVEN_SECONDS / CELL_SECONDS)
+    cells = [_bounded(value) for value in demand.cells[:count]]
     low, high = 0.0, max(cells, default=0.0)
     while high - low > 0.5:
         middle = (low + high) / 2
@@ -58,7 +61,12 @@
             high = middle
         else:
             low = middle
-    return math.ceil((high + demand.long_running) / UTILISATION)
+    return math.ceil((high + _bounded(demand.long_running)) / UTILISATION)
+
+
+def _bounded(instances: float) -> float:
+    """Return a demand that can be calculated with, also of one that is no number."""
+    return instances if 0 <= instances < MAX_INSTANCES else float(MAX_INSTANCES)
 
 
 def _capacity_cells(supply: Supply, long_running: float) -> list[float]:
--- a/mustardward/components/pool_sizing/work_profile.py
+++ b/mustardward/components/pool_sizing/work_profile.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from ...platform.models import Room
-from .const import CELL_SECONDS, CELLS
+from .const import CELL_SECONDS, CELLS, MAX_AMOUNT
 
 
 class Resources(Protocol):
@@ -55,14 +55,17 @@
             return
         after = min(CELLS, max(first + 1, round((start + seconds) / CELL_SECONDS)))
         if room.cpu:
-            self._cpu[first] += room.cpu * count
-            self._cpu[after] -= room.cpu * count
+            amount = min(room.cpu * count, MAX_AMOUNT)
+            self._cpu[first] += amount
+            self._cpu[after] -= amount
         if room.mem_mb:
-            self._mem_mb[first] += room.mem_mb * count
-            self._mem_mb[after] -= room.mem_mb * count
+            amount = min(room.mem_mb * count, MAX_AMOUNT)
+            self._mem_mb[first] += amount
+            self._mem_mb[after] -= amount
         if room.gpu:
-            self._gpu[first] += room.gpu * count
-            self._gpu[after] -= room.gpu * count
+            amount = min(room.gpu * count, MAX_AMOUNT)
+            self._gpu[first] += amount
+            self._gpu[after] -= amount
 
     def in_instances(self, size: Room) -> list[float]:
         """Return how many instances of a size each cell uses, by scarcest resource."""
--- a/mustardward/components/scheduling/zone_chooser.py
+++ b/mustardward/components/scheduling/zone_chooser.py
@@ -12,6 +12,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import Final
 
 from ...helpers.policies import switchable
 from .models import Job, StepRun
@@ -19,6 +20,10 @@
 from .scheduler_state import SchedulerState
 from .worker_state import WorkerState
 
+MAX_JOB_CORE_SECONDS: Final = 1e6
+"""Bound of the work that one job counts with. Beside much larger numbers, the work of
+all other jobs would be lost by rounding, also once the job is over."""
+
 Key = tuple[str, str]
 ByZone = Mapping[str, Sequence[WorkerState]]
 
@@ -66,7 +71,8 @@
         self.remove_work(job)
         if not job.zones:
             return
-        share = self.state.estimates.remaining_work(job) / len(job.zones)
+        work = min(self.state.estimates.remaining_work(job), MAX_JOB_CORE_SECONDS)
+        share = work / len(job.zones)
         keys = [(job.policy.service, zone) for zone in job.zones]
         for key in keys:
             self._assigned_work[key] += share
--- a/tests/components/pool_sizing/test_projection.py
+++ b/tests/components/pool_sizing/test_projection.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from mustardward.components.pool_sizing.const import (
     CELL_SECONDS,
     CELLS,
+    MAX_INSTANCES,
     MAX_WAIT_SECONDS,
 )
 from mustardward.components.pool_sizing.models import Demand, Supply
@@ -89,3 +92,11 @@
     """Guard against an order for each fluctuation of the load."""
     used = 4 * UTILISATION + 4 * UTILISATION * MAX_WAIT_SECONDS / (2 * ORDER_SECONDS)
     assert smallest_order(a_demand(used, 5.0), a_supply(4)) == 0
+
+
+@pytest.mark.parametrize("used", [2.0**53, 1e18, 1e300, math.inf, math.nan])
+def test_any_demand_has_a_smallest_supply(used: float) -> None:
+    """Guard against a search that never ends, which hangs each owner in turn."""
+    demand = Demand([used] * CELLS, used, 2)
+    assert MAX_INSTANCES <= smallest_kept(demand) < 3 * MAX_INSTANCES
+    assert 0 < smallest_order(demand, a_supply(4)) < 20 * MAX_INSTANCES
--- a/tests/components/pool_sizing/test_work_profile.py
+++ b/tests/components/pool_sizing/test_work_profile.py
@@ -39,3 +39,12 @@
     profile = WorkProfile()
     profile.add(Room(cpu=8000), 0.0)
     assert profile.in_instances(SIZE)[0] == pytest.approx(1.0)
+
+
+def test_huge_work_does_not_hide_that_of_others() -> None:
+    """Guard against a projection that loses ordinary work by rounding."""
+    profile = WorkProfile()
+    profile.add(Room(cpu=2**53), seconds=1.0, count=100_000)
+    profile.add(Room(cpu=8000), seconds=3.0, count=3)
+    cells = profile.in_instances(Room(cpu=8000, mem_mb=1000))
+    assert cells[round(2.0 / CELL_SECONDS)] == pytest.approx(3.0, abs=0.01)
--- a/tests/components/scheduling/test_zone_chooser.py
+++ b/tests/components/scheduling/test_zone_chooser.py
@@ -4,6 +4,7 @@
 
 import random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -221,3 +222,16 @@
     bench.plan()
     assert len(store(bench)[JOB].zones) == 2
     assert len(bench.plan_starts()) == 2
+
+
+def test_huge_job_leaves_the_assigned_work_of_others() -> None:
+    """Guard against data centres whose assigned work is lost by rounding."""
+    bench = a_bench()
+    bench.add(a_job(a_step(count=4)), stored=False)
+    work = dict(bench.scheduler._zone_chooser._assigned_work)
+    huge = "00000000000000ff"
+    bench.add(a_job(a_step(count=100_000, cpu=2**53), job=huge), stored=False)
+    bench.scheduler.cancel_job(huge)
+    bench.store()
+    left = bench.scheduler._zone_chooser._assigned_work
+    assert {key: left[key] for key in work} == pytest.approx(work)
