Refuse gangs that can't start together, and leave older ones waiting

One plan of it takes an owner more than 3 s of its 4 s of authority; the next owner reads the job from the log and does the same. Its members can't start within gang-timeout-ms in any case.

Change: the door refuses a gang of more than 4,096 members with 400 and the step's number (docs/OPERATIONS.md); one that the log has is never placed.

--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from ...helpers.policies import switchable
+from ...platform.callers import MAX_GANG_MEMBERS
 from ...platform.models import Room
 from .models import FailureDomain, StepRun, Task
 from .worker_state import WorkerState
@@ -67,6 +68,9 @@
 def has_room_for_all(workers: Iterable[WorkerState], step: StepRun) -> bool:
     """Return whether workers may have room for all tasks of a gang."""
     missing = len(step.tasks)
+    if missing > MAX_GANG_MEMBERS:
+        # The door refuses these, but the log may hold older ones.
+        return False
     for worker in workers:
         missing -= tasks_that_fit(worker, step)
         if missing <= 0:
--- a/mustardward/platform/callers.py
+++ b/mustardward/platform/callers.py
@@ -19,7 +19,7 @@
 """Longer values are rejected without comparing them to any key."""
 MAX_SPEC_BYTES: Final = 4000
 MAX_TASKS: Final = 100_000
-"""Maximum tasks of a step; each takes about 400 bytes of the owner's memory."""
+"""Maximum tasks of a step."""
 
 STATE_QUEUED: Final = "queued"
 STATE_RUNNING: Final = "running"
@@ -27,6 +27,10 @@
 STATE_FAILED: Final = "failed"
 STATE_CANCELLED: Final = "cancelled"
 
+MAX_GANG_MEMBERS: Final = 4096
+"""Most tasks of a gang: they have to start within seconds of each other, and an owner
+plans and sends a thousand starts in a second."""
+
 JOB_ID_LENGTH: Final = 16
 _JOB_ID: Final = re.compile(rf"[0-9a-fA-F]{{{JOB_ID_LENGTH}}}")
 _KEY_SCHEME: Final = "token"
@@ -61,6 +65,7 @@
         raise MalformedJobError("steps is empty")
     check_times(job.times, job.start_at_ms, job.interval_ms)
     check_steps(job.steps)
+    _check_gangs(job.steps)
     return job
 
 
@@ -93,6 +98,18 @@
             )
 
 
+def _check_gangs(steps: list[SubmittedStep]) -> None:
+    """Check that the members of each gang can be started together.
+
+    :raises MalformedJobError: if there are too many; names the step.
+    """
+    for number, step in enumerate(steps):
+        if step.gang and step.count > MAX_GANG_MEMBERS:
+            raise MalformedJobError(
+                f"steps[{number}].count of a gang is not 1 to {MAX_GANG_MEMBERS}"
+            )
+
+
 def _is_amount(*values: float) -> bool:
     return all(0 <= value <= MAX_AMOUNT for value in values)
 
--- a/tests/components/scheduling/test_step_tasks.py
+++ b/tests/components/scheduling/test_step_tasks.py
@@ -78,6 +78,16 @@
     assert not step.tasks.known()
 
 
+def test_gang_of_too_many_members_waits_though_it_needs_no_room() -> None:
+    """Guard against a start of so many members that the owner loses its authority."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.add(a_job(a_step(count=COUNT, cpu=0, mem_mb=0, gang=True)))
+    assert not bench.plan_starts()
+    (step,) = bench.scheduler.state.jobs[JOB].steps.values()
+    assert not step.tasks.known()
+
+
 def test_done_tasks_are_not_kept_and_stay_done() -> None:
     step = a_step_run(3)
     task = step.tasks[1]
