Find the held tasks of a step by their job

With many unanswered starts, as in a cut of a large fleet, each step of a plan compared all of them. The names are held by job now, in the order in which they were added.

--- a/mustardward/components/scheduling/held_starts.py
+++ b/mustardward/components/scheduling/held_starts.py
@@ -43,6 +43,7 @@
     """
 
     _starts: dict[TaskName, dict[str, HeldStart]] = field(default_factory=dict)
+    _names_by_job: dict[str, dict[TaskName, None]] = field(default_factory=dict)
 
     def __len__(self) -> int:
         """Return the number of tasks with unanswered starts."""
@@ -55,6 +56,7 @@
         everything but starts.
         """
         starts = self._starts.setdefault(name, {})
+        self._names_by_job.setdefault(name.job, {})[name] = None
         known = starts.get(start.worker)
         if known is None:
             starts[start.worker] = start
@@ -128,11 +130,10 @@
     def expire(self, now: float, is_needed: Callable[[TaskName], bool]) -> None:
         """Drop the starts whose runs are over, and those that are not needed."""
         for name, starts in list(self._starts.items()):
-            if not is_needed(name):
-                del self._starts[name]
-                continue
-            for worker_id in [w for w, s in starts.items() if now >= s.until]:
-                self._remove(name, worker_id)
+            is_over = not is_needed(name)
+            for worker_id, start in list(starts.items()):
+                if is_over or now >= start.until:
+                    self._remove(name, worker_id)
 
     def take_held_tasks(self, step: StepRun, now: float) -> list[Task]:
         """Remove the tasks that may not start on any worker from a step's queue.
@@ -140,15 +141,12 @@
         :param now: until when no other owner can have renewed leases.
         :return: the tasks, which the caller returns to the queue.
         """
-        if not self._starts:
+        names = self._names_by_job.get(step.job.record.id)
+        if names is None:
             return []
-        job_id = step.job.record.id
-        for name in self._starts:
-            if (name.job, name.occurrence, name.step) == (
-                job_id,
-                step.occurrence,
-                step.number,
-            ) and name.index < len(step.tasks):
+        for name in names:
+            is_of_step = (name.occurrence, name.step) == (step.occurrence, step.number)
+            if is_of_step and name.index < len(step.tasks):
                 # Tasks that the previous owner started have no state of their own.
                 step.tasks[name.index]
         return step.waiting.take(lambda task: self._is_held(task.name, now))
@@ -173,5 +171,10 @@
     def _remove(self, name: TaskName, worker_id: str) -> None:
         starts = self._starts[name]
         del starts[worker_id]
-        if not starts:
-            del self._starts[name]
+        if starts:
+            return
+        del self._starts[name]
+        names = self._names_by_job[name.job]
+        del names[name]
+        if not names:
+            del self._names_by_job[name.job]
