Judge the room for a gang by one function

Change: it calls has_room_for_all, after it has looked for such members.

Checked by formatter, linter, types, and test_gangs, test_step_tasks, test_planning, test_recovery_walks and test_wait_tracker; found by reading the diff, not timed.

--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -28,7 +28,6 @@
     has_room_for_all,
     is_usable,
     place_gang,
-    tasks_that_fit,
 )
 from .quota_wait_logger import QuotaWaitLogger
 from .scheduler_state import SchedulerState
@@ -395,8 +394,7 @@
         return workers
     avoided = {name for t in step.waiting.known() for name in t.avoided_workers}
     others = [worker for worker in workers if worker.id not in avoided]
-    room = sum(tasks_that_fit(worker, step) for worker in others)
-    return others if avoided and room >= len(step.tasks) else workers
+    return others if avoided and has_room_for_all(others, step) else workers
 
 
 def _has_constraints(step: StepRun) -> bool:
