Reproduce tasks that wait for workers of unanswered starts, known red

A long-running task that could run waits, with room for it, for up to 40.6 s:

- the release of an owner names each start of the last 40 s that got no response, with the time after which its run is over, and not that the owner had let the task go already; the next owner waits again;
- it waits for workers that were gone before it first read their entries: the list of instances is compared with sessions only, and there is none with such a worker;
- a task that runs elsewhere while the worker of its start reports stays held, and an idle worker reports once;
- each loss of such a worker holds the tasks again that were let go.

--- a/tests/components/ownership/test_release_holds.py
+++ b/tests/components/ownership/test_release_holds.py
@@ -7,11 +7,18 @@
     hold_previous_runs,
     list_unanswered_starts,
 )
-from mustardward.components.scheduling.const import RESTART_SECONDS
+from mustardward.components.scheduling.const import RESTART_SECONDS, SAME_WORKER_SECONDS
 from mustardward.components.scheduling.losses import LossCause
 from mustardward.platform.workers import TaskName, encode_task
 
-from ..scheduling.builders import HOLD_SECONDS, JOB, SchedulerBench, a_job, a_step
+from ..scheduling.builders import (
+    HOLD_SECONDS,
+    JOB,
+    SchedulerBench,
+    a_job,
+    a_row,
+    a_step,
+)
 from ..scheduling.test_held_starts import a_held_task
 
 TENURE_SECONDS = 20.0
@@ -62,3 +69,32 @@
         assert not bench.plan_starts()
         bench.now += RESTART_SECONDS / 2
     assert len(bench.plan_starts()) == 1
+
+
+def test_hold_that_its_owner_has_ended_does_not_begin_again_with_the_next_one() -> None:
+    """Guard against a task that waits for the worker of a start that was let go."""
+    bench, start = a_held_task()
+    bench.scheduler.remove_worker(start.worker, LossCause.UNLISTED, bench.now)
+    bench.now += RESTART_SECONDS + 0.1
+    released = list_unanswered_starts(bench.scheduler.state, bench.now)
+    successor = SchedulerBench(epoch=2, now=bench.now)
+    successor.worker("w3")
+    successor.add(a_job(a_step(count=1)))
+    a_successor(successor, released or [])
+    assert len(successor.plan_starts()) == 1
+
+
+def test_hold_of_a_task_that_runs_elsewhere_ends_with_its_workers_report() -> None:
+    """Guard against a task that waits for an idle worker, which is not polled again."""
+    bench = SchedulerBench(epoch=2)
+    bench.add(a_job(a_step(count=1, long_running=True)))
+    a_successor(bench, [START])
+    bench.worker("running")
+    bench.hold("running", running=[a_row(bench.task(0), 100.0)])
+    bench.worker(START.worker)
+    bench.now += SAME_WORKER_SECONDS + 0.1
+    bench.scheduler.set_cordoned(START.worker, True, bench.now)
+    bench.worker("free")
+    bench.scheduler.remove_worker("running", LossCause.REPLACED, bench.now)
+    bench.store()
+    assert [again.worker for again in bench.plan_starts()] == ["free"]
--- a/tests/components/scheduling/test_held_starts.py
+++ b/tests/components/scheduling/test_held_starts.py
@@ -87,6 +87,20 @@
     assert len(bench.plan_starts()) == 1
 
 
+def test_loss_of_a_worker_does_not_hold_a_task_that_was_let_go() -> None:
+    """Guard against a task that waits for a worker again whenever that one is lost."""
+    bench, start = a_held_task()
+    bench.scheduler.remove_worker(start.worker, LossCause.UNLISTED, bench.now)
+    bench.now += RESTART_SECONDS + 0.1
+    (again,) = bench.plan_starts()
+    bench.worker(start.worker)
+    remove(bench, start.worker, bench.now + HOLD_SECONDS)
+    bench.worker("w3")
+    bench.scheduler.remove_worker(again.worker, LossCause.REPLACED, bench.now)
+    bench.store()
+    assert [other.worker for other in bench.plan_starts()] == ["w3"]
+
+
 def test_hold_ends_only_while_no_other_owner_is_known() -> None:
     """Guard against a hold that ends by the clock while another owner renews leases."""
     bench, _ = a_held_task()
