--- a/tests/components/fleet/live_workers.py
+++ b/tests/components/fleet/live_workers.py
@@ -14,6 +14,7 @@
 from mustardward.components.fleet.instance_list import InstanceListReader
 from mustardward.components.fleet.services import Fleet
 from mustardward.components.fleet.wave_planner import WavePlanner
+from mustardward.components.ledger.ledger import LedgerJob
 from mustardward.components.scheduling.models import QueuePolicy
 from mustardward.components.scheduling.scheduler import Scheduler
 from mustardward.helpers.timer import DrivenTimerService
@@ -160,9 +161,9 @@
         self.dispatcher.update_worker(name, an_entry(zone="z"))
         self._connect()
 
-    def submit(self) -> None:
-        """Submit a job of one long-running task that may start at once."""
-        job = a_job(a_step(count=1, long_running=True))
+    def submit(self, job: LedgerJob | None = None) -> None:
+        """Submit a job that may start at once, by default of one long-running task."""
+        job = job or a_job(a_step(count=1, long_running=True))
         self.scheduler.add_job(job, self.timers.monotonic(), 0.0)
         self.scheduler.mark_stored([JOB])
 
@@ -171,6 +172,10 @@
         task = f"{JOB}.0.0.0"
         return [name for name, w in self.workers.items() if task in w.running()]
 
+    def count_running(self) -> int:
+        """Return how many tasks run now."""
+        return sum(len(worker.running()) for worker in self.workers.values())
+
     async def async_advance_time(self, seconds: float) -> int:
         """Advance the time; return the most runs of the task at one moment."""
         most = 0
