End the wait for workers of unanswered starts when they are known to be gone

What callers see: a long-running task doesn't run for up to 40.6 s, with room for it (LOST). Cause: the hold of decision 0107 is bounded by its worker's report, end or replacement, and these reached it only on some paths. A release named each start of the last 40 s without the time from which its task may start elsewhere, so that the next owner waited anew; a worker that was gone before that owner read the entries had no session, and only sessions are compared with the list; the one report of an idle worker didn't count for a task that ran elsewhere at that moment; and each loss of a worker held the tasks again that had been let go.

Now the release says for how long a task is still held, the list is compared with the workers of held starts too, a report ends the hold of all tasks that do not run on its worker, and a task that was let go stays so.

Tests of ownership, ledger, dispatch and fleet pass.

--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -36,6 +36,7 @@
 from .models import Drain, FleetView, Load, Maintain, Move, WaveRun
 from .order_executor import OrderExecutor, OrderOutcome
 from .pool_planner import PoolPlanner
+from .unlisted_holds import UnlistedHolds
 from .unusable import UnusableTracker
 from .wave_planner import WavePlanner, resume_wave
 from .wave_reporter import WaveReporter
@@ -82,6 +83,7 @@
     _worker_hosts: WorkerHosts = field(default_factory=WorkerHosts)
     _listed: ListedWorkers = field(default_factory=ListedWorkers)
     _unusable: UnusableTracker = field(default_factory=UnusableTracker)
+    _unlisted_holds: UnlistedHolds = field(default_factory=UnlistedHolds)
     _read_at: float = -1.0
     _complete: bool = True
 
@@ -104,6 +106,7 @@
             or bool(self.pool_planner.orders)
             or self._listed.needs_another
             or self.dispatcher.has_unresponsive_workers()
+            or bool(self._awaited_without_session())
         )
         interval = ACTIVE_LIST_INTERVAL_SECONDS if active else LIST_INTERVAL_SECONDS
         if now - self._read_at >= self.list_reader.interval(interval):
@@ -151,6 +154,8 @@
         self._instances = {row.machine: row for row in listing.instances}
         self._complete = listing.complete
         self._listed.update(listing)
+        self._release_replaced_workers()
+        self._end_unlisted_holds()
         self._remove_unlisted_workers()
 
     def listed_workers(self) -> dict[str, str] | None:
@@ -192,7 +197,36 @@
             )
             self.dispatcher.remove_worker(worker_id, cause)
         alive = {name for name, session in sessions.items() if not session.closed}
-        self._worker_hosts.update(self._instances, alive)
+        self._worker_hosts.update(self._instances, alive | held_starts.workers())
+
+    def _awaited_without_session(self) -> set[str]:
+        """Return the workers of unanswered starts that this owner has never met."""
+        awaited = self.scheduler.state.held_starts.awaited_workers()
+        return awaited - self.dispatcher.sessions.keys()
+
+    def _end_unlisted_holds(self) -> None:
+        """End the holds of workers that were gone before their entries were read.
+
+        Without a session, nothing else would show that they have ended.
+        """
+        gone = self._unlisted_holds.update(
+            self._awaited_without_session(), self._listed.zones(), self._read_at
+        )
+        now = self.timers.monotonic()
+        for worker_id in gone:
+            _LOGGER.info("held_worker_gone", worker=worker_id, cause="unlisted")
+            self.scheduler.state.held_starts.limit(worker_id, now)
+
+    def _release_replaced_workers(self) -> None:
+        """Release the starts of workers whose machines have other workers.
+
+        Such a worker can't restart under its id, and the other one rejects its calls.
+        """
+        held_starts = self.scheduler.state.held_starts
+        for worker_id in held_starts.workers():
+            if self._worker_hosts.is_replaced(worker_id, self._instances):
+                _LOGGER.info("held_worker_gone", worker=worker_id, cause="replaced")
+                held_starts.release(worker_id)
 
     def _blocked_machines(self) -> set[str]:
         """Return the machines that the previous owner may just have ordered."""
--- a/mustardward/components/fleet/worker_hosts.py
+++ b/mustardward/components/fleet/worker_hosts.py
@@ -40,6 +40,11 @@
         """Return whether a list has named a worker."""
         return worker_id in self._machines
 
+    def is_replaced(self, worker_id: str, instances: Mapping[str, Instance]) -> bool:
+        """Return whether the machine of a worker has another worker."""
+        instance = instances.get(self.machine_of(worker_id))
+        return instance is not None and bool(instance.id) and instance.id != worker_id
+
     def loss_cause(
         self,
         worker_id: str,
--- a/mustardward/components/ledger/models.py
+++ b/mustardward/components/ledger/models.py
@@ -164,12 +164,15 @@
     :param task: the task's name in the workers' format.
     :param worker: id of the worker that it was sent to.
     :param seconds: for how long a run that it began may last.
+    :param held_seconds: for how long the task may start on this worker only; None until
+        the worker has reported or has ended.
     """
 
     task: str
     run: Number
     worker: str
     seconds: float
+    held_seconds: float | None = None
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -203,7 +204,10 @@
         except ValueError:
             _LOGGER.warning("released_start_unreadable", task=start.task)
             continue
-        held = HeldStart(start.worker, start.run, now + start.seconds)
+        held_seconds = math.inf if start.held_seconds is None else start.held_seconds
+        held = HeldStart(
+            start.worker, start.run, now + start.seconds, now + held_seconds
+        )
         state.held_starts.add(name, held)
 
 
@@ -221,7 +225,13 @@
         and state.held_starts.get(task.name, worker.id) is None
     ]
     starts += [
-        UnansweredStart(encode_task(name), start.run, start.worker, start.until - now)
+        UnansweredStart(
+            encode_task(name),
+            start.run,
+            start.worker,
+            start.until - now,
+            None if start.elsewhere_at == math.inf else start.elsewhere_at - now,
+        )
         for name, start in state.held_starts.items()
     ]
     return starts if len(starts) <= MAX_RELEASED_STARTS else None
--- a/mustardward/components/scheduling/held_starts.py
+++ b/mustardward/components/scheduling/held_starts.py
@@ -87,6 +87,16 @@
         starts = self._starts_of(worker_id)
         return any(start.elsewhere_at == math.inf for _, start in starts)
 
+    def workers(self) -> set[str]:
+        """Return the workers that left starts unanswered."""
+        return {start.worker for _, start in self.items()}
+
+    def awaited_workers(self) -> set[str]:
+        """Return the workers for which tasks wait until they report or have ended."""
+        return {
+            start.worker for _, start in self.items() if start.elsewhere_at == math.inf
+        }
+
     def record_executed(self, name: TaskName, worker_id: str, run: int) -> None:
         """Drop a start whose only call is known to have been executed."""
         start = self.get(name, worker_id)
@@ -98,16 +108,18 @@
         for name in [name for name, s in self._starts.items() if worker_id in s]:
             self._remove(name, worker_id)
 
-    def extend(self, worker_id: str, until: float | None = None) -> None:
+    def extend(self, worker_id: str, now: float, until: float | None = None) -> None:
         """Let tasks wait for a worker whose present incarnation is not known.
 
+        Tasks that may start elsewhere already are not held again.
+
         :param until: when its last lease ends at the latest, if that is later.
         """
         for name, start in self._starts_of(worker_id):
             self._starts[name][worker_id] = replace(
                 start,
                 until=start.until if until is None else max(start.until, until),
-                elsewhere_at=math.inf,
+                elsewhere_at=math.inf if now < start.elsewhere_at else now,
             )
 
     def limit(
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -161,7 +161,9 @@
         """Record that a worker has reported all its runs."""
         if self.held_starts:
             self.held_starts.limit(
-                worker.id, now + SAME_WORKER_SECONDS, self._is_inactive
+                worker.id,
+                now + SAME_WORKER_SECONDS,
+                lambda name: name not in worker.tasks,
             )
         worker.confirmed = True
         worker.listing_ends = False
@@ -449,7 +451,7 @@
         self._lost_starts.add(worker.id, starts, now)
         for task in list(worker.tasks.values()):
             self.end_run(task, now)
-        self.held_starts.extend(worker.id, held_until)
+        self.held_starts.extend(worker.id, now, held_until)
         self.clear_orphan_runs(worker)
         self.workers.pop(worker.id, None)
         self.listing_workers.discard(worker.id)
@@ -463,10 +465,6 @@
         """Record that a worker has ended; it may restart under its id."""
         self.held_starts.limit(worker_id, now + RESTART_SECONDS)
 
-    def _is_inactive(self, name: TaskName) -> bool:
-        task = self.find_task(name)
-        return task is None or task.phase not in ACTIVE
-
     def expire_held_starts(self, now: float) -> None:
         """Drop the holds that have ended, or whose task starts no more."""
         if self.held_starts:
@@ -513,7 +511,7 @@
             self._reserve(task, new, run)
             new.unanswered_starts.append((task.name, run))
             self.reject_start(task)
-        self.held_starts.extend(old.id)
+        self.held_starts.extend(old.id, now)
         self.clear_orphan_runs(old)
         self.workers[new.id] = new
         self.listing_workers.discard(old.id)
