Drain a worker for maintenance only if its long-running tasks can leave it

What callers see: one task of a long-running step doesn't run for up to 20 s, beside a sound worker with room for it (LOST). Cause: a wave cordoned a worker of a pool of two and stopped one of its two tasks, as one may be missing. The other worker was at the step's limit per worker, and no pool had an instance to lend. The second task could not be stopped while the first one was missing, and the first one could not start again on the cordoned worker: neither the wave nor the task went on until a third instance came.

A worker is not cordoned now while it runs more tasks of a long-running step than may be stopped together and the other workers have no place for them, or while a task has waited for 1 s that only it has room for. The wave keeps the instance chosen, so that its pool still asks for another one, but it takes none of the wave's places, and it is not ordered. A worker whose tasks can all be stopped together is drained as before.

--- a/mustardward/components/fleet/cordons.py
+++ b/mustardward/components/fleet/cordons.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from ..scheduling.incarnations import is_other_incarnation
 from ..scheduling.worker_state import WorkerState
@@ -17,9 +17,14 @@
 
 
 def find_cordoned(
-    runs: Iterable[WaveRun], moves: Iterable[MoveOrder]
+    runs: Iterable[WaveRun],
+    moves: Iterable[MoveOrder],
+    needed_hosts: Container[str] = (),
 ) -> CordonedWorkers:
-    """Return the workers that are being drained or have an unfinished order."""
+    """Return the workers that are being drained or have an unfinished order.
+
+    :param needed_hosts: workers that can't be drained yet.
+    """
     cordoned: CordonedWorkers = {}
     for move in moves:
         cordoned[move.worker_id] = move.started_at_ms
@@ -28,7 +33,8 @@
             cordoned[order.worker_id or ""] = order.started_at_ms
             cordoned[order.replacement_id] = order.replacement_started_at_ms
         for worker_id in run.draining.values():
-            cordoned[worker_id] = 0
+            if worker_id not in needed_hosts:
+                cordoned[worker_id] = 0
     return cordoned
 
 
--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -140,6 +140,8 @@
         to take tasks for a while.
     :param maintenance_due: machines that a wave has yet to maintain.
     :param capacities: capacities that workers report, which may be less than listed.
+    :param needed_hosts: workers that can't be drained yet, since they run long-running
+        tasks that have no room elsewhere, or these wait for them.
     """
 
     instances: dict[str, Instance]
@@ -153,6 +155,7 @@
     maintenance_due: frozenset[str] = frozenset()
     capacities: Mapping[str, Room] = field(default_factory=dict)
     complete: bool = True
+    needed_hosts: frozenset[str] = frozenset()
 
     def capacity_of(self, instance: Instance) -> Room:
         """Return the capacity that an instance's worker reports, or the listed one."""
--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -23,6 +23,7 @@
 from ..scheduling.demand import measure
 from ..scheduling.incarnations import is_other_incarnation
 from ..scheduling.losses import LossCause
+from ..scheduling.needed_hosts import find_needed_hosts
 from ..scheduling.scheduler import Scheduler
 from ..scheduling.worker_state import WorkerState
 from .const import (
@@ -84,6 +85,7 @@
     _listed: ListedWorkers = field(default_factory=ListedWorkers)
     _unusable: UnusableTracker = field(default_factory=UnusableTracker)
     _unlisted_holds: UnlistedHolds = field(default_factory=UnlistedHolds)
+    _needed_hosts: frozenset[str] = frozenset()
     _read_at: float = -1.0
     _complete: bool = True
 
@@ -292,14 +294,26 @@
     def _update_cordons(self) -> None:
         """Cordon exactly the workers that are about to be moved or maintained."""
         now = self.timers.monotonic()
+        self._update_needed_hosts(now)
         cordoned = find_cordoned(
-            self.wave_planner.runs.values(), self.pool_planner.orders.values()
+            self.wave_planner.runs.values(),
+            self.pool_planner.orders.values(),
+            self._needed_hosts,
         )
         for worker in self.scheduler.state.workers.values():
             should_cordon = is_cordoned(worker, cordoned)
             if worker.cordoned != should_cordon:
                 self.scheduler.set_cordoned(worker.id, should_cordon, now)
 
+    def _update_needed_hosts(self, now: float) -> None:
+        """Find the workers to be drained that long-running tasks can't leave yet."""
+        needed = find_needed_hosts(
+            self.scheduler.state, self.wave_planner.draining_workers(), now
+        )
+        for worker_id in needed - self._needed_hosts:
+            _LOGGER.info("drain_postponed", worker=worker_id)
+        self._needed_hosts = needed
+
     def _add_new_waves(self) -> None:
         for number, wave in self.configuration.waves.items():
             if number in self.wave_planner.runs:
@@ -333,6 +347,7 @@
             capacities={
                 w.id: w.capacity for w in self.scheduler.state.workers.values()
             },
+            needed_hosts=self._needed_hosts,
         )
 
     def _store_wave(self, run: WaveRun) -> None:
--- a/mustardward/components/fleet/wave_planner.py
+++ b/mustardward/components/fleet/wave_planner.py
@@ -77,6 +77,15 @@
             held.update(run.orders)
         return held
 
+    def draining_workers(self) -> set[str]:
+        """Return the workers of the machines that are being drained."""
+        return {
+            worker_id
+            for run in self.runs.values()
+            for worker_id in run.draining.values()
+            if worker_id
+        }
+
     def maintenance_due(self) -> set[str]:
         """Return the machines whose maintenance has not started."""
         return {
@@ -139,7 +148,7 @@
                 continue
             # Cordons the current worker, which may have replaced an earlier one.
             run.draining[machine] = instance.id or ""
-            if not _is_idle(instance, view):
+            if instance.id in view.needed_hosts or not _is_idle(instance, view):
                 continue
             if self._count_down(run, view) >= run.wave.max_count:
                 continue
@@ -185,7 +194,7 @@
             if i.machine not in run.draining
         ]
         target = self._target_concurrency(run, len(remaining), now)
-        held = len(run.draining) + self._count_down(run, view)
+        held = self._count_drained(run, view) + self._count_down(run, view)
         per_pool = self._count_held_per_pool(run, view)
         sizes = Counter(instance.pool for instance in view.instances.values())
         rank = choose_rank(now - run.first_seen_at)
@@ -208,6 +217,14 @@
             run.draining[instance.machine] = instance.id or ""
             yield Drain(instance.machine, instance.id or "")
 
+    def _count_drained(self, run: WaveRun, view: FleetView) -> int:
+        """Return how many instances are being drained that tasks can leave.
+
+        The others would keep a wave's places for as long as no other instance comes.
+        """
+        workers = run.draining.values()
+        return sum(worker_id not in view.needed_hosts for worker_id in workers)
+
     def _target_concurrency(self, run: WaveRun, remaining: int, now: float) -> int:
         """Return how many instances to process at once to finish the wave in time."""
         seconds_left = run.first_seen_at + run.wave.duration_s - now
--- /dev/null
+++ b/mustardward/components/scheduling/needed_hosts.py
@@ -0,0 +1,110 @@
+"""Find the workers that long-running tasks could not leave for another one; pure."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Set
+from typing import Final
+
+from .models import Phase, StepRun
+from .placement import fits, is_operational, meets_constraints, tasks_that_fit
+from .scheduler_state import SchedulerState
+from .worker_state import WorkerState
+
+WAIT_SECONDS: Final = 1.0
+"""Time for which a long-running task waits for room on other workers before one that is
+being drained is needed for it."""
+
+
+def find_needed_hosts(
+    state: SchedulerState, draining: Set[str], now: float
+) -> frozenset[str]:
+    """Return the workers to be drained on which long-running tasks have to stay.
+
+    If such a worker were drained, a task would be stopped that may start on no other
+    worker, because of its step's limit per worker or for want of room.
+
+    :param draining: ids of the workers that are to be drained.
+    """
+    hosts = [w for w in state.workers.values() if w.id in draining]
+    if not hosts:
+        return frozenset()
+    others = _other_workers(state, draining, {host.service for host in hosts}, now)
+    needed = {
+        host.id
+        for host in hosts
+        if any(
+            not _has_places(step, others[host.service], count)
+            for step, count in _tasks_to_move(host)
+        )
+    }
+    for step in _overdue_steps(state, now):
+        service = step.job.policy.service
+        if service in others and not _has_places(step, others[service], 1):
+            needed.update(
+                host.id
+                for host in hosts
+                if host.service == service
+                and fits(host, step.room)
+                and meets_constraints(host, step)
+            )
+    return frozenset(needed)
+
+
+def _other_workers(
+    state: SchedulerState, draining: Set[str], services: Set[str], now: float
+) -> dict[str, list[WorkerState]]:
+    """Return the workers of some pools that stay and may get tasks."""
+    found: dict[str, list[WorkerState]] = defaultdict(list)
+    found.update({service: [] for service in services})
+    for worker in state.workers.values():
+        if (
+            worker.service in services
+            and worker.id not in draining
+            and is_operational(worker)
+            and not worker.cordoned
+            and worker.quarantined_until <= now
+        ):
+            found[worker.service].append(worker)
+    return found
+
+
+def _tasks_to_move(host: WorkerState) -> Iterator[tuple[StepRun, int]]:
+    """Yield the steps whose tasks have to move one after the other, and their places.
+
+    As many tasks of a step as may be missing are stopped together. If these are all of
+    its tasks on the worker, it is drained at once, and they may return to it. Otherwise
+    the others can't be stopped before the first ones run again.
+    """
+    steps = {
+        task.step
+        for task in host.tasks.values()
+        if task.step.spec.long_running and task.phase is not Phase.STOPPING
+    }
+    for step in steps:
+        missing = len(step.waiting) + sum(
+            task.phase is Phase.STOPPING for task in step.tasks.known()
+        )
+        may_stop = max(1, step.spec.may_miss) - missing
+        if step.on_worker[host.id] > may_stop:
+            yield step, missing + max(0, may_stop)
+
+
+def _overdue_steps(state: SchedulerState, now: float) -> Iterator[StepRun]:
+    for step in state.ready.values():
+        if (
+            step.spec.long_running
+            and step.waiting
+            and now - step.waiting.first().ready_since >= WAIT_SECONDS
+        ):
+            yield step
+
+
+def _has_places(step: StepRun, workers: Iterable[WorkerState], count: int) -> bool:
+    """Return whether workers have room for a number of tasks now."""
+    for worker in workers:
+        if worker.id not in step.denied_at:
+            count -= tasks_that_fit(worker, step)
+        if count <= 0:
+            return True
+    return False
--- /dev/null
+++ b/tests/components/scheduling/test_needed_hosts.py
@@ -0,0 +1,92 @@
+"""Test which workers can't be drained, as long-running tasks have no other place."""
+
+from __future__ import annotations
+
+import pytest
+
+from mustardward.components.scheduling.losses import LossCause
+from mustardward.components.scheduling.needed_hosts import (
+    WAIT_SECONDS,
+    find_needed_hosts,
+)
+from mustardward.platform.models import Room
+
+from .builders import SchedulerBench, a_job, a_step
+
+
+def a_pool(workers: int, **changes: object) -> SchedulerBench:
+    """Return a pool on which all tasks of a long-running step run."""
+    bench = SchedulerBench()
+    for number in range(workers):
+        bench.worker(f"w{number}")
+    step = {"count": 4, "long_running": True, "max_per_server": 2, "may_miss": 1}
+    bench.add(a_job(a_step(**{**step, **changes})))
+    bench.plan_starts()
+    assert not bench.task(0).step.waiting
+    return bench
+
+
+def needed(bench: SchedulerBench, *draining: str) -> set[str]:
+    """Return which of the workers to be drained are needed."""
+    return set(find_needed_hosts(bench.scheduler.state, set(draining), bench.now))
+
+
+def test_worker_is_needed_while_the_others_are_at_the_limit_of_the_step() -> None:
+    """Guard against a drain that stops one task and then waits for it."""
+    bench = a_pool(2)
+    assert needed(bench, "w1") == {"w1"}
+    bench.worker("w2")
+    assert needed(bench, "w1") == set()
+
+
+def test_worker_is_needed_while_the_others_have_no_room() -> None:
+    """Guard against the same in a pool without free memory."""
+    bench = a_pool(2, max_per_server=0, mem_mb=4000)
+    assert needed(bench, "w1") == {"w1"}
+    bench.worker("w2", capacity=Room(cpu=8000, mem_mb=3000))
+    assert needed(bench, "w1") == {"w1"}
+
+
+@pytest.mark.parametrize("unusable", ["draining", "cordoned", "silent", "unlisted"])
+def test_worker_that_gets_no_tasks_is_no_place(unusable: str) -> None:
+    bench = a_pool(2)
+    other = bench.worker("w2")
+    other.draining = unusable == "draining"
+    other.cordoned = unusable == "cordoned"
+    other.stale = unusable == "silent"
+    other.absent = unusable == "unlisted"
+    assert needed(bench, "w1") == {"w1"}
+
+
+def test_worker_whose_tasks_may_all_be_missing_can_be_drained() -> None:
+    """Guard against waves that wait for instances which they do not need."""
+    assert needed(a_pool(2, may_miss=2), "w1") == set()
+    assert needed(a_pool(2, count=2, max_per_server=1), "w1") == set()
+
+
+def test_drain_goes_on_while_its_first_task_moves() -> None:
+    bench = a_pool(2)
+    bench.worker("w2")
+    bench.scheduler.set_cordoned("w1", True, bench.now)
+    bench.scheduler.state.stop(bench.task(1), "evacuation")
+    assert needed(bench, "w1") == set()
+
+
+def test_worker_is_needed_once_a_task_waits_that_fits_nowhere_else() -> None:
+    """Guard against a task that waits beside a worker that is being drained."""
+    bench = a_pool(2, count=3, max_per_server=0, cpu=2500)
+    bench.scheduler.set_cordoned("w1", True, bench.now)
+    crashed = "w0"
+    waits = bench.scheduler.state.workers[crashed].tasks
+    assert waits
+    bench.scheduler.remove_worker(crashed, LossCause.REPLACED, bench.now)
+    bench.store()
+    bench.plan_starts()
+    assert needed(bench, "w1") <= {"w1"}
+    bench.now += WAIT_SECONDS
+    assert needed(bench, "w1") == {"w1"}
+
+
+def test_short_tasks_do_not_keep_a_worker_from_being_drained() -> None:
+    bench = a_pool(2, long_running=False)
+    assert needed(bench, "w0", "w1") == set()
