Keep the last worker of a pool while work waits for it

What callers see: a job with most of its pool's room free doesn't start (LOST). Cause, by reading and a driven test: a pool keeps two instances; a wave may drain one while the other is lost or not usable, and until another instance comes, the sound worker that is being drained gets no tasks, however long that takes. A worker to be drained is needed now if its pool has no other and a task has waited for 1 s.

test_last_worker_of_a_pool_is_needed_while_work_waits fails before and passes now.

--- a/mustardward/components/scheduling/needed_hosts.py
+++ b/mustardward/components/scheduling/needed_hosts.py
@@ -1,4 +1,4 @@
-"""Find the workers that long-running tasks could not leave for another one; pure."""
+"""Find the workers that tasks could not leave for another one; pure."""
 
 from __future__ import annotations
 
@@ -12,17 +12,17 @@
 from .worker_state import WorkerState
 
 WAIT_SECONDS: Final = 1.0
-"""Time for which a long-running task waits for room on other workers before one that is
-being drained is needed for it."""
+"""Time for which a task waits for other workers before one that is being drained is
+needed for it."""
 
 
 def find_needed_hosts(
     state: SchedulerState, draining: Set[str], now: float
 ) -> frozenset[str]:
-    """Return the workers to be drained on which long-running tasks have to stay.
+    """Return the workers to be drained that tasks could not leave, or wait for.
 
-    If such a worker were drained, a task would be stopped that may start on no other
-    worker, because of its step's limit per worker or for want of room.
+    If such a worker were drained, a long-running task would be stopped that may start
+    on no other worker, because of its step's limit per worker or for want of room.
 
     :param draining: ids of the workers that are to be drained.
     """
@@ -38,9 +38,9 @@
             for step, count in _tasks_to_move(host)
         )
     }
-    for step in _overdue_steps(state, now):
+    for step in _overdue_steps(state, others, now):
         service = step.job.policy.service
-        if service in others and not _has_places(step, others[service], 1):
+        if not _has_places(step, others[service], 1):
             needed.update(
                 host.id
                 for host in hosts
@@ -90,13 +90,20 @@
             yield step, missing + max(0, may_stop)
 
 
-def _overdue_steps(state: SchedulerState, now: float) -> Iterator[StepRun]:
+def _overdue_steps(
+    state: SchedulerState, others: dict[str, list[WorkerState]], now: float
+) -> Iterator[StepRun]:
+    """Yield the steps that may have waited for too long for other workers.
+
+    Short tasks wait in a full pool, too, but not for long, unless it has no workers.
+    """
     for step in state.ready.values():
-        if (
-            step.spec.long_running
-            and step.waiting
-            and now - step.waiting.first().ready_since >= WAIT_SECONDS
-        ):
+        workers = others.get(step.job.policy.service)
+        if workers is None or not step.waiting:
+            continue
+        if workers and not step.spec.long_running:
+            continue
+        if now - step.waiting.first().ready_since >= WAIT_SECONDS:
             yield step
 
 
--- a/tests/components/scheduling/test_needed_hosts.py
+++ b/tests/components/scheduling/test_needed_hosts.py
@@ -1,4 +1,4 @@
-"""Test which workers can't be drained, as long-running tasks have no other place."""
+"""Test which workers can't be drained, as tasks have no other place."""
 
 from __future__ import annotations
 
@@ -90,3 +90,16 @@
 def test_short_tasks_do_not_keep_a_worker_from_being_drained() -> None:
     bench = a_pool(2, long_running=False)
     assert needed(bench, "w0", "w1") == set()
+
+
+def test_last_worker_of_a_pool_is_needed_while_work_waits() -> None:
+    """Guard against a job that waits while its pool's only worker is drained."""
+    bench = SchedulerBench()
+    bench.worker("w0")
+    bench.scheduler.set_cordoned("w0", True, bench.now)
+    bench.add(a_job(a_step(count=1)))
+    assert not bench.plan_starts()
+    bench.now += WAIT_SECONDS
+    assert needed(bench, "w0") == {"w0"}
+    bench.worker("w1")
+    assert needed(bench, "w0") == set()
