--- a/tests/components/ownership/test_release_holds.py
+++ b/tests/components/ownership/test_release_holds.py
@@ -19,7 +19,7 @@
     a_row,
     a_step,
 )
-from ..scheduling.test_held_starts import a_held_task
+from ..scheduling.test_held_starts import a_held_task, a_second_start
 
 TENURE_SECONDS = 20.0
 START = UnansweredStart(
@@ -98,3 +98,14 @@
     bench.scheduler.remove_worker("running", LossCause.REPLACED, bench.now)
     bench.store()
     assert [again.worker for again in bench.plan_starts()] == ["free"]
+
+
+def test_release_names_a_start_in_flight_after_an_earlier_one_was_let_go() -> None:
+    """Guard against a second run beside that of a start which the owner sent last."""
+    bench, _ = a_second_start()
+    released = list_unanswered_starts(bench.scheduler.state, bench.now)
+    successor = SchedulerBench(epoch=2, now=bench.now)
+    successor.worker("w3")
+    successor.add(a_job(a_step(count=1)))
+    a_successor(successor, released or [])
+    assert not successor.plan_starts()
--- a/tests/components/scheduling/test_held_starts.py
+++ b/tests/components/scheduling/test_held_starts.py
@@ -101,6 +101,41 @@
     assert [other.worker for other in bench.plan_starts()] == ["w3"]
 
 
+def a_second_start() -> tuple[SchedulerBench, Start]:
+    """Return the start of a task on a worker whose earlier start was let go."""
+    bench, start = a_held_task()
+    bench.scheduler.remove_worker(start.worker, LossCause.UNLISTED, bench.now)
+    bench.now += RESTART_SECONDS + 0.1
+    (elsewhere,) = bench.plan_starts()
+    bench.worker(start.worker)
+    bench.scheduler.remove_worker(elsewhere.worker, LossCause.REPLACED, bench.now)
+    bench.store()
+    (again,) = [c for c in bench.plan() if isinstance(c, Start)]
+    assert again.worker == start.worker
+    bench.scheduler.reports.start_sent(again.task, again.run)
+    return bench, again
+
+
+def test_new_start_is_held_after_an_earlier_one_was_let_go() -> None:
+    """Guard against a second run beside that of a start which is executed late."""
+    bench, start = a_second_start()
+    bench.scheduler.reports.start_unknown(start.task, start.run, bench.now)
+    bench.scheduler.remove_worker(start.worker, LossCause.UNLISTED, bench.now)
+    bench.worker("w3")
+    bench.store()
+    assert not bench.plan_starts()
+    bench.now += RESTART_SECONDS + 0.1
+    assert [again.worker for again in bench.plan_starts()] == ["w3"]
+
+
+def test_start_in_flight_at_the_loss_of_its_worker_is_held_likewise() -> None:
+    bench, start = a_second_start()
+    bench.scheduler.remove_worker(start.worker, LossCause.UNLISTED, bench.now)
+    bench.worker("w3")
+    bench.store()
+    assert not bench.plan_starts()
+
+
 def test_hold_ends_only_while_no_other_owner_is_known() -> None:
     """Guard against a hold that ends by the clock while another owner renews leases."""
     bench, _ = a_held_task()
