Hold a task for a start that was sent after it was let go

What callers see: a task may run twice (TWICE). Cause: the time from which a task may start elsewhere is kept for all starts on one worker, as a worker may answer everything but starts. Since the loss of a worker doesn't hold a task again that was let go; a start that was sent to the worker later wasn't held either, and its release named the earlier one.

A start that is decided on after the task was let go is a hold of its own now, and a release names it.

--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -208,7 +208,7 @@
         held = HeldStart(
             start.worker, start.run, now + start.seconds, now + held_seconds
         )
-        state.held_starts.add(name, held)
+        state.held_starts.add(name, held, now)
 
 
 def list_unanswered_starts(
@@ -221,8 +221,7 @@
         UnansweredStart(encode_task(task.name), task.run, worker.id, longest)
         for worker in state.workers.values()
         for task in worker.tasks.values()
-        if task.is_start_unanswered
-        and state.held_starts.get(task.name, worker.id) is None
+        if task.is_start_unanswered and not state.held_starts.cover(task, worker.id)
     ]
     starts += [
         UnansweredStart(
--- a/mustardward/components/scheduling/held_starts.py
+++ b/mustardward/components/scheduling/held_starts.py
@@ -31,6 +31,13 @@
         """Return whether the task may start on this worker only."""
         return now < self.until and now < self.elsewhere_at
 
+    def covers(self, run: int, sent_at: float) -> bool:
+        """Return whether a start of the same task and worker needs no hold of its own.
+
+        :param sent_at: when it was decided on, in monotonic seconds.
+        """
+        return run <= self.run or sent_at < self.elsewhere_at
+
 
 @dataclass(slots=True, eq=False)
 class HeldStarts:
@@ -49,16 +56,18 @@
         """Return the number of tasks with unanswered starts."""
         return len(self._starts)
 
-    def add(self, name: TaskName, start: HeldStart) -> None:
+    def add(self, name: TaskName, start: HeldStart, sent_at: float) -> None:
         """Hold a task for an unanswered start; a repeated one is counted.
 
-        The time from which the task may start elsewhere stays: the worker may answer
-        everything but starts.
+        The time from which the task may start elsewhere stays, unless the start was
+        sent after it: the worker may answer everything but starts.
+
+        :param sent_at: when the start was decided on, in monotonic seconds.
         """
         starts = self._starts.setdefault(name, {})
         self._names_by_job.setdefault(name.job, {})[name] = None
         known = starts.get(start.worker)
-        if known is None:
+        if known is None or not known.covers(start.run, sent_at):
             starts[start.worker] = start
             return
         starts[start.worker] = replace(
@@ -78,6 +87,11 @@
         """Return the unanswered start of a task on a worker, if there is one."""
         return self._starts.get(name, {}).get(worker_id)
 
+    def cover(self, task: Task, worker_id: str) -> bool:
+        """Return whether a task's present start needs no hold of its own."""
+        start = self.get(task.name, worker_id)
+        return start is not None and start.covers(task.run, task.started_at)
+
     def include(self, worker_id: str) -> bool:
         """Return whether a worker left a start unanswered."""
         return any(worker_id in starts for starts in self._starts.values())
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -301,7 +301,8 @@
         if task.worker is None:
             return
         until = latest_lease_end(now + MAX_DELAY_SECONDS, self.max_lease_seconds)
-        self.held_starts.add(task.name, HeldStart(task.worker.id, task.run, until))
+        start = HeldStart(task.worker.id, task.run, until)
+        self.held_starts.add(task.name, start, task.started_at)
 
     def requeue(self, task: Task, now: float) -> None:
         """Put a task whose run has ended back on its step's queue."""
