--- a/tests/components/scheduling/test_needed_hosts.py
+++ b/tests/components/scheduling/test_needed_hosts.py
@@ -11,7 +11,10 @@
 )
 from mustardward.platform.models import Room
 
-from .builders import SchedulerBench, a_job, a_step
+from .builders import SchedulerBench, a_job, a_step, count_calls
+
+CALLS_PER_WORKER = 12
+"""Calls of Python functions for each worker, of one step that runs on all of them."""
 
 
 def a_pool(workers: int, **changes: object) -> SchedulerBench:
@@ -90,3 +93,14 @@
 def test_short_tasks_do_not_keep_a_worker_from_being_drained() -> None:
     bench = a_pool(2, long_running=False)
     assert needed(bench, "w0", "w1") == set()
+
+
+@pytest.mark.parametrize("draining", [5, 20])
+def test_cost_does_not_grow_with_workers_times_draining_ones(draining: int) -> None:
+    """Guard against an owner that spends its time on a wave in a large full pool."""
+    workers = 80
+    bench = a_pool(workers, count=2 * workers)
+    hosts = [f"w{number}" for number in range(draining)]
+    assert needed(bench, *hosts) == set(hosts)
+    calls = count_calls(lambda: needed(bench, *hosts))
+    assert calls <= CALLS_PER_WORKER * (workers + draining)
