Look once at each worker for the places of a step that maintenance moves

Cause: the places of a step's tasks on other workers were counted anew for each worker to be drained, and a quarter of each pool may be drained at a time while none of them can be.

The places and the missing tasks of a step are counted once a call, and only as many as are asked for. The pool that counts is the one that the step's queue has now, which may not be its worker's any more.

--- a/mustardward/components/scheduling/needed_hosts.py
+++ b/mustardward/components/scheduling/needed_hosts.py
@@ -16,6 +16,30 @@
 being drained is needed for it."""
 
 
+class _Places:
+    """Count the places that workers have for a step's tasks; look at each one once."""
+
+    __slots__ = ("_found", "_workers", "missing", "step")
+
+    def __init__(self, step: StepRun, workers: Iterable[WorkerState]) -> None:
+        self.step = step
+        self.missing = len(step.waiting) + sum(
+            task.phase is Phase.STOPPING for task in step.tasks.known()
+        )
+        self._workers = iter(workers)
+        self._found = 0
+
+    def suffice(self, count: int) -> bool:
+        """Return whether the workers have room for a number of tasks now."""
+        while self._found < count:
+            worker = next(self._workers, None)
+            if worker is None:
+                return False
+            if worker.id not in self.step.denied_at:
+                self._found += tasks_that_fit(worker, self.step)
+        return True
+
+
 def find_needed_hosts(
     state: SchedulerState, draining: Set[str], now: float
 ) -> frozenset[str]:
@@ -29,18 +53,25 @@
     hosts = [w for w in state.workers.values() if w.id in draining]
     if not hosts:
         return frozenset()
-    others = _other_workers(state, draining, {host.service for host in hosts}, now)
+    steps = {host.id: _long_running_steps(host) for host in hosts}
+    services = {host.service for host in hosts}
+    services.update(_service(step) for found in steps.values() for step in found)
+    others = _other_workers(state, draining, services, now)
+    places: dict[StepRun, _Places] = {}
+
+    def places_of(step: StepRun) -> _Places:
+        if step not in places:
+            places[step] = _Places(step, others[_service(step)])
+        return places[step]
+
     needed = {
         host.id
         for host in hosts
-        if any(
-            not _has_places(step, others[host.service], count)
-            for step, count in _tasks_to_move(host)
-        )
+        if any(_is_needed(host, places_of(step)) for step in steps[host.id])
     }
     for step in _overdue_steps(state, now):
-        service = step.job.policy.service
-        if service in others and not _has_places(step, others[service], 1):
+        service = _service(step)
+        if service in services and not places_of(step).suffice(1):
             needed.update(
                 host.id
                 for host in hosts
@@ -69,25 +100,30 @@
     return found
 
 
-def _tasks_to_move(host: WorkerState) -> Iterator[tuple[StepRun, int]]:
-    """Yield the steps whose tasks have to move one after the other, and their places.
+def _service(step: StepRun) -> str:
+    return step.job.policy.service
 
-    As many tasks of a step as may be missing are stopped together. If these are all of
-    its tasks on the worker, it is drained at once, and they may return to it. Otherwise
-    the others can't be stopped before the first ones run again.
-    """
-    steps = {
+
+def _long_running_steps(host: WorkerState) -> set[StepRun]:
+    return {
         task.step
         for task in host.tasks.values()
         if task.step.spec.long_running and task.phase is not Phase.STOPPING
     }
-    for step in steps:
-        missing = len(step.waiting) + sum(
-            task.phase is Phase.STOPPING for task in step.tasks.known()
-        )
-        may_stop = max(1, step.spec.may_miss) - missing
-        if step.on_worker[host.id] > may_stop:
-            yield step, missing + max(0, may_stop)
+
+
+def _is_needed(host: WorkerState, places: _Places) -> bool:
+    """Return whether a step's tasks have to move one after the other, and can't.
+
+    As many tasks of a step as may be missing are stopped together. If these are all of
+    its tasks on the worker, it is drained at once, and they may return to it. Otherwise
+    the others can't be stopped before the first ones run again.
+    """
+    step = places.step
+    may_stop = max(1, step.spec.may_miss) - places.missing
+    if step.on_worker[host.id] <= may_stop:
+        return False
+    return not places.suffice(places.missing + max(0, may_stop))
 
 
 def _overdue_steps(state: SchedulerState, now: float) -> Iterator[StepRun]:
@@ -98,13 +134,3 @@
             and now - step.waiting.first().ready_since >= WAIT_SECONDS
         ):
             yield step
-
-
-def _has_places(step: StepRun, workers: Iterable[WorkerState], count: int) -> bool:
-    """Return whether workers have room for a number of tasks now."""
-    for worker in workers:
-        if worker.id not in step.denied_at:
-            count -= tasks_that_fit(worker, step)
-        if count <= 0:
-            return True
-    return False
