Reproduce a wave that cordons a quarter of a pool at once, known red

Workers that long-running tasks can't leave take none of a wave's places, so that it chooses others until a quarter of each pool is chosen. Once there is room, all of them are cordoned in one tick: 10 of 40 workers by a wave of 2 at a time.

--- a/tests/components/fleet/test_wave_planner.py
+++ b/tests/components/fleet/test_wave_planner.py
@@ -11,6 +11,7 @@
     UNCHANGED_INCARNATION_SECONDS,
     UNLISTED_TIMEOUT_SECONDS,
 )
+from mustardward.components.fleet.cordons import find_cordoned
 from mustardward.components.fleet.models import Drain, Load, Maintain
 from mustardward.components.fleet.wave_planner import WavePlanner, resume_wave
 from mustardward.components.ledger.models import WaveRecord
@@ -330,3 +331,19 @@
     assert len(drained) == 2
     assert not drained & unresponsive
     assert not planner.runs[1].done
+
+
+def test_workers_that_tasks_can_leave_again_wait_for_the_places_of_their_wave() -> None:
+    """Guard against a wave that cordons a quarter of a pool at once."""
+    fleet = [an_instance(number) for number in range(40)]
+    busy = a_view(fleet, {i.id or "": Load(2, 0) for i in fleet})
+    planner = a_planner([i.machine for i in fleet], max_count=2)
+    runs = planner.runs.values()
+    needed: frozenset[str] = frozenset()
+    for tick in range(20):
+        planner.decide(replace(busy, needed_hosts=needed), 0.1 * tick)
+        needed = frozenset(planner.draining_workers())
+        assert not find_cordoned(runs, [], needed)
+    for tick in range(20, 30):
+        planner.decide(busy, 0.1 * tick)
+        assert len(find_cordoned(runs, [])) == 2
