Cordon no more workers than a wave has places for

What callers see: a quarter of a pool gets no tasks while a wave maintains two of its instances (LOST, late work). Cause: workers that long-running tasks can't leave take none of a wave's places, so that it chooses others. When room appears, none of them is needed any more, and all were cordoned at once.

A wave holds which of its machines are postponed. One that can be drained again is cordoned once the wave has a place for it, before further machines are chosen. Other machines are chosen as before.

--- a/mustardward/components/fleet/cordons.py
+++ b/mustardward/components/fleet/cordons.py
@@ -32,8 +32,8 @@
         for order in run.orders.values():
             cordoned[order.worker_id or ""] = order.started_at_ms
             cordoned[order.replacement_id] = order.replacement_started_at_ms
-        for worker_id in run.draining.values():
-            if worker_id not in needed_hosts:
+        for machine, worker_id in run.draining.items():
+            if machine not in run.postponed and worker_id not in needed_hosts:
                 cordoned[worker_id] = 0
     return cordoned
 
--- a/mustardward/components/fleet/models.py
+++ b/mustardward/components/fleet/models.py
@@ -113,6 +113,8 @@
     :param started: machines whose maintenance has started.
     :param orders: maintenance orders that are not known to be finished, by machine.
     :param draining: machines that are being drained for it, and their workers.
+    :param postponed: those of them that are not drained yet, since long-running tasks
+        could not leave them; they take none of the wave's places.
     :param unlisted_since: when the first list that lacked a machine was requested.
     """
 
@@ -122,6 +124,7 @@
     started: set[str] = field(default_factory=set)
     orders: dict[str, MaintenanceOrder] = field(default_factory=dict)
     draining: dict[str, str] = field(default_factory=dict)
+    postponed: set[str] = field(default_factory=set)
     unlisted_since: dict[str, float] = field(default_factory=dict)
     done: bool = False
 
--- a/mustardward/components/fleet/wave_planner.py
+++ b/mustardward/components/fleet/wave_planner.py
@@ -47,6 +47,7 @@
                 continue
             _record_unlisted(run, view)
             self._finish_orders(run, view)
+            self._update_postponed(run, view, now)
             decisions.extend(self._issue_orders(run, view, now))
             decisions.extend(self._start_draining(run, view, now))
             run.done = not run.orders and all(
@@ -132,6 +133,29 @@
                 if instance.state == INSTANCE_UP:
                     del run.orders[machine]
 
+    def _update_postponed(self, run: WaveRun, view: FleetView, now: float) -> None:
+        """Postpone the drains of needed workers, and go on with those that have places.
+
+        All of them may become free at once, when another instance arrives.
+        """
+        run.postponed.intersection_update(run.draining)
+        ready = [
+            machine
+            for machine in run.draining
+            if machine in run.postponed
+            and run.draining[machine] not in view.needed_hosts
+        ]
+        run.postponed.update(
+            machine
+            for machine, worker_id in run.draining.items()
+            if worker_id in view.needed_hosts
+        )
+        if ready:
+            remaining = len(self._undrained_instances(run, view))
+            target = self._target_concurrency(run, remaining, now)
+            free = max(0, target - self._count_held(run, view))
+            run.postponed.difference_update(ready[:free])
+
     def _issue_orders(
         self, run: WaveRun, view: FleetView, now: float
     ) -> Iterable[Decision]:
@@ -148,7 +172,7 @@
                 continue
             # Cordons the current worker, which may have replaced an earlier one.
             run.draining[machine] = instance.id or ""
-            if instance.id in view.needed_hosts or not _is_idle(instance, view):
+            if machine in run.postponed or not _is_idle(instance, view):
                 continue
             if self._count_down(run, view) >= run.wave.max_count:
                 continue
@@ -188,13 +212,9 @@
     def _start_draining(
         self, run: WaveRun, view: FleetView, now: float
     ) -> Iterable[Decision]:
-        remaining = [
-            i
-            for i in self.remaining_instances(run, view)
-            if i.machine not in run.draining
-        ]
+        remaining = self._undrained_instances(run, view)
         target = self._target_concurrency(run, len(remaining), now)
-        held = self._count_drained(run, view) + self._count_down(run, view)
+        held = self._count_held(run, view)
         per_pool = self._count_held_per_pool(run, view)
         sizes = Counter(instance.pool for instance in view.instances.values())
         rank = choose_rank(now - run.first_seen_at)
@@ -217,13 +237,16 @@
             run.draining[instance.machine] = instance.id or ""
             yield Drain(instance.machine, instance.id or "")
 
-    def _count_drained(self, run: WaveRun, view: FleetView) -> int:
-        """Return how many instances are being drained that tasks can leave.
+    def _undrained_instances(self, run: WaveRun, view: FleetView) -> list[Instance]:
+        return [
+            instance
+            for instance in self.remaining_instances(run, view)
+            if instance.machine not in run.draining
+        ]
 
-        The others would keep a wave's places for as long as no other instance comes.
-        """
-        workers = run.draining.values()
-        return sum(worker_id not in view.needed_hosts for worker_id in workers)
+    def _count_held(self, run: WaveRun, view: FleetView) -> int:
+        """Return how many of a wave's places are taken."""
+        return len(run.draining) - len(run.postponed) + self._count_down(run, view)
 
     def _target_concurrency(self, run: WaveRun, remaining: int, now: float) -> int:
         """Return how many instances to process at once to finish the wave in time."""
