Hold a task again if its worker is lost while it runs there

What callers would see: a task runs twice (TWICE). A start gets no answer, its worker X reports without the run, and the task starts on X again, where it runs for over 3 s. X crashes, and restarts under its id. The first start is still on its way and is executed before the owner's first call, while the task has already started elsewhere.

Cause: since the loss of a worker doesn't hold a task again that was let go. The time of a hold (3 s after the report) goes on while the task is on X, so that it counts as let go though it never waited for room. The same is true of a new start on X without an answer: it shares the entry of the one before.

Now the loss of a worker holds the tasks that it had, whatever the time of their holds; other tasks that were let go stay so.

--- a/mustardward/components/scheduling/held_starts.py
+++ b/mustardward/components/scheduling/held_starts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Container, Iterator
 from dataclasses import dataclass, field, replace
 
 from ...platform.workers import TaskName
@@ -108,18 +108,27 @@
         for name in [name for name, s in self._starts.items() if worker_id in s]:
             self._remove(name, worker_id)
 
-    def extend(self, worker_id: str, now: float, until: float | None = None) -> None:
+    def extend(
+        self,
+        worker_id: str,
+        now: float,
+        tasks: Container[TaskName],
+        until: float | None = None,
+    ) -> None:
         """Let tasks wait for a worker whose present incarnation is not known.
 
-        Tasks that may start elsewhere already are not held again.
+        Tasks that may start elsewhere already are not held again, unless the worker had
+        room for them: its next incarnation may still execute the start.
 
+        :param tasks: the tasks that the worker had.
         :param until: when its last lease ends at the latest, if that is later.
         """
         for name, start in self._starts_of(worker_id):
+            is_held = now < start.elsewhere_at or name in tasks
             self._starts[name][worker_id] = replace(
                 start,
                 until=start.until if until is None else max(start.until, until),
-                elsewhere_at=math.inf if now < start.elsewhere_at else now,
+                elsewhere_at=math.inf if is_held else now,
             )
 
     def limit(
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -449,9 +449,10 @@
         ]
         starts = (*worker.unanswered_starts, *in_flight)
         self._lost_starts.add(worker.id, starts, now)
+        names = set(worker.tasks)
         for task in list(worker.tasks.values()):
             self.end_run(task, now)
-        self.held_starts.extend(worker.id, now, held_until)
+        self.held_starts.extend(worker.id, now, names, held_until)
         self.clear_orphan_runs(worker)
         self.workers.pop(worker.id, None)
         self.listing_workers.discard(worker.id)
@@ -502,6 +503,7 @@
         self._record_losses(old, now)
         self._hold_unanswered(old, now)
         self._reject_delayed(new, old.unanswered_starts)
+        names = set(old.tasks)
         for task in list(old.tasks.values()):
             if task.seen_running:
                 self.end_run(task, now)
@@ -511,7 +513,7 @@
             self._reserve(task, new, run)
             new.unanswered_starts.append((task.name, run))
             self.reject_start(task)
-        self.held_starts.extend(old.id, now)
+        self.held_starts.extend(old.id, now, names)
         self.clear_orphan_runs(old)
         self.workers[new.id] = new
         self.listing_workers.discard(old.id)
--- a/tests/components/scheduling/test_held_starts.py
+++ b/tests/components/scheduling/test_held_starts.py
@@ -7,7 +7,7 @@
 from mustardward.components.dispatch.const import latest_lease_end
 from mustardward.components.dispatch.lease import Lease
 from mustardward.components.scheduling.commands import Start
-from mustardward.components.scheduling.const import RESTART_SECONDS
+from mustardward.components.scheduling.const import RESTART_SECONDS, SAME_WORKER_SECONDS
 from mustardward.components.scheduling.losses import LossCause
 from mustardward.components.scheduling.lost_starts import MAX_DELAY_SECONDS
 from mustardward.components.scheduling.wait_tracker import Reason
@@ -101,6 +101,42 @@
     assert [other.worker for other in bench.plan_starts()] == ["w3"]
 
 
+@pytest.mark.parametrize("cause", [LossCause.UNLISTED, LossCause.LEASES_EXPIRED])
+def test_task_that_ran_on_the_worker_of_its_unanswered_start_is_held_again(
+    cause: LossCause,
+) -> None:
+    """Guard against a late start in a restarted worker beside a run elsewhere."""
+    bench, start = a_held_task()
+    bench.worker(start.worker)
+    (again,) = bench.plan_starts()
+    assert again.worker == start.worker
+    bench.hold(start.worker, running=[a_row(again.task, 5.0)])
+    bench.now += SAME_WORKER_SECONDS + 0.1
+    is_silent = cause is LossCause.LEASES_EXPIRED
+    until = bench.now + HOLD_SECONDS if is_silent else None
+    bench.scheduler.remove_worker(start.worker, cause, bench.now, until)
+    bench.store()
+    bench.now += RESTART_SECONDS - 0.1
+    assert not bench.plan_starts()
+
+
+def test_new_unanswered_start_on_the_same_worker_is_held() -> None:
+    """Guard against a start that counts as let go with the one before it."""
+    bench, start = a_held_task()
+    bench.worker(start.worker)
+    bench.now += SAME_WORKER_SECONDS + 0.1
+    bench.scheduler.set_cordoned("w2", True, bench.now)
+    (again,) = [c for c in bench.plan() if isinstance(c, Start)]
+    assert again.worker == start.worker
+    bench.scheduler.reports.start_sent(again.task, again.run)
+    bench.scheduler.reports.start_unknown(again.task, again.run, bench.now)
+    bench.scheduler.set_cordoned("w2", False, bench.now)
+    bench.scheduler.remove_worker(start.worker, LossCause.UNLISTED, bench.now)
+    bench.store()
+    bench.now += RESTART_SECONDS - 0.1
+    assert not bench.plan_starts()
+
+
 def test_hold_ends_only_while_no_other_owner_is_known() -> None:
     """Guard against a hold that ends by the clock while another owner renews leases."""
     bench, _ = a_held_task()
