Name in a release the holds of tasks that run on their worker without an end

Cause: since a release says for how long a task is still held, and that time goes on while the task runs on the worker of its unanswered start. The owner itself would hold the task again if the worker were lost; the next one could not.

Now the release names such a hold as lasting until the worker reports or has ended.

--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -8,7 +8,7 @@
 
 from ...helpers.logging import MAX_NAMES_PER_LINE, get_logger, log_names
 from ...helpers.timer import TimerService
-from ...platform.workers import decode_task, encode_task
+from ...platform.workers import TaskName, decode_task, encode_task
 from ..dispatch.const import AUTHORITY_SECONDS, latest_lease_end
 from ..dispatch.dispatcher import Dispatcher
 from ..fleet.services import Fleet
@@ -230,8 +230,22 @@
             start.run,
             start.worker,
             start.until - now,
-            None if start.elsewhere_at == math.inf else start.elsewhere_at - now,
+            _seconds_held(state, name, start, now),
         )
         for name, start in state.held_starts.items()
     ]
     return starts if len(starts) <= MAX_RELEASED_STARTS else None
+
+
+def _seconds_held(
+    state: SchedulerState, name: TaskName, start: HeldStart, now: float
+) -> float | None:
+    """Return for how long a task is held, or None until its worker reports.
+
+    A task that its worker has would be held again if the worker was lost.
+    """
+    worker = state.workers.get(start.worker)
+    is_on_worker = worker is not None and name in worker.tasks
+    if is_on_worker or start.elsewhere_at == math.inf:
+        return None
+    return start.elsewhere_at - now
--- a/tests/components/ownership/test_release_holds.py
+++ b/tests/components/ownership/test_release_holds.py
@@ -84,6 +84,22 @@
     assert len(successor.plan_starts()) == 1
 
 
+def test_hold_of_a_task_that_runs_on_its_worker_goes_on_with_the_next_owner() -> None:
+    """Guard against a late start in a restarted worker beside a run elsewhere."""
+    bench, start = a_held_task()
+    bench.worker(start.worker)
+    (again,) = bench.plan_starts()
+    assert again.worker == start.worker
+    bench.hold(start.worker, running=[a_row(again.task, 5.0)])
+    bench.now += SAME_WORKER_SECONDS + 0.1
+    released = list_unanswered_starts(bench.scheduler.state, bench.now)
+    successor = SchedulerBench(epoch=2, now=bench.now)
+    successor.worker("w3")
+    successor.add(a_job(a_step(count=1)))
+    a_successor(successor, released or [])
+    assert not successor.plan_starts()
+
+
 def test_hold_of_a_task_that_runs_elsewhere_ends_with_its_workers_report() -> None:
     """Guard against a task that waits for an idle worker, which is not polled again."""
     bench = SchedulerBench(epoch=2)
