Reproduce long-running tasks that wait for isolated suspects, known red

A task under which two workers crashed needs a worker of its own. Until there is one, a long-running suspect waits beside workers with room, and so does any long-running task whose pool has a suspect on each worker. Only the ends of other tasks bound this, or an instance that another pool lends: 59 s beside tasks of 60 s, no start while tasks of 6 s keep arriving, 29 s beside suspects of 30 s, 10 s behind four other suspects (driven tests, two workers).

--- a/tests/components/scheduling/test_starvation.py
+++ b/tests/components/scheduling/test_starvation.py
@@ -29,6 +29,9 @@
 TICK_SECONDS = 0.1
 RECOVERY_SECONDS = 10.0
 
+MAX_WAIT_SECONDS = 6.0
+"""Time after its last run by which a long-running task has to run if there is room."""
+
 
 @dataclass(slots=True)
 class Simulation:
@@ -461,6 +464,70 @@
     assert OTHER in run_beside_short_tasks(simulation, suspected_job(job=OTHER))
 
 
+def test_a_long_running_suspect_waits_for_no_worker_of_its_own_in_the_end() -> None:
+    """Guards against waiting with room as long as each worker has a long short task."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("w2")
+    simulation = Simulation(bench)
+    spread = a_step(count=2, estimate_ms=60_000, max_per_server=1)
+    bench.add(a_job(spread, job=OTHER))
+    simulation.run(1.0)
+    bench.add(suspected_job(long_running=True))
+    assert JOB in simulation.run(MAX_WAIT_SECONDS)
+
+
+def test_a_long_running_suspect_runs_while_short_tasks_keep_arriving() -> None:
+    """Guards against waiting with room as long as no worker is about to be empty."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("w2")
+    simulation = Simulation(bench)
+    for number in range(30):
+        name = f"f{number:015x}"
+        simulation.seconds[name] = 6.0
+        step = a_step(count=2, max_per_server=1, estimate_ms=6000)
+        bench.add(a_job(step, job=name))
+        if number == 15:
+            bench.add(suspected_job(long_running=True))
+        simulation.run(1.0)
+    (start,) = [s for s in simulation.started if s.task.name.job == JOB]
+    assert start.task.started_at - start.task.ready_since <= MAX_WAIT_SECONDS
+
+
+def two_isolating_workers() -> Simulation:
+    """Return two workers, each with room and a short suspect of another job."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("w2")
+    for job in (OTHER, THIRD):
+        bench.add(suspected_job(job=job, estimate_ms=30_000))
+    simulation = Simulation(bench)
+    simulation.run(1.0)
+    return simulation
+
+
+@pytest.mark.parametrize("crashes", [0, 2])
+def test_a_long_running_task_runs_where_each_worker_isolates_a_task(
+    crashes: int,
+) -> None:
+    """Guards against waiting with room as long as the tasks of other jobs last."""
+    simulation = two_isolating_workers()
+    simulation.bench.add(suspected_job(crashes, long_running=True))
+    assert JOB in simulation.run(MAX_WAIT_SECONDS)
+
+
+def test_long_running_suspects_do_not_wait_for_each_other_in_turn() -> None:
+    """Guards against a wait of 5 s for each suspect before in a small pool."""
+    bench = SchedulerBench()
+    bench.worker("w1")
+    bench.worker("w2")
+    jobs = [f"{number:016x}" for number in range(1, 6)]
+    for job in jobs:
+        bench.add(suspected_job(job=job, long_running=True))
+    assert set(Simulation(bench).run(MAX_WAIT_SECONDS)) == set(jobs)
+
+
 def test_the_rest_of_an_occurrence_runs_after_the_next_owner_adopts_a_run() -> None:
     """Guards against an occurrence whose steps are created but never opened."""
     bench = SchedulerBench(epoch=2)
