Let a long-running suspect share a worker with short tasks after 4 s

What callers see: a long-running task doesn't run beside workers with room (LOST). Cause: a task under which two workers crashed needs a worker without tasks of other jobs. One is emptied for it only if that takes 2.5 s at most, and it shares one only with long-running tasks; where each worker has longer tasks, or gets new ones, nothing ends the wait but an instance that another pool lends.

After 4 s a long-running suspect may use a worker that runs no other suspect. The worker gets no tasks of other jobs then, as before, so that the next crash suspects those that run there at most; a job is given up after 3 crashes, so that this alone gives up none.

--- a/mustardward/components/scheduling/const.py
+++ b/mustardward/components/scheduling/const.py
@@ -46,6 +46,10 @@
 """A suspected task that has waited this long for an empty worker may use one whose
 other tasks are no suspects; a new instance would be available within this time."""
 
+MAX_ISOLATION_WAIT_SECONDS: Final = 4.0
+"""A long-running suspect that has waited this long may share a worker with short tasks:
+it must not wait longer than any other long-running task beside workers with room."""
+
 CLEARED_AFTER_SECONDS: Final = 5.0
 """A long-running task that ran for this long is not suspected of its worker's crash."""
 
--- a/mustardward/components/scheduling/crashes.py
+++ b/mustardward/components/scheduling/crashes.py
@@ -27,6 +27,7 @@
     ISOLATION_CRASHES,
     ISOLATION_WAIT_SECONDS,
     MAX_CRASHES,
+    MAX_ISOLATION_WAIT_SECONDS,
 )
 from .losses import MAX_RUNS_PER_LINE, LossCause
 from .models import Job, Phase, StepRun, Task
@@ -297,13 +298,16 @@
     """Return whether suspected tasks of one job may use a worker.
 
     After ISOLATION_WAIT_SECONDS they may share it with long-running tasks that ran for
-    a while, since these would not be suspected of the next crash either.
+    a while, since these would not be suspected of the next crash either. After
+    MAX_ISOLATION_WAIT_SECONDS long-running suspects may share it with all but others.
     """
-    job = suspects[0].step.job
-    others = [task for task in worker.tasks.values() if task.step.job is not job]
+    step = suspects[0].step
+    others = [task for task in worker.tasks.values() if task.step.job is not step.job]
     if not others:
         return True
-    waited = any(now - task.ready_since > ISOLATION_WAIT_SECONDS for task in suspects)
-    return waited and not any(
-        needs_isolation(task) or not _has_run_long(task, now) for task in others
-    )
+    waited = max(now - task.ready_since for task in suspects)
+    if waited <= ISOLATION_WAIT_SECONDS or any(map(needs_isolation, others)):
+        return False
+    if step.spec.long_running and waited > MAX_ISOLATION_WAIT_SECONDS:
+        return True
+    return all(_has_run_long(task, now) for task in others)
