Reproduce a step that asks for advice long after an outage, known red

Each refused call of a step doubles the time until its next one, up to 30 s. The only step that waits gets no other sign of the service: after 40 s of refused calls its long-running task had not started 6 s after the service answered again.

--- a/tests/components/scheduling/test_advice.py
+++ b/tests/components/scheduling/test_advice.py
@@ -17,6 +17,10 @@
 ROOM = Room(cpu=64_000, mem_mb=262_144)
 FINISH_SECONDS = 14.0
 BURST = 15
+OUTAGE_SECONDS = 40.0
+MAX_FAILED_CALLS = 10
+MAX_WAIT_SECONDS = 6.0
+"""Time after its last run by which a long-running task has to run if there is room."""
 
 
 def an_owner(advice: QueueAdvice = ADVICE, workers: int = 8) -> AdvisedOwner:
@@ -198,3 +202,28 @@
     begun = owner.bench.now
     owner.run(2.0)
     assert owner.first_starts[f"{10:016x}"] - begun < 1.0
+
+
+def test_a_step_asks_soon_after_an_outage_of_the_service() -> None:
+    """Guard against a long-running task that waits for a delay of the outage."""
+    owner = an_owner()
+    submit(owner, 1, long_running=True, count=1)
+    (job,) = owner.bench.scheduler.state.jobs
+    owner.service.refuses = job
+    owner.run(OUTAGE_SECONDS)
+    owner.service.refuses = ""
+    owner.run(MAX_WAIT_SECONDS)
+    assert job in owner.first_starts
+
+
+def test_a_step_whose_calls_are_refused_asks_rarely_while_others_are_answered() -> None:
+    """Guard against calls that delay those of all other steps."""
+    owner = an_owner()
+    submit(owner, 1, long_running=True, count=1)
+    (owner.service.refuses,) = owner.bench.scheduler.state.jobs
+    for number in range(10):
+        submit(owner, 1, first=number + 1)
+        owner.run(OUTAGE_SECONDS / 10)
+    assert len(owner.first_starts) == 10
+    step = owner.bench.task(0, job=owner.service.refuses).step
+    assert step.advice_failures <= MAX_FAILED_CALLS
