Ask for advice at most 4 s after a failed call while no call is answered

What callers see: a long-running task doesn't run after an outage of the advice service (LOST). Cause: the delay of a step after failed calls doubles up to 30 s, so that a step whose calls always fail doesn't delay the others. In an outage the calls of all steps fail, and the only step that waits learns of its end by its own next call.

The long delay applies only to a step that has failed more often than the service since its last answer. Otherwise the delay is 4 s at most, longer than the 2 s for all steps, so that others are asked for between.

--- a/mustardward/components/scheduling/advice.py
+++ b/mustardward/components/scheduling/advice.py
@@ -57,6 +57,10 @@
 """Delays after a failed call: for all steps, and for the step, so that a step whose
 calls always fail delays the others less and less."""
 
+OUTAGE_RETRY_SECONDS: Final = 4.0
+"""Longest delay for a step while the service answers no other one; longer than
+MAX_RETRY_SECONDS, so that others are asked for in between."""
+
 TICKET_MARGIN_SECONDS: Final = 0.6
 MAX_TICKET_MARGIN_SHARE: Final = 0.25
 """A start may wait for START_MAX_AGE_SECONDS before it is sent with its ticket."""
@@ -251,8 +255,10 @@
         step = request.step
         delay = RETRY_SECONDS * 2**self.failures
         self._retry_at = now + min(MAX_RETRY_SECONDS, delay)
+        is_step_alone = step.advice_failures > self.failures
+        longest = MAX_STEP_RETRY_SECONDS if is_step_alone else OUTAGE_RETRY_SECONDS
         step_delay = RETRY_SECONDS * 2**step.advice_failures
-        step.advice_retry_at = now + min(MAX_STEP_RETRY_SECONDS, step_delay)
+        step.advice_retry_at = now + min(longest, step_delay)
         self.failures = min(self.failures + 1, 16)
         step.advice_failures = min(step.advice_failures + 1, 16)
         _LOGGER.warning(
