Reproduce a long-running task that waits beside a reserved worker, known red

A long-running task that has no room reserves a worker until enough short tasks have ended there. The plan gives that worker to no other step, so that a smaller long-running task waits beside free room for as long as the short tasks last: 58 s beside 4 free cores on one worker, and on two workers with a larger task each, with a short task of 60 s (driven tests). Such a worker isn't asked about in calls for advice either.

--- a/tests/components/scheduling/test_starvation.py
+++ b/tests/components/scheduling/test_starvation.py
@@ -269,6 +269,51 @@
     assert simulation.run(RECOVERY_SECONDS) == [JOB]
 
 
+def reserved_workers(workers: int) -> Simulation:
+    """Return workers that are reserved until tasks of 60 s end, with 4 cores free."""
+    bench = SchedulerBench()
+    simulation = Simulation(bench, {OTHER: 60.0})
+    short = a_step(count=workers, cpu=4000, max_per_server=1, estimate_ms=60_000)
+    for number in range(workers):
+        bench.worker(f"w{number}")
+    bench.add(a_job(short, job=OTHER))
+    simulation.run(1.0)
+    for number in range(workers):
+        large = a_step(count=1, cpu=6000, long_running=True)
+        bench.add(a_job(large, job=f"{number:016x}"))
+    simulation.run(1.0)
+    return simulation
+
+
+@pytest.mark.parametrize("workers", [1, 2])
+def test_a_long_running_task_uses_what_a_reservation_leaves(workers: int) -> None:
+    """Guards against waiting beside a worker that a larger task waits for."""
+    simulation = reserved_workers(workers)
+    simulation.bench.add(a_job(a_step(count=3, cpu=1000, long_running=True)))
+    started = simulation.run(MAX_WAIT_SECONDS)
+    # The larger task has to fit once the short one has ended.
+    assert started == [JOB] * min(3, 2 * workers)
+
+
+def test_long_running_tasks_with_advice_use_what_a_reservation_leaves() -> None:
+    simulation = reserved_workers(1)
+    bench = simulation.bench
+    policy = QueuePolicy(service=POOL, advice=ADVICE, target_seconds=1.0)
+    bench.policy = policy
+    bench.add(a_job(a_step(count=1, cpu=1000, long_running=True)))
+    request = bench.plan_request()
+    assert request is not None and request.step.job.record.id == JOB
+    bench.advise(request, "w0")
+    assert JOB in simulation.run(MAX_WAIT_SECONDS)
+
+
+def test_a_larger_long_running_task_starts_once_the_short_one_has_ended() -> None:
+    """Guards against smaller tasks that take the room that is reserved."""
+    simulation = reserved_workers(1)
+    simulation.bench.add(a_job(a_step(count=8, cpu=1000, long_running=True)))
+    assert f"{0:016x}" in simulation.run(62.0)
+
+
 def test_a_suspected_task_that_fits_no_worker_reserves_none() -> None:
     """Guards against a pool that is blocked for as long as its longest task runs."""
     bench = SchedulerBench()
