--- a/tests/components/scheduling/test_starvation.py
+++ b/tests/components/scheduling/test_starvation.py
@@ -295,6 +295,13 @@
     assert started == [JOB] * min(3, 2 * workers)
 
 
+def test_a_short_task_uses_what_a_reservation_leaves() -> None:
+    """Guards against a job that waits beside free room for a task of another job."""
+    simulation = reserved_workers(1)
+    simulation.bench.add(a_job(a_step(count=1, cpu=1000)))
+    assert JOB in simulation.run(RECOVERY_SECONDS)
+
+
 def test_long_running_tasks_with_advice_use_what_a_reservation_leaves() -> None:
     simulation = reserved_workers(1)
     bench = simulation.bench
