Reproduce a wave that a busy pool holds up for ever, known red

Places on other workers count only if they are free now. Where short tasks fill a pool, a worker to be drained is needed as long as they come, and each time that one ends it is cordoned for a tick.

--- a/tests/components/scheduling/test_needed_hosts.py
+++ b/tests/components/scheduling/test_needed_hosts.py
@@ -12,7 +12,10 @@
 from mustardward.platform.models import Room
 
 from .builders import SchedulerBench, a_job, a_step, count_calls
+from .test_starvation import Simulation
 
+BUSY_TICKS = 50
+MAX_WAIT_SECONDS = 3.0
 CALLS_PER_WORKER = 12
 """Calls of Python functions for each worker, of one step that runs on all of them."""
 
@@ -104,3 +107,41 @@
     assert needed(bench, *hosts) == set(hosts)
     calls = count_calls(lambda: needed(bench, *hosts))
     assert calls <= CALLS_PER_WORKER * (workers + draining)
+
+
+def test_busy_pool_does_not_keep_a_worker_from_being_drained() -> None:
+    """Guard against a wave that waits, and cordons that alternate, for short tasks."""
+    bench = a_pool(4, count=8, max_per_server=4)
+    simulation = Simulation(bench)
+    state = bench.scheduler.state
+    simulation.run(6.0)
+    assert state.workers["w0"].tasks
+    for number in range(200):
+        if number % 2 == 0:
+            name = f"f{number:015x}"
+            simulation.seconds[name] = 1.0
+            bench.add(a_job(a_step(count=6), job=name))
+        simulation.tick()
+        if number < BUSY_TICKS:
+            continue
+        assert needed(bench, "w0") == set()
+        bench.scheduler.set_cordoned("w0", True, bench.now)
+        if not state.workers["w0"].tasks:
+            return
+    pytest.fail("the worker was not emptied")
+
+
+def test_worker_is_needed_by_a_task_to_which_short_ones_leave_no_room() -> None:
+    """Guard against a task that waits for short ones beside a cordoned worker."""
+    bench = a_pool(1, count=1)
+    bench.scheduler.set_cordoned("w0", True, bench.now)
+    bench.worker("w1")
+    short = a_step(count=1, cpu=7500, estimate_ms=60_000)
+    bench.add(a_job(short, job=f"{1:016x}"))
+    bench.plan_starts()
+    bench.scheduler.state.stop(bench.task(0), "evacuation")
+    bench.plan()
+    bench.end(bench.task(0), "stopped")
+    assert not bench.plan_starts()
+    bench.now += MAX_WAIT_SECONDS
+    assert needed(bench, "w0") == {"w0"}
