Count the room of short tasks as places for tasks that maintenance moves

What callers see: a wave never ends in a busy pool, and long-running tasks are stopped and started again there. Cause: a worker was needed while the others had no room at that moment. Short tasks take each gap, and the cordon ended and began again with each of them. Before the cordon stayed, the task that was stopped reserved a worker, and ran there once short tasks had ended.

Room that short tasks leave when they end is a place now. If a task has waited for 3 s all the same, a worker that is being drained is needed for it unless another one has room at that moment.

--- a/mustardward/components/scheduling/needed_hosts.py
+++ b/mustardward/components/scheduling/needed_hosts.py
@@ -7,7 +7,15 @@
 from typing import Final
 
 from .models import Phase, StepRun
-from .placement import fits, is_operational, meets_constraints, tasks_that_fit
+from .placement import (
+    RoomOf,
+    fits,
+    free_room,
+    is_operational,
+    meets_constraints,
+    room_after_short_tasks,
+    tasks_that_fit,
+)
 from .scheduler_state import SchedulerState
 from .worker_state import WorkerState
 
@@ -15,14 +23,20 @@
 """Time for which a long-running task waits for room on other workers before one that is
 being drained is needed for it."""
 
+SHORT_TASKS_SECONDS: Final = 3.0
+"""The same where other workers have room once their short tasks have ended."""
+
 
 class _Places:
     """Count the places that workers have for a step's tasks; look at each one once."""
 
-    __slots__ = ("_found", "_workers", "missing", "step")
+    __slots__ = ("_found", "_room_of", "_workers", "missing", "step")
 
-    def __init__(self, step: StepRun, workers: Iterable[WorkerState]) -> None:
+    def __init__(
+        self, step: StepRun, workers: Iterable[WorkerState], room_of: RoomOf
+    ) -> None:
         self.step = step
+        self._room_of = room_of
         self.missing = len(step.waiting) + sum(
             task.phase is Phase.STOPPING for task in step.tasks.known()
         )
@@ -30,13 +44,13 @@
         self._found = 0
 
     def suffice(self, count: int) -> bool:
-        """Return whether the workers have room for a number of tasks now."""
+        """Return whether the workers have room for a number of tasks."""
         while self._found < count:
             worker = next(self._workers, None)
             if worker is None:
                 return False
             if worker.id not in self.step.denied_at:
-                self._found += tasks_that_fit(worker, self.step)
+                self._found += tasks_that_fit(worker, self.step, self._room_of)
         return True
 
 
@@ -61,9 +75,17 @@
 
     def places_of(step: StepRun) -> _Places:
         if step not in places:
-            places[step] = _Places(step, others[_service(step)])
+            workers = others[_service(step)]
+            places[step] = _Places(step, workers, room_after_short_tasks)
         return places[step]
 
+    def has_place(step: StepRun) -> bool:
+        if not places_of(step).suffice(1):
+            return False
+        if _waiting_seconds(step, now) < SHORT_TASKS_SECONDS:
+            return True
+        return _Places(step, others[_service(step)], free_room).suffice(1)
+
     needed = {
         host.id
         for host in hosts
@@ -71,7 +93,7 @@
     }
     for step in _overdue_steps(state, now):
         service = _service(step)
-        if service in services and not places_of(step).suffice(1):
+        if service in services and not has_place(step):
             needed.update(
                 host.id
                 for host in hosts
@@ -126,11 +148,15 @@
     return not places.suffice(places.missing + max(0, may_stop))
 
 
+def _waiting_seconds(step: StepRun, now: float) -> float:
+    return now - step.waiting.first().ready_since
+
+
 def _overdue_steps(state: SchedulerState, now: float) -> Iterator[StepRun]:
     for step in state.ready.values():
         if (
             step.spec.long_running
             and step.waiting
-            and now - step.waiting.first().ready_since >= WAIT_SECONDS
+            and _waiting_seconds(step, now) >= WAIT_SECONDS
         ):
             yield step
--- a/mustardward/components/scheduling/placement.py
+++ b/mustardward/components/scheduling/placement.py
@@ -56,11 +56,21 @@
     return 1 if step.spec.target_ms else max(1, step.spec.may_miss)
 
 
-def tasks_that_fit(worker: WorkerState, step: StepRun) -> int:
-    """Return how many tasks of a step a worker has room for, regardless of advice."""
+def free_room(worker: WorkerState) -> Room:
+    """Return a worker's free resources."""
+    return Room(worker.free_cpu, worker.free_mem, worker.free_gpu)
+
+
+def tasks_that_fit(
+    worker: WorkerState, step: StepRun, room_of: RoomOf = free_room
+) -> int:
+    """Return how many tasks of a step a worker has room for, regardless of advice.
+
+    :param room_of: returns the resources of a worker to fill.
+    """
     if not meets_constraints(worker, step):
         return 0
-    count = count_fitting(free_room(worker), step.room)
+    count = count_fitting(room_of(worker), step.room)
     limit = step.spec.max_per_server
     return min(count, limit - step.on_worker[worker.id]) if limit else count
 
@@ -78,11 +88,6 @@
     return False
 
 
-def free_room(worker: WorkerState) -> Room:
-    """Return a worker's free resources."""
-    return Room(worker.free_cpu, worker.free_mem, worker.free_gpu)
-
-
 def room_after_short_tasks(worker: WorkerState) -> Room:
     """Return a worker's free resources once its short tasks have ended."""
     capacity = worker.capacity
