Ask for an instance for a long-running task that fits beside no other one

What callers see: a long-running task never runs, though other pools have instances to lend. Cause: workers for tasks that fit only on one without long-running tasks were asked for by short steps only; a pool's need for long-running tasks is their sum, which gaps on each worker hide.

Waiting long-running steps are counted like short ones.

--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -266,7 +266,7 @@
 def _add_empty_workers(
     loads: defaultdict[str, PoolLoad], state: SchedulerState, occupied: set[str]
 ) -> None:
-    """Add the workers for tasks that are too large to run beside long-running ones.
+    """Add the workers for waiting tasks that fit beside no long-running ones.
 
     Long-running tasks leave some room on each worker, which may be enough in total.
 
@@ -285,7 +285,7 @@
             rooms[worker.service].append(pair)
     for step in state.ready.values():
         pool = rooms.get(step.job.policy.service, [])
-        if step.spec.long_running or not step.waiting:
+        if not step.waiting:
             continue
         if any(count_fitting(left, step.room) for _, left in pool):
             continue
