Check long-running tasks by the promised bound in the calm between faults

Walks of four groups of faults with 13 s of calm after each: a long-running task breaks the rule if nothing of it runs for 3 s while a worker that is up and reachable has twice its room, from 6 s after its last run and 4 s after the last fault ended. Cordons of our own excuse nothing. 14 s after the end short jobs must run within 3 s too, by the rule of double room. Workers leave starts unanswered for a while, end before the next owner reads their entries, and maintenance waves go through pools of three and two workers.

Two known reds, the same class: in a pool of two, several long-running tasks under which workers crashed twice each need a worker of their own for 5 s.

--- a/tests/components/scheduling/liveness_calls.py
+++ b/tests/components/scheduling/liveness_calls.py
@@ -93,6 +93,9 @@
         outcome = "answered"
         if world.faults_enabled and world.rng.random() < 0.15:
             outcome = world.rng.choice(OUTCOMES)
+        target = world.workers.get(self._id)
+        if refusable and target is not None and target.ignores_starts:
+            outcome = world.rng.choice(("lost", "late"))
         if outcome == "late":
             world.delay_call(lambda: self._execute_late(execute))
         if outcome == "slow":
--- a/tests/components/scheduling/liveness_faults.py
+++ b/tests/components/scheduling/liveness_faults.py
@@ -46,13 +46,27 @@
     :param scarce: whether to draw long-running steps with more tasks than workers.
     """
 
-    def __init__(self, world: World, scarce: bool) -> None:
-        super().__init__(world)
+    def __init__(
+        self, world: World, scarce: bool, slots: list[Slot] | None = None
+    ) -> None:
+        super().__init__(world, slots)
         self._scarce = scarce
         self._epoch = 0
 
-    async def _async_inject_faults(self, tasks: TaskGroup) -> None:
-        events: list[tuple[Callable[[], None], int]] = [
+    async def _async_inject_faults(
+        self, tasks: TaskGroup, count: int = EVENT_COUNT
+    ) -> None:
+        events = self._weighted_events(tasks)
+        choices = [event for event, weight in events for _ in range(weight)]
+        for _ in range(count):
+            if self.world.workers:
+                self._rng.choice(choices)()
+            await anyio.sleep(self._rng.uniform(0, 2 * MEAN_EVENT_INTERVAL_SECONDS))
+
+    def _weighted_events(
+        self, tasks: TaskGroup
+    ) -> list[tuple[Callable[[], None], int]]:
+        return [
             (self._submit_ordinary, 30),
             (self._submit_long_running, 8),
             (self._cancel_job, 5),
@@ -69,10 +83,6 @@
             (self._revoke_authority, 2),
             (self._change_quota, 2),
         ]
-        choices = [event for event, weight in events for _ in range(weight)]
-        for _ in range(EVENT_COUNT):
-            self._rng.choice(choices)()
-            await anyio.sleep(self._rng.uniform(0, 2 * MEAN_EVENT_INTERVAL_SECONDS))
 
     def _submit_ordinary(self) -> None:
         self._submit_kind(self._rng.choice(ORDINARY))
@@ -119,8 +129,7 @@
 
     def _crash(self, worker: ModelWorker) -> None:
         """End an incarnation and start the next one under the same or another id."""
-        for name in worker.runs:
-            self.world.crashes[name] = self.world.crashes.get(name, 0) + 1
+        self._count_crashes(worker)
         number = self._slot_of(worker)
         if self._writes_birth_times and self._rng.random() < 0.4:
             self._start_incarnation(number, worker.id)
@@ -132,6 +141,10 @@
             self._rng.uniform(0.3, 2.5), lambda: self._start_listed_worker(number)
         )
 
+    def _count_crashes(self, worker: ModelWorker) -> None:
+        for name in worker.runs:
+            self.world.crashes[name] = self.world.crashes.get(name, 0) + 1
+
     def _partition_worker(self) -> None:
         """Make a worker unreachable for a while."""
         self._partition(self._choose_worker(), self._rng.choice(PARTITION_SECONDS))
@@ -192,11 +205,13 @@
             return
 
         def remove() -> None:
+            if self._owner is not None:
+                self._owner.set_cordoned(machine_of(worker.id), worker.id, False)
             if self.world.workers.get(worker.id) is worker and worker.cordoned:
                 number = self._slot_of(worker)
                 self._end_worker(worker)
                 if self._owner is not None:
-                    self._owner.remove_worker(machine_of(worker.id), worker.id)
+                    self._owner.remove_worker(worker.id)
                 self._schedule(1.5, lambda: self._start_listed_worker(number))
 
         self._schedule(self._rng.uniform(0.2, 3.0), remove)
--- a/tests/components/scheduling/liveness_jobs.py
+++ b/tests/components/scheduling/liveness_jobs.py
@@ -130,6 +130,22 @@
     )
 
 
+def full_long_running(rng: random.Random, number: int, now: float) -> LedgerJob:
+    """Return a job with as many tasks as its limit allows on two workers."""
+    limit = rng.randint(1, 2)
+    step = a_step(
+        **{
+            **_long_running(rng),
+            "count": 2 * limit,
+            "max_per_server": limit,
+            "may_miss": rng.randint(0, 1),
+        }
+    )
+    return a_job(
+        step, job=f"{number:016x}", queue="other", service=POOL_B, accepted_at=now
+    )
+
+
 PROBES = ("each", "each", "whole", "quota")
 FOLLOWING_PROBES = ("whole", "quota")
 
--- a/tests/components/scheduling/liveness_owner.py
+++ b/tests/components/scheduling/liveness_owner.py
@@ -228,9 +228,8 @@
                 machine, OTHER_POOL, self.world.now, worker_id=worker_id
             )
 
-    def remove_worker(self, machine: str, worker_id: str) -> None:
+    def remove_worker(self, worker_id: str) -> None:
         """Remove a worker that has been moved."""
-        self.set_cordoned(machine, worker_id, False)
         if self.dispatcher is not None:
             self.dispatcher.remove_worker(worker_id, LossCause.ORDERED)
 
--- a/tests/components/scheduling/liveness_walk.py
+++ b/tests/components/scheduling/liveness_walk.py
@@ -31,6 +31,7 @@
 )
 from .liveness_runnable import RunnableTasks
 from .liveness_virtual_time import VirtualTimeLoop
+from .liveness_workers import Slot
 from .liveness_world import World
 
 TICK_SECONDS: Final = 0.05
@@ -60,8 +61,10 @@
     :param scarce: whether to draw long-running steps with more tasks than workers.
     """
 
-    def __init__(self, seed: int, scarce: bool) -> None:
-        super().__init__(World(seed), scarce)
+    def __init__(
+        self, seed: int, scarce: bool, slots: list[Slot] | None = None
+    ) -> None:
+        super().__init__(World(seed), scarce, slots)
         self._runnable_since: dict[tuple[bool, TaskName], float] = {}
         self.max_delay = 0.0
 
@@ -146,6 +149,9 @@
     def _describe_violation(self, key: tuple[bool, TaskName]) -> str:
         double_room, name = key
         rule = "double room is free" if double_room else "room is free"
+        return self._describe_waiting(name, rule)
+
+    def _describe_waiting(self, name: TaskName, rule: str) -> str:
         owner = self._owner
         assert owner is not None
         state = owner.scheduler.state
@@ -170,6 +176,11 @@
             f"  now={self.world.now:.1f} "
             f"takeover_hold_until={state.takeover_hold_until:.1f}"
         ]
+        lines += [
+            f"  held {encode_task(task)} on {start.worker} "
+            f"until={start.until:.1f} elsewhere_at={start.elsewhere_at:.1f}"
+            for task, start in state.held_starts.items()
+        ]
         lines += [
             f"  waiting {step.job.record.id}.{step.number} {len(step.waiting)} "
             f"long_running={step.spec.long_running} "
--- a/tests/components/scheduling/liveness_workers.py
+++ b/tests/components/scheduling/liveness_workers.py
@@ -117,8 +117,7 @@
     def _end_worker(self, worker: ModelWorker) -> None:
         del self.world.workers[worker.id]
         del self._workers_by_slot[self._slot_of(worker)]
-        worker_id = worker.id
-        self._schedule(ENTRY_LAPSE_SECONDS, lambda: self._remove_entry(worker_id))
+        self._let_entry_lapse(worker.id)
 
     def _list_instances(self) -> list[Instance]:
         rows = []
@@ -148,9 +147,7 @@
         if worker is not None:
             del self.world.workers[worker.id]
             del self._workers_by_slot[number]
-            worker_id = worker.id
-            lapse_at = self.world.now + ENTRY_LAPSE_SECONDS
-            self._planned.append((lapse_at, lambda: self._remove_entry(worker_id)))
+            self._let_entry_lapse(worker.id)
 
         def end() -> None:
             self._in_upkeep.discard(number)
@@ -158,6 +155,10 @@
 
         self._planned.append((self.world.now + UPKEEP_SECONDS, end))
 
+    def _let_entry_lapse(self, worker_id: str) -> None:
+        lapse_at = self.world.now + ENTRY_LAPSE_SECONDS
+        self._planned.append((lapse_at, lambda: self._remove_entry(worker_id)))
+
     def _write_entry(self, worker_id: str) -> None:
         """Write a worker's entry, and have the owner read it if it changed."""
         worker = self.world.workers.get(worker_id)
--- a/tests/components/scheduling/liveness_world.py
+++ b/tests/components/scheduling/liveness_world.py
@@ -82,6 +82,8 @@
     :param started_at_ms: its start time as it reports it, or 0 if it reports none.
     :param checks_room: whether it rejects starts for which it has no room.
     :param unreachable: whether calls to it get no response.
+    :param ignores_starts: whether starts get no response, and are executed late if at
+        all.
     """
 
     id: str
@@ -99,6 +101,7 @@
     closed: dict[TaskName, int] = field(default_factory=dict)
     lease_until: float = 0.0
     unreachable: bool = False
+    ignores_starts: bool = False
     draining: bool = False
     cordoned: bool = False
     dies_at: float = math.inf
