Name in a release how long an unlisted worker is still waited for

What callers see: a long-running task doesn't run for up to 40 s, with room for it, while the shard changes its owner every few seconds, as when entries are restarted one after the other (LOST). Cause: an owner that has never met the worker of an unanswered start waits for 5 s from the first list that lacks it, and the release named the start as held without an end. An owner that left within 5 s made the next one wait anew.

The release limits these holds to the end of the 5 s. The wait itself isn't shorter: a worker that is listed again while its owner stays is waited for as before. 132 tests of fleet, releases and handover pass.

--- a/mustardward/components/fleet/unlisted_holds.py
+++ b/mustardward/components/fleet/unlisted_holds.py
@@ -36,6 +36,13 @@
         }
         return [
             worker_id
-            for worker_id, since in self._unlisted_since.items()
-            if read_at - since >= RESTART_SECONDS
+            for worker_id, ends_at in self.ends_at().items()
+            if read_at >= ends_at
         ]
+
+    def ends_at(self) -> dict[str, float]:
+        """Return until when the workers that are not listed are waited for."""
+        return {
+            worker_id: since + RESTART_SECONDS
+            for worker_id, since in self._unlisted_since.items()
+        }
--- a/mustardward/components/ownership/owner.py
+++ b/mustardward/components/ownership/owner.py
@@ -267,6 +267,8 @@
         lease_seconds = 0.0
         if self.dispatcher is not None:
             lease_seconds = self.dispatcher.remaining_lease_seconds(timers.monotonic())
+        if self._fleet is not None:
+            self._fleet.limit_unlisted_holds()
         unanswered = list_unanswered_starts(state, timers.monotonic())
         await self._renewals.async_release(settled, lease_seconds, unanswered)
         self.depose(DeposedBy.RELEASED)
--- a/tests/components/scheduling/liveness_owner.py
+++ b/tests/components/scheduling/liveness_owner.py
@@ -112,6 +112,8 @@
         lease_seconds = 0.0
         if self.dispatcher is not None:
             lease_seconds = self.dispatcher.remaining_lease_seconds(now)
+        if self.fleet is not None:
+            self.fleet.limit_unlisted_holds()
         return OwnerRecord(
             self.epoch,
             "",
