--- a/tests/components/scheduling/liveness_world.py
+++ b/tests/components/scheduling/liveness_world.py
@@ -14,10 +14,18 @@
 import anyio
 
 from mustardward.components.ledger.ledger import LedgerJob
+from mustardward.components.ledger.models import WaveRecord
 from mustardward.platform.exceptions import (
     FencedError,
 )
-from mustardward.platform.models import Room, SubmittedStep, WorkerEntry
+from mustardward.platform.models import (
+    INSTANCE_UP,
+    Instance,
+    MaintenanceWave,
+    Room,
+    SubmittedStep,
+    WorkerEntry,
+)
 from mustardward.platform.workers import (
     EndedTask,
     RunningTask,
@@ -74,6 +82,8 @@
     :param started_at_ms: its start time as it reports it, or 0 if it reports none.
     :param checks_room: whether it rejects starts for which it has no room.
     :param unreachable: whether calls to it get no response.
+    :param ignores_starts: whether starts get no response, and are executed late if at
+        all.
     """
 
     id: str
@@ -91,6 +101,7 @@
     closed: dict[TaskName, int] = field(default_factory=dict)
     lease_until: float = 0.0
     unreachable: bool = False
+    ignores_starts: bool = False
     draining: bool = False
     cordoned: bool = False
     dies_at: float = math.inf
@@ -204,12 +215,31 @@
         self.delayed_calls: list[tuple[float, Callable[[], None]]] = []
         self.failing: set[str] = set()
         self.quotas: dict[str, Room] = {}
+        self.waves: dict[int, MaintenanceWave] = {}
+        self.wave_records: dict[str, WaveRecord] = {}
+        self.begin_upkeep: Callable[[str], None] = lambda machine: None
+        self.list_instances: Callable[[], list[Instance]] = self._list_workers
 
     @property
     def now(self) -> float:
         """Return the virtual time."""
         return asyncio.get_running_loop().time()
 
+    def _list_workers(self) -> list[Instance]:
+        """Return one machine for each worker."""
+        return [
+            Instance(
+                f"m-{worker.id}",
+                worker.service,
+                INSTANCE_UP,
+                worker.zone,
+                list(worker.labels),
+                worker.capacity,
+                worker.id,
+            )
+            for worker in self.workers.values()
+        ]
+
     def all_runs(self) -> Iterator[tuple[ModelWorker, Run]]:
         """Yield every run with its worker."""
         for worker in self.workers.values():
