Let a long-running task share a worker with isolated ones after 4 s

What callers see: a long-running task doesn't run beside workers with room (LOST). Cause: workers on which tasks suspected of crashes run alone get no tasks of other jobs, whoever waits: 29 s in the driven test, beside two workers that isolate tasks of 30 s. After 4 s without another place a long-running task uses such a worker. A suspect still waits for the others of its kind.

--- a/mustardward/components/scheduling/candidates.py
+++ b/mustardward/components/scheduling/candidates.py
@@ -35,12 +35,14 @@
     """Hold a pool's available workers in one plan, and the task sizes that did not fit.
 
     :param isolation_workers: the workers on which suspected tasks run in isolation.
+    :param isolating: those of them that may get tasks.
     :param by_zone: the workers of each data centre.
     :param reservations: the workers that are reserved, and for which step.
     """
 
     workers: list[WorkerState]
     isolation_workers: Set[str] = frozenset()
+    isolating: list[WorkerState] = field(default_factory=list)
     by_zone: dict[str, list[WorkerState]] = field(default_factory=dict)
     reservations: list[Reservation] = field(default_factory=list)
     _workers_in: dict[ZoneSet, list[WorkerState]] = field(default_factory=dict)
@@ -138,6 +140,15 @@
             and (zones is None or worker.zone in zones)
         ]
 
+    def isolating_with_room(self, step: StepRun) -> list[WorkerState]:
+        """Return the workers with isolated tasks that have room for a step's tasks."""
+        zones = step.job.stored_zones
+        return [
+            worker
+            for worker in self.isolating
+            if tasks_that_fit(worker, step) and (zones is None or worker.zone in zones)
+        ]
+
     def share_reserved(self, worker: WorkerState, step: StepRun) -> bool:
         """Take the room of a task from a reserved worker, if it has that much left."""
         for number, (reserved, room) in enumerate(self._reserved_rooms):
--- a/mustardward/components/scheduling/planner.py
+++ b/mustardward/components/scheduling/planner.py
@@ -10,6 +10,7 @@
 from ..fair_sharing.fair_shares import FairShares
 from .advice import AdviceRequests
 from .candidates import Candidates
+from .const import MAX_ISOLATION_WAIT_SECONDS
 from .crashes import (
     all_isolation_workers,
     awaits_evaluation,
@@ -117,6 +118,7 @@
         candidates = Candidates(
             [worker for worker in workers if worker.id not in isolation_ids],
             isolation_ids,
+            [worker for worker in workers if worker.id in isolation_ids],
         )
         if len(candidates.workers) == len(workers):
             # Overdue suspects go first only while the pool runs no isolated task.
@@ -198,15 +200,16 @@
         self, step: StepRun, candidates: Candidates, promised: Counter[str], now: float
     ) -> None:
         reserved = _reserved_with_room(step, candidates)
-        if not (candidates.workers or reserved):
+        isolating = _isolating_with_room(step, candidates, now)
+        if not (candidates.workers or reserved or isolating):
             self.wait_tracker.record(step, Reason.RESERVED_FOR_OTHERS, candidates)
             return
-        if candidates.is_oversized(step) and not reserved:
+        if candidates.is_oversized(step) and not (reserved or isolating):
             self.wait_tracker.record(step, Reason.FITS_NOWHERE, candidates)
             return
         allowed = candidates.in_zones(step.job.stored_zones)
         preferred = _preferred(step, allowed)
-        if not self._may_start(step, [*preferred, *reserved], now):
+        if not self._may_start(step, [*preferred, *reserved, *isolating], now):
             return
         if step.spec.gang:
             self._place_gang(step, preferred, allowed, now)
@@ -214,7 +217,10 @@
         if candidates.may_fit(step) and self._place_tasks(step, allowed, now):
             return
         if step.spec.long_running:
-            if not self._place_beside_reserved(step, reserved, candidates, now):
+            if not (
+                (isolating and self._place_tasks(step, isolating, now))
+                or self._place_beside_reserved(step, reserved, candidates, now)
+            ):
                 self._reserve_worker(step, candidates, now)
             return
         elsewhere = self.zone_chooser.add_zone(step, candidates.by_zone, promised)
@@ -431,6 +437,20 @@
     return others if avoided and has_room_for_all(others, step) else workers
 
 
+def _isolating_with_room(
+    step: StepRun, candidates: Candidates, now: float
+) -> list[WorkerState]:
+    """Return the workers with isolated tasks that a long-running step may use.
+
+    It must not wait longer than isolated tasks do for such workers.
+    """
+    if not step.spec.long_running or step.spec.gang:
+        return []
+    if now - step.waiting.first().ready_since <= MAX_ISOLATION_WAIT_SECONDS:
+        return []
+    return candidates.isolating_with_room(step)
+
+
 def _reserved_with_room(step: StepRun, candidates: Candidates) -> list[WorkerState]:
     """Return the reserved workers that a step may use beside the reservations."""
     if not step.spec.long_running or step.spec.gang:
