Ask for an instance for tasks that can't leave a worker to be drained

What callers see: a wave doesn't end. Cause: a worker that long-running tasks can't leave isn't drained, and its pool doesn't count it. The pool asks for an instance only if the sum of the tasks exceeds what it counts, and the room that each other worker lacks for one more task hides that.

The scheduler's state names these workers. A pool asks for one more instance while a step on one of them has no room beside the long-running tasks of the others, and none of these is without such tasks.

--- a/mustardward/components/fleet/services.py
+++ b/mustardward/components/fleet/services.py
@@ -85,7 +85,6 @@
     _listed: ListedWorkers = field(default_factory=ListedWorkers)
     _unusable: UnusableTracker = field(default_factory=UnusableTracker)
     _unlisted_holds: UnlistedHolds = field(default_factory=UnlistedHolds)
-    _needed_hosts: frozenset[str] = frozenset()
     _read_at: float = -1.0
     _complete: bool = True
 
@@ -298,7 +297,7 @@
         cordoned = find_cordoned(
             self.wave_planner.runs.values(),
             self.pool_planner.orders.values(),
-            self._needed_hosts,
+            self.scheduler.state.needed_hosts,
         )
         for worker in self.scheduler.state.workers.values():
             should_cordon = is_cordoned(worker, cordoned)
@@ -310,9 +309,9 @@
         needed = find_needed_hosts(
             self.scheduler.state, self.wave_planner.draining_workers(), now
         )
-        for worker_id in needed - self._needed_hosts:
+        for worker_id in needed - self.scheduler.state.needed_hosts:
             _LOGGER.info("drain_postponed", worker=worker_id)
-        self._needed_hosts = needed
+        self.scheduler.state.needed_hosts = needed
 
     def _add_new_waves(self) -> None:
         for number, wave in self.configuration.waves.items():
@@ -347,7 +346,7 @@
             capacities={
                 w.id: w.capacity for w in self.scheduler.state.workers.values()
             },
-            needed_hosts=self._needed_hosts,
+            needed_hosts=self.scheduler.state.needed_hosts,
         )
 
     def _store_wave(self, run: WaveRun) -> None:
--- a/mustardward/components/scheduling/demand.py
+++ b/mustardward/components/scheduling/demand.py
@@ -275,7 +275,9 @@
     usable = [
         worker
         for worker in state.workers.values()
-        if is_operational(worker) and worker.id not in state.unusable_workers
+        if is_operational(worker)
+        and worker.id not in state.unusable_workers
+        and worker.id not in state.needed_hosts
     ]
     has_empty = {worker.service for worker in usable if worker.id not in occupied}
     rooms: defaultdict[str, list[tuple[Room, Room]]] = defaultdict(list)
@@ -284,15 +286,40 @@
             pair = (worker.capacity, room_after_short_tasks(worker))
             rooms[worker.service].append(pair)
     for step in state.ready.values():
+        if step.waiting:
+            load = loads[step.job.policy.service]
+            load.empty_workers += _empty_workers(
+                step, rooms.get(step.job.policy.service, []), len(step.waiting)
+            )
+    for step in _steps_to_move(state):
+        # One more worker is enough for tasks that move one after the other.
+        load = loads[step.job.policy.service]
         pool = rooms.get(step.job.policy.service, [])
-        if not step.waiting:
-            continue
-        if any(count_fitting(left, step.room) for _, left in pool):
-            continue
-        most = max((count_fitting(size, step.room) for size, _ in pool), default=0)
-        if most:
-            count = math.ceil(len(step.waiting) / most)
-            loads[step.job.policy.service].empty_workers += count
+        load.empty_workers = max(load.empty_workers, _empty_workers(step, pool, 1))
+
+
+def _empty_workers(step: StepRun, pool: list[tuple[Room, Room]], count: int) -> int:
+    """Return how many empty workers tasks need that have room on no present one.
+
+    :param pool: capacities of the present workers, and their room after short tasks.
+    """
+    if any(count_fitting(left, step.room) for _, left in pool):
+        return 0
+    most = max((count_fitting(size, step.room) for size, _ in pool), default=0)
+    return math.ceil(count / most) if most else 0
+
+
+def _steps_to_move(state: SchedulerState) -> list[StepRun]:
+    """Return the long-running steps that can't leave a worker to be drained."""
+    workers = (state.workers.get(worker_id) for worker_id in state.needed_hosts)
+    steps = {
+        id(task.step): task.step
+        for worker in workers
+        if worker is not None
+        for task in worker.tasks.values()
+        if task.step.spec.long_running
+    }
+    return list(steps.values())
 
 
 def _workers_to_spread(step: StepRun) -> int:
--- a/mustardward/components/scheduling/scheduler_state.py
+++ b/mustardward/components/scheduling/scheduler_state.py
@@ -63,6 +63,7 @@
     :param incoming_cpu: processors of instances ordered for each pool, in millicores.
     :param pool_needs: how many instances each pool needs, and why.
     :param unusable_workers: ids of workers that have been unusable for a while.
+    :param needed_hosts: ids of workers that long-running tasks can't leave for a drain.
     :param reconciled_zones: data centres whose workers have all reported their runs.
     :param suspects: the jobs with tasks under which workers crashed, by id.
     :param max_lease_seconds: the longest lease that workers grant, whatever deadline
@@ -92,6 +93,7 @@
     incoming_cpu: dict[str, int] = field(default_factory=dict)
     pool_needs: dict[str, Need] = field(default_factory=dict)
     unusable_workers: frozenset[str] = frozenset()
+    needed_hosts: frozenset[str] = frozenset()
     taken_over_at: float = 0.0
     quotas: Quotas = field(default_factory=Quotas)
     suspects: dict[str, Job] = field(default_factory=dict)
--- a/tests/components/fleet/test_fragmented_pools.py
+++ b/tests/components/fleet/test_fragmented_pools.py
@@ -63,5 +63,6 @@
     """Guard against a wave that waits for an instance for which nobody asks."""
     bench = a_pool(workers, count=2 * workers, cpu=2700)
     state = bench.scheduler.state
-    assert find_needed_hosts(state, {"i-00"}, bench.now) == {"i-00"}
+    state.needed_hosts = find_needed_hosts(state, {"i-00"}, bench.now)
+    assert state.needed_hosts == {"i-00"}
     assert len(moves_to_pool(bench, {"m-00"})) == 1
