--- a/tests/components/scheduling/liveness_calm_walk.py
+++ b/tests/components/scheduling/liveness_calm_walk.py
@@ -25,6 +25,8 @@
 """Time after the end of traffic from which short jobs must run too."""
 CHECK_SECONDS: Final = 0.1
 WAVE_SHARE: Final = 0.7
+HANDOVER_SHARE: Final = 0.5
+HANDOVERS: Final = 3
 
 
 def _small_pools() -> list[Slot]:
@@ -44,12 +46,16 @@
 
     :param suspects: whether to check the tasks under which workers crashed repeatedly;
         otherwise all others are checked.
+    :param handovers: whether owners leave of themselves in the calm too.
     """
 
-    def __init__(self, seed: int, suspects: bool = False) -> None:
+    def __init__(
+        self, seed: int, suspects: bool = False, handovers: bool = False
+    ) -> None:
         super().__init__(seed, scarce=False, slots=_small_pools())
         self._rule = LongRunningRule(self.world)
         self._suspects = suspects
+        self._handovers = handovers
         self._short_since: dict[TaskName, float] = {}
         self.calm_seconds = 0.0
 
@@ -89,6 +95,7 @@
             elif math.isinf(calm_since):
                 calm_since = now
                 self._write_all_entries()
+                self._plan_handovers(tasks)
             for name in self._rule.find_violations(self._directory.done, calm_since):
                 crashes = self.world.crashes.get(name, 0)
                 if (crashes >= SUSPECT_CRASHES) is not self._suspects:
@@ -102,6 +109,14 @@
         self.calm_seconds += CALM_SECONDS + is_last * FINISH_SECONDS
         return ""
 
+    def _plan_handovers(self, tasks: TaskGroup) -> None:
+        """Let owners leave of themselves in the calm, which is planned work."""
+        if not self._handovers or self._rng.random() >= HANDOVER_SHARE:
+            return
+        for number in range(1, HANDOVERS + 1):
+            at = self.world.now + number * self._rng.uniform(2.0, 4.0)
+            self._planned.append((at, lambda: self._take_over(tasks, planned=True)))
+
     def _is_fault_acting(self) -> bool:
         owner = self._owner
         return (
--- a/tests/components/scheduling/liveness_faults.py
+++ b/tests/components/scheduling/liveness_faults.py
@@ -256,11 +256,14 @@
 
             self._schedule(3.0, restore)
 
-    def _take_over(self, tasks: TaskGroup) -> None:
-        """Replace the owner by another one, which starts after a pause."""
+    def _take_over(self, tasks: TaskGroup, planned: bool = False) -> None:
+        """Replace the owner by another one, which starts after a pause.
+
+        :param planned: whether the owner certainly releases the shard.
+        """
         previous = OwnerRecord(self._epoch, "", "node", 0)
         if self._owner is not None:
-            if self._rng.random() < RELEASE_SHARE:
+            if planned or self._rng.random() < RELEASE_SHARE:
                 previous = self._owner.build_release()
             self._owner.end()
         self._epoch += 1
--- a/tests/components/scheduling/liveness_mutants.py
+++ b/tests/components/scheduling/liveness_mutants.py
@@ -13,8 +13,15 @@
 
 from mustardward.components.dispatch.command_executor import CommandExecutor
 from mustardward.components.dispatch.session import WorkerSession
+from mustardward.components.fleet import services as fleet_services
+from mustardward.components.fleet.services import Fleet
+from mustardward.components.ledger.models import UnansweredStart
+from mustardward.components.ownership import takeover
 from mustardward.components.scheduling import advice, health, planner, reports
+from mustardward.components.scheduling.const import SAME_WORKER_SECONDS
 from mustardward.components.scheduling.crashes import CrashTracker
+from mustardward.components.scheduling.held_starts import HeldStarts
+from mustardward.components.scheduling.models import ACTIVE
 from mustardward.components.scheduling.quotas import Quotas
 from mustardward.components.scheduling.reports import Reports
 from mustardward.components.scheduling.scheduler import Scheduler
@@ -205,3 +212,66 @@
     ),
 }
 """The mutants by a name of what each one breaks."""
+
+
+def _release_without_held_seconds(patch: pytest.MonkeyPatch) -> None:
+    """Leave out of a release that tasks may start elsewhere already."""
+
+    def name_start(
+        task: str, run: int, worker: str, seconds: float, *_: object
+    ) -> UnansweredStart:
+        return UnansweredStart(task, run, worker, seconds)
+
+    patch.setattr(takeover, "UnansweredStart", name_start)
+
+
+def _hold_again(patch: pytest.MonkeyPatch) -> None:
+    """Hold tasks again that may start elsewhere once their worker is lost again."""
+    extend = HeldStarts.extend
+
+    def extend_all(
+        starts: HeldStarts, worker_id: str, now: float, until: float | None = None
+    ) -> None:
+        extend(starts, worker_id, -math.inf, until)
+
+    patch.setattr(HeldStarts, "extend", extend_all)
+
+
+def _report_for_waiting_tasks_only(patch: pytest.MonkeyPatch) -> None:
+    """Let a report end the holds of tasks only that run nowhere."""
+    mark_confirmed = SchedulerState.mark_confirmed
+
+    def mark(state: SchedulerState, worker: Any, now: float) -> None:
+        starts = state.held_starts
+        state.held_starts = HeldStarts()
+        mark_confirmed(state, worker, now)
+        state.held_starts = starts
+
+        def is_inactive(name: Any) -> bool:
+            task = state.find_task(name)
+            return task is None or task.phase not in ACTIVE
+
+        starts.limit(worker.id, now + SAME_WORKER_SECONDS, is_inactive)
+
+    patch.setattr(SchedulerState, "mark_confirmed", mark)
+
+
+CALM_MUTANTS: dict[str, Mutate] = {
+    "a-release-names-no-end-of-holds": _release_without_held_seconds,
+    "an-unlisted-worker-is-waited-for": _replace(
+        Fleet, "_end_unlisted_holds", _do_nothing
+    ),
+    "a-replaced-worker-is-waited-for": _replace(
+        Fleet, "_release_replaced_workers", _do_nothing
+    ),
+    "an-ended-worker-is-waited-for": _replace(
+        SchedulerState, "record_ended", _do_nothing
+    ),
+    "waves-drain-needed-hosts": _replace(
+        fleet_services, "find_needed_hosts", lambda *_: frozenset()
+    ),
+    "a-loss-holds-again": _hold_again,
+    "a-report-ends-no-hold-of-a-running-task": _report_for_waiting_tasks_only,
+    "cordons-stay": _never_uncordon,
+}
+"""Mutants that walks with calm between faults have to detect."""
