Handle an entry's signals from its first import, and while it drains

SIGTERM before an entry served ended it by the signal, not with the 0 of docs/operators/shutdown.md, and so did a second SIGTERM during a drain.

Cause: both signals had handlers only while async_main waited for them. Before that stood the imports, nine tenths of a start, and the settings; after it the whole drain, since the receiver was left first, which sets the default action again. Ruled out: asyncio's own handlers for a longer time. They need the loop, which comes after the imports, and the loop sets the default action when it closes.

Now the first module that the program imports sets handlers of its own, which stay. It imports no typing, which takes three times as long as signal. Until the event loop runs, a stop ends the process at once with 0 and one line (stopped_while_starting), and a reload is kept for the loop. From then on handlers only note a signal and wake the loop, by call_soon_threadsafe and, for a signal just before a wait, by the wake-up descriptor. A stop drains once; a reload while draining is logged (reload_ignored). An exception in place of _exit was ruled out: it is lost in the callbacks of the import system.

In test_main.py the handlers are installed by a fixture; its checks are as before.

--- a/mustardward/node/__main__.py
+++ b/mustardward/node/__main__.py
@@ -2,7 +2,17 @@
 
 from __future__ import annotations
 
-from .main import main
+from .signals import ProcessSignals
+
+
+def run() -> None:
+    """Handle signals, and only then import and run everything else."""
+    signals = ProcessSignals()
+    signals.install()
+    from .main import main
+
+    main(signals)
+
 
 if __name__ == "__main__":
-    main()
+    run()
--- a/mustardward/node/main.py
+++ b/mustardward/node/main.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
-import signal
+import socket
 import sys
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import anyio
 from absl import flags
@@ -20,6 +23,7 @@
 from ..platform.exceptions import BootSettingsError
 from .app import Node
 from .settings import load_settings
+from .signals import ProcessSignals
 
 _LOGGER = get_logger(__name__)
 
@@ -30,6 +34,9 @@
 FLUSH_SECONDS = 0.1
 """Interval at which buffered log lines are written."""
 
+MAX_WAKEUP_BYTES = 4096
+"""Bytes read at once from the socket that signals write to."""
+
 
 class UnexpectedExitError(MustardwardError):
     """Raised when an entry node ended without a stop signal."""
@@ -37,8 +44,10 @@
     code = "unasked-end"
 
 
-async def async_main(boot: BootSettings, output: BoundedOutput) -> None:
-    """Run one entry node until it receives SIGTERM.
+async def async_main(
+    boot: BootSettings, output: BoundedOutput, signals: ProcessSignals
+) -> None:
+    """Run one entry node until a stop is requested.
 
     :raises UnexpectedExitError: if a task was cancelled without a stop signal.
     """
@@ -46,21 +55,46 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(async_flush, output)
         node = Node(boot, tasks)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+        with receive(signals, boot.node) as stop:
             await node.async_start()
-            async for number in signals:
-                if number == signal.SIGTERM:
-                    stop_requested = True
-                    break
-                _LOGGER.info("settings_reloaded", node=boot.node)
-        await node.async_shut_down()
-        tasks.cancel_scope.cancel()
+            await stop.wait()
+            stop_requested = True
+            await node.async_shut_down()
+            tasks.cancel_scope.cancel()
     if not stop_requested:
         # A task that is cancelled from elsewhere cancels the whole group. Without an
         # error, the exit would look like a planned one, with status 0.
         raise UnexpectedExitError("a task of the entry node was cancelled")
 
 
+@contextmanager
+def receive(signals: ProcessSignals, node: str) -> Iterator[anyio.Event]:
+    """Act on signals in the event loop; return the event that a stop sets."""
+    stop = anyio.Event()
+
+    def act() -> None:
+        if signals.take_reload():
+            event = "reload_ignored" if stop.is_set() else "settings_reloaded"
+            _LOGGER.info(event, node=node)
+        if signals.take_stop():
+            stop.set()
+
+    def notify() -> None:
+        loop.call_soon_threadsafe(act)
+
+    loop = asyncio.get_running_loop()
+    reader, writer = socket.socketpair()
+    with reader, writer:
+        reader.setblocking(False)
+        writer.setblocking(False)
+        loop.add_reader(reader, reader.recv, MAX_WAKEUP_BYTES)
+        try:
+            with signals.notifying(notify, writer.fileno()):
+                yield stop
+        finally:
+            loop.remove_reader(reader)
+
+
 async def async_flush(output: BoundedOutput) -> None:
     """Write buffered log lines periodically, as far as the output accepts them."""
     while True:
@@ -94,13 +128,16 @@
     switch_off(load_settings(_SETTINGS.value).policies_off)
 
 
-def main() -> None:
-    """Run the entry node that the platform's settings file describes."""
+def main(signals: ProcessSignals) -> None:
+    """Run the entry node that the platform's settings file describes.
+
+    :param signals: installed signal handlers.
+    """
     output = set_up_logging()
     try:
         parse_arguments(sys.argv)
         boot = load_boot()
-        anyio.run(async_main, boot, output)
+        anyio.run(async_main, boot, output, signals)
     except (BootSettingsError, SettingsError, UnknownPolicyError) as error:
         _LOGGER.error("settings_unusable", code=error.code, detail=error.detail)
         sys.exit(2)
--- a/tests/node/entry_process.py
+++ b/tests/node/entry_process.py
@@ -19,6 +19,7 @@
 
 from mustardward.platform.boot import (
     PATH_VARIABLE,
+    BootBounds,
     BootFleet,
     BootLimits,
     BootListen,
@@ -32,6 +33,7 @@
 IP: Final = f"127.9.{_NUMBER // 250 + 1}.{_NUMBER % 250 + 1}"
 """Address of the entry; test runs beside this one have others."""
 
+LOG_NAME: Final = "entry.log"
 METRICS_ADDRESS: Final = f"{IP}:9464"
 CALLERS_HOST: Final = "calls.example"
 QUEUE: Final = "/q/"
@@ -145,41 +147,61 @@
     :param variables: additional environment variables.
     :param is_configured: whether the operator has published a configuration.
     """
-    front, ready, peers = _free_ports(3)
     async with async_run_estate(EstatePlan(), "127.0.0.1") as estate:
         if is_configured:
             estate.publish_config({QUEUE: "pool-a"}, CALLERS_HOST)
-        boot = BootSettings(
-            node="entry-1",
-            ip=IP,
-            zone="z1",
-            listen=BootListen(front=f"{IP}:{front}", ready=f"{IP}:{ready}"),
-            platform=BootStore(address=estate.address),
-            cloud=BootFleet(address=estate.address),
-            limits=limits,
-            port_range=(peers, peers),
-        )
+        boot = build_boot(estate.address, limits)
         settings = folder / "boot.json"
         settings.write_bytes(msgspec.json.encode(boot))
-        environment = os.environ | {PATH_VARIABLE: str(settings)} | (variables or {})
-        with (folder / "entry.log").open("wb") as log:
-            process = await anyio.open_process(
-                [sys.executable, "-m", "mustardward.node"],
-                stdout=log,
-                stderr=subprocess.STDOUT,
-                env=environment,
-            )
-        try:
+        async with async_spawn_entry(folder, settings, variables) as process:
             entry = EntryProcess(boot, process, estate)
             if is_configured:
                 await entry.async_wait_ready()
             else:
                 await _async_wait_listening(boot.listen.front)
             yield entry
-        finally:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
+
+
+def build_boot(
+    store_address: str, limits: BootLimits, bounds: BootBounds | None = None
+) -> BootSettings:
+    """Return the settings of an entry on free ports."""
+    front, ready, peers = _free_ports(3)
+    return BootSettings(
+        node="entry-1",
+        ip=IP,
+        zone="z1",
+        listen=BootListen(front=f"{IP}:{front}", ready=f"{IP}:{ready}"),
+        platform=BootStore(address=store_address),
+        cloud=BootFleet(address=store_address),
+        limits=limits,
+        bounds=bounds or BootBounds(),
+        port_range=(peers, peers),
+    )
+
+
+@asynccontextmanager
+async def async_spawn_entry(
+    folder: Path, settings: Path, variables: dict[str, str] | None = None
+) -> AsyncIterator[Process]:
+    """Start an entry's process, and kill it if it still runs when the block ends.
+
+    Its log is the file ``entry.log`` of the folder.
+    """
+    environment = os.environ | {PATH_VARIABLE: str(settings)} | (variables or {})
+    with (folder / LOG_NAME).open("wb") as log:
+        process = await anyio.open_process(
+            [sys.executable, "-m", "mustardward.node"],
+            stdout=log,
+            stderr=subprocess.STDOUT,
+            env=environment,
+        )
+    try:
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
 
 
 async def _async_wait_listening(address: str) -> None:
--- a/tests/node/test_main.py
+++ b/tests/node/test_main.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+from collections.abc import Iterator
 from typing import Any
 
 import anyio
@@ -12,6 +13,7 @@
 
 import mustardward.node.main as program
 from mustardward.helpers.bounded_output import BoundedOutput
+from mustardward.node.signals import RELOAD_SIGNAL, STOP_SIGNALS, ProcessSignals
 from mustardward.platform.boot import BootListen, BootSettings, BootStore
 
 pytestmark = pytest.mark.anyio
@@ -29,6 +31,18 @@
     return BoundedOutput(len, lambda: 0.0)
 
 
+@pytest.fixture
+def signals() -> Iterator[ProcessSignals]:
+    """Install the handlers of an entry, and take them back after the test."""
+    numbers = (*STOP_SIGNALS, RELOAD_SIGNAL)
+    previous = [(number, signal.getsignal(number)) for number in numbers]
+    installed = ProcessSignals()
+    installed.install()
+    yield installed
+    for number, handler in previous:
+        signal.signal(number, handler)
+
+
 def patch_node(monkeypatch: pytest.MonkeyPatch, is_cancelled: bool) -> list[str]:
     """Replace Node by a fake that is cancelled or gets SIGTERM; return its calls."""
     calls: list[str] = []
@@ -51,18 +65,18 @@
 
 
 async def test_unexpected_exit_is_an_error(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, signals: ProcessSignals
 ) -> None:
     """Guard against a node that exits with status 0 and no log line on its own."""
     calls = patch_node(monkeypatch, is_cancelled=True)
     with pytest.raises(program.UnexpectedExitError):
-        await program.async_main(BOOT, build_output())
+        await program.async_main(BOOT, build_output(), signals)
     assert calls == []
 
 
 async def test_node_shuts_down_on_sigterm(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, signals: ProcessSignals
 ) -> None:
     calls = patch_node(monkeypatch, is_cancelled=False)
-    await program.async_main(BOOT, build_output())
+    await program.async_main(BOOT, build_output(), signals)
     assert calls == ["left"]
