Send a held entry its signals only while it waits

In 3 of 4 runs one test of tests/node/test_signals.py hung for its time of 60 s: overlapping signals, while importing (2) or reading settings (1). A gate counted as reached when the process had opened the pipe, and it had yet to begin to read. A handler that is written in Python runs between two steps of the program: a signal after the last step and before the read waits for the end of the read, which the test never brought. An entry at work is not held so: it reads no pipe, and in the event loop the wake-up descriptor ends a wait.

A gate counts as reached now when the process sleeps behind it, and a signal as taken when none is pending and the process sleeps again.

--- a/tests/node/gates.py
+++ b/tests/node/gates.py
@@ -17,6 +17,7 @@
 SETTINGS: Final = "settings"
 EXITING: Final = "exiting"
 
+_WAITING: Final = "S"
 _GATED_MODULE: Final = "anyio"
 """The first library that an entry imports."""
 
@@ -41,6 +42,21 @@
 """
 
 
+def is_waiting(process: Process) -> bool:
+    """Return whether a process waits, with no signal left to be handled.
+
+    A handler that is written in Python runs after a wait that its signal has ended, but
+    not during one that begins between the signal and the handler.
+    """
+    try:
+        status = Path(f"/proc/{process.pid}/status").read_text(encoding="utf-8")
+    except OSError:
+        return False
+    rows = dict(row.split(":", 1) for row in status.splitlines() if ":" in row)
+    pending = int(rows["ShdPnd"], 16) | int(rows["SigPnd"], 16)
+    return pending == 0 and rows["State"].split()[0] == _WAITING
+
+
 class Gate:
     """Named pipe that a process opens to read, and at which it waits."""
 
@@ -55,15 +71,16 @@
         :raises ProcessLookupError: if it has ended before.
         """
         with anyio.fail_after(GATE_TIMEOUT_SECONDS):
-            while self._descriptor is None and not self._try_to_reach():
+            while not (self._is_opened() and is_waiting(process)):
                 if process.returncode is not None:
                     raise ProcessLookupError(f"exit code {process.returncode}")
                 await anyio.sleep(POLL_SECONDS)
 
-    def _try_to_reach(self) -> bool:
-        with suppress(OSError):
-            # Refused as long as nobody has opened the pipe to read.
-            self._descriptor = os.open(self.path, os.O_WRONLY | os.O_NONBLOCK)
+    def _is_opened(self) -> bool:
+        if self._descriptor is None:
+            with suppress(OSError):
+                # Refused as long as nobody has opened the pipe to read.
+                self._descriptor = os.open(self.path, os.O_WRONLY | os.O_NONBLOCK)
         return self._descriptor is not None
 
     def open(self, content: bytes = b"") -> None:
--- a/tests/node/test_signals.py
+++ b/tests/node/test_signals.py
@@ -26,7 +26,7 @@
     async_spawn_entry,
     build_boot,
 )
-from .gates import EXITING, IMPORTING, SETTINGS, Gate, gate_imports
+from .gates import EXITING, IMPORTING, SETTINGS, Gate, gate_imports, is_waiting
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
@@ -61,7 +61,7 @@
         """Send signals, each after the one before was taken by the process."""
         for number in numbers:
             self._send(number)
-            await self._async_poll(lambda: self._pending_signals() == 0)
+            await self._async_poll(lambda: is_waiting(self.process))
 
     async def async_reach_settings(self) -> None:
         """Let the process import everything, and wait until it reads its settings."""
@@ -100,14 +100,6 @@
         with suppress(ProcessLookupError):
             self.process.send_signal(number)
 
-    def _pending_signals(self) -> int:
-        try:
-            status = Path(f"/proc/{self.process.pid}/status").read_text("utf-8")
-        except OSError:
-            return 0
-        rows = dict(row.split(":", 1) for row in status.splitlines() if ":" in row)
-        return int(rows["ShdPnd"], 16) | int(rows["SigPnd"], 16)
-
 
 @asynccontextmanager
 async def async_hold_entry(
