Count no worker with isolated tasks as a place for tasks that maintenance moves

What callers see: a long-running task that a wave stopped waits, with room for it (LOST). Cause: the only other worker ran tasks suspected of crashes alone, and was counted as a place; nothing else starts there.

--- a/mustardward/components/scheduling/needed_hosts.py
+++ b/mustardward/components/scheduling/needed_hosts.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Iterator, Set
 from typing import Final
 
+from .crashes import all_isolation_workers
 from .models import Phase, StepRun
 from .placement import (
     RoomOf,
@@ -107,13 +108,18 @@
 def _other_workers(
     state: SchedulerState, draining: Set[str], services: Set[str], now: float
 ) -> dict[str, list[WorkerState]]:
-    """Return the workers of some pools that stay and may get tasks."""
+    """Return the workers of some pools that stay and may get tasks.
+
+    Those on which suspected tasks run alone may not.
+    """
+    isolation_ids = all_isolation_workers(state.suspects.values())
     found: dict[str, list[WorkerState]] = defaultdict(list)
     found.update({service: [] for service in services})
     for worker in state.workers.values():
         if (
             worker.service in services
             and worker.id not in draining
+            and worker.id not in isolation_ids
             and is_operational(worker)
             and not worker.cordoned
             and worker.quarantined_until <= now
--- a/tests/components/scheduling/test_needed_hosts.py
+++ b/tests/components/scheduling/test_needed_hosts.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mustardward.components.scheduling.const import ISOLATION_CRASHES
 from mustardward.components.scheduling.losses import LossCause
 from mustardward.components.scheduling.needed_hosts import (
     WAIT_SECONDS,
@@ -19,6 +20,8 @@
 CALLS_PER_WORKER = 12
 """Calls of Python functions for each worker, of one step that runs on all of them."""
 
+OTHER = "00000000000000bb"
+
 
 def a_pool(workers: int, **changes: object) -> SchedulerBench:
     """Return a pool on which all tasks of a long-running step run."""
@@ -158,3 +161,18 @@
     assert not bench.plan_starts()
     bench.now += MAX_WAIT_SECONDS
     assert needed(bench, "w0") == {"w0"}
+
+
+def test_worker_on_which_a_suspect_runs_alone_is_no_place() -> None:
+    """Guard against a drain of tasks that would wait until the suspect is cleared."""
+    bench = a_pool(2)
+    bench.worker("w2")
+    bench.add(a_job(a_step(count=1, long_running=True), job=OTHER))
+    for number in range(ISOLATION_CRASHES):
+        bench.scheduler.state.record_crash(
+            bench.task(0, job=OTHER), f"crashed-{number}"
+        )
+    bench.store()
+    (start,) = bench.plan_starts()
+    assert start.worker == "w2"
+    assert needed(bench, "w1") == {"w1"}
