Keep an entry's exit code when a signal arrives while it exits

What operators see: an entry that has drained, or that has logged settings_unusable, ends by SIGHUP or a second SIGTERM (-1, -15) in place of 0 or 2 if the signal comes while the interpreter exits, which for an entry includes freeing all its modules. Found by reading while mending the drain; not seen in the field. Cause: the interpreter's exit puts the default action in the place of each handler that is written in Python. An ignored signal stays ignored. So the program ignores them at its end, however that comes; a process that hangs there is killed after grace-s, as in a drain.

The tests hold a process at that point, in the finaliser of an object that is collected with the modules. The test of unusable settings after reloads is part of them: it asks for all that it did, and for signals at the exit.

--- a/mustardward/node/__main__.py
+++ b/mustardward/node/__main__.py
@@ -9,9 +9,12 @@
     """Handle signals, and only then import and run everything else."""
     signals = ProcessSignals()
     signals.install()
-    from .main import main
+    try:
+        from .main import main
 
-    main(signals)
+        main(signals)
+    finally:
+        signals.ignore()
 
 
 if __name__ == "__main__":
--- a/mustardward/node/signals.py
+++ b/mustardward/node/signals.py
@@ -33,10 +33,19 @@
         self._notify: Callable[[], None] | None = None
 
     def install(self) -> None:
-        """Set the handlers; they stay."""
+        """Set the handlers, which stay until ``ignore``."""
         for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
             signal.signal(number, self._handle)
 
+    def ignore(self) -> None:
+        """Ignore signals while the interpreter exits.
+
+        It replaces handlers that are written in Python by the default action, which
+        ends the process, but not this.
+        """
+        for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
+            signal.signal(number, signal.SIG_IGN)
+
     def take_stop(self) -> bool:
         """Return whether a stop was requested since the last call."""
         requested, self._stop_requested = self._stop_requested, False
--- a/tests/node/test_signals.py
+++ b/tests/node/test_signals.py
@@ -69,6 +69,12 @@
         self.importing.open()
         await self.settings.async_wait_reached(self.process)
 
+    async def async_reach_exit(self) -> Gate:
+        """Wait until the process is held in the interpreter's exit."""
+        assert self.exiting is not None
+        await self.exiting.async_wait_reached(self.process)
+        return self.exiting
+
     async def async_start(self, boot: BootSettings) -> None:
         """Let the process read its settings, and wait until it serves."""
         self.settings.open(msgspec.json.encode(boot))
@@ -153,13 +159,21 @@
         assert entry.count_logged("stopped_while_starting") == 1
 
 
-async def test_reloads_do_not_hide_that_settings_are_unusable(tmp_path: Path) -> None:
-    """Guard against another exit code for unusable settings after a reload."""
-    async with async_hold_entry(tmp_path) as entry:
+@pytest.mark.parametrize(
+    "async_send", [async_reload_and_stop, async_overlap], ids=["series", "overlapping"]
+)
+async def test_signals_do_not_hide_that_settings_are_unusable(
+    tmp_path: Path, async_send: Send
+) -> None:
+    """Guard against another exit code after a reload, or by a signal at the exit."""
+    async with async_hold_entry(tmp_path, is_exit_gated=True) as entry:
         await entry.async_send(HUP)
         await entry.async_reach_settings()
         await entry.async_send(HUP)
         entry.settings.open(b"{}")
+        exiting = await entry.async_reach_exit()
+        await async_send(entry)
+        exiting.open()
         assert await entry.async_wait_exit() == SETTINGS_UNUSABLE
         assert entry.count_logged("settings_unusable") == 1
 
@@ -184,7 +198,7 @@
 
 async def test_reloads_at_each_stage_leave_an_entry_as_it_is(tmp_path: Path) -> None:
     """Guard against a reload that ends an entry, or is lost, at any stage."""
-    async with async_hold_entry(tmp_path) as entry:
+    async with async_hold_entry(tmp_path, is_exit_gated=True) as entry:
         await entry.async_send(HUP, HUP)
         await entry.async_reach_settings()
         await entry.async_send(HUP)
@@ -199,5 +213,8 @@
             await async_overlap(entry)
             await entry.async_wait_logged("node_stopping")
             await entry.async_send(HUP, HUP)
-            assert await entry.async_wait_exit() == STOPPED
+            exiting = await entry.async_reach_exit()
+        await entry.async_send(HUP, TERM)
+        exiting.open()
+        assert await entry.async_wait_exit() == STOPPED
         assert entry.count_logged("node_stopped") == 1
