Stop an entry by SIGINT as by SIGTERM

An entry on the users' platform ended by SIGINT with a traceback (KeyboardInterrupt; -2 while importing) and did not drain: only SIGTERM and SIGHUP had handlers. SIGINT is a stop signal now at each stage.

--- a/mustardward/node/signals.py
+++ b/mustardward/node/signals.py
@@ -13,7 +13,7 @@
 from contextlib import contextmanager
 from types import FrameType
 
-STOP_SIGNALS = (signal.SIGTERM,)
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOAD_SIGNAL = signal.SIGHUP
 
 STOPPED_EXIT_CODE = 0
--- a/tests/node/test_main.py
+++ b/tests/node/test_main.py
@@ -43,8 +43,10 @@
         signal.signal(number, handler)
 
 
-def patch_node(monkeypatch: pytest.MonkeyPatch, is_cancelled: bool) -> list[str]:
-    """Replace Node by a fake that is cancelled or gets SIGTERM; return its calls."""
+def patch_node(
+    monkeypatch: pytest.MonkeyPatch, number: signal.Signals | None = None
+) -> list[str]:
+    """Replace Node by a fake that gets a signal or is cancelled; return its calls."""
     calls: list[str] = []
 
     class _Node:
@@ -52,10 +54,10 @@
             self.tasks = tasks
 
         async def async_start(self) -> None:
-            if is_cancelled:
+            if number is None:
                 self.tasks.cancel_scope.cancel()
                 await anyio.sleep_forever()
-            os.kill(os.getpid(), signal.SIGTERM)
+            os.kill(os.getpid(), number)
 
         async def async_shut_down(self) -> None:
             calls.append("left")
@@ -68,15 +70,16 @@
     monkeypatch: pytest.MonkeyPatch, signals: ProcessSignals
 ) -> None:
     """Guard against a node that exits with status 0 and no log line on its own."""
-    calls = patch_node(monkeypatch, is_cancelled=True)
+    calls = patch_node(monkeypatch)
     with pytest.raises(program.UnexpectedExitError):
         await program.async_main(BOOT, build_output(), signals)
     assert calls == []
 
 
-async def test_node_shuts_down_on_sigterm(
-    monkeypatch: pytest.MonkeyPatch, signals: ProcessSignals
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+async def test_node_shuts_down_on_a_stop_signal(
+    monkeypatch: pytest.MonkeyPatch, signals: ProcessSignals, number: signal.Signals
 ) -> None:
-    calls = patch_node(monkeypatch, is_cancelled=False)
+    calls = patch_node(monkeypatch, number)
     await program.async_main(BOOT, build_output(), signals)
     assert calls == ["left"]
--- a/tests/node/test_signals.py
+++ b/tests/node/test_signals.py
@@ -129,6 +129,10 @@
     await entry.async_send(TERM)
 
 
+async def async_interrupt(entry: HeldEntry) -> None:
+    await entry.async_send(signal.SIGINT)
+
+
 async def async_reload_and_stop(entry: HeldEntry) -> None:
     await entry.async_send(HUP, HUP, TERM)
 
@@ -141,6 +145,7 @@
     ("stage", "async_send"),
     [
         pytest.param(IMPORTING, async_stop, id="importing-stop"),
+        pytest.param(IMPORTING, async_interrupt, id="importing-interrupt"),
         pytest.param(IMPORTING, async_reload_and_stop, id="importing-series"),
         pytest.param(IMPORTING, async_overlap, id="importing-overlapping"),
         pytest.param(SETTINGS, async_reload_and_stop, id="settings-series"),
