--- a/mustardward/components/scheduling/held_starts.py
+++ b/mustardward/components/scheduling/held_starts.py
@@ -141,10 +141,10 @@
         :param until: when its last lease ends at the latest, if that is later.
         """
         for name, start in self._starts_of(worker_id):
-            is_held = now < start.elsewhere_at or name in tasks
             if start.is_after_end and name not in tasks:
                 # It is the same end, seen once more.
                 continue
+            is_held = now < start.elsewhere_at or name in tasks
             self._starts[name][worker_id] = replace(
                 start,
                 until=start.until if until is None else max(start.until, until),
--- a/tests/components/ownership/test_release_holds.py
+++ b/tests/components/ownership/test_release_holds.py
@@ -20,7 +20,11 @@
     a_step,
     an_entry,
 )
-from ..scheduling.test_held_starts import a_held_task, a_second_start
+from ..scheduling.test_held_starts import (
+    a_held_task,
+    a_second_start,
+    a_task_that_runs_on_its_worker,
+)
 
 TENURE_SECONDS = 20.0
 START = UnansweredStart(
@@ -36,6 +40,16 @@
     state.takeover_hold_until = 0.0
 
 
+def hand_over(bench: SchedulerBench) -> SchedulerBench:
+    """Return the next owner, which knows a worker that the last one did not."""
+    released = list_unanswered_starts(bench.scheduler.state, bench.now)
+    successor = SchedulerBench(epoch=2, now=bench.now)
+    successor.worker("w3")
+    successor.add(a_job(a_step(count=1)))
+    a_successor(successor, released or [])
+    return successor
+
+
 def test_hold_of_a_start_does_not_begin_again_with_each_owner() -> None:
     """Guard against a task that waits for a lost worker under each new owner."""
     now = started_at = SchedulerBench().now
@@ -77,27 +91,14 @@
     bench, start = a_held_task()
     bench.scheduler.remove_worker(start.worker, LossCause.UNLISTED, bench.now)
     bench.now += RESTART_SECONDS + 0.1
-    released = list_unanswered_starts(bench.scheduler.state, bench.now)
-    successor = SchedulerBench(epoch=2, now=bench.now)
-    successor.worker("w3")
-    successor.add(a_job(a_step(count=1)))
-    a_successor(successor, released or [])
+    successor = hand_over(bench)
     assert len(successor.plan_starts()) == 1
 
 
 def test_hold_of_a_task_that_runs_on_its_worker_goes_on_with_the_next_owner() -> None:
     """Guard against a late start in a restarted worker beside a run elsewhere."""
-    bench, start = a_held_task()
-    bench.worker(start.worker)
-    (again,) = bench.plan_starts()
-    assert again.worker == start.worker
-    bench.hold(start.worker, running=[a_row(again.task, 5.0)])
-    bench.now += SAME_WORKER_SECONDS + 0.1
-    released = list_unanswered_starts(bench.scheduler.state, bench.now)
-    successor = SchedulerBench(epoch=2, now=bench.now)
-    successor.worker("w3")
-    successor.add(a_job(a_step(count=1)))
-    a_successor(successor, released or [])
+    bench, _ = a_task_that_runs_on_its_worker()
+    successor = hand_over(bench)
     assert not successor.plan_starts()
 
 
@@ -120,11 +121,7 @@
 def test_release_names_a_start_in_flight_after_an_earlier_one_was_let_go() -> None:
     """Guard against a second run beside that of a start which the owner sent last."""
     bench, _ = a_second_start()
-    released = list_unanswered_starts(bench.scheduler.state, bench.now)
-    successor = SchedulerBench(epoch=2, now=bench.now)
-    successor.worker("w3")
-    successor.add(a_job(a_step(count=1)))
-    a_successor(successor, released or [])
+    successor = hand_over(bench)
     assert not successor.plan_starts()
 
 
@@ -132,11 +129,7 @@
     """Guard against a task that waits anew under an owner with an outdated entry."""
     bench, start = a_held_task()
     bench.scheduler.remove_worker(start.worker, LossCause.ORDERED, bench.now)
-    released = list_unanswered_starts(bench.scheduler.state, bench.now)
-    successor = SchedulerBench(epoch=2, now=bench.now)
-    successor.worker("w3")
-    successor.add(a_job(a_step(count=1)))
-    a_successor(successor, released or [])
+    successor = hand_over(bench)
     successor.now += RESTART_SECONDS / 2
     successor.scheduler.update_worker(start.worker, an_entry(), successor.now)
     successor.scheduler.remove_worker(start.worker, LossCause.UNLISTED, successor.now)
--- a/tests/components/scheduling/test_held_starts.py
+++ b/tests/components/scheduling/test_held_starts.py
@@ -136,17 +136,23 @@
     assert not bench.plan_starts()
 
 
-@pytest.mark.parametrize("cause", [LossCause.UNLISTED, LossCause.LEASES_EXPIRED])
-def test_task_that_ran_on_the_worker_of_its_unanswered_start_is_held_again(
-    cause: LossCause,
-) -> None:
-    """Guard against a late start in a restarted worker beside a run elsewhere."""
+def a_task_that_runs_on_its_worker() -> tuple[SchedulerBench, Start]:
+    """Return a task that has run for a while on the worker of its unanswered start."""
     bench, start = a_held_task()
     bench.worker(start.worker)
     (again,) = bench.plan_starts()
     assert again.worker == start.worker
     bench.hold(start.worker, running=[a_row(again.task, 5.0)])
     bench.now += SAME_WORKER_SECONDS + 0.1
+    return bench, start
+
+
+@pytest.mark.parametrize("cause", [LossCause.UNLISTED, LossCause.LEASES_EXPIRED])
+def test_task_that_ran_on_the_worker_of_its_unanswered_start_is_held_again(
+    cause: LossCause,
+) -> None:
+    """Guard against a late start in a restarted worker beside a run elsewhere."""
+    bench, start = a_task_that_runs_on_its_worker()
     is_silent = cause is LossCause.LEASES_EXPIRED
     until = bench.now + HOLD_SECONDS if is_silent else None
     bench.scheduler.remove_worker(start.worker, cause, bench.now, until)
