State once when a hold awaits its worker, and what a worker of the walks may get

Cause: the test for a hold without an end stood three times, beside the one that was there before, and the walk's rule of long-running tasks repeated the model's check of a worker but for its cordon. Both are one method now, which the rule overrides. Behaviour and assertions stay.

--- a/mustardward/components/ownership/takeover.py
+++ b/mustardward/components/ownership/takeover.py
@@ -250,6 +250,6 @@
     """
     worker = state.workers.get(start.worker)
     is_on_worker = worker is not None and name in worker.tasks
-    if is_on_worker or start.elsewhere_at == math.inf:
+    if is_on_worker or start.awaits_worker:
         return None
     return start.elsewhere_at - now
--- a/mustardward/components/scheduling/held_starts.py
+++ b/mustardward/components/scheduling/held_starts.py
@@ -34,6 +34,11 @@
         """Return whether the task may start on this worker only."""
         return now < self.until and now < self.elsewhere_at
 
+    @property
+    def awaits_worker(self) -> bool:
+        """Return whether the task waits until the worker reports or has ended."""
+        return self.elsewhere_at == math.inf
+
     def covers(self, run: int, sent_at: float) -> bool:
         """Return whether a start of the same task and worker needs no hold of its own.
 
@@ -101,8 +106,7 @@
 
     def await_worker(self, worker_id: str) -> bool:
         """Return whether tasks wait for a worker until it reports or has ended."""
-        starts = self._starts_of(worker_id)
-        return any(start.elsewhere_at == math.inf for _, start in starts)
+        return any(start.awaits_worker for _, start in self._starts_of(worker_id))
 
     def workers(self) -> set[str]:
         """Return the workers that left starts unanswered."""
@@ -110,9 +114,7 @@
 
     def awaited_workers(self) -> set[str]:
         """Return the workers for which tasks wait until they report or have ended."""
-        return {
-            start.worker for _, start in self.items() if start.elsewhere_at == math.inf
-        }
+        return {start.worker for _, start in self.items() if start.awaits_worker}
 
     def record_executed(self, name: TaskName, worker_id: str, run: int) -> None:
         """Drop a start whose only call is known to have been executed."""
--- a/tests/components/scheduling/liveness_calm_rule.py
+++ b/tests/components/scheduling/liveness_calm_rule.py
@@ -12,7 +12,7 @@
 
 from .liveness_jobs import POLICIES
 from .liveness_runnable import RunnableTasks
-from .liveness_world import ModelWorker, World, step_key
+from .liveness_world import ModelWorker, World
 
 MAX_WAIT_SECONDS: Final = 3.0
 """Time for which a task may wait although it could run."""
@@ -42,16 +42,8 @@
         ]
         return self._count_places(able, step, waiting[0], 2) >= 1
 
-    def _may_run(
-        self, worker: ModelWorker, job: LedgerJob, step: SubmittedStep, name: TaskName
-    ) -> bool:
-        if worker.unreachable or worker.draining:
-            return False
-        if step.required_label and step.required_label not in worker.labels:
-            return False
-        if POLICIES[job.record.queue].advice:
-            return self.world.allows(step_key(name), worker)
-        return True
+    def _is_available(self, worker: ModelWorker) -> bool:
+        return not (worker.unreachable or worker.draining)
 
 
 @dataclass
--- a/tests/components/scheduling/liveness_runnable.py
+++ b/tests/components/scheduling/liveness_runnable.py
@@ -95,7 +95,7 @@
         step: SubmittedStep,
         name: TaskName,
     ) -> bool:
-        if worker.unreachable or worker.draining or worker.cordoned:
+        if not self._is_available(worker):
             return False
         if step.required_label and step.required_label not in worker.labels:
             return False
@@ -103,6 +103,10 @@
             return self.world.allows(step_key(name), worker)
         return True
 
+    def _is_available(self, worker: ModelWorker) -> bool:
+        """Return whether a worker may get any task."""
+        return not (worker.unreachable or worker.draining or worker.cordoned)
+
     def _count_places(
         self, able: list[ModelWorker], step: SubmittedStep, name: TaskName, times: int
     ) -> int:
